--- /dev/null
+++ b/cmd/almondcross/main.go
@@ -0,0 +1,3 @@
+package main
+
+func main() {}
--- /dev/null
+++ b/key.go
@@ -0,0 +1,26 @@
+package almondcross
+
+import "strconv"
+
+// Key identifies a request; a request is idempotent under its key.
+//
+//value:generate
+type Key struct {
+	caller string // the caller that issued the key; two callers never share a key
+	origin string // the home data centre of the key
+	name   string // the name that the caller chose
+}
+
+// String returns the key as caller/origin/name.
+func (key Key) String() string { return key.caller + "/" + key.origin + "/" + key.name }
+
+// TaskID identifies one task of a request.
+//
+//value:generate
+type TaskID struct {
+	key   Key // the key of the request
+	index int // the number of the task within the request, from 0
+}
+
+// String returns the key followed by the index.
+func (taskid TaskID) String() string { return taskid.key.String() + "#" + strconv.Itoa(taskid.index) }
--- /dev/null
+++ b/member.go
@@ -0,0 +1,62 @@
+package almondcross
+
+import "time"
+
+// MemberID names one run of an entry host.
+//
+//value:generate
+type MemberID struct {
+	name        string // the name of the entry host
+	incarnation uint64 // the number that rises each time the host starts or rejoins
+}
+
+// Member is an entry host of the cell.
+//
+//value:generate
+type Member struct {
+	id         MemberID // the name and incarnation
+	dataCentre string   // the data centre of the host
+	address    string   // the IP address and port of its peer link
+	leaving    bool     // whether the host takes no new keys
+}
+
+// Summary is what a member tells its peers in each ping.
+//
+//value:generate
+type Summary struct {
+	catalogueOffset Offset        // the offset that its catalogue covers
+	free            Resources     // the free capacity of the targets that it holds
+	largestFree     Resources     // the free capacity of its emptiest target
+	waiting         int           // the number of tasks in its queue
+	oldest          time.Duration // the age of the oldest task in its queue
+	held            int           // the number of targets that it holds
+}
+
+// Peer is a member of the view with what it last told.
+//
+//value:generate
+type Peer struct {
+	member     Member    // the member
+	summary    Summary   // the summary of its last ping
+	heardAt    time.Time // the time of its last message
+	leaseUntil time.Time // the end of the link lease that it granted
+}
+
+// View is the set of members that a host believes alive.
+//
+//value:generate
+type View struct {
+	self    Member          // the host itself
+	peers   map[string]Peer // the other members by name
+	lost    map[string]Loss // the members of the data centre that left without a handover, by name
+	readyAt time.Time       // the time from which the host takes part as a coordinator
+}
+
+// Loss is a member that left the view without handing over its keys.
+//
+//value:generate
+type Loss struct {
+	member   MemberID  // the lost member
+	at       time.Time // the monotonic time at which it was removed from the view
+	wallTime time.Time // the wall-clock time of the removal, compared with times of issue
+}
--- /dev/null
+++ b/record.go
@@ -0,0 +1,81 @@
+package almondcross
+
+import "time"
+
+// Stream is the name of a stream of the platform's log.
+type Stream string
+
+// The streams of the log.
+const (
+	StreamCatalogue           Stream = "catalogue"
+	StreamCatalogueCheckpoint Stream = "catalogue.checkpoint"
+	StreamClaims              Stream = "claims"
+	streamAccountPrefix              = "account."
+	streamAnswersPrefix              = "answers."
+)
+
+// AccountStream returns the stream of usage batches of a data centre.
+func AccountStream(dataCentre string) Stream { return Stream(streamAccountPrefix + dataCentre) }
+
+// AnswersStream returns the stream of answers of a data centre.
+func AnswersStream(dataCentre string) Stream { return Stream(streamAnswersPrefix + dataCentre) }
+
+// Record is one record of a log stream.
+//
+//value:generate
+type Record struct {
+	id       string    // the unique id that the writer chose, by which a repeated append is recognised
+	offset   Offset    // the position in the stream, set by the log
+	appended time.Time // the time at which the log took the record
+	body     []byte    // the encoded content
+}
+
+// Batch is a run of consecutive records as read from the log.
+//
+//value:generate
+type Batch struct {
+	records []Record // the records in log order
+	next    Offset   // the offset to read from next
+	end     Offset   // the offset after the last record of the stream
+}
+
+// CatalogueChange is a change of one entry that an operator asked for.
+//
+//value:generate
+type CatalogueChange struct {
+	id       string    // the id of the record
+	name     string    // the name of the entry
+	entry    Entry     // the new entry; not used for a removal
+	removed  bool      // whether the entry is removed
+	expected Offset    // the version that the operator saw, 0 for a new entry
+	operator string    // the operator who asked
+	offset   Offset    // the offset of the record, set by the log
+	appended time.Time // the time at which the log took the record
+}
+
+// ClaimKind is the kind of a record of the claims stream.
+type ClaimKind string
+
+// The kinds of claim records.
+const (
+	ClaimTaken   ClaimKind = "claim"   // ClaimTaken reserves a key for one claimant.
+	ClaimVoid    ClaimKind = "void"    // ClaimVoid rules out that the key ever runs.
+	ClaimSettled ClaimKind = "settled" // ClaimSettled records the end of a claimed key.
+)
+
+// ClaimRecord is one record of the claims stream.
+//
+//value:generate
+type ClaimRecord struct {
+	id           string    // the id of the record
+	kind         ClaimKind // the kind of the record
+	key          Key       // the key of the request
+	entry        string    // the name of the entry
+	claimant     MemberID  // the member that wrote the record
+	dataCentre   string    // the data centre of the claimant
+	status       Status    // the final status of a settled key
+	code         Code      // the reason code of a settled key
+	answerOffset Offset    // the offset of the answer in the answers stream, -1 for none
+	issuedAt     time.Time // the time of issue of the key
+	offset       Offset    // the offset of the record, set by the log
+}
--- /dev/null
+++ b/reports.go
@@ -0,0 +1,252 @@
+package almondcross
+
+import (
+	"context"
+	"time"
+)
+
+// ShareQuery selects lines of the account of shares.
+//
+//value:generate
+type ShareQuery struct {
+	owner string    // the owner, empty for all
+	entry string    // the entry, empty for all
+	from  time.Time // the start of the period
+	to    time.Time // the end of the period
+}
+
+// ShareLine is what one entry received in one data centre and interval.
+//
+//value:generate
+type ShareLine struct {
+	from       time.Time // the start of the interval
+	to         time.Time // the end of the interval
+	dataCentre string    // the data centre
+	usage      UsageLine // the use with the promised and the received share
+	incomplete bool      // whether facts of the interval are known to be missing
+}
+
+// AccountGap is a run of usage batches that were never read.
+//
+//value:generate
+type AccountGap struct {
+	member       MemberID  // the member whose batches are missing
+	dataCentre   string    // the data centre of the member
+	fromSequence uint64    // the first missing batch
+	toSequence   uint64    // the last missing batch, 0 when the member ended without a final batch
+	after        time.Time // the end of the last interval read before the gap
+}
+
+// ShareReport answers who received what share.
+//
+//value:generate
+type ShareReport struct {
+	lines   []ShareLine          // the lines by interval, data centre and entry
+	gaps    []AccountGap         // the marked gaps
+	freshAt map[string]time.Time // the end of the last interval read, by data centre
+	missing []string             // the data centres whose account could not be read
+}
+
+// StoryEvent is one decision about a request.
+//
+//value:generate
+type StoryEvent struct {
+	at     time.Time // the time of the decision
+	key    Key       // the key of the request
+	entry  string    // the name of the entry
+	event  string    // the name of the decision, in snake case
+	code   Code      // the reason code
+	host   string    // the entry host that decided
+	target string    // the target concerned, empty for none
+	detail string    // the explanation for a person
+}
+
+// StoryQuery selects the story of one key or one entry.
+//
+//value:generate
+type StoryQuery struct {
+	key   Key    // the key, empty for all keys of the entry
+	entry string // the entry, empty when a key is given
+	limit int    // the most events to return
+}
+
+// Story is the decisions about a key or an entry, in order.
+//
+//value:generate
+type Story struct {
+	events    []StoryEvent // the events in order of time
+	truncated bool         // whether older events are no longer kept
+}
+
+// AuditQuery selects lines of the audit trail.
+//
+//value:generate
+type AuditQuery struct {
+	entry string    // the entry, empty for all
+	from  time.Time // the start of the period
+	to    time.Time // the end of the period
+}
+
+// AuditLine is one change of the catalogue that an operator asked for.
+//
+//value:generate
+type AuditLine struct {
+	at          time.Time // the time at which the log took the change
+	operator    string    // the operator
+	entry       string    // the name of the entry
+	removed     bool      // whether the change removed the entry
+	fromVersion Offset    // the version before the change
+	toVersion   Offset    // the version that the change asked for
+	accepted    bool      // whether the change was accepted
+	code        Code      // the reason of a refusal
+}
+
+// HeldTarget is a target as its holder sees it.
+//
+//value:generate
+type HeldTarget struct {
+	target  Target    // the target
+	term    Term      // the term of the lease
+	total   Resources // the capacity
+	free    Resources // the capacity that is not taken
+	running int       // the number of running tasks
+	leaving bool      // whether the target accepts no new work
+	ejected bool      // whether the target gets no work because its tasks fail
+}
+
+// RingState is the state of one ring.
+//
+//value:generate
+type RingState struct {
+	name     string // the name of the ring
+	depth    int    // the number of waiting messages
+	capacity int    // the most messages that wait
+	refused  uint64 // the number of refused messages
+}
+
+// HostStatus is the state of one entry host.
+//
+//value:generate
+type HostStatus struct {
+	view            View         // the members
+	standing        bool         // whether the host may start keys
+	ready           bool         // whether requests can be served
+	catalogueOffset Offset       // the offset that the catalogue covers
+	logEnd          Offset       // the offset after the last record of the catalogue stream
+	logDown         bool         // whether the last append failed
+	targets         []HeldTarget // the targets held
+	rings           []RingState  // the rings
+}
+
+// ReportViewer answers managers' questions from the account and the audit trail.
+type ReportViewer interface {
+	// Shares returns the account of shares of a period.
+	Shares(ctx context.Context, query ShareQuery) (ShareReport, error)
+	// Story returns the decisions that this host took about a key or an entry.
+	Story(ctx context.Context, query StoryQuery) (Story, error)
+	// Audit returns the changes of the catalogue in a period.
+	Audit(ctx context.Context, query AuditQuery) ([]AuditLine, error)
+}
+
+// HoldingViewer gives the targets that this host holds.
+type HoldingViewer interface {
+	HeldTargets() []HeldTarget
+}
+
+// StatusViewer gives the state of this host.
+type StatusViewer interface {
+	Status() HostStatus
+}
+
+// StoryRecorder takes decisions for the stories of requests.
+type StoryRecorder interface {
+	// Record adds an event and never blocks.
+	Record(event StoryEvent)
+}
+
+// StoryReplier receives the answer to a LookupStory; ReplyStory does not block.
+type StoryReplier interface {
+	ReplyStory(story Story)
+}
+
+// AccountantMessage is a message for the accountant duty.
+type AccountantMessage interface{ accountantMessage() }
+
+// LookupStory asks the accountant for a story and changes nothing.
+//
+//value:generate
+type LookupStory struct {
+	query   StoryQuery   // the selection
+	replier StoryReplier // the receiver of the story
+}
+
+func (AccountEvent) accountantMessage()     {}
+func (StoryEvent) accountantMessage()       {}
+func (LookupStory) accountantMessage()      {}
+func (AppendAnswered) accountantMessage()   {}
+func (CatalogueChanged) accountantMessage() {}
+func (ViewChanged) accountantMessage()      {}
+
+// CataloguerMessage is a message for the cataloguer duty.
+type CataloguerMessage interface{ cataloguerMessage() }
+
+// ChangeOutcome is how a requested change of the catalogue ended.
+//
+//value:generate
+type ChangeOutcome struct {
+	name     string // the name of the entry
+	accepted bool   // whether the change is in the catalogue
+	certain  bool   // whether the outcome is certain; an uncertain change may still be accepted
+	version  Offset // the version of the entry after the decision
+	code     Code   // the reason of a refusal
+	detail   string // the explanation for a person
+}
+
+// ChangeReplier receives the outcome of a change; ReplyChange does not block.
+type ChangeReplier interface {
+	ReplyChange(outcome ChangeOutcome)
+}
+
+// ChangeCatalogue asks the cataloguer to append a change and to report how the log decided.
+//
+//value:generate
+type ChangeCatalogue struct {
+	change  CatalogueChange // the change
+	replier ChangeReplier   // the receiver of the outcome
+}
+
+// CatalogueRecordsRead tells the cataloguer which changes were read from the catalogue stream.
+//
+//value:generate
+type CatalogueRecordsRead struct {
+	changes []CatalogueChange // the changes in log order
+	next    Offset            // the offset to read from next
+}
+
+// CatalogueLoaded tells the cataloguer of a whole catalogue from a checkpoint or a peer.
+//
+//value:generate
+type CatalogueLoaded struct {
+	catalogue Catalogue // the catalogue
+}
+
+func (ChangeCatalogue) cataloguerMessage()      {}
+func (CatalogueRecordsRead) cataloguerMessage() {}
+func (CatalogueLoaded) cataloguerMessage()      {}
+func (AppendAnswered) cataloguerMessage()       {}
+
+// AppendRecords asks an appender to add records to its stream; the appender answers with AppendAnswered.
+//
+//value:generate
+type AppendRecords struct {
+	records []Record                    // the records in order
+	answer  func(answer AppendAnswered) // the receiver of the answer; it does not block
+}
+
+// Appender takes records for one stream of the log.
+type Appender interface {
+	// Append queues records and reports false when the queue is full or the log is known to be down.
+	Append(request AppendRecords) bool
+	// Down reports whether the last append failed.
+	Down() bool
+}
--- /dev/null
+++ b/resources.go
@@ -0,0 +1,64 @@
+package almondcross
+
+// Resources is an amount of each resource that a target has or a task needs.
+//
+//value:generate
+type Resources struct {
+	milliCPU     int64 // the processor time in thousandths of a core
+	memoryMB     int64 // the memory in megabytes
+	accelerators int64 // the number of accelerators
+	slots        int64 // the number of runner slots
+}
+
+// Add returns the sum of two amounts.
+func (resources Resources) Add(other Resources) Resources {
+	resources.milliCPU += other.milliCPU
+	resources.memoryMB += other.memoryMB
+	resources.accelerators += other.accelerators
+	resources.slots += other.slots
+	return resources
+}
+
+// Sub returns the amount less another one.
+func (resources Resources) Sub(other Resources) Resources {
+	resources.milliCPU -= other.milliCPU
+	resources.memoryMB -= other.memoryMB
+	resources.accelerators -= other.accelerators
+	resources.slots -= other.slots
+	return resources
+}
+
+// Scale returns the amount multiplied by a count.
+func (resources Resources) Scale(count int64) Resources {
+	resources.milliCPU *= count
+	resources.memoryMB *= count
+	resources.accelerators *= count
+	resources.slots *= count
+	return resources
+}
+
+// Fits reports whether the amount is at most the room in every resource.
+func (resources Resources) Fits(room Resources) bool {
+	return resources.milliCPU <= room.milliCPU && resources.memoryMB <= room.memoryMB &&
+		resources.accelerators <= room.accelerators && resources.slots <= room.slots
+}
+
+// IsZero reports whether nothing is needed of any resource.
+func (resources Resources) IsZero() bool { return resources == Resources{} }
+
+// Dominant returns the largest fraction that the amount takes of any resource of a total.
+func (resources Resources) Dominant(total Resources) float64 {
+	return max(
+		fraction(resources.milliCPU, total.milliCPU),
+		fraction(resources.memoryMB, total.memoryMB),
+		fraction(resources.accelerators, total.accelerators),
+		fraction(resources.slots, total.slots),
+	)
+}
+
+func fraction(part, total int64) float64 {
+	if total <= 0 {
+		return 0
+	}
+	return float64(part) / float64(total)
+}
--- /dev/null
+++ b/task.go
@@ -0,0 +1,91 @@
+package almondcross
+
+import "time"
+
+// Band is a range of expected run times; tasks of a lower band are shorter.
+type Band int
+
+// Task is one unit of work on one target.
+//
+//value:generate
+type Task struct {
+	id          TaskID        // the identity of the task
+	entry       string        // the name of the entry
+	owner       string        // the owner of the entry
+	class       Class         // the class of the entry
+	resources   Resources     // what the task needs
+	payload     []byte        // the input of the work
+	repeatable  bool          // whether the task may run again after a failure
+	urgent      bool          // whether the task takes capacity from lent work
+	size        int           // the number of tasks of the request that must start at once
+	attempt     int           // the number of the attempt, from 1
+	coordinator MemberID      // the member and incarnation that coordinates the key
+	maxRun      time.Duration // the time after which the task is stopped, 0 for no limit
+	expectedRun time.Duration // the expected run time
+	timeout     time.Duration // the time that is left to start usefully when the task is sent, 0 for no limit
+}
+
+// TaskResult is how one attempt of a task ended.
+//
+//value:generate
+type TaskResult struct {
+	id       TaskID        // the identity of the task
+	attempt  int           // the number of the attempt
+	code     Code          // the reason for an end without an answer, empty for success
+	answer   []byte        // the whole answer
+	checksum uint64        // the xxhash of the whole answer as computed by the worker
+	ran      time.Duration // the time for which the task ran
+}
+
+// Term numbers a lease of a target; a worker refuses every term but the current one.
+//
+//value:generate
+type Term struct {
+	boot    uint64 // the number of the worker's boot
+	counter uint64 // the number of the grant within the boot
+}
+
+// Less reports whether the term is older than another one of the same target.
+func (term Term) Less(other Term) bool {
+	if term.boot != other.boot {
+		return term.boot < other.boot
+	}
+	return term.counter < other.counter
+}
+
+// InventoryItem is one task that a worker holds.
+//
+//value:generate
+type InventoryItem struct {
+	task     Task       // the task
+	finished bool       // whether the task has ended
+	result   TaskResult // the result of an ended task
+}
+
+// Grant is a worker's answer to an acquired lease.
+//
+//value:generate
+type Grant struct {
+	target    string          // the name of the target
+	term      Term            // the term of the lease
+	capacity  Resources       // the capacity of the target
+	leaving   bool            // whether the target accepts no new work
+	inventory []InventoryItem // the tasks on the target
+	events    uint64          // the index of the last event that the worker recorded
+}
+
+// Renewal is a worker's answer to a renewed lease.
+//
+//value:generate
+type Renewal struct {
+	leaving bool      // whether the target accepts no new work
+	usage   Resources // the use that the worker measured, with a lag
+}
+
+// WorkerEvent is the end of one attempt, as a worker reports it.
+//
+//value:generate
+type WorkerEvent struct {
+	index  uint64     // the position in the worker's event list
+	result TaskResult // the result of the attempt
+}
--- /dev/null
+++ b/view.go
@@ -0,0 +1,138 @@
+package almondcross
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Timing of the protocols between entry hosts and workers; docs/design.md 3.1 and 3.2 derive it.
+const (
+	// HolderLease is how long a worker keeps a lease that is not renewed.
+	HolderLease = 3 * time.Second
+	// RenewInterval is the time between two renewals of a lease.
+	RenewInterval = time.Second
+	// TaskLease is how long a worker runs a task that no renewal names.
+	TaskLease = 8 * time.Second
+	// LostAfter is the time after the last answered renewal from which a task has certainly
+	// stopped: a late renewal arrives within HolderLease and extends the task by TaskLease,
+	// and 10% are added for clock drift.
+	LostAfter = 12500 * time.Millisecond
+	// PingInterval is the time between two pings to a peer of the same data centre.
+	PingInterval = 250 * time.Millisecond
+	// RemotePingInterval is the time between two pings to a peer of another data centre.
+	RemotePingInterval = 2 * time.Second
+	// LinkLease is how long an answered ping counts from the time at which it was sent.
+	LinkLease = 1800 * time.Millisecond
+	// SilenceLimit is the time after which a silent peer of the same data centre leaves the view.
+	// It is longer than LinkLease, so that the peer has stopped starting work by then.
+	SilenceLimit = 2 * time.Second
+	// RemoteSilenceLimit is the time after which a silent peer of another data centre leaves the view.
+	RemoteSilenceLimit = 3 * RemotePingInterval
+	// HoldBack is the time after a loss from which no task of the lost member still runs. It is
+	// LostAfter and the difference between two members' views.
+	HoldBack = 13 * time.Second
+	// CallerClockSkew is the allowed difference between a caller's clock and ours.
+	CallerClockSkew = time.Second
+)
+
+// Member returns the member with a name, the host itself included.
+func (view View) Member(name string) (Member, bool) {
+	if name == view.self.id.name {
+		return view.self, true
+	}
+	peer, ok := view.peers[name]
+	return peer.member, ok
+}
+
+// Contains reports whether exactly this incarnation of a member is in the view.
+func (view View) Contains(id MemberID) bool {
+	member, ok := view.Member(id.name)
+	return ok && member.id == id
+}
+
+// Coordinator returns the member that coordinates a key; it reports false when no member of
+// the key's home data centre is in the view.
+func (view View) Coordinator(key Key) (Member, bool) {
+	return view.choose(key.origin, hash(key.caller, key.name), "")
+}
+
+// PreferredHolder returns the member of the view that is to hold a target.
+func (view View) PreferredHolder(target Target) (Member, bool) {
+	return view.choose(target.dataCentre, hash(target.name, ""), "")
+}
+
+// CoordinatorWith returns the member that coordinated a key while a lost member was in the view.
+func (view View) CoordinatorWith(key Key, lost MemberID) (string, bool) {
+	member, ok := view.choose(key.origin, hash(key.caller, key.name), lost.name)
+	if !ok {
+		return lost.name, true
+	}
+	return member.id.name, true
+}
+
+// choose returns the member with the highest rendezvous weight. A candidate that is not in the
+// view takes part under its name and wins with an empty member of that name.
+func (view View) choose(dataCentre string, seed uint64, candidate string) (Member, bool) {
+	var best Member
+	var bestWeight uint64
+	found := false
+	consider := func(member Member) {
+		if member.dataCentre != dataCentre || member.leaving {
+			return
+		}
+		weight := weigh(seed, member.id.name)
+		if !found || weight > bestWeight || (weight == bestWeight && member.id.name < best.id.name) {
+			best, bestWeight, found = member, weight, true
+		}
+	}
+	consider(view.self)
+	for _, peer := range view.peers {
+		consider(peer.member)
+	}
+	if candidate != "" {
+		consider(Member{id: MemberID{name: candidate}, dataCentre: dataCentre})
+	}
+	return best, found
+}
+
+// HasStanding reports whether every peer of the data centre has granted a link lease that is still valid.
+func (view View) HasStanding(now time.Time) bool {
+	if now.Before(view.readyAt) {
+		return false
+	}
+	for _, peer := range view.peers {
+		if peer.member.dataCentre == view.self.dataCentre && !now.Before(peer.leaseUntil) {
+			return false
+		}
+	}
+	return true
+}
+
+// HasLease reports whether the link lease from this incarnation of a member is valid.
+func (view View) HasLease(id MemberID, now time.Time) bool {
+	if id == view.self.id {
+		return true
+	}
+	peer, ok := view.peers[id.name]
+	return ok && peer.member.id == id && now.Before(peer.leaseUntil)
+}
+
+func hash(first, second string) uint64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(first)
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.WriteString(second)
+	return digest.Sum64()
+}
+
+// weigh mixes a seed with a member name. The finaliser of MurmurHash3 spreads the sum, so that
+// the order of members differs between seeds.
+func weigh(seed uint64, name string) uint64 {
+	value := seed ^ xxhash.Sum64String(name)
+	value ^= value >> 33
+	value *= 0xff51afd7ed558ccd
+	value ^= value >> 33
+	value *= 0xc4ceb9fe1a85ec53
+	return value ^ value>>33
+}
