--- a/tools/valuer/main.go
+++ b/tools/valuer/main.go
@@ -39,8 +39,8 @@
 {{end}})
 {{range $v := .Values}}
 // {{$v.Name}}Config holds the fields of a new {{$v.Name}}.
-type {{$v.Name}}Config struct {
-{{range $v.Fields}}	{{.Upper}} {{.Type}}
+type {{$v.Name}}Config struct { {{- if $v.Fields}}
+{{end}}{{range $v.Fields}}	{{.Upper}} {{.Type}}
 {{end}}}
 
 // New{{$v.Name}} returns a {{$v.Name}} with the given fields.
