Add the registrar and the coordinator

Cause: one member of a data centre has to decide for each key, without an agreement by log, and must stop deciding when others took over.

Change: the registrar keeps the view with link leases and incarnations; the coordinator suppresses duplicates, searches moved keys, holds back keys of lost members, follows claims and hands running keys over.

--- /dev/null
+++ b/command/coordinator/claim.go
@@ -0,0 +1,83 @@
+package coordinator
+
+import (
+	"time"
+
+	"github.com/almondcross/almondcross"
+)
+
+// claimDecided starts a key that this member claimed, or follows the member that did.
+func (machine *Machine) claimDecided(message almondcross.ClaimDecided, now time.Time) {
+	record, ok := machine.keys[message.Key()]
+	if !ok || record.phase != phaseClaiming {
+		return
+	}
+	if message.Granted() {
+		record.claimed = true
+		machine.startClaimed(record, now)
+		return
+	}
+	decisive := message.Decisive()
+	switch {
+	case decisive.Kind() == almondcross.ClaimSettled:
+		machine.finish(record, settledOutcome(decisive), now)
+	case decisive.Kind() == almondcross.ClaimTaken:
+		machine.followClaimant(record, decisive, now)
+	case message.Code() == almondcross.CodeClaimedElsewhere:
+		machine.finish(record, outcomeOf(message.Key(), almondcross.StatusUnknown, message.Code()), now)
+	default:
+		machine.finish(record, outcomeOf(message.Key(), almondcross.StatusNotRun, message.Code()), now)
+	}
+}
+
+// startClaimed uses the one start that a claim permits, unless it can no longer be useful.
+func (machine *Machine) startClaimed(record *record, now time.Time) {
+	key := record.request.Key()
+	switch {
+	case record.cancelled:
+		machine.finish(record, outcomeOf(key, almondcross.StatusNotRun, almondcross.CodeCancelled), now)
+	case !record.deadline.IsZero() && !now.Before(record.deadline):
+		machine.finish(record, outcomeOf(key, almondcross.StatusNotRun, almondcross.CodeTimeout), now)
+	case !machine.view.HasStanding(now):
+		machine.finish(record, outcomeOf(key, almondcross.StatusNotRun, almondcross.CodeNoStanding), now)
+	default:
+		machine.place(record, now)
+	}
+}
+
+// followClaimant routes the callers to the member that claimed the key first.
+func (machine *Machine) followClaimant(record *record, decisive almondcross.ClaimRecord, now time.Time) {
+	claimant := decisive.Claimant()
+	if claimant != machine.self() && machine.view.Contains(claimant) {
+		waiters, request := record.waiters, record.request
+		machine.drop(record)
+		for _, waiter := range waiters {
+			machine.forwardRequest(request, claimant, waiter.replier, waiter.deadline, now)
+		}
+		return
+	}
+	machine.tell(record, "claimed_elsewhere", almondcross.CodeClaimedElsewhere, "", now)
+	record.phase = phaseClaimedElsewhere
+	if len(record.waiters) == 0 {
+		machine.drop(record)
+	}
+}
+
+func settledOutcome(settled almondcross.ClaimRecord) almondcross.Outcome {
+	outcome := outcomeOf(settled.Key(), settled.Status(), settled.Code())
+	if settled.Status() == almondcross.StatusDone {
+		// The whole answer is in the answers stream; without it the caller is not told done.
+		outcome = outcome.WithStatus(almondcross.StatusUnknown).WithCode(almondcross.CodeAnswerStored)
+	}
+	return outcome
+}
+
+// settlementSeen ends a key that another member settled.
+func (machine *Machine) settlementSeen(message almondcross.ClaimSettlementSeen, now time.Time) {
+	settled := message.Record()
+	record, ok := machine.keys[settled.Key()]
+	if !ok || record.phase != phaseClaimedElsewhere {
+		return
+	}
+	machine.finish(record, settledOutcome(settled), now)
+}
--- /dev/null
+++ b/command/coordinator/search.go
@@ -0,0 +1,138 @@
+package coordinator
+
+import (
+	"time"
+
+	"github.com/almondcross/almondcross"
+)
+
+// startLookups asks every peer of the data centre whether it knows a key that moved with a
+// change of the members.
+func (machine *Machine) startLookups(record *record, now time.Time) {
+	record.phase = phaseLooking
+	record.lookups = map[string]time.Time{}
+	for name, peer := range machine.view.Peers() {
+		if peer.Member().DataCentre() == machine.view.Self().DataCentre() {
+			record.lookups[name] = time.Time{}
+		}
+	}
+	machine.repeatLookups(record, now)
+}
+
+// repeatLookups sends the lookups that are due and goes on when none is left.
+func (machine *Machine) repeatLookups(record *record, now time.Time) {
+	for name, asked := range record.lookups {
+		peer, ok := machine.view.Peers()[name]
+		if !ok {
+			// A lost peer is covered by the hold-back.
+			delete(record.lookups, name)
+			continue
+		}
+		if now.Sub(asked) < lookupRepeat {
+			continue
+		}
+		record.lookups[name] = now
+		correlation := machine.addForward(&forward{
+			kind: forwardSearch, key: record.request.Key(), member: peer.Member().ID(), deadline: now.Add(lookupRepeat),
+		})
+		machine.do(Send{Member: name, Message: almondcross.NewPeerLookup(almondcross.PeerLookupConfig{
+			Correlation: correlation, Key: record.request.Key(),
+		})})
+	}
+	if len(record.lookups) == 0 {
+		machine.advance(record, now)
+		return
+	}
+	machine.wakeKey(record.request.Key(), now.Add(lookupRepeat))
+}
+
+// searched takes the answer of one peer.
+func (machine *Machine) searched(entry *forward, outcome almondcross.Outcome, now time.Time) {
+	record, ok := machine.keys[entry.key]
+	if !ok || record.phase != phaseLooking {
+		return
+	}
+	if outcome.Code() == almondcross.CodeNotHere {
+		delete(record.lookups, entry.member.Name())
+		machine.repeatLookups(record, now)
+		return
+	}
+	if outcome.Status() == almondcross.StatusUnknown {
+		// The peer searches for the key itself, or cannot tell; it is asked again.
+		return
+	}
+	machine.tell(record, "found_at_peer", almondcross.CodeNone, "", now)
+	waiters, request := record.waiters, record.request
+	machine.drop(record)
+	for _, waiter := range waiters {
+		machine.forwardRequest(request, entry.member, waiter.replier, waiter.deadline, now)
+	}
+}
+
+// changeView takes a new view: keys that a lost member may have started are searched again, and
+// running keys that belong to another member are handed over.
+func (machine *Machine) changeView(view almondcross.View, now time.Time) {
+	rejoined := view.Self().ID() != machine.self()
+	moved := rejoined || membersDiffer(machine.view, view)
+	machine.view = view
+	if rejoined {
+		machine.surrender(now)
+	}
+	if !moved {
+		return
+	}
+	for correlation, entry := range machine.forwards {
+		if view.Contains(entry.member) {
+			continue
+		}
+		if entry.kind == forwardSubmit {
+			machine.reroute(correlation, now)
+			continue
+		}
+		machine.expireForward(correlation, now)
+	}
+	for _, record := range machine.keys {
+		switch record.phase {
+		case phaseLooking:
+			machine.repeatLookups(record, now)
+		case phaseRunning:
+			machine.offerHandover(record, now)
+		}
+	}
+	machine.reconcileServices(now)
+}
+
+// membersDiffer reports whether two views would choose coordinators differently.
+func membersDiffer(before, after almondcross.View) bool {
+	if len(before.Peers()) != len(after.Peers()) || before.Self().Leaving() != after.Self().Leaving() {
+		return true
+	}
+	for name, peer := range after.Peers() {
+		old, ok := before.Peers()[name]
+		if !ok || old.Member().ID() != peer.Member().ID() || old.Member().Leaving() != peer.Member().Leaving() {
+			return true
+		}
+	}
+	return false
+}
+
+// surrender gives up every key in progress after another member removed this one from its view:
+// the keys may have new coordinators. Waiting callers are routed again, and holders report the
+// running tasks to the current coordinators.
+func (machine *Machine) surrender(now time.Time) {
+	var waiting []*record
+	for _, record := range machine.keys {
+		if record.phase == phaseEnded {
+			continue
+		}
+		machine.drop(record)
+		if len(record.waiters) > 0 {
+			waiting = append(waiting, record)
+		}
+	}
+	for _, record := range waiting {
+		for _, waiter := range record.waiters {
+			machine.submitAgain(record.request, waiter, now)
+		}
+	}
+}
--- a/member.go
+++ b/member.go
@@ -46,10 +46,12 @@
 //
 //value:generate
 type View struct {
-	self    Member          // the host itself
-	peers   map[string]Peer // the other members by name
-	lost    map[string]Loss // the members of the data centre that left without a handover, by name
-	readyAt time.Time       // the time from which the host takes part as a coordinator
+	self       Member          // the host itself
+	peers      map[string]Peer // the other members by name
+	lost       map[string]Loss // the members of the data centre that left without a handover, by name
+	joinedWall time.Time       // the wall-clock time of the last join or planned leave in the data centre
+	readyAt    time.Time       // the time from which the host takes part as a coordinator
+	validUntil time.Time       // the time from which the view is too old to act on
 }
 
 // Loss is a member that left the view without handing over its keys.
--- a/messages.go
+++ b/messages.go
@@ -188,15 +188,15 @@
 type PeerPong struct {
 	member   MemberID // the member that answers
 	sequence uint64   // the number of the ping
-	rejoin   bool     // whether the sender of the ping was removed from the view and needs a new incarnation
+	rejoin   bool     // whether the sender of the ping needs a new incarnation
+	known    uint64   // the highest incarnation of the sender of the ping that the member has seen
 }
 
-// PeerLeaving announces a planned stop and names the keys that the member still coordinates.
+// PeerLeaving tells a peer that a planned stop is complete: every key was handed over.
 //
 //value:generate
 type PeerLeaving struct {
 	member MemberID // the member that leaves
-	keys   []Key    // the keys in progress
 }
 
 // PeerLeavingAck confirms a PeerLeaving.
@@ -210,12 +210,20 @@
 //
 //value:generate
 type PeerHandover struct {
+	from    MemberID // the member that hands the key over
 	request Request  // the request
 	task    Task     // the task as it was placed
-	holder  MemberID // the holder of the target, empty when the task is not running
+	holder  MemberID // the holder of the target
 	target  string   // the target
 	term    Term     // the term of the holder
-	outcome Outcome  // the outcome of an ended key
+}
+
+// PeerHandoverAck confirms a PeerHandover.
+//
+//value:generate
+type PeerHandoverAck struct {
+	key         Key      // the key
+	coordinator MemberID // the new coordinator
 }
 
 // PeerCatalogueRequest asks a peer for its catalogue.
@@ -421,11 +429,11 @@
 	offset Offset // the offset
 }
 
-// LeaveView tells the registrar to announce a planned stop.
+// LeaveView tells the registrar to announce a planned stop, or to end it.
 //
 //value:generate
 type LeaveView struct {
-	keys []Key // the keys in progress
+	final bool // whether every key was handed over
 }
 
 func (SubmitRequest) coordinatorMessage()       {}
@@ -442,7 +450,7 @@
 func (ClaimSettlementSeen) coordinatorMessage() {}
 func (PeerReply) coordinatorMessage()           {}
 func (PeerHandover) coordinatorMessage()        {}
-func (PeerLeaving) coordinatorMessage()         {}
+func (PeerHandoverAck) coordinatorMessage()     {}
 func (DrainCoordinator) coordinatorMessage()    {}
 
 func (PlaceTask) placerMessage()        {}
@@ -484,6 +492,7 @@
 func (PeerLeaving) peerMessage()          {}
 func (PeerLeavingAck) peerMessage()       {}
 func (PeerHandover) peerMessage()         {}
+func (PeerHandoverAck) peerMessage()      {}
 func (PeerCatalogueRequest) peerMessage() {}
 func (PeerCatalogue) peerMessage()        {}
 func (PlaceTask) peerMessage()            {}
--- a/request.go
+++ b/request.go
@@ -49,6 +49,7 @@
 	CodeNotHere           Code = "not_here"
 	CodeTruncated         Code = "truncated"
 	CodeBackfilled        Code = "backfilled"
+	CodeAnswerStored      Code = "answer_stored"
 	CodeUrgentReserve     Code = "urgent_reserve"
 	CodeLentShareReturned Code = "lent_share_returned"
 	CodeVersionConflict   Code = "version_conflict"
--- a/task.go
+++ b/task.go
@@ -18,7 +18,7 @@
 	repeatable  bool          // whether the task may run again after a failure
 	urgent      bool          // whether the task takes capacity from lent work
 	size        int           // the number of tasks of the request that must start at once
-	attempt     int           // the number of the attempt, from 1
+	attempt     int           // the number of the attempt, which rises with each placement of the key
 	coordinator MemberID      // the member and incarnation that coordinates the key
 	maxRun      time.Duration // the time after which the task is stopped, 0 for no limit
 	expectedRun time.Duration // the expected run time
--- a/tools/valuer/main.go
+++ b/tools/valuer/main.go
@@ -160,10 +160,21 @@
 		_ = printer.Fprint(&kind, fset, entry.Type)
 		comment := strings.TrimSpace(entry.Comment.Text())
 		for _, name := range entry.Names {
-			upper := []rune(name.Name)
-			upper[0] = unicode.ToUpper(upper[0])
-			list = append(list, field{Lower: name.Name, Upper: string(upper), Type: kind.String(), Comment: comment})
+			list = append(list, field{Lower: name.Name, Upper: exported(name.Name), Type: kind.String(), Comment: comment})
 		}
 	}
 	return list
 }
+
+// exported returns the exported form of a field name, with initialisms in capitals.
+func exported(name string) string {
+	switch name {
+	case "id":
+		return "ID"
+	case "ids":
+		return "IDs"
+	}
+	upper := []rune(name)
+	upper[0] = unicode.ToUpper(upper[0])
+	return string(upper)
+}
--- a/values_generated.go
+++ b/values_generated.go
@@ -560,7 +560,7 @@
 
 // TaskConfig holds the fields of a new Task.
 type TaskConfig struct {
-	Id          TaskID
+	ID          TaskID
 	Entry       string
 	Owner       string
 	Class       Class
@@ -579,7 +579,7 @@
 // NewTask returns a Task with the given fields.
 func NewTask(config TaskConfig) Task {
 	return Task{
-		id:          config.Id,
+		id:          config.ID,
 		entry:       config.Entry,
 		owner:       config.Owner,
 		class:       config.Class,
@@ -599,7 +599,7 @@
 // Config returns the fields of the value for encoding or for a changed copy.
 func (task Task) Config() TaskConfig {
 	return TaskConfig{
-		Id:          task.id,
+		ID:          task.id,
 		Entry:       task.entry,
 		Owner:       task.owner,
 		Class:       task.class,
@@ -616,11 +616,11 @@
 	}
 }
 
-// Id returns the identity of the task.
-func (task Task) Id() TaskID { return task.id }
+// ID returns the identity of the task.
+func (task Task) ID() TaskID { return task.id }
 
-// WithId returns a copy with the given id.
-func (task Task) WithId(id TaskID) Task {
+// WithID returns a copy with the given id.
+func (task Task) WithID(id TaskID) Task {
 	task.id = id
 	return task
 }
@@ -697,7 +697,7 @@
 	return task
 }
 
-// Attempt returns the number of the attempt, from 1.
+// Attempt returns the number of the attempt, which rises with each placement of the key.
 func (task Task) Attempt() int { return task.attempt }
 
 // WithAttempt returns a copy with the given attempt.
@@ -744,7 +744,7 @@
 
 // TaskResultConfig holds the fields of a new TaskResult.
 type TaskResultConfig struct {
-	Id       TaskID
+	ID       TaskID
 	Attempt  int
 	Code     Code
 	Answer   []byte
@@ -755,7 +755,7 @@
 // NewTaskResult returns a TaskResult with the given fields.
 func NewTaskResult(config TaskResultConfig) TaskResult {
 	return TaskResult{
-		id:       config.Id,
+		id:       config.ID,
 		attempt:  config.Attempt,
 		code:     config.Code,
 		answer:   config.Answer,
@@ -767,7 +767,7 @@
 // Config returns the fields of the value for encoding or for a changed copy.
 func (taskresult TaskResult) Config() TaskResultConfig {
 	return TaskResultConfig{
-		Id:       taskresult.id,
+		ID:       taskresult.id,
 		Attempt:  taskresult.attempt,
 		Code:     taskresult.code,
 		Answer:   taskresult.answer,
@@ -776,11 +776,11 @@
 	}
 }
 
-// Id returns the identity of the task.
-func (taskresult TaskResult) Id() TaskID { return taskresult.id }
+// ID returns the identity of the task.
+func (taskresult TaskResult) ID() TaskID { return taskresult.id }
 
-// WithId returns a copy with the given id.
-func (taskresult TaskResult) WithId(id TaskID) TaskResult {
+// WithID returns a copy with the given id.
+func (taskresult TaskResult) WithID(id TaskID) TaskResult {
 	taskresult.id = id
 	return taskresult
 }
@@ -1248,7 +1248,7 @@
 
 // MemberConfig holds the fields of a new Member.
 type MemberConfig struct {
-	Id         MemberID
+	ID         MemberID
 	DataCentre string
 	Address    string
 	Leaving    bool
@@ -1257,7 +1257,7 @@
 // NewMember returns a Member with the given fields.
 func NewMember(config MemberConfig) Member {
 	return Member{
-		id:         config.Id,
+		id:         config.ID,
 		dataCentre: config.DataCentre,
 		address:    config.Address,
 		leaving:    config.Leaving,
@@ -1267,18 +1267,18 @@
 // Config returns the fields of the value for encoding or for a changed copy.
 func (member Member) Config() MemberConfig {
 	return MemberConfig{
-		Id:         member.id,
+		ID:         member.id,
 		DataCentre: member.dataCentre,
 		Address:    member.address,
 		Leaving:    member.leaving,
 	}
 }
 
-// Id returns the name and incarnation.
-func (member Member) Id() MemberID { return member.id }
+// ID returns the name and incarnation.
+func (member Member) ID() MemberID { return member.id }
 
-// WithId returns a copy with the given id.
-func (member Member) WithId(id MemberID) Member {
+// WithID returns a copy with the given id.
+func (member Member) WithID(id MemberID) Member {
 	member.id = id
 	return member
 }
@@ -1464,29 +1464,35 @@
 
 // ViewConfig holds the fields of a new View.
 type ViewConfig struct {
-	Self    Member
-	Peers   map[string]Peer
-	Lost    map[string]Loss
-	ReadyAt time.Time
+	Self       Member
+	Peers      map[string]Peer
+	Lost       map[string]Loss
+	JoinedWall time.Time
+	ReadyAt    time.Time
+	ValidUntil time.Time
 }
 
 // NewView returns a View with the given fields.
 func NewView(config ViewConfig) View {
 	return View{
-		self:    config.Self,
-		peers:   config.Peers,
-		lost:    config.Lost,
-		readyAt: config.ReadyAt,
+		self:       config.Self,
+		peers:      config.Peers,
+		lost:       config.Lost,
+		joinedWall: config.JoinedWall,
+		readyAt:    config.ReadyAt,
+		validUntil: config.ValidUntil,
 	}
 }
 
 // Config returns the fields of the value for encoding or for a changed copy.
 func (view View) Config() ViewConfig {
 	return ViewConfig{
-		Self:    view.self,
-		Peers:   view.peers,
-		Lost:    view.lost,
-		ReadyAt: view.readyAt,
+		Self:       view.self,
+		Peers:      view.peers,
+		Lost:       view.lost,
+		JoinedWall: view.joinedWall,
+		ReadyAt:    view.readyAt,
+		ValidUntil: view.validUntil,
 	}
 }
 
@@ -1517,6 +1523,15 @@
 	return view
 }
 
+// JoinedWall returns the wall-clock time of the last join or planned leave in the data centre.
+func (view View) JoinedWall() time.Time { return view.joinedWall }
+
+// WithJoinedWall returns a copy with the given joinedWall.
+func (view View) WithJoinedWall(joinedWall time.Time) View {
+	view.joinedWall = joinedWall
+	return view
+}
+
 // ReadyAt returns the time from which the host takes part as a coordinator.
 func (view View) ReadyAt() time.Time { return view.readyAt }
 
@@ -1526,6 +1541,15 @@
 	return view
 }
 
+// ValidUntil returns the time from which the view is too old to act on.
+func (view View) ValidUntil() time.Time { return view.validUntil }
+
+// WithValidUntil returns a copy with the given validUntil.
+func (view View) WithValidUntil(validUntil time.Time) View {
+	view.validUntil = validUntil
+	return view
+}
+
 // LossConfig holds the fields of a new Loss.
 type LossConfig struct {
 	Member   MemberID
@@ -1580,7 +1604,7 @@
 
 // RecordConfig holds the fields of a new Record.
 type RecordConfig struct {
-	Id       string
+	ID       string
 	Offset   Offset
 	Appended time.Time
 	Body     []byte
@@ -1589,7 +1613,7 @@
 // NewRecord returns a Record with the given fields.
 func NewRecord(config RecordConfig) Record {
 	return Record{
-		id:       config.Id,
+		id:       config.ID,
 		offset:   config.Offset,
 		appended: config.Appended,
 		body:     config.Body,
@@ -1599,18 +1623,18 @@
 // Config returns the fields of the value for encoding or for a changed copy.
 func (record Record) Config() RecordConfig {
 	return RecordConfig{
-		Id:       record.id,
+		ID:       record.id,
 		Offset:   record.offset,
 		Appended: record.appended,
 		Body:     record.body,
 	}
 }
 
-// Id returns the unique id that the writer chose, by which a repeated append is recognised.
-func (record Record) Id() string { return record.id }
+// ID returns the unique id that the writer chose, by which a repeated append is recognised.
+func (record Record) ID() string { return record.id }
 
-// WithId returns a copy with the given id.
-func (record Record) WithId(id string) Record {
+// WithID returns a copy with the given id.
+func (record Record) WithID(id string) Record {
 	record.id = id
 	return record
 }
@@ -1696,7 +1720,7 @@
 
 // CatalogueChangeConfig holds the fields of a new CatalogueChange.
 type CatalogueChangeConfig struct {
-	Id       string
+	ID       string
 	Name     string
 	Entry    Entry
 	Removed  bool
@@ -1709,7 +1733,7 @@
 // NewCatalogueChange returns a CatalogueChange with the given fields.
 func NewCatalogueChange(config CatalogueChangeConfig) CatalogueChange {
 	return CatalogueChange{
-		id:       config.Id,
+		id:       config.ID,
 		name:     config.Name,
 		entry:    config.Entry,
 		removed:  config.Removed,
@@ -1723,7 +1747,7 @@
 // Config returns the fields of the value for encoding or for a changed copy.
 func (cataloguechange CatalogueChange) Config() CatalogueChangeConfig {
 	return CatalogueChangeConfig{
-		Id:       cataloguechange.id,
+		ID:       cataloguechange.id,
 		Name:     cataloguechange.name,
 		Entry:    cataloguechange.entry,
 		Removed:  cataloguechange.removed,
@@ -1734,11 +1758,11 @@
 	}
 }
 
-// Id returns the id of the record.
-func (cataloguechange CatalogueChange) Id() string { return cataloguechange.id }
+// ID returns the id of the record.
+func (cataloguechange CatalogueChange) ID() string { return cataloguechange.id }
 
-// WithId returns a copy with the given id.
-func (cataloguechange CatalogueChange) WithId(id string) CatalogueChange {
+// WithID returns a copy with the given id.
+func (cataloguechange CatalogueChange) WithID(id string) CatalogueChange {
 	cataloguechange.id = id
 	return cataloguechange
 }
@@ -1808,7 +1832,7 @@
 
 // ClaimRecordConfig holds the fields of a new ClaimRecord.
 type ClaimRecordConfig struct {
-	Id           string
+	ID           string
 	Kind         ClaimKind
 	Key          Key
 	Entry        string
@@ -1824,7 +1848,7 @@
 // NewClaimRecord returns a ClaimRecord with the given fields.
 func NewClaimRecord(config ClaimRecordConfig) ClaimRecord {
 	return ClaimRecord{
-		id:           config.Id,
+		id:           config.ID,
 		kind:         config.Kind,
 		key:          config.Key,
 		entry:        config.Entry,
@@ -1841,7 +1865,7 @@
 // Config returns the fields of the value for encoding or for a changed copy.
 func (claimrecord ClaimRecord) Config() ClaimRecordConfig {
 	return ClaimRecordConfig{
-		Id:           claimrecord.id,
+		ID:           claimrecord.id,
 		Kind:         claimrecord.kind,
 		Key:          claimrecord.key,
 		Entry:        claimrecord.entry,
@@ -1855,11 +1879,11 @@
 	}
 }
 
-// Id returns the id of the record.
-func (claimrecord ClaimRecord) Id() string { return claimrecord.id }
+// ID returns the id of the record.
+func (claimrecord ClaimRecord) ID() string { return claimrecord.id }
 
-// WithId returns a copy with the given id.
-func (claimrecord ClaimRecord) WithId(id string) ClaimRecord {
+// WithID returns a copy with the given id.
+func (claimrecord ClaimRecord) WithID(id string) ClaimRecord {
 	claimrecord.id = id
 	return claimrecord
 }
@@ -2484,7 +2508,7 @@
 
 // TaskRefusedConfig holds the fields of a new TaskRefused.
 type TaskRefusedConfig struct {
-	Id         TaskID
+	ID         TaskID
 	Attempt    int
 	Holder     MemberID
 	Code       Code
@@ -2494,7 +2518,7 @@
 // NewTaskRefused returns a TaskRefused with the given fields.
 func NewTaskRefused(config TaskRefusedConfig) TaskRefused {
 	return TaskRefused{
-		id:         config.Id,
+		id:         config.ID,
 		attempt:    config.Attempt,
 		holder:     config.Holder,
 		code:       config.Code,
@@ -2505,7 +2529,7 @@
 // Config returns the fields of the value for encoding or for a changed copy.
 func (taskrefused TaskRefused) Config() TaskRefusedConfig {
 	return TaskRefusedConfig{
-		Id:         taskrefused.id,
+		ID:         taskrefused.id,
 		Attempt:    taskrefused.attempt,
 		Holder:     taskrefused.holder,
 		Code:       taskrefused.code,
@@ -2513,11 +2537,11 @@
 	}
 }
 
-// Id returns the identity of the task.
-func (taskrefused TaskRefused) Id() TaskID { return taskrefused.id }
+// ID returns the identity of the task.
+func (taskrefused TaskRefused) ID() TaskID { return taskrefused.id }
 
-// WithId returns a copy with the given id.
-func (taskrefused TaskRefused) WithId(id TaskID) TaskRefused {
+// WithID returns a copy with the given id.
+func (taskrefused TaskRefused) WithID(id TaskID) TaskRefused {
 	taskrefused.id = id
 	return taskrefused
 }
@@ -2560,7 +2584,7 @@
 
 // TaskStartedConfig holds the fields of a new TaskStarted.
 type TaskStartedConfig struct {
-	Id      TaskID
+	ID      TaskID
 	Attempt int
 	Holder  MemberID
 	Target  string
@@ -2570,7 +2594,7 @@
 // NewTaskStarted returns a TaskStarted with the given fields.
 func NewTaskStarted(config TaskStartedConfig) TaskStarted {
 	return TaskStarted{
-		id:      config.Id,
+		id:      config.ID,
 		attempt: config.Attempt,
 		holder:  config.Holder,
 		target:  config.Target,
@@ -2581,7 +2605,7 @@
 // Config returns the fields of the value for encoding or for a changed copy.
 func (taskstarted TaskStarted) Config() TaskStartedConfig {
 	return TaskStartedConfig{
-		Id:      taskstarted.id,
+		ID:      taskstarted.id,
 		Attempt: taskstarted.attempt,
 		Holder:  taskstarted.holder,
 		Target:  taskstarted.target,
@@ -2589,11 +2613,11 @@
 	}
 }
 
-// Id returns the identity of the task.
-func (taskstarted TaskStarted) Id() TaskID { return taskstarted.id }
+// ID returns the identity of the task.
+func (taskstarted TaskStarted) ID() TaskID { return taskstarted.id }
 
-// WithId returns a copy with the given id.
-func (taskstarted TaskStarted) WithId(id TaskID) TaskStarted {
+// WithID returns a copy with the given id.
+func (taskstarted TaskStarted) WithID(id TaskID) TaskStarted {
 	taskstarted.id = id
 	return taskstarted
 }
@@ -2700,7 +2724,7 @@
 
 // TaskLostConfig holds the fields of a new TaskLost.
 type TaskLostConfig struct {
-	Id      TaskID
+	ID      TaskID
 	Attempt int
 	Holder  MemberID
 	Target  string
@@ -2710,7 +2734,7 @@
 // NewTaskLost returns a TaskLost with the given fields.
 func NewTaskLost(config TaskLostConfig) TaskLost {
 	return TaskLost{
-		id:      config.Id,
+		id:      config.ID,
 		attempt: config.Attempt,
 		holder:  config.Holder,
 		target:  config.Target,
@@ -2721,7 +2745,7 @@
 // Config returns the fields of the value for encoding or for a changed copy.
 func (tasklost TaskLost) Config() TaskLostConfig {
 	return TaskLostConfig{
-		Id:      tasklost.id,
+		ID:      tasklost.id,
 		Attempt: tasklost.attempt,
 		Holder:  tasklost.holder,
 		Target:  tasklost.target,
@@ -2729,11 +2753,11 @@
 	}
 }
 
-// Id returns the identity of the task.
-func (tasklost TaskLost) Id() TaskID { return tasklost.id }
+// ID returns the identity of the task.
+func (tasklost TaskLost) ID() TaskID { return tasklost.id }
 
-// WithId returns a copy with the given id.
-func (tasklost TaskLost) WithId(id TaskID) TaskLost {
+// WithID returns a copy with the given id.
+func (tasklost TaskLost) WithID(id TaskID) TaskLost {
 	tasklost.id = id
 	return tasklost
 }
@@ -2840,7 +2864,7 @@
 
 // AdoptAnsweredConfig holds the fields of a new AdoptAnswered.
 type AdoptAnsweredConfig struct {
-	Id          TaskID
+	ID          TaskID
 	Attempt     int
 	Target      string
 	Term        Term
@@ -2851,7 +2875,7 @@
 // NewAdoptAnswered returns a AdoptAnswered with the given fields.
 func NewAdoptAnswered(config AdoptAnsweredConfig) AdoptAnswered {
 	return AdoptAnswered{
-		id:          config.Id,
+		id:          config.ID,
 		attempt:     config.Attempt,
 		target:      config.Target,
 		term:        config.Term,
@@ -2863,7 +2887,7 @@
 // Config returns the fields of the value for encoding or for a changed copy.
 func (adoptanswered AdoptAnswered) Config() AdoptAnsweredConfig {
 	return AdoptAnsweredConfig{
-		Id:          adoptanswered.id,
+		ID:          adoptanswered.id,
 		Attempt:     adoptanswered.attempt,
 		Target:      adoptanswered.target,
 		Term:        adoptanswered.term,
@@ -2872,11 +2896,11 @@
 	}
 }
 
-// Id returns the identity of the task.
-func (adoptanswered AdoptAnswered) Id() TaskID { return adoptanswered.id }
+// ID returns the identity of the task.
+func (adoptanswered AdoptAnswered) ID() TaskID { return adoptanswered.id }
 
-// WithId returns a copy with the given id.
-func (adoptanswered AdoptAnswered) WithId(id TaskID) AdoptAnswered {
+// WithID returns a copy with the given id.
+func (adoptanswered AdoptAnswered) WithID(id TaskID) AdoptAnswered {
 	adoptanswered.id = id
 	return adoptanswered
 }
@@ -3293,6 +3317,7 @@
 	Member   MemberID
 	Sequence uint64
 	Rejoin   bool
+	Known    uint64
 }
 
 // NewPeerPong returns a PeerPong with the given fields.
@@ -3301,6 +3326,7 @@
 		member:   config.Member,
 		sequence: config.Sequence,
 		rejoin:   config.Rejoin,
+		known:    config.Known,
 	}
 }
 
@@ -3310,6 +3336,7 @@
 		Member:   peerpong.member,
 		Sequence: peerpong.sequence,
 		Rejoin:   peerpong.rejoin,
+		Known:    peerpong.known,
 	}
 }
 
@@ -3331,7 +3358,7 @@
 	return peerpong
 }
 
-// Rejoin returns whether the sender of the ping was removed from the view and needs a new incarnation.
+// Rejoin returns whether the sender of the ping needs a new incarnation.
 func (peerpong PeerPong) Rejoin() bool { return peerpong.rejoin }
 
 // WithRejoin returns a copy with the given rejoin.
@@ -3340,17 +3367,24 @@
 	return peerpong
 }
 
+// Known returns the highest incarnation of the sender of the ping that the member has seen.
+func (peerpong PeerPong) Known() uint64 { return peerpong.known }
+
+// WithKnown returns a copy with the given known.
+func (peerpong PeerPong) WithKnown(known uint64) PeerPong {
+	peerpong.known = known
+	return peerpong
+}
+
 // PeerLeavingConfig holds the fields of a new PeerLeaving.
 type PeerLeavingConfig struct {
 	Member MemberID
-	Keys   []Key
 }
 
 // NewPeerLeaving returns a PeerLeaving with the given fields.
 func NewPeerLeaving(config PeerLeavingConfig) PeerLeaving {
 	return PeerLeaving{
 		member: config.Member,
-		keys:   config.Keys,
 	}
 }
 
@@ -3358,7 +3392,6 @@
 func (peerleaving PeerLeaving) Config() PeerLeavingConfig {
 	return PeerLeavingConfig{
 		Member: peerleaving.member,
-		Keys:   peerleaving.keys,
 	}
 }
 
@@ -3371,15 +3404,6 @@
 	return peerleaving
 }
 
-// Keys returns the keys in progress.
-func (peerleaving PeerLeaving) Keys() []Key { return peerleaving.keys }
-
-// WithKeys returns a copy with the given keys.
-func (peerleaving PeerLeaving) WithKeys(keys []Key) PeerLeaving {
-	peerleaving.keys = keys
-	return peerleaving
-}
-
 // PeerLeavingAckConfig holds the fields of a new PeerLeavingAck.
 type PeerLeavingAckConfig struct {
 	Member MemberID
@@ -3410,38 +3434,47 @@
 
 // PeerHandoverConfig holds the fields of a new PeerHandover.
 type PeerHandoverConfig struct {
+	From    MemberID
 	Request Request
 	Task    Task
 	Holder  MemberID
 	Target  string
 	Term    Term
-	Outcome Outcome
 }
 
 // NewPeerHandover returns a PeerHandover with the given fields.
 func NewPeerHandover(config PeerHandoverConfig) PeerHandover {
 	return PeerHandover{
+		from:    config.From,
 		request: config.Request,
 		task:    config.Task,
 		holder:  config.Holder,
 		target:  config.Target,
 		term:    config.Term,
-		outcome: config.Outcome,
 	}
 }
 
 // Config returns the fields of the value for encoding or for a changed copy.
 func (peerhandover PeerHandover) Config() PeerHandoverConfig {
 	return PeerHandoverConfig{
+		From:    peerhandover.from,
 		Request: peerhandover.request,
 		Task:    peerhandover.task,
 		Holder:  peerhandover.holder,
 		Target:  peerhandover.target,
 		Term:    peerhandover.term,
-		Outcome: peerhandover.outcome,
 	}
 }
 
+// From returns the member that hands the key over.
+func (peerhandover PeerHandover) From() MemberID { return peerhandover.from }
+
+// WithFrom returns a copy with the given from.
+func (peerhandover PeerHandover) WithFrom(from MemberID) PeerHandover {
+	peerhandover.from = from
+	return peerhandover
+}
+
 // Request returns the request.
 func (peerhandover PeerHandover) Request() Request { return peerhandover.request }
 
@@ -3460,7 +3493,7 @@
 	return peerhandover
 }
 
-// Holder returns the holder of the target, empty when the task is not running.
+// Holder returns the holder of the target.
 func (peerhandover PeerHandover) Holder() MemberID { return peerhandover.holder }
 
 // WithHolder returns a copy with the given holder.
@@ -3487,13 +3520,44 @@
 	return peerhandover
 }
 
-// Outcome returns the outcome of an ended key.
-func (peerhandover PeerHandover) Outcome() Outcome { return peerhandover.outcome }
+// PeerHandoverAckConfig holds the fields of a new PeerHandoverAck.
+type PeerHandoverAckConfig struct {
+	Key         Key
+	Coordinator MemberID
+}
 
-// WithOutcome returns a copy with the given outcome.
-func (peerhandover PeerHandover) WithOutcome(outcome Outcome) PeerHandover {
-	peerhandover.outcome = outcome
-	return peerhandover
+// NewPeerHandoverAck returns a PeerHandoverAck with the given fields.
+func NewPeerHandoverAck(config PeerHandoverAckConfig) PeerHandoverAck {
+	return PeerHandoverAck{
+		key:         config.Key,
+		coordinator: config.Coordinator,
+	}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (peerhandoverack PeerHandoverAck) Config() PeerHandoverAckConfig {
+	return PeerHandoverAckConfig{
+		Key:         peerhandoverack.key,
+		Coordinator: peerhandoverack.coordinator,
+	}
+}
+
+// Key returns the key.
+func (peerhandoverack PeerHandoverAck) Key() Key { return peerhandoverack.key }
+
+// WithKey returns a copy with the given key.
+func (peerhandoverack PeerHandoverAck) WithKey(key Key) PeerHandoverAck {
+	peerhandoverack.key = key
+	return peerhandoverack
+}
+
+// Coordinator returns the new coordinator.
+func (peerhandoverack PeerHandoverAck) Coordinator() MemberID { return peerhandoverack.coordinator }
+
+// WithCoordinator returns a copy with the given coordinator.
+func (peerhandoverack PeerHandoverAck) WithCoordinator(coordinator MemberID) PeerHandoverAck {
+	peerhandoverack.coordinator = coordinator
+	return peerhandoverack
 }
 
 // PeerCatalogueRequestConfig holds the fields of a new PeerCatalogueRequest.
@@ -3608,7 +3672,7 @@
 
 // StopTaskConfig holds the fields of a new StopTask.
 type StopTaskConfig struct {
-	Id      TaskID
+	ID      TaskID
 	Attempt int
 	Code    Code
 }
@@ -3616,7 +3680,7 @@
 // NewStopTask returns a StopTask with the given fields.
 func NewStopTask(config StopTaskConfig) StopTask {
 	return StopTask{
-		id:      config.Id,
+		id:      config.ID,
 		attempt: config.Attempt,
 		code:    config.Code,
 	}
@@ -3625,17 +3689,17 @@
 // Config returns the fields of the value for encoding or for a changed copy.
 func (stoptask StopTask) Config() StopTaskConfig {
 	return StopTaskConfig{
-		Id:      stoptask.id,
+		ID:      stoptask.id,
 		Attempt: stoptask.attempt,
 		Code:    stoptask.code,
 	}
 }
 
-// Id returns the identity of the task.
-func (stoptask StopTask) Id() TaskID { return stoptask.id }
+// ID returns the identity of the task.
+func (stoptask StopTask) ID() TaskID { return stoptask.id }
 
-// WithId returns a copy with the given id.
-func (stoptask StopTask) WithId(id TaskID) StopTask {
+// WithID returns a copy with the given id.
+func (stoptask StopTask) WithID(id TaskID) StopTask {
 	stoptask.id = id
 	return stoptask
 }
@@ -3846,7 +3910,7 @@
 type StartAnsweredConfig struct {
 	Target   string
 	Term     Term
-	Id       TaskID
+	ID       TaskID
 	Attempt  int
 	Accepted bool
 	Code     Code
@@ -3857,7 +3921,7 @@
 	return StartAnswered{
 		target:   config.Target,
 		term:     config.Term,
-		id:       config.Id,
+		id:       config.ID,
 		attempt:  config.Attempt,
 		accepted: config.Accepted,
 		code:     config.Code,
@@ -3869,7 +3933,7 @@
 	return StartAnsweredConfig{
 		Target:   startanswered.target,
 		Term:     startanswered.term,
-		Id:       startanswered.id,
+		ID:       startanswered.id,
 		Attempt:  startanswered.attempt,
 		Accepted: startanswered.accepted,
 		Code:     startanswered.code,
@@ -3894,11 +3958,11 @@
 	return startanswered
 }
 
-// Id returns the identity of the task.
-func (startanswered StartAnswered) Id() TaskID { return startanswered.id }
+// ID returns the identity of the task.
+func (startanswered StartAnswered) ID() TaskID { return startanswered.id }
 
-// WithId returns a copy with the given id.
-func (startanswered StartAnswered) WithId(id TaskID) StartAnswered {
+// WithID returns a copy with the given id.
+func (startanswered StartAnswered) WithID(id TaskID) StartAnswered {
 	startanswered.id = id
 	return startanswered
 }
@@ -4077,7 +4141,7 @@
 // HaltTaskConfig holds the fields of a new HaltTask.
 type HaltTaskConfig struct {
 	Term Term
-	Id   TaskID
+	ID   TaskID
 	Code Code
 }
 
@@ -4085,7 +4149,7 @@
 func NewHaltTask(config HaltTaskConfig) HaltTask {
 	return HaltTask{
 		term: config.Term,
-		id:   config.Id,
+		id:   config.ID,
 		code: config.Code,
 	}
 }
@@ -4094,7 +4158,7 @@
 func (halttask HaltTask) Config() HaltTaskConfig {
 	return HaltTaskConfig{
 		Term: halttask.term,
-		Id:   halttask.id,
+		ID:   halttask.id,
 		Code: halttask.code,
 	}
 }
@@ -4108,11 +4172,11 @@
 	return halttask
 }
 
-// Id returns the identity of the task.
-func (halttask HaltTask) Id() TaskID { return halttask.id }
+// ID returns the identity of the task.
+func (halttask HaltTask) ID() TaskID { return halttask.id }
 
-// WithId returns a copy with the given id.
-func (halttask HaltTask) WithId(id TaskID) HaltTask {
+// WithID returns a copy with the given id.
+func (halttask HaltTask) WithID(id TaskID) HaltTask {
 	halttask.id = id
 	return halttask
 }
@@ -4129,14 +4193,14 @@
 // RenewTasksConfig holds the fields of a new RenewTasks.
 type RenewTasksConfig struct {
 	Term Term
-	Ids  []TaskID
+	IDs  []TaskID
 }
 
 // NewRenewTasks returns a RenewTasks with the given fields.
 func NewRenewTasks(config RenewTasksConfig) RenewTasks {
 	return RenewTasks{
 		term: config.Term,
-		ids:  config.Ids,
+		ids:  config.IDs,
 	}
 }
 
@@ -4144,7 +4208,7 @@
 func (renewtasks RenewTasks) Config() RenewTasksConfig {
 	return RenewTasksConfig{
 		Term: renewtasks.term,
-		Ids:  renewtasks.ids,
+		IDs:  renewtasks.ids,
 	}
 }
 
@@ -4157,11 +4221,11 @@
 	return renewtasks
 }
 
-// Ids returns the tasks.
-func (renewtasks RenewTasks) Ids() []TaskID { return renewtasks.ids }
+// IDs returns the tasks.
+func (renewtasks RenewTasks) IDs() []TaskID { return renewtasks.ids }
 
-// WithIds returns a copy with the given ids.
-func (renewtasks RenewTasks) WithIds(ids []TaskID) RenewTasks {
+// WithIDs returns a copy with the given ids.
+func (renewtasks RenewTasks) WithIDs(ids []TaskID) RenewTasks {
 	renewtasks.ids = ids
 	return renewtasks
 }
@@ -4328,14 +4392,14 @@
 
 // AppendAnsweredConfig holds the fields of a new AppendAnswered.
 type AppendAnsweredConfig struct {
-	Ids     []string
+	IDs     []string
 	Outcome AppendResult
 }
 
 // NewAppendAnswered returns a AppendAnswered with the given fields.
 func NewAppendAnswered(config AppendAnsweredConfig) AppendAnswered {
 	return AppendAnswered{
-		ids:     config.Ids,
+		ids:     config.IDs,
 		outcome: config.Outcome,
 	}
 }
@@ -4343,16 +4407,16 @@
 // Config returns the fields of the value for encoding or for a changed copy.
 func (appendanswered AppendAnswered) Config() AppendAnsweredConfig {
 	return AppendAnsweredConfig{
-		Ids:     appendanswered.ids,
+		IDs:     appendanswered.ids,
 		Outcome: appendanswered.outcome,
 	}
 }
 
-// Ids returns the ids of the records.
-func (appendanswered AppendAnswered) Ids() []string { return appendanswered.ids }
+// IDs returns the ids of the records.
+func (appendanswered AppendAnswered) IDs() []string { return appendanswered.ids }
 
-// WithIds returns a copy with the given ids.
-func (appendanswered AppendAnswered) WithIds(ids []string) AppendAnswered {
+// WithIDs returns a copy with the given ids.
+func (appendanswered AppendAnswered) WithIDs(ids []string) AppendAnswered {
 	appendanswered.ids = ids
 	return appendanswered
 }
@@ -4452,29 +4516,29 @@
 
 // LeaveViewConfig holds the fields of a new LeaveView.
 type LeaveViewConfig struct {
-	Keys []Key
+	Final bool
 }
 
 // NewLeaveView returns a LeaveView with the given fields.
 func NewLeaveView(config LeaveViewConfig) LeaveView {
 	return LeaveView{
-		keys: config.Keys,
+		final: config.Final,
 	}
 }
 
 // Config returns the fields of the value for encoding or for a changed copy.
 func (leaveview LeaveView) Config() LeaveViewConfig {
 	return LeaveViewConfig{
-		Keys: leaveview.keys,
+		Final: leaveview.final,
 	}
 }
 
-// Keys returns the keys in progress.
-func (leaveview LeaveView) Keys() []Key { return leaveview.keys }
+// Final returns whether every key was handed over.
+func (leaveview LeaveView) Final() bool { return leaveview.final }
 
-// WithKeys returns a copy with the given keys.
-func (leaveview LeaveView) WithKeys(keys []Key) LeaveView {
-	leaveview.keys = keys
+// WithFinal returns a copy with the given final.
+func (leaveview LeaveView) WithFinal(final bool) LeaveView {
+	leaveview.final = final
 	return leaveview
 }
 
--- a/view.go
+++ b/view.go
@@ -29,6 +29,14 @@
 	SilenceLimit = 2 * time.Second
 	// RemoteSilenceLimit is the time after which a silent peer of another data centre leaves the view.
 	RemoteSilenceLimit = 3 * RemotePingInterval
+	// ViewLifetime is how long a view may be acted on after the registrar's last tick. A host that
+	// was paused longer must first hear whether other members took its keys.
+	ViewLifetime = time.Second
+	// PauseLimit is the gap between two ticks from which the registrar assumes that the host was paused.
+	PauseLimit = 500 * time.Millisecond
+	// LongPauseLimit is the gap from which a paused host behaves as if it had just started. It is
+	// shorter than SilenceLimit, the time that a starting host waits for others to answer.
+	LongPauseLimit = 1500 * time.Millisecond
 	// HoldBack is the time after a loss from which no task of the lost member still runs. It is
 	// LostAfter and the difference between two members' views.
 	HoldBack = 13 * time.Second
@@ -62,13 +70,47 @@
 	return view.choose(target.dataCentre, hash(target.name, ""), "")
 }
 
-// CoordinatorWith returns the member that coordinated a key while a lost member was in the view.
-func (view View) CoordinatorWith(key Key, lost MemberID) (string, bool) {
+// WasCoordinator reports whether a member that is no longer in the view coordinated a key.
+func (view View) WasCoordinator(lost MemberID, key Key) bool {
+	if lost.name == view.self.id.name {
+		return true
+	}
 	member, ok := view.choose(key.origin, hash(key.caller, key.name), lost.name)
-	if !ok {
-		return lost.name, true
+	return ok && member.id.name == lost.name
+}
+
+// Settled reports whether no member that is unknown to the key's coordinator can have started
+// the key: it was issued after every join and every loss that moved the key.
+func (view View) Settled(key Key, issuedAt time.Time) bool {
+	if issuedAt.IsZero() || issuedAt.Before(view.joinedWall.Add(CallerClockSkew)) {
+		return false
+	}
+	for _, loss := range view.lost {
+		if issuedAt.Before(loss.wallTime.Add(CallerClockSkew)) && view.WasCoordinator(loss.member, key) {
+			return false
+		}
 	}
-	return member.id.name, true
+	return true
+}
+
+// HeldBackUntil returns the time from which no task of a lost member that coordinated the key
+// still runs; it is zero when there is no such member.
+func (view View) HeldBackUntil(key Key, issuedAt time.Time) time.Time {
+	joined := issuedAt.IsZero() || issuedAt.Before(view.joinedWall.Add(CallerClockSkew))
+	var until time.Time
+	for _, loss := range view.lost {
+		if !issuedAt.IsZero() && !issuedAt.Before(loss.wallTime.Add(CallerClockSkew)) {
+			continue
+		}
+		// After a join the former coordinator of a key cannot be told from the view, so every loss counts.
+		if !joined && !view.WasCoordinator(loss.member, key) {
+			continue
+		}
+		if end := loss.at.Add(HoldBack); end.After(until) {
+			until = end
+		}
+	}
+	return until
 }
 
 // choose returns the member with the highest rendezvous weight. A candidate that is not in the
@@ -98,7 +140,7 @@
 
 // HasStanding reports whether every peer of the data centre has granted a link lease that is still valid.
 func (view View) HasStanding(now time.Time) bool {
-	if now.Before(view.readyAt) {
+	if now.Before(view.readyAt) || !now.Before(view.validUntil) {
 		return false
 	}
 	for _, peer := range view.peers {
@@ -112,7 +154,7 @@
 // HasLease reports whether the link lease from this incarnation of a member is valid.
 func (view View) HasLease(id MemberID, now time.Time) bool {
 	if id == view.self.id {
-		return true
+		return view.HasStanding(now)
 	}
 	peer, ok := view.peers[id.name]
 	return ok && peer.member.id == id && now.Before(peer.leaseUntil)
