Add the dispatcher

Cause: one duty per target keeps the lease and sends starts under its term.

Result: not built yet, it needs the placer's interfaces.

--- /dev/null
+++ b/command/dispatcher/manager.go
@@ -0,0 +1,87 @@
+package dispatcher
+
+import (
+	"context"
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/almondcross/almondcross"
+	"github.com/almondcross/almondcross/ring"
+)
+
+// RingCapacity is the capacity of the ring of one dispatcher.
+const RingCapacity = 64
+
+// Config holds the fields of a new Manager.
+type Config struct {
+	Context   context.Context // Context ends all dispatchers.
+	Members   almondcross.MemberViewer
+	Commander almondcross.WorkerCommander
+	Observer  almondcross.WorkerObserver
+	Placer    almondcross.Sink[almondcross.PlacerMessage]
+	Clock     almondcross.Clock
+	Metrics   *metrics.Set
+	Logger    logrus.FieldLogger
+}
+
+// Manager creates and drops the dispatchers of targets; the placer's duty owns it.
+type Manager struct {
+	config      Config
+	dispatchers map[string]running
+	counters    counters
+	group       sync.WaitGroup
+}
+
+// running is a dispatcher with the function that ends it.
+type running struct {
+	messages *ring.Ring[almondcross.DispatcherMessage]
+	cancel   context.CancelFunc
+}
+
+// counters are shared by all dispatchers of a host, since a counter per target would grow with the cell.
+type counters struct {
+	acquired, renewed, lapsed, started, refused *metrics.Counter
+}
+
+// NewManager returns a manager without dispatchers.
+func NewManager(config Config) *Manager {
+	return &Manager{
+		config:      config,
+		dispatchers: map[string]running{},
+		counters: counters{
+			acquired: config.Metrics.NewCounter("almondcross_dispatcher_leases_acquired_total"),
+			renewed:  config.Metrics.NewCounter("almondcross_dispatcher_leases_renewed_total"),
+			lapsed:   config.Metrics.NewCounter("almondcross_dispatcher_leases_lost_total"),
+			started:  config.Metrics.NewCounter("almondcross_dispatcher_starts_total"),
+			refused:  config.Metrics.NewCounter("almondcross_dispatcher_starts_refused_total"),
+		},
+	}
+}
+
+// Create starts the dispatcher of a target, without a lease, and returns the ring of its messages.
+func (manager *Manager) Create(target almondcross.Target) almondcross.Sink[almondcross.DispatcherMessage] {
+	if existing, ok := manager.dispatchers[target.Name()]; ok {
+		return existing.messages
+	}
+	ctx, cancel := context.WithCancel(manager.config.Context)
+	messages := ring.New[almondcross.DispatcherMessage](ring.Config{
+		Name: "dispatch/" + target.Name(), Capacity: RingCapacity,
+	})
+	manager.dispatchers[target.Name()] = running{messages: messages, cancel: cancel}
+	dispatcher := newDispatcher(manager.config, manager.counters, target, messages)
+	manager.group.Go(func() { dispatcher.run(ctx) })
+	return messages
+}
+
+// Drop ends the dispatcher of a target; messages that it has not taken are discarded.
+func (manager *Manager) Drop(target string) {
+	if existing, ok := manager.dispatchers[target]; ok {
+		existing.cancel()
+		delete(manager.dispatchers, target)
+	}
+}
+
+// Wait returns when every dispatcher has ended.
+func (manager *Manager) Wait() { manager.group.Wait() }
