--- a/command/coordinator/adopt.go
+++ b/command/coordinator/adopt.go
@@ -13,11 +13,11 @@
 // runs elsewhere. A member that is not the key's coordinator, or has no standing, does not answer;
 // the holder asks again.
 func (machine *Machine) adopt(message almondcross.AdoptTask, now time.Time) {
-	key := message.Task().ID().Key()
+	key := message.Task().Id().Key()
 	coordinator, ok := machine.view.Coordinator(key)
 	record, known := machine.keys[key]
 	if !known || !record.inProgress() && record.phase != phaseEnded {
-		if !ok || coordinator.ID() != machine.self() || !machine.view.HasStanding(now) {
+		if !ok || coordinator.Id() != machine.self() || !machine.view.HasStanding(now) {
 			return
 		}
 	}
@@ -35,7 +35,7 @@
 
 // adoptKnown accepts a task that the record has on the same target or has not seen started.
 func (machine *Machine) adoptKnown(record *record, message almondcross.AdoptTask, now time.Time) {
-	id := message.Task().ID()
+	id := message.Task().Id()
 	current, task := machine.find(id, message.Task().Attempt())
 	if current == nil {
 		if id.Index() < len(record.tasks) || len(record.tasks) == 0 || message.Task().Attempt() != record.attempt {
@@ -67,11 +67,11 @@
 	if adopted == nil {
 		adopted = &record{submittedAt: now}
 		adopted.request = almondcross.NewRequest(almondcross.RequestConfig{
-			Key: task.ID().Key(), Entry: task.Entry(), Payload: task.Payload(),
+			Key: task.Id().Key(), Entry: task.Entry(), Payload: task.Payload(),
 		})
-		machine.keys[task.ID().Key()] = adopted
+		machine.keys[task.Id().Key()] = adopted
 	}
-	adopted.standing = task.ID().Key().Caller() == serviceCaller
+	adopted.standing = task.Id().Key().Caller() == serviceCaller
 	adopted.entry = machine.entryOf(task)
 	adopted.attempt = task.Attempt()
 	adopted.claimed = !task.Repeatable()
@@ -95,15 +95,15 @@
 
 // growTasks makes room for every task of an adopted request.
 func (machine *Machine) growTasks(record *record, task almondcross.Task) {
-	for index := len(record.tasks); index < max(task.Size(), task.ID().Index()+1); index++ {
-		sibling := task.WithID(task.ID().WithIndex(index)).WithCoordinator(machine.self())
+	for index := len(record.tasks); index < max(task.Size(), task.Id().Index()+1); index++ {
+		sibling := task.WithId(task.Id().WithIndex(index)).WithCoordinator(machine.self())
 		record.tasks = append(record.tasks, taskState{task: sibling})
 	}
 }
 
 func (machine *Machine) answerAdoption(message almondcross.AdoptTask, accepted bool) {
 	answer := almondcross.NewAdoptAnswered(almondcross.AdoptAnsweredConfig{
-		ID: message.Task().ID(), Attempt: message.Task().Attempt(), Target: message.Target(), Term: message.Term(),
+		Id: message.Task().Id(), Attempt: message.Task().Attempt(), Target: message.Target(), Term: message.Term(),
 		Accepted: accepted, Coordinator: machine.self(),
 	})
 	machine.toHolder(message.Holder(), answer)
@@ -120,7 +120,7 @@
 // offerHandover passes a running key to the member that coordinates it after a change of the members.
 func (machine *Machine) offerHandover(record *record, now time.Time) {
 	coordinator, ok := machine.view.Coordinator(record.request.Key())
-	if !ok || coordinator.ID() == machine.self() || record.phase != phaseRunning {
+	if !ok || coordinator.Id() == machine.self() || record.phase != phaseRunning {
 		return
 	}
 	if len(record.tasks) > 1 && record.anyEnded() {
@@ -132,7 +132,7 @@
 	}
 	record.handoverAt = now
 	for _, task := range record.tasks {
-		machine.do(Send{Member: coordinator.ID().Name(), Message: almondcross.NewPeerHandover(almondcross.PeerHandoverConfig{
+		machine.do(Send{Member: coordinator.Id().Name(), Message: almondcross.NewPeerHandover(almondcross.PeerHandoverConfig{
 			From: machine.self(), Request: record.request, Task: task.task,
 			Holder: task.holder, Target: task.target, Term: task.term,
 		})})
@@ -144,7 +144,7 @@
 func (machine *Machine) receiveHandover(message almondcross.PeerHandover, now time.Time) {
 	key := message.Request().Key()
 	coordinator, ok := machine.view.Coordinator(key)
-	if !ok || coordinator.ID() != machine.self() || !machine.view.HasStanding(now) {
+	if !ok || coordinator.Id() != machine.self() || !machine.view.HasStanding(now) {
 		return
 	}
 	existing, known := machine.keys[key]
--- a/command/coordinator/machine.go
+++ b/command/coordinator/machine.go
@@ -123,7 +123,7 @@
 	count := len(machine.forwards)
 	for _, record := range machine.keys {
 		coordinator, ok := machine.view.Coordinator(record.request.Key())
-		movable := ok && coordinator.ID() != machine.self()
+		movable := ok && coordinator.Id() != machine.self()
 		if len(record.waiters) > 0 || record.inProgress() && (!record.standing || movable) {
 			count++
 		}
@@ -149,10 +149,10 @@
 	if replier == nil {
 		return
 	}
-	machine.do(Reply{Replier: replier, Outcome: outcome.WithHost(machine.view.Self().ID().Name())})
+	machine.do(Reply{Replier: replier, Outcome: outcome.WithHost(machine.view.Self().Id().Name())})
 }
 
-func (machine *Machine) self() almondcross.MemberID { return machine.view.Self().ID() }
+func (machine *Machine) self() almondcross.MemberID { return machine.view.Self().Id() }
 
 func (machine *Machine) tell(record *record, event string, code almondcross.Code, target string, now time.Time) {
 	machine.do(Story{Event: almondcross.NewStoryEvent(almondcross.StoryEventConfig{
--- a/command/coordinator/report.go
+++ b/command/coordinator/report.go
@@ -17,7 +17,7 @@
 }
 
 func (machine *Machine) taskStarted(message almondcross.TaskStarted, now time.Time) {
-	record, task := machine.find(message.ID(), message.Attempt())
+	record, task := machine.find(message.Id(), message.Attempt())
 	if record == nil {
 		machine.stopOrphan(message)
 		return
@@ -35,11 +35,11 @@
 
 // stopOrphan stops a task that no key of this member accounts for, unless the key was handed over.
 func (machine *Machine) stopOrphan(message almondcross.TaskStarted) {
-	if machine.relay(message.ID().Key(), message) {
+	if machine.relay(message.Id().Key(), message) {
 		return
 	}
 	stop := almondcross.NewStopTask(almondcross.StopTaskConfig{
-		ID: message.ID(), Attempt: message.Attempt(), Code: almondcross.CodeTaskStopped,
+		Id: message.Id(), Attempt: message.Attempt(), Code: almondcross.CodeTaskStopped,
 	})
 	if message.Holder().Name() == machine.self().Name() {
 		machine.do(Place{Message: stop})
@@ -58,7 +58,7 @@
 }
 
 func (machine *Machine) taskRefused(message almondcross.TaskRefused, now time.Time) {
-	record, task := machine.find(message.ID(), message.Attempt())
+	record, task := machine.find(message.Id(), message.Attempt())
 	if record == nil || task.started {
 		return
 	}
@@ -80,14 +80,14 @@
 }
 
 func failedResult(task almondcross.Task, code almondcross.Code) almondcross.TaskResult {
-	return almondcross.NewTaskResult(almondcross.TaskResultConfig{ID: task.ID(), Attempt: task.Attempt(), Code: code})
+	return almondcross.NewTaskResult(almondcross.TaskResultConfig{Id: task.Id(), Attempt: task.Attempt(), Code: code})
 }
 
 func (machine *Machine) taskEnded(message almondcross.TaskEnded, now time.Time) {
 	result := message.Result()
-	record, task := machine.find(result.ID(), result.Attempt())
+	record, task := machine.find(result.Id(), result.Attempt())
 	if record == nil {
-		machine.relay(result.ID().Key(), message)
+		machine.relay(result.Id().Key(), message)
 		return
 	}
 	if task.ended {
@@ -98,9 +98,9 @@
 }
 
 func (machine *Machine) taskLost(message almondcross.TaskLost, now time.Time) {
-	record, task := machine.find(message.ID(), message.Attempt())
+	record, task := machine.find(message.Id(), message.Attempt())
 	if record == nil {
-		machine.relay(message.ID().Key(), message)
+		machine.relay(message.Id().Key(), message)
 		return
 	}
 	// Another holder may have adopted the task under a newer term.
--- a/command/coordinator/search.go
+++ b/command/coordinator/search.go
@@ -33,7 +33,7 @@
 		}
 		record.lookups[name] = now
 		correlation := machine.addForward(&forward{
-			kind: forwardSearch, key: record.request.Key(), member: peer.Member().ID(), deadline: now.Add(lookupRepeat),
+			kind: forwardSearch, key: record.request.Key(), member: peer.Member().Id(), deadline: now.Add(lookupRepeat),
 		})
 		machine.do(Send{Member: name, Message: almondcross.NewPeerLookup(almondcross.PeerLookupConfig{
 			Correlation: correlation, Key: record.request.Key(),
@@ -72,7 +72,7 @@
 // changeView takes a new view: keys that a lost member may have started are searched again, and
 // running keys that belong to another member are handed over.
 func (machine *Machine) changeView(view almondcross.View, now time.Time) {
-	rejoined := view.Self().ID() != machine.self()
+	rejoined := view.Self().Id() != machine.self()
 	moved := rejoined || membersDiffer(machine.view, view)
 	machine.view = view
 	if rejoined {
@@ -109,7 +109,7 @@
 	}
 	for name, peer := range after.Peers() {
 		old, ok := before.Peers()[name]
-		if !ok || old.Member().ID() != peer.Member().ID() || old.Member().Leaving() != peer.Member().Leaving() {
+		if !ok || old.Member().Id() != peer.Member().Id() || old.Member().Leaving() != peer.Member().Leaving() {
 			return true
 		}
 	}
--- a/command/coordinator/service.go
+++ b/command/coordinator/service.go
@@ -38,7 +38,7 @@
 
 func (machine *Machine) ensureReplica(entry almondcross.Entry, key almondcross.Key, now time.Time) {
 	coordinator, ok := machine.view.Coordinator(key)
-	if !ok || coordinator.ID() != machine.self() {
+	if !ok || coordinator.Id() != machine.self() {
 		return
 	}
 	if _, ok := machine.keys[key]; ok {
--- a/command/coordinator/submit.go
+++ b/command/coordinator/submit.go
@@ -19,12 +19,12 @@
 		machine.refuseHomeless(request, message.Replier())
 		return
 	}
-	if coordinator.ID() != machine.self() {
+	if coordinator.Id() != machine.self() {
 		if message.Forwarded() {
 			machine.reply(message.Replier(), outcomeOf(key, almondcross.StatusUnknown, almondcross.CodeNotHere))
 			return
 		}
-		machine.forwardRequest(request, coordinator.ID(), message.Replier(), now.Add(waitOf(request)), now)
+		machine.forwardRequest(request, coordinator.Id(), message.Replier(), now.Add(waitOf(request)), now)
 		return
 	}
 	record := &record{request: request, submittedAt: now}
@@ -148,7 +148,7 @@
 		machine.hold(record, now.Add(heldRecheck), almondcross.CodeNoStanding, now)
 		return
 	}
-	if coordinator, ok := machine.view.Coordinator(key); !ok || coordinator.ID() != machine.self() {
+	if coordinator, ok := machine.view.Coordinator(key); !ok || coordinator.Id() != machine.self() {
 		machine.moveOn(record, now)
 		return
 	}
@@ -240,7 +240,7 @@
 		timeout = record.deadline.Sub(now)
 	}
 	return almondcross.NewTask(almondcross.TaskConfig{
-		ID:          almondcross.NewTaskID(almondcross.TaskIDConfig{Key: record.request.Key(), Index: index}),
+		Id:          almondcross.NewTaskID(almondcross.TaskIDConfig{Key: record.request.Key(), Index: index}),
 		Entry:       entry.Name(),
 		Owner:       entry.Owner(),
 		Class:       entry.Class(),
--- a/command/dispatcher/dispatcher.go
+++ b/command/dispatcher/dispatcher.go
@@ -76,21 +76,21 @@
 		dispatcher.release(ctx)
 	case almondcross.RenewTasks:
 		if message.Term() == dispatcher.term {
-			dispatcher.named = message.IDs()
+			dispatcher.named = message.Ids()
 		}
 	case almondcross.StartTask:
 		return dispatcher.start(ctx, message)
 	case almondcross.HaltTask:
 		return dispatcher.command(ctx, message.Term(), func(ctx context.Context) error {
-			return dispatcher.config.Commander.Stop(ctx, dispatcher.target, message.Term(), message.ID(), message.Code())
+			return dispatcher.config.Commander.Stop(ctx, dispatcher.target, message.Term(), message.Id(), message.Code())
 		})
 	case almondcross.CheckpointTask:
 		return dispatcher.command(ctx, message.Term(), func(ctx context.Context) error {
-			return dispatcher.config.Commander.Checkpoint(ctx, dispatcher.target, message.Term(), message.ID())
+			return dispatcher.config.Commander.Checkpoint(ctx, dispatcher.target, message.Term(), message.Id())
 		})
 	case almondcross.ThrottleTask:
 		return dispatcher.command(ctx, message.Term(), func(ctx context.Context) error {
-			return dispatcher.config.Commander.Throttle(ctx, dispatcher.target, message.Term(), message.ID(), message.Percent())
+			return dispatcher.config.Commander.Throttle(ctx, dispatcher.target, message.Term(), message.Id(), message.Percent())
 		})
 	}
 	return 0, false
@@ -114,7 +114,7 @@
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	sent := dispatcher.config.Clock.Now()
-	grant, err := dispatcher.config.Commander.Acquire(call, dispatcher.target, dispatcher.config.Members.View().Self().ID())
+	grant, err := dispatcher.config.Commander.Acquire(call, dispatcher.target, dispatcher.config.Members.View().Self().Id())
 	if err != nil {
 		return false
 	}
@@ -149,7 +149,7 @@
 func (dispatcher *Dispatcher) start(ctx context.Context, message almondcross.StartTask) (time.Duration, bool) {
 	answer := almondcross.StartAnsweredConfig{
 		Target: dispatcher.target.Name(), Term: message.Term(),
-		ID: message.Task().ID(), Attempt: message.Task().Attempt(), Accepted: true,
+		Id: message.Task().Id(), Attempt: message.Task().Attempt(), Accepted: true,
 	}
 	if !dispatcher.usable(message.Term()) {
 		answer.Accepted, answer.Code = false, almondcross.CodeTargetLost
--- a/command/registrar/machine.go
+++ b/command/registrar/machine.go
@@ -62,7 +62,7 @@
 		readyAt:    config.Start.Add(almondcross.SilenceLimit),
 		lastTick:   config.Start,
 	}
-	machine.recordLoss(config.Self.ID().WithIncarnation(0), config.Start)
+	machine.recordLoss(config.Self.Id().WithIncarnation(0), config.Start)
 	for _, peer := range config.Peers {
 		machine.peers[peer.Name] = &peerState{config: peer, sentPings: map[uint64]time.Time{}}
 	}
@@ -169,14 +169,14 @@
 }
 
 func (machine *Machine) receivePing(ping almondcross.PeerPing, now time.Time) ([]Send, bool) {
-	id := ping.Member().ID()
+	id := ping.Member().Id()
 	state, ok := machine.peers[id.Name()]
 	if !ok {
 		return nil, false
 	}
-	known := state.peer.Member().ID()
+	known := state.peer.Member().Id()
 	newest := max(known.Incarnation(), state.removed.Incarnation())
-	pong := almondcross.PeerPongConfig{Member: machine.self.ID(), Sequence: ping.Sequence(), Known: newest}
+	pong := almondcross.PeerPongConfig{Member: machine.self.Id(), Sequence: ping.Sequence(), Known: newest}
 	if id.Incarnation() < newest || id == state.removed {
 		pong.Rejoin = true
 		return []Send{{Member: id.Name(), Message: almondcross.NewPeerPong(pong)}}, false
@@ -192,7 +192,7 @@
 // admit adds a member, a new incarnation of it or its intention to leave to the view. Keys move in
 // each case, so the change counts as a join; a former incarnation in the view is lost.
 func (machine *Machine) admit(state *peerState, member almondcross.Member, now time.Time) {
-	if state.inView && state.peer.Member().ID() != member.ID() {
+	if state.inView && state.peer.Member().Id() != member.Id() {
 		machine.remove(state, now)
 	}
 	if !state.inView {
@@ -219,7 +219,7 @@
 		machine.rejoin(pong.Known(), now)
 		return true
 	}
-	if !state.inView || state.peer.Member().ID() != pong.Member() {
+	if !state.inView || state.peer.Member().Id() != pong.Member() {
 		return false
 	}
 	state.peer = state.peer.WithHeardAt(now)
@@ -232,10 +232,10 @@
 // rejoin takes a new incarnation after a peer removed this host from its view. The keys of the
 // former incarnation may have new coordinators, so it counts as lost.
 func (machine *Machine) rejoin(known uint64, now time.Time) {
-	machine.recordLoss(machine.self.ID(), now)
+	machine.recordLoss(machine.self.Id(), now)
 	machine.rejoins++
-	id := machine.self.ID()
-	machine.self = machine.self.WithID(id.WithIncarnation(max(id.Incarnation(), known) + 1))
+	id := machine.self.Id()
+	machine.self = machine.self.WithId(id.WithIncarnation(max(id.Incarnation(), known) + 1))
 	machine.readyAt = now.Add(almondcross.SilenceLimit)
 	machine.joinedWall = now.Round(0)
 	for _, state := range machine.peers {
@@ -247,12 +247,12 @@
 
 func (machine *Machine) receiveLeaving(leaving almondcross.PeerLeaving, now time.Time) ([]Send, bool) {
 	state, ok := machine.peers[leaving.Member().Name()]
-	if !ok || !state.inView || state.peer.Member().ID() != leaving.Member() {
+	if !ok || !state.inView || state.peer.Member().Id() != leaving.Member() {
 		return nil, false
 	}
 	state.farewelled = true
 	machine.remove(state, now)
-	ack := almondcross.NewPeerLeavingAck(almondcross.PeerLeavingAckConfig{Member: machine.self.ID()})
+	ack := almondcross.NewPeerLeavingAck(almondcross.PeerLeavingAckConfig{Member: machine.self.Id()})
 	return []Send{{Member: leaving.Member().Name(), Message: ack}}, true
 }
 
@@ -260,7 +260,7 @@
 func (machine *Machine) remove(state *peerState, now time.Time) {
 	member := state.peer.Member()
 	state.inView = false
-	state.removed = member.ID()
+	state.removed = member.Id()
 	if member.DataCentre() != machine.self.DataCentre() {
 		return
 	}
@@ -268,7 +268,7 @@
 		machine.joinedWall = now.Round(0)
 		return
 	}
-	machine.recordLoss(member.ID(), now)
+	machine.recordLoss(member.Id(), now)
 }
 
 func (machine *Machine) recordLoss(id almondcross.MemberID, now time.Time) {
@@ -285,7 +285,7 @@
 			continue
 		}
 		if final && !machine.finished {
-			message := almondcross.NewPeerLeaving(almondcross.PeerLeavingConfig{Member: machine.self.ID()})
+			message := almondcross.NewPeerLeaving(almondcross.PeerLeavingConfig{Member: machine.self.Id()})
 			effects = append(effects, Send{Member: name, Message: message})
 			continue
 		}
--- a/values_generated.go
+++ b/values_generated.go
@@ -560,7 +560,7 @@
 
 // TaskConfig holds the fields of a new Task.
 type TaskConfig struct {
-	ID          TaskID
+	Id          TaskID
 	Entry       string
 	Owner       string
 	Class       Class
@@ -579,7 +579,7 @@
 // NewTask returns a Task with the given fields.
 func NewTask(config TaskConfig) Task {
 	return Task{
-		id:          config.ID,
+		id:          config.Id,
 		entry:       config.Entry,
 		owner:       config.Owner,
 		class:       config.Class,
@@ -599,7 +599,7 @@
 // Config returns the fields of the value for encoding or for a changed copy.
 func (task Task) Config() TaskConfig {
 	return TaskConfig{
-		ID:          task.id,
+		Id:          task.id,
 		Entry:       task.entry,
 		Owner:       task.owner,
 		Class:       task.class,
@@ -616,11 +616,11 @@
 	}
 }
 
-// ID returns the identity of the task.
-func (task Task) ID() TaskID { return task.id }
+// Id returns the identity of the task.
+func (task Task) Id() TaskID { return task.id }
 
-// WithID returns a copy with the given id.
-func (task Task) WithID(id TaskID) Task {
+// WithId returns a copy with the given id.
+func (task Task) WithId(id TaskID) Task {
 	task.id = id
 	return task
 }
@@ -744,7 +744,7 @@
 
 // TaskResultConfig holds the fields of a new TaskResult.
 type TaskResultConfig struct {
-	ID       TaskID
+	Id       TaskID
 	Attempt  int
 	Code     Code
 	Answer   []byte
@@ -755,7 +755,7 @@
 // NewTaskResult returns a TaskResult with the given fields.
 func NewTaskResult(config TaskResultConfig) TaskResult {
 	return TaskResult{
-		id:       config.ID,
+		id:       config.Id,
 		attempt:  config.Attempt,
 		code:     config.Code,
 		answer:   config.Answer,
@@ -767,7 +767,7 @@
 // Config returns the fields of the value for encoding or for a changed copy.
 func (taskresult TaskResult) Config() TaskResultConfig {
 	return TaskResultConfig{
-		ID:       taskresult.id,
+		Id:       taskresult.id,
 		Attempt:  taskresult.attempt,
 		Code:     taskresult.code,
 		Answer:   taskresult.answer,
@@ -776,11 +776,11 @@
 	}
 }
 
-// ID returns the identity of the task.
-func (taskresult TaskResult) ID() TaskID { return taskresult.id }
+// Id returns the identity of the task.
+func (taskresult TaskResult) Id() TaskID { return taskresult.id }
 
-// WithID returns a copy with the given id.
-func (taskresult TaskResult) WithID(id TaskID) TaskResult {
+// WithId returns a copy with the given id.
+func (taskresult TaskResult) WithId(id TaskID) TaskResult {
 	taskresult.id = id
 	return taskresult
 }
@@ -1248,7 +1248,7 @@
 
 // MemberConfig holds the fields of a new Member.
 type MemberConfig struct {
-	ID         MemberID
+	Id         MemberID
 	DataCentre string
 	Address    string
 	Leaving    bool
@@ -1257,7 +1257,7 @@
 // NewMember returns a Member with the given fields.
 func NewMember(config MemberConfig) Member {
 	return Member{
-		id:         config.ID,
+		id:         config.Id,
 		dataCentre: config.DataCentre,
 		address:    config.Address,
 		leaving:    config.Leaving,
@@ -1267,18 +1267,18 @@
 // Config returns the fields of the value for encoding or for a changed copy.
 func (member Member) Config() MemberConfig {
 	return MemberConfig{
-		ID:         member.id,
+		Id:         member.id,
 		DataCentre: member.dataCentre,
 		Address:    member.address,
 		Leaving:    member.leaving,
 	}
 }
 
-// ID returns the name and incarnation.
-func (member Member) ID() MemberID { return member.id }
+// Id returns the name and incarnation.
+func (member Member) Id() MemberID { return member.id }
 
-// WithID returns a copy with the given id.
-func (member Member) WithID(id MemberID) Member {
+// WithId returns a copy with the given id.
+func (member Member) WithId(id MemberID) Member {
 	member.id = id
 	return member
 }
@@ -1604,7 +1604,7 @@
 
 // RecordConfig holds the fields of a new Record.
 type RecordConfig struct {
-	ID       string
+	Id       string
 	Offset   Offset
 	Appended time.Time
 	Body     []byte
@@ -1613,7 +1613,7 @@
 // NewRecord returns a Record with the given fields.
 func NewRecord(config RecordConfig) Record {
 	return Record{
-		id:       config.ID,
+		id:       config.Id,
 		offset:   config.Offset,
 		appended: config.Appended,
 		body:     config.Body,
@@ -1623,18 +1623,18 @@
 // Config returns the fields of the value for encoding or for a changed copy.
 func (record Record) Config() RecordConfig {
 	return RecordConfig{
-		ID:       record.id,
+		Id:       record.id,
 		Offset:   record.offset,
 		Appended: record.appended,
 		Body:     record.body,
 	}
 }
 
-// ID returns the unique id that the writer chose, by which a repeated append is recognised.
-func (record Record) ID() string { return record.id }
+// Id returns the unique id that the writer chose, by which a repeated append is recognised.
+func (record Record) Id() string { return record.id }
 
-// WithID returns a copy with the given id.
-func (record Record) WithID(id string) Record {
+// WithId returns a copy with the given id.
+func (record Record) WithId(id string) Record {
 	record.id = id
 	return record
 }
@@ -1720,7 +1720,7 @@
 
 // CatalogueChangeConfig holds the fields of a new CatalogueChange.
 type CatalogueChangeConfig struct {
-	ID       string
+	Id       string
 	Name     string
 	Entry    Entry
 	Removed  bool
@@ -1733,7 +1733,7 @@
 // NewCatalogueChange returns a CatalogueChange with the given fields.
 func NewCatalogueChange(config CatalogueChangeConfig) CatalogueChange {
 	return CatalogueChange{
-		id:       config.ID,
+		id:       config.Id,
 		name:     config.Name,
 		entry:    config.Entry,
 		removed:  config.Removed,
@@ -1747,7 +1747,7 @@
 // Config returns the fields of the value for encoding or for a changed copy.
 func (cataloguechange CatalogueChange) Config() CatalogueChangeConfig {
 	return CatalogueChangeConfig{
-		ID:       cataloguechange.id,
+		Id:       cataloguechange.id,
 		Name:     cataloguechange.name,
 		Entry:    cataloguechange.entry,
 		Removed:  cataloguechange.removed,
@@ -1758,11 +1758,11 @@
 	}
 }
 
-// ID returns the id of the record.
-func (cataloguechange CatalogueChange) ID() string { return cataloguechange.id }
+// Id returns the id of the record.
+func (cataloguechange CatalogueChange) Id() string { return cataloguechange.id }
 
-// WithID returns a copy with the given id.
-func (cataloguechange CatalogueChange) WithID(id string) CatalogueChange {
+// WithId returns a copy with the given id.
+func (cataloguechange CatalogueChange) WithId(id string) CatalogueChange {
 	cataloguechange.id = id
 	return cataloguechange
 }
@@ -1832,7 +1832,7 @@
 
 // ClaimRecordConfig holds the fields of a new ClaimRecord.
 type ClaimRecordConfig struct {
-	ID           string
+	Id           string
 	Kind         ClaimKind
 	Key          Key
 	Entry        string
@@ -1848,7 +1848,7 @@
 // NewClaimRecord returns a ClaimRecord with the given fields.
 func NewClaimRecord(config ClaimRecordConfig) ClaimRecord {
 	return ClaimRecord{
-		id:           config.ID,
+		id:           config.Id,
 		kind:         config.Kind,
 		key:          config.Key,
 		entry:        config.Entry,
@@ -1865,7 +1865,7 @@
 // Config returns the fields of the value for encoding or for a changed copy.
 func (claimrecord ClaimRecord) Config() ClaimRecordConfig {
 	return ClaimRecordConfig{
-		ID:           claimrecord.id,
+		Id:           claimrecord.id,
 		Kind:         claimrecord.kind,
 		Key:          claimrecord.key,
 		Entry:        claimrecord.entry,
@@ -1879,11 +1879,11 @@
 	}
 }
 
-// ID returns the id of the record.
-func (claimrecord ClaimRecord) ID() string { return claimrecord.id }
+// Id returns the id of the record.
+func (claimrecord ClaimRecord) Id() string { return claimrecord.id }
 
-// WithID returns a copy with the given id.
-func (claimrecord ClaimRecord) WithID(id string) ClaimRecord {
+// WithId returns a copy with the given id.
+func (claimrecord ClaimRecord) WithId(id string) ClaimRecord {
 	claimrecord.id = id
 	return claimrecord
 }
@@ -2508,7 +2508,7 @@
 
 // TaskRefusedConfig holds the fields of a new TaskRefused.
 type TaskRefusedConfig struct {
-	ID         TaskID
+	Id         TaskID
 	Attempt    int
 	Holder     MemberID
 	Code       Code
@@ -2518,7 +2518,7 @@
 // NewTaskRefused returns a TaskRefused with the given fields.
 func NewTaskRefused(config TaskRefusedConfig) TaskRefused {
 	return TaskRefused{
-		id:         config.ID,
+		id:         config.Id,
 		attempt:    config.Attempt,
 		holder:     config.Holder,
 		code:       config.Code,
@@ -2529,7 +2529,7 @@
 // Config returns the fields of the value for encoding or for a changed copy.
 func (taskrefused TaskRefused) Config() TaskRefusedConfig {
 	return TaskRefusedConfig{
-		ID:         taskrefused.id,
+		Id:         taskrefused.id,
 		Attempt:    taskrefused.attempt,
 		Holder:     taskrefused.holder,
 		Code:       taskrefused.code,
@@ -2537,11 +2537,11 @@
 	}
 }
 
-// ID returns the identity of the task.
-func (taskrefused TaskRefused) ID() TaskID { return taskrefused.id }
+// Id returns the identity of the task.
+func (taskrefused TaskRefused) Id() TaskID { return taskrefused.id }
 
-// WithID returns a copy with the given id.
-func (taskrefused TaskRefused) WithID(id TaskID) TaskRefused {
+// WithId returns a copy with the given id.
+func (taskrefused TaskRefused) WithId(id TaskID) TaskRefused {
 	taskrefused.id = id
 	return taskrefused
 }
@@ -2584,7 +2584,7 @@
 
 // TaskStartedConfig holds the fields of a new TaskStarted.
 type TaskStartedConfig struct {
-	ID      TaskID
+	Id      TaskID
 	Attempt int
 	Holder  MemberID
 	Target  string
@@ -2594,7 +2594,7 @@
 // NewTaskStarted returns a TaskStarted with the given fields.
 func NewTaskStarted(config TaskStartedConfig) TaskStarted {
 	return TaskStarted{
-		id:      config.ID,
+		id:      config.Id,
 		attempt: config.Attempt,
 		holder:  config.Holder,
 		target:  config.Target,
@@ -2605,7 +2605,7 @@
 // Config returns the fields of the value for encoding or for a changed copy.
 func (taskstarted TaskStarted) Config() TaskStartedConfig {
 	return TaskStartedConfig{
-		ID:      taskstarted.id,
+		Id:      taskstarted.id,
 		Attempt: taskstarted.attempt,
 		Holder:  taskstarted.holder,
 		Target:  taskstarted.target,
@@ -2613,11 +2613,11 @@
 	}
 }
 
-// ID returns the identity of the task.
-func (taskstarted TaskStarted) ID() TaskID { return taskstarted.id }
+// Id returns the identity of the task.
+func (taskstarted TaskStarted) Id() TaskID { return taskstarted.id }
 
-// WithID returns a copy with the given id.
-func (taskstarted TaskStarted) WithID(id TaskID) TaskStarted {
+// WithId returns a copy with the given id.
+func (taskstarted TaskStarted) WithId(id TaskID) TaskStarted {
 	taskstarted.id = id
 	return taskstarted
 }
@@ -2724,7 +2724,7 @@
 
 // TaskLostConfig holds the fields of a new TaskLost.
 type TaskLostConfig struct {
-	ID      TaskID
+	Id      TaskID
 	Attempt int
 	Holder  MemberID
 	Target  string
@@ -2734,7 +2734,7 @@
 // NewTaskLost returns a TaskLost with the given fields.
 func NewTaskLost(config TaskLostConfig) TaskLost {
 	return TaskLost{
-		id:      config.ID,
+		id:      config.Id,
 		attempt: config.Attempt,
 		holder:  config.Holder,
 		target:  config.Target,
@@ -2745,7 +2745,7 @@
 // Config returns the fields of the value for encoding or for a changed copy.
 func (tasklost TaskLost) Config() TaskLostConfig {
 	return TaskLostConfig{
-		ID:      tasklost.id,
+		Id:      tasklost.id,
 		Attempt: tasklost.attempt,
 		Holder:  tasklost.holder,
 		Target:  tasklost.target,
@@ -2753,11 +2753,11 @@
 	}
 }
 
-// ID returns the identity of the task.
-func (tasklost TaskLost) ID() TaskID { return tasklost.id }
+// Id returns the identity of the task.
+func (tasklost TaskLost) Id() TaskID { return tasklost.id }
 
-// WithID returns a copy with the given id.
-func (tasklost TaskLost) WithID(id TaskID) TaskLost {
+// WithId returns a copy with the given id.
+func (tasklost TaskLost) WithId(id TaskID) TaskLost {
 	tasklost.id = id
 	return tasklost
 }
@@ -2864,7 +2864,7 @@
 
 // AdoptAnsweredConfig holds the fields of a new AdoptAnswered.
 type AdoptAnsweredConfig struct {
-	ID          TaskID
+	Id          TaskID
 	Attempt     int
 	Target      string
 	Term        Term
@@ -2875,7 +2875,7 @@
 // NewAdoptAnswered returns a AdoptAnswered with the given fields.
 func NewAdoptAnswered(config AdoptAnsweredConfig) AdoptAnswered {
 	return AdoptAnswered{
-		id:          config.ID,
+		id:          config.Id,
 		attempt:     config.Attempt,
 		target:      config.Target,
 		term:        config.Term,
@@ -2887,7 +2887,7 @@
 // Config returns the fields of the value for encoding or for a changed copy.
 func (adoptanswered AdoptAnswered) Config() AdoptAnsweredConfig {
 	return AdoptAnsweredConfig{
-		ID:          adoptanswered.id,
+		Id:          adoptanswered.id,
 		Attempt:     adoptanswered.attempt,
 		Target:      adoptanswered.target,
 		Term:        adoptanswered.term,
@@ -2896,11 +2896,11 @@
 	}
 }
 
-// ID returns the identity of the task.
-func (adoptanswered AdoptAnswered) ID() TaskID { return adoptanswered.id }
+// Id returns the identity of the task.
+func (adoptanswered AdoptAnswered) Id() TaskID { return adoptanswered.id }
 
-// WithID returns a copy with the given id.
-func (adoptanswered AdoptAnswered) WithID(id TaskID) AdoptAnswered {
+// WithId returns a copy with the given id.
+func (adoptanswered AdoptAnswered) WithId(id TaskID) AdoptAnswered {
 	adoptanswered.id = id
 	return adoptanswered
 }
@@ -3672,7 +3672,7 @@
 
 // StopTaskConfig holds the fields of a new StopTask.
 type StopTaskConfig struct {
-	ID      TaskID
+	Id      TaskID
 	Attempt int
 	Code    Code
 }
@@ -3680,7 +3680,7 @@
 // NewStopTask returns a StopTask with the given fields.
 func NewStopTask(config StopTaskConfig) StopTask {
 	return StopTask{
-		id:      config.ID,
+		id:      config.Id,
 		attempt: config.Attempt,
 		code:    config.Code,
 	}
@@ -3689,17 +3689,17 @@
 // Config returns the fields of the value for encoding or for a changed copy.
 func (stoptask StopTask) Config() StopTaskConfig {
 	return StopTaskConfig{
-		ID:      stoptask.id,
+		Id:      stoptask.id,
 		Attempt: stoptask.attempt,
 		Code:    stoptask.code,
 	}
 }
 
-// ID returns the identity of the task.
-func (stoptask StopTask) ID() TaskID { return stoptask.id }
+// Id returns the identity of the task.
+func (stoptask StopTask) Id() TaskID { return stoptask.id }
 
-// WithID returns a copy with the given id.
-func (stoptask StopTask) WithID(id TaskID) StopTask {
+// WithId returns a copy with the given id.
+func (stoptask StopTask) WithId(id TaskID) StopTask {
 	stoptask.id = id
 	return stoptask
 }
@@ -3910,7 +3910,7 @@
 type StartAnsweredConfig struct {
 	Target   string
 	Term     Term
-	ID       TaskID
+	Id       TaskID
 	Attempt  int
 	Accepted bool
 	Code     Code
@@ -3921,7 +3921,7 @@
 	return StartAnswered{
 		target:   config.Target,
 		term:     config.Term,
-		id:       config.ID,
+		id:       config.Id,
 		attempt:  config.Attempt,
 		accepted: config.Accepted,
 		code:     config.Code,
@@ -3933,7 +3933,7 @@
 	return StartAnsweredConfig{
 		Target:   startanswered.target,
 		Term:     startanswered.term,
-		ID:       startanswered.id,
+		Id:       startanswered.id,
 		Attempt:  startanswered.attempt,
 		Accepted: startanswered.accepted,
 		Code:     startanswered.code,
@@ -3958,11 +3958,11 @@
 	return startanswered
 }
 
-// ID returns the identity of the task.
-func (startanswered StartAnswered) ID() TaskID { return startanswered.id }
+// Id returns the identity of the task.
+func (startanswered StartAnswered) Id() TaskID { return startanswered.id }
 
-// WithID returns a copy with the given id.
-func (startanswered StartAnswered) WithID(id TaskID) StartAnswered {
+// WithId returns a copy with the given id.
+func (startanswered StartAnswered) WithId(id TaskID) StartAnswered {
 	startanswered.id = id
 	return startanswered
 }
@@ -4141,7 +4141,7 @@
 // HaltTaskConfig holds the fields of a new HaltTask.
 type HaltTaskConfig struct {
 	Term Term
-	ID   TaskID
+	Id   TaskID
 	Code Code
 }
 
@@ -4149,7 +4149,7 @@
 func NewHaltTask(config HaltTaskConfig) HaltTask {
 	return HaltTask{
 		term: config.Term,
-		id:   config.ID,
+		id:   config.Id,
 		code: config.Code,
 	}
 }
@@ -4158,7 +4158,7 @@
 func (halttask HaltTask) Config() HaltTaskConfig {
 	return HaltTaskConfig{
 		Term: halttask.term,
-		ID:   halttask.id,
+		Id:   halttask.id,
 		Code: halttask.code,
 	}
 }
@@ -4172,11 +4172,11 @@
 	return halttask
 }
 
-// ID returns the identity of the task.
-func (halttask HaltTask) ID() TaskID { return halttask.id }
+// Id returns the identity of the task.
+func (halttask HaltTask) Id() TaskID { return halttask.id }
 
-// WithID returns a copy with the given id.
-func (halttask HaltTask) WithID(id TaskID) HaltTask {
+// WithId returns a copy with the given id.
+func (halttask HaltTask) WithId(id TaskID) HaltTask {
 	halttask.id = id
 	return halttask
 }
@@ -4193,14 +4193,14 @@
 // RenewTasksConfig holds the fields of a new RenewTasks.
 type RenewTasksConfig struct {
 	Term Term
-	IDs  []TaskID
+	Ids  []TaskID
 }
 
 // NewRenewTasks returns a RenewTasks with the given fields.
 func NewRenewTasks(config RenewTasksConfig) RenewTasks {
 	return RenewTasks{
 		term: config.Term,
-		ids:  config.IDs,
+		ids:  config.Ids,
 	}
 }
 
@@ -4208,7 +4208,7 @@
 func (renewtasks RenewTasks) Config() RenewTasksConfig {
 	return RenewTasksConfig{
 		Term: renewtasks.term,
-		IDs:  renewtasks.ids,
+		Ids:  renewtasks.ids,
 	}
 }
 
@@ -4221,11 +4221,11 @@
 	return renewtasks
 }
 
-// IDs returns the tasks.
-func (renewtasks RenewTasks) IDs() []TaskID { return renewtasks.ids }
+// Ids returns the tasks.
+func (renewtasks RenewTasks) Ids() []TaskID { return renewtasks.ids }
 
-// WithIDs returns a copy with the given ids.
-func (renewtasks RenewTasks) WithIDs(ids []TaskID) RenewTasks {
+// WithIds returns a copy with the given ids.
+func (renewtasks RenewTasks) WithIds(ids []TaskID) RenewTasks {
 	renewtasks.ids = ids
 	return renewtasks
 }
@@ -4392,14 +4392,14 @@
 
 // AppendAnsweredConfig holds the fields of a new AppendAnswered.
 type AppendAnsweredConfig struct {
-	IDs     []string
+	Ids     []string
 	Outcome AppendResult
 }
 
 // NewAppendAnswered returns a AppendAnswered with the given fields.
 func NewAppendAnswered(config AppendAnsweredConfig) AppendAnswered {
 	return AppendAnswered{
-		ids:     config.IDs,
+		ids:     config.Ids,
 		outcome: config.Outcome,
 	}
 }
@@ -4407,16 +4407,16 @@
 // Config returns the fields of the value for encoding or for a changed copy.
 func (appendanswered AppendAnswered) Config() AppendAnsweredConfig {
 	return AppendAnsweredConfig{
-		IDs:     appendanswered.ids,
+		Ids:     appendanswered.ids,
 		Outcome: appendanswered.outcome,
 	}
 }
 
-// IDs returns the ids of the records.
-func (appendanswered AppendAnswered) IDs() []string { return appendanswered.ids }
+// Ids returns the ids of the records.
+func (appendanswered AppendAnswered) Ids() []string { return appendanswered.ids }
 
-// WithIDs returns a copy with the given ids.
-func (appendanswered AppendAnswered) WithIDs(ids []string) AppendAnswered {
+// WithIds returns a copy with the given ids.
+func (appendanswered AppendAnswered) WithIds(ids []string) AppendAnswered {
 	appendanswered.ids = ids
 	return appendanswered
 }
