Add the stand-ins of the platform and of a worker, and their adapters

Cause: the product needs a log, a live list and workers to run against, and adapters that turn their protocols into the interfaces of the root package.

Change: standin/provider and standin/worker serve the two protocols over HTTP, each table owned by one duty behind a ring. command/writer, command/driver, query/reader and query/observer implement the interfaces. requester and responder hold the bounded JSON exchange of the two sides, encoder the shapes.

--- /dev/null
+++ b/encoder/worker.go
@@ -0,0 +1,330 @@
+package encoder
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/almondcross/almondcross"
+)
+
+// WorkerTerm is the term of a lease.
+type WorkerTerm struct {
+	Boot    uint64 `json:"boot"`
+	Counter uint64 `json:"counter"`
+}
+
+// WorkerMember names one run of an entry host.
+type WorkerMember struct {
+	Name        string `json:"name"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// WorkerTaskID identifies a task.
+type WorkerTaskID struct {
+	Caller string `json:"caller"`
+	Origin string `json:"origin"`
+	Name   string `json:"name"`
+	Index  int    `json:"index"`
+}
+
+// WorkerResources is an amount of each resource.
+type WorkerResources struct {
+	MilliCPU     int64 `json:"milli_cpu"`
+	MemoryMB     int64 `json:"memory_mb"`
+	Accelerators int64 `json:"accelerators"`
+	Slots        int64 `json:"slots"`
+}
+
+// WorkerTask is a task as a worker holds it; durations are in microseconds.
+type WorkerTask struct {
+	ID            WorkerTaskID    `json:"id"`
+	Entry         string          `json:"entry"`
+	Owner         string          `json:"owner"`
+	Class         string          `json:"class"`
+	Resources     WorkerResources `json:"resources"`
+	Payload       []byte          `json:"payload"`
+	Repeatable    bool            `json:"repeatable"`
+	Urgent        bool            `json:"urgent"`
+	Size          int             `json:"size"`
+	Attempt       int             `json:"attempt"`
+	Coordinator   WorkerMember    `json:"coordinator"`
+	MaxRunUs      int64           `json:"max_run_us"`
+	ExpectedRunUs int64           `json:"expected_run_us"`
+	TimeoutUs     int64           `json:"timeout_us"`
+}
+
+// WorkerResult is how an attempt ended. AnswerBytes and Checksum describe the whole answer.
+type WorkerResult struct {
+	ID          WorkerTaskID `json:"id"`
+	Attempt     int          `json:"attempt"`
+	Code        string       `json:"code"`
+	Answer      []byte       `json:"answer"`
+	AnswerBytes int          `json:"answer_bytes"`
+	Checksum    string       `json:"checksum"` // xxhash64 in hexadecimal, since JSON numbers are exact to 2^53 only
+	RanUs       int64        `json:"ran_us"`
+}
+
+// WorkerItem is one task of an inventory.
+type WorkerItem struct {
+	Task   WorkerTask    `json:"task"`
+	Result *WorkerResult `json:"result,omitempty"` // absent while the task runs
+}
+
+// WorkerAcquire is the body of an acquisition.
+type WorkerAcquire struct {
+	Holder WorkerMember `json:"holder"`
+}
+
+// WorkerGrant answers an acquisition.
+type WorkerGrant struct {
+	Target    string          `json:"target"`
+	Term      WorkerTerm      `json:"term"`
+	Capacity  WorkerResources `json:"capacity"`
+	Leaving   bool            `json:"leaving"`
+	Inventory []WorkerItem    `json:"inventory"`
+	Events    uint64          `json:"events"`
+}
+
+// WorkerRenew is the body of a renewal; it extends the leases of the named tasks.
+type WorkerRenew struct {
+	Term  WorkerTerm     `json:"term"`
+	Tasks []WorkerTaskID `json:"tasks"`
+}
+
+// WorkerRenewed answers a renewal.
+type WorkerRenewed struct {
+	Leaving bool            `json:"leaving"`
+	Usage   WorkerResources `json:"usage"`
+}
+
+// WorkerRelease is the body of a release.
+type WorkerRelease struct {
+	Term WorkerTerm `json:"term"`
+}
+
+// WorkerStart is the body of a start.
+type WorkerStart struct {
+	Term WorkerTerm `json:"term"`
+	Task WorkerTask `json:"task"`
+}
+
+// WorkerOrder is the body of a stop, a checkpoint or a throttle.
+type WorkerOrder struct {
+	Term    WorkerTerm   `json:"term"`
+	ID      WorkerTaskID `json:"id"`
+	Code    string       `json:"code,omitempty"`    // the reason of a stop
+	Percent int          `json:"percent,omitempty"` // the limit of a throttle
+}
+
+// WorkerDone answers an operation that returns nothing.
+type WorkerDone struct{}
+
+// WorkerEvent is the end of one attempt.
+type WorkerEvent struct {
+	Index  uint64       `json:"index"`
+	Result WorkerResult `json:"result"`
+}
+
+// WorkerEvents answers a question for events.
+type WorkerEvents struct {
+	Events []WorkerEvent `json:"events"`
+}
+
+// WorkerState is the state of a worker.
+type WorkerState struct {
+	Name      string          `json:"name"`
+	Boot      uint64          `json:"boot"`
+	Term      WorkerTerm      `json:"term"`
+	Holder    WorkerMember    `json:"holder"`
+	Leased    bool            `json:"leased"`
+	Leaving   bool            `json:"leaving"`
+	Capacity  WorkerResources `json:"capacity"`
+	Allocated WorkerResources `json:"allocated"`
+	Running   []WorkerTaskID  `json:"running"`
+	Events    uint64          `json:"events"`
+	Waiting   int             `json:"waiting"` // the ended tasks that are not acknowledged
+}
+
+// WorkerHistoryKind is the kind of a history entry.
+type WorkerHistoryKind string
+
+// The kinds of history entries.
+const (
+	WorkerBooted            WorkerHistoryKind = "booted"
+	WorkerGranted           WorkerHistoryKind = "granted"
+	WorkerReleased          WorkerHistoryKind = "released"
+	WorkerExpired           WorkerHistoryKind = "expired"
+	WorkerStarted           WorkerHistoryKind = "started"
+	WorkerStartRefused      WorkerHistoryKind = "start_refused"
+	WorkerOvercommitRefused WorkerHistoryKind = "overcommit_refused"
+	WorkerStopOrdered       WorkerHistoryKind = "stop_ordered"
+	WorkerCheckpointed      WorkerHistoryKind = "checkpointed"
+	WorkerThrottled         WorkerHistoryKind = "throttled"
+	WorkerTaskExpired       WorkerHistoryKind = "task_expired"
+	WorkerEnded             WorkerHistoryKind = "ended"
+	WorkerVanished          WorkerHistoryKind = "vanished"
+)
+
+// WorkerHistoryEntry is one recorded change of a worker.
+type WorkerHistoryEntry struct {
+	Index     int               `json:"index"`
+	AtUs      int64             `json:"at_us"`
+	Kind      WorkerHistoryKind `json:"kind"`
+	Term      WorkerTerm        `json:"term"`
+	Holder    WorkerMember      `json:"holder"`
+	Task      *WorkerTaskID     `json:"task,omitempty"`
+	Attempt   int               `json:"attempt,omitempty"`
+	Code      string            `json:"code,omitempty"`
+	Allocated WorkerResources   `json:"allocated"` // the allocation after the change
+	Needed    WorkerResources   `json:"needed"`    // the resources of the task
+}
+
+// WorkerHistory is a page of the history.
+type WorkerHistory struct {
+	Worker   string               `json:"worker"`
+	Capacity WorkerResources      `json:"capacity"`
+	Entries  []WorkerHistoryEntry `json:"entries"`
+	Next     int                  `json:"next"`
+	Total    int                  `json:"total"`
+	Dropped  int                  `json:"dropped"` // the entries that exceeded the bound of the list
+}
+
+// WorkerSwitches are the faults of the stand-in of a worker.
+type WorkerSwitches struct {
+	FailAll   bool  `json:"fail_all"`   // whether every task ends without an answer
+	DelayMs   int64 `json:"delay_ms"`   // the delay of each answer
+	RunFactor int   `json:"run_factor"` // the factor of the run time of started tasks, 0 for 1
+	Truncate  bool  `json:"truncate"`   // whether answers are cut short
+	Refuse    bool  `json:"refuse"`     // whether connections are closed without an answer
+	Leaving   bool  `json:"leaving"`    // whether the worker accepts no new work
+}
+
+// WorkerRestart is the body of a restart.
+type WorkerRestart struct {
+	KeepTasks bool `json:"keep_tasks"` // whether running tasks survive
+}
+
+// WorkerTermOf returns the wire shape of a term.
+func WorkerTermOf(term almondcross.Term) WorkerTerm {
+	return WorkerTerm{Boot: term.Boot(), Counter: term.Counter()}
+}
+
+// Value returns the value of the wire shape.
+func (shape WorkerTerm) Value() almondcross.Term {
+	return almondcross.NewTerm(almondcross.TermConfig{Boot: shape.Boot, Counter: shape.Counter})
+}
+
+// WorkerMemberOf returns the wire shape of a member.
+func WorkerMemberOf(member almondcross.MemberID) WorkerMember {
+	return WorkerMember{Name: member.Name(), Incarnation: member.Incarnation()}
+}
+
+// Value returns the value of the wire shape.
+func (shape WorkerMember) Value() almondcross.MemberID {
+	return almondcross.NewMemberID(almondcross.MemberIDConfig{Name: shape.Name, Incarnation: shape.Incarnation})
+}
+
+// WorkerTaskIDOf returns the wire shape of a task's identity.
+func WorkerTaskIDOf(id almondcross.TaskID) WorkerTaskID {
+	key := id.Key()
+	return WorkerTaskID{Caller: key.Caller(), Origin: key.Origin(), Name: key.Name(), Index: id.Index()}
+}
+
+// WorkerTaskIDsOf returns the wire shapes of identities.
+func WorkerTaskIDsOf(ids []almondcross.TaskID) []WorkerTaskID {
+	shapes := make([]WorkerTaskID, 0, len(ids))
+	for _, id := range ids {
+		shapes = append(shapes, WorkerTaskIDOf(id))
+	}
+	return shapes
+}
+
+// Value returns the value of the wire shape.
+func (shape WorkerTaskID) Value() almondcross.TaskID {
+	return almondcross.NewTaskID(almondcross.TaskIDConfig{
+		Key:   almondcross.NewKey(almondcross.KeyConfig{Caller: shape.Caller, Origin: shape.Origin, Name: shape.Name}),
+		Index: shape.Index,
+	})
+}
+
+// WorkerResourcesOf returns the wire shape of an amount.
+func WorkerResourcesOf(resources almondcross.Resources) WorkerResources {
+	return WorkerResources(resources.Config())
+}
+
+// Value returns the value of the wire shape.
+func (shape WorkerResources) Value() almondcross.Resources {
+	return almondcross.NewResources(almondcross.ResourcesConfig(shape))
+}
+
+// WorkerTaskOf returns the wire shape of a task.
+func WorkerTaskOf(task almondcross.Task) WorkerTask {
+	return WorkerTask{
+		ID: WorkerTaskIDOf(task.Id()), Entry: task.Entry(), Owner: task.Owner(), Class: string(task.Class()),
+		Resources: WorkerResourcesOf(task.Resources()), Payload: task.Payload(), Repeatable: task.Repeatable(),
+		Urgent: task.Urgent(), Size: task.Size(), Attempt: task.Attempt(), Coordinator: WorkerMemberOf(task.Coordinator()),
+		MaxRunUs: task.MaxRun().Microseconds(), ExpectedRunUs: task.ExpectedRun().Microseconds(),
+		TimeoutUs: task.Timeout().Microseconds(),
+	}
+}
+
+// Value returns the value of the wire shape.
+func (shape WorkerTask) Value() almondcross.Task {
+	return almondcross.NewTask(almondcross.TaskConfig{
+		Id: shape.ID.Value(), Entry: shape.Entry, Owner: shape.Owner, Class: almondcross.Class(shape.Class),
+		Resources: shape.Resources.Value(), Payload: shape.Payload, Repeatable: shape.Repeatable,
+		Urgent: shape.Urgent, Size: shape.Size, Attempt: shape.Attempt, Coordinator: shape.Coordinator.Value(),
+		MaxRun: microseconds(shape.MaxRunUs), ExpectedRun: microseconds(shape.ExpectedRunUs),
+		Timeout: microseconds(shape.TimeoutUs),
+	})
+}
+
+// WorkerChecksum returns the wire shape of the checksum of a whole answer.
+func WorkerChecksum(answer []byte) string { return strconv.FormatUint(xxhash.Sum64(answer), 16) }
+
+// Whole reports whether the answer has the length and checksum that the worker computed.
+func (shape WorkerResult) Whole() bool {
+	return len(shape.Answer) == shape.AnswerBytes && WorkerChecksum(shape.Answer) == shape.Checksum
+}
+
+// Value returns the value of the wire shape. A result whose answer is not whole becomes a failed
+// result with the code truncated and no answer.
+func (shape WorkerResult) Value() almondcross.TaskResult {
+	config := almondcross.TaskResultConfig{
+		Id: shape.ID.Value(), Attempt: shape.Attempt, Code: almondcross.Code(shape.Code),
+		Ran: microseconds(shape.RanUs),
+	}
+	if !shape.Whole() {
+		config.Code = almondcross.CodeTruncated
+		return almondcross.NewTaskResult(config)
+	}
+	config.Answer = shape.Answer
+	config.Checksum = xxhash.Sum64(shape.Answer)
+	return almondcross.NewTaskResult(config)
+}
+
+// Value returns the value of the wire shape.
+func (shape WorkerGrant) Value() almondcross.Grant {
+	items := make([]almondcross.InventoryItem, 0, len(shape.Inventory))
+	for _, item := range shape.Inventory {
+		config := almondcross.InventoryItemConfig{Task: item.Task.Value()}
+		if item.Result != nil {
+			config.Finished = true
+			config.Result = item.Result.Value()
+		}
+		items = append(items, almondcross.NewInventoryItem(config))
+	}
+	return almondcross.NewGrant(almondcross.GrantConfig{
+		Target: shape.Target, Term: shape.Term.Value(), Capacity: shape.Capacity.Value(),
+		Leaving: shape.Leaving, Inventory: items, Events: shape.Events,
+	})
+}
+
+// Value returns the value of the wire shape.
+func (shape WorkerEvent) Value() almondcross.WorkerEvent {
+	return almondcross.NewWorkerEvent(almondcross.WorkerEventConfig{Index: shape.Index, Result: shape.Result.Value()})
+}
+
+func microseconds(count int64) time.Duration { return time.Duration(count) * time.Microsecond }
--- /dev/null
+++ b/query/reader/doc.go
@@ -0,0 +1,2 @@
+// Package reader reads streams of the platform's log over HTTP.
+package reader
--- /dev/null
+++ b/standin/provider/live.go
@@ -0,0 +1,269 @@
+package provider
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/almondcross/almondcross"
+	"github.com/almondcross/almondcross/encoder"
+	"github.com/almondcross/almondcross/responder"
+	"github.com/almondcross/almondcross/ring"
+)
+
+// stateGone is the state of a host that the live list leaves out.
+const stateGone = "gone"
+
+// liveMessage is a message for the duty that owns the live list.
+type liveMessage interface {
+	apply(live *live, now time.Time)
+}
+
+type listHosts struct {
+	known   uint64
+	wait    time.Duration
+	answers chan<- responder.Answer
+}
+
+type registerHost struct {
+	host    encoder.PlatformHost
+	answers chan<- responder.Answer
+}
+
+type setHostState struct {
+	name    string
+	state   string
+	answers chan<- responder.Answer
+}
+
+type switchLive struct {
+	change  *encoder.PlatformSwitches
+	answers chan<- responder.Answer
+}
+
+// liveHost is a registered host; the state set by an operation goes before the registered one.
+type liveHost struct {
+	host    encoder.PlatformHost
+	forced  string
+	expires time.Time // the end of the registration, zero for none
+}
+
+type listWaiter struct {
+	list     listHosts
+	deadline time.Time
+}
+
+type delayedList struct {
+	at    time.Time
+	hosts []encoder.PlatformHost
+}
+
+// live is the duty that owns the live list.
+type live struct {
+	config    Config
+	messages  *ring.Ring[liveMessage]
+	hosts     map[string]liveHost
+	published encoder.PlatformHosts
+	delayed   []delayedList
+	waiters   []listWaiter
+	switches  encoder.PlatformSwitches
+}
+
+func newLive(config Config) *live {
+	return &live{
+		config:   config,
+		messages: newRing[liveMessage](config, "provider_live"),
+		hosts:    make(map[string]liveHost),
+		// Versions start at the time, so that a restarted stand-in does not reuse one.
+		published: encoder.PlatformHosts{Version: uint64(time.Now().UnixMicro()), Hosts: []encoder.PlatformHost{}},
+		switches:  encoder.PlatformSwitches{LagMs: config.LiveLag.Milliseconds()},
+	}
+}
+
+func (live *live) run(ctx context.Context) error {
+	timer := time.NewTimer(farAway)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case message := <-live.messages.Messages():
+			message.apply(live, time.Now())
+		case <-timer.C:
+		}
+		now := time.Now()
+		live.expireHosts(now)
+		live.refresh(now)
+		live.publish(now)
+		live.expireWaiters(now)
+		timer.Reset(live.deadline(now).Sub(now))
+	}
+}
+
+func (live *live) deadline(now time.Time) time.Time {
+	first := now.Add(farAway)
+	consider := func(at time.Time) {
+		if !at.IsZero() && at.Before(first) {
+			first = at
+		}
+	}
+	if !live.switches.Down {
+		for _, host := range live.hosts {
+			consider(host.expires)
+		}
+	}
+	for _, waiter := range live.waiters {
+		consider(waiter.deadline)
+	}
+	if len(live.delayed) > 0 {
+		consider(live.delayed[0].at)
+	}
+	return first
+}
+
+func (message registerHost) apply(live *live, now time.Time) {
+	if live.isDown(message.answers) {
+		return
+	}
+	entry, known := live.hosts[message.host.Name]
+	if !known {
+		live.config.Logger.WithField("host", message.host.Name).Info("host registered in the live list")
+	}
+	if message.host.State == "" {
+		message.host.State = string(almondcross.HostLive)
+	}
+	entry.expires = time.Time{}
+	if message.host.TTLMs > 0 {
+		entry.expires = now.Add(time.Duration(message.host.TTLMs) * time.Millisecond)
+	}
+	entry.host = message.host
+	live.hosts[message.host.Name] = entry
+	message.answers <- live.afterDelay(responder.Answer{Body: encoder.WorkerDone{}})
+}
+
+func (message setHostState) apply(live *live, _ time.Time) {
+	entry, known := live.hosts[message.name]
+	if !known {
+		message.answers <- responder.Refusal(http.StatusNotFound, encoder.PlatformUnknownHost, "the host is not registered")
+		return
+	}
+	switch message.state {
+	case string(almondcross.HostLive):
+		entry.forced = ""
+	case string(almondcross.HostLeaving), stateGone:
+		entry.forced = message.state
+	default:
+		message.answers <- responder.Refusal(http.StatusBadRequest, encoder.PlatformInvalid, "the state is unknown")
+		return
+	}
+	live.hosts[message.name] = entry
+	live.config.Logger.WithFields(logrus.Fields{"host": message.name, "state": message.state}).Info("host state set")
+	message.answers <- responder.Answer{Body: encoder.WorkerDone{}}
+}
+
+func (message listHosts) apply(live *live, now time.Time) {
+	if live.isDown(message.answers) {
+		return
+	}
+	live.waiters = append(live.waiters, listWaiter{list: message, deadline: now.Add(message.wait)})
+}
+
+func (message switchLive) apply(live *live, now time.Time) {
+	if message.change != nil {
+		live.switches = *message.change
+		live.config.Logger.WithFields(logrus.Fields{"switches": live.switches}).Info("live list switches changed")
+		if live.switches.Down {
+			for _, waiter := range live.waiters {
+				live.isDown(waiter.list.answers)
+			}
+			live.waiters = nil
+		} else {
+			live.extendHosts(now)
+		}
+	}
+	message.answers <- responder.Answer{Body: live.switches}
+}
+
+func (live *live) isDown(answers chan<- responder.Answer) bool {
+	if live.switches.Down {
+		answers <- responder.Refusal(http.StatusServiceUnavailable, encoder.PlatformDown, "the live list takes no requests")
+	}
+	return live.switches.Down
+}
+
+func (live *live) afterDelay(answer responder.Answer) responder.Answer {
+	answer.Delay = time.Duration(live.switches.DelayMs) * time.Millisecond
+	return answer
+}
+
+// extendHosts starts the registrations anew, since no heartbeat is taken while the list is down.
+func (live *live) extendHosts(now time.Time) {
+	for name, host := range live.hosts {
+		if !host.expires.IsZero() {
+			host.expires = now.Add(time.Duration(host.host.TTLMs) * time.Millisecond)
+			live.hosts[name] = host
+		}
+	}
+}
+
+func (live *live) expireHosts(now time.Time) {
+	if live.switches.Down {
+		return
+	}
+	for name, host := range live.hosts {
+		if !host.expires.IsZero() && !now.Before(host.expires) {
+			delete(live.hosts, name)
+			live.config.Logger.WithField("host", name).Warn("host without heartbeat removed from the live list")
+		}
+	}
+}
+
+// refresh queues the current list for publication after the lag when it differs from the last one.
+func (live *live) refresh(now time.Time) {
+	current := make([]encoder.PlatformHost, 0, len(live.hosts))
+	for _, entry := range live.hosts {
+		host := entry.host
+		host.TTLMs = 0
+		if entry.forced != "" {
+			host.State = entry.forced
+		}
+		if host.State != stateGone {
+			current = append(current, host)
+		}
+	}
+	slices.SortFunc(current, func(left, right encoder.PlatformHost) int { return strings.Compare(left.Name, right.Name) })
+	last := live.published.Hosts
+	if len(live.delayed) > 0 {
+		last = live.delayed[len(live.delayed)-1].hosts
+	}
+	if !slices.Equal(current, last) {
+		lag := time.Duration(live.switches.LagMs) * time.Millisecond
+		live.delayed = append(live.delayed, delayedList{at: now.Add(lag), hosts: current})
+	}
+}
+
+// publish makes the due lists visible.
+func (live *live) publish(now time.Time) {
+	for len(live.delayed) > 0 && !now.Before(live.delayed[0].at) {
+		live.published = encoder.PlatformHosts{Version: live.published.Version + 1, Hosts: live.delayed[0].hosts}
+		live.delayed = live.delayed[1:]
+	}
+}
+
+// expireWaiters answers the waiters for which the version differs or whose time is over.
+func (live *live) expireWaiters(now time.Time) {
+	kept := live.waiters[:0]
+	for _, waiter := range live.waiters {
+		if waiter.list.known == live.published.Version && now.Before(waiter.deadline) {
+			kept = append(kept, waiter)
+			continue
+		}
+		waiter.list.answers <- live.afterDelay(responder.Answer{Body: live.published})
+	}
+	clear(live.waiters[len(kept):])
+	live.waiters = kept
+}
--- /dev/null
+++ b/standin/worker/heartbeat.go
@@ -0,0 +1,54 @@
+package worker
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/almondcross/almondcross"
+	"github.com/almondcross/almondcross/encoder"
+	"github.com/almondcross/almondcross/requester"
+	"github.com/almondcross/almondcross/responder"
+)
+
+// sendHeartbeats registers the worker at the live list and repeats the registration as a heartbeat.
+func (worker *Worker) sendHeartbeats(ctx context.Context) error {
+	exchange := requester.New(requester.Config{Connections: 1, Timeout: heartbeatInterval})
+	defer exchange.Close()
+	failures := worker.config.Metrics.GetOrCreateCounter("almondcross_worker_heartbeat_failures_total")
+	address := "http://" + worker.config.LiveList + "/v1/live/" + url.PathEscape(worker.config.Name)
+	ticker := time.NewTicker(heartbeatInterval)
+	defer ticker.Stop()
+	for {
+		host := encoder.PlatformHost{
+			DataCentre: worker.config.DataCentre, Rack: worker.config.Rack, Address: worker.Address(),
+			State: string(worker.hostState(ctx)), TTLMs: heartbeatTTL.Milliseconds(),
+		}
+		var done encoder.WorkerDone
+		if exchange.Do(ctx, 0, http.MethodPut, address, host, &done) != nil {
+			failures.Inc()
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// hostState asks the duty whether the worker is leaving.
+func (worker *Worker) hostState(ctx context.Context) almondcross.HostState {
+	replies := make(chan responder.Answer, 1)
+	if worker.state.messages.Put(ctx, readState{answers: replies, internal: true}) != nil {
+		return almondcross.HostLive
+	}
+	select {
+	case answer := <-replies:
+		if shape, ok := answer.Body.(encoder.WorkerState); ok && shape.Leaving {
+			return almondcross.HostLeaving
+		}
+	case <-ctx.Done():
+	}
+	return almondcross.HostLive
+}
--- /dev/null
+++ b/standin/worker/reads.go
@@ -0,0 +1,118 @@
+package worker
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/almondcross/almondcross/encoder"
+	"github.com/almondcross/almondcross/responder"
+)
+
+// maxHistoryPage bounds a page of the history; an entry takes less than 1 KiB encoded.
+const maxHistoryPage = 1000
+
+type readEvents struct {
+	term    encoder.WorkerTerm
+	after   uint64
+	wait    time.Duration
+	answers answers
+}
+
+type readState struct {
+	answers  answers
+	internal bool // whether the worker itself asks, which no switch affects
+}
+
+type readHistory struct {
+	after   int
+	answers answers
+}
+
+type changeSwitches struct {
+	body    *encoder.WorkerSwitches // nil to read them only
+	answers answers
+}
+
+// apply acknowledges the events up to the index and waits for later ones.
+func (message readEvents) apply(state *state, now time.Time) {
+	if state.refusesConnection(message.answers) || state.isStale(message.term, message.answers) {
+		return
+	}
+	count := 0
+	for count < len(state.ended) && state.ended[count].index <= message.after {
+		state.heldBytes -= state.ended[count].bytes
+		count++
+	}
+	clear(state.ended[:count])
+	state.ended = state.ended[count:]
+	state.waiters = append(state.waiters, eventWaiter{read: message, deadline: now.Add(message.wait)})
+}
+
+// answerWaiters answers the long polls that have events, that are over, or whose term ended.
+func (state *state) answerWaiters(now time.Time) {
+	kept := state.waiters[:0]
+	for _, waiter := range state.waiters {
+		switch {
+		case state.switches.Refuse:
+			waiter.read.answers <- responder.Answer{Abort: true}
+		case !state.inForce(waiter.read.term):
+			state.answer(waiter.read.answers, staleAnswer())
+		case len(state.ended) > 0 || !now.Before(waiter.deadline):
+			state.answer(waiter.read.answers, responder.Answer{Body: encoder.WorkerEvents{Events: state.pending()}})
+		default:
+			kept = append(kept, waiter)
+		}
+	}
+	clear(state.waiters[len(kept):])
+	state.waiters = kept
+}
+
+func (state *state) pending() []encoder.WorkerEvent {
+	events := make([]encoder.WorkerEvent, 0, len(state.ended))
+	for _, ended := range state.ended {
+		events = append(events, encoder.WorkerEvent{Index: ended.index, Result: state.resultOf(ended.result)})
+	}
+	return events
+}
+
+func (message readState) apply(state *state, _ time.Time) {
+	if !message.internal && state.refusesConnection(message.answers) {
+		return
+	}
+	shape := encoder.WorkerState{
+		Name: state.config.Name, Boot: state.boot, Term: state.term(), Holder: encoder.WorkerMemberOf(state.holder),
+		Leased: state.leased, Leaving: state.switches.Leaving,
+		Capacity: encoder.WorkerResourcesOf(state.config.Capacity), Allocated: encoder.WorkerResourcesOf(state.allocated),
+		Running: []encoder.WorkerTaskID{}, Events: state.events, Waiting: len(state.ended),
+	}
+	for id := range state.running {
+		shape.Running = append(shape.Running, encoder.WorkerTaskIDOf(id))
+	}
+	if message.internal {
+		message.answers <- responder.Answer{Body: shape}
+		return
+	}
+	state.answer(message.answers, responder.Answer{Body: shape})
+}
+
+// apply returns a page of the history; no switch affects it, since checkers read it during faults.
+func (message readHistory) apply(state *state, _ time.Time) {
+	from := min(max(message.after, 0), len(state.history))
+	to := min(from+maxHistoryPage, len(state.history))
+	message.answers <- responder.Answer{Body: encoder.WorkerHistory{
+		Worker: state.config.Name, Capacity: encoder.WorkerResourcesOf(state.config.Capacity),
+		Entries: append([]encoder.WorkerHistoryEntry{}, state.history[from:to]...),
+		Next:    to, Total: len(state.history), Dropped: state.dropped,
+	}}
+}
+
+func (message changeSwitches) apply(state *state, _ time.Time) {
+	if message.body != nil {
+		state.switches = *message.body
+		state.config.Logger.WithFields(logrus.Fields{
+			"worker": state.config.Name, "switches": state.switches,
+		}).Info("worker switches changed")
+	}
+	message.answers <- responder.Answer{Body: state.switches}
+}
