--- a/encoder/platform.go
+++ b/encoder/platform.go
@@ -9,6 +9,10 @@
 // MaxPlatformBody is the most bytes of one body of the platform and worker protocols.
 const MaxPlatformBody = 1 << 20
 
+// FirstPlatformOffset is the offset of the first record of a stream. It is 1, since the version of an
+// entry is an offset and 0 stands for a new entry.
+const FirstPlatformOffset = 1
+
 // PlatformCode is the stable code of a refusal in the platform and worker protocols.
 type PlatformCode string
 
--- a/query/reader/reader.go
+++ b/query/reader/reader.go
@@ -83,19 +83,16 @@
 	if len(shape.Records) == 0 && shape.Next <= 0 {
 		return errors.New("the answer to a read has no offset")
 	}
-	expected := int64(from)
-	for position, record := range shape.Records {
-		// A read from before the first record of a stream begins at the first record.
-		if position == 0 && from <= 0 {
-			expected = record.Offset
-		}
+	// A read from before the first record of a stream begins at the first record.
+	expected := max(int64(from), encoder.FirstPlatformOffset)
+	for _, record := range shape.Records {
 		if record.Offset != expected {
 			return errors.Errorf("the answer to a read has record %d in place of %d", record.Offset, expected)
 		}
 		expected++
 	}
 	if len(shape.Records) > 0 && shape.Next != expected {
-		return errors.Errorf("the answer to a read ends before %d in place of %d", expected, shape.Next)
+		return errors.Errorf("the answer to a read continues at %d in place of %d", shape.Next, expected)
 	}
 	return nil
 }
--- a/standin/provider/streams.go
+++ b/standin/provider/streams.go
@@ -14,8 +14,6 @@
 )
 
 const (
-	// firstOffset is 1, since the version of an entry is an offset and 0 stands for a new entry.
-	firstOffset = 1
 	maxRecordID = 256
 	// recordOverhead covers the field names, offset and time of an encoded record.
 	recordOverhead = 128
@@ -150,7 +148,7 @@
 func (streams *streams) stream(name string) *stream {
 	found, ok := streams.table[name]
 	if !ok {
-		found = &stream{oldest: firstOffset}
+		found = &stream{oldest: encoder.FirstPlatformOffset}
 		streams.table[name] = found
 	}
 	return found
@@ -242,7 +240,7 @@
 // tryRead answers a read when there are records, when the offset is trimmed, or when it must answer.
 func (streams *streams) tryRead(read readRecords, must bool) bool {
 	stream := streams.stream(read.stream)
-	from := max(read.from, firstOffset)
+	from := max(read.from, encoder.FirstPlatformOffset)
 	if from < stream.oldest {
 		streams.answer(read.answers, responder.Answer{Status: http.StatusGone, Body: encoder.PlatformFailure{
 			Code: encoder.PlatformTrimmed, Message: "the offset is no longer kept", Oldest: stream.oldest,
--- a/standin/worker/reads.go
+++ b/standin/worker/reads.go
@@ -9,8 +9,8 @@
 	"github.com/almondcross/almondcross/responder"
 )
 
-// maxHistoryPage bounds a page of the history; an entry takes less than 1 KiB encoded.
-const maxHistoryPage = 1000
+// historyOverhead covers an encoded history entry without its names.
+const historyOverhead = 700
 
 type readEvents struct {
 	term    encoder.WorkerTerm
@@ -99,7 +99,13 @@
 // apply returns a page of the history; no switch affects it, since checkers read it during faults.
 func (message readHistory) apply(state *state, _ time.Time) {
 	from := min(max(message.after, 0), len(state.history))
-	to := min(from+maxHistoryPage, len(state.history))
+	to, bytes := from, 0
+	for to < len(state.history) {
+		if bytes += historyBytes(state.history[to]); bytes > maxHeldBytes {
+			break
+		}
+		to++
+	}
 	message.answers <- responder.Answer{Body: encoder.WorkerHistory{
 		Worker: state.config.Name, Capacity: encoder.WorkerResourcesOf(state.config.Capacity),
 		Entries: append([]encoder.WorkerHistoryEntry{}, state.history[from:to]...),
@@ -107,6 +113,15 @@
 	}}
 }
 
+// historyBytes bounds the size of an entry in JSON; a character takes up to 6 bytes when it is escaped.
+func historyBytes(entry encoder.WorkerHistoryEntry) int {
+	names := len(entry.Holder.Name) + len(entry.Code)
+	if entry.Task != nil {
+		names += len(entry.Task.Caller) + len(entry.Task.Origin) + len(entry.Task.Name)
+	}
+	return historyOverhead + 6*names
+}
+
 func (message changeSwitches) apply(state *state, _ time.Time) {
 	if message.body != nil {
 		state.switches = *message.body
