Add the placer machine and duty with first policies

Cause: targets need a holder that places tasks without overcommitting a host and without starting a task twice.

Policies are not measured yet.

--- /dev/null
+++ b/command/placer/health.go
@@ -0,0 +1,108 @@
+package placer
+
+import (
+	"time"
+
+	"github.com/almondcross/almondcross"
+)
+
+const (
+	// ejectAfter is the number of failures in a row, without a success, that ejects a target.
+	ejectAfter = 5
+	// ejectFraction bounds the ejected targets to 1 of 3 held ones, so that a fault of the work
+	// itself or of a shared service cannot eject the cluster.
+	ejectFraction = 3
+	// probeAfter is the time until an ejected target is probed with one task; it doubles up to
+	// probeLimit with each failed probe.
+	probeAfter = 10 * time.Second
+	probeLimit = 5 * time.Minute
+	// blameAfter is the number of targets in a row on which an entry fails before its failures
+	// count against the entry only.
+	blameAfter = 3
+)
+
+// health is what the ends of tasks tell about a target.
+type health struct {
+	failures int
+	ejected  bool
+	probing  bool // one task is allowed
+	probes   int  // the tasks started since the probe began
+	wait     time.Duration
+}
+
+func (state *health) allows() bool { return !state.ejected || (state.probing && state.probes == 0) }
+
+func (state *health) started() {
+	if state.probing {
+		state.probes++
+	}
+}
+
+// entryFailure counts the targets on which an entry failed since its last success.
+type entryFailure struct {
+	targets map[string]bool
+}
+
+func (machine *Machine) noteSuccess(entry *target, item *job) {
+	delete(machine.entryFailures, item.task.Entry())
+	entry.health.failures = 0
+	if entry.health.ejected {
+		machine.ejected--
+		entry.health = health{}
+		machine.story(item.task, "target_restored", almondcross.CodeNone, entry.target.Name(), "")
+		machine.setRoom(entry)
+	}
+}
+
+func (machine *Machine) noteFailure(entry *target, item *job) {
+	failure, ok := machine.entryFailures[item.task.Entry()]
+	if !ok {
+		failure = &entryFailure{targets: map[string]bool{}}
+		machine.entryFailures[item.task.Entry()] = failure
+	}
+	if len(failure.targets) < blameAfter {
+		failure.targets[entry.target.Name()] = true
+	}
+	if entry.health.ejected {
+		machine.waitProbe(entry)
+		return
+	}
+	if len(failure.targets) >= blameAfter {
+		return
+	}
+	entry.health.failures++
+	if entry.health.failures < ejectAfter || (machine.ejected+1)*ejectFraction > machine.heldCount() {
+		return
+	}
+	machine.ejected++
+	entry.health.ejected, entry.health.wait = true, probeAfter/2
+	machine.account(item.task, almondcross.AccountEventConfig{Code: almondcross.CodeTargetEjected, Count: 1})
+	machine.story(item.task, "target_ejected", almondcross.CodeTargetEjected, entry.target.Name(), "")
+	machine.waitProbe(entry)
+}
+
+func (machine *Machine) heldCount() int {
+	held := 0
+	for _, entry := range machine.targets {
+		if entry.state == stateHeld {
+			held++
+		}
+	}
+	return held
+}
+
+func (machine *Machine) waitProbe(entry *target) {
+	entry.health.probing, entry.health.probes = false, 0
+	entry.health.wait = min(2*entry.health.wait, probeLimit)
+	machine.after(entry.health.wait, timer{kind: timerProbe, target: entry})
+	machine.setRoom(entry)
+}
+
+// probe lets one task start on an ejected target.
+func (machine *Machine) probe(entry *target) {
+	if !entry.health.ejected || entry.health.probing {
+		return
+	}
+	entry.health.probing, entry.health.probes = true, 0
+	machine.setRoom(entry)
+}
--- /dev/null
+++ b/command/placer/machine.go
@@ -0,0 +1,229 @@
+package placer
+
+import (
+	"time"
+
+	"github.com/almondcross/almondcross"
+)
+
+const (
+	// publishInterval bounds how often the snapshot and the summary change; peers are pinged
+	// at the same interval.
+	publishInterval = almondcross.PingInterval
+	// renewalDelay gathers started tasks into one RenewTasks; it is small against TaskLease.
+	renewalDelay = 500 * time.Millisecond
+	// adoptInterval is the time after which an unanswered adoption notice is repeated.
+	adoptInterval = time.Second
+	// haltInterval is the time after which a stop without a confirmed end is repeated.
+	haltInterval = time.Second
+	// accountInterval is the interval of the account.
+	accountInterval = 10 * time.Second
+	// rememberEnded is how long a repeated PlaceTask of an ended task is recognised. Messages
+	// of a coordinator that lost its link lease are refused after LinkLease anyway.
+	rememberEnded = time.Minute
+)
+
+// Policies are the exchangeable parts of the decisions.
+type Policies struct {
+	Placement almondcross.PlacementPolicy
+	Share     almondcross.SharePolicy
+	Estimator almondcross.RuntimeEstimator
+	Admission almondcross.AdmissionPolicy
+}
+
+// MachineConfig holds the parts of a new Machine.
+type MachineConfig struct {
+	Policies
+	Seed uint64 // Seed starts the choice of peers that tasks are forwarded to.
+}
+
+// Machine decides for the targets that this host holds. One goroutine uses it.
+type Machine struct {
+	Policies
+	now       time.Time
+	self      almondcross.MemberID
+	view      almondcross.View
+	catalogue almondcross.Catalogue
+	random    uint64
+
+	effects []Effect
+	timers  timers
+
+	targets  map[string]*target
+	total    almondcross.Resources // the capacity of the held targets
+	jobs     map[jobKey]*job
+	ended    map[almondcross.TaskID]ended
+	endOrder []almondcross.TaskID
+
+	lines    map[lineKey]*line
+	order    []*line // the lines with waiting tasks
+	waiting  int
+	running  map[string]int // tasks that are sent and have no confirmed end, by entry
+	gangs    map[almondcross.Key]*gang
+	gangLine []*gang // complete gangs that wait
+	reserved *gang   // the gang that holds the reservation
+
+	gained        []*target // targets with new room since the last pass
+	lastShort     time.Time // the last arrival of a task of the short band
+	ejected       int
+	reclaiming    int                // the tasks for which lent work is being stopped
+	lentTaken     map[string]float64 // the share that is being taken from each owner
+	entryFailures map[string]*entryFailure
+	adoptSet      bool
+	publishSet    bool
+	forgetSet     bool
+	accountSet    bool
+	returnSet     bool
+	draining      bool
+}
+
+// NewMachine returns a machine without targets, tasks and view.
+func NewMachine(config MachineConfig) *Machine {
+	return &Machine{
+		Policies:      config.Policies,
+		random:        config.Seed | 1,
+		targets:       map[string]*target{},
+		jobs:          map[jobKey]*job{},
+		ended:         map[almondcross.TaskID]ended{},
+		lines:         map[lineKey]*line{},
+		running:       map[string]int{},
+		gangs:         map[almondcross.Key]*gang{},
+		lentTaken:     map[string]float64{},
+		entryFailures: map[string]*entryFailure{},
+	}
+}
+
+// Apply takes one message. The returned effects are valid until the next call.
+func (machine *Machine) Apply(message almondcross.PlacerMessage, now time.Time) []Effect {
+	machine.begin(now)
+	switch message := message.(type) {
+	case almondcross.PlaceTask:
+		machine.place(message)
+	case almondcross.StopTask:
+		machine.stop(message)
+	case almondcross.TargetsListed:
+		machine.list(message.Hosts())
+	case almondcross.TargetGranted:
+		machine.grant(message.Grant())
+	case almondcross.TargetRenewed:
+		machine.renewed(message)
+	case almondcross.TargetReleased:
+		machine.released(message)
+	case almondcross.StartAnswered:
+		machine.startAnswered(message)
+	case almondcross.TaskFinished:
+		machine.taskFinished(message)
+	case almondcross.AdoptAnswered:
+		machine.adoptAnswered(message)
+	case almondcross.ViewChanged:
+		machine.viewChanged(message.View())
+	case almondcross.CatalogueChanged:
+		machine.catalogue = message.Catalogue()
+		machine.Share.SetCatalogue(machine.catalogue)
+		machine.retryLines()
+	case almondcross.DrainPlacer:
+		machine.drain()
+	}
+	return machine.finish()
+}
+
+// Unsent tells the machine that an effect could not be carried out because a ring or link was full.
+func (machine *Machine) Unsent(effect Effect, now time.Time) []Effect {
+	machine.begin(now)
+	if effect.Kind == EffectForward {
+		if place, ok := effect.Peer.(almondcross.PlaceTask); ok {
+			machine.unremember(place.Task().Id())
+			machine.place(place.WithForwarded(true))
+		}
+		return machine.finish()
+	}
+	entry, ok := machine.targets[effect.Name]
+	if !ok {
+		return machine.finish()
+	}
+	switch message := effect.Dispatch.(type) {
+	case almondcross.StartTask:
+		machine.startUnsent(entry, message)
+	case almondcross.AcquireLease:
+		entry.state = stateIdle
+		machine.retryAcquire(entry, acquireInterval)
+	case almondcross.ReleaseLease:
+		entry.state = stateHeld
+		machine.setRoom(entry)
+		machine.retryAcquire(entry, acquireInterval)
+	case almondcross.RenewTasks:
+		machine.renewSoon(entry)
+	}
+	return machine.finish()
+}
+
+func (machine *Machine) begin(now time.Time) {
+	machine.now = now
+	clear(machine.effects)
+	machine.effects = machine.effects[:0]
+}
+
+func (machine *Machine) finish() []Effect {
+	machine.schedule()
+	return machine.effects
+}
+
+func (machine *Machine) viewChanged(view almondcross.View) {
+	before := machine.view
+	machine.view, machine.self = view, view.Self().Id()
+	if sameMembers(before, view) {
+		return
+	}
+	for _, entry := range machine.targets {
+		machine.pursue(entry)
+		if entry.state == stateHeld && len(entry.jobs) > 0 {
+			machine.sendRenewal(entry)
+			machine.askAdoptions(entry, false)
+		}
+	}
+}
+
+// sameMembers reports whether two views differ only in link leases and summaries, which change
+// with every ping.
+func sameMembers(first, second almondcross.View) bool {
+	if first.Self() != second.Self() || len(first.Peers()) != len(second.Peers()) || !first.ReadyAt().Equal(second.ReadyAt()) {
+		return false
+	}
+	for name, peer := range first.Peers() {
+		if other, ok := second.Peers()[name]; !ok || other.Member() != peer.Member() {
+			return false
+		}
+	}
+	return true
+}
+
+// drain takes no new work, refuses what waits and releases every target.
+func (machine *Machine) drain() {
+	machine.draining = true
+	for _, item := range machine.jobs {
+		if item.state == jobQueued {
+			machine.refuse(item, almondcross.CodeStopping)
+		}
+	}
+	for _, entry := range machine.targets {
+		machine.pursue(entry)
+	}
+}
+
+// nextRandom is xorshift64*; it needs no lock and is repeatable from the seed.
+func (machine *Machine) nextRandom() uint64 {
+	machine.random ^= machine.random >> 12
+	machine.random ^= machine.random << 25
+	machine.random ^= machine.random >> 27
+	return machine.random * 0x2545f4914f6cdd1d
+}
+
+func (machine *Machine) publishSoon() {
+	if !machine.publishSet {
+		machine.publishSet = true
+		machine.after(publishInterval, timer{kind: timerPublish})
+	}
+}
+
+// Self returns this host as the current view names it.
+func (machine *Machine) Self() almondcross.MemberID { return machine.self }
--- /dev/null
+++ b/command/placer/queue.go
@@ -0,0 +1,282 @@
+package placer
+
+import (
+	"time"
+
+	"github.com/almondcross/almondcross"
+)
+
+// lineKey names a queue: owner, then entry, then band.
+type lineKey struct {
+	owner, entry string
+	band         almondcross.Band
+	urgent       bool
+}
+
+// line is the queue of one entry and band in order of arrival.
+type line struct {
+	key      lineKey
+	jobs     []*job // jobs before head have left the line
+	head     int
+	live     int
+	position int // the index in Machine.order, -1 when the line is empty
+}
+
+// first returns the oldest task of the line, nil for an empty line.
+func (entry *line) first() *job {
+	for entry.head < len(entry.jobs) {
+		if item := entry.jobs[entry.head]; item != nil {
+			return item
+		}
+		entry.head++
+	}
+	return nil
+}
+
+// compact bounds the memory of the slots that left the line.
+func (entry *line) compact() {
+	if entry.live == 0 {
+		clear(entry.jobs)
+		entry.jobs, entry.head = entry.jobs[:0], 0
+		return
+	}
+	if entry.head > 64 && entry.head > len(entry.jobs)/2 {
+		kept := copy(entry.jobs, entry.jobs[entry.head:])
+		clear(entry.jobs[kept:])
+		entry.jobs, entry.head = entry.jobs[:kept], 0
+	}
+}
+
+func (machine *Machine) lineOf(item *job) *line {
+	key := lineKey{item.task.Owner(), item.task.Entry(), item.band, item.task.Urgent()}
+	entry, ok := machine.lines[key]
+	if !ok {
+		entry = &line{key: key, position: -1}
+		machine.lines[key] = entry
+	}
+	return entry
+}
+
+func (machine *Machine) joinLine(item *job, front bool) {
+	entry := machine.lineOf(item)
+	item.line = entry
+	switch {
+	case front && entry.head > 0:
+		entry.head--
+		entry.jobs[entry.head] = item
+	case front:
+		entry.jobs = append([]*job{item}, entry.jobs...)
+	default:
+		entry.jobs = append(entry.jobs, item)
+	}
+	entry.live++
+	machine.waiting++
+	if entry.position < 0 {
+		entry.position = len(machine.order)
+		machine.order = append(machine.order, entry)
+	}
+	machine.Share.SetWaiting(entry.key.owner, entry.key.entry, 1)
+	machine.publishSoon()
+}
+
+func (machine *Machine) leaveLine(item *job) {
+	entry := item.line
+	item.line = nil
+	if entry.first() == item {
+		entry.jobs[entry.head] = nil
+		entry.head++
+	} else {
+		for index := entry.head; index < len(entry.jobs); index++ {
+			if entry.jobs[index] == item {
+				entry.jobs[index] = nil
+				break
+			}
+		}
+	}
+	entry.live--
+	machine.waiting--
+	entry.compact()
+	machine.publishSoon()
+	if entry.live > 0 {
+		return
+	}
+	last := machine.order[len(machine.order)-1]
+	machine.order[entry.position] = last
+	last.position = entry.position
+	machine.order = machine.order[:len(machine.order)-1]
+	entry.position = -1
+	machine.Share.SetWaiting(entry.key.owner, entry.key.entry, -1)
+}
+
+// enqueue starts a task at once or lets it wait, be forwarded or be refused.
+func (machine *Machine) enqueue(item *job) {
+	task := item.task
+	limited := machine.limited(task.Entry())
+	if machine.lineOf(item).live == 0 && !limited {
+		if name, ok := machine.choose(item); ok {
+			machine.jobs[item.key()] = item
+			machine.start(item, machine.targets[name])
+			return
+		}
+	}
+	item.waitCode = almondcross.CodeWaitedSlots
+	if limited {
+		item.waitCode = almondcross.CodeWaitedQuota
+	}
+	if machine.forward(item) {
+		return
+	}
+	if machine.neverFits(task.Resources()) {
+		machine.refuseNew(item, almondcross.CodeNeverFits, 0)
+		return
+	}
+	if answer := machine.admit(item); !answer.Accepted() {
+		machine.refuseNew(item, answer.Code(), answer.RetryAfter())
+		return
+	}
+	machine.jobs[item.key()] = item
+	machine.joinLine(item, false)
+	if task.Timeout() > 0 {
+		machine.after(task.Timeout(), timer{kind: timerTimeout, job: item})
+	}
+	machine.returnSoon()
+	if task.Urgent() && !limited {
+		machine.startReclaim(item, almondcross.CodePreemptedUrgent)
+	}
+}
+
+// requeue puts a task whose start was refused back to the front of its line.
+func (machine *Machine) requeue(item *job) {
+	item.state = jobQueued
+	if item.task.Timeout() > 0 && machine.now.Sub(item.queuedAt) >= item.task.Timeout() {
+		delete(machine.jobs, item.key())
+		machine.refuseNew(item, almondcross.CodeTimeout, 0)
+		return
+	}
+	if machine.draining {
+		delete(machine.jobs, item.key())
+		machine.refuseNew(item, almondcross.CodeStopping, 0)
+		return
+	}
+	if item.task.Timeout() > 0 {
+		machine.timers.push(timer{at: item.queuedAt.Add(item.task.Timeout()), kind: timerTimeout, job: item})
+	}
+	machine.joinLine(item, true)
+	machine.retryLine(item.line)
+}
+
+func (machine *Machine) admit(item *job) almondcross.Admission {
+	entry := machine.lineOf(item)
+	oldest := time.Duration(0)
+	if first := entry.first(); first != nil {
+		oldest = machine.now.Sub(first.queuedAt)
+	}
+	config, known := machine.catalogue.Entry(item.task.Entry())
+	if known && config.MaxWaiting() > 0 && entry.live >= machine.portion(config.MaxWaiting()) {
+		return almondcross.NewAdmission(almondcross.AdmissionConfig{Code: almondcross.CodeShedOverload, RetryAfter: oldest})
+	}
+	return machine.Admission.Admit(almondcross.NewAdmissionQuery(almondcross.AdmissionQueryConfig{
+		Entry: item.task.Entry(), Class: item.task.Class(), Urgent: item.task.Urgent(), Timeout: item.task.Timeout(),
+		Ahead: entry.live, Oldest: oldest, Waiting: machine.waiting,
+	}), machine.now)
+}
+
+// limited reports whether an entry runs as many tasks as this host's part of its limit allows.
+func (machine *Machine) limited(name string) bool {
+	entry, ok := machine.catalogue.Entry(name)
+	return ok && entry.MaxRunning() > 0 && machine.running[name] >= machine.portion(entry.MaxRunning())
+}
+
+// portion returns this host's part of a limit of the data centre, by the targets that it holds,
+// so that the holders together stay within the limit. It is at least 1.
+func (machine *Machine) portion(limit int) int {
+	held, listed := 0, 0
+	for _, entry := range machine.targets {
+		if entry.listed {
+			listed++
+		}
+		if entry.state == stateHeld {
+			held++
+		}
+	}
+	if listed == 0 {
+		return limit
+	}
+	return max(1, limit*min(held, listed)/listed)
+}
+
+// neverFits reports whether no target with a known capacity could ever run a task.
+func (machine *Machine) neverFits(resources almondcross.Resources) bool {
+	known := false
+	for _, entry := range machine.targets {
+		if !entry.known {
+			continue
+		}
+		if resources.Fits(entry.capacity) {
+			return false
+		}
+		known = true
+	}
+	return known
+}
+
+// forward passes a task on to a peer of the data centre whose last summary shows more room.
+// Of two peers chosen at random it takes the better one, so that hosts with the same summaries
+// do not all choose the same peer.
+func (machine *Machine) forward(item *job) bool {
+	if item.forwarded || item.task.Size() > 1 || item.task.Urgent() {
+		return false
+	}
+	var best, second almondcross.Peer
+	seen := uint64(0)
+	for _, peer := range machine.view.Peers() {
+		member := peer.Member()
+		if member.Leaving() || member.DataCentre() != machine.dataCentre() || !machine.view.HasLease(member.Id(), machine.now) {
+			continue
+		}
+		seen++
+		switch seen {
+		case 1:
+			best = peer
+		case 2:
+			second = peer
+		default:
+			if slot := machine.nextRandom() % seen; slot == 0 {
+				best = peer
+			} else if slot == 1 {
+				second = peer
+			}
+		}
+	}
+	if seen > 1 && machine.betterPeer(second, best) {
+		best = second
+	}
+	if seen == 0 || !item.task.Resources().Fits(best.Summary().LargestFree()) || best.Summary().Waiting() >= max(machine.waiting, 1) {
+		return false
+	}
+	item.state = jobDone
+	machine.remember(item.task, ended{forwarded: best.Member().Id()})
+	machine.emit(Effect{
+		Kind: EffectForward, Member: best.Member().Id(),
+		Peer: almondcross.NewPlaceTask(almondcross.PlaceTaskConfig{
+			Task: item.task.WithTimeout(remaining(item, machine.now)), Forwarded: true,
+		}),
+	})
+	machine.story(item.task, "forwarded", item.waitCode, "", best.Member().Id().Name())
+	return true
+}
+
+func (machine *Machine) betterPeer(first, second almondcross.Peer) bool {
+	if first.Summary().Waiting() != second.Summary().Waiting() {
+		return first.Summary().Waiting() < second.Summary().Waiting()
+	}
+	return second.Summary().Free().Dominant(machine.total) < first.Summary().Free().Dominant(machine.total)
+}
+
+// remaining returns the time that is left for a useful start, 0 for no limit.
+func remaining(item *job, now time.Time) time.Duration {
+	if item.task.Timeout() == 0 {
+		return 0
+	}
+	return max(item.task.Timeout()-now.Sub(item.queuedAt), time.Millisecond)
+}
--- /dev/null
+++ b/command/placer/schedule.go
@@ -0,0 +1,143 @@
+package placer
+
+import (
+	"time"
+
+	"github.com/almondcross/almondcross"
+)
+
+// choose returns the target for a task.
+func (machine *Machine) choose(item *job) (string, bool) {
+	return machine.Placement.Choose(almondcross.NewPlacementQuery(almondcross.PlacementQueryConfig{
+		Entry: item.task.Entry(), Class: item.task.Class(), Resources: item.task.Resources(), Reserve: item.mayReserve(),
+	}))
+}
+
+// start sends a task to a held target under its current term.
+func (machine *Machine) start(item *job, entry *target) {
+	if item.line != nil {
+		machine.leaveLine(item)
+	}
+	machine.endReclaim(item)
+	waited := machine.now.Sub(item.queuedAt)
+	item.state, item.target, item.term = jobStarting, entry, entry.term
+	item.sentAt, item.namedAt, item.accountedAt = machine.now, machine.now, machine.now
+	entry.jobs[item.task.Id()] = item
+	entry.starting++
+	machine.charge(item)
+	entry.health.started()
+	machine.send(entry.target.Name(), almondcross.NewStartTask(almondcross.StartTaskConfig{Term: entry.term, Task: item.task}))
+	machine.renewSoon(entry)
+	machine.setRoom(entry)
+	machine.accountSoon()
+	if waited > 0 {
+		machine.Admission.Left(item.task.Entry(), waited, true, machine.now)
+		machine.account(item.task, almondcross.AccountEventConfig{Code: item.waitCode, Duration: waited, Count: 1})
+	}
+	if entry.reserved != nil && entry.reserved != item.gang {
+		machine.account(item.task, almondcross.AccountEventConfig{Code: almondcross.CodeBackfilled, Count: 1})
+	}
+	if item.task.Urgent() && item.long && !item.task.Resources().Fits(entry.longFree) {
+		machine.account(item.task, almondcross.AccountEventConfig{Code: almondcross.CodeUrgentReserve, Count: 1})
+	}
+	machine.story(item.task, "placed", item.waitCode, entry.target.Name(), "")
+}
+
+// schedule fills the targets that gained room. Every waiting line was found to fit nowhere when
+// it began to wait, so only these targets have to be looked at.
+func (machine *Machine) schedule() {
+	for index := 0; index < len(machine.gained); index++ {
+		entry := machine.gained[index]
+		machine.tryGangs(entry)
+		for entry.open {
+			item := machine.nextFor(entry)
+			if item == nil {
+				break
+			}
+			machine.start(item, entry)
+		}
+		entry.gained = false
+	}
+	machine.gained = machine.gained[:0]
+}
+
+// rank orders lines: urgent work first, then the owner and the entry that received the least of
+// their promise, then shorter bands, then the longest wait.
+type rank struct {
+	urgent  bool
+	byOwner float64
+	byEntry float64
+	band    almondcross.Band
+	queued  time.Time
+}
+
+func (first rank) before(second rank) bool {
+	switch {
+	case first.urgent != second.urgent:
+		return first.urgent
+	case first.byOwner != second.byOwner:
+		return first.byOwner < second.byOwner
+	case first.byEntry != second.byEntry:
+		return first.byEntry < second.byEntry
+	case first.band != second.band:
+		return first.band < second.band
+	default:
+		return first.queued.Before(second.queued)
+	}
+}
+
+// nextFor returns the waiting task that goes to a target next, nil for none.
+func (machine *Machine) nextFor(entry *target) *job {
+	var best *job
+	var bestRank rank
+	for _, waiting := range machine.order {
+		if bestRank.urgent && !waiting.key.urgent {
+			continue
+		}
+		item := waiting.first()
+		if !item.task.Resources().Fits(entry.roomFor(item)) || machine.limited(item.task.Entry()) {
+			continue
+		}
+		current := rank{urgent: waiting.key.urgent, band: waiting.key.band, queued: item.queuedAt}
+		current.byOwner, current.byEntry = machine.Share.Ratio(waiting.key.owner, waiting.key.entry, item.task.Resources())
+		if best == nil || current.before(bestRank) {
+			best, bestRank = item, current
+		}
+	}
+	return best
+}
+
+// retryLine places the head of a line for as long as it fits anywhere.
+func (machine *Machine) retryLine(waiting *line) {
+	for waiting.live > 0 && !machine.limited(waiting.key.entry) {
+		item := waiting.first()
+		name, ok := machine.choose(item)
+		if !ok {
+			return
+		}
+		machine.start(item, machine.targets[name])
+	}
+}
+
+// retryLines is used after a change that may let any line go on.
+func (machine *Machine) retryLines() {
+	for _, waiting := range append([]*line(nil), machine.order...) {
+		machine.retryLine(waiting)
+	}
+}
+
+// retryLimited lets the lines of an entry go on that waited for its limit.
+func (machine *Machine) retryLimited(name string) {
+	entry, ok := machine.catalogue.Entry(name)
+	if !ok || entry.MaxRunning() == 0 {
+		return
+	}
+	for index := 0; index < len(machine.order); index++ {
+		if waiting := machine.order[index]; waiting.key.entry == name {
+			machine.retryLine(waiting)
+			if waiting.live == 0 {
+				index--
+			}
+		}
+	}
+}
--- /dev/null
+++ b/policy/packer/doc.go
@@ -0,0 +1,2 @@
+// Package packer chooses targets by their room.
+package packer
