Add settings, catalogue files and the HTTP handlers

Cause: entry hosts had no settings and no API, so the other parts could not be wired.

Change: configurator declares the settings of three roles in tables and generates docs/settings.md; parser reads JSON with comments strictly; encoder has catalogue files and the shapes of the API; command/receiver and query/viewer serve the routes; responder holds what both share. The root package gains tokens, CellViewer and Catalogue.WithEntries in new files.

--- /dev/null
+++ b/command/receiver/requests.go
@@ -0,0 +1,91 @@
+package receiver
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/almondcross/almondcross"
+	"github.com/almondcross/almondcross/responder"
+)
+
+// submit handles POST /v1/requests.
+func (receiver *Receiver) submit(writer http.ResponseWriter, request *http.Request, token almondcross.Token) {
+	submission, retry, err := receiver.decodeRequest(request.Body, token.Name())
+	if err != nil {
+		responder.Fail(writer, responder.InvalidBody(err))
+		return
+	}
+	waiter := receiver.newWaiter(submission.Key())
+	message := almondcross.NewSubmitRequest(almondcross.SubmitRequestConfig{Request: submission, Replier: waiter})
+	if !receiver.config.Coordinator.Offer(message) {
+		// An earlier attempt of a retried key may run, so only a first attempt is known not to.
+		responder.Fail(writer, responder.Overloaded("coordinator", !retry))
+		return
+	}
+	outcome, ok := receiver.await(request.Context(), waiter, submission.Timeout())
+	if !ok {
+		outcome = stillRunning(submission.Key())
+	}
+	responder.Outcome(writer, outcome)
+}
+
+// cancel handles DELETE /v1/requests/{key}.
+func (receiver *Receiver) cancel(writer http.ResponseWriter, request *http.Request, token almondcross.Token) {
+	name, origin := mux.Vars(request)["key"], request.URL.Query().Get("origin")
+	if err := checkKey(name); err != nil {
+		responder.Fail(writer, responder.Invalid(err.Error()))
+		return
+	}
+	if err := checkOrigin(origin, receiver.config.DataCentres); err != nil {
+		responder.Fail(writer, responder.Invalid(err.Error()))
+		return
+	}
+	key := almondcross.NewKey(almondcross.KeyConfig{Caller: token.Name(), Origin: origin, Name: name})
+	waiter := receiver.newWaiter(key)
+	message := almondcross.NewCancelRequest(almondcross.CancelRequestConfig{Key: key, Replier: waiter})
+	if !receiver.config.Coordinator.Offer(message) {
+		responder.Fail(writer, responder.Overloaded("coordinator", false))
+		return
+	}
+	outcome, ok := receiver.await(request.Context(), waiter, receiver.config.RequestTimeout)
+	if !ok {
+		outcome = almondcross.NewOutcome(almondcross.OutcomeConfig{
+			Key: key, Status: almondcross.StatusUnknown, Code: almondcross.CodeTimeout,
+			Detail: "the cancellation was not decided in time; ask again by key", RetryAfter: time.Second,
+		})
+	}
+	responder.JSONOutcome(writer, outcome)
+}
+
+func (receiver *Receiver) newWaiter(key almondcross.Key) *responder.Waiter {
+	return responder.NewWaiter(responder.WaiterConfig{Key: key, Misdirected: receiver.misdirected})
+}
+
+// await returns the outcome, or false when the time is up, the caller is gone or the host stops.
+func (receiver *Receiver) await(ctx context.Context, waiter *responder.Waiter, timeout time.Duration) (almondcross.Outcome, bool) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	select {
+	case outcome := <-waiter.Outcomes():
+		return outcome, true
+	case <-receiver.config.Stopping:
+	case <-ctx.Done():
+	}
+	// An outcome that arrived together with the end of the wait is still delivered.
+	select {
+	case outcome := <-waiter.Outcomes():
+		return outcome, true
+	default:
+		return almondcross.Outcome{}, false
+	}
+}
+
+func stillRunning(key almondcross.Key) almondcross.Outcome {
+	return almondcross.NewOutcome(almondcross.OutcomeConfig{
+		Key: key, Status: almondcross.StatusRunning, Code: almondcross.CodeTimeout,
+		Detail: "no outcome yet; ask again by key and origin", RetryAfter: time.Second,
+	})
+}
--- /dev/null
+++ b/encoder/report.go
@@ -0,0 +1,154 @@
+package encoder
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/almondcross/almondcross"
+)
+
+// ShareLineShape is the JSON shape of a ShareLine.
+type ShareLineShape struct {
+	From           time.Time                  `json:"from"`
+	To             time.Time                  `json:"to"`
+	DataCentre     string                     `json:"data_centre"`
+	Owner          string                     `json:"owner"`
+	Entry          string                     `json:"entry"`
+	Promised       float64                    `json:"promised"`
+	Received       float64                    `json:"received"`
+	MilliCPUSec    float64                    `json:"milli_cpu_sec"`
+	MemoryMBSec    float64                    `json:"memory_mb_sec"`
+	AcceleratorSec float64                    `json:"accelerator_sec"`
+	SlotSec        float64                    `json:"slot_sec"`
+	Started        int64                      `json:"started"`
+	Finished       int64                      `json:"finished"`
+	WaitedSec      float64                    `json:"waited_sec"`
+	Reasons        map[almondcross.Code]int64 `json:"reasons"`
+	Incomplete     bool                       `json:"incomplete"`
+}
+
+// GapShape is the JSON shape of an AccountGap.
+type GapShape struct {
+	Host         string    `json:"host"`
+	Incarnation  uint64    `json:"incarnation"`
+	DataCentre   string    `json:"data_centre"`
+	FromSequence uint64    `json:"from_sequence"`
+	ToSequence   uint64    `json:"to_sequence"`
+	After        time.Time `json:"after"`
+}
+
+// ShareReportShape is the JSON shape of a ShareReport.
+type ShareReportShape struct {
+	Lines   []ShareLineShape     `json:"lines"`
+	Gaps    []GapShape           `json:"gaps"`
+	FreshAt map[string]time.Time `json:"fresh_at"`
+	Missing []string             `json:"missing"`
+}
+
+// NewShareReportShape returns the shape of a report.
+func NewShareReportShape(report almondcross.ShareReport) ShareReportShape {
+	shape := ShareReportShape{
+		Lines: make([]ShareLineShape, 0, len(report.Lines())), Gaps: make([]GapShape, 0, len(report.Gaps())),
+		FreshAt: maps.Clone(report.FreshAt()), Missing: append([]string{}, report.Missing()...),
+	}
+	for _, line := range report.Lines() {
+		usage := line.Usage()
+		shape.Lines = append(shape.Lines, ShareLineShape{
+			From: line.From(), To: line.To(), DataCentre: line.DataCentre(), Owner: usage.Owner(), Entry: usage.Entry(),
+			Promised: usage.Promised(), Received: usage.Received(), MilliCPUSec: usage.MilliCPUSec(),
+			MemoryMBSec: usage.MemoryMBSec(), AcceleratorSec: usage.AcceleratorSec(), SlotSec: usage.SlotSec(),
+			Started: usage.Started(), Finished: usage.Finished(), WaitedSec: usage.WaitedSec(),
+			Reasons: usage.Reasons(), Incomplete: line.Incomplete(),
+		})
+	}
+	for _, gap := range report.Gaps() {
+		shape.Gaps = append(shape.Gaps, GapShape{
+			Host: gap.Member().Name(), Incarnation: gap.Member().Incarnation(), DataCentre: gap.DataCentre(),
+			FromSequence: gap.FromSequence(), ToSequence: gap.ToSequence(), After: gap.After(),
+		})
+	}
+	return shape
+}
+
+// StoryEventShape is the JSON shape of a StoryEvent.
+type StoryEventShape struct {
+	At     time.Time        `json:"at"`
+	Caller string           `json:"caller"`
+	Origin string           `json:"origin"`
+	Key    string           `json:"key"`
+	Entry  string           `json:"entry"`
+	Event  string           `json:"event"`
+	Code   almondcross.Code `json:"code,omitempty"`
+	Host   string           `json:"host"`
+	Target string           `json:"target,omitempty"`
+	Detail string           `json:"detail,omitempty"`
+}
+
+// StoryShape is the JSON shape of a Story.
+type StoryShape struct {
+	Events    []StoryEventShape `json:"events"`
+	Truncated bool              `json:"truncated"`
+}
+
+// NewStoryShape returns the shape of a story.
+func NewStoryShape(story almondcross.Story) StoryShape {
+	shape := StoryShape{Events: make([]StoryEventShape, 0, len(story.Events())), Truncated: story.Truncated()}
+	for _, event := range story.Events() {
+		shape.Events = append(shape.Events, StoryEventShape{
+			At: event.At(), Caller: event.Key().Caller(), Origin: event.Key().Origin(), Key: event.Key().Name(),
+			Entry: event.Entry(), Event: event.Event(), Code: event.Code(), Host: event.Host(),
+			Target: event.Target(), Detail: event.Detail(),
+		})
+	}
+	return shape
+}
+
+// AuditLineShape is the JSON shape of an AuditLine.
+type AuditLineShape struct {
+	At          time.Time          `json:"at"`
+	Operator    string             `json:"operator"`
+	Entry       string             `json:"entry"`
+	Removed     bool               `json:"removed"`
+	FromVersion almondcross.Offset `json:"from_version"`
+	ToVersion   almondcross.Offset `json:"to_version"`
+	Accepted    bool               `json:"accepted"`
+	Code        almondcross.Code   `json:"code,omitempty"`
+}
+
+// AuditShape is the JSON shape of an audit trail.
+type AuditShape struct {
+	Lines []AuditLineShape `json:"lines"`
+}
+
+// NewAuditShape returns the shape of an audit trail.
+func NewAuditShape(lines []almondcross.AuditLine) AuditShape {
+	shape := AuditShape{Lines: make([]AuditLineShape, 0, len(lines))}
+	for _, line := range lines {
+		shape.Lines = append(shape.Lines, AuditLineShape{
+			At: line.At(), Operator: line.Operator(), Entry: line.Entry(), Removed: line.Removed(),
+			FromVersion: line.FromVersion(), ToVersion: line.ToVersion(), Accepted: line.Accepted(), Code: line.Code(),
+		})
+	}
+	return shape
+}
+
+// NewCatalogueShape returns the shape of a catalogue.
+func NewCatalogueShape(catalogue almondcross.Catalogue) CatalogueShape {
+	shape := CatalogueShape{Offset: catalogue.Offset(), Entries: make([]EntryShape, 0, catalogue.Len())}
+	for entry := range catalogue.Entries {
+		shape.Entries = append(shape.Entries, NewEntryShape(entry))
+	}
+	slices.SortFunc(shape.Entries, func(a, b EntryShape) int { return cmp.Compare(a.Name, b.Name) })
+	return shape
+}
+
+// Catalogue returns the catalogue.
+func (shape CatalogueShape) Catalogue() almondcross.Catalogue {
+	entries := make([]almondcross.Entry, len(shape.Entries))
+	for index, entry := range shape.Entries {
+		entries[index] = entry.Entry()
+	}
+	return almondcross.NewCatalogue().WithOffset(shape.Offset).WithEntries(entries)
+}
--- /dev/null
+++ b/remote.go
@@ -0,0 +1,57 @@
+package almondcross
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+)
+
+// DataCentreOffsetConfig holds the fields of a new DataCentreOffset.
+type DataCentreOffsetConfig struct {
+	DataCentre string
+	Members    int
+	Offset     Offset
+}
+
+// DataCentreOffset is how far the catalogues of a data centre have come.
+type DataCentreOffset struct {
+	dataCentre string
+	members    int
+	offset     Offset
+}
+
+// NewDataCentreOffset returns a DataCentreOffset with the given fields.
+func NewDataCentreOffset(config DataCentreOffsetConfig) DataCentreOffset {
+	return DataCentreOffset{dataCentre: config.DataCentre, members: config.Members, offset: config.Offset}
+}
+
+// DataCentre returns the name of the data centre.
+func (offset DataCentreOffset) DataCentre() string { return offset.dataCentre }
+
+// Members returns the number of members that the asked host sees in the data centre.
+func (offset DataCentreOffset) Members() int { return offset.members }
+
+// Offset returns the lowest offset among these members.
+func (offset DataCentreOffset) Offset() Offset { return offset.offset }
+
+// Reached reports whether every seen member of the data centre covers an offset; a data centre
+// without a seen member has not reached it.
+func (offset DataCentreOffset) Reached(version Offset) bool {
+	return offset.members > 0 && offset.offset >= version
+}
+
+// CellViewer reads the state of a cell through the API of an entry host.
+type CellViewer interface {
+	// Catalogue returns the catalogue of the host.
+	Catalogue(ctx context.Context) (Catalogue, error)
+	// Offsets returns how far the catalogue of each data centre of the cell has come.
+	Offsets(ctx context.Context) ([]DataCentreOffset, error)
+	// DataCentre returns the data centre of the host.
+	DataCentre(ctx context.Context) (string, error)
+}
+
+// Errors of requests to the API of an entry host.
+const (
+	ErrAPIUnreachable = errors.ConstError("the entry host cannot be reached")
+	ErrAPIRefused     = errors.ConstError("the entry host refused the request")
+)
--- /dev/null
+++ b/tools/describer/doc.go
@@ -0,0 +1,2 @@
+// Command describer writes the settings page from the declarations of the configurator.
+package main
