--- a/configurator/entry.go
+++ b/configurator/entry.go
@@ -18,16 +18,38 @@
 	Role Role
 }
 
+// tokenDraft is a token as the file holds it, with its position.
 type tokenDraft struct {
 	Name   string
 	Secret string
+	lines  parser.Lines
+}
+
+func (token tokenDraft) token(role almondcross.Role) Token {
+	return almondcross.NewToken(almondcross.TokenConfig{Name: token.Name, Role: role, Secret: token.Secret})
+}
+
+// peerDraft is a peer as the file holds it, with its position.
+type peerDraft struct {
+	PeerSettingsConfig
+	lines parser.Lines
+}
+
+func keepTokenLines(lines parser.Lines, token *tokenDraft) error {
+	token.lines = lines
+	return nil
+}
+
+func keepPeerLines(lines parser.Lines, peer *peerDraft) error {
+	peer.lines = lines
+	return nil
 }
 
 // entryDraft is what an entry file holds before it is checked as a whole.
 type entryDraft struct {
 	role
 	EntrySettingsConfig
-	peers                         []PeerSettingsConfig
+	peers                         []peerDraft
 	operators, reporters, callers []tokenDraft
 }
 
@@ -38,13 +60,13 @@
 		shortestToken, func(token *tokenDraft) *string { return &token.Secret }),
 }
 
-var peerFields = []parser.Field[PeerSettingsConfig]{
+var peerFields = []parser.Field[peerDraft]{
 	parser.Name(parser.About{Key: "name", Description: "the name of the entry host"},
-		func(peer *PeerSettingsConfig) *string { return &peer.Name }),
+		func(peer *peerDraft) *string { return &peer.Name }),
 	parser.Name(parser.About{Key: "data_centre", Description: "the data centre of the entry host"},
-		func(peer *PeerSettingsConfig) *string { return &peer.DataCentre }),
+		func(peer *peerDraft) *string { return &peer.DataCentre }),
 	parser.Address(parser.About{Key: "address", Description: "the IP address and port of its peer link"},
-		false, func(peer *PeerSettingsConfig) *string { return &peer.Address }),
+		false, func(peer *peerDraft) *string { return &peer.Address }),
 }
 
 var entryFields = []parser.Field[entryDraft]{
@@ -67,17 +89,17 @@
 	parser.Names(parser.About{Key: "data_centres", Description: "all data centres of the cell"},
 		1, func(draft *entryDraft) *[]string { return &draft.DataCentres }),
 	parser.Objects(parser.About{Key: "peers", Default: "[]", Description: "the other entry hosts of the cell"},
-		peerFields, nil, func(draft *entryDraft) *[]PeerSettingsConfig { return &draft.peers }),
+		peerFields, keepPeerLines, func(draft *entryDraft) *[]peerDraft { return &draft.peers }),
 	parser.Address(parser.About{Key: "log_address", Description: "the address of the platform's log"},
 		false, func(draft *entryDraft) *string { return &draft.LogAddress }),
 	parser.Address(parser.About{Key: "live_list_address", Description: "the address of the platform's live list"},
 		false, func(draft *entryDraft) *string { return &draft.LiveListAddress }),
 	parser.Objects(parser.About{Key: "operators", Default: "[]", Description: "who may change the catalogue and read reports"},
-		tokenFields, nil, func(draft *entryDraft) *[]tokenDraft { return &draft.operators }),
+		tokenFields, keepTokenLines, func(draft *entryDraft) *[]tokenDraft { return &draft.operators }),
 	parser.Objects(parser.About{Key: "reporters", Default: "[]", Description: "who may read reports and the catalogue"},
-		tokenFields, nil, func(draft *entryDraft) *[]tokenDraft { return &draft.reporters }),
+		tokenFields, keepTokenLines, func(draft *entryDraft) *[]tokenDraft { return &draft.reporters }),
 	parser.Objects(parser.About{Key: "callers", Default: "[]", Description: "who may send requests; the name is part of each key"},
-		tokenFields, nil, func(draft *entryDraft) *[]tokenDraft { return &draft.callers }),
+		tokenFields, keepTokenLines, func(draft *entryDraft) *[]tokenDraft { return &draft.callers }),
 	parser.Duration(parser.About{Key: "stop_grace", Default: `"20s"`, Description: "the time that a planned stop leaves for requests in flight"},
 		0, time.Hour, func(draft *entryDraft) *time.Duration { return &draft.StopGrace }),
 	parser.Duration(parser.About{Key: "request_timeout", Default: `"30s"`, Description: "the time that a request waits when its caller gives none"},
@@ -117,32 +139,27 @@
 	}
 	config := draft.EntrySettingsConfig
 	for _, peer := range draft.peers {
-		config.Peers = append(config.Peers, NewPeerSettings(peer))
+		config.Peers = append(config.Peers, NewPeerSettings(peer.PeerSettingsConfig))
 	}
 	for _, group := range draft.groups() {
-		config.Tokens = append(config.Tokens, group.tokens...)
+		for _, token := range group.tokens {
+			config.Tokens = append(config.Tokens, token.token(group.role))
+		}
 	}
 	return NewEntrySettings(config), nil
 }
 
-// tokenGroup is the tokens of one key of the file.
+// tokenGroup is the tokens of one role.
 type tokenGroup struct {
-	key    string
-	tokens []Token
+	role   almondcross.Role
+	tokens []tokenDraft
 }
 
 func (draft entryDraft) groups() []tokenGroup {
-	group := func(key string, role almondcross.Role, drafts []tokenDraft) tokenGroup {
-		tokens := make([]Token, len(drafts))
-		for index, token := range drafts {
-			tokens[index] = almondcross.NewToken(almondcross.TokenConfig{Name: token.Name, Role: role, Secret: token.Secret})
-		}
-		return tokenGroup{key: key, tokens: tokens}
-	}
 	return []tokenGroup{
-		group("operators", almondcross.RoleOperator, draft.operators),
-		group("reporters", almondcross.RoleReporter, draft.reporters),
-		group("callers", almondcross.RoleCaller, draft.callers),
+		{almondcross.RoleOperator, draft.operators},
+		{almondcross.RoleReporter, draft.reporters},
+		{almondcross.RoleCaller, draft.callers},
 	}
 }
 
@@ -165,18 +182,18 @@
 
 func oneOf(names []string) string { return "one of data_centres: " + strings.Join(names, ", ") }
 
-func checkPeers(lines parser.Lines, draft entryDraft) error {
+func checkPeers(_ parser.Lines, draft entryDraft) error {
 	names := map[string]bool{draft.Name: true}
 	addresses := map[string]bool{draft.PeerAdvertise: true}
 	for _, peer := range draft.peers {
 		if names[peer.Name] {
-			return lines.Conflict("peers", "the name "+strconv.Quote(peer.Name)+" twice", "a name once, and never that of the host itself")
+			return peer.lines.Conflict("name", strconv.Quote(peer.Name)+" a second time", "a name once, and never that of the host itself")
 		}
 		if addresses[peer.Address] {
-			return lines.Conflict("peers", "the address "+strconv.Quote(peer.Address)+" twice", "an address once, and never peer_advertise")
+			return peer.lines.Conflict("address", strconv.Quote(peer.Address)+" a second time", "an address once, and never peer_advertise")
 		}
 		if !slices.Contains(draft.DataCentres, peer.DataCentre) {
-			return lines.Conflict("peers", "the data centre "+strconv.Quote(peer.DataCentre), oneOf(draft.DataCentres))
+			return peer.lines.Conflict("data_centre", strconv.Quote(peer.DataCentre), oneOf(draft.DataCentres))
 		}
 		names[peer.Name], addresses[peer.Address] = true, true
 	}
@@ -191,17 +208,18 @@
 	return nil
 }
 
-func checkTokens(lines parser.Lines, draft entryDraft) error {
+func checkTokens(_ parser.Lines, draft entryDraft) error {
 	var earlier []Token
 	for _, group := range draft.groups() {
 		names := map[string]bool{}
-		for _, token := range group.tokens {
+		for _, draft := range group.tokens {
+			token := draft.token(group.role)
 			if names[token.Name()] {
-				return lines.Conflict(group.key, "the name "+strconv.Quote(token.Name())+" twice", "a name once in the list")
+				return draft.lines.Conflict("name", strconv.Quote(token.Name())+" a second time", "a name once in the list")
 			}
 			names[token.Name()] = true
 			if index := slices.IndexFunc(earlier, token.SameSecret); index >= 0 {
-				return lines.Conflict(group.key, "one token for "+earlier[index].Name()+" and "+token.Name(), "a token of its own for each bearer")
+				return draft.lines.Conflict("token", "the token of "+earlier[index].Name(), "a token of its own for each bearer")
 			}
 			earlier = append(earlier, token)
 		}
--- a/encoder/api.go
+++ b/encoder/api.go
@@ -28,13 +28,15 @@
 // String returns the span with its unit.
 func (duration Duration) String() string { return parser.FormatDuration(time.Duration(duration)) }
 
-// MarshalText writes the span with its unit.
-func (duration Duration) MarshalText() ([]byte, error) { return []byte(duration.String()), nil }
+// MarshalText writes the span with its unit, rounded to milliseconds.
+func (duration Duration) MarshalText() ([]byte, error) {
+	return []byte(Duration(time.Duration(duration).Round(time.Millisecond)).String()), nil
+}
 
 // UnmarshalText reads a span with its unit.
 func (duration *Duration) UnmarshalText(text []byte) error {
-	value, err := time.ParseDuration(string(text))
-	if err != nil {
+	value, ok := parser.ParseDuration(string(text))
+	if !ok {
 		return errors.Annotatef(ErrUnit, "found %.40q, allowed: a duration such as \"1.5s\"", text)
 	}
 	*duration = Duration(value)
@@ -166,7 +168,7 @@
 	if duration <= 0 {
 		return nil
 	}
-	shape := Duration(duration)
+	shape := Duration(max(duration, time.Millisecond))
 	return &shape
 }
 
--- a/parser/kinds.go
+++ b/parser/kinds.go
@@ -165,8 +165,8 @@
 		if err != nil {
 			return err
 		}
-		duration, err := time.ParseDuration(text)
-		if err != nil || duration < least || duration > most {
+		duration, ok := ParseDuration(text)
+		if !ok || duration < least || duration > most {
 			return node.problem(allowed)
 		}
 		*at(into) = T(duration)
@@ -174,6 +174,18 @@
 	})
 }
 
+var durationPattern = regexp.MustCompile(`^([0-9]+(\.[0-9]+)?(ms|s|m|h))+$`)
+
+// ParseDuration reads a time span such as "1.5s" or "1h30m". It takes neither a number without
+// unit nor a fraction of a millisecond, so that every span can be written with the same units.
+func ParseDuration(text string) (time.Duration, bool) {
+	if !durationPattern.MatchString(text) {
+		return 0, false
+	}
+	duration, err := time.ParseDuration(text)
+	return duration, err == nil && duration%time.Millisecond == 0
+}
+
 // FormatDuration returns a duration without zero minutes and seconds, such as "24h".
 func FormatDuration(duration time.Duration) string {
 	text := duration.String()
--- a/parser/node.go
+++ b/parser/node.go
@@ -168,6 +168,14 @@
 	}
 }
 
+// printable returns a key for an error line, quoted when it holds anything but plain characters.
+func printable(key string) string {
+	if quoted := strconv.QuoteToASCII(key); quoted != `"`+key+`"` {
+		return shorten(quoted)
+	}
+	return shorten(key)
+}
+
 func shorten(text string) string {
 	if len(text) > maxFound {
 		return strings.ToValidUTF8(text[:maxFound], "") + "..."
@@ -227,7 +235,7 @@
 		line := node.lineAt(item.Name.StartOffset)
 		value := node
 		value.value = item.Value
-		value.path = join(node.path, shorten(key))
+		value.path = join(node.path, printable(key))
 		if first, ok := seen[key]; ok {
 			return nil, &FormatError{
 				File: node.file, Line: line, Key: value.path,
