--- a/responder/responder.go
+++ b/responder/responder.go
@@ -1,149 +1,202 @@
 package responder
 
 import (
-	"context"
 	"encoding/json"
-	"net"
+	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/juju/errors"
 
+	"github.com/almondcross/almondcross"
 	"github.com/almondcross/almondcross/encoder"
-	"github.com/almondcross/almondcross/ring"
 )
 
-const (
-	headerTimeout   = 5 * time.Second
-	shutdownTimeout = 2 * time.Second
-	// MaxWait bounds the wait of a long poll.
-	MaxWait = 30 * time.Second
-)
+// MaxBody is the largest body of a request in bytes; it equals the limit of a peer message.
+const MaxBody = 1 << 20
+
+// overloadedRetry is the time after which a caller asks again when a ring is full. Rings drain
+// within milliseconds; a second keeps retries of many callers from filling them again.
+const overloadedRetry = time.Second
 
-// Answer is what a duty answers to one message.
-type Answer struct {
-	Status int           // Status is the HTTP status, 0 for OK.
-	Body   any           // Body is the shape to encode.
-	Delay  time.Duration // Delay is the time for which the answer is held up.
-	Abort  bool          // Abort closes the connection without an answer.
+// Config holds what a Responder needs.
+type Config struct {
+	Tokens  []almondcross.Token
+	Metrics *metrics.Set // Metrics receives the request counters; nil for none.
 }
 
-// Refusal returns the answer of a refused operation.
-func Refusal(status int, code encoder.PlatformCode, message string) Answer {
-	return Answer{Status: status, Body: encoder.PlatformFailure{Code: code, Message: message}}
+// Responder checks tokens and counts answers.
+type Responder struct {
+	tokens  []almondcross.Token
+	metrics *metrics.Set
 }
 
-// Listen returns the given listener, or a new one on the address when it is nil.
-func Listen(listener net.Listener, address string) (net.Listener, error) {
-	if listener != nil {
-		return listener, nil
-	}
-	listener, err := net.Listen("tcp", address)
-	return listener, errors.Annotatef(err, "listen on %s", address)
+// New returns a Responder.
+func New(config Config) *Responder {
+	return &Responder{tokens: config.Tokens, metrics: config.Metrics}
 }
 
-// Serve answers requests until the context ends.
-func Serve(ctx context.Context, listener net.Listener, handler http.Handler) error {
-	server := &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: headerTimeout,
-		BaseContext:       func(net.Listener) context.Context { return ctx },
-	}
-	served := make(chan error, 1)
-	go func() { served <- server.Serve(listener) }()
-	select {
-	case err := <-served:
-		return errors.Trace(err)
-	case <-ctx.Done():
-	}
-	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
-	defer cancel()
-	if server.Shutdown(stop) != nil {
-		_ = server.Close()
-	}
-	if err := <-served; !errors.Is(err, http.ErrServerClosed) {
-		return errors.Trace(err)
+// Handler answers a request of a known bearer.
+type Handler func(writer http.ResponseWriter, request *http.Request, token almondcross.Token)
+
+// Guard lets only bearers of the given roles reach a handler, and bounds the body.
+func (responder *Responder) Guard(handler Handler, roles ...almondcross.Role) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		scheme, secret, _ := strings.Cut(request.Header.Get("Authorization"), " ")
+		token, known := almondcross.FindToken(responder.tokens, secret)
+		if !known || !strings.EqualFold(scheme, "Bearer") {
+			writer.Header().Set("WWW-Authenticate", "Bearer")
+			Fail(writer, Failure{Status: http.StatusUnauthorized, Code: encoder.CodeUnauthenticated, Message: "the token is missing or not known"})
+			return
+		}
+		if !slices.Contains(roles, token.Role()) {
+			Fail(writer, Failure{
+				Status: http.StatusForbidden, Code: encoder.CodeForbidden,
+				Message: fmt.Sprintf("a token of role %s does not allow this; allowed: %v", token.Role(), roles),
+			})
+			return
+		}
+		request.Body = http.MaxBytesReader(writer, request.Body, MaxBody)
+		handler(writer, request, token)
 	}
-	return nil
 }
 
-// Decode reads a bounded JSON body and answers the request itself when it is malformed.
-func Decode(writer http.ResponseWriter, request *http.Request, into any) bool {
-	request.Body = http.MaxBytesReader(writer, request.Body, encoder.MaxPlatformBody)
-	err := json.NewDecoder(request.Body).Decode(into)
-	if err == nil {
-		return true
-	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		Write(writer, Refusal(http.StatusRequestEntityTooLarge, encoder.PlatformTooLarge, err.Error()))
-		return false
+// Count wraps a handler with a counter for each route and status.
+func (responder *Responder) Count(route string, handler http.Handler) http.Handler {
+	if responder.metrics == nil {
+		return handler
 	}
-	Write(writer, Refusal(http.StatusBadRequest, encoder.PlatformInvalid, err.Error()))
-	return false
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		recorder := &statusRecorder{ResponseWriter: writer, status: http.StatusOK}
+		handler.ServeHTTP(recorder, request)
+		name := fmt.Sprintf("almondcross_http_requests_total{route=%q,method=%q,status=\"%d\"}", route, request.Method, recorder.status)
+		responder.metrics.GetOrCreateCounter(name).Inc()
+	})
 }
 
-// Int returns an integer of the query string, or 0 when it is absent or malformed.
-func Int(request *http.Request, name string) int64 {
-	value, _ := strconv.ParseInt(request.URL.Query().Get(name), 10, 64)
-	return value
+type statusRecorder struct {
+	http.ResponseWriter
+	status int
 }
 
-// Uint returns an unsigned integer of the query string, or 0 when it is absent or malformed.
-func Uint(request *http.Request, name string) uint64 {
-	value, _ := strconv.ParseUint(request.URL.Query().Get(name), 10, 64)
-	return value
+func (recorder *statusRecorder) WriteHeader(status int) {
+	recorder.status = status
+	recorder.ResponseWriter.WriteHeader(status)
 }
 
-// Wait returns the bounded wait of a long poll.
-func Wait(request *http.Request) time.Duration {
-	return min(max(time.Duration(Int(request, "wait_ms"))*time.Millisecond, 0), MaxWait)
+// Failure is an error answer. NotRun may be set only where the request certainly did not run and
+// never will.
+type Failure struct {
+	Status     int
+	Code       almondcross.Code
+	Message    string
+	NotRun     bool
+	RetryAfter time.Duration
 }
 
-// Exchange puts a message, waits for its answer and writes it.
-func Exchange[M any](
-	writer http.ResponseWriter, request *http.Request, messages *ring.Ring[M], message M, answers <-chan Answer,
-) {
-	ctx := request.Context()
-	if messages.Put(ctx, message) != nil {
-		panic(http.ErrAbortHandler)
+// Fail writes an error answer.
+func Fail(writer http.ResponseWriter, failure Failure) {
+	shape := encoder.ErrorShape{Code: failure.Code, Message: failure.Message}
+	if failure.NotRun {
+		shape.Status = almondcross.StatusNotRun
 	}
-	select {
-	case answer := <-answers:
-		deliver(ctx, writer, answer)
-	case <-ctx.Done():
-		panic(http.ErrAbortHandler)
+	if failure.RetryAfter > 0 {
+		retry := encoder.Duration(failure.RetryAfter)
+		shape.RetryAfter = &retry
+		setRetryAfter(writer, failure.RetryAfter)
 	}
+	JSON(writer, failure.Status, shape)
 }
 
-// deliver closes the connection for an aborted answer; net/http documents the panic for this.
-func deliver(ctx context.Context, writer http.ResponseWriter, answer Answer) {
-	if answer.Delay > 0 {
-		timer := time.NewTimer(answer.Delay)
-		defer timer.Stop()
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			panic(http.ErrAbortHandler)
-		}
+// Overloaded returns the failure for a full ring.
+func Overloaded(ring string, notRun bool) Failure {
+	return Failure{
+		Status: http.StatusServiceUnavailable, Code: almondcross.CodeOverloaded, NotRun: notRun,
+		Message: "the queue of the " + ring + " is full", RetryAfter: overloadedRetry,
 	}
-	if answer.Abort {
-		panic(http.ErrAbortHandler)
+}
+
+// Invalid returns the failure for a request that breaks the format.
+func Invalid(message string) Failure {
+	return Failure{Status: http.StatusBadRequest, Code: almondcross.CodeInvalid, Message: message}
+}
+
+// InvalidBody returns the failure for a body that could not be decoded.
+func InvalidBody(err error) Failure {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return Failure{
+			Status: http.StatusRequestEntityTooLarge, Code: encoder.CodeTooLarge,
+			Message: fmt.Sprintf("the body is too large; allowed: at most %d bytes", MaxBody),
+		}
 	}
-	Write(writer, answer)
+	return Invalid("the body is not valid: " + err.Error())
 }
 
-// Write encodes an answer.
-func Write(writer http.ResponseWriter, answer Answer) {
-	body, err := json.Marshal(answer.Body)
+// setRetryAfter writes whole seconds, rounded up, as the header requires.
+func setRetryAfter(writer http.ResponseWriter, retry time.Duration) {
+	seconds := (retry + time.Second - 1) / time.Second
+	writer.Header().Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
+}
+
+// JSON writes a value with a status.
+func JSON(writer http.ResponseWriter, status int, value any) {
+	body, err := json.Marshal(value)
 	if err != nil {
-		panic(http.ErrAbortHandler)
+		status = http.StatusInternalServerError
+		body = []byte(`{"code":"unavailable","message":"the answer could not be encoded"}`)
 	}
 	writer.Header().Set("Content-Type", "application/json")
-	writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	if answer.Status != 0 {
-		writer.WriteHeader(answer.Status)
+	writer.WriteHeader(status)
+	_, _ = writer.Write(append(body, '\n'))
+}
+
+// Outcome writes the outcome of a submission.
+func Outcome(writer http.ResponseWriter, outcome almondcross.Outcome) {
+	if outcome.RetryAfter() > 0 {
+		setRetryAfter(writer, outcome.RetryAfter())
+	}
+	JSON(writer, outcomeStatus(outcome), encoder.NewOutcomeShape(outcome))
+}
+
+// outcomeStatus gives a status of 2xx only to an outcome that is not an error, so that a client
+// that looks at nothing else does not take a failure for an answer.
+func outcomeStatus(outcome almondcross.Outcome) int {
+	switch outcome.Status() {
+	case almondcross.StatusDone:
+		return http.StatusOK
+	case almondcross.StatusRunning, almondcross.StatusUnknown:
+		return http.StatusAccepted
+	case almondcross.StatusFailed:
+		return http.StatusBadGateway
+	}
+	switch outcome.Code() {
+	case almondcross.CodeUnknownEntry:
+		return http.StatusNotFound
+	case almondcross.CodeKeyConflict, almondcross.CodeCancelled, almondcross.CodeVoided, almondcross.CodeClaimedElsewhere:
+		return http.StatusConflict
+	case almondcross.CodeKeyExpired:
+		return http.StatusGone
+	case almondcross.CodeInvalid, almondcross.CodeIssuedAtMissing:
+		return http.StatusBadRequest
+	case almondcross.CodeNeverFits:
+		return http.StatusUnprocessableEntity
+	case almondcross.CodeTimeout:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+// JSONOutcome writes what became of a key to a reader or canceller, for whom every status is a
+// full answer.
+func JSONOutcome(writer http.ResponseWriter, outcome almondcross.Outcome) {
+	if outcome.RetryAfter() > 0 {
+		setRetryAfter(writer, outcome.RetryAfter())
 	}
-	_, _ = writer.Write(body)
+	JSON(writer, http.StatusOK, encoder.NewOutcomeShape(outcome))
 }
--- a/standin/provider/live.go
+++ b/standin/provider/live.go
@@ -11,7 +11,7 @@
 
 	"github.com/almondcross/almondcross"
 	"github.com/almondcross/almondcross/encoder"
-	"github.com/almondcross/almondcross/responder"
+	"github.com/almondcross/almondcross/standin/answerer"
 	"github.com/almondcross/almondcross/ring"
 )
 
@@ -26,23 +26,23 @@
 type listHosts struct {
 	known   uint64
 	wait    time.Duration
-	answers chan<- responder.Answer
+	answers chan<- answerer.Answer
 }
 
 type registerHost struct {
 	host    encoder.PlatformHost
-	answers chan<- responder.Answer
+	answers chan<- answerer.Answer
 }
 
 type setHostState struct {
 	name    string
 	state   string
-	answers chan<- responder.Answer
+	answers chan<- answerer.Answer
 }
 
 type switchLive struct {
 	change  *encoder.PlatformSwitches
-	answers chan<- responder.Answer
+	answers chan<- answerer.Answer
 }
 
 // liveHost is a registered host; the state set by an operation goes before the registered one.
@@ -142,13 +142,13 @@
 	}
 	entry.host = message.host
 	live.hosts[message.host.Name] = entry
-	message.answers <- live.afterDelay(responder.Answer{Body: encoder.WorkerDone{}})
+	message.answers <- live.afterDelay(answerer.Answer{Body: encoder.WorkerDone{}})
 }
 
 func (message setHostState) apply(live *live, _ time.Time) {
 	entry, known := live.hosts[message.name]
 	if !known {
-		message.answers <- responder.Refusal(http.StatusNotFound, encoder.PlatformUnknownHost, "the host is not registered")
+		message.answers <- answerer.Refusal(http.StatusNotFound, encoder.PlatformUnknownHost, "the host is not registered")
 		return
 	}
 	switch message.state {
@@ -157,12 +157,12 @@
 	case string(almondcross.HostLeaving), stateGone:
 		entry.forced = message.state
 	default:
-		message.answers <- responder.Refusal(http.StatusBadRequest, encoder.PlatformInvalid, "the state is unknown")
+		message.answers <- answerer.Refusal(http.StatusBadRequest, encoder.PlatformInvalid, "the state is unknown")
 		return
 	}
 	live.hosts[message.name] = entry
 	live.config.Logger.WithFields(logrus.Fields{"host": message.name, "state": message.state}).Info("host state set")
-	message.answers <- responder.Answer{Body: encoder.WorkerDone{}}
+	message.answers <- answerer.Answer{Body: encoder.WorkerDone{}}
 }
 
 func (message listHosts) apply(live *live, now time.Time) {
@@ -185,17 +185,17 @@
 			live.extendHosts(now)
 		}
 	}
-	message.answers <- responder.Answer{Body: live.switches}
+	message.answers <- answerer.Answer{Body: live.switches}
 }
 
-func (live *live) isDown(answers chan<- responder.Answer) bool {
+func (live *live) isDown(answers chan<- answerer.Answer) bool {
 	if live.switches.Down {
-		answers <- responder.Refusal(http.StatusServiceUnavailable, encoder.PlatformDown, "the live list takes no requests")
+		answers <- answerer.Refusal(http.StatusServiceUnavailable, encoder.PlatformDown, "the live list takes no requests")
 	}
 	return live.switches.Down
 }
 
-func (live *live) afterDelay(answer responder.Answer) responder.Answer {
+func (live *live) afterDelay(answer answerer.Answer) answerer.Answer {
 	answer.Delay = time.Duration(live.switches.DelayMs) * time.Millisecond
 	return answer
 }
@@ -262,7 +262,7 @@
 			kept = append(kept, waiter)
 			continue
 		}
-		waiter.list.answers <- live.afterDelay(responder.Answer{Body: live.published})
+		waiter.list.answers <- live.afterDelay(answerer.Answer{Body: live.published})
 	}
 	clear(live.waiters[len(kept):])
 	live.waiters = kept
--- a/standin/provider/provider.go
+++ b/standin/provider/provider.go
@@ -13,7 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/almondcross/almondcross/encoder"
-	"github.com/almondcross/almondcross/responder"
+	"github.com/almondcross/almondcross/standin/answerer"
 	"github.com/almondcross/almondcross/ring"
 )
 
@@ -49,7 +49,7 @@
 	if config.Logger == nil {
 		config.Logger = logrus.StandardLogger()
 	}
-	listener, err := responder.Listen(config.Listener, config.Address)
+	listener, err := answerer.Listen(config.Listener, config.Address)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -64,7 +64,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return provider.streams.run(ctx) })
 	group.Go(func() error { return provider.live.run(ctx) })
-	group.Go(func() error { return responder.Serve(ctx, provider.listener, provider.routes()) })
+	group.Go(func() error { return answerer.Serve(ctx, provider.listener, provider.routes()) })
 	return errors.Trace(group.Wait())
 }
 
@@ -84,55 +84,55 @@
 
 func (provider *Provider) append(writer http.ResponseWriter, request *http.Request) {
 	var body encoder.PlatformAppend
-	if !responder.Decode(writer, request, &body) {
+	if !answerer.Decode(writer, request, &body) {
 		return
 	}
-	answers := make(chan responder.Answer, 1)
+	answers := make(chan answerer.Answer, 1)
 	message := appendRecords{stream: mux.Vars(request)["stream"], records: body.Records, answers: answers}
 	provider.askStreams(writer, request, message, answers)
 }
 
 func (provider *Provider) read(writer http.ResponseWriter, request *http.Request) {
-	answers := make(chan responder.Answer, 1)
+	answers := make(chan answerer.Answer, 1)
 	message := readRecords{
-		stream: mux.Vars(request)["stream"], from: responder.Int(request, "from"),
-		limit: int(responder.Int(request, "limit")), wait: responder.Wait(request), answers: answers,
+		stream: mux.Vars(request)["stream"], from: answerer.Int(request, "from"),
+		limit: int(answerer.Int(request, "limit")), wait: answerer.Wait(request), answers: answers,
 	}
 	provider.askStreams(writer, request, message, answers)
 }
 
 func (provider *Provider) end(writer http.ResponseWriter, request *http.Request) {
-	answers := make(chan responder.Answer, 1)
+	answers := make(chan answerer.Answer, 1)
 	provider.askStreams(writer, request, findEnd{stream: mux.Vars(request)["stream"], answers: answers}, answers)
 }
 
 func (provider *Provider) appends(writer http.ResponseWriter, request *http.Request) {
-	answers := make(chan responder.Answer, 1)
-	provider.askStreams(writer, request, listAppends{after: int(responder.Int(request, "after")), answers: answers}, answers)
+	answers := make(chan answerer.Answer, 1)
+	provider.askStreams(writer, request, listAppends{after: int(answerer.Int(request, "after")), answers: answers}, answers)
 }
 
 func (provider *Provider) list(writer http.ResponseWriter, request *http.Request) {
-	answers := make(chan responder.Answer, 1)
-	message := listHosts{known: responder.Uint(request, "known"), wait: responder.Wait(request), answers: answers}
+	answers := make(chan answerer.Answer, 1)
+	message := listHosts{known: answerer.Uint(request, "known"), wait: answerer.Wait(request), answers: answers}
 	provider.askLive(writer, request, message, answers)
 }
 
 func (provider *Provider) register(writer http.ResponseWriter, request *http.Request) {
 	var body encoder.PlatformHost
-	if !responder.Decode(writer, request, &body) {
+	if !answerer.Decode(writer, request, &body) {
 		return
 	}
 	body.Name = mux.Vars(request)["name"]
-	answers := make(chan responder.Answer, 1)
+	answers := make(chan answerer.Answer, 1)
 	provider.askLive(writer, request, registerHost{host: body, answers: answers}, answers)
 }
 
 func (provider *Provider) setState(writer http.ResponseWriter, request *http.Request) {
 	var body encoder.PlatformHostState
-	if !responder.Decode(writer, request, &body) {
+	if !answerer.Decode(writer, request, &body) {
 		return
 	}
-	answers := make(chan responder.Answer, 1)
+	answers := make(chan answerer.Answer, 1)
 	message := setHostState{name: mux.Vars(request)["name"], state: body.State, answers: answers}
 	provider.askLive(writer, request, message, answers)
 }
@@ -142,7 +142,7 @@
 	if !ok {
 		return
 	}
-	answers := make(chan responder.Answer, 1)
+	answers := make(chan answerer.Answer, 1)
 	provider.askStreams(writer, request, switchLog{change: change, answers: answers}, answers)
 }
 
@@ -151,7 +151,7 @@
 	if !ok {
 		return
 	}
-	answers := make(chan responder.Answer, 1)
+	answers := make(chan answerer.Answer, 1)
 	provider.askLive(writer, request, switchLive{change: change, answers: answers}, answers)
 }
 
@@ -161,22 +161,22 @@
 		return nil, true
 	}
 	var body encoder.PlatformSwitches
-	if !responder.Decode(writer, request, &body) {
+	if !answerer.Decode(writer, request, &body) {
 		return nil, false
 	}
 	return &body, true
 }
 
 func (provider *Provider) askStreams(
-	writer http.ResponseWriter, request *http.Request, message streamsMessage, answers <-chan responder.Answer,
+	writer http.ResponseWriter, request *http.Request, message streamsMessage, answers <-chan answerer.Answer,
 ) {
-	responder.Exchange(writer, request, provider.streams.messages, message, answers)
+	answerer.Exchange(writer, request, provider.streams.messages, message, answers)
 }
 
 func (provider *Provider) askLive(
-	writer http.ResponseWriter, request *http.Request, message liveMessage, answers <-chan responder.Answer,
+	writer http.ResponseWriter, request *http.Request, message liveMessage, answers <-chan answerer.Answer,
 ) {
-	responder.Exchange(writer, request, provider.live.messages, message, answers)
+	answerer.Exchange(writer, request, provider.live.messages, message, answers)
 }
 
 func newRing[M any](config Config, name string) *ring.Ring[M] {
--- a/standin/provider/streams.go
+++ b/standin/provider/streams.go
@@ -9,7 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/almondcross/almondcross/encoder"
-	"github.com/almondcross/almondcross/responder"
+	"github.com/almondcross/almondcross/standin/answerer"
 	"github.com/almondcross/almondcross/ring"
 )
 
@@ -31,7 +31,7 @@
 type appendRecords struct {
 	stream  string
 	records []encoder.PlatformRecord
-	answers chan<- responder.Answer
+	answers chan<- answerer.Answer
 }
 
 type readRecords struct {
@@ -39,22 +39,22 @@
 	from    int64
 	limit   int
 	wait    time.Duration
-	answers chan<- responder.Answer
+	answers chan<- answerer.Answer
 }
 
 type findEnd struct {
 	stream  string
-	answers chan<- responder.Answer
+	answers chan<- answerer.Answer
 }
 
 type listAppends struct {
 	after   int
-	answers chan<- responder.Answer
+	answers chan<- answerer.Answer
 }
 
 type switchLog struct {
 	change  *encoder.PlatformSwitches
-	answers chan<- responder.Answer
+	answers chan<- answerer.Answer
 }
 
 // stream is the kept records of one stream; oldest is the offset of the first of them.
@@ -71,8 +71,8 @@
 }
 
 type heldAnswer struct {
-	answers chan<- responder.Answer
-	answer  responder.Answer
+	answers chan<- answerer.Answer
+	answer  answerer.Answer
 }
 
 // streams is the duty that owns the log.
@@ -173,27 +173,27 @@
 		AtUs: now.UnixMicro(), Stream: message.stream, FirstOffset: first, IDs: ids, AnswerLost: lose,
 	})
 	streams.trimCount(stream)
-	streams.answer(message.answers, responder.Answer{Body: encoder.PlatformAppended{FirstOffset: first}, Abort: lose})
+	streams.answer(message.answers, answerer.Answer{Body: encoder.PlatformAppended{FirstOffset: first}, Abort: lose})
 	streams.wake(message.stream)
 }
 
-func (streams *streams) isDown(answers chan<- responder.Answer) bool {
+func (streams *streams) isDown(answers chan<- answerer.Answer) bool {
 	if !streams.switches.Down {
 		return false
 	}
 	streams.refused.Inc()
-	answers <- responder.Refusal(http.StatusServiceUnavailable, encoder.PlatformDown, "the log takes no requests")
+	answers <- answerer.Refusal(http.StatusServiceUnavailable, encoder.PlatformDown, "the log takes no requests")
 	return true
 }
 
 func (streams *streams) isMalformed(message appendRecords) bool {
 	if len(message.records) == 0 {
-		message.answers <- responder.Refusal(http.StatusBadRequest, encoder.PlatformInvalid, "an append needs a record")
+		message.answers <- answerer.Refusal(http.StatusBadRequest, encoder.PlatformInvalid, "an append needs a record")
 		return true
 	}
 	for _, record := range message.records {
 		if len(record.ID) > maxRecordID || encodedBytes(record) > maxBatchBytes {
-			message.answers <- responder.Refusal(
+			message.answers <- answerer.Refusal(
 				http.StatusRequestEntityTooLarge, encoder.PlatformTooLarge, "a record is too large to be read back")
 			return true
 		}
@@ -242,7 +242,7 @@
 	stream := streams.stream(read.stream)
 	from := max(read.from, encoder.FirstPlatformOffset)
 	if from < stream.oldest {
-		streams.answer(read.answers, responder.Answer{Status: http.StatusGone, Body: encoder.PlatformFailure{
+		streams.answer(read.answers, answerer.Answer{Status: http.StatusGone, Body: encoder.PlatformFailure{
 			Code: encoder.PlatformTrimmed, Message: "the offset is no longer kept", Oldest: stream.oldest,
 		}})
 		return true
@@ -251,7 +251,7 @@
 		return false
 	}
 	records := stream.take(from, read.limit)
-	streams.answer(read.answers, responder.Answer{Body: encoder.PlatformBatch{
+	streams.answer(read.answers, answerer.Answer{Body: encoder.PlatformBatch{
 		Records: records, Next: from + int64(len(records)), End: stream.end(),
 	}})
 	return true
@@ -307,7 +307,7 @@
 		return
 	}
 	stream := streams.stream(message.stream)
-	streams.answer(message.answers, responder.Answer{Body: encoder.PlatformEnd{Oldest: stream.oldest, End: stream.end()}})
+	streams.answer(message.answers, answerer.Answer{Body: encoder.PlatformEnd{Oldest: stream.oldest, End: stream.end()}})
 }
 
 func (message listAppends) apply(streams *streams, _ time.Time) {
@@ -323,7 +323,7 @@
 		}
 		to++
 	}
-	message.answers <- responder.Answer{Body: encoder.PlatformAppends{
+	message.answers <- answerer.Answer{Body: encoder.PlatformAppends{
 		Appends: append([]encoder.PlatformAppendEntry{}, streams.appends[from:to]...),
 		Next:    to, Total: len(streams.appends), Dropped: streams.dropped,
 	}}
@@ -340,7 +340,7 @@
 			streams.releaseHeld()
 		}
 	}
-	message.answers <- responder.Answer{Body: streams.switches}
+	message.answers <- answerer.Answer{Body: streams.switches}
 }
 
 func (streams *streams) refuseWaiters() {
@@ -359,14 +359,14 @@
 
 // answer passes on an answer, delayed or held as the switches say. The oldest held answers are
 // aborted when too many wait, which the client sees as a broken connection.
-func (streams *streams) answer(answers chan<- responder.Answer, answer responder.Answer) {
+func (streams *streams) answer(answers chan<- answerer.Answer, answer answerer.Answer) {
 	answer.Delay = time.Duration(streams.switches.DelayMs) * time.Millisecond
 	if !streams.switches.HoldAnswers {
 		answers <- answer
 		return
 	}
 	if len(streams.held) == maxHeldAnswers {
-		streams.held[0].answers <- responder.Answer{Abort: true}
+		streams.held[0].answers <- answerer.Answer{Abort: true}
 		streams.held = streams.held[1:]
 	}
 	streams.held = append(streams.held, heldAnswer{answers: answers, answer: answer})
--- a/standin/worker/heartbeat.go
+++ b/standin/worker/heartbeat.go
@@ -9,7 +9,7 @@
 	"github.com/almondcross/almondcross"
 	"github.com/almondcross/almondcross/encoder"
 	"github.com/almondcross/almondcross/requester"
-	"github.com/almondcross/almondcross/responder"
+	"github.com/almondcross/almondcross/standin/answerer"
 )
 
 // sendHeartbeats registers the worker at the live list and repeats the registration as a heartbeat.
@@ -39,7 +39,7 @@
 
 // hostState asks the duty whether the worker is leaving.
 func (worker *Worker) hostState(ctx context.Context) almondcross.HostState {
-	replies := make(chan responder.Answer, 1)
+	replies := make(chan answerer.Answer, 1)
 	if worker.state.messages.Put(ctx, readState{answers: replies, internal: true}) != nil {
 		return almondcross.HostLive
 	}
--- a/standin/worker/lease.go
+++ b/standin/worker/lease.go
@@ -8,7 +8,7 @@
 
 	"github.com/almondcross/almondcross"
 	"github.com/almondcross/almondcross/encoder"
-	"github.com/almondcross/almondcross/responder"
+	"github.com/almondcross/almondcross/standin/answerer"
 )
 
 type acquire struct {
@@ -36,7 +36,7 @@
 		return
 	}
 	if state.leased {
-		state.answer(message.answers, responder.Refusal(
+		state.answer(message.answers, answerer.Refusal(
 			http.StatusConflict, encoder.PlatformLeaseHeld, "the lease is held by "+state.holder.Name()))
 		return
 	}
@@ -46,7 +46,7 @@
 	state.holder = message.body.Holder.Value()
 	state.forgetStarts()
 	state.record(now, encoder.WorkerHistoryEntry{Kind: encoder.WorkerGranted})
-	state.answer(message.answers, responder.Answer{Body: encoder.WorkerGrant{
+	state.answer(message.answers, answerer.Answer{Body: encoder.WorkerGrant{
 		Target: state.config.Name, Term: state.term(), Capacity: encoder.WorkerResourcesOf(state.config.Capacity),
 		Leaving: state.switches.Leaving, Inventory: state.inventory(), Events: state.events,
 	}})
@@ -89,7 +89,7 @@
 			running.leaseUntil = now.Add(almondcross.TaskLease)
 		}
 	}
-	state.answer(message.answers, responder.Answer{Body: encoder.WorkerRenewed{
+	state.answer(message.answers, answerer.Answer{Body: encoder.WorkerRenewed{
 		Leaving: state.switches.Leaving, Usage: encoder.WorkerResourcesOf(state.reported(now)),
 	}})
 }
@@ -100,7 +100,7 @@
 	}
 	state.leased = false
 	state.record(now, encoder.WorkerHistoryEntry{Kind: encoder.WorkerReleased})
-	state.answer(message.answers, responder.Answer{Body: encoder.WorkerDone{}})
+	state.answer(message.answers, answerer.Answer{Body: encoder.WorkerDone{}})
 }
 
 func (state *state) isStale(term encoder.WorkerTerm, answers answers) bool {
@@ -111,8 +111,8 @@
 	return true
 }
 
-func staleAnswer() responder.Answer {
-	return responder.Refusal(http.StatusConflict, encoder.PlatformTermStale, "the term is not in force")
+func staleAnswer() answerer.Answer {
+	return answerer.Refusal(http.StatusConflict, encoder.PlatformTermStale, "the term is not in force")
 }
 
 // apply begins a new boot without a lease. Surviving tasks keep their leases and results.
@@ -129,7 +129,7 @@
 	state.config.Logger.WithFields(logrus.Fields{
 		"worker": state.config.Name, "boot": state.boot, "tasks": len(state.running),
 	}).Info("worker restarted")
-	message.answers <- responder.Answer{Body: encoder.WorkerDone{}}
+	message.answers <- answerer.Answer{Body: encoder.WorkerDone{}}
 }
 
 // vanish drops all tasks and results, as a restart of the machine does.
--- a/standin/worker/reads.go
+++ b/standin/worker/reads.go
@@ -6,7 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/almondcross/almondcross/encoder"
-	"github.com/almondcross/almondcross/responder"
+	"github.com/almondcross/almondcross/standin/answerer"
 )
 
 // historyOverhead covers an encoded history entry without its names.
@@ -55,11 +55,11 @@
 	for _, waiter := range state.waiters {
 		switch {
 		case state.switches.Refuse:
-			waiter.read.answers <- responder.Answer{Abort: true}
+			waiter.read.answers <- answerer.Answer{Abort: true}
 		case !state.inForce(waiter.read.term):
 			state.answer(waiter.read.answers, staleAnswer())
 		case len(state.ended) > 0 || !now.Before(waiter.deadline):
-			state.answer(waiter.read.answers, responder.Answer{Body: encoder.WorkerEvents{Events: state.pending()}})
+			state.answer(waiter.read.answers, answerer.Answer{Body: encoder.WorkerEvents{Events: state.pending()}})
 		default:
 			kept = append(kept, waiter)
 		}
@@ -90,10 +90,10 @@
 		shape.Running = append(shape.Running, encoder.WorkerTaskIDOf(id))
 	}
 	if message.internal {
-		message.answers <- responder.Answer{Body: shape}
+		message.answers <- answerer.Answer{Body: shape}
 		return
 	}
-	state.answer(message.answers, responder.Answer{Body: shape})
+	state.answer(message.answers, answerer.Answer{Body: shape})
 }
 
 // apply returns a page of the history; no switch affects it, since checkers read it during faults.
@@ -106,7 +106,7 @@
 		}
 		to++
 	}
-	message.answers <- responder.Answer{Body: encoder.WorkerHistory{
+	message.answers <- answerer.Answer{Body: encoder.WorkerHistory{
 		Worker: state.config.Name, Capacity: encoder.WorkerResourcesOf(state.config.Capacity),
 		Entries: append([]encoder.WorkerHistoryEntry{}, state.history[from:to]...),
 		Next:    to, Total: len(state.history), Dropped: state.dropped,
@@ -129,5 +129,5 @@
 			"worker": state.config.Name, "switches": state.switches,
 		}).Info("worker switches changed")
 	}
-	message.answers <- responder.Answer{Body: state.switches}
+	message.answers <- answerer.Answer{Body: state.switches}
 }
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -14,7 +14,7 @@
 
 	"github.com/almondcross/almondcross"
 	"github.com/almondcross/almondcross/encoder"
-	"github.com/almondcross/almondcross/responder"
+	"github.com/almondcross/almondcross/standin/answerer"
 	"github.com/almondcross/almondcross/ring"
 )
 
@@ -65,7 +65,7 @@
 	if config.DefaultRun == 0 {
 		config.DefaultRun = defaultRun
 	}
-	listener, err := responder.Listen(config.Listener, config.Address)
+	listener, err := answerer.Listen(config.Listener, config.Address)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -87,7 +87,7 @@
 func (worker *Worker) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return worker.state.run(ctx) })
-	group.Go(func() error { return responder.Serve(ctx, worker.listener, worker.routes()) })
+	group.Go(func() error { return answerer.Serve(ctx, worker.listener, worker.routes()) })
 	if worker.config.LiveList != "" {
 		group.Go(func() error { return worker.sendHeartbeats(ctx) })
 	}
@@ -127,15 +127,15 @@
 		return readState{answers: answers}
 	})).Methods(http.MethodGet)
 	router.HandleFunc("/v1/history", worker.look(func(request *http.Request, answers answers) message {
-		return readHistory{after: int(responder.Int(request, "after")), answers: answers}
+		return readHistory{after: int(answerer.Int(request, "after")), answers: answers}
 	})).Methods(http.MethodGet)
 	return router
 }
 
 func readEventsOf(request *http.Request, answers answers) message {
 	return readEvents{
-		term:  encoder.WorkerTerm{Boot: responder.Uint(request, "boot"), Counter: responder.Uint(request, "counter")},
-		after: responder.Uint(request, "after"), wait: responder.Wait(request), answers: answers,
+		term:  encoder.WorkerTerm{Boot: answerer.Uint(request, "boot"), Counter: answerer.Uint(request, "counter")},
+		after: answerer.Uint(request, "after"), wait: answerer.Wait(request), answers: answers,
 	}
 }
 
@@ -143,7 +143,7 @@
 func handle[B any](worker *Worker, build func(body B, answers answers) message) http.HandlerFunc {
 	return func(writer http.ResponseWriter, request *http.Request) {
 		var body B
-		if responder.Decode(writer, request, &body) {
+		if answerer.Decode(writer, request, &body) {
 			worker.exchange(writer, request, func(answers answers) message { return build(body, answers) })
 		}
 	}
@@ -159,8 +159,8 @@
 func (worker *Worker) exchange(
 	writer http.ResponseWriter, request *http.Request, build func(answers answers) message,
 ) {
-	replies := make(chan responder.Answer, 1)
-	responder.Exchange(writer, request, worker.state.messages, build(replies), replies)
+	replies := make(chan answerer.Answer, 1)
+	answerer.Exchange(writer, request, worker.state.messages, build(replies), replies)
 }
 
 func newRing(config Config) *ring.Ring[message] {
