Encode peer messages and log records as CBOR

Links and log streams need one format whose decoders bound hostile input. Each message is an envelope of a type name and a body with snake-case keys, at most 1 MiB, with bounded nesting and element counts. The root package gets checkpoint values, codec interfaces and the messages of the duties that follow.

--- /dev/null
+++ b/encoder/record.go
@@ -0,0 +1,310 @@
+package encoder
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/almondcross/almondcross"
+)
+
+// Types of record bodies. An empty body is a probe of an appender and decodes to ErrUnknown.
+const (
+	recordPut                 = "put"
+	recordRemove              = "remove"
+	recordCatalogueCheckpoint = "catalogue_checkpoint"
+	recordClaimCheckpoint     = "checkpoint"
+	recordUsage               = "usage"
+	recordAnswer              = "answer"
+)
+
+type wireChange struct {
+	Name     string             `cbor:"name"`
+	Entry    *wireEntry         `cbor:"entry,omitempty"`
+	Expected almondcross.Offset `cbor:"expected_version"`
+	Operator string             `cbor:"operator"`
+}
+
+type wireAuditLine struct {
+	At          time.Time          `cbor:"at"`
+	Operator    string             `cbor:"operator"`
+	Entry       string             `cbor:"entry"`
+	Removed     bool               `cbor:"removed,omitempty"`
+	FromVersion almondcross.Offset `cbor:"from_version"`
+	ToVersion   almondcross.Offset `cbor:"to_version"`
+	Accepted    bool               `cbor:"accepted,omitempty"`
+	Code        almondcross.Code   `cbor:"code,omitempty"`
+}
+
+type wireCatalogueCheckpoint struct {
+	Catalogue wireCatalogue   `cbor:"catalogue"`
+	IDs       []string        `cbor:"ids"`
+	Audit     []wireAuditLine `cbor:"audit"`
+}
+
+type wireClaim struct {
+	ID           string                `cbor:"id,omitempty"`
+	Kind         almondcross.ClaimKind `cbor:"kind,omitempty"`
+	Key          wireKey               `cbor:"key"`
+	Entry        string                `cbor:"entry,omitempty"`
+	Claimant     wireMemberID          `cbor:"claimant"`
+	DataCentre   string                `cbor:"data_centre,omitempty"`
+	Status       almondcross.Status    `cbor:"status,omitempty"`
+	Code         almondcross.Code      `cbor:"code,omitempty"`
+	AnswerOffset almondcross.Offset    `cbor:"answer_offset"`
+	IssuedAt     time.Time             `cbor:"issued_at"`
+	Offset       almondcross.Offset    `cbor:"offset,omitempty"`
+}
+
+type wireClaimCheckpoint struct {
+	ID      string             `cbor:"id"`
+	Part    int                `cbor:"part"`
+	Parts   int                `cbor:"parts"`
+	Covered almondcross.Offset `cbor:"covered"`
+	Claims  []wireClaim        `cbor:"claims"`
+}
+
+type wireUsageLine struct {
+	Entry          string                     `cbor:"entry"`
+	Owner          string                     `cbor:"owner"`
+	MilliCPUSec    float64                    `cbor:"milli_cpu_sec,omitempty"`
+	MemoryMBSec    float64                    `cbor:"memory_mb_sec,omitempty"`
+	AcceleratorSec float64                    `cbor:"accelerator_sec,omitempty"`
+	SlotSec        float64                    `cbor:"slot_sec,omitempty"`
+	Promised       float64                    `cbor:"promised,omitempty"`
+	Received       float64                    `cbor:"received,omitempty"`
+	Started        int64                      `cbor:"started,omitempty"`
+	Finished       int64                      `cbor:"finished,omitempty"`
+	WaitedSec      float64                    `cbor:"waited_sec,omitempty"`
+	Reasons        map[almondcross.Code]int64 `cbor:"reasons,omitempty"`
+}
+
+type wireUsageBatch struct {
+	Member     wireMemberID    `cbor:"member"`
+	DataCentre string          `cbor:"data_centre"`
+	Sequence   uint64          `cbor:"sequence"`
+	From       time.Time       `cbor:"from"`
+	To         time.Time       `cbor:"to"`
+	Lines      []wireUsageLine `cbor:"lines"`
+	Incomplete bool            `cbor:"incomplete,omitempty"`
+	Final      bool            `cbor:"final,omitempty"`
+}
+
+type wireOutcome struct {
+	Key        wireKey            `cbor:"key"`
+	Status     almondcross.Status `cbor:"status,omitempty"`
+	Answer     []byte             `cbor:"answer,omitempty"`
+	Code       almondcross.Code   `cbor:"code,omitempty"`
+	Detail     string             `cbor:"detail,omitempty"`
+	RetryAfter time.Duration      `cbor:"retry_after,omitempty"`
+	Target     string             `cbor:"target,omitempty"`
+	Host       string             `cbor:"host,omitempty"`
+}
+
+func toOutcome(outcome almondcross.Outcome) wireOutcome {
+	config := outcome.Config()
+	return wireOutcome{
+		Key: toKey(config.Key), Status: config.Status, Answer: config.Answer, Code: config.Code,
+		Detail: config.Detail, RetryAfter: config.RetryAfter, Target: config.Target, Host: config.Host,
+	}
+}
+
+func (wire wireOutcome) value() almondcross.Outcome {
+	return almondcross.NewOutcome(almondcross.OutcomeConfig{
+		Key: wire.Key.value(), Status: wire.Status, Answer: wire.Answer, Code: wire.Code,
+		Detail: wire.Detail, RetryAfter: wire.RetryAfter, Target: wire.Target, Host: wire.Host,
+	})
+}
+
+// EncodeChange returns the body of a put or remove record.
+func (codec Codec) EncodeChange(change almondcross.CatalogueChange) ([]byte, error) {
+	wire := wireChange{Name: change.Name(), Expected: change.Expected(), Operator: change.Operator()}
+	if change.Removed() {
+		return codec.seal(recordRemove, wire)
+	}
+	entry := toEntry(change.Entry())
+	wire.Entry = &entry
+	return codec.seal(recordPut, wire)
+}
+
+// DecodeChange returns the change of a record of the catalogue stream.
+func (codec Codec) DecodeChange(record almondcross.Record) (almondcross.CatalogueChange, error) {
+	var none almondcross.CatalogueChange
+	var wire wireChange
+	kind, err := codec.openRecord(record, &wire, recordPut, recordRemove)
+	if err != nil {
+		return none, err
+	}
+	change := almondcross.CatalogueChangeConfig{
+		Id: record.Id(), Name: wire.Name, Removed: kind == recordRemove, Expected: wire.Expected,
+		Operator: wire.Operator, Offset: record.Offset(), Appended: record.Appended(),
+	}
+	if kind == recordPut {
+		if wire.Entry == nil || wire.Entry.Name != wire.Name {
+			return none, errors.Annotate(ErrMalformed, "put without an entry of its name")
+		}
+		change.Entry = wire.Entry.value()
+	}
+	return almondcross.NewCatalogueChange(change), nil
+}
+
+// openRecord decodes the body of a record whose type is one of those given.
+func (codec Codec) openRecord(record almondcross.Record, body any, types ...string) (string, error) {
+	if len(record.Body()) == 0 {
+		return "", errors.Annotate(ErrUnknown, "empty body")
+	}
+	sealed, err := codec.open(record.Body())
+	if err != nil {
+		return "", err
+	}
+	for _, name := range types {
+		if sealed.Type == name {
+			return name, codec.body(sealed, body)
+		}
+	}
+	return "", errors.Annotatef(ErrUnknown, "record type %q", sealed.Type)
+}
+
+// EncodeCatalogueCheckpoint returns the body of a record of the checkpoint stream.
+func (codec Codec) EncodeCatalogueCheckpoint(checkpoint almondcross.CatalogueCheckpoint) ([]byte, error) {
+	wire := wireCatalogueCheckpoint{Catalogue: toCatalogue(checkpoint.Catalogue()), IDs: checkpoint.Ids()}
+	for _, line := range checkpoint.Audit() {
+		wire.Audit = append(wire.Audit, wireAuditLine(line.Config()))
+	}
+	return codec.seal(recordCatalogueCheckpoint, wire)
+}
+
+// DecodeCatalogueCheckpoint returns the checkpoint of a record of the checkpoint stream.
+func (codec Codec) DecodeCatalogueCheckpoint(record almondcross.Record) (almondcross.CatalogueCheckpoint, error) {
+	var wire wireCatalogueCheckpoint
+	if _, err := codec.openRecord(record, &wire, recordCatalogueCheckpoint); err != nil {
+		return almondcross.CatalogueCheckpoint{}, err
+	}
+	audit := make([]almondcross.AuditLine, 0, len(wire.Audit))
+	for _, line := range wire.Audit {
+		audit = append(audit, almondcross.NewAuditLine(almondcross.AuditLineConfig(line)))
+	}
+	return almondcross.NewCatalogueCheckpoint(almondcross.CatalogueCheckpointConfig{
+		Catalogue: wire.Catalogue.value(), Ids: wire.IDs, Audit: audit,
+	}), nil
+}
+
+func toClaim(claim almondcross.ClaimRecord) wireClaim {
+	config := claim.Config()
+	return wireClaim{
+		ID: config.Id, Kind: config.Kind, Key: toKey(config.Key), Entry: config.Entry,
+		Claimant: toMemberID(config.Claimant), DataCentre: config.DataCentre, Status: config.Status, Code: config.Code,
+		AnswerOffset: config.AnswerOffset, IssuedAt: config.IssuedAt, Offset: config.Offset,
+	}
+}
+
+func (wire wireClaim) value() almondcross.ClaimRecord {
+	return almondcross.NewClaimRecord(almondcross.ClaimRecordConfig{
+		Id: wire.ID, Kind: wire.Kind, Key: wire.Key.value(), Entry: wire.Entry,
+		Claimant: wire.Claimant.value(), DataCentre: wire.DataCentre, Status: wire.Status, Code: wire.Code,
+		AnswerOffset: wire.AnswerOffset, IssuedAt: wire.IssuedAt, Offset: wire.Offset,
+	})
+}
+
+// EncodeClaim returns the body of a claim, void or settled record.
+func (codec Codec) EncodeClaim(claim almondcross.ClaimRecord) ([]byte, error) {
+	wire := toClaim(claim)
+	wire.ID, wire.Kind, wire.Offset = "", "", 0
+	return codec.seal(string(claim.Kind()), wire)
+}
+
+// EncodeClaimCheckpoint returns the body of one part of a checkpoint of the claims stream.
+func (codec Codec) EncodeClaimCheckpoint(checkpoint almondcross.ClaimCheckpoint) ([]byte, error) {
+	wire := wireClaimCheckpoint{
+		ID: checkpoint.Id(), Part: checkpoint.Part(), Parts: checkpoint.Parts(), Covered: checkpoint.Covered(),
+		Claims: make([]wireClaim, 0, len(checkpoint.Claims())),
+	}
+	for _, claim := range checkpoint.Claims() {
+		wire.Claims = append(wire.Claims, toClaim(claim))
+	}
+	return codec.seal(recordClaimCheckpoint, wire)
+}
+
+// DecodeClaim returns the claim record or the checkpoint part of a record of the claims stream.
+func (codec Codec) DecodeClaim(record almondcross.Record) (
+	almondcross.ClaimRecord, almondcross.ClaimCheckpoint, bool, error,
+) {
+	var claim almondcross.ClaimRecord
+	var checkpoint almondcross.ClaimCheckpoint
+	if len(record.Body()) == 0 {
+		return claim, checkpoint, false, errors.Annotate(ErrUnknown, "empty body")
+	}
+	sealed, err := codec.open(record.Body())
+	if err != nil {
+		return claim, checkpoint, false, err
+	}
+	switch kind := almondcross.ClaimKind(sealed.Type); kind {
+	case almondcross.ClaimTaken, almondcross.ClaimVoid, almondcross.ClaimSettled:
+		var wire wireClaim
+		if err := codec.body(sealed, &wire); err != nil {
+			return claim, checkpoint, false, err
+		}
+		wire.ID, wire.Kind, wire.Offset = record.Id(), kind, record.Offset()
+		return wire.value(), checkpoint, false, nil
+	case recordClaimCheckpoint:
+		var wire wireClaimCheckpoint
+		if err := codec.body(sealed, &wire); err != nil {
+			return claim, checkpoint, false, err
+		}
+		claims := make([]almondcross.ClaimRecord, 0, len(wire.Claims))
+		for _, claim := range wire.Claims {
+			claims = append(claims, claim.value())
+		}
+		checkpoint = almondcross.NewClaimCheckpoint(almondcross.ClaimCheckpointConfig{
+			Id: wire.ID, Part: wire.Part, Parts: wire.Parts, Covered: wire.Covered,
+			Claims: claims, Offset: record.Offset(),
+		})
+		return claim, checkpoint, true, nil
+	default:
+		return claim, checkpoint, false, errors.Annotatef(ErrUnknown, "record type %q", sealed.Type)
+	}
+}
+
+// EncodeUsage returns the body of a usage record.
+func (codec Codec) EncodeUsage(batch almondcross.UsageBatch) ([]byte, error) {
+	config := batch.Config()
+	wire := wireUsageBatch{
+		Member: toMemberID(config.Member), DataCentre: config.DataCentre, Sequence: config.Sequence,
+		From: config.From, To: config.To, Lines: make([]wireUsageLine, 0, len(config.Lines)),
+		Incomplete: config.Incomplete, Final: config.Final,
+	}
+	for _, line := range config.Lines {
+		wire.Lines = append(wire.Lines, wireUsageLine(line.Config()))
+	}
+	return codec.seal(recordUsage, wire)
+}
+
+// DecodeUsage returns the usage batch of a record of an account stream.
+func (codec Codec) DecodeUsage(record almondcross.Record) (almondcross.UsageBatch, error) {
+	var wire wireUsageBatch
+	if _, err := codec.openRecord(record, &wire, recordUsage); err != nil {
+		return almondcross.UsageBatch{}, err
+	}
+	lines := make([]almondcross.UsageLine, 0, len(wire.Lines))
+	for _, line := range wire.Lines {
+		lines = append(lines, almondcross.NewUsageLine(almondcross.UsageLineConfig(line)))
+	}
+	return almondcross.NewUsageBatch(almondcross.UsageBatchConfig{
+		Member: wire.Member.value(), DataCentre: wire.DataCentre, Sequence: wire.Sequence,
+		From: wire.From, To: wire.To, Lines: lines, Incomplete: wire.Incomplete, Final: wire.Final,
+	}), nil
+}
+
+// EncodeAnswer returns the body of a record of an answers stream.
+func (codec Codec) EncodeAnswer(outcome almondcross.Outcome) ([]byte, error) {
+	return codec.seal(recordAnswer, toOutcome(outcome))
+}
+
+// DecodeAnswer returns the outcome of a record of an answers stream.
+func (codec Codec) DecodeAnswer(record almondcross.Record) (almondcross.Outcome, error) {
+	var wire wireOutcome
+	if _, err := codec.openRecord(record, &wire, recordAnswer); err != nil {
+		return almondcross.Outcome{}, err
+	}
+	return wire.value(), nil
+}
--- /dev/null
+++ b/encoder/wire.go
@@ -0,0 +1,208 @@
+package encoder
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+
+	"github.com/almondcross/almondcross"
+)
+
+// Limits of the CBOR decoder. A hostile frame of MaxFrame bytes could otherwise name more
+// elements than memory holds, since an empty element takes one byte on the wire and far more here.
+const (
+	// MaxFrame is the largest encoded message or record, in bytes.
+	MaxFrame    = 1 << 20
+	maxElements = 1 << 16
+	maxNesting  = 16
+)
+
+// Errors of the encoder.
+const (
+	ErrTooLarge  = errors.ConstError("the encoded message is larger than 1 MiB")
+	ErrMalformed = errors.ConstError("the message cannot be decoded")
+	ErrUnknown   = errors.ConstError("the message has an unknown type")
+)
+
+// Codec encodes peer messages and bodies of log records as CBOR; it has no state.
+type Codec struct {
+	encoding cbor.EncMode
+	decoding cbor.DecMode
+}
+
+// NewCodec returns a codec.
+func NewCodec() (Codec, error) {
+	encoding, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
+	if err != nil {
+		return Codec{}, errors.Annotate(err, "building the CBOR encoder")
+	}
+	decoding, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		MaxArrayElements: maxElements,
+		MaxMapPairs:      maxElements,
+		MaxNestedLevels:  maxNesting,
+		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
+	}.DecMode()
+	if err != nil {
+		return Codec{}, errors.Annotate(err, "building the CBOR decoder")
+	}
+	return Codec{encoding: encoding, decoding: decoding}, nil
+}
+
+// envelope names the type of a body.
+type envelope struct {
+	Type string          `cbor:"type"`
+	Body cbor.RawMessage `cbor:"body"`
+}
+
+func (codec Codec) seal(name string, body any) ([]byte, error) {
+	raw, err := codec.encoding.Marshal(body)
+	if err != nil {
+		return nil, errors.Annotatef(err, "encoding %s", name)
+	}
+	data, err := codec.encoding.Marshal(envelope{Type: name, Body: raw})
+	if err != nil {
+		return nil, errors.Annotatef(err, "encoding the envelope of %s", name)
+	}
+	if len(data) > MaxFrame {
+		return nil, errors.Annotatef(ErrTooLarge, "%s takes %d bytes", name, len(data))
+	}
+	return data, nil
+}
+
+func (codec Codec) open(data []byte) (envelope, error) {
+	if len(data) > MaxFrame {
+		return envelope{}, errors.Trace(ErrTooLarge)
+	}
+	var sealed envelope
+	if err := codec.decoding.Unmarshal(data, &sealed); err != nil {
+		return envelope{}, errors.Annotate(ErrMalformed, err.Error())
+	}
+	return sealed, nil
+}
+
+func (codec Codec) body(sealed envelope, body any) error {
+	if err := codec.decoding.Unmarshal(sealed.Body, body); err != nil {
+		return errors.Annotatef(ErrMalformed, "%s: %v", sealed.Type, err)
+	}
+	return nil
+}
+
+type wireKey struct {
+	Caller string `cbor:"caller,omitempty"`
+	Origin string `cbor:"origin,omitempty"`
+	Name   string `cbor:"name,omitempty"`
+}
+
+func toKey(key almondcross.Key) wireKey     { return wireKey(key.Config()) }
+func (wire wireKey) value() almondcross.Key { return almondcross.NewKey(almondcross.KeyConfig(wire)) }
+
+type wireTaskID struct {
+	Key   wireKey `cbor:"key"`
+	Index int     `cbor:"index,omitempty"`
+}
+
+func toTaskID(id almondcross.TaskID) wireTaskID {
+	return wireTaskID{Key: toKey(id.Key()), Index: id.Index()}
+}
+
+func (wire wireTaskID) value() almondcross.TaskID {
+	return almondcross.NewTaskID(almondcross.TaskIDConfig{Key: wire.Key.value(), Index: wire.Index})
+}
+
+type wireResources struct {
+	MilliCPU     int64 `cbor:"milli_cpu,omitempty"`
+	MemoryMB     int64 `cbor:"memory_mb,omitempty"`
+	Accelerators int64 `cbor:"accelerators,omitempty"`
+	Slots        int64 `cbor:"slots,omitempty"`
+}
+
+func toResources(resources almondcross.Resources) wireResources {
+	return wireResources(resources.Config())
+}
+
+func (wire wireResources) value() almondcross.Resources {
+	return almondcross.NewResources(almondcross.ResourcesConfig(wire))
+}
+
+type wireMemberID struct {
+	Name        string `cbor:"name,omitempty"`
+	Incarnation uint64 `cbor:"incarnation,omitempty"`
+}
+
+func toMemberID(id almondcross.MemberID) wireMemberID { return wireMemberID(id.Config()) }
+
+func (wire wireMemberID) value() almondcross.MemberID {
+	return almondcross.NewMemberID(almondcross.MemberIDConfig(wire))
+}
+
+type wireTerm struct {
+	Boot    uint64 `cbor:"boot,omitempty"`
+	Counter uint64 `cbor:"counter,omitempty"`
+}
+
+func toTerm(term almondcross.Term) wireTerm { return wireTerm(term.Config()) }
+func (wire wireTerm) value() almondcross.Term {
+	return almondcross.NewTerm(almondcross.TermConfig(wire))
+}
+
+type wireEntry struct {
+	Name        string             `cbor:"name"`
+	Owner       string             `cbor:"owner,omitempty"`
+	Class       almondcross.Class  `cbor:"class,omitempty"`
+	Resources   wireResources      `cbor:"resources"`
+	Replicas    int                `cbor:"replicas,omitempty"`
+	Tasks       int                `cbor:"tasks,omitempty"`
+	MaxRunning  int                `cbor:"max_running,omitempty"`
+	MaxWaiting  int                `cbor:"max_waiting,omitempty"`
+	Timeout     time.Duration      `cbor:"timeout,omitempty"`
+	MaxRun      time.Duration      `cbor:"max_run,omitempty"`
+	ExpectedRun time.Duration      `cbor:"expected_run,omitempty"`
+	Share       int64              `cbor:"share,omitempty"`
+	Repeatable  bool               `cbor:"repeatable,omitempty"`
+	Urgent      bool               `cbor:"urgent,omitempty"`
+	DataCentres []string           `cbor:"data_centres,omitempty"`
+	Version     almondcross.Offset `cbor:"version,omitempty"`
+}
+
+func toEntry(entry almondcross.Entry) wireEntry {
+	config := entry.Config()
+	return wireEntry{
+		Name: config.Name, Owner: config.Owner, Class: config.Class, Resources: toResources(config.Resources),
+		Replicas: config.Replicas, Tasks: config.Tasks, MaxRunning: config.MaxRunning, MaxWaiting: config.MaxWaiting,
+		Timeout: config.Timeout, MaxRun: config.MaxRun, ExpectedRun: config.ExpectedRun, Share: config.Share,
+		Repeatable: config.Repeatable, Urgent: config.Urgent, DataCentres: config.DataCentres, Version: config.Version,
+	}
+}
+
+func (wire wireEntry) value() almondcross.Entry {
+	return almondcross.NewEntry(almondcross.EntryConfig{
+		Name: wire.Name, Owner: wire.Owner, Class: wire.Class, Resources: wire.Resources.value(),
+		Replicas: wire.Replicas, Tasks: wire.Tasks, MaxRunning: wire.MaxRunning, MaxWaiting: wire.MaxWaiting,
+		Timeout: wire.Timeout, MaxRun: wire.MaxRun, ExpectedRun: wire.ExpectedRun, Share: wire.Share,
+		Repeatable: wire.Repeatable, Urgent: wire.Urgent, DataCentres: wire.DataCentres, Version: wire.Version,
+	})
+}
+
+type wireCatalogue struct {
+	Offset  almondcross.Offset `cbor:"offset"`
+	Entries []wireEntry        `cbor:"entries"`
+}
+
+func toCatalogue(catalogue almondcross.Catalogue) wireCatalogue {
+	wire := wireCatalogue{Offset: catalogue.Offset(), Entries: make([]wireEntry, 0, catalogue.Len())}
+	for entry := range catalogue.Entries {
+		wire.Entries = append(wire.Entries, toEntry(entry))
+	}
+	return wire
+}
+
+func (wire wireCatalogue) value() almondcross.Catalogue {
+	entries := make([]almondcross.Entry, 0, len(wire.Entries))
+	for _, entry := range wire.Entries {
+		entries = append(entries, entry.value())
+	}
+	return almondcross.NewCatalogueOf(wire.Offset, entries)
+}
--- /dev/null
+++ b/records.go
@@ -0,0 +1,144 @@
+package almondcross
+
+import "time"
+
+//go:generate go run ./tools/valuer -output records_generated.go records.go
+
+// CatalogueCheckpoint is a whole catalogue with what a reducer needs to go on from its offset.
+//
+//value:generate
+type CatalogueCheckpoint struct {
+	catalogue Catalogue   // the catalogue at its offset
+	ids       []string    // the ids of the last records read, by which a repeated record is recognised
+	audit     []AuditLine // the last lines of the audit trail, in log order
+}
+
+// ClaimCheckpoint is one part of a copy of the claims table.
+//
+//value:generate
+type ClaimCheckpoint struct {
+	id      string        // the id of the checkpoint, the same for all its parts
+	part    int           // the number of the part, from 0
+	parts   int           // the number of parts
+	covered Offset        // the offset of the last record that the checkpoint covers
+	claims  []ClaimRecord // the records that decide the keys of this part
+	offset  Offset        // the offset of the record, set by the log
+}
+
+// CatalogueCheckpointRead tells the cataloguer of a checkpoint from the log.
+//
+//value:generate
+type CatalogueCheckpointRead struct {
+	checkpoint CatalogueCheckpoint // the checkpoint
+}
+
+// CatalogueTick lets the cataloguer check its time limits.
+//
+//value:generate
+type CatalogueTick struct {
+	writer bool // whether this host is the one that writes checkpoints
+}
+
+// ClaimCheckpointRead tells the claimer of a checkpoint part in the claims stream.
+//
+//value:generate
+type ClaimCheckpointRead struct {
+	checkpoint ClaimCheckpoint // the part
+	next       Offset          // the offset to read from next
+}
+
+// ClaimsTrimmed tells the claimer that the log no longer keeps the records before a time.
+//
+//value:generate
+type ClaimsTrimmed struct {
+	since time.Time // the time at which the log took the oldest record that it keeps
+}
+
+// ClaimTick lets the claimer check its time limits.
+//
+//value:generate
+type ClaimTick struct {
+	writer  bool // whether this host is the one that writes checkpoints
+	logDown bool // whether the last append to the claims stream failed
+}
+
+// AnswerAppended tells the claimer where the answer of a key was stored.
+//
+//value:generate
+type AnswerAppended struct {
+	outcome Outcome      // the outcome with the answer
+	offset  Offset       // the offset of the answer, -1 when it is not known
+	result  AppendResult // how the append ended
+}
+
+// Hello is the first frame of a link; it names the member that sends on it.
+//
+//value:generate
+type Hello struct {
+	name string // the name of the entry host that sends on the link
+}
+
+func (CatalogueCheckpointRead) cataloguerMessage() {}
+func (CatalogueTick) cataloguerMessage()           {}
+func (PeerCatalogueRequest) cataloguerMessage()    {}
+
+func (ClaimCheckpointRead) claimerMessage() {}
+func (ClaimsTrimmed) claimerMessage()       {}
+func (ClaimTick) claimerMessage()           {}
+func (AnswerAppended) claimerMessage()      {}
+func (ViewChanged) claimerMessage()         {}
+
+func (Hello) peerMessage() {}
+
+// CatalogueCodec encodes the bodies of the catalogue streams.
+type CatalogueCodec interface {
+	EncodeChange(change CatalogueChange) ([]byte, error)
+	// DecodeChange sets the id, the offset and the time of the record.
+	DecodeChange(record Record) (CatalogueChange, error)
+	EncodeCatalogueCheckpoint(checkpoint CatalogueCheckpoint) ([]byte, error)
+	DecodeCatalogueCheckpoint(record Record) (CatalogueCheckpoint, error)
+}
+
+// ClaimCodec encodes the bodies of the claims stream and of the answers streams.
+type ClaimCodec interface {
+	EncodeClaim(claim ClaimRecord) ([]byte, error)
+	EncodeClaimCheckpoint(checkpoint ClaimCheckpoint) ([]byte, error)
+	// DecodeClaim returns either a claim record or, with checkpoint true, a part of a checkpoint.
+	DecodeClaim(record Record) (claim ClaimRecord, part ClaimCheckpoint, checkpoint bool, err error)
+	EncodeAnswer(outcome Outcome) ([]byte, error)
+	DecodeAnswer(record Record) (Outcome, error)
+}
+
+// UsageCodec encodes the bodies of the account streams.
+type UsageCodec interface {
+	EncodeUsage(batch UsageBatch) ([]byte, error)
+	DecodeUsage(record Record) (UsageBatch, error)
+}
+
+// PeerCodec encodes the frames of links between entry hosts.
+type PeerCodec interface {
+	EncodePeer(message PeerMessage) ([]byte, error)
+	DecodePeer(frame []byte) (PeerMessage, error)
+}
+
+// LocatingAppender appends one record and tells at which offset the log stored it.
+type LocatingAppender interface {
+	// AppendLocated queues a record and reports false when the queue is full or the log is known
+	// to be down; the answer does not block, and its offset is -1 when it is not known.
+	AppendLocated(record Record, answer func(offset Offset, result AppendResult)) bool
+}
+
+// AuditViewer gives the audit trail of the catalogue, in log order.
+type AuditViewer interface {
+	// AuditLines returns the lines that are kept.
+	AuditLines() []AuditLine
+}
+
+// NewCatalogueOf returns a catalogue that covers the log up to an offset and holds the entries.
+func NewCatalogueOf(offset Offset, entries []Entry) Catalogue {
+	catalogue := Catalogue{offset: offset, entries: make(map[string]Entry, len(entries))}
+	for _, entry := range entries {
+		catalogue.entries[entry.name] = entry
+	}
+	return catalogue
+}
