--- a/command/appender/settle.go
+++ b/command/appender/settle.go
@@ -31,6 +31,8 @@
 	floor := appender.floor
 	batch = appender.answerFound(ctx, batch, floor)
 	if len(batch) == 0 {
+		// The append succeeded and only its answer was lost.
+		appender.setDown(false, nil)
 		return
 	}
 	if first, result := appender.append(ctx, flatten(batch)); result == almondcross.AppendTaken {
--- a/standin/memory/log.go
+++ b/standin/memory/log.go
@@ -109,7 +109,7 @@
 		first = kept.end()
 		added := append([]almondcross.Record(nil), kept.records...)
 		for index, record := range records {
-			added = append(added, record.WithOffset(first+almondcross.Offset(index)).WithAppended(log.clock.Now()))
+			added = append(added, record.WithOffset(first+almondcross.Offset(index)).WithAppended(log.clock.Now().Round(0).UTC()))
 		}
 		kept.records = added
 		state.streams[name] = kept
