--- a/standin/provider/live.go
+++ b/standin/provider/live.go
@@ -11,8 +11,8 @@
 
 	"github.com/almondcross/almondcross"
 	"github.com/almondcross/almondcross/encoder"
-	"github.com/almondcross/almondcross/standin/answerer"
 	"github.com/almondcross/almondcross/ring"
+	"github.com/almondcross/almondcross/standin/answerer"
 )
 
 // stateGone is the state of a host that the live list leaves out.
--- a/standin/provider/provider.go
+++ b/standin/provider/provider.go
@@ -13,8 +13,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/almondcross/almondcross/encoder"
-	"github.com/almondcross/almondcross/standin/answerer"
 	"github.com/almondcross/almondcross/ring"
+	"github.com/almondcross/almondcross/standin/answerer"
 )
 
 const (
--- a/standin/provider/streams.go
+++ b/standin/provider/streams.go
@@ -9,8 +9,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/almondcross/almondcross/encoder"
-	"github.com/almondcross/almondcross/standin/answerer"
 	"github.com/almondcross/almondcross/ring"
+	"github.com/almondcross/almondcross/standin/answerer"
 )
 
 const (
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -14,8 +14,8 @@
 
 	"github.com/almondcross/almondcross"
 	"github.com/almondcross/almondcross/encoder"
-	"github.com/almondcross/almondcross/standin/answerer"
 	"github.com/almondcross/almondcross/ring"
+	"github.com/almondcross/almondcross/standin/answerer"
 )
 
 const (
