--- a/command/coordinator/report.go
+++ b/command/coordinator/report.go
@@ -67,6 +67,12 @@
 		machine.backOff(record, message.Code(), now)
 		return
 	}
+	if placerUnfit(message.Code()) && !record.claimed && !record.anyStarted() {
+		machine.stopTasks(record, message.Code())
+		record.tasks = nil
+		machine.hold(record, now.Add(heldRecheck), message.Code(), now)
+		return
+	}
 	if len(record.tasks) > 1 {
 		machine.stopTasks(record, message.Code())
 		if record.anyStarted() {
@@ -79,6 +85,12 @@
 	machine.finish(record, outcome.WithRetryAfter(retryAfter), now)
 }
 
+// placerUnfit reports whether a refusal says nothing of the task: the holder had no link lease from
+// this member, or is stopping.
+func placerUnfit(code almondcross.Code) bool {
+	return code == almondcross.CodeNoStanding || code == almondcross.CodeStopping
+}
+
 func failedResult(task almondcross.Task, code almondcross.Code) almondcross.TaskResult {
 	return almondcross.NewTaskResult(almondcross.TaskResultConfig{Id: task.Id(), Attempt: task.Attempt(), Code: code})
 }
--- a/encoder/peer.go
+++ b/encoder/peer.go
@@ -28,6 +28,7 @@
 	peerLeaving          = "leaving"
 	peerLeavingAck       = "leaving_ack"
 	peerHandover         = "handover"
+	peerHandoverAck      = "handover_ack"
 	peerCatalogueRequest = "catalogue_request"
 	peerCatalogue        = "catalogue_snapshot"
 )
@@ -50,11 +51,13 @@
 	case almondcross.PeerReply:
 		return codec.seal(peerReply, wireReply{message.Correlation(), toOutcome(message.Outcome())})
 	case almondcross.PeerLeaving:
-		return codec.seal(peerLeaving, toLeaving(message))
+		return codec.seal(peerLeaving, wireLeaving{toMemberID(message.Member())})
 	case almondcross.PeerLeavingAck:
 		return codec.seal(peerLeavingAck, wireLeavingAck{toMemberID(message.Member())})
 	case almondcross.PeerHandover:
 		return codec.seal(peerHandover, toHandover(message))
+	case almondcross.PeerHandoverAck:
+		return codec.seal(peerHandoverAck, wireHandoverAck{toKey(message.Key()), toMemberID(message.Coordinator())})
 	case almondcross.PeerCatalogueRequest:
 		return codec.seal(peerCatalogueRequest, wireCatalogueRequest{toMemberID(message.Member()), message.Offset()})
 	case almondcross.PeerCatalogue:
@@ -129,6 +132,7 @@
 	peerLeaving:          decodeAs[wireLeaving],
 	peerLeavingAck:       decodeAs[wireLeavingAck],
 	peerHandover:         decodeAs[wireHandover],
+	peerHandoverAck:      decodeAs[wireHandoverAck],
 	peerCatalogueRequest: decodeAs[wireCatalogueRequest],
 	peerCatalogue:        decodeAs[wirePeerCatalogue],
 }
--- a/encoder/peerwire.go
+++ b/encoder/peerwire.go
@@ -71,15 +71,18 @@
 	Member   wireMemberID `cbor:"member"`
 	Sequence uint64       `cbor:"sequence"`
 	Rejoin   bool         `cbor:"rejoin,omitempty"`
+	Known    uint64       `cbor:"known,omitempty"`
 }
 
 func toPong(pong almondcross.PeerPong) wirePong {
-	return wirePong{Member: toMemberID(pong.Member()), Sequence: pong.Sequence(), Rejoin: pong.Rejoin()}
+	return wirePong{
+		Member: toMemberID(pong.Member()), Sequence: pong.Sequence(), Rejoin: pong.Rejoin(), Known: pong.Known(),
+	}
 }
 
 func (wire wirePong) message() almondcross.PeerMessage {
 	return almondcross.NewPeerPong(almondcross.PeerPongConfig{
-		Member: wire.Member.value(), Sequence: wire.Sequence, Rejoin: wire.Rejoin,
+		Member: wire.Member.value(), Sequence: wire.Sequence, Rejoin: wire.Rejoin, Known: wire.Known,
 	})
 }
 
@@ -128,23 +131,10 @@
 
 type wireLeaving struct {
 	Member wireMemberID `cbor:"member"`
-	Keys   []wireKey    `cbor:"keys"`
-}
-
-func toLeaving(leaving almondcross.PeerLeaving) wireLeaving {
-	wire := wireLeaving{Member: toMemberID(leaving.Member()), Keys: make([]wireKey, 0, len(leaving.Keys()))}
-	for _, key := range leaving.Keys() {
-		wire.Keys = append(wire.Keys, toKey(key))
-	}
-	return wire
 }
 
 func (wire wireLeaving) message() almondcross.PeerMessage {
-	keys := make([]almondcross.Key, 0, len(wire.Keys))
-	for _, key := range wire.Keys {
-		keys = append(keys, key.value())
-	}
-	return almondcross.NewPeerLeaving(almondcross.PeerLeavingConfig{Member: wire.Member.value(), Keys: keys})
+	return almondcross.NewPeerLeaving(almondcross.PeerLeavingConfig{Member: wire.Member.value()})
 }
 
 type wireLeavingAck struct {
@@ -156,25 +146,36 @@
 }
 
 type wireHandover struct {
+	From    wireMemberID `cbor:"from"`
 	Request wireRequest  `cbor:"request"`
 	Task    wireTask     `cbor:"task"`
 	Holder  wireMemberID `cbor:"holder"`
 	Target  string       `cbor:"target,omitempty"`
 	Term    wireTerm     `cbor:"term"`
-	Outcome wireOutcome  `cbor:"outcome"`
 }
 
 func toHandover(handover almondcross.PeerHandover) wireHandover {
 	return wireHandover{
-		Request: toRequest(handover.Request()), Task: toTask(handover.Task()), Holder: toMemberID(handover.Holder()),
-		Target: handover.Target(), Term: toTerm(handover.Term()), Outcome: toOutcome(handover.Outcome()),
+		From: toMemberID(handover.From()), Request: toRequest(handover.Request()), Task: toTask(handover.Task()),
+		Holder: toMemberID(handover.Holder()), Target: handover.Target(), Term: toTerm(handover.Term()),
 	}
 }
 
 func (wire wireHandover) message() almondcross.PeerMessage {
 	return almondcross.NewPeerHandover(almondcross.PeerHandoverConfig{
-		Request: wire.Request.value(), Task: wire.Task.value(), Holder: wire.Holder.value(),
-		Target: wire.Target, Term: wire.Term.value(), Outcome: wire.Outcome.value(),
+		From: wire.From.value(), Request: wire.Request.value(), Task: wire.Task.value(),
+		Holder: wire.Holder.value(), Target: wire.Target, Term: wire.Term.value(),
+	})
+}
+
+type wireHandoverAck struct {
+	Key         wireKey      `cbor:"key"`
+	Coordinator wireMemberID `cbor:"coordinator"`
+}
+
+func (wire wireHandoverAck) message() almondcross.PeerMessage {
+	return almondcross.NewPeerHandoverAck(almondcross.PeerHandoverAckConfig{
+		Key: wire.Key.value(), Coordinator: wire.Coordinator.value(),
 	})
 }
 
