--- a/command/coordinator/adopt.go
+++ b/command/coordinator/adopt.go
@@ -53,6 +53,7 @@
 	}
 	task.task = message.Task().WithCoordinator(machine.self())
 	task.started, task.holder, task.target, task.term = true, message.Holder(), message.Target(), message.Term()
+	machine.watchHolders(record, now)
 	machine.tell(record, "adopted", almondcross.CodeNone, message.Target(), now)
 	machine.answerAdoption(message, true)
 	if record.allStarted() {
@@ -123,7 +124,7 @@
 	if !ok || coordinator.Id() == machine.self() || record.phase != phaseRunning {
 		return
 	}
-	if len(record.tasks) > 1 && record.anyEnded() {
+	if len(record.tasks) > 1 && record.anyEnded() || !record.lostAt.IsZero() {
 		// Results that were already received would be lost; the key stays until it ends.
 		return
 	}
--- a/command/coordinator/claim.go
+++ b/command/coordinator/claim.go
@@ -26,7 +26,9 @@
 	case message.Code() == almondcross.CodeClaimedElsewhere:
 		machine.finish(record, outcomeOf(message.Key(), almondcross.StatusUnknown, message.Code()), now)
 	default:
-		machine.finish(record, outcomeOf(message.Key(), almondcross.StatusNotRun, message.Code()), now)
+		// The claim was certainly not appended, but another member, or this one long ago, may have
+		// claimed the key: the claimer knows only what it has read.
+		machine.finish(record, machine.outcomeWithoutStart(record, message.Code(), now), now)
 	}
 }
 
--- a/command/coordinator/machine.go
+++ b/command/coordinator/machine.go
@@ -1,6 +1,8 @@
 package coordinator
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/almondcross/almondcross"
@@ -46,6 +48,7 @@
 type Machine struct {
 	view       almondcross.View
 	catalogue  almondcross.Catalogue
+	services   []almondcross.Entry // services holds the service entries in order of name.
 	keys       map[almondcross.Key]*record
 	ended      []almondcross.Key // ended holds ended keys in order of their end.
 	forwards   map[uint64]*forward
@@ -88,7 +91,7 @@
 	case almondcross.ViewChanged:
 		machine.changeView(message.View(), now)
 	case almondcross.CatalogueChanged:
-		machine.catalogue = message.Catalogue()
+		machine.setCatalogue(message.Catalogue())
 		machine.reconcileServices(now)
 	case almondcross.DrainCoordinator:
 		machine.draining = true
@@ -100,6 +103,8 @@
 
 func (machine *Machine) applyReport(message almondcross.CoordinatorMessage, now time.Time) {
 	switch message := message.(type) {
+	case almondcross.TaskForwarded:
+		machine.taskForwarded(message, now)
 	case almondcross.TaskStarted:
 		machine.taskStarted(message, now)
 	case almondcross.TaskRefused:
@@ -137,6 +142,33 @@
 // Draining reports whether a planned stop has begun.
 func (machine *Machine) Draining() bool { return machine.draining }
 
+func (machine *Machine) setCatalogue(catalogue almondcross.Catalogue) {
+	machine.catalogue, machine.services = catalogue, nil
+	for entry := range catalogue.Entries {
+		if entry.Class() == almondcross.ClassService {
+			machine.services = append(machine.services, entry)
+		}
+	}
+	slices.SortFunc(machine.services, func(first, second almondcross.Entry) int {
+		return strings.Compare(first.Name(), second.Name())
+	})
+}
+
+// sorted returns the matching records in order of key. Go's map order is random, and a seed must
+// give the same history each time.
+func (machine *Machine) sorted(match func(record *record) bool) []*record {
+	var records []*record
+	for _, record := range machine.keys {
+		if match(record) {
+			records = append(records, record)
+		}
+	}
+	slices.SortFunc(records, func(first, second *record) int {
+		return first.request.Key().Compare(second.request.Key())
+	})
+	return records
+}
+
 func (machine *Machine) take() []Effect {
 	effects := machine.effects
 	machine.effects = nil
--- a/command/coordinator/record.go
+++ b/command/coordinator/record.go
@@ -61,6 +61,7 @@
 	deadline    time.Time // deadline is the time after which a start is useless; zero for none.
 	endedAt     time.Time
 	retryAt     time.Time
+	lostAt      time.Time // lostAt is the time from which tasks of a lost holder have certainly stopped; zero for none.
 	handoverAt  time.Time // handoverAt is the time at which the handover was last sent.
 	standing    bool      // standing marks a service replica, which is kept running.
 	claimed     bool      // claimed is set when the key was claimed by this member.
--- a/command/coordinator/report.go
+++ b/command/coordinator/report.go
@@ -16,6 +16,15 @@
 	return record, &record.tasks[id.Index()]
 }
 
+func (machine *Machine) taskForwarded(message almondcross.TaskForwarded, now time.Time) {
+	record, task := machine.find(message.Id(), message.Attempt())
+	if record == nil || task.started {
+		return
+	}
+	task.holder = message.Holder()
+	machine.watchHolders(record, now)
+}
+
 func (machine *Machine) taskStarted(message almondcross.TaskStarted, now time.Time) {
 	record, task := machine.find(message.Id(), message.Attempt())
 	if record == nil {
@@ -26,6 +35,7 @@
 		return
 	}
 	task.started, task.holder, task.target, task.term = true, message.Holder(), message.Target(), message.Term()
+	machine.watchHolders(record, now)
 	machine.tell(record, "started", almondcross.CodeNone, message.Target(), now)
 	if record.allStarted() {
 		record.phase = phaseRunning
--- a/command/coordinator/search.go
+++ b/command/coordinator/search.go
@@ -1,6 +1,8 @@
 package coordinator
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/almondcross/almondcross"
@@ -21,7 +23,8 @@
 
 // repeatLookups sends the lookups that are due and goes on when none is left.
 func (machine *Machine) repeatLookups(record *record, now time.Time) {
-	for name, asked := range record.lookups {
+	for _, name := range slices.Sorted(maps.Keys(record.lookups)) {
+		asked := record.lookups[name]
 		peer, ok := machine.view.Peers()[name]
 		if !ok {
 			// A lost peer is covered by the hold-back.
@@ -81,7 +84,8 @@
 	if !moved {
 		return
 	}
-	for correlation, entry := range machine.forwards {
+	for _, correlation := range slices.Sorted(maps.Keys(machine.forwards)) {
+		entry := machine.forwards[correlation]
 		if view.Contains(entry.member) {
 			continue
 		}
@@ -91,11 +95,13 @@
 		}
 		machine.expireForward(correlation, now)
 	}
-	for _, record := range machine.keys {
+	for _, record := range machine.sorted(func(record *record) bool { return record.phase != phaseEnded }) {
 		switch record.phase {
-		case phaseLooking:
-			machine.repeatLookups(record, now)
-		case phaseRunning:
+		case phaseLooking, phaseHeld:
+			// Answers that were given before the change do not count: the key may have moved.
+			machine.begin(record, now)
+		case phasePlaced, phaseRunning:
+			machine.watchHolders(record, now)
 			machine.offerHandover(record, now)
 		}
 	}
@@ -120,17 +126,11 @@
 // the keys may have new coordinators. Waiting callers are routed again, and holders report the
 // running tasks to the current coordinators.
 func (machine *Machine) surrender(now time.Time) {
-	var waiting []*record
-	for _, record := range machine.keys {
-		if record.phase == phaseEnded {
-			continue
-		}
+	surrendered := machine.sorted(func(record *record) bool { return record.phase != phaseEnded })
+	for _, record := range surrendered {
 		machine.drop(record)
-		if len(record.waiters) > 0 {
-			waiting = append(waiting, record)
-		}
 	}
-	for _, record := range waiting {
+	for _, record := range surrendered {
 		for _, waiter := range record.waiters {
 			machine.submitAgain(record.request, waiter, now)
 		}
--- a/command/coordinator/service.go
+++ b/command/coordinator/service.go
@@ -14,18 +14,20 @@
 		return
 	}
 	dataCentre := machine.view.Self().DataCentre()
-	for entry := range machine.catalogue.Entries {
-		if entry.Class() != almondcross.ClassService || !entry.RunsIn(dataCentre) {
+	for _, entry := range machine.services {
+		if !entry.RunsIn(dataCentre) {
 			continue
 		}
 		for replica := range entry.Replicas() {
 			machine.ensureReplica(entry, replicaKey(entry.Name(), dataCentre, replica), now)
 		}
 	}
-	for _, record := range machine.keys {
-		if record.standing && !machine.wanted(record) {
+	for _, record := range machine.sorted(func(record *record) bool { return record.standing }) {
+		if !machine.wanted(record) {
 			machine.retire(record, now)
+			continue
 		}
+		machine.leaveMoved(record)
 	}
 }
 
@@ -80,7 +82,8 @@
 
 // backOff places a service replica again after a pause that grows with each failure.
 func (machine *Machine) backOff(record *record, code almondcross.Code, now time.Time) {
-	if record.removed {
+	coordinator, ok := machine.view.Coordinator(record.request.Key())
+	if record.removed || ok && coordinator.Id() != machine.self() {
 		machine.drop(record)
 		return
 	}
--- a/command/coordinator/submit.go
+++ b/command/coordinator/submit.go
@@ -90,6 +90,10 @@
 // begin checks the entry and finds out whether another member may know the key.
 func (machine *Machine) begin(record *record, now time.Time) {
 	key, issuedAt := record.request.Key(), record.request.IssuedAt()
+	if coordinator, ok := machine.view.Coordinator(key); !ok || coordinator.Id() != machine.self() {
+		machine.moveOn(record, now)
+		return
+	}
 	settled := machine.view.Settled(key, issuedAt)
 	entry, ok := machine.catalogue.Entry(record.request.Entry())
 	if !ok || !entry.RunsIn(machine.view.Self().DataCentre()) {
--- a/command/coordinator/timers.go
+++ b/command/coordinator/timers.go
@@ -94,7 +94,8 @@
 		if !now.Before(record.retryAt) {
 			machine.begin(record, now)
 		}
-	case phaseRunning:
+	case phasePlaced, phaseRunning:
+		machine.loseHolders(record, now)
 		machine.offerHandover(record, now)
 	}
 }
--- a/command/dispatcher/dispatcher.go
+++ b/command/dispatcher/dispatcher.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -17,8 +16,6 @@
 	// callTimeout bounds one call to a worker. It is less than the lease, so that an unanswered
 	// renewal leaves time to acquire again.
 	callTimeout = time.Second
-	// acquireRetry is the mean time between two attempts to acquire a lease that is not granted.
-	acquireRetry = 500 * time.Millisecond
 	// usableLease is the part of the lease, counted from the sending of the last answered renewal,
 	// in which the dispatcher sends starts; the rest covers clock drift.
 	usableLease = almondcross.HolderLease * 9 / 10
@@ -96,18 +93,16 @@
 	return 0, false
 }
 
-// keepLease renews the lease, or acquires it when there is none.
+// keepLease renews the lease, or tries once to acquire it when there is none; the placer decides
+// when to try again.
 func (dispatcher *Dispatcher) keepLease(ctx context.Context) (time.Duration, bool) {
 	if !dispatcher.wanted {
 		return 0, false
 	}
-	if dispatcher.holding && dispatcher.renew(ctx) {
-		return almondcross.RenewInterval, true
+	if dispatcher.holding {
+		return almondcross.RenewInterval, dispatcher.renew(ctx)
 	}
-	if dispatcher.acquire(ctx) {
-		return almondcross.RenewInterval, true
-	}
-	return acquireRetry/2 + rand.N(acquireRetry), true
+	return almondcross.RenewInterval, dispatcher.acquire(ctx)
 }
 
 func (dispatcher *Dispatcher) acquire(ctx context.Context) bool {
@@ -116,6 +111,10 @@
 	sent := dispatcher.config.Clock.Now()
 	grant, err := dispatcher.config.Commander.Acquire(call, dispatcher.target, dispatcher.config.Members.View().Self().Id())
 	if err != nil {
+		dispatcher.wanted = false
+		dispatcher.put(ctx, almondcross.NewTargetReleased(almondcross.TargetReleasedConfig{
+			Target: dispatcher.target.Name(), Code: almondcross.CodeTargetLost,
+		}))
 		return false
 	}
 	dispatcher.counters.acquired.Inc()
@@ -151,9 +150,12 @@
 		Target: dispatcher.target.Name(), Term: message.Term(),
 		Id: message.Task().Id(), Attempt: message.Task().Attempt(), Accepted: true,
 	}
+	if message.Term() != dispatcher.term || !dispatcher.holding {
+		// The placer was told of the end of that term and knows that the start was not answered.
+		return 0, false
+	}
 	if !dispatcher.usable(message.Term()) {
-		answer.Accepted, answer.Code = false, almondcross.CodeTargetLost
-		dispatcher.put(ctx, almondcross.NewStartAnswered(answer))
+		dispatcher.lose(ctx, almondcross.ErrTermStale)
 		return 0, false
 	}
 	call, cancel := context.WithTimeout(ctx, callTimeout)
@@ -164,21 +166,23 @@
 		dispatcher.counters.started.Inc()
 	case errors.Is(err, almondcross.ErrTargetRefused), errors.Is(err, almondcross.ErrTargetLeaving):
 		dispatcher.counters.refused.Inc()
-		answer.Accepted, answer.Code = false, almondcross.CodeTaskFailed
-	case errors.Is(err, almondcross.ErrTermStale):
-		answer.Accepted, answer.Code = false, almondcross.CodeTargetLost
-		dispatcher.put(ctx, almondcross.NewStartAnswered(answer))
-		dispatcher.lose(ctx, err)
-		return dispatcher.keepLease(ctx)
+		answer.Accepted, answer.Code = false, refusalCode(err)
 	default:
-		// Whether the task runs is not known; the inventory of the next grant tells.
+		// The term ended, or whether the task runs is not known; the inventory of the next grant tells.
 		dispatcher.lose(ctx, err)
-		return dispatcher.keepLease(ctx)
+		return 0, false
 	}
 	dispatcher.put(ctx, almondcross.NewStartAnswered(answer))
 	return 0, false
 }
 
+func refusalCode(err error) almondcross.Code {
+	if errors.Is(err, almondcross.ErrTargetLeaving) {
+		return almondcross.CodeStopping
+	}
+	return almondcross.CodeTaskFailed
+}
+
 // command sends a command to a running task; without an answer the term ends.
 func (dispatcher *Dispatcher) command(
 	ctx context.Context, term almondcross.Term, call func(context.Context) error,
@@ -193,7 +197,7 @@
 		return 0, false
 	}
 	dispatcher.lose(ctx, err)
-	return dispatcher.keepLease(ctx)
+	return 0, false
 }
 
 func (dispatcher *Dispatcher) usable(term almondcross.Term) bool {
@@ -226,6 +230,7 @@
 // report tells the placer that the term ended.
 func (dispatcher *Dispatcher) report(ctx context.Context, code almondcross.Code) {
 	term := dispatcher.term
+	dispatcher.wanted = false
 	dispatcher.endTerm()
 	dispatcher.put(ctx, almondcross.NewTargetReleased(almondcross.TargetReleasedConfig{
 		Target: dispatcher.target.Name(), Term: term, Code: code,
--- a/command/placer/adopt.go
+++ b/command/placer/adopt.go
@@ -3,9 +3,11 @@
 import "github.com/almondcross/almondcross"
 
 // nameable reports whether renewals may extend the task's lease: exactly the incarnation that
-// placed the task, or the one that confirmed its adoption, is in the view.
+// placed the task, or the one that confirmed its adoption, is in the view. A task of an earlier
+// holder needs the confirmation even when its coordinator is in the view: the coordinator may be
+// about to place it again, because the earlier holder was lost.
 func (machine *Machine) nameable(item *job) bool {
-	return !item.refused && machine.view.Contains(item.task.Coordinator())
+	return !item.refused && !item.unconfirmed && machine.view.Contains(item.task.Coordinator())
 }
 
 // sendRenewal tells the dispatcher which tasks the next renewals name.
--- a/command/placer/machine.go
+++ b/command/placer/machine.go
@@ -171,6 +171,9 @@
 func (machine *Machine) viewChanged(view almondcross.View) {
 	before := machine.view
 	machine.view, machine.self = view, view.Self().Id()
+	if before.Self().Id() != machine.self {
+		machine.unconfirmAll()
+	}
 	if sameMembers(before, view) {
 		return
 	}
@@ -178,7 +181,16 @@
 		machine.pursue(entry)
 		if entry.state == stateHeld && len(entry.jobs) > 0 {
 			machine.sendRenewal(entry)
-			machine.askAdoptions(entry, false)
+			machine.askAdoptions(entry, before.Self().Id() != machine.self)
+		}
+	}
+}
+
+// unconfirmAll asks again for every task: coordinators lost the incarnation that held them.
+func (machine *Machine) unconfirmAll() {
+	for _, entry := range machine.targets {
+		for _, item := range entry.jobs {
+			item.unconfirmed = true
 		}
 	}
 }
--- a/command/placer/queue.go
+++ b/command/placer/queue.go
@@ -262,6 +262,9 @@
 			Task: item.task.WithTimeout(remaining(item, machine.now)), Forwarded: true,
 		}),
 	})
+	machine.report(item.task.Coordinator(), almondcross.NewTaskForwarded(almondcross.TaskForwardedConfig{
+		Id: item.task.Id(), Attempt: item.task.Attempt(), Holder: best.Member().Id(),
+	}))
 	machine.story(item.task, "forwarded", item.waitCode, "", best.Member().Id().Name())
 	return true
 }
--- a/command/placer/target.go
+++ b/command/placer/target.go
@@ -276,6 +276,8 @@
 		known = machine.inherit(entry, task)
 	}
 	known.state, known.term, known.namedAt = jobRunning, entry.term, machine.now
+	// Another holder may have had the task since this host last held the target.
+	known.unconfirmed = true
 	machine.charge(known)
 	if known.haltCode != almondcross.CodeNone {
 		machine.halt(known, known.haltCode)
@@ -330,6 +332,12 @@
 		machine.leave(entry)
 	}
 	entry.state = stateIdle
+	if held && !asked && entry.listed && !machine.draining {
+		// The tasks of the target stop soon unless their leases are renewed, so the host that was
+		// the holder asks again at once even when another member is preferred.
+		machine.acquire(entry)
+		return
+	}
 	if asked {
 		machine.drop(entry)
 		entry.retryOther = true
--- a/command/registrar/machine.go
+++ b/command/registrar/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/almondcross/almondcross"
@@ -43,6 +44,7 @@
 	self       almondcross.Member
 	summary    almondcross.Summary
 	peers      map[string]*peerState
+	names      []string // names holds the names of the peers in order.
 	lost       map[string]almondcross.Loss
 	joinedWall time.Time
 	readyAt    time.Time
@@ -65,7 +67,9 @@
 	machine.recordLoss(config.Self.Id().WithIncarnation(0), config.Start)
 	for _, peer := range config.Peers {
 		machine.peers[peer.Name] = &peerState{config: peer, sentPings: map[uint64]time.Time{}}
+		machine.names = append(machine.names, peer.Name)
 	}
+	slices.Sort(machine.names)
 	return machine
 }
 
@@ -112,7 +116,8 @@
 	if gap > almondcross.PauseLimit {
 		machine.resume(gap, now)
 	}
-	for name, state := range machine.peers {
+	for _, name := range machine.names {
+		state := machine.peers[name]
 		if state.inView && now.Sub(state.peer.HeardAt()) > state.silenceLimit(machine.self) {
 			machine.remove(state, now)
 			changed = true
@@ -280,7 +285,8 @@
 	machine.self = machine.self.WithLeaving(true)
 	machine.joinedWall = now.Round(0)
 	var effects []Send
-	for name, state := range machine.peers {
+	for _, name := range machine.names {
+		state := machine.peers[name]
 		if !state.inView {
 			continue
 		}
--- a/encoder/codec_test.go
+++ b/encoder/codec_test.go
@@ -70,6 +70,7 @@
 		almondcross.NewPlaceTask(almondcross.PlaceTaskConfig{Task: task, Forwarded: true}),
 		almondcross.NewStopTask(almondcross.StopTaskConfig{Id: id, Attempt: 2, Code: almondcross.CodeCancelled}),
 		almondcross.NewTaskRefused(almondcross.TaskRefusedConfig{Id: id, Attempt: 2, Holder: holder, Code: almondcross.CodeNotHere, RetryAfter: 5}),
+		almondcross.NewTaskForwarded(almondcross.TaskForwardedConfig{Id: id, Attempt: 2, Holder: holder}),
 		almondcross.NewTaskStarted(almondcross.TaskStartedConfig{Id: id, Attempt: 2, Holder: holder, Target: "w1", Term: term}),
 		almondcross.NewTaskLost(almondcross.TaskLostConfig{Id: id, Attempt: 2, Holder: holder, Target: "w1", Term: term}),
 		almondcross.NewTaskEnded(almondcross.TaskEndedConfig{Result: result, Holder: holder, Target: "w1", Term: term}),
--- a/encoder/peer.go
+++ b/encoder/peer.go
@@ -20,6 +20,7 @@
 	peerPlace            = "place"
 	peerStop             = "stop"
 	peerPlaceRefused     = "place_refused"
+	peerTaskForwarded    = "task_forwarded"
 	peerTaskStarted      = "task_started"
 	peerTaskEnded        = "task_ended"
 	peerTaskLost         = "task_lost"
@@ -75,6 +76,10 @@
 		return codec.seal(peerStop, wireStop{toTaskID(message.Id()), message.Attempt(), message.Code()})
 	case almondcross.TaskRefused:
 		return codec.seal(peerPlaceRefused, toTaskRefused(message))
+	case almondcross.TaskForwarded:
+		return codec.seal(peerTaskForwarded, wireTaskForwarded{
+			toTaskID(message.Id()), message.Attempt(), toMemberID(message.Holder()),
+		})
 	case almondcross.TaskStarted:
 		return codec.seal(peerTaskStarted, wireTaskAt{
 			toTaskID(message.Id()), message.Attempt(), toMemberID(message.Holder()), message.Target(), toTerm(message.Term()),
@@ -124,6 +129,7 @@
 	peerPlace:            decodeAs[wirePlace],
 	peerStop:             decodeAs[wireStop],
 	peerPlaceRefused:     decodeAs[wireTaskRefused],
+	peerTaskForwarded:    decodeAs[wireTaskForwarded],
 	peerTaskStarted:      decodeAs[wireTaskStarted],
 	peerTaskEnded:        decodeAs[wireTaskEnded],
 	peerTaskLost:         decodeAs[wireTaskLost],
--- a/encoder/peerwire.go
+++ b/encoder/peerwire.go
@@ -237,6 +237,18 @@
 	})
 }
 
+type wireTaskForwarded struct {
+	ID      wireTaskID   `cbor:"id"`
+	Attempt int          `cbor:"attempt,omitempty"`
+	Holder  wireMemberID `cbor:"holder"`
+}
+
+func (wire wireTaskForwarded) message() almondcross.PeerMessage {
+	return almondcross.NewTaskForwarded(almondcross.TaskForwardedConfig{
+		Id: wire.ID.value(), Attempt: wire.Attempt, Holder: wire.Holder.value(),
+	})
+}
+
 type wireTaskAt struct {
 	ID      wireTaskID   `cbor:"id"`
 	Attempt int          `cbor:"attempt,omitempty"`
--- a/key.go
+++ b/key.go
@@ -1,6 +1,10 @@
 package almondcross
 
-import "strconv"
+import (
+	"cmp"
+	"strconv"
+	"strings"
+)
 
 // Key identifies a request; a request is idempotent under its key.
 //
@@ -14,6 +18,15 @@
 // String returns the key as caller/origin/name.
 func (key Key) String() string { return key.caller + "/" + key.origin + "/" + key.name }
 
+// Compare orders keys by caller, origin and name.
+func (key Key) Compare(other Key) int {
+	return cmp.Or(
+		strings.Compare(key.caller, other.caller),
+		strings.Compare(key.origin, other.origin),
+		strings.Compare(key.name, other.name),
+	)
+}
+
 // TaskID identifies one task of a request.
 //
 //value:generate
--- a/messages.go
+++ b/messages.go
@@ -56,6 +56,15 @@
 	retryAfter int64    // the time after which to retry, in milliseconds
 }
 
+// TaskForwarded reports that another holder has the task in its queue.
+//
+//value:generate
+type TaskForwarded struct {
+	id      TaskID   // the identity of the task
+	attempt int      // the number of the attempt
+	holder  MemberID // the holder that got the task
+}
+
 // TaskStarted reports that a target runs a task.
 //
 //value:generate
@@ -440,6 +449,7 @@
 func (CancelRequest) coordinatorMessage()       {}
 func (LookupRequest) coordinatorMessage()       {}
 func (TaskRefused) coordinatorMessage()         {}
+func (TaskForwarded) coordinatorMessage()       {}
 func (TaskStarted) coordinatorMessage()         {}
 func (TaskEnded) coordinatorMessage()           {}
 func (TaskLost) coordinatorMessage()            {}
@@ -498,6 +508,7 @@
 func (PlaceTask) peerMessage()            {}
 func (StopTask) peerMessage()             {}
 func (TaskRefused) peerMessage()          {}
+func (TaskForwarded) peerMessage()        {}
 func (TaskStarted) peerMessage()          {}
 func (TaskEnded) peerMessage()            {}
 func (TaskLost) peerMessage()             {}
--- a/standin/worker/lease.go
+++ b/standin/worker/lease.go
@@ -35,7 +35,8 @@
 	if state.refusesConnection(message.answers) {
 		return
 	}
-	if state.leased {
+	// The holder may acquire again after an unanswered call; the new term ends its own old one.
+	if holder := message.body.Holder.Value(); state.leased && holder != state.holder {
 		state.answer(message.answers, answerer.Refusal(
 			http.StatusConflict, encoder.PlatformLeaseHeld, "the lease is held by "+state.holder.Name()))
 		return
--- a/values_generated.go
+++ b/values_generated.go
@@ -2582,6 +2582,58 @@
 	return taskrefused
 }
 
+// TaskForwardedConfig holds the fields of a new TaskForwarded.
+type TaskForwardedConfig struct {
+	Id      TaskID
+	Attempt int
+	Holder  MemberID
+}
+
+// NewTaskForwarded returns a TaskForwarded with the given fields.
+func NewTaskForwarded(config TaskForwardedConfig) TaskForwarded {
+	return TaskForwarded{
+		id:      config.Id,
+		attempt: config.Attempt,
+		holder:  config.Holder,
+	}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (taskforwarded TaskForwarded) Config() TaskForwardedConfig {
+	return TaskForwardedConfig{
+		Id:      taskforwarded.id,
+		Attempt: taskforwarded.attempt,
+		Holder:  taskforwarded.holder,
+	}
+}
+
+// Id returns the identity of the task.
+func (taskforwarded TaskForwarded) Id() TaskID { return taskforwarded.id }
+
+// WithId returns a copy with the given id.
+func (taskforwarded TaskForwarded) WithId(id TaskID) TaskForwarded {
+	taskforwarded.id = id
+	return taskforwarded
+}
+
+// Attempt returns the number of the attempt.
+func (taskforwarded TaskForwarded) Attempt() int { return taskforwarded.attempt }
+
+// WithAttempt returns a copy with the given attempt.
+func (taskforwarded TaskForwarded) WithAttempt(attempt int) TaskForwarded {
+	taskforwarded.attempt = attempt
+	return taskforwarded
+}
+
+// Holder returns the holder that got the task.
+func (taskforwarded TaskForwarded) Holder() MemberID { return taskforwarded.holder }
+
+// WithHolder returns a copy with the given holder.
+func (taskforwarded TaskForwarded) WithHolder(holder MemberID) TaskForwarded {
+	taskforwarded.holder = holder
+	return taskforwarded
+}
+
 // TaskStartedConfig holds the fields of a new TaskStarted.
 type TaskStartedConfig struct {
 	Id      TaskID
