Return lent shares and bound short waits in virtual time

Cause: short work waited for the ends of long lent work, and a reclaim ended with the short task that it was begun for.

Change: the reserve follows the demand of short work up to what its owners are due; a reclaim passes on to the next task of its line; victims are chosen in a fixed order, newest first.

--- a/command/placer/adopt.go
+++ b/command/placer/adopt.go
@@ -33,7 +33,7 @@
 // repeatAdoptions asks the coordinators of unadopted tasks to confirm them, until they answer.
 func (machine *Machine) repeatAdoptions() {
 	machine.adoptSet = false
-	for _, entry := range machine.targets {
+	for _, entry := range machine.sorted {
 		machine.askAdoptions(entry, true)
 	}
 }
--- a/command/placer/answer.go
+++ b/command/placer/answer.go
@@ -55,6 +55,7 @@
 	machine.detach(item)
 	if !item.task.Repeatable() || item.haltCode != almondcross.CodeNone || item.task.Size() > 1 {
 		delete(machine.jobs, item.key())
+		machine.settleVictim(item)
 		if item.haltCode != almondcross.CodeNone {
 			code = item.haltCode
 		}
@@ -143,6 +144,7 @@
 func (machine *Machine) forget(item *job) {
 	entry := item.target
 	machine.detach(item)
+	machine.dropShort(item)
 	item.state = jobDone
 	delete(machine.jobs, item.key())
 	machine.remember(item.task, ended{})
@@ -210,7 +212,7 @@
 	}
 	counts := map[group]int64{}
 	samples := map[group]almondcross.Task{}
-	for _, entry := range machine.targets {
+	for _, entry := range machine.sorted {
 		for _, item := range entry.jobs {
 			if !item.charged {
 				continue
@@ -224,11 +226,8 @@
 	for key, count := range counts {
 		machine.account(samples[key], almondcross.AccountEventConfig{Resources: key.resources.Scale(count), Duration: key.held, Count: 0})
 	}
-	if !machine.reserving() && !machine.lastShort.IsZero() {
-		machine.lastShort = time.Time{}
-		machine.resetRooms()
-	}
-	if len(counts) > 0 || !machine.lastShort.IsZero() {
+	machine.lowerReserve()
+	if len(counts) > 0 || machine.reserve > 0 {
 		machine.accountSoon()
 	}
 }
--- a/command/placer/gang.go
+++ b/command/placer/gang.go
@@ -70,7 +70,7 @@
 		return
 	}
 	machine.gangLine = append(machine.gangLine, group)
-	machine.reserve()
+	machine.passReservation()
 }
 
 func (machine *Machine) leaveGang(item *job) {
@@ -94,7 +94,7 @@
 	}
 	machine.gangLine = slices.DeleteFunc(machine.gangLine, func(other *gang) bool { return other == group })
 	machine.unreserve(group)
-	machine.reserve()
+	machine.passReservation()
 }
 
 func (machine *Machine) refuseGang(group *gang, code almondcross.Code) {
@@ -105,7 +105,7 @@
 
 func (machine *Machine) gangNeverFits(group *gang) bool {
 	need, room, known := group.jobs[0].task.Resources(), int64(0), false
-	for _, entry := range machine.targets {
+	for _, entry := range machine.sorted {
 		if entry.known && entry.listed {
 			known = true
 			room += count(need, entry.capacity)
@@ -171,17 +171,16 @@
 	machine.endGang(group)
 }
 
-// reserve gives the reservation to the first waiting gang. One gang at a time holds it and takes
+// passReservation gives the reservation to the first waiting gang. One gang at a time holds it and takes
 // its targets in the order of their names, so that two gangs cannot wait for each other.
-func (machine *Machine) reserve() {
-	if machine.reserved != nil || len(machine.gangLine) == 0 {
+func (machine *Machine) passReservation() {
+	if machine.holder != nil || len(machine.gangLine) == 0 {
 		return
 	}
 	group := machine.gangLine[0]
 	need := group.jobs[0].task.Resources()
 	room := int64(0)
-	for _, name := range machine.sortedNames() {
-		entry := machine.targets[name]
+	for _, entry := range machine.sorted {
 		if !entry.open || room >= int64(group.size) {
 			continue
 		}
@@ -196,7 +195,7 @@
 		machine.gangLine = append(machine.gangLine[1:], group)
 		return
 	}
-	machine.reserved, group.reservedUntil = group, machine.now.Add(gangLimit)
+	machine.holder, group.reservedUntil = group, machine.now.Add(gangLimit)
 	for _, entry := range group.targets {
 		entry.reserved = group
 		machine.setRoom(entry)
@@ -205,15 +204,6 @@
 	machine.after(backfillLimit, timer{kind: timerGang, gang: group})
 }
 
-func (machine *Machine) sortedNames() []string {
-	names := make([]string, 0, len(machine.targets))
-	for name := range machine.targets {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
-
 // lasting returns the room of services, which do not end in time for a reservation.
 func (entry *target) lasting() almondcross.Resources {
 	var sum almondcross.Resources
@@ -226,8 +216,8 @@
 }
 
 func (machine *Machine) unreserve(group *gang) {
-	if machine.reserved == group {
-		machine.reserved = nil
+	if machine.holder == group {
+		machine.holder = nil
 	}
 	targets := group.targets
 	group.targets = nil
@@ -243,7 +233,7 @@
 func (machine *Machine) dropReservation(entry *target) {
 	if group := entry.reserved; group != nil {
 		machine.unreserve(group)
-		machine.reserve()
+		machine.passReservation()
 	}
 }
 
@@ -257,7 +247,7 @@
 		machine.refuseGang(group, almondcross.CodeWaitedGang)
 		return
 	}
-	if machine.reserved != group {
+	if machine.holder != group {
 		return
 	}
 	if machine.now.Before(group.reservedUntil) {
@@ -268,7 +258,7 @@
 	}
 	machine.unreserve(group)
 	machine.gangLine = append(slices.DeleteFunc(machine.gangLine, func(other *gang) bool { return other == group }), group)
-	machine.reserve()
+	machine.passReservation()
 }
 
 // allowsBackfill reports whether a target is not kept for a gang at this time.
@@ -279,7 +269,7 @@
 
 // tryGangs starts waiting gangs that a gain made room for.
 func (machine *Machine) tryGangs(entry *target) {
-	if group := machine.reserved; group != nil {
+	if group := machine.holder; group != nil {
 		if entry.reserved == group {
 			machine.tryReserved(group)
 		}
@@ -290,7 +280,7 @@
 			break
 		}
 	}
-	machine.reserve()
+	machine.passReservation()
 }
 
 // tryReserved starts the gang with the reservation when its targets have the room by now.
--- a/command/placer/health.go
+++ b/command/placer/health.go
@@ -71,7 +71,7 @@
 		return
 	}
 	entry.health.failures++
-	if entry.health.failures < ejectAfter || (machine.ejected+1)*ejectFraction > machine.heldCount() {
+	if entry.health.failures < ejectAfter || (machine.ejected+1)*ejectFraction > machine.heldTargets {
 		return
 	}
 	machine.ejected++
@@ -81,16 +81,6 @@
 	machine.waitProbe(entry)
 }
 
-func (machine *Machine) heldCount() int {
-	held := 0
-	for _, entry := range machine.targets {
-		if entry.state == stateHeld {
-			held++
-		}
-	}
-	return held
-}
-
 func (machine *Machine) waitProbe(entry *target) {
 	entry.health.probing, entry.health.probes = false, 0
 	entry.health.wait = min(2*entry.health.wait, probeLimit)
--- a/command/placer/job.go
+++ b/command/placer/job.go
@@ -29,6 +29,7 @@
 	band        almondcross.Band
 	long        bool // counted as long work, which leaves the reserve alone
 	charged     bool
+	short       bool // counted in the demand of short work
 	straggler   bool
 	unconfirmed bool // the coordinator of the key has not confirmed the task under this holder
 	refused     bool // the coordinator refused the task, so that no renewal names it
@@ -40,7 +41,7 @@
 	haltCode    almondcross.Code // why the task is being stopped
 	waitCode    almondcross.Code // why the task waits
 	reclaim     *reclaim         // the room that is being taken for this task
-	victimOf    *job             // the task for which this one is being stopped
+	victimOf    *reclaim         // the reclaim for which this task is being stopped
 
 	queuedAt    time.Time
 	sentAt      time.Time
@@ -130,7 +131,7 @@
 	item.band = machine.Estimator.Band(task.Entry(), task.ExpectedRun())
 	item.long = item.band != almondcross.BandShort
 	if !item.long {
-		machine.noteShort()
+		machine.addShort(item)
 	}
 	if task.Size() > 1 {
 		machine.joinGang(item)
@@ -148,6 +149,7 @@
 // refuseNew refuses a task that is in no table.
 func (machine *Machine) refuseNew(item *job, code almondcross.Code, retryAfter time.Duration) {
 	item.state = jobDone
+	machine.dropShort(item)
 	machine.remember(item.task, ended{code: code, refused: true})
 	machine.reportRefused(item.task, code, retryAfter)
 	machine.account(item.task, almondcross.AccountEventConfig{Code: code, Count: 1})
@@ -166,10 +168,11 @@
 
 // discard takes a waiting task out of every table without a report.
 func (machine *Machine) discard(item *job) {
-	if item.line != nil {
+	if waiting := item.line; waiting != nil {
 		machine.leaveLine(item)
+		machine.passReclaim(item, waiting)
 	}
-	machine.endReclaim(item)
+	machine.dropShort(item)
 	delete(machine.jobs, item.key())
 	item.state = jobDone
 	if item.gang != nil {
@@ -260,6 +263,10 @@
 		return
 	}
 	item.straggler = true
+	if item.short {
+		machine.short = machine.short.Sub(item.task.Resources())
+		machine.straggling = machine.straggling.Add(item.task.Resources())
+	}
 	machine.story(item.task, "straggler", almondcross.CodeNone, item.target.target.Name(), "")
 	if !item.long {
 		item.long = true
--- a/command/placer/machine.go
+++ b/command/placer/machine.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/almondcross/almondcross"
@@ -49,11 +50,14 @@
 	effects []Effect
 	timers  timers
 
-	targets  map[string]*target
-	total    almondcross.Resources // the capacity of the held targets
-	jobs     map[jobKey]*job
-	ended    map[almondcross.TaskID]ended
-	endOrder []almondcross.TaskID
+	sorted      []*target // the targets by name, so that decisions do not depend on the order of a map
+	targets     map[string]*target
+	total       almondcross.Resources // the capacity of the held targets
+	listed      int                   // the number of targets in the live list
+	heldTargets int                   // the number of targets with a lease
+	jobs        map[jobKey]*job
+	ended       map[almondcross.TaskID]ended
+	endOrder    []almondcross.TaskID
 
 	lines    map[lineKey]*line
 	order    []*line // the lines with waiting tasks
@@ -61,10 +65,16 @@
 	running  map[string]int // tasks that are sent and have no confirmed end, by entry
 	gangs    map[almondcross.Key]*gang
 	gangLine []*gang // complete gangs that wait
-	reserved *gang   // the gang that holds the reservation
-
-	gained        []*target // targets with new room since the last pass
-	lastShort     time.Time // the last arrival of a task of the short band
+	holder   *gang   // the gang that holds the reservation
+
+	gained        []*target             // targets with new room since the last pass
+	short         almondcross.Resources // what tasks of the short band run on or wait for
+	straggling    almondcross.Resources // what stragglers of the short band run on
+	shortOwners   map[string]int        // the tasks of the short band by owner
+	shortPeak     float64               // the highest demand of short work in the account interval
+	reserveMost   int64                 // the bound of the reserve
+	reserve       int64                 // the part of each target that long work may not take, of reserveParts
+	lastShort     time.Time             // the last arrival of a task of the short band
 	ejected       int
 	reclaiming    int                // the tasks for which lent work is being stopped
 	lentTaken     map[string]float64 // the share that is being taken from each owner
@@ -73,7 +83,7 @@
 	publishSet    bool
 	forgetSet     bool
 	accountSet    bool
-	returnSet     bool
+	returnAt      time.Time // the time at which waiting tasks may next claim lent work
 	draining      bool
 }
 
@@ -89,6 +99,7 @@
 		running:       map[string]int{},
 		gangs:         map[almondcross.Key]*gang{},
 		lentTaken:     map[string]float64{},
+		shortOwners:   map[string]int{},
 		entryFailures: map[string]*entryFailure{},
 	}
 }
@@ -120,6 +131,9 @@
 	case almondcross.CatalogueChanged:
 		machine.catalogue = message.Catalogue()
 		machine.Share.SetCatalogue(machine.catalogue)
+		for _, entry := range machine.lines {
+			machine.setLimit(entry)
+		}
 		machine.retryLines()
 	case almondcross.DrainPlacer:
 		machine.drain()
@@ -174,7 +188,7 @@
 	if sameMembers(before, view) {
 		return
 	}
-	for _, entry := range machine.targets {
+	for _, entry := range slices.Clone(machine.sorted) {
 		machine.pursue(entry)
 		if entry.state == stateHeld && len(entry.jobs) > 0 {
 			machine.sendRenewal(entry)
@@ -205,7 +219,7 @@
 			machine.refuse(item, almondcross.CodeStopping)
 		}
 	}
-	for _, entry := range machine.targets {
+	for _, entry := range slices.Clone(machine.sorted) {
 		machine.pursue(entry)
 	}
 }
--- a/command/placer/publish.go
+++ b/command/placer/publish.go
@@ -1,8 +1,6 @@
 package placer
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/almondcross/almondcross"
@@ -13,7 +11,7 @@
 	machine.publishSet = false
 	held := make([]almondcross.HeldTarget, 0, len(machine.targets))
 	var free, largest almondcross.Resources
-	for _, entry := range machine.targets {
+	for _, entry := range machine.sorted {
 		if entry.state != stateHeld {
 			continue
 		}
@@ -30,9 +28,6 @@
 			largest = room
 		}
 	}
-	slices.SortFunc(held, func(first, second almondcross.HeldTarget) int {
-		return cmp.Compare(first.Target().Name(), second.Target().Name())
-	})
 	machine.emit(Effect{Kind: EffectPublish, Held: held})
 	machine.emit(Effect{Kind: EffectSummary, Summary: almondcross.NewSummary(almondcross.SummaryConfig{
 		CatalogueOffset: machine.catalogue.Offset(), Free: free, LargestFree: largest,
--- a/command/placer/queue.go
+++ b/command/placer/queue.go
@@ -20,6 +20,7 @@
 	head     int
 	live     int
 	position int // the index in Machine.order, -1 when the line is empty
+	limit    int // the most tasks of the entry that run at once in the data centre, 0 for no limit
 }
 
 // first returns the oldest task of the line, nil for an empty line.
@@ -53,6 +54,7 @@
 	if !ok {
 		entry = &line{key: key, position: -1}
 		machine.lines[key] = entry
+		machine.setLimit(entry)
 	}
 	return entry
 }
@@ -111,8 +113,9 @@
 // enqueue starts a task at once or lets it wait, be forwarded or be refused.
 func (machine *Machine) enqueue(item *job) {
 	task := item.task
-	limited := machine.limited(task.Entry())
-	if machine.lineOf(item).live == 0 && !limited {
+	waiting := machine.lineOf(item)
+	limited := machine.limited(waiting)
+	if waiting.live == 0 && !limited {
 		if name, ok := machine.choose(item); ok {
 			machine.jobs[item.key()] = item
 			machine.start(item, machine.targets[name])
@@ -139,7 +142,9 @@
 	if task.Timeout() > 0 {
 		machine.after(task.Timeout(), timer{kind: timerTimeout, job: item})
 	}
-	machine.returnSoon()
+	if task.Urgent() || !item.long || machine.returnAt.IsZero() {
+		machine.returnSoon()
+	}
 	if task.Urgent() && !limited {
 		machine.startReclaim(item, almondcross.CodePreemptedUrgent)
 	}
@@ -182,33 +187,29 @@
 }
 
 // limited reports whether an entry runs as many tasks as this host's part of its limit allows.
-func (machine *Machine) limited(name string) bool {
-	entry, ok := machine.catalogue.Entry(name)
-	return ok && entry.MaxRunning() > 0 && machine.running[name] >= machine.portion(entry.MaxRunning())
+func (machine *Machine) limited(entry *line) bool {
+	return entry.limit > 0 && machine.running[entry.key.entry] >= machine.portion(entry.limit)
+}
+
+// setLimit keeps the limit of a line's entry, so that it need not be looked up for each decision.
+func (machine *Machine) setLimit(entry *line) {
+	config, _ := machine.catalogue.Entry(entry.key.entry)
+	entry.limit = config.MaxRunning()
 }
 
 // portion returns this host's part of a limit of the data centre, by the targets that it holds,
 // so that the holders together stay within the limit. It is at least 1.
 func (machine *Machine) portion(limit int) int {
-	held, listed := 0, 0
-	for _, entry := range machine.targets {
-		if entry.listed {
-			listed++
-		}
-		if entry.state == stateHeld {
-			held++
-		}
-	}
-	if listed == 0 {
+	if machine.listed == 0 {
 		return limit
 	}
-	return max(1, limit*min(held, listed)/listed)
+	return max(1, limit*min(machine.heldTargets, machine.listed)/machine.listed)
 }
 
 // neverFits reports whether no target with a known capacity could ever run a task.
 func (machine *Machine) neverFits(resources almondcross.Resources) bool {
 	known := false
-	for _, entry := range machine.targets {
+	for _, entry := range machine.sorted {
 		if !entry.known {
 			continue
 		}
@@ -255,6 +256,7 @@
 		return false
 	}
 	item.state = jobDone
+	machine.dropShort(item)
 	machine.remember(item.task, ended{forwarded: best.Member().Id()})
 	machine.emit(Effect{
 		Kind: EffectForward, Member: best.Member().Id(),
--- a/command/placer/reclaim.go
+++ b/command/placer/reclaim.go
@@ -1,6 +1,8 @@
 package placer
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/almondcross/almondcross"
@@ -9,11 +11,12 @@
 const (
 	// checkpointTime is how long a victim has to save its progress before it is throttled, and
 	// throttleTime how long until it is stopped. With reclaimRetry they leave an urgent task two
-	// attempts within its bound of 1.8 s.
-	checkpointTime = 250 * time.Millisecond
-	throttleTime   = 250 * time.Millisecond
-	// reclaimRetry is the time after the stop from which other victims are taken.
-	reclaimRetry = 600 * time.Millisecond
+	// sets of victims within its bound of 1.8 s.
+	checkpointTime = 200 * time.Millisecond
+	throttleTime   = 100 * time.Millisecond
+	// reclaimRetry is the time after the stop from which other victims are taken; they are
+	// stopped at once.
+	reclaimRetry = 550 * time.Millisecond
 	// throttlePercent is the processor time that a victim keeps until it is stopped.
 	throttlePercent = 10
 	// reclaimLimit bounds the tasks for which victims are sought at once.
@@ -22,6 +25,13 @@
 	// stopped for it, and returnInterval how often such tasks are sought.
 	returnAfter    = 10 * time.Second
 	returnInterval = time.Second
+	// returnShortAfter is returnAfter for tasks of the short band, whose callers wait. A burst
+	// that ends before the victims are stopped stops nothing.
+	returnShortAfter = 50 * time.Millisecond
+	// returnShortInterval is returnInterval while urgent or short tasks wait.
+	returnShortInterval = 50 * time.Millisecond
+	// returnBatch bounds the tasks of a line for which victims are sought at once.
+	returnBatch = 16
 )
 
 type reclaimPhase int
@@ -34,36 +44,49 @@
 
 // reclaim takes room from lent work for one waiting task.
 type reclaim struct {
+	item    *job // the task, nil when the reclaim ended
 	code    almondcross.Code
 	phase   reclaimPhase
 	victims []*job
 }
 
-// startReclaim checkpoints lent work whose end makes room for a waiting task.
-func (machine *Machine) startReclaim(item *job, code almondcross.Code) {
+// fulfilled reports whether every victim has ended.
+func (current *reclaim) fulfilled() bool {
+	for _, victim := range current.victims {
+		if victim.state != jobDone {
+			return false
+		}
+	}
+	return true
+}
+
+// startReclaim checkpoints lent work whose end makes room for a waiting task; it reports false
+// when there is none.
+func (machine *Machine) startReclaim(item *job, code almondcross.Code) bool {
 	if item.reclaim != nil || machine.reclaiming >= reclaimLimit {
-		return
+		return true
 	}
 	victims := machine.seekVictims(item)
 	if len(victims) == 0 {
-		return
+		return false
 	}
-	item.reclaim = &reclaim{code: code, victims: victims}
+	item.reclaim = &reclaim{item: item, code: code, victims: victims}
 	machine.reclaiming++
 	for _, victim := range victims {
-		victim.victimOf = item
+		victim.victimOf = item.reclaim
 		machine.lentTaken[victim.task.Owner()] += victim.task.Resources().Dominant(machine.total)
 		machine.send(victim.target.target.Name(), almondcross.NewCheckpointTask(almondcross.CheckpointTaskConfig{
 			Term: victim.target.term, Id: victim.task.Id(),
 		}))
 	}
-	machine.after(checkpointTime, timer{kind: timerReclaim, job: item})
+	machine.after(checkpointTime, timer{kind: timerReclaim, reclaim: item.reclaim})
+	return true
 }
 
 // continueReclaim throttles the victims, then stops them, then looks for other victims.
-func (machine *Machine) continueReclaim(item *job) {
-	current := item.reclaim
-	if current == nil || item.state != jobQueued {
+func (machine *Machine) continueReclaim(current *reclaim) {
+	item := current.item
+	if item == nil {
 		return
 	}
 	switch current.phase {
@@ -76,34 +99,72 @@
 				}))
 			}
 		}
-		machine.after(throttleTime, timer{kind: timerReclaim, job: item})
+		machine.after(throttleTime, timer{kind: timerReclaim, reclaim: item.reclaim})
 	case phaseThrottle:
-		current.phase = phaseStop
-		for _, victim := range current.victims {
-			if victim.onTarget() {
-				machine.account(victim.task, almondcross.AccountEventConfig{Code: current.code, Count: 1})
-				machine.story(victim.task, "stopped", current.code, victim.target.target.Name(), "for "+item.task.Id().String())
-				machine.halt(victim, current.code)
-			}
-		}
-		machine.after(reclaimRetry, timer{kind: timerReclaim, job: item})
+		machine.stopVictims(item, current)
 	case phaseStop:
 		machine.endReclaim(item)
-		machine.startReclaim(item, current.code)
+		if current.code != almondcross.CodePreemptedUrgent {
+			return
+		}
+		if machine.startReclaim(item, current.code) && item.reclaim != nil {
+			machine.stopVictims(item, item.reclaim)
+		}
+	}
+}
+
+// stopVictims stops the victims of a task and sets the time for the next ones.
+func (machine *Machine) stopVictims(item *job, current *reclaim) {
+	current.phase = phaseStop
+	for _, victim := range current.victims {
+		if victim.onTarget() {
+			machine.account(victim.task, almondcross.AccountEventConfig{Code: current.code, Count: 1})
+			machine.story(victim.task, "stopped", current.code, victim.target.target.Name(), "for "+item.task.Id().String())
+			machine.halt(victim, current.code)
+		}
 	}
+	machine.after(reclaimRetry, timer{kind: timerReclaim, reclaim: item.reclaim})
 }
 
-// endReclaim ends the reclaim of a task that no longer waits. Victims that were not stopped yet
-// get their processor time back.
+// passReclaim passes the reclaim of a task that no longer waits on to the next one of its line.
+// Otherwise a line of short tasks, each of which starts before its victims are stopped, would
+// never get more room.
+func (machine *Machine) passReclaim(item *job, waiting *line) {
+	current := item.reclaim
+	if current == nil {
+		return
+	}
+	if current.fulfilled() {
+		machine.endReclaim(item)
+		return
+	}
+	sought := 0
+	for index := waiting.head; index < len(waiting.jobs) && sought <= reclaimLimit; index++ {
+		next := waiting.jobs[index]
+		if next == nil {
+			continue
+		}
+		sought++
+		if next.reclaim != nil || next.task.Resources() != item.task.Resources() {
+			continue
+		}
+		item.reclaim, next.reclaim, current.item = nil, current, next
+		return
+	}
+	machine.endReclaim(item)
+}
+
+// endReclaim ends the reclaim of a task. Victims that were not stopped yet get their processor
+// time back.
 func (machine *Machine) endReclaim(item *job) {
 	current := item.reclaim
 	if current == nil {
 		return
 	}
-	item.reclaim = nil
+	item.reclaim, current.item = nil, nil
 	machine.reclaiming--
 	for _, victim := range current.victims {
-		if victim.haltCode == almondcross.CodeNone && victim.onTarget() {
+		if victim.haltCode == almondcross.CodeNone && victim.onTarget() && victim.victimOf != nil {
 			if current.phase == phaseThrottle {
 				machine.send(victim.target.target.Name(), almondcross.NewThrottleTask(almondcross.ThrottleTaskConfig{
 					Term: victim.target.term, Id: victim.task.Id(), Percent: 100,
@@ -130,7 +191,10 @@
 // seekVictims returns the fewest lent tasks of one target whose end makes room for a task.
 func (machine *Machine) seekVictims(item *job) []*job {
 	var best []*job
-	for _, entry := range machine.targets {
+	begin := int(machine.nextRandom() % uint64(len(machine.sorted)+1))
+	for index := range machine.sorted {
+		// Searches begin at different targets, so that the loss is spread over the cluster.
+		entry := machine.sorted[(begin+index)%len(machine.sorted)]
 		if !entry.open || !item.task.Resources().Fits(entry.capacity) {
 			continue
 		}
@@ -150,7 +214,7 @@
 	var victims []*job
 	room := entry.roomFor(item)
 	taken := map[string]float64{}
-	for _, candidate := range entry.jobs {
+	for _, candidate := range entry.newestFirst() {
 		if !machine.mayReclaim(candidate, item, taken) {
 			continue
 		}
@@ -164,6 +228,21 @@
 	return nil
 }
 
+// newestFirst returns the tasks of a target with the ones that lose the least progress first.
+func (entry *target) newestFirst() []*job {
+	list := make([]*job, 0, len(entry.jobs))
+	for _, item := range entry.jobs {
+		list = append(list, item)
+	}
+	slices.SortFunc(list, func(first, second *job) int {
+		if order := second.sentAt.Compare(first.sentAt); order != 0 {
+			return order
+		}
+		return cmp.Compare(first.task.Id().String(), second.task.Id().String())
+	})
+	return list
+}
+
 // mayReclaim reports whether a task is lent work that may be stopped: it may be repeated, is
 // neither urgent nor a service, and its owner keeps its promise without it.
 func (machine *Machine) mayReclaim(candidate, item *job, taken map[string]float64) bool {
@@ -177,32 +256,66 @@
 	return lent >= task.Resources().Dominant(machine.total)/2
 }
 
+// returnSoon sets the time at which waiting tasks may claim lent work. A timer that was set for
+// later is left to fire as well.
 func (machine *Machine) returnSoon() {
-	if !machine.returnSet {
-		machine.returnSet = true
-		machine.after(returnInterval, timer{kind: timerReturn})
+	due := machine.now.Add(returnShortInterval)
+	if machine.returnAt.IsZero() || due.Before(machine.returnAt) {
+		machine.returnAt = due
+		machine.timers.push(timer{at: due, kind: timerReturn})
 	}
 }
 
 // returnShares claims lent shares back for owners below their promise whose tasks waited long,
 // and seeks victims again for urgent tasks that found none.
 func (machine *Machine) returnShares() {
-	machine.returnSet = false
+	if machine.now.Before(machine.returnAt) {
+		return
+	}
+	machine.returnAt = time.Time{}
+	short := false
 	for _, waiting := range machine.order {
-		item := waiting.first()
-		if machine.limited(item.task.Entry()) {
+		if machine.limited(waiting) {
 			continue
 		}
-		if item.task.Urgent() {
-			machine.startReclaim(item, almondcross.CodePreemptedUrgent)
+		short = short || waiting.key.urgent || waiting.key.band == almondcross.BandShort
+		machine.returnLine(waiting)
+	}
+	if len(machine.order) == 0 || !machine.returnAt.IsZero() {
+		return
+	}
+	wait := returnInterval
+	if short {
+		wait = returnShortInterval
+	}
+	machine.returnAt = machine.now.Add(wait)
+	machine.timers.push(timer{at: machine.returnAt, kind: timerReturn})
+}
+
+// returnLine seeks victims for the first tasks of a line.
+func (machine *Machine) returnLine(waiting *line) {
+	limit, code := returnAfter, almondcross.CodeLentShareReturned
+	switch {
+	case waiting.key.urgent:
+		limit, code = 0, almondcross.CodePreemptedUrgent
+	case waiting.key.band == almondcross.BandShort:
+		limit = returnShortAfter
+	}
+	var claimed almondcross.Resources
+	sought := 0
+	for _, item := range waiting.jobs[waiting.head:] {
+		if item == nil {
 			continue
 		}
-		byOwner, _ := machine.Share.Ratio(item.task.Owner(), item.task.Entry(), item.task.Resources())
-		if byOwner <= 1 && machine.now.Sub(item.queuedAt) >= returnAfter {
-			machine.startReclaim(item, almondcross.CodeLentShareReturned)
+		if sought++; sought > returnBatch || machine.now.Sub(item.queuedAt) < limit {
+			return
+		}
+		claimed = claimed.Add(item.task.Resources())
+		if byOwner, _ := machine.Share.Ratio(waiting.key.owner, waiting.key.entry, claimed); byOwner > 1 && !waiting.key.urgent {
+			return
+		}
+		if !machine.startReclaim(item, code) {
+			return
 		}
-	}
-	if len(machine.order) > 0 {
-		machine.returnSoon()
 	}
 }
--- a/command/placer/schedule.go
+++ b/command/placer/schedule.go
@@ -15,11 +15,12 @@
 
 // start sends a task to a held target under its current term.
 func (machine *Machine) start(item *job, entry *target) {
-	if item.line != nil {
+	if waiting := item.line; waiting != nil {
 		machine.leaveLine(item)
+		machine.passReclaim(item, waiting)
 	}
-	machine.endReclaim(item)
 	waited := machine.now.Sub(item.queuedAt)
+	fromReserve := item.task.Urgent() && item.long && !item.task.Resources().Fits(entry.longFree)
 	item.state, item.target, item.term = jobStarting, entry, entry.term
 	item.sentAt, item.namedAt, item.accountedAt = machine.now, machine.now, machine.now
 	entry.jobs[item.task.Id()] = item
@@ -37,7 +38,7 @@
 	if entry.reserved != nil && entry.reserved != item.gang {
 		machine.account(item.task, almondcross.AccountEventConfig{Code: almondcross.CodeBackfilled, Count: 1})
 	}
-	if item.task.Urgent() && item.long && !item.task.Resources().Fits(entry.longFree) {
+	if fromReserve {
 		machine.account(item.task, almondcross.AccountEventConfig{Code: almondcross.CodeUrgentReserve, Count: 1})
 	}
 	machine.story(item.task, "placed", item.waitCode, entry.target.Name(), "")
@@ -95,7 +96,7 @@
 			continue
 		}
 		item := waiting.first()
-		if !item.task.Resources().Fits(entry.roomFor(item)) || machine.limited(item.task.Entry()) {
+		if !item.task.Resources().Fits(entry.roomFor(item)) || machine.limited(waiting) {
 			continue
 		}
 		current := rank{urgent: waiting.key.urgent, band: waiting.key.band, queued: item.queuedAt}
@@ -109,7 +110,7 @@
 
 // retryLine places the head of a line for as long as it fits anywhere.
 func (machine *Machine) retryLine(waiting *line) {
-	for waiting.live > 0 && !machine.limited(waiting.key.entry) {
+	for waiting.live > 0 && !machine.limited(waiting) {
 		item := waiting.first()
 		name, ok := machine.choose(item)
 		if !ok {
--- a/command/placer/target.go
+++ b/command/placer/target.go
@@ -1,6 +1,8 @@
 package placer
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/almondcross/almondcross"
@@ -20,10 +22,6 @@
 	handBackLimit = 5 * time.Minute
 	// closingInterval is the time after which a hand-back that waits for starts is tried again.
 	closingInterval = 100 * time.Millisecond
-	// reserveFraction is the part of a target that long work may not take: 1 of 8 slots.
-	reserveFraction = 8
-	// reserveLinger is how long the reserve is kept after the last short task.
-	reserveLinger = time.Minute
 )
 
 type holding int
@@ -69,9 +67,10 @@
 
 // list takes the live list; targets of other data centres are not ours to hold.
 func (machine *Machine) list(hosts almondcross.LiveHosts) {
-	for _, entry := range machine.targets {
+	for _, entry := range machine.sorted {
 		entry.listed = false
 	}
+	machine.listed = 0
 	for _, listed := range hosts.Targets() {
 		if listed.DataCentre() != machine.dataCentre() && machine.dataCentre() != "" {
 			continue
@@ -80,10 +79,15 @@
 		if !ok {
 			entry = &target{handBack: handBackAfter, jobs: map[almondcross.TaskID]*job{}}
 			machine.targets[listed.Name()] = entry
+			machine.sorted = append(machine.sorted, entry)
 		}
 		entry.target, entry.listed = listed, true
+		machine.listed++
 	}
-	for _, entry := range machine.targets {
+	slices.SortFunc(machine.sorted, func(first, second *target) int {
+		return cmp.Compare(first.target.Name(), second.target.Name())
+	})
+	for _, entry := range slices.Clone(machine.sorted) {
 		machine.setRoom(entry)
 		machine.pursue(entry)
 	}
@@ -114,6 +118,7 @@
 	}
 	if !entry.listed && len(entry.jobs) == 0 {
 		delete(machine.targets, entry.target.Name())
+		machine.sorted = slices.DeleteFunc(machine.sorted, func(other *target) bool { return other == entry })
 		return
 	}
 	if machine.draining || !entry.listed || machine.dataCentre() == "" || entry.target.DataCentre() != machine.dataCentre() {
@@ -237,6 +242,7 @@
 	entry.term, entry.capacity, entry.leaving = grant.Term(), grant.Capacity(), grant.Leaving()
 	entry.renewedAt = machine.now
 	machine.total = machine.total.Add(entry.capacity)
+	machine.heldTargets++
 	machine.Share.SetTotal(machine.total)
 	held := make(map[almondcross.TaskID]bool, len(grant.Inventory()))
 	for _, item := range grant.Inventory() {
@@ -292,6 +298,9 @@
 	item := &job{task: task, target: entry, unconfirmed: true, sentAt: machine.now, startedAt: machine.now, accountedAt: machine.now}
 	item.band = machine.Estimator.Band(task.Entry(), task.ExpectedRun())
 	item.long = item.band != almondcross.BandShort
+	if !item.long {
+		machine.addShort(item)
+	}
 	machine.jobs[key] = item
 	entry.jobs[task.Id()] = item
 	machine.watch(item)
@@ -344,6 +353,7 @@
 // leave makes the tasks of a target unreachable after the end of a lease.
 func (machine *Machine) leave(entry *target) {
 	machine.total = machine.total.Sub(entry.capacity)
+	machine.heldTargets--
 	machine.Share.SetTotal(machine.total)
 	for _, item := range entry.jobs {
 		machine.uncharge(item)
--- a/command/placer/timer.go
+++ b/command/placer/timer.go
@@ -25,11 +25,12 @@
 
 // timer is due once; a timer whose cause is gone is ignored when it is due.
 type timer struct {
-	at     time.Time
-	kind   timerKind
-	job    *job
-	target *target
-	gang   *gang
+	at      time.Time
+	kind    timerKind
+	job     *job
+	target  *target
+	gang    *gang
+	reclaim *reclaim
 }
 
 // timers is a binary heap; container/heap would allocate for each timer.
@@ -125,7 +126,7 @@
 	case timerGang:
 		machine.expireReservation(item.gang)
 	case timerReclaim:
-		machine.continueReclaim(item.job)
+		machine.continueReclaim(item.reclaim)
 	case timerForget:
 		machine.forgetEnded()
 	case timerReturn:
--- a/policy.go
+++ b/policy.go
@@ -63,6 +63,8 @@
 	Lent(owner string) float64
 	// Promised returns the fraction of the capacity that an owner is promised.
 	Promised(owner string) float64
+	// Fair returns the fraction that an owner is due now, its part of lent promises included.
+	Fair(owner string) float64
 }
 
 // RuntimeEstimator learns the run times of entries. One duty owns it.
--- a/policy/sharer/sharer.go
+++ b/policy/sharer/sharer.go
@@ -154,3 +154,12 @@
 	}
 	return float64(known.weight) / float64(max(sharer.promised, known.weight))
 }
+
+// Fair returns the fraction that an owner is due now, its part of lent promises included.
+func (sharer *Sharer) Fair(ownerName string) float64 {
+	known, ok := sharer.owners[ownerName]
+	if !ok {
+		return 0
+	}
+	return float64(known.weight) / float64(max(sharer.active, known.weight))
+}
