Add the command line

Cause: operators and callers had only the HTTP API.

Change: command/commander has catalogue apply, catalogue remove and call; query/lister has the verbs that read; requester holds the flags, the HTTP call and the exit codes that both share. A lost answer ends with exit code 3 unless reading the catalogue decides it.

--- /dev/null
+++ b/command/commander/apply.go
@@ -0,0 +1,171 @@
+package commander
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/almondcross/almondcross"
+	"github.com/almondcross/almondcross/encoder"
+	"github.com/almondcross/almondcross/parser"
+	"github.com/almondcross/almondcross/requester"
+)
+
+// maxCatalogueFile bounds the catalogue file that is read.
+const maxCatalogueFile = 64 << 20
+
+// waitFlags are the flags of the wait for every data centre.
+type waitFlags struct {
+	wait  bool
+	limit time.Duration
+}
+
+func (flags *waitFlags) bind(command *cobra.Command) {
+	command.Flags().BoolVar(&flags.wait, "wait", false, "wait until every data centre reports the change")
+	command.Flags().DurationVar(&flags.limit, "wait-limit", 15*time.Second, "time limit of --wait")
+}
+
+// await waits if asked to; its limit counts apart from that of the change.
+func (flags *waitFlags) await(session session, version almondcross.Offset) error {
+	if !flags.wait {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(session.command.Context(), flags.limit)
+	defer cancel()
+	return session.waitUntilReached(ctx, version)
+}
+
+func (commander commander) applyCommand() *cobra.Command {
+	var flags requester.Flags
+	var wait waitFlags
+	var dryRun bool
+	command := &cobra.Command{
+		Use: "apply FILE", Short: "Bring entries to their form in a file",
+		Long: "Shows the difference between a catalogue file and the catalogue, and sends it entry by entry with the\n" +
+			"versions that were read. An entry that someone else changes meanwhile is refused, and the rest is\n" +
+			"not sent. Entries that the file does not name stay as they are; catalogue remove removes them.\n" +
+			"FILE may be - for the standard input." + requester.ExitHelp,
+		Example: "  almondcross catalogue apply examples/registers.jsonc --dry-run\n" +
+			"  almondcross catalogue apply examples/registers.jsonc --wait",
+		Args: requester.Args(cobra.ExactArgs(1)),
+		RunE: func(command *cobra.Command, arguments []string) error {
+			source, err := requester.ReadFile(command, arguments[0], maxCatalogueFile)
+			if err != nil {
+				return err
+			}
+			file, err := encoder.DecodeCatalogueFile(arguments[0], source)
+			if err != nil {
+				return requester.BadInput(err)
+			}
+			session, ctx, cancel, err := commander.open(command, &flags)
+			if err != nil {
+				return err
+			}
+			defer cancel()
+			version, err := session.apply(ctx, file, dryRun)
+			if err != nil || dryRun {
+				return err
+			}
+			return wait.await(session, version)
+		},
+	}
+	flags.Bind(command)
+	wait.bind(command)
+	command.Flags().BoolVar(&dryRun, "dry-run", false, "only show the difference")
+	return command
+}
+
+// apply sends the difference and returns the highest version. Without a difference that is the
+// offset of the catalogue that was compared.
+func (session session) apply(ctx context.Context, file encoder.CatalogueFile, dryRun bool) (almondcross.Offset, error) {
+	catalogue, err := session.viewer.Catalogue(ctx)
+	if err != nil {
+		return 0, requester.Failed(err)
+	}
+	steps, err := plan(file, catalogue)
+	if err != nil {
+		return 0, requester.Failed(err)
+	}
+	for _, step := range steps {
+		for _, line := range step.lines {
+			session.printf("%s\n", line)
+		}
+	}
+	session.printf("%d to change, %d unchanged\n", len(steps), len(file.Entries())-len(steps))
+	if dryRun {
+		return 0, nil
+	}
+	version := catalogue.Offset()
+	for index, step := range steps {
+		session.progress("%d of %d: %s", index+1, len(steps), step.entry.Name())
+		body, err := putBody(step)
+		if err != nil {
+			return 0, requester.Failed(err)
+		}
+		accepted, err := session.change(ctx, body, step.entry)
+		session.progress("")
+		if err != nil {
+			session.printf("stopped: %d accepted, %d not sent\n", index, len(steps)-index-1)
+			return 0, err
+		}
+		session.printf("%s: accepted as version %d\n", step.entry.Name(), accepted)
+		version = max(version, accepted)
+	}
+	return version, nil
+}
+
+func (commander commander) removeCommand() *cobra.Command {
+	var flags requester.Flags
+	var wait waitFlags
+	var version int64
+	command := &cobra.Command{
+		Use: "remove NAME", Short: "Remove an entry",
+		Long: "Removes an entry from the catalogue. With --version the removal is refused when the entry has\n" +
+			"changed since; without it the version that is read first counts." + requester.ExitHelp,
+		Example: "  almondcross catalogue remove patronage-tally --wait",
+		Args:    requester.Args(cobra.ExactArgs(1)),
+		RunE: func(command *cobra.Command, arguments []string) error {
+			name := arguments[0]
+			if !parser.ValidName(name) {
+				return requester.BadInput(errors.Errorf("NAME: found %q; allowed: the name of an entry", name))
+			}
+			session, ctx, cancel, err := commander.open(command, &flags)
+			if err != nil {
+				return err
+			}
+			defer cancel()
+			accepted, err := session.remove(ctx, name, almondcross.Offset(version))
+			if err != nil {
+				return err
+			}
+			return wait.await(session, accepted)
+		},
+	}
+	flags.Bind(command)
+	wait.bind(command)
+	command.Flags().Int64Var(&version, "version", 0, "version that the entry must have (default: the one that is read)")
+	return command
+}
+
+func (session session) remove(ctx context.Context, name string, expected almondcross.Offset) (almondcross.Offset, error) {
+	catalogue, err := session.viewer.Catalogue(ctx)
+	if err != nil {
+		return 0, requester.Failed(err)
+	}
+	entry, exists := catalogue.Entry(name)
+	if !exists {
+		return 0, requester.Failed(errors.Errorf("%s: unknown_entry: the catalogue has no such entry", name))
+	}
+	if expected == 0 {
+		expected = entry.Version()
+	}
+	session.printf("- %s (version %d, of %s)\n", name, entry.Version(), entry.Owner())
+	accepted, err := session.change(ctx, encoder.ChangeBody{Name: name, Removed: true, ExpectedVersion: expected}, almondcross.Entry{})
+	if err != nil {
+		return 0, err
+	}
+	session.printf("%s: removed at offset %d\n", name, accepted)
+	return accepted, nil
+}
--- /dev/null
+++ b/command/commander/commander_test.go
@@ -0,0 +1,222 @@
+package commander_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/spf13/cobra"
+	"github.com/stretchr/testify/require"
+
+	"github.com/almondcross/almondcross"
+	"github.com/almondcross/almondcross/command/commander"
+	"github.com/almondcross/almondcross/command/receiver"
+	"github.com/almondcross/almondcross/encoder"
+	"github.com/almondcross/almondcross/query/lister"
+	"github.com/almondcross/almondcross/query/viewer"
+	"github.com/almondcross/almondcross/requester"
+	"github.com/almondcross/almondcross/ring"
+)
+
+type systemClock struct{}
+
+func (systemClock) Now() time.Time { return time.Now() }
+
+// cell stands for an entry host whose log has accepted one entry and that sees a second data
+// centre that lags behind.
+type cell struct{}
+
+func (cell) Catalogue() almondcross.Catalogue {
+	return almondcross.NewCatalogue().WithOffset(7).WithEntry(almondcross.NewEntry(almondcross.EntryConfig{
+		Name: "lookup", Owner: "desk", Class: almondcross.ClassCall, Share: 3, Timeout: time.Second, Repeatable: true,
+		Resources: almondcross.NewResources(almondcross.ResourcesConfig{Slots: 1}), Version: 7,
+	}))
+}
+
+func (cell) Status() almondcross.HostStatus {
+	member := func(name, dataCentre string) almondcross.Member {
+		return almondcross.NewMember(almondcross.MemberConfig{
+			Id: almondcross.NewMemberID(almondcross.MemberIDConfig{Name: name}), DataCentre: dataCentre,
+		})
+	}
+	peer := almondcross.NewPeer(almondcross.PeerConfig{
+		Member: member("b", "west"), Summary: almondcross.NewSummary(almondcross.SummaryConfig{CatalogueOffset: 7}),
+	})
+	return almondcross.NewHostStatus(almondcross.HostStatusConfig{
+		View:            almondcross.NewView(almondcross.ViewConfig{Self: member("a", "east"), Peers: map[string]almondcross.Peer{"b": peer}}),
+		CatalogueOffset: 9, Ready: true,
+	})
+}
+
+// serve starts a host whose cataloguer accepts every change as version 9.
+func serve(t *testing.T) (string, <-chan almondcross.CatalogueChange) {
+	coordinator := ring.New[almondcross.CoordinatorMessage](ring.Config{Capacity: 1})
+	cataloguer := ring.New[almondcross.CataloguerMessage](ring.Config{Capacity: 1})
+	tokens := []almondcross.Token{almondcross.NewToken(almondcross.TokenConfig{Name: "ada", Role: almondcross.RoleOperator, Secret: "secret"})}
+	router := mux.NewRouter()
+	receiver.New(receiver.Config{
+		Coordinator: coordinator, Cataloguer: cataloguer, Clock: systemClock{}, Tokens: tokens, ChangeTimeout: time.Second,
+	}).Register(router)
+	viewer.New(viewer.Config{
+		Coordinator: coordinator, Catalogue: cell{}, Status: cell{}, Clock: systemClock{}, Tokens: tokens,
+		DataCentres: []string{"east", "west", "north"}, QueryTimeout: time.Second,
+	}).Register(router)
+	server := httptest.NewServer(router)
+	t.Cleanup(server.Close)
+	changes := make(chan almondcross.CatalogueChange, 10)
+	go func() {
+		for {
+			select {
+			case <-t.Context().Done():
+				return
+			case message := <-cataloguer.Messages():
+				change := message.(almondcross.ChangeCatalogue)
+				changes <- change.Change()
+				change.Replier().ReplyChange(almondcross.NewChangeOutcome(almondcross.ChangeOutcomeConfig{
+					Name: change.Change().Name(), Accepted: true, Certain: true, Version: 9,
+				}))
+			}
+		}
+	}()
+	return server.URL, changes
+}
+
+// run joins the verbs as the assembler does and runs a command line.
+func run(t *testing.T, arguments ...string) (stdout string, err error) {
+	t.Setenv(requester.TokenVariable, "secret")
+	root := &cobra.Command{Use: "almondcross"}
+	root.AddCommand(lister.New(lister.Config{Clock: systemClock{}})...)
+	commands := commander.New(commander.Config{
+		Clock: systemClock{},
+		View:  func(config requester.Config) (almondcross.CellViewer, error) { return lister.NewClient(config) },
+	})
+	root.AddCommand(commands.Top...)
+	for _, command := range root.Commands() {
+		if command.Name() == "catalogue" {
+			command.AddCommand(commands.Catalogue...)
+		}
+	}
+	requester.Prepare(root)
+	var output bytes.Buffer
+	root.SetOut(&output)
+	root.SetErr(&bytes.Buffer{})
+	root.SetArgs(arguments)
+	err = root.ExecuteContext(t.Context())
+	return output.String(), err
+}
+
+func writeFile(t *testing.T, content string) string {
+	path := filepath.Join(t.TempDir(), "catalogue.jsonc")
+	require.NoError(t, os.WriteFile(path, []byte(content), 0o600))
+	return path
+}
+
+const lookup = `{"entries": [{"name": "lookup", "owner": "desk", "class": "call", "resources": {"slots": 1},
+	"timeout": "1s", "share": 5, "repeatable": true}]}`
+
+// Guards against an apply that hides the difference, drops the expected version, or reports
+// success before every data centre has the change.
+func TestApplyShowsTheDifferenceAndWaits(t *testing.T) {
+	server, changes := serve(t)
+	output, err := run(t, "catalogue", "apply", writeFile(t, lookup), "--server", server, "--wait", "--wait-limit", "50ms")
+	require.Equal(t, requester.ExitUncertain, requester.ExitCode(err))
+	require.EqualError(t, err, "accepted, but not yet seen in force: west (offset 7 of 9), north (no host seen)")
+	require.Equal(t, "~ lookup (version 7)\n    share: 3 -> 5\n1 to change, 0 unchanged\nlookup: accepted as version 9\n", output)
+	change := <-changes
+	require.EqualValues(t, 7, change.Expected())
+	require.Equal(t, "ada", change.Operator())
+	require.Equal(t, int64(5), change.Entry().Share())
+}
+
+// Guards against a change that is sent although the input is bad or the entry has moved on.
+func TestApplyChangesNothingOnBadInput(t *testing.T) {
+	server, changes := serve(t)
+	_, err := run(t, "catalogue", "apply", writeFile(t, `{"entries": [{"nam": 1}]}`), "--server", server)
+	require.Equal(t, requester.ExitBadInput, requester.ExitCode(err))
+	_, err = run(t, "catalogue", "apply", "--serverr", server)
+	require.Equal(t, requester.ExitBadInput, requester.ExitCode(err))
+	stale := `{"entries": [{"name": "lookup", "owner": "desk", "class": "call", "resources": {"slots": 1},
+		"timeout": "1s", "share": 5, "repeatable": true, "version": 6}]}`
+	_, err = run(t, "catalogue", "apply", writeFile(t, stale), "--server", server)
+	require.Equal(t, requester.ExitFailed, requester.ExitCode(err))
+	require.EqualError(t, err, "lookup: version_conflict: the file is based on version 6, the catalogue has 7")
+	require.Empty(t, changes)
+}
+
+// callServer answers attempts in turn with the given functions and records their bodies.
+func callServer(t *testing.T, answers ...http.HandlerFunc) (string, <-chan encoder.RequestBody) {
+	bodies := make(chan encoder.RequestBody, len(answers))
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		var body encoder.RequestBody
+		if err := json.NewDecoder(request.Body).Decode(&body); err != nil {
+			writer.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		answer := answers[min(len(bodies), len(answers)-1)]
+		bodies <- body
+		answer(writer, request.WithContext(context.WithValue(request.Context(), bodyKey{}, body)))
+	}))
+	t.Cleanup(server.Close)
+	return server.URL, bodies
+}
+
+type bodyKey struct{}
+
+func answerWith(status int, shape encoder.OutcomeShape) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		body := request.Context().Value(bodyKey{}).(encoder.RequestBody)
+		shape := shape
+		if shape.Status == almondcross.StatusDone || shape.Status == almondcross.StatusRunning {
+			shape.Key, shape.Origin = body.Key, body.Origin
+		}
+		writer.WriteHeader(status)
+		_ = json.NewEncoder(writer).Encode(shape)
+	}
+}
+
+func cutConnection(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+// Guards against a retry under another identity, which could run the work twice.
+func TestCallRetriesWithTheSameIdentity(t *testing.T) {
+	short := encoder.Duration(time.Millisecond)
+	server, bodies := callServer(t,
+		answerWith(http.StatusServiceUnavailable, encoder.OutcomeShape{Status: almondcross.StatusNotRun, Code: almondcross.CodeOverloaded, RetryAfter: &short}),
+		cutConnection,
+		answerWith(http.StatusAccepted, encoder.OutcomeShape{Status: almondcross.StatusRunning, RetryAfter: &short}),
+		answerWith(http.StatusOK, encoder.OutcomeShape{Status: almondcross.StatusDone, Answer: []byte("42")}),
+	)
+	output, err := run(t, "call", "lookup", "--origin", "east", "--server", server, "--timeout", "20s")
+	require.NoError(t, err)
+	require.Equal(t, "42", output)
+	first := <-bodies
+	require.NotEmpty(t, first.Key)
+	require.NotNil(t, first.IssuedAt)
+	for _, retry := range []bool{false, true, true} {
+		body := <-bodies
+		require.Equal(t, first.Key, body.Key)
+		require.Equal(t, first.Origin, body.Origin)
+		require.True(t, first.IssuedAt.Equal(*body.IssuedAt))
+		require.Equal(t, retry, body.Retry)
+	}
+}
+
+// Guards against a lost answer that is reported as a plain failure, and against the reverse.
+func TestCallIsHonestAboutTheOutcome(t *testing.T) {
+	server, _ := callServer(t, cutConnection)
+	_, err := run(t, "call", "lookup", "--origin", "east", "--server", server, "--timeout", "100ms")
+	require.Equal(t, requester.ExitUncertain, requester.ExitCode(err), "lost answer: %v", err)
+
+	_, err = run(t, "call", "lookup", "--origin", "east", "--server", "127.0.0.1:1", "--timeout", "100ms")
+	require.Equal(t, requester.ExitFailed, requester.ExitCode(err), "no connection: %v", err)
+
+	server, _ = callServer(t, answerWith(http.StatusGone, encoder.OutcomeShape{Status: almondcross.StatusNotRun, Code: almondcross.CodeKeyExpired}))
+	_, err = run(t, "call", "lookup", "--origin", "east", "--server", server, "--timeout", "10s")
+	require.Equal(t, requester.ExitFailed, requester.ExitCode(err), "not run: %v", err)
+}
--- /dev/null
+++ b/query/lister/state.go
@@ -0,0 +1,198 @@
+package lister
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"runtime/debug"
+	"strconv"
+
+	"github.com/juju/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/almondcross/almondcross/configurator"
+	"github.com/almondcross/almondcross/encoder"
+	"github.com/almondcross/almondcross/requester"
+)
+
+func (lister lister) requestCommand() *cobra.Command {
+	return parent("request", "Look at requests", "Looks at requests of the caller whose token is used.", requestShowCommand())
+}
+
+func requestShowCommand() *cobra.Command {
+	var flags requester.Flags
+	var origin string
+	command := &cobra.Command{
+		Use: "show KEY", Short: "Show what became of a request",
+		Long: "Shows what became of a request. A caller sees only its own keys. Without --origin the data centre\n" +
+			"of the asked host is taken." + requester.ExitHelp,
+		Example: "  almondcross request show dividend-2026-03 --origin kamloops-1",
+		Args:    requester.Args(cobra.ExactArgs(1)),
+		RunE: func(command *cobra.Command, arguments []string) error {
+			shape, err := ask(command, &flags, func(ctx context.Context, client *Client) (encoder.OutcomeShape, error) {
+				home := origin
+				if home == "" {
+					var err error
+					if home, err = client.DataCentre(ctx); err != nil {
+						return encoder.OutcomeShape{}, err
+					}
+				}
+				return client.Request(ctx, arguments[0], home)
+			})
+			if err != nil {
+				return err
+			}
+			return writeJSON(command.OutOrStdout(), shape)
+		},
+	}
+	flags.Bind(command)
+	command.Flags().StringVar(&origin, "origin", "", "origin of the key (default: the data centre of the host)")
+	return command
+}
+
+func (lister lister) statusCommand() *cobra.Command {
+	var flags requester.Flags
+	var format string
+	command := &cobra.Command{
+		Use: "status", Short: "Show the state of an entry host",
+		Long: "Shows the members, the targets that the host holds, and its rings. The formats json and table show\n" +
+			"everything, csv the members." + requester.ExitHelp,
+		Example: "  almondcross status --server 127.0.0.1:7202",
+		Args:    requester.Args(cobra.NoArgs),
+		RunE: func(command *cobra.Command, _ []string) error {
+			if err := checkFormat(format); err != nil {
+				return err
+			}
+			shape, err := ask(command, &flags, func(ctx context.Context, client *Client) (encoder.StatusShape, error) {
+				return client.Status(ctx)
+			})
+			if err != nil {
+				return err
+			}
+			if format != "table" {
+				return membersSheet(shape).write(command.OutOrStdout(), format)
+			}
+			return writeStatus(command.OutOrStdout(), shape)
+		},
+	}
+	flags.Bind(command)
+	bindFormat(command, &format)
+	return command
+}
+
+func writeStatus(writer io.Writer, shape encoder.StatusShape) error {
+	_, _ = fmt.Fprintf(writer, "host %s: ready %t, standing %t, catalogue offset %d of log end %d, log down %t\n\n",
+		printable(shape.Host), shape.Ready, shape.Standing, shape.CatalogueOffset, shape.LogEnd, shape.LogDown)
+	for _, sheet := range []sheet{dataCentresSheet(shape), membersSheet(shape), targetsSheet(shape), ringsSheet(shape)} {
+		if err := sheet.write(writer, "table"); err != nil {
+			return err
+		}
+		_, _ = fmt.Fprintln(writer)
+	}
+	for _, lost := range shape.Lost {
+		_, _ = fmt.Fprintf(writer, "lost %s (incarnation %d) at %s\n", printable(lost.Name), lost.Incarnation, formatTime(lost.At))
+	}
+	return nil
+}
+
+func dataCentresSheet(shape encoder.StatusShape) sheet {
+	sheet := sheet{header: []string{"data_centre", "members", "lowest_catalogue_offset"}}
+	for _, dataCentre := range shape.DataCentres {
+		sheet.rows = append(sheet.rows, []string{
+			dataCentre.Name, strconv.Itoa(dataCentre.Members), formatOffset(int64(dataCentre.CatalogueOffset)),
+		})
+	}
+	return sheet
+}
+
+func membersSheet(shape encoder.StatusShape) sheet {
+	sheet := sheet{
+		header: []string{"member", "incarnation", "data_centre", "address", "leaving", "catalogue_offset", "held", "waiting", "oldest"},
+		shape:  shape,
+	}
+	for _, member := range shape.Members {
+		sheet.rows = append(sheet.rows, []string{
+			member.Name, strconv.FormatUint(member.Incarnation, 10), member.DataCentre, member.Address,
+			strconv.FormatBool(member.Leaving), formatOffset(int64(member.CatalogueOffset)),
+			strconv.Itoa(member.Held), strconv.Itoa(member.Waiting), member.Oldest.String(),
+		})
+	}
+	return sheet
+}
+
+func targetsSheet(shape encoder.StatusShape) sheet {
+	sheet := sheet{header: []string{
+		"target", "rack", "state", "running", "free_milli_cpu", "milli_cpu", "free_memory", "memory", "free_slots", "slots", "leaving", "ejected",
+	}}
+	for _, target := range shape.Targets {
+		freeMemory, _ := target.Free.Memory.MarshalText()
+		memory, _ := target.Total.Memory.MarshalText()
+		sheet.rows = append(sheet.rows, []string{
+			target.Name, target.Rack, string(target.State), strconv.Itoa(target.Running),
+			formatOffset(target.Free.MilliCPU), formatOffset(target.Total.MilliCPU), string(freeMemory), string(memory),
+			formatOffset(target.Free.Slots), formatOffset(target.Total.Slots),
+			strconv.FormatBool(target.Leaving), strconv.FormatBool(target.Ejected),
+		})
+	}
+	return sheet
+}
+
+func ringsSheet(shape encoder.StatusShape) sheet {
+	sheet := sheet{header: []string{"ring", "depth", "capacity", "refused"}}
+	for _, ring := range shape.Rings {
+		sheet.rows = append(sheet.rows, []string{
+			ring.Name, strconv.Itoa(ring.Depth), strconv.Itoa(ring.Capacity), strconv.FormatUint(ring.Refused, 10),
+		})
+	}
+	return sheet
+}
+
+func settingsCommand() *cobra.Command {
+	check := &cobra.Command{
+		Use: "check FILE", Short: "Check a settings file",
+		Long:    "Checks a settings file of any role without starting anything." + requester.ExitHelp,
+		Example: "  almondcross settings check examples/settings/entry-1.jsonc",
+		Args:    requester.Args(cobra.ExactArgs(1)),
+		RunE: func(command *cobra.Command, arguments []string) error {
+			role, err := configurator.Check(arguments[0])
+			if err != nil {
+				return requester.BadInput(err)
+			}
+			_, err = fmt.Fprintf(command.OutOrStdout(), "%s: settings of role %s, valid\n", arguments[0], role)
+			return errors.Trace(err)
+		},
+	}
+	describe := &cobra.Command{
+		Use: "describe", Short: "Describe every setting",
+		Long:    "Prints every setting with its type, unit, default and allowed range, as Markdown." + requester.ExitHelp,
+		Example: "  almondcross settings describe",
+		Args:    requester.Args(cobra.NoArgs),
+		RunE: func(command *cobra.Command, _ []string) error {
+			_, err := io.WriteString(command.OutOrStdout(), configurator.Page())
+			return errors.Trace(err)
+		},
+	}
+	return parent("settings", "Check and describe settings", "Checks settings files and describes the settings.", check, describe)
+}
+
+func versionCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "version", Short: "Show the version of this program",
+		Long:    "Shows the version, the revision and the Go version of this program." + requester.ExitHelp,
+		Example: "  almondcross version",
+		Args:    requester.Args(cobra.NoArgs),
+		RunE: func(command *cobra.Command, _ []string) error {
+			version, revision, goVersion := "unknown", "unknown", "unknown"
+			if info, ok := debug.ReadBuildInfo(); ok {
+				version, goVersion = info.Main.Version, info.GoVersion
+				for _, setting := range info.Settings {
+					if setting.Key == "vcs.revision" {
+						revision = setting.Value
+					}
+				}
+			}
+			_, err := fmt.Fprintf(command.OutOrStdout(), "almondcross %s, revision %s, %s\n", version, revision, goVersion)
+			return errors.Trace(err)
+		},
+	}
+}
--- /dev/null
+++ b/requester/exit.go
@@ -0,0 +1,82 @@
+package requester
+
+import (
+	"github.com/juju/errors"
+	"github.com/spf13/cobra"
+)
+
+// The exit codes of the command line.
+const (
+	ExitSuccess   = 0
+	ExitFailed    = 1 // ExitFailed means that the operation failed or was refused.
+	ExitBadInput  = 2 // ExitBadInput means that nothing was sent or changed.
+	ExitUncertain = 3 // ExitUncertain means that the outcome is not known or not complete.
+)
+
+// ExitHelp is the part of a help text that lists the exit codes.
+const ExitHelp = `
+
+Exit codes:
+  0  success
+  1  the operation failed or was refused
+  2  bad input; nothing was changed
+  3  the outcome is uncertain or incomplete`
+
+// ExitError is an error with an exit code.
+type ExitError struct {
+	code  int
+	cause error
+}
+
+// Error returns the text of the cause.
+func (err *ExitError) Error() string { return err.cause.Error() }
+
+// Unwrap returns the cause.
+func (err *ExitError) Unwrap() error { return err.cause }
+
+// Failed marks an operation that failed or was refused.
+func Failed(cause error) error { return &ExitError{code: ExitFailed, cause: cause} }
+
+// BadInput marks input that was refused before anything was sent.
+func BadInput(cause error) error { return &ExitError{code: ExitBadInput, cause: cause} }
+
+// Uncertain marks an outcome that is not known or not complete.
+func Uncertain(cause error) error { return &ExitError{code: ExitUncertain, cause: cause} }
+
+// ExitCode returns the exit code of an error. An error without a code is a failure.
+func ExitCode(err error) int {
+	if err == nil {
+		return ExitSuccess
+	}
+	var exit *ExitError
+	if errors.As(err, &exit) {
+		return exit.code
+	}
+	return ExitFailed
+}
+
+// Args marks a refusal of positional arguments as bad input.
+func Args(check cobra.PositionalArgs) cobra.PositionalArgs {
+	return func(command *cobra.Command, arguments []string) error {
+		if err := check(command, arguments); err != nil {
+			return BadInput(errors.Annotatef(err, "%s", command.CommandPath()))
+		}
+		return nil
+	}
+}
+
+// FlagError marks a refusal of a flag as bad input; the root command uses it.
+func FlagError(command *cobra.Command, err error) error {
+	return BadInput(errors.Annotatef(err, "%s", command.CommandPath()))
+}
+
+// Prepare sets what every verb has in common: errors are printed once, by main, and bad flags
+// have the exit code for bad input.
+func Prepare(commands ...*cobra.Command) []*cobra.Command {
+	for _, command := range commands {
+		command.SilenceErrors, command.SilenceUsage = true, true
+		command.SetFlagErrorFunc(FlagError)
+		Prepare(command.Commands()...)
+	}
+	return commands
+}
