--- a/encoder/api.go
+++ b/encoder/api.go
@@ -15,11 +15,12 @@
 
 // Codes of the API that are not reasons of a decision.
 const (
-	CodeUnauthenticated almondcross.Code = "unauthenticated" // CodeUnauthenticated means that the token is missing or unknown.
-	CodeForbidden       almondcross.Code = "forbidden"       // CodeForbidden means that the role of the token does not allow the call.
-	CodeNotFound        almondcross.Code = "not_found"
-	CodeTooLarge        almondcross.Code = "too_large"
-	CodeUnavailable     almondcross.Code = "unavailable" // CodeUnavailable means that a query could not be answered.
+	CodeUnauthenticated  almondcross.Code = "unauthenticated" // CodeUnauthenticated means that the token is missing or unknown.
+	CodeForbidden        almondcross.Code = "forbidden"       // CodeForbidden means that the role of the token does not allow the call.
+	CodeNotFound         almondcross.Code = "not_found"       // CodeNotFound means that the path is not one of the API.
+	CodeMethodNotAllowed almondcross.Code = "method_not_allowed"
+	CodeTooLarge         almondcross.Code = "too_large"
+	CodeUnavailable      almondcross.Code = "unavailable" // CodeUnavailable means that a query could not be answered.
 )
 
 // Duration is a time span that is written with its unit, such as "1.5s".
--- a/query/viewer/viewer.go
+++ b/query/viewer/viewer.go
@@ -43,7 +43,8 @@
 	return viewer
 }
 
-// Register adds the routes to a router. Metrics and health need no token, because load balancers
+// Register adds the routes to a router, and the answers to paths and methods that it does not
+// have. Metrics and health need no token, because load balancers
 // and collectors ask without one; they show no data of callers.
 func (viewer *Viewer) Register(router *mux.Router) {
 	readers := []almondcross.Role{almondcross.RoleOperator, almondcross.RoleReporter}
@@ -58,6 +59,8 @@
 	router.HandleFunc("/metrics", viewer.metrics).Methods(http.MethodGet)
 	router.HandleFunc("/healthz", viewer.health).Methods(http.MethodGet)
 	router.HandleFunc("/readyz", viewer.ready).Methods(http.MethodGet)
+	router.NotFoundHandler = http.HandlerFunc(responder.NotFound)
+	router.MethodNotAllowedHandler = http.HandlerFunc(responder.MethodNotAllowed)
 }
 
 func (viewer *Viewer) add(router *mux.Router, path string, handler responder.Handler, roles ...almondcross.Role) {
--- a/responder/responder.go
+++ b/responder/responder.go
@@ -200,3 +200,13 @@
 	}
 	JSON(writer, http.StatusOK, encoder.NewOutcomeShape(outcome))
 }
+
+// NotFound answers a path that is not one of the API.
+func NotFound(writer http.ResponseWriter, _ *http.Request) {
+	Fail(writer, Failure{Status: http.StatusNotFound, Code: encoder.CodeNotFound, Message: "the path is not one of the API"})
+}
+
+// MethodNotAllowed answers a method that a path does not take.
+func MethodNotAllowed(writer http.ResponseWriter, _ *http.Request) {
+	Fail(writer, Failure{Status: http.StatusMethodNotAllowed, Code: encoder.CodeMethodNotAllowed, Message: "the path does not take this method"})
+}
