--- a/command/commander/commander_test.go
+++ b/command/commander/commander_test.go
@@ -220,3 +220,43 @@
 	_, err = run(t, "call", "lookup", "--origin", "east", "--server", server, "--timeout", "10s")
 	require.Equal(t, requester.ExitFailed, requester.ExitCode(err), "not run: %v", err)
 }
+
+// Guards against a lost answer to a change that is reported as a failure or a success without
+// proof from the catalogue.
+func TestLostAnswerToAChangeIsResolvedFromTheCatalogue(t *testing.T) {
+	entry := func(share int64, version almondcross.Offset) encoder.CatalogueShape {
+		current, _ := cell{}.Catalogue().Entry("lookup")
+		return encoder.CatalogueShape{Offset: version, Entries: []encoder.EntryShape{encoder.NewEntryShape(current.WithShare(share).WithVersion(version))}}
+	}
+	for _, row := range []struct {
+		name  string
+		after encoder.CatalogueShape
+		code  int
+	}{
+		{"accepted", entry(5, 9), requester.ExitSuccess},
+		{"another change came first", entry(4, 9), requester.ExitFailed},
+		{"not decided", entry(3, 7), requester.ExitUncertain},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			sent := make(chan struct{})
+			router := mux.NewRouter()
+			router.HandleFunc("/v1/catalogue", func(writer http.ResponseWriter, request *http.Request) {
+				close(sent)
+				cutConnection(writer, request)
+			}).Methods(http.MethodPost)
+			router.HandleFunc("/v1/catalogue", func(writer http.ResponseWriter, _ *http.Request) {
+				shape := row.after
+				select {
+				case <-sent:
+				default:
+					shape = entry(3, 7)
+				}
+				_ = json.NewEncoder(writer).Encode(shape)
+			}).Methods(http.MethodGet)
+			server := httptest.NewServer(router)
+			t.Cleanup(server.Close)
+			_, err := run(t, "catalogue", "apply", writeFile(t, lookup), "--server", server.URL, "--timeout", "500ms")
+			require.Equal(t, row.code, requester.ExitCode(err), "%v", err)
+		})
+	}
+}
--- a/parser/kinds.go
+++ b/parser/kinds.go
@@ -248,10 +248,13 @@
 	})
 }
 
+// kindSecret is the type of a Secret on generated pages.
+const kindSecret = "secret"
+
 // Secret is a text that is never shown.
 func Secret[C any](about About, shortest int, at func(*C) *string) Field[C] {
 	allowed := fmt.Sprintf("at least %d characters", shortest)
-	return newField(about, "secret", allowed, func(node Node, into *C) error {
+	return newField(about, kindSecret, allowed, func(node Node, into *C) error {
 		node.secret = true
 		text, err := node.text(allowed)
 		if err != nil {
@@ -276,7 +279,10 @@
 // Objects is a list of objects with a table of their own. Check sees each element with its position.
 func Objects[C, E any](about About, fields []Field[E], check func(Lines, *E) error, at func(*C) *[]E) Field[C] {
 	allowed := "a list of objects with " + keyNames(fields)
+	secret := slices.ContainsFunc(fields, func(field Field[E]) bool { return field.kind == kindSecret })
 	return newField(about, "list of objects", allowed, func(node Node, into *C) error {
+		// A secret in the wrong place, such as one of a list of plain texts, is not shown either.
+		node.secret = node.secret || secret
 		nodes, err := node.elements(allowed)
 		if err != nil {
 			return err
--- a/parser/node.go
+++ b/parser/node.go
@@ -69,6 +69,7 @@
 var positionPattern = regexp.MustCompile(`^hujson: line (\d+), column \d+: `)
 
 // syntaxError takes the line out of the error of the library, whose type holds it only as text.
+// An invalid literal is not shown, because it may be a secret without quotes.
 func syntaxError(err error) (int, string) {
 	text := err.Error()
 	line := 1
@@ -76,6 +77,9 @@
 		line, _ = strconv.Atoi(match[1])
 		text = text[len(match[0]):]
 	}
+	if before, _, found := strings.Cut(text, "invalid literal"); found {
+		text = before + "invalid literal"
+	}
 	quoted := strconv.Quote(text)
 	return line, strings.ReplaceAll(quoted[1:len(quoted)-1], `\"`, `"`)
 }
