--- a/command/driver/driver.go
+++ b/command/driver/driver.go
@@ -10,7 +10,7 @@
 
 	"github.com/almondcross/almondcross"
 	"github.com/almondcross/almondcross/encoder"
-	"github.com/almondcross/almondcross/requester"
+	"github.com/almondcross/almondcross/exchanger"
 )
 
 const (
@@ -26,7 +26,7 @@
 
 // Driver implements almondcross.WorkerCommander.
 type Driver struct {
-	requester *requester.Requester
+	exchanger *exchanger.Exchanger
 
 	commands, refused, unreachable *metrics.Counter
 }
@@ -42,7 +42,7 @@
 		config.Metrics = metrics.NewSet()
 	}
 	return &Driver{
-		requester:   requester.New(requester.Config{Connections: connections, Timeout: config.Timeout}),
+		exchanger:   exchanger.New(exchanger.Config{Connections: connections, Timeout: config.Timeout}),
 		commands:    config.Metrics.GetOrCreateCounter("almondcross_worker_commands_total"),
 		refused:     config.Metrics.GetOrCreateCounter("almondcross_worker_commands_refused_total"),
 		unreachable: config.Metrics.GetOrCreateCounter("almondcross_worker_commands_unreachable_total"),
@@ -52,7 +52,7 @@
 // Run closes the idle connections when the context ends.
 func (driver *Driver) Run(ctx context.Context) error {
 	<-ctx.Done()
-	driver.requester.Close()
+	driver.exchanger.Close()
 	return nil
 }
 
@@ -135,7 +135,7 @@
 
 func (driver *Driver) send(ctx context.Context, target almondcross.Target, path string, body, answer any) error {
 	driver.commands.Inc()
-	err := driver.requester.Do(ctx, 0, http.MethodPost, "http://"+target.Address()+"/v1/"+path, body, answer)
+	err := driver.exchanger.Do(ctx, 0, http.MethodPost, "http://"+target.Address()+"/v1/"+path, body, answer)
 	if err == nil {
 		return nil
 	}
@@ -149,7 +149,7 @@
 }
 
 func classify(err error) errors.ConstError {
-	var failure *requester.ExchangeError
+	var failure *exchanger.ExchangeError
 	if !errors.As(err, &failure) {
 		return almondcross.ErrWorkerUnreachable
 	}
--- a/command/writer/writer.go
+++ b/command/writer/writer.go
@@ -11,7 +11,7 @@
 
 	"github.com/almondcross/almondcross"
 	"github.com/almondcross/almondcross/encoder"
-	"github.com/almondcross/almondcross/requester"
+	"github.com/almondcross/almondcross/exchanger"
 )
 
 const (
@@ -30,7 +30,7 @@
 // Writer implements almondcross.LogAppender.
 type Writer struct {
 	address   string
-	requester *requester.Requester
+	exchanger *exchanger.Exchanger
 
 	appended, refused, uncertain *metrics.Counter
 }
@@ -47,7 +47,7 @@
 	}
 	return &Writer{
 		address:   config.Address,
-		requester: requester.New(requester.Config{Connections: connections, Timeout: config.Timeout}),
+		exchanger: exchanger.New(exchanger.Config{Connections: connections, Timeout: config.Timeout}),
 		appended:  config.Metrics.GetOrCreateCounter("almondcross_log_records_appended_total"),
 		refused:   config.Metrics.GetOrCreateCounter("almondcross_log_appends_refused_total"),
 		uncertain: config.Metrics.GetOrCreateCounter("almondcross_log_appends_uncertain_total"),
@@ -57,7 +57,7 @@
 // Run closes the idle connections when the context ends.
 func (writer *Writer) Run(ctx context.Context) error {
 	<-ctx.Done()
-	writer.requester.Close()
+	writer.exchanger.Close()
 	return nil
 }
 
@@ -68,9 +68,9 @@
 	address := "http://" + writer.address + "/v1/streams/" + url.PathEscape(string(stream)) + "/records"
 	var appended encoder.PlatformAppended
 	body := encoder.PlatformAppend{Records: encoder.PlatformRecordsOf(records)}
-	err := writer.requester.Do(ctx, 0, http.MethodPost, address, body, &appended)
+	err := writer.exchanger.Do(ctx, 0, http.MethodPost, address, body, &appended)
 	if err == nil && appended.FirstOffset <= 0 {
-		err = &requester.ExchangeError{Sent: true, Cause: errors.New("the answer has no offset")}
+		err = &exchanger.ExchangeError{Sent: true, Cause: errors.New("the answer has no offset")}
 	}
 	if err != nil {
 		return 0, writer.translate(err, stream)
@@ -82,7 +82,7 @@
 // translate treats an answer as a refusal only when it carries the code of the log; a status without
 // a code may come from elsewhere on the way and says nothing of the effect.
 func (writer *Writer) translate(err error, stream almondcross.Stream) error {
-	var failure *requester.ExchangeError
+	var failure *exchanger.ExchangeError
 	if errors.As(err, &failure) && (!failure.Sent || failure.Code != "") {
 		writer.refused.Inc()
 		return errors.WithType(errors.Annotatef(err, "append to %s", stream), almondcross.ErrLogRefused)
--- a/query/observer/observer.go
+++ b/query/observer/observer.go
@@ -11,7 +11,7 @@
 
 	"github.com/almondcross/almondcross"
 	"github.com/almondcross/almondcross/encoder"
-	"github.com/almondcross/almondcross/requester"
+	"github.com/almondcross/almondcross/exchanger"
 )
 
 const (
@@ -33,8 +33,8 @@
 // Observer implements almondcross.LiveList and almondcross.WorkerObserver.
 type Observer struct {
 	liveList string
-	list     *requester.Requester
-	workers  *requester.Requester
+	list     *exchanger.Exchanger
+	workers  *exchanger.Exchanger
 
 	events, truncated, failures *metrics.Counter
 }
@@ -54,8 +54,8 @@
 	}
 	return &Observer{
 		liveList:  config.LiveList,
-		list:      requester.New(requester.Config{Connections: listConnections, Timeout: config.Timeout}),
-		workers:   requester.New(requester.Config{Connections: workerConnections, Timeout: config.Timeout}),
+		list:      exchanger.New(exchanger.Config{Connections: listConnections, Timeout: config.Timeout}),
+		workers:   exchanger.New(exchanger.Config{Connections: workerConnections, Timeout: config.Timeout}),
 		events:    config.Metrics.GetOrCreateCounter("almondcross_worker_events_read_total"),
 		truncated: config.Metrics.GetOrCreateCounter("almondcross_worker_answers_truncated_total"),
 		failures:  config.Metrics.GetOrCreateCounter("almondcross_observer_failures_total"),
@@ -134,7 +134,7 @@
 	}
 	observer.failures.Inc()
 	kind := almondcross.ErrWorkerUnreachable
-	var failure *requester.ExchangeError
+	var failure *exchanger.ExchangeError
 	if errors.As(err, &failure) && failure.Code == encoder.PlatformTermStale {
 		kind = almondcross.ErrTermStale
 	}
--- a/query/reader/reader.go
+++ b/query/reader/reader.go
@@ -12,7 +12,7 @@
 
 	"github.com/almondcross/almondcross"
 	"github.com/almondcross/almondcross/encoder"
-	"github.com/almondcross/almondcross/requester"
+	"github.com/almondcross/almondcross/exchanger"
 )
 
 const (
@@ -31,7 +31,7 @@
 // Reader implements almondcross.LogReader.
 type Reader struct {
 	address   string
-	requester *requester.Requester
+	exchanger *exchanger.Exchanger
 
 	records, failures *metrics.Counter
 }
@@ -48,7 +48,7 @@
 	}
 	return &Reader{
 		address:   config.Address,
-		requester: requester.New(requester.Config{Connections: connections, Timeout: config.Timeout}),
+		exchanger: exchanger.New(exchanger.Config{Connections: connections, Timeout: config.Timeout}),
 		records:   config.Metrics.GetOrCreateCounter("almondcross_log_records_read_total"),
 		failures:  config.Metrics.GetOrCreateCounter("almondcross_log_read_failures_total"),
 	}
@@ -57,7 +57,7 @@
 // Run closes the idle connections when the context ends.
 func (reader *Reader) Run(ctx context.Context) error {
 	<-ctx.Done()
-	reader.requester.Close()
+	reader.exchanger.Close()
 	return nil
 }
 
@@ -112,12 +112,12 @@
 	ctx context.Context, wait time.Duration, stream almondcross.Stream, path string, answer any,
 ) error {
 	address := "http://" + reader.address + "/v1/streams/" + url.PathEscape(string(stream)) + path
-	err := reader.requester.Do(ctx, wait, http.MethodGet, address, nil, answer)
+	err := reader.exchanger.Do(ctx, wait, http.MethodGet, address, nil, answer)
 	if err == nil {
 		return nil
 	}
 	reader.failures.Inc()
-	var failure *requester.ExchangeError
+	var failure *exchanger.ExchangeError
 	if errors.As(err, &failure) && failure.Code == encoder.PlatformTrimmed {
 		return errors.WithType(errors.Annotatef(err, "read %s, oldest %d", stream, failure.Oldest), almondcross.ErrLogTrimmed)
 	}
--- a/query/tailer/tailer_test.go
+++ b/query/tailer/tailer_test.go
@@ -13,9 +13,9 @@
 	"github.com/almondcross/almondcross"
 	"github.com/almondcross/almondcross/command/writer"
 	"github.com/almondcross/almondcross/encoder"
+	"github.com/almondcross/almondcross/exchanger"
 	"github.com/almondcross/almondcross/query/reader"
 	"github.com/almondcross/almondcross/query/tailer"
-	"github.com/almondcross/almondcross/requester"
 	"github.com/almondcross/almondcross/ring"
 	"github.com/almondcross/almondcross/standin/provider"
 )
@@ -89,7 +89,7 @@
 
 func setDown(t *testing.T, address string, down bool) {
 	t.Helper()
-	exchange := requester.New(requester.Config{Connections: 1, Timeout: time.Second})
+	exchange := exchanger.New(exchanger.Config{Connections: 1, Timeout: time.Second})
 	defer exchange.Close()
 	var answer encoder.PlatformSwitches
 	require.NoError(t, exchange.Do(t.Context(), 0, http.MethodPut, "http://"+address+"/v1/switches/log",
--- a/requester/doc.go
+++ b/requester/doc.go
@@ -1,7 +1,9 @@
-// Package requester makes one JSON exchange over HTTP with bounded bodies.
+// Package requester holds what the command line's command client and query
+// client share: the flags that name entry hosts and the token, one HTTP call,
+// and the exit codes.
 //
-// A failed exchange returns an ExchangeError, which tells whether the request
-// may have reached the server and which code the server refused it with. The
-// adapters below command/ and query/ turn it into the errors of the root
-// package.
+// Do reports whether a failed call was certainly not sent, because a command
+// whose answer is lost may have taken effect. The token is read from a file or
+// the environment, never from an argument, which other users of the host could
+// see; it appears in no error.
 package requester
--- a/requester/requester.go
+++ b/requester/requester.go
@@ -4,140 +4,155 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
-	"sync/atomic"
+	"net/url"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
 
+	"github.com/almondcross/almondcross"
 	"github.com/almondcross/almondcross/encoder"
 )
 
-const (
-	dialTimeout = time.Second
-	idleTimeout = 30 * time.Second
-)
+// maxAnswer bounds the answers that are read. A catalogue of 100,000 entries is about 40 MB.
+const maxAnswer = 64 << 20
 
-// ExchangeError is a failed exchange.
-type ExchangeError struct {
-	Sent   bool                 // Sent tells whether the request may have reached the server.
-	Status int                  // Status is the HTTP status, 0 when there was no whole answer.
-	Code   encoder.PlatformCode // Code is the code of a refusal, empty when the answer had none.
-	Oldest int64                // Oldest is the oldest offset kept, with the code trimmed.
-	Cause  error                // Cause is the error of the transport or of the decoding.
-	Detail string               // Detail is the message of a refusal.
-}
+// connectTimeout is the time within which a host must accept a connection.
+const connectTimeout = 2 * time.Second
 
-// Error returns the description of the failure.
-func (failure *ExchangeError) Error() string {
-	if failure.Cause != nil {
-		return failure.Cause.Error()
-	}
-	return fmt.Sprintf("status %d, code %q: %s", failure.Status, failure.Code, failure.Detail)
-}
+// ErrNotSent marks a call that certainly did not reach the host.
+const ErrNotSent = errors.ConstError("the call was not sent")
 
-// Unwrap returns the error of the transport or of the decoding.
-func (failure *ExchangeError) Unwrap() error { return failure.Cause }
+// ErrBadServer is returned for an address that is not one of an entry host.
+const ErrBadServer = errors.ConstError("not the address of an entry host")
 
-// Config holds the settings of a requester.
+// Config holds what a Client needs.
 type Config struct {
-	Connections int           // Connections is the most connections to one server.
-	Timeout     time.Duration // Timeout is the time for one exchange beyond the wait of a long poll.
+	Server string // Server is an address such as "127.0.0.1:7201" or "https://10.0.0.1:7201".
+	Token  string
 }
 
-// Requester makes exchanges; it is safe for concurrent use.
-type Requester struct {
-	client  *http.Client
-	timeout time.Duration
+// Client calls the API of one entry host.
+type Client struct {
+	base  url.URL
+	token string
+	http  *http.Client
 }
 
-// New returns a requester with its own connections.
-func New(config Config) *Requester {
-	transport := &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: min(dialTimeout, config.Timeout)}).DialContext,
-		MaxConnsPerHost:        config.Connections,
-		MaxIdleConnsPerHost:    config.Connections,
-		IdleConnTimeout:        idleTimeout,
-		MaxResponseHeaderBytes: 16 << 10,
-		DisableCompression:     true,
+// New returns a Client.
+func New(config Config) (*Client, error) {
+	text := config.Server
+	if !strings.Contains(text, "://") {
+		text = "http://" + text
 	}
-	return &Requester{client: &http.Client{Transport: transport}, timeout: config.Timeout}
+	base, err := url.Parse(text)
+	if err != nil || base.Host == "" || base.Port() == "" || (base.Scheme != "http" && base.Scheme != "https") ||
+		strings.Trim(base.Path, "/") != "" || base.User != nil || base.RawQuery != "" {
+		return nil, errors.Annotatef(ErrBadServer, "server: found %q; allowed: an address and port such as 127.0.0.1:7201", config.Server)
+	}
+	dialer := &net.Dialer{Timeout: connectTimeout}
+	return &Client{
+		base: *base, token: config.Token,
+		http: &http.Client{
+			Transport:     &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+	}, nil
+}
+
+// Server returns the address of the host.
+func (client *Client) Server() string { return client.base.Host }
+
+// Call is one call of the API.
+type Call struct {
+	Method string
+	Path   []string // Path holds the segments, not escaped.
+	Query  url.Values
+	Body   any // Body is encoded as JSON; nil for none.
 }
 
-// Close closes idle connections.
-func (requester *Requester) Close() { requester.client.CloseIdleConnections() }
-
-// Do sends in as the body, unless it is nil, and decodes the answer into out. The wait is added to
-// the timeout. Every error is an *ExchangeError.
-func (requester *Requester) Do(ctx context.Context, wait time.Duration, method, url string, in, out any) error {
-	ctx, cancel := context.WithTimeout(ctx, wait+requester.timeout)
-	defer cancel()
-	// A request is written only after a connection was obtained, so without one nothing was sent.
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
-	request, err := newRequest(ctx, method, url, in)
+// Answer is what a host answered.
+type Answer struct {
+	Status int
+	Body   []byte
+}
+
+// Do sends a call. ErrAPIUnreachable means that no whole answer came; it comes with ErrNotSent
+// when the call certainly did not reach the host.
+func (client *Client) Do(ctx context.Context, call Call) (Answer, error) {
+	var body io.Reader
+	if call.Body != nil {
+		encoded, err := json.Marshal(call.Body)
+		if err != nil {
+			return Answer{}, errors.Annotate(err, "encoding the body")
+		}
+		body = bytes.NewReader(encoded)
+	}
+	target := client.base.JoinPath(escape(call.Path)...)
+	target.RawQuery = call.Query.Encode()
+	request, err := http.NewRequestWithContext(ctx, call.Method, target.String(), body)
 	if err != nil {
-		return err
+		return Answer{}, errors.Annotate(err, "building the request")
+	}
+	request.Header.Set("Content-Type", "application/json")
+	if client.token != "" {
+		request.Header.Set("Authorization", "Bearer "+client.token)
 	}
-	response, err := requester.client.Do(request)
+	response, err := client.http.Do(request)
 	if err != nil {
-		return &ExchangeError{Sent: connected.Load(), Cause: err}
+		return Answer{}, client.unreachable(err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	return decode(response, out)
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
+	if err != nil {
+		return Answer{}, client.unreachable(err)
+	}
+	if len(content) > maxAnswer {
+		return Answer{}, errors.Annotatef(almondcross.ErrAPIRefused, "%s: the answer has more than %d bytes", client.Server(), maxAnswer)
+	}
+	return Answer{Status: response.StatusCode, Body: content}, nil
 }
 
-func newRequest(ctx context.Context, method, url string, in any) (*http.Request, error) {
-	if in == nil {
-		return buildRequest(ctx, method, url, http.NoBody)
+func escape(segments []string) []string {
+	escaped := make([]string, len(segments))
+	for index, segment := range segments {
+		escaped[index] = url.PathEscape(segment)
 	}
-	body, err := json.Marshal(in)
-	if err != nil {
-		return nil, &ExchangeError{Cause: errors.Trace(err)}
-	}
-	if len(body) > encoder.MaxPlatformBody {
-		return nil, &ExchangeError{
-			Code:  encoder.PlatformTooLarge,
-			Cause: errors.Errorf("the body has %d bytes, more than %d", len(body), encoder.MaxPlatformBody),
-		}
+	return escaped
+}
+
+// unreachable keeps apart a connection that was never made from an answer that was lost.
+func (client *Client) unreachable(err error) error {
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		err = errors.WithType(err, ErrNotSent)
 	}
-	return buildRequest(ctx, method, url, bytes.NewReader(body))
+	return errors.Annotate(errors.WithType(err, almondcross.ErrAPIUnreachable), client.Server())
 }
 
-func buildRequest(ctx context.Context, method, url string, body io.Reader) (*http.Request, error) {
-	request, err := http.NewRequestWithContext(ctx, method, url, body)
-	if err != nil {
-		return nil, &ExchangeError{Cause: errors.Trace(err)}
+// Refusal returns the error that an answer of 4xx or 5xx stands for.
+func (client *Client) Refusal(answer Answer) error {
+	var shape encoder.ErrorShape
+	if err := json.Unmarshal(answer.Body, &shape); err != nil || shape.Code == "" {
+		return errors.Annotatef(almondcross.ErrAPIRefused, "%s answered %d without a code", client.Server(), answer.Status)
 	}
-	request.Header.Set("Content-Type", "application/json")
-	return request, nil
+	return errors.WithType(errors.Errorf("%s: %s: %s", client.Server(), shape.Code, shape.Message), almondcross.ErrAPIRefused)
 }
 
-func decode(response *http.Response, out any) error {
-	body, err := io.ReadAll(io.LimitReader(response.Body, encoder.MaxPlatformBody+1))
+// Get reads a path into a shape.
+func (client *Client) Get(ctx context.Context, path []string, query url.Values, into any) error {
+	answer, err := client.Do(ctx, Call{Method: http.MethodGet, Path: path, Query: query})
 	if err != nil {
-		return &ExchangeError{Sent: true, Cause: errors.Annotate(err, "read the answer")}
-	}
-	if len(body) > encoder.MaxPlatformBody {
-		return &ExchangeError{Sent: true, Cause: errors.Errorf("the answer has more than %d bytes", encoder.MaxPlatformBody)}
+		return err
 	}
-	if response.StatusCode != http.StatusOK {
-		var refusal encoder.PlatformFailure
-		if err := json.Unmarshal(body, &refusal); err != nil {
-			return &ExchangeError{Sent: true, Status: response.StatusCode, Detail: "the refusal is malformed"}
-		}
-		return &ExchangeError{
-			Sent: true, Status: response.StatusCode, Code: refusal.Code, Oldest: refusal.Oldest, Detail: refusal.Message,
-		}
+	if answer.Status != http.StatusOK {
+		return client.Refusal(answer)
 	}
-	if err := json.Unmarshal(body, out); err != nil {
-		return &ExchangeError{Sent: true, Cause: errors.Annotate(err, "decode the answer")}
+	if err := json.Unmarshal(answer.Body, into); err != nil {
+		return errors.Annotatef(errors.WithType(err, almondcross.ErrAPIRefused), "%s: decoding the answer", client.Server())
 	}
 	return nil
 }
--- a/standin/provider/provider_test.go
+++ b/standin/provider/provider_test.go
@@ -14,9 +14,9 @@
 	"github.com/almondcross/almondcross"
 	"github.com/almondcross/almondcross/command/writer"
 	"github.com/almondcross/almondcross/encoder"
+	"github.com/almondcross/almondcross/exchanger"
 	"github.com/almondcross/almondcross/query/observer"
 	"github.com/almondcross/almondcross/query/reader"
-	"github.com/almondcross/almondcross/requester"
 	"github.com/almondcross/almondcross/standin/provider"
 )
 
@@ -42,7 +42,7 @@
 
 func put(t *testing.T, address, path string, body any) {
 	t.Helper()
-	exchange := requester.New(requester.Config{Connections: 1, Timeout: time.Second})
+	exchange := exchanger.New(exchanger.Config{Connections: 1, Timeout: time.Second})
 	defer exchange.Close()
 	var answer encoder.PlatformSwitches
 	require.NoError(t, exchange.Do(t.Context(), 0, http.MethodPut, "http://"+address+path, body, &answer))
--- a/standin/worker/heartbeat.go
+++ b/standin/worker/heartbeat.go
@@ -8,13 +8,13 @@
 
 	"github.com/almondcross/almondcross"
 	"github.com/almondcross/almondcross/encoder"
-	"github.com/almondcross/almondcross/requester"
+	"github.com/almondcross/almondcross/exchanger"
 	"github.com/almondcross/almondcross/standin/answerer"
 )
 
 // sendHeartbeats registers the worker at the live list and repeats the registration as a heartbeat.
 func (worker *Worker) sendHeartbeats(ctx context.Context) error {
-	exchange := requester.New(requester.Config{Connections: 1, Timeout: heartbeatInterval})
+	exchange := exchanger.New(exchanger.Config{Connections: 1, Timeout: heartbeatInterval})
 	defer exchange.Close()
 	failures := worker.config.Metrics.GetOrCreateCounter("almondcross_worker_heartbeat_failures_total")
 	address := "http://" + worker.config.LiveList + "/v1/live/" + url.PathEscape(worker.config.Name)
--- a/standin/worker/worker_test.go
+++ b/standin/worker/worker_test.go
@@ -14,8 +14,8 @@
 	"github.com/almondcross/almondcross"
 	"github.com/almondcross/almondcross/command/driver"
 	"github.com/almondcross/almondcross/encoder"
+	"github.com/almondcross/almondcross/exchanger"
 	"github.com/almondcross/almondcross/query/observer"
-	"github.com/almondcross/almondcross/requester"
 	"github.com/almondcross/almondcross/standin/provider"
 	"github.com/almondcross/almondcross/standin/worker"
 )
@@ -27,7 +27,7 @@
 	target   almondcross.Target
 	driver   *driver.Driver
 	observer *observer.Observer
-	exchange *requester.Requester
+	exchange *exchanger.Exchanger
 }
 
 func newFixture(t *testing.T, config worker.Config) fixture {
@@ -46,7 +46,7 @@
 	return fixture{
 		T: t, target: standin.Target(), driver: driver.New(driver.Config{}),
 		observer: observer.New(observer.Config{LiveList: config.LiveList}),
-		exchange: requester.New(requester.Config{Connections: 2, Timeout: time.Second}),
+		exchange: exchanger.New(exchanger.Config{Connections: 2, Timeout: time.Second}),
 	}
 }
 
