--- /dev/null
+++ b/assembler/policies.go
@@ -0,0 +1,33 @@
+package assembler
+
+import (
+	"github.com/juju/errors"
+
+	"github.com/almondcross/almondcross/command/placer"
+	"github.com/almondcross/almondcross/configurator"
+	"github.com/almondcross/almondcross/policy/admitter"
+	"github.com/almondcross/almondcross/policy/estimator"
+	"github.com/almondcross/almondcross/policy/packer"
+	"github.com/almondcross/almondcross/policy/sharer"
+)
+
+// ErrPolicyUnknown is returned for a policy that the settings allow and no package implements.
+const ErrPolicyUnknown = errors.ConstError("no such policy")
+
+// policiesOf returns the policies that the settings choose.
+func policiesOf(settings configurator.EntrySettings) (placer.Policies, error) {
+	policies := placer.Policies{Estimator: estimator.New(), Admission: admitter.New()}
+	switch settings.Placement() {
+	case configurator.PlacementPacked:
+		policies.Placement = packer.New()
+	default:
+		return policies, errors.Annotatef(ErrPolicyUnknown, "placement %s", settings.Placement())
+	}
+	switch settings.Share() {
+	case configurator.ShareDominant:
+		policies.Share = sharer.New()
+	default:
+		return policies, errors.Annotatef(ErrPolicyUnknown, "share %s", settings.Share())
+	}
+	return policies, nil
+}
--- /dev/null
+++ b/assembler/stop.go
@@ -0,0 +1,140 @@
+package assembler
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+
+	"github.com/almondcross/almondcross"
+	"github.com/almondcross/almondcross/command/accountant"
+	"github.com/almondcross/almondcross/command/cataloguer"
+	"github.com/almondcross/almondcross/command/claimer"
+	"github.com/almondcross/almondcross/command/coordinator"
+	"github.com/almondcross/almondcross/command/dispatcher"
+	"github.com/almondcross/almondcross/command/linker"
+	"github.com/almondcross/almondcross/command/placer"
+	"github.com/almondcross/almondcross/command/registrar"
+	"github.com/almondcross/almondcross/configurator"
+	"github.com/almondcross/almondcross/query/inspector"
+	"github.com/almondcross/almondcross/query/watcher"
+)
+
+const (
+	startTimeout = 15 * time.Second
+	// stopMargin is the time that a planned stop takes beside the grace for requests.
+	stopMargin = 15 * time.Second
+	// answerMargin is the time in which callers are answered after the grace.
+	answerMargin = 2 * time.Second
+	// balancerDelay is the time in which the balancer sees that the host is not ready; requests
+	// that arrive meanwhile are served.
+	balancerDelay = time.Second
+	// drainLimit bounds the wait for handed-over keys and released targets.
+	drainLimit = 3 * time.Second
+	// pollInterval is the time between two looks at the targets still held during a stop.
+	pollInterval = 20 * time.Millisecond
+	// dutiesLimit bounds the wait for the duties to end.
+	dutiesLimit = 3 * time.Second
+)
+
+// entryParts are the parts of an entry host that run.
+type entryParts struct {
+	fx.In
+
+	Settings    configurator.EntrySettings
+	Logger      logrus.FieldLogger
+	Duties      *Duties
+	Rings       Rings
+	Appenders   Appenders
+	Linker      *linker.Linker
+	Registrar   *registrar.Registrar
+	Manager     *dispatcher.Manager
+	Placer      *placer.Placer
+	Coordinator *coordinator.Coordinator
+	Cataloguer  *cataloguer.Duty
+	Loader      *cataloguer.Loader
+	Claimer     *claimer.Duty
+	ClaimTail   *claimer.Tail
+	Accountant  *accountant.Duty
+	Watcher     *watcher.Watcher
+	Inspector   *inspector.Inspector
+	Servers     *Servers
+}
+
+func runEntry(lifecycle fx.Lifecycle, parts entryParts) {
+	lifecycle.Append(fx.Hook{OnStart: parts.start, OnStop: parts.stop})
+}
+
+func (parts entryParts) start(ctx context.Context) error {
+	servers, err := parts.Servers.Listen(ctx)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	for _, appender := range parts.Appenders.all() {
+		parts.Duties.Start(NamedDuty{Name: "appender", Duty: appender})
+	}
+	parts.Duties.Start(
+		NamedDuty{"linker", parts.Linker}, NamedDuty{"registrar", parts.Registrar},
+		NamedDuty{"placer", parts.Placer}, NamedDuty{"coordinator", parts.Coordinator},
+		NamedDuty{"cataloguer", parts.Cataloguer}, NamedDuty{"catalogue loader", parts.Loader},
+		NamedDuty{"claimer", parts.Claimer}, NamedDuty{"claim tail", parts.ClaimTail},
+		NamedDuty{"accountant", parts.Accountant}, NamedDuty{"live-list watcher", parts.Watcher},
+	)
+	parts.Duties.Start(servers...)
+	parts.Logger.WithField("listen", parts.Settings.Listen()).Info("entry host started")
+	return nil
+}
+
+// stop is the planned stop of docs/design.md 3.8; no step needs the log.
+func (parts entryParts) stop(ctx context.Context) error {
+	parts.Logger.Info("planned stop begins")
+	parts.Inspector.SetStopping()
+	parts.leave(ctx, false)
+	_ = parts.Rings.Coordinator.Put(ctx, almondcross.DrainCoordinator{})
+	wait(ctx, balancerDelay, nil)
+	parts.Servers.StopPublic(parts.Settings.StopGrace())
+	wait(ctx, drainLimit, parts.Coordinator.Drained())
+	_ = parts.Rings.Placer.Put(ctx, almondcross.DrainPlacer{})
+	parts.awaitRelease(ctx)
+	parts.leave(ctx, true)
+	wait(ctx, answerMargin/4, nil)
+	parts.Duties.Stop(dutiesLimit)
+	parts.Manager.Wait()
+	parts.Logger.Info("planned stop complete")
+	return nil
+}
+
+func (parts entryParts) leave(ctx context.Context, final bool) {
+	message := almondcross.NewLeaveView(almondcross.LeaveViewConfig{Final: final})
+	_ = parts.Rings.Registrar.Put(ctx, message)
+}
+
+// awaitRelease waits until no target is held, so that peers can acquire them at once.
+func (parts entryParts) awaitRelease(ctx context.Context) {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	limit := time.NewTimer(drainLimit)
+	defer limit.Stop()
+	for len(parts.Placer.HeldTargets()) > 0 {
+		select {
+		case <-ticker.C:
+		case <-limit.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// wait returns after a time, or earlier when done is closed or the context ends.
+func wait(ctx context.Context, length time.Duration, done <-chan struct{}) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-done:
+	case <-ctx.Done():
+	}
+}
--- a/command/linker/receiver.go
+++ b/command/linker/receiver.go
@@ -98,8 +98,9 @@
 	return message, nil
 }
 
-// sentBy returns the member that a message names as its sender. TaskLost names the former holder,
-// and a forwarded task its coordinator, so neither names its sender.
+// sentBy returns the member that a message names as its sender. A former coordinator passes on
+// reports of tasks, TaskLost names the former holder, and a forwarded task its coordinator, so these
+// do not name their sender.
 func sentBy(message almondcross.PeerMessage) (string, bool) {
 	switch message := message.(type) {
 	case almondcross.PeerPing:
@@ -114,10 +115,6 @@
 		return message.Member().Name(), true
 	case almondcross.TaskRefused:
 		return message.Holder().Name(), true
-	case almondcross.TaskStarted:
-		return message.Holder().Name(), true
-	case almondcross.TaskEnded:
-		return message.Holder().Name(), true
 	case almondcross.AdoptTask:
 		return message.Holder().Name(), true
 	case almondcross.AdoptAnswered:
@@ -142,8 +139,6 @@
 	case almondcross.PeerPong, almondcross.PeerLeavingAck:
 		linker.offerRegistrar(message)
 	case almondcross.PeerLeaving:
-		// The coordinator learns the keys that stay with the member before the view lacks it.
-		linker.put(linker.config.Coordinator.Put(ctx, message))
 		linker.offerRegistrar(message)
 	case almondcross.PeerSubmit:
 		replier := peerReplier{linker: linker, peer: peer, correlation: message.Correlation()}
--- a/integration/cell/host_test.go
+++ b/integration/cell/host_test.go
@@ -1,6 +1,7 @@
 package cell_test
 
 import (
+	"slices"
 	"time"
 
 	"github.com/almondcross/almondcross"
@@ -119,9 +120,9 @@
 	host.world.at(host.pausedUntil, func() {
 		host.world.note("%s resumes", host.name)
 		// A resumed process may see its overdue timers or the messages that wait first.
-		steps := append(host.waiting, host.overdue...)
+		steps := slices.Concat(host.waiting, host.overdue)
 		if host.world.random.IntN(2) == 0 {
-			steps = append(host.overdue, host.waiting...)
+			steps = slices.Concat(host.overdue, host.waiting)
 		}
 		host.waiting, host.overdue = nil, nil
 		for _, step := range steps {
--- /dev/null
+++ b/query/inspector/inspector.go
@@ -0,0 +1,51 @@
+package inspector
+
+import (
+	"sync/atomic"
+
+	"github.com/almondcross/almondcross"
+)
+
+// Config holds the parts whose state is shown.
+type Config struct {
+	Members   almondcross.MemberViewer
+	Catalogue almondcross.CatalogueViewer
+	Holdings  almondcross.HoldingViewer
+	Clock     almondcross.Clock
+	Rings     []func() []almondcross.RingState // Rings gives the states of the rings.
+	LogDown   func() bool                      // LogDown reports whether the last append of claims failed.
+	LogEnd    func() almondcross.Offset        // LogEnd returns the end of the catalogue stream as last read.
+}
+
+// Inspector implements StatusViewer.
+type Inspector struct {
+	config   Config
+	stopping atomic.Bool
+}
+
+// New returns an inspector of a host that is not stopping.
+func New(config Config) *Inspector { return &Inspector{config: config} }
+
+// SetStopping makes the host show as not ready; a planned stop begins with it.
+func (inspector *Inspector) SetStopping() { inspector.stopping.Store(true) }
+
+// Status returns the state of this host.
+func (inspector *Inspector) Status() almondcross.HostStatus {
+	view := inspector.config.Members.View()
+	standing := view.HasStanding(inspector.config.Clock.Now())
+	catalogue := inspector.config.Catalogue.Catalogue()
+	var rings []almondcross.RingState
+	for _, states := range inspector.config.Rings {
+		rings = append(rings, states()...)
+	}
+	return almondcross.NewHostStatus(almondcross.HostStatusConfig{
+		View:            view,
+		Standing:        standing,
+		Ready:           standing && catalogue.Offset() >= 0 && !inspector.stopping.Load(),
+		CatalogueOffset: catalogue.Offset(),
+		LogEnd:          inspector.config.LogEnd(),
+		LogDown:         inspector.config.LogDown(),
+		Targets:         inspector.config.Holdings.HeldTargets(),
+		Rings:           rings,
+	})
+}
