Refuse an unknown verb as bad input

Cause: an unknown verb below the root ended with exit code 1.

Change: requester.Prepare gives every command that only holds others a check of its arguments, the root included.

--- a/query/lister/lister.go
+++ b/query/lister/lister.go
@@ -34,11 +34,7 @@
 
 // parent returns a command that only holds others.
 func parent(use, short, long string, children ...*cobra.Command) *cobra.Command {
-	command := &cobra.Command{
-		Use: use, Short: short, Long: long + requester.ExitHelp,
-		Args: requester.Args(cobra.NoArgs),
-		RunE: func(command *cobra.Command, _ []string) error { return command.Help() },
-	}
+	command := &cobra.Command{Use: use, Short: short, Long: long + requester.ExitHelp}
 	command.AddCommand(children...)
 	return command
 }
--- a/query/lister/lister_test.go
+++ b/query/lister/lister_test.go
@@ -74,6 +74,7 @@
 	for _, arguments := range [][]string{
 		{"catalogue", "validate", "missing.jsonc"},
 		{"catalogue", "lst"},
+		{"catalgue"},
 		{"catalogue", "show", "No Such Name"},
 		{"settings", "check", "missing.jsonc"},
 		{"report", "shares", "--from", "yesterday"},
--- a/requester/exit.go
+++ b/requester/exit.go
@@ -70,12 +70,16 @@
 	return BadInput(errors.Annotatef(err, "%s", command.CommandPath()))
 }
 
-// Prepare sets what every verb has in common: errors are printed once, by main, and bad flags
-// have the exit code for bad input.
+// Prepare sets what every verb has in common: errors are printed once, by main, and bad flags and
+// unknown verbs have the exit code for bad input. The assembler calls it with the root command.
 func Prepare(commands ...*cobra.Command) []*cobra.Command {
 	for _, command := range commands {
 		command.SilenceErrors, command.SilenceUsage = true, true
 		command.SetFlagErrorFunc(FlagError)
+		if !command.Runnable() && command.HasSubCommands() {
+			command.Args = Args(cobra.NoArgs)
+			command.RunE = func(command *cobra.Command, _ []string) error { return command.Help() }
+		}
 		Prepare(command.Commands()...)
 	}
 	return commands
--- a/requester/flags.go
+++ b/requester/flags.go
@@ -31,7 +31,7 @@
 	command.Flags().StringArrayVar(&flags.servers, "server", nil,
 		"address of an entry host, repeatable (default $"+ServerVariable+", comma-separated, or "+defaultServer+")")
 	command.Flags().StringVar(&flags.tokenFile, "token-file", "", "file that holds the token (default: the token in $"+TokenVariable+")")
-	command.Flags().DurationVar(&flags.timeout, "timeout", 30*time.Second, "time limit of the whole command")
+	command.Flags().DurationVar(&flags.timeout, "timeout", 30*time.Second, "time limit, all attempts included")
 	_ = command.MarkFlagFilename("token-file")
 }
 
