Decide claims of non-repeatable keys in log order

A key that may not be repeated must start at most once, although appends are lost, late or repeated, hosts rejoin and the log trims. The claimer grants a key when it reads its own claim back first; an unanswered claim is followed by a void. A reader of a trimmed stream refuses keys as held_back, not as voided or log_down, until a checkpoint covers the gap, because an earlier claim may have run: the property test found that a void after a trimmed claim was reported as 'never runs' before this rule.

--- a/command/cataloguer/duty.go
+++ b/command/cataloguer/duty.go
@@ -21,8 +21,7 @@
 type Config struct {
 	Ring        *ring.Ring[almondcross.CataloguerMessage]
 	Member      almondcross.MemberID // Member is the host in the incarnation in which it started.
-	DataCentre  string
-	Machine     MachineConfig // Machine holds the limits; its prefix is set by the duty.
+	Machine     MachineConfig        // Machine holds the limits; its prefix is set by the duty.
 	Codec       almondcross.CatalogueCodec
 	Changes     almondcross.Appender // Changes appends to the catalogue stream.
 	Checkpoints almondcross.Appender // Checkpoints appends to the checkpoint stream.
@@ -43,7 +42,6 @@
 	machine   *Machine
 	catalogue atomic.Pointer[almondcross.Catalogue]
 	audit     atomic.Pointer[[]almondcross.AuditLine]
-	writerKey almondcross.Key
 	accepted  *metrics.Counter
 	refused   *metrics.Counter
 }
@@ -58,11 +56,8 @@
 	}
 	config.Machine.Prefix = "catalogue/" + config.Member.Name() + "/" + strconv.FormatUint(config.Member.Incarnation(), 10)
 	duty := &Duty{
-		config:  config,
-		machine: NewMachine(config.Machine),
-		writerKey: almondcross.NewKey(almondcross.KeyConfig{
-			Origin: config.DataCentre, Name: string(almondcross.StreamCatalogueCheckpoint),
-		}),
+		config:   config,
+		machine:  NewMachine(config.Machine),
 		accepted: config.Metrics.NewCounter(`almondcross_catalogue_answers_total{accepted="true"}`),
 		refused:  config.Metrics.NewCounter(`almondcross_catalogue_answers_total{accepted="false"}`),
 	}
@@ -96,12 +91,10 @@
 	}
 }
 
-// isWriter reports whether this host comes first for the checkpoint stream in its data centre. Each
-// data centre has one such host; a second checkpoint is harmless.
+// isWriter reports whether this host writes the checkpoints.
 func (duty *Duty) isWriter() bool {
 	view := duty.config.Members.View()
-	writer, ok := view.Coordinator(duty.writerKey)
-	return ok && writer.Id() == view.Self().Id()
+	return view.Writer(almondcross.StreamCatalogueCheckpoint) == view.Self().Id()
 }
 
 func (duty *Duty) apply(ctx context.Context, message almondcross.CataloguerMessage) {
--- /dev/null
+++ b/command/claimer/table.go
@@ -0,0 +1,101 @@
+package claimer
+
+import (
+	"time"
+
+	"github.com/almondcross/almondcross"
+)
+
+// expiryMargin is added to the horizon before a key leaves the table, so that no host has dropped a
+// key that another host, with a slower clock, does not refuse as expired yet.
+const expiryMargin = 24 * time.Hour
+
+// decision is what the log says of one key.
+type decision struct {
+	standing almondcross.ClaimRecord // the first claim or void
+	stands   bool
+	settled  almondcross.ClaimRecord // the settlement
+	ended    bool
+}
+
+// decisive returns the record that refuses a further claim.
+func (decision decision) decisive() almondcross.ClaimRecord {
+	if decision.ended {
+		return decision.settled
+	}
+	return decision.standing
+}
+
+// expiry is a key with the time at which it leaves the table.
+type expiry struct {
+	key almondcross.Key
+	at  time.Time
+}
+
+// table holds the decisions of all keys.
+type table struct {
+	keys     map[almondcross.Key]decision
+	expiries []expiry // in the order of reading; one key that expires late delays the others, which only costs memory
+}
+
+// merge adds a record and reports whether the decision of its key changed. The result does not
+// depend on the order in which records are merged.
+func (table *table) merge(record almondcross.ClaimRecord, expires time.Time) bool {
+	current, known := table.keys[record.Key()]
+	switch record.Kind() {
+	case almondcross.ClaimTaken, almondcross.ClaimVoid:
+		if current.stands && current.standing.Offset() <= record.Offset() {
+			return false
+		}
+		current.standing, current.stands = record, true
+	case almondcross.ClaimSettled:
+		if current.ended && !supersedes(record, current.settled) {
+			return false
+		}
+		current.settled, current.ended = record, true
+	default:
+		return false
+	}
+	table.keys[record.Key()] = current
+	if !known {
+		table.expiries = append(table.expiries, expiry{key: record.Key(), at: expires})
+	}
+	return true
+}
+
+// supersedes reports whether a settlement replaces another one: a known end replaces an unknown one,
+// otherwise the first in the log stays.
+func supersedes(record, current almondcross.ClaimRecord) bool {
+	unknown, currentUnknown := record.Status() == almondcross.StatusUnknown, current.Status() == almondcross.StatusUnknown
+	if unknown != currentUnknown {
+		return currentUnknown
+	}
+	return record.Offset() < current.Offset()
+}
+
+// expire drops the keys whose time has come.
+func (table *table) expire(now time.Time) {
+	count := 0
+	for _, entry := range table.expiries {
+		if now.Before(entry.at) {
+			break
+		}
+		delete(table.keys, entry.key)
+		count++
+	}
+	table.expiries = table.expiries[count:]
+}
+
+// records returns every record that decides a key.
+func (table *table) records() []almondcross.ClaimRecord {
+	records := make([]almondcross.ClaimRecord, 0, 2*len(table.keys))
+	for _, current := range table.keys {
+		if current.stands {
+			records = append(records, current.standing)
+		}
+		if current.ended {
+			records = append(records, current.settled)
+		}
+	}
+	return records
+}
--- a/integration/logside/cataloguer_test.go
+++ b/integration/logside/cataloguer_test.go
@@ -55,7 +55,7 @@
 	})
 	messages := ring.New[almondcross.CataloguerMessage](ring.Config{Name: "cataloguer", Capacity: 64})
 	duty := cataloguer.New(cataloguer.Config{
-		Ring: messages, Member: members{name}.View().Self().Id(), DataCentre: "north", Codec: codec, Changes: changes,
+		Ring: messages, Member: members{name}.View().Self().Id(), Codec: codec, Changes: changes,
 		Checkpoints: checkpoints, Members: members{name}, Peers: noPeers{}, Clock: clock{},
 		Machine: cataloguer.MachineConfig{CheckpointRecords: 3},
 	})
--- /dev/null
+++ b/integration/logside/claimer_test.go
@@ -0,0 +1,126 @@
+package logside_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/almondcross/almondcross"
+	"github.com/almondcross/almondcross/command/appender"
+	"github.com/almondcross/almondcross/command/claimer"
+	"github.com/almondcross/almondcross/encoder"
+	"github.com/almondcross/almondcross/ring"
+	"github.com/almondcross/almondcross/standin/memory"
+)
+
+// claimant is a claimer with its tail and appenders.
+type claimant struct {
+	ring        *ring.Ring[almondcross.ClaimerMessage]
+	coordinator *ring.Ring[almondcross.CoordinatorMessage]
+	claims      *appender.Appender
+}
+
+func startClaimer(ctx context.Context, t *testing.T, log *memory.Log, name string) claimant {
+	t.Helper()
+	codec, err := encoder.NewCodec()
+	require.NoError(t, err)
+	claims := appender.New(appender.Config{Stream: almondcross.StreamClaims, Log: log, Reader: log, Clock: clock{}, Member: name})
+	answers := appender.New(appender.Config{
+		Stream: almondcross.AnswersStream("north"), Log: log, Reader: log, Clock: clock{}, Member: name,
+	})
+	messages := ring.New[almondcross.ClaimerMessage](ring.Config{Name: "claimer", Capacity: 64})
+	coordinator := ring.New[almondcross.CoordinatorMessage](ring.Config{Name: "coordinator", Capacity: 64})
+	duty := claimer.New(claimer.Config{
+		Ring: messages, Member: members{name}.View().Self().Id(), DataCentre: "north", Codec: codec, Claims: claims,
+		Answers: answers, Members: members{name}, Clock: clock{}, Coordinator: coordinator,
+	})
+	tail := claimer.NewTail(claimer.TailConfig{Reader: log, Codec: codec, Sink: messages})
+	for _, run := range []func(context.Context) error{claims.Run, answers.Run, duty.Run, tail.Run} {
+		go func() { _ = run(ctx) }()
+	}
+	return claimant{ring: messages, coordinator: coordinator, claims: claims}
+}
+
+func (claimant claimant) claim(t *testing.T, key almondcross.Key) {
+	t.Helper()
+	require.True(t, claimant.ring.Offer(almondcross.NewClaimKey(almondcross.ClaimKeyConfig{
+		Key: key, Entry: "tally", Request: almondcross.NewRequest(almondcross.RequestConfig{Key: key, IssuedAt: time.Now()}),
+	})))
+}
+
+func (claimant claimant) decided(t *testing.T) almondcross.ClaimDecided {
+	t.Helper()
+	decided, ok := (<-claimant.coordinator.Messages()).(almondcross.ClaimDecided)
+	require.True(t, ok)
+	return decided
+}
+
+// Guards against two members that both start a key whose append answers are lost, against an answer
+// that cannot be found after its key was settled, and against appends for claims while the log is down.
+func TestClaimAtTwoMembers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		log := memory.NewLog(clock{})
+		first, second := startClaimer(ctx, t, log, "e1"), startClaimer(ctx, t, log, "e2")
+		synctest.Wait()
+		log.Fail(memory.FaultAnswerLost, memory.FaultAnswerLost)
+		key := almondcross.NewKey(almondcross.KeyConfig{Caller: "till", Origin: "north", Name: "dividend"})
+		first.claim(t, key)
+		second.claim(t, key)
+		one, two := first.decided(t), second.decided(t)
+		require.NotEqual(t, one.Granted(), two.Granted())
+		winner, loser := first, second
+		if two.Granted() {
+			winner, loser = second, first
+		}
+
+		outcome := almondcross.NewOutcome(almondcross.OutcomeConfig{
+			Key: key, Status: almondcross.StatusDone, Answer: []byte("42"),
+		})
+		require.True(t, winner.ring.Offer(almondcross.NewSettleKey(almondcross.SettleKeyConfig{Outcome: outcome})))
+		seen, ok := (<-loser.coordinator.Messages()).(almondcross.ClaimSettlementSeen)
+		require.True(t, ok)
+		require.Equal(t, almondcross.StatusDone, seen.Record().Status())
+		batch, err := log.Read(ctx, almondcross.AnswersStream(seen.Record().DataCentre()), seen.Record().AnswerOffset(), 1, 0)
+		require.NoError(t, err)
+		codec, err := encoder.NewCodec()
+		require.NoError(t, err)
+		stored, err := codec.DecodeAnswer(batch.Records()[0])
+		require.NoError(t, err)
+		require.Equal(t, outcome, stored)
+
+		log.Fail(memory.FaultRefused)
+		loser.claim(t, key.WithName("late"))
+		require.Equal(t, almondcross.CodeLogDown, loser.decided(t).Code())
+		before := len(log.Records(almondcross.StreamClaims))
+		loser.claim(t, key.WithName("later"))
+		require.Equal(t, almondcross.CodeLogDown, loser.decided(t).Code())
+		synctest.Wait()
+		require.Len(t, log.Records(almondcross.StreamClaims), before)
+
+		third := startClaimer(ctx, t, log, "e3")
+		<-time.After(time.Second)
+		third.claim(t, key)
+		decided := third.decided(t)
+		require.False(t, decided.Granted())
+		require.Equal(t, seen.Record(), decided.Decisive())
+	})
+}
+
+// Guards against a claim that stays open for good when its append had no effect and no answer.
+func TestUnansweredClaimIsVoided(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		log := memory.NewLog(clock{})
+		host := startClaimer(ctx, t, log, "e1")
+		synctest.Wait()
+		log.Fail(memory.FaultRequestLost, memory.FaultRequestLost)
+		host.claim(t, almondcross.NewKey(almondcross.KeyConfig{Caller: "till", Name: "dividend"}))
+		require.Equal(t, almondcross.CodeVoided, host.decided(t).Code())
+	})
+}
--- a/records.go
+++ b/records.go
@@ -44,16 +44,23 @@
 //value:generate
 type ClaimCheckpointRead struct {
 	checkpoint ClaimCheckpoint // the part
-	next       Offset          // the offset to read from next
+	appended   time.Time       // the time at which the log took the part
 }
 
-// ClaimsTrimmed tells the claimer that the log no longer keeps the records before a time.
+// ClaimsStarted tells the claimer where reading of the claims stream starts.
 //
 //value:generate
-type ClaimsTrimmed struct {
-	since time.Time // the time at which the log took the oldest record that it keeps
+type ClaimsStarted struct {
+	oldest  Offset    // the oldest offset that the log keeps
+	since   time.Time // the time at which the log took the record there, zero for an empty stream
+	trimmed bool      // whether records before that offset were not read
 }
 
+// ClaimsCaughtUp tells the claimer that reading reached the end of the claims stream.
+//
+//value:generate
+type ClaimsCaughtUp struct{}
+
 // ClaimTick lets the claimer check its time limits.
 //
 //value:generate
@@ -83,7 +90,8 @@
 func (PeerCatalogueRequest) cataloguerMessage()    {}
 
 func (ClaimCheckpointRead) claimerMessage() {}
-func (ClaimsTrimmed) claimerMessage()       {}
+func (ClaimsStarted) claimerMessage()       {}
+func (ClaimsCaughtUp) claimerMessage()      {}
 func (ClaimTick) claimerMessage()           {}
 func (AnswerAppended) claimerMessage()      {}
 func (ViewChanged) claimerMessage()         {}
@@ -142,3 +150,17 @@
 	}
 	return catalogue
 }
+
+// Writer returns the member of the view that writes checkpoints of a stream. Hosts with different
+// views may name different members; a second checkpoint is harmless.
+func (view View) Writer(stream Stream) MemberID {
+	seed := hash(string(stream), "")
+	best, bestWeight := view.self.id, weigh(seed, view.self.id.name)
+	for name, peer := range view.peers {
+		weight := weigh(seed, name)
+		if weight > bestWeight || (weight == bestWeight && name < best.name) {
+			best, bestWeight = peer.member.id, weight
+		}
+	}
+	return best
+}
--- a/records_generated.go
+++ b/records_generated.go
@@ -209,14 +209,14 @@
 // ClaimCheckpointReadConfig holds the fields of a new ClaimCheckpointRead.
 type ClaimCheckpointReadConfig struct {
 	Checkpoint ClaimCheckpoint
-	Next       Offset
+	Appended   time.Time
 }
 
 // NewClaimCheckpointRead returns a ClaimCheckpointRead with the given fields.
 func NewClaimCheckpointRead(config ClaimCheckpointReadConfig) ClaimCheckpointRead {
 	return ClaimCheckpointRead{
 		checkpoint: config.Checkpoint,
-		next:       config.Next,
+		appended:   config.Appended,
 	}
 }
 
@@ -224,7 +224,7 @@
 func (claimcheckpointread ClaimCheckpointRead) Config() ClaimCheckpointReadConfig {
 	return ClaimCheckpointReadConfig{
 		Checkpoint: claimcheckpointread.checkpoint,
-		Next:       claimcheckpointread.next,
+		Appended:   claimcheckpointread.appended,
 	}
 }
 
@@ -239,41 +239,80 @@
 	return claimcheckpointread
 }
 
-// Next returns the offset to read from next.
-func (claimcheckpointread ClaimCheckpointRead) Next() Offset { return claimcheckpointread.next }
+// Appended returns the time at which the log took the part.
+func (claimcheckpointread ClaimCheckpointRead) Appended() time.Time {
+	return claimcheckpointread.appended
+}
 
-// WithNext returns a copy with the given next.
-func (claimcheckpointread ClaimCheckpointRead) WithNext(next Offset) ClaimCheckpointRead {
-	claimcheckpointread.next = next
+// WithAppended returns a copy with the given appended.
+func (claimcheckpointread ClaimCheckpointRead) WithAppended(appended time.Time) ClaimCheckpointRead {
+	claimcheckpointread.appended = appended
 	return claimcheckpointread
 }
 
-// ClaimsTrimmedConfig holds the fields of a new ClaimsTrimmed.
-type ClaimsTrimmedConfig struct {
-	Since time.Time
+// ClaimsStartedConfig holds the fields of a new ClaimsStarted.
+type ClaimsStartedConfig struct {
+	Oldest  Offset
+	Since   time.Time
+	Trimmed bool
 }
 
-// NewClaimsTrimmed returns a ClaimsTrimmed with the given fields.
-func NewClaimsTrimmed(config ClaimsTrimmedConfig) ClaimsTrimmed {
-	return ClaimsTrimmed{
-		since: config.Since,
+// NewClaimsStarted returns a ClaimsStarted with the given fields.
+func NewClaimsStarted(config ClaimsStartedConfig) ClaimsStarted {
+	return ClaimsStarted{
+		oldest:  config.Oldest,
+		since:   config.Since,
+		trimmed: config.Trimmed,
 	}
 }
 
 // Config returns the fields of the value for encoding or for a changed copy.
-func (claimstrimmed ClaimsTrimmed) Config() ClaimsTrimmedConfig {
-	return ClaimsTrimmedConfig{
-		Since: claimstrimmed.since,
+func (claimsstarted ClaimsStarted) Config() ClaimsStartedConfig {
+	return ClaimsStartedConfig{
+		Oldest:  claimsstarted.oldest,
+		Since:   claimsstarted.since,
+		Trimmed: claimsstarted.trimmed,
 	}
 }
 
-// Since returns the time at which the log took the oldest record that it keeps.
-func (claimstrimmed ClaimsTrimmed) Since() time.Time { return claimstrimmed.since }
+// Oldest returns the oldest offset that the log keeps.
+func (claimsstarted ClaimsStarted) Oldest() Offset { return claimsstarted.oldest }
+
+// WithOldest returns a copy with the given oldest.
+func (claimsstarted ClaimsStarted) WithOldest(oldest Offset) ClaimsStarted {
+	claimsstarted.oldest = oldest
+	return claimsstarted
+}
+
+// Since returns the time at which the log took the record there, zero for an empty stream.
+func (claimsstarted ClaimsStarted) Since() time.Time { return claimsstarted.since }
 
 // WithSince returns a copy with the given since.
-func (claimstrimmed ClaimsTrimmed) WithSince(since time.Time) ClaimsTrimmed {
-	claimstrimmed.since = since
-	return claimstrimmed
+func (claimsstarted ClaimsStarted) WithSince(since time.Time) ClaimsStarted {
+	claimsstarted.since = since
+	return claimsstarted
+}
+
+// Trimmed returns whether records before that offset were not read.
+func (claimsstarted ClaimsStarted) Trimmed() bool { return claimsstarted.trimmed }
+
+// WithTrimmed returns a copy with the given trimmed.
+func (claimsstarted ClaimsStarted) WithTrimmed(trimmed bool) ClaimsStarted {
+	claimsstarted.trimmed = trimmed
+	return claimsstarted
+}
+
+// ClaimsCaughtUpConfig holds the fields of a new ClaimsCaughtUp.
+type ClaimsCaughtUpConfig struct{}
+
+// NewClaimsCaughtUp returns a ClaimsCaughtUp with the given fields.
+func NewClaimsCaughtUp(config ClaimsCaughtUpConfig) ClaimsCaughtUp {
+	return ClaimsCaughtUp{}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (claimscaughtup ClaimsCaughtUp) Config() ClaimsCaughtUpConfig {
+	return ClaimsCaughtUpConfig{}
 }
 
 // ClaimTickConfig holds the fields of a new ClaimTick.
