Account usage by interval and report it

Managers must see who received what share, and a sum must never look whole when part of it is missing. The accountant numbers one batch per interval within its incarnation and repeats its append until the log has it; batches that outgrow bounded memory are dropped and their numbers are missing. The reporter reads the account streams of all data centres, counts each batch once, reports gaps, ended members, freshness and unreadable data centres, and computes the received fraction from the capacity of all members.

--- /dev/null
+++ b/integration/logside/account_test.go
@@ -0,0 +1,161 @@
+package logside_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/almondcross/almondcross"
+	"github.com/almondcross/almondcross/command/accountant"
+	"github.com/almondcross/almondcross/command/appender"
+	"github.com/almondcross/almondcross/encoder"
+	"github.com/almondcross/almondcross/query/reporter"
+	"github.com/almondcross/almondcross/ring"
+	"github.com/almondcross/almondcross/standin/memory"
+)
+
+var account = almondcross.AccountStream("north")
+
+// holdings is a host with one target of 1,000 thousandths of a core.
+type holdings struct{}
+
+func (holdings) HeldTargets() []almondcross.HeldTarget {
+	return []almondcross.HeldTarget{almondcross.NewHeldTarget(almondcross.HeldTargetConfig{
+		Total: almondcross.NewResources(almondcross.ResourcesConfig{MilliCPU: 1000}),
+	})}
+}
+
+type noAudit struct{}
+
+func (noAudit) AuditLines() []almondcross.AuditLine { return nil }
+
+func startAccountant(ctx context.Context, t *testing.T, log *memory.Log, name string, maxPending int) (*accountant.Duty, reporter.Reporter) {
+	t.Helper()
+	codec, err := encoder.NewCodec()
+	require.NoError(t, err)
+	batches := appender.New(appender.Config{Stream: account, Log: log, Reader: log, Clock: clock{}, Member: name})
+	messages := ring.New[almondcross.AccountantMessage](ring.Config{Name: "accountant", Capacity: 64})
+	duty := accountant.New(accountant.Config{
+		Ring: messages, Member: members{name}.View().Self().Id(), DataCentre: "north", Codec: codec, Log: batches,
+		Members: members{name}, Holdings: holdings{}, Clock: clock{},
+		Machine: accountant.MachineConfig{MaxPending: maxPending, MaxStories: 3},
+	})
+	// The accountant ends before its appender does.
+	appends, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	go func() { _ = batches.Run(appends) }()
+	go func() {
+		_ = duty.Run(ctx)
+		cancel()
+	}()
+	return duty, reporter.New(reporter.Config{
+		Reader: log, Codec: codec, DataCentres: []string{"north"}, Stories: messages, Audit: noAudit{}, Clock: clock{},
+	})
+}
+
+func used(seconds int) almondcross.AccountEvent {
+	return almondcross.NewAccountEvent(almondcross.AccountEventConfig{
+		Entry: "tally", Owner: "sales", Resources: almondcross.NewResources(almondcross.ResourcesConfig{MilliCPU: 500}),
+		Duration: time.Duration(seconds) * time.Second, Count: 1,
+	})
+}
+
+func shares(ctx context.Context, t *testing.T, reports reporter.Reporter) almondcross.ShareReport {
+	t.Helper()
+	report, err := reports.Shares(ctx, almondcross.ShareQuery{})
+	require.NoError(t, err)
+	return report
+}
+
+// Guards against a batch that counts twice because the log holds it twice, and against the use of two
+// members that is not added up over the capacity of both.
+func TestRepeatedBatchCountsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		log := memory.NewLog(clock{})
+		first, reports := startAccountant(ctx, t, log, "e1", 0)
+		second, _ := startAccountant(ctx, t, log, "e2", 0)
+		synctest.Wait()
+		first.Account(used(10))
+		second.Account(used(4))
+		<-time.After(12 * time.Second)
+		records := log.Records(account)
+		require.Len(t, records, 2)
+		_, err := log.Append(ctx, account, records)
+		require.NoError(t, err)
+
+		report := shares(ctx, t, reports)
+		require.Len(t, report.Lines(), 1)
+		usage := report.Lines()[0].Usage()
+		require.InDelta(t, 7000, usage.MilliCPUSec(), 0.001)
+		require.InDelta(t, 0.35, usage.Received(), 0.001)
+		require.False(t, report.Lines()[0].Incomplete())
+		require.Empty(t, report.Gaps())
+		require.Equal(t, report.Lines()[0].To(), report.FreshAt()["north"].UTC())
+
+		log.SetDown(true)
+		require.Equal(t, []string{"north"}, shares(ctx, t, reports).Missing())
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against sums that look whole although batches were dropped while the log was down, or
+// although a host ended without its last batch.
+func TestLostBatchesShowAsGap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		log := memory.NewLog(clock{})
+		first, reports := startAccountant(ctx, t, log, "e1", 2)
+		lost, end := context.WithCancel(ctx)
+		_, _ = startAccountant(lost, t, log, "e2", 0)
+		<-time.After(12 * time.Second)
+		log.SetDown(true)
+		<-time.After(2 * time.Second)
+		end() // the last batch of e2 finds the log down
+		for range 5 {
+			first.Account(used(1))
+			<-time.After(10 * time.Second)
+		}
+		log.SetDown(false)
+		<-time.After(30 * time.Second)
+
+		report := shares(ctx, t, reports)
+		require.Len(t, report.Gaps(), 2)
+		require.Equal(t, "e1", report.Gaps()[0].Member().Name())
+		require.Equal(t, uint64(2), report.Gaps()[0].FromSequence())
+		require.GreaterOrEqual(t, report.Gaps()[0].ToSequence(), uint64(3))
+		require.Equal(t, "e2", report.Gaps()[1].Member().Name())
+		require.Zero(t, report.Gaps()[1].ToSequence())
+		require.NotEmpty(t, report.Lines())
+		require.False(t, report.Lines()[0].Incomplete(), "an interval outside the gap was marked")
+		cancel()
+		<-time.After(3 * time.Second)
+		last := log.Records(account)[len(log.Records(account))-1]
+		codec, err := encoder.NewCodec()
+		require.NoError(t, err)
+		batch, err := codec.DecodeUsage(last)
+		require.NoError(t, err)
+		require.True(t, batch.Final(), "the last batch of a planned stop is missing")
+	})
+}
+
+// Guards against a story that passes for complete although older decisions were dropped.
+func TestStoryTellsThatItIsTruncated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		duty, reports := startAccountant(ctx, t, memory.NewLog(clock{}), "e1", 0)
+		for _, event := range []string{"queued", "placed", "started", "ended"} {
+			duty.Record(almondcross.NewStoryEvent(almondcross.StoryEventConfig{Entry: "tally", Event: event}))
+		}
+		story, err := reports.Story(ctx, almondcross.NewStoryQuery(almondcross.StoryQueryConfig{Entry: "tally", Limit: 2}))
+		require.NoError(t, err)
+		require.True(t, story.Truncated())
+		require.Len(t, story.Events(), 2)
+		require.Equal(t, "ended", story.Events()[1].Event())
+		cancel()
+		<-time.After(3 * time.Second)
+	})
+}
--- a/records.go
+++ b/records.go
@@ -164,3 +164,21 @@
 	}
 	return best
 }
+
+// Codes of account events that count tasks. Events with an empty code add use, and events with
+// another code count that reason; the duration of the waited_ codes adds to the time waited.
+const (
+	CodeTaskStarted  Code = "task_started"  // CodeTaskStarted counts tasks that a target runs.
+	CodeTaskFinished Code = "task_finished" // CodeTaskFinished counts tasks that ended with an answer.
+)
+
+// AccountTick lets the accountant close its interval and append its batches.
+//
+//value:generate
+type AccountTick struct {
+	refused  uint64    // the number of events refused since the start
+	capacity Resources // the capacity of the targets that the host holds
+	final    bool      // whether the host ends
+}
+
+func (AccountTick) accountantMessage() {}
--- a/records_generated.go
+++ b/records_generated.go
@@ -434,3 +434,55 @@
 	hello.name = name
 	return hello
 }
+
+// AccountTickConfig holds the fields of a new AccountTick.
+type AccountTickConfig struct {
+	Refused  uint64
+	Capacity Resources
+	Final    bool
+}
+
+// NewAccountTick returns a AccountTick with the given fields.
+func NewAccountTick(config AccountTickConfig) AccountTick {
+	return AccountTick{
+		refused:  config.Refused,
+		capacity: config.Capacity,
+		final:    config.Final,
+	}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (accounttick AccountTick) Config() AccountTickConfig {
+	return AccountTickConfig{
+		Refused:  accounttick.refused,
+		Capacity: accounttick.capacity,
+		Final:    accounttick.final,
+	}
+}
+
+// Refused returns the number of events refused since the start.
+func (accounttick AccountTick) Refused() uint64 { return accounttick.refused }
+
+// WithRefused returns a copy with the given refused.
+func (accounttick AccountTick) WithRefused(refused uint64) AccountTick {
+	accounttick.refused = refused
+	return accounttick
+}
+
+// Capacity returns the capacity of the targets that the host holds.
+func (accounttick AccountTick) Capacity() Resources { return accounttick.capacity }
+
+// WithCapacity returns a copy with the given capacity.
+func (accounttick AccountTick) WithCapacity(capacity Resources) AccountTick {
+	accounttick.capacity = capacity
+	return accounttick
+}
+
+// Final returns whether the host ends.
+func (accounttick AccountTick) Final() bool { return accounttick.final }
+
+// WithFinal returns a copy with the given final.
+func (accounttick AccountTick) WithFinal(final bool) AccountTick {
+	accounttick.final = final
+	return accounttick
+}
