Run a whole cell in one process with almondcross demo

Cause: the path from a caller's request to its answer had not been run.

Change: the demo starts the stand-ins and two entry hosts, publishes the example catalogues, sends requests and prints the account.

--- /dev/null
+++ b/assembler/demo.go
@@ -0,0 +1,165 @@
+package assembler
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+	"go.uber.org/fx"
+
+	"github.com/almondcross/almondcross"
+	"github.com/almondcross/almondcross/configurator"
+	"github.com/almondcross/almondcross/requester"
+)
+
+const (
+	demoWorkers    = 4
+	demoHosts      = 2
+	demoDataCentre = "demo-1"
+	demoToken      = "demo-token-of-this-process-"
+	// demoInterval is the account interval of the demo, so that its report is complete soon.
+	demoInterval = 2 * time.Second
+	// demoLimit bounds the demo beside its load.
+	demoLimit = 20 * time.Second
+)
+
+// demoCommand returns the verb that runs a whole cell in one process.
+func demoCommand() *cobra.Command {
+	var seed uint64
+	var duration time.Duration
+	command := &cobra.Command{
+		Use:   "demo",
+		Short: "Run a small cell in this process and report who got what share and why",
+		Long: "Runs stand-ins for the platform and four workers, and two entry hosts, in this process on loopback.\n" +
+			"Publishes the example catalogues, sends requests for a while, and prints the outcomes, the account of\n" +
+			"shares with its reasons, and the audit trail." + requester.ExitHelp,
+		Example: "  almondcross demo\n  almondcross demo --seed 7 --duration 10s",
+		Args:    requester.Args(cobra.NoArgs),
+		RunE: func(command *cobra.Command, _ []string) error {
+			if duration <= 0 || duration > time.Minute {
+				return requester.BadInput(errors.Errorf("--duration: found %s; allowed: more than 0s, at most 1m", duration))
+			}
+			ctx, cancel := context.WithTimeout(command.Context(), duration+demoLimit)
+			defer cancel()
+			return runDemo(ctx, demo{out: command.OutOrStdout(), duration: duration, random: rand.New(rand.NewPCG(seed, 1)), seed: seed})
+		},
+	}
+	command.Flags().Uint64Var(&seed, "seed", 1, "seed of the requests")
+	command.Flags().DurationVar(&duration, "duration", 5*time.Second, "time for which requests are sent")
+	return command
+}
+
+// demo is one run of the demo.
+type demo struct {
+	out      io.Writer
+	duration time.Duration
+	seed     uint64
+	random   *rand.Rand
+	hosts    []string // hosts holds the public addresses of the entry hosts.
+}
+
+func (demo *demo) printf(format string, arguments ...any) {
+	_, _ = fmt.Fprintf(demo.out, format, arguments...)
+}
+
+func runDemo(ctx context.Context, demo demo) error {
+	apps, err := demo.start(ctx)
+	defer stopApps(apps)
+	if err != nil {
+		return requester.Failed(errors.Annotate(err, "starting the cell"))
+	}
+	demo.printf("cell of %d entry hosts and %d workers on loopback, seed %d\n", demoHosts, demoWorkers, demo.seed)
+	if err := demo.publish(ctx); err != nil {
+		return requester.Failed(errors.Annotate(err, "publishing the catalogue"))
+	}
+	outcomes, err := demo.load(ctx)
+	if err != nil {
+		return requester.Failed(errors.Annotate(err, "sending requests"))
+	}
+	if err := demo.report(ctx, outcomes); err != nil {
+		return requester.Failed(errors.Annotate(err, "reporting"))
+	}
+	return nil
+}
+
+// start brings up the platform, the workers and the entry hosts, in this order.
+func (demo *demo) start(ctx context.Context) ([]*fx.App, error) {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	addresses := make([]string, 1+demoWorkers+2*demoHosts)
+	for index := range addresses {
+		address, err := freeAddress(ctx)
+		if err != nil {
+			return nil, err
+		}
+		addresses[index] = address
+	}
+	platform, workers, hosts := addresses[0], addresses[1:1+demoWorkers], addresses[1+demoWorkers:]
+	options := []fx.Option{Platform(configurator.NewPlatformSettings(configurator.PlatformSettingsConfig{
+		Listen: platform, Retention: time.Hour,
+	}), logger)}
+	for index, address := range workers {
+		options = append(options, Worker(demoWorker(index, address, platform), logger))
+	}
+	for index := range demoHosts {
+		options = append(options, Entry(demoEntry(index, hosts, platform), logger))
+		demo.hosts = append(demo.hosts, hosts[2*index])
+	}
+	var apps []*fx.App
+	for _, option := range options {
+		app := fx.New(option)
+		if err := app.Start(ctx); err != nil {
+			return apps, errors.Trace(err)
+		}
+		apps = append(apps, app)
+	}
+	return apps, nil
+}
+
+// stopApps stops the processes in the reverse order of their start.
+func stopApps(apps []*fx.App) {
+	ctx, cancel := context.WithTimeout(context.Background(), demoLimit)
+	defer cancel()
+	for index := len(apps) - 1; index >= 0; index-- {
+		_ = apps[index].Stop(ctx)
+	}
+}
+
+func demoWorker(index int, address, platform string) configurator.WorkerSettings {
+	return configurator.NewWorkerSettings(configurator.WorkerSettingsConfig{
+		Name: fmt.Sprintf("worker-%d", index+1), DataCentre: demoDataCentre, Rack: fmt.Sprintf("rack-%d", 1+index/2),
+		Listen: address, Advertise: address, PlatformAddress: platform, UsageLag: time.Second,
+		Capacity: almondcross.NewResources(almondcross.ResourcesConfig{MilliCPU: 16000, MemoryMB: 64000, Slots: 8}),
+	})
+}
+
+func demoEntry(index int, hosts []string, platform string) configurator.EntrySettings {
+	var peers []configurator.PeerSettings
+	for other := range demoHosts {
+		if other != index {
+			peers = append(peers, configurator.NewPeerSettings(configurator.PeerSettingsConfig{
+				Name: fmt.Sprintf("entry-%d", other+1), DataCentre: demoDataCentre, Address: hosts[2*other+1],
+			}))
+		}
+	}
+	var tokens []almondcross.Token
+	for _, role := range []almondcross.Role{almondcross.RoleOperator, almondcross.RoleReporter, almondcross.RoleCaller} {
+		tokens = append(tokens, almondcross.NewToken(almondcross.TokenConfig{
+			Name: "demo-" + string(role), Role: role, Secret: demoToken + string(role),
+		}))
+	}
+	return configurator.NewEntrySettings(configurator.EntrySettingsConfig{
+		Name: fmt.Sprintf("entry-%d", index+1), DataCentre: demoDataCentre, Region: "demo",
+		Listen: hosts[2*index], Advertise: hosts[2*index], PeerListen: hosts[2*index+1], PeerAdvertise: hosts[2*index+1],
+		Peers: peers, DataCentres: []string{demoDataCentre}, LogAddress: platform, LiveListAddress: platform,
+		Tokens: tokens, StopGrace: time.Second, RequestTimeout: 5 * time.Second, RequestTimeoutMax: time.Minute,
+		ChangeTimeout: 5 * time.Second, QueryTimeout: 5 * time.Second, LogTimeout: 2 * time.Second,
+		WorkerTimeout: time.Second, ClaimHorizon: 24 * time.Hour, AccountInterval: demoInterval,
+		Placement: configurator.PlacementPacked, Share: configurator.ShareDominant,
+	})
+}
--- a/assembler/entry.go
+++ b/assembler/entry.go
@@ -181,7 +181,7 @@
 	members *registrar.Registrar, peers *linker.Linker, rings Rings, set *metrics.Set, logger logrus.FieldLogger,
 ) *cataloguer.Duty {
 	return cataloguer.New(cataloguer.Config{
-		Ring: rings.Cataloguer, Member: self.Id(), DataCentre: settings.DataCentre(), Codec: codec,
+		Ring: rings.Cataloguer, Member: self.Id(), Codec: codec,
 		Machine: cataloguer.MachineConfig{AnswerLimit: settings.ChangeTimeout()},
 		Changes: appenders.Catalogue, Checkpoints: appenders.Checkpoints, Members: members, Peers: peers, Clock: Clock{},
 		Coordinator: rings.Coordinator, Placer: rings.Placer, Accountant: rings.Accountant, Registrar: rings.Registrar,
@@ -221,15 +221,17 @@
 ) *accountant.Duty {
 	return accountant.New(accountant.Config{
 		Ring: rings.Accountant, Member: self.Id(), DataCentre: settings.DataCentre(), Codec: codec,
-		Log: appenders.Account, Members: members, Clock: Clock{}, Metrics: set, Logger: logger,
+		Machine: accountant.MachineConfig{Interval: settings.AccountInterval()},
+		Log:     appenders.Account, Members: members, Clock: Clock{}, Metrics: set, Logger: logger,
 	})
 }
 
 func newReporter(
 	settings configurator.EntrySettings, reader *reader.Reader, codec encoder.Codec, catalogue *cataloguer.Duty, rings Rings,
-) *reporter.Reporter {
+) reporter.Reporter {
 	return reporter.New(reporter.Config{
 		DataCentres: settings.DataCentres(), Reader: reader, Codec: codec, Audit: catalogue, Stories: rings.Accountant,
+		Clock: Clock{}, Timeout: settings.QueryTimeout(),
 	})
 }
 
--- a/assembler/root.go
+++ b/assembler/root.go
@@ -56,7 +56,7 @@
 	return root
 }
 
-func viewOf(config requester.Config) (almondcross.CellViewer, error) { return lister.NewView(config) }
+func viewOf(config requester.Config) (almondcross.CellViewer, error) { return lister.NewClient(config) }
 
 func entryCommand() *cobra.Command {
 	return processCommand("entry", "Run an entry host", func(path string) (fx.Option, error) {
--- a/assembler/servers.go
+++ b/assembler/servers.go
@@ -36,7 +36,7 @@
 
 func newServers(
 	settings configurator.EntrySettings, rings Rings, links *linker.Linker, catalogue *cataloguer.Duty,
-	reports *reporter.Reporter, status *inspector.Inspector, set *metrics.Set, logger logrus.FieldLogger,
+	reports reporter.Reporter, status *inspector.Inspector, set *metrics.Set, logger logrus.FieldLogger,
 ) *Servers {
 	servers := &Servers{settings: settings, stopping: make(chan struct{}), logger: logger}
 	router := mux.NewRouter()
--- a/configurator/entry.go
+++ b/configurator/entry.go
@@ -116,6 +116,8 @@
 		10*time.Millisecond, almondcross.HolderLease, func(draft *entryDraft) *time.Duration { return &draft.WorkerTimeout }),
 	parser.Duration(parser.About{Key: "claim_horizon", Default: `"1488h"`, Description: "the age after which a key that may not be repeated is refused; 62 days cover a monthly run and its repetition"},
 		time.Hour, 1488*time.Hour, func(draft *entryDraft) *time.Duration { return &draft.ClaimHorizon }),
+	parser.Duration(parser.About{Key: "account_interval", Default: `"10s"`, Description: "the length of an interval of the account"},
+		time.Second, 10*time.Minute, func(draft *entryDraft) *time.Duration { return &draft.AccountInterval }),
 	parser.Choice(parser.About{Key: "placement", Default: `"packed"`, Description: "the placement policy"},
 		[]PlacementName{PlacementPacked, PlacementLeastLoaded}, func(draft *entryDraft) *PlacementName { return &draft.Placement }),
 	parser.Choice(parser.About{Key: "share", Default: `"dominant"`, Description: "the share policy"},
--- a/configurator/values.go
+++ b/configurator/values.go
@@ -81,6 +81,7 @@
 	queryTimeout      time.Duration  // the time within which a query is answered
 	logTimeout        time.Duration  // the time after which a call to the log counts as lost
 	workerTimeout     time.Duration  // the time after which a call to a worker counts as lost
+	accountInterval   time.Duration  // the length of an interval of the account
 	claimHorizon      time.Duration  // the age after which a key that may not be repeated is refused
 	placement         PlacementName  // the name of the placement policy
 	share             ShareName      // the name of the share policy
--- a/configurator/values_generated.go
+++ b/configurator/values_generated.go
@@ -79,6 +79,7 @@
 	QueryTimeout      time.Duration
 	LogTimeout        time.Duration
 	WorkerTimeout     time.Duration
+	AccountInterval   time.Duration
 	ClaimHorizon      time.Duration
 	Placement         PlacementName
 	Share             ShareName
@@ -107,6 +108,7 @@
 		queryTimeout:      config.QueryTimeout,
 		logTimeout:        config.LogTimeout,
 		workerTimeout:     config.WorkerTimeout,
+		accountInterval:   config.AccountInterval,
 		claimHorizon:      config.ClaimHorizon,
 		placement:         config.Placement,
 		share:             config.Share,
@@ -136,6 +138,7 @@
 		QueryTimeout:      entrysettings.queryTimeout,
 		LogTimeout:        entrysettings.logTimeout,
 		WorkerTimeout:     entrysettings.workerTimeout,
+		AccountInterval:   entrysettings.accountInterval,
 		ClaimHorizon:      entrysettings.claimHorizon,
 		Placement:         entrysettings.placement,
 		Share:             entrysettings.share,
@@ -318,6 +321,17 @@
 	return entrysettings
 }
 
+// AccountInterval returns the length of an interval of the account.
+func (entrysettings EntrySettings) AccountInterval() time.Duration {
+	return entrysettings.accountInterval
+}
+
+// WithAccountInterval returns a copy with the given accountInterval.
+func (entrysettings EntrySettings) WithAccountInterval(accountInterval time.Duration) EntrySettings {
+	entrysettings.accountInterval = accountInterval
+	return entrysettings
+}
+
 // ClaimHorizon returns the age after which a key that may not be repeated is refused.
 func (entrysettings EntrySettings) ClaimHorizon() time.Duration { return entrysettings.claimHorizon }
 
--- /dev/null
+++ b/examples/doc.go
@@ -0,0 +1,2 @@
+// Package examples embeds the example catalogues, which the demo publishes.
+package examples
--- /dev/null
+++ b/examples/examples.go
@@ -0,0 +1,8 @@
+package examples
+
+import "embed"
+
+// Catalogues holds the example catalogue files.
+//
+//go:embed registers.jsonc deliveries.jsonc
+var Catalogues embed.FS
