Pass waiting and urgent tasks on to holders with room

Cause: a task was offered to other holders only on arrival, and urgent tasks never; on a host without targets they waited until their timeout.

Change: waiting tasks are offered again with each new view, 8 of a line at most, and urgent tasks may be passed on.

--- a/command/placer/machine.go
+++ b/command/placer/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/almondcross/almondcross"
@@ -44,6 +45,7 @@
 	now       time.Time
 	self      almondcross.MemberID
 	view      almondcross.View
+	peers     []almondcross.Peer // the members of the view in order of name
 	catalogue almondcross.Catalogue
 	random    uint64
 
@@ -185,6 +187,8 @@
 func (machine *Machine) viewChanged(view almondcross.View) {
 	before := machine.view
 	machine.view, machine.self = view, view.Self().Id()
+	machine.setPeers()
+	machine.forwardWaiting()
 	if before.Self().Id() != machine.self {
 		machine.unconfirmAll()
 	}
@@ -200,6 +204,18 @@
 	}
 }
 
+// setPeers keeps the peers in order of name: Go's map order is random, and a seed must give the same
+// decisions each time.
+func (machine *Machine) setPeers() {
+	machine.peers = machine.peers[:0]
+	for _, peer := range machine.view.Peers() {
+		machine.peers = append(machine.peers, peer)
+	}
+	slices.SortFunc(machine.peers, func(first, second almondcross.Peer) int {
+		return strings.Compare(first.Member().Id().Name(), second.Member().Id().Name())
+	})
+}
+
 // unconfirmAll asks again for every task: coordinators lost the incarnation that held them.
 func (machine *Machine) unconfirmAll() {
 	for _, entry := range machine.targets {
--- a/command/placer/queue.go
+++ b/command/placer/queue.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/almondcross/almondcross"
@@ -221,16 +222,53 @@
 	return known
 }
 
-// forward passes a task on to a peer of the data centre whose last summary shows more room.
-// Of two peers chosen at random it takes the better one, so that hosts with the same summaries
-// do not all choose the same peer.
+// forwardBatch bounds how many tasks of one line are passed on after a new view, since the summaries
+// of the peers do not change until their next pings.
+const forwardBatch = 8
+
+// forward passes a new task on when a peer has room for it.
 func (machine *Machine) forward(item *job) bool {
-	if item.forwarded || item.task.Size() > 1 || item.task.Urgent() {
+	peer, ok := machine.peerFor(item)
+	if !ok {
 		return false
 	}
+	item.state = jobDone
+	machine.passOn(item, peer)
+	return true
+}
+
+// forwardWaiting passes waiting tasks on to peers that have gained room since the tasks arrived. A
+// host that holds no target has no other way to start them.
+func (machine *Machine) forwardWaiting() {
+	if machine.waiting == 0 {
+		return
+	}
+	for _, waiting := range slices.Clone(machine.order) {
+		for range forwardBatch {
+			item := waiting.first()
+			if item == nil || item.gang != nil || item.reclaim != nil {
+				break
+			}
+			peer, ok := machine.peerFor(item)
+			if !ok {
+				break
+			}
+			machine.discard(item)
+			machine.passOn(item, peer)
+		}
+	}
+}
+
+// peerFor returns the peer of the data centre that a task may be passed on to: one whose last summary
+// shows room and fewer waiting tasks. Of two peers chosen at random it takes the better one, so that
+// hosts with the same summaries do not all choose the same peer.
+func (machine *Machine) peerFor(item *job) (almondcross.Peer, bool) {
+	if item.forwarded || item.task.Size() > 1 {
+		return almondcross.Peer{}, false
+	}
 	var best, second almondcross.Peer
 	seen := uint64(0)
-	for _, peer := range machine.view.Peers() {
+	for _, peer := range machine.peers {
 		member := peer.Member()
 		if member.Leaving() || member.DataCentre() != machine.dataCentre() || !machine.view.HasLease(member.Id(), machine.now) {
 			continue
@@ -253,22 +291,25 @@
 		best = second
 	}
 	if seen == 0 || !item.task.Resources().Fits(best.Summary().LargestFree()) || best.Summary().Waiting() >= max(machine.waiting, 1) {
-		return false
+		return almondcross.Peer{}, false
 	}
-	item.state = jobDone
-	machine.dropShort(item)
-	machine.remember(item.task, ended{forwarded: best.Member().Id()})
+	return best, true
+}
+
+// passOn sends a task to another holder and tells the coordinator.
+func (machine *Machine) passOn(item *job, peer almondcross.Peer) {
+	member := peer.Member().Id()
+	machine.remember(item.task, ended{forwarded: member})
 	machine.emit(Effect{
-		Kind: EffectForward, Member: best.Member().Id(),
+		Kind: EffectForward, Member: member,
 		Peer: almondcross.NewPlaceTask(almondcross.PlaceTaskConfig{
 			Task: item.task.WithTimeout(remaining(item, machine.now)), Forwarded: true,
 		}),
 	})
 	machine.report(item.task.Coordinator(), almondcross.NewTaskForwarded(almondcross.TaskForwardedConfig{
-		Id: item.task.Id(), Attempt: item.task.Attempt(), Holder: best.Member().Id(),
+		Id: item.task.Id(), Attempt: item.task.Attempt(), Holder: member,
 	}))
-	machine.story(item.task, "forwarded", item.waitCode, "", best.Member().Id().Name())
-	return true
+	machine.story(item.task, "forwarded", item.waitCode, "", member.Name())
 }
 
 func (machine *Machine) betterPeer(first, second almondcross.Peer) bool {
