Tell not_run only where no member can have started the key

Change: not_run needs a claim, or a key younger than the memory of outcomes and issued after the last loss; otherwise the answer is failed or unknown.

--- a/command/coordinator/adopt.go
+++ b/command/coordinator/adopt.go
@@ -51,6 +51,7 @@
 		machine.answerAdoption(message, false)
 		return
 	}
+	record.ran = true
 	task.task = message.Task().WithCoordinator(machine.self())
 	task.started, task.holder, task.target, task.term = true, message.Holder(), message.Target(), message.Term()
 	machine.watchHolders(record, now)
--- a/command/coordinator/claim.go
+++ b/command/coordinator/claim.go
@@ -28,20 +28,19 @@
 	default:
 		// The claim was certainly not appended, but another member, or this one long ago, may have
 		// claimed the key: the claimer knows only what it has read.
-		machine.finish(record, machine.outcomeWithoutStart(record, message.Code(), now), now)
+		machine.finish(record, machine.notRun(record, message.Code(), now), now)
 	}
 }
 
 // startClaimed uses the one start that a claim permits, unless it can no longer be useful.
 func (machine *Machine) startClaimed(record *record, now time.Time) {
-	key := record.request.Key()
 	switch {
 	case record.cancelled:
-		machine.finish(record, outcomeOf(key, almondcross.StatusNotRun, almondcross.CodeCancelled), now)
+		machine.finish(record, machine.notRun(record, almondcross.CodeCancelled, now), now)
 	case !record.deadline.IsZero() && !now.Before(record.deadline):
-		machine.finish(record, outcomeOf(key, almondcross.StatusNotRun, almondcross.CodeTimeout), now)
+		machine.finish(record, machine.notRun(record, almondcross.CodeTimeout, now), now)
 	case !machine.view.HasStanding(now):
-		machine.finish(record, outcomeOf(key, almondcross.StatusNotRun, almondcross.CodeNoStanding), now)
+		machine.finish(record, machine.notRun(record, almondcross.CodeNoStanding, now), now)
 	default:
 		machine.place(record, now)
 	}
--- a/command/coordinator/forward.go
+++ b/command/coordinator/forward.go
@@ -78,7 +78,7 @@
 	record.waiters = append(record.waiters, waiter{replier: message.Replier(), deadline: now.Add(defaultWait)})
 	switch record.phase {
 	case phaseLooking, phaseHeld:
-		machine.finish(record, machine.outcomeWithoutStart(record, almondcross.CodeCancelled, now), now)
+		machine.finish(record, machine.notRun(record, almondcross.CodeCancelled, now), now)
 	case phaseClaiming:
 		machine.do(Claim{Message: almondcross.NewVoidKey(almondcross.VoidKeyConfig{Key: key, Code: almondcross.CodeCancelled})})
 	case phasePlaced, phaseRunning:
--- a/command/coordinator/holder.go
+++ b/command/coordinator/holder.go
@@ -37,6 +37,7 @@
 			continue
 		}
 		machine.tell(record, "holder_lost", almondcross.CodeTargetLost, task.target, now)
+		record.ran = true
 		task.started, task.ended = true, true
 		task.result = failedResult(task.task, almondcross.CodeTargetLost)
 	}
--- a/command/coordinator/machine.go
+++ b/command/coordinator/machine.go
@@ -58,6 +58,7 @@
 	handed     []almondcross.Key // handed holds the keys of handedOver in order, for its bound.
 	effects    []Effect
 	draining   bool
+	forgotten  time.Time // forgotten is the wall-clock time of the last end that was forgotten early.
 }
 
 // NewMachine returns a machine that knows no key.
--- a/command/coordinator/report.go
+++ b/command/coordinator/report.go
@@ -34,6 +34,7 @@
 	if task.ended || (task.started && message.Target() == task.target && message.Term().Less(task.term)) {
 		return
 	}
+	record.ran = true
 	task.started, task.holder, task.target, task.term = true, message.Holder(), message.Target(), message.Term()
 	machine.watchHolders(record, now)
 	machine.tell(record, "started", almondcross.CodeNone, message.Target(), now)
@@ -91,7 +92,7 @@
 			return
 		}
 	}
-	outcome := outcomeOf(record.request.Key(), almondcross.StatusNotRun, message.Code())
+	outcome := machine.notRun(record, message.Code(), now)
 	machine.finish(record, outcome.WithRetryAfter(retryAfter), now)
 }
 
@@ -115,6 +116,7 @@
 	if task.ended {
 		return
 	}
+	record.ran = true
 	task.started, task.ended, task.result, task.target = true, true, result, message.Target()
 	machine.conclude(record, now)
 }
@@ -129,6 +131,7 @@
 	if task.ended || (task.started && (message.Target() != task.target || message.Term().Less(task.term))) {
 		return
 	}
+	record.ran = true
 	task.started, task.ended, task.target = true, true, message.Target()
 	task.result = failedResult(task.task, almondcross.CodeTargetLost)
 	machine.conclude(record, now)
--- a/command/coordinator/search.go
+++ b/command/coordinator/search.go
@@ -12,6 +12,7 @@
 // change of the members.
 func (machine *Machine) startLookups(record *record, now time.Time) {
 	record.phase = phaseLooking
+	record.searched = false
 	record.lookups = map[string]time.Time{}
 	for name, peer := range machine.view.Peers() {
 		if peer.Member().DataCentre() == machine.view.Self().DataCentre() {
@@ -43,6 +44,7 @@
 		})})
 	}
 	if len(record.lookups) == 0 {
+		record.searched = true
 		machine.advance(record, now)
 		return
 	}
--- a/command/coordinator/submit.go
+++ b/command/coordinator/submit.go
@@ -97,7 +97,7 @@
 	settled := machine.view.Settled(key, issuedAt)
 	entry, ok := machine.catalogue.Entry(record.request.Entry())
 	if !ok || !entry.RunsIn(machine.view.Self().DataCentre()) {
-		machine.refuseEntry(record, settled, now)
+		machine.refuseEntry(record, now)
 		return
 	}
 	record.entry = entry
@@ -128,24 +128,19 @@
 	return record.submittedAt.Add(timeout)
 }
 
-func (machine *Machine) refuseEntry(record *record, settled bool, now time.Time) {
+func (machine *Machine) refuseEntry(record *record, now time.Time) {
 	code := almondcross.CodeUnknownEntry
 	if machine.catalogue.Offset() < 0 {
 		code = almondcross.CodeCatalogueMissing
 	}
-	if settled {
-		machine.finish(record, outcomeOf(record.request.Key(), almondcross.StatusNotRun, code), now)
-		return
-	}
-	// Another member may have started the key before the entry was removed.
-	machine.finish(record, outcomeOf(record.request.Key(), almondcross.StatusUnknown, code), now)
+	machine.finish(record, machine.notRun(record, code, now), now)
 }
 
 // advance starts a key as soon as this member has standing and no lost member may have started it.
 func (machine *Machine) advance(record *record, now time.Time) {
 	key := record.request.Key()
 	if !record.deadline.IsZero() && !now.Before(record.deadline) {
-		machine.finish(record, machine.outcomeWithoutStart(record, almondcross.CodeTimeout, now), now)
+		machine.finish(record, machine.notRun(record, almondcross.CodeTimeout, now), now)
 		return
 	}
 	if !machine.view.HasStanding(now) {
@@ -172,15 +167,39 @@
 	machine.place(record, now)
 }
 
-// outcomeWithoutStart returns not_run when it is certain that no member started the key, otherwise unknown.
-func (machine *Machine) outcomeWithoutStart(record *record, code almondcross.Code, now time.Time) almondcross.Outcome {
-	key, issuedAt := record.request.Key(), record.request.IssuedAt()
-	searched := record.entry.Repeatable() && record.phase != phaseLooking &&
-		!now.Before(machine.view.HeldBackUntil(key, issuedAt))
-	if searched || machine.view.Settled(key, issuedAt) {
+// certainlyNotRun reports whether neither this member nor any other one can have started the key.
+// A claim proves it; otherwise the key must be younger than what this member and its peers remember,
+// and issued after the last loss, since nobody knows what a lost member started.
+func (machine *Machine) certainlyNotRun(record *record, now time.Time) bool {
+	if record.ran {
+		return false
+	}
+	if record.claimed {
+		return true
+	}
+	issuedAt := record.request.IssuedAt()
+	if issuedAt.IsZero() || now.Sub(issuedAt) > outcomeRetention-almondcross.CallerClockSkew {
+		return false
+	}
+	known := issuedAt.Add(-almondcross.CallerClockSkew)
+	if !known.After(machine.view.LostWall()) || !known.After(machine.forgotten) {
+		return false
+	}
+	return record.searched || machine.view.Settled(record.request.Key(), issuedAt)
+}
+
+// notRun returns not_run where that is certain, otherwise failed for a key that ran without an answer,
+// otherwise unknown.
+func (machine *Machine) notRun(record *record, code almondcross.Code, now time.Time) almondcross.Outcome {
+	key := record.request.Key()
+	switch {
+	case machine.certainlyNotRun(record, now):
 		return outcomeOf(key, almondcross.StatusNotRun, code)
+	case record.ran:
+		return outcomeOf(key, almondcross.StatusFailed, code)
+	default:
+		return outcomeOf(key, almondcross.StatusUnknown, code).WithRetryAfter(time.Second)
 	}
-	return outcomeOf(key, almondcross.StatusUnknown, code).WithRetryAfter(time.Second)
 }
 
 func (machine *Machine) hold(record *record, until time.Time, code almondcross.Code, now time.Time) {
@@ -305,6 +324,9 @@
 			break
 		}
 		if ok && record.phase == phaseEnded {
+			if now.Sub(record.endedAt) < outcomeRetention {
+				machine.forgotten = record.endedAt.Round(0)
+			}
 			delete(machine.keys, key)
 		}
 		count++
--- a/command/placer/queue.go
+++ b/command/placer/queue.go
@@ -273,6 +273,9 @@
 		if member.Leaving() || member.DataCentre() != machine.dataCentre() || !machine.view.HasLease(member.Id(), machine.now) {
 			continue
 		}
+		if !item.task.Resources().Fits(peer.Summary().LargestFree()) || peer.Summary().Waiting() >= max(machine.waiting, 1) {
+			continue
+		}
 		seen++
 		switch seen {
 		case 1:
@@ -287,13 +290,10 @@
 			}
 		}
 	}
-	if seen > 1 && machine.betterPeer(second, best) {
+	if seen > 1 && betterPeer(second, best) {
 		best = second
 	}
-	if seen == 0 || !item.task.Resources().Fits(best.Summary().LargestFree()) || best.Summary().Waiting() >= max(machine.waiting, 1) {
-		return almondcross.Peer{}, false
-	}
-	return best, true
+	return best, seen > 0
 }
 
 // passOn sends a task to another holder and tells the coordinator.
@@ -312,11 +312,13 @@
 	machine.story(item.task, "forwarded", item.waitCode, "", member.Name())
 }
 
-func (machine *Machine) betterPeer(first, second almondcross.Peer) bool {
+func betterPeer(first, second almondcross.Peer) bool {
 	if first.Summary().Waiting() != second.Summary().Waiting() {
 		return first.Summary().Waiting() < second.Summary().Waiting()
 	}
-	return second.Summary().Free().Dominant(machine.total) < first.Summary().Free().Dominant(machine.total)
+	// This host may hold no target, so its own capacity is no measure.
+	both := first.Summary().Free().Add(second.Summary().Free())
+	return second.Summary().Free().Dominant(both) < first.Summary().Free().Dominant(both)
 }
 
 // remaining returns the time that is left for a useful start, 0 for no limit.
--- a/command/registrar/machine.go
+++ b/command/registrar/machine.go
@@ -47,6 +47,7 @@
 	names      []string // names holds the names of the peers in order.
 	lost       map[string]almondcross.Loss
 	joinedWall time.Time
+	lostWall   time.Time
 	readyAt    time.Time
 	lastTick   time.Time
 	sequence   uint64
@@ -86,6 +87,7 @@
 		Peers:      peers,
 		Lost:       maps.Clone(machine.lost),
 		JoinedWall: machine.joinedWall,
+		LostWall:   machine.lostWall,
 		ReadyAt:    machine.readyAt,
 		ValidUntil: now.Add(almondcross.ViewLifetime),
 	})
@@ -277,6 +279,7 @@
 }
 
 func (machine *Machine) recordLoss(id almondcross.MemberID, now time.Time) {
+	machine.lostWall = now.Round(0)
 	machine.lost[id.Name()] = almondcross.NewLoss(almondcross.LossConfig{Member: id, At: now, WallTime: now.Round(0)})
 }
 
--- a/integration/cell/cell_test.go
+++ b/integration/cell/cell_test.go
@@ -190,6 +190,9 @@
 
 // noteServices writes what a host knows of the service replicas into the trace.
 func (world *world) noteServices(name string) {
+	for other, peer := range world.hosts[name].registrar.View(world.now).Peers() {
+		world.note("%s sees %s with %+v", name, other, peer.Summary().Config())
+	}
 	for replica := range 2 {
 		key := almondcross.NewKey(almondcross.KeyConfig{
 			Caller: "almondcross", Origin: dataCentre, Name: fmt.Sprintf("service/front/%s/%d", dataCentre, replica),
--- a/values_generated.go
+++ b/values_generated.go
@@ -1468,6 +1468,7 @@
 	Peers      map[string]Peer
 	Lost       map[string]Loss
 	JoinedWall time.Time
+	LostWall   time.Time
 	ReadyAt    time.Time
 	ValidUntil time.Time
 }
@@ -1479,6 +1480,7 @@
 		peers:      config.Peers,
 		lost:       config.Lost,
 		joinedWall: config.JoinedWall,
+		lostWall:   config.LostWall,
 		readyAt:    config.ReadyAt,
 		validUntil: config.ValidUntil,
 	}
@@ -1491,6 +1493,7 @@
 		Peers:      view.peers,
 		Lost:       view.lost,
 		JoinedWall: view.joinedWall,
+		LostWall:   view.lostWall,
 		ReadyAt:    view.readyAt,
 		ValidUntil: view.validUntil,
 	}
@@ -1532,6 +1535,15 @@
 	return view
 }
 
+// LostWall returns the wall-clock time of the last loss in the data centre, or of this host's start.
+func (view View) LostWall() time.Time { return view.lostWall }
+
+// WithLostWall returns a copy with the given lostWall.
+func (view View) WithLostWall(lostWall time.Time) View {
+	view.lostWall = lostWall
+	return view
+}
+
 // ReadyAt returns the time from which the host takes part as a coordinator.
 func (view View) ReadyAt() time.Time { return view.readyAt }
 
