Place gangs, eject targets and bound the search for victims

Cause: a gang counted only the room of its reserved targets; a start that the dispatcher's ring refused was tried again at once without end; the search for victims looked at every task of the cluster for each waiting line; an entry that fails everywhere ejected targets.

Change: a gang also takes room that is free elsewhere; a target rests for 20 ms after a refused start; a search looks at 2,048 tasks at most; only entries that succeeded somewhere, or two of them, count against a target.

--- a/command/placer/answer.go
+++ b/command/placer/answer.go
@@ -72,6 +72,10 @@
 		return
 	}
 	entry.starting--
+	if !entry.congested {
+		entry.congested = true
+		machine.after(congestionTime, timer{kind: timerCongested, target: entry})
+	}
 	machine.detach(item)
 	if item.task.Size() > 1 {
 		delete(machine.jobs, item.key())
--- a/command/placer/gang.go
+++ b/command/placer/gang.go
@@ -131,11 +131,20 @@
 	return fit
 }
 
-// startGang places every task of a gang or none. The placement policy is told of each tentative
-// choice, and of its return when the gang does not fit.
+// startGang places every task of a gang or none.
 func (machine *Machine) startGang(group *gang) bool {
-	chosen := make([]*target, 0, group.size)
-	for _, item := range group.jobs {
+	chosen, ok := machine.chooseAll(group.jobs, make([]*target, 0, group.size))
+	if ok {
+		machine.startMembers(group, chosen)
+	}
+	return ok
+}
+
+// chooseAll adds a target for each task and reports whether there was one. The placement policy
+// is told of each tentative choice, and of its return afterwards.
+func (machine *Machine) chooseAll(items []*job, chosen []*target) ([]*target, bool) {
+	taken := len(chosen)
+	for _, item := range items {
 		name, ok := machine.choose(item)
 		if !ok {
 			break
@@ -144,14 +153,10 @@
 		chosen = append(chosen, entry)
 		machine.shiftRoom(entry, item.task.Resources())
 	}
-	for index, entry := range chosen {
-		machine.shiftRoom(entry, almondcross.Resources{}.Sub(group.jobs[index].task.Resources()))
-	}
-	if len(chosen) < group.size {
-		return false
+	for index, entry := range chosen[taken:] {
+		machine.shiftRoom(entry, almondcross.Resources{}.Sub(items[index].task.Resources()))
 	}
-	machine.startMembers(group, chosen)
-	return true
+	return chosen, len(chosen)-taken == len(items)
 }
 
 func (machine *Machine) shiftRoom(entry *target, by almondcross.Resources) {
@@ -283,19 +288,21 @@
 	machine.passReservation()
 }
 
-// tryReserved starts the gang with the reservation when its targets have the room by now.
+// tryReserved starts the gang with the reservation when its targets, with the room that is free
+// elsewhere, are enough by now.
 func (machine *Machine) tryReserved(group *gang) {
 	need := group.jobs[0].task.Resources()
 	chosen := make([]*target, 0, group.size)
 	for _, entry := range group.targets {
-		if entry.state != stateHeld || entry.leaving || entry.closing {
+		if entry.state != stateHeld || entry.leaving || entry.closing || entry.congested {
 			continue
 		}
 		for fit := count(need, entry.capacity.Sub(entry.used)); fit > 0 && len(chosen) < group.size; fit-- {
 			chosen = append(chosen, entry)
 		}
 	}
-	if len(chosen) == group.size {
+	chosen, ok := machine.chooseAll(group.jobs[len(chosen):], chosen)
+	if ok {
 		machine.startMembers(group, chosen)
 	}
 }
--- /dev/null
+++ b/command/placer/gang_test.go
@@ -0,0 +1,150 @@
+package placer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/almondcross/almondcross"
+)
+
+// placeGang places every task of a gang.
+func (cell *cell) placeGang(name string, size int) []almondcross.Task {
+	var tasks []almondcross.Task
+	for index := range size {
+		task := cell.task("g", name, 0).WithClass(almondcross.ClassGang).WithSize(size)
+		task = task.WithId(task.Id().WithIndex(index))
+		tasks = append(tasks, task)
+		cell.place(task)
+	}
+	return tasks
+}
+
+func (cell *cell) startedOf(entry string) int {
+	count := 0
+	for _, item := range cell.started {
+		if item.task.Entry() == entry {
+			count++
+		}
+	}
+	return count
+}
+
+// TestGangAllOrNothing guards against a gang of which some tasks hold slots and wait for others.
+func TestGangAllOrNothing(t *testing.T) {
+	cell := newCell(t, 2)
+	for index := range 2*slots - 4 {
+		cell.place(cell.task("a", "batch", index))
+	}
+	cell.placeGang("gang", 8)
+	require.Zero(t, cell.startedOf("gang"))
+	for index := range 3 {
+		cell.finish(cell.task("a", "batch", index).Id(), time.Second)
+		require.Zero(t, cell.startedOf("gang"))
+	}
+	cell.finish(cell.task("a", "batch", 3).Id(), time.Second)
+	require.Equal(t, 8, cell.startedOf("gang"))
+}
+
+// TestGangsDoNotDeadlock guards against two gangs that each hold what the other one needs, and
+// against work that takes the room of a waiting gang for ever.
+func TestGangsDoNotDeadlock(t *testing.T) {
+	cell := newCell(t, 2)
+	for index := range 2 * slots {
+		cell.place(cell.task("a", "batch", index))
+	}
+	cell.placeGang("one", 2*slots)
+	cell.placeGang("two", 2*slots)
+	for index := range 4 * slots {
+		cell.place(cell.task("b", "other", index))
+	}
+	for index := range 2 * slots {
+		cell.finish(cell.task("a", "batch", index).Id(), time.Second)
+	}
+	require.Equal(t, 2*slots, cell.startedOf("one"))
+	require.Zero(t, cell.startedOf("other"))
+	require.Zero(t, cell.startedOf("two"))
+	for _, item := range cell.started {
+		cell.finish(item.task.Id(), time.Second)
+	}
+	require.Equal(t, 2*slots, cell.startedOf("two"))
+}
+
+// TestBackfill guards against room that stays empty below a reservation, and against short work
+// that keeps a gang waiting past backfillLimit.
+func TestBackfill(t *testing.T) {
+	cell := newCell(t, 1)
+	cell.place(cell.task("a", "batch", 0))
+	cell.placeGang("gang", slots)
+	short := func(index int) almondcross.Task {
+		return cell.task("s", "short", index).WithExpectedRun(100 * time.Millisecond)
+	}
+	cell.place(short(0))
+	require.Equal(t, 1, cell.startedOf("short"))
+	require.Positive(t, cell.codes[almondcross.CodeBackfilled])
+	cell.advance(16 * time.Second)
+	cell.place(short(1))
+	require.Equal(t, 1, cell.startedOf("short"))
+	cell.advance(15 * time.Second)
+	require.Equal(t, 2, cell.startedOf("short"), "the reservation has a time limit")
+}
+
+// TestGangRefusals guards against a gang that waits for ever.
+func TestGangRefusals(t *testing.T) {
+	cell := newCell(t, 1)
+	cell.placeGang("large", slots+1)
+	require.Len(t, reports[almondcross.TaskRefused](cell), slots+1)
+	cell.place(cell.task("g", "part", 0).WithClass(almondcross.ClassGang).WithSize(2))
+	cell.advance(time.Minute)
+	require.Len(t, reports[almondcross.TaskRefused](cell), slots+2)
+}
+
+// TestEjection guards against a target that fails every task and attracts work, against ejecting
+// more than one target of three, and against never using a repaired target again.
+func TestEjection(t *testing.T) {
+	cell := newCell(t, 6)
+	broken := map[string]bool{"t0000": true, "t0001": true, "t0002": true}
+	index := 0
+	round := func() {
+		for range 60 {
+			index++
+			cell.place(cell.task("a", "e"+string(rune('a'+index%20)), index))
+		}
+		for _, item := range cell.started {
+			if broken[item.target] {
+				cell.end(item.task.Id(), time.Millisecond, almondcross.CodeTaskFailed)
+			} else {
+				cell.finish(item.task.Id(), time.Second)
+			}
+		}
+	}
+	for range 10 {
+		round()
+	}
+	require.EqualValues(t, 2, cell.codes[almondcross.CodeTargetEjected])
+	broken = nil
+	cell.advance(5 * time.Minute)
+	before := len(cell.started)
+	for range 3 {
+		round()
+	}
+	targets := map[string]bool{}
+	for _, item := range cell.started[before:] {
+		targets[item.target] = true
+	}
+	require.Len(t, targets, 6)
+}
+
+// TestBadEntryEjectsNothing guards against an entry that fails everywhere and takes the targets
+// with it.
+func TestBadEntryEjectsNothing(t *testing.T) {
+	cell := newCell(t, 6)
+	for index := range 6 * slots {
+		cell.place(cell.task("a", "bad", index))
+	}
+	for _, item := range cell.started {
+		cell.end(item.task.Id(), time.Millisecond, almondcross.CodeTaskFailed)
+	}
+	require.Zero(t, cell.codes[almondcross.CodeTargetEjected])
+}
--- a/command/placer/health.go
+++ b/command/placer/health.go
@@ -24,6 +24,8 @@
 // health is what the ends of tasks tell about a target.
 type health struct {
 	failures int
+	entry    string // the entry that failed first since the last success
+	several  bool   // another entry failed as well
 	ejected  bool
 	probing  bool // one task is allowed
 	probes   int  // the tasks started since the probe began
@@ -45,7 +47,8 @@
 
 func (machine *Machine) noteSuccess(entry *target, item *job) {
 	delete(machine.entryFailures, item.task.Entry())
-	entry.health.failures = 0
+	machine.proven[item.task.Entry()] = true
+	entry.health.failures, entry.health.several = 0, false
 	if entry.health.ejected {
 		machine.ejected--
 		entry.health = health{}
@@ -68,9 +71,18 @@
 		return
 	}
 	if len(failure.targets) >= blameAfter {
+		delete(machine.proven, item.task.Entry())
 		return
 	}
+	if entry.health.failures == 0 {
+		entry.health.entry = item.task.Entry()
+	}
 	entry.health.failures++
+	entry.health.several = entry.health.several || entry.health.entry != item.task.Entry()
+	// An entry that never succeeded anywhere tells nothing about the target.
+	if !entry.health.several && !machine.proven[item.task.Entry()] {
+		return
+	}
 	if entry.health.failures < ejectAfter || (machine.ejected+1)*ejectFraction > machine.heldTargets {
 		return
 	}
--- a/command/placer/job.go
+++ b/command/placer/job.go
@@ -43,6 +43,7 @@
 	reclaim     *reclaim         // the room that is being taken for this task
 	victimOf    *reclaim         // the reclaim for which this task is being stopped
 
+	sequence    uint64 // the order of starts
 	queuedAt    time.Time
 	sentAt      time.Time
 	startedAt   time.Time
--- a/command/placer/machine.go
+++ b/command/placer/machine.go
@@ -79,11 +79,14 @@
 	reclaiming    int                // the tasks for which lent work is being stopped
 	lentTaken     map[string]float64 // the share that is being taken from each owner
 	entryFailures map[string]*entryFailure
+	proven        map[string]bool // entries with a success since they were last blamed
 	adoptSet      bool
 	publishSet    bool
 	forgetSet     bool
 	accountSet    bool
 	returnAt      time.Time // the time at which waiting tasks may next claim lent work
+	sequence      uint64    // the number of starts so far
+	seekBudget    int       // the tasks that the current search for victims may still look at
 	draining      bool
 }
 
@@ -101,6 +104,7 @@
 		lentTaken:     map[string]float64{},
 		shortOwners:   map[string]int{},
 		entryFailures: map[string]*entryFailure{},
+		proven:        map[string]bool{},
 	}
 }
 
--- a/command/placer/queue.go
+++ b/command/placer/queue.go
@@ -146,6 +146,7 @@
 		machine.returnSoon()
 	}
 	if task.Urgent() && !limited {
+		machine.seekBudget = seekLimit
 		machine.startReclaim(item, almondcross.CodePreemptedUrgent)
 	}
 }
--- a/command/placer/reclaim.go
+++ b/command/placer/reclaim.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -30,6 +31,11 @@
 	returnShortAfter = 50 * time.Millisecond
 	// returnShortInterval is returnInterval while urgent or short tasks wait.
 	returnShortInterval = 50 * time.Millisecond
+	// seekLimit bounds the tasks that one search for victims looks at; the next search begins at
+	// another target.
+	seekLimit = 2048
+	// drainTime is the time within which the room of victims is to end the wait of a line.
+	drainTime = time.Second
 	// returnBatch bounds the tasks of a line for which victims are sought at once.
 	returnBatch = 16
 )
@@ -107,6 +113,7 @@
 		if current.code != almondcross.CodePreemptedUrgent {
 			return
 		}
+		machine.seekBudget = seekLimit
 		if machine.startReclaim(item, current.code) && item.reclaim != nil {
 			machine.stopVictims(item, item.reclaim)
 		}
@@ -195,6 +202,9 @@
 	for index := range machine.sorted {
 		// Searches begin at different targets, so that the loss is spread over the cluster.
 		entry := machine.sorted[(begin+index)%len(machine.sorted)]
+		if machine.seekBudget <= 0 {
+			break
+		}
 		if !entry.open || !item.task.Resources().Fits(entry.capacity) {
 			continue
 		}
@@ -211,15 +221,25 @@
 
 // victimsOn returns lent tasks of a target that together make room for a task, nil for none.
 func (machine *Machine) victimsOn(entry *target, item *job) []*job {
-	var victims []*job
+	var candidates []*job
+	for _, candidate := range entry.jobs {
+		machine.seekBudget--
+		if machine.mayReclaim(candidate, item, 0) {
+			candidates = append(candidates, candidate)
+		}
+	}
+	// The newest tasks lose the least progress.
+	slices.SortFunc(candidates, func(first, second *job) int { return cmp.Compare(second.sequence, first.sequence) })
 	room := entry.roomFor(item)
 	taken := map[string]float64{}
-	for _, candidate := range entry.newestFirst() {
-		if !machine.mayReclaim(candidate, item, taken) {
+	victims := candidates[:0]
+	for _, candidate := range candidates {
+		owner := candidate.task.Owner()
+		if !machine.mayReclaim(candidate, item, taken[owner]) {
 			continue
 		}
 		victims = append(victims, candidate)
-		taken[candidate.task.Owner()] += candidate.task.Resources().Dominant(machine.total)
+		taken[owner] += candidate.task.Resources().Dominant(machine.total)
 		room = room.Add(candidate.task.Resources())
 		if item.task.Resources().Fits(room) {
 			return victims
@@ -228,31 +248,16 @@
 	return nil
 }
 
-// newestFirst returns the tasks of a target with the ones that lose the least progress first.
-func (entry *target) newestFirst() []*job {
-	list := make([]*job, 0, len(entry.jobs))
-	for _, item := range entry.jobs {
-		list = append(list, item)
-	}
-	slices.SortFunc(list, func(first, second *job) int {
-		if order := second.sentAt.Compare(first.sentAt); order != 0 {
-			return order
-		}
-		return cmp.Compare(first.task.Id().String(), second.task.Id().String())
-	})
-	return list
-}
-
 // mayReclaim reports whether a task is lent work that may be stopped: it may be repeated, is
 // neither urgent nor a service, and its owner keeps its promise without it.
-func (machine *Machine) mayReclaim(candidate, item *job, taken map[string]float64) bool {
+func (machine *Machine) mayReclaim(candidate, item *job, taken float64) bool {
 	task := candidate.task
 	if candidate.state != jobRunning || candidate.victimOf != nil || candidate.haltCode != almondcross.CodeNone ||
 		!task.Repeatable() || task.Urgent() || task.Size() > 1 || task.Class() == almondcross.ClassService ||
 		(task.Owner() == item.task.Owner() && !item.task.Urgent()) {
 		return false
 	}
-	lent := machine.Share.Lent(task.Owner()) - machine.lentTaken[task.Owner()] - taken[task.Owner()]
+	lent := machine.Share.Lent(task.Owner()) - machine.lentTaken[task.Owner()] - taken
 	return lent >= task.Resources().Dominant(machine.total)/2
 }
 
@@ -273,6 +278,7 @@
 		return
 	}
 	machine.returnAt = time.Time{}
+	machine.seekBudget = seekLimit
 	short := false
 	for _, waiting := range machine.order {
 		if machine.limited(waiting) {
@@ -292,6 +298,14 @@
 	machine.timers.push(timer{at: machine.returnAt, kind: timerReturn})
 }
 
+// neededSlots returns how many tasks of a line have to run at once to end its wait within
+// drainTime; short tasks share the room of one victim one after another.
+func (machine *Machine) neededSlots(waiting *line) int {
+	estimate := machine.Estimator.Estimate(waiting.key.entry, waiting.first().task.ExpectedRun())
+	part := min(1, estimate.Seconds()/drainTime.Seconds())
+	return min(returnBatch, int(math.Ceil(part*float64(waiting.live))))
+}
+
 // returnLine seeks victims for the first tasks of a line.
 func (machine *Machine) returnLine(waiting *line) {
 	limit, code := returnAfter, almondcross.CodeLentShareReturned
@@ -302,12 +316,13 @@
 		limit = returnShortAfter
 	}
 	var claimed almondcross.Resources
+	most := machine.neededSlots(waiting)
 	sought := 0
 	for _, item := range waiting.jobs[waiting.head:] {
 		if item == nil {
 			continue
 		}
-		if sought++; sought > returnBatch || machine.now.Sub(item.queuedAt) < limit {
+		if sought++; sought > most || machine.now.Sub(item.queuedAt) < limit {
 			return
 		}
 		claimed = claimed.Add(item.task.Resources())
--- a/command/placer/room.go
+++ b/command/placer/room.go
@@ -27,7 +27,7 @@
 	if entry.reserved != nil {
 		longFree = almondcross.Resources{}.Sub(almondcross.NewResources(almondcross.ResourcesConfig{Slots: 1, MilliCPU: 1, MemoryMB: 1}))
 	}
-	open := entry.state == stateHeld && entry.listed && !entry.leaving && !entry.closing && !machine.draining &&
+	open := entry.state == stateHeld && entry.listed && !entry.leaving && !entry.closing && !entry.congested && !machine.draining &&
 		entry.target.State() != almondcross.HostLeaving && entry.health.allows() && entry.allowsBackfill(machine.now)
 	machine.publishSoon()
 	if !open {
--- a/command/placer/schedule.go
+++ b/command/placer/schedule.go
@@ -23,6 +23,8 @@
 	fromReserve := item.task.Urgent() && item.long && !item.task.Resources().Fits(entry.longFree)
 	item.state, item.target, item.term = jobStarting, entry, entry.term
 	item.sentAt, item.namedAt, item.accountedAt = machine.now, machine.now, machine.now
+	machine.sequence++
+	item.sequence = machine.sequence
 	entry.jobs[item.task.Id()] = item
 	entry.starting++
 	machine.charge(item)
--- a/command/placer/target.go
+++ b/command/placer/target.go
@@ -22,6 +22,8 @@
 	handBackLimit = 5 * time.Minute
 	// closingInterval is the time after which a hand-back that waits for starts is tried again.
 	closingInterval = 100 * time.Millisecond
+	// congestionTime is how long a target gets no start after its dispatcher's ring refused one.
+	congestionTime = 20 * time.Millisecond
 )
 
 type holding int
@@ -59,6 +61,7 @@
 	renewedAt time.Time
 	renewSet  bool
 	starting  int
+	congested bool // the ring of the dispatcher refused a start
 	jobs      map[almondcross.TaskID]*job
 	reserved  *gang
 	gained    bool
@@ -296,6 +299,8 @@
 		machine.discard(waiting)
 	}
 	item := &job{task: task, target: entry, unconfirmed: true, sentAt: machine.now, startedAt: machine.now, accountedAt: machine.now}
+	machine.sequence++
+	item.sequence = machine.sequence
 	item.band = machine.Estimator.Band(task.Entry(), task.ExpectedRun())
 	item.long = item.band != almondcross.BandShort
 	if !item.long {
--- a/command/placer/timer.go
+++ b/command/placer/timer.go
@@ -14,6 +14,7 @@
 	timerAcquire                    // a lease may be acquired again
 	timerHandBack                   // a target may be handed to its preferred holder
 	timerRenew                      // the list of named tasks changed
+	timerCongested                  // the dispatcher's ring may have room again
 	timerProbe                      // an ejected target may be tried again
 	timerPublish                    // the snapshot and the summary changed
 	timerAccount                    // the use of running tasks is accounted
@@ -117,6 +118,9 @@
 	case timerRenew:
 		item.target.renewSet = false
 		machine.sendRenewal(item.target)
+	case timerCongested:
+		item.target.congested = false
+		machine.setRoom(item.target)
 	case timerProbe:
 		machine.probe(item.target)
 	case timerPublish:
