Close targets before a drain and list targets again after a view change

Cause: a gang could start on a target that a drain was about to release, and a list that came before the first view kept targets of other data centres.

Change: a drain closes every target first; the last list is applied again when the data centre becomes known; an ended job lets go of its payload.

--- a/command/placer/answer.go
+++ b/command/placer/answer.go
@@ -149,7 +149,7 @@
 	entry := item.target
 	machine.detach(item)
 	machine.dropShort(item)
-	item.state = jobDone
+	item.done()
 	delete(machine.jobs, item.key())
 	machine.remember(item.task, ended{})
 	machine.settleVictim(item)
--- a/command/placer/job.go
+++ b/command/placer/job.go
@@ -59,6 +59,12 @@
 // onTarget reports whether the target holds the task under the current lease.
 func (item *job) onTarget() bool { return item.state == jobStarting || item.state == jobRunning }
 
+// done ends a job. Timers may keep it for long, so it lets go of the payload.
+func (item *job) done() {
+	item.state = jobDone
+	item.task = item.task.WithPayload(nil)
+}
+
 // ended remembers an attempt so that a repeated PlaceTask has no further effect.
 type ended struct {
 	attempt   int
@@ -149,7 +155,7 @@
 
 // refuseNew refuses a task that is in no table.
 func (machine *Machine) refuseNew(item *job, code almondcross.Code, retryAfter time.Duration) {
-	item.state = jobDone
+	item.done()
 	machine.dropShort(item)
 	machine.remember(item.task, ended{code: code, refused: true})
 	machine.reportRefused(item.task, code, retryAfter)
@@ -175,7 +181,7 @@
 	}
 	machine.dropShort(item)
 	delete(machine.jobs, item.key())
-	item.state = jobDone
+	item.done()
 	if item.gang != nil {
 		machine.leaveGang(item)
 	}
--- a/command/placer/machine.go
+++ b/command/placer/machine.go
@@ -50,7 +50,8 @@
 	effects []Effect
 	timers  timers
 
-	sorted      []*target // the targets by name, so that decisions do not depend on the order of a map
+	sorted      []*target             // the targets by name, so that decisions do not depend on the order of a map
+	hosts       almondcross.LiveHosts // the last live list
 	targets     map[string]*target
 	total       almondcross.Resources // the capacity of the held targets
 	listed      int                   // the number of targets in the live list
@@ -192,6 +193,9 @@
 	if sameMembers(before, view) {
 		return
 	}
+	if before.Self().DataCentre() != view.Self().DataCentre() {
+		machine.list(machine.hosts)
+	}
 	for _, entry := range slices.Clone(machine.sorted) {
 		machine.pursue(entry)
 		if entry.state == stateHeld && len(entry.jobs) > 0 {
@@ -218,6 +222,7 @@
 // drain takes no new work, refuses what waits and releases every target.
 func (machine *Machine) drain() {
 	machine.draining = true
+	machine.resetRooms()
 	for _, item := range machine.jobs {
 		if item.state == jobQueued {
 			machine.refuse(item, almondcross.CodeStopping)
--- a/command/placer/placer.go
+++ b/command/placer/placer.go
@@ -93,6 +93,9 @@
 			placer.resend()
 		}
 		if err := placer.carryOut(ctx, effects); err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
 			return errors.Annotate(err, "reporting to the coordinator")
 		}
 	}
--- a/command/placer/queue.go
+++ b/command/placer/queue.go
@@ -226,7 +226,7 @@
 // Of two peers chosen at random it takes the better one, so that hosts with the same summaries
 // do not all choose the same peer.
 func (machine *Machine) forward(item *job) bool {
-	if item.forwarded || item.task.Size() > 1 || item.task.Urgent() {
+	if item.forwarded || item.task.Size() > 1 {
 		return false
 	}
 	var best, second almondcross.Peer
--- a/command/placer/target.go
+++ b/command/placer/target.go
@@ -70,6 +70,7 @@
 
 // list takes the live list; targets of other data centres are not ours to hold.
 func (machine *Machine) list(hosts almondcross.LiveHosts) {
+	machine.hosts = hosts
 	for _, entry := range machine.sorted {
 		entry.listed = false
 	}
@@ -121,6 +122,9 @@
 	}
 	if !entry.listed && len(entry.jobs) == 0 {
 		delete(machine.targets, entry.target.Name())
+		if entry.health.ejected {
+			machine.ejected--
+		}
 		machine.sorted = slices.DeleteFunc(machine.sorted, func(other *target) bool { return other == entry })
 		return
 	}
