Test the policies alone and the machine against random orders

Cause: mutations of the inventory's room, of stale grants and of refused starts passed the tests; the test of the duty had a data race of its own.

--- a/command/placer/cell_test.go
+++ b/command/placer/cell_test.go
@@ -238,6 +238,9 @@
 		}
 	case almondcross.StartTask:
 		item := running{task: message.Task(), target: target, at: cell.now}
+		if other, twice := cell.live[message.Task().Id()]; twice {
+			cell.t.Fatalf("%v runs on %s and %s", message.Task().Id(), other.target, target)
+		}
 		cell.live[message.Task().Id()] = item
 		if !cell.quiet {
 			cell.started = append(cell.started, item)
--- a/command/placer/load_test.go
+++ b/command/placer/load_test.go
@@ -34,11 +34,13 @@
 	stopped bool
 }
 
+// event is the end of a task, of the machine by its id, of a baseline by its target.
 type event struct {
-	at   time.Duration
-	id   almondcross.TaskID
-	code almondcross.Code
-	last running
+	at     time.Duration
+	id     almondcross.TaskID
+	code   almondcross.Code
+	target int
+	used   almondcross.Resources
 }
 
 type events []event
@@ -71,7 +73,7 @@
 		known.started = true
 		known.wait = load.elapsed() + startLatency - known.at
 		known.end = load.elapsed() + startLatency + known.run
-		heap.Push(&load.ends, event{at: known.end + endLatency, id: item.task.Id(), last: item})
+		heap.Push(&load.ends, event{at: known.end + endLatency, id: item.task.Id()})
 	}
 	load.onHalt = func(id almondcross.TaskID) {
 		lag := 100 * time.Millisecond
@@ -164,7 +166,7 @@
 	for index := range free {
 		free[index] = capacity
 	}
-	var ends slotEnds
+	var ends events
 	list := make([]*result, 0, len(works))
 	now := time.Duration(0)
 	for _, item := range works {
@@ -177,7 +179,7 @@
 		target := -1
 		for target < 0 {
 			for len(ends) > 0 && ends[0].at <= now {
-				done := heap.Pop(&ends).(slotEnd)
+				done := heap.Pop(&ends).(event)
 				free[done.target] = free[done.target].Add(done.used)
 			}
 			target = slices.IndexFunc(free, need.Fits)
@@ -187,7 +189,7 @@
 		}
 		known := &result{work: item, started: true, wait: now + startLatency - item.at, end: now + startLatency + item.run}
 		free[target] = free[target].Sub(need)
-		heap.Push(&ends, slotEnd{at: known.end + endLatency, target: target, used: need})
+		heap.Push(&ends, event{at: known.end + endLatency, target: target, used: need})
 		list = append(list, known)
 	}
 	return list
@@ -234,24 +236,6 @@
 	return best
 }
 
-type slotEnd struct {
-	at     time.Duration
-	target int
-	used   almondcross.Resources
-}
-
-type slotEnds []slotEnd
-
-func (list slotEnds) Len() int                    { return len(list) }
-func (list slotEnds) Less(first, second int) bool { return list[first].at < list[second].at }
-func (list slotEnds) Swap(first, second int)      { list[first], list[second] = list[second], list[first] }
-func (list *slotEnds) Push(item any)              { *list = append(*list, item.(slotEnd)) }
-func (list *slotEnds) Pop() any {
-	last := (*list)[len(*list)-1]
-	*list = (*list)[:len(*list)-1]
-	return last
-}
-
 // hasClass is a filter for percentile.
 func hasClass(class almondcross.Class) func(*result) bool {
 	return func(item *result) bool { return item.task.Class() == class }
--- a/command/placer/machine_test.go
+++ b/command/placer/machine_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"github.com/almondcross/almondcross"
 )
@@ -63,6 +64,103 @@
 	require.Len(t, reports[almondcross.TaskLost](cell), 1)
 }
 
+// TestLostCountsFromLastLease guards against a timer of an earlier loss that declares a task
+// lost which a later grant listed, and against counting an unanswered start from its sending.
+func TestLostCountsFromLastLease(t *testing.T) {
+	cell := newCell(t, 1)
+	cell.holdAnswers = true
+	task := cell.task("a", "batch", 1)
+	cell.place(task)
+	cell.advance(10 * time.Second)
+	cell.apply(almondcross.NewTargetRenewed(almondcross.TargetRenewedConfig{Target: "t0000", Term: cell.term["t0000"]}))
+	cell.refuseLeases = true
+	cell.release("t0000")
+	cell.advance(10 * time.Second)
+	cell.refuseLeases = false
+	cell.live[task.Id()] = running{task: task, target: "t0000"}
+	cell.advance(time.Second)
+	cell.refuseLeases = true
+	cell.release("t0000")
+	cell.advance(almondcross.LostAfter - 2*time.Second)
+	require.Empty(t, reports[almondcross.TaskLost](cell))
+	cell.advance(2 * time.Second)
+	require.Len(t, reports[almondcross.TaskLost](cell), 1)
+}
+
+// TestRefusedStart guards against a second start message for a task that may not be repeated, and
+// against dropping one that may.
+func TestRefusedStart(t *testing.T) {
+	cell := newCell(t, 1)
+	cell.holdAnswers = true
+	once, again := cell.task("a", "batch", 1).WithRepeatable(false), cell.task("a", "batch", 2)
+	cell.place(once)
+	cell.place(again)
+	for index, answer := range cell.held {
+		delete(cell.live, cell.started[index].task.Id())
+		cell.apply(answer.(almondcross.StartAnswered).WithAccepted(false).WithCode(almondcross.CodeTaskFailed))
+	}
+	require.Len(t, cell.started, 3)
+	require.Equal(t, again.Id(), cell.started[2].task.Id())
+	refused := reports[almondcross.TaskRefused](cell)
+	require.Len(t, refused, 1)
+	require.Equal(t, once.Id(), refused[0].Id())
+}
+
+// TestStaleGrant guards against an old inventory that replaces a newer one.
+func TestStaleGrant(t *testing.T) {
+	cell := newCell(t, 1)
+	stale := almondcross.NewGrant(almondcross.GrantConfig{Target: "t0000", Term: cell.term["t0000"], Capacity: capacity})
+	cell.place(cell.task("a", "batch", 1))
+	cell.apply(almondcross.NewTargetGranted(almondcross.TargetGrantedConfig{Grant: stale}))
+	require.Empty(t, reports[almondcross.TaskLost](cell))
+}
+
+// TestNoOvercommit guards against a worker that is given more than its capacity or a task that
+// runs twice, whatever the order of arrivals, ends, lost leases and inventories.
+func TestNoOvercommit(t *testing.T) {
+	rapid.Check(t, func(random *rapid.T) {
+		cell := newCell(t, 3)
+		next := 0
+		random.Repeat(map[string]func(*rapid.T){
+			"place": func(random *rapid.T) {
+				next++
+				size := rapid.Int64Range(1, slots).Draw(random, "slots")
+				cell.place(cell.task("a", "batch", next).WithResources(slot.Scale(size)).WithUrgent(size == 2))
+			},
+			"repeat": func(random *rapid.T) {
+				cell.place(cell.task("a", "batch", rapid.IntRange(1, next+1).Draw(random, "index")).WithUrgent(true))
+			},
+			"finish": func(random *rapid.T) {
+				cell.finish(cell.task("a", "batch", rapid.IntRange(1, next+1).Draw(random, "index")).Id(), time.Second)
+			},
+			"fail to renew": func(random *rapid.T) {
+				target := cell.hosts[rapid.IntRange(0, 2).Draw(random, "target")].Name()
+				cell.refuseLeases = rapid.Bool().Draw(random, "refuse")
+				var kept []almondcross.Task
+				for _, item := range cell.live {
+					if item.target == target && rapid.Bool().Draw(random, "keep") {
+						kept = append(kept, item.task)
+					}
+				}
+				cell.release(target, kept...)
+			},
+			"wait": func(random *rapid.T) {
+				cell.refuseLeases = false
+				cell.advance(time.Duration(rapid.IntRange(1, 20000).Draw(random, "ms")) * time.Millisecond)
+			},
+			"": func(random *rapid.T) {
+				used := map[string]almondcross.Resources{}
+				for _, item := range cell.live {
+					used[item.target] = used[item.target].Add(item.task.Resources())
+				}
+				for target, sum := range used {
+					require.True(random, sum.Fits(capacity), "%s holds %v", target, sum)
+				}
+			},
+		})
+	})
+}
+
 // TestGrantIsAuthority guards against keeping a task that the worker does not have, and against
 // forgetting one that it has.
 func TestGrantIsAuthority(t *testing.T) {
--- a/command/placer/placer_test.go
+++ b/command/placer/placer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,12 +18,11 @@
 	"github.com/almondcross/almondcross/ring"
 )
 
-// outside is what the duty reaches: dispatchers, peers, accountant and clock. The test and the
-// duty use it in turn, between calls of synctest.Wait.
+// outside is what the duty reaches: dispatchers, peers, accountant and clock.
 type outside struct {
 	dispatch *ring.Ring[almondcross.DispatcherMessage]
-	linkFull bool
-	sent     []almondcross.PeerMessage
+	linkFull atomic.Bool
+	sent     *ring.Ring[almondcross.PeerMessage]
 }
 
 func (outside *outside) Create(almondcross.Target) almondcross.Sink[almondcross.DispatcherMessage] {
@@ -33,10 +33,7 @@
 func (outside *outside) Record(almondcross.StoryEvent)    {}
 func (outside *outside) Now() time.Time                   { return time.Now() }
 func (outside *outside) Send(_ string, message almondcross.PeerMessage) bool {
-	if !outside.linkFull {
-		outside.sent = append(outside.sent, message)
-	}
-	return !outside.linkFull
+	return !outside.linkFull.Load() && outside.sent.Offer(message)
 }
 
 // TestDuty guards against lost reports: the coordinator's ring is full, a link is full, and the
@@ -46,7 +43,10 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		inbox := ring.New[almondcross.PlacerMessage](ring.Config{Name: "placer", Capacity: 64})
 		reported := ring.New[almondcross.CoordinatorMessage](ring.Config{Name: "coordinator", Capacity: 1})
-		outside := &outside{dispatch: ring.New[almondcross.DispatcherMessage](ring.Config{Name: "dispatch", Capacity: 1})}
+		outside := &outside{
+			dispatch: ring.New[almondcross.DispatcherMessage](ring.Config{Name: "dispatch", Capacity: 1}),
+			sent:     ring.New[almondcross.PeerMessage](ring.Config{Name: "link", Capacity: 64}),
+		}
 		duty := placer.New(placer.Config{
 			Ring: inbox, Dispatchers: outside, Peers: outside, Coordinator: reported, Accounter: outside, Stories: outside, Clock: outside,
 			Registrar: ring.New[almondcross.RegistrarMessage](ring.Config{Name: "registrar", Capacity: 64}),
@@ -83,7 +83,7 @@
 		put(almondcross.NewPlaceTask(almondcross.PlaceTaskConfig{Task: mine}))
 		<-outside.dispatch.Messages()
 		put(almondcross.NewPlaceTask(almondcross.PlaceTaskConfig{Task: theirs}))
-		outside.linkFull = true
+		outside.linkFull.Store(true)
 		answer := func(task almondcross.Task) almondcross.PlacerMessage {
 			return almondcross.NewStartAnswered(almondcross.StartAnsweredConfig{Target: "t0000", Term: term, Id: task.Id(), Attempt: 1, Accepted: true})
 		}
@@ -102,11 +102,11 @@
 		}))
 		require.IsType(t, almondcross.TaskStarted{}, <-reported.Messages())
 		require.IsType(t, almondcross.TaskEnded{}, <-reported.Messages())
-		require.Empty(t, outside.sent)
-		outside.linkFull = false
+		require.Zero(t, outside.sent.Depth())
+		outside.linkFull.Store(false)
 		<-time.After(time.Second)
 		synctest.Wait()
-		require.Len(t, outside.sent, 1)
+		require.Equal(t, 1, outside.sent.Depth())
 		cancel()
 		require.NoError(t, <-ended)
 	})
--- /dev/null
+++ b/policy/estimator/estimator_test.go
@@ -0,0 +1,34 @@
+package estimator_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/almondcross/almondcross"
+	"github.com/almondcross/almondcross/policy/estimator"
+)
+
+// TestLearned guards against trusting a declared run time that is far from the actual one,
+// against stragglers that move an entry to a longer band, and against old run times that stay.
+func TestLearned(t *testing.T) {
+	estimator := estimator.New()
+	declared := 10 * time.Minute
+	require.NotEqual(t, almondcross.BandShort, estimator.Band("e", declared))
+	for index := range 200 {
+		if ran := 100 * time.Millisecond; index%20 == 0 {
+			estimator.Observe("e", 100*ran)
+		} else {
+			estimator.Observe("e", ran)
+		}
+	}
+	require.Equal(t, almondcross.BandShort, estimator.Band("e", declared))
+	require.InDelta(t, 100, estimator.Estimate("e", declared).Milliseconds(), 30)
+	require.Equal(t, 500*time.Millisecond, estimator.StragglesAfter("e", declared))
+	for range 1000 {
+		estimator.Observe("e", time.Minute)
+	}
+	require.Equal(t, almondcross.Band(2), estimator.Band("e", declared))
+	require.Zero(t, estimator.StragglesAfter("unknown", 0))
+}
