Order owners by share so that a decision does not compare all lines

Change: owners with waiting lines are kept in the order of their ratio and move when their own use changes; a line keeps what its first task needs. The ratio counts half of the next task, so that rounding favours no owner.

--- a/command/placer/bench_test.go
+++ b/command/placer/bench_test.go
@@ -112,9 +112,9 @@
 // the end. With waiting work each decision chooses among the lines of all owners.
 func BenchmarkDecision(b *testing.B) {
 	for _, targets := range []int{130, 1300} {
-		for _, waiting := range []bool{false, true} {
-			b.Run(fmt.Sprintf("targets=%d/waiting=%v", targets, waiting), func(b *testing.B) {
-				load := newSaturated(b, targets, 170, waiting)
+		for _, lines := range []int{0, 170, 1000} {
+			b.Run(fmt.Sprintf("targets=%d/lines=%d", targets, lines), func(b *testing.B) {
+				load := newSaturated(b, targets, max(lines, 170), lines > 0)
 				before, starts := load.packer.Comparisons(), 0
 				b.ReportAllocs()
 				for b.Loop() {
--- a/command/placer/job.go
+++ b/command/placer/job.go
@@ -93,7 +93,9 @@
 }
 
 // unremember forgets an attempt that was not forwarded after all.
-func (machine *Machine) unremember(id almondcross.TaskID) { delete(machine.ended, id) }
+func (machine *Machine) unremember(id almondcross.TaskID) {
+	machine.ended[id] = ended{attempt: -1, at: machine.now}
+}
 
 func (machine *Machine) forgetOldest() {
 	delete(machine.ended, machine.endOrder[0])
@@ -135,11 +137,7 @@
 		machine.refuseNew(item, almondcross.CodeStopping, 0)
 		return
 	}
-	item.band = machine.Estimator.Band(task.Entry(), task.ExpectedRun())
-	item.long = item.band != almondcross.BandShort
-	if !item.long {
-		machine.addShort(item)
-	}
+	machine.setBand(item)
 	if task.Size() > 1 {
 		machine.joinGang(item)
 		return
@@ -147,6 +145,15 @@
 	machine.enqueue(item)
 }
 
+// setBand sets the band of a new job. A service is long work, whatever it declares.
+func (machine *Machine) setBand(item *job) {
+	item.band = machine.Estimator.Band(item.task.Entry(), item.task.ExpectedRun())
+	item.long = item.band != almondcross.BandShort || item.task.Class() == almondcross.ClassService
+	if !item.long {
+		machine.addShort(item)
+	}
+}
+
 func (machine *Machine) reportRefused(task almondcross.Task, code almondcross.Code, retryAfter time.Duration) {
 	machine.report(task.Coordinator(), almondcross.NewTaskRefused(almondcross.TaskRefusedConfig{
 		Id: task.Id(), Attempt: task.Attempt(), Holder: machine.self, Code: code, RetryAfter: retryAfter.Milliseconds(),
--- a/command/placer/machine.go
+++ b/command/placer/machine.go
@@ -62,6 +62,7 @@
 
 	lines    map[lineKey]*line
 	order    []*line // the lines with waiting tasks
+	ranking  ranking
 	waiting  int
 	running  map[string]int // tasks that are sent and have no confirmed end, by entry
 	gangs    map[almondcross.Key]*gang
@@ -101,6 +102,7 @@
 		ended:         map[almondcross.TaskID]ended{},
 		lines:         map[lineKey]*line{},
 		running:       map[string]int{},
+		ranking:       ranking{owners: map[string]*ownerLines{}},
 		gangs:         map[almondcross.Key]*gang{},
 		lentTaken:     map[string]float64{},
 		shortOwners:   map[string]int{},
@@ -136,6 +138,7 @@
 	case almondcross.CatalogueChanged:
 		machine.catalogue = message.Catalogue()
 		machine.Share.SetCatalogue(machine.catalogue)
+		machine.rerankAll()
 		for _, entry := range machine.lines {
 			machine.setLimit(entry)
 		}
@@ -171,7 +174,9 @@
 		machine.setRoom(entry)
 		machine.retryAcquire(entry, acquireInterval)
 	case almondcross.RenewTasks:
-		machine.renewSoon(entry)
+		// A list that drops a task of a lost coordinator must not wait for renewalDelay: the
+		// hold-back of the key's new coordinator allows 500 ms between two hosts' views.
+		machine.after(congestionTime, timer{kind: timerRenew, target: entry})
 	}
 	return machine.finish()
 }
--- a/command/placer/queue.go
+++ b/command/placer/queue.go
@@ -19,8 +19,15 @@
 	jobs     []*job // jobs before head have left the line
 	head     int
 	live     int
+	account  almondcross.ShareAccount
 	position int // the index in Machine.order, -1 when the line is empty
-	limit    int // the most tasks of the entry that run at once in the data centre, 0 for no limit
+
+	// What the first task needs is kept here, so that a decision touches no other memory.
+	need     almondcross.Resources
+	reserve  bool
+	queuedAt time.Time
+
+	limit int // the most tasks of the entry that run at once in the data centre, 0 for no limit
 }
 
 // first returns the oldest task of the line, nil for an empty line.
@@ -34,6 +41,13 @@
 	return nil
 }
 
+// note keeps what the first task needs.
+func (entry *line) note() {
+	if item := entry.first(); item != nil {
+		entry.need, entry.reserve, entry.queuedAt = item.task.Resources(), item.mayReserve(), item.queuedAt
+	}
+}
+
 // compact bounds the memory of the slots that left the line.
 func (entry *line) compact() {
 	if entry.live == 0 {
@@ -52,7 +66,7 @@
 	key := lineKey{item.task.Owner(), item.task.Entry(), item.band, item.task.Urgent()}
 	entry, ok := machine.lines[key]
 	if !ok {
-		entry = &line{key: key, position: -1}
+		entry = &line{key: key, position: -1, account: machine.Share.Account(key.owner, key.entry)}
 		machine.lines[key] = entry
 		machine.setLimit(entry)
 	}
@@ -72,10 +86,12 @@
 		entry.jobs = append(entry.jobs, item)
 	}
 	entry.live++
+	entry.note()
 	machine.waiting++
 	if entry.position < 0 {
 		entry.position = len(machine.order)
 		machine.order = append(machine.order, entry)
+		machine.rank(entry)
 	}
 	machine.Share.SetWaiting(entry.key.owner, entry.key.entry, 1)
 	machine.publishSoon()
@@ -98,6 +114,7 @@
 	entry.live--
 	machine.waiting--
 	entry.compact()
+	entry.note()
 	machine.publishSoon()
 	if entry.live > 0 {
 		return
@@ -107,6 +124,7 @@
 	last.position = entry.position
 	machine.order = machine.order[:len(machine.order)-1]
 	entry.position = -1
+	machine.unrank(entry)
 	machine.Share.SetWaiting(entry.key.owner, entry.key.entry, -1)
 }
 
--- a/command/placer/reclaim.go
+++ b/command/placer/reclaim.go
@@ -326,7 +326,7 @@
 			return
 		}
 		claimed = claimed.Add(item.task.Resources())
-		if byOwner, _ := machine.Share.Ratio(waiting.key.owner, waiting.key.entry, claimed); byOwner > 1 && !waiting.key.urgent {
+		if !waiting.key.urgent && waiting.account.Exceeds(claimed) {
 			return
 		}
 		if !machine.startReclaim(item, code) {
--- a/command/placer/room.go
+++ b/command/placer/room.go
@@ -168,6 +168,7 @@
 	}
 	machine.running[task.Entry()]++
 	machine.Share.Take(task.Owner(), task.Entry(), task.Resources())
+	machine.rerank(task.Owner())
 	machine.Placement.Placed(task.Entry(), task.Class(), entry.target.Rack())
 }
 
@@ -184,5 +185,6 @@
 	}
 	machine.running[task.Entry()]--
 	machine.Share.Return(task.Owner(), task.Entry(), task.Resources())
+	machine.rerank(task.Owner())
 	machine.Placement.Freed(task.Entry(), task.Class(), entry.target.Rack())
 }
--- a/command/placer/schedule.go
+++ b/command/placer/schedule.go
@@ -1,10 +1,6 @@
 package placer
 
-import (
-	"time"
-
-	"github.com/almondcross/almondcross"
-)
+import "github.com/almondcross/almondcross"
 
 // choose returns the target for a task.
 func (machine *Machine) choose(item *job) (string, bool) {
@@ -64,52 +60,6 @@
 	machine.gained = machine.gained[:0]
 }
 
-// rank orders lines: urgent work first, then the owner and the entry that received the least of
-// their promise, then shorter bands, then the longest wait.
-type rank struct {
-	urgent  bool
-	byOwner float64
-	byEntry float64
-	band    almondcross.Band
-	queued  time.Time
-}
-
-func (first rank) before(second rank) bool {
-	switch {
-	case first.urgent != second.urgent:
-		return first.urgent
-	case first.byOwner != second.byOwner:
-		return first.byOwner < second.byOwner
-	case first.byEntry != second.byEntry:
-		return first.byEntry < second.byEntry
-	case first.band != second.band:
-		return first.band < second.band
-	default:
-		return first.queued.Before(second.queued)
-	}
-}
-
-// nextFor returns the waiting task that goes to a target next, nil for none.
-func (machine *Machine) nextFor(entry *target) *job {
-	var best *job
-	var bestRank rank
-	for _, waiting := range machine.order {
-		if bestRank.urgent && !waiting.key.urgent {
-			continue
-		}
-		item := waiting.first()
-		if !item.task.Resources().Fits(entry.roomFor(item)) || machine.limited(waiting) {
-			continue
-		}
-		current := rank{urgent: waiting.key.urgent, band: waiting.key.band, queued: item.queuedAt}
-		current.byOwner, current.byEntry = machine.Share.Ratio(waiting.key.owner, waiting.key.entry, item.task.Resources())
-		if best == nil || current.before(bestRank) {
-			best, bestRank = item, current
-		}
-	}
-	return best
-}
-
 // retryLine places the head of a line for as long as it fits anywhere.
 func (machine *Machine) retryLine(waiting *line) {
 	for waiting.live > 0 && !machine.limited(waiting) {
--- a/command/placer/target.go
+++ b/command/placer/target.go
@@ -251,6 +251,7 @@
 	machine.total = machine.total.Add(entry.capacity)
 	machine.heldTargets++
 	machine.Share.SetTotal(machine.total)
+	machine.rerankAll()
 	held := make(map[almondcross.TaskID]bool, len(grant.Inventory()))
 	for _, item := range grant.Inventory() {
 		if machine.takeItem(entry, item) {
@@ -305,11 +306,7 @@
 	item := &job{task: task, target: entry, unconfirmed: true, sentAt: machine.now, startedAt: machine.now, accountedAt: machine.now}
 	machine.sequence++
 	item.sequence = machine.sequence
-	item.band = machine.Estimator.Band(task.Entry(), task.ExpectedRun())
-	item.long = item.band != almondcross.BandShort
-	if !item.long {
-		machine.addShort(item)
-	}
+	machine.setBand(item)
 	machine.jobs[key] = item
 	entry.jobs[task.Id()] = item
 	machine.watch(item)
@@ -364,6 +361,7 @@
 	machine.total = machine.total.Sub(entry.capacity)
 	machine.heldTargets--
 	machine.Share.SetTotal(machine.total)
+	machine.rerankAll()
 	for _, item := range entry.jobs {
 		machine.uncharge(item)
 		if item.state == jobStarting {
--- a/policy.go
+++ b/policy.go
@@ -53,9 +53,8 @@
 	Take(owner, entry string, resources Resources)
 	// Return takes back a Take.
 	Return(owner, entry string, resources Resources)
-	// Ratio returns received divided by promised share of an owner and of an entry within its
-	// owner, were the entry to receive more resources; the lowest ratio goes first.
-	Ratio(owner, entry string, more Resources) (byOwner, byEntry float64)
+	// Account returns the account of an entry of an owner, which stays valid.
+	Account(owner, entry string) ShareAccount
 	// SetWaiting adds to the number of lines of an entry with waiting tasks. The promise of
 	// owners with neither waiting nor running work is lent to the others.
 	SetWaiting(owner, entry string, lines int)
@@ -67,6 +66,19 @@
 	Fair(owner string) float64
 }
 
+// ShareAccount is what one entry of one owner received. It is kept by its user, so that a decision
+// need not look up each waiting entry.
+type ShareAccount interface {
+	// OwnerRatio returns the received share by weight of the owner, half of its next task
+	// included, so that rounding to whole tasks favours neither small nor large owners. The
+	// lowest goes first. It changes only with the owner's use, the total and the catalogue.
+	OwnerRatio(next Resources) float64
+	// EntryRatio returns the same of the entry within its owner.
+	EntryRatio(next Resources) float64
+	// Exceeds reports whether the owner would hold more than it is due now with more resources.
+	Exceeds(more Resources) bool
+}
+
 // RuntimeEstimator learns the run times of entries. One duty owns it.
 type RuntimeEstimator interface {
 	// Observe adds the run time of an ended task.
--- a/policy/sharer/sharer.go
+++ b/policy/sharer/sharer.go
@@ -58,8 +58,6 @@
 		known.weight = max(owned[name], defaultShare)
 		if known.active() {
 			sharer.active += known.weight
-		} else if owned[name] == 0 {
-			delete(sharer.owners, name)
 		}
 		for entryName, item := range known.entries {
 			item.weight = max(sharer.weights[entryName], defaultShare)
@@ -124,17 +122,39 @@
 	})
 }
 
-// Ratio returns received divided by promised share of an owner and of an entry within its owner.
-func (sharer *Sharer) Ratio(ownerName, entryName string, more almondcross.Resources) (byOwner, byEntry float64) {
-	known, ok := sharer.owners[ownerName]
-	if !ok {
-		return 0, 0
-	}
-	byOwner = known.used.Add(more).Dominant(sharer.total) * float64(max(sharer.active, known.weight)) / float64(known.weight)
-	if item, ok := known.entries[entryName]; ok {
-		byEntry = item.used.Add(more).Dominant(sharer.total) / float64(item.weight)
-	}
-	return byOwner, byEntry
+// account is the ShareAccount of an entry.
+type account struct {
+	sharer *Sharer
+	owner  *owner
+	entry  *entry
+}
+
+// Account returns the account of an entry of an owner.
+func (sharer *Sharer) Account(ownerName, entryName string) almondcross.ShareAccount {
+	known := sharer.owner(ownerName)
+	return &account{sharer: sharer, owner: known, entry: sharer.entry(known, entryName)}
+}
+
+// OwnerRatio returns the received share by weight of the owner.
+func (account *account) OwnerRatio(next almondcross.Resources) float64 {
+	return account.sharer.middle(account.owner.used, next) / float64(account.owner.weight)
+}
+
+// middle returns the dominant share halfway between before and after the next task.
+func (sharer *Sharer) middle(used, next almondcross.Resources) float64 {
+	return (used.Dominant(sharer.total) + used.Add(next).Dominant(sharer.total)) / 2
+}
+
+// EntryRatio returns the received share by weight of the entry.
+func (account *account) EntryRatio(next almondcross.Resources) float64 {
+	return account.sharer.middle(account.entry.used, next) / float64(account.entry.weight)
+}
+
+// Exceeds reports whether the owner would hold more than it is due now with more resources.
+func (account *account) Exceeds(more almondcross.Resources) bool {
+	weight := account.owner.weight
+	due := float64(weight) / float64(max(account.sharer.active, weight))
+	return account.owner.used.Add(more).Dominant(account.sharer.total) > due
 }
 
 // Lent returns the part of the dominant share that an owner holds beyond its own promise.
