--- a/command/placer/job.go
+++ b/command/placer/job.go
@@ -43,6 +43,7 @@
 	reclaim     *reclaim         // the room that is being taken for this task
 	victimOf    *reclaim         // the reclaim for which this task is being stopped
 
+	sequence    uint64 // the order of starts
 	queuedAt    time.Time
 	sentAt      time.Time
 	startedAt   time.Time
@@ -58,6 +59,12 @@
 // onTarget reports whether the target holds the task under the current lease.
 func (item *job) onTarget() bool { return item.state == jobStarting || item.state == jobRunning }
 
+// done ends a job. Timers may keep it for long, so it lets go of the payload.
+func (item *job) done() {
+	item.state = jobDone
+	item.task = item.task.WithPayload(nil)
+}
+
 // ended remembers an attempt so that a repeated PlaceTask has no further effect.
 type ended struct {
 	attempt   int
@@ -86,7 +93,9 @@
 }
 
 // unremember forgets an attempt that was not forwarded after all.
-func (machine *Machine) unremember(id almondcross.TaskID) { delete(machine.ended, id) }
+func (machine *Machine) unremember(id almondcross.TaskID) {
+	machine.ended[id] = ended{attempt: -1, at: machine.now}
+}
 
 func (machine *Machine) forgetOldest() {
 	delete(machine.ended, machine.endOrder[0])
@@ -128,11 +137,7 @@
 		machine.refuseNew(item, almondcross.CodeStopping, 0)
 		return
 	}
-	item.band = machine.Estimator.Band(task.Entry(), task.ExpectedRun())
-	item.long = item.band != almondcross.BandShort
-	if !item.long {
-		machine.addShort(item)
-	}
+	machine.setBand(item)
 	if task.Size() > 1 {
 		machine.joinGang(item)
 		return
@@ -140,6 +145,15 @@
 	machine.enqueue(item)
 }
 
+// setBand sets the band of a new job. A service is long work, whatever it declares.
+func (machine *Machine) setBand(item *job) {
+	item.band = machine.Estimator.Band(item.task.Entry(), item.task.ExpectedRun())
+	item.long = item.band != almondcross.BandShort || item.task.Class() == almondcross.ClassService
+	if !item.long {
+		machine.addShort(item)
+	}
+}
+
 func (machine *Machine) reportRefused(task almondcross.Task, code almondcross.Code, retryAfter time.Duration) {
 	machine.report(task.Coordinator(), almondcross.NewTaskRefused(almondcross.TaskRefusedConfig{
 		Id: task.Id(), Attempt: task.Attempt(), Holder: machine.self, Code: code, RetryAfter: retryAfter.Milliseconds(),
@@ -148,7 +162,7 @@
 
 // refuseNew refuses a task that is in no table.
 func (machine *Machine) refuseNew(item *job, code almondcross.Code, retryAfter time.Duration) {
-	item.state = jobDone
+	item.done()
 	machine.dropShort(item)
 	machine.remember(item.task, ended{code: code, refused: true})
 	machine.reportRefused(item.task, code, retryAfter)
@@ -174,7 +188,7 @@
 	}
 	machine.dropShort(item)
 	delete(machine.jobs, item.key())
-	item.state = jobDone
+	item.done()
 	if item.gang != nil {
 		machine.leaveGang(item)
 	}
--- a/command/placer/machine.go
+++ b/command/placer/machine.go
@@ -52,7 +52,8 @@
 	effects []Effect
 	timers  timers
 
-	sorted      []*target // the targets by name, so that decisions do not depend on the order of a map
+	sorted      []*target             // the targets by name, so that decisions do not depend on the order of a map
+	hosts       almondcross.LiveHosts // the last live list
 	targets     map[string]*target
 	total       almondcross.Resources // the capacity of the held targets
 	listed      int                   // the number of targets in the live list
@@ -63,6 +64,7 @@
 
 	lines    map[lineKey]*line
 	order    []*line // the lines with waiting tasks
+	ranking  ranking
 	waiting  int
 	running  map[string]int // tasks that are sent and have no confirmed end, by entry
 	gangs    map[almondcross.Key]*gang
@@ -81,11 +83,14 @@
 	reclaiming    int                // the tasks for which lent work is being stopped
 	lentTaken     map[string]float64 // the share that is being taken from each owner
 	entryFailures map[string]*entryFailure
+	proven        map[string]bool // entries with a success since they were last blamed
 	adoptSet      bool
 	publishSet    bool
 	forgetSet     bool
 	accountSet    bool
 	returnAt      time.Time // the time at which waiting tasks may next claim lent work
+	sequence      uint64    // the number of starts so far
+	seekBudget    int       // the tasks that the current search for victims may still look at
 	draining      bool
 }
 
@@ -99,10 +104,12 @@
 		ended:         map[almondcross.TaskID]ended{},
 		lines:         map[lineKey]*line{},
 		running:       map[string]int{},
+		ranking:       ranking{owners: map[string]*ownerLines{}},
 		gangs:         map[almondcross.Key]*gang{},
 		lentTaken:     map[string]float64{},
 		shortOwners:   map[string]int{},
 		entryFailures: map[string]*entryFailure{},
+		proven:        map[string]bool{},
 	}
 }
 
@@ -133,6 +140,7 @@
 	case almondcross.CatalogueChanged:
 		machine.catalogue = message.Catalogue()
 		machine.Share.SetCatalogue(machine.catalogue)
+		machine.rerankAll()
 		for _, entry := range machine.lines {
 			machine.setLimit(entry)
 		}
@@ -168,7 +176,9 @@
 		machine.setRoom(entry)
 		machine.retryAcquire(entry, acquireInterval)
 	case almondcross.RenewTasks:
-		machine.renewSoon(entry)
+		// A list that drops a task of a lost coordinator must not wait for renewalDelay: the
+		// hold-back of the key's new coordinator allows 500 ms between two hosts' views.
+		machine.after(congestionTime, timer{kind: timerRenew, target: entry})
 	}
 	return machine.finish()
 }
@@ -195,6 +205,9 @@
 	if sameMembers(before, view) {
 		return
 	}
+	if before.Self().DataCentre() != view.Self().DataCentre() {
+		machine.list(machine.hosts)
+	}
 	for _, entry := range slices.Clone(machine.sorted) {
 		machine.pursue(entry)
 		if entry.state == stateHeld && len(entry.jobs) > 0 {
@@ -242,6 +255,7 @@
 // drain takes no new work, refuses what waits and releases every target.
 func (machine *Machine) drain() {
 	machine.draining = true
+	machine.resetRooms()
 	for _, item := range machine.jobs {
 		if item.state == jobQueued {
 			machine.refuse(item, almondcross.CodeStopping)
--- a/command/placer/room.go
+++ b/command/placer/room.go
@@ -27,7 +27,7 @@
 	if entry.reserved != nil {
 		longFree = almondcross.Resources{}.Sub(almondcross.NewResources(almondcross.ResourcesConfig{Slots: 1, MilliCPU: 1, MemoryMB: 1}))
 	}
-	open := entry.state == stateHeld && entry.listed && !entry.leaving && !entry.closing && !machine.draining &&
+	open := entry.state == stateHeld && entry.listed && !entry.leaving && !entry.closing && !entry.congested && !machine.draining &&
 		entry.target.State() != almondcross.HostLeaving && entry.health.allows() && entry.allowsBackfill(machine.now)
 	machine.publishSoon()
 	if !open {
@@ -168,6 +168,7 @@
 	}
 	machine.running[task.Entry()]++
 	machine.Share.Take(task.Owner(), task.Entry(), task.Resources())
+	machine.rerank(task.Owner())
 	machine.Placement.Placed(task.Entry(), task.Class(), entry.target.Rack())
 }
 
@@ -184,5 +185,6 @@
 	}
 	machine.running[task.Entry()]--
 	machine.Share.Return(task.Owner(), task.Entry(), task.Resources())
+	machine.rerank(task.Owner())
 	machine.Placement.Freed(task.Entry(), task.Class(), entry.target.Rack())
 }
--- a/command/placer/target.go
+++ b/command/placer/target.go
@@ -22,6 +22,8 @@
 	handBackLimit = 5 * time.Minute
 	// closingInterval is the time after which a hand-back that waits for starts is tried again.
 	closingInterval = 100 * time.Millisecond
+	// congestionTime is how long a target gets no start after its dispatcher's ring refused one.
+	congestionTime = 20 * time.Millisecond
 )
 
 type holding int
@@ -59,6 +61,7 @@
 	renewedAt time.Time
 	renewSet  bool
 	starting  int
+	congested bool // the ring of the dispatcher refused a start
 	jobs      map[almondcross.TaskID]*job
 	reserved  *gang
 	gained    bool
@@ -67,6 +70,7 @@
 
 // list takes the live list; targets of other data centres are not ours to hold.
 func (machine *Machine) list(hosts almondcross.LiveHosts) {
+	machine.hosts = hosts
 	for _, entry := range machine.sorted {
 		entry.listed = false
 	}
@@ -118,6 +122,9 @@
 	}
 	if !entry.listed && len(entry.jobs) == 0 {
 		delete(machine.targets, entry.target.Name())
+		if entry.health.ejected {
+			machine.ejected--
+		}
 		machine.sorted = slices.DeleteFunc(machine.sorted, func(other *target) bool { return other == entry })
 		return
 	}
@@ -244,6 +251,7 @@
 	machine.total = machine.total.Add(entry.capacity)
 	machine.heldTargets++
 	machine.Share.SetTotal(machine.total)
+	machine.rerankAll()
 	held := make(map[almondcross.TaskID]bool, len(grant.Inventory()))
 	for _, item := range grant.Inventory() {
 		if machine.takeItem(entry, item) {
@@ -298,11 +306,9 @@
 		machine.discard(waiting)
 	}
 	item := &job{task: task, target: entry, unconfirmed: true, sentAt: machine.now, startedAt: machine.now, accountedAt: machine.now}
-	item.band = machine.Estimator.Band(task.Entry(), task.ExpectedRun())
-	item.long = item.band != almondcross.BandShort
-	if !item.long {
-		machine.addShort(item)
-	}
+	machine.sequence++
+	item.sequence = machine.sequence
+	machine.setBand(item)
 	machine.jobs[key] = item
 	entry.jobs[task.Id()] = item
 	machine.watch(item)
@@ -363,6 +369,7 @@
 	machine.total = machine.total.Sub(entry.capacity)
 	machine.heldTargets--
 	machine.Share.SetTotal(machine.total)
+	machine.rerankAll()
 	for _, item := range entry.jobs {
 		machine.uncharge(item)
 		if item.state == jobStarting {
