Repair the protocol where the model checker refuted it

Cause: spec/ has counterexamples for the lost base, naming without a link lease, adoption without standing, the hold-back and the wait of a restarted host, a place message that is obeyed after a pause, and a lease that is checked only on arrival. Handing keys over to a joining member left stale records on both sides.

Change: renewals name a task only under a valid link lease from its coordinator; adoption needs standing; a new incarnation waits 2.5 s and holds back from the end of that wait; a paused host takes a new incarnation before it acts; the lease is checked again when a task leaves the queue; a key stays with the member that started it, and after a planned stop the holders ask for adoption.

--- a/command/coordinator/adopt.go
+++ b/command/coordinator/adopt.go
@@ -6,18 +6,19 @@
 	"github.com/almondcross/almondcross"
 )
 
-// mostHandedOver bounds the keys whose new coordinator is remembered for late reports.
-const mostHandedOver = 10_000
-
 // adopt confirms a running task under a new holder, or has it stopped when the key has ended or
 // runs elsewhere. A member that is not the key's coordinator, or has no standing, does not answer;
 // the holder asks again.
 func (machine *Machine) adopt(message almondcross.AdoptTask, now time.Time) {
+	if !machine.view.HasStanding(now) {
+		// Another member may be about to start the key again.
+		return
+	}
 	key := message.Task().Id().Key()
 	coordinator, ok := machine.view.Coordinator(key)
 	record, known := machine.keys[key]
 	if !known || !record.inProgress() && record.phase != phaseEnded {
-		if !ok || coordinator.Id() != machine.self() || !machine.view.HasStanding(now) {
+		if !ok || coordinator.Id() != machine.self() {
 			return
 		}
 	}
@@ -104,88 +105,14 @@
 }
 
 func (machine *Machine) answerAdoption(message almondcross.AdoptTask, accepted bool) {
+	holder := message.Holder()
 	answer := almondcross.NewAdoptAnswered(almondcross.AdoptAnsweredConfig{
 		Id: message.Task().Id(), Attempt: message.Task().Attempt(), Target: message.Target(), Term: message.Term(),
 		Accepted: accepted, Coordinator: machine.self(),
 	})
-	machine.toHolder(message.Holder(), answer)
-}
-
-func (machine *Machine) toHolder(holder almondcross.MemberID, answer almondcross.AdoptAnswered) {
 	if holder.Name() == machine.self().Name() {
 		machine.do(Place{Message: answer})
 		return
 	}
 	machine.do(Send{Member: holder.Name(), Message: answer})
 }
-
-// offerHandover passes a running key to the member that coordinates it after a change of the members.
-func (machine *Machine) offerHandover(record *record, now time.Time) {
-	coordinator, ok := machine.view.Coordinator(record.request.Key())
-	if !ok || coordinator.Id() == machine.self() || record.phase != phaseRunning {
-		return
-	}
-	if len(record.tasks) > 1 && record.anyEnded() || !record.lostAt.IsZero() {
-		// Results that were already received would be lost; the key stays until it ends.
-		return
-	}
-	if now.Sub(record.handoverAt) < handoverRepeat {
-		return
-	}
-	record.handoverAt = now
-	for _, task := range record.tasks {
-		machine.do(Send{Member: coordinator.Id().Name(), Message: almondcross.NewPeerHandover(almondcross.PeerHandoverConfig{
-			From: machine.self(), Request: record.request, Task: task.task,
-			Holder: task.holder, Target: task.target, Term: task.term,
-		})})
-	}
-	machine.wakeKey(record.request.Key(), now.Add(handoverRepeat))
-}
-
-// receiveHandover takes a running key from its former coordinator and tells the holder.
-func (machine *Machine) receiveHandover(message almondcross.PeerHandover, now time.Time) {
-	key := message.Request().Key()
-	coordinator, ok := machine.view.Coordinator(key)
-	if !ok || coordinator.Id() != machine.self() || !machine.view.HasStanding(now) {
-		return
-	}
-	existing, known := machine.keys[key]
-	repeated := known && existing.inProgress() && existing.attempt == message.Task().Attempt()
-	if known && !repeated && (existing.inProgress() || existing.phase == phaseEnded) {
-		return
-	}
-	adoption := almondcross.NewAdoptTask(almondcross.AdoptTaskConfig{
-		Task: message.Task(), Holder: message.Holder(), Target: message.Target(), Term: message.Term(),
-	})
-	switch {
-	case repeated:
-		machine.adoptKnown(existing, adoption, now)
-	case known:
-		machine.adoptUnknown(adoption, existing, now)
-	default:
-		machine.adoptUnknown(adoption, nil, now)
-	}
-	taken := machine.keys[key]
-	taken.request = message.Request()
-	machine.do(Send{Member: message.From().Name(), Message: almondcross.NewPeerHandoverAck(almondcross.PeerHandoverAckConfig{
-		Key: key, Coordinator: machine.self(),
-	})})
-}
-
-// handoverConfirmed routes the callers that still wait to the new coordinator.
-func (machine *Machine) handoverConfirmed(message almondcross.PeerHandoverAck, now time.Time) {
-	record, ok := machine.keys[message.Key()]
-	if !ok || record.phase != phaseRunning || record.handoverAt.IsZero() {
-		return
-	}
-	machine.drop(record)
-	machine.handedOver[message.Key()] = message.Coordinator()
-	machine.handed = append(machine.handed, message.Key())
-	if len(machine.handed) > mostHandedOver {
-		delete(machine.handedOver, machine.handed[0])
-		machine.handed = machine.handed[1:]
-	}
-	for _, waiter := range record.waiters {
-		machine.forwardRequest(record.request, message.Coordinator(), waiter.replier, waiter.deadline, now)
-	}
-}
--- a/command/coordinator/machine.go
+++ b/command/coordinator/machine.go
@@ -17,8 +17,8 @@
 	heldRecheck = 100 * time.Millisecond
 	// rerouteDelay is the time before a request is routed again after a peer did not take it.
 	rerouteDelay = 100 * time.Millisecond
-	// handoverRepeat is the time after which an unconfirmed handover is sent again.
-	handoverRepeat = time.Second
+	// searchAgain is the time after which a replica that another member runs is searched again.
+	searchAgain = 5 * time.Second
 	// outcomeRetention is how long the outcome of an ended key is kept for callers that ask again.
 	outcomeRetention = time.Minute
 	// retainedOutcomes bounds the number of outcomes that are kept.
@@ -46,29 +46,28 @@
 
 // Machine owns the keys of one member.
 type Machine struct {
-	view       almondcross.View
-	catalogue  almondcross.Catalogue
-	services   []almondcross.Entry // services holds the service entries in order of name.
-	keys       map[almondcross.Key]*record
-	ended      []almondcross.Key // ended holds ended keys in order of their end.
-	forwards   map[uint64]*forward
-	sequence   uint64
-	timers     timerHeap
-	handedOver map[almondcross.Key]almondcross.MemberID
-	handed     []almondcross.Key // handed holds the keys of handedOver in order, for its bound.
-	effects    []Effect
-	draining   bool
-	forgotten  time.Time // forgotten is the wall-clock time of the last end that was forgotten early.
+	view      almondcross.View
+	catalogue almondcross.Catalogue
+	services  []almondcross.Entry // services holds the service entries in order of name.
+	keys      map[almondcross.Key]*record
+	ended     []almondcross.Key // ended holds ended keys in order of their end.
+	forwards  map[uint64]*forward
+	sequence  uint64
+	timers    timerHeap
+	elsewhere map[almondcross.Key]time.Time // elsewhere holds when replicas were found at another member.
+	effects   []Effect
+	draining  bool
+	forgotten time.Time // forgotten is the wall-clock time of the last end that was forgotten early.
 }
 
 // NewMachine returns a machine that knows no key.
 func NewMachine(config MachineConfig) *Machine {
 	machine := &Machine{
-		view:       config.View,
-		catalogue:  config.Catalogue,
-		keys:       map[almondcross.Key]*record{},
-		forwards:   map[uint64]*forward{},
-		handedOver: map[almondcross.Key]almondcross.MemberID{},
+		view:      config.View,
+		catalogue: config.Catalogue,
+		keys:      map[almondcross.Key]*record{},
+		forwards:  map[uint64]*forward{},
+		elsewhere: map[almondcross.Key]time.Time{},
 	}
 	machine.schedule(timer{at: config.Start.Add(servicesInterval), kind: timerServices})
 	return machine
@@ -116,28 +115,22 @@
 		machine.taskLost(message, now)
 	case almondcross.AdoptTask:
 		machine.adopt(message, now)
-	case almondcross.PeerHandover:
-		machine.receiveHandover(message, now)
-	case almondcross.PeerHandoverAck:
-		machine.handoverConfirmed(message, now)
 	}
 }
 
-// Active returns the number of keys in progress or with waiting callers, and of forwarded messages
-// without a reply. Service replicas count only while another member can take them over.
+// Active returns the number of keys that a caller waits for or that are not running yet, and of
+// forwarded messages without a reply. Running tasks are adopted by other members after a stop.
 func (machine *Machine) Active() int {
 	count := len(machine.forwards)
 	for _, record := range machine.keys {
-		coordinator, ok := machine.view.Coordinator(record.request.Key())
-		movable := ok && coordinator.Id() != machine.self()
-		if len(record.waiters) > 0 || record.inProgress() && (!record.standing || movable) {
+		if len(record.waiters) > 0 || record.phase == phaseClaiming || record.phase == phasePlaced && !record.standing {
 			count++
 		}
 	}
 	return count
 }
 
-// Drained reports whether a planned stop has nothing left to finish or hand over.
+// Drained reports whether a planned stop has nothing left to finish.
 func (machine *Machine) Drained() bool { return machine.draining && machine.Active() == 0 }
 
 // Draining reports whether a planned stop has begun.
--- a/command/coordinator/record.go
+++ b/command/coordinator/record.go
@@ -62,7 +62,6 @@
 	endedAt     time.Time
 	retryAt     time.Time
 	lostAt      time.Time // lostAt is the time from which tasks of a lost holder have certainly stopped; zero for none.
-	handoverAt  time.Time // handoverAt is the time at which the handover was last sent.
 	searched    bool      // searched is set when every peer said that it does not know the key.
 	ran         bool      // ran is set when a task of any attempt was started.
 	standing    bool      // standing marks a service replica, which is kept running.
--- a/command/coordinator/report.go
+++ b/command/coordinator/report.go
@@ -40,15 +40,11 @@
 	machine.tell(record, "started", almondcross.CodeNone, message.Target(), now)
 	if record.allStarted() {
 		record.phase = phaseRunning
-		machine.offerHandover(record, now)
 	}
 }
 
-// stopOrphan stops a task that no key of this member accounts for, unless the key was handed over.
+// stopOrphan stops a task that no key of this member accounts for.
 func (machine *Machine) stopOrphan(message almondcross.TaskStarted) {
-	if machine.relay(message.Id().Key(), message) {
-		return
-	}
 	stop := almondcross.NewStopTask(almondcross.StopTaskConfig{
 		Id: message.Id(), Attempt: message.Attempt(), Code: almondcross.CodeTaskStopped,
 	})
@@ -59,15 +55,6 @@
 	machine.do(Send{Member: message.Holder().Name(), Message: stop})
 }
 
-// relay passes a report on to the member that a key was handed over to.
-func (machine *Machine) relay(key almondcross.Key, message almondcross.PeerMessage) bool {
-	member, ok := machine.handedOver[key]
-	if ok {
-		machine.do(Send{Member: member.Name(), Message: message})
-	}
-	return ok
-}
-
 func (machine *Machine) taskRefused(message almondcross.TaskRefused, now time.Time) {
 	record, task := machine.find(message.Id(), message.Attempt())
 	if record == nil || task.started {
@@ -109,11 +96,7 @@
 func (machine *Machine) taskEnded(message almondcross.TaskEnded, now time.Time) {
 	result := message.Result()
 	record, task := machine.find(result.Id(), result.Attempt())
-	if record == nil {
-		machine.relay(result.Id().Key(), message)
-		return
-	}
-	if task.ended {
+	if record == nil || task.ended {
 		return
 	}
 	record.ran = true
@@ -124,7 +107,6 @@
 func (machine *Machine) taskLost(message almondcross.TaskLost, now time.Time) {
 	record, task := machine.find(message.Id(), message.Attempt())
 	if record == nil {
-		machine.relay(message.Id().Key(), message)
 		return
 	}
 	// Another holder may have adopted the task under a newer term.
--- a/command/coordinator/search.go
+++ b/command/coordinator/search.go
@@ -66,7 +66,11 @@
 		// The peer searches for the key itself, or cannot tell; it is asked again.
 		return
 	}
-	machine.tell(record, "found_at_peer", almondcross.CodeNone, "", now)
+	if record.standing {
+		machine.elsewhere[entry.key] = now
+	} else {
+		machine.tell(record, "found_at_peer", almondcross.CodeNone, "", now)
+	}
 	waiters, request := record.waiters, record.request
 	machine.drop(record)
 	for _, waiter := range waiters {
@@ -74,8 +78,8 @@
 	}
 }
 
-// changeView takes a new view: keys that a lost member may have started are searched again, and
-// running keys that belong to another member are handed over.
+// changeView takes a new view: keys that were not started are searched again or routed to their new
+// coordinator. A key that was started stays with this member until it ends.
 func (machine *Machine) changeView(view almondcross.View, now time.Time) {
 	rejoined := view.Self().Id() != machine.self()
 	moved := rejoined || membersDiffer(machine.view, view)
@@ -86,6 +90,7 @@
 	if !moved {
 		return
 	}
+	clear(machine.elsewhere)
 	for _, correlation := range slices.Sorted(maps.Keys(machine.forwards)) {
 		entry := machine.forwards[correlation]
 		if view.Contains(entry.member) {
@@ -104,7 +109,6 @@
 			machine.begin(record, now)
 		case phasePlaced, phaseRunning:
 			machine.watchHolders(record, now)
-			machine.offerHandover(record, now)
 		}
 	}
 	machine.reconcileServices(now)
--- a/command/coordinator/service.go
+++ b/command/coordinator/service.go
@@ -46,6 +46,9 @@
 	if _, ok := machine.keys[key]; ok {
 		return
 	}
+	if found, ok := machine.elsewhere[key]; ok && now.Sub(found) < searchAgain {
+		return
+	}
 	record := &record{standing: true, submittedAt: now}
 	record.request = almondcross.NewRequest(almondcross.RequestConfig{Key: key, Entry: entry.Name()})
 	machine.add(record, now)
--- a/command/coordinator/timers.go
+++ b/command/coordinator/timers.go
@@ -96,7 +96,6 @@
 		}
 	case phasePlaced, phaseRunning:
 		machine.loseHolders(record, now)
-		machine.offerHandover(record, now)
 	}
 }
 
--- a/command/placer/adopt.go
+++ b/command/placer/adopt.go
@@ -2,12 +2,13 @@
 
 import "github.com/almondcross/almondcross"
 
-// nameable reports whether renewals may extend the task's lease: exactly the incarnation that
-// placed the task, or the one that confirmed its adoption, is in the view. A task of an earlier
+// nameable reports whether renewals may extend the task's lease: there is a valid link lease from
+// exactly the incarnation that placed the task, or that confirmed its adoption. A coordinator without
+// one may have been removed by others, which place the task again after the hold-back. A task of an earlier
 // holder needs the confirmation even when its coordinator is in the view: the coordinator may be
 // about to place it again, because the earlier holder was lost.
 func (machine *Machine) nameable(item *job) bool {
-	return !item.refused && !item.unconfirmed && machine.view.Contains(item.task.Coordinator())
+	return !item.refused && !item.unconfirmed && machine.view.HasLease(item.task.Coordinator(), machine.now)
 }
 
 // sendRenewal tells the dispatcher which tasks the next renewals name.
--- a/command/placer/machine.go
+++ b/command/placer/machine.go
@@ -45,7 +45,8 @@
 	now       time.Time
 	self      almondcross.MemberID
 	view      almondcross.View
-	peers     []almondcross.Peer // the members of the view in order of name
+	leased    []almondcross.MemberID // the members with a valid link lease
+	peers     []almondcross.Peer     // the members of the view in order of name
 	catalogue almondcross.Catalogue
 	random    uint64
 
@@ -203,8 +204,10 @@
 		machine.unconfirmAll()
 	}
 	if sameMembers(before, view) {
+		machine.noticeLeases()
 		return
 	}
+	machine.noticeLeases()
 	if before.Self().DataCentre() != view.Self().DataCentre() {
 		machine.list(machine.hosts)
 	}
@@ -217,6 +220,28 @@
 	}
 }
 
+// noticeLeases renews the lists of named tasks when the set of members with a valid link lease changed.
+func (machine *Machine) noticeLeases() {
+	var leased []almondcross.MemberID
+	if machine.view.HasLease(machine.self, machine.now) {
+		leased = append(leased, machine.self)
+	}
+	for _, peer := range machine.peers {
+		if machine.view.HasLease(peer.Member().Id(), machine.now) {
+			leased = append(leased, peer.Member().Id())
+		}
+	}
+	if slices.Equal(leased, machine.leased) {
+		return
+	}
+	machine.leased = leased
+	for _, entry := range machine.sorted {
+		if len(entry.jobs) > 0 {
+			machine.sendRenewal(entry)
+		}
+	}
+}
+
 // setPeers keeps the peers in order of name: Go's map order is random, and a seed must give the same
 // decisions each time.
 func (machine *Machine) setPeers() {
--- a/command/placer/schedule.go
+++ b/command/placer/schedule.go
@@ -11,6 +11,11 @@
 
 // start sends a task to a held target under its current term.
 func (machine *Machine) start(item *job, entry *target) {
+	if !machine.view.HasLease(item.task.Coordinator(), machine.now) {
+		// The lease was valid on arrival, but the coordinator may have been replaced while the task waited.
+		machine.refuse(item, almondcross.CodeNoStanding)
+		return
+	}
 	if waiting := item.line; waiting != nil {
 		machine.leaveLine(item)
 		machine.passReclaim(item, waiting)
--- a/command/placer/target.go
+++ b/command/placer/target.go
@@ -374,10 +374,11 @@
 		machine.uncharge(item)
 		if item.state == jobStarting {
 			entry.starting--
-			// An unanswered start may have arrived as long as the worker kept the lease.
-			if item.namedAt.Before(entry.renewedAt) {
-				item.namedAt = entry.renewedAt
-			}
+		}
+		// An unanswered start, or an unanswered renewal that names the task for the first time, may
+		// have arrived as long as the worker kept the lease.
+		if item.namedAt.Before(entry.renewedAt) {
+			item.namedAt = entry.renewedAt
 		}
 		item.state = jobUnreachable
 		machine.timers.push(timer{at: item.namedAt.Add(almondcross.LostAfter), kind: timerLost, job: item})
--- a/command/registrar/machine.go
+++ b/command/registrar/machine.go
@@ -30,13 +30,12 @@
 
 // peerState is what the machine knows of one configured peer.
 type peerState struct {
-	config     PeerConfig
-	peer       almondcross.Peer
-	inView     bool
-	removed    almondcross.MemberID // removed is the last incarnation that left the view.
-	pingedAt   time.Time
-	sentPings  map[uint64]time.Time // sentPings holds the send times of unanswered pings.
-	farewelled bool                 // farewelled is set when the peer completed a planned stop.
+	config    PeerConfig
+	peer      almondcross.Peer
+	inView    bool
+	removed   almondcross.MemberID // removed is the last incarnation that left the view.
+	pingedAt  time.Time
+	sentPings map[uint64]time.Time // sentPings holds the send times of unanswered pings.
 }
 
 // Machine decides who is in the view.
@@ -49,7 +48,7 @@
 	joinedWall time.Time
 	lostWall   time.Time
 	readyAt    time.Time
-	lastTick   time.Time
+	lastSeen   time.Time // lastSeen is the time of the last message or tick.
 	sequence   uint64
 	rejoins    uint64
 	finished   bool
@@ -62,10 +61,10 @@
 		peers:      map[string]*peerState{},
 		lost:       map[string]almondcross.Loss{},
 		joinedWall: config.Start.Round(0),
-		readyAt:    config.Start.Add(almondcross.SilenceLimit),
-		lastTick:   config.Start,
+		readyAt:    config.Start.Add(almondcross.StartWait),
+		lastSeen:   config.Start,
 	}
-	machine.recordLoss(config.Self.Id().WithIncarnation(0), config.Start)
+	machine.recordLoss(config.Self.Id().WithIncarnation(0), machine.readyAt)
 	for _, peer := range config.Peers {
 		machine.peers[peer.Name] = &peerState{config: peer, sentPings: map[uint64]time.Time{}}
 		machine.names = append(machine.names, peer.Name)
@@ -98,9 +97,11 @@
 
 // Apply processes a message and reports whether the view changed.
 func (machine *Machine) Apply(message almondcross.RegistrarMessage, now time.Time) (effects []Send, changed bool) {
+	changed = machine.notice(now)
 	switch message := message.(type) {
 	case almondcross.PeerReceived:
-		return machine.receive(message.Message(), now)
+		effects, received := machine.receive(message.Message(), now)
+		return effects, changed || received
 	case almondcross.SummaryChanged:
 		machine.summary = message.Summary().WithCatalogueOffset(machine.summary.CatalogueOffset())
 	case almondcross.OffsetChanged:
@@ -108,16 +109,12 @@
 	case almondcross.LeaveView:
 		return machine.leave(message.Final(), now)
 	}
-	return nil, false
+	return nil, changed
 }
 
 // Tick sends due pings, removes silent peers and forgets old losses.
 func (machine *Machine) Tick(now time.Time) (effects []Send, changed bool) {
-	gap := now.Sub(machine.lastTick)
-	machine.lastTick = now
-	if gap > almondcross.PauseLimit {
-		machine.resume(gap, now)
-	}
+	changed = machine.notice(now)
 	for _, name := range machine.names {
 		state := machine.peers[name]
 		if state.inView && now.Sub(state.peer.HeardAt()) > state.silenceLimit(machine.self) {
@@ -137,16 +134,24 @@
 	return effects, changed
 }
 
-// resume restarts the silence timers after a pause of this host, so that it does not remove
-// peers whose messages wait in its own buffers. After a long pause other members may have taken
-// over its keys without having been in its view, so it waits for them like a host that starts.
-func (machine *Machine) resume(gap time.Duration, now time.Time) {
+// notice looks for a pause of this host and reports whether the view changed. After a pause the
+// silence timers start again, so that the host does not remove peers whose messages wait in its own
+// buffers. After a long pause other members may have taken over its keys, and messages that it sent
+// before may still be obeyed, so it takes a new incarnation before it acts on anything.
+func (machine *Machine) notice(now time.Time) bool {
+	gap := now.Sub(machine.lastSeen)
+	machine.lastSeen = now
+	if gap <= almondcross.PauseLimit {
+		return false
+	}
 	for _, state := range machine.peers {
 		state.peer = state.peer.WithHeardAt(now)
 	}
-	if gap > almondcross.LongPauseLimit {
-		machine.readyAt = now.Add(almondcross.SilenceLimit)
+	if gap <= almondcross.LongPauseLimit {
+		return false
 	}
+	machine.rejoin(0, now)
+	return true
 }
 
 func (machine *Machine) ping(name string, state *peerState, now time.Time) Send {
@@ -206,7 +211,6 @@
 		state.peer = almondcross.NewPeer(almondcross.PeerConfig{Member: member})
 	}
 	state.inView = true
-	state.farewelled = false
 	if member.DataCentre() == machine.self.DataCentre() {
 		machine.joinedWall = now.Round(0)
 	}
@@ -230,6 +234,10 @@
 		return false
 	}
 	state.peer = state.peer.WithHeardAt(now)
+	if state.peer.LeaseUntil().IsZero() {
+		// The peer has this host in its view by now; keys that it started before were issued earlier.
+		machine.joinedWall = now.Round(0)
+	}
 	if until := sent.Add(almondcross.LinkLease); until.After(state.peer.LeaseUntil()) {
 		state.peer = state.peer.WithLeaseUntil(until)
 	}
@@ -239,11 +247,13 @@
 // rejoin takes a new incarnation after a peer removed this host from its view. The keys of the
 // former incarnation may have new coordinators, so it counts as lost.
 func (machine *Machine) rejoin(known uint64, now time.Time) {
-	machine.recordLoss(machine.self.Id(), now)
+	machine.readyAt = now.Add(almondcross.StartWait)
+	// Until the end of the start wait a member that still has standing may start keys that it has
+	// taken from this host, so the hold-back counts from there.
+	machine.recordLoss(machine.self.Id(), machine.readyAt)
 	machine.rejoins++
 	id := machine.self.Id()
 	machine.self = machine.self.WithId(id.WithIncarnation(max(id.Incarnation(), known) + 1))
-	machine.readyAt = now.Add(almondcross.SilenceLimit)
 	machine.joinedWall = now.Round(0)
 	for _, state := range machine.peers {
 		clear(state.sentPings)
@@ -257,13 +267,13 @@
 	if !ok || !state.inView || state.peer.Member().Id() != leaving.Member() {
 		return nil, false
 	}
-	state.farewelled = true
 	machine.remove(state, now)
 	ack := almondcross.NewPeerLeavingAck(almondcross.PeerLeavingAckConfig{Member: machine.self.Id()})
 	return []Send{{Member: leaving.Member().Name(), Message: ack}}, true
 }
 
-// remove takes a peer out of the view; it counts as lost unless it completed a planned stop.
+// remove takes a peer out of the view. A member that completed a planned stop counts as lost as well:
+// its running tasks have no coordinator until the holders have asked the new ones to adopt them.
 func (machine *Machine) remove(state *peerState, now time.Time) {
 	member := state.peer.Member()
 	state.inView = false
@@ -271,16 +281,12 @@
 	if member.DataCentre() != machine.self.DataCentre() {
 		return
 	}
-	if state.farewelled {
-		machine.joinedWall = now.Round(0)
-		return
-	}
 	machine.recordLoss(member.Id(), now)
 }
 
-func (machine *Machine) recordLoss(id almondcross.MemberID, now time.Time) {
-	machine.lostWall = now.Round(0)
-	machine.lost[id.Name()] = almondcross.NewLoss(almondcross.LossConfig{Member: id, At: now, WallTime: now.Round(0)})
+func (machine *Machine) recordLoss(id almondcross.MemberID, at time.Time) {
+	machine.lostWall = at.Round(0)
+	machine.lost[id.Name()] = almondcross.NewLoss(almondcross.LossConfig{Member: id, At: at, WallTime: at.Round(0)})
 }
 
 // leave announces a planned stop in the next pings, or tells every peer that it is complete.
--- a/encoder/peer.go
+++ b/encoder/peer.go
@@ -28,8 +28,6 @@
 	peerAdoptAck         = "adopt_ack"
 	peerLeaving          = "leaving"
 	peerLeavingAck       = "leaving_ack"
-	peerHandover         = "handover"
-	peerHandoverAck      = "handover_ack"
 	peerCatalogueRequest = "catalogue_request"
 	peerCatalogue        = "catalogue_snapshot"
 )
@@ -55,10 +53,6 @@
 		return codec.seal(peerLeaving, wireLeaving{toMemberID(message.Member())})
 	case almondcross.PeerLeavingAck:
 		return codec.seal(peerLeavingAck, wireLeavingAck{toMemberID(message.Member())})
-	case almondcross.PeerHandover:
-		return codec.seal(peerHandover, toHandover(message))
-	case almondcross.PeerHandoverAck:
-		return codec.seal(peerHandoverAck, wireHandoverAck{toKey(message.Key()), toMemberID(message.Coordinator())})
 	case almondcross.PeerCatalogueRequest:
 		return codec.seal(peerCatalogueRequest, wireCatalogueRequest{toMemberID(message.Member()), message.Offset()})
 	case almondcross.PeerCatalogue:
@@ -137,8 +131,6 @@
 	peerAdoptAck:         decodeAs[wireAdoptAck],
 	peerLeaving:          decodeAs[wireLeaving],
 	peerLeavingAck:       decodeAs[wireLeavingAck],
-	peerHandover:         decodeAs[wireHandover],
-	peerHandoverAck:      decodeAs[wireHandoverAck],
 	peerCatalogueRequest: decodeAs[wireCatalogueRequest],
 	peerCatalogue:        decodeAs[wirePeerCatalogue],
 }
--- a/encoder/peerwire.go
+++ b/encoder/peerwire.go
@@ -145,40 +145,6 @@
 	return almondcross.NewPeerLeavingAck(almondcross.PeerLeavingAckConfig{Member: wire.Member.value()})
 }
 
-type wireHandover struct {
-	From    wireMemberID `cbor:"from"`
-	Request wireRequest  `cbor:"request"`
-	Task    wireTask     `cbor:"task"`
-	Holder  wireMemberID `cbor:"holder"`
-	Target  string       `cbor:"target,omitempty"`
-	Term    wireTerm     `cbor:"term"`
-}
-
-func toHandover(handover almondcross.PeerHandover) wireHandover {
-	return wireHandover{
-		From: toMemberID(handover.From()), Request: toRequest(handover.Request()), Task: toTask(handover.Task()),
-		Holder: toMemberID(handover.Holder()), Target: handover.Target(), Term: toTerm(handover.Term()),
-	}
-}
-
-func (wire wireHandover) message() almondcross.PeerMessage {
-	return almondcross.NewPeerHandover(almondcross.PeerHandoverConfig{
-		From: wire.From.value(), Request: wire.Request.value(), Task: wire.Task.value(),
-		Holder: wire.Holder.value(), Target: wire.Target, Term: wire.Term.value(),
-	})
-}
-
-type wireHandoverAck struct {
-	Key         wireKey      `cbor:"key"`
-	Coordinator wireMemberID `cbor:"coordinator"`
-}
-
-func (wire wireHandoverAck) message() almondcross.PeerMessage {
-	return almondcross.NewPeerHandoverAck(almondcross.PeerHandoverAckConfig{
-		Key: wire.Key.value(), Coordinator: wire.Coordinator.value(),
-	})
-}
-
 type wireCatalogueRequest struct {
 	Member wireMemberID       `cbor:"member"`
 	Offset almondcross.Offset `cbor:"offset"`
--- a/integration/cell/host_test.go
+++ b/integration/cell/host_test.go
@@ -272,10 +272,10 @@
 		host.tell(almondcross.NewLookupRequest(almondcross.LookupRequestConfig{
 			Key: message.Key(), Forwarded: true, Replier: host.replyTo(from, message.Correlation()),
 		}))
-	case almondcross.PlacerMessage:
-		host.place(message)
 	case almondcross.CoordinatorMessage:
 		host.tell(message)
+	case almondcross.PlacerMessage:
+		host.place(message)
 	}
 }
 
--- a/messages.go
+++ b/messages.go
@@ -201,7 +201,7 @@
 	known    uint64   // the highest incarnation of the sender of the ping that the member has seen
 }
 
-// PeerLeaving tells a peer that a planned stop is complete: every key was handed over.
+// PeerLeaving tells a peer that a planned stop is complete.
 //
 //value:generate
 type PeerLeaving struct {
@@ -215,26 +215,6 @@
 	member MemberID // the member that confirms
 }
 
-// PeerHandover passes a key in progress to its new coordinator at the end of a planned stop.
-//
-//value:generate
-type PeerHandover struct {
-	from    MemberID // the member that hands the key over
-	request Request  // the request
-	task    Task     // the task as it was placed
-	holder  MemberID // the holder of the target
-	target  string   // the target
-	term    Term     // the term of the holder
-}
-
-// PeerHandoverAck confirms a PeerHandover.
-//
-//value:generate
-type PeerHandoverAck struct {
-	key         Key      // the key
-	coordinator MemberID // the new coordinator
-}
-
 // PeerCatalogueRequest asks a peer for its catalogue.
 //
 //value:generate
@@ -327,7 +307,7 @@
 //value:generate
 type DrainPlacer struct{}
 
-// DrainCoordinator tells the coordinator to take no new keys and to finish or hand over the ones it has.
+// DrainCoordinator tells the coordinator to take no new keys and to finish the ones that callers wait for.
 //
 //value:generate
 type DrainCoordinator struct{}
@@ -442,7 +422,7 @@
 //
 //value:generate
 type LeaveView struct {
-	final bool // whether every key was handed over
+	final bool // whether the stop is complete
 }
 
 func (SubmitRequest) coordinatorMessage()       {}
@@ -459,8 +439,6 @@
 func (ClaimDecided) coordinatorMessage()        {}
 func (ClaimSettlementSeen) coordinatorMessage() {}
 func (PeerReply) coordinatorMessage()           {}
-func (PeerHandover) coordinatorMessage()        {}
-func (PeerHandoverAck) coordinatorMessage()     {}
 func (DrainCoordinator) coordinatorMessage()    {}
 
 func (PlaceTask) placerMessage()        {}
@@ -501,8 +479,6 @@
 func (PeerPong) peerMessage()             {}
 func (PeerLeaving) peerMessage()          {}
 func (PeerLeavingAck) peerMessage()       {}
-func (PeerHandover) peerMessage()         {}
-func (PeerHandoverAck) peerMessage()      {}
 func (PeerCatalogueRequest) peerMessage() {}
 func (PeerCatalogue) peerMessage()        {}
 func (PlaceTask) peerMessage()            {}
--- a/query/inspector/inspector.go
+++ b/query/inspector/inspector.go
@@ -32,7 +32,10 @@
 // Status returns the state of this host.
 func (inspector *Inspector) Status() almondcross.HostStatus {
 	view := inspector.config.Members.View()
-	standing := view.HasStanding(inspector.config.Clock.Now())
+	now := inspector.config.Clock.Now()
+	standing := view.HasStanding(now)
+	// Requests that are issued from now on are not held back.
+	fresh := now.After(view.ReadyAt().Add(almondcross.CallerClockSkew))
 	catalogue := inspector.config.Catalogue.Catalogue()
 	var rings []almondcross.RingState
 	for _, states := range inspector.config.Rings {
@@ -41,7 +44,7 @@
 	return almondcross.NewHostStatus(almondcross.HostStatusConfig{
 		View:            view,
 		Standing:        standing,
-		Ready:           standing && catalogue.Offset() >= 0 && !inspector.stopping.Load(),
+		Ready:           standing && fresh && catalogue.Offset() >= 0 && !inspector.stopping.Load(),
 		CatalogueOffset: catalogue.Offset(),
 		LogEnd:          inspector.config.LogEnd(),
 		LogDown:         inspector.config.LogDown(),
--- a/values_generated.go
+++ b/values_generated.go
@@ -3496,134 +3496,6 @@
 	return peerleavingack
 }
 
-// PeerHandoverConfig holds the fields of a new PeerHandover.
-type PeerHandoverConfig struct {
-	From    MemberID
-	Request Request
-	Task    Task
-	Holder  MemberID
-	Target  string
-	Term    Term
-}
-
-// NewPeerHandover returns a PeerHandover with the given fields.
-func NewPeerHandover(config PeerHandoverConfig) PeerHandover {
-	return PeerHandover{
-		from:    config.From,
-		request: config.Request,
-		task:    config.Task,
-		holder:  config.Holder,
-		target:  config.Target,
-		term:    config.Term,
-	}
-}
-
-// Config returns the fields of the value for encoding or for a changed copy.
-func (peerhandover PeerHandover) Config() PeerHandoverConfig {
-	return PeerHandoverConfig{
-		From:    peerhandover.from,
-		Request: peerhandover.request,
-		Task:    peerhandover.task,
-		Holder:  peerhandover.holder,
-		Target:  peerhandover.target,
-		Term:    peerhandover.term,
-	}
-}
-
-// From returns the member that hands the key over.
-func (peerhandover PeerHandover) From() MemberID { return peerhandover.from }
-
-// WithFrom returns a copy with the given from.
-func (peerhandover PeerHandover) WithFrom(from MemberID) PeerHandover {
-	peerhandover.from = from
-	return peerhandover
-}
-
-// Request returns the request.
-func (peerhandover PeerHandover) Request() Request { return peerhandover.request }
-
-// WithRequest returns a copy with the given request.
-func (peerhandover PeerHandover) WithRequest(request Request) PeerHandover {
-	peerhandover.request = request
-	return peerhandover
-}
-
-// Task returns the task as it was placed.
-func (peerhandover PeerHandover) Task() Task { return peerhandover.task }
-
-// WithTask returns a copy with the given task.
-func (peerhandover PeerHandover) WithTask(task Task) PeerHandover {
-	peerhandover.task = task
-	return peerhandover
-}
-
-// Holder returns the holder of the target.
-func (peerhandover PeerHandover) Holder() MemberID { return peerhandover.holder }
-
-// WithHolder returns a copy with the given holder.
-func (peerhandover PeerHandover) WithHolder(holder MemberID) PeerHandover {
-	peerhandover.holder = holder
-	return peerhandover
-}
-
-// Target returns the target.
-func (peerhandover PeerHandover) Target() string { return peerhandover.target }
-
-// WithTarget returns a copy with the given target.
-func (peerhandover PeerHandover) WithTarget(target string) PeerHandover {
-	peerhandover.target = target
-	return peerhandover
-}
-
-// Term returns the term of the holder.
-func (peerhandover PeerHandover) Term() Term { return peerhandover.term }
-
-// WithTerm returns a copy with the given term.
-func (peerhandover PeerHandover) WithTerm(term Term) PeerHandover {
-	peerhandover.term = term
-	return peerhandover
-}
-
-// PeerHandoverAckConfig holds the fields of a new PeerHandoverAck.
-type PeerHandoverAckConfig struct {
-	Key         Key
-	Coordinator MemberID
-}
-
-// NewPeerHandoverAck returns a PeerHandoverAck with the given fields.
-func NewPeerHandoverAck(config PeerHandoverAckConfig) PeerHandoverAck {
-	return PeerHandoverAck{
-		key:         config.Key,
-		coordinator: config.Coordinator,
-	}
-}
-
-// Config returns the fields of the value for encoding or for a changed copy.
-func (peerhandoverack PeerHandoverAck) Config() PeerHandoverAckConfig {
-	return PeerHandoverAckConfig{
-		Key:         peerhandoverack.key,
-		Coordinator: peerhandoverack.coordinator,
-	}
-}
-
-// Key returns the key.
-func (peerhandoverack PeerHandoverAck) Key() Key { return peerhandoverack.key }
-
-// WithKey returns a copy with the given key.
-func (peerhandoverack PeerHandoverAck) WithKey(key Key) PeerHandoverAck {
-	peerhandoverack.key = key
-	return peerhandoverack
-}
-
-// Coordinator returns the new coordinator.
-func (peerhandoverack PeerHandoverAck) Coordinator() MemberID { return peerhandoverack.coordinator }
-
-// WithCoordinator returns a copy with the given coordinator.
-func (peerhandoverack PeerHandoverAck) WithCoordinator(coordinator MemberID) PeerHandoverAck {
-	peerhandoverack.coordinator = coordinator
-	return peerhandoverack
-}
-
 // PeerCatalogueRequestConfig holds the fields of a new PeerCatalogueRequest.
 type PeerCatalogueRequestConfig struct {
 	Member MemberID
@@ -4597,7 +4469,7 @@
 	}
 }
 
-// Final returns whether every key was handed over.
+// Final returns whether the stop is complete.
 func (leaveview LeaveView) Final() bool { return leaveview.final }
 
 // WithFinal returns a copy with the given final.
--- a/view.go
+++ b/view.go
@@ -27,6 +27,10 @@
 	// SilenceLimit is the time after which a silent peer of the same data centre leaves the view.
 	// It is longer than LinkLease, so that the peer has stopped starting work by then.
 	SilenceLimit = 2 * time.Second
+	// StartWait is the time for which a new incarnation hears others before it takes part. It is longer
+	// than SilenceLimit by two ping intervals: a host that was paused for almost SilenceLimit and still
+	// has standing must have been heard by then.
+	StartWait = SilenceLimit + 2*PingInterval
 	// RemoteSilenceLimit is the time after which a silent peer of another data centre leaves the view.
 	RemoteSilenceLimit = 3 * RemotePingInterval
 	// ViewLifetime is how long a view may be acted on after the registrar's last tick. A host that
@@ -34,8 +38,8 @@
 	ViewLifetime = time.Second
 	// PauseLimit is the gap between two ticks from which the registrar assumes that the host was paused.
 	PauseLimit = 500 * time.Millisecond
-	// LongPauseLimit is the gap from which a paused host behaves as if it had just started. It is
-	// shorter than SilenceLimit, the time that a starting host waits for others to answer.
+	// LongPauseLimit is the gap from which a paused host takes a new incarnation before it acts on any
+	// message. It is shorter than SilenceLimit, after which others may have taken its keys.
 	LongPauseLimit = 1500 * time.Millisecond
 	// HoldBack is the time after a loss from which no task of the lost member still runs. It is
 	// LostAfter and the difference between two members' views.
