--- a/assembler/entry.go
+++ b/assembler/entry.go
@@ -42,7 +42,7 @@
 			func() almondcross.Clock { return Clock{} },
 			metrics.NewSet, NewRings, NewDuties, newSelf, encoder.NewCodec,
 			newWriter, newReader, newObserver, newDriver,
-			newAppenders, newLinker, newRegistrar, newManager, newPlacer, newCoordinator,
+			newAppenders, newIntake, newLinker, newRegistrar, newManager, newPlacer, newCoordinator,
 			newCataloguer, newLoader, newClaimer, newClaimTail, newAccountant, newReporter,
 			newWatcher, newInspector, newServers,
 		),
@@ -54,7 +54,7 @@
 // nothing; a clock that went back is corrected when a peer tells the incarnation that it knows.
 func newSelf(settings configurator.EntrySettings) almondcross.Member {
 	return almondcross.NewMember(almondcross.MemberConfig{
-		Id: almondcross.NewMemberID(almondcross.MemberIDConfig{
+		ID: almondcross.NewMemberID(almondcross.MemberIDConfig{
 			Name: settings.Name(), Incarnation: uint64(time.Now().UnixMilli()),
 		}),
 		DataCentre: settings.DataCentre(),
@@ -141,6 +141,8 @@
 	})
 }
 
+func newIntake(rings Rings) accountant.Intake { return accountant.NewIntake(rings.Accountant) }
+
 func newManager(
 	duties *Duties, members *registrar.Registrar, commander *driver.Driver, observer *observer.Observer,
 	rings Rings, set *metrics.Set, logger logrus.FieldLogger,
@@ -153,21 +155,21 @@
 
 func newPlacer(
 	settings configurator.EntrySettings, self almondcross.Member, manager *dispatcher.Manager, peers *linker.Linker,
-	account *accountant.Duty, rings Rings, set *metrics.Set,
+	account accountant.Intake, rings Rings, set *metrics.Set,
 ) (*placer.Placer, error) {
 	policies, err := policiesOf(settings)
 	if err != nil {
 		return nil, errors.Annotate(err, "choosing the policies")
 	}
 	return placer.New(placer.Config{
-		Ring: rings.Placer, Policies: policies, Seed: self.Id().Incarnation(), Dispatchers: manager, Peers: peers,
+		Ring: rings.Placer, Policies: policies, Seed: self.ID().Incarnation(), Dispatchers: manager, Peers: peers,
 		Coordinator: rings.Coordinator, Registrar: rings.Registrar, Accounter: account, Stories: account,
 		Clock: Clock{}, Metrics: set,
 	}), nil
 }
 
 func newCoordinator(
-	members *registrar.Registrar, sender *linker.Linker, account *accountant.Duty, rings Rings,
+	members *registrar.Registrar, sender *linker.Linker, account accountant.Intake, rings Rings,
 	set *metrics.Set, logger logrus.FieldLogger,
 ) *coordinator.Coordinator {
 	return coordinator.New(coordinator.Config{
@@ -181,7 +183,7 @@
 	members *registrar.Registrar, peers *linker.Linker, rings Rings, set *metrics.Set, logger logrus.FieldLogger,
 ) *cataloguer.Duty {
 	return cataloguer.New(cataloguer.Config{
-		Ring: rings.Cataloguer, Member: self.Id(), Codec: codec,
+		Ring: rings.Cataloguer, Member: self.ID(), Codec: codec,
 		Machine: cataloguer.MachineConfig{AnswerLimit: settings.ChangeTimeout()},
 		Changes: appenders.Catalogue, Checkpoints: appenders.Checkpoints, Members: members, Peers: peers, Clock: Clock{},
 		Coordinator: rings.Coordinator, Placer: rings.Placer, Accountant: rings.Accountant, Registrar: rings.Registrar,
@@ -204,7 +206,7 @@
 	members *registrar.Registrar, rings Rings, set *metrics.Set, logger logrus.FieldLogger,
 ) *claimer.Duty {
 	return claimer.New(claimer.Config{
-		Ring: rings.Claimer, Member: self.Id(), DataCentre: settings.DataCentre(), Codec: codec,
+		Ring: rings.Claimer, Member: self.ID(), DataCentre: settings.DataCentre(), Codec: codec,
 		Machine: claimer.MachineConfig{Horizon: settings.ClaimHorizon()},
 		Claims:  appenders.Claims, Answers: appenders.Answers, Members: members, Clock: Clock{},
 		Coordinator: rings.Coordinator, Metrics: set, Logger: logger,
@@ -217,12 +219,12 @@
 
 func newAccountant(
 	settings configurator.EntrySettings, self almondcross.Member, codec encoder.Codec, appenders Appenders,
-	members *registrar.Registrar, rings Rings, set *metrics.Set, logger logrus.FieldLogger,
+	members *registrar.Registrar, holdings *placer.Placer, rings Rings, set *metrics.Set, logger logrus.FieldLogger,
 ) *accountant.Duty {
 	return accountant.New(accountant.Config{
-		Ring: rings.Accountant, Member: self.Id(), DataCentre: settings.DataCentre(), Codec: codec,
+		Ring: rings.Accountant, Member: self.ID(), DataCentre: settings.DataCentre(), Codec: codec,
 		Machine: accountant.MachineConfig{Interval: settings.AccountInterval()},
-		Log:     appenders.Account, Members: members, Clock: Clock{}, Metrics: set, Logger: logger,
+		Log:     appenders.Account, Members: members, Holdings: holdings, Clock: Clock{}, Metrics: set, Logger: logger,
 	})
 }
 
--- a/command/accountant/duty.go
+++ b/command/accountant/duty.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -36,10 +35,10 @@
 
 // Duty owns the machine. Account and Record may be called from any goroutine.
 type Duty struct {
+	Intake
 	config  Config
 	machine *Machine
 	self    almondcross.MemberID
-	refused atomic.Uint64
 	missed  *metrics.Counter
 }
 
@@ -53,21 +52,12 @@
 	}
 	config.Machine.Self, config.Machine.DataCentre = config.Member, config.DataCentre
 	return &Duty{
+		Intake: NewIntake(config.Ring),
 		config: config, machine: NewMachine(config.Machine), self: config.Member,
 		missed: config.Metrics.NewCounter("almondcross_account_batches_dropped_total"),
 	}
 }
 
-// Account adds an event and never blocks; a refused event marks its interval as incomplete.
-func (duty *Duty) Account(event almondcross.AccountEvent) {
-	if !duty.config.Ring.Offer(event) {
-		duty.refused.Add(1)
-	}
-}
-
-// Record adds a decision to the stories and never blocks.
-func (duty *Duty) Record(event almondcross.StoryEvent) { duty.config.Ring.Offer(event) }
-
 // Run takes messages until the context ends, and then appends the last batch.
 func (duty *Duty) Run(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
@@ -111,14 +101,14 @@
 		}
 	}
 	return almondcross.NewAccountTick(almondcross.AccountTickConfig{
-		Refused: duty.refused.Load(), Capacity: capacity, Final: final,
+		Refused: duty.config.Ring.Refused(), Capacity: capacity, Final: final,
 	})
 }
 
 func (duty *Duty) apply(message almondcross.AccountantMessage) {
 	now := duty.config.Clock.Now()
-	if view := duty.config.Members.View(); view.Self().Id() != duty.self {
-		duty.self = view.Self().Id()
+	if view := duty.config.Members.View(); view.Self().ID() != duty.self {
+		duty.self = view.Self().ID()
 		duty.machine.Apply(almondcross.NewViewChanged(almondcross.ViewChangedConfig{View: view}), now)
 	}
 	before := duty.machine.Dropped()
@@ -144,12 +134,12 @@
 		return
 	}
 	queued := duty.config.Log.Append(almondcross.NewAppendRecords(almondcross.AppendRecordsConfig{
-		Records: []almondcross.Record{almondcross.NewRecord(almondcross.RecordConfig{Id: effect.ID, Body: body})},
+		Records: []almondcross.Record{almondcross.NewRecord(almondcross.RecordConfig{ID: effect.ID, Body: body})},
 		Answer:  func(answer almondcross.AppendAnswered) { duty.config.Ring.Offer(answer) },
 	}))
 	if !queued {
 		duty.machine.Apply(almondcross.NewAppendAnswered(almondcross.AppendAnsweredConfig{
-			Ids: []string{effect.ID}, Outcome: almondcross.AppendRefused,
+			IDs: []string{effect.ID}, Outcome: almondcross.AppendRefused,
 		}), now)
 	}
 }
--- a/command/accountant/machine.go
+++ b/command/accountant/machine.go
@@ -119,7 +119,7 @@
 	case almondcross.CatalogueChanged:
 		machine.promise(message.Catalogue())
 	case almondcross.ViewChanged:
-		if self := message.View().Self().Id(); self != machine.self {
+		if self := message.View().Self().ID(); self != machine.self {
 			machine.closeInterval(now, true)
 			machine.self, machine.sequence = self, 0
 		}
@@ -255,7 +255,7 @@
 // answered drops the batches that the log has. The others are appended again at the next tick with
 // the same id, also when the log may have them.
 func (machine *Machine) answered(message almondcross.AppendAnswered) {
-	for _, id := range message.Ids() {
+	for _, id := range message.IDs() {
 		for index, waiting := range machine.pending {
 			if waiting.id != id {
 				continue
--- a/command/appender/appender.go
+++ b/command/appender/appender.go
@@ -122,12 +122,12 @@
 func (appender *Appender) Append(message almondcross.AppendRecords) bool {
 	ids := make([]string, 0, len(message.Records()))
 	for _, record := range message.Records() {
-		ids = append(ids, record.Id())
+		ids = append(ids, record.ID())
 	}
 	return appender.offer(request{
 		records: message.Records(),
 		answer: func(_ almondcross.Offset, result almondcross.AppendResult) {
-			message.Answer()(almondcross.NewAppendAnswered(almondcross.AppendAnsweredConfig{Ids: ids, Outcome: result}))
+			message.Answer()(almondcross.NewAppendAnswered(almondcross.AppendAnsweredConfig{IDs: ids, Outcome: result}))
 		},
 	})
 }
@@ -231,7 +231,7 @@
 	for _, message := range batch {
 		records += len(message.records)
 		for _, record := range message.records {
-			bytes += len(record.Body()) + len(record.Id())
+			bytes += len(record.Body()) + len(record.ID())
 		}
 	}
 	return records, bytes
--- a/command/appender/appender_test.go
+++ b/command/appender/appender_test.go
@@ -42,7 +42,7 @@
 }
 
 func (bench bench) append(id string) bool {
-	record := almondcross.NewRecord(almondcross.RecordConfig{Id: id, Body: []byte(id)})
+	record := almondcross.NewRecord(almondcross.RecordConfig{ID: id, Body: []byte(id)})
 	return bench.duty.Append(almondcross.NewAppendRecords(almondcross.AppendRecordsConfig{
 		Records: []almondcross.Record{record},
 		Answer:  func(answer almondcross.AppendAnswered) { bench.results <- answer },
@@ -52,7 +52,7 @@
 func (bench bench) ids() []string {
 	var ids []string
 	for _, record := range bench.log.Records(almondcross.StreamClaims) {
-		ids = append(ids, record.Id())
+		ids = append(ids, record.ID())
 	}
 	return ids
 }
--- a/command/appender/settle.go
+++ b/command/appender/settle.go
@@ -49,14 +49,14 @@
 func (appender *Appender) answerFound(ctx context.Context, batch []request, floor almondcross.Offset) []request {
 	wanted := map[string]bool{}
 	for _, record := range flatten(batch) {
-		wanted[record.Id()] = true
+		wanted[record.ID()] = true
 	}
 	found := appender.find(ctx, wanted, floor)
 	var rest []request
 	for _, message := range batch {
 		first, complete := almondcross.Offset(-1), true
 		for index, record := range message.records {
-			offset, ok := found[record.Id()]
+			offset, ok := found[record.ID()]
 			complete = complete && ok
 			if index == 0 {
 				first = offset
@@ -96,8 +96,8 @@
 			return found
 		}
 		for _, record := range batch.Records() {
-			if _, known := found[record.Id()]; wanted[record.Id()] && !known {
-				found[record.Id()] = record.Offset()
+			if _, known := found[record.ID()]; wanted[record.ID()] && !known {
+				found[record.ID()] = record.Offset()
 			}
 		}
 		if batch.Next() <= from || batch.Next() >= batch.End() {
@@ -122,7 +122,7 @@
 			appender.probes++
 			id := "probe/" + appender.config.Member + "/" + strconv.FormatInt(appender.config.Clock.Now().UnixNano(), 36) +
 				"/" + strconv.FormatUint(appender.probes, 36)
-			record := almondcross.NewRecord(almondcross.RecordConfig{Id: id})
+			record := almondcross.NewRecord(almondcross.RecordConfig{ID: id})
 			appender.append(ctx, []almondcross.Record{record})
 			return
 		case <-ctx.Done():
--- a/command/cataloguer/cataloguer_test.go
+++ b/command/cataloguer/cataloguer_test.go
@@ -39,14 +39,14 @@
 			before, existed := reader.Catalogue().Entry(next.Name())
 			reader.Apply(read(log[len(log)-1:], offset+1), now)
 			after, exists := reader.Catalogue().Entry(next.Name())
-			if seen[next.Id()] {
+			if seen[next.ID()] {
 				require.Equal(t, existed, exists, "a repeated record had an effect")
 				require.Equal(t, before, after, "a repeated record had an effect")
 			}
 			if existed && exists && after.Version() != before.Version() {
 				require.Equal(t, next.Expected(), before.Version(), "an entry changed without its version being expected")
 			}
-			seen[next.Id()] = true
+			seen[next.ID()] = true
 			rereader.Apply(read(log[rapid.IntRange(0, len(log)-1).Draw(t, "from"):], offset+1), now)
 			require.Equal(t, reader.Catalogue(), rereader.Catalogue())
 
@@ -96,6 +96,6 @@
 	name := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "name")
 	entry, _ := catalogue.Entry(name)
 	expected := rapid.SampledFrom([]almondcross.Offset{entry.Version(), entry.Version(), 0, offset / 2}).Draw(t, "expected")
-	return change(name, "ann", expected).WithId(fmt.Sprint("r", offset)).WithOffset(offset).
+	return change(name, "ann", expected).WithID(fmt.Sprint("r", offset)).WithOffset(offset).
 		WithRemoved(rapid.Bool().Draw(t, "removed"))
 }
--- a/command/cataloguer/duty.go
+++ b/command/cataloguer/duty.go
@@ -94,7 +94,7 @@
 // isWriter reports whether this host writes the checkpoints.
 func (duty *Duty) isWriter() bool {
 	view := duty.config.Members.View()
-	return view.Writer(almondcross.StreamCatalogueCheckpoint) == view.Self().Id()
+	return view.Writer(almondcross.StreamCatalogueCheckpoint) == view.Self().ID()
 }
 
 func (duty *Duty) apply(ctx context.Context, message almondcross.CataloguerMessage) {
@@ -129,7 +129,7 @@
 }
 
 func record(id string, body []byte) almondcross.Record {
-	return almondcross.NewRecord(almondcross.RecordConfig{Id: id, Body: body})
+	return almondcross.NewRecord(almondcross.RecordConfig{ID: id, Body: body})
 }
 
 func (duty *Duty) appendChange(ctx context.Context, effect AppendChange) {
@@ -138,7 +138,7 @@
 	if effect.ProbeID != "" {
 		records = append(records, record(effect.ProbeID, nil))
 	}
-	duty.append(ctx, duty.config.Changes, append(records, record(effect.Change.Id(), body)), err)
+	duty.append(ctx, duty.config.Changes, append(records, record(effect.Change.ID(), body)), err)
 }
 
 // append queues records; what cannot be encoded or queued is answered as refused at once.
@@ -158,10 +158,10 @@
 	}
 	ids := make([]string, 0, len(records))
 	for _, record := range records {
-		ids = append(ids, record.Id())
+		ids = append(ids, record.ID())
 	}
 	duty.apply(ctx, almondcross.NewAppendAnswered(almondcross.AppendAnsweredConfig{
-		Ids: ids, Outcome: almondcross.AppendRefused,
+		IDs: ids, Outcome: almondcross.AppendRefused,
 	}))
 }
 
--- a/command/cataloguer/loader.go
+++ b/command/cataloguer/loader.go
@@ -195,7 +195,7 @@
 func (loader *Loader) askPeers() {
 	view := loader.config.Members.View()
 	request := almondcross.NewPeerCatalogueRequest(almondcross.PeerCatalogueRequestConfig{
-		Member: view.Self().Id(), Offset: loader.config.Catalogue.Catalogue().Offset(),
+		Member: view.Self().ID(), Offset: loader.config.Catalogue.Catalogue().Offset(),
 	})
 	for name := range view.Peers() {
 		loader.config.Peers.Send(name, request)
--- a/command/cataloguer/machine.go
+++ b/command/cataloguer/machine.go
@@ -150,15 +150,15 @@
 	if change.Name() == "" || (!change.Removed() && change.Entry().Name() != change.Name()) {
 		return []Effect{answer(message.Replier(), change, almondcross.CodeInvalid, "the change and its entry differ in name", true)}
 	}
-	if change.Id() == "" {
-		change = change.WithId(machine.nextID())
+	if change.ID() == "" {
+		change = change.WithID(machine.nextID())
 	}
-	if waiting, ok := machine.waiters[change.Id()]; ok {
+	if waiting, ok := machine.waiters[change.ID()]; ok {
 		waiting.repliers = append(waiting.repliers, message.Replier())
-		machine.waiters[change.Id()] = waiting
+		machine.waiters[change.ID()] = waiting
 		return nil
 	}
-	machine.waiters[change.Id()] = waiter{
+	machine.waiters[change.ID()] = waiter{
 		change: change, repliers: []almondcross.ChangeReplier{message.Replier()}, until: now.Add(machine.config.AnswerLimit),
 	}
 	effect := AppendChange{Change: change}
@@ -193,11 +193,11 @@
 			}
 		}
 		outcome, fresh := machine.state.reduce(change)
-		waiting, ok := machine.waiters[change.Id()]
+		waiting, ok := machine.waiters[change.ID()]
 		if !ok {
 			continue
 		}
-		delete(machine.waiters, change.Id())
+		delete(machine.waiters, change.ID())
 		for _, replier := range waiting.repliers {
 			if fresh {
 				effects = append(effects, AnswerChange{Replier: replier, Outcome: outcome})
@@ -241,7 +241,7 @@
 // back or at its time limit.
 func (machine *Machine) appended(message almondcross.AppendAnswered) []Effect {
 	var effects []Effect
-	for _, id := range message.Ids() {
+	for _, id := range message.IDs() {
 		if id == machine.checkpointID {
 			machine.checkpointID = ""
 			if message.Outcome() == almondcross.AppendTaken {
--- a/command/cataloguer/reducer.go
+++ b/command/cataloguer/reducer.go
@@ -27,7 +27,7 @@
 func reducerFrom(checkpoint almondcross.CatalogueCheckpoint) reducer {
 	state := reducer{catalogue: checkpoint.Catalogue(), seen: map[string]bool{}}
 	state.audit = append(state.audit, checkpoint.Audit()...)
-	for _, id := range checkpoint.Ids() {
+	for _, id := range checkpoint.IDs() {
 		state.note(id)
 	}
 	return state
@@ -36,7 +36,7 @@
 func (state *reducer) checkpoint() almondcross.CatalogueCheckpoint {
 	return almondcross.NewCatalogueCheckpoint(almondcross.CatalogueCheckpointConfig{
 		Catalogue: state.catalogue,
-		Ids:       append([]string(nil), state.ids...),
+		IDs:       append([]string(nil), state.ids...),
 		Audit:     state.lines(),
 	})
 }
@@ -61,10 +61,10 @@
 		return almondcross.ChangeOutcome{}, false
 	}
 	state.catalogue = state.catalogue.WithOffset(change.Offset())
-	if state.seen[change.Id()] {
+	if state.seen[change.ID()] {
 		return almondcross.ChangeOutcome{}, false
 	}
-	state.note(change.Id())
+	state.note(change.ID())
 	current, exists := state.catalogue.Entry(change.Name())
 	code := check(change, current, exists)
 	version := current.Version()
--- a/command/claimer/answers.go
+++ b/command/claimer/answers.go
@@ -9,7 +9,7 @@
 // appended handles the answers to appends. Taken records are waited for in the stream.
 func (machine *Machine) appended(message almondcross.AppendAnswered, now time.Time) []Effect {
 	var effects []Effect
-	for _, id := range message.Ids() {
+	for _, id := range message.IDs() {
 		if machine.checkpoints.answered(id, message.Outcome(), now.Add(machine.config.CheckpointRetry)) {
 			continue
 		}
--- a/command/claimer/checkpoint.go
+++ b/command/claimer/checkpoint.go
@@ -48,11 +48,11 @@
 
 // seen counts a part; a complete checkpoint that covers the gap closes it.
 func (checkpoints *checkpoints) seen(part almondcross.ClaimCheckpoint, appended time.Time) {
-	known, ok := checkpoints.parts[part.Id()]
+	known, ok := checkpoints.parts[part.ID()]
 	if !ok {
 		known = map[int]bool{}
-		checkpoints.parts[part.Id()] = known
-		checkpoints.order = append(checkpoints.order, part.Id())
+		checkpoints.parts[part.ID()] = known
+		checkpoints.order = append(checkpoints.order, part.ID())
 		if len(checkpoints.order) > maxCheckpoints {
 			delete(checkpoints.parts, checkpoints.order[0])
 			checkpoints.order = checkpoints.order[1:]
@@ -66,7 +66,7 @@
 	if part.Covered() >= checkpoints.oldest-1 {
 		checkpoints.gap = false
 	}
-	if part.Id() == checkpoints.writing {
+	if part.ID() == checkpoints.writing {
 		checkpoints.writing = ""
 	}
 }
@@ -90,7 +90,7 @@
 	checkpoints.writing, checkpoints.rest, checkpoints.pending = id, nil, map[string]bool{}
 	for index := range count {
 		checkpoints.rest = append(checkpoints.rest, almondcross.NewClaimCheckpoint(almondcross.ClaimCheckpointConfig{
-			Id: id, Part: index, Parts: count, Covered: covered,
+			ID: id, Part: index, Parts: count, Covered: covered,
 			Claims: records[index*size : min((index+1)*size, len(records))],
 		}))
 	}
@@ -123,5 +123,5 @@
 }
 
 func partID(part almondcross.ClaimCheckpoint) string {
-	return part.Id() + "/" + strconv.Itoa(part.Part())
+	return part.ID() + "/" + strconv.Itoa(part.Part())
 }
--- a/command/claimer/claimer_test.go
+++ b/command/claimer/claimer_test.go
@@ -93,7 +93,7 @@
 }
 
 func (cell *cell) answer(host *host, id string, result almondcross.AppendResult) {
-	cell.apply(host, almondcross.NewAppendAnswered(almondcross.AppendAnsweredConfig{Ids: []string{id}, Outcome: result}))
+	cell.apply(host, almondcross.NewAppendAnswered(almondcross.AppendAnsweredConfig{IDs: []string{id}, Outcome: result}))
 }
 
 func (cell *cell) append(host *host, record almondcross.ClaimRecord) {
@@ -116,7 +116,7 @@
 	if record.Kind() == almondcross.ClaimVoid && result == almondcross.AppendUncertain {
 		return // the answer is lost between the appender and the claimer as well
 	}
-	cell.answer(host, record.Id(), result)
+	cell.answer(host, record.ID(), result)
 }
 
 func (cell *cell) told(host *host, message almondcross.CoordinatorMessage) {
@@ -222,7 +222,7 @@
 				cell.runs++
 				host.id = host.id.WithIncarnation(cell.runs)
 				cell.apply(host, almondcross.NewViewChanged(almondcross.ViewChangedConfig{View: almondcross.NewView(
-					almondcross.ViewConfig{Self: almondcross.NewMember(almondcross.MemberConfig{Id: host.id})},
+					almondcross.ViewConfig{Self: almondcross.NewMember(almondcross.MemberConfig{ID: host.id})},
 				)}))
 			},
 			"restart": func(t *rapid.T) {
--- a/command/claimer/duty.go
+++ b/command/claimer/duty.go
@@ -73,7 +73,7 @@
 		case <-ticker.C:
 			view := duty.config.Members.View()
 			duty.apply(ctx, almondcross.NewClaimTick(almondcross.ClaimTickConfig{
-				Writer:  view.Writer(almondcross.StreamClaims) == view.Self().Id(),
+				Writer:  view.Writer(almondcross.StreamClaims) == view.Self().ID(),
 				LogDown: duty.config.Claims.Down(),
 			}))
 		case <-ctx.Done():
@@ -85,8 +85,8 @@
 // apply first tells the machine of a new incarnation, so that a claim of the former one is not granted.
 func (duty *Duty) apply(ctx context.Context, message almondcross.ClaimerMessage) {
 	now := duty.config.Clock.Now()
-	if view := duty.config.Members.View(); view.Self().Id() != duty.self {
-		duty.self = view.Self().Id()
+	if view := duty.config.Members.View(); view.Self().ID() != duty.self {
+		duty.self = view.Self().ID()
 		duty.run(ctx, duty.machine.Apply(almondcross.NewViewChanged(almondcross.ViewChangedConfig{View: view}), now))
 	}
 	duty.run(ctx, duty.machine.Apply(message, now))
@@ -100,7 +100,7 @@
 				duty.voids.Inc()
 			}
 			body, err := duty.config.Codec.EncodeClaim(effect.Record)
-			duty.append(ctx, effect.Record.Id(), body, err)
+			duty.append(ctx, effect.Record.ID(), body, err)
 		case AppendPart:
 			body, err := duty.config.Codec.EncodeClaimCheckpoint(effect.Part)
 			duty.append(ctx, effect.ID, body, err)
@@ -118,13 +118,13 @@
 		duty.config.Logger.WithError(err).Error("claim record cannot be encoded")
 	}
 	queued := err == nil && duty.config.Claims.Append(almondcross.NewAppendRecords(almondcross.AppendRecordsConfig{
-		Records: []almondcross.Record{almondcross.NewRecord(almondcross.RecordConfig{Id: id, Body: body})},
+		Records: []almondcross.Record{almondcross.NewRecord(almondcross.RecordConfig{ID: id, Body: body})},
 		// An answer that finds the ring full counts as lost after the machine's answer limit.
 		Answer: func(answer almondcross.AppendAnswered) { duty.config.Ring.Offer(answer) },
 	}))
 	if !queued {
 		duty.apply(ctx, almondcross.NewAppendAnswered(almondcross.AppendAnsweredConfig{
-			Ids: []string{id}, Outcome: almondcross.AppendRefused,
+			IDs: []string{id}, Outcome: almondcross.AppendRefused,
 		}))
 	}
 }
@@ -141,7 +141,7 @@
 		return
 	}
 	record := almondcross.NewRecord(almondcross.RecordConfig{
-		Id: "answer/" + duty.config.Machine.Prefix + "/" + outcome.Key().String(), Body: body,
+		ID: "answer/" + duty.config.Machine.Prefix + "/" + outcome.Key().String(), Body: body,
 	})
 	queued := duty.config.Answers.AppendLocated(record, func(offset almondcross.Offset, result almondcross.AppendResult) {
 		duty.config.Ring.Offer(answered(offset, result))
--- a/command/claimer/machine.go
+++ b/command/claimer/machine.go
@@ -138,7 +138,7 @@
 	case almondcross.AnswerAppended:
 		return machine.answerStored(message, now)
 	case almondcross.ViewChanged:
-		machine.self = message.View().Self().Id()
+		machine.self = message.View().Self().ID()
 	case almondcross.ClaimTick:
 		return machine.tick(message, now)
 	}
@@ -165,7 +165,7 @@
 		return nil
 	}
 	record := machine.record(almondcross.ClaimTaken, key).WithEntry(message.Entry()).WithIssuedAt(issuedAt)
-	waiting.claimID, waiting.entry, waiting.issuedAt, waiting.sentAt = record.Id(), message.Entry(), issuedAt, now
+	waiting.claimID, waiting.entry, waiting.issuedAt, waiting.sentAt = record.ID(), message.Entry(), issuedAt, now
 	machine.requests[key] = waiting
 	return []Effect{AppendClaim{Record: record}}
 }
@@ -196,7 +196,7 @@
 	id := machine.nextID()
 	machine.sent[id] = key
 	return almondcross.NewClaimRecord(almondcross.ClaimRecordConfig{
-		Id: id, Kind: kind, Key: key, Claimant: machine.self, DataCentre: machine.config.DataCentre, AnswerOffset: -1,
+		ID: id, Kind: kind, Key: key, Claimant: machine.self, DataCentre: machine.config.DataCentre, AnswerOffset: -1,
 	})
 }
 
@@ -236,7 +236,7 @@
 }
 
 func (machine *Machine) merge(record almondcross.ClaimRecord, now time.Time) []Effect {
-	delete(machine.sent, record.Id())
+	delete(machine.sent, record.ID())
 	expires := record.IssuedAt().Add(machine.config.Horizon + expiryMargin)
 	if !now.Before(expires) {
 		return nil
@@ -271,7 +271,7 @@
 	}
 	current := machine.table.keys[key]
 	delete(machine.requests, key)
-	own := waiting.claimID != "" && current.stands && current.standing.Id() == waiting.claimID
+	own := waiting.claimID != "" && current.stands && current.standing.ID() == waiting.claimID
 	if !own || current.ended {
 		return refuse(key, machine.refusal(current, waiting.issuedAt), current.decisive())
 	}
--- a/command/commander/commander_test.go
+++ b/command/commander/commander_test.go
@@ -43,7 +43,7 @@
 func (cell) Status() almondcross.HostStatus {
 	member := func(name, dataCentre string) almondcross.Member {
 		return almondcross.NewMember(almondcross.MemberConfig{
-			Id: almondcross.NewMemberID(almondcross.MemberIDConfig{Name: name}), DataCentre: dataCentre,
+			ID: almondcross.NewMemberID(almondcross.MemberIDConfig{Name: name}), DataCentre: dataCentre,
 		})
 	}
 	peer := almondcross.NewPeer(almondcross.PeerConfig{
--- a/command/coordinator/adopt.go
+++ b/command/coordinator/adopt.go
@@ -14,11 +14,11 @@
 		// Another member may be about to start the key again.
 		return
 	}
-	key := message.Task().Id().Key()
+	key := message.Task().ID().Key()
 	coordinator, ok := machine.view.Coordinator(key)
 	record, known := machine.keys[key]
 	if !known || !record.inProgress() && record.phase != phaseEnded {
-		if !ok || coordinator.Id() != machine.self() {
+		if !ok || coordinator.ID() != machine.self() {
 			return
 		}
 	}
@@ -36,7 +36,7 @@
 
 // adoptKnown accepts a task that the record has on the same target or has not seen started.
 func (machine *Machine) adoptKnown(record *record, message almondcross.AdoptTask, now time.Time) {
-	id := message.Task().Id()
+	id := message.Task().ID()
 	current, task := machine.find(id, message.Task().Attempt())
 	if current == nil {
 		if id.Index() < len(record.tasks) || len(record.tasks) == 0 || message.Task().Attempt() != record.attempt {
@@ -70,11 +70,11 @@
 	if adopted == nil {
 		adopted = &record{submittedAt: now}
 		adopted.request = almondcross.NewRequest(almondcross.RequestConfig{
-			Key: task.Id().Key(), Entry: task.Entry(), Payload: task.Payload(),
+			Key: task.ID().Key(), Entry: task.Entry(), Payload: task.Payload(),
 		})
-		machine.keys[task.Id().Key()] = adopted
+		machine.keys[task.ID().Key()] = adopted
 	}
-	adopted.standing = task.Id().Key().Caller() == serviceCaller
+	adopted.standing = task.ID().Key().Caller() == serviceCaller
 	adopted.entry = machine.entryOf(task)
 	adopted.attempt = task.Attempt()
 	adopted.claimed = !task.Repeatable()
@@ -98,8 +98,8 @@
 
 // growTasks makes room for every task of an adopted request.
 func (machine *Machine) growTasks(record *record, task almondcross.Task) {
-	for index := len(record.tasks); index < max(task.Size(), task.Id().Index()+1); index++ {
-		sibling := task.WithId(task.Id().WithIndex(index)).WithCoordinator(machine.self())
+	for index := len(record.tasks); index < max(task.Size(), task.ID().Index()+1); index++ {
+		sibling := task.WithID(task.ID().WithIndex(index)).WithCoordinator(machine.self())
 		record.tasks = append(record.tasks, taskState{task: sibling})
 	}
 }
@@ -107,7 +107,7 @@
 func (machine *Machine) answerAdoption(message almondcross.AdoptTask, accepted bool) {
 	holder := message.Holder()
 	answer := almondcross.NewAdoptAnswered(almondcross.AdoptAnsweredConfig{
-		Id: message.Task().Id(), Attempt: message.Task().Attempt(), Target: message.Target(), Term: message.Term(),
+		ID: message.Task().ID(), Attempt: message.Task().Attempt(), Target: message.Target(), Term: message.Term(),
 		Accepted: accepted, Coordinator: machine.self(),
 	})
 	if holder.Name() == machine.self().Name() {
--- a/command/coordinator/coordinator.go
+++ b/command/coordinator/coordinator.go
@@ -153,7 +153,7 @@
 	}
 	task := place.Task()
 	return coordinator.machine.Apply(almondcross.NewTaskRefused(almondcross.TaskRefusedConfig{
-		Id: task.Id(), Attempt: task.Attempt(), Holder: task.Coordinator(),
+		ID: task.ID(), Attempt: task.Attempt(), Holder: task.Coordinator(),
 		Code: almondcross.CodeOverloaded, RetryAfter: time.Second.Milliseconds(),
 	}), coordinator.config.Clock.Now())
 }
--- a/command/coordinator/forward.go
+++ b/command/coordinator/forward.go
@@ -38,7 +38,7 @@
 		return
 	}
 	coordinator, ok := machine.view.Coordinator(key)
-	if !ok || message.Forwarded() || coordinator.Id() == machine.self() {
+	if !ok || message.Forwarded() || coordinator.ID() == machine.self() {
 		code := almondcross.CodeNotHere
 		if !ok {
 			code = almondcross.CodeHomeUnreachable
@@ -47,10 +47,10 @@
 		return
 	}
 	correlation := machine.addForward(&forward{
-		kind: forwardLookup, key: key, member: coordinator.Id(), replier: message.Replier(),
+		kind: forwardLookup, key: key, member: coordinator.ID(), replier: message.Replier(),
 		deadline: now.Add(almondcross.SilenceLimit),
 	})
-	machine.do(Send{Member: coordinator.Id().Name(), Message: almondcross.NewPeerLookup(almondcross.PeerLookupConfig{
+	machine.do(Send{Member: coordinator.ID().Name(), Message: almondcross.NewPeerLookup(almondcross.PeerLookupConfig{
 		Correlation: correlation, Key: key,
 	})})
 }
@@ -88,14 +88,14 @@
 
 func (machine *Machine) cancelUnknown(key almondcross.Key, message almondcross.CancelRequest, now time.Time) {
 	coordinator, ok := machine.view.Coordinator(key)
-	if !ok || message.Forwarded() || coordinator.Id() == machine.self() {
+	if !ok || message.Forwarded() || coordinator.ID() == machine.self() {
 		machine.reply(message.Replier(), outcomeOf(key, almondcross.StatusUnknown, almondcross.CodeNotHere))
 		return
 	}
 	correlation := machine.addForward(&forward{
-		kind: forwardCancel, key: key, member: coordinator.Id(), replier: message.Replier(), deadline: now.Add(defaultWait),
+		kind: forwardCancel, key: key, member: coordinator.ID(), replier: message.Replier(), deadline: now.Add(defaultWait),
 	})
-	machine.do(Send{Member: coordinator.Id().Name(), Message: almondcross.NewPeerCancel(almondcross.PeerCancelConfig{
+	machine.do(Send{Member: coordinator.ID().Name(), Message: almondcross.NewPeerCancel(almondcross.PeerCancelConfig{
 		Correlation: correlation, Key: key,
 	})})
 }
@@ -107,7 +107,7 @@
 			continue
 		}
 		stop := almondcross.NewStopTask(almondcross.StopTaskConfig{
-			Id: task.task.Id(), Attempt: task.task.Attempt(), Code: code,
+			ID: task.task.ID(), Attempt: task.task.Attempt(), Code: code,
 		})
 		if task.started && task.holder.Name() != machine.self().Name() {
 			machine.do(Send{Member: task.holder.Name(), Message: stop})
--- a/command/coordinator/holder.go
+++ b/command/coordinator/holder.go
@@ -47,7 +47,7 @@
 // leaveMoved gives up a service replica that is not running when its key has another coordinator.
 func (machine *Machine) leaveMoved(record *record) {
 	coordinator, ok := machine.view.Coordinator(record.request.Key())
-	if !record.standing || !ok || coordinator.Id() == machine.self() {
+	if !record.standing || !ok || coordinator.ID() == machine.self() {
 		return
 	}
 	switch record.phase {
--- a/command/coordinator/machine.go
+++ b/command/coordinator/machine.go
@@ -175,10 +175,10 @@
 	if replier == nil {
 		return
 	}
-	machine.do(Reply{Replier: replier, Outcome: outcome.WithHost(machine.view.Self().Id().Name())})
+	machine.do(Reply{Replier: replier, Outcome: outcome.WithHost(machine.view.Self().ID().Name())})
 }
 
-func (machine *Machine) self() almondcross.MemberID { return machine.view.Self().Id() }
+func (machine *Machine) self() almondcross.MemberID { return machine.view.Self().ID() }
 
 func (machine *Machine) tell(record *record, event string, code almondcross.Code, target string, now time.Time) {
 	machine.do(Story{Event: almondcross.NewStoryEvent(almondcross.StoryEventConfig{
--- a/command/coordinator/record.go
+++ b/command/coordinator/record.go
@@ -130,13 +130,3 @@
 	// forwardSearch is a lookup of the coordinator itself for a key that it does not know.
 	forwardSearch
 )
-
-// anyEnded reports whether a task of the attempt has ended.
-func (record *record) anyEnded() bool {
-	for _, task := range record.tasks {
-		if task.ended {
-			return true
-		}
-	}
-	return false
-}
--- a/command/coordinator/report.go
+++ b/command/coordinator/report.go
@@ -17,7 +17,7 @@
 }
 
 func (machine *Machine) taskForwarded(message almondcross.TaskForwarded, now time.Time) {
-	record, task := machine.find(message.Id(), message.Attempt())
+	record, task := machine.find(message.ID(), message.Attempt())
 	if record == nil || task.started {
 		return
 	}
@@ -26,7 +26,7 @@
 }
 
 func (machine *Machine) taskStarted(message almondcross.TaskStarted, now time.Time) {
-	record, task := machine.find(message.Id(), message.Attempt())
+	record, task := machine.find(message.ID(), message.Attempt())
 	if record == nil {
 		machine.stopOrphan(message)
 		return
@@ -46,7 +46,7 @@
 // stopOrphan stops a task that no key of this member accounts for.
 func (machine *Machine) stopOrphan(message almondcross.TaskStarted) {
 	stop := almondcross.NewStopTask(almondcross.StopTaskConfig{
-		Id: message.Id(), Attempt: message.Attempt(), Code: almondcross.CodeTaskStopped,
+		ID: message.ID(), Attempt: message.Attempt(), Code: almondcross.CodeTaskStopped,
 	})
 	if message.Holder().Name() == machine.self().Name() {
 		machine.do(Place{Message: stop})
@@ -56,7 +56,7 @@
 }
 
 func (machine *Machine) taskRefused(message almondcross.TaskRefused, now time.Time) {
-	record, task := machine.find(message.Id(), message.Attempt())
+	record, task := machine.find(message.ID(), message.Attempt())
 	if record == nil || task.started {
 		return
 	}
@@ -90,12 +90,12 @@
 }
 
 func failedResult(task almondcross.Task, code almondcross.Code) almondcross.TaskResult {
-	return almondcross.NewTaskResult(almondcross.TaskResultConfig{Id: task.Id(), Attempt: task.Attempt(), Code: code})
+	return almondcross.NewTaskResult(almondcross.TaskResultConfig{ID: task.ID(), Attempt: task.Attempt(), Code: code})
 }
 
 func (machine *Machine) taskEnded(message almondcross.TaskEnded, now time.Time) {
 	result := message.Result()
-	record, task := machine.find(result.Id(), result.Attempt())
+	record, task := machine.find(result.ID(), result.Attempt())
 	if record == nil || task.ended {
 		return
 	}
@@ -105,7 +105,7 @@
 }
 
 func (machine *Machine) taskLost(message almondcross.TaskLost, now time.Time) {
-	record, task := machine.find(message.Id(), message.Attempt())
+	record, task := machine.find(message.ID(), message.Attempt())
 	if record == nil {
 		return
 	}
--- a/command/coordinator/search.go
+++ b/command/coordinator/search.go
@@ -37,7 +37,7 @@
 		}
 		record.lookups[name] = now
 		correlation := machine.addForward(&forward{
-			kind: forwardSearch, key: record.request.Key(), member: peer.Member().Id(), deadline: now.Add(lookupRepeat),
+			kind: forwardSearch, key: record.request.Key(), member: peer.Member().ID(), deadline: now.Add(lookupRepeat),
 		})
 		machine.do(Send{Member: name, Message: almondcross.NewPeerLookup(almondcross.PeerLookupConfig{
 			Correlation: correlation, Key: record.request.Key(),
@@ -81,7 +81,7 @@
 // changeView takes a new view: keys that were not started are searched again or routed to their new
 // coordinator. A key that was started stays with this member until it ends.
 func (machine *Machine) changeView(view almondcross.View, now time.Time) {
-	rejoined := view.Self().Id() != machine.self()
+	rejoined := view.Self().ID() != machine.self()
 	moved := rejoined || membersDiffer(machine.view, view)
 	machine.view = view
 	if rejoined {
@@ -121,7 +121,7 @@
 	}
 	for name, peer := range after.Peers() {
 		old, ok := before.Peers()[name]
-		if !ok || old.Member().Id() != peer.Member().Id() || old.Member().Leaving() != peer.Member().Leaving() {
+		if !ok || old.Member().ID() != peer.Member().ID() || old.Member().Leaving() != peer.Member().Leaving() {
 			return true
 		}
 	}
--- a/command/coordinator/service.go
+++ b/command/coordinator/service.go
@@ -40,7 +40,7 @@
 
 func (machine *Machine) ensureReplica(entry almondcross.Entry, key almondcross.Key, now time.Time) {
 	coordinator, ok := machine.view.Coordinator(key)
-	if !ok || coordinator.Id() != machine.self() {
+	if !ok || coordinator.ID() != machine.self() {
 		return
 	}
 	if _, ok := machine.keys[key]; ok {
@@ -86,7 +86,7 @@
 // backOff places a service replica again after a pause that grows with each failure.
 func (machine *Machine) backOff(record *record, code almondcross.Code, now time.Time) {
 	coordinator, ok := machine.view.Coordinator(record.request.Key())
-	if record.removed || ok && coordinator.Id() != machine.self() {
+	if record.removed || ok && coordinator.ID() != machine.self() {
 		machine.drop(record)
 		return
 	}
--- a/command/coordinator/submit.go
+++ b/command/coordinator/submit.go
@@ -19,12 +19,12 @@
 		machine.refuseHomeless(request, message.Replier())
 		return
 	}
-	if coordinator.Id() != machine.self() {
+	if coordinator.ID() != machine.self() {
 		if message.Forwarded() {
 			machine.reply(message.Replier(), outcomeOf(key, almondcross.StatusUnknown, almondcross.CodeNotHere))
 			return
 		}
-		machine.forwardRequest(request, coordinator.Id(), message.Replier(), now.Add(waitOf(request)), now)
+		machine.forwardRequest(request, coordinator.ID(), message.Replier(), now.Add(waitOf(request)), now)
 		return
 	}
 	record := &record{request: request, submittedAt: now}
@@ -90,7 +90,7 @@
 // begin checks the entry and finds out whether another member may know the key.
 func (machine *Machine) begin(record *record, now time.Time) {
 	key, issuedAt := record.request.Key(), record.request.IssuedAt()
-	if coordinator, ok := machine.view.Coordinator(key); !ok || coordinator.Id() != machine.self() {
+	if coordinator, ok := machine.view.Coordinator(key); !ok || coordinator.ID() != machine.self() {
 		machine.moveOn(record, now)
 		return
 	}
@@ -147,7 +147,7 @@
 		machine.hold(record, now.Add(heldRecheck), almondcross.CodeNoStanding, now)
 		return
 	}
-	if coordinator, ok := machine.view.Coordinator(key); !ok || coordinator.Id() != machine.self() {
+	if coordinator, ok := machine.view.Coordinator(key); !ok || coordinator.ID() != machine.self() {
 		machine.moveOn(record, now)
 		return
 	}
@@ -263,7 +263,7 @@
 		timeout = record.deadline.Sub(now)
 	}
 	return almondcross.NewTask(almondcross.TaskConfig{
-		Id:          almondcross.NewTaskID(almondcross.TaskIDConfig{Key: record.request.Key(), Index: index}),
+		ID:          almondcross.NewTaskID(almondcross.TaskIDConfig{Key: record.request.Key(), Index: index}),
 		Entry:       entry.Name(),
 		Owner:       entry.Owner(),
 		Class:       entry.Class(),
--- a/command/dispatcher/dispatcher.go
+++ b/command/dispatcher/dispatcher.go
@@ -73,21 +73,21 @@
 		dispatcher.release(ctx)
 	case almondcross.RenewTasks:
 		if message.Term() == dispatcher.term {
-			dispatcher.named = message.Ids()
+			dispatcher.named = message.IDs()
 		}
 	case almondcross.StartTask:
 		return dispatcher.start(ctx, message)
 	case almondcross.HaltTask:
 		return dispatcher.command(ctx, message.Term(), func(ctx context.Context) error {
-			return dispatcher.config.Commander.Stop(ctx, dispatcher.target, message.Term(), message.Id(), message.Code())
+			return dispatcher.config.Commander.Stop(ctx, dispatcher.target, message.Term(), message.ID(), message.Code())
 		})
 	case almondcross.CheckpointTask:
 		return dispatcher.command(ctx, message.Term(), func(ctx context.Context) error {
-			return dispatcher.config.Commander.Checkpoint(ctx, dispatcher.target, message.Term(), message.Id())
+			return dispatcher.config.Commander.Checkpoint(ctx, dispatcher.target, message.Term(), message.ID())
 		})
 	case almondcross.ThrottleTask:
 		return dispatcher.command(ctx, message.Term(), func(ctx context.Context) error {
-			return dispatcher.config.Commander.Throttle(ctx, dispatcher.target, message.Term(), message.Id(), message.Percent())
+			return dispatcher.config.Commander.Throttle(ctx, dispatcher.target, message.Term(), message.ID(), message.Percent())
 		})
 	}
 	return 0, false
@@ -109,7 +109,7 @@
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	sent := dispatcher.config.Clock.Now()
-	grant, err := dispatcher.config.Commander.Acquire(call, dispatcher.target, dispatcher.config.Members.View().Self().Id())
+	grant, err := dispatcher.config.Commander.Acquire(call, dispatcher.target, dispatcher.config.Members.View().Self().ID())
 	if err != nil {
 		dispatcher.wanted = false
 		dispatcher.put(ctx, almondcross.NewTargetReleased(almondcross.TargetReleasedConfig{
@@ -148,7 +148,7 @@
 func (dispatcher *Dispatcher) start(ctx context.Context, message almondcross.StartTask) (time.Duration, bool) {
 	answer := almondcross.StartAnsweredConfig{
 		Target: dispatcher.target.Name(), Term: message.Term(),
-		Id: message.Task().Id(), Attempt: message.Task().Attempt(), Accepted: true,
+		ID: message.Task().ID(), Attempt: message.Task().Attempt(), Accepted: true,
 	}
 	if message.Term() != dispatcher.term || !dispatcher.holding {
 		// The placer was told of the end of that term and knows that the start was not answered.
--- a/command/linker/linker.go
+++ b/command/linker/linker.go
@@ -163,7 +163,7 @@
 // learn notes the address of a member that sent a ping, so that a reply to its next message finds a
 // sender. A replaced host comes with a new name or a new address.
 func (linker *Linker) learn(ctx context.Context, member almondcross.Member) {
-	name, address := member.Id().Name(), member.Address()
+	name, address := member.ID().Name(), member.Address()
 	if address == "" || name == linker.config.Name {
 		return
 	}
--- a/command/linker/linker_test.go
+++ b/command/linker/linker_test.go
@@ -81,7 +81,7 @@
 
 func ping(host host, name string) almondcross.PeerPing {
 	return almondcross.NewPeerPing(almondcross.PeerPingConfig{Member: almondcross.NewMember(almondcross.MemberConfig{
-		Id: almondcross.NewMemberID(almondcross.MemberIDConfig{Name: name, Incarnation: 1}), Address: host.address(),
+		ID: almondcross.NewMemberID(almondcross.MemberIDConfig{Name: name, Incarnation: 1}), Address: host.address(),
 	})})
 }
 
--- a/command/linker/receiver.go
+++ b/command/linker/receiver.go
@@ -104,7 +104,7 @@
 func sentBy(message almondcross.PeerMessage) (string, bool) {
 	switch message := message.(type) {
 	case almondcross.PeerPing:
-		return message.Member().Id().Name(), true
+		return message.Member().ID().Name(), true
 	case almondcross.PeerPong:
 		return message.Member().Name(), true
 	case almondcross.PeerLeaving:
--- a/command/placer/adopt.go
+++ b/command/placer/adopt.go
@@ -22,7 +22,7 @@
 			ids = append(ids, id)
 		}
 	}
-	machine.send(entry.target.Name(), almondcross.NewRenewTasks(almondcross.RenewTasksConfig{Term: entry.term, Ids: ids}))
+	machine.send(entry.target.Name(), almondcross.NewRenewTasks(almondcross.RenewTasksConfig{Term: entry.term, IDs: ids}))
 }
 
 // renewSoon sends the changed list after renewalDelay.
@@ -66,18 +66,23 @@
 }
 
 func (machine *Machine) askAdoption(entry *target, item *job) {
-	member, ok := machine.view.Coordinator(item.task.Id().Key())
-	if !ok {
-		return
+	// A key stays with the member that started it for as long as that member is in the view.
+	coordinator := item.task.Coordinator()
+	if !machine.view.Contains(coordinator) {
+		member, ok := machine.view.Coordinator(item.task.ID().Key())
+		if !ok {
+			return
+		}
+		coordinator = member.ID()
 	}
-	machine.report(member.Id(), almondcross.NewAdoptTask(almondcross.AdoptTaskConfig{
+	machine.report(coordinator, almondcross.NewAdoptTask(almondcross.AdoptTaskConfig{
 		Task: item.task, Holder: machine.self, Target: entry.target.Name(), Term: entry.term,
 	}))
 }
 
 // adoptAnswered takes a coordinator's answer to an adoption notice of the current term.
 func (machine *Machine) adoptAnswered(message almondcross.AdoptAnswered) {
-	item, ok := machine.jobs[jobKey{message.Id(), message.Attempt()}]
+	item, ok := machine.jobs[jobKey{message.ID(), message.Attempt()}]
 	if !ok || !item.onTarget() || item.target.target.Name() != message.Target() || item.target.term != message.Term() {
 		return
 	}
--- a/command/placer/answer.go
+++ b/command/placer/answer.go
@@ -9,7 +9,7 @@
 // startAnswered takes a worker's answer to a start. CodeTargetLost means that the answer was
 // lost: the task keeps its room until its end, a newer inventory or LostAfter.
 func (machine *Machine) startAnswered(message almondcross.StartAnswered) {
-	item, ok := machine.jobs[jobKey{message.Id(), message.Attempt()}]
+	item, ok := machine.jobs[jobKey{message.ID(), message.Attempt()}]
 	if !ok || item.target == nil || item.target.target.Name() != message.Target() || item.term != message.Term() {
 		return
 	}
@@ -31,8 +31,9 @@
 	}
 	item.startedAt, item.namedAt = machine.now, machine.now
 	machine.watch(item)
+	machine.account(item.task, almondcross.AccountEventConfig{Code: almondcross.CodeTaskStarted, Count: 1})
 	machine.report(item.task.Coordinator(), almondcross.NewTaskStarted(almondcross.TaskStartedConfig{
-		Id: item.task.Id(), Attempt: item.task.Attempt(), Holder: machine.self, Target: entry.target.Name(), Term: item.term,
+		ID: item.task.ID(), Attempt: item.task.Attempt(), Holder: machine.self, Target: entry.target.Name(), Term: item.term,
 	}))
 	machine.pursueClosing(entry)
 }
@@ -67,7 +68,7 @@
 
 // startUnsent returns a task whose start never left this host to its queue.
 func (machine *Machine) startUnsent(entry *target, message almondcross.StartTask) {
-	item, ok := machine.jobs[jobKey{message.Task().Id(), message.Task().Attempt()}]
+	item, ok := machine.jobs[jobKey{message.Task().ID(), message.Task().Attempt()}]
 	if !ok || item.target != entry || item.state != jobStarting || item.term != message.Term() {
 		return
 	}
@@ -89,7 +90,7 @@
 func (machine *Machine) detach(item *job) {
 	entry := item.target
 	machine.uncharge(item)
-	delete(entry.jobs, item.task.Id())
+	delete(entry.jobs, item.task.ID())
 	item.target = nil
 	machine.setRoom(entry)
 	machine.renewSoon(entry)
@@ -99,7 +100,7 @@
 // taskFinished takes the end of a task as the worker reports it.
 func (machine *Machine) taskFinished(message almondcross.TaskFinished) {
 	result := message.Event().Result()
-	item, ok := machine.jobs[jobKey{result.Id(), result.Attempt()}]
+	item, ok := machine.jobs[jobKey{result.ID(), result.Attempt()}]
 	if !ok || item.state == jobQueued || item.target.target.Name() != message.Target() {
 		if !ok {
 			machine.endUnknown(message.Target(), message.Term(), result, almondcross.MemberID{})
@@ -118,6 +119,7 @@
 	if result.Code() == almondcross.CodeNone {
 		machine.Estimator.Observe(item.task.Entry(), result.Ran())
 		machine.noteSuccess(entry, item)
+		machine.account(item.task, almondcross.AccountEventConfig{Code: almondcross.CodeTaskFinished, Count: 1})
 	} else if item.haltCode == almondcross.CodeNone {
 		machine.noteFailure(entry, item)
 	}
@@ -138,7 +140,7 @@
 	machine.accountUse(item)
 	machine.forget(item)
 	machine.report(machine.reportTo(item.task), almondcross.NewTaskLost(almondcross.TaskLostConfig{
-		Id: item.task.Id(), Attempt: item.task.Attempt(), Holder: machine.self, Target: entry.target.Name(), Term: item.term,
+		ID: item.task.ID(), Attempt: item.task.Attempt(), Holder: machine.self, Target: entry.target.Name(), Term: item.term,
 	}))
 	machine.account(item.task, almondcross.AccountEventConfig{Code: almondcross.CodeTargetLost, Count: 1})
 	machine.story(item.task, "lost", almondcross.CodeTargetLost, entry.target.Name(), "")
@@ -159,10 +161,10 @@
 
 // endUnknown reports an end of a task that this host did not know, once.
 func (machine *Machine) endUnknown(target string, term almondcross.Term, result almondcross.TaskResult, coordinator almondcross.MemberID) {
-	if mark, ok := machine.ended[result.Id()]; ok && mark.attempt >= result.Attempt() {
+	if mark, ok := machine.ended[result.ID()]; ok && mark.attempt >= result.Attempt() {
 		return
 	}
-	task := almondcross.NewTask(almondcross.TaskConfig{Id: result.Id(), Attempt: result.Attempt(), Coordinator: coordinator})
+	task := almondcross.NewTask(almondcross.TaskConfig{ID: result.ID(), Attempt: result.Attempt(), Coordinator: coordinator})
 	machine.remember(task, ended{})
 	machine.report(machine.reportTo(task), almondcross.NewTaskEnded(almondcross.TaskEndedConfig{
 		Result: result, Holder: machine.self, Target: target, Term: term,
@@ -175,8 +177,8 @@
 	if machine.view.Contains(task.Coordinator()) {
 		return task.Coordinator()
 	}
-	if member, ok := machine.view.Coordinator(task.Id().Key()); ok {
-		return member.Id()
+	if member, ok := machine.view.Coordinator(task.ID().Key()); ok {
+		return member.ID()
 	}
 	return task.Coordinator()
 }
--- a/command/placer/bench_test.go
+++ b/command/placer/bench_test.go
@@ -64,7 +64,7 @@
 	for index := begun; index < begun+starts; index++ {
 		start := load.order[index]
 		load.note(load.machine.Apply(almondcross.NewStartAnswered(almondcross.StartAnsweredConfig{
-			Target: load.targets[start.Task().Id()], Term: start.Term(), Id: start.Task().Id(), Attempt: start.Task().Attempt(), Accepted: true,
+			Target: load.targets[start.Task().ID()], Term: start.Term(), ID: start.Task().ID(), Attempt: start.Task().Attempt(), Accepted: true,
 		}), load.now))
 	}
 	return starts
@@ -74,7 +74,7 @@
 	for _, effect := range effects {
 		if start, ok := effect.Dispatch.(almondcross.StartTask); ok {
 			load.order = append(load.order, start)
-			load.targets[start.Task().Id()] = effect.Name
+			load.targets[start.Task().ID()] = effect.Name
 		}
 	}
 }
@@ -90,12 +90,12 @@
 	oldest := load.order[0]
 	load.order = load.order[1:]
 	load.now = load.now.Add(50 * time.Microsecond)
-	name := load.targets[oldest.Task().Id()]
-	delete(load.targets, oldest.Task().Id())
+	name := load.targets[oldest.Task().ID()]
+	delete(load.targets, oldest.Task().ID())
 	starts := load.apply(almondcross.NewTaskFinished(almondcross.TaskFinishedConfig{
 		Target: name, Term: load.term[name],
 		Event: almondcross.NewWorkerEvent(almondcross.WorkerEventConfig{Result: almondcross.NewTaskResult(almondcross.TaskResultConfig{
-			Id: oldest.Task().Id(), Attempt: oldest.Task().Attempt(), Ran: time.Minute,
+			ID: oldest.Task().ID(), Attempt: oldest.Task().Attempt(), Ran: time.Minute,
 		})}),
 	}))
 	starts += load.arrive()
@@ -153,11 +153,11 @@
 	full := newSaturated(t, 1300, 170, true)
 	messages = messages[:0]
 	for _, start := range full.order[:runs+1] {
-		name := full.targets[start.Task().Id()]
+		name := full.targets[start.Task().ID()]
 		messages = append(messages, almondcross.NewTaskFinished(almondcross.TaskFinishedConfig{
 			Target: name, Term: full.term[name],
 			Event: almondcross.NewWorkerEvent(almondcross.WorkerEventConfig{Result: almondcross.NewTaskResult(almondcross.TaskResultConfig{
-				Id: start.Task().Id(), Attempt: 1, Ran: time.Minute,
+				ID: start.Task().ID(), Attempt: 1, Ran: time.Minute,
 			})}),
 		}))
 	}
--- a/command/placer/cell_test.go
+++ b/command/placer/cell_test.go
@@ -69,7 +69,7 @@
 		term:    map[string]almondcross.Term{}, live: map[almondcross.TaskID]running{},
 		named: map[string][]almondcross.TaskID{}, codes: map[almondcross.Code]int64{},
 		view: almondcross.ViewConfig{
-			Self:  almondcross.NewMember(almondcross.MemberConfig{Id: self, DataCentre: "d"}),
+			Self:  almondcross.NewMember(almondcross.MemberConfig{ID: self, DataCentre: "d"}),
 			Peers: map[string]almondcross.Peer{}, ValidUntil: time.Unix(2_000_000_000, 0),
 		},
 	}
@@ -93,7 +93,7 @@
 func (cell *cell) addPeer(name string, summary almondcross.Summary) {
 	peers := map[string]almondcross.Peer{name: almondcross.NewPeer(almondcross.PeerConfig{
 		Member: almondcross.NewMember(almondcross.MemberConfig{
-			Id: almondcross.NewMemberID(almondcross.MemberIDConfig{Name: name, Incarnation: 1}), DataCentre: "d",
+			ID: almondcross.NewMemberID(almondcross.MemberIDConfig{Name: name, Incarnation: 1}), DataCentre: "d",
 		}),
 		Summary: summary, LeaseUntil: cell.now.Add(time.Hour),
 	})}
@@ -107,10 +107,10 @@
 		name := fmt.Sprintf("p%d", index)
 		config := cell.view
 		config.Peers = map[string]almondcross.Peer{name: almondcross.NewPeer(almondcross.PeerConfig{
-			Member: almondcross.NewMember(almondcross.MemberConfig{Id: almondcross.NewMemberID(almondcross.MemberIDConfig{Name: name}), DataCentre: "d"}),
+			Member: almondcross.NewMember(almondcross.MemberConfig{ID: almondcross.NewMemberID(almondcross.MemberIDConfig{Name: name}), DataCentre: "d"}),
 		})}
 		holder, _ := almondcross.NewView(config).PreferredHolder(almondcross.NewTarget(almondcross.TargetConfig{Name: target, DataCentre: "d"}))
-		if holder.Id().Name() == name {
+		if holder.ID().Name() == name {
 			return name
 		}
 	}
@@ -120,7 +120,7 @@
 
 func (cell *cell) task(owner, entry string, index int) almondcross.Task {
 	return almondcross.NewTask(almondcross.TaskConfig{
-		Id: almondcross.NewTaskID(almondcross.TaskIDConfig{
+		ID: almondcross.NewTaskID(almondcross.TaskIDConfig{
 			Key: almondcross.NewKey(almondcross.KeyConfig{Caller: "c", Origin: "d", Name: fmt.Sprintf("%s/%s/%d", owner, entry, index)}),
 		}),
 		Entry: entry, Owner: owner, Class: almondcross.ClassBatch, Resources: slot, Repeatable: true, Size: 1, Attempt: 1,
@@ -145,7 +145,7 @@
 	cell.apply(almondcross.NewTaskFinished(almondcross.TaskFinishedConfig{
 		Target: item.target, Term: cell.term[item.target],
 		Event: almondcross.NewWorkerEvent(almondcross.WorkerEventConfig{
-			Result: almondcross.NewTaskResult(almondcross.TaskResultConfig{Id: id, Attempt: item.task.Attempt(), Ran: ran, Code: code}),
+			Result: almondcross.NewTaskResult(almondcross.TaskResultConfig{ID: id, Attempt: item.task.Attempt(), Ran: ran, Code: code}),
 		}),
 	}))
 }
@@ -158,7 +158,7 @@
 		}
 	}
 	for _, task := range inventory {
-		cell.live[task.Id()] = running{task: task, target: target, at: cell.now}
+		cell.live[task.ID()] = running{task: task, target: target, at: cell.now}
 	}
 	cell.apply(almondcross.NewTargetReleased(almondcross.TargetReleasedConfig{Target: target, Term: cell.term[target]}))
 }
@@ -230,18 +230,18 @@
 		cell.refuseLeases = true
 		cell.queue = append(cell.queue, almondcross.NewTargetReleased(almondcross.TargetReleasedConfig{Target: target, Term: cell.term[target]}))
 	case almondcross.RenewTasks:
-		cell.named[target] = message.Ids()
+		cell.named[target] = message.IDs()
 	case almondcross.HaltTask:
-		cell.halted = append(cell.halted, message.Id())
+		cell.halted = append(cell.halted, message.ID())
 		if cell.onHalt != nil {
-			cell.onHalt(message.Id())
+			cell.onHalt(message.ID())
 		}
 	case almondcross.StartTask:
 		item := running{task: message.Task(), target: target, at: cell.now}
-		if other, twice := cell.live[message.Task().Id()]; twice {
-			cell.t.Fatalf("%v runs on %s and %s", message.Task().Id(), other.target, target)
+		if other, twice := cell.live[message.Task().ID()]; twice {
+			cell.t.Fatalf("%v runs on %s and %s", message.Task().ID(), other.target, target)
 		}
-		cell.live[message.Task().Id()] = item
+		cell.live[message.Task().ID()] = item
 		if !cell.quiet {
 			cell.started = append(cell.started, item)
 		}
@@ -249,7 +249,7 @@
 			cell.onStart(item)
 		}
 		answer := almondcross.NewStartAnswered(almondcross.StartAnsweredConfig{
-			Target: target, Term: message.Term(), Id: message.Task().Id(), Attempt: message.Task().Attempt(), Accepted: true,
+			Target: target, Term: message.Term(), ID: message.Task().ID(), Attempt: message.Task().Attempt(), Accepted: true,
 		})
 		if cell.holdAnswers {
 			cell.held = append(cell.held, answer)
--- a/command/placer/effect.go
+++ b/command/placer/effect.go
@@ -57,7 +57,7 @@
 
 func (machine *Machine) story(task almondcross.Task, event string, code almondcross.Code, target, detail string) {
 	story := almondcross.NewStoryEvent(almondcross.StoryEventConfig{
-		At: machine.now, Key: task.Id().Key(), Entry: task.Entry(), Event: event, Code: code,
+		At: machine.now, Key: task.ID().Key(), Entry: task.Entry(), Event: event, Code: code,
 		Host: machine.self.Name(), Target: target, Detail: detail,
 	})
 	machine.emit(Effect{Kind: EffectStory, Story: &story})
--- a/command/placer/gang.go
+++ b/command/placer/gang.go
@@ -34,7 +34,7 @@
 
 // joinGang adds a task to its gang and tries to start the gang once it is complete.
 func (machine *Machine) joinGang(item *job) {
-	key := item.task.Id().Key()
+	key := item.task.ID().Key()
 	group, ok := machine.gangs[key]
 	if ok && group.jobs[0].task.Attempt() != item.task.Attempt() {
 		machine.refuseGang(group, almondcross.CodeWaitedGang)
@@ -60,7 +60,7 @@
 	}
 	group.complete = true
 	slices.SortFunc(group.jobs, func(first, second *job) int {
-		return cmp.Compare(first.task.Id().Index(), second.task.Id().Index())
+		return cmp.Compare(first.task.ID().Index(), second.task.ID().Index())
 	})
 	if machine.gangNeverFits(group) {
 		machine.refuseGang(group, almondcross.CodeNeverFits)
--- a/command/placer/gang_test.go
+++ b/command/placer/gang_test.go
@@ -14,7 +14,7 @@
 	var tasks []almondcross.Task
 	for index := range size {
 		task := cell.task("g", name, 0).WithClass(almondcross.ClassGang).WithSize(size)
-		task = task.WithId(task.Id().WithIndex(index))
+		task = task.WithID(task.ID().WithIndex(index))
 		tasks = append(tasks, task)
 		cell.place(task)
 	}
@@ -40,10 +40,10 @@
 	cell.placeGang("gang", 8)
 	require.Zero(t, cell.startedOf("gang"))
 	for index := range 3 {
-		cell.finish(cell.task("a", "batch", index).Id(), time.Second)
+		cell.finish(cell.task("a", "batch", index).ID(), time.Second)
 		require.Zero(t, cell.startedOf("gang"))
 	}
-	cell.finish(cell.task("a", "batch", 3).Id(), time.Second)
+	cell.finish(cell.task("a", "batch", 3).ID(), time.Second)
 	require.Equal(t, 8, cell.startedOf("gang"))
 }
 
@@ -60,13 +60,13 @@
 		cell.place(cell.task("b", "other", index))
 	}
 	for index := range 2 * slots {
-		cell.finish(cell.task("a", "batch", index).Id(), time.Second)
+		cell.finish(cell.task("a", "batch", index).ID(), time.Second)
 	}
 	require.Equal(t, 2*slots, cell.startedOf("one"))
 	require.Zero(t, cell.startedOf("other"))
 	require.Zero(t, cell.startedOf("two"))
 	for _, item := range cell.started {
-		cell.finish(item.task.Id(), time.Second)
+		cell.finish(item.task.ID(), time.Second)
 	}
 	require.Equal(t, 2*slots, cell.startedOf("two"))
 }
@@ -113,9 +113,9 @@
 		}
 		for _, item := range cell.started {
 			if broken[item.target] {
-				cell.end(item.task.Id(), time.Millisecond, almondcross.CodeTaskFailed)
+				cell.end(item.task.ID(), time.Millisecond, almondcross.CodeTaskFailed)
 			} else {
-				cell.finish(item.task.Id(), time.Second)
+				cell.finish(item.task.ID(), time.Second)
 			}
 		}
 	}
@@ -144,7 +144,7 @@
 		cell.place(cell.task("a", "bad", index))
 	}
 	for _, item := range cell.started {
-		cell.end(item.task.Id(), time.Millisecond, almondcross.CodeTaskFailed)
+		cell.end(item.task.ID(), time.Millisecond, almondcross.CodeTaskFailed)
 	}
 	require.Zero(t, cell.codes[almondcross.CodeTargetEjected])
 }
--- a/command/placer/job.go
+++ b/command/placer/job.go
@@ -51,7 +51,7 @@
 	accountedAt time.Time
 }
 
-func (item *job) key() jobKey { return jobKey{item.task.Id(), item.task.Attempt()} }
+func (item *job) key() jobKey { return jobKey{item.task.ID(), item.task.Attempt()} }
 
 // mayReserve reports whether the task may use the reserve.
 func (item *job) mayReserve() bool { return !item.long || item.task.Urgent() }
@@ -79,10 +79,10 @@
 
 func (machine *Machine) remember(task almondcross.Task, mark ended) {
 	mark.attempt, mark.at = task.Attempt(), machine.now
-	if _, ok := machine.ended[task.Id()]; !ok {
-		machine.endOrder = append(machine.endOrder, task.Id())
+	if _, ok := machine.ended[task.ID()]; !ok {
+		machine.endOrder = append(machine.endOrder, task.ID())
 	}
-	machine.ended[task.Id()] = mark
+	machine.ended[task.ID()] = mark
 	if len(machine.endOrder) > rememberLimit {
 		machine.forgetOldest()
 	}
@@ -118,10 +118,10 @@
 // place takes a task from its coordinator or from another holder.
 func (machine *Machine) place(message almondcross.PlaceTask) {
 	task := message.Task()
-	if _, ok := machine.jobs[jobKey{task.Id(), task.Attempt()}]; ok {
+	if _, ok := machine.jobs[jobKey{task.ID(), task.Attempt()}]; ok {
 		return
 	}
-	if mark, ok := machine.ended[task.Id()]; ok && mark.attempt >= task.Attempt() {
+	if mark, ok := machine.ended[task.ID()]; ok && mark.attempt >= task.Attempt() {
 		if mark.refused && mark.attempt == task.Attempt() {
 			machine.reportRefused(task, mark.code, 0)
 		}
@@ -156,7 +156,7 @@
 
 func (machine *Machine) reportRefused(task almondcross.Task, code almondcross.Code, retryAfter time.Duration) {
 	machine.report(task.Coordinator(), almondcross.NewTaskRefused(almondcross.TaskRefusedConfig{
-		Id: task.Id(), Attempt: task.Attempt(), Holder: machine.self, Code: code, RetryAfter: retryAfter.Milliseconds(),
+		ID: task.ID(), Attempt: task.Attempt(), Holder: machine.self, Code: code, RetryAfter: retryAfter.Milliseconds(),
 	}))
 }
 
@@ -207,7 +207,7 @@
 
 // stop takes a task out of its queue or stops it on its target.
 func (machine *Machine) stop(message almondcross.StopTask) {
-	item, ok := machine.jobs[jobKey{message.Id(), message.Attempt()}]
+	item, ok := machine.jobs[jobKey{message.ID(), message.Attempt()}]
 	if !ok {
 		machine.stopUnknown(message)
 		return
@@ -226,7 +226,7 @@
 // stopUnknown passes a stop on to the holder that the task was forwarded to. A stop that
 // overtakes its PlaceTask is remembered, so that the task does not start later.
 func (machine *Machine) stopUnknown(message almondcross.StopTask) {
-	mark, ok := machine.ended[message.Id()]
+	mark, ok := machine.ended[message.ID()]
 	if ok && mark.attempt == message.Attempt() && mark.forwarded.Name() != "" {
 		machine.emit(Effect{Kind: EffectForward, Member: mark.forwarded, Peer: message})
 		return
@@ -238,7 +238,7 @@
 	if code == almondcross.CodeNone {
 		code = almondcross.CodeCancelled
 	}
-	task := almondcross.NewTask(almondcross.TaskConfig{Id: message.Id(), Attempt: message.Attempt()})
+	task := almondcross.NewTask(almondcross.TaskConfig{ID: message.ID(), Attempt: message.Attempt()})
 	machine.remember(task, ended{code: code, refused: true})
 }
 
@@ -252,7 +252,7 @@
 		return
 	}
 	machine.send(item.target.target.Name(), almondcross.NewHaltTask(almondcross.HaltTaskConfig{
-		Term: item.target.term, Id: item.task.Id(), Code: code,
+		Term: item.target.term, ID: item.task.ID(), Code: code,
 	}))
 	machine.after(haltInterval, timer{kind: timerHalt, job: item})
 }
--- a/command/placer/load_test.go
+++ b/command/placer/load_test.go
@@ -69,11 +69,11 @@
 	load.quiet = true
 	load.begin = load.now
 	load.onStart = func(item running) {
-		known := load.results[item.task.Id()]
+		known := load.results[item.task.ID()]
 		known.started = true
 		known.wait = load.elapsed() + startLatency - known.at
 		known.end = load.elapsed() + startLatency + known.run
-		heap.Push(&load.ends, event{at: known.end + endLatency, id: item.task.Id()})
+		heap.Push(&load.ends, event{at: known.end + endLatency, id: item.task.ID()})
 	}
 	load.onHalt = func(id almondcross.TaskID) {
 		lag := 100 * time.Millisecond
@@ -92,7 +92,7 @@
 	list := make([]*result, 0, len(works))
 	for _, item := range works {
 		known := &result{work: item}
-		load.results[item.task.Id()] = known
+		load.results[item.task.ID()] = known
 		list = append(list, known)
 	}
 	for len(works) > 0 || len(load.ends) > 0 {
--- a/command/placer/machine.go
+++ b/command/placer/machine.go
@@ -157,7 +157,7 @@
 	machine.begin(now)
 	if effect.Kind == EffectForward {
 		if place, ok := effect.Peer.(almondcross.PlaceTask); ok {
-			machine.unremember(place.Task().Id())
+			machine.unremember(place.Task().ID())
 			machine.place(place.WithForwarded(true))
 		}
 		return machine.finish()
@@ -197,10 +197,10 @@
 
 func (machine *Machine) viewChanged(view almondcross.View) {
 	before := machine.view
-	machine.view, machine.self = view, view.Self().Id()
+	machine.view, machine.self = view, view.Self().ID()
 	machine.setPeers()
 	machine.forwardWaiting()
-	if before.Self().Id() != machine.self {
+	if before.Self().ID() != machine.self {
 		machine.unconfirmAll()
 	}
 	if sameMembers(before, view) {
@@ -215,7 +215,7 @@
 		machine.pursue(entry)
 		if entry.state == stateHeld && len(entry.jobs) > 0 {
 			machine.sendRenewal(entry)
-			machine.askAdoptions(entry, before.Self().Id() != machine.self)
+			machine.askAdoptions(entry, before.Self().ID() != machine.self)
 		}
 	}
 }
@@ -227,8 +227,8 @@
 		leased = append(leased, machine.self)
 	}
 	for _, peer := range machine.peers {
-		if machine.view.HasLease(peer.Member().Id(), machine.now) {
-			leased = append(leased, peer.Member().Id())
+		if machine.view.HasLease(peer.Member().ID(), machine.now) {
+			leased = append(leased, peer.Member().ID())
 		}
 	}
 	if slices.Equal(leased, machine.leased) {
@@ -250,7 +250,7 @@
 		machine.peers = append(machine.peers, peer)
 	}
 	slices.SortFunc(machine.peers, func(first, second almondcross.Peer) int {
-		return strings.Compare(first.Member().Id().Name(), second.Member().Id().Name())
+		return strings.Compare(first.Member().ID().Name(), second.Member().ID().Name())
 	})
 }
 
--- a/command/placer/machine_test.go
+++ b/command/placer/machine_test.go
@@ -18,7 +18,7 @@
 	cell.place(task)
 	cell.place(task)
 	require.Len(t, cell.started, 1)
-	cell.finish(task.Id(), time.Second)
+	cell.finish(task.ID(), time.Second)
 	cell.place(task)
 	require.Len(t, cell.started, 1)
 }
@@ -33,7 +33,7 @@
 	cell.apply(almondcross.NewTargetRenewed(almondcross.TargetRenewedConfig{Target: "t0000", Term: cell.term["t0000"]}))
 	cell.place(cell.task("a", "batch", slots))
 	require.Len(t, cell.started, slots)
-	cell.finish(cell.task("a", "batch", 0).Id(), time.Second)
+	cell.finish(cell.task("a", "batch", 0).ID(), time.Second)
 	require.Len(t, cell.started, slots+1)
 }
 
@@ -54,7 +54,7 @@
 	cell.place(task)
 	cell.advance(5 * time.Second)
 	cell.apply(almondcross.NewTargetRenewed(almondcross.TargetRenewedConfig{
-		Target: "t0000", Term: cell.term["t0000"], Named: []almondcross.TaskID{task.Id()},
+		Target: "t0000", Term: cell.term["t0000"], Named: []almondcross.TaskID{task.ID()},
 	}))
 	cell.refuseLeases = true
 	cell.release("t0000")
@@ -77,7 +77,7 @@
 	cell.release("t0000")
 	cell.advance(10 * time.Second)
 	cell.refuseLeases = false
-	cell.live[task.Id()] = running{task: task, target: "t0000"}
+	cell.live[task.ID()] = running{task: task, target: "t0000"}
 	cell.advance(time.Second)
 	cell.refuseLeases = true
 	cell.release("t0000")
@@ -96,14 +96,14 @@
 	cell.place(once)
 	cell.place(again)
 	for index, answer := range cell.held {
-		delete(cell.live, cell.started[index].task.Id())
+		delete(cell.live, cell.started[index].task.ID())
 		cell.apply(answer.(almondcross.StartAnswered).WithAccepted(false).WithCode(almondcross.CodeTaskFailed))
 	}
 	require.Len(t, cell.started, 3)
-	require.Equal(t, again.Id(), cell.started[2].task.Id())
+	require.Equal(t, again.ID(), cell.started[2].task.ID())
 	refused := reports[almondcross.TaskRefused](cell)
 	require.Len(t, refused, 1)
-	require.Equal(t, once.Id(), refused[0].Id())
+	require.Equal(t, once.ID(), refused[0].ID())
 }
 
 // TestStaleGrant guards against an old inventory that replaces a newer one.
@@ -131,7 +131,7 @@
 				cell.place(cell.task("a", "batch", rapid.IntRange(1, next+1).Draw(random, "index")).WithUrgent(true))
 			},
 			"finish": func(random *rapid.T) {
-				cell.finish(cell.task("a", "batch", rapid.IntRange(1, next+1).Draw(random, "index")).Id(), time.Second)
+				cell.finish(cell.task("a", "batch", rapid.IntRange(1, next+1).Draw(random, "index")).ID(), time.Second)
 			},
 			"fail to renew": func(random *rapid.T) {
 				target := cell.hosts[rapid.IntRange(0, 2).Draw(random, "target")].Name()
@@ -171,8 +171,8 @@
 	cell.release("t0000", kept)
 	lost := reports[almondcross.TaskLost](cell)
 	require.Len(t, lost, 1)
-	require.Equal(t, gone.Id(), lost[0].Id())
-	cell.finish(kept.Id(), time.Second)
+	require.Equal(t, gone.ID(), lost[0].ID())
+	cell.finish(kept.ID(), time.Second)
 	require.Len(t, reports[almondcross.TaskEnded](cell), 1)
 }
 
@@ -183,15 +183,15 @@
 	lost := almondcross.NewMemberID(almondcross.MemberIDConfig{Name: "h9", Incarnation: 1})
 	task := cell.task("a", "batch", 1).WithCoordinator(lost)
 	cell.release("t0000", task)
-	require.NotContains(t, cell.named["t0000"], task.Id())
+	require.NotContains(t, cell.named["t0000"], task.ID())
 	require.Len(t, reports[almondcross.AdoptTask](cell), 1)
 	cell.advance(time.Second)
 	require.Len(t, reports[almondcross.AdoptTask](cell), 2)
 	answer := almondcross.NewAdoptAnswered(almondcross.AdoptAnsweredConfig{
-		Id: task.Id(), Attempt: 1, Target: "t0000", Term: cell.term["t0000"], Accepted: true, Coordinator: self,
+		ID: task.ID(), Attempt: 1, Target: "t0000", Term: cell.term["t0000"], Accepted: true, Coordinator: self,
 	})
 	cell.apply(answer)
-	require.Contains(t, cell.named["t0000"], task.Id())
+	require.Contains(t, cell.named["t0000"], task.ID())
 	cell.advance(5 * time.Second)
 	require.Len(t, reports[almondcross.AdoptTask](cell), 2)
 }
@@ -202,10 +202,10 @@
 	task := cell.task("a", "batch", 1).WithCoordinator(self.WithIncarnation(9))
 	cell.release("t0000", task)
 	cell.apply(almondcross.NewAdoptAnswered(almondcross.AdoptAnsweredConfig{
-		Id: task.Id(), Attempt: 1, Target: "t0000", Term: cell.term["t0000"], Coordinator: self,
+		ID: task.ID(), Attempt: 1, Target: "t0000", Term: cell.term["t0000"], Coordinator: self,
 	}))
-	require.Contains(t, cell.halted, task.Id())
-	require.NotContains(t, cell.named["t0000"], task.Id())
+	require.Contains(t, cell.halted, task.ID())
+	require.NotContains(t, cell.named["t0000"], task.ID())
 }
 
 // TestLeavingTargetGetsNoWork guards against starting work on a target that is being replaced.
--- a/command/placer/measure_test.go
+++ b/command/placer/measure_test.go
@@ -225,7 +225,7 @@
 		for kind, size := range sizes {
 			entry := fmt.Sprintf("%s%d", name, kind)
 			lists = append(lists, load.stream(random, name, 1500, 40*time.Millisecond, func(item *work) {
-				item.task = item.task.WithEntry(entry).WithId(item.task.Id().WithIndex(kind)).WithResources(size)
+				item.task = item.task.WithEntry(entry).WithID(item.task.ID().WithIndex(kind)).WithResources(size)
 				item.run = 5*time.Second + time.Duration(random.Int64N(int64(20*time.Second)))
 			}))
 		}
--- a/command/placer/placer_test.go
+++ b/command/placer/placer_test.go
@@ -79,24 +79,24 @@
 		require.Len(t, duty.HeldTargets(), 1)
 
 		// The ring of the dispatcher still holds the RenewTasks of the grant and refuses the start.
-		mine, theirs := cell.task("a", "batch", 1), cell.task("a", "batch", 2).WithCoordinator(peer.Member().Id())
+		mine, theirs := cell.task("a", "batch", 1), cell.task("a", "batch", 2).WithCoordinator(peer.Member().ID())
 		put(almondcross.NewPlaceTask(almondcross.PlaceTaskConfig{Task: mine}))
 		<-outside.dispatch.Messages()
 		put(almondcross.NewPlaceTask(almondcross.PlaceTaskConfig{Task: theirs}))
 		outside.linkFull.Store(true)
 		answer := func(task almondcross.Task) almondcross.PlacerMessage {
-			return almondcross.NewStartAnswered(almondcross.StartAnsweredConfig{Target: "t0000", Term: term, Id: task.Id(), Attempt: 1, Accepted: true})
+			return almondcross.NewStartAnswered(almondcross.StartAnsweredConfig{Target: "t0000", Term: term, ID: task.ID(), Attempt: 1, Accepted: true})
 		}
 		started := map[almondcross.TaskID]bool{}
 		for len(started) < 2 {
 			message := <-outside.dispatch.Messages()
 			if start, ok := message.(almondcross.StartTask); ok {
-				started[start.Task().Id()] = true
+				started[start.Task().ID()] = true
 			}
 			synctest.Wait()
 		}
-		put(answer(mine), answer(theirs), almondcross.NewStopTask(almondcross.StopTaskConfig{Id: mine.Id(), Attempt: 1}))
-		finished := almondcross.NewTaskResult(almondcross.TaskResultConfig{Id: mine.Id(), Attempt: 1})
+		put(answer(mine), answer(theirs), almondcross.NewStopTask(almondcross.StopTaskConfig{ID: mine.ID(), Attempt: 1}))
+		finished := almondcross.NewTaskResult(almondcross.TaskResultConfig{ID: mine.ID(), Attempt: 1})
 		put(almondcross.NewTaskFinished(almondcross.TaskFinishedConfig{
 			Target: "t0000", Term: term, Event: almondcross.NewWorkerEvent(almondcross.WorkerEventConfig{Result: finished}),
 		}))
--- a/command/placer/queue.go
+++ b/command/placer/queue.go
@@ -289,7 +289,7 @@
 	seen := uint64(0)
 	for _, peer := range machine.peers {
 		member := peer.Member()
-		if member.Leaving() || member.DataCentre() != machine.dataCentre() || !machine.view.HasLease(member.Id(), machine.now) {
+		if member.Leaving() || member.DataCentre() != machine.dataCentre() || !machine.view.HasLease(member.ID(), machine.now) {
 			continue
 		}
 		if !item.task.Resources().Fits(peer.Summary().LargestFree()) || peer.Summary().Waiting() >= max(machine.waiting, 1) {
@@ -317,7 +317,7 @@
 
 // passOn sends a task to another holder and tells the coordinator.
 func (machine *Machine) passOn(item *job, peer almondcross.Peer) {
-	member := peer.Member().Id()
+	member := peer.Member().ID()
 	machine.remember(item.task, ended{forwarded: member})
 	machine.emit(Effect{
 		Kind: EffectForward, Member: member,
@@ -326,7 +326,7 @@
 		}),
 	})
 	machine.report(item.task.Coordinator(), almondcross.NewTaskForwarded(almondcross.TaskForwardedConfig{
-		Id: item.task.Id(), Attempt: item.task.Attempt(), Holder: member,
+		ID: item.task.ID(), Attempt: item.task.Attempt(), Holder: member,
 	}))
 	machine.story(item.task, "forwarded", item.waitCode, "", member.Name())
 }
--- a/command/placer/reclaim.go
+++ b/command/placer/reclaim.go
@@ -82,7 +82,7 @@
 		victim.victimOf = item.reclaim
 		machine.lentTaken[victim.task.Owner()] += victim.task.Resources().Dominant(machine.total)
 		machine.send(victim.target.target.Name(), almondcross.NewCheckpointTask(almondcross.CheckpointTaskConfig{
-			Term: victim.target.term, Id: victim.task.Id(),
+			Term: victim.target.term, ID: victim.task.ID(),
 		}))
 	}
 	machine.after(checkpointTime, timer{kind: timerReclaim, reclaim: item.reclaim})
@@ -101,7 +101,7 @@
 		for _, victim := range current.victims {
 			if victim.onTarget() {
 				machine.send(victim.target.target.Name(), almondcross.NewThrottleTask(almondcross.ThrottleTaskConfig{
-					Term: victim.target.term, Id: victim.task.Id(), Percent: throttlePercent,
+					Term: victim.target.term, ID: victim.task.ID(), Percent: throttlePercent,
 				}))
 			}
 		}
@@ -126,7 +126,7 @@
 	for _, victim := range current.victims {
 		if victim.onTarget() {
 			machine.account(victim.task, almondcross.AccountEventConfig{Code: current.code, Count: 1})
-			machine.story(victim.task, "stopped", current.code, victim.target.target.Name(), "for "+item.task.Id().String())
+			machine.story(victim.task, "stopped", current.code, victim.target.target.Name(), "for "+item.task.ID().String())
 			machine.halt(victim, current.code)
 		}
 	}
@@ -174,7 +174,7 @@
 		if victim.haltCode == almondcross.CodeNone && victim.onTarget() && victim.victimOf != nil {
 			if current.phase == phaseThrottle {
 				machine.send(victim.target.target.Name(), almondcross.NewThrottleTask(almondcross.ThrottleTaskConfig{
-					Term: victim.target.term, Id: victim.task.Id(), Percent: 100,
+					Term: victim.target.term, ID: victim.task.ID(), Percent: 100,
 				}))
 			}
 			machine.settleVictim(victim)
--- a/command/placer/schedule.go
+++ b/command/placer/schedule.go
@@ -26,7 +26,7 @@
 	item.sentAt, item.namedAt, item.accountedAt = machine.now, machine.now, machine.now
 	machine.sequence++
 	item.sequence = machine.sequence
-	entry.jobs[item.task.Id()] = item
+	entry.jobs[item.task.ID()] = item
 	entry.starting++
 	machine.charge(item)
 	entry.health.started()
--- a/command/placer/target.go
+++ b/command/placer/target.go
@@ -101,7 +101,7 @@
 
 func (machine *Machine) prefers(entry *target) bool {
 	holder, ok := machine.view.PreferredHolder(entry.target)
-	return ok && holder.Id() == machine.self
+	return ok && holder.ID() == machine.self
 }
 
 // pursue acquires, keeps or gives up the lease of a target.
@@ -255,7 +255,7 @@
 	held := make(map[almondcross.TaskID]bool, len(grant.Inventory()))
 	for _, item := range grant.Inventory() {
 		if machine.takeItem(entry, item) {
-			held[item.Task().Id()] = true
+			held[item.Task().ID()] = true
 		}
 	}
 	for id, item := range entry.jobs {
@@ -273,7 +273,7 @@
 // takeItem takes one inventory item and reports whether it takes room.
 func (machine *Machine) takeItem(entry *target, item almondcross.InventoryItem) bool {
 	task := item.Task()
-	known := entry.jobs[task.Id()]
+	known := entry.jobs[task.ID()]
 	if known != nil && known.task.Attempt() != task.Attempt() {
 		machine.lose(known)
 		known = nil
@@ -301,7 +301,7 @@
 
 // inherit adds a task that another holder started.
 func (machine *Machine) inherit(entry *target, task almondcross.Task) *job {
-	key := jobKey{task.Id(), task.Attempt()}
+	key := jobKey{task.ID(), task.Attempt()}
 	if waiting, ok := machine.jobs[key]; ok {
 		machine.discard(waiting)
 	}
@@ -310,7 +310,7 @@
 	item.sequence = machine.sequence
 	machine.setBand(item)
 	machine.jobs[key] = item
-	entry.jobs[task.Id()] = item
+	entry.jobs[task.ID()] = item
 	machine.watch(item)
 	return item
 }
--- a/command/receiver/decode.go
+++ b/command/receiver/decode.go
@@ -105,7 +105,7 @@
 		return almondcross.CatalogueChange{}, errors.Errorf("expected_version: found %d; allowed: 0 for a new entry, or its version", shape.ExpectedVersion)
 	}
 	config := almondcross.CatalogueChangeConfig{
-		Id: id, Name: shape.Name, Removed: shape.Removed, Expected: shape.ExpectedVersion, Operator: operator,
+		ID: id, Name: shape.Name, Removed: shape.Removed, Expected: shape.ExpectedVersion, Operator: operator,
 	}
 	if shape.Removed {
 		if len(shape.Entry) > 0 {
--- a/command/registrar/machine.go
+++ b/command/registrar/machine.go
@@ -64,7 +64,7 @@
 		readyAt:    config.Start.Add(almondcross.StartWait),
 		lastSeen:   config.Start,
 	}
-	machine.recordLoss(config.Self.Id().WithIncarnation(0), machine.readyAt)
+	machine.recordLoss(config.Self.ID().WithIncarnation(0), machine.readyAt)
 	for _, peer := range config.Peers {
 		machine.peers[peer.Name] = &peerState{config: peer, sentPings: map[uint64]time.Time{}}
 		machine.names = append(machine.names, peer.Name)
@@ -181,14 +181,14 @@
 }
 
 func (machine *Machine) receivePing(ping almondcross.PeerPing, now time.Time) ([]Send, bool) {
-	id := ping.Member().Id()
+	id := ping.Member().ID()
 	state, ok := machine.peers[id.Name()]
 	if !ok {
 		return nil, false
 	}
-	known := state.peer.Member().Id()
+	known := state.peer.Member().ID()
 	newest := max(known.Incarnation(), state.removed.Incarnation())
-	pong := almondcross.PeerPongConfig{Member: machine.self.Id(), Sequence: ping.Sequence(), Known: newest}
+	pong := almondcross.PeerPongConfig{Member: machine.self.ID(), Sequence: ping.Sequence(), Known: newest}
 	if id.Incarnation() < newest || id == state.removed {
 		pong.Rejoin = true
 		return []Send{{Member: id.Name(), Message: almondcross.NewPeerPong(pong)}}, false
@@ -204,7 +204,7 @@
 // admit adds a member, a new incarnation of it or its intention to leave to the view. Keys move in
 // each case, so the change counts as a join; a former incarnation in the view is lost.
 func (machine *Machine) admit(state *peerState, member almondcross.Member, now time.Time) {
-	if state.inView && state.peer.Member().Id() != member.Id() {
+	if state.inView && state.peer.Member().ID() != member.ID() {
 		machine.remove(state, now)
 	}
 	if !state.inView {
@@ -230,7 +230,7 @@
 		machine.rejoin(pong.Known(), now)
 		return true
 	}
-	if !state.inView || state.peer.Member().Id() != pong.Member() {
+	if !state.inView || state.peer.Member().ID() != pong.Member() {
 		return false
 	}
 	state.peer = state.peer.WithHeardAt(now)
@@ -250,10 +250,10 @@
 	machine.readyAt = now.Add(almondcross.StartWait)
 	// Until the end of the start wait a member that still has standing may start keys that it has
 	// taken from this host, so the hold-back counts from there.
-	machine.recordLoss(machine.self.Id(), machine.readyAt)
+	machine.recordLoss(machine.self.ID(), machine.readyAt)
 	machine.rejoins++
-	id := machine.self.Id()
-	machine.self = machine.self.WithId(id.WithIncarnation(max(id.Incarnation(), known) + 1))
+	id := machine.self.ID()
+	machine.self = machine.self.WithID(id.WithIncarnation(max(id.Incarnation(), known) + 1))
 	machine.joinedWall = now.Round(0)
 	for _, state := range machine.peers {
 		clear(state.sentPings)
@@ -264,11 +264,11 @@
 
 func (machine *Machine) receiveLeaving(leaving almondcross.PeerLeaving, now time.Time) ([]Send, bool) {
 	state, ok := machine.peers[leaving.Member().Name()]
-	if !ok || !state.inView || state.peer.Member().Id() != leaving.Member() {
+	if !ok || !state.inView || state.peer.Member().ID() != leaving.Member() {
 		return nil, false
 	}
 	machine.remove(state, now)
-	ack := almondcross.NewPeerLeavingAck(almondcross.PeerLeavingAckConfig{Member: machine.self.Id()})
+	ack := almondcross.NewPeerLeavingAck(almondcross.PeerLeavingAckConfig{Member: machine.self.ID()})
 	return []Send{{Member: leaving.Member().Name(), Message: ack}}, true
 }
 
@@ -277,11 +277,11 @@
 func (machine *Machine) remove(state *peerState, now time.Time) {
 	member := state.peer.Member()
 	state.inView = false
-	state.removed = member.Id()
+	state.removed = member.ID()
 	if member.DataCentre() != machine.self.DataCentre() {
 		return
 	}
-	machine.recordLoss(member.Id(), now)
+	machine.recordLoss(member.ID(), now)
 }
 
 func (machine *Machine) recordLoss(id almondcross.MemberID, at time.Time) {
@@ -300,7 +300,7 @@
 			continue
 		}
 		if final && !machine.finished {
-			message := almondcross.NewPeerLeaving(almondcross.PeerLeavingConfig{Member: machine.self.Id()})
+			message := almondcross.NewPeerLeaving(almondcross.PeerLeavingConfig{Member: machine.self.ID()})
 			effects = append(effects, Send{Member: name, Message: message})
 			continue
 		}
--- a/command/registrar/registrar.go
+++ b/command/registrar/registrar.go
@@ -100,14 +100,14 @@
 
 // report counts and logs members that came, went or were lost.
 func (registrar *Registrar) report(before, after almondcross.View) {
-	if before.Self().Id() != after.Self().Id() {
+	if before.Self().ID() != after.Self().ID() {
 		registrar.rejoins.Inc()
-		registrar.config.Logger.WithField("incarnation", after.Self().Id().Incarnation()).Warn("removed from a peer's view, rejoining")
+		registrar.config.Logger.WithField("incarnation", after.Self().ID().Incarnation()).Warn("removed from a peer's view, rejoining")
 	}
 	for name, peer := range after.Peers() {
 		if _, ok := before.Peers()[name]; !ok {
 			registrar.config.Logger.WithField("member", name).
-				WithField("incarnation", peer.Member().Id().Incarnation()).Info("member joined the view")
+				WithField("incarnation", peer.Member().ID().Incarnation()).Info("member joined the view")
 		}
 	}
 	for name := range before.Peers() {
--- a/encoder/codec_test.go
+++ b/encoder/codec_test.go
@@ -30,7 +30,7 @@
 		Key: key, Entry: "tally", Payload: []byte("in"), IssuedAt: at, Timeout: time.Second,
 	})
 	task := almondcross.NewTask(almondcross.TaskConfig{
-		Id: id, Entry: "tally", Owner: "sales", Class: almondcross.ClassGang, Resources: amount, Payload: []byte("in"),
+		ID: id, Entry: "tally", Owner: "sales", Class: almondcross.ClassGang, Resources: amount, Payload: []byte("in"),
 		Repeatable: true, Urgent: true, Size: 4, Attempt: 2, Coordinator: holder, MaxRun: 1, ExpectedRun: 2, Timeout: 3,
 	})
 	outcome := almondcross.NewOutcome(almondcross.OutcomeConfig{
@@ -42,12 +42,12 @@
 		MaxRunning: 3, MaxWaiting: 4, Timeout: 5, MaxRun: 6, ExpectedRun: 7, Share: 8, Repeatable: true, Urgent: true,
 		DataCentres: []string{"north"}, Version: 11,
 	})
-	member := almondcross.NewMember(almondcross.MemberConfig{Id: holder, DataCentre: "north", Address: "127.0.0.1:1", Leaving: true})
+	member := almondcross.NewMember(almondcross.MemberConfig{ID: holder, DataCentre: "north", Address: "127.0.0.1:1", Leaving: true})
 	summary := almondcross.NewSummary(almondcross.SummaryConfig{
 		CatalogueOffset: 1, Free: amount, LargestFree: amount, Waiting: 2, Oldest: 3, Held: 4,
 	})
 	result := almondcross.NewTaskResult(almondcross.TaskResultConfig{
-		Id: id, Attempt: 2, Code: almondcross.CodeMaxRun, Answer: []byte("out"), Checksum: 1 << 63, Ran: time.Second,
+		ID: id, Attempt: 2, Code: almondcross.CodeMaxRun, Answer: []byte("out"), Checksum: 1 << 63, Ran: time.Second,
 	})
 	return []almondcross.PeerMessage{
 		almondcross.NewHello(almondcross.HelloConfig{Name: "e1"}),
@@ -64,15 +64,15 @@
 			Catalogue: almondcross.NewCatalogueOf(12, []almondcross.Entry{entry}),
 		}),
 		almondcross.NewPlaceTask(almondcross.PlaceTaskConfig{Task: task, Forwarded: true}),
-		almondcross.NewStopTask(almondcross.StopTaskConfig{Id: id, Attempt: 2, Code: almondcross.CodeCancelled}),
-		almondcross.NewTaskRefused(almondcross.TaskRefusedConfig{Id: id, Attempt: 2, Holder: holder, Code: almondcross.CodeNotHere, RetryAfter: 5}),
-		almondcross.NewTaskForwarded(almondcross.TaskForwardedConfig{Id: id, Attempt: 2, Holder: holder}),
-		almondcross.NewTaskStarted(almondcross.TaskStartedConfig{Id: id, Attempt: 2, Holder: holder, Target: "w1", Term: term}),
-		almondcross.NewTaskLost(almondcross.TaskLostConfig{Id: id, Attempt: 2, Holder: holder, Target: "w1", Term: term}),
+		almondcross.NewStopTask(almondcross.StopTaskConfig{ID: id, Attempt: 2, Code: almondcross.CodeCancelled}),
+		almondcross.NewTaskRefused(almondcross.TaskRefusedConfig{ID: id, Attempt: 2, Holder: holder, Code: almondcross.CodeNotHere, RetryAfter: 5}),
+		almondcross.NewTaskForwarded(almondcross.TaskForwardedConfig{ID: id, Attempt: 2, Holder: holder}),
+		almondcross.NewTaskStarted(almondcross.TaskStartedConfig{ID: id, Attempt: 2, Holder: holder, Target: "w1", Term: term}),
+		almondcross.NewTaskLost(almondcross.TaskLostConfig{ID: id, Attempt: 2, Holder: holder, Target: "w1", Term: term}),
 		almondcross.NewTaskEnded(almondcross.TaskEndedConfig{Result: result, Holder: holder, Target: "w1", Term: term}),
 		almondcross.NewAdoptTask(almondcross.AdoptTaskConfig{Task: task, Holder: holder, Target: "w1", Term: term}),
 		almondcross.NewAdoptAnswered(almondcross.AdoptAnsweredConfig{
-			Id: id, Attempt: 2, Target: "w1", Term: term, Accepted: true, Coordinator: holder,
+			ID: id, Attempt: 2, Target: "w1", Term: term, Accepted: true, Coordinator: holder,
 		}),
 	}
 }
@@ -118,7 +118,7 @@
 				require.NoError(t, err)
 			}
 		}
-		record := almondcross.NewRecord(almondcross.RecordConfig{Id: "r", Offset: 1, Body: data})
+		record := almondcross.NewRecord(almondcross.RecordConfig{ID: "r", Offset: 1, Body: data})
 		_, _ = codec.DecodeChange(record)
 		_, _ = codec.DecodeCatalogueCheckpoint(record)
 		_, _, _, _ = codec.DecodeClaim(record)
--- a/encoder/peer.go
+++ b/encoder/peer.go
@@ -67,20 +67,20 @@
 	case almondcross.PlaceTask:
 		return codec.seal(peerPlace, wirePlace{toTask(message.Task()), message.Forwarded()})
 	case almondcross.StopTask:
-		return codec.seal(peerStop, wireStop{toTaskID(message.Id()), message.Attempt(), message.Code()})
+		return codec.seal(peerStop, wireStop{toTaskID(message.ID()), message.Attempt(), message.Code()})
 	case almondcross.TaskRefused:
 		return codec.seal(peerPlaceRefused, toTaskRefused(message))
 	case almondcross.TaskForwarded:
 		return codec.seal(peerTaskForwarded, wireTaskForwarded{
-			toTaskID(message.Id()), message.Attempt(), toMemberID(message.Holder()),
+			toTaskID(message.ID()), message.Attempt(), toMemberID(message.Holder()),
 		})
 	case almondcross.TaskStarted:
 		return codec.seal(peerTaskStarted, wireTaskAt{
-			toTaskID(message.Id()), message.Attempt(), toMemberID(message.Holder()), message.Target(), toTerm(message.Term()),
+			toTaskID(message.ID()), message.Attempt(), toMemberID(message.Holder()), message.Target(), toTerm(message.Term()),
 		})
 	case almondcross.TaskLost:
 		return codec.seal(peerTaskLost, wireTaskAt{
-			toTaskID(message.Id()), message.Attempt(), toMemberID(message.Holder()), message.Target(), toTerm(message.Term()),
+			toTaskID(message.ID()), message.Attempt(), toMemberID(message.Holder()), message.Target(), toTerm(message.Term()),
 		})
 	case almondcross.TaskEnded:
 		return codec.seal(peerTaskEnded, wireTaskEnded{
@@ -189,7 +189,7 @@
 func toTask(task almondcross.Task) wireTask {
 	config := task.Config()
 	return wireTask{
-		ID: toTaskID(config.Id), Entry: config.Entry, Owner: config.Owner, Class: config.Class,
+		ID: toTaskID(config.ID), Entry: config.Entry, Owner: config.Owner, Class: config.Class,
 		Resources: toResources(config.Resources), Payload: config.Payload, Repeatable: config.Repeatable,
 		Urgent: config.Urgent, Size: config.Size, Attempt: config.Attempt, Coordinator: toMemberID(config.Coordinator),
 		MaxRun: config.MaxRun, ExpectedRun: config.ExpectedRun, Timeout: config.Timeout,
@@ -198,7 +198,7 @@
 
 func (wire wireTask) value() almondcross.Task {
 	return almondcross.NewTask(almondcross.TaskConfig{
-		Id: wire.ID.value(), Entry: wire.Entry, Owner: wire.Owner, Class: wire.Class,
+		ID: wire.ID.value(), Entry: wire.Entry, Owner: wire.Owner, Class: wire.Class,
 		Resources: wire.Resources.value(), Payload: wire.Payload, Repeatable: wire.Repeatable,
 		Urgent: wire.Urgent, Size: wire.Size, Attempt: wire.Attempt, Coordinator: wire.Coordinator.value(),
 		MaxRun: wire.MaxRun, ExpectedRun: wire.ExpectedRun, Timeout: wire.Timeout,
@@ -216,14 +216,14 @@
 
 func toResult(result almondcross.TaskResult) wireResult {
 	return wireResult{
-		ID: toTaskID(result.Id()), Attempt: result.Attempt(), Code: result.Code(), Answer: result.Answer(),
+		ID: toTaskID(result.ID()), Attempt: result.Attempt(), Code: result.Code(), Answer: result.Answer(),
 		Checksum: result.Checksum(), Ran: result.Ran(),
 	}
 }
 
 func (wire wireResult) value() almondcross.TaskResult {
 	return almondcross.NewTaskResult(almondcross.TaskResultConfig{
-		Id: wire.ID.value(), Attempt: wire.Attempt, Code: wire.Code, Answer: wire.Answer,
+		ID: wire.ID.value(), Attempt: wire.Attempt, Code: wire.Code, Answer: wire.Answer,
 		Checksum: wire.Checksum, Ran: wire.Ran,
 	})
 }
--- a/encoder/peerwire.go
+++ b/encoder/peerwire.go
@@ -40,7 +40,7 @@
 	member, summary := ping.Member(), ping.Summary()
 	return wirePing{
 		Member: wireMember{
-			ID: toMemberID(member.Id()), DataCentre: member.DataCentre(),
+			ID: toMemberID(member.ID()), DataCentre: member.DataCentre(),
 			Address: member.Address(), Leaving: member.Leaving(),
 		},
 		Sequence: ping.Sequence(),
@@ -55,7 +55,7 @@
 func (wire wirePing) message() almondcross.PeerMessage {
 	return almondcross.NewPeerPing(almondcross.PeerPingConfig{
 		Member: almondcross.NewMember(almondcross.MemberConfig{
-			Id: wire.Member.ID.value(), DataCentre: wire.Member.DataCentre,
+			ID: wire.Member.ID.value(), DataCentre: wire.Member.DataCentre,
 			Address: wire.Member.Address, Leaving: wire.Member.Leaving,
 		}),
 		Sequence: wire.Sequence,
@@ -178,7 +178,7 @@
 }
 
 func (wire wireStop) message() almondcross.PeerMessage {
-	return almondcross.NewStopTask(almondcross.StopTaskConfig{Id: wire.ID.value(), Attempt: wire.Attempt, Code: wire.Code})
+	return almondcross.NewStopTask(almondcross.StopTaskConfig{ID: wire.ID.value(), Attempt: wire.Attempt, Code: wire.Code})
 }
 
 type wireTaskRefused struct {
@@ -191,14 +191,14 @@
 
 func toTaskRefused(refused almondcross.TaskRefused) wireTaskRefused {
 	return wireTaskRefused{
-		ID: toTaskID(refused.Id()), Attempt: refused.Attempt(), Holder: toMemberID(refused.Holder()),
+		ID: toTaskID(refused.ID()), Attempt: refused.Attempt(), Holder: toMemberID(refused.Holder()),
 		Code: refused.Code(), RetryAfter: refused.RetryAfter(),
 	}
 }
 
 func (wire wireTaskRefused) message() almondcross.PeerMessage {
 	return almondcross.NewTaskRefused(almondcross.TaskRefusedConfig{
-		Id: wire.ID.value(), Attempt: wire.Attempt, Holder: wire.Holder.value(),
+		ID: wire.ID.value(), Attempt: wire.Attempt, Holder: wire.Holder.value(),
 		Code: wire.Code, RetryAfter: wire.RetryAfter,
 	})
 }
@@ -211,7 +211,7 @@
 
 func (wire wireTaskForwarded) message() almondcross.PeerMessage {
 	return almondcross.NewTaskForwarded(almondcross.TaskForwardedConfig{
-		Id: wire.ID.value(), Attempt: wire.Attempt, Holder: wire.Holder.value(),
+		ID: wire.ID.value(), Attempt: wire.Attempt, Holder: wire.Holder.value(),
 	})
 }
 
@@ -227,7 +227,7 @@
 
 func (wire wireTaskStarted) message() almondcross.PeerMessage {
 	return almondcross.NewTaskStarted(almondcross.TaskStartedConfig{
-		Id: wire.ID.value(), Attempt: wire.Attempt, Holder: wire.Holder.value(),
+		ID: wire.ID.value(), Attempt: wire.Attempt, Holder: wire.Holder.value(),
 		Target: wire.Target, Term: wire.Term.value(),
 	})
 }
@@ -236,7 +236,7 @@
 
 func (wire wireTaskLost) message() almondcross.PeerMessage {
 	return almondcross.NewTaskLost(almondcross.TaskLostConfig{
-		Id: wire.ID.value(), Attempt: wire.Attempt, Holder: wire.Holder.value(),
+		ID: wire.ID.value(), Attempt: wire.Attempt, Holder: wire.Holder.value(),
 		Target: wire.Target, Term: wire.Term.value(),
 	})
 }
@@ -278,14 +278,14 @@
 
 func toAdoptAck(answer almondcross.AdoptAnswered) wireAdoptAck {
 	return wireAdoptAck{
-		ID: toTaskID(answer.Id()), Attempt: answer.Attempt(), Target: answer.Target(), Term: toTerm(answer.Term()),
+		ID: toTaskID(answer.ID()), Attempt: answer.Attempt(), Target: answer.Target(), Term: toTerm(answer.Term()),
 		Accepted: answer.Accepted(), Coordinator: toMemberID(answer.Coordinator()),
 	}
 }
 
 func (wire wireAdoptAck) message() almondcross.PeerMessage {
 	return almondcross.NewAdoptAnswered(almondcross.AdoptAnsweredConfig{
-		Id: wire.ID.value(), Attempt: wire.Attempt, Target: wire.Target, Term: wire.Term.value(),
+		ID: wire.ID.value(), Attempt: wire.Attempt, Target: wire.Target, Term: wire.Term.value(),
 		Accepted: wire.Accepted, Coordinator: wire.Coordinator.value(),
 	})
 }
--- a/encoder/platform.go
+++ b/encoder/platform.go
@@ -121,7 +121,7 @@
 func PlatformRecordsOf(records []almondcross.Record) []PlatformRecord {
 	shapes := make([]PlatformRecord, 0, len(records))
 	for _, record := range records {
-		shapes = append(shapes, PlatformRecord{ID: record.Id(), Body: record.Body()})
+		shapes = append(shapes, PlatformRecord{ID: record.ID(), Body: record.Body()})
 	}
 	return shapes
 }
@@ -131,7 +131,7 @@
 	records := make([]almondcross.Record, 0, len(shape.Records))
 	for _, record := range shape.Records {
 		records = append(records, almondcross.NewRecord(almondcross.RecordConfig{
-			Id: record.ID, Offset: almondcross.Offset(record.Offset),
+			ID: record.ID, Offset: almondcross.Offset(record.Offset),
 			Appended: time.UnixMicro(record.AppendedUs), Body: record.Body,
 		}))
 	}
--- a/encoder/record.go
+++ b/encoder/record.go
@@ -136,7 +136,7 @@
 		return none, err
 	}
 	change := almondcross.CatalogueChangeConfig{
-		Id: record.Id(), Name: wire.Name, Removed: kind == recordRemove, Expected: wire.Expected,
+		ID: record.ID(), Name: wire.Name, Removed: kind == recordRemove, Expected: wire.Expected,
 		Operator: wire.Operator, Offset: record.Offset(), Appended: record.Appended(),
 	}
 	if kind == recordPut {
@@ -167,7 +167,7 @@
 
 // EncodeCatalogueCheckpoint returns the body of a record of the checkpoint stream.
 func (codec Codec) EncodeCatalogueCheckpoint(checkpoint almondcross.CatalogueCheckpoint) ([]byte, error) {
-	wire := wireCatalogueCheckpoint{Catalogue: toCatalogue(checkpoint.Catalogue()), IDs: checkpoint.Ids()}
+	wire := wireCatalogueCheckpoint{Catalogue: toCatalogue(checkpoint.Catalogue()), IDs: checkpoint.IDs()}
 	for _, line := range checkpoint.Audit() {
 		wire.Audit = append(wire.Audit, wireAuditLine(line.Config()))
 	}
@@ -185,14 +185,14 @@
 		audit = append(audit, almondcross.NewAuditLine(almondcross.AuditLineConfig(line)))
 	}
 	return almondcross.NewCatalogueCheckpoint(almondcross.CatalogueCheckpointConfig{
-		Catalogue: wire.Catalogue.value(), Ids: wire.IDs, Audit: audit,
+		Catalogue: wire.Catalogue.value(), IDs: wire.IDs, Audit: audit,
 	}), nil
 }
 
 func toClaim(claim almondcross.ClaimRecord) wireClaim {
 	config := claim.Config()
 	return wireClaim{
-		ID: config.Id, Kind: config.Kind, Key: toKey(config.Key), Entry: config.Entry,
+		ID: config.ID, Kind: config.Kind, Key: toKey(config.Key), Entry: config.Entry,
 		Claimant: toMemberID(config.Claimant), DataCentre: config.DataCentre, Status: config.Status, Code: config.Code,
 		AnswerOffset: config.AnswerOffset, IssuedAt: config.IssuedAt, Offset: config.Offset,
 	}
@@ -200,7 +200,7 @@
 
 func (wire wireClaim) value() almondcross.ClaimRecord {
 	return almondcross.NewClaimRecord(almondcross.ClaimRecordConfig{
-		Id: wire.ID, Kind: wire.Kind, Key: wire.Key.value(), Entry: wire.Entry,
+		ID: wire.ID, Kind: wire.Kind, Key: wire.Key.value(), Entry: wire.Entry,
 		Claimant: wire.Claimant.value(), DataCentre: wire.DataCentre, Status: wire.Status, Code: wire.Code,
 		AnswerOffset: wire.AnswerOffset, IssuedAt: wire.IssuedAt, Offset: wire.Offset,
 	})
@@ -216,7 +216,7 @@
 // EncodeClaimCheckpoint returns the body of one part of a checkpoint of the claims stream.
 func (codec Codec) EncodeClaimCheckpoint(checkpoint almondcross.ClaimCheckpoint) ([]byte, error) {
 	wire := wireClaimCheckpoint{
-		ID: checkpoint.Id(), Part: checkpoint.Part(), Parts: checkpoint.Parts(), Covered: checkpoint.Covered(),
+		ID: checkpoint.ID(), Part: checkpoint.Part(), Parts: checkpoint.Parts(), Covered: checkpoint.Covered(),
 		Claims: make([]wireClaim, 0, len(checkpoint.Claims())),
 	}
 	for _, claim := range checkpoint.Claims() {
@@ -244,7 +244,7 @@
 		if err := codec.body(sealed, &wire); err != nil {
 			return claim, checkpoint, false, err
 		}
-		wire.ID, wire.Kind, wire.Offset = record.Id(), kind, record.Offset()
+		wire.ID, wire.Kind, wire.Offset = record.ID(), kind, record.Offset()
 		return wire.value(), checkpoint, false, nil
 	case recordClaimCheckpoint:
 		var wire wireClaimCheckpoint
@@ -256,7 +256,7 @@
 			claims = append(claims, claim.value())
 		}
 		checkpoint = almondcross.NewClaimCheckpoint(almondcross.ClaimCheckpointConfig{
-			Id: wire.ID, Part: wire.Part, Parts: wire.Parts, Covered: wire.Covered,
+			ID: wire.ID, Part: wire.Part, Parts: wire.Parts, Covered: wire.Covered,
 			Claims: claims, Offset: record.Offset(),
 		})
 		return claim, checkpoint, true, nil
--- a/encoder/status.go
+++ b/encoder/status.go
@@ -87,7 +87,7 @@
 func NewStatusShape(status almondcross.HostStatus, dataCentres []string) StatusShape {
 	view := status.View()
 	shape := StatusShape{
-		Host: view.Self().Id().Name(), Standing: status.Standing(), Ready: status.Ready(),
+		Host: view.Self().ID().Name(), Standing: status.Standing(), Ready: status.Ready(),
 		CatalogueOffset: status.CatalogueOffset(), LogEnd: status.LogEnd(), LogDown: status.LogDown(),
 		Members: memberShapes(status), Lost: []LostShape{}, Targets: []TargetShape{}, Rings: []RingShape{},
 	}
@@ -140,7 +140,7 @@
 
 func newMemberShape(member almondcross.Member) MemberShape {
 	return MemberShape{
-		Name: member.Id().Name(), Incarnation: member.Id().Incarnation(), DataCentre: member.DataCentre(),
+		Name: member.ID().Name(), Incarnation: member.ID().Incarnation(), DataCentre: member.DataCentre(),
 		Address: member.Address(), Leaving: member.Leaving(),
 	}
 }
--- a/encoder/worker.go
+++ b/encoder/worker.go
@@ -262,7 +262,7 @@
 // WorkerTaskOf returns the wire shape of a task.
 func WorkerTaskOf(task almondcross.Task) WorkerTask {
 	return WorkerTask{
-		ID: WorkerTaskIDOf(task.Id()), Entry: task.Entry(), Owner: task.Owner(), Class: string(task.Class()),
+		ID: WorkerTaskIDOf(task.ID()), Entry: task.Entry(), Owner: task.Owner(), Class: string(task.Class()),
 		Resources: WorkerResourcesOf(task.Resources()), Payload: task.Payload(), Repeatable: task.Repeatable(),
 		Urgent: task.Urgent(), Size: task.Size(), Attempt: task.Attempt(), Coordinator: WorkerMemberOf(task.Coordinator()),
 		MaxRunUs: task.MaxRun().Microseconds(), ExpectedRunUs: task.ExpectedRun().Microseconds(),
@@ -273,7 +273,7 @@
 // Value returns the value of the wire shape.
 func (shape WorkerTask) Value() almondcross.Task {
 	return almondcross.NewTask(almondcross.TaskConfig{
-		Id: shape.ID.Value(), Entry: shape.Entry, Owner: shape.Owner, Class: almondcross.Class(shape.Class),
+		ID: shape.ID.Value(), Entry: shape.Entry, Owner: shape.Owner, Class: almondcross.Class(shape.Class),
 		Resources: shape.Resources.Value(), Payload: shape.Payload, Repeatable: shape.Repeatable,
 		Urgent: shape.Urgent, Size: shape.Size, Attempt: shape.Attempt, Coordinator: shape.Coordinator.Value(),
 		MaxRun: microseconds(shape.MaxRunUs), ExpectedRun: microseconds(shape.ExpectedRunUs),
@@ -293,7 +293,7 @@
 // result with the code truncated and no answer.
 func (shape WorkerResult) Value() almondcross.TaskResult {
 	config := almondcross.TaskResultConfig{
-		Id: shape.ID.Value(), Attempt: shape.Attempt, Code: almondcross.Code(shape.Code),
+		ID: shape.ID.Value(), Attempt: shape.Attempt, Code: almondcross.Code(shape.Code),
 		Ran: microseconds(shape.RanUs),
 	}
 	if !shape.Whole() {
--- a/integration/cell/cell_test.go
+++ b/integration/cell/cell_test.go
@@ -201,7 +201,7 @@
 		world.hosts[name].tell(almondcross.NewLookupRequest(almondcross.LookupRequestConfig{
 			Key: key, Forwarded: true, Replier: replier(func(outcome almondcross.Outcome) {
 				world.note("%s knows %s as %s %s on %s, coordinated by %s", name, key, outcome.Status(), outcome.Code(),
-					outcome.Target(), coordinator.Id().Name())
+					outcome.Target(), coordinator.ID().Name())
 			}),
 		}))
 	}
--- a/integration/cell/checks_test.go
+++ b/integration/cell/checks_test.go
@@ -27,7 +27,7 @@
 }
 
 func (checks *checks) started(world *world, worker *worker, task almondcross.Task) {
-	id, key := task.Id(), task.Id().Key()
+	id, key := task.ID(), task.ID().Key()
 	if checks.running[id] == nil {
 		checks.running[id] = map[string]bool{}
 	}
--- a/integration/cell/host_test.go
+++ b/integration/cell/host_test.go
@@ -49,7 +49,7 @@
 		life = old.life + 1
 	}
 	self := almondcross.NewMember(almondcross.MemberConfig{
-		Id:         almondcross.NewMemberID(almondcross.MemberIDConfig{Name: name, Incarnation: uint64(life) * 1000}),
+		ID:         almondcross.NewMemberID(almondcross.MemberIDConfig{Name: name, Incarnation: uint64(life) * 1000}),
 		DataCentre: dataCentre,
 	})
 	var peers []registrar.PeerConfig
--- a/integration/cell/lease_test.go
+++ b/integration/cell/lease_test.go
@@ -56,7 +56,7 @@
 		host.release(name, link)
 	case almondcross.RenewTasks:
 		if message.Term() == link.term {
-			link.named = message.Ids()
+			link.named = message.IDs()
 		}
 	case almondcross.StartTask:
 		host.startTask(name, link, message)
@@ -64,9 +64,9 @@
 		if link.holding && message.Term() == link.term {
 			host.call(name, func(worker *worker) func() {
 				if worker.inForce(message.Term()) {
-					running, ok := worker.tasks[message.Id()]
+					running, ok := worker.tasks[message.ID()]
 					if ok {
-						worker.finish(message.Id(), running.task.Attempt(), message.Code())
+						worker.finish(message.ID(), running.task.Attempt(), message.Code())
 					}
 				}
 				return func() {}
@@ -81,7 +81,7 @@
 	}
 	link.acquiring = true
 	sent := host.world.now
-	holder := host.self().Id()
+	holder := host.self().ID()
 	again := func() {
 		link.acquiring, link.wanted = false, false
 		host.place(almondcross.NewTargetReleased(almondcross.TargetReleasedConfig{Target: name, Code: almondcross.CodeTargetLost}))
@@ -157,7 +157,7 @@
 		}
 		return func() {
 			host.place(almondcross.NewStartAnswered(almondcross.StartAnsweredConfig{
-				Target: name, Term: term, Id: task.Id(), Attempt: task.Attempt(), Accepted: accepted, Code: code,
+				Target: name, Term: term, ID: task.ID(), Attempt: task.Attempt(), Accepted: accepted, Code: code,
 			}))
 		}
 	}, func() { host.loseLease(name, link, term) })
--- a/integration/cell/worker_test.go
+++ b/integration/cell/worker_test.go
@@ -91,7 +91,7 @@
 	if !worker.inForce(term) {
 		return false, true
 	}
-	if running, ok := worker.tasks[task.Id()]; ok {
+	if running, ok := worker.tasks[task.ID()]; ok {
 		return running.task.Attempt() == task.Attempt(), false
 	}
 	if worker.knowsEnded(task) {
@@ -102,20 +102,20 @@
 		used = used.Add(running.task.Resources())
 	}
 	if !used.Fits(worker.capacity()) {
-		worker.world.checks.fail("P1: %s was sent %s beyond its capacity", worker.name, task.Id())
+		worker.world.checks.fail("P1: %s was sent %s beyond its capacity", worker.name, task.ID())
 		return false, false
 	}
 	if worker.leaving {
 		return false, false
 	}
 	running := &runningTask{task: task, leaseUntil: worker.world.now.Add(almondcross.TaskLease)}
-	worker.tasks[task.Id()] = running
-	worker.world.note("%s starts %s attempt %d for %s/%d", worker.name, task.Id(), task.Attempt(),
+	worker.tasks[task.ID()] = running
+	worker.world.note("%s starts %s attempt %d for %s/%d", worker.name, task.ID(), task.Attempt(),
 		task.Coordinator().Name(), task.Coordinator().Incarnation())
 	worker.world.checks.started(worker.world, worker, task)
-	worker.watch(task.Id(), running)
+	worker.watch(task.ID(), running)
 	if task.Class() != almondcross.ClassService {
-		worker.world.after(worker.runTime(), func() { worker.finish(task.Id(), task.Attempt(), worker.code()) })
+		worker.world.after(worker.runTime(), func() { worker.finish(task.ID(), task.Attempt(), worker.code()) })
 	}
 	return true, false
 }
@@ -137,7 +137,7 @@
 
 func (worker *worker) knowsEnded(task almondcross.Task) bool {
 	for _, ended := range worker.ended {
-		if ended.task.Id() == task.Id() && ended.task.Attempt() == task.Attempt() {
+		if ended.task.ID() == task.ID() && ended.task.Attempt() == task.Attempt() {
 			return true
 		}
 	}
@@ -162,7 +162,7 @@
 	delete(worker.tasks, id)
 	worker.world.checks.stopped(worker, id)
 	worker.world.note("%s ends %s attempt %d %s", worker.name, id, attempt, code)
-	result := almondcross.TaskResultConfig{Id: id, Attempt: attempt, Code: code}
+	result := almondcross.TaskResultConfig{ID: id, Attempt: attempt, Code: code}
 	if code == almondcross.CodeNone {
 		result.Answer = answerOf(id.Key())
 	}
--- a/integration/cell/world_test.go
+++ b/integration/cell/world_test.go
@@ -156,7 +156,7 @@
 
 // claim appends a claim and tells the host how the log decided.
 func (log *claimLog) claim(host *host, key almondcross.Key) {
-	if decisive, ok := log.first[key]; log.down && ok && decisive.Claimant() == host.self().Id() {
+	if decisive, ok := log.first[key]; log.down && ok && decisive.Claimant() == host.self().ID() {
 		// A host knows its own claims.
 		host.tell(almondcross.NewClaimDecided(almondcross.ClaimDecidedConfig{
 			Key: key, Code: almondcross.CodeClaimedElsewhere, Decisive: decisive,
@@ -171,20 +171,20 @@
 	if log.lossy {
 		wait = time.Duration(log.world.random.Int64N(int64(5 * time.Second)))
 	}
-	claimant := host.self().Id()
+	claimant := host.self().ID()
 	log.next++
 	id := fmt.Sprint(log.next)
 	log.world.after(wait/2, func() {
 		if _, ok := log.first[key]; !ok {
 			log.first[key] = almondcross.NewClaimRecord(almondcross.ClaimRecordConfig{
-				Id: id, Kind: almondcross.ClaimTaken, Key: key, Claimant: claimant, DataCentre: dataCentre,
+				ID: id, Kind: almondcross.ClaimTaken, Key: key, Claimant: claimant, DataCentre: dataCentre,
 			})
 		}
 	})
 	log.world.after(wait, func() {
 		decisive := log.first[key]
 		host.tell(almondcross.NewClaimDecided(almondcross.ClaimDecidedConfig{
-			Key: key, Granted: decisive.Id() == id && decisive.Kind() == almondcross.ClaimTaken,
+			Key: key, Granted: decisive.ID() == id && decisive.Kind() == almondcross.ClaimTaken,
 			Code: almondcross.CodeClaimedElsewhere, Decisive: decisive,
 		}))
 	})
--- a/integration/logside/account_test.go
+++ b/integration/logside/account_test.go
@@ -39,7 +39,7 @@
 	batches := appender.New(appender.Config{Stream: account, Log: log, Reader: log, Clock: clock{}, Member: name})
 	messages := ring.New[almondcross.AccountantMessage](ring.Config{Name: "accountant", Capacity: 64})
 	duty := accountant.New(accountant.Config{
-		Ring: messages, Member: members{name}.View().Self().Id(), DataCentre: "north", Codec: codec, Log: batches,
+		Ring: messages, Member: members{name}.View().Self().ID(), DataCentre: "north", Codec: codec, Log: batches,
 		Members: members{name}, Holdings: holdings{}, Clock: clock{},
 		Machine: accountant.MachineConfig{MaxPending: maxPending, MaxStories: 3},
 	})
--- a/integration/logside/cataloguer_test.go
+++ b/integration/logside/cataloguer_test.go
@@ -26,7 +26,7 @@
 func (members members) View() almondcross.View {
 	id := almondcross.NewMemberID(almondcross.MemberIDConfig{Name: members.name, Incarnation: 1})
 	return almondcross.NewView(almondcross.ViewConfig{
-		Self: almondcross.NewMember(almondcross.MemberConfig{Id: id, DataCentre: "north"}),
+		Self: almondcross.NewMember(almondcross.MemberConfig{ID: id, DataCentre: "north"}),
 	})
 }
 
@@ -55,7 +55,7 @@
 	})
 	messages := ring.New[almondcross.CataloguerMessage](ring.Config{Name: "cataloguer", Capacity: 64})
 	duty := cataloguer.New(cataloguer.Config{
-		Ring: messages, Member: members{name}.View().Self().Id(), Codec: codec, Changes: changes,
+		Ring: messages, Member: members{name}.View().Self().ID(), Codec: codec, Changes: changes,
 		Checkpoints: checkpoints, Members: members{name}, Peers: noPeers{}, Clock: clock{},
 		Machine: cataloguer.MachineConfig{CheckpointRecords: 3},
 	})
--- a/integration/logside/claimer_test.go
+++ b/integration/logside/claimer_test.go
@@ -34,7 +34,7 @@
 	messages := ring.New[almondcross.ClaimerMessage](ring.Config{Name: "claimer", Capacity: 64})
 	coordinator := ring.New[almondcross.CoordinatorMessage](ring.Config{Name: "coordinator", Capacity: 64})
 	duty := claimer.New(claimer.Config{
-		Ring: messages, Member: members{name}.View().Self().Id(), DataCentre: "north", Codec: codec, Claims: claims,
+		Ring: messages, Member: members{name}.View().Self().ID(), DataCentre: "north", Codec: codec, Claims: claims,
 		Answers: answers, Members: members{name}, Clock: clock{}, Coordinator: coordinator,
 	})
 	tail := claimer.NewTail(claimer.TailConfig{Reader: log, Codec: codec, Sink: messages})
--- a/placing_generated.go
+++ b/placing_generated.go
@@ -7,14 +7,14 @@
 // CheckpointTaskConfig holds the fields of a new CheckpointTask.
 type CheckpointTaskConfig struct {
 	Term Term
-	Id   TaskID
+	ID   TaskID
 }
 
 // NewCheckpointTask returns a CheckpointTask with the given fields.
 func NewCheckpointTask(config CheckpointTaskConfig) CheckpointTask {
 	return CheckpointTask{
 		term: config.Term,
-		id:   config.Id,
+		id:   config.ID,
 	}
 }
 
@@ -22,7 +22,7 @@
 func (checkpointtask CheckpointTask) Config() CheckpointTaskConfig {
 	return CheckpointTaskConfig{
 		Term: checkpointtask.term,
-		Id:   checkpointtask.id,
+		ID:   checkpointtask.id,
 	}
 }
 
@@ -35,11 +35,11 @@
 	return checkpointtask
 }
 
-// Id returns the identity of the task.
-func (checkpointtask CheckpointTask) Id() TaskID { return checkpointtask.id }
+// ID returns the identity of the task.
+func (checkpointtask CheckpointTask) ID() TaskID { return checkpointtask.id }
 
-// WithId returns a copy with the given id.
-func (checkpointtask CheckpointTask) WithId(id TaskID) CheckpointTask {
+// WithID returns a copy with the given id.
+func (checkpointtask CheckpointTask) WithID(id TaskID) CheckpointTask {
 	checkpointtask.id = id
 	return checkpointtask
 }
@@ -47,7 +47,7 @@
 // ThrottleTaskConfig holds the fields of a new ThrottleTask.
 type ThrottleTaskConfig struct {
 	Term    Term
-	Id      TaskID
+	ID      TaskID
 	Percent int
 }
 
@@ -55,7 +55,7 @@
 func NewThrottleTask(config ThrottleTaskConfig) ThrottleTask {
 	return ThrottleTask{
 		term:    config.Term,
-		id:      config.Id,
+		id:      config.ID,
 		percent: config.Percent,
 	}
 }
@@ -64,7 +64,7 @@
 func (throttletask ThrottleTask) Config() ThrottleTaskConfig {
 	return ThrottleTaskConfig{
 		Term:    throttletask.term,
-		Id:      throttletask.id,
+		ID:      throttletask.id,
 		Percent: throttletask.percent,
 	}
 }
@@ -78,11 +78,11 @@
 	return throttletask
 }
 
-// Id returns the identity of the task.
-func (throttletask ThrottleTask) Id() TaskID { return throttletask.id }
+// ID returns the identity of the task.
+func (throttletask ThrottleTask) ID() TaskID { return throttletask.id }
 
-// WithId returns a copy with the given id.
-func (throttletask ThrottleTask) WithId(id TaskID) ThrottleTask {
+// WithID returns a copy with the given id.
+func (throttletask ThrottleTask) WithID(id TaskID) ThrottleTask {
 	throttletask.id = id
 	return throttletask
 }
--- a/query/tailer/tailer_test.go
+++ b/query/tailer/tailer_test.go
@@ -47,7 +47,7 @@
 	appendIDs := func(ids ...string) {
 		for _, id := range ids {
 			_, err := appender.Append(t.Context(), stream, []almondcross.Record{
-				almondcross.NewRecord(almondcross.RecordConfig{Id: id}),
+				almondcross.NewRecord(almondcross.RecordConfig{ID: id}),
 			})
 			require.NoError(t, err)
 		}
@@ -78,7 +78,7 @@
 		select {
 		case records := <-messages.Messages():
 			for _, record := range records {
-				read = append(read, record.Id())
+				read = append(read, record.ID())
 			}
 		case <-time.After(5 * time.Second):
 			require.FailNow(t, "no record within 5 s", "read %v, expected %v", read, ids)
--- a/query/viewer/state.go
+++ b/query/viewer/state.go
@@ -89,5 +89,5 @@
 func (viewer *Viewer) healthShape() encoder.HealthShape {
 	status := viewer.config.Status.Status()
 	self := status.View().Self()
-	return encoder.HealthShape{Host: self.Id().Name(), DataCentre: self.DataCentre(), Ready: status.Ready()}
+	return encoder.HealthShape{Host: self.ID().Name(), DataCentre: self.DataCentre(), Ready: status.Ready()}
 }
--- a/records_generated.go
+++ b/records_generated.go
@@ -9,7 +9,7 @@
 // CatalogueCheckpointConfig holds the fields of a new CatalogueCheckpoint.
 type CatalogueCheckpointConfig struct {
 	Catalogue Catalogue
-	Ids       []string
+	IDs       []string
 	Audit     []AuditLine
 }
 
@@ -17,7 +17,7 @@
 func NewCatalogueCheckpoint(config CatalogueCheckpointConfig) CatalogueCheckpoint {
 	return CatalogueCheckpoint{
 		catalogue: config.Catalogue,
-		ids:       config.Ids,
+		ids:       config.IDs,
 		audit:     config.Audit,
 	}
 }
@@ -26,7 +26,7 @@
 func (cataloguecheckpoint CatalogueCheckpoint) Config() CatalogueCheckpointConfig {
 	return CatalogueCheckpointConfig{
 		Catalogue: cataloguecheckpoint.catalogue,
-		Ids:       cataloguecheckpoint.ids,
+		IDs:       cataloguecheckpoint.ids,
 		Audit:     cataloguecheckpoint.audit,
 	}
 }
@@ -42,11 +42,11 @@
 	return cataloguecheckpoint
 }
 
-// Ids returns the ids of the last records read, by which a repeated record is recognised.
-func (cataloguecheckpoint CatalogueCheckpoint) Ids() []string { return cataloguecheckpoint.ids }
+// IDs returns the ids of the last records read, by which a repeated record is recognised.
+func (cataloguecheckpoint CatalogueCheckpoint) IDs() []string { return cataloguecheckpoint.ids }
 
-// WithIds returns a copy with the given ids.
-func (cataloguecheckpoint CatalogueCheckpoint) WithIds(ids []string) CatalogueCheckpoint {
+// WithIDs returns a copy with the given ids.
+func (cataloguecheckpoint CatalogueCheckpoint) WithIDs(ids []string) CatalogueCheckpoint {
 	cataloguecheckpoint.ids = ids
 	return cataloguecheckpoint
 }
@@ -62,7 +62,7 @@
 
 // ClaimCheckpointConfig holds the fields of a new ClaimCheckpoint.
 type ClaimCheckpointConfig struct {
-	Id      string
+	ID      string
 	Part    int
 	Parts   int
 	Covered Offset
@@ -73,7 +73,7 @@
 // NewClaimCheckpoint returns a ClaimCheckpoint with the given fields.
 func NewClaimCheckpoint(config ClaimCheckpointConfig) ClaimCheckpoint {
 	return ClaimCheckpoint{
-		id:      config.Id,
+		id:      config.ID,
 		part:    config.Part,
 		parts:   config.Parts,
 		covered: config.Covered,
@@ -85,7 +85,7 @@
 // Config returns the fields of the value for encoding or for a changed copy.
 func (claimcheckpoint ClaimCheckpoint) Config() ClaimCheckpointConfig {
 	return ClaimCheckpointConfig{
-		Id:      claimcheckpoint.id,
+		ID:      claimcheckpoint.id,
 		Part:    claimcheckpoint.part,
 		Parts:   claimcheckpoint.parts,
 		Covered: claimcheckpoint.covered,
@@ -94,11 +94,11 @@
 	}
 }
 
-// Id returns the id of the checkpoint, the same for all its parts.
-func (claimcheckpoint ClaimCheckpoint) Id() string { return claimcheckpoint.id }
+// ID returns the id of the checkpoint, the same for all its parts.
+func (claimcheckpoint ClaimCheckpoint) ID() string { return claimcheckpoint.id }
 
-// WithId returns a copy with the given id.
-func (claimcheckpoint ClaimCheckpoint) WithId(id string) ClaimCheckpoint {
+// WithID returns a copy with the given id.
+func (claimcheckpoint ClaimCheckpoint) WithID(id string) ClaimCheckpoint {
 	claimcheckpoint.id = id
 	return claimcheckpoint
 }
--- a/standin/provider/provider_test.go
+++ b/standin/provider/provider_test.go
@@ -51,7 +51,7 @@
 func records(ids ...string) []almondcross.Record {
 	result := make([]almondcross.Record, 0, len(ids))
 	for _, id := range ids {
-		result = append(result, almondcross.NewRecord(almondcross.RecordConfig{Id: id, Body: []byte("body of " + id)}))
+		result = append(result, almondcross.NewRecord(almondcross.RecordConfig{ID: id, Body: []byte("body of " + id)}))
 	}
 	return result
 }
@@ -70,7 +70,7 @@
 	batch, err := reader.New(reader.Config{Address: platform.Address()}).Read(t.Context(), stream, 0, 10, 0)
 	require.NoError(t, err)
 	require.Len(t, batch.Records(), 2, "the transport must not have sent the append again")
-	require.Equal(t, "second", batch.Records()[1].Id())
+	require.Equal(t, "second", batch.Records()[1].ID())
 	require.Equal(t, almondcross.Offset(3), batch.Next())
 }
 
--- a/standin/worker/lease.go
+++ b/standin/worker/lease.go
@@ -70,7 +70,7 @@
 func (state *state) resultOf(result almondcross.TaskResult) encoder.WorkerResult {
 	answer := result.Answer()
 	shape := encoder.WorkerResult{
-		ID: encoder.WorkerTaskIDOf(result.Id()), Attempt: result.Attempt(), Code: string(result.Code()),
+		ID: encoder.WorkerTaskIDOf(result.ID()), Attempt: result.Attempt(), Code: string(result.Code()),
 		Answer: answer, AnswerBytes: len(answer), Checksum: encoder.WorkerChecksum(answer),
 		RanUs: result.Ran().Microseconds(),
 	}
--- a/standin/worker/payload.go
+++ b/standin/worker/payload.go
@@ -48,7 +48,7 @@
 	case shape.Echo != nil:
 		result.answer = []byte(*shape.Echo)
 	case shape.AnswerBytes > 0:
-		result.answer = fill(task.Id().String(), min(shape.AnswerBytes, maxAnswerBytes))
+		result.answer = fill(task.ID().String(), min(shape.AnswerBytes, maxAnswerBytes))
 	case shape.RunMs == nil && !shape.Fail:
 		result.answer = task.Payload()
 	}
--- a/standin/worker/state.go
+++ b/standin/worker/state.go
@@ -186,7 +186,7 @@
 	state.ended = append(state.ended, endedTask{
 		index: state.events, task: running.task, bytes: running.bytes,
 		result: almondcross.NewTaskResult(almondcross.TaskResultConfig{
-			Id: id, Attempt: running.task.Attempt(), Code: code, Answer: answer, Ran: now.Sub(running.startedAt),
+			ID: id, Attempt: running.task.Attempt(), Code: code, Answer: answer, Ran: now.Sub(running.startedAt),
 		}),
 	})
 	entry := entryOf(encoder.WorkerEnded, running.task)
@@ -243,7 +243,7 @@
 }
 
 func entryOf(kind encoder.WorkerHistoryKind, task almondcross.Task) encoder.WorkerHistoryEntry {
-	id := encoder.WorkerTaskIDOf(task.Id())
+	id := encoder.WorkerTaskIDOf(task.ID())
 	return encoder.WorkerHistoryEntry{
 		Kind: kind, Task: &id, Attempt: task.Attempt(), Needed: encoder.WorkerResourcesOf(task.Resources()),
 	}
--- a/standin/worker/tasks.go
+++ b/standin/worker/tasks.go
@@ -52,8 +52,8 @@
 	if behaviour.run >= 0 {
 		running.endsAt = now.Add(behaviour.run * time.Duration(max(state.switches.RunFactor, 1)))
 	}
-	state.running[task.Id()] = running
-	state.remember(attemptID{id: task.Id(), attempt: task.Attempt()})
+	state.running[task.ID()] = running
+	state.remember(attemptID{id: task.ID(), attempt: task.Attempt()})
 	state.allocate(state.allocated.Add(task.Resources()), now)
 	state.counters.started.Inc()
 	state.record(now, entryOf(encoder.WorkerStarted, task))
@@ -62,14 +62,14 @@
 
 // knows reports whether this attempt was started in this term or is still held from an earlier one.
 func (state *state) knows(task almondcross.Task) bool {
-	if _, ok := state.started[attemptID{id: task.Id(), attempt: task.Attempt()}]; ok {
+	if _, ok := state.started[attemptID{id: task.ID(), attempt: task.Attempt()}]; ok {
 		return true
 	}
-	if running, ok := state.running[task.Id()]; ok && running.task.Attempt() == task.Attempt() {
+	if running, ok := state.running[task.ID()]; ok && running.task.Attempt() == task.Attempt() {
 		return true
 	}
 	for _, ended := range state.ended {
-		if ended.task.Id() == task.Id() && ended.task.Attempt() == task.Attempt() {
+		if ended.task.ID() == task.ID() && ended.task.Attempt() == task.Attempt() {
 			return true
 		}
 	}
@@ -78,7 +78,7 @@
 
 // refusal returns the code with which a start is refused, or none.
 func (state *state) refusal(term encoder.WorkerTerm, task almondcross.Task, bytes int) encoder.PlatformCode {
-	_, running := state.running[task.Id()]
+	_, running := state.running[task.ID()]
 	switch {
 	case !state.inForce(term):
 		return encoder.PlatformTermStale
@@ -108,7 +108,7 @@
 
 // heldBytes bounds the encoded size of a task with its answer.
 func heldBytes(task almondcross.Task, behaviour behaviour) int {
-	key := task.Id().Key()
+	key := task.ID().Key()
 	names := len(key.Caller()) + len(key.Origin()) + len(key.Name())
 	// The identity appears in the task and in the result, and a character takes up to 6 bytes escaped.
 	names = 6 * (2*names + len(task.Entry()) + len(task.Owner()) + len(task.Coordinator().Name()))
@@ -146,7 +146,7 @@
 		entry := entryOf(encoder.WorkerStopOrdered, running.task)
 		entry.Code = string(code)
 		state.record(now, entry)
-		state.end(running.task.Id(), code, nil, now)
+		state.end(running.task.ID(), code, nil, now)
 	case orderCheckpoint:
 		state.record(now, entryOf(encoder.WorkerCheckpointed, running.task))
 	case orderThrottle:
--- a/standin/worker/worker_test.go
+++ b/standin/worker/worker_test.go
@@ -52,7 +52,7 @@
 
 func task(name, payload string) almondcross.Task {
 	return almondcross.NewTask(almondcross.TaskConfig{
-		Id: almondcross.NewTaskID(almondcross.TaskIDConfig{
+		ID: almondcross.NewTaskID(almondcross.TaskIDConfig{
 			Key: almondcross.NewKey(almondcross.KeyConfig{Caller: "caller", Origin: "dc1", Name: name}),
 		}),
 		Entry: "entry", Attempt: 1, Payload: []byte(payload), Coordinator: holder,
@@ -142,11 +142,11 @@
 	require.Greater(t, after.Term().Boot(), before.Term().Boot())
 	require.Len(t, after.Inventory(), 2)
 	for _, item := range after.Inventory() {
-		require.Equal(t, item.Task().Id().Key().Name() == "short", item.Finished())
+		require.Equal(t, item.Task().ID().Key().Name() == "short", item.Finished())
 		require.Equal(t, holder, item.Task().Coordinator())
 	}
 	require.NoError(t, fixture.driver.Stop(
-		t.Context(), fixture.target, after.Term(), task("long", "").Id(), almondcross.CodeCancelled))
+		t.Context(), fixture.target, after.Term(), task("long", "").ID(), almondcross.CodeCancelled))
 	events, err = fixture.events(after.Term(), after.Events())
 	require.NoError(t, err)
 	require.Len(t, events, 1, "the read acknowledges the events of the inventory")
--- a/tools/valuer/main.go
+++ b/tools/valuer/main.go
@@ -168,6 +168,12 @@
 
 // exported returns the exported form of a field name, with initialisms in capitals.
 func exported(name string) string {
+	switch name {
+	case "id":
+		return "ID"
+	case "ids":
+		return "IDs"
+	}
 	upper := []rune(name)
 	upper[0] = unicode.ToUpper(upper[0])
 	return string(upper)
--- a/values_generated.go
+++ b/values_generated.go
@@ -560,7 +560,7 @@
 
 // TaskConfig holds the fields of a new Task.
 type TaskConfig struct {
-	Id          TaskID
+	ID          TaskID
 	Entry       string
 	Owner       string
 	Class       Class
@@ -579,7 +579,7 @@
 // NewTask returns a Task with the given fields.
 func NewTask(config TaskConfig) Task {
 	return Task{
-		id:          config.Id,
+		id:          config.ID,
 		entry:       config.Entry,
 		owner:       config.Owner,
 		class:       config.Class,
@@ -599,7 +599,7 @@
 // Config returns the fields of the value for encoding or for a changed copy.
 func (task Task) Config() TaskConfig {
 	return TaskConfig{
-		Id:          task.id,
+		ID:          task.id,
 		Entry:       task.entry,
 		Owner:       task.owner,
 		Class:       task.class,
@@ -616,11 +616,11 @@
 	}
 }
 
-// Id returns the identity of the task.
-func (task Task) Id() TaskID { return task.id }
+// ID returns the identity of the task.
+func (task Task) ID() TaskID { return task.id }
 
-// WithId returns a copy with the given id.
-func (task Task) WithId(id TaskID) Task {
+// WithID returns a copy with the given id.
+func (task Task) WithID(id TaskID) Task {
 	task.id = id
 	return task
 }
@@ -744,7 +744,7 @@
 
 // TaskResultConfig holds the fields of a new TaskResult.
 type TaskResultConfig struct {
-	Id       TaskID
+	ID       TaskID
 	Attempt  int
 	Code     Code
 	Answer   []byte
@@ -755,7 +755,7 @@
 // NewTaskResult returns a TaskResult with the given fields.
 func NewTaskResult(config TaskResultConfig) TaskResult {
 	return TaskResult{
-		id:       config.Id,
+		id:       config.ID,
 		attempt:  config.Attempt,
 		code:     config.Code,
 		answer:   config.Answer,
@@ -767,7 +767,7 @@
 // Config returns the fields of the value for encoding or for a changed copy.
 func (taskresult TaskResult) Config() TaskResultConfig {
 	return TaskResultConfig{
-		Id:       taskresult.id,
+		ID:       taskresult.id,
 		Attempt:  taskresult.attempt,
 		Code:     taskresult.code,
 		Answer:   taskresult.answer,
@@ -776,11 +776,11 @@
 	}
 }
 
-// Id returns the identity of the task.
-func (taskresult TaskResult) Id() TaskID { return taskresult.id }
+// ID returns the identity of the task.
+func (taskresult TaskResult) ID() TaskID { return taskresult.id }
 
-// WithId returns a copy with the given id.
-func (taskresult TaskResult) WithId(id TaskID) TaskResult {
+// WithID returns a copy with the given id.
+func (taskresult TaskResult) WithID(id TaskID) TaskResult {
 	taskresult.id = id
 	return taskresult
 }
@@ -1248,7 +1248,7 @@
 
 // MemberConfig holds the fields of a new Member.
 type MemberConfig struct {
-	Id         MemberID
+	ID         MemberID
 	DataCentre string
 	Address    string
 	Leaving    bool
@@ -1257,7 +1257,7 @@
 // NewMember returns a Member with the given fields.
 func NewMember(config MemberConfig) Member {
 	return Member{
-		id:         config.Id,
+		id:         config.ID,
 		dataCentre: config.DataCentre,
 		address:    config.Address,
 		leaving:    config.Leaving,
@@ -1267,18 +1267,18 @@
 // Config returns the fields of the value for encoding or for a changed copy.
 func (member Member) Config() MemberConfig {
 	return MemberConfig{
-		Id:         member.id,
+		ID:         member.id,
 		DataCentre: member.dataCentre,
 		Address:    member.address,
 		Leaving:    member.leaving,
 	}
 }
 
-// Id returns the name and incarnation.
-func (member Member) Id() MemberID { return member.id }
+// ID returns the name and incarnation.
+func (member Member) ID() MemberID { return member.id }
 
-// WithId returns a copy with the given id.
-func (member Member) WithId(id MemberID) Member {
+// WithID returns a copy with the given id.
+func (member Member) WithID(id MemberID) Member {
 	member.id = id
 	return member
 }
@@ -1616,7 +1616,7 @@
 
 // RecordConfig holds the fields of a new Record.
 type RecordConfig struct {
-	Id       string
+	ID       string
 	Offset   Offset
 	Appended time.Time
 	Body     []byte
@@ -1625,7 +1625,7 @@
 // NewRecord returns a Record with the given fields.
 func NewRecord(config RecordConfig) Record {
 	return Record{
-		id:       config.Id,
+		id:       config.ID,
 		offset:   config.Offset,
 		appended: config.Appended,
 		body:     config.Body,
@@ -1635,18 +1635,18 @@
 // Config returns the fields of the value for encoding or for a changed copy.
 func (record Record) Config() RecordConfig {
 	return RecordConfig{
-		Id:       record.id,
+		ID:       record.id,
 		Offset:   record.offset,
 		Appended: record.appended,
 		Body:     record.body,
 	}
 }
 
-// Id returns the unique id that the writer chose, by which a repeated append is recognised.
-func (record Record) Id() string { return record.id }
+// ID returns the unique id that the writer chose, by which a repeated append is recognised.
+func (record Record) ID() string { return record.id }
 
-// WithId returns a copy with the given id.
-func (record Record) WithId(id string) Record {
+// WithID returns a copy with the given id.
+func (record Record) WithID(id string) Record {
 	record.id = id
 	return record
 }
@@ -1732,7 +1732,7 @@
 
 // CatalogueChangeConfig holds the fields of a new CatalogueChange.
 type CatalogueChangeConfig struct {
-	Id       string
+	ID       string
 	Name     string
 	Entry    Entry
 	Removed  bool
@@ -1745,7 +1745,7 @@
 // NewCatalogueChange returns a CatalogueChange with the given fields.
 func NewCatalogueChange(config CatalogueChangeConfig) CatalogueChange {
 	return CatalogueChange{
-		id:       config.Id,
+		id:       config.ID,
 		name:     config.Name,
 		entry:    config.Entry,
 		removed:  config.Removed,
@@ -1759,7 +1759,7 @@
 // Config returns the fields of the value for encoding or for a changed copy.
 func (cataloguechange CatalogueChange) Config() CatalogueChangeConfig {
 	return CatalogueChangeConfig{
-		Id:       cataloguechange.id,
+		ID:       cataloguechange.id,
 		Name:     cataloguechange.name,
 		Entry:    cataloguechange.entry,
 		Removed:  cataloguechange.removed,
@@ -1770,11 +1770,11 @@
 	}
 }
 
-// Id returns the id of the record.
-func (cataloguechange CatalogueChange) Id() string { return cataloguechange.id }
+// ID returns the id of the record.
+func (cataloguechange CatalogueChange) ID() string { return cataloguechange.id }
 
-// WithId returns a copy with the given id.
-func (cataloguechange CatalogueChange) WithId(id string) CatalogueChange {
+// WithID returns a copy with the given id.
+func (cataloguechange CatalogueChange) WithID(id string) CatalogueChange {
 	cataloguechange.id = id
 	return cataloguechange
 }
@@ -1844,7 +1844,7 @@
 
 // ClaimRecordConfig holds the fields of a new ClaimRecord.
 type ClaimRecordConfig struct {
-	Id           string
+	ID           string
 	Kind         ClaimKind
 	Key          Key
 	Entry        string
@@ -1860,7 +1860,7 @@
 // NewClaimRecord returns a ClaimRecord with the given fields.
 func NewClaimRecord(config ClaimRecordConfig) ClaimRecord {
 	return ClaimRecord{
-		id:           config.Id,
+		id:           config.ID,
 		kind:         config.Kind,
 		key:          config.Key,
 		entry:        config.Entry,
@@ -1877,7 +1877,7 @@
 // Config returns the fields of the value for encoding or for a changed copy.
 func (claimrecord ClaimRecord) Config() ClaimRecordConfig {
 	return ClaimRecordConfig{
-		Id:           claimrecord.id,
+		ID:           claimrecord.id,
 		Kind:         claimrecord.kind,
 		Key:          claimrecord.key,
 		Entry:        claimrecord.entry,
@@ -1891,11 +1891,11 @@
 	}
 }
 
-// Id returns the id of the record.
-func (claimrecord ClaimRecord) Id() string { return claimrecord.id }
+// ID returns the id of the record.
+func (claimrecord ClaimRecord) ID() string { return claimrecord.id }
 
-// WithId returns a copy with the given id.
-func (claimrecord ClaimRecord) WithId(id string) ClaimRecord {
+// WithID returns a copy with the given id.
+func (claimrecord ClaimRecord) WithID(id string) ClaimRecord {
 	claimrecord.id = id
 	return claimrecord
 }
@@ -2520,7 +2520,7 @@
 
 // TaskRefusedConfig holds the fields of a new TaskRefused.
 type TaskRefusedConfig struct {
-	Id         TaskID
+	ID         TaskID
 	Attempt    int
 	Holder     MemberID
 	Code       Code
@@ -2530,7 +2530,7 @@
 // NewTaskRefused returns a TaskRefused with the given fields.
 func NewTaskRefused(config TaskRefusedConfig) TaskRefused {
 	return TaskRefused{
-		id:         config.Id,
+		id:         config.ID,
 		attempt:    config.Attempt,
 		holder:     config.Holder,
 		code:       config.Code,
@@ -2541,7 +2541,7 @@
 // Config returns the fields of the value for encoding or for a changed copy.
 func (taskrefused TaskRefused) Config() TaskRefusedConfig {
 	return TaskRefusedConfig{
-		Id:         taskrefused.id,
+		ID:         taskrefused.id,
 		Attempt:    taskrefused.attempt,
 		Holder:     taskrefused.holder,
 		Code:       taskrefused.code,
@@ -2549,11 +2549,11 @@
 	}
 }
 
-// Id returns the identity of the task.
-func (taskrefused TaskRefused) Id() TaskID { return taskrefused.id }
+// ID returns the identity of the task.
+func (taskrefused TaskRefused) ID() TaskID { return taskrefused.id }
 
-// WithId returns a copy with the given id.
-func (taskrefused TaskRefused) WithId(id TaskID) TaskRefused {
+// WithID returns a copy with the given id.
+func (taskrefused TaskRefused) WithID(id TaskID) TaskRefused {
 	taskrefused.id = id
 	return taskrefused
 }
@@ -2596,7 +2596,7 @@
 
 // TaskForwardedConfig holds the fields of a new TaskForwarded.
 type TaskForwardedConfig struct {
-	Id      TaskID
+	ID      TaskID
 	Attempt int
 	Holder  MemberID
 }
@@ -2604,7 +2604,7 @@
 // NewTaskForwarded returns a TaskForwarded with the given fields.
 func NewTaskForwarded(config TaskForwardedConfig) TaskForwarded {
 	return TaskForwarded{
-		id:      config.Id,
+		id:      config.ID,
 		attempt: config.Attempt,
 		holder:  config.Holder,
 	}
@@ -2613,17 +2613,17 @@
 // Config returns the fields of the value for encoding or for a changed copy.
 func (taskforwarded TaskForwarded) Config() TaskForwardedConfig {
 	return TaskForwardedConfig{
-		Id:      taskforwarded.id,
+		ID:      taskforwarded.id,
 		Attempt: taskforwarded.attempt,
 		Holder:  taskforwarded.holder,
 	}
 }
 
-// Id returns the identity of the task.
-func (taskforwarded TaskForwarded) Id() TaskID { return taskforwarded.id }
+// ID returns the identity of the task.
+func (taskforwarded TaskForwarded) ID() TaskID { return taskforwarded.id }
 
-// WithId returns a copy with the given id.
-func (taskforwarded TaskForwarded) WithId(id TaskID) TaskForwarded {
+// WithID returns a copy with the given id.
+func (taskforwarded TaskForwarded) WithID(id TaskID) TaskForwarded {
 	taskforwarded.id = id
 	return taskforwarded
 }
@@ -2648,7 +2648,7 @@
 
 // TaskStartedConfig holds the fields of a new TaskStarted.
 type TaskStartedConfig struct {
-	Id      TaskID
+	ID      TaskID
 	Attempt int
 	Holder  MemberID
 	Target  string
@@ -2658,7 +2658,7 @@
 // NewTaskStarted returns a TaskStarted with the given fields.
 func NewTaskStarted(config TaskStartedConfig) TaskStarted {
 	return TaskStarted{
-		id:      config.Id,
+		id:      config.ID,
 		attempt: config.Attempt,
 		holder:  config.Holder,
 		target:  config.Target,
@@ -2669,7 +2669,7 @@
 // Config returns the fields of the value for encoding or for a changed copy.
 func (taskstarted TaskStarted) Config() TaskStartedConfig {
 	return TaskStartedConfig{
-		Id:      taskstarted.id,
+		ID:      taskstarted.id,
 		Attempt: taskstarted.attempt,
 		Holder:  taskstarted.holder,
 		Target:  taskstarted.target,
@@ -2677,11 +2677,11 @@
 	}
 }
 
-// Id returns the identity of the task.
-func (taskstarted TaskStarted) Id() TaskID { return taskstarted.id }
+// ID returns the identity of the task.
+func (taskstarted TaskStarted) ID() TaskID { return taskstarted.id }
 
-// WithId returns a copy with the given id.
-func (taskstarted TaskStarted) WithId(id TaskID) TaskStarted {
+// WithID returns a copy with the given id.
+func (taskstarted TaskStarted) WithID(id TaskID) TaskStarted {
 	taskstarted.id = id
 	return taskstarted
 }
@@ -2788,7 +2788,7 @@
 
 // TaskLostConfig holds the fields of a new TaskLost.
 type TaskLostConfig struct {
-	Id      TaskID
+	ID      TaskID
 	Attempt int
 	Holder  MemberID
 	Target  string
@@ -2798,7 +2798,7 @@
 // NewTaskLost returns a TaskLost with the given fields.
 func NewTaskLost(config TaskLostConfig) TaskLost {
 	return TaskLost{
-		id:      config.Id,
+		id:      config.ID,
 		attempt: config.Attempt,
 		holder:  config.Holder,
 		target:  config.Target,
@@ -2809,7 +2809,7 @@
 // Config returns the fields of the value for encoding or for a changed copy.
 func (tasklost TaskLost) Config() TaskLostConfig {
 	return TaskLostConfig{
-		Id:      tasklost.id,
+		ID:      tasklost.id,
 		Attempt: tasklost.attempt,
 		Holder:  tasklost.holder,
 		Target:  tasklost.target,
@@ -2817,11 +2817,11 @@
 	}
 }
 
-// Id returns the identity of the task.
-func (tasklost TaskLost) Id() TaskID { return tasklost.id }
+// ID returns the identity of the task.
+func (tasklost TaskLost) ID() TaskID { return tasklost.id }
 
-// WithId returns a copy with the given id.
-func (tasklost TaskLost) WithId(id TaskID) TaskLost {
+// WithID returns a copy with the given id.
+func (tasklost TaskLost) WithID(id TaskID) TaskLost {
 	tasklost.id = id
 	return tasklost
 }
@@ -2928,7 +2928,7 @@
 
 // AdoptAnsweredConfig holds the fields of a new AdoptAnswered.
 type AdoptAnsweredConfig struct {
-	Id          TaskID
+	ID          TaskID
 	Attempt     int
 	Target      string
 	Term        Term
@@ -2939,7 +2939,7 @@
 // NewAdoptAnswered returns a AdoptAnswered with the given fields.
 func NewAdoptAnswered(config AdoptAnsweredConfig) AdoptAnswered {
 	return AdoptAnswered{
-		id:          config.Id,
+		id:          config.ID,
 		attempt:     config.Attempt,
 		target:      config.Target,
 		term:        config.Term,
@@ -2951,7 +2951,7 @@
 // Config returns the fields of the value for encoding or for a changed copy.
 func (adoptanswered AdoptAnswered) Config() AdoptAnsweredConfig {
 	return AdoptAnsweredConfig{
-		Id:          adoptanswered.id,
+		ID:          adoptanswered.id,
 		Attempt:     adoptanswered.attempt,
 		Target:      adoptanswered.target,
 		Term:        adoptanswered.term,
@@ -2960,11 +2960,11 @@
 	}
 }
 
-// Id returns the identity of the task.
-func (adoptanswered AdoptAnswered) Id() TaskID { return adoptanswered.id }
+// ID returns the identity of the task.
+func (adoptanswered AdoptAnswered) ID() TaskID { return adoptanswered.id }
 
-// WithId returns a copy with the given id.
-func (adoptanswered AdoptAnswered) WithId(id TaskID) AdoptAnswered {
+// WithID returns a copy with the given id.
+func (adoptanswered AdoptAnswered) WithID(id TaskID) AdoptAnswered {
 	adoptanswered.id = id
 	return adoptanswered
 }
@@ -3608,7 +3608,7 @@
 
 // StopTaskConfig holds the fields of a new StopTask.
 type StopTaskConfig struct {
-	Id      TaskID
+	ID      TaskID
 	Attempt int
 	Code    Code
 }
@@ -3616,7 +3616,7 @@
 // NewStopTask returns a StopTask with the given fields.
 func NewStopTask(config StopTaskConfig) StopTask {
 	return StopTask{
-		id:      config.Id,
+		id:      config.ID,
 		attempt: config.Attempt,
 		code:    config.Code,
 	}
@@ -3625,17 +3625,17 @@
 // Config returns the fields of the value for encoding or for a changed copy.
 func (stoptask StopTask) Config() StopTaskConfig {
 	return StopTaskConfig{
-		Id:      stoptask.id,
+		ID:      stoptask.id,
 		Attempt: stoptask.attempt,
 		Code:    stoptask.code,
 	}
 }
 
-// Id returns the identity of the task.
-func (stoptask StopTask) Id() TaskID { return stoptask.id }
+// ID returns the identity of the task.
+func (stoptask StopTask) ID() TaskID { return stoptask.id }
 
-// WithId returns a copy with the given id.
-func (stoptask StopTask) WithId(id TaskID) StopTask {
+// WithID returns a copy with the given id.
+func (stoptask StopTask) WithID(id TaskID) StopTask {
 	stoptask.id = id
 	return stoptask
 }
@@ -3846,7 +3846,7 @@
 type StartAnsweredConfig struct {
 	Target   string
 	Term     Term
-	Id       TaskID
+	ID       TaskID
 	Attempt  int
 	Accepted bool
 	Code     Code
@@ -3857,7 +3857,7 @@
 	return StartAnswered{
 		target:   config.Target,
 		term:     config.Term,
-		id:       config.Id,
+		id:       config.ID,
 		attempt:  config.Attempt,
 		accepted: config.Accepted,
 		code:     config.Code,
@@ -3869,7 +3869,7 @@
 	return StartAnsweredConfig{
 		Target:   startanswered.target,
 		Term:     startanswered.term,
-		Id:       startanswered.id,
+		ID:       startanswered.id,
 		Attempt:  startanswered.attempt,
 		Accepted: startanswered.accepted,
 		Code:     startanswered.code,
@@ -3894,11 +3894,11 @@
 	return startanswered
 }
 
-// Id returns the identity of the task.
-func (startanswered StartAnswered) Id() TaskID { return startanswered.id }
+// ID returns the identity of the task.
+func (startanswered StartAnswered) ID() TaskID { return startanswered.id }
 
-// WithId returns a copy with the given id.
-func (startanswered StartAnswered) WithId(id TaskID) StartAnswered {
+// WithID returns a copy with the given id.
+func (startanswered StartAnswered) WithID(id TaskID) StartAnswered {
 	startanswered.id = id
 	return startanswered
 }
@@ -4077,7 +4077,7 @@
 // HaltTaskConfig holds the fields of a new HaltTask.
 type HaltTaskConfig struct {
 	Term Term
-	Id   TaskID
+	ID   TaskID
 	Code Code
 }
 
@@ -4085,7 +4085,7 @@
 func NewHaltTask(config HaltTaskConfig) HaltTask {
 	return HaltTask{
 		term: config.Term,
-		id:   config.Id,
+		id:   config.ID,
 		code: config.Code,
 	}
 }
@@ -4094,7 +4094,7 @@
 func (halttask HaltTask) Config() HaltTaskConfig {
 	return HaltTaskConfig{
 		Term: halttask.term,
-		Id:   halttask.id,
+		ID:   halttask.id,
 		Code: halttask.code,
 	}
 }
@@ -4108,11 +4108,11 @@
 	return halttask
 }
 
-// Id returns the identity of the task.
-func (halttask HaltTask) Id() TaskID { return halttask.id }
+// ID returns the identity of the task.
+func (halttask HaltTask) ID() TaskID { return halttask.id }
 
-// WithId returns a copy with the given id.
-func (halttask HaltTask) WithId(id TaskID) HaltTask {
+// WithID returns a copy with the given id.
+func (halttask HaltTask) WithID(id TaskID) HaltTask {
 	halttask.id = id
 	return halttask
 }
@@ -4129,14 +4129,14 @@
 // RenewTasksConfig holds the fields of a new RenewTasks.
 type RenewTasksConfig struct {
 	Term Term
-	Ids  []TaskID
+	IDs  []TaskID
 }
 
 // NewRenewTasks returns a RenewTasks with the given fields.
 func NewRenewTasks(config RenewTasksConfig) RenewTasks {
 	return RenewTasks{
 		term: config.Term,
-		ids:  config.Ids,
+		ids:  config.IDs,
 	}
 }
 
@@ -4144,7 +4144,7 @@
 func (renewtasks RenewTasks) Config() RenewTasksConfig {
 	return RenewTasksConfig{
 		Term: renewtasks.term,
-		Ids:  renewtasks.ids,
+		IDs:  renewtasks.ids,
 	}
 }
 
@@ -4157,11 +4157,11 @@
 	return renewtasks
 }
 
-// Ids returns the tasks.
-func (renewtasks RenewTasks) Ids() []TaskID { return renewtasks.ids }
+// IDs returns the tasks.
+func (renewtasks RenewTasks) IDs() []TaskID { return renewtasks.ids }
 
-// WithIds returns a copy with the given ids.
-func (renewtasks RenewTasks) WithIds(ids []TaskID) RenewTasks {
+// WithIDs returns a copy with the given ids.
+func (renewtasks RenewTasks) WithIDs(ids []TaskID) RenewTasks {
 	renewtasks.ids = ids
 	return renewtasks
 }
@@ -4328,14 +4328,14 @@
 
 // AppendAnsweredConfig holds the fields of a new AppendAnswered.
 type AppendAnsweredConfig struct {
-	Ids     []string
+	IDs     []string
 	Outcome AppendResult
 }
 
 // NewAppendAnswered returns a AppendAnswered with the given fields.
 func NewAppendAnswered(config AppendAnsweredConfig) AppendAnswered {
 	return AppendAnswered{
-		ids:     config.Ids,
+		ids:     config.IDs,
 		outcome: config.Outcome,
 	}
 }
@@ -4343,16 +4343,16 @@
 // Config returns the fields of the value for encoding or for a changed copy.
 func (appendanswered AppendAnswered) Config() AppendAnsweredConfig {
 	return AppendAnsweredConfig{
-		Ids:     appendanswered.ids,
+		IDs:     appendanswered.ids,
 		Outcome: appendanswered.outcome,
 	}
 }
 
-// Ids returns the ids of the records.
-func (appendanswered AppendAnswered) Ids() []string { return appendanswered.ids }
+// IDs returns the ids of the records.
+func (appendanswered AppendAnswered) IDs() []string { return appendanswered.ids }
 
-// WithIds returns a copy with the given ids.
-func (appendanswered AppendAnswered) WithIds(ids []string) AppendAnswered {
+// WithIDs returns a copy with the given ids.
+func (appendanswered AppendAnswered) WithIDs(ids []string) AppendAnswered {
 	appendanswered.ids = ids
 	return appendanswered
 }
