--- a/assembler/stop.go
+++ b/assembler/stop.go
@@ -67,57 +67,57 @@
 	lifecycle.Append(fx.Hook{OnStart: parts.start, OnStop: parts.stop})
 }
 
-func (parts entryParts) start(ctx context.Context) error {
-	servers, err := parts.Servers.Listen(ctx)
+func (entryparts entryParts) start(ctx context.Context) error {
+	servers, err := entryparts.Servers.Listen(ctx)
 	if err != nil {
 		return errors.Trace(err)
 	}
-	for _, appender := range parts.Appenders.all() {
-		parts.Duties.Start(NamedDuty{Name: "appender", Duty: appender})
+	for _, appender := range entryparts.Appenders.all() {
+		entryparts.Duties.Start(NamedDuty{Name: "appender", Duty: appender})
 	}
-	parts.Duties.Start(
-		NamedDuty{"linker", parts.Linker}, NamedDuty{"registrar", parts.Registrar},
-		NamedDuty{"placer", parts.Placer}, NamedDuty{"coordinator", parts.Coordinator},
-		NamedDuty{"cataloguer", parts.Cataloguer}, NamedDuty{"catalogue loader", parts.Loader},
-		NamedDuty{"claimer", parts.Claimer}, NamedDuty{"claim tail", parts.ClaimTail},
-		NamedDuty{"accountant", parts.Accountant}, NamedDuty{"live-list watcher", parts.Watcher},
+	entryparts.Duties.Start(
+		NamedDuty{"linker", entryparts.Linker}, NamedDuty{"registrar", entryparts.Registrar},
+		NamedDuty{"placer", entryparts.Placer}, NamedDuty{"coordinator", entryparts.Coordinator},
+		NamedDuty{"cataloguer", entryparts.Cataloguer}, NamedDuty{"catalogue loader", entryparts.Loader},
+		NamedDuty{"claimer", entryparts.Claimer}, NamedDuty{"claim tail", entryparts.ClaimTail},
+		NamedDuty{"accountant", entryparts.Accountant}, NamedDuty{"live-list watcher", entryparts.Watcher},
 	)
-	parts.Duties.Start(servers...)
-	parts.Logger.WithField("listen", parts.Settings.Listen()).Info("entry host started")
+	entryparts.Duties.Start(servers...)
+	entryparts.Logger.WithField("listen", entryparts.Settings.Listen()).Info("entry host started")
 	return nil
 }
 
 // stop is the planned stop of docs/design.md 3.8; no step needs the log.
-func (parts entryParts) stop(ctx context.Context) error {
-	parts.Logger.Info("planned stop begins")
-	parts.Inspector.SetStopping()
-	parts.leave(ctx, false)
-	_ = parts.Rings.Coordinator.Put(ctx, almondcross.DrainCoordinator{})
+func (entryparts entryParts) stop(ctx context.Context) error {
+	entryparts.Logger.Info("planned stop begins")
+	entryparts.Inspector.SetStopping()
+	entryparts.leave(ctx, false)
+	_ = entryparts.Rings.Coordinator.Put(ctx, almondcross.DrainCoordinator{})
 	wait(ctx, balancerDelay, nil)
-	parts.Servers.StopPublic(parts.Settings.StopGrace())
-	wait(ctx, drainLimit, parts.Coordinator.Drained())
-	_ = parts.Rings.Placer.Put(ctx, almondcross.DrainPlacer{})
-	parts.awaitRelease(ctx)
-	parts.leave(ctx, true)
+	entryparts.Servers.StopPublic(entryparts.Settings.StopGrace())
+	wait(ctx, drainLimit, entryparts.Coordinator.Drained())
+	_ = entryparts.Rings.Placer.Put(ctx, almondcross.DrainPlacer{})
+	entryparts.awaitRelease(ctx)
+	entryparts.leave(ctx, true)
 	wait(ctx, answerMargin/4, nil)
-	parts.Duties.Stop(dutiesLimit)
-	parts.Manager.Wait()
-	parts.Logger.Info("planned stop complete")
+	entryparts.Duties.Stop(dutiesLimit)
+	entryparts.Manager.Wait()
+	entryparts.Logger.Info("planned stop complete")
 	return nil
 }
 
-func (parts entryParts) leave(ctx context.Context, final bool) {
+func (entryparts entryParts) leave(ctx context.Context, final bool) {
 	message := almondcross.NewLeaveView(almondcross.LeaveViewConfig{Final: final})
-	_ = parts.Rings.Registrar.Put(ctx, message)
+	_ = entryparts.Rings.Registrar.Put(ctx, message)
 }
 
 // awaitRelease waits until no target is held, so that peers can acquire them at once.
-func (parts entryParts) awaitRelease(ctx context.Context) {
+func (entryparts entryParts) awaitRelease(ctx context.Context) {
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	limit := time.NewTimer(drainLimit)
 	defer limit.Stop()
-	for len(parts.Placer.HeldTargets()) > 0 {
+	for len(entryparts.Placer.HeldTargets()) > 0 {
 		select {
 		case <-ticker.C:
 		case <-limit.C:
--- a/command/cataloguer/reducer.go
+++ b/command/cataloguer/reducer.go
@@ -33,50 +33,50 @@
 	return state
 }
 
-func (state *reducer) checkpoint() almondcross.CatalogueCheckpoint {
+func (reducer *reducer) checkpoint() almondcross.CatalogueCheckpoint {
 	return almondcross.NewCatalogueCheckpoint(almondcross.CatalogueCheckpointConfig{
-		Catalogue: state.catalogue,
-		IDs:       append([]string(nil), state.ids...),
-		Audit:     state.lines(),
+		Catalogue: reducer.catalogue,
+		IDs:       append([]string(nil), reducer.ids...),
+		Audit:     reducer.lines(),
 	})
 }
 
 // lines returns a copy of the audit trail for another goroutine.
-func (state *reducer) lines() []almondcross.AuditLine {
-	return append([]almondcross.AuditLine(nil), state.audit...)
+func (reducer *reducer) lines() []almondcross.AuditLine {
+	return append([]almondcross.AuditLine(nil), reducer.audit...)
 }
 
-func (state *reducer) note(id string) {
-	state.seen[id] = true
-	state.ids = append(state.ids, id)
-	if len(state.ids) > keptIDs {
-		delete(state.seen, state.ids[0])
-		state.ids = state.ids[1:]
+func (reducer *reducer) note(id string) {
+	reducer.seen[id] = true
+	reducer.ids = append(reducer.ids, id)
+	if len(reducer.ids) > keptIDs {
+		delete(reducer.seen, reducer.ids[0])
+		reducer.ids = reducer.ids[1:]
 	}
 }
 
 // reduce applies one change; it reports false for a record that was read before.
-func (state *reducer) reduce(change almondcross.CatalogueChange) (almondcross.ChangeOutcome, bool) {
-	if change.Offset() <= state.catalogue.Offset() {
+func (reducer *reducer) reduce(change almondcross.CatalogueChange) (almondcross.ChangeOutcome, bool) {
+	if change.Offset() <= reducer.catalogue.Offset() {
 		return almondcross.ChangeOutcome{}, false
 	}
-	state.catalogue = state.catalogue.WithOffset(change.Offset())
-	if state.seen[change.ID()] {
+	reducer.catalogue = reducer.catalogue.WithOffset(change.Offset())
+	if reducer.seen[change.ID()] {
 		return almondcross.ChangeOutcome{}, false
 	}
-	state.note(change.ID())
-	current, exists := state.catalogue.Entry(change.Name())
+	reducer.note(change.ID())
+	current, exists := reducer.catalogue.Entry(change.Name())
 	code := check(change, current, exists)
 	version := current.Version()
 	if code == almondcross.CodeNone {
 		version = change.Offset()
 		if change.Removed() {
-			state.catalogue = state.catalogue.WithoutEntry(change.Name())
+			reducer.catalogue = reducer.catalogue.WithoutEntry(change.Name())
 		} else {
-			state.catalogue = state.catalogue.WithEntry(change.Entry().WithVersion(version))
+			reducer.catalogue = reducer.catalogue.WithEntry(change.Entry().WithVersion(version))
 		}
 	}
-	state.record(change, current.Version(), code)
+	reducer.record(change, current.Version(), code)
 	return almondcross.NewChangeOutcome(almondcross.ChangeOutcomeConfig{
 		Name: change.Name(), Accepted: code == almondcross.CodeNone, Certain: true, Version: version,
 		Code: code, Detail: explain(code),
@@ -111,19 +111,19 @@
 	}
 }
 
-func (state *reducer) record(change almondcross.CatalogueChange, from almondcross.Offset, code almondcross.Code) {
-	state.audit = append(state.audit, almondcross.NewAuditLine(almondcross.AuditLineConfig{
+func (reducer *reducer) record(change almondcross.CatalogueChange, from almondcross.Offset, code almondcross.Code) {
+	reducer.audit = append(reducer.audit, almondcross.NewAuditLine(almondcross.AuditLineConfig{
 		At: change.Appended(), Operator: change.Operator(), Entry: change.Name(), Removed: change.Removed(),
 		FromVersion: from, ToVersion: change.Offset(), Accepted: code == almondcross.CodeNone, Code: code,
 	}))
-	if len(state.audit) > keptAudit {
-		state.audit = state.audit[1:]
+	if len(reducer.audit) > keptAudit {
+		reducer.audit = reducer.audit[1:]
 	}
 }
 
 // skip covers records that hold no change, up to the offset to read from next.
-func (state *reducer) skip(next almondcross.Offset) {
-	if next-1 > state.catalogue.Offset() {
-		state.catalogue = state.catalogue.WithOffset(next - 1)
+func (reducer *reducer) skip(next almondcross.Offset) {
+	if next-1 > reducer.catalogue.Offset() {
+		reducer.catalogue = reducer.catalogue.WithOffset(next - 1)
 	}
 }
--- a/command/commander/apply.go
+++ b/command/commander/apply.go
@@ -22,17 +22,17 @@
 	limit time.Duration
 }
 
-func (flags *waitFlags) bind(command *cobra.Command) {
-	command.Flags().BoolVar(&flags.wait, "wait", false, "wait until every data centre reports the change")
-	command.Flags().DurationVar(&flags.limit, "wait-limit", 15*time.Second, "time limit of --wait")
+func (waitflags *waitFlags) bind(command *cobra.Command) {
+	command.Flags().BoolVar(&waitflags.wait, "wait", false, "wait until every data centre reports the change")
+	command.Flags().DurationVar(&waitflags.limit, "wait-limit", 15*time.Second, "time limit of --wait")
 }
 
 // await waits if asked to; its limit counts apart from that of the change.
-func (flags *waitFlags) await(session session, version almondcross.Offset) error {
-	if !flags.wait {
+func (waitflags *waitFlags) await(session session, version almondcross.Offset) error {
+	if !waitflags.wait {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(session.command.Context(), flags.limit)
+	ctx, cancel := context.WithTimeout(session.command.Context(), waitflags.limit)
 	defer cancel()
 	return session.waitUntilReached(ctx, version)
 }
@@ -124,7 +124,7 @@
 		Use: "remove NAME", Short: "Remove an entry",
 		Long: "Removes an entry from the catalogue. With --version the removal is refused when the entry has\n" +
 			"changed since; without it the version that is read first counts." + requester.ExitHelp,
-		Example: "  almondcross catalogue remove patronage-tally --wait",
+		Example: "  almondcross catalogue remove delivery-planning --wait",
 		Args:    requester.Args(cobra.ExactArgs(1)),
 		RunE: func(command *cobra.Command, arguments []string) error {
 			name := arguments[0]
--- a/command/commander/call.go
+++ b/command/commander/call.go
@@ -41,7 +41,7 @@
 			"standard error. To repeat a call whose outcome is uncertain, give all three again: a new time of\n" +
 			"issue makes an old key look fresh." + requester.ExitHelp,
 		Example: "  echo -n 4711 | almondcross call balance-lookup --payload -\n" +
-			"  almondcross call dividend-allocation --key dividend-2026-03 --origin kamloops-1 \\\n" +
+			"  almondcross call monthly-reconciliation --key reconciliation-2026-03 --origin kamloops-1 \\\n" +
 			"      --issued-at 2026-03-31T18:00:00Z --payload run.json --timeout 10m",
 		Args: requester.Args(cobra.ExactArgs(1)),
 		RunE: func(command *cobra.Command, arguments []string) error {
--- a/command/linker/receiver.go
+++ b/command/linker/receiver.go
@@ -205,8 +205,8 @@
 }
 
 // Reply queues the outcome and does not block.
-func (replier peerReplier) Reply(outcome almondcross.Outcome) {
-	replier.linker.Send(replier.peer, almondcross.NewPeerReply(almondcross.PeerReplyConfig{
-		Correlation: replier.correlation, Outcome: outcome,
+func (peerreplier peerReplier) Reply(outcome almondcross.Outcome) {
+	peerreplier.linker.Send(peerreplier.peer, almondcross.NewPeerReply(almondcross.PeerReplyConfig{
+		Correlation: peerreplier.correlation, Outcome: outcome,
 	}))
 }
--- a/command/placer/bench_test.go
+++ b/command/placer/bench_test.go
@@ -57,54 +57,54 @@
 }
 
 // apply gives a message and the answers to its starts to the machine.
-func (load *saturated) apply(message almondcross.PlacerMessage) int {
-	begun := len(load.order)
-	load.note(load.machine.Apply(message, load.now))
-	starts := len(load.order) - begun
+func (saturated *saturated) apply(message almondcross.PlacerMessage) int {
+	begun := len(saturated.order)
+	saturated.note(saturated.machine.Apply(message, saturated.now))
+	starts := len(saturated.order) - begun
 	for index := begun; index < begun+starts; index++ {
-		start := load.order[index]
-		load.note(load.machine.Apply(almondcross.NewStartAnswered(almondcross.StartAnsweredConfig{
-			Target: load.targets[start.Task().ID()], Term: start.Term(), ID: start.Task().ID(), Attempt: start.Task().Attempt(), Accepted: true,
-		}), load.now))
+		start := saturated.order[index]
+		saturated.note(saturated.machine.Apply(almondcross.NewStartAnswered(almondcross.StartAnsweredConfig{
+			Target: saturated.targets[start.Task().ID()], Term: start.Term(), ID: start.Task().ID(), Attempt: start.Task().Attempt(), Accepted: true,
+		}), saturated.now))
 	}
 	return starts
 }
 
-func (load *saturated) note(effects []placer.Effect) {
+func (saturated *saturated) note(effects []placer.Effect) {
 	for _, effect := range effects {
 		if start, ok := effect.Dispatch.(almondcross.StartTask); ok {
-			load.order = append(load.order, start)
-			load.targets[start.Task().ID()] = effect.Name
+			saturated.order = append(saturated.order, start)
+			saturated.targets[start.Task().ID()] = effect.Name
 		}
 	}
 }
 
-func (load *saturated) arrive() int {
-	task := load.tasks[load.next%len(load.tasks)]
-	task = task.WithAttempt(1 + load.next/len(load.tasks))
-	load.next++
-	return load.apply(almondcross.NewPlaceTask(almondcross.PlaceTaskConfig{Task: task}))
+func (saturated *saturated) arrive() int {
+	task := saturated.tasks[saturated.next%len(saturated.tasks)]
+	task = task.WithAttempt(1 + saturated.next/len(saturated.tasks))
+	saturated.next++
+	return saturated.apply(almondcross.NewPlaceTask(almondcross.PlaceTaskConfig{Task: task}))
 }
 
-func (load *saturated) step() int {
-	oldest := load.order[0]
-	load.order = load.order[1:]
-	load.now = load.now.Add(50 * time.Microsecond)
-	name := load.targets[oldest.Task().ID()]
-	delete(load.targets, oldest.Task().ID())
-	starts := load.apply(almondcross.NewTaskFinished(almondcross.TaskFinishedConfig{
-		Target: name, Term: load.term[name],
+func (saturated *saturated) step() int {
+	oldest := saturated.order[0]
+	saturated.order = saturated.order[1:]
+	saturated.now = saturated.now.Add(50 * time.Microsecond)
+	name := saturated.targets[oldest.Task().ID()]
+	delete(saturated.targets, oldest.Task().ID())
+	starts := saturated.apply(almondcross.NewTaskFinished(almondcross.TaskFinishedConfig{
+		Target: name, Term: saturated.term[name],
 		Event: almondcross.NewWorkerEvent(almondcross.WorkerEventConfig{Result: almondcross.NewTaskResult(almondcross.TaskResultConfig{
 			ID: oldest.Task().ID(), Attempt: oldest.Task().Attempt(), Ran: time.Minute,
 		})}),
 	}))
-	starts += load.arrive()
+	starts += saturated.arrive()
 	for {
-		deadline, ok := load.machine.NextDeadline()
-		if !ok || deadline.After(load.now) {
+		deadline, ok := saturated.machine.NextDeadline()
+		if !ok || deadline.After(saturated.now) {
 			return starts
 		}
-		load.note(load.machine.Tick(load.now))
+		saturated.note(saturated.machine.Tick(saturated.now))
 	}
 }
 
--- a/command/placer/gang.go
+++ b/command/placer/gang.go
@@ -210,9 +210,9 @@
 }
 
 // lasting returns the room of services, which do not end in time for a reservation.
-func (entry *target) lasting() almondcross.Resources {
+func (target *target) lasting() almondcross.Resources {
 	var sum almondcross.Resources
-	for _, item := range entry.jobs {
+	for _, item := range target.jobs {
 		if item.task.Class() == almondcross.ClassService {
 			sum = sum.Add(item.task.Resources())
 		}
@@ -267,8 +267,8 @@
 }
 
 // allowsBackfill reports whether a target is not kept for a gang at this time.
-func (entry *target) allowsBackfill(now time.Time) bool {
-	group := entry.reserved
+func (target *target) allowsBackfill(now time.Time) bool {
+	group := target.reserved
 	return group == nil || now.Before(group.reservedUntil.Add(backfillLimit-gangLimit))
 }
 
--- a/command/placer/health.go
+++ b/command/placer/health.go
@@ -32,11 +32,11 @@
 	wait     time.Duration
 }
 
-func (state *health) allows() bool { return !state.ejected || (state.probing && state.probes == 0) }
+func (health *health) allows() bool { return !health.ejected || (health.probing && health.probes == 0) }
 
-func (state *health) started() {
-	if state.probing {
-		state.probes++
+func (health *health) started() {
+	if health.probing {
+		health.probes++
 	}
 }
 
--- a/command/placer/job.go
+++ b/command/placer/job.go
@@ -51,18 +51,18 @@
 	accountedAt time.Time
 }
 
-func (item *job) key() jobKey { return jobKey{item.task.ID(), item.task.Attempt()} }
+func (job *job) key() jobKey { return jobKey{job.task.ID(), job.task.Attempt()} }
 
 // mayReserve reports whether the task may use the reserve.
-func (item *job) mayReserve() bool { return !item.long || item.task.Urgent() }
+func (job *job) mayReserve() bool { return !job.long || job.task.Urgent() }
 
 // onTarget reports whether the target holds the task under the current lease.
-func (item *job) onTarget() bool { return item.state == jobStarting || item.state == jobRunning }
+func (job *job) onTarget() bool { return job.state == jobStarting || job.state == jobRunning }
 
 // done ends a job. Timers may keep it for long, so it lets go of the payload.
-func (item *job) done() {
-	item.state = jobDone
-	item.task = item.task.WithPayload(nil)
+func (job *job) done() {
+	job.state = jobDone
+	job.task = job.task.WithPayload(nil)
 }
 
 // ended remembers an attempt so that a repeated PlaceTask has no further effect.
--- a/command/placer/load_test.go
+++ b/command/placer/load_test.go
@@ -45,13 +45,13 @@
 
 type events []event
 
-func (list events) Len() int                    { return len(list) }
-func (list events) Less(first, second int) bool { return list[first].at < list[second].at }
-func (list events) Swap(first, second int)      { list[first], list[second] = list[second], list[first] }
-func (list *events) Push(item any)              { *list = append(*list, item.(event)) }
-func (list *events) Pop() any {
-	last := (*list)[len(*list)-1]
-	*list = (*list)[:len(*list)-1]
+func (events events) Len() int                    { return len(events) }
+func (events events) Less(first, second int) bool { return events[first].at < events[second].at }
+func (events events) Swap(first, second int)      { events[first], events[second] = events[second], events[first] }
+func (events *events) Push(item any)              { *events = append(*events, item.(event)) }
+func (events *events) Pop() any {
+	last := (*events)[len(*events)-1]
+	*events = (*events)[:len(*events)-1]
 	return last
 }
 
--- a/command/placer/queue.go
+++ b/command/placer/queue.go
@@ -32,34 +32,34 @@
 }
 
 // first returns the oldest task of the line, nil for an empty line.
-func (entry *line) first() *job {
-	for entry.head < len(entry.jobs) {
-		if item := entry.jobs[entry.head]; item != nil {
+func (line *line) first() *job {
+	for line.head < len(line.jobs) {
+		if item := line.jobs[line.head]; item != nil {
 			return item
 		}
-		entry.head++
+		line.head++
 	}
 	return nil
 }
 
 // note keeps what the first task needs.
-func (entry *line) note() {
-	if item := entry.first(); item != nil {
-		entry.need, entry.reserve, entry.queuedAt = item.task.Resources(), item.mayReserve(), item.queuedAt
+func (line *line) note() {
+	if item := line.first(); item != nil {
+		line.need, line.reserve, line.queuedAt = item.task.Resources(), item.mayReserve(), item.queuedAt
 	}
 }
 
 // compact bounds the memory of the slots that left the line.
-func (entry *line) compact() {
-	if entry.live == 0 {
-		clear(entry.jobs)
-		entry.jobs, entry.head = entry.jobs[:0], 0
+func (line *line) compact() {
+	if line.live == 0 {
+		clear(line.jobs)
+		line.jobs, line.head = line.jobs[:0], 0
 		return
 	}
-	if entry.head > 64 && entry.head > len(entry.jobs)/2 {
-		kept := copy(entry.jobs, entry.jobs[entry.head:])
-		clear(entry.jobs[kept:])
-		entry.jobs, entry.head = entry.jobs[:kept], 0
+	if line.head > 64 && line.head > len(line.jobs)/2 {
+		kept := copy(line.jobs, line.jobs[line.head:])
+		clear(line.jobs[kept:])
+		line.jobs, line.head = line.jobs[:kept], 0
 	}
 }
 
--- a/command/placer/reclaim.go
+++ b/command/placer/reclaim.go
@@ -57,8 +57,8 @@
 }
 
 // fulfilled reports whether every victim has ended.
-func (current *reclaim) fulfilled() bool {
-	for _, victim := range current.victims {
+func (reclaim *reclaim) fulfilled() bool {
+	for _, victim := range reclaim.victims {
 		if victim.state != jobDone {
 			return false
 		}
--- a/command/placer/room.go
+++ b/command/placer/room.go
@@ -49,11 +49,11 @@
 }
 
 // roomFor returns the room that a task may use on an open target.
-func (entry *target) roomFor(item *job) almondcross.Resources {
+func (target *target) roomFor(item *job) almondcross.Resources {
 	if item.mayReserve() {
-		return entry.free
+		return target.free
 	}
-	return entry.longFree
+	return target.longFree
 }
 
 // shortDemand returns the part of the held capacity that short work needs: half as much again as
--- a/command/placer/timer.go
+++ b/command/placer/timer.go
@@ -37,9 +37,9 @@
 // timers is a binary heap; container/heap would allocate for each timer.
 type timers []timer
 
-func (heap *timers) push(item timer) {
-	*heap = append(*heap, item)
-	list := *heap
+func (timers *timers) push(item timer) {
+	*timers = append(*timers, item)
+	list := *timers
 	for child := len(list) - 1; child > 0; {
 		parent := (child - 1) / 2
 		if !list[child].at.Before(list[parent].at) {
@@ -50,14 +50,14 @@
 	}
 }
 
-func (heap *timers) pop() timer {
-	list := *heap
+func (timers *timers) pop() timer {
+	list := *timers
 	first := list[0]
 	last := len(list) - 1
 	list[0] = list[last]
 	list[last] = timer{}
 	list = list[:last]
-	*heap = list
+	*timers = list
 	for parent := 0; ; {
 		child := 2*parent + 1
 		if child >= last {
--- a/command/receiver/catalogue.go
+++ b/command/receiver/catalogue.go
@@ -15,9 +15,9 @@
 type changeWaiter chan almondcross.ChangeOutcome
 
 // ReplyChange takes the first outcome and never blocks.
-func (waiter changeWaiter) ReplyChange(outcome almondcross.ChangeOutcome) {
+func (changewaiter changeWaiter) ReplyChange(outcome almondcross.ChangeOutcome) {
 	select {
-	case waiter <- outcome:
+	case changewaiter <- outcome:
 	default:
 	}
 }
--- a/command/registrar/machine.go
+++ b/command/registrar/machine.go
@@ -310,15 +310,15 @@
 	return effects, true
 }
 
-func (state *peerState) pingInterval(self almondcross.Member) time.Duration {
-	if state.config.DataCentre == self.DataCentre() {
+func (peerstate *peerState) pingInterval(self almondcross.Member) time.Duration {
+	if peerstate.config.DataCentre == self.DataCentre() {
 		return almondcross.PingInterval
 	}
 	return almondcross.RemotePingInterval
 }
 
-func (state *peerState) silenceLimit(self almondcross.Member) time.Duration {
-	if state.config.DataCentre == self.DataCentre() {
+func (peerstate *peerState) silenceLimit(self almondcross.Member) time.Duration {
+	if peerstate.config.DataCentre == self.DataCentre() {
 		return almondcross.SilenceLimit
 	}
 	return almondcross.RemoteSilenceLimit
--- a/configurator/configurator_test.go
+++ b/configurator/configurator_test.go
@@ -74,7 +74,7 @@
 			"unknown key", entryFile, `"region"`, `"regoin"`,
 			`f:6: regoin: found an unknown key; allowed: role, name, data_centre, region, listen, advertise, peer_listen, ` +
 				`peer_advertise, data_centres, peers, log_address, live_list_address, operators, reporters, callers, stop_grace, ` +
-				`request_timeout, request_timeout_max, change_timeout, query_timeout, log_timeout, worker_timeout, claim_horizon, ` +
+				`request_timeout, request_timeout_max, change_timeout, query_timeout, log_timeout, worker_timeout, claim_horizon, account_interval, ` +
 				`placement, share, log_format`,
 		},
 		{"missing key", entryFile, `"log_address": "127.0.0.1:7000",`, ``, `f:1: log_address: found no value; allowed: ` + address},
--- a/configurator/entry.go
+++ b/configurator/entry.go
@@ -25,8 +25,8 @@
 	lines  parser.Lines
 }
 
-func (token tokenDraft) token(role almondcross.Role) Token {
-	return almondcross.NewToken(almondcross.TokenConfig{Name: token.Name, Role: role, Secret: token.Secret})
+func (tokendraft tokenDraft) token(role almondcross.Role) Token {
+	return almondcross.NewToken(almondcross.TokenConfig{Name: tokendraft.Name, Role: role, Secret: tokendraft.Secret})
 }
 
 // peerDraft is a peer as the file holds it, with its position.
@@ -157,11 +157,11 @@
 	tokens []tokenDraft
 }
 
-func (draft entryDraft) groups() []tokenGroup {
+func (entrydraft entryDraft) groups() []tokenGroup {
 	return []tokenGroup{
-		{almondcross.RoleOperator, draft.operators},
-		{almondcross.RoleReporter, draft.reporters},
-		{almondcross.RoleCaller, draft.callers},
+		{almondcross.RoleOperator, entrydraft.operators},
+		{almondcross.RoleReporter, entrydraft.reporters},
+		{almondcross.RoleCaller, entrydraft.callers},
 	}
 }
 
--- a/encoder/api.go
+++ b/encoder/api.go
@@ -79,9 +79,9 @@
 }
 
 // Resources returns the amount.
-func (shape ResourcesShape) Resources() almondcross.Resources {
+func (resourcesshape ResourcesShape) Resources() almondcross.Resources {
 	return almondcross.NewResources(almondcross.ResourcesConfig{
-		MilliCPU: shape.MilliCPU, MemoryMB: int64(shape.Memory), Accelerators: shape.Accelerators, Slots: shape.Slots,
+		MilliCPU: resourcesshape.MilliCPU, MemoryMB: int64(resourcesshape.Memory), Accelerators: resourcesshape.Accelerators, Slots: resourcesshape.Slots,
 	})
 }
 
@@ -117,12 +117,12 @@
 }
 
 // Entry returns the entry.
-func (shape EntryShape) Entry() almondcross.Entry {
+func (entryshape EntryShape) Entry() almondcross.Entry {
 	return almondcross.NewEntry(almondcross.EntryConfig{
-		Name: shape.Name, Owner: shape.Owner, Class: shape.Class, Resources: shape.Resources.Resources(),
-		Replicas: shape.Replicas, Tasks: shape.Tasks, MaxRunning: shape.MaxRunning, MaxWaiting: shape.MaxWaiting,
-		Timeout: time.Duration(shape.Timeout), MaxRun: time.Duration(shape.MaxRun), ExpectedRun: time.Duration(shape.ExpectedRun),
-		Share: shape.Share, Repeatable: shape.Repeatable, Urgent: shape.Urgent, DataCentres: shape.DataCentres, Version: shape.Version,
+		Name: entryshape.Name, Owner: entryshape.Owner, Class: entryshape.Class, Resources: entryshape.Resources.Resources(),
+		Replicas: entryshape.Replicas, Tasks: entryshape.Tasks, MaxRunning: entryshape.MaxRunning, MaxWaiting: entryshape.MaxWaiting,
+		Timeout: time.Duration(entryshape.Timeout), MaxRun: time.Duration(entryshape.MaxRun), ExpectedRun: time.Duration(entryshape.ExpectedRun),
+		Share: entryshape.Share, Repeatable: entryshape.Repeatable, Urgent: entryshape.Urgent, DataCentres: entryshape.DataCentres, Version: entryshape.Version,
 	})
 }
 
--- a/encoder/catalogue.go
+++ b/encoder/catalogue.go
@@ -27,7 +27,7 @@
 }
 
 // Entries returns the entries in the order of the file. A version is that of the file, 0 for none.
-func (file CatalogueFile) Entries() []almondcross.Entry { return file.entries }
+func (cataloguefile CatalogueFile) Entries() []almondcross.Entry { return cataloguefile.entries }
 
 // entryDraft is an entry with the positions of its keys.
 type entryDraft struct {
--- a/encoder/peer.go
+++ b/encoder/peer.go
@@ -163,9 +163,9 @@
 	}
 }
 
-func (wire wireRequest) value() almondcross.Request {
+func (wirerequest wireRequest) value() almondcross.Request {
 	return almondcross.NewRequest(almondcross.RequestConfig{
-		Key: wire.Key.value(), Entry: wire.Entry, Payload: wire.Payload, IssuedAt: wire.IssuedAt, Timeout: wire.Timeout,
+		Key: wirerequest.Key.value(), Entry: wirerequest.Entry, Payload: wirerequest.Payload, IssuedAt: wirerequest.IssuedAt, Timeout: wirerequest.Timeout,
 	})
 }
 
@@ -196,12 +196,12 @@
 	}
 }
 
-func (wire wireTask) value() almondcross.Task {
+func (wiretask wireTask) value() almondcross.Task {
 	return almondcross.NewTask(almondcross.TaskConfig{
-		ID: wire.ID.value(), Entry: wire.Entry, Owner: wire.Owner, Class: wire.Class,
-		Resources: wire.Resources.value(), Payload: wire.Payload, Repeatable: wire.Repeatable,
-		Urgent: wire.Urgent, Size: wire.Size, Attempt: wire.Attempt, Coordinator: wire.Coordinator.value(),
-		MaxRun: wire.MaxRun, ExpectedRun: wire.ExpectedRun, Timeout: wire.Timeout,
+		ID: wiretask.ID.value(), Entry: wiretask.Entry, Owner: wiretask.Owner, Class: wiretask.Class,
+		Resources: wiretask.Resources.value(), Payload: wiretask.Payload, Repeatable: wiretask.Repeatable,
+		Urgent: wiretask.Urgent, Size: wiretask.Size, Attempt: wiretask.Attempt, Coordinator: wiretask.Coordinator.value(),
+		MaxRun: wiretask.MaxRun, ExpectedRun: wiretask.ExpectedRun, Timeout: wiretask.Timeout,
 	})
 }
 
@@ -221,9 +221,9 @@
 	}
 }
 
-func (wire wireResult) value() almondcross.TaskResult {
+func (wireresult wireResult) value() almondcross.TaskResult {
 	return almondcross.NewTaskResult(almondcross.TaskResultConfig{
-		ID: wire.ID.value(), Attempt: wire.Attempt, Code: wire.Code, Answer: wire.Answer,
-		Checksum: wire.Checksum, Ran: wire.Ran,
+		ID: wireresult.ID.value(), Attempt: wireresult.Attempt, Code: wireresult.Code, Answer: wireresult.Answer,
+		Checksum: wireresult.Checksum, Ran: wireresult.Ran,
 	})
 }
--- a/encoder/peerwire.go
+++ b/encoder/peerwire.go
@@ -10,8 +10,8 @@
 	Name string `cbor:"name"`
 }
 
-func (wire wireHello) message() almondcross.PeerMessage {
-	return almondcross.NewHello(almondcross.HelloConfig(wire))
+func (wirehello wireHello) message() almondcross.PeerMessage {
+	return almondcross.NewHello(almondcross.HelloConfig(wirehello))
 }
 
 type wireMember struct {
@@ -52,17 +52,17 @@
 	}
 }
 
-func (wire wirePing) message() almondcross.PeerMessage {
+func (wireping wirePing) message() almondcross.PeerMessage {
 	return almondcross.NewPeerPing(almondcross.PeerPingConfig{
 		Member: almondcross.NewMember(almondcross.MemberConfig{
-			ID: wire.Member.ID.value(), DataCentre: wire.Member.DataCentre,
-			Address: wire.Member.Address, Leaving: wire.Member.Leaving,
+			ID: wireping.Member.ID.value(), DataCentre: wireping.Member.DataCentre,
+			Address: wireping.Member.Address, Leaving: wireping.Member.Leaving,
 		}),
-		Sequence: wire.Sequence,
+		Sequence: wireping.Sequence,
 		Summary: almondcross.NewSummary(almondcross.SummaryConfig{
-			CatalogueOffset: wire.Summary.CatalogueOffset, Free: wire.Summary.Free.value(),
-			LargestFree: wire.Summary.LargestFree.value(), Waiting: wire.Summary.Waiting,
-			Oldest: wire.Summary.Oldest, Held: wire.Summary.Held,
+			CatalogueOffset: wireping.Summary.CatalogueOffset, Free: wireping.Summary.Free.value(),
+			LargestFree: wireping.Summary.LargestFree.value(), Waiting: wireping.Summary.Waiting,
+			Oldest: wireping.Summary.Oldest, Held: wireping.Summary.Held,
 		}),
 	})
 }
@@ -80,9 +80,9 @@
 	}
 }
 
-func (wire wirePong) message() almondcross.PeerMessage {
+func (wirepong wirePong) message() almondcross.PeerMessage {
 	return almondcross.NewPeerPong(almondcross.PeerPongConfig{
-		Member: wire.Member.value(), Sequence: wire.Sequence, Rejoin: wire.Rejoin, Known: wire.Known,
+		Member: wirepong.Member.value(), Sequence: wirepong.Sequence, Rejoin: wirepong.Rejoin, Known: wirepong.Known,
 	})
 }
 
@@ -91,9 +91,9 @@
 	Request     wireRequest `cbor:"request"`
 }
 
-func (wire wireSubmit) message() almondcross.PeerMessage {
+func (wiresubmit wireSubmit) message() almondcross.PeerMessage {
 	return almondcross.NewPeerSubmit(almondcross.PeerSubmitConfig{
-		Correlation: wire.Correlation, Request: wire.Request.value(),
+		Correlation: wiresubmit.Correlation, Request: wiresubmit.Request.value(),
 	})
 }
 
@@ -104,17 +104,17 @@
 
 type wireCancel struct{ wireKeyed }
 
-func (wire wireCancel) message() almondcross.PeerMessage {
+func (wirecancel wireCancel) message() almondcross.PeerMessage {
 	return almondcross.NewPeerCancel(almondcross.PeerCancelConfig{
-		Correlation: wire.Correlation, Key: wire.Key.value(),
+		Correlation: wirecancel.Correlation, Key: wirecancel.Key.value(),
 	})
 }
 
 type wireLookup struct{ wireKeyed }
 
-func (wire wireLookup) message() almondcross.PeerMessage {
+func (wirelookup wireLookup) message() almondcross.PeerMessage {
 	return almondcross.NewPeerLookup(almondcross.PeerLookupConfig{
-		Correlation: wire.Correlation, Key: wire.Key.value(),
+		Correlation: wirelookup.Correlation, Key: wirelookup.Key.value(),
 	})
 }
 
@@ -123,9 +123,9 @@
 	Outcome     wireOutcome `cbor:"outcome"`
 }
 
-func (wire wireReply) message() almondcross.PeerMessage {
+func (wirereply wireReply) message() almondcross.PeerMessage {
 	return almondcross.NewPeerReply(almondcross.PeerReplyConfig{
-		Correlation: wire.Correlation, Outcome: wire.Outcome.value(),
+		Correlation: wirereply.Correlation, Outcome: wirereply.Outcome.value(),
 	})
 }
 
@@ -133,16 +133,16 @@
 	Member wireMemberID `cbor:"member"`
 }
 
-func (wire wireLeaving) message() almondcross.PeerMessage {
-	return almondcross.NewPeerLeaving(almondcross.PeerLeavingConfig{Member: wire.Member.value()})
+func (wireleaving wireLeaving) message() almondcross.PeerMessage {
+	return almondcross.NewPeerLeaving(almondcross.PeerLeavingConfig{Member: wireleaving.Member.value()})
 }
 
 type wireLeavingAck struct {
 	Member wireMemberID `cbor:"member"`
 }
 
-func (wire wireLeavingAck) message() almondcross.PeerMessage {
-	return almondcross.NewPeerLeavingAck(almondcross.PeerLeavingAckConfig{Member: wire.Member.value()})
+func (wireleavingack wireLeavingAck) message() almondcross.PeerMessage {
+	return almondcross.NewPeerLeavingAck(almondcross.PeerLeavingAckConfig{Member: wireleavingack.Member.value()})
 }
 
 type wireCatalogueRequest struct {
@@ -150,16 +150,16 @@
 	Offset almondcross.Offset `cbor:"offset"`
 }
 
-func (wire wireCatalogueRequest) message() almondcross.PeerMessage {
+func (wirecataloguerequest wireCatalogueRequest) message() almondcross.PeerMessage {
 	return almondcross.NewPeerCatalogueRequest(almondcross.PeerCatalogueRequestConfig{
-		Member: wire.Member.value(), Offset: wire.Offset,
+		Member: wirecataloguerequest.Member.value(), Offset: wirecataloguerequest.Offset,
 	})
 }
 
 type wirePeerCatalogue wireCatalogue
 
-func (wire wirePeerCatalogue) message() almondcross.PeerMessage {
-	return almondcross.NewPeerCatalogue(almondcross.PeerCatalogueConfig{Catalogue: wireCatalogue(wire).value()})
+func (wirepeercatalogue wirePeerCatalogue) message() almondcross.PeerMessage {
+	return almondcross.NewPeerCatalogue(almondcross.PeerCatalogueConfig{Catalogue: wireCatalogue(wirepeercatalogue).value()})
 }
 
 type wirePlace struct {
@@ -167,8 +167,8 @@
 	Forwarded bool     `cbor:"forwarded,omitempty"`
 }
 
-func (wire wirePlace) message() almondcross.PeerMessage {
-	return almondcross.NewPlaceTask(almondcross.PlaceTaskConfig{Task: wire.Task.value(), Forwarded: wire.Forwarded})
+func (wireplace wirePlace) message() almondcross.PeerMessage {
+	return almondcross.NewPlaceTask(almondcross.PlaceTaskConfig{Task: wireplace.Task.value(), Forwarded: wireplace.Forwarded})
 }
 
 type wireStop struct {
@@ -177,8 +177,8 @@
 	Code    almondcross.Code `cbor:"code,omitempty"`
 }
 
-func (wire wireStop) message() almondcross.PeerMessage {
-	return almondcross.NewStopTask(almondcross.StopTaskConfig{ID: wire.ID.value(), Attempt: wire.Attempt, Code: wire.Code})
+func (wirestop wireStop) message() almondcross.PeerMessage {
+	return almondcross.NewStopTask(almondcross.StopTaskConfig{ID: wirestop.ID.value(), Attempt: wirestop.Attempt, Code: wirestop.Code})
 }
 
 type wireTaskRefused struct {
@@ -196,10 +196,10 @@
 	}
 }
 
-func (wire wireTaskRefused) message() almondcross.PeerMessage {
+func (wiretaskrefused wireTaskRefused) message() almondcross.PeerMessage {
 	return almondcross.NewTaskRefused(almondcross.TaskRefusedConfig{
-		ID: wire.ID.value(), Attempt: wire.Attempt, Holder: wire.Holder.value(),
-		Code: wire.Code, RetryAfter: wire.RetryAfter,
+		ID: wiretaskrefused.ID.value(), Attempt: wiretaskrefused.Attempt, Holder: wiretaskrefused.Holder.value(),
+		Code: wiretaskrefused.Code, RetryAfter: wiretaskrefused.RetryAfter,
 	})
 }
 
@@ -209,9 +209,9 @@
 	Holder  wireMemberID `cbor:"holder"`
 }
 
-func (wire wireTaskForwarded) message() almondcross.PeerMessage {
+func (wiretaskforwarded wireTaskForwarded) message() almondcross.PeerMessage {
 	return almondcross.NewTaskForwarded(almondcross.TaskForwardedConfig{
-		ID: wire.ID.value(), Attempt: wire.Attempt, Holder: wire.Holder.value(),
+		ID: wiretaskforwarded.ID.value(), Attempt: wiretaskforwarded.Attempt, Holder: wiretaskforwarded.Holder.value(),
 	})
 }
 
@@ -225,19 +225,19 @@
 
 type wireTaskStarted struct{ wireTaskAt }
 
-func (wire wireTaskStarted) message() almondcross.PeerMessage {
+func (wiretaskstarted wireTaskStarted) message() almondcross.PeerMessage {
 	return almondcross.NewTaskStarted(almondcross.TaskStartedConfig{
-		ID: wire.ID.value(), Attempt: wire.Attempt, Holder: wire.Holder.value(),
-		Target: wire.Target, Term: wire.Term.value(),
+		ID: wiretaskstarted.ID.value(), Attempt: wiretaskstarted.Attempt, Holder: wiretaskstarted.Holder.value(),
+		Target: wiretaskstarted.Target, Term: wiretaskstarted.Term.value(),
 	})
 }
 
 type wireTaskLost struct{ wireTaskAt }
 
-func (wire wireTaskLost) message() almondcross.PeerMessage {
+func (wiretasklost wireTaskLost) message() almondcross.PeerMessage {
 	return almondcross.NewTaskLost(almondcross.TaskLostConfig{
-		ID: wire.ID.value(), Attempt: wire.Attempt, Holder: wire.Holder.value(),
-		Target: wire.Target, Term: wire.Term.value(),
+		ID: wiretasklost.ID.value(), Attempt: wiretasklost.Attempt, Holder: wiretasklost.Holder.value(),
+		Target: wiretasklost.Target, Term: wiretasklost.Term.value(),
 	})
 }
 
@@ -248,9 +248,9 @@
 	Term   wireTerm     `cbor:"term"`
 }
 
-func (wire wireTaskEnded) message() almondcross.PeerMessage {
+func (wiretaskended wireTaskEnded) message() almondcross.PeerMessage {
 	return almondcross.NewTaskEnded(almondcross.TaskEndedConfig{
-		Result: wire.Result.value(), Holder: wire.Holder.value(), Target: wire.Target, Term: wire.Term.value(),
+		Result: wiretaskended.Result.value(), Holder: wiretaskended.Holder.value(), Target: wiretaskended.Target, Term: wiretaskended.Term.value(),
 	})
 }
 
@@ -261,9 +261,9 @@
 	Term   wireTerm     `cbor:"term"`
 }
 
-func (wire wireAdopt) message() almondcross.PeerMessage {
+func (wireadopt wireAdopt) message() almondcross.PeerMessage {
 	return almondcross.NewAdoptTask(almondcross.AdoptTaskConfig{
-		Task: wire.Task.value(), Holder: wire.Holder.value(), Target: wire.Target, Term: wire.Term.value(),
+		Task: wireadopt.Task.value(), Holder: wireadopt.Holder.value(), Target: wireadopt.Target, Term: wireadopt.Term.value(),
 	})
 }
 
@@ -283,9 +283,9 @@
 	}
 }
 
-func (wire wireAdoptAck) message() almondcross.PeerMessage {
+func (wireadoptack wireAdoptAck) message() almondcross.PeerMessage {
 	return almondcross.NewAdoptAnswered(almondcross.AdoptAnsweredConfig{
-		ID: wire.ID.value(), Attempt: wire.Attempt, Target: wire.Target, Term: wire.Term.value(),
-		Accepted: wire.Accepted, Coordinator: wire.Coordinator.value(),
+		ID: wireadoptack.ID.value(), Attempt: wireadoptack.Attempt, Target: wireadoptack.Target, Term: wireadoptack.Term.value(),
+		Accepted: wireadoptack.Accepted, Coordinator: wireadoptack.Coordinator.value(),
 	})
 }
--- a/encoder/platform.go
+++ b/encoder/platform.go
@@ -127,27 +127,27 @@
 }
 
 // Batch returns the value of the wire shape.
-func (shape PlatformBatch) Batch() almondcross.Batch {
-	records := make([]almondcross.Record, 0, len(shape.Records))
-	for _, record := range shape.Records {
+func (platformbatch PlatformBatch) Batch() almondcross.Batch {
+	records := make([]almondcross.Record, 0, len(platformbatch.Records))
+	for _, record := range platformbatch.Records {
 		records = append(records, almondcross.NewRecord(almondcross.RecordConfig{
 			ID: record.ID, Offset: almondcross.Offset(record.Offset),
 			Appended: time.UnixMicro(record.AppendedUs), Body: record.Body,
 		}))
 	}
 	return almondcross.NewBatch(almondcross.BatchConfig{
-		Records: records, Next: almondcross.Offset(shape.Next), End: almondcross.Offset(shape.End),
+		Records: records, Next: almondcross.Offset(platformbatch.Next), End: almondcross.Offset(platformbatch.End),
 	})
 }
 
 // LiveHosts returns the value of the wire shape.
-func (shape PlatformHosts) LiveHosts() almondcross.LiveHosts {
-	targets := make([]almondcross.Target, 0, len(shape.Hosts))
-	for _, host := range shape.Hosts {
+func (platformhosts PlatformHosts) LiveHosts() almondcross.LiveHosts {
+	targets := make([]almondcross.Target, 0, len(platformhosts.Hosts))
+	for _, host := range platformhosts.Hosts {
 		targets = append(targets, almondcross.NewTarget(almondcross.TargetConfig{
 			Name: host.Name, DataCentre: host.DataCentre, Rack: host.Rack,
 			Address: host.Address, State: almondcross.HostState(host.State),
 		}))
 	}
-	return almondcross.NewLiveHosts(almondcross.LiveHostsConfig{Version: shape.Version, Targets: targets})
+	return almondcross.NewLiveHosts(almondcross.LiveHostsConfig{Version: platformhosts.Version, Targets: targets})
 }
--- a/encoder/record.go
+++ b/encoder/record.go
@@ -109,10 +109,10 @@
 	}
 }
 
-func (wire wireOutcome) value() almondcross.Outcome {
+func (wireoutcome wireOutcome) value() almondcross.Outcome {
 	return almondcross.NewOutcome(almondcross.OutcomeConfig{
-		Key: wire.Key.value(), Status: wire.Status, Answer: wire.Answer, Code: wire.Code,
-		Detail: wire.Detail, RetryAfter: wire.RetryAfter, Target: wire.Target, Host: wire.Host,
+		Key: wireoutcome.Key.value(), Status: wireoutcome.Status, Answer: wireoutcome.Answer, Code: wireoutcome.Code,
+		Detail: wireoutcome.Detail, RetryAfter: wireoutcome.RetryAfter, Target: wireoutcome.Target, Host: wireoutcome.Host,
 	})
 }
 
@@ -198,11 +198,11 @@
 	}
 }
 
-func (wire wireClaim) value() almondcross.ClaimRecord {
+func (wireclaim wireClaim) value() almondcross.ClaimRecord {
 	return almondcross.NewClaimRecord(almondcross.ClaimRecordConfig{
-		ID: wire.ID, Kind: wire.Kind, Key: wire.Key.value(), Entry: wire.Entry,
-		Claimant: wire.Claimant.value(), DataCentre: wire.DataCentre, Status: wire.Status, Code: wire.Code,
-		AnswerOffset: wire.AnswerOffset, IssuedAt: wire.IssuedAt, Offset: wire.Offset,
+		ID: wireclaim.ID, Kind: wireclaim.Kind, Key: wireclaim.Key.value(), Entry: wireclaim.Entry,
+		Claimant: wireclaim.Claimant.value(), DataCentre: wireclaim.DataCentre, Status: wireclaim.Status, Code: wireclaim.Code,
+		AnswerOffset: wireclaim.AnswerOffset, IssuedAt: wireclaim.IssuedAt, Offset: wireclaim.Offset,
 	})
 }
 
--- a/encoder/report.go
+++ b/encoder/report.go
@@ -145,10 +145,10 @@
 }
 
 // Catalogue returns the catalogue.
-func (shape CatalogueShape) Catalogue() almondcross.Catalogue {
-	entries := make([]almondcross.Entry, len(shape.Entries))
-	for index, entry := range shape.Entries {
+func (catalogueshape CatalogueShape) Catalogue() almondcross.Catalogue {
+	entries := make([]almondcross.Entry, len(catalogueshape.Entries))
+	for index, entry := range catalogueshape.Entries {
 		entries[index] = entry.Entry()
 	}
-	return almondcross.NewCatalogue().WithOffset(shape.Offset).WithEntries(entries)
+	return almondcross.NewCatalogue().WithOffset(catalogueshape.Offset).WithEntries(entries)
 }
--- a/encoder/status.go
+++ b/encoder/status.go
@@ -165,9 +165,9 @@
 }
 
 // Offsets returns how far the catalogue of each data centre has come.
-func (shape StatusShape) Offsets() []almondcross.DataCentreOffset {
-	offsets := make([]almondcross.DataCentreOffset, len(shape.DataCentres))
-	for index, dataCentre := range shape.DataCentres {
+func (statusshape StatusShape) Offsets() []almondcross.DataCentreOffset {
+	offsets := make([]almondcross.DataCentreOffset, len(statusshape.DataCentres))
+	for index, dataCentre := range statusshape.DataCentres {
 		offsets[index] = almondcross.NewDataCentreOffset(almondcross.DataCentreOffsetConfig{
 			DataCentre: dataCentre.Name, Members: dataCentre.Members, Offset: dataCentre.CatalogueOffset,
 		})
--- a/encoder/wire.go
+++ b/encoder/wire.go
@@ -97,7 +97,7 @@
 }
 
 func toKey(key almondcross.Key) wireKey     { return wireKey(key.Config()) }
-func (wire wireKey) value() almondcross.Key { return almondcross.NewKey(almondcross.KeyConfig(wire)) }
+func (wirekey wireKey) value() almondcross.Key { return almondcross.NewKey(almondcross.KeyConfig(wirekey)) }
 
 type wireTaskID struct {
 	Key   wireKey `cbor:"key"`
@@ -108,8 +108,8 @@
 	return wireTaskID{Key: toKey(id.Key()), Index: id.Index()}
 }
 
-func (wire wireTaskID) value() almondcross.TaskID {
-	return almondcross.NewTaskID(almondcross.TaskIDConfig{Key: wire.Key.value(), Index: wire.Index})
+func (wiretaskid wireTaskID) value() almondcross.TaskID {
+	return almondcross.NewTaskID(almondcross.TaskIDConfig{Key: wiretaskid.Key.value(), Index: wiretaskid.Index})
 }
 
 type wireResources struct {
@@ -123,8 +123,8 @@
 	return wireResources(resources.Config())
 }
 
-func (wire wireResources) value() almondcross.Resources {
-	return almondcross.NewResources(almondcross.ResourcesConfig(wire))
+func (wireresources wireResources) value() almondcross.Resources {
+	return almondcross.NewResources(almondcross.ResourcesConfig(wireresources))
 }
 
 type wireMemberID struct {
@@ -134,8 +134,8 @@
 
 func toMemberID(id almondcross.MemberID) wireMemberID { return wireMemberID(id.Config()) }
 
-func (wire wireMemberID) value() almondcross.MemberID {
-	return almondcross.NewMemberID(almondcross.MemberIDConfig(wire))
+func (wirememberid wireMemberID) value() almondcross.MemberID {
+	return almondcross.NewMemberID(almondcross.MemberIDConfig(wirememberid))
 }
 
 type wireTerm struct {
@@ -144,8 +144,8 @@
 }
 
 func toTerm(term almondcross.Term) wireTerm { return wireTerm(term.Config()) }
-func (wire wireTerm) value() almondcross.Term {
-	return almondcross.NewTerm(almondcross.TermConfig(wire))
+func (wireterm wireTerm) value() almondcross.Term {
+	return almondcross.NewTerm(almondcross.TermConfig(wireterm))
 }
 
 type wireEntry struct {
@@ -177,12 +177,12 @@
 	}
 }
 
-func (wire wireEntry) value() almondcross.Entry {
+func (wireentry wireEntry) value() almondcross.Entry {
 	return almondcross.NewEntry(almondcross.EntryConfig{
-		Name: wire.Name, Owner: wire.Owner, Class: wire.Class, Resources: wire.Resources.value(),
-		Replicas: wire.Replicas, Tasks: wire.Tasks, MaxRunning: wire.MaxRunning, MaxWaiting: wire.MaxWaiting,
-		Timeout: wire.Timeout, MaxRun: wire.MaxRun, ExpectedRun: wire.ExpectedRun, Share: wire.Share,
-		Repeatable: wire.Repeatable, Urgent: wire.Urgent, DataCentres: wire.DataCentres, Version: wire.Version,
+		Name: wireentry.Name, Owner: wireentry.Owner, Class: wireentry.Class, Resources: wireentry.Resources.value(),
+		Replicas: wireentry.Replicas, Tasks: wireentry.Tasks, MaxRunning: wireentry.MaxRunning, MaxWaiting: wireentry.MaxWaiting,
+		Timeout: wireentry.Timeout, MaxRun: wireentry.MaxRun, ExpectedRun: wireentry.ExpectedRun, Share: wireentry.Share,
+		Repeatable: wireentry.Repeatable, Urgent: wireentry.Urgent, DataCentres: wireentry.DataCentres, Version: wireentry.Version,
 	})
 }
 
@@ -199,10 +199,10 @@
 	return wire
 }
 
-func (wire wireCatalogue) value() almondcross.Catalogue {
-	entries := make([]almondcross.Entry, 0, len(wire.Entries))
-	for _, entry := range wire.Entries {
+func (wirecatalogue wireCatalogue) value() almondcross.Catalogue {
+	entries := make([]almondcross.Entry, 0, len(wirecatalogue.Entries))
+	for _, entry := range wirecatalogue.Entries {
 		entries = append(entries, entry.value())
 	}
-	return almondcross.NewCatalogueOf(wire.Offset, entries)
+	return almondcross.NewCatalogueOf(wirecatalogue.Offset, entries)
 }
--- a/encoder/worker.go
+++ b/encoder/worker.go
@@ -212,8 +212,8 @@
 }
 
 // Value returns the value of the wire shape.
-func (shape WorkerTerm) Value() almondcross.Term {
-	return almondcross.NewTerm(almondcross.TermConfig{Boot: shape.Boot, Counter: shape.Counter})
+func (workerterm WorkerTerm) Value() almondcross.Term {
+	return almondcross.NewTerm(almondcross.TermConfig{Boot: workerterm.Boot, Counter: workerterm.Counter})
 }
 
 // WorkerMemberOf returns the wire shape of a member.
@@ -222,8 +222,8 @@
 }
 
 // Value returns the value of the wire shape.
-func (shape WorkerMember) Value() almondcross.MemberID {
-	return almondcross.NewMemberID(almondcross.MemberIDConfig{Name: shape.Name, Incarnation: shape.Incarnation})
+func (workermember WorkerMember) Value() almondcross.MemberID {
+	return almondcross.NewMemberID(almondcross.MemberIDConfig{Name: workermember.Name, Incarnation: workermember.Incarnation})
 }
 
 // WorkerTaskIDOf returns the wire shape of a task's identity.
@@ -242,10 +242,10 @@
 }
 
 // Value returns the value of the wire shape.
-func (shape WorkerTaskID) Value() almondcross.TaskID {
+func (workertaskid WorkerTaskID) Value() almondcross.TaskID {
 	return almondcross.NewTaskID(almondcross.TaskIDConfig{
-		Key:   almondcross.NewKey(almondcross.KeyConfig{Caller: shape.Caller, Origin: shape.Origin, Name: shape.Name}),
-		Index: shape.Index,
+		Key:   almondcross.NewKey(almondcross.KeyConfig{Caller: workertaskid.Caller, Origin: workertaskid.Origin, Name: workertaskid.Name}),
+		Index: workertaskid.Index,
 	})
 }
 
@@ -255,8 +255,8 @@
 }
 
 // Value returns the value of the wire shape.
-func (shape WorkerResources) Value() almondcross.Resources {
-	return almondcross.NewResources(almondcross.ResourcesConfig(shape))
+func (workerresources WorkerResources) Value() almondcross.Resources {
+	return almondcross.NewResources(almondcross.ResourcesConfig(workerresources))
 }
 
 // WorkerTaskOf returns the wire shape of a task.
@@ -271,13 +271,13 @@
 }
 
 // Value returns the value of the wire shape.
-func (shape WorkerTask) Value() almondcross.Task {
+func (workertask WorkerTask) Value() almondcross.Task {
 	return almondcross.NewTask(almondcross.TaskConfig{
-		ID: shape.ID.Value(), Entry: shape.Entry, Owner: shape.Owner, Class: almondcross.Class(shape.Class),
-		Resources: shape.Resources.Value(), Payload: shape.Payload, Repeatable: shape.Repeatable,
-		Urgent: shape.Urgent, Size: shape.Size, Attempt: shape.Attempt, Coordinator: shape.Coordinator.Value(),
-		MaxRun: microseconds(shape.MaxRunUs), ExpectedRun: microseconds(shape.ExpectedRunUs),
-		Timeout: microseconds(shape.TimeoutUs),
+		ID: workertask.ID.Value(), Entry: workertask.Entry, Owner: workertask.Owner, Class: almondcross.Class(workertask.Class),
+		Resources: workertask.Resources.Value(), Payload: workertask.Payload, Repeatable: workertask.Repeatable,
+		Urgent: workertask.Urgent, Size: workertask.Size, Attempt: workertask.Attempt, Coordinator: workertask.Coordinator.Value(),
+		MaxRun: microseconds(workertask.MaxRunUs), ExpectedRun: microseconds(workertask.ExpectedRunUs),
+		Timeout: microseconds(workertask.TimeoutUs),
 	})
 }
 
@@ -285,30 +285,30 @@
 func WorkerChecksum(answer []byte) string { return strconv.FormatUint(xxhash.Sum64(answer), 16) }
 
 // Whole reports whether the answer has the length and checksum that the worker computed.
-func (shape WorkerResult) Whole() bool {
-	return len(shape.Answer) == shape.AnswerBytes && WorkerChecksum(shape.Answer) == shape.Checksum
+func (workerresult WorkerResult) Whole() bool {
+	return len(workerresult.Answer) == workerresult.AnswerBytes && WorkerChecksum(workerresult.Answer) == workerresult.Checksum
 }
 
 // Value returns the value of the wire shape. A result whose answer is not whole becomes a failed
 // result with the code truncated and no answer.
-func (shape WorkerResult) Value() almondcross.TaskResult {
+func (workerresult WorkerResult) Value() almondcross.TaskResult {
 	config := almondcross.TaskResultConfig{
-		ID: shape.ID.Value(), Attempt: shape.Attempt, Code: almondcross.Code(shape.Code),
-		Ran: microseconds(shape.RanUs),
+		ID: workerresult.ID.Value(), Attempt: workerresult.Attempt, Code: almondcross.Code(workerresult.Code),
+		Ran: microseconds(workerresult.RanUs),
 	}
-	if !shape.Whole() {
+	if !workerresult.Whole() {
 		config.Code = almondcross.CodeTruncated
 		return almondcross.NewTaskResult(config)
 	}
-	config.Answer = shape.Answer
-	config.Checksum = xxhash.Sum64(shape.Answer)
+	config.Answer = workerresult.Answer
+	config.Checksum = xxhash.Sum64(workerresult.Answer)
 	return almondcross.NewTaskResult(config)
 }
 
 // Value returns the value of the wire shape.
-func (shape WorkerGrant) Value() almondcross.Grant {
-	items := make([]almondcross.InventoryItem, 0, len(shape.Inventory))
-	for _, item := range shape.Inventory {
+func (workergrant WorkerGrant) Value() almondcross.Grant {
+	items := make([]almondcross.InventoryItem, 0, len(workergrant.Inventory))
+	for _, item := range workergrant.Inventory {
 		config := almondcross.InventoryItemConfig{Task: item.Task.Value()}
 		if item.Result != nil {
 			config.Finished = true
@@ -317,14 +317,14 @@
 		items = append(items, almondcross.NewInventoryItem(config))
 	}
 	return almondcross.NewGrant(almondcross.GrantConfig{
-		Target: shape.Target, Term: shape.Term.Value(), Capacity: shape.Capacity.Value(),
-		Leaving: shape.Leaving, Inventory: items, Events: shape.Events,
+		Target: workergrant.Target, Term: workergrant.Term.Value(), Capacity: workergrant.Capacity.Value(),
+		Leaving: workergrant.Leaving, Inventory: items, Events: workergrant.Events,
 	})
 }
 
 // Value returns the value of the wire shape.
-func (shape WorkerEvent) Value() almondcross.WorkerEvent {
-	return almondcross.NewWorkerEvent(almondcross.WorkerEventConfig{Index: shape.Index, Result: shape.Result.Value()})
+func (workerevent WorkerEvent) Value() almondcross.WorkerEvent {
+	return almondcross.NewWorkerEvent(almondcross.WorkerEventConfig{Index: workerevent.Index, Result: workerevent.Result.Value()})
 }
 
 func microseconds(count int64) time.Duration { return time.Duration(count) * time.Microsecond }
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -33,15 +33,15 @@
 }
 
 // Error returns the description of the failure.
-func (failure *ExchangeError) Error() string {
-	if failure.Cause != nil {
-		return failure.Cause.Error()
+func (exchangeerror *ExchangeError) Error() string {
+	if exchangeerror.Cause != nil {
+		return exchangeerror.Cause.Error()
 	}
-	return fmt.Sprintf("status %d, code %q: %s", failure.Status, failure.Code, failure.Detail)
+	return fmt.Sprintf("status %d, code %q: %s", exchangeerror.Status, exchangeerror.Code, exchangeerror.Detail)
 }
 
 // Unwrap returns the error of the transport or of the decoding.
-func (failure *ExchangeError) Unwrap() error { return failure.Cause }
+func (exchangeerror *ExchangeError) Unwrap() error { return exchangeerror.Cause }
 
 // Config holds the settings of a exchanger.
 type Config struct {
--- a/integration/cell/world_test.go
+++ b/integration/cell/world_test.go
@@ -146,43 +146,43 @@
 }
 
 // settle records the end of a claimed key.
-func (log *claimLog) settle(outcome almondcross.Outcome) {
-	log.world.after(20*time.Millisecond, func() {
-		if claim, ok := log.first[outcome.Key()]; ok {
-			log.first[outcome.Key()] = claim.WithKind(almondcross.ClaimSettled).WithStatus(outcome.Status()).WithCode(outcome.Code())
+func (claimlog *claimLog) settle(outcome almondcross.Outcome) {
+	claimlog.world.after(20*time.Millisecond, func() {
+		if claim, ok := claimlog.first[outcome.Key()]; ok {
+			claimlog.first[outcome.Key()] = claim.WithKind(almondcross.ClaimSettled).WithStatus(outcome.Status()).WithCode(outcome.Code())
 		}
 	})
 }
 
 // claim appends a claim and tells the host how the log decided.
-func (log *claimLog) claim(host *host, key almondcross.Key) {
-	if decisive, ok := log.first[key]; log.down && ok && decisive.Claimant() == host.self().ID() {
+func (claimlog *claimLog) claim(host *host, key almondcross.Key) {
+	if decisive, ok := claimlog.first[key]; claimlog.down && ok && decisive.Claimant() == host.self().ID() {
 		// A host knows its own claims.
 		host.tell(almondcross.NewClaimDecided(almondcross.ClaimDecidedConfig{
 			Key: key, Code: almondcross.CodeClaimedElsewhere, Decisive: decisive,
 		}))
 		return
 	}
-	if log.down {
+	if claimlog.down {
 		host.tell(almondcross.NewClaimDecided(almondcross.ClaimDecidedConfig{Key: key, Code: almondcross.CodeLogDown}))
 		return
 	}
 	wait := 20 * time.Millisecond
-	if log.lossy {
-		wait = time.Duration(log.world.random.Int64N(int64(5 * time.Second)))
+	if claimlog.lossy {
+		wait = time.Duration(claimlog.world.random.Int64N(int64(5 * time.Second)))
 	}
 	claimant := host.self().ID()
-	log.next++
-	id := fmt.Sprint(log.next)
-	log.world.after(wait/2, func() {
-		if _, ok := log.first[key]; !ok {
-			log.first[key] = almondcross.NewClaimRecord(almondcross.ClaimRecordConfig{
+	claimlog.next++
+	id := fmt.Sprint(claimlog.next)
+	claimlog.world.after(wait/2, func() {
+		if _, ok := claimlog.first[key]; !ok {
+			claimlog.first[key] = almondcross.NewClaimRecord(almondcross.ClaimRecordConfig{
 				ID: id, Kind: almondcross.ClaimTaken, Key: key, Claimant: claimant, DataCentre: dataCentre,
 			})
 		}
 	})
-	log.world.after(wait, func() {
-		decisive := log.first[key]
+	claimlog.world.after(wait, func() {
+		decisive := claimlog.first[key]
 		host.tell(almondcross.NewClaimDecided(almondcross.ClaimDecidedConfig{
 			Key: key, Granted: decisive.ID() == id && decisive.Kind() == almondcross.ClaimTaken,
 			Code: almondcross.CodeClaimedElsewhere, Decisive: decisive,
--- a/parser/node.go
+++ b/parser/node.go
@@ -30,16 +30,16 @@
 }
 
 // Error returns the fault on one line.
-func (err *FormatError) Error() string {
-	key := err.Key
+func (formaterror *FormatError) Error() string {
+	key := formaterror.Key
 	if key == "" {
 		key = "document"
 	}
-	return fmt.Sprintf("%s:%d: %s: found %s; allowed: %s", err.File, err.Line, key, err.Found, err.Allowed)
+	return fmt.Sprintf("%s:%d: %s: found %s; allowed: %s", formaterror.File, formaterror.Line, key, formaterror.Found, formaterror.Allowed)
 }
 
 // Unwrap makes errors.Is recognise every FormatError as ErrInvalid.
-func (err *FormatError) Unwrap() error { return ErrInvalid }
+func (formaterror *FormatError) Unwrap() error { return ErrInvalid }
 
 // Node is one value of a document with its position.
 type Node struct {
--- a/policy/estimator/estimator.go
+++ b/policy/estimator/estimator.go
@@ -68,9 +68,9 @@
 }
 
 // quantile returns a run time that a part of the tasks stays within, between the bounds of its class.
-func (known *history) quantile(part float64) time.Duration {
-	rest := part * float64(known.total)
-	for class, count := range known.counts {
+func (history *history) quantile(part float64) time.Duration {
+	rest := part * float64(history.total)
+	for class, count := range history.counts {
 		if rest <= float64(count) && count > 0 {
 			upper := time.Duration(1<<class) * time.Millisecond
 			return upper/2 + time.Duration(float64(upper/2)*rest/float64(count))
--- a/policy/packer/tree.go
+++ b/policy/packer/tree.go
@@ -16,13 +16,13 @@
 	return amount{resources.MilliCPU(), resources.MemoryMB(), resources.Accelerators(), resources.Slots()}
 }
 
-func (need *amount) fits(room *amount) bool {
-	return need[0] <= room[0] && need[1] <= room[1] && need[2] <= room[2] && need[3] <= room[3]
+func (amount *amount) fits(room *amount) bool {
+	return amount[0] <= room[0] && amount[1] <= room[1] && amount[2] <= room[2] && amount[3] <= room[3]
 }
 
-func (need *amount) raise(other *amount) {
+func (amount *amount) raise(other *amount) {
 	for index, value := range other {
-		need[index] = max(need[index], value)
+		amount[index] = max(amount[index], value)
 	}
 }
 
@@ -36,20 +36,20 @@
 	left, right *leaf
 }
 
-func (item *leaf) before(other *leaf) bool {
-	if item.score != other.score {
-		return item.score < other.score
+func (leaf *leaf) before(other *leaf) bool {
+	if leaf.score != other.score {
+		return leaf.score < other.score
 	}
-	return item.name < other.name
+	return leaf.name < other.name
 }
 
-func (item *leaf) refresh() {
-	item.most = item.room
-	if item.left != nil {
-		item.most.raise(&item.left.most)
+func (leaf *leaf) refresh() {
+	leaf.most = leaf.room
+	if leaf.left != nil {
+		leaf.most.raise(&leaf.left.most)
 	}
-	if item.right != nil {
-		item.most.raise(&item.right.most)
+	if leaf.right != nil {
+		leaf.most.raise(&leaf.right.most)
 	}
 }
 
--- a/query/lister/lister.go
+++ b/query/lister/lister.go
@@ -87,14 +87,14 @@
 	from, to string
 }
 
-func (flags *periodFlags) bind(command *cobra.Command) {
-	command.Flags().StringVar(&flags.from, "from", "", `start: a time such as 2026-03-01T00:00:00Z, or an age such as 2h (default: a day before the end)`)
-	command.Flags().StringVar(&flags.to, "to", "", "end: a time or an age (default: now)")
+func (periodflags *periodFlags) bind(command *cobra.Command) {
+	command.Flags().StringVar(&periodflags.from, "from", "", `start: a time such as 2026-03-01T00:00:00Z, or an age such as 2h (default: a day before the end)`)
+	command.Flags().StringVar(&periodflags.to, "to", "", "end: a time or an age (default: now)")
 }
 
 // add puts the period into a query.
-func (flags *periodFlags) add(query url.Values, clock almondcross.Clock) error {
-	for name, text := range map[string]string{"from": flags.from, "to": flags.to} {
+func (periodflags *periodFlags) add(query url.Values, clock almondcross.Clock) error {
+	for name, text := range map[string]string{"from": periodflags.from, "to": periodflags.to} {
 		if text == "" {
 			continue
 		}
--- a/query/lister/report.go
+++ b/query/lister/report.go
@@ -175,7 +175,7 @@
 			"decisions, so every host given with --server is asked. When one cannot be asked, or no longer has\n" +
 			"the oldest decisions, the exit code is 3." + requester.ExitHelp,
 		Example: "  almondcross report why --entry balance-lookup --server 127.0.0.1:7201 --server 127.0.0.1:7202\n" +
-			"  almondcross report why --caller ledger --origin kamloops-1 --key dividend-2026-03",
+			"  almondcross report why --caller ledger --origin kamloops-1 --key reconciliation-2026-03",
 		Args: requester.Args(cobra.NoArgs),
 		RunE: func(command *cobra.Command, _ []string) error {
 			if err := checkFormat(format); err != nil {
--- a/query/lister/state.go
+++ b/query/lister/state.go
@@ -26,7 +26,7 @@
 		Use: "show KEY", Short: "Show what became of a request",
 		Long: "Shows what became of a request. A caller sees only its own keys. Without --origin the data centre\n" +
 			"of the asked host is taken." + requester.ExitHelp,
-		Example: "  almondcross request show dividend-2026-03 --origin kamloops-1",
+		Example: "  almondcross request show reconciliation-2026-03 --origin kamloops-1",
 		Args:    requester.Args(cobra.ExactArgs(1)),
 		RunE: func(command *cobra.Command, arguments []string) error {
 			shape, err := ask(command, &flags, func(ctx context.Context, client *Client) (encoder.OutcomeShape, error) {
--- a/query/reporter/reporter.go
+++ b/query/reporter/reporter.go
@@ -168,7 +168,7 @@
 type storyReplier chan almondcross.Story
 
 // ReplyStory does not block, since the channel has room for the one answer.
-func (replier storyReplier) ReplyStory(story almondcross.Story) { replier <- story }
+func (storyreplier storyReplier) ReplyStory(story almondcross.Story) { storyreplier <- story }
 
 // Story returns the decisions that this host took about a key or an entry.
 func (reporter Reporter) Story(ctx context.Context, query almondcross.StoryQuery) (almondcross.Story, error) {
--- a/query/tailer/tailer_test.go
+++ b/query/tailer/tailer_test.go
@@ -104,17 +104,17 @@
 	reads int
 }
 
-func (log *brokenLog) Read(
+func (brokenlog *brokenLog) Read(
 	context.Context, almondcross.Stream, almondcross.Offset, int, time.Duration,
 ) (almondcross.Batch, error) {
-	if log.reads++; log.reads == 1000 {
-		log.stop()
+	if brokenlog.reads++; brokenlog.reads == 1000 {
+		brokenlog.stop()
 	}
-	return almondcross.Batch{}, log.err
+	return almondcross.Batch{}, brokenlog.err
 }
 
-func (log *brokenLog) End(context.Context, almondcross.Stream) (oldest, end almondcross.Offset, err error) {
-	return 0, 0, log.err
+func (brokenlog *brokenLog) End(context.Context, almondcross.Stream) (oldest, end almondcross.Offset, err error) {
+	return 0, 0, brokenlog.err
 }
 
 // Guards against a tailer that spins while the log fails, answers long polls at once, or trims
--- a/remote.go
+++ b/remote.go
@@ -26,18 +26,18 @@
 }
 
 // DataCentre returns the name of the data centre.
-func (offset DataCentreOffset) DataCentre() string { return offset.dataCentre }
+func (datacentreoffset DataCentreOffset) DataCentre() string { return datacentreoffset.dataCentre }
 
 // Members returns the number of members that the asked host sees in the data centre.
-func (offset DataCentreOffset) Members() int { return offset.members }
+func (datacentreoffset DataCentreOffset) Members() int { return datacentreoffset.members }
 
 // Offset returns the lowest offset among these members.
-func (offset DataCentreOffset) Offset() Offset { return offset.offset }
+func (datacentreoffset DataCentreOffset) Offset() Offset { return datacentreoffset.offset }
 
 // Reached reports whether every seen member of the data centre covers an offset; a data centre
 // without a seen member has not reached it.
-func (offset DataCentreOffset) Reached(version Offset) bool {
-	return offset.members > 0 && offset.offset >= version
+func (datacentreoffset DataCentreOffset) Reached(version Offset) bool {
+	return datacentreoffset.members > 0 && datacentreoffset.offset >= version
 }
 
 // CellViewer reads the state of a cell through the API of an entry host.
--- a/requester/exit.go
+++ b/requester/exit.go
@@ -29,10 +29,10 @@
 }
 
 // Error returns the text of the cause.
-func (err *ExitError) Error() string { return err.cause.Error() }
+func (exiterror *ExitError) Error() string { return exiterror.cause.Error() }
 
 // Unwrap returns the cause.
-func (err *ExitError) Unwrap() error { return err.cause }
+func (exiterror *ExitError) Unwrap() error { return exiterror.cause }
 
 // Failed marks an operation that failed or was refused.
 func Failed(cause error) error { return &ExitError{code: ExitFailed, cause: cause} }
--- a/responder/responder.go
+++ b/responder/responder.go
@@ -83,9 +83,9 @@
 	status int
 }
 
-func (recorder *statusRecorder) WriteHeader(status int) {
-	recorder.status = status
-	recorder.ResponseWriter.WriteHeader(status)
+func (statusrecorder *statusRecorder) WriteHeader(status int) {
+	statusrecorder.status = status
+	statusrecorder.ResponseWriter.WriteHeader(status)
 }
 
 // Failure is an error answer. NotRun may be set only where the request certainly did not run and
--- a/standin/provider/live.go
+++ b/standin/provider/live.go
@@ -125,56 +125,56 @@
 	return first
 }
 
-func (message registerHost) apply(live *live, now time.Time) {
-	if live.isDown(message.answers) {
+func (registerhost registerHost) apply(live *live, now time.Time) {
+	if live.isDown(registerhost.answers) {
 		return
 	}
-	entry, known := live.hosts[message.host.Name]
+	entry, known := live.hosts[registerhost.host.Name]
 	if !known {
-		live.config.Logger.WithField("host", message.host.Name).Info("host registered in the live list")
+		live.config.Logger.WithField("host", registerhost.host.Name).Info("host registered in the live list")
 	}
-	if message.host.State == "" {
-		message.host.State = string(almondcross.HostLive)
+	if registerhost.host.State == "" {
+		registerhost.host.State = string(almondcross.HostLive)
 	}
 	entry.expires = time.Time{}
-	if message.host.TTLMs > 0 {
-		entry.expires = now.Add(time.Duration(message.host.TTLMs) * time.Millisecond)
+	if registerhost.host.TTLMs > 0 {
+		entry.expires = now.Add(time.Duration(registerhost.host.TTLMs) * time.Millisecond)
 	}
-	entry.host = message.host
-	live.hosts[message.host.Name] = entry
-	message.answers <- live.afterDelay(answerer.Answer{Body: encoder.WorkerDone{}})
+	entry.host = registerhost.host
+	live.hosts[registerhost.host.Name] = entry
+	registerhost.answers <- live.afterDelay(answerer.Answer{Body: encoder.WorkerDone{}})
 }
 
-func (message setHostState) apply(live *live, _ time.Time) {
-	entry, known := live.hosts[message.name]
+func (sethoststate setHostState) apply(live *live, _ time.Time) {
+	entry, known := live.hosts[sethoststate.name]
 	if !known {
-		message.answers <- answerer.Refusal(http.StatusNotFound, encoder.PlatformUnknownHost, "the host is not registered")
+		sethoststate.answers <- answerer.Refusal(http.StatusNotFound, encoder.PlatformUnknownHost, "the host is not registered")
 		return
 	}
-	switch message.state {
+	switch sethoststate.state {
 	case string(almondcross.HostLive):
 		entry.forced = ""
 	case string(almondcross.HostLeaving), stateGone:
-		entry.forced = message.state
+		entry.forced = sethoststate.state
 	default:
-		message.answers <- answerer.Refusal(http.StatusBadRequest, encoder.PlatformInvalid, "the state is unknown")
+		sethoststate.answers <- answerer.Refusal(http.StatusBadRequest, encoder.PlatformInvalid, "the state is unknown")
 		return
 	}
-	live.hosts[message.name] = entry
-	live.config.Logger.WithFields(logrus.Fields{"host": message.name, "state": message.state}).Info("host state set")
-	message.answers <- answerer.Answer{Body: encoder.WorkerDone{}}
+	live.hosts[sethoststate.name] = entry
+	live.config.Logger.WithFields(logrus.Fields{"host": sethoststate.name, "state": sethoststate.state}).Info("host state set")
+	sethoststate.answers <- answerer.Answer{Body: encoder.WorkerDone{}}
 }
 
-func (message listHosts) apply(live *live, now time.Time) {
-	if live.isDown(message.answers) {
+func (listhosts listHosts) apply(live *live, now time.Time) {
+	if live.isDown(listhosts.answers) {
 		return
 	}
-	live.waiters = append(live.waiters, listWaiter{list: message, deadline: now.Add(message.wait)})
+	live.waiters = append(live.waiters, listWaiter{list: listhosts, deadline: now.Add(listhosts.wait)})
 }
 
-func (message switchLive) apply(live *live, now time.Time) {
-	if message.change != nil {
-		live.switches = *message.change
+func (switchlive switchLive) apply(live *live, now time.Time) {
+	if switchlive.change != nil {
+		live.switches = *switchlive.change
 		live.config.Logger.WithFields(logrus.Fields{"switches": live.switches}).Info("live list switches changed")
 		if live.switches.Down {
 			for _, waiter := range live.waiters {
@@ -185,7 +185,7 @@
 			live.extendHosts(now)
 		}
 	}
-	message.answers <- answerer.Answer{Body: live.switches}
+	switchlive.answers <- answerer.Answer{Body: live.switches}
 }
 
 func (live *live) isDown(answers chan<- answerer.Answer) bool {
--- a/standin/provider/streams.go
+++ b/standin/provider/streams.go
@@ -154,14 +154,14 @@
 	return found
 }
 
-func (message appendRecords) apply(streams *streams, now time.Time) {
-	if streams.isDown(message.answers) || streams.isMalformed(message) {
+func (appendrecords appendRecords) apply(streams *streams, now time.Time) {
+	if streams.isDown(appendrecords.answers) || streams.isMalformed(appendrecords) {
 		return
 	}
-	stream := streams.stream(message.stream)
+	stream := streams.stream(appendrecords.stream)
 	first := stream.end()
-	ids := make([]string, 0, len(message.records))
-	for position, record := range message.records {
+	ids := make([]string, 0, len(appendrecords.records))
+	for position, record := range appendrecords.records {
 		record.Offset = first + int64(position)
 		record.AppendedUs = now.UnixMicro()
 		stream.records = append(stream.records, record)
@@ -170,11 +170,11 @@
 	streams.appended.Add(len(ids))
 	lose := streams.takeLoss()
 	streams.record(encoder.PlatformAppendEntry{
-		AtUs: now.UnixMicro(), Stream: message.stream, FirstOffset: first, IDs: ids, AnswerLost: lose,
+		AtUs: now.UnixMicro(), Stream: appendrecords.stream, FirstOffset: first, IDs: ids, AnswerLost: lose,
 	})
 	streams.trimCount(stream)
-	streams.answer(message.answers, answerer.Answer{Body: encoder.PlatformAppended{FirstOffset: first}, Abort: lose})
-	streams.wake(message.stream)
+	streams.answer(appendrecords.answers, answerer.Answer{Body: encoder.PlatformAppended{FirstOffset: first}, Abort: lose})
+	streams.wake(appendrecords.stream)
 }
 
 func (streams *streams) isDown(answers chan<- answerer.Answer) bool {
@@ -227,14 +227,14 @@
 	streams.appends = append(streams.appends, entry)
 }
 
-func (message readRecords) apply(streams *streams, now time.Time) {
-	if streams.isDown(message.answers) {
+func (readrecords readRecords) apply(streams *streams, now time.Time) {
+	if streams.isDown(readrecords.answers) {
 		return
 	}
-	if streams.tryRead(message, message.wait == 0) {
+	if streams.tryRead(readrecords, readrecords.wait == 0) {
 		return
 	}
-	streams.waiters = append(streams.waiters, readWaiter{read: message, deadline: now.Add(message.wait)})
+	streams.waiters = append(streams.waiters, readWaiter{read: readrecords, deadline: now.Add(readrecords.wait)})
 }
 
 // tryRead answers a read when there are records, when the offset is trimmed, or when it must answer.
@@ -302,16 +302,16 @@
 	streams.waiters = kept
 }
 
-func (message findEnd) apply(streams *streams, _ time.Time) {
-	if streams.isDown(message.answers) {
+func (findend findEnd) apply(streams *streams, _ time.Time) {
+	if streams.isDown(findend.answers) {
 		return
 	}
-	stream := streams.stream(message.stream)
-	streams.answer(message.answers, answerer.Answer{Body: encoder.PlatformEnd{Oldest: stream.oldest, End: stream.end()}})
+	stream := streams.stream(findend.stream)
+	streams.answer(findend.answers, answerer.Answer{Body: encoder.PlatformEnd{Oldest: stream.oldest, End: stream.end()}})
 }
 
-func (message listAppends) apply(streams *streams, _ time.Time) {
-	from := min(max(message.after, 0), len(streams.appends))
+func (listappends listAppends) apply(streams *streams, _ time.Time) {
+	from := min(max(listappends.after, 0), len(streams.appends))
 	to, bytes := from, 0
 	for to < len(streams.appends) {
 		for _, id := range streams.appends[to].IDs {
@@ -323,15 +323,15 @@
 		}
 		to++
 	}
-	message.answers <- answerer.Answer{Body: encoder.PlatformAppends{
+	listappends.answers <- answerer.Answer{Body: encoder.PlatformAppends{
 		Appends: append([]encoder.PlatformAppendEntry{}, streams.appends[from:to]...),
 		Next:    to, Total: len(streams.appends), Dropped: streams.dropped,
 	}}
 }
 
-func (message switchLog) apply(streams *streams, _ time.Time) {
-	if message.change != nil {
-		streams.switches = *message.change
+func (switchlog switchLog) apply(streams *streams, _ time.Time) {
+	if switchlog.change != nil {
+		streams.switches = *switchlog.change
 		streams.config.Logger.WithFields(logrus.Fields{"switches": streams.switches}).Info("log switches changed")
 		if streams.switches.Down {
 			streams.refuseWaiters()
@@ -340,7 +340,7 @@
 			streams.releaseHeld()
 		}
 	}
-	message.answers <- answerer.Answer{Body: streams.switches}
+	switchlog.answers <- answerer.Answer{Body: streams.switches}
 }
 
 func (streams *streams) refuseWaiters() {
--- a/standin/worker/lease.go
+++ b/standin/worker/lease.go
@@ -31,23 +31,23 @@
 	answers answers
 }
 
-func (message acquire) apply(state *state, now time.Time) {
-	if state.refusesConnection(message.answers) {
+func (acquire acquire) apply(state *state, now time.Time) {
+	if state.refusesConnection(acquire.answers) {
 		return
 	}
 	// The holder may acquire again after an unanswered call; the new term ends its own old one.
-	if holder := message.body.Holder.Value(); state.leased && holder != state.holder {
-		state.answer(message.answers, answerer.Refusal(
+	if holder := acquire.body.Holder.Value(); state.leased && holder != state.holder {
+		state.answer(acquire.answers, answerer.Refusal(
 			http.StatusConflict, encoder.PlatformLeaseHeld, "the lease is held by "+state.holder.Name()))
 		return
 	}
 	state.counter++
 	state.leased = true
 	state.leaseUntil = now.Add(almondcross.HolderLease)
-	state.holder = message.body.Holder.Value()
+	state.holder = acquire.body.Holder.Value()
 	state.forgetStarts()
 	state.record(now, encoder.WorkerHistoryEntry{Kind: encoder.WorkerGranted})
-	state.answer(message.answers, answerer.Answer{Body: encoder.WorkerGrant{
+	state.answer(acquire.answers, answerer.Answer{Body: encoder.WorkerGrant{
 		Target: state.config.Name, Term: state.term(), Capacity: encoder.WorkerResourcesOf(state.config.Capacity),
 		Leaving: state.switches.Leaving, Inventory: state.inventory(), Events: state.events,
 	}})
@@ -80,28 +80,28 @@
 	return shape
 }
 
-func (message renew) apply(state *state, now time.Time) {
-	if state.refusesConnection(message.answers) || state.isStale(message.body.Term, message.answers) {
+func (renew renew) apply(state *state, now time.Time) {
+	if state.refusesConnection(renew.answers) || state.isStale(renew.body.Term, renew.answers) {
 		return
 	}
 	state.leaseUntil = now.Add(almondcross.HolderLease)
-	for _, id := range message.body.Tasks {
+	for _, id := range renew.body.Tasks {
 		if running, ok := state.running[id.Value()]; ok {
 			running.leaseUntil = now.Add(almondcross.TaskLease)
 		}
 	}
-	state.answer(message.answers, answerer.Answer{Body: encoder.WorkerRenewed{
+	state.answer(renew.answers, answerer.Answer{Body: encoder.WorkerRenewed{
 		Leaving: state.switches.Leaving, Usage: encoder.WorkerResourcesOf(state.reported(now)),
 	}})
 }
 
-func (message release) apply(state *state, now time.Time) {
-	if state.refusesConnection(message.answers) || state.isStale(message.body.Term, message.answers) {
+func (release release) apply(state *state, now time.Time) {
+	if state.refusesConnection(release.answers) || state.isStale(release.body.Term, release.answers) {
 		return
 	}
 	state.leased = false
 	state.record(now, encoder.WorkerHistoryEntry{Kind: encoder.WorkerReleased})
-	state.answer(message.answers, answerer.Answer{Body: encoder.WorkerDone{}})
+	state.answer(release.answers, answerer.Answer{Body: encoder.WorkerDone{}})
 }
 
 func (state *state) isStale(term encoder.WorkerTerm, answers answers) bool {
@@ -117,8 +117,8 @@
 }
 
 // apply begins a new boot without a lease. Surviving tasks keep their leases and results.
-func (message restart) apply(state *state, now time.Time) {
-	if !message.body.KeepTasks {
+func (restart restart) apply(state *state, now time.Time) {
+	if !restart.body.KeepTasks {
 		state.vanish(now)
 	}
 	state.boot++
@@ -130,7 +130,7 @@
 	state.config.Logger.WithFields(logrus.Fields{
 		"worker": state.config.Name, "boot": state.boot, "tasks": len(state.running),
 	}).Info("worker restarted")
-	message.answers <- answerer.Answer{Body: encoder.WorkerDone{}}
+	restart.answers <- answerer.Answer{Body: encoder.WorkerDone{}}
 }
 
 // vanish drops all tasks and results, as a restart of the machine does.
--- a/standin/worker/reads.go
+++ b/standin/worker/reads.go
@@ -35,18 +35,18 @@
 }
 
 // apply acknowledges the events up to the index and waits for later ones.
-func (message readEvents) apply(state *state, now time.Time) {
-	if state.refusesConnection(message.answers) || state.isStale(message.term, message.answers) {
+func (readevents readEvents) apply(state *state, now time.Time) {
+	if state.refusesConnection(readevents.answers) || state.isStale(readevents.term, readevents.answers) {
 		return
 	}
 	count := 0
-	for count < len(state.ended) && state.ended[count].index <= message.after {
+	for count < len(state.ended) && state.ended[count].index <= readevents.after {
 		state.heldBytes -= state.ended[count].bytes
 		count++
 	}
 	clear(state.ended[:count])
 	state.ended = state.ended[count:]
-	state.waiters = append(state.waiters, eventWaiter{read: message, deadline: now.Add(message.wait)})
+	state.waiters = append(state.waiters, eventWaiter{read: readevents, deadline: now.Add(readevents.wait)})
 }
 
 // answerWaiters answers the long polls that have events, that are over, or whose term ended.
@@ -76,8 +76,8 @@
 	return events
 }
 
-func (message readState) apply(state *state, _ time.Time) {
-	if !message.internal && state.refusesConnection(message.answers) {
+func (readstate readState) apply(state *state, _ time.Time) {
+	if !readstate.internal && state.refusesConnection(readstate.answers) {
 		return
 	}
 	shape := encoder.WorkerState{
@@ -89,16 +89,16 @@
 	for id := range state.running {
 		shape.Running = append(shape.Running, encoder.WorkerTaskIDOf(id))
 	}
-	if message.internal {
-		message.answers <- answerer.Answer{Body: shape}
+	if readstate.internal {
+		readstate.answers <- answerer.Answer{Body: shape}
 		return
 	}
-	state.answer(message.answers, answerer.Answer{Body: shape})
+	state.answer(readstate.answers, answerer.Answer{Body: shape})
 }
 
 // apply returns a page of the history; no switch affects it, since checkers read it during faults.
-func (message readHistory) apply(state *state, _ time.Time) {
-	from := min(max(message.after, 0), len(state.history))
+func (readhistory readHistory) apply(state *state, _ time.Time) {
+	from := min(max(readhistory.after, 0), len(state.history))
 	to, bytes := from, 0
 	for to < len(state.history) {
 		if bytes += historyBytes(state.history[to]); bytes > maxHeldBytes {
@@ -106,7 +106,7 @@
 		}
 		to++
 	}
-	message.answers <- answerer.Answer{Body: encoder.WorkerHistory{
+	readhistory.answers <- answerer.Answer{Body: encoder.WorkerHistory{
 		Worker: state.config.Name, Capacity: encoder.WorkerResourcesOf(state.config.Capacity),
 		Entries: append([]encoder.WorkerHistoryEntry{}, state.history[from:to]...),
 		Next:    to, Total: len(state.history), Dropped: state.dropped,
@@ -122,12 +122,12 @@
 	return historyOverhead + 6*names
 }
 
-func (message changeSwitches) apply(state *state, _ time.Time) {
-	if message.body != nil {
-		state.switches = *message.body
+func (changeswitches changeSwitches) apply(state *state, _ time.Time) {
+	if changeswitches.body != nil {
+		state.switches = *changeswitches.body
 		state.config.Logger.WithFields(logrus.Fields{
 			"worker": state.config.Name, "switches": state.switches,
 		}).Info("worker switches changed")
 	}
-	message.answers <- answerer.Answer{Body: state.switches}
+	changeswitches.answers <- answerer.Answer{Body: state.switches}
 }
--- a/standin/worker/tasks.go
+++ b/standin/worker/tasks.go
@@ -29,19 +29,19 @@
 	answers answers
 }
 
-func (message start) apply(state *state, now time.Time) {
-	if state.refusesConnection(message.answers) {
+func (start start) apply(state *state, now time.Time) {
+	if state.refusesConnection(start.answers) {
 		return
 	}
-	task := message.body.Task.Value()
-	if state.inForce(message.body.Term) && state.knows(task) {
-		state.answer(message.answers, answerer.Answer{Body: encoder.WorkerDone{}})
+	task := start.body.Task.Value()
+	if state.inForce(start.body.Term) && state.knows(task) {
+		state.answer(start.answers, answerer.Answer{Body: encoder.WorkerDone{}})
 		return
 	}
 	behaviour := behaviourOf(task, state.config.DefaultRun)
 	bytes := heldBytes(task, behaviour)
-	if code := state.refusal(message.body.Term, task, bytes); code != "" {
-		state.refuse(message, task, code, now)
+	if code := state.refusal(start.body.Term, task, bytes); code != "" {
+		state.refuse(start, task, code, now)
 		return
 	}
 	state.heldBytes += bytes
@@ -57,7 +57,7 @@
 	state.allocate(state.allocated.Add(task.Resources()), now)
 	state.counters.started.Inc()
 	state.record(now, entryOf(encoder.WorkerStarted, task))
-	state.answer(message.answers, answerer.Answer{Body: encoder.WorkerDone{}})
+	state.answer(start.answers, answerer.Answer{Body: encoder.WorkerDone{}})
 }
 
 // knows reports whether this attempt was started in this term or is still held from an earlier one.
@@ -125,21 +125,21 @@
 }
 
 // apply carries out an order. An order for a task that does not run has no effect.
-func (message order) apply(state *state, now time.Time) {
-	if state.refusesConnection(message.answers) || state.isStale(message.body.Term, message.answers) {
+func (order order) apply(state *state, now time.Time) {
+	if state.refusesConnection(order.answers) || state.isStale(order.body.Term, order.answers) {
 		return
 	}
-	id := message.body.ID.Value()
+	id := order.body.ID.Value()
 	if running, ok := state.running[id]; ok {
-		message.carryOut(state, running, now)
+		order.carryOut(state, running, now)
 	}
-	state.answer(message.answers, answerer.Answer{Body: encoder.WorkerDone{}})
+	state.answer(order.answers, answerer.Answer{Body: encoder.WorkerDone{}})
 }
 
-func (message order) carryOut(state *state, running *runningTask, now time.Time) {
-	switch message.kind {
+func (order order) carryOut(state *state, running *runningTask, now time.Time) {
+	switch order.kind {
 	case orderStop:
-		code := almondcross.Code(message.body.Code)
+		code := almondcross.Code(order.body.Code)
 		if code == almondcross.CodeNone {
 			code = almondcross.CodeTaskStopped
 		}
@@ -150,18 +150,18 @@
 	case orderCheckpoint:
 		state.record(now, entryOf(encoder.WorkerCheckpointed, running.task))
 	case orderThrottle:
-		running.throttle(message.body.Percent, now)
+		running.throttle(order.body.Percent, now)
 		state.sample(now)
 		state.record(now, entryOf(encoder.WorkerThrottled, running.task))
 	}
 }
 
 // throttle stretches the time that is left by the ratio of the old to the new limit.
-func (running *runningTask) throttle(percent int, now time.Time) {
+func (runningtask *runningTask) throttle(percent int, now time.Time) {
 	percent = min(max(percent, 1), 100)
-	if !running.endsAt.IsZero() {
-		left := running.endsAt.Sub(now)
-		running.endsAt = now.Add(left * time.Duration(running.percent) / time.Duration(percent))
+	if !runningtask.endsAt.IsZero() {
+		left := runningtask.endsAt.Sub(now)
+		runningtask.endsAt = now.Add(left * time.Duration(runningtask.percent) / time.Duration(percent))
 	}
-	running.percent = percent
+	runningtask.percent = percent
 }
