--- a/command/placer/load_test.go
+++ b/command/placer/load_test.go
@@ -47,8 +47,10 @@
 
 func (events events) Len() int                    { return len(events) }
 func (events events) Less(first, second int) bool { return events[first].at < events[second].at }
-func (events events) Swap(first, second int)      { events[first], events[second] = events[second], events[first] }
-func (events *events) Push(item any)              { *events = append(*events, item.(event)) }
+func (events events) Swap(first, second int) {
+	events[first], events[second] = events[second], events[first]
+}
+func (events *events) Push(item any) { *events = append(*events, item.(event)) }
 func (events *events) Pop() any {
 	last := (*events)[len(*events)-1]
 	*events = (*events)[:len(*events)-1]
--- a/encoder/wire.go
+++ b/encoder/wire.go
@@ -96,8 +96,10 @@
 	Name   string `cbor:"name,omitempty"`
 }
 
-func toKey(key almondcross.Key) wireKey     { return wireKey(key.Config()) }
-func (wirekey wireKey) value() almondcross.Key { return almondcross.NewKey(almondcross.KeyConfig(wirekey)) }
+func toKey(key almondcross.Key) wireKey { return wireKey(key.Config()) }
+func (wirekey wireKey) value() almondcross.Key {
+	return almondcross.NewKey(almondcross.KeyConfig(wirekey))
+}
 
 type wireTaskID struct {
 	Key   wireKey `cbor:"key"`
