Never answer not_run at a full queue for work that may not be repeated

Change: not_run is answered only for a first attempt of a repeatable entry; the least_loaded placement policy exists, and the share policy fifo, which no package implemented, leaves the settings.

Result: the receiver's and the policies' tests pass; a table row fails without the change with status not_run.

--- a/assembler/policies.go
+++ b/assembler/policies.go
@@ -9,6 +9,7 @@
 	"github.com/almondcross/almondcross/policy/estimator"
 	"github.com/almondcross/almondcross/policy/packer"
 	"github.com/almondcross/almondcross/policy/sharer"
+	"github.com/almondcross/almondcross/policy/spreader"
 )
 
 // ErrPolicyUnknown is returned for a policy that the settings allow and no package implements.
@@ -20,6 +21,8 @@
 	switch settings.Placement() {
 	case configurator.PlacementPacked:
 		policies.Placement = packer.New()
+	case configurator.PlacementLeastLoaded:
+		policies.Placement = spreader.New(spreader.Config{Index: packer.New()})
 	default:
 		return policies, errors.Annotatef(ErrPolicyUnknown, "placement %s", settings.Placement())
 	}
--- a/assembler/servers.go
+++ b/assembler/servers.go
@@ -41,7 +41,7 @@
 	servers := &Servers{settings: settings, stopping: make(chan struct{}), logger: logger}
 	router := mux.NewRouter()
 	receiver.New(receiver.Config{
-		Coordinator: rings.Coordinator, Cataloguer: rings.Cataloguer, Clock: Clock{}, Tokens: settings.Tokens(),
+		Coordinator: rings.Coordinator, Cataloguer: rings.Cataloguer, Catalogue: catalogue, Clock: Clock{}, Tokens: settings.Tokens(),
 		DataCentres: settings.DataCentres(), RequestTimeout: settings.RequestTimeout(),
 		RequestMax: settings.RequestTimeoutMax(), ChangeTimeout: settings.ChangeTimeout(),
 		Stopping: servers.stopping, Metrics: set,
--- a/command/receiver/receiver.go
+++ b/command/receiver/receiver.go
@@ -15,6 +15,7 @@
 type Config struct {
 	Coordinator    almondcross.Sink[almondcross.CoordinatorMessage]
 	Cataloguer     almondcross.Sink[almondcross.CataloguerMessage]
+	Catalogue      almondcross.CatalogueViewer
 	Clock          almondcross.Clock
 	Tokens         []almondcross.Token
 	DataCentres    []string        // DataCentres are the possible origins of keys.
--- a/command/receiver/receiver_test.go
+++ b/command/receiver/receiver_test.go
@@ -41,7 +41,7 @@
 	}
 	router := mux.NewRouter()
 	receiver.New(receiver.Config{
-		Coordinator: fixture.coordinator, Cataloguer: fixture.cataloguer, Clock: fixedClock{},
+		Coordinator: fixture.coordinator, Cataloguer: fixture.cataloguer, Catalogue: fixedCatalogue{}, Clock: fixedClock{},
 		Tokens: []almondcross.Token{
 			almondcross.NewToken(almondcross.TokenConfig{Name: "desk", Role: almondcross.RoleCaller, Secret: secret}),
 			almondcross.NewToken(almondcross.TokenConfig{Name: "ada", Role: almondcross.RoleOperator, Secret: operator}),
@@ -60,6 +60,16 @@
 	return recorder
 }
 
+// fixedCatalogue holds one entry that may be repeated and one that may not.
+type fixedCatalogue struct{}
+
+func (fixedCatalogue) Catalogue() almondcross.Catalogue {
+	return almondcross.NewCatalogueOf(2, []almondcross.Entry{
+		almondcross.NewEntry(almondcross.EntryConfig{Name: "lookup", Repeatable: true}),
+		almondcross.NewEntry(almondcross.EntryConfig{Name: "payout"}),
+	})
+}
+
 func requestBody(key, timeout string) string {
 	return fmt.Sprintf(`{"entry":"lookup","key":%q,"origin":"east","issued_at":"2026-03-01T11:59:59Z","timeout":%q}`, key, timeout)
 }
@@ -132,6 +142,11 @@
 			"full ring, retry", "/v1/requests", secret, strings.Replace(requestBody("a", "1s"), "{", `{"retry":true,`, 1), 503,
 			`{"code":"overloaded","message":"the queue of the coordinator is full","retry_after":"1s"}`,
 		},
+		{
+			"full ring, work that may not be repeated", "/v1/requests", secret,
+			strings.Replace(requestBody("a", "1s"), "lookup", "payout", 1), 503,
+			`{"code":"overloaded","message":"the queue of the coordinator is full","retry_after":"1s"}`,
+		},
 		{
 			"unknown token", "/v1/requests", "nobody", requestBody("a", "1s"), 401,
 			`{"code":"unauthenticated","message":"the token is missing or not known"}`,
--- a/command/receiver/requests.go
+++ b/command/receiver/requests.go
@@ -21,8 +21,7 @@
 	waiter := receiver.newWaiter(submission.Key())
 	message := almondcross.NewSubmitRequest(almondcross.SubmitRequestConfig{Request: submission, Replier: waiter})
 	if !receiver.config.Coordinator.Offer(message) {
-		// An earlier attempt of a retried key may run, so only a first attempt is known not to.
-		responder.Fail(writer, responder.Overloaded("coordinator", !retry))
+		responder.Fail(writer, responder.Overloaded("coordinator", !retry && receiver.isRepeatable(submission.Entry())))
 		return
 	}
 	outcome, ok := receiver.await(request.Context(), waiter, submission.Timeout())
@@ -32,6 +31,14 @@
 	responder.Outcome(writer, outcome)
 }
 
+// isRepeatable reports whether a first attempt that meets a full queue may be told not_run. An earlier
+// attempt of a key may run, and a load balancer that repeats a request by itself cannot say so; for
+// work that may not be repeated the answer stays open.
+func (receiver *Receiver) isRepeatable(name string) bool {
+	entry, ok := receiver.config.Catalogue.Catalogue().Entry(name)
+	return ok && entry.Repeatable()
+}
+
 // cancel handles DELETE /v1/requests/{key}.
 func (receiver *Receiver) cancel(writer http.ResponseWriter, request *http.Request, token almondcross.Token) {
 	name, origin := mux.Vars(request)["key"], request.URL.Query().Get("origin")
--- a/configurator/entry.go
+++ b/configurator/entry.go
@@ -121,7 +121,7 @@
 	parser.Choice(parser.About{Key: "placement", Default: `"packed"`, Description: "the placement policy"},
 		[]PlacementName{PlacementPacked, PlacementLeastLoaded}, func(draft *entryDraft) *PlacementName { return &draft.Placement }),
 	parser.Choice(parser.About{Key: "share", Default: `"dominant"`, Description: "the share policy"},
-		[]ShareName{ShareDominant, ShareFIFO}, func(draft *entryDraft) *ShareName { return &draft.Share }),
+		[]ShareName{ShareDominant}, func(draft *entryDraft) *ShareName { return &draft.Share }),
 	parser.Choice(parser.About{Key: "log_format", Default: `"text"`, Description: "the format of log lines"},
 		[]LogFormat{LogText, LogJSON}, func(draft *entryDraft) *LogFormat { return &draft.LogFormat }),
 }
--- a/configurator/values.go
+++ b/configurator/values.go
@@ -46,7 +46,6 @@
 // The share policies.
 const (
 	ShareDominant ShareName = "dominant" // ShareDominant orders owners by received to promised dominant share.
-	ShareFIFO     ShareName = "fifo"     // ShareFIFO ignores owners.
 )
 
 // PeerSettings is another entry host of the cell.
