Bound the bytes and memory of each role by the control budget

Cause: the design limits control to 128 MB and 10 KB/s for each node, and no test or benchmark related the code to these figures. Ordinary tests bound the counted figures by the budget.

--- /dev/null
+++ b/command/accountant/bench_test.go
@@ -0,0 +1,80 @@
+package accountant_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/almondcross/almondcross"
+	"github.com/almondcross/almondcross/command/accountant"
+	"github.com/almondcross/almondcross/encoder"
+)
+
+const (
+	// budgetBytes is the bytes a second of a node in docs/design.md 1.2; the account may take half of it.
+	budgetBytes = 10_000
+	// designLines is one active entry for each of 170 teams.
+	designLines = 170
+	// eventsPerTask is what a task adds to the account: its start, its wait, its use and its end.
+	eventsPerTask = 4
+)
+
+// batch returns the body of the batch of one interval in which each entry ran one task.
+func batch(tb testing.TB, machine *accountant.Machine, entries int, now time.Time) int {
+	tb.Helper()
+	codec, err := encoder.NewCodec()
+	require.NoError(tb, err)
+	for index := range entries {
+		for _, code := range []almondcross.Code{
+			almondcross.CodeNone, almondcross.CodeTaskStarted, almondcross.CodeTaskFinished, almondcross.CodeWaitedSlots,
+		} {
+			machine.Apply(almondcross.NewAccountEvent(almondcross.AccountEventConfig{
+				Entry: fmt.Sprintf("entry-%d", index), Owner: fmt.Sprintf("team-%d", index%170), Code: code, Count: 1,
+				Resources: almondcross.NewResources(almondcross.ResourcesConfig{MilliCPU: 1000, MemoryMB: 2000, Slots: 1}),
+				Duration:  1234 * time.Millisecond, At: now,
+			}), now)
+		}
+	}
+	size := 0
+	for _, effect := range machine.Apply(almondcross.NewAccountTick(almondcross.AccountTickConfig{}), now.Add(accountant.DefaultInterval)) {
+		if append, ok := effect.(accountant.AppendBatch); ok {
+			body, err := codec.EncodeUsage(append.Batch)
+			require.NoError(tb, err)
+			size += len(body)
+			machine.Apply(almondcross.NewAppendAnswered(almondcross.AppendAnsweredConfig{
+				IDs: []string{append.ID}, Outcome: almondcross.AppendTaken,
+			}), now)
+		}
+	}
+	return size
+}
+
+// BenchmarkInterval reports the cost and the bytes of one interval by the number of active entries.
+func BenchmarkInterval(b *testing.B) {
+	for _, entries := range []int{10, 170, 1000} {
+		b.Run(fmt.Sprintf("entries=%d", entries), func(b *testing.B) {
+			machine := accountant.NewMachine(accountant.MachineConfig{})
+			now, size := time.Unix(1_000_000_000, 0), 0
+			b.ReportAllocs()
+			for b.Loop() {
+				size = batch(b, machine, entries, now)
+				now = now.Add(accountant.DefaultInterval)
+			}
+			b.ReportMetric(float64(size), "batch_bytes")
+			b.ReportMetric(float64(size)/float64(entries), "bytes/entry")
+			b.ReportMetric(float64(eventsPerTask*entries), "events/op")
+		})
+	}
+}
+
+// Guards against batches that use up the bytes of a host: half of 10 KB/s over an interval of 10 s, with
+// every team active on every host.
+func TestBatchFitsTheBudget(t *testing.T) {
+	machine := accountant.NewMachine(accountant.MachineConfig{})
+	size := batch(t, machine, designLines, time.Unix(1_000_000_000, 0))
+	require.Positive(t, size)
+	t.Logf("%d bytes for %d entries", size, designLines)
+	require.LessOrEqual(t, size, int(accountant.DefaultInterval.Seconds())*budgetBytes/2)
+}
--- /dev/null
+++ b/encoder/bench_test.go
@@ -0,0 +1,157 @@
+package encoder_test
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/almondcross/almondcross"
+)
+
+// The size of docs/design.md 1.2 and its budget for a node.
+const (
+	designHosts      = 77
+	designStarts     = 1300   // starts a second at peak
+	budgetBytes      = 10_000 // bytes a second
+	bytesBesideTasks = 2_000  // bytes a second of a host for pings, renewals apart
+)
+
+func frameBytes(tb testing.TB, message almondcross.PeerMessage) int {
+	tb.Helper()
+	frame, err := newCodec(tb).EncodePeer(message)
+	require.NoError(tb, err)
+	return len(frame)
+}
+
+// BenchmarkPeerMessageBytes reports the size of each message between entry hosts.
+func BenchmarkPeerMessageBytes(b *testing.B) {
+	for _, message := range peerMessages() {
+		b.Run(reflect.TypeOf(message).Name(), func(b *testing.B) {
+			codec, size := newCodec(b), 0
+			b.ReportAllocs()
+			for b.Loop() {
+				frame, err := codec.EncodePeer(message)
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(frame)
+			}
+			b.ReportMetric(float64(size), "bytes")
+		})
+	}
+}
+
+// BenchmarkRecordBytes reports the size of log records; the batches and catalogues have three sizes.
+func BenchmarkRecordBytes(b *testing.B) {
+	codec := newCodec(b)
+	report := func(name string, encode func() ([]byte, error)) {
+		b.Run(name, func(b *testing.B) {
+			size := 0
+			for b.Loop() {
+				body, err := encode()
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(body)
+			}
+			b.ReportMetric(float64(size), "bytes")
+		})
+	}
+	for _, kind := range []almondcross.ClaimKind{almondcross.ClaimTaken, almondcross.ClaimVoid, almondcross.ClaimSettled} {
+		report(string(kind), func() ([]byte, error) { return codec.EncodeClaim(claimOf(kind)) })
+	}
+	for _, count := range []int{10, 170, 1000} {
+		report(fmt.Sprintf("usage/lines=%d", count), func() ([]byte, error) { return codec.EncodeUsage(usageOf(count)) })
+		report(fmt.Sprintf("catalogue/entries=%d", count), func() ([]byte, error) {
+			return codec.EncodePeer(almondcross.NewPeerCatalogue(almondcross.PeerCatalogueConfig{Catalogue: catalogueOf(count)}))
+		})
+	}
+	report("put", func() ([]byte, error) {
+		return codec.EncodeChange(almondcross.NewCatalogueChange(almondcross.CatalogueChangeConfig{
+			Name: "entry-7", Entry: entryOf(7), Expected: 41, Operator: "operator",
+		}))
+	})
+}
+
+func claimOf(kind almondcross.ClaimKind) almondcross.ClaimRecord {
+	config := almondcross.ClaimRecordConfig{
+		Kind: kind, Entry: "monthly-reconciliation", DataCentre: "kamloops-1", AnswerOffset: -1,
+		Key:      almondcross.NewKey(almondcross.KeyConfig{Caller: "ledger", Origin: "kamloops-1", Name: "reconciliation-2026-03-0001"}),
+		Claimant: almondcross.NewMemberID(almondcross.MemberIDConfig{Name: "entry-1", Incarnation: 1_796_373_099_692}),
+		IssuedAt: time.Date(2026, 3, 1, 12, 0, 0, 250_000_000, time.UTC),
+	}
+	if kind == almondcross.ClaimSettled {
+		config.Status, config.AnswerOffset = almondcross.StatusDone, 123_456
+	}
+	return almondcross.NewClaimRecord(config)
+}
+
+func usageOf(count int) almondcross.UsageBatch {
+	var lines []almondcross.UsageLine
+	for index := range count {
+		lines = append(lines, almondcross.NewUsageLine(almondcross.UsageLineConfig{
+			Entry: fmt.Sprintf("entry-%d", index), Owner: fmt.Sprintf("team-%d", index%170), MilliCPUSec: 12345.678,
+			MemoryMBSec: 98765.4321, SlotSec: 17.25, Promised: 0.0123, Received: 0.0456, Started: 130, Finished: 128,
+			WaitedSec: 3.5, Reasons: map[almondcross.Code]int64{almondcross.CodeWaitedSlots: 12},
+		}))
+	}
+	at := time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+	return almondcross.NewUsageBatch(almondcross.UsageBatchConfig{
+		Member:     almondcross.NewMemberID(almondcross.MemberIDConfig{Name: "entry-1", Incarnation: 1_796_373_099_692}),
+		DataCentre: "kamloops-1", Sequence: 9, From: at, To: at.Add(10 * time.Second), Lines: lines,
+	})
+}
+
+func entryOf(index int) almondcross.Entry {
+	return almondcross.NewEntry(almondcross.EntryConfig{
+		Name: fmt.Sprintf("entry-%d", index), Owner: fmt.Sprintf("team-%d", index%170), Class: almondcross.ClassBatch,
+		Resources: almondcross.NewResources(almondcross.ResourcesConfig{MilliCPU: 4000, MemoryMB: 16_000, Slots: 1}),
+		Timeout:   4 * time.Hour, MaxRun: time.Hour, ExpectedRun: 3 * time.Minute, Share: 50, Repeatable: true,
+		Version: almondcross.Offset(1000 + index),
+	})
+}
+
+func catalogueOf(count int) almondcross.Catalogue {
+	var entries []almondcross.Entry
+	for index := range count {
+		entries = append(entries, entryOf(index))
+	}
+	return almondcross.NewCatalogueOf(almondcross.Offset(count), entries)
+}
+
+// Guards against pings that grow until they alone use up the bytes of a host: 6 peers of a data centre
+// 4 times a second and 70 others every 2 s. Each host sends a ping and a pong at each of these times.
+func TestPingsFitTheBudget(t *testing.T) {
+	member := almondcross.NewMember(almondcross.MemberConfig{
+		ID:         almondcross.NewMemberID(almondcross.MemberIDConfig{Name: "entry-1", Incarnation: 1_796_373_099_692}),
+		DataCentre: "kamloops-1", Address: "10.0.0.1:7301",
+	})
+	free := almondcross.NewResources(almondcross.ResourcesConfig{MilliCPU: 120_000, MemoryMB: 300_000, Slots: 60})
+	exchange := frameBytes(t, almondcross.NewPeerPing(almondcross.PeerPingConfig{
+		Member: member, Sequence: 1_000_000, Summary: almondcross.NewSummary(almondcross.SummaryConfig{
+			CatalogueOffset: 100_000, Free: free, LargestFree: free, Held: 17,
+		}),
+	})) + frameBytes(t, almondcross.NewPeerPong(almondcross.PeerPongConfig{Member: member.ID(), Sequence: 1_000_000}))
+	const exchanges = 6*4 + 70/2
+	t.Logf("%d bytes for a ping with its pong, %d bytes a second sent by a host", exchange, exchange*exchanges)
+	require.LessOrEqual(t, exchange*exchanges, budgetBytes)
+}
+
+// Guards against messages between hosts that use up the bytes of a host at the peak: each of the 1,300
+// starts a second crosses the link to its coordinator (submit, reply) and to its holder (place, started,
+// ended). Pings and renewals keep bytesBesideTasks of the budget.
+func TestStartMessagesFitTheBudget(t *testing.T) {
+	size := 0
+	for _, message := range peerMessages() {
+		switch message.(type) {
+		case almondcross.PeerSubmit, almondcross.PeerReply, almondcross.PlaceTask, almondcross.TaskStarted, almondcross.TaskEnded:
+			size += frameBytes(t, message)
+		}
+	}
+	perHost := size * designStarts / designHosts
+	t.Logf("%d bytes for a start, %d bytes a second sent by a host", size, perHost)
+	require.LessOrEqual(t, perHost, budgetBytes-bytesBesideTasks)
+}
