Send the payload of a waiting task that is passed on

Cause: forwardWaiting ended the job before it made the message, and an ended job lets go of its payload. The task ran at the other holder with an empty payload and was reported as done; seen with the README's first call, issued while a worker was handed back. Change: the message is made before the job ends. Result: TestWaitingTaskKeepsItsPayload failed before the change and passes with it; go test ./command/placer ./integration/... passes.

--- a/command/placer/machine_test.go
+++ b/command/placer/machine_test.go
@@ -248,6 +248,19 @@
 	require.Len(t, cell.forwarded, 1)
 }
 
+// TestWaitingTaskKeepsItsPayload guards against a waiting task that reaches another holder without its
+// payload, runs with no input and is reported as done.
+func TestWaitingTaskKeepsItsPayload(t *testing.T) {
+	cell := newCell(t, 1)
+	for index := range slots + 1 {
+		cell.place(cell.task("a", "batch", index).WithPayload([]byte("in")))
+	}
+	require.Empty(t, cell.forwarded)
+	cell.addPeer("h1", almondcross.NewSummary(almondcross.SummaryConfig{LargestFree: slot.Scale(4)}))
+	require.Len(t, cell.forwarded, 1)
+	require.Equal(t, "in", string(cell.forwarded[0].(almondcross.PlaceTask).Task().Payload()))
+}
+
 // TestHandBack guards against a target that stays with a holder that is no longer preferred,
 // and against a hand-back while a start is unanswered.
 func TestHandBack(t *testing.T) {
--- a/command/placer/queue.go
+++ b/command/placer/queue.go
@@ -272,8 +272,9 @@
 			if !ok {
 				break
 			}
-			machine.discard(item)
+			// The message needs the payload, which an ended job lets go of.
 			machine.passOn(item, peer)
+			machine.discard(item)
 		}
 	}
 }
