--- a/assembler/bench_test.go
+++ b/assembler/bench_test.go
@@ -98,11 +98,17 @@
 		apps = append(apps, app)
 	}
 	require.NoError(b, cell.publish(ctx))
-	reporter, err := cell.client(0, almondcross.RoleReporter)
-	require.NoError(b, err)
 	require.NoError(b, until(ctx, func() bool {
-		answer, err := reporter.Do(ctx, requester.Call{Method: http.MethodGet, Path: []string{"v1", "status"}})
-		return err == nil && strings.Count(string(answer.Body), `"rack"`) == workers
+		held := 0
+		for host := range cell.hosts {
+			reporter, err := cell.client(host, almondcross.RoleReporter)
+			require.NoError(b, err)
+			answer, err := reporter.Do(ctx, requester.Call{Method: http.MethodGet, Path: []string{"v1", "status"}})
+			if err == nil {
+				held += strings.Count(string(answer.Body), `"rack"`)
+			}
+		}
+		return held == workers
 	}))
 	return cell
 }
