Identify a claim by caller and name

Cause: the claims table had the whole key, with its origin, as identity. A request sent under one name to two data centres has two origins, so both claims were granted; the protocol model shows the double run.

Change: the table, and the claims that are under way, are held by caller and name. A claim under another origin is refused as claimed_elsewhere. The claimer remembers the refused key and passes the settlement on under it, and the coordinator answers with the key of its own caller. A claimant of another data centre is not asked for the request, since it has it under another origin; the caller is told unknown until the settlement is read.

Result: in the random test one of the three hosts is in a second data centre, and grants are counted by name.

--- a/command/claimer/answers.go
+++ b/command/claimer/answers.go
@@ -21,7 +21,7 @@
 		if message.Outcome() == almondcross.AppendTaken {
 			continue
 		}
-		if waiting, ok := machine.requests[key]; ok {
+		if waiting, ok := machine.requests[nameOf(key)]; ok {
 			effects = append(effects, machine.failed(key, waiting, id, message.Outcome(), now)...)
 			continue
 		}
@@ -41,19 +41,19 @@
 	switch {
 	case claim && outcome == almondcross.AppendRefused:
 		// The log certainly lacks the claim. A void that was asked for before is of no use any more.
-		delete(machine.requests, key)
-		return refuse(key, almondcross.CodeLogDown, almondcross.ClaimRecord{})
+		delete(machine.requests, nameOf(key))
+		return machine.refuse(key, almondcross.CodeLogDown, almondcross.ClaimRecord{})
 	case claim:
 		waiting.needsVoid = true
-		machine.requests[key] = waiting
+		machine.requests[nameOf(key)] = waiting
 		return machine.appendVoid(key, now)
 	case waiting.claimID == "" && outcome == almondcross.AppendRefused:
-		delete(machine.requests, key)
-		return refuse(key, almondcross.CodeLogDown, almondcross.ClaimRecord{})
+		delete(machine.requests, nameOf(key))
+		return machine.refuse(key, almondcross.CodeLogDown, almondcross.ClaimRecord{})
 	default:
 		// The void of an unanswered claim, or an unanswered void, is repeated.
 		waiting.sentAt = time.Time{}
-		machine.requests[key] = waiting
+		machine.requests[nameOf(key)] = waiting
 		return nil
 	}
 }
@@ -61,23 +61,28 @@
 // tick repeats what has no answer, expires keys and writes checkpoints.
 func (machine *Machine) tick(message almondcross.ClaimTick, now time.Time) []Effect {
 	machine.table.expire(now)
+	for name := range machine.followed {
+		if _, known := machine.table.claims[name]; !known {
+			delete(machine.followed, name)
+		}
+	}
 	machine.checkpoints.age(now, machine.config.Horizon+expiryMargin)
 	if message.LogDown() {
 		return nil
 	}
 	var effects []Effect
-	for key, waiting := range machine.requests {
+	for name, waiting := range machine.requests {
 		if now.Sub(waiting.sentAt) >= machine.config.AnswerLimit {
 			waiting.needsVoid = true
-			machine.requests[key] = waiting
-			effects = append(effects, machine.appendVoid(key, now)...)
+			machine.requests[name] = waiting
+			effects = append(effects, machine.appendVoid(waiting.key, now)...)
 		}
 	}
 	for key, waiting := range machine.settlements {
 		if now.Sub(waiting.sentAt) < machine.config.AnswerLimit {
 			continue
 		}
-		if current := machine.table.keys[key]; current.ended && !supersedesStatus(waiting.outcome.Status(), current.settled) {
+		if current, _ := machine.table.of(key); current.ended && !supersedesStatus(waiting.outcome.Status(), current.settled) {
 			delete(machine.settlements, key)
 			continue
 		}
@@ -86,7 +91,7 @@
 	if !message.Writer() {
 		return effects
 	}
-	if machine.checkpoints.due(now, machine.config.CheckpointAge, machine.config.CheckpointRetry) && len(machine.table.keys) > 0 {
+	if machine.checkpoints.due(now, machine.config.CheckpointAge, machine.config.CheckpointRetry) && len(machine.table.claims) > 0 {
 		records := machine.table.records()
 		machine.checkpoints.begin(machine.nextID(), records, machine.config.PartSize, machine.read, now)
 	}
--- a/command/claimer/claimer_test.go
+++ b/command/claimer/claimer_test.go
@@ -23,6 +23,7 @@
 type host struct {
 	machine *claimer.Machine
 	id      almondcross.MemberID
+	origin  string // the data centre of the host, which is the origin of the keys that it claims
 	next    int
 	started bool
 }
@@ -36,15 +37,15 @@
 	late    []almondcross.ClaimRecord
 	hosts   []*host
 	runs    uint64
-	issued  map[almondcross.Key]time.Time
-	granted map[almondcross.Key]int
-	ruled   map[almondcross.Key]bool // the keys of which a host was told that they never run
+	issued  map[string]time.Time // the times of issue by the name of the key
+	granted map[string]int       // the grants by the name of the key, whatever its origin
+	ruled   map[string]bool      // the names of which a host was told that they never run
 }
 
 func newCell(t *rapid.T) *cell {
 	cell := &cell{
-		t: t, now: time.Unix(1_000_000, 0), issued: map[almondcross.Key]time.Time{},
-		granted: map[almondcross.Key]int{}, ruled: map[almondcross.Key]bool{},
+		t: t, now: time.Unix(1_000_000, 0), issued: map[string]time.Time{},
+		granted: map[string]int{}, ruled: map[string]bool{},
 	}
 	for range 3 {
 		cell.hosts = append(cell.hosts, cell.newHost(len(cell.hosts)))
@@ -55,8 +56,9 @@
 func (cell *cell) newHost(index int) *host {
 	cell.runs++
 	id := almondcross.NewMemberID(almondcross.MemberIDConfig{Name: fmt.Sprint("h", index), Incarnation: cell.runs})
-	return &host{id: id, machine: claimer.NewMachine(claimer.MachineConfig{
-		Prefix: fmt.Sprint(cell.runs), DataCentre: "north", Self: id, CheckpointAge: 10 * time.Second, PartSize: 2,
+	origin := []string{"north", "north", "south"}[index]
+	return &host{id: id, origin: origin, machine: claimer.NewMachine(claimer.MachineConfig{
+		Prefix: fmt.Sprint(cell.runs), DataCentre: origin, Self: id, CheckpointAge: 10 * time.Second, PartSize: 2,
 	})}
 }
 
@@ -65,11 +67,11 @@
 	return rapid.SampledFrom(cell.hosts).Draw(cell.t, "host")
 }
 
-func (cell *cell) key() almondcross.Key {
+func (cell *cell) key(host *host) almondcross.Key {
 	name := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(cell.t, "key")
-	key := almondcross.NewKey(almondcross.KeyConfig{Caller: "till", Origin: "north", Name: name})
-	if _, ok := cell.issued[key]; !ok {
-		cell.issued[key] = cell.now
+	key := almondcross.NewKey(almondcross.KeyConfig{Caller: "till", Origin: host.origin, Name: name})
+	if _, ok := cell.issued[name]; !ok {
+		cell.issued[name] = cell.now
 	}
 	return key
 }
@@ -124,17 +126,17 @@
 	if !ok {
 		return
 	}
-	key := decided.Key()
+	key := decided.Key().Name()
 	if decided.Granted() {
 		cell.granted[key]++
-		require.Equal(cell.t, 1, cell.granted[key], "key %s was granted twice", key)
-		require.False(cell.t, cell.ruled[key], "key %s was granted after it was ruled out", key)
+		require.Equal(cell.t, 1, cell.granted[key], "name %s was granted twice", key)
+		require.False(cell.t, cell.ruled[key], "name %s was granted after it was ruled out", key)
 		require.Equal(cell.t, host.id, decided.Decisive().Claimant(), "the grant went to another incarnation")
 		return
 	}
 	if decided.Code() == almondcross.CodeVoided {
 		cell.ruled[key] = true
-		require.Zero(cell.t, cell.granted[key], "key %s was ruled out after it was granted", key)
+		require.Zero(cell.t, cell.granted[key], "name %s was ruled out after it was granted", key)
 	}
 }
 
@@ -177,27 +179,29 @@
 	}
 }
 
-// Guards against a key that may not be repeated being started twice or after its caller was told that
-// it never runs, whatever appends are lost, late or repeated, hosts rejoin or restart, and the log trims.
+// Guards against a key that may not be repeated being started twice, under one origin or under two, or
+// after its caller was told that it never runs, whatever appends are lost, late or repeated, hosts rejoin or restart, and the log trims.
 func TestKeyIsGrantedOnce(t *testing.T) {
 	grants, ruledOut := 0, 0
 	check := func(t *rapid.T) {
 		cell := newCell(t)
 		t.Repeat(map[string]func(*rapid.T){
 			"claim": func(*rapid.T) {
-				host, key := cell.pick(), cell.key()
+				host := cell.pick()
+				key := cell.key(host)
 				cell.apply(host, almondcross.NewClaimKey(almondcross.ClaimKeyConfig{
 					Key: key, Entry: "tally",
-					Request: almondcross.NewRequest(almondcross.RequestConfig{Key: key, IssuedAt: cell.issued[key]}),
+					Request: almondcross.NewRequest(almondcross.RequestConfig{Key: key, IssuedAt: cell.issued[key.Name()]}),
 				}))
 			},
 			"void": func(*rapid.T) {
 				host := cell.pick()
-				cell.apply(host, almondcross.NewVoidKey(almondcross.VoidKeyConfig{Key: cell.key()}))
+				cell.apply(host, almondcross.NewVoidKey(almondcross.VoidKeyConfig{Key: cell.key(host)}))
 			},
 			"settle": func(t *rapid.T) {
-				host, key := cell.pick(), cell.key()
-				if cell.granted[key] == 0 {
+				host := cell.pick()
+				key := cell.key(host)
+				if cell.granted[key.Name()] == 0 {
 					t.Skip("not granted")
 				}
 				cell.apply(host, almondcross.NewSettleKey(almondcross.SettleKeyConfig{
@@ -264,3 +268,36 @@
 		require.Equal(t, code, effects[0].(claimer.TellCoordinator).Message.(almondcross.ClaimDecided).Code())
 	}
 }
+
+// Guards against a second run of a name that its caller sent to two data centres, and against a caller
+// in the second one that never hears how the run in the first one ended.
+func TestNameClaimedUnderAnotherOrigin(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	north := almondcross.NewKey(almondcross.KeyConfig{Caller: "till", Origin: "north", Name: "dividend"})
+	south := north.WithOrigin("south")
+	machine := claimer.NewMachine(claimer.MachineConfig{DataCentre: "south"})
+	record := almondcross.NewClaimRecord(almondcross.ClaimRecordConfig{
+		ID: "north/1", Kind: almondcross.ClaimTaken, Key: north, IssuedAt: now, AnswerOffset: -1,
+	})
+	read := func(record almondcross.ClaimRecord) []claimer.Effect {
+		return machine.Apply(almondcross.NewClaimRecordsRead(almondcross.ClaimRecordsReadConfig{
+			Records: []almondcross.ClaimRecord{record}, Next: record.Offset() + 1,
+		}), now)
+	}
+	machine.Apply(almondcross.ClaimsCaughtUp{}, now)
+	require.Empty(t, read(record))
+	effects := machine.Apply(almondcross.NewClaimKey(almondcross.ClaimKeyConfig{
+		Key: south, Request: almondcross.NewRequest(almondcross.RequestConfig{Key: south, IssuedAt: now}),
+	}), now)
+	require.Len(t, effects, 1)
+	decided, ok := effects[0].(claimer.TellCoordinator).Message.(almondcross.ClaimDecided)
+	require.True(t, ok)
+	require.Equal(t, south, decided.Key())
+	require.Equal(t, almondcross.CodeClaimedElsewhere, decided.Code())
+
+	effects = read(record.WithID("north/2").WithKind(almondcross.ClaimSettled).WithStatus(almondcross.StatusFailed).WithOffset(1))
+	require.Len(t, effects, 1)
+	seen, ok := effects[0].(claimer.TellCoordinator).Message.(almondcross.ClaimSettlementSeen)
+	require.True(t, ok)
+	require.Equal(t, south, seen.Record().Key())
+}
--- a/command/claimer/machine.go
+++ b/command/claimer/machine.go
@@ -64,6 +64,7 @@
 
 // request is a claim or void of one key that the log has not decided yet.
 type request struct {
+	key       almondcross.Key
 	claimID   string // the id of the claim, empty when only a void was asked for
 	entry     string
 	issuedAt  time.Time
@@ -82,7 +83,8 @@
 	config      MachineConfig
 	self        almondcross.MemberID
 	table       table
-	requests    map[almondcross.Key]request
+	requests    map[claimName]request
+	followed    map[claimName]almondcross.Key // the keys that were refused for a claim under another origin
 	settlements map[almondcross.Key]settlement
 	sent        map[string]almondcross.Key // the keys of records that are being appended, by record id
 	sequence    uint64
@@ -99,9 +101,10 @@
 	config.CheckpointRetry = orDefault(config.CheckpointRetry, DefaultCheckpointRetry)
 	config.PartSize = orDefault(config.PartSize, DefaultPartSize)
 	return &Machine{
-		config: config, self: config.Self, table: table{keys: map[almondcross.Key]decision{}},
-		requests: map[almondcross.Key]request{}, settlements: map[almondcross.Key]settlement{},
-		sent: map[string]almondcross.Key{}, read: -1,
+		config: config, self: config.Self, table: table{claims: map[claimName]decision{}},
+		requests: map[claimName]request{}, followed: map[claimName]almondcross.Key{},
+		settlements: map[almondcross.Key]settlement{},
+		sent:        map[string]almondcross.Key{}, read: -1,
 		checkpoints: checkpoints{parts: map[string]map[int]bool{}},
 	}
 }
@@ -113,8 +116,8 @@
 	return value
 }
 
-// Len returns the number of keys in the table.
-func (machine *Machine) Len() int { return len(machine.table.keys) }
+// Len returns the number of claims in the table.
+func (machine *Machine) Len() int { return len(machine.table.claims) }
 
 // Apply changes the state by one message and returns what is to be done.
 func (machine *Machine) Apply(message almondcross.ClaimerMessage, now time.Time) []Effect {
@@ -148,44 +151,51 @@
 // claim appends a claim unless the key is refused at once.
 func (machine *Machine) claim(message almondcross.ClaimKey, now time.Time) []Effect {
 	key, issuedAt := message.Key(), message.Request().IssuedAt()
-	if current, known := machine.table.keys[key]; known {
-		return refuse(key, machine.refusal(current, issuedAt), current.decisive())
+	if current, known := machine.table.of(key); known {
+		return machine.refuse(key, machine.refusal(current, issuedAt), current.decisive())
 	}
 	switch {
 	case issuedAt.IsZero():
-		return refuse(key, almondcross.CodeIssuedAtMissing, almondcross.ClaimRecord{})
+		return machine.refuse(key, almondcross.CodeIssuedAtMissing, almondcross.ClaimRecord{})
 	case now.Sub(issuedAt) > machine.config.Horizon:
-		return refuse(key, almondcross.CodeKeyExpired, almondcross.ClaimRecord{})
+		return machine.refuse(key, almondcross.CodeKeyExpired, almondcross.ClaimRecord{})
 	case !machine.checkpoints.safe(issuedAt):
 		// An earlier claim may be among the records that were not read, so the key may have run.
-		return refuse(key, almondcross.CodeHeldBack, almondcross.ClaimRecord{})
+		return machine.refuse(key, almondcross.CodeHeldBack, almondcross.ClaimRecord{})
+	}
+	waiting, open := machine.requests[nameOf(key)]
+	if open && waiting.key != key {
+		return machine.refuse(key, almondcross.CodeClaimedElsewhere, almondcross.ClaimRecord{})
 	}
-	waiting := machine.requests[key]
 	if waiting.claimID != "" {
 		return nil
 	}
+	waiting.key = key
 	record := machine.record(almondcross.ClaimTaken, key).WithEntry(message.Entry()).WithIssuedAt(issuedAt)
 	waiting.claimID, waiting.entry, waiting.issuedAt, waiting.sentAt = record.ID(), message.Entry(), issuedAt, now
-	machine.requests[key] = waiting
+	machine.requests[nameOf(key)] = waiting
 	return []Effect{AppendClaim{Record: record}}
 }
 
 // void appends a void. When a claim of the key is under way, the log order of the two decides.
 func (machine *Machine) void(message almondcross.VoidKey, now time.Time) []Effect {
 	key := message.Key()
-	if current, known := machine.table.keys[key]; known {
-		return refuse(key, machine.refusal(current, time.Time{}), current.decisive())
+	if current, known := machine.table.of(key); known {
+		return machine.refuse(key, machine.refusal(current, time.Time{}), current.decisive())
+	}
+	waiting, open := machine.requests[nameOf(key)]
+	if open && waiting.key != key {
+		return machine.refuse(key, almondcross.CodeClaimedElsewhere, almondcross.ClaimRecord{})
 	}
-	waiting := machine.requests[key]
-	waiting.needsVoid = true
-	machine.requests[key] = waiting
+	waiting.key, waiting.needsVoid = key, true
+	machine.requests[nameOf(key)] = waiting
 	return machine.appendVoid(key, now)
 }
 
 func (machine *Machine) appendVoid(key almondcross.Key, now time.Time) []Effect {
-	waiting := machine.requests[key]
+	waiting := machine.requests[nameOf(key)]
 	waiting.sentAt = now
-	machine.requests[key] = waiting
+	machine.requests[nameOf(key)] = waiting
 	// A void expires like a key that is issued now, which is no earlier than its key.
 	record := machine.record(almondcross.ClaimVoid, key).WithEntry(waiting.entry).WithIssuedAt(now)
 	return []Effect{AppendClaim{Record: record}}
@@ -218,7 +228,14 @@
 	return almondcross.CodeVoided
 }
 
-func refuse(key almondcross.Key, code almondcross.Code, decisive almondcross.ClaimRecord) []Effect {
+// refuse tells the coordinator that a key may not start. A key that another origin claimed is followed,
+// so that its coordinator hears of the settlement.
+func (machine *Machine) refuse(
+	key almondcross.Key, code almondcross.Code, decisive almondcross.ClaimRecord,
+) []Effect {
+	if code == almondcross.CodeClaimedElsewhere && decisive.Kind() == almondcross.ClaimTaken && decisive.Key() != key {
+		machine.followed[nameOf(key)] = key
+	}
 	return []Effect{TellCoordinator{Message: almondcross.NewClaimDecided(almondcross.ClaimDecidedConfig{
 		Key: key, Code: code, Decisive: decisive,
 	})}}
@@ -242,46 +259,63 @@
 		return nil
 	}
 	changed := machine.table.merge(record, expires)
-	effects := machine.decide(record.Key(), now)
+	effects := machine.decide(nameOf(record.Key()), now)
 	if record.Kind() == almondcross.ClaimSettled {
 		machine.settledInLog(record.Key())
 		// Settlements of the past are of interest only to a coordinator that asks for their key.
-		if changed && machine.caughtUp && record.Key().Origin() == machine.config.DataCentre {
-			effects = append(effects, TellCoordinator{Message: almondcross.NewClaimSettlementSeen(
-				almondcross.ClaimSettlementSeenConfig{Record: record},
-			)})
+		if changed && machine.caughtUp {
+			effects = append(effects, machine.tellSettlement(record)...)
 		}
 	}
 	return effects
 }
 
+// tellSettlement passes a settlement on under the key that this host's coordinator knows.
+func (machine *Machine) tellSettlement(record almondcross.ClaimRecord) []Effect {
+	tell := func(record almondcross.ClaimRecord) Effect {
+		return TellCoordinator{Message: almondcross.NewClaimSettlementSeen(
+			almondcross.ClaimSettlementSeenConfig{Record: record},
+		)}
+	}
+	var effects []Effect
+	if record.Key().Origin() == machine.config.DataCentre {
+		effects = append(effects, tell(record))
+	}
+	if key, ok := machine.followed[nameOf(record.Key())]; ok {
+		delete(machine.followed, nameOf(record.Key()))
+		effects = append(effects, tell(record.WithKey(key)))
+	}
+	return effects
+}
+
 // settledInLog drops the settlement that this host is to record unless it says more than the log does.
 func (machine *Machine) settledInLog(key almondcross.Key) {
 	waiting, ok := machine.settlements[key]
-	if ok && !supersedesStatus(waiting.outcome.Status(), machine.table.keys[key].settled) {
+	current, _ := machine.table.of(key)
+	if ok && !supersedesStatus(waiting.outcome.Status(), current.settled) {
 		delete(machine.settlements, key)
 	}
 }
 
-// decide answers the request for a key that the log has decided.
-func (machine *Machine) decide(key almondcross.Key, now time.Time) []Effect {
-	waiting, ok := machine.requests[key]
+// decide answers the request for a claim that the log has decided.
+func (machine *Machine) decide(name claimName, now time.Time) []Effect {
+	waiting, ok := machine.requests[name]
 	if !ok {
 		return nil
 	}
-	current := machine.table.keys[key]
-	delete(machine.requests, key)
+	key, current := waiting.key, machine.table.claims[name]
+	delete(machine.requests, name)
 	own := waiting.claimID != "" && current.stands && current.standing.ID() == waiting.claimID
 	if !own || current.ended {
-		return refuse(key, machine.refusal(current, waiting.issuedAt), current.decisive())
+		return machine.refuse(key, machine.refusal(current, waiting.issuedAt), current.decisive())
 	}
 	if !machine.checkpoints.safe(waiting.issuedAt) {
-		return refuse(key, almondcross.CodeHeldBack, current.standing)
+		return machine.refuse(key, almondcross.CodeHeldBack, current.standing)
 	}
 	if current.standing.Claimant() != machine.self {
 		// The host rejoined while the claim was under way. The claim was not granted and never will
 		// be, so the key certainly does not run.
-		effects := refuse(key, almondcross.CodeNoStanding, current.standing)
+		effects := machine.refuse(key, almondcross.CodeNoStanding, current.standing)
 		return append(effects, machine.settle(almondcross.NewOutcome(almondcross.OutcomeConfig{
 			Key: key, Status: almondcross.StatusNotRun, Code: almondcross.CodeNoStanding,
 		}), now)...)
@@ -318,7 +352,7 @@
 	key := outcome.Key()
 	issuedAt := now
 	entry := ""
-	if current, known := machine.table.keys[key]; known && current.stands {
+	if current, known := machine.table.of(key); known && current.stands {
 		issuedAt, entry = current.standing.IssuedAt(), current.standing.Entry()
 	}
 	machine.settlements[key] = settlement{outcome: outcome, sentAt: now}
--- a/command/claimer/table.go
+++ b/command/claimer/table.go
@@ -26,22 +26,31 @@
 	return decision.standing
 }
 
-// expiry is a key with the time at which it leaves the table.
+// claimName identifies a claim: the caller and the name of its key. The origin is no part of it, since
+// a caller that sends one name to two data centres gets two origins and must still cause one run.
+type claimName struct{ caller, name string }
+
+func nameOf(key almondcross.Key) claimName {
+	return claimName{caller: key.Caller(), name: key.Name()}
+}
+
+// expiry is a claim with the time at which it leaves the table.
 type expiry struct {
-	key almondcross.Key
-	at  time.Time
+	name claimName
+	at   time.Time
 }
 
-// table holds the decisions of all keys.
+// table holds the decisions of all claims.
 type table struct {
-	keys     map[almondcross.Key]decision
+	claims   map[claimName]decision
 	expiries []expiry // in the order of reading; one key that expires late delays the others, which only costs memory
 }
 
 // merge adds a record and reports whether the decision of its key changed. The result does not
 // depend on the order in which records are merged.
 func (table *table) merge(record almondcross.ClaimRecord, expires time.Time) bool {
-	current, known := table.keys[record.Key()]
+	name := nameOf(record.Key())
+	current, known := table.claims[name]
 	switch record.Kind() {
 	case almondcross.ClaimTaken, almondcross.ClaimVoid:
 		if current.stands && current.standing.Offset() <= record.Offset() {
@@ -56,9 +65,9 @@
 	default:
 		return false
 	}
-	table.keys[record.Key()] = current
+	table.claims[name] = current
 	if !known {
-		table.expiries = append(table.expiries, expiry{key: record.Key(), at: expires})
+		table.expiries = append(table.expiries, expiry{name: name, at: expires})
 	}
 	return true
 }
@@ -73,14 +82,20 @@
 	return record.Offset() < current.Offset()
 }
 
-// expire drops the keys whose time has come.
+// of returns what the log says of a key.
+func (table *table) of(key almondcross.Key) (decision, bool) {
+	current, known := table.claims[nameOf(key)]
+	return current, known
+}
+
+// expire drops the claims whose time has come.
 func (table *table) expire(now time.Time) {
 	count := 0
 	for _, entry := range table.expiries {
 		if now.Before(entry.at) {
 			break
 		}
-		delete(table.keys, entry.key)
+		delete(table.claims, entry.name)
 		count++
 	}
 	table.expiries = table.expiries[count:]
@@ -88,8 +103,8 @@
 
 // records returns every record that decides a key.
 func (table *table) records() []almondcross.ClaimRecord {
-	records := make([]almondcross.ClaimRecord, 0, 2*len(table.keys))
-	for _, current := range table.keys {
+	records := make([]almondcross.ClaimRecord, 0, 2*len(table.claims))
+	for _, current := range table.claims {
 		if current.stands {
 			records = append(records, current.standing)
 		}
--- a/command/coordinator/claim.go
+++ b/command/coordinator/claim.go
@@ -20,7 +20,7 @@
 	decisive := message.Decisive()
 	switch {
 	case decisive.Kind() == almondcross.ClaimSettled:
-		machine.finish(record, settledOutcome(decisive), now)
+		machine.finish(record, settledOutcome(message.Key(), decisive), now)
 	case decisive.Kind() == almondcross.ClaimTaken:
 		machine.followClaimant(record, decisive, now)
 	case message.Code() == almondcross.CodeClaimedElsewhere:
@@ -49,7 +49,8 @@
 // followClaimant routes the callers to the member that claimed the key first.
 func (machine *Machine) followClaimant(record *record, decisive almondcross.ClaimRecord, now time.Time) {
 	claimant := decisive.Claimant()
-	if claimant != machine.self() && machine.view.Contains(claimant) {
+	// A claimant in another data centre knows the request under another origin and is not asked for it.
+	if decisive.Key() == record.request.Key() && claimant != machine.self() && machine.view.Contains(claimant) {
 		waiters, request := record.waiters, record.request
 		machine.drop(record)
 		for _, waiter := range waiters {
@@ -64,8 +65,9 @@
 	}
 }
 
-func settledOutcome(settled almondcross.ClaimRecord) almondcross.Outcome {
-	outcome := outcomeOf(settled.Key(), settled.Status(), settled.Code())
+// settledOutcome returns the outcome of a key whose claim was settled, under this or another origin.
+func settledOutcome(key almondcross.Key, settled almondcross.ClaimRecord) almondcross.Outcome {
+	outcome := outcomeOf(key, settled.Status(), settled.Code())
 	if settled.Status() == almondcross.StatusDone {
 		// The whole answer is in the answers stream; without it the caller is not told done.
 		outcome = outcome.WithStatus(almondcross.StatusUnknown).WithCode(almondcross.CodeAnswerStored)
@@ -80,5 +82,5 @@
 	if !ok || record.phase != phaseClaimedElsewhere {
 		return
 	}
-	machine.finish(record, settledOutcome(settled), now)
+	machine.finish(record, settledOutcome(settled.Key(), settled), now)
 }
