Answer unknown where a refused claim is not proven

Cause: held_back, which the claimer sends when records of the stream were not read, was answered not_run for a fresh key, and with the own claim as decisive record the callers waited for a settlement that nobody writes. A void that precedes every claim proves not_run for a key of any age, but an older key was answered unknown. The last host of a data centre answered not_run while leaving to a key of any age issued after the last join.

Change: held_back is always unknown; voided is not_run. The claimer sends voided only for a key within the horizon. A leaving host uses the same proof of not_run as every other refusal.

--- a/command/claimer/machine.go
+++ b/command/claimer/machine.go
@@ -152,7 +152,12 @@
 func (machine *Machine) claim(message almondcross.ClaimKey, now time.Time) []Effect {
 	key, issuedAt := message.Key(), message.Request().IssuedAt()
 	if current, known := machine.table.of(key); known {
-		return machine.refuse(key, machine.refusal(current, issuedAt), current.decisive())
+		code := machine.refusal(current, issuedAt)
+		if code == almondcross.CodeVoided && (issuedAt.IsZero() || now.Sub(issuedAt) > machine.config.Horizon) {
+			// A claim before the void may have left the table, so the void proves nothing.
+			code = almondcross.CodeHeldBack
+		}
+		return machine.refuse(key, code, current.decisive())
 	}
 	switch {
 	case issuedAt.IsZero():
--- a/command/coordinator/claim.go
+++ b/command/coordinator/claim.go
@@ -19,12 +19,18 @@
 	}
 	decisive := message.Decisive()
 	switch {
+	case message.Code() == almondcross.CodeHeldBack:
+		// The claimer lacks records of the stream, and the key may have run under one of them.
+		machine.finish(record, undecided(message.Key(), message.Code()), now)
 	case decisive.Kind() == almondcross.ClaimSettled:
 		machine.finish(record, settledOutcome(message.Key(), decisive), now)
 	case decisive.Kind() == almondcross.ClaimTaken:
 		machine.followClaimant(record, decisive, now)
 	case message.Code() == almondcross.CodeClaimedElsewhere:
-		machine.finish(record, outcomeOf(message.Key(), almondcross.StatusUnknown, message.Code()), now)
+		machine.finish(record, undecided(message.Key(), message.Code()), now)
+	case message.Code() == almondcross.CodeVoided && !record.ran:
+		// A void that precedes every claim proves it for a key of any age.
+		machine.finish(record, outcomeOf(message.Key(), almondcross.StatusNotRun, message.Code()), now)
 	default:
 		// The claim was certainly not appended, but another member, or this one long ago, may have
 		// claimed the key: the claimer knows only what it has read.
@@ -32,6 +38,11 @@
 	}
 }
 
+// undecided returns the outcome of a key that may have run.
+func undecided(key almondcross.Key, code almondcross.Code) almondcross.Outcome {
+	return outcomeOf(key, almondcross.StatusUnknown, code).WithRetryAfter(time.Second)
+}
+
 // startClaimed uses the one start that a claim permits, unless it can no longer be useful.
 func (machine *Machine) startClaimed(record *record, now time.Time) {
 	switch {
--- a/command/coordinator/submit.go
+++ b/command/coordinator/submit.go
@@ -16,7 +16,7 @@
 	}
 	coordinator, ok := machine.view.Coordinator(key)
 	if !ok {
-		machine.refuseHomeless(request, message.Replier())
+		machine.refuseHomeless(request, message.Replier(), now)
 		return
 	}
 	if coordinator.ID() != machine.self() {
@@ -49,11 +49,11 @@
 }
 
 // refuseHomeless answers a request whose home data centre has no member in the view.
-func (machine *Machine) refuseHomeless(request almondcross.Request, replier almondcross.Replier) {
+func (machine *Machine) refuseHomeless(request almondcross.Request, replier almondcross.Replier, now time.Time) {
 	key := request.Key()
-	self := machine.view.Self()
-	if key.Origin() == self.DataCentre() && machine.view.Settled(key, request.IssuedAt()) {
-		machine.reply(replier, outcomeOf(key, almondcross.StatusNotRun, almondcross.CodeStopping))
+	if key.Origin() == machine.view.Self().DataCentre() {
+		// This host leaves as the last one of its data centre.
+		machine.reply(replier, machine.notRun(&record{request: request}, almondcross.CodeStopping, now))
 		return
 	}
 	outcome := outcomeOf(key, almondcross.StatusUnknown, almondcross.CodeHomeUnreachable)
@@ -198,7 +198,7 @@
 	case record.ran:
 		return outcomeOf(key, almondcross.StatusFailed, code)
 	default:
-		return outcomeOf(key, almondcross.StatusUnknown, code).WithRetryAfter(time.Second)
+		return undecided(key, code)
 	}
 }
 
@@ -297,8 +297,8 @@
 	if outcome.Status() == almondcross.StatusNotRun || outcome.Status() == almondcross.StatusUnknown {
 		machine.accountRefusal(record, outcome, now)
 	}
-	undecided := outcome.Status() == almondcross.StatusNotRun || outcome.Status() == almondcross.StatusUnknown
-	if undecided && !record.claimed {
+	unsettled := outcome.Status() == almondcross.StatusNotRun || outcome.Status() == almondcross.StatusUnknown
+	if unsettled && !record.claimed {
 		// The caller may submit the key again: this member started nothing of it.
 		machine.drop(record)
 		return
