Read stored answers of keys that a lost member settled

Cause: a caller that asked again for a key that another member had settled as done was told unknown with answer_stored, although the whole answer is in the answers stream.

An answer that is trimmed, malformed, foreign or cannot be reached gives unknown with answer_stored. A settlement without an offset told an empty answer from one that was not stored; the claimer now settles the latter with the code answer_stored. The random test of a whole cell reads stored answers as well.

--- a/assembler/entry.go
+++ b/assembler/entry.go
@@ -27,6 +27,7 @@
 	"github.com/almondcross/almondcross/query/observer"
 	"github.com/almondcross/almondcross/query/reader"
 	"github.com/almondcross/almondcross/query/reporter"
+	"github.com/almondcross/almondcross/query/retriever"
 	"github.com/almondcross/almondcross/query/watcher"
 )
 
@@ -43,7 +44,7 @@
 			metrics.NewSet, NewRings, NewDuties, newSelf, encoder.NewCodec,
 			newWriter, newReader, newObserver, newDriver,
 			newAppenders, newIntake, newLinker, newRegistrar, newManager, newPlacer, newCoordinator,
-			newCataloguer, newLoader, newClaimer, newClaimTail, newAccountant, newReporter,
+			newCataloguer, newLoader, newClaimer, newClaimTail, newAccountant, newReporter, newRetriever,
 			newWatcher, newInspector, newServers,
 		),
 		fx.Invoke(runEntry),
@@ -173,7 +174,7 @@
 	set *metrics.Set, logger logrus.FieldLogger,
 ) *coordinator.Coordinator {
 	return coordinator.New(coordinator.Config{
-		Ring: rings.Coordinator, Placer: rings.Placer, Claimer: rings.Claimer, Sender: sender,
+		Ring: rings.Coordinator, Placer: rings.Placer, Claimer: rings.Claimer, Answers: rings.Retriever, Sender: sender,
 		Accounter: account, Recorder: account, Clock: Clock{}, View: members.View(), Metrics: set, Logger: logger,
 	})
 }
@@ -237,6 +238,14 @@
 	})
 }
 
+func newRetriever(
+	reader *reader.Reader, codec encoder.Codec, rings Rings, set *metrics.Set, logger logrus.FieldLogger,
+) *retriever.Retriever {
+	return retriever.New(retriever.Config{
+		Ring: rings.Retriever, Reader: reader, Codec: codec, Coordinator: rings.Coordinator, Metrics: set, Logger: logger,
+	})
+}
+
 func newWatcher(list *observer.Observer, rings Rings, logger logrus.FieldLogger) *watcher.Watcher {
 	return watcher.New(watcher.Config{List: list, Sink: rings.Placer, Logger: logger})
 }
--- a/assembler/rings.go
+++ b/assembler/rings.go
@@ -15,6 +15,7 @@
 	claimerCapacity    = 4096
 	cataloguerCapacity = 1024
 	accountantCapacity = 8192
+	retrieverCapacity  = 256
 )
 
 // Rings are the rings of an entry host.
@@ -25,6 +26,7 @@
 	Claimer     *ring.Ring[almondcross.ClaimerMessage]
 	Cataloguer  *ring.Ring[almondcross.CataloguerMessage]
 	Accountant  *ring.Ring[almondcross.AccountantMessage]
+	Retriever   *ring.Ring[almondcross.ReadAnswer]
 }
 
 // NewRings returns the rings with their gauges.
@@ -39,6 +41,7 @@
 		Claimer:     ring.New[almondcross.ClaimerMessage](config("claimer", claimerCapacity)),
 		Cataloguer:  ring.New[almondcross.CataloguerMessage](config("cataloguer", cataloguerCapacity)),
 		Accountant:  ring.New[almondcross.AccountantMessage](config("accountant", accountantCapacity)),
+		Retriever:   ring.New[almondcross.ReadAnswer](config("retriever", retrieverCapacity)),
 	}
 }
 
@@ -47,6 +50,7 @@
 	return []almondcross.RingState{
 		stateOf(rings.Coordinator), stateOf(rings.Placer), stateOf(rings.Registrar),
 		stateOf(rings.Claimer), stateOf(rings.Cataloguer), stateOf(rings.Accountant),
+		stateOf(rings.Retriever),
 	}
 }
 
--- a/assembler/stop.go
+++ b/assembler/stop.go
@@ -19,6 +19,7 @@
 	"github.com/almondcross/almondcross/command/registrar"
 	"github.com/almondcross/almondcross/configurator"
 	"github.com/almondcross/almondcross/query/inspector"
+	"github.com/almondcross/almondcross/query/retriever"
 	"github.com/almondcross/almondcross/query/watcher"
 )
 
@@ -58,6 +59,7 @@
 	Claimer     *claimer.Duty
 	ClaimTail   *claimer.Tail
 	Accountant  *accountant.Duty
+	Retriever   *retriever.Retriever
 	Watcher     *watcher.Watcher
 	Inspector   *inspector.Inspector
 	Servers     *Servers
@@ -80,7 +82,8 @@
 		NamedDuty{"placer", entryparts.Placer}, NamedDuty{"coordinator", entryparts.Coordinator},
 		NamedDuty{"cataloguer", entryparts.Cataloguer}, NamedDuty{"catalogue loader", entryparts.Loader},
 		NamedDuty{"claimer", entryparts.Claimer}, NamedDuty{"claim tail", entryparts.ClaimTail},
-		NamedDuty{"accountant", entryparts.Accountant}, NamedDuty{"live-list watcher", entryparts.Watcher},
+		NamedDuty{"accountant", entryparts.Accountant}, NamedDuty{"retriever", entryparts.Retriever},
+		NamedDuty{"live-list watcher", entryparts.Watcher},
 	)
 	entryparts.Duties.Start(servers...)
 	entryparts.Logger.WithField("listen", entryparts.Settings.Listen()).Info("entry host started")
--- a/command/claimer/machine.go
+++ b/command/claimer/machine.go
@@ -350,7 +350,12 @@
 		machine.settlements[key] = waiting
 		return nil
 	}
-	return machine.appendSettled(message.Outcome(), message.Offset(), now)
+	outcome := message.Outcome()
+	if message.Offset() < 0 {
+		// The answer does not fit into a record, or its offset is not known.
+		outcome = outcome.WithCode(almondcross.CodeAnswerStored)
+	}
+	return machine.appendSettled(outcome, message.Offset(), now)
 }
 
 func (machine *Machine) appendSettled(outcome almondcross.Outcome, offset almondcross.Offset, now time.Time) []Effect {
--- a/command/coordinator/claim.go
+++ b/command/coordinator/claim.go
@@ -23,7 +23,7 @@
 		// The claimer lacks records of the stream, and the key may have run under one of them.
 		machine.finish(record, undecided(message.Key(), message.Code()), now)
 	case decisive.Kind() == almondcross.ClaimSettled:
-		machine.finish(record, settledOutcome(message.Key(), decisive), now)
+		machine.endSettled(record, decisive, now)
 	case decisive.Kind() == almondcross.ClaimTaken:
 		machine.followClaimant(record, decisive, now)
 	case message.Code() == almondcross.CodeClaimedElsewhere:
@@ -76,14 +76,34 @@
 	}
 }
 
-// settledOutcome returns the outcome of a key whose claim was settled, under this or another origin.
-func settledOutcome(key almondcross.Key, settled almondcross.ClaimRecord) almondcross.Outcome {
-	outcome := outcomeOf(key, settled.Status(), settled.Code())
-	if settled.Status() == almondcross.StatusDone {
-		// The whole answer is in the answers stream; without it the caller is not told done.
-		outcome = outcome.WithStatus(almondcross.StatusUnknown).WithCode(almondcross.CodeAnswerStored)
+// endSettled ends a key whose claim was settled, under this or another origin. The answer of a key that
+// is done is fetched first; a settlement without an offset and without a code has an empty answer.
+func (machine *Machine) endSettled(record *record, settled almondcross.ClaimRecord, now time.Time) {
+	key := record.request.Key()
+	if settled.Status() != almondcross.StatusDone || settled.Code() == almondcross.CodeNone && settled.AnswerOffset() < 0 {
+		machine.finish(record, outcomeOf(key, settled.Status(), settled.Code()), now)
+		return
+	}
+	if settled.AnswerOffset() < 0 {
+		machine.finish(record, undecided(key, almondcross.CodeAnswerStored), now)
+		return
+	}
+	record.phase = phaseFetching
+	machine.tell(record, "answer_fetched", almondcross.CodeNone, "", now)
+	machine.do(FetchAnswer{Message: almondcross.NewReadAnswer(almondcross.ReadAnswerConfig{Key: key, Record: settled})})
+}
+
+// answerRead ends a key with its stored answer. Without the whole answer the caller is not told done.
+func (machine *Machine) answerRead(message almondcross.AnswerRead, now time.Time) {
+	record, ok := machine.keys[message.Key()]
+	if !ok || record.phase != phaseFetching {
+		return
+	}
+	if !message.Found() {
+		machine.finish(record, undecided(message.Key(), almondcross.CodeAnswerStored), now)
+		return
 	}
-	return outcome
+	machine.finish(record, message.Outcome().WithKey(message.Key()), now)
 }
 
 // settlementSeen ends a key that another member settled.
@@ -93,5 +113,5 @@
 	if !ok || record.phase != phaseClaimedElsewhere {
 		return
 	}
-	machine.finish(record, settledOutcome(settled.Key(), settled), now)
+	machine.endSettled(record, settled, now)
 }
--- a/command/coordinator/coordinator.go
+++ b/command/coordinator/coordinator.go
@@ -24,6 +24,7 @@
 	Ring      *ring.Ring[almondcross.CoordinatorMessage]
 	Placer    almondcross.Sink[almondcross.PlacerMessage]
 	Claimer   almondcross.Sink[almondcross.ClaimerMessage]
+	Answers   almondcross.Sink[almondcross.ReadAnswer]
 	Sender    almondcross.PeerSender
 	Accounter almondcross.Accounter
 	Recorder  almondcross.StoryRecorder
@@ -137,6 +138,12 @@
 		if !coordinator.config.Claimer.Offer(effect.Message) {
 			return coordinator.claimerRefused(effect.Message)
 		}
+	case FetchAnswer:
+		if !coordinator.config.Answers.Offer(effect.Message) {
+			return coordinator.machine.Apply(almondcross.NewAnswerRead(almondcross.AnswerReadConfig{
+				Key: effect.Message.Key(),
+			}), coordinator.config.Clock.Now())
+		}
 	case Account:
 		coordinator.config.Accounter.Account(effect.Event)
 	case Story:
--- a/command/coordinator/effects.go
+++ b/command/coordinator/effects.go
@@ -27,6 +27,11 @@
 	Message almondcross.ClaimerMessage
 }
 
+// FetchAnswer asks for a stored answer; AnswerRead follows.
+type FetchAnswer struct {
+	Message almondcross.ReadAnswer
+}
+
 // Account adds a fact to the account.
 type Account struct {
 	Event almondcross.AccountEvent
@@ -37,9 +42,10 @@
 	Event almondcross.StoryEvent
 }
 
-func (Reply) effect()   {}
-func (Send) effect()    {}
-func (Place) effect()   {}
-func (Claim) effect()   {}
-func (Account) effect() {}
-func (Story) effect()   {}
+func (Reply) effect()       {}
+func (Send) effect()        {}
+func (Place) effect()       {}
+func (Claim) effect()       {}
+func (FetchAnswer) effect() {}
+func (Account) effect()     {}
+func (Story) effect()       {}
--- a/command/coordinator/machine.go
+++ b/command/coordinator/machine.go
@@ -88,6 +88,8 @@
 		machine.claimDecided(message, now)
 	case almondcross.ClaimSettlementSeen:
 		machine.settlementSeen(message, now)
+	case almondcross.AnswerRead:
+		machine.answerRead(message, now)
 	case almondcross.ViewChanged:
 		machine.changeView(message.View(), now)
 	case almondcross.CatalogueChanged:
@@ -199,6 +201,8 @@
 		return record.outcome
 	case phaseLooking, phaseHeld:
 		return outcomeOf(key, almondcross.StatusUnknown, almondcross.CodeHeldBack).WithRetryAfter(time.Second)
+	case phaseFetching:
+		return undecided(key, almondcross.CodeAnswerStored)
 	case phaseClaimedElsewhere:
 		return outcomeOf(key, almondcross.StatusUnknown, almondcross.CodeClaimedElsewhere).WithRetryAfter(time.Second)
 	}
--- a/command/coordinator/record.go
+++ b/command/coordinator/record.go
@@ -19,6 +19,8 @@
 	phaseClaiming
 	// phaseClaimedElsewhere waits for the member that claimed the key, which is not in the view.
 	phaseClaimedElsewhere
+	// phaseFetching waits for the stored answer of a key that another member ran.
+	phaseFetching
 	// phasePlaced waits until a holder started or refused the tasks.
 	phasePlaced
 	// phaseRunning waits for results.
--- a/integration/cell/host_test.go
+++ b/integration/cell/host_test.go
@@ -215,6 +215,8 @@
 			case almondcross.SettleKey:
 				host.world.log.settle(message.Outcome())
 			}
+		case coordinator.FetchAnswer:
+			host.world.log.fetch(host, effect.Message)
 		case coordinator.Story:
 			host.world.note("%s: %s %s %s %s", host.name, effect.Event.Key(), effect.Event.Event(), effect.Event.Code(), effect.Event.Target())
 		}
--- a/integration/cell/world_test.go
+++ b/integration/cell/world_test.go
@@ -71,7 +71,9 @@
 		hosts:  map[string]*host{}, workers: map[string]*worker{}, delays: map[string]time.Time{},
 		checks: newChecks(),
 	}
-	world.log = &claimLog{world: world, first: map[almondcross.Key]almondcross.ClaimRecord{}}
+	world.log = &claimLog{
+		world: world, first: map[almondcross.Key]almondcross.ClaimRecord{}, ends: map[almondcross.Key]almondcross.Outcome{},
+	}
 	world.catalogue = testCatalogue()
 	for index := range workers {
 		name := fmt.Sprintf("w%d", index)
@@ -142,7 +144,8 @@
 	down  bool
 	lossy bool // lossy delays the settlement of appends, as a lost answer does.
 	first map[almondcross.Key]almondcross.ClaimRecord
-	next  int // next numbers the claims, so that a claim is granted once.
+	ends  map[almondcross.Key]almondcross.Outcome // ends holds the stored answers.
+	next  int                                     // next numbers the claims, so that a claim is granted once.
 }
 
 // settle records the end of a claimed key.
@@ -150,10 +153,20 @@
 	claimlog.world.after(20*time.Millisecond, func() {
 		if claim, ok := claimlog.first[outcome.Key()]; ok {
 			claimlog.first[outcome.Key()] = claim.WithKind(almondcross.ClaimSettled).WithStatus(outcome.Status()).WithCode(outcome.Code())
+			claimlog.ends[outcome.Key()] = outcome
 		}
 	})
 }
 
+// fetch reads a stored answer, which fails while the log is down.
+func (claimlog *claimLog) fetch(host *host, message almondcross.ReadAnswer) {
+	claimlog.world.after(20*time.Millisecond, func() {
+		host.tell(almondcross.NewAnswerRead(almondcross.AnswerReadConfig{
+			Key: message.Key(), Found: !claimlog.down, Outcome: claimlog.ends[message.Key()],
+		}))
+	})
+}
+
 // claim appends a claim and tells the host how the log decided.
 func (claimlog *claimLog) claim(host *host, key almondcross.Key) {
 	if decisive, ok := claimlog.first[key]; claimlog.down && ok && decisive.Claimant() == host.self().ID() {
--- a/messages.go
+++ b/messages.go
@@ -150,6 +150,23 @@
 	record ClaimRecord // the settlement
 }
 
+// ReadAnswer asks the retriever for the stored answer of a key that was settled as done.
+//
+//value:generate
+type ReadAnswer struct {
+	key    Key         // the key as the coordinator knows it
+	record ClaimRecord // the settlement
+}
+
+// AnswerRead tells the coordinator the stored answer of a key.
+//
+//value:generate
+type AnswerRead struct {
+	key     Key     // the key as the coordinator knows it
+	found   bool    // whether the answer could be read
+	outcome Outcome // the outcome with the whole answer
+}
+
 // PeerReply carries the answer to a forwarded request.
 //
 //value:generate
@@ -438,6 +455,7 @@
 func (CatalogueChanged) coordinatorMessage()    {}
 func (ClaimDecided) coordinatorMessage()        {}
 func (ClaimSettlementSeen) coordinatorMessage() {}
+func (AnswerRead) coordinatorMessage()          {}
 func (PeerReply) coordinatorMessage()           {}
 func (DrainCoordinator) coordinatorMessage()    {}
 
--- a/values_generated.go
+++ b/values_generated.go
@@ -3164,6 +3164,98 @@
 	return claimsettlementseen
 }
 
+// ReadAnswerConfig holds the fields of a new ReadAnswer.
+type ReadAnswerConfig struct {
+	Key    Key
+	Record ClaimRecord
+}
+
+// NewReadAnswer returns a ReadAnswer with the given fields.
+func NewReadAnswer(config ReadAnswerConfig) ReadAnswer {
+	return ReadAnswer{
+		key:    config.Key,
+		record: config.Record,
+	}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (readanswer ReadAnswer) Config() ReadAnswerConfig {
+	return ReadAnswerConfig{
+		Key:    readanswer.key,
+		Record: readanswer.record,
+	}
+}
+
+// Key returns the key as the coordinator knows it.
+func (readanswer ReadAnswer) Key() Key { return readanswer.key }
+
+// WithKey returns a copy with the given key.
+func (readanswer ReadAnswer) WithKey(key Key) ReadAnswer {
+	readanswer.key = key
+	return readanswer
+}
+
+// Record returns the settlement.
+func (readanswer ReadAnswer) Record() ClaimRecord { return readanswer.record }
+
+// WithRecord returns a copy with the given record.
+func (readanswer ReadAnswer) WithRecord(record ClaimRecord) ReadAnswer {
+	readanswer.record = record
+	return readanswer
+}
+
+// AnswerReadConfig holds the fields of a new AnswerRead.
+type AnswerReadConfig struct {
+	Key     Key
+	Found   bool
+	Outcome Outcome
+}
+
+// NewAnswerRead returns a AnswerRead with the given fields.
+func NewAnswerRead(config AnswerReadConfig) AnswerRead {
+	return AnswerRead{
+		key:     config.Key,
+		found:   config.Found,
+		outcome: config.Outcome,
+	}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (answerread AnswerRead) Config() AnswerReadConfig {
+	return AnswerReadConfig{
+		Key:     answerread.key,
+		Found:   answerread.found,
+		Outcome: answerread.outcome,
+	}
+}
+
+// Key returns the key as the coordinator knows it.
+func (answerread AnswerRead) Key() Key { return answerread.key }
+
+// WithKey returns a copy with the given key.
+func (answerread AnswerRead) WithKey(key Key) AnswerRead {
+	answerread.key = key
+	return answerread
+}
+
+// Found returns whether the answer could be read.
+func (answerread AnswerRead) Found() bool { return answerread.found }
+
+// WithFound returns a copy with the given found.
+func (answerread AnswerRead) WithFound(found bool) AnswerRead {
+	answerread.found = found
+	return answerread
+}
+
+// Outcome returns the outcome with the whole answer.
+func (answerread AnswerRead) Outcome() Outcome { return answerread.outcome }
+
+// WithOutcome returns a copy with the given outcome.
+func (answerread AnswerRead) WithOutcome(outcome Outcome) AnswerRead {
+	answerread.outcome = outcome
+	return answerread
+}
+
 // PeerReplyConfig holds the fields of a new PeerReply.
 type PeerReplyConfig struct {
 	Correlation uint64
