Keep the payload of a waiting task that is passed on

Cause: forwardWaiting discarded the task before it built the message for the other holder, and discarding lets go of the payload.

Change: the message is built before the task is discarded.

--- a/command/placer/machine_test.go
+++ b/command/placer/machine_test.go
@@ -248,6 +248,21 @@
 	require.Len(t, cell.forwarded, 1)
 }
 
+// TestForwardWaitingKeepsPayload guards against a waiting task that reaches its next holder without
+// its input, which would then run and be answered as done.
+func TestForwardWaitingKeepsPayload(t *testing.T) {
+	cell := newCell(t, 1)
+	for index := range slots {
+		cell.place(cell.task("a", "batch", index))
+	}
+	cell.place(cell.task("a", "batch", slots).WithPayload([]byte("input")))
+	require.Empty(t, cell.forwarded)
+	cell.addPeer("h1", almondcross.NewSummary(almondcross.SummaryConfig{LargestFree: slot.Scale(4)}))
+	cell.advance(time.Second)
+	require.Len(t, cell.forwarded, 1)
+	require.Equal(t, "input", string(cell.forwarded[0].(almondcross.PlaceTask).Task().Payload()))
+}
+
 // TestHandBack guards against a target that stays with a holder that is no longer preferred,
 // and against a hand-back while a start is unanswered.
 func TestHandBack(t *testing.T) {
--- a/command/placer/queue.go
+++ b/command/placer/queue.go
@@ -272,8 +272,9 @@
 			if !ok {
 				break
 			}
-			machine.discard(item)
+			// Discarding lets go of the payload, which the message needs.
 			machine.passOn(item, peer)
+			machine.discard(item)
 		}
 	}
 }
