--- /dev/null
+++ b/integration/process/process_test.go
@@ -0,0 +1,163 @@
+package process_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var (
+	seedFlag = flag.Uint64("seed", 1, "seed of the scenarios")
+	binary   string
+	// cells numbers the cells of this test binary, so that each has a loopback address of its own.
+	cells atomic.Uint32
+)
+
+const (
+	readyLimit = 20 * time.Second
+	pollEvery  = 25 * time.Millisecond
+	exitLimit  = 30 * time.Second
+)
+
+// TestMain builds the product once; every scenario runs that binary.
+func TestMain(m *testing.M) { os.Exit(buildAndRun(m)) }
+
+func buildAndRun(m *testing.M) int {
+	flag.Parse()
+	directory, err := os.MkdirTemp("", "almondcross-process")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(directory) }()
+	binary = filepath.Join(directory, "almondcross")
+	build := exec.Command("go", "build", "-o", binary, "./cmd/almondcross")
+	build.Dir = "../.."
+	if output, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "go build: %v\n%s", err, output)
+		return 1
+	}
+	return m.Run()
+}
+
+// process is one process of the product; run counts its starts.
+type process struct {
+	t       *testing.T
+	verb    string
+	name    string
+	address string
+	peer    string // peer is the address of the peer link of an entry host.
+	config  string
+	log     string
+	run     atomic.Int64
+	command *exec.Cmd
+	exited  chan struct{}
+}
+
+// start starts the process. Cleanup ends it by its own pid, also when it is paused.
+func (process *process) start() {
+	log, err := os.OpenFile(process.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	require.NoError(process.t, err)
+	command := exec.Command(binary, process.verb, "--config", process.config)
+	command.Stdout, command.Stderr = log, log
+	require.NoError(process.t, command.Start())
+	_ = log.Close()
+	exited := make(chan struct{})
+	process.command, process.exited = command, exited
+	process.run.Add(1)
+	go func() {
+		_ = command.Wait()
+		close(exited)
+	}()
+	process.t.Cleanup(func() {
+		_ = command.Process.Kill()
+		<-exited
+	})
+}
+
+func (process *process) signal(signal syscall.Signal) {
+	require.NoError(process.t, process.command.Process.Signal(signal), "%s to %s", signal, process.name)
+}
+
+// kill ends the process without notice and waits for its end.
+func (process *process) kill() {
+	process.signal(syscall.SIGKILL)
+	<-process.exited
+}
+
+// stop asks for a planned stop and waits for its end.
+func (process *process) stop() plannedStop {
+	stop := plannedStop{Host: process.name, Begun: time.Now()}
+	process.signal(syscall.SIGTERM)
+	select {
+	case <-process.exited:
+	case <-time.After(exitLimit):
+		require.Fail(process.t, "no planned stop", "%s runs %s after SIGTERM", process.name, exitLimit)
+	}
+	stop.Done = time.Now()
+	return stop
+}
+
+// pause stops the process for a time and resumes it.
+func (process *process) pause(length time.Duration) {
+	process.signal(syscall.SIGSTOP)
+	<-time.After(length)
+	process.signal(syscall.SIGCONT)
+}
+
+func (process *process) isReady(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+process.address+"/readyz", http.NoBody)
+	if err != nil {
+		return false
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// eventually polls a condition until it holds and fails the test at the deadline.
+func eventually(t *testing.T, limit time.Duration, what string, holds func() bool) {
+	t.Helper()
+	deadline := time.After(limit)
+	ticker := time.NewTicker(pollEvery)
+	defer ticker.Stop()
+	for !holds() {
+		select {
+		case <-ticker.C:
+		case <-deadline:
+			require.Fail(t, "deadline", "%s did not hold within %s", what, limit)
+		}
+	}
+}
+
+// freeAddresses returns addresses on a loopback address that no other cell and no outgoing
+// connection uses, so that a port cannot be taken before its process binds it.
+func freeAddresses(t *testing.T, count int) []string {
+	number := cells.Add(1)
+	pid := os.Getpid()
+	host := fmt.Sprintf("127.%d.%d.%d", 10+pid>>8&0x3f, pid&0xff, number)
+	addresses := make([]string, count)
+	for index := range addresses {
+		listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", host+":0")
+		require.NoError(t, err)
+		defer func() { _ = listener.Close() }()
+		addresses[index] = listener.Addr().String()
+	}
+	return addresses
+}
