Ask again soon when a host becomes the preferred holder of a target

Cause: the retry of a refused lease was not armed while the longer timer of a host that is not preferred was pending, so a dead holder's targets were free for up to 8.1 s; after its farewell a stopping host went on pinging and was told to rejoin; call asked only the first server for the origin.

Change: an earlier retry replaces a later one; a host that said farewell sends no pings; call asks each server; gauges for keys, targets and waiting tasks.

Result: TestPreferredHolderAsksSoon fails without the change (1 attempt within 2 s) and passes with it.

--- a/command/commander/call.go
+++ b/command/commander/call.go
@@ -53,7 +53,7 @@
 	}
 	flags.Bind(command)
 	command.Flags().StringVar(&flags.key, "key", "", "name of the key (default: a new one)")
-	command.Flags().StringVar(&flags.origin, "origin", "", "home data centre of the key (default: that of the first server)")
+	command.Flags().StringVar(&flags.origin, "origin", "", "home data centre of the key (default: that of the first server that answers)")
 	command.Flags().StringVar(&flags.issuedAt, "issued-at", "", "time of the first attempt, such as 2026-03-31T18:00:00Z (default: now)")
 	command.Flags().StringVar(&flags.payload, "payload", "", "file with the input of the work, - for the standard input (default: empty)")
 	return command
@@ -77,12 +77,8 @@
 	ctx, cancel := context.WithTimeout(command.Context(), flags.Timeout())
 	defer cancel()
 	if body.Origin == "" {
-		viewer, err := commander.view(configs[0])
-		if err != nil {
-			return requester.BadInput(err)
-		}
-		if body.Origin, err = viewer.DataCentre(ctx); err != nil {
-			return requester.Failed(errors.Annotate(err, "nothing was sent: the origin could not be read"))
+		if body.Origin, err = commander.origin(ctx, configs); err != nil {
+			return err
 		}
 	}
 	_, _ = fmt.Fprintf(command.ErrOrStderr(), "key %s, origin %s, issued at %s\n",
@@ -96,6 +92,23 @@
 	return errors.Trace(err)
 }
 
+// origin returns the data centre of the first server that answers.
+func (commander commander) origin(ctx context.Context, configs []requester.Config) (string, error) {
+	var last error
+	for _, config := range configs {
+		viewer, err := commander.view(config)
+		if err != nil {
+			return "", requester.BadInput(err)
+		}
+		origin, err := viewer.DataCentre(ctx)
+		if err == nil {
+			return origin, nil
+		}
+		last = err
+	}
+	return "", requester.Failed(errors.Annotate(last, "nothing was sent: the origin could not be read"))
+}
+
 func (commander commander) requestBody(command *cobra.Command, flags *callFlags, entry string) (encoder.RequestBody, error) {
 	issuedAt := commander.clock.Now()
 	body := encoder.RequestBody{Entry: entry, Key: flags.key, Origin: flags.origin, IssuedAt: &issuedAt, Payload: []byte{}}
--- a/command/coordinator/coordinator.go
+++ b/command/coordinator/coordinator.go
@@ -40,7 +40,7 @@
 	machine  *Machine
 	drained  chan struct{}
 	closed   bool
-	active   atomic.Int64
+	known    atomic.Int64 // known is the number of keys after the last step.
 	messages *metrics.Counter
 	lost     *metrics.Counter
 	replies  map[almondcross.Status]*metrics.Counter
@@ -64,7 +64,7 @@
 	} {
 		coordinator.replies[status] = config.Metrics.NewCounter(`almondcross_coordinator_replies_total{status="` + string(status) + `"}`)
 	}
-	config.Metrics.NewGauge("almondcross_coordinator_keys_active", func() float64 { return float64(coordinator.active.Load()) })
+	config.Metrics.NewGauge("almondcross_coordinator_keys", func() float64 { return float64(coordinator.known.Load()) })
 	return coordinator
 }
 
@@ -85,6 +85,7 @@
 		case <-timer.C:
 		}
 		coordinator.carryOut(coordinator.machine.Tick(coordinator.config.Clock.Now()))
+		coordinator.known.Store(int64(coordinator.machine.Len()))
 		coordinator.checkDrained()
 		timer.Reset(coordinator.untilDeadline())
 	}
@@ -102,7 +103,6 @@
 	if !coordinator.machine.Draining() {
 		return
 	}
-	coordinator.active.Store(int64(coordinator.machine.Active()))
 	if coordinator.machine.Drained() && !coordinator.closed {
 		coordinator.closed = true
 		close(coordinator.drained)
--- a/command/coordinator/machine.go
+++ b/command/coordinator/machine.go
@@ -135,6 +135,9 @@
 // Drained reports whether a planned stop has nothing left to finish.
 func (machine *Machine) Drained() bool { return machine.draining && machine.Active() == 0 }
 
+// Len returns the number of keys that are known, ended ones included.
+func (machine *Machine) Len() int { return len(machine.keys) }
+
 // Draining reports whether a planned stop has begun.
 func (machine *Machine) Draining() bool { return machine.draining }
 
--- a/command/placer/cell_test.go
+++ b/command/placer/cell_test.go
@@ -39,6 +39,7 @@
 	counter      uint64
 	capacity     almondcross.Resources
 	refuseLeases bool
+	acquisitions int // acquisitions counts the leases that were asked for
 	holdAnswers  bool
 	queue        []almondcross.PlacerMessage
 	held         []almondcross.PlacerMessage
@@ -90,6 +91,11 @@
 	}))
 }
 
+func (cell *cell) removePeers() {
+	cell.view.Peers = map[string]almondcross.Peer{}
+	cell.apply(almondcross.NewViewChanged(almondcross.ViewChangedConfig{View: almondcross.NewView(cell.view)}))
+}
+
 func (cell *cell) addPeer(name string, summary almondcross.Summary) {
 	peers := map[string]almondcross.Peer{name: almondcross.NewPeer(almondcross.PeerConfig{
 		Member: almondcross.NewMember(almondcross.MemberConfig{
@@ -224,6 +230,7 @@
 func (cell *cell) dispatch(target string, message almondcross.DispatcherMessage) {
 	switch message := message.(type) {
 	case almondcross.AcquireLease:
+		cell.acquisitions++
 		cell.acquire(target)
 	case almondcross.ReleaseLease:
 		cell.releases = append(cell.releases, target)
--- a/command/placer/machine_test.go
+++ b/command/placer/machine_test.go
@@ -275,3 +275,21 @@
 	cell.advance(time.Second)
 	require.Equal(t, []string{"t0000"}, cell.releases)
 }
+
+// TestPreferredHolderAsksSoon guards against a takeover that waits for the longer interval of a host
+// that was not the preferred holder when it last asked.
+func TestPreferredHolderAsksSoon(t *testing.T) {
+	cell := newCell(t, 0)
+	other := cell.preferredName("t0000")
+	cell.addPeer(other, almondcross.Summary{})
+	cell.refuseLeases = true
+	cell.hosts = []almondcross.Target{almondcross.NewTarget(almondcross.TargetConfig{
+		Name: "t0000", DataCentre: "d", Rack: "r000", Address: "127.0.0.1:1", State: almondcross.HostLive,
+	})}
+	cell.list()
+	cell.advance(time.Second)
+	cell.removePeers()
+	asked := cell.acquisitions
+	cell.advance(time.Second)
+	require.Greater(t, cell.acquisitions, asked, "the new preferred holder asks again within a second of a refusal")
+}
--- a/command/placer/placer.go
+++ b/command/placer/placer.go
@@ -48,6 +48,7 @@
 	held    atomic.Pointer[[]almondcross.HeldTarget]
 	unsent  []Effect
 	lost    *metrics.Counter
+	queued  atomic.Int64 // queued is the number of waiting tasks in the last summary.
 }
 
 // resend is a report that a link refused.
@@ -69,6 +70,17 @@
 		set = metrics.NewSet()
 	}
 	placer.lost = set.NewCounter("almondcross_placer_reports_dropped_total")
+	set.NewGauge("almondcross_placer_targets_held", func() float64 { return float64(len(placer.HeldTargets())) })
+	set.NewGauge("almondcross_placer_targets_ejected", func() float64 {
+		ejected := 0
+		for _, held := range placer.HeldTargets() {
+			if held.Ejected() {
+				ejected++
+			}
+		}
+		return float64(ejected)
+	})
+	set.NewGauge("almondcross_placer_tasks_waiting", func() float64 { return float64(placer.queued.Load()) })
 	placer.held.Store(&[]almondcross.HeldTarget{})
 	return placer
 }
@@ -150,6 +162,7 @@
 			placer.unsent = append(placer.unsent, effect)
 		}
 	case EffectSummary:
+		placer.queued.Store(int64(effect.Summary.Waiting()))
 		placer.config.Registrar.Offer(almondcross.NewSummaryChanged(almondcross.SummaryChangedConfig{Summary: effect.Summary}))
 	case EffectPublish:
 		placer.held.Store(&effect.Held)
--- a/command/placer/target.go
+++ b/command/placer/target.go
@@ -43,6 +43,7 @@
 	listed      bool
 	state       holding
 	retrying    bool // a timerAcquire is set
+	retryAt     time.Time
 	retryOther  bool // it was set while another member was preferred
 	handingBack bool // a timerHandBack is set
 	closing     bool // no new starts, because the target is about to be handed back
@@ -170,14 +171,20 @@
 }
 
 func (machine *Machine) retryAcquire(entry *target, wait time.Duration) {
-	if !entry.retrying {
-		entry.retrying = true
-		machine.after(wait, timer{kind: timerAcquire, target: entry})
+	// A timer of the longer interval may be pending when this host becomes the preferred holder.
+	at := machine.now.Add(wait)
+	if entry.retrying && !at.Before(entry.retryAt) {
+		return
 	}
+	entry.retrying, entry.retryAt = true, at
+	machine.after(wait, timer{kind: timerAcquire, target: entry})
 }
 
 // retry is called when a timerAcquire is due; it tries even when another member is preferred.
 func (machine *Machine) retry(entry *target) {
+	if !entry.retrying || machine.now.Before(entry.retryAt) {
+		return
+	}
 	entry.retrying = false
 	ready := !machine.view.ReadyAt().After(machine.now)
 	if entry.state == stateIdle && entry.listed && !machine.draining && ready &&
--- a/command/registrar/machine.go
+++ b/command/registrar/machine.go
@@ -121,7 +121,8 @@
 			machine.remove(state, now)
 			changed = true
 		}
-		if now.Sub(state.pingedAt) >= state.pingInterval(machine.self) {
+		// Peers answer the pings of a member that said farewell with rejoin.
+		if !machine.finished && now.Sub(state.pingedAt) >= state.pingInterval(machine.self) {
 			effects = append(effects, machine.ping(name, state, now))
 		}
 	}
--- a/encoder/status.go
+++ b/encoder/status.go
@@ -92,6 +92,10 @@
 		Members: memberShapes(status), Lost: []LostShape{}, Targets: []TargetShape{}, Rings: []RingShape{},
 	}
 	for _, loss := range view.Lost() {
+		if loss.Member().Incarnation() == 0 {
+			// The host counts an unknown predecessor of its own as lost after each start.
+			continue
+		}
 		shape.Lost = append(shape.Lost, LostShape{
 			Name: loss.Member().Name(), Incarnation: loss.Member().Incarnation(), At: loss.WallTime(),
 		})
