Shorten peer frames and add sequence numbers to the codec

Change: peer frames have an envelope with numbers as keys and message types; ping and pong bodies are flat with numbers as keys. The envelope has an optional sequence (Sequenced), hello carries the run and the channel, and Acknowledged is new. Log records keep their encoding.

--- a/encoder/peer.go
+++ b/encoder/peer.go
@@ -3,97 +3,136 @@
 import (
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
 
 	"github.com/almondcross/almondcross"
 )
 
+// peerType is the number of a message type on the wire; a number is never used again for another type.
+type peerType uint8
+
 // Types of peer messages.
 const (
-	peerHello            = "hello"
-	peerPing             = "ping"
-	peerPong             = "pong"
-	peerSubmit           = "submit"
-	peerCancel           = "cancel"
-	peerLookup           = "lookup"
-	peerReply            = "reply"
-	peerPlace            = "place"
-	peerStop             = "stop"
-	peerPlaceRefused     = "place_refused"
-	peerTaskForwarded    = "task_forwarded"
-	peerTaskStarted      = "task_started"
-	peerTaskEnded        = "task_ended"
-	peerTaskLost         = "task_lost"
-	peerAdopt            = "adopt"
-	peerAdoptAck         = "adopt_ack"
-	peerLeaving          = "leaving"
-	peerLeavingAck       = "leaving_ack"
-	peerCatalogueRequest = "catalogue_request"
-	peerCatalogue        = "catalogue_snapshot"
+	peerHello            peerType = 1
+	peerPing             peerType = 2
+	peerPong             peerType = 3
+	peerSubmit           peerType = 4
+	peerCancel           peerType = 5
+	peerLookup           peerType = 6
+	peerReply            peerType = 7
+	peerPlace            peerType = 8
+	peerStop             peerType = 9
+	peerPlaceRefused     peerType = 10
+	peerTaskForwarded    peerType = 11
+	peerTaskStarted      peerType = 12
+	peerTaskEnded        peerType = 13
+	peerTaskLost         peerType = 14
+	peerAdopt            peerType = 15
+	peerAdoptAck         peerType = 16
+	peerLeaving          peerType = 17
+	peerLeavingAck       peerType = 18
+	peerCatalogueRequest peerType = 19
+	peerCatalogue        peerType = 20
+	peerAcknowledged     peerType = 21
 )
 
+// peerEnvelope carries a peer message. Its keys are numbers, since field names would take a large
+// part of the bytes of a heartbeat.
+type peerEnvelope struct {
+	Type     peerType        `cbor:"1,keyasint"`
+	Body     cbor.RawMessage `cbor:"2,keyasint"`
+	Sequence uint64          `cbor:"3,keyasint,omitempty"`
+}
+
 // EncodePeer returns the frame of a message between entry hosts.
 func (codec Codec) EncodePeer(message almondcross.PeerMessage) ([]byte, error) {
+	sequenced, ok := message.(almondcross.Sequenced)
+	if ok {
+		message = sequenced.Message()
+	}
+	kind, body, err := peerBody(message)
+	if err != nil {
+		return nil, err
+	}
+	raw, err := codec.encoding.Marshal(body)
+	if err != nil {
+		return nil, errors.Annotatef(err, "encoding %T", message)
+	}
+	frame, err := codec.encoding.Marshal(peerEnvelope{Type: kind, Body: raw, Sequence: sequenced.Sequence()})
+	if err != nil {
+		return nil, errors.Annotatef(err, "encoding the envelope of %T", message)
+	}
+	if len(frame) > MaxFrame {
+		return nil, errors.Annotatef(ErrTooLarge, "%T takes %d bytes", message, len(frame))
+	}
+	return frame, nil
+}
+
+// peerBody returns the type and the wire form of a message.
+func peerBody(message almondcross.PeerMessage) (peerType, any, error) {
 	switch message := message.(type) {
 	case almondcross.Hello:
-		return codec.seal(peerHello, wireHello(message.Config()))
+		return peerHello, wireHello(message.Config()), nil
+	case almondcross.Acknowledged:
+		return peerAcknowledged, wireAcknowledged(message.Config()), nil
 	case almondcross.PeerPing:
-		return codec.seal(peerPing, toPing(message))
+		return peerPing, toPing(message), nil
 	case almondcross.PeerPong:
-		return codec.seal(peerPong, toPong(message))
+		return peerPong, toPong(message), nil
 	case almondcross.PeerSubmit:
-		return codec.seal(peerSubmit, wireSubmit{message.Correlation(), toRequest(message.Request())})
+		return peerSubmit, wireSubmit{message.Correlation(), toRequest(message.Request())}, nil
 	case almondcross.PeerCancel:
-		return codec.seal(peerCancel, wireKeyed{message.Correlation(), toKey(message.Key())})
+		return peerCancel, wireKeyed{message.Correlation(), toKey(message.Key())}, nil
 	case almondcross.PeerLookup:
-		return codec.seal(peerLookup, wireKeyed{message.Correlation(), toKey(message.Key())})
+		return peerLookup, wireKeyed{message.Correlation(), toKey(message.Key())}, nil
 	case almondcross.PeerReply:
-		return codec.seal(peerReply, wireReply{message.Correlation(), toOutcome(message.Outcome())})
+		return peerReply, wireReply{message.Correlation(), toOutcome(message.Outcome())}, nil
 	case almondcross.PeerLeaving:
-		return codec.seal(peerLeaving, wireLeaving{toMemberID(message.Member())})
+		return peerLeaving, wireLeaving{toMemberID(message.Member())}, nil
 	case almondcross.PeerLeavingAck:
-		return codec.seal(peerLeavingAck, wireLeavingAck{toMemberID(message.Member())})
+		return peerLeavingAck, wireLeavingAck{toMemberID(message.Member())}, nil
 	case almondcross.PeerCatalogueRequest:
-		return codec.seal(peerCatalogueRequest, wireCatalogueRequest{toMemberID(message.Member()), message.Offset()})
+		return peerCatalogueRequest, wireCatalogueRequest{toMemberID(message.Member()), message.Offset()}, nil
 	case almondcross.PeerCatalogue:
-		return codec.seal(peerCatalogue, toCatalogue(message.Catalogue()))
+		return peerCatalogue, toCatalogue(message.Catalogue()), nil
 	default:
-		return codec.encodeTask(message)
+		return taskBody(message)
 	}
 }
 
-func (codec Codec) encodeTask(message almondcross.PeerMessage) ([]byte, error) {
+func taskBody(message almondcross.PeerMessage) (peerType, any, error) {
 	switch message := message.(type) {
 	case almondcross.PlaceTask:
-		return codec.seal(peerPlace, wirePlace{toTask(message.Task()), message.Forwarded()})
+		return peerPlace, wirePlace{toTask(message.Task()), message.Forwarded()}, nil
 	case almondcross.StopTask:
-		return codec.seal(peerStop, wireStop{toTaskID(message.ID()), message.Attempt(), message.Code()})
+		return peerStop, wireStop{toTaskID(message.ID()), message.Attempt(), message.Code()}, nil
 	case almondcross.TaskRefused:
-		return codec.seal(peerPlaceRefused, toTaskRefused(message))
+		return peerPlaceRefused, toTaskRefused(message), nil
 	case almondcross.TaskForwarded:
-		return codec.seal(peerTaskForwarded, wireTaskForwarded{
+		return peerTaskForwarded, wireTaskForwarded{
 			toTaskID(message.ID()), message.Attempt(), toMemberID(message.Holder()),
-		})
+		}, nil
 	case almondcross.TaskStarted:
-		return codec.seal(peerTaskStarted, wireTaskAt{
+		return peerTaskStarted, wireTaskAt{
 			toTaskID(message.ID()), message.Attempt(), toMemberID(message.Holder()), message.Target(), toTerm(message.Term()),
-		})
+		}, nil
 	case almondcross.TaskLost:
-		return codec.seal(peerTaskLost, wireTaskAt{
+		return peerTaskLost, wireTaskAt{
 			toTaskID(message.ID()), message.Attempt(), toMemberID(message.Holder()), message.Target(), toTerm(message.Term()),
-		})
+		}, nil
 	case almondcross.TaskEnded:
-		return codec.seal(peerTaskEnded, wireTaskEnded{
+		return peerTaskEnded, wireTaskEnded{
 			toResult(message.Result()), toMemberID(message.Holder()), message.Target(), toTerm(message.Term()),
-		})
+		}, nil
 	case almondcross.AdoptTask:
-		return codec.seal(peerAdopt, wireAdopt{
+		return peerAdopt, wireAdopt{
 			toTask(message.Task()), toMemberID(message.Holder()), message.Target(), toTerm(message.Term()),
-		})
+		}, nil
 	case almondcross.AdoptAnswered:
-		return codec.seal(peerAdoptAck, toAdoptAck(message))
+		return peerAdoptAck, toAdoptAck(message), nil
 	default:
-		return nil, errors.Annotatef(ErrUnknown, "peer message %T", message)
+		return 0, nil, errors.Annotatef(ErrUnknown, "peer message %T", message)
 	}
 }
 
@@ -103,16 +142,16 @@
 }
 
 // decodeAs decodes a body into the wire form W and returns its message.
-func decodeAs[W valued](codec Codec, sealed envelope) (almondcross.PeerMessage, error) {
+func decodeAs[W valued](codec Codec, sealed peerEnvelope) (almondcross.PeerMessage, error) {
 	var wire W
-	if err := codec.body(sealed, &wire); err != nil {
-		return nil, err
+	if err := codec.decoding.Unmarshal(sealed.Body, &wire); err != nil {
+		return nil, errors.Annotatef(ErrMalformed, "peer message type %d: %v", sealed.Type, err)
 	}
 	return wire.message(), nil
 }
 
 // peerDecoders holds the decoder of each message type; it is never modified.
-var peerDecoders = map[string]func(Codec, envelope) (almondcross.PeerMessage, error){
+var peerDecoders = map[peerType]func(Codec, peerEnvelope) (almondcross.PeerMessage, error){
 	peerHello:            decodeAs[wireHello],
 	peerPing:             decodeAs[wirePing],
 	peerPong:             decodeAs[wirePong],
@@ -133,19 +172,27 @@
 	peerLeavingAck:       decodeAs[wireLeavingAck],
 	peerCatalogueRequest: decodeAs[wireCatalogueRequest],
 	peerCatalogue:        decodeAs[wirePeerCatalogue],
+	peerAcknowledged:     decodeAs[wireAcknowledged],
 }
 
 // DecodePeer returns the message of a frame; every malformed frame is an error.
 func (codec Codec) DecodePeer(frame []byte) (almondcross.PeerMessage, error) {
-	sealed, err := codec.open(frame)
-	if err != nil {
-		return nil, err
+	if len(frame) > MaxFrame {
+		return nil, errors.Trace(ErrTooLarge)
+	}
+	var sealed peerEnvelope
+	if err := codec.decoding.Unmarshal(frame, &sealed); err != nil {
+		return nil, errors.Annotate(ErrMalformed, err.Error())
 	}
 	decode, ok := peerDecoders[sealed.Type]
 	if !ok {
-		return nil, errors.Annotatef(ErrUnknown, "peer message type %q", sealed.Type)
+		return nil, errors.Annotatef(ErrUnknown, "peer message type %d", sealed.Type)
+	}
+	message, err := decode(codec, sealed)
+	if err != nil || sealed.Sequence == 0 {
+		return message, err
 	}
-	return decode(codec, sealed)
+	return almondcross.NewSequenced(almondcross.SequencedConfig{Sequence: sealed.Sequence, Message: message}), nil
 }
 
 type wireRequest struct {
--- a/encoder/peerwire.go
+++ b/encoder/peerwire.go
@@ -7,82 +7,96 @@
 )
 
 type wireHello struct {
-	Name string `cbor:"name"`
+	Name     string                  `cbor:"name"`
+	Run      uint64                  `cbor:"run,omitempty"`
+	Channel  almondcross.LinkChannel `cbor:"channel,omitempty"`
+	Received uint64                  `cbor:"received,omitempty"`
 }
 
 func (wirehello wireHello) message() almondcross.PeerMessage {
 	return almondcross.NewHello(almondcross.HelloConfig(wirehello))
 }
 
-type wireMember struct {
-	ID         wireMemberID `cbor:"id"`
-	DataCentre string       `cbor:"data_centre,omitempty"`
-	Address    string       `cbor:"address,omitempty"`
-	Leaving    bool         `cbor:"leaving,omitempty"`
+type wireAcknowledged struct {
+	Sequence uint64 `cbor:"1,keyasint"`
 }
 
-type wireSummary struct {
-	CatalogueOffset almondcross.Offset `cbor:"catalogue_offset"`
-	Free            wireResources      `cbor:"free"`
-	LargestFree     wireResources      `cbor:"largest_free"`
-	Waiting         int                `cbor:"waiting,omitempty"`
-	Oldest          time.Duration      `cbor:"oldest,omitempty"`
-	Held            int                `cbor:"held,omitempty"`
+func (wireacknowledged wireAcknowledged) message() almondcross.PeerMessage {
+	return almondcross.NewAcknowledged(almondcross.AcknowledgedConfig(wireacknowledged))
 }
 
+// wireAmount holds resources in a heartbeat.
+type wireAmount struct {
+	MilliCPU     int64 `cbor:"1,keyasint,omitempty"`
+	MemoryMB     int64 `cbor:"2,keyasint,omitempty"`
+	Accelerators int64 `cbor:"3,keyasint,omitempty"`
+	Slots        int64 `cbor:"4,keyasint,omitempty"`
+}
+
+func (wireamount wireAmount) value() almondcross.Resources {
+	return almondcross.NewResources(almondcross.ResourcesConfig(wireamount))
+}
+
+// wirePing is flat and has numbers as keys: pings and pongs are most of the control traffic.
 type wirePing struct {
-	Member   wireMember  `cbor:"member"`
-	Sequence uint64      `cbor:"sequence"`
-	Summary  wireSummary `cbor:"summary"`
+	Name            string             `cbor:"1,keyasint"`
+	Incarnation     uint64             `cbor:"2,keyasint"`
+	DataCentre      string             `cbor:"3,keyasint,omitempty"`
+	Address         string             `cbor:"4,keyasint,omitempty"`
+	Leaving         bool               `cbor:"5,keyasint,omitempty"`
+	Sequence        uint64             `cbor:"6,keyasint"`
+	CatalogueOffset almondcross.Offset `cbor:"7,keyasint,omitempty"`
+	Free            wireAmount         `cbor:"8,keyasint"`
+	LargestFree     wireAmount         `cbor:"9,keyasint"`
+	Waiting         int                `cbor:"10,keyasint,omitempty"`
+	Oldest          time.Duration      `cbor:"11,keyasint,omitempty"`
+	Held            int                `cbor:"12,keyasint,omitempty"`
 }
 
 func toPing(ping almondcross.PeerPing) wirePing {
 	member, summary := ping.Member(), ping.Summary()
 	return wirePing{
-		Member: wireMember{
-			ID: toMemberID(member.ID()), DataCentre: member.DataCentre(),
-			Address: member.Address(), Leaving: member.Leaving(),
-		},
-		Sequence: ping.Sequence(),
-		Summary: wireSummary{
-			CatalogueOffset: summary.CatalogueOffset(), Free: toResources(summary.Free()),
-			LargestFree: toResources(summary.LargestFree()), Waiting: summary.Waiting(),
-			Oldest: summary.Oldest(), Held: summary.Held(),
-		},
+		Name: member.ID().Name(), Incarnation: member.ID().Incarnation(), DataCentre: member.DataCentre(),
+		Address: member.Address(), Leaving: member.Leaving(), Sequence: ping.Sequence(),
+		CatalogueOffset: summary.CatalogueOffset(), Free: wireAmount(summary.Free().Config()),
+		LargestFree: wireAmount(summary.LargestFree().Config()), Waiting: summary.Waiting(),
+		Oldest: summary.Oldest(), Held: summary.Held(),
 	}
 }
 
 func (wireping wirePing) message() almondcross.PeerMessage {
 	return almondcross.NewPeerPing(almondcross.PeerPingConfig{
 		Member: almondcross.NewMember(almondcross.MemberConfig{
-			ID: wireping.Member.ID.value(), DataCentre: wireping.Member.DataCentre,
-			Address: wireping.Member.Address, Leaving: wireping.Member.Leaving,
+			ID:         almondcross.NewMemberID(almondcross.MemberIDConfig{Name: wireping.Name, Incarnation: wireping.Incarnation}),
+			DataCentre: wireping.DataCentre, Address: wireping.Address, Leaving: wireping.Leaving,
 		}),
 		Sequence: wireping.Sequence,
 		Summary: almondcross.NewSummary(almondcross.SummaryConfig{
-			CatalogueOffset: wireping.Summary.CatalogueOffset, Free: wireping.Summary.Free.value(),
-			LargestFree: wireping.Summary.LargestFree.value(), Waiting: wireping.Summary.Waiting,
-			Oldest: wireping.Summary.Oldest, Held: wireping.Summary.Held,
+			CatalogueOffset: wireping.CatalogueOffset, Free: wireping.Free.value(), LargestFree: wireping.LargestFree.value(),
+			Waiting: wireping.Waiting, Oldest: wireping.Oldest, Held: wireping.Held,
 		}),
 	})
 }
 
 type wirePong struct {
-	Member   wireMemberID `cbor:"member"`
-	Sequence uint64       `cbor:"sequence"`
-	Rejoin   bool         `cbor:"rejoin,omitempty"`
-	Known    uint64       `cbor:"known,omitempty"`
+	Name        string `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint"`
+	Sequence    uint64 `cbor:"3,keyasint"`
+	Rejoin      bool   `cbor:"4,keyasint,omitempty"`
+	Known       uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 func toPong(pong almondcross.PeerPong) wirePong {
 	return wirePong{
-		Member: toMemberID(pong.Member()), Sequence: pong.Sequence(), Rejoin: pong.Rejoin(), Known: pong.Known(),
+		Name: pong.Member().Name(), Incarnation: pong.Member().Incarnation(), Sequence: pong.Sequence(),
+		Rejoin: pong.Rejoin(), Known: pong.Known(),
 	}
 }
 
 func (wirepong wirePong) message() almondcross.PeerMessage {
 	return almondcross.NewPeerPong(almondcross.PeerPongConfig{
-		Member: wirepong.Member.value(), Sequence: wirepong.Sequence, Rejoin: wirepong.Rejoin, Known: wirepong.Known,
+		Member:   almondcross.NewMemberID(almondcross.MemberIDConfig{Name: wirepong.Name, Incarnation: wirepong.Incarnation}),
+		Sequence: wirepong.Sequence, Rejoin: wirepong.Rejoin, Known: wirepong.Known,
 	})
 }
 
--- a/records.go
+++ b/records.go
@@ -78,11 +78,39 @@
 	result  AppendResult // how the append ended
 }
 
-// Hello is the first frame of a link; it names the member that sends on it.
+// LinkChannel names what a connection between two entry hosts carries.
+type LinkChannel string
+
+// The channels of a link.
+const (
+	ChannelData      LinkChannel = "data"      // ChannelData carries sequenced messages, which are acknowledged.
+	ChannelHeartbeat LinkChannel = "heartbeat" // ChannelHeartbeat carries heartbeats, which are never repeated.
+)
+
+// Hello is the first frame of a connection in each direction. The host that opened the connection
+// names itself and the channel; the other one answers with its own name and run.
 //
 //value:generate
 type Hello struct {
-	name string // the name of the entry host that sends on the link
+	name     string      // the name of the entry host that sends the hello
+	run      uint64      // the number of the run of its process
+	channel  LinkChannel // the channel of the connection
+	received uint64      // in an answer, the highest sequence received from the run that opened the connection
+}
+
+// Sequenced carries a message of the data channel.
+//
+//value:generate
+type Sequenced struct {
+	sequence uint64      // the number of the message, from 1 and rising within a run of the sender
+	message  PeerMessage // the message
+}
+
+// Acknowledged tells the sender of a data channel how far its messages were received.
+//
+//value:generate
+type Acknowledged struct {
+	sequence uint64 // the highest sequence that was handed to its duty
 }
 
 func (CatalogueCheckpointRead) cataloguerMessage() {}
@@ -96,7 +124,9 @@
 func (AnswerAppended) claimerMessage()      {}
 func (ViewChanged) claimerMessage()         {}
 
-func (Hello) peerMessage() {}
+func (Hello) peerMessage()        {}
+func (Sequenced) peerMessage()    {}
+func (Acknowledged) peerMessage() {}
 
 // CatalogueCodec encodes the bodies of the catalogue streams.
 type CatalogueCodec interface {
--- a/records_generated.go
+++ b/records_generated.go
@@ -409,24 +409,33 @@
 
 // HelloConfig holds the fields of a new Hello.
 type HelloConfig struct {
-	Name string
+	Name     string
+	Run      uint64
+	Channel  LinkChannel
+	Received uint64
 }
 
 // NewHello returns a Hello with the given fields.
 func NewHello(config HelloConfig) Hello {
 	return Hello{
-		name: config.Name,
+		name:     config.Name,
+		run:      config.Run,
+		channel:  config.Channel,
+		received: config.Received,
 	}
 }
 
 // Config returns the fields of the value for encoding or for a changed copy.
 func (hello Hello) Config() HelloConfig {
 	return HelloConfig{
-		Name: hello.name,
+		Name:     hello.name,
+		Run:      hello.run,
+		Channel:  hello.channel,
+		Received: hello.received,
 	}
 }
 
-// Name returns the name of the entry host that sends on the link.
+// Name returns the name of the entry host that sends the hello.
 func (hello Hello) Name() string { return hello.name }
 
 // WithName returns a copy with the given name.
@@ -435,6 +444,101 @@
 	return hello
 }
 
+// Run returns the number of the run of its process.
+func (hello Hello) Run() uint64 { return hello.run }
+
+// WithRun returns a copy with the given run.
+func (hello Hello) WithRun(run uint64) Hello {
+	hello.run = run
+	return hello
+}
+
+// Channel returns the channel of the connection.
+func (hello Hello) Channel() LinkChannel { return hello.channel }
+
+// WithChannel returns a copy with the given channel.
+func (hello Hello) WithChannel(channel LinkChannel) Hello {
+	hello.channel = channel
+	return hello
+}
+
+// Received returns in an answer, the highest sequence received from the run that opened the connection.
+func (hello Hello) Received() uint64 { return hello.received }
+
+// WithReceived returns a copy with the given received.
+func (hello Hello) WithReceived(received uint64) Hello {
+	hello.received = received
+	return hello
+}
+
+// SequencedConfig holds the fields of a new Sequenced.
+type SequencedConfig struct {
+	Sequence uint64
+	Message  PeerMessage
+}
+
+// NewSequenced returns a Sequenced with the given fields.
+func NewSequenced(config SequencedConfig) Sequenced {
+	return Sequenced{
+		sequence: config.Sequence,
+		message:  config.Message,
+	}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (sequenced Sequenced) Config() SequencedConfig {
+	return SequencedConfig{
+		Sequence: sequenced.sequence,
+		Message:  sequenced.message,
+	}
+}
+
+// Sequence returns the number of the message, from 1 and rising within a run of the sender.
+func (sequenced Sequenced) Sequence() uint64 { return sequenced.sequence }
+
+// WithSequence returns a copy with the given sequence.
+func (sequenced Sequenced) WithSequence(sequence uint64) Sequenced {
+	sequenced.sequence = sequence
+	return sequenced
+}
+
+// Message returns the message.
+func (sequenced Sequenced) Message() PeerMessage { return sequenced.message }
+
+// WithMessage returns a copy with the given message.
+func (sequenced Sequenced) WithMessage(message PeerMessage) Sequenced {
+	sequenced.message = message
+	return sequenced
+}
+
+// AcknowledgedConfig holds the fields of a new Acknowledged.
+type AcknowledgedConfig struct {
+	Sequence uint64
+}
+
+// NewAcknowledged returns a Acknowledged with the given fields.
+func NewAcknowledged(config AcknowledgedConfig) Acknowledged {
+	return Acknowledged{
+		sequence: config.Sequence,
+	}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (acknowledged Acknowledged) Config() AcknowledgedConfig {
+	return AcknowledgedConfig{
+		Sequence: acknowledged.sequence,
+	}
+}
+
+// Sequence returns the highest sequence that was handed to its duty.
+func (acknowledged Acknowledged) Sequence() uint64 { return acknowledged.sequence }
+
+// WithSequence returns a copy with the given sequence.
+func (acknowledged Acknowledged) WithSequence(sequence uint64) Acknowledged {
+	acknowledged.sequence = sequence
+	return acknowledged
+}
+
 // AccountTickConfig holds the fields of a new AccountTick.
 type AccountTickConfig struct {
 	Refused  uint64
