Deliver messages between hosts once and in order, heartbeats apart

Cause: a message written to a connection that then broke was lost, and messages that waited longer than a link lease were dropped, so a key could wait for ever for task_ended or place. Heartbeats shared the connection, so a full ring of the coordinator or placer delayed them.

Change: each link has a data and a heartbeat connection in each direction. Hellos carry run ids; messages for an earlier run of the receiver are discarded, and a reply goes only to the run that asked. Ring and outbox are bounded, a full ring refuses. Heartbeats are not repeated and are dropped after two ping intervals. Messages and bytes are counted for each peer and channel in both directions.

--- a/command/linker/linker.go
+++ b/command/linker/linker.go
@@ -2,8 +2,7 @@
 
 import (
 	"context"
-	"fmt"
-	"maps"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,11 +18,10 @@
 const (
 	// DefaultPath is the path of the HTTP handler.
 	DefaultPath = "/v1/link"
-	// DefaultCapacity is the number of messages that wait for one peer.
+	// DefaultCapacity is the number of messages that wait for one peer and were not written yet.
 	DefaultCapacity = 1024
-	// DefaultMaxAge is the time after which a waiting message counts as lost. A message that waits
-	// longer than a link lease comes too late for the peer to obey it.
-	DefaultMaxAge = almondcross.LinkLease
+	// DefaultMaxAge is the time after which a waiting heartbeat is dropped; by then a newer one waits.
+	DefaultMaxAge = 2 * almondcross.PingInterval
 	// DefaultDialTimeout bounds the opening of a connection.
 	DefaultDialTimeout = 2 * time.Second
 	// DefaultWriteTimeout bounds one write.
@@ -41,6 +39,8 @@
 	// maxPeers bounds the peers that are learned from pings, far above the hosts of a cell.
 	maxPeers     = 64
 	learnBacklog = 16
+	// heartbeatCapacity holds more than the pings and pongs of the time after which they are dropped.
+	heartbeatCapacity = 64
 )
 
 // Config holds the parts of the linker; zero numbers stand for the defaults.
@@ -55,7 +55,7 @@
 	Registrar    almondcross.Sink[almondcross.RegistrarMessage]
 	Cataloguer   almondcross.Sink[almondcross.CataloguerMessage]
 	Capacity     int
-	MaxAge       time.Duration
+	MaxAge       time.Duration // MaxAge is the time after which a waiting heartbeat is dropped.
 	DialTimeout  time.Duration
 	WriteTimeout time.Duration
 	ReadTimeout  time.Duration
@@ -66,15 +66,16 @@
 // Linker owns the connections to the peers. Send and ServeHTTP may be called from any goroutine.
 type Linker struct {
 	config  Config
-	learned *ring.Ring[*sender]                // the senders that Run starts
-	senders atomic.Pointer[map[string]*sender] // the map is replaced, never modified
-	base    context.Context                    // ends with Run; incoming connections end with it
+	run     uint64                           // the number of the run of this process
+	learned *ring.Ring[*link]                // the links whose senders Run starts
+	links   atomic.Pointer[map[string]*link] // the map is replaced, never modified
+	base    context.Context                  // ends with Run; incoming connections end with it
 	end     context.CancelFunc
 	counts  counts
 }
 
 type counts struct {
-	received, malformed, impostor, refused *metrics.Counter
+	malformed, impostor, refused, duplicate *metrics.Counter
 }
 
 // New returns a linker; nothing is sent before Run.
@@ -96,24 +97,26 @@
 	base, end := context.WithCancel(context.Background())
 	linker := &Linker{
 		config:  config,
-		learned: ring.New[*sender](ring.Config{Name: "link.learned", Capacity: learnBacklog}),
+		run:     rand.Uint64() | 1, // 0 stands for a run that is not known
+		learned: ring.New[*link](ring.Config{Name: "link.learned", Capacity: learnBacklog}),
 		base:    base,
 		end:     end,
 		counts: counts{
-			received:  config.Metrics.NewCounter("almondcross_link_received_total"),
 			malformed: config.Metrics.NewCounter("almondcross_link_malformed_total"),
 			impostor:  config.Metrics.NewCounter("almondcross_link_wrong_member_total"),
 			refused:   config.Metrics.NewCounter("almondcross_link_receive_refused_total"),
+			duplicate: config.Metrics.NewCounter("almondcross_link_duplicate_total"),
 		},
 	}
-	senders := map[string]*sender{}
+	links := map[string]*link{}
 	for name, address := range config.Peers {
 		if name != config.Name {
-			senders[name] = newSender(config, name, address)
-			senders[name].register()
+			links[name] = newLink(config, name, linker.run)
+			links[name].moveTo(address)
+			links[name].register()
 		}
 	}
-	linker.senders.Store(&senders)
+	linker.links.Store(&links)
 	return linker
 }
 
@@ -124,10 +127,11 @@
 	return value
 }
 
-// Send queues a message for a member and reports false when it is lost.
+// Send queues a message for a member and reports false when it is lost. A queued message of the data
+// channel arrives once, unless this process or the peer's ends before.
 func (linker *Linker) Send(member string, message almondcross.PeerMessage) bool {
-	sender, ok := (*linker.senders.Load())[member]
-	return ok && sender.offer(message)
+	link, ok := (*linker.links.Load())[member]
+	return ok && link.send(message, link.runs.latest())
 }
 
 // Path returns the path under which the handler is to be served.
@@ -136,8 +140,8 @@
 // Rings returns the states of the rings of the peers.
 func (linker *Linker) Rings() []almondcross.RingState {
 	var states []almondcross.RingState
-	for _, sender := range *linker.senders.Load() {
-		states = append(states, sender.state())
+	for _, link := range *linker.links.Load() {
+		states = append(states, link.data.state(), link.heartbeats.state())
 	}
 	return states
 }
@@ -146,52 +150,22 @@
 func (linker *Linker) Run(ctx context.Context) error {
 	defer linker.end()
 	var group sync.WaitGroup
-	for _, sender := range *linker.senders.Load() {
-		group.Go(func() { sender.run(ctx) })
+	start := func(link *link) {
+		group.Go(func() { link.data.serveLink(ctx) })
+		group.Go(func() { link.heartbeats.serveLink(ctx) })
+	}
+	for name := range linker.config.Peers {
+		if link, ok := (*linker.links.Load())[name]; ok {
+			start(link)
+		}
 	}
 	for {
 		select {
-		case sender := <-linker.learned.Messages():
-			group.Go(func() { sender.run(ctx) })
+		case link := <-linker.learned.Messages():
+			start(link)
 		case <-ctx.Done():
 			group.Wait()
 			return nil
 		}
 	}
 }
-
-// learn notes the address of a member that sent a ping, so that a reply to its next message finds a
-// sender. A replaced host comes with a new name or a new address.
-func (linker *Linker) learn(ctx context.Context, member almondcross.Member) {
-	name, address := member.ID().Name(), member.Address()
-	if address == "" || name == linker.config.Name {
-		return
-	}
-	for {
-		current := linker.senders.Load()
-		if known, ok := (*current)[name]; ok {
-			if known.at() != address {
-				known.moveTo(address)
-			}
-			return
-		}
-		if len(*current) >= maxPeers {
-			return
-		}
-		senders := make(map[string]*sender, len(*current)+1)
-		maps.Copy(senders, *current)
-		added := newSender(linker.config, name, address)
-		senders[name] = added
-		// Another connection may have learned a peer in the meantime; then this is tried again.
-		if linker.senders.CompareAndSwap(current, &senders) {
-			linker.config.Logger.WithFields(logrus.Fields{"peer": name, "address": address}).Info("peer learned")
-			added.register()
-			linker.put(linker.learned.Put(ctx, added))
-			return
-		}
-	}
-}
-
-func peerCounter(config Config, metric, peer string) *metrics.Counter {
-	return config.Metrics.GetOrCreateCounter(fmt.Sprintf("%s{peer=%q}", metric, peer))
-}
--- a/command/linker/receiver.go
+++ b/command/linker/receiver.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/gorilla/websocket"
@@ -12,8 +12,12 @@
 	"github.com/almondcross/almondcross"
 )
 
-// overloadRetry is the time after which the caller of a refused forwarded request asks again.
-const overloadRetry = time.Second
+// Acknowledgements are written after ackBatch messages, or ackDelay after the first one: at most
+// about 20 small frames a second on a link with little traffic.
+const (
+	ackBatch = maxUnacknowledged / 4
+	ackDelay = 50 * time.Millisecond
+)
 
 // errNoHello means that a connection did not begin with a usable hello.
 const errNoHello = errors.ConstError("the connection did not begin with a hello")
@@ -26,25 +30,32 @@
 		linker.warn(request.RemoteAddr, err, "link was not opened")
 		return
 	}
-	stop := context.AfterFunc(linker.base, func() { _ = connection.Close() })
+	ctx, cancel := context.WithCancel(linker.base)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
 	defer stop()
 	defer func() { _ = connection.Close() }()
 	linker.prepare(connection)
-	peer, err := linker.hello(connection)
+	hello, link, err := linker.hello(connection)
 	if err != nil {
 		linker.counts.malformed.Inc()
 		linker.warn(request.RemoteAddr, err, "link was refused")
 		return
 	}
-	for linker.base.Err() == nil {
-		message, err := linker.next(connection)
-		if err != nil {
-			return
-		}
-		if message != nil {
-			linker.receive(linker.base, peer, message)
-		}
+	incoming := incoming{linker: linker, connection: connection, link: link, channel: hello.Channel()}
+	run := link.runs.find(hello.Run())
+	if hello.Channel() == almondcross.ChannelHeartbeat {
+		replace(&run.heartbeats, cancel)
+		incoming.serveHeartbeats(ctx)
+		return
 	}
+	replace(&run.data, cancel)
+	incoming.serveData(ctx, run)
+}
+
+// warn logs a fault of an incoming connection.
+func (linker *Linker) warn(peer string, err error, text string) {
+	linker.config.Logger.WithField("peer", peer).WithError(err).Warn(text)
 }
 
 // prepare bounds frames and answers control pings, which also keep a silent connection open.
@@ -61,152 +72,177 @@
 	})
 }
 
-func (linker *Linker) hello(connection *websocket.Conn) (string, error) {
-	message, err := linker.next(connection)
+func (linker *Linker) hello(connection *websocket.Conn) (almondcross.Hello, *link, error) {
+	_ = connection.SetReadDeadline(linker.config.Clock.Now().Add(linker.config.ReadTimeout))
+	_, frame, err := connection.ReadMessage()
 	if err != nil {
-		return "", errors.Annotate(errNoHello, err.Error())
+		return almondcross.Hello{}, nil, errors.Annotate(errNoHello, err.Error())
+	}
+	message, err := linker.config.Codec.DecodePeer(frame)
+	if err != nil {
+		return almondcross.Hello{}, nil, errors.Annotate(errNoHello, err.Error())
 	}
 	hello, ok := message.(almondcross.Hello)
-	if !ok || hello.Name() == "" || hello.Name() == linker.config.Name {
-		return "", errors.Trace(errNoHello)
+	known := hello.Channel() == almondcross.ChannelData || hello.Channel() == almondcross.ChannelHeartbeat
+	if !ok || hello.Name() == "" || hello.Name() == linker.config.Name || hello.Run() == 0 || !known {
+		return almondcross.Hello{}, nil, errors.Trace(errNoHello)
 	}
-	return hello.Name(), nil
+	link, err := linker.link(hello.Name())
+	return hello, link, errors.Trace(err)
 }
 
-// next reads one message; it returns nil for a frame that cannot be decoded, which a newer version
-// of the program may send.
-func (linker *Linker) next(connection *websocket.Conn) (almondcross.PeerMessage, error) {
-	_ = connection.SetReadDeadline(linker.config.Clock.Now().Add(linker.config.ReadTimeout))
-	kind, reader, err := connection.NextReader()
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	frame, err := io.ReadAll(reader)
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	linker.counts.received.Inc()
-	if kind != websocket.BinaryMessage {
-		linker.counts.malformed.Inc()
-		return nil, nil
+// incoming is a connection that a peer opened.
+type incoming struct {
+	linker     *Linker
+	connection *websocket.Conn
+	link       *link
+	channel    almondcross.LinkChannel
+}
+
+func (incoming incoming) serveHeartbeats(ctx context.Context) {
+	if incoming.answerHello(0) != nil {
+		return
 	}
-	message, err := linker.config.Codec.DecodePeer(frame)
-	if err != nil {
-		linker.counts.malformed.Inc()
-		return nil, nil
+	for ctx.Err() == nil {
+		message, err := incoming.next()
+		switch {
+		case err != nil:
+			return
+		case message == nil:
+		case !isHeartbeat(message):
+			incoming.linker.counts.malformed.Inc()
+		default:
+			incoming.receive(ctx, 0, message)
+		}
 	}
-	return message, nil
 }
 
-// sentBy returns the member that a message names as its sender. A former coordinator passes on
-// reports of tasks, TaskLost names the former holder, and a forwarded task its coordinator, so these
-// do not name their sender.
-func sentBy(message almondcross.PeerMessage) (string, bool) {
-	switch message := message.(type) {
-	case almondcross.PeerPing:
-		return message.Member().ID().Name(), true
-	case almondcross.PeerPong:
-		return message.Member().Name(), true
-	case almondcross.PeerLeaving:
-		return message.Member().Name(), true
-	case almondcross.PeerLeavingAck:
-		return message.Member().Name(), true
-	case almondcross.PeerCatalogueRequest:
-		return message.Member().Name(), true
-	case almondcross.TaskRefused:
-		return message.Holder().Name(), true
-	case almondcross.AdoptTask:
-		return message.Holder().Name(), true
-	case almondcross.AdoptAnswered:
-		return message.Coordinator().Name(), true
-	case almondcross.PlaceTask:
-		return message.Task().Coordinator().Name(), !message.Forwarded()
-	default:
-		return "", false
+// serveData delivers messages. A message whose delivery was given up, because the peer has opened
+// another connection, is not counted as received, so that the peer sends it again.
+func (incoming incoming) serveData(ctx context.Context, run *run) {
+	var received uint64
+	select {
+	case received = <-run.received:
+	case <-ctx.Done():
+		return
+	}
+	defer func() { run.received <- received }()
+	if incoming.answerHello(received) != nil {
+		return
+	}
+	acknowledger := acknowledger{wake: make(chan struct{}, 1)}
+	go acknowledger.run(ctx, received, incoming.write)
+	for ctx.Err() == nil {
+		message, err := incoming.next()
+		if err != nil {
+			return
+		}
+		sequenced, ok := message.(almondcross.Sequenced)
+		if !ok {
+			if message != nil {
+				incoming.linker.counts.malformed.Inc()
+			}
+			continue
+		}
+		if sequenced.Sequence() <= received {
+			incoming.linker.counts.duplicate.Inc()
+			continue
+		}
+		if !incoming.accept(ctx, run.id, sequenced.Message()) {
+			return
+		}
+		received = sequenced.Sequence()
+		acknowledger.notice(received)
 	}
 }
 
-// receive checks the sender of a message and hands it to its duty.
-func (linker *Linker) receive(ctx context.Context, peer string, message almondcross.PeerMessage) {
-	if member, named := sentBy(message); named && member != peer {
-		linker.counts.impostor.Inc()
-		return
+// accept delivers a message and reports whether it is done with. A message that could not be decoded
+// is done with, since it would not be understood the next time either.
+func (incoming incoming) accept(ctx context.Context, run uint64, message almondcross.PeerMessage) bool {
+	if message == nil {
+		return true
 	}
-	switch message := message.(type) {
-	case almondcross.PeerPing:
-		linker.learn(ctx, message.Member())
-		linker.offerRegistrar(message)
-	case almondcross.PeerPong, almondcross.PeerLeavingAck:
-		linker.offerRegistrar(message)
-	case almondcross.PeerLeaving:
-		linker.offerRegistrar(message)
-	case almondcross.PeerSubmit:
-		replier := peerReplier{linker: linker, peer: peer, correlation: message.Correlation()}
-		linker.forward(replier, message.Request().Key(), almondcross.NewSubmitRequest(almondcross.SubmitRequestConfig{
-			Request: message.Request(), Replier: replier, Forwarded: true,
-		}))
-	case almondcross.PeerCancel:
-		replier := peerReplier{linker: linker, peer: peer, correlation: message.Correlation()}
-		linker.forward(replier, message.Key(), almondcross.NewCancelRequest(almondcross.CancelRequestConfig{
-			Key: message.Key(), Replier: replier, Forwarded: true,
-		}))
-	case almondcross.PeerLookup:
-		replier := peerReplier{linker: linker, peer: peer, correlation: message.Correlation()}
-		linker.forward(replier, message.Key(), almondcross.NewLookupRequest(almondcross.LookupRequestConfig{
-			Key: message.Key(), Replier: replier, Forwarded: true,
-		}))
-	case almondcross.PeerCatalogueRequest:
-		linker.put(linker.config.Cataloguer.Put(ctx, message))
-	case almondcross.PeerCatalogue:
-		linker.put(linker.config.Cataloguer.Put(ctx, almondcross.NewCatalogueLoaded(
-			almondcross.CatalogueLoadedConfig{Catalogue: message.Catalogue()},
-		)))
-	case almondcross.CoordinatorMessage:
-		linker.put(linker.config.Coordinator.Put(ctx, message))
-	case almondcross.PlacerMessage:
-		linker.put(linker.config.Placer.Put(ctx, message))
-	default:
-		linker.counts.malformed.Inc()
+	if isHeartbeat(message) {
+		incoming.linker.counts.malformed.Inc()
+		return true
 	}
+	return incoming.receive(ctx, run, message)
+}
+
+func (incoming incoming) answerHello(received uint64) error {
+	return incoming.write(almondcross.NewHello(almondcross.HelloConfig{
+		Name: incoming.linker.config.Name, Run: incoming.linker.run, Channel: incoming.channel, Received: received,
+	}))
 }
 
-// put counts a message whose ring had no room before the linker ended.
-func (linker *Linker) put(err error) {
+// write is called from one goroutine at a time.
+func (incoming incoming) write(message almondcross.PeerMessage) error {
+	frame, err := incoming.linker.config.Codec.EncodePeer(message)
 	if err != nil {
-		linker.counts.refused.Inc()
+		return errors.Trace(err)
 	}
+	_ = incoming.connection.SetWriteDeadline(incoming.linker.config.Clock.Now().Add(incoming.linker.config.WriteTimeout))
+	return errors.Trace(incoming.connection.WriteMessage(websocket.BinaryMessage, frame))
 }
 
-func (linker *Linker) offerRegistrar(message almondcross.PeerMessage) {
-	received := almondcross.NewPeerReceived(almondcross.PeerReceivedConfig{Message: message})
-	if !linker.config.Registrar.Offer(received) {
-		linker.counts.refused.Inc()
+// next reads one message. For a frame that cannot be decoded, which a newer version of the program
+// may send, it returns nil, or only the sequence if that can be read.
+func (incoming incoming) next() (almondcross.PeerMessage, error) {
+	config := incoming.linker.config
+	_ = incoming.connection.SetReadDeadline(config.Clock.Now().Add(config.ReadTimeout))
+	kind, frame, err := incoming.connection.ReadMessage()
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	incoming.link.received[incoming.channel].Inc()
+	incoming.link.receivedBytes[incoming.channel].Add(len(frame))
+	if kind != websocket.BinaryMessage {
+		incoming.linker.counts.malformed.Inc()
+		return nil, nil
 	}
+	message, err := config.Codec.DecodePeer(frame)
+	if err != nil {
+		incoming.linker.counts.malformed.Inc()
+	}
+	return message, nil
 }
 
-// forward hands a forwarded request to the coordinator. The answer to a refused one is "unknown",
-// because the key may already run here after an earlier attempt.
-func (linker *Linker) forward(replier peerReplier, key almondcross.Key, message almondcross.CoordinatorMessage) {
-	if linker.config.Coordinator.Offer(message) {
-		return
-	}
-	linker.counts.refused.Inc()
-	replier.Reply(almondcross.NewOutcome(almondcross.OutcomeConfig{
-		Key: key, Status: almondcross.StatusUnknown, Code: almondcross.CodeOverloaded,
-		Detail: "the coordinator of the key is overloaded", RetryAfter: overloadRetry, Host: linker.config.Name,
-	}))
+// acknowledger is the goroutine that writes the acknowledgements of one connection.
+type acknowledger struct {
+	received atomic.Uint64
+	wake     chan struct{}
 }
 
-// peerReplier sends the outcome of a forwarded request back to the peer that forwarded it.
-type peerReplier struct {
-	linker      *Linker
-	peer        string
-	correlation uint64
+// notice takes the sequence of a received message.
+func (acknowledger *acknowledger) notice(sequence uint64) {
+	acknowledger.received.Store(sequence)
+	signal(acknowledger.wake)
 }
 
-// Reply queues the outcome and does not block.
-func (peerreplier peerReplier) Reply(outcome almondcross.Outcome) {
-	peerreplier.linker.Send(peerreplier.peer, almondcross.NewPeerReply(almondcross.PeerReplyConfig{
-		Correlation: peerreplier.correlation, Outcome: outcome,
-	}))
+// run writes until the context ends or a write fails; the end of the connection is seen by its reader.
+func (acknowledger *acknowledger) run(ctx context.Context, written uint64, write func(almondcross.PeerMessage) error) {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	waiting := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-acknowledger.wake:
+			if acknowledger.received.Load()-written < ackBatch {
+				if !waiting {
+					timer.Reset(ackDelay)
+					waiting = true
+				}
+				continue
+			}
+		case <-timer.C:
+		}
+		waiting = false
+		timer.Stop()
+		written = acknowledger.received.Load()
+		if write(almondcross.NewAcknowledged(almondcross.AcknowledgedConfig{Sequence: written})) != nil {
+			return
+		}
+	}
 }
--- a/command/linker/sender.go
+++ b/command/linker/sender.go
@@ -4,49 +4,44 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net/url"
-	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gorilla/websocket"
 	"github.com/juju/errors"
-	"github.com/sirupsen/logrus"
 
 	"github.com/almondcross/almondcross"
 	"github.com/almondcross/almondcross/ring"
 )
 
-// outgoing is a message with the time at which it was queued.
-type outgoing struct {
-	message almondcross.PeerMessage
-	at      time.Time
-}
-
-// sender is the duty that sends to one peer; it owns the outgoing connection.
+// sender is the duty that sends on one channel of a link; it owns the connection and the outbox.
 type sender struct {
 	config  Config
-	name    string
-	address atomic.Pointer[string]
+	link    *link
+	channel almondcross.LinkChannel
+	run     uint64 // run is the run of this process.
 	ring    *ring.Ring[outgoing]
-	sent    *metrics.Counter
-	bytes   *metrics.Counter
-	lost    *metrics.Counter
+	outbox  outbox // outbox stays empty on the heartbeat channel.
+
+	sent, bytes, resent, lost *metrics.Counter
 }
 
-func newSender(config Config, name, address string) *sender {
-	sender := &sender{
-		config: config,
-		name:   name,
-		ring: ring.New[outgoing](ring.Config{
-			Name: "link." + name, Capacity: config.Capacity,
-		}),
-		sent:  peerCounter(config, "almondcross_link_sent_total", name),
-		bytes: peerCounter(config, "almondcross_link_sent_bytes_total", name),
-		lost:  peerCounter(config, "almondcross_link_lost_total", name),
-	}
-	sender.address.Store(&address)
-	return sender
+func newSender(config Config, link *link, channel almondcross.LinkChannel, run uint64) *sender {
+	name, capacity := "link."+link.name, config.Capacity
+	if channel == almondcross.ChannelHeartbeat {
+		name, capacity = name+".heartbeat", heartbeatCapacity
+	}
+	return &sender{
+		config:  config,
+		link:    link,
+		channel: channel,
+		run:     run,
+		ring:    ring.New[outgoing](ring.Config{Name: name, Capacity: capacity}),
+		sent:    linkCounter(config, "almondcross_link_sent_total", link.name, channel),
+		bytes:   linkCounter(config, "almondcross_link_sent_bytes_total", link.name, channel),
+		resent:  linkCounter(config, "almondcross_link_resent_total", link.name, channel),
+		lost:    linkCounter(config, "almondcross_link_lost_total", link.name, channel),
+	}
 }
 
 // register adds the gauges of the ring; it is called once for each peer.
@@ -57,36 +52,32 @@
 	sender.config.Metrics.NewGauge("almondcross_ring_refused_total"+label, func() float64 { return float64(sender.ring.Refused()) })
 }
 
-func (sender *sender) at() string { return *sender.address.Load() }
-
-// moveTo sets the address for the next connection.
-func (sender *sender) moveTo(address string) { sender.address.Store(&address) }
-
 func (sender *sender) state() almondcross.RingState {
 	return almondcross.NewRingState(almondcross.RingStateConfig{
 		Name: sender.ring.Name(), Depth: sender.ring.Depth(), Capacity: sender.ring.Capacity(), Refused: sender.ring.Refused(),
 	})
 }
 
-func (sender *sender) offer(message almondcross.PeerMessage) bool {
-	if sender.ring.Offer(outgoing{message: message, at: sender.config.Clock.Now()}) {
+// offer queues a message for a run of the peer.
+func (sender *sender) offer(message almondcross.PeerMessage, run uint64) bool {
+	if sender.ring.Offer(outgoing{message: message, at: sender.config.Clock.Now(), run: run}) {
 		return true
 	}
 	sender.lost.Inc()
 	return false
 }
 
-// run keeps a connection until the context ends.
-func (sender *sender) run(ctx context.Context) {
+// serveLink keeps a connection until the context ends.
+func (sender *sender) serveLink(ctx context.Context) {
 	backoff := firstBackoff
-	logger := sender.config.Logger.WithField("peer", sender.name)
+	logger := sender.config.Logger.WithField("peer", sender.link.name).WithField("channel", sender.channel)
 	connected := true
 	for ctx.Err() == nil {
-		connection, err := sender.dial(ctx)
+		session, err := sender.dial(ctx)
 		if err == nil {
 			logger.Info("link is up")
 			connected, backoff = true, firstBackoff
-			err = sender.serve(ctx, connection)
+			err = sender.serve(ctx, session)
 		}
 		if ctx.Err() != nil {
 			return
@@ -105,101 +96,112 @@
 	}
 }
 
-// dial opens a connection and says hello.
-func (sender *sender) dial(ctx context.Context) (*websocket.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, sender.config.DialTimeout)
-	defer cancel()
-	dialer := websocket.Dialer{HandshakeTimeout: sender.config.DialTimeout}
-	target := url.URL{Scheme: "ws", Host: sender.at(), Path: sender.config.Path}
-	connection, response, err := dialer.DialContext(ctx, target.String(), nil)
-	if err != nil {
-		return nil, errors.Annotatef(err, "connecting to %s", sender.name)
-	}
-	_ = response.Body.Close()
-	hello := almondcross.NewHello(almondcross.HelloConfig{Name: sender.config.Name})
-	if err := sender.write(connection, hello); err != nil {
-		_ = connection.Close()
-		return nil, err
-	}
-	return connection, nil
-}
-
 // serve sends messages until the connection fails or the context ends.
-func (sender *sender) serve(ctx context.Context, connection *websocket.Conn) error {
-	closed := make(chan error, 1)
-	go func() { closed <- sender.watch(connection) }()
-	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
+func (sender *sender) serve(ctx context.Context, session *session) error {
+	go sender.watch(session)
+	stop := context.AfterFunc(ctx, func() { _ = session.connection.Close() })
 	defer stop()
 	ticker := time.NewTicker(keepAlive)
 	defer ticker.Stop()
+	if err := sender.resend(session); err != nil {
+		return session.hangUp(err)
+	}
 	for {
+		var queue <-chan outgoing
+		if sender.outbox.hasRoom() {
+			queue = sender.ring.Messages()
+		}
 		select {
-		case message := <-sender.ring.Messages():
-			if sender.config.Clock.Now().Sub(message.at) > sender.config.MaxAge {
-				sender.lost.Inc()
-				continue
-			}
-			err := sender.write(connection, message.message)
-			if err == nil {
-				sender.sent.Inc()
-				continue
+		case message := <-queue:
+			if err := sender.transmit(session, message); err != nil {
+				return session.hangUp(err)
 			}
-			sender.lost.Inc()
-			if errors.Is(err, errEncoding) {
-				sender.config.Logger.WithField("peer", sender.name).WithError(err).Error("message cannot be encoded")
-				continue
-			}
-			return hangUp(connection, closed, err)
+		case <-session.wake:
+			sender.outbox.acknowledge(session.acknowledged.Load())
 		case <-ticker.C:
 			deadline := sender.config.Clock.Now().Add(sender.config.WriteTimeout)
-			if err := connection.WriteControl(websocket.PingMessage, nil, deadline); err != nil {
-				return hangUp(connection, closed, errors.Annotate(err, "keeping the link alive"))
+			if err := session.connection.WriteControl(websocket.PingMessage, nil, deadline); err != nil {
+				return session.hangUp(errors.Annotate(err, "keeping the link alive"))
 			}
-		case err := <-closed:
-			_ = connection.Close()
+		case err := <-session.closed:
+			_ = session.connection.Close()
 			return err
 		}
 	}
 }
 
-// hangUp closes the connection, waits for its reader and returns the cause.
-func hangUp(connection *websocket.Conn, closed <-chan error, cause error) error {
-	_ = connection.Close()
-	return errors.Wrap(<-closed, cause)
+// resend writes the messages again that the same run of the peer has not received.
+func (sender *sender) resend(session *session) error {
+	sender.lost.Add(sender.outbox.retain(session.run))
+	sender.outbox.acknowledge(session.acknowledged.Load())
+	for _, message := range sender.outbox.messages {
+		frame, err := sender.encode(message)
+		if err != nil {
+			return err
+		}
+		if err := sender.write(session, frame); err != nil {
+			return err
+		}
+		sender.resent.Inc()
+	}
+	return nil
 }
 
-// errEncoding marks a message that cannot be sent on any connection.
-const errEncoding = errors.ConstError("message cannot be encoded")
-
-func (sender *sender) write(connection *websocket.Conn, message almondcross.PeerMessage) error {
-	frame, err := sender.config.Codec.EncodePeer(message)
+func (sender *sender) transmit(session *session, message outgoing) error {
+	if sender.channel == almondcross.ChannelHeartbeat {
+		return sender.transmitHeartbeat(session, message)
+	}
+	switch message.run {
+	case 0:
+		message.run = session.run
+	case session.run, sender.link.runs.latest():
+	default:
+		sender.lost.Inc()
+		return nil
+	}
+	message.sequence = sender.outbox.last + 1
+	frame, err := sender.encode(message)
 	if err != nil {
-		return errors.Annotate(errEncoding, err.Error())
+		sender.lost.Inc()
+		sender.config.Logger.WithField("peer", sender.link.name).WithError(err).Error("message was dropped")
+		return nil
+	}
+	message.size = len(frame)
+	sender.outbox.add(message)
+	if message.run != session.run {
+		// The peer was restarted and has greeted this host before the end of this connection was seen.
+		return errors.Trace(errFormerRun)
 	}
-	_ = connection.SetWriteDeadline(sender.config.Clock.Now().Add(sender.config.WriteTimeout))
-	if err := connection.WriteMessage(websocket.BinaryMessage, frame); err != nil {
-		return errors.Annotatef(err, "writing to %s", sender.name)
+	if err := sender.write(session, frame); err != nil {
+		return err
 	}
-	sender.bytes.Add(len(frame))
+	sender.sent.Inc()
 	return nil
 }
 
-// watch reads control frames, so that the end of the connection is noticed while nothing is sent.
-func (sender *sender) watch(connection *websocket.Conn) error {
-	connection.SetReadLimit(MaxFrame)
-	extend := func(string) error {
-		return connection.SetReadDeadline(sender.config.Clock.Now().Add(sender.config.ReadTimeout))
-	}
-	_ = extend("")
-	connection.SetPongHandler(extend)
-	for {
-		if _, _, err := connection.NextReader(); err != nil {
-			return errors.Annotatef(err, "link to %s", sender.name)
-		}
+func (sender *sender) transmitHeartbeat(session *session, message outgoing) error {
+	if sender.config.Clock.Now().Sub(message.at) > sender.config.MaxAge {
+		sender.lost.Inc()
+		return nil
+	}
+	frame, err := sender.config.Codec.EncodePeer(message.message)
+	if err == nil {
+		err = sender.write(session, frame)
+	}
+	if err != nil {
+		sender.lost.Inc()
+		return errors.Trace(err)
 	}
+	sender.sent.Inc()
+	return nil
 }
 
-// warn logs a fault of an incoming connection.
-func (linker *Linker) warn(peer string, err error, text string) {
-	linker.config.Logger.WithFields(logrus.Fields{"peer": peer}).WithError(err).Warn(text)
+func (sender *sender) encode(message outgoing) ([]byte, error) {
+	frame, err := sender.config.Codec.EncodePeer(almondcross.NewSequenced(almondcross.SequencedConfig{
+		Sequence: message.sequence, Message: message.message,
+	}))
+	if err != nil {
+		return nil, errors.Annotate(errEncoding, err.Error())
+	}
+	return frame, nil
 }
--- a/encoder/peer.go
+++ b/encoder/peer.go
@@ -175,7 +175,9 @@
 	peerAcknowledged:     decodeAs[wireAcknowledged],
 }
 
-// DecodePeer returns the message of a frame; every malformed frame is an error.
+// DecodePeer returns the message of a frame; every malformed frame is an error. An error after the
+// sequence was read comes with a Sequenced that holds only the sequence, so that the receiver can
+// acknowledge a frame that it does not understand.
 func (codec Codec) DecodePeer(frame []byte) (almondcross.PeerMessage, error) {
 	if len(frame) > MaxFrame {
 		return nil, errors.Trace(ErrTooLarge)
@@ -184,15 +186,19 @@
 	if err := codec.decoding.Unmarshal(frame, &sealed); err != nil {
 		return nil, errors.Annotate(ErrMalformed, err.Error())
 	}
+	message, err := codec.openPeer(sealed)
+	if sealed.Sequence == 0 {
+		return message, err
+	}
+	return almondcross.NewSequenced(almondcross.SequencedConfig{Sequence: sealed.Sequence, Message: message}), err
+}
+
+func (codec Codec) openPeer(sealed peerEnvelope) (almondcross.PeerMessage, error) {
 	decode, ok := peerDecoders[sealed.Type]
 	if !ok {
 		return nil, errors.Annotatef(ErrUnknown, "peer message type %d", sealed.Type)
 	}
-	message, err := decode(codec, sealed)
-	if err != nil || sealed.Sequence == 0 {
-		return message, err
-	}
-	return almondcross.NewSequenced(almondcross.SequencedConfig{Sequence: sealed.Sequence, Message: message}), nil
+	return decode(codec, sealed)
 }
 
 type wireRequest struct {
