Test that sequences count within one run of the sender

Cause: without the check for duplicates in the receiver all tests still passed, because the answer to the hello lets the sender drop received messages before it sends again.

Change: a test speaks the protocol itself, repeats sequences on one connection and after a reconnect, and begins a second run at 1. A duplicate is acknowledged again, so that its sender can drop it.

--- a/command/linker/linker_test.go
+++ b/command/linker/linker_test.go
@@ -126,6 +126,25 @@
 	})})
 }
 
+// dial opens a connection to a host as a peer does.
+func dial(t *testing.T, host host) *websocket.Conn {
+	t.Helper()
+	target := "ws" + strings.TrimPrefix(host.server.URL, "http") + host.linker.Path()
+	connection, response, err := websocket.DefaultDialer.Dial(target, nil)
+	require.NoError(t, err)
+	t.Cleanup(func() { _, _ = connection.Close(), response.Body.Close() })
+	return connection
+}
+
+func write(t *testing.T, connection *websocket.Conn, message almondcross.PeerMessage) {
+	t.Helper()
+	codec, err := encoder.NewCodec()
+	require.NoError(t, err)
+	frame, err := codec.EncodePeer(message)
+	require.NoError(t, err)
+	require.NoError(t, connection.WriteMessage(websocket.BinaryMessage, frame))
+}
+
 // Guards against a reply that goes to another request or is lost on the way, against a request that
 // is refused although the coordinator may run it, and against a new host that stays without answers.
 func TestForwardedRequestIsAnsweredUnderItsNumber(t *testing.T) {
@@ -162,17 +181,8 @@
 // and against a malformed frame that ends the link.
 func TestMessageOfAnotherMemberIsDropped(t *testing.T) {
 	first := start(t, "e1", nil)
-	codec, err := encoder.NewCodec()
-	require.NoError(t, err)
-	target := "ws" + strings.TrimPrefix(first.server.URL, "http") + first.linker.Path()
-	connection, response, err := websocket.DefaultDialer.Dial(target, nil)
-	require.NoError(t, err)
-	defer func() { _, _ = connection.Close(), response.Body.Close() }()
-	send := func(message almondcross.PeerMessage) {
-		frame, err := codec.EncodePeer(message)
-		require.NoError(t, err)
-		require.NoError(t, connection.WriteMessage(websocket.BinaryMessage, frame))
-	}
+	connection := dial(t, first)
+	send := func(message almondcross.PeerMessage) { write(t, connection, message) }
 	send(almondcross.NewHello(almondcross.HelloConfig{Name: "e2", Run: 1, Channel: almondcross.ChannelHeartbeat}))
 	send(ping(first, "e3"))
 	require.NoError(t, connection.WriteMessage(websocket.BinaryMessage, []byte{0xff}))
@@ -272,3 +282,26 @@
 		require.Equal(t, expected, first.number(t))
 	}
 }
+
+// Guards against a report that is taken twice from one run of a sender, on one connection or after a
+// reconnect, and against one that is dropped because an earlier run used its number.
+func TestSequenceCountsWithinOneRun(t *testing.T) {
+	first := start(t, "e1", nil)
+	open := func(run uint64, sequences ...uint64) {
+		connection := dial(t, first)
+		write(t, connection, almondcross.NewHello(almondcross.HelloConfig{Name: "e2", Run: run, Channel: almondcross.ChannelData}))
+		for _, sequence := range sequences {
+			write(t, connection, almondcross.NewSequenced(almondcross.SequencedConfig{
+				Sequence: sequence, Message: report(int(10*run + sequence)),
+			}))
+		}
+	}
+	open(1, 1, 1, 2)
+	require.Equal(t, 11, first.number(t))
+	require.Equal(t, 12, first.number(t))
+	open(1, 1, 2, 3)
+	require.Equal(t, 13, first.number(t))
+	open(2, 1)
+	require.Equal(t, 21, first.number(t))
+	require.Equal(t, uint64(3), first.metrics.GetOrCreateCounter("almondcross_link_duplicate_total").Get())
+}
--- a/command/linker/receiver.go
+++ b/command/linker/receiver.go
@@ -146,6 +146,7 @@
 		}
 		if sequenced.Sequence() <= received {
 			incoming.linker.counts.duplicate.Inc()
+			acknowledger.notice(received)
 			continue
 		}
 		if !incoming.accept(ctx, run.id, sequenced.Message()) {
