Roll the account up into hours and carry them forward

Cause: a report answers from the batches in account.<data centre> alone, so it told nothing of a time whose records the log had dropped.

Change: the new duty command/roller adds up each hour 65 minutes after its end, when no batch of it can arrive any more, and appends the sum, with its gaps, to account_hours.<data centre>. The reporter tells each hour either from its batches or from its roll-up, whichever adds up more; of several roll-ups of an hour the one with most batches counts. An hour that was trimmed before it was rolled up is marked as a gap.

--- a/account.go
+++ b/account.go
@@ -1,6 +1,9 @@
 package almondcross
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // AccountEvent is one fact for the account of shares.
 //
@@ -46,3 +49,33 @@
 	incomplete bool        // whether events of the interval were refused and are missing
 	final      bool        // whether this is the last batch of the incarnation
 }
+
+// UsageHour is what all members of a data centre accounted in one hour.
+//
+//value:generate
+type UsageHour struct {
+	dataCentre string       // the data centre
+	from       time.Time    // the start of the hour
+	to         time.Time    // the end of the hour
+	batches    int          // the number of batches added up, each once
+	lines      []UsageLine  // the use by entry; a line without an entry holds the capacity
+	gaps       []AccountGap // the batches that are missing; a gap without a member is a trimmed stream
+	incomplete bool         // whether facts of the hour are known to be missing
+}
+
+// HourSummer adds up the batches of one hour; it changes nothing.
+type HourSummer interface {
+	// FirstHour returns the start of the hour of the oldest batch that the log holds, zero for none.
+	FirstHour(ctx context.Context, dataCentre string) (time.Time, error)
+	// HourOf returns the sum of the hour that begins at a time.
+	HourOf(ctx context.Context, dataCentre string, from time.Time) (UsageHour, error)
+}
+
+// Times of the account that writers and readers agree on.
+const (
+	// RollUpPeriod is the length of the periods into which intervals are rolled up.
+	RollUpPeriod = time.Hour
+	// AccountLag is how long after its interval a batch can be appended: as long as a host keeps
+	// batches while the log is down.
+	AccountLag = 65 * time.Minute
+)
--- a/assembler/entry.go
+++ b/assembler/entry.go
@@ -20,6 +20,7 @@
 	"github.com/almondcross/almondcross/command/linker"
 	"github.com/almondcross/almondcross/command/placer"
 	"github.com/almondcross/almondcross/command/registrar"
+	"github.com/almondcross/almondcross/command/roller"
 	"github.com/almondcross/almondcross/command/writer"
 	"github.com/almondcross/almondcross/configurator"
 	"github.com/almondcross/almondcross/encoder"
@@ -44,7 +45,7 @@
 			metrics.NewSet, NewRings, NewDuties, newSelf, encoder.NewCodec,
 			newWriter, newReader, newObserver, newDriver,
 			newAppenders, newIntake, newLinker, newRegistrar, newManager, newPlacer, newCoordinator,
-			newCataloguer, newLoader, newClaimer, newClaimTail, newAccountant, newReporter, newRetriever,
+			newCataloguer, newLoader, newClaimer, newClaimTail, newAccountant, newReporter, newRetriever, newRoller,
 			newWatcher, newInspector, newServers,
 		),
 		fx.Invoke(runEntry),
@@ -246,6 +247,16 @@
 	})
 }
 
+func newRoller(
+	settings configurator.EntrySettings, log *writer.Writer, reader *reader.Reader, codec encoder.Codec,
+	reports reporter.Reporter, members *registrar.Registrar, logger logrus.FieldLogger,
+) *roller.Roller {
+	return roller.New(roller.Config{
+		DataCentres: settings.DataCentres(), Member: settings.Name(), Log: log, Reader: reader, Codec: codec,
+		Hours: reports, Members: members, Clock: Clock{}, Logger: logger,
+	})
+}
+
 func newWatcher(list *observer.Observer, rings Rings, logger logrus.FieldLogger) *watcher.Watcher {
 	return watcher.New(watcher.Config{List: list, Sink: rings.Placer, Logger: logger})
 }
--- a/assembler/stop.go
+++ b/assembler/stop.go
@@ -17,6 +17,7 @@
 	"github.com/almondcross/almondcross/command/linker"
 	"github.com/almondcross/almondcross/command/placer"
 	"github.com/almondcross/almondcross/command/registrar"
+	"github.com/almondcross/almondcross/command/roller"
 	"github.com/almondcross/almondcross/configurator"
 	"github.com/almondcross/almondcross/query/inspector"
 	"github.com/almondcross/almondcross/query/retriever"
@@ -60,6 +61,7 @@
 	ClaimTail   *claimer.Tail
 	Accountant  *accountant.Duty
 	Retriever   *retriever.Retriever
+	Roller      *roller.Roller
 	Watcher     *watcher.Watcher
 	Inspector   *inspector.Inspector
 	Servers     *Servers
@@ -82,7 +84,7 @@
 		NamedDuty{"placer", entryparts.Placer}, NamedDuty{"coordinator", entryparts.Coordinator},
 		NamedDuty{"cataloguer", entryparts.Cataloguer}, NamedDuty{"catalogue loader", entryparts.Loader},
 		NamedDuty{"claimer", entryparts.Claimer}, NamedDuty{"claim tail", entryparts.ClaimTail},
-		NamedDuty{"accountant", entryparts.Accountant}, NamedDuty{"retriever", entryparts.Retriever},
+		NamedDuty{"accountant", entryparts.Accountant}, NamedDuty{"retriever", entryparts.Retriever}, NamedDuty{"roller", entryparts.Roller},
 		NamedDuty{"live-list watcher", entryparts.Watcher},
 	)
 	entryparts.Duties.Start(servers...)
--- /dev/null
+++ b/encoder/account.go
@@ -0,0 +1,64 @@
+package encoder
+
+import (
+	"time"
+
+	"github.com/almondcross/almondcross"
+)
+
+type wireAccountGap struct {
+	Member       wireMemberID `cbor:"member"`
+	DataCentre   string       `cbor:"data_centre"`
+	FromSequence uint64       `cbor:"from_sequence,omitempty"`
+	ToSequence   uint64       `cbor:"to_sequence,omitempty"`
+	After        time.Time    `cbor:"after"`
+}
+
+type wireUsageHour struct {
+	DataCentre string           `cbor:"data_centre"`
+	From       time.Time        `cbor:"from"`
+	To         time.Time        `cbor:"to"`
+	Batches    int              `cbor:"batches"`
+	Lines      []wireUsageLine  `cbor:"lines"`
+	Gaps       []wireAccountGap `cbor:"gaps,omitempty"`
+	Incomplete bool             `cbor:"incomplete,omitempty"`
+}
+
+// EncodeHour returns the body of a record of rolled-up usage.
+func (codec Codec) EncodeHour(hour almondcross.UsageHour) ([]byte, error) {
+	config := hour.Config()
+	wire := wireUsageHour{
+		DataCentre: config.DataCentre, From: config.From, To: config.To, Batches: config.Batches, Incomplete: config.Incomplete,
+	}
+	for _, line := range config.Lines {
+		wire.Lines = append(wire.Lines, wireUsageLine(line.Config()))
+	}
+	for _, gap := range config.Gaps {
+		wire.Gaps = append(wire.Gaps, wireAccountGap{
+			Member: toMemberID(gap.Member()), DataCentre: gap.DataCentre(),
+			FromSequence: gap.FromSequence(), ToSequence: gap.ToSequence(), After: gap.After(),
+		})
+	}
+	return codec.seal(recordHour, wire)
+}
+
+// DecodeHour returns the rolled-up usage of a record.
+func (codec Codec) DecodeHour(record almondcross.Record) (almondcross.UsageHour, error) {
+	var wire wireUsageHour
+	if _, err := codec.openRecord(record, &wire, recordHour); err != nil {
+		return almondcross.UsageHour{}, err
+	}
+	config := almondcross.UsageHourConfig{
+		DataCentre: wire.DataCentre, From: wire.From, To: wire.To, Batches: wire.Batches, Incomplete: wire.Incomplete,
+	}
+	for _, line := range wire.Lines {
+		config.Lines = append(config.Lines, almondcross.NewUsageLine(almondcross.UsageLineConfig(line)))
+	}
+	for _, gap := range wire.Gaps {
+		config.Gaps = append(config.Gaps, almondcross.NewAccountGap(almondcross.AccountGapConfig{
+			Member: gap.Member.value(), DataCentre: gap.DataCentre,
+			FromSequence: gap.FromSequence, ToSequence: gap.ToSequence, After: gap.After,
+		}))
+	}
+	return almondcross.NewUsageHour(config), nil
+}
--- a/encoder/record.go
+++ b/encoder/record.go
@@ -15,6 +15,7 @@
 	recordCatalogueCheckpoint = "catalogue_checkpoint"
 	recordClaimCheckpoint     = "checkpoint"
 	recordUsage               = "usage"
+	recordHour                = "usage_hour"
 	recordAnswer              = "answer"
 )
 
--- a/query/reporter/account.go
+++ b/query/reporter/account.go
@@ -34,6 +34,7 @@
 	freshAt    time.Time
 	batches    []almondcross.UsageBatch // each batch once, by member and number
 	gaps       []gap
+	hours      map[time.Time]almondcross.UsageHour // the hours that are told from their roll-up, by start
 }
 
 func newAccount(dataCentre string, batches []almondcross.UsageBatch) account {
@@ -96,11 +97,16 @@
 func (account *account) gapsOf(query almondcross.ShareQuery) []almondcross.AccountGap {
 	var gaps []almondcross.AccountGap
 	for _, gap := range account.gaps {
-		if gap.overlaps(query.From(), query.To()) {
+		if gap.overlaps(query.From(), query.To()) && !account.rolledUp(gap) {
 			gaps = append(gaps, gap.report)
 		}
 	}
-	return gaps
+	for _, hour := range account.hours {
+		if hour.From().Before(query.To()) && query.From().Before(hour.To()) {
+			gaps = append(gaps, hour.Gaps()...)
+		}
+	}
+	return distinct(gaps)
 }
 
 // period is one interval.
@@ -120,7 +126,8 @@
 func (account *account) linesOf(query almondcross.ShareQuery) []almondcross.ShareLine {
 	intervals := map[period]interval{}
 	for _, batch := range account.batches {
-		if !batch.From().Before(query.To()) || !query.From().Before(batch.To()) {
+		if _, rolledUp := account.hours[hourOf(batch)]; rolledUp ||
+			!batch.From().Before(query.To()) || !query.From().Before(batch.To()) {
 			continue
 		}
 		key := period{from: batch.From().UTC(), to: batch.To().UTC()}
@@ -135,10 +142,15 @@
 		}
 		intervals[key] = current
 	}
+	for _, hour := range account.hours {
+		if hour.From().Before(query.To()) && query.From().Before(hour.To()) {
+			intervals[period{from: hour.From().UTC(), to: hour.To().UTC()}] = intervalOf(hour)
+		}
+	}
 	var lines []almondcross.ShareLine
 	for key, current := range intervals {
 		for _, gap := range account.gaps {
-			current.incomplete = current.incomplete || gap.overlaps(key.from, key.to)
+			current.incomplete = current.incomplete || !account.rolledUp(gap) && gap.overlaps(key.from, key.to)
 		}
 		capacity := current.lines[lineKey{}]
 		for name, line := range current.lines {
--- a/query/reporter/reporter.go
+++ b/query/reporter/reporter.go
@@ -22,9 +22,6 @@
 	// lead is how long before the period reading starts, so that the first batch of the period has a
 	// predecessor and a lost one is noticed.
 	lead = 5 * time.Minute
-	// lag is how long after its interval a batch can be appended: as long as a host keeps batches
-	// while the log is down.
-	lag = 65 * time.Minute
 )
 
 // Errors of the reporter.
@@ -63,6 +60,7 @@
 type read struct {
 	dataCentre string
 	batches    []almondcross.UsageBatch
+	hours      []almondcross.UsageHour
 	err        error
 }
 
@@ -81,8 +79,7 @@
 	results := make(chan read, len(reporter.config.DataCentres))
 	for _, dataCentre := range reporter.config.DataCentres {
 		go func() {
-			batches, err := reporter.batches(ctx, dataCentre, query)
-			results <- read{dataCentre: dataCentre, batches: batches, err: err}
+			results <- reporter.read(ctx, dataCentre, query)
 		}()
 	}
 	report := almondcross.ShareReportConfig{FreshAt: map[string]time.Time{}}
@@ -92,7 +89,7 @@
 			report.Missing = append(report.Missing, result.dataCentre)
 			continue
 		}
-		account := newAccount(result.dataCentre, result.batches)
+		account := newAccount(result.dataCentre, result.batches).withHours(result.hours)
 		if !account.freshAt.IsZero() {
 			report.FreshAt[result.dataCentre] = account.freshAt
 		}
@@ -106,6 +103,20 @@
 	return almondcross.NewShareReport(report), nil
 }
 
+// read returns the batches and the rolled-up hours of a data centre that can belong to a period. The
+// batches of whole hours are read, so that their number can be compared with that of a rolled-up hour.
+func (reporter Reporter) read(ctx context.Context, dataCentre string, query almondcross.ShareQuery) read {
+	from := query.From().Truncate(almondcross.RollUpPeriod)
+	result := read{dataCentre: dataCentre}
+	result.hours, result.err = reporter.hours(ctx, dataCentre, query.WithFrom(from))
+	if result.err != nil {
+		return result
+	}
+	to := query.To().Truncate(almondcross.RollUpPeriod).Add(almondcross.RollUpPeriod)
+	result.batches, result.err = reporter.batches(ctx, dataCentre, query.WithFrom(from).WithTo(to))
+	return result
+}
+
 // batches returns the batches of a data centre that can belong to a period.
 func (reporter Reporter) batches(
 	ctx context.Context, dataCentre string, query almondcross.ShareQuery,
@@ -122,7 +133,7 @@
 			return nil, errors.Annotatef(err, "reading the account of %s", dataCentre)
 		}
 		for _, record := range batch.Records() {
-			if record.Appended().After(query.To().Add(lag)) {
+			if record.Appended().After(query.To().Add(almondcross.AccountLag)) {
 				return batches, nil
 			}
 			// A record that is no usage batch is the probe of an appender.
--- a/record.go
+++ b/record.go
@@ -11,12 +11,18 @@
 	StreamCatalogueCheckpoint Stream = "catalogue.checkpoint"
 	StreamClaims              Stream = "claims"
 	streamAccountPrefix              = "account."
+	streamAccountHoursPrefix         = "account_hours."
 	streamAnswersPrefix              = "answers."
 )
 
 // AccountStream returns the stream of usage batches of a data centre.
 func AccountStream(dataCentre string) Stream { return Stream(streamAccountPrefix + dataCentre) }
 
+// AccountHoursStream returns the stream of the rolled-up account of a data centre.
+func AccountHoursStream(dataCentre string) Stream {
+	return Stream(streamAccountHoursPrefix + dataCentre)
+}
+
 // AnswersStream returns the stream of answers of a data centre.
 func AnswersStream(dataCentre string) Stream { return Stream(streamAnswersPrefix + dataCentre) }
 
--- a/records.go
+++ b/records.go
@@ -121,6 +121,8 @@
 type UsageCodec interface {
 	EncodeUsage(batch UsageBatch) ([]byte, error)
 	DecodeUsage(record Record) (UsageBatch, error)
+	EncodeHour(hour UsageHour) ([]byte, error)
+	DecodeHour(record Record) (UsageHour, error)
 }
 
 // PeerCodec encodes the frames of links between entry hosts.
--- a/values_generated.go
+++ b/values_generated.go
@@ -2362,6 +2362,106 @@
 	return usagebatch
 }
 
+// UsageHourConfig holds the fields of a new UsageHour.
+type UsageHourConfig struct {
+	DataCentre string
+	From       time.Time
+	To         time.Time
+	Batches    int
+	Lines      []UsageLine
+	Gaps       []AccountGap
+	Incomplete bool
+}
+
+// NewUsageHour returns a UsageHour with the given fields.
+func NewUsageHour(config UsageHourConfig) UsageHour {
+	return UsageHour{
+		dataCentre: config.DataCentre,
+		from:       config.From,
+		to:         config.To,
+		batches:    config.Batches,
+		lines:      config.Lines,
+		gaps:       config.Gaps,
+		incomplete: config.Incomplete,
+	}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (usagehour UsageHour) Config() UsageHourConfig {
+	return UsageHourConfig{
+		DataCentre: usagehour.dataCentre,
+		From:       usagehour.from,
+		To:         usagehour.to,
+		Batches:    usagehour.batches,
+		Lines:      usagehour.lines,
+		Gaps:       usagehour.gaps,
+		Incomplete: usagehour.incomplete,
+	}
+}
+
+// DataCentre returns the data centre.
+func (usagehour UsageHour) DataCentre() string { return usagehour.dataCentre }
+
+// WithDataCentre returns a copy with the given dataCentre.
+func (usagehour UsageHour) WithDataCentre(dataCentre string) UsageHour {
+	usagehour.dataCentre = dataCentre
+	return usagehour
+}
+
+// From returns the start of the hour.
+func (usagehour UsageHour) From() time.Time { return usagehour.from }
+
+// WithFrom returns a copy with the given from.
+func (usagehour UsageHour) WithFrom(from time.Time) UsageHour {
+	usagehour.from = from
+	return usagehour
+}
+
+// To returns the end of the hour.
+func (usagehour UsageHour) To() time.Time { return usagehour.to }
+
+// WithTo returns a copy with the given to.
+func (usagehour UsageHour) WithTo(to time.Time) UsageHour {
+	usagehour.to = to
+	return usagehour
+}
+
+// Batches returns the number of batches added up, each once.
+func (usagehour UsageHour) Batches() int { return usagehour.batches }
+
+// WithBatches returns a copy with the given batches.
+func (usagehour UsageHour) WithBatches(batches int) UsageHour {
+	usagehour.batches = batches
+	return usagehour
+}
+
+// Lines returns the use by entry; a line without an entry holds the capacity.
+func (usagehour UsageHour) Lines() []UsageLine { return usagehour.lines }
+
+// WithLines returns a copy with the given lines.
+func (usagehour UsageHour) WithLines(lines []UsageLine) UsageHour {
+	usagehour.lines = lines
+	return usagehour
+}
+
+// Gaps returns the batches that are missing; a gap without a member is a trimmed stream.
+func (usagehour UsageHour) Gaps() []AccountGap { return usagehour.gaps }
+
+// WithGaps returns a copy with the given gaps.
+func (usagehour UsageHour) WithGaps(gaps []AccountGap) UsageHour {
+	usagehour.gaps = gaps
+	return usagehour
+}
+
+// Incomplete returns whether facts of the hour are known to be missing.
+func (usagehour UsageHour) Incomplete() bool { return usagehour.incomplete }
+
+// WithIncomplete returns a copy with the given incomplete.
+func (usagehour UsageHour) WithIncomplete(incomplete bool) UsageHour {
+	usagehour.incomplete = incomplete
+	return usagehour
+}
+
 // SubmitRequestConfig holds the fields of a new SubmitRequest.
 type SubmitRequestConfig struct {
 	Request   Request
