Ask a peer for a key only under its link lease

Cause: a coordinator counted the answer not_here of a peer that had not yet admitted it. The peer could start the key afterwards, and 13 s later this member started it again while the first copy was still named. The same held for a request that was settled on arrival but older than the peer's first pong, and for the answer to a lookup of a former incarnation. Change: lookups wait for a link lease, the time of the last join is compared again before the start, an answer counts only for the current lookup, and the registrar publishes a changed view before it sends the pong.

--- a/command/coordinator/search.go
+++ b/command/coordinator/search.go
@@ -32,7 +32,9 @@
 			delete(record.lookups, name)
 			continue
 		}
-		if now.Sub(asked) < lookupRepeat {
+		if now.Sub(asked) < lookupRepeat || !machine.view.HasLease(peer.Member().ID(), now) {
+			// Before its first pong the peer may not have this host in its view, and could start the
+			// key after it has answered that it does not know it.
 			continue
 		}
 		record.lookups[name] = now
@@ -57,6 +59,10 @@
 	if !ok || record.phase != phaseLooking {
 		return
 	}
+	if !entry.deadline.Equal(record.lookups[entry.member.Name()].Add(lookupRepeat)) {
+		// The answer to a lookup of before the last change of the members proves nothing.
+		return
+	}
 	if outcome.Code() == almondcross.CodeNotHere {
 		delete(record.lookups, entry.member.Name())
 		machine.repeatLookups(record, now)
--- a/command/coordinator/submit.go
+++ b/command/coordinator/submit.go
@@ -159,6 +159,11 @@
 		})})
 		return
 	}
+	if !record.ran && !record.searched && !machine.view.Settled(key, record.request.IssuedAt()) {
+		// Members may have joined since the request arrived: a pong moves the time of the last join.
+		machine.startLookups(record, now)
+		return
+	}
 	until := machine.view.HeldBackUntil(key, record.request.IssuedAt())
 	if now.Before(until) {
 		machine.hold(record, until, almondcross.CodeHeldBack, now)
--- a/command/registrar/registrar.go
+++ b/command/registrar/registrar.go
@@ -65,10 +65,11 @@
 			return nil
 		case message := <-registrar.config.Ring.Messages():
 			effects, changed := registrar.machine.Apply(message, registrar.config.Clock.Now())
-			registrar.send(effects)
+			// The view comes first: a peer that has its pong may rely on this host having it in the view.
 			if changed {
 				registrar.publish()
 			}
+			registrar.send(effects)
 		case <-ticker.C:
 			registrar.tick()
 		}
