Keep a running task over an earlier attempt's end in the inventory

Cause: a grant's inventory also lists ends that nobody has read. Change: the end of an earlier attempt is only reported.

--- a/command/placer/target.go
+++ b/command/placer/target.go
@@ -274,6 +274,11 @@
 func (machine *Machine) takeItem(entry *target, item almondcross.InventoryItem) bool {
 	task := item.Task()
 	known := entry.jobs[task.ID()]
+	if item.Finished() && known != nil && task.Attempt() < known.task.Attempt() {
+		// The inventory keeps ends that were not read yet; an earlier attempt's says nothing of a later one.
+		machine.endUnknown(entry.target.Name(), entry.term, item.Result(), task.Coordinator())
+		return false
+	}
 	if known != nil && known.task.Attempt() != task.Attempt() {
 		machine.lose(known)
 		known = nil
