--- a/command/placer/machine_test.go
+++ b/command/placer/machine_test.go
@@ -262,3 +262,24 @@
 	cell.advance(time.Second)
 	require.Equal(t, []string{"t0000"}, cell.releases)
 }
+
+// TestEarlierEndInInventory guards against declaring a running attempt lost, and so starting it
+// twice, because the inventory of a new grant also lists the end of an earlier attempt.
+func TestEarlierEndInInventory(t *testing.T) {
+	cell := newCell(t, 1)
+	task := cell.task("a", "batch", 1).WithAttempt(3)
+	cell.place(task)
+	earlier := task.WithAttempt(1)
+	running := almondcross.NewInventoryItem(almondcross.InventoryItemConfig{Task: task})
+	ended := almondcross.NewInventoryItem(almondcross.InventoryItemConfig{
+		Task: earlier, Finished: true, Result: almondcross.NewTaskResult(almondcross.TaskResultConfig{ID: task.ID(), Attempt: 1}),
+	})
+	for counter, inventory := range [][]almondcross.InventoryItem{{running, ended}, {ended, running}} {
+		cell.apply(almondcross.NewTargetGranted(almondcross.TargetGrantedConfig{Grant: almondcross.NewGrant(almondcross.GrantConfig{
+			Target: "t0000", Term: almondcross.NewTerm(almondcross.TermConfig{Boot: 2, Counter: uint64(counter + 1)}),
+			Capacity: cell.capacity, Inventory: inventory,
+		})}))
+		require.Empty(t, reports[almondcross.TaskLost](cell))
+	}
+	require.Len(t, cell.started, 1)
+}
