Take the end of a task whose coordinator or holder was lost

Cause: the answer of a task that ended around the kill of an entry host was dropped in two places. The key's new coordinator ignored task_ended for a key that it only followed (claimed_elsewhere, held back or searched). A host that had passed a task on took it for reported, and reported nothing when it acquired the target of the lost holder and found the end in the inventory; the coordinator declared the task lost 13 s later. Callers of non-repeatable work got unknown for ever although the work had run; repeatable work ran again after the hold-back.

Change: the new coordinator ends such a key with the answer, except for a gang, whose answer has several parts; the end of a task that was passed on is reported once.

Result: TestEndOfTaskPassedOn fails without the change and passes with it.

--- a/command/coordinator/report.go
+++ b/command/coordinator/report.go
@@ -96,7 +96,11 @@
 func (machine *Machine) taskEnded(message almondcross.TaskEnded, now time.Time) {
 	result := message.Result()
 	record, task := machine.find(result.ID(), result.Attempt())
-	if record == nil || task.ended {
+	if record == nil {
+		machine.takeAnswer(message, now)
+		return
+	}
+	if task.ended {
 		return
 	}
 	record.ran = true
@@ -104,6 +108,26 @@
 	machine.conclude(record, now)
 }
 
+// takeAnswer ends a key that was asked for here with the answer of a task that its lost coordinator
+// placed: the worker reports an end once, and work that may not be repeated has no other answer. The
+// answer of one task of a gang is not the whole answer.
+func (machine *Machine) takeAnswer(message almondcross.TaskEnded, now time.Time) {
+	result := message.Result()
+	record, ok := machine.keys[result.ID().Key()]
+	if !ok || record.standing || record.entry.Class() == almondcross.ClassGang || result.Code() != almondcross.CodeNone {
+		return
+	}
+	switch record.phase {
+	case phaseLooking, phaseHeld, phaseClaimedElsewhere:
+	default:
+		return
+	}
+	record.ran = true
+	record.claimed = !record.entry.Repeatable()
+	outcome := outcomeOf(result.ID().Key(), almondcross.StatusDone, almondcross.CodeNone)
+	machine.finish(record, outcome.WithAnswer(result.Answer()).WithTarget(message.Target()), now)
+}
+
 func (machine *Machine) taskLost(message almondcross.TaskLost, now time.Time) {
 	record, task := machine.find(message.ID(), message.Attempt())
 	if record == nil {
--- a/command/placer/answer.go
+++ b/command/placer/answer.go
@@ -159,9 +159,12 @@
 	machine.pursue(entry)
 }
 
-// endUnknown reports an end of a task that this host did not know, once.
+// endUnknown reports an end of a task that this host did not know, once. A task that this host passed
+// on may have ended under a holder that was lost before it could report.
 func (machine *Machine) endUnknown(target string, term almondcross.Term, result almondcross.TaskResult, coordinator almondcross.MemberID) {
-	if mark, ok := machine.ended[result.ID()]; ok && mark.attempt >= result.Attempt() {
+	mark, ok := machine.ended[result.ID()]
+	passedOn := mark.attempt == result.Attempt() && mark.forwarded.Name() != ""
+	if ok && mark.attempt >= result.Attempt() && !passedOn {
 		return
 	}
 	task := almondcross.NewTask(almondcross.TaskConfig{ID: result.ID(), Attempt: result.Attempt(), Coordinator: coordinator})
--- a/command/placer/machine_test.go
+++ b/command/placer/machine_test.go
@@ -263,6 +263,26 @@
 	require.Equal(t, "input", string(cell.forwarded[0].(almondcross.PlaceTask).Task().Payload()))
 }
 
+// TestEndOfTaskPassedOn guards against a lost answer: the holder that a task was passed on to is
+// lost, and this host acquires the target and finds the end of the task.
+func TestEndOfTaskPassedOn(t *testing.T) {
+	cell := newCell(t, 1)
+	cell.addPeer("h1", almondcross.NewSummary(almondcross.SummaryConfig{LargestFree: slot.Scale(4)}))
+	for index := range slots {
+		cell.place(cell.task("a", "batch", index))
+	}
+	passedOn := cell.task("a", "batch", slots)
+	cell.place(passedOn)
+	require.Len(t, cell.forwarded, 1)
+	for range 2 {
+		cell.live[passedOn.ID()] = running{task: passedOn, target: "t0000", at: cell.now}
+		cell.finish(passedOn.ID(), time.Second)
+	}
+	ends := reports[almondcross.TaskEnded](cell)
+	require.Len(t, ends, 1)
+	require.Equal(t, passedOn.ID(), ends[0].Result().ID())
+}
+
 // TestHandBack guards against a target that stays with a holder that is no longer preferred,
 // and against a hand-back while a start is unanswered.
 func TestHandBack(t *testing.T) {
