--- a/integration/process/kill_test.go
+++ b/integration/process/kill_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/almondcross/almondcross"
 	"github.com/almondcross/almondcross/encoder"
 )
 
@@ -64,3 +67,41 @@
 	}
 	cell.requireFinal(cell.verify(results), results)
 }
+
+// TestAnswerOutlivesCoordinator guards against the loss of an answer: payments end at their workers
+// right after the kill of a host that coordinates some of them, and the callers ask the others.
+func TestAnswerOutlivesCoordinator(t *testing.T) {
+	t.Parallel()
+	cell := newCell(t, 3, 4)
+	var results []result
+	answers := make(chan result, recordLimit)
+	const count = 12
+	for number := range count {
+		payment := order{key: fmt.Sprintf("outlive-%d", number), entry: "payment", runMS: 1500, issuedAt: time.Now()}
+		go func() {
+			patience, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+			defer cancel()
+			answers <- cell.insist(patience, payment, attemptLimit, func(try int) *process { return cell.hosts[(number+try)%len(cell.hosts)] })
+		}()
+	}
+	eventually(t, 5*time.Second, "the payments run", func() bool {
+		for number := range count {
+			if !cell.started(fmt.Sprintf("outlive-%d", number)) {
+				return false
+			}
+		}
+		return true
+	})
+	cell.hosts[0].kill()
+	cell.injected["SIGKILL of a host"]++
+	for range count {
+		results = append(results, <-answers)
+	}
+	evidence := cell.verify(results)
+	for _, result := range results {
+		if result.Status != almondcross.StatusDone {
+			t.Errorf("%s ran and its caller has %q %s\n    %s", result.order.key, result.Status, result.Code,
+				strings.Join(append(newChecker(evidence).timeline(result.order.key), cell.decisions(result.order.key)...), "\n    "))
+		}
+	}
+}
