--- /dev/null
+++ b/integration/process/catalogue_test.go
@@ -0,0 +1,100 @@
+package process_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/almondcross/almondcross"
+	"github.com/almondcross/almondcross/encoder"
+)
+
+// change sends a change of the lookup entry and returns the outcome whatever its status is.
+func (cell *cell) change(host *process, expected almondcross.Offset, share int) (encoder.ChangeOutcomeShape, error) {
+	var entry encoder.EntryShape
+	var outcome encoder.ChangeOutcomeShape
+	if err := json.Unmarshal([]byte(entries[0]), &entry); err != nil {
+		return outcome, err
+	}
+	entry.Share, entry.DataCentres = int64(share), []string{}
+	encoded, err := json.Marshal(entry)
+	if err != nil {
+		return outcome, err
+	}
+	body, err := json.Marshal(encoder.ChangeBody{Name: entry.Name, Entry: encoded, ExpectedVersion: expected})
+	if err != nil {
+		return outcome, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+host.address+"/v1/catalogue", bytes.NewReader(body))
+	if err != nil {
+		return outcome, err
+	}
+	request.Header.Set("Authorization", "Bearer "+operatorToken)
+	response, err := client.Do(request)
+	if err != nil {
+		return outcome, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	return outcome, json.NewDecoder(response.Body).Decode(&outcome)
+}
+
+// TestRacingOperators guards against two accepted changes of one version, a catalogue that reverts,
+// and a host that starts while the log is down and does not get the catalogue of its neighbour.
+func TestRacingOperators(t *testing.T) {
+	t.Parallel()
+	cell := newCell(t, 3, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	cell.watchCatalogues(ctx)
+	version := cell.changes[0].Version
+	for round := range 12 {
+		if round%3 == 2 {
+			cell.switchLog(encoder.PlatformSwitches{LoseAnswers: 1 + cell.random.IntN(3)})
+		}
+		type reply struct {
+			outcome encoder.ChangeOutcomeShape
+			err     error
+		}
+		replies := make(chan reply, 2)
+		first := cell.random.IntN(len(cell.hosts))
+		for operator := range 2 {
+			go func() {
+				outcome, err := cell.change(cell.hosts[(first+operator)%len(cell.hosts)], version, 100+2*round+operator)
+				replies <- reply{outcome, err}
+			}()
+		}
+		accepted := 0
+		var texts []string
+		for range 2 {
+			reply := <-replies
+			require.NoError(t, reply.err)
+			texts = append(texts, fmt.Sprintf("%+v", reply.outcome))
+			if reply.outcome.Accepted {
+				accepted++
+				version = reply.outcome.Version
+				cell.changes = append(cell.changes, acceptedChange{Version: version, At: time.Now()})
+			}
+		}
+		require.Equal(t, 1, accepted, "round %d: %v", round, texts)
+	}
+	cell.switchLog(encoder.PlatformSwitches{Down: true})
+	cell.hosts[2].kill()
+	cell.hosts[2].start()
+	cell.injected["SIGKILL of a host with the log down"]++
+	cell.awaitReady(cell.hosts[2])
+	status, err := cell.status(cell.hosts[2])
+	require.NoError(t, err)
+	require.GreaterOrEqual(t, status.CatalogueOffset, version)
+	cell.switchLog(encoder.PlatformSwitches{})
+	// Readings after the bound show that the last change is in force everywhere.
+	<-time.After(inForceBound)
+	cell.verify(nil)
+}
