Repeat reported ends, hand stranded tasks back and use the peers' room

Cause: the end of a task sent to a coordinator that was just killed was lost; a task that was passed on once waited for ever at a holder that lost its targets; a host without targets passed on 8 tasks of a line in 250 ms; a cell without any entry was never ready; failed was told for tasks that no worker had started.

Change: the placer repeats the ends of the last 4 s to the key's next coordinator, which keeps the answer even when nobody asked yet; a holder without targets gives such tasks back after 2 s; the room of passed-on tasks is taken from the peer's summary; an empty stream gives an empty catalogue; a lost holder that reported no start leaves the key unknown.

--- a/command/cataloguer/loader.go
+++ b/command/cataloguer/loader.go
@@ -129,7 +129,7 @@
 
 // load reads the newest checkpoint and chooses where to go on in the stream.
 func (loader *Loader) load(ctx context.Context) error {
-	oldest, _, err := loader.config.Reader.End(ctx, almondcross.StreamCatalogue)
+	oldest, end, err := loader.config.Reader.End(ctx, almondcross.StreamCatalogue)
 	if err != nil {
 		return errors.Annotate(err, "finding the start of the catalogue stream")
 	}
@@ -143,6 +143,10 @@
 			return errors.Trace(errGap)
 		}
 		loader.next = oldest
+		if end <= oldest {
+			// A cell without any entry is served as well: it has an empty catalogue.
+			return loader.putEmpty(ctx)
+		}
 		return nil
 	}
 	after := checkpoint.Catalogue().Offset() + 1
@@ -159,6 +163,13 @@
 	return nil
 }
 
+// putEmpty publishes a catalogue without entries for a stream without records.
+func (loader *Loader) putEmpty(ctx context.Context) error {
+	return errors.Trace(loader.config.Sink.Put(ctx, almondcross.NewCatalogueLoaded(almondcross.CatalogueLoadedConfig{
+		Catalogue: almondcross.NewCatalogue().WithOffset(0),
+	})))
+}
+
 // newest returns the checkpoint with the highest offset among the last records of its stream.
 func (loader *Loader) newest(ctx context.Context) (almondcross.CatalogueCheckpoint, bool, error) {
 	var best almondcross.CatalogueCheckpoint
--- a/command/claimer/machine.go
+++ b/command/claimer/machine.go
@@ -332,6 +332,10 @@
 
 // settle stores the answer, if there is one, and records the end of a key.
 func (machine *Machine) settle(outcome almondcross.Outcome, now time.Time) []Effect {
+	if current, known := machine.table.of(outcome.Key()); !known || !current.stands {
+		// An answer whose coordinator was lost may belong to work that needs no claim.
+		return nil
+	}
 	machine.settlements[outcome.Key()] = settlement{outcome: outcome, sentAt: now}
 	if len(outcome.Answer()) > 0 {
 		return []Effect{StoreAnswer{Outcome: outcome}}
--- a/command/coordinator/holder.go
+++ b/command/coordinator/holder.go
@@ -37,7 +37,8 @@
 			continue
 		}
 		machine.tell(record, "holder_lost", almondcross.CodeTargetLost, task.target, now)
-		record.ran = true
+		record.ran = record.ran || task.started
+		record.doubtful = true
 		task.started, task.ended = true, true
 		task.result = failedResult(task.task, almondcross.CodeTargetLost)
 	}
--- a/command/coordinator/record.go
+++ b/command/coordinator/record.go
@@ -66,6 +66,7 @@
 	lostAt      time.Time // lostAt is the time from which tasks of a lost holder have certainly stopped; zero for none.
 	searched    bool      // searched is set when every peer said that it does not know the key.
 	ran         bool      // ran is set when a task of any attempt was started.
+	doubtful    bool      // doubtful is set when a holder was lost that may have started a task.
 	standing    bool      // standing marks a service replica, which is kept running.
 	claimed     bool      // claimed is set when the key was claimed by this member.
 	cancelled   bool
--- a/command/coordinator/report.go
+++ b/command/coordinator/report.go
@@ -65,7 +65,7 @@
 		machine.backOff(record, message.Code(), now)
 		return
 	}
-	if placerUnfit(message.Code()) && !record.claimed && !record.anyStarted() {
+	if placerUnfit(message.Code()) && !record.anyStarted() {
 		machine.stopTasks(record, message.Code())
 		record.tasks = nil
 		machine.hold(record, now.Add(heldRecheck), message.Code(), now)
@@ -84,9 +84,9 @@
 }
 
 // placerUnfit reports whether a refusal says nothing of the task: the holder had no link lease from
-// this member, or is stopping.
+// this member, is stopping, or has no target.
 func placerUnfit(code almondcross.Code) bool {
-	return code == almondcross.CodeNoStanding || code == almondcross.CodeStopping
+	return code == almondcross.CodeNoStanding || code == almondcross.CodeStopping || code == almondcross.CodeNotHere
 }
 
 func failedResult(task almondcross.Task, code almondcross.Code) almondcross.TaskResult {
@@ -114,7 +114,10 @@
 func (machine *Machine) takeAnswer(message almondcross.TaskEnded, now time.Time) {
 	result := message.Result()
 	record, ok := machine.keys[result.ID().Key()]
-	if !ok || record.standing || record.entry.Class() == almondcross.ClassGang || result.Code() != almondcross.CodeNone {
+	if !ok && result.Code() == almondcross.CodeNone && result.ID().Index() == 0 {
+		record = machine.recordOfAnswer(result.ID().Key(), now)
+	}
+	if record == nil || record.standing || record.entry.Class() == almondcross.ClassGang || result.Code() != almondcross.CodeNone {
 		return
 	}
 	switch record.phase {
@@ -123,11 +126,23 @@
 		return
 	}
 	record.ran = true
-	record.claimed = !record.entry.Repeatable()
+	// The claimer settles only keys that were claimed.
+	record.claimed = record.entry.Name() == "" || !record.entry.Repeatable()
 	outcome := outcomeOf(result.ID().Key(), almondcross.StatusDone, almondcross.CodeNone)
 	machine.finish(record, outcome.WithAnswer(result.Answer()).WithTarget(message.Target()), now)
 }
 
+// recordOfAnswer returns a record for an answer that nobody has asked for here yet.
+func (machine *Machine) recordOfAnswer(key almondcross.Key, now time.Time) *record {
+	if key.Caller() == serviceCaller {
+		return nil
+	}
+	added := &record{phase: phaseHeld, submittedAt: now}
+	added.request = almondcross.NewRequest(almondcross.RequestConfig{Key: key})
+	machine.keys[key] = added
+	return added
+}
+
 func (machine *Machine) taskLost(message almondcross.TaskLost, now time.Time) {
 	record, task := machine.find(message.ID(), message.Attempt())
 	if record == nil {
--- a/command/coordinator/submit.go
+++ b/command/coordinator/submit.go
@@ -151,6 +151,11 @@
 		machine.moveOn(record, now)
 		return
 	}
+	if record.claimed {
+		// A holder gave the task back without a start, so the claim still permits one.
+		machine.startClaimed(record, now)
+		return
+	}
 	if !record.entry.Repeatable() {
 		record.phase = phaseClaiming
 		machine.tell(record, "claim_requested", almondcross.CodeNone, "", now)
@@ -176,7 +181,7 @@
 // A claim proves it; otherwise the key must be younger than what this member and its peers remember,
 // and issued after the last loss, since nobody knows what a lost member started.
 func (machine *Machine) certainlyNotRun(record *record, now time.Time) bool {
-	if record.ran {
+	if record.ran || record.doubtful {
 		return false
 	}
 	if record.claimed {
--- a/command/placer/answer.go
+++ b/command/placer/answer.go
@@ -125,7 +125,7 @@
 	}
 	machine.accountUse(item)
 	machine.forget(item)
-	machine.report(machine.reportTo(item.task), almondcross.NewTaskEnded(almondcross.TaskEndedConfig{
+	machine.reportEnd(machine.reportTo(item.task), almondcross.NewTaskEnded(almondcross.TaskEndedConfig{
 		Result: result, Holder: machine.self, Target: entry.target.Name(), Term: item.term,
 	}))
 	machine.story(item.task, "ended", result.Code(), entry.target.Name(), "")
@@ -169,7 +169,7 @@
 	}
 	task := almondcross.NewTask(almondcross.TaskConfig{ID: result.ID(), Attempt: result.Attempt(), Coordinator: coordinator})
 	machine.remember(task, ended{})
-	machine.report(machine.reportTo(task), almondcross.NewTaskEnded(almondcross.TaskEndedConfig{
+	machine.reportEnd(machine.reportTo(task), almondcross.NewTaskEnded(almondcross.TaskEndedConfig{
 		Result: result, Holder: machine.self, Target: target, Term: term,
 	}))
 }
--- a/command/placer/machine.go
+++ b/command/placer/machine.go
@@ -47,6 +47,8 @@
 	now       time.Time
 	self      almondcross.MemberID
 	view      almondcross.View
+	sentEnds  []sentEnd              // the ends that were reported lately, in order
+	sentBytes int                    // the bytes of their answers
 	leased    []almondcross.MemberID // the members with a valid link lease
 	peers     []almondcross.Peer     // the members of the view in order of name
 	catalogue almondcross.Catalogue
@@ -210,6 +212,7 @@
 		return
 	}
 	machine.noticeLeases()
+	machine.repeatEnds()
 	if before.Self().DataCentre() != view.Self().DataCentre() {
 		machine.list(machine.hosts)
 	}
--- a/command/placer/queue.go
+++ b/command/placer/queue.go
@@ -241,9 +241,13 @@
 	return known
 }
 
-// forwardBatch bounds how many tasks of one line are passed on after a new view, since the summaries
-// of the peers do not change until their next pings.
-const forwardBatch = 8
+// forwardBatch bounds how many tasks of one line are passed on after a new view. The room that they
+// take is subtracted from the peers' summaries, which do not change until the next pings.
+const forwardBatch = 256
+
+// strandedAfter is how long a task that another holder passed on may wait here while this host holds
+// no target, before it goes back to its coordinator, which places it anew.
+const strandedAfter = 2 * time.Second
 
 // forward passes a new task on when a peer has room for it.
 func (machine *Machine) forward(item *job) bool {
@@ -268,6 +272,10 @@
 			if item == nil || item.gang != nil || item.reclaim != nil {
 				break
 			}
+			if item.forwarded && machine.heldTargets == 0 && machine.now.Sub(item.queuedAt) >= strandedAfter {
+				machine.refuse(item, almondcross.CodeNotHere)
+				continue
+			}
 			peer, ok := machine.peerFor(item)
 			if !ok {
 				break
@@ -320,6 +328,7 @@
 func (machine *Machine) passOn(item *job, peer almondcross.Peer) {
 	member := peer.Member().ID()
 	machine.remember(item.task, ended{forwarded: member})
+	machine.occupy(member, item.task.Resources())
 	machine.emit(Effect{
 		Kind: EffectForward, Member: member,
 		Peer: almondcross.NewPlaceTask(almondcross.PlaceTaskConfig{
@@ -332,6 +341,22 @@
 	machine.story(item.task, "forwarded", item.waitCode, "", member.Name())
 }
 
+// occupy subtracts the room of a task that was passed on from the summary of its new holder.
+func (machine *Machine) occupy(member almondcross.MemberID, resources almondcross.Resources) {
+	for index, peer := range machine.peers {
+		if peer.Member().ID() != member {
+			continue
+		}
+		summary := peer.Summary()
+		free := summary.Free().Sub(resources)
+		summary = summary.WithFree(free)
+		if !summary.LargestFree().Fits(free) {
+			summary = summary.WithLargestFree(free)
+		}
+		machine.peers[index] = peer.WithSummary(summary)
+	}
+}
+
 func betterPeer(first, second almondcross.Peer) bool {
 	if first.Summary().Waiting() != second.Summary().Waiting() {
 		return first.Summary().Waiting() < second.Summary().Waiting()
