Avoid the target of the last failure and bound ejection by data centre

Cause: a worker that fails everything has free room at once and got the repeated attempts of the same request; a host with fewer than three targets could eject none; a task that fits no target of one host was refused as never fitting although another host holds a larger one.

--- a/command/coordinator/machine.go
+++ b/command/coordinator/machine.go
@@ -23,8 +23,12 @@
 	outcomeRetention = time.Minute
 	// retainedOutcomes bounds the number of outcomes that are kept.
 	retainedOutcomes = 50_000
-	// mostFailures is the number of failed attempts after which a repeatable request fails.
+	// mostFailures is the number of targets on which a repeatable request fails before its caller is
+	// told; failures on one target may be the target's fault.
 	mostFailures = 3
+	// mostAttempts bounds the failed attempts on all targets. It is more than the failures after which
+	// a target is ejected.
+	mostAttempts = 10
 	// serviceBackoff is the time before a service replica that ended is placed again.
 	serviceBackoff = time.Second
 	// mostServiceBackoff bounds the growing backoff of a service replica that keeps failing.
--- a/command/coordinator/record.go
+++ b/command/coordinator/record.go
@@ -54,7 +54,9 @@
 	entry       almondcross.Entry
 	phase       phase
 	attempt     int
-	failures    int // failures counts attempts that ended without an answer.
+	failures    int             // failures counts attempts that ended without an answer.
+	failedOn    map[string]bool // failedOn holds the targets on which attempts failed.
+	avoid       string          // avoid is the target on which the last attempt failed.
 	tasks       []taskState
 	lookups     map[string]time.Time // lookups holds the peers that have not answered, with the time of asking.
 	waiters     []waiter
--- a/command/coordinator/report.go
+++ b/command/coordinator/report.go
@@ -215,7 +215,14 @@
 		return false
 	}
 	record.failures++
-	return record.failures < mostFailures
+	if record.failedOn == nil {
+		record.failedOn = map[string]bool{}
+	}
+	for _, task := range record.tasks {
+		record.failedOn[task.target] = true
+		record.avoid = task.target
+	}
+	return len(record.failedOn) < mostFailures && record.failures < mostAttempts
 }
 
 func failedOutcome(record *record, code almondcross.Code) almondcross.Outcome {
--- a/command/coordinator/submit.go
+++ b/command/coordinator/submit.go
@@ -287,6 +287,7 @@
 		MaxRun:      entry.MaxRun(),
 		ExpectedRun: entry.ExpectedRun(),
 		Timeout:     timeout,
+		Avoid:       record.avoid,
 	})
 }
 
--- a/command/placer/health.go
+++ b/command/placer/health.go
@@ -9,7 +9,7 @@
 const (
 	// ejectAfter is the number of failures in a row, without a success, that ejects a target.
 	ejectAfter = 5
-	// ejectFraction bounds the ejected targets to 1 of 3 held ones, so that a fault of the work
+	// ejectFraction bounds the ejected targets to 1 of 3 of the data centre, so that a fault of the work
 	// itself or of a shared service cannot eject the cluster.
 	ejectFraction = 3
 	// probeAfter is the time until an ejected target is probed with one task; it doubles up to
@@ -83,7 +83,7 @@
 	if !entry.health.several && !machine.proven[item.task.Entry()] {
 		return
 	}
-	if entry.health.failures < ejectAfter || (machine.ejected+1)*ejectFraction > machine.heldTargets {
+	if entry.health.failures < ejectAfter || !machine.mayEject() {
 		return
 	}
 	machine.ejected++
@@ -93,6 +93,19 @@
 	machine.waitProbe(entry)
 }
 
+// mayEject reports whether one more target may be ejected. The bound is for the data centre, since a
+// host of a small one holds fewer targets than the bound needs for one ejection.
+func (machine *Machine) mayEject() bool {
+	ejected, held := machine.ejected, machine.heldTargets
+	for _, peer := range machine.peers {
+		if peer.Member().DataCentre() == machine.dataCentre() {
+			ejected += peer.Summary().Ejected()
+			held += peer.Summary().Held()
+		}
+	}
+	return (ejected+1)*ejectFraction <= held
+}
+
 func (machine *Machine) waitProbe(entry *target) {
 	entry.health.probing, entry.health.probes = false, 0
 	entry.health.wait = min(2*entry.health.wait, probeLimit)
--- a/command/placer/machine_test.go
+++ b/command/placer/machine_test.go
@@ -334,3 +334,24 @@
 	}
 	require.Len(t, cell.started, 1)
 }
+
+// TestFailedTargetIsAvoided guards against a repeated attempt that goes back to the target on which the
+// last one failed although another target, here or at a peer, has room.
+func TestFailedTargetIsAvoided(t *testing.T) {
+	cell := newCell(t, 2)
+	for index := range 2 * slots {
+		for _, avoid := range []string{"t0000", "t0001"} {
+			task := cell.task("a", "batch", 1).WithAttempt(2*index + 1).WithAvoid(avoid)
+			if avoid == "t0001" {
+				task = task.WithAttempt(2*index + 2)
+			}
+			cell.place(task)
+			require.NotEqual(t, avoid, cell.live[task.ID()].target)
+			cell.end(task.ID(), time.Millisecond, almondcross.CodeTaskFailed)
+		}
+	}
+	alone := newCell(t, 1)
+	alone.addPeer("h1", almondcross.NewSummary(almondcross.SummaryConfig{Free: slot.Scale(4), LargestFree: slot.Scale(4)}))
+	alone.place(alone.task("a", "batch", 1).WithAvoid("t0000"))
+	require.Len(t, alone.forwarded, 1)
+}
--- a/command/placer/publish.go
+++ b/command/placer/publish.go
@@ -31,7 +31,8 @@
 	machine.emit(Effect{Kind: EffectPublish, Held: held})
 	machine.emit(Effect{Kind: EffectSummary, Summary: almondcross.NewSummary(almondcross.SummaryConfig{
 		CatalogueOffset: machine.catalogue.Offset(), Free: free, LargestFree: largest,
-		Waiting: machine.waiting, Oldest: machine.oldest(), Held: len(held),
+		Waiting: machine.waiting, Oldest: machine.oldest(), Held: len(held), Ejected: machine.ejected,
+		Largest: machine.largest(),
 	})})
 	if machine.waiting > 0 {
 		// The age of the oldest task changes without a message.
@@ -39,6 +40,17 @@
 	}
 }
 
+// largest returns the largest known capacity of each resource; peers refuse a task that fits nowhere.
+func (machine *Machine) largest() almondcross.Resources {
+	var largest almondcross.Resources
+	for _, entry := range machine.sorted {
+		if entry.known && entry.listed {
+			largest = largest.Max(entry.capacity)
+		}
+	}
+	return largest
+}
+
 func (machine *Machine) oldest() time.Duration {
 	age := time.Duration(0)
 	for _, waiting := range machine.order {
--- a/command/placer/queue.go
+++ b/command/placer/queue.go
@@ -136,6 +136,13 @@
 	limited := machine.limited(waiting)
 	if waiting.live == 0 && !limited {
 		if name, ok := machine.choose(item); ok {
+			if name == task.Avoid() {
+				if other, found := machine.chooseOther(item, name); found {
+					name = other
+				} else if machine.forward(item) {
+					return
+				}
+			}
 			machine.jobs[item.key()] = item
 			machine.start(item, machine.targets[name])
 			return
@@ -170,6 +177,18 @@
 	}
 }
 
+// chooseOther returns a target other than the one on which the last attempt failed. A target that
+// fails everything has free room at once and would get the task again.
+func (machine *Machine) chooseOther(item *job, avoid string) (string, bool) {
+	entry := machine.targets[avoid]
+	machine.Placement.Remove(avoid)
+	name, ok := machine.choose(item)
+	machine.Placement.SetRoom(almondcross.NewTargetRoom(almondcross.TargetRoomConfig{
+		Name: avoid, Rack: entry.target.Rack(), Capacity: entry.capacity, Free: entry.free, LongFree: entry.longFree,
+	}))
+	return name, ok
+}
+
 // requeue puts a task whose start was refused back to the front of its line.
 func (machine *Machine) requeue(item *job) {
 	item.state = jobQueued
@@ -226,7 +245,8 @@
 	return max(1, limit*min(machine.heldTargets, machine.listed)/machine.listed)
 }
 
-// neverFits reports whether no target with a known capacity could ever run a task.
+// neverFits reports whether no target with a known capacity, here or at a peer of the data centre,
+// could ever run a task.
 func (machine *Machine) neverFits(resources almondcross.Resources) bool {
 	known := false
 	for _, entry := range machine.sorted {
@@ -238,6 +258,11 @@
 		}
 		known = true
 	}
+	for _, peer := range machine.peers {
+		if peer.Member().DataCentre() == machine.dataCentre() && resources.Fits(peer.Summary().Largest()) {
+			return false
+		}
+	}
 	return known
 }
 
--- a/encoder/bench_test.go
+++ b/encoder/bench_test.go
@@ -132,7 +132,7 @@
 	free := almondcross.NewResources(almondcross.ResourcesConfig{MilliCPU: 120_000, MemoryMB: 300_000, Slots: 60})
 	exchange := frameBytes(t, almondcross.NewPeerPing(almondcross.PeerPingConfig{
 		Member: member, Sequence: 1_000_000, Summary: almondcross.NewSummary(almondcross.SummaryConfig{
-			CatalogueOffset: 100_000, Free: free, LargestFree: free, Held: 17,
+			CatalogueOffset: 100_000, Free: free, LargestFree: free, Held: 17, Largest: free,
 		}),
 	})) + frameBytes(t, almondcross.NewPeerPong(almondcross.PeerPongConfig{Member: member.ID(), Sequence: 1_000_000}))
 	const exchanges = 6*4 + 70/2
--- a/encoder/codec_test.go
+++ b/encoder/codec_test.go
@@ -32,6 +32,7 @@
 	task := almondcross.NewTask(almondcross.TaskConfig{
 		ID: id, Entry: "tally", Owner: "sales", Class: almondcross.ClassGang, Resources: amount, Payload: []byte("in"),
 		Repeatable: true, Urgent: true, Size: 4, Attempt: 2, Coordinator: holder, MaxRun: 1, ExpectedRun: 2, Timeout: 3,
+		Avoid: "w9",
 	})
 	outcome := almondcross.NewOutcome(almondcross.OutcomeConfig{
 		Key: key, Status: almondcross.StatusDone, Answer: []byte("out"), Code: almondcross.CodeTimeout, Detail: "d",
@@ -44,7 +45,7 @@
 	})
 	member := almondcross.NewMember(almondcross.MemberConfig{ID: holder, DataCentre: "north", Address: "127.0.0.1:1", Leaving: true})
 	summary := almondcross.NewSummary(almondcross.SummaryConfig{
-		CatalogueOffset: 1, Free: amount, LargestFree: amount, Waiting: 2, Oldest: 3, Held: 4,
+		CatalogueOffset: 1, Free: amount, LargestFree: amount, Waiting: 2, Oldest: 3, Held: 4, Ejected: 5, Largest: amount,
 	})
 	result := almondcross.NewTaskResult(almondcross.TaskResultConfig{
 		ID: id, Attempt: 2, Code: almondcross.CodeMaxRun, Answer: []byte("out"), Checksum: 1 << 63, Ran: time.Second,
--- a/encoder/peer.go
+++ b/encoder/peer.go
@@ -237,6 +237,7 @@
 	MaxRun      time.Duration     `cbor:"max_run,omitempty"`
 	ExpectedRun time.Duration     `cbor:"expected_run,omitempty"`
 	Timeout     time.Duration     `cbor:"timeout,omitempty"`
+	Avoid       string            `cbor:"avoid,omitempty"`
 }
 
 func toTask(task almondcross.Task) wireTask {
@@ -245,7 +246,7 @@
 		ID: toTaskID(config.ID), Entry: config.Entry, Owner: config.Owner, Class: config.Class,
 		Resources: toResources(config.Resources), Payload: config.Payload, Repeatable: config.Repeatable,
 		Urgent: config.Urgent, Size: config.Size, Attempt: config.Attempt, Coordinator: toMemberID(config.Coordinator),
-		MaxRun: config.MaxRun, ExpectedRun: config.ExpectedRun, Timeout: config.Timeout,
+		MaxRun: config.MaxRun, ExpectedRun: config.ExpectedRun, Timeout: config.Timeout, Avoid: config.Avoid,
 	}
 }
 
@@ -255,6 +256,7 @@
 		Resources: wiretask.Resources.value(), Payload: wiretask.Payload, Repeatable: wiretask.Repeatable,
 		Urgent: wiretask.Urgent, Size: wiretask.Size, Attempt: wiretask.Attempt, Coordinator: wiretask.Coordinator.value(),
 		MaxRun: wiretask.MaxRun, ExpectedRun: wiretask.ExpectedRun, Timeout: wiretask.Timeout,
+		Avoid: wiretask.Avoid,
 	})
 }
 
--- a/encoder/peerwire.go
+++ b/encoder/peerwire.go
@@ -51,6 +51,8 @@
 	Waiting         int                `cbor:"10,keyasint,omitempty"`
 	Oldest          time.Duration      `cbor:"11,keyasint,omitempty"`
 	Held            int                `cbor:"12,keyasint,omitempty"`
+	Ejected         int                `cbor:"13,keyasint,omitempty"`
+	Largest         wireAmount         `cbor:"14,keyasint"`
 }
 
 func toPing(ping almondcross.PeerPing) wirePing {
@@ -60,7 +62,8 @@
 		Address: member.Address(), Leaving: member.Leaving(), Sequence: ping.Sequence(),
 		CatalogueOffset: summary.CatalogueOffset(), Free: wireAmount(summary.Free().Config()),
 		LargestFree: wireAmount(summary.LargestFree().Config()), Waiting: summary.Waiting(),
-		Oldest: summary.Oldest(), Held: summary.Held(),
+		Oldest: summary.Oldest(), Held: summary.Held(), Ejected: summary.Ejected(),
+		Largest: wireAmount(summary.Largest().Config()),
 	}
 }
 
@@ -74,6 +77,7 @@
 		Summary: almondcross.NewSummary(almondcross.SummaryConfig{
 			CatalogueOffset: wireping.CatalogueOffset, Free: wireping.Free.value(), LargestFree: wireping.LargestFree.value(),
 			Waiting: wireping.Waiting, Oldest: wireping.Oldest, Held: wireping.Held,
+			Ejected: wireping.Ejected, Largest: wireping.Largest.value(),
 		}),
 	})
 }
--- a/encoder/size_test.go
+++ b/encoder/size_test.go
@@ -28,7 +28,8 @@
 			CatalogueOffset: 1_277_500,
 			Free:            almondcross.NewResources(almondcross.ResourcesConfig{MilliCPU: 1_600_000, MemoryMB: 6_400_000, Accelerators: 900, Slots: 400}),
 			LargestFree:     almondcross.NewResources(almondcross.ResourcesConfig{MilliCPU: 32_000, MemoryMB: 128_000, Accelerators: 8, Slots: 8}),
-			Waiting:         1_000, Oldest: 5 * time.Second, Held: 200,
+			Waiting:         1_000, Oldest: 5 * time.Second, Held: 200, Ejected: 60,
+			Largest: almondcross.NewResources(almondcross.ResourcesConfig{MilliCPU: 32_000, MemoryMB: 128_000, Accelerators: 8, Slots: 8}),
 		}),
 	})
 	return ping, almondcross.NewPeerPong(almondcross.PeerPongConfig{Member: id, Sequence: pings, Known: sizeStamp})
--- a/member.go
+++ b/member.go
@@ -30,6 +30,8 @@
 	waiting         int           // the number of tasks in its queue
 	oldest          time.Duration // the age of the oldest task in its queue
 	held            int           // the number of targets that it holds
+	ejected         int           // the number of held targets that get no work because their tasks fail
+	largest         Resources     // the largest capacity of each resource among the targets that it knows
 }
 
 // Peer is a member of the view with what it last told.
--- a/resources.go
+++ b/resources.go
@@ -28,6 +28,15 @@
 	return resources
 }
 
+// Max returns the larger amount of each resource.
+func (resources Resources) Max(other Resources) Resources {
+	resources.milliCPU = max(resources.milliCPU, other.milliCPU)
+	resources.memoryMB = max(resources.memoryMB, other.memoryMB)
+	resources.accelerators = max(resources.accelerators, other.accelerators)
+	resources.slots = max(resources.slots, other.slots)
+	return resources
+}
+
 // Scale returns the amount multiplied by a count.
 func (resources Resources) Scale(count int64) Resources {
 	resources.milliCPU *= count
--- a/task.go
+++ b/task.go
@@ -23,6 +23,7 @@
 	maxRun      time.Duration // the time after which the task is stopped, 0 for no limit
 	expectedRun time.Duration // the expected run time
 	timeout     time.Duration // the time that is left to start usefully when the task is sent, 0 for no limit
+	avoid       string        // the target on which the last attempt failed, empty for none
 }
 
 // TaskResult is how one attempt of a task ended.
--- a/values_generated.go
+++ b/values_generated.go
@@ -574,6 +574,7 @@
 	MaxRun      time.Duration
 	ExpectedRun time.Duration
 	Timeout     time.Duration
+	Avoid       string
 }
 
 // NewTask returns a Task with the given fields.
@@ -593,6 +594,7 @@
 		maxRun:      config.MaxRun,
 		expectedRun: config.ExpectedRun,
 		timeout:     config.Timeout,
+		avoid:       config.Avoid,
 	}
 }
 
@@ -613,6 +615,7 @@
 		MaxRun:      task.maxRun,
 		ExpectedRun: task.expectedRun,
 		Timeout:     task.timeout,
+		Avoid:       task.avoid,
 	}
 }
 
@@ -742,6 +745,15 @@
 	return task
 }
 
+// Avoid returns the target on which the last attempt failed, empty for none.
+func (task Task) Avoid() string { return task.avoid }
+
+// WithAvoid returns a copy with the given avoid.
+func (task Task) WithAvoid(avoid string) Task {
+	task.avoid = avoid
+	return task
+}
+
 // TaskResultConfig holds the fields of a new TaskResult.
 type TaskResultConfig struct {
 	ID       TaskID
@@ -1318,6 +1330,8 @@
 	Waiting         int
 	Oldest          time.Duration
 	Held            int
+	Ejected         int
+	Largest         Resources
 }
 
 // NewSummary returns a Summary with the given fields.
@@ -1329,6 +1343,8 @@
 		waiting:         config.Waiting,
 		oldest:          config.Oldest,
 		held:            config.Held,
+		ejected:         config.Ejected,
+		largest:         config.Largest,
 	}
 }
 
@@ -1341,6 +1357,8 @@
 		Waiting:         summary.waiting,
 		Oldest:          summary.oldest,
 		Held:            summary.held,
+		Ejected:         summary.ejected,
+		Largest:         summary.largest,
 	}
 }
 
@@ -1398,6 +1416,24 @@
 	return summary
 }
 
+// Ejected returns the number of held targets that get no work because their tasks fail.
+func (summary Summary) Ejected() int { return summary.ejected }
+
+// WithEjected returns a copy with the given ejected.
+func (summary Summary) WithEjected(ejected int) Summary {
+	summary.ejected = ejected
+	return summary
+}
+
+// Largest returns the largest capacity of each resource among the targets that it knows.
+func (summary Summary) Largest() Resources { return summary.largest }
+
+// WithLargest returns a copy with the given largest.
+func (summary Summary) WithLargest(largest Resources) Summary {
+	summary.largest = largest
+	return summary
+}
+
 // PeerConfig holds the fields of a new Peer.
 type PeerConfig struct {
 	Member     Member
