--- a/encoder/status.go
+++ b/encoder/status.go
@@ -60,7 +60,7 @@
 	Refused  uint64 `json:"refused"`
 }
 
-// LostShape is the JSON shape of a member that left without a handover.
+// LostShape is the JSON shape of a member that was lost.
 type LostShape struct {
 	Name        string    `json:"name"`
 	Incarnation uint64    `json:"incarnation"`
--- a/member.go
+++ b/member.go
@@ -50,14 +50,14 @@
 type View struct {
 	self       Member          // the host itself
 	peers      map[string]Peer // the other members by name
-	lost       map[string]Loss // the members of the data centre that left without a handover, by name
+	lost       map[string]Loss // the lost members of the data centre, by name
 	joinedWall time.Time       // the wall-clock time of the last join or planned leave in the data centre
 	lostWall   time.Time       // the wall-clock time of the last loss in the data centre, or of this host's start
 	readyAt    time.Time       // the time from which the host takes part as a coordinator
 	validUntil time.Time       // the time from which the view is too old to act on
 }
 
-// Loss is a member that left the view without handing over its keys.
+// Loss is a member that left the view; nobody knows which of its keys it had started.
 //
 //value:generate
 type Loss struct {
--- a/values_generated.go
+++ b/values_generated.go
@@ -1553,7 +1553,7 @@
 	return view
 }
 
-// Lost returns the members of the data centre that left without a handover, by name.
+// Lost returns the lost members of the data centre, by name.
 func (view View) Lost() map[string]Loss { return view.lost }
 
 // WithLost returns a copy with the given lost.
