Keep an answer that arrives while the next coordinator waits for its claim

Change: the answer ends the key in that phase too; the test keeps the version that both operators saw; keys of tests have neutral names.

--- a/command/claimer/claimer_test.go
+++ b/command/claimer/claimer_test.go
@@ -69,7 +69,7 @@
 
 func (cell *cell) key(host *host) almondcross.Key {
 	name := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(cell.t, "key")
-	key := almondcross.NewKey(almondcross.KeyConfig{Caller: "till", Origin: host.origin, Name: name})
+	key := almondcross.NewKey(almondcross.KeyConfig{Caller: "desk", Origin: host.origin, Name: name})
 	if _, ok := cell.issued[name]; !ok {
 		cell.issued[name] = cell.now
 	}
@@ -267,7 +267,7 @@
 // in the second one that never hears how the run in the first one ended.
 func TestNameClaimedUnderAnotherOrigin(t *testing.T) {
 	now := time.Unix(1_000_000_000, 0)
-	north := almondcross.NewKey(almondcross.KeyConfig{Caller: "till", Origin: "north", Name: "dividend"})
+	north := almondcross.NewKey(almondcross.KeyConfig{Caller: "desk", Origin: "north", Name: "run-1"})
 	south := north.WithOrigin("south")
 	machine := claimer.NewMachine(claimer.MachineConfig{DataCentre: "south"})
 	record := almondcross.NewClaimRecord(almondcross.ClaimRecordConfig{
--- a/command/coordinator/bench_test.go
+++ b/command/coordinator/bench_test.go
@@ -71,7 +71,7 @@
 func (alone *alone) submit() []almondcross.Task {
 	alone.next++
 	request := almondcross.NewRequest(almondcross.RequestConfig{
-		Key:   almondcross.NewKey(almondcross.KeyConfig{Caller: "till", Origin: "d0", Name: fmt.Sprintf("key-%d", alone.next)}),
+		Key:   almondcross.NewKey(almondcross.KeyConfig{Caller: "desk", Origin: "d0", Name: fmt.Sprintf("key-%d", alone.next)}),
 		Entry: "lookup", Payload: []byte("4711"), IssuedAt: alone.now, Timeout: time.Minute,
 	})
 	tasks, _ := alone.apply(almondcross.NewSubmitRequest(almondcross.SubmitRequestConfig{Request: request, Replier: discard{}}))
--- a/command/coordinator/claim_test.go
+++ b/command/coordinator/claim_test.go
@@ -35,7 +35,7 @@
 	id := almondcross.NewMemberID(almondcross.MemberIDConfig{Name: "e1", Incarnation: 1})
 	member := &member{
 		t: t, id: id, now: started.Add(time.Hour),
-		key: almondcross.NewKey(almondcross.KeyConfig{Caller: "till", Origin: "north", Name: "dividend"}),
+		key: almondcross.NewKey(almondcross.KeyConfig{Caller: "desk", Origin: "north", Name: "run-1"}),
 	}
 	member.machine = coordinator.NewMachine(coordinator.MachineConfig{
 		View: member.view(), Start: started, Catalogue: almondcross.NewCatalogueOf(1, []almondcross.Entry{
@@ -153,3 +153,31 @@
 	require.Len(t, member.told, 1)
 	require.Equal(t, almondcross.CodeTargetLost, member.told[0].Code())
 }
+
+// Guards against the loss of an answer that a holder repeats to the key's next coordinator while that
+// one waits for the claimer, or before anybody asked it for the key.
+func TestAnswerOfLostCoordinator(t *testing.T) {
+	for _, asked := range []bool{true, false} {
+		member := newMember(t)
+		ended := almondcross.NewTaskEnded(almondcross.TaskEndedConfig{
+			Result: almondcross.NewTaskResult(almondcross.TaskResultConfig{
+				ID: almondcross.NewTaskID(almondcross.TaskIDConfig{Key: member.key}), Attempt: 7, Answer: []byte("paid"),
+			}),
+			Target: "w1",
+		})
+		if asked {
+			member.submit(time.Second)
+			member.apply(ended)
+		} else {
+			member.apply(ended)
+			member.apply(almondcross.NewSubmitRequest(almondcross.SubmitRequestConfig{
+				Replier: nobody{}, Request: almondcross.NewRequest(almondcross.RequestConfig{Key: member.key, Entry: "payout"}),
+			}))
+		}
+		require.Len(t, member.told, 1)
+		require.Equal(t, almondcross.StatusDone, member.told[0].Status())
+		require.Equal(t, "paid", string(member.told[0].Answer()))
+		require.Len(t, member.settled, 1)
+		require.Zero(t, member.placed)
+	}
+}
--- a/command/coordinator/report.go
+++ b/command/coordinator/report.go
@@ -121,7 +121,7 @@
 		return
 	}
 	switch record.phase {
-	case phaseLooking, phaseHeld, phaseClaimedElsewhere:
+	case phaseLooking, phaseHeld, phaseClaiming, phaseClaimedElsewhere:
 	default:
 		return
 	}
--- a/command/linker/linker_test.go
+++ b/command/linker/linker_test.go
@@ -154,7 +154,7 @@
 	require.True(t, second.linker.Send("e1", ping(second, "e2")))
 	<-first.registrar.Messages()
 
-	key := almondcross.NewKey(almondcross.KeyConfig{Caller: "till", Name: "7"})
+	key := almondcross.NewKey(almondcross.KeyConfig{Caller: "desk", Name: "7"})
 	submit := func(correlation uint64) {
 		require.True(t, second.linker.Send("e1", almondcross.NewPeerSubmit(almondcross.PeerSubmitConfig{
 			Correlation: correlation, Request: almondcross.NewRequest(almondcross.RequestConfig{Key: key}),
--- a/encoder/codec_test.go
+++ b/encoder/codec_test.go
@@ -20,7 +20,7 @@
 
 // peerMessages returns one message of each type with every field set.
 func peerMessages() []almondcross.PeerMessage {
-	key := almondcross.NewKey(almondcross.KeyConfig{Caller: "till", Origin: "north", Name: "7"})
+	key := almondcross.NewKey(almondcross.KeyConfig{Caller: "desk", Origin: "north", Name: "7"})
 	id := almondcross.NewTaskID(almondcross.TaskIDConfig{Key: key, Index: 3})
 	holder := almondcross.NewMemberID(almondcross.MemberIDConfig{Name: "e1", Incarnation: 9})
 	term := almondcross.NewTerm(almondcross.TermConfig{Boot: 2, Counter: 5})
--- a/encoder/size_test.go
+++ b/encoder/size_test.go
@@ -58,7 +58,7 @@
 	holder := almondcross.NewMemberID(almondcross.MemberIDConfig{Name: "entry-17", Incarnation: sizeStamp})
 	term := almondcross.NewTerm(almondcross.TermConfig{Boot: sizeStamp, Counter: 1_000})
 	id := almondcross.NewTaskID(almondcross.TaskIDConfig{
-		Key: almondcross.NewKey(almondcross.KeyConfig{Caller: "till-0042", Origin: "south-east-2", Name: "0197c1d2-7c1e-7bb2-9d5e-0a8a4f1f7c11"}),
+		Key: almondcross.NewKey(almondcross.KeyConfig{Caller: "desk-0042", Origin: "south-east-2", Name: "0197c1d2-7c1e-7bb2-9d5e-0a8a4f1f7c11"}),
 	})
 	task := almondcross.NewTask(almondcross.TaskConfig{
 		ID: id, Entry: "share-balance-lookup", Owner: "members", Class: almondcross.ClassBatch,
--- a/integration/logside/claimer_test.go
+++ b/integration/logside/claimer_test.go
@@ -68,7 +68,7 @@
 		first, second := startClaimer(ctx, t, log, "e1"), startClaimer(ctx, t, log, "e2")
 		synctest.Wait()
 		log.Fail(memory.FaultAnswerLost, memory.FaultAnswerLost)
-		key := almondcross.NewKey(almondcross.KeyConfig{Caller: "till", Origin: "north", Name: "dividend"})
+		key := almondcross.NewKey(almondcross.KeyConfig{Caller: "desk", Origin: "north", Name: "run-1"})
 		first.claim(t, key)
 		second.claim(t, key)
 		one, two := first.decided(t), second.decided(t)
@@ -120,7 +120,7 @@
 		host := startClaimer(ctx, t, log, "e1")
 		synctest.Wait()
 		log.Fail(memory.FaultRequestLost, memory.FaultRequestLost)
-		host.claim(t, almondcross.NewKey(almondcross.KeyConfig{Caller: "till", Name: "dividend"}))
+		host.claim(t, almondcross.NewKey(almondcross.KeyConfig{Caller: "desk", Name: "run-1"}))
 		require.Equal(t, almondcross.CodeVoided, host.decided(t).Code())
 	})
 }
--- a/integration/logside/retriever_test.go
+++ b/integration/logside/retriever_test.go
@@ -95,7 +95,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		log := memory.NewLog(clock{})
-		key := almondcross.NewKey(almondcross.KeyConfig{Caller: "till", Origin: "north", Name: "dividend"})
+		key := almondcross.NewKey(almondcross.KeyConfig{Caller: "desk", Origin: "north", Name: "run-1"})
 		empty, other := key.WithName("rebate"), key.WithName("tally")
 		// An answer that is too large for a record is settled without it.
 		large := key.WithName("large")
@@ -131,7 +131,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		log := memory.NewLog(clock{})
-		key := almondcross.NewKey(almondcross.KeyConfig{Caller: "till", Origin: "north", Name: "dividend"})
+		key := almondcross.NewKey(almondcross.KeyConfig{Caller: "desk", Origin: "north", Name: "run-1"})
 		runAndLose(ctx, t, log, map[almondcross.Key][]byte{key: []byte("42")})
 		coordinator := ring.New[almondcross.CoordinatorMessage](ring.Config{Name: "coordinator", Capacity: 4})
 		answers := startRetriever(ctx, t, log, coordinator)
--- a/integration/process/catalogue_test.go
+++ b/integration/process/catalogue_test.go
@@ -65,9 +65,11 @@
 		}
 		replies := make(chan reply, 2)
 		first := cell.random.IntN(len(cell.hosts))
+		// Both operators saw the same version; the first answer changes the variable.
+		seen := version
 		for operator := range 2 {
 			go func() {
-				outcome, err := cell.change(cell.hosts[(first+operator)%len(cell.hosts)], version, 100+2*round+operator)
+				outcome, err := cell.change(cell.hosts[(first+operator)%len(cell.hosts)], seen, 100+2*round+operator)
 				replies <- reply{outcome, err}
 			}()
 		}
