Count refused starts as work sent to a leaving worker

Cause: a worker that leaves by its own flag refuses starts itself, so the check of P6 could not fail for it; P6 to P8 had not been seen to fail without their mechanisms.

--- a/integration/process/checker_table_test.go
+++ b/integration/process/checker_table_test.go
@@ -88,6 +88,9 @@
 		{"start on a leaving worker", evidence{
 			workers: []encoder.WorkerHistory{history("a", fabricated(6, started, "k", 1))}, leaving: []leavingMark{{Worker: "a", From: after(1)}},
 		}, []string{"P6"}},
+		{"refused start on a leaving worker", evidence{
+			workers: []encoder.WorkerHistory{history("a", fabricated(6, encoder.WorkerStartRefused, "k", 1))}, leaving: []leavingMark{{Worker: "a", From: after(1)}},
+		}, []string{"P6"}},
 		{"start within the bound", evidence{
 			workers: []encoder.WorkerHistory{history("a", fabricated(4, started, "k", 1))}, leaving: []leavingMark{{Worker: "a", From: after(1)}},
 		}, nil},
--- a/integration/process/checker_test.go
+++ b/integration/process/checker_test.go
@@ -218,14 +218,21 @@
 	}
 }
 
+// checkLeaving finds work that was sent to a leaving worker. A worker that leaves by its own flag refuses
+// it, so refused starts count as well.
 func (checker *checker) checkLeaving() {
 	for _, mark := range checker.evidence.leaving {
 		bound := mark.From.Add(leavingBound)
-		for key, starts := range checker.starts {
-			for _, start := range starts {
-				if start.worker == mark.Worker && start.at().After(bound) && (mark.Until.IsZero() || start.at().Before(mark.Until)) {
-					checker.report("P6", key, "%s is leaving since %s and starts %s %s later",
-						mark.Worker, mark.From.Format("15:04:05.000"), key, start.at().Sub(mark.From))
+		for _, worker := range checker.evidence.workers {
+			if worker.Worker != mark.Worker {
+				continue
+			}
+			for _, entry := range worker.Entries {
+				sent := entry.Kind == encoder.WorkerStarted || entry.Kind == encoder.WorkerStartRefused
+				at := time.UnixMicro(entry.AtUs)
+				if sent && at.After(bound) && (mark.Until.IsZero() || at.Before(mark.Until)) {
+					checker.report("P6", entry.Task.Name, "%s is leaving since %s and is sent work %s later",
+						mark.Worker, mark.From.Format("15:04:05.000"), at.Sub(mark.From))
 				}
 			}
 		}
