--- a/assembler/root.go
+++ b/assembler/root.go
@@ -51,7 +51,7 @@
 	}
 	root.AddCommand(readers...)
 	root.AddCommand(verbs.Top...)
-	root.AddCommand(requester.Prepare(entryCommand(), platformCommand(), workerCommand(), demoCommand())...)
+	root.AddCommand(requester.Prepare(entryCommand(), schedulerCommand(), platformCommand(), workerCommand(), demoCommand())...)
 	requester.Prepare(root)
 	return root
 }
@@ -68,6 +68,25 @@
 	})
 }
 
+// schedulerSettings is the variable with the path of the settings file of a scheduling host.
+const schedulerSettings = "ALMONDCROSS_SETTINGS"
+
+func schedulerCommand() *cobra.Command {
+	command := processCommand("scheduler", "Run a host that serves jobs on the users' platform", func(path string) (fx.Option, error) {
+		settings, err := configurator.LoadScheduler(path)
+		if err != nil {
+			return nil, requester.BadInput(err)
+		}
+		return SchedulerHost(settings, path), nil
+	})
+	config := command.Flags().Lookup("config")
+	config.Usage += "; the default is the value of " + schedulerSettings
+	if path := os.Getenv(schedulerSettings); path != "" {
+		_ = command.Flags().Set(config.Name, path) // A path is a text; setting it cannot fail.
+	}
+	return command
+}
+
 func platformCommand() *cobra.Command {
 	return processCommand("platform", "Run the stand-in for the platform's log and live list (development only)",
 		func(path string) (fx.Option, error) {
--- /dev/null
+++ b/assembler/scheduler.go
@@ -0,0 +1,273 @@
+package assembler
+
+import (
+	"context"
+	"hash/fnv"
+	"math/rand/v2"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/almondcross/almondcross"
+	"github.com/almondcross/almondcross/command/asker"
+	"github.com/almondcross/almondcross/command/committer"
+	"github.com/almondcross/almondcross/command/controller"
+	"github.com/almondcross/almondcross/command/counter"
+	"github.com/almondcross/almondcross/command/recorder"
+	"github.com/almondcross/almondcross/command/scheduler"
+	"github.com/almondcross/almondcross/command/submitter"
+	"github.com/almondcross/almondcross/configurator"
+	"github.com/almondcross/almondcross/encoder"
+	"github.com/almondcross/almondcross/platform/caller"
+	"github.com/almondcross/almondcross/platform/commander"
+	"github.com/almondcross/almondcross/platform/querier"
+	"github.com/almondcross/almondcross/platform/translator"
+	"github.com/almondcross/almondcross/policy/picker"
+	"github.com/almondcross/almondcross/query/follower"
+	"github.com/almondcross/almondcross/query/jobfinder"
+	"github.com/almondcross/almondcross/query/router"
+	"github.com/almondcross/almondcross/ring"
+)
+
+// The topics that the hosts keep in the store.
+const (
+	journalTopic  = "journal"
+	intakeTopic   = "intake"
+	snapshotTopic = "keyed.snapshots"
+	// journalWriter is the name under which every scheduler writes, so that the store compares their epochs.
+	journalWriter = "scheduler"
+)
+
+const (
+	// schedulerRing holds the answers of all duties; each has a bounded number under way.
+	schedulerRing = 8192
+	// submissionRing holds the callers that wait for the store on one host.
+	submissionRing = 1024
+	// requestRing holds one request under way and one of an earlier epoch.
+	requestRing = 4
+	// snapshotPart is the part of the store's retention after which a snapshot is due, so that several
+	// may fail before records that no snapshot covers are deleted.
+	snapshotPart = 6
+	// longestSnapshot and shortestSnapshot bound the time between two snapshots.
+	longestSnapshot  = 10 * time.Second
+	shortestSnapshot = time.Second
+	// retainFactor keeps the state of a final job somewhat longer than promised.
+	retainFactor = 1.25
+	// memoryPart is the part of the memory limit at which the collector works harder.
+	memoryPart = 0.6
+)
+
+// SchedulerHost returns the options of a host that serves jobs on the users' platform.
+func SchedulerHost(settings configurator.SchedulerSettings, path string) fx.Option {
+	debug.SetMemoryLimit(int64(float64(settings.MemoryMB()) * memoryPart * (1 << 20)))
+	return fx.Options(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.StartTimeout(startTimeout),
+		fx.StopTimeout(settings.StopGrace()),
+		fx.Supply(settings, settingsPath(path)),
+		fx.Provide(
+			func() almondcross.Clock { return Clock{} },
+			func() logrus.FieldLogger { return logrus.StandardLogger() },
+			metrics.NewSet, NewDuties, encoder.NewCodec, caller.New, jobfinder.New, router.New, counter.New,
+			newRecorder, newSchedulerRings, newFollower, newCommitter, newController, newAsker, newSubmitter,
+			newSchedulerMachine, newScheduler, newSchedulerServers,
+		),
+		fx.Invoke(runScheduler),
+	)
+}
+
+// settingsPath is the path of the settings file.
+type settingsPath string
+
+// schedulerRings are the rings of a scheduling host.
+type schedulerRings struct {
+	messages    *ring.Ring[almondcross.SchedulerMessage]
+	journal     *ring.Ring[almondcross.JournalQuery]
+	snapshot    *ring.Ring[almondcross.SnapshotQuery]
+	workers     *ring.Ring[almondcross.WorkersQuery]
+	intakes     []*ring.Ring[almondcross.IntakeQuery]
+	commits     *ring.Ring[almondcross.JournalCommit]
+	snapshots   *ring.Ring[almondcross.SnapshotStore]
+	advice      *ring.Ring[almondcross.AdviceQuery]
+	submissions *ring.Ring[submitter.Submission]
+}
+
+func newSchedulerRings(settings configurator.SchedulerSettings, set *metrics.Set) schedulerRings {
+	rings := schedulerRings{
+		messages:    ring.New[almondcross.SchedulerMessage](ring.Config{Name: "scheduler", Capacity: schedulerRing, Metrics: set}),
+		journal:     ring.New[almondcross.JournalQuery](ring.Config{Name: "journal", Capacity: requestRing, Metrics: set}),
+		snapshot:    ring.New[almondcross.SnapshotQuery](ring.Config{Name: "snapshot", Capacity: requestRing, Metrics: set}),
+		workers:     ring.New[almondcross.WorkersQuery](ring.Config{Name: "workers", Capacity: requestRing, Metrics: set}),
+		commits:     ring.New[almondcross.JournalCommit](ring.Config{Name: "commits", Capacity: requestRing, Metrics: set}),
+		snapshots:   ring.New[almondcross.SnapshotStore](ring.Config{Name: "snapshots", Capacity: requestRing, Metrics: set}),
+		advice:      ring.New[almondcross.AdviceQuery](ring.Config{Name: "advice", Capacity: requestRing, Metrics: set}),
+		submissions: ring.New[submitter.Submission](ring.Config{Name: "submissions", Capacity: submissionRing, Metrics: set}),
+	}
+	for range settings.StorePartitions() {
+		rings.intakes = append(rings.intakes, ring.New[almondcross.IntakeQuery](ring.Config{Name: "intake", Capacity: requestRing}))
+	}
+	return rings
+}
+
+func newRecorder(settings configurator.SchedulerSettings, set *metrics.Set) *recorder.Recorder {
+	log := recorder.New(recorder.Config{Output: os.Stdout, Host: settings.Name(), Lines: settings.LogLines(), Clock: Clock{}})
+	set.NewGauge("almondcross_log_lines_left_out_total", func() float64 { return float64(log.LeftOut()) })
+	set.NewGauge("almondcross_log_lines_written_total", func() float64 { return float64(log.Written()) })
+	return log
+}
+
+func newFollower(
+	settings configurator.SchedulerSettings, caller *caller.Caller, codec encoder.Codec, rings schedulerRings, log *recorder.Recorder,
+) *follower.Follower {
+	return follower.New(follower.Config{
+		Reader: querier.NewStore(settings.StoreAddress(), caller), Codec: codec, Workers: translator.Codec{}, Sink: rings.messages, Log: log,
+		Journal:   almondcross.Partition{Topic: journalTopic},
+		Snapshots: almondcross.Partition{Topic: snapshotTopic}, Intake: intakeTopic,
+		Announcements:    almondcross.Partition{Topic: translator.WorkersTopic},
+		Configuration:    almondcross.Partition{Topic: translator.OperatorsTopic},
+		ConfigurationKey: translator.ConfigurationKey,
+	})
+}
+
+func newCommitter(
+	settings configurator.SchedulerSettings, caller *caller.Caller, codec encoder.Codec, rings schedulerRings,
+) *committer.Committer {
+	return committer.New(committer.Config{
+		Writer: commander.NewStore(settings.StoreAddress(), caller), Codec: codec, Keyed: translator.Codec{}, Sink: rings.messages, Clock: Clock{},
+		Journal: almondcross.Partition{Topic: journalTopic}, Snapshots: almondcross.Partition{Topic: snapshotTopic},
+		Name: journalWriter, RecordBytes: settings.StoreRecord(),
+	})
+}
+
+func newController(
+	duties *Duties, caller *caller.Caller, rings schedulerRings, log *recorder.Recorder, meters *counter.Counter,
+) *controller.Controller {
+	return controller.New(duties.Context(), controller.Config{
+		Orderer: commander.NewWorkers(caller), Sink: rings.messages, Clock: Clock{}, Log: log, Meters: meters,
+	})
+}
+
+func newAsker(settings configurator.SchedulerSettings, caller *caller.Caller, rings schedulerRings) *asker.Asker {
+	return asker.New(asker.Config{
+		Host: settings.Name(), Adviser: commander.NewAdviser(settings.AdviceAddress(), caller), Clock: Clock{},
+		Answer: func(ctx context.Context, answer almondcross.AdviceAnswered) { _ = rings.messages.Put(ctx, answer) },
+	})
+}
+
+func newSubmitter(
+	settings configurator.SchedulerSettings, caller *caller.Caller, codec encoder.Codec, log *recorder.Recorder,
+) *submitter.Submitter {
+	// Hosts begin at different partitions, so that their appends do not wait for one another.
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(settings.Name()))
+	return submitter.New(submitter.Config{
+		Writer: commander.NewStore(settings.StoreAddress(), caller), Codec: codec, Clock: Clock{}, Log: log, Topic: intakeTopic,
+		Partition: int(hash.Sum32()), Partitions: settings.StorePartitions(),
+	})
+}
+
+func newSchedulerMachine(
+	settings configurator.SchedulerSettings, table *jobfinder.Table, log *recorder.Recorder, meters *counter.Counter,
+) *scheduler.Machine {
+	interval := min(max(settings.StoreRetention()/snapshotPart, shortestSnapshot), longestSnapshot)
+	return scheduler.NewMachine(scheduler.Config{
+		Host: settings.Name(), Address: settings.LinkListen(), Partitions: settings.StorePartitions(),
+		Retain: time.Duration(float64(settings.StateRetention()) * retainFactor), MaxLease: settings.MaxLease(),
+		Snapshots: interval, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), //nolint:gosec // Jitter needs no secrecy.
+		Publisher: table, Picker: picker.Tight{}, Log: log, Meters: meters,
+	})
+}
+
+func newScheduler(machine *scheduler.Machine, rings schedulerRings, workers *controller.Controller, settings configurator.SchedulerSettings) *scheduler.Duty {
+	var intakes []almondcross.Sink[almondcross.IntakeQuery]
+	for _, intake := range rings.intakes {
+		intakes = append(intakes, intake)
+	}
+	return scheduler.NewDuty(scheduler.DutyConfig{
+		Machine: machine, Ring: rings.messages, Clock: Clock{}, Workers: workers,
+		Desk: localDesk{host: settings.Name(), queries: rings.advice},
+		Rings: scheduler.Rings{
+			ReadSnapshot: rings.snapshot, ReadJournal: rings.journal, ReadIntakes: intakes, ReadWorkers: rings.workers,
+			Commit: rings.commits, StoreSnapshot: rings.snapshots,
+		},
+		Leaders: func(scheduler.Lead) {},
+	})
+}
+
+// localDesk passes queries to this host's own asker.
+type localDesk struct {
+	host    string
+	queries *ring.Ring[almondcross.AdviceQuery]
+}
+
+// Ask sends a query to a host.
+func (localdesk localDesk) Ask(adviser string, query almondcross.AdviceQuery) bool {
+	return adviser == localdesk.host && localdesk.queries.Offer(query)
+}
+
+// schedulerParts are the parts of a scheduling host that run.
+type schedulerParts struct {
+	fx.In
+
+	Settings  configurator.SchedulerSettings
+	Path      settingsPath
+	Duties    *Duties
+	Rings     schedulerRings
+	Log       *recorder.Recorder
+	Follower  *follower.Follower
+	Committer *committer.Committer
+	Asker     *asker.Asker
+	Submitter *submitter.Submitter
+	Scheduler *scheduler.Duty
+	Servers   *schedulerServers
+	Router    *router.Router
+}
+
+// dutyFunc is a duty made of a function.
+type dutyFunc func(ctx context.Context) error
+
+// Run works until the context ends.
+func (dutyfunc dutyFunc) Run(ctx context.Context) error { return dutyfunc(ctx) }
+
+func runScheduler(lifecycle fx.Lifecycle, parts schedulerParts) {
+	lifecycle.Append(fx.Hook{OnStart: parts.start, OnStop: parts.stop})
+}
+
+func (schedulerparts schedulerParts) start(ctx context.Context) error {
+	rings := schedulerparts.Rings
+	schedulerparts.Duties.Start(NamedDuty{"log", schedulerparts.Log})
+	servers, err := schedulerparts.Servers.Listen(ctx)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	schedulerparts.Duties.Start(
+		NamedDuty{"scheduler", schedulerparts.Scheduler},
+		NamedDuty{"journal reader", schedulerparts.Follower.Journal(rings.journal)},
+		NamedDuty{"snapshot reader", schedulerparts.Follower.Snapshot(rings.snapshot)},
+		NamedDuty{"workers reader", schedulerparts.Follower.Workers(rings.workers)},
+		NamedDuty{"routes reader", schedulerparts.Follower.Routes(schedulerparts.takeRoutes)},
+		NamedDuty{"committer", dutyFunc(func(ctx context.Context) error { return schedulerparts.Committer.RunJournal(ctx, rings.commits) })},
+		NamedDuty{"snapshot writer", dutyFunc(func(ctx context.Context) error { return schedulerparts.Committer.RunSnapshots(ctx, rings.snapshots) })},
+		NamedDuty{"asker", dutyFunc(func(ctx context.Context) error { return schedulerparts.Asker.Run(ctx, rings.advice) })},
+		NamedDuty{"submitter", dutyFunc(func(ctx context.Context) error { return schedulerparts.Submitter.Run(ctx, rings.submissions) })},
+		NamedDuty{"settings watcher", dutyFunc(schedulerparts.watchSettings)},
+	)
+	for _, intake := range rings.intakes {
+		schedulerparts.Duties.Start(NamedDuty{"intake reader", schedulerparts.Follower.Intake(intake)})
+	}
+	schedulerparts.Duties.Start(servers...)
+	schedulerparts.Log.Record("started", almondcross.Text("data_centre", schedulerparts.Settings.DataCentre()),
+		almondcross.Text("listen", schedulerparts.Settings.CallersListen()), almondcross.Text("store", schedulerparts.Settings.StoreAddress()))
+	return nil
+}
+
+func (schedulerparts schedulerParts) takeRoutes(ctx context.Context, table almondcross.RouteTable) {
+	schedulerparts.Router.Set(table)
+	_ = schedulerparts.Rings.messages.Put(ctx, almondcross.NewRoutesRead(almondcross.RoutesReadConfig{Table: table})) // Put fails only when the context has ended.
+}
--- /dev/null
+++ b/command/counter/counter.go
@@ -0,0 +1,65 @@
+package counter
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/almondcross/almondcross"
+)
+
+// Counter counts the decisions of a host.
+type Counter struct{ set *metrics.Set }
+
+// New returns a counter that keeps its figures in a set.
+func New(set *metrics.Set) *Counter { return &Counter{set: set} }
+
+func (counter *Counter) add(name string, count int) { counter.set.GetOrCreateCounter(name).Add(count) }
+
+// Elected counts an election that was won.
+func (counter *Counter) Elected() { counter.add("almondcross_elections_won_total", 1) }
+
+// CommitRepeated counts an append that was sent again.
+func (counter *Counter) CommitRepeated() { counter.add("almondcross_commits_repeated_total", 1) }
+
+// Repeated counts a job that was submitted again.
+func (counter *Counter) Repeated() { counter.add("almondcross_jobs_repeated_total", 1) }
+
+// Admitted counts an admitted job of a queue.
+func (counter *Counter) Admitted(queue string) {
+	counter.add(fmt.Sprintf("almondcross_jobs_admitted_total{queue=%q}", queue), 1)
+}
+
+// Finished counts a job of a queue that became final.
+func (counter *Counter) Finished(queue string, state almondcross.JobState) {
+	counter.add(fmt.Sprintf("almondcross_jobs_finished_total{queue=%q,state=%q}", queue, state), 1)
+}
+
+// Started counts a start by its result.
+func (counter *Counter) Started(result almondcross.OrderResult) {
+	counter.add(fmt.Sprintf("almondcross_starts_total{result=%q}", result), 1)
+}
+
+// Ended counts an end of a run by its kind.
+func (counter *Counter) Ended(kind almondcross.EndKind) {
+	counter.add(fmt.Sprintf("almondcross_runs_ended_total{end=%q}", kind), 1)
+}
+
+// Advised counts an answer of the advice service.
+func (counter *Counter) Advised(queue string, allowed, asked int) {
+	counter.add(fmt.Sprintf("almondcross_advice_calls_total{queue=%q}", queue), 1)
+	counter.add(fmt.Sprintf("almondcross_advice_workers_asked_total{queue=%q}", queue), asked)
+	counter.add(fmt.Sprintf("almondcross_advice_workers_allowed_total{queue=%q}", queue), allowed)
+}
+
+// Ordered records how long an order to a worker took.
+func (counter *Counter) Ordered(kind string, took time.Duration) {
+	counter.set.GetOrCreateHistogram(fmt.Sprintf("almondcross_order_seconds{kind=%q}", kind)).Update(max(took, 0).Seconds())
+}
+
+// Answered records the status and the time of an answer to a caller.
+func (counter *Counter) Answered(method, queue string, status int, took time.Duration) {
+	counter.add(fmt.Sprintf("almondcross_answers_total{method=%q,queue=%q,status=\"%d\"}", method, queue, status), 1)
+	counter.set.GetOrCreateHistogram(fmt.Sprintf("almondcross_answer_seconds{method=%q,queue=%q}", method, queue)).Update(took.Seconds())
+}
--- /dev/null
+++ b/command/scheduler/constants.go
@@ -0,0 +1,75 @@
+package scheduler
+
+import "time"
+
+// Times of the journal and of elections.
+const (
+	leaderTick   = 20 * time.Millisecond
+	followerTick = 50 * time.Millisecond
+	// heartbeat is the longest time between two batches of a scheduler.
+	heartbeat = 200 * time.Millisecond
+	// silenceLimit is how long the journal may be silent before a follower stands for election. It
+	// leaves room for two lost heartbeats.
+	silenceLimit = 600 * time.Millisecond
+	// electionJitter spreads the candidates, so that one of them usually is alone.
+	electionJitter = 200 * time.Millisecond
+	// electionBackoff is the pause after an election that was not won.
+	electionBackoff = 400 * time.Millisecond
+	// readFresh is how old the last answered read may be for the silence to count as the scheduler's.
+	readFresh = time.Second
+	// followPause limits how often a follower reads, since each read has a price.
+	followPause = 90 * time.Millisecond
+	// followWait is how long a read waits for a batch.
+	followWait = 400 * time.Millisecond
+	// retryPause is the pause before a failed call to the store is repeated.
+	retryPause = 100 * time.Millisecond
+	// intakePause limits how often the intake partitions are read.
+	intakePause = 15 * time.Millisecond
+	// workersPause limits how often the changes of the announced workers are read.
+	workersPause = 250 * time.Millisecond
+	// commitPause gathers changes for one append.
+	commitPause = 3 * time.Millisecond
+	// batchChanges is the most changes in one record of the journal; 40 jobs of the largest size fit a record.
+	batchChanges = 40
+)
+
+// Times of workers.
+const (
+	// leaseLength is the time for which everything on a worker may run without a word from the scheduler.
+	leaseLength = 4500 * time.Millisecond
+	// leaseWait is how long a worker's answer waits for an end.
+	leaseWait = time.Second
+	// leasePause limits how often a worker with many ends is asked.
+	leasePause = 25 * time.Millisecond
+	// leaseRetry is the pause before a worker that did not answer is asked again.
+	leaseRetry = 250 * time.Millisecond
+	// contactLimit is the age of the last answer beyond which a worker gets no new work.
+	contactLimit = 2500 * time.Millisecond
+	// extendLimit is the age of the last answer beyond which the lease is not extended any more, so
+	// that a worker that hears but is not heard stops its work.
+	extendLimit = 1800 * time.Millisecond
+	// leadershipLimit is how long a scheduler extends leases after its last commit. A successor
+	// waits for this time and a lease before it takes the runs of a silent worker for gone.
+	leadershipLimit = 8 * time.Second
+	// clockSlack is how much slower a worker's clock may run.
+	clockSlack = 0.02
+	// lossMargin covers the way of the last order to a worker.
+	lossMargin = 500 * time.Millisecond
+	// stopRetry is the pause before a stop order is repeated.
+	stopRetry = 400 * time.Millisecond
+	// forgetWorker is how long a silent worker that is not announced is kept.
+	forgetWorker = 6 * time.Second
+	// failureLimit is the number of failed runs in a row after which a worker is avoided.
+	failureLimit = 3
+	// failurePause is the time per failed run for which it is avoided.
+	failurePause = time.Second
+	// listLimit is the number of ends at which a worker's list may be cut short.
+	listLimit = 500
+)
+
+// Epochs and fences. An epoch has a rising term above random bits, which tell candidates of one
+// term apart; a fence has the epoch above a counter of one worker.
+const (
+	epochRandomBits  = 12
+	fenceCounterBits = 10
+)
--- /dev/null
+++ b/command/scheduler/effects.go
@@ -0,0 +1,64 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/almondcross/almondcross"
+)
+
+// Effect is something that the duty carries out for the machine.
+type Effect interface{ effect() }
+
+// The effects of the machine.
+type (
+	// ReadSnapshot reads the newest snapshot.
+	ReadSnapshot struct{ Query almondcross.SnapshotQuery }
+	// ReadJournal reads the journal.
+	ReadJournal struct{ Query almondcross.JournalQuery }
+	// ReadIntake reads one intake partition.
+	ReadIntake struct{ Query almondcross.IntakeQuery }
+	// ReadWorkers reads the announced workers.
+	ReadWorkers struct{ Query almondcross.WorkersQuery }
+	// Commit appends to the journal.
+	Commit struct{ Request almondcross.JournalCommit }
+	// StoreSnapshot stores a snapshot.
+	StoreSnapshot struct{ Request almondcross.SnapshotStore }
+	// ManageWorker opens the duties of a worker or changes its announcement.
+	ManageWorker struct{ Worker almondcross.Worker }
+	// ReleaseWorker ends the duties of a worker.
+	ReleaseWorker struct{ Worker string }
+	// SendLease sends a lease order after a pause.
+	SendLease struct {
+		Order almondcross.LeaseOrder
+		Pause time.Duration
+	}
+	// SendStart sends a start order.
+	SendStart struct{ Order almondcross.StartOrder }
+	// SendStop sends a stop order.
+	SendStop struct{ Order almondcross.StopOrder }
+	// Ask passes an advice query to a host.
+	Ask struct {
+		Adviser string
+		Query   almondcross.AdviceQuery
+	}
+	// Lead tells who schedules now.
+	Lead struct {
+		Host    string // Host is the name of the scheduler's host.
+		Address string // Address is the address of its link.
+		Own     bool   // Own tells whether it is this host.
+	}
+)
+
+func (ReadSnapshot) effect()  {}
+func (ReadJournal) effect()   {}
+func (ReadIntake) effect()    {}
+func (ReadWorkers) effect()   {}
+func (Commit) effect()        {}
+func (StoreSnapshot) effect() {}
+func (ManageWorker) effect()  {}
+func (ReleaseWorker) effect() {}
+func (SendLease) effect()     {}
+func (SendStart) effect()     {}
+func (SendStop) effect()      {}
+func (Ask) effect()           {}
+func (Lead) effect()          {}
--- /dev/null
+++ b/command/scheduler/follower.go
@@ -0,0 +1,189 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/almondcross/almondcross"
+)
+
+// follower is what a machine keeps while it follows the journal.
+type follower struct {
+	next      int64     // next is the journal offset that follows the last applied batch.
+	reading   bool      // reading tells that a read is under way.
+	caughtUp  bool      // caughtUp tells that the last read reached the end of the journal.
+	lastBatch time.Time // lastBatch is when the last batch came.
+	lastRead  time.Time // lastRead is when the last read was answered.
+	electAt   time.Time // electAt is the earliest time of the next election.
+	trimmed   int       // trimmed counts reads in a row that found their records deleted.
+}
+
+// load begins to read the state anew.
+func (machine *Machine) load(pause time.Duration) {
+	machine.role = roleLoading
+	machine.do(ReadSnapshot{Query: almondcross.NewSnapshotQuery(almondcross.SnapshotQueryConfig{Pause: pause})})
+}
+
+func (machine *Machine) snapshotRead(read almondcross.SnapshotRead) {
+	if machine.role != roleLoading {
+		return
+	}
+	if read.Err() != nil {
+		machine.load(retryPause)
+		return
+	}
+	trimmed := machine.follower.trimmed
+	machine.state = newState(machine.config.Retain)
+	machine.follower = follower{trimmed: trimmed}
+	if read.Found() {
+		machine.state = restore(read.Snapshot(), machine.config.Retain)
+		machine.follower.next = read.Snapshot().Next()
+	}
+	machine.config.Publisher.Reset()
+	machine.publish(machine.views())
+	machine.role = roleFollower
+	machine.config.Log.Record("state_loaded", almondcross.Number("next", machine.follower.next),
+		almondcross.Number("jobs", len(machine.state.jobs)), almondcross.Number("epoch", machine.state.epoch))
+	machine.tellLeader()
+	machine.readJournal(0)
+}
+
+func (machine *Machine) readJournal(pause time.Duration) {
+	machine.follower.reading = true
+	machine.do(ReadJournal{Query: almondcross.NewJournalQuery(almondcross.JournalQueryConfig{
+		From: machine.follower.next, Pause: pause, Wait: followWait,
+	})})
+}
+
+func (machine *Machine) journalRead(read almondcross.JournalRead) {
+	machine.follower.reading = false
+	if machine.role != roleFollower {
+		// A candidate must not see its own election before the answer; it reads again afterwards.
+		return
+	}
+	if read.From() != machine.follower.next {
+		machine.readJournal(0)
+		return
+	}
+	switch {
+	case errors.Is(read.Err(), almondcross.ErrStoreTrimmed):
+		machine.journalTrimmed(read)
+		return
+	case read.Err() != nil:
+		machine.readJournal(retryPause)
+		return
+	}
+	machine.follower.trimmed = 0
+	machine.followBatches(read)
+	pause := followPause
+	if !machine.follower.caughtUp {
+		pause = 0
+	}
+	machine.readJournal(pause)
+}
+
+func (machine *Machine) followBatches(read almondcross.JournalRead) {
+	epoch, resigned := machine.state.epoch, machine.state.resigned
+	for _, batch := range read.Batches() {
+		machine.state.applyBatch(batch)
+	}
+	machine.follower.next = read.Next()
+	first := !machine.follower.caughtUp
+	machine.follower.caughtUp = read.Next() >= read.End()
+	machine.follower.lastRead = machine.now
+	if len(read.Batches()) > 0 || machine.follower.lastBatch.IsZero() {
+		machine.follower.lastBatch = machine.now
+	}
+	if first && machine.follower.caughtUp && machine.now.Sub(machine.state.at) > leadershipLimit {
+		// Nobody has scheduled for long; there is no scheduler to wait for.
+		machine.follower.lastBatch = machine.now.Add(-silenceLimit)
+	}
+	if machine.follower.caughtUp {
+		machine.config.Publisher.Refreshed(machine.now)
+	}
+	machine.publish(machine.views())
+	if epoch != machine.state.epoch || resigned != machine.state.resigned {
+		machine.tellLeader()
+	}
+}
+
+// journalTrimmed reads the snapshot again. When even the newest snapshot is older than the oldest
+// record, the journal is followed from there with a gap.
+func (machine *Machine) journalTrimmed(read almondcross.JournalRead) {
+	machine.follower.trimmed++
+	machine.config.Log.Record("journal_trimmed", almondcross.Number("from", read.From()), almondcross.Number("first", read.Next()))
+	if machine.follower.trimmed < 3 {
+		machine.load(retryPause)
+		return
+	}
+	machine.config.Log.Record("journal_gap", almondcross.Number("from", read.From()), almondcross.Number("first", read.Next()))
+	machine.follower.next = read.Next()
+	machine.readJournal(0)
+}
+
+func (machine *Machine) tellLeader() {
+	host, address := machine.Leader()
+	machine.config.Log.Record("scheduler_known", almondcross.Text("host", host), almondcross.Number("epoch", machine.state.epoch))
+	machine.do(Lead{Host: host, Address: address, Own: machine.role == roleLeader})
+}
+
+// considerElection stands for election when the scheduler is silent while the store answers.
+func (machine *Machine) considerElection() {
+	follower := &machine.follower
+	if !follower.caughtUp || machine.stopping || machine.now.Sub(follower.lastRead) > readFresh || machine.now.Before(follower.electAt) {
+		return
+	}
+	silence := machine.now.Sub(follower.lastBatch)
+	if silence < silenceLimit && !machine.state.resigned {
+		return
+	}
+	if follower.electAt.IsZero() {
+		jitter := time.Duration(machine.config.Random.Int64N(int64(electionJitter)))
+		follower.electAt = machine.now.Add(jitter)
+		return
+	}
+	term := max(machine.state.epoch, machine.tried)>>epochRandomBits + 1
+	epoch := term<<epochRandomBits | machine.config.Random.Int64N(1<<epochRandomBits)
+	machine.tried = epoch
+	machine.role = roleCandidate
+	machine.config.Log.Record("election_started", almondcross.Number("epoch", epoch), almondcross.Millis("silence_ms", silence),
+		almondcross.Text("last_scheduler", machine.state.host), almondcross.Number("end", follower.next))
+	elected := almondcross.NewChange(almondcross.ChangeConfig{
+		Kind: almondcross.ChangeElected, Host: machine.config.Host, Address: machine.config.Address,
+	})
+	at := machine.now
+	if at.Before(machine.state.at) {
+		at = machine.state.at
+	}
+	machine.do(Commit{Request: almondcross.NewJournalCommit(almondcross.JournalCommitConfig{
+		Epoch: epoch, Sequence: 1, Election: true, ExpectedEnd: follower.next,
+		Batches: []almondcross.JournalBatch{almondcross.NewJournalBatch(almondcross.JournalBatchConfig{
+			Epoch: epoch, At: at, Changes: []almondcross.Change{elected},
+		})},
+	})})
+}
+
+// electionAnswered begins to lead or goes back to following.
+func (machine *Machine) electionAnswered(answer almondcross.JournalCommitted) {
+	if machine.role != roleCandidate || answer.Commit().Epoch() != machine.tried {
+		return
+	}
+	machine.follower.electAt = machine.now.Add(electionBackoff + time.Duration(machine.config.Random.Int64N(int64(electionJitter))))
+	if answer.Err() != nil || answer.Appended().Offset() != machine.follower.next {
+		machine.role = roleFollower
+		machine.config.Log.Record("election_lost", almondcross.Number("epoch", answer.Commit().Epoch()), almondcross.Text("reason", reason(answer.Err())))
+		if !machine.follower.reading {
+			machine.readJournal(0)
+		}
+		return
+	}
+	machine.startLeading(answer)
+}
+
+func reason(err error) string {
+	if err == nil {
+		return "the journal moved"
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/command/scheduler/leader.go
@@ -0,0 +1,371 @@
+package scheduler
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/almondcross/almondcross"
+)
+
+// leader is what a machine keeps while it schedules. It is built anew for each epoch.
+type leader struct {
+	epoch      int64
+	sequence   int64
+	since      time.Time // since is when the election was answered.
+	lastCommit time.Time // lastCommit is when the last append that succeeded was sent.
+	stoppedAt  time.Time // stoppedAt is when the end of the epoch was appended, zero before.
+
+	pending  []almondcross.Change // pending holds the changes of the next append.
+	moved    map[int]int64        // moved holds the intake offsets of the next append.
+	staged   []func()             // staged holds what follows the next append.
+	inflight *appending           // inflight is the append under way, nil for none.
+
+	snapshotAt   time.Time // snapshotAt is when the last snapshot was taken.
+	snapshotting bool
+
+	workers map[string]*worker
+	order   []*worker // order holds the workers by identity.
+	stages  []*stage  // stages holds the stages with work left whose turn has come, in placing order.
+	asked   map[almondcross.StageID]*stageAdvice
+	queued  map[almondcross.StageID]bool // queued tells which stages are in stages.
+	timed   map[almondcross.JobID]*job   // timed holds the scheduled jobs with occurrences to open.
+	dirty   bool                         // dirty tells that a placement may succeed now.
+	swept   time.Time                    // swept is when the workers were last examined.
+	shares  map[string]float64           // shares holds the learned part of workers that advice allows, by queue.
+}
+
+// appending is an append to the journal that is under way.
+type appending struct {
+	commit   almondcross.JournalCommit
+	sent     time.Time
+	staged   []func()
+	views    []viewChange
+	snapshot *almondcross.StateSnapshot
+}
+
+func (machine *Machine) startLeading(answer almondcross.JournalCommitted) {
+	machine.role = roleLeader
+	for _, batch := range answer.Commit().Batches() {
+		machine.state.applyBatch(batch)
+	}
+	machine.follower.next = answer.Appended().End()
+	machine.leader = &leader{
+		epoch: answer.Commit().Epoch(), sequence: 1, since: machine.now, lastCommit: machine.now.Add(-answer.Took()),
+		moved: map[int]int64{}, workers: map[string]*worker{}, asked: map[almondcross.StageID]*stageAdvice{},
+		queued: map[almondcross.StageID]bool{}, timed: map[almondcross.JobID]*job{}, shares: map[string]float64{},
+		snapshotAt: machine.now,
+	}
+	machine.config.Log.Record("scheduling_started", almondcross.Number("epoch", machine.leader.epoch),
+		almondcross.Number("jobs", len(machine.state.jobs)), almondcross.Millis("took_ms", answer.Took()))
+	machine.config.Meters.Elected()
+	machine.tellLeader()
+	for _, adviser := range machine.advisers {
+		adviser.busy = nil
+	}
+	machine.adopt()
+	machine.do(ReadWorkers{Query: almondcross.NewWorkersQuery(almondcross.WorkersQueryConfig{From: -1})})
+	for partition := range machine.config.Partitions {
+		machine.do(ReadIntake{Query: almondcross.NewIntakeQuery(almondcross.IntakeQueryConfig{
+			Partition: partition, From: machine.state.intake[partition],
+		})})
+	}
+}
+
+// adopt rebuilds the tables from the state: every run without a recorded end may be on its worker.
+func (machine *Machine) adopt() {
+	for _, job := range machine.state.jobs {
+		for _, stage := range job.stages {
+			for index, record := range stage.tasks {
+				if !record.Active() {
+					continue
+				}
+				worker := machine.worker(record.Worker())
+				task := almondcross.JobTask{Stage: stage.id, Index: index}
+				worker.assign(&assignment{
+					task: task, run: record.Run(), need: stage.spec.Resources(), phase: phaseUnknown, stage: stage, job: job,
+				})
+			}
+		}
+		machine.watchJob(job)
+	}
+}
+
+// stopLeading gives up the epoch and loads the state anew, since changes of this host may be missing
+// in the journal.
+func (machine *Machine) stopLeading(cause string) {
+	machine.config.Log.Record("scheduling_ended", almondcross.Number("epoch", machine.leader.epoch), almondcross.Text("reason", cause))
+	for id := range machine.leader.workers {
+		machine.do(ReleaseWorker{Worker: id})
+	}
+	machine.leader = nil
+	machine.do(Lead{})
+	machine.load(0)
+}
+
+// change applies a change and puts it into the next append.
+func (machine *Machine) change(config almondcross.ChangeConfig) {
+	machine.open()
+	change := almondcross.NewChange(config)
+	machine.state.apply(change)
+	machine.leader.pending = append(machine.leader.pending, change)
+}
+
+// open begins the next append with the present time, so that followers compute the same times.
+func (machine *Machine) open() {
+	if len(machine.leader.pending) > 0 {
+		return
+	}
+	at := machine.now.Truncate(time.Millisecond)
+	if at.Before(machine.state.at) {
+		at = machine.state.at
+	}
+	machine.state.begin(almondcross.NewJournalBatch(almondcross.JournalBatchConfig{Epoch: machine.leader.epoch, At: at}))
+}
+
+// afterCommit runs a function when all changes so far are in the journal.
+func (machine *Machine) afterCommit(follow func()) {
+	machine.leader.staged = append(machine.leader.staged, follow)
+}
+
+// lead does the due work of the scheduler.
+func (machine *Machine) lead() {
+	if machine.stopping && machine.leader.stoppedAt.IsZero() {
+		machine.leader.stoppedAt = machine.now
+		machine.change(almondcross.ChangeConfig{Kind: almondcross.ChangeResigned, Host: machine.config.Host})
+		machine.afterCommit(func() { machine.stopLeading("planned stop") })
+	}
+	if machine.now.Sub(machine.leader.swept) >= leaderTick {
+		machine.leader.swept = machine.now
+		machine.sweepWorkers()
+		machine.openOccurrences()
+	}
+	if machine.leader.dirty && machine.leader.stoppedAt.IsZero() {
+		machine.leader.dirty = false
+		machine.place()
+	}
+	machine.flush()
+}
+
+// flush sends the next append unless one is under way.
+func (machine *Machine) flush() {
+	leader := machine.leader
+	idle := len(leader.pending) == 0 && len(leader.moved) == 0 && len(leader.staged) == 0
+	if leader.inflight != nil || idle && machine.now.Sub(leader.lastCommit) < heartbeat {
+		return
+	}
+	machine.open()
+	leader.sequence++
+	inflight := &appending{sent: machine.now, staged: leader.staged, views: machine.views()}
+	var batches []almondcross.JournalBatch
+	for first := true; first || len(leader.pending) > 0; first = false {
+		count := min(len(leader.pending), batchChanges)
+		config := almondcross.JournalBatchConfig{Epoch: leader.epoch, At: machine.state.at, Changes: leader.pending[:count:count]}
+		leader.pending = leader.pending[count:]
+		if len(leader.pending) == 0 {
+			config.Intake = leader.moved
+		}
+		batches = append(batches, almondcross.NewJournalBatch(config))
+	}
+	inflight.commit = almondcross.NewJournalCommit(almondcross.JournalCommitConfig{
+		Epoch: leader.epoch, Sequence: leader.sequence, Batches: batches,
+	})
+	maps.Copy(machine.state.intake, leader.moved)
+	if !leader.snapshotting && machine.now.Sub(leader.snapshotAt) >= machine.config.Snapshots {
+		snapshot := machine.state.snapshot(0)
+		inflight.snapshot = &snapshot
+		leader.snapshotting, leader.snapshotAt = true, machine.now
+	}
+	leader.pending, leader.moved, leader.staged = nil, map[int]int64{}, nil
+	leader.inflight = inflight
+	machine.do(Commit{Request: inflight.commit})
+}
+
+// committed takes the answer to an append.
+func (machine *Machine) committed(answer almondcross.JournalCommitted) {
+	if answer.Commit().Election() {
+		machine.electionAnswered(answer)
+		return
+	}
+	leader := machine.leader
+	if leader == nil || leader.inflight == nil || answer.Commit().Epoch() != leader.epoch ||
+		answer.Commit().Sequence() != leader.inflight.commit.Sequence() {
+		return
+	}
+	switch {
+	case errors.Is(answer.Err(), almondcross.ErrStoreFenced), errors.Is(answer.Err(), almondcross.ErrStoreSequence):
+		machine.stopLeading(answer.Err().Error())
+		return
+	case answer.Err() != nil:
+		// The store takes a repeated sequence number once, so the append may be sent again whatever became of it.
+		machine.config.Meters.CommitRepeated()
+		machine.config.Log.Record("commit_repeated", almondcross.Number("sequence", leader.sequence), almondcross.Text("reason", answer.Err().Error()),
+			almondcross.Millis("age_ms", machine.now.Sub(leader.inflight.sent)))
+		leader.inflight.sent = machine.now
+		machine.do(Commit{Request: leader.inflight.commit.WithPause(retryPause)})
+		return
+	}
+	inflight := leader.inflight
+	leader.inflight = nil
+	leader.lastCommit = machine.now.Add(-answer.Took())
+	machine.follower.next = answer.Appended().End()
+	machine.config.Publisher.Refreshed(machine.now)
+	machine.publish(inflight.views)
+	if inflight.snapshot != nil {
+		machine.do(StoreSnapshot{Request: almondcross.NewSnapshotStore(almondcross.SnapshotStoreConfig{
+			Snapshot: inflight.snapshot.WithNext(answer.Appended().End()),
+		})})
+	}
+	for _, follow := range inflight.staged {
+		if machine.leader != leader {
+			return
+		}
+		follow()
+	}
+}
+
+func (machine *Machine) snapshotStored(stored almondcross.SnapshotStored) {
+	machine.leader.snapshotting = false
+	if stored.Err() != nil {
+		machine.config.Log.Record("snapshot_failed", almondcross.Number("next", stored.Next()), almondcross.Text("reason", stored.Err().Error()))
+	}
+}
+
+// intakeRead admits the jobs and cancellations that entry hosts stored.
+func (machine *Machine) intakeRead(read almondcross.IntakeRead) {
+	leader := machine.leader
+	position := machine.state.intake[read.Partition()]
+	if moved, ok := leader.moved[read.Partition()]; ok {
+		position = moved
+	}
+	if read.From() != position {
+		return // The answer belongs to an earlier epoch of this host.
+	}
+	next := read.Next()
+	pause := intakePause
+	switch {
+	case errors.Is(read.Err(), almondcross.ErrStoreTrimmed):
+		machine.config.Log.Record("intake_gap", almondcross.Number("partition", read.Partition()),
+			almondcross.Number("from", read.From()), almondcross.Number("first", next))
+	case read.Err() != nil:
+		next, pause = read.From(), retryPause
+	}
+	for _, intake := range read.Intakes() {
+		if intake.Cancel() {
+			machine.cancelJob(intake.Job())
+		} else {
+			machine.admitJob(intake.Job())
+		}
+	}
+	if next != position {
+		leader.moved[read.Partition()] = next
+	}
+	machine.do(ReadIntake{Query: almondcross.NewIntakeQuery(almondcross.IntakeQueryConfig{
+		Partition: read.Partition(), From: next, Pause: pause,
+	})})
+}
+
+func (machine *Machine) admitJob(submitted almondcross.Job) {
+	if _, known := machine.state.jobs[submitted.ID()]; known {
+		machine.config.Meters.Repeated()
+		return
+	}
+	queue, known := machine.routes.Queue(submitted.Queue())
+	if !known {
+		// The entry host that stored the job knew the queue; this host has yet to read that version,
+		// or the queue was removed since.
+		queue = almondcross.NewQueue(almondcross.QueueConfig{Name: submitted.Queue()})
+	}
+	machine.change(almondcross.ChangeConfig{Kind: almondcross.ChangeAdmit, Job: submitted, Queue: queue})
+	machine.config.Meters.Admitted(submitted.Queue())
+	machine.config.Log.Record("job_admitted", almondcross.Text("job", string(submitted.ID())), almondcross.Text("queue", submitted.Queue()),
+		almondcross.Millis("age_ms", machine.now.Sub(submitted.Submitted())), almondcross.Number("steps", len(submitted.Steps())))
+	machine.watchJob(machine.state.jobs[submitted.ID()])
+	machine.leader.dirty = true
+}
+
+func (machine *Machine) cancelJob(cancelled almondcross.Job) {
+	job := machine.state.jobs[cancelled.ID()]
+	if job != nil && job.state.Final() {
+		return
+	}
+	machine.change(almondcross.ChangeConfig{Kind: almondcross.ChangeCancel, Job: cancelled})
+	machine.config.Log.Record("job_cancelled", almondcross.Text("job", string(cancelled.ID())), almondcross.Text("known", yesNo(job != nil)))
+	machine.config.Meters.Finished(machine.state.jobs[cancelled.ID()].job.Queue(), almondcross.JobCancelled)
+	machine.jobEnded(cancelled.ID())
+}
+
+func yesNo(value bool) string {
+	if value {
+		return "yes"
+	}
+	return "no"
+}
+
+// watchJob queues the stages of a job whose turn has come.
+func (machine *Machine) watchJob(job *job) {
+	if job.state.Final() {
+		return
+	}
+	if job.opened < job.job.Occurrences() {
+		machine.leader.timed[job.job.ID()] = job
+	}
+	for _, stage := range job.stages {
+		if job.ready(stage) && !machine.leader.queued[stage.id] {
+			machine.enqueue(job, stage)
+		}
+	}
+}
+
+// enqueue puts a stage behind those that go first: by priority, then by the time of submission.
+func (machine *Machine) enqueue(job *job, added *stage) {
+	leader := machine.leader
+	leader.queued[added.id] = true
+	rank := func(stage *stage) (int, time.Time) {
+		owner := machine.state.jobs[stage.id.Job]
+		if owner == nil {
+			return 0, time.Time{}
+		}
+		return owner.queue.Priority(), owner.job.Submitted()
+	}
+	priority, submitted := job.queue.Priority(), job.job.Submitted()
+	index, _ := slices.BinarySearchFunc(leader.stages, added, func(other, _ *stage) int {
+		otherPriority, otherSubmitted := rank(other)
+		if otherPriority != priority {
+			return otherPriority - priority
+		}
+		if otherSubmitted.After(submitted) {
+			return 1
+		}
+		return -1
+	})
+	leader.stages = slices.Insert(leader.stages, index, added)
+	leader.dirty = true
+}
+
+// openOccurrences opens the occurrences of scheduled jobs that are due.
+func (machine *Machine) openOccurrences() {
+	for id, job := range machine.leader.timed {
+		if job.state.Final() || job.opened >= job.job.Occurrences() {
+			delete(machine.leader.timed, id)
+			continue
+		}
+		for job.opened < job.job.Occurrences() && !machine.now.Before(job.job.Due(job.opened)) {
+			machine.change(almondcross.ChangeConfig{Kind: almondcross.ChangeOccur, Job: job.job.WithSteps(nil).WithPayload(""), Occurrence: job.opened})
+			machine.watchJob(job)
+		}
+	}
+}
+
+// jobEnded stops what still runs of a final job.
+func (machine *Machine) jobEnded(id almondcross.JobID) {
+	for _, worker := range machine.leader.order {
+		for _, assignment := range worker.assigned {
+			if assignment.task.Stage.Job == id {
+				machine.stop(worker, assignment)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/command/scheduler/meters.go
@@ -0,0 +1,23 @@
+package scheduler
+
+import "github.com/almondcross/almondcross"
+
+// Meters counts decisions.
+type Meters interface {
+	// Elected counts an election that was won.
+	Elected()
+	// CommitRepeated counts an append that was sent again.
+	CommitRepeated()
+	// Repeated counts a job that was submitted again.
+	Repeated()
+	// Admitted counts an admitted job of a queue.
+	Admitted(queue string)
+	// Finished counts a job of a queue that became final.
+	Finished(queue string, state almondcross.JobState)
+	// Started counts a start by its result.
+	Started(result almondcross.OrderResult)
+	// Ended counts an end of a run by its kind.
+	Ended(kind almondcross.EndKind)
+	// Advised counts an answer of the advice service.
+	Advised(queue string, allowed, asked int)
+}
--- /dev/null
+++ b/command/scheduler/placement.go
@@ -0,0 +1,225 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/almondcross/almondcross"
+)
+
+// place gives work to workers, the stages in their order, and asks for the advice that is missing.
+func (machine *Machine) place() {
+	leader := machine.leader
+	kept := leader.stages[:0]
+	waiting := leader.stages
+	for _, stage := range waiting {
+		job := machine.state.jobs[stage.id.Job]
+		if job == nil || !job.ready(stage) {
+			machine.dropStage(stage)
+			continue
+		}
+		machine.placeStage(job, stage)
+		if !job.ready(stage) {
+			machine.dropStage(stage)
+			continue
+		}
+		kept = append(kept, stage)
+	}
+	clear(leader.stages[len(kept):])
+	leader.stages = kept
+}
+
+func (machine *Machine) dropStage(stage *stage) {
+	delete(machine.leader.queued, stage.id)
+	if stage.open == 0 || machine.state.jobs[stage.id.Job] == nil || machine.state.jobs[stage.id.Job].state.Final() {
+		machine.forgetAdvice(stage.id)
+	}
+}
+
+// queue returns the present form of a job's queue.
+func (machine *Machine) queue(job *job) almondcross.Queue {
+	if queue, known := machine.routes.Queue(job.job.Queue()); known {
+		return queue
+	}
+	return job.queue
+}
+
+func (machine *Machine) placeStage(job *job, stage *stage) {
+	queue := machine.queue(job)
+	if queue.Service() == "" {
+		return
+	}
+	rooms := machine.candidates(queue, stage)
+	if queue.Advice().Wanted() {
+		advice := machine.adviceOf(stage.id)
+		allowed := advice.allowed(rooms, machine.now)
+		if machine.placeAmong(job, stage, allowed) {
+			return
+		}
+		machine.requestAdvice(queue, stage, rooms)
+		return
+	}
+	machine.placeAmong(job, stage, rooms)
+}
+
+// candidates returns the usable workers on which at least one task of a stage fits.
+func (machine *Machine) candidates(queue almondcross.Queue, stage *stage) []almondcross.WorkerRoom {
+	spec := stage.spec
+	rooms := make([]almondcross.WorkerRoom, 0, len(machine.leader.order))
+	for _, worker := range machine.leader.order {
+		if !worker.usable(machine.now) || worker.worker.Pool() != queue.Service() || !worker.worker.HasLabel(spec.Label()) {
+			continue
+		}
+		count := fitting(worker.room(), spec.Resources(), spec.Count())
+		if spec.PerWorker() > 0 {
+			count = min(count, spec.PerWorker()-worker.countOf(stage.id))
+		}
+		if count <= 0 {
+			continue
+		}
+		rooms = append(rooms, almondcross.NewWorkerRoom(almondcross.WorkerRoomConfig{
+			Worker: worker.id, Rack: worker.worker.Rack(), Free: worker.room(), Capacity: worker.worker.Capacity(), Tasks: count,
+		}))
+	}
+	return rooms
+}
+
+// countOf returns how many runs of a stage the worker has.
+func (worker *worker) countOf(stage almondcross.StageID) int {
+	count := 0
+	for task := range worker.assigned {
+		if task.Stage == stage {
+			count++
+		}
+	}
+	return count
+}
+
+// fitting returns how many tasks of a need fit a room, at most a limit.
+func fitting(room, need almondcross.Resources, limit int) int {
+	count := int64(limit)
+	for _, pair := range [...][2]int64{
+		{room.MilliCPU(), need.MilliCPU()}, {room.MemoryMB(), need.MemoryMB()}, {room.Accelerators(), need.Accelerators()},
+	} {
+		if pair[1] > 0 {
+			count = min(count, max(pair[0], 0)/pair[1])
+		}
+	}
+	return int(count)
+}
+
+// placeAmong places what it can of a stage, a gang only as a whole. It reports whether nothing is left
+// to place.
+func (machine *Machine) placeAmong(job *job, stage *stage, rooms []almondcross.WorkerRoom) bool {
+	var wanted []int
+	for index, record := range stage.tasks {
+		if !record.Done() && !record.Active() {
+			wanted = append(wanted, index)
+		}
+	}
+	chosen := machine.config.Picker.Pick(almondcross.NewPickQuery(almondcross.PickQueryConfig{
+		Count: len(wanted), Need: stage.spec.Resources(), Whole: stage.spec.Gang(),
+		SameRack: stage.spec.SameRack(), Rack: stage.spec.DataRack(),
+		Waited: machine.now.Sub(job.job.Submitted()),
+	}), rooms)
+	if stage.spec.Gang() && len(chosen) < len(wanted) {
+		return false
+	}
+	run := stage.run + 1
+	for position, id := range chosen {
+		index := wanted[position]
+		if !stage.spec.Gang() {
+			run = stage.tasks[index].Run() + 1
+		}
+		machine.assign(job, stage, index, run, machine.leader.workers[id])
+	}
+	return len(chosen) == len(wanted)
+}
+
+// assign records that a run is given to a worker, and sends the start order once that is in the journal.
+func (machine *Machine) assign(job *job, stage *stage, index, run int, worker *worker) {
+	task := almondcross.JobTask{Stage: stage.id, Index: index}
+	given := &assignment{
+		task: task, run: run, need: stage.spec.Resources(), job: job, stage: stage, phase: phaseCommitting, placed: machine.now,
+	}
+	worker.assign(given)
+	machine.change(almondcross.ChangeConfig{Kind: almondcross.ChangeAssign, Task: task, Run: run, Worker: worker.id})
+	machine.config.Log.Record("run_placed", almondcross.Text("task", task.String()), almondcross.Number("run", run),
+		almondcross.Text("worker", worker.id), almondcross.Number("free_cpu", worker.room().MilliCPU()),
+		almondcross.Millis("list_age_ms", machine.now.Sub(worker.clockAt)))
+	machine.afterCommit(func() { machine.start(worker, given) })
+}
+
+// start sends the start order of a run that the journal holds.
+func (machine *Machine) start(worker *worker, given *assignment) {
+	if worker.assigned[given.task] != given || given.phase != phaseCommitting {
+		return
+	}
+	until := machine.leaseEnd(worker)
+	if given.stopping || given.job.state.Final() || until == 0 || worker.silent {
+		machine.endRun(worker, given, almondcross.EndVoid, "")
+		return
+	}
+	ticket := ""
+	if advice := machine.leader.asked[given.task.Stage]; advice != nil {
+		ticket = advice.tickets[worker.id].secret
+	}
+	record := given.stage.tasks[given.task.Index]
+	checkpoint := record.Checkpoint()
+	if given.stage.spec.Gang() {
+		checkpoint = given.stage.checkpoint
+	}
+	given.phase, given.fence = phaseSent, worker.fence
+	machine.do(SendStart{Order: almondcross.NewStartOrder(almondcross.StartOrderConfig{
+		Worker: worker.worker, Task: given.task, Run: given.run, Payload: given.job.job.Payload(), Checkpoint: checkpoint,
+		Ticket: ticket, Fence: worker.fence, Until: until,
+	})})
+}
+
+// runStarted takes the answer to a start order.
+func (machine *Machine) runStarted(answer almondcross.RunStarted) {
+	machine.config.Meters.Started(answer.Result())
+	worker := machine.leader.workers[answer.Order().Worker().ID()]
+	if worker == nil {
+		return
+	}
+	given := worker.assigned[answer.Order().Task()]
+	if given == nil || given.run != answer.Order().Run() || given.phase != phaseSent || given.fence != answer.Order().Fence() {
+		return
+	}
+	if answer.Result() != almondcross.OrderDone {
+		machine.config.Log.Record("start_refused", almondcross.Text("task", given.task.String()), almondcross.Number("run", given.run),
+			almondcross.Text("worker", worker.id), almondcross.Text("result", string(answer.Result())))
+	}
+	switch answer.Result() {
+	case almondcross.OrderDone:
+		given.phase, given.present, given.progressAt = phasePresent, answer.Received(), machine.now
+	case almondcross.OrderUnknown:
+		given.phase = phaseUnknown
+		worker.raiseFence = true
+	case almondcross.OrderFenced:
+		if answer.Order().Fence() >= worker.fence {
+			machine.stopLeading("worker " + worker.id + " has seen a higher fencing token")
+			return
+		}
+		machine.endRun(worker, given, almondcross.EndVoid, "")
+	case almondcross.OrderTicket:
+		if advice := machine.leader.asked[given.task.Stage]; advice != nil {
+			delete(advice.tickets, worker.id)
+		}
+		machine.endRun(worker, given, almondcross.EndVoid, "")
+	case almondcross.OrderUnhealthy, almondcross.OrderNotSent, almondcross.OrderReplaced:
+		worker.unhealthy = machine.now.Add(refusalPause)
+		machine.endRun(worker, given, almondcross.EndVoid, "")
+	default:
+		machine.endRun(worker, given, almondcross.EndVoid, "")
+	}
+}
+
+// refusalPause is how long a worker that refused a start gets no other one.
+const refusalPause = 500 * time.Millisecond
+
+// sortByRoom orders rooms from the most tasks to the fewest.
+func sortByRoom(rooms []almondcross.WorkerRoom) {
+	slices.SortStableFunc(rooms, func(a, b almondcross.WorkerRoom) int { return b.Tasks() - a.Tasks() })
+}
--- /dev/null
+++ b/command/scheduler/worker.go
@@ -0,0 +1,442 @@
+package scheduler
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/almondcross/almondcross"
+)
+
+// phase is what is known of a run on its worker.
+type phase int
+
+const (
+	phaseCommitting phase = iota // phaseCommitting waits for the journal; no order was sent.
+	phaseSent                    // phaseSent waits for the answer to the start order.
+	phaseUnknown                 // phaseUnknown means that the order may or may not be carried out.
+	phasePresent                 // phasePresent means that the worker has the run.
+)
+
+// assignment is one run given to a worker. It takes room until its end is recorded.
+type assignment struct {
+	task       almondcross.JobTask
+	run        int
+	need       almondcross.Resources
+	job        *job
+	stage      *stage
+	phase      phase
+	fence      int64     // fence is the fencing token of the start order.
+	placed     time.Time // placed is when the run was given to the worker.
+	present    time.Time // present is when the worker was known to have the run.
+	stopping   bool      // stopping tells that the run is no longer wanted.
+	stopAt     time.Time // stopAt is when the stop order is sent again.
+	checkpoint string    // checkpoint is the last one that the worker reported.
+	progress   int       // progress is the last reported progress in percent.
+	progressAt time.Time // progressAt is when the progress last changed.
+}
+
+// worker is what the scheduler knows of one worker.
+type worker struct {
+	id       string
+	worker   almondcross.Worker
+	listed   bool // listed tells that the worker is announced.
+	managed  bool // managed tells that its duties are open.
+	assigned map[almondcross.JobTask]*assignment
+	used     almondcross.Resources
+
+	born         int64
+	acknowledged int64         // acknowledged is the last end of this life that is in the journal.
+	clock        time.Duration // clock is the worker's clock at clockAt.
+	clockAt      time.Time     // clockAt is when the last answer came, zero for never.
+	maxUntil     time.Duration // maxUntil is the latest end of a lease that was sent, on the worker's clock.
+	fence        int64
+	raiseFence   bool // raiseFence makes the next lease order void all orders before it.
+	leasing      bool // leasing tells that a lease order is under way.
+	silent       bool // silent tells that the last lease order had no answer.
+	unhealthy    time.Time
+	failures     int // failures counts failed runs since the last success.
+}
+
+// room returns what is free on the worker.
+func (worker *worker) room() almondcross.Resources { return worker.worker.Capacity().Sub(worker.used) }
+
+func (worker *worker) assign(assignment *assignment) {
+	worker.assigned[assignment.task] = assignment
+	worker.used = worker.used.Add(assignment.need)
+}
+
+func (worker *worker) free(assignment *assignment) {
+	if worker.assigned[assignment.task] == assignment {
+		delete(worker.assigned, assignment.task)
+		worker.used = worker.used.Sub(assignment.need)
+	}
+}
+
+// usable reports whether the worker may be given new work.
+func (worker *worker) usable(now time.Time) bool {
+	return worker.listed && !worker.worker.Draining() && !worker.silent && !worker.clockAt.IsZero() &&
+		now.Sub(worker.clockAt) < contactLimit && !now.Before(worker.unhealthy)
+}
+
+// clockNow returns an estimate of the worker's clock that is never ahead of it by more than its slack.
+func (worker *worker) clockNow(now time.Time) time.Duration {
+	return worker.clock + now.Sub(worker.clockAt)
+}
+
+// lostAt returns when everything on a silent worker has ended for lack of a lease.
+func (worker *worker) lostAt(leader *leader) time.Time {
+	if worker.clockAt.IsZero() {
+		// An earlier scheduler may have extended the lease until it noticed that it had been replaced.
+		return leader.since.Add(leadershipLimit + stretch(leaseLength) + lossMargin)
+	}
+	return worker.clockAt.Add(stretch(max(worker.maxUntil-worker.clock, leaseLength)) + lossMargin)
+}
+
+// stretch returns how long a span on the slowest worker clock lasts.
+func stretch(span time.Duration) time.Duration {
+	return time.Duration(float64(span) / (1 - clockSlack))
+}
+
+// worker returns the entry of a worker, a new one when it is not known.
+func (machine *Machine) worker(id string) *worker {
+	leader := machine.leader
+	if known := leader.workers[id]; known != nil {
+		return known
+	}
+	added := &worker{id: id, assigned: map[almondcross.JobTask]*assignment{}, fence: leader.epoch << fenceCounterBits}
+	leader.workers[id] = added
+	index, _ := slices.BinarySearchFunc(leader.order, added, func(a, b *worker) int { return strings.Compare(a.id, b.id) })
+	leader.order = slices.Insert(leader.order, index, added)
+	return added
+}
+
+// workersRead takes changes of the announced workers.
+func (machine *Machine) workersRead(read almondcross.WorkersRead) {
+	query := almondcross.WorkersQueryConfig{From: read.Next(), Pause: workersPause}
+	if read.Err() != nil {
+		query.Pause = retryPause
+		if errors.Is(read.Err(), almondcross.ErrStoreTrimmed) {
+			query.From = -1
+		}
+		machine.do(ReadWorkers{Query: almondcross.NewWorkersQuery(query)})
+		return
+	}
+	seen := map[string]bool{}
+	for _, change := range read.Changes() {
+		seen[change.ID()] = change.Present()
+		machine.workerChanged(change)
+	}
+	if read.Whole() {
+		for id, known := range machine.leader.workers {
+			if known.listed && !seen[id] {
+				machine.workerChanged(almondcross.NewWorkerChange(almondcross.WorkerChangeConfig{ID: id}))
+			}
+		}
+	}
+	machine.do(ReadWorkers{Query: almondcross.NewWorkersQuery(query)})
+}
+
+func (machine *Machine) workerChanged(change almondcross.WorkerChange) {
+	if !change.Present() {
+		if known := machine.leader.workers[change.ID()]; known != nil && known.listed {
+			known.listed = false
+			machine.config.Log.Record("worker_unlisted", almondcross.Text("worker", change.ID()), almondcross.Number("runs", len(known.assigned)))
+		}
+		return
+	}
+	entry := machine.worker(change.ID())
+	if entry.listed && entry.worker.Draining() != change.Worker().Draining() {
+		machine.config.Log.Record("worker_draining", almondcross.Text("worker", entry.id), almondcross.Text("draining", yesNo(change.Worker().Draining())))
+	}
+	if !entry.listed {
+		machine.config.Log.Record("worker_listed", almondcross.Text("worker", entry.id), almondcross.Text("address", change.Worker().Address()),
+			almondcross.Text("rack", change.Worker().Rack()))
+	}
+	moved := entry.worker.Address() != change.Worker().Address()
+	entry.worker, entry.listed = change.Worker(), true
+	if !entry.managed || moved {
+		entry.managed = true
+		machine.do(ManageWorker{Worker: entry.worker})
+	}
+	if !entry.leasing {
+		machine.lease(entry, 0, 0)
+	}
+	machine.leader.dirty = true
+}
+
+// lease sends the next lease order of a worker.
+func (machine *Machine) lease(worker *worker, wait, pause time.Duration) {
+	if !worker.managed {
+		return
+	}
+	if worker.raiseFence {
+		worker.fence++
+		worker.raiseFence = false
+	}
+	worker.leasing = true
+	machine.do(SendLease{Pause: pause, Order: almondcross.NewLeaseOrder(almondcross.LeaseOrderConfig{
+		Worker: worker.worker, Fence: worker.fence, Acknowledged: worker.acknowledged,
+		Until: machine.leaseEnd(worker), Wait: wait,
+	})})
+}
+
+// leaseEnd returns the end of a lease on the worker's clock, 0 when it must not be extended.
+func (machine *Machine) leaseEnd(worker *worker) time.Duration {
+	leader := machine.leader
+	if worker.clockAt.IsZero() || machine.now.Sub(worker.clockAt) > extendLimit || machine.now.Sub(leader.lastCommit) > leadershipLimit {
+		return 0
+	}
+	until := worker.clockNow(machine.now) + min(leaseLength, machine.config.MaxLease)
+	worker.maxUntil = max(worker.maxUntil, until)
+	return until
+}
+
+// leaseAnswered takes what a worker holds and sends the next lease order.
+func (machine *Machine) leaseAnswered(answer almondcross.LeaseAnswered) {
+	worker := machine.leader.workers[answer.Order().Worker().ID()]
+	if worker == nil || answer.Order().Fence()>>fenceCounterBits != machine.leader.epoch {
+		return
+	}
+	worker.leasing = false
+	switch {
+	case answer.Result() == almondcross.OrderFenced && answer.Order().Fence() >= worker.fence:
+		machine.stopLeading("worker " + worker.id + " has seen a higher fencing token")
+		return
+	case answer.Result() != almondcross.OrderDone:
+		if !worker.silent {
+			worker.silent = true
+			machine.config.Log.Record("worker_lost_contact", almondcross.Text("worker", worker.id), almondcross.Text("result", string(answer.Result())),
+				almondcross.Millis("age_ms", machine.now.Sub(worker.clockAt)), almondcross.Number("runs", len(worker.assigned)))
+		}
+		worker.raiseFence = true
+		machine.lease(worker, 0, leaseRetry)
+		return
+	}
+	if worker.silent {
+		worker.silent = false
+		machine.config.Log.Record("worker_regained", almondcross.Text("worker", worker.id))
+	}
+	machine.takeList(worker, answer)
+}
+
+// takeList compares what a worker holds with what it was given.
+func (machine *Machine) takeList(worker *worker, answer almondcross.LeaseAnswered) {
+	list := answer.List()
+	if worker.born != list.Born() {
+		if worker.born != 0 {
+			machine.config.Log.Record("worker_restarted", almondcross.Text("worker", worker.id), almondcross.Number("runs", len(worker.assigned)))
+		}
+		machine.newLife(worker, list.Born())
+	}
+	worker.clock, worker.clockAt = list.Clock(), answer.Received()
+	machine.leader.dirty = true
+	listed := map[almondcross.JobTask]bool{}
+	acknowledged := worker.acknowledged
+	for _, end := range list.Ended() {
+		acknowledged = max(acknowledged, end.Sequence())
+		if known := worker.assigned[end.Task()]; known != nil && known.run == end.Run() {
+			machine.endRun(worker, known, end.Kind(), end.Checkpoint())
+		}
+	}
+	for _, running := range list.Running() {
+		known := worker.assigned[running.Task()]
+		if known == nil || known.run != running.Run() {
+			machine.stopStray(worker, running)
+			continue
+		}
+		listed[running.Task()] = true
+		machine.runPresent(known, running)
+	}
+	if len(list.Ended()) < listLimit {
+		machine.voidMissing(worker, answer, listed)
+	}
+	urgent := worker.raiseFence
+	if acknowledged == worker.acknowledged {
+		wait := leaseWait
+		if urgent {
+			wait = 0
+		}
+		machine.lease(worker, wait, 0)
+		return
+	}
+	epoch, born := machine.leader.epoch, worker.born
+	machine.afterCommit(func() {
+		if machine.leader != nil && machine.leader.epoch == epoch && worker.born == born {
+			worker.acknowledged = max(worker.acknowledged, acknowledged)
+		}
+		machine.lease(worker, leaseWait, leasePause)
+	})
+}
+
+// newLife forgets what belonged to the earlier life of a worker. Orders sent to it may still be
+// carried out by the new one, so they are settled only by a list with a higher fence.
+func (machine *Machine) newLife(worker *worker, born int64) {
+	if worker.born != 0 {
+		for _, assignment := range worker.assigned {
+			if assignment.phase != phaseCommitting {
+				assignment.phase = phaseUnknown
+			}
+		}
+		worker.raiseFence = true
+	}
+	worker.born, worker.acknowledged, worker.maxUntil, worker.failures = born, 0, 0, 0
+}
+
+func (machine *Machine) runPresent(known *assignment, running almondcross.RunningTask) {
+	if known.phase != phasePresent {
+		known.phase, known.present = phasePresent, machine.now
+		known.progressAt = machine.now
+	}
+	if running.Checkpoint() != "" {
+		known.checkpoint = running.Checkpoint()
+	}
+	if running.Progress() != known.progress {
+		known.progress, known.progressAt = running.Progress(), machine.now
+	}
+}
+
+// voidMissing ends the runs that a worker certainly does not have: it had the run before the list was
+// asked for, or its fence shuts out the order that was not answered.
+func (machine *Machine) voidMissing(worker *worker, answer almondcross.LeaseAnswered, listed map[almondcross.JobTask]bool) {
+	for _, assignment := range slices.Collect(maps.Values(worker.assigned)) {
+		if listed[assignment.task] {
+			continue
+		}
+		gone := assignment.phase == phasePresent && assignment.present.Before(answer.Sent()) ||
+			assignment.phase == phaseUnknown && assignment.fence < answer.Order().Fence()
+		if gone {
+			machine.endRun(worker, assignment, almondcross.EndVoid, assignment.checkpoint)
+		}
+	}
+}
+
+// stopStray stops a run that the worker was not given by this scheduler's state.
+func (machine *Machine) stopStray(worker *worker, running almondcross.RunningTask) {
+	machine.config.Log.Record("stray_run", almondcross.Text("worker", worker.id), almondcross.Text("task", running.Task().String()),
+		almondcross.Number("run", running.Run()))
+	machine.do(SendStop{Order: almondcross.NewStopOrder(almondcross.StopOrderConfig{
+		Worker: worker.worker, Task: running.Task(), Run: running.Run(), Fence: worker.fence,
+	})})
+}
+
+// stop orders the end of a run that is no longer wanted.
+func (machine *Machine) stop(worker *worker, assignment *assignment) {
+	assignment.stopping = true
+	if assignment.phase == phaseCommitting {
+		return
+	}
+	assignment.stopAt = machine.now.Add(stopRetry)
+	machine.afterCommit(func() {
+		if worker.assigned[assignment.task] != assignment {
+			return
+		}
+		machine.do(SendStop{Order: almondcross.NewStopOrder(almondcross.StopOrderConfig{
+			Worker: worker.worker, Task: assignment.task, Run: assignment.run, Fence: worker.fence,
+		})})
+	})
+}
+
+func (machine *Machine) runStopped(answer almondcross.RunStopped) {
+	worker := machine.leader.workers[answer.Order().Worker().ID()]
+	if worker == nil {
+		return
+	}
+	known := worker.assigned[answer.Order().Task()]
+	if known != nil && known.run == answer.Order().Run() && answer.Result() != almondcross.OrderDone {
+		worker.raiseFence = true
+	}
+}
+
+// endRun records the end of a run and frees its room.
+func (machine *Machine) endRun(worker *worker, assignment *assignment, kind almondcross.EndKind, checkpoint string) {
+	worker.free(assignment)
+	task := assignment.task
+	over := assignment.job.state.Final()
+	machine.change(almondcross.ChangeConfig{
+		Kind: almondcross.ChangeEnd, Task: task, Run: assignment.run, End: kind, Checkpoint: checkpoint, Worker: worker.id,
+	})
+	machine.config.Meters.Ended(kind)
+	machine.config.Log.Record("run_ended", almondcross.Text("task", task.String()), almondcross.Number("run", assignment.run),
+		almondcross.Text("worker", worker.id), almondcross.Text("end", string(kind)), almondcross.Millis("after_ms", machine.now.Sub(assignment.placed)))
+	machine.judge(worker, kind)
+	job := assignment.job
+	if job.state.Final() {
+		if !over {
+			machine.finished(job)
+		}
+		return
+	}
+	if assignment.stage.spec.Gang() && assignment.stage.open > 0 {
+		machine.stopMembers(assignment.stage)
+	}
+	machine.watchJob(job)
+	machine.leader.dirty = true
+}
+
+// finished tells the end of a job once and stops what still runs of it.
+func (machine *Machine) finished(job *job) {
+	if job.active > 0 {
+		machine.jobEnded(job.job.ID())
+	}
+	delete(machine.leader.timed, job.job.ID())
+	machine.config.Log.Record("job_finished", almondcross.Text("job", string(job.job.ID())), almondcross.Text("state", string(job.state)),
+		almondcross.Millis("after_ms", machine.now.Sub(job.job.Submitted())))
+	machine.config.Meters.Finished(job.job.Queue(), job.state)
+}
+
+// stopMembers stops the members of a gang whose run cannot succeed any more.
+func (machine *Machine) stopMembers(broken *stage) {
+	for index, record := range broken.tasks {
+		if !record.Active() {
+			continue
+		}
+		worker := machine.leader.workers[record.Worker()]
+		if worker == nil {
+			continue
+		}
+		if member := worker.assigned[almondcross.JobTask{Stage: broken.id, Index: index}]; member != nil && !member.stopping {
+			machine.stop(worker, member)
+		}
+	}
+}
+
+// judge keeps work away for a while from a worker on which run after run fails.
+func (machine *Machine) judge(worker *worker, kind almondcross.EndKind) {
+	switch kind {
+	case almondcross.EndDone:
+		worker.failures = 0
+	case almondcross.EndFailed:
+		worker.failures++
+		if worker.failures >= failureLimit {
+			worker.unhealthy = machine.now.Add(time.Duration(worker.failures) * failurePause)
+			machine.config.Log.Record("worker_avoided", almondcross.Text("worker", worker.id), almondcross.Number("failures", worker.failures))
+		}
+	default:
+	}
+}
+
+// sweepWorkers repeats what was not answered and takes the runs of silent workers for gone.
+func (machine *Machine) sweepWorkers() {
+	for _, worker := range slices.Clone(machine.leader.order) {
+		lost := (worker.silent || worker.clockAt.IsZero()) && machine.now.After(worker.lostAt(machine.leader))
+		for _, assignment := range slices.Collect(maps.Values(worker.assigned)) {
+			switch {
+			case lost && assignment.phase != phaseCommitting:
+				machine.endRun(worker, assignment, almondcross.EndVoid, assignment.checkpoint)
+			case assignment.stopping && assignment.phase != phaseCommitting && !machine.now.Before(assignment.stopAt) && worker.managed:
+				machine.stop(worker, assignment)
+			}
+		}
+		if !worker.listed && len(worker.assigned) == 0 && machine.now.Sub(worker.clockAt) > forgetWorker && machine.now.Sub(machine.leader.since) > forgetWorker {
+			machine.do(ReleaseWorker{Worker: worker.id})
+			delete(machine.leader.workers, worker.id)
+			machine.leader.order = slices.DeleteFunc(machine.leader.order, worker.is)
+		}
+	}
+}
+
+func (worker *worker) is(other *worker) bool { return worker == other }
--- a/configurator/configurator_test.go
+++ b/configurator/configurator_test.go
@@ -101,7 +101,7 @@
 		{"memory unit", workerFile, `"32GB"`, `"32GiB"`, `f:4: capacity.memory: found "32GiB"; allowed: an amount with unit (MB, GB, TB) from 1MB to 64TB`},
 		{"fraction", workerFile, `16000`, `1.5`, `f:4: capacity.milli_cpu: found 1.5; allowed: a whole number from 1 to 1000000`},
 		{"retention", platformFile, `"1h"`, `"1s"`, `f:1: retention: found 1s; allowed: more than lag, 1s`},
-		{"role", platformFile, `"platform"`, `"plattform"`, `f:1: role: found "plattform"; allowed: one of entry, platform, worker`},
+		{"role", platformFile, `"platform"`, `"plattform"`, `f:1: role: found "plattform"; allowed: one of entry, platform, worker, scheduler`},
 		{"nesting", platformFile, `"1h"`, strings.Repeat("[", 100), `f:1: document: found more than 64 nested brackets; allowed: less nesting`},
 	} {
 		t.Run(row.name, func(t *testing.T) {
--- a/configurator/page.go
+++ b/configurator/page.go
@@ -24,6 +24,7 @@
 	table(&page, "Platform stand-in (`role`: `platform`)", platformFields)
 	table(&page, "Worker stand-in (`role`: `worker`)", workerFields)
 	table(&page, "`capacity` of a worker", capacityFields)
+	table(&page, "Host on the users' platform (`role`: `scheduler`)", schedulerFields)
 	return page.String()
 }
 
--- a/configurator/read.go
+++ b/configurator/read.go
@@ -46,6 +46,9 @@
 // LoadWorker reads the settings file of the stand-in for a worker.
 func LoadWorker(path string) (WorkerSettings, error) { return load(path, ParseWorker) }
 
+// LoadScheduler reads the settings file of a host that serves jobs on the users' platform.
+func LoadScheduler(path string) (SchedulerSettings, error) { return load(path, ParseScheduler) }
+
 func load[T any](path string, parse func(string, []byte) (T, error)) (T, error) {
 	source, err := read(path)
 	if err != nil {
@@ -70,7 +73,7 @@
 	if err != nil {
 		return "", err
 	}
-	word, err := parser.Word(node, "role", []Role{RoleEntry, RolePlatform, RoleWorker})
+	word, err := parser.Word(node, "role", []Role{RoleEntry, RolePlatform, RoleWorker, RoleScheduler})
 	if err != nil {
 		return "", err
 	}
@@ -79,6 +82,8 @@
 		_, err = ParsePlatform(file, source)
 	case RoleWorker:
 		_, err = ParseWorker(file, source)
+	case RoleScheduler:
+		_, err = ParseScheduler(file, source)
 	default:
 		_, err = ParseEntry(file, source)
 	}
--- a/configurator/values.go
+++ b/configurator/values.go
@@ -20,6 +20,8 @@
 	RoleEntry    Role = "entry"    // RoleEntry is an entry host.
 	RolePlatform Role = "platform" // RolePlatform is the stand-in for the platform.
 	RoleWorker   Role = "worker"   // RoleWorker is the stand-in for a worker.
+	// RoleScheduler is a host that serves jobs on the users' platform.
+	RoleScheduler Role = "scheduler"
 )
 
 // LogFormat is the format of log lines.
@@ -111,3 +113,27 @@
 	usageLag        time.Duration // the age of the use that the worker reports
 	logFormat       LogFormat     // the format of log lines
 }
+
+// SchedulerSettings are the settings of a host that serves jobs on the users' platform.
+//
+//value:generate
+type SchedulerSettings struct {
+	name            string        // the name of the host, unique in the cell
+	dataCentre      string        // the data centre of the host
+	region          string        // the region of the data centre
+	callersListen   string        // the address on which callers are served
+	readyListen     string        // the address on which the balancer asks whether the host is ready
+	metricsListen   string        // the address on which metrics are served
+	linkListen      string        // the address on which the links of other hosts are served
+	storeAddress    string        // the address of the platform's store
+	storePartitions int           // the number of partitions of a topic of the store
+	storeRecord     int           // the largest record of the store in bytes
+	storeRetention  time.Duration // the time for which the store keeps a record
+	adviceAddress   string        // the address of the advice service, empty when there is none
+	machinesAddress string        // the address of the service that moves and mends machines, empty when there is none
+	stateRetention  time.Duration // the time for which the state of a finished job stays readable
+	maxLease        time.Duration // the longest lease that workers grant
+	stopGrace       time.Duration // the time after which a process that was asked to stop is killed
+	memoryMB        int           // the memory that the process may use in megabytes
+	logLines        int           // the most log lines that wait to be written; further ones are counted and left out
+}
--- a/configurator/values_generated.go
+++ b/configurator/values_generated.go
@@ -555,3 +555,255 @@
 	workersettings.logFormat = logFormat
 	return workersettings
 }
+
+// SchedulerSettingsConfig holds the fields of a new SchedulerSettings.
+type SchedulerSettingsConfig struct {
+	Name            string
+	DataCentre      string
+	Region          string
+	CallersListen   string
+	ReadyListen     string
+	MetricsListen   string
+	LinkListen      string
+	StoreAddress    string
+	StorePartitions int
+	StoreRecord     int
+	StoreRetention  time.Duration
+	AdviceAddress   string
+	MachinesAddress string
+	StateRetention  time.Duration
+	MaxLease        time.Duration
+	StopGrace       time.Duration
+	MemoryMB        int
+	LogLines        int
+}
+
+// NewSchedulerSettings returns a SchedulerSettings with the given fields.
+func NewSchedulerSettings(config SchedulerSettingsConfig) SchedulerSettings {
+	return SchedulerSettings{
+		name:            config.Name,
+		dataCentre:      config.DataCentre,
+		region:          config.Region,
+		callersListen:   config.CallersListen,
+		readyListen:     config.ReadyListen,
+		metricsListen:   config.MetricsListen,
+		linkListen:      config.LinkListen,
+		storeAddress:    config.StoreAddress,
+		storePartitions: config.StorePartitions,
+		storeRecord:     config.StoreRecord,
+		storeRetention:  config.StoreRetention,
+		adviceAddress:   config.AdviceAddress,
+		machinesAddress: config.MachinesAddress,
+		stateRetention:  config.StateRetention,
+		maxLease:        config.MaxLease,
+		stopGrace:       config.StopGrace,
+		memoryMB:        config.MemoryMB,
+		logLines:        config.LogLines,
+	}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (schedulersettings SchedulerSettings) Config() SchedulerSettingsConfig {
+	return SchedulerSettingsConfig{
+		Name:            schedulersettings.name,
+		DataCentre:      schedulersettings.dataCentre,
+		Region:          schedulersettings.region,
+		CallersListen:   schedulersettings.callersListen,
+		ReadyListen:     schedulersettings.readyListen,
+		MetricsListen:   schedulersettings.metricsListen,
+		LinkListen:      schedulersettings.linkListen,
+		StoreAddress:    schedulersettings.storeAddress,
+		StorePartitions: schedulersettings.storePartitions,
+		StoreRecord:     schedulersettings.storeRecord,
+		StoreRetention:  schedulersettings.storeRetention,
+		AdviceAddress:   schedulersettings.adviceAddress,
+		MachinesAddress: schedulersettings.machinesAddress,
+		StateRetention:  schedulersettings.stateRetention,
+		MaxLease:        schedulersettings.maxLease,
+		StopGrace:       schedulersettings.stopGrace,
+		MemoryMB:        schedulersettings.memoryMB,
+		LogLines:        schedulersettings.logLines,
+	}
+}
+
+// Name returns the name of the host, unique in the cell.
+func (schedulersettings SchedulerSettings) Name() string { return schedulersettings.name }
+
+// WithName returns a copy with the given name.
+func (schedulersettings SchedulerSettings) WithName(name string) SchedulerSettings {
+	schedulersettings.name = name
+	return schedulersettings
+}
+
+// DataCentre returns the data centre of the host.
+func (schedulersettings SchedulerSettings) DataCentre() string { return schedulersettings.dataCentre }
+
+// WithDataCentre returns a copy with the given dataCentre.
+func (schedulersettings SchedulerSettings) WithDataCentre(dataCentre string) SchedulerSettings {
+	schedulersettings.dataCentre = dataCentre
+	return schedulersettings
+}
+
+// Region returns the region of the data centre.
+func (schedulersettings SchedulerSettings) Region() string { return schedulersettings.region }
+
+// WithRegion returns a copy with the given region.
+func (schedulersettings SchedulerSettings) WithRegion(region string) SchedulerSettings {
+	schedulersettings.region = region
+	return schedulersettings
+}
+
+// CallersListen returns the address on which callers are served.
+func (schedulersettings SchedulerSettings) CallersListen() string {
+	return schedulersettings.callersListen
+}
+
+// WithCallersListen returns a copy with the given callersListen.
+func (schedulersettings SchedulerSettings) WithCallersListen(callersListen string) SchedulerSettings {
+	schedulersettings.callersListen = callersListen
+	return schedulersettings
+}
+
+// ReadyListen returns the address on which the balancer asks whether the host is ready.
+func (schedulersettings SchedulerSettings) ReadyListen() string { return schedulersettings.readyListen }
+
+// WithReadyListen returns a copy with the given readyListen.
+func (schedulersettings SchedulerSettings) WithReadyListen(readyListen string) SchedulerSettings {
+	schedulersettings.readyListen = readyListen
+	return schedulersettings
+}
+
+// MetricsListen returns the address on which metrics are served.
+func (schedulersettings SchedulerSettings) MetricsListen() string {
+	return schedulersettings.metricsListen
+}
+
+// WithMetricsListen returns a copy with the given metricsListen.
+func (schedulersettings SchedulerSettings) WithMetricsListen(metricsListen string) SchedulerSettings {
+	schedulersettings.metricsListen = metricsListen
+	return schedulersettings
+}
+
+// LinkListen returns the address on which the links of other hosts are served.
+func (schedulersettings SchedulerSettings) LinkListen() string { return schedulersettings.linkListen }
+
+// WithLinkListen returns a copy with the given linkListen.
+func (schedulersettings SchedulerSettings) WithLinkListen(linkListen string) SchedulerSettings {
+	schedulersettings.linkListen = linkListen
+	return schedulersettings
+}
+
+// StoreAddress returns the address of the platform's store.
+func (schedulersettings SchedulerSettings) StoreAddress() string {
+	return schedulersettings.storeAddress
+}
+
+// WithStoreAddress returns a copy with the given storeAddress.
+func (schedulersettings SchedulerSettings) WithStoreAddress(storeAddress string) SchedulerSettings {
+	schedulersettings.storeAddress = storeAddress
+	return schedulersettings
+}
+
+// StorePartitions returns the number of partitions of a topic of the store.
+func (schedulersettings SchedulerSettings) StorePartitions() int {
+	return schedulersettings.storePartitions
+}
+
+// WithStorePartitions returns a copy with the given storePartitions.
+func (schedulersettings SchedulerSettings) WithStorePartitions(storePartitions int) SchedulerSettings {
+	schedulersettings.storePartitions = storePartitions
+	return schedulersettings
+}
+
+// StoreRecord returns the largest record of the store in bytes.
+func (schedulersettings SchedulerSettings) StoreRecord() int { return schedulersettings.storeRecord }
+
+// WithStoreRecord returns a copy with the given storeRecord.
+func (schedulersettings SchedulerSettings) WithStoreRecord(storeRecord int) SchedulerSettings {
+	schedulersettings.storeRecord = storeRecord
+	return schedulersettings
+}
+
+// StoreRetention returns the time for which the store keeps a record.
+func (schedulersettings SchedulerSettings) StoreRetention() time.Duration {
+	return schedulersettings.storeRetention
+}
+
+// WithStoreRetention returns a copy with the given storeRetention.
+func (schedulersettings SchedulerSettings) WithStoreRetention(storeRetention time.Duration) SchedulerSettings {
+	schedulersettings.storeRetention = storeRetention
+	return schedulersettings
+}
+
+// AdviceAddress returns the address of the advice service, empty when there is none.
+func (schedulersettings SchedulerSettings) AdviceAddress() string {
+	return schedulersettings.adviceAddress
+}
+
+// WithAdviceAddress returns a copy with the given adviceAddress.
+func (schedulersettings SchedulerSettings) WithAdviceAddress(adviceAddress string) SchedulerSettings {
+	schedulersettings.adviceAddress = adviceAddress
+	return schedulersettings
+}
+
+// MachinesAddress returns the address of the service that moves and mends machines, empty when there is none.
+func (schedulersettings SchedulerSettings) MachinesAddress() string {
+	return schedulersettings.machinesAddress
+}
+
+// WithMachinesAddress returns a copy with the given machinesAddress.
+func (schedulersettings SchedulerSettings) WithMachinesAddress(machinesAddress string) SchedulerSettings {
+	schedulersettings.machinesAddress = machinesAddress
+	return schedulersettings
+}
+
+// StateRetention returns the time for which the state of a finished job stays readable.
+func (schedulersettings SchedulerSettings) StateRetention() time.Duration {
+	return schedulersettings.stateRetention
+}
+
+// WithStateRetention returns a copy with the given stateRetention.
+func (schedulersettings SchedulerSettings) WithStateRetention(stateRetention time.Duration) SchedulerSettings {
+	schedulersettings.stateRetention = stateRetention
+	return schedulersettings
+}
+
+// MaxLease returns the longest lease that workers grant.
+func (schedulersettings SchedulerSettings) MaxLease() time.Duration {
+	return schedulersettings.maxLease
+}
+
+// WithMaxLease returns a copy with the given maxLease.
+func (schedulersettings SchedulerSettings) WithMaxLease(maxLease time.Duration) SchedulerSettings {
+	schedulersettings.maxLease = maxLease
+	return schedulersettings
+}
+
+// StopGrace returns the time after which a process that was asked to stop is killed.
+func (schedulersettings SchedulerSettings) StopGrace() time.Duration {
+	return schedulersettings.stopGrace
+}
+
+// WithStopGrace returns a copy with the given stopGrace.
+func (schedulersettings SchedulerSettings) WithStopGrace(stopGrace time.Duration) SchedulerSettings {
+	schedulersettings.stopGrace = stopGrace
+	return schedulersettings
+}
+
+// MemoryMB returns the memory that the process may use in megabytes.
+func (schedulersettings SchedulerSettings) MemoryMB() int { return schedulersettings.memoryMB }
+
+// WithMemoryMB returns a copy with the given memoryMB.
+func (schedulersettings SchedulerSettings) WithMemoryMB(memoryMB int) SchedulerSettings {
+	schedulersettings.memoryMB = memoryMB
+	return schedulersettings
+}
+
+// LogLines returns the most log lines that wait to be written; further ones are counted and left out.
+func (schedulersettings SchedulerSettings) LogLines() int { return schedulersettings.logLines }
+
+// WithLogLines returns a copy with the given logLines.
+func (schedulersettings SchedulerSettings) WithLogLines(logLines int) SchedulerSettings {
+	schedulersettings.logLines = logLines
+	return schedulersettings
+}
--- /dev/null
+++ b/encoder/journal.go
@@ -0,0 +1,396 @@
+package encoder
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/almondcross/almondcross"
+)
+
+// The stored forms of the journal. Arrays keep the records small; fields are only ever appended.
+type wireStep struct {
+	_                                struct{} `cbor:",toarray"`
+	Count, PerWorker, MayMiss        int
+	MilliCPU, MemoryMB, Accelerators int64
+	EstimateMS, LatencyLimitMS       int64
+	After                            []int
+	Checkpoints, Gang, SameRack      bool
+	Speculative, Service, Fills      bool
+	Label, DataRack, Image           string
+}
+
+type wireJob struct {
+	_                              struct{} `cbor:",toarray"`
+	ID, Queue, Payload             string
+	Steps                          []wireStep
+	Runs                           int
+	FirstMS, PeriodMS, SubmittedMS int64
+}
+
+type wireQueue struct {
+	_                            struct{} `cbor:",toarray"`
+	Name, Host, Prefix, Service  string
+	Priority, MaxAttempts        int
+	Stretch                      float64
+	LatencyTargetMS              int64
+	Advice                       bool
+	AdviceBaseUS, AdviceWorkerUS int64
+	AdviceValidityMS             int64
+}
+
+type wireJobTask struct {
+	_                       struct{} `cbor:",toarray"`
+	Job                     string
+	Occurrence, Step, Index int
+}
+
+type wireStateChange struct {
+	_                       struct{} `cbor:",toarray"`
+	Kind                    almondcross.ChangeKind
+	Job                     *wireJob
+	Queue                   *wireQueue
+	Task                    *wireJobTask
+	Run                     int
+	Worker, End, Checkpoint string
+	Occurrence              int
+	Host, Address           string
+}
+
+type wireBatch struct {
+	_       struct{} `cbor:",toarray"`
+	Epoch   int64
+	AtMS    int64
+	Intake  map[int]int64
+	Changes []wireStateChange
+}
+
+type wireIntake struct {
+	_      struct{} `cbor:",toarray"`
+	Job    wireJob
+	Cancel bool
+}
+
+type wireTaskRecord struct {
+	_                  struct{} `cbor:",toarray"`
+	Done, Active       bool
+	Run, Failures      int
+	Worker, Checkpoint string
+}
+
+type wireStageRecord struct {
+	_                        struct{} `cbor:",toarray"`
+	Occurrence, Step         int
+	Run, Failures, FailedRun int
+	Checkpoint               string
+	Tasks                    []wireTaskRecord
+}
+
+type wireJobRecord struct {
+	_          struct{} `cbor:",toarray"`
+	Job        wireJob
+	Queue      wireQueue
+	State      almondcross.JobState
+	FinishedMS int64
+	Opened     int
+	Stages     []wireStageRecord
+}
+
+type wireSnapshotPart struct {
+	_             struct{} `cbor:",toarray"`
+	Next          int64
+	Part, Parts   int
+	Epoch, AtMS   int64
+	Host, Address string
+	Intake        map[int]int64
+	Jobs          []wireJobRecord
+}
+
+func toMillis(at time.Time) int64 {
+	if at.IsZero() {
+		return 0
+	}
+	return at.UnixMilli()
+}
+
+func fromMillis(millis int64) time.Time {
+	if millis == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(millis)
+}
+
+func toStep(step almondcross.Step) wireStep {
+	config := step.Config()
+	return wireStep{
+		Count: config.Count, PerWorker: config.PerWorker, MayMiss: config.MayMiss,
+		MilliCPU: config.Resources.MilliCPU(), MemoryMB: config.Resources.MemoryMB(), Accelerators: config.Resources.Accelerators(),
+		EstimateMS: config.Estimate.Milliseconds(), LatencyLimitMS: config.LatencyLimit.Milliseconds(), After: config.After,
+		Checkpoints: config.Checkpoints, Gang: config.Gang, SameRack: config.SameRack, Speculative: config.Speculative,
+		Service: config.Service, Fills: config.Fills, Label: config.Label, DataRack: config.DataRack, Image: config.Image,
+	}
+}
+
+func (wirestep wireStep) value() almondcross.Step {
+	return almondcross.NewStep(almondcross.StepConfig{
+		Count: wirestep.Count,
+		Resources: almondcross.NewResources(almondcross.ResourcesConfig{
+			MilliCPU: wirestep.MilliCPU, MemoryMB: wirestep.MemoryMB, Accelerators: wirestep.Accelerators,
+		}),
+		Estimate: time.Duration(wirestep.EstimateMS) * time.Millisecond, After: wirestep.After, Checkpoints: wirestep.Checkpoints,
+		Gang: wirestep.Gang, SameRack: wirestep.SameRack, Label: wirestep.Label, DataRack: wirestep.DataRack,
+		PerWorker: wirestep.PerWorker, Speculative: wirestep.Speculative, Service: wirestep.Service, Image: wirestep.Image,
+		LatencyLimit: time.Duration(wirestep.LatencyLimitMS) * time.Millisecond, Fills: wirestep.Fills, MayMiss: wirestep.MayMiss,
+	})
+}
+
+func toJob(job almondcross.Job) wireJob {
+	steps := make([]wireStep, len(job.Steps()))
+	for index, step := range job.Steps() {
+		steps[index] = toStep(step)
+	}
+	return wireJob{
+		ID: string(job.ID()), Queue: job.Queue(), Payload: job.Payload(), Steps: steps, Runs: job.Runs(),
+		FirstMS: toMillis(job.First()), PeriodMS: job.Period().Milliseconds(), SubmittedMS: toMillis(job.Submitted()),
+	}
+}
+
+func (wirejob wireJob) value() almondcross.Job {
+	steps := make([]almondcross.Step, len(wirejob.Steps))
+	for index, step := range wirejob.Steps {
+		steps[index] = step.value()
+	}
+	return almondcross.NewJob(almondcross.JobConfig{
+		ID: almondcross.JobID(wirejob.ID), Queue: wirejob.Queue, Payload: wirejob.Payload, Steps: steps, Runs: wirejob.Runs,
+		First: fromMillis(wirejob.FirstMS), Period: time.Duration(wirejob.PeriodMS) * time.Millisecond,
+		Submitted: fromMillis(wirejob.SubmittedMS),
+	})
+}
+
+func toQueue(queue almondcross.Queue) wireQueue {
+	advice := queue.Advice()
+	return wireQueue{
+		Name: queue.Name(), Host: queue.Host(), Prefix: queue.Prefix(), Service: queue.Service(), Priority: queue.Priority(),
+		MaxAttempts: queue.MaxAttempts(), Stretch: queue.Stretch(), LatencyTargetMS: queue.LatencyTarget().Milliseconds(),
+		Advice: advice.Wanted(), AdviceBaseUS: advice.Base().Microseconds(), AdviceWorkerUS: advice.PerWorker().Microseconds(),
+		AdviceValidityMS: advice.Validity().Milliseconds(),
+	}
+}
+
+func (wirequeue wireQueue) value() almondcross.Queue {
+	return almondcross.NewQueue(almondcross.QueueConfig{
+		Name: wirequeue.Name, Host: wirequeue.Host, Prefix: wirequeue.Prefix, Service: wirequeue.Service,
+		Priority: wirequeue.Priority, MaxAttempts: wirequeue.MaxAttempts, Stretch: wirequeue.Stretch,
+		LatencyTarget: time.Duration(wirequeue.LatencyTargetMS) * time.Millisecond,
+		Advice: almondcross.NewAdvice(almondcross.AdviceConfig{
+			Wanted: wirequeue.Advice, Base: time.Duration(wirequeue.AdviceBaseUS) * time.Microsecond,
+			PerWorker: time.Duration(wirequeue.AdviceWorkerUS) * time.Microsecond,
+			Validity:  time.Duration(wirequeue.AdviceValidityMS) * time.Millisecond,
+		}),
+	})
+}
+
+func toChange(change almondcross.Change) wireStateChange {
+	wire := wireStateChange{
+		Kind: change.Kind(), Run: change.Run(), Worker: change.Worker(), End: string(change.End()),
+		Checkpoint: change.Checkpoint(), Occurrence: change.Occurrence(), Host: change.Host(), Address: change.Address(),
+	}
+	if change.Job().ID() != "" {
+		job := toJob(change.Job())
+		wire.Job = &job
+	}
+	if change.Queue().Name() != "" {
+		queue := toQueue(change.Queue())
+		wire.Queue = &queue
+	}
+	if task := change.Task(); task.Stage.Job != "" {
+		wire.Task = &wireJobTask{
+			Job: string(task.Stage.Job), Occurrence: task.Stage.Occurrence, Step: task.Stage.Step, Index: task.Index,
+		}
+	}
+	return wire
+}
+
+func (wirestatechange wireStateChange) value() almondcross.Change {
+	config := almondcross.ChangeConfig{
+		Kind: wirestatechange.Kind, Run: wirestatechange.Run, Worker: wirestatechange.Worker,
+		End: almondcross.EndKind(wirestatechange.End), Checkpoint: wirestatechange.Checkpoint,
+		Occurrence: wirestatechange.Occurrence, Host: wirestatechange.Host, Address: wirestatechange.Address,
+	}
+	if wirestatechange.Job != nil {
+		config.Job = wirestatechange.Job.value()
+	}
+	if wirestatechange.Queue != nil {
+		config.Queue = wirestatechange.Queue.value()
+	}
+	if task := wirestatechange.Task; task != nil {
+		config.Task = almondcross.JobTask{
+			Stage: almondcross.StageID{Job: almondcross.JobID(task.Job), Occurrence: task.Occurrence, Step: task.Step}, Index: task.Index,
+		}
+	}
+	return almondcross.NewChange(config)
+}
+
+// EncodeBatch returns the record of a batch.
+func (codec Codec) EncodeBatch(batch almondcross.JournalBatch) ([]byte, error) {
+	changes := make([]wireStateChange, len(batch.Changes()))
+	for index, change := range batch.Changes() {
+		changes[index] = toChange(change)
+	}
+	record, err := codec.encoding.Marshal(wireBatch{
+		Epoch: batch.Epoch(), AtMS: toMillis(batch.At()), Intake: batch.Intake(), Changes: changes,
+	})
+	return record, errors.Annotate(err, "encoding a batch")
+}
+
+// DecodeBatch returns the batch of a record.
+func (codec Codec) DecodeBatch(record []byte) (almondcross.JournalBatch, error) {
+	var wire wireBatch
+	if err := codec.decoding.Unmarshal(record, &wire); err != nil {
+		return almondcross.JournalBatch{}, errors.Annotatef(ErrMalformed, "batch: %v", err)
+	}
+	changes := make([]almondcross.Change, len(wire.Changes))
+	for index, change := range wire.Changes {
+		changes[index] = change.value()
+	}
+	return almondcross.NewJournalBatch(almondcross.JournalBatchConfig{
+		Epoch: wire.Epoch, At: fromMillis(wire.AtMS), Intake: wire.Intake, Changes: changes,
+	}), nil
+}
+
+// EncodeIntake returns the record of an intake.
+func (codec Codec) EncodeIntake(intake almondcross.Intake) ([]byte, error) {
+	record, err := codec.encoding.Marshal(wireIntake{Job: toJob(intake.Job()), Cancel: intake.Cancel()})
+	return record, errors.Annotate(err, "encoding an intake")
+}
+
+// DecodeIntake returns the intake of a record.
+func (codec Codec) DecodeIntake(record []byte) (almondcross.Intake, error) {
+	var wire wireIntake
+	if err := codec.decoding.Unmarshal(record, &wire); err != nil {
+		return almondcross.Intake{}, errors.Annotatef(ErrMalformed, "intake: %v", err)
+	}
+	return almondcross.NewIntake(almondcross.IntakeConfig{Job: wire.Job.value(), Cancel: wire.Cancel}), nil
+}
+
+func toJobRecord(record almondcross.JobRecord) wireJobRecord {
+	stages := make([]wireStageRecord, len(record.Stages()))
+	for index, stage := range record.Stages() {
+		tasks := make([]wireTaskRecord, len(stage.Tasks()))
+		for number, task := range stage.Tasks() {
+			config := task.Config()
+			tasks[number] = wireTaskRecord{
+				Done: config.Done, Active: config.Active, Run: config.Run, Failures: config.Failures,
+				Worker: config.Worker, Checkpoint: config.Checkpoint,
+			}
+		}
+		stages[index] = wireStageRecord{
+			Occurrence: stage.Occurrence(), Step: stage.Step(), Run: stage.Run(), Failures: stage.Failures(),
+			FailedRun: stage.FailedRun(), Checkpoint: stage.Checkpoint(), Tasks: tasks,
+		}
+	}
+	return wireJobRecord{
+		Job: toJob(record.Job()), Queue: toQueue(record.Queue()), State: record.State(),
+		FinishedMS: toMillis(record.Finished()), Opened: record.Opened(), Stages: stages,
+	}
+}
+
+func (wirejobrecord wireJobRecord) value() almondcross.JobRecord {
+	stages := make([]almondcross.StageRecord, len(wirejobrecord.Stages))
+	for index, stage := range wirejobrecord.Stages {
+		tasks := make([]almondcross.TaskRecord, len(stage.Tasks))
+		for number, task := range stage.Tasks {
+			tasks[number] = almondcross.NewTaskRecord(almondcross.TaskRecordConfig{
+				Done: task.Done, Active: task.Active, Run: task.Run, Failures: task.Failures,
+				Worker: task.Worker, Checkpoint: task.Checkpoint,
+			})
+		}
+		stages[index] = almondcross.NewStageRecord(almondcross.StageRecordConfig{
+			Occurrence: stage.Occurrence, Step: stage.Step, Run: stage.Run, Failures: stage.Failures,
+			FailedRun: stage.FailedRun, Checkpoint: stage.Checkpoint, Tasks: tasks,
+		})
+	}
+	return almondcross.NewJobRecord(almondcross.JobRecordConfig{
+		Job: wirejobrecord.Job.value(), Queue: wirejobrecord.Queue.value(), State: wirejobrecord.State,
+		Finished: fromMillis(wirejobrecord.FinishedMS), Opened: wirejobrecord.Opened, Stages: stages,
+	})
+}
+
+// snapshotKey is the prefix of the keys of a snapshot's parts.
+const snapshotKey = "part-"
+
+// EncodeSnapshot returns the snapshot as keyed records of about a size in bytes. Every part names the
+// journal offset of the snapshot, so that parts of two snapshots are never joined.
+func (codec Codec) EncodeSnapshot(snapshot almondcross.StateSnapshot, size int) ([]almondcross.KeyedRecord, error) {
+	var parts []wireSnapshotPart
+	var jobs []wireJobRecord
+	room := size
+	for _, record := range snapshot.Jobs() {
+		wire := toJobRecord(record)
+		estimate := 160 + len(wire.Job.Payload) + 100*len(wire.Job.Steps)
+		for _, stage := range wire.Stages {
+			estimate += 40 + 60*len(stage.Tasks)
+		}
+		if estimate > room && len(jobs) > 0 {
+			parts = append(parts, wireSnapshotPart{Jobs: jobs})
+			jobs, room = nil, size
+		}
+		jobs, room = append(jobs, wire), room-estimate
+	}
+	parts = append(parts, wireSnapshotPart{Jobs: jobs})
+	records := make([]almondcross.KeyedRecord, len(parts))
+	for index, part := range parts {
+		part.Next, part.Part, part.Parts = snapshot.Next(), index, len(parts)
+		if index == 0 {
+			part.Epoch, part.AtMS, part.Intake = snapshot.Epoch(), toMillis(snapshot.At()), snapshot.Intake()
+			part.Host, part.Address = snapshot.Host(), snapshot.Address()
+		}
+		value, err := codec.encoding.Marshal(part)
+		if err != nil {
+			return nil, errors.Annotate(err, "encoding a snapshot")
+		}
+		records[index] = almondcross.NewKeyedRecord(almondcross.KeyedRecordConfig{Key: fmt.Sprintf("%s%03d", snapshotKey, index), Value: value})
+	}
+	return records, nil
+}
+
+// DecodeSnapshot returns the newest complete snapshot among keyed records.
+func (codec Codec) DecodeSnapshot(records []almondcross.KeyedRecord) (almondcross.StateSnapshot, bool, error) {
+	byNext := map[int64]map[int]wireSnapshotPart{}
+	for _, record := range records {
+		if _, err := strconv.Atoi(strings.TrimPrefix(record.Key(), snapshotKey)); err != nil || len(record.Value()) == 0 {
+			continue
+		}
+		var part wireSnapshotPart
+		if err := codec.decoding.Unmarshal(record.Value(), &part); err != nil {
+			return almondcross.StateSnapshot{}, false, errors.Annotatef(ErrMalformed, "snapshot %s: %v", record.Key(), err)
+		}
+		if byNext[part.Next] == nil {
+			byNext[part.Next] = map[int]wireSnapshotPart{}
+		}
+		byNext[part.Next][part.Part] = part
+	}
+	var best map[int]wireSnapshotPart
+	for _, parts := range byNext {
+		if len(parts) == parts[0].Parts && (best == nil || parts[0].Next > best[0].Next) {
+			best = parts
+		}
+	}
+	if best == nil {
+		return almondcross.StateSnapshot{}, false, nil
+	}
+	var jobs []almondcross.JobRecord
+	for index := range len(best) {
+		for _, record := range best[index].Jobs {
+			jobs = append(jobs, record.value())
+		}
+	}
+	first := best[0]
+	return almondcross.NewStateSnapshot(almondcross.StateSnapshotConfig{
+		Next: first.Next, Epoch: first.Epoch, At: fromMillis(first.AtMS), Host: first.Host, Address: first.Address,
+		Intake: first.Intake, Jobs: jobs,
+	}), true, nil
+}
--- a/policy.go
+++ b/policy.go
@@ -120,3 +120,32 @@
 	// Left tells that a task left the line of an entry after a wait, started or not.
 	Left(entry string, waited time.Duration, started bool, now time.Time)
 }
+
+// WorkerRoom is the room of one worker for the tasks of one stage.
+//
+//value:generate
+type WorkerRoom struct {
+	worker   string    // the identity of the worker
+	rack     string    // the rack of the worker
+	free     Resources // the free capacity
+	capacity Resources // the capacity
+	tasks    int       // how many tasks of the stage fit
+}
+
+// PickQuery describes the tasks of a stage to place.
+//
+//value:generate
+type PickQuery struct {
+	count    int           // the number of tasks
+	need     Resources     // what each task needs
+	whole    bool          // whether all must be placed or none
+	sameRack bool          // whether the tasks are slower on more than one rack
+	rack     string        // the rack where the data is, empty for none
+	waited   time.Duration // how long the job has waited
+}
+
+// WorkerPicker chooses workers for the tasks of a stage. It keeps nothing between calls.
+type WorkerPicker interface {
+	// Pick returns a worker for each task that it could place, in order. The rooms are not changed.
+	Pick(query PickQuery, rooms []WorkerRoom) []string
+}
--- a/policy_generated.go
+++ b/policy_generated.go
@@ -297,3 +297,167 @@
 	admission.retryAfter = retryAfter
 	return admission
 }
+
+// WorkerRoomConfig holds the fields of a new WorkerRoom.
+type WorkerRoomConfig struct {
+	Worker   string
+	Rack     string
+	Free     Resources
+	Capacity Resources
+	Tasks    int
+}
+
+// NewWorkerRoom returns a WorkerRoom with the given fields.
+func NewWorkerRoom(config WorkerRoomConfig) WorkerRoom {
+	return WorkerRoom{
+		worker:   config.Worker,
+		rack:     config.Rack,
+		free:     config.Free,
+		capacity: config.Capacity,
+		tasks:    config.Tasks,
+	}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (workerroom WorkerRoom) Config() WorkerRoomConfig {
+	return WorkerRoomConfig{
+		Worker:   workerroom.worker,
+		Rack:     workerroom.rack,
+		Free:     workerroom.free,
+		Capacity: workerroom.capacity,
+		Tasks:    workerroom.tasks,
+	}
+}
+
+// Worker returns the identity of the worker.
+func (workerroom WorkerRoom) Worker() string { return workerroom.worker }
+
+// WithWorker returns a copy with the given worker.
+func (workerroom WorkerRoom) WithWorker(worker string) WorkerRoom {
+	workerroom.worker = worker
+	return workerroom
+}
+
+// Rack returns the rack of the worker.
+func (workerroom WorkerRoom) Rack() string { return workerroom.rack }
+
+// WithRack returns a copy with the given rack.
+func (workerroom WorkerRoom) WithRack(rack string) WorkerRoom {
+	workerroom.rack = rack
+	return workerroom
+}
+
+// Free returns the free capacity.
+func (workerroom WorkerRoom) Free() Resources { return workerroom.free }
+
+// WithFree returns a copy with the given free.
+func (workerroom WorkerRoom) WithFree(free Resources) WorkerRoom {
+	workerroom.free = free
+	return workerroom
+}
+
+// Capacity returns the capacity.
+func (workerroom WorkerRoom) Capacity() Resources { return workerroom.capacity }
+
+// WithCapacity returns a copy with the given capacity.
+func (workerroom WorkerRoom) WithCapacity(capacity Resources) WorkerRoom {
+	workerroom.capacity = capacity
+	return workerroom
+}
+
+// Tasks returns how many tasks of the stage fit.
+func (workerroom WorkerRoom) Tasks() int { return workerroom.tasks }
+
+// WithTasks returns a copy with the given tasks.
+func (workerroom WorkerRoom) WithTasks(tasks int) WorkerRoom {
+	workerroom.tasks = tasks
+	return workerroom
+}
+
+// PickQueryConfig holds the fields of a new PickQuery.
+type PickQueryConfig struct {
+	Count    int
+	Need     Resources
+	Whole    bool
+	SameRack bool
+	Rack     string
+	Waited   time.Duration
+}
+
+// NewPickQuery returns a PickQuery with the given fields.
+func NewPickQuery(config PickQueryConfig) PickQuery {
+	return PickQuery{
+		count:    config.Count,
+		need:     config.Need,
+		whole:    config.Whole,
+		sameRack: config.SameRack,
+		rack:     config.Rack,
+		waited:   config.Waited,
+	}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (pickquery PickQuery) Config() PickQueryConfig {
+	return PickQueryConfig{
+		Count:    pickquery.count,
+		Need:     pickquery.need,
+		Whole:    pickquery.whole,
+		SameRack: pickquery.sameRack,
+		Rack:     pickquery.rack,
+		Waited:   pickquery.waited,
+	}
+}
+
+// Count returns the number of tasks.
+func (pickquery PickQuery) Count() int { return pickquery.count }
+
+// WithCount returns a copy with the given count.
+func (pickquery PickQuery) WithCount(count int) PickQuery {
+	pickquery.count = count
+	return pickquery
+}
+
+// Need returns what each task needs.
+func (pickquery PickQuery) Need() Resources { return pickquery.need }
+
+// WithNeed returns a copy with the given need.
+func (pickquery PickQuery) WithNeed(need Resources) PickQuery {
+	pickquery.need = need
+	return pickquery
+}
+
+// Whole returns whether all must be placed or none.
+func (pickquery PickQuery) Whole() bool { return pickquery.whole }
+
+// WithWhole returns a copy with the given whole.
+func (pickquery PickQuery) WithWhole(whole bool) PickQuery {
+	pickquery.whole = whole
+	return pickquery
+}
+
+// SameRack returns whether the tasks are slower on more than one rack.
+func (pickquery PickQuery) SameRack() bool { return pickquery.sameRack }
+
+// WithSameRack returns a copy with the given sameRack.
+func (pickquery PickQuery) WithSameRack(sameRack bool) PickQuery {
+	pickquery.sameRack = sameRack
+	return pickquery
+}
+
+// Rack returns the rack where the data is, empty for none.
+func (pickquery PickQuery) Rack() string { return pickquery.rack }
+
+// WithRack returns a copy with the given rack.
+func (pickquery PickQuery) WithRack(rack string) PickQuery {
+	pickquery.rack = rack
+	return pickquery
+}
+
+// Waited returns how long the job has waited.
+func (pickquery PickQuery) Waited() time.Duration { return pickquery.waited }
+
+// WithWaited returns a copy with the given waited.
+func (pickquery PickQuery) WithWaited(waited time.Duration) PickQuery {
+	pickquery.waited = waited
+	return pickquery
+}
