--- a/assembler/scheduler.go
+++ b/assembler/scheduler.go
@@ -17,6 +17,7 @@
 	"github.com/almondcross/almondcross"
 	"github.com/almondcross/almondcross/command/asker"
 	"github.com/almondcross/almondcross/command/committer"
+	"github.com/almondcross/almondcross/command/connector"
 	"github.com/almondcross/almondcross/command/controller"
 	"github.com/almondcross/almondcross/command/counter"
 	"github.com/almondcross/almondcross/command/recorder"
@@ -51,6 +52,8 @@
 	submissionRing = 1024
 	// requestRing holds one request under way and one of an earlier epoch.
 	requestRing = 4
+	// schedulersRing holds changes of the scheduler, which are seldom.
+	schedulersRing = 64
 	// snapshotPart is the part of the store's retention after which a snapshot is due, so that several
 	// may fail before records that no snapshot covers are deleted.
 	snapshotPart = 6
@@ -75,7 +78,7 @@
 			func() almondcross.Clock { return Clock{} },
 			func() logrus.FieldLogger { return logrus.StandardLogger() },
 			metrics.NewSet, NewDuties, encoder.NewCodec, caller.New, jobfinder.New, router.New, counter.New,
-			newRecorder, newSchedulerRings, newFollower, newCommitter, newController, newAsker, newSubmitter,
+			newRecorder, newSchedulerRings, newFollower, newCommitter, newController, newAsker, newHub, newDialer, newSubmitter,
 			newSchedulerMachine, newScheduler, newSchedulerServers,
 		),
 		fx.Invoke(runScheduler),
@@ -94,7 +97,8 @@
 	intakes     []*ring.Ring[almondcross.IntakeQuery]
 	commits     *ring.Ring[almondcross.JournalCommit]
 	snapshots   *ring.Ring[almondcross.SnapshotStore]
-	advice      *ring.Ring[almondcross.AdviceQuery]
+	advice      *ring.Ring[asker.Request]
+	schedulers  *ring.Ring[connector.Scheduler]
 	submissions *ring.Ring[submitter.Submission]
 }
 
@@ -106,7 +110,8 @@
 		workers:     ring.New[almondcross.WorkersQuery](ring.Config{Name: "workers", Capacity: requestRing, Metrics: set}),
 		commits:     ring.New[almondcross.JournalCommit](ring.Config{Name: "commits", Capacity: requestRing, Metrics: set}),
 		snapshots:   ring.New[almondcross.SnapshotStore](ring.Config{Name: "snapshots", Capacity: requestRing, Metrics: set}),
-		advice:      ring.New[almondcross.AdviceQuery](ring.Config{Name: "advice", Capacity: requestRing, Metrics: set}),
+		advice:      ring.New[asker.Request](ring.Config{Name: "advice", Capacity: requestRing, Metrics: set}),
+		schedulers:  ring.New[connector.Scheduler](ring.Config{Name: "schedulers", Capacity: schedulersRing, Metrics: set}),
 		submissions: ring.New[submitter.Submission](ring.Config{Name: "submissions", Capacity: submissionRing, Metrics: set}),
 	}
 	for range settings.StorePartitions() {
@@ -153,13 +158,41 @@
 	})
 }
 
-func newAsker(settings configurator.SchedulerSettings, caller *caller.Caller, rings schedulerRings) *asker.Asker {
+func newAsker(settings configurator.SchedulerSettings, caller *caller.Caller) *asker.Asker {
 	return asker.New(asker.Config{
 		Host: settings.Name(), Adviser: commander.NewAdviser(settings.AdviceAddress(), caller), Clock: Clock{},
-		Answer: func(ctx context.Context, answer almondcross.AdviceAnswered) { _ = rings.messages.Put(ctx, answer) },
 	})
 }
 
+func newHub(settings configurator.SchedulerSettings, codec encoder.Codec, rings schedulerRings, log *recorder.Recorder) *connector.Hub {
+	return connector.NewHub(connector.HubConfig{
+		Host: settings.Name(), Local: localQueries{rings}, Codec: codec, Sink: rings.messages, Clock: Clock{}, Log: log,
+	})
+}
+
+func newDialer(settings configurator.SchedulerSettings, codec encoder.Codec, rings schedulerRings, log *recorder.Recorder) *connector.Dialer {
+	return connector.NewDialer(connector.DialerConfig{Host: settings.Name(), Codec: codec, Queries: rings.advice, Log: log})
+}
+
+// localQueries takes the queries that the scheduler's own host asks.
+type localQueries struct{ rings schedulerRings }
+
+// Offer passes a query to the asker of this host.
+func (localqueries localQueries) Offer(query almondcross.AdviceQuery) bool {
+	return localqueries.rings.advice.Offer(localqueries.request(query))
+}
+
+// Put passes a query to the asker of this host and waits for room.
+func (localqueries localQueries) Put(ctx context.Context, query almondcross.AdviceQuery) error {
+	return localqueries.rings.advice.Put(ctx, localqueries.request(query))
+}
+
+func (localqueries localQueries) request(query almondcross.AdviceQuery) asker.Request {
+	return asker.Request{Query: query, Reply: func(ctx context.Context, answer almondcross.AdviceAnswered) {
+		_ = localqueries.rings.messages.Put(ctx, answer) // Put fails only when the context has ended.
+	}}
+}
+
 func newSubmitter(
 	settings configurator.SchedulerSettings, caller *caller.Caller, codec encoder.Codec, log *recorder.Recorder,
 ) *submitter.Submitter {
@@ -184,33 +217,25 @@
 	})
 }
 
-func newScheduler(machine *scheduler.Machine, rings schedulerRings, workers *controller.Controller, settings configurator.SchedulerSettings) *scheduler.Duty {
+func newScheduler(machine *scheduler.Machine, rings schedulerRings, workers *controller.Controller, hub *connector.Hub) *scheduler.Duty {
 	var intakes []almondcross.Sink[almondcross.IntakeQuery]
 	for _, intake := range rings.intakes {
 		intakes = append(intakes, intake)
 	}
 	return scheduler.NewDuty(scheduler.DutyConfig{
 		Machine: machine, Ring: rings.messages, Clock: Clock{}, Workers: workers,
-		Desk: localDesk{host: settings.Name(), queries: rings.advice},
+		Desk: hub,
 		Rings: scheduler.Rings{
 			ReadSnapshot: rings.snapshot, ReadJournal: rings.journal, ReadIntakes: intakes, ReadWorkers: rings.workers,
 			Commit: rings.commits, StoreSnapshot: rings.snapshots,
 		},
-		Leaders: func(scheduler.Lead) {},
+		// A change that finds the ring full is followed by the next one; the ring holds many.
+		Leaders: func(lead scheduler.Lead) {
+			rings.schedulers.Offer(connector.Scheduler{Host: lead.Host, Address: lead.Address})
+		},
 	})
 }
 
-// localDesk passes queries to this host's own asker.
-type localDesk struct {
-	host    string
-	queries *ring.Ring[almondcross.AdviceQuery]
-}
-
-// Ask sends a query to a host.
-func (localdesk localDesk) Ask(adviser string, query almondcross.AdviceQuery) bool {
-	return adviser == localdesk.host && localdesk.queries.Offer(query)
-}
-
 // schedulerParts are the parts of a scheduling host that run.
 type schedulerParts struct {
 	fx.In
@@ -223,6 +248,7 @@
 	Follower  *follower.Follower
 	Committer *committer.Committer
 	Asker     *asker.Asker
+	Dialer    *connector.Dialer
 	Submitter *submitter.Submitter
 	Scheduler *scheduler.Duty
 	Servers   *schedulerServers
@@ -255,6 +281,7 @@
 		NamedDuty{"committer", dutyFunc(func(ctx context.Context) error { return schedulerparts.Committer.RunJournal(ctx, rings.commits) })},
 		NamedDuty{"snapshot writer", dutyFunc(func(ctx context.Context) error { return schedulerparts.Committer.RunSnapshots(ctx, rings.snapshots) })},
 		NamedDuty{"asker", dutyFunc(func(ctx context.Context) error { return schedulerparts.Asker.Run(ctx, rings.advice) })},
+		NamedDuty{"link dialer", dutyFunc(func(ctx context.Context) error { return schedulerparts.Dialer.Run(ctx, rings.schedulers) })},
 		NamedDuty{"submitter", dutyFunc(func(ctx context.Context) error { return schedulerparts.Submitter.Run(ctx, rings.submissions) })},
 		NamedDuty{"settings watcher", dutyFunc(schedulerparts.watchSettings)},
 	)
--- a/assembler/schedulerservers.go
+++ b/assembler/schedulerservers.go
@@ -13,6 +13,7 @@
 	"github.com/juju/errors"
 
 	"github.com/almondcross/almondcross"
+	"github.com/almondcross/almondcross/command/connector"
 	"github.com/almondcross/almondcross/command/counter"
 	"github.com/almondcross/almondcross/command/recorder"
 	"github.com/almondcross/almondcross/command/submitter"
@@ -32,18 +33,20 @@
 	callerHeader = 16 << 10
 )
 
-// schedulerServers are the HTTP servers of a scheduling host: for callers, for the balancer and for metrics.
+// schedulerServers are the HTTP servers of a scheduling host: for callers, for the balancer, for metrics and for
+// the links of other hosts.
 type schedulerServers struct {
 	settings configurator.SchedulerSettings
 	callers  *http.Server
 	ready    *http.Server
 	metrics  *http.Server
+	links    *http.Server
 	stopping atomic.Bool
 }
 
 func newSchedulerServers(
 	settings configurator.SchedulerSettings, routes *router.Router, jobs *jobfinder.Table, rings schedulerRings,
-	log *recorder.Recorder, meters *counter.Counter, set *metrics.Set,
+	hub *connector.Hub, log *recorder.Recorder, meters *counter.Counter, set *metrics.Set,
 ) *schedulerServers {
 	servers := &schedulerServers{settings: settings}
 	readable := viewer.New(viewer.Config{
@@ -69,6 +72,9 @@
 		metrics.WriteProcessMetrics(writer)
 	})
 	servers.metrics = newServer(exposed)
+	links := mux.NewRouter()
+	links.Path(connector.Path).Handler(hub)
+	servers.links = newServer(links)
 	return servers
 }
 
@@ -86,6 +92,7 @@
 		{"callers' server", schedulerservers.settings.CallersListen(), schedulerservers.callers},
 		{"balancer's server", schedulerservers.settings.ReadyListen(), schedulerservers.ready},
 		{"metrics server", schedulerservers.settings.MetricsListen(), schedulerservers.metrics},
+		{"link server", schedulerservers.settings.LinkListen(), schedulerservers.links},
 	} {
 		listener, err := new(net.ListenConfig).Listen(ctx, "tcp", part.address)
 		if err != nil {
--- a/assembler/schedulerstop.go
+++ b/assembler/schedulerstop.go
@@ -41,6 +41,7 @@
 	schedulerparts.Duties.Stop(logDrain)
 	_ = schedulerparts.Servers.ready.Close()   // The process ends next.
 	_ = schedulerparts.Servers.metrics.Close() // The process ends next.
+	_ = schedulerparts.Servers.links.Close()   // The process ends next.
 	return nil
 }
 
--- /dev/null
+++ b/command/connector/hub.go
@@ -0,0 +1,95 @@
+package connector
+
+import (
+	"maps"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/gorilla/websocket"
+
+	"github.com/almondcross/almondcross"
+)
+
+// Path is the path of the links.
+const Path = "/v1/advice"
+
+// HubConfig holds what a hub needs.
+type HubConfig struct {
+	Host  string                                    // Host is the name of this host.
+	Local almondcross.Sink[almondcross.AdviceQuery] // Local takes the queries that this host asks itself.
+	Codec almondcross.LinkCodec
+	Sink  almondcross.Sink[almondcross.SchedulerMessage]
+	Clock almondcross.Clock
+	Log   almondcross.EventLog
+}
+
+// Hub passes queries to the hosts that are linked to this one.
+type Hub struct {
+	config   HubConfig
+	upgrader websocket.Upgrader
+	sessions atomic.Pointer[map[string]*session]
+}
+
+// NewHub returns a hub without links.
+func NewHub(config HubConfig) *Hub {
+	hub := &Hub{config: config, upgrader: websocket.Upgrader{ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10}}
+	hub.sessions.Store(&map[string]*session{})
+	return hub
+}
+
+// Ask sends a query to a host. It reports false when the host cannot be reached.
+func (hub *Hub) Ask(adviser string, query almondcross.AdviceQuery) bool {
+	if adviser == hub.config.Host {
+		return hub.config.Local.Offer(query)
+	}
+	session := (*hub.sessions.Load())[adviser]
+	return session != nil && session.outbox.Offer(query)
+}
+
+// ServeHTTP serves one link until it fails.
+func (hub *Hub) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	connection, err := hub.upgrader.Upgrade(writer, request, nil)
+	if err != nil {
+		hub.config.Log.Record("link_refused", almondcross.Text("from", request.RemoteAddr), almondcross.Text("reason", err.Error()))
+		return
+	}
+	opened := newSession(connection, hub.config.Codec)
+	host := ""
+	err = opened.run(request.Context(), func(message almondcross.LinkMessage) {
+		switch message := message.(type) {
+		case almondcross.AdviserHello:
+			host = message.Host()
+			hub.replace(host, nil, opened)
+			hub.tell(request, almondcross.NewAdviserChanged(almondcross.AdviserChangedConfig{Adviser: host, Present: true}))
+		case almondcross.AdviceAnswered:
+			hub.tell(request, message.WithAdviser(host).WithReceived(hub.config.Clock.Now()))
+		}
+	})
+	if host != "" && hub.replace(host, opened, nil) {
+		hub.tell(request, almondcross.NewAdviserChanged(almondcross.AdviserChangedConfig{Adviser: host}))
+	}
+	hub.config.Log.Record("link_closed", almondcross.Text("adviser", host), almondcross.Text("reason", err.Error()))
+}
+
+func (hub *Hub) tell(request *http.Request, message almondcross.SchedulerMessage) {
+	_ = hub.config.Sink.Put(request.Context(), message) // Put fails only when the server has ended.
+}
+
+// replace sets the session of a host, if it still is the expected one; nil expects any.
+func (hub *Hub) replace(host string, expected, next *session) bool {
+	for {
+		before := hub.sessions.Load()
+		if expected != nil && (*before)[host] != expected {
+			return false
+		}
+		changed := maps.Clone(*before)
+		if next == nil {
+			delete(changed, host)
+		} else {
+			changed[host] = next
+		}
+		if hub.sessions.CompareAndSwap(before, &changed) {
+			return true
+		}
+	}
+}
--- a/command/scheduler/advice.go
+++ b/command/scheduler/advice.go
@@ -13,6 +13,11 @@
 	ticketMargin = 300 * time.Millisecond
 	// adviceRetry is the pause after a failed call for advice.
 	adviceRetry = 100 * time.Millisecond
+	// adviceSlack is how much longer than expected a call may take: the way to another region and back,
+	// and a call of an earlier scheduler that the host still waits for.
+	adviceSlack = 1200 * time.Millisecond
+	// adviserRest is how long a host that did not answer in time is not asked.
+	adviserRest = 2 * time.Second
 	// shareStart is the part of workers that advice is taken to allow before any answer.
 	shareStart = 0.5
 	// shareWeight is the weight of a new answer in the learned part.
@@ -41,14 +46,22 @@
 	asking  bool
 	retryAt time.Time
 	tickets map[string]ticket
+	latest  time.Time       // latest is when the last ticket can no longer be used.
 	allow   map[string]bool // allow holds what advice said of a worker; that never changes for a stage.
 }
 
 // adviser is a host that calls the advice service; it makes one call at a time.
 type adviser struct {
-	name string
-	busy *almondcross.StageID
-	long bool // long tells that the call under way is a long one.
+	name   string
+	asked  *adviceCall // asked is the call under way, nil for none.
+	restAt time.Time   // restAt is when it may be asked again after a call that was given up.
+}
+
+// adviceCall is a call for advice that is under way.
+type adviceCall struct {
+	stage almondcross.StageID
+	long  bool      // long tells that it counts as a long one.
+	until time.Time // until is when it is given up.
 }
 
 func (machine *Machine) adviserChanged(change almondcross.AdviserChanged) {
@@ -66,9 +79,29 @@
 		return
 	}
 	machine.leader.dirty = true
-	if gone != nil && gone.busy != nil {
-		if advice := machine.leader.asked[*gone.busy]; advice != nil {
-			advice.asking = false
+	if gone != nil {
+		machine.abandon(gone)
+	}
+}
+
+// abandon lets another host ask in place of one that does not answer.
+func (machine *Machine) abandon(adviser *adviser) {
+	if adviser.asked == nil {
+		return
+	}
+	if advice := machine.leader.asked[adviser.asked.stage]; advice != nil {
+		advice.asking = false
+	}
+	adviser.asked = nil
+}
+
+// sweepAdvisers gives up the calls that take too long.
+func (machine *Machine) sweepAdvisers() {
+	for _, adviser := range machine.advisers {
+		if adviser.asked != nil && machine.now.After(adviser.asked.until) {
+			machine.config.Log.Record("advice_given_up", almondcross.Text("stage", adviser.asked.stage.String()), almondcross.Text("adviser", adviser.name))
+			machine.abandon(adviser)
+			adviser.restAt = machine.now.Add(adviserRest)
 		}
 	}
 }
@@ -84,35 +117,35 @@
 
 func (machine *Machine) forgetAdvice(stage almondcross.StageID) { delete(machine.leader.asked, stage) }
 
-// allowed returns the rooms whose workers hold a usable ticket.
-func (stageadvice *stageAdvice) allowed(rooms []almondcross.WorkerRoom, now time.Time) []almondcross.WorkerRoom {
-	var allowed []almondcross.WorkerRoom
-	for _, room := range rooms {
-		if held, ok := stageadvice.tickets[room.Worker()]; ok && now.Before(held.until) {
-			allowed = append(allowed, room)
-		}
-	}
-	return allowed
+// holds reports whether a worker holds a ticket that can be used.
+func (stageadvice *stageAdvice) holds(worker *worker, now time.Time) bool {
+	held, ok := stageadvice.tickets[worker.id]
+	return ok && held.born == worker.born && now.Before(held.until)
+}
+
+// usable reports whether any ticket may still be used.
+func (stageadvice *stageAdvice) usable(now time.Time) bool {
+	return len(stageadvice.tickets) > 0 && now.Before(stageadvice.latest)
 }
 
 // requestAdvice asks for tickets of workers that have room, if a host is free to ask.
-func (machine *Machine) requestAdvice(queue almondcross.Queue, stage *stage, rooms []almondcross.WorkerRoom) {
-	advice := machine.adviceOf(stage.id)
-	if advice.asking || machine.now.Before(advice.retryAt) || len(machine.advisers) == 0 {
+func (machine *Machine) requestAdvice(queue almondcross.Queue, stage *stage, advice *stageAdvice) {
+	if advice.asking || machine.now.Before(advice.retryAt) {
 		return
 	}
-	named := machine.nameWorkers(queue, stage, advice, rooms)
-	if len(named) == 0 {
+	long := queue.Advice().Base()+queue.Advice().PerWorker()*time.Duration(fewestAsked) >= longAdvice
+	adviser := machine.freeAdviser(long)
+	if adviser == nil {
 		return
 	}
-	length := queue.Advice().Base() + time.Duration(len(named))*queue.Advice().PerWorker()
-	adviser := machine.freeAdviser(length >= longAdvice)
-	if adviser == nil {
+	named := machine.nameWorkers(queue, stage, advice, machine.candidates(queue, stage, nil))
+	if len(named) == 0 {
+		advice.retryAt = machine.now.Add(adviceRetry)
 		return
 	}
+	length := queue.Advice().Base() + time.Duration(len(named))*queue.Advice().PerWorker()
 	advice.asking = true
-	id := stage.id
-	adviser.busy, adviser.long = &id, length >= longAdvice
+	adviser.asked = &adviceCall{stage: stage.id, long: long, until: machine.now.Add(length + adviceSlack)}
 	machine.do(Ask{Adviser: adviser.name, Query: almondcross.NewAdviceQuery(almondcross.AdviceQueryConfig{Stage: stage.id, Workers: named})})
 }
 
@@ -163,12 +196,15 @@
 	var free *adviser
 	longs := 0
 	for _, adviser := range machine.advisers {
-		if adviser.busy != nil {
-			if adviser.long {
+		if adviser.asked != nil {
+			if adviser.asked.long {
 				longs++
 			}
 			continue
 		}
+		if machine.now.Before(adviser.restAt) {
+			continue
+		}
 		if free == nil || adviser.name < free.name {
 			free = adviser
 		}
@@ -182,8 +218,8 @@
 // adviceAnswered keeps the tickets of an answer.
 func (machine *Machine) adviceAnswered(answer almondcross.AdviceAnswered) {
 	id := answer.Query().Stage()
-	if adviser := machine.advisers[answer.Adviser()]; adviser != nil && adviser.busy != nil && *adviser.busy == id {
-		adviser.busy = nil
+	if adviser := machine.advisers[answer.Adviser()]; adviser != nil && adviser.asked != nil && adviser.asked.stage == id {
+		adviser.asked = nil
 	}
 	machine.leader.dirty = true
 	advice := machine.leader.asked[id]
@@ -210,6 +246,7 @@
 		advice.allow[worker] = false
 	}
 	until := answer.Received().Add(validity - ticketMargin)
+	advice.latest = until
 	for _, given := range answer.Result().Tickets() {
 		advice.allow[given.Worker()] = true
 		born := int64(0)
--- a/command/scheduler/constants.go
+++ b/command/scheduler/constants.go
@@ -27,8 +27,8 @@
 	intakePause = 15 * time.Millisecond
 	// workersPause limits how often the changes of the announced workers are read.
 	workersPause = 250 * time.Millisecond
-	// commitPause gathers changes for one append.
-	commitPause = 3 * time.Millisecond
+	// placePause is the least time between two passes over the waiting stages.
+	placePause = 4 * time.Millisecond
 	// batchChanges is the most changes in one record of the journal; 40 jobs of the largest size fit a record.
 	batchChanges = 40
 )
--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -27,12 +27,14 @@
 	snapshotting bool
 
 	workers map[string]*worker
-	order   []*worker // order holds the workers by identity.
-	stages  []*stage  // stages holds the stages with work left whose turn has come, in placing order.
+	order   []*worker  // order holds the workers by identity.
+	usable  []*worker  // usable holds the workers that may be given work in the present pass.
+	stages  []*waiting // stages holds the stages with work left whose turn has come, in placing order.
 	asked   map[almondcross.StageID]*stageAdvice
 	queued  map[almondcross.StageID]bool // queued tells which stages are in stages.
 	timed   map[almondcross.JobID]*job   // timed holds the scheduled jobs with occurrences to open.
 	dirty   bool                         // dirty tells that a placement may succeed now.
+	placed  time.Time                    // placed is when work was last given to workers.
 	swept   time.Time                    // swept is when the workers were last examined.
 	shares  map[string]float64           // shares holds the learned part of workers that advice allows, by queue.
 }
@@ -63,7 +65,7 @@
 	machine.config.Meters.Elected()
 	machine.tellLeader()
 	for _, adviser := range machine.advisers {
-		adviser.busy = nil
+		adviser.asked = nil
 	}
 	machine.adopt()
 	machine.do(ReadWorkers{Query: almondcross.NewWorkersQuery(almondcross.WorkersQueryConfig{From: -1})})
@@ -140,10 +142,12 @@
 	if machine.now.Sub(machine.leader.swept) >= leaderTick {
 		machine.leader.swept = machine.now
 		machine.sweepWorkers()
+		machine.sweepAdvisers()
 		machine.openOccurrences()
+		machine.leader.dirty = true // Tickets lapse and pauses end without a message.
 	}
-	if machine.leader.dirty && machine.leader.stoppedAt.IsZero() {
-		machine.leader.dirty = false
+	if machine.leader.dirty && machine.leader.stoppedAt.IsZero() && machine.now.Sub(machine.leader.placed) >= placePause {
+		machine.leader.dirty, machine.leader.placed = false, machine.now
 		machine.place()
 	}
 	machine.flush()
@@ -272,7 +276,7 @@
 		machine.config.Meters.Repeated()
 		return
 	}
-	queue, known := machine.routes.Queue(submitted.Queue())
+	queue, known := machine.queues[submitted.Queue()]
 	if !known {
 		// The entry host that stored the job knew the queue; this host has yet to read that version,
 		// or the queue was removed since.
@@ -323,25 +327,16 @@
 func (machine *Machine) enqueue(job *job, added *stage) {
 	leader := machine.leader
 	leader.queued[added.id] = true
-	rank := func(stage *stage) (int, time.Time) {
-		owner := machine.state.jobs[stage.id.Job]
-		if owner == nil {
-			return 0, time.Time{}
+	index, _ := slices.BinarySearchFunc(leader.stages, 0, func(other *waiting, _ int) int {
+		if order := machine.queue(other.job).Priority() - machine.queue(job).Priority(); order != 0 {
+			return order
 		}
-		return owner.queue.Priority(), owner.job.Submitted()
-	}
-	priority, submitted := job.queue.Priority(), job.job.Submitted()
-	index, _ := slices.BinarySearchFunc(leader.stages, added, func(other, _ *stage) int {
-		otherPriority, otherSubmitted := rank(other)
-		if otherPriority != priority {
-			return otherPriority - priority
-		}
-		if otherSubmitted.After(submitted) {
+		if other.job.job.Submitted().After(job.job.Submitted()) {
 			return 1
 		}
 		return -1
 	})
-	leader.stages = slices.Insert(leader.stages, index, added)
+	leader.stages = slices.Insert(leader.stages, index, &waiting{job: job, stage: added})
 	leader.dirty = true
 }
 
--- a/command/scheduler/machine.go
+++ b/command/scheduler/machine.go
@@ -38,6 +38,7 @@
 	config  Config
 	state   *state
 	routes  almondcross.RouteTable
+	queues  map[string]almondcross.Queue // queues holds the queues of routes by name.
 	role    role
 	now     time.Time
 	effects []Effect
@@ -134,6 +135,9 @@
 // NextDeadline returns when Advance has to be called again at the latest.
 func (machine *Machine) NextDeadline(now time.Time) time.Time {
 	if machine.role == roleLeader {
+		if machine.leader.dirty {
+			return now.Add(placePause)
+		}
 		return now.Add(leaderTick)
 	}
 	return now.Add(followerTick)
@@ -145,7 +149,10 @@
 	if table.Version() <= machine.routes.Version() {
 		return
 	}
-	machine.routes = table
+	machine.routes, machine.queues = table, make(map[string]almondcross.Queue, len(table.Queues()))
+	for _, queue := range table.Queues() {
+		machine.queues[queue.Name()] = queue
+	}
 	machine.config.Log.Record("routes_in_force", almondcross.Number("version", table.Version()),
 		almondcross.Number("queues", len(table.Queues())))
 	if machine.leader != nil {
--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -7,71 +7,82 @@
 	"github.com/almondcross/almondcross"
 )
 
+// waiting is a stage with work left whose turn has come.
+type waiting struct {
+	job    *job
+	stage  *stage
+	advice *stageAdvice // advice is nil before the first query.
+}
+
 // place gives work to workers, the stages in their order, and asks for the advice that is missing.
 func (machine *Machine) place() {
 	leader := machine.leader
+	leader.usable = leader.usable[:0]
+	for _, worker := range leader.order {
+		if worker.usable(machine.now) {
+			leader.usable = append(leader.usable, worker)
+		}
+	}
 	kept := leader.stages[:0]
-	waiting := leader.stages
-	for _, stage := range waiting {
-		job := machine.state.jobs[stage.id.Job]
-		if job == nil || !job.ready(stage) {
-			machine.dropStage(stage)
-			continue
+	for _, waiting := range leader.stages {
+		if waiting.job.ready(waiting.stage) {
+			machine.placeStage(waiting)
 		}
-		machine.placeStage(job, stage)
-		if !job.ready(stage) {
-			machine.dropStage(stage)
+		if waiting.job.ready(waiting.stage) {
+			kept = append(kept, waiting)
 			continue
 		}
-		kept = append(kept, stage)
+		delete(leader.queued, waiting.stage.id)
+		if waiting.stage.open == 0 || waiting.job.state.Final() {
+			machine.forgetAdvice(waiting.stage.id)
+		}
 	}
 	clear(leader.stages[len(kept):])
 	leader.stages = kept
 }
 
-func (machine *Machine) dropStage(stage *stage) {
-	delete(machine.leader.queued, stage.id)
-	if stage.open == 0 || machine.state.jobs[stage.id.Job] == nil || machine.state.jobs[stage.id.Job].state.Final() {
-		machine.forgetAdvice(stage.id)
-	}
-}
-
 // queue returns the present form of a job's queue.
 func (machine *Machine) queue(job *job) almondcross.Queue {
-	if queue, known := machine.routes.Queue(job.job.Queue()); known {
+	if queue, known := machine.queues[job.job.Queue()]; known {
 		return queue
 	}
 	return job.queue
 }
 
-func (machine *Machine) placeStage(job *job, stage *stage) {
-	queue := machine.queue(job)
-	if queue.Service() == "" {
-		return
-	}
-	rooms := machine.candidates(queue, stage)
-	if queue.Advice().Wanted() {
-		advice := machine.adviceOf(stage.id)
-		allowed := advice.allowed(rooms, machine.now)
-		if machine.placeAmong(job, stage, allowed) {
-			return
+func (machine *Machine) placeStage(waiting *waiting) {
+	queue := machine.queue(waiting.job)
+	switch {
+	case queue.Service() == "":
+	case !queue.Advice().Wanted():
+		machine.placeAmong(waiting.job, waiting.stage, machine.candidates(queue, waiting.stage, nil))
+	default:
+		if waiting.advice == nil {
+			waiting.advice = machine.adviceOf(waiting.stage.id)
 		}
-		machine.requestAdvice(queue, stage, rooms)
-		return
+		if waiting.advice.usable(machine.now) {
+			allowed := machine.candidates(queue, waiting.stage, waiting.advice)
+			if len(allowed) > 0 && machine.placeAmong(waiting.job, waiting.stage, allowed) {
+				return
+			}
+		}
+		machine.requestAdvice(queue, waiting.stage, waiting.advice)
 	}
-	machine.placeAmong(job, stage, rooms)
 }
 
-// candidates returns the usable workers on which at least one task of a stage fits.
-func (machine *Machine) candidates(queue almondcross.Queue, stage *stage) []almondcross.WorkerRoom {
+// candidates returns the usable workers on which at least one task of a stage fits, with advice only
+// those that hold a usable ticket.
+func (machine *Machine) candidates(queue almondcross.Queue, stage *stage, advice *stageAdvice) []almondcross.WorkerRoom {
 	spec := stage.spec
-	rooms := make([]almondcross.WorkerRoom, 0, len(machine.leader.order))
-	for _, worker := range machine.leader.order {
-		if !worker.usable(machine.now) || worker.worker.Pool() != queue.Service() || !worker.worker.HasLabel(spec.Label()) {
+	var rooms []almondcross.WorkerRoom
+	for _, worker := range machine.leader.usable {
+		if advice != nil && !advice.holds(worker, machine.now) {
+			continue
+		}
+		if worker.worker.Pool() != queue.Service() || !worker.worker.HasLabel(spec.Label()) {
 			continue
 		}
 		count := fitting(worker.room(), spec.Resources(), spec.Count())
-		if spec.PerWorker() > 0 {
+		if count > 0 && spec.PerWorker() > 0 {
 			count = min(count, spec.PerWorker()-worker.countOf(stage.id))
 		}
 		if count <= 0 {
--- a/scheduling.go
+++ b/scheduling.go
@@ -255,3 +255,25 @@
 	// Record writes one line, or counts it as left out when too many lines wait.
 	Record(event string, fields ...LogField)
 }
+
+// AdviserHello names the host that opens a link to the scheduler.
+//
+//value:generate
+type AdviserHello struct {
+	host string // the host that offers to ask the advice service
+}
+
+// LinkMessage is a message between the scheduler's host and the hosts that ask for advice.
+type LinkMessage interface{ linkMessage() }
+
+func (AdviserHello) linkMessage()   {}
+func (AdviceQuery) linkMessage()    {}
+func (AdviceAnswered) linkMessage() {}
+
+// LinkCodec converts between link messages and frames.
+type LinkCodec interface {
+	// EncodeLink returns the frame of a message.
+	EncodeLink(message LinkMessage) ([]byte, error)
+	// DecodeLink returns the message of a frame.
+	DecodeLink(frame []byte) (LinkMessage, error)
+}
--- a/scheduling_generated.go
+++ b/scheduling_generated.go
@@ -1070,3 +1070,31 @@
 func (stopscheduling StopScheduling) Config() StopSchedulingConfig {
 	return StopSchedulingConfig{}
 }
+
+// AdviserHelloConfig holds the fields of a new AdviserHello.
+type AdviserHelloConfig struct {
+	Host string
+}
+
+// NewAdviserHello returns a AdviserHello with the given fields.
+func NewAdviserHello(config AdviserHelloConfig) AdviserHello {
+	return AdviserHello{
+		host: config.Host,
+	}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (adviserhello AdviserHello) Config() AdviserHelloConfig {
+	return AdviserHelloConfig{
+		Host: adviserhello.host,
+	}
+}
+
+// Host returns the host that offers to ask the advice service.
+func (adviserhello AdviserHello) Host() string { return adviserhello.host }
+
+// WithHost returns a copy with the given host.
+func (adviserhello AdviserHello) WithHost(host string) AdviserHello {
+	adviserhello.host = host
+	return adviserhello
+}
