Keep one lease order a worker under way

Each announcement of a worker opened a second chain of lease orders while the first waited for a commit. Ruled out: lost answers and restarts (the logs show neither).

--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -55,7 +55,7 @@
 	maxUntil     time.Duration // maxUntil is the latest end of a lease that was sent, on the worker's clock.
 	fence        int64
 	raiseFence   bool // raiseFence makes the next lease order void all orders before it.
-	leasing      bool // leasing tells that a lease order is under way.
+	leasing      bool // leasing tells that a lease order is under way or follows the next commit.
 	silent       bool // silent tells that the last lease order had no answer.
 	unhealthy    time.Time
 	failures     int // failures counts failed runs since the last success.
@@ -201,7 +201,6 @@
 	if worker == nil || answer.Order().Fence()>>fenceCounterBits != machine.leader.epoch {
 		return
 	}
-	worker.leasing = false
 	switch {
 	case answer.Result() == almondcross.OrderFenced && answer.Order().Fence() >= worker.fence:
 		machine.stopLeading("worker " + worker.id + " has seen a higher fencing token")
