Read the stream before the log counts as down

The next change was refused with log_down although the log answered. Ruled out: a state that lags what was read back (the refusal came from the appender's flag, before anything was sent). An unanswered append now marks the log as down only when the stream does not have the record.

--- a/command/appender/appender.go
+++ b/command/appender/appender.go
@@ -65,6 +65,7 @@
 	floor   almondcross.Offset // the first offset at which unsettled records can be, -1 when not known
 	started time.Time          // the time at which the last append was sent
 	probes  uint64
+	failure error // the failure of the last append that failed
 }
 
 type counts struct {
@@ -280,7 +281,9 @@
 	}
 }
 
-// append sends one append and keeps the state of the stream.
+// append sends one append and keeps the state of the stream. An append without an answer does not show
+// that the log is down before the stream was read: the record may be there, and an operator who has seen
+// it must not be told next that the log is down.
 func (appender *Appender) append(
 	ctx context.Context, records []almondcross.Record,
 ) (almondcross.Offset, almondcross.AppendResult) {
@@ -291,7 +294,10 @@
 	first, err := appender.config.Log.Append(ctx, appender.config.Stream, records)
 	if err != nil {
 		appender.counts.failures.Inc()
-		appender.setDown(true, err)
+		appender.failure = err
+		if resultOf(err) == almondcross.AppendRefused {
+			appender.setDown(true, err)
+		}
 		return -1, resultOf(err)
 	}
 	appender.counts.records.Add(len(records))
--- a/command/appender/settle.go
+++ b/command/appender/settle.go
@@ -31,10 +31,9 @@
 	floor := appender.floor
 	batch = appender.answerFound(ctx, batch, floor)
 	if len(batch) == 0 {
-		// The append succeeded and only its answer was lost.
-		appender.setDown(false, nil)
-		return
+		return // The append succeeded and only its answer was lost.
 	}
+	appender.setDown(true, appender.failure)
 	if first, result := appender.append(ctx, flatten(batch)); result == almondcross.AppendTaken {
 		appender.counts.settled.Add(len(batch))
 		answerTaken(batch, first)
