--- a/command/scheduler/constants.go
+++ b/command/scheduler/constants.go
@@ -63,6 +63,10 @@
 	failureLimit = 3
 	// failurePause is the time per failed run for which it is avoided.
 	failurePause = time.Second
+	// stallLimit is how long a run may show no progress; a gang waits for its members for less.
+	stallLimit = 3500 * time.Millisecond
+	// stallPause is how long a worker with a stalled run gets no new work.
+	stallPause = 5 * time.Second
 	// listLimit is the number of ends at which a worker's list may be cut short.
 	listLimit = 500
 )
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -330,8 +330,8 @@
 	}
 	assignment.stopAt = machine.now.Add(stopRetry)
 	machine.afterCommit(func() {
-		if worker.assigned[assignment.task] != assignment {
-			return
+		if worker.assigned[assignment.task] != assignment || !worker.managed {
+			return // A worker that is not announced yet gets the order with the next sweep.
 		}
 		machine.do(SendStop{Order: almondcross.NewStopOrder(almondcross.StopOrderConfig{
 			Worker: worker.worker, Task: assignment.task, Run: assignment.run, Fence: worker.fence,
@@ -418,6 +418,21 @@
 	}
 }
 
+// stalled reports whether a run makes no progress although its worker answers.
+func (assignment *assignment) stalled(worker *worker, now time.Time) bool {
+	return assignment.phase == phasePresent && !assignment.stopping && !assignment.stage.spec.Service() && !worker.silent &&
+		now.Sub(assignment.progressAt) > stallLimit && worker.clockAt.Sub(assignment.progressAt) > stallLimit
+}
+
+// stopStalled stops a run that makes no progress, so that it starts again elsewhere.
+func (machine *Machine) stopStalled(worker *worker, assignment *assignment) {
+	machine.config.Log.Record("run_stalled", almondcross.Text("task", assignment.task.String()), almondcross.Number("run", assignment.run),
+		almondcross.Text("worker", worker.id), almondcross.Number("progress", assignment.progress),
+		almondcross.Millis("unchanged_ms", machine.now.Sub(assignment.progressAt)))
+	worker.unhealthy = machine.now.Add(stallPause)
+	machine.stop(worker, assignment)
+}
+
 // sweepWorkers repeats what was not answered and takes the runs of silent workers for gone.
 func (machine *Machine) sweepWorkers() {
 	for _, worker := range slices.Clone(machine.leader.order) {
@@ -426,6 +441,8 @@
 			switch {
 			case lost && assignment.phase != phaseCommitting:
 				machine.endRun(worker, assignment, almondcross.EndVoid, assignment.checkpoint)
+			case assignment.stalled(worker, machine.now):
+				machine.stopStalled(worker, assignment)
 			case assignment.stopping && assignment.phase != phaseCommitting && !machine.now.Before(assignment.stopAt) && worker.managed:
 				machine.stop(worker, assignment)
 			}
