Let gangs learn early where they may run and keep room for them

A gang now learns of 24 workers or more in its first call, keeps room on allowed workers for at most 40% of the pool, and asks for tickets once it fits.

--- a/assembler/root.go
+++ b/assembler/root.go
@@ -51,7 +51,7 @@
 	}
 	root.AddCommand(readers...)
 	root.AddCommand(verbs.Top...)
-	root.AddCommand(requester.Prepare(entryCommand(), schedulerCommand(), platformCommand(), workerCommand(), demoCommand())...)
+	root.AddCommand(requester.Prepare(entryCommand(), schedulerCommand(), platformCommand(), workerCommand(), demoCommand(), experimentCommand())...)
 	requester.Prepare(root)
 	return root
 }
--- a/command/scheduler/advice.go
+++ b/command/scheduler/advice.go
@@ -26,6 +26,10 @@
 	spareFactor = 1.6
 	// fewestAsked is the least number of workers in a call, so that a small stage is not left without any.
 	fewestAsked = 6
+	// fewestLong is the least number of workers in a long call, of which the named workers are a small part.
+	fewestLong = 24
+	// knownFactor is by how much the room on allowed workers exceeds a gang before it stops learning of others.
+	knownFactor = 2
 	// mostAsked is the most workers that one call may name.
 	mostAsked = 100
 	// longAdvice is the length of a call from which it counts as long.
@@ -138,7 +142,12 @@
 	if adviser == nil {
 		return
 	}
-	named := machine.nameWorkers(queue, stage, advice, machine.candidates(queue, stage, nil))
+	var named []string
+	if stage.spec.Gang() {
+		named = machine.nameForGang(queue, stage, advice)
+	} else {
+		named = machine.nameWorkers(queue, stage, advice, machine.candidates(queue, stage, nil))
+	}
 	if len(named) == 0 {
 		advice.retryAt = machine.now.Add(adviceRetry)
 		return
@@ -156,41 +165,86 @@
 	if !known {
 		share = shareStart
 	}
-	sorted := append([]almondcross.WorkerRoom(nil), rooms...)
-	sortByRoom(sorted)
+	sortByRoom(rooms)
 	wanted := float64(stage.open - stage.active)
-	var named, unknown []string
-	var expected, possible float64
-	for _, room := range sorted {
-		allowed, told := advice.allow[room.Worker()]
-		if held, ok := advice.tickets[room.Worker()]; ok && machine.now.Before(held.until) {
+	fewest := fewestAsked
+	if queue.Advice().Base() >= longAdvice {
+		fewest = fewestLong
+	}
+	var named []string
+	var certain, expected float64
+	for _, room := range rooms {
+		if allowed, told := advice.allow[room.Worker()]; told && allowed {
+			certain += float64(room.Tasks())
 			expected += float64(room.Tasks())
-			possible += float64(room.Tasks())
+			named = append(named, room.Worker())
+		}
+	}
+	if certain >= wanted {
+		return named[:min(len(named), mostAsked)]
+	}
+	for _, room := range rooms {
+		if _, told := advice.allow[room.Worker()]; told || len(named) >= mostAsked {
 			continue
 		}
-		switch {
-		case told && !allowed:
-		case told:
-			possible += float64(room.Tasks())
-			if expected < wanted*spareFactor && len(named) < mostAsked {
-				named = append(named, room.Worker())
-				expected += float64(room.Tasks())
-			}
-		default:
-			possible += float64(room.Tasks())
-			unknown = append(unknown, room.Worker())
-			if len(named) < mostAsked && (expected < wanted*spareFactor || len(named) < fewestAsked) {
-				named = append(named, room.Worker())
-				expected += float64(room.Tasks()) * share
-			}
+		if expected >= wanted*spareFactor && len(named) >= fewest {
+			break
 		}
+		named = append(named, room.Worker())
+		expected += float64(room.Tasks()) * share
 	}
-	if stage.spec.Gang() && possible < wanted || len(named) == 0 {
+	if stage.spec.Gang() && expected < wanted && len(named) < len(rooms) {
 		return nil
 	}
 	return named
 }
 
+// learnable returns the workers that advice has not told of for a stage, with the room that they have when
+// what does not belong to gangs has ended. A gang learns early where it may run.
+func (machine *Machine) learnable(queue almondcross.Queue, stage *stage, advice *stageAdvice) []almondcross.WorkerRoom {
+	var rooms []almondcross.WorkerRoom
+	for _, worker := range machine.leader.usable {
+		if _, told := advice.allow[worker.id]; told || worker.worker.Pool() != queue.Service() || !worker.worker.HasLabel(stage.spec.Label()) {
+			continue
+		}
+		if tasks := fitting(worker.worker.Capacity().Sub(worker.kept), stage.spec.Resources(), stage.spec.Count()); tasks > 0 {
+			rooms = append(rooms, almondcross.NewWorkerRoom(almondcross.WorkerRoomConfig{Worker: worker.id, Tasks: tasks}))
+		}
+	}
+	return rooms
+}
+
+// nameForGang returns the workers to ask about for a gang: those on which it fits now, or, while it is not
+// known to be allowed on enough workers, others to learn of. Otherwise it waits for room.
+func (machine *Machine) nameForGang(queue almondcross.Queue, stage *stage, advice *stageAdvice) []string {
+	wanted := stage.open - stage.active
+	var present, known int
+	var now []string
+	for _, room := range machine.candidates(queue, stage, nil) {
+		if advice.allow[room.Worker()] {
+			present += room.Tasks()
+			now = append(now, room.Worker())
+		}
+	}
+	if present >= wanted {
+		return now
+	}
+	for _, worker := range machine.leader.usable {
+		if advice.allow[worker.id] {
+			known += fittingTasks(worker, stage)
+		}
+	}
+	if float64(known) >= float64(wanted)*knownFactor {
+		return nil
+	}
+	return append(now, machine.nameWorkers(queue, stage, advice, machine.learnable(queue, stage, advice))...)
+}
+
+// fittingTasks returns how many tasks of a gang fit a worker once what does not belong to gangs has ended.
+func fittingTasks(worker *worker, stage *stage) int {
+	return fitting(worker.worker.Capacity().Sub(worker.kept), stage.spec.Resources(), stage.spec.Count())
+}
+
 // freeAdviser returns a host that may make a call. Long calls leave some hosts to the short ones.
 func (machine *Machine) freeAdviser(long bool) *adviser {
 	var free *adviser
--- a/command/scheduler/constants.go
+++ b/command/scheduler/constants.go
@@ -25,6 +25,9 @@
 	retryPause = 100 * time.Millisecond
 	// intakePause limits how often the intake partitions are read.
 	intakePause = 15 * time.Millisecond
+	// intakeFresh is the age of the last answered read of an intake partition up to which nothing in it
+	// can have been overlooked for long; a read waits for two seconds.
+	intakeFresh = 2500 * time.Millisecond
 	// workersPause limits how often the changes of the announced workers are read.
 	workersPause = 250 * time.Millisecond
 	// placePause is the least time between two passes over the waiting stages.
--- a/command/scheduler/follower.go
+++ b/command/scheduler/follower.go
@@ -13,6 +13,7 @@
 	next      int64     // next is the journal offset that follows the last applied batch.
 	reading   bool      // reading tells that a read is under way.
 	caughtUp  bool      // caughtUp tells that the last read reached the end of the journal.
+	current   bool      // current tells that the scheduler of the last batch had read all intakes.
 	lastBatch time.Time // lastBatch is when the last batch came.
 	lastRead  time.Time // lastRead is when the last read was answered.
 	electAt   time.Time // electAt is the earliest time of the next election.
@@ -87,6 +88,7 @@
 	epoch, resigned := machine.state.epoch, machine.state.resigned
 	for _, batch := range read.Batches() {
 		machine.state.applyBatch(batch)
+		machine.follower.current = batch.Current()
 	}
 	machine.follower.next = read.Next()
 	first := !machine.follower.caughtUp
@@ -100,7 +102,8 @@
 		machine.follower.lastBatch = machine.now.Add(-silenceLimit)
 	}
 	if machine.follower.caughtUp {
-		machine.config.Publisher.Refreshed(machine.now)
+		alive := machine.now.Sub(machine.follower.lastBatch) < silenceLimit
+		machine.config.Publisher.Refreshed(machine.now, machine.follower.current && alive)
 	}
 	machine.publish(machine.views())
 	if epoch != machine.state.epoch || resigned != machine.state.resigned {
--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -21,6 +21,7 @@
 	pending  []almondcross.Change // pending holds the changes of the next append.
 	moved    map[int]int64        // moved holds the intake offsets of the next append.
 	staged   []func()             // staged holds what follows the next append.
+	readAt   map[int]time.Time    // readAt is when each intake partition was last read to its end.
 	inflight *appending           // inflight is the append under way, nil for none.
 
 	snapshotAt   time.Time // snapshotAt is when the last snapshot was taken.
@@ -29,6 +30,8 @@
 	workers map[string]*worker
 	order   []*worker  // order holds the workers by identity.
 	usable  []*worker  // usable holds the workers that may be given work in the present pass.
+	roomCPU int64      // roomCPU is the processor time of the usable workers in thousandths of a core.
+	heldCPU int64      // heldCPU is the part of it that is kept for waiting gangs in the present pass.
 	stages  []*waiting // stages holds the stages with work left whose turn has come, in placing order.
 	asked   map[almondcross.StageID]*stageAdvice
 	queued  map[almondcross.StageID]bool // queued tells which stages are in stages.
@@ -45,6 +48,7 @@
 	sent     time.Time
 	staged   []func()
 	views    []viewChange
+	current  bool // current tells that all intakes had been read.
 	snapshot *almondcross.StateSnapshot
 }
 
@@ -56,7 +60,7 @@
 	machine.follower.next = answer.Appended().End()
 	machine.leader = &leader{
 		epoch: answer.Commit().Epoch(), sequence: 1, since: machine.now, lastCommit: machine.now.Add(-answer.Took()),
-		moved: map[int]int64{}, workers: map[string]*worker{}, asked: map[almondcross.StageID]*stageAdvice{},
+		moved: map[int]int64{}, readAt: map[int]time.Time{}, workers: map[string]*worker{}, asked: map[almondcross.StageID]*stageAdvice{},
 		queued: map[almondcross.StageID]bool{}, timed: map[almondcross.JobID]*job{}, shares: map[string]float64{},
 		snapshotAt: machine.now,
 	}
@@ -88,6 +92,7 @@
 				task := almondcross.JobTask{Stage: stage.id, Index: index}
 				worker.assign(&assignment{
 					task: task, run: record.Run(), need: stage.spec.Resources(), phase: phaseUnknown, stage: stage, job: job,
+					placed: machine.now,
 				})
 			}
 		}
@@ -162,11 +167,13 @@
 	}
 	machine.open()
 	leader.sequence++
-	inflight := &appending{sent: machine.now, staged: leader.staged, views: machine.views()}
+	inflight := &appending{sent: machine.now, staged: leader.staged, views: machine.views(), current: machine.intakeCurrent()}
 	var batches []almondcross.JournalBatch
 	for first := true; first || len(leader.pending) > 0; first = false {
 		count := min(len(leader.pending), batchChanges)
-		config := almondcross.JournalBatchConfig{Epoch: leader.epoch, At: machine.state.at, Changes: leader.pending[:count:count]}
+		config := almondcross.JournalBatchConfig{
+			Epoch: leader.epoch, At: machine.state.at, Changes: leader.pending[:count:count], Current: inflight.current,
+		}
 		leader.pending = leader.pending[count:]
 		if len(leader.pending) == 0 {
 			config.Intake = leader.moved
@@ -215,7 +222,7 @@
 	leader.inflight = nil
 	leader.lastCommit = machine.now.Add(-answer.Took())
 	machine.follower.next = answer.Appended().End()
-	machine.config.Publisher.Refreshed(machine.now)
+	machine.config.Publisher.Refreshed(machine.now, inflight.current)
 	machine.publish(inflight.views)
 	if inflight.snapshot != nil {
 		machine.do(StoreSnapshot{Request: almondcross.NewSnapshotStore(almondcross.SnapshotStoreConfig{
@@ -255,6 +262,8 @@
 			almondcross.Number("from", read.From()), almondcross.Number("first", next))
 	case read.Err() != nil:
 		next, pause = read.From(), retryPause
+	default:
+		leader.readAt[read.Partition()] = machine.now
 	}
 	for _, intake := range read.Intakes() {
 		if intake.Cancel() {
@@ -271,6 +280,17 @@
 	})})
 }
 
+// intakeCurrent reports whether every intake partition was read lately. A read that waits for a record is
+// answered within its wait.
+func (machine *Machine) intakeCurrent() bool {
+	for partition := range machine.config.Partitions {
+		if machine.now.Sub(machine.leader.readAt[partition]) > intakeFresh {
+			return false
+		}
+	}
+	return true
+}
+
 func (machine *Machine) admitJob(submitted almondcross.Job) {
 	if _, known := machine.state.jobs[submitted.ID()]; known {
 		machine.config.Meters.Repeated()
--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -18,9 +18,12 @@
 func (machine *Machine) place() {
 	leader := machine.leader
 	leader.usable = leader.usable[:0]
+	leader.heldCPU, leader.roomCPU = 0, 0
 	for _, worker := range leader.order {
 		if worker.usable(machine.now) {
+			worker.held = almondcross.Resources{}
 			leader.usable = append(leader.usable, worker)
+			leader.roomCPU += worker.worker.Capacity().MilliCPU()
 		}
 	}
 	kept := leader.stages[:0]
@@ -66,9 +69,51 @@
 			}
 		}
 		machine.requestAdvice(queue, waiting.stage, waiting.advice)
+		if waiting.stage.spec.Gang() {
+			machine.holdRoom(queue, waiting.stage, waiting.advice)
+		}
 	}
 }
 
+// holdRoom keeps room for a gang that waits, on workers that advice allows for it, out of reach of the
+// stages behind it in this pass. Small tasks would otherwise take each piece of room as it gets free.
+func (machine *Machine) holdRoom(queue almondcross.Queue, stage *stage, advice *stageAdvice) {
+	leader, need := machine.leader, stage.spec.Resources()
+	wanted := stage.open - stage.active
+	if float64(leader.heldCPU+int64(wanted)*need.MilliCPU()) > mostHeld*float64(leader.roomCPU) {
+		return
+	}
+	var rooms []heldRoom
+	for _, worker := range leader.usable {
+		if !advice.allow[worker.id] || worker.worker.Pool() != queue.Service() {
+			continue
+		}
+		if tasks := fitting(worker.worker.Capacity().Sub(worker.kept).Sub(worker.held), need, wanted); tasks > 0 {
+			rooms = append(rooms, heldRoom{worker: worker, tasks: tasks, free: fitting(worker.room().Sub(worker.held), need, wanted)})
+		}
+	}
+	slices.SortStableFunc(rooms, func(a, b heldRoom) int { return b.free - a.free })
+	for _, room := range rooms {
+		tasks := min(room.tasks, wanted)
+		held := need.Scale(int64(tasks))
+		room.worker.held = room.worker.held.Add(held)
+		leader.heldCPU += held.MilliCPU()
+		if wanted -= tasks; wanted == 0 {
+			return
+		}
+	}
+}
+
+// heldRoom is a worker on which room may be kept for a gang.
+type heldRoom struct {
+	worker *worker
+	tasks  int // tasks is how many tasks fit once what does not belong to gangs has ended.
+	free   int // free is how many fit now.
+}
+
+// mostHeld is the part of the room that may be kept for waiting gangs.
+const mostHeld = 0.4
+
 // candidates returns the usable workers on which at least one task of a stage fits, with advice only
 // those that hold a usable ticket.
 func (machine *Machine) candidates(queue almondcross.Queue, stage *stage, advice *stageAdvice) []almondcross.WorkerRoom {
@@ -81,7 +126,8 @@
 		if worker.worker.Pool() != queue.Service() || !worker.worker.HasLabel(spec.Label()) {
 			continue
 		}
-		count := fitting(worker.room(), spec.Resources(), spec.Count())
+		free := worker.room().Sub(worker.held)
+		count := fitting(free, spec.Resources(), spec.Count())
 		if count > 0 && spec.PerWorker() > 0 {
 			count = min(count, spec.PerWorker()-worker.countOf(stage.id))
 		}
@@ -89,7 +135,7 @@
 			continue
 		}
 		rooms = append(rooms, almondcross.NewWorkerRoom(almondcross.WorkerRoomConfig{
-			Worker: worker.id, Rack: worker.worker.Rack(), Free: worker.room(), Capacity: worker.worker.Capacity(), Tasks: count,
+			Worker: worker.id, Rack: worker.worker.Rack(), Free: free, Capacity: worker.worker.Capacity(), Tasks: count,
 		}))
 	}
 	return rooms
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -47,6 +47,8 @@
 	managed  bool // managed tells that its duties are open.
 	assigned map[almondcross.JobTask]*assignment
 	used     almondcross.Resources
+	kept     almondcross.Resources // kept is the part of used that belongs to gangs.
+	held     almondcross.Resources // held is the room that is kept for waiting gangs in the present pass.
 
 	born         int64
 	acknowledged int64         // acknowledged is the last end of this life that is in the journal.
@@ -67,12 +69,18 @@
 func (worker *worker) assign(assignment *assignment) {
 	worker.assigned[assignment.task] = assignment
 	worker.used = worker.used.Add(assignment.need)
+	if assignment.stage.spec.Gang() {
+		worker.kept = worker.kept.Add(assignment.need)
+	}
 }
 
 func (worker *worker) free(assignment *assignment) {
 	if worker.assigned[assignment.task] == assignment {
 		delete(worker.assigned, assignment.task)
 		worker.used = worker.used.Sub(assignment.need)
+		if assignment.stage.spec.Gang() {
+			worker.kept = worker.kept.Sub(assignment.need)
+		}
 	}
 }
 
--- a/encoder/journal.go
+++ b/encoder/journal.go
@@ -66,6 +66,7 @@
 	AtMS    int64
 	Intake  map[int]int64
 	Changes []wireStateChange
+	Current bool
 }
 
 type wireIntake struct {
@@ -241,7 +242,7 @@
 		changes[index] = toChange(change)
 	}
 	record, err := codec.encoding.Marshal(wireBatch{
-		Epoch: batch.Epoch(), AtMS: toMillis(batch.At()), Intake: batch.Intake(), Changes: changes,
+		Epoch: batch.Epoch(), AtMS: toMillis(batch.At()), Intake: batch.Intake(), Changes: changes, Current: batch.Current(),
 	})
 	return record, errors.Annotate(err, "encoding a batch")
 }
@@ -257,7 +258,7 @@
 		changes[index] = change.value()
 	}
 	return almondcross.NewJournalBatch(almondcross.JournalBatchConfig{
-		Epoch: wire.Epoch, At: fromMillis(wire.AtMS), Intake: wire.Intake, Changes: changes,
+		Epoch: wire.Epoch, At: fromMillis(wire.AtMS), Intake: wire.Intake, Changes: changes, Current: wire.Current,
 	}), nil
 }
 
--- a/job.go
+++ b/job.go
@@ -179,8 +179,9 @@
 	Forget(id JobID)
 	// Reset removes all views.
 	Reset()
-	// Refreshed records that the views were current at a time.
-	Refreshed(at time.Time)
+	// Refreshed records that the journal was followed to its end at a time. Complete tells that every job
+	// that was accepted a moment before is among the views.
+	Refreshed(at time.Time, complete bool)
 }
 
 // JobFinder reads the published states of jobs.
@@ -189,6 +190,8 @@
 	Find(id JobID) (JobView, bool)
 	// Pending returns the number of jobs of a queue of which no task has started.
 	Pending(queue string) int
-	// RefreshedAt returns when the views were last known to be current, zero for never.
+	// RefreshedAt returns when the journal was last followed to its end, zero for never.
 	RefreshedAt() time.Time
+	// CompleteAt returns when every accepted job was last among the views, zero for never.
+	CompleteAt() time.Time
 }
--- a/job_generated.go
+++ b/job_generated.go
@@ -1955,6 +1955,7 @@
 	Epoch   int64
 	At      time.Time
 	Intake  map[int]int64
+	Current bool
 	Changes []Change
 }
 
@@ -1964,6 +1965,7 @@
 		epoch:   config.Epoch,
 		at:      config.At,
 		intake:  config.Intake,
+		current: config.Current,
 		changes: config.Changes,
 	}
 }
@@ -1974,6 +1976,7 @@
 		Epoch:   journalbatch.epoch,
 		At:      journalbatch.at,
 		Intake:  journalbatch.intake,
+		Current: journalbatch.current,
 		Changes: journalbatch.changes,
 	}
 }
@@ -2005,6 +2008,15 @@
 	return journalbatch
 }
 
+// Current returns whether the scheduler has lately read every intake partition to its end.
+func (journalbatch JournalBatch) Current() bool { return journalbatch.current }
+
+// WithCurrent returns a copy with the given current.
+func (journalbatch JournalBatch) WithCurrent(current bool) JournalBatch {
+	journalbatch.current = current
+	return journalbatch
+}
+
 // Changes returns the changes, in order.
 func (journalbatch JournalBatch) Changes() []Change { return journalbatch.changes }
 
--- a/journal.go
+++ b/journal.go
@@ -167,6 +167,7 @@
 	epoch   int64         // the epoch of the scheduler that wrote it
 	at      time.Time     // the scheduler's time
 	intake  map[int]int64 // the offsets up to which intake partitions have been admitted, those that moved
+	current bool          // whether the scheduler has lately read every intake partition to its end
 	changes []Change      // the changes, in order
 }
 
--- a/placing_generated.go
+++ b/placing_generated.go
@@ -2,8 +2,6 @@
 
 package almondcross
 
-import ()
-
 // CheckpointTaskConfig holds the fields of a new CheckpointTask.
 type CheckpointTaskConfig struct {
 	Term Term
--- a/query/jobfinder/jobfinder.go
+++ b/query/jobfinder/jobfinder.go
@@ -18,6 +18,7 @@
 	shards    [shards]atomic.Pointer[map[almondcross.JobID]almondcross.JobView]
 	pending   atomic.Pointer[map[string]int]
 	refreshed atomic.Pointer[time.Time]
+	complete  atomic.Pointer[time.Time]
 }
 
 // New returns an empty table.
@@ -68,10 +69,16 @@
 		table.shards[index].Store(&map[almondcross.JobID]almondcross.JobView{})
 	}
 	table.pending.Store(&map[string]int{})
+	table.complete.Store(nil)
 }
 
-// Refreshed records that the views were current at a time.
-func (table *Table) Refreshed(at time.Time) { table.refreshed.Store(&at) }
+// Refreshed records that the journal was followed to its end at a time.
+func (table *Table) Refreshed(at time.Time, complete bool) {
+	table.refreshed.Store(&at)
+	if complete {
+		table.complete.Store(&at)
+	}
+}
 
 // Find returns the view of a job.
 func (table *Table) Find(id almondcross.JobID) (almondcross.JobView, bool) {
@@ -82,10 +89,15 @@
 // Pending returns the number of jobs of a queue of which no task has started.
 func (table *Table) Pending(queue string) int { return (*table.pending.Load())[queue] }
 
-// RefreshedAt returns when the views were last known to be current, zero for never.
-func (table *Table) RefreshedAt() time.Time {
-	if at := table.refreshed.Load(); at != nil {
-		return *at
+// RefreshedAt returns when the journal was last followed to its end, zero for never.
+func (table *Table) RefreshedAt() time.Time { return load(&table.refreshed) }
+
+// CompleteAt returns when every accepted job was last among the views, zero for never.
+func (table *Table) CompleteAt() time.Time { return load(&table.complete) }
+
+func load(at *atomic.Pointer[time.Time]) time.Time {
+	if known := at.Load(); known != nil {
+		return *known
 	}
 	return time.Time{}
 }
--- a/standin/emulator/jobs.go
+++ b/standin/emulator/jobs.go
@@ -179,7 +179,7 @@
 	host := day.hosts[day.random.IntN(len(day.hosts))]
 	if host.up && host.frozen <= day.now {
 		view, known := host.table.Find(job.job.ID())
-		fresh := day.time().Sub(host.table.RefreshedAt()) < callerLimit
+		fresh := day.time().Sub(host.table.CompleteAt()) < callerLimit
 		switch {
 		case known:
 			day.judge.shown(job, view.State())
--- a/standin/emulator/worker.go
+++ b/standin/emulator/worker.go
@@ -219,6 +219,8 @@
 			modelworker.end(now, run, almondcross.EndStopped)
 		case run.gang != nil && run.gang.began == 0 && now-run.started > gangLimit:
 			modelworker.end(now, run, almondcross.EndAlone)
+		case run.gang != nil && run.gang.began == 0:
+			// A gang works only together.
 		case run.worked(now) >= run.work && run.fails:
 			modelworker.end(now, run, almondcross.EndFailed)
 		case run.worked(now) >= run.work:
