Learn of unanswered starts by a look, elect in two appends, refuse at once while the store is away

A start without an answer held its task up for 0.8 s and then for the rest of a lease order's wait; a look under a raised fence now tells within the way there and back. A gang's member that never started gets another worker under the same run. Callers are answered from the state of the store instead of waiting for it.

--- a/assembler/scheduler.go
+++ b/assembler/scheduler.go
@@ -100,6 +100,7 @@
 	advice      *ring.Ring[asker.Request]
 	schedulers  *ring.Ring[connector.Scheduler]
 	submissions *ring.Ring[submitter.Submission]
+	stored      *ring.Ring[almondcross.IntakeStored]
 }
 
 func newSchedulerRings(settings configurator.SchedulerSettings, set *metrics.Set) schedulerRings {
@@ -113,6 +114,7 @@
 		advice:      ring.New[asker.Request](ring.Config{Name: "advice", Capacity: requestRing, Metrics: set}),
 		schedulers:  ring.New[connector.Scheduler](ring.Config{Name: "schedulers", Capacity: schedulersRing, Metrics: set}),
 		submissions: ring.New[submitter.Submission](ring.Config{Name: "submissions", Capacity: submissionRing, Metrics: set}),
+		stored:      ring.New[almondcross.IntakeStored](ring.Config{Name: "stored", Capacity: submissionRing, Metrics: set}),
 	}
 	for range settings.StorePartitions() {
 		rings.intakes = append(rings.intakes, ring.New[almondcross.IntakeQuery](ring.Config{Name: "intake", Capacity: requestRing}))
@@ -171,7 +173,11 @@
 }
 
 func newDialer(settings configurator.SchedulerSettings, codec encoder.Codec, rings schedulerRings, log *recorder.Recorder) *connector.Dialer {
-	return connector.NewDialer(connector.DialerConfig{Host: settings.Name(), Codec: codec, Queries: rings.advice, Log: log})
+	return connector.NewDialer(connector.DialerConfig{
+		Host: settings.Name(), Codec: codec, Queries: rings.advice, Sink: rings.messages, Log: log,
+		// An answer that finds the ring full is as good as lost; the host sends its intake again.
+		Stored: func(stored almondcross.IntakeStored) { rings.stored.Offer(stored) },
+	})
 }
 
 // localQueries takes the queries that the scheduler's own host asks.
@@ -195,13 +201,14 @@
 
 func newSubmitter(
 	settings configurator.SchedulerSettings, caller *caller.Caller, codec encoder.Codec, log *recorder.Recorder,
+	rings schedulerRings, dialer *connector.Dialer,
 ) *submitter.Submitter {
 	// Hosts begin at different partitions, so that their appends do not wait for one another.
 	hash := fnv.New32a()
 	_, _ = hash.Write([]byte(settings.Name()))
 	return submitter.New(submitter.Config{
 		Writer: commander.NewStore(settings.StoreAddress(), caller), Codec: codec, Clock: Clock{}, Log: log, Topic: intakeTopic,
-		Partition: int(hash.Sum32()), Partitions: settings.StorePartitions(),
+		Partition: int(hash.Sum32()), Partitions: settings.StorePartitions(), Forward: dialer.Forward, Stored: rings.stored,
 	})
 }
 
--- a/command/committer/committer.go
+++ b/command/committer/committer.go
@@ -73,10 +73,13 @@
 	}
 	limited, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
-	appended, err := committer.config.Writer.Append(limited, almondcross.NewStoreAppend(almondcross.StoreAppendConfig{
-		Partition: committer.config.Journal, Records: records, Writer: committer.config.Name, Epoch: request.Epoch(),
-		Sequence: request.Sequence(), Conditional: request.Election(), ExpectedEnd: request.ExpectedEnd(),
-	}))
+	config := almondcross.StoreAppendConfig{
+		Partition: committer.config.Journal, Records: records, Conditional: request.Election(), ExpectedEnd: request.ExpectedEnd(),
+	}
+	if request.Sequence() > 0 {
+		config.Writer, config.Epoch, config.Sequence = committer.config.Name, request.Epoch(), request.Sequence()
+	}
+	appended, err := committer.config.Writer.Append(limited, almondcross.NewStoreAppend(config))
 	if err != nil {
 		return almondcross.StoreAppended{}, errors.Trace(err)
 	}
--- a/command/connector/dialer.go
+++ b/command/connector/dialer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/gorilla/websocket"
@@ -26,11 +27,16 @@
 	Host    string // Host is the name of this host.
 	Codec   almondcross.LinkCodec
 	Queries almondcross.Sink[asker.Request] // Queries takes the queries of the scheduler.
+	Sink    almondcross.Sink[almondcross.SchedulerMessage]
+	Stored  func(stored almondcross.IntakeStored) // Stored takes the answers to forwarded intakes.
 	Log     almondcross.EventLog
 }
 
 // Dialer keeps the link to the scheduler's host.
-type Dialer struct{ config DialerConfig }
+type Dialer struct {
+	config  DialerConfig
+	current atomic.Pointer[session]
+}
 
 // NewDialer returns a dialer.
 func NewDialer(config DialerConfig) *Dialer { return &Dialer{config: config} }
@@ -74,15 +80,30 @@
 	}
 	_ = response.Body.Close() // An upgraded connection has no body.
 	opened := newSession(connection, dialer.config.Codec)
-	opened.outbox.Offer(almondcross.NewAdviserHello(almondcross.AdviserHelloConfig{Host: dialer.config.Host}))
+	opened.offer(almondcross.NewAdviserHello(almondcross.AdviserHelloConfig{Host: dialer.config.Host}))
+	dialer.current.Store(opened)
+	defer dialer.current.CompareAndSwap(opened, nil)
 	return opened.run(ctx, func(message almondcross.LinkMessage) {
-		query, ok := message.(almondcross.AdviceQuery)
-		if !ok {
-			return
-		}
-		reply := func(_ context.Context, answer almondcross.AdviceAnswered) { opened.outbox.Offer(answer) }
-		if !dialer.config.Queries.Offer(asker.Request{Query: query, Reply: reply}) {
-			reply(ctx, almondcross.NewAdviceAnswered(almondcross.AdviceAnsweredConfig{Query: query, Err: almondcross.ErrStoreRefused}))
+		switch message := message.(type) {
+		case almondcross.AdviceQuery:
+			dialer.ask(ctx, opened, message)
+		case almondcross.JournalPushed:
+			_ = dialer.config.Sink.Put(ctx, message) // Put fails only when the context has ended.
+		case almondcross.IntakeStored:
+			dialer.config.Stored(message)
 		}
 	})
 }
+
+func (dialer *Dialer) ask(ctx context.Context, opened *session, query almondcross.AdviceQuery) {
+	reply := func(_ context.Context, answer almondcross.AdviceAnswered) { opened.offer(answer) }
+	if !dialer.config.Queries.Offer(asker.Request{Query: query, Reply: reply}) {
+		reply(ctx, almondcross.NewAdviceAnswered(almondcross.AdviceAnsweredConfig{Query: query, Err: almondcross.ErrStoreRefused}))
+	}
+}
+
+// Forward sends an intake to the scheduler's host. It reports false when there is no link.
+func (dialer *Dialer) Forward(forwarded almondcross.IntakeForwarded) bool {
+	opened := dialer.current.Load()
+	return opened != nil && opened.offer(forwarded)
+}
--- a/command/connector/hub.go
+++ b/command/connector/hub.go
@@ -43,7 +43,30 @@
 		return hub.config.Local.Offer(query)
 	}
 	session := (*hub.sessions.Load())[adviser]
-	return session != nil && session.outbox.Offer(query)
+	return session != nil && session.offer(query)
+}
+
+// Push passes committed batches to all linked hosts.
+func (hub *Hub) Push(pushed almondcross.JournalPushed) {
+	sessions := *hub.sessions.Load()
+	if len(sessions) == 0 {
+		return
+	}
+	frame, err := hub.config.Codec.EncodeLink(pushed)
+	if err != nil {
+		hub.config.Log.Record("push_failed", almondcross.Number("from", pushed.From()), almondcross.Text("reason", err.Error()))
+		return
+	}
+	for _, session := range sessions {
+		session.outbox.Offer(outgoing{frame: frame}) // A host that misses a push reads the store.
+	}
+}
+
+// Stored tells a host that its intake is stored.
+func (hub *Hub) Stored(host string, stored almondcross.IntakeStored) {
+	if session := (*hub.sessions.Load())[host]; session != nil {
+		session.offer(stored) // Without the answer the host asks again.
+	}
 }
 
 // ServeHTTP serves one link until it fails.
@@ -63,6 +86,8 @@
 			hub.tell(request, almondcross.NewAdviserChanged(almondcross.AdviserChangedConfig{Adviser: host, Present: true}))
 		case almondcross.AdviceAnswered:
 			hub.tell(request, message.WithAdviser(host).WithReceived(hub.config.Clock.Now()))
+		case almondcross.IntakeForwarded:
+			hub.tell(request, message.WithHost(host))
 		}
 	})
 	if host != "" && hub.replace(host, opened, nil) {
--- a/command/connector/session.go
+++ b/command/connector/session.go
@@ -18,24 +18,31 @@
 	silenceLimit = 2500 * time.Millisecond
 	// writeLimit bounds one write.
 	writeLimit = time.Second
-	// outboxCapacity is more than a host has under way.
-	outboxCapacity = 16
+	// outboxCapacity holds what a slow link has not taken; pushed batches beyond it are left out, and the
+	// other side reads them from the store.
+	outboxCapacity = 64
 	// frameLimit is the largest frame in bytes.
-	frameLimit = 256 << 10
+	frameLimit = 1 << 20
 )
 
 // session is one open connection.
 type session struct {
 	connection *websocket.Conn
 	codec      almondcross.LinkCodec
-	outbox     *ring.Ring[almondcross.LinkMessage]
+	outbox     *ring.Ring[outgoing]
+}
+
+// outgoing is a message to encode, or a frame that is shared by several sessions.
+type outgoing struct {
+	message almondcross.LinkMessage
+	frame   []byte
 }
 
 func newSession(connection *websocket.Conn, codec almondcross.LinkCodec) *session {
 	connection.SetReadLimit(frameLimit)
 	return &session{
 		connection: connection, codec: codec,
-		outbox: ring.New[almondcross.LinkMessage](ring.Config{Name: "link", Capacity: outboxCapacity}),
+		outbox: ring.New[outgoing](ring.Config{Name: "link", Capacity: outboxCapacity}),
 	}
 }
 
@@ -93,10 +100,19 @@
 	}
 }
 
-func (session *session) send(message almondcross.LinkMessage) error {
-	frame, err := session.codec.EncodeLink(message)
-	if err != nil {
-		return errors.Trace(err)
+// offer puts a message into the outbox and reports false when it is full.
+func (session *session) offer(message almondcross.LinkMessage) bool {
+	return session.outbox.Offer(outgoing{message: message})
+}
+
+func (session *session) send(next outgoing) error {
+	frame := next.frame
+	if frame == nil {
+		encoded, err := session.codec.EncodeLink(next.message)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		frame = encoded
 	}
 	if err := session.connection.SetWriteDeadline(time.Now().Add(writeLimit)); err != nil {
 		return errors.Trace(err)
--- a/command/controller/controller.go
+++ b/command/controller/controller.go
@@ -9,8 +9,11 @@
 )
 
 const (
-	// orderTimeout bounds an order that a worker carries out at once.
-	orderTimeout = 800 * time.Millisecond
+	// leaseTimeout bounds a lease order beyond the time for which its answer may wait.
+	leaseTimeout = 400 * time.Millisecond
+	// startTimeout bounds a start or a stop, which a worker answers at once: a few times the way to
+	// another region and back. What became of an order without an answer is learned by a look.
+	startTimeout = 250 * time.Millisecond
 	// orderCapacity is the most orders that wait for one worker; it has far fewer tasks.
 	orderCapacity = 256
 	// leaseCapacity is one order under way and one of an earlier epoch.
@@ -53,13 +56,23 @@
 	pause time.Duration
 }
 
-// order is a start or a stop.
+// order is a start, a stop or a look.
 type order struct {
 	start almondcross.StartOrder
 	stop  almondcross.StopOrder
-	stops bool
+	look  almondcross.LeaseOrder
+	kind  orderKind
 }
 
+// orderKind tells what an order holds.
+type orderKind int
+
+const (
+	orderStart orderKind = iota
+	orderStop
+	orderLook
+)
+
 // New returns a controller whose duties end with the context.
 func New(ctx context.Context, config Config) *Controller {
 	return &Controller{config: config, ctx: ctx, workers: map[string]*managed{}}
@@ -92,10 +105,16 @@
 	}
 }
 
-// Lease sends a lease order after a pause.
-func (controller *Controller) Lease(order almondcross.LeaseOrder, pause time.Duration) bool {
-	known := controller.workers[order.Worker().ID()]
-	return known != nil && known.leases.Offer(pausedLease{order: order, pause: pause})
+// Lease sends a lease order after a pause. A look goes the way of starts and stops.
+func (controller *Controller) Lease(lease almondcross.LeaseOrder, pause time.Duration) bool {
+	known := controller.workers[lease.Worker().ID()]
+	if known == nil {
+		return false
+	}
+	if lease.Look() {
+		return known.orders.Offer(order{look: lease, kind: orderLook})
+	}
+	return known.leases.Offer(pausedLease{order: lease, pause: pause})
 }
 
 // Start sends a start order.
@@ -107,14 +126,14 @@
 // Stop sends a stop order.
 func (controller *Controller) Stop(stop almondcross.StopOrder) bool {
 	known := controller.workers[stop.Worker().ID()]
-	return known != nil && known.orders.Offer(order{stop: stop, stops: true})
+	return known != nil && known.orders.Offer(order{stop: stop, kind: orderStop})
 }
 
 func (controller *Controller) lease(ctx context.Context, paused pausedLease) {
 	if !ring.Pause(ctx, paused.pause) {
 		return
 	}
-	limited, cancel := context.WithTimeout(ctx, paused.order.Wait()+orderTimeout)
+	limited, cancel := context.WithTimeout(ctx, paused.order.Wait()+leaseTimeout)
 	defer cancel()
 	sent := controller.config.Clock.Now()
 	list, result, err := controller.config.Orderer.Lease(limited, paused.order)
@@ -129,11 +148,15 @@
 }
 
 func (controller *Controller) order(ctx context.Context, order order) {
-	limited, cancel := context.WithTimeout(ctx, orderTimeout)
+	if order.kind == orderLook {
+		controller.lease(ctx, pausedLease{order: order.look})
+		return
+	}
+	limited, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	sent := controller.config.Clock.Now()
 	var answer almondcross.SchedulerMessage
-	if order.stops {
+	if order.kind == orderStop {
 		result, err := controller.config.Orderer.Stop(limited, order.stop)
 		controller.note("stop", order.stop.Worker(), result, err, controller.config.Clock.Now().Sub(sent))
 		answer = almondcross.NewRunStopped(almondcross.RunStoppedConfig{Order: order.stop, Result: result})
--- a/command/scheduler/constants.go
+++ b/command/scheduler/constants.go
@@ -15,10 +15,16 @@
 	electionJitter = 200 * time.Millisecond
 	// electionBackoff is the pause after an election that was not won.
 	electionBackoff = 400 * time.Millisecond
+	// batchFresh is the age of a batch up to which its scheduler counts as alive.
+	batchFresh = 1500 * time.Millisecond
 	// readFresh is how old the last answered read may be for the silence to count as the scheduler's.
 	readFresh = time.Second
 	// followPause limits how often a follower reads, since each read has a price.
 	followPause = 90 * time.Millisecond
+	// pushFresh is the age of the last batch over the link up to which the store is read less often.
+	pushFresh = 500 * time.Millisecond
+	// pushedPause is the pause between reads of a host that gets its batches over the link.
+	pushedPause = 300 * time.Millisecond
 	// followWait is how long a read waits for a batch.
 	followWait = 400 * time.Millisecond
 	// retryPause is the pause before a failed call to the store is repeated.
@@ -41,7 +47,7 @@
 	// leaseLength is the time for which everything on a worker may run without a word from the scheduler.
 	leaseLength = 4500 * time.Millisecond
 	// leaseWait is how long a worker's answer waits for an end.
-	leaseWait = time.Second
+	leaseWait = 600 * time.Millisecond
 	// leasePause limits how often a worker with many ends is asked.
 	leasePause = 25 * time.Millisecond
 	// leaseRetry is the pause before a worker that did not answer is asked again.
--- a/command/scheduler/effects.go
+++ b/command/scheduler/effects.go
@@ -41,6 +41,13 @@
 		Adviser string
 		Query   almondcross.AdviceQuery
 	}
+	// Push passes committed batches to the linked hosts.
+	Push struct{ Pushed almondcross.JournalPushed }
+	// TellStored tells a host that its forwarded intake is stored.
+	TellStored struct {
+		Host   string
+		Stored almondcross.IntakeStored
+	}
 	// Lead tells who schedules now.
 	Lead struct {
 		Host    string // Host is the name of the scheduler's host.
@@ -61,4 +68,6 @@
 func (SendStart) effect()     {}
 func (SendStop) effect()      {}
 func (Ask) effect()           {}
+func (Push) effect()          {}
+func (TellStored) effect()    {}
 func (Lead) effect()          {}
--- a/command/scheduler/follower.go
+++ b/command/scheduler/follower.go
@@ -15,8 +15,10 @@
 	caughtUp  bool      // caughtUp tells that the last read reached the end of the journal.
 	current   bool      // current tells that the scheduler of the last batch had read all intakes.
 	lastBatch time.Time // lastBatch is when the last batch came.
+	aliveAt   time.Time // aliveAt is when a batch came that had been written a moment before.
 	lastRead  time.Time // lastRead is when the last read was answered.
 	electAt   time.Time // electAt is the earliest time of the next election.
+	lastPush  time.Time // lastPush is when batches last came over the link.
 	trimmed   int       // trimmed counts reads in a row that found their records deleted.
 }
 
@@ -63,9 +65,8 @@
 		// A candidate must not see its own election before the answer; it reads again afterwards.
 		return
 	}
-	if read.From() != machine.follower.next {
-		machine.readJournal(0)
-		return
+	if read.From() < machine.follower.next && !errors.Is(read.Err(), almondcross.ErrStoreTrimmed) {
+		read = skipApplied(read, machine.follower.next)
 	}
 	switch {
 	case errors.Is(read.Err(), almondcross.ErrStoreTrimmed):
@@ -76,24 +77,53 @@
 		return
 	}
 	machine.follower.trimmed = 0
-	machine.followBatches(read)
+	machine.followBatches(read, machine.now)
 	pause := followPause
-	if !machine.follower.caughtUp {
+	switch {
+	case !machine.follower.caughtUp:
 		pause = 0
+	case machine.now.Sub(machine.follower.lastPush) < pushFresh:
+		pause = pushedPause
 	}
 	machine.readJournal(pause)
 }
 
-func (machine *Machine) followBatches(read almondcross.JournalRead) {
+// skipApplied leaves out the batches that came over the link while the read was under way.
+func skipApplied(read almondcross.JournalRead, next int64) almondcross.JournalRead {
+	applied := min(next-read.From(), int64(len(read.Batches())))
+	return read.WithFrom(next).WithNext(max(next, read.Next())).WithBatches(read.Batches()[applied:])
+}
+
+// journalPushed applies batches that came over the link. The store is still read, though less often, since
+// only a read shows that a silent scheduler and not the link is the cause of silence.
+func (machine *Machine) journalPushed(pushed almondcross.JournalPushed) {
+	if machine.role != roleFollower || pushed.From() > machine.follower.next {
+		return
+	}
+	next := pushed.From() + int64(len(pushed.Batches()))
+	if next <= machine.follower.next {
+		return
+	}
+	machine.follower.lastPush = machine.now
+	machine.followBatches(almondcross.NewJournalRead(almondcross.JournalReadConfig{
+		From: machine.follower.next, Next: next, End: next, Batches: pushed.Batches()[machine.follower.next-pushed.From():],
+	}), machine.follower.lastRead)
+}
+
+// followBatches applies batches; readAt is when the store was last read.
+func (machine *Machine) followBatches(read almondcross.JournalRead, readAt time.Time) {
 	epoch, resigned := machine.state.epoch, machine.state.resigned
 	for _, batch := range read.Batches() {
 		machine.state.applyBatch(batch)
 		machine.follower.current = batch.Current()
+		if machine.now.Sub(batch.At()) < batchFresh {
+			machine.follower.aliveAt = machine.now
+		}
 	}
 	machine.follower.next = read.Next()
 	first := !machine.follower.caughtUp
 	machine.follower.caughtUp = read.Next() >= read.End()
-	machine.follower.lastRead = machine.now
+	machine.follower.lastRead = readAt
 	if len(read.Batches()) > 0 || machine.follower.lastBatch.IsZero() {
 		machine.follower.lastBatch = machine.now
 	}
@@ -102,7 +132,7 @@
 		machine.follower.lastBatch = machine.now.Add(-silenceLimit)
 	}
 	if machine.follower.caughtUp {
-		alive := machine.now.Sub(machine.follower.lastBatch) < silenceLimit
+		alive := machine.now.Sub(machine.follower.aliveAt) < silenceLimit
 		machine.config.Publisher.Refreshed(machine.now, machine.follower.current && alive)
 	}
 	machine.publish(machine.views())
@@ -160,14 +190,17 @@
 		at = machine.state.at
 	}
 	machine.do(Commit{Request: almondcross.NewJournalCommit(almondcross.JournalCommitConfig{
-		Epoch: epoch, Sequence: 1, Election: true, ExpectedEnd: follower.next,
+		Epoch: epoch, Election: true, ExpectedEnd: follower.next,
 		Batches: []almondcross.JournalBatch{almondcross.NewJournalBatch(almondcross.JournalBatchConfig{
 			Epoch: epoch, At: at, Changes: []almondcross.Change{elected},
 		})},
 	})})
 }
 
-// electionAnswered begins to lead or goes back to following.
+// electionAnswered begins to lead or goes back to following. An election has two appends. The first one
+// carries no epoch, so that of several candidates one wins and the others do no harm. The second one
+// carries the winner's epoch, which shuts out the earlier scheduler; it fails if that one is still alive
+// and has written in between.
 func (machine *Machine) electionAnswered(answer almondcross.JournalCommitted) {
 	if machine.role != roleCandidate || answer.Commit().Epoch() != machine.tried {
 		return
@@ -181,7 +214,19 @@
 		}
 		return
 	}
-	machine.startLeading(answer)
+	for _, batch := range answer.Commit().Batches() {
+		machine.state.applyBatch(batch)
+	}
+	machine.follower.next = answer.Appended().End()
+	if answer.Commit().Sequence() > 0 {
+		machine.startLeading(answer)
+		return
+	}
+	machine.do(Commit{Request: answer.Commit().WithSequence(1).WithExpectedEnd(machine.follower.next).WithBatches(
+		[]almondcross.JournalBatch{almondcross.NewJournalBatch(almondcross.JournalBatchConfig{
+			Epoch: answer.Commit().Epoch(), At: machine.state.at,
+		})},
+	)})
 }
 
 func reason(err error) string {
--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -54,10 +54,6 @@
 
 func (machine *Machine) startLeading(answer almondcross.JournalCommitted) {
 	machine.role = roleLeader
-	for _, batch := range answer.Commit().Batches() {
-		machine.state.applyBatch(batch)
-	}
-	machine.follower.next = answer.Appended().End()
 	machine.leader = &leader{
 		epoch: answer.Commit().Epoch(), sequence: 1, since: machine.now, lastCommit: machine.now.Add(-answer.Took()),
 		moved: map[int]int64{}, readAt: map[int]time.Time{}, workers: map[string]*worker{}, asked: map[almondcross.StageID]*stageAdvice{},
@@ -220,6 +216,9 @@
 	}
 	inflight := leader.inflight
 	leader.inflight = nil
+	machine.do(Push{Pushed: almondcross.NewJournalPushed(almondcross.JournalPushedConfig{
+		From: answer.Appended().Offset(), Batches: inflight.commit.Batches(),
+	})})
 	leader.lastCommit = machine.now.Add(-answer.Took())
 	machine.follower.next = answer.Appended().End()
 	machine.config.Publisher.Refreshed(machine.now, inflight.current)
@@ -280,6 +279,18 @@
 	})})
 }
 
+// intakeForwarded admits what another host could not store, and tells that host once it is in the journal.
+func (machine *Machine) intakeForwarded(forwarded almondcross.IntakeForwarded) {
+	if forwarded.Intake().Cancel() {
+		machine.cancelJob(forwarded.Intake().Job())
+	} else {
+		machine.admitJob(forwarded.Intake().Job())
+	}
+	machine.afterCommit(func() {
+		machine.do(TellStored{Host: forwarded.Host(), Stored: almondcross.NewIntakeStored(almondcross.IntakeStoredConfig{Number: forwarded.Number()})})
+	})
+}
+
 // intakeCurrent reports whether every intake partition was read lately. A read that waits for a record is
 // answered within its wait.
 func (machine *Machine) intakeCurrent() bool {
--- a/command/scheduler/machine.go
+++ b/command/scheduler/machine.go
@@ -79,6 +79,8 @@
 		machine.snapshotRead(message)
 	case almondcross.JournalRead:
 		machine.journalRead(message)
+	case almondcross.JournalPushed:
+		machine.journalPushed(message)
 	case almondcross.JournalCommitted:
 		machine.committed(message)
 	case almondcross.RoutesRead:
@@ -112,6 +114,8 @@
 		machine.runStopped(message)
 	case almondcross.AdviceAnswered:
 		machine.adviceAnswered(message)
+	case almondcross.IntakeForwarded:
+		machine.intakeForwarded(message)
 	case almondcross.SnapshotStored:
 		machine.snapshotStored(message)
 	}
--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -193,6 +193,35 @@
 	return len(chosen) == len(wanted)
 }
 
+// replaceMember gives the place of a gang's member that was never started to another worker, under the same
+// run, while the members that are present still wait for it.
+func (machine *Machine) replaceMember(missing *assignment) bool {
+	stage, job := missing.stage, missing.job
+	if missing.stopping || stage.active == 0 || missing.run != stage.run || machine.now.Sub(missing.placed) > replaceLimit {
+		return false
+	}
+	queue := machine.queue(job)
+	var advice *stageAdvice
+	if queue.Advice().Wanted() {
+		if advice = machine.leader.asked[stage.id]; advice == nil {
+			return false
+		}
+	}
+	chosen := machine.config.Picker.Pick(almondcross.NewPickQuery(almondcross.PickQueryConfig{
+		Count: 1, Need: stage.spec.Resources(), Whole: true,
+	}), machine.candidates(queue, stage, advice))
+	if len(chosen) == 0 {
+		return false
+	}
+	machine.assign(job, stage, missing.task.Index, missing.run, machine.leader.workers[chosen[0]])
+	machine.leader.workers[chosen[0]].assigned[missing.task].placed = missing.placed
+	return true
+}
+
+// replaceLimit is how long after its placing a gang's member may be given to another worker. The others
+// wait for it for three seconds or more.
+const replaceLimit = 1800 * time.Millisecond
+
 // assign records that a run is given to a worker, and sends the start order once that is in the journal.
 func (machine *Machine) assign(job *job, stage *stage, index, run int, worker *worker) {
 	task := almondcross.JobTask{Stage: stage.id, Index: index}
@@ -253,7 +282,7 @@
 		given.phase, given.present, given.progressAt = phasePresent, answer.Received(), machine.now
 	case almondcross.OrderUnknown:
 		given.phase = phaseUnknown
-		worker.raiseFence = true
+		machine.look(worker)
 	case almondcross.OrderFenced:
 		if answer.Order().Fence() >= worker.fence {
 			machine.stopLeading("worker " + worker.id + " has seen a higher fencing token")
--- a/command/scheduler/scheduler.go
+++ b/command/scheduler/scheduler.go
@@ -117,6 +117,10 @@
 		err = rings.StoreSnapshot.Put(ctx, effect.Request)
 	case Ask:
 		duty.ask(effect)
+	case Push:
+		duty.config.Desk.Push(effect.Pushed)
+	case TellStored:
+		duty.config.Desk.Stored(effect.Host, effect.Stored)
 	case Lead:
 		duty.config.Leaders(effect)
 	default:
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -72,7 +72,7 @@
 
 // begin moves the time and the intake positions to those of a batch.
 func (state *state) begin(batch almondcross.JournalBatch) {
-	state.epoch = batch.Epoch()
+	state.epoch = max(state.epoch, batch.Epoch())
 	if batch.At().After(state.at) {
 		state.at = batch.At()
 	}
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -209,8 +209,17 @@
 	if worker == nil || answer.Order().Fence()>>fenceCounterBits != machine.leader.epoch {
 		return
 	}
+	if answer.Order().Look() && answer.Result() != almondcross.OrderFenced {
+		machine.looked(worker, answer)
+		return
+	}
 	switch {
-	case answer.Result() == almondcross.OrderFenced && answer.Order().Fence() >= worker.fence:
+	case answer.Result() == almondcross.OrderFenced && answer.Order().Fence() < worker.fence:
+		if !answer.Order().Look() {
+			machine.lease(worker, 0, 0) // A look with a higher fence overtook it.
+		}
+		return
+	case answer.Result() == almondcross.OrderFenced:
 		machine.stopLeading("worker " + worker.id + " has seen a higher fencing token")
 		return
 	case answer.Result() != almondcross.OrderDone:
@@ -230,6 +239,27 @@
 	machine.takeList(worker, answer)
 }
 
+// look asks a worker under a raised fence what it holds, beside the lease order that waits for an end.
+func (machine *Machine) look(worker *worker) {
+	if !worker.managed || worker.silent {
+		worker.raiseFence = true
+		return
+	}
+	worker.fence++
+	machine.do(SendLease{Order: almondcross.NewLeaseOrder(almondcross.LeaseOrderConfig{
+		Worker: worker.worker, Fence: worker.fence, Acknowledged: worker.acknowledged, Look: true,
+	})})
+}
+
+// looked takes the list of a look. A look without an answer is left to the next lease order.
+func (machine *Machine) looked(worker *worker, answer almondcross.LeaseAnswered) {
+	if answer.Result() != almondcross.OrderDone {
+		worker.raiseFence = true
+		return
+	}
+	machine.takeList(worker, answer)
+}
+
 // takeList compares what a worker holds with what it was given.
 func (machine *Machine) takeList(worker *worker, answer almondcross.LeaseAnswered) {
 	list := answer.List()
@@ -261,6 +291,9 @@
 	if len(list.Ended()) < listLimit {
 		machine.voidMissing(worker, answer, listed)
 	}
+	if answer.Order().Look() {
+		return // The ends in it are acknowledged by the lease order that lists them too.
+	}
 	urgent := worker.raiseFence
 	if acknowledged == worker.acknowledged {
 		wait := leaseWait
@@ -353,7 +386,7 @@
 		return
 	}
 	known := worker.assigned[answer.Order().Task()]
-	if known != nil && known.run == answer.Order().Run() && answer.Result() != almondcross.OrderDone {
+	if known != nil && known.run == answer.Order().Run() && answer.Result() == almondcross.OrderUnknown {
 		worker.raiseFence = true
 	}
 }
@@ -378,6 +411,9 @@
 		return
 	}
 	if assignment.stage.spec.Gang() && assignment.stage.open > 0 {
+		if kind == almondcross.EndVoid && assignment.present.IsZero() && machine.replaceMember(assignment) {
+			return
+		}
 		machine.stopMembers(assignment.stage)
 	}
 	machine.watchJob(job)
--- a/command/submitter/desk.go
+++ b/command/submitter/desk.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -16,16 +17,23 @@
 // NewDesk returns a desk before a submitter's ring.
 func NewDesk(submissions *ring.Ring[Submission]) *Desk { return &Desk{submissions: submissions} }
 
-// Submit stores an intake until a deadline. It returns almondcross.ErrNotStored or almondcross.ErrMaybeStored.
-func (desk *Desk) Submit(ctx context.Context, intake almondcross.Intake, deadline time.Time) error {
-	submission := Submission{Intake: intake, Deadline: deadline, Outcome: make(chan error, 1)}
+// Submit stores an intake within a time. It returns almondcross.ErrNotStored or almondcross.ErrMaybeStored.
+func (desk *Desk) Submit(ctx context.Context, intake almondcross.Intake, within time.Duration) error {
+	submission := Submission{Intake: intake, Outcome: make(chan error, 1), Taken: new(atomic.Bool)}
 	if !desk.submissions.Offer(submission) {
 		return errors.Annotate(almondcross.ErrNotStored, "too many submissions wait")
 	}
+	timer := time.NewTimer(within)
+	defer timer.Stop()
 	select {
 	case err := <-submission.Outcome:
 		return errors.Trace(err)
 	case <-ctx.Done():
 		return errors.Annotate(almondcross.ErrMaybeStored, "the caller left")
+	case <-timer.C:
+		if submission.Taken.CompareAndSwap(false, true) {
+			return errors.Annotate(almondcross.ErrNotStored, "the store was not free in time")
+		}
+		return errors.Annotatef(almondcross.ErrMaybeStored, "no answer within %s", within)
 	}
 }
--- a/encoder/link.go
+++ b/encoder/link.go
@@ -13,8 +13,25 @@
 	linkHello  = "hello"
 	linkQuery  = "advice_query"
 	linkAnswer = "advice_answer"
+	linkPush   = "journal_push"
+	linkIntake = "intake_forward"
+	linkStored = "intake_stored"
 )
 
+type wirePush struct {
+	From    int64    `cbor:"from"`
+	Batches [][]byte `cbor:"batches"`
+}
+
+type wireForward struct {
+	Number int64  `cbor:"number"`
+	Intake []byte `cbor:"intake"`
+}
+
+type wireStored struct {
+	Number int64 `cbor:"number"`
+}
+
 type wireAdviceQuery struct {
 	Job        string   `cbor:"job"`
 	Occurrence int      `cbor:"occurrence,omitempty"`
@@ -68,6 +85,24 @@
 			wire.Failure = message.Err().Error()
 		}
 		return codec.seal(linkAnswer, wire)
+	case almondcross.JournalPushed:
+		wire := wirePush{From: message.From()}
+		for _, batch := range message.Batches() {
+			record, err := codec.EncodeBatch(batch)
+			if err != nil {
+				return nil, errors.Trace(err)
+			}
+			wire.Batches = append(wire.Batches, record)
+		}
+		return codec.seal(linkPush, wire)
+	case almondcross.IntakeForwarded:
+		record, err := codec.EncodeIntake(message.Intake())
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		return codec.seal(linkIntake, wireForward{Number: message.Number(), Intake: record})
+	case almondcross.IntakeStored:
+		return codec.seal(linkStored, wireStored{Number: message.Number()})
 	}
 	return nil, errors.Annotatef(ErrUnknown, "%T", message)
 }
@@ -98,10 +133,44 @@
 			return nil, err
 		}
 		return wire.value(), nil
+	case linkPush:
+		return codec.decodePush(sealed)
+	case linkIntake:
+		var wire wireForward
+		if err := codec.body(sealed, &wire); err != nil {
+			return nil, err
+		}
+		intake, err := codec.DecodeIntake(wire.Intake)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		return almondcross.NewIntakeForwarded(almondcross.IntakeForwardedConfig{Number: wire.Number, Intake: intake}), nil
+	case linkStored:
+		var wire wireStored
+		if err := codec.body(sealed, &wire); err != nil {
+			return nil, err
+		}
+		return almondcross.NewIntakeStored(almondcross.IntakeStoredConfig(wire)), nil
 	}
 	return nil, errors.Annotatef(ErrUnknown, "%q", sealed.Type)
 }
 
+func (codec Codec) decodePush(sealed envelope) (almondcross.LinkMessage, error) {
+	var wire wirePush
+	if err := codec.body(sealed, &wire); err != nil {
+		return nil, err
+	}
+	config := almondcross.JournalPushedConfig{From: wire.From}
+	for _, record := range wire.Batches {
+		batch, err := codec.DecodeBatch(record)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		config.Batches = append(config.Batches, batch)
+	}
+	return almondcross.NewJournalPushed(config), nil
+}
+
 func (wireadviceanswer wireAdviceAnswer) value() almondcross.AdviceAnswered {
 	query := wireadviceanswer.Query.value()
 	config := almondcross.AdviceAnsweredConfig{Query: query}
--- a/job_generated.go
+++ b/job_generated.go
@@ -1053,6 +1053,7 @@
 	Acknowledged int64
 	Until        time.Duration
 	Wait         time.Duration
+	Look         bool
 }
 
 // NewLeaseOrder returns a LeaseOrder with the given fields.
@@ -1063,6 +1064,7 @@
 		acknowledged: config.Acknowledged,
 		until:        config.Until,
 		wait:         config.Wait,
+		look:         config.Look,
 	}
 }
 
@@ -1074,6 +1076,7 @@
 		Acknowledged: leaseorder.acknowledged,
 		Until:        leaseorder.until,
 		Wait:         leaseorder.wait,
+		Look:         leaseorder.look,
 	}
 }
 
@@ -1122,6 +1125,15 @@
 	return leaseorder
 }
 
+// Look returns whether it is sent beside the order that waits for an end, to learn what became of others.
+func (leaseorder LeaseOrder) Look() bool { return leaseorder.look }
+
+// WithLook returns a copy with the given look.
+func (leaseorder LeaseOrder) WithLook(look bool) LeaseOrder {
+	leaseorder.look = look
+	return leaseorder
+}
+
 // StartOrderConfig holds the fields of a new StartOrder.
 type StartOrderConfig struct {
 	Worker     Worker
--- a/journal.go
+++ b/journal.go
@@ -25,8 +25,8 @@
 
 // Submitter stores jobs and cancellations.
 type Submitter interface {
-	// Submit stores an intake until a deadline. It returns ErrNotStored or ErrMaybeStored.
-	Submit(ctx context.Context, intake Intake, deadline time.Time) error
+	// Submit stores an intake within a time. It returns ErrNotStored or ErrMaybeStored.
+	Submit(ctx context.Context, intake Intake, within time.Duration) error
 }
 
 // QueueRouter finds the queue of a request.
--- a/scheduling.go
+++ b/scheduling.go
@@ -102,7 +102,7 @@
 //value:generate
 type JournalCommit struct {
 	epoch       int64          // the epoch of the scheduler
-	sequence    int64          // the sequence number within the epoch
+	sequence    int64          // the sequence number within the epoch, 0 for an append without an epoch
 	election    bool           // whether the journal must end at the expected offset
 	expectedEnd int64          // the expected end
 	batches     []JournalBatch // the batches
@@ -193,6 +193,32 @@
 //value:generate
 type StopScheduling struct{}
 
+// JournalPushed brings committed batches from the scheduler's host before the store is read.
+//
+//value:generate
+type JournalPushed struct {
+	from    int64          // the offset of the first batch
+	batches []JournalBatch // the batches in order
+}
+
+// IntakeForwarded is an intake of a host that the store does not answer. It is stored with the journal.
+//
+//value:generate
+type IntakeForwarded struct {
+	host   string // the host that forwards
+	number int64  // the number under which the host waits for the answer
+	intake Intake // the job or cancellation
+}
+
+// IntakeStored answers an IntakeForwarded.
+//
+//value:generate
+type IntakeStored struct {
+	number int64 // the number of the forwarded intake
+}
+
+func (JournalPushed) schedulerMessage()    {}
+func (IntakeForwarded) schedulerMessage()  {}
 func (JournalRead) schedulerMessage()      {}
 func (SnapshotRead) schedulerMessage()     {}
 func (IntakeRead) schedulerMessage()       {}
@@ -226,6 +252,10 @@
 type AdviceDesk interface {
 	// Ask sends a query to a host. It reports false when the host cannot be reached.
 	Ask(adviser string, query AdviceQuery) bool
+	// Push passes committed batches to all linked hosts.
+	Push(pushed JournalPushed)
+	// Stored tells a host that its intake is stored.
+	Stored(host string, stored IntakeStored)
 }
 
 // LogField is one field of a log line.
@@ -266,9 +296,12 @@
 // LinkMessage is a message between the scheduler's host and the hosts that ask for advice.
 type LinkMessage interface{ linkMessage() }
 
-func (AdviserHello) linkMessage()   {}
-func (AdviceQuery) linkMessage()    {}
-func (AdviceAnswered) linkMessage() {}
+func (AdviserHello) linkMessage()    {}
+func (AdviceQuery) linkMessage()     {}
+func (AdviceAnswered) linkMessage()  {}
+func (JournalPushed) linkMessage()   {}
+func (IntakeForwarded) linkMessage() {}
+func (IntakeStored) linkMessage()    {}
 
 // LinkCodec converts between link messages and frames.
 type LinkCodec interface {
--- a/scheduling_generated.go
+++ b/scheduling_generated.go
@@ -569,7 +569,7 @@
 	return journalcommit
 }
 
-// Sequence returns the sequence number within the epoch.
+// Sequence returns the sequence number within the epoch, 0 for an append without an epoch.
 func (journalcommit JournalCommit) Sequence() int64 { return journalcommit.sequence }
 
 // WithSequence returns a copy with the given sequence.
@@ -1071,6 +1071,126 @@
 	return StopSchedulingConfig{}
 }
 
+// JournalPushedConfig holds the fields of a new JournalPushed.
+type JournalPushedConfig struct {
+	From    int64
+	Batches []JournalBatch
+}
+
+// NewJournalPushed returns a JournalPushed with the given fields.
+func NewJournalPushed(config JournalPushedConfig) JournalPushed {
+	return JournalPushed{
+		from:    config.From,
+		batches: config.Batches,
+	}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (journalpushed JournalPushed) Config() JournalPushedConfig {
+	return JournalPushedConfig{
+		From:    journalpushed.from,
+		Batches: journalpushed.batches,
+	}
+}
+
+// From returns the offset of the first batch.
+func (journalpushed JournalPushed) From() int64 { return journalpushed.from }
+
+// WithFrom returns a copy with the given from.
+func (journalpushed JournalPushed) WithFrom(from int64) JournalPushed {
+	journalpushed.from = from
+	return journalpushed
+}
+
+// Batches returns the batches in order.
+func (journalpushed JournalPushed) Batches() []JournalBatch { return journalpushed.batches }
+
+// WithBatches returns a copy with the given batches.
+func (journalpushed JournalPushed) WithBatches(batches []JournalBatch) JournalPushed {
+	journalpushed.batches = batches
+	return journalpushed
+}
+
+// IntakeForwardedConfig holds the fields of a new IntakeForwarded.
+type IntakeForwardedConfig struct {
+	Host   string
+	Number int64
+	Intake Intake
+}
+
+// NewIntakeForwarded returns a IntakeForwarded with the given fields.
+func NewIntakeForwarded(config IntakeForwardedConfig) IntakeForwarded {
+	return IntakeForwarded{
+		host:   config.Host,
+		number: config.Number,
+		intake: config.Intake,
+	}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (intakeforwarded IntakeForwarded) Config() IntakeForwardedConfig {
+	return IntakeForwardedConfig{
+		Host:   intakeforwarded.host,
+		Number: intakeforwarded.number,
+		Intake: intakeforwarded.intake,
+	}
+}
+
+// Host returns the host that forwards.
+func (intakeforwarded IntakeForwarded) Host() string { return intakeforwarded.host }
+
+// WithHost returns a copy with the given host.
+func (intakeforwarded IntakeForwarded) WithHost(host string) IntakeForwarded {
+	intakeforwarded.host = host
+	return intakeforwarded
+}
+
+// Number returns the number under which the host waits for the answer.
+func (intakeforwarded IntakeForwarded) Number() int64 { return intakeforwarded.number }
+
+// WithNumber returns a copy with the given number.
+func (intakeforwarded IntakeForwarded) WithNumber(number int64) IntakeForwarded {
+	intakeforwarded.number = number
+	return intakeforwarded
+}
+
+// Intake returns the job or cancellation.
+func (intakeforwarded IntakeForwarded) Intake() Intake { return intakeforwarded.intake }
+
+// WithIntake returns a copy with the given intake.
+func (intakeforwarded IntakeForwarded) WithIntake(intake Intake) IntakeForwarded {
+	intakeforwarded.intake = intake
+	return intakeforwarded
+}
+
+// IntakeStoredConfig holds the fields of a new IntakeStored.
+type IntakeStoredConfig struct {
+	Number int64
+}
+
+// NewIntakeStored returns a IntakeStored with the given fields.
+func NewIntakeStored(config IntakeStoredConfig) IntakeStored {
+	return IntakeStored{
+		number: config.Number,
+	}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (intakestored IntakeStored) Config() IntakeStoredConfig {
+	return IntakeStoredConfig{
+		Number: intakestored.number,
+	}
+}
+
+// Number returns the number of the forwarded intake.
+func (intakestored IntakeStored) Number() int64 { return intakestored.number }
+
+// WithNumber returns a copy with the given number.
+func (intakestored IntakeStored) WithNumber(number int64) IntakeStored {
+	intakestored.number = number
+	return intakestored
+}
+
 // AdviserHelloConfig holds the fields of a new AdviserHello.
 type AdviserHelloConfig struct {
 	Host string
--- a/standin/emulator/host.go
+++ b/standin/emulator/host.go
@@ -15,7 +15,8 @@
 const (
 	linkDelay    = 700 * time.Microsecond
 	appendLength = 4 * time.Millisecond
-	orderTimeout = 800 * time.Millisecond
+	leaseTimeout = 400 * time.Millisecond
+	orderTimeout = 250 * time.Millisecond
 	storeTimeout = 1200 * time.Millisecond
 	pollStep     = 5 * time.Millisecond
 	intakeParts  = 2
@@ -136,6 +137,8 @@
 		modelhost.stop(effect.Order)
 	case scheduler.Ask:
 		modelhost.ask(effect)
+	case scheduler.Push:
+		modelhost.push(effect.Pushed)
 	}
 }
 
@@ -312,10 +315,13 @@
 		records = append(records, record)
 	}
 	modelhost.storeCall(true, func() func() {
-		appended, err := day.store.Append(day.now, almondcross.NewStoreAppend(almondcross.StoreAppendConfig{
-			Partition: journal, Records: records, Writer: "scheduler", Epoch: request.Epoch(), Sequence: request.Sequence(),
-			Conditional: request.Election(), ExpectedEnd: request.ExpectedEnd(),
-		}))
+		config := almondcross.StoreAppendConfig{
+			Partition: journal, Records: records, Conditional: request.Election(), ExpectedEnd: request.ExpectedEnd(),
+		}
+		if request.Sequence() > 0 {
+			config.Writer, config.Epoch, config.Sequence = "scheduler", request.Epoch(), request.Sequence()
+		}
+		appended, err := day.store.Append(day.now, almondcross.NewStoreAppend(config))
 		if err == nil {
 			appended = appended.WithEnd(appended.Offset() + int64(len(records)))
 		}
@@ -350,7 +356,7 @@
 		}))
 	}
 	began := false
-	modelhost.order(worker, order.Wait()+orderTimeout, func() func() {
+	modelhost.order(worker, order.Wait()+leaseTimeout, func() func() {
 		list, result := worker.lease(day.now, order)
 		began = true
 		return func() {
@@ -408,6 +414,20 @@
 	}, answer)
 }
 
+// push passes committed batches to the other hosts.
+func (modelhost *modelHost) push(pushed almondcross.JournalPushed) {
+	for _, other := range modelhost.day.hosts {
+		if other != modelhost && other.up {
+			life := other.life
+			modelhost.day.after(linkDelay, func() {
+				if other.life == life {
+					other.deliver(pushed)
+				}
+			})
+		}
+	}
+}
+
 // ask passes a query over the link to the host that makes the call.
 func (modelhost *modelHost) ask(ask scheduler.Ask) {
 	day := modelhost.day
--- a/worker.go
+++ b/worker.go
@@ -89,6 +89,7 @@
 	acknowledged int64         // the last end that is recorded
 	until        time.Duration // the end of the lease on the worker's clock, 0 to leave it as it is
 	wait         time.Duration // how long the answer may wait for an end
+	look         bool          // whether it is sent beside the order that waits for an end, to learn what became of others
 }
 
 // StartOrder starts one run.
