--- a/assembler/scheduler.go
+++ b/assembler/scheduler.go
@@ -78,7 +78,7 @@
 			func() almondcross.Clock { return Clock{} },
 			func() logrus.FieldLogger { return logrus.StandardLogger() },
 			metrics.NewSet, NewDuties, encoder.NewCodec, caller.New, jobfinder.New, router.New, counter.New,
-			newRecorder, newSchedulerRings, newFollower, newCommitter, newController, newAsker, newHub, newDialer, newSubmitter,
+			newRecorder, newSchedulerRings, newFollower, newCommitter, newController, newAsker, newHub, newDialer, newUplink, newSubmitter,
 			newSchedulerMachine, newScheduler, newSchedulerServers,
 		),
 		fx.Invoke(runScheduler),
@@ -169,17 +169,27 @@
 func newHub(settings configurator.SchedulerSettings, codec encoder.Codec, rings schedulerRings, log *recorder.Recorder) *connector.Hub {
 	return connector.NewHub(connector.HubConfig{
 		Host: settings.Name(), Local: localQueries{rings}, Codec: codec, Sink: rings.messages, Clock: Clock{}, Log: log,
+		Stored: rings.takeStored,
 	})
 }
 
 func newDialer(settings configurator.SchedulerSettings, codec encoder.Codec, rings schedulerRings, log *recorder.Recorder) *connector.Dialer {
 	return connector.NewDialer(connector.DialerConfig{
 		Host: settings.Name(), Codec: codec, Queries: rings.advice, Sink: rings.messages, Log: log,
-		// An answer that finds the ring full is as good as lost; the host sends its intake again.
-		Stored: func(stored almondcross.IntakeStored) { rings.stored.Offer(stored) },
+		Stored: rings.takeStored, Clock: Clock{},
 	})
 }
 
+func newUplink(hub *connector.Hub, dialer *connector.Dialer) *connector.Uplink {
+	return connector.NewUplink(hub, dialer, Clock{})
+}
+
+// takeStored passes the answer to a forwarded intake on. One that finds the ring full is as good as lost; the
+// intake is then stored by the host itself.
+func (schedulerrings schedulerRings) takeStored(stored almondcross.IntakeStored) {
+	schedulerrings.stored.Offer(stored)
+}
+
 // localQueries takes the queries that the scheduler's own host asks.
 type localQueries struct{ rings schedulerRings }
 
@@ -201,14 +211,14 @@
 
 func newSubmitter(
 	settings configurator.SchedulerSettings, caller *caller.Caller, codec encoder.Codec, log *recorder.Recorder,
-	rings schedulerRings, dialer *connector.Dialer,
+	rings schedulerRings, uplink *connector.Uplink,
 ) *submitter.Submitter {
 	// Hosts begin at different partitions, so that their appends do not wait for one another.
 	hash := fnv.New32a()
 	_, _ = hash.Write([]byte(settings.Name()))
 	return submitter.New(submitter.Config{
 		Writer: commander.NewStore(settings.StoreAddress(), caller), Codec: codec, Clock: Clock{}, Log: log, Topic: intakeTopic,
-		Partition: int(hash.Sum32()), Partitions: settings.StorePartitions(), Forward: dialer.Forward, Stored: rings.stored,
+		Partition: int(hash.Sum32()), Partitions: settings.StorePartitions(), Forward: uplink.Forward, Stored: rings.stored,
 	})
 }
 
--- a/command/connector/dialer.go
+++ b/command/connector/dialer.go
@@ -30,12 +30,14 @@
 	Sink    almondcross.Sink[almondcross.SchedulerMessage]
 	Stored  func(stored almondcross.IntakeStored) // Stored takes the answers to forwarded intakes.
 	Log     almondcross.EventLog
+	Clock   almondcross.Clock
 }
 
 // Dialer keeps the link to the scheduler's host.
 type Dialer struct {
 	config  DialerConfig
 	current atomic.Pointer[session]
+	pushed  moment // pushed is when batches last came over the link.
 }
 
 // NewDialer returns a dialer.
@@ -88,6 +90,7 @@
 		case almondcross.AdviceQuery:
 			dialer.ask(ctx, opened, message)
 		case almondcross.JournalPushed:
+			dialer.pushed.set(dialer.config.Clock.Now())
 			_ = dialer.config.Sink.Put(ctx, message) // Put fails only when the context has ended.
 		case almondcross.IntakeStored:
 			dialer.config.Stored(message)
@@ -101,9 +104,3 @@
 		reply(ctx, almondcross.NewAdviceAnswered(almondcross.AdviceAnsweredConfig{Query: query, Err: almondcross.ErrStoreRefused}))
 	}
 }
-
-// Forward sends an intake to the scheduler's host. It reports false when there is no link.
-func (dialer *Dialer) Forward(forwarded almondcross.IntakeForwarded) bool {
-	opened := dialer.current.Load()
-	return opened != nil && opened.offer(forwarded)
-}
--- a/command/connector/hub.go
+++ b/command/connector/hub.go
@@ -17,10 +17,12 @@
 type HubConfig struct {
 	Host  string                                    // Host is the name of this host.
 	Local almondcross.Sink[almondcross.AdviceQuery] // Local takes the queries that this host asks itself.
-	Codec almondcross.LinkCodec
-	Sink  almondcross.Sink[almondcross.SchedulerMessage]
-	Clock almondcross.Clock
-	Log   almondcross.EventLog
+	// Stored takes the answers to intakes that this host forwarded to itself.
+	Stored func(stored almondcross.IntakeStored)
+	Codec  almondcross.LinkCodec
+	Sink   almondcross.Sink[almondcross.SchedulerMessage]
+	Clock  almondcross.Clock
+	Log    almondcross.EventLog
 }
 
 // Hub passes queries to the hosts that are linked to this one.
@@ -28,6 +30,7 @@
 	config   HubConfig
 	upgrader websocket.Upgrader
 	sessions atomic.Pointer[map[string]*session]
+	pushed   moment // pushed is when this host last stored something as scheduler.
 }
 
 // NewHub returns a hub without links.
@@ -48,6 +51,7 @@
 
 // Push passes committed batches to all linked hosts.
 func (hub *Hub) Push(pushed almondcross.JournalPushed) {
+	hub.pushed.set(hub.config.Clock.Now())
 	sessions := *hub.sessions.Load()
 	if len(sessions) == 0 {
 		return
@@ -64,6 +68,10 @@
 
 // Stored tells a host that its intake is stored.
 func (hub *Hub) Stored(host string, stored almondcross.IntakeStored) {
+	if host == hub.config.Host {
+		hub.config.Stored(stored)
+		return
+	}
 	if session := (*hub.sessions.Load())[host]; session != nil {
 		session.offer(stored) // Without the answer the host asks again.
 	}
--- a/command/scheduler/constants.go
+++ b/command/scheduler/constants.go
@@ -74,6 +74,10 @@
 	failurePause = time.Second
 	// stallLimit is how long a run may show no progress; a gang waits for its members for less.
 	stallLimit = 3500 * time.Millisecond
+	// fullProgress is the progress in percent that a run longer than expected shows until it ends.
+	fullProgress = 100
+	// overdueLimit is how long a run may show it.
+	overdueLimit = 20 * time.Second
 	// stallPause is how long a worker with a stalled run gets no new work.
 	stallPause = 5 * time.Second
 	// listLimit is the number of ends at which a worker's list may be cut short.
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -464,8 +464,12 @@
 
 // stalled reports whether a run makes no progress although its worker answers.
 func (assignment *assignment) stalled(worker *worker, now time.Time) bool {
+	limit := stallLimit
+	if assignment.progress >= fullProgress {
+		limit = overdueLimit
+	}
 	return assignment.phase == phasePresent && !assignment.stopping && !assignment.stage.spec.Service() && !worker.silent &&
-		now.Sub(assignment.progressAt) > stallLimit && worker.clockAt.Sub(assignment.progressAt) > stallLimit
+		now.Sub(assignment.progressAt) > limit && worker.clockAt.Sub(assignment.progressAt) > limit
 }
 
 // stopStalled stops a run that makes no progress, so that it starts again elsewhere.
--- a/command/submitter/forward.go
+++ b/command/submitter/forward.go
@@ -7,11 +7,12 @@
 	"github.com/almondcross/almondcross"
 )
 
-// forwardLimit bounds the wait for the answer to forwarded intakes.
-const forwardLimit = 400 * time.Millisecond
+// forwardLimit bounds the wait for the answer to forwarded intakes: the way to another region and back and
+// two appends of a store at its usual speed, several times over.
+const forwardLimit = 250 * time.Millisecond
 
-// forward sends what the store does not take to the scheduler's host, which stores it with the journal. It
-// returns what is left.
+// forward hands intakes to the scheduler, which stores them with the journal, and returns those that it does
+// not answer for.
 func (submitter *Submitter) forward(ctx context.Context, batch []pending) []pending {
 	waiting := map[int64]int{}
 	for index := range batch {
--- a/command/submitter/submitter.go
+++ b/command/submitter/submitter.go
@@ -14,6 +14,8 @@
 const (
 	// appendTimeout bounds one append. A slow store takes a quarter of a second.
 	appendTimeout = 500 * time.Millisecond
+	// linkRest is the time in which nothing is forwarded after the scheduler did not answer.
+	linkRest = 400 * time.Millisecond
 	// quickFailure is the time within which a failed append is repeated once at another partition.
 	quickFailure = 150 * time.Millisecond
 	// probeTimeout bounds a probe of a store that did not answer.
@@ -53,9 +55,11 @@
 type Submitter struct {
 	config    Config
 	partition int
-	number    int64      // number is that of the last forwarded intake.
-	down      error      // down is the failure of the last append, nil after a success.
-	probes    chan error // probes takes the results of probes.
+	number    int64 // number is that of the last forwarded intake.
+	// linkRestAt is until when nothing is forwarded after the scheduler did not answer.
+	linkRestAt time.Time
+	down       error      // down is the failure of the last append, nil after a success.
+	probes     chan error // probes takes the results of probes.
 }
 
 // New returns a submitter.
@@ -112,8 +116,14 @@
 	return append(batch, pending{submission: submission, record: record})
 }
 
-// store appends a batch; what the store does not take goes over the link, and the rest is refused.
+// store hands a batch to the scheduler, which stores it with the journal. What it does not answer for is
+// appended to the intake, and the rest is refused.
 func (submitter *Submitter) store(ctx context.Context, batch []pending) {
+	if submitter.config.Clock.Now().After(submitter.linkRestAt) {
+		if batch = submitter.forward(ctx, batch); len(batch) > 0 {
+			submitter.linkRestAt = submitter.config.Clock.Now().Add(linkRest)
+		}
+	}
 	if submitter.down == nil && len(batch) > 0 {
 		started := submitter.config.Clock.Now()
 		err := submitter.append(ctx, batch, appendTimeout)
@@ -127,7 +137,6 @@
 		submitter.config.Log.Record("intake_store_lost", almondcross.Text("reason", err.Error()), almondcross.Number("intakes", len(batch)))
 		go submitter.probe(ctx)
 	}
-	batch = submitter.forward(ctx, batch)
 	for _, waiting := range batch {
 		outcome := almondcross.ErrNotStored
 		if waiting.maybe {
--- a/standin/emulator/day.go
+++ b/standin/emulator/day.go
@@ -45,7 +45,9 @@
 	gangs   map[string]*modelGang
 	judge   *judge
 	faults  faults
-	routes  almondcross.RouteTable
+	// forwarded holds what follows the answers to forwarded intakes.
+	forwarded map[int64]func()
+	routes    almondcross.RouteTable
 }
 
 // event is something that happens at a virtual time.
@@ -111,7 +113,7 @@
 	day := &Day{
 		config: config, random: rand.New(rand.NewPCG(config.Seed, config.Seed^0x9e3779b97f4a7c15)), codec: codec, //nolint:gosec // A model needs no secrecy.
 		start: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), store: NewStore(config.Retention),
-		jobs: map[almondcross.JobID]*modelJob{}, gangs: map[string]*modelGang{},
+		jobs: map[almondcross.JobID]*modelJob{}, gangs: map[string]*modelGang{}, forwarded: map[int64]func(){},
 		advice: adviceModel{share: config.AdviceShare, validity: 2500 * time.Millisecond, seed: config.Seed, issued: map[string]issuedTicket{}},
 	}
 	day.judge = newJudge(day)
--- a/standin/emulator/host.go
+++ b/standin/emulator/host.go
@@ -139,6 +139,10 @@
 		modelhost.ask(effect)
 	case scheduler.Push:
 		modelhost.push(effect.Pushed)
+	case scheduler.TellStored:
+		if answer := day.forwarded[effect.Stored.Number()]; answer != nil {
+			day.after(linkDelay, answer)
+		}
 	}
 }
 
--- a/standin/emulator/jobs.go
+++ b/standin/emulator/jobs.go
@@ -142,25 +142,37 @@
 		day.judge.violate("ENCODING", "%v", err)
 		return
 	}
+	stored := func() {
+		switch {
+		case cancel:
+			job.cancelled = day.now
+		case job.accepted == 0:
+			job.accepted = day.now
+			host.deliver(almondcross.NewJobAccepted(almondcross.JobAcceptedConfig{Job: submitted}))
+			day.after(askPause, func() { day.askState(job) })
+			if day.random.Float64() < 0.05 {
+				day.after(time.Duration(day.random.Int64N(int64(3*time.Second))), func() { day.submitAgain(job) })
+			}
+		}
+	}
+	if leader := day.scheduler(); leader.machine.Leads() && day.random.Float64() < 0.7 {
+		day.forward(leader, almondcross.NewIntake(almondcross.IntakeConfig{Job: submitted, Cancel: cancel}), stored, func() {
+			job.unknown++
+			again()
+		})
+		return
+	}
 	host.storeCall(true, func() func() {
 		_, err := day.store.Append(day.now, almondcross.NewStoreAppend(almondcross.StoreAppendConfig{
 			Partition: intakePartition(host.index % intakeParts), Records: [][]byte{record},
 		}))
 		return func() {
-			switch {
-			case err != nil:
+			if err != nil {
 				job.refused++
 				again()
-			case cancel:
-				job.cancelled = day.now
-			case job.accepted == 0:
-				job.accepted = day.now
-				host.deliver(almondcross.NewJobAccepted(almondcross.JobAcceptedConfig{Job: submitted}))
-				day.after(askPause, func() { day.askState(job) })
-				if day.random.Float64() < 0.05 {
-					day.after(time.Duration(day.random.Int64N(int64(3*time.Second))), func() { day.submitAgain(job) })
-				}
+				return
 			}
+			stored()
 		}
 	}, func(error) {
 		job.unknown++
@@ -168,6 +180,28 @@
 	})
 }
 
+// forward hands an intake to the scheduler, which answers once it is in the journal.
+func (day *Day) forward(leader *modelHost, intake almondcross.Intake, stored, lost func()) {
+	day.order++
+	number, open := int64(day.order), true
+	finish := func(do func()) func() {
+		return func() {
+			if open {
+				open = false
+				delete(day.forwarded, number)
+				do()
+			}
+		}
+	}
+	day.forwarded[number] = finish(stored)
+	day.after(callerLimit, finish(lost))
+	day.after(linkDelay, func() {
+		if leader.up {
+			leader.deliver(almondcross.NewIntakeForwarded(almondcross.IntakeForwardedConfig{Number: number, Intake: intake}))
+		}
+	})
+}
+
 // submitAgain repeats a submission that was accepted, as a late retry does.
 func (day *Day) submitAgain(job *modelJob) {
 	job.attempts = 0
