--- a/assembler/scheduler.go
+++ b/assembler/scheduler.go
@@ -41,6 +41,7 @@
 	journalTopic  = "journal"
 	intakeTopic   = "intake"
 	snapshotTopic = "keyed.snapshots"
+	pointerTopic  = "keyed.scheduler"
 	// journalWriter is the name under which every scheduler writes, so that the store compares their epochs.
 	journalWriter = "scheduler"
 )
@@ -62,6 +63,10 @@
 	shortestSnapshot = time.Second
 	// retainFactor keeps the state of a final job somewhat longer than promised.
 	retainFactor = 1.25
+	// enoughProcessors and enoughLink are what a scheduler of the present deployments needs, in cores and in
+	// megabits a second.
+	enoughProcessors = 0.4
+	enoughLink       = 100
 	// memoryPart is the part of the memory limit at which the collector works harder.
 	memoryPart = 0.6
 )
@@ -92,6 +97,8 @@
 type schedulerRings struct {
 	messages    *ring.Ring[almondcross.SchedulerMessage]
 	journal     *ring.Ring[almondcross.JournalQuery]
+	pointer     *ring.Ring[almondcross.PointerQuery]
+	pointers    *ring.Ring[almondcross.SchedulerPointer]
 	snapshot    *ring.Ring[almondcross.SnapshotQuery]
 	workers     *ring.Ring[almondcross.WorkersQuery]
 	intakes     []*ring.Ring[almondcross.IntakeQuery]
@@ -107,6 +114,8 @@
 	rings := schedulerRings{
 		messages:    ring.New[almondcross.SchedulerMessage](ring.Config{Name: "scheduler", Capacity: schedulerRing, Metrics: set}),
 		journal:     ring.New[almondcross.JournalQuery](ring.Config{Name: "journal", Capacity: requestRing, Metrics: set}),
+		pointer:     ring.New[almondcross.PointerQuery](ring.Config{Name: "pointer", Capacity: requestRing, Metrics: set}),
+		pointers:    ring.New[almondcross.SchedulerPointer](ring.Config{Name: "pointers", Capacity: requestRing, Metrics: set}),
 		snapshot:    ring.New[almondcross.SnapshotQuery](ring.Config{Name: "snapshot", Capacity: requestRing, Metrics: set}),
 		workers:     ring.New[almondcross.WorkersQuery](ring.Config{Name: "workers", Capacity: requestRing, Metrics: set}),
 		commits:     ring.New[almondcross.JournalCommit](ring.Config{Name: "commits", Capacity: requestRing, Metrics: set}),
@@ -136,6 +145,7 @@
 		Reader: querier.NewStore(settings.StoreAddress(), caller), Codec: codec, Workers: translator.Codec{}, Sink: rings.messages, Log: log,
 		Journal:   almondcross.Partition{Topic: journalTopic},
 		Snapshots: almondcross.Partition{Topic: snapshotTopic}, Intake: intakeTopic,
+		Pointers: almondcross.Partition{Topic: pointerTopic}, Clock: Clock{},
 		Announcements:    almondcross.Partition{Topic: translator.WorkersTopic},
 		Configuration:    almondcross.Partition{Topic: translator.OperatorsTopic},
 		ConfigurationKey: translator.ConfigurationKey,
@@ -143,12 +153,12 @@
 }
 
 func newCommitter(
-	settings configurator.SchedulerSettings, caller *caller.Caller, codec encoder.Codec, rings schedulerRings,
+	settings configurator.SchedulerSettings, caller *caller.Caller, codec encoder.Codec, rings schedulerRings, log *recorder.Recorder,
 ) *committer.Committer {
 	return committer.New(committer.Config{
-		Writer: commander.NewStore(settings.StoreAddress(), caller), Codec: codec, Keyed: translator.Codec{}, Sink: rings.messages, Clock: Clock{},
+		Writer: commander.NewStore(settings.StoreAddress(), caller), Codec: codec, Keyed: translator.Codec{}, Sink: rings.messages, Clock: Clock{}, Log: log,
 		Journal: almondcross.Partition{Topic: journalTopic}, Snapshots: almondcross.Partition{Topic: snapshotTopic},
-		Name: journalWriter, RecordBytes: settings.StoreRecord(),
+		Pointers: almondcross.Partition{Topic: pointerTopic}, Name: journalWriter, RecordBytes: settings.StoreRecord(),
 	})
 }
 
@@ -227,13 +237,18 @@
 ) *scheduler.Machine {
 	interval := min(max(settings.StoreRetention()/snapshotPart, shortestSnapshot), longestSnapshot)
 	return scheduler.NewMachine(scheduler.Config{
-		Host: settings.Name(), Address: settings.LinkListen(), Partitions: settings.StorePartitions(),
+		Host: settings.Name(), Address: settings.LinkListen(), Partitions: settings.StorePartitions(), Strength: strength(settings),
 		Retain: time.Duration(float64(settings.StateRetention()) * retainFactor), MaxLease: settings.MaxLease(),
 		Snapshots: interval, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), //nolint:gosec // Jitter needs no secrecy.
 		Publisher: table, Picker: picker.Tight{}, Log: log, Meters: meters,
 	})
 }
 
+// strength returns how well a host could schedule, up to 100, by its processor and its link.
+func strength(settings configurator.SchedulerSettings) int {
+	return int(100 * min(1, settings.Processors()/enoughProcessors, settings.LinkMbps()/enoughLink))
+}
+
 func newScheduler(machine *scheduler.Machine, rings schedulerRings, workers *controller.Controller, hub *connector.Hub) *scheduler.Duty {
 	var intakes []almondcross.Sink[almondcross.IntakeQuery]
 	for _, intake := range rings.intakes {
@@ -244,11 +259,11 @@
 		Desk: hub,
 		Rings: scheduler.Rings{
 			ReadSnapshot: rings.snapshot, ReadJournal: rings.journal, ReadIntakes: intakes, ReadWorkers: rings.workers,
-			Commit: rings.commits, StoreSnapshot: rings.snapshots,
+			Commit: rings.commits, StoreSnapshot: rings.snapshots, ReadPointer: rings.pointer, StorePointer: rings.pointers,
 		},
 		// A change that finds the ring full is followed by the next one; the ring holds many.
 		Leaders: func(lead scheduler.Lead) {
-			rings.schedulers.Offer(connector.Scheduler{Host: lead.Host, Address: lead.Address})
+			rings.schedulers.Offer(connector.Scheduler{Host: lead.Host, Address: lead.Address, Strength: lead.Strength})
 		},
 	})
 }
@@ -292,6 +307,8 @@
 	schedulerparts.Duties.Start(
 		NamedDuty{"scheduler", schedulerparts.Scheduler},
 		NamedDuty{"journal reader", schedulerparts.Follower.Journal(rings.journal)},
+		NamedDuty{"pointer reader", schedulerparts.Follower.Pointer(rings.pointer)},
+		NamedDuty{"pointer writer", dutyFunc(func(ctx context.Context) error { return schedulerparts.Committer.RunPointers(ctx, rings.pointers) })},
 		NamedDuty{"snapshot reader", schedulerparts.Follower.Snapshot(rings.snapshot)},
 		NamedDuty{"workers reader", schedulerparts.Follower.Workers(rings.workers)},
 		NamedDuty{"routes reader", schedulerparts.Follower.Routes(schedulerparts.takeRoutes)},
--- a/command/committer/committer.go
+++ b/command/committer/committer.go
@@ -19,6 +19,8 @@
 	keyedOverhead = 4 << 10
 	// estimateMargin is the part of a record's size that the estimate of a snapshot's part may take.
 	estimateMargin = 2
+	// pointerKey is the key of the pointer.
+	pointerKey = "scheduler"
 )
 
 // Config holds what a committer needs.
@@ -28,8 +30,10 @@
 	Keyed       almondcross.WorkerCodec
 	Sink        almondcross.Sink[almondcross.SchedulerMessage]
 	Clock       almondcross.Clock
+	Log         almondcross.EventLog
 	Journal     almondcross.Partition
 	Snapshots   almondcross.Partition
+	Pointers    almondcross.Partition
 	Name        string // Name is the name under which all schedulers write, so that epochs apply to all of them.
 	RecordBytes int    // RecordBytes is the largest record in bytes.
 }
@@ -50,6 +54,32 @@
 	return ring.Serve(ctx, requests, committer.store)
 }
 
+// RunPointers stores pointers to the scheduler until the context ends.
+func (committer *Committer) RunPointers(ctx context.Context, pointers *ring.Ring[almondcross.SchedulerPointer]) error {
+	return ring.Serve(ctx, pointers, func(ctx context.Context, pointer almondcross.SchedulerPointer) {
+		if err := committer.point(ctx, pointer); err != nil {
+			committer.config.Log.Record("pointer_failed", almondcross.Number("epoch", pointer.Epoch()), almondcross.Text("reason", err.Error()))
+		}
+	})
+}
+
+func (committer *Committer) point(ctx context.Context, pointer almondcross.SchedulerPointer) error {
+	value, err := committer.config.Codec.EncodePointer(pointer)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	record, err := committer.config.Keyed.EncodeKeyed(almondcross.NewKeyedRecord(almondcross.KeyedRecordConfig{Key: pointerKey, Value: value}))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	limited, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	_, err = committer.config.Writer.Append(limited, almondcross.NewStoreAppend(almondcross.StoreAppendConfig{
+		Partition: committer.config.Pointers, Records: [][]byte{record},
+	}))
+	return errors.Trace(err)
+}
+
 func (committer *Committer) commit(ctx context.Context, request almondcross.JournalCommit) {
 	if !ring.Pause(ctx, request.Pause()) {
 		return
--- a/command/connector/dialer.go
+++ b/command/connector/dialer.go
@@ -20,7 +20,10 @@
 )
 
 // Scheduler is the host to link to; an empty address links to none.
-type Scheduler struct{ Host, Address string }
+type Scheduler struct {
+	Host, Address string
+	Strength      int // Strength is how well this host could schedule, up to 100.
+}
 
 // DialerConfig holds what a dialer needs.
 type DialerConfig struct {
@@ -82,7 +85,7 @@
 	}
 	_ = response.Body.Close() // An upgraded connection has no body.
 	opened := newSession(connection, dialer.config.Codec)
-	opened.offer(almondcross.NewAdviserHello(almondcross.AdviserHelloConfig{Host: dialer.config.Host}))
+	opened.offer(almondcross.NewAdviserHello(almondcross.AdviserHelloConfig{Host: dialer.config.Host, Strength: scheduler.Strength}))
 	dialer.current.Store(opened)
 	defer dialer.current.CompareAndSwap(opened, nil)
 	return opened.run(ctx, func(message almondcross.LinkMessage) {
@@ -92,6 +95,11 @@
 		case almondcross.JournalPushed:
 			dialer.pushed.set(dialer.config.Clock.Now())
 			_ = dialer.config.Sink.Put(ctx, message) // Put fails only when the context has ended.
+		case almondcross.ViewsPushed:
+			dialer.pushed.set(dialer.config.Clock.Now())
+			_ = dialer.config.Sink.Put(ctx, message) // Put fails only when the context has ended.
+		case almondcross.Assigned:
+			_ = dialer.config.Sink.Put(ctx, message) // Put fails only when the context has ended.
 		case almondcross.IntakeStored:
 			dialer.config.Stored(message)
 		}
--- a/command/connector/hub.go
+++ b/command/connector/hub.go
@@ -49,21 +49,47 @@
 	return session != nil && session.offer(query)
 }
 
-// Push passes committed batches to all linked hosts.
-func (hub *Hub) Push(pushed almondcross.JournalPushed) {
+// Push passes committed batches to linked hosts.
+func (hub *Hub) Push(hosts []string, pushed almondcross.JournalPushed) {
 	hub.pushed.set(hub.config.Clock.Now())
-	sessions := *hub.sessions.Load()
-	if len(sessions) == 0 {
-		return
+	hub.share(hosts, pushed) // A host that misses a push reads the store.
+}
+
+// PushViews passes changed views to linked hosts.
+func (hub *Hub) PushViews(hosts []string, pushed almondcross.ViewsPushed) {
+	for _, missed := range hub.share(hosts, pushed) {
+		// Without the push its views would be wrong for good; a new link begins with all of them.
+		if session := (*hub.sessions.Load())[missed]; session != nil {
+			_ = session.connection.Close() // The reader ends the session.
+		}
+	}
+}
+
+// Assign tells a linked host what it keeps.
+func (hub *Hub) Assign(host string, assigned almondcross.Assigned) {
+	if session := (*hub.sessions.Load())[host]; session != nil && !session.offer(assigned) {
+		_ = session.connection.Close() // The host links again.
+	}
+}
+
+// share encodes a message once for several hosts and returns those that could not take it.
+func (hub *Hub) share(hosts []string, message almondcross.LinkMessage) []string {
+	if len(hosts) == 0 {
+		return nil
 	}
-	frame, err := hub.config.Codec.EncodeLink(pushed)
+	frame, err := hub.config.Codec.EncodeLink(message)
 	if err != nil {
-		hub.config.Log.Record("push_failed", almondcross.Number("from", pushed.From()), almondcross.Text("reason", err.Error()))
-		return
+		hub.config.Log.Record("push_failed", almondcross.Text("reason", err.Error()))
+		return hosts
 	}
-	for _, session := range sessions {
-		session.outbox.Offer(outgoing{frame: frame}) // A host that misses a push reads the store.
+	sessions := *hub.sessions.Load()
+	var missed []string
+	for _, host := range hosts {
+		if session := sessions[host]; session != nil && !session.outbox.Offer(outgoing{frame: frame}) {
+			missed = append(missed, host)
+		}
 	}
+	return missed
 }
 
 // Stored tells a host that its intake is stored.
@@ -91,7 +117,9 @@
 		case almondcross.AdviserHello:
 			host = message.Host()
 			hub.replace(host, nil, opened)
-			hub.tell(request, almondcross.NewAdviserChanged(almondcross.AdviserChangedConfig{Adviser: host, Present: true}))
+			hub.tell(request, almondcross.NewAdviserChanged(almondcross.AdviserChangedConfig{
+				Adviser: host, Present: true, Strength: message.Strength(),
+			}))
 		case almondcross.AdviceAnswered:
 			hub.tell(request, message.WithAdviser(host).WithReceived(hub.config.Clock.Now()))
 		case almondcross.IntakeForwarded:
--- a/command/scheduler/advice.go
+++ b/command/scheduler/advice.go
@@ -56,9 +56,12 @@
 
 // adviser is a host that calls the advice service; it makes one call at a time.
 type adviser struct {
-	name   string
-	asked  *adviceCall // asked is the call under way, nil for none.
-	restAt time.Time   // restAt is when it may be asked again after a call that was given up.
+	name  string
+	asked *adviceCall // asked is the call under way, nil for none.
+	// strength is how well the host could schedule, and standby tells that it follows the journal.
+	strength int
+	standby  bool
+	restAt   time.Time // restAt is when it may be asked again after a call that was given up.
 }
 
 // adviceCall is a call for advice that is under way.
@@ -74,7 +77,7 @@
 	}
 	gone := machine.advisers[change.Adviser()]
 	if change.Present() {
-		machine.advisers[change.Adviser()] = &adviser{name: change.Adviser()}
+		machine.advisers[change.Adviser()] = &adviser{name: change.Adviser(), strength: change.Strength()}
 	} else {
 		delete(machine.advisers, change.Adviser())
 	}
@@ -86,6 +89,11 @@
 	if gone != nil {
 		machine.abandon(gone)
 	}
+	if change.Present() {
+		machine.linked(machine.advisers[change.Adviser()])
+	} else {
+		machine.fillStandbys()
+	}
 }
 
 // abandon lets another host ask in place of one that does not answer.
--- a/command/scheduler/constants.go
+++ b/command/scheduler/constants.go
@@ -13,6 +13,28 @@
 	silenceLimit = 600 * time.Millisecond
 	// electionJitter spreads the candidates, so that one of them usually is alone.
 	electionJitter = 200 * time.Millisecond
+	// fullStrength is the strength of a host that could schedule for a whole cluster.
+	fullStrength = 100
+	// weaknessDelay is how much later a host stands for election for each point that it is short of full strength.
+	weaknessDelay = 8 * time.Millisecond
+	// longestDistance bounds what the distance from the store takes off a host's strength.
+	longestDistance = 50 * time.Millisecond
+	// weakStrength is the strength from which a host may be a standby at once.
+	weakStrength = 40
+	// wantedStandbys is the number of hosts that follow the journal beside the scheduler: two may be lost at once.
+	wantedStandbys = 3
+	// handoverPause and handoverGain are the time and the strength after which a weak scheduler hands over.
+	handoverPause = 4 * time.Second
+	handoverGain  = 25
+	// pointerPause is the pause between reads of the pointer while the scheduler is looked for.
+	pointerPause = 200 * time.Millisecond
+	// pointerRefresh is how often the scheduler stores the pointer again.
+	pointerRefresh = 4 * time.Second
+	// seekLimit is how long a host looks for the scheduler before it loads the state itself: an election among
+	// the standbys and a link take less.
+	seekLimit = 1600 * time.Millisecond
+	// lightSilence is how long the link to the scheduler may be silent. It pushes with every batch.
+	lightSilence = 700 * time.Millisecond
 	// electionBackoff is the pause after an election that was not won.
 	electionBackoff = 400 * time.Millisecond
 	// batchFresh is the age of a batch up to which its scheduler counts as alive.
--- a/command/scheduler/effects.go
+++ b/command/scheduler/effects.go
@@ -41,8 +41,25 @@
 		Adviser string
 		Query   almondcross.AdviceQuery
 	}
-	// Push passes committed batches to the linked hosts.
-	Push struct{ Pushed almondcross.JournalPushed }
+	// Push passes committed batches to linked hosts.
+	Push struct {
+		Hosts  []string
+		Pushed almondcross.JournalPushed
+	}
+	// PushViews passes changed views to linked hosts.
+	PushViews struct {
+		Hosts  []string
+		Pushed almondcross.ViewsPushed
+	}
+	// Assign tells a linked host what it keeps.
+	Assign struct {
+		Host     string
+		Assigned almondcross.Assigned
+	}
+	// ReadPointer asks which host schedules.
+	ReadPointer struct{ Query almondcross.PointerQuery }
+	// StorePointer tells all hosts which one schedules.
+	StorePointer struct{ Pointer almondcross.SchedulerPointer }
 	// TellStored tells a host that its forwarded intake is stored.
 	TellStored struct {
 		Host   string
@@ -53,6 +70,8 @@
 		Host    string // Host is the name of the scheduler's host.
 		Address string // Address is the address of its link.
 		Own     bool   // Own tells whether it is this host.
+		// Strength is how well this host could schedule, up to 100.
+		Strength int
 	}
 )
 
@@ -69,5 +88,9 @@
 func (SendStop) effect()      {}
 func (Ask) effect()           {}
 func (Push) effect()          {}
+func (PushViews) effect()     {}
+func (Assign) effect()        {}
+func (ReadPointer) effect()   {}
+func (StorePointer) effect()  {}
 func (TellStored) effect()    {}
 func (Lead) effect()          {}
--- a/command/scheduler/follower.go
+++ b/command/scheduler/follower.go
@@ -122,6 +122,9 @@
 	}
 	machine.follower.next = read.Next()
 	first := !machine.follower.caughtUp
+	if len(read.Batches()) > 0 {
+		machine.follower.electAt = time.Time{} // The scheduler lives; a new silence has its own delay.
+	}
 	machine.follower.caughtUp = read.Next() >= read.End()
 	machine.follower.lastRead = readAt
 	if len(read.Batches()) > 0 || machine.follower.lastBatch.IsZero() {
@@ -158,7 +161,7 @@
 func (machine *Machine) tellLeader() {
 	host, address := machine.Leader()
 	machine.config.Log.Record("scheduler_known", almondcross.Text("host", host), almondcross.Number("epoch", machine.state.epoch))
-	machine.do(Lead{Host: host, Address: address, Own: machine.role == roleLeader})
+	machine.do(Lead{Host: host, Address: address, Own: machine.role == roleLeader, Strength: machine.strength()})
 }
 
 // considerElection stands for election when the scheduler is silent while the store answers.
@@ -173,7 +176,7 @@
 	}
 	if follower.electAt.IsZero() {
 		jitter := time.Duration(machine.config.Random.Int64N(int64(electionJitter)))
-		follower.electAt = machine.now.Add(jitter)
+		follower.electAt = machine.now.Add(jitter + time.Duration(fullStrength-min(machine.strength(), fullStrength))*weaknessDelay)
 		return
 	}
 	term := max(machine.state.epoch, machine.tried)>>epochRandomBits + 1
--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -16,6 +16,7 @@
 	sequence   int64
 	since      time.Time // since is when the election was answered.
 	lastCommit time.Time // lastCommit is when the last append that succeeded was sent.
+	pointedAt  time.Time // pointedAt is when the pointer was last stored.
 	stoppedAt  time.Time // stoppedAt is when the end of the epoch was appended, zero before.
 
 	pending  []almondcross.Change // pending holds the changes of the next append.
@@ -47,7 +48,7 @@
 	commit   almondcross.JournalCommit
 	sent     time.Time
 	staged   []func()
-	views    []viewChange
+	views    []almondcross.JobViewChange
 	current  bool // current tells that all intakes had been read.
 	snapshot *almondcross.StateSnapshot
 }
@@ -64,8 +65,14 @@
 		almondcross.Number("jobs", len(machine.state.jobs)), almondcross.Millis("took_ms", answer.Took()))
 	machine.config.Meters.Elected()
 	machine.tellLeader()
+	machine.storePointer()
 	for _, adviser := range machine.advisers {
-		adviser.asked = nil
+		adviser.asked, adviser.standby = nil, false
+	}
+	for _, adviser := range machine.advisers {
+		if adviser.name != machine.config.Host {
+			machine.linked(adviser)
+		}
 	}
 	machine.adopt()
 	machine.do(ReadWorkers{Query: almondcross.NewWorkersQuery(almondcross.WorkersQueryConfig{From: -1})})
@@ -108,6 +115,14 @@
 	machine.load(0)
 }
 
+// storePointer tells hosts that look for the scheduler where it is.
+func (machine *Machine) storePointer() {
+	machine.leader.pointedAt = machine.now
+	machine.do(StorePointer{Pointer: almondcross.NewSchedulerPointer(almondcross.SchedulerPointerConfig{
+		Epoch: machine.leader.epoch, Host: machine.config.Host, Address: machine.config.Address,
+	})})
+}
+
 // change applies a change and puts it into the next append.
 func (machine *Machine) change(config almondcross.ChangeConfig) {
 	machine.open()
@@ -135,10 +150,16 @@
 
 // lead does the due work of the scheduler.
 func (machine *Machine) lead() {
-	if machine.stopping && machine.leader.stoppedAt.IsZero() {
-		machine.leader.stoppedAt = machine.now
-		machine.change(almondcross.ChangeConfig{Kind: almondcross.ChangeResigned, Host: machine.config.Host})
-		machine.afterCommit(func() { machine.stopLeading("planned stop") })
+	if machine.leader.stoppedAt.IsZero() {
+		switch {
+		case machine.stopping:
+			machine.resign("planned stop")
+		case machine.outmatched():
+			machine.resign("a stronger host is there")
+		}
+	}
+	if machine.now.Sub(machine.leader.pointedAt) > pointerRefresh {
+		machine.storePointer()
 	}
 	if machine.now.Sub(machine.leader.swept) >= leaderTick {
 		machine.leader.swept = machine.now
@@ -154,6 +175,13 @@
 	machine.flush()
 }
 
+// resign ends the epoch, so that a standby is elected without waiting for silence.
+func (machine *Machine) resign(cause string) {
+	machine.leader.stoppedAt = machine.now
+	machine.change(almondcross.ChangeConfig{Kind: almondcross.ChangeResigned, Host: machine.config.Host})
+	machine.afterCommit(func() { machine.stopLeading(cause) })
+}
+
 // flush sends the next append unless one is under way.
 func (machine *Machine) flush() {
 	leader := machine.leader
@@ -216,9 +244,13 @@
 	}
 	inflight := leader.inflight
 	leader.inflight = nil
-	machine.do(Push{Pushed: almondcross.NewJournalPushed(almondcross.JournalPushedConfig{
+	standbys, lights := machine.pushHosts()
+	machine.do(Push{Hosts: standbys, Pushed: almondcross.NewJournalPushed(almondcross.JournalPushedConfig{
 		From: answer.Appended().Offset(), Batches: inflight.commit.Batches(),
 	})})
+	machine.do(PushViews{Hosts: lights, Pushed: almondcross.NewViewsPushed(almondcross.ViewsPushedConfig{
+		Complete: inflight.current, Changes: inflight.views,
+	})})
 	leader.lastCommit = machine.now.Add(-answer.Took())
 	machine.follower.next = answer.Appended().End()
 	machine.config.Publisher.Refreshed(machine.now, inflight.current)
--- a/command/scheduler/machine.go
+++ b/command/scheduler/machine.go
@@ -11,7 +11,9 @@
 type role int
 
 const (
-	roleLoading   role = iota // roleLoading reads the snapshot.
+	roleSeeking   role = iota // roleSeeking looks for the scheduler.
+	roleLight                 // roleLight is linked to the scheduler and keeps only the views of jobs.
+	roleLoading               // roleLoading reads the snapshot.
 	roleFollower              // roleFollower applies the journal.
 	roleCandidate             // roleCandidate waits for the answer to its election append.
 	roleLeader                // roleLeader writes the journal and gives orders.
@@ -24,7 +26,7 @@
 	Partitions int           // Partitions is the number of intake partitions.
 	Retain     time.Duration // Retain is how long the state of a final job stays readable.
 	MaxLease   time.Duration // MaxLease is the longest lease that workers grant.
-	EarlyStart time.Duration // EarlyStart is how much before its time an occurrence may start.
+	Strength   int           // Strength is how well this host could schedule, up to 100, its distance from the store left out.
 	Snapshots  time.Duration // Snapshots is the time between two snapshots.
 	Random     *rand.Rand
 	Publisher  almondcross.JobPublisher
@@ -43,6 +45,7 @@
 	now     time.Time
 	effects []Effect
 
+	seeker   seeker
 	follower follower
 	leader   *leader
 
@@ -56,7 +59,7 @@
 func NewMachine(config Config) *Machine {
 	machine := &Machine{config: config, state: newState(config.Retain), advisers: map[string]*adviser{}}
 	machine.advisers[config.Host] = &adviser{name: config.Host}
-	machine.load(0)
+	machine.seek()
 	return machine
 }
 
@@ -75,6 +78,12 @@
 func (machine *Machine) Apply(message almondcross.SchedulerMessage, now time.Time) {
 	machine.now = now
 	switch message := message.(type) {
+	case almondcross.PointerRead:
+		machine.pointerRead(message)
+	case almondcross.Assigned:
+		machine.assigned(message)
+	case almondcross.ViewsPushed:
+		machine.viewsPushed(message)
 	case almondcross.SnapshotRead:
 		machine.snapshotRead(message)
 	case almondcross.JournalRead:
@@ -125,6 +134,10 @@
 func (machine *Machine) Advance(now time.Time) []Effect {
 	machine.now = now
 	switch machine.role {
+	case roleSeeking:
+		machine.considerLoading()
+	case roleLight:
+		machine.considerSeeking()
 	case roleFollower:
 		machine.considerElection()
 	case roleLeader:
@@ -175,32 +188,25 @@
 }
 
 // views returns the views of the touched jobs and empties their set.
-func (machine *Machine) views() []viewChange {
-	changes := make([]viewChange, 0, len(machine.state.touched))
+func (machine *Machine) views() []almondcross.JobViewChange {
+	changes := make([]almondcross.JobViewChange, 0, len(machine.state.touched))
 	for id := range machine.state.touched {
+		config := almondcross.JobViewChangeConfig{ID: id}
 		if job := machine.state.jobs[id]; job != nil {
-			changes = append(changes, viewChange{id: id, view: job.view(), known: true})
-		} else {
-			changes = append(changes, viewChange{id: id})
+			config.Known, config.View = true, job.view()
 		}
+		changes = append(changes, almondcross.NewJobViewChange(config))
 	}
 	clear(machine.state.touched)
 	return changes
 }
 
-// viewChange is the new view of a job, or that it is no longer known.
-type viewChange struct {
-	id    almondcross.JobID
-	view  almondcross.JobView
-	known bool
-}
-
-func (machine *Machine) publish(changes []viewChange) {
+func (machine *Machine) publish(changes []almondcross.JobViewChange) {
 	for _, change := range changes {
-		if change.known {
-			machine.config.Publisher.Publish(change.view)
+		if change.Known() {
+			machine.config.Publisher.Publish(change.View())
 		} else {
-			machine.config.Publisher.Forget(change.id)
+			machine.config.Publisher.Forget(change.ID())
 		}
 	}
 }
--- a/command/scheduler/scheduler.go
+++ b/command/scheduler/scheduler.go
@@ -15,12 +15,14 @@
 // Rings are where the duty puts its requests to the store. Each has one request under way at a time,
 // except ReadIntakes, which has one for each partition.
 type Rings struct {
+	ReadPointer   almondcross.Sink[almondcross.PointerQuery]
 	ReadSnapshot  almondcross.Sink[almondcross.SnapshotQuery]
 	ReadJournal   almondcross.Sink[almondcross.JournalQuery]
 	ReadIntakes   []almondcross.Sink[almondcross.IntakeQuery]
 	ReadWorkers   almondcross.Sink[almondcross.WorkersQuery]
 	Commit        almondcross.Sink[almondcross.JournalCommit]
 	StoreSnapshot almondcross.Sink[almondcross.SnapshotStore]
+	StorePointer  almondcross.Sink[almondcross.SchedulerPointer]
 }
 
 // DutyConfig holds what a Duty needs.
@@ -118,7 +120,15 @@
 	case Ask:
 		duty.ask(effect)
 	case Push:
-		duty.config.Desk.Push(effect.Pushed)
+		duty.config.Desk.Push(effect.Hosts, effect.Pushed)
+	case PushViews:
+		duty.config.Desk.PushViews(effect.Hosts, effect.Pushed)
+	case Assign:
+		duty.config.Desk.Assign(effect.Host, effect.Assigned)
+	case ReadPointer:
+		err = rings.ReadPointer.Put(ctx, effect.Query)
+	case StorePointer:
+		err = rings.StorePointer.Put(ctx, effect.Pointer)
 	case TellStored:
 		duty.config.Desk.Stored(effect.Host, effect.Stored)
 	case Lead:
--- a/configurator/values.go
+++ b/configurator/values.go
@@ -134,6 +134,8 @@
 	stateRetention  time.Duration // the time for which the state of a finished job stays readable
 	maxLease        time.Duration // the longest lease that workers grant
 	stopGrace       time.Duration // the time after which a process that was asked to stop is killed
+	processors      float64       // the processors that the process may use, in cores
+	linkMbps        float64       // the bandwidth of the host's link in megabits a second
 	memoryMB        int           // the memory that the process may use in megabytes
 	logLines        int           // the most log lines that wait to be written; further ones are counted and left out
 }
--- a/configurator/values_generated.go
+++ b/configurator/values_generated.go
@@ -574,6 +574,8 @@
 	StateRetention  time.Duration
 	MaxLease        time.Duration
 	StopGrace       time.Duration
+	Processors      float64
+	LinkMbps        float64
 	MemoryMB        int
 	LogLines        int
 }
@@ -597,6 +599,8 @@
 		stateRetention:  config.StateRetention,
 		maxLease:        config.MaxLease,
 		stopGrace:       config.StopGrace,
+		processors:      config.Processors,
+		linkMbps:        config.LinkMbps,
 		memoryMB:        config.MemoryMB,
 		logLines:        config.LogLines,
 	}
@@ -621,6 +625,8 @@
 		StateRetention:  schedulersettings.stateRetention,
 		MaxLease:        schedulersettings.maxLease,
 		StopGrace:       schedulersettings.stopGrace,
+		Processors:      schedulersettings.processors,
+		LinkMbps:        schedulersettings.linkMbps,
 		MemoryMB:        schedulersettings.memoryMB,
 		LogLines:        schedulersettings.logLines,
 	}
@@ -790,6 +796,24 @@
 	return schedulersettings
 }
 
+// Processors returns the processors that the process may use, in cores.
+func (schedulersettings SchedulerSettings) Processors() float64 { return schedulersettings.processors }
+
+// WithProcessors returns a copy with the given processors.
+func (schedulersettings SchedulerSettings) WithProcessors(processors float64) SchedulerSettings {
+	schedulersettings.processors = processors
+	return schedulersettings
+}
+
+// LinkMbps returns the bandwidth of the host's link in megabits a second.
+func (schedulersettings SchedulerSettings) LinkMbps() float64 { return schedulersettings.linkMbps }
+
+// WithLinkMbps returns a copy with the given linkMbps.
+func (schedulersettings SchedulerSettings) WithLinkMbps(linkMbps float64) SchedulerSettings {
+	schedulersettings.linkMbps = linkMbps
+	return schedulersettings
+}
+
 // MemoryMB returns the memory that the process may use in megabytes.
 func (schedulersettings SchedulerSettings) MemoryMB() int { return schedulersettings.memoryMB }
 
--- a/encoder/journal.go
+++ b/encoder/journal.go
@@ -69,6 +69,27 @@
 	Current bool
 }
 
+type wirePointer struct {
+	_             struct{} `cbor:",toarray"`
+	Epoch         int64
+	Host, Address string
+}
+
+// EncodePointer returns the stored form of a pointer to the scheduler.
+func (codec Codec) EncodePointer(pointer almondcross.SchedulerPointer) ([]byte, error) {
+	source, err := codec.encoding.Marshal(wirePointer{Epoch: pointer.Epoch(), Host: pointer.Host(), Address: pointer.Address()})
+	return source, errors.Annotate(err, "encoding a pointer")
+}
+
+// DecodePointer returns the pointer of a stored form.
+func (codec Codec) DecodePointer(source []byte) (almondcross.SchedulerPointer, error) {
+	var wire wirePointer
+	if err := codec.decoding.Unmarshal(source, &wire); err != nil {
+		return almondcross.SchedulerPointer{}, errors.Annotatef(ErrMalformed, "pointer: %v", err)
+	}
+	return almondcross.NewSchedulerPointer(almondcross.SchedulerPointerConfig{Epoch: wire.Epoch, Host: wire.Host, Address: wire.Address}), nil
+}
+
 type wireIntake struct {
 	_      struct{} `cbor:",toarray"`
 	Job    wireJob
--- a/encoder/link.go
+++ b/encoder/link.go
@@ -16,8 +16,68 @@
 	linkPush   = "journal_push"
 	linkIntake = "intake_forward"
 	linkStored = "intake_stored"
+	linkAssign = "assign"
+	linkViews  = "views"
 )
 
+type wireAssign struct {
+	Standby bool `cbor:"standby"`
+}
+
+// wireViews holds views by queue and state, so that a view takes little more than its identity.
+type wireViews struct {
+	Reset    bool            `cbor:"reset,omitempty"`
+	Complete bool            `cbor:"complete,omitempty"`
+	Groups   []wireViewGroup `cbor:"groups,omitempty"`
+	Gone     []string        `cbor:"gone,omitempty"`
+}
+
+type wireViewGroup struct {
+	Queue   string               `cbor:"queue"`
+	State   almondcross.JobState `cbor:"state"`
+	Counted bool                 `cbor:"counted,omitempty"`
+	IDs     []string             `cbor:"ids"`
+}
+
+func toViews(pushed almondcross.ViewsPushed) wireViews {
+	wire := wireViews{Reset: pushed.Reset(), Complete: pushed.Complete()}
+	groups := map[almondcross.JobView]int{}
+	for _, change := range pushed.Changes() {
+		if !change.Known() {
+			wire.Gone = append(wire.Gone, string(change.ID()))
+			continue
+		}
+		view := change.View()
+		kind := view.WithID("")
+		index, known := groups[kind]
+		if !known {
+			index = len(wire.Groups)
+			groups[kind] = index
+			wire.Groups = append(wire.Groups, wireViewGroup{Queue: view.Queue(), State: view.State(), Counted: view.Counted()})
+		}
+		wire.Groups[index].IDs = append(wire.Groups[index].IDs, string(view.ID()))
+	}
+	return wire
+}
+
+func (wireviews wireViews) value() almondcross.ViewsPushed {
+	config := almondcross.ViewsPushedConfig{Reset: wireviews.Reset, Complete: wireviews.Complete}
+	for _, group := range wireviews.Groups {
+		for _, id := range group.IDs {
+			config.Changes = append(config.Changes, almondcross.NewJobViewChange(almondcross.JobViewChangeConfig{
+				ID: almondcross.JobID(id), Known: true,
+				View: almondcross.NewJobView(almondcross.JobViewConfig{
+					ID: almondcross.JobID(id), Queue: group.Queue, State: group.State, Counted: group.Counted,
+				}),
+			}))
+		}
+	}
+	for _, id := range wireviews.Gone {
+		config.Changes = append(config.Changes, almondcross.NewJobViewChange(almondcross.JobViewChangeConfig{ID: almondcross.JobID(id)}))
+	}
+	return almondcross.NewViewsPushed(config)
+}
+
 type wirePush struct {
 	From    int64    `cbor:"from"`
 	Batches [][]byte `cbor:"batches"`
@@ -52,7 +112,8 @@
 }
 
 type wireLinkHello struct {
-	Host string `cbor:"host"`
+	Host     string `cbor:"host"`
+	Strength int    `cbor:"strength"`
 }
 
 func toAdviceQuery(query almondcross.AdviceQuery) wireAdviceQuery {
@@ -73,7 +134,7 @@
 func (codec Codec) EncodeLink(message almondcross.LinkMessage) ([]byte, error) {
 	switch message := message.(type) {
 	case almondcross.AdviserHello:
-		return codec.seal(linkHello, wireLinkHello{Host: message.Host()})
+		return codec.seal(linkHello, wireLinkHello{Host: message.Host(), Strength: message.Strength()})
 	case almondcross.AdviceQuery:
 		return codec.seal(linkQuery, toAdviceQuery(message))
 	case almondcross.AdviceAnswered:
@@ -95,6 +156,10 @@
 			wire.Batches = append(wire.Batches, record)
 		}
 		return codec.seal(linkPush, wire)
+	case almondcross.Assigned:
+		return codec.seal(linkAssign, wireAssign{Standby: message.Standby()})
+	case almondcross.ViewsPushed:
+		return codec.seal(linkViews, toViews(message))
 	case almondcross.IntakeForwarded:
 		record, err := codec.EncodeIntake(message.Intake())
 		if err != nil {
@@ -133,6 +198,18 @@
 			return nil, err
 		}
 		return wire.value(), nil
+	case linkAssign:
+		var wire wireAssign
+		if err := codec.body(sealed, &wire); err != nil {
+			return nil, err
+		}
+		return almondcross.NewAssigned(almondcross.AssignedConfig(wire)), nil
+	case linkViews:
+		var wire wireViews
+		if err := codec.body(sealed, &wire); err != nil {
+			return nil, err
+		}
+		return wire.value(), nil
 	case linkPush:
 		return codec.decodePush(sealed)
 	case linkIntake:
--- a/journal.go
+++ b/journal.go
@@ -231,6 +231,10 @@
 	EncodeIntake(intake Intake) ([]byte, error)
 	// DecodeIntake returns the intake of a record.
 	DecodeIntake(record []byte) (Intake, error)
+	// EncodePointer returns the stored form of a pointer to the scheduler.
+	EncodePointer(pointer SchedulerPointer) ([]byte, error)
+	// DecodePointer returns the pointer of a stored form.
+	DecodePointer(source []byte) (SchedulerPointer, error)
 	// EncodeSnapshot returns the snapshot as keyed records of at most a size in bytes.
 	EncodeSnapshot(snapshot StateSnapshot, size int) ([]KeyedRecord, error)
 	// DecodeSnapshot returns the newest complete snapshot among keyed records.
--- a/parser/kinds.go
+++ b/parser/kinds.go
@@ -144,6 +144,23 @@
 	})
 }
 
+// Decimal is a number in a range.
+func Decimal[C any](about About, least, most float64, at func(*C) *float64) Field[C] {
+	allowed := fmt.Sprintf("a number from %g to %g", least, most)
+	return newField(about, "number", allowed, func(node Node, into *C) error {
+		literal, ok := node.value.Value.(hujson.Literal)
+		if !ok || literal.Kind() != '0' {
+			return node.problem(allowed)
+		}
+		number, err := strconv.ParseFloat(string(literal), 64)
+		if err != nil || number < least || number > most {
+			return node.problem(allowed)
+		}
+		*at(into) = number
+		return nil
+	})
+}
+
 // Boolean is true or false.
 func Boolean[C any](about About, at func(*C) *bool) Field[C] {
 	return newField(about, "boolean", "true or false", func(node Node, into *C) error {
--- a/query/follower/follower.go
+++ b/query/follower/follower.go
@@ -31,6 +31,9 @@
 	Journal almondcross.Partition
 	// Snapshots is the keyed partition of the snapshots.
 	Snapshots almondcross.Partition
+	// Pointers is the keyed partition of the pointer to the scheduler.
+	Pointers almondcross.Partition
+	Clock    almondcross.Clock
 	// Intake is the topic of the intake partitions.
 	Intake string
 	// Announcements is the keyed partition in which workers announce themselves.
@@ -111,6 +114,27 @@
 	})
 }
 
+// Pointer answers queries for the scheduler.
+func (follower *Follower) Pointer(queries *ring.Ring[almondcross.PointerQuery]) Duty {
+	return serve(queries, func(ctx context.Context, query almondcross.PointerQuery) {
+		if !ring.Pause(ctx, query.Pause()) {
+			return
+		}
+		started := follower.config.Clock.Now()
+		records, _, err := follower.newest(ctx, follower.config.Pointers)
+		answer := almondcross.PointerReadConfig{Took: follower.config.Clock.Now().Sub(started), Err: err}
+		for _, record := range records {
+			pointer, err := follower.config.Codec.DecodePointer(record.Value())
+			if err != nil {
+				follower.broken.count(follower.config.Pointers, record.Offset(), err)
+				continue
+			}
+			answer.Pointer, answer.Found = pointer, true
+		}
+		follower.answer(ctx, almondcross.NewPointerRead(answer))
+	})
+}
+
 // Workers answers queries for the announced workers.
 func (follower *Follower) Workers(queries *ring.Ring[almondcross.WorkersQuery]) Duty {
 	return serve(queries, func(ctx context.Context, query almondcross.WorkersQuery) {
--- a/scheduling.go
+++ b/scheduling.go
@@ -173,12 +173,66 @@
 	err      error        // the failure, nil for none
 }
 
-// AdviserChanged tells that a host can ask for advice, or no longer can.
+// AdviserChanged tells that a host is linked to this one and can ask for advice, or no longer is.
 //
 //value:generate
 type AdviserChanged struct {
-	adviser string // the host
-	present bool   // whether it can ask
+	adviser  string // the host
+	present  bool   // whether it is linked
+	strength int    // how well it could schedule, up to 100
+}
+
+// PointerQuery asks which host schedules.
+//
+//value:generate
+type PointerQuery struct {
+	pause time.Duration // how long to wait before the read
+}
+
+// SchedulerPointer names the host that schedules. It is kept apart from the journal, so that a host finds the
+// scheduler without loading the state.
+//
+//value:generate
+type SchedulerPointer struct {
+	epoch   int64  // the epoch of the scheduler
+	host    string // the host
+	address string // the address of its link
+}
+
+// PointerRead answers a PointerQuery.
+//
+//value:generate
+type PointerRead struct {
+	pointer SchedulerPointer // the newest pointer
+	found   bool             // whether there is one
+	took    time.Duration    // how long the read took
+	err     error            // the failure of the read, nil for none
+}
+
+// Assigned tells a linked host what it keeps: a standby follows the journal and may be elected, any other host
+// keeps only what callers see of jobs.
+//
+//value:generate
+type Assigned struct {
+	standby bool // whether the host is a standby
+}
+
+// JobViewChange is the new view of a job, or that it is no longer known.
+//
+//value:generate
+type JobViewChange struct {
+	id    JobID   // the identity of the job
+	known bool    // whether the job is known
+	view  JobView // the view, if it is known
+}
+
+// ViewsPushed brings changed views to a linked host.
+//
+//value:generate
+type ViewsPushed struct {
+	reset    bool            // whether the changes hold all views
+	complete bool            // whether every job that was accepted a moment before is among the views
+	changes  []JobViewChange // the changes
 }
 
 // JobAccepted tells that this host stored a job.
@@ -217,6 +271,9 @@
 	number int64 // the number of the forwarded intake
 }
 
+func (PointerRead) schedulerMessage()      {}
+func (Assigned) schedulerMessage()         {}
+func (ViewsPushed) schedulerMessage()      {}
 func (JournalPushed) schedulerMessage()    {}
 func (IntakeForwarded) schedulerMessage()  {}
 func (JournalRead) schedulerMessage()      {}
@@ -252,8 +309,12 @@
 type AdviceDesk interface {
 	// Ask sends a query to a host. It reports false when the host cannot be reached.
 	Ask(adviser string, query AdviceQuery) bool
-	// Push passes committed batches to all linked hosts.
-	Push(pushed JournalPushed)
+	// Push passes committed batches to linked hosts. No hosts still tell this one that it stores.
+	Push(hosts []string, pushed JournalPushed)
+	// PushViews passes changed views to linked hosts.
+	PushViews(hosts []string, pushed ViewsPushed)
+	// Assign tells a linked host what it keeps.
+	Assign(host string, assigned Assigned)
 	// Stored tells a host that its intake is stored.
 	Stored(host string, stored IntakeStored)
 }
@@ -290,7 +351,8 @@
 //
 //value:generate
 type AdviserHello struct {
-	host string // the host that offers to ask the advice service
+	host     string // the host that offers to ask the advice service
+	strength int    // how well it could schedule, up to 100
 }
 
 // LinkMessage is a message between the scheduler's host and the hosts that ask for advice.
@@ -299,6 +361,8 @@
 func (AdviserHello) linkMessage()    {}
 func (AdviceQuery) linkMessage()     {}
 func (AdviceAnswered) linkMessage()  {}
+func (Assigned) linkMessage()        {}
+func (ViewsPushed) linkMessage()     {}
 func (JournalPushed) linkMessage()   {}
 func (IntakeForwarded) linkMessage() {}
 func (IntakeStored) linkMessage()    {}
--- a/scheduling_generated.go
+++ b/scheduling_generated.go
@@ -992,23 +992,26 @@
 
 // AdviserChangedConfig holds the fields of a new AdviserChanged.
 type AdviserChangedConfig struct {
-	Adviser string
-	Present bool
+	Adviser  string
+	Present  bool
+	Strength int
 }
 
 // NewAdviserChanged returns a AdviserChanged with the given fields.
 func NewAdviserChanged(config AdviserChangedConfig) AdviserChanged {
 	return AdviserChanged{
-		adviser: config.Adviser,
-		present: config.Present,
+		adviser:  config.Adviser,
+		present:  config.Present,
+		strength: config.Strength,
 	}
 }
 
 // Config returns the fields of the value for encoding or for a changed copy.
 func (adviserchanged AdviserChanged) Config() AdviserChangedConfig {
 	return AdviserChangedConfig{
-		Adviser: adviserchanged.adviser,
-		Present: adviserchanged.present,
+		Adviser:  adviserchanged.adviser,
+		Present:  adviserchanged.present,
+		Strength: adviserchanged.strength,
 	}
 }
 
@@ -1021,7 +1024,7 @@
 	return adviserchanged
 }
 
-// Present returns whether it can ask.
+// Present returns whether it is linked.
 func (adviserchanged AdviserChanged) Present() bool { return adviserchanged.present }
 
 // WithPresent returns a copy with the given present.
@@ -1030,6 +1033,291 @@
 	return adviserchanged
 }
 
+// Strength returns how well it could schedule, up to 100.
+func (adviserchanged AdviserChanged) Strength() int { return adviserchanged.strength }
+
+// WithStrength returns a copy with the given strength.
+func (adviserchanged AdviserChanged) WithStrength(strength int) AdviserChanged {
+	adviserchanged.strength = strength
+	return adviserchanged
+}
+
+// PointerQueryConfig holds the fields of a new PointerQuery.
+type PointerQueryConfig struct {
+	Pause time.Duration
+}
+
+// NewPointerQuery returns a PointerQuery with the given fields.
+func NewPointerQuery(config PointerQueryConfig) PointerQuery {
+	return PointerQuery{
+		pause: config.Pause,
+	}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (pointerquery PointerQuery) Config() PointerQueryConfig {
+	return PointerQueryConfig{
+		Pause: pointerquery.pause,
+	}
+}
+
+// Pause returns how long to wait before the read.
+func (pointerquery PointerQuery) Pause() time.Duration { return pointerquery.pause }
+
+// WithPause returns a copy with the given pause.
+func (pointerquery PointerQuery) WithPause(pause time.Duration) PointerQuery {
+	pointerquery.pause = pause
+	return pointerquery
+}
+
+// SchedulerPointerConfig holds the fields of a new SchedulerPointer.
+type SchedulerPointerConfig struct {
+	Epoch   int64
+	Host    string
+	Address string
+}
+
+// NewSchedulerPointer returns a SchedulerPointer with the given fields.
+func NewSchedulerPointer(config SchedulerPointerConfig) SchedulerPointer {
+	return SchedulerPointer{
+		epoch:   config.Epoch,
+		host:    config.Host,
+		address: config.Address,
+	}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (schedulerpointer SchedulerPointer) Config() SchedulerPointerConfig {
+	return SchedulerPointerConfig{
+		Epoch:   schedulerpointer.epoch,
+		Host:    schedulerpointer.host,
+		Address: schedulerpointer.address,
+	}
+}
+
+// Epoch returns the epoch of the scheduler.
+func (schedulerpointer SchedulerPointer) Epoch() int64 { return schedulerpointer.epoch }
+
+// WithEpoch returns a copy with the given epoch.
+func (schedulerpointer SchedulerPointer) WithEpoch(epoch int64) SchedulerPointer {
+	schedulerpointer.epoch = epoch
+	return schedulerpointer
+}
+
+// Host returns the host.
+func (schedulerpointer SchedulerPointer) Host() string { return schedulerpointer.host }
+
+// WithHost returns a copy with the given host.
+func (schedulerpointer SchedulerPointer) WithHost(host string) SchedulerPointer {
+	schedulerpointer.host = host
+	return schedulerpointer
+}
+
+// Address returns the address of its link.
+func (schedulerpointer SchedulerPointer) Address() string { return schedulerpointer.address }
+
+// WithAddress returns a copy with the given address.
+func (schedulerpointer SchedulerPointer) WithAddress(address string) SchedulerPointer {
+	schedulerpointer.address = address
+	return schedulerpointer
+}
+
+// PointerReadConfig holds the fields of a new PointerRead.
+type PointerReadConfig struct {
+	Pointer SchedulerPointer
+	Found   bool
+	Took    time.Duration
+	Err     error
+}
+
+// NewPointerRead returns a PointerRead with the given fields.
+func NewPointerRead(config PointerReadConfig) PointerRead {
+	return PointerRead{
+		pointer: config.Pointer,
+		found:   config.Found,
+		took:    config.Took,
+		err:     config.Err,
+	}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (pointerread PointerRead) Config() PointerReadConfig {
+	return PointerReadConfig{
+		Pointer: pointerread.pointer,
+		Found:   pointerread.found,
+		Took:    pointerread.took,
+		Err:     pointerread.err,
+	}
+}
+
+// Pointer returns the newest pointer.
+func (pointerread PointerRead) Pointer() SchedulerPointer { return pointerread.pointer }
+
+// WithPointer returns a copy with the given pointer.
+func (pointerread PointerRead) WithPointer(pointer SchedulerPointer) PointerRead {
+	pointerread.pointer = pointer
+	return pointerread
+}
+
+// Found returns whether there is one.
+func (pointerread PointerRead) Found() bool { return pointerread.found }
+
+// WithFound returns a copy with the given found.
+func (pointerread PointerRead) WithFound(found bool) PointerRead {
+	pointerread.found = found
+	return pointerread
+}
+
+// Took returns how long the read took.
+func (pointerread PointerRead) Took() time.Duration { return pointerread.took }
+
+// WithTook returns a copy with the given took.
+func (pointerread PointerRead) WithTook(took time.Duration) PointerRead {
+	pointerread.took = took
+	return pointerread
+}
+
+// Err returns the failure of the read, nil for none.
+func (pointerread PointerRead) Err() error { return pointerread.err }
+
+// WithErr returns a copy with the given err.
+func (pointerread PointerRead) WithErr(err error) PointerRead {
+	pointerread.err = err
+	return pointerread
+}
+
+// AssignedConfig holds the fields of a new Assigned.
+type AssignedConfig struct {
+	Standby bool
+}
+
+// NewAssigned returns a Assigned with the given fields.
+func NewAssigned(config AssignedConfig) Assigned {
+	return Assigned{
+		standby: config.Standby,
+	}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (assigned Assigned) Config() AssignedConfig {
+	return AssignedConfig{
+		Standby: assigned.standby,
+	}
+}
+
+// Standby returns whether the host is a standby.
+func (assigned Assigned) Standby() bool { return assigned.standby }
+
+// WithStandby returns a copy with the given standby.
+func (assigned Assigned) WithStandby(standby bool) Assigned {
+	assigned.standby = standby
+	return assigned
+}
+
+// JobViewChangeConfig holds the fields of a new JobViewChange.
+type JobViewChangeConfig struct {
+	ID    JobID
+	Known bool
+	View  JobView
+}
+
+// NewJobViewChange returns a JobViewChange with the given fields.
+func NewJobViewChange(config JobViewChangeConfig) JobViewChange {
+	return JobViewChange{
+		id:    config.ID,
+		known: config.Known,
+		view:  config.View,
+	}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (jobviewchange JobViewChange) Config() JobViewChangeConfig {
+	return JobViewChangeConfig{
+		ID:    jobviewchange.id,
+		Known: jobviewchange.known,
+		View:  jobviewchange.view,
+	}
+}
+
+// ID returns the identity of the job.
+func (jobviewchange JobViewChange) ID() JobID { return jobviewchange.id }
+
+// WithID returns a copy with the given id.
+func (jobviewchange JobViewChange) WithID(id JobID) JobViewChange {
+	jobviewchange.id = id
+	return jobviewchange
+}
+
+// Known returns whether the job is known.
+func (jobviewchange JobViewChange) Known() bool { return jobviewchange.known }
+
+// WithKnown returns a copy with the given known.
+func (jobviewchange JobViewChange) WithKnown(known bool) JobViewChange {
+	jobviewchange.known = known
+	return jobviewchange
+}
+
+// View returns the view, if it is known.
+func (jobviewchange JobViewChange) View() JobView { return jobviewchange.view }
+
+// WithView returns a copy with the given view.
+func (jobviewchange JobViewChange) WithView(view JobView) JobViewChange {
+	jobviewchange.view = view
+	return jobviewchange
+}
+
+// ViewsPushedConfig holds the fields of a new ViewsPushed.
+type ViewsPushedConfig struct {
+	Reset    bool
+	Complete bool
+	Changes  []JobViewChange
+}
+
+// NewViewsPushed returns a ViewsPushed with the given fields.
+func NewViewsPushed(config ViewsPushedConfig) ViewsPushed {
+	return ViewsPushed{
+		reset:    config.Reset,
+		complete: config.Complete,
+		changes:  config.Changes,
+	}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (viewspushed ViewsPushed) Config() ViewsPushedConfig {
+	return ViewsPushedConfig{
+		Reset:    viewspushed.reset,
+		Complete: viewspushed.complete,
+		Changes:  viewspushed.changes,
+	}
+}
+
+// Reset returns whether the changes hold all views.
+func (viewspushed ViewsPushed) Reset() bool { return viewspushed.reset }
+
+// WithReset returns a copy with the given reset.
+func (viewspushed ViewsPushed) WithReset(reset bool) ViewsPushed {
+	viewspushed.reset = reset
+	return viewspushed
+}
+
+// Complete returns whether every job that was accepted a moment before is among the views.
+func (viewspushed ViewsPushed) Complete() bool { return viewspushed.complete }
+
+// WithComplete returns a copy with the given complete.
+func (viewspushed ViewsPushed) WithComplete(complete bool) ViewsPushed {
+	viewspushed.complete = complete
+	return viewspushed
+}
+
+// Changes returns the changes.
+func (viewspushed ViewsPushed) Changes() []JobViewChange { return viewspushed.changes }
+
+// WithChanges returns a copy with the given changes.
+func (viewspushed ViewsPushed) WithChanges(changes []JobViewChange) ViewsPushed {
+	viewspushed.changes = changes
+	return viewspushed
+}
+
 // JobAcceptedConfig holds the fields of a new JobAccepted.
 type JobAcceptedConfig struct {
 	Job Job
@@ -1193,20 +1481,23 @@
 
 // AdviserHelloConfig holds the fields of a new AdviserHello.
 type AdviserHelloConfig struct {
-	Host string
+	Host     string
+	Strength int
 }
 
 // NewAdviserHello returns a AdviserHello with the given fields.
 func NewAdviserHello(config AdviserHelloConfig) AdviserHello {
 	return AdviserHello{
-		host: config.Host,
+		host:     config.Host,
+		strength: config.Strength,
 	}
 }
 
 // Config returns the fields of the value for encoding or for a changed copy.
 func (adviserhello AdviserHello) Config() AdviserHelloConfig {
 	return AdviserHelloConfig{
-		Host: adviserhello.host,
+		Host:     adviserhello.host,
+		Strength: adviserhello.strength,
 	}
 }
 
@@ -1218,3 +1509,12 @@
 	adviserhello.host = host
 	return adviserhello
 }
+
+// Strength returns how well it could schedule, up to 100.
+func (adviserhello AdviserHello) Strength() int { return adviserhello.strength }
+
+// WithStrength returns a copy with the given strength.
+func (adviserhello AdviserHello) WithStrength(strength int) AdviserHello {
+	adviserhello.strength = strength
+	return adviserhello
+}
--- a/standin/emulator/day.go
+++ b/standin/emulator/day.go
@@ -47,6 +47,7 @@
 	faults  faults
 	// forwarded holds what follows the answers to forwarded intakes.
 	forwarded map[int64]func()
+	pointer   almondcross.SchedulerPointer
 	routes    almondcross.RouteTable
 }
 
--- a/standin/emulator/host.go
+++ b/standin/emulator/host.go
@@ -22,10 +22,7 @@
 	intakeParts  = 2
 )
 
-var (
-	journal   = almondcross.Partition{Topic: "journal"}
-	snapshots = almondcross.Partition{Topic: "keyed.snapshots"}
-)
+var journal = almondcross.Partition{Topic: "journal"}
 
 func intakePartition(number int) almondcross.Partition {
 	return almondcross.Partition{Topic: "intake", Number: number}
@@ -33,18 +30,18 @@
 
 // modelHost is an entry host: the real machine with a model of the duties around it.
 type modelHost struct {
-	day      *Day
-	name     string
-	index    int
-	life     int
-	up       bool
-	frozen   time.Duration // frozen is until when the host stands still.
-	machine  *scheduler.Machine
-	table    *jobfinder.Table
-	wake     uint64 // wake numbers the planned wake-ups; only the last one counts.
-	asking   bool
-	queries  []queuedQuery
-	announce bool
+	day     *Day
+	name    string
+	index   int
+	life    int
+	up      bool
+	frozen  time.Duration // frozen is until when the host stands still.
+	machine *scheduler.Machine
+	table   *jobfinder.Table
+	wake    uint64 // wake numbers the planned wake-ups; only the last one counts.
+	asking  bool
+	queries []queuedQuery
+	linked  *modelHost // linked is the scheduler's host that this one is linked to.
 }
 
 // queuedQuery is a query that waits for the advice call before it.
@@ -59,21 +56,66 @@
 	modelhost.up, modelhost.asking, modelhost.queries = true, false, nil
 	modelhost.table = jobfinder.New()
 	modelhost.machine = scheduler.NewMachine(scheduler.Config{
-		Host: modelhost.name, Address: modelhost.name, Partitions: intakeParts, Retain: 150 * time.Second, MaxLease: maxLease,
+		Host: modelhost.name, Address: modelhost.name, Partitions: intakeParts, Strength: 100 - 10*(modelhost.index%3), Retain: 150 * time.Second, MaxLease: maxLease,
 		Snapshots: 3 * time.Second, Random: rand.New(rand.NewPCG(day.random.Uint64(), 1)), //nolint:gosec // A model needs no secrecy.
 		Publisher: modelhost.table, Picker: picker.Tight{}, Log: hostLog{modelhost}, Meters: noMeters{},
 	})
-	for _, other := range day.hosts {
-		if other != modelhost {
-			modelhost.deliver(almondcross.NewAdviserChanged(almondcross.AdviserChangedConfig{Adviser: other.name, Present: true}))
-		}
-	}
 	modelhost.deliver(almondcross.NewRoutesRead(almondcross.RoutesReadConfig{Table: day.routes}))
 }
 
 func (modelhost *modelHost) kill() {
 	modelhost.up = false
 	modelhost.life++
+	modelhost.link(nil, 0)
+}
+
+// link opens the link to the scheduler's host, or closes the one that is open.
+func (modelhost *modelHost) link(scheduler *modelHost, strength int) {
+	day := modelhost.day
+	if before := modelhost.linked; before != nil && before != scheduler {
+		modelhost.linked = nil
+		day.after(linkDelay, func() {
+			if before.up {
+				before.deliver(almondcross.NewAdviserChanged(almondcross.AdviserChangedConfig{Adviser: modelhost.name}))
+			}
+		})
+	}
+	if scheduler == nil || scheduler == modelhost {
+		return
+	}
+	life := modelhost.life
+	day.after(3*linkDelay, func() {
+		if modelhost.life == life && scheduler.up && modelhost.linked == nil {
+			modelhost.linked = scheduler
+			scheduler.deliver(almondcross.NewAdviserChanged(almondcross.AdviserChangedConfig{Adviser: modelhost.name, Present: true, Strength: strength}))
+		}
+	})
+}
+
+// send passes a message of the scheduler to hosts that are linked to it.
+func (modelhost *modelHost) send(hosts []string, message almondcross.SchedulerMessage) {
+	for _, name := range hosts {
+		for _, other := range modelhost.day.hosts {
+			if other.name != name || other.linked != modelhost {
+				continue
+			}
+			life := other.life
+			modelhost.day.after(linkDelay, func() {
+				if other.life == life && other.linked == modelhost {
+					other.deliver(message)
+				}
+			})
+		}
+	}
+}
+
+func (day *Day) host(name string) *modelHost {
+	for _, host := range day.hosts {
+		if host.name == name {
+			return host
+		}
+	}
+	return nil
 }
 
 // deliver gives a message to the machine once the host is awake.
@@ -138,7 +180,20 @@
 	case scheduler.Ask:
 		modelhost.ask(effect)
 	case scheduler.Push:
-		modelhost.push(effect.Pushed)
+		modelhost.send(effect.Hosts, effect.Pushed)
+	case scheduler.PushViews:
+		modelhost.send(effect.Hosts, effect.Pushed)
+	case scheduler.Assign:
+		modelhost.send([]string{effect.Host}, effect.Assigned)
+	case scheduler.Lead:
+		modelhost.link(day.host(effect.Host), effect.Strength)
+	case scheduler.ReadPointer:
+		modelhost.later(effect.Query.Pause(), modelhost.readPointer)
+	case scheduler.StorePointer:
+		modelhost.storeCall(true, func() func() {
+			day.pointer = effect.Pointer
+			return func() {}
+		}, func(error) {})
 	case scheduler.TellStored:
 		if answer := day.forwarded[effect.Stored.Number()]; answer != nil {
 			day.after(linkDelay, answer)
@@ -206,6 +261,21 @@
 	}, func(bool) { fail(almondcross.ErrStoreUnknown) })
 }
 
+func (modelhost *modelHost) readPointer() {
+	day := modelhost.day
+	sent := day.now
+	modelhost.storeCall(false, func() func() {
+		pointer := day.pointer
+		return func() {
+			modelhost.deliver(almondcross.NewPointerRead(almondcross.PointerReadConfig{
+				Pointer: pointer, Found: pointer.Host() != "", Took: day.now - sent,
+			}))
+		}
+	}, func(err error) {
+		modelhost.deliver(almondcross.NewPointerRead(almondcross.PointerReadConfig{Err: err}))
+	})
+}
+
 func (modelhost *modelHost) readSnapshot() {
 	day := modelhost.day
 	modelhost.storeCall(false, func() func() {
@@ -418,20 +488,6 @@
 	}, answer)
 }
 
-// push passes committed batches to the other hosts.
-func (modelhost *modelHost) push(pushed almondcross.JournalPushed) {
-	for _, other := range modelhost.day.hosts {
-		if other != modelhost && other.up {
-			life := other.life
-			modelhost.day.after(linkDelay, func() {
-				if other.life == life {
-					other.deliver(pushed)
-				}
-			})
-		}
-	}
-}
-
 // ask passes a query over the link to the host that makes the call.
 func (modelhost *modelHost) ask(ask scheduler.Ask) {
 	day := modelhost.day
