--- a/command/scheduler/advice.go
+++ b/command/scheduler/advice.go
@@ -151,7 +151,7 @@
 		return
 	}
 	var named []string
-	if stage.spec.Gang() {
+	if stage.spec.Gang() && long {
 		named = machine.nameForGang(queue, stage, advice)
 	} else {
 		named = machine.nameWorkers(queue, stage, advice, machine.candidates(queue, stage, nil))
@@ -169,16 +169,9 @@
 // nameWorkers returns the workers to ask about: those known to be allowed, then those with the most room,
 // as many as are expected to yield room for the whole stage.
 func (machine *Machine) nameWorkers(queue almondcross.Queue, stage *stage, advice *stageAdvice, rooms []almondcross.WorkerRoom) []string {
-	share, known := machine.leader.shares[queue.Name()]
-	if !known {
-		share = shareStart
-	}
+	share := machine.share(queue)
 	sortByRoom(rooms)
 	wanted := float64(stage.open - stage.active)
-	fewest := fewestAsked
-	if queue.Advice().Base() >= longAdvice {
-		fewest = fewestLong
-	}
 	var named []string
 	var certain, expected float64
 	for _, room := range rooms {
@@ -195,47 +188,53 @@
 		if _, told := advice.allow[room.Worker()]; told || len(named) >= mostAsked {
 			continue
 		}
-		if expected >= wanted*spareFactor && len(named) >= fewest {
+		if expected >= wanted*spareFactor && len(named) >= fewestAsked {
 			break
 		}
 		named = append(named, room.Worker())
 		expected += float64(room.Tasks()) * share
 	}
-	if stage.spec.Gang() && expected < wanted && len(named) < len(rooms) {
-		return nil
-	}
 	return named
 }
 
-// learnable returns the workers that advice has not told of for a stage, with the room that they have when
-// what does not belong to gangs has ended. A gang learns early where it may run.
-func (machine *Machine) learnable(queue almondcross.Queue, stage *stage, advice *stageAdvice) []almondcross.WorkerRoom {
-	var rooms []almondcross.WorkerRoom
+// learnable returns the workers that advice has not told of for a stage: those with room now, and those that
+// have room when what does not belong to gangs has ended, the latter behind the former.
+func (machine *Machine) learnable(queue almondcross.Queue, stage *stage, advice *stageAdvice) (now, later []almondcross.WorkerRoom) {
 	for _, worker := range machine.leader.usable {
 		if _, told := advice.allow[worker.id]; told || worker.worker.Pool() != queue.Service() || !worker.worker.HasLabel(stage.spec.Label()) {
 			continue
 		}
-		if tasks := fitting(worker.worker.Capacity().Sub(worker.kept), stage.spec.Resources(), stage.spec.Count()); tasks > 0 {
-			rooms = append(rooms, almondcross.NewWorkerRoom(almondcross.WorkerRoomConfig{Worker: worker.id, Tasks: tasks}))
+		if tasks := fitting(worker.room().Sub(worker.held), stage.spec.Resources(), stage.spec.Count()); tasks > 0 {
+			now = append(now, almondcross.NewWorkerRoom(almondcross.WorkerRoomConfig{Worker: worker.id, Tasks: tasks}))
+		} else if tasks := fittingTasks(worker, stage); tasks > 0 {
+			later = append(later, almondcross.NewWorkerRoom(almondcross.WorkerRoomConfig{Worker: worker.id, Tasks: tasks}))
 		}
 	}
-	return rooms
+	return now, later
 }
 
-// nameForGang returns the workers to ask about for a gang: those on which it fits now, or, while it is not
-// known to be allowed on enough workers, others to learn of. Otherwise it waits for room.
+// nameForGang returns the workers to ask about for a gang: those on which it fits now, with others that have
+// room now if these may complete it. While it is not known to be allowed on enough workers, it learns of
+// others; otherwise it waits for room.
 func (machine *Machine) nameForGang(queue almondcross.Queue, stage *stage, advice *stageAdvice) []string {
 	wanted := stage.open - stage.active
-	var present, known int
-	var now []string
+	var present, known, free int
+	var allowed []string
 	for _, room := range machine.candidates(queue, stage, nil) {
 		if advice.allow[room.Worker()] {
 			present += room.Tasks()
-			now = append(now, room.Worker())
+			allowed = append(allowed, room.Worker())
 		}
 	}
 	if present >= wanted {
-		return now
+		return allowed[:min(len(allowed), mostAsked)]
+	}
+	now, later := machine.learnable(queue, stage, advice)
+	for _, room := range now {
+		free += room.Tasks()
+	}
+	if float64(present)+float64(free)*machine.share(queue) >= float64(wanted) {
+		return machine.nameMore(queue, allowed, now, float64(wanted-present)*spareFactor)
 	}
 	for _, worker := range machine.leader.usable {
 		if advice.allow[worker.id] {
@@ -245,7 +244,31 @@
 	if float64(known) >= float64(wanted)*knownFactor {
 		return nil
 	}
-	return append(now, machine.nameWorkers(queue, stage, advice, machine.learnable(queue, stage, advice))...)
+	return machine.nameMore(queue, allowed, append(now, later...), float64(wanted)*knownFactor-float64(known))
+}
+
+// nameMore adds workers to those already named until they are expected to yield room for some tasks.
+func (machine *Machine) nameMore(queue almondcross.Queue, named []string, rooms []almondcross.WorkerRoom, tasks float64) []string {
+	share := machine.share(queue)
+	sortByRoom(rooms)
+	added := 0
+	for _, room := range rooms {
+		if len(named) >= mostAsked || tasks <= 0 && added >= fewestLong {
+			break
+		}
+		named = append(named, room.Worker())
+		tasks -= float64(room.Tasks()) * share
+		added++
+	}
+	return named
+}
+
+// share returns the learned part of workers that advice allows for a queue.
+func (machine *Machine) share(queue almondcross.Queue) float64 {
+	if share, known := machine.leader.shares[queue.Name()]; known {
+		return share
+	}
+	return shareStart
 }
 
 // fittingTasks returns how many tasks of a gang fit a worker once what does not belong to gangs has ended.
@@ -317,10 +340,7 @@
 		}
 		advice.tickets[given.Worker()] = ticket{secret: given.Secret(), until: until, born: born}
 	}
-	share, known := machine.leader.shares[queue.Name()]
-	if !known {
-		share = shareStart
-	}
+	share := machine.share(queue)
 	asked, allowed := len(answer.Query().Workers()), len(answer.Result().Tickets())
 	machine.leader.shares[queue.Name()] = share + shareWeight*(float64(allowed)/float64(max(asked, 1))-share)
 	machine.config.Meters.Advised(queue.Name(), allowed, asked)
