Wait for cut workers that are alive, and link only to the present scheduler

A worker that still announces itself is now waited for 6 s longer, a success that comes to light before a further start counts, and one that comes later is never acknowledged.

--- a/command/scheduler/constants.go
+++ b/command/scheduler/constants.go
@@ -84,6 +84,11 @@
 	leadershipLimit = 8 * time.Second
 	// clockSlack is how much slower a worker's clock may run.
 	clockSlack = 0.02
+	// announcementLimit is the age of an announcement up to which its worker is alive: three times the interval
+	// in which workers renew it.
+	announcementLimit = 4500 * time.Millisecond
+	// cutPatience is how much longer than its lease a worker that is alive and cannot be reached is waited for.
+	cutPatience = 6 * time.Second
 	// lossMargin covers the way of the last order to a worker.
 	lossMargin = 500 * time.Millisecond
 	// stopRetry is the pause before a stop order is repeated.
--- a/command/scheduler/follower.go
+++ b/command/scheduler/follower.go
@@ -48,7 +48,6 @@
 	machine.role = roleFollower
 	machine.config.Log.Record("state_loaded", almondcross.Number("next", machine.follower.next),
 		almondcross.Number("jobs", len(machine.state.jobs)), almondcross.Number("epoch", machine.state.epoch))
-	machine.tellLeader()
 	machine.readJournal(0)
 }
 
@@ -112,7 +111,6 @@
 
 // followBatches applies batches; readAt is when the store was last read.
 func (machine *Machine) followBatches(read almondcross.JournalRead, readAt time.Time) {
-	epoch, resigned := machine.state.epoch, machine.state.resigned
 	for _, batch := range read.Batches() {
 		machine.state.applyBatch(batch)
 		machine.follower.current = batch.Current()
@@ -139,7 +137,7 @@
 		machine.config.Publisher.Refreshed(machine.now, machine.follower.current && alive)
 	}
 	machine.publish(machine.views())
-	if epoch != machine.state.epoch || resigned != machine.state.resigned {
+	if machine.follower.caughtUp {
 		machine.tellLeader()
 	}
 }
@@ -158,8 +156,14 @@
 	machine.readJournal(0)
 }
 
+// tellLeader tells the link to whom to connect when the scheduler has changed.
 func (machine *Machine) tellLeader() {
 	host, address := machine.Leader()
+	known := almondcross.NewSchedulerPointer(almondcross.SchedulerPointerConfig{Epoch: machine.state.epoch, Host: host, Address: address})
+	if known == machine.seeker.pointer || host == machine.config.Host && machine.role != roleLeader {
+		return
+	}
+	machine.seeker.pointer = known
 	machine.config.Log.Record("scheduler_known", almondcross.Text("host", host), almondcross.Number("epoch", machine.state.epoch))
 	machine.do(Lead{Host: host, Address: address, Own: machine.role == roleLeader, Strength: machine.strength()})
 }
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -198,9 +198,14 @@
 		return
 	}
 	record := stage.tasks[index]
-	if !record.Active() || record.Run() != change.Run() {
+	if record.Run() != change.Run() || !record.Active() && (change.End() != almondcross.EndDone || record.Done()) {
 		return
 	}
+	if !record.Active() {
+		// The run was taken for gone, and its success came to light before another one was given out.
+		stage.active++
+		job.active++
+	}
 	record = record.WithActive(false)
 	stage.active--
 	job.active--
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -43,8 +43,9 @@
 type worker struct {
 	id       string
 	worker   almondcross.Worker
-	listed   bool // listed tells that the worker is announced.
-	managed  bool // managed tells that its duties are open.
+	listed   bool      // listed tells that the worker is announced.
+	heardAt  time.Time // heardAt is when its announcement was last renewed.
+	managed  bool      // managed tells that its duties are open.
 	assigned map[almondcross.JobTask]*assignment
 	used     almondcross.Resources
 	kept     almondcross.Resources // kept is the part of used that belongs to gangs.
@@ -60,7 +61,12 @@
 	leasing      bool // leasing tells that a lease order is under way or follows the next commit.
 	silent       bool // silent tells that the last lease order had no answer.
 	unhealthy    time.Time
-	failures     int // failures counts failed runs since the last success.
+	// given holds the runs that were taken for gone without word from the worker, with their numbers.
+	given map[almondcross.JobTask]int
+	// ackLimit is the last end that may be acknowledged in this life, 0 for no limit: a success behind it came
+	// to light after its task had been started again, and must not count as noted.
+	ackLimit int64
+	failures int // failures counts failed runs since the last success.
 }
 
 // room returns what is free on the worker.
@@ -86,7 +92,7 @@
 
 // usable reports whether the worker may be given new work.
 func (worker *worker) usable(now time.Time) bool {
-	return worker.listed && !worker.worker.Draining() && !worker.silent && !worker.clockAt.IsZero() &&
+	return worker.listed && !worker.worker.Draining() && !worker.silent && worker.ackLimit == 0 && !worker.clockAt.IsZero() &&
 		now.Sub(worker.clockAt) < contactLimit && !now.Before(worker.unhealthy)
 }
 
@@ -95,8 +101,19 @@
 	return worker.clock + now.Sub(worker.clockAt)
 }
 
-// lostAt returns when everything on a silent worker has ended for lack of a lease.
-func (worker *worker) lostAt(leader *leader) time.Time {
+// lostAt returns when everything on a silent worker has ended for lack of a lease. A worker that still renews
+// its announcement is alive, and what it has finished will be known once it can be reached again, so that it
+// is waited for somewhat longer.
+func (worker *worker) lostAt(leader *leader, now time.Time) time.Time {
+	lapsed := worker.lapsedAt(leader)
+	if worker.listed && now.Sub(worker.heardAt) < announcementLimit {
+		return lapsed.Add(cutPatience)
+	}
+	return lapsed
+}
+
+// lapsedAt returns when the lease of a silent worker has certainly ended.
+func (worker *worker) lapsedAt(leader *leader) time.Time {
 	if worker.clockAt.IsZero() {
 		// An earlier scheduler may have extended the lease until it noticed that it had been replaced.
 		return leader.since.Add(leadershipLimit + stretch(leaseLength) + lossMargin)
@@ -115,7 +132,7 @@
 	if known := leader.workers[id]; known != nil {
 		return known
 	}
-	added := &worker{id: id, assigned: map[almondcross.JobTask]*assignment{}, fence: leader.epoch << fenceCounterBits}
+	added := &worker{id: id, assigned: map[almondcross.JobTask]*assignment{}, given: map[almondcross.JobTask]int{}, fence: leader.epoch << fenceCounterBits}
 	leader.workers[id] = added
 	index, _ := slices.BinarySearchFunc(leader.order, added, func(a, b *worker) int { return strings.Compare(a.id, b.id) })
 	leader.order = slices.Insert(leader.order, index, added)
@@ -165,7 +182,7 @@
 			almondcross.Text("rack", change.Worker().Rack()))
 	}
 	moved := entry.worker.Address() != change.Worker().Address()
-	entry.worker, entry.listed = change.Worker(), true
+	entry.worker, entry.listed, entry.heardAt = change.Worker(), true, machine.now
 	if !entry.managed || moved {
 		entry.managed = true
 		machine.do(ManageWorker{Worker: entry.worker})
@@ -277,8 +294,13 @@
 		acknowledged = max(acknowledged, end.Sequence())
 		if known := worker.assigned[end.Task()]; known != nil && known.run == end.Run() {
 			machine.endRun(worker, known, end.Kind(), end.Checkpoint())
+		} else if worker.given[end.Task()] == end.Run() && end.Run() > 0 {
+			machine.lateEnd(worker, end)
 		}
 	}
+	if worker.ackLimit > 0 {
+		acknowledged = min(acknowledged, worker.ackLimit-1)
+	}
 	for _, running := range list.Running() {
 		known := worker.assigned[running.Task()]
 		if known == nil || known.run != running.Run() {
@@ -294,13 +316,17 @@
 	if answer.Order().Look() {
 		return // The ends in it are acknowledged by the lease order that lists them too.
 	}
-	urgent := worker.raiseFence
-	if acknowledged == worker.acknowledged {
-		wait := leaseWait
-		if urgent {
-			wait = 0
-		}
-		machine.lease(worker, wait, 0)
+	switch {
+	case acknowledged > worker.acknowledged:
+	case worker.ackLimit > 0:
+		// Its answer does not wait while ends are listed.
+		machine.lease(worker, 0, leaseWait)
+		return
+	case worker.raiseFence:
+		machine.lease(worker, 0, 0)
+		return
+	default:
+		machine.lease(worker, leaseWait, 0)
 		return
 	}
 	epoch, born := machine.leader.epoch, worker.born
@@ -312,6 +338,42 @@
 	})
 }
 
+// lateEnd takes the end of a run that was taken for gone. A success counts if the task was not started again
+// since; otherwise it must not be noted any more.
+func (machine *Machine) lateEnd(worker *worker, end almondcross.EndedTask) {
+	if end.Kind() != almondcross.EndDone {
+		delete(worker.given, end.Task())
+		return
+	}
+	job := machine.state.jobs[end.Task().Stage.Job]
+	if job == nil {
+		return
+	}
+	stage := job.stage(end.Task().Stage)
+	if stage == nil || end.Task().Index >= len(stage.tasks) {
+		return
+	}
+	record := stage.tasks[end.Task().Index]
+	outcome := "already done"
+	switch {
+	case !record.Done() && !record.Active() && record.Run() == end.Run():
+		outcome = "counted"
+		delete(worker.given, end.Task())
+		machine.change(almondcross.ChangeConfig{
+			Kind: almondcross.ChangeEnd, Task: end.Task(), Run: end.Run(), End: almondcross.EndDone, Worker: worker.id,
+		})
+		if job.state.Final() {
+			machine.finished(job)
+		}
+		machine.watchJob(job)
+	case record.Run() > end.Run() && worker.ackLimit == 0:
+		outcome = "started again before"
+		worker.ackLimit = end.Sequence()
+	}
+	machine.config.Log.Record("late_success", almondcross.Text("task", end.Task().String()), almondcross.Number("run", end.Run()),
+		almondcross.Text("worker", worker.id), almondcross.Text("outcome", outcome))
+}
+
 // newLife forgets what belonged to the earlier life of a worker. Orders sent to it may still be
 // carried out by the new one, so they are settled only by a list with a higher fence.
 func (machine *Machine) newLife(worker *worker, born int64) {
@@ -323,7 +385,8 @@
 		}
 		worker.raiseFence = true
 	}
-	worker.born, worker.acknowledged, worker.maxUntil, worker.failures = born, 0, 0, 0
+	worker.born, worker.acknowledged, worker.maxUntil, worker.failures, worker.ackLimit = born, 0, 0, 0, 0
+	clear(worker.given)
 }
 
 func (machine *Machine) runPresent(known *assignment, running almondcross.RunningTask) {
@@ -484,10 +547,11 @@
 // sweepWorkers repeats what was not answered and takes the runs of silent workers for gone.
 func (machine *Machine) sweepWorkers() {
 	for _, worker := range slices.Clone(machine.leader.order) {
-		lost := (worker.silent || worker.clockAt.IsZero()) && machine.now.After(worker.lostAt(machine.leader))
+		lost := (worker.silent || worker.clockAt.IsZero()) && machine.now.After(worker.lostAt(machine.leader, machine.now))
 		for _, assignment := range slices.Collect(maps.Values(worker.assigned)) {
 			switch {
 			case lost && assignment.phase != phaseCommitting:
+				worker.given[assignment.task] = assignment.run
 				machine.endRun(worker, assignment, almondcross.EndVoid, assignment.checkpoint)
 			case assignment.stalled(worker, machine.now):
 				machine.stopStalled(worker, assignment)
