--- a/assembler/scheduler.go
+++ b/assembler/scheduler.go
@@ -81,7 +81,7 @@
 		fx.Supply(settings, settingsPath(path)),
 		fx.Provide(
 			func() almondcross.Clock { return Clock{} },
-			func() logrus.FieldLogger { return logrus.StandardLogger() },
+			func() logrus.FieldLogger { return newLogger(configurator.LogJSON) },
 			metrics.NewSet, NewDuties, encoder.NewCodec, caller.New, jobfinder.New, router.New, counter.New,
 			newRecorder, newSchedulerRings, newFollower, newCommitter, newController, newAsker, newHub, newDialer, newUplink, newSubmitter,
 			newSchedulerMachine, newScheduler, newSchedulerServers,
--- a/assembler/schedulerstop.go
+++ b/assembler/schedulerstop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -38,10 +39,10 @@
 	defer cancel()
 	err := schedulerparts.Servers.callers.Shutdown(limited)
 	schedulerparts.Log.Record("stopped", almondcross.Millis("after_ms", time.Since(began)), almondcross.Text("reason", failure(err)))
+	for _, server := range []*http.Server{schedulerparts.Servers.ready, schedulerparts.Servers.metrics, schedulerparts.Servers.links} {
+		_ = server.Close() // The process ends next.
+	}
 	schedulerparts.Duties.Stop(logDrain)
-	_ = schedulerparts.Servers.ready.Close()   // The process ends next.
-	_ = schedulerparts.Servers.metrics.Close() // The process ends next.
-	_ = schedulerparts.Servers.links.Close()   // The process ends next.
 	return nil
 }
 
