--- /dev/null
+++ b/command/connector/connector_test.go
@@ -0,0 +1,130 @@
+package connector_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/almondcross/almondcross"
+	"github.com/almondcross/almondcross/command/asker"
+	"github.com/almondcross/almondcross/command/connector"
+	"github.com/almondcross/almondcross/encoder"
+	"github.com/almondcross/almondcross/ring"
+)
+
+type clock struct{}
+
+func (clock) Now() time.Time { return time.Now() }
+
+type quiet struct{}
+
+func (quiet) Record(string, ...almondcross.LogField) {}
+
+// side is one host of a link.
+type side struct {
+	messages *ring.Ring[almondcross.SchedulerMessage]
+	stored   chan almondcross.IntakeStored
+}
+
+func newSide() side {
+	return side{
+		messages: ring.New[almondcross.SchedulerMessage](ring.Config{Name: "scheduler", Capacity: 64}),
+		stored:   make(chan almondcross.IntakeStored, 8),
+	}
+}
+
+func next[M almondcross.SchedulerMessage](t *testing.T, side side) M {
+	t.Helper()
+	deadline := time.NewTimer(10 * time.Second)
+	defer deadline.Stop()
+	for {
+		select {
+		case message := <-side.messages.Messages():
+			if found, ok := message.(M); ok {
+				return found
+			}
+		case <-deadline.C:
+			var none M
+			require.Fail(t, "no message", "%T", none)
+		}
+	}
+}
+
+// Guards against messages of a link that arrive as something else or not at all, and against a scheduler that
+// is not told that a host is gone.
+func TestLinkCarriesAllMessages(t *testing.T) {
+	codec, err := encoder.NewCodec()
+	require.NoError(t, err)
+	scheduler, host := newSide(), newSide()
+	queries := ring.New[asker.Request](ring.Config{Name: "advice", Capacity: 4})
+	hub := connector.NewHub(connector.HubConfig{Host: "h-1", Codec: codec, Sink: scheduler.messages, Clock: clock{}, Log: quiet{}})
+	server := httptest.NewServer(hub)
+	defer server.Close()
+	dialer := connector.NewDialer(connector.DialerConfig{
+		Host: "h-2", Codec: codec, Queries: queries, Sink: host.messages, Log: quiet{}, Clock: clock{},
+		Stored: func(stored almondcross.IntakeStored) { host.stored <- stored },
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	schedulers := ring.New[connector.Scheduler](ring.Config{Name: "schedulers", Capacity: 4})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = dialer.Run(ctx, schedulers)
+	}()
+	schedulers.Offer(connector.Scheduler{Host: "h-1", Address: strings.TrimPrefix(server.URL, "http://"), Strength: 70})
+	joined := next[almondcross.AdviserChanged](t, scheduler)
+	require.True(t, joined.Present())
+	require.Equal(t, 70, joined.Strength())
+
+	query := almondcross.NewAdviceQuery(almondcross.AdviceQueryConfig{
+		Stage: almondcross.StageID{Job: "j", Occurrence: 1, Step: 2}, Workers: []string{"w-1", "w-2"},
+	})
+	require.False(t, hub.Ask("h-3", query))
+	require.True(t, hub.Ask("h-2", query))
+	request := <-queries.Messages()
+	require.Equal(t, query, request.Query)
+	request.Reply(ctx, almondcross.NewAdviceAnswered(almondcross.AdviceAnsweredConfig{
+		Query: query, Result: almondcross.NewAdviceResult(almondcross.AdviceResultConfig{
+			Validity: time.Second, Tickets: []almondcross.Ticket{almondcross.NewTicket(almondcross.TicketConfig{Worker: "w-2", Secret: "s"})},
+		}),
+	}))
+	answer := next[almondcross.AdviceAnswered](t, scheduler)
+	require.Equal(t, "h-2", answer.Adviser())
+	require.Equal(t, "s", answer.Result().Tickets()[0].Secret())
+	require.Equal(t, time.Second, answer.Result().Validity())
+
+	hub.Assign("h-2", almondcross.NewAssigned(almondcross.AssignedConfig{Standby: true}))
+	require.True(t, next[almondcross.Assigned](t, host).Standby())
+	change := almondcross.NewChange(almondcross.ChangeConfig{Kind: almondcross.ChangeElected, Host: "h-1"})
+	hub.Push([]string{"h-2", "h-9"}, almondcross.NewJournalPushed(almondcross.JournalPushedConfig{
+		From: 5, Batches: []almondcross.JournalBatch{almondcross.NewJournalBatch(almondcross.JournalBatchConfig{Epoch: 3, Changes: []almondcross.Change{change}})},
+	}))
+	pushed := next[almondcross.JournalPushed](t, host)
+	require.Equal(t, int64(5), pushed.From())
+	require.Equal(t, "h-1", pushed.Batches()[0].Changes()[0].Host())
+	view := almondcross.NewJobView(almondcross.JobViewConfig{ID: "j", Queue: "q", State: almondcross.JobRunning, Counted: true})
+	views := almondcross.NewViewsPushed(almondcross.ViewsPushedConfig{Reset: true, Complete: true, Changes: []almondcross.JobViewChange{
+		almondcross.NewJobViewChange(almondcross.JobViewChangeConfig{ID: "j", Known: true, View: view}),
+		almondcross.NewJobViewChange(almondcross.JobViewChangeConfig{ID: "k"}),
+	}})
+	hub.PushViews([]string{"h-2"}, views)
+	require.Equal(t, views, next[almondcross.ViewsPushed](t, host))
+
+	uplink := connector.NewUplink(connector.NewHub(connector.HubConfig{Host: "h-2", Sink: host.messages, Clock: clock{}}), dialer, clock{})
+	intake := almondcross.NewIntake(almondcross.IntakeConfig{Cancel: true, Job: almondcross.NewJob(almondcross.JobConfig{ID: "j", Steps: []almondcross.Step{}})})
+	require.True(t, uplink.Forward(almondcross.NewIntakeForwarded(almondcross.IntakeForwardedConfig{Number: 9, Intake: intake})))
+	forwarded := next[almondcross.IntakeForwarded](t, scheduler)
+	require.Equal(t, "h-2", forwarded.Host())
+	require.Equal(t, intake, forwarded.Intake())
+	hub.Stored("h-2", almondcross.NewIntakeStored(almondcross.IntakeStoredConfig{Number: forwarded.Number()}))
+	require.Equal(t, int64(9), (<-host.stored).Number())
+
+	cancel()
+	<-done
+	require.False(t, next[almondcross.AdviserChanged](t, scheduler).Present())
+}
--- a/command/recorder/recorder.go
+++ b/command/recorder/recorder.go
@@ -41,6 +41,7 @@
 	config  Config
 	lines   *ring.Ring[line]
 	leftOut atomic.Int64
+	told    int64 // told is the part of leftOut that a line has told; only Run uses it.
 	written atomic.Int64
 }
 
@@ -67,20 +68,17 @@
 	output := bufio.NewWriterSize(recorder.config.Output, bufferSize)
 	formatter := &logrus.JSONFormatter{DisableHTMLEscape: true, TimestampFormat: "2006-01-02T15:04:05.000Z07:00"}
 	logger := logrus.New()
-	told := int64(0)
 	for {
 		select {
 		case <-ctx.Done():
 			for range min(recorder.lines.Depth(), drainLimit) {
 				recorder.write(output, formatter, logger, <-recorder.lines.Messages())
 			}
+			recorder.tellLeftOut(output, formatter, logger)
 			return errors.Trace(output.Flush())
 		case next := <-recorder.lines.Messages():
 			recorder.write(output, formatter, logger, next)
-			if left := recorder.leftOut.Load(); left > told {
-				recorder.write(output, formatter, logger, line{at: next.at, event: "lines_left_out", fields: []almondcross.LogField{almondcross.Number("lines", left-told)}})
-				told = left
-			}
+			recorder.tellLeftOut(output, formatter, logger)
 			if recorder.lines.Depth() == 0 {
 				if err := output.Flush(); err != nil {
 					return errors.Annotate(err, "writing the log")
@@ -90,6 +88,18 @@
 	}
 }
 
+// tellLeftOut writes how many lines were left out since it was last told.
+func (recorder *Recorder) tellLeftOut(output io.Writer, formatter logrus.Formatter, logger *logrus.Logger) {
+	left := recorder.leftOut.Load()
+	if left == recorder.told {
+		return
+	}
+	recorder.write(output, formatter, logger, line{
+		at: recorder.config.Clock.Now(), event: "lines_left_out", fields: []almondcross.LogField{almondcross.Number("lines", left-recorder.told)},
+	})
+	recorder.told = left
+}
+
 func (recorder *Recorder) write(output io.Writer, formatter logrus.Formatter, logger *logrus.Logger, next line) {
 	fields := make(logrus.Fields, len(next.fields)+1)
 	fields["host"] = recorder.config.Host
--- /dev/null
+++ b/command/recorder/recorder_test.go
@@ -0,0 +1,44 @@
+package recorder_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/almondcross/almondcross"
+	"github.com/almondcross/almondcross/command/recorder"
+)
+
+type clock struct{}
+
+func (clock) Now() time.Time { return time.Unix(1, 0) }
+
+// Guards against a log that blocks a duty, grows without bound, or hides that lines were left out.
+func TestFullLogLeavesLinesOut(t *testing.T) {
+	var output bytes.Buffer
+	log := recorder.New(recorder.Config{Output: &output, Host: "h-1", Lines: 2, Clock: clock{}})
+	for range 5 {
+		log.Record("run_placed", almondcross.Text("task", "j.0.0.1"), almondcross.Number("run", 2), almondcross.Millis("age_ms", 1500*time.Microsecond))
+	}
+	require.Equal(t, int64(3), log.LeftOut())
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.NoError(t, log.Run(ctx))
+	lines := bytes.Split(bytes.TrimSpace(output.Bytes()), []byte("\n"))
+	require.Len(t, lines, 3, "two lines and the number of those left out")
+	var line struct {
+		Host, Msg, Task string
+		Run             int
+		AgeMS           float64 `json:"age_ms"`
+	}
+	require.NoError(t, json.Unmarshal(lines[0], &line))
+	require.Equal(t, "run_placed", line.Msg)
+	require.Equal(t, "h-1", line.Host)
+	require.Equal(t, 2, line.Run)
+	require.InDelta(t, 1.5, line.AgeMS, 0)
+	require.Contains(t, string(lines[2]), `"lines":3`)
+}
