Let strong hosts load the state first, and spare links that are full

Hosts now look for the scheduler the longer the weaker they are, silent workers get no stop orders and are asked less often, and a scheduler that ends closes its links.

--- a/assembler/scheduler.go
+++ b/assembler/scheduler.go
@@ -261,8 +261,11 @@
 			ReadSnapshot: rings.snapshot, ReadJournal: rings.journal, ReadIntakes: intakes, ReadWorkers: rings.workers,
 			Commit: rings.commits, StoreSnapshot: rings.snapshots, ReadPointer: rings.pointer, StorePointer: rings.pointers,
 		},
-		// A change that finds the ring full is followed by the next one; the ring holds many.
 		Leaders: func(lead scheduler.Lead) {
+			if !lead.Own {
+				hub.CloseAll()
+			}
+			// A change that finds the ring full is followed by the next one; the ring holds many.
 			rings.schedulers.Offer(connector.Scheduler{Host: lead.Host, Address: lead.Address, Strength: lead.Strength})
 		},
 	})
--- a/command/connector/dialer.go
+++ b/command/connector/dialer.go
@@ -70,6 +70,7 @@
 	for ctx.Err() == nil {
 		if err := dialer.link(ctx, scheduler); err != nil && ctx.Err() == nil {
 			dialer.config.Log.Record("link_lost", almondcross.Text("scheduler", scheduler.Host), almondcross.Text("reason", err.Error()))
+			_ = dialer.config.Sink.Put(ctx, almondcross.NewLinkLost(almondcross.LinkLostConfig{Scheduler: scheduler.Host})) // Put fails only when the context has ended.
 		}
 		ring.Pause(ctx, redialPause)
 	}
--- a/command/connector/hub.go
+++ b/command/connector/hub.go
@@ -65,6 +65,13 @@
 	}
 }
 
+// CloseAll ends all links. The other side looks for the scheduler at once instead of waiting for silence.
+func (hub *Hub) CloseAll() {
+	for _, session := range *hub.sessions.Load() {
+		_ = session.connection.Close() // The reader ends the session.
+	}
+}
+
 // Assign tells a linked host what it keeps.
 func (hub *Hub) Assign(host string, assigned almondcross.Assigned) {
 	if session := (*hub.sessions.Load())[host]; session != nil && !session.offer(assigned) {
--- a/command/controller/controller.go
+++ b/command/controller/controller.go
@@ -11,6 +11,9 @@
 const (
 	// leaseTimeout bounds a lease order beyond the time for which its answer may wait.
 	leaseTimeout = 400 * time.Millisecond
+	// silentTimeout bounds an order that extends no lease, to a worker that did not answer the last one. The way
+	// to it may be slow rather than cut.
+	silentTimeout = 900 * time.Millisecond
 	// startTimeout bounds a start or a stop, which a worker answers at once: a few times the way to
 	// another region and back. What became of an order without an answer is learned by a look.
 	startTimeout = 250 * time.Millisecond
@@ -133,7 +136,11 @@
 	if !ring.Pause(ctx, paused.pause) {
 		return
 	}
-	limited, cancel := context.WithTimeout(ctx, paused.order.Wait()+leaseTimeout)
+	timeout := paused.order.Wait() + leaseTimeout
+	if paused.order.Until() == 0 && !paused.order.Look() {
+		timeout = silentTimeout
+	}
+	limited, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	sent := controller.config.Clock.Now()
 	list, result, err := controller.config.Orderer.Lease(limited, paused.order)
--- a/command/scheduler/constants.go
+++ b/command/scheduler/constants.go
@@ -32,7 +32,10 @@
 	pointerRefresh = 4 * time.Second
 	// seekLimit is how long a host looks for the scheduler before it loads the state itself: an election among
 	// the standbys and a link take less.
-	seekLimit = 1600 * time.Millisecond
+	seekLimit = 1200 * time.Millisecond
+	// seekDelay is how much longer a host looks for each point that it is short of full strength. After a loss
+	// of all hosts, many that load the state at once would fill the link between the regions.
+	seekDelay = 40 * time.Millisecond
 	// lightSilence is how long the link to the scheduler may be silent. It pushes with every batch.
 	lightSilence = 700 * time.Millisecond
 	// electionBackoff is the pause after an election that was not won.
@@ -74,6 +77,10 @@
 	leasePause = 25 * time.Millisecond
 	// leaseRetry is the pause before a worker that did not answer is asked again.
 	leaseRetry = 250 * time.Millisecond
+	// leaseRetryLong is the pause once a worker has not answered for retryLongAfter; many workers behind a
+	// link that is full must not keep it full.
+	leaseRetryLong = 800 * time.Millisecond
+	retryLongAfter = 2 * time.Second
 	// contactLimit is the age of the last answer beyond which a worker gets no new work.
 	contactLimit = 2500 * time.Millisecond
 	// extendLimit is the age of the last answer beyond which the lease is not extended any more, so
--- a/command/scheduler/machine.go
+++ b/command/scheduler/machine.go
@@ -80,6 +80,11 @@
 	switch message := message.(type) {
 	case almondcross.PointerRead:
 		machine.pointerRead(message)
+	case almondcross.LinkLost:
+		if machine.role == roleLight && message.Scheduler() == machine.seeker.pointer.Host() {
+			machine.config.Log.Record("scheduler_link_lost", almondcross.Text("host", message.Scheduler()))
+			machine.seek()
+		}
 	case almondcross.Assigned:
 		machine.assigned(message)
 	case almondcross.ViewsPushed:
--- a/command/scheduler/seeker.go
+++ b/command/scheduler/seeker.go
@@ -18,6 +18,9 @@
 // strength returns how well this host could schedule: its own, less its distance from the store, since every
 // start waits for an append.
 func (machine *Machine) strength() int {
+	if machine.stopping {
+		return 0
+	}
 	return max(0, machine.config.Strength-int(min(machine.seeker.distance, longestDistance).Milliseconds()))
 }
 
@@ -44,10 +47,11 @@
 	pointer := read.Pointer()
 	switch {
 	case read.Err() != nil:
-	case !read.Found():
+	case !read.Found(), pointer.Host() == machine.config.Host:
+		// Nobody schedules: there is no pointer, or it leads to an earlier life of this host.
 		machine.load(0)
 		return
-	case pointer != machine.seeker.pointer && pointer.Host() != machine.config.Host:
+	case pointer != machine.seeker.pointer:
 		machine.seeker.pointer = pointer
 		machine.config.Log.Record("scheduler_found", almondcross.Text("host", pointer.Host()), almondcross.Number("epoch", pointer.Epoch()))
 		machine.do(Lead{Host: pointer.Host(), Address: pointer.Address(), Strength: machine.strength()})
@@ -60,7 +64,8 @@
 	if machine.seeker.since.IsZero() {
 		machine.seeker.since = machine.now
 	}
-	if machine.now.Sub(machine.seeker.since) > seekLimit {
+	limit := seekLimit + time.Duration(fullStrength-min(machine.strength(), fullStrength))*seekDelay
+	if machine.now.Sub(machine.seeker.since) > limit {
 		machine.config.Log.Record("scheduler_not_found", almondcross.Millis("after_ms", machine.now.Sub(machine.seeker.since)))
 		machine.load(0)
 	}
@@ -138,7 +143,7 @@
 	for machine.standbys() < wantedStandbys {
 		var best *adviser
 		for _, other := range machine.advisers {
-			if other.name != machine.config.Host && !other.standby &&
+			if other.name != machine.config.Host && !other.standby && other.strength > 0 &&
 				(best == nil || other.strength > best.strength || other.strength == best.strength && other.name < best.name) {
 				best = other
 			}
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -246,7 +246,11 @@
 				almondcross.Millis("age_ms", machine.now.Sub(worker.clockAt)), almondcross.Number("runs", len(worker.assigned)))
 		}
 		worker.raiseFence = true
-		machine.lease(worker, 0, leaseRetry)
+		pause := leaseRetry
+		if machine.now.Sub(worker.clockAt) > retryLongAfter {
+			pause = leaseRetryLong
+		}
+		machine.lease(worker, 0, pause)
 		return
 	}
 	if worker.silent {
@@ -555,7 +559,7 @@
 				machine.endRun(worker, assignment, almondcross.EndVoid, assignment.checkpoint)
 			case assignment.stalled(worker, machine.now):
 				machine.stopStalled(worker, assignment)
-			case assignment.stopping && assignment.phase != phaseCommitting && !machine.now.Before(assignment.stopAt) && worker.managed:
+			case assignment.stopping && assignment.phase != phaseCommitting && !machine.now.Before(assignment.stopAt) && worker.managed && !worker.silent:
 				machine.stop(worker, assignment)
 			}
 		}
--- a/scheduling.go
+++ b/scheduling.go
@@ -235,6 +235,13 @@
 	changes  []JobViewChange // the changes
 }
 
+// LinkLost tells that the link to the scheduler's host has ended.
+//
+//value:generate
+type LinkLost struct {
+	scheduler string // the host of the scheduler
+}
+
 // JobAccepted tells that this host stored a job.
 //
 //value:generate
@@ -271,6 +278,7 @@
 	number int64 // the number of the forwarded intake
 }
 
+func (LinkLost) schedulerMessage()         {}
 func (PointerRead) schedulerMessage()      {}
 func (Assigned) schedulerMessage()         {}
 func (ViewsPushed) schedulerMessage()      {}
--- a/scheduling_generated.go
+++ b/scheduling_generated.go
@@ -1318,6 +1318,34 @@
 	return viewspushed
 }
 
+// LinkLostConfig holds the fields of a new LinkLost.
+type LinkLostConfig struct {
+	Scheduler string
+}
+
+// NewLinkLost returns a LinkLost with the given fields.
+func NewLinkLost(config LinkLostConfig) LinkLost {
+	return LinkLost{
+		scheduler: config.Scheduler,
+	}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (linklost LinkLost) Config() LinkLostConfig {
+	return LinkLostConfig{
+		Scheduler: linklost.scheduler,
+	}
+}
+
+// Scheduler returns the host of the scheduler.
+func (linklost LinkLost) Scheduler() string { return linklost.scheduler }
+
+// WithScheduler returns a copy with the given scheduler.
+func (linklost LinkLost) WithScheduler(scheduler string) LinkLost {
+	linklost.scheduler = scheduler
+	return linklost
+}
+
 // JobAcceptedConfig holds the fields of a new JobAccepted.
 type JobAcceptedConfig struct {
 	Job Job
