--- a/command/scheduler/follower.go
+++ b/command/scheduler/follower.go
@@ -64,6 +64,11 @@
 		// A candidate must not see its own election before the answer; it reads again afterwards.
 		return
 	}
+	if read.From() > machine.follower.next {
+		// The answer belongs to what this host followed before it loaded the state anew.
+		machine.readJournal(0)
+		return
+	}
 	if read.From() < machine.follower.next && !errors.Is(read.Err(), almondcross.ErrStoreTrimmed) {
 		read = skipApplied(read, machine.follower.next)
 	}
--- a/command/scheduler/scheduler_test.go
+++ b/command/scheduler/scheduler_test.go
@@ -327,6 +327,32 @@
 	require.False(t, bed.machine.Leads())
 }
 
+// Guards against a host that leaves out batches when the answer to a read of an earlier time comes after it has
+// loaded the state again (emulator seed 3031: callers were told that accepted jobs do not exist).
+func TestStaleReadIsNotFollowed(t *testing.T) {
+	bed := newBed(t)
+	bed.apply(almondcross.NewPointerRead(almondcross.PointerReadConfig{}))
+	bed.apply(almondcross.NewSnapshotRead(almondcross.SnapshotReadConfig{
+		Found: true, Snapshot: almondcross.NewStateSnapshot(almondcross.StateSnapshotConfig{Next: 10}),
+	}))
+	must[ReadJournal](bed)
+	job := almondcross.NewJob(almondcross.JobConfig{ID: "late"})
+	batch := almondcross.NewJournalBatch(almondcross.JournalBatchConfig{
+		At: bed.now, Current: true, Changes: []almondcross.Change{almondcross.NewChange(almondcross.ChangeConfig{Kind: almondcross.ChangeAdmit, Job: job})},
+	})
+	bed.apply(almondcross.NewJournalRead(almondcross.JournalReadConfig{From: 15, Next: 16, End: 16, Batches: []almondcross.JournalBatch{batch}}))
+	require.Equal(t, int64(10), must[ReadJournal](bed).Query.From())
+	require.Empty(t, bed.machine.state.jobs)
+	require.True(t, bed.machine.config.Publisher.(almondcross.JobFinder).CompleteAt().IsZero())
+	bed.apply(almondcross.NewJournalPushed(almondcross.JournalPushedConfig{From: 15, Batches: []almondcross.JournalBatch{batch}}))
+	require.Empty(t, bed.machine.state.jobs, "a push beyond the next batch is left to the read")
+	bed.apply(almondcross.NewJournalPushed(almondcross.JournalPushedConfig{From: 9, Batches: []almondcross.JournalBatch{{}, batch}}))
+	require.Len(t, bed.machine.state.jobs, 1)
+	require.Equal(t, int64(11), bed.machine.follower.next)
+	bed.apply(almondcross.NewJournalRead(almondcross.JournalReadConfig{From: 10, Next: 11, End: 11, Batches: []almondcross.JournalBatch{batch}}))
+	require.Equal(t, int64(11), bed.machine.follower.next, "a batch that came over the link is not applied again")
+}
+
 // Guards against a snapshot that loses a part of the state: a host that starts from it must go on as one that
 // followed the journal.
 func TestSnapshotRestoresTheState(t *testing.T) {
