--- a/configurator/template_test.go
+++ b/deploy/template_test.go
@@ -1,4 +1,4 @@
-package configurator_test
+package deploy_test
 
 import (
 	"encoding/json"
@@ -15,7 +15,7 @@
 
 // Guards against a deploy template that no longer gives the settings that the program declares.
 func TestDeployTemplateGivesSettings(t *testing.T) {
-	template, err := os.ReadFile("../deploy/scheduler.jsonc")
+	template, err := os.ReadFile("scheduler.jsonc")
 	require.NoError(t, err)
 	fields := map[string]string{
 		"node": "front-a-1", "zone": "a", "region": "r", "listen.front": "10.1.0.13:8161", "listen.ready_addr": "10.1.0.13:8167", "ip": "10.1.0.13",
--- a/placing_generated.go
+++ b/placing_generated.go
@@ -2,6 +2,8 @@
 
 package almondcross
 
+import ()
+
 // CheckpointTaskConfig holds the fields of a new CheckpointTask.
 type CheckpointTaskConfig struct {
 	Term Term
