--- a/command/scheduler/scheduler_test.go
+++ b/command/scheduler/scheduler_test.go
@@ -375,7 +375,7 @@
 	require.True(t, found)
 	require.Equal(t, int64(7), after.Next())
 	restored := restore(after, time.Minute)
-	require.Equal(t, len(before.Jobs()), len(restored.jobs))
+	require.Len(t, restored.jobs, len(before.Jobs()))
 	j := restored.jobs["j"]
 	require.Equal(t, 1, j.stages[0].tasks[1].Failures())
 	require.Equal(t, "c", j.stages[0].tasks[1].Checkpoint())
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -292,19 +292,8 @@
 	}
 	worker.clock, worker.clockAt = list.Clock(), answer.Received()
 	machine.leader.dirty = true
+	acknowledged := machine.takeEnds(worker, list.Ended())
 	listed := map[almondcross.JobTask]bool{}
-	acknowledged := worker.acknowledged
-	for _, end := range list.Ended() {
-		acknowledged = max(acknowledged, end.Sequence())
-		if known := worker.assigned[end.Task()]; known != nil && known.run == end.Run() {
-			machine.endRun(worker, known, end.Kind(), end.Checkpoint())
-		} else if worker.given[end.Task()] == end.Run() && end.Run() > 0 {
-			machine.lateEnd(worker, end)
-		}
-	}
-	if worker.ackLimit > 0 {
-		acknowledged = min(acknowledged, worker.ackLimit-1)
-	}
 	for _, running := range list.Running() {
 		known := worker.assigned[running.Task()]
 		if known == nil || known.run != running.Run() {
@@ -317,29 +306,48 @@
 	if len(list.Ended()) < listLimit {
 		machine.voidMissing(worker, answer, listed)
 	}
-	if answer.Order().Look() {
-		return // The ends in it are acknowledged by the lease order that lists them too.
+	if !answer.Order().Look() {
+		// The ends in a look are acknowledged by the lease order that lists them too.
+		machine.leaseNext(worker, acknowledged)
+	}
+}
+
+// takeEnds records the ends of a worker's list and returns up to which of them it may be told that they are.
+func (machine *Machine) takeEnds(worker *worker, ends []almondcross.EndedTask) int64 {
+	acknowledged := worker.acknowledged
+	for _, end := range ends {
+		acknowledged = max(acknowledged, end.Sequence())
+		if known := worker.assigned[end.Task()]; known != nil && known.run == end.Run() {
+			machine.endRun(worker, known, end.Kind(), end.Checkpoint())
+		} else if worker.given[end.Task()] == end.Run() && end.Run() > 0 {
+			machine.lateEnd(worker, end)
+		}
+	}
+	if worker.ackLimit > 0 {
+		return min(acknowledged, worker.ackLimit-1)
 	}
+	return acknowledged
+}
+
+// leaseNext sends the lease order that follows a list: after the commit of its ends, if there are new ones.
+func (machine *Machine) leaseNext(worker *worker, acknowledged int64) {
 	switch {
 	case acknowledged > worker.acknowledged:
+		epoch, born := machine.leader.epoch, worker.born
+		machine.afterCommit(func() {
+			if machine.leader != nil && machine.leader.epoch == epoch && worker.born == born {
+				worker.acknowledged = max(worker.acknowledged, acknowledged)
+			}
+			machine.lease(worker, leaseWait, leasePause)
+		})
 	case worker.ackLimit > 0:
 		// Its answer does not wait while ends are listed.
 		machine.lease(worker, 0, leaseWait)
-		return
 	case worker.raiseFence:
 		machine.lease(worker, 0, 0)
-		return
 	default:
 		machine.lease(worker, leaseWait, 0)
-		return
 	}
-	epoch, born := machine.leader.epoch, worker.born
-	machine.afterCommit(func() {
-		if machine.leader != nil && machine.leader.epoch == epoch && worker.born == born {
-			worker.acknowledged = max(worker.acknowledged, acknowledged)
-		}
-		machine.lease(worker, leaseWait, leasePause)
-	})
 }
 
 // lateEnd takes the end of a run that was taken for gone. A success counts if the task was not started again
--- a/command/submitter/submitter_test.go
+++ b/command/submitter/submitter_test.go
@@ -74,11 +74,11 @@
 	return world
 }
 
-func (world *world) submit(ctx context.Context) (error, time.Duration) {
+func (world *world) submit(ctx context.Context) (time.Duration, error) {
 	began := time.Now()
 	job := almondcross.NewJob(almondcross.JobConfig{ID: "5c0e7a21d94b36f8"})
 	err := world.desk.Submit(ctx, almondcross.NewIntake(almondcross.IntakeConfig{Job: job}), 800*time.Millisecond)
-	return err, time.Since(began)
+	return time.Since(began), err
 }
 
 // Guards against callers who are held up by a store that does not answer, and against telling them that
@@ -88,18 +88,18 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		world := start(ctx, t)
-		err, _ := world.submit(ctx)
+		_, err := world.submit(ctx)
 		require.NoError(t, err)
 		world.store.mode.Store(silent)
-		err, took := world.submit(ctx)
+		took, err := world.submit(ctx)
 		require.ErrorIs(t, err, almondcross.ErrMaybeStored)
 		require.LessOrEqual(t, took, 800*time.Millisecond)
-		err, took = world.submit(ctx)
+		took, err = world.submit(ctx)
 		require.ErrorIs(t, err, almondcross.ErrNotStored, "nothing is sent while the store is known to be away")
 		require.Less(t, took, 50*time.Millisecond)
 		world.store.mode.Store(answers)
 		<-time.After(time.Second)
-		err, _ = world.submit(ctx)
+		_, err = world.submit(ctx)
 		require.NoError(t, err, "a probe finds the store again")
 	})
 }
@@ -114,15 +114,15 @@
 		world.store.mode.Store(refuses)
 		world.linked.Store(true)
 		world.answers.Store(true)
-		err, _ := world.submit(ctx)
+		_, err := world.submit(ctx)
 		require.NoError(t, err)
 		require.Zero(t, world.store.records.Load())
 		world.answers.Store(false)
-		err, _ = world.submit(ctx)
+		_, err = world.submit(ctx)
 		require.ErrorIs(t, err, almondcross.ErrMaybeStored)
 		world.store.mode.Store(answers)
 		<-time.After(2 * time.Second)
-		err, _ = world.submit(ctx)
+		_, err = world.submit(ctx)
 		require.NoError(t, err, "the store takes what the scheduler does not answer for")
 		require.Equal(t, int64(1), world.store.records.Load())
 	})
--- a/standin/emulator/host.go
+++ b/standin/emulator/host.go
@@ -157,20 +157,7 @@
 }
 
 func (modelhost *modelHost) carryOut(effect scheduler.Effect) {
-	day := modelhost.day
 	switch effect := effect.(type) {
-	case scheduler.ReadSnapshot:
-		modelhost.later(effect.Query.Pause(), modelhost.readSnapshot)
-	case scheduler.ReadJournal:
-		modelhost.later(effect.Query.Pause(), func() { modelhost.readJournal(effect.Query, day.now+effect.Query.Wait()) })
-	case scheduler.ReadIntake:
-		modelhost.later(effect.Query.Pause(), func() { modelhost.readIntake(effect.Query, day.now+2*time.Second) })
-	case scheduler.ReadWorkers:
-		modelhost.later(effect.Query.Pause(), modelhost.readWorkers)
-	case scheduler.Commit:
-		modelhost.later(effect.Request.Pause(), func() { modelhost.commit(effect.Request) })
-	case scheduler.StoreSnapshot:
-		modelhost.storeSnapshot(effect.Request)
 	case scheduler.SendLease:
 		modelhost.later(effect.Pause, func() { modelhost.lease(effect.Order) })
 	case scheduler.SendStart:
@@ -186,7 +173,32 @@
 	case scheduler.Assign:
 		modelhost.send([]string{effect.Host}, effect.Assigned)
 	case scheduler.Lead:
-		modelhost.link(day.host(effect.Host), effect.Strength)
+		modelhost.link(modelhost.day.host(effect.Host), effect.Strength)
+	case scheduler.TellStored:
+		if answer := modelhost.day.forwarded[effect.Stored.Number()]; answer != nil {
+			modelhost.day.after(linkDelay, answer)
+		}
+	default:
+		modelhost.askStore(effect)
+	}
+}
+
+// askStore makes the calls to the store.
+func (modelhost *modelHost) askStore(effect scheduler.Effect) {
+	day := modelhost.day
+	switch effect := effect.(type) {
+	case scheduler.ReadSnapshot:
+		modelhost.later(effect.Query.Pause(), modelhost.readSnapshot)
+	case scheduler.ReadJournal:
+		modelhost.later(effect.Query.Pause(), func() { modelhost.readJournal(effect.Query, day.now+effect.Query.Wait()) })
+	case scheduler.ReadIntake:
+		modelhost.later(effect.Query.Pause(), func() { modelhost.readIntake(effect.Query, day.now+2*time.Second) })
+	case scheduler.ReadWorkers:
+		modelhost.later(effect.Query.Pause(), modelhost.readWorkers)
+	case scheduler.Commit:
+		modelhost.later(effect.Request.Pause(), func() { modelhost.commit(effect.Request) })
+	case scheduler.StoreSnapshot:
+		modelhost.storeSnapshot(effect.Request)
 	case scheduler.ReadPointer:
 		modelhost.later(effect.Query.Pause(), modelhost.readPointer)
 	case scheduler.StorePointer:
@@ -194,10 +206,6 @@
 			day.pointer = effect.Pointer
 			return func() {}
 		}, func(error) {})
-	case scheduler.TellStored:
-		if answer := day.forwarded[effect.Stored.Number()]; answer != nil {
-			day.after(linkDelay, answer)
-		}
 	}
 }
 
