Keep the account of the queues in the store, and explain a job from the logs

Managers ask who received what at any hour after the fact, and no host keeps anything.

almondcross account reads it from the store; almondcross explain joins the log lines of all hosts on one job.

Emulator, scheduler killed at 10 s: accounted processor time within 5% of what the workers gave (TestAccountMatchesWorkers).

--- /dev/null
+++ b/assembler/account.go
@@ -0,0 +1,133 @@
+package assembler
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/almondcross/almondcross"
+	"github.com/almondcross/almondcross/encoder"
+	"github.com/almondcross/almondcross/platform/caller"
+	"github.com/almondcross/almondcross/platform/querier"
+	"github.com/almondcross/almondcross/query/explainer"
+	"github.com/almondcross/almondcross/query/usagereader"
+	"github.com/almondcross/almondcross/requester"
+)
+
+// accountTimeout bounds the reading of the account.
+const accountTimeout = 30 * time.Second
+
+// accountCommand returns the verb that answers from the store who received what, and why.
+func accountCommand() *cobra.Command {
+	var store, queue string
+	var from, to time.Duration
+	command := &cobra.Command{
+		Use:   "account",
+		Short: "Show what each queue received, from the platform's store",
+		Long: "Shows, by period of ten minutes and queue, the jobs and runs, how long jobs waited for their first run, the\n" +
+			"processor time that runs held, its part of the pool, and the part that was lost to runs that failed, were\n" +
+			"stopped or ended with their worker. The account survives the loss of all hosts." + requester.ExitHelp,
+		Example: "  almondcross account --store 10.200.1.7:8169 --from 24h",
+		Args:    requester.Args(cobra.NoArgs),
+		RunE: func(command *cobra.Command, _ []string) error {
+			codec, err := encoder.NewCodec()
+			if err != nil {
+				return requester.Failed(err)
+			}
+			ctx, cancel := context.WithTimeout(command.Context(), accountTimeout)
+			defer cancel()
+			now := time.Now()
+			account, err := usagereader.Read(ctx, usagereader.Config{
+				Reader: querier.NewStore(store, caller.New()), Codec: codec, Usage: almondcross.Partition{Topic: usageTopic},
+			}, now.Add(-from), now.Add(-to))
+			if err != nil {
+				return requester.Failed(err)
+			}
+			if err := writeAccount(command.OutOrStdout(), account, queue); err != nil {
+				return requester.Failed(err)
+			}
+			if account.Unreadable > 0 {
+				return requester.Uncertain(errors.Errorf("%d records of the account cannot be read; their usage is missing", account.Unreadable))
+			}
+			return nil
+		},
+	}
+	command.Flags().StringVar(&store, "store", "", "address of the platform's store")
+	command.Flags().StringVar(&queue, "queue", "", "show only this queue")
+	command.Flags().DurationVar(&from, "from", time.Hour, "how long ago the first period begins")
+	command.Flags().DurationVar(&to, "to", 0, "how long ago the last period begins")
+	_ = command.MarkFlagRequired("store")
+	return command
+}
+
+func writeAccount(output io.Writer, account usagereader.Account, queue string) error {
+	table := tabwriter.NewWriter(output, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "FROM\tQUEUE\tPRIORITY\tADMITTED\tCOMPLETED\tFAILED\tCANCELLED\tMEAN WAIT\tRUNS DONE\tFAILED\tWITHDRAWN\tCORE SECONDS\tOF POOL\tLOST")
+	for _, usage := range account.Usages {
+		if queue != "" && queue != usage.Queue() {
+			continue
+		}
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%s\t%d\t%d\t%d\t%.1f\t%s\t%.1f\n",
+			usage.From().UTC().Format(time.RFC3339), usage.Queue(), usage.Priority(), usage.Admitted(), usage.Completed(), usage.Failed(),
+			usage.Cancelled(), (usage.Waited() / time.Duration(max(usage.Admitted(), 1))).Round(time.Millisecond), usage.Done(),
+			usage.Unfinished(), usage.Withdrawn(), cores(usage.Received()), part(usage), cores(usage.Lost()))
+	}
+	return errors.Trace(table.Flush())
+}
+
+// cores returns the core seconds of an amount.
+func cores(amount almondcross.Resources) float64 { return float64(amount.MilliCPU()) / 1000 }
+
+func part(usage almondcross.QueueUsage) string {
+	if usage.Capacity().MilliCPU() == 0 {
+		return "unknown"
+	}
+	return fmt.Sprintf("%.2f%%", 100*float64(usage.Received().MilliCPU())/float64(usage.Capacity().MilliCPU()))
+}
+
+// explainCommand returns the verb that prints one job's way through the logs of all hosts.
+func explainCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "explain JOB [FILE...]",
+		Short:   "Show one job's way through the logs of all hosts, in order of time",
+		Long:    "Reads the logs of scheduling hosts, or standard input, and prints the lines that concern a job." + requester.ExitHelp,
+		Example: "  almondcross explain 5c0e7a21d94b36f8 front-a.log front-b.log",
+		Args:    requester.Args(cobra.MinimumNArgs(1)),
+		RunE: func(command *cobra.Command, arguments []string) error {
+			var lines []explainer.Line
+			for _, path := range arguments[1:] {
+				found, err := explainFile(path, arguments[0])
+				if err != nil {
+					return requester.BadInput(err)
+				}
+				lines = append(lines, found...)
+			}
+			if len(arguments) == 1 {
+				found, err := explainer.Read(command.InOrStdin(), arguments[0])
+				if err != nil {
+					return requester.Failed(err)
+				}
+				lines = found
+			}
+			if len(lines) == 0 {
+				return requester.Failed(errors.Errorf("no line concerns job %s", arguments[0]))
+			}
+			return explainer.Write(command.OutOrStdout(), lines)
+		},
+	}
+}
+
+func explainFile(path, job string) ([]explainer.Line, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	defer func() { _ = file.Close() }()
+	return explainer.Read(file, job)
+}
--- a/assembler/root.go
+++ b/assembler/root.go
@@ -51,7 +51,7 @@
 	}
 	root.AddCommand(readers...)
 	root.AddCommand(verbs.Top...)
-	root.AddCommand(requester.Prepare(entryCommand(), schedulerCommand(), platformCommand(), workerCommand(), demoCommand(), experimentCommand())...)
+	root.AddCommand(requester.Prepare(entryCommand(), schedulerCommand(), platformCommand(), workerCommand(), demoCommand(), experimentCommand(), accountCommand(), explainCommand())...)
 	requester.Prepare(root)
 	return root
 }
--- a/assembler/scheduler.go
+++ b/assembler/scheduler.go
@@ -42,6 +42,7 @@
 	intakeTopic   = "intake"
 	snapshotTopic = "keyed.snapshots"
 	pointerTopic  = "keyed.scheduler"
+	usageTopic    = "keyed.account"
 	// journalWriter is the name under which every scheduler writes, so that the store compares their epochs.
 	journalWriter = "scheduler"
 )
@@ -99,6 +100,7 @@
 	journal     *ring.Ring[almondcross.JournalQuery]
 	pointer     *ring.Ring[almondcross.PointerQuery]
 	pointers    *ring.Ring[almondcross.SchedulerPointer]
+	usage       *ring.Ring[almondcross.UsageStore]
 	snapshot    *ring.Ring[almondcross.SnapshotQuery]
 	workers     *ring.Ring[almondcross.WorkersQuery]
 	intakes     []*ring.Ring[almondcross.IntakeQuery]
@@ -116,6 +118,7 @@
 		journal:     ring.New[almondcross.JournalQuery](ring.Config{Name: "journal", Capacity: requestRing, Metrics: set}),
 		pointer:     ring.New[almondcross.PointerQuery](ring.Config{Name: "pointer", Capacity: requestRing, Metrics: set}),
 		pointers:    ring.New[almondcross.SchedulerPointer](ring.Config{Name: "pointers", Capacity: requestRing, Metrics: set}),
+		usage:       ring.New[almondcross.UsageStore](ring.Config{Name: "usage", Capacity: requestRing, Metrics: set}),
 		snapshot:    ring.New[almondcross.SnapshotQuery](ring.Config{Name: "snapshot", Capacity: requestRing, Metrics: set}),
 		workers:     ring.New[almondcross.WorkersQuery](ring.Config{Name: "workers", Capacity: requestRing, Metrics: set}),
 		commits:     ring.New[almondcross.JournalCommit](ring.Config{Name: "commits", Capacity: requestRing, Metrics: set}),
@@ -158,7 +161,7 @@
 	return committer.New(committer.Config{
 		Writer: commander.NewStore(settings.StoreAddress(), caller), Codec: codec, Keyed: translator.Codec{}, Sink: rings.messages, Clock: Clock{}, Log: log,
 		Journal: almondcross.Partition{Topic: journalTopic}, Snapshots: almondcross.Partition{Topic: snapshotTopic},
-		Pointers: almondcross.Partition{Topic: pointerTopic}, Name: journalWriter, RecordBytes: settings.StoreRecord(),
+		Pointers: almondcross.Partition{Topic: pointerTopic}, Usage: almondcross.Partition{Topic: usageTopic}, Name: journalWriter, RecordBytes: settings.StoreRecord(),
 	})
 }
 
@@ -259,7 +262,7 @@
 		Desk: hub,
 		Rings: scheduler.Rings{
 			ReadSnapshot: rings.snapshot, ReadJournal: rings.journal, ReadIntakes: intakes, ReadWorkers: rings.workers,
-			Commit: rings.commits, StoreSnapshot: rings.snapshots, ReadPointer: rings.pointer, StorePointer: rings.pointers,
+			Commit: rings.commits, StoreSnapshot: rings.snapshots, ReadPointer: rings.pointer, StorePointer: rings.pointers, StoreUsage: rings.usage,
 		},
 		Leaders: func(lead scheduler.Lead) {
 			if !lead.Own {
@@ -312,6 +315,7 @@
 		NamedDuty{"journal reader", schedulerparts.Follower.Journal(rings.journal)},
 		NamedDuty{"pointer reader", schedulerparts.Follower.Pointer(rings.pointer)},
 		NamedDuty{"pointer writer", dutyFunc(func(ctx context.Context) error { return schedulerparts.Committer.RunPointers(ctx, rings.pointers) })},
+		NamedDuty{"account writer", dutyFunc(func(ctx context.Context) error { return schedulerparts.Committer.RunUsage(ctx, rings.usage) })},
 		NamedDuty{"snapshot reader", schedulerparts.Follower.Snapshot(rings.snapshot)},
 		NamedDuty{"workers reader", schedulerparts.Follower.Workers(rings.workers)},
 		NamedDuty{"routes reader", schedulerparts.Follower.Routes(schedulerparts.takeRoutes)},
--- a/command/committer/committer.go
+++ b/command/committer/committer.go
@@ -34,6 +34,7 @@
 	Journal     almondcross.Partition
 	Snapshots   almondcross.Partition
 	Pointers    almondcross.Partition
+	Usage       almondcross.Partition
 	Name        string // Name is the name under which all schedulers write, so that epochs apply to all of them.
 	RecordBytes int    // RecordBytes is the largest record in bytes.
 }
@@ -63,6 +64,36 @@
 	})
 }
 
+// RunUsage stores the account until the context ends.
+func (committer *Committer) RunUsage(ctx context.Context, requests *ring.Ring[almondcross.UsageStore]) error {
+	return ring.Serve(ctx, requests, func(ctx context.Context, request almondcross.UsageStore) {
+		answer := almondcross.NewUsageStored(almondcross.UsageStoredConfig{Usages: request.Usages(), Err: committer.storeUsage(ctx, request.Usages())})
+		_ = committer.config.Sink.Put(ctx, answer) // Put fails only when the context has ended.
+	})
+}
+
+func (committer *Committer) storeUsage(ctx context.Context, usages []almondcross.QueueUsage) error {
+	records := make([][]byte, len(usages))
+	for index, usage := range usages {
+		value, err := committer.config.Codec.EncodeQueueUsage(usage)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		key := usage.From().UTC().Format(time.RFC3339) + "/" + usage.Queue()
+		record, err := committer.config.Keyed.EncodeKeyed(almondcross.NewKeyedRecord(almondcross.KeyedRecordConfig{Key: key, Value: value}))
+		if err != nil {
+			return errors.Trace(err)
+		}
+		records[index] = record
+	}
+	limited, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	_, err := committer.config.Writer.Append(limited, almondcross.NewStoreAppend(almondcross.StoreAppendConfig{
+		Partition: committer.config.Usage, Records: records,
+	}))
+	return errors.Trace(err)
+}
+
 func (committer *Committer) point(ctx context.Context, pointer almondcross.SchedulerPointer) error {
 	value, err := committer.config.Codec.EncodePointer(pointer)
 	if err != nil {
--- a/command/committer/doc.go
+++ b/command/committer/doc.go
@@ -1,5 +1,4 @@
-// Package committer writes the scheduler's batches and snapshots to the store.
+// Package committer writes the scheduler's batches, snapshots, account and pointer to the store.
 //
-// Committer is two duties, one for the journal and one for the snapshots, each with one append under
-// way. The outcome is part of the answer; the scheduler decides whether to repeat.
+// Committer is one duty for each of them, with one append under way. The outcome is part of the answer; the scheduler decides whether to repeat.
 package committer
--- a/command/scheduler/effects.go
+++ b/command/scheduler/effects.go
@@ -58,6 +58,8 @@
 	}
 	// ReadPointer asks which host schedules.
 	ReadPointer struct{ Query almondcross.PointerQuery }
+	// StoreUsage stores the account.
+	StoreUsage struct{ Request almondcross.UsageStore }
 	// StorePointer tells all hosts which one schedules.
 	StorePointer struct{ Pointer almondcross.SchedulerPointer }
 	// TellStored tells a host that its forwarded intake is stored.
@@ -91,6 +93,7 @@
 func (PushViews) effect()     {}
 func (Assign) effect()        {}
 func (ReadPointer) effect()   {}
+func (StoreUsage) effect()    {}
 func (StorePointer) effect()  {}
 func (TellStored) effect()    {}
 func (Lead) effect()          {}
--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -27,6 +27,8 @@
 
 	snapshotAt   time.Time // snapshotAt is when the last snapshot was taken.
 	snapshotting bool
+	usageAt      time.Time // usageAt is when the account was last written.
+	usageStoring bool
 
 	workers map[string]*worker
 	order   []*worker  // order holds the workers by identity.
@@ -172,6 +174,7 @@
 		machine.leader.dirty, machine.leader.placed = false, machine.now
 		machine.place()
 	}
+	machine.storeUsage()
 	machine.flush()
 }
 
--- a/command/scheduler/machine.go
+++ b/command/scheduler/machine.go
@@ -128,6 +128,8 @@
 		machine.runStopped(message)
 	case almondcross.AdviceAnswered:
 		machine.adviceAnswered(message)
+	case almondcross.UsageStored:
+		machine.usageStored(message)
 	case almondcross.IntakeForwarded:
 		machine.intakeForwarded(message)
 	case almondcross.SnapshotStored:
--- a/command/scheduler/scheduler.go
+++ b/command/scheduler/scheduler.go
@@ -23,6 +23,7 @@
 	Commit        almondcross.Sink[almondcross.JournalCommit]
 	StoreSnapshot almondcross.Sink[almondcross.SnapshotStore]
 	StorePointer  almondcross.Sink[almondcross.SchedulerPointer]
+	StoreUsage    almondcross.Sink[almondcross.UsageStore]
 }
 
 // DutyConfig holds what a Duty needs.
@@ -127,6 +128,8 @@
 		duty.config.Desk.Assign(effect.Host, effect.Assigned)
 	case ReadPointer:
 		err = rings.ReadPointer.Put(ctx, effect.Query)
+	case StoreUsage:
+		err = rings.StoreUsage.Put(ctx, effect.Request)
 	case StorePointer:
 		err = rings.StorePointer.Put(ctx, effect.Pointer)
 	case TellStored:
--- a/command/scheduler/snapshot.go
+++ b/command/scheduler/snapshot.go
@@ -17,7 +17,7 @@
 	}
 	return almondcross.NewStateSnapshot(almondcross.StateSnapshotConfig{
 		Next: next, Epoch: state.epoch, At: state.at, Host: state.host, Address: state.address,
-		Intake: maps.Clone(state.intake), Jobs: records,
+		Intake: maps.Clone(state.intake), Jobs: records, Usage: state.usages(),
 	})
 }
 
@@ -45,6 +45,10 @@
 	for _, record := range snapshot.Jobs() {
 		restored.restoreJob(record)
 	}
+	for _, usage := range snapshot.Usage() {
+		key := almondcross.UsageKey{From: usage.From().Unix(), Queue: usage.Queue()}
+		restored.usage[key], restored.changed[key] = usage, struct{}{}
+	}
 	slices.SortStableFunc(restored.ending, func(a, b almondcross.JobID) int {
 		return restored.jobs[a].finished.Compare(restored.jobs[b].finished)
 	})
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -59,14 +59,17 @@
 	intake   map[int]int64
 	jobs     map[almondcross.JobID]*job
 	retain   time.Duration
-	ending   []almondcross.JobID            // ending holds final jobs in the order of their ends.
-	touched  map[almondcross.JobID]struct{} // touched holds the jobs whose view may have changed.
+	ending   []almondcross.JobID // ending holds final jobs in the order of their ends.
+	usage    map[almondcross.UsageKey]almondcross.QueueUsage
+	changed  map[almondcross.UsageKey]struct{} // changed holds the periods that are not stored yet.
+	touched  map[almondcross.JobID]struct{}    // touched holds the jobs whose view may have changed.
 }
 
 func newState(retain time.Duration) *state {
 	return &state{
 		intake: map[int]int64{}, jobs: map[almondcross.JobID]*job{}, retain: retain,
-		touched: map[almondcross.JobID]struct{}{},
+		touched: map[almondcross.JobID]struct{}{}, usage: map[almondcross.UsageKey]almondcross.QueueUsage{},
+		changed: map[almondcross.UsageKey]struct{}{},
 	}
 }
 
@@ -80,6 +83,7 @@
 		state.intake[partition] = max(state.intake[partition], offset)
 	}
 	state.forget()
+	state.forgetUsage()
 }
 
 // applyBatch applies all changes of a batch.
@@ -118,6 +122,9 @@
 	job := &job{job: submitted, queue: queue, state: almondcross.JobQueued}
 	state.jobs[submitted.ID()] = job
 	state.touched[submitted.ID()] = struct{}{}
+	state.account(queue, func(usage almondcross.QueueUsage) almondcross.QueueUsage {
+		return usage.WithAdmitted(usage.Admitted() + 1)
+	})
 	if submitted.Runs() == 0 {
 		job.openOccurrence()
 	}
@@ -152,6 +159,16 @@
 
 func (state *state) finish(job *job, final almondcross.JobState) {
 	job.state, job.finished = final, state.at
+	state.account(job.queue, func(usage almondcross.QueueUsage) almondcross.QueueUsage {
+		switch final {
+		case almondcross.JobCompleted:
+			return usage.WithCompleted(usage.Completed() + 1)
+		case almondcross.JobFailed:
+			return usage.WithFailed(usage.Failed() + 1)
+		default:
+			return usage.WithCancelled(usage.Cancelled() + 1)
+		}
+	})
 	state.ending = append(state.ending, job.job.ID())
 	state.touched[job.job.ID()] = struct{}{}
 	state.shrink(job)
@@ -179,10 +196,14 @@
 		stage.active++
 		job.active++
 	}
-	stage.tasks[change.Task().Index] = record.WithActive(true).WithRun(change.Run()).WithWorker(change.Worker())
+	stage.tasks[change.Task().Index] = record.WithActive(true).WithRun(change.Run()).WithWorker(change.Worker()).WithSince(state.at)
 	stage.run = max(stage.run, change.Run())
 	if job.state == almondcross.JobQueued {
 		job.state = almondcross.JobRunning
+		waited := max(state.at.Sub(job.job.Submitted()), 0)
+		state.account(job.queue, func(usage almondcross.QueueUsage) almondcross.QueueUsage {
+			return usage.WithWaited(usage.Waited() + waited)
+		})
 		state.touched[job.job.ID()] = struct{}{}
 	}
 }
@@ -206,6 +227,7 @@
 		stage.active++
 		job.active++
 	}
+	state.accountRun(job, stage, record, change.End())
 	record = record.WithActive(false)
 	stage.active--
 	job.active--
--- a/encoder/journal.go
+++ b/encoder/journal.go
@@ -101,6 +101,68 @@
 	Done, Active       bool
 	Run, Failures      int
 	Worker, Checkpoint string
+	SinceMS            int64
+}
+
+type wireHeld struct {
+	_                                struct{} `cbor:",toarray"`
+	MilliCPU, MemoryMB, Accelerators int64
+}
+
+func toHeld(resources almondcross.Resources) wireHeld {
+	return wireHeld{MilliCPU: resources.MilliCPU(), MemoryMB: resources.MemoryMB(), Accelerators: resources.Accelerators()}
+}
+
+func (wireheld wireHeld) value() almondcross.Resources {
+	return almondcross.NewResources(almondcross.ResourcesConfig{
+		MilliCPU: wireheld.MilliCPU, MemoryMB: wireheld.MemoryMB, Accelerators: wireheld.Accelerators,
+	})
+}
+
+type wireUsage struct {
+	_                                      struct{} `cbor:",toarray"`
+	FromMS                                 int64
+	Queue, Pool                            string
+	Priority                               int
+	Received, Capacity, Lost               wireHeld
+	Admitted, Completed, Failed, Cancelled int
+	WaitedMS                               int64
+	Done, Unfinished, Withdrawn            int
+}
+
+func toUsage(usage almondcross.QueueUsage) wireUsage {
+	config := usage.Config()
+	return wireUsage{
+		FromMS: toMillis(config.From), Queue: config.Queue, Pool: config.Pool, Priority: config.Priority,
+		Received: toHeld(config.Received), Capacity: toHeld(config.Capacity), Lost: toHeld(config.Lost),
+		Admitted: config.Admitted, Completed: config.Completed, Failed: config.Failed, Cancelled: config.Cancelled,
+		WaitedMS: config.Waited.Milliseconds(), Done: config.Done, Unfinished: config.Unfinished, Withdrawn: config.Withdrawn,
+	}
+}
+
+func (wireusage wireUsage) value() almondcross.QueueUsage {
+	return almondcross.NewQueueUsage(almondcross.QueueUsageConfig{
+		From: fromMillis(wireusage.FromMS), Queue: wireusage.Queue, Pool: wireusage.Pool, Priority: wireusage.Priority,
+		Received: wireusage.Received.value(), Capacity: wireusage.Capacity.value(), Lost: wireusage.Lost.value(),
+		Admitted: wireusage.Admitted, Completed: wireusage.Completed, Failed: wireusage.Failed, Cancelled: wireusage.Cancelled,
+		Waited: time.Duration(wireusage.WaitedMS) * time.Millisecond, Done: wireusage.Done,
+		Unfinished: wireusage.Unfinished, Withdrawn: wireusage.Withdrawn,
+	})
+}
+
+// EncodeQueueUsage returns the stored form of a usage.
+func (codec Codec) EncodeQueueUsage(usage almondcross.QueueUsage) ([]byte, error) {
+	source, err := codec.encoding.Marshal(toUsage(usage))
+	return source, errors.Annotate(err, "encoding a usage")
+}
+
+// DecodeQueueUsage returns the usage of a stored form.
+func (codec Codec) DecodeQueueUsage(source []byte) (almondcross.QueueUsage, error) {
+	var wire wireUsage
+	if err := codec.decoding.Unmarshal(source, &wire); err != nil {
+		return almondcross.QueueUsage{}, errors.Annotatef(ErrMalformed, "usage: %v", err)
+	}
+	return wire.value(), nil
 }
 
 type wireStageRecord struct {
@@ -129,6 +191,7 @@
 	Host, Address string
 	Intake        map[int]int64
 	Jobs          []wireJobRecord
+	Usage         []wireUsage
 }
 
 func toMillis(at time.Time) int64 {
@@ -306,7 +369,7 @@
 			config := task.Config()
 			tasks[number] = wireTaskRecord{
 				Done: config.Done, Active: config.Active, Run: config.Run, Failures: config.Failures,
-				Worker: config.Worker, Checkpoint: config.Checkpoint,
+				Worker: config.Worker, Checkpoint: config.Checkpoint, SinceMS: toMillis(config.Since),
 			}
 		}
 		stages[index] = wireStageRecord{
@@ -327,7 +390,7 @@
 		for number, task := range stage.Tasks {
 			tasks[number] = almondcross.NewTaskRecord(almondcross.TaskRecordConfig{
 				Done: task.Done, Active: task.Active, Run: task.Run, Failures: task.Failures,
-				Worker: task.Worker, Checkpoint: task.Checkpoint,
+				Worker: task.Worker, Checkpoint: task.Checkpoint, Since: fromMillis(task.SinceMS),
 			})
 		}
 		stages[index] = almondcross.NewStageRecord(almondcross.StageRecordConfig{
@@ -369,6 +432,9 @@
 		if index == 0 {
 			part.Epoch, part.AtMS, part.Intake = snapshot.Epoch(), toMillis(snapshot.At()), snapshot.Intake()
 			part.Host, part.Address = snapshot.Host(), snapshot.Address()
+			for _, usage := range snapshot.Usage() {
+				part.Usage = append(part.Usage, toUsage(usage))
+			}
 		}
 		value, err := codec.encoding.Marshal(part)
 		if err != nil {
@@ -411,8 +477,12 @@
 		}
 	}
 	first := best[0]
+	var usage []almondcross.QueueUsage
+	for _, wire := range first.Usage {
+		usage = append(usage, wire.value())
+	}
 	return almondcross.NewStateSnapshot(almondcross.StateSnapshotConfig{
 		Next: first.Next, Epoch: first.Epoch, At: fromMillis(first.AtMS), Host: first.Host, Address: first.Address,
-		Intake: first.Intake, Jobs: jobs,
+		Intake: first.Intake, Jobs: jobs, Usage: usage,
 	}), true, nil
 }
--- a/job_generated.go
+++ b/job_generated.go
@@ -2046,6 +2046,7 @@
 	Failures   int
 	Worker     string
 	Checkpoint string
+	Since      time.Time
 }
 
 // NewTaskRecord returns a TaskRecord with the given fields.
@@ -2057,6 +2058,7 @@
 		failures:   config.Failures,
 		worker:     config.Worker,
 		checkpoint: config.Checkpoint,
+		since:      config.Since,
 	}
 }
 
@@ -2069,6 +2071,7 @@
 		Failures:   taskrecord.failures,
 		Worker:     taskrecord.worker,
 		Checkpoint: taskrecord.checkpoint,
+		Since:      taskrecord.since,
 	}
 }
 
@@ -2126,6 +2129,211 @@
 	return taskrecord
 }
 
+// Since returns when the last run was given to its worker.
+func (taskrecord TaskRecord) Since() time.Time { return taskrecord.since }
+
+// WithSince returns a copy with the given since.
+func (taskrecord TaskRecord) WithSince(since time.Time) TaskRecord {
+	taskrecord.since = since
+	return taskrecord
+}
+
+// QueueUsageConfig holds the fields of a new QueueUsage.
+type QueueUsageConfig struct {
+	From       time.Time
+	Queue      string
+	Pool       string
+	Priority   int
+	Received   Resources
+	Capacity   Resources
+	Admitted   int
+	Completed  int
+	Failed     int
+	Cancelled  int
+	Waited     time.Duration
+	Done       int
+	Unfinished int
+	Withdrawn  int
+	Lost       Resources
+}
+
+// NewQueueUsage returns a QueueUsage with the given fields.
+func NewQueueUsage(config QueueUsageConfig) QueueUsage {
+	return QueueUsage{
+		from:       config.From,
+		queue:      config.Queue,
+		pool:       config.Pool,
+		priority:   config.Priority,
+		received:   config.Received,
+		capacity:   config.Capacity,
+		admitted:   config.Admitted,
+		completed:  config.Completed,
+		failed:     config.Failed,
+		cancelled:  config.Cancelled,
+		waited:     config.Waited,
+		done:       config.Done,
+		unfinished: config.Unfinished,
+		withdrawn:  config.Withdrawn,
+		lost:       config.Lost,
+	}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (queueusage QueueUsage) Config() QueueUsageConfig {
+	return QueueUsageConfig{
+		From:       queueusage.from,
+		Queue:      queueusage.queue,
+		Pool:       queueusage.pool,
+		Priority:   queueusage.priority,
+		Received:   queueusage.received,
+		Capacity:   queueusage.capacity,
+		Admitted:   queueusage.admitted,
+		Completed:  queueusage.completed,
+		Failed:     queueusage.failed,
+		Cancelled:  queueusage.cancelled,
+		Waited:     queueusage.waited,
+		Done:       queueusage.done,
+		Unfinished: queueusage.unfinished,
+		Withdrawn:  queueusage.withdrawn,
+		Lost:       queueusage.lost,
+	}
+}
+
+// From returns the start of the period.
+func (queueusage QueueUsage) From() time.Time { return queueusage.from }
+
+// WithFrom returns a copy with the given from.
+func (queueusage QueueUsage) WithFrom(from time.Time) QueueUsage {
+	queueusage.from = from
+	return queueusage
+}
+
+// Queue returns the name of the queue.
+func (queueusage QueueUsage) Queue() string { return queueusage.queue }
+
+// WithQueue returns a copy with the given queue.
+func (queueusage QueueUsage) WithQueue(queue string) QueueUsage {
+	queueusage.queue = queue
+	return queueusage
+}
+
+// Pool returns the pool of workers.
+func (queueusage QueueUsage) Pool() string { return queueusage.pool }
+
+// WithPool returns a copy with the given pool.
+func (queueusage QueueUsage) WithPool(pool string) QueueUsage {
+	queueusage.pool = pool
+	return queueusage
+}
+
+// Priority returns the priority of the queue.
+func (queueusage QueueUsage) Priority() int { return queueusage.priority }
+
+// WithPriority returns a copy with the given priority.
+func (queueusage QueueUsage) WithPriority(priority int) QueueUsage {
+	queueusage.priority = priority
+	return queueusage
+}
+
+// Received returns what its runs held at the end of each, in units times seconds.
+func (queueusage QueueUsage) Received() Resources { return queueusage.received }
+
+// WithReceived returns a copy with the given received.
+func (queueusage QueueUsage) WithReceived(received Resources) QueueUsage {
+	queueusage.received = received
+	return queueusage
+}
+
+// Capacity returns what the pool could have given, in units times seconds.
+func (queueusage QueueUsage) Capacity() Resources { return queueusage.capacity }
+
+// WithCapacity returns a copy with the given capacity.
+func (queueusage QueueUsage) WithCapacity(capacity Resources) QueueUsage {
+	queueusage.capacity = capacity
+	return queueusage
+}
+
+// Admitted returns the jobs that were admitted.
+func (queueusage QueueUsage) Admitted() int { return queueusage.admitted }
+
+// WithAdmitted returns a copy with the given admitted.
+func (queueusage QueueUsage) WithAdmitted(admitted int) QueueUsage {
+	queueusage.admitted = admitted
+	return queueusage
+}
+
+// Completed returns the jobs that were completed.
+func (queueusage QueueUsage) Completed() int { return queueusage.completed }
+
+// WithCompleted returns a copy with the given completed.
+func (queueusage QueueUsage) WithCompleted(completed int) QueueUsage {
+	queueusage.completed = completed
+	return queueusage
+}
+
+// Failed returns the jobs that failed.
+func (queueusage QueueUsage) Failed() int { return queueusage.failed }
+
+// WithFailed returns a copy with the given failed.
+func (queueusage QueueUsage) WithFailed(failed int) QueueUsage {
+	queueusage.failed = failed
+	return queueusage
+}
+
+// Cancelled returns the jobs that were cancelled.
+func (queueusage QueueUsage) Cancelled() int { return queueusage.cancelled }
+
+// WithCancelled returns a copy with the given cancelled.
+func (queueusage QueueUsage) WithCancelled(cancelled int) QueueUsage {
+	queueusage.cancelled = cancelled
+	return queueusage
+}
+
+// Waited returns how long admitted jobs waited for their first run, added up.
+func (queueusage QueueUsage) Waited() time.Duration { return queueusage.waited }
+
+// WithWaited returns a copy with the given waited.
+func (queueusage QueueUsage) WithWaited(waited time.Duration) QueueUsage {
+	queueusage.waited = waited
+	return queueusage
+}
+
+// Done returns the runs that ended successfully.
+func (queueusage QueueUsage) Done() int { return queueusage.done }
+
+// WithDone returns a copy with the given done.
+func (queueusage QueueUsage) WithDone(done int) QueueUsage {
+	queueusage.done = done
+	return queueusage
+}
+
+// Unfinished returns the runs that failed by their own or their worker's fault.
+func (queueusage QueueUsage) Unfinished() int { return queueusage.unfinished }
+
+// WithUnfinished returns a copy with the given unfinished.
+func (queueusage QueueUsage) WithUnfinished(unfinished int) QueueUsage {
+	queueusage.unfinished = unfinished
+	return queueusage
+}
+
+// Withdrawn returns the runs that were stopped, lost or broken, and what they held with them.
+func (queueusage QueueUsage) Withdrawn() int { return queueusage.withdrawn }
+
+// WithWithdrawn returns a copy with the given withdrawn.
+func (queueusage QueueUsage) WithWithdrawn(withdrawn int) QueueUsage {
+	queueusage.withdrawn = withdrawn
+	return queueusage
+}
+
+// Lost returns the part of received that withdrawn and unfinished runs held.
+func (queueusage QueueUsage) Lost() Resources { return queueusage.lost }
+
+// WithLost returns a copy with the given lost.
+func (queueusage QueueUsage) WithLost(lost Resources) QueueUsage {
+	queueusage.lost = lost
+	return queueusage
+}
+
 // StageRecordConfig holds the fields of a new StageRecord.
 type StageRecordConfig struct {
 	Occurrence int
@@ -2323,6 +2531,7 @@
 	Address string
 	Intake  map[int]int64
 	Jobs    []JobRecord
+	Usage   []QueueUsage
 }
 
 // NewStateSnapshot returns a StateSnapshot with the given fields.
@@ -2335,6 +2544,7 @@
 		address: config.Address,
 		intake:  config.Intake,
 		jobs:    config.Jobs,
+		usage:   config.Usage,
 	}
 }
 
@@ -2348,6 +2558,7 @@
 		Address: statesnapshot.address,
 		Intake:  statesnapshot.intake,
 		Jobs:    statesnapshot.jobs,
+		Usage:   statesnapshot.usage,
 	}
 }
 
@@ -2413,3 +2624,12 @@
 	statesnapshot.jobs = jobs
 	return statesnapshot
 }
+
+// Usage returns the usage of the present periods.
+func (statesnapshot StateSnapshot) Usage() []QueueUsage { return statesnapshot.usage }
+
+// WithUsage returns a copy with the given usage.
+func (statesnapshot StateSnapshot) WithUsage(usage []QueueUsage) StateSnapshot {
+	statesnapshot.usage = usage
+	return statesnapshot
+}
--- a/journal.go
+++ b/journal.go
@@ -175,12 +175,41 @@
 //
 //value:generate
 type TaskRecord struct {
-	done       bool   // whether the task ended successfully
-	active     bool   // whether a run was given to a worker and its end is not recorded
-	run        int    // the highest number of a run
-	failures   int    // how many runs failed
-	worker     string // the worker of the last run
-	checkpoint string // the last recorded checkpoint, empty for none
+	done       bool      // whether the task ended successfully
+	active     bool      // whether a run was given to a worker and its end is not recorded
+	run        int       // the highest number of a run
+	failures   int       // how many runs failed
+	worker     string    // the worker of the last run
+	checkpoint string    // the last recorded checkpoint, empty for none
+	since      time.Time // when the last run was given to its worker
+}
+
+// QueueUsage is what the jobs of one queue received in one period. The scheduler and its standbys compute it
+// from the journal, so it survives the loss of any host.
+//
+//value:generate
+type QueueUsage struct {
+	from       time.Time     // the start of the period
+	queue      string        // the name of the queue
+	pool       string        // the pool of workers
+	priority   int           // the priority of the queue
+	received   Resources     // what its runs held at the end of each, in units times seconds
+	capacity   Resources     // what the pool could have given, in units times seconds
+	admitted   int           // the jobs that were admitted
+	completed  int           // the jobs that were completed
+	failed     int           // the jobs that failed
+	cancelled  int           // the jobs that were cancelled
+	waited     time.Duration // how long admitted jobs waited for their first run, added up
+	done       int           // the runs that ended successfully
+	unfinished int           // the runs that failed by their own or their worker's fault
+	withdrawn  int           // the runs that were stopped, lost or broken, and what they held with them
+	lost       Resources     // the part of received that withdrawn and unfinished runs held
+}
+
+// UsageKey names a period of a queue.
+type UsageKey struct {
+	From  int64  // From is the start of the period in Unix seconds.
+	Queue string // Queue is the name of the queue.
 }
 
 // StageRecord is what the replicated state holds of one stage.
@@ -219,6 +248,7 @@
 	address string        // the address of the scheduler's link
 	intake  map[int]int64 // the offsets up to which intake partitions have been admitted
 	jobs    []JobRecord   // the jobs
+	usage   []QueueUsage  // the usage of the present periods
 }
 
 // JournalCodec converts between the replicated values and the records of the store.
@@ -235,6 +265,10 @@
 	EncodePointer(pointer SchedulerPointer) ([]byte, error)
 	// DecodePointer returns the pointer of a stored form.
 	DecodePointer(source []byte) (SchedulerPointer, error)
+	// EncodeQueueUsage returns the stored form of a usage.
+	EncodeQueueUsage(usage QueueUsage) ([]byte, error)
+	// DecodeQueueUsage returns the usage of a stored form.
+	DecodeQueueUsage(source []byte) (QueueUsage, error)
 	// EncodeSnapshot returns the snapshot as keyed records of at most a size in bytes.
 	EncodeSnapshot(snapshot StateSnapshot, size int) ([]KeyedRecord, error)
 	// DecodeSnapshot returns the newest complete snapshot among keyed records.
--- /dev/null
+++ b/query/usagereader/doc.go
@@ -0,0 +1,2 @@
+// Package usagereader reads the account of the queues from the store.
+package usagereader
--- a/scheduling.go
+++ b/scheduling.go
@@ -134,6 +134,21 @@
 	err  error // the failure, nil for none
 }
 
+// UsageStore asks for usages to be stored; a newer one of the same period and queue replaces an older one.
+//
+//value:generate
+type UsageStore struct {
+	usages []QueueUsage // the usages
+}
+
+// UsageStored answers a UsageStore.
+//
+//value:generate
+type UsageStored struct {
+	usages []QueueUsage // the usages
+	err    error        // the failure, nil for none
+}
+
 // LeaseAnswered answers a LeaseOrder.
 //
 //value:generate
@@ -279,6 +294,7 @@
 }
 
 func (LinkLost) schedulerMessage()         {}
+func (UsageStored) schedulerMessage()      {}
 func (PointerRead) schedulerMessage()      {}
 func (Assigned) schedulerMessage()         {}
 func (ViewsPushed) schedulerMessage()      {}
--- a/scheduling_generated.go
+++ b/scheduling_generated.go
@@ -746,6 +746,74 @@
 	return snapshotstored
 }
 
+// UsageStoreConfig holds the fields of a new UsageStore.
+type UsageStoreConfig struct {
+	Usages []QueueUsage
+}
+
+// NewUsageStore returns a UsageStore with the given fields.
+func NewUsageStore(config UsageStoreConfig) UsageStore {
+	return UsageStore{
+		usages: config.Usages,
+	}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (usagestore UsageStore) Config() UsageStoreConfig {
+	return UsageStoreConfig{
+		Usages: usagestore.usages,
+	}
+}
+
+// Usages returns the usages.
+func (usagestore UsageStore) Usages() []QueueUsage { return usagestore.usages }
+
+// WithUsages returns a copy with the given usages.
+func (usagestore UsageStore) WithUsages(usages []QueueUsage) UsageStore {
+	usagestore.usages = usages
+	return usagestore
+}
+
+// UsageStoredConfig holds the fields of a new UsageStored.
+type UsageStoredConfig struct {
+	Usages []QueueUsage
+	Err    error
+}
+
+// NewUsageStored returns a UsageStored with the given fields.
+func NewUsageStored(config UsageStoredConfig) UsageStored {
+	return UsageStored{
+		usages: config.Usages,
+		err:    config.Err,
+	}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (usagestored UsageStored) Config() UsageStoredConfig {
+	return UsageStoredConfig{
+		Usages: usagestored.usages,
+		Err:    usagestored.err,
+	}
+}
+
+// Usages returns the usages.
+func (usagestored UsageStored) Usages() []QueueUsage { return usagestored.usages }
+
+// WithUsages returns a copy with the given usages.
+func (usagestored UsageStored) WithUsages(usages []QueueUsage) UsageStored {
+	usagestored.usages = usages
+	return usagestored
+}
+
+// Err returns the failure, nil for none.
+func (usagestored UsageStored) Err() error { return usagestored.err }
+
+// WithErr returns a copy with the given err.
+func (usagestored UsageStored) WithErr(err error) UsageStored {
+	usagestored.err = err
+	return usagestored
+}
+
 // LeaseAnsweredConfig holds the fields of a new LeaseAnswered.
 type LeaseAnsweredConfig struct {
 	Order    LeaseOrder
--- a/standin/emulator/day.go
+++ b/standin/emulator/day.go
@@ -48,6 +48,7 @@
 	// forwarded holds what follows the answers to forwarded intakes.
 	forwarded map[int64]func()
 	pointer   almondcross.SchedulerPointer
+	usage     map[almondcross.UsageKey]almondcross.QueueUsage // usage is the stored account.
 	routes    almondcross.RouteTable
 }
 
@@ -115,6 +116,7 @@
 		config: config, random: rand.New(rand.NewPCG(config.Seed, config.Seed^0x9e3779b97f4a7c15)), codec: codec, //nolint:gosec // A model needs no secrecy.
 		start: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), store: NewStore(config.Retention),
 		jobs: map[almondcross.JobID]*modelJob{}, gangs: map[string]*modelGang{}, forwarded: map[int64]func(){},
+		usage:  map[almondcross.UsageKey]almondcross.QueueUsage{},
 		advice: adviceModel{share: config.AdviceShare, validity: 2500 * time.Millisecond, seed: config.Seed, issued: map[string]issuedTicket{}},
 	}
 	day.judge = newJudge(day)
--- a/standin/emulator/emulator_test.go
+++ b/standin/emulator/emulator_test.go
@@ -38,6 +38,17 @@
 	require.Less(t, report.Median, 3*time.Second)
 }
 
+// Guards against an account that does not tell what workers gave: on a calm day it may differ only by the way of
+// orders and lists, also after the scheduler was replaced.
+func TestAccountMatchesWorkers(t *testing.T) {
+	day := config(*firstSeed)
+	day.CancelShare = 0
+	day.Troubles = []emulator.Trouble{{Kind: emulator.KillScheduler, At: 10 * time.Second, For: time.Second}}
+	report := play(t, day)
+	require.Empty(t, report.Violations)
+	require.InEpsilon(t, report.Ran, report.Accounted, 0.05)
+}
+
 // Guards against a promise broken by any mix of troubles.
 func TestTroubledDays(t *testing.T) {
 	for seed := *firstSeed; seed < *firstSeed+uint64(*days); seed++ {
--- a/standin/emulator/host.go
+++ b/standin/emulator/host.go
@@ -199,6 +199,8 @@
 		modelhost.later(effect.Request.Pause(), func() { modelhost.commit(effect.Request) })
 	case scheduler.StoreSnapshot:
 		modelhost.storeSnapshot(effect.Request)
+	case scheduler.StoreUsage:
+		modelhost.storeUsage(effect.Request)
 	case scheduler.ReadPointer:
 		modelhost.later(effect.Query.Pause(), modelhost.readPointer)
 	case scheduler.StorePointer:
@@ -269,6 +271,19 @@
 	}, func(bool) { fail(almondcross.ErrStoreUnknown) })
 }
 
+func (modelhost *modelHost) storeUsage(request almondcross.UsageStore) {
+	day := modelhost.day
+	answer := func(err error) {
+		modelhost.deliver(almondcross.NewUsageStored(almondcross.UsageStoredConfig{Usages: request.Usages(), Err: err}))
+	}
+	modelhost.storeCall(true, func() func() {
+		for _, usage := range request.Usages() {
+			day.usage[almondcross.UsageKey{From: usage.From().Unix(), Queue: usage.Queue()}] = usage
+		}
+		return func() { answer(nil) }
+	}, answer)
+}
+
 func (modelhost *modelHost) readPointer() {
 	day := modelhost.day
 	sent := day.now
--- a/standin/emulator/judge.go
+++ b/standin/emulator/judge.go
@@ -14,12 +14,16 @@
 	Jobs, Accepted, Completed, Failed, Cancelled, Runs int
 	Median, Late                                       time.Duration // Median and Late are the 50th and 99th percentile of the time to completion.
 	Violations                                         []string
+	// Accounted is the processor time of runs by the stored account, Ran what workers gave them, in thousandths
+	// of a core times seconds.
+	Accounted, Ran int64
 }
 
 // judge checks the promises by what callers and workers saw.
 type judge struct {
 	day        *Day
 	runs       int
+	ran        float64 // ran is in thousandths of a core times seconds.
 	violations []string
 	times      []time.Duration
 }
@@ -103,6 +107,7 @@
 func (judge *judge) ended(now time.Duration, worker *modelWorker, run *modelRun, kind almondcross.EndKind) {
 	history := run.job.history(run.task)
 	delete(history.present, worker)
+	judge.ran += float64(run.step.Resources().MilliCPU()) * (now - run.started).Seconds()
 	switch kind {
 	case almondcross.EndDone:
 		history.done, history.doneAt, history.finished = true, now, run.run
@@ -201,6 +206,10 @@
 		default:
 		}
 	}
+	report.Ran = int64(judge.ran)
+	for _, usage := range judge.day.usage {
+		report.Accounted += usage.Received().MilliCPU()
+	}
 	slices.Sort(judge.times)
 	if count := len(judge.times); count > 0 {
 		report.Median, report.Late = judge.times[count/2], judge.times[count*99/100]
