--- a/command/scheduler/advice.go
+++ b/command/scheduler/advice.go
@@ -200,8 +200,9 @@
 // learnable returns the workers that advice has not told of for a stage: those with room now, and those that
 // have room when what does not belong to gangs has ended, the latter behind the former.
 func (machine *Machine) learnable(queue almondcross.Queue, stage *stage, advice *stageAdvice) (now, later []almondcross.WorkerRoom) {
+	failed := stage.failedOn()
 	for _, worker := range machine.leader.usable {
-		if _, told := advice.allow[worker.id]; told || worker.worker.Pool() != queue.Service() || !worker.worker.HasLabel(stage.spec.Label()) {
+		if _, told := advice.allow[worker.id]; told || failed[worker.id] || worker.worker.Pool() != queue.Service() || !worker.worker.HasLabel(stage.spec.Label()) {
 			continue
 		}
 		if tasks := fitting(worker.room().Sub(worker.held), stage.spec.Resources(), stage.spec.Count()); tasks > 0 {
--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -118,9 +118,13 @@
 // those that hold a usable ticket.
 func (machine *Machine) candidates(queue almondcross.Queue, stage *stage, advice *stageAdvice) []almondcross.WorkerRoom {
 	spec := stage.spec
+	failed := stage.failedOn()
+	if len(failed) >= len(machine.leader.usable) {
+		failed = nil
+	}
 	var rooms []almondcross.WorkerRoom
 	for _, worker := range machine.leader.usable {
-		if advice != nil && !advice.holds(worker, machine.now) {
+		if advice != nil && !advice.holds(worker, machine.now) || failed[worker.id] {
 			continue
 		}
 		if worker.worker.Pool() != queue.Service() || !worker.worker.HasLabel(spec.Label()) {
@@ -141,6 +145,21 @@
 	return rooms
 }
 
+// failedOn returns the workers on which the last run of a task of the stage failed. A worker that fails what it
+// starts would otherwise use up all attempts of a task that has room there.
+func (stage *stage) failedOn() map[string]bool {
+	var failed map[string]bool
+	for _, record := range stage.tasks {
+		if record.Failures() > 0 && !record.Active() && !record.Done() {
+			if failed == nil {
+				failed = map[string]bool{}
+			}
+			failed[record.Worker()] = true
+		}
+	}
+	return failed
+}
+
 // countOf returns how many runs of a stage the worker has.
 func (worker *worker) countOf(stage almondcross.StageID) int {
 	count := 0
--- a/command/scheduler/scheduler_test.go
+++ b/command/scheduler/scheduler_test.go
@@ -387,6 +387,36 @@
 	require.False(t, found, "a part alone is no snapshot")
 }
 
+// Guards against a worker that fails all it starts and uses up the attempts of a task alone (seen on
+// trinacria-sched trouble-1: two attempts within 0.6 s on one worker, and the job was shown as failed).
+func TestFailedTaskGoesElsewhere(t *testing.T) {
+	bed := newBed(t)
+	bed.lead()
+	other := almondcross.NewWorkerChange(almondcross.WorkerChangeConfig{ID: "w-2", Present: true, Worker: poolWorker.WithID("w-2")})
+	bed.apply(almondcross.NewWorkersRead(almondcross.WorkersReadConfig{Changes: []almondcross.WorkerChange{other}}))
+	for range 2 {
+		lease := must[SendLease](bed)
+		bed.apply(almondcross.NewLeaseAnswered(almondcross.LeaseAnsweredConfig{
+			Order: lease.Order, Result: almondcross.OrderDone, Sent: bed.now, Received: bed.now,
+			List: almondcross.NewWorkerList(almondcross.WorkerListConfig{Born: 1, Clock: time.Second}),
+		}))
+	}
+	bed.submit("j", almondcross.StepConfig{Count: 1})
+	for found := true; found; _, found = bed.pending() {
+		bed.commit()
+	}
+	first := bed.started().Worker().ID()
+	worker := bed.machine.leader.workers[first]
+	bed.machine.endRun(worker, worker.assigned[task("j", 0, 0)], almondcross.EndFailed, "")
+	bed.advance(placePause)
+	for range 3 {
+		if _, found := bed.pending(); found {
+			bed.commit()
+		}
+	}
+	require.NotEqual(t, first, must[SendStart](bed).Order.Worker().ID())
+}
+
 // Guards against a gang that is counted as failed once for each member, or never.
 func TestGangCountsOneFailureARun(t *testing.T) {
 	state := newState(time.Minute)
