--- a/command/scheduler/follower.go
+++ b/command/scheduler/follower.go
@@ -19,6 +19,7 @@
 	lastRead  time.Time // lastRead is when the last read was answered.
 	electAt   time.Time // electAt is the earliest time of the next election.
 	lastPush  time.Time // lastPush is when batches last came over the link.
+	failing   bool      // failing tells that the last read had no answer.
 	trimmed   int       // trimmed counts reads in a row that found their records deleted.
 }
 
@@ -77,10 +78,15 @@
 		machine.journalTrimmed(read)
 		return
 	case read.Err() != nil:
+		machine.follower.failing = true
 		machine.readJournal(retryPause)
 		return
 	}
 	machine.follower.trimmed = 0
+	if machine.follower.failing {
+		// The scheduler may have been unable to write for as long as this host was unable to read.
+		machine.follower.failing, machine.follower.lastBatch, machine.follower.electAt = false, machine.now, time.Time{}
+	}
 	machine.followBatches(read, machine.now)
 	pause := followPause
 	switch {
@@ -176,7 +182,7 @@
 // considerElection stands for election when the scheduler is silent while the store answers.
 func (machine *Machine) considerElection() {
 	follower := &machine.follower
-	if !follower.caughtUp || machine.stopping || machine.now.Sub(follower.lastRead) > readFresh || machine.now.Before(follower.electAt) {
+	if !follower.caughtUp || follower.failing || machine.stopping || machine.now.Sub(follower.lastRead) > readFresh || machine.now.Before(follower.electAt) {
 		return
 	}
 	silence := machine.now.Sub(follower.lastBatch)
--- a/command/scheduler/scheduler_test.go
+++ b/command/scheduler/scheduler_test.go
@@ -353,6 +353,35 @@
 	require.Equal(t, int64(11), bed.machine.follower.next, "a batch that came over the link is not applied again")
 }
 
+// Guards against a standby that takes the silence of the store for that of the scheduler (halvorsen-reg trouble-3:
+// the scheduler was replaced the moment the store came back, by a host in the far region).
+func TestSilenceOfTheStoreIsNotTheSchedulers(t *testing.T) {
+	bed := newBed(t)
+	bed.apply(almondcross.NewPointerRead(almondcross.PointerReadConfig{}))
+	bed.apply(almondcross.NewSnapshotRead(almondcross.SnapshotReadConfig{}))
+	batch := almondcross.NewJournalBatch(almondcross.JournalBatchConfig{Epoch: 5 << epochRandomBits, At: bed.now, Changes: []almondcross.Change{
+		almondcross.NewChange(almondcross.ChangeConfig{Kind: almondcross.ChangeElected, Host: "h-2"}),
+	}})
+	bed.apply(almondcross.NewJournalRead(almondcross.JournalReadConfig{Next: 1, End: 1, Batches: []almondcross.JournalBatch{batch}}))
+	for range 50 {
+		bed.advance(100 * time.Millisecond)
+		bed.apply(almondcross.NewJournalRead(almondcross.JournalReadConfig{From: 1, Next: 1, Err: almondcross.ErrStoreUnknown}))
+	}
+	_, stood := take[Commit](bed)
+	require.False(t, stood)
+	for range 4 {
+		bed.apply(almondcross.NewJournalRead(almondcross.JournalReadConfig{From: 1, Next: 1, End: 1}))
+		bed.advance(100 * time.Millisecond)
+		_, stood = take[Commit](bed)
+		require.False(t, stood, "the scheduler has the usual time to write again")
+	}
+	for range 10 {
+		bed.apply(almondcross.NewJournalRead(almondcross.JournalReadConfig{From: 1, Next: 1, End: 1}))
+		bed.advance(100 * time.Millisecond)
+	}
+	must[Commit](bed)
+}
+
 // Guards against a snapshot that loses a part of the state: a host that starts from it must go on as one that
 // followed the journal.
 func TestSnapshotRestoresTheState(t *testing.T) {
