--- a/standin/emulator/host.go
+++ b/standin/emulator/host.go
@@ -427,11 +427,11 @@
 }
 
 // order sends an order to a worker, which may be cut off or carry it out late.
-func (modelhost *modelHost) order(worker *modelWorker, limit time.Duration, act func() func(), fail func(result almondcross.OrderResult)) {
+func (modelhost *modelHost) order(worker *modelWorker, limit time.Duration, lease bool, act func() func(), fail func(result almondcross.OrderResult)) {
 	day := modelhost.day
 	reachable := func() bool { return worker.up && !day.faults.cut(modelhost, worker, day.now) }
 	modelhost.call(limit, reachable, reachable, func(reply func(func())) {
-		if late := day.faults.orderLate(day); late > 0 {
+		if late := day.faults.orderLate(day, lease); late > 0 {
 			day.after(late, func() {
 				if worker.up {
 					act()
@@ -453,7 +453,7 @@
 		}))
 	}
 	began := false
-	modelhost.order(worker, order.Wait()+leaseTimeout, func() func() {
+	modelhost.order(worker, order.Wait()+leaseTimeout, true, func() func() {
 		list, result := worker.lease(day.now, order)
 		began = true
 		return func() {
@@ -493,7 +493,7 @@
 	answer := func(result almondcross.OrderResult) {
 		modelhost.deliver(almondcross.NewRunStarted(almondcross.RunStartedConfig{Order: order, Result: result, Received: day.time()}))
 	}
-	modelhost.order(worker, orderTimeout, func() func() {
+	modelhost.order(worker, orderTimeout, false, func() func() {
 		result := worker.start(day.now, order)
 		return func() { answer(result) }
 	}, answer)
@@ -505,7 +505,7 @@
 	answer := func(result almondcross.OrderResult) {
 		modelhost.deliver(almondcross.NewRunStopped(almondcross.RunStoppedConfig{Order: order, Result: result}))
 	}
-	modelhost.order(worker, orderTimeout, func() func() {
+	modelhost.order(worker, orderTimeout, false, func() func() {
 		result := worker.stop(day.now, order)
 		return func() { answer(result) }
 	}, answer)
--- a/standin/emulator/trouble.go
+++ b/standin/emulator/trouble.go
@@ -110,11 +110,17 @@
 	return now < faults.cutAll[worker]
 }
 
-func (faults *faults) orderLate(day *Day) time.Duration {
-	if day.now >= faults.lateUntil || day.random.Float64() >= faults.lateShare {
+// orderLate returns how late an order is carried out, 0 for at once. Lease orders are seldom late, since each of
+// them raises the fence and so hides what became of the others.
+func (faults *faults) orderLate(day *Day, lease bool) time.Duration {
+	share := faults.lateShare
+	if lease {
+		share /= 10
+	}
+	if day.now >= faults.lateUntil || day.random.Float64() >= share {
 		return 0
 	}
-	return 2*time.Second + time.Duration(day.random.Int64N(int64(10*time.Second)))
+	return time.Second + time.Duration(day.random.Int64N(int64(10*time.Second)))
 }
 
 func (faults *faults) announced(worker *modelWorker, now time.Duration) bool {
@@ -169,7 +175,7 @@
 			faults.refused[host] = until
 		}
 	case OrdersLate:
-		faults.lateUntil, faults.lateShare = until, trouble.Share/3
+		faults.lateUntil, faults.lateShare = until, trouble.Share
 	case LapseEntries:
 		faults.hiddenUntil = until
 	default:
