Send the first views of a host after the commit of the jobs they name

A host newly linked to the scheduler got the views of all jobs at once, also of jobs whose append was still under way. The reset now follows the next append, and the host gets no other views before it.

--- a/command/committer/committer.go
+++ b/command/committer/committer.go
@@ -11,8 +11,11 @@
 )
 
 const (
-	// appendTimeout bounds an append. A slow store takes a quarter of a second for each one that waits.
+	// appendTimeout bounds an append of the account or the pointer.
 	appendTimeout = 1200 * time.Millisecond
+	// journalTimeout bounds an append to the journal. A slow store takes a quarter of a second, and standbys take
+	// over after 600 ms of silence, so a lost answer must be asked for again before.
+	journalTimeout = 350 * time.Millisecond
 	// snapshotTimeout bounds the append of a snapshot of a few megabytes.
 	snapshotTimeout = 3 * time.Second
 	// keyedOverhead is what a key adds to the size of a snapshot's part, in bytes.
@@ -132,7 +135,7 @@
 		}
 		records[index] = record
 	}
-	limited, cancel := context.WithTimeout(ctx, appendTimeout)
+	limited, cancel := context.WithTimeout(ctx, journalTimeout)
 	defer cancel()
 	config := almondcross.StoreAppendConfig{
 		Partition: committer.config.Journal, Records: records, Conditional: request.Election(), ExpectedEnd: request.ExpectedEnd(),
--- a/command/scheduler/advice.go
+++ b/command/scheduler/advice.go
@@ -61,7 +61,9 @@
 	// strength is how well the host could schedule, and standby tells that it follows the journal.
 	strength int
 	standby  bool
-	restAt   time.Time // restAt is when it may be asked again after a call that was given up.
+	// resetting tells that the host waits for its first views.
+	resetting bool
+	restAt    time.Time // restAt is when it may be asked again after a call that was given up.
 }
 
 // adviceCall is a call for advice that is under way.
--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -22,6 +22,7 @@
 	pending  []almondcross.Change // pending holds the changes of the next append.
 	moved    map[int]int64        // moved holds the intake offsets of the next append.
 	staged   []func()             // staged holds what follows the next append.
+	resets   []viewsReset         // resets holds the views that follow the next append.
 	readAt   map[int]time.Time    // readAt is when each intake partition was last read to its end.
 	inflight *appending           // inflight is the append under way, nil for none.
 
@@ -50,6 +51,7 @@
 	commit   almondcross.JournalCommit
 	sent     time.Time
 	staged   []func()
+	resets   []viewsReset
 	views    []almondcross.JobViewChange
 	current  bool // current tells that all intakes had been read.
 	snapshot *almondcross.StateSnapshot
@@ -69,7 +71,7 @@
 	machine.tellLeader()
 	machine.storePointer()
 	for _, adviser := range machine.advisers {
-		adviser.asked, adviser.standby = nil, false
+		adviser.asked, adviser.standby, adviser.resetting = nil, false, false
 	}
 	for _, adviser := range machine.advisers {
 		if adviser.name != machine.config.Host {
@@ -188,13 +190,13 @@
 // flush sends the next append unless one is under way.
 func (machine *Machine) flush() {
 	leader := machine.leader
-	idle := len(leader.pending) == 0 && len(leader.moved) == 0 && len(leader.staged) == 0
+	idle := len(leader.pending) == 0 && len(leader.moved) == 0 && len(leader.staged) == 0 && len(leader.resets) == 0
 	if leader.inflight != nil || idle && machine.now.Sub(leader.lastCommit) < heartbeat {
 		return
 	}
 	machine.open()
 	leader.sequence++
-	inflight := &appending{sent: machine.now, staged: leader.staged, views: machine.views(), current: machine.intakeCurrent()}
+	inflight := &appending{sent: machine.now, staged: leader.staged, resets: leader.resets, views: machine.views(), current: machine.intakeCurrent()}
 	var batches []almondcross.JournalBatch
 	for first := true; first || len(leader.pending) > 0; first = false {
 		count := min(len(leader.pending), batchChanges)
@@ -216,7 +218,7 @@
 		inflight.snapshot = &snapshot
 		leader.snapshotting, leader.snapshotAt = true, machine.now
 	}
-	leader.pending, leader.moved, leader.staged = nil, map[int]int64{}, nil
+	leader.pending, leader.moved, leader.staged, leader.resets = nil, map[int]int64{}, nil, nil
 	leader.inflight = inflight
 	machine.do(Commit{Request: inflight.commit})
 }
@@ -247,6 +249,7 @@
 	}
 	inflight := leader.inflight
 	leader.inflight = nil
+	machine.sendResets(inflight.resets)
 	standbys, lights := machine.pushHosts()
 	machine.do(Push{Hosts: standbys, Pushed: almondcross.NewJournalPushed(almondcross.JournalPushedConfig{
 		From: answer.Appended().Offset(), Batches: inflight.commit.Batches(),
--- a/command/scheduler/scheduler_test.go
+++ b/command/scheduler/scheduler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -498,3 +499,33 @@
 	bed.advance(2 * time.Second)
 	require.Equal(t, 2, bed.machine.state.jobs["o"].opened)
 }
+
+// Guards against a job that is lost although its submission was answered: a host that got the views of an
+// uncommitted job answered the repeated submission at once (mix, seed 459341211528).
+func TestViewsOfANewHostWaitForTheCommit(t *testing.T) {
+	bed := newBed(t)
+	bed.lead()
+	for _, found := bed.pending(); found; _, found = bed.pending() {
+		bed.commit()
+	}
+	bed.submit("j", almondcross.StepConfig{Count: 1})
+	bed.effects = slices.DeleteFunc(bed.effects, func(effect Effect) bool {
+		_, views := effect.(PushViews)
+		return views
+	})
+	bed.apply(almondcross.NewAdviserChanged(almondcross.AdviserChangedConfig{Adviser: "h-3", Present: true}))
+	_, told := take[PushViews](bed)
+	require.False(t, told)
+	for found := true; found && !told; _, found = bed.pending() {
+		bed.commit()
+		for push, more := take[PushViews](bed); more; push, more = take[PushViews](bed) {
+			if len(push.Hosts) > 0 {
+				require.True(t, push.Pushed.Reset(), "the first views of a host are all views")
+				require.Len(t, push.Pushed.Changes(), 1)
+				told = true
+				break
+			}
+		}
+	}
+	require.True(t, told)
+}
--- a/command/scheduler/seeker.go
+++ b/command/scheduler/seeker.go
@@ -133,11 +133,27 @@
 	for id, job := range machine.state.jobs {
 		changes = append(changes, almondcross.NewJobViewChange(almondcross.JobViewChangeConfig{ID: id, Known: true, View: job.view()}))
 	}
-	machine.do(PushViews{Hosts: []string{host.name}, Pushed: almondcross.NewViewsPushed(almondcross.ViewsPushedConfig{
+	host.resetting = true
+	machine.leader.resets = append(machine.leader.resets, viewsReset{host: host, pushed: almondcross.NewViewsPushed(almondcross.ViewsPushedConfig{
 		Reset: true, Changes: changes,
 	})})
 }
 
+// viewsReset is a set of views for a host that keeps no state. It may tell of jobs that are not in the journal
+// yet, whose submissions must not be acknowledged, so it is sent once the next append is answered.
+type viewsReset struct {
+	host   *adviser
+	pushed almondcross.ViewsPushed
+}
+
+// sendResets sends views whose changes are in the journal.
+func (machine *Machine) sendResets(resets []viewsReset) {
+	for _, reset := range resets {
+		reset.host.resetting = false
+		machine.do(PushViews{Hosts: []string{reset.host.name}, Pushed: reset.pushed})
+	}
+}
+
 // fillStandbys makes the strongest of the other hosts standbys in place of those that are gone.
 func (machine *Machine) fillStandbys() {
 	for machine.standbys() < wantedStandbys {
@@ -161,6 +177,8 @@
 	for name, other := range machine.advisers {
 		switch {
 		case name == machine.config.Host:
+		case other.resetting && !other.standby:
+			// Later views would make the host believe that it knows all jobs.
 		case other.standby:
 			standbys = append(standbys, name)
 		default:
