--- a/standin/emulator/emulator_test.go
+++ b/standin/emulator/emulator_test.go
@@ -13,7 +13,7 @@
 
 var (
 	firstSeed = flag.Uint64("seed", 1, "the first seed of the random days")
-	days      = flag.Int("days", 8, "the number of random days")
+	days      = flag.Int("days", 12, "the number of random days")
 )
 
 func config(seed uint64) emulator.Config {
