Name the scheduler only in the second append of an election

Cause: an election's first append carried the change that names the scheduler. When its second append failed, because the earlier scheduler had written in between or the answer was lost, that scheduler went on while all hosts linked to the candidate. It had no advisers but itself, and hosts refused questions for want of views. Ruled out: batches of the earlier epoch that followers leave out (they apply them).

Change: the first append is empty; the second one names the scheduler. The pointer that a link follows has the epoch of the scheduler, not the highest that a host has stood for.

TestCandidateIsNoScheduler fails before.

--- a/command/scheduler/follower.go
+++ b/command/scheduler/follower.go
@@ -170,12 +170,12 @@
 // tellLeader tells the link to whom to connect when the scheduler has changed.
 func (machine *Machine) tellLeader() {
 	host, address := machine.Leader()
-	known := almondcross.NewSchedulerPointer(almondcross.SchedulerPointerConfig{Epoch: machine.state.epoch, Host: host, Address: address})
+	known := almondcross.NewSchedulerPointer(almondcross.SchedulerPointerConfig{Epoch: machine.state.elected, Host: host, Address: address})
 	if known == machine.seeker.pointer || host == machine.config.Host && machine.role != roleLeader {
 		return
 	}
 	machine.seeker.pointer = known
-	machine.config.Log.Record("scheduler_known", almondcross.Text("host", host), almondcross.Number("epoch", machine.state.epoch))
+	machine.config.Log.Record("scheduler_known", almondcross.Text("host", host), almondcross.Number("epoch", known.Epoch()))
 	machine.do(Lead{Host: host, Address: address, Own: machine.role == roleLeader, Strength: machine.strength()})
 }
 
@@ -200,9 +200,6 @@
 	machine.role = roleCandidate
 	machine.config.Log.Record("election_started", almondcross.Number("epoch", epoch), almondcross.Millis("silence_ms", silence),
 		almondcross.Text("last_scheduler", machine.state.host), almondcross.Number("end", follower.next))
-	elected := almondcross.NewChange(almondcross.ChangeConfig{
-		Kind: almondcross.ChangeElected, Host: machine.config.Host, Address: machine.config.Address,
-	})
 	at := machine.now
 	if at.Before(machine.state.at) {
 		at = machine.state.at
@@ -210,7 +207,7 @@
 	machine.do(Commit{Request: almondcross.NewJournalCommit(almondcross.JournalCommitConfig{
 		Epoch: epoch, Election: true, ExpectedEnd: follower.next,
 		Batches: []almondcross.JournalBatch{almondcross.NewJournalBatch(almondcross.JournalBatchConfig{
-			Epoch: epoch, At: at, Changes: []almondcross.Change{elected},
+			Epoch: epoch, At: at,
 		})},
 	})})
 }
@@ -218,7 +215,8 @@
 // electionAnswered begins to lead or goes back to following. An election has two appends. The first one
 // carries no epoch, so that of several candidates one wins and the others do no harm. The second one
 // carries the winner's epoch, which shuts out the earlier scheduler; it fails if that one is still alive
-// and has written in between.
+// and has written in between. Only the second one names the scheduler: hosts must not leave a scheduler that
+// goes on because the election has failed.
 func (machine *Machine) electionAnswered(answer almondcross.JournalCommitted) {
 	if machine.role != roleCandidate || answer.Commit().Epoch() != machine.tried {
 		return
@@ -242,7 +240,11 @@
 	}
 	machine.do(Commit{Request: answer.Commit().WithSequence(1).WithExpectedEnd(machine.follower.next).WithBatches(
 		[]almondcross.JournalBatch{almondcross.NewJournalBatch(almondcross.JournalBatchConfig{
-			Epoch: answer.Commit().Epoch(), At: machine.state.at,
+			Epoch: answer.Commit().Epoch(), At: machine.state.at, Changes: []almondcross.Change{
+				almondcross.NewChange(almondcross.ChangeConfig{
+					Kind: almondcross.ChangeElected, Host: machine.config.Host, Address: machine.config.Address,
+				}),
+			},
 		})},
 	)})
 }
--- a/command/scheduler/scheduler_test.go
+++ b/command/scheduler/scheduler_test.go
@@ -529,3 +529,40 @@
 	}
 	require.True(t, told)
 }
+
+// Guards against hosts that leave the scheduler for a candidate whose election fails in its second append: on a
+// day with lost answers of the store the scheduler went on without any other host for the rest of the day.
+func TestCandidateIsNoScheduler(t *testing.T) {
+	bed := newBed(t)
+	bed.apply(almondcross.NewPointerRead(almondcross.PointerReadConfig{}))
+	bed.apply(almondcross.NewSnapshotRead(almondcross.SnapshotReadConfig{}))
+	elected := almondcross.NewJournalBatch(almondcross.JournalBatchConfig{Epoch: 5 << epochRandomBits, At: bed.now, Changes: []almondcross.Change{
+		almondcross.NewChange(almondcross.ChangeConfig{Kind: almondcross.ChangeElected, Host: "h-2", Address: "10.0.0.2:1"}),
+	}})
+	bed.apply(almondcross.NewJournalRead(almondcross.JournalReadConfig{Next: 1, End: 1, Batches: []almondcross.JournalBatch{elected}}))
+	lead, found := take[Lead](bed)
+	for ; found && lead.Host != "h-2"; lead, found = take[Lead](bed) {
+	}
+	require.True(t, found)
+
+	candidate := newBed(t)
+	candidate.apply(almondcross.NewPointerRead(almondcross.PointerReadConfig{}))
+	candidate.apply(almondcross.NewSnapshotRead(almondcross.SnapshotReadConfig{}))
+	candidate.apply(almondcross.NewJournalRead(almondcross.JournalReadConfig{}))
+	for range 60 {
+		candidate.advance(20 * time.Millisecond)
+		candidate.apply(almondcross.NewJournalRead(almondcross.JournalReadConfig{}))
+	}
+	first := candidate.commit()
+	require.Zero(t, first.Sequence())
+	bed.apply(almondcross.NewJournalRead(almondcross.JournalReadConfig{From: 1, Next: 2, End: 2, Batches: first.Batches()}))
+	host, _ := bed.machine.Leader()
+	require.Equal(t, "h-2", host)
+	_, left := take[Lead](bed)
+	require.False(t, left, "the link to the scheduler stays")
+	second := must[Commit](candidate).Request
+	require.Equal(t, int64(1), second.Sequence())
+	bed.apply(almondcross.NewJournalRead(almondcross.JournalReadConfig{From: 2, Next: 3, End: 3, Batches: second.Batches()}))
+	host, _ = bed.machine.Leader()
+	require.Equal(t, "h-1", host)
+}
--- a/command/scheduler/snapshot.go
+++ b/command/scheduler/snapshot.go
@@ -38,7 +38,7 @@
 func restore(snapshot almondcross.StateSnapshot, retain time.Duration) *state {
 	restored := newState(retain)
 	restored.epoch, restored.at = snapshot.Epoch(), snapshot.At()
-	restored.host, restored.address = snapshot.Host(), snapshot.Address()
+	restored.host, restored.address, restored.elected = snapshot.Host(), snapshot.Address(), snapshot.Epoch()
 	if snapshot.Intake() != nil {
 		restored.intake = maps.Clone(snapshot.Intake())
 	}
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -51,7 +51,8 @@
 // state is the part of the scheduler's tables that the journal replicates. It changes only through
 // apply, with the same result on every host.
 type state struct {
-	epoch    int64
+	epoch    int64 // epoch is the highest that a host has stood for.
+	elected  int64 // elected is the epoch of the scheduler.
 	at       time.Time
 	host     string
 	address  string
@@ -109,7 +110,7 @@
 			job.openOccurrence()
 		}
 	case almondcross.ChangeElected:
-		state.host, state.address, state.resigned = change.Host(), change.Address(), false
+		state.host, state.address, state.elected, state.resigned = change.Host(), change.Address(), state.epoch, false
 	case almondcross.ChangeResigned:
 		state.resigned = true
 	}
