--- a/command/scheduler/scheduler_test.go
+++ b/command/scheduler/scheduler_test.go
@@ -93,23 +93,30 @@
 	return request
 }
 
-// lead elects the machine and announces a worker.
-func (bed *bed) lead() {
+// stand gives the machine an empty journal, which it follows until it stands for election.
+func (bed *bed) stand() {
 	bed.t.Helper()
-	queue := almondcross.NewQueue(almondcross.QueueConfig{Name: "q", Service: "pool", MaxAttempts: 2})
-	bed.apply(almondcross.NewRoutesRead(almondcross.RoutesReadConfig{
-		Table: almondcross.NewRouteTable(almondcross.RouteTableConfig{Version: 1, Queues: []almondcross.Queue{queue}}),
-	}))
 	bed.apply(almondcross.NewPointerRead(almondcross.PointerReadConfig{}))
 	bed.apply(almondcross.NewSnapshotRead(almondcross.SnapshotReadConfig{}))
 	bed.apply(almondcross.NewJournalRead(almondcross.JournalReadConfig{}))
 	for range 60 {
 		if _, found := bed.pending(); found {
-			break
+			return
 		}
 		bed.advance(20 * time.Millisecond)
 		bed.apply(almondcross.NewJournalRead(almondcross.JournalReadConfig{}))
 	}
+	require.Fail(bed.t, "the machine did not stand for election")
+}
+
+// lead elects the machine and announces a worker.
+func (bed *bed) lead() {
+	bed.t.Helper()
+	queue := almondcross.NewQueue(almondcross.QueueConfig{Name: "q", Service: "pool", MaxAttempts: 2})
+	bed.apply(almondcross.NewRoutesRead(almondcross.RoutesReadConfig{
+		Table: almondcross.NewRouteTable(almondcross.RouteTableConfig{Version: 1, Queues: []almondcross.Queue{queue}}),
+	}))
+	bed.stand()
 	require.True(bed.t, bed.commit().Election())
 	require.True(bed.t, bed.commit().Election())
 	require.True(bed.t, bed.machine.Leads())
@@ -313,13 +320,7 @@
 	bed := newBed(t)
 	bed.lead()
 	bed = newBed(t)
-	bed.apply(almondcross.NewPointerRead(almondcross.PointerReadConfig{}))
-	bed.apply(almondcross.NewSnapshotRead(almondcross.SnapshotReadConfig{}))
-	bed.apply(almondcross.NewJournalRead(almondcross.JournalReadConfig{}))
-	for range 60 {
-		bed.advance(20 * time.Millisecond)
-		bed.apply(almondcross.NewJournalRead(almondcross.JournalReadConfig{}))
-	}
+	bed.stand()
 	first := must[Commit](bed).Request
 	require.Zero(t, first.Sequence())
 	bed.apply(almondcross.NewJournalCommitted(almondcross.JournalCommittedConfig{Commit: first, Err: almondcross.ErrStoreMoved}))
@@ -546,13 +547,7 @@
 	require.True(t, found)
 
 	candidate := newBed(t)
-	candidate.apply(almondcross.NewPointerRead(almondcross.PointerReadConfig{}))
-	candidate.apply(almondcross.NewSnapshotRead(almondcross.SnapshotReadConfig{}))
-	candidate.apply(almondcross.NewJournalRead(almondcross.JournalReadConfig{}))
-	for range 60 {
-		candidate.advance(20 * time.Millisecond)
-		candidate.apply(almondcross.NewJournalRead(almondcross.JournalReadConfig{}))
-	}
+	candidate.stand()
 	first := candidate.commit()
 	require.Zero(t, first.Sequence())
 	bed.apply(almondcross.NewJournalRead(almondcross.JournalReadConfig{From: 1, Next: 2, End: 2, Batches: first.Batches()}))
