Let a restarted scheduler stand for election at once

Ruled out: a shorter silence for all, which would take elections during a slow store for granted.

Elections stay fenced as before.

--- a/command/scheduler/follower.go
+++ b/command/scheduler/follower.go
@@ -143,6 +143,10 @@
 		// Nobody has scheduled for long; there is no scheduler to wait for.
 		machine.follower.lastBatch = machine.now.Add(-silenceLimit)
 	}
+	if first && machine.follower.caughtUp && machine.state.host == machine.config.Host {
+		// The last scheduler was this host, which does not schedule any more. Nobody else knows that yet.
+		machine.follower.lastBatch, machine.follower.electAt = machine.now.Add(-silenceLimit), machine.now
+	}
 	if machine.follower.caughtUp {
 		alive := machine.now.Sub(machine.follower.aliveAt) < silenceLimit
 		machine.config.Publisher.Refreshed(machine.now, machine.follower.current && alive)
--- a/command/scheduler/scheduler_test.go
+++ b/command/scheduler/scheduler_test.go
@@ -333,6 +333,24 @@
 	require.False(t, bed.machine.Leads())
 }
 
+// Guards against a wait for the silence of a scheduler that was an earlier life of the same host: after a loss of
+// all hosts nothing would start before an election that waits for it.
+func TestRestartedSchedulerStandsAtOnce(t *testing.T) {
+	for host, stands := range map[string]bool{"h-1": true, "h-2": false} {
+		bed := newBed(t)
+		bed.apply(almondcross.NewPointerRead(almondcross.PointerReadConfig{}))
+		bed.apply(almondcross.NewSnapshotRead(almondcross.SnapshotReadConfig{}))
+		bed.apply(almondcross.NewJournalRead(almondcross.JournalReadConfig{Next: 1, End: 1, Batches: []almondcross.JournalBatch{
+			almondcross.NewJournalBatch(almondcross.JournalBatchConfig{Epoch: 1 << epochRandomBits, At: bed.now, Changes: []almondcross.Change{
+				almondcross.NewChange(almondcross.ChangeConfig{Kind: almondcross.ChangeElected, Host: host}),
+			}}),
+		}}))
+		bed.advance(followerTick)
+		_, found := bed.pending()
+		require.Equal(t, stands, found, "the last scheduler was %s", host)
+	}
+}
+
 // Guards against a host that leaves out batches when the answer to a read of an earlier time comes after it has
 // loaded the state again (emulator seed 3031: callers were told that accepted jobs do not exist).
 func TestStaleReadIsNotFollowed(t *testing.T) {
