Let a host that the store does not answer find the scheduler through others

Cause: a host cut off from the store but not from other hosts kept its link until the scheduler changed, then looked for the next one in the store alone.

Change: the scheduler tells linked hosts where others accept links. A host that gets no pointer from the store within 0.4 s asks six of them and takes the highest epoch. It tells the scheduler that it cannot be a standby until the store answers again. A deposed scheduler looks for its successor first, and a load of the state that fails for a second is given up for a new search.

--- a/assembler/scheduler.go
+++ b/assembler/scheduler.go
@@ -32,6 +32,7 @@
 	"github.com/almondcross/almondcross/policy/picker"
 	"github.com/almondcross/almondcross/query/follower"
 	"github.com/almondcross/almondcross/query/jobfinder"
+	"github.com/almondcross/almondcross/query/locator"
 	"github.com/almondcross/almondcross/query/router"
 	"github.com/almondcross/almondcross/ring"
 )
@@ -146,7 +147,7 @@
 ) *follower.Follower {
 	return follower.New(follower.Config{
 		Reader: querier.NewStore(settings.StoreAddress(), caller), Codec: codec, Workers: translator.Codec{}, Sink: rings.messages, Log: log,
-		Journal:   almondcross.Partition{Topic: journalTopic},
+		Journal: almondcross.Partition{Topic: journalTopic}, Host: settings.Name(), Locator: locator.New(locator.Config{Codec: codec}),
 		Snapshots: almondcross.Partition{Topic: snapshotTopic}, Intake: intakeTopic,
 		Pointers: almondcross.Partition{Topic: pointerTopic}, Clock: Clock{},
 		Announcements:    almondcross.Partition{Topic: translator.WorkersTopic},
@@ -181,14 +182,14 @@
 
 func newHub(settings configurator.SchedulerSettings, codec encoder.Codec, rings schedulerRings, log *recorder.Recorder) *connector.Hub {
 	return connector.NewHub(connector.HubConfig{
-		Host: settings.Name(), Local: localQueries{rings}, Codec: codec, Sink: rings.messages, Clock: Clock{}, Log: log,
+		Host: settings.Name(), Local: localQueries{rings}, Codec: codec, Pointers: codec, Sink: rings.messages, Clock: Clock{}, Log: log,
 		Stored: rings.takeStored,
 	})
 }
 
 func newDialer(settings configurator.SchedulerSettings, codec encoder.Codec, rings schedulerRings, log *recorder.Recorder) *connector.Dialer {
 	return connector.NewDialer(connector.DialerConfig{
-		Host: settings.Name(), Codec: codec, Queries: rings.advice, Sink: rings.messages, Log: log,
+		Host: settings.Name(), Address: settings.LinkListen(), Codec: codec, Queries: rings.advice, Sink: rings.messages, Log: log,
 		Stored: rings.takeStored, Clock: Clock{},
 	})
 }
@@ -269,7 +270,8 @@
 				hub.CloseAll()
 			}
 			// A change that finds the ring full is followed by the next one; the ring holds many.
-			rings.schedulers.Offer(connector.Scheduler{Host: lead.Host, Address: lead.Address, Strength: lead.Strength})
+			rings.schedulers.Offer(connector.Scheduler{Host: lead.Pointer.Host(), Address: lead.Pointer.Address(), Strength: lead.Strength})
+			hub.Lead(lead.Pointer)
 		},
 	})
 }
--- a/assembler/schedulerservers.go
+++ b/assembler/schedulerservers.go
@@ -18,6 +18,7 @@
 	"github.com/almondcross/almondcross/command/recorder"
 	"github.com/almondcross/almondcross/command/submitter"
 	"github.com/almondcross/almondcross/configurator"
+	"github.com/almondcross/almondcross/encoder"
 	"github.com/almondcross/almondcross/platform/receiver"
 	"github.com/almondcross/almondcross/platform/viewer"
 	"github.com/almondcross/almondcross/query/jobfinder"
@@ -74,6 +75,7 @@
 	servers.metrics = newServer(exposed)
 	links := mux.NewRouter()
 	links.Path(connector.Path).Handler(hub)
+	links.Methods(http.MethodGet).Path(encoder.PointerPath).HandlerFunc(hub.ServePointer)
 	servers.links = newServer(links)
 	return servers
 }
--- a/command/connector/connector_test.go
+++ b/command/connector/connector_test.go
@@ -65,7 +65,7 @@
 	server := httptest.NewServer(hub)
 	defer server.Close()
 	dialer := connector.NewDialer(connector.DialerConfig{
-		Host: "h-2", Codec: codec, Queries: queries, Sink: host.messages, Log: quiet{}, Clock: clock{},
+		Host: "h-2", Address: "10.0.0.2:1", Codec: codec, Queries: queries, Sink: host.messages, Log: quiet{}, Clock: clock{},
 		Stored: func(stored almondcross.IntakeStored) { host.stored <- stored },
 	})
 	ctx, cancel := context.WithCancel(t.Context())
@@ -80,6 +80,7 @@
 	joined := next[almondcross.AdviserChanged](t, scheduler)
 	require.True(t, joined.Present())
 	require.Equal(t, 70, joined.Strength())
+	require.Equal(t, "10.0.0.2:1", joined.Address())
 
 	query := almondcross.NewAdviceQuery(almondcross.AdviceQueryConfig{
 		Stage: almondcross.StageID{Job: "j", Occurrence: 1, Step: 2}, Workers: []string{"w-1", "w-2"},
@@ -100,6 +101,9 @@
 
 	hub.Assign("h-2", almondcross.NewAssigned(almondcross.AssignedConfig{Standby: true}))
 	require.True(t, next[almondcross.Assigned](t, host).Standby())
+	peers := almondcross.NewPeersKnown(almondcross.PeersKnownConfig{Addresses: []string{"10.0.0.2:1", "10.0.0.3:1"}})
+	hub.TellPeers([]string{"h-2"}, peers)
+	require.Equal(t, peers, next[almondcross.PeersKnown](t, host))
 	change := almondcross.NewChange(almondcross.ChangeConfig{Kind: almondcross.ChangeElected, Host: "h-1"})
 	hub.Push([]string{"h-2", "h-9"}, almondcross.NewJournalPushed(almondcross.JournalPushedConfig{
 		From: 5, Batches: []almondcross.JournalBatch{almondcross.NewJournalBatch(almondcross.JournalBatchConfig{Epoch: 3, Changes: []almondcross.Change{change}})},
--- a/command/connector/dialer.go
+++ b/command/connector/dialer.go
@@ -28,6 +28,7 @@
 // DialerConfig holds what a dialer needs.
 type DialerConfig struct {
 	Host    string // Host is the name of this host.
+	Address string // Address is the one on which this host accepts links.
 	Codec   almondcross.LinkCodec
 	Queries almondcross.Sink[asker.Request] // Queries takes the queries of the scheduler.
 	Sink    almondcross.Sink[almondcross.SchedulerMessage]
@@ -86,7 +87,9 @@
 	}
 	_ = response.Body.Close() // An upgraded connection has no body.
 	opened := newSession(connection, dialer.config.Codec)
-	opened.offer(almondcross.NewAdviserHello(almondcross.AdviserHelloConfig{Host: dialer.config.Host, Strength: scheduler.Strength}))
+	opened.offer(almondcross.NewAdviserHello(almondcross.AdviserHelloConfig{
+		Host: dialer.config.Host, Strength: scheduler.Strength, Address: dialer.config.Address,
+	}))
 	dialer.current.Store(opened)
 	defer dialer.current.CompareAndSwap(opened, nil)
 	return opened.run(ctx, func(message almondcross.LinkMessage) {
@@ -99,6 +102,8 @@
 		case almondcross.ViewsPushed:
 			dialer.pushed.set(dialer.config.Clock.Now())
 			_ = dialer.config.Sink.Put(ctx, message) // Put fails only when the context has ended.
+		case almondcross.PeersKnown:
+			_ = dialer.config.Sink.Put(ctx, message) // Put fails only when the context has ended.
 		case almondcross.Assigned:
 			_ = dialer.config.Sink.Put(ctx, message) // Put fails only when the context has ended.
 		case almondcross.IntakeStored:
--- a/command/connector/hub.go
+++ b/command/connector/hub.go
@@ -20,9 +20,11 @@
 	// Stored takes the answers to intakes that this host forwarded to itself.
 	Stored func(stored almondcross.IntakeStored)
 	Codec  almondcross.LinkCodec
-	Sink   almondcross.Sink[almondcross.SchedulerMessage]
-	Clock  almondcross.Clock
-	Log    almondcross.EventLog
+	// Pointers encodes the pointer to the scheduler for other hosts.
+	Pointers almondcross.JournalCodec
+	Sink     almondcross.Sink[almondcross.SchedulerMessage]
+	Clock    almondcross.Clock
+	Log      almondcross.EventLog
 }
 
 // Hub passes queries to the hosts that are linked to this one.
@@ -31,6 +33,7 @@
 	upgrader websocket.Upgrader
 	sessions atomic.Pointer[map[string]*session]
 	pushed   moment // pushed is when this host last stored something as scheduler.
+	pointer  atomic.Pointer[almondcross.SchedulerPointer]
 }
 
 // NewHub returns a hub without links.
@@ -99,6 +102,30 @@
 	return missed
 }
 
+// TellPeers tells linked hosts where other hosts accept links.
+func (hub *Hub) TellPeers(hosts []string, peers almondcross.PeersKnown) {
+	hub.share(hosts, peers) // A host that misses it gets the next one.
+}
+
+// Lead sets the scheduler that other hosts are told of, an empty pointer for none.
+func (hub *Hub) Lead(pointer almondcross.SchedulerPointer) { hub.pointer.Store(&pointer) }
+
+// ServePointer tells another host which host schedules.
+func (hub *Hub) ServePointer(writer http.ResponseWriter, _ *http.Request) {
+	pointer := hub.pointer.Load()
+	if pointer == nil || pointer.Host() == "" {
+		writer.WriteHeader(http.StatusNotFound)
+		return
+	}
+	body, err := hub.config.Pointers.EncodePointer(*pointer)
+	if err != nil {
+		hub.config.Log.Record("pointer_not_told", almondcross.Text("reason", err.Error()))
+		writer.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	_, _ = writer.Write(body) // The other host asks again when this fails.
+}
+
 // Stored tells a host that its intake is stored.
 func (hub *Hub) Stored(host string, stored almondcross.IntakeStored) {
 	if host == hub.config.Host {
@@ -125,7 +152,7 @@
 			host = message.Host()
 			hub.replace(host, nil, opened)
 			hub.tell(request, almondcross.NewAdviserChanged(almondcross.AdviserChangedConfig{
-				Adviser: host, Present: true, Strength: message.Strength(),
+				Adviser: host, Present: true, Strength: message.Strength(), Address: message.Address(),
 			}))
 		case almondcross.AdviceAnswered:
 			hub.tell(request, message.WithAdviser(host).WithReceived(hub.config.Clock.Now()))
--- a/command/scheduler/advice.go
+++ b/command/scheduler/advice.go
@@ -61,6 +61,7 @@
 	// strength is how well the host could schedule, and standby tells that it follows the journal.
 	strength int
 	standby  bool
+	address  string // address is the one on which the host accepts links.
 	// resetting tells that the host waits for its first views.
 	resetting bool
 	restAt    time.Time // restAt is when it may be asked again after a call that was given up.
@@ -79,7 +80,9 @@
 	}
 	gone := machine.advisers[change.Adviser()]
 	if change.Present() {
-		machine.advisers[change.Adviser()] = &adviser{name: change.Adviser(), strength: change.Strength()}
+		machine.advisers[change.Adviser()] = &adviser{
+			name: change.Adviser(), strength: change.Strength(), address: change.Address(),
+		}
 	} else {
 		delete(machine.advisers, change.Adviser())
 	}
@@ -93,6 +96,7 @@
 	}
 	if change.Present() {
 		machine.linked(machine.advisers[change.Adviser()])
+		machine.tellPeers(machine.advisers[change.Adviser()])
 	} else {
 		machine.fillStandbys()
 	}
--- a/command/scheduler/constants.go
+++ b/command/scheduler/constants.go
@@ -33,6 +33,18 @@
 	// seekLimit is how long a host looks for the scheduler before it loads the state itself: an election among
 	// the standbys and a link take less.
 	seekLimit = 1200 * time.Millisecond
+	// silentSeekLimit is the same while the store does not answer either, so that there is nothing to load.
+	silentSeekLimit = 4 * time.Second
+	// loadLimit is how long a host tries to load the state before it looks for the scheduler again.
+	loadLimit = time.Second
+	// movePause is the pause between two questions of a standby that the store does not answer.
+	movePause = 400 * time.Millisecond
+	// cutPause is the pause between two reads of the pointer by a linked host that the store did not answer.
+	cutPause = 2 * time.Second
+	// askedPeers is the most hosts that are asked at once which one schedules.
+	askedPeers = 6
+	// keptPeers is the most addresses of hosts that are kept; hosts that are gone are among them.
+	keptPeers = 64
 	// seekDelay is how much longer a host looks for each point that it is short of full strength. After a loss
 	// of all hosts, many that load the state at once would fill the link between the regions.
 	seekDelay = 40 * time.Millisecond
--- a/command/scheduler/doc.go
+++ b/command/scheduler/doc.go
@@ -26,5 +26,8 @@
 //
 // A scheduler that is silent for silenceLimit is replaced by a host that can read the store. While the
 // store does not answer, the scheduler starts nothing new and renews leases for leadershipLimit. A
-// scheduler that is fenced off drops its tables and loads the state anew.
+// scheduler that is fenced off drops its tables and looks for its successor.
+//
+// A host that the store does not answer asks other hosts which one schedules, and serves callers over its link to
+// the scheduler as before. It cannot be a standby until the store answers it again.
 package scheduler
--- a/command/scheduler/effects.go
+++ b/command/scheduler/effects.go
@@ -56,6 +56,11 @@
 		Host     string
 		Assigned almondcross.Assigned
 	}
+	// TellPeers tells linked hosts where other hosts accept links.
+	TellPeers struct {
+		Hosts []string
+		Peers almondcross.PeersKnown
+	}
 	// ReadPointer asks which host schedules.
 	ReadPointer struct{ Query almondcross.PointerQuery }
 	// StoreUsage stores the account.
@@ -69,9 +74,9 @@
 	}
 	// Lead tells who schedules now.
 	Lead struct {
-		Host    string // Host is the name of the scheduler's host.
-		Address string // Address is the address of its link.
-		Own     bool   // Own tells whether it is this host.
+		// Pointer names the scheduler; it is empty while none is known.
+		Pointer almondcross.SchedulerPointer
+		Own     bool // Own tells whether it is this host.
 		// Strength is how well this host could schedule, up to 100.
 		Strength int
 	}
@@ -93,6 +98,7 @@
 func (PushViews) effect()     {}
 func (Assign) effect()        {}
 func (ReadPointer) effect()   {}
+func (TellPeers) effect()     {}
 func (StoreUsage) effect()    {}
 func (StorePointer) effect()  {}
 func (TellStored) effect()    {}
--- a/command/scheduler/follower.go
+++ b/command/scheduler/follower.go
@@ -20,11 +20,15 @@
 	electAt   time.Time // electAt is the earliest time of the next election.
 	lastPush  time.Time // lastPush is when batches last came over the link.
 	failing   bool      // failing tells that the last read had no answer.
+	loadSince time.Time // loadSince is when the present load of the state began.
 	trimmed   int       // trimmed counts reads in a row that found their records deleted.
 }
 
 // load begins to read the state anew.
 func (machine *Machine) load(pause time.Duration) {
+	if machine.role != roleLoading {
+		machine.follower.loadSince = machine.now
+	}
 	machine.role = roleLoading
 	machine.do(ReadSnapshot{Query: almondcross.NewSnapshotQuery(almondcross.SnapshotQueryConfig{Pause: pause})})
 }
@@ -33,7 +37,13 @@
 	if machine.role != roleLoading {
 		return
 	}
-	if read.Err() != nil {
+	switch {
+	case read.Err() != nil && machine.now.Sub(machine.follower.loadSince) > loadLimit:
+		// Another host may know the scheduler.
+		machine.config.Log.Record("state_not_loaded", almondcross.Text("reason", read.Err().Error()))
+		machine.seek()
+		return
+	case read.Err() != nil:
 		machine.load(retryPause)
 		return
 	}
@@ -180,7 +190,7 @@
 	}
 	machine.seeker.pointer = known
 	machine.config.Log.Record("scheduler_known", almondcross.Text("host", host), almondcross.Number("epoch", known.Epoch()))
-	machine.do(Lead{Host: host, Address: address, Own: machine.role == roleLeader, Strength: machine.strength()})
+	machine.do(Lead{Pointer: known, Own: machine.role == roleLeader, Strength: machine.strength()})
 }
 
 // considerElection stands for election when the scheduler is silent while the store answers.
--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -107,16 +107,14 @@
 	}
 }
 
-// stopLeading gives up the epoch and loads the state anew, since changes of this host may be missing
-// in the journal.
+// stopLeading gives up the epoch and its state, since changes of this host may be missing in the journal.
 func (machine *Machine) stopLeading(cause string) {
 	machine.config.Log.Record("scheduling_ended", almondcross.Number("epoch", machine.leader.epoch), almondcross.Text("reason", cause))
 	for id := range machine.leader.workers {
 		machine.do(ReleaseWorker{Worker: id})
 	}
 	machine.leader = nil
-	machine.do(Lead{})
-	machine.load(0)
+	machine.seek()
 }
 
 // storePointer tells hosts that look for the scheduler where it is.
--- a/command/scheduler/machine.go
+++ b/command/scheduler/machine.go
@@ -53,6 +53,8 @@
 	tried    int64
 	stopping bool
 	advisers map[string]*adviser
+	// peers holds the addresses on which other hosts accept links, the newest last.
+	peers []string
 }
 
 // NewMachine returns a machine that begins to load the state.
@@ -87,6 +89,8 @@
 		}
 	case almondcross.Assigned:
 		machine.assigned(message)
+	case almondcross.PeersKnown:
+		machine.peersKnown(message.Addresses())
 	case almondcross.ViewsPushed:
 		machine.viewsPushed(message)
 	case almondcross.SnapshotRead:
@@ -146,6 +150,7 @@
 	case roleLight:
 		machine.considerSeeking()
 	case roleFollower:
+		machine.considerMoving()
 		machine.considerElection()
 	case roleLeader:
 		machine.lead()
--- a/command/scheduler/scheduler.go
+++ b/command/scheduler/scheduler.go
@@ -126,6 +126,8 @@
 		duty.config.Desk.PushViews(effect.Hosts, effect.Pushed)
 	case Assign:
 		duty.config.Desk.Assign(effect.Host, effect.Assigned)
+	case TellPeers:
+		duty.config.Desk.TellPeers(effect.Hosts, effect.Peers)
 	case ReadPointer:
 		err = rings.ReadPointer.Put(ctx, effect.Query)
 	case StoreUsage:
--- a/command/scheduler/scheduler_test.go
+++ b/command/scheduler/scheduler_test.go
@@ -100,7 +100,7 @@
 // stand gives the machine an empty journal, which it follows until it stands for election.
 func (bed *bed) stand() {
 	bed.t.Helper()
-	bed.apply(almondcross.NewPointerRead(almondcross.PointerReadConfig{}))
+	bed.apply(almondcross.NewPointerRead(almondcross.PointerReadConfig{Stored: true}))
 	bed.apply(almondcross.NewSnapshotRead(almondcross.SnapshotReadConfig{}))
 	bed.apply(almondcross.NewJournalRead(almondcross.JournalReadConfig{}))
 	for range 60 {
@@ -338,7 +338,7 @@
 func TestRestartedSchedulerStandsAtOnce(t *testing.T) {
 	for host, stands := range map[string]bool{"h-1": true, "h-2": false} {
 		bed := newBed(t)
-		bed.apply(almondcross.NewPointerRead(almondcross.PointerReadConfig{}))
+		bed.apply(almondcross.NewPointerRead(almondcross.PointerReadConfig{Stored: true}))
 		bed.apply(almondcross.NewSnapshotRead(almondcross.SnapshotReadConfig{}))
 		bed.apply(almondcross.NewJournalRead(almondcross.JournalReadConfig{Next: 1, End: 1, Batches: []almondcross.JournalBatch{
 			almondcross.NewJournalBatch(almondcross.JournalBatchConfig{Epoch: 1 << epochRandomBits, At: bed.now, Changes: []almondcross.Change{
@@ -355,7 +355,7 @@
 // loaded the state again (emulator seed 3031: callers were told that accepted jobs do not exist).
 func TestStaleReadIsNotFollowed(t *testing.T) {
 	bed := newBed(t)
-	bed.apply(almondcross.NewPointerRead(almondcross.PointerReadConfig{}))
+	bed.apply(almondcross.NewPointerRead(almondcross.PointerReadConfig{Stored: true}))
 	bed.apply(almondcross.NewSnapshotRead(almondcross.SnapshotReadConfig{
 		Found: true, Snapshot: almondcross.NewStateSnapshot(almondcross.StateSnapshotConfig{Next: 10}),
 	}))
@@ -381,7 +381,7 @@
 // the scheduler was replaced the moment the store came back, by a host in the far region).
 func TestSilenceOfTheStoreIsNotTheSchedulers(t *testing.T) {
 	bed := newBed(t)
-	bed.apply(almondcross.NewPointerRead(almondcross.PointerReadConfig{}))
+	bed.apply(almondcross.NewPointerRead(almondcross.PointerReadConfig{Stored: true}))
 	bed.apply(almondcross.NewSnapshotRead(almondcross.SnapshotReadConfig{}))
 	batch := almondcross.NewJournalBatch(almondcross.JournalBatchConfig{Epoch: 5 << epochRandomBits, At: bed.now, Changes: []almondcross.Change{
 		almondcross.NewChange(almondcross.ChangeConfig{Kind: almondcross.ChangeElected, Host: "h-2"}),
@@ -557,14 +557,14 @@
 // day with lost answers of the store the scheduler went on without any other host for the rest of the day.
 func TestCandidateIsNoScheduler(t *testing.T) {
 	bed := newBed(t)
-	bed.apply(almondcross.NewPointerRead(almondcross.PointerReadConfig{}))
+	bed.apply(almondcross.NewPointerRead(almondcross.PointerReadConfig{Stored: true}))
 	bed.apply(almondcross.NewSnapshotRead(almondcross.SnapshotReadConfig{}))
 	elected := almondcross.NewJournalBatch(almondcross.JournalBatchConfig{Epoch: 5 << epochRandomBits, At: bed.now, Changes: []almondcross.Change{
 		almondcross.NewChange(almondcross.ChangeConfig{Kind: almondcross.ChangeElected, Host: "h-2", Address: "10.0.0.2:1"}),
 	}})
 	bed.apply(almondcross.NewJournalRead(almondcross.JournalReadConfig{Next: 1, End: 1, Batches: []almondcross.JournalBatch{elected}}))
 	lead, found := take[Lead](bed)
-	for ; found && lead.Host != "h-2"; lead, found = take[Lead](bed) {
+	for ; found && lead.Pointer.Host() != "h-2"; lead, found = take[Lead](bed) {
 	}
 	require.True(t, found)
 
--- a/command/scheduler/seeker.go
+++ b/command/scheduler/seeker.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/almondcross/almondcross"
@@ -13,12 +15,16 @@
 	pushed   time.Time // pushed is when views last came over the link.
 	pointer  almondcross.SchedulerPointer
 	distance time.Duration // distance is the shortest time that a read of the pointer took.
+	answered bool          // answered tells that the store has answered since the search began.
+	// cut tells that the store does not answer this host, which found the scheduler through another one.
+	cut     bool
+	askedAt time.Time // askedAt is when a host that is linked last asked which host schedules.
 }
 
 // strength returns how well this host could schedule: its own, less its distance from the store, since every
 // start waits for an append.
 func (machine *Machine) strength() int {
-	if machine.stopping {
+	if machine.stopping || machine.seeker.cut {
 		return 0
 	}
 	return max(0, machine.config.Strength-int(min(machine.seeker.distance, longestDistance).Milliseconds()))
@@ -28,43 +34,99 @@
 // standby; a host that does not find it loads the state and may be elected.
 func (machine *Machine) seek() {
 	machine.role = roleSeeking
-	machine.seeker.since, machine.seeker.pointer = time.Time{}, almondcross.SchedulerPointer{}
+	machine.seeker.since, machine.seeker.pointer, machine.seeker.answered = time.Time{}, almondcross.SchedulerPointer{}, false
 	machine.do(Lead{})
 	machine.readPointer(0)
 }
 
 func (machine *Machine) readPointer(pause time.Duration) {
-	machine.do(ReadPointer{Query: almondcross.NewPointerQuery(almondcross.PointerQueryConfig{Pause: pause})})
+	peers := slices.Clone(machine.peers)
+	machine.config.Random.Shuffle(len(peers), func(a, b int) { peers[a], peers[b] = peers[b], peers[a] })
+	machine.do(ReadPointer{Query: almondcross.NewPointerQuery(almondcross.PointerQueryConfig{
+		Pause: pause, Peers: peers[:min(len(peers), askedPeers)],
+	})})
 }
 
 func (machine *Machine) pointerRead(read almondcross.PointerRead) {
-	if read.Err() == nil && (machine.seeker.distance == 0 || read.Took() < machine.seeker.distance) {
+	if read.Stored() && (machine.seeker.distance == 0 || read.Took() < machine.seeker.distance) {
 		machine.seeker.distance = read.Took()
 	}
-	if machine.role != roleSeeking {
-		return
+	switch machine.role {
+	case roleSeeking:
+		machine.seekingRead(read)
+	case roleFollower:
+		if read.Found() && read.Pointer().Epoch() > machine.state.elected && read.Pointer().Host() != machine.config.Host {
+			machine.role = roleSeeking
+			machine.seeker.since, machine.seeker.answered = machine.now, false
+			machine.seekingRead(read)
+		}
+	case roleLight:
+		if read.Stored() && machine.seeker.cut {
+			// The scheduler learns by a new link that this host may be a standby again.
+			machine.seeker.cut = false
+			machine.config.Log.Record("store_answers_again")
+			machine.do(Lead{Pointer: machine.seeker.pointer, Strength: machine.strength()})
+		}
+	case roleLoading, roleCandidate, roleLeader:
 	}
+}
+
+// seekingRead follows the pointer of a host that looks for the scheduler.
+func (machine *Machine) seekingRead(read almondcross.PointerRead) {
 	pointer := read.Pointer()
+	machine.seeker.answered = machine.seeker.answered || read.Stored()
 	switch {
 	case read.Err() != nil:
-	case !read.Found(), pointer.Host() == machine.config.Host:
+	case read.Stored() && (!read.Found() || pointer.Host() == machine.config.Host):
 		// Nobody schedules: there is no pointer, or it leads to an earlier life of this host.
 		machine.load(0)
 		return
-	case pointer != machine.seeker.pointer:
-		machine.seeker.pointer = pointer
-		machine.config.Log.Record("scheduler_found", almondcross.Text("host", pointer.Host()), almondcross.Number("epoch", pointer.Epoch()))
-		machine.do(Lead{Host: pointer.Host(), Address: pointer.Address(), Strength: machine.strength()})
+	case read.Found() && pointer != machine.seeker.pointer && pointer.Epoch() >= machine.seeker.pointer.Epoch():
+		machine.seeker.pointer, machine.seeker.cut = pointer, !read.Stored()
+		machine.config.Log.Record("scheduler_found", almondcross.Text("host", pointer.Host()), almondcross.Number("epoch", pointer.Epoch()),
+			almondcross.Text("from_store", yesNo(read.Stored())))
+		machine.do(Lead{Pointer: pointer, Strength: machine.strength()})
 	}
 	machine.readPointer(pointerPause)
 }
 
+// considerMoving lets a standby that neither the store nor the scheduler reaches ask other hosts which one schedules
+// now.
+func (machine *Machine) considerMoving() {
+	if machine.follower.failing && machine.now.Sub(machine.follower.lastPush) > lightSilence && machine.now.Sub(machine.seeker.askedAt) > movePause {
+		machine.seeker.askedAt = machine.now
+		machine.readPointer(0)
+	}
+}
+
+// peersKnown takes the addresses of other hosts that the scheduler knows.
+func (machine *Machine) peersKnown(addresses []string) {
+	machine.peers = slices.DeleteFunc(slices.Clone(addresses), func(address string) bool { return address == machine.config.Address })
+}
+
+// tellPeers tells a host that is newly linked where others accept links, and the others about it.
+func (machine *Machine) tellPeers(added *adviser) {
+	hosts := []string{added.name}
+	if added.address != "" && !slices.Contains(machine.peers, added.address) {
+		machine.peers = append(machine.peers, added.address)
+		machine.peers = machine.peers[max(0, len(machine.peers)-keptPeers):]
+		hosts = slices.DeleteFunc(slices.Sorted(maps.Keys(machine.advisers)), func(name string) bool { return name == machine.config.Host })
+	}
+	machine.do(TellPeers{Hosts: hosts, Peers: almondcross.NewPeersKnown(almondcross.PeersKnownConfig{
+		Addresses: append(slices.Clone(machine.peers), machine.config.Address),
+	})})
+}
+
 // considerLoading gives up the search.
 func (machine *Machine) considerLoading() {
 	if machine.seeker.since.IsZero() {
 		machine.seeker.since = machine.now
 	}
-	limit := seekLimit + time.Duration(fullStrength-min(machine.strength(), fullStrength))*seekDelay
+	limit := seekLimit
+	if !machine.seeker.answered {
+		limit = silentSeekLimit
+	}
+	limit += time.Duration(fullStrength-min(machine.strength(), fullStrength)) * seekDelay
 	if machine.now.Sub(machine.seeker.since) > limit {
 		machine.config.Log.Record("scheduler_not_found", almondcross.Millis("after_ms", machine.now.Sub(machine.seeker.since)))
 		machine.load(0)
@@ -76,6 +138,11 @@
 	if silence := machine.now.Sub(machine.seeker.pushed); silence > lightSilence {
 		machine.config.Log.Record("scheduler_silent", almondcross.Millis("silence_ms", silence))
 		machine.seek()
+		return
+	}
+	if machine.seeker.cut && machine.now.Sub(machine.seeker.askedAt) > cutPause {
+		machine.seeker.askedAt = machine.now
+		machine.readPointer(0)
 	}
 }
 
--- a/command/scheduler/silence_test.go
+++ b/command/scheduler/silence_test.go
@@ -25,7 +25,7 @@
 // standBy returns a bed whose machine follows the journal of this one from its beginning.
 func (bed *bed) standBy() *bed {
 	bed.standby = newBed(bed.t)
-	bed.standby.apply(almondcross.NewPointerRead(almondcross.PointerReadConfig{}))
+	bed.standby.apply(almondcross.NewPointerRead(almondcross.PointerReadConfig{Stored: true}))
 	bed.standby.apply(almondcross.NewSnapshotRead(almondcross.SnapshotReadConfig{}))
 	return bed.standby
 }
--- a/encoder/link.go
+++ b/encoder/link.go
@@ -8,6 +8,9 @@
 	"github.com/almondcross/almondcross"
 )
 
+// PointerPath is the path on which a host tells others which host schedules.
+const PointerPath = "/v1/scheduler"
+
 // Types of link messages.
 const (
 	linkHello  = "hello"
@@ -18,6 +21,7 @@
 	linkStored = "intake_stored"
 	linkAssign = "assign"
 	linkViews  = "views"
+	linkPeers  = "peers"
 )
 
 type wireAssign struct {
@@ -114,6 +118,11 @@
 type wireLinkHello struct {
 	Host     string `cbor:"host"`
 	Strength int    `cbor:"strength"`
+	Address  string `cbor:"address,omitempty"`
+}
+
+type wirePeers struct {
+	Addresses []string `cbor:"addresses"`
 }
 
 func toAdviceQuery(query almondcross.AdviceQuery) wireAdviceQuery {
@@ -134,7 +143,7 @@
 func (codec Codec) EncodeLink(message almondcross.LinkMessage) ([]byte, error) {
 	switch message := message.(type) {
 	case almondcross.AdviserHello:
-		return codec.seal(linkHello, wireLinkHello{Host: message.Host(), Strength: message.Strength()})
+		return codec.seal(linkHello, wireLinkHello(message.Config()))
 	case almondcross.AdviceQuery:
 		return codec.seal(linkQuery, toAdviceQuery(message))
 	case almondcross.AdviceAnswered:
@@ -158,6 +167,8 @@
 		return codec.seal(linkPush, wire)
 	case almondcross.Assigned:
 		return codec.seal(linkAssign, wireAssign{Standby: message.Standby()})
+	case almondcross.PeersKnown:
+		return codec.seal(linkPeers, wirePeers{Addresses: message.Addresses()})
 	case almondcross.ViewsPushed:
 		return codec.seal(linkViews, toViews(message))
 	case almondcross.IntakeForwarded:
@@ -198,18 +209,8 @@
 			return nil, err
 		}
 		return wire.value(), nil
-	case linkAssign:
-		var wire wireAssign
-		if err := codec.body(sealed, &wire); err != nil {
-			return nil, err
-		}
-		return almondcross.NewAssigned(almondcross.AssignedConfig(wire)), nil
-	case linkViews:
-		var wire wireViews
-		if err := codec.body(sealed, &wire); err != nil {
-			return nil, err
-		}
-		return wire.value(), nil
+	case linkAssign, linkPeers, linkViews:
+		return codec.decodeTold(sealed)
 	case linkPush:
 		return codec.decodePush(sealed)
 	case linkIntake:
@@ -232,6 +233,31 @@
 	return nil, errors.Annotatef(ErrUnknown, "%q", sealed.Type)
 }
 
+// decodeTold decodes what the scheduler tells linked hosts.
+func (codec Codec) decodeTold(sealed envelope) (almondcross.LinkMessage, error) {
+	switch sealed.Type {
+	case linkAssign:
+		var wire wireAssign
+		if err := codec.body(sealed, &wire); err != nil {
+			return nil, err
+		}
+		return almondcross.NewAssigned(almondcross.AssignedConfig(wire)), nil
+	case linkPeers:
+		var wire wirePeers
+		if err := codec.body(sealed, &wire); err != nil {
+			return nil, err
+		}
+		return almondcross.NewPeersKnown(almondcross.PeersKnownConfig(wire)), nil
+	case linkViews:
+		var wire wireViews
+		if err := codec.body(sealed, &wire); err != nil {
+			return nil, err
+		}
+		return wire.value(), nil
+	}
+	return nil, errors.Annotatef(ErrUnknown, "%q", sealed.Type)
+}
+
 func (codec Codec) decodePush(sealed envelope) (almondcross.LinkMessage, error) {
 	var wire wirePush
 	if err := codec.body(sealed, &wire); err != nil {
--- a/query/follower/follower.go
+++ b/query/follower/follower.go
@@ -25,6 +25,8 @@
 	Reader  almondcross.StoreReader
 	Codec   almondcross.JournalCodec
 	Workers almondcross.WorkerCodec
+	Locator almondcross.SchedulerLocator
+	Host    string // Host is the name of this host.
 	Sink    almondcross.Sink[almondcross.SchedulerMessage]
 	Log     almondcross.EventLog
 	// Journal is the partition of the journal.
@@ -114,27 +116,6 @@
 	})
 }
 
-// Pointer answers queries for the scheduler.
-func (follower *Follower) Pointer(queries *ring.Ring[almondcross.PointerQuery]) Duty {
-	return serve(queries, func(ctx context.Context, query almondcross.PointerQuery) {
-		if !ring.Pause(ctx, query.Pause()) {
-			return
-		}
-		started := follower.config.Clock.Now()
-		records, _, err := follower.newest(ctx, follower.config.Pointers)
-		answer := almondcross.PointerReadConfig{Took: follower.config.Clock.Now().Sub(started), Err: err}
-		for _, record := range records {
-			pointer, err := follower.config.Codec.DecodePointer(record.Value())
-			if err != nil {
-				follower.broken.count(follower.config.Pointers, record.Offset(), err)
-				continue
-			}
-			answer.Pointer, answer.Found = pointer, true
-		}
-		follower.answer(ctx, almondcross.NewPointerRead(answer))
-	})
-}
-
 // Workers answers queries for the announced workers.
 func (follower *Follower) Workers(queries *ring.Ring[almondcross.WorkersQuery]) Duty {
 	return serve(queries, func(ctx context.Context, query almondcross.WorkersQuery) {
--- a/scheduling.go
+++ b/scheduling.go
@@ -1,6 +1,9 @@
 package almondcross
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 //go:generate go run ./tools/valuer -output scheduling_generated.go scheduling.go
 
@@ -195,6 +198,7 @@
 	adviser  string // the host
 	present  bool   // whether it is linked
 	strength int    // how well it could schedule, up to 100
+	address  string // the address on which it accepts links
 }
 
 // PointerQuery asks which host schedules.
@@ -202,6 +206,7 @@
 //value:generate
 type PointerQuery struct {
 	pause time.Duration // how long to wait before the read
+	peers []string      // the addresses of hosts that are asked in case the store does not answer
 }
 
 // SchedulerPointer names the host that schedules. It is kept apart from the journal, so that a host finds the
@@ -220,8 +225,9 @@
 type PointerRead struct {
 	pointer SchedulerPointer // the newest pointer
 	found   bool             // whether there is one
+	stored  bool             // whether the store answered; otherwise the pointer came from another host
 	took    time.Duration    // how long the read took
-	err     error            // the failure of the read, nil for none
+	err     error            // the failure of the read, nil if the store or another host answered
 }
 
 // Assigned tells a linked host what it keeps: a standby follows the journal and may be elected, any other host
@@ -297,6 +303,7 @@
 func (UsageStored) schedulerMessage()      {}
 func (PointerRead) schedulerMessage()      {}
 func (Assigned) schedulerMessage()         {}
+func (PeersKnown) schedulerMessage()       {}
 func (ViewsPushed) schedulerMessage()      {}
 func (JournalPushed) schedulerMessage()    {}
 func (IntakeForwarded) schedulerMessage()  {}
@@ -329,6 +336,14 @@
 	Stop(order StopOrder) bool
 }
 
+// SchedulerLocator asks other hosts which host schedules. A host that the store does not answer finds the scheduler
+// by it.
+type SchedulerLocator interface {
+	// Locate returns the pointer of the highest epoch that hosts at these addresses know of, false for none. It
+	// returns within a fraction of a second.
+	Locate(ctx context.Context, addresses []string) (SchedulerPointer, bool)
+}
+
 // AdviceDesk passes advice queries to the hosts that ask the advice service.
 type AdviceDesk interface {
 	// Ask sends a query to a host. It reports false when the host cannot be reached.
@@ -339,6 +354,8 @@
 	PushViews(hosts []string, pushed ViewsPushed)
 	// Assign tells a linked host what it keeps.
 	Assign(host string, assigned Assigned)
+	// TellPeers tells linked hosts where other hosts accept links.
+	TellPeers(hosts []string, peers PeersKnown)
 	// Stored tells a host that its intake is stored.
 	Stored(host string, stored IntakeStored)
 }
@@ -377,12 +394,22 @@
 type AdviserHello struct {
 	host     string // the host that offers to ask the advice service
 	strength int    // how well it could schedule, up to 100
+	address  string // the address on which it accepts links
+}
+
+// PeersKnown tells a linked host where other hosts accept links. A host that the store does not answer asks them
+// which host schedules.
+//
+//value:generate
+type PeersKnown struct {
+	addresses []string // the addresses, that of the scheduler among them
 }
 
 // LinkMessage is a message between the scheduler's host and the hosts that ask for advice.
 type LinkMessage interface{ linkMessage() }
 
 func (AdviserHello) linkMessage()    {}
+func (PeersKnown) linkMessage()      {}
 func (AdviceQuery) linkMessage()     {}
 func (AdviceAnswered) linkMessage()  {}
 func (Assigned) linkMessage()        {}
--- a/scheduling_generated.go
+++ b/scheduling_generated.go
@@ -1063,6 +1063,7 @@
 	Adviser  string
 	Present  bool
 	Strength int
+	Address  string
 }
 
 // NewAdviserChanged returns a AdviserChanged with the given fields.
@@ -1071,6 +1072,7 @@
 		adviser:  config.Adviser,
 		present:  config.Present,
 		strength: config.Strength,
+		address:  config.Address,
 	}
 }
 
@@ -1080,6 +1082,7 @@
 		Adviser:  adviserchanged.adviser,
 		Present:  adviserchanged.present,
 		Strength: adviserchanged.strength,
+		Address:  adviserchanged.address,
 	}
 }
 
@@ -1110,15 +1113,26 @@
 	return adviserchanged
 }
 
+// Address returns the address on which it accepts links.
+func (adviserchanged AdviserChanged) Address() string { return adviserchanged.address }
+
+// WithAddress returns a copy with the given address.
+func (adviserchanged AdviserChanged) WithAddress(address string) AdviserChanged {
+	adviserchanged.address = address
+	return adviserchanged
+}
+
 // PointerQueryConfig holds the fields of a new PointerQuery.
 type PointerQueryConfig struct {
 	Pause time.Duration
+	Peers []string
 }
 
 // NewPointerQuery returns a PointerQuery with the given fields.
 func NewPointerQuery(config PointerQueryConfig) PointerQuery {
 	return PointerQuery{
 		pause: config.Pause,
+		peers: config.Peers,
 	}
 }
 
@@ -1126,6 +1140,7 @@
 func (pointerquery PointerQuery) Config() PointerQueryConfig {
 	return PointerQueryConfig{
 		Pause: pointerquery.pause,
+		Peers: pointerquery.peers,
 	}
 }
 
@@ -1138,6 +1153,15 @@
 	return pointerquery
 }
 
+// Peers returns the addresses of hosts that are asked in case the store does not answer.
+func (pointerquery PointerQuery) Peers() []string { return pointerquery.peers }
+
+// WithPeers returns a copy with the given peers.
+func (pointerquery PointerQuery) WithPeers(peers []string) PointerQuery {
+	pointerquery.peers = peers
+	return pointerquery
+}
+
 // SchedulerPointerConfig holds the fields of a new SchedulerPointer.
 type SchedulerPointerConfig struct {
 	Epoch   int64
@@ -1194,6 +1218,7 @@
 type PointerReadConfig struct {
 	Pointer SchedulerPointer
 	Found   bool
+	Stored  bool
 	Took    time.Duration
 	Err     error
 }
@@ -1203,6 +1228,7 @@
 	return PointerRead{
 		pointer: config.Pointer,
 		found:   config.Found,
+		stored:  config.Stored,
 		took:    config.Took,
 		err:     config.Err,
 	}
@@ -1213,6 +1239,7 @@
 	return PointerReadConfig{
 		Pointer: pointerread.pointer,
 		Found:   pointerread.found,
+		Stored:  pointerread.stored,
 		Took:    pointerread.took,
 		Err:     pointerread.err,
 	}
@@ -1236,6 +1263,15 @@
 	return pointerread
 }
 
+// Stored returns whether the store answered; otherwise the pointer came from another host.
+func (pointerread PointerRead) Stored() bool { return pointerread.stored }
+
+// WithStored returns a copy with the given stored.
+func (pointerread PointerRead) WithStored(stored bool) PointerRead {
+	pointerread.stored = stored
+	return pointerread
+}
+
 // Took returns how long the read took.
 func (pointerread PointerRead) Took() time.Duration { return pointerread.took }
 
@@ -1245,7 +1281,7 @@
 	return pointerread
 }
 
-// Err returns the failure of the read, nil for none.
+// Err returns the failure of the read, nil if the store or another host answered.
 func (pointerread PointerRead) Err() error { return pointerread.err }
 
 // WithErr returns a copy with the given err.
@@ -1579,6 +1615,7 @@
 type AdviserHelloConfig struct {
 	Host     string
 	Strength int
+	Address  string
 }
 
 // NewAdviserHello returns a AdviserHello with the given fields.
@@ -1586,6 +1623,7 @@
 	return AdviserHello{
 		host:     config.Host,
 		strength: config.Strength,
+		address:  config.Address,
 	}
 }
 
@@ -1594,6 +1632,7 @@
 	return AdviserHelloConfig{
 		Host:     adviserhello.host,
 		Strength: adviserhello.strength,
+		Address:  adviserhello.address,
 	}
 }
 
@@ -1614,3 +1653,40 @@
 	adviserhello.strength = strength
 	return adviserhello
 }
+
+// Address returns the address on which it accepts links.
+func (adviserhello AdviserHello) Address() string { return adviserhello.address }
+
+// WithAddress returns a copy with the given address.
+func (adviserhello AdviserHello) WithAddress(address string) AdviserHello {
+	adviserhello.address = address
+	return adviserhello
+}
+
+// PeersKnownConfig holds the fields of a new PeersKnown.
+type PeersKnownConfig struct {
+	Addresses []string
+}
+
+// NewPeersKnown returns a PeersKnown with the given fields.
+func NewPeersKnown(config PeersKnownConfig) PeersKnown {
+	return PeersKnown{
+		addresses: config.Addresses,
+	}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (peersknown PeersKnown) Config() PeersKnownConfig {
+	return PeersKnownConfig{
+		Addresses: peersknown.addresses,
+	}
+}
+
+// Addresses returns the addresses, that of the scheduler among them.
+func (peersknown PeersKnown) Addresses() []string { return peersknown.addresses }
+
+// WithAddresses returns a copy with the given addresses.
+func (peersknown PeersKnown) WithAddresses(addresses []string) PeersKnown {
+	peersknown.addresses = addresses
+	return peersknown
+}
--- a/standin/emulator/host.go
+++ b/standin/emulator/host.go
@@ -41,6 +41,8 @@
 	wake    uint64 // wake numbers the planned wake-ups; only the last one counts.
 	asking  bool
 	queries []queuedQuery
+	// pointer names the scheduler that the host tells others of.
+	pointer almondcross.SchedulerPointer
 	linked  *modelHost // linked is the scheduler's host that this one is linked to.
 }
 
@@ -54,6 +56,7 @@
 	day := modelhost.day
 	modelhost.life++
 	modelhost.up, modelhost.asking, modelhost.queries = true, false, nil
+	modelhost.pointer = almondcross.SchedulerPointer{}
 	modelhost.table = jobfinder.New()
 	modelhost.machine = scheduler.NewMachine(scheduler.Config{
 		Host: modelhost.name, Address: modelhost.name, Partitions: intakeParts, Strength: 100 - 10*(modelhost.index%3), Retain: 150 * time.Second, MaxLease: maxLease,
@@ -87,7 +90,7 @@
 	day.after(3*linkDelay, func() {
 		if modelhost.life == life && scheduler.up && modelhost.linked == nil {
 			modelhost.linked = scheduler
-			scheduler.deliver(almondcross.NewAdviserChanged(almondcross.AdviserChangedConfig{Adviser: modelhost.name, Present: true, Strength: strength}))
+			scheduler.deliver(almondcross.NewAdviserChanged(almondcross.AdviserChangedConfig{Adviser: modelhost.name, Present: true, Strength: strength, Address: modelhost.name}))
 		}
 	})
 }
@@ -173,7 +176,10 @@
 	case scheduler.Assign:
 		modelhost.send([]string{effect.Host}, effect.Assigned)
 	case scheduler.Lead:
-		modelhost.link(modelhost.day.host(effect.Host), effect.Strength)
+		modelhost.pointer = effect.Pointer
+		modelhost.link(modelhost.day.host(effect.Pointer.Host()), effect.Strength)
+	case scheduler.TellPeers:
+		modelhost.send(effect.Hosts, effect.Peers)
 	case scheduler.TellStored:
 		if answer := modelhost.day.forwarded[effect.Stored.Number()]; answer != nil {
 			modelhost.day.after(linkDelay, answer)
@@ -202,7 +208,7 @@
 	case scheduler.StoreUsage:
 		modelhost.storeUsage(effect.Request)
 	case scheduler.ReadPointer:
-		modelhost.later(effect.Query.Pause(), modelhost.readPointer)
+		modelhost.later(effect.Query.Pause(), func() { modelhost.readPointer(effect.Query.Peers()) })
 	case scheduler.StorePointer:
 		modelhost.storeCall(true, func() func() {
 			day.pointer = effect.Pointer
@@ -284,18 +290,27 @@
 	}, answer)
 }
 
-func (modelhost *modelHost) readPointer() {
+// readPointer asks the store, and other hosts when it does not answer.
+func (modelhost *modelHost) readPointer(peers []string) {
 	day := modelhost.day
 	sent := day.now
 	modelhost.storeCall(false, func() func() {
 		pointer := day.pointer
 		return func() {
 			modelhost.deliver(almondcross.NewPointerRead(almondcross.PointerReadConfig{
-				Pointer: pointer, Found: pointer.Host() != "", Took: day.now - sent,
+				Pointer: pointer, Found: pointer.Host() != "", Stored: true, Took: day.now - sent,
 			}))
 		}
 	}, func(err error) {
-		modelhost.deliver(almondcross.NewPointerRead(almondcross.PointerReadConfig{Err: err}))
+		answer := almondcross.PointerReadConfig{Err: err}
+		for _, peer := range peers {
+			other := day.host(peer)
+			if other != nil && other.up && other.pointer.Host() != "" && other.pointer.Host() != modelhost.name &&
+				other.pointer.Epoch() >= answer.Pointer.Epoch() {
+				answer = almondcross.PointerReadConfig{Pointer: other.pointer, Found: true}
+			}
+		}
+		modelhost.deliver(almondcross.NewPointerRead(answer))
 	})
 }
 
