--- a/assembler/scheduler.go
+++ b/assembler/scheduler.go
@@ -71,10 +71,14 @@
 	enoughLink       = 100
 	// memoryPart is the part of the memory limit at which the collector works harder.
 	memoryPart = 0.6
+	// collectAt is the growth of the heap in percent at which the collector runs. Memory costs more here than the
+	// processor time of the collector.
+	collectAt = 35
 )
 
 // SchedulerHost returns the options of a host that serves jobs on the users' platform.
 func SchedulerHost(settings configurator.SchedulerSettings, path string) fx.Option {
+	debug.SetGCPercent(collectAt)
 	debug.SetMemoryLimit(int64(float64(settings.MemoryMB()) * memoryPart * (1 << 20)))
 	return fx.Options(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
--- a/command/scheduler/constants.go
+++ b/command/scheduler/constants.go
@@ -62,7 +62,7 @@
 	// pushFresh is the age of the last batch over the link up to which the store is read less often.
 	pushFresh = 500 * time.Millisecond
 	// pushedPause is the pause between reads of a host that gets its batches over the link.
-	pushedPause = 300 * time.Millisecond
+	pushedPause = 600 * time.Millisecond
 	// followWait is how long a read waits for a batch.
 	followWait = 400 * time.Millisecond
 	// retryPause is the pause before a failed call to the store is repeated.
@@ -74,6 +74,8 @@
 	intakeFresh = 2500 * time.Millisecond
 	// workersPause limits how often the changes of the announced workers are read.
 	workersPause = 250 * time.Millisecond
+	// appendPause is the least time between two appends, each of which has a price.
+	appendPause = 15 * time.Millisecond
 	// placePause is the least time between two passes over the waiting stages.
 	placePause = 4 * time.Millisecond
 	// batchChanges is the most changes in one record of the journal; 40 jobs of the largest size fit a record.
--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -17,6 +17,7 @@
 	since      time.Time // since is when the election was answered.
 	lastCommit time.Time // lastCommit is when the last append that succeeded was sent.
 	pointedAt  time.Time // pointedAt is when the pointer was last stored.
+	flushed    time.Time // flushed is when the last append was sent.
 	stoppedAt  time.Time // stoppedAt is when the end of the epoch was appended, zero before.
 
 	pending  []almondcross.Change // pending holds the changes of the next append.
@@ -188,11 +189,15 @@
 // flush sends the next append unless one is under way.
 func (machine *Machine) flush() {
 	leader := machine.leader
+	if machine.now.Sub(leader.flushed) < appendPause {
+		return
+	}
 	idle := len(leader.pending) == 0 && len(leader.moved) == 0 && len(leader.staged) == 0 && len(leader.resets) == 0
 	if leader.inflight != nil || idle && machine.now.Sub(leader.lastCommit) < heartbeat {
 		return
 	}
 	machine.open()
+	leader.flushed = machine.now
 	leader.sequence++
 	inflight := &appending{sent: machine.now, staged: leader.staged, resets: leader.resets, views: machine.views(), current: machine.intakeCurrent()}
 	var batches []almondcross.JournalBatch
--- a/command/scheduler/machine.go
+++ b/command/scheduler/machine.go
@@ -167,6 +167,9 @@
 		if machine.leader.dirty {
 			return now.Add(placePause)
 		}
+		if len(machine.leader.pending) > 0 && machine.leader.inflight == nil {
+			return machine.leader.flushed.Add(appendPause)
+		}
 		return now.Add(leaderTick)
 	}
 	return now.Add(followerTick)
--- a/command/scheduler/scheduler_test.go
+++ b/command/scheduler/scheduler_test.go
@@ -86,6 +86,7 @@
 // commit answers the append that is under way.
 func (bed *bed) commit() almondcross.JournalCommit {
 	bed.t.Helper()
+	bed.pending()
 	request := must[Commit](bed).Request
 	offset := bed.next
 	bed.next += int64(len(request.Batches()))
@@ -130,11 +131,15 @@
 	bed.list(almondcross.WorkerListConfig{})
 }
 
+// pending returns the append that is under way, or the one that follows after the pause between two appends.
 func (bed *bed) pending() (Commit, bool) {
-	for _, effect := range bed.effects {
-		if commit, ok := effect.(Commit); ok {
-			return commit, true
+	for range 2 {
+		for _, effect := range bed.effects {
+			if commit, ok := effect.(Commit); ok {
+				return commit, true
+			}
 		}
+		bed.advance(appendPause)
 	}
 	return Commit{}, false
 }
@@ -583,3 +588,24 @@
 	host, _ = bed.machine.Leader()
 	require.Equal(t, "h-1", host)
 }
+
+// Guards against an append for each change, which the price of calls forbids, and against a change that waits for
+// the next tick although the pause is over.
+func TestAppendsKeepAPause(t *testing.T) {
+	bed := newBed(t)
+	bed.lead()
+	for _, found := bed.pending(); found; _, found = bed.pending() {
+		bed.commit()
+	}
+	bed.advance(appendPause)
+	bed.submit("j", almondcross.StepConfig{Count: 1})
+	sent := bed.now
+	bed.commit()
+	bed.submit("k", almondcross.StepConfig{Count: 1})
+	_, early := take[Commit](bed)
+	require.False(t, early)
+	deadline := bed.machine.NextDeadline(bed.now)
+	require.LessOrEqual(t, deadline.Sub(sent), appendPause)
+	bed.advance(deadline.Sub(bed.now) + appendPause)
+	must[Commit](bed)
+}
