--- a/command/connector/doc.go
+++ b/command/connector/doc.go
@@ -4,5 +4,6 @@
 // Dialer is a duty on every host: it keeps one WebSocket connection to the scheduler's host and passes
 // queries to the local asker and answers back. Hub accepts these connections on the scheduler's host and
 // passes queries to them; each has a reading and a writing goroutine. A connection that is silent for
-// silenceLimit is closed on both sides, and the scheduler is told that the host is gone.
+// silenceLimit is closed on both sides, and the scheduler is told that the host is gone. Hub also tells any host
+// that asks which host schedules.
 package connector
