Send orders for different tasks to a worker side by side, and repeat no stop under way

Change: a stop order is given out again only after its answer, or after two seconds. Orders to one worker go three lanes, a task always the same one.

--- a/command/controller/controller.go
+++ b/command/controller/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"hash/fnv"
 	"time"
 
 	"github.com/almondcross/almondcross"
@@ -17,8 +18,11 @@
 	// startTimeout bounds a start or a stop, which a worker answers at once: a few times the way to
 	// another region and back. What became of an order without an answer is learned by a look.
 	startTimeout = 250 * time.Millisecond
-	// orderCapacity is the most orders that wait for one worker; it has far fewer tasks.
-	orderCapacity = 256
+	// orderLanes is the number of orders that may be under way to one worker. One at a time would keep the tasks of a
+	// wide job waiting for each other's answers from another region.
+	orderLanes = 3
+	// orderCapacity is the most orders that wait in one lane; a worker has far fewer tasks.
+	orderCapacity = 128
 	// leaseCapacity is one order under way and one of an earlier epoch.
 	leaseCapacity = 2
 )
@@ -50,7 +54,17 @@
 	address string
 	cancel  context.CancelFunc
 	leases  *ring.Ring[pausedLease]
-	orders  *ring.Ring[order]
+	lanes   [orderLanes]*ring.Ring[call]
+}
+
+// call carries out a start, a stop or a look.
+type call func(ctx context.Context)
+
+// lane returns the ring of the orders for a task, so that a stop never overtakes the start before it.
+func (managed *managed) lane(task almondcross.JobTask) *ring.Ring[call] {
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(task.Stage.Job))
+	return managed.lanes[(hash.Sum32()+uint32(task.Stage.Step)+uint32(task.Index))%orderLanes] //nolint:gosec // Only the remainder counts.
 }
 
 // pausedLease is a lease order with the pause before it.
@@ -59,23 +73,6 @@
 	pause time.Duration
 }
 
-// order is a start, a stop or a look.
-type order struct {
-	start almondcross.StartOrder
-	stop  almondcross.StopOrder
-	look  almondcross.LeaseOrder
-	kind  orderKind
-}
-
-// orderKind tells what an order holds.
-type orderKind int
-
-const (
-	orderStart orderKind = iota
-	orderStop
-	orderLook
-)
-
 // New returns a controller whose duties end with the context.
 func New(ctx context.Context, config Config) *Controller {
 	return &Controller{config: config, ctx: ctx, workers: map[string]*managed{}}
@@ -93,11 +90,14 @@
 	opened := &managed{
 		address: worker.Address(), cancel: cancel,
 		leases: ring.New[pausedLease](ring.Config{Name: "leases", Capacity: leaseCapacity}),
-		orders: ring.New[order](ring.Config{Name: "orders", Capacity: orderCapacity}),
 	}
 	controller.workers[worker.ID()] = opened
 	go func() { _ = ring.Serve(ctx, opened.leases, controller.lease) }()
-	go func() { _ = ring.Serve(ctx, opened.orders, controller.order) }()
+	for index := range opened.lanes {
+		lane := ring.New[call](ring.Config{Name: "orders", Capacity: orderCapacity})
+		opened.lanes[index] = lane
+		go func() { _ = ring.Serve(ctx, lane, func(ctx context.Context, call call) { call(ctx) }) }()
+	}
 }
 
 // Release ends the duties of a worker.
@@ -115,7 +115,7 @@
 		return false
 	}
 	if lease.Look() {
-		return known.orders.Offer(order{look: lease, kind: orderLook})
+		return known.lanes[0].Offer(func(ctx context.Context) { controller.lease(ctx, pausedLease{order: lease}) })
 	}
 	return known.leases.Offer(pausedLease{order: lease, pause: pause})
 }
@@ -123,13 +123,13 @@
 // Start sends a start order.
 func (controller *Controller) Start(start almondcross.StartOrder) bool {
 	known := controller.workers[start.Worker().ID()]
-	return known != nil && known.orders.Offer(order{start: start})
+	return known != nil && known.lane(start.Task()).Offer(func(ctx context.Context) { controller.start(ctx, start) })
 }
 
 // Stop sends a stop order.
 func (controller *Controller) Stop(stop almondcross.StopOrder) bool {
 	known := controller.workers[stop.Worker().ID()]
-	return known != nil && known.orders.Offer(order{stop: stop, kind: orderStop})
+	return known != nil && known.lane(stop.Task()).Offer(func(ctx context.Context) { controller.stop(ctx, stop) })
 }
 
 func (controller *Controller) lease(ctx context.Context, paused pausedLease) {
@@ -154,26 +154,26 @@
 	})) // Put fails only when the context has ended.
 }
 
-func (controller *Controller) order(ctx context.Context, order order) {
-	if order.kind == orderLook {
-		controller.lease(ctx, pausedLease{order: order.look})
-		return
-	}
+func (controller *Controller) start(ctx context.Context, order almondcross.StartOrder) {
 	limited, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	sent := controller.config.Clock.Now()
-	var answer almondcross.SchedulerMessage
-	if order.kind == orderStop {
-		result, err := controller.config.Orderer.Stop(limited, order.stop)
-		controller.note("stop", order.stop.Worker(), result, err, controller.config.Clock.Now().Sub(sent))
-		answer = almondcross.NewRunStopped(almondcross.RunStoppedConfig{Order: order.stop, Result: result})
-	} else {
-		result, err := controller.config.Orderer.Start(limited, order.start)
-		received := controller.config.Clock.Now()
-		controller.note("start", order.start.Worker(), result, err, received.Sub(sent))
-		answer = almondcross.NewRunStarted(almondcross.RunStartedConfig{Order: order.start, Result: result, Received: received})
-	}
-	_ = controller.config.Sink.Put(ctx, answer) // Put fails only when the context has ended.
+	result, err := controller.config.Orderer.Start(limited, order)
+	received := controller.config.Clock.Now()
+	controller.note("start", order.Worker(), result, err, received.Sub(sent))
+	_ = controller.config.Sink.Put(ctx, almondcross.NewRunStarted(almondcross.RunStartedConfig{
+		Order: order, Result: result, Received: received,
+	})) // Put fails only when the context has ended.
+}
+
+func (controller *Controller) stop(ctx context.Context, order almondcross.StopOrder) {
+	limited, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	sent := controller.config.Clock.Now()
+	result, err := controller.config.Orderer.Stop(limited, order)
+	controller.note("stop", order.Worker(), result, err, controller.config.Clock.Now().Sub(sent))
+	// Put fails only when the context has ended.
+	_ = controller.config.Sink.Put(ctx, almondcross.NewRunStopped(almondcross.RunStoppedConfig{Order: order, Result: result}))
 }
 
 func (controller *Controller) note(kind string, worker almondcross.Worker, result almondcross.OrderResult, err error, took time.Duration) {
--- a/command/scheduler/constants.go
+++ b/command/scheduler/constants.go
@@ -115,6 +115,8 @@
 	lossMargin = 500 * time.Millisecond
 	// stopRetry is the pause before a stop order is repeated.
 	stopRetry = 400 * time.Millisecond
+	// stopLimit is how long a stop order may be under way. Its answer is lost when the worker gets a new address.
+	stopLimit = 2 * time.Second
 	// forgetWorker is how long a silent worker that is not announced is kept.
 	forgetWorker = 6 * time.Second
 	// failureLimit is the number of failed runs in a row after which a worker is avoided.
--- a/command/scheduler/silence_test.go
+++ b/command/scheduler/silence_test.go
@@ -149,3 +149,31 @@
 		})
 	}
 }
+
+// Guards against stop orders that are repeated while they are under way: the repeats for the tasks of a wide job held
+// up all other orders to a worker in another region.
+func TestStopIsNotRepeatedWhileItIsUnderWay(t *testing.T) {
+	bed := running(t)
+	bed.list(almondcross.WorkerListConfig{Running: []almondcross.RunningTask{
+		almondcross.NewRunningTask(almondcross.RunningTaskConfig{Task: task("j", 0, 0), Run: 1}),
+	}})
+	bed.apply(almondcross.NewIntakeForwarded(almondcross.IntakeForwardedConfig{Host: "h-2", Number: 2, Intake: almondcross.NewIntake(
+		almondcross.IntakeConfig{Cancel: true, Job: almondcross.NewJob(almondcross.JobConfig{ID: "j", Queue: "q"})},
+	)}))
+	stops := func(span time.Duration) int {
+		count := 0
+		for end := bed.now.Add(span); bed.now.Before(end); {
+			bed.advance(leaderTick)
+			bed.commits()
+			for _, found := take[SendStop](bed); found; _, found = take[SendStop](bed) {
+				count++
+			}
+		}
+		return count
+	}
+	require.Equal(t, 1, stops(stopLimit-stopRetry))
+	order := almondcross.NewStopOrder(almondcross.StopOrderConfig{Worker: poolWorker, Task: task("j", 0, 0), Run: 1})
+	bed.apply(almondcross.NewRunStopped(almondcross.RunStoppedConfig{Order: order, Result: almondcross.OrderDone}))
+	require.Equal(t, 1, stops(2*stopRetry), "the run goes on although the order was answered")
+	require.Equal(t, 1, stops(stopLimit), "the answer is lost")
+}
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -34,6 +34,7 @@
 	present    time.Time // present is when the worker was known to have the run.
 	stopping   bool      // stopping tells that the run is no longer wanted.
 	stopAt     time.Time // stopAt is when the stop order is sent again.
+	stopSent   time.Time // stopSent is when the stop order under way was given out, zero for none.
 	checkpoint string    // checkpoint is the last one that the worker reported.
 	progress   int       // progress is the last reported progress in percent.
 	progressAt time.Time // progressAt is when the progress last changed.
@@ -426,7 +427,7 @@
 	if assignment.phase == phaseCommitting {
 		return
 	}
-	assignment.stopAt = machine.now.Add(stopRetry)
+	assignment.stopAt, assignment.stopSent = machine.now.Add(stopRetry), machine.now
 	machine.afterCommit(func() {
 		if worker.assigned[assignment.task] != assignment || !worker.managed {
 			return // A worker that is not announced yet gets the order with the next sweep.
@@ -443,7 +444,11 @@
 		return
 	}
 	known := worker.assigned[answer.Order().Task()]
-	if known != nil && known.run == answer.Order().Run() && answer.Result() == almondcross.OrderUnknown {
+	if known == nil || known.run != answer.Order().Run() {
+		return
+	}
+	known.stopAt, known.stopSent = machine.now.Add(stopRetry), time.Time{}
+	if answer.Result() == almondcross.OrderUnknown {
 		worker.raiseFence = true
 	}
 }
@@ -519,6 +524,13 @@
 	}
 }
 
+// stopDue reports whether the stop order of a run has to be given out again. One that is still under way is not
+// repeated: many of them would hold up the other orders to a worker that is far away.
+func (assignment *assignment) stopDue(now time.Time) bool {
+	underWay := !assignment.stopSent.IsZero() && now.Sub(assignment.stopSent) < stopLimit
+	return assignment.stopping && assignment.phase != phaseCommitting && !now.Before(assignment.stopAt) && !underWay
+}
+
 // stalled reports whether a run makes no progress although its worker answers.
 func (assignment *assignment) stalled(worker *worker, now time.Time) bool {
 	limit := stallLimit
@@ -553,7 +565,7 @@
 				machine.endRun(worker, assignment, almondcross.EndVoid, assignment.checkpoint)
 			case assignment.stalled(worker, machine.now):
 				machine.stopStalled(worker, assignment)
-			case assignment.stopping && assignment.phase != phaseCommitting && !machine.now.Before(assignment.stopAt) && worker.managed && !worker.silent:
+			case assignment.stopDue(machine.now) && worker.managed && !worker.silent:
 				machine.stop(worker, assignment)
 			}
 		}
