Let a scheduler that has resigned wait for stronger hosts

Cause: a host that finds itself as the last scheduler stands for election at once. That held also after it had resigned because a stronger host was there: it looked for the scheduler, found its own pointer, loaded the state and stood within some 30 ms, while the stronger host waits for up to 200 ms of jitter.

Change: a host that has resigned waits like any other.

Result: TestResignedSchedulerDoesNotStandAtOnce failed before (an election within 200 ms at strength 40) and passes; TestRestartedSchedulerStandsAtOnce passes unchanged. One idle line of TestLinkedHostsAreToldOfEachOther is gone.

--- a/command/scheduler/follower.go
+++ b/command/scheduler/follower.go
@@ -153,8 +153,9 @@
 		// Nobody has scheduled for long; there is no scheduler to wait for.
 		machine.follower.lastBatch = machine.now.Add(-silenceLimit)
 	}
-	if first && machine.follower.caughtUp && machine.state.host == machine.config.Host {
-		// The last scheduler was this host, which does not schedule any more. Nobody else knows that yet.
+	if first && machine.follower.caughtUp && machine.state.host == machine.config.Host && !machine.state.resigned {
+		// The last scheduler was this host, which does not schedule any more. Nobody else knows that yet, unless it
+		// has resigned; then a stronger host goes first.
 		machine.follower.lastBatch, machine.follower.electAt = machine.now.Add(-silenceLimit), machine.now
 	}
 	if machine.follower.caughtUp {
--- a/command/scheduler/seeker_test.go
+++ b/command/scheduler/seeker_test.go
@@ -116,7 +116,6 @@
 	told, _ := last[TellPeers](bed)
 	require.Equal(t, []string{"h-2", "h-3"}, told.Hosts)
 	require.ElementsMatch(t, []string{"h-2:1", "h-3:1", "10.0.0.9:1"}, told.Peers.Addresses())
-	bed.advance(time.Second)
 }
 
 // Guards against a weak host that schedules for seconds although a strong one stands by: on a day with 34 hosts it
@@ -134,3 +133,21 @@
 	}
 	require.False(t, bed.machine.Leads())
 }
+
+// Guards against a weak scheduler that hands over, finds itself as the last scheduler, and is elected again before the
+// strong one.
+func TestResignedSchedulerDoesNotStandAtOnce(t *testing.T) {
+	bed := newBed(t)
+	bed.machine.config.Strength = 40
+	bed.apply(almondcross.NewPointerRead(almondcross.PointerReadConfig{Stored: true}))
+	bed.apply(almondcross.NewSnapshotRead(almondcross.SnapshotReadConfig{}))
+	bed.apply(almondcross.NewJournalRead(almondcross.JournalReadConfig{Next: 1, End: 1, Batches: []almondcross.JournalBatch{
+		almondcross.NewJournalBatch(almondcross.JournalBatchConfig{Epoch: 1 << epochRandomBits, At: bed.now, Changes: []almondcross.Change{
+			almondcross.NewChange(almondcross.ChangeConfig{Kind: almondcross.ChangeElected, Host: "h-1"}),
+			almondcross.NewChange(almondcross.ChangeConfig{Kind: almondcross.ChangeResigned, Host: "h-1"}),
+		}}),
+	}}))
+	bed.advance(electionJitter)
+	_, found := bed.pending()
+	require.False(t, found, "a standby of full strength stands within the jitter")
+}
