Have one question for the scheduler under way at a time

Cause: a standby that neither the store nor the scheduler reaches asked every 0.4 s which host schedules, whatever became of the question before. A question takes up to 0.8 s while the store is silent, and the ring of the duty that answers holds four: after some three seconds of an outage a full ring would hold up the scheduler duty of the standby.

Change: a question is asked once the one before is answered.

Two tests answer the question that was left open, as the duty does; the test of the standby now also fails if the standby leaves the scheduler that it follows.

--- a/command/scheduler/seeker.go
+++ b/command/scheduler/seeker.go
@@ -18,6 +18,7 @@
 	answered bool          // answered tells that the store has answered since the search began.
 	// cut tells that the store does not answer this host, which found the scheduler through another one.
 	cut     bool
+	asking  bool      // asking tells that a question for the scheduler is under way.
 	askedAt time.Time // askedAt is when a host that is linked last asked which host schedules.
 }
 
@@ -39,7 +40,12 @@
 	machine.readPointer(0)
 }
 
+// readPointer asks which host schedules, unless a question is under way.
 func (machine *Machine) readPointer(pause time.Duration) {
+	if machine.seeker.asking {
+		return
+	}
+	machine.seeker.asking = true
 	peers := slices.Clone(machine.peers)
 	machine.config.Random.Shuffle(len(peers), func(a, b int) { peers[a], peers[b] = peers[b], peers[a] })
 	machine.do(ReadPointer{Query: almondcross.NewPointerQuery(almondcross.PointerQueryConfig{
@@ -48,6 +54,7 @@
 }
 
 func (machine *Machine) pointerRead(read almondcross.PointerRead) {
+	machine.seeker.asking = false
 	if read.Stored() && (machine.seeker.distance == 0 || read.Took() < machine.seeker.distance) {
 		machine.seeker.distance = read.Took()
 	}
--- a/command/scheduler/seeker_test.go
+++ b/command/scheduler/seeker_test.go
@@ -46,6 +46,7 @@
 	require.Zero(t, found.Strength, "it cannot schedule")
 	bed.apply(almondcross.NewAssigned(almondcross.AssignedConfig{}))
 	last[ReadPointer](bed)
+	bed.apply(almondcross.NewPointerRead(almondcross.PointerReadConfig{Err: almondcross.ErrStoreUnknown}))
 
 	for range int(cutPause/followerTick) + 1 {
 		bed.advance(followerTick)
@@ -78,12 +79,13 @@
 			almondcross.NewChange(almondcross.ChangeConfig{Kind: almondcross.ChangeElected, Host: "h-2"}),
 		}}),
 	}}))
-	bed.apply(almondcross.NewJournalRead(almondcross.JournalReadConfig{From: 1, Next: 1, Err: almondcross.ErrStoreUnknown}))
 	last[ReadPointer](bed)
+	bed.apply(almondcross.NewJournalRead(almondcross.JournalReadConfig{From: 1, Next: 1, Err: almondcross.ErrStoreUnknown}))
 	bed.advance(lightSilence + followerTick)
+	last[Lead](bed)
 	bed.told("h-2", 5)
 	_, moved := last[Lead](bed)
-	require.True(t, moved, "the scheduler of the journal is known")
+	require.False(t, moved, "the standby follows that scheduler already")
 	_, asked := last[ReadPointer](bed)
 	require.False(t, asked, "one question at a time")
 	bed.advance(movePause + followerTick)
@@ -134,6 +136,28 @@
 	require.False(t, bed.machine.Leads())
 }
 
+// Guards against questions for the scheduler that pile up while the store is silent: their ring holds four, and a full
+// one would hold up the scheduler duty.
+func TestOneQuestionForTheSchedulerAtATime(t *testing.T) {
+	bed := newBed(t)
+	bed.apply(almondcross.NewPointerRead(almondcross.PointerReadConfig{Stored: true}))
+	bed.apply(almondcross.NewSnapshotRead(almondcross.SnapshotReadConfig{}))
+	bed.apply(almondcross.NewJournalRead(almondcross.JournalReadConfig{}))
+	last[ReadPointer](bed)
+	bed.apply(almondcross.NewJournalRead(almondcross.JournalReadConfig{Err: almondcross.ErrStoreUnknown}))
+	asked := 0
+	for range 10 {
+		bed.advance(movePause + followerTick)
+		for _, found := take[ReadPointer](bed); found; _, found = take[ReadPointer](bed) {
+			asked++
+		}
+	}
+	require.Equal(t, 1, asked, "the first question has no answer yet")
+	bed.apply(almondcross.NewPointerRead(almondcross.PointerReadConfig{Err: almondcross.ErrStoreUnknown}))
+	bed.advance(movePause + followerTick)
+	must[ReadPointer](bed)
+}
+
 // Guards against a weak scheduler that hands over, finds itself as the last scheduler, and is elected again before the
 // strong one.
 func TestResignedSchedulerDoesNotStandAtOnce(t *testing.T) {
