--- a/assembler/scheduler.go
+++ b/assembler/scheduler.go
@@ -151,7 +151,7 @@
 ) *follower.Follower {
 	return follower.New(follower.Config{
 		Reader: querier.NewStore(settings.StoreAddress(), caller), Codec: codec, Workers: translator.Codec{}, Sink: rings.messages, Log: log,
-		Journal: almondcross.Partition{Topic: journalTopic}, Host: settings.Name(), Locator: locator.New(locator.Config{Codec: codec}),
+		Journal: almondcross.Partition{Topic: journalTopic}, Host: settings.Name(), Locator: locator.New(locator.Config{Codec: codec, Log: log}),
 		Snapshots: almondcross.Partition{Topic: snapshotTopic}, Intake: intakeTopic,
 		Pointers: almondcross.Partition{Topic: pointerTopic}, Clock: Clock{},
 		Announcements:    almondcross.Partition{Topic: translator.WorkersTopic},
--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -294,7 +294,8 @@
 	}
 	if answer.Result() != almondcross.OrderDone {
 		machine.config.Log.Record("start_refused", almondcross.Text("task", given.task.String()), almondcross.Number("run", given.run),
-			almondcross.Text("worker", worker.id), almondcross.Text("result", string(answer.Result())))
+			almondcross.Text("worker", worker.id), almondcross.Text("result", string(answer.Result())),
+			almondcross.Millis("age_ms", machine.now.Sub(given.placed)))
 	}
 	switch answer.Result() {
 	case almondcross.OrderDone:
--- a/query/follower/pointer.go
+++ b/query/follower/pointer.go
@@ -37,10 +37,12 @@
 			stored <- answer
 		case <-patience.C:
 		}
-		pointer, found := follower.config.Locator.Locate(limited, query.Peers())
-		if found && pointer.Host() != follower.config.Host {
-			follower.answer(ctx, almondcross.NewPointerRead(almondcross.PointerReadConfig{Pointer: pointer, Found: true}))
-			return
+		if len(query.Peers()) > 0 {
+			pointer, found := follower.config.Locator.Locate(limited, query.Peers())
+			if found && pointer.Host() != follower.config.Host { // This host would know if it were the scheduler.
+				follower.answer(ctx, almondcross.NewPointerRead(almondcross.PointerReadConfig{Pointer: pointer, Found: true}))
+				return
+			}
 		}
 		follower.answer(ctx, almondcross.NewPointerRead(<-stored))
 	})
--- a/query/locator/locator.go
+++ b/query/locator/locator.go
@@ -21,7 +21,10 @@
 )
 
 // Config holds what a locator needs.
-type Config struct{ Codec almondcross.JournalCodec }
+type Config struct {
+	Codec almondcross.JournalCodec
+	Log   almondcross.EventLog
+}
 
 // Locator asks hosts over HTTP.
 type Locator struct {
@@ -37,26 +40,36 @@
 	}}}
 }
 
+// answer is what one host said; a pointer without a host means that it knows of no scheduler.
+type answer struct {
+	pointer almondcross.SchedulerPointer
+	err     error
+}
+
 // Locate returns the pointer of the highest epoch that hosts at these addresses know of, false for none.
 func (locator *Locator) Locate(ctx context.Context, addresses []string) (almondcross.SchedulerPointer, bool) {
 	ctx, cancel := context.WithTimeout(ctx, askLimit)
 	defer cancel()
-	answers := make(chan almondcross.SchedulerPointer, len(addresses))
+	answers := make(chan answer, len(addresses))
 	for _, address := range addresses {
 		go func() {
 			pointer, err := locator.ask(ctx, address)
-			if err != nil {
-				pointer = almondcross.SchedulerPointer{} // A host that does not answer knows of no scheduler.
-			}
-			answers <- pointer
+			answers <- answer{pointer: pointer, err: err}
 		}()
 	}
 	var best almondcross.SchedulerPointer
+	failed, reason := 0, ""
 	for range addresses {
-		if pointer := <-answers; pointer.Host() != "" && (best.Host() == "" || pointer.Epoch() > best.Epoch()) {
-			best = pointer
+		told := <-answers
+		switch {
+		case told.err != nil:
+			failed, reason = failed+1, told.err.Error()
+		case told.pointer.Host() != "" && (best.Host() == "" || told.pointer.Epoch() > best.Epoch()):
+			best = told.pointer
 		}
 	}
+	locator.config.Log.Record("peers_asked", almondcross.Number("asked", len(addresses)), almondcross.Number("failed", failed),
+		almondcross.Text("scheduler", best.Host()), almondcross.Number("epoch", best.Epoch()), almondcross.Text("reason", reason))
 	return best, best.Host() != ""
 }
 
@@ -70,7 +83,11 @@
 		return almondcross.SchedulerPointer{}, errors.Trace(err)
 	}
 	defer func() { _ = response.Body.Close() }() // The answer was read, or is not needed.
-	if response.StatusCode != http.StatusOK {
+	switch response.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotFound:
+		return almondcross.SchedulerPointer{}, nil
+	default:
 		return almondcross.SchedulerPointer{}, errors.Errorf("status %d", response.StatusCode)
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, longestAnswer))
--- a/query/locator/locator_test.go
+++ b/query/locator/locator_test.go
@@ -1,6 +1,7 @@
 package locator_test
 
 import (
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -15,6 +16,22 @@
 	"github.com/almondcross/almondcross/query/locator"
 )
 
+// recorded takes the lines of a log, without the reason, which depends on the system.
+type recorded chan string
+
+func (recorded recorded) Record(event string, fields ...almondcross.LogField) {
+	for _, field := range fields {
+		switch {
+		case field.Name == "reason":
+		case field.Numeric:
+			event += fmt.Sprintf(" %s=%d", field.Name, int64(field.Number))
+		default:
+			event += fmt.Sprintf(" %s=%s", field.Name, field.Text)
+		}
+	}
+	recorded <- event
+}
+
 // host serves the pointer that a host knows and returns its address.
 func host(t *testing.T, known almondcross.SchedulerPointer) string {
 	t.Helper()
@@ -38,12 +55,15 @@
 		host(t, almondcross.NewSchedulerPointer(almondcross.SchedulerPointerConfig{Epoch: 6, Host: "h-2", Address: "10.0.0.2:1"})),
 		host(t, newest), host(t, almondcross.SchedulerPointer{}), strings.TrimPrefix(hanging.URL, "http://"), "127.0.0.1:1",
 	}
+	lines := make(recorded, 2)
 	started := time.Now()
-	found, ok := locator.New(locator.Config{Codec: codec}).Locate(t.Context(), addresses)
+	found, ok := locator.New(locator.Config{Codec: codec, Log: lines}).Locate(t.Context(), addresses)
 	require.True(t, ok)
 	require.Equal(t, newest, found)
 	require.Less(t, time.Since(started), 2*time.Second, "a host that hangs is not waited for")
 
-	_, ok = locator.New(locator.Config{Codec: codec}).Locate(t.Context(), addresses[2:])
+	_, ok = locator.New(locator.Config{Codec: codec, Log: lines}).Locate(t.Context(), addresses[2:])
 	require.False(t, ok)
+	require.Equal(t, "peers_asked asked=5 failed=2 scheduler=h-3 epoch=7", <-lines)
+	require.Equal(t, "peers_asked asked=3 failed=2 scheduler= epoch=0", <-lines)
 }
