Name what a host knows through others after what it is

Cause: cut, cutPause and decodeTold were private terms; cut also stands for workers that cannot be reached.

Change: viaPeer, viaPeerPause and decodeFromScheduler.

Result: names only; the tests of command/scheduler and encoder pass as before (the known failure of encoder apart).

--- a/command/scheduler/constants.go
+++ b/command/scheduler/constants.go
@@ -40,8 +40,8 @@
 	loadLimit = time.Second
 	// movePause is the pause between two questions of a standby that the store does not answer.
 	movePause = 400 * time.Millisecond
-	// cutPause is the pause between two reads of the pointer by a linked host that the store did not answer.
-	cutPause = 2 * time.Second
+	// viaPeerPause is the pause between two reads of the pointer by a linked host that the store did not answer.
+	viaPeerPause = 2 * time.Second
 	// askedPeers is the most hosts that are asked at once which one schedules.
 	askedPeers = 6
 	// keptPeers is the most addresses of hosts that are kept; hosts that are gone are among them.
--- a/command/scheduler/seeker.go
+++ b/command/scheduler/seeker.go
@@ -16,8 +16,8 @@
 	pointer  almondcross.SchedulerPointer
 	distance time.Duration // distance is the shortest time that a read of the pointer took.
 	answered bool          // answered tells that the store has answered since the search began.
-	// cut tells that the store does not answer this host, which found the scheduler through another one.
-	cut     bool
+	// viaPeer tells that this host found the scheduler through another one, since the store did not answer it.
+	viaPeer bool
 	asking  bool      // asking tells that a question for the scheduler is under way.
 	askedAt time.Time // askedAt is when a host that is linked last asked which host schedules.
 }
@@ -25,7 +25,7 @@
 // strength returns how well this host could schedule: its own, less its distance from the store, since every
 // start waits for an append.
 func (machine *Machine) strength() int {
-	if machine.stopping || machine.seeker.cut {
+	if machine.stopping || machine.seeker.viaPeer {
 		return 0
 	}
 	return max(0, machine.config.Strength-int(min(machine.seeker.distance, longestDistance).Milliseconds()))
@@ -68,9 +68,9 @@
 			machine.seekingRead(read)
 		}
 	case roleLight:
-		if read.Stored() && machine.seeker.cut {
+		if read.Stored() && machine.seeker.viaPeer {
 			// The scheduler learns by a new link that this host may be a standby again.
-			machine.seeker.cut = false
+			machine.seeker.viaPeer = false
 			machine.config.Log.Record("store_answers_again")
 			machine.do(Lead{Pointer: machine.seeker.pointer, Strength: machine.strength()})
 		}
@@ -89,7 +89,7 @@
 		machine.load(0)
 		return
 	case read.Found() && pointer != machine.seeker.pointer && pointer.Epoch() >= machine.seeker.pointer.Epoch():
-		machine.seeker.pointer, machine.seeker.cut = pointer, !read.Stored()
+		machine.seeker.pointer, machine.seeker.viaPeer = pointer, !read.Stored()
 		machine.config.Log.Record("scheduler_found", almondcross.Text("host", pointer.Host()), almondcross.Number("epoch", pointer.Epoch()),
 			almondcross.Text("from_store", yesNo(read.Stored())))
 		machine.do(Lead{Pointer: pointer, Strength: machine.strength()})
@@ -147,7 +147,7 @@
 		machine.seek()
 		return
 	}
-	if machine.seeker.cut && machine.now.Sub(machine.seeker.askedAt) > cutPause {
+	if machine.seeker.viaPeer && machine.now.Sub(machine.seeker.askedAt) > viaPeerPause {
 		machine.seeker.askedAt = machine.now
 		machine.readPointer(0)
 	}
--- a/command/scheduler/seeker_test.go
+++ b/command/scheduler/seeker_test.go
@@ -48,7 +48,7 @@
 	last[ReadPointer](bed)
 	bed.apply(almondcross.NewPointerRead(almondcross.PointerReadConfig{Err: almondcross.ErrStoreUnknown}))
 
-	for range int(cutPause/followerTick) + 1 {
+	for range int(viaPeerPause/followerTick) + 1 {
 		bed.advance(followerTick)
 		bed.apply(almondcross.NewViewsPushed(almondcross.ViewsPushedConfig{}))
 	}
--- a/encoder/link.go
+++ b/encoder/link.go
@@ -210,7 +210,7 @@
 		}
 		return wire.value(), nil
 	case linkAssign, linkPeers, linkViews:
-		return codec.decodeTold(sealed)
+		return codec.decodeFromScheduler(sealed)
 	case linkPush:
 		return codec.decodePush(sealed)
 	case linkIntake:
@@ -233,8 +233,8 @@
 	return nil, errors.Annotatef(ErrUnknown, "%q", sealed.Type)
 }
 
-// decodeTold decodes what the scheduler tells linked hosts.
-func (codec Codec) decodeTold(sealed envelope) (almondcross.LinkMessage, error) {
+// decodeFromScheduler decodes what the scheduler tells linked hosts.
+func (codec Codec) decodeFromScheduler(sealed envelope) (almondcross.LinkMessage, error) {
 	switch sealed.Type {
 	case linkAssign:
 		var wire wireAssign
