--- a/assembler/scheduler.go
+++ b/assembler/scheduler.go
@@ -168,7 +168,7 @@
 	return committer.New(committer.Config{
 		Writer: commander.NewStore(settings.StoreAddress(), client), Codec: codec, KeyedCodec: translator.Codec{}, Sink: rings.messages, Clock: Clock{}, Log: log,
 		Journal: almondcross.Partition{Topic: journalTopic}, Snapshots: almondcross.Partition{Topic: snapshotTopic},
-		Pointers: almondcross.Partition{Topic: pointerTopic}, Usage: almondcross.Partition{Topic: usageTopic}, Name: journalWriter, RecordBytes: settings.StoreRecord(),
+		Pointers: almondcross.Partition{Topic: pointerTopic}, Usage: almondcross.Partition{Topic: usageTopic}, Name: journalWriter, RecordBytes: settings.StoreRecord(), CallBytes: settings.StoreCall(),
 	})
 }
 
--- a/command/committer/committer.go
+++ b/command/committer/committer.go
@@ -16,12 +16,6 @@
 	// journalTimeout bounds an append to the journal. A slow store takes a quarter of a second, and standbys take
 	// over after 600 ms of silence, so an append whose response was lost must be retried before that.
 	journalTimeout = 350 * time.Millisecond
-	// snapshotTimeout bounds the append of a snapshot of a few megabytes.
-	snapshotTimeout = 3 * time.Second
-	// keyedOverhead is the space in bytes reserved for the key of a snapshot part.
-	keyedOverhead = 4 << 10
-	// estimateDivisor limits the estimated size of a snapshot part to this fraction (1/estimateDivisor) of a record.
-	estimateDivisor = 2
 	// pointerKey is the key of the record that holds the pointer.
 	pointerKey = "scheduler"
 )
@@ -40,10 +34,14 @@
 	Usage       almondcross.Partition
 	Name        string // Name is the writer name that all schedulers share, so that their epochs are compared.
 	RecordBytes int    // RecordBytes is the maximum size of a record in bytes.
+	CallBytes   int    // CallBytes is the maximum size in bytes of the records of one append.
 }
 
 // Committer writes journal batches, snapshots, usage and the pointer to the store.
-type Committer struct{ config Config }
+type Committer struct {
+	config    Config
+	snapshots snapshotSets // snapshots is used by the duty of RunSnapshots alone.
+}
 
 // New returns a committer.
 func New(config Config) *Committer { return &Committer{config: config} }
@@ -151,29 +149,3 @@
 	// returns its first response, and other records may have been appended since.
 	return appended.WithEnd(appended.Offset() + int64(len(records))), nil
 }
-
-func (committer *Committer) storeSnapshot(ctx context.Context, request almondcross.SnapshotStore) {
-	answer := almondcross.NewSnapshotStored(almondcross.SnapshotStoredConfig{
-		Next: request.Snapshot().Next(), Err: committer.writeSnapshot(ctx, request.Snapshot()),
-	})
-	_ = committer.config.Sink.Put(ctx, answer) // Put fails only when the context has ended.
-}
-
-func (committer *Committer) writeSnapshot(ctx context.Context, snapshot almondcross.StateSnapshot) error {
-	parts, err := committer.config.Codec.EncodeSnapshot(snapshot, (committer.config.RecordBytes-keyedOverhead)/estimateDivisor)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	records := make([][]byte, len(parts))
-	for index, part := range parts {
-		if records[index], err = committer.config.KeyedCodec.EncodeKeyed(part); err != nil {
-			return errors.Trace(err)
-		}
-	}
-	callCtx, cancel := context.WithTimeout(ctx, snapshotTimeout)
-	defer cancel()
-	_, err = committer.config.Writer.Append(callCtx, almondcross.NewStoreAppend(almondcross.StoreAppendConfig{
-		Partition: committer.config.Snapshots, Records: records,
-	}))
-	return errors.Trace(err)
-}
--- a/command/scheduler/scheduler_test.go
+++ b/command/scheduler/scheduler_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -423,13 +424,18 @@
 	codec, err := encoder.NewCodec()
 	require.NoError(t, err)
 	before := harness.machine.state.snapshot(7)
-	records, err := codec.EncodeSnapshot(before, 200)
+	parts, err := codec.EncodeSnapshot(before, 200)
 	require.NoError(t, err)
-	require.Greater(t, len(records), 1)
-	older, err := codec.EncodeSnapshot(before.WithNext(3), 1<<20)
-	require.NoError(t, err)
-	after, found, err := codec.DecodeSnapshot(append(records, older...))
+	require.Greater(t, len(parts), 1)
+	olderParts, err := codec.EncodeSnapshot(before.WithNext(3), 1<<20)
 	require.NoError(t, err)
+	var records []almondcross.KeyedRecord
+	for index, part := range append(parts, olderParts...) {
+		records = append(records, almondcross.NewKeyedRecord(almondcross.KeyedRecordConfig{Key: strconv.Itoa(index), Value: part}))
+	}
+	damaged := almondcross.NewKeyedRecord(almondcross.KeyedRecordConfig{Key: "damaged", Value: []byte("not a snapshot")})
+	after, found, err := codec.DecodeSnapshot(append(slices.Clone(records), damaged))
+	require.ErrorIs(t, err, encoder.ErrMalformed, "a malformed record is reported and doesn't hide a snapshot")
 	require.True(t, found)
 	require.Equal(t, int64(7), after.Next())
 	restored := restore(after, time.Minute, harness.now)
@@ -440,7 +446,7 @@
 	require.Equal(t, 1, j.activeTasks)
 	require.Equal(t, 2, j.stages[0].remainingTasks)
 	require.Equal(t, almondcross.JobCancelled, restored.jobs["k"].state)
-	_, found, err = codec.DecodeSnapshot(records[1:])
+	_, found, err = codec.DecodeSnapshot(records[1:len(parts)])
 	require.NoError(t, err)
 	require.False(t, found, "an incomplete snapshot is not decoded")
 }
--- a/configurator/scheduler.go
+++ b/configurator/scheduler.go
@@ -34,6 +34,8 @@
 		1, 1024, func(settings *rawSchedulerSettings) *int { return &settings.StorePartitions }),
 	parser.Integer(parser.FieldSpec{Key: "store_record", Unit: "bytes", Description: "the maximum size of a record in the store"},
 		16<<10, 16<<20, func(settings *rawSchedulerSettings) *int { return &settings.StoreRecord }),
+	parser.Integer(parser.FieldSpec{Key: "store_call", Unit: "bytes", Default: "2097152", Description: "the maximum total size of the records of one append to the store"},
+		16<<10, 1<<30, func(settings *rawSchedulerSettings) *int { return &settings.StoreCall }),
 	parser.Duration(parser.FieldSpec{Key: "store_retention", Description: "the retention of records in the store"},
 		time.Second, 1000*time.Hour, func(settings *rawSchedulerSettings) *time.Duration { return &settings.StoreRetention }),
 	parser.Address(parser.FieldSpec{Key: "advice_address", Description: "the address of the advice service"},
--- a/configurator/values.go
+++ b/configurator/values.go
@@ -129,6 +129,7 @@
 	storeAddress    string        // the address of the platform's store
 	storePartitions int           // the number of partitions of each topic in the store
 	storeRecord     int           // the maximum size of a record in the store, in bytes
+	storeCall       int           // the maximum total size of the records of one append to the store, in bytes
 	storeRetention  time.Duration // the retention of records in the store
 	adviceAddress   string        // the address of the advice service, empty for none
 	machinesAddress string        // the address of the service that moves and repairs machines, empty for none
--- a/configurator/values_generated.go
+++ b/configurator/values_generated.go
@@ -568,6 +568,7 @@
 	StoreAddress    string
 	StorePartitions int
 	StoreRecord     int
+	StoreCall       int
 	StoreRetention  time.Duration
 	AdviceAddress   string
 	MachinesAddress string
@@ -593,6 +594,7 @@
 		storeAddress:    config.StoreAddress,
 		storePartitions: config.StorePartitions,
 		storeRecord:     config.StoreRecord,
+		storeCall:       config.StoreCall,
 		storeRetention:  config.StoreRetention,
 		adviceAddress:   config.AdviceAddress,
 		machinesAddress: config.MachinesAddress,
@@ -619,6 +621,7 @@
 		StoreAddress:    schedulersettings.storeAddress,
 		StorePartitions: schedulersettings.storePartitions,
 		StoreRecord:     schedulersettings.storeRecord,
+		StoreCall:       schedulersettings.storeCall,
 		StoreRetention:  schedulersettings.storeRetention,
 		AdviceAddress:   schedulersettings.adviceAddress,
 		MachinesAddress: schedulersettings.machinesAddress,
@@ -730,6 +733,15 @@
 	return schedulersettings
 }
 
+// StoreCall returns the maximum total size of the records of one append to the store, in bytes.
+func (schedulersettings SchedulerSettings) StoreCall() int { return schedulersettings.storeCall }
+
+// WithStoreCall returns a copy with the given storeCall.
+func (schedulersettings SchedulerSettings) WithStoreCall(storeCall int) SchedulerSettings {
+	schedulersettings.storeCall = storeCall
+	return schedulersettings
+}
+
 // StoreRetention returns the retention of records in the store.
 func (schedulersettings SchedulerSettings) StoreRetention() time.Duration {
 	return schedulersettings.storeRetention
--- a/encoder/journal.go
+++ b/encoder/journal.go
@@ -1,9 +1,6 @@
 package encoder
 
 import (
-	"fmt"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -186,18 +183,6 @@
 	Stages             []wireStageRecord
 }
 
-type wireSnapshotPart struct {
-	_             struct{} `cbor:",toarray"`
-	JournalOffset int64
-	Part, Parts   int
-	Epoch, AtMS   int64
-	Host, Address string
-	Intake        map[int]int64
-	Jobs          []wireJobRecord
-	Usage         []wireUsage
-	SilentLeaseMS map[string]int64
-}
-
 // toUnixMillis returns a time as Unix milliseconds, 0 for the zero time.
 func toUnixMillis(at time.Time) int64 {
 	if at.IsZero() {
@@ -368,137 +353,3 @@
 	}
 	return almondcross.NewIntake(almondcross.IntakeConfig{Job: wire.Job.value(), Cancel: wire.Cancel}), nil
 }
-
-func toJobRecord(record almondcross.JobRecord) wireJobRecord {
-	stages := make([]wireStageRecord, len(record.Stages()))
-	for index, stage := range record.Stages() {
-		tasks := make([]wireTaskRecord, len(stage.Tasks()))
-		for taskIndex, task := range stage.Tasks() {
-			config := task.Config()
-			tasks[taskIndex] = wireTaskRecord{
-				Done: config.Done, Active: config.Active, Run: config.Run, Failures: config.Failures,
-				Worker: config.Worker, Checkpoint: config.Checkpoint, SinceMS: toUnixMillis(config.Since),
-			}
-		}
-		stages[index] = wireStageRecord{
-			Occurrence: stage.Occurrence(), Step: stage.Step(), Run: stage.Run(), Failures: stage.Failures(),
-			FailedRun: stage.FailedRun(), Checkpoint: stage.Checkpoint(), Tasks: tasks,
-		}
-	}
-	return wireJobRecord{
-		Job: toJob(record.Job()), Queue: toQueue(record.Queue()), State: record.State(),
-		FinishedMS: toUnixMillis(record.Finished()), StartedOccurrences: record.StartedOccurrences(), Stages: stages,
-	}
-}
-
-func (wirejobrecord wireJobRecord) value() almondcross.JobRecord {
-	stages := make([]almondcross.StageRecord, len(wirejobrecord.Stages))
-	for index, stage := range wirejobrecord.Stages {
-		tasks := make([]almondcross.TaskRecord, len(stage.Tasks))
-		for taskIndex, task := range stage.Tasks {
-			tasks[taskIndex] = almondcross.NewTaskRecord(almondcross.TaskRecordConfig{
-				Done: task.Done, Active: task.Active, Run: task.Run, Failures: task.Failures,
-				Worker: task.Worker, Checkpoint: task.Checkpoint, Since: fromUnixMillis(task.SinceMS),
-			})
-		}
-		stages[index] = almondcross.NewStageRecord(almondcross.StageRecordConfig{
-			Occurrence: stage.Occurrence, Step: stage.Step, Run: stage.Run, Failures: stage.Failures,
-			FailedRun: stage.FailedRun, Checkpoint: stage.Checkpoint, Tasks: tasks,
-		})
-	}
-	return almondcross.NewJobRecord(almondcross.JobRecordConfig{
-		Job: wirejobrecord.Job.value(), Queue: wirejobrecord.Queue.value(), State: wirejobrecord.State,
-		Finished: fromUnixMillis(wirejobrecord.FinishedMS), StartedOccurrences: wirejobrecord.StartedOccurrences, Stages: stages,
-	})
-}
-
-// snapshotKeyPrefix is the prefix of the keys of snapshot parts.
-const snapshotKeyPrefix = "part-"
-
-// EncodeSnapshot returns the snapshot as keyed records (parts) of about size bytes each. Every part has the
-// journal offset of the snapshot, so that DecodeSnapshot never combines parts of two snapshots.
-func (codec Codec) EncodeSnapshot(snapshot almondcross.StateSnapshot, size int) ([]almondcross.KeyedRecord, error) {
-	var parts []wireSnapshotPart
-	var jobs []wireJobRecord
-	remaining := size
-	for _, record := range snapshot.Jobs() {
-		wire := toJobRecord(record)
-		estimate := 160 + len(wire.Job.Payload) + 100*len(wire.Job.Steps)
-		for _, stage := range wire.Stages {
-			estimate += 40 + 60*len(stage.Tasks)
-		}
-		if estimate > remaining && len(jobs) > 0 {
-			parts = append(parts, wireSnapshotPart{Jobs: jobs})
-			jobs, remaining = nil, size
-		}
-		jobs, remaining = append(jobs, wire), remaining-estimate
-	}
-	parts = append(parts, wireSnapshotPart{Jobs: jobs})
-	records := make([]almondcross.KeyedRecord, len(parts))
-	for index, part := range parts {
-		part.JournalOffset, part.Part, part.Parts = snapshot.Next(), index, len(parts)
-		if index == 0 {
-			part.Epoch, part.AtMS, part.Intake = snapshot.Epoch(), toUnixMillis(snapshot.At()), snapshot.Intake()
-			part.Host, part.Address = snapshot.Host(), snapshot.Address()
-			for _, usage := range snapshot.Usage() {
-				part.Usage = append(part.Usage, toUsage(usage))
-			}
-			part.SilentLeaseMS = make(map[string]int64, len(snapshot.Silent()))
-			for worker, leaseRemaining := range snapshot.Silent() {
-				part.SilentLeaseMS[worker] = leaseRemaining.Milliseconds()
-			}
-		}
-		value, err := codec.encoding.Marshal(part)
-		if err != nil {
-			return nil, errors.Annotate(err, "encoding a snapshot")
-		}
-		records[index] = almondcross.NewKeyedRecord(almondcross.KeyedRecordConfig{Key: fmt.Sprintf("%s%03d", snapshotKeyPrefix, index), Value: value})
-	}
-	return records, nil
-}
-
-// DecodeSnapshot returns the newest snapshot of which all parts are among the records, and false if there is none.
-func (codec Codec) DecodeSnapshot(records []almondcross.KeyedRecord) (almondcross.StateSnapshot, bool, error) {
-	partsByOffset := map[int64]map[int]wireSnapshotPart{}
-	for _, record := range records {
-		if _, err := strconv.Atoi(strings.TrimPrefix(record.Key(), snapshotKeyPrefix)); err != nil || len(record.Value()) == 0 {
-			continue
-		}
-		var part wireSnapshotPart
-		if err := codec.decoding.Unmarshal(record.Value(), &part); err != nil {
-			return almondcross.StateSnapshot{}, false, errors.Annotatef(ErrMalformed, "snapshot %s: %v", record.Key(), err)
-		}
-		if partsByOffset[part.JournalOffset] == nil {
-			partsByOffset[part.JournalOffset] = map[int]wireSnapshotPart{}
-		}
-		partsByOffset[part.JournalOffset][part.Part] = part
-	}
-	var newest map[int]wireSnapshotPart
-	for _, parts := range partsByOffset {
-		if len(parts) == parts[0].Parts && (newest == nil || parts[0].JournalOffset > newest[0].JournalOffset) {
-			newest = parts
-		}
-	}
-	if newest == nil {
-		return almondcross.StateSnapshot{}, false, nil
-	}
-	var jobs []almondcross.JobRecord
-	for index := range len(newest) {
-		for _, record := range newest[index].Jobs {
-			jobs = append(jobs, record.value())
-		}
-	}
-	firstPart := newest[0]
-	var usage []almondcross.QueueUsage
-	for _, wire := range firstPart.Usage {
-		usage = append(usage, wire.value())
-	}
-	silentWorkers := make(map[string]time.Duration, len(firstPart.SilentLeaseMS))
-	for worker, leaseRemainingMS := range firstPart.SilentLeaseMS {
-		silentWorkers[worker] = time.Duration(leaseRemainingMS) * time.Millisecond
-	}
-	return almondcross.NewStateSnapshot(almondcross.StateSnapshotConfig{
-		Next: firstPart.JournalOffset, Epoch: firstPart.Epoch, At: fromUnixMillis(firstPart.AtMS), Host: firstPart.Host, Address: firstPart.Address,
-		Intake: firstPart.Intake, Jobs: jobs, Usage: usage, Silent: silentWorkers,
-	}), true, nil
-}
--- /dev/null
+++ b/encoder/snapshot.go
@@ -0,0 +1,185 @@
+package encoder
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+
+	"github.com/almondcross/almondcross"
+)
+
+// wireSnapshotPart is one part of a snapshot. Only the first part has the fields after Parts other than Jobs.
+type wireSnapshotPart struct {
+	_             struct{} `cbor:",toarray"`
+	JournalOffset int64
+	Part, Parts   int
+	Epoch, AtMS   int64
+	Host, Address string
+	Intake        map[int]int64
+	Jobs          []cbor.RawMessage // Jobs holds encoded values of wireJobRecord.
+	Usage         []wireUsage
+	SilentLeaseMS map[string]int64
+}
+
+// maxArrayHeaderBytes is the maximum size in bytes of the header of an encoded array.
+const maxArrayHeaderBytes = 9
+
+// EncodeSnapshot returns the parts of a snapshot, of at most size bytes each; a job or a first part that is larger
+// by itself gets a part of its own. Every part has the journal offset of the snapshot, so that DecodeSnapshot never
+// combines parts of two snapshots.
+func (codec Codec) EncodeSnapshot(snapshot almondcross.StateSnapshot, size int) ([][]byte, error) {
+	parts := []wireSnapshotPart{firstSnapshotPart(snapshot)}
+	remaining, err := codec.remainingBytes(parts[0], size)
+	if err != nil {
+		return nil, err
+	}
+	for _, record := range snapshot.Jobs() {
+		encoded, err := codec.encoding.Marshal(toJobRecord(record))
+		if err != nil {
+			return nil, errors.Annotate(err, "encoding a job of a snapshot")
+		}
+		if len(encoded) > remaining {
+			next := wireSnapshotPart{JournalOffset: snapshot.Next(), Part: len(parts)}
+			if remaining, err = codec.remainingBytes(next, size); err != nil {
+				return nil, err
+			}
+			parts = append(parts, next)
+		}
+		last := &parts[len(parts)-1]
+		last.Jobs = append(last.Jobs, encoded)
+		remaining -= len(encoded)
+	}
+	values := make([][]byte, len(parts))
+	for index, part := range parts {
+		part.Parts = len(parts)
+		if values[index], err = codec.encoding.Marshal(part); err != nil {
+			return nil, errors.Annotate(err, "encoding a snapshot")
+		}
+	}
+	return values, nil
+}
+
+// remainingBytes returns how many bytes of jobs fit in a part that has none yet.
+func (codec Codec) remainingBytes(part wireSnapshotPart, size int) (int, error) {
+	empty, err := codec.encoding.Marshal(part)
+	if err != nil {
+		return 0, errors.Annotate(err, "encoding a snapshot")
+	}
+	// The number of parts and the number of jobs take more bytes once they are known.
+	return size - len(empty) - 2*maxArrayHeaderBytes, nil
+}
+
+func firstSnapshotPart(snapshot almondcross.StateSnapshot) wireSnapshotPart {
+	part := wireSnapshotPart{
+		JournalOffset: snapshot.Next(), Epoch: snapshot.Epoch(), AtMS: toUnixMillis(snapshot.At()), Intake: snapshot.Intake(),
+		Host: snapshot.Host(), Address: snapshot.Address(), SilentLeaseMS: make(map[string]int64, len(snapshot.Silent())),
+	}
+	for _, usage := range snapshot.Usage() {
+		part.Usage = append(part.Usage, toUsage(usage))
+	}
+	for worker, leaseRemaining := range snapshot.Silent() {
+		part.SilentLeaseMS[worker] = leaseRemaining.Milliseconds()
+	}
+	return part
+}
+
+// DecodeSnapshot returns the newest snapshot of which all parts are among the records, and false if there is none.
+// Malformed records are left out; the error names the last of them, also when a snapshot is found.
+func (codec Codec) DecodeSnapshot(records []almondcross.KeyedRecord) (almondcross.StateSnapshot, bool, error) {
+	var malformed error
+	partsByOffset := map[int64]map[int]wireSnapshotPart{}
+	for _, record := range records {
+		if len(record.Value()) == 0 {
+			continue
+		}
+		var part wireSnapshotPart
+		if err := codec.decoding.Unmarshal(record.Value(), &part); err != nil {
+			malformed = errors.Annotatef(ErrMalformed, "snapshot %s: %v", record.Key(), err)
+			continue
+		}
+		if partsByOffset[part.JournalOffset] == nil {
+			partsByOffset[part.JournalOffset] = map[int]wireSnapshotPart{}
+		}
+		partsByOffset[part.JournalOffset][part.Part] = part
+	}
+	var newest map[int]wireSnapshotPart
+	for _, parts := range partsByOffset {
+		first, found := parts[0]
+		if found && len(parts) == first.Parts && (newest == nil || first.JournalOffset > newest[0].JournalOffset) {
+			newest = parts
+		}
+	}
+	if newest == nil {
+		return almondcross.StateSnapshot{}, false, malformed
+	}
+	var jobs []almondcross.JobRecord
+	for index := range len(newest) {
+		for _, encoded := range newest[index].Jobs {
+			var record wireJobRecord
+			if err := codec.decoding.Unmarshal(encoded, &record); err != nil {
+				return almondcross.StateSnapshot{}, false, errors.Annotatef(ErrMalformed, "job of a snapshot: %v", err)
+			}
+			jobs = append(jobs, record.value())
+		}
+	}
+	return snapshotOf(newest[0], jobs), true, malformed
+}
+
+func snapshotOf(firstPart wireSnapshotPart, jobs []almondcross.JobRecord) almondcross.StateSnapshot {
+	var usage []almondcross.QueueUsage
+	for _, wire := range firstPart.Usage {
+		usage = append(usage, wire.value())
+	}
+	silentWorkers := make(map[string]time.Duration, len(firstPart.SilentLeaseMS))
+	for worker, leaseRemainingMS := range firstPart.SilentLeaseMS {
+		silentWorkers[worker] = time.Duration(leaseRemainingMS) * time.Millisecond
+	}
+	return almondcross.NewStateSnapshot(almondcross.StateSnapshotConfig{
+		Next: firstPart.JournalOffset, Epoch: firstPart.Epoch, At: fromUnixMillis(firstPart.AtMS), Host: firstPart.Host, Address: firstPart.Address,
+		Intake: firstPart.Intake, Jobs: jobs, Usage: usage, Silent: silentWorkers,
+	})
+}
+
+func toJobRecord(record almondcross.JobRecord) wireJobRecord {
+	stages := make([]wireStageRecord, len(record.Stages()))
+	for index, stage := range record.Stages() {
+		tasks := make([]wireTaskRecord, len(stage.Tasks()))
+		for taskIndex, task := range stage.Tasks() {
+			config := task.Config()
+			tasks[taskIndex] = wireTaskRecord{
+				Done: config.Done, Active: config.Active, Run: config.Run, Failures: config.Failures,
+				Worker: config.Worker, Checkpoint: config.Checkpoint, SinceMS: toUnixMillis(config.Since),
+			}
+		}
+		stages[index] = wireStageRecord{
+			Occurrence: stage.Occurrence(), Step: stage.Step(), Run: stage.Run(), Failures: stage.Failures(),
+			FailedRun: stage.FailedRun(), Checkpoint: stage.Checkpoint(), Tasks: tasks,
+		}
+	}
+	return wireJobRecord{
+		Job: toJob(record.Job()), Queue: toQueue(record.Queue()), State: record.State(),
+		FinishedMS: toUnixMillis(record.Finished()), StartedOccurrences: record.StartedOccurrences(), Stages: stages,
+	}
+}
+
+func (wirejobrecord wireJobRecord) value() almondcross.JobRecord {
+	stages := make([]almondcross.StageRecord, len(wirejobrecord.Stages))
+	for index, stage := range wirejobrecord.Stages {
+		tasks := make([]almondcross.TaskRecord, len(stage.Tasks))
+		for taskIndex, task := range stage.Tasks {
+			tasks[taskIndex] = almondcross.NewTaskRecord(almondcross.TaskRecordConfig{
+				Done: task.Done, Active: task.Active, Run: task.Run, Failures: task.Failures,
+				Worker: task.Worker, Checkpoint: task.Checkpoint, Since: fromUnixMillis(task.SinceMS),
+			})
+		}
+		stages[index] = almondcross.NewStageRecord(almondcross.StageRecordConfig{
+			Occurrence: stage.Occurrence, Step: stage.Step, Run: stage.Run, Failures: stage.Failures,
+			FailedRun: stage.FailedRun, Checkpoint: stage.Checkpoint, Tasks: tasks,
+		})
+	}
+	return almondcross.NewJobRecord(almondcross.JobRecordConfig{
+		Job: wirejobrecord.Job.value(), Queue: wirejobrecord.Queue.value(), State: wirejobrecord.State,
+		Finished: fromUnixMillis(wirejobrecord.FinishedMS), StartedOccurrences: wirejobrecord.StartedOccurrences, Stages: stages,
+	})
+}
--- a/journal.go
+++ b/journal.go
@@ -274,8 +274,9 @@
 	EncodeQueueUsage(usage QueueUsage) ([]byte, error)
 	// DecodeQueueUsage returns the usage with the given stored form.
 	DecodeQueueUsage(source []byte) (QueueUsage, error)
-	// EncodeSnapshot returns the snapshot as keyed records of at most the given size in bytes.
-	EncodeSnapshot(snapshot StateSnapshot, size int) ([]KeyedRecord, error)
-	// DecodeSnapshot returns the newest complete snapshot among keyed records and reports whether there is one.
+	// EncodeSnapshot returns the parts of a snapshot, of at most the given size in bytes where no single job is larger.
+	EncodeSnapshot(snapshot StateSnapshot, size int) ([][]byte, error)
+	// DecodeSnapshot returns the newest complete snapshot among keyed records and reports whether there is one. An
+	// error reports malformed records, also beside a snapshot.
 	DecodeSnapshot(records []KeyedRecord) (StateSnapshot, bool, error)
 }
--- a/standin/emulator/host.go
+++ b/standin/emulator/host.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/almondcross/almondcross"
@@ -265,11 +266,15 @@
 
 func (modelhost *modelHost) storeSnapshot(request almondcross.SnapshotStore) {
 	simulation := modelhost.simulation
-	records, err := simulation.codec.EncodeSnapshot(request.Snapshot(), 100<<10)
+	parts, err := simulation.codec.EncodeSnapshot(request.Snapshot(), 100<<10)
 	if err != nil {
 		simulation.checker.addViolation("ENCODING", "%v", err)
 		return
 	}
+	records := make([]almondcross.KeyedRecord, len(parts))
+	for index, part := range parts {
+		records[index] = almondcross.NewKeyedRecord(almondcross.KeyedRecordConfig{Key: strconv.Itoa(index), Value: part})
+	}
 	deliverResult := func(err error) {
 		modelhost.deliver(almondcross.NewSnapshotStored(almondcross.SnapshotStoredConfig{Next: request.Snapshot().Next(), Err: err}))
 	}
