--- a/assembler/scheduler.go
+++ b/assembler/scheduler.go
@@ -249,7 +249,7 @@
 	return scheduler.NewMachine(scheduler.Config{
 		Host: settings.Name(), Address: settings.LinkListen(), Partitions: settings.StorePartitions(), Strength: schedulerStrength(settings),
 		Retention: time.Duration(float64(settings.StateRetention()) * retentionFactor), MaxLease: settings.MaxLease(),
-		SnapshotInterval: interval, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), //nolint:gosec // Jitter needs no secrecy.
+		SnapshotInterval: interval, BatchesPerAppend: max(1, settings.StoreCall()/settings.StoreRecord()), Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), //nolint:gosec // Jitter needs no secrecy.
 		Publisher: table, Picker: picker.BestFit{}, Log: log, Metrics: counter,
 	})
 }
--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -22,7 +22,7 @@
 
 	pendingChanges   []almondcross.Change // pendingChanges holds the changes of the next append.
 	pendingIntake    map[int]int64        // pendingIntake holds the intake offsets of the next append.
-	pendingCallbacks []func()             // pendingCallbacks holds the functions to run after the next append.
+	pendingCallbacks []commitCallback     // pendingCallbacks holds the functions to run once their changes are in the journal.
 	pendingResets    []viewsReset         // pendingResets holds the views to push after the next append.
 	intakeReadAt     map[int]time.Time    // intakeReadAt is when each intake partition was last read successfully.
 	inflight         *inflightAppend      // inflight is the pending append, nil for none.
@@ -47,14 +47,20 @@
 	allowedShares       map[string]float64           // allowedShares holds the moving average of the share of workers that advice allows, by queue.
 }
 
+// commitCallback is a function to run once the first changes of the pending ones are in the journal.
+type commitCallback struct {
+	changes int // changes is the number of pending changes when the callback was added.
+	run     func()
+}
+
 // inflightAppend is a pending append to the journal.
 type inflightAppend struct {
 	commit         almondcross.JournalCommit
 	sentAt         time.Time
-	callbacks      []func()
+	callbacks      []commitCallback
 	resets         []viewsReset
 	views          []almondcross.JobViewChange
-	intakesCurrent bool // intakesCurrent is set if every intake partition had been read recently.
+	intakesCurrent bool // intakesCurrent is set if every intake partition had been read recently and the append has all their jobs.
 	snapshot       *almondcross.StateSnapshot
 }
 
@@ -149,7 +155,8 @@
 
 // afterCommit runs a function once all changes so far are in the journal.
 func (machine *Machine) afterCommit(callback func()) {
-	machine.leader.pendingCallbacks = append(machine.leader.pendingCallbacks, callback)
+	leader := machine.leader
+	leader.pendingCallbacks = append(leader.pendingCallbacks, commitCallback{changes: len(leader.pendingChanges), run: callback})
 }
 
 // runLeader carries out the periodic work of the scheduler.
@@ -200,31 +207,73 @@
 	machine.beginBatch()
 	leader.lastAppendAt = machine.now
 	leader.sequence++
-	inflight := &inflightAppend{sentAt: machine.now, callbacks: leader.pendingCallbacks, resets: leader.pendingResets, views: machine.takeViewChanges(), intakesCurrent: machine.intakesCurrent()}
-	var batches []almondcross.JournalBatch
-	for first := true; first || len(leader.pendingChanges) > 0; first = false {
-		count := min(len(leader.pendingChanges), maxBatchChanges)
-		config := almondcross.JournalBatchConfig{
-			Epoch: leader.epoch, At: machine.state.batchTime, Changes: leader.pendingChanges[:count:count], Current: inflight.intakesCurrent,
-		}
-		leader.pendingChanges = leader.pendingChanges[count:]
-		if len(leader.pendingChanges) == 0 {
-			config.Intake = leader.pendingIntake
-		}
-		batches = append(batches, almondcross.NewJournalBatch(config))
+	inflight := &inflightAppend{sentAt: machine.now}
+	changes := leader.takeChanges(machine.config.BatchesPerAppend * maxBatchChanges)
+	inflight.callbacks = leader.takeCallbacks(len(changes))
+	var intake map[int]int64
+	if len(leader.pendingChanges) == 0 {
+		intake = leader.pendingIntake
+		machine.completeAppend(inflight)
 	}
 	inflight.commit = almondcross.NewJournalCommit(almondcross.JournalCommitConfig{
-		Epoch: leader.epoch, Sequence: leader.sequence, Batches: batches,
+		Epoch: leader.epoch, Sequence: leader.sequence, Batches: machine.newBatches(changes, intake, inflight.intakesCurrent),
 	})
+	leader.inflight = inflight
+	machine.emit(Commit{Request: inflight.commit})
+}
+
+// takeChanges removes and returns the first pending changes, at most limit. The store limits the size of an append,
+// and a recovery may admit more jobs at once than fit in one.
+func (leader *leader) takeChanges(limit int) []almondcross.Change {
+	count := min(len(leader.pendingChanges), limit)
+	taken := leader.pendingChanges[:count:count]
+	leader.pendingChanges = leader.pendingChanges[count:]
+	return taken
+}
+
+// takeCallbacks removes and returns the callbacks that wait for no more than the changes of an append.
+func (leader *leader) takeCallbacks(changes int) []commitCallback {
+	var taken, remaining []commitCallback
+	for _, callback := range leader.pendingCallbacks {
+		if callback.changes <= changes {
+			taken = append(taken, callback)
+		} else {
+			remaining = append(remaining, commitCallback{changes: callback.changes - changes, run: callback.run})
+		}
+	}
+	leader.pendingCallbacks = remaining
+	return taken
+}
+
+// completeAppend adds to an append with all pending changes what presumes them: views, the intake offsets and, when
+// one is due, a snapshot of the state.
+func (machine *Machine) completeAppend(inflight *inflightAppend) {
+	leader := machine.leader
+	inflight.resets, inflight.views, inflight.intakesCurrent = leader.pendingResets, machine.takeViewChanges(), machine.intakesCurrent()
 	maps.Copy(machine.state.intakeOffsets, leader.pendingIntake)
 	if !leader.snapshotting && machine.now.Sub(leader.snapshotAt) >= machine.config.SnapshotInterval {
 		snapshot := machine.state.snapshot(0)
 		inflight.snapshot = &snapshot
 		leader.snapshotting, leader.snapshotAt = true, machine.now
 	}
-	leader.pendingChanges, leader.pendingIntake, leader.pendingCallbacks, leader.pendingResets = nil, map[int]int64{}, nil, nil
-	leader.inflight = inflight
-	machine.emit(Commit{Request: inflight.commit})
+	leader.pendingChanges, leader.pendingIntake, leader.pendingResets = nil, map[int]int64{}, nil
+}
+
+// newBatches divides changes into batches. The last one has the intake offsets.
+func (machine *Machine) newBatches(changes []almondcross.Change, intake map[int]int64, current bool) []almondcross.JournalBatch {
+	var batches []almondcross.JournalBatch
+	for first := true; first || len(changes) > 0; first = false {
+		count := min(len(changes), maxBatchChanges)
+		config := almondcross.JournalBatchConfig{
+			Epoch: machine.leader.epoch, At: machine.state.batchTime, Changes: changes[:count:count], Current: current,
+		}
+		changes = changes[count:]
+		if len(changes) == 0 {
+			config.Intake = intake
+		}
+		batches = append(batches, almondcross.NewJournalBatch(config))
+	}
+	return batches
 }
 
 // committed handles the answer to an append.
@@ -275,7 +324,7 @@
 		if machine.leader != leader {
 			return
 		}
-		callback()
+		callback.run()
 	}
 }
 
