--- a/assembler/scheduler.go
+++ b/assembler/scheduler.go
@@ -20,7 +20,9 @@
 	"github.com/almondcross/almondcross/command/connector"
 	"github.com/almondcross/almondcross/command/controller"
 	"github.com/almondcross/almondcross/command/counter"
+	"github.com/almondcross/almondcross/command/executor"
 	"github.com/almondcross/almondcross/command/recorder"
+	"github.com/almondcross/almondcross/command/relayer"
 	"github.com/almondcross/almondcross/command/scheduler"
 	"github.com/almondcross/almondcross/command/submitter"
 	"github.com/almondcross/almondcross/configurator"
@@ -29,6 +31,7 @@
 	"github.com/almondcross/almondcross/platform/commander"
 	"github.com/almondcross/almondcross/platform/querier"
 	"github.com/almondcross/almondcross/platform/translator"
+	"github.com/almondcross/almondcross/policy/delegator"
 	"github.com/almondcross/almondcross/policy/picker"
 	"github.com/almondcross/almondcross/query/follower"
 	"github.com/almondcross/almondcross/query/jobfinder"
@@ -56,6 +59,12 @@
 	submissionRingCapacity = 1024
 	// requestRingCapacity is enough for the request in flight and one of an earlier epoch.
 	requestRingCapacity = 4
+	// executorRingCapacity bounds the messages with orders of the scheduler, and the answers to them, that wait on the
+	// host that relays them.
+	executorRingCapacity = 1024
+	// directWorkersPerProcessor is the number of workers for each processor core up to which the scheduler's host sends
+	// all orders itself. Calls to this many workers take about a fifth of a core.
+	directWorkersPerProcessor = 200
 	// schedulerChangesRingCapacity bounds the changes of the current scheduler that wait for the link dialer; they are rare.
 	schedulerChangesRingCapacity = 64
 	// snapshotsPerRetention is the number of snapshots in the store's retention time, so that several may fail
@@ -91,7 +100,7 @@
 			func() almondcross.Clock { return Clock{} },
 			func() logrus.FieldLogger { return newLogger(configurator.LogJSON) },
 			metrics.NewSet, NewDuties, encoder.NewCodec, client.New, jobfinder.New, router.New, counter.New,
-			newRecorder, newSchedulerRings, newFollower, newCommitter, newController, newAsker, newHub, newDialer, newUplink, newSubmitter,
+			newRecorder, newSchedulerRings, newFollower, newCommitter, newRelayer, newExecutor, newAsker, newHub, newDialer, newUplink, newSubmitter,
 			newSchedulerMachine, newScheduler, newSchedulerServers,
 		),
 		fx.Invoke(runScheduler),
@@ -117,6 +126,9 @@
 	schedulerChanges *ring.Ring[connector.Scheduler]
 	submissions      *ring.Ring[submitter.Submission]
 	stored           *ring.Ring[almondcross.IntakeStored]
+	relayed          *ring.Ring[almondcross.RelayMessage]
+	orders           *ring.Ring[executor.Request]
+	orderAnswers     *ring.Ring[almondcross.SchedulerMessage]
 }
 
 func newSchedulerRings(settings configurator.SchedulerSettings, set *metrics.Set) schedulerRings {
@@ -135,6 +147,9 @@
 		submissions:      ring.New[submitter.Submission](ring.Config{Name: "submissions", Capacity: submissionRingCapacity, Metrics: set}),
 		stored:           ring.New[almondcross.IntakeStored](ring.Config{Name: "stored", Capacity: submissionRingCapacity, Metrics: set}),
 	}
+	rings.relayed = ring.New[almondcross.RelayMessage](ring.Config{Name: "relayed", Capacity: schedulerRingCapacity, Metrics: set})
+	rings.orders = ring.New[executor.Request](ring.Config{Name: "orders", Capacity: executorRingCapacity, Metrics: set})
+	rings.orderAnswers = ring.New[almondcross.SchedulerMessage](ring.Config{Name: "order_answers", Capacity: executorRingCapacity, Metrics: set})
 	for range settings.StorePartitions() {
 		rings.intakeReads = append(rings.intakeReads, ring.New[almondcross.IntakeQuery](ring.Config{Name: "intake", Capacity: requestRingCapacity}))
 	}
@@ -172,12 +187,32 @@
 	})
 }
 
-func newController(
-	duties *Duties, client *client.Client, rings schedulerRings, log *recorder.Recorder, counter *counter.Counter,
-) *controller.Controller {
-	return controller.New(duties.Context(), controller.Config{
+func newRelayer(
+	settings configurator.SchedulerSettings, duties *Duties, client *client.Client, rings schedulerRings, hub *connector.Hub, log *recorder.Recorder,
+	counter *counter.Counter,
+) *relayer.Relayer {
+	maxDirectWorkers := settings.DirectWorkers()
+	if maxDirectWorkers < 0 {
+		maxDirectWorkers = int(directWorkersPerProcessor * settings.Processors())
+	}
+	direct := controller.New(duties.Context(), controller.Config{
 		Orderer: commander.NewWorkers(client), Sink: rings.messages, Clock: Clock{}, Log: log, Metrics: counter,
 	})
+	return relayer.New(relayer.Config{
+		Ring: rings.relayed, Direct: direct, Links: hub, Chooser: delegator.ByDataCentre{}, Sink: rings.messages, Clock: Clock{}, Log: log,
+		Metrics: counter, MaxDirectWorkers: maxDirectWorkers,
+	})
+}
+
+func newExecutor(client *client.Client, rings schedulerRings, log *recorder.Recorder, counter *counter.Counter) *executor.Executor {
+	return executor.New(executor.Config{
+		Requests: rings.orders, Answers: rings.orderAnswers,
+		NewManager: func(ctx context.Context) almondcross.WorkerManager {
+			return controller.New(ctx, controller.Config{
+				Orderer: commander.NewWorkers(client), Sink: rings.orderAnswers, Clock: Clock{}, Log: log, Metrics: counter,
+			})
+		},
+	})
 }
 
 func newAsker(settings configurator.SchedulerSettings, client *client.Client) *asker.Asker {
@@ -189,13 +224,16 @@
 func newHub(settings configurator.SchedulerSettings, codec encoder.Codec, rings schedulerRings, log *recorder.Recorder) *connector.Hub {
 	return connector.NewHub(connector.HubConfig{
 		Host: settings.Name(), Local: localAdviceQueries{rings}, Codec: codec, Pointers: codec, Sink: rings.messages, Clock: Clock{}, Log: log,
-		Stored: rings.offerStored,
+		Stored: rings.offerStored, Relay: rings.relayed,
 	})
 }
 
-func newDialer(settings configurator.SchedulerSettings, codec encoder.Codec, rings schedulerRings, log *recorder.Recorder) *connector.Dialer {
+func newDialer(
+	settings configurator.SchedulerSettings, codec encoder.Codec, rings schedulerRings, executor *executor.Executor, log *recorder.Recorder,
+) *connector.Dialer {
 	return connector.NewDialer(connector.DialerConfig{
-		Host: settings.Name(), Address: settings.LinkListen(), Codec: codec, Queries: rings.advice, Sink: rings.messages, Log: log,
+		Host: settings.Name(), DataCentre: settings.DataCentre(), Address: settings.LinkListen(), Codec: codec, Queries: rings.advice,
+		Executor: executor, Sink: rings.messages, Log: log,
 		Stored: rings.offerStored, Clock: Clock{},
 	})
 }
@@ -259,7 +297,7 @@
 	return int(100 * min(1, settings.Processors()/sufficientProcessors, settings.LinkMbps()/sufficientLinkMbps))
 }
 
-func newScheduler(machine *scheduler.Machine, rings schedulerRings, workers *controller.Controller, hub *connector.Hub) *scheduler.Duty {
+func newScheduler(machine *scheduler.Machine, rings schedulerRings, workers *relayer.Relayer, hub *connector.Hub) *scheduler.Duty {
 	var intakes []almondcross.Sink[almondcross.IntakeQuery]
 	for _, intake := range rings.intakeReads {
 		intakes = append(intakes, intake)
@@ -295,6 +333,8 @@
 	Committer *committer.Committer
 	Asker     *asker.Asker
 	Dialer    *connector.Dialer
+	Relayer   *relayer.Relayer
+	Executor  *executor.Executor
 	Submitter *submitter.Submitter
 	Scheduler *scheduler.Duty
 	Servers   *schedulerServers
@@ -329,6 +369,8 @@
 		NamedDuty{"routes reader", schedulerhost.Follower.Routes(schedulerhost.setRoutes)},
 		NamedDuty{"committer", dutyFunc(func(ctx context.Context) error { return schedulerhost.Committer.RunJournal(ctx, rings.journalCommits) })},
 		NamedDuty{"snapshot writer", dutyFunc(func(ctx context.Context) error { return schedulerhost.Committer.RunSnapshots(ctx, rings.newSnapshots) })},
+		NamedDuty{"relayer", schedulerhost.Relayer},
+		NamedDuty{"executor", schedulerhost.Executor},
 		NamedDuty{"asker", dutyFunc(func(ctx context.Context) error { return schedulerhost.Asker.Run(ctx, rings.advice) })},
 		NamedDuty{"link dialer", dutyFunc(func(ctx context.Context) error { return schedulerhost.Dialer.Run(ctx, rings.schedulerChanges) })},
 		NamedDuty{"submitter", dutyFunc(func(ctx context.Context) error { return schedulerhost.Submitter.Run(ctx, rings.submissions) })},
--- a/command/connector/dialer.go
+++ b/command/connector/dialer.go
@@ -27,14 +27,16 @@
 
 // DialerConfig holds the dependencies and settings of a dialer.
 type DialerConfig struct {
-	Host    string // Host is the name of this host.
-	Address string // Address is the address on which this host accepts links.
-	Codec   almondcross.LinkCodec
-	Queries almondcross.Sink[asker.Request] // Queries receives the queries of the scheduler.
-	Sink    almondcross.Sink[almondcross.SchedulerMessage]
-	Stored  func(stored almondcross.IntakeStored) // Stored is called with each answer to a forwarded intake.
-	Log     almondcross.EventLog
-	Clock   almondcross.Clock
+	Host       string // Host is the name of this host.
+	DataCentre string // DataCentre is the data centre of this host.
+	Address    string // Address is the address on which this host accepts links.
+	Codec      almondcross.LinkCodec
+	Queries    almondcross.Sink[asker.Request] // Queries receives the queries of the scheduler.
+	Executor   almondcross.OrderExecutor       // Executor executes the scheduler's orders.
+	Sink       almondcross.Sink[almondcross.SchedulerMessage]
+	Stored     func(stored almondcross.IntakeStored) // Stored is called with each answer to a forwarded intake.
+	Log        almondcross.EventLog
+	Clock      almondcross.Clock
 }
 
 // Dialer is the duty that keeps a link to the scheduler's host open.
@@ -42,6 +44,7 @@
 	config   DialerConfig
 	current  atomic.Pointer[session]
 	lastPush timestamp // lastPush is when the link last delivered batches or views.
+	lastLink atomic.Int64
 }
 
 // NewDialer returns a dialer.
@@ -88,14 +91,18 @@
 	_ = response.Body.Close() // An upgraded connection has no body.
 	session := newSession(connection, dialer.config.Codec)
 	session.offer(almondcross.NewHostHello(almondcross.HostHelloConfig{
-		Host: dialer.config.Host, Strength: scheduler.Strength, Address: dialer.config.Address,
+		Host: dialer.config.Host, Strength: scheduler.Strength, Address: dialer.config.Address, DataCentre: dialer.config.DataCentre,
 	}))
+	link := dialer.lastLink.Add(1)
+	defer dialer.config.Executor.Abandon(link)
 	dialer.current.Store(session)
 	defer dialer.current.CompareAndSwap(session, nil)
 	return session.run(ctx, func(message almondcross.LinkMessage) {
 		switch message := message.(type) {
 		case almondcross.AdviceQuery:
 			dialer.enqueueQuery(ctx, session, message)
+		case almondcross.OrdersRelayed:
+			dialer.execute(link, session, message)
 		case almondcross.JournalPushed:
 			dialer.lastPush.set(dialer.config.Clock.Now())
 			_ = dialer.config.Sink.Put(ctx, message) // Put fails only when the context has ended.
@@ -120,3 +127,21 @@
 		reply(ctx, almondcross.NewAdviceAnswered(almondcross.AdviceAnsweredConfig{Query: query, Err: almondcross.ErrStoreRefused}))
 	}
 }
+
+// execute passes orders to the executor. If too many wait there, none is sent to its worker.
+func (dialer *Dialer) execute(link int64, session *session, relayed almondcross.OrdersRelayed) {
+	reply := func(answered almondcross.OrdersAnswered) {
+		if !session.offer(answered) {
+			// The scheduler treats the orders of a closed link as unknown; a lost answer it would await for longer.
+			_ = session.connection.Close()
+		}
+	}
+	if dialer.config.Executor.Execute(link, relayed, reply) {
+		return
+	}
+	answers := make([]almondcross.RelayedAnswer, len(relayed.Orders()))
+	for index, order := range relayed.Orders() {
+		answers[index] = almondcross.NewRelayedAnswer(almondcross.RelayedAnswerConfig{Number: order.Number(), Result: almondcross.OrderNotSent})
+	}
+	reply(almondcross.NewOrdersAnswered(almondcross.OrdersAnsweredConfig{Answers: answers}))
+}
--- a/command/connector/hub.go
+++ b/command/connector/hub.go
@@ -23,8 +23,10 @@
 	// Pointers encodes the pointer that ServePointer returns.
 	Pointers almondcross.JournalCodec
 	Sink     almondcross.Sink[almondcross.SchedulerMessage]
-	Clock    almondcross.Clock
-	Log      almondcross.EventLog
+	// Relay receives the answers to relayed orders and the changes of links.
+	Relay almondcross.Sink[almondcross.RelayMessage]
+	Clock almondcross.Clock
+	Log   almondcross.EventLog
 }
 
 // Hub holds the links of other hosts to this one and sends messages over them. Its methods may be called from any
@@ -53,6 +55,12 @@
 	return session != nil && session.offer(query)
 }
 
+// SendOrders passes orders to a host. It reports false when the host isn't linked or its send queue is full.
+func (hub *Hub) SendOrders(host string, relayed almondcross.OrdersRelayed) bool {
+	session := (*hub.sessions.Load())[host]
+	return session != nil && session.offer(relayed)
+}
+
 // PushBatches passes committed batches to linked hosts.
 func (hub *Hub) PushBatches(hosts []string, pushed almondcross.JournalPushed) {
 	hub.lastPush.set(hub.config.Clock.Now())
@@ -154,9 +162,11 @@
 		case almondcross.HostHello:
 			host = message.Host()
 			hub.replaceSession(host, nil, session)
-			hub.notifyScheduler(request, almondcross.NewHostLinkChanged(almondcross.HostLinkChangedConfig{
-				Host: host, Present: true, Strength: message.Strength(), Address: message.Address(),
+			hub.notifyLinkChanged(request, almondcross.NewHostLinkChanged(almondcross.HostLinkChangedConfig{
+				Host: host, Present: true, Strength: message.Strength(), Address: message.Address(), DataCentre: message.DataCentre(),
 			}))
+		case almondcross.OrdersAnswered:
+			_ = hub.config.Relay.Put(request.Context(), message.WithHost(host)) // Put fails only when the context of the request has ended.
 		case almondcross.AdviceAnswered:
 			hub.notifyScheduler(request, message.WithAdviser(host).WithReceived(hub.config.Clock.Now()))
 		case almondcross.IntakeForwarded:
@@ -164,11 +174,17 @@
 		}
 	})
 	if host != "" && hub.replaceSession(host, session, nil) {
-		hub.notifyScheduler(request, almondcross.NewHostLinkChanged(almondcross.HostLinkChangedConfig{Host: host}))
+		hub.notifyLinkChanged(request, almondcross.NewHostLinkChanged(almondcross.HostLinkChangedConfig{Host: host}))
 	}
 	hub.config.Log.Record("link_closed", almondcross.Text("adviser", host), almondcross.Text("reason", err.Error()))
 }
 
+// notifyLinkChanged tells both the relayer and the scheduler of a link, the relayer first.
+func (hub *Hub) notifyLinkChanged(request *http.Request, change almondcross.HostLinkChanged) {
+	_ = hub.config.Relay.Put(request.Context(), change) // Put fails only when the context of the request has ended.
+	hub.notifyScheduler(request, change)
+}
+
 func (hub *Hub) notifyScheduler(request *http.Request, message almondcross.SchedulerMessage) {
 	_ = hub.config.Sink.Put(request.Context(), message) // Put fails only when the context of the request has ended.
 }
--- a/command/controller/controller.go
+++ b/command/controller/controller.go
@@ -53,6 +53,7 @@
 type managedWorker struct {
 	address string
 	cancel  context.CancelFunc
+	retired chan struct{} // retired is closed when no further orders follow.
 	leases  *ring.Ring[delayedLease]
 	orders  [orderQueues]*ring.Ring[call]
 }
@@ -89,15 +90,25 @@
 	}
 	ctx, cancel := context.WithCancel(controller.ctx)
 	managed := &managedWorker{
-		address: worker.Address(), cancel: cancel,
+		address: worker.Address(), cancel: cancel, retired: make(chan struct{}),
 		leases: ring.New[delayedLease](ring.Config{Name: "leases", Capacity: leaseQueueCapacity}),
 	}
 	controller.workers[worker.ID()] = managed
-	go func() { _ = ring.Serve(ctx, managed.leases, controller.lease) }()
+	go func() { _ = ring.ServeUntil(ctx, managed.retired, managed.leases, controller.lease) }()
 	for index := range managed.orders {
 		queue := ring.New[call](ring.Config{Name: "orders", Capacity: orderQueueCapacity})
 		managed.orders[index] = queue
-		go func() { _ = ring.Serve(ctx, queue, func(ctx context.Context, call call) { call(ctx) }) }()
+		go func() {
+			_ = ring.ServeUntil(ctx, managed.retired, queue, func(ctx context.Context, call call) { call(ctx) })
+		}()
+	}
+}
+
+// Retire ends the duties of a worker after the orders that they have. Another host sends the following orders.
+func (controller *Controller) Retire(worker string) {
+	if known := controller.workers[worker]; known != nil {
+		close(known.retired)
+		delete(controller.workers, worker)
 	}
 }
 
--- a/command/controller/controller_test.go
+++ b/command/controller/controller_test.go
@@ -75,3 +75,22 @@
 	}
 	require.Len(t, stopped, tasks)
 }
+
+// Guards against orders without an outcome when another host takes over the orders to a worker: the scheduler would
+// await the answer to its lease order for good.
+func TestRetiredWorkerAnswersItsOrders(t *testing.T) {
+	worker := almondcross.NewWorker(almondcross.WorkerConfig{ID: "w-1", Address: "10.0.0.1:1"})
+	remote := &remoteWorker{roundTrip: 20 * time.Millisecond, calls: make(chan string, 8)}
+	answers := ring.New[almondcross.SchedulerMessage](ring.Config{Name: "scheduler", Capacity: 8})
+	orders := controller.New(t.Context(), controller.Config{Orderer: remote, Sink: answers, Clock: clock{}, Log: discard{}, Metrics: discard{}})
+	orders.Manage(worker)
+	lease := almondcross.NewLeaseOrder(almondcross.LeaseOrderConfig{Worker: worker})
+	require.True(t, orders.Lease(lease, 0))
+	require.True(t, orders.Lease(lease, 0))
+	require.True(t, orders.Start(almondcross.NewStartOrder(almondcross.StartOrderConfig{Worker: worker, Run: 1})))
+	orders.Retire("w-1")
+	require.False(t, orders.Lease(lease, 0))
+	for range 3 {
+		<-answers.Messages()
+	}
+}
--- a/command/counter/counter.go
+++ b/command/counter/counter.go
@@ -58,6 +58,17 @@
 	counter.set.GetOrCreateHistogram(fmt.Sprintf("almondcross_order_seconds{kind=%q}", kind)).Update(max(took, 0).Seconds())
 }
 
+// Relayed counts orders to workers that were passed to another host.
+func (counter *Counter) Relayed(orders int) { counter.add("almondcross_orders_relayed_total", orders) }
+
+// SentDirectly counts an order that the scheduler's host sends to its worker.
+func (counter *Counter) SentDirectly() { counter.add("almondcross_orders_direct_total", 1) }
+
+// RelayFailed counts relayed orders whose outcome is unknown because a host was lost or silent.
+func (counter *Counter) RelayFailed(orders int) {
+	counter.add("almondcross_orders_relay_failed_total", orders)
+}
+
 // Answered records the status and the time of an answer to a caller.
 func (counter *Counter) Answered(method, queue string, status int, took time.Duration) {
 	counter.add(fmt.Sprintf("almondcross_answers_total{method=%q,queue=%q,status=\"%d\"}", method, queue, status), 1)
--- /dev/null
+++ b/command/relayer/relayer.go
@@ -0,0 +1,337 @@
+package relayer
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/almondcross/almondcross"
+	"github.com/almondcross/almondcross/ring"
+)
+
+const (
+	// silenceTimeout is how long a host may return nothing after the time at which a worker answers the earliest pending
+	// order. An order to a worker that doesn't answer takes less.
+	silenceTimeout = time.Second
+	// orderTimeout bounds a pending order whose host still answers others.
+	orderTimeout = 5 * time.Second
+	// sweepInterval is the time between two checks for timeouts.
+	sweepInterval = 50 * time.Millisecond
+	// maxDrainedMessages is the maximum number of messages handled before the collected orders are sent.
+	maxDrainedMessages = 256
+	// maxOrdersPerMessage keeps a message with the largest payloads below the maximum size of a frame.
+	maxOrdersPerMessage = 100
+)
+
+// Metrics counts orders by the way that they take.
+type Metrics interface {
+	// Relayed counts orders that were passed to another host.
+	Relayed(orders int)
+	// SentDirectly counts an order that this host sends to its worker.
+	SentDirectly()
+	// RelayFailed counts orders whose outcome is unknown because a host was lost or silent.
+	RelayFailed(orders int)
+}
+
+// Config holds the dependencies and settings of a relayer.
+type Config struct {
+	Ring    *ring.Ring[almondcross.RelayMessage]
+	Direct  almondcross.WorkerManager // Direct sends orders from this host; Run alone uses it.
+	Links   almondcross.RelaySender
+	Chooser almondcross.RelayChooser
+	Sink    almondcross.Sink[almondcross.SchedulerMessage]
+	Clock   almondcross.Clock
+	Log     almondcross.EventLog
+	Metrics Metrics
+	// MaxDirectWorkers is the number of workers up to which this host sends all orders itself.
+	MaxDirectWorkers int
+}
+
+// Relayer implements almondcross.WorkerManager for the scheduler duty.
+type Relayer struct {
+	config     Config
+	hosts      map[string]*host
+	candidates []almondcross.RelayHost // candidates holds the hosts that may get orders.
+	version    int                     // version counts the changes of candidates.
+	workers    map[string]*worker
+	pending    map[int64]pendingOrder
+	lastNumber int64
+	unsent     map[string][]almondcross.RelayedOrder // unsent holds the collected orders by host.
+}
+
+// host is a linked host.
+type host struct {
+	relay       almondcross.RelayHost
+	lastHeardAt time.Time
+	silent      bool // silent is set until the host is heard again; it gets no orders.
+}
+
+// worker is a worker that has been sent an order.
+type worker struct {
+	host    string // host is the host that sends its orders, empty for this host.
+	version int    // version is that of the candidates from which the host was chosen.
+}
+
+type pendingOrder struct {
+	order  almondcross.RelayedOrder
+	host   string
+	sentAt time.Time
+}
+
+// expectedAt returns when the worker is expected to have answered.
+func (pendingorder pendingOrder) expectedAt() time.Time {
+	return pendingorder.sentAt.Add(pendingorder.order.Pause() + pendingorder.order.Lease().Wait())
+}
+
+// New returns a relayer that is not running; call Run to start it.
+func New(config Config) *Relayer {
+	return &Relayer{
+		config: config, hosts: map[string]*host{}, workers: map[string]*worker{}, pending: map[int64]pendingOrder{},
+		unsent: map[string][]almondcross.RelayedOrder{},
+		// Answers to orders of an earlier process must not match those of this one.
+		lastNumber: rand.Int64N(1 << 62), //nolint:gosec // The number needs no secrecy.
+	}
+}
+
+// Manage does nothing: every order carries its worker.
+func (relayer *Relayer) Manage(almondcross.Worker) {}
+
+// Release ends the management of a worker. If the ring is full, idle duties of the worker remain.
+func (relayer *Relayer) Release(worker string) {
+	relayer.config.Ring.Offer(almondcross.NewWorkerReleased(almondcross.WorkerReleasedConfig{ID: worker}))
+}
+
+// Retire does nothing: a worker whose orders are no longer sent has no duties of its own here.
+func (relayer *Relayer) Retire(string) {}
+
+// Lease queues a lease order and reports false when the ring is full.
+func (relayer *Relayer) Lease(order almondcross.LeaseOrder, pause time.Duration) bool {
+	return relayer.offer(almondcross.RelayedOrderConfig{Kind: almondcross.OrderLease, Lease: order, Pause: pause})
+}
+
+// Start queues a start order and reports false when the ring is full.
+func (relayer *Relayer) Start(order almondcross.StartOrder) bool {
+	return relayer.offer(almondcross.RelayedOrderConfig{Kind: almondcross.OrderStart, Start: order})
+}
+
+// Stop queues a stop order and reports false when the ring is full.
+func (relayer *Relayer) Stop(order almondcross.StopOrder) bool {
+	return relayer.offer(almondcross.RelayedOrderConfig{Kind: almondcross.OrderStop, Stop: order})
+}
+
+func (relayer *Relayer) offer(config almondcross.RelayedOrderConfig) bool {
+	return relayer.config.Ring.Offer(almondcross.NewRelayedOrder(config))
+}
+
+// Run handles messages until the context ends.
+func (relayer *Relayer) Run(ctx context.Context) error {
+	messages := relayer.config.Ring.Messages()
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case message := <-messages:
+			relayer.handle(ctx, message)
+			for drained := 0; drained < maxDrainedMessages && len(messages) > 0; drained++ {
+				relayer.handle(ctx, <-messages)
+			}
+			relayer.sendCollected(ctx)
+		case <-ticker.C:
+			relayer.sweep(ctx)
+		}
+	}
+}
+
+func (relayer *Relayer) handle(ctx context.Context, message almondcross.RelayMessage) {
+	switch message := message.(type) {
+	case almondcross.RelayedOrder:
+		relayer.route(ctx, message)
+	case almondcross.OrdersAnswered:
+		relayer.answered(ctx, message)
+	case almondcross.HostLinkChanged:
+		relayer.linkChanged(ctx, message)
+	case almondcross.WorkerReleased:
+		delete(relayer.workers, message.ID())
+		relayer.config.Direct.Release(message.ID())
+	}
+}
+
+// route collects an order for the host of its worker, or sends it directly.
+func (relayer *Relayer) route(ctx context.Context, order almondcross.RelayedOrder) {
+	known := relayer.workers[order.Worker().ID()]
+	if known == nil {
+		known = &worker{version: -1}
+		relayer.workers[order.Worker().ID()] = known
+	}
+	relayer.chooseHost(known, order.Worker())
+	if known.host == "" {
+		relayer.sendDirectly(ctx, order)
+		return
+	}
+	relayer.unsent[known.host] = append(relayer.unsent[known.host], order)
+}
+
+// chooseHost chooses the host of a worker anew if the candidates have changed.
+func (relayer *Relayer) chooseHost(known *worker, ordered almondcross.Worker) {
+	if len(relayer.workers) <= relayer.config.MaxDirectWorkers {
+		known.host, known.version = "", -1
+		return
+	}
+	if known.version == relayer.version {
+		return
+	}
+	known.host, _ = relayer.config.Chooser.Choose(ordered, relayer.candidates)
+	known.version = relayer.version
+	if known.host != "" {
+		relayer.config.Direct.Retire(ordered.ID())
+	}
+}
+
+// sendCollected passes the collected orders to their hosts. Orders that a link does not take are sent directly.
+func (relayer *Relayer) sendCollected(ctx context.Context) {
+	for name, orders := range relayer.unsent {
+		delete(relayer.unsent, name)
+		for len(orders) > 0 {
+			count := min(len(orders), maxOrdersPerMessage)
+			relayer.sendMessage(ctx, name, orders[:count])
+			orders = orders[count:]
+		}
+	}
+}
+
+func (relayer *Relayer) sendMessage(ctx context.Context, name string, orders []almondcross.RelayedOrder) {
+	numbered := make([]almondcross.RelayedOrder, len(orders))
+	for index, order := range orders {
+		relayer.lastNumber++
+		numbered[index] = order.WithNumber(relayer.lastNumber)
+	}
+	if !relayer.config.Links.SendOrders(name, almondcross.NewOrdersRelayed(almondcross.OrdersRelayedConfig{Orders: numbered})) {
+		for _, order := range orders {
+			relayer.sendDirectly(ctx, order)
+		}
+		return
+	}
+	now := relayer.config.Clock.Now()
+	for _, order := range numbered {
+		relayer.pending[order.Number()] = pendingOrder{order: order, host: name, sentAt: now}
+	}
+	relayer.config.Metrics.Relayed(len(numbered))
+}
+
+// sendDirectly sends an order from this host. An order that cannot be queued counts as not sent.
+func (relayer *Relayer) sendDirectly(ctx context.Context, order almondcross.RelayedOrder) {
+	direct := relayer.config.Direct
+	direct.Manage(order.Worker())
+	relayer.config.Metrics.SentDirectly()
+	queued := false
+	switch order.Kind() {
+	case almondcross.OrderLease:
+		queued = direct.Lease(order.Lease(), order.Pause())
+	case almondcross.OrderStart:
+		queued = direct.Start(order.Start())
+	case almondcross.OrderStop:
+		queued = direct.Stop(order.Stop())
+	}
+	if !queued {
+		now := relayer.config.Clock.Now()
+		relayer.reply(ctx, order, almondcross.NewRelayedAnswer(almondcross.RelayedAnswerConfig{Result: almondcross.OrderNotSent}), now)
+	}
+}
+
+// answered passes the outcomes of orders to the scheduler.
+func (relayer *Relayer) answered(ctx context.Context, answered almondcross.OrdersAnswered) {
+	if host := relayer.hosts[answered.Host()]; host != nil {
+		host.lastHeardAt = relayer.config.Clock.Now()
+		if host.silent {
+			host.silent = false
+			relayer.config.Log.Record("relay_regained", almondcross.Text("host", answered.Host()))
+			relayer.updateCandidates()
+		}
+	}
+	for _, answer := range answered.Answers() {
+		pending, known := relayer.pending[answer.Number()]
+		if !known || pending.host != answered.Host() {
+			continue // The order was answered with OrderUnknown before.
+		}
+		delete(relayer.pending, answer.Number())
+		relayer.reply(ctx, pending.order, answer, pending.sentAt)
+	}
+}
+
+func (relayer *Relayer) reply(ctx context.Context, order almondcross.RelayedOrder, answer almondcross.RelayedAnswer, sentAt time.Time) {
+	_ = relayer.config.Sink.Put(ctx, order.Answer(answer, sentAt, relayer.config.Clock.Now())) // Put fails only when the context has ended.
+}
+
+func (relayer *Relayer) linkChanged(ctx context.Context, change almondcross.HostLinkChanged) {
+	if relayer.hosts[change.Host()] != nil {
+		relayer.failOrders(ctx, change.Host(), "the link was lost")
+		delete(relayer.hosts, change.Host())
+	}
+	if change.Present() {
+		relayer.hosts[change.Host()] = &host{lastHeardAt: relayer.config.Clock.Now(), relay: almondcross.NewRelayHost(almondcross.RelayHostConfig{
+			Name: change.Host(), DataCentre: change.DataCentre(), Strength: change.Strength(),
+		})}
+	}
+	relayer.updateCandidates()
+}
+
+// failOrders answers all pending orders of a host with OrderUnknown.
+func (relayer *Relayer) failOrders(ctx context.Context, name, reason string) {
+	failed := 0
+	for number, pending := range relayer.pending {
+		if pending.host == name {
+			relayer.fail(ctx, number)
+			failed++
+		}
+	}
+	if failed > 0 {
+		relayer.config.Metrics.RelayFailed(failed)
+		relayer.config.Log.Record("relay_lost", almondcross.Text("host", name), almondcross.Text("reason", reason), almondcross.Number("orders", failed))
+	}
+}
+
+func (relayer *Relayer) fail(ctx context.Context, number int64) {
+	pending := relayer.pending[number]
+	delete(relayer.pending, number)
+	relayer.reply(ctx, pending.order, almondcross.NewRelayedAnswer(almondcross.RelayedAnswerConfig{
+		Number: number, Result: almondcross.OrderUnknown,
+	}), pending.sentAt)
+}
+
+// sweep gives up hosts that are silent and orders that have been pending for too long.
+func (relayer *Relayer) sweep(ctx context.Context) {
+	now := relayer.config.Clock.Now()
+	earliest := map[string]time.Time{}
+	for number, pending := range relayer.pending {
+		if now.Sub(pending.sentAt) > orderTimeout {
+			relayer.config.Metrics.RelayFailed(1)
+			relayer.fail(ctx, number)
+			continue
+		}
+		if known, found := earliest[pending.host]; !found || pending.expectedAt().Before(known) {
+			earliest[pending.host] = pending.expectedAt()
+		}
+	}
+	for name, expectedAt := range earliest {
+		host := relayer.hosts[name]
+		if host == nil || now.Sub(expectedAt) <= silenceTimeout || now.Sub(host.lastHeardAt) <= silenceTimeout {
+			continue
+		}
+		host.silent = true
+		relayer.updateCandidates()
+		relayer.failOrders(ctx, name, "the host is silent")
+	}
+}
+
+// updateCandidates collects the hosts that may get orders.
+func (relayer *Relayer) updateCandidates() {
+	relayer.version++
+	relayer.candidates = nil
+	for _, host := range relayer.hosts {
+		if !host.silent {
+			relayer.candidates = append(relayer.candidates, host.relay)
+		}
+	}
+}
--- /dev/null
+++ b/command/relayer/relayer_test.go
@@ -0,0 +1,223 @@
+package relayer_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/almondcross/almondcross"
+	"github.com/almondcross/almondcross/command/relayer"
+	"github.com/almondcross/almondcross/policy/delegator"
+	"github.com/almondcross/almondcross/ring"
+)
+
+const (
+	dataCentre  = "a"
+	workerCount = 20
+)
+
+// cell holds a relayer whose links and direct calls are recorded instead of carried out.
+type cell struct {
+	t       *testing.T
+	relayer *relayer.Relayer
+	inbox   *ring.Ring[almondcross.RelayMessage]
+	answers *ring.Ring[almondcross.SchedulerMessage]
+	relayed map[int64]almondcross.RelayedOrder // relayed holds the orders passed to hosts, by number.
+	hostOf  map[int64]string
+	direct  int
+	refuse  bool // refuse is set while the links take no messages.
+}
+
+type clock struct{}
+
+func (clock) Now() time.Time { return time.Now() }
+
+func (cell *cell) SendOrders(host string, relayed almondcross.OrdersRelayed) bool {
+	if cell.refuse {
+		return false
+	}
+	for _, order := range relayed.Orders() {
+		cell.relayed[order.Number()], cell.hostOf[order.Number()] = order, host
+	}
+	return true
+}
+
+func (cell *cell) Manage(almondcross.Worker) {}
+func (cell *cell) Release(string)            {}
+func (cell *cell) Retire(string)             {}
+
+func (cell *cell) Lease(almondcross.LeaseOrder, time.Duration) bool {
+	cell.direct++
+	return true
+}
+
+func (cell *cell) Start(almondcross.StartOrder) bool {
+	cell.direct++
+	return true
+}
+
+func (cell *cell) Stop(almondcross.StopOrder) bool {
+	cell.direct++
+	return true
+}
+
+func (*cell) Record(string, ...almondcross.LogField) {}
+func (*cell) Relayed(int)                            {}
+func (*cell) SentDirectly()                          {}
+func (*cell) RelayFailed(int)                        {}
+
+// run runs a test in virtual time with two linked hosts.
+func run(t *testing.T, maxDirectWorkers int, test func(cell *cell)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		cell := &cell{
+			t: t, inbox: ring.New[almondcross.RelayMessage](ring.Config{Name: "relayed", Capacity: 1024}),
+			answers: ring.New[almondcross.SchedulerMessage](ring.Config{Name: "scheduler", Capacity: 1024}),
+			relayed: map[int64]almondcross.RelayedOrder{}, hostOf: map[int64]string{},
+		}
+		cell.relayer = relayer.New(relayer.Config{
+			Ring: cell.inbox, Direct: cell, Links: cell, Chooser: delegator.ByDataCentre{}, Sink: cell.answers, Clock: clock{}, Log: cell,
+			Metrics: cell, MaxDirectWorkers: maxDirectWorkers,
+		})
+		go func() { _ = cell.relayer.Run(ctx) }()
+		for index := range 2 {
+			cell.setLinked(fmt.Sprintf("h-%d", index), true)
+		}
+		test(cell)
+		cancel()
+	})
+}
+
+func (cell *cell) setLinked(host string, present bool) {
+	require.True(cell.t, cell.inbox.Offer(almondcross.NewHostLinkChanged(almondcross.HostLinkChangedConfig{
+		Host: host, Present: present, Strength: 100, DataCentre: dataCentre,
+	})))
+	synctest.Wait()
+}
+
+// startAll sends a start order to each worker and returns the numbers of the orders that were relayed.
+func (cell *cell) startAll() []int64 {
+	cell.relayed, cell.hostOf, cell.direct = map[int64]almondcross.RelayedOrder{}, map[int64]string{}, 0
+	for index := range workerCount {
+		worker := almondcross.NewWorker(almondcross.WorkerConfig{ID: fmt.Sprintf("w-%d", index), Zone: dataCentre})
+		require.True(cell.t, cell.relayer.Start(almondcross.NewStartOrder(almondcross.StartOrderConfig{Worker: worker, Run: index + 1})))
+	}
+	synctest.Wait()
+	var numbers []int64
+	for number := range cell.relayed {
+		numbers = append(numbers, number)
+	}
+	return numbers
+}
+
+func (cell *cell) answer(host string, number int64) {
+	require.True(cell.t, cell.inbox.Offer(almondcross.NewOrdersAnswered(almondcross.OrdersAnsweredConfig{
+		Host: host, Answers: []almondcross.RelayedAnswer{almondcross.NewRelayedAnswer(almondcross.RelayedAnswerConfig{
+			Number: number, Result: almondcross.OrderDone,
+		})},
+	})))
+	synctest.Wait()
+}
+
+// takeAnswers returns how many orders were answered to the scheduler with each result.
+func (cell *cell) takeAnswers() map[almondcross.OrderResult]int {
+	results := map[almondcross.OrderResult]int{}
+	for cell.answers.Depth() > 0 {
+		answered, ok := (<-cell.answers.Messages()).(almondcross.StartOrderAnswered)
+		require.True(cell.t, ok)
+		results[answered.Result()]++
+	}
+	return results
+}
+
+// Guards against the detour through other hosts in a cell that the scheduler's host can serve by itself.
+func TestSmallCellIsOrderedDirectly(t *testing.T) {
+	run(t, workerCount, func(cell *cell) {
+		require.Empty(t, cell.startAll())
+		require.Equal(t, workerCount, cell.direct)
+	})
+}
+
+// Guards against an outcome that reaches the scheduler for another order than its own, twice, or from another host than
+// the one that got the order.
+func TestOutcomesReachTheSchedulerOnce(t *testing.T) {
+	run(t, 1, func(cell *cell) {
+		numbers := cell.startAll()
+		require.Len(t, numbers, workerCount-1, "the first worker alone is few enough for the scheduler's host")
+		number := numbers[0]
+		other := map[string]string{"h-0": "h-1", "h-1": "h-0"}[cell.hostOf[number]]
+		cell.answer(other, number)
+		require.Empty(t, cell.takeAnswers())
+		cell.answer(cell.hostOf[number], number)
+		answered, ok := (<-cell.answers.Messages()).(almondcross.StartOrderAnswered)
+		require.True(t, ok)
+		require.Equal(t, almondcross.OrderDone, answered.Result())
+		require.Equal(t, cell.relayed[number].Start().Run(), answered.Order().Run())
+		cell.answer(cell.hostOf[number], number)
+		require.Empty(t, cell.takeAnswers())
+	})
+}
+
+// Guards against orders that stay without an outcome, and workers without orders, when the host that relays is lost.
+func TestOrdersOfALostHostAreUnknownAndMoveToTheOther(t *testing.T) {
+	run(t, 1, func(cell *cell) {
+		lost := 0
+		for _, number := range cell.startAll() {
+			if cell.hostOf[number] == "h-1" {
+				lost++
+			}
+		}
+		require.Positive(t, lost)
+		cell.setLinked("h-1", false)
+		require.Equal(t, map[almondcross.OrderResult]int{almondcross.OrderUnknown: lost}, cell.takeAnswers())
+		for _, number := range cell.startAll() {
+			require.Equal(t, "h-0", cell.hostOf[number])
+		}
+		cell.setLinked("h-0", false)
+		require.Empty(t, cell.startAll())
+		require.Equal(t, workerCount, cell.direct)
+	})
+}
+
+// Guards against workers that are cut off by a host that is frozen while its link stays open.
+func TestSilentHostGetsNoOrdersUntilItIsHeard(t *testing.T) {
+	run(t, 1, func(cell *cell) {
+		numbers := cell.startAll()
+		var silent []int64
+		for _, number := range numbers {
+			if cell.hostOf[number] == "h-1" {
+				silent = append(silent, number)
+			} else {
+				cell.answer("h-0", number)
+			}
+		}
+		cell.takeAnswers()
+		<-time.After(1200 * time.Millisecond)
+		synctest.Wait()
+		require.Equal(t, map[almondcross.OrderResult]int{almondcross.OrderUnknown: len(silent)}, cell.takeAnswers())
+		for _, number := range cell.startAll() {
+			require.Equal(t, "h-0", cell.hostOf[number])
+		}
+		cell.answer("h-1", silent[0])
+		require.Empty(t, cell.takeAnswers(), "the order was reported as unknown before")
+		hosts := map[string]int{}
+		for _, number := range cell.startAll() {
+			hosts[cell.hostOf[number]]++
+		}
+		require.Len(t, hosts, 2)
+	})
+}
+
+// Guards against orders that are lost, or delayed, because the link to a host is congested.
+func TestOrdersThatALinkDoesNotTakeGoDirectly(t *testing.T) {
+	run(t, 1, func(cell *cell) {
+		cell.refuse = true
+		require.Empty(t, cell.startAll())
+		require.Equal(t, workerCount, cell.direct)
+	})
+}
--- a/configurator/scheduler.go
+++ b/configurator/scheduler.go
@@ -50,6 +50,8 @@
 		time.Second, time.Hour, func(settings *rawSchedulerSettings) *time.Duration { return &settings.StopGrace }),
 	parser.Decimal(parser.FieldSpec{Key: "processors", Unit: "cores", Description: "the number of CPU cores that the process may use"},
 		0.001, 1024, func(settings *rawSchedulerSettings) *float64 { return &settings.Processors }),
+	parser.Integer(parser.FieldSpec{Key: "direct_workers", Default: "-1", Description: "the number of workers up to which the scheduler sends all orders itself; with more, the hosts in the workers' data centres relay them; -1 for 200 for each CPU core"},
+		-1, 1<<20, func(settings *rawSchedulerSettings) *int { return &settings.DirectWorkers }),
 	parser.Decimal(parser.FieldSpec{Key: "link_mbps", Unit: "megabits a second", Description: "the network bandwidth of the host"},
 		0.001, 1_000_000, func(settings *rawSchedulerSettings) *float64 { return &settings.LinkMbps }),
 	parser.Integer(parser.FieldSpec{Key: "memory_mb", Unit: "megabytes", Description: "the memory that the process may use"},
--- a/configurator/values_generated.go
+++ b/configurator/values_generated.go
@@ -576,6 +576,7 @@
 	MaxLease        time.Duration
 	StopGrace       time.Duration
 	Processors      float64
+	DirectWorkers   int
 	LinkMbps        float64
 	MemoryMB        int
 	LogLines        int
@@ -602,6 +603,7 @@
 		maxLease:        config.MaxLease,
 		stopGrace:       config.StopGrace,
 		processors:      config.Processors,
+		directWorkers:   config.DirectWorkers,
 		linkMbps:        config.LinkMbps,
 		memoryMB:        config.MemoryMB,
 		logLines:        config.LogLines,
@@ -629,6 +631,7 @@
 		MaxLease:        schedulersettings.maxLease,
 		StopGrace:       schedulersettings.stopGrace,
 		Processors:      schedulersettings.processors,
+		DirectWorkers:   schedulersettings.directWorkers,
 		LinkMbps:        schedulersettings.linkMbps,
 		MemoryMB:        schedulersettings.memoryMB,
 		LogLines:        schedulersettings.logLines,
@@ -817,6 +820,17 @@
 	return schedulersettings
 }
 
+// DirectWorkers returns the number of workers up to which the scheduler sends all orders itself, negative for a number by the CPU cores.
+func (schedulersettings SchedulerSettings) DirectWorkers() int {
+	return schedulersettings.directWorkers
+}
+
+// WithDirectWorkers returns a copy with the given directWorkers.
+func (schedulersettings SchedulerSettings) WithDirectWorkers(directWorkers int) SchedulerSettings {
+	schedulersettings.directWorkers = directWorkers
+	return schedulersettings
+}
+
 // LinkMbps returns the network bandwidth of the host, in megabits a second.
 func (schedulersettings SchedulerSettings) LinkMbps() float64 { return schedulersettings.linkMbps }
 
--- a/encoder/journal.go
+++ b/encoder/journal.go
@@ -284,9 +284,8 @@
 		wire.Queue = &queue
 	}
 	if task := change.Task(); task.Stage.Job != "" {
-		wire.Task = &wireJobTask{
-			Job: string(task.Stage.Job), Occurrence: task.Stage.Occurrence, Step: task.Stage.Step, Index: task.Index,
-		}
+		wireTask := toJobTask(task)
+		wire.Task = &wireTask
 	}
 	return wire
 }
@@ -305,9 +304,7 @@
 		config.Queue = wirestatechange.Queue.value()
 	}
 	if task := wirestatechange.Task; task != nil {
-		config.Task = almondcross.JobTask{
-			Stage: almondcross.StageID{Job: almondcross.JobID(task.Job), Occurrence: task.Occurrence, Step: task.Step}, Index: task.Index,
-		}
+		config.Task = task.value()
 	}
 	return almondcross.NewChange(config)
 }
--- a/encoder/link.go
+++ b/encoder/link.go
@@ -22,6 +22,8 @@
 	linkAssign        = "assign"
 	linkViews         = "views"
 	linkPeers         = "peers"
+	linkOrders        = "orders"
+	linkOrderAnswers  = "order_answers"
 )
 
 type wireAssign struct {
@@ -119,6 +121,8 @@
 	Host     string `cbor:"host"`
 	Strength int    `cbor:"strength"`
 	Address  string `cbor:"address,omitempty"`
+
+	DataCentre string `cbor:"data_centre,omitempty"`
 }
 
 type wirePeers struct {
@@ -165,6 +169,10 @@
 			wire.Batches = append(wire.Batches, record)
 		}
 		return codec.encodeEnvelope(linkJournalPush, wire)
+	case almondcross.OrdersRelayed:
+		return codec.encodeEnvelope(linkOrders, toOrders(message))
+	case almondcross.OrdersAnswered:
+		return codec.encodeEnvelope(linkOrderAnswers, toOrderAnswers(message))
 	case almondcross.RoleAssigned:
 		return codec.encodeEnvelope(linkAssign, wireAssign{Standby: message.Standby()})
 	case almondcross.PeersKnown:
@@ -211,6 +219,8 @@
 		return wire.value(), nil
 	case linkAssign, linkPeers, linkViews:
 		return codec.decodeSchedulerMessage(envelope)
+	case linkOrders, linkOrderAnswers:
+		return codec.decodeOrders(envelope)
 	case linkJournalPush:
 		return codec.decodeJournalPush(envelope)
 	case linkIntakeForward:
--- a/job_generated.go
+++ b/job_generated.go
@@ -1048,6 +1048,7 @@
 
 // LeaseOrderConfig holds the fields of a new LeaseOrder.
 type LeaseOrderConfig struct {
+	Number       int64
 	Worker       Worker
 	Fence        int64
 	Acknowledged int64
@@ -1059,6 +1060,7 @@
 // NewLeaseOrder returns a LeaseOrder with the given fields.
 func NewLeaseOrder(config LeaseOrderConfig) LeaseOrder {
 	return LeaseOrder{
+		number:       config.Number,
 		worker:       config.Worker,
 		fence:        config.Fence,
 		acknowledged: config.Acknowledged,
@@ -1071,6 +1073,7 @@
 // Config returns the fields of the value for encoding or for a changed copy.
 func (leaseorder LeaseOrder) Config() LeaseOrderConfig {
 	return LeaseOrderConfig{
+		Number:       leaseorder.number,
 		Worker:       leaseorder.worker,
 		Fence:        leaseorder.fence,
 		Acknowledged: leaseorder.acknowledged,
@@ -1080,6 +1083,15 @@
 	}
 }
 
+// Number returns the number that identifies the answer, 0 for none.
+func (leaseorder LeaseOrder) Number() int64 { return leaseorder.number }
+
+// WithNumber returns a copy with the given number.
+func (leaseorder LeaseOrder) WithNumber(number int64) LeaseOrder {
+	leaseorder.number = number
+	return leaseorder
+}
+
 // Worker returns the worker.
 func (leaseorder LeaseOrder) Worker() Worker { return leaseorder.worker }
 
@@ -1136,6 +1148,7 @@
 
 // StartOrderConfig holds the fields of a new StartOrder.
 type StartOrderConfig struct {
+	Number     int64
 	Worker     Worker
 	Task       JobTask
 	Run        int
@@ -1149,6 +1162,7 @@
 // NewStartOrder returns a StartOrder with the given fields.
 func NewStartOrder(config StartOrderConfig) StartOrder {
 	return StartOrder{
+		number:     config.Number,
 		worker:     config.Worker,
 		task:       config.Task,
 		run:        config.Run,
@@ -1163,6 +1177,7 @@
 // Config returns the fields of the value for encoding or for a changed copy.
 func (startorder StartOrder) Config() StartOrderConfig {
 	return StartOrderConfig{
+		Number:     startorder.number,
 		Worker:     startorder.worker,
 		Task:       startorder.task,
 		Run:        startorder.run,
@@ -1174,6 +1189,15 @@
 	}
 }
 
+// Number returns the number that identifies the answer, 0 for none.
+func (startorder StartOrder) Number() int64 { return startorder.number }
+
+// WithNumber returns a copy with the given number.
+func (startorder StartOrder) WithNumber(number int64) StartOrder {
+	startorder.number = number
+	return startorder
+}
+
 // Worker returns the worker.
 func (startorder StartOrder) Worker() Worker { return startorder.worker }
 
@@ -1248,6 +1272,7 @@
 
 // StopOrderConfig holds the fields of a new StopOrder.
 type StopOrderConfig struct {
+	Number int64
 	Worker Worker
 	Task   JobTask
 	Run    int
@@ -1257,6 +1282,7 @@
 // NewStopOrder returns a StopOrder with the given fields.
 func NewStopOrder(config StopOrderConfig) StopOrder {
 	return StopOrder{
+		number: config.Number,
 		worker: config.Worker,
 		task:   config.Task,
 		run:    config.Run,
@@ -1267,6 +1293,7 @@
 // Config returns the fields of the value for encoding or for a changed copy.
 func (stoporder StopOrder) Config() StopOrderConfig {
 	return StopOrderConfig{
+		Number: stoporder.number,
 		Worker: stoporder.worker,
 		Task:   stoporder.task,
 		Run:    stoporder.run,
@@ -1274,6 +1301,15 @@
 	}
 }
 
+// Number returns the number that identifies the answer, 0 for none.
+func (stoporder StopOrder) Number() int64 { return stoporder.number }
+
+// WithNumber returns a copy with the given number.
+func (stoporder StopOrder) WithNumber(number int64) StopOrder {
+	stoporder.number = number
+	return stoporder
+}
+
 // Worker returns the worker.
 func (stoporder StopOrder) Worker() Worker { return stoporder.worker }
 
--- a/ring/serve.go
+++ b/ring/serve.go
@@ -17,6 +17,27 @@
 	}
 }
 
+// ServeUntil is like Serve, but also returns once a channel is closed and the ring is empty.
+func ServeUntil[T any](ctx context.Context, closed <-chan struct{}, ring *Ring[T], handle func(ctx context.Context, message T)) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case message := <-ring.Messages():
+			handle(ctx, message)
+		case <-closed:
+			for {
+				select {
+				case message := <-ring.Messages():
+					handle(ctx, message)
+				default:
+					return nil
+				}
+			}
+		}
+	}
+}
+
 // Pause blocks for the duration. It returns false if the context ends first.
 func Pause(ctx context.Context, duration time.Duration) bool {
 	if duration <= 0 {
--- a/scheduling.go
+++ b/scheduling.go
@@ -196,10 +196,11 @@
 //
 //value:generate
 type HostLinkChanged struct {
-	host     string // the host
-	present  bool   // whether it is linked
-	strength int    // the scheduling strength of the host: its configured strength minus its latency to the store, 0 to 100
-	address  string // the address on which the host accepts links
+	host       string // the host
+	present    bool   // whether it is linked
+	strength   int    // the scheduling strength of the host: its configured strength minus its latency to the store, 0 to 100
+	address    string // the address on which the host accepts links
+	dataCentre string // the data centre of the host
 }
 
 // PointerQuery asks which host runs the scheduler.
@@ -331,6 +332,8 @@
 	Manage(worker Worker)
 	// Release stops the duties of a worker.
 	Release(worker string)
+	// Retire stops the duties of a worker after the orders that they have.
+	Retire(worker string)
 	// Lease sends a lease order after a pause. It reports false when the worker is not managed or too many orders
 	// wait.
 	Lease(order LeaseOrder, pause time.Duration) bool
@@ -396,9 +399,10 @@
 //
 //value:generate
 type HostHello struct {
-	host     string // the name of the host
-	strength int    // the scheduling strength of the host: its configured strength minus its latency to the store, 0 to 100
-	address  string // the address on which the host accepts links
+	host       string // the name of the host
+	strength   int    // the scheduling strength of the host: its configured strength minus its latency to the store, 0 to 100
+	address    string // the address on which the host accepts links
+	dataCentre string // the data centre of the host
 }
 
 // PeersKnown passes the link addresses of other hosts to a linked host, which asks them for the scheduler when the
--- a/scheduling_generated.go
+++ b/scheduling_generated.go
@@ -1060,29 +1060,32 @@
 
 // HostLinkChangedConfig holds the fields of a new HostLinkChanged.
 type HostLinkChangedConfig struct {
-	Host     string
-	Present  bool
-	Strength int
-	Address  string
+	Host       string
+	Present    bool
+	Strength   int
+	Address    string
+	DataCentre string
 }
 
 // NewHostLinkChanged returns a HostLinkChanged with the given fields.
 func NewHostLinkChanged(config HostLinkChangedConfig) HostLinkChanged {
 	return HostLinkChanged{
-		host:     config.Host,
-		present:  config.Present,
-		strength: config.Strength,
-		address:  config.Address,
+		host:       config.Host,
+		present:    config.Present,
+		strength:   config.Strength,
+		address:    config.Address,
+		dataCentre: config.DataCentre,
 	}
 }
 
 // Config returns the fields of the value for encoding or for a changed copy.
 func (hostlinkchanged HostLinkChanged) Config() HostLinkChangedConfig {
 	return HostLinkChangedConfig{
-		Host:     hostlinkchanged.host,
-		Present:  hostlinkchanged.present,
-		Strength: hostlinkchanged.strength,
-		Address:  hostlinkchanged.address,
+		Host:       hostlinkchanged.host,
+		Present:    hostlinkchanged.present,
+		Strength:   hostlinkchanged.strength,
+		Address:    hostlinkchanged.address,
+		DataCentre: hostlinkchanged.dataCentre,
 	}
 }
 
@@ -1122,6 +1125,15 @@
 	return hostlinkchanged
 }
 
+// DataCentre returns the data centre of the host.
+func (hostlinkchanged HostLinkChanged) DataCentre() string { return hostlinkchanged.dataCentre }
+
+// WithDataCentre returns a copy with the given dataCentre.
+func (hostlinkchanged HostLinkChanged) WithDataCentre(dataCentre string) HostLinkChanged {
+	hostlinkchanged.dataCentre = dataCentre
+	return hostlinkchanged
+}
+
 // PointerQueryConfig holds the fields of a new PointerQuery.
 type PointerQueryConfig struct {
 	Pause time.Duration
@@ -1613,26 +1625,29 @@
 
 // HostHelloConfig holds the fields of a new HostHello.
 type HostHelloConfig struct {
-	Host     string
-	Strength int
-	Address  string
+	Host       string
+	Strength   int
+	Address    string
+	DataCentre string
 }
 
 // NewHostHello returns a HostHello with the given fields.
 func NewHostHello(config HostHelloConfig) HostHello {
 	return HostHello{
-		host:     config.Host,
-		strength: config.Strength,
-		address:  config.Address,
+		host:       config.Host,
+		strength:   config.Strength,
+		address:    config.Address,
+		dataCentre: config.DataCentre,
 	}
 }
 
 // Config returns the fields of the value for encoding or for a changed copy.
 func (hosthello HostHello) Config() HostHelloConfig {
 	return HostHelloConfig{
-		Host:     hosthello.host,
-		Strength: hosthello.strength,
-		Address:  hosthello.address,
+		Host:       hosthello.host,
+		Strength:   hosthello.strength,
+		Address:    hosthello.address,
+		DataCentre: hosthello.dataCentre,
 	}
 }
 
@@ -1663,6 +1678,15 @@
 	return hosthello
 }
 
+// DataCentre returns the data centre of the host.
+func (hosthello HostHello) DataCentre() string { return hosthello.dataCentre }
+
+// WithDataCentre returns a copy with the given dataCentre.
+func (hosthello HostHello) WithDataCentre(dataCentre string) HostHello {
+	hosthello.dataCentre = dataCentre
+	return hosthello
+}
+
 // PeersKnownConfig holds the fields of a new PeersKnown.
 type PeersKnownConfig struct {
 	Addresses []string
--- a/worker.go
+++ b/worker.go
@@ -84,6 +84,7 @@
 //
 //value:generate
 type LeaseOrder struct {
+	number       int64         // the number that identifies the answer, 0 for none
 	worker       Worker        // the worker
 	fence        int64         // the fencing token
 	acknowledged int64         // the sequence number of the last end that is recorded in the journal
@@ -96,6 +97,7 @@
 //
 //value:generate
 type StartOrder struct {
+	number     int64         // the number that identifies the answer, 0 for none
 	worker     Worker        // the worker
 	task       JobTask       // the task
 	run        int           // the number of the run
@@ -110,6 +112,7 @@
 //
 //value:generate
 type StopOrder struct {
+	number int64   // the number that identifies the answer, 0 for none
 	worker Worker  // the worker
 	task   JobTask // the task
 	run    int     // the number of the run
