--- a/assembler/scheduler.go
+++ b/assembler/scheduler.go
@@ -82,8 +82,9 @@
 	// memoryLimitFraction is the fraction of the configured memory that is set as the soft memory limit of the Go runtime.
 	memoryLimitFraction = 0.6
 	// gcPercent is the heap growth in percent that starts a garbage collection. It is below the default of 100,
-	// because memory is scarcer here than processor time.
-	gcPercent = 35
+	// because memory is scarcer here than processor time. On the scheduler's host, it is the other way round.
+	gcPercent          = 35
+	schedulerGCPercent = 150
 )
 
 // SchedulerHost returns the fx options of a scheduling host. It also sets the garbage
@@ -310,7 +311,10 @@
 			Commit: rings.journalCommits, StoreSnapshot: rings.newSnapshots, ReadPointer: rings.pointerReads, StorePointer: rings.pointerWrites, StoreUsage: rings.usageWrites,
 		},
 		OnSchedulerChange: func(announcement scheduler.AnnounceScheduler) {
-			if !announcement.Own {
+			if announcement.Own {
+				debug.SetGCPercent(schedulerGCPercent)
+			} else {
+				debug.SetGCPercent(gcPercent)
 				hub.CloseAll()
 			}
 			// A change is dropped if the ring is full. The ring has capacity for many, and the next change replaces it.
--- a/command/scheduler/constants.go
+++ b/command/scheduler/constants.go
@@ -4,8 +4,10 @@
 
 // Timing of the journal and of elections.
 const (
-	leaderTick   = 20 * time.Millisecond
-	followerTick = 50 * time.Millisecond
+	leaderTick = 20 * time.Millisecond
+	// sweepInterval is the time between two checks of all workers and advice calls for timeouts, which are far longer.
+	sweepInterval = 100 * time.Millisecond
+	followerTick  = 50 * time.Millisecond
 	// heartbeatInterval is the maximum time between two batches of a scheduler.
 	heartbeatInterval = 200 * time.Millisecond
 	// electionTimeout is how long a follower sees no batch before it stands for election. It tolerates two
@@ -56,6 +58,11 @@
 	// loadDelayPerPoint lengthens the discovery for each point below full strength. After an outage of all
 	// hosts, many hosts that load the state at once would saturate the link between the regions.
 	loadDelayPerPoint = 40 * time.Millisecond
+	// maxViewMessagesPerSecond bounds the messages with views that the scheduler sends to all viewers together.
+	maxViewMessagesPerSecond = 2000
+	// maxViewInterval is the maximum time between two messages with views to one viewer; linkTimeout tolerates the loss
+	// of one.
+	maxViewInterval = 300 * time.Millisecond
 	// linkTimeout is how long the link to the scheduler may be silent. The scheduler pushes after every batch.
 	linkTimeout = 700 * time.Millisecond
 	// electionBackoff is the delay after a lost election.
--- a/command/scheduler/discovery.go
+++ b/command/scheduler/discovery.go
@@ -204,29 +204,31 @@
 	if host.standby {
 		return
 	}
+	// The views may include jobs that are not in the journal yet, whose submissions must not be acknowledged, so they
+	// are sent only after the next append has succeeded.
+	host.awaitingViews = true
+	machine.leader.pendingResets = append(machine.leader.pendingResets, host)
+}
+
+// allViews returns the views of all jobs.
+func (machine *Machine) allViews() []almondcross.JobViewChange {
 	changes := make([]almondcross.JobViewChange, 0, len(machine.state.jobs))
 	for id, job := range machine.state.jobs {
 		changes = append(changes, almondcross.NewJobViewChange(almondcross.JobViewChangeConfig{ID: id, Known: true, View: job.view()}))
 	}
-	host.awaitingViews = true
-	machine.leader.pendingResets = append(machine.leader.pendingResets, viewsReset{host: host, pushed: almondcross.NewViewsPushed(almondcross.ViewsPushedConfig{
-		Reset: true, Changes: changes,
-	})})
+	return changes
 }
 
-// viewsReset is a full set of views for a viewer. It may include jobs that are not in the journal yet, whose
-// submissions must not be acknowledged, so it is sent only after the next append has succeeded.
-type viewsReset struct {
-	host   *linkedHost
-	pushed almondcross.ViewsPushed
-}
-
-// sendResets sends full sets of views whose changes are in the journal.
-func (machine *Machine) sendResets(resets []viewsReset) {
-	for _, reset := range resets {
-		reset.host.awaitingViews = false
-		machine.emit(PushViews{Hosts: []string{reset.host.name}, Pushed: reset.pushed})
+// sendResets sends all views, as of an append that has succeeded, to the hosts that wait for them.
+func (machine *Machine) sendResets(inflight *inflightAppend) {
+	if len(inflight.resetHosts) == 0 {
+		return
+	}
+	hosts := make([]string, len(inflight.resetHosts))
+	for index, host := range inflight.resetHosts {
+		hosts[index], host.awaitingViews = host.name, false
 	}
+	machine.emit(PushViews{Hosts: hosts, Pushed: almondcross.NewViewsPushed(almondcross.ViewsPushedConfig{Reset: true, Changes: inflight.resetViews})})
 }
 
 // fillStandbys replaces standbys that have left by the strongest other hosts.
--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -20,12 +20,14 @@
 	lastAppendAt    time.Time // lastAppendAt is when the last append was sent.
 	resignedAt      time.Time // resignedAt is when the resignation was added to the next append, zero before that.
 
-	pendingChanges   []almondcross.Change // pendingChanges holds the changes of the next append.
-	pendingIntake    map[int]int64        // pendingIntake holds the intake offsets of the next append.
-	pendingCallbacks []commitCallback     // pendingCallbacks holds the functions to run once their changes are in the journal.
-	pendingResets    []viewsReset         // pendingResets holds the views to push after the next append.
-	intakeReadAt     map[int]time.Time    // intakeReadAt is when each intake partition was last read successfully.
-	inflight         *inflightAppend      // inflight is the pending append, nil for none.
+	pendingChanges   []almondcross.Change                            // pendingChanges holds the changes of the next append.
+	pendingIntake    map[int]int64                                   // pendingIntake holds the intake offsets of the next append.
+	pendingCallbacks []commitCallback                                // pendingCallbacks holds the functions to run once their changes are in the journal.
+	pendingResets    []*linkedHost                                   // pendingResets holds the hosts that get all views after the next append.
+	unpushedViews    map[almondcross.JobID]almondcross.JobViewChange // unpushedViews holds the committed views that viewers don't have yet.
+	viewsPushedAt    time.Time                                       // viewsPushedAt is when views were last pushed.
+	intakeReadAt     map[int]time.Time                               // intakeReadAt is when each intake partition was last read successfully.
+	inflight         *inflightAppend                                 // inflight is the pending append, nil for none.
 
 	snapshotAt   time.Time // snapshotAt is when the last snapshot was taken.
 	snapshotting bool
@@ -44,6 +46,7 @@
 	placementDue        bool                         // placementDue is set when a placement pass may succeed.
 	lastPlacementAt     time.Time                    // lastPlacementAt is when the last placement pass began.
 	lastSweepAt         time.Time                    // lastSweepAt is when the workers were last swept.
+	lastTickAt          time.Time                    // lastTickAt is when due occurrences were last started.
 	allowedShares       map[string]float64           // allowedShares holds the moving average of the share of workers that advice allows, by queue.
 }
 
@@ -58,7 +61,8 @@
 	commit         almondcross.JournalCommit
 	sentAt         time.Time
 	callbacks      []commitCallback
-	resets         []viewsReset
+	resetHosts     []*linkedHost // resetHosts holds the hosts that get resetViews, all views.
+	resetViews     []almondcross.JobViewChange
 	views          []almondcross.JobViewChange
 	intakesCurrent bool // intakesCurrent is set if every intake partition had been read recently and the append has all their jobs.
 	snapshot       *almondcross.StateSnapshot
@@ -69,7 +73,7 @@
 	machine.leader = &leader{
 		epoch: answer.Commit().Epoch(), sequence: 1, electedAt: machine.now, lastCommitAt: machine.now.Add(-answer.Took()),
 		pendingIntake: map[int]int64{}, intakeReadAt: map[int]time.Time{}, workers: map[string]*worker{}, advice: map[almondcross.StageID]*stageAdvice{},
-		queued: map[almondcross.StageID]bool{}, jobsWithOccurrences: map[almondcross.JobID]*job{}, allowedShares: map[string]float64{},
+		queued: map[almondcross.StageID]bool{}, unpushedViews: map[almondcross.JobID]almondcross.JobViewChange{}, jobsWithOccurrences: map[almondcross.JobID]*job{}, allowedShares: map[string]float64{},
 		snapshotAt: machine.now,
 	}
 	machine.config.Log.Record("scheduling_started", almondcross.Number("epoch", machine.leader.epoch),
@@ -172,10 +176,13 @@
 	if machine.now.Sub(machine.leader.pointerStoredAt) > pointerStoreInterval {
 		machine.storePointer()
 	}
-	if machine.now.Sub(machine.leader.lastSweepAt) >= leaderTick {
+	if machine.now.Sub(machine.leader.lastSweepAt) >= sweepInterval {
 		machine.leader.lastSweepAt = machine.now
 		machine.sweepWorkers()
 		machine.expireAdviceCalls()
+	}
+	if machine.now.Sub(machine.leader.lastTickAt) >= leaderTick {
+		machine.leader.lastTickAt = machine.now
 		machine.startDueOccurrences()
 		machine.leader.placementDue = true // Tickets and backoffs expire without a message.
 	}
@@ -249,7 +256,10 @@
 // one is due, a snapshot of the state.
 func (machine *Machine) completeAppend(inflight *inflightAppend) {
 	leader := machine.leader
-	inflight.resets, inflight.views, inflight.intakesCurrent = leader.pendingResets, machine.takeViewChanges(), machine.intakesCurrent()
+	inflight.views, inflight.intakesCurrent = machine.takeViewChanges(), machine.intakesCurrent()
+	if len(leader.pendingResets) > 0 {
+		inflight.resetHosts, inflight.resetViews = leader.pendingResets, machine.allViews()
+	}
 	maps.Copy(machine.state.intakeOffsets, leader.pendingIntake)
 	if !leader.snapshotting && machine.now.Sub(leader.snapshotAt) >= machine.config.SnapshotInterval {
 		snapshot := machine.state.snapshot(0)
@@ -303,14 +313,12 @@
 	}
 	inflight := leader.inflight
 	leader.inflight = nil
-	machine.sendResets(inflight.resets)
+	machine.sendResets(inflight)
 	standbys, viewers := machine.pushHosts()
 	machine.emit(PushBatches{Hosts: standbys, Pushed: almondcross.NewJournalPushed(almondcross.JournalPushedConfig{
 		From: answer.Appended().Offset(), Batches: inflight.commit.Batches(),
 	})})
-	machine.emit(PushViews{Hosts: viewers, Pushed: almondcross.NewViewsPushed(almondcross.ViewsPushedConfig{
-		Complete: inflight.intakesCurrent, Changes: inflight.views,
-	})})
+	machine.pushViews(viewers, inflight)
 	leader.lastCommitAt = machine.now.Add(-answer.Took())
 	machine.follower.nextOffset = answer.Appended().End()
 	machine.config.Publisher.Refreshed(machine.now, inflight.intakesCurrent)
@@ -328,6 +336,24 @@
 	}
 }
 
+// pushViews passes the committed views to the viewers. In a large cell it collects those of several appends, since each
+// viewer costs a message.
+func (machine *Machine) pushViews(viewers []string, inflight *inflightAppend) {
+	leader := machine.leader
+	for _, change := range inflight.views {
+		leader.unpushedViews[change.ID()] = change
+	}
+	interval := min(time.Duration(len(viewers))*time.Second/maxViewMessagesPerSecond, maxViewInterval)
+	if machine.now.Sub(leader.viewsPushedAt) < interval {
+		return
+	}
+	machine.emit(PushViews{Hosts: viewers, Pushed: almondcross.NewViewsPushed(almondcross.ViewsPushedConfig{
+		Complete: inflight.intakesCurrent, Changes: slices.Collect(maps.Values(leader.unpushedViews)),
+	})})
+	leader.viewsPushedAt = machine.now
+	clear(leader.unpushedViews)
+}
+
 func (machine *Machine) snapshotStored(stored almondcross.SnapshotStored) {
 	machine.leader.snapshotting = false
 	if stored.Err() != nil {
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -559,28 +559,36 @@
 // sweepWorkers records silent workers, ends the runs of lost ones, stops stalled runs, repeats unanswered stop
 // orders and removes workers that have left.
 func (machine *Machine) sweepWorkers() {
-	for _, worker := range slices.Clone(machine.leader.sortedWorkers) {
+	var left []*worker
+	for _, worker := range machine.leader.sortedWorkers {
 		noContact := worker.unreachable || worker.lastAnswerAt.IsZero()
 		if noContact {
 			machine.recordSilence(worker)
 		}
-		lost := noContact && machine.now.After(machine.presumedLostAt(worker))
-		for _, assignment := range slices.Collect(maps.Values(worker.assignments)) {
-			switch {
-			case lost && assignment.phase != phaseCommitting:
-				worker.presumedLost[assignment.task] = assignment.run
-				machine.endRun(worker, assignment, almondcross.EndVoid, assignment.checkpoint)
-			case assignment.stalled(worker, machine.now):
-				machine.stopStalled(worker, assignment)
-			case assignment.stopDue(machine.now) && worker.managed && !worker.unreachable:
-				machine.stopRun(worker, assignment)
-			}
-		}
+		machine.sweepRuns(worker, noContact && machine.now.After(machine.presumedLostAt(worker)))
 		if !worker.announced && len(worker.assignments) == 0 && machine.now.Sub(worker.lastAnswerAt) > workerRetention && machine.now.Sub(machine.leader.electedAt) > workerRetention {
-			machine.endSilence(worker)
-			machine.emit(ReleaseWorker{Worker: worker.id})
-			delete(machine.leader.workers, worker.id)
-			machine.leader.sortedWorkers = slices.DeleteFunc(machine.leader.sortedWorkers, worker.equals)
+			left = append(left, worker)
+		}
+	}
+	for _, worker := range left {
+		machine.endSilence(worker)
+		machine.emit(ReleaseWorker{Worker: worker.id})
+		delete(machine.leader.workers, worker.id)
+		machine.leader.sortedWorkers = slices.DeleteFunc(machine.leader.sortedWorkers, worker.equals)
+	}
+}
+
+// sweepRuns ends the runs of a lost worker, stops the stalled ones and repeats unanswered stop orders.
+func (machine *Machine) sweepRuns(worker *worker, lost bool) {
+	for _, assignment := range worker.assignments {
+		switch {
+		case lost && assignment.phase != phaseCommitting:
+			worker.presumedLost[assignment.task] = assignment.run
+			machine.endRun(worker, assignment, almondcross.EndVoid, assignment.checkpoint)
+		case assignment.stalled(worker, machine.now):
+			machine.stopStalled(worker, assignment)
+		case assignment.stopDue(machine.now) && worker.managed && !worker.unreachable:
+			machine.stopRun(worker, assignment)
 		}
 	}
 }
