--- a/command/scheduler/constants.go
+++ b/command/scheduler/constants.go
@@ -59,7 +59,7 @@
 	// hosts, many hosts that load the state at once would saturate the link between the regions.
 	loadDelayPerPoint = 40 * time.Millisecond
 	// maxViewMessagesPerSecond bounds the messages with views that the scheduler sends to all viewers together.
-	maxViewMessagesPerSecond = 2000
+	maxViewMessagesPerSecond = 1000
 	// maxViewInterval is the maximum time between two messages with views to one viewer; linkTimeout tolerates the loss
 	// of one.
 	maxViewInterval = 300 * time.Millisecond
