Send lease orders to a worker that has moved to another address

Cause: the duties of a worker end with its old address, and with them the answer to the lease order that the scheduler awaits; it sent no further one, so the worker got no renewals and no work until it was removed.

--- a/command/scheduler/silence_test.go
+++ b/command/scheduler/silence_test.go
@@ -190,3 +190,22 @@
 	require.Less(t, harness.now.Sub(lostAt), 11*time.Second)
 	require.GreaterOrEqual(t, harness.now.Sub(lostAt), leadershipTimeout+leaseDuration)
 }
+
+// Guards against a worker that is given up after it moved to another address: the duty that awaited the answer to its
+// lease order ends with the old address, and without the answer no further lease order was sent.
+func TestWorkerAtANewAddressGetsLeaseOrders(t *testing.T) {
+	harness := newHarness(t)
+	harness.becomeScheduler()
+	pending := requireEffect[SendLease](harness).Order
+	moved := poolWorker.WithAddress("10.0.0.2:1")
+	harness.apply(almondcross.NewWorkersRead(almondcross.WorkersReadConfig{Changes: []almondcross.WorkerChange{
+		almondcross.NewWorkerChange(almondcross.WorkerChangeConfig{ID: workerID, Present: true, Worker: moved}),
+	}}))
+	require.Equal(t, moved.Address(), requireEffect[SendLease](harness).Order.Worker().Address())
+	harness.apply(almondcross.NewLeaseAnswered(almondcross.LeaseAnsweredConfig{
+		Order: pending, Result: almondcross.OrderDone, Sent: harness.now, Received: harness.now,
+		Report: almondcross.NewWorkerReport(almondcross.WorkerReportConfig{ID: workerID, Incarnation: 1, Clock: time.Second}),
+	}))
+	_, repeated := takeEffect[SendLease](harness)
+	require.False(t, repeated, "an answer from the old address starts no second sequence of lease orders")
+}
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -171,7 +171,8 @@
 		worker.managed = true
 		machine.emit(ManageWorker{Worker: worker.info})
 	}
-	if !worker.leasePending {
+	if !worker.leasePending || addressChanged {
+		// The duty that awaits the answer to a pending order ends with the old address.
 		machine.sendLease(worker, 0, 0)
 	}
 	machine.leader.placementDue = true
@@ -210,6 +211,9 @@
 	if worker == nil || answer.Order().Fence()>>fenceCounterBits != machine.leader.epoch {
 		return
 	}
+	if answer.Order().Worker().Address() != worker.info.Address() {
+		return // The worker has moved and gets lease orders at its new address.
+	}
 	if answer.Order().ListOnly() && answer.Result() != almondcross.OrderFenced {
 		machine.reportAnswered(worker, answer)
 		return
