Keep what a host knows of a silent worker's lease when it loads the state again

A record of silence is now identified by the scheduler's epoch and its time; a host that has seen it keeps its first bound.

--- a/command/scheduler/discovery.go
+++ b/command/scheduler/discovery.go
@@ -162,7 +162,7 @@
 	case !assigned.Standby() && (machine.role == roleDiscovering || machine.role == roleFollower || machine.role == roleLoading):
 		machine.role = roleViewer
 		machine.discovery.lastViewsAt = machine.now
-		machine.state = newState(machine.config.Retention)
+		machine.resetState()
 		machine.follower = follower{}
 	}
 }
--- a/command/scheduler/follower.go
+++ b/command/scheduler/follower.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"time"
 
 	"github.com/juju/errors"
@@ -48,10 +49,10 @@
 		return
 	}
 	trimmed := machine.follower.trimmedReads
-	machine.state = newState(machine.config.Retention)
+	machine.resetState()
 	machine.follower = follower{trimmedReads: trimmed}
 	if read.Found() {
-		machine.state = restore(read.Snapshot(), machine.config.Retention, machine.now)
+		machine.state = restore(read.Snapshot(), machine.config.Retention, machine.now, machine.state.knownSilences)
 		machine.follower.nextOffset = read.Snapshot().Next()
 	}
 	machine.config.Publisher.Reset()
@@ -62,6 +63,21 @@
 	machine.readJournal(0)
 }
 
+// resetState empties the state. What this host knows of silences is kept: the leases of these workers end no later
+// because it loads the state again.
+func (machine *Machine) resetState() {
+	known := machine.state.knownSilences
+	if known == nil {
+		known = map[string]silence{}
+	}
+	maps.Copy(known, machine.state.silentWorkers)
+	maps.DeleteFunc(known, func(_ string, silence silence) bool {
+		return machine.now.Sub(silence.leaseExpiredAt) > machine.config.Retention // The journal no longer holds its record.
+	})
+	machine.state = newState(machine.config.Retention)
+	machine.state.knownSilences = known
+}
+
 func (machine *Machine) readJournal(pause time.Duration) {
 	machine.follower.readPending = true
 	machine.emit(ReadJournal{Query: almondcross.NewJournalQuery(almondcross.JournalQueryConfig{
--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -260,7 +260,7 @@
 	}
 	maps.Copy(machine.state.intakeOffsets, leader.pendingIntake)
 	if !leader.snapshotting && machine.now.Sub(leader.snapshotAt) >= machine.config.SnapshotInterval {
-		snapshot := machine.state.snapshot(0)
+		snapshot := machine.state.snapshot(0, machine.now)
 		inflight.snapshot = &snapshot
 		leader.snapshotting, leader.snapshotAt = true, machine.now
 	}
--- a/command/scheduler/scheduler_test.go
+++ b/command/scheduler/scheduler_test.go
@@ -423,7 +423,7 @@
 	harness.machine.recordChange(almondcross.ChangeConfig{Kind: almondcross.ChangeCancel, Job: almondcross.NewJob(almondcross.JobConfig{ID: "k"})})
 	codec, err := encoder.NewCodec()
 	require.NoError(t, err)
-	before := harness.machine.state.snapshot(7)
+	before := harness.machine.state.snapshot(7, harness.now)
 	parts, err := codec.EncodeSnapshot(before, 200)
 	require.NoError(t, err)
 	require.Greater(t, len(parts), 1)
@@ -438,7 +438,7 @@
 	require.ErrorIs(t, err, encoder.ErrMalformed, "a malformed record is reported and doesn't hide a snapshot")
 	require.True(t, found)
 	require.Equal(t, int64(7), after.Next())
-	restored := restore(after, time.Minute, harness.now)
+	restored := restore(after, time.Minute, harness.now, nil)
 	require.Len(t, restored.jobs, len(before.Jobs()))
 	j := restored.jobs["j"]
 	require.Equal(t, 1, j.stages[0].tasks[1].Failures())
--- a/command/scheduler/silence_test.go
+++ b/command/scheduler/silence_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/almondcross/almondcross"
+	"github.com/almondcross/almondcross/encoder"
 )
 
 // replicate passes batches of the scheduler to a standby and to the standbys behind it.
@@ -209,3 +210,61 @@
 	_, repeated := takeEffect[SendLease](harness)
 	require.False(t, repeated, "an answer from the old address starts no second sequence of lease orders")
 }
+
+// Guards against a host that loads the state again and counts the lease of a silent worker anew: once, a task of a lost
+// worker was restarted seven seconds later than its lease allowed.
+func TestLoadedStateKeepsTheKnownEndOfALease(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	const remaining = 5 * time.Second
+	elected := almondcross.NewJournalBatch(almondcross.JournalBatchConfig{Epoch: 4096, At: now, Changes: []almondcross.Change{
+		almondcross.NewChange(almondcross.ChangeConfig{Kind: almondcross.ChangeElected, Host: "h-1"}),
+	}})
+	silent := almondcross.NewJournalBatch(almondcross.JournalBatchConfig{Epoch: 4096, At: now, Changes: []almondcross.Change{
+		almondcross.NewChange(almondcross.ChangeConfig{Kind: almondcross.ChangeWorkerSilent, Worker: workerID, LeaseRemaining: remaining}),
+	}})
+	original := newState(time.Minute)
+	original.applyBatch(elected, now)
+	original.applyBatch(silent, now)
+	snapshot := original.snapshot(2, now.Add(time.Second))
+	later := now.Add(3 * time.Second)
+
+	stranger := restore(snapshot, time.Minute, later, nil)
+	require.Equal(t, later.Add(remaining-time.Second), stranger.silentWorkers[workerID].leaseExpiredAt)
+	reloaded := restore(snapshot, time.Minute, later, original.silentWorkers)
+	require.Equal(t, now.Add(remaining), reloaded.silentWorkers[workerID].leaseExpiredAt)
+
+	replayed := newState(time.Minute)
+	replayed.knownSilences = original.silentWorkers
+	replayed.applyBatch(elected, later)
+	replayed.applyBatch(silent, later)
+	require.Equal(t, now.Add(remaining), replayed.silentWorkers[workerID].leaseExpiredAt)
+
+	other := newState(time.Minute)
+	other.knownSilences = original.silentWorkers
+	other.applyBatch(elected.WithEpoch(8192), later)
+	other.applyBatch(silent.WithEpoch(8192), later)
+	require.Equal(t, later.Add(remaining), other.silentWorkers[workerID].leaseExpiredAt, "a later silence is another record")
+}
+
+// Guards against a snapshot that names the epoch of a failed election as that of the scheduler, or forgets that the
+// scheduler has resigned: standbys would wait for a scheduler that is gone.
+func TestSnapshotKeepsTheSchedulerAndItsResignation(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	state := newState(time.Minute)
+	state.applyBatch(almondcross.NewJournalBatch(almondcross.JournalBatchConfig{Epoch: 4096, At: now, Changes: []almondcross.Change{
+		almondcross.NewChange(almondcross.ChangeConfig{Kind: almondcross.ChangeElected, Host: "h-1"}),
+		almondcross.NewChange(almondcross.ChangeConfig{Kind: almondcross.ChangeResigned, Host: "h-1"}),
+	}}), now)
+	state.applyBatch(almondcross.NewJournalBatch(almondcross.JournalBatchConfig{Epoch: 8192, At: now}), now)
+	codec, err := encoder.NewCodec()
+	require.NoError(t, err)
+	parts, err := codec.EncodeSnapshot(state.snapshot(2, now), 1<<20)
+	require.NoError(t, err)
+	snapshot, found, err := codec.DecodeSnapshot([]almondcross.KeyedRecord{almondcross.NewKeyedRecord(almondcross.KeyedRecordConfig{Value: parts[0]})})
+	require.NoError(t, err)
+	require.True(t, found)
+	restored := restore(snapshot, time.Minute, now, nil)
+	require.Equal(t, int64(4096), restored.schedulerEpoch)
+	require.Equal(t, int64(8192), restored.highestEpoch)
+	require.True(t, restored.resigned)
+}
--- a/command/scheduler/snapshot.go
+++ b/command/scheduler/snapshot.go
@@ -9,18 +9,21 @@
 	"github.com/almondcross/almondcross"
 )
 
-// snapshot returns the state as a value; next is the journal offset after its last batch.
-func (state *state) snapshot(next int64) almondcross.StateSnapshot {
+// snapshot returns the state as a value; next is the journal offset after its last batch and now the current time.
+func (state *state) snapshot(next int64, now time.Time) almondcross.StateSnapshot {
 	records := make([]almondcross.JobRecord, 0, len(state.jobs))
 	for _, id := range slices.SortedFunc(maps.Keys(state.jobs), func(a, b almondcross.JobID) int { return strings.Compare(string(a), string(b)) }) {
 		records = append(records, state.jobs[id].record())
 	}
-	silent := make(map[string]time.Duration, len(state.silentWorkers))
-	for worker, silence := range state.silentWorkers {
-		silent[worker] = silence.leaseRemaining
+	silent := make([]almondcross.SilentWorker, 0, len(state.silentWorkers))
+	for _, worker := range slices.Sorted(maps.Keys(state.silentWorkers)) {
+		silence := state.silentWorkers[worker]
+		silent = append(silent, almondcross.NewSilentWorker(almondcross.SilentWorkerConfig{
+			Worker: worker, Epoch: silence.epoch, RecordedAt: silence.recordedAt, LeaseRemaining: max(0, silence.leaseExpiredAt.Sub(now)),
+		}))
 	}
 	return almondcross.NewStateSnapshot(almondcross.StateSnapshotConfig{
-		Next: next, Epoch: state.highestEpoch, At: state.batchTime, Host: state.schedulerHost, Address: state.schedulerAddress,
+		Next: next, Epoch: state.highestEpoch, SchedulerEpoch: state.schedulerEpoch, Resigned: state.resigned, At: state.batchTime, Host: state.schedulerHost, Address: state.schedulerAddress,
 		Intake: maps.Clone(state.intakeOffsets), Jobs: records, Usage: state.sortedUsage(), Silent: silent,
 	})
 }
@@ -38,14 +41,19 @@
 	})
 }
 
-// restore returns the state held in a snapshot; now is the time at which this host loads it.
-func restore(snapshot almondcross.StateSnapshot, retention time.Duration, now time.Time) *state {
+// restore returns the state held in a snapshot; now is the time at which this host loads it, and known holds the
+// silences that it knew before.
+func restore(snapshot almondcross.StateSnapshot, retention time.Duration, now time.Time, known map[string]silence) *state {
 	restored := newState(retention)
-	for worker, leaseRemaining := range snapshot.Silent() {
-		restored.silentWorkers[worker] = silence{leaseRemaining: leaseRemaining, leaseExpiredAt: now.Add(leaseRemaining)}
+	restored.knownSilences = known
+	for _, silent := range snapshot.Silent() {
+		restored.addSilence(silent.Worker(), silence{
+			epoch: silent.Epoch(), recordedAt: silent.RecordedAt(), leaseExpiredAt: now.Add(silent.LeaseRemaining()),
+		})
 	}
 	restored.highestEpoch, restored.batchTime = snapshot.Epoch(), snapshot.At()
-	restored.schedulerHost, restored.schedulerAddress, restored.schedulerEpoch = snapshot.Host(), snapshot.Address(), snapshot.Epoch()
+	restored.schedulerHost, restored.schedulerAddress = snapshot.Host(), snapshot.Address()
+	restored.schedulerEpoch, restored.resigned = snapshot.SchedulerEpoch(), snapshot.Resigned()
 	if snapshot.Intake() != nil {
 		restored.intakeOffsets = maps.Clone(snapshot.Intake())
 	}
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -65,6 +65,8 @@
 	unstoredUsage    map[almondcross.UsageKey]struct{} // unstoredUsage holds the periods whose usage is not stored yet.
 	changedJobs      map[almondcross.JobID]struct{}    // changedJobs holds the jobs whose view may have changed.
 	silentWorkers    map[string]silence                // silentWorkers holds the workers whose leases are not extended.
+	// knownSilences holds the silences that this host knew when it loaded the state again. It is not replicated.
+	knownSilences map[string]silence
 
 	// applyTime is the local time at which this host applies the current batch. It is not replicated, because
 	// the clocks of hosts differ.
@@ -75,8 +77,14 @@
 // until the journal holds the end of the silence, so a successor need not wait for a full lease after its own
 // election.
 type silence struct {
-	leaseRemaining time.Duration // leaseRemaining is how long after the record the lease expires at the latest.
-	leaseExpiredAt time.Time     // leaseExpiredAt is when the lease has expired at the latest, on this host's clock.
+	epoch          int64     // epoch is the epoch of the scheduler that recorded the silence.
+	recordedAt     time.Time // recordedAt is the time of the batch with the record.
+	leaseExpiredAt time.Time // leaseExpiredAt is when the lease has expired at the latest, on this host's clock.
+}
+
+// sameRecord reports whether two silences are the same record of the journal.
+func (silence silence) sameRecord(other silence) bool {
+	return silence.epoch == other.epoch && silence.recordedAt.Equal(other.recordedAt)
 }
 
 func newState(retention time.Duration) *state {
@@ -128,12 +136,22 @@
 	case almondcross.ChangeResigned:
 		state.resigned = true
 	case almondcross.ChangeWorkerSilent:
-		state.silentWorkers[change.Worker()] = silence{leaseRemaining: change.LeaseRemaining(), leaseExpiredAt: state.applyTime.Add(change.LeaseRemaining())}
+		state.addSilence(change.Worker(), silence{
+			epoch: state.schedulerEpoch, recordedAt: state.batchTime, leaseExpiredAt: state.applyTime.Add(change.LeaseRemaining()),
+		})
 	case almondcross.ChangeWorkerRegained:
 		delete(state.silentWorkers, change.Worker())
 	}
 }
 
+// addSilence records a silence. The bound on the lease counts from when this host first learned of the record.
+func (state *state) addSilence(worker string, added silence) {
+	if known, found := state.knownSilences[worker]; found && known.sameRecord(added) && known.leaseExpiredAt.Before(added.leaseExpiredAt) {
+		added.leaseExpiredAt = known.leaseExpiredAt
+	}
+	state.silentWorkers[worker] = added
+}
+
 func (state *state) admitJob(submitted almondcross.Job, queue almondcross.Queue) {
 	if _, known := state.jobs[submitted.ID()]; known {
 		return
--- a/encoder/snapshot.go
+++ b/encoder/snapshot.go
@@ -19,7 +19,18 @@
 	Intake        map[int]int64
 	Jobs          []cbor.RawMessage // Jobs holds encoded values of wireJobRecord.
 	Usage         []wireUsage
-	SilentLeaseMS map[string]int64
+	Silent        []wireSilentWorker
+
+	SchedulerEpoch int64
+	Resigned       bool
+}
+
+type wireSilentWorker struct {
+	_            struct{} `cbor:",toarray"`
+	Worker       string
+	Epoch        int64
+	RecordedAtMS int64
+	RemainingMS  int64
 }
 
 // maxArrayHeaderBytes is the maximum size in bytes of the header of an encoded array.
@@ -73,13 +84,16 @@
 func firstSnapshotPart(snapshot almondcross.StateSnapshot) wireSnapshotPart {
 	part := wireSnapshotPart{
 		JournalOffset: snapshot.Next(), Epoch: snapshot.Epoch(), AtMS: toUnixMillis(snapshot.At()), Intake: snapshot.Intake(),
-		Host: snapshot.Host(), Address: snapshot.Address(), SilentLeaseMS: make(map[string]int64, len(snapshot.Silent())),
+		Host: snapshot.Host(), Address: snapshot.Address(), SchedulerEpoch: snapshot.SchedulerEpoch(), Resigned: snapshot.Resigned(),
 	}
 	for _, usage := range snapshot.Usage() {
 		part.Usage = append(part.Usage, toUsage(usage))
 	}
-	for worker, leaseRemaining := range snapshot.Silent() {
-		part.SilentLeaseMS[worker] = leaseRemaining.Milliseconds()
+	for _, silent := range snapshot.Silent() {
+		part.Silent = append(part.Silent, wireSilentWorker{
+			Worker: silent.Worker(), Epoch: silent.Epoch(), RecordedAtMS: toUnixMillis(silent.RecordedAt()),
+			RemainingMS: silent.LeaseRemaining().Milliseconds(),
+		})
 	}
 	return part
 }
@@ -131,12 +145,15 @@
 	for _, wire := range firstPart.Usage {
 		usage = append(usage, wire.value())
 	}
-	silentWorkers := make(map[string]time.Duration, len(firstPart.SilentLeaseMS))
-	for worker, leaseRemainingMS := range firstPart.SilentLeaseMS {
-		silentWorkers[worker] = time.Duration(leaseRemainingMS) * time.Millisecond
+	var silentWorkers []almondcross.SilentWorker
+	for _, silent := range firstPart.Silent {
+		silentWorkers = append(silentWorkers, almondcross.NewSilentWorker(almondcross.SilentWorkerConfig{
+			Worker: silent.Worker, Epoch: silent.Epoch, RecordedAt: fromUnixMillis(silent.RecordedAtMS),
+			LeaseRemaining: time.Duration(silent.RemainingMS) * time.Millisecond,
+		}))
 	}
 	return almondcross.NewStateSnapshot(almondcross.StateSnapshotConfig{
-		Next: firstPart.JournalOffset, Epoch: firstPart.Epoch, At: fromUnixMillis(firstPart.AtMS), Host: firstPart.Host, Address: firstPart.Address,
+		Next: firstPart.JournalOffset, Epoch: firstPart.Epoch, SchedulerEpoch: firstPart.SchedulerEpoch, Resigned: firstPart.Resigned, At: fromUnixMillis(firstPart.AtMS), Host: firstPart.Host, Address: firstPart.Address,
 		Intake: firstPart.Intake, Jobs: jobs, Usage: usage, Silent: silentWorkers,
 	})
 }
--- a/job_generated.go
+++ b/job_generated.go
@@ -2570,46 +2570,116 @@
 	return jobrecord
 }
 
+// SilentWorkerConfig holds the fields of a new SilentWorker.
+type SilentWorkerConfig struct {
+	Worker         string
+	Epoch          int64
+	RecordedAt     time.Time
+	LeaseRemaining time.Duration
+}
+
+// NewSilentWorker returns a SilentWorker with the given fields.
+func NewSilentWorker(config SilentWorkerConfig) SilentWorker {
+	return SilentWorker{
+		worker:         config.Worker,
+		epoch:          config.Epoch,
+		recordedAt:     config.RecordedAt,
+		leaseRemaining: config.LeaseRemaining,
+	}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (silentworker SilentWorker) Config() SilentWorkerConfig {
+	return SilentWorkerConfig{
+		Worker:         silentworker.worker,
+		Epoch:          silentworker.epoch,
+		RecordedAt:     silentworker.recordedAt,
+		LeaseRemaining: silentworker.leaseRemaining,
+	}
+}
+
+// Worker returns the identity of the worker.
+func (silentworker SilentWorker) Worker() string { return silentworker.worker }
+
+// WithWorker returns a copy with the given worker.
+func (silentworker SilentWorker) WithWorker(worker string) SilentWorker {
+	silentworker.worker = worker
+	return silentworker
+}
+
+// Epoch returns the epoch of the scheduler that recorded the silence.
+func (silentworker SilentWorker) Epoch() int64 { return silentworker.epoch }
+
+// WithEpoch returns a copy with the given epoch.
+func (silentworker SilentWorker) WithEpoch(epoch int64) SilentWorker {
+	silentworker.epoch = epoch
+	return silentworker
+}
+
+// RecordedAt returns the time of the batch with the record; with the epoch and the worker it identifies the record.
+func (silentworker SilentWorker) RecordedAt() time.Time { return silentworker.recordedAt }
+
+// WithRecordedAt returns a copy with the given recordedAt.
+func (silentworker SilentWorker) WithRecordedAt(recordedAt time.Time) SilentWorker {
+	silentworker.recordedAt = recordedAt
+	return silentworker
+}
+
+// LeaseRemaining returns the time from the snapshot to the end of the worker's lease; a restored snapshot counts it from the restore, which is later and thus safe.
+func (silentworker SilentWorker) LeaseRemaining() time.Duration { return silentworker.leaseRemaining }
+
+// WithLeaseRemaining returns a copy with the given leaseRemaining.
+func (silentworker SilentWorker) WithLeaseRemaining(leaseRemaining time.Duration) SilentWorker {
+	silentworker.leaseRemaining = leaseRemaining
+	return silentworker
+}
+
 // StateSnapshotConfig holds the fields of a new StateSnapshot.
 type StateSnapshotConfig struct {
-	Next    int64
-	Epoch   int64
-	At      time.Time
-	Host    string
-	Address string
-	Intake  map[int]int64
-	Jobs    []JobRecord
-	Usage   []QueueUsage
-	Silent  map[string]time.Duration
+	Next           int64
+	Epoch          int64
+	SchedulerEpoch int64
+	Resigned       bool
+	At             time.Time
+	Host           string
+	Address        string
+	Intake         map[int]int64
+	Jobs           []JobRecord
+	Usage          []QueueUsage
+	Silent         []SilentWorker
 }
 
 // NewStateSnapshot returns a StateSnapshot with the given fields.
 func NewStateSnapshot(config StateSnapshotConfig) StateSnapshot {
 	return StateSnapshot{
-		next:    config.Next,
-		epoch:   config.Epoch,
-		at:      config.At,
-		host:    config.Host,
-		address: config.Address,
-		intake:  config.Intake,
-		jobs:    config.Jobs,
-		usage:   config.Usage,
-		silent:  config.Silent,
+		next:           config.Next,
+		epoch:          config.Epoch,
+		schedulerEpoch: config.SchedulerEpoch,
+		resigned:       config.Resigned,
+		at:             config.At,
+		host:           config.Host,
+		address:        config.Address,
+		intake:         config.Intake,
+		jobs:           config.Jobs,
+		usage:          config.Usage,
+		silent:         config.Silent,
 	}
 }
 
 // Config returns the fields of the value for encoding or for a changed copy.
 func (statesnapshot StateSnapshot) Config() StateSnapshotConfig {
 	return StateSnapshotConfig{
-		Next:    statesnapshot.next,
-		Epoch:   statesnapshot.epoch,
-		At:      statesnapshot.at,
-		Host:    statesnapshot.host,
-		Address: statesnapshot.address,
-		Intake:  statesnapshot.intake,
-		Jobs:    statesnapshot.jobs,
-		Usage:   statesnapshot.usage,
-		Silent:  statesnapshot.silent,
+		Next:           statesnapshot.next,
+		Epoch:          statesnapshot.epoch,
+		SchedulerEpoch: statesnapshot.schedulerEpoch,
+		Resigned:       statesnapshot.resigned,
+		At:             statesnapshot.at,
+		Host:           statesnapshot.host,
+		Address:        statesnapshot.address,
+		Intake:         statesnapshot.intake,
+		Jobs:           statesnapshot.jobs,
+		Usage:          statesnapshot.usage,
+		Silent:         statesnapshot.silent,
 	}
 }
 
@@ -2631,6 +2701,24 @@
 	return statesnapshot
 }
 
+// SchedulerEpoch returns the epoch of the scheduler.
+func (statesnapshot StateSnapshot) SchedulerEpoch() int64 { return statesnapshot.schedulerEpoch }
+
+// WithSchedulerEpoch returns a copy with the given schedulerEpoch.
+func (statesnapshot StateSnapshot) WithSchedulerEpoch(schedulerEpoch int64) StateSnapshot {
+	statesnapshot.schedulerEpoch = schedulerEpoch
+	return statesnapshot
+}
+
+// Resigned returns whether the scheduler has resigned.
+func (statesnapshot StateSnapshot) Resigned() bool { return statesnapshot.resigned }
+
+// WithResigned returns a copy with the given resigned.
+func (statesnapshot StateSnapshot) WithResigned(resigned bool) StateSnapshot {
+	statesnapshot.resigned = resigned
+	return statesnapshot
+}
+
 // At returns the time of the last batch.
 func (statesnapshot StateSnapshot) At() time.Time { return statesnapshot.at }
 
@@ -2685,11 +2773,11 @@
 	return statesnapshot
 }
 
-// Silent returns the silent workers, each with the time from the record of its silence to the end of its lease; a restored snapshot counts it from the restore, which is later and thus safe.
-func (statesnapshot StateSnapshot) Silent() map[string]time.Duration { return statesnapshot.silent }
+// Silent returns the silent workers.
+func (statesnapshot StateSnapshot) Silent() []SilentWorker { return statesnapshot.silent }
 
 // WithSilent returns a copy with the given silent.
-func (statesnapshot StateSnapshot) WithSilent(silent map[string]time.Duration) StateSnapshot {
+func (statesnapshot StateSnapshot) WithSilent(silent []SilentWorker) StateSnapshot {
 	statesnapshot.silent = silent
 	return statesnapshot
 }
--- a/journal.go
+++ b/journal.go
@@ -241,19 +241,31 @@
 	stages             []StageRecord // the stages of the started occurrences
 }
 
+// SilentWorker is the record of a worker that does not answer.
+//
+//value:generate
+type SilentWorker struct {
+	worker         string        // the identity of the worker
+	epoch          int64         // the epoch of the scheduler that recorded the silence
+	recordedAt     time.Time     // the time of the batch with the record; with the epoch and the worker it identifies the record
+	leaseRemaining time.Duration // the time from the snapshot to the end of the worker's lease; a restored snapshot counts it from the restore, which is later and thus safe
+}
+
 // StateSnapshot is the replicated state after a batch.
 //
 //value:generate
 type StateSnapshot struct {
-	next    int64                    // the journal offset that follows the last batch in the snapshot
-	epoch   int64                    // the highest epoch of any batch
-	at      time.Time                // the time of the last batch
-	host    string                   // the scheduler's host
-	address string                   // the link address of the scheduler's host
-	intake  map[int]int64            // the offsets up to which intake partitions have been admitted
-	jobs    []JobRecord              // the jobs
-	usage   []QueueUsage             // the usage of the current periods
-	silent  map[string]time.Duration // the silent workers, each with the time from the record of its silence to the end of its lease; a restored snapshot counts it from the restore, which is later and thus safe
+	next           int64          // the journal offset that follows the last batch in the snapshot
+	epoch          int64          // the highest epoch of any batch
+	schedulerEpoch int64          // the epoch of the scheduler
+	resigned       bool           // whether the scheduler has resigned
+	at             time.Time      // the time of the last batch
+	host           string         // the scheduler's host
+	address        string         // the link address of the scheduler's host
+	intake         map[int]int64  // the offsets up to which intake partitions have been admitted
+	jobs           []JobRecord    // the jobs
+	usage          []QueueUsage   // the usage of the current periods
+	silent         []SilentWorker // the silent workers
 }
 
 // JournalCodec converts between the replicated values and the records of the store.
