--- /dev/null
+++ b/command/scheduler/append.go
@@ -0,0 +1,215 @@
+package scheduler
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/almondcross/almondcross"
+)
+
+// commitCallback is a function to run once the first changes of the pending ones are in the journal.
+type commitCallback struct {
+	changes int // changes is the number of pending changes when the callback was added.
+	run     func()
+}
+
+// inflightAppend is a pending append to the journal.
+type inflightAppend struct {
+	commit         almondcross.JournalCommit
+	sentAt         time.Time
+	callbacks      []commitCallback
+	resetHosts     []*linkedHost // resetHosts holds the hosts that get resetViews, all views.
+	resetViews     []almondcross.JobViewChange
+	views          []almondcross.JobViewChange
+	intakesCurrent bool // intakesCurrent is set if every intake partition had been read recently and the append has all their jobs.
+	snapshot       *almondcross.StateSnapshot
+}
+
+// recordChange applies a change and adds it to the next append.
+func (machine *Machine) recordChange(config almondcross.ChangeConfig) {
+	machine.beginBatch()
+	change := almondcross.NewChange(config)
+	machine.state.apply(change)
+	machine.leader.pendingChanges = append(machine.leader.pendingChanges, change)
+}
+
+// beginBatch starts the next append with the current time, so that followers compute the same times.
+func (machine *Machine) beginBatch() {
+	if len(machine.leader.pendingChanges) > 0 {
+		return
+	}
+	at := machine.now.Truncate(time.Millisecond)
+	if at.Before(machine.state.batchTime) {
+		at = machine.state.batchTime
+	}
+	machine.state.beginBatch(almondcross.NewJournalBatch(almondcross.JournalBatchConfig{Epoch: machine.leader.epoch, At: at}), machine.now)
+}
+
+// afterCommit runs a function once all changes so far are in the journal.
+func (machine *Machine) afterCommit(callback func()) {
+	leader := machine.leader
+	leader.pendingCallbacks = append(leader.pendingCallbacks, commitCallback{changes: len(leader.pendingChanges), run: callback})
+}
+
+// appendPending sends the next append unless one is pending.
+func (machine *Machine) appendPending() {
+	leader := machine.leader
+	if machine.now.Sub(leader.lastAppendAt) < minAppendInterval {
+		return
+	}
+	idle := len(leader.pendingChanges) == 0 && len(leader.pendingIntake) == 0 && len(leader.pendingCallbacks) == 0 && len(leader.pendingResets) == 0
+	if leader.inflight != nil || idle && machine.now.Sub(leader.lastCommitAt) < heartbeatInterval {
+		return
+	}
+	machine.beginBatch()
+	leader.lastAppendAt = machine.now
+	leader.sequence++
+	inflight := &inflightAppend{sentAt: machine.now}
+	changes := leader.takeChanges(machine.config.BatchesPerAppend * maxBatchChanges)
+	inflight.callbacks = leader.takeCallbacks(len(changes))
+	var intake map[int]int64
+	if len(leader.pendingChanges) == 0 {
+		intake = leader.pendingIntake
+		machine.completeAppend(inflight)
+	}
+	inflight.commit = almondcross.NewJournalCommit(almondcross.JournalCommitConfig{
+		Epoch: leader.epoch, Sequence: leader.sequence, Batches: machine.newBatches(changes, intake, inflight.intakesCurrent),
+	})
+	leader.inflight = inflight
+	machine.emit(Commit{Request: inflight.commit})
+}
+
+// takeChanges removes and returns the first pending changes, at most limit. The store limits the size of an append,
+// and a recovery may admit more jobs at once than fit in one.
+func (leader *leader) takeChanges(limit int) []almondcross.Change {
+	count := min(len(leader.pendingChanges), limit)
+	taken := leader.pendingChanges[:count:count]
+	leader.pendingChanges = leader.pendingChanges[count:]
+	return taken
+}
+
+// takeCallbacks removes and returns the callbacks that wait for no more than the changes of an append.
+func (leader *leader) takeCallbacks(changes int) []commitCallback {
+	var taken, remaining []commitCallback
+	for _, callback := range leader.pendingCallbacks {
+		if callback.changes <= changes {
+			taken = append(taken, callback)
+		} else {
+			remaining = append(remaining, commitCallback{changes: callback.changes - changes, run: callback.run})
+		}
+	}
+	leader.pendingCallbacks = remaining
+	return taken
+}
+
+// completeAppend adds to an append with all pending changes what presumes them: views, the intake offsets and, when
+// one is due, a snapshot of the state.
+func (machine *Machine) completeAppend(inflight *inflightAppend) {
+	leader := machine.leader
+	inflight.views, inflight.intakesCurrent = machine.takeViewChanges(), machine.intakesCurrent()
+	if len(leader.pendingResets) > 0 {
+		inflight.resetHosts, inflight.resetViews = leader.pendingResets, machine.allViews()
+	}
+	maps.Copy(machine.state.intakeOffsets, leader.pendingIntake)
+	if !leader.snapshotting && machine.now.Sub(leader.snapshotAt) >= machine.config.SnapshotInterval {
+		snapshot := machine.state.snapshot(0, machine.now)
+		inflight.snapshot = &snapshot
+		leader.snapshotting, leader.snapshotAt = true, machine.now
+	}
+	leader.pendingChanges, leader.pendingIntake, leader.pendingResets = nil, map[int]int64{}, nil
+}
+
+// newBatches divides changes into batches. The last one has the intake offsets.
+func (machine *Machine) newBatches(changes []almondcross.Change, intake map[int]int64, current bool) []almondcross.JournalBatch {
+	var batches []almondcross.JournalBatch
+	for first := true; first || len(changes) > 0; first = false {
+		count := min(len(changes), maxBatchChanges)
+		config := almondcross.JournalBatchConfig{
+			Epoch: machine.leader.epoch, At: machine.state.batchTime, Changes: changes[:count:count], Current: current,
+		}
+		changes = changes[count:]
+		if len(changes) == 0 {
+			config.Intake = intake
+		}
+		batches = append(batches, almondcross.NewJournalBatch(config))
+	}
+	return batches
+}
+
+// committed handles the answer to an append.
+func (machine *Machine) committed(answer almondcross.JournalCommitted) {
+	if answer.Commit().Election() {
+		machine.electionAnswered(answer)
+		return
+	}
+	leader := machine.leader
+	if leader == nil || leader.inflight == nil || answer.Commit().Epoch() != leader.epoch ||
+		answer.Commit().Sequence() != leader.inflight.commit.Sequence() {
+		return
+	}
+	switch {
+	case errors.Is(answer.Err(), almondcross.ErrStoreFenced), errors.Is(answer.Err(), almondcross.ErrStoreSequence):
+		machine.stopLeading(answer.Err().Error())
+		return
+	case answer.Err() != nil:
+		// The store applies a sequence number only once, so the append is safe to resend whether or not it
+		// succeeded.
+		machine.config.Metrics.CommitRepeated()
+		machine.config.Log.Record("commit_repeated", almondcross.Number("sequence", leader.sequence), almondcross.Text("reason", answer.Err().Error()),
+			almondcross.Millis("age_ms", machine.now.Sub(leader.inflight.sentAt)))
+		leader.inflight.sentAt = machine.now
+		machine.emit(Commit{Request: leader.inflight.commit.WithPause(storeRetryDelay)})
+		return
+	}
+	inflight := leader.inflight
+	leader.inflight = nil
+	machine.sendResets(inflight)
+	standbys, viewers := machine.pushHosts()
+	machine.emit(PushBatches{Hosts: standbys, Pushed: almondcross.NewJournalPushed(almondcross.JournalPushedConfig{
+		From: answer.Appended().Offset(), Batches: inflight.commit.Batches(),
+	})})
+	machine.pushViews(viewers, inflight)
+	leader.lastCommitAt = machine.now.Add(-answer.Took())
+	machine.follower.nextOffset = answer.Appended().End()
+	machine.config.Publisher.Refreshed(machine.now, inflight.intakesCurrent)
+	machine.publish(inflight.views)
+	if inflight.snapshot != nil {
+		machine.emit(StoreSnapshot{Request: almondcross.NewSnapshotStore(almondcross.SnapshotStoreConfig{
+			Snapshot: inflight.snapshot.WithNext(answer.Appended().End()),
+		})})
+	}
+	for _, callback := range inflight.callbacks {
+		if machine.leader != leader {
+			return
+		}
+		callback.run()
+	}
+}
+
+// pushViews passes the committed views to the viewers. In a large cell it collects those of several appends, since each
+// viewer costs a message.
+func (machine *Machine) pushViews(viewers []string, inflight *inflightAppend) {
+	leader := machine.leader
+	for _, change := range inflight.views {
+		leader.unpushedViews[change.ID()] = change
+	}
+	interval := min(time.Duration(len(viewers))*time.Second/maxViewMessagesPerSecond, maxViewInterval)
+	if machine.now.Sub(leader.viewsPushedAt) < interval {
+		return
+	}
+	machine.emit(PushViews{Hosts: viewers, Pushed: almondcross.NewViewsPushed(almondcross.ViewsPushedConfig{
+		Complete: inflight.intakesCurrent, Changes: slices.Collect(maps.Values(leader.unpushedViews)),
+	})})
+	leader.viewsPushedAt = machine.now
+	clear(leader.unpushedViews)
+}
+
+func (machine *Machine) snapshotStored(stored almondcross.SnapshotStored) {
+	machine.leader.snapshotting = false
+	if stored.Err() != nil {
+		machine.config.Log.Record("snapshot_failed", almondcross.Number("next", stored.Next()), almondcross.Text("reason", stored.Err().Error()))
+	}
+}
--- /dev/null
+++ b/command/scheduler/lease.go
@@ -0,0 +1,262 @@
+package scheduler
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/almondcross/almondcross"
+)
+
+// sendLease sends the next lease order to a worker.
+func (machine *Machine) sendLease(worker *worker, wait, pause time.Duration) {
+	if !worker.managed {
+		return
+	}
+	if worker.raiseFence {
+		worker.fence++
+		worker.raiseFence = false
+	}
+	worker.leasePending = true
+	machine.emit(SendLease{Pause: pause, Order: almondcross.NewLeaseOrder(almondcross.LeaseOrderConfig{
+		Worker: worker.info, Fence: worker.fence, Acknowledged: worker.acknowledgedEnd,
+		Until: machine.leaseEnd(worker), Wait: wait,
+	})})
+}
+
+// leaseEnd returns the end of a new lease on the worker's clock, 0 if the lease must not be extended.
+func (machine *Machine) leaseEnd(worker *worker) time.Duration {
+	leader := machine.leader
+	if worker.extensionBlocked || worker.lastAnswerAt.IsZero() || machine.now.Sub(worker.lastAnswerAt) > maxExtensionAge || machine.now.Sub(leader.lastCommitAt) > leadershipTimeout {
+		return 0
+	}
+	leaseEnd := worker.clockNow(machine.now) + min(leaseDuration, machine.config.MaxLease)
+	worker.maxLeaseEnd = max(worker.maxLeaseEnd, leaseEnd)
+	return leaseEnd
+}
+
+// leaseAnswered handles the answer to a lease order and sends the next one.
+func (machine *Machine) leaseAnswered(answer almondcross.LeaseAnswered) {
+	worker := machine.leader.workers[answer.Order().Worker().ID()]
+	if worker == nil || answer.Order().Fence()>>fenceCounterBits != machine.leader.epoch {
+		return
+	}
+	if answer.Order().Worker().Address() != worker.info.Address() {
+		return // The worker has moved and gets lease orders at its new address.
+	}
+	if answer.Order().ListOnly() && answer.Result() != almondcross.OrderFenced {
+		machine.reportAnswered(worker, answer)
+		return
+	}
+	switch {
+	case answer.Result() == almondcross.OrderFenced && answer.Order().Fence() < worker.fence:
+		if !answer.Order().ListOnly() {
+			machine.sendLease(worker, 0, 0) // A report request with a higher fencing token overtook it.
+		}
+		return
+	case answer.Result() == almondcross.OrderFenced:
+		machine.stopLeading("worker " + worker.id + " has seen a higher fencing token")
+		return
+	case answer.Result() != almondcross.OrderDone:
+		if !worker.unreachable {
+			worker.unreachable = true
+			machine.config.Log.Record("worker_lost_contact", almondcross.Text("worker", worker.id), almondcross.Text("result", string(answer.Result())),
+				almondcross.Millis("age_ms", machine.now.Sub(worker.lastAnswerAt)), almondcross.Number("runs", len(worker.assignments)))
+		}
+		worker.raiseFence = true
+		pause := leaseRetryDelay
+		if machine.now.Sub(worker.lastAnswerAt) > longLeaseRetryAfter {
+			pause = longLeaseRetryDelay
+		}
+		machine.sendLease(worker, 0, pause)
+		return
+	}
+	if worker.unreachable {
+		worker.unreachable = false
+		machine.config.Log.Record("worker_regained", almondcross.Text("worker", worker.id))
+	}
+	machine.reconcileRuns(worker, answer)
+}
+
+// requestReport requests the report of a worker's runs under a higher fencing token, in parallel to the lease
+// order that waits for an end.
+func (machine *Machine) requestReport(worker *worker) {
+	if !worker.managed || worker.unreachable {
+		worker.raiseFence = true
+		return
+	}
+	worker.fence++
+	machine.emit(SendLease{Order: almondcross.NewLeaseOrder(almondcross.LeaseOrderConfig{
+		Worker: worker.info, Fence: worker.fence, Acknowledged: worker.acknowledgedEnd, ListOnly: true,
+	})})
+}
+
+// reportAnswered handles the answer to a report request. If there is none, the next lease order raises the token.
+func (machine *Machine) reportAnswered(worker *worker, answer almondcross.LeaseAnswered) {
+	if answer.Result() != almondcross.OrderDone {
+		worker.raiseFence = true
+		return
+	}
+	machine.reconcileRuns(worker, answer)
+}
+
+// reconcileRuns compares the report of a worker with its assignments.
+func (machine *Machine) reconcileRuns(worker *worker, answer almondcross.LeaseAnswered) {
+	report := answer.Report()
+	if worker.incarnation != report.Incarnation() {
+		if worker.incarnation != 0 {
+			machine.config.Log.Record("worker_restarted", almondcross.Text("worker", worker.id), almondcross.Number("runs", len(worker.assignments)))
+		}
+		machine.resetWorker(worker, report.Incarnation())
+	}
+	worker.clock, worker.lastAnswerAt = report.Clock(), answer.Received()
+	machine.endSilence(worker)
+	machine.leader.placementDue = true
+	acknowledged := machine.recordEnds(worker, report.Ended())
+	reported := map[almondcross.JobTask]bool{}
+	for _, running := range report.Running() {
+		assigned := worker.assignments[running.Task()]
+		if assigned == nil || assigned.run != running.Run() {
+			machine.stopUnknownRun(worker, running)
+			continue
+		}
+		reported[running.Task()] = true
+		machine.confirmRun(assigned, running)
+	}
+	if len(report.Ended()) < maxReportedEnds {
+		machine.endMissingRuns(worker, answer, reported)
+	}
+	if !answer.Order().ListOnly() {
+		// Ends in the answer to a report request are acknowledged by the pending lease order, whose report includes them
+		// too.
+		machine.sendNextLease(worker, acknowledged)
+	}
+}
+
+// recordEnds records the reported ends and returns the sequence number up to which they may be acknowledged
+// after the commit.
+func (machine *Machine) recordEnds(worker *worker, ends []almondcross.EndedTask) int64 {
+	acknowledged := worker.acknowledgedEnd
+	for _, end := range ends {
+		acknowledged = max(acknowledged, end.Sequence())
+		if assigned := worker.assignments[end.Task()]; assigned != nil && assigned.run == end.Run() {
+			machine.endRun(worker, assigned, end.Kind(), end.Checkpoint())
+		} else if worker.presumedLost[end.Task()] == end.Run() && end.Run() > 0 {
+			machine.recordLateEnd(worker, end)
+		}
+	}
+	if worker.ackLimit > 0 {
+		return min(acknowledged, worker.ackLimit-1)
+	}
+	return acknowledged
+}
+
+// sendNextLease sends the lease order that follows a report. If the report has new ends, the order waits until
+// they are committed.
+func (machine *Machine) sendNextLease(worker *worker, acknowledged int64) {
+	switch {
+	case acknowledged > worker.acknowledgedEnd:
+		epoch, incarnation := machine.leader.epoch, worker.incarnation
+		machine.afterCommit(func() {
+			if machine.leader != nil && machine.leader.epoch == epoch && worker.incarnation == incarnation {
+				worker.acknowledgedEnd = max(worker.acknowledgedEnd, acknowledged)
+			}
+			machine.sendLease(worker, leaseAnswerWait, minLeaseInterval)
+		})
+	case worker.ackLimit > 0:
+		// While ends are reported, the worker answers without waiting, so the pause limits the rate.
+		machine.sendLease(worker, 0, leaseAnswerWait)
+	case worker.raiseFence:
+		machine.sendLease(worker, 0, 0)
+	default:
+		machine.sendLease(worker, leaseAnswerWait, 0)
+	}
+}
+
+// recordLateEnd handles the end of a run that was presumed lost. A success counts if the task has not been
+// started again. Otherwise its end is never acknowledged, and the worker gets no new work (see ackLimit).
+func (machine *Machine) recordLateEnd(worker *worker, end almondcross.EndedTask) {
+	if end.Kind() != almondcross.EndDone {
+		delete(worker.presumedLost, end.Task())
+		return
+	}
+	job := machine.state.jobs[end.Task().Stage.Job]
+	if job == nil {
+		return
+	}
+	stage := job.stage(end.Task().Stage)
+	if stage == nil || end.Task().Index >= len(stage.tasks) {
+		return
+	}
+	record := stage.tasks[end.Task().Index]
+	outcome := "already done"
+	switch {
+	case !record.Done() && !record.Active() && record.Run() == end.Run():
+		outcome = "counted"
+		delete(worker.presumedLost, end.Task())
+		machine.recordChange(almondcross.ChangeConfig{
+			Kind: almondcross.ChangeEnd, Task: end.Task(), Run: end.Run(), End: almondcross.EndDone, Worker: worker.id,
+		})
+		if job.state.Final() {
+			machine.jobFinished(job)
+		}
+		machine.enqueueReadyStages(job)
+	case record.Run() > end.Run() && worker.ackLimit == 0:
+		outcome = "already started again"
+		worker.ackLimit = end.Sequence()
+	}
+	machine.config.Log.Record("late_success", almondcross.Text("task", end.Task().String()), almondcross.Number("run", end.Run()),
+		almondcross.Text("worker", worker.id), almondcross.Text("outcome", outcome))
+}
+
+// resetWorker drops the state of the previous incarnation of a worker. Orders sent to it may still reach the
+// new one, so their outcome is known only from a report under a higher fencing token.
+func (machine *Machine) resetWorker(worker *worker, incarnation int64) {
+	if worker.incarnation != 0 {
+		for _, assignment := range worker.assignments {
+			if assignment.phase != phaseCommitting {
+				assignment.phase = phaseUnknown
+			}
+		}
+		worker.raiseFence = true
+	}
+	worker.incarnation, worker.acknowledgedEnd, worker.maxLeaseEnd, worker.failures, worker.ackLimit = incarnation, 0, 0, 0, 0
+	clear(worker.presumedLost)
+}
+
+func (machine *Machine) confirmRun(assigned *assignment, running almondcross.RunningTask) {
+	if assigned.phase != phaseConfirmed {
+		assigned.phase, assigned.confirmedAt = phaseConfirmed, machine.now
+		assigned.progressAt = machine.now
+	}
+	if running.Checkpoint() != "" {
+		assigned.checkpoint = running.Checkpoint()
+	}
+	if running.Progress() != assigned.progress {
+		assigned.progress, assigned.progressAt = running.Progress(), machine.now
+	}
+}
+
+// endMissingRuns ends the runs that a worker certainly does not have: it had confirmed the run before the report
+// was requested, or the report has a higher fencing token than the unanswered start order.
+func (machine *Machine) endMissingRuns(worker *worker, answer almondcross.LeaseAnswered, reported map[almondcross.JobTask]bool) {
+	for _, assignment := range slices.Collect(maps.Values(worker.assignments)) {
+		if reported[assignment.task] {
+			continue
+		}
+		missing := assignment.phase == phaseConfirmed && assignment.confirmedAt.Before(answer.Sent()) ||
+			assignment.phase == phaseUnknown && assignment.fence < answer.Order().Fence()
+		if missing {
+			machine.endRun(worker, assignment, almondcross.EndVoid, assignment.checkpoint)
+		}
+	}
+}
+
+// stopUnknownRun stops a run that is not among the worker's assignments.
+func (machine *Machine) stopUnknownRun(worker *worker, running almondcross.RunningTask) {
+	machine.config.Log.Record("stray_run", almondcross.Text("worker", worker.id), almondcross.Text("task", running.Task().String()),
+		almondcross.Number("run", running.Run()))
+	machine.emit(SendStop{Order: almondcross.NewStopOrder(almondcross.StopOrderConfig{
+		Worker: worker.info, Task: running.Task(), Run: running.Run(), Fence: worker.fence,
+	})})
+}
--- a/command/scheduler/machine.go
+++ b/command/scheduler/machine.go
@@ -227,3 +227,10 @@
 		}
 	}
 }
+
+func yesNo(value bool) string {
+	if value {
+		return "yes"
+	}
+	return "no"
+}
--- /dev/null
+++ b/command/scheduler/sweep.go
@@ -0,0 +1,73 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/almondcross/almondcross"
+)
+
+// stopDue reports whether the stop order of a run must be sent again. A pending order is not repeated, because
+// many repeats would delay the other orders to a distant worker.
+func (assignment *assignment) stopDue(now time.Time) bool {
+	pending := !assignment.stopSentAt.IsZero() && now.Sub(assignment.stopSentAt) < stopTimeout
+	return assignment.stopRequested && assignment.phase != phaseCommitting && !now.Before(assignment.nextStopAt) && !pending
+}
+
+// stalled reports whether a run makes no progress although its worker answers.
+func (assignment *assignment) stalled(worker *worker, now time.Time) bool {
+	limit := stallTimeout
+	if assignment.progress >= fullProgress {
+		limit = overdueTimeout
+	}
+	return assignment.phase == phaseConfirmed && !assignment.stopRequested && !assignment.stage.spec.Service() && !worker.unreachable &&
+		now.Sub(assignment.progressAt) > limit && worker.lastAnswerAt.Sub(assignment.progressAt) > limit
+}
+
+// stopStalled stops a run that makes no progress, so that it is restarted on another worker.
+func (machine *Machine) stopStalled(worker *worker, assignment *assignment) {
+	machine.config.Log.Record("run_stalled", almondcross.Text("task", assignment.task.String()), almondcross.Number("run", assignment.run),
+		almondcross.Text("worker", worker.id), almondcross.Number("progress", assignment.progress),
+		almondcross.Millis("unchanged_ms", machine.now.Sub(assignment.progressAt)))
+	worker.avoidUntil = machine.now.Add(stallBackoff)
+	machine.stopRun(worker, assignment)
+}
+
+// sweepWorkers records silent workers, ends the runs of lost ones, stops stalled runs, repeats unanswered stop
+// orders and removes workers that have left.
+func (machine *Machine) sweepWorkers() {
+	var left []*worker
+	for _, worker := range machine.leader.sortedWorkers {
+		noContact := worker.unreachable || worker.lastAnswerAt.IsZero()
+		if noContact {
+			machine.recordSilence(worker)
+		}
+		machine.sweepRuns(worker, noContact && machine.now.After(machine.presumedLostAt(worker)))
+		if !worker.announced && len(worker.assignments) == 0 && machine.now.Sub(worker.lastAnswerAt) > workerRetention && machine.now.Sub(machine.leader.electedAt) > workerRetention {
+			left = append(left, worker)
+		}
+	}
+	for _, worker := range left {
+		machine.endSilence(worker)
+		machine.emit(ReleaseWorker{Worker: worker.id})
+		delete(machine.leader.workers, worker.id)
+		machine.leader.sortedWorkers = slices.DeleteFunc(machine.leader.sortedWorkers, worker.equals)
+	}
+}
+
+// sweepRuns ends the runs of a lost worker, stops the stalled ones and repeats unanswered stop orders.
+func (machine *Machine) sweepRuns(worker *worker, lost bool) {
+	for _, assignment := range worker.assignments {
+		switch {
+		case lost && assignment.phase != phaseCommitting:
+			worker.presumedLost[assignment.task] = assignment.run
+			machine.endRun(worker, assignment, almondcross.EndVoid, assignment.checkpoint)
+		case assignment.stalled(worker, machine.now):
+			machine.stopStalled(worker, assignment)
+		case assignment.stopDue(machine.now) && worker.managed && !worker.unreachable:
+			machine.stopRun(worker, assignment)
+		}
+	}
+}
+
+func (worker *worker) equals(other *worker) bool { return worker == other }
