Divide a long call for advice over idle hosts

Load pattern: wide gangs on a large fleet. Each part costs a host the fixed time again, so a call is divided only as far as hosts are idle: a part for each eight hosts that long calls may still take.

Test: TestCallForAWideGangIsDividedOverIdleHosts (4, 2 and 1 parts with 0, 48 and 60 of 96 hosts busy).

--- a/command/scheduler/advice.go
+++ b/command/scheduler/advice.go
@@ -43,6 +43,11 @@
 	maxWorkersPerCall = 100
 	// longCallThreshold is the expected duration from which a call counts as long.
 	longCallThreshold = 200 * time.Millisecond
+	// partsPerBase is the number of parts into which a call is divided for each time that its variable duration is as
+	// long as the fixed one.
+	partsPerBase = 3
+	// sparePerPart is the number of hosts free for long calls that each part of a divided call requires.
+	sparePerPart = 8
 	// maxLongCallShare is the share of the linked hosts that long calls may occupy.
 	maxLongCallShare = 0.7
 )
@@ -56,12 +61,12 @@
 
 // stageAdvice holds the advice received for one stage.
 type stageAdvice struct {
-	callPending bool
-	retryAt     time.Time
-	tickets     map[string]ticket
-	expiresAt   time.Time       // expiresAt is when the last ticket expires.
-	decisions   map[string]bool // decisions holds whether a worker is allowed. The decision never changes for a stage.
-	allowed     []string        // allowed holds the allowed workers, sorted.
+	pendingCalls int // pendingCalls is the number of calls without an answer.
+	retryAt      time.Time
+	tickets      map[string]ticket
+	expiresAt    time.Time       // expiresAt is when the last ticket expires.
+	decisions    map[string]bool // decisions holds whether a worker is allowed. The decision never changes for a stage.
+	allowed      []string        // allowed holds the allowed workers, sorted.
 }
 
 // linkedHost is this host or a host linked to it. It makes one call to the advice service at a time.
@@ -118,7 +123,7 @@
 		return
 	}
 	if advice := machine.leader.advice[linkedHost.call.stage]; advice != nil {
-		advice.callPending = false
+		advice.pendingCalls--
 	}
 	linkedHost.call = nil
 }
@@ -174,12 +179,11 @@
 
 // requestAdvice requests tickets for workers with free resources if a host is idle.
 func (machine *Machine) requestAdvice(queue almondcross.Queue, stage *stage, advice *stageAdvice) {
-	if advice.callPending || machine.now.Before(advice.retryAt) {
+	if advice.pendingCalls > 0 || machine.now.Before(advice.retryAt) {
 		return
 	}
 	long := queue.AdviceSettings().Base()+queue.AdviceSettings().PerWorker()*time.Duration(minWorkersPerCall) >= longCallThreshold
-	linkedHost := machine.idleLinkedHost(long)
-	if linkedHost == nil {
+	if machine.idleLinkedHost(long) == nil {
 		return
 	}
 	var selected []string
@@ -192,10 +196,37 @@
 		advice.retryAt = machine.now.Add(adviceRetryDelay)
 		return
 	}
-	duration := queue.AdviceSettings().Base() + time.Duration(len(selected))*queue.AdviceSettings().PerWorker()
-	advice.callPending = true
+	parts := 1
+	if long {
+		parts = machine.callParts(queue.AdviceSettings(), len(selected))
+	}
+	size := (len(selected) + parts - 1) / parts
+	for part := range slices.Chunk(selected, size) {
+		machine.callAdvice(queue.AdviceSettings(), stage, advice, part, long)
+	}
+}
+
+// callParts returns over how many hosts a long call is divided, which then answer at the same time. It answers the load
+// of wide gangs on a large fleet: a call that names 100 workers takes more than twice as long as its fixed part, and
+// meanwhile others take the room that it asks about. Each further part costs a host the fixed part of a call, so calls
+// are divided only as far as hosts are idle.
+func (machine *Machine) callParts(settings almondcross.AdviceSettings, workers int) int {
+	leader := machine.leader
+	spare := int(maxLongCallShare*float64(len(machine.linkedHosts))) - leader.longCalls
+	useful := int(time.Duration(workers) * settings.PerWorker() * partsPerBase / max(settings.Base(), 1))
+	return max(1, min(useful, spare/sparePerPart, len(leader.idleHosts)))
+}
+
+// callAdvice sends a call for some workers to an idle host.
+func (machine *Machine) callAdvice(settings almondcross.AdviceSettings, stage *stage, advice *stageAdvice, workers []string, long bool) {
+	linkedHost := machine.idleLinkedHost(long)
+	if linkedHost == nil {
+		return
+	}
+	duration := settings.Base() + time.Duration(len(workers))*settings.PerWorker()
+	advice.pendingCalls++
 	machine.startCall(linkedHost, adviceCall{stage: stage.id, long: long, deadline: machine.now.Add(duration + adviceTimeoutMargin)})
-	machine.emit(SendAdviceQuery{Adviser: linkedHost.name, Query: almondcross.NewAdviceQuery(almondcross.AdviceQueryConfig{Stage: stage.id, Workers: selected})})
+	machine.emit(SendAdviceQuery{Adviser: linkedHost.name, Query: almondcross.NewAdviceQuery(almondcross.AdviceQueryConfig{Stage: stage.id, Workers: workers})})
 }
 
 // selectWorkers returns the workers to query: first those known to be allowed, then those that fit the most
@@ -348,7 +379,9 @@
 // adviceAnswered stores the tickets and the decisions of an answer.
 func (machine *Machine) adviceAnswered(answer almondcross.AdviceAnswered) {
 	id := answer.Query().Stage()
-	if linkedHost := machine.linkedHosts[answer.Adviser()]; linkedHost != nil && linkedHost.call != nil && linkedHost.call.stage == id {
+	linkedHost := machine.linkedHosts[answer.Adviser()]
+	expected := linkedHost != nil && linkedHost.call != nil && linkedHost.call.stage == id
+	if expected {
 		linkedHost.call = nil
 	}
 	machine.leader.placementDue = true
@@ -356,7 +389,9 @@
 	if advice == nil {
 		return
 	}
-	advice.callPending = false
+	if expected { // Otherwise the call was given up before.
+		advice.pendingCalls = max(0, advice.pendingCalls-1)
+	}
 	if answer.Err() != nil {
 		advice.retryAt = machine.now.Add(adviceRetryDelay)
 		machine.config.Log.Record("advice_failed", almondcross.Text("stage", id.String()), almondcross.Text("adviser", answer.Adviser()),
@@ -376,7 +411,9 @@
 		advice.deny(worker)
 	}
 	expiresAt := answer.Received().Add(validity - ticketMargin)
-	advice.expiresAt = expiresAt
+	if expiresAt.After(advice.expiresAt) {
+		advice.expiresAt = expiresAt
+	}
 	for _, granted := range answer.Result().Tickets() {
 		advice.allow(granted.Worker())
 		incarnation := int64(0)
--- a/command/scheduler/placement_test.go
+++ b/command/scheduler/placement_test.go
@@ -10,6 +10,22 @@
 	"github.com/almondcross/almondcross"
 )
 
+// addWorkers adds workers with a capacity, of which a part is in use.
+func (harness *harness) addWorkers(count int, capacity, used almondcross.Resources) {
+	for index := range count {
+		worker := harness.machine.ensureWorker(fmt.Sprintf("i-%03d", index))
+		worker.info = poolWorker.WithID(worker.id).WithCapacity(capacity)
+		worker.announced, worker.lastAnswerAt, worker.used = true, harness.now.Add(time.Second), used
+	}
+}
+
+// requireAdvice makes the queue one whose calls for advice take half a second and 7 ms a worker.
+func (harness *harness) requireAdvice() {
+	harness.machine.queues["q"] = harness.machine.queues["q"].WithAdviceSettings(almondcross.NewAdviceSettings(almondcross.AdviceSettingsConfig{
+		Required: true, Base: 500 * time.Millisecond, PerWorker: 7 * time.Millisecond, Validity: time.Minute,
+	}))
+}
+
 // Guards against placement that costs more the longer the backlog is: with gangs that wait for room on a full fleet, each
 // pass once looked at every worker for each of them, until the scheduler's processor did nothing else and the backlog
 // grew. Looking at each worker once, and twice at those that advice allows for a gang (to place and to reserve), suffices.
@@ -19,14 +35,8 @@
 	harness.becomeScheduler()
 	machine := harness.machine
 	full := almondcross.NewResources(almondcross.ResourcesConfig{MilliCPU: 16_000, MemoryMB: 32_000})
-	for index := range workers {
-		worker := machine.ensureWorker(fmt.Sprintf("i-%03d", index))
-		worker.info = poolWorker.WithID(worker.id).WithCapacity(full)
-		worker.announced, worker.lastAnswerAt, worker.used = true, harness.now.Add(time.Second), full
-	}
-	machine.queues["q"] = machine.queues["q"].WithAdviceSettings(almondcross.NewAdviceSettings(almondcross.AdviceSettingsConfig{
-		Required: true, Base: 500 * time.Millisecond, PerWorker: 7 * time.Millisecond, Validity: time.Minute,
-	}))
+	harness.addWorkers(workers, full, full)
+	harness.requireAdvice()
 	machine.linkedHosts[machine.config.Host].call = &adviceCall{long: true, deadline: harness.now.Add(time.Minute)}
 	for index := range gangs {
 		id := almondcross.JobID(fmt.Sprintf("%016x", index))
@@ -48,3 +58,46 @@
 	require.LessOrEqual(t, machine.leader.examinedWorkers, workers+1+2*gangs*allowedWorkers)
 	require.Greater(t, machine.leader.examinedWorkers, workers+gangs*allowedWorkers, "the gangs were looked at")
 }
+
+// Guards against a wide gang that waits for one long call for advice while most hosts are idle, and against divided
+// calls that take the hosts from other gangs when few are idle.
+func TestCallForAWideGangIsDividedOverIdleHosts(t *testing.T) {
+	const hosts, workers, width = 97, 540, 40
+	for name, test := range map[string]struct{ busy, calls int }{
+		"idle hosts": {busy: 0, calls: 4}, "half of the hosts busy": {busy: 48, calls: 2}, "most hosts busy": {busy: 60, calls: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarness(t)
+			harness.becomeScheduler()
+			harness.addWorkers(workers, poolWorker.Capacity(), almondcross.Resources{})
+			harness.requireAdvice()
+			for index := range hosts - 1 {
+				host := &linkedHost{name: fmt.Sprintf("host-%02d", index)}
+				if index < test.busy {
+					host.call = &adviceCall{long: true, deadline: harness.now.Add(time.Minute)}
+				}
+				harness.machine.linkedHosts[host.name] = host
+			}
+			harness.submitJob("j", almondcross.StepConfig{Count: width, Gang: true})
+			asked := map[string]bool{}
+			var calls []SendAdviceQuery
+			for call, found := takeEffect[SendAdviceQuery](harness); found; call, found = takeEffect[SendAdviceQuery](harness) {
+				calls = append(calls, call)
+				for _, worker := range call.Query.Workers() {
+					require.False(t, asked[worker], "a worker is named once")
+					asked[worker] = true
+				}
+			}
+			require.Len(t, calls, test.calls)
+			for position, call := range calls {
+				_, again := takeEffect[SendAdviceQuery](harness)
+				require.False(t, again, "the next call follows the answers to all parts")
+				require.Equal(t, len(calls)-position, harness.machine.leader.advice[call.Query.Stage()].pendingCalls)
+				harness.apply(almondcross.NewAdviceAnswered(almondcross.AdviceAnsweredConfig{
+					Adviser: call.Adviser, Query: call.Query, Result: almondcross.NewAdviceResult(almondcross.AdviceResultConfig{Stage: call.Query.Stage()}),
+					Received: harness.now,
+				}))
+			}
+		})
+	}
+}
