Handle waiting answers before timeouts of relayed orders

A scheduler whose process was paused found its timeouts due and the answers of the other hosts waiting, and might take these hosts for silent first. Found by reading. A test that holds the relayer up through a full ring passed before as well, since the wait is then inside the handling of a message, so there is none.

--- a/command/relayer/relayer.go
+++ b/command/relayer/relayer.go
@@ -134,16 +134,26 @@
 			return nil
 		case message := <-messages:
 			relayer.handle(ctx, message)
-			for drained := 0; drained < maxDrainedMessages && len(messages) > 0; drained++ {
-				relayer.handle(ctx, <-messages)
-			}
-			relayer.sendCollected(ctx)
+			relayer.drain(ctx)
 		case <-ticker.C:
-			relayer.sweep(ctx)
+			// After a pause of this process, answers wait that arrived in time.
+			relayer.drain(ctx)
+			if len(messages) == 0 {
+				relayer.sweep(ctx)
+			}
 		}
 	}
 }
 
+// drain handles the messages that wait, up to a limit, and sends the collected orders.
+func (relayer *Relayer) drain(ctx context.Context) {
+	messages := relayer.config.Ring.Messages()
+	for drained := 0; drained < maxDrainedMessages && len(messages) > 0; drained++ {
+		relayer.handle(ctx, <-messages)
+	}
+	relayer.sendCollected(ctx)
+}
+
 func (relayer *Relayer) handle(ctx context.Context, message almondcross.RelayMessage) {
 	switch message := message.(type) {
 	case almondcross.RelayedOrder:
