Call few workers directly while no host is linked, and push views often enough

A new scheduler opened connections to all workers at once, since no host was linked to it yet, and was silent until the next one was elected, which did the same.

At most direct_workers workers are now called directly in a larger cell; orders to others count as not sent and are repeated, by then through a linked host. A worker whose data centre has no linked host gets one elsewhere. The pause between views is at most 150 ms, so an idle scheduler sends them with each batch.

--- a/command/relayer/relayer.go
+++ b/command/relayer/relayer.go
@@ -43,7 +43,8 @@
 	Clock   almondcross.Clock
 	Log     almondcross.EventLog
 	Metrics Metrics
-	// MaxDirectWorkers is the number of workers up to which this host sends all orders itself.
+	// MaxDirectWorkers is the number of workers up to which this host sends all orders itself, and to which it sends
+	// orders directly in a larger cell while no host is linked.
 	MaxDirectWorkers int
 }
 
@@ -54,6 +55,7 @@
 	candidates []almondcross.RelayHost // candidates holds the hosts that may get orders.
 	version    int                     // version counts the changes of candidates.
 	workers    map[string]*worker
+	direct     map[string]struct{} // direct holds the workers that are called directly.
 	pending    map[int64]pendingOrder
 	lastNumber int64
 	unsent     map[string][]almondcross.RelayedOrder // unsent holds the collected orders by host.
@@ -86,7 +88,7 @@
 // New returns a relayer that is not running; call Run to start it.
 func New(config Config) *Relayer {
 	return &Relayer{
-		config: config, hosts: map[string]*host{}, workers: map[string]*worker{}, pending: map[int64]pendingOrder{},
+		config: config, hosts: map[string]*host{}, workers: map[string]*worker{}, direct: map[string]struct{}{}, pending: map[int64]pendingOrder{},
 		unsent: map[string][]almondcross.RelayedOrder{},
 		// Answers to orders of an earlier process must not match those of this one.
 		lastNumber: rand.Int64N(1 << 62), //nolint:gosec // The number needs no secrecy.
@@ -164,6 +166,7 @@
 		relayer.linkChanged(ctx, message)
 	case almondcross.WorkerReleased:
 		delete(relayer.workers, message.ID())
+		delete(relayer.direct, message.ID())
 		relayer.config.Direct.Release(message.ID())
 	}
 }
@@ -195,6 +198,7 @@
 	known.host, _ = relayer.config.Chooser.Choose(ordered, relayer.candidates)
 	known.version = relayer.version
 	if known.host != "" {
+		delete(relayer.direct, ordered.ID())
 		relayer.config.Direct.Retire(ordered.ID())
 	}
 }
@@ -230,8 +234,16 @@
 	relayer.config.Metrics.Relayed(len(numbered))
 }
 
-// sendDirectly sends an order from this host. An order that cannot be queued counts as not sent.
+// sendDirectly sends an order from this host. An order that cannot be queued counts as not sent, and so does one to a
+// further worker once MaxDirectWorkers are called directly: a new scheduler to which no host is linked yet would
+// otherwise open connections to all workers of a large cell at once and do nothing else for too long.
 func (relayer *Relayer) sendDirectly(ctx context.Context, order almondcross.RelayedOrder) {
+	worker := order.Worker().ID()
+	if _, known := relayer.direct[worker]; !known && len(relayer.direct) >= relayer.config.MaxDirectWorkers {
+		relayer.refuse(ctx, order)
+		return
+	}
+	relayer.direct[worker] = struct{}{}
 	direct := relayer.config.Direct
 	direct.Manage(order.Worker())
 	relayer.config.Metrics.SentDirectly()
@@ -245,11 +257,16 @@
 		queued = direct.Stop(order.Stop())
 	}
 	if !queued {
-		now := relayer.config.Clock.Now()
-		relayer.reply(ctx, order, almondcross.NewRelayedAnswer(almondcross.RelayedAnswerConfig{Result: almondcross.OrderNotSent}), now)
+		relayer.refuse(ctx, order)
 	}
 }
 
+// refuse answers an order that is not sent.
+func (relayer *Relayer) refuse(ctx context.Context, order almondcross.RelayedOrder) {
+	answer := almondcross.NewRelayedAnswer(almondcross.RelayedAnswerConfig{Result: almondcross.OrderNotSent})
+	relayer.reply(ctx, order, answer, relayer.config.Clock.Now())
+}
+
 // answered passes the outcomes of orders to the scheduler.
 func (relayer *Relayer) answered(ctx context.Context, answered almondcross.OrdersAnswered) {
 	if host := relayer.hosts[answered.Host()]; host != nil {
--- a/command/scheduler/constants.go
+++ b/command/scheduler/constants.go
@@ -60,9 +60,9 @@
 	loadDelayPerPoint = 40 * time.Millisecond
 	// maxViewMessagesPerSecond bounds the messages with views that the scheduler sends to all viewers together.
 	maxViewMessagesPerSecond = 1000
-	// maxViewInterval is the maximum time between two messages with views to one viewer; linkTimeout tolerates the loss
-	// of one.
-	maxViewInterval = 300 * time.Millisecond
+	// maxViewInterval limits the pause between two messages with views to one viewer, so that an idle scheduler sends them
+	// with each batch. linkTimeout tolerates two late ones.
+	maxViewInterval = 150 * time.Millisecond
 	// linkTimeout is how long the link to the scheduler may be silent. The scheduler pushes after every batch.
 	linkTimeout = 700 * time.Millisecond
 	// electionBackoff is the delay after a lost election.
--- a/policy/delegator/delegator.go
+++ b/policy/delegator/delegator.go
@@ -11,21 +11,31 @@
 const minStrengthFraction = 2
 
 // ByDataCentre implements almondcross.RelayChooser. It chooses among the strongest hosts in the data centre of a
-// worker, so that only the link to the host crosses data centres, and spreads the workers evenly over them. When a host
-// comes or goes, only the workers that it gains or loses change their host.
+// worker, so that only the link to the host crosses data centres, and spreads the workers evenly over them. While no
+// host of that data centre is linked, it chooses among the strongest of all. When a host comes or goes, only the workers
+// that it gains or loses change their host.
 type ByDataCentre struct{}
 
-// Choose returns the host for a worker by rendezvous hashing, and false if no host is in the worker's data centre.
+// Choose returns the host for a worker by rendezvous hashing, and false if there is none.
 func (ByDataCentre) Choose(worker almondcross.Worker, hosts []almondcross.RelayHost) (string, bool) {
+	isNear := func(host almondcross.RelayHost) bool { return host.DataCentre() == worker.Zone() }
+	if chosen, found := chooseStrongest(worker, hosts, isNear); found {
+		return chosen, true
+	}
+	return chooseStrongest(worker, hosts, func(almondcross.RelayHost) bool { return true })
+}
+
+// chooseStrongest chooses among the strongest of the hosts that are eligible.
+func chooseStrongest(worker almondcross.Worker, hosts []almondcross.RelayHost, eligible func(host almondcross.RelayHost) bool) (string, bool) {
 	strongest := 0
 	for _, host := range hosts {
-		if host.DataCentre() == worker.Zone() {
+		if eligible(host) {
 			strongest = max(strongest, host.Strength())
 		}
 	}
 	chosen, highest := "", uint64(0)
 	for _, host := range hosts {
-		if host.DataCentre() != worker.Zone() || host.Strength()*minStrengthFraction < strongest || host.Strength() <= 0 {
+		if !eligible(host) || host.Strength()*minStrengthFraction < strongest || host.Strength() <= 0 {
 			continue
 		}
 		if weight := weightOf(worker.ID(), host.Name()); chosen == "" || weight > highest {
