Limit how fast workers are called directly, and let weak hosts relay

The scheduler now starts to call at most 200 further workers a second, and a host of strength 0 relays when there is no other. The lines of relayed orders name the relaying host in a field of its own; it replaced the name of the writing host.

--- a/command/relayer/relayer.go
+++ b/command/relayer/relayer.go
@@ -17,6 +17,9 @@
 	orderTimeout = 5 * time.Second
 	// sweepInterval is the time between two checks for timeouts.
 	sweepInterval = 50 * time.Millisecond
+	// maxDirectStarts is the number of further workers a second that this host starts to call directly. It then reaches
+	// all workers of a cell of current size within a lease.
+	maxDirectStarts = 200
 	// maxDrainedMessages is the maximum number of messages handled before the collected orders are sent.
 	maxDrainedMessages = 256
 	// maxOrdersPerMessage keeps a message with the largest payloads below the maximum size of a frame.
@@ -43,8 +46,7 @@
 	Clock   almondcross.Clock
 	Log     almondcross.EventLog
 	Metrics Metrics
-	// MaxDirectWorkers is the number of workers up to which this host sends all orders itself, and to which it sends
-	// orders directly in a larger cell while no host is linked.
+	// MaxDirectWorkers is the number of workers up to which this host sends all orders itself.
 	MaxDirectWorkers int
 }
 
@@ -56,9 +58,12 @@
 	version    int                     // version counts the changes of candidates.
 	workers    map[string]*worker
 	direct     map[string]struct{} // direct holds the workers that are called directly.
-	pending    map[int64]pendingOrder
-	lastNumber int64
-	unsent     map[string][]almondcross.RelayedOrder // unsent holds the collected orders by host.
+	// directStarts counts the workers added to direct since directStartsAt, for at most a second.
+	directStarts   int
+	directStartsAt time.Time
+	pending        map[int64]pendingOrder
+	lastNumber     int64
+	unsent         map[string][]almondcross.RelayedOrder // unsent holds the collected orders by host.
 }
 
 // host is a linked host.
@@ -234,16 +239,12 @@
 	relayer.config.Metrics.Relayed(len(numbered))
 }
 
-// sendDirectly sends an order from this host. An order that cannot be queued counts as not sent, and so does one to a
-// further worker once MaxDirectWorkers are called directly: a new scheduler to which no host is linked yet would
-// otherwise open connections to all workers of a large cell at once and do nothing else for too long.
+// sendDirectly sends an order from this host. An order that cannot be queued counts as not sent.
 func (relayer *Relayer) sendDirectly(ctx context.Context, order almondcross.RelayedOrder) {
-	worker := order.Worker().ID()
-	if _, known := relayer.direct[worker]; !known && len(relayer.direct) >= relayer.config.MaxDirectWorkers {
+	if !relayer.startDirect(order.Worker().ID()) {
 		relayer.refuse(ctx, order)
 		return
 	}
-	relayer.direct[worker] = struct{}{}
 	direct := relayer.config.Direct
 	direct.Manage(order.Worker())
 	relayer.config.Metrics.SentDirectly()
@@ -261,6 +262,25 @@
 	}
 }
 
+// startDirect reports whether a worker may be called directly. It limits how many workers are added in a second: a new
+// scheduler to which no host is linked yet would otherwise open connections to all workers of a large cell at once and
+// do nothing else for too long.
+func (relayer *Relayer) startDirect(worker string) bool {
+	if _, known := relayer.direct[worker]; known {
+		return true
+	}
+	now := relayer.config.Clock.Now()
+	if now.Sub(relayer.directStartsAt) >= time.Second {
+		relayer.directStarts, relayer.directStartsAt = 0, now
+	}
+	if relayer.directStarts >= maxDirectStarts {
+		return false
+	}
+	relayer.directStarts++
+	relayer.direct[worker] = struct{}{}
+	return true
+}
+
 // refuse answers an order that is not sent.
 func (relayer *Relayer) refuse(ctx context.Context, order almondcross.RelayedOrder) {
 	answer := almondcross.NewRelayedAnswer(almondcross.RelayedAnswerConfig{Result: almondcross.OrderNotSent})
@@ -273,7 +293,7 @@
 		host.lastHeardAt = relayer.config.Clock.Now()
 		if host.silent {
 			host.silent = false
-			relayer.config.Log.Record("relay_regained", almondcross.Text("host", answered.Host()))
+			relayer.config.Log.Record("relay_regained", almondcross.Text("relay", answered.Host()))
 			relayer.updateCandidates()
 		}
 	}
@@ -315,7 +335,7 @@
 	}
 	if failed > 0 {
 		relayer.config.Metrics.RelayFailed(failed)
-		relayer.config.Log.Record("relay_lost", almondcross.Text("host", name), almondcross.Text("reason", reason), almondcross.Number("orders", failed))
+		relayer.config.Log.Record("relay_lost", almondcross.Text("relay", name), almondcross.Text("reason", reason), almondcross.Number("orders", failed))
 	}
 }
 
--- a/policy/delegator/delegator.go
+++ b/policy/delegator/delegator.go
@@ -35,7 +35,7 @@
 	}
 	chosen, highest := "", uint64(0)
 	for _, host := range hosts {
-		if !eligible(host) || host.Strength()*minStrengthFraction < strongest || host.Strength() <= 0 {
+		if !eligible(host) || host.Strength()*minStrengthFraction < strongest {
 			continue
 		}
 		if weight := weightOf(worker.ID(), host.Name()); chosen == "" || weight > highest {
--- a/policy/delegator/delegator_test.go
+++ b/policy/delegator/delegator_test.go
@@ -73,6 +73,10 @@
 			require.Equal(t, 100, candidate.Strength())
 		}
 	}
+	weak := []almondcross.RelayHost{almondcross.NewRelayHost(almondcross.RelayHostConfig{Name: "weak", DataCentre: "a"})}
+	host, found = delegator.ByDataCentre{}.Choose(worker, weak)
+	require.True(t, found, "a host that cannot schedule can still relay")
+	require.Equal(t, "weak", host)
 	_, found = delegator.ByDataCentre{}.Choose(worker, nil)
 	require.False(t, found)
 }
