Count a silent worker's lease from its record, not from the pending append

Test: TestLeaseOfASilentWorkerCountsFromItsRecordDuringAnOutage failed first (1.34 s before the end of the lease).

--- a/command/scheduler/append.go
+++ b/command/scheduler/append.go
@@ -31,6 +31,8 @@
 // recordChange applies a change and adds it to the next append.
 func (machine *Machine) recordChange(config almondcross.ChangeConfig) {
 	machine.beginBatch()
+	// While the store does not answer, the pending batch may have begun long ago.
+	machine.state.applyTime = machine.now
 	change := almondcross.NewChange(config)
 	machine.state.apply(change)
 	machine.leader.pendingChanges = append(machine.leader.pendingChanges, change)
--- a/command/scheduler/silence_test.go
+++ b/command/scheduler/silence_test.go
@@ -268,3 +268,25 @@
 	require.Equal(t, int64(8192), restored.highestEpoch)
 	require.True(t, restored.resigned)
 }
+
+// Guards against runs that are presumed lost while their lease is valid: while the store did not answer, the end of a
+// silent worker's lease was counted from the first change of the pending append instead of from the record, so tasks were
+// started again elsewhere while they ran, and workers were given more than they hold.
+func TestLeaseOfASilentWorkerCountsFromItsRecordDuringAnOutage(t *testing.T) {
+	harness := newHarnessWithRun(t)
+	worker := harness.machine.leader.workers[workerID]
+	harness.submitJob("k", almondcross.StepConfig{Count: 1})
+	harness.submitJob("l", almondcross.StepConfig{Count: 1}) // Its change waits behind the append without an answer.
+	for end := harness.now.Add(maxExtensionAge + 500*time.Millisecond); harness.now.Before(end); {
+		if sent, found := takeEffect[SendLease](harness); found {
+			harness.apply(almondcross.NewLeaseAnswered(almondcross.LeaseAnsweredConfig{
+				Order: sent.Order, Result: almondcross.OrderUnknown, Sent: harness.now, Received: harness.now,
+			}))
+		}
+		harness.advance(leaderTick)
+	}
+	silence, recorded := harness.machine.state.silentWorkers[workerID]
+	require.True(t, recorded)
+	leaseEnd := worker.lastAnswerAt.Add(withClockDrift(max(worker.maxLeaseEnd-worker.clock, leaseDuration)))
+	require.False(t, silence.leaseExpiredAt.Before(leaseEnd), "%s before the end of the lease", leaseEnd.Sub(silence.leaseExpiredAt))
+}
