Release the context of a retired worker, and serve rings by one loop

Cause: a worker whose orders another host takes over kept its context registered with the controller's until the process ended, one for each worker and change of host (found by reading). ring.ServeUntil repeated the loop of ring.Serve.

Change: the last duty of a worker cancels its context; Serve calls ServeUntil without a channel. Measured: not the memory; ring, controller, relayer and executor pass with the race detector.

--- a/command/controller/controller.go
+++ b/command/controller/controller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"hash/fnv"
+	"sync/atomic"
 	"time"
 
 	"github.com/almondcross/almondcross"
@@ -94,7 +95,17 @@
 		leases: ring.New[delayedLease](ring.Config{Name: "leases", Capacity: leaseQueueCapacity}),
 	}
 	controller.workers[worker.ID()] = managed
-	go func() { _ = ring.ServeUntil(ctx, managed.retired, managed.leases, controller.lease) }()
+	var running atomic.Int32
+	running.Store(1 + orderQueues)
+	end := func() {
+		if running.Add(-1) == 0 {
+			cancel() // The context of a retired worker would otherwise stay until the controller ends.
+		}
+	}
+	go func() {
+		defer end()
+		_ = ring.ServeUntil(ctx, managed.retired, managed.leases, controller.lease)
+	}()
 	for index := range managed.orders {
 		queue := ring.New[call](ring.Config{Name: "orders", Capacity: orderQueueCapacity})
 		managed.orders[index] = queue
--- a/ring/serve.go
+++ b/ring/serve.go
@@ -7,14 +7,7 @@
 
 // Serve passes the messages of a ring to handle, one at a time, until the context ends. It returns nil.
 func Serve[T any](ctx context.Context, ring *Ring[T], handle func(ctx context.Context, message T)) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case message := <-ring.Messages():
-			handle(ctx, message)
-		}
-	}
+	return ServeUntil(ctx, nil, ring, handle)
 }
 
 // ServeUntil is like Serve, but also returns once a channel is closed and the ring is empty.
@@ -26,14 +19,10 @@
 		case message := <-ring.Messages():
 			handle(ctx, message)
 		case <-closed:
-			for {
-				select {
-				case message := <-ring.Messages():
-					handle(ctx, message)
-				default:
-					return nil
-				}
+			for ring.Depth() > 0 && ctx.Err() == nil {
+				handle(ctx, <-ring.Messages())
 			}
+			return nil
 		}
 	}
 }
