Require Retire only of managers whose workers are taken over

Cause: the relayer and test doubles had an empty Retire since every WorkerManager had to have one. Change: the relayer asks its direct manager for RetiringWorkerManager. Result: no empty method; command/... pass.

--- a/command/relayer/relayer.go
+++ b/command/relayer/relayer.go
@@ -39,7 +39,7 @@
 // Config holds the dependencies and settings of a relayer.
 type Config struct {
 	Ring    *ring.Ring[almondcross.RelayMessage]
-	Direct  almondcross.WorkerManager // Direct sends orders from this host; Run alone uses it.
+	Direct  almondcross.RetiringWorkerManager // Direct sends orders from this host; Run alone uses it.
 	Links   almondcross.RelaySender
 	Chooser almondcross.RelayChooser
 	Sink    almondcross.Sink[almondcross.SchedulerMessage]
@@ -108,9 +108,6 @@
 	relayer.config.Ring.Offer(almondcross.NewWorkerReleased(almondcross.WorkerReleasedConfig{ID: worker}))
 }
 
-// Retire does nothing: a worker whose orders are no longer sent has no duties of its own here.
-func (relayer *Relayer) Retire(string) {}
-
 // Lease queues a lease order and reports false when the ring is full.
 func (relayer *Relayer) Lease(order almondcross.LeaseOrder, pause time.Duration) bool {
 	return relayer.offer(almondcross.RelayedOrderConfig{Kind: almondcross.OrderLease, Lease: order, Pause: pause})
--- a/scheduling.go
+++ b/scheduling.go
@@ -332,8 +332,6 @@
 	Manage(worker Worker)
 	// Release stops the duties of a worker.
 	Release(worker string)
-	// Retire stops the duties of a worker after the orders that they have.
-	Retire(worker string)
 	// Lease sends a lease order after a pause. It reports false when the worker is not managed or too many orders
 	// wait.
 	Lease(order LeaseOrder, pause time.Duration) bool
@@ -343,6 +341,13 @@
 	Stop(order StopOrder) bool
 }
 
+// RetiringWorkerManager is a WorkerManager whose workers may be taken over by another one.
+type RetiringWorkerManager interface {
+	WorkerManager
+	// Retire stops the duties of a worker after the orders that they have.
+	Retire(worker string)
+}
+
 // SchedulerLocator asks other hosts which host runs the scheduler. It is used when the store does not answer.
 type SchedulerLocator interface {
 	// Locate returns the pointer with the highest epoch known to the hosts at the given addresses and reports
