--- a/command/committer/snapshot.go
+++ b/command/committer/snapshot.go
@@ -19,16 +19,15 @@
 	recordOverheadBytes = 4
 	// snapshotSetCount is the number of key sets. A snapshot that takes several appends is written beside the stored
 	// one, so that a complete snapshot exists at any time. Each of two consecutive schedulers has two sets.
-	snapshotSetCount    = 4
-	setsPerScheduler    = 2
-	schedulerEpochShift = 12 // schedulerEpochShift is the number of low bits of an epoch that are random.
+	snapshotSetCount = 4
+	setsPerScheduler = 2
 	// maxUnknownParts is the number of keys that are removed from a set that another scheduler wrote.
 	maxUnknownParts = 64
 )
 
 // snapshotSets tracks which keys of snapshots the store may hold.
 type snapshotSets struct {
-	epoch int64 // epoch is the epoch of the last snapshot.
+	epoch int64 // epoch is the epoch of the scheduler of the last snapshot.
 	next  int   // next is the set of the next snapshot. It is not the set of the last complete one.
 	parts [snapshotSetCount]int
 }
@@ -36,7 +35,7 @@
 // startEpoch chooses the sets for an epoch. The sets of earlier schedulers are unknown then.
 func (snapshotsets *snapshotSets) startEpoch(epoch int64) {
 	snapshotsets.epoch = epoch
-	snapshotsets.next = int(epoch>>schedulerEpochShift) % (snapshotSetCount / setsPerScheduler) * setsPerScheduler
+	snapshotsets.next = int(epoch>>almondcross.EpochRandomBits) % (snapshotSetCount / setsPerScheduler) * setsPerScheduler
 	for set := range snapshotsets.parts {
 		snapshotsets.parts[set] = maxUnknownParts
 	}
@@ -82,8 +81,8 @@
 		return errors.Trace(err)
 	}
 	sets := &committer.snapshots
-	if sets.epoch != snapshot.Epoch() {
-		sets.startEpoch(snapshot.Epoch())
+	if sets.epoch != snapshot.SchedulerEpoch() {
+		sets.startEpoch(snapshot.SchedulerEpoch())
 	}
 	records, err := committer.snapshotRecords(parts)
 	if err != nil {
--- a/command/committer/snapshot_test.go
+++ b/command/committer/snapshot_test.go
@@ -95,7 +95,7 @@
 }
 
 func newSnapshot(epoch, next int64, jobs int) almondcross.StateSnapshot {
-	config := almondcross.StateSnapshotConfig{Next: next, Epoch: epoch}
+	config := almondcross.StateSnapshotConfig{Next: next, Epoch: epoch, SchedulerEpoch: epoch}
 	for index := range jobs {
 		config.Jobs = append(config.Jobs, almondcross.NewJobRecord(almondcross.JobRecordConfig{
 			Job: almondcross.NewJob(almondcross.JobConfig{ID: almondcross.JobID(fmt.Sprintf("%016x", index)), Payload: strings.Repeat("x", 4000)}),
--- a/command/scheduler/constants.go
+++ b/command/scheduler/constants.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"github.com/almondcross/almondcross"
+)
 
 // Timing of the journal and of elections.
 const (
@@ -158,6 +162,6 @@
 // distinguish candidates of the same term; a fencing token consists of the epoch and a per-worker counter in
 // the low bits.
 const (
-	epochRandomBits  = 12
+	epochRandomBits  = almondcross.EpochRandomBits
 	fenceCounterBits = 10
 )
--- a/journal.go
+++ b/journal.go
@@ -241,6 +241,10 @@
 	stages             []StageRecord // the stages of the started occurrences
 }
 
+// EpochRandomBits is the number of low bits of an epoch that distinguish candidates of the same term; the bits above
+// them are the term.
+const EpochRandomBits = 12
+
 // SilentWorker is the record of a worker that does not answer.
 //
 //value:generate
