--- a/command/relayer/doc.go
+++ b/command/relayer/doc.go
@@ -6,7 +6,7 @@
 // the worker's clock. An order that is executed late thus has the same effect as one that the network delayed.
 //
 // Relayer is a duty: Run alone uses its tables. The scheduler duty passes orders through a bounded ring; the hub passes
-// answers and changes of links. When a host's link ends, or it returns nothing for silenceTimeout although orders are
-// pending, all its pending orders are answered with OrderUnknown, and the orders to its workers go directly until it is
-// heard again.
+// answers and changes of links. All pending orders of a host are answered with OrderUnknown when its link ends, or when
+// it returns nothing for silenceTimeout after an answer was due. The following orders to its workers go through another
+// host until it is heard again, or directly if there is none.
 package relayer
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -68,8 +68,8 @@
 	// knownSilences holds the silences that this host knew when it loaded the state again. It is not replicated.
 	knownSilences map[string]silence
 
-	// applyTime is the local time at which this host applies the current batch. It is not replicated, because
-	// the clocks of hosts differ.
+	// applyTime is the local time at which this host applies the current batch, or on the scheduler the current change.
+	// It is not replicated, because the clocks of hosts differ.
 	applyTime time.Time
 }
 
