Hold lease orders that cannot be sent yet

A lease order to a worker beyond the 200 that may be called directly in a second was answered as not sent at once, and the scheduler repeats such an order at once: it did nothing else until a host in the data centre had linked.

Change: the relayer holds lease orders until a host has linked or their turn has come, for a second at most.

--- a/command/relayer/relayer.go
+++ b/command/relayer/relayer.go
@@ -20,6 +20,8 @@
 	// maxDirectStarts is the number of further workers a second that this host starts to call directly. It then reaches
 	// all workers of a cell of current size within a lease.
 	maxDirectStarts = 200
+	// holdTimeout is how long a lease order is held before it counts as not sent.
+	holdTimeout = time.Second
 	// maxDrainedMessages is the maximum number of messages handled before the collected orders are sent.
 	maxDrainedMessages = 256
 	// maxOrdersPerMessage keeps a message with the largest payloads below the maximum size of a frame.
@@ -64,6 +66,7 @@
 	pending        map[int64]pendingOrder
 	lastNumber     int64
 	unsent         map[string][]almondcross.RelayedOrder // unsent holds the collected orders by host.
+	held           []heldOrder                           // held holds the lease orders that cannot be sent yet.
 }
 
 // host is a linked host.
@@ -85,6 +88,12 @@
 	sentAt time.Time
 }
 
+// heldOrder is a lease order that waits for a host or for its turn to be sent directly.
+type heldOrder struct {
+	order almondcross.RelayedOrder
+	until time.Time // until is when it counts as not sent.
+}
+
 // expectedAt returns when the worker is expected to have answered.
 func (pendingorder pendingOrder) expectedAt() time.Time {
 	return pendingorder.sentAt.Add(pendingorder.order.Pause() + pendingorder.order.Lease().Wait())
@@ -236,10 +245,15 @@
 	relayer.config.Metrics.Relayed(len(numbered))
 }
 
-// sendDirectly sends an order from this host. An order that cannot be queued counts as not sent.
+// sendDirectly sends an order from this host. An order that cannot be queued counts as not sent. A lease order to a
+// worker that may not be called yet is held, since the scheduler repeats it at once.
 func (relayer *Relayer) sendDirectly(ctx context.Context, order almondcross.RelayedOrder) {
 	if !relayer.startDirect(order.Worker().ID()) {
-		relayer.refuse(ctx, order)
+		if order.Kind() == almondcross.OrderLease {
+			relayer.held = append(relayer.held, heldOrder{order: order, until: relayer.config.Clock.Now().Add(holdTimeout)})
+		} else {
+			relayer.refuse(ctx, order)
+		}
 		return
 	}
 	direct := relayer.config.Direct
@@ -344,8 +358,31 @@
 	}), pending.sentAt)
 }
 
+// retryHeld sends the held orders whose workers have a host or may be called now, and refuses those held for too long.
+func (relayer *Relayer) retryHeld(ctx context.Context) {
+	held, now := relayer.held, relayer.config.Clock.Now()
+	relayer.held = nil
+	for _, waiting := range held {
+		id := waiting.order.Worker().ID()
+		if known := relayer.workers[id]; known != nil {
+			relayer.chooseHost(known, waiting.order.Worker())
+			if known.host != "" || relayer.startDirect(id) {
+				relayer.route(ctx, waiting.order)
+				continue
+			}
+		}
+		if now.Before(waiting.until) {
+			relayer.held = append(relayer.held, waiting)
+		} else {
+			relayer.refuse(ctx, waiting.order)
+		}
+	}
+	relayer.sendCollected(ctx)
+}
+
 // sweep gives up hosts that are silent and orders that have been pending for too long.
 func (relayer *Relayer) sweep(ctx context.Context) {
+	relayer.retryHeld(ctx)
 	now := relayer.config.Clock.Now()
 	earliest := map[string]time.Time{}
 	for number, pending := range relayer.pending {
--- a/command/relayer/relayer_test.go
+++ b/command/relayer/relayer_test.go
@@ -186,7 +186,7 @@
 
 // Guards against a scheduler that calls all workers of a large cell at once while no host is linked, for instance right
 // after its election: with 3,000 workers it was silent for so long that the next host was elected, which did the same.
-// It also guards against a scheduler without other hosts that never calls some workers.
+// It also guards against one without other hosts that never calls some workers.
 func TestWorkersAreCalledDirectlyBitByBitWhileNoHostIsLinked(t *testing.T) {
 	const workers, startsPerSecond = 540, 200
 	run(t, 1, func(cell *cell) {
@@ -210,6 +210,40 @@
 	})
 }
 
+// Guards against a scheduler that spins: it repeats a lease order as soon as it is told that it was not sent, so with
+// 2,800 workers that could not be called yet it did nothing else.
+func TestLeaseOrdersAreHeldUntilTheyCanBeSent(t *testing.T) {
+	const workers, startsPerSecond = 540, 200
+	run(t, 1, func(cell *cell) {
+		cell.setLinked("h-0", false)
+		cell.setLinked("h-1", false)
+		for index := range workers {
+			worker := almondcross.NewWorker(almondcross.WorkerConfig{ID: fmt.Sprintf("w-%d", index), Zone: dataCentre})
+			require.True(t, cell.relayer.Lease(almondcross.NewLeaseOrder(almondcross.LeaseOrderConfig{Worker: worker}), 0))
+		}
+		synctest.Wait()
+		require.Equal(t, startsPerSecond, cell.direct)
+		require.Zero(t, cell.answers.Depth(), "nothing is answered before its time")
+		<-time.After(500 * time.Millisecond)
+		cell.setLinked("h-0", true)
+		<-time.After(100 * time.Millisecond)
+		synctest.Wait()
+		require.Len(t, cell.relayed, workers-startsPerSecond, "the held orders go through the host that has linked")
+	})
+	run(t, 1, func(cell *cell) {
+		cell.setLinked("h-0", false)
+		cell.setLinked("h-1", false)
+		for index := range 3 * startsPerSecond {
+			worker := almondcross.NewWorker(almondcross.WorkerConfig{ID: fmt.Sprintf("w-%d", index), Zone: dataCentre})
+			require.True(t, cell.relayer.Lease(almondcross.NewLeaseOrder(almondcross.LeaseOrderConfig{Worker: worker}), 0))
+		}
+		<-time.After(2 * time.Second)
+		synctest.Wait()
+		require.Equal(t, 2*startsPerSecond, cell.direct)
+		require.Equal(t, startsPerSecond, cell.answers.Depth(), "the others count as not sent after a second")
+	})
+}
+
 // Guards against workers that are cut off by a host that is frozen while its link stays open.
 func TestSilentHostGetsNoOrdersUntilItIsHeard(t *testing.T) {
 	run(t, 1, func(cell *cell) {
