--- a/command/counter/counter.go
+++ b/command/counter/counter.go
@@ -41,6 +41,11 @@
 	counter.add(fmt.Sprintf("almondcross_starts_total{result=%q}", result), 1)
 }
 
+// StopSent counts a stop order by the reason for it.
+func (counter *Counter) StopSent(reason string) {
+	counter.add(fmt.Sprintf("almondcross_stops_sent_total{reason=%q}", reason), 1)
+}
+
 // Ended counts an ended run by the kind of its end.
 func (counter *Counter) Ended(kind almondcross.EndKind) {
 	counter.add(fmt.Sprintf("almondcross_runs_ended_total{end=%q}", kind), 1)
--- a/command/scheduler/intake.go
+++ b/command/scheduler/intake.go
@@ -144,10 +144,3 @@
 		}
 	}
 }
-
-// stopJobRuns stops the remaining runs of a final job.
-func (machine *Machine) stopJobRuns(job *job) {
-	for _, stage := range job.stages {
-		machine.stopStage(stage)
-	}
-}
--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -83,6 +83,7 @@
 // restoreAssignments rebuilds the worker tables from the state. Every run without a recorded end may be on its
 // worker.
 func (machine *Machine) restoreAssignments() {
+	restored, final := 0, 0
 	for _, job := range machine.state.jobs {
 		for _, stage := range job.stages {
 			for index, record := range stage.tasks {
@@ -95,10 +96,15 @@
 					task: task, run: record.Run(), resources: stage.spec.Resources(), phase: phaseUnknown, stage: stage, job: job,
 					placedAt: machine.now,
 				})
+				restored++
+				if job.state.Final() {
+					final++
+				}
 			}
 		}
 		machine.enqueueReadyStages(job)
 	}
+	machine.config.Log.Record("runs_restored", almondcross.Number("runs", restored), almondcross.Number("of_final_jobs", final))
 }
 
 // stopLeading ends the epoch and drops the state, which may contain changes that are not in the journal.
--- a/command/scheduler/metrics.go
+++ b/command/scheduler/metrics.go
@@ -16,6 +16,8 @@
 	Finished(queue string, state almondcross.JobState)
 	// StartAnswered counts a start order by the result of its answer.
 	StartAnswered(result almondcross.OrderResult)
+	// StopSent counts a stop order by the reason for it.
+	StopSent(reason string)
 	// Ended counts an end of a run by its kind.
 	Ended(kind almondcross.EndKind)
 	// Examined counts how often a worker was looked at in a placement pass, the main cost of placement.
--- a/command/scheduler/scheduler_test.go
+++ b/command/scheduler/scheduler_test.go
@@ -24,6 +24,7 @@
 func (noopRecorder) Admitted(string)                        {}
 func (noopRecorder) Finished(string, almondcross.JobState)  {}
 func (noopRecorder) StartAnswered(almondcross.OrderResult)  {}
+func (noopRecorder) StopSent(string)                        {}
 func (noopRecorder) Ended(almondcross.EndKind)              {}
 func (noopRecorder) Advised(string, int, int)               {}
 func (noopRecorder) Examined(int)                           {}
--- a/command/scheduler/sweep.go
+++ b/command/scheduler/sweep.go
@@ -7,13 +7,6 @@
 	"github.com/almondcross/almondcross"
 )
 
-// stopDue reports whether the stop order of a run must be sent again. A pending order is not repeated, because
-// many repeats would delay the other orders to a distant worker.
-func (assignment *assignment) stopDue(now time.Time) bool {
-	pending := !assignment.stopSentAt.IsZero() && now.Sub(assignment.stopSentAt) < stopTimeout
-	return assignment.stopRequested && assignment.phase != phaseCommitting && !now.Before(assignment.nextStopAt) && !pending
-}
-
 // stalled reports whether a run makes no progress although its worker answers.
 func (assignment *assignment) stalled(worker *worker, now time.Time) bool {
 	limit := stallTimeout
@@ -24,15 +17,6 @@
 		now.Sub(assignment.progressAt) > limit && worker.lastAnswerAt.Sub(assignment.progressAt) > limit
 }
 
-// stopStalled stops a run that makes no progress, so that it is restarted on another worker.
-func (machine *Machine) stopStalled(worker *worker, assignment *assignment) {
-	machine.config.Log.Record("run_stalled", almondcross.Text("task", assignment.task.String()), almondcross.Number("run", assignment.run),
-		almondcross.Text("worker", worker.id), almondcross.Number("progress", assignment.progress),
-		almondcross.Millis("unchanged_ms", machine.now.Sub(assignment.progressAt)))
-	worker.avoidUntil = machine.now.Add(stallBackoff)
-	machine.stopRun(worker, assignment)
-}
-
 // sweepWorkers records silent workers, ends the runs of lost ones, stops stalled runs, repeats unanswered stop
 // orders and removes workers that have left.
 func (machine *Machine) sweepWorkers() {
@@ -65,7 +49,7 @@
 		case assignment.stalled(worker, machine.now):
 			machine.stopStalled(worker, assignment)
 		case assignment.stopDue(machine.now) && worker.managed && !worker.unreachable:
-			machine.stopRun(worker, assignment)
+			machine.stopRun(worker, assignment, assignment.stopReason)
 		}
 	}
 }
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -32,6 +32,7 @@
 	placedAt      time.Time // placedAt is when the run was assigned to the worker.
 	confirmedAt   time.Time // confirmedAt is when the worker confirmed the run.
 	stopRequested bool      // stopRequested is set when the run is no longer wanted.
+	stopReason    stopReason
 	nextStopAt    time.Time // nextStopAt is when the stop order is repeated.
 	stopSentAt    time.Time // stopSentAt is when the pending stop order was sent, zero for none.
 	checkpoint    string    // checkpoint is the last checkpoint that the worker reported.
@@ -179,38 +180,6 @@
 	machine.leader.placementDue = true
 }
 
-// stopRun sends the order to stop a run that is no longer wanted.
-func (machine *Machine) stopRun(worker *worker, assignment *assignment) {
-	assignment.stopRequested = true
-	if assignment.phase == phaseCommitting {
-		return
-	}
-	assignment.nextStopAt, assignment.stopSentAt = machine.now.Add(stopRetryDelay), machine.now
-	machine.afterCommit(func() {
-		if worker.assignments[assignment.task] != assignment || !worker.managed {
-			return // A worker that is not announced yet gets the order in the next sweep.
-		}
-		machine.emit(SendStop{Order: almondcross.NewStopOrder(almondcross.StopOrderConfig{
-			Worker: worker.info, Task: assignment.task, Run: assignment.run, Fence: worker.fence,
-		})})
-	})
-}
-
-func (machine *Machine) stopOrderAnswered(answer almondcross.StopOrderAnswered) {
-	worker := machine.leader.workers[answer.Order().Worker().ID()]
-	if worker == nil {
-		return
-	}
-	assigned := worker.assignments[answer.Order().Task()]
-	if assigned == nil || assigned.run != answer.Order().Run() {
-		return
-	}
-	assigned.nextStopAt, assigned.stopSentAt = machine.now.Add(stopRetryDelay), time.Time{}
-	if answer.Result() == almondcross.OrderUnknown {
-		worker.raiseFence = true
-	}
-}
-
 // endRun records the end of a run and releases its resources.
 func (machine *Machine) endRun(worker *worker, assignment *assignment, kind almondcross.EndKind, checkpoint string) {
 	worker.release(assignment)
@@ -234,7 +203,7 @@
 		if kind == almondcross.EndVoid && assignment.confirmedAt.IsZero() && machine.replaceGangMember(assignment) {
 			return
 		}
-		machine.stopStage(assignment.stage)
+		machine.stopStage(assignment.stage, stopGangBroken)
 	}
 	machine.enqueueReadyStages(job)
 	machine.leader.placementDue = true
@@ -251,22 +220,6 @@
 	machine.config.Metrics.Finished(job.spec.Queue(), job.state)
 }
 
-// stopStage stops the active runs of a stage: of a final job, or of a gang whose run can no longer succeed.
-func (machine *Machine) stopStage(stage *stage) {
-	for index, record := range stage.tasks {
-		if !record.Active() {
-			continue
-		}
-		worker := machine.leader.workers[record.Worker()]
-		if worker == nil {
-			continue
-		}
-		if member := worker.assignments[almondcross.JobTask{Stage: stage.id, Index: index}]; member != nil && !member.stopRequested {
-			machine.stopRun(worker, member)
-		}
-	}
-}
-
 // countFailures updates the count of consecutive failures and avoids a worker with too many for a while.
 func (machine *Machine) countFailures(worker *worker, kind almondcross.EndKind) {
 	switch kind {
--- a/standin/emulator/host.go
+++ b/standin/emulator/host.go
@@ -542,6 +542,7 @@
 func (noMetrics) JobRepeated()                          {}
 func (noMetrics) Admitted(string)                       {}
 func (noMetrics) Finished(string, almondcross.JobState) {}
+func (noMetrics) StopSent(string)                       {}
 func (noMetrics) StartAnswered(almondcross.OrderResult) {}
 func (noMetrics) Ended(almondcross.EndKind)             {}
 func (noMetrics) Advised(string, int, int)              {}
