--- /dev/null
+++ b/command/scheduler/takeover_test.go
@@ -0,0 +1,83 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/almondcross/almondcross"
+)
+
+// cancelJob applies the cancellation of a job that another host has received.
+func (harness *harness) cancelJob(id almondcross.JobID) {
+	harness.apply(almondcross.NewIntakeForwarded(almondcross.IntakeForwardedConfig{Host: "h-2", Number: 2, Intake: almondcross.NewIntake(
+		almondcross.IntakeConfig{Cancel: true, Job: almondcross.NewJob(almondcross.JobConfig{ID: id, Queue: "q"})},
+	)}))
+}
+
+// announceWorker tells a new scheduler of the worker.
+func (harness *harness) announceWorker() {
+	harness.apply(almondcross.NewWorkersRead(almondcross.WorkersReadConfig{Complete: true, Changes: []almondcross.WorkerChange{
+		almondcross.NewWorkerChange(almondcross.WorkerChangeConfig{ID: workerID, Present: true, Worker: poolWorker}),
+	}}))
+}
+
+// sentStops advances for a time, in which the worker reports its runs, and returns the stopped tasks.
+func (harness *harness) sentStops(span time.Duration, running ...almondcross.JobTask) []almondcross.JobTask {
+	harness.t.Helper()
+	var report almondcross.WorkerReportConfig
+	for _, task := range running {
+		report.Running = append(report.Running, almondcross.NewRunningTask(almondcross.RunningTaskConfig{Task: task, Run: 1}))
+	}
+	var stopped []almondcross.JobTask
+	for end := harness.now.Add(span); harness.now.Before(end); {
+		harness.advance(leaderTick)
+		harness.answerCommits()
+		for _, effect := range harness.effects {
+			if _, pending := effect.(SendLease); pending {
+				harness.answerLease(report)
+				break
+			}
+		}
+		for stop, found := takeEffect[SendStop](harness); found; stop, found = takeEffect[SendStop](harness) {
+			stopped = append(stopped, stop.Order.Task())
+		}
+	}
+	return stopped
+}
+
+// Guards against runs of a cancelled job that go on after a takeover: the cancellation was acknowledged, the scheduler
+// was lost before its stop orders were answered, and its successor did not send them again.
+func TestSuccessorStopsRunsOfCancelledJob(t *testing.T) {
+	harness := newHarnessWithRun(t)
+	harness.cancelJob("j")
+	harness.answerCommits()
+	requireEffect[ConfirmIntake](harness)
+	requireEffect[SendStop](harness) // This order is lost with the scheduler.
+	harness = harness.electStandby()
+	harness.announceWorker()
+	require.Contains(t, harness.sentStops(time.Second, taskOf("j", 0, 0)), taskOf("j", 0, 0))
+}
+
+// Guards against members of a broken gang that hold their workers after a takeover, until they give up waiting for the
+// member that ended: the stop orders were lost with the scheduler that had recorded the end.
+func TestSuccessorStopsMembersOfBrokenGang(t *testing.T) {
+	harness := newHarness(t)
+	harness.addStandby()
+	harness.becomeScheduler()
+	harness.submitJob("g", almondcross.StepConfig{Count: 2, Gang: true})
+	harness.answerCommits()
+	harness.answerStart()
+	harness.answerStart()
+	failed := almondcross.NewEndedTask(almondcross.EndedTaskConfig{Sequence: 1, Task: taskOf("g", 0, 0), Run: 1, Kind: almondcross.EndFailed})
+	harness.answerLease(almondcross.WorkerReportConfig{
+		Ended:   []almondcross.EndedTask{failed},
+		Running: []almondcross.RunningTask{almondcross.NewRunningTask(almondcross.RunningTaskConfig{Task: taskOf("g", 0, 1), Run: 1})},
+	})
+	harness.answerCommits()
+	requireEffect[SendStop](harness) // This order is lost with the scheduler.
+	harness = harness.electStandby()
+	harness.announceWorker()
+	require.Equal(t, []almondcross.JobTask{taskOf("g", 0, 1)}, harness.sentStops(time.Second, taskOf("g", 0, 1)))
+}
