Stop the runs that a new scheduler finds unwanted

Callers saw a task run on for up to 10 s after the cancellation of its job had been answered. The wish to stop a run was a flag that the cancellation set in the scheduler's own tables.

--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -246,7 +246,7 @@
 // while the started members still wait for it.
 func (machine *Machine) replaceGangMember(missing *assignment) bool {
 	stage, job := missing.stage, missing.job
-	if missing.stopRequested || stage.activeTasks == 0 || missing.run != stage.gangRun || machine.now.Sub(missing.placedAt) > memberReplaceTimeout {
+	if missing.stopReason != "" || stage.activeTasks == 0 || missing.run != stage.gangRun || machine.now.Sub(missing.placedAt) > memberReplaceTimeout {
 		return false
 	}
 	queue := machine.queue(job)
@@ -291,7 +291,7 @@
 		return
 	}
 	leaseEnd := machine.leaseEnd(worker)
-	if assigned.stopRequested || assigned.job.state.Final() || leaseEnd == 0 || worker.unreachable {
+	if assigned.stopReason != "" || assigned.unwantedReason() != "" || leaseEnd == 0 || worker.unreachable {
 		machine.endRun(worker, assigned, almondcross.EndVoid, "")
 		return
 	}
--- a/command/scheduler/stop.go
+++ b/command/scheduler/stop.go
@@ -15,22 +15,38 @@
 	stopStalled    stopReason = "stalled"     // stopStalled means that the run makes no progress.
 )
 
-// stopRun sends the order to stop a run that is no longer wanted.
-func (machine *Machine) stopRun(worker *worker, assignment *assignment, reason stopReason) {
-	if !assignment.stopRequested {
-		machine.config.Log.Record("stop_requested", almondcross.Text("task", assignment.task.String()), almondcross.Number("run", assignment.run),
-			almondcross.Text("worker", worker.id), almondcross.Text("reason", string(reason)))
+// unwantedReason returns why the state no longer wants a run, empty if it does. The reason follows from the journal
+// alone, so that a new scheduler stops the runs that its predecessor had to stop.
+func (assignment *assignment) unwantedReason() stopReason {
+	stage := assignment.stage
+	switch {
+	case assignment.job.state.Final():
+		return stopJobFinal
+	case stage.spec.Gang() && stage.remainingTasks > 0 && stage.activeTasks < len(stage.tasks):
+		return stopGangBroken
+	default:
+		return ""
 	}
-	assignment.stopRequested, assignment.stopReason = true, reason
-	if assignment.phase == phaseCommitting {
-		return
+}
+
+// requestStop marks a run as no longer wanted. The sweep sends the stop order, and repeats it, until the run has ended.
+func (machine *Machine) requestStop(worker *worker, assignment *assignment, reason stopReason) {
+	assignment.stopReason = reason
+	machine.config.Log.Record("stop_requested", almondcross.Text("task", assignment.task.String()), almondcross.Number("run", assignment.run),
+		almondcross.Text("worker", worker.id), almondcross.Text("reason", string(reason)))
+	if assignment.stopDue(machine.now) && worker.managed {
+		machine.sendStop(worker, assignment)
 	}
+}
+
+// sendStop sends a stop order once the journal holds the reason for it.
+func (machine *Machine) sendStop(worker *worker, assignment *assignment) {
 	assignment.nextStopAt, assignment.stopSentAt = machine.now.Add(stopRetryDelay), machine.now
 	machine.afterCommit(func() {
-		if worker.assignments[assignment.task] != assignment || !worker.managed {
-			return // A worker that is not announced yet gets the order in the next sweep.
+		if worker.assignments[assignment.task] != assignment {
+			return
 		}
-		machine.config.Metrics.StopSent(string(reason))
+		machine.config.Metrics.StopSent(string(assignment.stopReason))
 		machine.emit(SendStop{Order: almondcross.NewStopOrder(almondcross.StopOrderConfig{
 			Worker: worker.info, Task: assignment.task, Run: assignment.run, Fence: worker.fence,
 		})})
@@ -57,8 +73,8 @@
 	}
 }
 
-// stopStage stops the active runs of a stage: of a final job, or of a gang whose run can no longer succeed.
-func (machine *Machine) stopStage(stage *stage, reason stopReason) {
+// stopStage stops the runs of a stage that are no longer wanted. The sweep would find them too, up to sweepInterval later.
+func (machine *Machine) stopStage(stage *stage) {
 	for index, record := range stage.tasks {
 		if !record.Active() {
 			continue
@@ -67,8 +83,8 @@
 		if worker == nil {
 			continue
 		}
-		if member := worker.assignments[almondcross.JobTask{Stage: stage.id, Index: index}]; member != nil && !member.stopRequested {
-			machine.stopRun(worker, member, reason)
+		if run := worker.assignments[almondcross.JobTask{Stage: stage.id, Index: index}]; run != nil {
+			machine.stopUnwanted(worker, run)
 		}
 	}
 }
@@ -76,15 +92,28 @@
 // stopJobRuns stops the remaining runs of a final job.
 func (machine *Machine) stopJobRuns(job *job) {
 	for _, stage := range job.stages {
-		machine.stopStage(stage, stopJobFinal)
+		machine.stopStage(stage)
+	}
+}
+
+// stopUnwanted requests the stop of a run that is no longer wanted, and reports whether it is not.
+func (machine *Machine) stopUnwanted(worker *worker, assignment *assignment) bool {
+	if assignment.stopReason != "" {
+		return true
+	}
+	reason := assignment.unwantedReason()
+	if reason == "" {
+		return false
 	}
+	machine.requestStop(worker, assignment, reason)
+	return true
 }
 
 // stopDue reports whether the stop order of a run must be sent again. A pending order is not repeated, because
 // many repeats would delay the other orders to a distant worker.
 func (assignment *assignment) stopDue(now time.Time) bool {
 	pending := !assignment.stopSentAt.IsZero() && now.Sub(assignment.stopSentAt) < stopTimeout
-	return assignment.stopRequested && assignment.phase != phaseCommitting && !now.Before(assignment.nextStopAt) && !pending
+	return assignment.stopReason != "" && assignment.phase != phaseCommitting && !now.Before(assignment.nextStopAt) && !pending
 }
 
 // stopStalled stops a run that makes no progress, so that it is restarted on another worker.
@@ -93,5 +122,5 @@
 		almondcross.Text("worker", worker.id), almondcross.Number("progress", assignment.progress),
 		almondcross.Millis("unchanged_ms", machine.now.Sub(assignment.progressAt)))
 	worker.avoidUntil = machine.now.Add(stallBackoff)
-	machine.stopRun(worker, assignment, stopStalled)
+	machine.requestStop(worker, assignment, stopStalled)
 }
--- a/command/scheduler/sweep.go
+++ b/command/scheduler/sweep.go
@@ -13,7 +13,7 @@
 	if assignment.progress >= fullProgress {
 		limit = overdueTimeout
 	}
-	return assignment.phase == phaseConfirmed && !assignment.stopRequested && !assignment.stage.spec.Service() && !worker.unreachable &&
+	return assignment.phase == phaseConfirmed && assignment.stopReason == "" && !assignment.stage.spec.Service() && !worker.unreachable &&
 		now.Sub(assignment.progressAt) > limit && worker.lastAnswerAt.Sub(assignment.progressAt) > limit
 }
 
@@ -39,17 +39,18 @@
 	}
 }
 
-// sweepRuns ends the runs of a lost worker, stops the stalled ones and repeats unanswered stop orders.
+// sweepRuns ends the runs of a lost worker, stops those that are no longer wanted or make no progress, and repeats
+// unanswered stop orders.
 func (machine *Machine) sweepRuns(worker *worker, lost bool) {
 	for _, assignment := range worker.assignments {
 		switch {
 		case lost && assignment.phase != phaseCommitting:
 			worker.presumedLost[assignment.task] = assignment.run
 			machine.endRun(worker, assignment, almondcross.EndVoid, assignment.checkpoint)
-		case assignment.stalled(worker, machine.now):
+		case !machine.stopUnwanted(worker, assignment) && assignment.stalled(worker, machine.now):
 			machine.stopStalled(worker, assignment)
 		case assignment.stopDue(machine.now) && worker.managed && !worker.unreachable:
-			machine.stopRun(worker, assignment, assignment.stopReason)
+			machine.sendStop(worker, assignment)
 		}
 	}
 }
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -22,22 +22,21 @@
 
 // assignment is a run assigned to a worker. It uses resources of the worker until its end is recorded.
 type assignment struct {
-	task          almondcross.JobTask
-	run           int
-	resources     almondcross.Resources
-	job           *job
-	stage         *stage
-	phase         phase
-	fence         int64     // fence is the fencing token of the start order.
-	placedAt      time.Time // placedAt is when the run was assigned to the worker.
-	confirmedAt   time.Time // confirmedAt is when the worker confirmed the run.
-	stopRequested bool      // stopRequested is set when the run is no longer wanted.
-	stopReason    stopReason
-	nextStopAt    time.Time // nextStopAt is when the stop order is repeated.
-	stopSentAt    time.Time // stopSentAt is when the pending stop order was sent, zero for none.
-	checkpoint    string    // checkpoint is the last checkpoint that the worker reported.
-	progress      int       // progress is the last reported progress in percent.
-	progressAt    time.Time // progressAt is when the progress last changed.
+	task        almondcross.JobTask
+	run         int
+	resources   almondcross.Resources
+	job         *job
+	stage       *stage
+	phase       phase
+	fence       int64      // fence is the fencing token of the start order.
+	placedAt    time.Time  // placedAt is when the run was assigned to the worker.
+	confirmedAt time.Time  // confirmedAt is when the worker confirmed the run.
+	stopReason  stopReason // stopReason is why the run is no longer wanted, empty if it is.
+	nextStopAt  time.Time  // nextStopAt is when the stop order is repeated.
+	stopSentAt  time.Time  // stopSentAt is when the pending stop order was sent, zero for none.
+	checkpoint  string     // checkpoint is the last checkpoint that the worker reported.
+	progress    int        // progress is the last reported progress in percent.
+	progressAt  time.Time  // progressAt is when the progress last changed.
 }
 
 // worker holds what the scheduler knows of one worker.
@@ -203,7 +202,7 @@
 		if kind == almondcross.EndVoid && assignment.confirmedAt.IsZero() && machine.replaceGangMember(assignment) {
 			return
 		}
-		machine.stopStage(assignment.stage, stopGangBroken)
+		machine.stopStage(assignment.stage)
 	}
 	machine.enqueueReadyStages(job)
 	machine.leader.placementDue = true
