Derive from the state whether a late success may be acknowledged

Found by reading, when looking for other obligations that are kept in the memory of one process.

The run number of the task's record tells the cases apart, so the table of the scheduler goes. Final jobs keep the records of tasks that were started more than once until they expire.

TestSuccessorDoesNotAcknowledgeSuccessOfRestartedTask: all three cases failed before (acknowledged 1 in place of 0 twice; state running in place of completed), and pass.

--- a/command/scheduler/lease.go
+++ b/command/scheduler/lease.go
@@ -148,8 +148,8 @@
 		acknowledged = max(acknowledged, end.Sequence())
 		if assigned := worker.assignments[end.Task()]; assigned != nil && assigned.run == end.Run() {
 			machine.endRun(worker, assigned, end.Kind(), end.Checkpoint())
-		} else if worker.presumedLost[end.Task()] == end.Run() && end.Run() > 0 {
-			machine.recordLateEnd(worker, end)
+		} else if end.Kind() == almondcross.EndDone {
+			machine.recordLateSuccess(worker, end)
 		}
 	}
 	if worker.ackLimit > 0 {
@@ -180,27 +180,26 @@
 	}
 }
 
-// recordLateEnd handles the end of a run that was presumed lost. A success counts if the task has not been
-// started again. Otherwise its end is never acknowledged, and the worker gets no new work (see ackLimit).
-func (machine *Machine) recordLateEnd(worker *worker, end almondcross.EndedTask) {
-	if end.Kind() != almondcross.EndDone {
-		delete(worker.presumedLost, end.Task())
-		return
-	}
+// recordLateSuccess handles a reported success that is not the end of an assigned run. A success in the journal is only
+// reported again. Otherwise the run was presumed lost, by this scheduler or one before it: the success counts if the task
+// has not been started again; if it has, the success is never acknowledged, and the worker gets no new work (see ackLimit).
+func (machine *Machine) recordLateSuccess(worker *worker, end almondcross.EndedTask) {
 	job := machine.state.jobs[end.Task().Stage.Job]
 	if job == nil {
 		return
 	}
 	stage := job.stage(end.Task().Stage)
-	if stage == nil || end.Task().Index >= len(stage.tasks) {
+	if stage == nil || end.Task().Index >= len(stage.tasks) || stage.spec.Service() {
 		return
 	}
 	record := stage.tasks[end.Task().Index]
-	outcome := "already done"
+	var outcome string
 	switch {
-	case !record.Done() && !record.Active() && record.Run() == end.Run():
+	case record.Run() > end.Run() && worker.ackLimit == 0:
+		outcome = "already started again"
+		worker.ackLimit = end.Sequence()
+	case record.Run() == end.Run() && !record.Done() && !record.Active() && !job.state.Final():
 		outcome = "counted"
-		delete(worker.presumedLost, end.Task())
 		machine.recordChange(almondcross.ChangeConfig{
 			Kind: almondcross.ChangeEnd, Task: end.Task(), Run: end.Run(), End: almondcross.EndDone, Worker: worker.id,
 		})
@@ -208,9 +207,8 @@
 			machine.jobFinished(job)
 		}
 		machine.enqueueReadyStages(job)
-	case record.Run() > end.Run() && worker.ackLimit == 0:
-		outcome = "already started again"
-		worker.ackLimit = end.Sequence()
+	default:
+		return
 	}
 	machine.config.Log.Record("late_success", almondcross.Text("task", end.Task().String()), almondcross.Number("run", end.Run()),
 		almondcross.Text("worker", worker.id), almondcross.Text("outcome", outcome))
@@ -228,7 +226,6 @@
 		worker.raiseFence = true
 	}
 	worker.incarnation, worker.acknowledgedEnd, worker.maxLeaseEnd, worker.failures, worker.ackLimit = incarnation, 0, 0, 0, 0
-	clear(worker.presumedLost)
 }
 
 func (machine *Machine) confirmRun(assigned *assignment, running almondcross.RunningTask) {
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -211,14 +211,23 @@
 	state.compactJob(job)
 }
 
-// compactJob drops the steps, the payload and the stages of a final job that has no active tasks.
+// compactJob drops the payload of a final job that has no active tasks, and its steps and stages unless a task was started
+// more than once: the record of such a task tells a late success of an earlier run from one that is only reported again.
 func (state *state) compactJob(job *job) {
-	if job.state.Final() && job.activeTasks == 0 {
-		job.spec = job.spec.WithSteps(nil).WithPayload("")
-		job.stages = nil
+	if !job.state.Final() || job.activeTasks > 0 {
+		return
+	}
+	job.spec = job.spec.WithPayload("")
+	if !slices.ContainsFunc(job.stages, (*stage).restarted) {
+		job.spec, job.stages = job.spec.WithSteps(nil), nil
 	}
 }
 
+// restarted reports whether a task of the stage was started more than once.
+func (stage *stage) restarted() bool {
+	return slices.ContainsFunc(stage.tasks, func(record almondcross.TaskRecord) bool { return record.Run() > 1 })
+}
+
 func (state *state) assignTask(change almondcross.Change) {
 	job := state.jobs[change.Task().Stage.Job]
 	if job == nil {
--- a/command/scheduler/sweep.go
+++ b/command/scheduler/sweep.go
@@ -45,7 +45,6 @@
 	for _, assignment := range worker.assignments {
 		switch {
 		case lost && assignment.phase != phaseCommitting:
-			worker.presumedLost[assignment.task] = assignment.run
 			machine.endRun(worker, assignment, almondcross.EndVoid, assignment.checkpoint)
 		case !machine.stopUnwanted(worker, assignment) && assignment.stalled(worker, machine.now):
 			machine.stopStalled(worker, assignment)
--- a/command/scheduler/takeover_test.go
+++ b/command/scheduler/takeover_test.go
@@ -81,3 +81,41 @@
 	harness.announceWorker()
 	require.Equal(t, []almondcross.JobTask{taskOf("g", 0, 1)}, harness.sentStops(time.Second, taskOf("g", 0, 1)))
 }
+
+// Guards against a success that a successor acknowledges although its task has been started again (TWICE): the run was
+// presumed lost by the scheduler before, and only that scheduler knew it. Without a further start the success counts.
+func TestSuccessorDoesNotAcknowledgeSuccessOfRestartedTask(t *testing.T) {
+	task := taskOf("j", 0, 0)
+	lost := almondcross.ChangeConfig{Kind: almondcross.ChangeEnd, Task: task, Run: 1, End: almondcross.EndVoid, Worker: workerID}
+	restarted := almondcross.ChangeConfig{Kind: almondcross.ChangeAssign, Task: task, Run: 2, Worker: "w-2"}
+	succeeded := almondcross.ChangeConfig{Kind: almondcross.ChangeEnd, Task: task, Run: 2, End: almondcross.EndDone, Worker: "w-2"}
+	for name, test := range map[string]struct {
+		changes      []almondcross.ChangeConfig
+		acknowledged int64
+		state        almondcross.JobState
+	}{
+		"not started again":   {[]almondcross.ChangeConfig{lost}, 1, almondcross.JobCompleted},
+		"started again":       {[]almondcross.ChangeConfig{lost, restarted}, 0, almondcross.JobRunning},
+		"completed meanwhile": {[]almondcross.ChangeConfig{lost, restarted, succeeded}, 0, almondcross.JobCompleted},
+	} {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarnessWithRun(t)
+			for _, change := range test.changes {
+				harness.machine.recordChange(change)
+			}
+			harness.advance(0)
+			harness.answerCommits()
+			harness = harness.electStandby()
+			harness.announceWorker()
+			success := almondcross.NewEndedTask(almondcross.EndedTaskConfig{Sequence: 1, Task: task, Run: 1, Kind: almondcross.EndDone})
+			harness.answerLease(almondcross.WorkerReportConfig{Ended: []almondcross.EndedTask{success}})
+			for range 3 {
+				harness.advance(leaseAnswerWait)
+				harness.answerCommits()
+			}
+			require.Equal(t, test.acknowledged, requireEffect[SendLease](harness).Order.Acknowledged())
+			require.Equal(t, test.acknowledged == 0, harness.machine.leader.workers[workerID].ackLimit > 0)
+			require.Equal(t, test.state, harness.machine.state.jobs["j"].state)
+		})
+	}
+}
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -66,8 +66,6 @@
 	// extensionBlocked is set while the journal may still hold the silence of this worker, so that its lease
 	// must not be extended.
 	extensionBlocked bool
-	// presumedLost holds the run number of each task whose run ended as lost without a report from the worker.
-	presumedLost map[almondcross.JobTask]int
 	// ackLimit is the first end of this incarnation that must not be acknowledged, 0 for none: a success that
 	// was reported after its task had been started again. An acknowledgement tells the worker that the success is
 	// in the journal, which holds another run instead.
@@ -115,8 +113,7 @@
 	}
 	_, silent := machine.state.silentWorkers[id]
 	added := &worker{
-		id: id, assignments: map[almondcross.JobTask]*assignment{}, presumedLost: map[almondcross.JobTask]int{},
-		fence: leader.epoch << fenceCounterBits, extensionBlocked: silent,
+		id: id, assignments: map[almondcross.JobTask]*assignment{}, fence: leader.epoch << fenceCounterBits, extensionBlocked: silent,
 	}
 	leader.workers[id] = added
 	index, _ := slices.BinarySearchFunc(leader.sortedWorkers, added, func(a, b *worker) int { return strings.Compare(a.id, b.id) })
--- a/job_generated.go
+++ b/job_generated.go
@@ -2516,7 +2516,7 @@
 	}
 }
 
-// Job returns the job, without steps once its state is final and none of its tasks runs.
+// Job returns the job, without payload once its state is final and none of its tasks runs, and then without steps unless a task was started more than once.
 func (jobrecord JobRecord) Job() Job { return jobrecord.job }
 
 // WithJob returns a copy with the given job.
--- a/journal.go
+++ b/journal.go
@@ -233,7 +233,7 @@
 //
 //value:generate
 type JobRecord struct {
-	job                Job           // the job, without steps once its state is final and none of its tasks runs
+	job                Job           // the job, without payload once its state is final and none of its tasks runs, and then without steps unless a task was started more than once
 	queue              Queue         // the queue as it was configured when the job was admitted
 	state              JobState      // the state of the job
 	finished           time.Time     // the time at which its state became final, zero before
