Tell runs that ended with a crashed worker from those that never started

An end is now crashed where the worker answers with another incarnation, or is no longer announced without having said that it leaves, and its lease has expired. No decision changes.

--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -31,6 +31,7 @@
 	usageStoring bool
 
 	workers             map[string]*worker
+	workersListed       bool            // workersListed is set once the list of announced workers has been read completely.
 	sortedWorkers       []*worker       // sortedWorkers holds the workers by ID.
 	usableWorkers       []*worker       // usableWorkers holds the workers that may get new work in the current pass.
 	allowedWorkers      []*worker       // allowedWorkers holds the result of the last call of the method of this name.
--- a/command/scheduler/sweep.go
+++ b/command/scheduler/sweep.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/almondcross/almondcross"
 )
 
 // stalled reports whether a run makes no progress although its worker answers.
@@ -45,7 +43,7 @@
 	for _, assignment := range worker.assignments {
 		switch {
 		case lost && assignment.phase != phaseCommitting:
-			machine.endRun(worker, assignment, almondcross.EndVoid, assignment.checkpoint)
+			machine.endRun(worker, assignment, machine.lostRunEnd(worker), assignment.checkpoint)
 		case !machine.stopUnwanted(worker, assignment) && assignment.stalled(worker, machine.now):
 			machine.stopStalled(worker, assignment)
 		case assignment.stopDue(machine.now) && worker.managed && !worker.unreachable:
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -22,21 +22,22 @@
 
 // assignment is a run assigned to a worker. It uses resources of the worker until its end is recorded.
 type assignment struct {
-	task        almondcross.JobTask
-	run         int
-	resources   almondcross.Resources
-	job         *job
-	stage       *stage
-	phase       phase
-	fence       int64      // fence is the fencing token of the start order.
-	placedAt    time.Time  // placedAt is when the run was assigned to the worker.
-	confirmedAt time.Time  // confirmedAt is when the worker confirmed the run.
-	stopReason  stopReason // stopReason is why the run is no longer wanted, empty if it is.
-	nextStopAt  time.Time  // nextStopAt is when the stop order is repeated.
-	stopSentAt  time.Time  // stopSentAt is when the pending stop order was sent, zero for none.
-	checkpoint  string     // checkpoint is the last checkpoint that the worker reported.
-	progress    int        // progress is the last reported progress in percent.
-	progressAt  time.Time  // progressAt is when the progress last changed.
+	task          almondcross.JobTask
+	run           int
+	resources     almondcross.Resources
+	job           *job
+	stage         *stage
+	phase         phase
+	fence         int64      // fence is the fencing token of the start order.
+	placedAt      time.Time  // placedAt is when the run was assigned to the worker.
+	confirmedAt   time.Time  // confirmedAt is when the worker confirmed the run.
+	stopReason    stopReason // stopReason is why the run is no longer wanted, empty if it is.
+	nextStopAt    time.Time  // nextStopAt is when the stop order is repeated.
+	stopSentAt    time.Time  // stopSentAt is when the pending stop order was sent, zero for none.
+	checkpoint    string     // checkpoint is the last checkpoint that the worker reported.
+	progress      int        // progress is the last reported progress in percent.
+	progressAt    time.Time  // progressAt is when the progress last changed.
+	workerCrashed bool       // workerCrashed is set once the incarnation of the worker that got the start order has crashed.
 }
 
 // worker holds what the scheduler knows of one worker.
@@ -46,6 +47,7 @@
 	announced   bool      // announced is set while the worker is announced.
 	announcedAt time.Time // announcedAt is when its announcement was last renewed.
 	managed     bool      // managed is set once the duties of the worker have been started.
+	drained     bool      // drained is set once this incarnation has announced that it will leave.
 	assignments map[almondcross.JobTask]*assignment
 	used        almondcross.Resources
 	usedByGangs almondcross.Resources // usedByGangs is the part of used that belongs to gangs.
@@ -138,6 +140,7 @@
 		machine.workerChanged(change)
 	}
 	if read.Complete() {
+		machine.leader.workersListed = true
 		for id, known := range machine.leader.workers {
 			if known.announced && !seen[id] {
 				machine.workerChanged(almondcross.NewWorkerChange(almondcross.WorkerChangeConfig{ID: id}))
@@ -165,6 +168,7 @@
 	}
 	addressChanged := worker.info.Address() != change.Worker().Address()
 	worker.info, worker.announced, worker.announcedAt = change.Worker(), true, machine.now
+	worker.drained = worker.drained || worker.info.Draining()
 	if !worker.managed || addressChanged {
 		worker.managed = true
 		machine.emit(ManageWorker{Worker: worker.info})
--- a/worker.go
+++ b/worker.go
@@ -44,7 +44,8 @@
 	EndLeaseExpired   EndKind = "lapsed"  // EndLeaseExpired means that the lease expired.
 	EndGangBroken     EndKind = "broken"  // EndGangBroken means that another task of the gang ended.
 	EndGangIncomplete EndKind = "alone"   // EndGangIncomplete means that the other tasks of the gang did not start in time.
-	EndVoid           EndKind = "void"    // EndVoid means that the run is known never to have started or to have ended with its worker.
+	EndWorkerCrashed  EndKind = "crashed" // EndWorkerCrashed means that the worker ended unannounced while the run may have been on it.
+	EndVoid           EndKind = "void"    // EndVoid means that the run never started, or ended out of sight for another reason than a crash.
 )
 
 // RunningTask is one run that a worker reports as running.
