--- /dev/null
+++ b/command/scheduler/crash_test.go
@@ -0,0 +1,51 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/almondcross/almondcross"
+)
+
+// answerLeaseAs answers the pending lease order as an incarnation of the worker without runs.
+func (harness *harness) answerLeaseAs(incarnation int64) {
+	harness.t.Helper()
+	order := requireEffect[SendLease](harness).Order
+	sent := harness.now
+	harness.advance(10 * time.Millisecond)
+	harness.apply(almondcross.NewLeaseAnswered(almondcross.LeaseAnsweredConfig{
+		Order: order, Result: almondcross.OrderDone, Sent: sent, Received: harness.now,
+		Report: almondcross.NewWorkerReport(almondcross.WorkerReportConfig{ID: workerID, Incarnation: incarnation, Clock: time.Second}),
+	}))
+}
+
+// Guards against a task that crashes each worker that starts it and is started again without bound, also by a scheduler
+// that takes over in between (BUDGET).
+func TestTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
+	harness := newHarness(t)
+	harness.addStandby().addStandby().addStandby()
+	harness.becomeScheduler()
+	harness.submitJob("j", almondcross.StepConfig{Count: 1})
+	harness.answerCommits()
+	starts := 0
+	for incarnation := int64(2); incarnation < 10; incarnation++ {
+		harness.advance(startRefusalBackoff)
+		harness.answerCommits()
+		if _, started := takeEffect[SendStart](harness); !started {
+			break
+		}
+		starts++
+		harness.answerLeaseAs(incarnation) // The worker has crashed and answers as another incarnation,
+		harness.answerLeaseAs(incarnation) // the second time under a raised fencing token.
+		harness.answerCommits()
+		if starts == 2 {
+			harness = harness.electStandby()
+			harness.announceWorker()
+			harness.answerLeaseAs(incarnation)
+		}
+	}
+	require.Equal(t, almondcross.JobFailed, harness.machine.state.jobs["j"].state)
+	require.Equal(t, 3, starts)
+}
