Give up a task at the third crash of a worker under it

A run that ended with its worker was recorded as void, which nothing counted: the bound on attempts covered only ends that a worker lived to report.

A run that worked for over a minute was a bystander and clears the count, so that long-running tasks are not failed by rare crashes of their workers. Task records without crashes keep their stored form; records of an earlier version are read.

--- a/command/scheduler/crash.go
+++ b/command/scheduler/crash.go
@@ -6,6 +6,23 @@
 	"github.com/almondcross/almondcross"
 )
 
+const (
+	// maxCrashes is the number of workers that may crash under a task before its job fails. A bystander of the task
+	// that crashes them rarely gets that far, because a task with a crash gets no second chance beside another one.
+	maxCrashes = 3
+	// crashAttribution is how long a run may have been on its worker for a crash to count against its task. A task
+	// that crashes its workers does so on each of them, so a run that worked for longer was a bystander.
+	crashAttribution = time.Minute
+)
+
+// countCrash counts a crash of the worker under the last run of a task.
+func (state *state) countCrash(record almondcross.TaskRecord) almondcross.TaskRecord {
+	if state.batchTime.Sub(record.Since()) > crashAttribution {
+		return record.WithCrashes(0)
+	}
+	return record.WithCrashes(record.Crashes() + 1)
+}
+
 // predates reports whether a run was assigned to its worker before an incarnation of that worker began. A scheduler
 // that takes over has not seen the earlier incarnation.
 func (assignment *assignment) predates(incarnation int64) bool {
@@ -28,3 +45,12 @@
 	}
 	return almondcross.EndWorkerCrashed
 }
+
+// logGivenUp tells that a job has failed because workers crashed under a task.
+func (machine *Machine) logGivenUp(assignment *assignment, kind almondcross.EndKind) {
+	if kind != almondcross.EndWorkerCrashed {
+		return
+	}
+	machine.config.Log.Record("task_given_up", almondcross.Text("task", assignment.task.String()), almondcross.Number("run", assignment.run),
+		almondcross.Number("crashes", assignment.stage.tasks[assignment.task.Index].Crashes()))
+}
--- a/command/scheduler/crash_test.go
+++ b/command/scheduler/crash_test.go
@@ -47,5 +47,5 @@
 		}
 	}
 	require.Equal(t, almondcross.JobFailed, harness.machine.state.jobs["j"].state)
-	require.Equal(t, 3, starts)
+	require.Equal(t, maxCrashes, starts)
 }
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -293,6 +293,9 @@
 		record = record.WithFailures(record.Failures() + 1)
 		stage.failedGangRun = change.Run()
 	}
+	if change.End() == almondcross.EndWorkerCrashed {
+		record = state.countCrash(record)
+	}
 	stage.tasks[index] = record
 	if stage.spec.Gang() && !stage.spec.Service() {
 		stage.updateGang(change)
@@ -328,6 +331,10 @@
 		state.finishJob(job, almondcross.JobFailed)
 		return
 	}
+	if stage.tasks[index].Crashes() >= maxCrashes && !stage.tasks[index].Done() {
+		state.finishJob(job, almondcross.JobFailed)
+		return
+	}
 	if stage.remainingTasks > 0 || job.startedOccurrences < job.spec.Occurrences() {
 		return
 	}
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -195,6 +195,7 @@
 	job := assignment.job
 	if job.state.Final() {
 		if !wasFinal {
+			machine.logGivenUp(assignment, kind)
 			machine.jobFinished(job)
 		}
 		return
--- a/encoder/journal.go
+++ b/encoder/journal.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
 
 	"github.com/almondcross/almondcross"
@@ -95,14 +96,59 @@
 	Cancel bool
 }
 
-type wireTaskRecord struct {
-	_                  struct{} `cbor:",toarray"`
+// taskRecordFields are the fields of a task record that every version of the format has.
+type taskRecordFields struct {
 	Done, Active       bool
 	Run, Failures      int
 	Worker, Checkpoint string
 	SinceMS            int64
 }
 
+// wireTaskRecord is one task of a snapshot. Crashes is encoded only if it is not zero, so that records of an earlier
+// version are read, and an earlier version reads all records but those of tasks with crashes.
+type wireTaskRecord struct {
+	taskRecordFields
+	Crashes int
+}
+
+// plainTaskRecord is the encoded form of a task record without crashes.
+type plainTaskRecord struct {
+	_ struct{} `cbor:",toarray"`
+	taskRecordFields
+}
+
+// crashedTaskRecord is the encoded form of a task record with crashes.
+type crashedTaskRecord struct {
+	_ struct{} `cbor:",toarray"`
+	taskRecordFields
+	Crashes int
+}
+
+// plainTaskRecordHeader is the first byte of an encoded plainTaskRecord, the CBOR header of an array of its seven fields.
+const plainTaskRecordHeader = 0x87
+
+// MarshalCBOR returns the encoded form of the record.
+func (wiretaskrecord wireTaskRecord) MarshalCBOR() ([]byte, error) {
+	if wiretaskrecord.Crashes == 0 {
+		return cbor.Marshal(plainTaskRecord{taskRecordFields: wiretaskrecord.taskRecordFields})
+	}
+	return cbor.Marshal(crashedTaskRecord{taskRecordFields: wiretaskrecord.taskRecordFields, Crashes: wiretaskrecord.Crashes})
+}
+
+// UnmarshalCBOR sets the record from its encoded form.
+func (wiretaskrecord *wireTaskRecord) UnmarshalCBOR(data []byte) error {
+	if len(data) > 0 && data[0] == plainTaskRecordHeader {
+		var plain plainTaskRecord
+		err := cbor.Unmarshal(data, &plain)
+		*wiretaskrecord = wireTaskRecord{taskRecordFields: plain.taskRecordFields}
+		return err
+	}
+	var crashed crashedTaskRecord
+	err := cbor.Unmarshal(data, &crashed)
+	*wiretaskrecord = wireTaskRecord{taskRecordFields: crashed.taskRecordFields, Crashes: crashed.Crashes}
+	return err
+}
+
 // wireResourceSeconds is an amount of resources multiplied by seconds.
 type wireResourceSeconds struct {
 	_                                struct{} `cbor:",toarray"`
--- a/encoder/snapshot.go
+++ b/encoder/snapshot.go
@@ -164,10 +164,10 @@
 		tasks := make([]wireTaskRecord, len(stage.Tasks()))
 		for taskIndex, task := range stage.Tasks() {
 			config := task.Config()
-			tasks[taskIndex] = wireTaskRecord{
+			tasks[taskIndex] = wireTaskRecord{Crashes: config.Crashes, taskRecordFields: taskRecordFields{
 				Done: config.Done, Active: config.Active, Run: config.Run, Failures: config.Failures,
 				Worker: config.Worker, Checkpoint: config.Checkpoint, SinceMS: toUnixMillis(config.Since),
-			}
+			}}
 		}
 		stages[index] = wireStageRecord{
 			Occurrence: stage.Occurrence(), Step: stage.Step(), Run: stage.Run(), Failures: stage.Failures(),
@@ -186,7 +186,7 @@
 		tasks := make([]almondcross.TaskRecord, len(stage.Tasks))
 		for taskIndex, task := range stage.Tasks {
 			tasks[taskIndex] = almondcross.NewTaskRecord(almondcross.TaskRecordConfig{
-				Done: task.Done, Active: task.Active, Run: task.Run, Failures: task.Failures,
+				Done: task.Done, Active: task.Active, Run: task.Run, Failures: task.Failures, Crashes: task.Crashes,
 				Worker: task.Worker, Checkpoint: task.Checkpoint, Since: fromUnixMillis(task.SinceMS),
 			})
 		}
--- a/job_generated.go
+++ b/job_generated.go
@@ -2092,6 +2092,7 @@
 	Active     bool
 	Run        int
 	Failures   int
+	Crashes    int
 	Worker     string
 	Checkpoint string
 	Since      time.Time
@@ -2104,6 +2105,7 @@
 		active:     config.Active,
 		run:        config.Run,
 		failures:   config.Failures,
+		crashes:    config.Crashes,
 		worker:     config.Worker,
 		checkpoint: config.Checkpoint,
 		since:      config.Since,
@@ -2117,6 +2119,7 @@
 		Active:     taskrecord.active,
 		Run:        taskrecord.run,
 		Failures:   taskrecord.failures,
+		Crashes:    taskrecord.crashes,
 		Worker:     taskrecord.worker,
 		Checkpoint: taskrecord.checkpoint,
 		Since:      taskrecord.since,
@@ -2159,6 +2162,15 @@
 	return taskrecord
 }
 
+// Crashes returns the number of workers that crashed under a run of the task.
+func (taskrecord TaskRecord) Crashes() int { return taskrecord.crashes }
+
+// WithCrashes returns a copy with the given crashes.
+func (taskrecord TaskRecord) WithCrashes(crashes int) TaskRecord {
+	taskrecord.crashes = crashes
+	return taskrecord
+}
+
 // Worker returns the worker of the last run.
 func (taskrecord TaskRecord) Worker() string { return taskrecord.worker }
 
--- a/journal.go
+++ b/journal.go
@@ -183,6 +183,7 @@
 	active     bool      // whether a run is assigned to a worker and its end is not recorded
 	run        int       // the highest run number
 	failures   int       // the number of failed runs
+	crashes    int       // the number of workers that crashed under a run of the task
 	worker     string    // the worker of the last run
 	checkpoint string    // the last recorded checkpoint, empty for none
 	since      time.Time // the time at which the last run was assigned to its worker
