Keep tasks that have seen a crash apart, and run them alone after the second

All tasks on a worker that crashes come under suspicion, and one of them may crash the next worker too. They were placed together again, so the task that crashes workers took others' runs with it each time, and a bystander could have been given up with it.

After one crash a task gets a worker without another suspect, where there is one, so that a second crash tells them apart; after the second it runs alone on an empty worker, on at most an eighth of the workers at a time, for which the least occupied one is kept free. An innocent task does not wait for that for more than 2 s.

--- a/command/scheduler/advice.go
+++ b/command/scheduler/advice.go
@@ -190,7 +190,7 @@
 	if stage.spec.Gang() && long {
 		selected = machine.selectForGang(queue, stage, advice)
 	} else {
-		selected = machine.selectWorkers(queue, stage, advice, machine.candidates(queue, stage, nil))
+		selected = machine.selectWorkers(queue, stage, advice, machine.candidates(queue, stage, stage.waitingSuspicion(), nil))
 	}
 	if len(selected) == 0 {
 		advice.retryAt = machine.now.Add(adviceRetryDelay)
@@ -286,7 +286,7 @@
 	wanted := stage.remainingTasks - stage.activeTasks
 	var freeOnAllowed, totalOnAllowed, freeOnUndecided int
 	var allowed []string
-	for _, candidate := range machine.candidates(queue, stage, nil) {
+	for _, candidate := range machine.candidates(queue, stage, stage.waitingSuspicion(), nil) {
 		if advice.decisions[candidate.Worker()] {
 			freeOnAllowed += candidate.Tasks()
 			allowed = append(allowed, candidate.Worker())
--- a/command/scheduler/crash.go
+++ b/command/scheduler/crash.go
@@ -23,6 +23,14 @@
 	return record.WithCrashes(record.Crashes() + 1)
 }
 
+// updateMaxCrashes computes the highest number of crashes of a task anew.
+func (stage *stage) updateMaxCrashes() {
+	stage.maxCrashes = 0
+	for _, record := range stage.tasks {
+		stage.maxCrashes = max(stage.maxCrashes, record.Crashes())
+	}
+}
+
 // predates reports whether a run was assigned to its worker before an incarnation of that worker began. A scheduler
 // that takes over has not seen the earlier incarnation.
 func (assignment *assignment) predates(incarnation int64) bool {
--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -39,6 +39,7 @@
 	longCalls           int             // longCalls counts the hosts with a long call in the current pass.
 	examinedWorkers     int             // examinedWorkers counts how often a worker was looked at in the current pass.
 	usableCPU           int64           // usableCPU is the CPU capacity of the usable workers in thousandths of a core.
+	isolatedWorkers     int             // isolatedWorkers counts the workers with an isolated run, or kept free for one, in the current pass.
 	reservedCPU         int64           // reservedCPU is the part of usableCPU that is reserved for gangs in the current pass.
 	waitingStages       []*waitingStage // waitingStages holds the stages with tasks to place, in placement order.
 	advice              map[almondcross.StageID]*stageAdvice
@@ -94,7 +95,7 @@
 				worker := machine.ensureWorker(record.Worker())
 				task := almondcross.JobTask{Stage: stage.id, Index: index}
 				worker.assign(&assignment{
-					task: task, run: record.Run(), resources: stage.spec.Resources(), phase: phaseUnknown, stage: stage, job: job,
+					suspicion: stage.suspicion(index), task: task, run: record.Run(), resources: stage.spec.Resources(), phase: phaseUnknown, stage: stage, job: job,
 					placedAt: machine.now,
 				})
 				restored++
--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -12,6 +12,8 @@
 	job    *job
 	stage  *stage
 	advice *stageAdvice // advice is nil before the first query.
+	// isolationSince is when a task of the stage first waited for a worker of its own, zero if none waits.
+	isolationSince time.Time
 }
 
 // placeStages assigns tasks to workers in the order of the stages and requests missing advice.
@@ -41,13 +43,16 @@
 func (machine *Machine) startPass() {
 	leader := machine.leader
 	leader.usableWorkers = leader.usableWorkers[:0]
-	leader.reservedCPU, leader.usableCPU = 0, 0
+	leader.reservedCPU, leader.usableCPU, leader.isolatedWorkers = 0, 0, 0
 	leader.examinedWorkers = len(leader.sortedWorkers)
 	for _, worker := range leader.sortedWorkers {
 		if worker.inPass = worker.usable(machine.now); worker.inPass {
 			worker.reserved = almondcross.Resources{}
 			leader.usableWorkers = append(leader.usableWorkers, worker)
 			leader.usableCPU += worker.info.Capacity().MilliCPU()
+			if worker.isolatedRuns > 0 {
+				leader.isolatedWorkers++
+			}
 		}
 	}
 	machine.collectIdleHosts()
@@ -79,14 +84,13 @@
 	switch {
 	case queue.Pool() == "":
 	case !queue.AdviceSettings().Required():
-		machine.placeTasks(waiting.job, waiting.stage, machine.candidates(queue, waiting.stage, nil))
+		machine.placeTasks(queue, waiting, nil)
 	default:
 		if waiting.advice == nil {
 			waiting.advice = machine.ensureAdvice(waiting.stage.id)
 		}
 		if waiting.advice.anyTicketValid(machine.now) {
-			allowed := machine.candidates(queue, waiting.stage, waiting.advice)
-			if len(allowed) > 0 && machine.placeTasks(waiting.job, waiting.stage, allowed) {
+			if machine.placeTasks(queue, waiting, waiting.advice) {
 				return
 			}
 		}
@@ -139,9 +143,9 @@
 // maxReservedShare is the maximum share of the CPU capacity that may be reserved for waiting gangs.
 const maxReservedShare = 0.4
 
-// candidates returns the usable workers on which at least one task of a stage fits. With advice, it returns
-// only those with a valid ticket.
-func (machine *Machine) candidates(queue almondcross.Queue, stage *stage, advice *stageAdvice) []almondcross.WorkerCapacity {
+// candidates returns the usable workers on which at least one task of a stage fits that is under the given suspicion.
+// With advice, it returns only those with a valid ticket.
+func (machine *Machine) candidates(queue almondcross.Queue, stage *stage, suspicion suspicion, advice *stageAdvice) []almondcross.WorkerCapacity {
 	spec := stage.spec
 	failed := stage.failedWorkers()
 	if len(failed) >= len(machine.leader.usableWorkers) {
@@ -154,10 +158,10 @@
 	machine.leader.examinedWorkers += len(workers)
 	var candidates []almondcross.WorkerCapacity
 	for _, worker := range workers {
-		if advice != nil && !advice.hasTicket(worker, machine.now) || failed[worker.id] {
+		if !worker.inPass || failed[worker.id] || advice != nil && !advice.hasTicket(worker, machine.now) {
 			continue
 		}
-		if worker.info.Pool() != queue.Pool() || !worker.info.HasLabel(spec.Label()) {
+		if worker.info.Pool() != queue.Pool() || !worker.info.HasLabel(spec.Label()) || !worker.accepts(suspicion) {
 			continue
 		}
 		free := worker.free().Sub(worker.reserved)
@@ -165,6 +169,9 @@
 		if count > 0 && spec.PerWorker() > 0 {
 			count = min(count, spec.PerWorker()-worker.runCount(stage.id))
 		}
+		if suspicion != unsuspected && !spec.Gang() {
+			count = min(count, 1)
+		}
 		if count <= 0 {
 			continue
 		}
@@ -216,13 +223,27 @@
 
 // placeTasks places as many tasks of a stage as it can, or a whole gang or nothing. It reports whether no task
 // is left to place.
-func (machine *Machine) placeTasks(job *job, stage *stage, candidates []almondcross.WorkerCapacity) bool {
-	var wanted []int
-	for index, record := range stage.tasks {
-		if !record.Done() && !record.Active() {
-			wanted = append(wanted, index)
+func (machine *Machine) placeTasks(queue almondcross.Queue, waiting *waitingStage, advice *stageAdvice) bool {
+	complete := true
+	for level, wanted := range waiting.stage.unplacedTasks() {
+		suspicion := suspicion(level)
+		if len(wanted) == 0 {
+			continue
+		}
+		placed := machine.placeGroup(waiting.job, waiting.stage, wanted, machine.cautiousCandidates(queue, waiting, suspicion, advice))
+		complete = complete && placed
+		if suspicion == isolated {
+			machine.awaitIsolation(queue, waiting, advice, placed)
 		}
 	}
+	return complete
+}
+
+// placeGroup places tasks of a stage that are under the same suspicion.
+func (machine *Machine) placeGroup(job *job, stage *stage, wanted []int, candidates []almondcross.WorkerCapacity) bool {
+	if len(candidates) == 0 {
+		return false
+	}
 	chosen := machine.config.Picker.Pick(almondcross.NewPickQuery(almondcross.PickQueryConfig{
 		Count: len(wanted), Need: stage.spec.Resources(), AllOrNothing: stage.spec.Gang(),
 		SameRack: stage.spec.SameRack(), Rack: stage.spec.DataRack(),
@@ -258,7 +279,7 @@
 	}
 	chosen := machine.config.Picker.Pick(almondcross.NewPickQuery(almondcross.PickQueryConfig{
 		Count: 1, Need: stage.spec.Resources(), AllOrNothing: true,
-	}), machine.candidates(queue, stage, advice))
+	}), machine.candidates(queue, stage, stage.suspicion(missing.task.Index), advice))
 	if len(chosen) == 0 {
 		return false
 	}
@@ -276,6 +297,10 @@
 	task := almondcross.JobTask{Stage: stage.id, Index: index}
 	assigned := &assignment{
 		task: task, run: run, resources: stage.spec.Resources(), job: job, stage: stage, phase: phaseCommitting, placedAt: machine.now,
+		suspicion: stage.suspicion(index),
+	}
+	if assigned.suspicion == isolated && worker.isolatedRuns == 0 {
+		machine.leader.isolatedWorkers++
 	}
 	worker.assign(assigned)
 	machine.recordChange(almondcross.ChangeConfig{Kind: almondcross.ChangeAssign, Task: task, Run: run, Worker: worker.id})
--- a/command/scheduler/snapshot.go
+++ b/command/scheduler/snapshot.go
@@ -93,6 +93,7 @@
 				stage.activeTasks++
 			}
 		}
+		stage.updateMaxCrashes()
 		restored.activeTasks += stage.activeTasks
 		restored.stages = append(restored.stages, stage)
 	}
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -12,6 +12,7 @@
 	id             almondcross.StageID
 	spec           almondcross.Step
 	tasks          []almondcross.TaskRecord
+	maxCrashes     int    // maxCrashes is the highest number of crashes of a task.
 	gangRun        int    // gangRun is the highest run number of a gang.
 	gangFailures   int    // gangFailures counts the failed runs of a gang.
 	failedGangRun  int    // failedGangRun is the last run of a gang with a failed member, zero once it has been counted.
@@ -297,6 +298,9 @@
 		record = state.countCrash(record)
 	}
 	stage.tasks[index] = record
+	if change.End() == almondcross.EndWorkerCrashed {
+		stage.updateMaxCrashes()
+	}
 	if stage.spec.Gang() && !stage.spec.Service() {
 		stage.updateGang(change)
 	}
--- /dev/null
+++ b/command/scheduler/suspicion_test.go
@@ -0,0 +1,117 @@
+package scheduler
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/almondcross/almondcross"
+)
+
+// newHarnessWithWorkers returns a scheduler that has heard from as many workers, w-1 and so on.
+func newHarnessWithWorkers(t *testing.T, count int) *harness {
+	t.Helper()
+	harness := newHarness(t)
+	harness.becomeScheduler()
+	for index := 2; index <= count; index++ {
+		id := "w-" + strconv.Itoa(index)
+		harness.apply(almondcross.NewWorkersRead(almondcross.WorkersReadConfig{Changes: []almondcross.WorkerChange{
+			almondcross.NewWorkerChange(almondcross.WorkerChangeConfig{ID: id, Present: true, Worker: poolWorker.WithID(id)}),
+		}}))
+	}
+	harness.hearFromWorkers()
+	return harness
+}
+
+// hearFromWorkers answers the pending lease orders with reports of all runs that the workers should have.
+func (harness *harness) hearFromWorkers() {
+	for sent, found := takeEffect[SendLease](harness); found; sent, found = takeEffect[SendLease](harness) {
+		var running []almondcross.RunningTask
+		for _, assigned := range harness.machine.leader.workers[sent.Order.Worker().ID()].assignments {
+			running = append(running, almondcross.NewRunningTask(almondcross.RunningTaskConfig{Task: assigned.task, Run: assigned.run}))
+		}
+		harness.machine.Apply(almondcross.NewLeaseAnswered(almondcross.LeaseAnsweredConfig{
+			Order: sent.Order, Result: almondcross.OrderDone, Sent: harness.now, Received: harness.now,
+			Report: almondcross.NewWorkerReport(almondcross.WorkerReportConfig{Incarnation: 1, Clock: time.Second, Running: running}),
+		}), harness.now)
+	}
+}
+
+// crashUnder records crashes under the last runs of tasks and places them again.
+func (harness *harness) crashUnder(tasks ...almondcross.JobTask) {
+	harness.t.Helper()
+	for _, task := range tasks {
+		worker := harness.machine.leader.workers[harness.record(task).Worker()]
+		harness.machine.endRun(worker, worker.assignments[task], almondcross.EndWorkerCrashed, "")
+	}
+	harness.placeWaiting()
+}
+
+// placeWaiting lets the scheduler place what waits.
+func (harness *harness) placeWaiting() {
+	harness.hearFromWorkers()
+	harness.advance(leaderTick)
+	harness.answerCommits()
+}
+
+// record returns the state of a task.
+func (harness *harness) record(task almondcross.JobTask) almondcross.TaskRecord {
+	return harness.machine.state.jobs[task.Stage.Job].stage(task.Stage).tasks[task.Index]
+}
+
+// Guards against tasks that have seen a crash and share a worker again: the next crash would not tell them apart, and
+// innocent ones would be given up with the one that crashes its workers.
+func TestSuspectedTasksGetDifferentWorkers(t *testing.T) {
+	harness := newHarnessWithWorkers(t, 3)
+	harness.submitJob("j", almondcross.StepConfig{Count: 2})
+	harness.answerCommits()
+	first, second := taskOf("j", 0, 0), taskOf("j", 0, 1)
+	require.Equal(t, harness.record(first).Worker(), harness.record(second).Worker(), "tasks share a worker as long as there is no crash")
+	harness.crashUnder(first, second)
+	require.True(t, harness.record(first).Active())
+	require.True(t, harness.record(second).Active())
+	require.NotEqual(t, harness.record(first).Worker(), harness.record(second).Worker())
+}
+
+// Guards against a task that takes the runs of others with it each time it crashes a worker: after the second crash it
+// runs alone, and nothing is placed beside it.
+func TestTaskWithSeveralCrashesRunsAlone(t *testing.T) {
+	harness := newHarnessWithWorkers(t, 2)
+	harness.submitJob("j", almondcross.StepConfig{Count: 1})
+	harness.answerCommits()
+	crashing := taskOf("j", 0, 0)
+	harness.submitJob("k", almondcross.StepConfig{Count: 1})
+	harness.answerCommits()
+	other := harness.record(taskOf("k", 0, 0)).Worker()
+	require.Equal(t, other, harness.record(crashing).Worker())
+	harness.crashUnder(crashing)
+	harness.crashUnder(crashing)
+	alone := harness.record(crashing).Worker()
+	require.True(t, harness.record(crashing).Active())
+	require.NotEqual(t, other, alone)
+	harness.submitJob("l", almondcross.StepConfig{Count: 4})
+	harness.answerCommits()
+	for index := range 4 {
+		require.NotEqual(t, alone, harness.record(taskOf("l", 0, index)).Worker())
+	}
+}
+
+// Guards against an innocent task that waits without end for a worker of its own on a cluster whose workers are never
+// empty.
+func TestTaskWithSeveralCrashesWaitsForABoundedTime(t *testing.T) {
+	harness := newHarnessWithWorkers(t, 2)
+	harness.submitJob("j", almondcross.StepConfig{Count: 1})
+	harness.submitJob("long", almondcross.StepConfig{Count: 5})
+	harness.answerCommits()
+	crashing := taskOf("j", 0, 0)
+	harness.crashUnder(crashing)
+	harness.crashUnder(crashing)
+	require.False(t, harness.record(crashing).Active(), "no worker is empty")
+	waitingSince := harness.now
+	for !harness.record(crashing).Active() && harness.now.Sub(waitingSince) < time.Minute {
+		harness.placeWaiting()
+	}
+	require.InDelta(t, isolationTimeout.Seconds(), harness.now.Sub(waitingSince).Seconds(), 0.1)
+}
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -37,6 +37,7 @@
 	checkpoint    string     // checkpoint is the last checkpoint that the worker reported.
 	progress      int        // progress is the last reported progress in percent.
 	progressAt    time.Time  // progressAt is when the progress last changed.
+	suspicion     suspicion  // suspicion is that of the task when the run was assigned.
 	workerCrashed bool       // workerCrashed is set once the incarnation of the worker that got the start order has crashed.
 }
 
@@ -53,6 +54,9 @@
 	usedByGangs almondcross.Resources // usedByGangs is the part of used that belongs to gangs.
 	reserved    almondcross.Resources // reserved holds the resources reserved for waiting gangs in the current pass.
 
+	suspectRuns  int // suspectRuns counts the runs of tasks under suspicion.
+	isolatedRuns int // isolatedRuns counts the runs of isolated tasks; the worker gets no other runs meanwhile.
+
 	inPass bool // inPass is set if the worker may get new work in the current placement pass.
 
 	incarnation     int64
@@ -84,6 +88,12 @@
 	if assignment.stage.spec.Gang() {
 		worker.usedByGangs = worker.usedByGangs.Add(assignment.resources)
 	}
+	if assignment.suspicion != unsuspected {
+		worker.suspectRuns++
+	}
+	if assignment.suspicion == isolated {
+		worker.isolatedRuns++
+	}
 }
 
 func (worker *worker) release(assignment *assignment) {
@@ -93,6 +103,12 @@
 		if assignment.stage.spec.Gang() {
 			worker.usedByGangs = worker.usedByGangs.Sub(assignment.resources)
 		}
+		if assignment.suspicion != unsuspected {
+			worker.suspectRuns--
+		}
+		if assignment.suspicion == isolated {
+			worker.isolatedRuns--
+		}
 	}
 }
 
