Check the worker again before a start order is sent

While the store does not answer, seconds pass in between, and the order was sent on the decision of before: to a worker that had meanwhile announced less capacity (the rule LIMIT, new for workers that shrink), that it leaves (DRAIN), or that was no longer announced. Found by reading for the new rule on capacity.

The order is now sent only if the worker is still announced, does not drain, and its capacity holds all its runs; otherwise the run ends as void and the task waits again.

TestStartIsDroppedIfTheWorkerHasChangedBeforeTheCommit: its three cases failed before and pass.

--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -316,7 +316,7 @@
 		return
 	}
 	leaseEnd := machine.leaseEnd(worker)
-	if assigned.stopReason != "" || assigned.unwantedReason() != "" || leaseEnd == 0 || worker.unreachable {
+	if assigned.stopReason != "" || assigned.unwantedReason() != "" || leaseEnd == 0 || worker.unreachable || !worker.fitsRuns() {
 		machine.endRun(worker, assigned, almondcross.EndVoid, "")
 		return
 	}
--- a/command/scheduler/placement_test.go
+++ b/command/scheduler/placement_test.go
@@ -101,3 +101,26 @@
 		})
 	}
 }
+
+// Guards against a start order that follows a decision of before: while the append waited for the store, the worker has
+// announced less capacity (LIMIT), that it leaves (DRAIN), or its announcement has ended.
+func TestStartIsDroppedIfTheWorkerHasChangedBeforeTheCommit(t *testing.T) {
+	small := almondcross.NewResources(almondcross.ResourcesConfig{MilliCPU: 500, MemoryMB: 4000})
+	for name, change := range map[string]almondcross.WorkerChangeConfig{
+		"shrunk":   {ID: workerID, Present: true, Worker: poolWorker.WithCapacity(small)},
+		"draining": {ID: workerID, Present: true, Worker: poolWorker.WithDraining(true)},
+		"unlisted": {ID: workerID},
+	} {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarness(t)
+			harness.becomeScheduler()
+			harness.answerCommits()
+			harness.submitJob("j", almondcross.StepConfig{Count: 1})
+			harness.apply(almondcross.NewWorkersRead(almondcross.WorkersReadConfig{Changes: []almondcross.WorkerChange{almondcross.NewWorkerChange(change)}}))
+			harness.answerCommits()
+			_, started := takeEffect[SendStart](harness)
+			require.False(t, started)
+			require.False(t, harness.machine.state.jobs["j"].stages[0].tasks[0].Active(), "the task waits again")
+		})
+	}
+}
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -82,6 +82,13 @@
 // free returns the unused resources of the worker.
 func (worker *worker) free() almondcross.Resources { return worker.info.Capacity().Sub(worker.used) }
 
+// fitsRuns reports whether the worker still takes the runs that it was given. It may have changed since the decision,
+// because the store may take seconds to commit it.
+func (worker *worker) fitsRuns() bool {
+	free := worker.free()
+	return worker.announced && !worker.info.Draining() && free.MilliCPU() >= 0 && free.MemoryMB() >= 0 && free.Accelerators() >= 0
+}
+
 func (worker *worker) assign(assignment *assignment) {
 	worker.assignments[assignment.task] = assignment
 	worker.used = worker.used.Add(assignment.resources)
