Give a task up only after two crashes under runs known to have started

An end is now crashed only for a run that the worker had confirmed, and maybe_crashed otherwise; a job fails after two confirmed crashes, or after five of any kind, which keeps the bound on starts. A crash that met only runs of one job (crashed_alone) counts twice, since it leaves no other to blame, so a task that crashes its workers is given up after two of them and not three.

--- a/command/scheduler/crash.go
+++ b/command/scheduler/crash.go
@@ -9,20 +9,43 @@
 )
 
 const (
-	// maxCrashes is the number of workers that may crash under a task before its job fails. A bystander of the task
-	// that crashes them rarely gets that far, because a task with a crash gets no second chance beside another one.
+	// minConfirmedCrashes is the number of workers that have to have crashed under started runs of a task for its job to
+	// fail.
+	minConfirmedCrashes = 2
+	// maxCrashes is the count of crashes under a task at which its job fails, given minConfirmedCrashes: two workers, if
+	// the task was alone with others of its job on one of them, three otherwise.
 	maxCrashes = 3
+	// maxMaybeCrashes is the count of crashes at which the job fails even if it is not known that the runs had started.
+	// A task that crashes its workers may be started twice more after the third crash.
+	maxMaybeCrashes = 5
 	// crashAttribution is how long a run may have been on its worker for a crash to count against its task. A task
 	// that crashes its workers does so on each of them, so a run that worked for longer was a bystander.
 	crashAttribution = time.Minute
 )
 
+// isCrash reports whether a run ended because its worker crashed.
+func isCrash(kind almondcross.EndKind) bool {
+	return kind == almondcross.EndWorkerCrashed || kind == almondcross.EndCrashedAlone || kind == almondcross.EndMaybeCrashed
+}
+
 // countCrash counts a crash of the worker under the last run of a task.
-func (state *state) countCrash(record almondcross.TaskRecord) almondcross.TaskRecord {
+func (state *state) countCrash(record almondcross.TaskRecord, kind almondcross.EndKind) almondcross.TaskRecord {
 	if state.batchTime.Sub(record.Since()) > crashAttribution {
-		return record.WithCrashes(0)
+		return record.WithCrashes(0).WithConfirmed(0)
+	}
+	switch kind {
+	case almondcross.EndMaybeCrashed:
+		return record.WithCrashes(record.Crashes() + 1)
+	case almondcross.EndCrashedAlone:
+		return record.WithCrashes(record.Crashes() + 2).WithConfirmed(record.Confirmed() + 1)
+	default:
+		return record.WithCrashes(record.Crashes() + 1).WithConfirmed(record.Confirmed() + 1)
 	}
-	return record.WithCrashes(record.Crashes() + 1)
+}
+
+// givenUp reports whether so many workers have crashed under a task that it is not started again.
+func givenUp(record almondcross.TaskRecord) bool {
+	return !record.Done() && (record.Crashes() >= maxCrashes && record.Confirmed() >= minConfirmedCrashes || record.Crashes() >= maxMaybeCrashes)
 }
 
 // updateMaxCrashes computes the highest number of crashes of a task anew.
@@ -39,40 +62,56 @@
 	return time.UnixMilli(incarnation).After(assignment.stage.tasks[assignment.task.Index].Since())
 }
 
-// missingEnd returns how a run ended that its worker does not have.
-func (assignment *assignment) missingEnd() almondcross.EndKind {
-	if assignment.workerCrashed {
-		return almondcross.EndWorkerCrashed
+// crashEnd returns how the started runs of a worker ended whose process has ended. A worker that has said that it leaves
+// has not crashed.
+func (worker *worker) crashEnd() almondcross.EndKind {
+	if worker.drained {
+		return almondcross.EndVoid
+	}
+	var only *job
+	for _, assignment := range worker.assignments {
+		switch {
+		case assignment.phase == phaseCommitting:
+		case only == nil:
+			only = assignment.job
+		case only != assignment.job:
+			return almondcross.EndWorkerCrashed
+		}
+	}
+	return almondcross.EndCrashedAlone
+}
+
+// crashEnd returns how a run ended whose worker has ended as told by the worker's crashEnd.
+func (assignment *assignment) crashEnd(worker almondcross.EndKind) almondcross.EndKind {
+	if isCrash(worker) && assignment.confirmedAt.IsZero() {
+		return almondcross.EndMaybeCrashed
 	}
-	return almondcross.EndVoid
+	return worker
 }
 
-// lostRunEnd returns how the runs of an unreachable worker ended whose lease has expired. A worker that is still
-// announced, or has said that it leaves, has not crashed.
+// lostRunEnd returns how the started runs of an unreachable worker ended whose lease has expired. A worker that is still
+// announced has not crashed.
 func (machine *Machine) lostRunEnd(worker *worker) almondcross.EndKind {
-	if worker.announced || worker.drained || !machine.leader.workersListed {
+	if worker.announced || !machine.leader.workersListed {
 		return almondcross.EndVoid
 	}
-	return almondcross.EndWorkerCrashed
+	return worker.crashEnd()
 }
 
 // endRunsOfReplaced ends the runs of a worker at whose address another one answers: its process, and all that ran on it,
 // has ended, whatever is left of the lease.
 func (machine *Machine) endRunsOfReplaced(worker *worker) {
-	kind := almondcross.EndWorkerCrashed
-	if worker.drained {
-		kind = almondcross.EndVoid
-	}
+	kind := worker.crashEnd()
 	for _, assignment := range slices.Collect(maps.Values(worker.assignments)) {
 		if assignment.phase != phaseCommitting {
-			machine.endRun(worker, assignment, kind, assignment.checkpoint)
+			machine.endRun(worker, assignment, assignment.crashEnd(kind), assignment.checkpoint)
 		}
 	}
 }
 
 // logGivenUp tells that a job has failed because workers crashed under a task.
 func (machine *Machine) logGivenUp(assignment *assignment, kind almondcross.EndKind) {
-	if kind != almondcross.EndWorkerCrashed {
+	if !isCrash(kind) {
 		return
 	}
 	machine.config.Log.Record("task_given_up", almondcross.Text("task", assignment.task.String()), almondcross.Number("run", assignment.run),
--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -95,7 +95,7 @@
 				worker := machine.ensureWorker(record.Worker())
 				task := almondcross.JobTask{Stage: stage.id, Index: index}
 				worker.assign(&assignment{
-					suspicion: stage.suspicion(index), task: task, run: record.Run(), resources: stage.spec.Resources(), phase: phaseUnknown, stage: stage, job: job,
+					suspicion: stage.suspicion(index), missingEnd: almondcross.EndVoid, task: task, run: record.Run(), resources: stage.spec.Resources(), phase: phaseUnknown, stage: stage, job: job,
 					placedAt: machine.now,
 				})
 				restored++
--- a/command/scheduler/lease.go
+++ b/command/scheduler/lease.go
@@ -220,11 +220,14 @@
 // resetWorker drops the state of the previous incarnation of a worker. Orders sent to it may still reach the
 // new one, so their outcome is known only from a report under a higher fencing token.
 func (machine *Machine) resetWorker(worker *worker, incarnation int64) {
+	crashEnd := worker.crashEnd()
 	for _, assignment := range worker.assignments {
 		if assignment.phase == phaseCommitting {
 			continue
 		}
-		assignment.workerCrashed = !worker.drained && (worker.incarnation != 0 || assignment.predates(incarnation))
+		if worker.incarnation != 0 || assignment.predates(incarnation) {
+			assignment.missingEnd = assignment.crashEnd(crashEnd)
+		}
 		if worker.incarnation != 0 {
 			assignment.phase = phaseUnknown
 		}
@@ -241,7 +244,7 @@
 		assigned.phase, assigned.confirmedAt = phaseConfirmed, machine.now
 		assigned.progressAt = machine.now
 	}
-	assigned.workerCrashed = false
+	assigned.missingEnd = almondcross.EndVoid
 	if running.Checkpoint() != "" {
 		assigned.checkpoint = running.Checkpoint()
 	}
@@ -260,7 +263,7 @@
 		missing := assignment.phase == phaseConfirmed && assignment.confirmedAt.Before(answer.Sent()) ||
 			assignment.phase == phaseUnknown && assignment.fence < answer.Order().Fence()
 		if missing {
-			machine.endRun(worker, assignment, assignment.missingEnd(), assignment.checkpoint)
+			machine.endRun(worker, assignment, assignment.missingEnd, assignment.checkpoint)
 		}
 	}
 }
--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -297,7 +297,7 @@
 	task := almondcross.JobTask{Stage: stage.id, Index: index}
 	assigned := &assignment{
 		task: task, run: run, resources: stage.spec.Resources(), job: job, stage: stage, phase: phaseCommitting, placedAt: machine.now,
-		suspicion: stage.suspicion(index),
+		suspicion: stage.suspicion(index), missingEnd: almondcross.EndVoid,
 	}
 	if assigned.suspicion == isolated && worker.isolatedRuns == 0 {
 		machine.leader.isolatedWorkers++
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -12,7 +12,7 @@
 	id             almondcross.StageID
 	spec           almondcross.Step
 	tasks          []almondcross.TaskRecord
-	maxCrashes     int    // maxCrashes is the highest number of crashes of a task.
+	maxCrashes     int    // maxCrashes is the highest count of crashes of a task.
 	gangRun        int    // gangRun is the highest run number of a gang.
 	gangFailures   int    // gangFailures counts the failed runs of a gang.
 	failedGangRun  int    // failedGangRun is the last run of a gang with a failed member, zero once it has been counted.
@@ -294,11 +294,12 @@
 		record = record.WithFailures(record.Failures() + 1)
 		stage.failedGangRun = change.Run()
 	}
-	if change.End() == almondcross.EndWorkerCrashed {
-		record = state.countCrash(record)
+	crashed := isCrash(change.End())
+	if crashed {
+		record = state.countCrash(record, change.End())
 	}
 	stage.tasks[index] = record
-	if change.End() == almondcross.EndWorkerCrashed {
+	if crashed {
 		stage.updateMaxCrashes()
 	}
 	if stage.spec.Gang() && !stage.spec.Service() {
@@ -335,7 +336,7 @@
 		state.finishJob(job, almondcross.JobFailed)
 		return
 	}
-	if stage.tasks[index].Crashes() >= maxCrashes && !stage.tasks[index].Done() {
+	if givenUp(stage.tasks[index]) {
 		state.finishJob(job, almondcross.JobFailed)
 		return
 	}
--- a/command/scheduler/sweep.go
+++ b/command/scheduler/sweep.go
@@ -40,10 +40,11 @@
 // sweepRuns ends the runs of a lost worker, stops those that are no longer wanted or make no progress, and repeats
 // unanswered stop orders.
 func (machine *Machine) sweepRuns(worker *worker, lost bool) {
+	lostEnd := machine.lostRunEnd(worker)
 	for _, assignment := range worker.assignments {
 		switch {
 		case lost && assignment.phase != phaseCommitting:
-			machine.endRun(worker, assignment, machine.lostRunEnd(worker), assignment.checkpoint)
+			machine.endRun(worker, assignment, assignment.crashEnd(lostEnd), assignment.checkpoint)
 		case !machine.stopUnwanted(worker, assignment) && assignment.stalled(worker, machine.now):
 			machine.stopStalled(worker, assignment)
 		case assignment.stopDue(machine.now) && worker.managed && !worker.unreachable:
--- a/encoder/journal.go
+++ b/encoder/journal.go
@@ -104,11 +104,11 @@
 	SinceMS            int64
 }
 
-// wireTaskRecord is one task of a snapshot. Crashes is encoded only if it is not zero, so that records of an earlier
+// wireTaskRecord is one task of a snapshot. The crashes are encoded only if there are any, so that records of an earlier
 // version are read, and an earlier version reads all records but those of tasks with crashes.
 type wireTaskRecord struct {
 	taskRecordFields
-	Crashes int
+	Crashes, Confirmed int
 }
 
 // plainTaskRecord is the encoded form of a task record without crashes.
@@ -121,7 +121,7 @@
 type crashedTaskRecord struct {
 	_ struct{} `cbor:",toarray"`
 	taskRecordFields
-	Crashes int
+	Crashes, Confirmed int
 }
 
 // plainTaskRecordHeader is the first byte of an encoded plainTaskRecord, the CBOR header of an array of its seven fields.
@@ -132,7 +132,7 @@
 	if wiretaskrecord.Crashes == 0 {
 		return cbor.Marshal(plainTaskRecord{taskRecordFields: wiretaskrecord.taskRecordFields})
 	}
-	return cbor.Marshal(crashedTaskRecord{taskRecordFields: wiretaskrecord.taskRecordFields, Crashes: wiretaskrecord.Crashes})
+	return cbor.Marshal(crashedTaskRecord{taskRecordFields: wiretaskrecord.taskRecordFields, Crashes: wiretaskrecord.Crashes, Confirmed: wiretaskrecord.Confirmed})
 }
 
 // UnmarshalCBOR sets the record from its encoded form.
@@ -145,7 +145,7 @@
 	}
 	var crashed crashedTaskRecord
 	err := cbor.Unmarshal(data, &crashed)
-	*wiretaskrecord = wireTaskRecord{taskRecordFields: crashed.taskRecordFields, Crashes: crashed.Crashes}
+	*wiretaskrecord = wireTaskRecord{taskRecordFields: crashed.taskRecordFields, Crashes: crashed.Crashes, Confirmed: crashed.Confirmed}
 	return err
 }
 
--- a/encoder/snapshot.go
+++ b/encoder/snapshot.go
@@ -164,7 +164,7 @@
 		tasks := make([]wireTaskRecord, len(stage.Tasks()))
 		for taskIndex, task := range stage.Tasks() {
 			config := task.Config()
-			tasks[taskIndex] = wireTaskRecord{Crashes: config.Crashes, taskRecordFields: taskRecordFields{
+			tasks[taskIndex] = wireTaskRecord{Crashes: config.Crashes, Confirmed: config.Confirmed, taskRecordFields: taskRecordFields{
 				Done: config.Done, Active: config.Active, Run: config.Run, Failures: config.Failures,
 				Worker: config.Worker, Checkpoint: config.Checkpoint, SinceMS: toUnixMillis(config.Since),
 			}}
@@ -186,7 +186,7 @@
 		tasks := make([]almondcross.TaskRecord, len(stage.Tasks))
 		for taskIndex, task := range stage.Tasks {
 			tasks[taskIndex] = almondcross.NewTaskRecord(almondcross.TaskRecordConfig{
-				Done: task.Done, Active: task.Active, Run: task.Run, Failures: task.Failures, Crashes: task.Crashes,
+				Done: task.Done, Active: task.Active, Run: task.Run, Failures: task.Failures, Crashes: task.Crashes, Confirmed: task.Confirmed,
 				Worker: task.Worker, Checkpoint: task.Checkpoint, Since: fromUnixMillis(task.SinceMS),
 			})
 		}
--- a/job_generated.go
+++ b/job_generated.go
@@ -2093,6 +2093,7 @@
 	Run        int
 	Failures   int
 	Crashes    int
+	Confirmed  int
 	Worker     string
 	Checkpoint string
 	Since      time.Time
@@ -2106,6 +2107,7 @@
 		run:        config.Run,
 		failures:   config.Failures,
 		crashes:    config.Crashes,
+		confirmed:  config.Confirmed,
 		worker:     config.Worker,
 		checkpoint: config.Checkpoint,
 		since:      config.Since,
@@ -2120,6 +2122,7 @@
 		Run:        taskrecord.run,
 		Failures:   taskrecord.failures,
 		Crashes:    taskrecord.crashes,
+		Confirmed:  taskrecord.confirmed,
 		Worker:     taskrecord.worker,
 		Checkpoint: taskrecord.checkpoint,
 		Since:      taskrecord.since,
@@ -2162,7 +2165,7 @@
 	return taskrecord
 }
 
-// Crashes returns the number of workers that crashed under a run of the task.
+// Crashes returns the crashes of workers under a run of the task; a crash counts twice with only runs of its job on the worker.
 func (taskrecord TaskRecord) Crashes() int { return taskrecord.crashes }
 
 // WithCrashes returns a copy with the given crashes.
@@ -2171,6 +2174,15 @@
 	return taskrecord
 }
 
+// Confirmed returns the number of crashes under a run that was known to have started.
+func (taskrecord TaskRecord) Confirmed() int { return taskrecord.confirmed }
+
+// WithConfirmed returns a copy with the given confirmed.
+func (taskrecord TaskRecord) WithConfirmed(confirmed int) TaskRecord {
+	taskrecord.confirmed = confirmed
+	return taskrecord
+}
+
 // Worker returns the worker of the last run.
 func (taskrecord TaskRecord) Worker() string { return taskrecord.worker }
 
--- a/journal.go
+++ b/journal.go
@@ -183,7 +183,8 @@
 	active     bool      // whether a run is assigned to a worker and its end is not recorded
 	run        int       // the highest run number
 	failures   int       // the number of failed runs
-	crashes    int       // the number of workers that crashed under a run of the task
+	crashes    int       // the crashes of workers under a run of the task; a crash counts twice with only runs of its job on the worker
+	confirmed  int       // the number of crashes under a run that was known to have started
 	worker     string    // the worker of the last run
 	checkpoint string    // the last recorded checkpoint, empty for none
 	since      time.Time // the time at which the last run was assigned to its worker
--- a/worker.go
+++ b/worker.go
@@ -38,14 +38,16 @@
 
 // The kinds of ends.
 const (
-	EndDone           EndKind = "done"    // EndDone means that the run succeeded.
-	EndFailed         EndKind = "failed"  // EndFailed means that the run failed; it counts as an attempt.
-	EndStopped        EndKind = "stopped" // EndStopped means that the run was stopped by a stop order.
-	EndLeaseExpired   EndKind = "lapsed"  // EndLeaseExpired means that the lease expired.
-	EndGangBroken     EndKind = "broken"  // EndGangBroken means that another task of the gang ended.
-	EndGangIncomplete EndKind = "alone"   // EndGangIncomplete means that the other tasks of the gang did not start in time.
-	EndWorkerCrashed  EndKind = "crashed" // EndWorkerCrashed means that the worker ended unannounced while the run may have been on it.
-	EndVoid           EndKind = "void"    // EndVoid means that the run never started, or ended out of sight for another reason than a crash.
+	EndDone           EndKind = "done"          // EndDone means that the run succeeded.
+	EndFailed         EndKind = "failed"        // EndFailed means that the run failed; it counts as an attempt.
+	EndStopped        EndKind = "stopped"       // EndStopped means that the run was stopped by a stop order.
+	EndLeaseExpired   EndKind = "lapsed"        // EndLeaseExpired means that the lease expired.
+	EndGangBroken     EndKind = "broken"        // EndGangBroken means that another task of the gang ended.
+	EndGangIncomplete EndKind = "alone"         // EndGangIncomplete means that the other tasks of the gang did not start in time.
+	EndWorkerCrashed  EndKind = "crashed"       // EndWorkerCrashed means that the worker ended unannounced while the run was on it.
+	EndCrashedAlone   EndKind = "crashed_alone" // EndCrashedAlone is EndWorkerCrashed with only runs of one job on the worker.
+	EndMaybeCrashed   EndKind = "maybe_crashed" // EndMaybeCrashed means that the worker ended unannounced, and it is not known whether the run had started.
+	EndVoid           EndKind = "void"          // EndVoid means that the run never started, or ended out of sight for another reason than a crash.
 )
 
 // RunningTask is one run that a worker reports as running.
