Isolate suspected tasks by job, and the queues whose jobs crash workers

Isolated tasks share a worker with others of their job, since the job fails with any of them; a task after its first crash takes an empty worker where there is one. All tasks of a blamed queue are isolated, newest first, on the workers that the shared work leaves when it grows by a third, an eighth at least.

--- a/command/scheduler/advice.go
+++ b/command/scheduler/advice.go
@@ -178,7 +178,7 @@
 }
 
 // requestAdvice requests tickets for workers with free resources if a host is idle.
-func (machine *Machine) requestAdvice(queue almondcross.Queue, stage *stage, advice *stageAdvice) {
+func (machine *Machine) requestAdvice(queue almondcross.Queue, job *job, stage *stage, advice *stageAdvice) {
 	if advice.pendingCalls > 0 || machine.now.Before(advice.retryAt) {
 		return
 	}
@@ -188,9 +188,9 @@
 	}
 	var selected []string
 	if stage.spec.Gang() && long {
-		selected = machine.selectForGang(queue, stage, advice)
+		selected = machine.selectForGang(queue, job, stage, advice)
 	} else {
-		selected = machine.selectWorkers(queue, stage, advice, machine.candidates(queue, stage, stage.waitingSuspicion(), nil))
+		selected = machine.selectWorkers(queue, stage, advice, machine.candidates(queue, job, stage, machine.waitingSuspicion(job, stage), nil))
 	}
 	if len(selected) == 0 {
 		advice.retryAt = machine.now.Add(adviceRetryDelay)
@@ -282,11 +282,11 @@
 // ones with free resources if these are expected to complete the gang. Until the allowed workers have enough
 // capacity, it selects undecided workers to query; after that it returns none and the gang waits for
 // resources.
-func (machine *Machine) selectForGang(queue almondcross.Queue, stage *stage, advice *stageAdvice) []string {
+func (machine *Machine) selectForGang(queue almondcross.Queue, job *job, stage *stage, advice *stageAdvice) []string {
 	wanted := stage.remainingTasks - stage.activeTasks
 	var freeOnAllowed, totalOnAllowed, freeOnUndecided int
 	var allowed []string
-	for _, candidate := range machine.candidates(queue, stage, stage.waitingSuspicion(), nil) {
+	for _, candidate := range machine.candidates(queue, job, stage, machine.waitingSuspicion(job, stage), nil) {
 		if advice.decisions[candidate.Worker()] {
 			freeOnAllowed += candidate.Tasks()
 			allowed = append(allowed, candidate.Worker())
--- a/command/scheduler/lease.go
+++ b/command/scheduler/lease.go
@@ -66,13 +66,17 @@
 		return
 	case answer.Result() != almondcross.OrderDone:
 		if !worker.unreachable {
-			worker.unreachable = true
+			worker.unreachable, worker.unreachableSince = true, machine.now
 			machine.config.Log.Record("worker_lost_contact", almondcross.Text("worker", worker.id), almondcross.Text("result", string(answer.Result())),
 				almondcross.Millis("age_ms", machine.now.Sub(worker.lastAnswerAt)), almondcross.Number("runs", len(worker.assignments)))
 		}
 		worker.raiseFence = true
-		if answer.Result() == almondcross.OrderReplaced {
+		switch answer.Result() {
+		case almondcross.OrderReplaced:
 			machine.endRunsOfReplaced(worker)
+		case almondcross.OrderRefused:
+			machine.blameQueue(worker)
+		default:
 		}
 		pause := leaseRetryDelay
 		if machine.now.Sub(worker.lastAnswerAt) > longLeaseRetryAfter {
@@ -82,7 +86,7 @@
 		return
 	}
 	if worker.unreachable {
-		worker.unreachable = false
+		worker.unreachable, worker.queueBlamed = false, false
 		machine.config.Log.Record("worker_regained", almondcross.Text("worker", worker.id))
 	}
 	machine.reconcileRuns(worker, answer)
--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -20,11 +20,30 @@
 func (machine *Machine) placeStages() {
 	leader := machine.leader
 	machine.startPass()
-	stillWaiting := leader.waitingStages[:0]
+	var isolatedStages []*waitingStage
 	for _, waiting := range leader.waitingStages {
-		if waiting.job.ready(waiting.stage) {
+		switch {
+		case !waiting.job.ready(waiting.stage):
+		case machine.queueCrashing(waiting.job):
+			isolatedStages = append(isolatedStages, waiting)
+		default:
 			machine.placeStage(waiting)
 		}
+	}
+	// Isolated stages wait long, as few workers are left for them. The newest ones can still be in time, and show first
+	// whether the jobs of the queue still crash workers.
+	for _, waiting := range slices.Backward(isolatedStages) {
+		machine.placeStage(waiting)
+	}
+	machine.dropPlacedStages()
+	machine.config.Metrics.Examined(leader.examinedWorkers)
+}
+
+// dropPlacedStages removes the stages without tasks to place from the waiting ones.
+func (machine *Machine) dropPlacedStages() {
+	leader := machine.leader
+	stillWaiting := leader.waitingStages[:0]
+	for _, waiting := range leader.waitingStages {
 		if waiting.job.ready(waiting.stage) {
 			stillWaiting = append(stillWaiting, waiting)
 			continue
@@ -36,25 +55,22 @@
 	}
 	clear(leader.waitingStages[len(stillWaiting):])
 	leader.waitingStages = stillWaiting
-	machine.config.Metrics.Examined(leader.examinedWorkers)
 }
 
 // startPass collects the workers and the hosts that may be used in a placement pass.
 func (machine *Machine) startPass() {
 	leader := machine.leader
 	leader.usableWorkers = leader.usableWorkers[:0]
-	leader.reservedCPU, leader.usableCPU, leader.isolatedWorkers = 0, 0, 0
+	leader.reservedCPU, leader.usableCPU = 0, 0
 	leader.examinedWorkers = len(leader.sortedWorkers)
 	for _, worker := range leader.sortedWorkers {
 		if worker.inPass = worker.usable(machine.now); worker.inPass {
 			worker.reserved = almondcross.Resources{}
 			leader.usableWorkers = append(leader.usableWorkers, worker)
 			leader.usableCPU += worker.info.Capacity().MilliCPU()
-			if worker.isolatedRuns > 0 {
-				leader.isolatedWorkers++
-			}
 		}
 	}
+	machine.limitIsolation()
 	machine.collectIdleHosts()
 }
 
@@ -94,7 +110,7 @@
 				return
 			}
 		}
-		machine.requestAdvice(queue, waiting.stage, waiting.advice)
+		machine.requestAdvice(queue, waiting.job, waiting.stage, waiting.advice)
 		if waiting.stage.spec.Gang() {
 			machine.reserveForGang(queue, waiting.stage, waiting.advice)
 		}
@@ -145,7 +161,7 @@
 
 // candidates returns the usable workers on which at least one task of a stage fits that is under the given suspicion.
 // With advice, it returns only those with a valid ticket.
-func (machine *Machine) candidates(queue almondcross.Queue, stage *stage, suspicion suspicion, advice *stageAdvice) []almondcross.WorkerCapacity {
+func (machine *Machine) candidates(queue almondcross.Queue, job *job, stage *stage, suspicion suspicion, advice *stageAdvice) []almondcross.WorkerCapacity {
 	spec := stage.spec
 	failed := stage.failedWorkers()
 	if len(failed) >= len(machine.leader.usableWorkers) {
@@ -161,7 +177,7 @@
 		if !worker.inPass || failed[worker.id] || advice != nil && !advice.hasTicket(worker, machine.now) {
 			continue
 		}
-		if worker.info.Pool() != queue.Pool() || !worker.info.HasLabel(spec.Label()) || !worker.accepts(suspicion) {
+		if worker.info.Pool() != queue.Pool() || !worker.info.HasLabel(spec.Label()) || !worker.accepts(job, suspicion) {
 			continue
 		}
 		free := worker.free().Sub(worker.reserved)
@@ -169,7 +185,7 @@
 		if count > 0 && spec.PerWorker() > 0 {
 			count = min(count, spec.PerWorker()-worker.runCount(stage.id))
 		}
-		if suspicion != unsuspected && !spec.Gang() {
+		if suspicion == suspected && !spec.Gang() {
 			count = min(count, 1)
 		}
 		if count <= 0 {
@@ -225,7 +241,7 @@
 // is left to place.
 func (machine *Machine) placeTasks(queue almondcross.Queue, waiting *waitingStage, advice *stageAdvice) bool {
 	complete := true
-	for level, wanted := range waiting.stage.unplacedTasks() {
+	for level, wanted := range machine.unplacedTasks(waiting.job, waiting.stage) {
 		suspicion := suspicion(level)
 		if len(wanted) == 0 {
 			continue
@@ -279,7 +295,7 @@
 	}
 	chosen := machine.config.Picker.Pick(almondcross.NewPickQuery(almondcross.PickQueryConfig{
 		Count: 1, Need: stage.spec.Resources(), AllOrNothing: true,
-	}), machine.candidates(queue, stage, stage.suspicion(missing.task.Index), advice))
+	}), machine.candidates(queue, job, stage, machine.suspicion(job, stage, missing.task.Index), advice))
 	if len(chosen) == 0 {
 		return false
 	}
@@ -297,7 +313,7 @@
 	task := almondcross.JobTask{Stage: stage.id, Index: index}
 	assigned := &assignment{
 		task: task, run: run, resources: stage.spec.Resources(), job: job, stage: stage, phase: phaseCommitting, placedAt: machine.now,
-		suspicion: stage.suspicion(index), missingEnd: almondcross.EndVoid,
+		suspicion: machine.suspicion(job, stage, index), missingEnd: almondcross.EndVoid,
 	}
 	if assigned.suspicion == isolated && worker.isolatedRuns == 0 {
 		machine.leader.isolatedWorkers++
@@ -330,6 +346,7 @@
 		checkpoint = assigned.stage.gangCheckpoint
 	}
 	assigned.phase, assigned.fence = phaseSent, worker.fence
+	machine.countQueueStart(assigned.job)
 	machine.emit(SendStart{Order: almondcross.NewStartOrder(almondcross.StartOrderConfig{
 		Worker: worker.info, Task: assigned.task, Run: assigned.run, Payload: assigned.job.spec.Payload(), Checkpoint: checkpoint,
 		Ticket: ticket, Fence: worker.fence, Until: leaseEnd,
@@ -369,7 +386,7 @@
 			delete(advice.tickets, worker.id)
 		}
 		machine.endRun(worker, assigned, almondcross.EndVoid, "")
-	case almondcross.OrderUnavailable, almondcross.OrderNotSent, almondcross.OrderReplaced:
+	case almondcross.OrderUnavailable, almondcross.OrderNotSent, almondcross.OrderRefused, almondcross.OrderReplaced:
 		worker.avoidUntil = machine.now.Add(startRefusalBackoff)
 		machine.endRun(worker, assigned, almondcross.EndVoid, "")
 	default:
--- a/command/scheduler/suspicion.go
+++ b/command/scheduler/suspicion.go
@@ -12,23 +12,25 @@
 
 const (
 	unsuspected suspicion = iota // unsuspected tasks share workers with any others.
-	suspected                    // suspected tasks have seen one crash. Each gets a worker without another suspect, so that a second crash tells them apart.
-	isolated                     // isolated tasks have seen several crashes. Each runs alone, so that a further crash costs no other run.
+	suspected                    // suspected tasks have seen one crash. Each gets an empty worker, or one without another suspect, so that a second crash tells them apart.
+	isolated                     // isolated tasks have seen several crashes, or are of a queue whose tasks crash workers. They share a worker only with others of their job, so that a crash costs no other run.
 
 	suspicionLevels = 3
 )
 
 const (
-	// isolationCrashes is the number of crashes from which a task is isolated.
+	// isolationCrashes is the count of crashes from which a task is isolated.
 	isolationCrashes = 2
 	// isolationTimeout is how long a task waits for a worker of its own before it is placed like a suspected one. Most
 	// runs end within it, so that a worker that gets no new work is empty by then.
 	isolationTimeout = 2 * time.Second
-	// maxIsolationShare is the maximum share of the usable workers that isolated tasks may occupy.
-	maxIsolationShare = 0.125
+	// minIsolationShare and maxIsolationShare bound the share of the workers that isolated tasks may occupy, crashed
+	// workers included. Between them the share is what shared work leaves when it grows to maxSharedUse of its workers.
+	minIsolationShare, maxIsolationShare, maxSharedUse = 0.125, 0.75, 0.75
 )
 
-// suspicion returns the suspicion of a task. The members of a gang run together and share the highest one.
+// suspicion returns the suspicion of a task by its own crashes. The members of a gang run together and share the highest
+// one.
 func (stage *stage) suspicion(index int) suspicion {
 	crashes := stage.tasks[index].Crashes()
 	if stage.spec.Gang() {
@@ -44,21 +46,40 @@
 	}
 }
 
+// suspicion returns the suspicion of a task, by its own crashes and by those of its queue.
+func (machine *Machine) suspicion(job *job, stage *stage, index int) suspicion {
+	if machine.queueCrashing(job) {
+		return isolated
+	}
+	return stage.suspicion(index)
+}
+
 // unplacedTasks returns the indices of the tasks to place, by their suspicion.
-func (stage *stage) unplacedTasks() [suspicionLevels][]int {
+func (machine *Machine) unplacedTasks(job *job, stage *stage) [suspicionLevels][]int {
 	var unplaced [suspicionLevels][]int
+	crashing := machine.queueCrashing(job)
 	for index, record := range stage.tasks {
-		if !record.Done() && !record.Active() {
-			level := stage.suspicion(index)
-			unplaced[level] = append(unplaced[level], index)
+		if record.Done() || record.Active() {
+			continue
+		}
+		level := isolated
+		if !crashing {
+			level = stage.suspicion(index)
 		}
+		unplaced[level] = append(unplaced[level], index)
 	}
 	return unplaced
 }
 
 // waitingSuspicion returns the highest suspicion of the tasks to place.
-func (stage *stage) waitingSuspicion() suspicion {
+func (machine *Machine) waitingSuspicion(job *job, stage *stage) suspicion {
+	if machine.queueCrashing(job) {
+		return isolated
+	}
 	highest := unsuspected
+	if stage.maxCrashes == 0 {
+		return highest
+	}
 	for index, record := range stage.tasks {
 		if !record.Done() && !record.Active() {
 			highest = max(highest, stage.suspicion(index))
@@ -67,10 +88,10 @@
 	return highest
 }
 
-// accepts reports whether the worker may get a task under a suspicion, beside the runs that it has.
-func (worker *worker) accepts(suspicion suspicion) bool {
+// accepts reports whether the worker may get a task of a job under a suspicion, beside the runs that it has.
+func (worker *worker) accepts(job *job, suspicion suspicion) bool {
 	if worker.isolatedRuns > 0 {
-		return false
+		return worker.isolatedFor == job
 	}
 	switch suspicion {
 	case suspected:
@@ -83,34 +104,60 @@
 }
 
 // cautiousCandidates returns the candidates for the tasks of a stage under a suspicion. Tasks that cannot be kept apart
-// are placed like others: an innocent one must not wait for long.
+// are placed like others, since innocent ones must not wait for long, but for those of a queue whose tasks crash workers.
 func (machine *Machine) cautiousCandidates(queue almondcross.Queue, waiting *waitingStage, level suspicion, advice *stageAdvice) []almondcross.WorkerCapacity {
-	if level == isolated {
-		if waiting.isolationSince.IsZero() || machine.now.Sub(waiting.isolationSince) < isolationTimeout {
-			return machine.isolatedCandidates(queue, waiting.stage, advice)
-		}
-		level = suspected
+	if level == unsuspected {
+		return machine.candidates(queue, waiting.job, waiting.stage, unsuspected, advice)
 	}
-	found := machine.candidates(queue, waiting.stage, level, advice)
-	if len(found) == 0 && level == suspected {
-		return machine.candidates(queue, waiting.stage, unsuspected, advice)
+	if found := machine.isolatedCandidates(queue, waiting, advice); len(found) > 0 || level == isolated && machine.mayWaitForIsolation(waiting) {
+		return found
 	}
-	return found
+	if found := machine.candidates(queue, waiting.job, waiting.stage, suspected, advice); len(found) > 0 {
+		return found
+	}
+	return machine.candidates(queue, waiting.job, waiting.stage, unsuspected, advice)
 }
 
-// isolatedCandidates returns the empty workers that isolated tasks of a stage may use. A gang gets as many as it needs.
-func (machine *Machine) isolatedCandidates(queue almondcross.Queue, stage *stage, advice *stageAdvice) []almondcross.WorkerCapacity {
-	found := machine.candidates(queue, stage, isolated, advice)
-	if stage.spec.Gang() {
+// mayWaitForIsolation reports whether an isolated task of a stage goes on to wait for a worker of its own.
+func (machine *Machine) mayWaitForIsolation(waiting *waitingStage) bool {
+	return waiting.isolationSince.IsZero() || machine.now.Sub(waiting.isolationSince) < isolationTimeout || machine.queueCrashing(waiting.job)
+}
+
+// isolatedCandidates returns the workers that isolated tasks of a stage may use: those with runs of the same job alone,
+// and empty ones. A gang gets as many as it needs.
+func (machine *Machine) isolatedCandidates(queue almondcross.Queue, waiting *waitingStage, advice *stageAdvice) []almondcross.WorkerCapacity {
+	found := machine.candidates(queue, waiting.job, waiting.stage, isolated, advice)
+	if waiting.stage.spec.Gang() {
 		return found
 	}
 	return found[:min(len(found), machine.spareIsolation())]
 }
 
+// limitIsolation counts the workers that isolated tasks occupy, and sets how many they may occupy.
+func (machine *Machine) limitIsolation() {
+	leader := machine.leader
+	leader.isolatedWorkers = 0
+	var present int
+	var sharedCPU, presentCPU int64
+	for _, worker := range leader.sortedWorkers {
+		if !worker.announced && len(worker.assignments) == 0 {
+			continue
+		}
+		present++
+		presentCPU += worker.info.Capacity().MilliCPU()
+		if worker.isolatedRuns > 0 {
+			leader.isolatedWorkers++
+		} else {
+			sharedCPU += worker.used.MilliCPU()
+		}
+	}
+	spare := 1 - float64(sharedCPU)/(maxSharedUse*float64(max(presentCPU, 1)))
+	leader.isolationLimit = max(1, int(min(max(spare, minIsolationShare), maxIsolationShare)*float64(present)))
+}
+
 // spareIsolation returns how many more workers isolated tasks may occupy.
 func (machine *Machine) spareIsolation() int {
-	leader := machine.leader
-	return max(0, max(1, int(maxIsolationShare*float64(len(leader.usableWorkers))))-leader.isolatedWorkers)
+	return max(0, machine.leader.isolationLimit-machine.leader.isolatedWorkers)
 }
 
 // awaitIsolation notes since when tasks of a stage wait for workers of their own, and keeps the least occupied worker
@@ -127,7 +174,7 @@
 		return
 	}
 	var emptiest *worker
-	for _, candidate := range machine.candidates(queue, waiting.stage, suspected, advice) {
+	for _, candidate := range machine.candidates(queue, waiting.job, waiting.stage, suspected, advice) {
 		worker := machine.leader.workers[candidate.Worker()]
 		if emptiest == nil || len(worker.assignments) < len(emptiest.assignments) {
 			emptiest = worker
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -54,21 +54,24 @@
 	usedByGangs almondcross.Resources // usedByGangs is the part of used that belongs to gangs.
 	reserved    almondcross.Resources // reserved holds the resources reserved for waiting gangs in the current pass.
 
-	suspectRuns  int // suspectRuns counts the runs of tasks under suspicion.
-	isolatedRuns int // isolatedRuns counts the runs of isolated tasks; the worker gets no other runs meanwhile.
+	suspectRuns  int  // suspectRuns counts the runs of tasks under suspicion.
+	isolatedRuns int  // isolatedRuns counts the runs of isolated tasks; meanwhile the worker gets no runs of other jobs.
+	isolatedFor  *job // isolatedFor is the job of the isolated runs.
 
 	inPass bool // inPass is set if the worker may get new work in the current placement pass.
 
-	incarnation     int64
-	acknowledgedEnd int64         // acknowledgedEnd is the last end of this incarnation that is in the journal.
-	clock           time.Duration // clock is the worker's clock at lastAnswerAt.
-	lastAnswerAt    time.Time     // lastAnswerAt is when the last report arrived, zero for never.
-	maxLeaseEnd     time.Duration // maxLeaseEnd is the latest end of a lease that was sent, on the worker's clock.
-	fence           int64
-	raiseFence      bool // raiseFence is set if the next lease order must invalidate all earlier orders.
-	leasePending    bool // leasePending is set while a lease order is pending or waits for a commit.
-	unreachable     bool // unreachable is set if the last lease order was not answered.
-	avoidUntil      time.Time
+	incarnation      int64
+	acknowledgedEnd  int64         // acknowledgedEnd is the last end of this incarnation that is in the journal.
+	clock            time.Duration // clock is the worker's clock at lastAnswerAt.
+	lastAnswerAt     time.Time     // lastAnswerAt is when the last report arrived, zero for never.
+	maxLeaseEnd      time.Duration // maxLeaseEnd is the latest end of a lease that was sent, on the worker's clock.
+	fence            int64
+	raiseFence       bool      // raiseFence is set if the next lease order must invalidate all earlier orders.
+	leasePending     bool      // leasePending is set while a lease order is pending or waits for a commit.
+	unreachable      bool      // unreachable is set if the last lease order was not answered.
+	unreachableSince time.Time // unreachableSince is when the first of these lease orders failed.
+	queueBlamed      bool      // queueBlamed is set once a queue has been blamed for the end of this incarnation.
+	avoidUntil       time.Time
 	// extensionBlocked is set while the journal may still hold the silence of this worker, so that its lease
 	// must not be extended.
 	extensionBlocked bool
@@ -100,6 +103,7 @@
 	}
 	if assignment.suspicion == isolated {
 		worker.isolatedRuns++
+		worker.isolatedFor = assignment.job
 	}
 }
 
--- a/worker.go
+++ b/worker.go
@@ -130,6 +130,7 @@
 	OrderDone          OrderResult = "done"      // OrderDone means that the order was executed.
 	OrderUnknown       OrderResult = "unknown"   // OrderUnknown means that the order may have been executed or may still be.
 	OrderNotSent       OrderResult = "not_sent"  // OrderNotSent means that the order never reached the worker.
+	OrderRefused       OrderResult = "refused"   // OrderRefused means that nothing accepts connections at the worker's address; the order never reached the worker.
 	OrderFenced        OrderResult = "fenced"    // OrderFenced means that the worker has seen a higher fencing token.
 	OrderRunEnded      OrderResult = "old"       // OrderRunEnded means that this or a later run of the task has ended or was stopped on the worker.
 	OrderLeaseExpired  OrderResult = "late"      // OrderLeaseExpired means that the lease in the order had already ended.
