Treat records that no scheduler writes as malformed

Since the record stays in the store, each host ended again after its restart.

The decoder of the records now refuses them as ErrMalformed, so the readers skip and count them. Epochs whose fencing tokens would exceed the range of int64 are refused too.

--- /dev/null
+++ b/command/scheduler/records_test.go
@@ -0,0 +1,130 @@
+package scheduler
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/almondcross/almondcross"
+	"github.com/almondcross/almondcross/encoder"
+)
+
+func newJob(id almondcross.JobID, steps ...almondcross.StepConfig) almondcross.Job {
+	config := almondcross.JobConfig{ID: id, Queue: "q"}
+	for _, step := range steps {
+		config.Steps = append(config.Steps, almondcross.NewStep(step))
+	}
+	return almondcross.NewJob(config)
+}
+
+func newBatch(epoch int64, changes ...almondcross.ChangeConfig) almondcross.JournalBatch {
+	config := almondcross.JournalBatchConfig{Epoch: epoch, At: time.Unix(1767225600, 0)}
+	for _, change := range changes {
+		config.Changes = append(config.Changes, almondcross.NewChange(change))
+	}
+	return almondcross.NewJournalBatch(config)
+}
+
+func snapshotOf(next, epoch int64, stages ...almondcross.StageRecordConfig) almondcross.StateSnapshot {
+	job := almondcross.JobRecordConfig{Job: newJob("j", almondcross.StepConfig{Count: 1}), State: almondcross.JobQueued}
+	for _, stage := range stages {
+		job.Stages = append(job.Stages, almondcross.NewStageRecord(stage))
+	}
+	return almondcross.NewStateSnapshot(almondcross.StateSnapshotConfig{
+		Next: next, Epoch: epoch, SchedulerEpoch: epoch, Jobs: []almondcross.JobRecord{almondcross.NewJobRecord(job)},
+	})
+}
+
+// applyRecord decodes a value of each kind from a record and applies what can be decoded.
+func applyRecord(codec encoder.Codec, record []byte) error {
+	now := time.Unix(1767225600, 0)
+	state := newState(time.Minute)
+	state.admitJob(newJob("j", almondcross.StepConfig{Count: 2, Gang: true}), almondcross.Queue{})
+	batch, batchErr := codec.DecodeBatch(record)
+	if batchErr == nil {
+		state.applyBatch(batch, now)
+	}
+	intake, intakeErr := codec.DecodeIntake(record)
+	if intakeErr == nil {
+		state.admitJob(intake.Job(), almondcross.Queue{})
+	}
+	snapshot, found, _ := codec.DecodeSnapshot([]almondcross.KeyedRecord{almondcross.NewKeyedRecord(almondcross.KeyedRecordConfig{Value: record})})
+	if found {
+		restored := restore(snapshot, time.Minute, now, nil)
+		restored.applyBatch(newBatch(1, almondcross.ChangeConfig{Kind: almondcross.ChangeAssign, Task: taskOf("j", 0, 0), Run: 1}), now)
+	}
+	if batchErr == nil || intakeErr == nil || found {
+		return nil
+	}
+	return encoder.ErrMalformed
+}
+
+// Guards against a record of another writer that ends the process of each host that reads it, or that it applies as far
+// as it goes.
+func TestRecordsThatNoSchedulerWritesAreMalformed(t *testing.T) {
+	codec, err := encoder.NewCodec()
+	require.NoError(t, err)
+	admit := func(steps ...almondcross.StepConfig) []byte {
+		record, err := codec.EncodeBatch(newBatch(1, almondcross.ChangeConfig{Kind: almondcross.ChangeAdmit, Job: newJob("new", steps...)}))
+		require.NoError(t, err)
+		return record
+	}
+	intake := func(steps ...almondcross.StepConfig) []byte {
+		record, err := codec.EncodeIntake(almondcross.NewIntake(almondcross.IntakeConfig{Job: newJob("new", steps...)}))
+		require.NoError(t, err)
+		return record
+	}
+	batch := func(epoch int64, changes ...almondcross.ChangeConfig) []byte {
+		record, err := codec.EncodeBatch(newBatch(epoch, changes...))
+		require.NoError(t, err)
+		return record
+	}
+	snapshot := func(snapshot almondcross.StateSnapshot) []byte {
+		parts, err := codec.EncodeSnapshot(snapshot, 1<<20)
+		require.NoError(t, err)
+		return parts[0]
+	}
+	one := make([]almondcross.TaskRecord, 1)
+	require.NoError(t, applyRecord(codec, admit(almondcross.StepConfig{Count: 1})))
+	require.NoError(t, applyRecord(codec, intake(almondcross.StepConfig{Count: 1})))
+	require.NoError(t, applyRecord(codec, snapshot(snapshotOf(1, 1, almondcross.StageRecordConfig{Tasks: one}))))
+	for name, record := range map[string][]byte{
+		"empty": {}, "not CBOR": []byte(`{"epoch":1}`),
+		"assigned task with a negative index": batch(1, almondcross.ChangeConfig{Kind: almondcross.ChangeAssign, Task: taskOf("j", 0, -1), Run: 1}),
+		"ended task with a negative index":    batch(1, almondcross.ChangeConfig{Kind: almondcross.ChangeEnd, Task: taskOf("j", 0, -1)}),
+		"negative number of tasks":            admit(almondcross.StepConfig{Count: -1}),
+		"enormous number of tasks":            admit(almondcross.StepConfig{Count: 1}, almondcross.StepConfig{Count: math.MaxInt64}),
+		"stored job with negative tasks":      intake(almondcross.StepConfig{Count: -1}),
+		"step after itself":                   intake(almondcross.StepConfig{Count: 1, After: []int{0}}),
+		"negative epoch":                      batch(-1 << 12),
+		"epoch beyond the fencing tokens":     batch(math.MaxInt64),
+		"snapshot of a negative epoch":        snapshot(snapshotOf(1, -1<<12)),
+		"snapshot of a negative offset":       snapshot(snapshotOf(-1, 1)),
+		"snapshot with a negative step":       snapshot(snapshotOf(1, 1, almondcross.StageRecordConfig{Step: -1, Tasks: one})),
+		"snapshot without a stage's tasks":    snapshot(snapshotOf(1, 1, almondcross.StageRecordConfig{})),
+	} {
+		t.Run(name, func(t *testing.T) { require.Error(t, applyRecord(codec, record)) })
+	}
+}
+
+// Guards against a record of another writer that makes a host panic when it decodes or applies the record.
+func FuzzRecords(f *testing.F) {
+	codec, err := encoder.NewCodec()
+	require.NoError(f, err)
+	batch, err := codec.EncodeBatch(newBatch(
+		1, almondcross.ChangeConfig{Kind: almondcross.ChangeAdmit, Job: newJob("new", almondcross.StepConfig{Count: 2})},
+		almondcross.ChangeConfig{Kind: almondcross.ChangeAssign, Task: taskOf("j", 0, 1), Run: 1},
+		almondcross.ChangeConfig{Kind: almondcross.ChangeEnd, Task: taskOf("j", 0, 1), Run: 1, End: almondcross.EndDone},
+	))
+	require.NoError(f, err)
+	intake, err := codec.EncodeIntake(almondcross.NewIntake(almondcross.IntakeConfig{Job: newJob("new", almondcross.StepConfig{Count: 1})}))
+	require.NoError(f, err)
+	parts, err := codec.EncodeSnapshot(snapshotOf(1, 1, almondcross.StageRecordConfig{Tasks: make([]almondcross.TaskRecord, 1)}), 1<<20)
+	require.NoError(f, err)
+	f.Add(batch)
+	f.Add(intake)
+	f.Add(parts[0])
+	f.Fuzz(func(_ *testing.T, record []byte) { _ = applyRecord(codec, record) })
+}
--- a/encoder/journal.go
+++ b/encoder/journal.go
@@ -59,6 +59,11 @@
 	LeaseRemainingMS        int64
 }
 
+// maxEpoch is the maximum epoch of a record: the fencing tokens of the next epochs must not exceed the range of int64.
+const maxEpoch = 1 << 50
+
+func validEpoch(epoch int64) bool { return epoch >= 0 && epoch <= maxEpoch }
+
 type wireBatch struct {
 	_       struct{} `cbor:",toarray"`
 	Epoch   int64
@@ -234,16 +239,21 @@
 	}
 }
 
-func (wirejob wireJob) value() almondcross.Job {
+// value returns the job, or ErrMalformed if a scheduler cannot hold it.
+func (wirejob wireJob) value() (almondcross.Job, error) {
 	steps := make([]almondcross.Step, len(wirejob.Steps))
 	for index, step := range wirejob.Steps {
 		steps[index] = step.value()
 	}
-	return almondcross.NewJob(almondcross.JobConfig{
+	job := almondcross.NewJob(almondcross.JobConfig{
 		ID: almondcross.JobID(wirejob.ID), Queue: wirejob.Queue, Payload: wirejob.Payload, Steps: steps, Runs: wirejob.Runs,
 		First: fromUnixMillis(wirejob.FirstMS), Period: time.Duration(wirejob.PeriodMS) * time.Millisecond,
 		Submitted: fromUnixMillis(wirejob.SubmittedMS),
 	})
+	if err := job.Validate(); err != nil {
+		return almondcross.Job{}, errors.Annotate(ErrMalformed, err.Error())
+	}
+	return job, nil
 }
 
 func toQueue(queue almondcross.Queue) wireQueue {
@@ -290,23 +300,29 @@
 	return wire
 }
 
-func (wirestatechange wireStateChange) value() almondcross.Change {
+func (wirestatechange wireStateChange) value() (almondcross.Change, error) {
 	config := almondcross.ChangeConfig{
 		Kind: wirestatechange.Kind, Run: wirestatechange.Run, Worker: wirestatechange.Worker,
 		End: almondcross.EndKind(wirestatechange.End), Checkpoint: wirestatechange.Checkpoint,
 		Occurrence: wirestatechange.Occurrence, Host: wirestatechange.Host, Address: wirestatechange.Address,
 		LeaseRemaining: time.Duration(wirestatechange.LeaseRemainingMS) * time.Millisecond,
 	}
+	var err error
 	if wirestatechange.Job != nil {
-		config.Job = wirestatechange.Job.value()
+		if config.Job, err = wirestatechange.Job.value(); err != nil {
+			return almondcross.Change{}, errors.Trace(err)
+		}
 	}
 	if wirestatechange.Queue != nil {
 		config.Queue = wirestatechange.Queue.value()
 	}
 	if task := wirestatechange.Task; task != nil {
+		if task.Occurrence < 0 || task.Step < 0 || task.Index < 0 {
+			return almondcross.Change{}, errors.Annotatef(ErrMalformed, "the task %s has a negative index", task.value())
+		}
 		config.Task = task.value()
 	}
-	return almondcross.NewChange(config)
+	return almondcross.NewChange(config), nil
 }
 
 // EncodeBatch returns the encoded record of a journal batch.
@@ -327,9 +343,16 @@
 	if err := codec.decoding.Unmarshal(record, &wire); err != nil {
 		return almondcross.JournalBatch{}, errors.Annotatef(ErrMalformed, "journal batch: %v", err)
 	}
+	if !validEpoch(wire.Epoch) {
+		return almondcross.JournalBatch{}, errors.Annotatef(ErrMalformed, "journal batch of epoch %d", wire.Epoch)
+	}
 	changes := make([]almondcross.Change, len(wire.Changes))
-	for index, change := range wire.Changes {
-		changes[index] = change.value()
+	for index, wireChange := range wire.Changes {
+		change, err := wireChange.value()
+		if err != nil {
+			return almondcross.JournalBatch{}, errors.Annotate(err, "journal batch")
+		}
+		changes[index] = change
 	}
 	return almondcross.NewJournalBatch(almondcross.JournalBatchConfig{
 		Epoch: wire.Epoch, At: fromUnixMillis(wire.AtMS), Intake: wire.Intake, Changes: changes, Current: wire.Current,
@@ -348,5 +371,9 @@
 	if err := codec.decoding.Unmarshal(record, &wire); err != nil {
 		return almondcross.Intake{}, errors.Annotatef(ErrMalformed, "intake record: %v", err)
 	}
-	return almondcross.NewIntake(almondcross.IntakeConfig{Job: wire.Job.value(), Cancel: wire.Cancel}), nil
+	job, err := wire.Job.value()
+	if err != nil {
+		return almondcross.Intake{}, errors.Annotate(err, "intake record")
+	}
+	return almondcross.NewIntake(almondcross.IntakeConfig{Job: job, Cancel: wire.Cancel}), nil
 }
--- a/encoder/snapshot.go
+++ b/encoder/snapshot.go
@@ -112,6 +112,10 @@
 			malformed = errors.Annotatef(ErrMalformed, "snapshot %s: %v", record.Key(), err)
 			continue
 		}
+		if part.JournalOffset < 0 || !validEpoch(part.Epoch) || !validEpoch(part.SchedulerEpoch) {
+			malformed = errors.Annotatef(ErrMalformed, "snapshot %s: offset %d, epochs %d and %d", record.Key(), part.JournalOffset, part.Epoch, part.SchedulerEpoch)
+			continue
+		}
 		if partsByOffset[part.JournalOffset] == nil {
 			partsByOffset[part.JournalOffset] = map[int]wireSnapshotPart{}
 		}
@@ -134,7 +138,11 @@
 			if err := codec.decoding.Unmarshal(encoded, &record); err != nil {
 				return almondcross.StateSnapshot{}, false, errors.Annotatef(ErrMalformed, "job of a snapshot: %v", err)
 			}
-			jobs = append(jobs, record.value())
+			job, err := record.value()
+			if err != nil {
+				return almondcross.StateSnapshot{}, false, errors.Annotate(err, "job of a snapshot")
+			}
+			jobs = append(jobs, job)
 		}
 	}
 	return snapshotOf(newest[0], jobs), true, malformed
@@ -180,7 +188,15 @@
 	}
 }
 
-func (wirejobrecord wireJobRecord) value() almondcross.JobRecord {
+// value returns the record of the job, or ErrMalformed if the scheduler that stored it cannot have held it.
+func (wirejobrecord wireJobRecord) value() (almondcross.JobRecord, error) {
+	job, err := wirejobrecord.Job.value()
+	if err != nil {
+		return almondcross.JobRecord{}, errors.Trace(err)
+	}
+	if err := wirejobrecord.checkStages(); err != nil {
+		return almondcross.JobRecord{}, errors.Trace(err)
+	}
 	stages := make([]almondcross.StageRecord, len(wirejobrecord.Stages))
 	for index, stage := range wirejobrecord.Stages {
 		tasks := make([]almondcross.TaskRecord, len(stage.Tasks))
@@ -196,7 +212,18 @@
 		})
 	}
 	return almondcross.NewJobRecord(almondcross.JobRecordConfig{
-		Job: wirejobrecord.Job.value(), Queue: wirejobrecord.Queue.value(), State: wirejobrecord.State,
+		Job: job, Queue: wirejobrecord.Queue.value(), State: wirejobrecord.State,
 		Finished: fromUnixMillis(wirejobrecord.FinishedMS), StartedOccurrences: wirejobrecord.StartedOccurrences, Stages: stages,
-	})
+	}), nil
+}
+
+// checkStages returns ErrMalformed unless the stages are those of the started occurrences in order, or none.
+func (wirejobrecord wireJobRecord) checkStages() error {
+	steps := wirejobrecord.Job.Steps
+	for index, stage := range wirejobrecord.Stages {
+		if len(steps) == 0 || stage.Occurrence != index/len(steps) || stage.Step != index%len(steps) || len(stage.Tasks) != steps[stage.Step].Count {
+			return errors.Annotatef(ErrMalformed, "stage %d of job %s", index, wirejobrecord.Job.ID)
+		}
+	}
+	return nil
 }
--- a/errors.go
+++ b/errors.go
@@ -14,4 +14,5 @@
 	ErrTargetLeaving       = errors.ConstError("the target accepts no new work")
 	ErrWorkerUnreachable   = errors.ConstError("the worker cannot be reached")
 	ErrLiveListUnreachable = errors.ConstError("the live list cannot be reached")
+	ErrInvalidJob          = errors.ConstError("the job is not valid")
 )
--- a/job.go
+++ b/job.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 //go:generate go run ./tools/valuer -output job_generated.go job.go worker.go journal.go
@@ -63,6 +65,37 @@
 	submitted time.Time     // the time at which an entry host accepted it
 }
 
+// Limits of a job, which bound the memory that a scheduler needs for it.
+const (
+	maxSteps = 1000
+	maxTasks = 10_000 // maxTasks is the maximum number of tasks of all steps.
+	maxRuns  = 100_000
+)
+
+// Validate returns ErrInvalidJob if the job exceeds a limit, has a negative amount, or has a step that comes after itself
+// or a later one. A scheduler cannot hold such a job.
+func (job Job) Validate() error {
+	if len(job.steps) > maxSteps || job.runs < 0 || job.runs > maxRuns {
+		return errors.Annotatef(ErrInvalidJob, "%d steps, %d occurrences", len(job.steps), job.runs)
+	}
+	tasks := 0
+	for index, step := range job.steps {
+		if step.count <= 0 || step.resources.Negative() || step.perWorker < 0 {
+			return errors.Annotatef(ErrInvalidJob, "the amounts of step %d", index)
+		}
+		for _, dependency := range step.after {
+			if dependency < 0 || dependency >= index {
+				return errors.Annotatef(ErrInvalidJob, "step %d comes after step %d", index, dependency)
+			}
+		}
+		if step.count > maxTasks-tasks { // The sum may exceed the range of an int.
+			return errors.Annotatef(ErrInvalidJob, "more than %d tasks", maxTasks)
+		}
+		tasks += step.count
+	}
+	return nil
+}
+
 // Occurrences returns the number of times that the steps run.
 func (job Job) Occurrences() int { return max(job.runs, 1) }
 
--- a/resources.go
+++ b/resources.go
@@ -52,6 +52,11 @@
 		resources.accelerators <= available.accelerators && resources.slots <= available.slots
 }
 
+// Negative reports whether an amount is negative.
+func (resources Resources) Negative() bool {
+	return resources.milliCPU < 0 || resources.memoryMB < 0 || resources.accelerators < 0 || resources.slots < 0
+}
+
 // IsZero reports whether the amount of every resource is zero.
 func (resources Resources) IsZero() bool { return resources == Resources{} }
 
