--- a/command/scheduler/follower.go
+++ b/command/scheduler/follower.go
@@ -150,7 +150,12 @@
 
 // applyBatches applies batches; readAt is when the store was last read.
 func (machine *Machine) applyBatches(read almondcross.JournalRead, readAt time.Time) {
+	applied := 0
 	for _, batch := range read.Batches() {
+		if !batch.Readable() {
+			continue
+		}
+		applied++
 		machine.state.applyBatch(batch, machine.now)
 		machine.follower.intakesCurrent = batch.Current()
 		if machine.now.Sub(batch.At()) < freshBatchAge {
@@ -159,12 +164,12 @@
 	}
 	machine.follower.nextOffset = read.Next()
 	catchingUp := !machine.follower.caughtUp
-	if len(read.Batches()) > 0 {
+	if applied > 0 {
 		machine.follower.electionAt = time.Time{} // The scheduler is alive; the next silence gets its own delay.
 	}
 	machine.follower.caughtUp = read.Next() >= read.End()
 	machine.follower.lastReadAt = readAt
-	if len(read.Batches()) > 0 || machine.follower.lastBatchAt.IsZero() {
+	if applied > 0 || machine.follower.lastBatchAt.IsZero() {
 		machine.follower.lastBatchAt = machine.now
 	}
 	if catchingUp && machine.follower.caughtUp && machine.now.Sub(machine.state.batchTime) > leadershipTimeout {
--- a/command/scheduler/records_test.go
+++ b/command/scheduler/records_test.go
@@ -109,6 +109,25 @@
 	}
 }
 
+// Guards against an unreadable record of the journal that shifts the offsets of the batches after it, so that a follower
+// leaves out one of them, and against counting such a record as a sign of life of the scheduler.
+func TestUnreadableJournalRecordKeepsItsOffset(t *testing.T) {
+	harness := newHarness(t)
+	harness.apply(almondcross.NewPointerRead(almondcross.PointerReadConfig{Stored: true}))
+	harness.apply(almondcross.NewSnapshotRead(almondcross.SnapshotReadConfig{}))
+	admit := func(id almondcross.JobID) almondcross.JournalBatch {
+		return newBatch(5, almondcross.ChangeConfig{Kind: almondcross.ChangeAdmit, Job: newJob(id, almondcross.StepConfig{Count: 1})})
+	}
+	harness.apply(almondcross.NewJournalPushed(almondcross.JournalPushedConfig{Batches: []almondcross.JournalBatch{{}, admit("a")}}))
+	harness.apply(almondcross.NewJournalRead(almondcross.JournalReadConfig{Next: 3, End: 3, Batches: []almondcross.JournalBatch{{}, admit("a"), admit("b")}}))
+	require.Contains(t, harness.machine.state.jobs, almondcross.JobID("b"))
+	heardAt := harness.machine.follower.lastBatchAt
+	harness.advance(followerTick)
+	harness.apply(almondcross.NewJournalRead(almondcross.JournalReadConfig{From: 3, Next: 4, End: 4, Batches: make([]almondcross.JournalBatch, 1)}))
+	require.Equal(t, int64(4), harness.machine.follower.nextOffset)
+	require.Equal(t, heardAt, harness.machine.follower.lastBatchAt)
+}
+
 // Guards against a record of another writer that makes a host panic when it decodes or applies the record.
 func FuzzRecords(f *testing.F) {
 	codec, err := encoder.NewCodec()
--- a/encoder/journal.go
+++ b/encoder/journal.go
@@ -343,7 +343,7 @@
 	if err := codec.decoding.Unmarshal(record, &wire); err != nil {
 		return almondcross.JournalBatch{}, errors.Annotatef(ErrMalformed, "journal batch: %v", err)
 	}
-	if !validEpoch(wire.Epoch) {
+	if wire.Epoch == 0 || !validEpoch(wire.Epoch) {
 		return almondcross.JournalBatch{}, errors.Annotatef(ErrMalformed, "journal batch of epoch %d", wire.Epoch)
 	}
 	changes := make([]almondcross.Change, len(wire.Changes))
--- a/journal.go
+++ b/journal.go
@@ -175,6 +175,11 @@
 	changes []Change      // the changes, in order
 }
 
+// Readable reports whether the batch was decoded from a record. The zero value stands for a record that cannot be decoded.
+func (journalbatch JournalBatch) Readable() bool {
+	return journalbatch.epoch != 0 || !journalbatch.at.IsZero()
+}
+
 // TaskRecord is the replicated state of one task.
 //
 //value:generate
--- a/query/follower/follower.go
+++ b/query/follower/follower.go
@@ -68,7 +68,7 @@
 			read.Err, read.Next = err, records.First()
 		} else {
 			read.Next, read.End = query.From()+int64(len(records.Records())), records.End()
-			read.Batches = decodeRecords(follower, follower.config.Journal, records, follower.config.Codec.DecodeBatch)
+			read.Batches = follower.decodeBatches(records)
 		}
 		follower.reply(ctx, almondcross.NewJournalRead(read))
 	})
@@ -190,6 +190,21 @@
 	_ = follower.config.Sink.Put(ctx, message) // Put fails only when the context has ended.
 }
 
+// decodeBatches returns a batch for each record, the zero value for a record that cannot be decoded: the scheduler
+// counts offsets by the batches.
+func (follower *Follower) decodeBatches(records almondcross.StoreRecords) []almondcross.JournalBatch {
+	batches := make([]almondcross.JournalBatch, len(records.Records()))
+	for index, record := range records.Records() {
+		batch, err := follower.config.Codec.DecodeBatch(record)
+		if err != nil {
+			follower.decodeFailures.count(follower.config.Journal, records.From()+int64(index), err)
+			continue
+		}
+		batches[index] = batch
+	}
+	return batches
+}
+
 func decodeRecords[T any](
 	follower *Follower, partition almondcross.Partition, records almondcross.StoreRecords, decodeRecord func([]byte) (T, error),
 ) []T {
--- /dev/null
+++ b/query/follower/records_test.go
@@ -0,0 +1,66 @@
+package follower_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/almondcross/almondcross"
+	"github.com/almondcross/almondcross/encoder"
+	"github.com/almondcross/almondcross/query/follower"
+	"github.com/almondcross/almondcross/ring"
+)
+
+// recordStore returns the same records from every read.
+type recordStore struct {
+	records [][]byte
+	newest  []almondcross.KeyedRecord
+}
+
+func (recordstore *recordStore) Read(_ context.Context, query almondcross.StoreRead) (almondcross.StoreRecords, error) {
+	return almondcross.NewStoreRecords(almondcross.StoreRecordsConfig{
+		From: query.From(), End: query.From() + int64(len(recordstore.records)), Records: recordstore.records,
+	}), nil
+}
+
+func (recordstore *recordStore) Newest(context.Context, almondcross.Partition) ([]almondcross.KeyedRecord, int64, error) {
+	return recordstore.newest, 1, nil
+}
+
+// ask passes a query to a duty and returns its answer.
+func ask[Q, A any](t *testing.T, config follower.Config, duty func(follower *follower.Follower, queries *ring.Ring[Q]) follower.Duty, query Q) A {
+	t.Helper()
+	replies := ring.New[almondcross.SchedulerMessage](ring.Config{Name: "scheduler", Capacity: 1})
+	queries := ring.New[Q](ring.Config{Name: "queries", Capacity: 1})
+	config.Sink, config.Clock = replies, systemClock{}
+	queries.Offer(query)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = duty(follower.New(config), queries).Run(ctx) }()
+	select {
+	case reply := <-replies.Messages():
+		answer, ok := reply.(A)
+		require.True(t, ok)
+		return answer
+	case <-time.After(5 * time.Second):
+		require.Fail(t, "no answer")
+		panic("unreachable")
+	}
+}
+
+// Guards against leaving out an unreadable record of the journal, which would shift the offsets of the later ones.
+func TestJournalReadKeepsThePlaceOfAnUnreadableRecord(t *testing.T) {
+	codec, err := encoder.NewCodec()
+	require.NoError(t, err)
+	batch, err := codec.EncodeBatch(almondcross.NewJournalBatch(almondcross.JournalBatchConfig{Epoch: 7}))
+	require.NoError(t, err)
+	read := ask[almondcross.JournalQuery, almondcross.JournalRead](t, follower.Config{
+		Reader: &recordStore{records: [][]byte{[]byte("odd"), batch}}, Codec: codec, Log: discardLog{},
+	}, (*follower.Follower).Journal, almondcross.NewJournalQuery(almondcross.JournalQueryConfig{From: 3}))
+	require.Equal(t, int64(5), read.Next())
+	require.Len(t, read.Batches(), 2)
+	require.False(t, read.Batches()[0].Readable())
+	require.Equal(t, int64(7), read.Batches()[1].Epoch())
+}
--- a/scheduling.go
+++ b/scheduling.go
@@ -24,9 +24,9 @@
 //value:generate
 type JournalRead struct {
 	from    int64          // the first offset of the query
-	next    int64          // the offset that follows the last batch
+	next    int64          // the offset that follows the last record
 	end     int64          // the end of the journal
-	batches []JournalBatch // the batches in order
+	batches []JournalBatch // the batch of each record in order, the zero value for one that cannot be decoded
 	err     error          // the error of the read, nil for none
 }
 
--- a/scheduling_generated.go
+++ b/scheduling_generated.go
@@ -98,7 +98,7 @@
 	return journalread
 }
 
-// Next returns the offset that follows the last batch.
+// Next returns the offset that follows the last record.
 func (journalread JournalRead) Next() int64 { return journalread.next }
 
 // WithNext returns a copy with the given next.
@@ -116,7 +116,7 @@
 	return journalread
 }
 
-// Batches returns the batches in order.
+// Batches returns the batch of each record in order, the zero value for one that cannot be decoded.
 func (journalread JournalRead) Batches() []JournalBatch { return journalread.batches }
 
 // WithBatches returns a copy with the given batches.
