--- a/command/scheduler/records_test.go
+++ b/command/scheduler/records_test.go
@@ -147,3 +147,37 @@
 	f.Add(parts[0])
 	f.Fuzz(func(_ *testing.T, record []byte) { _ = applyRecord(codec, record) })
 }
+
+// Guards against losing the runs of a worker whose entry another writer makes unreadable, against giving it new work, and
+// against a worker that stays unlisted when its entry can be read again.
+func TestWorkerWithUnreadableEntryIsUnlistedAndKeepsItsRuns(t *testing.T) {
+	harness := newHarness(t)
+	harness.becomeScheduler()
+	harness.submitJob("j", almondcross.StepConfig{Count: 1})
+	harness.answerCommit()
+	if _, found := harness.pendingCommit(); found {
+		harness.answerCommit()
+	}
+	harness.answerStart()
+	running := almondcross.NewRunningTask(almondcross.RunningTaskConfig{Task: taskOf("j", 0, 0), Run: 1})
+	listing := func(change almondcross.WorkerChangeConfig) {
+		change.ID = workerID
+		harness.apply(almondcross.NewWorkersRead(almondcross.WorkersReadConfig{Changes: []almondcross.WorkerChange{almondcross.NewWorkerChange(change)}}))
+	}
+	listing(almondcross.WorkerChangeConfig{})
+	harness.submitJob("k", almondcross.StepConfig{Count: 1})
+	for range 20 {
+		progress := almondcross.NewRunningTask(almondcross.RunningTaskConfig{Task: running.Task(), Run: 1, Progress: int(harness.now.Unix() % 90)})
+		order := harness.answerLease(almondcross.WorkerReportConfig{Running: []almondcross.RunningTask{progress}})
+		require.Positive(t, order.Until(), "the lease is extended")
+		harness.advance(time.Second)
+		if _, found := harness.pendingCommit(); found {
+			harness.answerCommit()
+		}
+	}
+	require.True(t, harness.machine.state.jobs["j"].stages[0].tasks[0].Active())
+	require.False(t, harness.machine.state.jobs["k"].stages[0].tasks[0].Active())
+	listing(almondcross.WorkerChangeConfig{Present: true, Worker: poolWorker})
+	harness.advance(minPlacementInterval)
+	require.True(t, harness.machine.state.jobs["k"].stages[0].tasks[0].Active())
+}
--- a/query/follower/records_test.go
+++ b/query/follower/records_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"github.com/almondcross/almondcross"
 	"github.com/almondcross/almondcross/encoder"
+	"github.com/almondcross/almondcross/platform/translator"
 	"github.com/almondcross/almondcross/query/follower"
 	"github.com/almondcross/almondcross/ring"
 )
@@ -64,3 +66,36 @@
 	require.False(t, read.Batches()[0].Readable())
 	require.Equal(t, int64(7), read.Batches()[1].Epoch())
 }
+
+// Guards against an entry of another writer that takes the entries of other workers from the list, that names a usable
+// worker, or that stops the following of the list.
+func TestUnreadableEntryNamesNoWorker(t *testing.T) {
+	entry := func(address string) []byte {
+		return []byte(`{"service":"s","addr":"` + address + `","state":"ready","capacity":{"cpu":1,"mem_mb":1}}`)
+	}
+	values := map[string][]byte{
+		"w-1": entry("10.0.0.9:1"), "w-2": entry("10.0.0.9:99999999"), "w-3": []byte(strings.Repeat("[", 100_000)), "w-4": entry("10.0.0.9:2"), "\xff": entry("10.0.0.9:3"),
+	}
+	store := &recordStore{}
+	for key, value := range values {
+		record := almondcross.NewKeyedRecord(almondcross.KeyedRecordConfig{Key: key, Value: value})
+		stored, err := translator.Codec{}.EncodeKeyed(record)
+		require.NoError(t, err)
+		store.newest, store.records = append(store.newest, record), append(store.records, stored)
+	}
+	store.records = append(store.records, []byte{200, 'a'}, []byte{}, []byte("\x00"+string(entry("10.0.0.9:4"))))
+	for _, from := range []int64{-1, 0} {
+		read := ask[almondcross.WorkersQuery, almondcross.WorkersRead](t, follower.Config{
+			Reader: store, WorkerCodec: translator.Codec{}, Log: discardLog{},
+		}, (*follower.Follower).Workers, almondcross.NewWorkersQuery(almondcross.WorkersQueryConfig{From: from}))
+		require.NoError(t, read.Err())
+		var present []string
+		for _, change := range read.Changes() {
+			if change.Present() {
+				present = append(present, change.ID())
+			}
+		}
+		require.ElementsMatch(t, []string{"w-1", "w-4"}, present, "a read from %d", from)
+		require.Equal(t, from < 0, read.Complete())
+	}
+}
