Log an unreadable record once in ten minutes

Each read of an unreadable record wrote a line. A record is now logged once in ten minutes and key, or offset where there are no keys, and at most 200 records are. All failures are still counted.

--- a/query/follower/follower.go
+++ b/query/follower/follower.go
@@ -53,7 +53,7 @@
 
 // New returns a follower.
 func New(config Config) *Follower {
-	return &Follower{config: config, decodeFailures: newDecodeFailures(config.Log)}
+	return &Follower{config: config, decodeFailures: newDecodeFailures(config.Log, config.Clock)}
 }
 
 // Journal returns the duty that handles queries for the journal.
@@ -137,7 +137,7 @@
 			if len(record.Value()) > 0 {
 				worker, err := follower.config.WorkerCodec.DecodeWorker(record.Key(), record.Value())
 				if err != nil {
-					follower.decodeFailures.count(partition, record.Offset(), err)
+					follower.decodeFailures.countKeyed(partition, record, err)
 				} else {
 					change.Present, change.Worker = true, worker
 				}
--- a/query/follower/pointer.go
+++ b/query/follower/pointer.go
@@ -61,7 +61,7 @@
 	for _, record := range records {
 		pointer, err := follower.config.Codec.DecodePointer(record.Value())
 		if err != nil {
-			follower.decodeFailures.count(follower.config.Pointers, record.Offset(), err)
+			follower.decodeFailures.countKeyed(follower.config.Pointers, record, err)
 			continue
 		}
 		read.Pointer, read.Found = pointer, true
--- a/query/follower/records_test.go
+++ b/query/follower/records_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -21,7 +23,10 @@
 	newest  []almondcross.KeyedRecord
 }
 
-func (recordstore *recordStore) Read(_ context.Context, query almondcross.StoreRead) (almondcross.StoreRecords, error) {
+func (recordstore *recordStore) Read(ctx context.Context, query almondcross.StoreRead) (almondcross.StoreRecords, error) {
+	if len(recordstore.records) == 0 && !ring.Pause(ctx, query.Wait()) {
+		return almondcross.StoreRecords{}, almondcross.ErrStoreRefused
+	}
 	return almondcross.NewStoreRecords(almondcross.StoreRecordsConfig{
 		From: query.From(), End: query.From() + int64(len(recordstore.records)), Records: recordstore.records,
 	}), nil
@@ -99,3 +104,28 @@
 		require.Equal(t, from < 0, read.Complete())
 	}
 }
+
+// countingLog counts the lines about unreadable records.
+type countingLog struct{ lines atomic.Int64 }
+
+func (countinglog *countingLog) Record(event string, _ ...almondcross.LogField) {
+	if event == "record_unreadable" {
+		countinglog.lines.Add(1)
+	}
+}
+
+// Guards against a log that fills with one line for each read of an unreadable record: the configuration is read every
+// five seconds and the pointer up to five times a second.
+func TestUnreadableRecordIsLoggedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Minute)
+		defer cancel()
+		log := &countingLog{}
+		store := &recordStore{newest: []almondcross.KeyedRecord{almondcross.NewKeyedRecord(almondcross.KeyedRecordConfig{Key: "config", Value: []byte("{")})}}
+		follower := follower.New(follower.Config{
+			Reader: store, WorkerCodec: translator.Codec{}, Log: log, Clock: systemClock{}, ConfigurationKey: "config",
+		})
+		require.NoError(t, follower.Routes(func(context.Context, almondcross.RouteTable) {})(ctx))
+		require.Equal(t, int64(1), log.lines.Load())
+	})
+}
--- a/query/follower/routes.go
+++ b/query/follower/routes.go
@@ -68,7 +68,7 @@
 	}
 	table, err := follower.config.WorkerCodec.DecodeRoutes(record.Value())
 	if err != nil {
-		follower.decodeFailures.count(follower.config.Configuration, record.Offset(), err)
+		follower.decodeFailures.countKeyed(follower.config.Configuration, record, err)
 		return almondcross.RouteTable{}, false
 	}
 	return table, true
