Limit the length of strings in the log

The error of an unreadable message quotes its odd part: the name of a task or a number in the answer of a worker may have up to four megabytes, and the order to such a worker is repeated up to four times a second. A string in the log now is cut after 1,000 bytes, before the line is queued.

Before: TestLongTextIsCut: "2097246" is not less than "1200". After: passes.

--- a/command/recorder/recorder_test.go
+++ b/command/recorder/recorder_test.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"strings"
 	"testing"
 	"time"
+	"unicode/utf8"
 
 	"github.com/stretchr/testify/require"
 
@@ -52,3 +54,15 @@
 	require.Equal(t, map[string]int{"run_placed": 2, "lines_left_out": 1}, seen)
 	require.Equal(t, int64(3), log.Written())
 }
+
+// Guards against log lines of megabytes: an error of decoding quotes the odd part of the message.
+func TestLongTextIsCut(t *testing.T) {
+	var output bytes.Buffer
+	log := recorder.New(recorder.Config{Output: &output, Lines: 1, Clock: clock{}})
+	log.Record("order_failed", almondcross.Text("reason", strings.Repeat("é", 1<<20)))
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.NoError(t, log.Run(ctx))
+	require.Less(t, output.Len(), 1200)
+	require.True(t, utf8.Valid(output.Bytes()))
+}
--- a/scheduling.go
+++ b/scheduling.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 )
 
@@ -381,8 +382,17 @@
 	Numeric bool
 }
 
-// Text returns a field with a string value.
-func Text(name, text string) LogField { return LogField{Name: name, Text: text} }
+// maxLogTextBytes is the maximum length of a string in the log, in bytes. Errors quote messages of other processes, which
+// may have megabytes.
+const maxLogTextBytes = 1000
+
+// Text returns a field with a string value, of which only the beginning is kept if it is long.
+func Text(name, text string) LogField {
+	if len(text) > maxLogTextBytes {
+		text = strings.ToValidUTF8(strings.Clone(text[:maxLogTextBytes]), "") + "..."
+	}
+	return LogField{Name: name, Text: text}
+}
 
 // Number returns a field with a numeric value.
 func Number[N ~int | ~int64 | ~float64](name string, number N) LogField {
