--- a/assembler/scheduler.go
+++ b/assembler/scheduler.go
@@ -288,7 +288,7 @@
 	return scheduler.NewMachine(scheduler.Config{
 		Host: settings.Name(), Address: settings.LinkListen(), Partitions: settings.StorePartitions(), Strength: schedulerStrength(settings),
 		Retention: time.Duration(float64(settings.StateRetention()) * retentionFactor), MaxLease: settings.MaxLease(),
-		SnapshotInterval: interval, BatchesPerAppend: max(1, settings.StoreCall()/settings.StoreRecord()), Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), //nolint:gosec // Jitter needs no secrecy.
+		SnapshotInterval: interval, RecordBytes: settings.StoreRecord(), BatchesPerAppend: max(1, settings.StoreCall()/settings.StoreRecord()), Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), //nolint:gosec // Jitter needs no secrecy.
 		Publisher: table, Picker: picker.BestFit{}, Log: log, Metrics: counter,
 	})
 }
--- a/command/scheduler/append.go
+++ b/command/scheduler/append.go
@@ -70,27 +70,63 @@
 	leader.lastAppendAt = machine.now
 	leader.sequence++
 	inflight := &inflightAppend{sentAt: machine.now}
-	changes := leader.takeChanges(machine.config.BatchesPerAppend * maxBatchChanges)
-	inflight.callbacks = leader.takeCallbacks(len(changes))
+	pending := len(leader.pendingChanges)
+	groups := machine.takeChanges()
+	inflight.callbacks = leader.takeCallbacks(pending - len(leader.pendingChanges))
 	var intake map[int]int64
 	if len(leader.pendingChanges) == 0 {
 		intake = leader.pendingIntake
 		machine.completeAppend(inflight)
 	}
 	inflight.commit = almondcross.NewJournalCommit(almondcross.JournalCommitConfig{
-		Epoch: leader.epoch, Sequence: leader.sequence, Batches: machine.newBatches(changes, intake, inflight.intakesCurrent),
+		Epoch: leader.epoch, Sequence: leader.sequence, Batches: machine.newBatches(groups, intake, inflight.intakesCurrent),
 	})
 	leader.inflight = inflight
 	machine.emit(Commit{Request: inflight.commit})
 }
 
-// takeChanges removes and returns the first pending changes, at most limit. The store limits the size of an append,
-// and a recovery may admit more jobs at once than fit in one.
-func (leader *leader) takeChanges(limit int) []almondcross.Change {
-	count := min(len(leader.pendingChanges), limit)
-	taken := leader.pendingChanges[:count:count]
-	leader.pendingChanges = leader.pendingChanges[count:]
-	return taken
+// takeChanges removes the first pending changes, as many as fit in an append, and returns those of each batch. The store
+// limits the size of records and appends, and refuses one that is too large however often it is sent again.
+func (machine *Machine) takeChanges() [][]almondcross.Change {
+	leader := machine.leader
+	var groups [][]almondcross.Change
+	for len(groups) < machine.config.BatchesPerAppend && len(leader.pendingChanges) > 0 {
+		count := machine.countInBatch(leader.pendingChanges)
+		groups = append(groups, leader.pendingChanges[:count:count])
+		leader.pendingChanges = leader.pendingChanges[count:]
+	}
+	return groups
+}
+
+// countInBatch returns how many of the first changes one batch may have: at least one.
+func (machine *Machine) countInBatch(changes []almondcross.Change) int {
+	size := batchOverheadBytes
+	for index, change := range changes[:min(len(changes), maxBatchChanges)] {
+		size += maxChangeBytes(change)
+		if size > machine.config.RecordBytes && index > 0 {
+			return index
+		}
+	}
+	return min(len(changes), maxBatchChanges)
+}
+
+// Upper bounds of the sizes in bytes of parts of a record, without their strings.
+const (
+	batchOverheadBytes  = 4 << 10
+	changeOverheadBytes = 400
+	stepOverheadBytes   = 150
+	dependencyBytes     = 3
+)
+
+// maxChangeBytes returns an upper bound of the size of a change in a record.
+func maxChangeBytes(change almondcross.Change) int {
+	job, queue := change.Job(), change.Queue()
+	size := changeOverheadBytes + len(change.Worker()) + len(change.Checkpoint()) + len(change.End()) + len(change.Host()) + len(change.Address()) +
+		len(job.Payload()) + len(job.Queue()) + len(queue.Name()) + len(queue.Host()) + len(queue.Prefix()) + len(queue.Pool())
+	for _, step := range job.Steps() {
+		size += stepOverheadBytes + dependencyBytes*len(step.After()) + len(step.Label()) + len(step.DataRack()) + len(step.Image())
+	}
+	return size
 }
 
 // takeCallbacks removes and returns the callbacks that wait for no more than the changes of an append.
@@ -124,19 +160,19 @@
 	leader.pendingChanges, leader.pendingIntake, leader.pendingResets = nil, map[int]int64{}, nil
 }
 
-// newBatches divides changes into batches. The last one has the intake offsets.
-func (machine *Machine) newBatches(changes []almondcross.Change, intake map[int]int64, current bool) []almondcross.JournalBatch {
-	var batches []almondcross.JournalBatch
-	for first := true; first || len(changes) > 0; first = false {
-		count := min(len(changes), maxBatchChanges)
-		config := almondcross.JournalBatchConfig{
-			Epoch: machine.leader.epoch, At: machine.state.batchTime, Changes: changes[:count:count], Current: current,
+// newBatches returns the batches of an append: one for each group of changes, at least one. The last one has the intake
+// offsets.
+func (machine *Machine) newBatches(groups [][]almondcross.Change, intake map[int]int64, current bool) []almondcross.JournalBatch {
+	batches := make([]almondcross.JournalBatch, max(len(groups), 1))
+	for index := range batches {
+		config := almondcross.JournalBatchConfig{Epoch: machine.leader.epoch, At: machine.state.batchTime, Current: current}
+		if index < len(groups) {
+			config.Changes = groups[index]
 		}
-		changes = changes[count:]
-		if len(changes) == 0 {
+		if index == len(batches)-1 {
 			config.Intake = intake
 		}
-		batches = append(batches, almondcross.NewJournalBatch(config))
+		batches[index] = almondcross.NewJournalBatch(config)
 	}
 	return batches
 }
--- a/command/scheduler/append_test.go
+++ b/command/scheduler/append_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/almondcross/almondcross"
+	"github.com/almondcross/almondcross/encoder"
 )
 
 // Guards against an append above the store's limit: after an outage the scheduler admits a backlog of thousands of
@@ -46,3 +47,38 @@
 		require.Equal(t, int64(jobs), offset)
 	}
 }
+
+// Guards against a journal record above the store's limit, which the store refuses however often it is sent again, so that
+// nothing is scheduled any more: jobs may have a thousand steps that come after many others.
+func TestBatchesOfLargeJobsFitInARecord(t *testing.T) {
+	codec, err := encoder.NewCodec()
+	require.NoError(t, err)
+	steps := make([]almondcross.StepConfig, 1000)
+	for index := range steps {
+		steps[index] = almondcross.StepConfig{Count: 1, Label: "a", Image: "image"}
+		for dependency := max(0, index-20); dependency < index; dependency++ {
+			steps[index].After = append(steps[index].After, dependency)
+		}
+	}
+	const jobs = 40
+	harness := newHarness(t)
+	harness.becomeScheduler()
+	var intakes []almondcross.Intake
+	for index := range jobs {
+		intakes = append(intakes, almondcross.NewIntake(almondcross.IntakeConfig{Job: newJob(almondcross.JobID(fmt.Sprintf("%016x", index)), steps...)}))
+	}
+	harness.apply(almondcross.NewIntakeRead(almondcross.IntakeReadConfig{Next: jobs, Intakes: intakes}))
+	for admitted := 0; admitted < jobs; {
+		request := harness.answerCommit()
+		for _, batch := range request.Batches() {
+			record, err := codec.EncodeBatch(batch)
+			require.NoError(t, err)
+			require.LessOrEqual(t, len(record), harness.machine.config.RecordBytes)
+			for _, change := range batch.Changes() {
+				if change.Kind() == almondcross.ChangeAdmit {
+					admitted++
+				}
+			}
+		}
+	}
+}
--- a/command/scheduler/constants.go
+++ b/command/scheduler/constants.go
@@ -97,8 +97,7 @@
 	minAppendInterval = 15 * time.Millisecond
 	// minPlacementInterval is the minimum time between two passes over the waiting stages.
 	minPlacementInterval = 4 * time.Millisecond
-	// maxBatchChanges is the maximum number of changes in one journal record. 40 jobs of the largest size fit
-	// in a record.
+	// maxBatchChanges is the maximum number of changes in one journal record.
 	maxBatchChanges = 40
 )
 
--- a/command/scheduler/machine.go
+++ b/command/scheduler/machine.go
@@ -28,6 +28,7 @@
 	MaxLease         time.Duration // MaxLease is the longest lease that workers grant.
 	Strength         int           // Strength is the scheduling strength of this host, up to 100, before its latency to the store is subtracted.
 	SnapshotInterval time.Duration // SnapshotInterval is the time between two snapshots.
+	RecordBytes      int           // RecordBytes is the maximum size of a journal record in bytes.
 	BatchesPerAppend int           // BatchesPerAppend is how many journal records of the largest size fit in one append.
 	Random           *rand.Rand
 	Publisher        almondcross.JobPublisher
--- a/command/scheduler/scheduler_test.go
+++ b/command/scheduler/scheduler_test.go
@@ -50,7 +50,7 @@
 	t.Helper()
 	harness := &harness{t: t, now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}
 	harness.machine = NewMachine(Config{
-		Host: "h-1", Address: "10.0.0.9:1", Partitions: 1, Retention: time.Minute, MaxLease: 10 * time.Second, SnapshotInterval: time.Hour, BatchesPerAppend: 8,
+		Host: "h-1", Address: "10.0.0.9:1", Partitions: 1, Retention: time.Minute, MaxLease: 10 * time.Second, SnapshotInterval: time.Hour, RecordBytes: 256 << 10, BatchesPerAppend: 8,
 		Strength: 100, Random: rand.New(rand.NewPCG(1, 1)), Publisher: jobfinder.New(), Picker: picker.BestFit{}, Log: noopRecorder{}, Metrics: noopRecorder{},
 	})
 	return harness
--- a/standin/emulator/host.go
+++ b/standin/emulator/host.go
@@ -61,7 +61,7 @@
 	modelhost.jobTable = jobfinder.New()
 	modelhost.machine = scheduler.NewMachine(scheduler.Config{
 		Host: modelhost.name, Address: modelhost.name, Partitions: intakePartitions, Strength: 100 - 10*(modelhost.index%3), Retention: 150 * time.Second, MaxLease: maxLease,
-		SnapshotInterval: 3 * time.Second, BatchesPerAppend: 8, Random: rand.New(rand.NewPCG(simulation.random.Uint64(), 1)), //nolint:gosec // A model needs no secrecy.
+		SnapshotInterval: 3 * time.Second, RecordBytes: 256 << 10, BatchesPerAppend: 8, Random: rand.New(rand.NewPCG(simulation.random.Uint64(), 1)), //nolint:gosec // A model needs no secrecy.
 		Publisher: modelhost.jobTable, Picker: picker.BestFit{}, Log: hostLog{modelhost}, Metrics: noMetrics{},
 	})
 	modelhost.deliver(almondcross.NewRoutesRead(almondcross.RoutesReadConfig{Table: simulation.routes}))
