--- a/command/scheduler/records_test.go
+++ b/command/scheduler/records_test.go
@@ -98,6 +98,7 @@
 		"enormous number of tasks":            admit(almondcross.StepConfig{Count: 1}, almondcross.StepConfig{Count: math.MaxInt64}),
 		"stored job with negative tasks":      intake(almondcross.StepConfig{Count: -1}),
 		"step after itself":                   intake(almondcross.StepConfig{Count: 1, After: []int{0}}),
+		"step after a step twice":             intake(almondcross.StepConfig{Count: 1}, almondcross.StepConfig{Count: 1, After: []int{0, 0}}),
 		"negative epoch":                      batch(-1 << 12),
 		"epoch beyond the fencing tokens":     batch(math.MaxInt64),
 		"snapshot of a negative epoch":        snapshot(snapshotOf(1, -1<<12)),
--- a/job.go
+++ b/job.go
@@ -83,6 +83,9 @@
 		if step.count <= 0 || step.resources.Negative() || step.perWorker < 0 {
 			return errors.Annotatef(ErrInvalidJob, "the amounts of step %d", index)
 		}
+		if len(step.after) > index {
+			return errors.Annotatef(ErrInvalidJob, "step %d comes after a step more than once", index)
+		}
 		for _, dependency := range step.after {
 			if dependency < 0 || dependency >= index {
 				return errors.Annotatef(ErrInvalidJob, "step %d comes after step %d", index, dependency)
