Refuse jobs that no record can hold, and limit the size of intake appends

A job of nearly 256 KiB, the limit of a body, may exceed a record of the store once it is encoded, and up to 100 intakes together may exceed an append. The store refuses both, which the submitter took for a store that is lost: the host refused all callers until a probe succeeded, each time that the caller sent the job again.

Before: TestLargeJobsLeaveTheStoreUsable: in chain "store: refused, nothing was done: not stored"; without the limit of a batch alone: Received unexpected error: not stored. After: passes, and so do ./platform/receiver and ./command/submitter.

--- a/command/submitter/client.go
+++ b/command/submitter/client.go
@@ -18,7 +18,8 @@
 func NewClient(submissions *ring.Ring[Submission]) *Client { return &Client{submissions: submissions} }
 
 // Submit stores an intake and waits for the outcome for at most a time. If the intake was not stored it returns
-// almondcross.ErrNotStored, and if that is unknown almondcross.ErrMaybeStored.
+// almondcross.ErrNotStored, or almondcross.ErrTooLarge if no attempt can succeed, and if that is unknown
+// almondcross.ErrMaybeStored.
 func (client *Client) Submit(ctx context.Context, intake almondcross.Intake, within time.Duration) error {
 	submission := Submission{Intake: intake, Outcome: make(chan error, 1), Decided: new(atomic.Bool)}
 	if !client.submissions.Offer(submission) {
--- a/command/submitter/submitter.go
+++ b/command/submitter/submitter.go
@@ -26,6 +26,11 @@
 	maxBatchIntakes = 100
 	// batchDelay is how long a batch waits for more intakes; it halves the number of appends at peak load.
 	batchDelay = 2 * time.Millisecond
+	// recordReserveBytes is the space that an intake leaves in a record, so that the journal can hold its job in a batch with
+	// the queue.
+	recordReserveBytes = 8 << 10
+	// lengthBytes is the size of the length that precedes a record in an append.
+	lengthBytes = 4
 )
 
 // Config holds the dependencies and settings of a submitter.
@@ -37,6 +42,8 @@
 	Topic      string // Topic is the topic of intakes.
 	Partition  int    // Partition is the partition that this host uses first.
 	Partitions int    // Partitions is the number of partitions.
+	// RecordBytes is the maximum size of a record and CallBytes that of the records of one append, in bytes.
+	RecordBytes, CallBytes int
 	// Forward sends an intake to the scheduler's host and reports false when it could not be sent.
 	Forward func(forwarded almondcross.IntakeForwarded) bool
 	// Stored receives the answers to forwarded intakes.
@@ -93,7 +100,7 @@
 }
 
 func (submitter *Submitter) fill(batch []pending, submissions *ring.Ring[Submission]) []pending {
-	for len(batch) < maxBatchIntakes {
+	for len(batch) < maxBatchIntakes && size(batch) <= submitter.config.CallBytes-submitter.config.RecordBytes {
 		select {
 		case submission := <-submissions.Messages():
 			batch = submitter.add(batch, submission)
@@ -104,6 +111,15 @@
 	return batch
 }
 
+// size returns the size of a batch in an append.
+func size(batch []pending) int {
+	size := 0
+	for _, pending := range batch {
+		size += lengthBytes + len(pending.record)
+	}
+	return size
+}
+
 func (submitter *Submitter) add(batch []pending, submission Submission) []pending {
 	if !submission.Decided.CompareAndSwap(false, true) {
 		return batch // The caller has withdrawn it.
@@ -113,6 +129,10 @@
 		submission.Outcome <- errors.WithType(err, almondcross.ErrNotStored)
 		return batch
 	}
+	if len(record) > submitter.config.RecordBytes-recordReserveBytes {
+		submission.Outcome <- errors.Annotatef(almondcross.ErrTooLarge, "a record of %d bytes", len(record))
+		return batch
+	}
 	return append(batch, pending{submission: submission, record: record})
 }
 
--- a/command/submitter/submitter_test.go
+++ b/command/submitter/submitter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -29,6 +30,12 @@
 	records atomic.Int64
 }
 
+// recordBytes and callBytes are the limits of the store.
+const (
+	recordBytes = 256 << 10
+	callBytes   = 1 << 20
+)
+
 const (
 	storeAnswers int32 = iota
 	storeRefuses
@@ -36,6 +43,16 @@
 )
 
 func (store *store) Append(ctx context.Context, batch almondcross.StoreAppend) (almondcross.StoreAppended, error) {
+	bytes := 0
+	for _, record := range batch.Records() {
+		bytes += 4 + len(record)
+		if len(record) > recordBytes {
+			return almondcross.StoreAppended{}, almondcross.ErrStoreRefused
+		}
+	}
+	if bytes > callBytes {
+		return almondcross.StoreAppended{}, almondcross.ErrStoreRefused
+	}
 	switch store.mode.Load() {
 	case storeRefuses:
 		return almondcross.StoreAppended{}, almondcross.ErrStoreRefused
@@ -62,7 +79,7 @@
 	stored := ring.New[almondcross.IntakeStored](ring.Config{Name: "stored", Capacity: 64})
 	fixture := &fixture{store: &store{}, client: submitter.NewClient(submissions)}
 	duty := submitter.New(submitter.Config{
-		Writer: fixture.store, Codec: codec, Clock: clock{}, Log: discardLog{}, Topic: "intake", Partitions: 2, Stored: stored,
+		Writer: fixture.store, Codec: codec, Clock: clock{}, Log: discardLog{}, Topic: "intake", Partitions: 2, Stored: stored, RecordBytes: recordBytes, CallBytes: callBytes,
 		Forward: func(forwarded almondcross.IntakeForwarded) bool {
 			if fixture.schedulerReachable.Load() && fixture.schedulerAnswers.Load() {
 				stored.Offer(almondcross.NewIntakeStored(almondcross.IntakeStoredConfig{Number: forwarded.Number()}))
@@ -127,3 +144,27 @@
 		require.Equal(t, int64(1), fixture.store.records.Load())
 	})
 }
+
+// Guards against a job that the store refuses for its size: it would make the host refuse all callers as if the store were
+// lost, each time that its caller sends it again. The same holds for a batch that exceeds the limit of an append.
+func TestLargeJobsLeaveTheStoreUsable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		fixture := newFixture(ctx, t)
+		submit := func(bytes int) error {
+			job := almondcross.NewJob(almondcross.JobConfig{ID: "5c0e7a21d94b36f8", Payload: strings.Repeat("x", bytes)})
+			return fixture.client.Submit(ctx, almondcross.NewIntake(almondcross.IntakeConfig{Job: job}), 800*time.Millisecond)
+		}
+		require.ErrorIs(t, submit(recordBytes), almondcross.ErrTooLarge)
+		require.NoError(t, submit(1), "the store is not taken for lost")
+		const submissions = 12
+		results := make(chan error, submissions)
+		for range submissions {
+			go func() { results <- submit(recordBytes / 2) }()
+		}
+		for range submissions {
+			require.NoError(t, <-results)
+		}
+	})
+}
--- a/journal.go
+++ b/journal.go
@@ -21,11 +21,12 @@
 const (
 	ErrNotStored   = errors.ConstError("not stored")               // ErrNotStored means that the job was not stored and never runs.
 	ErrMaybeStored = errors.ConstError("the store did not answer") // ErrMaybeStored means that the job may have been stored and may run.
+	ErrTooLarge    = errors.ConstError("too large for the store")  // ErrTooLarge means that the job can never be stored.
 )
 
 // Submitter stores jobs and cancellations.
 type Submitter interface {
-	// Submit stores an intake and waits at most for the timeout. It returns ErrNotStored or ErrMaybeStored
+	// Submit stores an intake and waits at most for the timeout. It returns ErrNotStored, ErrMaybeStored or ErrTooLarge
 	// unless the intake was stored.
 	Submit(ctx context.Context, intake Intake, timeout time.Duration) error
 }
