Refuse jobs whose occurrences exceed the range of time

The period, the first occurrence and other times of a submission were converted from floating point without a check. A period of 1e300 ms, or one whose product with the number of occurrences exceeds the range of a duration, gave due times in the past, so that up to 100,000 occurrences started at once; a negative period did the same. The values also differed between processors.

Before: TestDecodeJobRejectsMalformedJobs, "endless period": Expected error with "malformed message of the platform" in chain but got nil. After: passes.

--- a/job.go
+++ b/job.go
@@ -70,6 +70,8 @@
 	maxSteps = 1000
 	maxTasks = 10_000 // maxTasks is the maximum number of tasks of all steps.
 	maxRuns  = 100_000
+	// maxSpan is the maximum time from the first occurrence to the last one.
+	maxSpan = 100 * 365 * 24 * time.Hour
 )
 
 // Validate returns ErrInvalidJob if the job exceeds a limit, has a negative amount, or has a step that comes after itself
@@ -78,6 +80,9 @@
 	if len(job.steps) > maxSteps || job.runs < 0 || job.runs > maxRuns {
 		return errors.Annotatef(ErrInvalidJob, "%d steps, %d occurrences", len(job.steps), job.runs)
 	}
+	if job.period < 0 || job.period > maxSpan/time.Duration(job.Occurrences()) {
+		return errors.Annotatef(ErrInvalidJob, "%d occurrences every %s", job.runs, job.period)
+	}
 	tasks := 0
 	for index, step := range job.steps {
 		if step.count <= 0 || step.resources.Negative() || step.perWorker < 0 {
