Start further occurrences only while a job has room for them

All occurrences that are due started in one pass.

No further occurrence of a job starts while it has 10,000 unfinished tasks, the limit of one occurrence.

Before: TestOccurrencesStartOnlyAsEarlierOnesEnd: expected 10, actual 1000 occurrences of 1,000 tasks. After: passes, and so does ./command/scheduler.

--- a/command/scheduler/append_test.go
+++ b/command/scheduler/append_test.go
@@ -82,3 +82,23 @@
 		}
 	}
 }
+
+// Guards against one submission that takes all memory of each scheduler in turn: all occurrences of a job may be due at once.
+func TestOccurrencesStartOnlyAsEarlierOnesEnd(t *testing.T) {
+	harness := newHarness(t)
+	harness.becomeScheduler()
+	job := almondcross.NewJob(almondcross.JobConfig{
+		ID: "j", Queue: "q", Runs: 1000, First: harness.now, Steps: []almondcross.Step{almondcross.NewStep(almondcross.StepConfig{
+			Count: 1000, Resources: almondcross.NewResources(almondcross.ResourcesConfig{MilliCPU: 1}),
+		})},
+	})
+	harness.apply(almondcross.NewIntakeRead(almondcross.IntakeReadConfig{Next: 1, Intakes: []almondcross.Intake{
+		almondcross.NewIntake(almondcross.IntakeConfig{Job: job}),
+	}}))
+	harness.advance(leaderTick)
+	known := harness.machine.state.jobs["j"]
+	require.Equal(t, maxOpenTasks/1000, known.startedOccurrences)
+	known.stages[0].remainingTasks = 0
+	harness.advance(leaderTick)
+	require.Equal(t, maxOpenTasks/1000+1, known.startedOccurrences)
+}
--- a/command/scheduler/intake.go
+++ b/command/scheduler/intake.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -131,6 +132,22 @@
 	leader.placementDue = true
 }
 
+// maxOpenTasks is the number of unfinished tasks of a job from which no further occurrence starts. It bounds the memory for
+// a job whose occurrences are all due at once.
+const maxOpenTasks = 10_000
+
+// mayStartOccurrence reports whether the next occurrence is due and the earlier ones leave room for it.
+func (job *job) mayStartOccurrence(now time.Time) bool {
+	if job.startedOccurrences >= job.spec.Occurrences() || now.Before(job.spec.Due(job.startedOccurrences)) {
+		return false
+	}
+	open := 0
+	for _, stage := range job.stages {
+		open += stage.remainingTasks
+	}
+	return open < maxOpenTasks
+}
+
 // startDueOccurrences starts the occurrences that are due.
 func (machine *Machine) startDueOccurrences() {
 	for id, job := range machine.leader.jobsWithOccurrences {
@@ -138,7 +155,7 @@
 			delete(machine.leader.jobsWithOccurrences, id)
 			continue
 		}
-		for job.startedOccurrences < job.spec.Occurrences() && !machine.now.Before(job.spec.Due(job.startedOccurrences)) {
+		for job.mayStartOccurrence(machine.now) {
 			machine.recordChange(almondcross.ChangeConfig{Kind: almondcross.ChangeOccurrence, Job: job.spec.WithSteps(nil).WithPayload(""), Occurrence: job.startedOccurrences})
 			machine.enqueueReadyStages(job)
 		}
