Divide the answers of workers over messages by their size

A relaying host collects up to 64 answers in a message, on the assumption that their reports fit in a frame of 1 MiB. With 500 ends each, as after an outage of the store, they take 1.5 MB. Encoding failed, which ended the link, so that all orders of the host were without an outcome, and the next link ended the same way.

Before: TestReportsOfManyWorkersFitInMessages: the encoded message is larger than 1 MiB, order_answers takes 1565212 bytes. After: passes, and so does ./command/executor.

--- a/command/executor/executor.go
+++ b/command/executor/executor.go
@@ -7,8 +7,15 @@
 	"github.com/almondcross/almondcross/ring"
 )
 
-// maxAnswersPerMessage keeps a message with reports of full workers below the maximum size of a frame.
-const maxAnswersPerMessage = 64
+const (
+	// maxAnswersPerMessage is the maximum number of answers in one message.
+	maxAnswersPerMessage = 64
+	// maxMessageBytes keeps a message below the maximum size of a frame, over which a link ends. After an outage, 64
+	// workers may report 500 ends each.
+	maxMessageBytes = 768 << 10
+	// rowOverheadBytes is an upper bound of the size of an answer or of one of its rows without their strings.
+	rowOverheadBytes = 80
+)
 
 // Request is a message to the executor's duty.
 type Request struct {
@@ -108,15 +115,38 @@
 // returnAnswers sends an answer, together with those that wait, to the scheduler.
 func (executor *Executor) returnAnswers(first almondcross.SchedulerMessage) {
 	answers := []almondcross.RelayedAnswer{newAnswer(first)}
+	size := maxAnswerBytes(answers[0])
 	waiting := executor.config.Answers.Messages()
 	for len(answers) < maxAnswersPerMessage && len(waiting) > 0 {
-		answers = append(answers, newAnswer(<-waiting))
+		next := newAnswer(<-waiting)
+		if size += maxAnswerBytes(next); size > maxMessageBytes {
+			executor.sendAnswers(answers)
+			answers, size = nil, maxAnswerBytes(next)
+		}
+		answers = append(answers, next)
 	}
+	executor.sendAnswers(answers)
+}
+
+func (executor *Executor) sendAnswers(answers []almondcross.RelayedAnswer) {
 	if executor.reply != nil {
 		executor.reply(almondcross.NewOrdersAnswered(almondcross.OrdersAnsweredConfig{Answers: answers}))
 	}
 }
 
+// maxAnswerBytes returns an upper bound of the size of an answer in a message.
+func maxAnswerBytes(answer almondcross.RelayedAnswer) int {
+	report := answer.Report()
+	size := rowOverheadBytes + len(report.ID())
+	for _, running := range report.Running() {
+		size += rowOverheadBytes + len(running.Task().Stage.Job) + len(running.Checkpoint())
+	}
+	for _, ended := range report.Ended() {
+		size += rowOverheadBytes + len(ended.Task().Stage.Job) + len(ended.Kind()) + len(ended.Checkpoint())
+	}
+	return size
+}
+
 // newAnswer returns the answer with the number of its order. A worker manager sends no other messages.
 func newAnswer(message almondcross.SchedulerMessage) almondcross.RelayedAnswer {
 	var config almondcross.RelayedAnswerConfig
--- a/encoder/order_test.go
+++ b/encoder/order_test.go
@@ -1,13 +1,16 @@
 package encoder_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/almondcross/almondcross"
+	"github.com/almondcross/almondcross/command/executor"
 	"github.com/almondcross/almondcross/encoder"
+	"github.com/almondcross/almondcross/ring"
 )
 
 var orderedTask = almondcross.JobTask{Stage: almondcross.StageID{Job: "5c0e7a21d94b36f8", Occurrence: 1, Step: 2}, Index: 3}
@@ -59,3 +62,35 @@
 		require.Error(t, err, "a truncated frame is refused as a whole")
 	}
 }
+
+// Guards against a message with the reports of many workers that is too large to encode, which would end the link and
+// leave all orders of the host without an outcome.
+func TestReportsOfManyWorkersFitInMessages(t *testing.T) {
+	const workers, ends = 64, 500
+	codec := newCodec(t)
+	var ended []almondcross.EndedTask
+	for index := range ends {
+		ended = append(ended, almondcross.NewEndedTask(almondcross.EndedTaskConfig{
+			Sequence: int64(index + 1), Run: 1, Kind: almondcross.EndDone, Checkpoint: "00000bb87a21d94b",
+			Task: almondcross.JobTask{Stage: almondcross.StageID{Job: "5c0e7a21d94b36f8", Step: 1}, Index: index},
+		}))
+	}
+	report := almondcross.NewWorkerReport(almondcross.WorkerReportConfig{Ended: ended})
+	answers := ring.New[almondcross.SchedulerMessage](ring.Config{Name: "order_answers", Capacity: workers})
+	requests := ring.New[executor.Request](ring.Config{Name: "orders", Capacity: 1})
+	duty := executor.New(executor.Config{Requests: requests, Answers: answers, NewManager: func(context.Context) almondcross.WorkerManager {
+		for range workers {
+			answers.Offer(almondcross.NewLeaseAnswered(almondcross.LeaseAnsweredConfig{Result: almondcross.OrderDone, Report: report}))
+		}
+		return nil // No order uses it.
+	}})
+	received := make(chan almondcross.OrdersAnswered, workers)
+	require.True(t, duty.Execute(1, almondcross.OrdersRelayed{}, func(answered almondcross.OrdersAnswered) { received <- answered }))
+	go func() { _ = duty.Run(t.Context()) }()
+	for answered := 0; answered < workers; {
+		message := <-received
+		_, err := codec.EncodeLink(message)
+		require.NoError(t, err)
+		answered += len(message.Answers())
+	}
+}
