Stop at most 50 unknown runs for each report of a worker

Each row of a report that names no assignment wrote a log line and a stop order. A report may have thousands of rows and follows each 0.6 s, while the queues of a worker's orders hold 384: such a worker filled the log, and its stops displaced the starts and stops of its real runs.

Before: TestUnknownRunsOfAReportAreStoppedInParts: expected 50, actual 10000. After: passes.

--- a/command/scheduler/constants.go
+++ b/command/scheduler/constants.go
@@ -159,6 +159,9 @@
 	overdueTimeout = 20 * time.Second
 	// stallBackoff is how long a worker with a stalled run is avoided.
 	stallBackoff = 5 * time.Second
+	// maxUnknownStops is the maximum number of runs that are stopped and logged for one report because they are not among
+	// the worker's assignments. The next report names the others again.
+	maxUnknownStops = 50
 	// maxReportedEnds is the number of ends from which a worker's report may be truncated.
 	maxReportedEnds = 500
 )
--- a/command/scheduler/lease.go
+++ b/command/scheduler/lease.go
@@ -121,10 +121,13 @@
 	machine.leader.placementDue = true
 	acknowledged := machine.recordEnds(worker, report.Ended())
 	reported := map[almondcross.JobTask]bool{}
+	unknown := 0
 	for _, running := range report.Running() {
 		assigned := worker.assignments[running.Task()]
 		if assigned == nil || assigned.run != running.Run() {
-			machine.stopUnknownRun(worker, running)
+			if unknown++; unknown <= maxUnknownStops {
+				machine.stopUnknownRun(worker, running)
+			}
 			continue
 		}
 		reported[running.Task()] = true
--- a/command/scheduler/records_test.go
+++ b/command/scheduler/records_test.go
@@ -182,3 +182,19 @@
 	harness.advance(minPlacementInterval)
 	require.True(t, harness.machine.state.jobs["k"].stages[0].tasks[0].Active())
 }
+
+// Guards against a worker whose reports fill the log and the queue of its orders with runs that nobody started.
+func TestUnknownRunsOfAReportAreStoppedInParts(t *testing.T) {
+	harness := newHarness(t)
+	harness.becomeScheduler()
+	var running []almondcross.RunningTask
+	for index := range 10_000 {
+		running = append(running, almondcross.NewRunningTask(almondcross.RunningTaskConfig{Task: taskOf("unknown", 0, index), Run: 1}))
+	}
+	harness.answerLease(almondcross.WorkerReportConfig{Running: running})
+	stops := 0
+	for _, found := takeEffect[SendStop](harness); found; _, found = takeEffect[SendStop](harness) {
+		stops++
+	}
+	require.Equal(t, maxUnknownStops, stops)
+}
