--- a/command/scheduler/records_test.go
+++ b/command/scheduler/records_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strconv"
 	"testing"
 	"time"
 
@@ -110,6 +111,25 @@
 	}
 }
 
+// Guards against a host that loads no state although the store holds a snapshot, because a newer record of another writer
+// looks like a snapshot.
+func TestOlderSnapshotReplacesAMalformedOne(t *testing.T) {
+	codec, err := encoder.NewCodec()
+	require.NoError(t, err)
+	record := func(snapshot almondcross.StateSnapshot) almondcross.KeyedRecord {
+		parts, err := codec.EncodeSnapshot(snapshot, 1<<20)
+		require.NoError(t, err)
+		return almondcross.NewKeyedRecord(almondcross.KeyedRecordConfig{Key: strconv.FormatInt(snapshot.Next(), 10), Value: parts[0]})
+	}
+	one := almondcross.StageRecordConfig{Tasks: make([]almondcross.TaskRecord, 1)}
+	snapshot, found, err := codec.DecodeSnapshot([]almondcross.KeyedRecord{
+		record(snapshotOf(9, 1, almondcross.StageRecordConfig{Step: 4})), record(snapshotOf(5, 1, one)), record(snapshotOf(3, 1, one)),
+	})
+	require.ErrorIs(t, err, encoder.ErrMalformed)
+	require.True(t, found)
+	require.Equal(t, int64(5), snapshot.Next())
+}
+
 // Guards against an unreadable record of the journal that shifts the offsets of the batches after it, so that a follower
 // leaves out one of them, and against counting such a record as a sign of life of the scheduler.
 func TestUnreadableJournalRecordKeepsItsOffset(t *testing.T) {
--- a/encoder/snapshot.go
+++ b/encoder/snapshot.go
@@ -1,6 +1,8 @@
 package encoder
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -98,7 +100,8 @@
 	return part
 }
 
-// DecodeSnapshot returns the newest snapshot of which all parts are among the records, and false if there is none.
+// DecodeSnapshot returns the newest snapshot that can be decoded and of which all parts are among the records, and false if
+// there is none.
 // Malformed records are left out; the error names the last of them, also when a snapshot is found.
 func (codec Codec) DecodeSnapshot(records []almondcross.KeyedRecord) (almondcross.StateSnapshot, bool, error) {
 	var malformed error
@@ -121,31 +124,50 @@
 		}
 		partsByOffset[part.JournalOffset][part.Part] = part
 	}
-	var newest map[int]wireSnapshotPart
-	for _, parts := range partsByOffset {
-		first, found := parts[0]
-		if found && len(parts) == first.Parts && (newest == nil || first.JournalOffset > newest[0].JournalOffset) {
-			newest = parts
+	for _, offset := range slices.Backward(slices.Sorted(maps.Keys(partsByOffset))) {
+		parts, complete := sortedParts(partsByOffset[offset])
+		if !complete {
+			continue
 		}
+		jobs, err := codec.decodeJobs(parts)
+		if err != nil {
+			malformed = err
+			continue
+		}
+		return snapshotOf(parts[0], jobs), true, malformed
 	}
-	if newest == nil {
-		return almondcross.StateSnapshot{}, false, malformed
+	return almondcross.StateSnapshot{}, false, malformed
+}
+
+// sortedParts returns the parts of a snapshot in order, and false unless it has all parts that the first one counts.
+func sortedParts(byNumber map[int]wireSnapshotPart) ([]wireSnapshotPart, bool) {
+	parts := make([]wireSnapshotPart, 0, len(byNumber))
+	for number := range len(byNumber) {
+		part, found := byNumber[number]
+		if !found {
+			return nil, false
+		}
+		parts = append(parts, part)
 	}
+	return parts, len(parts) == parts[0].Parts
+}
+
+func (codec Codec) decodeJobs(parts []wireSnapshotPart) ([]almondcross.JobRecord, error) {
 	var jobs []almondcross.JobRecord
-	for index := range len(newest) {
-		for _, encoded := range newest[index].Jobs {
+	for _, part := range parts {
+		for _, encoded := range part.Jobs {
 			var record wireJobRecord
 			if err := codec.decoding.Unmarshal(encoded, &record); err != nil {
-				return almondcross.StateSnapshot{}, false, errors.Annotatef(ErrMalformed, "job of a snapshot: %v", err)
+				return nil, errors.Annotatef(ErrMalformed, "job of a snapshot: %v", err)
 			}
 			job, err := record.value()
 			if err != nil {
-				return almondcross.StateSnapshot{}, false, errors.Annotate(err, "job of a snapshot")
+				return nil, errors.Annotate(err, "job of a snapshot")
 			}
 			jobs = append(jobs, job)
 		}
 	}
-	return snapshotOf(newest[0], jobs), true, malformed
+	return jobs, nil
 }
 
 func snapshotOf(firstPart wireSnapshotPart, jobs []almondcross.JobRecord) almondcross.StateSnapshot {
