Add a fuzz target for the messages between hosts

FuzzLinkMessages decodes frames and applies them to the scheduler, a standby and a host in discovery.

--- a/command/scheduler/records_test.go
+++ b/command/scheduler/records_test.go
@@ -218,3 +218,72 @@
 	}
 	require.Equal(t, maxUnknownStops, stops)
 }
+
+// Guards against a message of another host that makes the scheduler, a standby or a viewer panic.
+func FuzzLinkMessages(f *testing.F) {
+	codec, err := encoder.NewCodec()
+	require.NoError(f, err)
+	query := almondcross.NewAdviceQuery(almondcross.AdviceQueryConfig{Stage: taskOf("j", 0, 0).Stage, Workers: []string{workerID}})
+	job := newJob("new", almondcross.StepConfig{Count: 1, Gang: true})
+	for _, message := range []almondcross.LinkMessage{
+		almondcross.NewIntakeForwarded(almondcross.IntakeForwardedConfig{Number: 1, Intake: almondcross.NewIntake(almondcross.IntakeConfig{Job: job})}),
+		almondcross.NewIntakeForwarded(almondcross.IntakeForwardedConfig{Intake: almondcross.NewIntake(almondcross.IntakeConfig{Job: job, Cancel: true})}),
+		almondcross.NewJournalPushed(almondcross.JournalPushedConfig{Batches: []almondcross.JournalBatch{
+			newBatch(1, almondcross.ChangeConfig{Kind: almondcross.ChangeAdmit, Job: job}, almondcross.ChangeConfig{Kind: almondcross.ChangeWorkerSilent, Worker: workerID}),
+		}}),
+		almondcross.NewAdviceAnswered(almondcross.AdviceAnsweredConfig{Query: query, Result: almondcross.NewAdviceResult(almondcross.AdviceResultConfig{
+			Tickets: []almondcross.Ticket{almondcross.NewTicket(almondcross.TicketConfig{Worker: workerID, Secret: "t"})},
+		})}),
+		almondcross.NewViewsPushed(almondcross.ViewsPushedConfig{Reset: true, Changes: []almondcross.JobViewChange{
+			almondcross.NewJobViewChange(almondcross.JobViewChangeConfig{ID: "j", Known: true}), almondcross.NewJobViewChange(almondcross.JobViewChangeConfig{ID: "k"}),
+		}}),
+		almondcross.NewRoleAssigned(almondcross.RoleAssignedConfig{Standby: true}),
+		almondcross.NewPeersKnown(almondcross.PeersKnownConfig{Addresses: []string{"h-2:1"}}),
+		almondcross.NewHostHello(almondcross.HostHelloConfig{Host: "h-2", Strength: 90, Address: "h-2:1"}),
+		almondcross.NewOrdersAnswered(almondcross.OrdersAnsweredConfig{Answers: []almondcross.RelayedAnswer{
+			almondcross.NewRelayedAnswer(almondcross.RelayedAnswerConfig{Number: 1, Result: almondcross.OrderDone, Report: almondcross.NewWorkerReport(almondcross.WorkerReportConfig{
+				ID: workerID, Incarnation: 1, Clock: time.Second,
+				Running: []almondcross.RunningTask{almondcross.NewRunningTask(almondcross.RunningTaskConfig{Task: taskOf("j", 0, 0), Run: 1})},
+				Ended:   []almondcross.EndedTask{almondcross.NewEndedTask(almondcross.EndedTaskConfig{Sequence: 1, Task: taskOf("j", 0, 0), Run: 1, Kind: almondcross.EndFailed})},
+			})}),
+		}}),
+	} {
+		frame, err := codec.EncodeLink(message)
+		require.NoError(f, err)
+		f.Add(frame)
+	}
+	f.Fuzz(func(t *testing.T, frame []byte) {
+		message, err := codec.DecodeLink(frame)
+		if err != nil {
+			return
+		}
+		leader, follower := newHarness(t), newHarness(t)
+		leader.becomeScheduler()
+		leader.submitJob("j", almondcross.StepConfig{Count: 1})
+		follower.apply(almondcross.NewPointerRead(almondcross.PointerReadConfig{Stored: true}))
+		follower.apply(almondcross.NewSnapshotRead(almondcross.SnapshotReadConfig{}))
+		for _, harness := range []*harness{leader, follower, newHarness(t)} {
+			harness.receive(message)
+			harness.advance(time.Second)
+		}
+	})
+}
+
+// receive applies a message that arrived over a link.
+func (harness *harness) receive(message almondcross.LinkMessage) {
+	switch message := message.(type) {
+	case almondcross.OrdersAnswered:
+		lease := almondcross.NewRelayedOrder(almondcross.RelayedOrderConfig{Kind: almondcross.OrderLease, Lease: almondcross.NewLeaseOrder(almondcross.LeaseOrderConfig{
+			Worker: poolWorker, Fence: harness.machine.state.schedulerEpoch << fenceCounterBits,
+		})})
+		for _, answer := range message.Answers() {
+			harness.apply(lease.Answer(answer, harness.now, harness.now))
+		}
+	case almondcross.HostHello:
+		harness.apply(almondcross.NewHostLinkChanged(almondcross.HostLinkChangedConfig{
+			Host: message.Host(), Present: true, Strength: message.Strength(), Address: message.Address(),
+		}))
+	case almondcross.SchedulerMessage:
+		harness.apply(message)
+	}
+}
