Keep the host running when its log cannot be written

A failed write of the log, as on a full disk, ended the log duty with an error, and an error of a duty shuts the host down: one full disk ended every host that logs to it. Lines that cannot be written are now counted as dropped, and the log goes on once there is room.

Before: TestLogGoesOnAfterAFailedWrite: Received unexpected error: no space left on device. After: passes.

--- a/command/recorder/recorder.go
+++ b/command/recorder/recorder.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/almondcross/almondcross"
@@ -43,6 +42,7 @@
 	dropped       atomic.Int64
 	reportedDrops int64 // reportedDrops is the value of dropped at the last report in the log; only Run uses it.
 	written       atomic.Int64
+	buffered      int64 // buffered counts the lines since the last flush; only Run uses it.
 }
 
 // New returns a recorder whose lines are written by Run.
@@ -63,7 +63,8 @@
 // Written returns the number of written lines.
 func (recorder *Recorder) Written() int64 { return recorder.written.Load() }
 
-// Run writes lines until the context ends, and then the queued lines. It returns the error of a failed flush.
+// Run writes lines until the context ends, and then the queued lines. Lines that cannot be written, as on a full disk, are
+// counted as dropped; the host goes on without them.
 func (recorder *Recorder) Run(ctx context.Context) error {
 	output := bufio.NewWriterSize(recorder.config.Output, bufferSize)
 	formatter := &logrus.JSONFormatter{DisableHTMLEscape: true, TimestampFormat: "2006-01-02T15:04:05.000Z07:00"}
@@ -75,19 +76,28 @@
 				recorder.write(output, formatter, logger, <-recorder.lines.Messages())
 			}
 			recorder.reportDropped(output, formatter, logger)
-			return errors.Trace(output.Flush())
+			recorder.flush(output)
+			return nil
 		case next := <-recorder.lines.Messages():
 			recorder.write(output, formatter, logger, next)
 			recorder.reportDropped(output, formatter, logger)
 			if recorder.lines.Depth() == 0 {
-				if err := output.Flush(); err != nil {
-					return errors.Annotate(err, "writing the log")
-				}
+				recorder.flush(output)
 			}
 		}
 	}
 }
 
+// flush writes the buffered lines. After an error the buffer would refuse all further lines, so it is emptied.
+func (recorder *Recorder) flush(output *bufio.Writer) {
+	if output.Flush() != nil {
+		output.Reset(recorder.config.Output)
+		recorder.written.Add(-recorder.buffered)
+		recorder.dropped.Add(recorder.buffered)
+	}
+	recorder.buffered = 0
+}
+
 // reportDropped writes a line with the number of lines that were dropped since the last report.
 func (recorder *Recorder) reportDropped(output io.Writer, formatter logrus.Formatter, logger *logrus.Logger) {
 	dropped := recorder.dropped.Load()
@@ -123,4 +133,5 @@
 		return
 	}
 	recorder.written.Add(1)
+	recorder.buffered++
 }
--- a/command/recorder/recorder_test.go
+++ b/command/recorder/recorder_test.go
@@ -5,7 +5,9 @@
 	"context"
 	"encoding/json"
 	"strings"
+	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 	"unicode/utf8"
 
@@ -55,6 +57,40 @@
 	require.Equal(t, int64(3), log.Written())
 }
 
+// fullDisk fails to write until there is room.
+type fullDisk struct {
+	bytes.Buffer
+
+	failures int // failures is the number of writes that fail.
+}
+
+func (fulldisk *fullDisk) Write(data []byte) (int, error) {
+	if fulldisk.failures > 0 {
+		fulldisk.failures--
+		return 0, syscall.ENOSPC
+	}
+	return fulldisk.Buffer.Write(data)
+}
+
+// Guards against a full disk that ends the process, and against a log that stays silent once there is room again.
+func TestLogGoesOnAfterAFailedWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		output := &fullDisk{failures: 2}
+		log := recorder.New(recorder.Config{Output: output, Lines: 8, Clock: clock{}})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- log.Run(ctx) }()
+		for range 3 {
+			log.Record("run_placed")
+			synctest.Wait()
+		}
+		cancel()
+		require.NoError(t, <-done)
+		require.Equal(t, 1, strings.Count(output.String(), "run_placed"))
+		require.Contains(t, output.String(), "lines_left_out")
+	})
+}
+
 // Guards against log lines of megabytes: an error of decoding quotes the odd part of the message.
 func TestLongTextIsCut(t *testing.T) {
 	var output bytes.Buffer
