Serve by an earlier configuration if the newest cannot be read

A host that starts while the newest configuration is one that cannot be decoded had none: it answered 503 to all callers until operators published the next version, although the store still holds earlier ones. The host now reads the partition from its oldest record in that case.

Before: TestEarlierConfigurationReplacesAnUnreadableOne: expected []int64{5}, actual []int64(nil). After: passes, and so does ./query/follower.

--- a/query/follower/records_test.go
+++ b/query/follower/records_test.go
@@ -17,15 +17,19 @@
 	"github.com/almondcross/almondcross/ring"
 )
 
-// recordStore returns the same records from every read.
+// recordStore returns the same records from every read from an offset before end, or from any offset if end is zero.
 type recordStore struct {
 	records [][]byte
 	newest  []almondcross.KeyedRecord
+	end     int64
 }
 
 func (recordstore *recordStore) Read(ctx context.Context, query almondcross.StoreRead) (almondcross.StoreRecords, error) {
-	if len(recordstore.records) == 0 && !ring.Pause(ctx, query.Wait()) {
-		return almondcross.StoreRecords{}, almondcross.ErrStoreRefused
+	if len(recordstore.records) == 0 || recordstore.end > 0 && query.From() >= recordstore.end {
+		if !ring.Pause(ctx, query.Wait()) {
+			return almondcross.StoreRecords{}, almondcross.ErrStoreRefused
+		}
+		return almondcross.StoreRecords{}, nil
 	}
 	return almondcross.NewStoreRecords(almondcross.StoreRecordsConfig{
 		From: query.From(), End: query.From() + int64(len(recordstore.records)), Records: recordstore.records,
@@ -33,7 +37,7 @@
 }
 
 func (recordstore *recordStore) Newest(context.Context, almondcross.Partition) ([]almondcross.KeyedRecord, int64, error) {
-	return recordstore.newest, 1, nil
+	return recordstore.newest, max(recordstore.end, 1), nil
 }
 
 // ask passes a query to a duty and returns its answer.
@@ -105,6 +109,25 @@
 	}
 }
 
+// Guards against a host that serves no callers because it starts while the newest configuration is one of another writer.
+func TestEarlierConfigurationReplacesAnUnreadableOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		store := &recordStore{end: 3}
+		for _, value := range []string{`{"version":4}`, `{"version":5}`, `{"version":1e400}`} {
+			record := almondcross.NewKeyedRecord(almondcross.KeyedRecordConfig{Key: "config", Value: []byte(value)})
+			stored, err := translator.Codec{}.EncodeKeyed(record)
+			require.NoError(t, err)
+			store.newest, store.records = []almondcross.KeyedRecord{record}, append(store.records, stored)
+		}
+		var versions []int64
+		follower := follower.New(follower.Config{Reader: store, WorkerCodec: translator.Codec{}, Log: discardLog{}, Clock: systemClock{}, ConfigurationKey: "config"})
+		require.NoError(t, follower.Routes(func(_ context.Context, table almondcross.RouteTable) { versions = append(versions, table.Version()) })(ctx))
+		require.Equal(t, []int64{5}, versions)
+	})
+}
+
 // countingLog counts the lines about unreadable records.
 type countingLog struct{ lines atomic.Int64 }
 
--- a/query/follower/routes.go
+++ b/query/follower/routes.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/almondcross/almondcross"
 	"github.com/almondcross/almondcross/ring"
 )
@@ -41,18 +44,53 @@
 				ring.Pause(ctx, routesRetry)
 				continue
 			}
-			for _, record := range records {
-				table, ok := follower.decodeTable(record)
-				if ok && table.Version() > version {
-					version = table.Version()
-					apply(ctx, table)
-				}
+			table, found := follower.newestTable(records)
+			if !found && version == 0 && slices.ContainsFunc(records, follower.isConfiguration) {
+				table, found = follower.earlierTable(ctx)
+			}
+			if found && table.Version() > version {
+				version = table.Version()
+				apply(ctx, table)
 			}
 		}
 		return nil
 	}
 }
 
+// newestTable returns the route table with the highest version among the records that can be decoded.
+func (follower *Follower) newestTable(records []almondcross.KeyedRecord) (almondcross.RouteTable, bool) {
+	var newest almondcross.RouteTable
+	found := false
+	for _, record := range records {
+		if table, ok := follower.decodeTable(record); ok && (!found || table.Version() > newest.Version()) {
+			newest, found = table, true
+		}
+	}
+	return newest, found
+}
+
+// earlierTable returns the newest route table in the records that precede an unreadable one. A host without any route
+// table could not serve callers until operators publish the next version.
+func (follower *Follower) earlierTable(ctx context.Context) (almondcross.RouteTable, bool) {
+	partition := follower.config.Configuration
+	oldest := int64(0)
+	if records, err := follower.read(ctx, partition, 0, 0); errors.Is(err, almondcross.ErrStoreTrimmed) {
+		oldest = records.First()
+	}
+	var newest almondcross.RouteTable
+	found := false
+	for next := oldest; ; {
+		records, after, err := follower.readKeyed(ctx, partition, next, 0)
+		if err != nil || after == next {
+			return newest, found
+		}
+		if table, ok := follower.newestTable(records); ok && (!found || table.Version() > newest.Version()) {
+			newest, found = table, true
+		}
+		next = after
+	}
+}
+
 // logRoutesReadState logs that reading the configuration started to fail, or that it succeeds again.
 func (follower *Follower) logRoutesReadState(err error, version int64) {
 	if err == nil {
@@ -62,8 +100,12 @@
 	follower.config.Log.Record("routes_not_read", almondcross.Number("version", version), almondcross.Text("reason", err.Error()))
 }
 
+func (follower *Follower) isConfiguration(record almondcross.KeyedRecord) bool {
+	return record.Key() == follower.config.ConfigurationKey && len(record.Value()) > 0
+}
+
 func (follower *Follower) decodeTable(record almondcross.KeyedRecord) (almondcross.RouteTable, bool) {
-	if record.Key() != follower.config.ConfigurationKey || len(record.Value()) == 0 {
+	if !follower.isConfiguration(record) {
 		return almondcross.RouteTable{}, false
 	}
 	table, err := follower.config.WorkerCodec.DecodeRoutes(record.Value())
