--- a/command/scheduler/records_test.go
+++ b/command/scheduler/records_test.go
@@ -29,7 +29,7 @@
 }
 
 func snapshotOf(next, epoch int64, stages ...almondcross.StageRecordConfig) almondcross.StateSnapshot {
-	job := almondcross.JobRecordConfig{Job: newJob("j", almondcross.StepConfig{Count: 1}), State: almondcross.JobQueued}
+	job := almondcross.JobRecordConfig{Job: newJob("j", almondcross.StepConfig{Count: 1}), State: almondcross.JobQueued, StartedOccurrences: len(stages)}
 	for _, stage := range stages {
 		job.Stages = append(job.Stages, almondcross.NewStageRecord(stage))
 	}
@@ -87,6 +87,10 @@
 		require.NoError(t, err)
 		return parts[0]
 	}
+	negative, err := codec.EncodeSnapshot(almondcross.NewStateSnapshot(almondcross.StateSnapshotConfig{Jobs: []almondcross.JobRecord{
+		almondcross.NewJobRecord(almondcross.JobRecordConfig{Job: newJob("j"), StartedOccurrences: math.MinInt64}),
+	}}), 1<<20)
+	require.NoError(t, err)
 	one := make([]almondcross.TaskRecord, 1)
 	require.NoError(t, applyRecord(codec, admit(almondcross.StepConfig{Count: 1})))
 	require.NoError(t, applyRecord(codec, intake(almondcross.StepConfig{Count: 1})))
@@ -100,11 +104,15 @@
 		"stored job with negative tasks":      intake(almondcross.StepConfig{Count: -1}),
 		"step after itself":                   intake(almondcross.StepConfig{Count: 1, After: []int{0}}),
 		"step after a step twice":             intake(almondcross.StepConfig{Count: 1}, almondcross.StepConfig{Count: 1, After: []int{0, 0}}),
+		"negative number of occurrences":      negative[0],
 		"negative epoch":                      batch(-1 << 12),
 		"epoch beyond the fencing tokens":     batch(math.MaxInt64),
 		"snapshot of a negative epoch":        snapshot(snapshotOf(1, -1<<12)),
 		"snapshot of a negative offset":       snapshot(snapshotOf(-1, 1)),
 		"snapshot with a negative step":       snapshot(snapshotOf(1, 1, almondcross.StageRecordConfig{Step: -1, Tasks: one})),
+		"snapshot of unknown occurrences":     snapshot(snapshotOf(1, 1, almondcross.StageRecordConfig{Tasks: one}, almondcross.StageRecordConfig{Occurrence: 1, Tasks: one})),
+		"admitted job without steps":          admit(),
+		"stored job without steps":            intake(),
 		"snapshot without a stage's tasks":    snapshot(snapshotOf(1, 1, almondcross.StageRecordConfig{})),
 	} {
 		t.Run(name, func(t *testing.T) { require.Error(t, applyRecord(codec, record)) })
--- a/encoder/journal.go
+++ b/encoder/journal.go
@@ -313,6 +313,9 @@
 			return almondcross.Change{}, errors.Trace(err)
 		}
 	}
+	if wirestatechange.Kind == almondcross.ChangeAdmit && len(config.Job.Steps()) == 0 {
+		return almondcross.Change{}, errors.Annotate(ErrMalformed, "an admitted job without steps")
+	}
 	if wirestatechange.Queue != nil {
 		config.Queue = wirestatechange.Queue.value()
 	}
@@ -375,5 +378,8 @@
 	if err != nil {
 		return almondcross.Intake{}, errors.Annotate(err, "intake record")
 	}
+	if !wire.Cancel && len(job.Steps()) == 0 {
+		return almondcross.Intake{}, errors.Annotate(ErrMalformed, "intake record: a job without steps")
+	}
 	return almondcross.NewIntake(almondcross.IntakeConfig{Job: job, Cancel: wire.Cancel}), nil
 }
--- a/encoder/snapshot.go
+++ b/encoder/snapshot.go
@@ -239,11 +239,15 @@
 	}), nil
 }
 
-// checkStages returns ErrMalformed unless the stages are those of the started occurrences in order, or none.
+// checkStages returns ErrMalformed unless the stages are those of the started occurrences in order. A final job has neither
+// steps nor stages.
 func (wirejobrecord wireJobRecord) checkStages() error {
-	steps := wirejobrecord.Job.Steps
+	steps, started := wirejobrecord.Job.Steps, wirejobrecord.StartedOccurrences
+	if started < 0 || started > max(wirejobrecord.Job.Runs, 1) || len(wirejobrecord.Stages) != started*len(steps) {
+		return errors.Annotatef(ErrMalformed, "%d stages of %d occurrences of job %s", len(wirejobrecord.Stages), started, wirejobrecord.Job.ID)
+	}
 	for index, stage := range wirejobrecord.Stages {
-		if len(steps) == 0 || stage.Occurrence != index/len(steps) || stage.Step != index%len(steps) || len(stage.Tasks) != steps[stage.Step].Count {
+		if stage.Occurrence != index/len(steps) || stage.Step != index%len(steps) || len(stage.Tasks) != steps[stage.Step].Count {
 			return errors.Annotatef(ErrMalformed, "stage %d of job %s", index, wirejobrecord.Job.ID)
 		}
 	}
