--- a/assembler/scheduler.go
+++ b/assembler/scheduler.go
@@ -278,6 +278,7 @@
 	return submitter.New(submitter.Config{
 		Writer: commander.NewStore(settings.StoreAddress(), client), Codec: codec, Clock: Clock{}, Log: log, Topic: intakeTopic,
 		Partition: int(hash.Sum32()), Partitions: settings.StorePartitions(), Forward: uplink.Forward, Stored: rings.stored,
+		RecordBytes: settings.StoreRecord(), CallBytes: settings.StoreCall(),
 	})
 }
 
@@ -288,7 +289,7 @@
 	return scheduler.NewMachine(scheduler.Config{
 		Host: settings.Name(), Address: settings.LinkListen(), Partitions: settings.StorePartitions(), Strength: schedulerStrength(settings),
 		Retention: time.Duration(float64(settings.StateRetention()) * retentionFactor), MaxLease: settings.MaxLease(),
-		SnapshotInterval: interval, BatchesPerAppend: max(1, settings.StoreCall()/settings.StoreRecord()), Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), //nolint:gosec // Jitter needs no secrecy.
+		SnapshotInterval: interval, RecordBytes: settings.StoreRecord(), BatchesPerAppend: max(1, settings.StoreCall()/settings.StoreRecord()), Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), //nolint:gosec // Jitter needs no secrecy.
 		Publisher: table, Picker: picker.BestFit{}, Log: log, Metrics: counter,
 	})
 }
--- a/command/recorder/recorder_test.go
+++ b/command/recorder/recorder_test.go
@@ -4,8 +4,12 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"strings"
+	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
+	"unicode/utf8"
 
 	"github.com/stretchr/testify/require"
 
@@ -52,3 +56,49 @@
 	require.Equal(t, map[string]int{"run_placed": 2, "lines_left_out": 1}, seen)
 	require.Equal(t, int64(3), log.Written())
 }
+
+// fullDisk fails to write until there is room.
+type fullDisk struct {
+	bytes.Buffer
+
+	failures int // failures is the number of writes that fail.
+}
+
+func (fulldisk *fullDisk) Write(data []byte) (int, error) {
+	if fulldisk.failures > 0 {
+		fulldisk.failures--
+		return 0, syscall.ENOSPC
+	}
+	return fulldisk.Buffer.Write(data)
+}
+
+// Guards against a full disk that ends the process, and against a log that stays silent once there is room again.
+func TestLogGoesOnAfterAFailedWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		output := &fullDisk{failures: 2}
+		log := recorder.New(recorder.Config{Output: output, Lines: 8, Clock: clock{}})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- log.Run(ctx) }()
+		for range 3 {
+			log.Record("run_placed")
+			synctest.Wait()
+		}
+		cancel()
+		require.NoError(t, <-done)
+		require.Equal(t, 1, strings.Count(output.String(), "run_placed"))
+		require.Contains(t, output.String(), "lines_left_out")
+	})
+}
+
+// Guards against log lines of megabytes: an error of decoding quotes the odd part of the message.
+func TestLongTextIsCut(t *testing.T) {
+	var output bytes.Buffer
+	log := recorder.New(recorder.Config{Output: &output, Lines: 1, Clock: clock{}})
+	log.Record("order_failed", almondcross.Text("reason", strings.Repeat("é", 1<<20)))
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.NoError(t, log.Run(ctx))
+	require.Less(t, output.Len(), 1200)
+	require.True(t, utf8.Valid(output.Bytes()))
+}
--- a/command/scheduler/append_test.go
+++ b/command/scheduler/append_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/almondcross/almondcross"
+	"github.com/almondcross/almondcross/encoder"
 )
 
 // Guards against an append above the store's limit: after an outage the scheduler admits a backlog of thousands of
@@ -46,3 +47,58 @@
 		require.Equal(t, int64(jobs), offset)
 	}
 }
+
+// Guards against a journal record above the store's limit, which the store refuses however often it is sent again, so that
+// nothing is scheduled any more: jobs may have a thousand steps that come after many others.
+func TestBatchesOfLargeJobsFitInARecord(t *testing.T) {
+	codec, err := encoder.NewCodec()
+	require.NoError(t, err)
+	steps := make([]almondcross.StepConfig, 1000)
+	for index := range steps {
+		steps[index] = almondcross.StepConfig{Count: 1, Label: "a", Image: "image"}
+		for dependency := max(0, index-20); dependency < index; dependency++ {
+			steps[index].After = append(steps[index].After, dependency)
+		}
+	}
+	const jobs = 40
+	harness := newHarness(t)
+	harness.becomeScheduler()
+	var intakes []almondcross.Intake
+	for index := range jobs {
+		intakes = append(intakes, almondcross.NewIntake(almondcross.IntakeConfig{Job: newJob(almondcross.JobID(fmt.Sprintf("%016x", index)), steps...)}))
+	}
+	harness.apply(almondcross.NewIntakeRead(almondcross.IntakeReadConfig{Next: jobs, Intakes: intakes}))
+	for admitted := 0; admitted < jobs; {
+		request := harness.answerCommit()
+		for _, batch := range request.Batches() {
+			record, err := codec.EncodeBatch(batch)
+			require.NoError(t, err)
+			require.LessOrEqual(t, len(record), harness.machine.config.RecordBytes)
+			for _, change := range batch.Changes() {
+				if change.Kind() == almondcross.ChangeAdmit {
+					admitted++
+				}
+			}
+		}
+	}
+}
+
+// Guards against one submission that takes all memory of each scheduler in turn: all occurrences of a job may be due at once.
+func TestOccurrencesStartOnlyAsEarlierOnesEnd(t *testing.T) {
+	harness := newHarness(t)
+	harness.becomeScheduler()
+	job := almondcross.NewJob(almondcross.JobConfig{
+		ID: "j", Queue: "q", Runs: 1000, First: harness.now, Steps: []almondcross.Step{almondcross.NewStep(almondcross.StepConfig{
+			Count: 1000, Resources: almondcross.NewResources(almondcross.ResourcesConfig{MilliCPU: 1}),
+		})},
+	})
+	harness.apply(almondcross.NewIntakeRead(almondcross.IntakeReadConfig{Next: 1, Intakes: []almondcross.Intake{
+		almondcross.NewIntake(almondcross.IntakeConfig{Job: job}),
+	}}))
+	harness.advance(leaderTick)
+	known := harness.machine.state.jobs["j"]
+	require.Equal(t, maxOpenTasks/1000, known.startedOccurrences)
+	known.stages[0].remainingTasks = 0
+	harness.advance(leaderTick)
+	require.Equal(t, maxOpenTasks/1000+1, known.startedOccurrences)
+}
