Count a job as pending until a run is known to have started

Change: ChangeJobStarted records, once a job, the first run that a worker's answer, report or late end shows to have started; a reported end implies it. The account's time waited ends at that start. No record format changes, since the decoder refuses arrays of another length; the time waited uses the place of the lease remaining.

--- a/command/scheduler/append.go
+++ b/command/scheduler/append.go
@@ -66,6 +66,7 @@
 	if leader.inflight != nil || idle && machine.now.Sub(leader.lastCommitAt) < heartbeatInterval {
 		return
 	}
+	machine.recordStarts()
 	machine.beginBatch()
 	leader.lastAppendAt = machine.now
 	leader.sequence++
--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -17,6 +17,7 @@
 	resignedAt      time.Time // resignedAt is when the resignation was added to the next append, zero before that.
 
 	pendingChanges   []almondcross.Change                            // pendingChanges holds the changes of the next append.
+	unrecordedStarts []jobStart                                      // unrecordedStarts holds the known starts that the next append records.
 	pendingIntake    map[int]int64                                   // pendingIntake holds the intake offsets of the next append.
 	pendingCallbacks []commitCallback                                // pendingCallbacks holds the functions to run once their changes are in the journal.
 	pendingResets    []*linkedHost                                   // pendingResets holds the hosts that get all views after the next append.
--- a/command/scheduler/lease.go
+++ b/command/scheduler/lease.go
@@ -183,6 +183,7 @@
 // recordLateEnd handles the end of a run that was presumed lost. A success counts if the task has not been
 // started again. Otherwise its end is never acknowledged, and the worker gets no new work (see ackLimit).
 func (machine *Machine) recordLateEnd(worker *worker, end almondcross.EndedTask) {
+	machine.noteLateEnd(end)
 	if end.Kind() != almondcross.EndDone {
 		delete(worker.presumedLost, end.Task())
 		return
@@ -235,6 +236,7 @@
 	if assigned.phase != phaseConfirmed {
 		assigned.phase, assigned.confirmedAt = phaseConfirmed, machine.now
 		assigned.progressAt = machine.now
+		machine.noteStart(assigned.job, assigned.task, assigned.run, machine.now)
 	}
 	if running.Checkpoint() != "" {
 		assigned.checkpoint = running.Checkpoint()
--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -330,6 +330,7 @@
 	switch answer.Result() {
 	case almondcross.OrderDone:
 		assigned.phase, assigned.confirmedAt, assigned.progressAt = phaseConfirmed, answer.Received(), machine.now
+		machine.noteStart(assigned.job, assigned.task, assigned.run, machine.now)
 	case almondcross.OrderUnknown:
 		assigned.phase = phaseUnknown
 		machine.requestReport(worker)
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -127,6 +127,8 @@
 		state.assignTask(change)
 	case almondcross.ChangeEnd:
 		state.endTask(change)
+	case almondcross.ChangeJobStarted:
+		state.startJob(change.Task().Stage.Job, change.Waited())
 	case almondcross.ChangeOccurrence:
 		if job := state.jobs[change.Job().ID()]; job != nil && !job.state.Final() {
 			job.startOccurrence()
@@ -235,14 +237,6 @@
 	}
 	stage.tasks[change.Task().Index] = record.WithActive(true).WithRun(change.Run()).WithWorker(change.Worker()).WithSince(state.batchTime)
 	stage.gangRun = max(stage.gangRun, change.Run())
-	if job.state == almondcross.JobQueued {
-		job.state = almondcross.JobRunning
-		waited := max(state.batchTime.Sub(job.spec.Submitted()), 0)
-		state.updateUsage(job.queue, func(usage almondcross.QueueUsage) almondcross.QueueUsage {
-			return usage.WithWaited(usage.Waited() + waited)
-		})
-		state.changedJobs[job.spec.ID()] = struct{}{}
-	}
 }
 
 func (state *state) endTask(change almondcross.Change) {
@@ -264,6 +258,10 @@
 		stage.activeTasks++
 		job.activeTasks++
 	}
+	if change.End() != almondcross.EndVoid {
+		// A worker reports ends only of runs that it had. The run started no earlier than it was assigned.
+		state.startJob(job.spec.ID(), record.Since().Sub(job.spec.Submitted()))
+	}
 	state.addRunUsage(job, stage, record, change.End())
 	record = record.WithActive(false)
 	stage.activeTasks--
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -213,6 +213,7 @@
 
 // endRun records the end of a run and releases its resources.
 func (machine *Machine) endRun(worker *worker, assignment *assignment, kind almondcross.EndKind, checkpoint string) {
+	machine.recordStarts() // The end itself would otherwise count as the first sign of the start.
 	worker.release(assignment)
 	task := assignment.task
 	wasFinal := assignment.job.state.Final()
--- a/encoder/journal.go
+++ b/encoder/journal.go
@@ -9,7 +9,8 @@
 )
 
 // wireStep is one step of a job. The wire types of the journal are encoded as arrays to keep the records small,
-// so fields must keep their order and new ones are only appended.
+// so fields must keep their order. The decoder refuses an array of another length: with a new field, a host can read
+// neither the records of the version before nor the other way round.
 type wireStep struct {
 	_                                struct{} `cbor:",toarray"`
 	Count, PerWorker, MaxUnavailable int
@@ -56,7 +57,7 @@
 	Worker, End, Checkpoint string
 	Occurrence              int
 	Host, Address           string
-	LeaseRemainingMS        int64
+	DurationMS              int64 // DurationMS is the lease remaining of ChangeWorkerSilent or the time waited of ChangeJobStarted.
 }
 
 type wireBatch struct {
@@ -273,7 +274,10 @@
 	wire := wireStateChange{
 		Kind: change.Kind(), Run: change.Run(), Worker: change.Worker(), End: string(change.End()),
 		Checkpoint: change.Checkpoint(), Occurrence: change.Occurrence(), Host: change.Host(), Address: change.Address(),
-		LeaseRemainingMS: change.LeaseRemaining().Milliseconds(),
+		DurationMS: change.LeaseRemaining().Milliseconds(),
+	}
+	if change.Kind() == almondcross.ChangeJobStarted {
+		wire.DurationMS = change.Waited().Milliseconds()
 	}
 	if change.Job().ID() != "" {
 		job := toJob(change.Job())
@@ -295,7 +299,11 @@
 		Kind: wirestatechange.Kind, Run: wirestatechange.Run, Worker: wirestatechange.Worker,
 		End: almondcross.EndKind(wirestatechange.End), Checkpoint: wirestatechange.Checkpoint,
 		Occurrence: wirestatechange.Occurrence, Host: wirestatechange.Host, Address: wirestatechange.Address,
-		LeaseRemaining: time.Duration(wirestatechange.LeaseRemainingMS) * time.Millisecond,
+	}
+	if duration := time.Duration(wirestatechange.DurationMS) * time.Millisecond; wirestatechange.Kind == almondcross.ChangeJobStarted {
+		config.Waited = duration
+	} else {
+		config.LeaseRemaining = duration
 	}
 	if wirestatechange.Job != nil {
 		config.Job = wirestatechange.Job.value()
--- /dev/null
+++ b/encoder/journal_test.go
@@ -0,0 +1,49 @@
+package encoder_test
+
+import (
+	"encoding/hex"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/almondcross/almondcross"
+	"github.com/almondcross/almondcross/encoder"
+)
+
+// batchBeforeJobStarts is a record that a scheduler wrote before ChangeJobStarted existed: an assignment and a silent
+// worker.
+const batchBeforeJobStarts = "8519129f1b0000019b76daa800a10009828c03f6f68470356330653761323164393462333666380001020363772d31606000" +
+	"6060008c08f6f6f60063772d3160600060601905dcf4"
+
+var journalTask = almondcross.JobTask{Stage: almondcross.StageID{Job: "5c0e7a21d94b36f8", Step: 1}, Index: 2}
+
+// Guards against a change of the record format after which a host cannot read the journal of the version before: the
+// decoder refuses arrays of another length.
+func TestBatchOfTheVersionBeforeDecodes(t *testing.T) {
+	codec, err := encoder.NewCodec()
+	require.NoError(t, err)
+	record, err := hex.DecodeString(batchBeforeJobStarts)
+	require.NoError(t, err)
+	batch, err := codec.DecodeBatch(record)
+	require.NoError(t, err)
+	require.Equal(t, []almondcross.Change{
+		almondcross.NewChange(almondcross.ChangeConfig{Kind: almondcross.ChangeAssign, Task: journalTask, Run: 3, Worker: "w-1"}),
+		almondcross.NewChange(almondcross.ChangeConfig{Kind: almondcross.ChangeWorkerSilent, Worker: "w-1", LeaseRemaining: 1500 * time.Millisecond}),
+	}, batch.Changes())
+	again, err := codec.EncodeBatch(batch)
+	require.NoError(t, err)
+	require.Equal(t, batchBeforeJobStarts, hex.EncodeToString(again), "a host of the version before reads the records of this one")
+}
+
+// Guards against a waiting time that followers of the journal do not see, or see as the lease of a worker.
+func TestJobStartKeepsItsWaitingTime(t *testing.T) {
+	codec, err := encoder.NewCodec()
+	require.NoError(t, err)
+	started := almondcross.NewChange(almondcross.ChangeConfig{Kind: almondcross.ChangeJobStarted, Task: journalTask, Run: 3, Waited: 84 * time.Millisecond})
+	record, err := codec.EncodeBatch(almondcross.NewJournalBatch(almondcross.JournalBatchConfig{Epoch: 1, At: time.UnixMilli(1), Changes: []almondcross.Change{started}}))
+	require.NoError(t, err)
+	batch, err := codec.DecodeBatch(record)
+	require.NoError(t, err)
+	require.Equal(t, []almondcross.Change{started}, batch.Changes())
+}
--- a/job_generated.go
+++ b/job_generated.go
@@ -1864,6 +1864,7 @@
 	Host           string
 	Address        string
 	LeaseRemaining time.Duration
+	Waited         time.Duration
 }
 
 // NewChange returns a Change with the given fields.
@@ -1881,6 +1882,7 @@
 		host:           config.Host,
 		address:        config.Address,
 		leaseRemaining: config.LeaseRemaining,
+		waited:         config.Waited,
 	}
 }
 
@@ -1899,6 +1901,7 @@
 		Host:           change.host,
 		Address:        change.address,
 		LeaseRemaining: change.leaseRemaining,
+		Waited:         change.waited,
 	}
 }
 
@@ -2010,6 +2013,15 @@
 	return change
 }
 
+// Waited returns the time from the submission of the job to the start in ChangeJobStarted.
+func (change Change) Waited() time.Duration { return change.waited }
+
+// WithWaited returns a copy with the given waited.
+func (change Change) WithWaited(waited time.Duration) Change {
+	change.waited = waited
+	return change
+}
+
 // JournalBatchConfig holds the fields of a new JournalBatch.
 type JournalBatchConfig struct {
 	Epoch   int64
@@ -2337,7 +2349,7 @@
 	return queueusage
 }
 
-// Waited returns the total time that admitted jobs waited for their first run.
+// Waited returns the total time that admitted jobs waited for their first run to start, for jobs with such a run.
 func (queueusage QueueUsage) Waited() time.Duration { return queueusage.waited }
 
 // WithWaited returns a copy with the given waited.
--- a/journal.go
+++ b/journal.go
@@ -144,6 +144,8 @@
 	ChangeResigned       ChangeKind = 7 // ChangeResigned records that the scheduler of the epoch resigned.
 	ChangeWorkerSilent   ChangeKind = 8 // ChangeWorkerSilent records that a worker does not answer; its lease is not extended until ChangeWorkerRegained.
 	ChangeWorkerRegained ChangeKind = 9 // ChangeWorkerRegained records that a silent worker answered again or was removed.
+
+	ChangeJobStarted ChangeKind = 10 // ChangeJobStarted records the first run of a job that is known to have started on its worker.
 )
 
 // Change is one change of the replicated state.
@@ -162,6 +164,7 @@
 	host           string        // the elected host
 	address        string        // the link address of the elected host
 	leaseRemaining time.Duration // the time after ChangeWorkerSilent by which the lease of the worker has expired
+	waited         time.Duration // the time from the submission of the job to the start in ChangeJobStarted
 }
 
 // JournalBatch is one record of the journal.
@@ -203,7 +206,7 @@
 	completed   int           // the number of completed jobs
 	failed      int           // the number of failed jobs
 	cancelled   int           // the number of cancelled jobs
-	waited      time.Duration // the total time that admitted jobs waited for their first run
+	waited      time.Duration // the total time that admitted jobs waited for their first run to start, for jobs with such a run
 	doneRuns    int           // the number of runs that ended successfully
 	failedRuns  int           // the number of runs that failed because of the task or its worker
 	abortedRuns int           // the number of runs that were stopped, lost or ended with their gang
