Check the pending counts of all hosts in the emulator

The checker compares, each 0.5 s, the counts of hosts whose views are fresh with the jobs that were accepted 5 s before and that no worker has started.

--- a/standin/emulator/emulator_test.go
+++ b/standin/emulator/emulator_test.go
@@ -49,6 +49,14 @@
 	require.InEpsilon(t, report.UsedCPU, report.AccountedCPU, 0.05)
 }
 
+// Guards against hosts that say that no job waits while the start orders of the waiting jobs get no answer.
+func TestPendingCountsWithLateOrders(t *testing.T) {
+	simulationConfig := newConfig(*firstSeed)
+	simulationConfig.Faults = []emulator.Fault{{Kind: emulator.DelayOrders, StartsAt: 4 * time.Second, Duration: 12 * time.Second, Share: 0.95}}
+	report := runSimulation(t, simulationConfig)
+	require.Empty(t, report.Violations)
+}
+
 // Guards against violations of the guarantees under any combination of faults.
 func TestSimulationsWithRandomFaults(t *testing.T) {
 	for seed := *firstSeed; seed < *firstSeed+uint64(*simulationCount); seed++ {
--- a/standin/emulator/jobs.go
+++ b/standin/emulator/jobs.go
@@ -19,6 +19,7 @@
 	unanswered    int           // unanswered counts the attempts without a response.
 	cancelledAt   time.Duration // cancelledAt is when a cancellation was acknowledged, 0 before.
 	cancelSentAt  time.Duration
+	started       bool // started reports whether a worker has started one of its tasks.
 	finalState    almondcross.JobState
 	finalAt       time.Duration
 	taskHistories map[almondcross.JobTask]*taskHistory
--- a/standin/emulator/simulation.go
+++ b/standin/emulator/simulation.go
@@ -130,6 +130,7 @@
 		simulation.schedule(time.Duration(simulation.random.Int64N(int64(300*time.Millisecond))), host.boot)
 	}
 	simulation.scheduleJobs()
+	simulation.schedule(warmUp, simulation.checker.checkPendingCounts)
 	for _, fault := range config.Faults {
 		simulation.schedule(warmUp+fault.StartsAt, func() { simulation.injectFault(fault) })
 	}
--- a/standin/emulator/worker.go
+++ b/standin/emulator/worker.go
@@ -119,6 +119,7 @@
 		}
 	}
 	modelworker.runs[order.Task()] = run
+	job.started = true
 }
 
 // stop executes a stop order.
