Count the waiting time of a scheduled job from its first due time

The account's time waited counted a job that was submitted an hour before its first due time as an hour of waiting. TestScheduledJobWaitsFromItsFirstDueTime failed with "expected: 30ms, actual: 1.03s" and passes now.

--- a/command/scheduler/progress.go
+++ b/command/scheduler/progress.go
@@ -23,11 +23,20 @@
 	}
 	job.state = almondcross.JobRunning
 	state.updateUsage(job.queue, func(usage almondcross.QueueUsage) almondcross.QueueUsage {
-		return usage.WithWaited(usage.Waited() + max(waited, 0))
+		return usage.WithWaited(usage.Waited() + waited)
 	})
 	state.changedJobs[id] = struct{}{}
 }
 
+// waitedUntil returns how long the job waited for a start at a time. A scheduled job waits from its first due time.
+func (job *job) waitedUntil(at time.Time) time.Duration {
+	since := job.spec.Submitted()
+	if due := job.spec.Due(0); due.After(since) {
+		since = due
+	}
+	return max(at.Sub(since), 0).Truncate(time.Millisecond)
+}
+
 // noteStart notes that a worker has confirmed a run. If no run of the job was known to have started, the next append
 // records it. The start causes no append of its own, since each append is billed and callers may see a job as queued
 // for 2 s after its start; a scheduler appends a batch at least every heartbeatInterval.
@@ -58,7 +67,7 @@
 		if start.job.state != almondcross.JobQueued {
 			continue
 		}
-		waited := max(start.at.Sub(start.job.spec.Submitted()), 0).Truncate(time.Millisecond)
+		waited := start.job.waitedUntil(start.at)
 		machine.recordChange(almondcross.ChangeConfig{Kind: almondcross.ChangeJobStarted, Task: start.task, Run: start.run, Waited: waited})
 		machine.config.Log.Record("job_started", almondcross.Text("job", string(start.job.spec.ID())), almondcross.Text("task", start.task.String()),
 			almondcross.Number("run", start.run), almondcross.Millis("waited_ms", waited))
--- a/command/scheduler/progress_test.go
+++ b/command/scheduler/progress_test.go
@@ -185,3 +185,23 @@
 	restored := restore(successor.machine.state.snapshot(0, successor.now), time.Minute, successor.now, nil)
 	require.Equal(t, almondcross.JobRunning, restored.jobs["j"].state)
 }
+
+// Guards against an account in which a scheduled job waits before it is due.
+func TestScheduledJobWaitsFromItsFirstDueTime(t *testing.T) {
+	harness := newHarness(t)
+	harness.becomeScheduler()
+	due := harness.now.Add(time.Second)
+	step := almondcross.NewStep(almondcross.StepConfig{Count: 1, Resources: almondcross.NewResources(almondcross.ResourcesConfig{MilliCPU: 100})})
+	job := almondcross.NewJob(almondcross.JobConfig{
+		ID: "j", Queue: "q", Steps: []almondcross.Step{step}, Runs: 2, First: due, Period: time.Minute, Submitted: harness.now,
+	})
+	harness.apply(almondcross.NewIntakeForwarded(almondcross.IntakeForwardedConfig{Intake: almondcross.NewIntake(almondcross.IntakeConfig{Job: job})}))
+	harness.answerCommit()
+	harness.advance(due.Sub(harness.now))
+	harness.answerCommits()
+	harness.answerStart()
+	started := harness.now
+	harness.awaitHeartbeat()
+	require.Equal(t, almondcross.JobRunning, harness.shownState())
+	require.Equal(t, started.Sub(due), harness.recordedWait())
+}
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -260,7 +260,7 @@
 	}
 	if change.End() != almondcross.EndVoid {
 		// A worker reports ends only of runs that it had. The run started no earlier than it was assigned.
-		state.startJob(job.spec.ID(), record.Since().Sub(job.spec.Submitted()))
+		state.startJob(job.spec.ID(), job.waitedUntil(record.Since()))
 	}
 	state.addRunUsage(job, stage, record, change.End())
 	record = record.WithActive(false)
--- a/job_generated.go
+++ b/job_generated.go
@@ -2013,7 +2013,7 @@
 	return change
 }
 
-// Waited returns the time from the submission of the job to the start in ChangeJobStarted.
+// Waited returns the time from the submission of the job, or its first due time, to the start in ChangeJobStarted.
 func (change Change) Waited() time.Duration { return change.waited }
 
 // WithWaited returns a copy with the given waited.
@@ -2349,7 +2349,7 @@
 	return queueusage
 }
 
-// Waited returns the total time that admitted jobs waited for their first run to start, for jobs with such a run.
+// Waited returns the total time that admitted jobs waited for their first run to start, from their first due time if that is later.
 func (queueusage QueueUsage) Waited() time.Duration { return queueusage.waited }
 
 // WithWaited returns a copy with the given waited.
--- a/journal.go
+++ b/journal.go
@@ -164,7 +164,7 @@
 	host           string        // the elected host
 	address        string        // the link address of the elected host
 	leaseRemaining time.Duration // the time after ChangeWorkerSilent by which the lease of the worker has expired
-	waited         time.Duration // the time from the submission of the job to the start in ChangeJobStarted
+	waited         time.Duration // the time from the submission of the job, or its first due time, to the start in ChangeJobStarted
 }
 
 // JournalBatch is one record of the journal.
@@ -206,7 +206,7 @@
 	completed   int           // the number of completed jobs
 	failed      int           // the number of failed jobs
 	cancelled   int           // the number of cancelled jobs
-	waited      time.Duration // the total time that admitted jobs waited for their first run to start, for jobs with such a run
+	waited      time.Duration // the total time that admitted jobs waited for their first run to start, from their first due time if that is later
 	doneRuns    int           // the number of runs that ended successfully
 	failedRuns  int           // the number of runs that failed because of the task or its worker
 	abortedRuns int           // the number of runs that were stopped, lost or ended with their gang
