--- a/command/scheduler/lease.go
+++ b/command/scheduler/lease.go
@@ -158,7 +158,8 @@
 		acknowledged = max(acknowledged, end.Sequence())
 		if assigned := worker.assignments[end.Task()]; assigned != nil && assigned.run == end.Run() {
 			machine.endRun(worker, assigned, end.Kind(), end.Checkpoint())
-		} else if end.Kind() == almondcross.EndDone {
+		} else {
+			machine.noteLateEnd(end)
 			machine.recordLateSuccess(worker, end)
 		}
 	}
@@ -195,7 +196,7 @@
 // has not been started again; if it has, the success is never acknowledged, and the worker gets no new work (see ackLimit).
 func (machine *Machine) recordLateSuccess(worker *worker, end almondcross.EndedTask) {
 	job := machine.state.jobs[end.Task().Stage.Job]
-	if job == nil {
+	if job == nil || end.Kind() != almondcross.EndDone {
 		return
 	}
 	stage := job.stage(end.Task().Stage)
@@ -250,6 +251,7 @@
 	if assigned.phase != phaseConfirmed {
 		assigned.phase, assigned.confirmedAt = phaseConfirmed, machine.now
 		assigned.progressAt = machine.now
+		machine.noteStart(assigned.job, assigned.task, assigned.run, machine.now)
 	}
 	assigned.missingEnd = almondcross.EndVoid
 	if running.Checkpoint() != "" {
