Give up a service only for crashes soon after its starts

A service runs as long as its worker does, so three crashes of workers within a minute each would have failed its job, whose users need it. Only crashes within 10 s of a start count against a service, and five are needed. The end of a run moves to a function of its own.

TestServiceIsGivenUpForCrashesSoonAfterItsStartOnly.

--- a/command/scheduler/crash.go
+++ b/command/scheduler/crash.go
@@ -18,9 +18,11 @@
 	// maxMaybeCrashes is the count of crashes at which the job fails even if it is not known that the runs had started.
 	// A task that crashes its workers may be started twice more after the third crash.
 	maxMaybeCrashes = 5
-	// crashAttribution is how long a run may have been on its worker for a crash to count against its task. A task
-	// that crashes its workers does so on each of them, so a run that worked for longer was a bystander.
-	crashAttribution = time.Minute
+	// crashAttribution and serviceCrashAttribution are how long a run may have been on its worker for a crash to count
+	// against its task. A task that crashes its workers does so on each of them, so a run that worked for longer was a
+	// bystander. A service runs for as long as its workers do and would else be given up for crashes of theirs.
+	crashAttribution        = time.Minute
+	serviceCrashAttribution = 10 * time.Second
 )
 
 // isCrash reports whether a run ended because its worker crashed.
@@ -28,27 +30,36 @@
 	return kind == almondcross.EndWorkerCrashed || kind == almondcross.EndCrashedAlone || kind == almondcross.EndMaybeCrashed
 }
 
-// countCrash counts a crash of the worker under the last run of a task.
-func (state *state) countCrash(record almondcross.TaskRecord, kind almondcross.EndKind) almondcross.TaskRecord {
-	if state.batchTime.Sub(record.Since()) > crashAttribution {
-		return record.WithCrashes(0).WithConfirmed(0)
+// countCrash counts a crash of the worker under the last run of a task, which ended at a time.
+func (stage *stage) countCrash(index int, kind almondcross.EndKind, now time.Time) {
+	record := stage.tasks[index]
+	attribution := crashAttribution
+	if stage.spec.Service() {
+		attribution = serviceCrashAttribution
 	}
-	switch kind {
-	case almondcross.EndMaybeCrashed:
-		return record.WithCrashes(record.Crashes() + 1)
-	case almondcross.EndCrashedAlone:
-		return record.WithCrashes(record.Crashes() + 2).WithConfirmed(record.Confirmed() + 1)
+	switch {
+	case now.Sub(record.Since()) > attribution:
+		record = record.WithCrashes(0).WithConfirmed(0)
+	case kind == almondcross.EndMaybeCrashed:
+		record = record.WithCrashes(record.Crashes() + 1)
+	case kind == almondcross.EndCrashedAlone:
+		record = record.WithCrashes(record.Crashes() + 2).WithConfirmed(record.Confirmed() + 1)
 	default:
-		return record.WithCrashes(record.Crashes() + 1).WithConfirmed(record.Confirmed() + 1)
+		record = record.WithCrashes(record.Crashes() + 1).WithConfirmed(record.Confirmed() + 1)
 	}
+	stage.tasks[index] = record
+	stage.updateMaxCrashes()
 }
 
-// givenUp reports whether so many workers have crashed under a task that it is not started again.
-func givenUp(record almondcross.TaskRecord) bool {
-	return !record.Done() && (record.Crashes() >= maxCrashes && record.Confirmed() >= minConfirmedCrashes || record.Crashes() >= maxMaybeCrashes)
+// givenUp reports whether so many workers have crashed under a task that it is not started again. A service, whose users
+// need it, gets as many starts as the bound allows.
+func (stage *stage) givenUp(index int) bool {
+	record := stage.tasks[index]
+	enough := record.Crashes() >= maxCrashes && record.Confirmed() >= minConfirmedCrashes && !stage.spec.Service()
+	return !record.Done() && (enough || record.Crashes() >= maxMaybeCrashes)
 }
 
-// updateMaxCrashes computes the highest number of crashes of a task anew.
+// updateMaxCrashes computes the highest count of crashes of a task anew.
 func (stage *stage) updateMaxCrashes() {
 	stage.maxCrashes = 0
 	for _, record := range stage.tasks {
--- a/command/scheduler/crash_test.go
+++ b/command/scheduler/crash_test.go
@@ -77,3 +77,23 @@
 	require.Equal(t, almondcross.EndCrashedAlone, harness.recordedEnd())
 	require.False(t, harness.machine.leader.workers[workerID].usable(harness.now))
 }
+
+// Guards against a service that is given up because workers crash under it for other reasons, and against one that crashes
+// each worker soon after its start and is started without bound.
+func TestServiceIsGivenUpForCrashesSoonAfterItsStartOnly(t *testing.T) {
+	for after, given := range map[time.Duration]bool{time.Second: true, time.Minute: false} {
+		now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		stage := &stage{spec: almondcross.NewStep(almondcross.StepConfig{Count: 1, Service: true}), tasks: make([]almondcross.TaskRecord, 1)}
+		crashes := 0
+		for !stage.givenUp(0) && crashes < 100 {
+			stage.tasks[0] = stage.tasks[0].WithSince(now)
+			now = now.Add(after)
+			stage.countCrash(0, almondcross.EndWorkerCrashed, now)
+			crashes++
+		}
+		require.Equal(t, given, stage.givenUp(0))
+		if given {
+			require.Equal(t, maxMaybeCrashes, crashes)
+		}
+	}
+}
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -280,6 +280,19 @@
 		record = record.WithCheckpoint(change.Checkpoint())
 		stage.gangCheckpoint = change.Checkpoint()
 	}
+	stage.endRun(index, record, change)
+	if isCrash(change.End()) {
+		stage.countCrash(index, change.End(), state.batchTime)
+	}
+	if stage.spec.Gang() && !stage.spec.Service() {
+		stage.updateGang(change)
+	}
+	state.updateJobState(job, stage, index)
+	state.compactJob(job)
+}
+
+// endRun sets the record of a task whose run has ended.
+func (stage *stage) endRun(index int, record almondcross.TaskRecord, change almondcross.Change) {
 	switch {
 	case stage.spec.Service():
 		// A service task is restarted however its run ends.
@@ -292,19 +305,7 @@
 		record = record.WithFailures(record.Failures() + 1)
 		stage.failedGangRun = change.Run()
 	}
-	crashed := isCrash(change.End())
-	if crashed {
-		record = state.countCrash(record, change.End())
-	}
 	stage.tasks[index] = record
-	if crashed {
-		stage.updateMaxCrashes()
-	}
-	if stage.spec.Gang() && !stage.spec.Service() {
-		stage.updateGang(change)
-	}
-	state.updateJobState(job, stage, index)
-	state.compactJob(job)
 }
 
 // updateGang applies the end of one member to the gang. One success completes all members; a failed run counts
@@ -334,7 +335,7 @@
 		state.finishJob(job, almondcross.JobFailed)
 		return
 	}
-	if givenUp(stage.tasks[index]) {
+	if stage.givenUp(index) {
 		state.finishJob(job, almondcross.JobFailed)
 		return
 	}
