--- a/command/scheduler/records_test.go
+++ b/command/scheduler/records_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -119,6 +120,44 @@
 	}
 }
 
+// Guards against a snapshot that the store refuses, or that no host can decode, for as long as one large job is open: hosts
+// that start meanwhile would lose the jobs whose records the journal no longer holds.
+func TestLargeJobsAreDividedOverTheParts(t *testing.T) {
+	const size = 64 << 10
+	codec, err := encoder.NewCodec()
+	require.NoError(t, err)
+	state := newState(time.Minute)
+	for _, id := range []almondcross.JobID{"a-small", "b-large", "c-large", "d-small"} {
+		count := map[bool]int{true: 10_000, false: 1}[strings.HasSuffix(string(id), "large")]
+		state.admitJob(newJob(id, almondcross.StepConfig{Count: count}), almondcross.Queue{})
+		for index := range count {
+			state.apply(almondcross.NewChange(almondcross.ChangeConfig{Kind: almondcross.ChangeAssign, Task: taskOf(id, 0, index), Run: 1, Worker: workerID}))
+		}
+	}
+	state.admitJob(almondcross.NewJob(almondcross.JobConfig{ID: "e-often", Runs: maxJobRuns, Steps: []almondcross.Step{almondcross.NewStep(almondcross.StepConfig{Count: 1})}}), almondcross.Queue{})
+	for range maxJobRuns {
+		state.jobs["e-often"].startOccurrence()
+	}
+	before := state.snapshot(7, time.Unix(1767225600, 0))
+	parts, err := codec.EncodeSnapshot(before, size)
+	require.NoError(t, err)
+	var records []almondcross.KeyedRecord
+	for _, part := range parts {
+		require.LessOrEqual(t, len(part), size)
+		records = append(records, almondcross.NewKeyedRecord(almondcross.KeyedRecordConfig{Value: part}))
+	}
+	after, found, err := codec.DecodeSnapshot(records)
+	require.NoError(t, err)
+	require.True(t, found)
+	restored := restore(after, time.Minute, time.Unix(1767225600, 0), nil)
+	require.Len(t, restored.jobs, 5)
+	require.Equal(t, 10_000, restored.jobs["c-large"].activeTasks)
+	require.Len(t, restored.jobs["e-often"].stages, maxJobRuns)
+}
+
+// maxJobRuns is the maximum number of occurrences of a job with one step.
+const maxJobRuns = 100_000
+
 // Guards against a host that loads no state although the store holds a snapshot, because a newer record of another writer
 // looks like a snapshot.
 func TestOlderSnapshotReplacesAMalformedOne(t *testing.T) {
--- a/encoder/snapshot.go
+++ b/encoder/snapshot.go
@@ -19,7 +19,7 @@
 	Epoch, AtMS   int64
 	Host, Address string
 	Intake        map[int]int64
-	Jobs          []cbor.RawMessage // Jobs holds encoded values of wireJobRecord.
+	Jobs          []cbor.RawMessage // Jobs holds encoded values of wireJobRecord, or pieces of them in byte strings.
 	Usage         []wireUsage
 	Silent        []wireSilentWorker
 
@@ -35,12 +35,18 @@
 	RemainingMS  int64
 }
 
-// maxArrayHeaderBytes is the maximum size in bytes of the header of an encoded array.
-const maxArrayHeaderBytes = 9
+const (
+	// maxHeaderBytes is the maximum size in bytes of the header of an encoded array or byte string.
+	maxHeaderBytes = 9
+	// majorTypeBits is the number of low bits of the first byte of an encoded value; the bits above them are its type.
+	majorTypeBits = 5
+	// byteStringType is the type of a byte string.
+	byteStringType = 2
+)
 
-// EncodeSnapshot returns the parts of a snapshot, of at most size bytes each; a job or a first part that is larger
-// by itself gets a part of its own. Every part has the journal offset of the snapshot, so that DecodeSnapshot never
-// combines parts of two snapshots.
+// EncodeSnapshot returns the parts of a snapshot, of at most size bytes each, except for a first part that is larger without
+// jobs. A job that is larger is divided into pieces. Every part has the journal offset of the snapshot, so that
+// DecodeSnapshot never combines parts of two snapshots.
 func (codec Codec) EncodeSnapshot(snapshot almondcross.StateSnapshot, size int) ([][]byte, error) {
 	parts := []wireSnapshotPart{firstSnapshotPart(snapshot)}
 	remaining, err := codec.remainingBytes(parts[0], size)
@@ -52,16 +58,24 @@
 		if err != nil {
 			return nil, errors.Annotate(err, "encoding a job of a snapshot")
 		}
-		if len(encoded) > remaining {
-			next := wireSnapshotPart{JournalOffset: snapshot.Next(), Part: len(parts)}
-			if remaining, err = codec.remainingBytes(next, size); err != nil {
-				return nil, err
+		next := wireSnapshotPart{JournalOffset: snapshot.Next(), Part: len(parts)}
+		room, err := codec.remainingBytes(next, size)
+		if err != nil {
+			return nil, err
+		}
+		pieces, err := codec.divideJob(encoded, room)
+		if err != nil {
+			return nil, err
+		}
+		for _, piece := range pieces {
+			if len(piece) > remaining {
+				next.Part, remaining = len(parts), room
+				parts = append(parts, next)
 			}
-			parts = append(parts, next)
+			last := &parts[len(parts)-1]
+			last.Jobs = append(last.Jobs, piece)
+			remaining -= len(piece)
 		}
-		last := &parts[len(parts)-1]
-		last.Jobs = append(last.Jobs, encoded)
-		remaining -= len(encoded)
 	}
 	values := make([][]byte, len(parts))
 	for index, part := range parts {
@@ -80,7 +94,23 @@
 		return 0, errors.Annotate(err, "encoding a snapshot")
 	}
 	// The number of parts and the number of jobs take more bytes once they are known.
-	return size - len(empty) - 2*maxArrayHeaderBytes, nil
+	return size - len(empty) - 2*maxHeaderBytes, nil
+}
+
+// divideJob returns an encoded job as it is if it fits in a number of bytes, and otherwise as byte strings that fit.
+func (codec Codec) divideJob(encoded []byte, room int) ([]cbor.RawMessage, error) {
+	if len(encoded) <= room {
+		return []cbor.RawMessage{encoded}, nil
+	}
+	var pieces []cbor.RawMessage
+	for piece := range slices.Chunk(encoded, max(room-maxHeaderBytes, 1)) {
+		wrapped, err := codec.encoding.Marshal(piece)
+		if err != nil {
+			return nil, errors.Annotate(err, "encoding a piece of a job")
+		}
+		pieces = append(pieces, wrapped)
+	}
+	return pieces, nil
 }
 
 func firstSnapshotPart(snapshot almondcross.StateSnapshot) wireSnapshotPart {
@@ -111,7 +141,7 @@
 			continue
 		}
 		var part wireSnapshotPart
-		if err := codec.decoding.Unmarshal(record.Value(), &part); err != nil {
+		if err := codec.decodingJobs.Unmarshal(record.Value(), &part); err != nil {
 			malformed = errors.Annotatef(ErrMalformed, "snapshot %s: %v", record.Key(), err)
 			continue
 		}
@@ -153,21 +183,42 @@
 }
 
 func (codec Codec) decodeJobs(parts []wireSnapshotPart) ([]almondcross.JobRecord, error) {
+	sequence, err := codec.jobSequence(parts)
+	if err != nil {
+		return nil, err
+	}
 	var jobs []almondcross.JobRecord
+	for len(sequence) > 0 {
+		var record wireJobRecord
+		if sequence, err = codec.decodingJobs.UnmarshalFirst(sequence, &record); err != nil {
+			return nil, errors.Annotatef(ErrMalformed, "job of a snapshot: %v", err)
+		}
+		job, err := record.value()
+		if err != nil {
+			return nil, errors.Annotate(err, "job of a snapshot")
+		}
+		jobs = append(jobs, job)
+	}
+	return jobs, nil
+}
+
+// jobSequence returns the encoded jobs of all parts one after the other, with their pieces joined.
+func (codec Codec) jobSequence(parts []wireSnapshotPart) ([]byte, error) {
+	var sequence []byte
 	for _, part := range parts {
 		for _, encoded := range part.Jobs {
-			var record wireJobRecord
-			if err := codec.decoding.Unmarshal(encoded, &record); err != nil {
-				return nil, errors.Annotatef(ErrMalformed, "job of a snapshot: %v", err)
+			if len(encoded) == 0 || encoded[0]>>majorTypeBits != byteStringType {
+				sequence = append(sequence, encoded...)
+				continue
 			}
-			job, err := record.value()
-			if err != nil {
-				return nil, errors.Annotate(err, "job of a snapshot")
+			var piece []byte
+			if err := codec.decoding.Unmarshal(encoded, &piece); err != nil {
+				return nil, errors.Annotatef(ErrMalformed, "piece of a job: %v", err)
 			}
-			jobs = append(jobs, job)
+			sequence = append(sequence, piece...)
 		}
 	}
-	return jobs, nil
+	return sequence, nil
 }
 
 func snapshotOf(firstPart wireSnapshotPart, jobs []almondcross.JobRecord) almondcross.StateSnapshot {
--- a/encoder/wire.go
+++ b/encoder/wire.go
@@ -16,6 +16,8 @@
 	MaxFrame    = 1 << 20
 	maxElements = 1 << 16
 	maxNesting  = 16
+	// maxJobElements limits the stages of a job in a snapshot, of which Job.Validate allows 100,000.
+	maxJobElements = 1 << 17
 )
 
 // Errors of encoding and decoding.
@@ -28,8 +30,9 @@
 // Codec encodes and decodes peer messages, link messages, log records and journal records as CBOR.
 // It has no mutable state, so any goroutine may use it.
 type Codec struct {
-	encoding cbor.EncMode
-	decoding cbor.DecMode
+	encoding     cbor.EncMode
+	decoding     cbor.DecMode
+	decodingJobs cbor.DecMode // decodingJobs decodes the parts of a snapshot and their jobs.
 }
 
 // NewCodec returns a codec with the size and nesting limits of this package.
@@ -38,18 +41,24 @@
 	if err != nil {
 		return Codec{}, errors.Annotate(err, "building the CBOR encoder")
 	}
-	decoding, err := cbor.DecOptions{
+	options := cbor.DecOptions{
 		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
 		MaxArrayElements: maxElements,
 		MaxMapPairs:      maxElements,
 		MaxNestedLevels:  maxNesting,
 		IndefLength:      cbor.IndefLengthForbidden,
 		TagsMd:           cbor.TagsForbidden,
-	}.DecMode()
+	}
+	decoding, err := options.DecMode()
 	if err != nil {
 		return Codec{}, errors.Annotate(err, "building the CBOR decoder")
 	}
-	return Codec{encoding: encoding, decoding: decoding}, nil
+	options.MaxArrayElements = maxJobElements
+	decodingJobs, err := options.DecMode()
+	if err != nil {
+		return Codec{}, errors.Annotate(err, "building the CBOR decoder of jobs")
+	}
+	return Codec{encoding: encoding, decoding: decoding, decodingJobs: decodingJobs}, nil
 }
 
 // wireEnvelope is the outer layer of a link message or log record: the type name and the encoded body.
--- a/job.go
+++ b/job.go
@@ -70,6 +70,8 @@
 	maxSteps = 1000
 	maxTasks = 10_000 // maxTasks is the maximum number of tasks of all steps.
 	maxRuns  = 100_000
+	// maxStages is the maximum number of steps of all occurrences.
+	maxStages = 100_000
 	// maxSpan is the maximum time from the first occurrence to the last one.
 	maxSpan = 100 * 365 * 24 * time.Hour
 )
@@ -77,7 +79,7 @@
 // Validate returns ErrInvalidJob if the job exceeds a limit, has a negative amount, or has a step that comes after itself
 // or a later one. A scheduler cannot hold such a job.
 func (job Job) Validate() error {
-	if len(job.steps) > maxSteps || job.runs < 0 || job.runs > maxRuns {
+	if len(job.steps) > maxSteps || job.runs < 0 || job.runs > maxRuns || len(job.steps)*job.Occurrences() > maxStages {
 		return errors.Annotatef(ErrInvalidJob, "%d steps, %d occurrences", len(job.steps), job.runs)
 	}
 	if job.period < 0 || job.period > maxSpan/time.Duration(job.Occurrences()) {
--- a/journal.go
+++ b/journal.go
@@ -296,7 +296,7 @@
 	EncodeQueueUsage(usage QueueUsage) ([]byte, error)
 	// DecodeQueueUsage returns the usage with the given stored form.
 	DecodeQueueUsage(source []byte) (QueueUsage, error)
-	// EncodeSnapshot returns the parts of a snapshot, of at most the given size in bytes where no single job is larger.
+	// EncodeSnapshot returns the parts of a snapshot, of at most the given size in bytes.
 	EncodeSnapshot(snapshot StateSnapshot, size int) ([][]byte, error)
 	// DecodeSnapshot returns the newest complete snapshot among keyed records and reports whether there is one. An
 	// error reports malformed records, also beside a snapshot.
