Accept one introduction for each link

A host that introduced itself twice over one link, under different names, was linked under both. Only the last name was removed when the link ended: the first one stayed a standby or a host for calls for good, without a connection. A link could also take no name or the name of the scheduler's own host.

The hub ignores introductions after the first one, and those without a usable name.

Before: TestLinkHasOneHost: expected "h-2", actual "". After: passes.

--- a/command/connector/connector_test.go
+++ b/command/connector/connector_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/gorilla/websocket"
 	"github.com/stretchr/testify/require"
 
 	"github.com/almondcross/almondcross"
@@ -161,3 +162,28 @@
 	require.False(t, nextMessage[almondcross.HostLinkChanged](t, scheduler).Present())
 	require.Positive(t, <-host.abandoned, "the orders of the closed link are given up")
 }
+
+// Guards against a host that stays linked for good, so that the scheduler counts on it as a standby and for calls, because
+// its link introduced itself more than once, and against a link under the name of the scheduler's own host.
+func TestLinkHasOneHost(t *testing.T) {
+	codec, err := encoder.NewCodec()
+	require.NoError(t, err)
+	scheduler := newEndpoint()
+	hub := connector.NewHub(connector.HubConfig{Host: "h-1", Codec: codec, Sink: scheduler.messages, Relay: scheduler.relayed, Clock: clock{}, Log: discardLog{}})
+	server := httptest.NewServer(hub)
+	defer server.Close()
+	connection, response, err := websocket.DefaultDialer.DialContext(t.Context(), "ws"+strings.TrimPrefix(server.URL, "http"), nil)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	for _, name := range []string{"", "h-1", "h-2", "h-3", "h-2"} {
+		frame, err := codec.EncodeLink(almondcross.NewHostHello(almondcross.HostHelloConfig{Host: name, Strength: 50}))
+		require.NoError(t, err)
+		require.NoError(t, connection.WriteMessage(websocket.BinaryMessage, frame))
+	}
+	joined := nextMessage[almondcross.HostLinkChanged](t, scheduler)
+	require.Equal(t, "h-2", joined.Host())
+	require.NoError(t, connection.Close())
+	left := nextMessage[almondcross.HostLinkChanged](t, scheduler)
+	require.Equal(t, "h-2", left.Host())
+	require.False(t, left.Present())
+}
--- a/command/connector/hub.go
+++ b/command/connector/hub.go
@@ -160,6 +160,9 @@
 	err = session.run(request.Context(), func(message almondcross.LinkMessage) {
 		switch message := message.(type) {
 		case almondcross.HostHello:
+			if host != "" || message.Host() == "" || message.Host() == hub.config.Host {
+				return // A link has one host. Under a second name, the first one would stay linked when the link ends.
+			}
 			host = message.Host()
 			hub.replaceSession(host, nil, session)
 			hub.notifyLinkChanged(request, almondcross.NewHostLinkChanged(almondcross.HostLinkChangedConfig{
