Bound the strength that a linked host reports

The strength of a host is at most 100, but a larger one was taken as it came: the scheduler resigned in its favour 1.5 s after each election, since no scheduler can be as strong.

Before: TestStrengthOfAHostIsBounded: Should be true (leads). After: passes.

--- a/command/scheduler/advice.go
+++ b/command/scheduler/advice.go
@@ -96,7 +96,7 @@
 	previous := machine.linkedHosts[change.Host()]
 	if change.Present() {
 		machine.linkedHosts[change.Host()] = &linkedHost{
-			name: change.Host(), strength: change.Strength(), address: change.Address(),
+			name: change.Host(), strength: min(max(change.Strength(), 0), fullStrength), address: change.Address(),
 		}
 	} else {
 		delete(machine.linkedHosts, change.Host())
--- a/command/scheduler/records_test.go
+++ b/command/scheduler/records_test.go
@@ -334,3 +334,17 @@
 		harness.apply(message)
 	}
 }
+
+// Guards against a scheduler that resigns again and again in favour of a host with a strength that no host can have.
+func TestStrengthOfAHostIsBounded(t *testing.T) {
+	harness := newHarness(t)
+	harness.becomeScheduler()
+	harness.apply(almondcross.NewHostLinkChanged(almondcross.HostLinkChangedConfig{Host: "h-2", Present: true, Strength: math.MaxInt}))
+	for range 40 {
+		harness.advance(100 * time.Millisecond)
+		if _, found := harness.pendingCommit(); found {
+			harness.answerCommit()
+		}
+	}
+	require.True(t, harness.machine.Leads())
+}
