Derive the stops of a key's tasks from its record

A coordinator sent the stop of a task once, to the holder of that moment. The stop was lost when the holder was killed or paused before the worker got it (the next holder asked for the adoption of the task, which was confirmed without a stop), when a ring or link refused it, and when the task had waited for more than a minute in the queue of another holder, since the local placer had then forgotten to whom it forwarded the task. Tasks of cancelled requests and of failed gangs then ran on to their ends.

Whether a task must stop now follows from the record (cancelled, removed from the catalogue, a failed gang). It is looked at when a holder reports a task as forwarded, started or adopted, and the stop is repeated each second until the end is reported. The stop of a task that has not started goes to the holder that it was forwarded to as well. A placer ignores the repetition of a stop, as it already resends the halt itself.

--- a/command/coordinator/adopt.go
+++ b/command/coordinator/adopt.go
@@ -59,6 +59,7 @@
 	machine.watchHolders(record, now)
 	machine.recordDecision(record, "adopted", almondcross.CodeNone, message.Target(), now)
 	machine.answerAdoption(message, true)
+	machine.stopReported(record, task)
 	if record.allStarted() {
 		record.phase = phaseRunning
 	}
--- a/command/coordinator/claim_test.go
+++ b/command/coordinator/claim_test.go
@@ -23,6 +23,8 @@
 	replies     []almondcross.Outcome
 	settlements []almondcross.Outcome
 	placements  int
+	peers       map[string]almondcross.Peer
+	effects     []coordinator.Effect // effects holds every effect, in order.
 }
 
 // noopReplier discards replies; the tests check the reply effects instead.
@@ -40,6 +42,8 @@
 	member.machine = coordinator.NewMachine(coordinator.MachineConfig{
 		View: member.view(), Start: startTime, Catalogue: almondcross.NewCatalogueOf(1, []almondcross.Entry{
 			almondcross.NewEntry(almondcross.EntryConfig{Name: "payout", Owner: "sales", Class: almondcross.ClassCall, Share: 1}),
+			almondcross.NewEntry(almondcross.EntryConfig{Name: "tally", Owner: "sales", Class: almondcross.ClassBatch, Share: 1, Repeatable: true}),
+			almondcross.NewEntry(almondcross.EntryConfig{Name: "crew", Owner: "sales", Class: almondcross.ClassGang, Tasks: 2, Share: 1, Repeatable: true}),
 		}),
 	})
 	return member
@@ -50,11 +54,17 @@
 	return almondcross.NewView(almondcross.ViewConfig{
 		Self:       almondcross.NewMember(almondcross.MemberConfig{ID: member.id, DataCentre: "north"}),
 		JoinedWall: startTime, LostWall: startTime, ReadyAt: startTime, ValidUntil: member.now.Add(almondcross.ViewLifetime),
+		Peers: member.peers,
 	})
 }
 
 func (member *member) apply(message almondcross.CoordinatorMessage) {
-	for _, effect := range member.machine.Apply(message, member.now) {
+	member.perform(member.machine.Apply(message, member.now))
+}
+
+func (member *member) perform(effects []coordinator.Effect) {
+	member.effects = append(member.effects, effects...)
+	for _, effect := range effects {
 		switch effect := effect.(type) {
 		case coordinator.Reply:
 			member.replies = append(member.replies, effect.Outcome)
--- a/command/coordinator/forward.go
+++ b/command/coordinator/forward.go
@@ -76,13 +76,14 @@
 	}
 	record.cancelled = true
 	record.waiters = append(record.waiters, waiter{replier: message.Replier(), deadline: now.Add(defaultTimeout)})
+	machine.scheduleKey(key, now.Add(defaultTimeout))
 	switch record.phase {
 	case phaseLookup, phaseHeld:
 		machine.finish(record, machine.refusalOutcome(record, almondcross.CodeCancelled, now), now)
 	case phaseClaiming:
 		machine.emit(NotifyClaimer{Message: almondcross.NewVoidKey(almondcross.VoidKeyConfig{Key: key, Code: almondcross.CodeCancelled})})
 	case phasePlaced, phaseRunning:
-		machine.stopTasks(record, almondcross.CodeCancelled)
+		machine.stopTasks(record, almondcross.CodeCancelled, now)
 	}
 }
 
@@ -100,23 +101,6 @@
 	})})
 }
 
-// stopTasks tells the placers that may have the tasks of a key to stop them.
-func (machine *Machine) stopTasks(record *record, code almondcross.Code) {
-	for _, task := range record.tasks {
-		if task.ended {
-			continue
-		}
-		stop := almondcross.NewStopTask(almondcross.StopTaskConfig{
-			ID: task.task.ID(), Attempt: task.task.Attempt(), Code: code,
-		})
-		if task.started && task.holder.Name() != machine.self().Name() {
-			machine.emit(Send{Member: task.holder.Name(), Message: stop})
-			continue
-		}
-		machine.emit(NotifyPlacer{Message: stop})
-	}
-}
-
 // receiveReply passes the reply of another member to the waiting caller, or to the lookup that it belongs to.
 func (machine *Machine) receiveReply(message almondcross.PeerReply, now time.Time) {
 	forward, ok := machine.forwards[message.Correlation()]
--- a/command/coordinator/holder.go
+++ b/command/coordinator/holder.go
@@ -46,14 +46,14 @@
 }
 
 // releaseMovedReplica releases a service replica that is not running if its key has another coordinator.
-func (machine *Machine) releaseMovedReplica(record *record) {
+func (machine *Machine) releaseMovedReplica(record *record, now time.Time) {
 	coordinator, ok := machine.view.Coordinator(record.request.Key())
 	if !record.service || !ok || coordinator.ID() == machine.self() {
 		return
 	}
 	switch record.phase {
 	case phasePlaced:
-		machine.stopTasks(record, almondcross.CodeNotHere)
+		machine.stopTasks(record, almondcross.CodeNotHere, now)
 	case phaseBackoff, phaseHeld, phaseLookup:
 		machine.dropRecord(record)
 	}
--- a/command/coordinator/machine.go
+++ b/command/coordinator/machine.go
@@ -15,6 +15,8 @@
 	lookupRetryInterval = 500 * time.Millisecond
 	// holdRecheckInterval is the time between two checks of a key that waits for a valid link lease from every peer or for a placer.
 	holdRecheckInterval = 100 * time.Millisecond
+	// stopRetryInterval is the time after which the stop of a task without a reported end is sent again.
+	stopRetryInterval = time.Second
 	// rerouteDelay is the time before a request is routed again after a peer refused it.
 	rerouteDelay = 100 * time.Millisecond
 	// replicaLookupInterval is the time after which a replica that another member runs is looked up at the peers again.
--- a/command/coordinator/record.go
+++ b/command/coordinator/record.go
@@ -66,6 +66,7 @@
 	deadline        time.Time // deadline is the time after which the key must not be started; zero for none.
 	endedAt         time.Time
 	retryAt         time.Time
+	repeatStopsAt   time.Time // repeatStopsAt is when the stops of tasks without a reported end are sent again.
 	holderTimeoutAt time.Time // holderTimeoutAt is when tasks of a lost holder have certainly stopped; zero for none.
 	unknownToPeers  bool      // unknownToPeers is set when every peer has replied that it does not know the key.
 	everStarted     bool      // everStarted is set when a task of any attempt was started.
--- a/command/coordinator/report.go
+++ b/command/coordinator/report.go
@@ -23,6 +23,7 @@
 	}
 	task.holder = message.Holder()
 	machine.watchHolders(record, now)
+	machine.stopReported(record, task)
 }
 
 func (machine *Machine) taskStarted(message almondcross.TaskStarted, now time.Time) {
@@ -38,6 +39,7 @@
 	task.started, task.holder, task.target, task.term = true, message.Holder(), message.Target(), message.Term()
 	machine.watchHolders(record, now)
 	machine.recordDecision(record, "started", almondcross.CodeNone, message.Target(), now)
+	machine.stopReported(record, task)
 	if record.allStarted() {
 		record.phase = phaseRunning
 	}
@@ -66,13 +68,13 @@
 		return
 	}
 	if placerUnavailable(message.Code()) && !record.anyStarted() {
-		machine.stopTasks(record, message.Code())
+		machine.stopTasks(record, message.Code(), now)
 		record.tasks = nil
 		machine.holdBack(record, now.Add(holdRecheckInterval), message.Code(), now)
 		return
 	}
 	if len(record.tasks) > 1 {
-		machine.stopTasks(record, message.Code())
+		machine.stopTasks(record, message.Code(), now)
 		if record.anyStarted() {
 			// The started tasks are being stopped, and the end of each one is reported separately.
 			task.ended, task.result = true, failedResult(task.task, message.Code())
@@ -162,7 +164,7 @@
 func (machine *Machine) finishAttempt(record *record, now time.Time) {
 	failed, code := firstFailure(record)
 	if failed && len(record.tasks) > 1 && !record.allEnded() {
-		machine.stopTasks(record, code)
+		machine.stopTasks(record, code, now)
 		return
 	}
 	if !record.allEnded() {
--- a/command/coordinator/service.go
+++ b/command/coordinator/service.go
@@ -27,7 +27,7 @@
 			machine.stopReplica(record, now)
 			continue
 		}
-		machine.releaseMovedReplica(record)
+		machine.releaseMovedReplica(record, now)
 	}
 }
 
@@ -79,7 +79,7 @@
 	if !record.stopped {
 		record.stopped = true
 		machine.recordDecision(record, "removed", almondcross.CodeCancelled, "", now)
-		machine.stopTasks(record, almondcross.CodeCancelled)
+		machine.stopTasks(record, almondcross.CodeCancelled, now)
 	}
 }
 
--- a/command/coordinator/timers.go
+++ b/command/coordinator/timers.go
@@ -95,6 +95,7 @@
 			machine.begin(record, now)
 		}
 	case phasePlaced, phaseRunning:
+		machine.repeatStops(record, now)
 		machine.expireHolders(record, now)
 	}
 }
--- a/command/placer/attempt.go
+++ b/command/placer/attempt.go
@@ -222,7 +222,9 @@
 		machine.refuse(attempt, message.Code())
 		return
 	}
-	machine.halt(attempt, message.Code())
+	if attempt.haltCode == almondcross.CodeNone {
+		machine.halt(attempt, message.Code())
+	}
 }
 
 // stopUnknown forwards a stop to the holder that the task was forwarded to. A stop that arrives before
--- a/command/placer/machine_test.go
+++ b/command/placer/machine_test.go
@@ -357,3 +357,18 @@
 	single.place(single.task("a", "batch", 1).WithAvoid("t0000"))
 	require.Len(t, single.forwarded, 1)
 }
+
+// TestRepeatedStop guards against a timer for each repetition of a stop, which would send ever more halts to the worker.
+func TestRepeatedStop(t *testing.T) {
+	cell := newCell(t, 1)
+	task := cell.task("a", "batch", 1)
+	cell.place(task)
+	for range 5 {
+		cell.apply(almondcross.NewStopTask(almondcross.StopTaskConfig{
+			ID: task.ID(), Attempt: task.Attempt(), Code: almondcross.CodeCancelled,
+		}))
+	}
+	require.Len(t, cell.halted, 1)
+	cell.advance(3 * time.Second)
+	require.Len(t, cell.halted, 4)
+}
--- a/integration/cell/host_test.go
+++ b/integration/cell/host_test.go
@@ -276,6 +276,10 @@
 		host.sendToCoordinator(almondcross.NewLookupRequest(almondcross.LookupRequestConfig{
 			Key: message.Key(), Forwarded: true, Replier: host.replyTo(from, message.Correlation()),
 		}))
+	case almondcross.PeerCancel:
+		host.sendToCoordinator(almondcross.NewCancelRequest(almondcross.CancelRequestConfig{
+			Key: message.Key(), Forwarded: true, Replier: host.replyTo(from, message.Correlation()),
+		}))
 	case almondcross.CoordinatorMessage:
 		host.sendToCoordinator(message)
 	case almondcross.PlacerMessage:
