Keep a cancellation through every move of its key

The obligation of a cancellation ended with the phase in which it arrived: - A cancelled request was placed again when the placer that had its task refused it as no_standing, stopping or not_here. - A member that took a new incarnation after a pause, or that lost a claim to another member, submitted the caller of the cancellation again as a caller of the request, so that a task that had been stopped ran a second time. - While the peers were being asked for a key, a cancellation ended it with unknown, although one of them ran it. A cancellation at a coordinator that did not know the key, for example after a join, was answered with not_here without asking the peers, so that the key could not be cancelled at all. - A cancellation in the hold-back dropped the key, and the adoption of its task by the next holder was confirmed.

A waiting cancellation is now forwarded as a cancellation, a cancelled key is not started, a cancellation waits for the lookups and follows the key to the member that has it, and a cancelled key that a lost member may have started is kept, so that its task is refused adoption and stopped.

The random histories of integration/cell cancel requests now, and its check of not_run after a start makes no exception for cancelled any more.

--- a/command/coordinator/claim.go
+++ b/command/coordinator/claim.go
@@ -68,7 +68,7 @@
 		waiters, request := record.waiters, record.request
 		machine.dropRecord(record)
 		for _, waiter := range waiters {
-			machine.forwardRequest(request, claimant, waiter.replier, waiter.deadline, now)
+			machine.forwardWaiter(request, claimant, waiter, now)
 		}
 		return
 	}
--- a/command/coordinator/forward.go
+++ b/command/coordinator/forward.go
@@ -18,6 +18,15 @@
 	return correlation
 }
 
+// forwardWaiter sends the request or the cancellation of a waiting caller to the member that has the key.
+func (machine *Machine) forwardWaiter(request almondcross.Request, member almondcross.MemberID, waiter waiter, now time.Time) {
+	if waiter.cancels {
+		machine.forwardCancellation(request.Key(), member, waiter)
+		return
+	}
+	machine.forwardRequest(request, member, waiter.replier, waiter.deadline, now)
+}
+
 // forwardRequest sends a request to the coordinator of its key.
 func (machine *Machine) forwardRequest(
 	request almondcross.Request, member almondcross.MemberID, replier almondcross.Replier, deadline, now time.Time,
@@ -62,45 +71,6 @@
 	return key
 }
 
-// cancel ends a key that was not placed, voids the key if its claim is pending, or stops its tasks.
-func (machine *Machine) cancel(message almondcross.CancelRequest, now time.Time) {
-	key := machine.keyWithOrigin(message.Key())
-	record, ok := machine.keys[key]
-	if !ok {
-		machine.cancelUnknown(key, message, now)
-		return
-	}
-	if record.phase == phaseEnded {
-		machine.reply(message.Replier(), record.outcome)
-		return
-	}
-	record.cancelled = true
-	record.waiters = append(record.waiters, waiter{replier: message.Replier(), deadline: now.Add(defaultTimeout)})
-	machine.scheduleKey(key, now.Add(defaultTimeout))
-	switch record.phase {
-	case phaseLookup, phaseHeld:
-		machine.finish(record, machine.refusalOutcome(record, almondcross.CodeCancelled, now), now)
-	case phaseClaiming:
-		machine.emit(NotifyClaimer{Message: almondcross.NewVoidKey(almondcross.VoidKeyConfig{Key: key, Code: almondcross.CodeCancelled})})
-	case phasePlaced, phaseRunning:
-		machine.stopTasks(record, almondcross.CodeCancelled, now)
-	}
-}
-
-func (machine *Machine) cancelUnknown(key almondcross.Key, message almondcross.CancelRequest, now time.Time) {
-	coordinator, ok := machine.view.Coordinator(key)
-	if !ok || message.Forwarded() || coordinator.ID() == machine.self() {
-		machine.reply(message.Replier(), newOutcome(key, almondcross.StatusUnknown, almondcross.CodeNotHere))
-		return
-	}
-	correlation := machine.addForward(&forward{
-		kind: forwardCancel, key: key, member: coordinator.ID(), replier: message.Replier(), deadline: now.Add(defaultTimeout),
-	})
-	machine.emit(Send{Member: coordinator.ID().Name(), Message: almondcross.NewPeerCancel(almondcross.PeerCancelConfig{
-		Correlation: correlation, Key: key,
-	})})
-}
-
 // receiveReply passes the reply of another member to the waiting caller, or to the lookup that it belongs to.
 func (machine *Machine) receiveReply(message almondcross.PeerReply, now time.Time) {
 	forward, ok := machine.forwards[message.Correlation()]
--- a/command/coordinator/lookup.go
+++ b/command/coordinator/lookup.go
@@ -68,7 +68,7 @@
 		machine.repeatLookups(record, now)
 		return
 	}
-	if outcome.Status() == almondcross.StatusUnknown {
+	if outcome.Status() == almondcross.StatusUnknown && outcome.Code() != almondcross.CodeCancelled {
 		// The peer is looking up the key itself, or does not know its state; the lookup is repeated.
 		return
 	}
@@ -80,7 +80,7 @@
 	waiters, request := record.waiters, record.request
 	machine.dropRecord(record)
 	for _, waiter := range waiters {
-		machine.forwardRequest(request, forward.member, waiter.replier, waiter.deadline, now)
+		machine.forwardWaiter(request, forward.member, waiter, now)
 	}
 }
 
@@ -143,8 +143,6 @@
 		machine.dropRecord(record)
 	}
 	for _, record := range dropped {
-		for _, waiter := range record.waiters {
-			machine.resubmit(record.request, waiter, now)
-		}
+		machine.rerouteDropped(record, now)
 	}
 }
--- a/command/coordinator/record.go
+++ b/command/coordinator/record.go
@@ -47,6 +47,7 @@
 type waiter struct {
 	replier  almondcross.Replier
 	deadline time.Time
+	cancels  bool // cancels is set for the caller of a cancellation.
 }
 
 // record is the state of one key.
--- a/command/coordinator/report.go
+++ b/command/coordinator/report.go
@@ -70,6 +70,10 @@
 	if placerUnavailable(message.Code()) && !record.anyStarted() {
 		machine.stopTasks(record, message.Code(), now)
 		record.tasks = nil
+		if record.cancelled {
+			machine.finishCancelled(record, now)
+			return
+		}
 		machine.holdBack(record, now.Add(holdRecheckInterval), message.Code(), now)
 		return
 	}
--- a/command/coordinator/submit.go
+++ b/command/coordinator/submit.go
@@ -74,6 +74,10 @@
 // key has ended.
 func (machine *Machine) attachWaiter(record *record, request almondcross.Request, replier almondcross.Replier, now time.Time) {
 	key := request.Key()
+	if record.request.Entry() == "" && record.phase == phaseLookup {
+		// The cancellation of the key overtook its request.
+		record.request = request
+	}
 	if record.request.Entry() != "" && !record.sameRequest(request) {
 		outcome := newOutcome(key, almondcross.StatusNotRun, almondcross.CodeKeyConflict)
 		machine.reply(replier, outcome.WithDetail("the key was used for another request"))
@@ -97,6 +101,10 @@
 		return
 	}
 	issuedSinceMove := machine.view.IssuedSinceMove(key, issuedAt)
+	if record.cancelled {
+		machine.startLookups(record, now)
+		return
+	}
 	entry, ok := machine.catalogue.Entry(record.request.Entry())
 	if !ok || !entry.RunsIn(machine.view.Self().DataCentre()) {
 		machine.refuseUnknownEntry(record, now)
@@ -144,6 +152,10 @@
 // a lost member may have started for the key can still run. Work that may not be repeated is claimed first.
 func (machine *Machine) advance(record *record, now time.Time) {
 	key := record.request.Key()
+	if record.cancelled {
+		machine.finishCancelled(record, now)
+		return
+	}
 	if !record.deadline.IsZero() && !now.Before(record.deadline) {
 		machine.finish(record, machine.refusalOutcome(record, almondcross.CodeTimeout, now), now)
 		return
@@ -232,12 +244,26 @@
 	machine.scheduleKey(record.request.Key(), until)
 }
 
-// rerouteWaiters drops a key that this member no longer coordinates and has not started, and submits the requests
-// of its callers again.
+// rerouteWaiters drops a key that this member no longer coordinates and has not started, and routes its callers again.
 func (machine *Machine) rerouteWaiters(record *record, now time.Time) {
 	machine.dropRecord(record)
+	machine.rerouteDropped(record, now)
+}
+
+// rerouteDropped submits the requests of the callers of a dropped key again. If the key was cancelled, only the
+// cancellation is repeated: a request that is submitted again after its task was stopped would run a second time.
+func (machine *Machine) rerouteDropped(record *record, now time.Time) {
 	for _, waiter := range record.waiters {
-		machine.resubmit(record.request, waiter, now)
+		switch {
+		case waiter.cancels:
+			machine.cancel(almondcross.NewCancelRequest(almondcross.CancelRequestConfig{
+				Key: record.request.Key(), Replier: waiter.replier,
+			}), now)
+		case record.cancelled:
+			machine.reply(waiter.replier, unknownOutcome(record.request.Key(), almondcross.CodeCancelled))
+		default:
+			machine.resubmit(record.request, waiter, now)
+		}
 	}
 }
 
@@ -315,8 +341,10 @@
 		machine.accountRefusal(record, outcome, now)
 	}
 	notRunOrUnknown := outcome.Status() == almondcross.StatusNotRun || outcome.Status() == almondcross.StatusUnknown
-	if notRunOrUnknown && !record.claimed {
-		// The key is not kept, so that the caller may submit it again: this member has no running task of it.
+	adoptable := record.cancelled && outcome.Status() == almondcross.StatusUnknown
+	if notRunOrUnknown && !record.claimed && !adoptable {
+		// The key is not kept, so that the caller may submit it again: this member has no running task of it. A cancelled
+		// key that may run under a lost member is kept, so that the adoption of its task is refused and the task stopped.
 		machine.dropRecord(record)
 		return
 	}
--- a/integration/cell/cancel_test.go
+++ b/integration/cell/cancel_test.go
@@ -10,13 +10,17 @@
 	"github.com/almondcross/almondcross"
 )
 
-// cancel cancels the request at a host; outcome is set when the cancellation is answered.
+// cancel cancels the request at a host.
 func (submission *submission) cancel(name string) {
 	key := submission.request.Key()
 	submission.cell.tracef("caller cancels %s at %s", key, name)
 	submission.cell.hosts[name].sendToCoordinator(almondcross.NewCancelRequest(almondcross.CancelRequestConfig{
 		Key: key, Replier: replierFunc(func(outcome almondcross.Outcome) {
 			submission.cell.tracef("cancellation of %s is answered with %s %s", key, outcome.Status(), outcome.Code())
+			submission.cell.checker.checkAnswer(key, outcome)
+			if outcome.Status() == almondcross.StatusNotRun && submission.pending == 0 {
+				submission.cell.checker.notRun[key] = true
+			}
 		}),
 	}))
 }
--- a/integration/cell/cell_test.go
+++ b/integration/cell/cell_test.go
@@ -81,7 +81,7 @@
 func randomStep(t *rapid.T, cell *cell, submissions []*submission) []*submission {
 	host := cell.hosts[rapid.SampledFrom(cell.hostNames).Draw(t, "host")]
 	worker := cell.workers[rapid.SampledFrom(cell.workerNames).Draw(t, "worker")]
-	switch rapid.IntRange(0, 13).Draw(t, "action") {
+	switch rapid.IntRange(0, 15).Draw(t, "action") {
 	case 0, 1, 2, 3:
 		entry := rapid.SampledFrom([]string{"lookup", "payout"}).Draw(t, "entry")
 		created := cell.newSubmission(entry, len(submissions), rapid.Bool().Draw(t, "with_issue"))
@@ -114,6 +114,10 @@
 		cell.log.delayAppends = !cell.log.down && rapid.Bool().Draw(t, "lossy")
 	case 13:
 		worker.failsTasks = !worker.failsTasks
+	case 14, 15:
+		if len(submissions) > 0 && host.alive {
+			rapid.SampledFrom(submissions).Draw(t, "cancelled").cancel(host.name)
+		}
 	}
 	return submissions
 }
@@ -171,7 +175,7 @@
 // TestGuaranteesUnderFailures guards against broken guarantees: a start beyond the capacity of a worker (P1), a
 // task that runs on two workers at a time (P2), a caller that gets the outcome or answer of another key (P3), a
 // start although the caller received not_run (P4), and a second start of a non-repeatable request (P5). A history
-// is a random combination of killed and paused hosts, unreachable and restarted workers, lost responses and log outages. rapid prints the
+// is a random combination of cancellations, killed and paused hosts, unreachable and restarted workers, lost responses and log outages. rapid prints the
 // seed of a failing history; -rapid.checks sets the number of histories.
 func TestGuaranteesUnderFailures(t *testing.T) {
 	rapid.Check(t, checkRandomHistory)
--- a/integration/cell/checks_test.go
+++ b/integration/cell/checks_test.go
@@ -65,7 +65,7 @@
 		if outcome.Code() == almondcross.CodeKeyConflict {
 			return
 		}
-		if checker.starts[key] > 0 && outcome.Code() != almondcross.CodeCancelled {
+		if checker.starts[key] > 0 {
 			checker.fail("P4: the caller of %s received not_run (%s) after %d starts", key, outcome.Code(), checker.starts[key])
 		}
 	}
