Give up a task after three workers were lost under it

A repeatable task whose worker restarts or goes silent was placed again without bound, since the loss of a target was neither counted nor limited. A task that crashes its workers took all of them down, one after another.

A holder now reports with the loss of a task whether its target was lost: it came back with another boot number and without the task, or did not answer for LostAfter. The coordinator counts these attempts, and after three the key is failed with targets_crashed, which is also counted in the account. The count is part of the task (lost_targets), so it survives forwarding, the worker's inventory and the adoption by another coordinator. A loss is taken back when the target answers again with the same boot number, or when the result of the attempt turns up.

The tasks that ran beside such a task are often placed together with it again. Tasks with two lost targets therefore have queues of their own and are never placed on one target: a loss that ends one of them is not another's. Tasks of a gang are not kept apart.

--- a/command/coordinator/adopt.go
+++ b/command/coordinator/adopt.go
@@ -53,7 +53,7 @@
 		machine.answerAdoption(message, false)
 		return
 	}
-	record.everStarted = true
+	record.everStarted, record.startedAt = true, now
 	task.task = message.Task().WithCoordinator(machine.self())
 	task.started, task.holder, task.target, task.term = true, message.Holder(), message.Target(), message.Term()
 	machine.watchHolders(record, now)
@@ -80,6 +80,7 @@
 	adopted.service = task.ID().Key().Caller() == serviceCaller
 	adopted.entry = machine.entryOf(task)
 	adopted.attempt = task.Attempt()
+	adopted.lostBefore, adopted.lostAttempts = task.LostTargets(), nil
 	adopted.claimed = !task.Repeatable()
 	adopted.pendingLookups = nil
 	adopted.tasks = nil
--- a/command/coordinator/record.go
+++ b/command/coordinator/record.go
@@ -59,12 +59,15 @@
 	failures        int             // failures counts attempts that ended without an answer.
 	failedTargets   map[string]bool // failedTargets holds the targets on which attempts failed.
 	avoidTarget     string          // avoidTarget is the target on which the last attempt failed.
+	lostAttempts    map[int]bool    // lostAttempts holds the attempts under which a target restarted or disappeared.
+	lostBefore      int             // lostBefore counts such attempts before this member took the key over.
 	tasks           []taskState
 	pendingLookups  map[string]time.Time // pendingLookups holds the peers that have not replied, with the time of the last lookup.
 	waiters         []waiter
 	outcome         almondcross.Outcome
 	submittedAt     time.Time
 	deadline        time.Time // deadline is the time after which the key must not be started; zero for none.
+	startedAt       time.Time // startedAt is when a task was last reported as started or adopted.
 	endedAt         time.Time
 	retryAt         time.Time
 	repeatStopsAt   time.Time // repeatStopsAt is when the stops of tasks without a reported end are sent again.
@@ -98,6 +101,21 @@
 	return false
 }
 
+// lostTargets returns the number of targets that restarted or disappeared under attempts of the key.
+func (record *record) lostTargets() int { return record.lostBefore + len(record.lostAttempts) }
+
+// countLostTarget counts an attempt under which a target restarted or disappeared, once for all tasks of a gang.
+// The targets that were lost under a service replica are counted from its last stable run.
+func (record *record) countLostTarget(attempt int, now time.Time) {
+	if record.service && !record.startedAt.IsZero() && now.Sub(record.startedAt) >= stableServiceTime {
+		record.lostBefore, record.lostAttempts = 0, nil
+	}
+	if record.lostAttempts == nil {
+		record.lostAttempts = map[int]bool{}
+	}
+	record.lostAttempts[attempt] = true
+}
+
 // allStarted reports whether every task of the attempt was started.
 func (record *record) allStarted() bool {
 	for _, task := range record.tasks {
--- a/command/coordinator/report.go
+++ b/command/coordinator/report.go
@@ -35,7 +35,7 @@
 	if task.ended || (task.started && message.Target() == task.target && message.Term().Less(task.term)) {
 		return
 	}
-	record.everStarted = true
+	record.everStarted, record.startedAt = true, now
 	task.started, task.holder, task.target, task.term = true, message.Holder(), message.Target(), message.Term()
 	machine.watchHolders(record, now)
 	machine.recordDecision(record, "started", almondcross.CodeNone, message.Target(), now)
@@ -103,6 +103,7 @@
 	result := message.Result()
 	record, task := machine.findTask(result.ID(), result.Attempt())
 	if record == nil {
+		machine.correctLostTarget(result.ID().Key(), result.Attempt())
 		machine.acceptOrphanAnswer(message, now)
 		return
 	}
@@ -150,6 +151,9 @@
 }
 
 func (machine *Machine) taskLost(message almondcross.TaskLost, now time.Time) {
+	if !message.TargetLost() {
+		machine.correctLostTarget(message.ID().Key(), message.Attempt())
+	}
 	record, task := machine.findTask(message.ID(), message.Attempt())
 	if record == nil {
 		return
@@ -161,9 +165,19 @@
 	record.everStarted = true
 	task.started, task.ended, task.target = true, true, message.Target()
 	task.result = failedResult(task.task, almondcross.CodeTargetLost)
+	if message.TargetLost() {
+		record.countLostTarget(message.Attempt(), now)
+	}
 	machine.finishAttempt(record, now)
 }
 
+// correctLostTarget takes back that a target was lost under an earlier attempt, after the target was only cut off.
+func (machine *Machine) correctLostTarget(key almondcross.Key, attempt int) {
+	if record, ok := machine.keys[key]; ok {
+		delete(record.lostAttempts, attempt)
+	}
+}
+
 // finishAttempt ends an attempt once all its tasks have ended. If one task of a gang fails, the others are stopped first.
 func (machine *Machine) finishAttempt(record *record, now time.Time) {
 	failed, code := firstFailure(record)
@@ -209,9 +223,10 @@
 }
 
 // mayRetry counts a failure of a task and reports whether the failed attempt may be retried. Task failures are
-// limited; lost targets and preemptions are neither counted nor limited, since the task did not cause them.
+// limited, and so are lost targets, which the task may have crashed. Preemptions are neither counted nor limited, since
+// the task did not cause them.
 func (machine *Machine) mayRetry(record *record, code almondcross.Code) bool {
-	if !record.entry.Repeatable() || record.cancelled {
+	if !record.entry.Repeatable() || record.cancelled || record.lostTargets() >= almondcross.MaxLostTargets {
 		return false
 	}
 	if code == almondcross.CodeTargetLost || code == almondcross.CodePreemptedUrgent || code == almondcross.CodeLentShareReturned {
@@ -233,6 +248,10 @@
 
 func failedOutcome(record *record, code almondcross.Code) almondcross.Outcome {
 	key := record.request.Key()
+	if record.lostTargets() >= almondcross.MaxLostTargets {
+		return newOutcome(key, almondcross.StatusFailed, almondcross.CodeTargetsCrashed).WithTarget(record.tasks[0].target).
+			WithDetail("the work ran, and the workers of three attempts restarted or disappeared under it")
+	}
 	if code == almondcross.CodeTargetLost {
 		return newOutcome(key, almondcross.StatusUnknown, code).WithTarget(record.tasks[0].target)
 	}
--- a/command/coordinator/service.go
+++ b/command/coordinator/service.go
@@ -55,9 +55,13 @@
 	machine.begin(record, now)
 }
 
-// replicaConfigured reports whether the catalogue still contains a replica.
+// replicaConfigured reports whether the catalogue still contains a replica. A replica that waits after it lost its
+// targets is started anew when its entry was changed.
 func (machine *Machine) replicaConfigured(record *record) bool {
 	entry, ok := machine.catalogue.Entry(record.request.Entry())
+	if record.phase == phaseBackoff && record.lostTargets() >= almondcross.MaxLostTargets && entry.Version() != record.entry.Version() {
+		return false
+	}
 	dataCentre := machine.view.Self().DataCentre()
 	if !ok || entry.Class() != almondcross.ClassService || !entry.RunsIn(dataCentre) {
 		return false
@@ -84,8 +88,8 @@
 }
 
 // backOff places a service replica again after a delay that doubles with each failure, up to maxServiceBackoff.
-// A lost target or a preemption by an urgent task resets the delay. A replica that was stopped or has another
-// coordinator is dropped.
+// A lost target or a preemption by an urgent task resets the delay, but a replica under which targets were lost in a
+// row waits for crashedServiceBackoff. A replica that was stopped or has another coordinator is dropped.
 func (machine *Machine) backOff(record *record, code almondcross.Code, now time.Time) {
 	coordinator, ok := machine.view.Coordinator(record.request.Key())
 	if record.stopped || ok && coordinator.ID() != machine.self() {
@@ -97,6 +101,10 @@
 		record.failures = 0
 	}
 	delay := min(serviceBackoff<<min(record.failures, 6), maxServiceBackoff)
+	if record.lostTargets() >= almondcross.MaxLostTargets {
+		delay, code = crashedServiceBackoff, almondcross.CodeTargetsCrashed
+		machine.accountReason(record, code, now)
+	}
 	record.retryAt = now.Add(delay)
 	record.tasks = nil
 	record.phase = phaseBackoff
--- a/command/coordinator/submit.go
+++ b/command/coordinator/submit.go
@@ -321,6 +321,7 @@
 		ExpectedRun: entry.ExpectedRun(),
 		Timeout:     timeout,
 		Avoid:       record.avoidTarget,
+		LostTargets: record.lostTargets(),
 	})
 }
 
@@ -337,10 +338,10 @@
 	if record.claimed {
 		machine.emit(NotifyClaimer{Message: almondcross.NewSettleKey(almondcross.SettleKeyConfig{Outcome: outcome})})
 	}
-	if outcome.Status() == almondcross.StatusNotRun || outcome.Status() == almondcross.StatusUnknown {
-		machine.accountRefusal(record, outcome, now)
-	}
 	notRunOrUnknown := outcome.Status() == almondcross.StatusNotRun || outcome.Status() == almondcross.StatusUnknown
+	if notRunOrUnknown || outcome.Code() == almondcross.CodeTargetsCrashed {
+		machine.accountReason(record, outcome.Code(), now)
+	}
 	adoptable := record.cancelled && outcome.Status() == almondcross.StatusUnknown
 	if notRunOrUnknown && !record.claimed && !adoptable {
 		// The key is not kept, so that the caller may submit it again: this member has no running task of it. A cancelled
@@ -353,9 +354,9 @@
 	machine.endedKeys = append(machine.endedKeys, record.request.Key())
 }
 
-func (machine *Machine) accountRefusal(record *record, outcome almondcross.Outcome, now time.Time) {
+func (machine *Machine) accountReason(record *record, code almondcross.Code, now time.Time) {
 	machine.emit(Account{Event: almondcross.NewAccountEvent(almondcross.AccountEventConfig{
-		Entry: record.request.Entry(), Owner: record.entry.Owner(), Code: outcome.Code(), Count: 1, At: now,
+		Entry: record.request.Entry(), Owner: record.entry.Owner(), Code: code, Count: 1, At: now,
 	})})
 }
 
--- a/command/placer/answer.go
+++ b/command/placer/answer.go
@@ -132,21 +132,38 @@
 	machine.recordDecision(attempt.task, "ended", result.Code(), target.info.Name(), "")
 }
 
-// reportLost removes a task that has definitely stopped without a result and reports it lost.
-func (machine *Machine) reportLost(attempt *attempt) {
+// reportLost removes a task that has definitely stopped without a result and reports it lost. targetLost tells whether
+// the target restarted or has not answered since, so that the task may have crashed it.
+func (machine *Machine) reportLost(attempt *attempt, targetLost bool) {
 	target := attempt.target
 	if attempt.state == starting {
 		target.startingCount--
 	}
 	machine.accountUsage(attempt)
 	machine.removeAttempt(attempt)
-	machine.report(machine.currentCoordinator(attempt.task), almondcross.NewTaskLost(almondcross.TaskLostConfig{
-		ID: attempt.task.ID(), Attempt: attempt.task.Attempt(), Holder: machine.self, Target: target.info.Name(), Term: attempt.term,
-	}))
+	machine.sendLost(attempt, target, targetLost)
 	machine.account(attempt.task, almondcross.AccountEventConfig{Code: almondcross.CodeTargetLost, Count: 1})
 	machine.recordDecision(attempt.task, "lost", almondcross.CodeTargetLost, target.info.Name(), "")
 }
 
+func (machine *Machine) sendLost(attempt *attempt, target *target, targetLost bool) {
+	machine.report(machine.currentCoordinator(attempt.task), almondcross.NewTaskLost(almondcross.TaskLostConfig{
+		ID: attempt.task.ID(), Attempt: attempt.task.Attempt(), Holder: machine.self, Target: target.info.Name(),
+		Term: attempt.term, TargetLost: targetLost,
+	}))
+}
+
+// correctSilentLosses corrects the reports about a target that was only cut off: its boot number is the same as
+// when it was last heard of, so none of its tasks crashed it.
+func (machine *Machine) correctSilentLosses(target *target) {
+	for _, lost := range target.silentLosses {
+		if lost.term.Boot() == target.term.Boot() {
+			machine.sendLost(lost, target, false)
+		}
+	}
+	target.silentLosses = nil
+}
+
 // removeAttempt removes an ended attempt from every table.
 func (machine *Machine) removeAttempt(attempt *attempt) {
 	target := attempt.target
@@ -195,7 +212,9 @@
 		machine.timers.push(timer{at: due, kind: timerLost, attempt: attempt})
 		return
 	}
-	machine.reportLost(attempt)
+	target := attempt.target
+	machine.reportLost(attempt, true)
+	target.silentLosses = append(target.silentLosses, attempt)
 }
 
 // accountUsage records the usage of a task since it was last recorded.
--- a/command/placer/capacity.go
+++ b/command/placer/capacity.go
@@ -42,9 +42,7 @@
 	}
 	grew := !target.schedulable || !free.Fits(target.free) || !regularFree.Fits(target.regularFree)
 	target.schedulable, target.free, target.regularFree = true, free, regularFree
-	machine.Placement.SetTarget(almondcross.NewTargetCapacity(almondcross.TargetCapacityConfig{
-		Name: target.info.Name(), Rack: target.info.Rack(), Capacity: target.capacity, Free: free, RegularFree: regularFree,
-	}))
+	machine.offerFree(target)
 	if grew && !target.pending {
 		target.pending = true
 		machine.pendingTargets = append(machine.pendingTargets, target)
--- a/command/placer/cell_test.go
+++ b/command/placer/cell_test.go
@@ -40,6 +40,7 @@
 	liveTargets      []almondcross.Target
 	terms            map[string]almondcross.Term
 	leaseCounter     uint64
+	boot             uint64 // the boot number of every target
 	capacity         almondcross.Resources
 	refuseLeases     bool
 	acquisitions     int // the number of attempts to acquire a lease
@@ -68,7 +69,7 @@
 
 func newCellWithPolicies(t testing.TB, targets int, policies placer.Policies) *cell {
 	cell := &cell{
-		t: t, now: time.Unix(1_000_000, 0), capacity: capacity,
+		t: t, now: time.Unix(1_000_000, 0), capacity: capacity, boot: 1,
 		machine: placer.NewMachine(placer.MachineConfig{Policies: policies, Seed: 1}),
 		terms:   map[string]almondcross.Term{}, running: map[almondcross.TaskID]runningTask{},
 		renewLists: map[string][]almondcross.TaskID{}, codes: map[almondcross.Code]int64{},
@@ -285,7 +286,7 @@
 		return
 	}
 	cell.leaseCounter++
-	cell.terms[name] = almondcross.NewTerm(almondcross.TermConfig{Boot: 1, Counter: cell.leaseCounter})
+	cell.terms[name] = almondcross.NewTerm(almondcross.TermConfig{Boot: cell.boot, Counter: cell.leaseCounter})
 	var inventory []almondcross.InventoryItem
 	for _, running := range cell.orderedRunning() {
 		if running.target == name {
--- a/command/placer/gang.go
+++ b/command/placer/gang.go
@@ -162,6 +162,11 @@
 
 func (machine *Machine) adjustFree(target *target, by almondcross.Resources) {
 	target.free, target.regularFree = target.free.Sub(by), target.regularFree.Sub(by)
+	machine.offerFree(target)
+}
+
+// offerFree passes the free capacity of a target to the placement policy.
+func (machine *Machine) offerFree(target *target) {
 	machine.Placement.SetTarget(almondcross.NewTargetCapacity(almondcross.TargetCapacityConfig{
 		Name: target.info.Name(), Rack: target.info.Rack(), Capacity: target.capacity, Free: target.free, RegularFree: target.regularFree,
 	}))
--- a/command/placer/queue.go
+++ b/command/placer/queue.go
@@ -7,11 +7,12 @@
 	"github.com/almondcross/almondcross"
 )
 
-// queueKey identifies a queue by owner, entry, band and urgency.
+// queueKey identifies a queue by owner, entry, band, urgency and whether its tasks are suspects.
 type queueKey struct {
 	owner, entry string
 	band         almondcross.Band
 	urgent       bool
+	suspect      bool // the tasks may not share a target with one another
 }
 
 // queue holds the waiting tasks of one queueKey in order of arrival.
@@ -64,7 +65,7 @@
 }
 
 func (machine *Machine) queueFor(attempt *attempt) *queue {
-	key := queueKey{attempt.task.Owner(), attempt.task.Entry(), attempt.band, attempt.task.Urgent()}
+	key := queueKey{attempt.task.Owner(), attempt.task.Entry(), attempt.band, attempt.task.Urgent(), attempt.task.Suspect()}
 	found, ok := machine.queues[key]
 	if !ok {
 		found = &queue{key: key, position: -1, shareAccount: machine.Share.Account(key.owner, key.entry)}
@@ -180,12 +181,9 @@
 // chooseOther returns a target other than the one on which the last attempt failed. A target on which
 // every task fails quickly always has free capacity and would otherwise get the task again.
 func (machine *Machine) chooseOther(attempt *attempt, avoid string) (string, bool) {
-	target := machine.targets[avoid]
 	machine.Placement.Remove(avoid)
 	name, ok := machine.choose(attempt)
-	machine.Placement.SetTarget(almondcross.NewTargetCapacity(almondcross.TargetCapacityConfig{
-		Name: avoid, Rack: target.info.Rack(), Capacity: target.capacity, Free: target.free, RegularFree: target.regularFree,
-	}))
+	machine.offerFree(machine.targets[avoid])
 	return name, ok
 }
 
--- a/command/placer/ranking.go
+++ b/command/placer/ranking.go
@@ -116,7 +116,7 @@
 		if queue.usesReserve {
 			free = &target.free
 		}
-		if !queue.need.Fits(*free) || machine.atLimit(queue) {
+		if !queue.need.Fits(*free) || machine.atLimit(queue) || queue.key.suspect && target.hasSuspect() {
 			continue
 		}
 		ratio := queue.shareAccount.EntryRatio(queue.need)
--- a/command/placer/schedule.go
+++ b/command/placer/schedule.go
@@ -4,6 +4,40 @@
 
 // choose returns the target for a task, or false if none fits.
 func (machine *Machine) choose(attempt *attempt) (string, bool) {
+	if attempt.task.Suspect() {
+		return machine.chooseApart(attempt)
+	}
+	return machine.chooseAny(attempt)
+}
+
+// chooseApart returns a target without another suspect, so that of two tasks that survived the loss of their targets
+// together only the one that caused it is blamed for the next loss.
+func (machine *Machine) chooseApart(attempt *attempt) (string, bool) {
+	var excluded []*target
+	for _, target := range machine.sortedTargets {
+		if target.schedulable && target.hasSuspect() {
+			excluded = append(excluded, target)
+			machine.Placement.Remove(target.info.Name())
+		}
+	}
+	name, ok := machine.chooseAny(attempt)
+	for _, target := range excluded {
+		machine.offerFree(target)
+	}
+	return name, ok
+}
+
+// hasSuspect reports whether a task on the target is given up when the target is lost.
+func (target *target) hasSuspect() bool {
+	for _, attempt := range target.attempts {
+		if attempt.task.Suspect() {
+			return true
+		}
+	}
+	return false
+}
+
+func (machine *Machine) chooseAny(attempt *attempt) (string, bool) {
 	return machine.Placement.Choose(almondcross.NewPlacementQuery(almondcross.PlacementQueryConfig{
 		Entry: attempt.task.Entry(), Class: attempt.task.Class(), Resources: attempt.task.Resources(), Reserve: attempt.mayUseReserve(),
 	}))
--- a/command/placer/target.go
+++ b/command/placer/target.go
@@ -68,6 +68,7 @@
 	reservedFor   *gang
 	pending       bool
 	health        health
+	silentLosses  []*attempt // the attempts that were reported lost because the target did not answer
 }
 
 // applyLiveList updates the targets from a live list. Targets of other data centres are ignored; this host
@@ -271,9 +272,10 @@
 	}
 	for _, attempt := range target.orderedAttempts() {
 		if !inInventory[attempt.task.ID()] {
-			machine.reportLost(attempt)
+			machine.reportLost(attempt, attempt.term.Boot() != target.term.Boot())
 		}
 	}
+	machine.correctSilentLosses(target)
 	machine.updateFree(target)
 	machine.requestAdoptions(target, true)
 	machine.sendRenewList(target)
@@ -291,7 +293,7 @@
 		return false
 	}
 	if known != nil && known.task.Attempt() != task.Attempt() {
-		machine.reportLost(known)
+		machine.reportLost(known, known.term.Boot() != target.term.Boot())
 		known = nil
 	}
 	if item.Finished() {
--- a/encoder/codec_test.go
+++ b/encoder/codec_test.go
@@ -32,7 +32,7 @@
 	task := almondcross.NewTask(almondcross.TaskConfig{
 		ID: id, Entry: "tally", Owner: "sales", Class: almondcross.ClassGang, Resources: resources, Payload: []byte("in"),
 		Repeatable: true, Urgent: true, Size: 4, Attempt: 2, Coordinator: holder, MaxRun: 1, ExpectedRun: 2, Timeout: 3,
-		Avoid: "w9",
+		Avoid: "w9", LostTargets: 2,
 	})
 	outcome := almondcross.NewOutcome(almondcross.OutcomeConfig{
 		Key: key, Status: almondcross.StatusDone, Answer: []byte("out"), Code: almondcross.CodeTimeout, Detail: "d",
@@ -73,7 +73,7 @@
 		almondcross.NewTaskRefused(almondcross.TaskRefusedConfig{ID: id, Attempt: 2, Holder: holder, Code: almondcross.CodeNotHere, RetryAfter: 5}),
 		almondcross.NewTaskForwarded(almondcross.TaskForwardedConfig{ID: id, Attempt: 2, Holder: holder}),
 		almondcross.NewTaskStarted(almondcross.TaskStartedConfig{ID: id, Attempt: 2, Holder: holder, Target: "w1", Term: term}),
-		almondcross.NewTaskLost(almondcross.TaskLostConfig{ID: id, Attempt: 2, Holder: holder, Target: "w1", Term: term}),
+		almondcross.NewTaskLost(almondcross.TaskLostConfig{ID: id, Attempt: 2, Holder: holder, Target: "w1", Term: term, TargetLost: true}),
 		almondcross.NewTaskEnded(almondcross.TaskEndedConfig{Result: result, Holder: holder, Target: "w1", Term: term}),
 		almondcross.NewAdoptTask(almondcross.AdoptTaskConfig{Task: task, Holder: holder, Target: "w1", Term: term}),
 		almondcross.NewAdoptAnswered(almondcross.AdoptAnsweredConfig{
--- a/encoder/peer.go
+++ b/encoder/peer.go
@@ -120,9 +120,9 @@
 			toTaskID(message.ID()), message.Attempt(), toMemberID(message.Holder()), message.Target(), toTerm(message.Term()),
 		}, nil
 	case almondcross.TaskLost:
-		return peerTaskLost, wireTaskPlacement{
+		return peerTaskLost, wireTaskLost{wireTaskPlacement{
 			toTaskID(message.ID()), message.Attempt(), toMemberID(message.Holder()), message.Target(), toTerm(message.Term()),
-		}, nil
+		}, message.TargetLost()}, nil
 	case almondcross.TaskEnded:
 		return peerTaskEnded, wireTaskEnded{
 			toResult(message.Result()), toMemberID(message.Holder()), message.Target(), toTerm(message.Term()),
@@ -240,6 +240,7 @@
 	ExpectedRun time.Duration     `cbor:"expected_run,omitempty"`
 	Timeout     time.Duration     `cbor:"timeout,omitempty"`
 	Avoid       string            `cbor:"avoid,omitempty"`
+	LostTargets int               `cbor:"lost_targets,omitempty"`
 }
 
 func toTask(task almondcross.Task) wireTask {
@@ -249,6 +250,7 @@
 		Resources: toResources(config.Resources), Payload: config.Payload, Repeatable: config.Repeatable,
 		Urgent: config.Urgent, Size: config.Size, Attempt: config.Attempt, Coordinator: toMemberID(config.Coordinator),
 		MaxRun: config.MaxRun, ExpectedRun: config.ExpectedRun, Timeout: config.Timeout, Avoid: config.Avoid,
+		LostTargets: config.LostTargets,
 	}
 }
 
@@ -258,7 +260,7 @@
 		Resources: wiretask.Resources.value(), Payload: wiretask.Payload, Repeatable: wiretask.Repeatable,
 		Urgent: wiretask.Urgent, Size: wiretask.Size, Attempt: wiretask.Attempt, Coordinator: wiretask.Coordinator.value(),
 		MaxRun: wiretask.MaxRun, ExpectedRun: wiretask.ExpectedRun, Timeout: wiretask.Timeout,
-		Avoid: wiretask.Avoid,
+		Avoid: wiretask.Avoid, LostTargets: wiretask.LostTargets,
 	})
 }
 
--- a/encoder/peerwire.go
+++ b/encoder/peerwire.go
@@ -252,12 +252,15 @@
 	})
 }
 
-type wireTaskLost struct{ wireTaskPlacement }
+type wireTaskLost struct {
+	wireTaskPlacement
+	TargetLost bool `cbor:"target_lost,omitempty"`
+}
 
 func (wiretasklost wireTaskLost) message() almondcross.PeerMessage {
 	return almondcross.NewTaskLost(almondcross.TaskLostConfig{
 		ID: wiretasklost.ID.value(), Attempt: wiretasklost.Attempt, Holder: wiretasklost.Holder.value(),
-		Target: wiretasklost.Target, Term: wiretasklost.Term.value(),
+		Target: wiretasklost.Target, Term: wiretasklost.Term.value(), TargetLost: wiretasklost.TargetLost,
 	})
 }
 
--- a/encoder/worker.go
+++ b/encoder/worker.go
@@ -53,6 +53,7 @@
 	MaxRunUs      int64           `json:"max_run_us"`
 	ExpectedRunUs int64           `json:"expected_run_us"`
 	TimeoutUs     int64           `json:"timeout_us"`
+	LostTargets   int             `json:"lost_targets,omitempty"`
 }
 
 // WorkerResult is the result of an attempt. AnswerBytes and Checksum are those of the whole answer, so that a
@@ -267,7 +268,7 @@
 		Resources: WorkerResourcesOf(task.Resources()), Payload: task.Payload(), Repeatable: task.Repeatable(),
 		Urgent: task.Urgent(), Size: task.Size(), Attempt: task.Attempt(), Coordinator: WorkerMemberOf(task.Coordinator()),
 		MaxRunUs: task.MaxRun().Microseconds(), ExpectedRunUs: task.ExpectedRun().Microseconds(),
-		TimeoutUs: task.Timeout().Microseconds(),
+		TimeoutUs: task.Timeout().Microseconds(), LostTargets: task.LostTargets(),
 	}
 }
 
@@ -278,7 +279,7 @@
 		Resources: workertask.Resources.Value(), Payload: workertask.Payload, Repeatable: workertask.Repeatable,
 		Urgent: workertask.Urgent, Size: workertask.Size, Attempt: workertask.Attempt, Coordinator: workertask.Coordinator.Value(),
 		MaxRun: microseconds(workertask.MaxRunUs), ExpectedRun: microseconds(workertask.ExpectedRunUs),
-		Timeout: microseconds(workertask.TimeoutUs),
+		Timeout: microseconds(workertask.TimeoutUs), LostTargets: workertask.LostTargets,
 	})
 }
 
--- a/integration/cell/cell_test.go
+++ b/integration/cell/cell_test.go
@@ -18,6 +18,7 @@
 	request  almondcross.Request
 	pending  int
 	finished bool
+	outcome  almondcross.Outcome // outcome is the last one that the caller received.
 }
 
 func (cell *cell) newSubmission(entry string, number int, withIssuedAt bool) *submission {
@@ -53,6 +54,7 @@
 	submission.pending--
 	submission.cell.tracef("caller of %s receives %s %s", key, outcome.Status(), outcome.Code())
 	submission.cell.checker.checkAnswer(key, outcome)
+	submission.outcome = outcome
 	switch outcome.Status() {
 	case almondcross.StatusDone, almondcross.StatusFailed:
 		submission.finished = true
--- a/integration/cell/worker_test.go
+++ b/integration/cell/worker_test.go
@@ -20,6 +20,7 @@
 	leaseUntil     time.Time
 	unreachable    bool
 	failsTasks     bool
+	crashOutage    time.Duration // crashOutage is how long the worker is unreachable after a task of the entry bomb crashed it.
 	leaving        bool
 	tasks          map[almondcross.TaskID]*runningTask
 	endedTasks     []endedTask
@@ -121,15 +122,22 @@
 		task.Coordinator().Name(), task.Coordinator().Incarnation())
 	worker.cell.checker.recordStart(worker.cell, worker, task)
 	worker.scheduleExpiry(task.ID(), running)
+	if task.Entry() == "bomb" {
+		worker.cell.runAfter(worker.runTime(task)/100, worker.crash)
+		return true, false
+	}
 	if task.Class() != almondcross.ClassService {
-		worker.cell.runAfter(worker.runTime(), func() { worker.finish(task.ID(), task.Attempt(), worker.resultCode()) })
+		worker.cell.runAfter(worker.runTime(task), func() { worker.finish(task.ID(), task.Attempt(), worker.resultCode()) })
 	}
 	return true, false
 }
 
 // runTime draws the run time of a task: mostly under 200 ms, but up to 40 s for one task in eight, which
-// spans several leases.
-func (worker *worker) runTime() time.Duration {
+// spans several leases. A tally takes 30 s to 60 s.
+func (worker *worker) runTime(task almondcross.Task) time.Duration {
+	if task.Entry() == "tally" {
+		return 30*time.Second + time.Duration(worker.cell.random.Int64N(int64(30*time.Second)))
+	}
 	if worker.cell.random.IntN(8) == 0 {
 		return time.Duration(worker.cell.random.Int64N(int64(40 * time.Second)))
 	}
@@ -198,6 +206,20 @@
 	worker.endedTasks = nil
 }
 
+// crash restarts the worker without its tasks; it cannot be reached for crashOutage.
+func (worker *worker) crash() {
+	worker.restart(false)
+	if worker.crashOutage > 0 {
+		worker.disconnect(worker.crashOutage)
+	}
+}
+
+// disconnect makes the worker unreachable for a time, in which it keeps its tasks.
+func (worker *worker) disconnect(duration time.Duration) {
+	worker.unreachable = true
+	worker.cell.runAfter(duration, func() { worker.unreachable = false })
+}
+
 // eventsAfter returns the finished tasks with a higher event index and discards the others.
 func (worker *worker) eventsAfter(index uint64) []endedTask {
 	later := worker.endedTasks[:0]
--- a/integration/cell/world_test.go
+++ b/integration/cell/world_test.go
@@ -99,6 +99,7 @@
 	service := entry("front", almondcross.ClassService, true).WithReplicas(2)
 	return almondcross.NewCatalogueOf(1, []almondcross.Entry{
 		entry("lookup", almondcross.ClassCall, true), entry("payout", almondcross.ClassCall, false), service,
+		entry("bomb", almondcross.ClassBatch, true), entry("tally", almondcross.ClassBatch, true),
 	})
 }
 
--- a/messages.go
+++ b/messages.go
@@ -95,6 +95,10 @@
 	holder  MemberID // the former holder
 	target  string   // the target
 	term    Term     // the last term in which the task was seen
+
+	// targetLost tells whether the target restarted, or has not answered since the task was last seen. A later
+	// report of the same attempt corrects it when the target answers and has not restarted.
+	targetLost bool
 }
 
 // AdoptTask asks the coordinator of a key to confirm a running task under a new holder.
--- a/request.go
+++ b/request.go
@@ -38,6 +38,7 @@
 	CodeHeldBack          Code = "held_back"
 	CodeTargetLost        Code = "target_lost"
 	CodeTaskFailed        Code = "task_failed"
+	CodeTargetsCrashed    Code = "targets_crashed"
 	CodeTaskStopped       Code = "task_stopped"
 	CodeMaxRun            Code = "max_run"
 	CodeNoLinkLease       Code = "no_standing"
--- a/task.go
+++ b/task.go
@@ -24,8 +24,17 @@
 	expectedRun time.Duration // the expected run time
 	timeout     time.Duration // the remaining time within which the task must start, as of sending, 0 for no limit
 	avoid       string        // the target on which the last attempt failed, empty for none
+	lostTargets int           // the number of earlier attempts whose target restarted or disappeared under them
 }
 
+// MaxLostTargets is the number of targets that may restart or disappear under attempts of one key before the key is
+// given up. One or two may have been lost for another reason, such as a second task that ran on them.
+const MaxLostTargets = 3
+
+// Suspect reports whether the next loss of a target ends the key of the task. Two such tasks of one target would be
+// blamed for the same loss, so holders run them on different targets.
+func (task Task) Suspect() bool { return task.lostTargets >= MaxLostTargets-1 }
+
 // TaskResult is the result of one attempt of a task.
 //
 //value:generate
--- a/values_generated.go
+++ b/values_generated.go
@@ -575,6 +575,7 @@
 	ExpectedRun time.Duration
 	Timeout     time.Duration
 	Avoid       string
+	LostTargets int
 }
 
 // NewTask returns a Task with the given fields.
@@ -595,6 +596,7 @@
 		expectedRun: config.ExpectedRun,
 		timeout:     config.Timeout,
 		avoid:       config.Avoid,
+		lostTargets: config.LostTargets,
 	}
 }
 
@@ -616,6 +618,7 @@
 		ExpectedRun: task.expectedRun,
 		Timeout:     task.timeout,
 		Avoid:       task.avoid,
+		LostTargets: task.lostTargets,
 	}
 }
 
@@ -754,6 +757,15 @@
 	return task
 }
 
+// LostTargets returns the number of earlier attempts whose target restarted or disappeared under them.
+func (task Task) LostTargets() int { return task.lostTargets }
+
+// WithLostTargets returns a copy with the given lostTargets.
+func (task Task) WithLostTargets(lostTargets int) Task {
+	task.lostTargets = lostTargets
+	return task
+}
+
 // TaskResultConfig holds the fields of a new TaskResult.
 type TaskResultConfig struct {
 	ID       TaskID
@@ -2924,32 +2936,35 @@
 
 // TaskLostConfig holds the fields of a new TaskLost.
 type TaskLostConfig struct {
-	ID      TaskID
-	Attempt int
-	Holder  MemberID
-	Target  string
-	Term    Term
+	ID         TaskID
+	Attempt    int
+	Holder     MemberID
+	Target     string
+	Term       Term
+	TargetLost bool
 }
 
 // NewTaskLost returns a TaskLost with the given fields.
 func NewTaskLost(config TaskLostConfig) TaskLost {
 	return TaskLost{
-		id:      config.ID,
-		attempt: config.Attempt,
-		holder:  config.Holder,
-		target:  config.Target,
-		term:    config.Term,
+		id:         config.ID,
+		attempt:    config.Attempt,
+		holder:     config.Holder,
+		target:     config.Target,
+		term:       config.Term,
+		targetLost: config.TargetLost,
 	}
 }
 
 // Config returns the fields of the value for encoding or for a changed copy.
 func (tasklost TaskLost) Config() TaskLostConfig {
 	return TaskLostConfig{
-		ID:      tasklost.id,
-		Attempt: tasklost.attempt,
-		Holder:  tasklost.holder,
-		Target:  tasklost.target,
-		Term:    tasklost.term,
+		ID:         tasklost.id,
+		Attempt:    tasklost.attempt,
+		Holder:     tasklost.holder,
+		Target:     tasklost.target,
+		Term:       tasklost.term,
+		TargetLost: tasklost.targetLost,
 	}
 }
 
@@ -2998,6 +3013,15 @@
 	return tasklost
 }
 
+// TargetLost returns .
+func (tasklost TaskLost) TargetLost() bool { return tasklost.targetLost }
+
+// WithTargetLost returns a copy with the given targetLost.
+func (tasklost TaskLost) WithTargetLost(targetLost bool) TaskLost {
+	tasklost.targetLost = targetLost
+	return tasklost
+}
+
 // AdoptTaskConfig holds the fields of a new AdoptTask.
 type AdoptTaskConfig struct {
 	Task   Task
