Tell not_run only with a link lease from every peer

A member that was paused or cut off decided with its old view that nobody else can have started a key, and told its caller not_run, for example with log_down or timeout, although others had removed it from their views by then and may have started the key.

Before: TestRefusalWithoutLinkLeases: expected "unknown", actual "not_run". After: go test ./command/coordinator ./integration/cell: ok.

--- a/command/coordinator/claim_test.go
+++ b/command/coordinator/claim_test.go
@@ -191,3 +191,15 @@
 		require.Zero(t, member.placements)
 	}
 }
+
+// Guards against not_run from a member that was paused or cut off, so that others may have removed it from their views
+// and started the key.
+func TestRefusalWithoutLinkLeases(t *testing.T) {
+	member := newMember(t)
+	member.submit(0)
+	member.now = member.now.Add(2 * almondcross.ViewLifetime)
+	member.decideClaim(almondcross.CodeLogDown, almondcross.ClaimRecord{})
+	require.Len(t, member.replies, 1)
+	require.Equal(t, almondcross.StatusUnknown, member.replies[0].Status())
+	require.Equal(t, almondcross.CodeLogDown, member.replies[0].Code())
+}
--- a/command/coordinator/submit.go
+++ b/command/coordinator/submit.go
@@ -195,7 +195,8 @@
 }
 
 // certainlyNotRun reports whether neither this member nor any other one can have started the key. A granted claim
-// of which no start was used proves it, since no other member may start the key. Otherwise the key must be newer
+// of which no start was used proves it, since no other member may start the key. Otherwise this member must have a
+// valid link lease from every peer, since another one may coordinate the key by now, and the key must be newer
 // than the outcomes that this member and its peers have dropped, and issued after the last loss, since the starts
 // of a lost member are not known.
 func (machine *Machine) certainlyNotRun(record *record, now time.Time) bool {
@@ -205,6 +206,10 @@
 	if record.claimed {
 		return true
 	}
+	if !machine.view.HasLinkLeases(now) {
+		// This member may have been paused, and others may have removed it from their views and started the key.
+		return false
+	}
 	issuedAt := record.request.IssuedAt()
 	if issuedAt.IsZero() || now.Sub(issuedAt) > outcomeRetention-almondcross.CallerClockSkew {
 		return false
