Delay a service under which workers were lost by 1 min at first

A replica under which three workers were lost waited for 30 min at once. When the workers were restarted for other reasons, the service lacked a replica for half an hour. The delay is now 1 min and doubles with each further loss, up to 30 min.

--- a/command/coordinator/machine.go
+++ b/command/coordinator/machine.go
@@ -35,9 +35,11 @@
 	serviceBackoff = time.Second
 	// maxServiceBackoff limits the exponential backoff of a service replica that fails repeatedly.
 	maxServiceBackoff = time.Minute
-	// crashedServiceBackoff is the time before a service replica is placed again after almondcross.MaxLostTargets
-	// targets were lost under it in a row. A service is never given up, so this bounds how often it can crash a target.
-	crashedServiceBackoff = 30 * time.Minute
+	// crashBackoff is the time before a service replica is placed again after almondcross.MaxLostTargets targets were
+	// lost under it in a row. A service is never given up, so the delay doubles with each further loss, up to
+	// maxCrashBackoff, to bound how often it can crash a target.
+	crashBackoff    = time.Minute
+	maxCrashBackoff = 30 * time.Minute
 	// stableServiceTime is the run time after which the loss of its target is not attributed to a service replica.
 	stableServiceTime = 10 * time.Minute
 	// defaultTimeout is how long a caller without a timeout of its own waits.
--- a/command/coordinator/service.go
+++ b/command/coordinator/service.go
@@ -89,7 +89,7 @@
 
 // backOff places a service replica again after a delay that doubles with each failure, up to maxServiceBackoff.
 // A lost target or a preemption by an urgent task resets the delay, but a replica under which targets were lost in a
-// row waits for crashedServiceBackoff. A replica that was stopped or has another coordinator is dropped.
+// row waits for crashBackoff or more. A replica that was stopped or has another coordinator is dropped.
 func (machine *Machine) backOff(record *record, code almondcross.Code, now time.Time) {
 	coordinator, ok := machine.view.Coordinator(record.request.Key())
 	if record.stopped || ok && coordinator.ID() != machine.self() {
@@ -101,8 +101,8 @@
 		record.failures = 0
 	}
 	delay := min(serviceBackoff<<min(record.failures, 6), maxServiceBackoff)
-	if record.lostTargets() >= almondcross.MaxLostTargets {
-		delay, code = crashedServiceBackoff, almondcross.CodeTargetsCrashed
+	if losses := record.lostTargets() - almondcross.MaxLostTargets; losses >= 0 {
+		delay, code = min(crashBackoff<<min(losses, 5), maxCrashBackoff), almondcross.CodeTargetsCrashed
 		machine.accountReason(record, code, now)
 	}
 	record.retryAt = now.Add(delay)
