Keep the outcome not_run for requests that are under way

The coordinator forgot a key that it had answered with not_run, so that the caller could submit it again. A second request of the key that was under way at that time, for example through another entry host, then began the key anew and ran it, although its caller had been told that it did not run and never would.

Such a key is now kept for a minute, like one that ran. A further request gets the same outcome. Only one with the retry flag that arrives at least 1 s later, which is the retry_after of the outcome, begins the key anew: the retry flag is carried to the coordinator for that. The kept records hold no payload and have a limit of their own, so that shed requests do not displace the outcomes of keys that ran.

--- a/command/coordinator/machine.go
+++ b/command/coordinator/machine.go
@@ -23,8 +23,11 @@
 	replicaLookupInterval = 5 * time.Second
 	// outcomeRetention is how long the outcome of an ended key is kept for callers that retry.
 	outcomeRetention = time.Minute
-	// maxOutcomes limits the number of outcomes that are kept.
+	// maxOutcomes limits the number of outcomes that are kept, for keys that ran and for keys that did not.
 	maxOutcomes = 50_000
+	// repeatDelay is the time after not_run from which a request with the retry flag is taken for a repeat by a caller
+	// that was told so, and not for one that was under way at that time.
+	repeatDelay = time.Second
 	// maxFailedTargets is the number of different targets on which a repeatable request may fail before its
 	// caller gets the failure; several failures on one target may be caused by that target.
 	maxFailedTargets = 3
@@ -63,7 +66,8 @@
 	catalogue       almondcross.Catalogue
 	services        []almondcross.Entry // services holds the service entries in order of name.
 	keys            map[almondcross.Key]*record
-	endedKeys       []almondcross.Key // endedKeys holds ended keys in order of their end.
+	endedKeys       []almondcross.Key // endedKeys holds ended keys that may have run, in order of their end.
+	refusedKeys     []almondcross.Key // refusedKeys holds keys that were answered with not_run, in order of their end.
 	forwards        map[uint64]*forward
 	lastCorrelation uint64
 	timers          timerHeap
--- a/command/coordinator/record.go
+++ b/command/coordinator/record.go
@@ -78,9 +78,20 @@
 	service         bool      // service marks a service replica, which is placed again whenever it ends.
 	claimed         bool      // claimed is set when the key has, or may have, a claim that finish must settle.
 	cancelled       bool
+	refused         bool // refused is set when the key ended with not_run and without a claim.
 	stopped         bool // stopped is set when a service replica was stopped because the catalogue no longer has it.
 }
 
+func newRecord(request almondcross.Request, now time.Time) *record {
+	return &record{request: request, submittedAt: now}
+}
+
+// repeatable reports whether a request repeats a key that was answered with not_run, and may start it. Only the retry
+// flag and the time tell the repeat of a caller that knows the outcome from a second request that was under way.
+func (record *record) repeatable(request almondcross.Request, now time.Time) bool {
+	return record.refused && request.Retry() && now.Sub(record.endedAt) >= repeatDelay
+}
+
 // sameRequest reports whether a request has the same entry and payload as the record's.
 func (record *record) sameRequest(request almondcross.Request) bool {
 	return record.request.Entry() == request.Entry() && bytes.Equal(record.request.Payload(), request.Payload())
--- a/command/coordinator/submit.go
+++ b/command/coordinator/submit.go
@@ -10,7 +10,12 @@
 func (machine *Machine) submit(message almondcross.SubmitRequest, now time.Time) {
 	request := machine.requestWithOrigin(message.Request())
 	key := request.Key()
-	if record, ok := machine.keys[key]; ok {
+	record, ok := machine.keys[key]
+	if ok && record.repeatable(request, now) {
+		machine.dropRecord(record)
+		ok = false
+	}
+	if ok {
 		machine.attachWaiter(record, request, message.Replier(), now)
 		return
 	}
@@ -27,7 +32,7 @@
 		machine.forwardRequest(request, coordinator.ID(), message.Replier(), now.Add(waitTimeout(request)), now)
 		return
 	}
-	record := &record{request: request, submittedAt: now}
+	record = newRecord(request, now)
 	record.waiters = []waiter{{replier: message.Replier(), deadline: now.Add(waitTimeout(request))}}
 	machine.addRecord(record, now)
 	machine.begin(record, now)
@@ -78,7 +83,7 @@
 		// The cancellation of the key overtook its request.
 		record.request = request
 	}
-	if record.request.Entry() != "" && !record.sameRequest(request) {
+	if record.request.Entry() != "" && !record.refused && !record.sameRequest(request) {
 		outcome := newOutcome(key, almondcross.StatusNotRun, almondcross.CodeKeyConflict)
 		machine.reply(replier, outcome.WithDetail("the key was used for another request"))
 		return
@@ -335,6 +340,9 @@
 // finish ends a key: it sends the outcome to every waiting caller and keeps it for callers that retry.
 func (machine *Machine) finish(record *record, outcome almondcross.Outcome, now time.Time) {
 	outcome = outcome.WithHost(machine.self().Name())
+	if outcome.Status() == almondcross.StatusNotRun {
+		outcome = outcome.WithRetryAfter(max(outcome.RetryAfter(), repeatDelay))
+	}
 	machine.recordDecision(record, string(outcome.Status()), outcome.Code(), outcome.Target(), now)
 	for _, waiter := range record.waiters {
 		machine.reply(waiter.replier, outcome)
@@ -347,16 +355,25 @@
 	if notRunOrUnknown || outcome.Code() == almondcross.CodeTargetsCrashed {
 		machine.accountReason(record, outcome.Code(), now)
 	}
-	adoptable := record.cancelled && outcome.Status() == almondcross.StatusUnknown
-	if notRunOrUnknown && !record.claimed && !adoptable {
-		// The key is not kept, so that the caller may submit it again: this member has no running task of it. A cancelled
-		// key that may run under a lost member is kept, so that the adoption of its task is refused and the task stopped.
+	switch {
+	case record.claimed || !notRunOrUnknown:
+		machine.endedKeys = append(machine.endedKeys, record.request.Key())
+	case record.cancelled && outcome.Status() == almondcross.StatusUnknown:
+		// The key may run under a lost member. It is kept so that the adoption of its task is refused and the task stopped.
+		machine.endedKeys = append(machine.endedKeys, record.request.Key())
+	case outcome.Status() == almondcross.StatusNotRun && !record.service:
+		// The outcome also holds for requests of the key that are under way to this member. The payload is not needed,
+		// since none of them starts.
+		record.refused = true
+		record.request = record.request.WithPayload(nil)
+		machine.refusedKeys = append(machine.refusedKeys, record.request.Key())
+	default:
+		// The key is not kept, so that the caller may submit it again: this member has no running task of it.
 		machine.dropRecord(record)
 		return
 	}
 	record.phase = phaseEnded
 	record.outcome, record.endedAt, record.tasks = outcome, now, nil
-	machine.endedKeys = append(machine.endedKeys, record.request.Key())
 }
 
 func (machine *Machine) accountReason(record *record, code almondcross.Code, now time.Time) {
@@ -365,22 +382,32 @@
 	})})
 }
 
-// expireOutcomes removes outcomes that are older than outcomeRetention, and the oldest ones above maxOutcomes.
+// expireOutcomes removes outcomes that are older than outcomeRetention, and the oldest ones above maxOutcomes. An
+// early removal of a key that may have run is remembered, since the key cannot be told from one that did not run.
 func (machine *Machine) expireOutcomes(now time.Time) {
+	machine.endedKeys = machine.expireKeys(machine.endedKeys, now, func(record *record) {
+		machine.lastEvictedEnd = record.endedAt.Round(0)
+	})
+	machine.refusedKeys = machine.expireKeys(machine.refusedKeys, now, func(*record) {})
+}
+
+// expireKeys removes the expired keys from a list in order of their end, and returns the others. It calls evicted for
+// those that are removed before outcomeRetention has passed.
+func (machine *Machine) expireKeys(keys []almondcross.Key, now time.Time, evicted func(*record)) []almondcross.Key {
 	expired := 0
-	for _, key := range machine.endedKeys {
+	for _, key := range keys {
 		record, ok := machine.keys[key]
-		if ok && record.phase == phaseEnded && now.Sub(record.endedAt) < outcomeRetention &&
-			len(machine.endedKeys)-expired <= maxOutcomes {
-			break
-		}
-		if ok && record.phase == phaseEnded {
-			if now.Sub(record.endedAt) < outcomeRetention {
-				machine.lastEvictedEnd = record.endedAt.Round(0)
+		ended := ok && record.phase == phaseEnded
+		if ended && now.Sub(record.endedAt) < outcomeRetention {
+			if len(keys)-expired <= maxOutcomes {
+				break
 			}
+			evicted(record)
+		}
+		if ended {
 			delete(machine.keys, key)
 		}
 		expired++
 	}
-	machine.endedKeys = machine.endedKeys[expired:]
+	return keys[expired:]
 }
--- a/command/receiver/decode.go
+++ b/command/receiver/decode.go
@@ -52,26 +52,26 @@
 	return nil
 }
 
-// decodeRequest decodes and validates a request and returns it with its retry flag; the caller is the bearer of
-// the token. It rejects an issued_at that is ahead of the clock by more than the allowed skew, because the
-// coordinator starts keys that were issued after the last loss of a member without waiting for HoldBack.
-func (receiver *Receiver) decodeRequest(body io.Reader, caller string) (almondcross.Request, bool, error) {
+// decodeRequest decodes and validates a request; the caller is the bearer of the token. It rejects an issued_at that is
+// ahead of the clock by more than the allowed skew, because the coordinator starts keys that were issued after the last
+// loss of a member without waiting for HoldBack.
+func (receiver *Receiver) decodeRequest(body io.Reader, caller string) (almondcross.Request, error) {
 	var decoded encoder.RequestBody
 	if err := decodeBody(body, &decoded); err != nil {
-		return almondcross.Request{}, false, err
+		return almondcross.Request{}, err
 	}
 	if !parser.ValidName(decoded.Entry) {
-		return almondcross.Request{}, false, errors.Errorf("entry: found %.60q; allowed: the name of an entry", decoded.Entry)
+		return almondcross.Request{}, errors.Errorf("entry: found %.60q; allowed: the name of an entry", decoded.Entry)
 	}
 	if err := checkKey(decoded.Key); err != nil {
-		return almondcross.Request{}, false, err
+		return almondcross.Request{}, err
 	}
 	if err := checkOrigin(decoded.Origin, receiver.config.DataCentres); err != nil {
-		return almondcross.Request{}, false, err
+		return almondcross.Request{}, err
 	}
 	timeout := time.Duration(decoded.Timeout)
 	if timeout < 0 || timeout > receiver.config.MaxRequestTimeout {
-		return almondcross.Request{}, false, errors.Errorf("timeout: found %s; allowed: from 0s (the default of the host) to %s",
+		return almondcross.Request{}, errors.Errorf("timeout: found %s; allowed: from 0s (the default of the host) to %s",
 			decoded.Timeout, encoder.Duration(receiver.config.MaxRequestTimeout))
 	}
 	if timeout == 0 {
@@ -82,14 +82,14 @@
 		issuedAt = *decoded.IssuedAt
 	}
 	if latest := receiver.config.Clock.Now().Add(almondcross.CallerClockSkew); issuedAt.After(latest) {
-		return almondcross.Request{}, false, errors.Errorf("issued_at: found %s; allowed: at most %s ahead of the host's clock",
+		return almondcross.Request{}, errors.Errorf("issued_at: found %s; allowed: at most %s ahead of the host's clock",
 			issuedAt.Format(time.RFC3339Nano), encoder.Duration(almondcross.CallerClockSkew))
 	}
 	key := almondcross.NewKey(almondcross.KeyConfig{Caller: caller, Origin: decoded.Origin, Name: decoded.Key})
 	request := almondcross.NewRequest(almondcross.RequestConfig{
-		Key: key, Entry: decoded.Entry, Payload: decoded.Payload, IssuedAt: issuedAt, Timeout: timeout,
+		Key: key, Entry: decoded.Entry, Payload: decoded.Payload, IssuedAt: issuedAt, Timeout: timeout, Retry: decoded.Retry,
 	})
-	return request, decoded.Retry, nil
+	return request, nil
 }
 
 // decodeChange decodes and validates a change of the catalogue; the operator is the bearer of the token.
--- a/command/receiver/requests.go
+++ b/command/receiver/requests.go
@@ -13,7 +13,7 @@
 
 // submit handles POST /v1/requests.
 func (receiver *Receiver) submit(writer http.ResponseWriter, request *http.Request, token almondcross.Token) {
-	submission, retry, err := receiver.decodeRequest(request.Body, token.Name())
+	submission, err := receiver.decodeRequest(request.Body, token.Name())
 	if err != nil {
 		responder.Fail(writer, responder.InvalidBody(err))
 		return
@@ -21,7 +21,7 @@
 	waiter := receiver.newWaiter(submission.Key())
 	message := almondcross.NewSubmitRequest(almondcross.SubmitRequestConfig{Request: submission, Replier: waiter})
 	if !receiver.config.Coordinator.Offer(message) {
-		responder.Fail(writer, responder.Overloaded("coordinator", !retry && receiver.isRepeatable(submission.Entry())))
+		responder.Fail(writer, responder.Overloaded("coordinator", !submission.Retry() && receiver.isRepeatable(submission.Entry())))
 		return
 	}
 	outcome, ok := receiver.await(request.Context(), waiter, submission.Timeout())
--- a/encoder/peer.go
+++ b/encoder/peer.go
@@ -209,18 +209,20 @@
 	Payload  []byte        `cbor:"payload,omitempty"`
 	IssuedAt time.Time     `cbor:"issued_at"`
 	Timeout  time.Duration `cbor:"timeout,omitempty"`
+	Retry    bool          `cbor:"retry,omitempty"`
 }
 
 func toRequest(request almondcross.Request) wireRequest {
 	return wireRequest{
 		Key: toKey(request.Key()), Entry: request.Entry(), Payload: request.Payload(),
-		IssuedAt: request.IssuedAt(), Timeout: request.Timeout(),
+		IssuedAt: request.IssuedAt(), Timeout: request.Timeout(), Retry: request.Retry(),
 	}
 }
 
 func (wirerequest wireRequest) value() almondcross.Request {
 	return almondcross.NewRequest(almondcross.RequestConfig{
-		Key: wirerequest.Key.value(), Entry: wirerequest.Entry, Payload: wirerequest.Payload, IssuedAt: wirerequest.IssuedAt, Timeout: wirerequest.Timeout,
+		Key: wirerequest.Key.value(), Entry: wirerequest.Entry, Payload: wirerequest.Payload, IssuedAt: wirerequest.IssuedAt,
+		Timeout: wirerequest.Timeout, Retry: wirerequest.Retry,
 	})
 }
 
--- a/request.go
+++ b/request.go
@@ -66,6 +66,7 @@
 	payload  []byte        // the input of the work
 	issuedAt time.Time     // the time at which the caller first sent the key; zero when not known
 	timeout  time.Duration // the time that the caller waits for the answer
+	retry    bool          // whether the caller may have sent the key before
 }
 
 // Outcome is the result of a request as reported to its caller.
--- a/values_generated.go
+++ b/values_generated.go
@@ -377,6 +377,7 @@
 	Payload  []byte
 	IssuedAt time.Time
 	Timeout  time.Duration
+	Retry    bool
 }
 
 // NewRequest returns a Request with the given fields.
@@ -387,6 +388,7 @@
 		payload:  config.Payload,
 		issuedAt: config.IssuedAt,
 		timeout:  config.Timeout,
+		retry:    config.Retry,
 	}
 }
 
@@ -398,6 +400,7 @@
 		Payload:  request.payload,
 		IssuedAt: request.issuedAt,
 		Timeout:  request.timeout,
+		Retry:    request.retry,
 	}
 }
 
@@ -446,6 +449,15 @@
 	return request
 }
 
+// Retry returns whether the caller may have sent the key before.
+func (request Request) Retry() bool { return request.retry }
+
+// WithRetry returns a copy with the given retry.
+func (request Request) WithRetry(retry bool) Request {
+	request.retry = retry
+	return request
+}
+
 // OutcomeConfig holds the fields of a new Outcome.
 type OutcomeConfig struct {
 	Key        Key
