End a refused gang only when none of its tasks can run

When one task of a gang was refused before any other was reported as started, the coordinator ended the key with not_run, or placed it again, at once. The start of another task could be under way or accepted at that time: the caller was told not_run for a gang of which a task ran, and a second attempt could run beside it.

The attempt now ends when every task was refused or has ended. It counts as refused only if none was started. A task that was not started no longer counts as a failure of a target without a name.

Before: TestRefusedGangWaitsForItsStarts: Should be empty, but was [... not_run task_failed ...]. After: go test ./command/coordinator: ok.

--- /dev/null
+++ b/command/coordinator/gang_test.go
@@ -0,0 +1,63 @@
+package coordinator_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/almondcross/almondcross"
+)
+
+func (member *member) refused(task almondcross.Task, code almondcross.Code) {
+	member.apply(almondcross.NewTaskRefused(almondcross.TaskRefusedConfig{
+		ID: task.ID(), Attempt: task.Attempt(), Holder: memberID("e1"), Code: code,
+	}))
+}
+
+// Guards against not_run for a gang of which one task was refused while the start of another was under way, and
+// against placing the gang again while that task runs.
+func TestRefusedGangWaitsForItsStarts(t *testing.T) {
+	for _, code := range []almondcross.Code{almondcross.CodeTaskFailed, almondcross.CodeNoLinkLease} {
+		member := newMember(t)
+		member.setPeers()
+		member.post("crew")
+		tasks := member.placed()
+		member.refused(tasks[0], code)
+		require.Empty(t, member.replies)
+		member.advance(500 * time.Millisecond)
+		require.Len(t, member.placed(), 2)
+		member.started(tasks[1], "e1", "w1", 1)
+		member.ended(tasks[1], "e1", "w1", code)
+		if code == almondcross.CodeTaskFailed {
+			require.Len(t, member.placed(), 4)
+			require.Equal(t, "w1", member.lastPlaced().Avoid())
+			continue
+		}
+		require.Len(t, member.replies, 1)
+		require.Equal(t, almondcross.StatusFailed, member.replies[0].Status())
+	}
+}
+
+// Guards against a gang that ends with unknown or never, although none of its tasks was started.
+func TestRefusedGangEnds(t *testing.T) {
+	member := newMember(t)
+	member.setPeers()
+	member.post("crew")
+	tasks := member.placed()
+	member.refused(tasks[1], almondcross.CodeNeverFits)
+	member.refused(tasks[0], almondcross.CodeNeverFits)
+	require.Len(t, member.replies, 1)
+	require.Equal(t, almondcross.StatusNotRun, member.replies[0].Status())
+	require.Equal(t, almondcross.CodeNeverFits, member.replies[0].Code())
+
+	member = newMember(t)
+	member.setPeers()
+	member.post("crew")
+	tasks = member.placed()
+	member.refused(tasks[1], almondcross.CodeNoLinkLease)
+	member.refused(tasks[0], almondcross.CodeNoLinkLease)
+	member.advance(time.Second)
+	require.Len(t, member.placed(), 4)
+	require.Empty(t, member.replies)
+}
--- a/command/coordinator/report.go
+++ b/command/coordinator/report.go
@@ -59,34 +59,46 @@
 
 func (machine *Machine) taskRefused(message almondcross.TaskRefused, now time.Time) {
 	record, task := machine.findTask(message.ID(), message.Attempt())
-	if record == nil || task.started {
+	if record == nil || task.started || task.ended {
 		return
 	}
 	retryAfter := time.Duration(message.RetryAfter()) * time.Millisecond
-	if record.service {
+	switch {
+	case record.service:
 		machine.backOff(record, message.Code(), now)
+	case len(record.tasks) > 1:
+		machine.gangTaskRefused(record, task, message.Code(), now)
+	default:
+		machine.refuseAttempt(record, message.Code(), retryAfter, now)
+	}
+}
+
+// gangTaskRefused stops the other tasks of a gang after one was refused. The starts of others may be under way, so the
+// attempt ends only when each of them was refused or has ended.
+func (machine *Machine) gangTaskRefused(record *record, task *taskState, code almondcross.Code, now time.Time) {
+	task.ended, task.result = true, failedResult(task.task, code)
+	if record.anyStarted() || !record.allEnded() {
+		machine.finishAttempt(record, now)
 		return
 	}
-	if placerUnavailable(message.Code()) && !record.anyStarted() {
-		machine.stopTasks(record, message.Code(), now)
-		record.tasks = nil
-		if record.cancelled {
-			machine.finishCancelled(record, now)
-			return
-		}
-		machine.holdBack(record, now.Add(holdRecheckInterval), message.Code(), now)
+	_, code = firstFailure(record)
+	machine.refuseAttempt(record, code, 0, now)
+}
+
+// refuseAttempt ends an attempt of which no task was started. The key is placed again if the placer, and not the task,
+// was the cause.
+func (machine *Machine) refuseAttempt(record *record, code almondcross.Code, retryAfter time.Duration, now time.Time) {
+	if !placerUnavailable(code) {
+		machine.finish(record, machine.refusalOutcome(record, code, now).WithRetryAfter(retryAfter), now)
 		return
 	}
-	if len(record.tasks) > 1 {
-		machine.stopTasks(record, message.Code(), now)
-		if record.anyStarted() {
-			// The started tasks are being stopped, and the end of each one is reported separately.
-			task.ended, task.result = true, failedResult(task.task, message.Code())
-			return
-		}
+	machine.stopTasks(record, code, now)
+	record.tasks = nil
+	if record.cancelled {
+		machine.finishCancelled(record, now)
+		return
 	}
-	outcome := machine.refusalOutcome(record, message.Code(), now)
-	machine.finish(record, outcome.WithRetryAfter(retryAfter), now)
+	machine.holdBack(record, now.Add(holdRecheckInterval), code, now)
 }
 
 // placerUnavailable reports whether a refusal was caused by the state of the placer and not by the task: the
@@ -240,8 +252,10 @@
 		record.failedTargets = map[string]bool{}
 	}
 	for _, task := range record.tasks {
-		record.failedTargets[task.target] = true
-		record.avoidTarget = task.target
+		if task.started {
+			record.failedTargets[task.target] = true
+			record.avoidTarget = task.target
+		}
 	}
 	return len(record.failedTargets) < maxFailedTargets && record.failures < maxFailedAttempts
 }
