--- a/command/coordinator/machine.go
+++ b/command/coordinator/machine.go
@@ -15,14 +15,19 @@
 	lookupRetryInterval = 500 * time.Millisecond
 	// holdRecheckInterval is the time between two checks of a key that waits for a valid link lease from every peer or for a placer.
 	holdRecheckInterval = 100 * time.Millisecond
+	// stopRetryInterval is the time after which the stop of a task without a reported end is sent again.
+	stopRetryInterval = time.Second
 	// rerouteDelay is the time before a request is routed again after a peer refused it.
 	rerouteDelay = 100 * time.Millisecond
 	// replicaLookupInterval is the time after which a replica that another member runs is looked up at the peers again.
 	replicaLookupInterval = 5 * time.Second
 	// outcomeRetention is how long the outcome of an ended key is kept for callers that retry.
 	outcomeRetention = time.Minute
-	// maxOutcomes limits the number of outcomes that are kept.
+	// maxOutcomes limits the number of outcomes that are kept, for keys that ran and for keys that did not.
 	maxOutcomes = 50_000
+	// repeatDelay is the time after not_run from which a request with the retry flag is taken for a repeat by a caller
+	// that was told so, and not for one that was under way at that time.
+	repeatDelay = time.Second
 	// maxFailedTargets is the number of different targets on which a repeatable request may fail before its
 	// caller gets the failure; several failures on one target may be caused by that target.
 	maxFailedTargets = 3
@@ -33,6 +38,13 @@
 	serviceBackoff = time.Second
 	// maxServiceBackoff limits the exponential backoff of a service replica that fails repeatedly.
 	maxServiceBackoff = time.Minute
+	// crashBackoff is the time before a service replica is placed again after almondcross.MaxLostTargets targets were
+	// lost under it in a row. A service is never given up, so the delay doubles with each further loss, up to
+	// maxCrashBackoff, to bound how often it can crash a target.
+	crashBackoff    = time.Minute
+	maxCrashBackoff = 30 * time.Minute
+	// stableServiceTime is the run time after which the loss of its target is not attributed to a service replica.
+	stableServiceTime = 10 * time.Minute
 	// defaultTimeout is how long a caller without a timeout of its own waits.
 	defaultTimeout = 30 * time.Second
 	// homeUnreachableRetryAfter is the retry delay sent to a caller when the home data centre of its key cannot be reached.
@@ -54,7 +66,8 @@
 	catalogue       almondcross.Catalogue
 	services        []almondcross.Entry // services holds the service entries in order of name.
 	keys            map[almondcross.Key]*record
-	endedKeys       []almondcross.Key // endedKeys holds ended keys in order of their end.
+	endedKeys       []almondcross.Key // endedKeys holds ended keys that may have run, in order of their end.
+	refusedKeys     []almondcross.Key // refusedKeys holds keys that were answered with not_run, in order of their end.
 	forwards        map[uint64]*forward
 	lastCorrelation uint64
 	timers          timerHeap
--- a/command/coordinator/report.go
+++ b/command/coordinator/report.go
@@ -23,6 +23,7 @@
 	}
 	task.holder = message.Holder()
 	machine.watchHolders(record, now)
+	machine.stopReported(record, task)
 }
 
 func (machine *Machine) taskStarted(message almondcross.TaskStarted, now time.Time) {
@@ -34,10 +35,11 @@
 	if task.ended || (task.started && message.Target() == task.target && message.Term().Less(task.term)) {
 		return
 	}
-	record.everStarted = true
+	record.everStarted, record.startedAt = true, now
 	task.started, task.holder, task.target, task.term = true, message.Holder(), message.Target(), message.Term()
 	machine.watchHolders(record, now)
 	machine.recordDecision(record, "started", almondcross.CodeNone, message.Target(), now)
+	machine.stopReported(record, task)
 	if record.allStarted() {
 		record.phase = phaseRunning
 	}
@@ -57,30 +59,46 @@
 
 func (machine *Machine) taskRefused(message almondcross.TaskRefused, now time.Time) {
 	record, task := machine.findTask(message.ID(), message.Attempt())
-	if record == nil || task.started {
+	if record == nil || task.started || task.ended {
 		return
 	}
 	retryAfter := time.Duration(message.RetryAfter()) * time.Millisecond
-	if record.service {
+	switch {
+	case record.service:
 		machine.backOff(record, message.Code(), now)
+	case len(record.tasks) > 1:
+		machine.gangTaskRefused(record, task, message.Code(), now)
+	default:
+		machine.refuseAttempt(record, message.Code(), retryAfter, now)
+	}
+}
+
+// gangTaskRefused stops the other tasks of a gang after one was refused. The starts of others may be under way, so the
+// attempt ends only when each of them was refused or has ended.
+func (machine *Machine) gangTaskRefused(record *record, task *taskState, code almondcross.Code, now time.Time) {
+	task.ended, task.result = true, failedResult(task.task, code)
+	if record.anyStarted() || !record.allEnded() {
+		machine.finishAttempt(record, now)
 		return
 	}
-	if placerUnavailable(message.Code()) && !record.anyStarted() {
-		machine.stopTasks(record, message.Code())
-		record.tasks = nil
-		machine.holdBack(record, now.Add(holdRecheckInterval), message.Code(), now)
+	_, code = firstFailure(record)
+	machine.refuseAttempt(record, code, 0, now)
+}
+
+// refuseAttempt ends an attempt of which no task was started. The key is placed again if the placer, and not the task,
+// was the cause.
+func (machine *Machine) refuseAttempt(record *record, code almondcross.Code, retryAfter time.Duration, now time.Time) {
+	if !placerUnavailable(code) {
+		machine.finish(record, machine.refusalOutcome(record, code, now).WithRetryAfter(retryAfter), now)
 		return
 	}
-	if len(record.tasks) > 1 {
-		machine.stopTasks(record, message.Code())
-		if record.anyStarted() {
-			// The started tasks are being stopped, and the end of each one is reported separately.
-			task.ended, task.result = true, failedResult(task.task, message.Code())
-			return
-		}
+	machine.stopTasks(record, code, now)
+	record.tasks = nil
+	if record.cancelled {
+		machine.finishCancelled(record, now)
+		return
 	}
-	outcome := machine.refusalOutcome(record, message.Code(), now)
-	machine.finish(record, outcome.WithRetryAfter(retryAfter), now)
+	machine.holdBack(record, now.Add(holdRecheckInterval), code, now)
 }
 
 // placerUnavailable reports whether a refusal was caused by the state of the placer and not by the task: the
@@ -97,6 +115,7 @@
 	result := message.Result()
 	record, task := machine.findTask(result.ID(), result.Attempt())
 	if record == nil {
+		machine.correctLostTarget(result.ID().Key(), result.Attempt())
 		machine.acceptOrphanAnswer(message, now)
 		return
 	}
@@ -144,6 +163,9 @@
 }
 
 func (machine *Machine) taskLost(message almondcross.TaskLost, now time.Time) {
+	if !message.TargetLost() {
+		machine.correctLostTarget(message.ID().Key(), message.Attempt())
+	}
 	record, task := machine.findTask(message.ID(), message.Attempt())
 	if record == nil {
 		return
@@ -155,14 +177,24 @@
 	record.everStarted = true
 	task.started, task.ended, task.target = true, true, message.Target()
 	task.result = failedResult(task.task, almondcross.CodeTargetLost)
+	if message.TargetLost() {
+		record.countLostTarget(message.Attempt(), now)
+	}
 	machine.finishAttempt(record, now)
 }
 
+// correctLostTarget takes back that a target was lost under an earlier attempt, after the target was only cut off.
+func (machine *Machine) correctLostTarget(key almondcross.Key, attempt int) {
+	if record, ok := machine.keys[key]; ok {
+		delete(record.lostAttempts, attempt)
+	}
+}
+
 // finishAttempt ends an attempt once all its tasks have ended. If one task of a gang fails, the others are stopped first.
 func (machine *Machine) finishAttempt(record *record, now time.Time) {
 	failed, code := firstFailure(record)
 	if failed && len(record.tasks) > 1 && !record.allEnded() {
-		machine.stopTasks(record, code)
+		machine.stopTasks(record, code, now)
 		return
 	}
 	if !record.allEnded() {
@@ -203,9 +235,10 @@
 }
 
 // mayRetry counts a failure of a task and reports whether the failed attempt may be retried. Task failures are
-// limited; lost targets and preemptions are neither counted nor limited, since the task did not cause them.
+// limited, and so are lost targets, which the task may have crashed. Preemptions are neither counted nor limited, since
+// the task did not cause them.
 func (machine *Machine) mayRetry(record *record, code almondcross.Code) bool {
-	if !record.entry.Repeatable() || record.cancelled {
+	if !record.entry.Repeatable() || record.cancelled || record.lostTargets() >= almondcross.MaxLostTargets {
 		return false
 	}
 	if code == almondcross.CodeTargetLost || code == almondcross.CodePreemptedUrgent || code == almondcross.CodeLentShareReturned {
@@ -219,14 +252,20 @@
 		record.failedTargets = map[string]bool{}
 	}
 	for _, task := range record.tasks {
-		record.failedTargets[task.target] = true
-		record.avoidTarget = task.target
+		if task.started {
+			record.failedTargets[task.target] = true
+			record.avoidTarget = task.target
+		}
 	}
 	return len(record.failedTargets) < maxFailedTargets && record.failures < maxFailedAttempts
 }
 
 func failedOutcome(record *record, code almondcross.Code) almondcross.Outcome {
 	key := record.request.Key()
+	if record.lostTargets() >= almondcross.MaxLostTargets {
+		return newOutcome(key, almondcross.StatusFailed, almondcross.CodeTargetsCrashed).WithTarget(record.tasks[0].target).
+			WithDetail("the work ran, and the workers of three attempts restarted or disappeared under it")
+	}
 	if code == almondcross.CodeTargetLost {
 		return newOutcome(key, almondcross.StatusUnknown, code).WithTarget(record.tasks[0].target)
 	}
--- a/command/coordinator/submit.go
+++ b/command/coordinator/submit.go
@@ -10,7 +10,12 @@
 func (machine *Machine) submit(message almondcross.SubmitRequest, now time.Time) {
 	request := machine.requestWithOrigin(message.Request())
 	key := request.Key()
-	if record, ok := machine.keys[key]; ok {
+	record, ok := machine.keys[key]
+	if ok && record.repeatable(request, now) {
+		machine.dropRecord(record)
+		ok = false
+	}
+	if ok {
 		machine.attachWaiter(record, request, message.Replier(), now)
 		return
 	}
@@ -27,7 +32,7 @@
 		machine.forwardRequest(request, coordinator.ID(), message.Replier(), now.Add(waitTimeout(request)), now)
 		return
 	}
-	record := &record{request: request, submittedAt: now}
+	record = newRecord(request, now)
 	record.waiters = []waiter{{replier: message.Replier(), deadline: now.Add(waitTimeout(request))}}
 	machine.addRecord(record, now)
 	machine.begin(record, now)
@@ -74,7 +79,11 @@
 // key has ended.
 func (machine *Machine) attachWaiter(record *record, request almondcross.Request, replier almondcross.Replier, now time.Time) {
 	key := request.Key()
-	if record.request.Entry() != "" && !record.sameRequest(request) {
+	if record.request.Entry() == "" && record.phase == phaseLookup {
+		// The cancellation of the key overtook its request.
+		record.request = request
+	}
+	if record.request.Entry() != "" && !record.refused && !record.sameRequest(request) {
 		outcome := newOutcome(key, almondcross.StatusNotRun, almondcross.CodeKeyConflict)
 		machine.reply(replier, outcome.WithDetail("the key was used for another request"))
 		return
@@ -97,6 +106,10 @@
 		return
 	}
 	issuedSinceMove := machine.view.IssuedSinceMove(key, issuedAt)
+	if record.cancelled {
+		machine.startLookups(record, now)
+		return
+	}
 	entry, ok := machine.catalogue.Entry(record.request.Entry())
 	if !ok || !entry.RunsIn(machine.view.Self().DataCentre()) {
 		machine.refuseUnknownEntry(record, now)
@@ -144,6 +157,10 @@
 // a lost member may have started for the key can still run. Work that may not be repeated is claimed first.
 func (machine *Machine) advance(record *record, now time.Time) {
 	key := record.request.Key()
+	if record.cancelled {
+		machine.finishCancelled(record, now)
+		return
+	}
 	if !record.deadline.IsZero() && !now.Before(record.deadline) {
 		machine.finish(record, machine.refusalOutcome(record, almondcross.CodeTimeout, now), now)
 		return
@@ -183,7 +200,8 @@
 }
 
 // certainlyNotRun reports whether neither this member nor any other one can have started the key. A granted claim
-// of which no start was used proves it, since no other member may start the key. Otherwise the key must be newer
+// of which no start was used proves it, since no other member may start the key. Otherwise this member must have a
+// valid link lease from every peer, since another one may coordinate the key by now, and the key must be newer
 // than the outcomes that this member and its peers have dropped, and issued after the last loss, since the starts
 // of a lost member are not known.
 func (machine *Machine) certainlyNotRun(record *record, now time.Time) bool {
@@ -193,6 +211,10 @@
 	if record.claimed {
 		return true
 	}
+	if !machine.view.HasLinkLeases(now) {
+		// This member may have been paused, and others may have removed it from their views and started the key.
+		return false
+	}
 	issuedAt := record.request.IssuedAt()
 	if issuedAt.IsZero() || now.Sub(issuedAt) > outcomeRetention-almondcross.CallerClockSkew {
 		return false
@@ -232,12 +254,26 @@
 	machine.scheduleKey(record.request.Key(), until)
 }
 
-// rerouteWaiters drops a key that this member no longer coordinates and has not started, and submits the requests
-// of its callers again.
+// rerouteWaiters drops a key that this member no longer coordinates and has not started, and routes its callers again.
 func (machine *Machine) rerouteWaiters(record *record, now time.Time) {
 	machine.dropRecord(record)
+	machine.rerouteDropped(record, now)
+}
+
+// rerouteDropped submits the requests of the callers of a dropped key again. If the key was cancelled, only the
+// cancellation is repeated: a request that is submitted again after its task was stopped would run a second time.
+func (machine *Machine) rerouteDropped(record *record, now time.Time) {
 	for _, waiter := range record.waiters {
-		machine.resubmit(record.request, waiter, now)
+		switch {
+		case waiter.cancels:
+			machine.cancel(almondcross.NewCancelRequest(almondcross.CancelRequestConfig{
+				Key: record.request.Key(), Replier: waiter.replier,
+			}), now)
+		case record.cancelled:
+			machine.reply(waiter.replier, unknownOutcome(record.request.Key(), almondcross.CodeCancelled))
+		default:
+			machine.resubmit(record.request, waiter, now)
+		}
 	}
 }
 
@@ -295,6 +331,7 @@
 		ExpectedRun: entry.ExpectedRun(),
 		Timeout:     timeout,
 		Avoid:       record.avoidTarget,
+		LostTargets: record.lostTargets(),
 	})
 }
 
@@ -303,6 +340,9 @@
 // finish ends a key: it sends the outcome to every waiting caller and keeps it for callers that retry.
 func (machine *Machine) finish(record *record, outcome almondcross.Outcome, now time.Time) {
 	outcome = outcome.WithHost(machine.self().Name())
+	if outcome.Status() == almondcross.StatusNotRun {
+		outcome = outcome.WithRetryAfter(max(outcome.RetryAfter(), repeatDelay))
+	}
 	machine.recordDecision(record, string(outcome.Status()), outcome.Code(), outcome.Target(), now)
 	for _, waiter := range record.waiters {
 		machine.reply(waiter.replier, outcome)
@@ -311,42 +351,63 @@
 	if record.claimed {
 		machine.emit(NotifyClaimer{Message: almondcross.NewSettleKey(almondcross.SettleKeyConfig{Outcome: outcome})})
 	}
-	if outcome.Status() == almondcross.StatusNotRun || outcome.Status() == almondcross.StatusUnknown {
-		machine.accountRefusal(record, outcome, now)
-	}
 	notRunOrUnknown := outcome.Status() == almondcross.StatusNotRun || outcome.Status() == almondcross.StatusUnknown
-	if notRunOrUnknown && !record.claimed {
+	if notRunOrUnknown || outcome.Code() == almondcross.CodeTargetsCrashed {
+		machine.accountReason(record, outcome.Code(), now)
+	}
+	switch {
+	case record.claimed || !notRunOrUnknown:
+		machine.endedKeys = append(machine.endedKeys, record.request.Key())
+	case record.cancelled && outcome.Status() == almondcross.StatusUnknown:
+		// The key may run under a lost member. It is kept so that the adoption of its task is refused and the task stopped.
+		machine.endedKeys = append(machine.endedKeys, record.request.Key())
+	case outcome.Status() == almondcross.StatusNotRun && !record.service:
+		// The outcome also holds for requests of the key that are under way to this member. The payload is not needed,
+		// since none of them starts.
+		record.refused = true
+		record.request = record.request.WithPayload(nil)
+		machine.refusedKeys = append(machine.refusedKeys, record.request.Key())
+	default:
 		// The key is not kept, so that the caller may submit it again: this member has no running task of it.
 		machine.dropRecord(record)
 		return
 	}
 	record.phase = phaseEnded
 	record.outcome, record.endedAt, record.tasks = outcome, now, nil
-	machine.endedKeys = append(machine.endedKeys, record.request.Key())
 }
 
-func (machine *Machine) accountRefusal(record *record, outcome almondcross.Outcome, now time.Time) {
+func (machine *Machine) accountReason(record *record, code almondcross.Code, now time.Time) {
 	machine.emit(Account{Event: almondcross.NewAccountEvent(almondcross.AccountEventConfig{
-		Entry: record.request.Entry(), Owner: record.entry.Owner(), Code: outcome.Code(), Count: 1, At: now,
+		Entry: record.request.Entry(), Owner: record.entry.Owner(), Code: code, Count: 1, At: now,
 	})})
 }
 
-// expireOutcomes removes outcomes that are older than outcomeRetention, and the oldest ones above maxOutcomes.
+// expireOutcomes removes outcomes that are older than outcomeRetention, and the oldest ones above maxOutcomes. An
+// early removal of a key that may have run is remembered, since the key cannot be told from one that did not run.
 func (machine *Machine) expireOutcomes(now time.Time) {
+	machine.endedKeys = machine.expireKeys(machine.endedKeys, now, func(record *record) {
+		machine.lastEvictedEnd = record.endedAt.Round(0)
+	})
+	machine.refusedKeys = machine.expireKeys(machine.refusedKeys, now, func(*record) {})
+}
+
+// expireKeys removes the expired keys from a list in order of their end, and returns the others. It calls evicted for
+// those that are removed before outcomeRetention has passed.
+func (machine *Machine) expireKeys(keys []almondcross.Key, now time.Time, evicted func(*record)) []almondcross.Key {
 	expired := 0
-	for _, key := range machine.endedKeys {
+	for _, key := range keys {
 		record, ok := machine.keys[key]
-		if ok && record.phase == phaseEnded && now.Sub(record.endedAt) < outcomeRetention &&
-			len(machine.endedKeys)-expired <= maxOutcomes {
-			break
-		}
-		if ok && record.phase == phaseEnded {
-			if now.Sub(record.endedAt) < outcomeRetention {
-				machine.lastEvictedEnd = record.endedAt.Round(0)
+		ended := ok && record.phase == phaseEnded
+		if ended && now.Sub(record.endedAt) < outcomeRetention {
+			if len(keys)-expired <= maxOutcomes {
+				break
 			}
+			evicted(record)
+		}
+		if ended {
 			delete(machine.keys, key)
 		}
 		expired++
 	}
-	machine.endedKeys = machine.endedKeys[expired:]
+	return keys[expired:]
 }
--- a/encoder/peer.go
+++ b/encoder/peer.go
@@ -120,9 +120,9 @@
 			toTaskID(message.ID()), message.Attempt(), toMemberID(message.Holder()), message.Target(), toTerm(message.Term()),
 		}, nil
 	case almondcross.TaskLost:
-		return peerTaskLost, wireTaskPlacement{
+		return peerTaskLost, wireTaskLost{wireTaskPlacement{
 			toTaskID(message.ID()), message.Attempt(), toMemberID(message.Holder()), message.Target(), toTerm(message.Term()),
-		}, nil
+		}, message.TargetLost()}, nil
 	case almondcross.TaskEnded:
 		return peerTaskEnded, wireTaskEnded{
 			toResult(message.Result()), toMemberID(message.Holder()), message.Target(), toTerm(message.Term()),
@@ -209,18 +209,20 @@
 	Payload  []byte        `cbor:"payload,omitempty"`
 	IssuedAt time.Time     `cbor:"issued_at"`
 	Timeout  time.Duration `cbor:"timeout,omitempty"`
+	Retry    bool          `cbor:"retry,omitempty"`
 }
 
 func toRequest(request almondcross.Request) wireRequest {
 	return wireRequest{
 		Key: toKey(request.Key()), Entry: request.Entry(), Payload: request.Payload(),
-		IssuedAt: request.IssuedAt(), Timeout: request.Timeout(),
+		IssuedAt: request.IssuedAt(), Timeout: request.Timeout(), Retry: request.Retry(),
 	}
 }
 
 func (wirerequest wireRequest) value() almondcross.Request {
 	return almondcross.NewRequest(almondcross.RequestConfig{
-		Key: wirerequest.Key.value(), Entry: wirerequest.Entry, Payload: wirerequest.Payload, IssuedAt: wirerequest.IssuedAt, Timeout: wirerequest.Timeout,
+		Key: wirerequest.Key.value(), Entry: wirerequest.Entry, Payload: wirerequest.Payload, IssuedAt: wirerequest.IssuedAt,
+		Timeout: wirerequest.Timeout, Retry: wirerequest.Retry,
 	})
 }
 
@@ -240,6 +242,7 @@
 	ExpectedRun time.Duration     `cbor:"expected_run,omitempty"`
 	Timeout     time.Duration     `cbor:"timeout,omitempty"`
 	Avoid       string            `cbor:"avoid,omitempty"`
+	LostTargets int               `cbor:"lost_targets,omitempty"`
 }
 
 func toTask(task almondcross.Task) wireTask {
@@ -249,6 +252,7 @@
 		Resources: toResources(config.Resources), Payload: config.Payload, Repeatable: config.Repeatable,
 		Urgent: config.Urgent, Size: config.Size, Attempt: config.Attempt, Coordinator: toMemberID(config.Coordinator),
 		MaxRun: config.MaxRun, ExpectedRun: config.ExpectedRun, Timeout: config.Timeout, Avoid: config.Avoid,
+		LostTargets: config.LostTargets,
 	}
 }
 
@@ -258,7 +262,7 @@
 		Resources: wiretask.Resources.value(), Payload: wiretask.Payload, Repeatable: wiretask.Repeatable,
 		Urgent: wiretask.Urgent, Size: wiretask.Size, Attempt: wiretask.Attempt, Coordinator: wiretask.Coordinator.value(),
 		MaxRun: wiretask.MaxRun, ExpectedRun: wiretask.ExpectedRun, Timeout: wiretask.Timeout,
-		Avoid: wiretask.Avoid,
+		Avoid: wiretask.Avoid, LostTargets: wiretask.LostTargets,
 	})
 }
 
