Count a crash as confirmed only if the worker refused connections

A worker that is cut off from the store and from all hosts is no longer announced, and its lease expires, as after a crash. Such an end now counts as one that may be a crash, unless connections to the worker were refused since its last answer. Another incarnation, or another worker at the address, still shows a crash by itself.

--- a/command/scheduler/crash.go
+++ b/command/scheduler/crash.go
@@ -101,12 +101,16 @@
 }
 
 // lostRunEnd returns how the started runs of an unreachable worker ended whose lease has expired. A worker that is still
-// announced has not crashed.
+// announced has not crashed. One that is not, and that does not refuse connections, may only be cut off.
 func (machine *Machine) lostRunEnd(worker *worker) almondcross.EndKind {
 	if worker.announced || !machine.leader.workersListed {
 		return almondcross.EndVoid
 	}
-	return worker.crashEnd()
+	end := worker.crashEnd()
+	if isCrash(end) && !worker.refused {
+		return almondcross.EndMaybeCrashed
+	}
+	return end
 }
 
 // endRunsOfReplaced ends the runs of a worker at whose address another one answers: its process, and all that ran on it,
--- a/command/scheduler/crash_test.go
+++ b/command/scheduler/crash_test.go
@@ -97,3 +97,53 @@
 		}
 	}
 }
+
+// answerWorkers answers the pending lease orders: those to some workers with a failure, the others with reports of all runs
+// that the workers should have.
+func (harness *harness) answerWorkers(failures map[string]almondcross.OrderResult) {
+	var reachable []Effect
+	for sent, found := takeEffect[SendLease](harness); found; sent, found = takeEffect[SendLease](harness) {
+		failure, failing := failures[sent.Order.Worker().ID()]
+		if !failing {
+			reachable = append(reachable, sent)
+			continue
+		}
+		harness.machine.Apply(almondcross.NewLeaseAnswered(almondcross.LeaseAnsweredConfig{
+			Order: sent.Order, Result: failure, Sent: harness.now, Received: harness.now,
+		}), harness.now)
+	}
+	harness.effects = append(harness.effects, reachable...)
+	harness.hearFromWorkers()
+}
+
+// schedule lets the scheduler work for a time while some workers do not answer.
+func (harness *harness) schedule(span time.Duration, failures map[string]almondcross.OrderResult) {
+	for end := harness.now.Add(span); harness.now.Before(end); {
+		harness.advance(leaderTick)
+		harness.answerCommits()
+		harness.answerWorkers(failures)
+	}
+}
+
+// Guards against a job that is shown as failed although no worker has crashed (LOST): a worker that is cut off from all
+// hosts is no longer announced either, and its runs end with their lease. A worker whose process has ended refuses
+// connections.
+func TestOnlyWorkersThatRefuseConnectionsHaveCrashed(t *testing.T) {
+	for result, state := range map[almondcross.OrderResult]almondcross.JobState{
+		almondcross.OrderUnknown: almondcross.JobRunning, almondcross.OrderRefused: almondcross.JobFailed,
+	} {
+		harness := newHarnessWithWorkers(t, 4)
+		harness.submitJob("j", almondcross.StepConfig{Count: 1})
+		failures := map[string]almondcross.OrderResult{}
+		for range minConfirmedCrashes {
+			harness.schedule(time.Second, failures)
+			lost := harness.record(taskOf("j", 0, 0)).Worker()
+			failures[lost] = result
+			harness.apply(almondcross.NewWorkersRead(almondcross.WorkersReadConfig{Changes: []almondcross.WorkerChange{
+				almondcross.NewWorkerChange(almondcross.WorkerChangeConfig{ID: lost}),
+			}}))
+			harness.schedule(7*time.Second, failures)
+		}
+		require.Equal(t, state, harness.machine.state.jobs["j"].state)
+	}
+}
--- a/command/scheduler/lease.go
+++ b/command/scheduler/lease.go
@@ -75,6 +75,7 @@
 		case almondcross.OrderReplaced:
 			machine.endRunsOfReplaced(worker)
 		case almondcross.OrderRefused:
+			worker.refused = true
 			machine.blameQueue(worker)
 		default:
 		}
@@ -86,7 +87,7 @@
 		return
 	}
 	if worker.unreachable {
-		worker.unreachable, worker.queueBlamed = false, false
+		worker.unreachable, worker.refused, worker.queueBlamed = false, false, false
 		machine.config.Log.Record("worker_regained", almondcross.Text("worker", worker.id))
 	}
 	machine.reconcileRuns(worker, answer)
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -70,6 +70,7 @@
 	leasePending     bool      // leasePending is set while a lease order is pending or waits for a commit.
 	unreachable      bool      // unreachable is set if the last lease order was not answered.
 	unreachableSince time.Time // unreachableSince is when the first of these lease orders failed.
+	refused          bool      // refused is set if nothing has accepted connections at the worker's address since its last answer.
 	queueBlamed      bool      // queueBlamed is set once a queue has been blamed for the end of this incarnation.
 	avoidUntil       time.Time
 	// extensionBlocked is set while the journal may still hold the silence of this worker, so that its lease
--- a/worker.go
+++ b/worker.go
@@ -46,7 +46,7 @@
 	EndGangIncomplete EndKind = "alone"         // EndGangIncomplete means that the other tasks of the gang did not start in time.
 	EndWorkerCrashed  EndKind = "crashed"       // EndWorkerCrashed means that the worker ended unannounced while the run was on it.
 	EndCrashedAlone   EndKind = "crashed_alone" // EndCrashedAlone is EndWorkerCrashed with only runs of one job on the worker.
-	EndMaybeCrashed   EndKind = "maybe_crashed" // EndMaybeCrashed means that the worker ended unannounced, and it is not known whether the run had started.
+	EndMaybeCrashed   EndKind = "maybe_crashed" // EndMaybeCrashed means that the worker was lost unannounced, and it is not known whether it crashed or whether the run had started.
 	EndVoid           EndKind = "void"          // EndVoid means that the run never started, or ended out of sight for another reason than a crash.
 )
 
