--- /dev/null
+++ b/standin/emulator/storecalls.go
@@ -0,0 +1,205 @@
+package emulator
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/almondcross/almondcross"
+	"github.com/almondcross/almondcross/command/scheduler"
+)
+
+// callStore executes the effects that call the store.
+func (modelhost *modelHost) callStore(effect scheduler.Effect) {
+	simulation := modelhost.simulation
+	switch effect := effect.(type) {
+	case scheduler.ReadSnapshot:
+		modelhost.schedule(effect.Query.Pause(), modelhost.readSnapshot)
+	case scheduler.ReadJournal:
+		modelhost.schedule(effect.Query.Pause(), func() { modelhost.readJournal(effect.Query, simulation.now+effect.Query.Wait()) })
+	case scheduler.ReadIntake:
+		modelhost.schedule(effect.Query.Pause(), func() { modelhost.readIntake(effect.Query, simulation.now+2*time.Second) })
+	case scheduler.ReadWorkers:
+		modelhost.schedule(effect.Query.Pause(), modelhost.readWorkers)
+	case scheduler.Commit:
+		modelhost.schedule(effect.Request.Pause(), func() { modelhost.commit(effect.Request) })
+	case scheduler.StoreSnapshot:
+		modelhost.storeSnapshot(effect.Request)
+	case scheduler.StoreUsage:
+		modelhost.storeUsage(effect.Request)
+	case scheduler.ReadPointer:
+		modelhost.schedule(effect.Query.Pause(), func() { modelhost.readPointer(effect.Query.Peers()) })
+	case scheduler.StorePointer:
+		modelhost.storeCall(true, func() func() {
+			simulation.pointer = effect.Pointer
+			return func() {}
+		}, func(error) {})
+	}
+}
+
+// storeCall makes a call to the store, subject to the active store faults. If there is no response within
+// storeTimeout, onFailure gets ErrStoreUncertain.
+func (modelhost *modelHost) storeCall(isWrite bool, execute func() func(), onFailure func(err error)) {
+	simulation := modelhost.simulation
+	duration := appendTime
+	if !isWrite {
+		duration /= 4
+	}
+	reachable := func() bool { return !simulation.faults.storeUnreachable(modelhost, simulation.now) }
+	modelhost.call(storeTimeout, reachable, reachable, func(reply func(func())) {
+		duration = time.Duration(float64(duration) * simulation.faults.storeDelayFactor(simulation.now))
+		responseLost, delay := isWrite && simulation.faults.loseResponse(simulation), simulation.faults.executionDelay(simulation)
+		if !responseLost {
+			delay = 0
+		}
+		simulation.schedule(duration+delay, func() {
+			handleResponse := execute()
+			if !responseLost {
+				reply(handleResponse)
+			}
+		})
+	}, func(bool) { onFailure(almondcross.ErrStoreUncertain) })
+}
+
+func (modelhost *modelHost) storeUsage(request almondcross.UsageStore) {
+	simulation := modelhost.simulation
+	deliverResult := func(err error) {
+		modelhost.deliver(almondcross.NewUsageStored(almondcross.UsageStoredConfig{Usages: request.Usages(), Err: err}))
+	}
+	modelhost.storeCall(true, func() func() {
+		for _, usage := range request.Usages() {
+			simulation.storedUsage[almondcross.UsageKey{From: usage.From().Unix(), Queue: usage.Queue()}] = usage
+		}
+		return func() { deliverResult(nil) }
+	}, deliverResult)
+}
+
+func (modelhost *modelHost) readSnapshot() {
+	simulation := modelhost.simulation
+	modelhost.storeCall(false, func() func() {
+		snapshot, found, err := simulation.codec.DecodeSnapshot(simulation.snapshotTable.latestRecords())
+		return func() {
+			modelhost.deliver(almondcross.NewSnapshotRead(almondcross.SnapshotReadConfig{Snapshot: snapshot, Found: found, Err: err}))
+		}
+	}, func(err error) {
+		modelhost.deliver(almondcross.NewSnapshotRead(almondcross.SnapshotReadConfig{Err: err}))
+	})
+}
+
+func (modelhost *modelHost) storeSnapshot(request almondcross.SnapshotStore) {
+	simulation := modelhost.simulation
+	parts, err := simulation.codec.EncodeSnapshot(request.Snapshot(), 100<<10)
+	if err != nil {
+		simulation.checker.addViolation("ENCODING", "%v", err)
+		return
+	}
+	records := make([]almondcross.KeyedRecord, len(parts))
+	for index, part := range parts {
+		records[index] = almondcross.NewKeyedRecord(almondcross.KeyedRecordConfig{Key: strconv.Itoa(index), Value: part})
+	}
+	deliverResult := func(err error) {
+		modelhost.deliver(almondcross.NewSnapshotStored(almondcross.SnapshotStoredConfig{Next: request.Snapshot().Next(), Err: err}))
+	}
+	modelhost.storeCall(true, func() func() {
+		simulation.snapshotTable.put(records)
+		return func() { deliverResult(nil) }
+	}, deliverResult)
+}
+
+func (modelhost *modelHost) readJournal(query almondcross.JournalQuery, until time.Duration) {
+	simulation := modelhost.simulation
+	onFailure := func(err error) {
+		modelhost.deliver(almondcross.NewJournalRead(almondcross.JournalReadConfig{From: query.From(), Next: query.From(), Err: err}))
+	}
+	modelhost.storeCall(false, func() func() {
+		records, err := simulation.store.Read(simulation.now, journalPartition, query.From())
+		return func() {
+			if err == nil && len(records.Records()) == 0 && simulation.now < until {
+				modelhost.schedule(pollInterval, func() { modelhost.readJournal(query, until) })
+				return
+			}
+			config := almondcross.JournalReadConfig{From: query.From(), Next: query.From() + int64(len(records.Records())), End: records.End(), Err: err}
+			if err != nil {
+				config.Next = records.First()
+			}
+			for _, record := range records.Records() {
+				batch, err := simulation.codec.DecodeBatch(record)
+				if err != nil {
+					simulation.checker.addViolation("ENCODING", "%v", err)
+				}
+				config.Batches = append(config.Batches, batch)
+			}
+			modelhost.deliver(almondcross.NewJournalRead(config))
+		}
+	}, onFailure)
+}
+
+func (modelhost *modelHost) readIntake(query almondcross.IntakeQuery, until time.Duration) {
+	simulation := modelhost.simulation
+	onFailure := func(err error) {
+		modelhost.deliver(almondcross.NewIntakeRead(almondcross.IntakeReadConfig{Partition: query.Partition(), From: query.From(), Next: query.From(), Err: err}))
+	}
+	modelhost.storeCall(false, func() func() {
+		records, err := simulation.store.Read(simulation.now, intakePartition(query.Partition()), query.From())
+		return func() {
+			if err == nil && len(records.Records()) == 0 && simulation.now < until {
+				modelhost.schedule(pollInterval, func() { modelhost.readIntake(query, until) })
+				return
+			}
+			config := almondcross.IntakeReadConfig{Partition: query.Partition(), From: query.From(), Next: query.From() + int64(len(records.Records())), Err: err}
+			for _, record := range records.Records() {
+				intake, err := simulation.codec.DecodeIntake(record)
+				if err != nil {
+					simulation.checker.addViolation("ENCODING", "%v", err)
+				}
+				config.Intakes = append(config.Intakes, intake)
+			}
+			modelhost.deliver(almondcross.NewIntakeRead(config))
+		}
+	}, onFailure)
+}
+
+func (modelhost *modelHost) readWorkers() {
+	simulation := modelhost.simulation
+	modelhost.storeCall(false, func() func() {
+		config := almondcross.WorkersReadConfig{Complete: true, Next: -1}
+		for _, worker := range simulation.workers {
+			if simulation.faults.announced(worker, simulation.now) {
+				config.Changes = append(config.Changes, almondcross.NewWorkerChange(almondcross.WorkerChangeConfig{ID: worker.id, Present: true, Worker: worker.announcement}))
+			}
+		}
+		return func() { modelhost.deliver(almondcross.NewWorkersRead(config)) }
+	}, func(err error) {
+		modelhost.deliver(almondcross.NewWorkersRead(almondcross.WorkersReadConfig{Next: -1, Err: err}))
+	})
+}
+
+func (modelhost *modelHost) commit(request almondcross.JournalCommit) {
+	simulation := modelhost.simulation
+	sentAt := simulation.now
+	deliverResult := func(appended almondcross.StoreAppended, err error) {
+		modelhost.deliver(almondcross.NewJournalCommitted(almondcross.JournalCommittedConfig{
+			Commit: request, Appended: appended, Took: simulation.now - sentAt, Err: err,
+		}))
+	}
+	var records [][]byte
+	for _, batch := range request.Batches() {
+		record, err := simulation.codec.EncodeBatch(batch)
+		if err != nil {
+			simulation.checker.addViolation("ENCODING", "%v", err)
+		}
+		records = append(records, record)
+	}
+	modelhost.storeCall(true, func() func() {
+		config := almondcross.StoreAppendConfig{
+			Partition: journalPartition, Records: records, Conditional: request.Election(), ExpectedEnd: request.ExpectedEnd(),
+		}
+		if request.Sequence() > 0 {
+			config.Writer, config.Epoch, config.Sequence = "scheduler", request.Epoch(), request.Sequence()
+		}
+		appended, err := simulation.store.Append(simulation.now, almondcross.NewStoreAppend(config))
+		if err == nil {
+			appended = appended.WithEnd(appended.Offset() + int64(len(records)))
+		}
+		return func() { deliverResult(appended, err) }
+	}, func(err error) { deliverResult(almondcross.StoreAppended{}, err) })
+}
--- a/standin/emulator/worker.go
+++ b/standin/emulator/worker.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -289,36 +288,3 @@
 	modelworker.runs, modelworker.endedTasks = map[almondcross.JobTask]*modelRun{}, nil
 	modelworker.blockedThrough = map[almondcross.JobTask]int{}
 }
-
-// adviceModel allows a fraction of the workers for each stage and issues tickets, each valid for one
-// incarnation of a worker.
-type adviceModel struct {
-	allowedShare  float64
-	validity      time.Duration
-	seed          uint64
-	issuedTickets map[string]issuedTicket
-	ticketCount   int
-}
-
-type issuedTicket struct {
-	stage      almondcross.StageID
-	worker     string
-	bootMillis int64
-	validUntil time.Duration
-}
-
-func (advicemodel *adviceModel) allows(stage almondcross.StageID, worker string) bool {
-	hash := advicemodel.seed
-	for _, character := range stage.String() + worker {
-		hash = (hash ^ uint64(character)) * 1099511628211
-	}
-	return rand.New(rand.NewPCG(hash, 1)).Float64() < advicemodel.allowedShare //nolint:gosec // A model needs no secrecy.
-}
-
-func (advicemodel *adviceModel) validTicket(stage almondcross.StageID, worker *modelWorker, secret string, now time.Duration) bool {
-	if advicemodel.allowedShare == 0 {
-		return true
-	}
-	ticket, known := advicemodel.issuedTickets[secret]
-	return known && ticket.stage == stage && ticket.worker == worker.id && ticket.bootMillis == worker.bootMillis && now <= ticket.validUntil
-}
