Play crashing tasks, faulty paths and faults after a moment in the emulator

Half of the faults start during the one before. Some batch jobs take about 12 s, and about half of these are cancelled. What happens to one order is drawn by the order itself, since orders of the same moment come in any order. The experiment takes several kinds.

A task under which three workers have crashed is started fewer than three times more; a job may be shown as failed after two crashes.

--- a/assembler/experiment.go
+++ b/assembler/experiment.go
@@ -15,10 +15,11 @@
 
 // experimentFlags are the flags of the experiment command.
 type experimentFlags struct {
-	seed             uint64
-	days, faults     int
-	faultKind, trace string
-	config           emulator.Config
+	seed         uint64
+	days, faults int
+	faultKinds   []string
+	trace        string
+	config       emulator.Config
 }
 
 // experimentCommand returns the command that runs simulations of a cluster in virtual time.
@@ -30,6 +31,7 @@
 		Long: "Runs the real scheduler against models of the platform, the workers and the callers, injects faults that are\n" +
 			"drawn from the seed, and prints a row for each simulation. The exit code is 1 when a guarantee was violated." + requester.ExitHelp,
 		Example: "  almondcross experiment --days 20\n  almondcross experiment --seed 7 --kind kill_scheduler --troubles 3\n" +
+			"  almondcross experiment --days 50 --kind break_paths,kill_after\n" +
 			"  almondcross experiment --seed 7 --trace 00000000000000ad",
 		Args: requester.Args(cobra.NoArgs),
 		RunE: func(command *cobra.Command, _ []string) error {
@@ -43,7 +45,7 @@
 	flagSet.Uint64Var(&flags.seed, "seed", 1, "seed of the first simulation; the following simulations have the following seeds")
 	flagSet.IntVar(&flags.days, "days", 10, "number of simulations")
 	flagSet.IntVar(&flags.faults, "troubles", 5, "number of faults injected in a simulation")
-	flagSet.StringVar(&flags.faultKind, "kind", "", "inject only faults of this kind: "+faultKindNames())
+	flagSet.StringSliceVar(&flags.faultKinds, "kind", nil, "inject only faults of these kinds, in turn: "+faultKindNames())
 	flagSet.StringVar(&flags.trace, "trace", "", "print the log lines that contain this text, such as a job ID")
 	flagSet.IntVar(&flags.config.Hosts, "hosts", 5, "number of scheduling hosts")
 	flagSet.IntVar(&flags.config.Workers, "workers", 24, "number of workers")
@@ -68,11 +70,11 @@
 	for seed := flags.seed; seed < flags.seed+uint64(flags.days); seed++ { //nolint:gosec // The number of simulations was checked.
 		config := flags.config
 		config.Seed, config.DrainTime, config.Retention = seed, 40*time.Second, 15*time.Second
-		config.FailShare, config.PoisonShare, config.CancelShare = 0.02, 0.02, 0.04
+		config.FailShare, config.PoisonShare, config.CancelShare, config.LongShare = 0.02, 0.02, 0.04, 0.4
 		config.Faults = emulator.RandomFaults(seed, flags.faults, config.SubmitTime)
 		for index := range config.Faults {
-			if flags.faultKind != "" {
-				config.Faults[index].Kind = emulator.FaultKind(flags.faultKind)
+			if len(flags.faultKinds) > 0 {
+				config.Faults[index].Kind = emulator.FaultKind(flags.faultKinds[index%len(flags.faultKinds)])
 			}
 		}
 		if flags.trace != "" {
--- a/standin/emulator/advice.go
+++ b/standin/emulator/advice.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"time"
 
 	"github.com/almondcross/almondcross"
@@ -84,11 +83,7 @@
 }
 
 func (advicemodel *adviceModel) allows(stage almondcross.StageID, worker string) bool {
-	hash := advicemodel.seed
-	for _, character := range stage.String() + worker {
-		hash = (hash ^ uint64(character)) * 1099511628211
-	}
-	return rand.New(rand.NewPCG(hash, 1)).Float64() < advicemodel.allowedShare //nolint:gosec // A model needs no secrecy.
+	return randomFor(advicemodel.seed, stage.String()+worker).Float64() < advicemodel.allowedShare
 }
 
 func (advicemodel *adviceModel) validTicket(stage almondcross.StageID, worker *modelWorker, secret string, now time.Duration) bool {
--- a/standin/emulator/doc.go
+++ b/standin/emulator/doc.go
@@ -3,9 +3,15 @@
 // It runs the real decision code (scheduler.Machine), the real journal codec and the real placement
 // policy of several hosts against small models of the platform: a store with partitions, epochs and lost
 // responses, workers with leases, fencing and delayed orders, an advice service, and callers. One event
-// loop owns all state; the order of events depends only on the seed, so a simulation can be repeated.
+// loop owns all state. The order of events depends on the seed, and on the order in which the scheduler goes
+// through its maps: most simulations can be repeated exactly.
+//
+// Faults hit hosts, the store, workers, single paths between hosts and workers, and tasks. Some wait for an
+// acknowledgement or an order and hit the scheduler shortly after it. RandomFaults draws all kinds.
 //
 // A checker records what callers and workers observe and checks the guarantees: no worker exceeds its
-// capacity, no task runs twice, steps run in order, attempts stay within their limit, gangs run together,
-// nothing runs that was not submitted, no rejected job runs, and no accepted job is lost.
+// capacity, no task runs twice, steps run in order, attempts and crashes of workers stay within their limits,
+// gangs run together, nothing runs that was not submitted or goes on after its cancellation, no rejected job
+// runs, and no accepted job is lost. Checks with a time bound apply to hosts in touch: undisturbed, with an
+// undisturbed store, for contactTime.
 package emulator
--- a/standin/emulator/emulator_test.go
+++ b/standin/emulator/emulator_test.go
@@ -19,7 +19,7 @@
 func newConfig(seed uint64) emulator.Config {
 	return emulator.Config{
 		Seed: seed, Hosts: 5, Workers: 24, SubmitTime: 20 * time.Second, DrainTime: 40 * time.Second, JobsPerSec: 16,
-		AdviceShare: 0.5, FailShare: 0.02, PoisonShare: 0.02, CancelShare: 0.04, Retention: 15 * time.Second,
+		AdviceShare: 0.5, FailShare: 0.02, PoisonShare: 0.02, CancelShare: 0.04, LongShare: 0.4, Retention: 15 * time.Second,
 	}
 }
 
--- a/standin/emulator/fault.go
+++ b/standin/emulator/fault.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"time"
-
-	"github.com/almondcross/almondcross"
 )
 
 // FaultKind is a kind of fault.
@@ -28,6 +26,12 @@
 	DrainWorkers        FaultKind = "drain_workers"    // DrainWorkers drains some workers, which crash 3 s later and then restart.
 	DelayOrders         FaultKind = "orders_late"      // DelayOrders executes some orders late and without a response.
 	HideAnnouncements   FaultKind = "lapse_entries"    // HideAnnouncements hides the announcements of all workers.
+	CrashTasks          FaultKind = "crash_tasks"      // CrashTasks makes tasks of some jobs crash each worker that starts them.
+	ShrinkWorkers       FaultKind = "shrink_workers"   // ShrinkWorkers reduces the capacity of some workers.
+	BreakPaths          FaultKind = "break_paths"      // BreakPaths makes the paths from some hosts to some workers lossy, slow or one-way.
+	KillAfterMoment     FaultKind = "kill_after"       // KillAfterMoment kills the scheduler's process shortly after the fault's moment.
+	FreezeAfterMoment   FaultKind = "freeze_after"     // FreezeAfterMoment pauses the scheduler's process shortly after the fault's moment.
+	IsolateAfterMoment  FaultKind = "cut_after"        // IsolateAfterMoment partitions the scheduler from the store shortly after the fault's moment.
 )
 
 // FaultKinds returns all kinds of faults.
@@ -35,6 +39,7 @@
 	return []FaultKind{
 		KillScheduler, KillHosts, FreezeScheduler, IsolateScheduler, StoreDown, StoreSlow, StoreLosesResponses, StoreUnreachable,
 		CrashWorkers, IsolateWorkers, FailWorkers, HangWorkers, DrainWorkers, DelayOrders, HideAnnouncements,
+		CrashTasks, ShrinkWorkers, BreakPaths, KillAfterMoment, FreezeAfterMoment, IsolateAfterMoment,
 	}
 }
 
@@ -43,192 +48,67 @@
 	Kind       FaultKind
 	StartsAt   time.Duration // StartsAt is the time since the end of the warm-up.
 	Duration   time.Duration
-	Share      float64 // Share is the fraction of hosts, workers, responses or orders that are affected.
-	SlowFactor float64 // SlowFactor multiplies the duration of calls to a slow store.
+	Share      float64       // Share is the fraction of hosts, workers, responses or orders that are affected.
+	SlowFactor float64       // SlowFactor multiplies the duration of calls to a slow store.
+	LeaseShare float64       // LeaseShare is the fraction of lease orders that DelayOrders affects.
+	Moment     Moment        // Moment is what a fault that hits after a moment waits for from StartsAt on.
+	Delay      time.Duration // Delay is the time from the moment to that fault.
+	Queue      string        // Queue is the queue whose tasks CrashTasks affects.
+	CrashDelay time.Duration // CrashDelay is the time from the start of such a task to the crash.
 }
 
 // String returns the fault as it appears in reports.
 func (fault Fault) String() string {
-	return fmt.Sprintf("%s at %s for %s share %.2f", fault.Kind, fault.StartsAt, fault.Duration, fault.Share)
+	text := fmt.Sprintf("%s at %s for %s share %.2f", fault.Kind, fault.StartsAt, fault.Duration, fault.Share)
+	switch fault.Kind {
+	case DelayOrders:
+		text += fmt.Sprintf(" (leases %.2f)", fault.LeaseShare)
+	case CrashTasks:
+		text += fmt.Sprintf(" in %s, %s after the start", fault.Queue, fault.CrashDelay)
+	case KillAfterMoment, FreezeAfterMoment, IsolateAfterMoment:
+		text += fmt.Sprintf(", %s after %s", fault.Delay, fault.Moment)
+	default:
+	}
+	return text
 }
 
-// RandomFaults returns count random faults that start within a time; the same seed gives the same faults.
+// RandomFaults returns count random faults that start within a time; the same seed gives the same faults. About half of
+// them start during the fault before them, since some failures take two faults at once.
 func RandomFaults(seed uint64, count int, submitTime time.Duration) []Fault {
 	random := rand.New(rand.NewPCG(seed, 77)) //nolint:gosec // A model needs no secrecy.
-	kinds := FaultKinds()
 	faults := make([]Fault, 0, count)
-	for range count {
-		faults = append(faults, Fault{
-			Kind:     kinds[random.IntN(len(kinds))],
-			StartsAt: time.Duration(random.Int64N(int64(submitTime))).Round(time.Millisecond),
-			Duration: (time.Second + time.Duration(random.Int64N(int64(5*time.Second)))).Round(time.Millisecond),
-			Share:    0.05 + 0.3*random.Float64(), SlowFactor: 10 + 50*random.Float64(),
-		})
-	}
-	return faults
-}
-
-// activeFaults holds the end time and the strength of each active fault.
-type activeFaults struct {
-	storeDownUntil              time.Duration
-	storeSlowUntil              time.Duration
-	storeSlowFactor             float64
-	responseLossUntil           time.Duration
-	responseLossShare           float64
-	storeUnreachableUntil       map[*modelHost]time.Duration
-	workerIsolatedUntil         map[*modelWorker]time.Duration
-	orderDelayUntil             time.Duration
-	orderDelayShare             float64
-	allAnnouncementsHiddenUntil time.Duration
-	workerHiddenUntil           map[*modelWorker]time.Duration
-}
-
-func (activefaults *activeFaults) storeUnreachable(host *modelHost, now time.Duration) bool {
-	return now < activefaults.storeDownUntil || now < activefaults.storeUnreachableUntil[host]
-}
-
-func (activefaults *activeFaults) storeDelayFactor(now time.Duration) float64 {
-	if now < activefaults.storeSlowUntil {
-		return activefaults.storeSlowFactor
-	}
-	return 1
-}
-
-func (activefaults *activeFaults) loseResponse(simulation *Simulation) bool {
-	return simulation.now < activefaults.responseLossUntil && simulation.random.Float64() < activefaults.responseLossShare
-}
-
-// executionDelay returns the extra delay before a call whose response is lost is executed, 0 in half of the cases.
-func (activefaults *activeFaults) executionDelay(simulation *Simulation) time.Duration {
-	if simulation.random.Float64() < 0.5 {
-		return 0
-	}
-	return time.Second + time.Duration(simulation.random.Int64N(int64(5*time.Second)))
-}
-
-func (activefaults *activeFaults) workerIsolated(_ *modelHost, worker *modelWorker, now time.Duration) bool {
-	return now < activefaults.workerIsolatedUntil[worker]
-}
-
-// orderDelay returns the delay before an order is executed, 0 for none. Lease orders are delayed ten times less
-// often, since each one raises the fence, which rejects other delayed orders and so hides their effects.
-func (activefaults *activeFaults) orderDelay(simulation *Simulation, lease bool) time.Duration {
-	share := activefaults.orderDelayShare
-	if lease {
-		share /= 10
-	}
-	if simulation.now >= activefaults.orderDelayUntil || simulation.random.Float64() >= share {
-		return 0
-	}
-	return time.Second + time.Duration(simulation.random.Int64N(int64(10*time.Second)))
-}
-
-func (activefaults *activeFaults) announced(worker *modelWorker, now time.Duration) bool {
-	return worker.up && now >= activefaults.allAnnouncementsHiddenUntil && now >= activefaults.workerHiddenUntil[worker]
-}
-
-// scheduler returns the host that leads, or a random host if none does.
-func (simulation *Simulation) scheduler() *modelHost {
-	for _, host := range simulation.hosts {
-		if host.up && host.machine.Leads() {
-			return host
+	for number := range count {
+		fault := randomFault(random)
+		fault.StartsAt = randomDuration(random, submitTime)
+		if number > 0 && random.IntN(2) == 0 {
+			previous := faults[number-1]
+			fault.StartsAt = previous.StartsAt + randomDuration(random, previous.Duration)
 		}
+		faults = append(faults, fault)
 	}
-	return simulation.hosts[simulation.random.IntN(len(simulation.hosts))]
-}
-
-// randomShare returns a random fraction of a list, at least one element.
-func randomShare[T any](simulation *Simulation, list []T, share float64) []T {
-	count := max(1, int(share*float64(len(list))))
-	sample := make([]T, 0, count)
-	for _, index := range simulation.random.Perm(len(list))[:count] {
-		sample = append(sample, list[index])
-	}
-	return sample
+	return faults
 }
 
-func (simulation *Simulation) injectFault(fault Fault) {
-	activefaults, until := &simulation.faults, simulation.now+fault.Duration
-	if activefaults.storeUnreachableUntil == nil {
-		activefaults.storeUnreachableUntil = map[*modelHost]time.Duration{}
-		activefaults.workerIsolatedUntil, activefaults.workerHiddenUntil = map[*modelWorker]time.Duration{}, map[*modelWorker]time.Duration{}
-	}
-	switch fault.Kind {
-	case KillScheduler:
-		simulation.restartHost(simulation.scheduler(), fault.Duration)
-	case KillHosts:
-		for _, host := range randomShare(simulation, simulation.hosts, 3*fault.Share) {
-			simulation.restartHost(host, fault.Duration)
-		}
-	case FreezeScheduler:
-		simulation.scheduler().frozenUntil = until
-	case IsolateScheduler:
-		activefaults.storeUnreachableUntil[simulation.scheduler()] = until
-	case StoreDown:
-		activefaults.storeDownUntil = until
-	case StoreSlow:
-		activefaults.storeSlowUntil, activefaults.storeSlowFactor = until, fault.SlowFactor
-	case StoreLosesResponses:
-		activefaults.responseLossUntil, activefaults.responseLossShare = until, fault.Share
-	case StoreUnreachable:
-		for _, host := range randomShare(simulation, simulation.hosts, 2*fault.Share) {
-			activefaults.storeUnreachableUntil[host] = until
-		}
-	case DelayOrders:
-		activefaults.orderDelayUntil, activefaults.orderDelayShare = until, fault.Share
-	case HideAnnouncements:
-		activefaults.allAnnouncementsHiddenUntil = until
-	default:
-		for _, worker := range randomShare(simulation, simulation.workers, fault.Share) {
-			simulation.injectWorkerFault(worker, fault, until)
-		}
+func randomFault(random *rand.Rand) Fault {
+	kinds, moments, queues := FaultKinds(), moments(), []string{queueUrgent, queueGang, queueBatch}
+	fault := Fault{
+		Kind:     kinds[random.IntN(len(kinds))],
+		Duration: time.Second + randomDuration(random, 5*time.Second),
+		Share:    0.05 + 0.3*random.Float64(), SlowFactor: 10 + 50*random.Float64(),
+		Moment: moments[random.IntN(len(moments))], Delay: randomDuration(random, maxMomentDelay),
+		Queue: queues[random.IntN(len(queues))], CrashDelay: shortCrashDelay,
 	}
-}
-
-func (simulation *Simulation) restartHost(host *modelHost, faultDuration time.Duration) {
-	if !host.up {
-		return
+	fault.LeaseShare = fault.Share
+	if random.IntN(2) == 0 {
+		// Each lease order raises the fence, which rejects other delayed orders and so hides their effects.
+		fault.LeaseShare = fault.Share / 10
 	}
-	host.kill()
-	simulation.schedule(faultDuration/4, func() {
-		if !host.up {
-			host.boot()
-		}
-	})
-}
-
-func (simulation *Simulation) injectWorkerFault(worker *modelWorker, fault Fault, until time.Duration) {
-	switch fault.Kind {
-	case CrashWorkers:
-		simulation.crashWorker(worker, fault.Duration)
-	case IsolateWorkers:
-		simulation.faults.workerIsolatedUntil[worker] = until
-	case FailWorkers:
-		worker.failsRuns = true
-		simulation.schedule(fault.Duration, func() { worker.failsRuns = false })
-	case HangWorkers:
-		worker.stallsRuns = true
-		simulation.schedule(fault.Duration, func() { worker.stallsRuns = false })
-	case DrainWorkers:
-		worker.announcement = worker.announcement.WithDraining(true)
-		simulation.schedule(3*time.Second, func() {
-			simulation.crashWorker(worker, fault.Duration)
-			worker.announcement = worker.announcement.WithDraining(false)
-		})
+	if random.IntN(2) == 0 {
+		fault.CrashDelay += randomDuration(random, maxCrashDelay)
 	}
+	return fault
 }
 
-func (simulation *Simulation) crashWorker(worker *modelWorker, downtime time.Duration) {
-	if !worker.up {
-		return
-	}
-	worker.advance(simulation.now)
-	worker.crash(simulation.now)
-	simulation.schedule(downtime, func() {
-		if !worker.up {
-			worker.boot(simulation.now)
-		}
-	})
+func randomDuration(random *rand.Rand, limit time.Duration) time.Duration {
+	return time.Duration(random.Int64N(int64(limit))).Round(time.Millisecond)
 }
-
-var _ almondcross.EventLog = noLog{}
--- a/standin/emulator/host.go
+++ b/standin/emulator/host.go
@@ -159,8 +159,11 @@
 }
 
 // call makes a call over the network. The receiver executes it once if the request gets through. The call fails
-// after the timeout if the request or the response is lost.
-func (modelhost *modelHost) call(timeout time.Duration, requestReachable, responseReachable func() bool, execute func(reply func(handleResponse func())), onFailure func(sent bool)) {
+// after the timeout if the request or the response is lost. request and response return the extra delay of a message
+// that is sent now, and whether it gets through.
+func (modelhost *modelHost) call(
+	timeout time.Duration, request, response func() (delay time.Duration, delivered bool), execute func(reply func(handleResponse func())), onFailure func(),
+) {
 	simulation, incarnation := modelhost.simulation, modelhost.incarnation
 	finished := false
 	finish := func(action func()) {
@@ -170,18 +173,20 @@
 		finished = true
 		modelhost.runUnfrozen(action)
 	}
-	simulation.schedule(timeout, func() { finish(func() { onFailure(true) }) })
-	simulation.schedule(linkDelay, func() {
-		if !requestReachable() {
-			return
-		}
-		execute(func(handleResponse func()) {
-			simulation.schedule(linkDelay, func() {
-				if responseReachable() {
-					finish(handleResponse)
-				}
-			})
+	simulation.schedule(timeout, func() { finish(onFailure) })
+	transmit := func(message func() (time.Duration, bool), action func()) {
+		simulation.schedule(linkDelay, func() {
+			switch delay, delivered := message(); {
+			case !delivered:
+			case delay > 0:
+				simulation.schedule(delay, action)
+			default:
+				action()
+			}
 		})
+	}
+	transmit(request, func() {
+		execute(func(handleResponse func()) { transmit(response, func() { finish(handleResponse) }) })
 	})
 }
 
--- a/standin/emulator/jobs.go
+++ b/standin/emulator/jobs.go
@@ -12,6 +12,7 @@
 type modelJob struct {
 	spec          almondcross.Job
 	poison        bool
+	long          bool // long is set if its tasks take about longRunTime.
 	sentAt        time.Duration
 	attempts      int
 	acceptedAt    time.Duration // acceptedAt is when the caller learned that the job was stored, 0 before.
@@ -21,6 +22,8 @@
 	cancelSentAt  time.Duration
 	finalState    almondcross.JobState
 	finalAt       time.Duration
+	crashingTasks map[almondcross.JobTask]bool // crashingTasks holds the tasks that crash each worker that starts them.
+	crashDelay    time.Duration                // crashDelay is the time from the start of such a task to the crash.
 	taskHistories map[almondcross.JobTask]*taskHistory
 	runTimes      map[almondcross.JobTask]time.Duration
 }
@@ -29,6 +32,8 @@
 type taskHistory struct {
 	running          map[*modelWorker]int // running holds the run number on each worker that runs the task.
 	failures         int
+	crashes          int // crashes counts the workers that crashed while they ran the task.
+	startsInTouch    int // startsInTouch counts the starts by hosts in touch after crashBudget workers had crashed.
 	done             bool
 	doneAt           time.Duration
 	completedRun     int  // completedRun is the number of the last run that was done.
@@ -58,16 +63,27 @@
 		job.sentAt = warmUp + at
 		simulation.jobs[job.spec.ID()] = job
 		simulation.schedule(job.sentAt, func() { simulation.submit(job, false) })
-		if simulation.random.Float64() < simulation.config.CancelShare {
-			job.cancelSentAt = job.sentAt + time.Duration(simulation.random.Int64N(int64(4*time.Second)))
+		share, span := simulation.config.CancelShare, 4*time.Second
+		if job.long {
+			share, span = share*longCancelFactor, longRunTime
+		}
+		if simulation.random.Float64() < share {
+			job.cancelSentAt = job.sentAt + time.Duration(simulation.random.Int64N(int64(span)))
 			simulation.schedule(job.cancelSentAt, func() { simulation.submit(job, true) })
 		}
 	}
 }
 
+// Long jobs: the mean run time of their tasks, and how many times as many of them are cancelled as of other jobs, most
+// of them in the middle of their run.
+const (
+	longRunTime      = 12 * time.Second
+	longCancelFactor = 12
+)
+
 func (simulation *Simulation) randomJob(number int) *modelJob {
 	config := almondcross.JobConfig{ID: almondcross.JobID(fmt.Sprintf("%016x", number+1)), Payload: "work"}
-	var mean time.Duration
+	mean, spread, long := time.Duration(0), 0.4, false
 	switch fraction := simulation.random.Float64(); {
 	case fraction < 0.8:
 		config.Queue, mean = queueUrgent, 600*time.Millisecond
@@ -75,6 +91,9 @@
 	case fraction < 0.86:
 		config.Queue, mean = queueGang, 3*time.Second
 		config.Steps = []almondcross.Step{simulation.randomStep(2+simulation.random.IntN(10), 4500, 6400, true)}
+	case simulation.random.Float64() < simulation.config.LongShare:
+		config.Queue, mean, spread, long = queueBatch, longRunTime, 0.15, true
+		config.Steps = []almondcross.Step{simulation.randomStep(1+simulation.random.IntN(6), 1000, 1400, false).WithEstimate(longRunTime)}
 	default:
 		config.Queue, mean = queueBatch, 1500*time.Millisecond
 		config.Steps = []almondcross.Step{simulation.randomStep(1+simulation.random.IntN(12), 1000, 1400, false)}
@@ -87,11 +106,11 @@
 		}
 	}
 	job := &modelJob{
-		spec: almondcross.NewJob(config), poison: simulation.random.Float64() < simulation.config.PoisonShare,
+		spec: almondcross.NewJob(config), long: long, poison: simulation.random.Float64() < simulation.config.PoisonShare,
 		taskHistories: map[almondcross.JobTask]*taskHistory{}, runTimes: map[almondcross.JobTask]time.Duration{},
 	}
 	for number, step := range config.Steps {
-		duration := time.Duration(float64(mean) * math.Exp(0.4*simulation.random.NormFloat64()))
+		duration := time.Duration(float64(mean) * math.Exp(spread*simulation.random.NormFloat64()))
 		for index := range step.Count() {
 			task := almondcross.JobTask{Stage: almondcross.StageID{Job: config.ID, Step: number}, Index: index}
 			job.runTimes[task] = duration
@@ -147,8 +166,10 @@
 		switch {
 		case cancel:
 			job.cancelledAt = simulation.now
+			simulation.observe(CancelAcknowledged)
 		case job.acceptedAt == 0:
 			job.acceptedAt = simulation.now
+			simulation.observe(SubmissionAcknowledged)
 			host.deliver(almondcross.NewJobAccepted(almondcross.JobAcceptedConfig{Job: submitted}))
 			simulation.schedule(statePollInterval, func() { simulation.pollState(job) })
 			if simulation.random.Float64() < 0.05 {
--- a/standin/emulator/orders.go
+++ b/standin/emulator/orders.go
@@ -1,93 +1,124 @@
 package emulator
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/almondcross/almondcross"
 )
 
-// sendOrder sends an order to a worker, which may be isolated or execute it late. If there is no response within
-// the timeout, onFailure gets OrderUnknown.
-func (modelhost *modelHost) sendOrder(worker *modelWorker, timeout time.Duration, lease bool, execute func() func(), onFailure func(result almondcross.OrderResult)) {
+// orderKind is a kind of order to a worker.
+type orderKind int
+
+const (
+	orderStart orderKind = iota
+	orderStop
+	orderLease
+)
+
+// delivery describes how an order reached its worker.
+type delivery struct {
+	sender *modelHost
+	sentAt time.Duration
+	late   bool // late is set if the worker carries out the order seconds after it was sent, without a response.
+}
+
+// workerOrder is an order to a worker with what happens on the worker and on the sending host.
+type workerOrder struct {
+	worker  almondcross.Worker // worker is the announced identity that the order is for.
+	kind    orderKind
+	task    almondcross.JobTask // task and run are zero for a lease order.
+	run     int
+	timeout time.Duration
+	// execute carries out the order on the worker. It calls reply with what the host does on the response.
+	execute func(worker *modelWorker, delivered delivery, reply func(handleResponse func()))
+	// onFailure handles an order that got no response or reached another identity.
+	onFailure func(result almondcross.OrderResult)
+}
+
+// sendOrder sends an order to the worker at the order's address. Faults may lose the order or its response, or make
+// the worker carry it out late. A worker that has restarted under another identity refuses it.
+func (modelhost *modelHost) sendOrder(order workerOrder) {
 	simulation := modelhost.simulation
-	reachable := func() bool { return worker.up && !simulation.faults.workerIsolated(modelhost, worker, simulation.now) }
-	modelhost.call(timeout, reachable, reachable, func(reply func(func())) {
-		if delay := simulation.faults.orderDelay(simulation, lease); delay > 0 {
+	worker := simulation.workerAt(order.worker.Address())
+	delivered := delivery{sender: modelhost, sentAt: simulation.now}
+	random := func(purpose string) *rand.Rand {
+		return simulation.randomFor(purpose, modelhost.name, worker.id, order.kind, order.task, order.run, delivered.sentAt)
+	}
+	request := func() (time.Duration, bool) {
+		fault := simulation.faults.pathFault(simulation.now, modelhost, worker)
+		return fault.delay, worker.up && !occurs(fault.orderLoss, random, "order")
+	}
+	response := func() (time.Duration, bool) {
+		fault := simulation.faults.pathFault(simulation.now, modelhost, worker)
+		return fault.delay, !occurs(fault.responseLoss, random, "response")
+	}
+	modelhost.call(order.timeout, request, response, func(reply func(func())) {
+		if delay := simulation.faults.orderDelay(simulation.now, order.kind, random); delay > 0 {
+			delivered.late = true
 			simulation.schedule(delay, func() {
-				if worker.up {
-					execute()
+				if worker.up && worker.id == order.worker.ID() {
+					order.execute(worker, delivered, func(func()) {})
 				}
 			})
 			return
 		}
-		reply(execute())
-	}, func(bool) { onFailure(almondcross.OrderUnknown) })
+		switch {
+		case !worker.up: // The order was delayed on its path until the worker had crashed.
+		case worker.id != order.worker.ID():
+			reply(func() { order.onFailure(almondcross.OrderReplaced) })
+		default:
+			order.execute(worker, delivered, reply)
+		}
+	}, func() { order.onFailure(almondcross.OrderUnknown) })
 }
 
 func (modelhost *modelHost) renewLease(order almondcross.LeaseOrder) {
 	simulation := modelhost.simulation
-	worker := simulation.worker(order.Worker().ID())
+	simulation.observe(LeaseSent)
 	sentAt := simulation.wallTime()
 	deliverResult := func(report almondcross.WorkerReport, result almondcross.OrderResult) {
 		modelhost.deliver(almondcross.NewLeaseAnswered(almondcross.LeaseAnsweredConfig{
 			Order: order, Result: result, Report: report, Sent: sentAt, Received: simulation.wallTime(),
 		}))
 	}
-	leaseExecuted := false
-	modelhost.sendOrder(worker, order.Wait()+leaseTimeout, true, func() func() {
-		report, result := worker.lease(simulation.now, order)
-		leaseExecuted = true
-		return func() {
-			if result != almondcross.OrderDone || len(report.Ended()) > 0 || order.Wait() == 0 {
-				deliverResult(report, result)
-				return
-			}
-			modelhost.waitForEnd(worker, order, simulation.now+order.Wait(), deliverResult)
-		}
-	}, func(result almondcross.OrderResult) {
-		if !leaseExecuted || simulation.faults.workerIsolated(modelhost, worker, simulation.now) || !worker.up {
-			deliverResult(almondcross.WorkerReport{}, result)
-		}
+	modelhost.sendOrder(workerOrder{
+		worker: order.Worker(), kind: orderLease, timeout: order.Wait() + leaseTimeout,
+		execute: func(worker *modelWorker, _ delivery, reply func(func())) {
+			worker.answerLease(order, func(report almondcross.WorkerReport, result almondcross.OrderResult) {
+				reply(func() { deliverResult(report, result) })
+			})
+		},
+		onFailure: func(result almondcross.OrderResult) { deliverResult(almondcross.WorkerReport{}, result) },
 	})
 }
 
-// waitForEnd delivers the result of a lease order once a run has ended, the order fails or its wait is over.
-func (modelhost *modelHost) waitForEnd(
-	worker *modelWorker, order almondcross.LeaseOrder, until time.Duration, deliverResult func(almondcross.WorkerReport, almondcross.OrderResult),
-) {
-	simulation := modelhost.simulation
-	if !worker.up || simulation.faults.workerIsolated(modelhost, worker, simulation.now) {
-		modelhost.schedule(orderTimeout, func() { deliverResult(almondcross.WorkerReport{}, almondcross.OrderUnknown) })
-		return
-	}
-	report, result := worker.lease(simulation.now, order.WithUntil(0))
-	if result != almondcross.OrderDone || len(report.Ended()) > 0 || simulation.now >= until {
-		modelhost.schedule(linkDelay, func() { deliverResult(report, result) })
-		return
-	}
-	modelhost.schedule(pollInterval, func() { modelhost.waitForEnd(worker, order, until, deliverResult) })
-}
-
 func (modelhost *modelHost) startRun(order almondcross.StartOrder) {
 	simulation := modelhost.simulation
-	worker := simulation.worker(order.Worker().ID())
+	simulation.observe(StartSent)
 	deliverResult := func(result almondcross.OrderResult) {
 		modelhost.deliver(almondcross.NewStartOrderAnswered(almondcross.StartOrderAnsweredConfig{Order: order, Result: result, Received: simulation.wallTime()}))
 	}
-	modelhost.sendOrder(worker, orderTimeout, false, func() func() {
-		result := worker.start(simulation.now, order)
-		return func() { deliverResult(result) }
-	}, deliverResult)
+	modelhost.sendOrder(workerOrder{
+		worker: order.Worker(), kind: orderStart, task: order.Task(), run: order.Run(), timeout: orderTimeout, onFailure: deliverResult,
+		execute: func(worker *modelWorker, delivered delivery, reply func(func())) {
+			result := worker.start(simulation.now, order, delivered)
+			reply(func() { deliverResult(result) })
+		},
+	})
 }
 
 func (modelhost *modelHost) stopRun(order almondcross.StopOrder) {
 	simulation := modelhost.simulation
-	worker := simulation.worker(order.Worker().ID())
+	simulation.observe(StopSent)
 	deliverResult := func(result almondcross.OrderResult) {
 		modelhost.deliver(almondcross.NewStopOrderAnswered(almondcross.StopOrderAnsweredConfig{Order: order, Result: result}))
 	}
-	modelhost.sendOrder(worker, orderTimeout, false, func() func() {
-		result := worker.stop(simulation.now, order)
-		return func() { deliverResult(result) }
-	}, deliverResult)
+	modelhost.sendOrder(workerOrder{
+		worker: order.Worker(), kind: orderStop, task: order.Task(), run: order.Run(), timeout: orderTimeout, onFailure: deliverResult,
+		execute: func(worker *modelWorker, _ delivery, reply func(func())) {
+			result := worker.stop(simulation.now, order)
+			reply(func() { deliverResult(result) })
+		},
+	})
 }
--- a/standin/emulator/simulation.go
+++ b/standin/emulator/simulation.go
@@ -21,7 +21,8 @@
 	AdviceShare float64       // AdviceShare is the fraction of workers that the advice allows, 0 for queues without advice.
 	FailShare   float64       // FailShare is the fraction of runs that fail.
 	PoisonShare float64       // PoisonShare is the fraction of jobs whose runs always fail.
-	CancelShare float64       // CancelShare is the fraction of jobs that are cancelled.
+	CancelShare float64       // CancelShare is the fraction of short jobs that are cancelled; see longCancelFactor.
+	LongShare   float64       // LongShare is the fraction of batch jobs that take many seconds.
 	Faults      []Fault       // Faults holds the faults to inject.
 	Retention   time.Duration // Retention is how long the store keeps records.
 	Log         almondcross.EventLog
@@ -45,6 +46,9 @@
 	gangs         map[string]*modelGang
 	checker       *checker
 	faults        activeFaults
+	waitingFaults []Fault // waitingFaults holds the faults that wait for their moment.
+	disturbances  disturbances
+	announcements announcements
 	// forwardCallbacks holds the functions to call when forwarded intakes are stored, by intake number.
 	forwardCallbacks map[int64]func()
 	pointer          almondcross.SchedulerPointer
@@ -92,6 +96,20 @@
 	heap.Push(&simulation.events, event{at: simulation.now + max(delay, 0), sequence: simulation.sequence, run: action})
 }
 
+// randomFor returns random numbers that depend only on the seed and some values. Draws of what happens to one order
+// use it, since orders of the same moment come in any order.
+func (simulation *Simulation) randomFor(values ...any) *rand.Rand {
+	return randomFor(simulation.config.Seed, fmt.Sprint(values...))
+}
+
+func randomFor(seed uint64, key string) *rand.Rand {
+	hash := seed
+	for _, character := range key {
+		hash = (hash ^ uint64(character)) * 1099511628211 // The prime of the FNV hash.
+	}
+	return rand.New(rand.NewPCG(hash, 1)) //nolint:gosec // A model needs no secrecy.
+}
+
 // wallTime returns the wall-clock time that corresponds to the current virtual time.
 func (simulation *Simulation) wallTime() time.Time { return simulation.startTime.Add(simulation.now) }
 
@@ -115,7 +133,7 @@
 	simulation := &Simulation{
 		config: config, random: rand.New(rand.NewPCG(config.Seed, config.Seed^0x9e3779b97f4a7c15)), codec: codec, //nolint:gosec // A model needs no secrecy.
 		startTime: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), store: NewStore(config.Retention),
-		jobs: map[almondcross.JobID]*modelJob{}, gangs: map[string]*modelGang{}, forwardCallbacks: map[int64]func(){},
+		faults: newActiveFaults(), jobs: map[almondcross.JobID]*modelJob{}, gangs: map[string]*modelGang{}, forwardCallbacks: map[int64]func(){},
 		storedUsage: map[almondcross.UsageKey]almondcross.QueueUsage{},
 		advice:      adviceModel{allowedShare: config.AdviceShare, validity: 2500 * time.Millisecond, seed: config.Seed, issuedTickets: map[string]issuedTicket{}},
 	}
@@ -176,21 +194,41 @@
 }
 
 func (simulation *Simulation) addWorker(index int) {
-	worker := &modelWorker{simulation: simulation, id: fmt.Sprintf("w-%03d", index), durationFactor: []float64{0.8, 1, 1.25}[index%3]}
+	name := fmt.Sprintf("w-%03d", index)
+	worker := &modelWorker{
+		simulation: simulation, address: name, id: name, durationFactor: []float64{0.8, 1, 1.25}[index%3],
+		fullCapacity: almondcross.NewResources(almondcross.ResourcesConfig{MilliCPU: 16_000, MemoryMB: 32_768}),
+	}
 	worker.announcement = almondcross.NewWorker(almondcross.WorkerConfig{
-		ID: worker.id, Pool: poolName, Address: worker.id, Rack: fmt.Sprintf("r1-%d", index/8),
-		Labels:   []string{[]string{"a", "b"}[index%2], fmt.Sprintf("r1-%d", index/8)},
-		Capacity: almondcross.NewResources(almondcross.ResourcesConfig{MilliCPU: 16_000, MemoryMB: 32_768}),
+		ID: worker.id, Pool: poolName, Address: worker.address, Rack: fmt.Sprintf("r1-%d", index/8),
+		Labels: []string{[]string{"a", "b"}[index%2], fmt.Sprintf("r1-%d", index/8)},
 	})
+	worker.setCapacity(0, worker.fullCapacity)
 	worker.boot(0)
+	simulation.announce(worker)
 	simulation.workers = append(simulation.workers, worker)
+	simulation.schedule(time.Duration(index)*announceInterval/time.Duration(simulation.config.Workers), func() { simulation.announcePeriodically(worker) })
 	simulation.advancePeriodically(worker)
 }
 
-// advancePeriodically advances a worker every 10 ms, so that its runs end close to their due time.
+// advanceInterval is the time between two advances of a worker.
+const advanceInterval = 10 * time.Millisecond
+
+// advancePeriodically advances a worker, so that its runs end close to their due time.
 func (simulation *Simulation) advancePeriodically(worker *modelWorker) {
 	worker.advance(simulation.now)
-	simulation.schedule(10*time.Millisecond, func() { simulation.advancePeriodically(worker) })
+	simulation.checker.checkCancelledRuns(simulation.now, worker)
+	simulation.schedule(advanceInterval, func() { simulation.advancePeriodically(worker) })
+}
+
+// workerAt returns the worker at an address.
+func (simulation *Simulation) workerAt(address string) *modelWorker {
+	for _, worker := range simulation.workers {
+		if worker.address == address {
+			return worker
+		}
+	}
+	return nil
 }
 
 func (simulation *Simulation) worker(id string) *modelWorker {
@@ -211,8 +249,21 @@
 	return simulation.gangs[key]
 }
 
+// recordStart logs that a worker began a run.
+func (simulation *Simulation) recordStart(worker *modelWorker, run *modelRun, delivered delivery) {
+	late := "no"
+	if delivered.late {
+		late = "yes"
+	}
+	simulation.config.Log.Record("run_begun", almondcross.Text("task", run.task.String()), almondcross.Number("run", run.number),
+		almondcross.Text("worker", worker.id), almondcross.Text("host", delivered.sender.name), almondcross.Text("late", late),
+		almondcross.Millis("at_ms", simulation.now-warmUp))
+}
+
 // noLog discards all events.
 type noLog struct{}
 
 // Record discards an event.
 func (noLog) Record(string, ...almondcross.LogField) {}
+
+var _ almondcross.EventLog = noLog{}
--- /dev/null
+++ b/standin/emulator/statecheck.go
@@ -0,0 +1,87 @@
+package emulator
+
+import (
+	"github.com/almondcross/almondcross"
+)
+
+// checkReportedState checks the first final state that a caller gets for a job.
+func (checker *checker) checkReportedState(job *modelJob, state almondcross.JobState) {
+	if !state.Final() || job.finalState != "" {
+		return
+	}
+	job.finalState, job.finalAt = state, checker.simulation.now
+	switch state {
+	case almondcross.JobCompleted:
+		checker.completionTimes = append(checker.completionTimes, job.finalAt-job.sentAt)
+		for number, step := range job.spec.Steps() {
+			for index := range step.Count() {
+				task := almondcross.JobTask{Stage: almondcross.StageID{Job: job.spec.ID(), Step: number}, Index: index}
+				if !job.historyOf(task).done {
+					checker.addViolation("MIXED", "%s is reported as completed, but %s is not done", job.spec.ID(), task)
+				}
+			}
+		}
+	case almondcross.JobFailed:
+		checker.checkFailedJob(job)
+	case almondcross.JobCancelled:
+		if job.cancelSentAt == 0 {
+			checker.addViolation("LOST", "%s is reported as cancelled without a cancellation request", job.spec.ID())
+		}
+	default:
+	}
+}
+
+func (checker *checker) checkFailedJob(job *modelJob) {
+	queue, _ := checker.simulation.routes.Queue(job.spec.Queue())
+	for _, history := range job.taskHistories {
+		if history.failures >= queue.MaxAttempts() {
+			return
+		}
+	}
+	if job.mayBeGivenUp() {
+		checker.givenUp++
+		if len(job.crashingTasks) == 0 {
+			checker.givenUpSound++
+		}
+		return
+	}
+	for _, step := range job.spec.Steps() {
+		if step.Gang() {
+			return // The tasks of a gang share one attempt limit, so no task needs that many failures of its own.
+		}
+	}
+	checker.addViolation("LOST", "%s is reported as failed, but no task failed %d times", job.spec.ID(), queue.MaxAttempts())
+}
+
+// giveUpCrashes is the number of workers that must have crashed under a task for its job to be given up.
+const giveUpCrashes = 2
+
+// mayBeGivenUp reports whether the job may be shown as failed because workers crashed under one of its tasks.
+func (modeljob *modelJob) mayBeGivenUp() bool {
+	for _, history := range modeljob.taskHistories {
+		if history.crashes >= giveUpCrashes {
+			return true
+		}
+	}
+	return false
+}
+
+// crashes returns how many times a worker crashed under one of the tasks.
+func (modeljob *modelJob) crashes() int {
+	count := 0
+	for _, history := range modeljob.taskHistories {
+		count += history.crashes
+	}
+	return count
+}
+
+// missed reports whether the job counts as lost if it has no final state at the end. It does not if a task that
+// crashes its workers may be given up.
+func (modeljob *modelJob) missed() bool {
+	for task := range modeljob.crashingTasks {
+		if modeljob.historyOf(task).crashes >= giveUpCrashes {
+			return false
+		}
+	}
+	return true
+}
--- a/standin/emulator/storecalls.go
+++ b/standin/emulator/storecalls.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -19,7 +20,7 @@
 	case scheduler.ReadIntake:
 		modelhost.schedule(effect.Query.Pause(), func() { modelhost.readIntake(effect.Query, simulation.now+2*time.Second) })
 	case scheduler.ReadWorkers:
-		modelhost.schedule(effect.Query.Pause(), modelhost.readWorkers)
+		modelhost.schedule(effect.Query.Pause(), func() { modelhost.readWorkers(effect.Query) })
 	case scheduler.Commit:
 		modelhost.schedule(effect.Request.Pause(), func() { modelhost.commit(effect.Request) })
 	case scheduler.StoreSnapshot:
@@ -44,8 +45,8 @@
 	if !isWrite {
 		duration /= 4
 	}
-	reachable := func() bool { return !simulation.faults.storeUnreachable(modelhost, simulation.now) }
-	modelhost.call(storeTimeout, reachable, reachable, func(reply func(func())) {
+	reach := func() (time.Duration, bool) { return 0, !simulation.faults.storeUnreachable(modelhost, simulation.now) }
+	modelhost.call(storeTimeout, reach, reach, func(reply func(func())) {
 		duration = time.Duration(float64(duration) * simulation.faults.storeDelayFactor(simulation.now))
 		responseLost, delay := isWrite && simulation.faults.loseResponse(simulation), simulation.faults.executionDelay(simulation)
 		if !responseLost {
@@ -57,7 +58,7 @@
 				reply(handleResponse)
 			}
 		})
-	}, func(bool) { onFailure(almondcross.ErrStoreUncertain) })
+	}, func() { onFailure(almondcross.ErrStoreUncertain) })
 }
 
 func (modelhost *modelHost) storeUsage(request almondcross.UsageStore) {
@@ -158,18 +159,13 @@
 	}, onFailure)
 }
 
-func (modelhost *modelHost) readWorkers() {
+func (modelhost *modelHost) readWorkers(query almondcross.WorkersQuery) {
 	simulation := modelhost.simulation
 	modelhost.storeCall(false, func() func() {
-		config := almondcross.WorkersReadConfig{Complete: true, Next: -1}
-		for _, worker := range simulation.workers {
-			if simulation.faults.announced(worker, simulation.now) {
-				config.Changes = append(config.Changes, almondcross.NewWorkerChange(almondcross.WorkerChangeConfig{ID: worker.id, Present: true, Worker: worker.announcement}))
-			}
-		}
+		config := simulation.announcements.read(simulation.now, query.From())
 		return func() { modelhost.deliver(almondcross.NewWorkersRead(config)) }
 	}, func(err error) {
-		modelhost.deliver(almondcross.NewWorkersRead(almondcross.WorkersReadConfig{Next: -1, Err: err}))
+		modelhost.deliver(almondcross.NewWorkersRead(almondcross.WorkersReadConfig{Next: query.From(), Err: err}))
 	})
 }
 
@@ -198,8 +194,18 @@
 		}
 		appended, err := simulation.store.Append(simulation.now, almondcross.NewStoreAppend(config))
 		if err == nil {
+			if hasEnd(request) {
+				simulation.observe(EndRecorded)
+			}
 			appended = appended.WithEnd(appended.Offset() + int64(len(records)))
 		}
 		return func() { deliverResult(appended, err) }
 	}, func(err error) { deliverResult(almondcross.StoreAppended{}, err) })
 }
+
+// hasEnd reports whether a commit holds the end of a run.
+func hasEnd(request almondcross.JournalCommit) bool {
+	return slices.ContainsFunc(request.Batches(), func(batch almondcross.JournalBatch) bool {
+		return slices.ContainsFunc(batch.Changes(), func(change almondcross.Change) bool { return change.Kind() == almondcross.ChangeEnd })
+	})
+}
--- a/standin/emulator/worker.go
+++ b/standin/emulator/worker.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -14,6 +15,7 @@
 	stopTime           = 400 * time.Millisecond
 	gangTimeout        = 3 * time.Second
 	maxLease           = 10 * time.Second
+	maxFailTime        = 2 * time.Second // maxFailTime is how long a run that fails works at most.
 	checkpointInterval = 500 * time.Millisecond
 	clockRate          = 0.985 // clockRate is the rate of a worker's clock; a clock may be up to 2% slow.
 )
@@ -31,6 +33,8 @@
 	stopping     bool
 	stopsAt      time.Duration
 	gang         *modelGang
+	late         bool // late is set if the worker carried out the start order late.
+	reported     bool // reported is set once the checker has reported that the run of a cancelled job goes on.
 }
 
 // modelGang is one run of a gang across workers.
@@ -42,24 +46,34 @@
 	ended     bool
 }
 
-// modelWorker is a worker with a lease, a fencing token and a list of ended tasks.
+func (modelgang *modelGang) sortedMembers() []almondcross.JobTask {
+	return slices.SortedFunc(maps.Keys(modelgang.members), func(a, b almondcross.JobTask) int { return a.Index - b.Index })
+}
+
+// modelWorker is a worker with a lease, a fencing token and a list of ended tasks. It keeps its address when it
+// restarts, and may get another identity.
 type modelWorker struct {
-	simulation     *Simulation
-	id             string
-	announcement   almondcross.Worker
-	up             bool
-	bootMillis     int64
-	bootedAt       time.Duration
-	fence          int64
-	leaseUntil     time.Duration // leaseUntil is on the worker's clock.
-	runs           map[almondcross.JobTask]*modelRun
-	endedTasks     []almondcross.EndedTask
-	sequence       int64
-	blockedThrough map[almondcross.JobTask]int // blockedThrough holds the highest run that was stopped or ended here; no later start up to it is accepted.
-	durationFactor float64
-	failsRuns      bool
-	stallsRuns     bool
-	leaseExpiredAt time.Duration // leaseExpiredAt is when the lease was last found expired.
+	simulation   *Simulation
+	address      string
+	id           string
+	renames      int // renames counts the restarts under another identity.
+	announcement almondcross.Worker
+	// fullCapacity is the capacity without faults, capacityPeriods what was in force since when.
+	fullCapacity    almondcross.Resources
+	capacityPeriods []capacityPeriod
+	up              bool
+	bootMillis      int64
+	bootedAt        time.Duration
+	fence           int64
+	leaseUntil      time.Duration // leaseUntil is on the worker's clock.
+	runs            map[almondcross.JobTask]*modelRun
+	endedTasks      []almondcross.EndedTask
+	sequence        int64
+	blockedThrough  map[almondcross.JobTask]int // blockedThrough holds the highest run that was stopped or ended here; no later start up to it is accepted.
+	durationFactor  float64
+	failsRuns       bool
+	stallsRuns      bool
+	leaseExpiredAt  time.Duration // leaseExpiredAt is when the lease was last found expired.
 }
 
 func (modelworker *modelWorker) clock(now time.Duration) time.Duration {
@@ -67,7 +81,7 @@
 }
 
 // start executes a start order.
-func (modelworker *modelWorker) start(now time.Duration, order almondcross.StartOrder) almondcross.OrderResult {
+func (modelworker *modelWorker) start(now time.Duration, order almondcross.StartOrder, delivered delivery) almondcross.OrderResult {
 	modelworker.advance(now)
 	clock := modelworker.clock(now)
 	switch {
@@ -91,25 +105,28 @@
 		return almondcross.OrderTicketInvalid
 	}
 	job := modelworker.simulation.jobs[order.Task().Stage.Job]
-	modelworker.simulation.checker.checkStart(now, modelworker, order, job)
+	modelworker.simulation.checker.checkStart(now, modelworker, order, job, delivered)
 	if job == nil || order.Task().Stage.Step >= len(job.spec.Steps()) {
 		return almondcross.OrderDone
 	}
-	modelworker.beginRun(now, order, job)
+	modelworker.beginRun(now, order, job, delivered)
 	return almondcross.OrderDone
 }
 
-func (modelworker *modelWorker) beginRun(now time.Duration, order almondcross.StartOrder, job *modelJob) {
+func (modelworker *modelWorker) beginRun(now time.Duration, order almondcross.StartOrder, job *modelJob, delivered delivery) {
 	step := job.spec.Steps()[order.Task().Stage.Step]
 	run := &modelRun{
 		task: order.Task(), number: order.Run(), job: job, step: step, startedAt: now,
 		requiredWork: time.Duration(float64(job.runTime(order.Task())) * modelworker.durationFactor),
-		willFail:     job.poison || modelworker.failsRuns || modelworker.simulation.random.Float64() < modelworker.simulation.config.FailShare,
-		stalled:      modelworker.stallsRuns,
+		willFail:     job.poison || modelworker.failsRuns || modelworker.simulation.randomFor("fail", modelworker.id, order.Task(), order.Run()).Float64() < modelworker.simulation.config.FailShare,
+		stalled:      modelworker.stallsRuns, late: delivered.late,
 	}
 	if saved, err := time.ParseDuration(order.Checkpoint()); err == nil && step.Checkpoints() {
 		run.requiredWork = max(run.requiredWork-saved, 0)
 	}
+	if run.willFail {
+		run.requiredWork = min(run.requiredWork, maxFailTime)
+	}
 	if step.Gang() {
 		run.gang = modelworker.simulation.gang(order, step.Count(), now)
 		run.gang.members[order.Task()] = modelworker
@@ -118,6 +135,8 @@
 		}
 	}
 	modelworker.runs[order.Task()] = run
+	modelworker.simulation.recordStart(modelworker, run, delivered)
+	modelworker.simulation.scheduleCrash(modelworker, run)
 }
 
 // stop executes a stop order.
@@ -164,6 +183,32 @@
 	return almondcross.NewWorkerReport(report), almondcross.OrderDone
 }
 
+// answerLease executes a lease order and answers once a run has ended, the order is refused or its wait is over. If
+// the worker crashes before, the connection breaks.
+func (modelworker *modelWorker) answerLease(order almondcross.LeaseOrder, answer func(almondcross.WorkerReport, almondcross.OrderResult)) {
+	simulation, incarnation := modelworker.simulation, modelworker.bootMillis
+	until := simulation.now + order.Wait()
+	report, result := modelworker.lease(simulation.now, order)
+	if result != almondcross.OrderDone || len(report.Ended()) > 0 || order.Wait() == 0 {
+		answer(report, result)
+		return
+	}
+	var poll func()
+	poll = func() {
+		if !modelworker.up || modelworker.bootMillis != incarnation {
+			answer(almondcross.WorkerReport{}, almondcross.OrderUnknown)
+			return
+		}
+		modelworker.advance(simulation.now)
+		if order.Fence() == modelworker.fence && len(modelworker.endedTasks) == 0 && simulation.now < until {
+			simulation.schedule(pollInterval, poll)
+			return
+		}
+		answer(modelworker.lease(simulation.now, order.WithUntil(0)))
+	}
+	simulation.schedule(pollInterval, poll)
+}
+
 func (modelworker *modelWorker) sortedRuns() []*modelRun {
 	return slices.SortedFunc(maps.Values(modelworker.runs), func(a, b *modelRun) int { return strings.Compare(a.task.String(), b.task.String()) })
 }
@@ -254,7 +299,7 @@
 	if kind == almondcross.EndDone {
 		memberEndKind = almondcross.EndDone
 	}
-	for _, task := range slices.SortedFunc(maps.Keys(gang.members), func(a, b almondcross.JobTask) int { return a.Index - b.Index }) {
+	for _, task := range gang.sortedMembers() {
 		member := gang.members[task]
 		if member.up && member.runs[task] != nil && member.runs[task].gang == gang {
 			member.endRun(now, member.runs[task], memberEndKind)
@@ -262,16 +307,17 @@
 	}
 }
 
-// crash drops all runs without listing them as ended. The gangs of these runs end as broken on other workers.
-func (modelworker *modelWorker) crash(now time.Duration) {
+// end drops all runs without listing them as ended. The gangs of these runs end as broken on other workers.
+func (modelworker *modelWorker) end(now time.Duration, crashed bool) {
 	modelworker.up = false
 	for _, run := range modelworker.sortedRuns() {
-		modelworker.simulation.checker.recordLostRun(modelworker, run)
+		modelworker.simulation.checker.recordLostRun(modelworker, run, crashed)
 		delete(modelworker.runs, run.task)
 		if gang := run.gang; gang != nil && !gang.ended {
 			gang.ended = true
 			delete(gang.members, run.task)
-			for task, member := range gang.members {
+			for _, task := range gang.sortedMembers() {
+				member := gang.members[task]
 				if member.up && member.runs[task] != nil && member.runs[task].gang == gang {
 					member.endRun(now, member.runs[task], almondcross.EndGangBroken)
 				}
@@ -280,6 +326,13 @@
 	}
 }
 
+// rename gives the worker another identity at the same address.
+func (modelworker *modelWorker) rename() {
+	modelworker.renames++
+	modelworker.id = fmt.Sprintf("%s.%d", modelworker.address, modelworker.renames)
+	modelworker.announcement = modelworker.announcement.WithID(modelworker.id)
+}
+
 // boot starts a new incarnation with empty state.
 func (modelworker *modelWorker) boot(now time.Duration) {
 	modelworker.up, modelworker.bootedAt = true, now
