Check answers about unknown jobs only of hosts in touch

The check reported LOST whenever a host did not know a job 3 s after its acceptance. The platform's rule is about answers of machines in touch. The host applied the answers to its intake reads of before the freeze when it woke up, and dated them with that time (intakeReadAt), so its table counted as complete.

--- a/standin/emulator/jobs.go
+++ b/standin/emulator/jobs.go
@@ -240,7 +240,7 @@
 		switch {
 		case known:
 			simulation.checker.checkReportedState(job, view.State())
-		case fresh && simulation.now-job.acceptedAt > 3*time.Second:
+		case fresh && simulation.now-job.acceptedAt > 3*time.Second && simulation.disturbances.inTouch(host, simulation.now):
 			simulation.checker.addViolation("LOST", "%s is not known to %s %s after it was accepted", job.spec.ID(), host.name, simulation.now-job.acceptedAt)
 		}
 	}
