--- a/standin/emulator/statecheck.go
+++ b/standin/emulator/statecheck.go
@@ -85,3 +85,24 @@
 	}
 	return true
 }
+
+// hasRoom reports whether the workers that advice allows have room for each step of a job twice over: for the whole gang
+// or for one task.
+func (simulation *Simulation) hasRoom(job *modelJob) bool {
+	for number, step := range job.spec.Steps() {
+		needed, room := int64(1), int64(0)
+		if step.Gang() {
+			needed = int64(step.Count())
+		}
+		for _, worker := range simulation.workers {
+			if simulation.advice.allowedShare == 0 || simulation.advice.allows(almondcross.StageID{Job: job.spec.ID(), Step: number}, worker.id) {
+				need, capacity := step.Resources(), worker.fullCapacity
+				room += min(capacity.MilliCPU()/need.MilliCPU(), capacity.MemoryMB()/need.MemoryMB())
+			}
+		}
+		if room < 2*needed {
+			return false
+		}
+	}
+	return true
+}
