Count failed runs against the attempts once they are taken note of

The platform's rule counts ends that are taken note of before the start or later. The check does so now: with the acknowledgement, unless the lease expired in between, or at once if no disturbance was near. A late acknowledgement still reveals a start after too many failures. TestStartAfterFailedRuns has the cases.

--- a/standin/emulator/checker_test.go
+++ b/standin/emulator/checker_test.go
@@ -202,3 +202,36 @@
 	require.Len(t, kinds, len(FaultKinds()))
 	require.Len(t, drawn, len(moments()))
 }
+
+// Guards against a check that misses a start after too many failed runs, or that counts failures that no scheduler
+// could hear of.
+func TestStartAfterFailedRuns(t *testing.T) {
+	for name, test := range map[string]struct {
+		disturbed, acknowledged, lapsed bool
+		rules                           []string
+	}{
+		"calm":                      {rules: []string{"BUDGET"}},
+		"disturbed":                 {disturbed: true},
+		"disturbed, then noted":     {disturbed: true, acknowledged: true, rules: []string{"BUDGET"}},
+		"lease expired, then noted": {disturbed: true, acknowledged: true, lapsed: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			simulation, worker, job := newCheckedSimulation(t, 20*time.Second)
+			if test.disturbed {
+				simulation.disturbances.disturb(simulation.now)
+			}
+			for run := 1; run <= 4; run++ {
+				startRun(simulation, worker, job, run, delivery{sentAt: simulation.now})
+				worker.endRun(simulation.now, worker.runs[taskOf(job)], almondcross.EndFailed)
+			}
+			startRun(simulation, worker, job, 5, delivery{sentAt: simulation.now})
+			if test.lapsed {
+				worker.leaseExpiredAt = simulation.now + 1
+			}
+			if test.acknowledged {
+				worker.lease(simulation.now, almondcross.NewLeaseOrder(almondcross.LeaseOrderConfig{Acknowledged: 4}))
+			}
+			requireRules(t, simulation, test.rules...)
+		})
+	}
+}
--- a/standin/emulator/jobs.go
+++ b/standin/emulator/jobs.go
@@ -31,7 +31,7 @@
 // taskHistory holds what the workers observed of a task.
 type taskHistory struct {
 	running          map[*modelWorker]int // running holds the run number on each worker that runs the task.
-	failures         int
+	attempts         attempts
 	crashes          int // crashes counts the workers that crashed while they ran the task.
 	startsInTouch    int // startsInTouch counts the starts by hosts in touch after crashBudget workers had crashed.
 	done             bool
