--- a/standin/emulator/host.go
+++ b/standin/emulator/host.go
@@ -1,9 +1,7 @@
 package emulator
 
 import (
-	"fmt"
 	"math/rand/v2"
-	"strconv"
 	"time"
 
 	"github.com/almondcross/almondcross"
@@ -150,34 +148,6 @@
 	}
 }
 
-// callStore executes the effects that call the store.
-func (modelhost *modelHost) callStore(effect scheduler.Effect) {
-	simulation := modelhost.simulation
-	switch effect := effect.(type) {
-	case scheduler.ReadSnapshot:
-		modelhost.schedule(effect.Query.Pause(), modelhost.readSnapshot)
-	case scheduler.ReadJournal:
-		modelhost.schedule(effect.Query.Pause(), func() { modelhost.readJournal(effect.Query, simulation.now+effect.Query.Wait()) })
-	case scheduler.ReadIntake:
-		modelhost.schedule(effect.Query.Pause(), func() { modelhost.readIntake(effect.Query, simulation.now+2*time.Second) })
-	case scheduler.ReadWorkers:
-		modelhost.schedule(effect.Query.Pause(), modelhost.readWorkers)
-	case scheduler.Commit:
-		modelhost.schedule(effect.Request.Pause(), func() { modelhost.commit(effect.Request) })
-	case scheduler.StoreSnapshot:
-		modelhost.storeSnapshot(effect.Request)
-	case scheduler.StoreUsage:
-		modelhost.storeUsage(effect.Request)
-	case scheduler.ReadPointer:
-		modelhost.schedule(effect.Query.Pause(), func() { modelhost.readPointer(effect.Query.Peers()) })
-	case scheduler.StorePointer:
-		modelhost.storeCall(true, func() func() {
-			simulation.pointer = effect.Pointer
-			return func() {}
-		}, func(error) {})
-	}
-}
-
 // schedule runs an action after a pause and once the host is not frozen, unless the host restarts before.
 func (modelhost *modelHost) schedule(pause time.Duration, action func()) {
 	incarnation := modelhost.incarnation
@@ -189,8 +159,11 @@
 }
 
 // call makes a call over the network. The receiver executes it once if the request gets through. The call fails
-// after the timeout if the request or the response is lost.
-func (modelhost *modelHost) call(timeout time.Duration, requestReachable, responseReachable func() bool, execute func(reply func(handleResponse func())), onFailure func(sent bool)) {
+// after the timeout if the request or the response is lost. request and response return the extra delay of a message
+// that is sent now, and whether it gets through.
+func (modelhost *modelHost) call(
+	timeout time.Duration, request, response func() (delay time.Duration, delivered bool), execute func(reply func(handleResponse func())), onFailure func(),
+) {
 	simulation, incarnation := modelhost.simulation, modelhost.incarnation
 	finished := false
 	finish := func(action func()) {
@@ -200,332 +173,23 @@
 		finished = true
 		modelhost.runUnfrozen(action)
 	}
-	simulation.schedule(timeout, func() { finish(func() { onFailure(true) }) })
-	simulation.schedule(linkDelay, func() {
-		if !requestReachable() {
-			return
-		}
-		execute(func(handleResponse func()) {
-			simulation.schedule(linkDelay, func() {
-				if responseReachable() {
-					finish(handleResponse)
-				}
-			})
-		})
-	})
-}
-
-// storeCall makes a call to the store, subject to the active store faults. If there is no response within
-// storeTimeout, onFailure gets ErrStoreUncertain.
-func (modelhost *modelHost) storeCall(isWrite bool, execute func() func(), onFailure func(err error)) {
-	simulation := modelhost.simulation
-	duration := appendTime
-	if !isWrite {
-		duration /= 4
-	}
-	reachable := func() bool { return !simulation.faults.storeUnreachable(modelhost, simulation.now) }
-	modelhost.call(storeTimeout, reachable, reachable, func(reply func(func())) {
-		duration = time.Duration(float64(duration) * simulation.faults.storeDelayFactor(simulation.now))
-		responseLost, delay := isWrite && simulation.faults.loseResponse(simulation), simulation.faults.executionDelay(simulation)
-		if !responseLost {
-			delay = 0
-		}
-		simulation.schedule(duration+delay, func() {
-			handleResponse := execute()
-			if !responseLost {
-				reply(handleResponse)
-			}
-		})
-	}, func(bool) { onFailure(almondcross.ErrStoreUncertain) })
-}
-
-func (modelhost *modelHost) storeUsage(request almondcross.UsageStore) {
-	simulation := modelhost.simulation
-	deliverResult := func(err error) {
-		modelhost.deliver(almondcross.NewUsageStored(almondcross.UsageStoredConfig{Usages: request.Usages(), Err: err}))
-	}
-	modelhost.storeCall(true, func() func() {
-		for _, usage := range request.Usages() {
-			simulation.storedUsage[almondcross.UsageKey{From: usage.From().Unix(), Queue: usage.Queue()}] = usage
-		}
-		return func() { deliverResult(nil) }
-	}, deliverResult)
-}
-
-func (modelhost *modelHost) readSnapshot() {
-	simulation := modelhost.simulation
-	modelhost.storeCall(false, func() func() {
-		snapshot, found, err := simulation.codec.DecodeSnapshot(simulation.snapshotTable.latestRecords())
-		return func() {
-			modelhost.deliver(almondcross.NewSnapshotRead(almondcross.SnapshotReadConfig{Snapshot: snapshot, Found: found, Err: err}))
-		}
-	}, func(err error) {
-		modelhost.deliver(almondcross.NewSnapshotRead(almondcross.SnapshotReadConfig{Err: err}))
-	})
-}
-
-func (modelhost *modelHost) storeSnapshot(request almondcross.SnapshotStore) {
-	simulation := modelhost.simulation
-	parts, err := simulation.codec.EncodeSnapshot(request.Snapshot(), 100<<10)
-	if err != nil {
-		simulation.checker.addViolation("ENCODING", "%v", err)
-		return
-	}
-	records := make([]almondcross.KeyedRecord, len(parts))
-	for index, part := range parts {
-		records[index] = almondcross.NewKeyedRecord(almondcross.KeyedRecordConfig{Key: strconv.Itoa(index), Value: part})
-	}
-	deliverResult := func(err error) {
-		modelhost.deliver(almondcross.NewSnapshotStored(almondcross.SnapshotStoredConfig{Next: request.Snapshot().Next(), Err: err}))
-	}
-	modelhost.storeCall(true, func() func() {
-		simulation.snapshotTable.put(records)
-		return func() { deliverResult(nil) }
-	}, deliverResult)
-}
-
-func (modelhost *modelHost) readJournal(query almondcross.JournalQuery, until time.Duration) {
-	simulation := modelhost.simulation
-	onFailure := func(err error) {
-		modelhost.deliver(almondcross.NewJournalRead(almondcross.JournalReadConfig{From: query.From(), Next: query.From(), Err: err}))
-	}
-	modelhost.storeCall(false, func() func() {
-		records, err := simulation.store.Read(simulation.now, journalPartition, query.From())
-		return func() {
-			if err == nil && len(records.Records()) == 0 && simulation.now < until {
-				modelhost.schedule(pollInterval, func() { modelhost.readJournal(query, until) })
-				return
-			}
-			config := almondcross.JournalReadConfig{From: query.From(), Next: query.From() + int64(len(records.Records())), End: records.End(), Err: err}
-			if err != nil {
-				config.Next = records.First()
-			}
-			for _, record := range records.Records() {
-				batch, err := simulation.codec.DecodeBatch(record)
-				if err != nil {
-					simulation.checker.addViolation("ENCODING", "%v", err)
-				}
-				config.Batches = append(config.Batches, batch)
-			}
-			modelhost.deliver(almondcross.NewJournalRead(config))
-		}
-	}, onFailure)
-}
-
-func (modelhost *modelHost) readIntake(query almondcross.IntakeQuery, until time.Duration) {
-	simulation := modelhost.simulation
-	onFailure := func(err error) {
-		modelhost.deliver(almondcross.NewIntakeRead(almondcross.IntakeReadConfig{Partition: query.Partition(), From: query.From(), Next: query.From(), Err: err}))
-	}
-	modelhost.storeCall(false, func() func() {
-		records, err := simulation.store.Read(simulation.now, intakePartition(query.Partition()), query.From())
-		return func() {
-			if err == nil && len(records.Records()) == 0 && simulation.now < until {
-				modelhost.schedule(pollInterval, func() { modelhost.readIntake(query, until) })
-				return
-			}
-			config := almondcross.IntakeReadConfig{Partition: query.Partition(), From: query.From(), Next: query.From() + int64(len(records.Records())), Err: err}
-			for _, record := range records.Records() {
-				intake, err := simulation.codec.DecodeIntake(record)
-				if err != nil {
-					simulation.checker.addViolation("ENCODING", "%v", err)
-				}
-				config.Intakes = append(config.Intakes, intake)
-			}
-			modelhost.deliver(almondcross.NewIntakeRead(config))
-		}
-	}, onFailure)
-}
-
-func (modelhost *modelHost) readWorkers() {
-	simulation := modelhost.simulation
-	modelhost.storeCall(false, func() func() {
-		config := almondcross.WorkersReadConfig{Complete: true, Next: -1}
-		for _, worker := range simulation.workers {
-			if simulation.faults.announced(worker, simulation.now) {
-				config.Changes = append(config.Changes, almondcross.NewWorkerChange(almondcross.WorkerChangeConfig{ID: worker.id, Present: true, Worker: worker.announcement}))
-			}
-		}
-		return func() { modelhost.deliver(almondcross.NewWorkersRead(config)) }
-	}, func(err error) {
-		modelhost.deliver(almondcross.NewWorkersRead(almondcross.WorkersReadConfig{Next: -1, Err: err}))
-	})
-}
-
-func (modelhost *modelHost) commit(request almondcross.JournalCommit) {
-	simulation := modelhost.simulation
-	sentAt := simulation.now
-	deliverResult := func(appended almondcross.StoreAppended, err error) {
-		modelhost.deliver(almondcross.NewJournalCommitted(almondcross.JournalCommittedConfig{
-			Commit: request, Appended: appended, Took: simulation.now - sentAt, Err: err,
-		}))
-	}
-	var records [][]byte
-	for _, batch := range request.Batches() {
-		record, err := simulation.codec.EncodeBatch(batch)
-		if err != nil {
-			simulation.checker.addViolation("ENCODING", "%v", err)
-		}
-		records = append(records, record)
-	}
-	modelhost.storeCall(true, func() func() {
-		config := almondcross.StoreAppendConfig{
-			Partition: journalPartition, Records: records, Conditional: request.Election(), ExpectedEnd: request.ExpectedEnd(),
-		}
-		if request.Sequence() > 0 {
-			config.Writer, config.Epoch, config.Sequence = "scheduler", request.Epoch(), request.Sequence()
-		}
-		appended, err := simulation.store.Append(simulation.now, almondcross.NewStoreAppend(config))
-		if err == nil {
-			appended = appended.WithEnd(appended.Offset() + int64(len(records)))
-		}
-		return func() { deliverResult(appended, err) }
-	}, func(err error) { deliverResult(almondcross.StoreAppended{}, err) })
-}
-
-// sendOrder sends an order to a worker, which may be isolated or execute it late. If there is no response within
-// the timeout, onFailure gets OrderUnknown.
-func (modelhost *modelHost) sendOrder(worker *modelWorker, timeout time.Duration, lease bool, execute func() func(), onFailure func(result almondcross.OrderResult)) {
-	simulation := modelhost.simulation
-	reachable := func() bool { return worker.up && !simulation.faults.workerIsolated(modelhost, worker, simulation.now) }
-	modelhost.call(timeout, reachable, reachable, func(reply func(func())) {
-		if delay := simulation.faults.orderDelay(simulation, lease); delay > 0 {
-			simulation.schedule(delay, func() {
-				if worker.up {
-					execute()
-				}
-			})
-			return
-		}
-		reply(execute())
-	}, func(bool) { onFailure(almondcross.OrderUnknown) })
-}
-
-func (modelhost *modelHost) renewLease(order almondcross.LeaseOrder) {
-	simulation := modelhost.simulation
-	worker := simulation.worker(order.Worker().ID())
-	sentAt := simulation.wallTime()
-	deliverResult := func(report almondcross.WorkerReport, result almondcross.OrderResult) {
-		modelhost.deliver(almondcross.NewLeaseAnswered(almondcross.LeaseAnsweredConfig{
-			Order: order, Result: result, Report: report, Sent: sentAt, Received: simulation.wallTime(),
-		}))
-	}
-	leaseExecuted := false
-	modelhost.sendOrder(worker, order.Wait()+leaseTimeout, true, func() func() {
-		report, result := worker.lease(simulation.now, order)
-		leaseExecuted = true
-		return func() {
-			if result != almondcross.OrderDone || len(report.Ended()) > 0 || order.Wait() == 0 {
-				deliverResult(report, result)
-				return
-			}
-			modelhost.waitForEnd(worker, order, simulation.now+order.Wait(), deliverResult)
-		}
-	}, func(result almondcross.OrderResult) {
-		if !leaseExecuted || simulation.faults.workerIsolated(modelhost, worker, simulation.now) || !worker.up {
-			deliverResult(almondcross.WorkerReport{}, result)
-		}
-	})
-}
-
-// waitForEnd delivers the result of a lease order once a run has ended, the order fails or its wait is over.
-func (modelhost *modelHost) waitForEnd(
-	worker *modelWorker, order almondcross.LeaseOrder, until time.Duration, deliverResult func(almondcross.WorkerReport, almondcross.OrderResult),
-) {
-	simulation := modelhost.simulation
-	if !worker.up || simulation.faults.workerIsolated(modelhost, worker, simulation.now) {
-		modelhost.schedule(orderTimeout, func() { deliverResult(almondcross.WorkerReport{}, almondcross.OrderUnknown) })
-		return
-	}
-	report, result := worker.lease(simulation.now, order.WithUntil(0))
-	if result != almondcross.OrderDone || len(report.Ended()) > 0 || simulation.now >= until {
-		modelhost.schedule(linkDelay, func() { deliverResult(report, result) })
-		return
-	}
-	modelhost.schedule(pollInterval, func() { modelhost.waitForEnd(worker, order, until, deliverResult) })
-}
-
-func (modelhost *modelHost) startRun(order almondcross.StartOrder) {
-	simulation := modelhost.simulation
-	worker := simulation.worker(order.Worker().ID())
-	deliverResult := func(result almondcross.OrderResult) {
-		modelhost.deliver(almondcross.NewStartOrderAnswered(almondcross.StartOrderAnsweredConfig{Order: order, Result: result, Received: simulation.wallTime()}))
-	}
-	modelhost.sendOrder(worker, orderTimeout, false, func() func() {
-		result := worker.start(simulation.now, order)
-		return func() { deliverResult(result) }
-	}, deliverResult)
-}
-
-func (modelhost *modelHost) stopRun(order almondcross.StopOrder) {
-	simulation := modelhost.simulation
-	worker := simulation.worker(order.Worker().ID())
-	deliverResult := func(result almondcross.OrderResult) {
-		modelhost.deliver(almondcross.NewStopOrderAnswered(almondcross.StopOrderAnsweredConfig{Order: order, Result: result}))
-	}
-	modelhost.sendOrder(worker, orderTimeout, false, func() func() {
-		result := worker.stop(simulation.now, order)
-		return func() { deliverResult(result) }
-	}, deliverResult)
-}
-
-// queryAdvice sends an advice query over the link to the host that makes the advice call.
-func (modelhost *modelHost) queryAdvice(query scheduler.SendAdviceQuery) {
-	simulation := modelhost.simulation
-	for _, host := range simulation.hosts {
-		if host.name != query.Adviser {
-			continue
-		}
-		reply := func(response almondcross.AdviceAnswered) {
-			simulation.schedule(linkDelay, func() { modelhost.deliver(response.WithAdviser(host.name).WithReceived(simulation.wallTime())) })
-		}
+	simulation.schedule(timeout, func() { finish(onFailure) })
+	transmit := func(message func() (time.Duration, bool), action func()) {
 		simulation.schedule(linkDelay, func() {
-			if host.up {
-				host.runUnfrozen(func() { host.processQuery(queuedQuery{query: query.Query, reply: reply}) })
+			switch delay, delivered := message(); {
+			case !delivered:
+			case delay > 0:
+				simulation.schedule(delay, action)
+			default:
+				action()
 			}
 		})
 	}
-}
-
-func (modelhost *modelHost) processQuery(queued queuedQuery) {
-	if modelhost.adviceInProgress {
-		modelhost.queuedQueries = append(modelhost.queuedQueries, queued)
-		return
-	}
-	modelhost.adviceInProgress = true
-	simulation, job := modelhost.simulation, modelhost.simulation.jobs[queued.query.Stage().Job]
-	duration := 10 * time.Millisecond
-	if job != nil {
-		if queue, known := simulation.routes.Queue(job.spec.Queue()); known {
-			duration = queue.AdviceSettings().Base() + time.Duration(len(queued.query.Workers()))*queue.AdviceSettings().PerWorker()
-		}
-	}
-	modelhost.schedule(duration, func() {
-		modelhost.adviceInProgress = false
-		queued.reply(simulation.advise(queued.query))
-		if len(modelhost.queuedQueries) > 0 {
-			next := modelhost.queuedQueries[0]
-			modelhost.queuedQueries = modelhost.queuedQueries[1:]
-			modelhost.processQuery(next)
-		}
+	transmit(request, func() {
+		execute(func(handleResponse func()) { transmit(response, func() { finish(handleResponse) }) })
 	})
 }
 
-func (simulation *Simulation) advise(query almondcross.AdviceQuery) almondcross.AdviceAnswered {
-	result := almondcross.AdviceResultConfig{Stage: query.Stage(), Asked: query.Workers(), Validity: simulation.advice.validity}
-	for _, id := range query.Workers() {
-		worker := simulation.worker(id)
-		if worker == nil || !simulation.advice.allows(query.Stage(), id) {
-			continue
-		}
-		simulation.advice.ticketCount++
-		secret := fmt.Sprintf("t%d", simulation.advice.ticketCount)
-		simulation.advice.issuedTickets[secret] = issuedTicket{stage: query.Stage(), worker: id, bootMillis: worker.bootMillis, validUntil: simulation.now + simulation.advice.validity}
-		result.Tickets = append(result.Tickets, almondcross.NewTicket(almondcross.TicketConfig{Worker: id, Secret: secret}))
-	}
-	return almondcross.NewAdviceAnswered(almondcross.AdviceAnsweredConfig{Query: query, Result: almondcross.NewAdviceResult(result)})
-}
-
 // hostLog adds the host and the virtual time to the events of its machine.
 type hostLog struct{ host *modelHost }
 
