Let the blame of a queue fade, and isolate its tasks for a bounded time

A new scheduler took runs that it had just restored for starts of its own, and blamed their queue when it found their workers crashed. Every worker held lasting tasks, so none was ever empty for the tasks of the blamed queue, and without starts nothing cleared it.

Only starts of this scheduler count. The score of a queue fades to a half in 10 s. A task of a blamed queue that has waited 2 s for an empty worker takes an occupied one, within the share of workers that isolated tasks may use, and a run that has worked for 3 s shares its worker again.

TestTasksOfACrashingQueueStartOnOccupiedWorkers (1m0s is not less than 20s) and TestSuccessorBlamesNoQueueForRestoredRuns (map[q:3]) failed before.

--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -345,7 +345,7 @@
 	if assigned.stage.spec.Gang() {
 		checkpoint = assigned.stage.gangCheckpoint
 	}
-	assigned.phase, assigned.fence = phaseSent, worker.fence
+	assigned.phase, assigned.fence, assigned.startSentAt = phaseSent, worker.fence, machine.now
 	machine.countQueueStart(assigned.job)
 	machine.emit(SendStart{Order: almondcross.NewStartOrder(almondcross.StartOrderConfig{
 		Worker: worker.info, Task: assigned.task, Run: assigned.run, Payload: assigned.job.spec.Payload(), Checkpoint: checkpoint,
--- a/command/scheduler/queuecrash.go
+++ b/command/scheduler/queuecrash.go
@@ -8,9 +8,9 @@
 )
 
 // A queue is blamed by a sequential test of its starts: the score of a queue rises with each start that crashes its
-// worker and falls with each start, so that it stays near zero while crashes are rarer than crashPenalty to startCredit,
-// and passes the limit within a few crashes otherwise. The scores are not replicated: they only decide how carefully
-// tasks are placed.
+// worker, falls with each start and fades with time, so that it stays near zero while crashes are rarer than startCredit to
+// crashPenalty, and passes the limit within a few crashes otherwise. The scores are not replicated: they only decide how
+// carefully tasks are placed.
 const (
 	// crashPenalty and startCredit are the logarithms of how much likelier a crash, or a start without one, is if a tenth
 	// of the starts crash their workers than if one in 200 does.
@@ -21,21 +21,34 @@
 	blamedScore = 8.0
 	// maxQueueScore bounds the score, so that a queue is trusted again after some tens of starts without a crash.
 	maxQueueScore = 14.0
-	// blameWindow is how long before the loss of its worker a task may have been placed for its queue to be blamed. It
-	// covers the commit, the start order and the crash.
+	// queueScoreHalfLife is the time in which a score fades to a half, also if nothing of the queue can be started.
+	queueScoreHalfLife = 10 * time.Second
+	// blameWindow is how long before the loss of its worker a task may have been started for its queue to be blamed. It
+	// covers the order, the crash and the noticing.
 	blameWindow = 200 * time.Millisecond
 )
 
+// queueScore is how surely the starts of a queue crash workers.
+type queueScore struct {
+	score     float64
+	updatedAt time.Time
+}
+
+// at returns the score at a later time.
+func (queuescore queueScore) at(now time.Time) float64 {
+	return queuescore.score * math.Exp2(-now.Sub(queuescore.updatedAt).Seconds()/queueScoreHalfLife.Seconds())
+}
+
 // countQueueStart counts a start of a task.
 func (machine *Machine) countQueueStart(job *job) {
 	scores, name := machine.leader.queueScores, job.spec.Queue()
 	if score, known := scores[name]; known {
-		scores[name] = max(score-startCredit, 0)
+		scores[name] = queueScore{score: max(score.at(machine.now)-startCredit, 0), updatedAt: machine.now}
 	}
 }
 
-// blameQueue blames the queue of the task that was placed last on a worker whose process no longer listens. A task that
-// crashes its workers does so soon after its start.
+// blameQueue blames the queue of the task that this scheduler started last on a worker whose process no longer listens. A
+// task that crashes its workers does so soon after its start.
 func (machine *Machine) blameQueue(worker *worker) {
 	if worker.queueBlamed || worker.drained {
 		return
@@ -43,8 +56,8 @@
 	worker.queueBlamed = true
 	var last *assignment
 	for _, assignment := range worker.assignments {
-		placed := assignment.phase != phaseCommitting && worker.unreachableSince.Sub(assignment.placedAt) <= blameWindow
-		if placed && (last == nil || assignment.placedAt.After(last.placedAt)) {
+		started := !assignment.startSentAt.IsZero() && worker.unreachableSince.Sub(assignment.startSentAt) <= blameWindow
+		if started && (last == nil || assignment.startSentAt.After(last.startSentAt)) {
 			last = assignment
 		}
 	}
@@ -52,8 +65,8 @@
 		return
 	}
 	name, crashing := last.job.spec.Queue(), machine.queueCrashing(last.job)
-	score := min(machine.leader.queueScores[name]+crashPenalty, maxQueueScore)
-	machine.leader.queueScores[name] = score
+	score := min(machine.leader.queueScores[name].at(machine.now)+crashPenalty, maxQueueScore)
+	machine.leader.queueScores[name] = queueScore{score: score, updatedAt: machine.now}
 	if !crashing && machine.queueCrashing(last.job) {
 		machine.config.Log.Record("queue_isolated", almondcross.Text("queue", name), almondcross.Text("worker", worker.id),
 			almondcross.Number("score", int(math.Round(score))))
@@ -62,5 +75,6 @@
 
 // queueCrashing reports whether so many jobs of a job's queue crash their workers that all its tasks are isolated.
 func (machine *Machine) queueCrashing(job *job) bool {
-	return machine.leader.queueScores[job.spec.Queue()] >= blamedScore
+	score, known := machine.leader.queueScores[job.spec.Queue()]
+	return known && score.score >= blamedScore && score.at(machine.now) >= blamedScore
 }
--- a/command/scheduler/suspicion.go
+++ b/command/scheduler/suspicion.go
@@ -24,6 +24,9 @@
 	// isolationTimeout is how long a task waits for a worker of its own before it is placed like a suspected one. Most
 	// runs end within it, so that a worker that gets no new work is empty by then.
 	isolationTimeout = 2 * time.Second
+	// probation is how long a run of a suspected task has to be at work until its worker is shared again. A task that
+	// crashes its workers does so soon after its start.
+	probation = 3 * time.Second
 	// minIsolationShare and maxIsolationShare bound the share of the workers that isolated tasks may occupy, crashed
 	// workers included. Between them the share is what shared work leaves when it grows to maxSharedUse of its workers.
 	minIsolationShare, maxIsolationShare, maxSharedUse = 0.125, 0.75, 0.75
@@ -104,7 +107,8 @@
 }
 
 // cautiousCandidates returns the candidates for the tasks of a stage under a suspicion. Tasks that cannot be kept apart
-// are placed like others, since innocent ones must not wait for long, but for those of a queue whose tasks crash workers.
+// are placed like others, since innocent ones must not wait for long; those of a queue whose tasks crash workers only on
+// as many workers as isolated tasks may occupy.
 func (machine *Machine) cautiousCandidates(queue almondcross.Queue, waiting *waitingStage, level suspicion, advice *stageAdvice) []almondcross.WorkerCapacity {
 	if level == unsuspected {
 		return machine.candidates(queue, waiting.job, waiting.stage, unsuspected, advice)
@@ -112,7 +116,11 @@
 	if found := machine.isolatedCandidates(queue, waiting, advice); len(found) > 0 || level == isolated && machine.mayWaitForIsolation(waiting) {
 		return found
 	}
-	if found := machine.candidates(queue, waiting.job, waiting.stage, suspected, advice); len(found) > 0 {
+	found := machine.candidates(queue, waiting.job, waiting.stage, suspected, advice)
+	if machine.queueCrashing(waiting.job) {
+		return found[:min(len(found), machine.spareIsolation())]
+	}
+	if len(found) > 0 {
 		return found
 	}
 	return machine.candidates(queue, waiting.job, waiting.stage, unsuspected, advice)
@@ -120,7 +128,7 @@
 
 // mayWaitForIsolation reports whether an isolated task of a stage goes on to wait for a worker of its own.
 func (machine *Machine) mayWaitForIsolation(waiting *waitingStage) bool {
-	return waiting.isolationSince.IsZero() || machine.now.Sub(waiting.isolationSince) < isolationTimeout || machine.queueCrashing(waiting.job)
+	return waiting.isolationSince.IsZero() || machine.now.Sub(waiting.isolationSince) < isolationTimeout
 }
 
 // isolatedCandidates returns the workers that isolated tasks of a stage may use: those with runs of the same job alone,
@@ -185,3 +193,15 @@
 		machine.leader.isolatedWorkers++
 	}
 }
+
+// endProbation trusts a run of a suspected task that has worked for the probation, and lets others share its worker.
+func (machine *Machine) endProbation(worker *worker, assignment *assignment) {
+	if assignment.suspicion == unsuspected || assignment.confirmedAt.IsZero() || machine.now.Sub(assignment.confirmedAt) < probation {
+		return
+	}
+	if assignment.suspicion == isolated {
+		worker.isolatedRuns--
+	}
+	worker.suspectRuns--
+	assignment.suspicion = unsuspected
+}
--- a/command/scheduler/suspicion_test.go
+++ b/command/scheduler/suspicion_test.go
@@ -147,3 +147,41 @@
 	}
 	require.Equal(t, 4, occupied, "34 of 64 cores are in use, and may become 34/0.75 of them")
 }
+
+// Guards against a queue whose tasks wait without end once it is blamed: lasting tasks keep every worker occupied, so that
+// none is ever empty, and without starts nothing clears the queue (LOST).
+func TestTasksOfACrashingQueueStartOnOccupiedWorkers(t *testing.T) {
+	harness := newHarnessWithWorkers(t, 4)
+	for index := range 4 {
+		harness.submitJob(almondcross.JobID("service"+strconv.Itoa(index)), almondcross.StepConfig{Count: 3, Service: true})
+	}
+	harness.answerCommits()
+	for _, id := range []string{"w-1", "w-2", "w-3"} {
+		worker := harness.machine.leader.workers[id]
+		worker.unreachableSince = harness.now
+		harness.machine.blameQueue(worker)
+	}
+	harness.submitJob("j", almondcross.StepConfig{Count: 1})
+	require.True(t, harness.machine.queueCrashing(harness.machine.state.jobs["j"]))
+	submitted := harness.now
+	for !harness.record(taskOf("j", 0, 0)).Active() && harness.now.Sub(submitted) < time.Minute {
+		harness.placeWaiting()
+	}
+	require.Less(t, harness.now.Sub(submitted), isolationTimeout+time.Second)
+	for harness.machine.queueCrashing(harness.machine.state.jobs["j"]) && harness.now.Sub(submitted) < time.Minute {
+		harness.placeWaiting()
+	}
+	require.Less(t, harness.now.Sub(submitted), 2*queueScoreHalfLife, "the blame fades without starts")
+}
+
+// Guards against a queue that is blamed for runs that the scheduler before had started: a new scheduler finds crashed
+// workers at once, and has just restored their runs.
+func TestSuccessorBlamesNoQueueForRestoredRuns(t *testing.T) {
+	harness := newHarnessWithRun(t).electStandby()
+	harness.announceWorker()
+	order := requireEffect[SendLease](harness).Order
+	harness.apply(almondcross.NewLeaseAnswered(almondcross.LeaseAnsweredConfig{
+		Order: order, Result: almondcross.OrderRefused, Sent: harness.now, Received: harness.now,
+	}))
+	require.Empty(t, harness.machine.leader.queueScores)
+}
--- a/command/scheduler/sweep.go
+++ b/command/scheduler/sweep.go
@@ -42,6 +42,7 @@
 func (machine *Machine) sweepRuns(worker *worker, lost bool) {
 	lostEnd := machine.lostRunEnd(worker)
 	for _, assignment := range worker.assignments {
+		machine.endProbation(worker, assignment)
 		switch {
 		case lost && assignment.phase != phaseCommitting:
 			machine.endRun(worker, assignment, assignment.crashEnd(lostEnd), assignment.checkpoint)
