--- a/command/scheduler/doc.go
+++ b/command/scheduler/doc.go
@@ -24,6 +24,15 @@
 // whether the order was carried out, since the worker refuses orders with the old token from then on. The
 // runs of an unreachable worker count as active until its lease has expired for certain.
 //
+// Whether a run has to be stopped follows from the state (the job is final, or the gang has lost a member), and every
+// sweep compares the runs with it, so that a scheduler that takes over stops what its predecessor had to stop.
+//
+// # Crashes
+//
+// The state counts the workers that crashed under a task, and the job of a task that has seen too many fails. Until then
+// such a task is kept apart from other suspects, and runs alone with its job after the second crash (suspicion.go). A
+// queue of which many starts crash workers is isolated as a whole (queuecrash.go).
+//
 // # Failure
 //
 // A scheduler that is silent for electionTimeout is replaced by a host that can read the store. While the
