Place a suspected gang on shared workers if too few are its own

The candidates for a stage whose tasks have seen a crash were those of the strictest kind of which there was any worker. A gang starts whole or not at all, so one empty worker that was too small kept it waiting without end, after a single crash already and beyond isolationTimeout. A gang now tries each kind of worker in turn.

--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -246,7 +246,12 @@
 		if len(wanted) == 0 {
 			continue
 		}
-		placed := machine.placeGroup(waiting.job, waiting.stage, wanted, machine.cautiousCandidates(queue, waiting, suspicion, advice))
+		var placed bool
+		if waiting.stage.spec.Gang() {
+			placed = machine.placeGang(queue, waiting, wanted, suspicion, advice)
+		} else {
+			placed = machine.placeGroup(waiting.job, waiting.stage, wanted, machine.cautiousCandidates(queue, waiting, suspicion, advice))
+		}
 		complete = complete && placed
 		if suspicion == isolated {
 			machine.awaitIsolation(queue, waiting, advice, placed)
--- a/command/scheduler/suspicion.go
+++ b/command/scheduler/suspicion.go
@@ -103,7 +103,7 @@
 	}
 }
 
-// cautiousCandidates returns the candidates for the tasks of a stage under a suspicion. Tasks that cannot be kept apart
+// cautiousCandidates returns the candidates for single tasks of a stage under a suspicion. Tasks that cannot be kept apart
 // are placed like others, since innocent ones must not wait for long, but for those of a queue whose tasks crash workers.
 func (machine *Machine) cautiousCandidates(queue almondcross.Queue, waiting *waitingStage, level suspicion, advice *stageAdvice) []almondcross.WorkerCapacity {
 	if level == unsuspected {
@@ -118,18 +118,33 @@
 	return machine.candidates(queue, waiting.job, waiting.stage, unsuspected, advice)
 }
 
+// placeGang places a gang under a suspicion on workers of its own if these have room for all members. Otherwise, it places
+// it like others, as cautiousCandidates does.
+func (machine *Machine) placeGang(queue almondcross.Queue, waiting *waitingStage, wanted []int, level suspicion, advice *stageAdvice) bool {
+	job, stage := waiting.job, waiting.stage
+	if level != unsuspected {
+		if machine.placeGroup(job, stage, wanted, machine.candidates(queue, job, stage, isolated, advice)) {
+			return true
+		}
+		if level == isolated && machine.mayWaitForIsolation(waiting) {
+			return false
+		}
+		if machine.placeGroup(job, stage, wanted, machine.candidates(queue, job, stage, suspected, advice)) {
+			return true
+		}
+	}
+	return machine.placeGroup(job, stage, wanted, machine.candidates(queue, job, stage, unsuspected, advice))
+}
+
 // mayWaitForIsolation reports whether an isolated task of a stage goes on to wait for a worker of its own.
 func (machine *Machine) mayWaitForIsolation(waiting *waitingStage) bool {
 	return waiting.isolationSince.IsZero() || machine.now.Sub(waiting.isolationSince) < isolationTimeout || machine.queueCrashing(waiting.job)
 }
 
 // isolatedCandidates returns the workers that isolated tasks of a stage may use: those with runs of the same job alone,
-// and empty ones. A gang gets as many as it needs.
+// and empty ones.
 func (machine *Machine) isolatedCandidates(queue almondcross.Queue, waiting *waitingStage, advice *stageAdvice) []almondcross.WorkerCapacity {
 	found := machine.candidates(queue, waiting.job, waiting.stage, isolated, advice)
-	if waiting.stage.spec.Gang() {
-		return found
-	}
 	return found[:min(len(found), machine.spareIsolation())]
 }
 
--- a/command/scheduler/suspicion_test.go
+++ b/command/scheduler/suspicion_test.go
@@ -147,3 +147,44 @@
 	}
 	require.Equal(t, 4, occupied, "34 of 64 cores are in use, and may become 34/0.75 of them")
 }
+
+// fillWorker places a lasting task of another job on a worker.
+func (harness *harness) fillWorker(id string) {
+	harness.t.Helper()
+	for _, worker := range harness.machine.leader.workers {
+		worker.avoidUntil = harness.now.Add(time.Hour)
+	}
+	harness.machine.leader.workers[id].avoidUntil = time.Time{}
+	harness.submitJob(almondcross.JobID("on-"+id), almondcross.StepConfig{Count: 1, Service: true})
+	harness.answerCommits()
+	for _, worker := range harness.machine.leader.workers {
+		worker.avoidUntil = time.Time{}
+	}
+	require.Equal(harness.t, id, harness.record(taskOf(almondcross.JobID("on-"+id), 0, 0)).Worker())
+}
+
+// Guards against a gang that waits without end after a crash although there is room for it: some workers are empty, but
+// not enough for all members.
+func TestGangThatHasSeenACrashIsPlacedOnSharedWorkers(t *testing.T) {
+	for crashes := 1; crashes <= isolationCrashes; crashes++ {
+		harness := newHarnessWithWorkers(t, 3)
+		harness.fillWorker("w-2")
+		harness.fillWorker("w-3")
+		harness.submitJob("g", almondcross.StepConfig{Count: 6, Gang: true})
+		harness.schedule(time.Second, nil)
+		for range crashes {
+			for index := range 6 {
+				task := taskOf("g", 0, index)
+				require.True(t, harness.record(task).Active())
+				kind := almondcross.EndVoid
+				if index == 0 {
+					kind = almondcross.EndWorkerCrashed
+				}
+				worker := harness.machine.leader.workers[harness.record(task).Worker()]
+				harness.machine.endRun(worker, worker.assignments[task], kind, "")
+			}
+			harness.schedule(isolationTimeout+500*time.Millisecond, nil) // Less than stallTimeout.
+		}
+		require.True(t, harness.record(taskOf("g", 0, 0)).Active(), "after %d crashes", crashes)
+	}
+}
