Request advice on shared workers for tasks that have none of their own

For a stage with isolated tasks, advice was requested for empty workers only. Without one, the scheduler never held a ticket, never tried to place the task, and so never noted since when it waits for a worker of its own: the bound of isolationTimeout did not apply, and an innocent task waited as long as no worker became empty.

TestIsolatedTaskGetsTicketsForSharedWorkers: two workers with a lasting task each: not placed within 3 s after two crashes; placed now. go test ./command/scheduler passes.

--- a/command/scheduler/advice.go
+++ b/command/scheduler/advice.go
@@ -190,7 +190,12 @@
 	if stage.spec.Gang() && long {
 		selected = machine.selectForGang(queue, job, stage, advice)
 	} else {
-		selected = machine.selectWorkers(queue, stage, advice, machine.candidates(queue, job, stage, machine.waitingSuspicion(job, stage), nil))
+		suspicion := machine.waitingSuspicion(job, stage)
+		selected = machine.selectWorkers(queue, stage, advice, machine.candidates(queue, job, stage, suspicion, nil))
+		if len(selected) == 0 && suspicion != unsuspected {
+			// Tasks that cannot be kept apart need tickets for shared workers.
+			selected = machine.selectWorkers(queue, stage, advice, machine.candidates(queue, job, stage, unsuspected, nil))
+		}
 	}
 	if len(selected) == 0 {
 		advice.retryAt = machine.now.Add(adviceRetryDelay)
--- a/command/scheduler/suspicion_test.go
+++ b/command/scheduler/suspicion_test.go
@@ -188,3 +188,39 @@
 		require.True(t, harness.record(taskOf("g", 0, 0)).Active(), "after %d crashes", crashes)
 	}
 }
+
+// grantAdvice answers the pending calls for advice with a ticket for each worker.
+func (harness *harness) grantAdvice() {
+	for call, found := takeEffect[SendAdviceQuery](harness); found; call, found = takeEffect[SendAdviceQuery](harness) {
+		var tickets []almondcross.Ticket
+		for _, id := range call.Query.Workers() {
+			tickets = append(tickets, almondcross.NewTicket(almondcross.TicketConfig{Worker: id}))
+		}
+		harness.apply(almondcross.NewAdviceAnswered(almondcross.AdviceAnsweredConfig{
+			Adviser: call.Adviser, Query: call.Query, Received: harness.now,
+			Result: almondcross.NewAdviceResult(almondcross.AdviceResultConfig{Stage: call.Query.Stage(), Tickets: tickets, Validity: 2 * time.Second}),
+		}))
+	}
+}
+
+// Guards against a task of a queue with advice that waits without end after two crashes: advice was requested for empty
+// workers only, and the wait for one is bounded from the first attempt to place the task, which needs a ticket.
+func TestIsolatedTaskGetsTicketsForSharedWorkers(t *testing.T) {
+	harness := newHarnessWithWorkers(t, 2)
+	harness.fillWorker("w-1")
+	harness.fillWorker("w-2")
+	harness.requireAdvice()
+	harness.submitJob("j", almondcross.StepConfig{Count: 1})
+	task := taskOf("j", 0, 0)
+	for crashes := 0; ; crashes++ {
+		for since := harness.now; harness.now.Sub(since) < isolationTimeout+time.Second; harness.grantAdvice() {
+			harness.schedule(leaderTick, nil)
+		}
+		require.True(t, harness.record(task).Active(), "after %d crashes", crashes)
+		if crashes == isolationCrashes {
+			return
+		}
+		worker := harness.machine.leader.workers[harness.record(task).Worker()]
+		harness.machine.endRun(worker, worker.assignments[task], almondcross.EndWorkerCrashed, "")
+	}
+}
