Request advice on shared workers for gangs that cannot be kept apart

The call for a gang names the allowed workers with room under the gang's suspicion. After two crashes these are the empty ones, so a gang for which they have too little room got no tickets for shared workers and waited without end.

TestIsolatedTasksGetTicketsForSharedWorkers, which now has a gang of 6 too, on two workers with a lasting task each: not placed within 3 s after two crashes; placed now. go test ./command/scheduler passes.

--- a/command/scheduler/advice.go
+++ b/command/scheduler/advice.go
@@ -289,13 +289,12 @@
 // resources.
 func (machine *Machine) selectForGang(queue almondcross.Queue, job *job, stage *stage, advice *stageAdvice) []string {
 	wanted := stage.remainingTasks - stage.activeTasks
-	var freeOnAllowed, totalOnAllowed, freeOnUndecided int
-	var allowed []string
-	for _, candidate := range machine.candidates(queue, job, stage, machine.waitingSuspicion(job, stage), nil) {
-		if advice.decisions[candidate.Worker()] {
-			freeOnAllowed += candidate.Tasks()
-			allowed = append(allowed, candidate.Worker())
-		}
+	var totalOnAllowed, freeOnUndecided int
+	suspicion := machine.waitingSuspicion(job, stage)
+	allowed, freeOnAllowed := machine.freeAllowedWorkers(queue, job, stage, suspicion, advice)
+	if freeOnAllowed < wanted && suspicion != unsuspected && !machine.queueCrashing(job) {
+		// A gang that cannot be kept apart needs tickets for shared workers.
+		allowed, freeOnAllowed = machine.freeAllowedWorkers(queue, job, stage, unsuspected, advice)
 	}
 	if freeOnAllowed >= wanted {
 		return allowed[:min(len(allowed), maxWorkersPerCall)]
@@ -316,6 +315,18 @@
 	return machine.extendSelection(queue, allowed, append(fitNow, fitLater...), float64(wanted)*gangCapacityFactor-float64(totalOnAllowed))
 }
 
+// freeAllowedWorkers returns the workers known to be allowed that have room for tasks of a stage under a suspicion, and for
+// how many.
+func (machine *Machine) freeAllowedWorkers(queue almondcross.Queue, job *job, stage *stage, suspicion suspicion, advice *stageAdvice) (workers []string, tasks int) {
+	for _, candidate := range machine.candidates(queue, job, stage, suspicion, nil) {
+		if advice.decisions[candidate.Worker()] {
+			tasks += candidate.Tasks()
+			workers = append(workers, candidate.Worker())
+		}
+	}
+	return workers, tasks
+}
+
 // extendSelection adds workers to the selected ones until the added ones are expected to fit a number of
 // tasks.
 func (machine *Machine) extendSelection(queue almondcross.Queue, selected []string, candidates []almondcross.WorkerCapacity, tasks float64) []string {
--- a/command/scheduler/suspicion_test.go
+++ b/command/scheduler/suspicion_test.go
@@ -203,24 +203,29 @@
 	}
 }
 
-// Guards against a task of a queue with advice that waits without end after two crashes: advice was requested for empty
+// Guards against tasks of a queue with advice that wait without end after two crashes: advice was requested for empty
 // workers only, and the wait for one is bounded from the first attempt to place the task, which needs a ticket.
-func TestIsolatedTaskGetsTicketsForSharedWorkers(t *testing.T) {
-	harness := newHarnessWithWorkers(t, 2)
-	harness.fillWorker("w-1")
-	harness.fillWorker("w-2")
-	harness.requireAdvice()
-	harness.submitJob("j", almondcross.StepConfig{Count: 1})
-	task := taskOf("j", 0, 0)
-	for crashes := 0; ; crashes++ {
-		for since := harness.now; harness.now.Sub(since) < isolationTimeout+time.Second; harness.grantAdvice() {
-			harness.schedule(leaderTick, nil)
-		}
-		require.True(t, harness.record(task).Active(), "after %d crashes", crashes)
-		if crashes == isolationCrashes {
-			return
+func TestIsolatedTasksGetTicketsForSharedWorkers(t *testing.T) {
+	for _, step := range []almondcross.StepConfig{{Count: 1}, {Count: 6, Gang: true}} {
+		harness := newHarnessWithWorkers(t, 2)
+		harness.fillWorker("w-1")
+		harness.fillWorker("w-2")
+		harness.requireAdvice()
+		harness.submitJob("j", step)
+		for crashes := 0; crashes <= isolationCrashes; crashes++ {
+			for since := harness.now; harness.now.Sub(since) < isolationTimeout+time.Second; harness.grantAdvice() {
+				harness.schedule(leaderTick, nil)
+			}
+			for index := range step.Count {
+				task := taskOf("j", 0, index)
+				require.True(t, harness.record(task).Active(), "%d tasks, after %d crashes", step.Count, crashes)
+				kind := almondcross.EndVoid
+				if index == 0 {
+					kind = almondcross.EndWorkerCrashed
+				}
+				worker := harness.machine.leader.workers[harness.record(task).Worker()]
+				harness.machine.endRun(worker, worker.assignments[task], kind, "")
+			}
 		}
-		worker := harness.machine.leader.workers[harness.record(task).Worker()]
-		harness.machine.endRun(worker, worker.assignments[task], almondcross.EndWorkerCrashed, "")
 	}
 }
