End the suspicion of runs that a crash would not count against

An isolated run keeps runs of other jobs from its worker for as long as it lasts. Lasting tasks do so for good: services with two crashes each, bystanders included, could take all workers of a pool, and other jobs waited without end.

--- a/command/scheduler/crash.go
+++ b/command/scheduler/crash.go
@@ -33,12 +33,8 @@
 // countCrash counts a crash of the worker under the last run of a task, which ended at a time.
 func (stage *stage) countCrash(index int, kind almondcross.EndKind, now time.Time) {
 	record := stage.tasks[index]
-	attribution := crashAttribution
-	if stage.spec.Service() {
-		attribution = serviceCrashAttribution
-	}
 	switch {
-	case now.Sub(record.Since()) > attribution:
+	case now.Sub(record.Since()) > stage.crashAttribution():
 		record = record.WithCrashes(0).WithConfirmed(0)
 	case kind == almondcross.EndMaybeCrashed:
 		record = record.WithCrashes(record.Crashes() + 1)
@@ -51,6 +47,14 @@
 	stage.updateMaxCrashes()
 }
 
+// crashAttribution returns how long a run may have been on its worker for a crash to count against its task.
+func (stage *stage) crashAttribution() time.Duration {
+	if stage.spec.Service() {
+		return serviceCrashAttribution
+	}
+	return crashAttribution
+}
+
 // givenUp reports whether so many workers have crashed under a task that it is not started again. A service, whose users
 // need it, gets as many starts as the bound allows.
 func (stage *stage) givenUp(index int) bool {
--- a/command/scheduler/suspicion.go
+++ b/command/scheduler/suspicion.go
@@ -103,6 +103,19 @@
 	}
 }
 
+// endSuspicion ends the suspicion of a run that has been on its worker for so long that a crash would not count against its
+// task, so that a lasting task does not keep its worker from other jobs for good.
+func (worker *worker) endSuspicion(assignment *assignment, now time.Time) {
+	if assignment.suspicion == unsuspected || now.Sub(assignment.placedAt) <= assignment.stage.crashAttribution() {
+		return
+	}
+	worker.suspectRuns--
+	if assignment.suspicion == isolated {
+		worker.isolatedRuns--
+	}
+	assignment.suspicion = unsuspected
+}
+
 // cautiousCandidates returns the candidates for single tasks of a stage under a suspicion. Tasks that cannot be kept apart
 // are placed like others, since innocent ones must not wait for long, but for those of a queue whose tasks crash workers.
 func (machine *Machine) cautiousCandidates(queue almondcross.Queue, waiting *waitingStage, level suspicion, advice *stageAdvice) []almondcross.WorkerCapacity {
--- a/command/scheduler/suspicion_test.go
+++ b/command/scheduler/suspicion_test.go
@@ -229,3 +229,26 @@
 		}
 	}
 }
+
+// Guards against a job that waits without end because lasting tasks that once saw two crashes keep every worker for
+// themselves.
+func TestLastingTasksKeepNoWorkerForThemselves(t *testing.T) {
+	harness := newHarnessWithWorkers(t, 2)
+	first, second := taskOf("s", 0, 0), taskOf("t", 0, 0)
+	harness.submitJob("s", almondcross.StepConfig{Count: 1, Service: true})
+	harness.submitJob("t", almondcross.StepConfig{Count: 1, Service: true})
+	harness.schedule(time.Second, nil)
+	for range isolationCrashes {
+		harness.crashUnder(first, second)
+		harness.schedule(isolationTimeout+time.Second, nil)
+	}
+	harness.submitJob("j", almondcross.StepConfig{Count: 1})
+	harness.schedule(time.Second, nil)
+	require.False(t, harness.record(taskOf("j", 0, 0)).Active(), "both workers have an isolated task")
+	harness.schedule(serviceCrashAttribution, nil)
+	require.True(t, harness.record(taskOf("j", 0, 0)).Active())
+	for _, worker := range harness.machine.leader.sortedWorkers {
+		require.Zero(t, worker.suspectRuns)
+		require.Zero(t, worker.isolatedRuns)
+	}
+}
--- a/command/scheduler/sweep.go
+++ b/command/scheduler/sweep.go
@@ -37,11 +37,12 @@
 	}
 }
 
-// sweepRuns ends the runs of a lost worker, stops those that are no longer wanted or make no progress, and repeats
+// sweepRuns ends the runs of a lost worker, ends the suspicion of old ones, stops those that are no longer wanted or make no progress, and repeats
 // unanswered stop orders.
 func (machine *Machine) sweepRuns(worker *worker, lost bool) {
 	lostEnd := machine.lostRunEnd(worker)
 	for _, assignment := range worker.assignments {
+		worker.endSuspicion(assignment, machine.now)
 		switch {
 		case lost && assignment.phase != phaseCommitting:
 			machine.endRun(worker, assignment, assignment.crashEnd(lostEnd), assignment.checkpoint)
