Count crashes of a worker that had left as an earlier incarnation

A worker that had announced that it would leave, and answered as another incarnation under the same id before the scheduler had read its new announcement, kept the mark of its old announcement for the whole new incarnation. The runs of such a worker end as void, so a crash under a task was not counted (rule BUDGET). The mark is now taken from an announcement that is read after the new incarnation answered, unless the worker was unknown.

TestNextIncarnationOfDrainedWorkerMayCrash: the end of its runs was void, is crashed_alone now. go test ./command/scheduler passes.

--- a/command/scheduler/crash_test.go
+++ b/command/scheduler/crash_test.go
@@ -147,3 +147,21 @@
 		require.Equal(t, state, harness.machine.state.jobs["j"].state)
 	}
 }
+
+// Guards against crashes that are never counted (BUDGET): a worker that had announced that it would leave, and answers as
+// another incarnation before its new announcement is read, counted as leaving for the whole of that incarnation.
+func TestNextIncarnationOfDrainedWorkerMayCrash(t *testing.T) {
+	harness := newHarnessWithRun(t)
+	announce := func(draining bool) {
+		harness.apply(almondcross.NewWorkersRead(almondcross.WorkersReadConfig{Changes: []almondcross.WorkerChange{
+			almondcross.NewWorkerChange(almondcross.WorkerChangeConfig{ID: workerID, Present: true, Worker: poolWorker.WithDraining(draining)}),
+		}}))
+	}
+	announce(true)
+	harness.answerLeaseAs(2)
+	harness.answerLeaseAs(2)
+	harness.answerCommits()
+	require.Equal(t, almondcross.EndVoid, harness.recordedEnd(), "the first incarnation had announced that it would leave")
+	announce(false)
+	require.Equal(t, almondcross.EndCrashedAlone, harness.machine.leader.workers[workerID].crashEnd())
+}
--- a/command/scheduler/lease.go
+++ b/command/scheduler/lease.go
@@ -244,7 +244,8 @@
 	if worker.incarnation != 0 {
 		worker.raiseFence = true
 	}
-	worker.drained = worker.info.Draining()
+	// A known worker's announcement may still be that of its previous incarnation.
+	worker.drained = worker.incarnation == 0 && worker.info.Draining()
 	worker.incarnation, worker.acknowledgedEnd, worker.maxLeaseEnd, worker.failures, worker.ackLimit = incarnation, 0, 0, 0, 0
 }
 
