Number forwarded intakes from a random start

Each process numbered the intakes that it forwards from 1, and the scheduler confirms an intake to the host by its name, over whatever link that host has.

--- a/command/submitter/submitter.go
+++ b/command/submitter/submitter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -71,7 +72,11 @@
 
 // New returns a submitter.
 func New(config Config) *Submitter {
-	return &Submitter{config: config, partition: config.Partition % config.Partitions, probeResults: make(chan error, 1)}
+	return &Submitter{
+		config: config, partition: config.Partition % config.Partitions, probeResults: make(chan error, 1),
+		// Answers to intakes of an earlier process must not match those of this one.
+		lastNumber: rand.Int64N(1 << 62), //nolint:gosec // The number needs no secrecy.
+	}
 }
 
 // pending is a submission with its encoded record.
--- a/command/submitter/submitter_test.go
+++ b/command/submitter/submitter_test.go
@@ -69,6 +69,7 @@
 	client             *submitter.Client
 	schedulerReachable atomic.Bool
 	schedulerAnswers   atomic.Bool
+	stored             *ring.Ring[almondcross.IntakeStored]
 }
 
 func newFixture(ctx context.Context, t *testing.T) *fixture {
@@ -77,7 +78,7 @@
 	require.NoError(t, err)
 	submissions := ring.New[submitter.Submission](ring.Config{Name: "submissions", Capacity: 64})
 	stored := ring.New[almondcross.IntakeStored](ring.Config{Name: "stored", Capacity: 64})
-	fixture := &fixture{store: &store{}, client: submitter.NewClient(submissions)}
+	fixture := &fixture{store: &store{}, client: submitter.NewClient(submissions), stored: stored}
 	duty := submitter.New(submitter.Config{
 		Writer: fixture.store, Codec: codec, Clock: clock{}, Log: discardLog{}, Topic: "intake", Partitions: 2, Stored: stored, RecordBytes: recordBytes, CallBytes: callBytes,
 		Forward: func(forwarded almondcross.IntakeForwarded) bool {
@@ -145,6 +146,22 @@
 	})
 }
 
+// Guards against a job or a cancellation that is acknowledged and lost (LOST, UNASKED): the scheduler confirms an intake of
+// the process before this one over the new link, and the number of that intake is that of another one, which is not in the
+// journal yet.
+func TestAnswersToAnEarlierProcessConfirmNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		fixture := newFixture(ctx, t)
+		fixture.schedulerReachable.Store(true)
+		fixture.stored.Offer(almondcross.NewIntakeStored(almondcross.IntakeStoredConfig{Number: 1}))
+		_, err := fixture.submit(ctx)
+		require.NoError(t, err)
+		require.Equal(t, int64(1), fixture.store.records.Load(), "an intake that the scheduler does not confirm is appended to the store")
+	})
+}
+
 // Guards against a job that the store refuses for its size: it would make the host refuse all callers as if the store were
 // lost, each time that its caller sends it again. The same holds for a batch that exceeds the limit of an append.
 func TestLargeJobsLeaveTheStoreUsable(t *testing.T) {
