Bound the wait of tasks of a queue whose tasks crash workers

These tasks waited for an empty worker without a bound, and the queue is trusted again only by further starts. After 10 s, or after isolationTimeout for a service, they may now share workers, still on no more workers than isolated tasks may occupy.

--- a/command/scheduler/suspicion.go
+++ b/command/scheduler/suspicion.go
@@ -24,6 +24,9 @@
 	// isolationTimeout is how long a task waits for a worker of its own before it is placed like a suspected one. Most
 	// runs end within it, so that a worker that gets no new work is empty by then.
 	isolationTimeout = 2 * time.Second
+	// blamedIsolationTimeout replaces isolationTimeout for a task, other than a service, of a queue whose tasks crash workers.
+	// Nearly all runs end within it, so only on a cluster whose workers are never empty is there none.
+	blamedIsolationTimeout = 10 * time.Second
 	// minIsolationShare and maxIsolationShare bound the share of the workers that isolated tasks may occupy, crashed
 	// workers included. Between them the share is what shared work leaves when it grows to maxSharedUse of its workers.
 	minIsolationShare, maxIsolationShare, maxSharedUse = 0.125, 0.75, 0.75
@@ -117,7 +120,8 @@
 }
 
 // cautiousCandidates returns the candidates for single tasks of a stage under a suspicion. Tasks that cannot be kept apart
-// are placed like others, since innocent ones must not wait for long, but for those of a queue whose tasks crash workers.
+// are placed like others, since innocent ones must not wait for long. Those of a queue whose tasks crash workers wait longer
+// and then still occupy no more workers than isolated tasks may.
 func (machine *Machine) cautiousCandidates(queue almondcross.Queue, waiting *waitingStage, level suspicion, advice *stageAdvice) []almondcross.WorkerCapacity {
 	if level == unsuspected {
 		return machine.candidates(queue, waiting.job, waiting.stage, unsuspected, advice)
@@ -125,10 +129,18 @@
 	if found := machine.isolatedCandidates(queue, waiting, advice); len(found) > 0 || level == isolated && machine.mayWaitForIsolation(waiting) {
 		return found
 	}
-	if found := machine.candidates(queue, waiting.job, waiting.stage, suspected, advice); len(found) > 0 {
-		return found
+	limit := len(machine.leader.usableWorkers)
+	if machine.queueCrashing(waiting.job) {
+		limit = machine.spareIsolation()
+	}
+	if limit == 0 {
+		return nil
 	}
-	return machine.candidates(queue, waiting.job, waiting.stage, unsuspected, advice)
+	found := machine.candidates(queue, waiting.job, waiting.stage, suspected, advice)
+	if len(found) == 0 {
+		found = machine.candidates(queue, waiting.job, waiting.stage, unsuspected, advice)
+	}
+	return found[:min(len(found), limit)]
 }
 
 // placeGang places a gang under a suspicion on workers of its own if these have room for all members. Otherwise, it places
@@ -151,7 +163,11 @@
 
 // mayWaitForIsolation reports whether an isolated task of a stage goes on to wait for a worker of its own.
 func (machine *Machine) mayWaitForIsolation(waiting *waitingStage) bool {
-	return waiting.isolationSince.IsZero() || machine.now.Sub(waiting.isolationSince) < isolationTimeout || machine.queueCrashing(waiting.job)
+	timeout := isolationTimeout
+	if machine.queueCrashing(waiting.job) && !waiting.stage.spec.Service() {
+		timeout = blamedIsolationTimeout
+	}
+	return waiting.isolationSince.IsZero() || machine.now.Sub(waiting.isolationSince) < timeout
 }
 
 // isolatedCandidates returns the workers that isolated tasks of a stage may use: those with runs of the same job alone,
--- a/command/scheduler/suspicion_test.go
+++ b/command/scheduler/suspicion_test.go
@@ -252,3 +252,41 @@
 		require.Zero(t, worker.isolatedRuns)
 	}
 }
+
+// Guards against tasks of a queue that stays blamed for good, since none of its tasks starts on a cluster with a lasting
+// task on each worker, and against such tasks on more workers than isolated ones may occupy.
+func TestTasksOfACrashingQueueWaitForABoundedTime(t *testing.T) {
+	for _, test := range []struct {
+		step    almondcross.StepConfig
+		timeout time.Duration
+	}{
+		{almondcross.StepConfig{Count: 1}, blamedIsolationTimeout},
+		{almondcross.StepConfig{Count: 2, Gang: true}, blamedIsolationTimeout},
+		{almondcross.StepConfig{Count: 1, Service: true}, isolationTimeout},
+	} {
+		harness := newHarnessWithWorkers(t, 4)
+		for _, worker := range []string{"w-1", "w-2", "w-3", "w-4"} {
+			harness.fillWorker(worker)
+		}
+		harness.machine.leader.queueScores["q"] = maxQueueScore
+		jobs := []almondcross.JobID{"j0", "j1", "j2", "j3", "j4"}
+		for _, id := range jobs {
+			harness.submitJob(id, test.step)
+		}
+		started := func() (count int) {
+			for _, id := range jobs {
+				if harness.record(taskOf(id, 0, 0)).Active() {
+					count++
+				}
+			}
+			return count
+		}
+		harness.schedule(test.timeout-500*time.Millisecond, nil)
+		require.Zero(t, started())
+		harness.schedule(time.Second, nil)
+		require.Positive(t, started())
+		if !test.step.Gang {
+			require.LessOrEqual(t, started(), harness.machine.leader.isolationLimit)
+		}
+	}
+}
