--- a/command/scheduler/suspicion.go
+++ b/command/scheduler/suspicion.go
@@ -27,6 +27,9 @@
 	// probation is how long a run of a suspected task has to be at work until its worker is shared again. A task that
 	// crashes its workers does so soon after its start.
 	probation = 3 * time.Second
+	// blamedIsolationTimeout replaces isolationTimeout for a task, other than a service, of a queue whose tasks crash workers.
+	// Nearly all runs end within it, so only on a cluster whose workers are never empty is there none.
+	blamedIsolationTimeout = 10 * time.Second
 	// minIsolationShare and maxIsolationShare bound the share of the workers that isolated tasks may occupy, crashed
 	// workers included. Between them the share is what shared work leaves when it grows to maxSharedUse of its workers.
 	minIsolationShare, maxIsolationShare, maxSharedUse = 0.125, 0.75, 0.75
@@ -106,9 +109,9 @@
 	}
 }
 
-// cautiousCandidates returns the candidates for the tasks of a stage under a suspicion. Tasks that cannot be kept apart
-// are placed like others, since innocent ones must not wait for long; those of a queue whose tasks crash workers only on
-// as many workers as isolated tasks may occupy.
+// cautiousCandidates returns the candidates for single tasks of a stage under a suspicion. Tasks that cannot be kept apart
+// are placed like others, since innocent ones must not wait for long. Those of a queue whose tasks crash workers wait longer
+// and then still occupy no more workers than isolated tasks may.
 func (machine *Machine) cautiousCandidates(queue almondcross.Queue, waiting *waitingStage, level suspicion, advice *stageAdvice) []almondcross.WorkerCapacity {
 	if level == unsuspected {
 		return machine.candidates(queue, waiting.job, waiting.stage, unsuspected, advice)
@@ -116,28 +119,51 @@
 	if found := machine.isolatedCandidates(queue, waiting, advice); len(found) > 0 || level == isolated && machine.mayWaitForIsolation(waiting) {
 		return found
 	}
-	found := machine.candidates(queue, waiting.job, waiting.stage, suspected, advice)
+	limit := len(machine.leader.usableWorkers)
 	if machine.queueCrashing(waiting.job) {
-		return found[:min(len(found), machine.spareIsolation())]
+		limit = machine.spareIsolation()
 	}
-	if len(found) > 0 {
-		return found
+	if limit == 0 {
+		return nil
+	}
+	found := machine.candidates(queue, waiting.job, waiting.stage, suspected, advice)
+	if len(found) == 0 {
+		found = machine.candidates(queue, waiting.job, waiting.stage, unsuspected, advice)
 	}
-	return machine.candidates(queue, waiting.job, waiting.stage, unsuspected, advice)
+	return found[:min(len(found), limit)]
+}
+
+// placeGang places a gang under a suspicion on workers of its own if these have room for all members. Otherwise, it places
+// it like others, as cautiousCandidates does.
+func (machine *Machine) placeGang(queue almondcross.Queue, waiting *waitingStage, wanted []int, level suspicion, advice *stageAdvice) bool {
+	job, stage := waiting.job, waiting.stage
+	if level != unsuspected {
+		if machine.placeGroup(job, stage, wanted, machine.candidates(queue, job, stage, isolated, advice)) {
+			return true
+		}
+		if level == isolated && machine.mayWaitForIsolation(waiting) {
+			return false
+		}
+		if machine.placeGroup(job, stage, wanted, machine.candidates(queue, job, stage, suspected, advice)) {
+			return true
+		}
+	}
+	return machine.placeGroup(job, stage, wanted, machine.candidates(queue, job, stage, unsuspected, advice))
 }
 
 // mayWaitForIsolation reports whether an isolated task of a stage goes on to wait for a worker of its own.
 func (machine *Machine) mayWaitForIsolation(waiting *waitingStage) bool {
-	return waiting.isolationSince.IsZero() || machine.now.Sub(waiting.isolationSince) < isolationTimeout
+	timeout := isolationTimeout
+	if machine.queueCrashing(waiting.job) && !waiting.stage.spec.Service() {
+		timeout = blamedIsolationTimeout
+	}
+	return waiting.isolationSince.IsZero() || machine.now.Sub(waiting.isolationSince) < timeout
 }
 
 // isolatedCandidates returns the workers that isolated tasks of a stage may use: those with runs of the same job alone,
-// and empty ones. A gang gets as many as it needs.
+// and empty ones.
 func (machine *Machine) isolatedCandidates(queue almondcross.Queue, waiting *waitingStage, advice *stageAdvice) []almondcross.WorkerCapacity {
 	found := machine.candidates(queue, waiting.job, waiting.stage, isolated, advice)
-	if waiting.stage.spec.Gang() {
-		return found
-	}
 	return found[:min(len(found), machine.spareIsolation())]
 }
 
@@ -169,7 +195,8 @@
 }
 
 // awaitIsolation notes since when tasks of a stage wait for workers of their own, and keeps the least occupied worker
-// that they may use free of further runs in this pass.
+// that they may use free of further runs in this pass. Jobs of a queue whose tasks crash workers are placed last in a pass,
+// too late to keep one free.
 func (machine *Machine) awaitIsolation(queue almondcross.Queue, waiting *waitingStage, advice *stageAdvice, placed bool) {
 	if placed {
 		waiting.isolationSince = time.Time{}
@@ -178,7 +205,7 @@
 	if waiting.isolationSince.IsZero() {
 		waiting.isolationSince = machine.now
 	}
-	if waiting.stage.spec.Gang() || machine.spareIsolation() == 0 {
+	if waiting.stage.spec.Gang() || machine.spareIsolation() == 0 || machine.queueCrashing(waiting.job) {
 		return
 	}
 	var emptiest *worker
--- a/command/scheduler/sweep.go
+++ b/command/scheduler/sweep.go
@@ -37,7 +37,7 @@
 	}
 }
 
-// sweepRuns ends the runs of a lost worker, stops those that are no longer wanted or make no progress, and repeats
+// sweepRuns ends the runs of a lost worker, ends the suspicion of old ones, stops those that are no longer wanted or make no progress, and repeats
 // unanswered stop orders.
 func (machine *Machine) sweepRuns(worker *worker, lost bool) {
 	lostEnd := machine.lostRunEnd(worker)
