--- a/integration/soak/odd_test.go
+++ b/integration/soak/odd_test.go
@@ -17,7 +17,6 @@
 
 	"github.com/almondcross/almondcross"
 	"github.com/almondcross/almondcross/encoder"
-	"github.com/almondcross/almondcross/platform/translator"
 )
 
 // Guards against processes that end, jobs that are lost and a cell that stops scheduling because another writer leaves odd
@@ -53,7 +52,6 @@
 
 // writeOddRecords leaves one odd record of each kind, sends odd jobs, and returns the number of records.
 func (cell *cell) writeOddRecords(number int) int {
-	address := cell.hosts[0].storeProxy.address
 	task := almondcross.JobTask{Stage: almondcross.StageID{Job: "odd"}, Index: -1}
 	job := almondcross.NewJob(almondcross.JobConfig{ID: "odd", Queue: "q", Steps: []almondcross.Step{almondcross.NewStep(almondcross.StepConfig{Count: math.MaxInt64})}})
 	codec, err := encoder.NewCodec()
@@ -74,7 +72,7 @@
 		record []byte
 	}{{"journal", []byte("odd")}, {"journal", batch}, {"intake", []byte{0xff}}, {"intake", intake}, {"keyed.servers", []byte{200, 'a'}}, {"keyed.snapshots", nil}}
 	for _, odd := range raw {
-		cell.call(http.MethodPost, address, "/log-append?topic="+odd.topic+"&part=0", string(translator.EncodeRecords([][]byte{odd.record})))
+		require.NoError(cell.t, cell.store.Append(cell.ctx, odd.topic, odd.record))
 	}
 	deep := strings.Repeat("[", 100_000)
 	keyed := []struct{ topic, key, value string }{
