Take no task of a gang for the answer of its key

A coordinator that gets the end of a task of a key that it does not know, for example after the loss of the member that placed it, keeps the answer of task 0 as the answer of the key. The end of a task now says whether its answer is only a part of its key's.

Before: TestEndOfGangTaskIsNoAnswer: Should be empty, but was [... done "part"]. After: go test ./command/coordinator ./command/placer: ok.

--- a/command/coordinator/gang_test.go
+++ b/command/coordinator/gang_test.go
@@ -61,3 +61,17 @@
 	require.Len(t, member.placed(), 4)
 	require.Empty(t, member.replies)
 }
+
+// Guards against a part of a gang's answer that is told as the whole answer: a holder resends the end of one of its
+// tasks to a coordinator that does not know the gang.
+func TestEndOfGangTaskIsNoAnswer(t *testing.T) {
+	member := newMember(t)
+	member.setPeers()
+	task := almondcross.NewTask(almondcross.TaskConfig{ID: almondcross.NewTaskID(almondcross.TaskIDConfig{Key: member.key}), Attempt: 7})
+	member.apply(almondcross.NewTaskEnded(almondcross.TaskEndedConfig{
+		Result: almondcross.NewTaskResult(almondcross.TaskResultConfig{ID: task.ID(), Attempt: 7, Answer: []byte("part")}),
+		Holder: memberID("e1"), Target: "w1", Partial: true,
+	}))
+	member.post("crew")
+	require.Empty(t, member.replies)
+}
--- a/command/coordinator/report.go
+++ b/command/coordinator/report.go
@@ -133,7 +133,7 @@
 func (machine *Machine) acceptOrphanAnswer(message almondcross.TaskEnded, now time.Time) {
 	result := message.Result()
 	record, ok := machine.keys[result.ID().Key()]
-	if !ok && result.Code() == almondcross.CodeNone && result.ID().Index() == 0 {
+	if !ok && result.Code() == almondcross.CodeNone && result.ID().Index() == 0 && !message.Partial() {
 		record = machine.addAnswerRecord(result.ID().Key(), now)
 	}
 	if record == nil || record.service || record.entry.Class() == almondcross.ClassGang || result.Code() != almondcross.CodeNone {
--- a/command/placer/answer.go
+++ b/command/placer/answer.go
@@ -104,7 +104,7 @@
 	attempt, ok := machine.attempts[taskKey{result.ID(), result.Attempt()}]
 	if !ok || attempt.state == queued || attempt.target.info.Name() != message.Target() {
 		if !ok {
-			machine.reportUnknownEnd(message.Target(), message.Term(), result, almondcross.MemberID{})
+			machine.reportUnknownEnd(message.Target(), message.Term(), result, almondcross.Task{})
 		}
 		return
 	}
@@ -127,7 +127,7 @@
 	machine.accountUsage(attempt)
 	machine.removeAttempt(attempt)
 	machine.reportEnd(machine.currentCoordinator(attempt.task), almondcross.NewTaskEnded(almondcross.TaskEndedConfig{
-		Result: result, Holder: machine.self, Target: target.info.Name(), Term: attempt.term,
+		Result: result, Holder: machine.self, Target: target.info.Name(), Term: attempt.term, Partial: attempt.task.Size() > 1,
 	}))
 	machine.recordDecision(attempt.task, "ended", result.Code(), target.info.Name(), "")
 }
@@ -178,17 +178,18 @@
 }
 
 // reportUnknownEnd reports, once, the end of a task that is not in the tables of this host. A task that
-// this host forwarded may have ended under a holder that was lost before it reported the end.
-func (machine *Machine) reportUnknownEnd(target string, term almondcross.Term, result almondcross.TaskResult, coordinator almondcross.MemberID) {
+// this host forwarded may have ended under a holder that was lost before it reported the end. reported is the task as
+// the inventory lists it, or the zero task for an event.
+func (machine *Machine) reportUnknownEnd(target string, term almondcross.Term, result almondcross.TaskResult, reported almondcross.Task) {
 	closed, ok := machine.closed[result.ID()]
 	wasForwarded := closed.number == result.Attempt() && closed.forwarded.Name() != ""
 	if ok && closed.number >= result.Attempt() && !wasForwarded {
 		return
 	}
-	task := almondcross.NewTask(almondcross.TaskConfig{ID: result.ID(), Attempt: result.Attempt(), Coordinator: coordinator})
+	task := reported.WithID(result.ID()).WithAttempt(result.Attempt())
 	machine.recordClosed(task, closedAttempt{})
 	machine.reportEnd(machine.currentCoordinator(task), almondcross.NewTaskEnded(almondcross.TaskEndedConfig{
-		Result: result, Holder: machine.self, Target: target, Term: term,
+		Result: result, Holder: machine.self, Target: target, Term: term, Partial: task.Size() > 1,
 	}))
 }
 
--- a/command/placer/gang_test.go
+++ b/command/placer/gang_test.go
@@ -148,3 +148,28 @@
 	}
 	require.Zero(t, cell.codes[almondcross.CodeTargetEjected])
 }
+
+// TestEndOfGangTaskIsPartial guards against a part of a gang's answer that its coordinator takes for the whole answer,
+// whether the holder knows the task or finds its end in the inventory of a target that another holder had.
+func TestEndOfGangTaskIsPartial(t *testing.T) {
+	cell := newCell(t, 1)
+	for index := range 2 {
+		task := cell.task("a", "batch", 1)
+		cell.place(task.WithID(task.ID().WithIndex(index)).WithSize(2))
+	}
+	require.Len(t, cell.started, 2)
+	cell.finish(cell.started[0].task.ID(), time.Second)
+	other := cell.task("a", "batch", 2).WithSize(2)
+	cell.leaseCounter++
+	cell.apply(almondcross.NewTargetGranted(almondcross.TargetGrantedConfig{Grant: almondcross.NewGrant(almondcross.GrantConfig{
+		Target: "t0000", Term: almondcross.NewTerm(almondcross.TermConfig{Boot: 1, Counter: cell.leaseCounter}), Capacity: capacity,
+		Inventory: []almondcross.InventoryItem{almondcross.NewInventoryItem(almondcross.InventoryItemConfig{
+			Task: other, Finished: true, Result: almondcross.NewTaskResult(almondcross.TaskResultConfig{ID: other.ID(), Attempt: 1}),
+		})},
+	})}))
+	ends := reports[almondcross.TaskEnded](cell)
+	require.Len(t, ends, 2)
+	for _, end := range ends {
+		require.True(t, end.Partial())
+	}
+}
--- a/command/placer/target.go
+++ b/command/placer/target.go
@@ -289,7 +289,7 @@
 	known := target.attempts[task.ID()]
 	if item.Finished() && known != nil && task.Attempt() < known.task.Attempt() {
 		// The inventory still lists ends that were not read; the end of an earlier attempt does not end a later one.
-		machine.reportUnknownEnd(target.info.Name(), target.term, item.Result(), task.Coordinator())
+		machine.reportUnknownEnd(target.info.Name(), target.term, item.Result(), task)
 		return false
 	}
 	if known != nil && known.task.Attempt() != task.Attempt() {
@@ -300,7 +300,7 @@
 		if known != nil {
 			machine.finishAttempt(known, item.Result())
 		} else {
-			machine.reportUnknownEnd(target.info.Name(), target.term, item.Result(), task.Coordinator())
+			machine.reportUnknownEnd(target.info.Name(), target.term, item.Result(), task)
 		}
 		return false
 	}
--- a/encoder/codec_test.go
+++ b/encoder/codec_test.go
@@ -74,7 +74,7 @@
 		almondcross.NewTaskForwarded(almondcross.TaskForwardedConfig{ID: id, Attempt: 2, Holder: holder}),
 		almondcross.NewTaskStarted(almondcross.TaskStartedConfig{ID: id, Attempt: 2, Holder: holder, Target: "w1", Term: term}),
 		almondcross.NewTaskLost(almondcross.TaskLostConfig{ID: id, Attempt: 2, Holder: holder, Target: "w1", Term: term, TargetLost: true}),
-		almondcross.NewTaskEnded(almondcross.TaskEndedConfig{Result: result, Holder: holder, Target: "w1", Term: term}),
+		almondcross.NewTaskEnded(almondcross.TaskEndedConfig{Result: result, Holder: holder, Target: "w1", Term: term, Partial: true}),
 		almondcross.NewAdoptTask(almondcross.AdoptTaskConfig{Task: task, Holder: holder, Target: "w1", Term: term}),
 		almondcross.NewAdoptAnswered(almondcross.AdoptAnsweredConfig{
 			ID: id, Attempt: 2, Target: "w1", Term: term, Accepted: true, Coordinator: holder,
--- a/encoder/peer.go
+++ b/encoder/peer.go
@@ -125,7 +125,7 @@
 		}, message.TargetLost()}, nil
 	case almondcross.TaskEnded:
 		return peerTaskEnded, wireTaskEnded{
-			toResult(message.Result()), toMemberID(message.Holder()), message.Target(), toTerm(message.Term()),
+			toResult(message.Result()), toMemberID(message.Holder()), message.Target(), toTerm(message.Term()), message.Partial(),
 		}, nil
 	case almondcross.AdoptTask:
 		return peerAdoptTask, wireAdoptTask{
--- a/encoder/peerwire.go
+++ b/encoder/peerwire.go
@@ -265,15 +265,17 @@
 }
 
 type wireTaskEnded struct {
-	Result wireResult   `cbor:"result"`
-	Holder wireMemberID `cbor:"holder"`
-	Target string       `cbor:"target"`
-	Term   wireTerm     `cbor:"term"`
+	Result  wireResult   `cbor:"result"`
+	Holder  wireMemberID `cbor:"holder"`
+	Target  string       `cbor:"target"`
+	Term    wireTerm     `cbor:"term"`
+	Partial bool         `cbor:"partial,omitempty"`
 }
 
 func (wiretaskended wireTaskEnded) message() almondcross.PeerMessage {
 	return almondcross.NewTaskEnded(almondcross.TaskEndedConfig{
 		Result: wiretaskended.Result.value(), Holder: wiretaskended.Holder.value(), Target: wiretaskended.Target, Term: wiretaskended.Term.value(),
+		Partial: wiretaskended.Partial,
 	})
 }
 
--- a/messages.go
+++ b/messages.go
@@ -80,10 +80,11 @@
 //
 //value:generate
 type TaskEnded struct {
-	result TaskResult // the result
-	holder MemberID   // the holder of the target
-	target string     // the target
-	term   Term       // the term under which the result was read
+	result  TaskResult // the result
+	holder  MemberID   // the holder of the target
+	target  string     // the target
+	term    Term       // the term under which the result was read
+	partial bool       // whether the answer is only a part of that of its key, because the task belongs to a gang
 }
 
 // TaskLost reports that a task is known to have stopped without a result.
--- a/values_generated.go
+++ b/values_generated.go
@@ -2884,29 +2884,32 @@
 
 // TaskEndedConfig holds the fields of a new TaskEnded.
 type TaskEndedConfig struct {
-	Result TaskResult
-	Holder MemberID
-	Target string
-	Term   Term
+	Result  TaskResult
+	Holder  MemberID
+	Target  string
+	Term    Term
+	Partial bool
 }
 
 // NewTaskEnded returns a TaskEnded with the given fields.
 func NewTaskEnded(config TaskEndedConfig) TaskEnded {
 	return TaskEnded{
-		result: config.Result,
-		holder: config.Holder,
-		target: config.Target,
-		term:   config.Term,
+		result:  config.Result,
+		holder:  config.Holder,
+		target:  config.Target,
+		term:    config.Term,
+		partial: config.Partial,
 	}
 }
 
 // Config returns the fields of the value for encoding or for a changed copy.
 func (taskended TaskEnded) Config() TaskEndedConfig {
 	return TaskEndedConfig{
-		Result: taskended.result,
-		Holder: taskended.holder,
-		Target: taskended.target,
-		Term:   taskended.term,
+		Result:  taskended.result,
+		Holder:  taskended.holder,
+		Target:  taskended.target,
+		Term:    taskended.term,
+		Partial: taskended.partial,
 	}
 }
 
@@ -2946,6 +2949,15 @@
 	return taskended
 }
 
+// Partial returns whether the answer is only a part of that of its key, because the task belongs to a gang.
+func (taskended TaskEnded) Partial() bool { return taskended.partial }
+
+// WithPartial returns a copy with the given partial.
+func (taskended TaskEnded) WithPartial(partial bool) TaskEnded {
+	taskended.partial = partial
+	return taskended
+}
+
 // TaskLostConfig holds the fields of a new TaskLost.
 type TaskLostConfig struct {
 	ID         TaskID
