Bound the wait for the other tasks of an adopted gang

A coordinator that took over a gang waited for every task of it. A task that had ended before the adoption, or whose holder was lost as well, was reported by nobody, so the gang never ended: its callers were told running forever, and its other tasks held their capacity up to their ends. A task that no holder has reported within HoldBack is now lost, like one whose holder was lost.

Before: TestAdoptedGangEnds: Should NOT be empty, but was []. After: go test ./command/coordinator: ok.

--- a/command/coordinator/adopt.go
+++ b/command/coordinator/adopt.go
@@ -104,7 +104,7 @@
 func (machine *Machine) extendTasks(record *record, task almondcross.Task) {
 	for index := len(record.tasks); index < max(task.Size(), task.ID().Index()+1); index++ {
 		sibling := task.WithID(task.ID().WithIndex(index)).WithCoordinator(machine.self())
-		record.tasks = append(record.tasks, taskState{task: sibling})
+		record.tasks = append(record.tasks, taskState{task: sibling, missing: true})
 	}
 }
 
--- a/command/coordinator/gang_test.go
+++ b/command/coordinator/gang_test.go
@@ -75,3 +75,22 @@
 	member.post("crew")
 	require.Empty(t, member.replies)
 }
+
+// Guards against a gang that never ends after its coordinator was lost: a task that ended before the loss, or whose
+// holder was lost too, is reported by nobody.
+func TestAdoptedGangEnds(t *testing.T) {
+	member := newMember(t)
+	member.chooseKey("e1", "e2")
+	task := almondcross.NewTask(almondcross.TaskConfig{
+		ID:    almondcross.NewTaskID(almondcross.TaskIDConfig{Key: member.key, Index: 1}),
+		Entry: "crew", Owner: "sales", Class: almondcross.ClassGang, Attempt: 7, Size: 2, Repeatable: true, Coordinator: memberID("e9"),
+	})
+	member.requestAdoption(task, "e2", "w2", 1)
+	member.advance(almondcross.HoldBack - time.Second)
+	require.Empty(t, sent[almondcross.StopTask](member, "e2"))
+	member.advance(2 * time.Second)
+	require.NotEmpty(t, sent[almondcross.StopTask](member, "e2"))
+	require.Empty(t, member.placed())
+	member.ended(task, "e2", "w2", almondcross.CodeTargetLost)
+	require.Len(t, member.placed(), 2)
+}
--- a/command/coordinator/holder.go
+++ b/command/coordinator/holder.go
@@ -6,14 +6,15 @@
 	"github.com/almondcross/almondcross"
 )
 
-// watchHolders starts a timeout when a holder of the key's tasks is lost. By its end the tasks have a new holder,
-// which requested their adoption, or have stopped, because no holder renews their leases.
+// watchHolders starts a timeout when a holder of the key's tasks is lost, or is not known in an adopted gang. By its
+// end the tasks have a new holder, which requested their adoption, or have stopped, because no holder renews their
+// leases.
 func (machine *Machine) watchHolders(record *record, now time.Time) {
 	if !record.inProgress() {
 		return
 	}
-	for _, task := range record.tasks {
-		if task.ended || task.holder.Name() == "" || machine.view.Contains(task.holder) {
+	for index := range record.tasks {
+		if !record.tasks[index].holderLost(machine.view) {
 			continue
 		}
 		if record.holderTimeoutAt.IsZero() {
@@ -33,7 +34,7 @@
 	record.holderTimeoutAt = time.Time{}
 	for index := range record.tasks {
 		task := &record.tasks[index]
-		if task.ended || task.holder.Name() == "" || machine.view.Contains(task.holder) {
+		if !task.holderLost(machine.view) {
 			continue
 		}
 		machine.recordDecision(record, "holder_lost", almondcross.CodeTargetLost, task.target, now)
--- a/command/coordinator/record.go
+++ b/command/coordinator/record.go
@@ -41,6 +41,13 @@
 	term    almondcross.Term
 	ended   bool
 	result  almondcross.TaskResult
+	missing bool // missing marks a task of an adopted gang that no holder has reported yet.
+}
+
+// holderLost reports whether the holder that had or may have had the task is not in the view.
+func (task *taskState) holderLost(view almondcross.View) bool {
+	known := task.holder.Name() != ""
+	return !task.ended && (known && !view.Contains(task.holder) || !known && task.missing)
 }
 
 // waiter is a caller or peer that waits for an outcome.
