Correct the holder of a task that could not be forwarded

A placer reports a forwarded task to its coordinator with the message to the other holder. When the link refused that message, the task waited here, but the coordinator went on to take the peer for its holder. If the peer was lost, it placed the task a second time beside the one that waited, and both could start. The placer now reports itself as the holder.

--- a/command/placer/machine.go
+++ b/command/placer/machine.go
@@ -165,6 +165,7 @@
 	if effect.Kind == EffectForward {
 		if place, ok := effect.Peer.(almondcross.PlaceTask); ok {
 			machine.clearClosed(place.Task().ID())
+			machine.reportForwarded(place.Task(), machine.self)
 			machine.place(place.WithForwarded(true))
 		}
 		return machine.finish()
--- a/command/placer/machine_test.go
+++ b/command/placer/machine_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/almondcross/almondcross"
+	"github.com/almondcross/almondcross/command/placer"
 )
 
 // TestPlaceIsIdempotent guards against a repeated PlaceTask that starts a task twice, both while the task
@@ -372,3 +373,27 @@
 	cell.advance(3 * time.Second)
 	require.Len(t, cell.halted, 4)
 }
+
+// TestUnsentForwardIsCorrected guards against a coordinator that takes a peer for the holder of a task whose forwarding
+// failed: when that peer is lost, it would place the task a second time beside the one that waits here.
+func TestUnsentForwardIsCorrected(t *testing.T) {
+	cell := newCell(t, 1)
+	cell.addPeer("h1", almondcross.NewSummary(almondcross.SummaryConfig{LargestFree: slot.Scale(4)}))
+	for index := range slots {
+		cell.place(cell.task("a", "batch", index))
+	}
+	task := cell.task("a", "batch", slots)
+	cell.place(task)
+	require.Len(t, cell.forwarded, 1)
+	cell.handleEffects(cell.machine.HandleUnsent(placer.Effect{
+		Kind: placer.EffectForward, Member: memberOf("h1"), Peer: cell.forwarded[0],
+	}, cell.now))
+	holders := reports[almondcross.TaskForwarded](cell)
+	require.NotEmpty(t, holders)
+	require.Equal(t, task.ID(), holders[len(holders)-1].ID())
+	require.Equal(t, self, holders[len(holders)-1].Holder())
+}
+
+func memberOf(name string) almondcross.MemberID {
+	return almondcross.NewMemberID(almondcross.MemberIDConfig{Name: name, Incarnation: 1})
+}
--- a/command/placer/queue.go
+++ b/command/placer/queue.go
@@ -358,12 +358,17 @@
 			Task: attempt.task.WithTimeout(remainingTimeout(attempt, machine.now)), Forwarded: true,
 		}),
 	})
-	machine.report(attempt.task.Coordinator(), almondcross.NewTaskForwarded(almondcross.TaskForwardedConfig{
-		ID: attempt.task.ID(), Attempt: attempt.task.Attempt(), Holder: member,
-	}))
+	machine.reportForwarded(attempt.task, member)
 	machine.recordDecision(attempt.task, "forwarded", attempt.waitCode, "", member.Name())
 }
 
+// reportForwarded tells the coordinator of a task which holder has it.
+func (machine *Machine) reportForwarded(task almondcross.Task, holder almondcross.MemberID) {
+	machine.report(task.Coordinator(), almondcross.NewTaskForwarded(almondcross.TaskForwardedConfig{
+		ID: task.ID(), Attempt: task.Attempt(), Holder: holder,
+	}))
+}
+
 // subtractFromSummary subtracts the resources of a forwarded task from the summary of its new holder.
 func (machine *Machine) subtractFromSummary(member almondcross.MemberID, resources almondcross.Resources) {
 	for index, peer := range machine.peers {
