Test that an adopted replica above the catalogue's count is stopped

The obligation to stop it follows from the catalogue at each reconciliation, so the member that adopts the replica stops it. The test passed without a change.

--- a/command/coordinator/stop_test.go
+++ b/command/coordinator/stop_test.go
@@ -1,6 +1,7 @@
 package coordinator_test
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -79,3 +80,28 @@
 	member.requestAdoption(tasks[1], "e3", "w2", 2)
 	require.Len(t, sent[almondcross.StopTask](member, "e3"), 1)
 }
+
+// Guards against a service replica above the catalogue's count that runs on because the member that was to stop it was
+// lost: the member that adopts the replica has to stop it.
+func TestAdoptedReplicaAboveCountIsStopped(t *testing.T) {
+	member := newMember(t)
+	member.key = almondcross.NewKey(almondcross.KeyConfig{Caller: "almondcross", Origin: "north"})
+	for replica := range 100 {
+		member.key = member.key.WithName("service/front/north/" + strconv.Itoa(replica+1))
+		member.setPeers("e2")
+		if chosen, _ := member.view().Coordinator(member.key); chosen.ID().Name() == "e1" {
+			break
+		}
+	}
+	member.apply(almondcross.NewCatalogueChanged(almondcross.CatalogueChangedConfig{
+		Catalogue: almondcross.NewCatalogueOf(1, []almondcross.Entry{almondcross.NewEntry(almondcross.EntryConfig{
+			Name: "front", Owner: "sales", Class: almondcross.ClassService, Replicas: 1, Share: 1, Repeatable: true, Version: 1,
+		})}),
+	}))
+	member.requestAdoption(almondcross.NewTask(almondcross.TaskConfig{
+		ID: almondcross.NewTaskID(almondcross.TaskIDConfig{Key: member.key}), Entry: "front", Class: almondcross.ClassService, Attempt: 7,
+		Size: 1, Repeatable: true, Coordinator: memberID("e9"),
+	}), "e2", "w1", 1)
+	member.advance(2 * time.Second)
+	require.NotEmpty(t, sent[almondcross.StopTask](member, "e2"))
+}
