Keep the fencing tokens of workers that are removed and return

The scheduler forgot the token of a worker that was cut off, unlisted and removed. When the worker was announced again, it was sent the lowest token of the epoch, refused it since it had seen a higher one, and the scheduler took itself for fenced off and stopped. The tokens of removed workers are kept for the epoch.

--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -32,6 +32,7 @@
 	usageStoring bool
 
 	workers             map[string]*worker
+	removedFences       map[string]int64   // removedFences holds the fencing tokens of removed workers, which may return.
 	workersListed       bool               // workersListed is set once the list of announced workers has been read completely.
 	sortedWorkers       []*worker          // sortedWorkers holds the workers by ID.
 	usableWorkers       []*worker          // usableWorkers holds the workers that may get new work in the current pass.
@@ -62,7 +63,8 @@
 		epoch: answer.Commit().Epoch(), sequence: 1, electedAt: machine.now, lastCommitAt: machine.now.Add(-answer.Took()),
 		pendingIntake: map[int]int64{}, intakeReadAt: map[int]time.Time{}, workers: map[string]*worker{}, advice: map[almondcross.StageID]*stageAdvice{},
 		queued: map[almondcross.StageID]bool{}, unpushedViews: map[almondcross.JobID]almondcross.JobViewChange{}, jobsWithOccurrences: map[almondcross.JobID]*job{}, allowedShares: map[string]float64{}, queueScores: map[string]float64{},
-		snapshotAt: machine.now,
+		removedFences: map[string]int64{},
+		snapshotAt:    machine.now,
 	}
 	machine.config.Log.Record("scheduling_started", almondcross.Number("epoch", machine.leader.epoch),
 		almondcross.Number("jobs", len(machine.state.jobs)), almondcross.Millis("took_ms", answer.Took()))
--- a/command/scheduler/takeover_test.go
+++ b/command/scheduler/takeover_test.go
@@ -119,3 +119,20 @@
 		})
 	}
 }
+
+// Guards against a scheduler that takes itself for fenced off: a worker that was cut off was removed from its tables, and
+// was sent lower fencing tokens than before when it was announced again.
+func TestReturningWorkerIsSentNoLowerFencingToken(t *testing.T) {
+	harness := newHarnessWithRun(t)
+	worker := harness.machine.leader.workers[workerID]
+	harness.machine.requestReport(worker)
+	seen := worker.fence
+	harness.apply(almondcross.NewWorkersRead(almondcross.WorkersReadConfig{Changes: []almondcross.WorkerChange{
+		almondcross.NewWorkerChange(almondcross.WorkerChangeConfig{ID: workerID}),
+	}}))
+	harness.dropLeaseAnswers(20 * time.Second)
+	require.Empty(t, harness.machine.leader.workers, "the worker was removed")
+	harness.effects = nil
+	harness.announceWorker()
+	require.GreaterOrEqual(t, requireEffect[SendLease](harness).Order.Fence(), seen)
+}
