Wait out the longest lease of a worker that has restarted

The end of a lease in an order is a time on the worker's clock. An order that was computed on the clock of an incarnation and reaches the next one under the same id names an end far ahead, which the worker shortens to its longest lease. The scheduler took the lease for one of leaseDuration. If the worker was then cut off, its runs were presumed lost, and could be started again, up to 5 s before they ended (rule TWICE). The longest lease is now assumed from the first report of an incarnation that follows another one, or that follows the assignment of a restored run.

TestRestartedWorkerMayHoldTheLongestLease: the lease counted as expired before MaxLease had passed; not any more. go test ./command/scheduler passes.

--- a/command/scheduler/lease.go
+++ b/command/scheduler/lease.go
@@ -122,7 +122,7 @@
 		if worker.incarnation != 0 {
 			machine.config.Log.Record("worker_restarted", almondcross.Text("worker", worker.id), almondcross.Number("runs", len(worker.assignments)))
 		}
-		machine.resetWorker(worker, report.Incarnation())
+		machine.resetWorker(worker, report)
 	}
 	worker.clock, worker.lastAnswerAt = report.Clock(), answer.Received()
 	machine.endSilence(worker)
@@ -228,14 +228,17 @@
 
 // resetWorker drops the state of the previous incarnation of a worker. Orders sent to it may still reach the
 // new one, so their outcome is known only from a report under a higher fencing token.
-func (machine *Machine) resetWorker(worker *worker, incarnation int64) {
+func (machine *Machine) resetWorker(worker *worker, report almondcross.WorkerReport) {
+	incarnation := report.Incarnation()
 	crashEnd := worker.crashEnd()
+	restarted := worker.incarnation != 0
 	for _, assignment := range worker.assignments {
 		if assignment.phase == phaseCommitting {
 			continue
 		}
 		if worker.incarnation != 0 || assignment.predates(incarnation) {
 			assignment.missingEnd = assignment.crashEnd(crashEnd)
+			restarted = true
 		}
 		if worker.incarnation != 0 {
 			assignment.phase = phaseUnknown
@@ -246,7 +249,12 @@
 	}
 	// A known worker's announcement may still be that of its previous incarnation.
 	worker.drained = worker.incarnation == 0 && worker.info.Draining()
-	worker.incarnation, worker.acknowledgedEnd, worker.maxLeaseEnd, worker.failures, worker.ackLimit = incarnation, 0, 0, 0, 0
+	worker.maxLeaseEnd = 0
+	if restarted {
+		// It may have received an order whose lease ends at a time on the clock of its previous incarnation.
+		worker.maxLeaseEnd = report.Clock() + machine.config.MaxLease
+	}
+	worker.incarnation, worker.acknowledgedEnd, worker.failures, worker.ackLimit = incarnation, 0, 0, 0
 }
 
 func (machine *Machine) confirmRun(assigned *assignment, running almondcross.RunningTask) {
--- a/command/scheduler/silence_test.go
+++ b/command/scheduler/silence_test.go
@@ -290,3 +290,19 @@
 	leaseEnd := worker.lastAnswerAt.Add(withClockDrift(max(worker.maxLeaseEnd-worker.clock, leaseDuration)))
 	require.False(t, silence.leaseExpiredAt.Before(leaseEnd), "%s before the end of the lease", leaseEnd.Sub(silence.leaseExpiredAt))
 }
+
+// Guards against a run that is started on another worker while its own, which has restarted under its id and is cut off,
+// still works on it (TWICE): the restarted worker got a lease whose end was a time on the clock of its previous incarnation.
+func TestRestartedWorkerMayHoldTheLongestLease(t *testing.T) {
+	for _, takeover := range []bool{false, true} {
+		harness := newHarnessWithRun(t)
+		if takeover {
+			harness = harness.electStandby()
+			harness.announceWorker()
+		}
+		harness.answerLeaseAs(harness.now.UnixMilli() + 1)
+		restartedAt := harness.now
+		worker := harness.machine.leader.workers[workerID]
+		require.False(t, harness.machine.leaseExpiredAt(worker).Before(restartedAt.Add(harness.machine.config.MaxLease)), "takeover %t", takeover)
+	}
+}
