Count no wait for a lease as work of a crashed run

The end of a crashed run now tells for how long its worker had been silent, in the place of a duration that other changes use, so that the records keep their form.

TestLeaseOfACrashedWorkerIsNoWorkOfItsRuns failed before (expected 1, actual 0).

--- a/command/scheduler/crash.go
+++ b/command/scheduler/crash.go
@@ -30,11 +30,11 @@
 	return kind == almondcross.EndWorkerCrashed || kind == almondcross.EndCrashedAlone || kind == almondcross.EndMaybeCrashed
 }
 
-// countCrash counts a crash of the worker under the last run of a task, which ended at a time.
-func (stage *stage) countCrash(index int, kind almondcross.EndKind, now time.Time) {
+// countCrash counts a crash of the worker under the last run of a task. The worker was heard from last at a time.
+func (stage *stage) countCrash(index int, kind almondcross.EndKind, lastContact time.Time) {
 	record := stage.tasks[index]
 	switch {
-	case now.Sub(record.Since()) > stage.crashAttribution():
+	case lastContact.Sub(record.Since()) > stage.crashAttribution():
 		record = record.WithCrashes(0).WithConfirmed(0)
 	case kind == almondcross.EndMaybeCrashed:
 		record = record.WithCrashes(record.Crashes() + 1)
@@ -104,6 +104,22 @@
 	return worker
 }
 
+// silentFor returns for how long the worker of a crashed run has not answered, at most since the election, so that the wait
+// for its lease does not count as a time in which the run was at work.
+func (machine *Machine) silentFor(worker *worker, assignment *assignment, kind almondcross.EndKind) time.Duration {
+	if !isCrash(kind) {
+		return 0
+	}
+	lastContact := assignment.lastContactAt
+	if lastContact.IsZero() {
+		lastContact = worker.lastAnswerAt
+	}
+	if lastContact.IsZero() {
+		lastContact = machine.leader.electedAt
+	}
+	return machine.now.Sub(lastContact).Truncate(time.Millisecond)
+}
+
 // lostRunEnd returns how the started runs of an unreachable worker ended whose lease has expired. A worker that is still
 // announced has not crashed. One that is not, and that does not refuse connections, may only be cut off.
 func (machine *Machine) lostRunEnd(worker *worker) almondcross.EndKind {
--- a/command/scheduler/crash_test.go
+++ b/command/scheduler/crash_test.go
@@ -165,3 +165,26 @@
 	announce(false)
 	require.Equal(t, almondcross.EndCrashedAlone, harness.machine.leader.workers[workerID].crashEnd())
 }
+
+// Guards against a service that crashes each worker some seconds after its start and is started without bound: the wait for
+// the lease of the crashed worker counted as a time in which the run was at work.
+func TestLeaseOfACrashedWorkerIsNoWorkOfItsRuns(t *testing.T) {
+	harness := newHarness(t)
+	standby := harness.addStandby()
+	harness.becomeScheduler()
+	harness.submitJob("s", almondcross.StepConfig{Count: 1, Service: true})
+	harness.answerCommits()
+	harness.answerStart()
+	for worked := harness.now.Add(serviceCrashAttribution / 2); harness.now.Before(worked); {
+		harness.hearFromWorkers()
+		harness.advance(leaderTick)
+		harness.answerCommits()
+	}
+	harness.apply(almondcross.NewWorkersRead(almondcross.WorkersReadConfig{Complete: true})) // The worker is not announced any more.
+	for lostAt := harness.now; harness.recordedEnd() == "" && harness.now.Sub(lostAt) < time.Minute; {
+		harness.dropLeaseAnswers(leaderTick)
+	}
+	require.Equal(t, almondcross.EndMaybeCrashed, harness.recordedEnd())
+	require.Equal(t, 1, harness.record(taskOf("s", 0, 0)).Crashes())
+	require.Equal(t, 1, standby.machine.state.jobs["s"].stages[0].tasks[0].Crashes(), "the standby counts the same")
+}
--- a/command/scheduler/lease.go
+++ b/command/scheduler/lease.go
@@ -237,7 +237,7 @@
 			continue
 		}
 		if worker.incarnation != 0 || assignment.predates(incarnation) {
-			assignment.missingEnd = assignment.crashEnd(crashEnd)
+			assignment.missingEnd, assignment.lastContactAt = assignment.crashEnd(crashEnd), worker.lastAnswerAt
 			restarted = true
 		}
 		if worker.incarnation != 0 {
@@ -263,7 +263,7 @@
 		assigned.progressAt = machine.now
 		machine.noteStart(assigned.job, assigned.task, assigned.run, machine.now)
 	}
-	assigned.missingEnd = almondcross.EndVoid
+	assigned.missingEnd, assigned.lastContactAt = almondcross.EndVoid, time.Time{}
 	if running.Checkpoint() != "" {
 		assigned.checkpoint = running.Checkpoint()
 	}
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -282,7 +282,7 @@
 	}
 	stage.endRun(index, record, change)
 	if isCrash(change.End()) {
-		stage.countCrash(index, change.End(), state.batchTime)
+		stage.countCrash(index, change.End(), state.batchTime.Add(-change.Silent()))
 	}
 	if stage.spec.Gang() && !stage.spec.Service() {
 		stage.updateGang(change)
--- a/encoder/journal.go
+++ b/encoder/journal.go
@@ -58,7 +58,7 @@
 	Worker, End, Checkpoint string
 	Occurrence              int
 	Host, Address           string
-	DurationMS              int64 // DurationMS is the lease remaining of ChangeWorkerSilent or the time waited of ChangeJobStarted.
+	DurationMS              int64 // DurationMS is the lease remaining of ChangeWorkerSilent, the time waited of ChangeJobStarted or the silence of ChangeEnd.
 }
 
 // maxEpoch is the maximum epoch of a record: the fencing tokens of the next epochs must not exceed the range of int64.
@@ -332,8 +332,12 @@
 		Checkpoint: change.Checkpoint(), Occurrence: change.Occurrence(), Host: change.Host(), Address: change.Address(),
 		DurationMS: change.LeaseRemaining().Milliseconds(),
 	}
-	if change.Kind() == almondcross.ChangeJobStarted {
+	switch change.Kind() {
+	case almondcross.ChangeJobStarted:
 		wire.DurationMS = change.Waited().Milliseconds()
+	case almondcross.ChangeEnd:
+		wire.DurationMS = change.Silent().Milliseconds()
+	default:
 	}
 	if change.Job().ID() != "" {
 		job := toJob(change.Job())
@@ -356,9 +360,12 @@
 		End: almondcross.EndKind(wirestatechange.End), Checkpoint: wirestatechange.Checkpoint,
 		Occurrence: wirestatechange.Occurrence, Host: wirestatechange.Host, Address: wirestatechange.Address,
 	}
-	if duration := time.Duration(wirestatechange.DurationMS) * time.Millisecond; wirestatechange.Kind == almondcross.ChangeJobStarted {
+	switch duration := time.Duration(wirestatechange.DurationMS) * time.Millisecond; wirestatechange.Kind {
+	case almondcross.ChangeJobStarted:
 		config.Waited = duration
-	} else {
+	case almondcross.ChangeEnd:
+		config.Silent = duration
+	default:
 		config.LeaseRemaining = duration
 	}
 	var err error
--- a/encoder/journal_test.go
+++ b/encoder/journal_test.go
@@ -36,14 +36,19 @@
 	require.Equal(t, batchBeforeJobStarts, hex.EncodeToString(again), "a host of the version before reads the records of this one")
 }
 
-// Guards against a waiting time that followers of the journal do not see, or see as the lease of a worker.
-func TestJobStartKeepsItsWaitingTime(t *testing.T) {
+// Guards against a waiting time or a silence that followers of the journal do not see, or see as the lease of a worker.
+func TestChangesKeepTheirDuration(t *testing.T) {
 	codec, err := encoder.NewCodec()
 	require.NoError(t, err)
-	started := almondcross.NewChange(almondcross.ChangeConfig{Kind: almondcross.ChangeJobStarted, Task: journalTask, Run: 3, Waited: 84 * time.Millisecond})
-	record, err := codec.EncodeBatch(almondcross.NewJournalBatch(almondcross.JournalBatchConfig{Epoch: 1, At: time.UnixMilli(1), Changes: []almondcross.Change{started}}))
+	changes := []almondcross.Change{
+		almondcross.NewChange(almondcross.ChangeConfig{Kind: almondcross.ChangeJobStarted, Task: journalTask, Run: 3, Waited: 84 * time.Millisecond}),
+		almondcross.NewChange(almondcross.ChangeConfig{
+			Kind: almondcross.ChangeEnd, Task: journalTask, Run: 3, Worker: "w-1", End: almondcross.EndWorkerCrashed, Silent: 6700 * time.Millisecond,
+		}),
+	}
+	record, err := codec.EncodeBatch(almondcross.NewJournalBatch(almondcross.JournalBatchConfig{Epoch: 1, At: time.UnixMilli(1), Changes: changes}))
 	require.NoError(t, err)
 	batch, err := codec.DecodeBatch(record)
 	require.NoError(t, err)
-	require.Equal(t, []almondcross.Change{started}, batch.Changes())
+	require.Equal(t, changes, batch.Changes())
 }
--- a/job_generated.go
+++ b/job_generated.go
@@ -1864,6 +1864,7 @@
 	Host           string
 	Address        string
 	LeaseRemaining time.Duration
+	Silent         time.Duration
 	Waited         time.Duration
 }
 
@@ -1882,6 +1883,7 @@
 		host:           config.Host,
 		address:        config.Address,
 		leaseRemaining: config.LeaseRemaining,
+		silent:         config.Silent,
 		waited:         config.Waited,
 	}
 }
@@ -1901,6 +1903,7 @@
 		Host:           change.host,
 		Address:        change.address,
 		LeaseRemaining: change.leaseRemaining,
+		Silent:         change.silent,
 		Waited:         change.waited,
 	}
 }
@@ -2013,6 +2016,15 @@
 	return change
 }
 
+// Silent returns the time for which the worker of a crashed run had not answered when the end was recorded.
+func (change Change) Silent() time.Duration { return change.silent }
+
+// WithSilent returns a copy with the given silent.
+func (change Change) WithSilent(silent time.Duration) Change {
+	change.silent = silent
+	return change
+}
+
 // Waited returns the time from the submission of the job, or its first due time, to the start in ChangeJobStarted.
 func (change Change) Waited() time.Duration { return change.waited }
 
--- a/journal.go
+++ b/journal.go
@@ -165,6 +165,7 @@
 	host           string        // the elected host
 	address        string        // the link address of the elected host
 	leaseRemaining time.Duration // the time after ChangeWorkerSilent by which the lease of the worker has expired
+	silent         time.Duration // the time for which the worker of a crashed run had not answered when the end was recorded
 	waited         time.Duration // the time from the submission of the job, or its first due time, to the start in ChangeJobStarted
 }
 
