Keep a shrunk capacity for longer in the emulator

A start over a shrunk capacity counts only 5.5 s after the shrinking, and most capacities grew back sooner.

--- a/standin/emulator/capacity.go
+++ b/standin/emulator/capacity.go
@@ -9,13 +9,17 @@
 // capacityGrace is how long after its announcement a smaller capacity may be unknown to the scheduler.
 const capacityGrace = contactTime + announceInterval
 
+// shrinkDurationFactor makes a capacity stay small for several times the duration of its fault, since a start over it
+// counts only after capacityGrace.
+const shrinkDurationFactor = 3
+
 // capacityPeriod is a capacity of a worker and when it came into force.
 type capacityPeriod struct {
 	from     time.Duration
 	capacity almondcross.Resources
 }
 
-// shrinkWorker reduces the capacity of a worker, which keeps its runs, and restores it at the end of the fault. The
+// shrinkWorker reduces the capacity of a worker, which keeps its runs, and restores it after the fault. The
 // worker announces both with its next announcement.
 func (simulation *Simulation) shrinkWorker(worker *modelWorker, fault Fault) {
 	if len(worker.capacityPeriods) > 0 && worker.capacityPeriods[len(worker.capacityPeriods)-1].capacity != worker.fullCapacity {
@@ -25,7 +29,7 @@
 	worker.setCapacity(simulation.now, almondcross.NewResources(almondcross.ResourcesConfig{
 		MilliCPU: int64(share * float64(worker.fullCapacity.MilliCPU())), MemoryMB: int64(share * float64(worker.fullCapacity.MemoryMB())),
 	}))
-	simulation.schedule(fault.Duration, func() { worker.setCapacity(simulation.now, worker.fullCapacity) })
+	simulation.schedule(shrinkDurationFactor*fault.Duration, func() { worker.setCapacity(simulation.now, worker.fullCapacity) })
 }
 
 func (modelworker *modelWorker) setCapacity(now time.Duration, capacity almondcross.Resources) {
