--- a/standin/emulator/emulator_test.go
+++ b/standin/emulator/emulator_test.go
@@ -61,3 +61,39 @@
 		})
 	}
 }
+
+// Guards against a scheduler that does not stop the runs of a job whose cancellation an earlier scheduler recorded. The
+// earlier one is killed shortly after the acknowledgement, and some of its stop orders are lost.
+func TestCancelledRunsStopAfterTakeover(t *testing.T) {
+	for seed := uint64(1); seed <= 4; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			simulationConfig := newConfig(seed)
+			simulationConfig.CancelShare, simulationConfig.LongShare = 0.08, 1
+			for startsAt := 6 * time.Second; startsAt < simulationConfig.SubmitTime; startsAt += 5 * time.Second {
+				simulationConfig.Faults = append(simulationConfig.Faults,
+					emulator.Fault{Kind: emulator.BreakPaths, StartsAt: startsAt, Duration: 3 * time.Second, Share: 0.3},
+					emulator.Fault{
+						Kind: emulator.KillAfterMoment, StartsAt: startsAt + time.Second, Duration: 2 * time.Second,
+						Moment: emulator.CancelAcknowledged, Delay: 260 * time.Millisecond,
+					})
+			}
+			require.Empty(t, runSimulation(t, simulationConfig).Violations)
+		})
+	}
+}
+
+// Guards against a task that crashes each worker that starts it and is started again and again, at the cost of the
+// other tasks of these workers.
+func TestCrashingTasksAreGivenUp(t *testing.T) {
+	for seed, queue := range []string{"urgent", "gang", "batch"} {
+		t.Run(queue, func(t *testing.T) {
+			t.Parallel()
+			simulationConfig := newConfig(uint64(seed + 1))
+			simulationConfig.Faults = []emulator.Fault{{
+				Kind: emulator.CrashTasks, StartsAt: 4 * time.Second, Duration: 6 * time.Second, Share: 0.3, Queue: queue, CrashDelay: 10 * time.Millisecond,
+			}}
+			require.Empty(t, runSimulation(t, simulationConfig).Violations)
+		})
+	}
+}
