--- a/command/scheduler/crash.go
+++ b/command/scheduler/crash.go
@@ -1,8 +1,6 @@
 package scheduler
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/almondcross/almondcross"
@@ -137,7 +135,7 @@
 // has ended, whatever is left of the lease.
 func (machine *Machine) endRunsOfReplaced(worker *worker) {
 	kind := worker.crashEnd()
-	for _, assignment := range slices.Collect(maps.Values(worker.assignments)) {
+	for _, assignment := range worker.sortedAssignments() {
 		if assignment.phase != phaseCommitting {
 			machine.endRun(worker, assignment, assignment.crashEnd(kind), assignment.checkpoint)
 		}
--- a/command/scheduler/lease.go
+++ b/command/scheduler/lease.go
@@ -1,8 +1,6 @@
 package scheduler
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/almondcross/almondcross"
@@ -275,7 +273,7 @@
 // endMissingRuns ends the runs that a worker certainly does not have: it had confirmed the run before the report
 // was requested, or the report has a higher fencing token than the unanswered start order.
 func (machine *Machine) endMissingRuns(worker *worker, answer almondcross.LeaseAnswered, reported map[almondcross.JobTask]bool) {
-	for _, assignment := range slices.Collect(maps.Values(worker.assignments)) {
+	for _, assignment := range worker.sortedAssignments() {
 		if reported[assignment.task] {
 			continue
 		}
--- a/command/scheduler/sweep.go
+++ b/command/scheduler/sweep.go
@@ -42,7 +42,7 @@
 // unanswered stop orders.
 func (machine *Machine) sweepRuns(worker *worker, lost bool) {
 	lostEnd := machine.lostRunEnd(worker)
-	for _, assignment := range worker.assignments {
+	for _, assignment := range worker.sortedAssignments() {
 		machine.endProbation(worker, assignment)
 		switch {
 		case lost && assignment.phase != phaseCommitting:
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -126,6 +127,11 @@
 	}
 }
 
+// sortedAssignments returns the assignments by task, so that a seed of the emulator repeats exactly.
+func (worker *worker) sortedAssignments() []*assignment {
+	return slices.SortedFunc(maps.Values(worker.assignments), func(a, b *assignment) int { return a.task.Compare(b.task) })
+}
+
 // usable reports whether the worker may get new work.
 func (worker *worker) usable(now time.Time) bool {
 	return worker.announced && !worker.info.Draining() && !worker.unreachable && worker.ackLimit == 0 && !worker.lastAnswerAt.IsZero() &&
--- a/job.go
+++ b/job.go
@@ -1,6 +1,7 @@
 package almondcross
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
@@ -135,6 +136,14 @@
 	Index int     // Index counts from 0 within the stage.
 }
 
+// Compare orders tasks by job, occurrence, step and index.
+func (jobtask JobTask) Compare(other JobTask) int {
+	return cmp.Or(
+		cmp.Compare(jobtask.Stage.Job, other.Stage.Job), cmp.Compare(jobtask.Stage.Occurrence, other.Stage.Occurrence),
+		cmp.Compare(jobtask.Stage.Step, other.Stage.Step), cmp.Compare(jobtask.Index, other.Index),
+	)
+}
+
 // String returns the task as job.occurrence.step.index, as it is written to logs and sent to workers.
 func (jobtask JobTask) String() string {
 	return fmt.Sprintf("%s.%d", jobtask.Stage, jobtask.Index)
