Give tasks of a blamed queue only workers that stay occupied

They now share only workers all of whose runs have been there for as long as the task has to wait, which is what lasting tasks look like.

--- a/command/scheduler/suspicion.go
+++ b/command/scheduler/suspicion.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/almondcross/almondcross"
@@ -111,7 +112,7 @@
 
 // cautiousCandidates returns the candidates for single tasks of a stage under a suspicion. Tasks that cannot be kept apart
 // are placed like others, since innocent ones must not wait for long. Those of a queue whose tasks crash workers wait longer
-// and then still occupy no more workers than isolated tasks may.
+// and then get the workers that have been occupied by the same runs for as long, which are not going to be empty soon.
 func (machine *Machine) cautiousCandidates(queue almondcross.Queue, waiting *waitingStage, level suspicion, advice *stageAdvice) []almondcross.WorkerCapacity {
 	if level == unsuspected {
 		return machine.candidates(queue, waiting.job, waiting.stage, unsuspected, advice)
@@ -119,20 +120,39 @@
 	if found := machine.isolatedCandidates(queue, waiting, advice); len(found) > 0 || level == isolated && machine.mayWaitForIsolation(waiting) {
 		return found
 	}
-	limit := len(machine.leader.usableWorkers)
 	if machine.queueCrashing(waiting.job) {
-		limit = machine.spareIsolation()
+		return machine.longOccupiedCandidates(queue, waiting, advice)
 	}
+	if found := machine.candidates(queue, waiting.job, waiting.stage, suspected, advice); len(found) > 0 {
+		return found
+	}
+	return machine.candidates(queue, waiting.job, waiting.stage, unsuspected, advice)
+}
+
+// longOccupiedCandidates returns the candidates all of whose runs are older than the time for which the stage has to wait,
+// no more than isolated tasks may still occupy.
+func (machine *Machine) longOccupiedCandidates(queue almondcross.Queue, waiting *waitingStage, advice *stageAdvice) []almondcross.WorkerCapacity {
+	limit := machine.spareIsolation()
 	if limit == 0 {
 		return nil
 	}
-	found := machine.candidates(queue, waiting.job, waiting.stage, suspected, advice)
-	if len(found) == 0 {
-		found = machine.candidates(queue, waiting.job, waiting.stage, unsuspected, advice)
-	}
+	placedBefore := machine.now.Add(-machine.isolationTimeout(waiting))
+	found := slices.DeleteFunc(machine.candidates(queue, waiting.job, waiting.stage, suspected, advice), func(candidate almondcross.WorkerCapacity) bool {
+		return machine.leader.workers[candidate.Worker()].hasRunSince(placedBefore)
+	})
 	return found[:min(len(found), limit)]
 }
 
+// hasRunSince reports whether a run was assigned to the worker after a time.
+func (worker *worker) hasRunSince(limit time.Time) bool {
+	for _, assignment := range worker.assignments {
+		if assignment.placedAt.After(limit) {
+			return true
+		}
+	}
+	return false
+}
+
 // placeGang places a gang under a suspicion on workers of its own if these have room for all members. Otherwise, it places
 // it like others, as cautiousCandidates does.
 func (machine *Machine) placeGang(queue almondcross.Queue, waiting *waitingStage, wanted []int, level suspicion, advice *stageAdvice) bool {
@@ -153,11 +173,15 @@
 
 // mayWaitForIsolation reports whether an isolated task of a stage goes on to wait for a worker of its own.
 func (machine *Machine) mayWaitForIsolation(waiting *waitingStage) bool {
-	timeout := isolationTimeout
+	return waiting.isolationSince.IsZero() || machine.now.Sub(waiting.isolationSince) < machine.isolationTimeout(waiting)
+}
+
+// isolationTimeout returns how long an isolated task of a stage waits for a worker of its own.
+func (machine *Machine) isolationTimeout(waiting *waitingStage) time.Duration {
 	if machine.queueCrashing(waiting.job) && !waiting.stage.spec.Service() {
-		timeout = blamedIsolationTimeout
+		return blamedIsolationTimeout
 	}
-	return waiting.isolationSince.IsZero() || machine.now.Sub(waiting.isolationSince) < timeout
+	return isolationTimeout
 }
 
 // isolatedCandidates returns the workers that isolated tasks of a stage may use: those with runs of the same job alone,
