Keep stages isolated that waited while their queue was blamed

The jobs that crash workers wait behind newer ones while their queue is blamed. A stage that has waited while its queue was blamed now stays isolated until it is placed.

TestStagesStayIsolatedAfterTheirQueueIsTrustedAgain guards it.

--- a/command/scheduler/advice.go
+++ b/command/scheduler/advice.go
@@ -292,7 +292,7 @@
 	var totalOnAllowed, freeOnUndecided int
 	suspicion := machine.waitingSuspicion(job, stage)
 	allowed, freeOnAllowed := machine.freeAllowedWorkers(queue, job, stage, suspicion, advice)
-	if freeOnAllowed < wanted && suspicion != unsuspected && !machine.queueCrashing(job) {
+	if freeOnAllowed < wanted && suspicion != unsuspected && !machine.isQuarantined(job, stage) {
 		// A gang that cannot be kept apart needs tickets for shared workers.
 		allowed, freeOnAllowed = machine.freeAllowedWorkers(queue, job, stage, unsuspected, advice)
 	}
--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -24,7 +24,7 @@
 	for _, waiting := range leader.waitingStages {
 		switch {
 		case !waiting.job.ready(waiting.stage):
-		case machine.queueCrashing(waiting.job):
+		case machine.quarantine(waiting):
 			isolatedStages = append(isolatedStages, waiting)
 		default:
 			machine.placeStage(waiting)
@@ -49,6 +49,7 @@
 			continue
 		}
 		delete(leader.queued, waiting.stage.id)
+		delete(leader.quarantined, waiting.stage.id)
 		if waiting.stage.remainingTasks == 0 || waiting.job.state.Final() {
 			machine.dropAdvice(waiting.stage.id)
 		}
--- a/command/scheduler/suspicion.go
+++ b/command/scheduler/suspicion.go
@@ -55,22 +55,37 @@
 
 // suspicion returns the suspicion of a task, by its own crashes and by those of its queue.
 func (machine *Machine) suspicion(job *job, stage *stage, index int) suspicion {
-	if machine.queueCrashing(job) {
+	if machine.isQuarantined(job, stage) {
 		return isolated
 	}
 	return stage.suspicion(index)
 }
 
+// quarantine reports whether a waiting stage is isolated because of its queue. A stage that has waited while its queue was
+// blamed stays isolated: the jobs that crash workers wait among those of that time.
+func (machine *Machine) quarantine(waiting *waitingStage) bool {
+	if machine.queueCrashing(waiting.job) {
+		machine.leader.quarantined[waiting.stage.id] = struct{}{}
+	}
+	return machine.isQuarantined(waiting.job, waiting.stage)
+}
+
+// isQuarantined reports whether the tasks of a stage are isolated because of their queue.
+func (machine *Machine) isQuarantined(job *job, stage *stage) bool {
+	_, quarantined := machine.leader.quarantined[stage.id]
+	return quarantined || machine.queueCrashing(job)
+}
+
 // unplacedTasks returns the indices of the tasks to place, by their suspicion.
 func (machine *Machine) unplacedTasks(job *job, stage *stage) [suspicionLevels][]int {
 	var unplaced [suspicionLevels][]int
-	crashing := machine.queueCrashing(job)
+	quarantined := machine.isQuarantined(job, stage)
 	for index, record := range stage.tasks {
 		if record.Done() || record.Active() {
 			continue
 		}
 		level := isolated
-		if !crashing {
+		if !quarantined {
 			level = stage.suspicion(index)
 		}
 		unplaced[level] = append(unplaced[level], index)
@@ -80,7 +95,7 @@
 
 // waitingSuspicion returns the highest suspicion of the tasks to place.
 func (machine *Machine) waitingSuspicion(job *job, stage *stage) suspicion {
-	if machine.queueCrashing(job) {
+	if machine.isQuarantined(job, stage) {
 		return isolated
 	}
 	highest := unsuspected
@@ -120,7 +135,7 @@
 	if found := machine.isolatedCandidates(queue, waiting, advice); len(found) > 0 || level == isolated && machine.mayWaitForIsolation(waiting) {
 		return found
 	}
-	if machine.queueCrashing(waiting.job) {
+	if machine.isQuarantined(waiting.job, waiting.stage) {
 		return machine.longOccupiedCandidates(queue, waiting, advice)
 	}
 	if found := machine.candidates(queue, waiting.job, waiting.stage, suspected, advice); len(found) > 0 {
@@ -178,7 +193,7 @@
 
 // isolationTimeout returns how long an isolated task of a stage waits for a worker of its own.
 func (machine *Machine) isolationTimeout(waiting *waitingStage) time.Duration {
-	if machine.queueCrashing(waiting.job) && !waiting.stage.spec.Service() {
+	if machine.isQuarantined(waiting.job, waiting.stage) && !waiting.stage.spec.Service() {
 		return blamedIsolationTimeout
 	}
 	return isolationTimeout
@@ -229,7 +244,7 @@
 	if waiting.isolationSince.IsZero() {
 		waiting.isolationSince = machine.now
 	}
-	if waiting.stage.spec.Gang() || machine.spareIsolation() == 0 || machine.queueCrashing(waiting.job) {
+	if waiting.stage.spec.Gang() || machine.spareIsolation() == 0 || machine.isQuarantined(waiting.job, waiting.stage) {
 		return
 	}
 	var emptiest *worker
--- a/command/scheduler/suspicion_test.go
+++ b/command/scheduler/suspicion_test.go
@@ -335,3 +335,23 @@
 		}
 	}
 }
+
+// Guards against jobs that crash workers and are let go together once their queue is trusted again: they had waited behind
+// newer ones while it was blamed.
+func TestStagesStayIsolatedAfterTheirQueueIsTrustedAgain(t *testing.T) {
+	harness := newHarnessWithWorkers(t, 4)
+	for _, id := range []string{"w-1", "w-2", "w-3", "w-4"} {
+		harness.fillWorker(id)
+	}
+	harness.machine.leader.queueScores["q"] = queueScore{score: maxQueueScore, updatedAt: harness.now}
+	harness.submitJob("waiting", almondcross.StepConfig{Count: 1})
+	harness.placeWaiting()
+	delete(harness.machine.leader.queueScores, "q")
+	harness.submitJob("fresh", almondcross.StepConfig{Count: 1})
+	harness.schedule(time.Second, nil)
+	require.True(t, harness.record(taskOf("fresh", 0, 0)).Active())
+	require.False(t, harness.record(taskOf("waiting", 0, 0)).Active(), "no worker is empty")
+	harness.schedule(blamedIsolationTimeout, nil)
+	require.True(t, harness.record(taskOf("waiting", 0, 0)).Active())
+	require.Empty(t, harness.machine.leader.quarantined)
+}
