Play cancellations under a takeover and crashing tasks in the soak

Runs of cancelled jobs that went on after a takeover, and tasks that crashed one worker after the other, were found by other means; the soak played neither.

- Two jobs with running tasks are cancelled while orders to some of their workers are delayed or lost, and the scheduling host is killed or paused at most 1 s after the acknowledgement.
A task of a cancelled job may not start later than 3 s after the acknowledgement nor run 1 s more (plus the stand-in's stop time), judged from 4 s after the last disturbance.
- One early job has a task that crashes its workers: the listener closes, all runs vanish, and after 3 s another identity listens at the address.
No task may be started three times more after three workers have crashed under it, its job has to fail, and a failed job of another kind is an error.

That the checks can fail was shown with scratch changes of the scheduler.

--- a/integration/soak/odd_test.go
+++ b/integration/soak/odd_test.go
@@ -7,8 +7,6 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -22,20 +20,12 @@
 // Guards against processes that end, jobs that are lost and a cell that stops scheduling because another writer leaves odd
 // records in the store, and callers send odd jobs.
 func TestOddRecordsAndJobsChangeNothing(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "almondcross")
-	output, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "../../cmd/almondcross").CombinedOutput()
-	require.NoError(t, err, string(output))
+	t.Parallel()
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	cell := startCell(ctx, t, binary, *firstSeed)
-	for _, host := range cell.hosts {
-		require.Eventually(t, func() bool {
-			status, _ := cell.call(http.MethodGet, host.callersAddress, "/q/", "")
-			return status == http.StatusOK
-		}, 20*time.Second, 50*time.Millisecond, "%s is up", host.name)
-	}
+	cell := startCell(ctx, t, *firstSeed)
 	sent := make(chan []*job)
-	go func() { sent <- cell.sendJobs(rand.New(rand.NewPCG(*firstSeed, 4))) }()
+	go func() { sent <- cell.sendJobs(rand.New(rand.NewPCG(*firstSeed, 4)), false) }()
 	count := 0
 	for until := time.Now().Add(*loadDuration); time.Now().Before(until); <-time.After(100 * time.Millisecond) {
 		count += cell.writeOddRecords(count)
@@ -95,8 +85,8 @@
 		status, _ := cell.call(http.MethodPost, cell.hosts[1].callersAddress, fmt.Sprintf("/q/%016x", number), body)
 		require.Equal(cell.t, http.StatusBadRequest, status, body[:min(len(body), 100)])
 	}
-	announcement, err := cell.workers[0].Announcement()
+	announcement, err := cell.workers[0].current.Load().Announcement()
 	require.NoError(cell.t, err)
-	require.NoError(cell.t, cell.store.Put(cell.ctx, "keyed.servers", cell.workers[0].ID, announcement))
+	require.NoError(cell.t, cell.store.Put(cell.ctx, "keyed.servers", cell.workers[0].current.Load().ID, announcement))
 	return len(raw) + len(keyed)
 }
--- a/integration/soak/proxy_test.go
+++ b/integration/soak/proxy_test.go
@@ -25,18 +25,26 @@
 
 // proxy forwards TCP connections to a target address and injects faults.
 type proxy struct {
-	address string
-	target  string
-	mode    atomic.Int32
-	resets  atomic.Int64 // resets is incremented to close all open connections.
+	address  string
+	target   string
+	listener atomic.Pointer[net.Listener]
+	mode     atomic.Int32
+	resets   atomic.Int64 // resets is incremented to close all open connections.
 }
 
 func newProxy(ctx context.Context, t *testing.T, target string) *proxy {
 	t.Helper()
 	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	context.AfterFunc(ctx, func() { _ = listener.Close() })
 	proxy := &proxy{address: listener.Addr().String(), target: target}
+	proxy.accept(ctx, listener)
+	return proxy
+}
+
+// accept serves the connections of a listener until it is closed.
+func (proxy *proxy) accept(ctx context.Context, listener net.Listener) {
+	proxy.listener.Store(&listener)
+	context.AfterFunc(ctx, func() { _ = listener.Close() })
 	go func() {
 		for {
 			connection, err := listener.Accept()
@@ -46,7 +54,23 @@
 			go proxy.serve(ctx, connection)
 		}
 	}()
-	return proxy
+}
+
+// refuseConnections closes the listener and all connections.
+func (proxy *proxy) refuseConnections() {
+	_ = (*proxy.listener.Load()).Close()
+	proxy.resets.Add(1)
+}
+
+// acceptConnections listens at the address again. Another socket may have the port for a while.
+func (proxy *proxy) acceptConnections(ctx context.Context) {
+	for ctx.Err() == nil {
+		if listener, err := new(net.ListenConfig).Listen(ctx, "tcp", proxy.address); err == nil {
+			proxy.accept(ctx, listener)
+			return
+		}
+		<-time.After(20 * time.Millisecond)
+	}
 }
 
 func (proxy *proxy) serve(ctx context.Context, from net.Conn) {
@@ -81,6 +105,9 @@
 			if mode(proxy.mode.Load()) == delayAll {
 				time.Sleep(addedDelay) //nolint:forbidigo // The injected fault is a delay.
 			}
+			if proxy.resets.Load() != resets {
+				return // What was delayed is lost.
+			}
 			if _, err := to.Write(buffer[:count]); err != nil {
 				return
 			}
@@ -100,3 +127,14 @@
 		}
 	})
 }
+
+// loseAll blocks both directions for a duration and then closes all connections, so that what was sent meanwhile is lost.
+func (proxy *proxy) loseAll(ctx context.Context, duration time.Duration) {
+	proxy.mode.Store(int32(blockAll))
+	time.AfterFunc(duration, func() {
+		if ctx.Err() == nil {
+			proxy.resets.Add(1)
+			proxy.mode.CompareAndSwap(int32(blockAll), int32(passThrough))
+		}
+	})
+}
--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -46,21 +46,29 @@
 	milliCPU                int64
 	accepted, maybeAccepted atomic.Bool // maybeAccepted is set when an attempt got anything but 503, a definite refusal.
 	cancelled               atomic.Bool
+	cancelledAt             atomic.Pointer[time.Time] // cancelledAt is when the caller saw its cancellation acknowledged.
+	long                    bool                      // long is set if the tasks run for longLength.
+	crashing                bool                      // crashing is set if each run of a task crashes its worker.
+	crashDelay              time.Duration             // crashDelay is the time from the start of a run to that crash.
+}
+
+func newJob(random *rand.Rand) *job {
+	return &job{id: fmt.Sprintf("%016x", random.Uint64()), milliCPU: 500 + random.Int64N(2000)}
 }
 
 // cell is one run of the soak.
 type cell struct {
-	t             *testing.T
-	ctx           context.Context
-	random        *rand.Rand
-	directory     string
-	store         *standin.Store
-	hosts         []*host
-	workers       []*standin.Worker
-	workerProxies []*proxy // workerProxies holds the proxy of each worker.
-	jobs          sync.Map
-	events        chan standin.Event
-	checker       *checker
+	t         *testing.T
+	ctx       context.Context
+	random    *rand.Rand
+	directory string
+	binary    string
+	store     *standin.Store
+	hosts     []*host
+	workers   []*workerSlot
+	jobs      sync.Map
+	events    chan standin.Event
+	checker   *checker
 }
 
 // host is a scheduling host in a process of its own, which reaches the store through a proxy of its own.
@@ -74,50 +82,32 @@
 	log            *os.File
 }
 
-// checker holds the events that the workers reported and the violations.
-type checker struct {
-	mutex      sync.Mutex //nolint:forbidigo // Test code has no duties.
-	running    map[string]map[string]int
-	done       map[string]bool
-	started    map[string]bool
-	violations []string
+var build struct {
+	once   sync.Once
+	binary string
 }
 
-func (checker *checker) record(cell *cell, event standin.Event) {
-	checker.mutex.Lock()
-	defer checker.mutex.Unlock()
-	parts := strings.Split(event.Task, ".")
-	switch event.Kind {
-	case "start":
-		checker.started[parts[0]] = true
-		for worker, run := range checker.running[event.Task] {
-			checker.addViolation("two runs of %s: %d on %s, %d on %s", event.Task, run, worker, event.Run, event.Worker)
-		}
-		if checker.running[event.Task] == nil {
-			checker.running[event.Task] = map[string]int{}
-		}
-		checker.running[event.Task][event.Worker] = event.Run
-		value, _ := cell.jobs.Load(parts[0])
-		step, _ := strconv.Atoi(parts[2])
-		for earlierStep := range step {
-			for index := range value.(*job).counts[earlierStep] { //nolint:forcetypeassert // The map holds jobs only.
-				if earlierTask := fmt.Sprintf("%s.0.%d.%d", parts[0], earlierStep, index); !checker.done[earlierTask] {
-					checker.addViolation("%s starts before %s is done", event.Task, earlierTask)
-				}
-			}
-		}
-	case "unasked", "over capacity":
-		checker.addViolation("%s: %s run %d on %s", event.Kind, event.Task, event.Run, event.Worker)
-	default:
-		delete(checker.running[event.Task], event.Worker)
-		if event.Kind == "done" {
-			checker.done[event.Task] = true
-		}
-	}
+// buildBinary builds the program once for all tests.
+func buildBinary(t *testing.T) string {
+	t.Helper()
+	build.once.Do(func() {
+		directory, err := os.MkdirTemp("", "soak-binary-")
+		require.NoError(t, err)
+		binary := filepath.Join(directory, "almondcross")
+		output, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "../../cmd/almondcross").CombinedOutput()
+		require.NoError(t, err, string(output))
+		build.binary = binary
+	})
+	return build.binary
 }
 
-func (checker *checker) addViolation(format string, values ...any) {
-	checker.violations = append(checker.violations, fmt.Sprintf(format, values...))
+// TestMain removes the program that the tests have built.
+func TestMain(main *testing.M) {
+	code := main.Run()
+	if build.binary != "" {
+		_ = os.RemoveAll(filepath.Dir(build.binary))
+	}
+	os.Exit(code)
 }
 
 func freeAddress(t *testing.T) string {
@@ -137,11 +127,18 @@
 	return listener.Addr().String()
 }
 
-func startCell(ctx context.Context, t *testing.T, binary string, seed uint64) *cell {
+// startingCell is held while a cell starts. The free addresses of a cell could else be taken by another one before its hosts
+// listen there.
+var startingCell sync.Mutex //nolint:forbidigo // Test code has no duties.
+
+// startCell starts a cell and waits until all its hosts answer.
+func startCell(ctx context.Context, t *testing.T, seed uint64) *cell {
 	t.Helper()
+	startingCell.Lock()
+	defer startingCell.Unlock()
 	cell := &cell{
-		t: t, ctx: ctx, random: rand.New(rand.NewPCG(seed, 3)), directory: t.TempDir(), store: standin.NewStore(), events: make(chan standin.Event, 1024),
-		checker: &checker{running: map[string]map[string]int{}, done: map[string]bool{}, started: map[string]bool{}},
+		t: t, ctx: ctx, random: rand.New(rand.NewPCG(seed, 3)), directory: t.TempDir(), binary: buildBinary(t), store: standin.NewStore(),
+		events: make(chan standin.Event, 1024), checker: newChecker(),
 	}
 	go func() { _ = cell.store.Run(ctx) }()
 	go func() {
@@ -159,14 +156,7 @@
 	require.NoError(t, err)
 	require.NoError(t, cell.store.Put(ctx, "keyed.op", "config", configuration))
 	for index := range workerCount {
-		worker := &standin.Worker{ID: fmt.Sprintf("w-%d", index), Service: poolName, Zone: "a", Rack: fmt.Sprintf("r1-%d", index/4), MilliCPU: workerCPU, Events: cell.events, TaskSpec: cell.taskWork}
-		workerProxy := newProxy(ctx, t, cell.serve(worker.Handler()))
-		worker.Address = workerProxy.address
-		go func() { _ = worker.Run(ctx) }()
-		cell.workers, cell.workerProxies = append(cell.workers, worker), append(cell.workerProxies, workerProxy)
-		announcement, err := worker.Announcement()
-		require.NoError(t, err)
-		require.NoError(t, cell.store.Put(ctx, "keyed.servers", worker.ID, announcement))
+		cell.workers = append(cell.workers, newWorkerSlot(cell, index))
 	}
 	directWorkers := 0 // Other hosts relay all orders.
 	if seed%3 == 0 {
@@ -183,18 +173,39 @@
 		host.log, err = os.Create(filepath.Join(cell.directory, host.name+".log"))
 		require.NoError(t, err)
 		cell.hosts = append(cell.hosts, host)
-		host.start(binary)
+		host.start()
+	}
+	for _, host := range cell.hosts {
+		require.Eventually(t, func() bool {
+			status, _ := cell.call(http.MethodGet, host.callersAddress, "/q/", "")
+			return status == http.StatusOK
+		}, 20*time.Second, 50*time.Millisecond, "%s is up", host.name)
 	}
 	return cell
 }
 
 // start starts the process of a host, which is killed at the end of the test.
-func (host *host) start(binary string) {
-	host.process = exec.CommandContext(host.cell.ctx, binary, "scheduler", "--config", host.settingsPath)
+func (host *host) start() {
+	host.process = exec.CommandContext(host.cell.ctx, host.cell.binary, "scheduler", "--config", host.settingsPath)
 	host.process.Stdout, host.process.Stderr = host.log, host.log
 	require.NoError(host.cell.t, host.process.Start())
 }
 
+// kill kills the process and starts it again.
+func (host *host) kill(downtime time.Duration) {
+	_ = host.process.Process.Signal(syscall.SIGKILL)
+	_ = host.process.Wait()
+	<-time.After(downtime)
+	host.start()
+}
+
+// pause stops the process for a duration, and returns at once.
+func (host *host) pause(duration time.Duration) {
+	_ = host.process.Process.Signal(syscall.SIGSTOP)
+	process := host.process.Process
+	time.AfterFunc(duration, func() { _ = process.Signal(syscall.SIGCONT) })
+}
+
 func (cell *cell) taskWork(task string) (time.Duration, int64, bool) {
 	parts := strings.Split(task, ".")
 	value, ok := cell.jobs.Load(parts[0])
@@ -204,6 +215,9 @@
 	job := value.(*job) //nolint:forcetypeassert // The map holds jobs only.
 	step, _ := strconv.Atoi(parts[2])
 	index, _ := strconv.Atoi(parts[3])
+	if job.long {
+		return longLength, job.milliCPU, step < len(job.counts) && index < job.counts[step]
+	}
 	sum := 0
 	for _, letter := range task {
 		sum = sum*31 + int(letter)
@@ -257,24 +271,27 @@
 	}
 	if cancelAfter > 0 && job.accepted.Load() {
 		<-time.After(cancelAfter)
-		job.cancelled.Store(true)
-		cell.call(http.MethodDelete, cell.hosts[first].callersAddress, "/q/"+job.id, "")
+		cell.cancel(job, first, 1)
 	}
 }
 
-// sendJobs sends random jobs for loadDuration and returns them.
-func (cell *cell) sendJobs(random *rand.Rand) []*job {
+// sendJobs sends random jobs for loadDuration and returns them. With crashingJob, one of them crashes its workers.
+func (cell *cell) sendJobs(random *rand.Rand, crashingJob bool) []*job {
 	var jobs []*job
+	crashing := random.IntN(earlyJobs) // The crashing job is an early one, since it takes seconds to fail.
 	var group sync.WaitGroup
 	for until := time.Now().Add(*loadDuration); time.Now().Before(until); {
-		job := &job{id: fmt.Sprintf("%016x", random.Uint64()), milliCPU: 500 + random.Int64N(2000)}
+		job := newJob(random)
 		for range 1 + random.IntN(2) {
 			job.counts = append(job.counts, 1+random.IntN(4))
 		}
+		if crashingJob && len(jobs) == crashing {
+			job.makeCrashing(random)
+		}
 		cell.jobs.Store(job.id, job)
 		jobs = append(jobs, job)
 		first, cancelAfter := random.IntN(hostCount), time.Duration(0)
-		if random.IntN(10) == 0 {
+		if random.IntN(10) == 0 && !job.crashing {
 			cancelAfter = time.Duration(1 + random.Int64N(int64(500*time.Millisecond)))
 		}
 		group.Go(func() { cell.submit(job, first, cancelAfter) })
@@ -285,82 +302,119 @@
 }
 
 // injectRandomFault injects one random fault and describes it.
-func (cell *cell) injectRandomFault(binary string) string {
+func (cell *cell) injectRandomFault() string {
 	random := cell.random
 	host, duration := cell.hosts[random.IntN(hostCount)], 300*time.Millisecond+time.Duration(random.Int64N(int64(2500*time.Millisecond)))
 	worker := random.IntN(workerCount)
-	switch random.IntN(10) {
+	kind := random.IntN(12)
+	if kind >= 10 {
+		return cell.disturbCancellation()
+	}
+	begin, remaining := time.Now(), time.Duration(0)
+	defer func() { cell.checker.recordDisturbance(begin, time.Now().Add(remaining)) }()
+	switch kind {
 	case 0, 1:
-		_ = host.process.Process.Signal(syscall.SIGKILL)
-		_ = host.process.Wait()
-		<-time.After(duration / 4)
-		host.start(binary)
+		host.kill(duration / 4)
 		return "kill " + host.name
 	case 2, 3:
-		_ = host.process.Process.Signal(syscall.SIGSTOP)
-		process := host.process.Process
-		time.AfterFunc(duration, func() { _ = process.Signal(syscall.SIGCONT) })
+		remaining = duration
+		host.pause(duration)
 		return fmt.Sprintf("pause %s for %s", host.name, duration)
 	case 4:
 		_ = host.process.Process.Signal(syscall.SIGCONT)
 		_ = host.process.Process.Signal(syscall.SIGTERM)
 		_ = host.process.Wait()
-		host.start(binary)
+		host.start()
 		return "restart " + host.name
 	case 5:
+		remaining = duration
 		host.storeProxy.injectFault(cell.ctx, []mode{blockAll, blockResponses, delayAll}[random.IntN(3)], duration)
 		return fmt.Sprintf("store fault of %s for %s", host.name, duration)
 	case 6:
+		remaining = duration / 2
 		for _, other := range cell.hosts {
 			other.storeProxy.injectFault(cell.ctx, blockAll, duration/2)
 		}
 		return fmt.Sprintf("store unreachable for %s", duration/2)
 	case 7:
 		host.storeProxy.resets.Add(1)
-		cell.workerProxies[worker].resets.Add(1)
+		cell.workers[worker].proxy.resets.Add(1)
 		return "reset connections of " + host.name
 	case 8:
-		cell.workerProxies[worker].injectFault(cell.ctx, []mode{blockAll, blockResponses, delayAll}[random.IntN(3)], duration)
+		remaining = duration
+		cell.workers[worker].proxy.injectFault(cell.ctx, []mode{blockAll, blockResponses, delayAll}[random.IntN(3)], duration)
 		return fmt.Sprintf("fault of worker %d for %s", worker, duration)
 	default:
-		cell.workers[worker].Crash(cell.ctx)
+		cell.workers[worker].current.Load().Crash(cell.ctx)
 		return fmt.Sprintf("crash of worker %d", worker)
 	}
 }
 
 // Guards against broken guarantees when real processes run under injected faults: two runs of a task at the same
-// time, a worker over its capacity, steps out of order, refused jobs that run, accepted jobs that are lost.
+// time, a worker over its capacity, steps out of order, refused jobs that run, accepted jobs that are lost, runs of
+// cancelled jobs that go on, tasks that crash one worker after the other.
 func TestSoak(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "almondcross")
-	output, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "../../cmd/almondcross").CombinedOutput()
-	require.NoError(t, err, string(output))
+	t.Parallel()
 	for seed := *firstSeed; seed < *firstSeed+uint64(*seedCount); seed++ {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { runSoak(t, binary, seed) })
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { runSoak(t, seed) })
 	}
 }
 
-func runSoak(t *testing.T, binary string, seed uint64) {
+func runSoak(t *testing.T, seed uint64) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	cell := startCell(ctx, t, binary, seed)
-	require.Eventually(t, func() bool {
-		status, _ := cell.call(http.MethodGet, cell.hosts[0].callersAddress, "/q/", "")
-		return status == http.StatusOK
-	}, 20*time.Second, 50*time.Millisecond, "the cell is up")
+	cell := startCell(ctx, t, seed)
 	faults := make(chan []string)
 	go func() {
 		var injected []string
 		for until := time.Now().Add(*loadDuration); time.Now().Before(until); {
-			injected = append(injected, cell.injectRandomFault(binary))
+			injected = append(injected, cell.injectRandomFault())
 			<-time.After(200*time.Millisecond + time.Duration(cell.random.Int64N(int64(700*time.Millisecond))))
 		}
 		faults <- injected
 	}()
-	jobs := cell.sendJobs(rand.New(rand.NewPCG(seed, 4)))
+	jobs := cell.sendJobs(rand.New(rand.NewPCG(seed, 4)), true)
 	injectedFaults := <-faults
-	<-time.After(3 * time.Second) // The last faults have ended by then.
-	cell.checkResults(jobs, injectedFaults, time.Now().Add(jobsTimeout))
+	cell.jobs.Range(func(_, value any) bool {
+		if job := value.(*job); job.long { //nolint:forcetypeassert // The map holds jobs only.
+			jobs = append(jobs, job)
+		}
+		return true
+	})
+	cell.checkResults(jobs, injectedFaults, time.Now().Add(3*time.Second+jobsTimeout)) // The last faults have ended after 3 s.
+}
+
+// awaitOutcome waits until a job has ended or the deadline has passed, and describes an end that is not the required one.
+func (cell *cell) awaitOutcome(job *job, deadline time.Time) string {
+	status, state := 0, ""
+	for index := 0; time.Now().Before(deadline); index++ {
+		status, state = cell.call(http.MethodGet, cell.hosts[index%hostCount].callersAddress, "/q/"+job.id, "")
+		ended := strings.Contains(state, "completed") || strings.Contains(state, "cancelled") || strings.Contains(state, "failed")
+		if status == http.StatusOK && ended {
+			break
+		}
+		<-time.After(20 * time.Millisecond)
+	}
+	switch {
+	case status != http.StatusOK:
+		return fmt.Sprintf("%s has not ended, last response: %d %s", job.id, status, state)
+	case strings.Contains(state, "cancelled"):
+		if !job.cancelled.Load() {
+			return job.id + " is cancelled although its caller did not cancel it"
+		}
+	case strings.Contains(state, "completed"):
+		if job.crashing || job.long && job.cancelledAt.Load() != nil {
+			return job.id + " is completed although its tasks crash their workers or were cancelled early"
+		}
+	case strings.Contains(state, "failed"):
+		if !job.crashing {
+			return job.id + " has failed although its tasks crash no worker"
+		}
+	default:
+		return job.id + " has not ended, last response: " + state
+	}
+	return ""
 }
 
 // checkResults waits until the accepted jobs have ended or the deadline has passed, and fails the test for lost
@@ -372,21 +426,11 @@
 			continue
 		}
 		accepted++
-		state := ""
-		for index := 0; time.Now().Before(deadline); index++ {
-			_, state = cell.call(http.MethodGet, cell.hosts[index%hostCount].callersAddress, "/q/"+job.id, "")
-			if strings.Contains(state, "completed") || strings.Contains(state, "cancelled") {
-				break
-			}
-			<-time.After(20 * time.Millisecond)
-		}
-		switch {
-		case strings.Contains(state, "cancelled") && !job.cancelled.Load():
-			badOutcomes = append(badOutcomes, job.id+" is cancelled although its caller did not cancel it")
-		case !strings.Contains(state, "completed") && !strings.Contains(state, "cancelled"):
-			badOutcomes = append(badOutcomes, job.id+" has not ended, last response: "+state)
+		if outcome := cell.awaitOutcome(job, deadline); outcome != "" {
+			badOutcomes = append(badOutcomes, outcome)
 		}
 	}
+	cell.checkCancelledJobs()
 	cell.checker.mutex.Lock()
 	defer cell.checker.mutex.Unlock()
 	for _, job := range jobs {
