--- a/integration/soak/crash_test.go
+++ b/integration/soak/crash_test.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	// earlyJobs is the number of jobs at the start of a day among which the crashing one is drawn.
-	earlyJobs = 8
+	// maxCrashingJobs is the maximum number of crashing jobs of a day, which are drawn among the first earlyJobs jobs because
+	// they take seconds to fail.
+	maxCrashingJobs, earlyJobs = 3, 8
 	// maxCrashes workers may crash under a task, and then it may be started maxLaterRestarts times more, since starts may be
 	// under way.
 	maxCrashes, maxLaterRestarts = 3, 2
@@ -87,6 +88,15 @@
 	}
 }
 
+// drawCrashingJobs returns the places of the crashing jobs of a day.
+func drawCrashingJobs(random *rand.Rand) []int {
+	places := make([]int, 1+random.IntN(maxCrashingJobs))
+	for index := range places {
+		places[index] = random.IntN(earlyJobs)
+	}
+	return places
+}
+
 // makeCrashing gives a job one task that crashes its workers.
 func (job *job) makeCrashing(random *rand.Rand) {
 	job.crashing, job.counts = true, []int{1}
--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -275,17 +276,20 @@
 	}
 }
 
-// sendJobs sends random jobs for loadDuration and returns them. With crashingJob, one of them crashes its workers.
-func (cell *cell) sendJobs(random *rand.Rand, crashingJob bool) []*job {
+// sendJobs sends random jobs for loadDuration and returns them. With crashingJobs, some of them crash their workers.
+func (cell *cell) sendJobs(random *rand.Rand, crashingJobs bool) []*job {
 	var jobs []*job
-	crashing := random.IntN(earlyJobs) // The crashing job is an early one, since it takes seconds to fail.
+	var crashing []int
+	if crashingJobs {
+		crashing = drawCrashingJobs(random)
+	}
 	var group sync.WaitGroup
 	for until := time.Now().Add(*loadDuration); time.Now().Before(until); {
 		job := newJob(random)
 		for range 1 + random.IntN(2) {
 			job.counts = append(job.counts, 1+random.IntN(4))
 		}
-		if crashingJob && len(jobs) == crashing {
+		if slices.Contains(crashing, len(jobs)) {
 			job.makeCrashing(random)
 		}
 		cell.jobs.Store(job.id, job)
