--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -175,6 +175,7 @@
 		require.NoError(t, err)
 		cell.hosts = append(cell.hosts, host)
 		host.start()
+		t.Cleanup(host.end) // The end of the context kills the process too, but only if the test program goes on for long enough.
 	}
 	for _, host := range cell.hosts {
 		require.Eventually(t, func() bool {
@@ -192,10 +193,15 @@
 	require.NoError(host.cell.t, host.process.Start())
 }
 
-// kill kills the process and starts it again.
-func (host *host) kill(downtime time.Duration) {
+// end kills the process and waits for its end.
+func (host *host) end() {
 	_ = host.process.Process.Signal(syscall.SIGKILL)
 	_ = host.process.Wait()
+}
+
+// kill kills the process and starts it again.
+func (host *host) kill(downtime time.Duration) {
+	host.end()
 	<-time.After(downtime)
 	host.start()
 }
