--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -81,7 +81,7 @@
 	}
 	broken := 0
 	for id, at := range accepted {
-		if c.record.of(id+".0.0.0").starts == 0 {
+		if c.record.of(taskName(id, 0)).starts == 0 {
 			broken++
 			c.record.line("LOST: job %s was accepted %.1f s ago and has never run", id, time.Since(at).Seconds())
 		}
@@ -130,7 +130,7 @@
 				continue
 			}
 			delete(open, id)
-			seen := c.record.of(id + ".0.0.0")
+			seen := c.record.of(taskName(id, 0))
 			c.record.line("job %s is shown as %s; starts %d, ends %v", id, state, seen.starts, seen.ends)
 			if state == "failed" && seen.ends["failed"] == 0 {
 				broken++
@@ -174,7 +174,7 @@
 	time.Sleep(20 * time.Second)
 	broken := 0
 	for _, id := range ids {
-		seen := c.record.of(id + ".0.0.0")
+		seen := c.record.of(taskName(id, 0))
 		_, state := c.state(c.hosts[1], "added", id)
 		c.record.line("job %s is shown as %s after %d starts; %d ends as failed were taken note of", id, state, seen.starts, seen.noted["failed"])
 		if seen.noted["failed"] >= maxAttempts && seen.starts > maxAttempts {
@@ -184,3 +184,6 @@
 	}
 	return broken, nil
 }
+
+// taskName returns the name of a task of the first step of a job without occurrences.
+func taskName(id string, index int) string { return fmt.Sprintf("%s.0.0.%d", id, index) }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,7 +24,7 @@
 		os.Exit(exitFailed)
 	}
 	cases := map[string]func(c *cell) (broken int, err error){
-		"removed-route": removedRoute, "crashes": crashes, "attempts": attempts,
+		"removed-route": removedRoute, "crashes": crashes, "attempts": attempts, "tokens": tokens,
 	}
 	play := cases[os.Args[1]]
 	if play == nil {
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand"
 	"net"
 	"net/http"
 	"strings"
@@ -45,6 +46,7 @@
 	counter  int
 	beats    int
 	up       bool
+	grey     float64 // grey is the share of the calls that are reset without an effect.
 }
 
 func newWorker(id, address string, store *store, record *record) *worker {
@@ -190,9 +192,9 @@
 	deadline := time.Now().Add(time.Duration(call.WaitMS) * time.Millisecond)
 	for first := true; request.Context().Err() == nil; first = false {
 		w.lock.Lock()
-		if !w.up {
+		if !w.up || first && rand.Float64() < w.grey {
 			w.lock.Unlock()
-			panic(http.ErrAbortHandler)
+			panic(http.ErrAbortHandler) // Closes the connection without an answer.
 		}
 		status, body, waits := w.handle(request.URL.Path, call, first)
 		w.lock.Unlock()
@@ -271,3 +273,11 @@
 	w.record.line("worker %s: %s run %d starts", w.id, call.Task, call.Run)
 	return ""
 }
+
+// setGrey sets the share of the calls that are reset without an effect.
+func (w *worker) setGrey(share float64) {
+	w.lock.Lock()
+	w.grey = share
+	w.lock.Unlock()
+	w.record.line("worker %s resets %.0f%% of its calls", w.id, 100*share)
+}
