review: checks of cases 1 and 4 no stricter than their rules

Cause: case 1 also counted open jobs all of whose tasks had ended done, which LOST does not name; case 4 counted starts and not those after the last permitted failure.

--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -9,10 +9,11 @@
 
 // taskRecord is what the workers have seen of a task.
 type taskRecord struct {
-	starts  int
-	startAt time.Time      // startAt is when the first run started.
-	ends    map[string]int // ends counts the ends by their kind; a crash of the worker is the kind "crash".
-	noted   map[string]int // noted counts the ends that were taken note of.
+	starts       int
+	startAt      time.Time      // startAt is when the first run started.
+	failedBefore int            // failedBefore is the number of runs that had ended as failed when the last run started.
+	ends         map[string]int // ends counts the ends by their kind; a crash of the worker is the kind "crash".
+	noted        map[string]int // noted counts the ends that were taken note of.
 }
 
 // record writes record.txt and keeps what the checks need.
@@ -48,6 +49,7 @@
 	if task.starts++; task.starts == 1 {
 		task.startAt = time.Now()
 	}
+	task.failedBefore = task.ends["failed"]
 }
 
 func (r *record) ended(name string, _ int, how string) {
@@ -67,7 +69,7 @@
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	task := r.task(name)
-	copied := taskRecord{starts: task.starts, startAt: task.startAt, ends: map[string]int{}, noted: map[string]int{}}
+	copied := taskRecord{starts: task.starts, startAt: task.startAt, failedBefore: task.failedBefore, ends: map[string]int{}, noted: map[string]int{}}
 	for how, count := range task.ends {
 		copied.ends[how] = count
 	}
@@ -76,3 +78,12 @@
 	}
 	return copied
 }
+
+// atWork reports whether a run of the task has not ended.
+func (t taskRecord) atWork() bool {
+	ended := 0
+	for _, count := range t.ends {
+		ended += count
+	}
+	return t.starts > ended
+}
