Keep the addresses of unlisted workers for the next scheduler

A worker whose way to the store is cut loses its announcement and goes on to run tasks and to answer its scheduler. Its address was known only to the scheduler that had read the announcement.

The address is now part of the replicated state from the end of the announcement until the worker is announced again or removed, and a new scheduler sends lease orders to such workers at once. It also knows whether the worker had announced that it leaves, so that its end does not count as a crash.

--- a/command/scheduler/snapshot.go
+++ b/command/scheduler/snapshot.go
@@ -22,9 +22,13 @@
 			Worker: worker, Epoch: silence.epoch, RecordedAt: silence.recordedAt, LeaseRemaining: max(0, silence.leaseExpiredAt.Sub(now)),
 		}))
 	}
+	unlisted := make([]almondcross.UnlistedWorker, 0, len(state.unlistedWorkers))
+	for _, worker := range slices.Sorted(maps.Keys(state.unlistedWorkers)) {
+		unlisted = append(unlisted, state.unlistedWorkers[worker])
+	}
 	return almondcross.NewStateSnapshot(almondcross.StateSnapshotConfig{
 		Next: next, Epoch: state.highestEpoch, SchedulerEpoch: state.schedulerEpoch, Resigned: state.resigned, At: state.batchTime, Host: state.schedulerHost, Address: state.schedulerAddress,
-		Intake: maps.Clone(state.intakeOffsets), Jobs: records, Usage: state.sortedUsage(), Silent: silent,
+		Intake: maps.Clone(state.intakeOffsets), Jobs: records, Usage: state.sortedUsage(), Silent: silent, Unlisted: unlisted,
 	})
 }
 
@@ -51,6 +55,9 @@
 			epoch: silent.Epoch(), recordedAt: silent.RecordedAt(), leaseExpiredAt: now.Add(silent.LeaseRemaining()),
 		})
 	}
+	for _, unlisted := range snapshot.Unlisted() {
+		restored.unlistedWorkers[unlisted.Worker()] = unlisted
+	}
 	restored.highestEpoch, restored.batchTime = snapshot.Epoch(), snapshot.At()
 	restored.schedulerHost, restored.schedulerAddress = snapshot.Host(), snapshot.Address()
 	restored.schedulerEpoch, restored.resigned = snapshot.SchedulerEpoch(), snapshot.Resigned()
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -66,6 +66,9 @@
 	unstoredUsage    map[almondcross.UsageKey]struct{} // unstoredUsage holds the periods whose usage is not stored yet.
 	changedJobs      map[almondcross.JobID]struct{}    // changedJobs holds the jobs whose view may have changed.
 	silentWorkers    map[string]silence                // silentWorkers holds the workers whose leases are not extended.
+	// unlistedWorkers holds the workers with runs that are no longer announced. Their addresses are in no other record, and
+	// without them a successor could send no orders to a worker that has lost only its way to the store.
+	unlistedWorkers map[string]almondcross.UnlistedWorker
 	// knownSilences holds the silences that this host knew when it loaded the state again. It is not replicated.
 	knownSilences map[string]silence
 
@@ -91,7 +94,7 @@
 func newState(retention time.Duration) *state {
 	return &state{
 		intakeOffsets: map[int]int64{}, jobs: map[almondcross.JobID]*job{}, retention: retention,
-		changedJobs: map[almondcross.JobID]struct{}{}, silentWorkers: map[string]silence{}, usage: map[almondcross.UsageKey]almondcross.QueueUsage{},
+		changedJobs: map[almondcross.JobID]struct{}{}, silentWorkers: map[string]silence{}, unlistedWorkers: map[string]almondcross.UnlistedWorker{}, usage: map[almondcross.UsageKey]almondcross.QueueUsage{},
 		unstoredUsage: map[almondcross.UsageKey]struct{}{},
 	}
 }
@@ -144,6 +147,12 @@
 		})
 	case almondcross.ChangeWorkerRegained:
 		delete(state.silentWorkers, change.Worker())
+	case almondcross.ChangeWorkerUnlisted:
+		state.unlistedWorkers[change.Worker()] = almondcross.NewUnlistedWorker(almondcross.UnlistedWorkerConfig{
+			Worker: change.Worker(), Address: change.Address(), Zone: change.Zone(), Leaving: change.End() == almondcross.EndVoid,
+		})
+	case almondcross.ChangeWorkerListed:
+		delete(state.unlistedWorkers, change.Worker())
 	}
 }
 
--- a/command/scheduler/sweep.go
+++ b/command/scheduler/sweep.go
@@ -31,6 +31,7 @@
 	}
 	for _, worker := range left {
 		machine.endSilence(worker)
+		machine.endUnlisted(worker)
 		machine.emit(ReleaseWorker{Worker: worker.id})
 		machine.leader.removedFences[worker.id] = worker.fence
 		delete(machine.leader.workers, worker.id)
--- a/command/scheduler/takeover_test.go
+++ b/command/scheduler/takeover_test.go
@@ -136,3 +136,40 @@
 	harness.announceWorker()
 	require.GreaterOrEqual(t, requireEffect[SendLease](harness).Order.Fence(), seen)
 }
+
+// unlistWorker tells the scheduler that the announcement of the worker has lapsed.
+func (harness *harness) unlistWorker() {
+	harness.apply(almondcross.NewWorkersRead(almondcross.WorkersReadConfig{Changes: []almondcross.WorkerChange{
+		almondcross.NewWorkerChange(almondcross.WorkerChangeConfig{ID: workerID}),
+	}}))
+}
+
+// Guards against runs of a cancelled job that go on after a takeover on a worker whose announcement has lapsed although it
+// runs: its address was known only to the scheduler before, so that the successor sent it no stop orders, and no lease orders
+// for its other runs.
+func TestSuccessorStopsRunsOnUnlistedWorker(t *testing.T) {
+	harness := newHarnessWithRun(t)
+	harness.unlistWorker()
+	harness.cancelJob("j")
+	harness.answerCommits()
+	requireEffect[SendStop](harness) // This order is lost with the scheduler.
+	harness = harness.electStandby()
+	harness.apply(almondcross.NewWorkersRead(almondcross.WorkersReadConfig{Complete: true}))
+	require.Contains(t, harness.sentStops(time.Second, taskOf("j", 0, 0)), taskOf("j", 0, 0))
+}
+
+// Guards against records of unlisted workers that a loaded state lacks, or that stay for good once the worker is announced
+// again or was removed.
+func TestUnlistedWorkersAreKeptUntilTheyReturn(t *testing.T) {
+	harness := newHarnessWithRun(t)
+	harness.unlistWorker()
+	restored := restore(harness.machine.state.snapshot(0, harness.now), time.Minute, harness.now, nil)
+	require.Equal(t, "10.0.0.1:1", restored.unlistedWorkers[workerID].Address())
+	harness.announceWorker()
+	require.Empty(t, harness.machine.state.unlistedWorkers)
+	harness.unlistWorker()
+	require.NotEmpty(t, harness.machine.state.unlistedWorkers)
+	harness.dropLeaseAnswers(20 * time.Second)
+	require.Empty(t, harness.machine.leader.workers, "the worker was removed")
+	require.Empty(t, harness.machine.state.unlistedWorkers)
+}
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -190,6 +190,7 @@
 	if !change.Present() {
 		if known := machine.leader.workers[change.ID()]; known != nil && known.announced {
 			known.announced = false
+			machine.recordUnlisted(known)
 			machine.config.Log.Record("worker_unlisted", almondcross.Text("worker", change.ID()), almondcross.Number("runs", len(known.assignments)))
 		}
 		return
@@ -205,6 +206,7 @@
 	addressChanged := worker.info.Address() != change.Worker().Address()
 	worker.info, worker.announced, worker.announcedAt = change.Worker(), true, machine.now
 	worker.drained = worker.drained || worker.info.Draining()
+	machine.endUnlisted(worker)
 	if !worker.managed || addressChanged {
 		worker.managed = true
 		machine.emit(ManageWorker{Worker: worker.info})
--- a/encoder/journal.go
+++ b/encoder/journal.go
@@ -57,8 +57,8 @@
 	Run                     int
 	Worker, End, Checkpoint string
 	Occurrence              int
-	Host, Address           string
-	DurationMS              int64 // DurationMS is the lease remaining of ChangeWorkerSilent, the time waited of ChangeJobStarted or the silence of ChangeEnd.
+	Host, Address           string // Host is the data centre of the worker in ChangeWorkerUnlisted.
+	DurationMS              int64  // DurationMS is the lease remaining of ChangeWorkerSilent, the time waited of ChangeJobStarted or the silence of ChangeEnd.
 }
 
 // maxEpoch is the maximum epoch of a record: the fencing tokens of the next epochs must not exceed the range of int64.
@@ -337,6 +337,8 @@
 		wire.DurationMS = change.Waited().Milliseconds()
 	case almondcross.ChangeEnd:
 		wire.DurationMS = change.Silent().Milliseconds()
+	case almondcross.ChangeWorkerUnlisted:
+		wire.Host = change.Zone()
 	default:
 	}
 	if change.Job().ID() != "" {
@@ -365,6 +367,8 @@
 		config.Waited = duration
 	case almondcross.ChangeEnd:
 		config.Silent = duration
+	case almondcross.ChangeWorkerUnlisted:
+		config.Host, config.Zone = "", wirestatechange.Host
 	default:
 		config.LeaseRemaining = duration
 	}
--- a/encoder/journal_test.go
+++ b/encoder/journal_test.go
@@ -52,3 +52,46 @@
 	require.NoError(t, err)
 	require.Equal(t, changes, batch.Changes())
 }
+
+// snapshotOfTheVersionBefore is a snapshot that a scheduler stored before unlisted workers were recorded: one silent worker.
+const snapshotOfTheVersionBefore = "8d0700011910011b0000019b76daa80063682d316a31302e302e302e393a31a10003f6f6818463772d311910011b0000019b76" +
+	"daa8001905dc191001f4"
+
+// Guards against snapshots of the version before that cannot be read, which would lose the state in an upgrade, and against
+// snapshots without unlisted workers that a host of the version before cannot read.
+func TestSnapshotOfTheVersionBeforeDecodes(t *testing.T) {
+	codec, err := encoder.NewCodec()
+	require.NoError(t, err)
+	record, err := hex.DecodeString(snapshotOfTheVersionBefore)
+	require.NoError(t, err)
+	snapshot, found, err := codec.DecodeSnapshot([]almondcross.KeyedRecord{almondcross.NewKeyedRecord(almondcross.KeyedRecordConfig{Value: record})})
+	require.NoError(t, err)
+	require.True(t, found)
+	require.Equal(t, silentSnapshot, snapshot.Config())
+	again, err := codec.EncodeSnapshot(snapshot, 1<<20)
+	require.NoError(t, err)
+	require.Equal(t, snapshotOfTheVersionBefore, hex.EncodeToString(again[0]))
+}
+
+var silentSnapshot = almondcross.StateSnapshotConfig{
+	Next: 7, Epoch: 4097, SchedulerEpoch: 4097, At: time.UnixMilli(1767225600000), Host: "h-1", Address: "10.0.0.9:1", Intake: map[int]int64{0: 3},
+	Silent: []almondcross.SilentWorker{almondcross.NewSilentWorker(almondcross.SilentWorkerConfig{
+		Worker: "w-1", Epoch: 4097, RecordedAt: time.UnixMilli(1767225600000), LeaseRemaining: 1500 * time.Millisecond,
+	})},
+}
+
+// Guards against an unlisted worker that a snapshot forgets, to which a host that loads it could send no orders.
+func TestSnapshotKeepsUnlistedWorkers(t *testing.T) {
+	codec, err := encoder.NewCodec()
+	require.NoError(t, err)
+	config := silentSnapshot
+	config.Unlisted = []almondcross.UnlistedWorker{
+		almondcross.NewUnlistedWorker(almondcross.UnlistedWorkerConfig{Worker: "w-2", Address: "10.0.0.2:1", Zone: "a", Leaving: true}),
+	}
+	parts, err := codec.EncodeSnapshot(almondcross.NewStateSnapshot(config), 1<<20)
+	require.NoError(t, err)
+	snapshot, found, err := codec.DecodeSnapshot([]almondcross.KeyedRecord{almondcross.NewKeyedRecord(almondcross.KeyedRecordConfig{Value: parts[0]})})
+	require.NoError(t, err)
+	require.True(t, found)
+	require.Equal(t, config, snapshot.Config())
+}
--- a/encoder/snapshot.go
+++ b/encoder/snapshot.go
@@ -11,9 +11,9 @@
 	"github.com/almondcross/almondcross"
 )
 
-// wireSnapshotPart is one part of a snapshot. Only the first part has the fields after Parts other than Jobs.
-type wireSnapshotPart struct {
-	_             struct{} `cbor:",toarray"`
+// snapshotPartFields are the fields of a part of a snapshot that every version of the format has. Only the first part has the
+// fields after Parts other than Jobs.
+type snapshotPartFields struct {
 	JournalOffset int64
 	Part, Parts   int
 	Epoch, AtMS   int64
@@ -27,6 +27,55 @@
 	Resigned       bool
 }
 
+// wireSnapshotPart is one part of a snapshot. The unlisted workers are encoded only if there are any, so that parts of an
+// earlier version are read, and an earlier version reads all other parts.
+type wireSnapshotPart struct {
+	snapshotPartFields
+	Unlisted []wireUnlistedWorker
+}
+
+// plainSnapshotPart is the encoded form of a part without unlisted workers.
+type plainSnapshotPart struct {
+	_ struct{} `cbor:",toarray"`
+	snapshotPartFields
+}
+
+// unlistedSnapshotPart is the encoded form of a part with unlisted workers.
+type unlistedSnapshotPart struct {
+	_ struct{} `cbor:",toarray"`
+	snapshotPartFields
+	Unlisted []wireUnlistedWorker
+}
+
+// plainSnapshotPartHeader is the first byte of an encoded plainSnapshotPart, the CBOR header of an array of its 13 fields.
+const plainSnapshotPartHeader = 0x8d
+
+// encodeSnapshotPart returns the encoded form of a part.
+func (codec Codec) encodeSnapshotPart(part wireSnapshotPart) ([]byte, error) {
+	if len(part.Unlisted) == 0 {
+		return codec.encoding.Marshal(plainSnapshotPart{snapshotPartFields: part.snapshotPartFields})
+	}
+	return codec.encoding.Marshal(unlistedSnapshotPart{snapshotPartFields: part.snapshotPartFields, Unlisted: part.Unlisted})
+}
+
+// decodeSnapshotPart returns the part of an encoded record.
+func (codec Codec) decodeSnapshotPart(data []byte) (wireSnapshotPart, error) {
+	if len(data) > 0 && data[0] == plainSnapshotPartHeader {
+		var plain plainSnapshotPart
+		err := codec.decodingJobs.Unmarshal(data, &plain)
+		return wireSnapshotPart{snapshotPartFields: plain.snapshotPartFields}, err
+	}
+	var unlisted unlistedSnapshotPart
+	err := codec.decodingJobs.Unmarshal(data, &unlisted)
+	return wireSnapshotPart{snapshotPartFields: unlisted.snapshotPartFields, Unlisted: unlisted.Unlisted}, err
+}
+
+type wireUnlistedWorker struct {
+	_                     struct{} `cbor:",toarray"`
+	Worker, Address, Zone string
+	Leaving               bool
+}
+
 type wireSilentWorker struct {
 	_            struct{} `cbor:",toarray"`
 	Worker       string
@@ -58,7 +107,7 @@
 		if err != nil {
 			return nil, errors.Annotate(err, "encoding a job of a snapshot")
 		}
-		next := wireSnapshotPart{JournalOffset: snapshot.Next(), Part: len(parts)}
+		next := wireSnapshotPart{snapshotPartFields: snapshotPartFields{JournalOffset: snapshot.Next(), Part: len(parts)}}
 		room, err := codec.remainingBytes(next, size)
 		if err != nil {
 			return nil, err
@@ -80,7 +129,7 @@
 	values := make([][]byte, len(parts))
 	for index, part := range parts {
 		part.Parts = len(parts)
-		if values[index], err = codec.encoding.Marshal(part); err != nil {
+		if values[index], err = codec.encodeSnapshotPart(part); err != nil {
 			return nil, errors.Annotate(err, "encoding a snapshot")
 		}
 	}
@@ -89,7 +138,7 @@
 
 // remainingBytes returns how many bytes of jobs fit in a part that has none yet.
 func (codec Codec) remainingBytes(part wireSnapshotPart, size int) (int, error) {
-	empty, err := codec.encoding.Marshal(part)
+	empty, err := codec.encodeSnapshotPart(part)
 	if err != nil {
 		return 0, errors.Annotate(err, "encoding a snapshot")
 	}
@@ -114,10 +163,10 @@
 }
 
 func firstSnapshotPart(snapshot almondcross.StateSnapshot) wireSnapshotPart {
-	part := wireSnapshotPart{
+	part := wireSnapshotPart{snapshotPartFields: snapshotPartFields{
 		JournalOffset: snapshot.Next(), Epoch: snapshot.Epoch(), AtMS: toUnixMillis(snapshot.At()), Intake: snapshot.Intake(),
 		Host: snapshot.Host(), Address: snapshot.Address(), SchedulerEpoch: snapshot.SchedulerEpoch(), Resigned: snapshot.Resigned(),
-	}
+	}}
 	for _, usage := range snapshot.Usage() {
 		part.Usage = append(part.Usage, toUsage(usage))
 	}
@@ -127,6 +176,11 @@
 			RemainingMS: silent.LeaseRemaining().Milliseconds(),
 		})
 	}
+	for _, unlisted := range snapshot.Unlisted() {
+		part.Unlisted = append(part.Unlisted, wireUnlistedWorker{
+			Worker: unlisted.Worker(), Address: unlisted.Address(), Zone: unlisted.Zone(), Leaving: unlisted.Leaving(),
+		})
+	}
 	return part
 }
 
@@ -140,8 +194,8 @@
 		if len(record.Value()) == 0 {
 			continue
 		}
-		var part wireSnapshotPart
-		if err := codec.decodingJobs.Unmarshal(record.Value(), &part); err != nil {
+		part, err := codec.decodeSnapshotPart(record.Value())
+		if err != nil {
 			malformed = errors.Annotatef(ErrMalformed, "snapshot %s: %v", record.Key(), err)
 			continue
 		}
@@ -233,9 +287,15 @@
 			LeaseRemaining: time.Duration(silent.RemainingMS) * time.Millisecond,
 		}))
 	}
+	var unlistedWorkers []almondcross.UnlistedWorker
+	for _, unlisted := range firstPart.Unlisted {
+		unlistedWorkers = append(unlistedWorkers, almondcross.NewUnlistedWorker(almondcross.UnlistedWorkerConfig{
+			Worker: unlisted.Worker, Address: unlisted.Address, Zone: unlisted.Zone, Leaving: unlisted.Leaving,
+		}))
+	}
 	return almondcross.NewStateSnapshot(almondcross.StateSnapshotConfig{
 		Next: firstPart.JournalOffset, Epoch: firstPart.Epoch, SchedulerEpoch: firstPart.SchedulerEpoch, Resigned: firstPart.Resigned, At: fromUnixMillis(firstPart.AtMS), Host: firstPart.Host, Address: firstPart.Address,
-		Intake: firstPart.Intake, Jobs: jobs, Usage: usage, Silent: silentWorkers,
+		Intake: firstPart.Intake, Jobs: jobs, Usage: usage, Silent: silentWorkers, Unlisted: unlistedWorkers,
 	})
 }
 
--- a/job_generated.go
+++ b/job_generated.go
@@ -1863,6 +1863,7 @@
 	Occurrence     int
 	Host           string
 	Address        string
+	Zone           string
 	LeaseRemaining time.Duration
 	Silent         time.Duration
 	Waited         time.Duration
@@ -1882,6 +1883,7 @@
 		occurrence:     config.Occurrence,
 		host:           config.Host,
 		address:        config.Address,
+		zone:           config.Zone,
 		leaseRemaining: config.LeaseRemaining,
 		silent:         config.Silent,
 		waited:         config.Waited,
@@ -1902,6 +1904,7 @@
 		Occurrence:     change.occurrence,
 		Host:           change.host,
 		Address:        change.address,
+		Zone:           change.zone,
 		LeaseRemaining: change.leaseRemaining,
 		Silent:         change.silent,
 		Waited:         change.waited,
@@ -1953,7 +1956,7 @@
 	return change
 }
 
-// Worker returns the worker of a run, of ChangeWorkerSilent or of ChangeWorkerRegained.
+// Worker returns the worker of a run or of a change of a worker.
 func (change Change) Worker() string { return change.worker }
 
 // WithWorker returns a copy with the given worker.
@@ -1962,7 +1965,7 @@
 	return change
 }
 
-// End returns the way in which the run ended.
+// End returns the way in which the run ended; EndVoid in ChangeWorkerUnlisted if the worker had announced that it leaves.
 func (change Change) End() EndKind { return change.end }
 
 // WithEnd returns a copy with the given end.
@@ -1998,7 +2001,7 @@
 	return change
 }
 
-// Address returns the link address of the elected host.
+// Address returns the link address of the elected host, or the address of an unlisted worker.
 func (change Change) Address() string { return change.address }
 
 // WithAddress returns a copy with the given address.
@@ -2007,6 +2010,15 @@
 	return change
 }
 
+// Zone returns the data centre of an unlisted worker.
+func (change Change) Zone() string { return change.zone }
+
+// WithZone returns a copy with the given zone.
+func (change Change) WithZone(zone string) Change {
+	change.zone = zone
+	return change
+}
+
 // LeaseRemaining returns the time after ChangeWorkerSilent by which the lease of the worker has expired.
 func (change Change) LeaseRemaining() time.Duration { return change.leaseRemaining }
 
@@ -2682,6 +2694,70 @@
 	return silentworker
 }
 
+// UnlistedWorkerConfig holds the fields of a new UnlistedWorker.
+type UnlistedWorkerConfig struct {
+	Worker  string
+	Address string
+	Zone    string
+	Leaving bool
+}
+
+// NewUnlistedWorker returns a UnlistedWorker with the given fields.
+func NewUnlistedWorker(config UnlistedWorkerConfig) UnlistedWorker {
+	return UnlistedWorker{
+		worker:  config.Worker,
+		address: config.Address,
+		zone:    config.Zone,
+		leaving: config.Leaving,
+	}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (unlistedworker UnlistedWorker) Config() UnlistedWorkerConfig {
+	return UnlistedWorkerConfig{
+		Worker:  unlistedworker.worker,
+		Address: unlistedworker.address,
+		Zone:    unlistedworker.zone,
+		Leaving: unlistedworker.leaving,
+	}
+}
+
+// Worker returns the identity of the worker.
+func (unlistedworker UnlistedWorker) Worker() string { return unlistedworker.worker }
+
+// WithWorker returns a copy with the given worker.
+func (unlistedworker UnlistedWorker) WithWorker(worker string) UnlistedWorker {
+	unlistedworker.worker = worker
+	return unlistedworker
+}
+
+// Address returns the address that it had announced.
+func (unlistedworker UnlistedWorker) Address() string { return unlistedworker.address }
+
+// WithAddress returns a copy with the given address.
+func (unlistedworker UnlistedWorker) WithAddress(address string) UnlistedWorker {
+	unlistedworker.address = address
+	return unlistedworker
+}
+
+// Zone returns the data centre that it had announced.
+func (unlistedworker UnlistedWorker) Zone() string { return unlistedworker.zone }
+
+// WithZone returns a copy with the given zone.
+func (unlistedworker UnlistedWorker) WithZone(zone string) UnlistedWorker {
+	unlistedworker.zone = zone
+	return unlistedworker
+}
+
+// Leaving returns whether it had announced that it leaves.
+func (unlistedworker UnlistedWorker) Leaving() bool { return unlistedworker.leaving }
+
+// WithLeaving returns a copy with the given leaving.
+func (unlistedworker UnlistedWorker) WithLeaving(leaving bool) UnlistedWorker {
+	unlistedworker.leaving = leaving
+	return unlistedworker
+}
+
 // StateSnapshotConfig holds the fields of a new StateSnapshot.
 type StateSnapshotConfig struct {
 	Next           int64
@@ -2695,6 +2771,7 @@
 	Jobs           []JobRecord
 	Usage          []QueueUsage
 	Silent         []SilentWorker
+	Unlisted       []UnlistedWorker
 }
 
 // NewStateSnapshot returns a StateSnapshot with the given fields.
@@ -2711,6 +2788,7 @@
 		jobs:           config.Jobs,
 		usage:          config.Usage,
 		silent:         config.Silent,
+		unlisted:       config.Unlisted,
 	}
 }
 
@@ -2728,6 +2806,7 @@
 		Jobs:           statesnapshot.jobs,
 		Usage:          statesnapshot.usage,
 		Silent:         statesnapshot.silent,
+		Unlisted:       statesnapshot.unlisted,
 	}
 }
 
@@ -2829,3 +2908,12 @@
 	statesnapshot.silent = silent
 	return statesnapshot
 }
+
+// Unlisted returns the workers with runs that are no longer announced.
+func (statesnapshot StateSnapshot) Unlisted() []UnlistedWorker { return statesnapshot.unlisted }
+
+// WithUnlisted returns a copy with the given unlisted.
+func (statesnapshot StateSnapshot) WithUnlisted(unlisted []UnlistedWorker) StateSnapshot {
+	statesnapshot.unlisted = unlisted
+	return statesnapshot
+}
--- a/journal.go
+++ b/journal.go
@@ -147,6 +147,9 @@
 	ChangeWorkerRegained ChangeKind = 9 // ChangeWorkerRegained records that a silent worker answered again or was removed.
 
 	ChangeJobStarted ChangeKind = 10 // ChangeJobStarted records the first run of a job that is known to have started on its worker.
+
+	ChangeWorkerUnlisted ChangeKind = 11 // ChangeWorkerUnlisted records the address of a worker with runs that is no longer announced, until ChangeWorkerListed.
+	ChangeWorkerListed   ChangeKind = 12 // ChangeWorkerListed records that an unlisted worker is announced again or was removed.
 )
 
 // Change is one change of the replicated state.
@@ -158,12 +161,13 @@
 	queue          Queue         // the queue of an admitted job
 	task           JobTask       // the task of a run
 	run            int           // the number of the run
-	worker         string        // the worker of a run, of ChangeWorkerSilent or of ChangeWorkerRegained
-	end            EndKind       // the way in which the run ended
+	worker         string        // the worker of a run or of a change of a worker
+	end            EndKind       // the way in which the run ended; EndVoid in ChangeWorkerUnlisted if the worker had announced that it leaves
 	checkpoint     string        // the last checkpoint of the run, empty for none
 	occurrence     int           // the occurrence of ChangeOccurrence
 	host           string        // the elected host
-	address        string        // the link address of the elected host
+	address        string        // the link address of the elected host, or the address of an unlisted worker
+	zone           string        // the data centre of an unlisted worker
 	leaseRemaining time.Duration // the time after ChangeWorkerSilent by which the lease of the worker has expired
 	silent         time.Duration // the time for which the worker of a crashed run had not answered when the end was recorded
 	waited         time.Duration // the time from the submission of the job, or its first due time, to the start in ChangeJobStarted
@@ -267,21 +271,32 @@
 	leaseRemaining time.Duration // the time from the snapshot to the end of the worker's lease; a restored snapshot counts it from the restore, which is later and thus safe
 }
 
+// UnlistedWorker is the record of a worker with runs that is no longer announced.
+//
+//value:generate
+type UnlistedWorker struct {
+	worker  string // the identity of the worker
+	address string // the address that it had announced
+	zone    string // the data centre that it had announced
+	leaving bool   // whether it had announced that it leaves
+}
+
 // StateSnapshot is the replicated state after a batch.
 //
 //value:generate
 type StateSnapshot struct {
-	next           int64          // the journal offset that follows the last batch in the snapshot
-	epoch          int64          // the highest epoch of any batch
-	schedulerEpoch int64          // the epoch of the scheduler
-	resigned       bool           // whether the scheduler has resigned
-	at             time.Time      // the time of the last batch
-	host           string         // the scheduler's host
-	address        string         // the link address of the scheduler's host
-	intake         map[int]int64  // the offsets up to which intake partitions have been admitted
-	jobs           []JobRecord    // the jobs
-	usage          []QueueUsage   // the usage of the current periods
-	silent         []SilentWorker // the silent workers
+	next           int64            // the journal offset that follows the last batch in the snapshot
+	epoch          int64            // the highest epoch of any batch
+	schedulerEpoch int64            // the epoch of the scheduler
+	resigned       bool             // whether the scheduler has resigned
+	at             time.Time        // the time of the last batch
+	host           string           // the scheduler's host
+	address        string           // the link address of the scheduler's host
+	intake         map[int]int64    // the offsets up to which intake partitions have been admitted
+	jobs           []JobRecord      // the jobs
+	usage          []QueueUsage     // the usage of the current periods
+	silent         []SilentWorker   // the silent workers
+	unlisted       []UnlistedWorker // the workers with runs that are no longer announced
 }
 
 // JournalCodec converts between the replicated values and the records of the store.
