Reserve the ports of processes that are told their port

Tests that start processes found a free port by listening on port 0 and closing the listener. Until the process listened, the kernel could give the port to another listener or to an outgoing connection: 3 of 37 runs of TestOddRecordsAndJobsChangeNothing beside other tests ended with 'bind: address already in use', one of them with one port given to a host twice.

standin/reserver holds a bound socket that does not listen, with SO_REUSEADDR. The kernel gives its port to no other socket, and a process that is told the number can still listen on it, also after a restart. The soak, integration/process, the demo, the benchmark of a cell, the linker and the store adapters use it; the soak needs no lock around the start of a cell any more. No check changes.

--- a/assembler/bench_test.go
+++ b/assembler/bench_test.go
@@ -21,6 +21,7 @@
 	"github.com/almondcross/almondcross/configurator"
 	"github.com/almondcross/almondcross/encoder"
 	"github.com/almondcross/almondcross/requester"
+	"github.com/almondcross/almondcross/standin/reserver"
 )
 
 const (
@@ -70,9 +71,10 @@
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	address := func() string {
-		free, err := freeAddress(ctx)
+		reservation, err := reserver.Reserve("127.0.0.1")
 		require.NoError(b, err)
-		return free
+		b.Cleanup(func() { _ = reservation.Release() })
+		return reservation.Address()
 	}
 	platform := address()
 	options := []fx.Option{Platform(configurator.NewPlatformSettings(configurator.PlatformSettingsConfig{
--- a/assembler/demo.go
+++ b/assembler/demo.go
@@ -15,6 +15,7 @@
 	"github.com/almondcross/almondcross"
 	"github.com/almondcross/almondcross/configurator"
 	"github.com/almondcross/almondcross/requester"
+	"github.com/almondcross/almondcross/standin/reserver"
 )
 
 const (
@@ -94,11 +95,12 @@
 	logger.SetOutput(io.Discard)
 	addresses := make([]string, 1+demoWorkers+2*demoHosts)
 	for index := range addresses {
-		address, err := freeAddress(ctx)
+		reservation, err := reserver.Reserve("127.0.0.1")
 		if err != nil {
-			return nil, err
+			return nil, errors.Trace(err)
 		}
-		addresses[index] = address
+		defer func() { _ = reservation.Release() }()
+		addresses[index] = reservation.Address()
 	}
 	platform, workers, hosts := addresses[0], addresses[1:1+demoWorkers], addresses[1+demoWorkers:]
 	options := []fx.Option{Platform(configurator.NewPlatformSettings(configurator.PlatformSettingsConfig{
--- a/assembler/standins.go
+++ b/assembler/standins.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net"
-	"strconv"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/juju/errors"
@@ -58,14 +56,3 @@
 		}),
 	)
 }
-
-// freeAddress returns a loopback address with an unused port. The port is not reserved, so another process may take it.
-func freeAddress(ctx context.Context) (string, error) {
-	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Annotate(err, "finding an unused port")
-	}
-	defer func() { _ = listener.Close() }()
-	port := listener.Addr().(*net.TCPAddr).Port
-	return net.JoinHostPort("127.0.0.1", strconv.Itoa(port)), nil
-}
--- a/command/linker/linker_test.go
+++ b/command/linker/linker_test.go
@@ -18,6 +18,7 @@
 	"github.com/almondcross/almondcross/command/linker"
 	"github.com/almondcross/almondcross/encoder"
 	"github.com/almondcross/almondcross/ring"
+	"github.com/almondcross/almondcross/standin/reserver"
 )
 
 type systemClock struct{}
@@ -238,7 +239,12 @@
 // Guards against requests and reports that were queued for an ended process and are delivered to the
 // restarted process of the same name, which would treat them as its own.
 func TestRestartedPeerGetsNoMessagesForPreviousRun(t *testing.T) {
-	first := startHost(t, "e1", nil)
+	reservation, err := reserver.Reserve("127.0.0.1")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = reservation.Release() })
+	socket, err := net.Listen("tcp", reservation.Address())
+	require.NoError(t, err)
+	first := startHostOn(t, "e1", nil, socket)
 	second := startHost(t, "e2", map[string]string{"e1": first.address()})
 	require.True(t, second.linker.Send("e1", newTaskStarted(1)))
 	require.Equal(t, 1, first.nextAttempt(t))
@@ -246,7 +252,7 @@
 		require.True(t, second.linker.Send("e1", newTaskStarted(2)))
 	}
 	first.stop()
-	socket, err := net.Listen("tcp", first.address())
+	socket, err = net.Listen("tcp", reservation.Address())
 	require.NoError(t, err)
 	restarted := startHostOn(t, "e1", nil, socket)
 	// The arrival of a ping shows that the second host knows the new run. Pings are repeated, because one
--- a/integration/process/cell_test.go
+++ b/integration/process/cell_test.go
@@ -67,7 +67,7 @@
 		attempts: make(chan attempt, recordCapacity), readings: make(chan catalogueReading, recordCapacity), injectedFaults: map[string]int{},
 	}
 	directory := t.TempDir()
-	addresses := freeAddresses(t, 1+workers+2*hosts)
+	addresses := reserveAddresses(t, 1+workers+2*hosts)
 	newProcess := func(subcommand, name, address, settings string) *process {
 		config := filepath.Join(directory, name+".jsonc")
 		require.NoError(t, os.WriteFile(config, []byte(settings), 0o600))
--- a/integration/process/process_test.go
+++ b/integration/process/process_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"flag"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -14,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/almondcross/almondcross/standin/reserver"
 	"github.com/stretchr/testify/require"
 )
 
@@ -146,18 +146,18 @@
 	}
 }
 
-// freeAddresses returns free ports on a loopback address that no other cell and no outgoing connection
-// uses, so that a port cannot be taken between this call and the bind of its process.
-func freeAddresses(t *testing.T, count int) []string {
+// reserveAddresses reserves ports on a loopback address that no other cell and no outgoing connection uses, until the end
+// of the test.
+func reserveAddresses(t *testing.T, count int) []string {
 	number := cellCount.Add(1)
 	pid := os.Getpid()
 	host := fmt.Sprintf("127.%d.%d.%d", 10+pid>>8&0x3f, pid&0xff, number)
 	addresses := make([]string, count)
 	for index := range addresses {
-		listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", host+":0")
+		reservation, err := reserver.Reserve(host)
 		require.NoError(t, err)
-		defer func() { _ = listener.Close() }()
-		addresses[index] = listener.Addr().String()
+		t.Cleanup(func() { _ = reservation.Release() })
+		addresses[index] = reservation.Address()
 	}
 	return addresses
 }
--- a/integration/soak/proxy_test.go
+++ b/integration/soak/proxy_test.go
@@ -34,9 +34,9 @@
 
 func newProxy(ctx context.Context, t *testing.T, target string) *proxy {
 	t.Helper()
-	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", "127.0.0.1:0")
+	proxy := &proxy{address: reserveAddress(t), target: target}
+	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", proxy.address)
 	require.NoError(t, err)
-	proxy := &proxy{address: listener.Addr().String(), target: target}
 	proxy.accept(ctx, listener)
 	return proxy
 }
--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -25,6 +25,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/almondcross/almondcross/platform/standin"
+	"github.com/almondcross/almondcross/standin/reserver"
 )
 
 var (
@@ -111,12 +112,13 @@
 	os.Exit(code)
 }
 
-func freeAddress(t *testing.T) string {
+// reserveAddress returns an address on which only the process that is told it listens until the end of the test.
+func reserveAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	reservation, err := reserver.Reserve("127.0.0.1")
 	require.NoError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	t.Cleanup(func() { _ = reservation.Release() })
+	return reservation.Address()
 }
 
 func (cell *cell) serve(handler http.Handler) string {
@@ -128,15 +130,9 @@
 	return listener.Addr().String()
 }
 
-// startingCell is held while a cell starts. The free addresses of a cell could else be taken by another one before its hosts
-// listen there.
-var startingCell sync.Mutex //nolint:forbidigo // Test code has no duties.
-
 // startCell starts a cell and waits until all its hosts answer.
 func startCell(ctx context.Context, t *testing.T, seed uint64) *cell {
 	t.Helper()
-	startingCell.Lock()
-	defer startingCell.Unlock()
 	cell := &cell{
 		t: t, ctx: ctx, random: rand.New(rand.NewPCG(seed, 3)), directory: t.TempDir(), binary: buildBinary(t), store: standin.NewStore(),
 		events: make(chan standin.Event, 1024), checker: newChecker(),
@@ -164,11 +160,11 @@
 		directWorkers = workerCount
 	}
 	for index := range hostCount {
-		host := &host{cell: cell, name: fmt.Sprintf("h-%d", index), callersAddress: freeAddress(t), storeProxy: newProxy(ctx, t, storeAddress)}
+		host := &host{cell: cell, name: fmt.Sprintf("h-%d", index), callersAddress: reserveAddress(t), storeProxy: newProxy(ctx, t, storeAddress)}
 		settings := fmt.Sprintf(`{"role":"scheduler","name":%q,"data_centre":"a","region":"r","callers_listen":%q,"ready_listen":%q,"metrics_listen":%q,
 			"link_listen":%q,"store_address":%q,"store_partitions":2,"store_record":262144,"store_retention":"1h","advice_address":%q,
 			"state_retention":"2m","max_lease":"10s","stop_grace":"3s","processors":1.0,"link_mbps":1000,"memory_mb":256,"direct_workers":%d}`,
-			host.name, host.callersAddress, freeAddress(t), freeAddress(t), freeAddress(t), host.storeProxy.address, adviceAddress, directWorkers)
+			host.name, host.callersAddress, reserveAddress(t), reserveAddress(t), reserveAddress(t), host.storeProxy.address, adviceAddress, directWorkers)
 		host.settingsPath = filepath.Join(cell.directory, host.name+".jsonc")
 		require.NoError(t, os.WriteFile(host.settingsPath, []byte(settings), 0o600))
 		host.log, err = os.Create(filepath.Join(cell.directory, host.name+".log"))
--- a/standin/provider/provider_test.go
+++ b/standin/provider/provider_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -18,6 +17,7 @@
 	"github.com/almondcross/almondcross/query/observer"
 	"github.com/almondcross/almondcross/query/reader"
 	"github.com/almondcross/almondcross/standin/provider"
+	"github.com/almondcross/almondcross/standin/reserver"
 )
 
 const stream = almondcross.Stream("claims")
@@ -95,10 +95,10 @@
 	require.NoError(t, err)
 	require.Len(t, batch.Records(), 2, "the uncertain appends must take effect and the refused one must not")
 
-	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	closed, err := reserver.Reserve("127.0.0.1")
 	require.NoError(t, err)
-	require.NoError(t, closed.Close())
-	_, err = writer.New(writer.Config{Address: closed.Addr().String()}).Append(t.Context(), stream, newRecords("nowhere"))
+	defer func() { require.NoError(t, closed.Release()) }()
+	_, err = writer.New(writer.Config{Address: closed.Address()}).Append(t.Context(), stream, newRecords("nowhere"))
 	require.True(t, errors.Is(err, almondcross.ErrLogRefused), "%v", err)
 }
 
