--- a/standin/emulator/worker.go
+++ b/standin/emulator/worker.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/almondcross/almondcross"
@@ -211,7 +210,10 @@
 }
 
 func (modelworker *modelWorker) sortedRuns() []*modelRun {
-	return slices.SortedFunc(maps.Values(modelworker.runs), func(a, b *modelRun) int { return strings.Compare(a.task.String(), b.task.String()) })
+	if len(modelworker.runs) == 0 {
+		return nil
+	}
+	return slices.SortedFunc(maps.Values(modelworker.runs), func(a, b *modelRun) int { return a.task.Compare(b.task) })
 }
 
 func (modelrun *modelRun) workDone(now time.Duration) time.Duration {
