scheduler: jobs of unknown queues wait for their settings

A host that had no route table, or not the version by which another host accepted a job, was elected scheduler and admitted the job with a queue that is only a name.

The settings of a queue are now a type of their own, QueueSettings, whose zero value means "not known", and carry the version of the configuration. Once the scheduler has a table with the queue, the change ChangeSettings stores its settings for the job, which fails at once if a task has used up its attempts. Jobs that an older host admitted are settled after each election.

A scheduler whose table is older than the settings of a job no longer replaces them.

--- a/command/scheduler/append.go
+++ b/command/scheduler/append.go
@@ -121,7 +121,7 @@
 
 // maxChangeBytes returns an upper bound of the size of a change in a record.
 func maxChangeBytes(change almondcross.Change) int {
-	job, queue := change.Job(), change.Queue()
+	job, queue := change.Job(), change.Settings().Queue()
 	size := changeOverheadBytes + len(change.Worker()) + len(change.Checkpoint()) + len(change.End()) + len(change.Host()) + len(change.Address()) +
 		len(job.Payload()) + len(job.Queue()) + len(queue.Name()) + len(queue.Host()) + len(queue.Prefix()) + len(queue.Pool())
 	for _, step := range job.Steps() {
--- a/command/scheduler/intake.go
+++ b/command/scheduler/intake.go
@@ -74,20 +74,44 @@
 		machine.config.Metrics.JobRepeated()
 		return
 	}
-	queue, known := machine.queues[submitted.Queue()]
-	if !known {
-		// The entry host that stored the job knew the queue. Either this host has not read that version yet or
-		// the queue has been removed since.
-		queue = almondcross.NewQueue(almondcross.QueueConfig{Name: submitted.Queue()})
-	}
-	machine.recordChange(almondcross.ChangeConfig{Kind: almondcross.ChangeAdmit, Job: submitted, Queue: queue})
+	settings := machine.routes.Settings(submitted.Queue())
+	machine.recordChange(almondcross.ChangeConfig{Kind: almondcross.ChangeAdmit, Job: submitted, Settings: settings})
 	machine.config.Metrics.Admitted(submitted.Queue())
 	machine.config.Log.Record("job_admitted", almondcross.Text("job", string(submitted.ID())), almondcross.Text("queue", submitted.Queue()),
 		almondcross.Millis("age_ms", machine.now.Sub(submitted.Submitted())), almondcross.Number("steps", len(submitted.Steps())))
+	if !settings.Known() {
+		// The host that stored the job knew the queue. Either this host has not read that version yet or the queue has been
+		// removed since. The job waits until a version with the queue is read.
+		machine.config.Log.Record("settings_unknown", almondcross.Text("job", string(submitted.ID())), almondcross.Text("queue", submitted.Queue()),
+			almondcross.Number("routes_version", machine.routes.Version()))
+	}
 	machine.enqueueReadyStages(machine.state.jobs[submitted.ID()])
 	machine.leader.placementDue = true
 }
 
+// settleJobs sets the settings of the jobs that were admitted while the settings were not known, and queues their stages.
+func (machine *Machine) settleJobs() {
+	for _, job := range machine.state.jobs {
+		if settings := machine.routes.Settings(job.spec.Queue()); !job.state.Final() && !job.settings.Known() && settings.Known() {
+			machine.settleJob(job, settings)
+		}
+	}
+}
+
+func (machine *Machine) settleJob(job *job, settings almondcross.QueueSettings) {
+	machine.recordChange(almondcross.ChangeConfig{
+		Kind: almondcross.ChangeSettings, Job: job.spec.WithSteps(nil).WithPayload(""), Settings: settings,
+	})
+	machine.config.Log.Record("settings_known", almondcross.Text("job", string(job.spec.ID())), almondcross.Text("queue", job.spec.Queue()),
+		almondcross.Number("version", settings.Version()))
+	if job.state.Final() {
+		machine.jobFinished(job)
+		return
+	}
+	machine.enqueueReadyStages(job)
+	machine.leader.placementDue = true
+}
+
 func (machine *Machine) cancelJob(cancelled almondcross.Job) {
 	job := machine.state.jobs[cancelled.ID()]
 	if job != nil && job.state.Final() {
@@ -100,9 +124,10 @@
 }
 
 // enqueueReadyStages queues the stages of a job that are ready to start, and registers the job if it has
-// occurrences still to start.
+// occurrences still to start. A job without known settings waits for ChangeSettings: neither its pool nor its limit of
+// attempts is known.
 func (machine *Machine) enqueueReadyStages(job *job) {
-	if job.state.Final() {
+	if job.state.Final() || !job.settings.Known() {
 		return
 	}
 	if job.startedOccurrences < job.spec.Occurrences() {
--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -79,6 +79,7 @@
 		}
 	}
 	machine.restoreAssignments()
+	machine.settleJobs()
 	machine.emit(ReadWorkers{Query: almondcross.NewWorkersQuery(almondcross.WorkersQueryConfig{From: -1})})
 	for partition := range machine.config.Partitions {
 		machine.emit(ReadIntake{Query: almondcross.NewIntakeQuery(almondcross.IntakeQueryConfig{
--- a/command/scheduler/progress.go
+++ b/command/scheduler/progress.go
@@ -22,7 +22,7 @@
 		return
 	}
 	job.state = almondcross.JobRunning
-	state.updateUsage(job.queue, func(usage almondcross.QueueUsage) almondcross.QueueUsage {
+	state.updateUsage(job.settings.Queue(), func(usage almondcross.QueueUsage) almondcross.QueueUsage {
 		return usage.WithWaited(usage.Waited() + waited)
 	})
 	state.changedJobs[id] = struct{}{}
--- a/command/scheduler/records_test.go
+++ b/command/scheduler/records_test.go
@@ -43,14 +43,14 @@
 func applyRecord(codec encoder.Codec, record []byte) error {
 	now := time.Unix(1767225600, 0)
 	state := newState(time.Minute)
-	state.admitJob(newJob("j", almondcross.StepConfig{Count: 2, Gang: true}), almondcross.Queue{})
+	state.admitJob(newJob("j", almondcross.StepConfig{Count: 2, Gang: true}), almondcross.QueueSettings{})
 	batch, batchErr := codec.DecodeBatch(record)
 	if batchErr == nil {
 		state.applyBatch(batch, now)
 	}
 	intake, intakeErr := codec.DecodeIntake(record)
 	if intakeErr == nil {
-		state.admitJob(intake.Job(), almondcross.Queue{})
+		state.admitJob(intake.Job(), almondcross.QueueSettings{})
 	}
 	snapshot, found, _ := codec.DecodeSnapshot([]almondcross.KeyedRecord{almondcross.NewKeyedRecord(almondcross.KeyedRecordConfig{Value: record})})
 	if found {
@@ -129,12 +129,12 @@
 	state := newState(time.Minute)
 	for _, id := range []almondcross.JobID{"a-small", "b-large", "c-large", "d-small"} {
 		count := map[bool]int{true: 10_000, false: 1}[strings.HasSuffix(string(id), "large")]
-		state.admitJob(newJob(id, almondcross.StepConfig{Count: count}), almondcross.Queue{})
+		state.admitJob(newJob(id, almondcross.StepConfig{Count: count}), almondcross.QueueSettings{})
 		for index := range count {
 			state.apply(almondcross.NewChange(almondcross.ChangeConfig{Kind: almondcross.ChangeAssign, Task: taskOf(id, 0, index), Run: 1, Worker: workerID}))
 		}
 	}
-	state.admitJob(almondcross.NewJob(almondcross.JobConfig{ID: "e-often", Runs: maxJobRuns, Steps: []almondcross.Step{almondcross.NewStep(almondcross.StepConfig{Count: 1})}}), almondcross.Queue{})
+	state.admitJob(almondcross.NewJob(almondcross.JobConfig{ID: "e-often", Runs: maxJobRuns, Steps: []almondcross.Step{almondcross.NewStep(almondcross.StepConfig{Count: 1})}}), almondcross.QueueSettings{})
 	for range maxJobRuns {
 		state.jobs["e-often"].startOccurrence()
 	}
--- a/command/scheduler/scheduler_test.go
+++ b/command/scheduler/scheduler_test.go
@@ -486,9 +486,11 @@
 // Guards against a gang whose failure is counted once for each member, or never.
 func TestGangCountsOneFailurePerRun(t *testing.T) {
 	state := newState(time.Minute)
-	queue := almondcross.NewQueue(almondcross.QueueConfig{Name: "q", MaxAttempts: 2})
+	settings := almondcross.NewQueueSettings(almondcross.QueueSettingsConfig{
+		Queue: almondcross.NewQueue(almondcross.QueueConfig{Name: "q", Pool: "pool", MaxAttempts: 2}),
+	})
 	step := almondcross.NewStep(almondcross.StepConfig{Count: 3, Gang: true})
-	state.admitJob(almondcross.NewJob(almondcross.JobConfig{ID: "g", Queue: "q", Steps: []almondcross.Step{step}}), queue)
+	state.admitJob(almondcross.NewJob(almondcross.JobConfig{ID: "g", Queue: "q", Steps: []almondcross.Step{step}}), settings)
 	for run := 1; run <= 2; run++ {
 		for index := range 3 {
 			state.apply(almondcross.NewChange(almondcross.ChangeConfig{Kind: almondcross.ChangeAssign, Task: taskOf("g", 0, index), Run: run, Worker: workerID}))
@@ -508,7 +510,7 @@
 func TestCancellationBeforeSubmission(t *testing.T) {
 	state := newState(time.Minute)
 	state.cancelJob(almondcross.NewJob(almondcross.JobConfig{ID: "c"}))
-	state.admitJob(almondcross.NewJob(almondcross.JobConfig{ID: "c", Steps: []almondcross.Step{almondcross.NewStep(almondcross.StepConfig{Count: 1})}}), almondcross.Queue{})
+	state.admitJob(almondcross.NewJob(almondcross.JobConfig{ID: "c", Steps: []almondcross.Step{almondcross.NewStep(almondcross.StepConfig{Count: 1})}}), almondcross.QueueSettings{})
 	require.Equal(t, almondcross.JobCancelled, state.jobs["c"].state)
 	require.Empty(t, state.jobs["c"].stages)
 }
--- a/command/scheduler/snapshot.go
+++ b/command/scheduler/snapshot.go
@@ -37,7 +37,7 @@
 		})
 	}
 	return almondcross.NewJobRecord(almondcross.JobRecordConfig{
-		Job: job.spec, Queue: job.queue, State: job.state, Finished: job.finishedAt, StartedOccurrences: job.startedOccurrences, Stages: stages,
+		Job: job.spec, Settings: job.settings, State: job.state, Finished: job.finishedAt, StartedOccurrences: job.startedOccurrences, Stages: stages,
 	})
 }
 
@@ -72,7 +72,7 @@
 
 func (state *state) restoreJob(record almondcross.JobRecord) {
 	restored := &job{
-		spec: record.Job(), queue: record.Queue(), state: record.State(), finishedAt: record.Finished(), startedOccurrences: record.StartedOccurrences(),
+		spec: record.Job(), settings: record.Settings(), state: record.State(), finishedAt: record.Finished(), startedOccurrences: record.StartedOccurrences(),
 	}
 	id := record.Job().ID()
 	steps := record.Job().Steps()
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -24,7 +24,7 @@
 // job is one job of the replicated state.
 type job struct {
 	spec               almondcross.Job
-	queue              almondcross.Queue
+	settings           almondcross.QueueSettings // settings are not known for a job of an older host until ChangeSettings.
 	state              almondcross.JobState
 	finishedAt         time.Time
 	startedOccurrences int
@@ -121,7 +121,9 @@
 func (state *state) apply(change almondcross.Change) {
 	switch change.Kind() {
 	case almondcross.ChangeAdmit:
-		state.admitJob(change.Job(), change.Queue())
+		state.admitJob(change.Job(), change.Settings())
+	case almondcross.ChangeSettings:
+		state.settleJob(change.Job().ID(), change.Settings())
 	case almondcross.ChangeCancel:
 		state.cancelJob(change.Job())
 	case almondcross.ChangeAssign:
@@ -155,14 +157,14 @@
 	state.silentWorkers[worker] = added
 }
 
-func (state *state) admitJob(submitted almondcross.Job, queue almondcross.Queue) {
+func (state *state) admitJob(submitted almondcross.Job, settings almondcross.QueueSettings) {
 	if _, known := state.jobs[submitted.ID()]; known {
 		return
 	}
-	job := &job{spec: submitted, queue: queue, state: almondcross.JobQueued}
+	job := &job{spec: submitted, settings: settings, state: almondcross.JobQueued}
 	state.jobs[submitted.ID()] = job
 	state.changedJobs[submitted.ID()] = struct{}{}
-	state.updateUsage(queue, func(usage almondcross.QueueUsage) almondcross.QueueUsage {
+	state.updateUsage(settings.Queue(), func(usage almondcross.QueueUsage) almondcross.QueueUsage {
 		return usage.WithAdmitted(usage.Admitted() + 1)
 	})
 	if submitted.Runs() == 0 {
@@ -170,6 +172,27 @@
 	}
 }
 
+// settleJob sets the settings of an open job that has none, and fails the job if a task has failed too often by them.
+func (state *state) settleJob(id almondcross.JobID, settings almondcross.QueueSettings) {
+	job := state.jobs[id]
+	if job == nil || job.state.Final() || job.settings.Known() || !settings.Known() {
+		return
+	}
+	if job.settings.Queue().Name() == "" { // A host of the version before has counted the job by the name of its queue.
+		state.updateUsage(settings.Queue(), func(usage almondcross.QueueUsage) almondcross.QueueUsage {
+			return usage.WithAdmitted(usage.Admitted() + 1)
+		})
+	}
+	job.settings = settings
+	for _, stage := range job.stages {
+		for index := range stage.tasks {
+			if stage.remainingTasks > 0 {
+				state.updateJobState(job, stage, index)
+			}
+		}
+	}
+}
+
 func (job *job) startOccurrence() {
 	if job.startedOccurrences >= job.spec.Occurrences() {
 		return
@@ -199,7 +222,7 @@
 
 func (state *state) finishJob(job *job, final almondcross.JobState) {
 	job.state, job.finishedAt = final, state.batchTime
-	state.updateUsage(job.queue, func(usage almondcross.QueueUsage) almondcross.QueueUsage {
+	state.updateUsage(job.settings.Queue(), func(usage almondcross.QueueUsage) almondcross.QueueUsage {
 		switch final {
 		case almondcross.JobCompleted:
 			return usage.WithCompleted(usage.Completed() + 1)
@@ -331,7 +354,7 @@
 	if stage.spec.Gang() {
 		failures = stage.gangFailures
 	}
-	if limit := job.queue.MaxAttempts(); limit > 0 && failures >= limit && stage.remainingTasks > 0 && !stage.spec.Service() {
+	if limit := job.settings.Queue().MaxAttempts(); limit > 0 && failures >= limit && stage.remainingTasks > 0 && !stage.spec.Service() {
 		state.finishJob(job, almondcross.JobFailed)
 		return
 	}
--- a/command/scheduler/usage.go
+++ b/command/scheduler/usage.go
@@ -38,7 +38,7 @@
 // addRunUsage adds the resources that a run used until its end.
 func (state *state) addRunUsage(job *job, stage *stage, record almondcross.TaskRecord, kind almondcross.EndKind) {
 	consumed := resourceSeconds(stage.spec.Resources(), state.batchTime.Sub(record.Since()))
-	state.updateUsage(job.queue, func(usage almondcross.QueueUsage) almondcross.QueueUsage {
+	state.updateUsage(job.settings.Queue(), func(usage almondcross.QueueUsage) almondcross.QueueUsage {
 		usage = usage.WithReceived(usage.Received().Add(consumed))
 		switch kind {
 		case almondcross.EndDone:
--- a/encoder/journal.go
+++ b/encoder/journal.go
@@ -58,7 +58,9 @@
 	Worker, End, Checkpoint string
 	Occurrence              int
 	Host, Address           string
-	DurationMS              int64 // DurationMS is the lease remaining of ChangeWorkerSilent, the time waited of ChangeJobStarted or the silence of ChangeEnd.
+	// DurationMS is the lease remaining of ChangeWorkerSilent, the time waited of ChangeJobStarted or the silence of ChangeEnd,
+	// and the version of the settings of ChangeAdmit and ChangeSettings. The version before ignores it for these kinds.
+	DurationMS int64
 }
 
 // maxEpoch is the maximum epoch of a record: the fencing tokens of the next epochs must not exceed the range of int64.
@@ -226,10 +228,12 @@
 }
 
 type wireJobRecord struct {
-	_                  struct{} `cbor:",toarray"`
-	Job                wireJob
-	Queue              wireQueue
-	State              almondcross.JobState
+	_     struct{} `cbor:",toarray"`
+	Job   wireJob
+	Queue wireQueue
+	State almondcross.JobState
+	// FinishedMS is the end of a final job, and the version of the settings of any other one. The version before reads it only
+	// of final jobs, and keeps it for the others.
 	FinishedMS         int64
 	StartedOccurrences int
 	Stages             []wireStageRecord
@@ -326,6 +330,11 @@
 	})
 }
 
+// settings returns the settings of the queue by a version of the configuration.
+func (wirequeue wireQueue) settings(version int64) almondcross.QueueSettings {
+	return almondcross.NewQueueSettings(almondcross.QueueSettingsConfig{Queue: wirequeue.value(), Version: version})
+}
+
 func toChange(change almondcross.Change) wireStateChange {
 	wire := wireStateChange{
 		Kind: change.Kind(), Run: change.Run(), Worker: change.Worker(), End: string(change.End()),
@@ -337,14 +346,16 @@
 		wire.DurationMS = change.Waited().Milliseconds()
 	case almondcross.ChangeEnd:
 		wire.DurationMS = change.Silent().Milliseconds()
+	case almondcross.ChangeAdmit, almondcross.ChangeSettings:
+		wire.DurationMS = change.Settings().Version()
 	default:
 	}
 	if change.Job().ID() != "" {
 		job := toJob(change.Job())
 		wire.Job = &job
 	}
-	if change.Queue().Name() != "" {
-		queue := toQueue(change.Queue())
+	if change.Settings().Known() {
+		queue := toQueue(change.Settings().Queue())
 		wire.Queue = &queue
 	}
 	if task := change.Task(); task.Stage.Job != "" {
@@ -365,6 +376,7 @@
 		config.Waited = duration
 	case almondcross.ChangeEnd:
 		config.Silent = duration
+	case almondcross.ChangeAdmit, almondcross.ChangeSettings:
 	default:
 		config.LeaseRemaining = duration
 	}
@@ -378,7 +390,7 @@
 		return almondcross.Change{}, errors.Annotate(ErrMalformed, "an admitted job without steps")
 	}
 	if wirestatechange.Queue != nil {
-		config.Queue = wirestatechange.Queue.value()
+		config.Settings = wirestatechange.Queue.settings(wirestatechange.DurationMS)
 	}
 	if task := wirestatechange.Task; task != nil {
 		if task.Occurrence < 0 || task.Step < 0 || task.Index < 0 {
--- a/encoder/snapshot.go
+++ b/encoder/snapshot.go
@@ -255,10 +255,14 @@
 			FailedRun: stage.FailedRun(), Checkpoint: stage.Checkpoint(), Tasks: tasks,
 		}
 	}
-	return wireJobRecord{
-		Job: toJob(record.Job()), Queue: toQueue(record.Queue()), State: record.State(),
-		FinishedMS: toUnixMillis(record.Finished()), StartedOccurrences: record.StartedOccurrences(), Stages: stages,
+	wire := wireJobRecord{
+		Job: toJob(record.Job()), Queue: toQueue(record.Settings().Queue()), State: record.State(),
+		FinishedMS: record.Settings().Version(), StartedOccurrences: record.StartedOccurrences(), Stages: stages,
 	}
+	if record.State().Final() {
+		wire.FinishedMS = toUnixMillis(record.Finished())
+	}
+	return wire
 }
 
 // value returns the record of the job, or ErrMalformed if the scheduler that stored it cannot have held it.
@@ -284,10 +288,13 @@
 			FailedRun: stage.FailedRun, Checkpoint: stage.Checkpoint, Tasks: tasks,
 		})
 	}
-	return almondcross.NewJobRecord(almondcross.JobRecordConfig{
-		Job: job, Queue: wirejobrecord.Queue.value(), State: wirejobrecord.State,
-		Finished: fromUnixMillis(wirejobrecord.FinishedMS), StartedOccurrences: wirejobrecord.StartedOccurrences, Stages: stages,
-	}), nil
+	config := almondcross.JobRecordConfig{Job: job, State: wirejobrecord.State, StartedOccurrences: wirejobrecord.StartedOccurrences, Stages: stages}
+	if wirejobrecord.State.Final() {
+		config.Settings, config.Finished = wirejobrecord.Queue.settings(0), fromUnixMillis(wirejobrecord.FinishedMS)
+	} else {
+		config.Settings = wirejobrecord.Queue.settings(wirejobrecord.FinishedMS)
+	}
+	return almondcross.NewJobRecord(config), nil
 }
 
 // checkStages returns ErrMalformed unless the stages are those of the started occurrences in order. A final job has neither
--- a/job.go
+++ b/job.go
@@ -174,6 +174,19 @@
 	adviceSettings AdviceSettings // how the queue uses the advice service
 }
 
+// QueueSettings is a queue as one version of the configuration has it. The zero value stands for settings that are not known,
+// which is neither a queue without a pool nor one without a limit of attempts.
+//
+//value:generate
+type QueueSettings struct {
+	queue   Queue // the queue
+	version int64 // the version of the configuration, 0 if the version is not known
+}
+
+// Known reports whether the settings are known. Hosts of the version before stored a queue that is only a name for a job
+// whose queue they did not know.
+func (queuesettings QueueSettings) Known() bool { return queuesettings.queue.pool != "" }
+
 // Pool is a group of workers that run the tasks of some queues.
 //
 //value:generate
@@ -194,6 +207,15 @@
 	bodyLimit int64   // the largest body of a request in bytes
 }
 
+// Settings returns the settings of the queue with the given name. They are not known if the table has no such queue.
+func (routetable RouteTable) Settings(name string) QueueSettings {
+	queue, found := routetable.Queue(name)
+	if !found {
+		return QueueSettings{}
+	}
+	return QueueSettings{queue: queue, version: routetable.version}
+}
+
 // Queue returns the queue with the given name and reports whether it exists.
 func (routetable RouteTable) Queue(name string) (Queue, bool) {
 	for _, queue := range routetable.queues {
--- a/job_generated.go
+++ b/job_generated.go
@@ -514,6 +514,46 @@
 	return queue
 }
 
+// QueueSettingsConfig holds the fields of a new QueueSettings.
+type QueueSettingsConfig struct {
+	Queue   Queue
+	Version int64
+}
+
+// NewQueueSettings returns a QueueSettings with the given fields.
+func NewQueueSettings(config QueueSettingsConfig) QueueSettings {
+	return QueueSettings{
+		queue:   config.Queue,
+		version: config.Version,
+	}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (queuesettings QueueSettings) Config() QueueSettingsConfig {
+	return QueueSettingsConfig{
+		Queue:   queuesettings.queue,
+		Version: queuesettings.version,
+	}
+}
+
+// Queue returns the queue.
+func (queuesettings QueueSettings) Queue() Queue { return queuesettings.queue }
+
+// WithQueue returns a copy with the given queue.
+func (queuesettings QueueSettings) WithQueue(queue Queue) QueueSettings {
+	queuesettings.queue = queue
+	return queuesettings
+}
+
+// Version returns the version of the configuration, 0 if the version is not known.
+func (queuesettings QueueSettings) Version() int64 { return queuesettings.version }
+
+// WithVersion returns a copy with the given version.
+func (queuesettings QueueSettings) WithVersion(version int64) QueueSettings {
+	queuesettings.version = version
+	return queuesettings
+}
+
 // PoolConfig holds the fields of a new Pool.
 type PoolConfig struct {
 	Name             string
@@ -1854,7 +1894,7 @@
 type ChangeConfig struct {
 	Kind           ChangeKind
 	Job            Job
-	Queue          Queue
+	Settings       QueueSettings
 	Task           JobTask
 	Run            int
 	Worker         string
@@ -1873,7 +1913,7 @@
 	return Change{
 		kind:           config.Kind,
 		job:            config.Job,
-		queue:          config.Queue,
+		settings:       config.Settings,
 		task:           config.Task,
 		run:            config.Run,
 		worker:         config.Worker,
@@ -1893,7 +1933,7 @@
 	return ChangeConfig{
 		Kind:           change.kind,
 		Job:            change.job,
-		Queue:          change.queue,
+		Settings:       change.settings,
 		Task:           change.task,
 		Run:            change.run,
 		Worker:         change.worker,
@@ -1917,7 +1957,7 @@
 	return change
 }
 
-// Job returns the job of ChangeAdmit, with only its identity for ChangeCancel and ChangeOccurrence.
+// Job returns the job of ChangeAdmit, with only its identity for ChangeCancel, ChangeOccurrence and ChangeSettings.
 func (change Change) Job() Job { return change.job }
 
 // WithJob returns a copy with the given job.
@@ -1926,12 +1966,12 @@
 	return change
 }
 
-// Queue returns the queue of an admitted job.
-func (change Change) Queue() Queue { return change.queue }
+// Settings returns the settings of the queue of ChangeAdmit and ChangeSettings.
+func (change Change) Settings() QueueSettings { return change.settings }
 
-// WithQueue returns a copy with the given queue.
-func (change Change) WithQueue(queue Queue) Change {
-	change.queue = queue
+// WithSettings returns a copy with the given settings.
+func (change Change) WithSettings(settings QueueSettings) Change {
+	change.settings = settings
 	return change
 }
 
@@ -2533,7 +2573,7 @@
 // JobRecordConfig holds the fields of a new JobRecord.
 type JobRecordConfig struct {
 	Job                Job
-	Queue              Queue
+	Settings           QueueSettings
 	State              JobState
 	Finished           time.Time
 	StartedOccurrences int
@@ -2544,7 +2584,7 @@
 func NewJobRecord(config JobRecordConfig) JobRecord {
 	return JobRecord{
 		job:                config.Job,
-		queue:              config.Queue,
+		settings:           config.Settings,
 		state:              config.State,
 		finished:           config.Finished,
 		startedOccurrences: config.StartedOccurrences,
@@ -2556,7 +2596,7 @@
 func (jobrecord JobRecord) Config() JobRecordConfig {
 	return JobRecordConfig{
 		Job:                jobrecord.job,
-		Queue:              jobrecord.queue,
+		Settings:           jobrecord.settings,
 		State:              jobrecord.state,
 		Finished:           jobrecord.finished,
 		StartedOccurrences: jobrecord.startedOccurrences,
@@ -2573,12 +2613,12 @@
 	return jobrecord
 }
 
-// Queue returns the queue as it was configured when the job was admitted.
-func (jobrecord JobRecord) Queue() Queue { return jobrecord.queue }
+// Settings returns the settings of the queue with which the job runs.
+func (jobrecord JobRecord) Settings() QueueSettings { return jobrecord.settings }
 
-// WithQueue returns a copy with the given queue.
-func (jobrecord JobRecord) WithQueue(queue Queue) JobRecord {
-	jobrecord.queue = queue
+// WithSettings returns a copy with the given settings.
+func (jobrecord JobRecord) WithSettings(settings QueueSettings) JobRecord {
+	jobrecord.settings = settings
 	return jobrecord
 }
 
--- a/journal.go
+++ b/journal.go
@@ -147,6 +147,8 @@
 	ChangeWorkerRegained ChangeKind = 9 // ChangeWorkerRegained records that a silent worker answered again or was removed.
 
 	ChangeJobStarted ChangeKind = 10 // ChangeJobStarted records the first run of a job that is known to have started on its worker.
+
+	ChangeSettings ChangeKind = 11 // ChangeSettings sets the settings of a job that was admitted while they were not known.
 )
 
 // Change is one change of the replicated state.
@@ -154,8 +156,8 @@
 //value:generate
 type Change struct {
 	kind           ChangeKind    // the kind
-	job            Job           // the job of ChangeAdmit, with only its identity for ChangeCancel and ChangeOccurrence
-	queue          Queue         // the queue of an admitted job
+	job            Job           // the job of ChangeAdmit, with only its identity for ChangeCancel, ChangeOccurrence and ChangeSettings
+	settings       QueueSettings // the settings of the queue of ChangeAdmit and ChangeSettings
 	task           JobTask       // the task of a run
 	run            int           // the number of the run
 	worker         string        // the worker of a run, of ChangeWorkerSilent or of ChangeWorkerRegained
@@ -246,7 +248,7 @@
 //value:generate
 type JobRecord struct {
 	job                Job           // the job, without payload once its state is final and none of its tasks runs, and then without steps unless a task was started more than once
-	queue              Queue         // the queue as it was configured when the job was admitted
+	settings           QueueSettings // the settings of the queue with which the job runs
 	state              JobState      // the state of the job
 	finished           time.Time     // the time at which its state became final, zero before
 	startedOccurrences int           // the number of occurrences that were started
