scheduler: raise a fencing token once between two reports

Seen: each unanswered start, stop or lease order raised the worker's fencing token, one every 0.8 s while a worker was cut off. Cause: a flag asked for a raise with each unanswered order. The raises counted orders, not what the worker had seen. Change: the scheduler notes the token of the last unanswered order and the token of the last report. It raises the token only if an order under the current one is unanswered and the worker has reported under it; a report under the raised token settles all orders before. An order that stays unanswered under a token without a report leads to a further request once the report is there.

--- a/command/scheduler/lease.go
+++ b/command/scheduler/lease.go
@@ -18,10 +18,7 @@
 	if !worker.managed {
 		return
 	}
-	if worker.raiseFence {
-		worker.fence++
-		worker.raiseFence = false
-	}
+	worker.raiseFence()
 	worker.leasePending = true
 	machine.emit(SendLease{Pause: pause, Order: almondcross.NewLeaseOrder(almondcross.LeaseOrderConfig{
 		Worker: worker.info, Fence: worker.fence, Acknowledged: worker.acknowledgedEnd,
@@ -68,7 +65,7 @@
 			machine.config.Log.Record("worker_lost_contact", almondcross.Text("worker", worker.id), almondcross.Text("result", string(answer.Result())),
 				almondcross.Millis("age_ms", machine.now.Sub(worker.lastAnswerAt)), almondcross.Number("runs", len(worker.assignments)))
 		}
-		worker.raiseFence = true
+		worker.noteUnanswered(answer.Order().Fence())
 		switch answer.Result() {
 		case almondcross.OrderReplaced:
 			machine.endRunsOfReplaced(worker)
@@ -91,26 +88,32 @@
 	machine.reconcileRuns(worker, answer)
 }
 
-// requestReport requests the report of a worker's runs under a higher fencing token, in parallel to the lease
-// order that waits for an end.
-func (machine *Machine) requestReport(worker *worker) {
+// requestReport requests the report of a worker's runs under a fencing token above that of an unanswered order, in
+// parallel to the lease order that waits for an end. While the worker has not reported under the current token, it only
+// notes the order, and the next report leads to another request.
+func (machine *Machine) requestReport(worker *worker, unanswered int64) {
+	worker.noteUnanswered(unanswered)
 	if !worker.managed || worker.unreachable {
-		worker.raiseFence = true
 		return
 	}
-	worker.fence++
+	worker.raiseFence()
+	if unanswered >= worker.fence {
+		return
+	}
 	machine.emit(SendLease{Order: almondcross.NewLeaseOrder(almondcross.LeaseOrderConfig{
 		Worker: worker.info, Fence: worker.fence, Acknowledged: worker.acknowledgedEnd, ListOnly: true,
 	})})
 }
 
-// reportAnswered handles the answer to a report request. If there is none, the next lease order raises the token.
+// reportAnswered handles the answer to a report request. If there is none, the next lease order brings the report.
 func (machine *Machine) reportAnswered(worker *worker, answer almondcross.LeaseAnswered) {
 	if answer.Result() != almondcross.OrderDone {
-		worker.raiseFence = true
 		return
 	}
 	machine.reconcileRuns(worker, answer)
+	if worker.raiseDue() {
+		machine.requestReport(worker, worker.unansweredFence)
+	}
 }
 
 // reconcileRuns compares the report of a worker with its assignments.
@@ -123,6 +126,7 @@
 		machine.resetWorker(worker, report)
 	}
 	worker.clock, worker.lastAnswerAt = report.Clock(), answer.Received()
+	worker.reportedFence = max(worker.reportedFence, answer.Order().Fence())
 	machine.endSilence(worker)
 	machine.leader.placementDue = true
 	acknowledged := machine.recordEnds(worker, report.Ended())
@@ -183,7 +187,8 @@
 	case worker.ackLimit > 0:
 		// While ends are reported, the worker answers without waiting, so the pause limits the rate.
 		machine.sendLease(worker, 0, leaseAnswerWait)
-	case worker.raiseFence:
+	case worker.raiseDue() || worker.reportedFence < worker.fence:
+		// Unanswered orders are settled by the report under a higher token.
 		machine.sendLease(worker, 0, 0)
 	default:
 		machine.sendLease(worker, machine.answerWait(), 0)
@@ -243,7 +248,7 @@
 		}
 	}
 	if worker.incarnation != 0 {
-		worker.raiseFence = true
+		worker.noteUnanswered(worker.fence)
 	}
 	// A known worker's announcement may still be that of its previous incarnation.
 	worker.drained = worker.incarnation == 0 && worker.info.Draining()
--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -387,7 +387,7 @@
 		machine.noteStart(assigned.job, assigned.task, assigned.run, machine.now)
 	case almondcross.OrderUnknown:
 		assigned.phase = phaseUnknown
-		machine.requestReport(worker)
+		machine.requestReport(worker, assigned.fence)
 	case almondcross.OrderFenced:
 		if answer.Order().Fence() >= worker.fence {
 			machine.stopLeading("worker " + worker.id + " has seen a higher fencing token")
--- a/command/scheduler/stop.go
+++ b/command/scheduler/stop.go
@@ -69,7 +69,7 @@
 	}
 	assigned.nextStopAt, assigned.stopSentAt = machine.now.Add(stopRetryDelay), time.Time{}
 	if answer.Result() == almondcross.OrderUnknown {
-		worker.raiseFence = true
+		worker.noteUnanswered(answer.Order().Fence())
 	}
 }
 
--- a/command/scheduler/takeover_test.go
+++ b/command/scheduler/takeover_test.go
@@ -125,8 +125,10 @@
 func TestReturningWorkerIsSentNoLowerFencingToken(t *testing.T) {
 	harness := newHarnessWithRun(t)
 	worker := harness.machine.leader.workers[workerID]
-	harness.machine.requestReport(worker)
+	first := worker.fence
+	harness.machine.requestReport(worker, first)
 	seen := worker.fence
+	require.Greater(t, seen, first, "the token was raised")
 	harness.apply(almondcross.NewWorkersRead(almondcross.WorkersReadConfig{Changes: []almondcross.WorkerChange{
 		almondcross.NewWorkerChange(almondcross.WorkerChangeConfig{ID: workerID}),
 	}}))
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -69,7 +69,8 @@
 	lastAnswerAt     time.Time     // lastAnswerAt is when the last report arrived, zero for never.
 	maxLeaseEnd      time.Duration // maxLeaseEnd is the latest end of a lease that was sent, on the worker's clock.
 	fence            int64
-	raiseFence       bool      // raiseFence is set if the next lease order must invalidate all earlier orders.
+	reportedFence    int64     // reportedFence is the highest fencing token under which the worker has reported.
+	unansweredFence  int64     // unansweredFence is the highest fencing token of an order without an answer.
 	leasePending     bool      // leasePending is set while a lease order is pending or waits for a commit.
 	unreachable      bool      // unreachable is set if the last lease order was not answered.
 	unreachableSince time.Time // unreachableSince is when the first of these lease orders failed.
