scheduler: widen the counter of fencing tokens and hand over at its end

Cause: a token had ten bits for the counter. Beyond them the counter changed the epoch in the token, and the scheduler took the answers for those of another epoch. Nothing ended an epoch before that. Change: of the twelve random bits of an epoch, a host of this version draws four and leaves eight to the counter, which then has 18 bits. The term stays at bit 22, so that tokens of hosts of both versions stay in the order of their terms. A scheduler that needs a token beyond its range resigns; a host without a further term does not stand. Epochs end at 2^43, so tokens at 2^53.

--- a/command/scheduler/constants.go
+++ b/command/scheduler/constants.go
@@ -1,10 +1,6 @@
 package scheduler
 
-import (
-	"time"
-
-	"github.com/almondcross/almondcross"
-)
+import "time"
 
 // Timing of the journal and of elections.
 const (
@@ -71,6 +67,8 @@
 	linkTimeout = 700 * time.Millisecond
 	// electionBackoff is the delay after a lost election.
 	electionBackoff = 400 * time.Millisecond
+	// lastTermRetryDelay is how often a host without a further term logs that it cannot stand for election.
+	lastTermRetryDelay = 10 * time.Second
 	// freshBatchAge is the maximum age of a batch that shows its scheduler to be alive.
 	freshBatchAge = 1500 * time.Millisecond
 	// freshReadAge is the maximum age of the last successful read for an election. If it is older, the store
@@ -165,11 +163,3 @@
 	// maxReportedEnds is the number of ends from which a worker's report may be truncated.
 	maxReportedEnds = 500
 )
-
-// Layout of epochs and fencing tokens. An epoch consists of an increasing term and random low bits that
-// distinguish candidates of the same term; a fencing token consists of the epoch and a per-worker counter in
-// the low bits.
-const (
-	epochRandomBits  = almondcross.EpochRandomBits
-	fenceCounterBits = 10
-)
--- a/command/scheduler/follower.go
+++ b/command/scheduler/follower.go
@@ -233,8 +233,12 @@
 		follower.electionAt = machine.now.Add(jitter + time.Duration(fullStrength-min(machine.strength(), fullStrength))*electionDelayPerPoint)
 		return
 	}
-	term := max(machine.state.highestEpoch, machine.triedEpoch)>>epochRandomBits + 1
-	epoch := term<<epochRandomBits | machine.config.Random.Int64N(1<<epochRandomBits)
+	epoch, found := machine.nextEpoch()
+	if !found {
+		follower.electionAt = machine.now.Add(lastTermRetryDelay)
+		machine.config.Log.Record("election_terms_used_up", almondcross.Number("epoch", machine.state.highestEpoch))
+		return
+	}
 	machine.triedEpoch = epoch
 	machine.role = roleCandidate
 	machine.config.Log.Record("election_started", almondcross.Number("epoch", epoch), almondcross.Millis("silence_ms", silence),
--- a/command/scheduler/lease.go
+++ b/command/scheduler/lease.go
@@ -18,7 +18,7 @@
 	if !worker.managed {
 		return
 	}
-	worker.raiseFence()
+	machine.raiseFence(worker)
 	worker.leasePending = true
 	machine.emit(SendLease{Pause: pause, Order: almondcross.NewLeaseOrder(almondcross.LeaseOrderConfig{
 		Worker: worker.info, Fence: worker.fence, Acknowledged: worker.acknowledgedEnd,
@@ -40,7 +40,7 @@
 // leaseAnswered handles the answer to a lease order and sends the next one.
 func (machine *Machine) leaseAnswered(answer almondcross.LeaseAnswered) {
 	worker := machine.leader.workers[answer.Order().Worker().ID()]
-	if worker == nil || answer.Order().Fence()>>fenceCounterBits != machine.leader.epoch {
+	if worker == nil || !machine.leader.ownsFence(answer.Order().Fence()) {
 		return
 	}
 	if answer.Order().Worker().Address() != worker.info.Address() {
@@ -96,7 +96,7 @@
 	if !worker.managed || worker.unreachable {
 		return
 	}
-	worker.raiseFence()
+	machine.raiseFence(worker)
 	if unanswered >= worker.fence {
 		return
 	}
@@ -187,8 +187,8 @@
 	case worker.ackLimit > 0:
 		// While ends are reported, the worker answers without waiting, so the pause limits the rate.
 		machine.sendLease(worker, 0, leaseAnswerWait)
-	case worker.raiseDue() || worker.reportedFence < worker.fence:
-		// Unanswered orders are settled by the report under a higher token.
+	case worker.raiseDue() && machine.leader.resignedAt.IsZero() || worker.reportedFence < worker.fence:
+		// Unanswered orders are settled by the report under a higher token. A scheduler that resigns may have none.
 		machine.sendLease(worker, 0, 0)
 	default:
 		machine.sendLease(worker, machine.answerWait(), 0)
--- a/command/scheduler/scheduler_test.go
+++ b/command/scheduler/scheduler_test.go
@@ -29,9 +29,15 @@
 func (noopRecorder) Advised(string, int, int)               {}
 func (noopRecorder) Examined(int)                           {}
 
+// testingT is the common part of testing.T and rapid.T.
+type testingT interface {
+	require.TestingT
+	Helper()
+}
+
 // harness drives one machine step by step and collects its effects.
 type harness struct {
-	t          *testing.T
+	t          testingT
 	machine    *Machine
 	now        time.Time
 	effects    []Effect
@@ -47,7 +53,7 @@
 	Capacity: almondcross.NewResources(almondcross.ResourcesConfig{MilliCPU: 4000, MemoryMB: 4000}),
 })
 
-func newHarness(t *testing.T) *harness {
+func newHarness(t testingT) *harness {
 	t.Helper()
 	harness := &harness{t: t, now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}
 	harness.machine = NewMachine(Config{
--- a/encoder/journal.go
+++ b/encoder/journal.go
@@ -61,10 +61,9 @@
 	DurationMS              int64 // DurationMS is the lease remaining of ChangeWorkerSilent, the time waited of ChangeJobStarted or the silence of ChangeEnd.
 }
 
-// maxEpoch is the maximum epoch of a record: the fencing tokens of the next epochs must not exceed the range of int64.
-const maxEpoch = 1 << 50
-
-func validEpoch(epoch int64) bool { return epoch >= 0 && epoch <= maxEpoch }
+// validEpoch reports whether an epoch is in the range that schedulers use. A record with a higher one would leave no terms
+// for the next elections.
+func validEpoch(epoch int64) bool { return epoch >= 0 && epoch <= almondcross.MaxEpoch }
 
 type wireBatch struct {
 	_       struct{} `cbor:",toarray"`
--- a/journal.go
+++ b/journal.go
@@ -257,6 +257,10 @@
 // them are the term.
 const EpochRandomBits = 12
 
+// MaxEpoch is the highest epoch. Its fencing tokens, shifted by ten bits more, stay below 1<<53, so that workers that read
+// numbers as floating point compare them exactly.
+const MaxEpoch = 1<<43 - 1
+
 // SilentWorker is the record of a worker that does not answer.
 //
 //value:generate
