--- a/command/scheduler/records_test.go
+++ b/command/scheduler/records_test.go
@@ -321,7 +321,7 @@
 	switch message := message.(type) {
 	case almondcross.OrdersAnswered:
 		lease := almondcross.NewRelayedOrder(almondcross.RelayedOrderConfig{Kind: almondcross.OrderLease, Lease: almondcross.NewLeaseOrder(almondcross.LeaseOrderConfig{
-			Worker: poolWorker, Fence: harness.machine.state.schedulerEpoch << fenceCounterBits,
+			Worker: poolWorker, Fence: firstFence(harness.machine.state.schedulerEpoch),
 		})})
 		for _, answer := range message.Answers() {
 			harness.apply(lease.Answer(answer, harness.now, harness.now))
