scheduler: give no work to a worker whose current life is not announced

Cause: an announcement says when its process started, but the decoder dropped it, so the scheduler used the announcement of an earlier life for the one that answers. A run placed before the restart was also sent to the next life, with a check of its capacity but not of its pool and label. Change: a worker of the state has the incarnation of its announcement. One that is announced with another incarnation than it reports gets no start order; lease and stop orders go on. An announcement without the start of its process is of no known life: after a restart it counts if it was read maxAnnouncementAge later, by when the store no longer lists that of the earlier life; the first life that a scheduler sees counts from the start that it reports, at the latest from its first report, so that neither a takeover nor a clock that is ahead keeps such a worker out for long. A start order is also checked against pool and label. The stand-ins announce their incarnation; the soak announces a worker again after its crash, as the platform's workers do. TestTaskThatCrashesItsWorkersIsGivenUp now announces each life, which the scheduler needs to start the task again; its bounds are unchanged.

--- a/command/scheduler/crash_test.go
+++ b/command/scheduler/crash_test.go
@@ -52,6 +52,7 @@
 				}
 				harness.answerLeaseAs(incarnation) // The worker has crashed and answers as another incarnation,
 				harness.answerLeaseAs(incarnation) // the second time under a raised fencing token.
+				harness.announceLife(incarnation)
 				harness.answerCommits()
 				if starts == 1 {
 					harness = harness.electStandby()
--- /dev/null
+++ b/command/scheduler/incarnation.go
@@ -0,0 +1,32 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/almondcross/almondcross"
+)
+
+// lifeAnnounced reports whether the worker's announcement is that of its current incarnation. A restarted worker may have
+// another kind or capacity, and the announcement of its earlier incarnation may still be read for seconds.
+func (worker *worker) lifeAnnounced() bool {
+	if announced := worker.info.Incarnation(); announced != 0 && worker.incarnation != 0 {
+		return announced == worker.incarnation
+	}
+	return !worker.announcedAt.Before(worker.announcedFrom)
+}
+
+// nextAnnouncement returns the time from which an announcement that does not say to which incarnation it belongs counts for
+// the current one. The store lists the last announcement of an earlier incarnation for maxAnnouncementAge. The start of the
+// first incarnation that this scheduler sees is on the worker's clock; if that clock is ahead, its first report counts.
+func (machine *Machine) nextAnnouncement(worker *worker, incarnation int64) time.Time {
+	since := machine.now
+	if started := time.UnixMilli(incarnation); worker.incarnation == 0 && started.Before(since) {
+		since = started
+	}
+	return since.Add(maxAnnouncementAge)
+}
+
+// isOfKind reports whether the worker is announced in the pool of a queue and with the label of a step.
+func (worker *worker) isOfKind(queue almondcross.Queue, step almondcross.Step) bool {
+	return worker.info.Pool() == queue.Pool() && worker.info.HasLabel(step.Label())
+}
--- a/command/scheduler/lease.go
+++ b/command/scheduler/lease.go
@@ -257,7 +257,12 @@
 		// It may have received an order whose lease ends at a time on the clock of its previous incarnation.
 		worker.maxLeaseEnd = report.Clock() + machine.config.MaxLease
 	}
+	worker.announcedFrom = machine.nextAnnouncement(worker, incarnation)
 	worker.incarnation, worker.acknowledgedEnd, worker.failures, worker.ackLimit = incarnation, 0, 0, 0
+	if worker.announced && !worker.lifeAnnounced() {
+		machine.config.Log.Record("announcement_outdated", almondcross.Text("worker", worker.id),
+			almondcross.Number("incarnation", incarnation), almondcross.Number("announced", worker.info.Incarnation()))
+	}
 }
 
 func (machine *Machine) confirmRun(assigned *assignment, running almondcross.RunningTask) {
--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -184,7 +184,7 @@
 		if !worker.inPass || failed[worker.id] || advice != nil && !advice.hasTicket(worker, machine.now) {
 			continue
 		}
-		if worker.info.Pool() != queue.Pool() || !worker.info.HasLabel(spec.Label()) || !worker.accepts(job, suspicion) {
+		if !worker.isOfKind(queue, spec) || !worker.accepts(job, suspicion) {
 			continue
 		}
 		free := worker.free().Sub(worker.reserved)
@@ -344,7 +344,8 @@
 		return
 	}
 	leaseEnd := machine.leaseEnd(worker)
-	if assigned.stopReason != "" || assigned.unwantedReason() != "" || leaseEnd == 0 || worker.unreachable || !worker.fitsRuns() {
+	if assigned.stopReason != "" || assigned.unwantedReason() != "" || leaseEnd == 0 || worker.unreachable || !worker.fitsRuns() ||
+		!worker.isOfKind(machine.queue(assigned.job), assigned.stage.spec) {
 		machine.endRun(worker, assigned, almondcross.EndVoid, "")
 		return
 	}
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -50,12 +50,14 @@
 	info        almondcross.Worker
 	announced   bool      // announced is set while the worker is announced.
 	announcedAt time.Time // announcedAt is when its announcement was last renewed.
-	managed     bool      // managed is set once the duties of the worker have been started.
-	drained     bool      // drained is set once this incarnation has announced that it will leave.
-	assignments map[almondcross.JobTask]*assignment
-	used        almondcross.Resources
-	usedByGangs almondcross.Resources // usedByGangs is the part of used that belongs to gangs.
-	reserved    almondcross.Resources // reserved holds the resources reserved for waiting gangs in the current pass.
+	// announcedFrom is when an announcement without an incarnation counts for the current one, see nextAnnouncement.
+	announcedFrom time.Time
+	managed       bool // managed is set once the duties of the worker have been started.
+	drained       bool // drained is set once this incarnation has announced that it will leave.
+	assignments   map[almondcross.JobTask]*assignment
+	used          almondcross.Resources
+	usedByGangs   almondcross.Resources // usedByGangs is the part of used that belongs to gangs.
+	reserved      almondcross.Resources // reserved holds the resources reserved for waiting gangs in the current pass.
 
 	suspectRuns  int  // suspectRuns counts the runs of tasks under suspicion.
 	isolatedRuns int  // isolatedRuns counts the runs of isolated tasks; meanwhile the worker gets no runs of other jobs.
@@ -90,11 +92,11 @@
 // free returns the unused resources of the worker.
 func (worker *worker) free() almondcross.Resources { return worker.info.Capacity().Sub(worker.used) }
 
-// fitsRuns reports whether the worker still takes the runs that it was given. It may have changed since the decision,
-// because the store may take seconds to commit it.
+// fitsRuns reports whether the worker still takes the runs that it was given. It may have changed or restarted since the
+// decision, because the store may take seconds to commit it.
 func (worker *worker) fitsRuns() bool {
 	free := worker.free()
-	return worker.announced && !worker.info.Draining() && free.MilliCPU() >= 0 && free.MemoryMB() >= 0 && free.Accelerators() >= 0
+	return worker.announced && worker.lifeAnnounced() && !worker.info.Draining() && free.MilliCPU() >= 0 && free.MemoryMB() >= 0 && free.Accelerators() >= 0
 }
 
 func (worker *worker) assign(assignment *assignment) {
@@ -135,7 +137,7 @@
 
 // usable reports whether the worker may get new work.
 func (worker *worker) usable(now time.Time) bool {
-	return worker.announced && !worker.info.Draining() && !worker.unreachable && worker.ackLimit == 0 && !worker.lastAnswerAt.IsZero() &&
+	return worker.announced && worker.lifeAnnounced() && !worker.info.Draining() && !worker.unreachable && worker.ackLimit == 0 && !worker.lastAnswerAt.IsZero() &&
 		now.Sub(worker.lastAnswerAt) < maxContactAge && !now.Before(worker.avoidUntil)
 }
 
--- a/integration/soak/crash_test.go
+++ b/integration/soak/crash_test.go
@@ -56,7 +56,12 @@
 	slot.current.Store(worker)
 	slot.handler.Store(&handler)
 	go func() { _ = worker.Run(slot.cell.ctx) }()
-	announcement, err := worker.Announcement()
+	return slot.announce(worker)
+}
+
+// announce announces the current incarnation of a worker. The platform's workers renew their announcements by themselves.
+func (slot *workerSlot) announce(worker *standin.Worker) error {
+	announcement, err := worker.Announcement(slot.cell.ctx)
 	if err != nil {
 		return err
 	}
--- a/integration/soak/odd_test.go
+++ b/integration/soak/odd_test.go
@@ -85,8 +85,6 @@
 		status, _ := cell.call(http.MethodPost, cell.hosts[1].callersAddress, fmt.Sprintf("/q/%016x", number), body)
 		require.Equal(cell.t, http.StatusBadRequest, status, body[:min(len(body), 100)])
 	}
-	announcement, err := cell.workers[0].current.Load().Announcement()
-	require.NoError(cell.t, err)
-	require.NoError(cell.t, cell.store.Put(cell.ctx, "keyed.servers", cell.workers[0].current.Load().ID, announcement))
+	require.NoError(cell.t, cell.workers[0].announce(cell.workers[0].current.Load()))
 	return len(raw) + len(keyed)
 }
--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -355,7 +355,11 @@
 		cell.workers[worker].proxy.injectFault(cell.ctx, []mode{blockAll, blockResponses, delayAll}[random.IntN(3)], duration)
 		return fmt.Sprintf("fault of worker %d for %s", worker, duration)
 	default:
-		cell.workers[worker].current.Load().Crash(cell.ctx)
+		crashed := cell.workers[worker].current.Load()
+		crashed.Crash(cell.ctx)
+		if err := cell.workers[worker].announce(crashed); err != nil {
+			return fmt.Sprintf("crash of worker %d, not announced: %v", worker, err)
+		}
 		return fmt.Sprintf("crash of worker %d", worker)
 	}
 }
--- a/job_generated.go
+++ b/job_generated.go
@@ -696,44 +696,47 @@
 
 // WorkerConfig holds the fields of a new Worker.
 type WorkerConfig struct {
-	ID       string
-	Pool     string
-	Address  string
-	Zone     string
-	Rack     string
-	Labels   []string
-	Capacity Resources
-	Draining bool
-	WarmUp   time.Duration
+	ID          string
+	Incarnation int64
+	Pool        string
+	Address     string
+	Zone        string
+	Rack        string
+	Labels      []string
+	Capacity    Resources
+	Draining    bool
+	WarmUp      time.Duration
 }
 
 // NewWorker returns a Worker with the given fields.
 func NewWorker(config WorkerConfig) Worker {
 	return Worker{
-		id:       config.ID,
-		pool:     config.Pool,
-		address:  config.Address,
-		zone:     config.Zone,
-		rack:     config.Rack,
-		labels:   config.Labels,
-		capacity: config.Capacity,
-		draining: config.Draining,
-		warmUp:   config.WarmUp,
+		id:          config.ID,
+		incarnation: config.Incarnation,
+		pool:        config.Pool,
+		address:     config.Address,
+		zone:        config.Zone,
+		rack:        config.Rack,
+		labels:      config.Labels,
+		capacity:    config.Capacity,
+		draining:    config.Draining,
+		warmUp:      config.WarmUp,
 	}
 }
 
 // Config returns the fields of the value for encoding or for a changed copy.
 func (worker Worker) Config() WorkerConfig {
 	return WorkerConfig{
-		ID:       worker.id,
-		Pool:     worker.pool,
-		Address:  worker.address,
-		Zone:     worker.zone,
-		Rack:     worker.rack,
-		Labels:   worker.labels,
-		Capacity: worker.capacity,
-		Draining: worker.draining,
-		WarmUp:   worker.warmUp,
+		ID:          worker.id,
+		Incarnation: worker.incarnation,
+		Pool:        worker.pool,
+		Address:     worker.address,
+		Zone:        worker.zone,
+		Rack:        worker.rack,
+		Labels:      worker.labels,
+		Capacity:    worker.capacity,
+		Draining:    worker.draining,
+		WarmUp:      worker.warmUp,
 	}
 }
 
@@ -746,6 +749,15 @@
 	return worker
 }
 
+// Incarnation returns the start of the announced worker process in Unix milliseconds, 0 when it is not known.
+func (worker Worker) Incarnation() int64 { return worker.incarnation }
+
+// WithIncarnation returns a copy with the given incarnation.
+func (worker Worker) WithIncarnation(incarnation int64) Worker {
+	worker.incarnation = incarnation
+	return worker
+}
+
 // Pool returns the name of its pool.
 func (worker Worker) Pool() string { return worker.pool }
 
--- a/standin/emulator/worker.go
+++ b/standin/emulator/worker.go
@@ -338,6 +338,7 @@
 func (modelworker *modelWorker) boot(now time.Duration) {
 	modelworker.up, modelworker.bootedAt = true, now
 	modelworker.bootMillis = modelworker.simulation.startTime.Add(now).UnixMilli()
+	modelworker.announcement = modelworker.announcement.WithIncarnation(modelworker.bootMillis)
 	modelworker.fence, modelworker.leaseUntil, modelworker.sequence = 0, 0, 0
 	modelworker.runs, modelworker.endedTasks = map[almondcross.JobTask]*modelRun{}, nil
 	modelworker.blockedThrough = map[almondcross.JobTask]int{}
--- a/worker.go
+++ b/worker.go
@@ -9,15 +9,16 @@
 //
 //value:generate
 type Worker struct {
-	id       string        // the identity of the announcement
-	pool     string        // the name of its pool
-	address  string        // the IP address and port
-	zone     string        // the data centre
-	rack     string        // the rack
-	labels   []string      // the labels, including the rack
-	capacity Resources     // the capacity
-	draining bool          // whether it accepts no new tasks
-	warmUp   time.Duration // the remaining warm-up time, during which it is slow
+	id          string        // the identity of the announcement
+	incarnation int64         // the start of the announced worker process in Unix milliseconds, 0 when it is not known
+	pool        string        // the name of its pool
+	address     string        // the IP address and port
+	zone        string        // the data centre
+	rack        string        // the rack
+	labels      []string      // the labels, including the rack
+	capacity    Resources     // the capacity
+	draining    bool          // whether it accepts no new tasks
+	warmUp      time.Duration // the remaining warm-up time, during which it is slow
 }
 
 // HasLabel reports whether the worker has a label. It is true for the empty label.
