encoder: keep numbers of records and link messages in their ranges

Seen: a damaged record or message with a number out of range was read as written. A duration of more than 292 years wrapped, so that the lease of a silent worker could count as expired; a run number at the maximum made the next one negative; a pointer to the scheduler could have any epoch. Durations were multiplied without a limit. Change: durations are limited to a hundred years. Records and messages with a run, a count, an offset or a partition that is negative or above 2^53, and pointers with an epoch out of range, are malformed. No host writes such numbers.

--- a/encoder/journal.go
+++ b/encoder/journal.go
@@ -61,10 +61,6 @@
 	DurationMS              int64 // DurationMS is the lease remaining of ChangeWorkerSilent, the time waited of ChangeJobStarted or the silence of ChangeEnd.
 }
 
-// validEpoch reports whether an epoch is in the range that schedulers use. A record with a higher one would leave no terms
-// for the next elections.
-func validEpoch(epoch int64) bool { return epoch >= 0 && epoch <= almondcross.MaxEpoch }
-
 type wireBatch struct {
 	_       struct{} `cbor:",toarray"`
 	Epoch   int64
@@ -92,6 +88,9 @@
 	if err := codec.decoding.Unmarshal(data, &wire); err != nil {
 		return almondcross.SchedulerPointer{}, errors.Annotatef(ErrMalformed, "scheduler pointer: %v", err)
 	}
+	if !validEpoch(wire.Epoch) {
+		return almondcross.SchedulerPointer{}, errors.Annotatef(ErrMalformed, "scheduler pointer of epoch %d", wire.Epoch)
+	}
 	return almondcross.NewSchedulerPointer(almondcross.SchedulerPointerConfig{Epoch: wire.Epoch, Host: wire.Host, Address: wire.Address}), nil
 }
 
@@ -196,7 +195,7 @@
 		From: fromUnixMillis(wireusage.FromMS), Queue: wireusage.Queue, Pool: wireusage.Pool, Priority: wireusage.Priority,
 		Received: wireusage.Received.value(), Capacity: wireusage.Capacity.value(), Lost: wireusage.Lost.value(),
 		Admitted: wireusage.Admitted, Completed: wireusage.Completed, Failed: wireusage.Failed, Cancelled: wireusage.Cancelled,
-		Waited: time.Duration(wireusage.WaitedMS) * time.Millisecond, DoneRuns: wireusage.Done,
+		Waited: milliseconds(wireusage.WaitedMS), DoneRuns: wireusage.Done,
 		FailedRuns: wireusage.Unfinished, AbortedRuns: wireusage.Withdrawn,
 	})
 }
@@ -267,10 +266,10 @@
 		Resources: almondcross.NewResources(almondcross.ResourcesConfig{
 			MilliCPU: wirestep.MilliCPU, MemoryMB: wirestep.MemoryMB, Accelerators: wirestep.Accelerators,
 		}),
-		Estimate: time.Duration(wirestep.EstimateMS) * time.Millisecond, After: wirestep.After, Checkpoints: wirestep.Checkpoints,
+		Estimate: milliseconds(wirestep.EstimateMS), After: wirestep.After, Checkpoints: wirestep.Checkpoints,
 		Gang: wirestep.Gang, SameRack: wirestep.SameRack, Label: wirestep.Label, DataRack: wirestep.DataRack,
 		PerWorker: wirestep.PerWorker, Speculative: wirestep.Speculative, Service: wirestep.Service, Image: wirestep.Image,
-		LatencyLimit: time.Duration(wirestep.LatencyLimitMS) * time.Millisecond, BestEffort: wirestep.BestEffort, MaxUnavailable: wirestep.MaxUnavailable,
+		LatencyLimit: milliseconds(wirestep.LatencyLimitMS), BestEffort: wirestep.BestEffort, MaxUnavailable: wirestep.MaxUnavailable,
 	})
 }
 
@@ -293,7 +292,7 @@
 	}
 	job := almondcross.NewJob(almondcross.JobConfig{
 		ID: almondcross.JobID(wirejob.ID), Queue: wirejob.Queue, Payload: wirejob.Payload, Steps: steps, Runs: wirejob.Runs,
-		First: fromUnixMillis(wirejob.FirstMS), Period: time.Duration(wirejob.PeriodMS) * time.Millisecond,
+		First: fromUnixMillis(wirejob.FirstMS), Period: milliseconds(wirejob.PeriodMS),
 		Submitted: fromUnixMillis(wirejob.SubmittedMS),
 	})
 	if err := job.Validate(); err != nil {
@@ -316,11 +315,11 @@
 	return almondcross.NewQueue(almondcross.QueueConfig{
 		Name: wirequeue.Name, Host: wirequeue.Host, Prefix: wirequeue.Prefix, Pool: wirequeue.Service,
 		Priority: wirequeue.Priority, MaxAttempts: wirequeue.MaxAttempts, Stretch: wirequeue.Stretch,
-		LatencyTarget: time.Duration(wirequeue.LatencyTargetMS) * time.Millisecond,
+		LatencyTarget: milliseconds(wirequeue.LatencyTargetMS),
 		AdviceSettings: almondcross.NewAdviceSettings(almondcross.AdviceSettingsConfig{
-			Required: wirequeue.Advice, Base: time.Duration(wirequeue.AdviceBaseUS) * time.Microsecond,
-			PerWorker: time.Duration(wirequeue.AdviceWorkerUS) * time.Microsecond,
-			Validity:  time.Duration(wirequeue.AdviceValidityMS) * time.Millisecond,
+			Required: wirequeue.Advice, Base: microseconds(wirequeue.AdviceBaseUS),
+			PerWorker: microseconds(wirequeue.AdviceWorkerUS),
+			Validity:  milliseconds(wirequeue.AdviceValidityMS),
 		}),
 	})
 }
@@ -359,7 +358,7 @@
 		End: almondcross.EndKind(wirestatechange.End), Checkpoint: wirestatechange.Checkpoint,
 		Occurrence: wirestatechange.Occurrence, Host: wirestatechange.Host, Address: wirestatechange.Address,
 	}
-	switch duration := time.Duration(wirestatechange.DurationMS) * time.Millisecond; wirestatechange.Kind {
+	switch duration := milliseconds(wirestatechange.DurationMS); wirestatechange.Kind {
 	case almondcross.ChangeJobStarted:
 		config.Waited = duration
 	case almondcross.ChangeEnd:
@@ -367,6 +366,9 @@
 	default:
 		config.LeaseRemaining = duration
 	}
+	if !validCounts(wirestatechange.Run, wirestatechange.Occurrence) {
+		return almondcross.Change{}, errors.Annotatef(ErrMalformed, "run %d, occurrence %d", wirestatechange.Run, wirestatechange.Occurrence)
+	}
 	var err error
 	if wirestatechange.Job != nil {
 		if config.Job, err = wirestatechange.Job.value(); err != nil {
@@ -409,6 +411,9 @@
 	if wire.Epoch == 0 || !validEpoch(wire.Epoch) {
 		return almondcross.JournalBatch{}, errors.Annotatef(ErrMalformed, "journal batch of epoch %d", wire.Epoch)
 	}
+	if err := checkOffsets(wire.Intake); err != nil {
+		return almondcross.JournalBatch{}, errors.Annotate(err, "journal batch")
+	}
 	changes := make([]almondcross.Change, len(wire.Changes))
 	for index, wireChange := range wire.Changes {
 		change, err := wireChange.value()
--- a/encoder/link.go
+++ b/encoder/link.go
@@ -1,8 +1,6 @@
 package encoder
 
 import (
-	"time"
-
 	"github.com/juju/errors"
 
 	"github.com/almondcross/almondcross"
@@ -274,6 +272,9 @@
 	if err := codec.decodeBody(envelope, &wire); err != nil {
 		return nil, err
 	}
+	if !validCount(wire.From) {
+		return nil, errors.Annotatef(ErrMalformed, "batches from offset %d", wire.From)
+	}
 	config := almondcross.JournalPushedConfig{From: wire.From}
 	for _, record := range wire.Batches {
 		batch, err := codec.DecodeBatch(record)
@@ -293,7 +294,7 @@
 		return almondcross.NewAdviceAnswered(config)
 	}
 	result := almondcross.AdviceResultConfig{
-		Stage: query.Stage(), Asked: query.Workers(), Validity: time.Duration(wireadviceanswer.ValidityMS) * time.Millisecond,
+		Stage: query.Stage(), Asked: query.Workers(), Validity: milliseconds(wireadviceanswer.ValidityMS),
 	}
 	for _, ticket := range wireadviceanswer.Tickets {
 		result.Tickets = append(result.Tickets, almondcross.NewTicket(almondcross.TicketConfig(ticket)))
--- a/encoder/order.go
+++ b/encoder/order.go
@@ -1,8 +1,6 @@
 package encoder
 
 import (
-	"time"
-
 	"github.com/juju/errors"
 
 	"github.com/almondcross/almondcross"
@@ -106,13 +104,13 @@
 func (wireorder wireOrder) value() (almondcross.RelayedOrder, error) {
 	worker := almondcross.NewWorker(almondcross.WorkerConfig{ID: wireorder.Worker, Address: wireorder.Address})
 	config := almondcross.RelayedOrderConfig{Number: wireorder.Number, Kind: wireorder.Kind}
-	until := time.Duration(wireorder.UntilMS) * time.Millisecond
+	until := milliseconds(wireorder.UntilMS)
 	switch {
 	case wireorder.Kind == almondcross.OrderLease:
-		config.Pause = time.Duration(wireorder.PauseMS) * time.Millisecond
+		config.Pause = milliseconds(wireorder.PauseMS)
 		config.Lease = almondcross.NewLeaseOrder(almondcross.LeaseOrderConfig{
 			Number: wireorder.Number, Worker: worker, Fence: wireorder.Fence, Acknowledged: wireorder.Acknowledged, Until: until,
-			Wait: time.Duration(wireorder.WaitMS) * time.Millisecond, ListOnly: wireorder.ListOnly,
+			Wait: milliseconds(wireorder.WaitMS), ListOnly: wireorder.ListOnly,
 		})
 	case wireorder.Task == nil:
 		return almondcross.RelayedOrder{}, errors.Annotatef(ErrMalformed, "order %d of kind %q has no task", wireorder.Number, wireorder.Kind)
@@ -160,7 +158,7 @@
 
 func (wireorderanswer wireOrderAnswer) value() almondcross.RelayedAnswer {
 	report := almondcross.WorkerReportConfig{
-		ID: wireorderanswer.Worker, Incarnation: wireorderanswer.Incarnation, Clock: time.Duration(wireorderanswer.ClockUS) * time.Microsecond,
+		ID: wireorderanswer.Worker, Incarnation: wireorderanswer.Incarnation, Clock: microseconds(wireorderanswer.ClockUS),
 	}
 	for _, running := range wireorderanswer.Running {
 		report.Running = append(report.Running, almondcross.NewRunningTask(almondcross.RunningTaskConfig{
--- a/encoder/snapshot.go
+++ b/encoder/snapshot.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
@@ -145,10 +144,14 @@
 			malformed = errors.Annotatef(ErrMalformed, "snapshot %s: %v", record.Key(), err)
 			continue
 		}
-		if part.JournalOffset < 0 || !validEpoch(part.Epoch) || !validEpoch(part.SchedulerEpoch) {
+		if !validCount(part.JournalOffset) || !validEpoch(part.Epoch) || !validEpoch(part.SchedulerEpoch) {
 			malformed = errors.Annotatef(ErrMalformed, "snapshot %s: offset %d, epochs %d and %d", record.Key(), part.JournalOffset, part.Epoch, part.SchedulerEpoch)
 			continue
 		}
+		if err := checkOffsets(part.Intake); err != nil {
+			malformed = errors.Annotatef(err, "snapshot %s", record.Key())
+			continue
+		}
 		if partsByOffset[part.JournalOffset] == nil {
 			partsByOffset[part.JournalOffset] = map[int]wireSnapshotPart{}
 		}
@@ -230,7 +233,7 @@
 	for _, silent := range firstPart.Silent {
 		silentWorkers = append(silentWorkers, almondcross.NewSilentWorker(almondcross.SilentWorkerConfig{
 			Worker: silent.Worker, Epoch: silent.Epoch, RecordedAt: fromUnixMillis(silent.RecordedAtMS),
-			LeaseRemaining: time.Duration(silent.RemainingMS) * time.Millisecond,
+			LeaseRemaining: milliseconds(silent.RemainingMS),
 		}))
 	}
 	return almondcross.NewStateSnapshot(almondcross.StateSnapshotConfig{
@@ -301,6 +304,18 @@
 		if stage.Occurrence != index/len(steps) || stage.Step != index%len(steps) || len(stage.Tasks) != steps[stage.Step].Count {
 			return errors.Annotatef(ErrMalformed, "stage %d of job %s", index, wirejobrecord.Job.ID)
 		}
+		if !stage.validCounts() {
+			return errors.Annotatef(ErrMalformed, "the runs of stage %d of job %s", index, wirejobrecord.Job.ID)
+		}
 	}
 	return nil
 }
+
+func (wirestagerecord wireStageRecord) validCounts() bool {
+	for _, task := range wirestagerecord.Tasks {
+		if !validCounts(task.Run, task.Failures, task.Crashes, task.Confirmed) {
+			return false
+		}
+	}
+	return validCounts(wirestagerecord.Run, wirestagerecord.Failures, wirestagerecord.FailedRun)
+}
--- a/encoder/worker.go
+++ b/encoder/worker.go
@@ -2,7 +2,6 @@
 
 import (
 	"strconv"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -328,6 +327,3 @@
 func (workerevent WorkerEvent) Value() almondcross.WorkerEvent {
 	return almondcross.NewWorkerEvent(almondcross.WorkerEventConfig{Index: workerevent.Index, Result: workerevent.Result.Value()})
 }
-
-// microseconds returns the duration of a number of microseconds.
-func microseconds(count int64) time.Duration { return time.Duration(count) * time.Microsecond }
