scheduler: limit the usage of a run to a range

Seen: the usage of a run with large amounts and a long time had no defined value, because its conversion to int64 is not defined beyond the range. Cause: the product of amount and seconds was converted without a limit. A task whose start time is missing in its record counts 292 years. Change: the usage of one run is at most 2^53 of each resource.

--- a/command/scheduler/usage.go
+++ b/command/scheduler/usage.go
@@ -51,12 +51,15 @@
 	})
 }
 
-// resourceSeconds returns resources multiplied by a duration in seconds.
+// maxResourceSeconds is the maximum usage of one run. A conversion from float64 beyond the range of int64 is not defined.
+const maxResourceSeconds = 1 << 53
+
+// resourceSeconds returns resources multiplied by a duration in seconds, at most maxResourceSeconds of each.
 func resourceSeconds(resources almondcross.Resources, length time.Duration) almondcross.Resources {
 	seconds := max(length, 0).Seconds()
+	scale := func(amount int64) int64 { return int64(min(float64(amount)*seconds, maxResourceSeconds)) }
 	return almondcross.NewResources(almondcross.ResourcesConfig{
-		MilliCPU: int64(float64(resources.MilliCPU()) * seconds), MemoryMB: int64(float64(resources.MemoryMB()) * seconds),
-		Accelerators: int64(float64(resources.Accelerators()) * seconds),
+		MilliCPU: scale(resources.MilliCPU()), MemoryMB: scale(resources.MemoryMB()), Accelerators: scale(resources.Accelerators()),
 	})
 }
 
