scheduler: compute the parts of an advice call without a wrap

Seen: with a latency for each worker that is far above the usual, a call for many workers was not divided. Cause: the product of workers, latency and a factor wrapped; a configuration may state any latency up to a hundred years. Change: the product is computed in floating point and limited by the number of idle hosts before the conversion. Result: TestPartsOfACallFollowFromTheLatencies (rapid) failed before ("expected: 2, actual: 1") and passes.

--- a/command/scheduler/advice.go
+++ b/command/scheduler/advice.go
@@ -218,8 +218,9 @@
 func (machine *Machine) callParts(settings almondcross.AdviceSettings, workers int) int {
 	leader := machine.leader
 	spare := int(maxLongCallShare*float64(len(machine.linkedHosts))) - leader.longCalls
-	useful := int(time.Duration(workers) * settings.PerWorker() * partsPerBase / max(settings.Base(), 1))
-	return max(1, min(useful, spare/sparePerPart, len(leader.idleHosts)))
+	// The configuration may state any latency, and the product may be out of the range of int64.
+	useful := float64(workers) * float64(settings.PerWorker()) * partsPerBase / float64(max(settings.Base(), 1))
+	return max(1, min(int(min(useful, float64(len(leader.idleHosts)))), spare/sparePerPart))
 }
 
 // callAdvice sends a call for some workers to an idle host.
--- a/command/scheduler/range_test.go
+++ b/command/scheduler/range_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -23,3 +24,31 @@
 		}
 	})
 }
+
+// Guards against a number of calls that follows from a wrapped product: with latencies as a configuration may state them,
+// it is that of the exact product, at most one for each idle host.
+func TestPartsOfACallFollowFromTheLatencies(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		harness := newHarness(t)
+		harness.becomeScheduler()
+		hosts := rapid.IntRange(1, 40).Draw(t, "hosts")
+		for index := range hosts {
+			name := string(rune('A' + index))
+			harness.machine.linkedHosts[name] = &linkedHost{name: name}
+			harness.machine.leader.idleHosts = append(harness.machine.leader.idleHosts, harness.machine.linkedHosts[name])
+		}
+		latency := rapid.OneOf(rapid.Int64Range(0, int64(time.Second)), rapid.Int64Range(0, 100*365*24*int64(time.Hour)))
+		settings := almondcross.NewAdviceSettings(almondcross.AdviceSettingsConfig{
+			Required: true, Base: time.Duration(latency.Draw(t, "base")), PerWorker: time.Duration(latency.Draw(t, "per worker")),
+		})
+		workers := rapid.IntRange(1, 5000).Draw(t, "workers")
+		exact := float64(workers) * float64(settings.PerWorker()) * partsPerBase / math.Max(float64(settings.Base()), 1)
+		parts := harness.machine.callParts(settings, workers)
+		require.Positive(t, parts)
+		require.LessOrEqual(t, float64(parts), max(exact, 1))
+		require.LessOrEqual(t, parts, hosts)
+		if spare := int(maxLongCallShare*float64(len(harness.machine.linkedHosts))) / sparePerPart; exact >= float64(hosts) {
+			require.Equal(t, max(1, min(spare, hosts)), parts)
+		}
+	})
+}
