scheduler: compare the demand of a gang without a wrap

Seen: the limit on reservations let a gang through whose demand is beyond any cluster; its allowed workers were looked at in each pass. Cause: a caller may ask for any amount, and the product with the number of tasks wrapped, to 0 for four tasks of 2^62. Change: the demand is compared in floating point. Result: TestGangBeyondTheRangeReservesNothing failed before ("expected: 1, actual: 2" workers looked at) and passes.

--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -127,7 +127,8 @@
 func (machine *Machine) reserveForGang(queue almondcross.Queue, stage *stage, advice *stageAdvice) {
 	leader, need := machine.leader, stage.spec.Resources()
 	wanted := stage.remainingTasks - stage.activeTasks
-	if float64(leader.reservedCPU+int64(wanted)*need.MilliCPU()) > maxReservedShare*float64(leader.usableCPU) {
+	// A caller may ask for any amount, and the product may be out of the range of int64.
+	if float64(leader.reservedCPU)+float64(wanted)*float64(need.MilliCPU()) > maxReservedShare*float64(leader.usableCPU) {
 		return
 	}
 	var reservations []gangReservation
--- a/command/scheduler/range_test.go
+++ b/command/scheduler/range_test.go
@@ -52,3 +52,16 @@
 		}
 	})
 }
+
+// Guards against a reservation for a gang whose demand wraps to a small number: it passed the limit on reservations.
+func TestGangBeyondTheRangeReservesNothing(t *testing.T) {
+	harness := newHarness(t)
+	harness.becomeScheduler()
+	leader := harness.machine.leader
+	leader.usableCPU = 4000
+	huge := almondcross.NewStep(almondcross.StepConfig{Count: 4, Gang: true, Resources: almondcross.NewResources(almondcross.ResourcesConfig{MilliCPU: 1 << 62})})
+	examined := leader.examinedWorkers
+	leader.workers[workerID].inPass = true
+	harness.machine.reserveForGang(almondcross.NewQueue(almondcross.QueueConfig{Pool: "pool"}), &stage{spec: huge, remainingTasks: 4}, &stageAdvice{allowed: []string{workerID}})
+	require.Equal(t, examined, leader.examinedWorkers, "no worker is looked at for a gang that is above the limit")
+}
