scheduler: keep one token for all removed workers

Seen: the scheduler kept the fencing token of each worker that was ever removed in its epoch. Replaced workers have new identities, so the table grew for as long as the epoch lasted. Cause: an entry was removed only with the epoch. Change: one number, the highest token of the removed workers, is the first token of each worker that is added later, of a returning one too. The growth was not measured.

--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -32,7 +32,7 @@
 	usageStoring bool
 
 	workers             map[string]*worker
-	removedFences       map[string]int64                 // removedFences holds the fencing tokens of removed workers, which may return.
+	removedFence        int64                            // removedFence is the highest fencing token of the removed workers, which may return.
 	sortedWorkers       []*worker                        // sortedWorkers holds the workers by ID.
 	usableWorkers       []*worker                        // usableWorkers holds the workers that may get new work in the current pass.
 	ownWorkers          []*worker                        // ownWorkers holds the usable workers without runs or with isolated ones at the start of the current pass.
@@ -63,7 +63,7 @@
 		epoch: answer.Commit().Epoch(), sequence: 1, electedAt: machine.now, lastCommitAt: machine.now.Add(-answer.Took()),
 		pendingIntake: map[int]int64{}, intakeReadAt: map[int]time.Time{}, workers: map[string]*worker{}, advice: map[almondcross.StageID]*stageAdvice{},
 		queued: map[almondcross.StageID]bool{}, unpushedViews: map[almondcross.JobID]almondcross.JobViewChange{}, jobsWithOccurrences: map[almondcross.JobID]*job{}, allowedShares: map[string]float64{}, queueScores: map[string]queueScore{},
-		removedFences: map[string]int64{}, quarantined: map[almondcross.StageID]struct{}{}, snapshotAt: machine.now,
+		quarantined: map[almondcross.StageID]struct{}{}, snapshotAt: machine.now,
 	}
 	machine.config.Log.Record("scheduling_started", almondcross.Number("epoch", machine.leader.epoch),
 		almondcross.Number("jobs", len(machine.state.jobs)), almondcross.Millis("took_ms", answer.Took()))
--- a/command/scheduler/sweep.go
+++ b/command/scheduler/sweep.go
@@ -32,7 +32,7 @@
 	for _, worker := range left {
 		machine.endSilence(worker)
 		machine.emit(ReleaseWorker{Worker: worker.id})
-		machine.leader.removedFences[worker.id] = worker.fence
+		machine.leader.removedFence = max(machine.leader.removedFence, worker.fence)
 		delete(machine.leader.workers, worker.id)
 		machine.leader.sortedWorkers = slices.DeleteFunc(machine.leader.sortedWorkers, worker.equals)
 	}
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -155,7 +155,7 @@
 	_, silent := machine.state.silentWorkers[id]
 	added := &worker{
 		id: id, assignments: map[almondcross.JobTask]*assignment{}, extensionBlocked: silent,
-		fence: max(firstFence(leader.epoch), leader.removedFences[id]),
+		fence: max(firstFence(leader.epoch), leader.removedFence),
 	}
 	leader.workers[id] = added
 	index, _ := slices.BinarySearchFunc(leader.sortedWorkers, added, func(a, b *worker) int { return strings.Compare(a.id, b.id) })
