--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -128,7 +128,8 @@
 func (machine *Machine) reserveForGang(queue almondcross.Queue, stage *stage, advice *stageAdvice) {
 	leader, need := machine.leader, stage.spec.Resources()
 	wanted := stage.remainingTasks - stage.activeTasks
-	if float64(leader.reservedCPU+int64(wanted)*need.MilliCPU()) > maxReservedShare*float64(leader.usableCPU) {
+	// A caller may ask for any amount, and the product may be out of the range of int64.
+	if float64(leader.reservedCPU)+float64(wanted)*float64(need.MilliCPU()) > maxReservedShare*float64(leader.usableCPU) {
 		return
 	}
 	var reservations []gangReservation
@@ -185,7 +186,7 @@
 		if !worker.inPass || failed[worker.id] || advice != nil && !advice.hasTicket(worker, machine.now) {
 			continue
 		}
-		if worker.info.Pool() != queue.Pool() || !worker.info.HasLabel(spec.Label()) || !worker.accepts(job, suspicion) {
+		if !worker.isOfKind(queue, spec) || !worker.accepts(job, suspicion) {
 			continue
 		}
 		free := worker.free().Sub(worker.reserved)
@@ -345,7 +346,8 @@
 		return
 	}
 	leaseEnd := machine.leaseEnd(worker)
-	if assigned.stopReason != "" || assigned.unwantedReason() != "" || leaseEnd == 0 || worker.unreachable || !worker.fitsRuns() {
+	if assigned.stopReason != "" || assigned.unwantedReason() != "" || leaseEnd == 0 || worker.unreachable || !worker.fitsRuns() ||
+		!worker.isOfKind(machine.queue(assigned.job), assigned.stage.spec) {
 		machine.endRun(worker, assigned, almondcross.EndVoid, "")
 		return
 	}
@@ -388,7 +390,7 @@
 		machine.noteStart(assigned.job, assigned.task, assigned.run, machine.now)
 	case almondcross.OrderUnknown:
 		assigned.phase = phaseUnknown
-		machine.requestReport(worker)
+		machine.requestReport(worker, assigned.fence)
 	case almondcross.OrderFenced:
 		if answer.Order().Fence() >= worker.fence {
 			machine.stopLeading("worker " + worker.id + " has seen a higher fencing token")
