intake: store the settings of the queue with the accepted job

A host that had not read the newest configuration accepted jobs on a route that was removed in it, and the scheduler, which had read it, admitted them without a pool. The scheduler took the settings from its own table instead of the version by which the job was accepted.

The router returns the queue with the version of its table, and the submitter stores both with the job: in the intake as a record of their own before that of the job, in the same append, and in a forwarded intake as a field of its own. A host of the version before skips them and reads the job. A read of the intake that ends between the two records is continued at the first one.

--- a/command/scheduler/intake.go
+++ b/command/scheduler/intake.go
@@ -31,11 +31,7 @@
 		leader.intakeReadAt[read.Partition()] = machine.now
 	}
 	for _, intake := range read.Intakes() {
-		if intake.Cancel() {
-			machine.cancelJob(intake.Job())
-		} else {
-			machine.admitJob(intake.Job())
-		}
+		machine.takeIntake(intake)
 	}
 	if next != position {
 		leader.pendingIntake[read.Partition()] = next
@@ -48,11 +44,7 @@
 // intakeForwarded admits an intake that another host could not store, and confirms it to that host once it is
 // in the journal.
 func (machine *Machine) intakeForwarded(forwarded almondcross.IntakeForwarded) {
-	if forwarded.Intake().Cancel() {
-		machine.cancelJob(forwarded.Intake().Job())
-	} else {
-		machine.admitJob(forwarded.Intake().Job())
-	}
+	machine.takeIntake(forwarded.Intake())
 	machine.afterCommit(func() {
 		machine.emit(ConfirmIntake{Host: forwarded.Host(), Stored: almondcross.NewIntakeStored(almondcross.IntakeStoredConfig{Number: forwarded.Number()})})
 	})
@@ -69,19 +61,35 @@
 	return true
 }
 
-func (machine *Machine) admitJob(submitted almondcross.Job) {
-	if _, known := machine.state.jobs[submitted.ID()]; known {
+func (machine *Machine) takeIntake(intake almondcross.Intake) {
+	if intake.Cancel() {
+		machine.cancelJob(intake.Job())
+	} else {
+		machine.admitJob(intake.Job(), intake.Settings())
+	}
+}
+
+// admitJob admits a job with the settings with which a host accepted it. For a job of a host of the version before, which
+// sends none, they are those of the version in force here.
+func (machine *Machine) admitJob(submitted almondcross.Job, accepted almondcross.QueueSettings) {
+	settings := accepted
+	if !settings.Known() {
+		settings = machine.routes.Settings(submitted.Queue())
+	}
+	if job := machine.state.jobs[submitted.ID()]; job != nil {
 		machine.config.Metrics.JobRepeated()
+		if job.spec.Queue() == submitted.Queue() && job.unsettled() && settings.Known() {
+			machine.settleJob(job, settings)
+		}
 		return
 	}
-	settings := machine.routes.Settings(submitted.Queue())
 	machine.recordChange(almondcross.ChangeConfig{Kind: almondcross.ChangeAdmit, Job: submitted, Settings: settings})
 	machine.config.Metrics.Admitted(submitted.Queue())
 	machine.config.Log.Record("job_admitted", almondcross.Text("job", string(submitted.ID())), almondcross.Text("queue", submitted.Queue()),
 		almondcross.Millis("age_ms", machine.now.Sub(submitted.Submitted())), almondcross.Number("steps", len(submitted.Steps())))
 	if !settings.Known() {
 		// The host that stored the job knew the queue. Either this host has not read that version yet or the queue has been
-		// removed since. The job waits until a version with the queue is read.
+		// removed since. The job waits until a version with the queue is read or the job is submitted with its settings.
 		machine.config.Log.Record("settings_unknown", almondcross.Text("job", string(submitted.ID())), almondcross.Text("queue", submitted.Queue()),
 			almondcross.Number("routes_version", machine.routes.Version()))
 	}
@@ -92,12 +100,15 @@
 // settleJobs sets the settings of the jobs that were admitted while the settings were not known, and queues their stages.
 func (machine *Machine) settleJobs() {
 	for _, job := range machine.state.jobs {
-		if settings := machine.routes.Settings(job.spec.Queue()); !job.state.Final() && !job.settings.Known() && settings.Known() {
+		if settings := machine.routes.Settings(job.spec.Queue()); job.unsettled() && settings.Known() {
 			machine.settleJob(job, settings)
 		}
 	}
 }
 
+// unsettled reports whether an open job waits for its settings.
+func (job *job) unsettled() bool { return !job.state.Final() && !job.settings.Known() }
+
 func (machine *Machine) settleJob(job *job, settings almondcross.QueueSettings) {
 	machine.recordChange(almondcross.ChangeConfig{
 		Kind: almondcross.ChangeSettings, Job: job.spec.WithSteps(nil).WithPayload(""), Settings: settings,
--- a/command/scheduler/placement_test.go
+++ b/command/scheduler/placement_test.go
@@ -77,7 +77,7 @@
 		id := almondcross.JobID(fmt.Sprintf("%016x", index))
 		harness.machine.admitJob(almondcross.NewJob(almondcross.JobConfig{ID: id, Queue: "q", Submitted: harness.now, Steps: []almondcross.Step{
 			almondcross.NewStep(almondcross.StepConfig{Count: 1, Resources: poolWorker.Capacity()}),
-		}}))
+		}}), almondcross.QueueSettings{})
 	}
 	harness.advance(leaderTick)
 	require.Len(t, harness.machine.leader.waitingStages, tasks)
--- a/command/scheduler/records_test.go
+++ b/command/scheduler/records_test.go
@@ -48,9 +48,10 @@
 	if batchErr == nil {
 		state.applyBatch(batch, now)
 	}
-	intake, intakeErr := codec.DecodeIntake(record)
-	if intakeErr == nil {
-		state.admitJob(intake.Job(), almondcross.QueueSettings{})
+	var intakeErr error
+	intakes, _ := codec.DecodeIntakes([][]byte{record}, func(_ int, err error) { intakeErr = err })
+	for _, intake := range intakes {
+		state.admitJob(intake.Job(), intake.Settings())
 	}
 	snapshot, found, _ := codec.DecodeSnapshot([]almondcross.KeyedRecord{almondcross.NewKeyedRecord(almondcross.KeyedRecordConfig{Value: record})})
 	if found {
@@ -74,9 +75,9 @@
 		return record
 	}
 	intake := func(steps ...almondcross.StepConfig) []byte {
-		record, err := codec.EncodeIntake(almondcross.NewIntake(almondcross.IntakeConfig{Job: newJob("new", steps...)}))
+		records, err := codec.EncodeIntake(almondcross.NewIntake(almondcross.IntakeConfig{Job: newJob("new", steps...)}))
 		require.NoError(t, err)
-		return record
+		return records[0]
 	}
 	batch := func(epoch int64, changes ...almondcross.ChangeConfig) []byte {
 		record, err := codec.EncodeBatch(newBatch(epoch, changes...))
@@ -206,12 +207,15 @@
 		almondcross.ChangeConfig{Kind: almondcross.ChangeEnd, Task: taskOf("j", 0, 1), Run: 1, End: almondcross.EndDone},
 	))
 	require.NoError(f, err)
-	intake, err := codec.EncodeIntake(almondcross.NewIntake(almondcross.IntakeConfig{Job: newJob("new", almondcross.StepConfig{Count: 1})}))
+	intake, err := codec.EncodeIntake(almondcross.NewIntake(almondcross.IntakeConfig{
+		Job: newJob("new", almondcross.StepConfig{Count: 1}), Settings: settings(1, "q"),
+	}))
 	require.NoError(f, err)
 	parts, err := codec.EncodeSnapshot(snapshotOf(1, 1, almondcross.StageRecordConfig{Tasks: make([]almondcross.TaskRecord, 1)}), 1<<20)
 	require.NoError(f, err)
 	f.Add(batch)
-	f.Add(intake)
+	f.Add(intake[0])
+	f.Add(intake[1])
 	f.Add(parts[0])
 	f.Fuzz(func(_ *testing.T, record []byte) { _ = applyRecord(codec, record) })
 }
--- a/command/scheduler/settings_test.go
+++ b/command/scheduler/settings_test.go
@@ -19,6 +19,23 @@
 	return almondcross.NewRoutesRead(almondcross.RoutesReadConfig{Table: almondcross.NewRouteTable(config)})
 }
 
+// settings returns the settings of a queue in the pool of the test's worker.
+func settings(version int64, queue string) almondcross.QueueSettings {
+	return almondcross.NewQueueSettings(almondcross.QueueSettingsConfig{
+		Version: version, Queue: almondcross.NewQueue(almondcross.QueueConfig{Name: queue, Pool: "pool", MaxAttempts: 2}),
+	})
+}
+
+// submitTo forwards a job with one task from a host that accepted it with settings.
+func (harness *harness) submitTo(id almondcross.JobID, queue string, accepted almondcross.QueueSettings) {
+	harness.t.Helper()
+	harness.apply(almondcross.NewIntakeForwarded(almondcross.IntakeForwardedConfig{
+		Host: "h-2", Number: 1, Intake: almondcross.NewIntake(almondcross.IntakeConfig{
+			Job: newJob(id, almondcross.StepConfig{Count: 1}).WithQueue(queue), Settings: accepted,
+		}),
+	}))
+}
+
 // commitAll answers all pending appends.
 func (harness *harness) commitAll() {
 	harness.t.Helper()
@@ -53,10 +70,7 @@
 	const unknown = almondcross.JobID("u")
 	harness := newHarness(t)
 	harness.becomeScheduler()
-	submitted := newJob(unknown, almondcross.StepConfig{Count: 1}).WithQueue("new")
-	harness.apply(almondcross.NewIntakeForwarded(almondcross.IntakeForwardedConfig{
-		Host: "h-2", Number: 1, Intake: almondcross.NewIntake(almondcross.IntakeConfig{Job: submitted}),
-	}))
+	harness.submitTo(unknown, "new", almondcross.QueueSettings{})
 	harness.commitAll()
 	requireEffect[ConfirmIntake](harness)
 	_, started := takeEffect[SendStart](harness)
@@ -81,9 +95,7 @@
 		harness := newHarness(t)
 		harness.becomeScheduler()
 		state := harness.machine.state
-		state.admitJob(newJob("o", almondcross.StepConfig{Count: 1}), almondcross.NewQueueSettings(almondcross.QueueSettingsConfig{
-			Queue: almondcross.NewQueue(almondcross.QueueConfig{Name: "q"}),
-		}))
+		state.admitJob(newJob("o", almondcross.StepConfig{Count: 1}), settings(0, "q").WithQueue(almondcross.NewQueue(almondcross.QueueConfig{Name: "q"})))
 		state.jobs["o"].stages[0].tasks[0] = almondcross.TaskRecord{}.WithFailures(failures).WithRun(failures)
 		parts, err := codec.EncodeSnapshot(state.snapshot(0, harness.now), 1<<20)
 		require.NoError(t, err)
@@ -95,3 +107,56 @@
 		require.Equal(t, expected, harness.machine.state.jobs["o"].state, "%d failures", failures)
 	}
 }
+
+// Guards against a job that never runs (LOST) or is started without end (BUDGET) because the scheduler has another version of
+// the configuration than the host that accepted the job: one in which the queue is removed, or none yet.
+func TestJobRunsByTheSettingsOfItsAcceptance(t *testing.T) {
+	for _, queue := range []string{"removed", "new"} {
+		harness := newHarness(t)
+		harness.becomeScheduler()
+		harness.apply(routes(8))
+		harness.submitTo("a", queue, settings(map[string]int64{"removed": 7, "new": 9}[queue], queue))
+		require.Equal(t, 2, harness.failRuns(taskOf("a", 0, 0), 6), "starts of a failing task on the queue %s", queue)
+		require.Equal(t, almondcross.JobFailed, harness.machine.state.jobs["a"].state)
+	}
+}
+
+// Guards against a task that is placed by settings that an older version of the configuration has, and against one that is
+// placed by old settings although the scheduler has newer ones.
+func TestNewerSettingsDecideOnPlacement(t *testing.T) {
+	harness := newHarness(t)
+	harness.becomeScheduler()
+	harness.apply(routes(5, almondcross.QueueConfig{Name: "q", Pool: "other", MaxAttempts: 2}))
+	harness.submitTo("newer", "q", settings(6, "q"))
+	harness.submitTo("older", "q", settings(4, "q"))
+	harness.advance(minPlacementInterval)
+	harness.commitAll()
+	require.Equal(t, almondcross.JobID("newer"), requireEffect[SendStart](harness).Order.Task().Stage.Job)
+	_, started := takeEffect[SendStart](harness)
+	require.False(t, started, "the newer version has the queue in another pool")
+	state := harness.machine.state.snapshot(0, harness.now)
+	for _, record := range state.Jobs() {
+		require.Equal(t, settings(record.Settings().Version(), "q"), record.Settings(), "the stored settings stay those of the acceptance")
+	}
+}
+
+// Guards against a job that waits for its settings, and goes on doing so after a host that knows them has sent the job again,
+// or is run although its cancellation came first.
+func TestRepeatedSubmissionBringsTheSettings(t *testing.T) {
+	harness := newHarness(t)
+	harness.becomeScheduler()
+	harness.apply(almondcross.NewIntakeForwarded(almondcross.IntakeForwardedConfig{Host: "h-2", Number: 2, Intake: almondcross.NewIntake(
+		almondcross.IntakeConfig{Cancel: true, Job: almondcross.NewJob(almondcross.JobConfig{ID: "c", Queue: "new"})},
+	)}))
+	for _, accepted := range []almondcross.QueueSettings{{}, settings(9, "new"), settings(10, "new")} {
+		harness.submitTo("c", "new", accepted)
+		harness.submitTo("s", "new", accepted)
+	}
+	harness.advance(minPlacementInterval)
+	harness.commitAll()
+	require.Equal(t, almondcross.JobID("s"), requireEffect[SendStart](harness).Order.Task().Stage.Job)
+	_, started := takeEffect[SendStart](harness)
+	require.False(t, started)
+	require.Equal(t, int64(9), harness.machine.state.jobs["s"].settings.Version())
+	require.Equal(t, almondcross.JobCancelled, harness.machine.state.jobs["c"].state)
+}
--- a/command/submitter/submitter.go
+++ b/command/submitter/submitter.go
@@ -27,8 +27,8 @@
 	maxBatchIntakes = 100
 	// batchDelay is how long a batch waits for more intakes; it halves the number of appends at peak load.
 	batchDelay = 2 * time.Millisecond
-	// recordReserveBytes is the space that an intake leaves in a record, so that the journal can hold its job in a batch with
-	// the queue.
+	// recordReserveBytes is the space that the records of an intake leave in one record, so that the journal can hold the job in
+	// a batch with the settings of its queue.
 	recordReserveBytes = 8 << 10
 	// lengthBytes is the size of the length that precedes a record in an append.
 	lengthBytes = 4
@@ -79,10 +79,10 @@
 	}
 }
 
-// pending is a submission with its encoded record.
+// pending is a submission with its encoded records.
 type pending struct {
 	submission  Submission
-	record      []byte
+	records     [][]byte
 	maybeStored bool // maybeStored is set when the intake was sent and may have been stored.
 }
 
@@ -120,7 +120,9 @@
 func size(batch []pending) int {
 	size := 0
 	for _, pending := range batch {
-		size += lengthBytes + len(pending.record)
+		for _, record := range pending.records {
+			size += lengthBytes + len(record)
+		}
 	}
 	return size
 }
@@ -129,16 +131,17 @@
 	if !submission.Decided.CompareAndSwap(false, true) {
 		return batch // The caller has withdrawn it.
 	}
-	record, err := submitter.config.Codec.EncodeIntake(submission.Intake)
+	records, err := submitter.config.Codec.EncodeIntake(submission.Intake)
 	if err != nil {
 		submission.Outcome <- errors.WithType(err, almondcross.ErrNotStored)
 		return batch
 	}
-	if len(record) > submitter.config.RecordBytes-recordReserveBytes {
-		submission.Outcome <- errors.Annotatef(almondcross.ErrTooLarge, "a record of %d bytes", len(record))
+	added := pending{submission: submission, records: records}
+	if bytes := size([]pending{added}); bytes > submitter.config.RecordBytes-recordReserveBytes {
+		submission.Outcome <- errors.Annotatef(almondcross.ErrTooLarge, "records of %d bytes", bytes)
 		return batch
 	}
-	return append(batch, pending{submission: submission, record: record})
+	return append(batch, added)
 }
 
 // store forwards a batch to the scheduler, which stores it with the journal. Intakes that the scheduler does not
@@ -176,9 +179,9 @@
 func (submitter *Submitter) append(ctx context.Context, batch []pending, timeout time.Duration) error {
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	records := make([][]byte, len(batch))
-	for index, pending := range batch {
-		records[index] = pending.record
+	var records [][]byte
+	for _, pending := range batch {
+		records = append(records, pending.records...)
 	}
 	_, err := submitter.config.Writer.Append(callCtx, almondcross.NewStoreAppend(almondcross.StoreAppendConfig{
 		Partition: submitter.currentPartition(), Records: records,
--- a/command/submitter/submitter_test.go
+++ b/command/submitter/submitter_test.go
@@ -28,6 +28,7 @@
 type store struct {
 	mode    atomic.Int32
 	records atomic.Int64
+	appends atomic.Int64
 }
 
 // recordBytes and callBytes are the limits of the store.
@@ -61,6 +62,7 @@
 		return almondcross.StoreAppended{}, almondcross.ErrStoreUncertain
 	}
 	store.records.Add(int64(len(batch.Records())))
+	store.appends.Add(1)
 	return almondcross.StoreAppended{}, nil
 }
 
@@ -162,6 +164,26 @@
 	})
 }
 
+// Guards against a job that is stored without the settings by which it was accepted, or in another append than they, and
+// against settings that make its records larger than the journal can hold.
+func TestJobIsStoredWithItsSettings(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		fixture := newFixture(ctx, t)
+		submit := func(name string) error {
+			job := almondcross.NewJob(almondcross.JobConfig{ID: "5c0e7a21d94b36f8", Queue: name})
+			queue := almondcross.NewQueue(almondcross.QueueConfig{Name: name, Pool: "pool"})
+			settings := almondcross.NewQueueSettings(almondcross.QueueSettingsConfig{Queue: queue, Version: 6})
+			return fixture.client.Submit(ctx, almondcross.NewIntake(almondcross.IntakeConfig{Job: job, Settings: settings}), 800*time.Millisecond)
+		}
+		require.NoError(t, submit("q"))
+		require.Equal(t, int64(2), fixture.store.records.Load())
+		require.Equal(t, int64(1), fixture.store.appends.Load())
+		require.ErrorIs(t, submit(strings.Repeat("q", recordBytes/2)), almondcross.ErrTooLarge)
+	})
+}
+
 // Guards against a job that the store refuses for its size: it would make the host refuse all callers as if the store were
 // lost, each time that its caller sends it again. The same holds for a batch that exceeds the limit of an append.
 func TestLargeJobsLeaveTheStoreUsable(t *testing.T) {
--- a/encoder/journal.go
+++ b/encoder/journal.go
@@ -98,12 +98,6 @@
 	return almondcross.NewSchedulerPointer(almondcross.SchedulerPointerConfig{Epoch: wire.Epoch, Host: wire.Host, Address: wire.Address}), nil
 }
 
-type wireIntake struct {
-	_      struct{} `cbor:",toarray"`
-	Job    wireJob
-	Cancel bool
-}
-
 // taskRecordFields are the fields of a task record that every version of the format has.
 type taskRecordFields struct {
 	Done, Active       bool
@@ -434,25 +428,3 @@
 		Epoch: wire.Epoch, At: fromUnixMillis(wire.AtMS), Intake: wire.Intake, Changes: changes, Current: wire.Current,
 	}), nil
 }
-
-// EncodeIntake returns the encoded record of a submitted job or cancellation.
-func (codec Codec) EncodeIntake(intake almondcross.Intake) ([]byte, error) {
-	record, err := codec.encoding.Marshal(wireIntake{Job: toJob(intake.Job()), Cancel: intake.Cancel()})
-	return record, errors.Annotate(err, "encoding an intake")
-}
-
-// DecodeIntake returns the submitted job or cancellation of an encoded record.
-func (codec Codec) DecodeIntake(record []byte) (almondcross.Intake, error) {
-	var wire wireIntake
-	if err := codec.decoding.Unmarshal(record, &wire); err != nil {
-		return almondcross.Intake{}, errors.Annotatef(ErrMalformed, "intake record: %v", err)
-	}
-	job, err := wire.Job.value()
-	if err != nil {
-		return almondcross.Intake{}, errors.Annotate(err, "intake record")
-	}
-	if !wire.Cancel && len(job.Steps()) == 0 {
-		return almondcross.Intake{}, errors.Annotate(ErrMalformed, "intake record: a job without steps")
-	}
-	return almondcross.NewIntake(almondcross.IntakeConfig{Job: job, Cancel: wire.Cancel}), nil
-}
--- a/encoder/link.go
+++ b/encoder/link.go
@@ -89,11 +89,6 @@
 	Batches [][]byte `cbor:"batches"`
 }
 
-type wireIntakeForward struct {
-	Number int64  `cbor:"number"`
-	Intake []byte `cbor:"intake"`
-}
-
 type wireIntakeStored struct {
 	Number int64 `cbor:"number"`
 }
@@ -180,11 +175,7 @@
 	case almondcross.ViewsPushed:
 		return codec.encodeEnvelope(linkViews, toViews(message))
 	case almondcross.IntakeForwarded:
-		record, err := codec.EncodeIntake(message.Intake())
-		if err != nil {
-			return nil, errors.Trace(err)
-		}
-		return codec.encodeEnvelope(linkIntakeForward, wireIntakeForward{Number: message.Number(), Intake: record})
+		return codec.encodeIntakeForward(message)
 	case almondcross.IntakeStored:
 		return codec.encodeEnvelope(linkIntakeStored, wireIntakeStored{Number: message.Number()})
 	}
@@ -224,15 +215,7 @@
 	case linkJournalPush:
 		return codec.decodeJournalPush(envelope)
 	case linkIntakeForward:
-		var wire wireIntakeForward
-		if err := codec.decodeBody(envelope, &wire); err != nil {
-			return nil, err
-		}
-		intake, err := codec.DecodeIntake(wire.Intake)
-		if err != nil {
-			return nil, errors.Trace(err)
-		}
-		return almondcross.NewIntakeForwarded(almondcross.IntakeForwardedConfig{Number: wire.Number, Intake: intake}), nil
+		return codec.decodeIntakeForward(envelope)
 	case linkIntakeStored:
 		var wire wireIntakeStored
 		if err := codec.decodeBody(envelope, &wire); err != nil {
--- a/integration/soak/odd_test.go
+++ b/integration/soak/odd_test.go
@@ -51,7 +51,7 @@
 		almondcross.NewChange(almondcross.ChangeConfig{Kind: almondcross.ChangeAssign, Task: task}),
 	}}))
 	require.NoError(cell.t, err)
-	intake, err := codec.EncodeIntake(almondcross.NewIntake(almondcross.IntakeConfig{Job: job}))
+	intakes, err := codec.EncodeIntake(almondcross.NewIntake(almondcross.IntakeConfig{Job: job}))
 	require.NoError(cell.t, err)
 	parts, err := codec.EncodeSnapshot(almondcross.NewStateSnapshot(almondcross.StateSnapshotConfig{Next: math.MaxInt64, Jobs: []almondcross.JobRecord{
 		almondcross.NewJobRecord(almondcross.JobRecordConfig{Job: job}),
@@ -60,7 +60,7 @@
 	raw := []struct {
 		topic  string
 		record []byte
-	}{{"journal", []byte("odd")}, {"journal", batch}, {"intake", []byte{0xff}}, {"intake", intake}, {"keyed.servers", []byte{200, 'a'}}, {"keyed.snapshots", nil}}
+	}{{"journal", []byte("odd")}, {"journal", batch}, {"intake", []byte{0xff}}, {"intake", intakes[0]}, {"keyed.servers", []byte{200, 'a'}}, {"keyed.snapshots", nil}}
 	for _, odd := range raw {
 		require.NoError(cell.t, cell.store.Append(cell.ctx, odd.topic, odd.record))
 	}
--- a/job_generated.go
+++ b/job_generated.go
@@ -1852,23 +1852,26 @@
 
 // IntakeConfig holds the fields of a new Intake.
 type IntakeConfig struct {
-	Job    Job
-	Cancel bool
+	Job      Job
+	Settings QueueSettings
+	Cancel   bool
 }
 
 // NewIntake returns a Intake with the given fields.
 func NewIntake(config IntakeConfig) Intake {
 	return Intake{
-		job:    config.Job,
-		cancel: config.Cancel,
+		job:      config.Job,
+		settings: config.Settings,
+		cancel:   config.Cancel,
 	}
 }
 
 // Config returns the fields of the value for encoding or for a changed copy.
 func (intake Intake) Config() IntakeConfig {
 	return IntakeConfig{
-		Job:    intake.job,
-		Cancel: intake.cancel,
+		Job:      intake.job,
+		Settings: intake.settings,
+		Cancel:   intake.cancel,
 	}
 }
 
@@ -1881,6 +1884,15 @@
 	return intake
 }
 
+// Settings returns the settings with which a host accepted the job; not known for a cancellation or if a host of the version before accepted it.
+func (intake Intake) Settings() QueueSettings { return intake.settings }
+
+// WithSettings returns a copy with the given settings.
+func (intake Intake) WithSettings(settings QueueSettings) Intake {
+	intake.settings = settings
+	return intake
+}
+
 // Cancel returns whether it cancels the job.
 func (intake Intake) Cancel() bool { return intake.cancel }
 
--- a/journal.go
+++ b/journal.go
@@ -33,8 +33,8 @@
 
 // QueueRouter finds the queue of a request.
 type QueueRouter interface {
-	// Match returns the queue of a request and the part of the path that follows the queue's prefix.
-	Match(host, path string) (queue Queue, rest string, found bool)
+	// Match returns the settings of the queue of a request and the part of the path that follows the queue's prefix.
+	Match(host, path string) (settings QueueSettings, rest string, found bool)
 	// Version returns the version of the current configuration, 0 before the first one.
 	Version() int64
 	// BodyLimit returns the maximum size of a request body in bytes, 0 when none is configured.
@@ -127,8 +127,9 @@
 //
 //value:generate
 type Intake struct {
-	job    Job  // the job, with only its identity and queue for a cancellation
-	cancel bool // whether it cancels the job
+	job      Job           // the job, with only its identity and queue for a cancellation
+	settings QueueSettings // the settings with which a host accepted the job; not known for a cancellation or if a host of the version before accepted it
+	cancel   bool          // whether it cancels the job
 }
 
 // ChangeKind is the kind of a journal change.
@@ -292,10 +293,11 @@
 	EncodeBatch(batch JournalBatch) ([]byte, error)
 	// DecodeBatch returns the batch in a record.
 	DecodeBatch(record []byte) (JournalBatch, error)
-	// EncodeIntake returns the record of an intake.
-	EncodeIntake(intake Intake) ([]byte, error)
-	// DecodeIntake returns the intake in a record.
-	DecodeIntake(record []byte) (Intake, error)
+	// EncodeIntake returns the records of an intake, which must be stored together.
+	EncodeIntake(intake Intake) ([][]byte, error)
+	// DecodeIntakes returns the intakes in consecutive records, and the number of the first records that it used. It leaves out
+	// a last record that belongs to the next one. It calls unreadable for each record that it cannot decode.
+	DecodeIntakes(records [][]byte, unreadable func(index int, err error)) (intakes []Intake, used int)
 	// EncodePointer returns the stored form of a pointer to the scheduler.
 	EncodePointer(pointer SchedulerPointer) ([]byte, error)
 	// DecodePointer returns the pointer with the given stored form.
--- a/query/follower/follower.go
+++ b/query/follower/follower.go
@@ -87,8 +87,10 @@
 			read.Err = err
 			read.Next = max(read.Next, records.First())
 		} else {
-			read.Next = query.From() + int64(len(records.Records()))
-			read.Intakes = decodeRecords(follower, partition, records, follower.config.Codec.DecodeIntake)
+			intakes, used := follower.config.Codec.DecodeIntakes(records.Records(), func(index int, err error) {
+				follower.decodeFailures.count(partition, records.From()+int64(index), err)
+			})
+			read.Next, read.Intakes = query.From()+int64(used), intakes
 		}
 		follower.reply(ctx, almondcross.NewIntakeRead(read))
 	})
@@ -204,18 +206,3 @@
 	}
 	return batches
 }
-
-func decodeRecords[T any](
-	follower *Follower, partition almondcross.Partition, records almondcross.StoreRecords, decodeRecord func([]byte) (T, error),
-) []T {
-	values := make([]T, 0, len(records.Records()))
-	for index, record := range records.Records() {
-		value, err := decodeRecord(record)
-		if err != nil {
-			follower.decodeFailures.count(partition, records.From()+int64(index), err)
-			continue
-		}
-		values = append(values, value)
-	}
-	return values
-}
--- a/query/follower/records_test.go
+++ b/query/follower/records_test.go
@@ -76,6 +76,27 @@
 	require.Equal(t, int64(7), read.Batches()[1].Epoch())
 }
 
+// Guards against a scheduler that reads the settings of a job without the job, at the end of a read, and goes on after them.
+func TestIntakeReadDoesNotSeparateAJobFromItsSettings(t *testing.T) {
+	codec, err := encoder.NewCodec()
+	require.NoError(t, err)
+	records, err := codec.EncodeIntake(almondcross.NewIntake(almondcross.IntakeConfig{
+		Job: almondcross.NewJob(almondcross.JobConfig{
+			ID: "5c0e7a21d94b36f8", Queue: "q", Steps: []almondcross.Step{almondcross.NewStep(almondcross.StepConfig{Count: 1})},
+		}),
+		Settings: almondcross.NewQueueSettings(almondcross.QueueSettingsConfig{
+			Version: 6, Queue: almondcross.NewQueue(almondcross.QueueConfig{Name: "q", Pool: "pool"}),
+		}),
+	}))
+	require.NoError(t, err)
+	read := ask[almondcross.IntakeQuery, almondcross.IntakeRead](t, follower.Config{
+		Reader: &recordStore{records: append(records, []byte{0xff}, records[0])}, Codec: codec, Log: discardLog{},
+	}, (*follower.Follower).Intake, almondcross.NewIntakeQuery(almondcross.IntakeQueryConfig{From: 3}))
+	require.Equal(t, int64(6), read.Next())
+	require.Len(t, read.Intakes(), 1)
+	require.Equal(t, int64(6), read.Intakes()[0].Settings().Version())
+}
+
 // Guards against an entry of another writer that takes the entries of other workers from the list, that names a usable
 // worker, or that stops the following of the list.
 func TestUnreadableEntryNamesNoWorker(t *testing.T) {
--- a/query/router/router.go
+++ b/query/router/router.go
@@ -52,20 +52,21 @@
 	return 0
 }
 
-// Match returns the queue with the longest matching prefix for a request, and the rest of the path after the
+// Match returns the settings of the queue with the longest matching prefix for a request, and the rest of the path after the
 // prefix. The host may have a port, which is ignored.
-func (router *Router) Match(host, path string) (queue almondcross.Queue, rest string, found bool) {
+func (router *Router) Match(host, path string) (settings almondcross.QueueSettings, rest string, found bool) {
 	index := router.current.Load()
 	if index == nil {
-		return almondcross.Queue{}, "", false
+		return almondcross.QueueSettings{}, "", false
 	}
 	if hostname, _, hasPort := strings.Cut(host, ":"); hasPort {
 		host = hostname
 	}
 	for _, queue := range index.byHost[strings.ToLower(host)] {
 		if rest, found := strings.CutPrefix(path, queue.Prefix()); found {
-			return queue, rest, true
+			settings := almondcross.QueueSettingsConfig{Queue: queue, Version: index.table.Version()}
+			return almondcross.NewQueueSettings(settings), rest, true
 		}
 	}
-	return almondcross.Queue{}, "", false
+	return almondcross.QueueSettings{}, "", false
 }
--- a/standin/emulator/jobs.go
+++ b/standin/emulator/jobs.go
@@ -158,7 +158,11 @@
 	if cancel {
 		submitted = submitted.WithSteps(nil).WithPayload("")
 	}
-	record, err := simulation.codec.EncodeIntake(almondcross.NewIntake(almondcross.IntakeConfig{Job: submitted, Cancel: cancel}))
+	intake := almondcross.NewIntake(almondcross.IntakeConfig{Job: submitted, Cancel: cancel})
+	if !cancel {
+		intake = intake.WithSettings(simulation.routes.Settings(submitted.Queue()))
+	}
+	records, err := simulation.codec.EncodeIntake(intake)
 	if err != nil {
 		simulation.checker.addViolation("ENCODING", "%v", err)
 		return
@@ -179,7 +183,7 @@
 		}
 	}
 	if schedulerHost := simulation.scheduler(); schedulerHost.machine.Leads() && simulation.random.Float64() < 0.7 {
-		simulation.forwardIntake(schedulerHost, almondcross.NewIntake(almondcross.IntakeConfig{Job: submitted, Cancel: cancel}), onStored, func() {
+		simulation.forwardIntake(schedulerHost, intake, onStored, func() {
 			job.unanswered++
 			retry()
 		})
@@ -187,7 +191,7 @@
 	}
 	host.storeCall(true, func() func() {
 		_, err := simulation.store.Append(simulation.now, almondcross.NewStoreAppend(almondcross.StoreAppendConfig{
-			Partition: intakePartition(host.index % intakePartitions), Records: [][]byte{record},
+			Partition: intakePartition(host.index % intakePartitions), Records: records,
 		}))
 		return func() {
 			if err != nil {
--- a/standin/emulator/storecalls.go
+++ b/standin/emulator/storecalls.go
@@ -146,14 +146,11 @@
 				modelhost.schedule(pollInterval, func() { modelhost.readIntake(query, until) })
 				return
 			}
-			config := almondcross.IntakeReadConfig{Partition: query.Partition(), From: query.From(), Next: query.From() + int64(len(records.Records())), Err: err}
-			for _, record := range records.Records() {
-				intake, err := simulation.codec.DecodeIntake(record)
-				if err != nil {
-					simulation.checker.addViolation("ENCODING", "%v", err)
-				}
-				config.Intakes = append(config.Intakes, intake)
-			}
+			config := almondcross.IntakeReadConfig{Partition: query.Partition(), From: query.From(), Next: query.From(), Err: err}
+			intakes, used := simulation.codec.DecodeIntakes(records.Records(), func(_ int, err error) {
+				simulation.checker.addViolation("ENCODING", "%v", err)
+			})
+			config.Next, config.Intakes = query.From()+int64(used), intakes
 			modelhost.deliver(almondcross.NewIntakeRead(config))
 		}
 	}, onFailure)
