scheduler: an identity of another queue's job is refused

A submission on one queue with the identity of a job on another one was answered with 200 and the state of that job, although the submitted job never runs, and a cancellation on one queue cancelled the job of the other one. The receiver and the scheduler looked jobs up by identity alone.

A cancellation is stored as before, now with the settings of its queue, and the scheduler leaves the job alone if it is surely of another queue. A queue under a new name at the same host and prefix is the same one, and unknown settings decide nothing. Two submissions that both go through the intake log are still both acknowledged; the second is logged as identity_taken.

--- a/command/scheduler/intake.go
+++ b/command/scheduler/intake.go
@@ -44,10 +44,10 @@
 // intakeForwarded admits an intake that another host could not store, and confirms it to that host once it is
 // in the journal.
 func (machine *Machine) intakeForwarded(forwarded almondcross.IntakeForwarded) {
-	machine.takeIntake(forwarded.Intake())
-	machine.afterCommit(func() {
-		machine.emit(ConfirmIntake{Host: forwarded.Host(), Stored: almondcross.NewIntakeStored(almondcross.IntakeStoredConfig{Number: forwarded.Number()})})
+	stored := almondcross.NewIntakeStored(almondcross.IntakeStoredConfig{
+		Number: forwarded.Number(), Taken: !machine.takeIntake(forwarded.Intake()) && !forwarded.Intake().Cancel(),
 	})
+	machine.afterCommit(func() { machine.emit(ConfirmIntake{Host: forwarded.Host(), Stored: stored}) })
 }
 
 // intakesCurrent reports whether every intake partition was read recently. A read that waits for a record is
@@ -61,12 +61,29 @@
 	return true
 }
 
-func (machine *Machine) takeIntake(intake almondcross.Intake) {
+// takeIntake admits or cancels a job. It changes nothing and reports false if the identity is that of a job of another queue:
+// the first job with an identity has it.
+func (machine *Machine) takeIntake(intake almondcross.Intake) bool {
+	if holder := machine.state.jobs[intake.Job().ID()]; holder != nil && holder.ofOtherQueue(intake) {
+		machine.config.Log.Record("identity_taken", almondcross.Text("job", string(intake.Job().ID())), almondcross.Text("queue", intake.Job().Queue()),
+			almondcross.Text("holder", holder.spec.Queue()), almondcross.Text("cancel", yesNo(intake.Cancel())))
+		return false
+	}
 	if intake.Cancel() {
 		machine.cancelJob(intake.Job())
 	} else {
 		machine.admitJob(intake.Job(), intake.Settings())
 	}
+	return true
+}
+
+// ofOtherQueue reports whether an intake is for another queue than that of the job. A queue under another name at the same
+// host and prefix is the same one, so that a cancellation reaches its job after the queue was renamed. If the settings of one
+// of them are not known, that cannot be told, and the identity decides.
+func (job *job) ofOtherQueue(intake almondcross.Intake) bool {
+	held, accepted := job.settings.Queue(), intake.Settings().Queue()
+	return job.spec.Queue() != intake.Job().Queue() && job.settings.Known() && intake.Settings().Known() &&
+		(held.Host() != accepted.Host() || held.Prefix() != accepted.Prefix())
 }
 
 // admitJob admits a job with the settings with which a host accepted it. For a job of a host of the version before, which
--- a/command/scheduler/settings_test.go
+++ b/command/scheduler/settings_test.go
@@ -160,3 +160,30 @@
 	require.Equal(t, int64(9), harness.machine.state.jobs["s"].settings.Version())
 	require.Equal(t, almondcross.JobCancelled, harness.machine.state.jobs["c"].state)
 }
+
+// Guards against a submission on one queue that is confirmed although the identity is that of a job of another one, and
+// against a cancellation that ends the job of another queue.
+func TestIdentityOfAnotherQueueIsLeftAlone(t *testing.T) {
+	harness := newHarness(t)
+	harness.becomeScheduler()
+	accepted := func(queue string) almondcross.QueueSettings {
+		settings := settings(1, queue)
+		return settings.WithQueue(settings.Queue().WithPrefix("/" + queue))
+	}
+	cancel := func(accepted almondcross.QueueSettings) {
+		harness.apply(almondcross.NewIntakeForwarded(almondcross.IntakeForwardedConfig{Host: "h-2", Number: 2, Intake: almondcross.NewIntake(
+			almondcross.IntakeConfig{Cancel: true, Job: almondcross.NewJob(almondcross.JobConfig{ID: "i", Queue: accepted.Queue().Name()}), Settings: accepted},
+		)}))
+	}
+	for _, queue := range []string{"first", "second", "first"} {
+		harness.submitTo("i", queue, accepted(queue))
+		harness.commitAll()
+		require.Equal(t, queue == "second", requireEffect[ConfirmIntake](harness).Stored.Taken(), queue)
+	}
+	cancel(accepted("second"))
+	harness.commitAll()
+	require.False(t, requireEffect[ConfirmIntake](harness).Stored.Taken(), "the job of the other queue never runs, as its caller is told")
+	require.False(t, harness.machine.state.jobs["i"].state.Final())
+	cancel(accepted("first").WithQueue(accepted("first").Queue().WithName("renamed")))
+	require.Equal(t, almondcross.JobCancelled, harness.machine.state.jobs["i"].state)
+}
--- a/command/submitter/client.go
+++ b/command/submitter/client.go
@@ -19,7 +19,8 @@
 
 // Submit stores an intake and waits for the outcome for at most a time. If the intake was not stored it returns
 // almondcross.ErrNotStored, or almondcross.ErrTooLarge if no attempt can succeed, and if that is unknown
-// almondcross.ErrMaybeStored.
+// almondcross.ErrMaybeStored. It returns almondcross.ErrIdentityTaken if the scheduler has a job of another queue with the
+// identity.
 func (client *Client) Submit(ctx context.Context, intake almondcross.Intake, within time.Duration) error {
 	submission := Submission{Intake: intake, Outcome: make(chan error, 1), Decided: new(atomic.Bool)}
 	if !client.submissions.Offer(submission) {
--- a/command/submitter/forward.go
+++ b/command/submitter/forward.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/almondcross/almondcross"
 )
 
@@ -39,13 +41,20 @@
 		case answer := <-submitter.config.Stored.Messages():
 			if index, known := waiting[answer.Number()]; known && !stored[index] {
 				stored[index] = true
-				batch[index].submission.Outcome <- nil
+				batch[index].submission.Outcome <- outcomeOf(answer)
 			}
 		}
 	}
 	return unconfirmed(batch, stored)
 }
 
+func outcomeOf(answer almondcross.IntakeStored) error {
+	if answer.Taken() {
+		return errors.Trace(almondcross.ErrIdentityTaken)
+	}
+	return nil
+}
+
 func unconfirmed(batch []pending, stored map[int]bool) []pending {
 	var rest []pending
 	for index, pending := range batch {
--- a/encoder/intake.go
+++ b/encoder/intake.go
@@ -12,7 +12,7 @@
 	Cancel bool
 }
 
-// wireIntakeSettings is the record that precedes the job that was accepted with the settings. A host of the version before
+// wireIntakeSettings is the record that precedes the job or cancellation that was accepted with the settings. A host of the version before
 // leaves it out as unreadable and reads the job in the record that follows.
 type wireIntakeSettings struct {
 	_       struct{} `cbor:",toarray"`
@@ -68,7 +68,7 @@
 // complete returns the intake with the settings if they are those of its job.
 func (wireintakesettings wireIntakeSettings) complete(intake almondcross.Intake) almondcross.Intake {
 	job := intake.Job()
-	if intake.Cancel() || wireintakesettings.Job != string(job.ID()) || wireintakesettings.Queue.Name != job.Queue() {
+	if wireintakesettings.Job != string(job.ID()) || wireintakesettings.Queue.Name != job.Queue() {
 		return intake
 	}
 	return intake.WithSettings(wireintakesettings.Queue.settings(wireintakesettings.Version))
--- a/encoder/link.go
+++ b/encoder/link.go
@@ -91,6 +91,7 @@
 
 type wireIntakeStored struct {
 	Number int64 `cbor:"number"`
+	Taken  bool  `cbor:"taken,omitempty"`
 }
 
 type wireAdviceQuery struct {
@@ -177,7 +178,7 @@
 	case almondcross.IntakeForwarded:
 		return codec.encodeIntakeForward(message)
 	case almondcross.IntakeStored:
-		return codec.encodeEnvelope(linkIntakeStored, wireIntakeStored{Number: message.Number()})
+		return codec.encodeEnvelope(linkIntakeStored, wireIntakeStored(message.Config()))
 	}
 	return nil, errors.Annotatef(ErrUnknown, "%T", message)
 }
--- a/job_generated.go
+++ b/job_generated.go
@@ -1884,7 +1884,7 @@
 	return intake
 }
 
-// Settings returns the settings with which a host accepted the job; not known for a cancellation or if a host of the version before accepted it.
+// Settings returns the settings with which a host accepted it, not known if that was a host of the version before.
 func (intake Intake) Settings() QueueSettings { return intake.settings }
 
 // WithSettings returns a copy with the given settings.
--- a/journal.go
+++ b/journal.go
@@ -22,12 +22,14 @@
 	ErrNotStored   = errors.ConstError("not stored")               // ErrNotStored means that the job was not stored and never runs.
 	ErrMaybeStored = errors.ConstError("the store did not answer") // ErrMaybeStored means that the job may have been stored and may run.
 	ErrTooLarge    = errors.ConstError("too large for the store")  // ErrTooLarge means that the job can never be stored.
+
+	ErrIdentityTaken = errors.ConstError("the identity is that of a job of another queue") // ErrIdentityTaken means that the job was not admitted, since its identity is taken.
 )
 
 // Submitter stores jobs and cancellations.
 type Submitter interface {
-	// Submit stores an intake and waits at most for the timeout. It returns ErrNotStored, ErrMaybeStored or ErrTooLarge
-	// unless the intake was stored.
+	// Submit stores an intake and waits at most for the timeout. It returns ErrNotStored, ErrMaybeStored, ErrTooLarge or
+	// ErrIdentityTaken unless the intake was stored.
 	Submit(ctx context.Context, intake Intake, timeout time.Duration) error
 }
 
@@ -128,7 +130,7 @@
 //value:generate
 type Intake struct {
 	job      Job           // the job, with only its identity and queue for a cancellation
-	settings QueueSettings // the settings with which a host accepted the job; not known for a cancellation or if a host of the version before accepted it
+	settings QueueSettings // the settings with which a host accepted it, not known if that was a host of the version before
 	cancel   bool          // whether it cancels the job
 }
 
--- a/scheduling.go
+++ b/scheduling.go
@@ -302,6 +302,7 @@
 //value:generate
 type IntakeStored struct {
 	number int64 // the number of the forwarded intake
+	taken  bool  // whether the job was not admitted because its identity is that of a job of another queue
 }
 
 func (LinkLost) schedulerMessage()           {}
--- a/scheduling_generated.go
+++ b/scheduling_generated.go
@@ -1598,12 +1598,14 @@
 // IntakeStoredConfig holds the fields of a new IntakeStored.
 type IntakeStoredConfig struct {
 	Number int64
+	Taken  bool
 }
 
 // NewIntakeStored returns a IntakeStored with the given fields.
 func NewIntakeStored(config IntakeStoredConfig) IntakeStored {
 	return IntakeStored{
 		number: config.Number,
+		taken:  config.Taken,
 	}
 }
 
@@ -1611,6 +1613,7 @@
 func (intakestored IntakeStored) Config() IntakeStoredConfig {
 	return IntakeStoredConfig{
 		Number: intakestored.number,
+		Taken:  intakestored.taken,
 	}
 }
 
@@ -1623,6 +1626,15 @@
 	return intakestored
 }
 
+// Taken returns whether the job was not admitted because its identity is that of a job of another queue.
+func (intakestored IntakeStored) Taken() bool { return intakestored.taken }
+
+// WithTaken returns a copy with the given taken.
+func (intakestored IntakeStored) WithTaken(taken bool) IntakeStored {
+	intakestored.taken = taken
+	return intakestored
+}
+
 // HostHelloConfig holds the fields of a new HostHello.
 type HostHelloConfig struct {
 	Host       string
