scheduler: a new configuration sorts the waiting stages again

The waiting stages are kept in the order of their priorities, which a new version of the configuration can change. The stages that waited kept their places, and each later one was inserted by a binary search in a list that was no longer sorted. Jobs of a queue that had become urgent could wait behind all other work until the list was empty.

The scheduler now sorts the list when it reads a version. Before the change TestNewPrioritiesOrderTheWaitingStages saw c6 a0 a3 b1 b4 c2 c5 instead of c2 c5 c6 b1 b4 a0 a3, with c as the most urgent queue.

--- a/command/scheduler/intake.go
+++ b/command/scheduler/intake.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -172,19 +173,27 @@
 func (machine *Machine) enqueue(job *job, added *stage) {
 	leader := machine.leader
 	leader.queued[added.id] = true
-	index, _ := slices.BinarySearchFunc(leader.waitingStages, 0, func(other *waitingStage, _ int) int {
-		if order := machine.queue(other.job).Priority() - machine.queue(job).Priority(); order != 0 {
-			return order
-		}
-		if other.job.spec.Submitted().After(job.spec.Submitted()) {
-			return 1
-		}
-		return -1
+	waiting := &waitingStage{job: job, stage: added}
+	index, _ := slices.BinarySearchFunc(leader.waitingStages, waiting, func(other, added *waitingStage) int {
+		return cmp.Or(machine.comparePlacement(other, added), -1) // Behind those that are equal.
 	})
-	leader.waitingStages = slices.Insert(leader.waitingStages, index, &waitingStage{job: job, stage: added})
+	leader.waitingStages = slices.Insert(leader.waitingStages, index, waiting)
 	leader.placementDue = true
 }
 
+// sortWaitingStages restores the placement order after a change of the priorities.
+func (machine *Machine) sortWaitingStages() {
+	slices.SortStableFunc(machine.leader.waitingStages, machine.comparePlacement)
+}
+
+// comparePlacement orders waiting stages by the priority of their queue, then by submission time.
+func (machine *Machine) comparePlacement(first, second *waitingStage) int {
+	return cmp.Or(
+		cmp.Compare(machine.queue(first.job).Priority(), machine.queue(second.job).Priority()),
+		first.job.spec.Submitted().Compare(second.job.spec.Submitted()),
+	)
+}
+
 // maxOpenTasks is the number of unfinished tasks of a job from which no further occurrence starts. It bounds the memory for
 // a job whose occurrences are all due at once.
 const maxOpenTasks = 10_000
--- a/command/scheduler/machine.go
+++ b/command/scheduler/machine.go
@@ -191,6 +191,7 @@
 	machine.config.Log.Record("routes_in_force", almondcross.Number("version", table.Version()),
 		almondcross.Number("queues", len(table.Queues())))
 	if machine.leader != nil {
+		machine.sortWaitingStages()
 		machine.settleJobs()
 		machine.leader.placementDue = true
 	}
--- a/command/scheduler/settings_test.go
+++ b/command/scheduler/settings_test.go
@@ -187,3 +187,28 @@
 	cancel(accepted("first").WithQueue(accepted("first").Queue().WithName("renamed")))
 	require.Equal(t, almondcross.JobCancelled, harness.machine.state.jobs["i"].state)
 }
+
+// Guards against a new version of the configuration that changes priorities and leaves the waiting stages in the order of the
+// old ones: each later stage is then inserted anywhere, and urgent work waits behind other work.
+func TestNewPrioritiesOrderTheWaitingStages(t *testing.T) {
+	harness := newHarness(t)
+	harness.becomeScheduler()
+	version := func(version int64, priorities map[string]int) almondcross.RoutesRead {
+		var queues []almondcross.QueueConfig
+		for _, name := range []string{"a", "b", "c"} {
+			queues = append(queues, almondcross.QueueConfig{Name: name, Pool: "elsewhere", Priority: priorities[name]})
+		}
+		return routes(version, queues...)
+	}
+	harness.apply(version(2, map[string]int{"a": 1, "b": 2, "c": 3}))
+	for index, queue := range []string{"a", "b", "c", "a", "b", "c"} {
+		harness.submitTo(almondcross.JobID(queue+string(rune('0'+index))), queue, almondcross.QueueSettings{})
+	}
+	harness.apply(version(3, map[string]int{"a": 3, "b": 2, "c": 1}))
+	harness.submitTo("c6", "c", almondcross.QueueSettings{})
+	var order []almondcross.JobID
+	for _, waiting := range harness.machine.leader.waitingStages {
+		order = append(order, waiting.job.spec.ID())
+	}
+	require.Equal(t, []almondcross.JobID{"c2", "c5", "c6", "b1", "b4", "a0", "a3"}, order)
+}
