scheduler: usage is stored once the workers are known

A new scheduler stored the usage of all periods right after its election, before it had read the list of workers, with a capacity of 0 for each pool. That replaced the capacity that its predecessor had stored, and for good if nothing changed the period any more: the account showed the share of the pool as unknown.

The scheduler now waits for the first whole list of workers. Before the change TestUsageIsStoredOnceTheWorkersAreKnown failed with "Should be false" at a write before the list.

--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -32,6 +32,7 @@
 	usageStoring bool
 
 	workers             map[string]*worker
+	workersListed       bool                             // workersListed is set once the list of announced workers was read.
 	removedFences       map[string]int64                 // removedFences holds the fencing tokens of removed workers, which may return.
 	sortedWorkers       []*worker                        // sortedWorkers holds the workers by ID.
 	usableWorkers       []*worker                        // usableWorkers holds the workers that may get new work in the current pass.
--- a/command/scheduler/settings_test.go
+++ b/command/scheduler/settings_test.go
@@ -212,3 +212,23 @@
 	}
 	require.Equal(t, []almondcross.JobID{"c2", "c5", "c6", "b1", "b4", "a0", "a3"}, order)
 }
+
+// Guards against usage that a new scheduler stores with the capacity of the workers that it knows so far, none: it replaces
+// the capacity that the scheduler before it had stored, for good if the period is over.
+func TestUsageIsStoredOnceTheWorkersAreKnown(t *testing.T) {
+	harness := newHarness(t)
+	harness.apply(routes(1, almondcross.QueueConfig{Name: "q", Pool: "pool"}))
+	harness.awaitElection()
+	harness.answerCommit()
+	harness.answerCommit()
+	harness.submitTo("j", "q", almondcross.QueueSettings{})
+	harness.advance(usageInterval)
+	_, stored := takeEffect[StoreUsage](harness)
+	require.False(t, stored)
+	harness.apply(almondcross.NewWorkersRead(almondcross.WorkersReadConfig{Complete: true, Changes: []almondcross.WorkerChange{
+		almondcross.NewWorkerChange(almondcross.WorkerChangeConfig{ID: workerID, Present: true, Worker: poolWorker}),
+	}}))
+	usages := requireEffect[StoreUsage](harness).Request.Usages()
+	require.Len(t, usages, 1)
+	require.Equal(t, resourceSeconds(poolWorker.Capacity(), usagePeriod), usages[0].Capacity())
+}
--- a/command/scheduler/usage.go
+++ b/command/scheduler/usage.go
@@ -85,11 +85,11 @@
 	return list
 }
 
-// storeUsage stores the periods that have changed. The usage may include changes of the pending append; if
+// storeUsage stores the periods that have changed, once the workers and with them the capacity of each pool are known. The usage may include changes of the pending append; if
 // that append fails, the next write corrects it.
 func (machine *Machine) storeUsage() {
 	leader := machine.leader
-	if leader.usageStoring || machine.now.Sub(leader.usageAt) < usageInterval || len(machine.state.unstoredUsage) == 0 {
+	if !leader.workersListed || leader.usageStoring || machine.now.Sub(leader.usageAt) < usageInterval || len(machine.state.unstoredUsage) == 0 {
 		return
 	}
 	leader.usageAt, leader.usageStoring = machine.now, true
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -177,6 +177,7 @@
 		machine.workerChanged(change)
 	}
 	if read.Complete() {
+		machine.leader.workersListed = true
 		for id, known := range machine.leader.workers {
 			if known.announced && !seen[id] {
 				machine.workerChanged(almondcross.NewWorkerChange(almondcross.WorkerChangeConfig{ID: id}))
