--- a/command/scheduler/intake.go
+++ b/command/scheduler/intake.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -31,11 +32,7 @@
 		leader.intakeReadAt[read.Partition()] = machine.now
 	}
 	for _, intake := range read.Intakes() {
-		if intake.Cancel() {
-			machine.cancelJob(intake.Job())
-		} else {
-			machine.admitJob(intake.Job())
-		}
+		machine.takeIntake(intake)
 	}
 	if next != position {
 		leader.pendingIntake[read.Partition()] = next
@@ -48,14 +45,10 @@
 // intakeForwarded admits an intake that another host could not store, and confirms it to that host once it is
 // in the journal.
 func (machine *Machine) intakeForwarded(forwarded almondcross.IntakeForwarded) {
-	if forwarded.Intake().Cancel() {
-		machine.cancelJob(forwarded.Intake().Job())
-	} else {
-		machine.admitJob(forwarded.Intake().Job())
-	}
-	machine.afterCommit(func() {
-		machine.emit(ConfirmIntake{Host: forwarded.Host(), Stored: almondcross.NewIntakeStored(almondcross.IntakeStoredConfig{Number: forwarded.Number()})})
+	stored := almondcross.NewIntakeStored(almondcross.IntakeStoredConfig{
+		Number: forwarded.Number(), Taken: !machine.takeIntake(forwarded.Intake()) && !forwarded.Intake().Cancel(),
 	})
+	machine.afterCommit(func() { machine.emit(ConfirmIntake{Host: forwarded.Host(), Stored: stored}) })
 }
 
 // intakesCurrent reports whether every intake partition was read recently. A read that waits for a record is
@@ -69,19 +62,52 @@
 	return true
 }
 
-func (machine *Machine) admitJob(submitted almondcross.Job) {
-	if _, known := machine.state.jobs[submitted.ID()]; known {
+// takeIntake admits or cancels a job. It changes nothing and reports false if the identity is that of a job of another queue:
+// the first job with an identity has it.
+func (machine *Machine) takeIntake(intake almondcross.Intake) bool {
+	if holder := machine.state.jobs[intake.Job().ID()]; holder != nil && holder.ofOtherQueue(intake) {
+		machine.config.Log.Record("identity_taken", almondcross.Text("job", string(intake.Job().ID())), almondcross.Text("queue", intake.Job().Queue()),
+			almondcross.Text("holder", holder.spec.Queue()), almondcross.Text("cancel", yesNo(intake.Cancel())))
+		return false
+	}
+	if intake.Cancel() {
+		machine.cancelJob(intake.Job())
+	} else {
+		machine.admitJob(intake.Job(), intake.Settings())
+	}
+	return true
+}
+
+// ofOtherQueue reports whether an intake is for another queue than that of the job. A queue under another name at the same
+// host and prefix is the same one, so that a cancellation reaches its job after the queue was renamed. If the settings of one
+// of them are not known, that cannot be told, and the identity decides.
+func (job *job) ofOtherQueue(intake almondcross.Intake) bool {
+	held, accepted := job.settings.Queue(), intake.Settings().Queue()
+	return job.spec.Queue() != intake.Job().Queue() && job.settings.Known() && intake.Settings().Known() &&
+		(held.Host() != accepted.Host() || held.Prefix() != accepted.Prefix())
+}
+
+// admitJob admits a job with the settings with which a host accepted it. For a job of a host of the version before, which
+// sends none, they are those of the version in force here.
+func (machine *Machine) admitJob(submitted almondcross.Job, accepted almondcross.QueueSettings) {
+	settings := accepted
+	if !settings.Known() {
+		settings = machine.routes.Settings(submitted.Queue())
+	}
+	if job := machine.state.jobs[submitted.ID()]; job != nil {
 		machine.config.Metrics.JobRepeated()
+		if job.spec.Queue() == submitted.Queue() && job.unsettled() && settings.Known() {
+			machine.settleJob(job, settings)
+		}
 		return
 	}
-	settings := machine.routes.Settings(submitted.Queue())
 	machine.recordChange(almondcross.ChangeConfig{Kind: almondcross.ChangeAdmit, Job: submitted, Settings: settings})
 	machine.config.Metrics.Admitted(submitted.Queue())
 	machine.config.Log.Record("job_admitted", almondcross.Text("job", string(submitted.ID())), almondcross.Text("queue", submitted.Queue()),
 		almondcross.Millis("age_ms", machine.now.Sub(submitted.Submitted())), almondcross.Number("steps", len(submitted.Steps())))
 	if !settings.Known() {
 		// The host that stored the job knew the queue. Either this host has not read that version yet or the queue has been
-		// removed since. The job waits until a version with the queue is read.
+		// removed since. The job waits until a version with the queue is read or the job is submitted with its settings.
 		machine.config.Log.Record("settings_unknown", almondcross.Text("job", string(submitted.ID())), almondcross.Text("queue", submitted.Queue()),
 			almondcross.Number("routes_version", machine.routes.Version()))
 	}
@@ -92,12 +118,15 @@
 // settleJobs sets the settings of the jobs that were admitted while the settings were not known, and queues their stages.
 func (machine *Machine) settleJobs() {
 	for _, job := range machine.state.jobs {
-		if settings := machine.routes.Settings(job.spec.Queue()); !job.state.Final() && !job.settings.Known() && settings.Known() {
+		if settings := machine.routes.Settings(job.spec.Queue()); job.unsettled() && settings.Known() {
 			machine.settleJob(job, settings)
 		}
 	}
 }
 
+// unsettled reports whether an open job waits for its settings.
+func (job *job) unsettled() bool { return !job.state.Final() && !job.settings.Known() }
+
 func (machine *Machine) settleJob(job *job, settings almondcross.QueueSettings) {
 	machine.recordChange(almondcross.ChangeConfig{
 		Kind: almondcross.ChangeSettings, Job: job.spec.WithSteps(nil).WithPayload(""), Settings: settings,
@@ -144,19 +173,27 @@
 func (machine *Machine) enqueue(job *job, added *stage) {
 	leader := machine.leader
 	leader.queued[added.id] = true
-	index, _ := slices.BinarySearchFunc(leader.waitingStages, 0, func(other *waitingStage, _ int) int {
-		if order := machine.queue(other.job).Priority() - machine.queue(job).Priority(); order != 0 {
-			return order
-		}
-		if other.job.spec.Submitted().After(job.spec.Submitted()) {
-			return 1
-		}
-		return -1
+	waiting := &waitingStage{job: job, stage: added}
+	index, _ := slices.BinarySearchFunc(leader.waitingStages, waiting, func(other, added *waitingStage) int {
+		return cmp.Or(machine.comparePlacement(other, added), -1) // Behind those that are equal.
 	})
-	leader.waitingStages = slices.Insert(leader.waitingStages, index, &waitingStage{job: job, stage: added})
+	leader.waitingStages = slices.Insert(leader.waitingStages, index, waiting)
 	leader.placementDue = true
 }
 
+// sortWaitingStages restores the placement order after a change of the priorities.
+func (machine *Machine) sortWaitingStages() {
+	slices.SortStableFunc(machine.leader.waitingStages, machine.comparePlacement)
+}
+
+// comparePlacement orders waiting stages by the priority of their queue, then by submission time.
+func (machine *Machine) comparePlacement(first, second *waitingStage) int {
+	return cmp.Or(
+		cmp.Compare(machine.queue(first.job).Priority(), machine.queue(second.job).Priority()),
+		first.job.spec.Submitted().Compare(second.job.spec.Submitted()),
+	)
+}
+
 // maxOpenTasks is the number of unfinished tasks of a job from which no further occurrence starts. It bounds the memory for
 // a job whose occurrences are all due at once.
 const maxOpenTasks = 10_000
--- a/command/submitter/submitter_test.go
+++ b/command/submitter/submitter_test.go
@@ -28,6 +28,7 @@
 type store struct {
 	mode    atomic.Int32
 	records atomic.Int64
+	appends atomic.Int64
 }
 
 // recordBytes and callBytes are the limits of the store.
@@ -61,6 +62,7 @@
 		return almondcross.StoreAppended{}, almondcross.ErrStoreUncertain
 	}
 	store.records.Add(int64(len(batch.Records())))
+	store.appends.Add(1)
 	return almondcross.StoreAppended{}, nil
 }
 
@@ -69,6 +71,7 @@
 	client             *submitter.Client
 	schedulerReachable atomic.Bool
 	schedulerAnswers   atomic.Bool
+	identityTaken      atomic.Bool
 	stored             *ring.Ring[almondcross.IntakeStored]
 }
 
@@ -83,7 +86,7 @@
 		Writer: fixture.store, Codec: codec, Clock: clock{}, Log: discardLog{}, Topic: "intake", Partitions: 2, Stored: stored, RecordBytes: recordBytes, CallBytes: callBytes,
 		Forward: func(forwarded almondcross.IntakeForwarded) bool {
 			if fixture.schedulerReachable.Load() && fixture.schedulerAnswers.Load() {
-				stored.Offer(almondcross.NewIntakeStored(almondcross.IntakeStoredConfig{Number: forwarded.Number()}))
+				stored.Offer(almondcross.NewIntakeStored(almondcross.IntakeStoredConfig{Number: forwarded.Number(), Taken: fixture.identityTaken.Load()}))
 			}
 			return fixture.schedulerReachable.Load()
 		},
@@ -162,6 +165,42 @@
 	})
 }
 
+// Guards against telling a caller that its job is stored although the scheduler has not admitted it, since a job of another
+// queue has its identity, and against storing it after that answer.
+func TestTakenIdentityIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		fixture := newFixture(ctx, t)
+		fixture.schedulerReachable.Store(true)
+		fixture.schedulerAnswers.Store(true)
+		fixture.identityTaken.Store(true)
+		_, err := fixture.submit(ctx)
+		require.ErrorIs(t, err, almondcross.ErrIdentityTaken)
+		require.Zero(t, fixture.store.records.Load())
+	})
+}
+
+// Guards against a job that is stored without the settings by which it was accepted, or in another append than they, and
+// against settings that make its records larger than the journal can hold.
+func TestJobIsStoredWithItsSettings(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		fixture := newFixture(ctx, t)
+		submit := func(name string) error {
+			job := almondcross.NewJob(almondcross.JobConfig{ID: "5c0e7a21d94b36f8", Queue: name})
+			queue := almondcross.NewQueue(almondcross.QueueConfig{Name: name, Pool: "pool"})
+			settings := almondcross.NewQueueSettings(almondcross.QueueSettingsConfig{Queue: queue, Version: 6})
+			return fixture.client.Submit(ctx, almondcross.NewIntake(almondcross.IntakeConfig{Job: job, Settings: settings}), 800*time.Millisecond)
+		}
+		require.NoError(t, submit("q"))
+		require.Equal(t, int64(2), fixture.store.records.Load())
+		require.Equal(t, int64(1), fixture.store.appends.Load())
+		require.ErrorIs(t, submit(strings.Repeat("q", recordBytes/2)), almondcross.ErrTooLarge)
+	})
+}
+
 // Guards against a job that the store refuses for its size: it would make the host refuse all callers as if the store were
 // lost, each time that its caller sends it again. The same holds for a batch that exceeds the limit of an append.
 func TestLargeJobsLeaveTheStoreUsable(t *testing.T) {
--- a/encoder/number_test.go
+++ b/encoder/number_test.go
@@ -60,10 +60,10 @@
 			}}}},
 		})
 		require.NoError(t, err)
-		part, err := codec.encoding.Marshal(wireSnapshotPart{
+		part, err := codec.encodeSnapshotPart(wireSnapshotPart{snapshotPartFields: snapshotPartFields{
 			JournalOffset: number("next"), Parts: 1, Epoch: number("epoch"), SchedulerEpoch: number("scheduler's epoch"), Intake: map[int]int64{0: number("offset")},
 			Silent: []wireSilentWorker{{Worker: "w", RemainingMS: number("remaining")}},
-		})
+		}})
 		require.NoError(t, err)
 		part = appendJob(t, codec, part, job)
 		record := almondcross.NewKeyedRecord(almondcross.KeyedRecordConfig{Key: "k", Value: part})
@@ -83,10 +83,10 @@
 
 // appendJob returns an encoded part of a snapshot with a job.
 func appendJob(t *rapid.T, codec Codec, part, job []byte) []byte {
-	var wire wireSnapshotPart
-	require.NoError(t, codec.decodingJobs.Unmarshal(part, &wire))
+	wire, err := codec.decodeSnapshotPart(part)
+	require.NoError(t, err)
 	wire.Jobs = append(wire.Jobs, job)
-	encoded, err := codec.encoding.Marshal(wire)
+	encoded, err := codec.encodeSnapshotPart(wire)
 	require.NoError(t, err)
 	return encoded
 }
--- a/journal.go
+++ b/journal.go
@@ -22,19 +22,21 @@
 	ErrNotStored   = errors.ConstError("not stored")               // ErrNotStored means that the job was not stored and never runs.
 	ErrMaybeStored = errors.ConstError("the store did not answer") // ErrMaybeStored means that the job may have been stored and may run.
 	ErrTooLarge    = errors.ConstError("too large for the store")  // ErrTooLarge means that the job can never be stored.
+
+	ErrIdentityTaken = errors.ConstError("the identity is that of a job of another queue") // ErrIdentityTaken means that the job was not admitted, since its identity is taken.
 )
 
 // Submitter stores jobs and cancellations.
 type Submitter interface {
-	// Submit stores an intake and waits at most for the timeout. It returns ErrNotStored, ErrMaybeStored or ErrTooLarge
-	// unless the intake was stored.
+	// Submit stores an intake and waits at most for the timeout. It returns ErrNotStored, ErrMaybeStored, ErrTooLarge or
+	// ErrIdentityTaken unless the intake was stored.
 	Submit(ctx context.Context, intake Intake, timeout time.Duration) error
 }
 
 // QueueRouter finds the queue of a request.
 type QueueRouter interface {
-	// Match returns the queue of a request and the part of the path that follows the queue's prefix.
-	Match(host, path string) (queue Queue, rest string, found bool)
+	// Match returns the settings of the queue of a request and the part of the path that follows the queue's prefix.
+	Match(host, path string) (settings QueueSettings, rest string, found bool)
 	// Version returns the version of the current configuration, 0 before the first one.
 	Version() int64
 	// BodyLimit returns the maximum size of a request body in bytes, 0 when none is configured.
@@ -127,8 +129,9 @@
 //
 //value:generate
 type Intake struct {
-	job    Job  // the job, with only its identity and queue for a cancellation
-	cancel bool // whether it cancels the job
+	job      Job           // the job, with only its identity and queue for a cancellation
+	settings QueueSettings // the settings with which a host accepted it, not known if that was a host of the version before
+	cancel   bool          // whether it cancels the job
 }
 
 // ChangeKind is the kind of a journal change.
@@ -310,10 +313,11 @@
 	EncodeBatch(batch JournalBatch) ([]byte, error)
 	// DecodeBatch returns the batch in a record.
 	DecodeBatch(record []byte) (JournalBatch, error)
-	// EncodeIntake returns the record of an intake.
-	EncodeIntake(intake Intake) ([]byte, error)
-	// DecodeIntake returns the intake in a record.
-	DecodeIntake(record []byte) (Intake, error)
+	// EncodeIntake returns the records of an intake, which must be stored together.
+	EncodeIntake(intake Intake) ([][]byte, error)
+	// DecodeIntakes returns the intakes in consecutive records, and the number of the first records that it used. It leaves out
+	// a last record that belongs to the next one. It calls unreadable for each record that it cannot decode.
+	DecodeIntakes(records [][]byte, unreadable func(index int, err error)) (intakes []Intake, used int)
 	// EncodePointer returns the stored form of a pointer to the scheduler.
 	EncodePointer(pointer SchedulerPointer) ([]byte, error)
 	// DecodePointer returns the pointer with the given stored form.
