Answer callers from views of a known age

After a pause, views and batches that had waited in the link counted as new.

Jobs that the host has stored stay in the views until a state has them. JobPublisher.Reset is replaced by Replace, since readers saw an empty table between the two.

--- a/command/scheduler/advice.go
+++ b/command/scheduler/advice.go
@@ -79,7 +79,9 @@
 	address  string // address is where the host accepts links.
 	// awaitingViews is set until the host has been sent its first views.
 	awaitingViews bool
-	retryAt       time.Time // retryAt is when the host may be called again after a timeout.
+	// viewsUntil is until when a standby gets views as well, which it publishes while it loads the state.
+	viewsUntil time.Time
+	retryAt    time.Time // retryAt is when the host may be called again after a timeout.
 }
 
 // adviceCall is a pending call to the advice service.
--- a/command/scheduler/append.go
+++ b/command/scheduler/append.go
@@ -213,8 +213,9 @@
 	machine.pushViews(viewers, inflight)
 	leader.lastCommitAt = machine.now.Add(-answer.Took())
 	machine.follower.nextOffset = answer.Appended().End()
-	machine.config.Publisher.Refreshed(machine.now, inflight.intakesCurrent)
 	machine.publish(inflight.views)
+	// The answer may have waited while this host was paused, so the views count as of when the append was sent.
+	machine.config.Publisher.Refreshed(inflight.sentAt, inflight.intakesCurrent)
 	if inflight.snapshot != nil {
 		machine.emit(StoreSnapshot{Request: almondcross.NewSnapshotStore(almondcross.SnapshotStoreConfig{
 			Snapshot: inflight.snapshot.WithNext(answer.Appended().End()),
--- a/command/scheduler/constants.go
+++ b/command/scheduler/constants.go
@@ -67,6 +67,9 @@
 	// maxViewInterval limits the pause between two messages with views to one viewer, so that an idle scheduler sends them
 	// with each batch. linkTimeout tolerates two late ones.
 	maxViewInterval = 150 * time.Millisecond
+	// standbyLoadTime is how long a new standby gets views as well as batches. It reads the snapshot and the journal
+	// meanwhile, which takes under a second unless the store is slow.
+	standbyLoadTime = 8 * time.Second
 	// linkTimeout is how long the link to the scheduler may be silent. The scheduler pushes after every batch.
 	linkTimeout = 700 * time.Millisecond
 	// electionBackoff is the delay after a lost election.
--- a/command/scheduler/discovery.go
+++ b/command/scheduler/discovery.go
@@ -18,8 +18,11 @@
 	// viaPeer is set if this host found the scheduler through another host because it could not reach the
 	// store.
 	viaPeer     bool
-	readPending bool      // readPending is set while a read of the pointer is pending.
-	lastQueryAt time.Time // lastQueryAt is when a linked host or a standby last queried the pointer.
+	readPending bool // readPending is set while a read of the pointer is pending.
+	// viewsReceived is set once all views have arrived over the present link. Changes alone would leave out what changed
+	// before it.
+	viewsReceived bool
+	lastQueryAt   time.Time // lastQueryAt is when a linked host or a standby last queried the pointer.
 }
 
 // strength returns the scheduling strength of this host: the configured one minus its latency to the store,
@@ -36,6 +39,7 @@
 func (machine *Machine) discoverScheduler() {
 	machine.role = roleDiscovering
 	machine.discovery.startedAt, machine.discovery.pointer, machine.discovery.storeAnswered = time.Time{}, almondcross.SchedulerPointer{}, false
+	machine.discovery.viewsReceived, machine.follower.pushedEnd = false, 0
 	machine.emit(AnnounceScheduler{})
 	machine.readPointer(0)
 }
@@ -64,7 +68,7 @@
 	case roleFollower:
 		if read.Found() && read.Pointer().Epoch() > machine.state.schedulerEpoch && read.Pointer().Host() != machine.config.Host {
 			machine.role = roleDiscovering
-			machine.discovery.startedAt, machine.discovery.storeAnswered = machine.now, false
+			machine.discovery.startedAt, machine.discovery.storeAnswered, machine.discovery.viewsReceived = machine.now, false, false
 			machine.discoveryRead(read)
 		}
 	case roleViewer:
@@ -161,28 +165,40 @@
 		machine.loadState(0)
 	case !assigned.Standby() && (machine.role == roleDiscovering || machine.role == roleFollower || machine.role == roleLoading):
 		machine.role = roleViewer
-		machine.discovery.lastViewsAt = machine.now
+		machine.discovery.lastViewsAt, machine.discovery.viewsReceived = machine.now, false
 		machine.resetState()
 		machine.follower = follower{}
 	}
 }
 
+// viewsPushed publishes views from the scheduler. A standby does so until its own state has caught up with the journal.
 func (machine *Machine) viewsPushed(pushed almondcross.ViewsPushed) {
-	if machine.role != roleViewer {
+	loads := machine.role == roleLoading || machine.role == roleFollower && !machine.follower.published
+	if machine.role != roleViewer && !loads {
 		return
 	}
-	machine.discovery.lastViewsAt = machine.now
-	if pushed.Reset() {
-		machine.config.Publisher.Reset()
+	switch {
+	case pushed.Reset():
+		machine.discovery.viewsReceived = true
+		machine.replaceViews(pushed.Changes())
+	case machine.discovery.viewsReceived:
+		machine.publish(pushed.Changes())
+	default:
+		return
 	}
-	machine.publish(pushed.Changes())
+	machine.discovery.lastViewsAt = machine.now
 	machine.config.Publisher.Refreshed(machine.now, pushed.Complete())
 }
 
-// hostLinked decides whether a newly linked host is a standby.
+// hostLinked decides whether a newly linked host is a standby. Either way it gets all views after the next append: a standby
+// has to load the state first, unless it followed the journal before.
 func (machine *Machine) hostLinked(host *linkedHost) {
 	host.standby = host.strength >= minStandbyStrength && machine.standbyCount() < maxStandbys
 	machine.sendRole(host)
+	// The views may include jobs that are not in the journal yet, whose submissions must not be acknowledged, so they
+	// are sent only after the next append has succeeded.
+	host.awaitingViews = true
+	machine.leader.pendingResets = append(machine.leader.pendingResets, host)
 }
 
 func (machine *Machine) standbyCount() int {
@@ -195,19 +211,12 @@
 	return count
 }
 
-// sendRole tells a linked host whether it is a standby; a viewer also gets all views after the next append.
+// sendRole tells a linked host whether it is a standby.
 func (machine *Machine) sendRole(host *linkedHost) {
-	if machine.leader == nil || host.name == machine.config.Host {
-		return
-	}
-	machine.emit(AssignRole{Host: host.name, Assigned: almondcross.NewRoleAssigned(almondcross.RoleAssignedConfig{Standby: host.standby})})
 	if host.standby {
-		return
+		host.viewsUntil = machine.now.Add(standbyLoadTime)
 	}
-	// The views may include jobs that are not in the journal yet, whose submissions must not be acknowledged, so they
-	// are sent only after the next append has succeeded.
-	host.awaitingViews = true
-	machine.leader.pendingResets = append(machine.leader.pendingResets, host)
+	machine.emit(AssignRole{Host: host.name, Assigned: almondcross.NewRoleAssigned(almondcross.RoleAssignedConfig{Standby: host.standby})})
 }
 
 // allViews returns the views of all jobs.
@@ -252,13 +261,14 @@
 // pushHosts returns the hosts that get batches and those that get views.
 func (machine *Machine) pushHosts() (standbys, viewers []string) {
 	for name, other := range machine.linkedHosts {
-		switch {
-		case name == machine.config.Host:
-		case other.awaitingViews && !other.standby:
-			// With later views alone, the host would take its incomplete set of jobs for complete.
-		case other.standby:
+		if name == machine.config.Host {
+			continue
+		}
+		if other.standby {
 			standbys = append(standbys, name)
-		default:
+		}
+		// Before its first views, a host would take an incomplete set of jobs for complete.
+		if !other.awaitingViews && (!other.standby || machine.now.Before(other.viewsUntil)) {
 			viewers = append(viewers, name)
 		}
 	}
--- a/command/scheduler/discovery_test.go
+++ b/command/scheduler/discovery_test.go
@@ -45,6 +45,7 @@
 	require.Equal(t, "h-2", found.Pointer.Host())
 	require.Zero(t, found.Strength, "a host without the store cannot schedule")
 	harness.apply(almondcross.NewRoleAssigned(almondcross.RoleAssignedConfig{}))
+	harness.apply(almondcross.NewViewsPushed(almondcross.ViewsPushedConfig{Reset: true}))
 	takeLastEffect[ReadPointer](harness)
 	harness.apply(almondcross.NewPointerRead(almondcross.PointerReadConfig{Err: almondcross.ErrStoreUncertain}))
 
--- a/command/scheduler/follower.go
+++ b/command/scheduler/follower.go
@@ -23,6 +23,9 @@
 	readFailing      bool      // readFailing is set if the last read failed.
 	loadStartedAt    time.Time // loadStartedAt is when the current load of the state began.
 	trimmedReads     int       // trimmedReads counts consecutive reads whose records had been deleted.
+	readSentAt       time.Time // readSentAt is when the last read was emitted.
+	pushedEnd        int64     // pushedEnd is the highest end of the journal that the scheduler's pushes have shown.
+	published        bool      // published is set once the published views are those of the state.
 }
 
 // loadState starts to load the state from the newest snapshot.
@@ -50,13 +53,12 @@
 	}
 	trimmed := machine.follower.trimmedReads
 	machine.resetState()
-	machine.follower = follower{trimmedReads: trimmed}
+	machine.follower = follower{trimmedReads: trimmed, pushedEnd: machine.follower.pushedEnd}
 	if read.Found() {
 		machine.state = restore(read.Snapshot(), machine.config.Retention, machine.now, machine.state.knownSilences)
 		machine.follower.nextOffset = read.Snapshot().Next()
 	}
-	machine.config.Publisher.Reset()
-	machine.publish(machine.takeViewChanges())
+	// The earlier views stay published, with their age, until the state has caught up with the journal.
 	machine.role = roleFollower
 	machine.config.Log.Record("state_loaded", almondcross.Number("next", machine.follower.nextOffset),
 		almondcross.Number("jobs", len(machine.state.jobs)), almondcross.Number("epoch", machine.state.highestEpoch))
@@ -79,7 +81,7 @@
 }
 
 func (machine *Machine) readJournal(pause time.Duration) {
-	machine.follower.readPending = true
+	machine.follower.readPending, machine.follower.readSentAt = true, machine.now
 	machine.emit(ReadJournal{Query: almondcross.NewJournalQuery(almondcross.JournalQueryConfig{
 		From: machine.follower.nextOffset, Pause: pause, Wait: journalReadWait,
 	})})
@@ -115,7 +117,7 @@
 		// so it gets the full electionTimeout again.
 		machine.follower.readFailing, machine.follower.lastBatchAt, machine.follower.electionAt = false, machine.now, time.Time{}
 	}
-	machine.applyBatches(read, machine.now)
+	machine.applyBatches(read, machine.now, machine.follower.readSentAt)
 	pause := journalReadInterval
 	switch {
 	case !machine.follower.caughtUp:
@@ -135,21 +137,33 @@
 // journalPushed applies batches that arrived over the link. The store is still read, though less often, since
 // only a read distinguishes a silent scheduler from a broken link.
 func (machine *Machine) journalPushed(pushed almondcross.JournalPushed) {
+	next := pushed.From() + int64(len(pushed.Batches()))
+	machine.follower.pushedEnd = max(machine.follower.pushedEnd, next)
 	if machine.role != roleFollower || pushed.From() > machine.follower.nextOffset {
 		return
 	}
-	next := pushed.From() + int64(len(pushed.Batches()))
 	if next <= machine.follower.nextOffset {
 		return
 	}
 	machine.follower.lastPushAt = machine.now
 	machine.applyBatches(almondcross.NewJournalRead(almondcross.JournalReadConfig{
 		From: machine.follower.nextOffset, Next: next, End: next, Batches: pushed.Batches()[machine.follower.nextOffset-pushed.From():],
-	}), machine.follower.lastReadAt)
+	}), machine.follower.lastReadAt, machine.pushedAsOf(pushed))
 }
 
-// applyBatches applies batches; readAt is when the store was last read.
-func (machine *Machine) applyBatches(read almondcross.JournalRead, readAt time.Time) {
+// pushedAsOf returns the time as of which pushed batches reach the end of the journal, zero if that is unknown. A push may
+// have waited while this host was paused.
+func (machine *Machine) pushedAsOf(pushed almondcross.JournalPushed) time.Time {
+	batches := pushed.Batches()
+	if len(batches) == 0 || machine.now.Sub(batches[len(batches)-1].At()) >= freshBatchAge {
+		return time.Time{}
+	}
+	return machine.now
+}
+
+// applyBatches applies batches. readAt is when the store was last read, and asOf a time as of which the batches reach the
+// end that they name, zero if none is known.
+func (machine *Machine) applyBatches(read almondcross.JournalRead, readAt, asOf time.Time) {
 	applied := 0
 	for _, batch := range read.Batches() {
 		if !batch.Readable() {
@@ -167,7 +181,8 @@
 	if applied > 0 {
 		machine.follower.electionAt = time.Time{} // The scheduler is alive; the next silence gets its own delay.
 	}
-	machine.follower.caughtUp = read.Next() >= read.End()
+	// Views that arrived over the link may already include pushed batches that the store does not return yet.
+	machine.follower.caughtUp = read.Next() >= read.End() && read.Next() >= machine.follower.pushedEnd
 	machine.follower.lastReadAt = readAt
 	if applied > 0 || machine.follower.lastBatchAt.IsZero() {
 		machine.follower.lastBatchAt = machine.now
@@ -182,16 +197,32 @@
 		// host should be elected first.
 		machine.follower.lastBatchAt, machine.follower.electionAt = machine.now.Add(-electionTimeout), machine.now
 	}
-	if machine.follower.caughtUp {
-		alive := machine.now.Sub(machine.follower.lastFreshBatchAt) < electionTimeout
-		machine.config.Publisher.Refreshed(machine.now, machine.follower.intakesCurrent && alive)
-	}
-	machine.publish(machine.takeViewChanges())
+	machine.publishState(asOf)
 	if machine.follower.caughtUp {
 		machine.announceScheduler()
 	}
 }
 
+// publishState publishes the views of the state, from when it first caught up with the journal. asOf is the time as of which
+// it has caught up, zero if that is unknown.
+func (machine *Machine) publishState(asOf time.Time) {
+	follower := &machine.follower
+	changes := machine.takeViewChanges()
+	switch {
+	case follower.published:
+		machine.publish(changes)
+	case follower.caughtUp:
+		follower.published = true
+		machine.replaceViews(machine.allViews())
+	default:
+		return
+	}
+	if follower.caughtUp && !asOf.IsZero() {
+		alive := machine.now.Sub(follower.lastFreshBatchAt) < electionTimeout
+		machine.config.Publisher.Refreshed(asOf, follower.intakesCurrent && alive)
+	}
+}
+
 // journalTrimmed reloads the snapshot. If even the newest snapshot is older than the oldest record, the
 // machine skips the missing records and follows the journal from the oldest one.
 func (machine *Machine) journalTrimmed(read almondcross.JournalRead) {
--- a/command/scheduler/machine.go
+++ b/command/scheduler/machine.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -53,16 +54,17 @@
 	leader    *leader
 
 	// triedEpoch is the highest epoch that this host has used in an election.
-	triedEpoch  int64
-	stopping    bool
-	linkedHosts map[string]*linkedHost
+	triedEpoch   int64
+	stopping     bool
+	linkedHosts  map[string]*linkedHost
+	acceptedJobs map[almondcross.JobID]acceptedJob // acceptedJobs holds the jobs of this host that no published state has had.
 	// peers holds the addresses on which other hosts accept links, newest last.
 	peers []string
 }
 
 // NewMachine returns a machine that starts to look for the scheduler.
 func NewMachine(config Config) *Machine {
-	machine := &Machine{config: config, state: newState(config.Retention), linkedHosts: map[string]*linkedHost{}}
+	machine := &Machine{config: config, state: newState(config.Retention), linkedHosts: map[string]*linkedHost{}, acceptedJobs: map[almondcross.JobID]acceptedJob{}}
 	machine.linkedHosts[config.Host] = &linkedHost{name: config.Host}
 	machine.discoverScheduler()
 	return machine
@@ -81,7 +83,7 @@
 
 // Apply handles a message. Its effects are returned by the next Advance.
 func (machine *Machine) Apply(message almondcross.SchedulerMessage, now time.Time) {
-	machine.now = now
+	machine.setTime(now)
 	switch message := message.(type) {
 	case almondcross.PointerRead:
 		machine.pointerRead(message)
@@ -90,6 +92,7 @@
 			machine.config.Log.Record("scheduler_link_lost", almondcross.Text("host", message.Scheduler()))
 			machine.discoverScheduler()
 		}
+		machine.linkLost(message.Scheduler())
 	case almondcross.RoleAssigned:
 		machine.roleAssigned(message)
 	case almondcross.PeersKnown:
@@ -119,6 +122,27 @@
 	}
 }
 
+// setTime sets the current time. If this host was paused, what comes over the link may have waited for as long, so that
+// views must come anew, over a new link for a viewer.
+func (machine *Machine) setTime(now time.Time) {
+	paused := now.Sub(machine.now) > linkTimeout
+	machine.now = now
+	if !paused {
+		return
+	}
+	machine.discovery.viewsReceived = false
+	if machine.role == roleViewer {
+		machine.checkSchedulerLink()
+	}
+}
+
+// linkLost notes that what arrived over the link to the scheduler has ended.
+func (machine *Machine) linkLost(scheduler string) {
+	if scheduler == machine.discovery.pointer.Host() {
+		machine.discovery.viewsReceived, machine.follower.pushedEnd = false, 0
+	}
+}
+
 // applyLeader handles the messages that concern only the scheduler. Answers to requests of an earlier epoch
 // are recognised by their fencing tokens and offsets.
 func (machine *Machine) applyLeader(message almondcross.SchedulerMessage) {
@@ -146,7 +170,7 @@
 
 // Advance carries out the work that is due and returns the effects to carry out.
 func (machine *Machine) Advance(now time.Time) []Effect {
-	machine.now = now
+	machine.setTime(now)
 	switch machine.role {
 	case roleDiscovering:
 		machine.checkDiscoveryTimeout()
@@ -195,14 +219,22 @@
 	}
 }
 
+// acceptedJob is a job that this host has stored and that was in no state or view when it was.
+type acceptedJob struct {
+	view almondcross.JobView
+	at   time.Time // at is when the job was stored.
+}
+
 // jobAccepted publishes a job that this host has stored and the scheduler has not admitted yet.
 func (machine *Machine) jobAccepted(accepted almondcross.Job) {
 	if _, known := machine.state.jobs[accepted.ID()]; known {
 		return
 	}
-	machine.config.Publisher.Publish(almondcross.NewJobView(almondcross.JobViewConfig{
+	view := almondcross.NewJobView(almondcross.JobViewConfig{
 		ID: accepted.ID(), Queue: accepted.Queue(), State: almondcross.JobQueued, CountsAsPending: accepted.Runs() == 0,
-	}))
+	})
+	machine.acceptedJobs[accepted.ID()] = acceptedJob{view: view, at: machine.now}
+	machine.config.Publisher.Publish(view)
 }
 
 // takeViewChanges returns the views of the changed jobs and clears the set of these jobs.
@@ -219,8 +251,28 @@
 	return changes
 }
 
+// replaceViews publishes all views of a state in the place of the earlier ones, in one step. Jobs that this host has stored
+// and that are not in the state yet stay published.
+func (machine *Machine) replaceViews(changes []almondcross.JobViewChange) {
+	views := make([]almondcross.JobView, 0, len(changes)+len(machine.acceptedJobs))
+	for _, change := range changes {
+		if change.Known() {
+			views = append(views, change.View())
+			delete(machine.acceptedJobs, change.ID())
+		}
+	}
+	maps.DeleteFunc(machine.acceptedJobs, func(_ almondcross.JobID, accepted acceptedJob) bool {
+		return machine.now.Sub(accepted.at) > machine.config.Retention // No scheduler has admitted the job: its record is unreadable or deleted.
+	})
+	for _, accepted := range machine.acceptedJobs {
+		views = append(views, accepted.view)
+	}
+	machine.config.Publisher.Replace(views)
+}
+
 func (machine *Machine) publish(changes []almondcross.JobViewChange) {
 	for _, change := range changes {
+		delete(machine.acceptedJobs, change.ID())
 		if change.Known() {
 			machine.config.Publisher.Publish(change.View())
 		} else {
--- a/job.go
+++ b/job.go
@@ -230,19 +230,35 @@
 	Publish(view JobView)
 	// Forget removes the view of a job.
 	Forget(id JobID)
-	// Reset removes all views.
-	Reset()
-	// Refreshed records the time at which the journal was last read to its end. If complete is true, the
+	// Replace puts views in the place of all earlier ones, in one step. The views must not be older than the earlier
+	// ones: the times of Refreshed stay.
+	Replace(views []JobView)
+	// Refreshed records a time as of which the views are those of the whole journal. If complete is true, the
 	// views include every job that was accepted up to shortly before that time.
 	Refreshed(at time.Time, complete bool)
+	// Find returns the view of a job, whatever its age, and reports whether there is one.
+	Find(id JobID) (JobView, bool)
 }
 
+// JobKnowledge is what a host knows of a job.
+type JobKnowledge int
+
+// What a host may know of a job.
+const (
+	JobNotKnown JobKnowledge = iota // JobNotKnown means that the views are too old to tell; another host may know.
+	JobKnown                        // JobKnown means that the view of the job is recent enough.
+	JobGone                         // JobGone means that there is no such job or that its retention has ended.
+)
+
 // JobFinder reads the published states of jobs.
 type JobFinder interface {
-	// Find returns the view of a job and reports whether there is one.
+	// Find returns the view of a job, whatever its age, and reports whether there is one.
 	Find(id JobID) (JobView, bool)
-	// Pending returns the number of jobs of a queue that have not started a task yet.
-	Pending(queue string) int
+	// Lookup returns what the host knows of a job of a queue at a time, and its view if the job is known.
+	Lookup(id JobID, queue string, now time.Time) (JobView, JobKnowledge)
+	// Pending returns the number of jobs of a queue that have not started a task yet. It reports false if the views
+	// are too old to tell.
+	Pending(queue string, now time.Time) (count int, known bool)
 	// RefreshedAt returns when the journal was last read to its end, the zero time for never.
 	RefreshedAt() time.Time
 	// CompleteAt returns when the views last included every accepted job, the zero time for never.
