Keep the view of a job that this host notes late

Callers could see a completed job as queued again, from a host that was paused after it had accepted the job: its own note of the acceptance was handled after the scheduler's views.

Cause: jobAccepted looked for the job in the state alone, which is empty on a viewer. Change: it looks in the published views too.

TestLateNoteOfAnAcceptedJobDoesNotReplaceItsView failed before with "expected: completed, actual: queued".

--- a/command/scheduler/machine.go
+++ b/command/scheduler/machine.go
@@ -230,6 +230,10 @@
 	if _, known := machine.state.jobs[accepted.ID()]; known {
 		return
 	}
+	if _, known := machine.config.Publisher.Find(accepted.ID()); known {
+		// This message may have waited while this host was paused, and a viewer has no state.
+		return
+	}
 	view := almondcross.NewJobView(almondcross.JobViewConfig{
 		ID: accepted.ID(), Queue: accepted.Queue(), State: almondcross.JobQueued, CountsAsPending: accepted.Runs() == 0,
 	})
--- a/command/scheduler/views_test.go
+++ b/command/scheduler/views_test.go
@@ -181,3 +181,17 @@
 	require.Equal(t, []string{"h-2"}, requireEffect[PushBatches](harness).Hosts)
 	require.Empty(t, requireEffect[PushViews](harness).Hosts, "a standby that follows the journal needs no views")
 }
+
+// Guards against a completed job that is shown as queued again by a viewer that was paused between the acceptance of the job
+// and its own note of it, and against a second entry in the pending count.
+func TestLateNoteOfAnAcceptedJobDoesNotReplaceItsView(t *testing.T) {
+	for _, state := range []almondcross.JobState{almondcross.JobCompleted, almondcross.JobRunning, almondcross.JobQueued} {
+		harness := newHarness(t)
+		harness.followScheduler(newViewChange("j", state))
+		before := harness.pendingCount()
+		harness.apply(almondcross.NewJobAccepted(almondcross.JobAcceptedConfig{Job: almondcross.NewJob(almondcross.JobConfig{ID: "j", Queue: "q"})}))
+		require.Equal(t, state, harness.shownState())
+		require.Equal(t, before, harness.pendingCount())
+		require.Empty(t, harness.machine.acceptedJobs)
+	}
+}
