Keep one chain of reads of each kind on a host

A host that was made a viewer and a standby again, or was elected again, while a read of the store was pending started a further chain of reads, which went on beside the first one. With more chains than a ring of reads has room for, the scheduler duty waits for the store, and with it elections, orders and views.

Cause: the notes of pending reads were part of the state of a role, which is reset while the read goes on. Pointer reads had one that outlives roles, and are unchanged.

Change: pendingReads holds one note for each kind of read (and each intake partition) and outlives epochs and reloads. The answer to a read of before goes on with what is to be read now; one of the workers from an earlier epoch is followed by a read of the whole list. An answer "trimmed" to a read from before a reload no longer starts another reload.

--- a/command/scheduler/follower.go
+++ b/command/scheduler/follower.go
@@ -12,7 +12,6 @@
 // follower holds what a machine needs to follow the journal.
 type follower struct {
 	nextOffset       int64     // nextOffset is the journal offset after the last applied batch.
-	readPending      bool      // readPending is set while a read is pending.
 	caughtUp         bool      // caughtUp is set when the last read reached the end of the journal.
 	intakesCurrent   bool      // intakesCurrent is set if the scheduler had read every intake partition recently at the last batch.
 	lastBatchAt      time.Time // lastBatchAt is when the last batch arrived.
@@ -23,7 +22,6 @@
 	readFailing      bool      // readFailing is set if the last read failed.
 	loadStartedAt    time.Time // loadStartedAt is when the current load of the state began.
 	trimmedReads     int       // trimmedReads counts consecutive reads whose records had been deleted.
-	readSentAt       time.Time // readSentAt is when the last read was emitted.
 	pushedEnd        int64     // pushedEnd is the highest end of the journal that the scheduler's pushes have shown.
 	published        bool      // published is set once the published views are those of the state.
 }
@@ -34,10 +32,11 @@
 		machine.follower.loadStartedAt = machine.now
 	}
 	machine.role = roleLoading
-	machine.emit(ReadSnapshot{Query: almondcross.NewSnapshotQuery(almondcross.SnapshotQueryConfig{Pause: pause})})
+	machine.readSnapshot(pause)
 }
 
 func (machine *Machine) snapshotRead(read almondcross.SnapshotRead) {
+	machine.reads.snapshot = false
 	if machine.role != roleLoading {
 		return
 	}
@@ -80,30 +79,24 @@
 	machine.state.knownSilences = known
 }
 
-func (machine *Machine) readJournal(pause time.Duration) {
-	machine.follower.readPending, machine.follower.readSentAt = true, machine.now
-	machine.emit(ReadJournal{Query: almondcross.NewJournalQuery(almondcross.JournalQueryConfig{
-		From: machine.follower.nextOffset, Pause: pause, Wait: journalReadWait,
-	})})
-}
-
 func (machine *Machine) journalRead(read almondcross.JournalRead) {
-	machine.follower.readPending = false
+	machine.reads.journal = false
 	if machine.role != roleFollower {
 		// A candidate must not apply its own election before the append is answered; it reads again
 		// afterwards.
 		return
 	}
-	if read.From() > machine.follower.nextOffset {
-		// The read was sent before this host reloaded the state.
+	trimmed := errors.Is(read.Err(), almondcross.ErrStoreTrimmed)
+	if read.From() > machine.follower.nextOffset || trimmed && read.From() < machine.follower.nextOffset {
+		// The read was sent before this host reloaded the state, or before batches arrived over the link.
 		machine.readJournal(0)
 		return
 	}
-	if read.From() < machine.follower.nextOffset && !errors.Is(read.Err(), almondcross.ErrStoreTrimmed) {
+	if read.From() < machine.follower.nextOffset {
 		read = skipApplied(read, machine.follower.nextOffset)
 	}
 	switch {
-	case errors.Is(read.Err(), almondcross.ErrStoreTrimmed):
+	case trimmed:
 		machine.journalTrimmed(read)
 		return
 	case read.Err() != nil:
@@ -117,7 +110,7 @@
 		// so it gets the full electionTimeout again.
 		machine.follower.readFailing, machine.follower.lastBatchAt, machine.follower.electionAt = false, machine.now, time.Time{}
 	}
-	machine.applyBatches(read, machine.now, machine.follower.readSentAt)
+	machine.applyBatches(read, machine.now, machine.reads.journalSentAt)
 	pause := journalReadInterval
 	switch {
 	case !machine.follower.caughtUp:
@@ -295,9 +288,7 @@
 	if answer.Err() != nil || answer.Appended().Offset() != machine.follower.nextOffset {
 		machine.role = roleFollower
 		machine.config.Log.Record("election_lost", almondcross.Number("epoch", answer.Commit().Epoch()), almondcross.Text("reason", electionFailure(answer.Err())))
-		if !machine.follower.readPending {
-			machine.readJournal(0)
-		}
+		machine.readJournal(0)
 		return
 	}
 	for _, batch := range answer.Commit().Batches() {
--- a/command/scheduler/intake.go
+++ b/command/scheduler/intake.go
@@ -11,13 +11,18 @@
 
 // intakeRead admits the jobs and cancellations that entry hosts stored.
 func (machine *Machine) intakeRead(read almondcross.IntakeRead) {
+	machine.reads.intakes[read.Partition()] = false
 	leader := machine.leader
+	if leader == nil {
+		return
+	}
 	position := machine.state.intakeOffsets[read.Partition()]
 	if offset, ok := leader.pendingIntake[read.Partition()]; ok {
 		position = offset
 	}
 	if read.From() != position {
-		return // The read was sent in an earlier epoch of this host.
+		machine.readIntake(read.Partition(), position, 0) // The read was sent in an earlier epoch of this host.
+		return
 	}
 	next := read.Next()
 	pause := intakeReadInterval
@@ -40,9 +45,7 @@
 	if next != position {
 		leader.pendingIntake[read.Partition()] = next
 	}
-	machine.emit(ReadIntake{Query: almondcross.NewIntakeQuery(almondcross.IntakeQueryConfig{
-		Partition: read.Partition(), From: next, Pause: pause,
-	})})
+	machine.readIntake(read.Partition(), next, pause)
 }
 
 // intakeForwarded admits an intake that another host could not store, and confirms it to that host once it is
--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -79,11 +79,9 @@
 		}
 	}
 	machine.restoreAssignments()
-	machine.emit(ReadWorkers{Query: almondcross.NewWorkersQuery(almondcross.WorkersQueryConfig{From: -1})})
+	machine.readWorkers(-1, 0)
 	for partition := range machine.config.Partitions {
-		machine.emit(ReadIntake{Query: almondcross.NewIntakeQuery(almondcross.IntakeQueryConfig{
-			Partition: partition, From: machine.state.intakeOffsets[partition],
-		})})
+		machine.readIntake(partition, machine.state.intakeOffsets[partition], 0)
 	}
 }
 
--- a/command/scheduler/machine.go
+++ b/command/scheduler/machine.go
@@ -52,6 +52,7 @@
 	discovery discovery
 	follower  follower
 	leader    *leader
+	reads     pendingReads
 
 	// triedEpoch is the highest epoch that this host has used in an election.
 	triedEpoch   int64
@@ -65,6 +66,7 @@
 // NewMachine returns a machine that starts to look for the scheduler.
 func NewMachine(config Config) *Machine {
 	machine := &Machine{config: config, state: newState(config.Retention), linkedHosts: map[string]*linkedHost{}, acceptedJobs: map[almondcross.JobID]acceptedJob{}}
+	machine.reads.intakes = map[int]bool{}
 	machine.linkedHosts[config.Host] = &linkedHost{name: config.Host}
 	machine.discoverScheduler()
 	return machine
@@ -85,8 +87,6 @@
 func (machine *Machine) Apply(message almondcross.SchedulerMessage, now time.Time) {
 	machine.setTime(now)
 	switch message := message.(type) {
-	case almondcross.PointerRead:
-		machine.pointerRead(message)
 	case almondcross.LinkLost:
 		if machine.role == roleViewer && message.Scheduler() == machine.discovery.pointer.Host() {
 			machine.config.Log.Record("scheduler_link_lost", almondcross.Text("host", message.Scheduler()))
@@ -99,22 +99,36 @@
 		machine.peersKnown(message.Addresses())
 	case almondcross.ViewsPushed:
 		machine.viewsPushed(message)
-	case almondcross.SnapshotRead:
-		machine.snapshotRead(message)
-	case almondcross.JournalRead:
-		machine.journalRead(message)
 	case almondcross.JournalPushed:
 		machine.journalPushed(message)
 	case almondcross.JournalCommitted:
 		machine.committed(message)
-	case almondcross.RoutesRead:
-		machine.routesRead(message.Table())
 	case almondcross.JobAccepted:
 		machine.jobAccepted(message.Job())
 	case almondcross.HostLinkChanged:
 		machine.hostLinkChanged(message)
 	case almondcross.StopScheduling:
 		machine.stopping = true
+	default:
+		machine.applyRead(message)
+	}
+}
+
+// applyRead handles the answers to reads.
+func (machine *Machine) applyRead(message almondcross.SchedulerMessage) {
+	switch message := message.(type) {
+	case almondcross.PointerRead:
+		machine.pointerRead(message)
+	case almondcross.SnapshotRead:
+		machine.snapshotRead(message)
+	case almondcross.JournalRead:
+		machine.journalRead(message)
+	case almondcross.IntakeRead:
+		machine.intakeRead(message)
+	case almondcross.WorkersRead:
+		machine.workersRead(message)
+	case almondcross.RoutesRead:
+		machine.routesRead(message.Table())
 	default:
 		if machine.leader != nil {
 			machine.applyLeader(message)
@@ -147,10 +161,6 @@
 // are recognised by their fencing tokens and offsets.
 func (machine *Machine) applyLeader(message almondcross.SchedulerMessage) {
 	switch message := message.(type) {
-	case almondcross.IntakeRead:
-		machine.intakeRead(message)
-	case almondcross.WorkersRead:
-		machine.workersRead(message)
 	case almondcross.LeaseAnswered:
 		machine.leaseAnswered(message)
 	case almondcross.StartOrderAnswered:
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -162,13 +162,18 @@
 
 // workersRead applies changes of the announced workers.
 func (machine *Machine) workersRead(read almondcross.WorkersRead) {
-	query := almondcross.WorkersQueryConfig{From: read.Next(), Pause: workersReadInterval}
-	if read.Err() != nil {
-		query.Pause = storeRetryDelay
-		if errors.Is(read.Err(), almondcross.ErrStoreTrimmed) {
-			query.From = -1
-		}
-		machine.emit(ReadWorkers{Query: almondcross.NewWorkersQuery(query)})
+	machine.reads.workers = false
+	switch {
+	case machine.leader == nil:
+		return
+	case machine.reads.workersEpoch != machine.leader.epoch:
+		machine.readWorkers(-1, 0) // The read was sent in an earlier epoch of this host, which knew other workers.
+		return
+	case errors.Is(read.Err(), almondcross.ErrStoreTrimmed):
+		machine.readWorkers(-1, storeRetryDelay)
+		return
+	case read.Err() != nil:
+		machine.readWorkers(read.Next(), storeRetryDelay)
 		return
 	}
 	seen := map[string]bool{}
@@ -183,7 +188,7 @@
 			}
 		}
 	}
-	machine.emit(ReadWorkers{Query: almondcross.NewWorkersQuery(query)})
+	machine.readWorkers(read.Next(), workersReadInterval)
 }
 
 func (machine *Machine) workerChanged(change almondcross.WorkerChange) {
