--- a/command/scheduler/fence_test.go
+++ b/command/scheduler/fence_test.go
@@ -113,6 +113,7 @@
 		harness.advance(20 * time.Millisecond)
 	}
 	harness.answerElection()
+	harness.apply(almondcross.NewWorkersRead(almondcross.WorkersReadConfig{})) // The answer to the read of the earlier epoch leads to a read of all workers.
 }
 
 // Guards against a term that leaves the range of epochs: the host does not stand, and its tokens do not start again from 0.
