placer: tasks carry the running limit of their entry

A holder took the limit of running tasks of an entry from its own catalogue. One that had not read the catalogue since its start, or had an older one than the coordinator, read the absent limit as none and started any number of tasks of a limited entry; the limit was back only for the tasks after them.

The coordinator, which knows the entry, names its limit in the task, a field that is left out if there is none and that a host of the version before ignores. The holder uses it as long as its catalogue lacks the entry; a limit that it knew stays after the entry was removed.

Before the change, with the field alone, TestLimitOfAnEntryThatTheCatalogueLacks failed: 3 tasks were started at once instead of 1.

--- a/command/coordinator/submit.go
+++ b/command/coordinator/submit.go
@@ -328,6 +328,7 @@
 		Attempt:     record.attempt,
 		Coordinator: machine.self(),
 		MaxRun:      entry.MaxRun(),
+		MaxRunning:  entry.MaxRunning(),
 		ExpectedRun: entry.ExpectedRun(),
 		Timeout:     timeout,
 		Avoid:       record.avoidTarget,
--- a/command/placer/machine.go
+++ b/command/placer/machine.go
@@ -73,7 +73,8 @@
 	activeQueues   []*queue // the queues with waiting tasks
 	ranking        ranking
 	waitingCount   int
-	runningByEntry map[string]int // the number of tasks that were sent and have no confirmed end, by entry
+	runningByEntry map[string]int  // the number of tasks that were sent and have no confirmed end, by entry
+	limitedEntries map[string]bool // the entries of which only a number of tasks may run at once
 	gangs          map[almondcross.Key]*gang
 	gangQueue      []*gang // the complete gangs that wait, in order
 	reservedGang   *gang   // the gang that holds the reservation, nil for none
@@ -111,6 +112,7 @@
 		closed:            map[almondcross.TaskID]closedAttempt{},
 		queues:            map[queueKey]*queue{},
 		runningByEntry:    map[string]int{},
+		limitedEntries:    map[string]bool{},
 		ranking:           ranking{owners: map[string]*ownerQueues{}},
 		gangs:             map[almondcross.Key]*gang{},
 		reclaimedShares:   map[string]float64{},
--- a/command/placer/queue.go
+++ b/command/placer/queue.go
@@ -29,7 +29,8 @@
 	usesReserve bool
 	queuedAt    time.Time
 
-	maxRunning int // the number of tasks of the entry that may run at once in the data centre, 0 for no limit
+	maxRunning int  // the number of tasks of the entry that may run at once in the data centre, 0 for no limit
+	configured bool // the catalogue has the entry
 }
 
 // first returns the first task of the queue, nil for an empty queue.
@@ -72,6 +73,10 @@
 		machine.queues[key] = found
 		machine.setMaxRunning(found)
 	}
+	if !found.configured && attempt.task.MaxRunning() > 0 {
+		found.maxRunning = attempt.task.MaxRunning()
+		machine.limitedEntries[key.entry] = true
+	}
 	return found
 }
 
@@ -228,10 +233,14 @@
 	return queue.maxRunning > 0 && machine.runningByEntry[queue.key.entry] >= machine.localShare(queue.maxRunning)
 }
 
-// setMaxRunning caches the limit of the queue's entry, to avoid a look-up for each decision.
+// setMaxRunning caches the limit of the queue's entry, to avoid a look-up for each decision. An entry that the catalogue lacks
+// keeps the limit that it had or that its tasks name: the catalogue may be older than that of their coordinators.
 func (machine *Machine) setMaxRunning(queue *queue) {
-	config, _ := machine.catalogue.Entry(queue.key.entry)
-	queue.maxRunning = config.MaxRunning()
+	config, known := machine.catalogue.Entry(queue.key.entry)
+	if queue.configured = known; known {
+		queue.maxRunning = config.MaxRunning()
+		machine.limitedEntries[queue.key.entry] = queue.maxRunning > 0
+	}
 }
 
 // localShare returns this host's part of a limit of the data centre, in proportion to the targets that it
--- a/command/placer/schedule.go
+++ b/command/placer/schedule.go
@@ -120,8 +120,7 @@
 
 // startLimited retries the queues of an entry with a limit of running tasks after one of its tasks ended.
 func (machine *Machine) startLimited(entryName string) {
-	entry, ok := machine.catalogue.Entry(entryName)
-	if !ok || entry.MaxRunning() == 0 {
+	if !machine.limitedEntries[entryName] {
 		return
 	}
 	for index := 0; index < len(machine.activeQueues); index++ {
--- a/encoder/codec_test.go
+++ b/encoder/codec_test.go
@@ -31,7 +31,7 @@
 	})
 	task := almondcross.NewTask(almondcross.TaskConfig{
 		ID: id, Entry: "tally", Owner: "sales", Class: almondcross.ClassGang, Resources: resources, Payload: []byte("in"),
-		Repeatable: true, Urgent: true, Size: 4, Attempt: 2, Coordinator: holder, MaxRun: 1, ExpectedRun: 2, Timeout: 3,
+		Repeatable: true, Urgent: true, Size: 4, Attempt: 2, Coordinator: holder, MaxRun: 1, MaxRunning: 9, ExpectedRun: 2, Timeout: 3,
 		Avoid: "w9", LostTargets: 2,
 	})
 	outcome := almondcross.NewOutcome(almondcross.OutcomeConfig{
--- a/encoder/peer.go
+++ b/encoder/peer.go
@@ -239,6 +239,7 @@
 	Attempt     int               `cbor:"attempt,omitempty"`
 	Coordinator wireMemberID      `cbor:"coordinator"`
 	MaxRun      time.Duration     `cbor:"max_run,omitempty"`
+	MaxRunning  int               `cbor:"max_running,omitempty"`
 	ExpectedRun time.Duration     `cbor:"expected_run,omitempty"`
 	Timeout     time.Duration     `cbor:"timeout,omitempty"`
 	Avoid       string            `cbor:"avoid,omitempty"`
@@ -251,7 +252,7 @@
 		ID: toTaskID(config.ID), Entry: config.Entry, Owner: config.Owner, Class: config.Class,
 		Resources: toResources(config.Resources), Payload: config.Payload, Repeatable: config.Repeatable,
 		Urgent: config.Urgent, Size: config.Size, Attempt: config.Attempt, Coordinator: toMemberID(config.Coordinator),
-		MaxRun: config.MaxRun, ExpectedRun: config.ExpectedRun, Timeout: config.Timeout, Avoid: config.Avoid,
+		MaxRun: config.MaxRun, MaxRunning: config.MaxRunning, ExpectedRun: config.ExpectedRun, Timeout: config.Timeout, Avoid: config.Avoid,
 		LostTargets: config.LostTargets,
 	}
 }
@@ -261,7 +262,7 @@
 		ID: wiretask.ID.value(), Entry: wiretask.Entry, Owner: wiretask.Owner, Class: wiretask.Class,
 		Resources: wiretask.Resources.value(), Payload: wiretask.Payload, Repeatable: wiretask.Repeatable,
 		Urgent: wiretask.Urgent, Size: wiretask.Size, Attempt: wiretask.Attempt, Coordinator: wiretask.Coordinator.value(),
-		MaxRun: wiretask.MaxRun, ExpectedRun: wiretask.ExpectedRun, Timeout: wiretask.Timeout,
+		MaxRun: wiretask.MaxRun, MaxRunning: wiretask.MaxRunning, ExpectedRun: wiretask.ExpectedRun, Timeout: wiretask.Timeout,
 		Avoid: wiretask.Avoid, LostTargets: wiretask.LostTargets,
 	})
 }
--- a/task.go
+++ b/task.go
@@ -21,6 +21,7 @@
 	attempt     int           // the number of the attempt, which increases with each placement of the key
 	coordinator MemberID      // the member and incarnation that coordinates the key
 	maxRun      time.Duration // the time after which the task is stopped, 0 for no limit
+	maxRunning  int           // the maximum number of running tasks of its entry in a data centre, 0 for no limit
 	expectedRun time.Duration // the expected run time
 	timeout     time.Duration // the remaining time within which the task must start, as of sending, 0 for no limit
 	avoid       string        // the target on which the last attempt failed, empty for none
--- a/values_generated.go
+++ b/values_generated.go
@@ -584,6 +584,7 @@
 	Attempt     int
 	Coordinator MemberID
 	MaxRun      time.Duration
+	MaxRunning  int
 	ExpectedRun time.Duration
 	Timeout     time.Duration
 	Avoid       string
@@ -605,6 +606,7 @@
 		attempt:     config.Attempt,
 		coordinator: config.Coordinator,
 		maxRun:      config.MaxRun,
+		maxRunning:  config.MaxRunning,
 		expectedRun: config.ExpectedRun,
 		timeout:     config.Timeout,
 		avoid:       config.Avoid,
@@ -627,6 +629,7 @@
 		Attempt:     task.attempt,
 		Coordinator: task.coordinator,
 		MaxRun:      task.maxRun,
+		MaxRunning:  task.maxRunning,
 		ExpectedRun: task.expectedRun,
 		Timeout:     task.timeout,
 		Avoid:       task.avoid,
@@ -742,6 +745,15 @@
 	return task
 }
 
+// MaxRunning returns the maximum number of running tasks of its entry in a data centre, 0 for no limit.
+func (task Task) MaxRunning() int { return task.maxRunning }
+
+// WithMaxRunning returns a copy with the given maxRunning.
+func (task Task) WithMaxRunning(maxRunning int) Task {
+	task.maxRunning = maxRunning
+	return task
+}
+
 // ExpectedRun returns the expected run time.
 func (task Task) ExpectedRun() time.Duration { return task.expectedRun }
 
