coordinator: an adopted task keeps the limits of its entry

A coordinator that adopts a running task of an entry that its catalogue lacks, or before it has read the catalogue, made up an entry without max_run, expected run and urgency. When the task was lost and started again, it ran without a limit of time, which an absent value stands for, and was no longer urgent.

The entry now has what the task names. A worker's list of tasks has no limit of running tasks, so that one is kept only if the holder knows it.

Before the change TestAdoptedTaskKeepsTheLimitsOfItsEntry failed with "expected: 1h0m0s, actual: 0s".

--- a/command/coordinator/adopt.go
+++ b/command/coordinator/adopt.go
@@ -96,7 +96,8 @@
 	}
 	return almondcross.NewEntry(almondcross.EntryConfig{
 		Name: task.Entry(), Owner: task.Owner(), Class: task.Class(), Resources: task.Resources(),
-		Tasks: task.Size(), Repeatable: task.Repeatable(),
+		Tasks: task.Size(), Repeatable: task.Repeatable(), Urgent: task.Urgent(),
+		MaxRun: task.MaxRun(), MaxRunning: task.MaxRunning(), ExpectedRun: task.ExpectedRun(),
 	})
 }
 
