--- a/command/committer/snapshot.go
+++ b/command/committer/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -17,82 +18,134 @@
 	keyedOverheadBytes = 64
 	// recordOverheadBytes is the space in an append for the length of a record.
 	recordOverheadBytes = 4
-	// snapshotSetCount is the number of key sets. A snapshot that takes several appends is written beside the stored
-	// one, so that a complete snapshot exists at any time. Each of two consecutive schedulers has two sets.
+	// snapshotSetCount is the number of key sets of an epoch. A snapshot uses neither the set of the last complete one nor
+	// those of the last two that failed, whose appends may still take effect.
 	snapshotSetCount = 4
-	setsPerScheduler = 2
 	// maxUnknownParts is the number of keys that are removed from a set that another scheduler wrote.
 	maxUnknownParts = 64
+	// snapshotKeyFormat is the format of the keys of snapshots: the epoch of the scheduler, the set and the part. No two
+	// schedulers write the same key, so that a late append of a deposed one does not mix with the parts of its successor.
+	snapshotKeyFormat = "epoch-%016x-set-%d-part-%03d"
 )
 
-// snapshotSets tracks which keys of snapshots the store may hold.
+// snapshotSets tracks which keys the snapshots of the present epoch may have in the store.
 type snapshotSets struct {
-	epoch int64 // epoch is the epoch of the scheduler of the last snapshot.
-	next  int   // next is the set of the next snapshot. It is not the set of the last complete one.
-	parts [snapshotSetCount]int
+	epoch    int64 // epoch is the epoch of the scheduler of the last snapshot.
+	next     int   // next is the set of the next snapshot.
+	complete int   // complete is the set of the last complete snapshot, -1 for none.
+	parts    [snapshotSetCount]int
 }
 
-// startEpoch chooses the sets for an epoch. The sets of earlier schedulers are unknown then.
-func (snapshotsets *snapshotSets) startEpoch(epoch int64) {
-	snapshotsets.epoch = epoch
-	snapshotsets.next = int(epoch>>almondcross.EpochRandomBits) % (snapshotSetCount / setsPerScheduler) * setsPerScheduler
-	for set := range snapshotsets.parts {
-		snapshotsets.parts[set] = maxUnknownParts
+// begin returns the set for a snapshot with a number of parts.
+func (snapshotsets *snapshotSets) begin(epoch int64, parts int) int {
+	if snapshotsets.epoch != epoch {
+		*snapshotsets = snapshotSets{epoch: epoch, complete: -1}
 	}
+	set := snapshotsets.next
+	if set == snapshotsets.complete {
+		set = (set + 1) % snapshotSetCount
+	}
+	snapshotsets.next = (set + 1) % snapshotSetCount
+	snapshotsets.parts[set] = max(snapshotsets.parts[set], parts)
+	return set
 }
 
-// stored records that the snapshot in the next set is complete and that the store holds no other one.
-func (snapshotsets *snapshotSets) stored(parts int) {
-	current := snapshotsets.next
-	snapshotsets.parts = [snapshotSetCount]int{}
-	snapshotsets.parts[current] = parts
-	snapshotsets.next = current/setsPerScheduler*setsPerScheduler + (current+1)%setsPerScheduler
-}
-
-// outdatedKeys returns the keys to remove once the next set holds a complete snapshot with a number of parts.
-func (snapshotsets *snapshotSets) outdatedKeys(parts int) []string {
+// completed records that a set holds a complete snapshot and returns the keys of the epoch that are outdated now.
+func (snapshotsets *snapshotSets) completed(set, parts int) []string {
+	snapshotsets.complete = set
 	var keys []string
-	for set, count := range snapshotsets.parts {
+	for other, count := range snapshotsets.parts {
 		first := 0
-		if set == snapshotsets.next {
+		if other == set {
 			first = parts
 		}
 		for part := first; part < count; part++ {
-			keys = append(keys, snapshotKey(set, part))
+			keys = append(keys, snapshotKey(snapshotsets.epoch, other, part))
 		}
 	}
 	return keys
 }
 
-func snapshotKey(set, part int) string { return fmt.Sprintf("set-%d-part-%03d", set, part) }
+// removed records that the outdated keys are removed.
+func (snapshotsets *snapshotSets) removed(parts int) {
+	snapshotsets.parts = [snapshotSetCount]int{}
+	snapshotsets.parts[snapshotsets.complete] = parts
+}
+
+func snapshotKey(epoch int64, set, part int) string {
+	return fmt.Sprintf(snapshotKeyFormat, epoch, set, part)
+}
+
+// earlierKeys returns the keys of snapshots of earlier epochs that may be in the store. A snapshot of a later epoch is never
+// removed: its scheduler has deposed this one.
+func earlierKeys(request almondcross.SnapshotStore) []string {
+	epoch := request.Snapshot().SchedulerEpoch()
+	var keys []string
+	for _, key := range request.EarlierKeys() {
+		var other int64
+		if _, err := fmt.Sscanf(strings.SplitN(key, "-set-", 2)[0], "epoch-%x", &other); err != nil || other < epoch { // Earlier versions wrote keys without an epoch.
+			keys = append(keys, key)
+		}
+	}
+	for _, other := range request.EarlierEpochs() {
+		for set := 0; set < snapshotSetCount && other < epoch; set++ {
+			for part := range maxUnknownParts {
+				keys = append(keys, snapshotKey(other, set, part))
+			}
+		}
+	}
+	return keys
+}
 
 func (committer *Committer) storeSnapshot(ctx context.Context, request almondcross.SnapshotStore) {
 	answer := almondcross.NewSnapshotStored(almondcross.SnapshotStoredConfig{
-		Next: request.Snapshot().Next(), Err: committer.writeSnapshot(ctx, request.Snapshot()),
+		Epoch: request.Snapshot().SchedulerEpoch(), Next: request.Snapshot().Next(), Err: committer.writeSnapshot(ctx, request),
 	})
 	_ = committer.config.Sink.Put(ctx, answer) // Put fails only when the context has ended.
 }
 
-// writeSnapshot appends the parts of a snapshot in as many calls as the store's limit requires. The last call also
-// removes the earlier snapshot. If a call fails, the earlier snapshot stays, and the next one uses the same keys.
-func (committer *Committer) writeSnapshot(ctx context.Context, snapshot almondcross.StateSnapshot) error {
+// writeSnapshot appends the parts of a snapshot in as many calls as the store's limit requires, and removes earlier snapshots
+// once all parts are stored.
+func (committer *Committer) writeSnapshot(ctx context.Context, request almondcross.SnapshotStore) error {
+	snapshot := request.Snapshot()
 	parts, err := committer.config.Codec.EncodeSnapshot(snapshot, committer.config.RecordBytes-keyedOverheadBytes)
 	if err != nil {
 		return errors.Trace(err)
 	}
 	sets := &committer.snapshots
-	if sets.epoch != snapshot.SchedulerEpoch() {
-		sets.startEpoch(snapshot.SchedulerEpoch())
+	set := sets.begin(snapshot.SchedulerEpoch(), len(parts))
+	stored := make([]almondcross.KeyedRecord, len(parts))
+	for index, part := range parts {
+		stored[index] = almondcross.NewKeyedRecord(almondcross.KeyedRecordConfig{Key: snapshotKey(sets.epoch, set, index), Value: part})
 	}
-	records, err := committer.snapshotRecords(parts)
-	if err != nil {
-		return errors.Trace(err)
+	if err := committer.appendKeyed(ctx, stored); err != nil {
+		return errors.Annotate(err, "storing the parts")
+	}
+	outdated := append(sets.completed(set, len(parts)), earlierKeys(request)...)
+	removed := make([]almondcross.KeyedRecord, len(outdated))
+	for index, key := range outdated {
+		removed[index] = almondcross.NewKeyedRecord(almondcross.KeyedRecordConfig{Key: key})
+	}
+	if err := committer.appendKeyed(ctx, removed); err != nil {
+		return errors.Annotate(err, "removing earlier snapshots")
+	}
+	sets.removed(len(parts))
+	return nil
+}
+
+// appendKeyed appends records to the partition of the snapshots.
+func (committer *Committer) appendKeyed(ctx context.Context, keyed []almondcross.KeyedRecord) error {
+	records := make([][]byte, len(keyed))
+	for index, record := range keyed {
+		var err error
+		if records[index], err = committer.config.KeyedCodec.EncodeKeyed(record); err != nil {
+			return errors.Trace(err)
+		}
 	}
-	sets.parts[sets.next] = max(sets.parts[sets.next], len(parts))
 	for len(records) > 0 {
 		count := recordsPerCall(records, committer.config.CallBytes)
 		callCtx, cancel := context.WithTimeout(ctx, snapshotTimeout)
-		_, err = committer.config.Writer.Append(callCtx, almondcross.NewStoreAppend(almondcross.StoreAppendConfig{
+		_, err := committer.config.Writer.Append(callCtx, almondcross.NewStoreAppend(almondcross.StoreAppendConfig{
 			Partition: committer.config.Snapshots, Records: records[:count],
 		}))
 		cancel()
@@ -101,30 +154,9 @@
 		}
 		records = records[count:]
 	}
-	sets.stored(len(parts))
 	return nil
 }
 
-// snapshotRecords returns the records of all parts in the next set, followed by those that remove the outdated keys.
-func (committer *Committer) snapshotRecords(parts [][]byte) ([][]byte, error) {
-	sets := &committer.snapshots
-	keyed := make([]almondcross.KeyedRecord, 0, len(parts))
-	for index, part := range parts {
-		keyed = append(keyed, almondcross.NewKeyedRecord(almondcross.KeyedRecordConfig{Key: snapshotKey(sets.next, index), Value: part}))
-	}
-	for _, key := range sets.outdatedKeys(len(parts)) {
-		keyed = append(keyed, almondcross.NewKeyedRecord(almondcross.KeyedRecordConfig{Key: key}))
-	}
-	records := make([][]byte, len(keyed))
-	for index, record := range keyed {
-		var err error
-		if records[index], err = committer.config.KeyedCodec.EncodeKeyed(record); err != nil {
-			return nil, errors.Trace(err)
-		}
-	}
-	return records, nil
-}
-
 // recordsPerCall returns how many of the records fit in one append: at least one.
 func recordsPerCall(records [][]byte, limit int) int {
 	size := 0
--- a/command/committer/snapshot_test.go
+++ b/command/committer/snapshot_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -27,9 +29,19 @@
 	newest    map[string]almondcross.KeyedRecord
 	failAfter int // failAfter is the number of appends after which all fail; negative for none.
 	appends   int
+	lateAfter int                     // lateAfter is the number of appends after which one gets no answer and is kept in late; 0 for none.
+	late      almondcross.StoreAppend // late is the append that has not taken effect yet.
 }
 
-func (limitedstore *limitedStore) Append(_ context.Context, batch almondcross.StoreAppend) (almondcross.StoreAppended, error) {
+func (limitedstore *limitedStore) Append(ctx context.Context, batch almondcross.StoreAppend) (almondcross.StoreAppended, error) {
+	if limitedstore.lateAfter > 0 && limitedstore.appends == limitedstore.lateAfter {
+		limitedstore.lateAfter, limitedstore.late = 0, batch
+		return almondcross.StoreAppended{}, almondcross.ErrStoreUncertain
+	}
+	return limitedstore.apply(ctx, batch)
+}
+
+func (limitedstore *limitedStore) apply(_ context.Context, batch almondcross.StoreAppend) (almondcross.StoreAppended, error) {
 	size := 0
 	for _, record := range batch.Records() {
 		size += len(record)
@@ -76,9 +88,11 @@
 	return codec
 }
 
-// newWriter returns a function that stores a snapshot through a committer of its own.
+// newWriter returns a function that stores a snapshot through a committer of its own, as a host that has just loaded the
+// state.
 func newWriter(t *testing.T, store *limitedStore) func(snapshot almondcross.StateSnapshot) error {
 	t.Helper()
+	keys := slices.Sorted(maps.Keys(store.newest))
 	answers := ring.New[almondcross.SchedulerMessage](ring.Config{Name: "scheduler", Capacity: 1})
 	requests := ring.New[almondcross.SnapshotStore](ring.Config{Name: "snapshots", Capacity: 1})
 	writer := committer.New(committer.Config{
@@ -87,7 +101,7 @@
 	})
 	go func() { _ = writer.RunSnapshots(t.Context(), requests) }()
 	return func(snapshot almondcross.StateSnapshot) error {
-		require.True(t, requests.Offer(almondcross.NewSnapshotStore(almondcross.SnapshotStoreConfig{Snapshot: snapshot})))
+		require.True(t, requests.Offer(almondcross.NewSnapshotStore(almondcross.SnapshotStoreConfig{Snapshot: snapshot, EarlierKeys: keys})))
 		stored, ok := (<-answers.Messages()).(almondcross.SnapshotStored)
 		require.True(t, ok)
 		return stored.Err()
@@ -146,3 +160,81 @@
 	require.Equal(t, int64(5), snapshot.Next())
 	require.LessOrEqual(t, len(store.newest), 2, "the parts of the interrupted snapshots are removed")
 }
+
+// Guards against a deposed scheduler whose last append takes effect late and removes the snapshot of its successor, which
+// has removed the first parts of the deposed one's.
+func TestLateAppendOfADeposedSchedulerKeepsTheSuccessorsSnapshot(t *testing.T) {
+	for appends := range 5 {
+		store := &limitedStore{newest: map[string]almondcross.KeyedRecord{}, failAfter: -1}
+		require.NoError(t, newWriter(t, store)(newSnapshot(1<<12, 1, 100)))
+		deposed, successor := newWriter(t, store), newWriter(t, store)
+		store.lateAfter = store.appends + appends
+		_ = deposed(newSnapshot(2<<12, 2, 2000)) // It fails if it takes as many appends.
+		store.lateAfter = 0
+		require.NoError(t, successor(newSnapshot(3<<12, 3, 2000)))
+		if len(store.late.Records()) > 0 {
+			_, err := store.apply(t.Context(), store.late)
+			require.NoError(t, err)
+		}
+		snapshot, found := store.load(t)
+		require.True(t, found, "late after %d appends", appends)
+		require.Equal(t, int64(3), snapshot.Next())
+	}
+}
+
+// Guards against a scheduler that overwrites the only complete snapshot, since the schedulers in between have stored none,
+// and is lost before its own is complete.
+func TestInterruptedSnapshotKeepsThoseOfAllEarlierEpochs(t *testing.T) {
+	for epoch := int64(2); epoch <= 5; epoch++ {
+		store := &limitedStore{newest: map[string]almondcross.KeyedRecord{}, failAfter: -1}
+		require.NoError(t, newWriter(t, store)(newSnapshot(1<<12, 1, 2000)))
+		store.failAfter = store.appends + 1
+		require.Error(t, newWriter(t, store)(newSnapshot(epoch<<12, 2, 2000)))
+		snapshot, found := store.load(t)
+		require.True(t, found, "epoch %d", epoch)
+		require.Equal(t, int64(1), snapshot.Next())
+	}
+}
+
+// Guards against an append of a failed snapshot that takes effect while the next snapshot is written, so that neither is
+// complete.
+func TestLateAppendOfAFailedSnapshotDoesNotMixWithTheNext(t *testing.T) {
+	store := &limitedStore{newest: map[string]almondcross.KeyedRecord{}, failAfter: -1}
+	write := newWriter(t, store)
+	require.NoError(t, write(newSnapshot(1<<12, 1, 2000)))
+	store.lateAfter = store.appends + 1
+	require.Error(t, write(newSnapshot(1<<12, 2, 2000)))
+	require.NoError(t, write(newSnapshot(1<<12, 3, 2000)))
+	_, err := store.apply(t.Context(), store.late)
+	require.NoError(t, err)
+	snapshot, found := store.load(t)
+	require.True(t, found)
+	require.Equal(t, int64(3), snapshot.Next())
+}
+
+// Guards against snapshots of schedulers of earlier versions, or of epochs that this host has only seen in the journal, that
+// stay in the store for good.
+func TestSnapshotsOfEarlierEpochsAreRemoved(t *testing.T) {
+	store := &limitedStore{newest: map[string]almondcross.KeyedRecord{}, failAfter: -1}
+	answers := ring.New[almondcross.SchedulerMessage](ring.Config{Name: "scheduler", Capacity: 1})
+	requests := ring.New[almondcross.SnapshotStore](ring.Config{Name: "snapshots", Capacity: 1})
+	writer := committer.New(committer.Config{
+		Writer: store, Codec: newCodec(t), KeyedCodec: translator.Codec{}, Sink: answers, Clock: systemClock{},
+		Snapshots: almondcross.Partition{Topic: "keyed.snapshots"}, RecordBytes: recordBytes, CallBytes: callBytes,
+	})
+	go func() { _ = writer.RunSnapshots(t.Context(), requests) }()
+	require.NoError(t, newWriter(t, store)(newSnapshot(1<<12, 1, 200)))
+	require.NoError(t, newWriter(t, store)(newSnapshot(9<<12, 1, 200)))
+	store.newest["set-0-part-000"] = almondcross.NewKeyedRecord(almondcross.KeyedRecordConfig{Key: "set-0-part-000", Value: []byte{0}})
+	require.True(t, requests.Offer(almondcross.NewSnapshotStore(almondcross.SnapshotStoreConfig{
+		Snapshot: newSnapshot(2<<12, 2, 0), EarlierKeys: []string{"set-0-part-000"}, EarlierEpochs: []int64{1 << 12, 2 << 12, 9 << 12},
+	})))
+	require.Equal(t, int64(2<<12), (<-answers.Messages()).(almondcross.SnapshotStored).Epoch()) //nolint:forcetypeassert // RunSnapshots sends no other message.
+	keys := slices.Sorted(maps.Keys(store.newest))
+	require.Contains(t, keys, "epoch-0000000000002000-set-0-part-000")
+	for _, key := range keys {
+		require.NotContains(t, key, "epoch-0000000000001000")
+		require.NotEqual(t, "set-0-part-000", key)
+	}
+	require.Greater(t, len(keys), 1, "the snapshot of the later epoch stays")
+}
--- a/command/scheduler/append.go
+++ b/command/scheduler/append.go
@@ -153,10 +153,10 @@
 		inflight.resetHosts, inflight.resetViews = leader.pendingResets, machine.allViews()
 	}
 	maps.Copy(machine.state.intakeOffsets, leader.pendingIntake)
-	if !leader.snapshotting && machine.now.Sub(leader.snapshotAt) >= machine.config.SnapshotInterval {
+	if machine.snapshotDue() {
 		snapshot := machine.state.snapshot(0, machine.now)
 		inflight.snapshot = &snapshot
-		leader.snapshotting, leader.snapshotAt = true, machine.now
+		leader.snapshotTriedAt = machine.now
 	}
 	leader.pendingChanges, leader.pendingIntake, leader.pendingResets = nil, map[int]int64{}, nil
 }
@@ -217,9 +217,7 @@
 	// The answer may have waited while this host was paused, so the views count as of when the append was sent.
 	machine.config.Publisher.Refreshed(inflight.sentAt, inflight.intakesCurrent)
 	if inflight.snapshot != nil {
-		machine.emit(StoreSnapshot{Request: almondcross.NewSnapshotStore(almondcross.SnapshotStoreConfig{
-			Snapshot: inflight.snapshot.WithNext(answer.Appended().End()),
-		})})
+		machine.storeSnapshot(inflight.snapshot.WithNext(answer.Appended().End()))
 	}
 	for _, callback := range inflight.callbacks {
 		if machine.leader != leader {
@@ -247,9 +245,31 @@
 	clear(leader.unpushedViews)
 }
 
+// snapshotDue reports whether to take a snapshot. The time of the last one is replicated, so that snapshots are stored also
+// while no scheduler lasts for the time between two of them.
+func (machine *Machine) snapshotDue() bool {
+	leader := machine.leader
+	return !machine.snapshotPending && machine.now.Sub(leader.electedAt) >= snapshotDelay && machine.now.Sub(leader.snapshotTriedAt) >= snapshotRetryDelay &&
+		machine.state.batchTime.Sub(machine.state.snapshotAt) >= machine.config.SnapshotInterval
+}
+
+// storeSnapshot stores a snapshot and removes those of earlier epochs.
+func (machine *Machine) storeSnapshot(snapshot almondcross.StateSnapshot) {
+	machine.snapshotPending = true
+	machine.emit(StoreSnapshot{Request: almondcross.NewSnapshotStore(almondcross.SnapshotStoreConfig{
+		Snapshot: snapshot, EarlierKeys: machine.snapshotKeys, EarlierEpochs: slices.Clone(machine.state.earlierEpochs),
+	})})
+}
+
+// snapshotStored handles the answer to a snapshot, which may be one of an earlier epoch of this host.
 func (machine *Machine) snapshotStored(stored almondcross.SnapshotStored) {
-	machine.leader.snapshotting = false
+	machine.snapshotPending = false
 	if stored.Err() != nil {
 		machine.config.Log.Record("snapshot_failed", almondcross.Number("next", stored.Next()), almondcross.Text("reason", stored.Err().Error()))
+		return
+	}
+	if machine.leader != nil && stored.Epoch() == machine.leader.epoch {
+		machine.snapshotKeys = nil
+		machine.recordChange(almondcross.ChangeConfig{Kind: almondcross.ChangeSnapshotStored})
 	}
 }
--- a/command/scheduler/constants.go
+++ b/command/scheduler/constants.go
@@ -67,6 +67,14 @@
 	// maxViewInterval limits the pause between two messages with views to one viewer, so that an idle scheduler sends them
 	// with each batch. linkTimeout tolerates two late ones.
 	maxViewInterval = 150 * time.Millisecond
+	// snapshotDelay is how long a scheduler leads before it stores a snapshot. In a takeover, the other hosts need its link
+	// to the store and to them more.
+	snapshotDelay = 300 * time.Millisecond
+	// snapshotRetryDelay is the minimum time between two snapshots, also if the first one was not stored.
+	snapshotRetryDelay = time.Second
+	// maxEarlierEpochs is the number of epochs whose snapshots a scheduler removes unseen. There are more only if as many
+	// schedulers follow each other without storing one.
+	maxEarlierEpochs = 8
 	// standbyLoadTime is how long a new standby gets views as well as batches. It reads the snapshot and the journal
 	// meanwhile, which takes under a second unless the store is slow.
 	standbyLoadTime = 8 * time.Second
--- a/command/scheduler/follower.go
+++ b/command/scheduler/follower.go
@@ -50,6 +50,7 @@
 		machine.loadState(storeRetryDelay)
 		return
 	}
+	machine.snapshotKeys = read.Keys()
 	trimmed := machine.follower.trimmedReads
 	machine.resetState()
 	machine.follower = follower{trimmedReads: trimmed, pushedEnd: machine.follower.pushedEnd}
--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -26,10 +26,9 @@
 	intakeReadAt     map[int]time.Time                               // intakeReadAt is when each intake partition was last read successfully.
 	inflight         *inflightAppend                                 // inflight is the pending append, nil for none.
 
-	snapshotAt   time.Time // snapshotAt is when the last snapshot was taken.
-	snapshotting bool
-	usageAt      time.Time // usageAt is when usage was last stored.
-	usageStoring bool
+	snapshotTriedAt time.Time // snapshotTriedAt is when the last snapshot was taken, stored or not.
+	usageAt         time.Time // usageAt is when usage was last stored.
+	usageStoring    bool
 
 	workers             map[string]*worker
 	removedFences       map[string]int64                 // removedFences holds the fencing tokens of removed workers, which may return.
@@ -63,7 +62,7 @@
 		epoch: answer.Commit().Epoch(), sequence: 1, electedAt: machine.now, lastCommitAt: machine.now.Add(-answer.Took()),
 		pendingIntake: map[int]int64{}, intakeReadAt: map[int]time.Time{}, workers: map[string]*worker{}, advice: map[almondcross.StageID]*stageAdvice{},
 		queued: map[almondcross.StageID]bool{}, unpushedViews: map[almondcross.JobID]almondcross.JobViewChange{}, jobsWithOccurrences: map[almondcross.JobID]*job{}, allowedShares: map[string]float64{}, queueScores: map[string]queueScore{},
-		removedFences: map[string]int64{}, quarantined: map[almondcross.StageID]struct{}{}, snapshotAt: machine.now,
+		removedFences: map[string]int64{}, quarantined: map[almondcross.StageID]struct{}{},
 	}
 	machine.config.Log.Record("scheduling_started", almondcross.Number("epoch", machine.leader.epoch),
 		almondcross.Number("jobs", len(machine.state.jobs)), almondcross.Millis("took_ms", answer.Took()))
--- a/command/scheduler/machine.go
+++ b/command/scheduler/machine.go
@@ -55,9 +55,13 @@
 	reads     pendingReads
 
 	// triedEpoch is the highest epoch that this host has used in an election.
-	triedEpoch   int64
-	stopping     bool
-	linkedHosts  map[string]*linkedHost
+	triedEpoch  int64
+	stopping    bool
+	linkedHosts map[string]*linkedHost
+	// snapshotKeys holds the keys of snapshots that the store had when this host loaded the state, until it has stored one.
+	snapshotKeys    []string
+	snapshotPending bool // snapshotPending is set while a snapshot is being stored, also by an earlier epoch of this host.
+
 	acceptedJobs map[almondcross.JobID]acceptedJob // acceptedJobs holds the jobs of this host that no published state has had.
 	// peers holds the addresses on which other hosts accept links, newest last.
 	peers []string
@@ -127,6 +131,8 @@
 		machine.intakeRead(message)
 	case almondcross.WorkersRead:
 		machine.workersRead(message)
+	case almondcross.SnapshotStored:
+		machine.snapshotStored(message)
 	case almondcross.RoutesRead:
 		machine.routesRead(message.Table())
 	default:
@@ -173,8 +179,6 @@
 		machine.usageStored(message)
 	case almondcross.IntakeForwarded:
 		machine.intakeForwarded(message)
-	case almondcross.SnapshotStored:
-		machine.snapshotStored(message)
 	}
 }
 
--- a/command/scheduler/snapshot.go
+++ b/command/scheduler/snapshot.go
@@ -51,7 +51,7 @@
 			epoch: silent.Epoch(), recordedAt: silent.RecordedAt(), leaseExpiredAt: now.Add(silent.LeaseRemaining()),
 		})
 	}
-	restored.highestEpoch, restored.batchTime = snapshot.Epoch(), snapshot.At()
+	restored.highestEpoch, restored.batchTime, restored.snapshotAt = snapshot.Epoch(), snapshot.At(), snapshot.At()
 	restored.schedulerHost, restored.schedulerAddress = snapshot.Host(), snapshot.Address()
 	restored.schedulerEpoch, restored.resigned = snapshot.SchedulerEpoch(), snapshot.Resigned()
 	if snapshot.Intake() != nil {
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -65,6 +65,8 @@
 	usage            map[almondcross.UsageKey]almondcross.QueueUsage
 	unstoredUsage    map[almondcross.UsageKey]struct{} // unstoredUsage holds the periods whose usage is not stored yet.
 	changedJobs      map[almondcross.JobID]struct{}    // changedJobs holds the jobs whose view may have changed.
+	snapshotAt       time.Time                         // snapshotAt is when the last snapshot was stored, zero for none.
+	earlierEpochs    []int64                           // earlierEpochs holds the epochs since the state was loaded whose snapshots may be in the store.
 	silentWorkers    map[string]silence                // silentWorkers holds the workers whose leases are not extended.
 	// knownSilences holds the silences that this host knew when it loaded the state again. It is not replicated.
 	knownSilences map[string]silence
@@ -136,6 +138,11 @@
 		}
 	case almondcross.ChangeElected:
 		state.schedulerHost, state.schedulerAddress, state.schedulerEpoch, state.resigned = change.Host(), change.Address(), state.highestEpoch, false
+		state.earlierEpochs = append(state.earlierEpochs, state.schedulerEpoch)
+		state.earlierEpochs = state.earlierEpochs[max(0, len(state.earlierEpochs)-maxEarlierEpochs):]
+	case almondcross.ChangeSnapshotStored:
+		state.snapshotAt = state.batchTime
+		state.earlierEpochs = slices.DeleteFunc(state.earlierEpochs, func(epoch int64) bool { return epoch < state.schedulerEpoch })
 	case almondcross.ChangeResigned:
 		state.resigned = true
 	case almondcross.ChangeWorkerSilent:
--- a/journal.go
+++ b/journal.go
@@ -147,6 +147,8 @@
 	ChangeWorkerRegained ChangeKind = 9 // ChangeWorkerRegained records that a silent worker answered again or was removed.
 
 	ChangeJobStarted ChangeKind = 10 // ChangeJobStarted records the first run of a job that is known to have started on its worker.
+
+	ChangeSnapshotStored ChangeKind = 11 // ChangeSnapshotStored records that the scheduler has stored a snapshot and removed those of earlier epochs.
 )
 
 // Change is one change of the replicated state.
--- a/query/follower/follower.go
+++ b/query/follower/follower.go
@@ -102,6 +102,11 @@
 		}
 		var read almondcross.SnapshotReadConfig
 		records, _, err := follower.readNewest(ctx, follower.config.Snapshots)
+		for _, record := range records {
+			if len(record.Value()) > 0 {
+				read.Keys = append(read.Keys, record.Key())
+			}
+		}
 		if err == nil {
 			read.Snapshot, read.Found, err = follower.config.Codec.DecodeSnapshot(records)
 			if err != nil {
--- a/scheduling.go
+++ b/scheduling.go
@@ -44,6 +44,7 @@
 type SnapshotRead struct {
 	snapshot StateSnapshot // the newest snapshot
 	found    bool          // whether there is one
+	keys     []string      // the keys of all parts of snapshots in the store
 	err      error         // the error of the read, nil for none
 }
 
@@ -127,15 +128,18 @@
 //
 //value:generate
 type SnapshotStore struct {
-	snapshot StateSnapshot // the snapshot
+	snapshot      StateSnapshot // the snapshot
+	earlierKeys   []string      // the keys that the store had when this host loaded the state; those of snapshots of earlier epochs are removed
+	earlierEpochs []int64       // the epochs since then whose snapshots are removed
 }
 
 // SnapshotStored answers a SnapshotStore.
 //
 //value:generate
 type SnapshotStored struct {
-	next int64 // the journal offset of the snapshot
-	err  error // the error, nil for none
+	epoch int64 // the epoch of the scheduler that took the snapshot
+	next  int64 // the journal offset of the snapshot
+	err   error // the error, nil for none
 }
 
 // UsageStore asks for the usage of queues to be stored; a newer record of the same period and queue replaces an
--- a/scheduling_generated.go
+++ b/scheduling_generated.go
@@ -166,6 +166,7 @@
 type SnapshotReadConfig struct {
 	Snapshot StateSnapshot
 	Found    bool
+	Keys     []string
 	Err      error
 }
 
@@ -174,6 +175,7 @@
 	return SnapshotRead{
 		snapshot: config.Snapshot,
 		found:    config.Found,
+		keys:     config.Keys,
 		err:      config.Err,
 	}
 }
@@ -183,6 +185,7 @@
 	return SnapshotReadConfig{
 		Snapshot: snapshotread.snapshot,
 		Found:    snapshotread.found,
+		Keys:     snapshotread.keys,
 		Err:      snapshotread.err,
 	}
 }
@@ -205,6 +208,15 @@
 	return snapshotread
 }
 
+// Keys returns the keys of all parts of snapshots in the store.
+func (snapshotread SnapshotRead) Keys() []string { return snapshotread.keys }
+
+// WithKeys returns a copy with the given keys.
+func (snapshotread SnapshotRead) WithKeys(keys []string) SnapshotRead {
+	snapshotread.keys = keys
+	return snapshotread
+}
+
 // Err returns the error of the read, nil for none.
 func (snapshotread SnapshotRead) Err() error { return snapshotread.err }
 
@@ -680,20 +692,26 @@
 
 // SnapshotStoreConfig holds the fields of a new SnapshotStore.
 type SnapshotStoreConfig struct {
-	Snapshot StateSnapshot
+	Snapshot      StateSnapshot
+	EarlierKeys   []string
+	EarlierEpochs []int64
 }
 
 // NewSnapshotStore returns a SnapshotStore with the given fields.
 func NewSnapshotStore(config SnapshotStoreConfig) SnapshotStore {
 	return SnapshotStore{
-		snapshot: config.Snapshot,
+		snapshot:      config.Snapshot,
+		earlierKeys:   config.EarlierKeys,
+		earlierEpochs: config.EarlierEpochs,
 	}
 }
 
 // Config returns the fields of the value for encoding or for a changed copy.
 func (snapshotstore SnapshotStore) Config() SnapshotStoreConfig {
 	return SnapshotStoreConfig{
-		Snapshot: snapshotstore.snapshot,
+		Snapshot:      snapshotstore.snapshot,
+		EarlierKeys:   snapshotstore.earlierKeys,
+		EarlierEpochs: snapshotstore.earlierEpochs,
 	}
 }
 
@@ -706,28 +724,58 @@
 	return snapshotstore
 }
 
+// EarlierKeys returns the keys that the store had when this host loaded the state; those of snapshots of earlier epochs are removed.
+func (snapshotstore SnapshotStore) EarlierKeys() []string { return snapshotstore.earlierKeys }
+
+// WithEarlierKeys returns a copy with the given earlierKeys.
+func (snapshotstore SnapshotStore) WithEarlierKeys(earlierKeys []string) SnapshotStore {
+	snapshotstore.earlierKeys = earlierKeys
+	return snapshotstore
+}
+
+// EarlierEpochs returns the epochs since then whose snapshots are removed.
+func (snapshotstore SnapshotStore) EarlierEpochs() []int64 { return snapshotstore.earlierEpochs }
+
+// WithEarlierEpochs returns a copy with the given earlierEpochs.
+func (snapshotstore SnapshotStore) WithEarlierEpochs(earlierEpochs []int64) SnapshotStore {
+	snapshotstore.earlierEpochs = earlierEpochs
+	return snapshotstore
+}
+
 // SnapshotStoredConfig holds the fields of a new SnapshotStored.
 type SnapshotStoredConfig struct {
-	Next int64
-	Err  error
+	Epoch int64
+	Next  int64
+	Err   error
 }
 
 // NewSnapshotStored returns a SnapshotStored with the given fields.
 func NewSnapshotStored(config SnapshotStoredConfig) SnapshotStored {
 	return SnapshotStored{
-		next: config.Next,
-		err:  config.Err,
+		epoch: config.Epoch,
+		next:  config.Next,
+		err:   config.Err,
 	}
 }
 
 // Config returns the fields of the value for encoding or for a changed copy.
 func (snapshotstored SnapshotStored) Config() SnapshotStoredConfig {
 	return SnapshotStoredConfig{
-		Next: snapshotstored.next,
-		Err:  snapshotstored.err,
+		Epoch: snapshotstored.epoch,
+		Next:  snapshotstored.next,
+		Err:   snapshotstored.err,
 	}
 }
 
+// Epoch returns the epoch of the scheduler that took the snapshot.
+func (snapshotstored SnapshotStored) Epoch() int64 { return snapshotstored.epoch }
+
+// WithEpoch returns a copy with the given epoch.
+func (snapshotstored SnapshotStored) WithEpoch(epoch int64) SnapshotStored {
+	snapshotstored.epoch = epoch
+	return snapshotstored
+}
+
 // Next returns the journal offset of the snapshot.
 func (snapshotstored SnapshotStored) Next() int64 { return snapshotstored.next }
 
--- a/standin/emulator/emulator_test.go
+++ b/standin/emulator/emulator_test.go
@@ -105,3 +105,19 @@
 		})
 	}
 }
+
+// Guards against a state that is lost in part because no scheduler lasts until a snapshot is due, while the store deletes the
+// journal behind the last one.
+func TestStateIsKeptWhileSchedulersFollowEachOther(t *testing.T) {
+	for seed := uint64(1); seed <= 3; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			simulationConfig := newConfig(seed)
+			simulationConfig.SubmitTime, simulationConfig.JobsPerSec = 30*time.Second, 8
+			for startsAt := 4 * time.Second; startsAt < simulationConfig.SubmitTime; startsAt += 2500 * time.Millisecond {
+				simulationConfig.Faults = append(simulationConfig.Faults, emulator.Fault{Kind: emulator.KillScheduler, StartsAt: startsAt, Duration: 7 * time.Second})
+			}
+			require.Empty(t, runSimulation(t, simulationConfig).Violations)
+		})
+	}
+}
--- a/standin/emulator/storecalls.go
+++ b/standin/emulator/storecalls.go
@@ -98,7 +98,7 @@
 		records[index] = almondcross.NewKeyedRecord(almondcross.KeyedRecordConfig{Key: strconv.Itoa(index), Value: part})
 	}
 	deliverResult := func(err error) {
-		modelhost.deliver(almondcross.NewSnapshotStored(almondcross.SnapshotStoredConfig{Next: request.Snapshot().Next(), Err: err}))
+		modelhost.deliver(almondcross.NewSnapshotStored(almondcross.SnapshotStoredConfig{Epoch: request.Snapshot().SchedulerEpoch(), Next: request.Snapshot().Next(), Err: err}))
 	}
 	modelhost.storeCall(true, func() func() {
 		simulation.snapshotTable.put(records)
