--- a/journal.go
+++ b/journal.go
@@ -154,6 +154,7 @@
 	ChangeSettings       ChangeKind = 11 // ChangeSettings sets the settings of a job that was admitted while they were not known.
 	ChangeWorkerUnlisted ChangeKind = 12 // ChangeWorkerUnlisted records the address of a worker with runs that is no longer announced, until ChangeWorkerListed.
 	ChangeWorkerListed   ChangeKind = 13 // ChangeWorkerListed records that an unlisted worker is announced again or was removed.
+	ChangeSnapshotStored ChangeKind = 14 // ChangeSnapshotStored records that the scheduler has stored a snapshot and removed those of earlier epochs.
 )
 
 // Change is one change of the replicated state.
