Draw lagging routes, series of faults and bursts in the emulator

Hosts refuse jobs on routes that they do not know. - Callers ask every host, in touch or with fresh views, through the platform's viewer: MIXED for a count under half of the waiting jobs, LOST for an accepted job that is answered as gone. Answers with 503 are counted. - A host answers for a forwarded job only once it is not paused. - A few callers use a job's identity on another queue; what then counts is not defined, so only repeated and endless runs are judged.

A job on a removed route is judged by what workers saw of it (LOST), its attempts by the removed route (BUDGET), and starts by the kind of the worker (ROUTE, once a change of kind is as old as a change of capacity).

--- a/assembler/experiment.go
+++ b/assembler/experiment.go
@@ -65,8 +65,8 @@
 
 func runExperiment(command *cobra.Command, flags experimentFlags) error {
 	output, failedSimulations := command.OutOrStdout(), 0
-	_, _ = fmt.Fprintf(output, "%6s %6s %9s %10s %7s %10s %6s %9s %9s  %s\n",
-		"seed", "jobs", "accepted", "completed", "failed", "cancelled", "runs", "p50", "p99", "violations")
+	_, _ = fmt.Fprintf(output, "%6s %6s %9s %10s %7s %10s %6s %9s %9s %9s %6s  %s\n",
+		"seed", "jobs", "accepted", "completed", "failed", "cancelled", "runs", "p50", "p99", "questions", "503", "violations")
 	for seed := flags.seed; seed < flags.seed+uint64(flags.days); seed++ { //nolint:gosec // The number of simulations was checked.
 		config := flags.config
 		config.Seed, config.DrainTime, config.Retention = seed, 40*time.Second, 15*time.Second
@@ -85,8 +85,9 @@
 			return requester.Failed(err)
 		}
 		report := simulation.Run()
-		_, _ = fmt.Fprintf(output, "%6d %6d %9d %10d %7d %10d %6d %9s %9s  %d\n", seed, report.Jobs, report.Accepted, report.Completed,
-			report.Failed, report.Cancelled, report.Runs, report.Median.Round(time.Millisecond), report.P99.Round(time.Millisecond), len(report.Violations))
+		_, _ = fmt.Fprintf(output, "%6d %6d %9d %10d %7d %10d %6d %9s %9s %9d %6d  %d\n", seed, report.Jobs, report.Accepted, report.Completed,
+			report.Failed, report.Cancelled, report.Runs, report.Median.Round(time.Millisecond), report.P99.Round(time.Millisecond),
+			report.Questions, report.Unavailable, len(report.Violations))
 		for _, violation := range report.Violations {
 			_, _ = fmt.Fprintln(output, "       ", violation)
 		}
--- a/standin/emulator/advice.go
+++ b/standin/emulator/advice.go
@@ -35,7 +35,7 @@
 	simulation, job := modelhost.simulation, modelhost.simulation.jobs[queued.query.Stage().Job]
 	duration := 10 * time.Millisecond
 	if job != nil {
-		if queue, known := simulation.routes.Queue(job.spec.Queue()); known {
+		if queue, known := simulation.everyQueue[job.spec.Queue()]; known {
 			duration = queue.AdviceSettings().Base() + time.Duration(len(queued.query.Workers()))*queue.AdviceSettings().PerWorker()
 		}
 	}
--- a/standin/emulator/checker.go
+++ b/standin/emulator/checker.go
@@ -16,7 +16,9 @@
 	// GivenUp counts the jobs that are shown as failed because workers crashed under one of their tasks, GivenUpSound
 	// those among them without a task that crashes its workers.
 	GivenUp, GivenUpSound int
-	Violations            []string
+	// Questions counts the questions of callers that hosts answered, Unavailable those that they answered with 503.
+	Questions, Unavailable int
+	Violations             []string
 	// AccountedCPU is the CPU time of all runs in the stored account, UsedCPU the CPU time on the workers, both
 	// in millicore-seconds.
 	AccountedCPU, UsedCPU int64
@@ -29,6 +31,8 @@
 	usedCPU         float64 // usedCPU is in millicore-seconds.
 	givenUp         int
 	givenUpSound    int
+	questions       int
+	unavailable     int
 	violations      []string
 	violationCounts map[string]int // violationCounts counts the violations of each rule.
 	completionTimes []time.Duration
@@ -107,7 +111,7 @@
 		job := checker.simulation.jobs[id]
 		if job.acceptedAt > 0 {
 			report.Accepted++
-			if job.finalState == "" && job.missed() && checker.simulation.hasRoom(job) {
+			if checker.simulation.lost(job) {
 				checker.addViolation("LOST", "%s was accepted at %.3f s and has no final state at the end; %d workers crashed under its tasks",
 					id, (job.acceptedAt - warmUp).Seconds(), job.crashes())
 			}
@@ -123,6 +127,7 @@
 		}
 	}
 	report.GivenUp, report.GivenUpSound = checker.givenUp, checker.givenUpSound
+	report.Questions, report.Unavailable = checker.questions, checker.unavailable
 	report.UsedCPU = int64(checker.usedCPU)
 	for _, usage := range checker.simulation.storedUsage {
 		report.AccountedCPU += usage.Received().MilliCPU()
--- a/standin/emulator/fault.go
+++ b/standin/emulator/fault.go
@@ -32,6 +32,12 @@
 	KillAfterMoment     FaultKind = "kill_after"       // KillAfterMoment kills the scheduler's process shortly after the fault's moment.
 	FreezeAfterMoment   FaultKind = "freeze_after"     // FreezeAfterMoment pauses the scheduler's process shortly after the fault's moment.
 	IsolateAfterMoment  FaultKind = "cut_after"        // IsolateAfterMoment partitions the scheduler from the store shortly after the fault's moment.
+	FreezeHosts         FaultKind = "freeze_hosts"     // FreezeHosts pauses the processes of some hosts.
+	KillSeries          FaultKind = "kill_series"      // KillSeries kills one scheduler after the other, each within seconds of its election.
+	ChangeRoutes        FaultKind = "change_routes"    // ChangeRoutes adds a route and, in most cases, removes it while callers use it.
+	Burst               FaultKind = "burst"            // Burst multiplies the rate of submissions.
+	LoseOrders          FaultKind = "lose_orders"      // LoseOrders makes one worker leave orders unanswered for a long time.
+	ChangeKinds         FaultKind = "change_kinds"     // ChangeKinds restarts some workers under their ID as another kind.
 )
 
 // FaultKinds returns all kinds of faults.
@@ -40,6 +46,7 @@
 		KillScheduler, KillHosts, FreezeScheduler, IsolateScheduler, StoreDown, StoreSlow, StoreLosesResponses, StoreUnreachable,
 		CrashWorkers, IsolateWorkers, FailWorkers, HangWorkers, DrainWorkers, DelayOrders, HideAnnouncements,
 		CrashTasks, ShrinkWorkers, BreakPaths, KillAfterMoment, FreezeAfterMoment, IsolateAfterMoment,
+		FreezeHosts, KillSeries, ChangeRoutes, Burst, LoseOrders, ChangeKinds,
 	}
 }
 
@@ -59,9 +66,9 @@
 
 // String returns the fault as it appears in reports.
 func (fault Fault) String() string {
-	text := fmt.Sprintf("%s at %s for %s share %.2f", fault.Kind, fault.StartsAt, fault.Duration, fault.Share)
+	text := fmt.Sprintf("%s at %s for %s share %.2f", fault.Kind, fault.StartsAt, fault.lasting(), fault.Share)
 	switch fault.Kind {
-	case DelayOrders:
+	case DelayOrders, LoseOrders:
 		text += fmt.Sprintf(" (leases %.2f)", fault.LeaseShare)
 	case CrashTasks:
 		text += fmt.Sprintf(" in %s, %s after the start", fault.Queue, fault.CrashDelay)
@@ -72,6 +79,18 @@
 	return text
 }
 
+// lasting returns how long the fault lasts.
+func (fault Fault) lasting() time.Duration {
+	switch fault.Kind {
+	case KillSeries:
+		return fault.Duration * killSeriesFactor
+	case LoseOrders:
+		return fault.Duration * orderSeriesFactor
+	default:
+		return fault.Duration
+	}
+}
+
 // RandomFaults returns count random faults that start within a time; the same seed gives the same faults. About half of
 // them start during the fault before them, since some failures take two faults at once.
 func RandomFaults(seed uint64, count int, submitTime time.Duration) []Fault {
--- a/standin/emulator/host.go
+++ b/standin/emulator/host.go
@@ -2,12 +2,14 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
 	"time"
 
 	"github.com/almondcross/almondcross"
 	"github.com/almondcross/almondcross/command/scheduler"
 	"github.com/almondcross/almondcross/policy/picker"
 	"github.com/almondcross/almondcross/query/jobfinder"
+	"github.com/almondcross/almondcross/query/router"
 )
 
 // Timing of the modelled network and store, and the number of intake partitions.
@@ -37,7 +39,9 @@
 	frozenUntil      time.Duration // frozenUntil is when a paused host resumes.
 	machine          *scheduler.Machine
 	jobTable         *jobfinder.Table
-	wakeID           uint64 // wakeID numbers the scheduled wake-ups; only the latest one takes effect.
+	router           *router.Router // router holds the newest route table that this host has read.
+	questions        http.Handler   // questions answers the questions of callers.
+	wakeID           uint64         // wakeID numbers the scheduled wake-ups; only the latest one takes effect.
 	adviceInProgress bool
 	queuedQueries    []queuedQuery
 	// pointer is the scheduler pointer that this host gives to its peers.
@@ -56,13 +60,15 @@
 	modelhost.incarnation++
 	modelhost.up, modelhost.adviceInProgress, modelhost.queuedQueries = true, false, nil
 	modelhost.pointer = almondcross.SchedulerPointer{}
-	modelhost.jobTable = jobfinder.New()
+	modelhost.jobTable, modelhost.router = jobfinder.New(), router.New()
+	modelhost.questions = modelhost.newQuestions()
 	modelhost.machine = scheduler.NewMachine(scheduler.Config{
 		Host: modelhost.name, Address: modelhost.name, Partitions: intakePartitions, Strength: 100 - 10*(modelhost.index%3), Retention: 150 * time.Second, MaxLease: maxLease,
 		SnapshotInterval: 3 * time.Second, RecordBytes: 256 << 10, BatchesPerAppend: 8, Random: rand.New(rand.NewPCG(simulation.random.Uint64(), 1)), //nolint:gosec // A model needs no secrecy.
 		Publisher: modelhost.jobTable, Picker: picker.BestFit{}, Log: hostLog{modelhost}, Metrics: noMetrics{},
 	})
-	modelhost.deliver(almondcross.NewRoutesRead(almondcross.RoutesReadConfig{Table: simulation.routes}))
+	modelhost.runUnfrozen(modelhost.advance)
+	modelhost.readRoutes()
 }
 
 func (modelhost *modelHost) kill() {
@@ -211,3 +217,6 @@
 func (noMetrics) Ended(almondcross.EndKind)             {}
 func (noMetrics) Advised(string, int, int)              {}
 func (noMetrics) Examined(int)                          {}
+
+// Answered discards the status of an answer.
+func (noMetrics) Answered(string, string, int, time.Duration) {}
--- a/standin/emulator/inject.go
+++ b/standin/emulator/inject.go
@@ -15,6 +15,7 @@
 	storeUnreachableUntil    map[*modelHost]time.Duration
 	workerIsolatedUntil      map[*modelWorker]time.Duration
 	paths                    map[path]pathFault
+	orders                   map[*modelWorker]orderFault
 	orderDelayUntil          time.Duration
 	orderDelayShare          float64
 	leaseDelayShare          float64
@@ -24,6 +25,7 @@
 func newActiveFaults() activeFaults {
 	return activeFaults{
 		storeUnreachableUntil: map[*modelHost]time.Duration{}, workerIsolatedUntil: map[*modelWorker]time.Duration{}, paths: map[path]pathFault{},
+		orders: map[*modelWorker]orderFault{},
 	}
 }
 
@@ -89,10 +91,19 @@
 }
 
 func (simulation *Simulation) injectFault(fault Fault) {
-	until := simulation.now + fault.Duration
+	until := simulation.now + fault.lasting()
 	switch fault.Kind {
-	case KillScheduler, KillHosts, FreezeScheduler, IsolateScheduler, StoreUnreachable, BreakPaths:
+	case KillScheduler, KillHosts, FreezeScheduler, FreezeHosts, IsolateScheduler, StoreUnreachable, BreakPaths:
 		simulation.injectHostFault(fault, until)
+	case KillSeries:
+		simulation.killSchedulers(until)
+		simulation.extend(until)
+	case ChangeRoutes:
+		simulation.changeRoutes(until)
+	case Burst:
+		simulation.addBurst(fault)
+	case LoseOrders:
+		simulation.loseOrders(fault, until)
 	case StoreDown, StoreSlow, StoreLosesResponses:
 		simulation.injectStoreFault(fault, until)
 	case KillAfterMoment, FreezeAfterMoment, IsolateAfterMoment:
@@ -118,7 +129,7 @@
 	switch fault.Kind {
 	case BreakPaths:
 		simulation.breakPaths(fault, until)
-	case KillHosts:
+	case KillHosts, FreezeHosts:
 		hosts = randomShare(simulation, simulation.hosts, 3*fault.Share)
 	case StoreUnreachable:
 		hosts = randomShare(simulation, simulation.hosts, 2*fault.Share)
@@ -130,7 +141,7 @@
 		case KillScheduler, KillHosts:
 			until = simulation.now + fault.Duration/killDowntimeDivisor
 			simulation.restartHost(host, fault.Duration/killDowntimeDivisor)
-		case FreezeScheduler:
+		case FreezeScheduler, FreezeHosts:
 			host.frozenUntil = until
 		default:
 			simulation.faults.storeUnreachableUntil[host] = until
@@ -174,6 +185,8 @@
 	switch fault.Kind {
 	case CrashWorkers:
 		simulation.crashWorker(worker, fault.Duration, false)
+	case ChangeKinds:
+		simulation.changeKind(worker, fault.Duration/killDowntimeDivisor)
 	case IsolateWorkers:
 		simulation.faults.workerIsolatedUntil[worker] = until
 	case FailWorkers:
--- a/standin/emulator/jobs.go
+++ b/standin/emulator/jobs.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"time"
@@ -20,7 +21,8 @@
 	unanswered    int           // unanswered counts the attempts without a response.
 	cancelledAt   time.Duration // cancelledAt is when a cancellation was acknowledged, 0 before.
 	cancelSentAt  time.Duration
-	started       bool // started reports whether a worker has started one of its tasks.
+	otherQueue    string // otherQueue is the queue on which the job's identity was also used, empty for none.
+	started       bool   // started reports whether a worker has started one of its tasks.
 	finalState    almondcross.JobState
 	finalAt       time.Duration
 	crashingTasks map[almondcross.JobTask]bool // crashingTasks holds the tasks that crash each worker that starts them.
@@ -52,29 +54,30 @@
 	return modeljob.taskHistories[task]
 }
 
-// scheduleJobs creates all jobs and schedules their submissions and cancellations.
-func (simulation *Simulation) scheduleJobs() {
-	at := time.Duration(0)
-	for number := 0; ; number++ {
-		at += time.Duration(simulation.random.ExpFloat64() / simulation.config.JobsPerSec * float64(time.Second))
-		if at > simulation.config.SubmitTime {
-			return
-		}
-		job := simulation.randomJob(number)
-		job.sentAt = warmUp + at
+// scheduleJobs draws the jobs that callers submit in a time span, on one queue or, if its name is empty, on all queues that
+// are always routed, and schedules their submissions and cancellations.
+func (simulation *Simulation) scheduleJobs(from, span time.Duration, perSec float64, queue string) {
+	for at := simulation.nextSubmission(perSec); at <= span; at += simulation.nextSubmission(perSec) {
+		job := simulation.randomJob(queue)
+		job.sentAt = from + at
 		simulation.jobs[job.spec.ID()] = job
-		simulation.schedule(job.sentAt, func() { simulation.submit(job, false) })
+		simulation.schedule(job.sentAt-simulation.now, func() { simulation.submit(job, false) })
 		share, span := simulation.config.CancelShare, 4*time.Second
 		if job.long {
 			share, span = share*longCancelFactor, longRunTime
 		}
 		if simulation.random.Float64() < share {
 			job.cancelSentAt = job.sentAt + time.Duration(simulation.random.Int64N(int64(span)))
-			simulation.schedule(job.cancelSentAt, func() { simulation.submit(job, true) })
+			simulation.schedule(job.cancelSentAt-simulation.now, func() { simulation.submit(job, true) })
 		}
 	}
 }
 
+// nextSubmission draws the time between two submissions.
+func (simulation *Simulation) nextSubmission(perSec float64) time.Duration {
+	return time.Duration(simulation.random.ExpFloat64() / perSec * float64(time.Second))
+}
+
 // Long jobs: the mean run time of their tasks, and how many times as many of them are cancelled as of other jobs, most
 // of them in the middle of their run.
 const (
@@ -82,29 +85,23 @@
 	longCancelFactor = 12
 )
 
-func (simulation *Simulation) randomJob(number int) *modelJob {
-	config := almondcross.JobConfig{ID: almondcross.JobID(fmt.Sprintf("%016x", number+1)), Payload: "work"}
+func (simulation *Simulation) randomJob(queue string) *modelJob {
+	simulation.jobCount++
+	config := almondcross.JobConfig{ID: almondcross.JobID(fmt.Sprintf("%016x", simulation.jobCount)), Payload: "work"}
 	mean, spread, long := time.Duration(0), 0.4, false
 	switch fraction := simulation.random.Float64(); {
-	case fraction < 0.8:
+	case queue == "" && fraction < 0.8:
 		config.Queue, mean = queueUrgent, 600*time.Millisecond
 		config.Steps = []almondcross.Step{simulation.randomStep(1+simulation.random.IntN(3), 1400, 2000, simulation.random.Float64() < 0.3)}
-	case fraction < 0.86:
+	case queue == "" && fraction < 0.86:
 		config.Queue, mean = queueGang, 3*time.Second
 		config.Steps = []almondcross.Step{simulation.randomStep(2+simulation.random.IntN(10), 4500, 6400, true)}
-	case simulation.random.Float64() < simulation.config.LongShare:
+	case queue == "" && simulation.random.Float64() < simulation.config.LongShare:
 		config.Queue, mean, spread, long = queueBatch, longRunTime, 0.15, true
 		config.Steps = []almondcross.Step{simulation.randomStep(1+simulation.random.IntN(6), 1000, 1400, false).WithEstimate(longRunTime)}
 	default:
-		config.Queue, mean = queueBatch, 1500*time.Millisecond
-		config.Steps = []almondcross.Step{simulation.randomStep(1+simulation.random.IntN(12), 1000, 1400, false)}
-		if simulation.random.Float64() < 0.4 {
-			second := simulation.randomStep(1+simulation.random.IntN(6), 1000, 1400, false).WithAfter([]int{0})
-			if simulation.random.Float64() < 0.2 {
-				second = second.WithPerWorker(1 + simulation.random.IntN(2))
-			}
-			config.Steps = append(config.Steps, second)
-		}
+		config.Queue, mean = cmp.Or(queue, queueBatch), 1500*time.Millisecond
+		config.Steps = simulation.randomBatchSteps()
 	}
 	job := &modelJob{
 		spec: almondcross.NewJob(config), long: long, poison: simulation.random.Float64() < simulation.config.PoisonShare,
@@ -123,10 +120,29 @@
 	return job
 }
 
+func (simulation *Simulation) randomBatchSteps() []almondcross.Step {
+	steps := []almondcross.Step{simulation.randomStep(1+simulation.random.IntN(12), 1000, 1400, false)}
+	if simulation.random.Float64() < 0.4 {
+		second := simulation.randomStep(1+simulation.random.IntN(6), 1000, 1400, false).WithAfter([]int{0})
+		if simulation.random.Float64() < 0.2 {
+			second = second.WithPerWorker(1 + simulation.random.IntN(2))
+		}
+		steps = append(steps, second)
+	}
+	return steps
+}
+
+// kindShare is the fraction of the steps that need a worker of one kind. Gangs need none, since too few workers are allowed
+// for them by kind and by advice.
+const kindShare = 0.1
+
 func (simulation *Simulation) randomStep(count int, cpu, memory float64, gang bool) almondcross.Step {
-	scale := 0.6 + 0.8*simulation.random.Float64()
+	scale, label := 0.6+0.8*simulation.random.Float64(), ""
+	if !gang && simulation.random.Float64() < kindShare {
+		label = kinds[simulation.random.IntN(len(kinds))]
+	}
 	return almondcross.NewStep(almondcross.StepConfig{
-		Count: count, Gang: gang, Checkpoints: simulation.random.Float64() < 0.5, Estimate: time.Second,
+		Count: count, Gang: gang, Checkpoints: simulation.random.Float64() < 0.5, Estimate: time.Second, Label: label,
 		Resources: almondcross.NewResources(almondcross.ResourcesConfig{MilliCPU: int64(cpu * scale), MemoryMB: int64(memory * scale)}),
 	})
 }
@@ -137,10 +153,13 @@
 	retryDelay        = 400 * time.Millisecond
 	callerTimeout     = 1500 * time.Millisecond
 	statePollInterval = 1500 * time.Millisecond
+	resubmitShare     = 0.05
+	// elsewhereShare is the fraction of the accepted jobs whose identity is also used on another queue.
+	elsewhereShare = 0.02
 )
 
-// submit sends a job or its cancellation to a random host, which responds once it is stored. The host stores it
-// itself or forwards it to the scheduler. Failed attempts are retried up to maxCallerAttempts.
+// submit sends a job or its cancellation to a random host, which responds once it is stored. Failed attempts are retried up
+// to maxCallerAttempts.
 func (simulation *Simulation) submit(job *modelJob, cancel bool) {
 	host := simulation.hosts[simulation.random.IntN(len(simulation.hosts))]
 	job.attempts++
@@ -149,76 +168,118 @@
 			simulation.schedule(retryDelay, func() { simulation.submit(job, cancel) })
 		}
 	}
-	if !host.up || host.frozenUntil > simulation.now {
+	onLost := func() {
 		job.unanswered++
 		retry()
+	}
+	onRefused := func() {
+		job.rejections++
+		retry()
+	}
+	if !host.answers() {
+		onLost()
 		return
 	}
 	submitted := job.spec.WithSubmitted(simulation.wallTime())
+	if _, known := host.queueOf(submitted); !known {
+		onRefused()
+		return
+	}
 	if cancel {
 		submitted = submitted.WithSteps(nil).WithPayload("")
 	}
-	record, err := simulation.codec.EncodeIntake(almondcross.NewIntake(almondcross.IntakeConfig{Job: submitted, Cancel: cancel}))
-	if err != nil {
-		simulation.checker.addViolation("ENCODING", "%v", err)
+	if _, known := host.jobTable.Find(submitted.ID()); known && !cancel {
+		simulation.accepted(job)
 		return
 	}
-	onStored := func() {
-		switch {
-		case cancel:
+	host.storeIntake(almondcross.NewIntake(almondcross.IntakeConfig{Job: submitted, Cancel: cancel}), func() {
+		if cancel {
 			job.cancelledAt = simulation.now
 			simulation.observe(CancelAcknowledged)
-		case job.acceptedAt == 0:
-			job.acceptedAt = simulation.now
-			simulation.observe(SubmissionAcknowledged)
-			host.deliver(almondcross.NewJobAccepted(almondcross.JobAcceptedConfig{Job: submitted}))
-			simulation.schedule(statePollInterval, func() { simulation.pollState(job) })
-			if simulation.random.Float64() < 0.05 {
-				simulation.schedule(time.Duration(simulation.random.Int64N(int64(3*time.Second))), func() { simulation.resubmit(job) })
-			}
+			return
+		}
+		simulation.accepted(job)
+	}, onRefused, onLost)
+}
+
+// accepted handles the acknowledgement of a job. Some callers submit it again later, a few use its identity on another
+// queue.
+func (simulation *Simulation) accepted(job *modelJob) {
+	if job.acceptedAt != 0 {
+		return
+	}
+	job.acceptedAt = simulation.now
+	simulation.acceptedJobs = append(simulation.acceptedJobs, job)
+	simulation.observe(SubmissionAcknowledged)
+	simulation.schedule(statePollInterval, func() { simulation.pollState(job) })
+	delay := time.Duration(simulation.random.Int64N(int64(3 * time.Second)))
+	switch fraction := simulation.random.Float64(); {
+	case fraction < resubmitShare:
+		simulation.schedule(delay, func() { simulation.resubmit(job) })
+	case fraction < resubmitShare+elsewhereShare:
+		simulation.schedule(delay, func() { simulation.submitElsewhere(job) })
+	}
+}
+
+// storeIntake stores an intake as a host does that takes it from a caller: the host stores it itself or forwards it to the
+// scheduler. One of the functions is called with the answer to the caller, or after callerTimeout.
+func (modelhost *modelHost) storeIntake(intake almondcross.Intake, onStored, onRefused, onLost func()) {
+	simulation := modelhost.simulation
+	stored := func() {
+		if !intake.Cancel() {
+			modelhost.deliver(almondcross.NewJobAccepted(almondcross.JobAcceptedConfig{Job: intake.Job()}))
 		}
 	}
 	if schedulerHost := simulation.scheduler(); schedulerHost.machine.Leads() && simulation.random.Float64() < 0.7 {
-		simulation.forwardIntake(schedulerHost, almondcross.NewIntake(almondcross.IntakeConfig{Job: submitted, Cancel: cancel}), onStored, func() {
-			job.unanswered++
-			retry()
-		})
+		modelhost.forwardIntake(schedulerHost, intake, stored, onStored, onLost)
+		return
+	}
+	record, err := simulation.codec.EncodeIntake(intake)
+	if err != nil {
+		simulation.checker.addViolation("ENCODING", "%v", err)
 		return
 	}
-	host.storeCall(true, func() func() {
+	modelhost.storeCall(true, func() func() {
 		_, err := simulation.store.Append(simulation.now, almondcross.NewStoreAppend(almondcross.StoreAppendConfig{
-			Partition: intakePartition(host.index % intakePartitions), Records: [][]byte{record},
+			Partition: intakePartition(modelhost.index % intakePartitions), Records: [][]byte{record},
 		}))
 		return func() {
 			if err != nil {
-				job.rejections++
-				retry()
+				onRefused()
 				return
 			}
 			onStored()
+			stored()
 		}
-	}, func(error) {
-		job.unanswered++
-		retry()
-	})
+	}, func(error) { onLost() })
 }
 
-// forwardIntake sends an intake to the scheduler, which responds once it is in the journal. Either onStored or,
-// after callerTimeout, onLost is called.
-func (simulation *Simulation) forwardIntake(schedulerHost *modelHost, intake almondcross.Intake, onStored, onLost func()) {
+// forwardIntake sends an intake to the scheduler, which responds to the host once it is in the journal. The host answers its
+// caller once it is not frozen, unless the caller has given up after callerTimeout, and takes note of the job in any case.
+func (modelhost *modelHost) forwardIntake(schedulerHost *modelHost, intake almondcross.Intake, stored, onStored, onLost func()) {
+	simulation := modelhost.simulation
 	simulation.sequence++
-	number, pending := int64(simulation.sequence), true
-	finish := func(action func()) func() {
-		return func() {
-			if pending {
-				pending = false
-				delete(simulation.forwardCallbacks, number)
-				action()
-			}
+	number, waiting := int64(simulation.sequence), true
+	incarnation := modelhost.incarnation
+	simulation.forwardCallbacks[number] = func() {
+		delete(simulation.forwardCallbacks, number)
+		if modelhost.incarnation != incarnation {
+			return
 		}
+		modelhost.runUnfrozen(func() {
+			if waiting {
+				waiting = false
+				onStored()
+			}
+			stored()
+		})
 	}
-	simulation.forwardCallbacks[number] = finish(onStored)
-	simulation.schedule(callerTimeout, finish(onLost))
+	simulation.schedule(callerTimeout, func() {
+		if waiting {
+			waiting = false
+			onLost()
+		}
+	})
 	simulation.schedule(linkDelay, func() {
 		if schedulerHost.up {
 			schedulerHost.deliver(almondcross.NewIntakeForwarded(almondcross.IntakeForwardedConfig{Number: number, Intake: intake}))
@@ -235,14 +296,9 @@
 // pollState requests the state of a job from a random host, and repeats this until the state is final.
 func (simulation *Simulation) pollState(job *modelJob) {
 	host := simulation.hosts[simulation.random.IntN(len(simulation.hosts))]
-	if host.up && host.frozenUntil <= simulation.now {
-		view, known := host.jobTable.Find(job.spec.ID())
-		fresh := simulation.wallTime().Sub(host.jobTable.CompleteAt()) < callerTimeout
-		switch {
-		case known:
-			simulation.checker.checkReportedState(job, view.State())
-		case fresh && simulation.now-job.acceptedAt > 3*time.Second && simulation.disturbances.inTouch(host, simulation.now):
-			simulation.checker.addViolation("LOST", "%s is not known to %s %s after it was accepted", job.spec.ID(), host.name, simulation.now-job.acceptedAt)
+	if host.answers() {
+		if state, known := simulation.checker.checkQuestion(host, job); known {
+			simulation.checker.checkReportedState(job, state)
 		}
 	}
 	if job.finalState == "" {
--- a/standin/emulator/orders.go
+++ b/standin/emulator/orders.go
@@ -53,6 +53,17 @@
 		fault := simulation.faults.pathFault(simulation.now, modelhost, worker)
 		return fault.delay, !occurs(fault.responseLoss, random, "response")
 	}
+	series := simulation.faults.orders[worker]
+	affected := series.affects(simulation.now, order.kind, random)
+	switch {
+	case affected && series.reset:
+		modelhost.schedule(2*linkDelay, func() { order.onFailure(almondcross.OrderUnknown) })
+		return
+	case affected && series.answersLost:
+		response = lost
+	case affected:
+		request = lost
+	}
 	modelhost.call(order.timeout, request, response, func(reply func(func())) {
 		if delay := simulation.faults.orderDelay(simulation.now, order.kind, random); delay > 0 {
 			delivered.late = true
@@ -73,6 +84,9 @@
 	}, func() { order.onFailure(almondcross.OrderUnknown) })
 }
 
+// lost is the way of a message that does not get through.
+func lost() (time.Duration, bool) { return 0, false }
+
 func (modelhost *modelHost) renewLease(order almondcross.LeaseOrder) {
 	simulation := modelhost.simulation
 	simulation.observe(LeaseSent)
--- a/standin/emulator/pending.go
+++ b/standin/emulator/pending.go
@@ -1,6 +1,10 @@
 package emulator
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 const (
 	// pendingCheckInterval is the time between two checks of the pending counts.
@@ -23,20 +27,29 @@
 		}
 	}
 	for _, host := range simulation.hosts {
-		if !host.up || host.frozenUntil > simulation.now || simulation.wallTime().Sub(host.jobTable.CompleteAt()) > freshViewAge {
-			continue
-		}
-		for _, queue := range simulation.routes.Queues() {
-			if count := host.jobTable.Pending(queue.Name()); 2*count < waiting[queue.Name()] {
-				checker.addViolation("MIXED", "%s says that %d jobs of %s wait; %d have waited for more than %s",
-					host.name, count, queue.Name(), waiting[queue.Name()], pendingAge)
-			}
+		if host.answers() {
+			checker.checkCounts(host, waiting)
 		}
 	}
+	checker.checkQuestions()
 	simulation.schedule(pendingCheckInterval, checker.checkPendingCounts)
 }
 
-// waitsSince reports whether the job was accepted by a time and none of its tasks has started.
+// checkCounts compares the counts that a host answers with the number of waiting jobs of each queue, if the host is in
+// touch or its views are fresh. A host may also answer that it cannot tell.
+func (checker *checker) checkCounts(host *modelHost, waiting map[string]int) {
+	simulation := checker.simulation
+	fresh := simulation.wallTime().Sub(host.jobTable.CompleteAt()) <= freshViewAge
+	for _, name := range slices.Sorted(maps.Keys(simulation.everyQueue)) {
+		count, answered := host.askCount(name)
+		if answered && 2*count < waiting[name] && (fresh || simulation.disturbances.inTouch(host, simulation.now)) {
+			checker.addViolation("MIXED", "%s says that %d jobs of %s wait; %d have waited for more than %s", host.name, count, name, waiting[name], pendingAge)
+		}
+	}
+}
+
+// waitsSince reports whether the job was accepted by a time and none of its tasks has started. It is false for a job whose
+// caller has cancelled it or also used its identity on another queue.
 func (modeljob *modelJob) waitsSince(limit time.Duration) bool {
-	return modeljob.acceptedAt > 0 && modeljob.acceptedAt < limit && !modeljob.started && modeljob.cancelSentAt == 0
+	return modeljob.acceptedAt > 0 && modeljob.acceptedAt < limit && !modeljob.started && modeljob.cancelSentAt == 0 && modeljob.otherQueue == ""
 }
--- /dev/null
+++ b/standin/emulator/questions.go
@@ -0,0 +1,131 @@
+package emulator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/almondcross/almondcross"
+	"github.com/almondcross/almondcross/platform/viewer"
+)
+
+// visibleTime is how long after its acceptance a job may be unknown to a host in touch.
+const visibleTime = 3 * time.Second
+
+// questionAge is the age of the jobs that are asked of every host, questionCount their number.
+const (
+	questionAge   = 40 * time.Second
+	questionCount = 4
+)
+
+// newQuestions returns the handler that answers callers' questions on a host, as on the platform.
+func (modelhost *modelHost) newQuestions() http.Handler {
+	router := mux.NewRouter()
+	viewer.New(viewer.Config{
+		Router: modelhost.router, Jobs: modelhost.jobTable, Clock: virtualClock{modelhost.simulation}, Log: hostLog{modelhost}, Metrics: noMetrics{},
+		Ready: func() bool { return true },
+	}).Register(router)
+	return router
+}
+
+// ask returns the status and the body of a host's answer to a question.
+func (modelhost *modelHost) ask(path string) (status int, body []byte) {
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+queueHost+path, http.NoBody)
+	if err != nil {
+		return http.StatusBadRequest, nil
+	}
+	answer := &answerWriter{header: http.Header{}}
+	modelhost.questions.ServeHTTP(answer, request)
+	checker := modelhost.simulation.checker
+	checker.questions++
+	if answer.status == http.StatusServiceUnavailable {
+		checker.unavailable++
+	}
+	return answer.status, answer.body.Bytes()
+}
+
+// answers reports whether the host's process runs.
+func (modelhost *modelHost) answers() bool {
+	return modelhost.up && modelhost.frozenUntil <= modelhost.simulation.now
+}
+
+// askCount returns the number of waiting jobs of a queue that a host answers, and false if it answers none.
+func (modelhost *modelHost) askCount(queue string) (int, bool) {
+	status, body := modelhost.ask("/" + queue + "/")
+	if status != http.StatusOK {
+		return 0, false
+	}
+	fields := map[string]int{}
+	if err := json.Unmarshal(body, &fields); err != nil || len(fields) != 1 {
+		modelhost.simulation.checker.addViolation("ENCODING", "%s answers %q for %s", modelhost.name, body, queue)
+		return 0, false
+	}
+	count := 0
+	for _, value := range fields {
+		count = value
+	}
+	return count, true
+}
+
+// checkQuestion asks a host for an accepted job. A host in touch must not answer that there is none.
+func (checker *checker) checkQuestion(host *modelHost, job *modelJob) (state almondcross.JobState, known bool) {
+	simulation := checker.simulation
+	status, _ := host.ask(pathOf(job.spec))
+	switch status {
+	case http.StatusOK:
+		view, found := host.jobTable.Find(job.spec.ID())
+		return view.State(), found
+	case http.StatusGone:
+		if age := simulation.now - job.acceptedAt; age > visibleTime && job.otherQueue == "" && simulation.disturbances.inTouch(host, simulation.now) {
+			checker.addViolation("LOST", "%s is not known to %s %s after it was accepted", job.spec.ID(), host.name, age)
+		}
+	}
+	return "", false
+}
+
+// checkQuestions asks every host for some of the jobs that were accepted lately.
+func (checker *checker) checkQuestions() {
+	simulation := checker.simulation
+	for len(simulation.acceptedJobs) > 0 && simulation.now-simulation.acceptedJobs[0].acceptedAt > questionAge {
+		simulation.acceptedJobs = simulation.acceptedJobs[1:]
+	}
+	if len(simulation.acceptedJobs) == 0 {
+		return
+	}
+	for range questionCount {
+		job := simulation.acceptedJobs[simulation.random.IntN(len(simulation.acceptedJobs))]
+		for _, host := range simulation.hosts {
+			if host.answers() {
+				checker.checkQuestion(host, job)
+			}
+		}
+	}
+}
+
+// answerWriter keeps an answer.
+type answerWriter struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+// Header returns the header of the answer.
+func (answerwriter *answerWriter) Header() http.Header { return answerwriter.header }
+
+// WriteHeader keeps the status.
+func (answerwriter *answerWriter) WriteHeader(status int) { answerwriter.status = status }
+
+// Write keeps a part of the body.
+func (answerwriter *answerWriter) Write(part []byte) (int, error) {
+	return answerwriter.body.Write(part)
+}
+
+// virtualClock is the clock of a simulation.
+type virtualClock struct{ simulation *Simulation }
+
+// Now returns the wall-clock time that corresponds to the virtual time.
+func (virtualclock virtualClock) Now() time.Time { return virtualclock.simulation.wallTime() }
--- a/standin/emulator/simulation.go
+++ b/standin/emulator/simulation.go
@@ -53,7 +53,11 @@
 	forwardCallbacks map[int64]func()
 	pointer          almondcross.SchedulerPointer
 	storedUsage      map[almondcross.UsageKey]almondcross.QueueUsage // storedUsage is the stored account.
-	routes           almondcross.RouteTable
+	routes           almondcross.RouteTable                          // routes is the newest published route table.
+	everyQueue       map[string]almondcross.Queue                    // everyQueue holds the queues of all published route tables by name.
+	jobCount         int                                             // jobCount numbers the drawn jobs.
+	acceptedJobs     []*modelJob                                     // acceptedJobs holds the jobs that were accepted lately, the oldest one first.
+	end              time.Duration                                   // end is when the simulation ends.
 }
 
 // event is a function to run at a virtual time.
@@ -134,11 +138,16 @@
 		config: config, random: rand.New(rand.NewPCG(config.Seed, config.Seed^0x9e3779b97f4a7c15)), codec: codec, //nolint:gosec // A model needs no secrecy.
 		startTime: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), store: NewStore(config.Retention),
 		faults: newActiveFaults(), jobs: map[almondcross.JobID]*modelJob{}, gangs: map[string]*modelGang{}, forwardCallbacks: map[int64]func(){},
-		storedUsage: map[almondcross.UsageKey]almondcross.QueueUsage{},
-		advice:      adviceModel{allowedShare: config.AdviceShare, validity: 2500 * time.Millisecond, seed: config.Seed, issuedTickets: map[string]issuedTicket{}},
+		storedUsage: map[almondcross.UsageKey]almondcross.QueueUsage{}, everyQueue: map[string]almondcross.Queue{},
+		end:    warmUp + config.SubmitTime + config.DrainTime,
+		advice: adviceModel{allowedShare: config.AdviceShare, validity: 2500 * time.Millisecond, seed: config.Seed, issuedTickets: map[string]issuedTicket{}},
 	}
 	simulation.checker = newChecker(simulation)
-	simulation.routes = simulation.routeTable()
+	simulation.publishRoutes(
+		simulation.newQueue(queueUrgent, 0, 4, 8*time.Millisecond, 120*time.Microsecond),
+		simulation.newQueue(queueGang, 1, 3, 440*time.Millisecond, 6300*time.Microsecond),
+		simulation.newQueue(queueBatch, 2, 4, 46*time.Millisecond, 660*time.Microsecond),
+	)
 	for index := range config.Workers {
 		simulation.addWorker(index)
 	}
@@ -147,7 +156,7 @@
 		simulation.hosts = append(simulation.hosts, host)
 		simulation.schedule(time.Duration(simulation.random.Int64N(int64(300*time.Millisecond))), host.boot)
 	}
-	simulation.scheduleJobs()
+	simulation.scheduleJobs(warmUp, config.SubmitTime, config.JobsPerSec, "")
 	simulation.schedule(warmUp, simulation.checker.checkPendingCounts)
 	for _, fault := range config.Faults {
 		simulation.schedule(warmUp+fault.StartsAt, func() { simulation.injectFault(fault) })
@@ -160,40 +169,18 @@
 
 // Run runs the simulation to its end and returns its report. Call it once.
 func (simulation *Simulation) Run() Report {
-	end := warmUp + simulation.config.SubmitTime + simulation.config.DrainTime
 	for len(simulation.events) > 0 {
 		next := heap.Pop(&simulation.events).(event) //nolint:forcetypeassert // The heap holds events only.
-		if next.at > end {
+		if next.at > simulation.end {
 			break
 		}
 		simulation.now = next.at
 		next.run()
 	}
-	simulation.now = end
+	simulation.now = simulation.end
 	return simulation.checker.report()
 }
 
-func (simulation *Simulation) routeTable() almondcross.RouteTable {
-	queue := func(name string, priority, attempts int, base, perWorker time.Duration) almondcross.Queue {
-		return almondcross.NewQueue(almondcross.QueueConfig{
-			Name: name, Host: "queue.example", Prefix: "/" + name + "/", Pool: poolName, Priority: priority, MaxAttempts: attempts,
-			Stretch: 2, LatencyTarget: time.Second,
-			AdviceSettings: almondcross.NewAdviceSettings(almondcross.AdviceSettingsConfig{
-				Required: simulation.config.AdviceShare > 0, Base: base, PerWorker: perWorker, Validity: simulation.advice.validity,
-			}),
-		})
-	}
-	return almondcross.NewRouteTable(almondcross.RouteTableConfig{
-		Version: 1,
-		Queues: []almondcross.Queue{
-			queue(queueUrgent, 0, 4, 8*time.Millisecond, 120*time.Microsecond),
-			queue(queueGang, 1, 3, 440*time.Millisecond, 6300*time.Microsecond),
-			queue(queueBatch, 2, 4, 46*time.Millisecond, 660*time.Microsecond),
-		},
-		Pools: []almondcross.Pool{almondcross.NewPool(almondcross.PoolConfig{Name: poolName})},
-	})
-}
-
 func (simulation *Simulation) addWorker(index int) {
 	name := fmt.Sprintf("w-%03d", index)
 	worker := &modelWorker{
@@ -202,8 +189,8 @@
 	}
 	worker.announcement = almondcross.NewWorker(almondcross.WorkerConfig{
 		ID: worker.id, Pool: poolName, Address: worker.address, Rack: fmt.Sprintf("r1-%d", index/8),
-		Labels: []string{[]string{"a", "b"}[index%2], fmt.Sprintf("r1-%d", index/8)},
 	})
+	worker.setKind(0, kinds[index%2], worker.announcement.Rack())
 	worker.setCapacity(0, worker.fullCapacity)
 	worker.boot(0)
 	simulation.announce(worker)
--- a/standin/emulator/startcheck.go
+++ b/standin/emulator/startcheck.go
@@ -29,6 +29,9 @@
 	if step.PerWorker() > 0 && sameStage >= step.PerWorker() {
 		checker.addViolation("ROUTE", "%s on %s with %d other tasks of its stage", task, worker.id, sameStage)
 	}
+	if !worker.hadKind(step.Label(), delivered.sentOrExecutedAt(now)-capacityGrace) {
+		checker.addViolation("ROUTE", "%s on %s, which is not of kind %s", task, worker.id, step.Label())
+	}
 	checker.checkStartHistory(worker, order, job, step)
 	checker.checkCrashBudget(now, task, order.Run(), job, delivered)
 	checker.checkCancelledStart(now, task, job, delivered)
@@ -45,8 +48,8 @@
 		checker.addViolation("TWICE", "%s run %d on %s after run %d completed at %s", task, order.Run(), worker.id, history.completedRun, history.doneAt-warmUp)
 	}
 	history.startedAfterDone = history.done
-	if queue, known := checker.simulation.routes.Queue(job.spec.Queue()); known {
-		checker.checkAttempts(task, order.Run(), history, queue.MaxAttempts())
+	if _, allowed := checker.simulation.attemptLimits(job); allowed > 0 {
+		checker.checkAttempts(task, order.Run(), history, allowed)
 	}
 	for _, predecessor := range step.After() {
 		for index := range job.spec.Steps()[predecessor].Count() {
--- a/standin/emulator/statecheck.go
+++ b/standin/emulator/statecheck.go
@@ -32,11 +32,9 @@
 }
 
 func (checker *checker) checkFailedJob(job *modelJob) {
-	queue, _ := checker.simulation.routes.Queue(job.spec.Queue())
-	for _, history := range job.taskHistories {
-		if len(history.attempts.failures) >= queue.MaxAttempts() {
-			return
-		}
+	allowed, _ := checker.simulation.attemptLimits(job)
+	if job.hasFailed(allowed) {
+		return
 	}
 	if job.mayBeGivenUp() {
 		checker.givenUp++
@@ -50,7 +48,43 @@
 			return // The tasks of a gang share one attempt limit, so no task needs that many failures of its own.
 		}
 	}
-	checker.addViolation("LOST", "%s is reported as failed, but no task failed %d times", job.spec.ID(), queue.MaxAttempts())
+	checker.addViolation("LOST", "%s is reported as failed, but no task failed %d times", job.spec.ID(), allowed)
+}
+
+// hasFailed reports whether a task of the job has failed as often as allowed.
+func (modeljob *modelJob) hasFailed(allowed int) bool {
+	for _, history := range modeljob.taskHistories {
+		if len(history.attempts.failures) >= allowed {
+			return true
+		}
+	}
+	return false
+}
+
+// lost reports whether an accepted job is lost if the simulation ends now. Callers cannot ask for a job whose route was
+// removed or, depending on its queue, for one whose identity was also used on another queue; what the workers saw of these
+// jobs counts.
+func (simulation *Simulation) lost(job *modelJob) bool {
+	switch {
+	case job.finalState != "" || !job.missed() || !simulation.hasRoom(job):
+		return false
+	case simulation.routed(job.spec.Queue()) && job.otherQueue == "":
+		return true
+	}
+	allowed, _ := simulation.attemptLimits(job)
+	return job.cancelSentAt == 0 && !job.hasFailed(allowed) && !job.mayBeGivenUp() && !job.allDone()
+}
+
+// allDone reports whether all tasks of the job are done.
+func (modeljob *modelJob) allDone() bool {
+	for number, step := range modeljob.spec.Steps() {
+		for index := range step.Count() {
+			if !modeljob.historyOf(almondcross.JobTask{Stage: almondcross.StageID{Job: modeljob.spec.ID(), Step: number}, Index: index}).done {
+				return false
+			}
+		}
+	}
+	return true
 }
 
 // giveUpCrashes is the number of workers that must have crashed under a task for its job to be given up.
@@ -95,6 +129,9 @@
 			needed = int64(step.Count())
 		}
 		for _, worker := range simulation.workers {
+			if !worker.announcement.HasLabel(step.Label()) {
+				continue
+			}
 			if simulation.advice.allowedShare == 0 || simulation.advice.allows(almondcross.StageID{Job: job.spec.ID(), Step: number}, worker.id) {
 				need, capacity := step.Resources(), worker.fullCapacity
 				room += min(capacity.MilliCPU()/need.MilliCPU(), capacity.MemoryMB()/need.MemoryMB())
--- a/standin/emulator/worker.go
+++ b/standin/emulator/worker.go
@@ -60,6 +60,8 @@
 	// fullCapacity is the capacity without faults, capacityPeriods what was in force since when.
 	fullCapacity    almondcross.Resources
 	capacityPeriods []capacityPeriod
+	kindPeriods     []kindPeriod
+	nextKind        string // nextKind is the kind with which the worker restarts, empty for the same one.
 	up              bool
 	bootMillis      int64
 	bootedAt        time.Duration
@@ -339,6 +341,10 @@
 // boot starts a new incarnation with empty state.
 func (modelworker *modelWorker) boot(now time.Duration) {
 	modelworker.up, modelworker.bootedAt = true, now
+	if modelworker.nextKind != "" {
+		modelworker.setKind(now, modelworker.nextKind, modelworker.announcement.Rack())
+		modelworker.nextKind = ""
+	}
 	modelworker.bootMillis = modelworker.simulation.startTime.Add(now).UnixMilli()
 	modelworker.fence, modelworker.leaseUntil, modelworker.sequence = 0, 0, 0
 	modelworker.runs, modelworker.endedTasks = map[almondcross.JobTask]*modelRun{}, nil
