Ask hosts that load the state in the emulator

It now reads pages of 512 KiB, as the follower does, and takes 1 ms for 1 to 4 KB by its distance and processor. Counts are asked every 150 ms in place of 500 ms, and callers come back at once after a quarter of the kills of a series.

A negative count is reported once for each process: a job's identity that was used on two queues makes the table of views count one queue below zero.

--- a/standin/emulator/checker.go
+++ b/standin/emulator/checker.go
@@ -31,6 +31,7 @@
 	usedCPU         float64 // usedCPU is in millicore-seconds.
 	givenUp         int
 	givenUpSound    int
+	pendingChecks   int
 	questions       int
 	unavailable     int
 	violations      []string
--- a/standin/emulator/host.go
+++ b/standin/emulator/host.go
@@ -39,9 +39,10 @@
 	frozenUntil      time.Duration // frozenUntil is when a paused host resumes.
 	machine          *scheduler.Machine
 	jobTable         *jobfinder.Table
-	router           *router.Router // router holds the newest route table that this host has read.
-	questions        http.Handler   // questions answers the questions of callers.
-	wakeID           uint64         // wakeID numbers the scheduled wake-ups; only the latest one takes effect.
+	router           *router.Router  // router holds the newest route table that this host has read.
+	questions        http.Handler    // questions answers the questions of callers.
+	negativeCounts   map[string]bool // negativeCounts holds the queues for which this process has answered a negative count.
+	wakeID           uint64          // wakeID numbers the scheduled wake-ups; only the latest one takes effect.
 	adviceInProgress bool
 	queuedQueries    []queuedQuery
 	// pointer is the scheduler pointer that this host gives to its peers.
@@ -61,7 +62,7 @@
 	modelhost.up, modelhost.adviceInProgress, modelhost.queuedQueries = true, false, nil
 	modelhost.pointer = almondcross.SchedulerPointer{}
 	modelhost.jobTable, modelhost.router = jobfinder.New(), router.New()
-	modelhost.questions = modelhost.newQuestions()
+	modelhost.questions, modelhost.negativeCounts = modelhost.newQuestions(), map[string]bool{}
 	modelhost.machine = scheduler.NewMachine(scheduler.Config{
 		Host: modelhost.name, Address: modelhost.name, Partitions: intakePartitions, Strength: 100 - 10*(modelhost.index%3), Retention: 150 * time.Second, MaxLease: maxLease,
 		SnapshotInterval: 3 * time.Second, RecordBytes: 256 << 10, BatchesPerAppend: 8, Random: rand.New(rand.NewPCG(simulation.random.Uint64(), 1)), //nolint:gosec // A model needs no secrecy.
--- a/standin/emulator/pending.go
+++ b/standin/emulator/pending.go
@@ -7,8 +7,11 @@
 )
 
 const (
-	// pendingCheckInterval is the time between two checks of the pending counts.
-	pendingCheckInterval = 500 * time.Millisecond
+	// pendingCheckInterval is the time between two checks of the pending counts. A host that loads the state answers from a
+	// part of it for a few hundred milliseconds.
+	pendingCheckInterval = 150 * time.Millisecond
+	// checksPerQuestion is how many times as often hosts are asked for the counts as for jobs.
+	checksPerQuestion = 3
 	// pendingAge is how long ago a job was accepted that a pending count must include: 3 s until it is visible, and
 	// 2 s for the age of the count.
 	pendingAge = 5 * time.Second
@@ -31,7 +34,9 @@
 			checker.checkCounts(host, waiting)
 		}
 	}
-	checker.checkQuestions()
+	if checker.pendingChecks++; checker.pendingChecks%checksPerQuestion == 0 {
+		checker.checkQuestions()
+	}
 	simulation.schedule(pendingCheckInterval, checker.checkPendingCounts)
 }
 
@@ -42,7 +47,11 @@
 	fresh := simulation.wallTime().Sub(host.jobTable.CompleteAt()) <= freshViewAge
 	for _, name := range slices.Sorted(maps.Keys(simulation.everyQueue)) {
 		count, answered := host.askCount(name)
-		if answered && 2*count < waiting[name] && (fresh || simulation.disturbances.inTouch(host, simulation.now)) {
+		if count < 0 && !host.negativeCounts[name] {
+			host.negativeCounts[name] = true // The count stays wrong until the host restarts.
+			checker.addViolation("MIXED", "%s says that %d jobs of %s wait", host.name, count, name)
+		}
+		if answered && 2*max(count, 0) < waiting[name] && (fresh || simulation.disturbances.inTouch(host, simulation.now)) {
 			checker.addViolation("MIXED", "%s says that %d jobs of %s wait; %d have waited for more than %s", host.name, count, name, waiting[name], pendingAge)
 		}
 	}
--- a/standin/emulator/questions_test.go
+++ b/standin/emulator/questions_test.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -117,3 +118,40 @@
 	requireRules(t, simulation, "LOST", "LOST", "LOST", "LOST")
 	require.Contains(t, simulation.checker.violations[0], "host-1")
 }
+
+// Guards against a negative count that is taken for an answer, or that is reported with each question.
+func TestNegativeCountIsReportedOnce(t *testing.T) {
+	simulation, host, job := newAskedHost(t)
+	job.started = true
+	host.questions = http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		writer.WriteHeader(http.StatusOK)
+		_, _ = writer.Write([]byte(`{"count": -1}`))
+	})
+	simulation.checker.checkPendingCounts()
+	requireRules(t, simulation, "MIXED", "MIXED", "MIXED") // One for each queue.
+	simulation.checker.checkPendingCounts()
+	requireRules(t, simulation, "MIXED", "MIXED", "MIXED")
+}
+
+// Guards against an answer without a count that is taken for a count of zero.
+func TestAnswerWithoutCount(t *testing.T) {
+	simulation, host, _ := newAskedHost(t)
+	host.questions = http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		writer.WriteHeader(http.StatusOK)
+		_, _ = writer.Write([]byte(`{}`))
+	})
+	_, answered := host.askCount(queueBatch)
+	require.False(t, answered)
+	requireRules(t, simulation, "ENCODING")
+}
+
+// Guards against a host that reads a long journal at once, and in no time.
+func TestJournalIsReadInPages(t *testing.T) {
+	records := almondcross.NewStoreRecords(almondcross.StoreRecordsConfig{Records: [][]byte{make([]byte, readPage-1), make([]byte, 2), make([]byte, 3)}})
+	page, size := firstPage(records)
+	require.Len(t, page.Records(), 2)
+	require.Equal(t, readPage+1, size)
+	_, size = firstPage(almondcross.StoreRecords{})
+	require.Zero(t, size)
+	require.Equal(t, 100*time.Millisecond, (&modelHost{index: 2}).transferTime(100_000))
+}
--- a/standin/emulator/series.go
+++ b/standin/emulator/series.go
@@ -23,6 +23,10 @@
 	burstFactor = 14
 	// burstDivisor is what part of a fault's duration a burst lasts.
 	burstDivisor = 2
+	// takeoverBurstShare is the fraction of the kills of a series after which callers come back all at once.
+	takeoverBurstShare  = 0.25
+	takeoverBurstFactor = 4
+	takeoverBurstTime   = 2 * time.Second
 	// settleTime is how long after the end of a long fault accepted jobs have to end.
 	settleTime = 35 * time.Second
 )
@@ -39,6 +43,9 @@
 	}
 	host, downtime := simulation.scheduler(), randomDuration(simulation.random, maxKillDowntime)
 	simulation.restartHost(host, downtime)
+	if simulation.random.Float64() < takeoverBurstShare {
+		simulation.scheduleJobs(simulation.now, takeoverBurstTime, simulation.config.JobsPerSec*takeoverBurstFactor, "")
+	}
 	simulation.disturbances.disturbHost(host, simulation.now+downtime)
 	simulation.schedule(minKillInterval+randomDuration(simulation.random, killIntervalRange), func() { simulation.killSchedulers(until) })
 }
--- a/standin/emulator/storecalls.go
+++ b/standin/emulator/storecalls.go
@@ -78,8 +78,14 @@
 	simulation := modelhost.simulation
 	modelhost.storeCall(false, func() func() {
 		snapshot, found, err := simulation.codec.DecodeSnapshot(simulation.snapshotTable.latestRecords())
+		size := 0
+		for _, part := range simulation.snapshotTable.latestRecords() {
+			size += len(part.Value())
+		}
 		return func() {
-			modelhost.deliver(almondcross.NewSnapshotRead(almondcross.SnapshotReadConfig{Snapshot: snapshot, Found: found, Err: err}))
+			modelhost.schedule(modelhost.transferTime(size), func() {
+				modelhost.deliver(almondcross.NewSnapshotRead(almondcross.SnapshotReadConfig{Snapshot: snapshot, Found: found, Err: err}))
+			})
 		}
 	}, func(err error) {
 		modelhost.deliver(almondcross.NewSnapshotRead(almondcross.SnapshotReadConfig{Err: err}))
@@ -106,6 +112,28 @@
 	}, deliverResult)
 }
 
+// readPage is the size from which one read of the journal returns no further records.
+const readPage = 512 << 10
+
+// firstPage returns the records that one read of the journal returns, and their size.
+func firstPage(records almondcross.StoreRecords) (almondcross.StoreRecords, int) {
+	size := 0
+	for index, record := range records.Records() {
+		if size >= readPage {
+			return records.WithRecords(records.Records()[:index]), size
+		}
+		size += len(record)
+	}
+	return records, size
+}
+
+// transferTime returns how long a host takes to get and to decode records of a size. Hosts differ in their distance from the
+// store and in their processors; the weakest ones need some 0.4 s for 10 s of the journal.
+func (modelhost *modelHost) transferTime(size int) time.Duration {
+	bytesPerMilli := []int{4000, 2000, 1000}[modelhost.index%3]
+	return time.Duration(size) * time.Millisecond / time.Duration(bytesPerMilli)
+}
+
 func (modelhost *modelHost) readJournal(query almondcross.JournalQuery, until time.Duration) {
 	simulation := modelhost.simulation
 	onFailure := func(err error) {
@@ -113,6 +141,7 @@
 	}
 	modelhost.storeCall(false, func() func() {
 		records, err := simulation.store.Read(simulation.now, journalPartition, query.From())
+		records, size := firstPage(records)
 		return func() {
 			if err == nil && len(records.Records()) == 0 && simulation.now < until {
 				modelhost.schedule(pollInterval, func() { modelhost.readJournal(query, until) })
@@ -129,7 +158,7 @@
 				}
 				config.Batches = append(config.Batches, batch)
 			}
-			modelhost.deliver(almondcross.NewJournalRead(config))
+			modelhost.schedule(modelhost.transferTime(size), func() { modelhost.deliver(almondcross.NewJournalRead(config)) })
 		}
 	}, onFailure)
 }
