Count a pending job under the queue of its newest view

The count was changed only if the pending state changed, not the queue.

TestPendingCountFollowsTheQueueOfAView failed before with "Should be zero, but was 1".

--- a/query/jobfinder/jobfinder.go
+++ b/query/jobfinder/jobfinder.go
@@ -72,10 +72,13 @@
 	updated[view.ID()] = view
 	shard.Store(&updated)
 	wasPending, isPending := found && inPendingCount(previous), inPendingCount(view)
-	switch {
-	case wasPending && !isPending:
+	if wasPending && isPending && previous.Queue() == view.Queue() {
+		return
+	}
+	if wasPending {
 		current.addPending(previous.Queue(), -1)
-	case isPending && !wasPending:
+	}
+	if isPending {
 		current.addPending(view.Queue(), 1)
 	}
 }
--- a/query/jobfinder/jobfinder_test.go
+++ b/query/jobfinder/jobfinder_test.go
@@ -69,3 +69,22 @@
 	count, _ = table.Pending("q", start)
 	require.Zero(t, count)
 }
+
+// Guards against a queue that counts less than no pending job, and another one that counts a job for good: a job's view was
+// replaced by that of its identity on another queue, as a host notes it that has stored a submission there.
+func TestPendingCountFollowsTheQueueOfAView(t *testing.T) {
+	table := jobfinder.New()
+	table.Publish(newView("a", almondcross.JobQueued))
+	table.Publish(newView("a", almondcross.JobQueued).WithQueue("other"))
+	table.Refreshed(start, true)
+	count := func(queue string) int {
+		count, known := table.Pending(queue, start)
+		require.True(t, known)
+		return count
+	}
+	require.Zero(t, count("q"))
+	require.Equal(t, 1, count("other"))
+	table.Publish(newView("a", almondcross.JobRunning))
+	require.Zero(t, count("q"))
+	require.Zero(t, count("other"))
+}
