--- a/command/scheduler/constants.go
+++ b/command/scheduler/constants.go
@@ -75,6 +75,15 @@
 	// maxEarlierEpochs is the number of epochs whose snapshots a scheduler removes unseen. There are more only if as many
 	// schedulers follow each other without storing one.
 	maxEarlierEpochs = 8
+	// maxTrimmedReads is the number of loads of the state after which a gap between the newest snapshot and the journal counts
+	// as one: a snapshot may have been stored between the two reads of a load.
+	maxTrimmedReads = 3
+	// gapRetryDelay is the pause before a host that has met a gap loads the state again.
+	gapRetryDelay = time.Second
+	// stateLossTimeout is how long a host that has met a gap waits for any scheduler before it goes on without the deleted
+	// batches. A host that has the state and reaches the store is elected within 2 s of the loss of the scheduler, and
+	// restarts and outages of the store take less than half of this time.
+	stateLossTimeout = 30 * time.Second
 	// standbyLoadTime is how long a new standby gets views as well as batches. It reads the snapshot and the journal
 	// meanwhile, which takes under a second unless the store is slow.
 	standbyLoadTime = 8 * time.Second
--- a/command/scheduler/discovery.go
+++ b/command/scheduler/discovery.go
@@ -159,12 +159,14 @@
 
 // roleAssigned makes this host a standby or a viewer, as the scheduler has decided.
 func (machine *Machine) roleAssigned(assigned almondcross.RoleAssigned) {
+	machine.gap.schedulerHeardAt = machine.now
 	machine.config.Log.Record("assigned", almondcross.Text("standby", yesNo(assigned.Standby())))
 	switch {
 	case assigned.Standby() && (machine.role == roleDiscovering || machine.role == roleViewer):
 		machine.loadState(0)
 	case !assigned.Standby() && (machine.role == roleDiscovering || machine.role == roleFollower || machine.role == roleLoading):
 		machine.role = roleViewer
+		machine.gap.since = time.Time{}
 		machine.discovery.lastViewsAt, machine.discovery.viewsReceived = machine.now, false
 		machine.resetState()
 		machine.follower = follower{}
@@ -186,7 +188,7 @@
 	default:
 		return
 	}
-	machine.discovery.lastViewsAt = machine.now
+	machine.discovery.lastViewsAt, machine.gap.schedulerHeardAt = machine.now, machine.now
 	machine.config.Publisher.Refreshed(machine.now, pushed.Complete())
 }
 
--- a/command/scheduler/follower.go
+++ b/command/scheduler/follower.go
@@ -22,6 +22,7 @@
 	readFailing      bool      // readFailing is set if the last read failed.
 	loadStartedAt    time.Time // loadStartedAt is when the current load of the state began.
 	trimmedReads     int       // trimmedReads counts consecutive reads whose records had been deleted.
+	incomplete       bool      // incomplete is set if the state lacks batches that were deleted.
 	pushedEnd        int64     // pushedEnd is the highest end of the journal that the scheduler's pushes have shown.
 	published        bool      // published is set once the published views are those of the state.
 }
@@ -32,7 +33,7 @@
 		machine.follower.loadStartedAt = machine.now
 	}
 	machine.role = roleLoading
-	machine.readSnapshot(pause)
+	machine.readSnapshot(machine.gapPause(pause))
 }
 
 func (machine *Machine) snapshotRead(read almondcross.SnapshotRead) {
@@ -112,6 +113,9 @@
 		machine.follower.readFailing, machine.follower.lastBatchAt, machine.follower.electionAt = false, machine.now, time.Time{}
 	}
 	machine.applyBatches(read, machine.now, machine.reads.journalSentAt)
+	if machine.role != roleFollower {
+		return
+	}
 	pause := journalReadInterval
 	switch {
 	case !machine.follower.caughtUp:
@@ -191,8 +195,12 @@
 		// host should be elected first.
 		machine.follower.lastBatchAt, machine.follower.electionAt = machine.now.Add(-electionTimeout), machine.now
 	}
+	if machine.checkIncompleteState() {
+		return
+	}
 	machine.publishState(asOf)
 	if machine.follower.caughtUp {
+		machine.gap.since = time.Time{}
 		machine.announceScheduler()
 	}
 }
@@ -217,20 +225,6 @@
 	}
 }
 
-// journalTrimmed reloads the snapshot. If even the newest snapshot is older than the oldest record, the
-// machine skips the missing records and follows the journal from the oldest one.
-func (machine *Machine) journalTrimmed(read almondcross.JournalRead) {
-	machine.follower.trimmedReads++
-	machine.config.Log.Record("journal_trimmed", almondcross.Number("from", read.From()), almondcross.Number("first", read.Next()))
-	if machine.follower.trimmedReads < 3 {
-		machine.loadState(storeRetryDelay)
-		return
-	}
-	machine.config.Log.Record("journal_gap", almondcross.Number("from", read.From()), almondcross.Number("first", read.Next()))
-	machine.follower.nextOffset = read.Next()
-	machine.readJournal(0)
-}
-
 // announceScheduler emits an AnnounceScheduler effect when the scheduler has changed.
 func (machine *Machine) announceScheduler() {
 	host, address := machine.Leader()
--- a/command/scheduler/machine.go
+++ b/command/scheduler/machine.go
@@ -53,6 +53,7 @@
 	follower  follower
 	leader    *leader
 	reads     pendingReads
+	gap       gap
 
 	// triedEpoch is the highest epoch that this host has used in an election.
 	triedEpoch  int64
