Weigh crashes under a task against those of other workers

Callers saw: a long task was shown as failed because two of many crashing workers happened to run it.

Cause: a job failed at two crashes under a task that was alone on its worker, however many workers crashed that did not run it, and however long the run had been at work.

Change: the replicated state keeps the crashes of workers with runs in the last 30 s, the number of crashes under each task, and how soon after the starts they came. A job fails below five crashes only if its crashes are 2^18 times likelier under a task that crashes its workers than at the rate of the crashes that no start explains; after five crashes in any case, so that there are at most two starts after the third. The time at work of a run ends when contact with its worker is lost, not with the last answer before, and counts from the time of the batch. A record of a version before has its weighed count as its number of crashes, so that its task gets no more starts than before.

Before: TestCrashesAreWeighedAgainstThoseOfOtherWorkers "after seconds, others crash, small cell": expected 5, actual 2; "after half a second, others crash": expected 5, actual 2. Without lostAt, TestTimeAtWorkEndsWithTheContact: expected -4, actual 1.

--- a/command/scheduler/crash.go
+++ b/command/scheduler/crash.go
@@ -10,12 +10,12 @@
 	// minConfirmedCrashes is the number of workers that have to have crashed under started runs of a task for its job to
 	// fail.
 	minConfirmedCrashes = 2
-	// maxCrashes is the count of crashes under a task at which its job fails, given minConfirmedCrashes: two workers, if
-	// the task was alone with others of its job on one of them, three otherwise.
-	maxCrashes = 3
-	// maxMaybeCrashes is the count of crashes at which the job fails even if it is not known that the runs had started.
-	// A task that crashes its workers may be started twice more after the third crash.
-	maxMaybeCrashes = 5
+	// minCrashes is the weighed count of crashes under a task from which its job may fail, given minConfirmedCrashes and
+	// minEvidence: two workers, if the task was alone with others of its job on one of them, three otherwise.
+	minCrashes = 3
+	// maxLosses is the number of crashes under a task at which its job fails whatever they are evidence of. A task that
+	// crashes its workers may be started twice more after the third crash.
+	maxLosses = 5
 	// crashAttribution and serviceCrashAttribution are how long a run may have been on its worker for a crash to count
 	// against its task. A task that crashes its workers does so on each of them, so a run that worked for longer was a
 	// bystander. A service runs for as long as its workers do and would else be given up for crashes of theirs.
@@ -28,18 +28,22 @@
 	return kind == almondcross.EndWorkerCrashed || kind == almondcross.EndCrashedAlone || kind == almondcross.EndMaybeCrashed
 }
 
-// countCrash counts a crash of the worker under the last run of a task. The worker was heard from last at a time.
-func (stage *stage) countCrash(index int, kind almondcross.EndKind, lastContact time.Time) {
+// countCrash counts a crash of the worker under the last run of a task. Contact with the worker was lost at a time.
+func (state *state) countCrash(stage *stage, index int, kind almondcross.EndKind, lostAt time.Time) {
 	record := stage.tasks[index]
+	worked := lostAt.Sub(record.Since())
+	if kind != almondcross.EndMaybeCrashed {
+		state.addWorkerCrash(record.Worker(), lostAt, worked <= crashOnset)
+	}
 	switch {
-	case lastContact.Sub(record.Since()) > stage.crashAttribution():
-		record = record.WithCrashes(0).WithConfirmed(0)
+	case worked > stage.crashAttribution():
+		record = record.WithCrashes(0).WithConfirmed(0).WithLosses(0).WithEvidence(0)
 	case kind == almondcross.EndMaybeCrashed:
-		record = record.WithCrashes(record.Crashes() + 1)
+		record = record.WithCrashes(record.Crashes() + 1).WithLosses(record.Losses() + 1)
 	case kind == almondcross.EndCrashedAlone:
-		record = record.WithCrashes(record.Crashes() + 2).WithConfirmed(record.Confirmed() + 1)
+		record = confirmCrash(record.WithCrashes(record.Crashes()+2), worked)
 	default:
-		record = record.WithCrashes(record.Crashes() + 1).WithConfirmed(record.Confirmed() + 1)
+		record = confirmCrash(record.WithCrashes(record.Crashes()+1), worked)
 	}
 	stage.tasks[index] = record
 	stage.updateMaxCrashes()
@@ -53,12 +57,14 @@
 	return crashAttribution
 }
 
-// givenUp reports whether so many workers have crashed under a task that it is not started again. A service, whose users
-// need it, gets as many starts as the bound allows.
-func (stage *stage) givenUp(index int) bool {
+// givenUp reports whether so many workers have crashed under a task that it is not started again: so many that hardly
+// another cause than the task explains them, or as many as are allowed. A service, whose users need it, gets as many starts
+// as are allowed.
+func (state *state) givenUp(stage *stage, index int) bool {
 	record := stage.tasks[index]
-	enough := record.Crashes() >= maxCrashes && record.Confirmed() >= minConfirmedCrashes && !stage.spec.Service()
-	return !record.Done() && (enough || record.Crashes() >= maxMaybeCrashes)
+	enough := record.Crashes() >= minCrashes && record.Confirmed() >= minConfirmedCrashes && !stage.spec.Service() &&
+		record.Evidence()+record.Confirmed()*state.crashRarity(record.Losses()) >= minEvidence
+	return !record.Done() && (enough || record.Losses() >= maxLosses)
 }
 
 // updateMaxCrashes computes the highest count of crashes of a task anew.
@@ -102,20 +108,34 @@
 	return worker
 }
 
-// silentFor returns for how long the worker of a crashed run has not answered, at most since the election, so that the wait
-// for its lease does not count as a time in which the run was at work.
+// silentFor returns for how long contact with the worker of a crashed run has been lost, at most since the election, so that
+// the wait for its lease does not count as a time in which the run was at work.
 func (machine *Machine) silentFor(worker *worker, assignment *assignment, kind almondcross.EndKind) time.Duration {
 	if !isCrash(kind) {
 		return 0
 	}
-	lastContact := assignment.lastContactAt
-	if lastContact.IsZero() {
-		lastContact = worker.lastAnswerAt
+	lostAt := assignment.lostAt
+	if lostAt.IsZero() {
+		lostAt = worker.lostAt()
+	}
+	if lostAt.IsZero() {
+		lostAt = machine.leader.electedAt
+	}
+	// Followers count back from the time of the batch, which may have begun before the loss.
+	machine.beginBatch()
+	recordedAt := machine.now
+	if machine.state.batchTime.Before(recordedAt) {
+		recordedAt = machine.state.batchTime
 	}
-	if lastContact.IsZero() {
-		lastContact = machine.leader.electedAt
+	return recordedAt.Sub(lostAt).Truncate(time.Millisecond)
+}
+
+// lostAt returns when contact with the worker was lost or last held, zero for a worker without contact.
+func (worker *worker) lostAt() time.Time {
+	if worker.unreachableSince.After(worker.lastAnswerAt) {
+		return worker.unreachableSince
 	}
-	return machine.now.Sub(lastContact).Truncate(time.Millisecond)
+	return worker.lastAnswerAt
 }
 
 // lostRunEnd returns how the started runs of an unreachable worker ended whose lease has expired. A worker that is still
@@ -148,6 +168,8 @@
 	if !isCrash(kind) {
 		return
 	}
+	record := assignment.stage.tasks[assignment.task.Index]
 	machine.config.Log.Record("task_given_up", almondcross.Text("task", assignment.task.String()), almondcross.Number("run", assignment.run),
-		almondcross.Number("crashes", assignment.stage.tasks[assignment.task.Index].Crashes()))
+		almondcross.Number("crashes", record.Losses()), almondcross.Number("evidence", record.Evidence()),
+		almondcross.Number("rarity", machine.state.crashRarity(record.Losses())))
 }
--- a/command/scheduler/lease.go
+++ b/command/scheduler/lease.go
@@ -235,7 +235,7 @@
 			continue
 		}
 		if worker.incarnation != 0 || assignment.predates(incarnation) {
-			assignment.missingEnd, assignment.lastContactAt = assignment.crashEnd(crashEnd), worker.lastAnswerAt
+			assignment.missingEnd, assignment.lostAt = assignment.crashEnd(crashEnd), worker.lostAt()
 			restarted = true
 		}
 		if worker.incarnation != 0 {
@@ -261,7 +261,7 @@
 		assigned.progressAt = machine.now
 		machine.noteStart(assigned.job, assigned.task, assigned.run, machine.now)
 	}
-	assigned.missingEnd, assigned.lastContactAt = almondcross.EndVoid, time.Time{}
+	assigned.missingEnd, assigned.lostAt = almondcross.EndVoid, time.Time{}
 	if running.Checkpoint() != "" {
 		assigned.checkpoint = running.Checkpoint()
 	}
--- a/command/scheduler/snapshot.go
+++ b/command/scheduler/snapshot.go
@@ -24,7 +24,7 @@
 	}
 	return almondcross.NewStateSnapshot(almondcross.StateSnapshotConfig{
 		Next: next, Epoch: state.highestEpoch, SchedulerEpoch: state.schedulerEpoch, Resigned: state.resigned, At: state.batchTime, Host: state.schedulerHost, Address: state.schedulerAddress,
-		Intake: maps.Clone(state.intakeOffsets), Jobs: records, Usage: state.sortedUsage(), Silent: silent,
+		Intake: maps.Clone(state.intakeOffsets), Jobs: records, Usage: state.sortedUsage(), Silent: silent, Crashed: slices.Clone(state.crashes),
 	})
 }
 
@@ -57,6 +57,7 @@
 	if snapshot.Intake() != nil {
 		restored.intakeOffsets = maps.Clone(snapshot.Intake())
 	}
+	restored.crashes = slices.Clone(snapshot.Crashed())
 	for _, record := range snapshot.Jobs() {
 		restored.restoreJob(record)
 	}
@@ -91,6 +92,7 @@
 			}
 			if task.Active() {
 				stage.activeTasks++
+				state.busyWorkers[task.Worker()]++
 			}
 		}
 		stage.updateMaxCrashes()
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -66,6 +66,8 @@
 	unstoredUsage    map[almondcross.UsageKey]struct{} // unstoredUsage holds the periods whose usage is not stored yet.
 	changedJobs      map[almondcross.JobID]struct{}    // changedJobs holds the jobs whose view may have changed.
 	silentWorkers    map[string]silence                // silentWorkers holds the workers whose leases are not extended.
+	crashes          []almondcross.WorkerCrash         // crashes holds the crashes of workers in the last crashWindow.
+	busyWorkers      map[string]int                    // busyWorkers counts the active runs of each worker that has any.
 	// knownSilences holds the silences that this host knew when it loaded the state again. It is not replicated.
 	knownSilences map[string]silence
 
@@ -92,7 +94,7 @@
 	return &state{
 		intakeOffsets: map[int]int64{}, jobs: map[almondcross.JobID]*job{}, retention: retention,
 		changedJobs: map[almondcross.JobID]struct{}{}, silentWorkers: map[string]silence{}, usage: map[almondcross.UsageKey]almondcross.QueueUsage{},
-		unstoredUsage: map[almondcross.UsageKey]struct{}{},
+		unstoredUsage: map[almondcross.UsageKey]struct{}{}, busyWorkers: map[string]int{},
 	}
 }
 
@@ -241,10 +243,13 @@
 		return
 	}
 	record := stage.tasks[change.Task().Index]
-	if !record.Active() {
+	if record.Active() {
+		state.releaseWorker(record.Worker())
+	} else {
 		stage.activeTasks++
 		job.activeTasks++
 	}
+	state.busyWorkers[change.Worker()]++
 	stage.tasks[change.Task().Index] = record.WithActive(true).WithRun(change.Run()).WithWorker(change.Worker()).WithSince(state.batchTime)
 	stage.gangRun = max(stage.gangRun, change.Run())
 }
@@ -267,6 +272,8 @@
 		// The run was presumed lost, and its success was reported before the task was assigned again.
 		stage.activeTasks++
 		job.activeTasks++
+	} else {
+		defer state.releaseWorker(record.Worker()) // The worker counts as busy when its crash is weighed.
 	}
 	if change.End() != almondcross.EndVoid && change.End() != almondcross.EndMaybeCrashed {
 		// A worker reports ends only of runs that it had. The run started no earlier than it was assigned.
@@ -282,12 +289,12 @@
 	}
 	stage.endRun(index, record, change)
 	if isCrash(change.End()) {
-		stage.countCrash(index, change.End(), state.batchTime.Add(-change.Silent()))
+		state.countCrash(stage, index, change.End(), state.batchTime.Add(-change.Silent()))
 	}
 	if stage.spec.Gang() && !stage.spec.Service() {
 		stage.updateGang(change)
 	}
-	state.updateJobState(job, stage, index)
+	state.updateJobState(job, stage, index, isCrash(change.End()))
 	state.compactJob(job)
 }
 
@@ -323,7 +330,8 @@
 	}
 }
 
-func (state *state) updateJobState(job *job, stage *stage, index int) {
+// updateJobState finishes the job of a task whose run has ended if that was its last one. Only a crash gives a task up.
+func (state *state) updateJobState(job *job, stage *stage, index int, crashed bool) {
 	if job.state.Final() {
 		return
 	}
@@ -335,7 +343,7 @@
 		state.finishJob(job, almondcross.JobFailed)
 		return
 	}
-	if stage.givenUp(index) {
+	if crashed && state.givenUp(stage, index) {
 		state.finishJob(job, almondcross.JobFailed)
 		return
 	}
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -23,25 +23,25 @@
 
 // assignment is a run assigned to a worker. It uses resources of the worker until its end is recorded.
 type assignment struct {
-	task          almondcross.JobTask
-	run           int
-	resources     almondcross.Resources
-	job           *job
-	stage         *stage
-	phase         phase
-	fence         int64               // fence is the fencing token of the start order.
-	placedAt      time.Time           // placedAt is when the run was assigned to the worker.
-	startSentAt   time.Time           // startSentAt is when this scheduler sent the start order, zero if it did not.
-	confirmedAt   time.Time           // confirmedAt is when the worker confirmed the run.
-	stopReason    stopReason          // stopReason is why the run is no longer wanted, empty if it is.
-	nextStopAt    time.Time           // nextStopAt is when the stop order is repeated.
-	stopSentAt    time.Time           // stopSentAt is when the pending stop order was sent, zero for none.
-	checkpoint    string              // checkpoint is the last checkpoint that the worker reported.
-	progress      int                 // progress is the last reported progress in percent.
-	progressAt    time.Time           // progressAt is when the progress last changed.
-	suspicion     suspicion           // suspicion is that of the task when the run was assigned.
-	lastContactAt time.Time           // lastContactAt is when the incarnation of the worker that got the start order last answered, zero while it is the current one.
-	missingEnd    almondcross.EndKind // missingEnd is how the run has ended if its worker does not report it.
+	task        almondcross.JobTask
+	run         int
+	resources   almondcross.Resources
+	job         *job
+	stage       *stage
+	phase       phase
+	fence       int64               // fence is the fencing token of the start order.
+	placedAt    time.Time           // placedAt is when the run was assigned to the worker.
+	startSentAt time.Time           // startSentAt is when this scheduler sent the start order, zero if it did not.
+	confirmedAt time.Time           // confirmedAt is when the worker confirmed the run.
+	stopReason  stopReason          // stopReason is why the run is no longer wanted, empty if it is.
+	nextStopAt  time.Time           // nextStopAt is when the stop order is repeated.
+	stopSentAt  time.Time           // stopSentAt is when the pending stop order was sent, zero for none.
+	checkpoint  string              // checkpoint is the last checkpoint that the worker reported.
+	progress    int                 // progress is the last reported progress in percent.
+	progressAt  time.Time           // progressAt is when the progress last changed.
+	suspicion   suspicion           // suspicion is that of the task when the run was assigned.
+	lostAt      time.Time           // lostAt is when contact with the incarnation of the worker that got the start order was lost, zero while it is the current one.
+	missingEnd  almondcross.EndKind // missingEnd is how the run has ended if its worker does not report it.
 }
 
 // worker holds what the scheduler knows of one worker.
--- a/encoder/journal.go
+++ b/encoder/journal.go
@@ -114,9 +114,12 @@
 // version are read, and an earlier version reads all records but those of tasks with crashes.
 type wireTaskRecord struct {
 	taskRecordFields
-	Crashes, Confirmed int
+	crashFields
 }
 
+// crashFields are the fields of a task record that only a task with crashes has.
+type crashFields struct{ Crashes, Confirmed, Losses, Evidence int }
+
 // plainTaskRecord is the encoded form of a task record without crashes.
 type plainTaskRecord struct {
 	_ struct{} `cbor:",toarray"`
@@ -125,33 +128,52 @@
 
 // crashedTaskRecord is the encoded form of a task record with crashes.
 type crashedTaskRecord struct {
+	_ struct{} `cbor:",toarray"`
+	taskRecordFields
+	crashFields
+}
+
+// weighedTaskRecord is the encoded form of a task record with crashes of a version that did not count losses.
+type weighedTaskRecord struct {
 	_ struct{} `cbor:",toarray"`
 	taskRecordFields
 	Crashes, Confirmed int
 }
 
-// plainTaskRecordHeader is the first byte of an encoded plainTaskRecord, the CBOR header of an array of its seven fields.
-const plainTaskRecordHeader = 0x87
+// The first bytes of the encoded forms of an earlier version: the CBOR headers of arrays of seven and nine fields.
+const (
+	plainTaskRecordHeader   = 0x87
+	weighedTaskRecordHeader = 0x89
+)
 
 // MarshalCBOR returns the encoded form of the record.
 func (wiretaskrecord wireTaskRecord) MarshalCBOR() ([]byte, error) {
-	if wiretaskrecord.Crashes == 0 {
+	if wiretaskrecord.Losses == 0 {
 		return cbor.Marshal(plainTaskRecord{taskRecordFields: wiretaskrecord.taskRecordFields})
 	}
-	return cbor.Marshal(crashedTaskRecord{taskRecordFields: wiretaskrecord.taskRecordFields, Crashes: wiretaskrecord.Crashes, Confirmed: wiretaskrecord.Confirmed})
+	return cbor.Marshal(crashedTaskRecord{taskRecordFields: wiretaskrecord.taskRecordFields, crashFields: wiretaskrecord.crashFields})
 }
 
-// UnmarshalCBOR sets the record from its encoded form.
+// UnmarshalCBOR sets the record from its encoded form. A record without losses has at most as many as its weighed count of
+// crashes, which counts some of them twice: the task gets no more starts than it would have without the upgrade.
 func (wiretaskrecord *wireTaskRecord) UnmarshalCBOR(data []byte) error {
-	if len(data) > 0 && data[0] == plainTaskRecordHeader {
+	switch {
+	case len(data) > 0 && data[0] == plainTaskRecordHeader:
 		var plain plainTaskRecord
 		err := cbor.Unmarshal(data, &plain)
 		*wiretaskrecord = wireTaskRecord{taskRecordFields: plain.taskRecordFields}
 		return err
+	case len(data) > 0 && data[0] == weighedTaskRecordHeader:
+		var weighed weighedTaskRecord
+		err := cbor.Unmarshal(data, &weighed)
+		*wiretaskrecord = wireTaskRecord{taskRecordFields: weighed.taskRecordFields, crashFields: crashFields{
+			Crashes: weighed.Crashes, Confirmed: weighed.Confirmed, Losses: weighed.Crashes,
+		}}
+		return err
 	}
 	var crashed crashedTaskRecord
 	err := cbor.Unmarshal(data, &crashed)
-	*wiretaskrecord = wireTaskRecord{taskRecordFields: crashed.taskRecordFields, Crashes: crashed.Crashes, Confirmed: crashed.Confirmed}
+	*wiretaskrecord = wireTaskRecord{taskRecordFields: crashed.taskRecordFields, crashFields: crashed.crashFields}
 	return err
 }
 
--- a/encoder/snapshot.go
+++ b/encoder/snapshot.go
@@ -11,9 +11,9 @@
 	"github.com/almondcross/almondcross"
 )
 
-// wireSnapshotPart is one part of a snapshot. Only the first part has the fields after Parts other than Jobs.
-type wireSnapshotPart struct {
-	_             struct{} `cbor:",toarray"`
+// snapshotPartFields are the fields of a part of a snapshot that every version of the format has. Only the first part has the
+// fields after Parts other than Jobs.
+type snapshotPartFields struct {
 	JournalOffset int64
 	Part, Parts   int
 	Epoch, AtMS   int64
@@ -27,6 +27,60 @@
 	Resigned       bool
 }
 
+// wireSnapshotPart is one part of a snapshot. The crashes are encoded only if there are any, so that parts of an earlier
+// version are read, and an earlier version reads all parts but those with crashes.
+type wireSnapshotPart struct {
+	snapshotPartFields
+	Crashed []wireWorkerCrash
+}
+
+// plainSnapshotPart is the encoded form of a part without crashes.
+type plainSnapshotPart struct {
+	_ struct{} `cbor:",toarray"`
+	snapshotPartFields
+}
+
+// crashedSnapshotPart is the encoded form of a first part with crashes.
+type crashedSnapshotPart struct {
+	_ struct{} `cbor:",toarray"`
+	snapshotPartFields
+	Crashed []wireWorkerCrash
+}
+
+// plainSnapshotPartHeader is the first byte of an encoded plainSnapshotPart, the CBOR header of an array of its 13 fields.
+const plainSnapshotPartHeader = 0x8d
+
+// encodePart returns the encoded form of a part.
+func (codec Codec) encodePart(part wireSnapshotPart) ([]byte, error) {
+	var encoded []byte
+	var err error
+	if len(part.Crashed) == 0 {
+		encoded, err = codec.encoding.Marshal(plainSnapshotPart{snapshotPartFields: part.snapshotPartFields})
+	} else {
+		encoded, err = codec.encoding.Marshal(crashedSnapshotPart{snapshotPartFields: part.snapshotPartFields, Crashed: part.Crashed})
+	}
+	return encoded, errors.Annotate(err, "encoding a snapshot")
+}
+
+// decodePart returns a part from its encoded form.
+func (codec Codec) decodePart(data []byte) (wireSnapshotPart, error) {
+	if len(data) > 0 && data[0] == plainSnapshotPartHeader {
+		var plain plainSnapshotPart
+		err := codec.decodingJobs.Unmarshal(data, &plain)
+		return wireSnapshotPart{snapshotPartFields: plain.snapshotPartFields}, errors.Trace(err)
+	}
+	var crashed crashedSnapshotPart
+	err := codec.decodingJobs.Unmarshal(data, &crashed)
+	return wireSnapshotPart{snapshotPartFields: crashed.snapshotPartFields, Crashed: crashed.Crashed}, errors.Trace(err)
+}
+
+type wireWorkerCrash struct {
+	_          struct{} `cbor:",toarray"`
+	Worker     string
+	AtMS       int64
+	Attributed bool
+}
+
 type wireSilentWorker struct {
 	_            struct{} `cbor:",toarray"`
 	Worker       string
@@ -58,7 +112,7 @@
 		if err != nil {
 			return nil, errors.Annotate(err, "encoding a job of a snapshot")
 		}
-		next := wireSnapshotPart{JournalOffset: snapshot.Next(), Part: len(parts)}
+		next := wireSnapshotPart{snapshotPartFields: snapshotPartFields{JournalOffset: snapshot.Next(), Part: len(parts)}}
 		room, err := codec.remainingBytes(next, size)
 		if err != nil {
 			return nil, err
@@ -80,8 +134,8 @@
 	values := make([][]byte, len(parts))
 	for index, part := range parts {
 		part.Parts = len(parts)
-		if values[index], err = codec.encoding.Marshal(part); err != nil {
-			return nil, errors.Annotate(err, "encoding a snapshot")
+		if values[index], err = codec.encodePart(part); err != nil {
+			return nil, err
 		}
 	}
 	return values, nil
@@ -89,9 +143,9 @@
 
 // remainingBytes returns how many bytes of jobs fit in a part that has none yet.
 func (codec Codec) remainingBytes(part wireSnapshotPart, size int) (int, error) {
-	empty, err := codec.encoding.Marshal(part)
+	empty, err := codec.encodePart(part)
 	if err != nil {
-		return 0, errors.Annotate(err, "encoding a snapshot")
+		return 0, err
 	}
 	// The number of parts and the number of jobs take more bytes once they are known.
 	return size - len(empty) - 2*maxHeaderBytes, nil
@@ -114,9 +168,12 @@
 }
 
 func firstSnapshotPart(snapshot almondcross.StateSnapshot) wireSnapshotPart {
-	part := wireSnapshotPart{
+	part := wireSnapshotPart{snapshotPartFields: snapshotPartFields{
 		JournalOffset: snapshot.Next(), Epoch: snapshot.Epoch(), AtMS: toUnixMillis(snapshot.At()), Intake: snapshot.Intake(),
 		Host: snapshot.Host(), Address: snapshot.Address(), SchedulerEpoch: snapshot.SchedulerEpoch(), Resigned: snapshot.Resigned(),
+	}}
+	for _, crash := range snapshot.Crashed() {
+		part.Crashed = append(part.Crashed, wireWorkerCrash{Worker: crash.Worker(), AtMS: toUnixMillis(crash.At()), Attributed: crash.Attributed()})
 	}
 	for _, usage := range snapshot.Usage() {
 		part.Usage = append(part.Usage, toUsage(usage))
@@ -140,8 +197,8 @@
 		if len(record.Value()) == 0 {
 			continue
 		}
-		var part wireSnapshotPart
-		if err := codec.decodingJobs.Unmarshal(record.Value(), &part); err != nil {
+		part, err := codec.decodePart(record.Value())
+		if err != nil {
 			malformed = errors.Annotatef(ErrMalformed, "snapshot %s: %v", record.Key(), err)
 			continue
 		}
@@ -233,9 +290,15 @@
 			LeaseRemaining: time.Duration(silent.RemainingMS) * time.Millisecond,
 		}))
 	}
+	var crashed []almondcross.WorkerCrash
+	for _, crash := range firstPart.Crashed {
+		crashed = append(crashed, almondcross.NewWorkerCrash(almondcross.WorkerCrashConfig{
+			Worker: crash.Worker, At: fromUnixMillis(crash.AtMS), Attributed: crash.Attributed,
+		}))
+	}
 	return almondcross.NewStateSnapshot(almondcross.StateSnapshotConfig{
 		Next: firstPart.JournalOffset, Epoch: firstPart.Epoch, SchedulerEpoch: firstPart.SchedulerEpoch, Resigned: firstPart.Resigned, At: fromUnixMillis(firstPart.AtMS), Host: firstPart.Host, Address: firstPart.Address,
-		Intake: firstPart.Intake, Jobs: jobs, Usage: usage, Silent: silentWorkers,
+		Intake: firstPart.Intake, Jobs: jobs, Usage: usage, Silent: silentWorkers, Crashed: crashed,
 	})
 }
 
@@ -245,10 +308,13 @@
 		tasks := make([]wireTaskRecord, len(stage.Tasks()))
 		for taskIndex, task := range stage.Tasks() {
 			config := task.Config()
-			tasks[taskIndex] = wireTaskRecord{Crashes: config.Crashes, Confirmed: config.Confirmed, taskRecordFields: taskRecordFields{
-				Done: config.Done, Active: config.Active, Run: config.Run, Failures: config.Failures,
-				Worker: config.Worker, Checkpoint: config.Checkpoint, SinceMS: toUnixMillis(config.Since),
-			}}
+			tasks[taskIndex] = wireTaskRecord{
+				taskRecordFields: taskRecordFields{
+					Done: config.Done, Active: config.Active, Run: config.Run, Failures: config.Failures,
+					Worker: config.Worker, Checkpoint: config.Checkpoint, SinceMS: toUnixMillis(config.Since),
+				},
+				crashFields: crashFields{Crashes: config.Crashes, Confirmed: config.Confirmed, Losses: config.Losses, Evidence: config.Evidence},
+			}
 		}
 		stages[index] = wireStageRecord{
 			Occurrence: stage.Occurrence(), Step: stage.Step(), Run: stage.Run(), Failures: stage.Failures(),
@@ -276,6 +342,7 @@
 		for taskIndex, task := range stage.Tasks {
 			tasks[taskIndex] = almondcross.NewTaskRecord(almondcross.TaskRecordConfig{
 				Done: task.Done, Active: task.Active, Run: task.Run, Failures: task.Failures, Crashes: task.Crashes, Confirmed: task.Confirmed,
+				Losses: task.Losses, Evidence: task.Evidence,
 				Worker: task.Worker, Checkpoint: task.Checkpoint, Since: fromUnixMillis(task.SinceMS),
 			})
 		}
--- a/job_generated.go
+++ b/job_generated.go
@@ -2118,6 +2118,8 @@
 	Failures   int
 	Crashes    int
 	Confirmed  int
+	Losses     int
+	Evidence   int
 	Worker     string
 	Checkpoint string
 	Since      time.Time
@@ -2132,6 +2134,8 @@
 		failures:   config.Failures,
 		crashes:    config.Crashes,
 		confirmed:  config.Confirmed,
+		losses:     config.Losses,
+		evidence:   config.Evidence,
 		worker:     config.Worker,
 		checkpoint: config.Checkpoint,
 		since:      config.Since,
@@ -2147,6 +2151,8 @@
 		Failures:   taskrecord.failures,
 		Crashes:    taskrecord.crashes,
 		Confirmed:  taskrecord.confirmed,
+		Losses:     taskrecord.losses,
+		Evidence:   taskrecord.evidence,
 		Worker:     taskrecord.worker,
 		Checkpoint: taskrecord.checkpoint,
 		Since:      taskrecord.since,
@@ -2207,6 +2213,24 @@
 	return taskrecord
 }
 
+// Losses returns the number of crashes of workers under a run of the task, each counted once.
+func (taskrecord TaskRecord) Losses() int { return taskrecord.losses }
+
+// WithLosses returns a copy with the given losses.
+func (taskrecord TaskRecord) WithLosses(losses int) TaskRecord {
+	taskrecord.losses = losses
+	return taskrecord
+}
+
+// Evidence returns the sum over the confirmed crashes of how soon after the start they came, in bits.
+func (taskrecord TaskRecord) Evidence() int { return taskrecord.evidence }
+
+// WithEvidence returns a copy with the given evidence.
+func (taskrecord TaskRecord) WithEvidence(evidence int) TaskRecord {
+	taskrecord.evidence = evidence
+	return taskrecord
+}
+
 // Worker returns the worker of the last run.
 func (taskrecord TaskRecord) Worker() string { return taskrecord.worker }
 
@@ -2682,6 +2706,58 @@
 	return silentworker
 }
 
+// WorkerCrashConfig holds the fields of a new WorkerCrash.
+type WorkerCrashConfig struct {
+	Worker     string
+	At         time.Time
+	Attributed bool
+}
+
+// NewWorkerCrash returns a WorkerCrash with the given fields.
+func NewWorkerCrash(config WorkerCrashConfig) WorkerCrash {
+	return WorkerCrash{
+		worker:     config.Worker,
+		at:         config.At,
+		attributed: config.Attributed,
+	}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (workercrash WorkerCrash) Config() WorkerCrashConfig {
+	return WorkerCrashConfig{
+		Worker:     workercrash.worker,
+		At:         workercrash.at,
+		Attributed: workercrash.attributed,
+	}
+}
+
+// Worker returns the identity of the worker.
+func (workercrash WorkerCrash) Worker() string { return workercrash.worker }
+
+// WithWorker returns a copy with the given worker.
+func (workercrash WorkerCrash) WithWorker(worker string) WorkerCrash {
+	workercrash.worker = worker
+	return workercrash
+}
+
+// At returns the time at which the scheduler lost contact.
+func (workercrash WorkerCrash) At() time.Time { return workercrash.at }
+
+// WithAt returns a copy with the given at.
+func (workercrash WorkerCrash) WithAt(at time.Time) WorkerCrash {
+	workercrash.at = at
+	return workercrash
+}
+
+// Attributed returns whether a run had been assigned to the worker shortly before, which may have crashed it.
+func (workercrash WorkerCrash) Attributed() bool { return workercrash.attributed }
+
+// WithAttributed returns a copy with the given attributed.
+func (workercrash WorkerCrash) WithAttributed(attributed bool) WorkerCrash {
+	workercrash.attributed = attributed
+	return workercrash
+}
+
 // StateSnapshotConfig holds the fields of a new StateSnapshot.
 type StateSnapshotConfig struct {
 	Next           int64
@@ -2695,6 +2771,7 @@
 	Jobs           []JobRecord
 	Usage          []QueueUsage
 	Silent         []SilentWorker
+	Crashed        []WorkerCrash
 }
 
 // NewStateSnapshot returns a StateSnapshot with the given fields.
@@ -2711,6 +2788,7 @@
 		jobs:           config.Jobs,
 		usage:          config.Usage,
 		silent:         config.Silent,
+		crashed:        config.Crashed,
 	}
 }
 
@@ -2728,6 +2806,7 @@
 		Jobs:           statesnapshot.jobs,
 		Usage:          statesnapshot.usage,
 		Silent:         statesnapshot.silent,
+		Crashed:        statesnapshot.crashed,
 	}
 }
 
@@ -2829,3 +2908,12 @@
 	statesnapshot.silent = silent
 	return statesnapshot
 }
+
+// Crashed returns the recent crashes of workers.
+func (statesnapshot StateSnapshot) Crashed() []WorkerCrash { return statesnapshot.crashed }
+
+// WithCrashed returns a copy with the given crashed.
+func (statesnapshot StateSnapshot) WithCrashed(crashed []WorkerCrash) StateSnapshot {
+	statesnapshot.crashed = crashed
+	return statesnapshot
+}
--- a/journal.go
+++ b/journal.go
@@ -195,6 +195,8 @@
 	failures   int       // the number of failed runs
 	crashes    int       // the crashes of workers under a run of the task; a crash counts twice with only runs of its job on the worker
 	confirmed  int       // the number of crashes under a run that was known to have started
+	losses     int       // the number of crashes of workers under a run of the task, each counted once
+	evidence   int       // the sum over the confirmed crashes of how soon after the start they came, in bits
 	worker     string    // the worker of the last run
 	checkpoint string    // the last recorded checkpoint, empty for none
 	since      time.Time // the time at which the last run was assigned to its worker
@@ -267,6 +269,15 @@
 	leaseRemaining time.Duration // the time from the snapshot to the end of the worker's lease; a restored snapshot counts it from the restore, which is later and thus safe
 }
 
+// WorkerCrash is the crash of a worker with runs.
+//
+//value:generate
+type WorkerCrash struct {
+	worker     string    // the identity of the worker
+	at         time.Time // the time at which the scheduler lost contact
+	attributed bool      // whether a run had been assigned to the worker shortly before, which may have crashed it
+}
+
 // StateSnapshot is the replicated state after a batch.
 //
 //value:generate
@@ -282,6 +293,7 @@
 	jobs           []JobRecord    // the jobs
 	usage          []QueueUsage   // the usage of the current periods
 	silent         []SilentWorker // the silent workers
+	crashed        []WorkerCrash  // the recent crashes of workers
 }
 
 // JournalCodec converts between the replicated values and the records of the store.
