Bound the starts of a task that crashes its workers late

Cause: a crash after more than a minute of work reset the count of crashes, since it is no evidence against the task. For a service that is right; a batch task must not be started three times more after the third crash, whatever the crashes are evidence of.

Change: such a crash still ends the suspicion of a batch task, and counts towards the five crashes at which its job fails.

Before: TestCrashesAreWeighedAgainstThoseOfOtherWorkers "after more than a minute": expected "failed", actual "running" after 20 crashes.

Result: the job fails at the fifth crash.

--- a/command/scheduler/crash.go
+++ b/command/scheduler/crash.go
@@ -16,9 +16,10 @@
 	// maxLosses is the number of crashes under a task at which its job fails whatever they are evidence of. A task that
 	// crashes its workers may be started twice more after the third crash.
 	maxLosses = 5
-	// crashAttribution and serviceCrashAttribution are how long a run may have been on its worker for a crash to count
-	// against its task. A task that crashes its workers does so on each of them, so a run that worked for longer was a
-	// bystander. A service runs for as long as its workers do and would else be given up for crashes of theirs.
+	// crashAttribution and serviceCrashAttribution are how long a run may have been on its worker for a crash to be
+	// evidence against its task. A task that crashes its workers does so on each of them, so a run that worked for longer
+	// was a bystander, though its crash still counts towards maxLosses. A service runs for as long as its workers do and
+	// would else be given up for crashes of theirs.
 	crashAttribution        = time.Minute
 	serviceCrashAttribution = 10 * time.Second
 )
@@ -37,7 +38,10 @@
 	}
 	switch {
 	case worked > stage.crashAttribution():
-		record = record.WithCrashes(0).WithConfirmed(0).WithLosses(0).WithEvidence(0)
+		record = record.WithCrashes(0).WithConfirmed(0).WithEvidence(0).WithLosses(record.Losses() + 1)
+		if stage.spec.Service() {
+			record = record.WithLosses(0) // A service outlives many workers.
+		}
 	case kind == almondcross.EndMaybeCrashed:
 		record = record.WithCrashes(record.Crashes() + 1).WithLosses(record.Losses() + 1)
 	case kind == almondcross.EndCrashedAlone:
--- a/command/scheduler/evidence_test.go
+++ b/command/scheduler/evidence_test.go
@@ -89,6 +89,7 @@
 		"after seconds, others crash":             {48, 6, 8 * time.Second, maxLosses},
 		"after seconds, others crash, small cell": {8, 1, 8 * time.Second, maxLosses},
 		"after half a second, others crash":       {48, 6, 500 * time.Millisecond, maxLosses},
+		"after more than a minute":                {48, 0, crashAttribution + time.Second, maxLosses},
 	} {
 		for _, reloads := range []bool{false, true} {
 			cell := newCrashCell(t, test.workers)
