--- a/encoder/number_test.go
+++ b/encoder/number_test.go
@@ -56,11 +56,11 @@
 		job, err := codec.encoding.Marshal(wireJobRecord{
 			Job: wireJob{ID: "j", Steps: []wireStep{{Count: 1}}}, StartedOccurrences: 1,
 			Stages: []wireStageRecord{{Run: int(number("gang run")), Tasks: []wireTaskRecord{{
-				taskRecordFields: taskRecordFields{Run: int(number("run")), Failures: int(number("failures"))}, Crashes: int(number("crashes")),
+				taskRecordFields: taskRecordFields{Run: int(number("run")), Failures: int(number("failures"))}, crashFields: crashFields{Crashes: int(number("crashes")), Losses: int(number("losses")), Evidence: int(number("evidence"))},
 			}}}},
 		})
 		require.NoError(t, err)
-		part, err := codec.encodeSnapshotPart(wireSnapshotPart{snapshotPartFields: snapshotPartFields{
+		part, err := codec.encodePart(wireSnapshotPart{snapshotPartFields: snapshotPartFields{
 			JournalOffset: number("next"), Parts: 1, Epoch: number("epoch"), SchedulerEpoch: number("scheduler's epoch"), Intake: map[int]int64{0: number("offset")},
 			Silent: []wireSilentWorker{{Worker: "w", RemainingMS: number("remaining")}},
 		}})
@@ -77,16 +77,16 @@
 		requireDurations(t, snapshot.Silent()[0].LeaseRemaining())
 		stage := snapshot.Jobs()[0].Stages()[0]
 		task := stage.Tasks()[0]
-		requireCounts(t, int64(stage.Run()), int64(task.Run()), int64(task.Failures()), int64(task.Crashes()))
+		requireCounts(t, int64(stage.Run()), int64(task.Run()), int64(task.Failures()), int64(task.Crashes()), int64(task.Losses()), int64(task.Evidence()))
 	})
 }
 
 // appendJob returns an encoded part of a snapshot with a job.
 func appendJob(t *rapid.T, codec Codec, part, job []byte) []byte {
-	wire, err := codec.decodeSnapshotPart(part)
+	wire, err := codec.decodePart(part)
 	require.NoError(t, err)
 	wire.Jobs = append(wire.Jobs, job)
-	encoded, err := codec.encodeSnapshotPart(wire)
+	encoded, err := codec.encodePart(wire)
 	require.NoError(t, err)
 	return encoded
 }
--- a/job_generated.go
+++ b/job_generated.go
@@ -2194,6 +2194,8 @@
 	Failures   int
 	Crashes    int
 	Confirmed  int
+	Losses     int
+	Evidence   int
 	Worker     string
 	Checkpoint string
 	Since      time.Time
@@ -2208,6 +2210,8 @@
 		failures:   config.Failures,
 		crashes:    config.Crashes,
 		confirmed:  config.Confirmed,
+		losses:     config.Losses,
+		evidence:   config.Evidence,
 		worker:     config.Worker,
 		checkpoint: config.Checkpoint,
 		since:      config.Since,
@@ -2223,6 +2227,8 @@
 		Failures:   taskrecord.failures,
 		Crashes:    taskrecord.crashes,
 		Confirmed:  taskrecord.confirmed,
+		Losses:     taskrecord.losses,
+		Evidence:   taskrecord.evidence,
 		Worker:     taskrecord.worker,
 		Checkpoint: taskrecord.checkpoint,
 		Since:      taskrecord.since,
@@ -2283,6 +2289,24 @@
 	return taskrecord
 }
 
+// Losses returns the number of crashes of workers under a run of the task, each counted once.
+func (taskrecord TaskRecord) Losses() int { return taskrecord.losses }
+
+// WithLosses returns a copy with the given losses.
+func (taskrecord TaskRecord) WithLosses(losses int) TaskRecord {
+	taskrecord.losses = losses
+	return taskrecord
+}
+
+// Evidence returns the sum over the confirmed crashes of how soon after the start they came, in bits.
+func (taskrecord TaskRecord) Evidence() int { return taskrecord.evidence }
+
+// WithEvidence returns a copy with the given evidence.
+func (taskrecord TaskRecord) WithEvidence(evidence int) TaskRecord {
+	taskrecord.evidence = evidence
+	return taskrecord
+}
+
 // Worker returns the worker of the last run.
 func (taskrecord TaskRecord) Worker() string { return taskrecord.worker }
 
@@ -2822,6 +2846,58 @@
 	return unlistedworker
 }
 
+// WorkerCrashConfig holds the fields of a new WorkerCrash.
+type WorkerCrashConfig struct {
+	Worker     string
+	At         time.Time
+	Attributed bool
+}
+
+// NewWorkerCrash returns a WorkerCrash with the given fields.
+func NewWorkerCrash(config WorkerCrashConfig) WorkerCrash {
+	return WorkerCrash{
+		worker:     config.Worker,
+		at:         config.At,
+		attributed: config.Attributed,
+	}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (workercrash WorkerCrash) Config() WorkerCrashConfig {
+	return WorkerCrashConfig{
+		Worker:     workercrash.worker,
+		At:         workercrash.at,
+		Attributed: workercrash.attributed,
+	}
+}
+
+// Worker returns the identity of the worker.
+func (workercrash WorkerCrash) Worker() string { return workercrash.worker }
+
+// WithWorker returns a copy with the given worker.
+func (workercrash WorkerCrash) WithWorker(worker string) WorkerCrash {
+	workercrash.worker = worker
+	return workercrash
+}
+
+// At returns the time at which the scheduler lost contact.
+func (workercrash WorkerCrash) At() time.Time { return workercrash.at }
+
+// WithAt returns a copy with the given at.
+func (workercrash WorkerCrash) WithAt(at time.Time) WorkerCrash {
+	workercrash.at = at
+	return workercrash
+}
+
+// Attributed returns whether a run had been assigned to the worker shortly before, which may have crashed it.
+func (workercrash WorkerCrash) Attributed() bool { return workercrash.attributed }
+
+// WithAttributed returns a copy with the given attributed.
+func (workercrash WorkerCrash) WithAttributed(attributed bool) WorkerCrash {
+	workercrash.attributed = attributed
+	return workercrash
+}
+
 // StateSnapshotConfig holds the fields of a new StateSnapshot.
 type StateSnapshotConfig struct {
 	Next           int64
@@ -2836,6 +2912,7 @@
 	Usage          []QueueUsage
 	Silent         []SilentWorker
 	Unlisted       []UnlistedWorker
+	Crashed        []WorkerCrash
 }
 
 // NewStateSnapshot returns a StateSnapshot with the given fields.
@@ -2853,6 +2930,7 @@
 		usage:          config.Usage,
 		silent:         config.Silent,
 		unlisted:       config.Unlisted,
+		crashed:        config.Crashed,
 	}
 }
 
@@ -2871,6 +2949,7 @@
 		Usage:          statesnapshot.usage,
 		Silent:         statesnapshot.silent,
 		Unlisted:       statesnapshot.unlisted,
+		Crashed:        statesnapshot.crashed,
 	}
 }
 
@@ -2981,3 +3060,12 @@
 	statesnapshot.unlisted = unlisted
 	return statesnapshot
 }
+
+// Crashed returns the recent crashes of workers.
+func (statesnapshot StateSnapshot) Crashed() []WorkerCrash { return statesnapshot.crashed }
+
+// WithCrashed returns a copy with the given crashed.
+func (statesnapshot StateSnapshot) WithCrashed(crashed []WorkerCrash) StateSnapshot {
+	statesnapshot.crashed = crashed
+	return statesnapshot
+}
--- a/journal.go
+++ b/journal.go
@@ -204,6 +204,8 @@
 	failures   int       // the number of failed runs
 	crashes    int       // the crashes of workers under a run of the task; a crash counts twice with only runs of its job on the worker
 	confirmed  int       // the number of crashes under a run that was known to have started
+	losses     int       // the number of crashes of workers under a run of the task, each counted once
+	evidence   int       // the sum over the confirmed crashes of how soon after the start they came, in bits
 	worker     string    // the worker of the last run
 	checkpoint string    // the last recorded checkpoint, empty for none
 	since      time.Time // the time at which the last run was assigned to its worker
@@ -290,6 +292,15 @@
 	leaving bool   // whether it had announced that it leaves
 }
 
+// WorkerCrash is the crash of a worker with runs.
+//
+//value:generate
+type WorkerCrash struct {
+	worker     string    // the identity of the worker
+	at         time.Time // the time at which the scheduler lost contact
+	attributed bool      // whether a run had been assigned to the worker shortly before, which may have crashed it
+}
+
 // StateSnapshot is the replicated state after a batch.
 //
 //value:generate
@@ -306,6 +317,7 @@
 	usage          []QueueUsage     // the usage of the current periods
 	silent         []SilentWorker   // the silent workers
 	unlisted       []UnlistedWorker // the workers with runs that are no longer announced
+	crashed        []WorkerCrash    // the recent crashes of workers
 }
 
 // JournalCodec converts between the replicated values and the records of the store.
--- a/standin/emulator/questions_test.go
+++ b/standin/emulator/questions_test.go
@@ -40,9 +40,9 @@
 		"accepted lately": {change: func(simulation *Simulation, _ *modelHost, job *modelJob) {
 			job.acceptedAt = simulation.now - pendingAge
 		}},
-		"started":     {change: func(_ *Simulation, _ *modelHost, job *modelJob) { job.started = true }},
-		"cancelled":   {change: func(simulation *Simulation, _ *modelHost, job *modelJob) { job.cancelSentAt = simulation.now }},
-		"other queue": {change: func(_ *Simulation, _ *modelHost, job *modelJob) { job.otherQueue = queueUrgent }},
+		"started":         {change: func(_ *Simulation, _ *modelHost, job *modelJob) { job.started = true }},
+		"cancelled":       {change: func(simulation *Simulation, _ *modelHost, job *modelJob) { job.cancelSentAt = simulation.now }},
+		"other queue":     {change: func(_ *Simulation, _ *modelHost, job *modelJob) { job.otherQueue = queueUrgent }},
 		"in touch, stale": {change: func(*Simulation, *modelHost, *modelJob) {}, stale: true, unavailable: 3},
 		"disturbed, views reset": {change: func(simulation *Simulation, host *modelHost, _ *modelJob) {
 			simulation.disturbances.disturbHost(host, simulation.now)
