--- a/encoder/taskrecord_test.go
+++ b/encoder/taskrecord_test.go
@@ -40,7 +40,7 @@
 	codec, err := NewCodec()
 	require.NoError(t, err)
 	crash := almondcross.NewWorkerCrash(almondcross.WorkerCrashConfig{Worker: "w", At: time.UnixMilli(1767225600000), Attributed: true})
-	for header, crashed := range map[byte][]almondcross.WorkerCrash{plainSnapshotPartHeader: nil, plainSnapshotPartHeader + 1: {crash}} {
+	for header, crashed := range map[byte][]almondcross.WorkerCrash{plainSnapshotPartHeader: nil, plainSnapshotPartHeader + 2: {crash}} {
 		snapshot := almondcross.NewStateSnapshot(almondcross.StateSnapshotConfig{Next: 7, Epoch: 1 << 12, SchedulerEpoch: 1 << 12, Crashed: crashed})
 		parts, err := codec.EncodeSnapshot(snapshot, 1<<10)
 		require.NoError(t, err)
--- a/standin/emulator/checker_test.go
+++ b/standin/emulator/checker_test.go
@@ -235,3 +235,29 @@
 		})
 	}
 }
+
+// Guards against a check that takes a job for lost whose last run is at work when the simulation ends, or that takes a run
+// which stands still, is overdue or was never started for one at work.
+func TestJobAtWorkIsNotLost(t *testing.T) {
+	for name, test := range map[string]struct {
+		change func(worker *modelWorker, run *modelRun)
+		lost   bool
+	}{
+		"at work": {change: func(*modelWorker, *modelRun) {}},
+		"stalled": {change: func(_ *modelWorker, run *modelRun) { run.stalled = true }, lost: true},
+		"overdue": {change: func(_ *modelWorker, run *modelRun) { run.startedAt -= time.Minute }, lost: true},
+		"no run":  {change: func(worker *modelWorker, run *modelRun) { delete(worker.runs, run.task) }, lost: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			simulation, worker, job := newCheckedSimulation(t, 20*time.Second)
+			job.spec = job.spec.WithSteps([]almondcross.Step{almondcross.NewStep(almondcross.StepConfig{
+				Count: 1, Resources: almondcross.NewResources(almondcross.ResourcesConfig{MilliCPU: 100, MemoryMB: 64}),
+			})})
+			simulation.advice.allowedShare = 0
+			run := &modelRun{task: taskOf(job), number: 1, job: job, step: job.spec.Steps()[0], startedAt: simulation.now, requiredWork: 10 * time.Second}
+			worker.runs[run.task] = run
+			test.change(worker, run)
+			require.Equal(t, test.lost, simulation.lost(job))
+		})
+	}
+}
--- a/standin/emulator/statecheck.go
+++ b/standin/emulator/statecheck.go
@@ -66,7 +66,7 @@
 // jobs counts.
 func (simulation *Simulation) lost(job *modelJob) bool {
 	switch {
-	case job.finalState != "" || !job.missed() || !simulation.hasRoom(job):
+	case job.finalState != "" || !job.missed() || !simulation.hasRoom(job) || simulation.atWork(job):
 		return false
 	case simulation.routed(job.spec.Queue()) && job.otherQueue == "":
 		return true
@@ -75,6 +75,19 @@
 	return job.cancelSentAt == 0 && !job.hasFailed(allowed) && !job.mayBeGivenUp() && !job.allDone()
 }
 
+// atWork reports whether a run of the job is at work that need not have ended yet. A run that stands still or is overdue does
+// not count.
+func (simulation *Simulation) atWork(job *modelJob) bool {
+	for _, worker := range simulation.workers {
+		for _, run := range worker.runs {
+			if run.job == job && !run.stalled && run.workDone(simulation.now) < run.requiredWork {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // allDone reports whether all tasks of the job are done.
 func (modeljob *modelJob) allDone() bool {
 	for number, step := range modeljob.spec.Steps() {
