Keep a standby that loads the state with its scheduler

Change: it compares it with the scheduler that it is linked to as well.

TestLoadingStandbyStaysWithItsScheduler failed before: "expected: 3, actual: 0" (it was discovering instead of following).

--- a/command/scheduler/discovery.go
+++ b/command/scheduler/discovery.go
@@ -66,7 +66,9 @@
 	case roleDiscovering:
 		machine.discoveryRead(read)
 	case roleFollower:
-		if read.Found() && read.Pointer().Epoch() > machine.state.schedulerEpoch && read.Pointer().Host() != machine.config.Host {
+		// While it loads the state, a standby is linked to a scheduler whose election it has not read yet.
+		known := max(machine.state.schedulerEpoch, machine.discovery.pointer.Epoch())
+		if read.Found() && read.Pointer().Epoch() > known && read.Pointer().Host() != machine.config.Host {
 			machine.role = roleDiscovering
 			machine.discovery.startedAt, machine.discovery.storeAnswered, machine.discovery.viewsReceived = machine.now, false, false
 			machine.discoveryRead(read)
--- a/command/scheduler/views_test.go
+++ b/command/scheduler/views_test.go
@@ -195,3 +195,18 @@
 		require.Empty(t, harness.machine.acceptedJobs)
 	}
 }
+
+// Guards against a standby that leaves the scheduler while it loads the state, for a read of the pointer from before it was
+// linked: the state that it loads does not tell of that scheduler yet. It was of no use, and answered nothing, for seconds.
+func TestLoadingStandbyStaysWithItsScheduler(t *testing.T) {
+	harness := newHarness(t)
+	harness.followScheduler(newViewChange("j", almondcross.JobQueued))
+	harness.apply(almondcross.NewRoleAssigned(almondcross.RoleAssignedConfig{Standby: true}))
+	harness.apply(almondcross.NewSnapshotRead(almondcross.SnapshotReadConfig{}))
+	harness.answerPointerRead("h-2", 9)
+	require.Equal(t, roleFollower, harness.machine.role)
+	harness.machine.readPointer(0)
+	harness.advance(0)
+	harness.answerPointerRead("h-3", 10)
+	require.Equal(t, roleDiscovering, harness.machine.role, "there is a newer scheduler")
+}
