--- a/encoder/number.go
+++ b/encoder/number.go
@@ -30,6 +30,10 @@
 	return true
 }
 
+// validEvidence reports whether a number is the evidence of crashes that a host can have written: a sum of logarithms, which may
+// be negative.
+func validEvidence(evidence int) bool { return evidence >= -maxCount && evidence <= maxCount }
+
 // validEpoch reports whether an epoch is in the range that schedulers use. A record with a higher one would leave no terms
 // for the next elections.
 func validEpoch(epoch int64) bool { return epoch >= 0 && epoch <= almondcross.MaxEpoch }
--- a/encoder/snapshot.go
+++ b/encoder/snapshot.go
@@ -408,7 +408,7 @@
 
 func (wirestagerecord wireStageRecord) validCounts() bool {
 	for _, task := range wirestagerecord.Tasks {
-		if !validCounts(task.Run, task.Failures, task.Crashes, task.Confirmed, task.Losses, task.Evidence) {
+		if !validCounts(task.Run, task.Failures, task.Crashes, task.Confirmed, task.Losses) || !validEvidence(task.Evidence) {
 			return false
 		}
 	}
