Send an unanswered start once more before a report is requested

The worker carries out a run once, so the same order may be sent again: if it is answered, the run is known to be at work. A refusal of the repeated order says nothing about the first one, so a report follows it. An order is not repeated if the worker has got a higher token, leaves, has shrunk or is silent, or if the run is no longer wanted.

TestUnansweredStartIsResolvedByReport and loseStart leave the repeated order unanswered too; what they expect of the report is unchanged.

--- a/command/scheduler/lease.go
+++ b/command/scheduler/lease.go
@@ -31,8 +31,7 @@
 
 // leaseEnd returns the end of a new lease on the worker's clock, 0 if the lease must not be extended.
 func (machine *Machine) leaseEnd(worker *worker) time.Duration {
-	leader := machine.leader
-	if worker.extensionBlocked || worker.lastAnswerAt.IsZero() || machine.now.Sub(worker.lastAnswerAt) > maxExtensionAge || machine.now.Sub(leader.lastCommitAt) > leadershipTimeout {
+	if !machine.mayExtendLease(worker) {
 		return 0
 	}
 	leaseEnd := worker.clockNow(machine.now) + min(leaseDuration, machine.config.MaxLease)
@@ -40,6 +39,13 @@
 	return leaseEnd
 }
 
+// mayExtendLease reports whether the lease of a worker may be extended: the worker has answered and this host has written to
+// the journal lately.
+func (machine *Machine) mayExtendLease(worker *worker) bool {
+	return !worker.extensionBlocked && !worker.lastAnswerAt.IsZero() && machine.now.Sub(worker.lastAnswerAt) <= maxExtensionAge &&
+		machine.now.Sub(machine.leader.lastCommitAt) <= leadershipTimeout
+}
+
 // leaseAnswered handles the answer to a lease order and sends the next one.
 func (machine *Machine) leaseAnswered(answer almondcross.LeaseAnswered) {
 	worker := machine.leader.workers[answer.Order().Worker().ID()]
--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -379,21 +379,43 @@
 	if answer.Result() != almondcross.OrderDone {
 		machine.config.Log.Record("start_refused", almondcross.Text("task", assigned.task.String()), almondcross.Number("run", assigned.run),
 			almondcross.Text("worker", worker.id), almondcross.Text("result", string(answer.Result())),
-			almondcross.Millis("age_ms", machine.now.Sub(assigned.placedAt)))
+			almondcross.Text("repeated", yesNo(assigned.startRepeated)), almondcross.Millis("age_ms", machine.now.Sub(assigned.placedAt)))
+	}
+	switch result := answer.Result(); {
+	case result == almondcross.OrderFenced && answer.Order().Fence() >= worker.fence:
+		machine.stopLeading("worker " + worker.id + " has seen a higher fencing token")
+	case result != almondcross.OrderDone && assigned.startRepeated:
+		// A refusal of the second order does not tell whether the first one was carried out.
+		machine.startUnknown(worker, assigned)
+	case result == almondcross.OrderUnknown && machine.mayRepeatStart(worker, assigned):
+		assigned.startRepeated = true
+		machine.emit(SendStart{Order: answer.Order()})
+	case result == almondcross.OrderUnknown:
+		machine.startUnknown(worker, assigned)
+	default:
+		machine.startAnswered(worker, assigned, answer)
 	}
+}
+
+// startUnknown asks the worker whether it has a run whose start order was not answered.
+func (machine *Machine) startUnknown(worker *worker, assigned *assignment) {
+	assigned.phase = phaseUnknown
+	machine.requestReport(worker)
+}
+
+// mayRepeatStart reports whether an unanswered start order may be sent once more to its worker, which carries out a run once.
+// A report decides otherwise, under a higher fencing token, which would refuse the order.
+func (machine *Machine) mayRepeatStart(worker *worker, assigned *assignment) bool {
+	return !assigned.startRepeated && assigned.fence == worker.fence && !worker.raiseFence && !worker.unreachable && worker.fitsRuns() &&
+		assigned.stopReason == "" && assigned.unwantedReason() == "" && machine.mayExtendLease(worker)
+}
+
+// startAnswered handles the refusal of the first start order of a run, or the success of either.
+func (machine *Machine) startAnswered(worker *worker, assigned *assignment, answer almondcross.StartOrderAnswered) {
 	switch answer.Result() {
 	case almondcross.OrderDone:
 		assigned.phase, assigned.confirmedAt, assigned.progressAt = phaseConfirmed, answer.Received(), machine.now
 		machine.noteStart(assigned.job, assigned.task, assigned.run, machine.now)
-	case almondcross.OrderUnknown:
-		assigned.phase = phaseUnknown
-		machine.requestReport(worker)
-	case almondcross.OrderFenced:
-		if answer.Order().Fence() >= worker.fence {
-			machine.stopLeading("worker " + worker.id + " has seen a higher fencing token")
-			return
-		}
-		machine.endRun(worker, assigned, almondcross.EndVoid, "")
 	case almondcross.OrderTicketInvalid:
 		if advice := machine.leader.advice[assigned.task.Stage]; advice != nil {
 			delete(advice.tickets, worker.id)
--- a/command/scheduler/progress_test.go
+++ b/command/scheduler/progress_test.go
@@ -62,12 +62,13 @@
 	return harness, requireEffect[SendStart](harness).Order
 }
 
-// loseStart leaves a start order without an answer. It returns the report request that follows.
+// loseStart leaves a start order and its repetition without an answer. It returns the report request that follows.
 func (harness *harness) loseStart(order almondcross.StartOrder) almondcross.LeaseOrder {
 	harness.t.Helper()
 	for _, found := takeEffect[SendLease](harness); found; _, found = takeEffect[SendLease](harness) {
 	}
-	harness.apply(almondcross.NewStartOrderAnswered(almondcross.StartOrderAnsweredConfig{Order: order, Result: almondcross.OrderUnknown, Received: harness.now}))
+	harness.answerStartOrder(order, almondcross.OrderUnknown)
+	harness.answerStartOrder(requireEffect[SendStart](harness).Order, almondcross.OrderUnknown)
 	return requireEffect[SendLease](harness).Order
 }
 
--- a/command/scheduler/scheduler_test.go
+++ b/command/scheduler/scheduler_test.go
@@ -309,6 +309,10 @@
 	start := requireEffect[SendStart](harness).Order
 	takeEffect[SendLease](harness)
 	harness.apply(almondcross.NewStartOrderAnswered(almondcross.StartOrderAnsweredConfig{Order: start, Result: almondcross.OrderUnknown, Received: harness.now}))
+	require.Equal(t, start, requireEffect[SendStart](harness).Order)
+	harness.apply(almondcross.NewStartOrderAnswered(almondcross.StartOrderAnsweredConfig{Order: start, Result: almondcross.OrderUnknown, Received: harness.now}))
+	_, repeated := takeEffect[SendStart](harness)
+	require.False(t, repeated, "the order is repeated once")
 	request := requireEffect[SendLease](harness).Order
 	require.True(t, request.ListOnly())
 	require.Greater(t, request.Fence(), start.Fence())
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -32,6 +32,7 @@
 	fence         int64               // fence is the fencing token of the start order.
 	placedAt      time.Time           // placedAt is when the run was assigned to the worker.
 	startSentAt   time.Time           // startSentAt is when this scheduler sent the start order, zero if it did not.
+	startRepeated bool                // startRepeated is set once the start order has been sent a second time.
 	confirmedAt   time.Time           // confirmedAt is when the worker confirmed the run.
 	stopReason    stopReason          // stopReason is why the run is no longer wanted, empty if it is.
 	nextStopAt    time.Time           // nextStopAt is when the stop order is repeated.
