--- a/command/scheduler/advice.go
+++ b/command/scheduler/advice.go
@@ -79,7 +79,9 @@
 	address  string // address is where the host accepts links.
 	// awaitingViews is set until the host has been sent its first views.
 	awaitingViews bool
-	retryAt       time.Time // retryAt is when the host may be called again after a timeout.
+	// viewsUntil is until when a standby gets views as well, which it publishes while it loads the state.
+	viewsUntil time.Time
+	retryAt    time.Time // retryAt is when the host may be called again after a timeout.
 }
 
 // adviceCall is a pending call to the advice service.
@@ -218,8 +220,9 @@
 func (machine *Machine) callParts(settings almondcross.AdviceSettings, workers int) int {
 	leader := machine.leader
 	spare := int(maxLongCallShare*float64(len(machine.linkedHosts))) - leader.longCalls
-	useful := int(time.Duration(workers) * settings.PerWorker() * partsPerBase / max(settings.Base(), 1))
-	return max(1, min(useful, spare/sparePerPart, len(leader.idleHosts)))
+	// The configuration may state any latency, and the product may be out of the range of int64.
+	useful := float64(workers) * float64(settings.PerWorker()) * partsPerBase / float64(max(settings.Base(), 1))
+	return max(1, min(int(min(useful, float64(len(leader.idleHosts)))), spare/sparePerPart))
 }
 
 // callAdvice sends a call for some workers to an idle host.
--- a/command/scheduler/constants.go
+++ b/command/scheduler/constants.go
@@ -1,10 +1,6 @@
 package scheduler
 
-import (
-	"time"
-
-	"github.com/almondcross/almondcross"
-)
+import "time"
 
 // Timing of the journal and of elections.
 const (
@@ -67,10 +63,32 @@
 	// maxViewInterval limits the pause between two messages with views to one viewer, so that an idle scheduler sends them
 	// with each batch. linkTimeout tolerates two late ones.
 	maxViewInterval = 150 * time.Millisecond
+	// snapshotDelay is how long a scheduler leads before it stores a snapshot. In a takeover, the other hosts need its link
+	// to the store and to them more.
+	snapshotDelay = 300 * time.Millisecond
+	// snapshotRetryDelay is the minimum time between two snapshots, also if the first one was not stored.
+	snapshotRetryDelay = time.Second
+	// maxEarlierEpochs is the number of epochs whose snapshots a scheduler removes unseen. There are more only if as many
+	// schedulers follow each other without storing one.
+	maxEarlierEpochs = 8
+	// maxTrimmedReads is the number of loads of the state after which a gap between the newest snapshot and the journal counts
+	// as one: a snapshot may have been stored between the two reads of a load.
+	maxTrimmedReads = 3
+	// gapRetryDelay is the pause before a host that has met a gap loads the state again.
+	gapRetryDelay = time.Second
+	// stateLossTimeout is how long a host that has met a gap waits for any scheduler before it goes on without the deleted
+	// batches. A host that has the state and reaches the store is elected within 2 s of the loss of the scheduler, and
+	// restarts and outages of the store take less than half of this time.
+	stateLossTimeout = 30 * time.Second
+	// standbyLoadTime is how long a new standby gets views as well as batches. It reads the snapshot and the journal
+	// meanwhile, which takes under a second unless the store is slow.
+	standbyLoadTime = 8 * time.Second
 	// linkTimeout is how long the link to the scheduler may be silent. The scheduler pushes after every batch.
 	linkTimeout = 700 * time.Millisecond
 	// electionBackoff is the delay after a lost election.
 	electionBackoff = 400 * time.Millisecond
+	// lastTermRetryDelay is how often a host without a further term logs that it cannot stand for election.
+	lastTermRetryDelay = 10 * time.Second
 	// freshBatchAge is the maximum age of a batch that shows its scheduler to be alive.
 	freshBatchAge = 1500 * time.Millisecond
 	// freshReadAge is the maximum age of the last successful read for an election. If it is older, the store
@@ -86,6 +104,8 @@
 	journalReadWait = 400 * time.Millisecond
 	// storeRetryDelay is the delay before a failed call to the store is retried.
 	storeRetryDelay = 100 * time.Millisecond
+	// intakeReadWait is how long a read of an intake partition waits for the first record.
+	intakeReadWait = 2 * time.Second
 	// intakeReadInterval limits how often the intake partitions are read.
 	intakeReadInterval = 15 * time.Millisecond
 	// freshIntakeAge is the maximum age of the last successful read of an intake partition for it to count as
@@ -165,11 +185,3 @@
 	// maxReportedEnds is the number of ends from which a worker's report may be truncated.
 	maxReportedEnds = 500
 )
-
-// Layout of epochs and fencing tokens. An epoch consists of an increasing term and random low bits that
-// distinguish candidates of the same term; a fencing token consists of the epoch and a per-worker counter in
-// the low bits.
-const (
-	epochRandomBits  = almondcross.EpochRandomBits
-	fenceCounterBits = 10
-)
--- a/command/scheduler/machine.go
+++ b/command/scheduler/machine.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -51,18 +52,26 @@
 	discovery discovery
 	follower  follower
 	leader    *leader
+	reads     pendingReads
+	gap       gap
 
 	// triedEpoch is the highest epoch that this host has used in an election.
 	triedEpoch  int64
 	stopping    bool
 	linkedHosts map[string]*linkedHost
+	// snapshotKeys holds the keys of snapshots that the store had when this host loaded the state, until it has stored one.
+	snapshotKeys    []string
+	snapshotPending bool // snapshotPending is set while a snapshot is being stored, also by an earlier epoch of this host.
+
+	acceptedJobs map[almondcross.JobID]acceptedJob // acceptedJobs holds the jobs of this host that no published state has had.
 	// peers holds the addresses on which other hosts accept links, newest last.
 	peers []string
 }
 
 // NewMachine returns a machine that starts to look for the scheduler.
 func NewMachine(config Config) *Machine {
-	machine := &Machine{config: config, state: newState(config.Retention), linkedHosts: map[string]*linkedHost{}}
+	machine := &Machine{config: config, state: newState(config.Retention), linkedHosts: map[string]*linkedHost{}, acceptedJobs: map[almondcross.JobID]acceptedJob{}}
+	machine.reads.intakes = map[int]bool{}
 	machine.linkedHosts[config.Host] = &linkedHost{name: config.Host}
 	machine.discoverScheduler()
 	return machine
@@ -81,37 +90,52 @@
 
 // Apply handles a message. Its effects are returned by the next Advance.
 func (machine *Machine) Apply(message almondcross.SchedulerMessage, now time.Time) {
-	machine.now = now
+	machine.setTime(now)
 	switch message := message.(type) {
-	case almondcross.PointerRead:
-		machine.pointerRead(message)
 	case almondcross.LinkLost:
 		if machine.role == roleViewer && message.Scheduler() == machine.discovery.pointer.Host() {
 			machine.config.Log.Record("scheduler_link_lost", almondcross.Text("host", message.Scheduler()))
 			machine.discoverScheduler()
 		}
+		machine.linkLost(message.Scheduler())
 	case almondcross.RoleAssigned:
 		machine.roleAssigned(message)
 	case almondcross.PeersKnown:
 		machine.peersKnown(message.Addresses())
 	case almondcross.ViewsPushed:
 		machine.viewsPushed(message)
-	case almondcross.SnapshotRead:
-		machine.snapshotRead(message)
-	case almondcross.JournalRead:
-		machine.journalRead(message)
 	case almondcross.JournalPushed:
 		machine.journalPushed(message)
 	case almondcross.JournalCommitted:
 		machine.committed(message)
-	case almondcross.RoutesRead:
-		machine.routesRead(message.Table())
 	case almondcross.JobAccepted:
 		machine.jobAccepted(message.Job())
 	case almondcross.HostLinkChanged:
 		machine.hostLinkChanged(message)
 	case almondcross.StopScheduling:
 		machine.stopping = true
+	default:
+		machine.applyRead(message)
+	}
+}
+
+// applyRead handles the answers to reads.
+func (machine *Machine) applyRead(message almondcross.SchedulerMessage) {
+	switch message := message.(type) {
+	case almondcross.PointerRead:
+		machine.pointerRead(message)
+	case almondcross.SnapshotRead:
+		machine.snapshotRead(message)
+	case almondcross.JournalRead:
+		machine.journalRead(message)
+	case almondcross.IntakeRead:
+		machine.intakeRead(message)
+	case almondcross.WorkersRead:
+		machine.workersRead(message)
+	case almondcross.SnapshotStored:
+		machine.snapshotStored(message)
+	case almondcross.RoutesRead:
+		machine.routesRead(message.Table())
 	default:
 		if machine.leader != nil {
 			machine.applyLeader(message)
@@ -119,14 +143,31 @@
 	}
 }
 
+// setTime sets the current time. If this host was paused, what comes over the link may have waited for as long, so that
+// views must come anew, over a new link for a viewer.
+func (machine *Machine) setTime(now time.Time) {
+	paused := now.Sub(machine.now) > linkTimeout
+	machine.now = now
+	if !paused {
+		return
+	}
+	machine.discovery.viewsReceived = false
+	if machine.role == roleViewer {
+		machine.checkSchedulerLink()
+	}
+}
+
+// linkLost notes that what arrived over the link to the scheduler has ended.
+func (machine *Machine) linkLost(scheduler string) {
+	if scheduler == machine.discovery.pointer.Host() {
+		machine.discovery.viewsReceived, machine.follower.pushedEnd = false, 0
+	}
+}
+
 // applyLeader handles the messages that concern only the scheduler. Answers to requests of an earlier epoch
 // are recognised by their fencing tokens and offsets.
 func (machine *Machine) applyLeader(message almondcross.SchedulerMessage) {
 	switch message := message.(type) {
-	case almondcross.IntakeRead:
-		machine.intakeRead(message)
-	case almondcross.WorkersRead:
-		machine.workersRead(message)
 	case almondcross.LeaseAnswered:
 		machine.leaseAnswered(message)
 	case almondcross.StartOrderAnswered:
@@ -139,14 +180,12 @@
 		machine.usageStored(message)
 	case almondcross.IntakeForwarded:
 		machine.intakeForwarded(message)
-	case almondcross.SnapshotStored:
-		machine.snapshotStored(message)
 	}
 }
 
 // Advance carries out the work that is due and returns the effects to carry out.
 func (machine *Machine) Advance(now time.Time) []Effect {
-	machine.now = now
+	machine.setTime(now)
 	switch machine.role {
 	case roleDiscovering:
 		machine.checkDiscoveryTimeout()
@@ -191,18 +230,32 @@
 	machine.config.Log.Record("routes_in_force", almondcross.Number("version", table.Version()),
 		almondcross.Number("queues", len(table.Queues())))
 	if machine.leader != nil {
+		machine.sortWaitingStages()
+		machine.settleJobs()
 		machine.leader.placementDue = true
 	}
 }
 
+// acceptedJob is a job that this host has stored and that was in no state or view when it was.
+type acceptedJob struct {
+	view almondcross.JobView
+	at   time.Time // at is when the job was stored.
+}
+
 // jobAccepted publishes a job that this host has stored and the scheduler has not admitted yet.
 func (machine *Machine) jobAccepted(accepted almondcross.Job) {
 	if _, known := machine.state.jobs[accepted.ID()]; known {
 		return
 	}
-	machine.config.Publisher.Publish(almondcross.NewJobView(almondcross.JobViewConfig{
+	if _, known := machine.config.Publisher.Find(accepted.ID()); known {
+		// This message may have waited while this host was paused, and a viewer has no state.
+		return
+	}
+	view := almondcross.NewJobView(almondcross.JobViewConfig{
 		ID: accepted.ID(), Queue: accepted.Queue(), State: almondcross.JobQueued, CountsAsPending: accepted.Runs() == 0,
-	}))
+	})
+	machine.acceptedJobs[accepted.ID()] = acceptedJob{view: view, at: machine.now}
+	machine.config.Publisher.Publish(view)
 }
 
 // takeViewChanges returns the views of the changed jobs and clears the set of these jobs.
@@ -219,8 +272,28 @@
 	return changes
 }
 
+// replaceViews publishes all views of a state in the place of the earlier ones, in one step. Jobs that this host has stored
+// and that are not in the state yet stay published.
+func (machine *Machine) replaceViews(changes []almondcross.JobViewChange) {
+	views := make([]almondcross.JobView, 0, len(changes)+len(machine.acceptedJobs))
+	for _, change := range changes {
+		if change.Known() {
+			views = append(views, change.View())
+			delete(machine.acceptedJobs, change.ID())
+		}
+	}
+	maps.DeleteFunc(machine.acceptedJobs, func(_ almondcross.JobID, accepted acceptedJob) bool {
+		return machine.now.Sub(accepted.at) > machine.config.Retention // No scheduler has admitted the job: its record is unreadable or deleted.
+	})
+	for _, accepted := range machine.acceptedJobs {
+		views = append(views, accepted.view)
+	}
+	machine.config.Publisher.Replace(views)
+}
+
 func (machine *Machine) publish(changes []almondcross.JobViewChange) {
 	for _, change := range changes {
+		delete(machine.acceptedJobs, change.ID())
 		if change.Known() {
 			machine.config.Publisher.Publish(change.View())
 		} else {
--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -91,12 +91,13 @@
 	return leader.allowedWorkers
 }
 
-// queue returns the current version of a job's queue.
+// queue returns the queue of a job as the newer of two versions has it: the one that the job was accepted with and the one
+// in force on this host, unless that one has no such queue.
 func (machine *Machine) queue(job *job) almondcross.Queue {
-	if queue, known := machine.queues[job.spec.Queue()]; known {
+	if queue, known := machine.queues[job.spec.Queue()]; known && queue.Pool() != "" && machine.routes.Version() >= job.settings.Version() {
 		return queue
 	}
-	return job.queue
+	return job.settings.Queue()
 }
 
 func (machine *Machine) placeStage(waiting *waitingStage) {
@@ -127,7 +128,8 @@
 func (machine *Machine) reserveForGang(queue almondcross.Queue, stage *stage, advice *stageAdvice) {
 	leader, need := machine.leader, stage.spec.Resources()
 	wanted := stage.remainingTasks - stage.activeTasks
-	if float64(leader.reservedCPU+int64(wanted)*need.MilliCPU()) > maxReservedShare*float64(leader.usableCPU) {
+	// A caller may ask for any amount, and the product may be out of the range of int64.
+	if float64(leader.reservedCPU)+float64(wanted)*float64(need.MilliCPU()) > maxReservedShare*float64(leader.usableCPU) {
 		return
 	}
 	var reservations []gangReservation
@@ -184,7 +186,7 @@
 		if !worker.inPass || failed[worker.id] || advice != nil && !advice.hasTicket(worker, machine.now) {
 			continue
 		}
-		if worker.info.Pool() != queue.Pool() || !worker.info.HasLabel(spec.Label()) || !worker.accepts(job, suspicion) {
+		if !worker.isOfKind(queue, spec) || !worker.accepts(job, suspicion) {
 			continue
 		}
 		free := worker.free().Sub(worker.reserved)
@@ -344,7 +346,8 @@
 		return
 	}
 	leaseEnd := machine.leaseEnd(worker)
-	if assigned.stopReason != "" || assigned.unwantedReason() != "" || leaseEnd == 0 || worker.unreachable || !worker.fitsRuns() {
+	if assigned.stopReason != "" || assigned.unwantedReason() != "" || leaseEnd == 0 || worker.unreachable || !worker.fitsRuns() ||
+		!worker.isOfKind(machine.queue(assigned.job), assigned.stage.spec) {
 		machine.endRun(worker, assigned, almondcross.EndVoid, "")
 		return
 	}
@@ -400,13 +403,13 @@
 // startUnknown asks the worker whether it has a run whose start order was not answered.
 func (machine *Machine) startUnknown(worker *worker, assigned *assignment) {
 	assigned.phase = phaseUnknown
-	machine.requestReport(worker)
+	machine.requestReport(worker, assigned.fence)
 }
 
 // mayRepeatStart reports whether an unanswered start order may be sent once more to its worker, which carries out a run once.
 // A report decides otherwise, under a higher fencing token, which would refuse the order.
 func (machine *Machine) mayRepeatStart(worker *worker, assigned *assignment) bool {
-	return !assigned.startRepeated && assigned.fence == worker.fence && !worker.raiseFence && !worker.unreachable && worker.fitsRuns() &&
+	return !assigned.startRepeated && assigned.fence == worker.fence && !worker.unreachable && worker.fitsRuns() &&
 		assigned.stopReason == "" && assigned.unwantedReason() == "" && machine.mayExtendLease(worker)
 }
 
--- a/command/scheduler/records_test.go
+++ b/command/scheduler/records_test.go
@@ -43,14 +43,15 @@
 func applyRecord(codec encoder.Codec, record []byte) error {
 	now := time.Unix(1767225600, 0)
 	state := newState(time.Minute)
-	state.admitJob(newJob("j", almondcross.StepConfig{Count: 2, Gang: true}), almondcross.Queue{})
+	state.admitJob(newJob("j", almondcross.StepConfig{Count: 2, Gang: true}), almondcross.QueueSettings{})
 	batch, batchErr := codec.DecodeBatch(record)
 	if batchErr == nil {
 		state.applyBatch(batch, now)
 	}
-	intake, intakeErr := codec.DecodeIntake(record)
-	if intakeErr == nil {
-		state.admitJob(intake.Job(), almondcross.Queue{})
+	var intakeErr error
+	intakes, _ := codec.DecodeIntakes([][]byte{record}, func(_ int, err error) { intakeErr = err })
+	for _, intake := range intakes {
+		state.admitJob(intake.Job(), intake.Settings())
 	}
 	snapshot, found, _ := codec.DecodeSnapshot([]almondcross.KeyedRecord{almondcross.NewKeyedRecord(almondcross.KeyedRecordConfig{Value: record})})
 	if found {
@@ -74,9 +75,9 @@
 		return record
 	}
 	intake := func(steps ...almondcross.StepConfig) []byte {
-		record, err := codec.EncodeIntake(almondcross.NewIntake(almondcross.IntakeConfig{Job: newJob("new", steps...)}))
+		records, err := codec.EncodeIntake(almondcross.NewIntake(almondcross.IntakeConfig{Job: newJob("new", steps...)}))
 		require.NoError(t, err)
-		return record
+		return records[0]
 	}
 	batch := func(epoch int64, changes ...almondcross.ChangeConfig) []byte {
 		record, err := codec.EncodeBatch(newBatch(epoch, changes...))
@@ -129,12 +130,12 @@
 	state := newState(time.Minute)
 	for _, id := range []almondcross.JobID{"a-small", "b-large", "c-large", "d-small"} {
 		count := map[bool]int{true: 10_000, false: 1}[strings.HasSuffix(string(id), "large")]
-		state.admitJob(newJob(id, almondcross.StepConfig{Count: count}), almondcross.Queue{})
+		state.admitJob(newJob(id, almondcross.StepConfig{Count: count}), almondcross.QueueSettings{})
 		for index := range count {
 			state.apply(almondcross.NewChange(almondcross.ChangeConfig{Kind: almondcross.ChangeAssign, Task: taskOf(id, 0, index), Run: 1, Worker: workerID}))
 		}
 	}
-	state.admitJob(almondcross.NewJob(almondcross.JobConfig{ID: "e-often", Runs: maxJobRuns, Steps: []almondcross.Step{almondcross.NewStep(almondcross.StepConfig{Count: 1})}}), almondcross.Queue{})
+	state.admitJob(almondcross.NewJob(almondcross.JobConfig{ID: "e-often", Runs: maxJobRuns, Steps: []almondcross.Step{almondcross.NewStep(almondcross.StepConfig{Count: 1})}}), almondcross.QueueSettings{})
 	for range maxJobRuns {
 		state.jobs["e-often"].startOccurrence()
 	}
@@ -206,12 +207,15 @@
 		almondcross.ChangeConfig{Kind: almondcross.ChangeEnd, Task: taskOf("j", 0, 1), Run: 1, End: almondcross.EndDone},
 	))
 	require.NoError(f, err)
-	intake, err := codec.EncodeIntake(almondcross.NewIntake(almondcross.IntakeConfig{Job: newJob("new", almondcross.StepConfig{Count: 1})}))
+	intake, err := codec.EncodeIntake(almondcross.NewIntake(almondcross.IntakeConfig{
+		Job: newJob("new", almondcross.StepConfig{Count: 1}), Settings: settings(1, "q"),
+	}))
 	require.NoError(f, err)
 	parts, err := codec.EncodeSnapshot(snapshotOf(1, 1, almondcross.StageRecordConfig{Tasks: make([]almondcross.TaskRecord, 1)}), 1<<20)
 	require.NoError(f, err)
 	f.Add(batch)
-	f.Add(intake)
+	f.Add(intake[0])
+	f.Add(intake[1])
 	f.Add(parts[0])
 	f.Fuzz(func(_ *testing.T, record []byte) { _ = applyRecord(codec, record) })
 }
@@ -321,7 +325,7 @@
 	switch message := message.(type) {
 	case almondcross.OrdersAnswered:
 		lease := almondcross.NewRelayedOrder(almondcross.RelayedOrderConfig{Kind: almondcross.OrderLease, Lease: almondcross.NewLeaseOrder(almondcross.LeaseOrderConfig{
-			Worker: poolWorker, Fence: harness.machine.state.schedulerEpoch << fenceCounterBits,
+			Worker: poolWorker, Fence: firstFence(harness.machine.state.schedulerEpoch),
 		})})
 		for _, answer := range message.Answers() {
 			harness.apply(lease.Answer(answer, harness.now, harness.now))
--- a/command/scheduler/snapshot.go
+++ b/command/scheduler/snapshot.go
@@ -28,7 +28,7 @@
 	}
 	return almondcross.NewStateSnapshot(almondcross.StateSnapshotConfig{
 		Next: next, Epoch: state.highestEpoch, SchedulerEpoch: state.schedulerEpoch, Resigned: state.resigned, At: state.batchTime, Host: state.schedulerHost, Address: state.schedulerAddress,
-		Intake: maps.Clone(state.intakeOffsets), Jobs: records, Usage: state.sortedUsage(), Silent: silent, Unlisted: unlisted,
+		Intake: maps.Clone(state.intakeOffsets), Jobs: records, Usage: state.sortedUsage(), Silent: silent, Unlisted: unlisted, Crashed: slices.Clone(state.crashes),
 	})
 }
 
@@ -41,7 +41,7 @@
 		})
 	}
 	return almondcross.NewJobRecord(almondcross.JobRecordConfig{
-		Job: job.spec, Queue: job.queue, State: job.state, Finished: job.finishedAt, StartedOccurrences: job.startedOccurrences, Stages: stages,
+		Job: job.spec, Settings: job.settings, State: job.state, Finished: job.finishedAt, StartedOccurrences: job.startedOccurrences, Stages: stages,
 	})
 }
 
@@ -58,12 +58,13 @@
 	for _, unlisted := range snapshot.Unlisted() {
 		restored.unlistedWorkers[unlisted.Worker()] = unlisted
 	}
-	restored.highestEpoch, restored.batchTime = snapshot.Epoch(), snapshot.At()
+	restored.highestEpoch, restored.batchTime, restored.snapshotAt = snapshot.Epoch(), snapshot.At(), snapshot.At()
 	restored.schedulerHost, restored.schedulerAddress = snapshot.Host(), snapshot.Address()
 	restored.schedulerEpoch, restored.resigned = snapshot.SchedulerEpoch(), snapshot.Resigned()
 	if snapshot.Intake() != nil {
 		restored.intakeOffsets = maps.Clone(snapshot.Intake())
 	}
+	restored.crashes = slices.Clone(snapshot.Crashed())
 	for _, record := range snapshot.Jobs() {
 		restored.restoreJob(record)
 	}
@@ -79,7 +80,7 @@
 
 func (state *state) restoreJob(record almondcross.JobRecord) {
 	restored := &job{
-		spec: record.Job(), queue: record.Queue(), state: record.State(), finishedAt: record.Finished(), startedOccurrences: record.StartedOccurrences(),
+		spec: record.Job(), settings: record.Settings(), state: record.State(), finishedAt: record.Finished(), startedOccurrences: record.StartedOccurrences(),
 	}
 	id := record.Job().ID()
 	steps := record.Job().Steps()
@@ -98,6 +99,7 @@
 			}
 			if task.Active() {
 				stage.activeTasks++
+				state.busyWorkers[task.Worker()]++
 			}
 		}
 		stage.updateMaxCrashes()
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -24,7 +24,7 @@
 // job is one job of the replicated state.
 type job struct {
 	spec               almondcross.Job
-	queue              almondcross.Queue
+	settings           almondcross.QueueSettings // settings are not known for a job of an older host until ChangeSettings.
 	state              almondcross.JobState
 	finishedAt         time.Time
 	startedOccurrences int
@@ -65,10 +65,14 @@
 	usage            map[almondcross.UsageKey]almondcross.QueueUsage
 	unstoredUsage    map[almondcross.UsageKey]struct{} // unstoredUsage holds the periods whose usage is not stored yet.
 	changedJobs      map[almondcross.JobID]struct{}    // changedJobs holds the jobs whose view may have changed.
+	snapshotAt       time.Time                         // snapshotAt is when the last snapshot was stored, zero for none.
+	earlierEpochs    []int64                           // earlierEpochs holds the epochs since the state was loaded whose snapshots may be in the store.
 	silentWorkers    map[string]silence                // silentWorkers holds the workers whose leases are not extended.
 	// unlistedWorkers holds the workers with runs that are no longer announced. Their addresses are in no other record, and
 	// without them a successor could send no orders to a worker that has lost only its way to the store.
 	unlistedWorkers map[string]almondcross.UnlistedWorker
+	crashes         []almondcross.WorkerCrash // crashes holds the crashes of workers in the last crashWindow.
+	busyWorkers     map[string]int            // busyWorkers counts the active runs of each worker that has any.
 	// knownSilences holds the silences that this host knew when it loaded the state again. It is not replicated.
 	knownSilences map[string]silence
 
@@ -95,7 +99,7 @@
 	return &state{
 		intakeOffsets: map[int]int64{}, jobs: map[almondcross.JobID]*job{}, retention: retention,
 		changedJobs: map[almondcross.JobID]struct{}{}, silentWorkers: map[string]silence{}, unlistedWorkers: map[string]almondcross.UnlistedWorker{}, usage: map[almondcross.UsageKey]almondcross.QueueUsage{},
-		unstoredUsage: map[almondcross.UsageKey]struct{}{},
+		unstoredUsage: map[almondcross.UsageKey]struct{}{}, busyWorkers: map[string]int{},
 	}
 }
 
@@ -124,7 +128,9 @@
 func (state *state) apply(change almondcross.Change) {
 	switch change.Kind() {
 	case almondcross.ChangeAdmit:
-		state.admitJob(change.Job(), change.Queue())
+		state.admitJob(change.Job(), change.Settings())
+	case almondcross.ChangeSettings:
+		state.settleJob(change.Job().ID(), change.Settings())
 	case almondcross.ChangeCancel:
 		state.cancelJob(change.Job())
 	case almondcross.ChangeAssign:
@@ -139,6 +145,11 @@
 		}
 	case almondcross.ChangeElected:
 		state.schedulerHost, state.schedulerAddress, state.schedulerEpoch, state.resigned = change.Host(), change.Address(), state.highestEpoch, false
+		state.earlierEpochs = append(state.earlierEpochs, state.schedulerEpoch)
+		state.earlierEpochs = state.earlierEpochs[max(0, len(state.earlierEpochs)-maxEarlierEpochs):]
+	case almondcross.ChangeSnapshotStored:
+		state.snapshotAt = state.batchTime
+		state.earlierEpochs = slices.DeleteFunc(state.earlierEpochs, func(epoch int64) bool { return epoch < state.schedulerEpoch })
 	case almondcross.ChangeResigned:
 		state.resigned = true
 	case almondcross.ChangeWorkerSilent:
@@ -164,14 +175,14 @@
 	state.silentWorkers[worker] = added
 }
 
-func (state *state) admitJob(submitted almondcross.Job, queue almondcross.Queue) {
+func (state *state) admitJob(submitted almondcross.Job, settings almondcross.QueueSettings) {
 	if _, known := state.jobs[submitted.ID()]; known {
 		return
 	}
-	job := &job{spec: submitted, queue: queue, state: almondcross.JobQueued}
+	job := &job{spec: submitted, settings: settings, state: almondcross.JobQueued}
 	state.jobs[submitted.ID()] = job
 	state.changedJobs[submitted.ID()] = struct{}{}
-	state.updateUsage(queue, func(usage almondcross.QueueUsage) almondcross.QueueUsage {
+	state.updateUsage(settings.Queue(), func(usage almondcross.QueueUsage) almondcross.QueueUsage {
 		return usage.WithAdmitted(usage.Admitted() + 1)
 	})
 	if submitted.Runs() == 0 {
@@ -179,6 +190,27 @@
 	}
 }
 
+// settleJob sets the settings of an open job that has none, and fails the job if a task has failed too often by them.
+func (state *state) settleJob(id almondcross.JobID, settings almondcross.QueueSettings) {
+	job := state.jobs[id]
+	if job == nil || job.state.Final() || job.settings.Known() || !settings.Known() {
+		return
+	}
+	if job.settings.Queue().Name() == "" { // A host of the version before has counted the job by the name of its queue.
+		state.updateUsage(settings.Queue(), func(usage almondcross.QueueUsage) almondcross.QueueUsage {
+			return usage.WithAdmitted(usage.Admitted() + 1)
+		})
+	}
+	job.settings = settings
+	for _, stage := range job.stages {
+		for index := range stage.tasks {
+			if stage.remainingTasks > 0 {
+				state.updateJobState(job, stage, index, false)
+			}
+		}
+	}
+}
+
 func (job *job) startOccurrence() {
 	if job.startedOccurrences >= job.spec.Occurrences() {
 		return
@@ -208,7 +240,7 @@
 
 func (state *state) finishJob(job *job, final almondcross.JobState) {
 	job.state, job.finishedAt = final, state.batchTime
-	state.updateUsage(job.queue, func(usage almondcross.QueueUsage) almondcross.QueueUsage {
+	state.updateUsage(job.settings.Queue(), func(usage almondcross.QueueUsage) almondcross.QueueUsage {
 		switch final {
 		case almondcross.JobCompleted:
 			return usage.WithCompleted(usage.Completed() + 1)
@@ -250,10 +282,13 @@
 		return
 	}
 	record := stage.tasks[change.Task().Index]
-	if !record.Active() {
+	if record.Active() {
+		state.releaseWorker(record.Worker())
+	} else {
 		stage.activeTasks++
 		job.activeTasks++
 	}
+	state.busyWorkers[change.Worker()]++
 	stage.tasks[change.Task().Index] = record.WithActive(true).WithRun(change.Run()).WithWorker(change.Worker()).WithSince(state.batchTime)
 	stage.gangRun = max(stage.gangRun, change.Run())
 }
@@ -276,6 +311,8 @@
 		// The run was presumed lost, and its success was reported before the task was assigned again.
 		stage.activeTasks++
 		job.activeTasks++
+	} else {
+		defer state.releaseWorker(record.Worker()) // The worker counts as busy when its crash is weighed.
 	}
 	if change.End() != almondcross.EndVoid && change.End() != almondcross.EndMaybeCrashed {
 		// A worker reports ends only of runs that it had. The run started no earlier than it was assigned.
@@ -291,12 +328,12 @@
 	}
 	stage.endRun(index, record, change)
 	if isCrash(change.End()) {
-		stage.countCrash(index, change.End(), state.batchTime.Add(-change.Silent()))
+		state.countCrash(stage, index, change.End(), state.batchTime.Add(-change.Silent()))
 	}
 	if stage.spec.Gang() && !stage.spec.Service() {
 		stage.updateGang(change)
 	}
-	state.updateJobState(job, stage, index)
+	state.updateJobState(job, stage, index, isCrash(change.End()))
 	state.compactJob(job)
 }
 
@@ -332,7 +369,8 @@
 	}
 }
 
-func (state *state) updateJobState(job *job, stage *stage, index int) {
+// updateJobState finishes the job of a task whose run has ended if that was its last one. Only a crash gives a task up.
+func (state *state) updateJobState(job *job, stage *stage, index int, crashed bool) {
 	if job.state.Final() {
 		return
 	}
@@ -340,11 +378,11 @@
 	if stage.spec.Gang() {
 		failures = stage.gangFailures
 	}
-	if limit := job.queue.MaxAttempts(); limit > 0 && failures >= limit && stage.remainingTasks > 0 && !stage.spec.Service() {
+	if limit := job.settings.Queue().MaxAttempts(); limit > 0 && failures >= limit && stage.remainingTasks > 0 && !stage.spec.Service() {
 		state.finishJob(job, almondcross.JobFailed)
 		return
 	}
-	if stage.givenUp(index) {
+	if crashed && state.givenUp(stage, index) {
 		state.finishJob(job, almondcross.JobFailed)
 		return
 	}
--- a/command/scheduler/sweep.go
+++ b/command/scheduler/sweep.go
@@ -33,7 +33,7 @@
 		machine.endSilence(worker)
 		machine.endUnlisted(worker)
 		machine.emit(ReleaseWorker{Worker: worker.id})
-		machine.leader.removedFences[worker.id] = worker.fence
+		machine.leader.removedFence = max(machine.leader.removedFence, worker.fence)
 		delete(machine.leader.workers, worker.id)
 		machine.leader.sortedWorkers = slices.DeleteFunc(machine.leader.sortedWorkers, worker.equals)
 	}
--- a/command/scheduler/usage.go
+++ b/command/scheduler/usage.go
@@ -38,7 +38,7 @@
 // addRunUsage adds the resources that a run used until its end.
 func (state *state) addRunUsage(job *job, stage *stage, record almondcross.TaskRecord, kind almondcross.EndKind) {
 	consumed := resourceSeconds(stage.spec.Resources(), state.batchTime.Sub(record.Since()))
-	state.updateUsage(job.queue, func(usage almondcross.QueueUsage) almondcross.QueueUsage {
+	state.updateUsage(job.settings.Queue(), func(usage almondcross.QueueUsage) almondcross.QueueUsage {
 		usage = usage.WithReceived(usage.Received().Add(consumed))
 		switch kind {
 		case almondcross.EndDone:
@@ -51,12 +51,15 @@
 	})
 }
 
-// resourceSeconds returns resources multiplied by a duration in seconds.
+// maxResourceSeconds is the maximum usage of one run. A conversion from float64 beyond the range of int64 is not defined.
+const maxResourceSeconds = 1 << 53
+
+// resourceSeconds returns resources multiplied by a duration in seconds, at most maxResourceSeconds of each.
 func resourceSeconds(resources almondcross.Resources, length time.Duration) almondcross.Resources {
 	seconds := max(length, 0).Seconds()
+	scale := func(amount int64) int64 { return int64(min(float64(amount)*seconds, maxResourceSeconds)) }
 	return almondcross.NewResources(almondcross.ResourcesConfig{
-		MilliCPU: int64(float64(resources.MilliCPU()) * seconds), MemoryMB: int64(float64(resources.MemoryMB()) * seconds),
-		Accelerators: int64(float64(resources.Accelerators()) * seconds),
+		MilliCPU: scale(resources.MilliCPU()), MemoryMB: scale(resources.MemoryMB()), Accelerators: scale(resources.Accelerators()),
 	})
 }
 
@@ -85,11 +88,11 @@
 	return list
 }
 
-// storeUsage stores the periods that have changed. The usage may include changes of the pending append; if
+// storeUsage stores the periods that have changed, once the workers and with them the capacity of each pool are known. The usage may include changes of the pending append; if
 // that append fails, the next write corrects it.
 func (machine *Machine) storeUsage() {
 	leader := machine.leader
-	if leader.usageStoring || machine.now.Sub(leader.usageAt) < usageInterval || len(machine.state.unstoredUsage) == 0 {
+	if !leader.workersListed || leader.usageStoring || machine.now.Sub(leader.usageAt) < usageInterval || len(machine.state.unstoredUsage) == 0 {
 		return
 	}
 	leader.usageAt, leader.usageStoring = machine.now, true
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -41,7 +41,7 @@
 	progress      int                 // progress is the last reported progress in percent.
 	progressAt    time.Time           // progressAt is when the progress last changed.
 	suspicion     suspicion           // suspicion is that of the task when the run was assigned.
-	lastContactAt time.Time           // lastContactAt is when the incarnation of the worker that got the start order last answered, zero while it is the current one.
+	lostAt        time.Time           // lostAt is when contact with the incarnation of the worker that got the start order was lost, zero while it is the current one.
 	missingEnd    almondcross.EndKind // missingEnd is how the run has ended if its worker does not report it.
 }
 
@@ -51,12 +51,14 @@
 	info        almondcross.Worker
 	announced   bool      // announced is set while the worker is announced.
 	announcedAt time.Time // announcedAt is when its announcement was last renewed.
-	managed     bool      // managed is set once the duties of the worker have been started.
-	drained     bool      // drained is set once this incarnation has announced that it will leave.
-	assignments map[almondcross.JobTask]*assignment
-	used        almondcross.Resources
-	usedByGangs almondcross.Resources // usedByGangs is the part of used that belongs to gangs.
-	reserved    almondcross.Resources // reserved holds the resources reserved for waiting gangs in the current pass.
+	// announcedFrom is when an announcement without an incarnation counts for the current one, see nextAnnouncement.
+	announcedFrom time.Time
+	managed       bool // managed is set once the duties of the worker have been started.
+	drained       bool // drained is set once this incarnation has announced that it will leave.
+	assignments   map[almondcross.JobTask]*assignment
+	used          almondcross.Resources
+	usedByGangs   almondcross.Resources // usedByGangs is the part of used that belongs to gangs.
+	reserved      almondcross.Resources // reserved holds the resources reserved for waiting gangs in the current pass.
 
 	suspectRuns  int  // suspectRuns counts the runs of tasks under suspicion.
 	isolatedRuns int  // isolatedRuns counts the runs of isolated tasks; meanwhile the worker gets no runs of other jobs.
@@ -70,7 +72,8 @@
 	lastAnswerAt     time.Time     // lastAnswerAt is when the last report arrived, zero for never.
 	maxLeaseEnd      time.Duration // maxLeaseEnd is the latest end of a lease that was sent, on the worker's clock.
 	fence            int64
-	raiseFence       bool      // raiseFence is set if the next lease order must invalidate all earlier orders.
+	reportedFence    int64     // reportedFence is the highest fencing token under which the worker has reported.
+	unansweredFence  int64     // unansweredFence is the highest fencing token of an order without an answer.
 	leasePending     bool      // leasePending is set while a lease order is pending or waits for a commit.
 	unreachable      bool      // unreachable is set if the last lease order was not answered.
 	unreachableSince time.Time // unreachableSince is when the first of these lease orders failed.
@@ -90,11 +93,11 @@
 // free returns the unused resources of the worker.
 func (worker *worker) free() almondcross.Resources { return worker.info.Capacity().Sub(worker.used) }
 
-// fitsRuns reports whether the worker still takes the runs that it was given. It may have changed since the decision,
-// because the store may take seconds to commit it.
+// fitsRuns reports whether the worker still takes the runs that it was given. It may have changed or restarted since the
+// decision, because the store may take seconds to commit it.
 func (worker *worker) fitsRuns() bool {
 	free := worker.free()
-	return worker.announced && !worker.info.Draining() && free.MilliCPU() >= 0 && free.MemoryMB() >= 0 && free.Accelerators() >= 0
+	return worker.announced && worker.lifeAnnounced() && !worker.info.Draining() && free.MilliCPU() >= 0 && free.MemoryMB() >= 0 && free.Accelerators() >= 0
 }
 
 func (worker *worker) assign(assignment *assignment) {
@@ -135,7 +138,7 @@
 
 // usable reports whether the worker may get new work.
 func (worker *worker) usable(now time.Time) bool {
-	return worker.announced && !worker.info.Draining() && !worker.unreachable && worker.ackLimit == 0 && !worker.lastAnswerAt.IsZero() &&
+	return worker.announced && worker.lifeAnnounced() && !worker.info.Draining() && !worker.unreachable && worker.ackLimit == 0 && !worker.lastAnswerAt.IsZero() &&
 		now.Sub(worker.lastAnswerAt) < maxContactAge && !now.Before(worker.avoidUntil)
 }
 
@@ -153,7 +156,7 @@
 	_, silent := machine.state.silentWorkers[id]
 	added := &worker{
 		id: id, assignments: map[almondcross.JobTask]*assignment{}, extensionBlocked: silent,
-		fence: max(leader.epoch<<fenceCounterBits, leader.removedFences[id]),
+		fence: max(firstFence(leader.epoch), leader.removedFence),
 	}
 	leader.workers[id] = added
 	index, _ := slices.BinarySearchFunc(leader.sortedWorkers, added, func(a, b *worker) int { return strings.Compare(a.id, b.id) })
@@ -163,13 +166,18 @@
 
 // workersRead applies changes of the announced workers.
 func (machine *Machine) workersRead(read almondcross.WorkersRead) {
-	query := almondcross.WorkersQueryConfig{From: read.Next(), Pause: workersReadInterval}
-	if read.Err() != nil {
-		query.Pause = storeRetryDelay
-		if errors.Is(read.Err(), almondcross.ErrStoreTrimmed) {
-			query.From = -1
-		}
-		machine.emit(ReadWorkers{Query: almondcross.NewWorkersQuery(query)})
+	machine.reads.workers = false
+	switch {
+	case machine.leader == nil:
+		return
+	case machine.reads.workersEpoch != machine.leader.epoch:
+		machine.readWorkers(-1, 0) // The read was sent in an earlier epoch of this host, which knew other workers.
+		return
+	case errors.Is(read.Err(), almondcross.ErrStoreTrimmed):
+		machine.readWorkers(-1, storeRetryDelay)
+		return
+	case read.Err() != nil:
+		machine.readWorkers(read.Next(), storeRetryDelay)
 		return
 	}
 	seen := map[string]bool{}
@@ -178,13 +186,14 @@
 		machine.workerChanged(change)
 	}
 	if read.Complete() {
+		machine.leader.workersListed = true
 		for id, known := range machine.leader.workers {
 			if known.announced && !seen[id] {
 				machine.workerChanged(almondcross.NewWorkerChange(almondcross.WorkerChangeConfig{ID: id}))
 			}
 		}
 	}
-	machine.emit(ReadWorkers{Query: almondcross.NewWorkersQuery(query)})
+	machine.readWorkers(read.Next(), workersReadInterval)
 }
 
 func (machine *Machine) workerChanged(change almondcross.WorkerChange) {
--- a/encoder/journal.go
+++ b/encoder/journal.go
@@ -58,14 +58,11 @@
 	Worker, End, Checkpoint string
 	Occurrence              int
 	Host, Address           string // Host is the data centre of the worker in ChangeWorkerUnlisted.
-	DurationMS              int64  // DurationMS is the lease remaining of ChangeWorkerSilent, the time waited of ChangeJobStarted or the silence of ChangeEnd.
+	// DurationMS is the lease remaining of ChangeWorkerSilent, the time waited of ChangeJobStarted or the silence of ChangeEnd,
+	// and the version of the settings of ChangeAdmit and ChangeSettings. The version before ignores it for these kinds.
+	DurationMS int64
 }
 
-// maxEpoch is the maximum epoch of a record: the fencing tokens of the next epochs must not exceed the range of int64.
-const maxEpoch = 1 << 50
-
-func validEpoch(epoch int64) bool { return epoch >= 0 && epoch <= maxEpoch }
-
 type wireBatch struct {
 	_       struct{} `cbor:",toarray"`
 	Epoch   int64
@@ -93,15 +90,12 @@
 	if err := codec.decoding.Unmarshal(data, &wire); err != nil {
 		return almondcross.SchedulerPointer{}, errors.Annotatef(ErrMalformed, "scheduler pointer: %v", err)
 	}
+	if !validEpoch(wire.Epoch) {
+		return almondcross.SchedulerPointer{}, errors.Annotatef(ErrMalformed, "scheduler pointer of epoch %d", wire.Epoch)
+	}
 	return almondcross.NewSchedulerPointer(almondcross.SchedulerPointerConfig{Epoch: wire.Epoch, Host: wire.Host, Address: wire.Address}), nil
 }
 
-type wireIntake struct {
-	_      struct{} `cbor:",toarray"`
-	Job    wireJob
-	Cancel bool
-}
-
 // taskRecordFields are the fields of a task record that every version of the format has.
 type taskRecordFields struct {
 	Done, Active       bool
@@ -114,9 +108,12 @@
 // version are read, and an earlier version reads all records but those of tasks with crashes.
 type wireTaskRecord struct {
 	taskRecordFields
-	Crashes, Confirmed int
+	crashFields
 }
 
+// crashFields are the fields of a task record that only a task with crashes has.
+type crashFields struct{ Crashes, Confirmed, Losses, Evidence int }
+
 // plainTaskRecord is the encoded form of a task record without crashes.
 type plainTaskRecord struct {
 	_ struct{} `cbor:",toarray"`
@@ -125,33 +122,52 @@
 
 // crashedTaskRecord is the encoded form of a task record with crashes.
 type crashedTaskRecord struct {
+	_ struct{} `cbor:",toarray"`
+	taskRecordFields
+	crashFields
+}
+
+// weighedTaskRecord is the encoded form of a task record with crashes of a version that did not count losses.
+type weighedTaskRecord struct {
 	_ struct{} `cbor:",toarray"`
 	taskRecordFields
 	Crashes, Confirmed int
 }
 
-// plainTaskRecordHeader is the first byte of an encoded plainTaskRecord, the CBOR header of an array of its seven fields.
-const plainTaskRecordHeader = 0x87
+// The first bytes of the encoded forms of an earlier version: the CBOR headers of arrays of seven and nine fields.
+const (
+	plainTaskRecordHeader   = 0x87
+	weighedTaskRecordHeader = 0x89
+)
 
 // MarshalCBOR returns the encoded form of the record.
 func (wiretaskrecord wireTaskRecord) MarshalCBOR() ([]byte, error) {
-	if wiretaskrecord.Crashes == 0 {
+	if wiretaskrecord.Losses == 0 {
 		return cbor.Marshal(plainTaskRecord{taskRecordFields: wiretaskrecord.taskRecordFields})
 	}
-	return cbor.Marshal(crashedTaskRecord{taskRecordFields: wiretaskrecord.taskRecordFields, Crashes: wiretaskrecord.Crashes, Confirmed: wiretaskrecord.Confirmed})
+	return cbor.Marshal(crashedTaskRecord{taskRecordFields: wiretaskrecord.taskRecordFields, crashFields: wiretaskrecord.crashFields})
 }
 
-// UnmarshalCBOR sets the record from its encoded form.
+// UnmarshalCBOR sets the record from its encoded form. A record without losses has at most as many as its weighed count of
+// crashes, which counts some of them twice: the task gets no more starts than it would have without the upgrade.
 func (wiretaskrecord *wireTaskRecord) UnmarshalCBOR(data []byte) error {
-	if len(data) > 0 && data[0] == plainTaskRecordHeader {
+	switch {
+	case len(data) > 0 && data[0] == plainTaskRecordHeader:
 		var plain plainTaskRecord
 		err := cbor.Unmarshal(data, &plain)
 		*wiretaskrecord = wireTaskRecord{taskRecordFields: plain.taskRecordFields}
 		return err
+	case len(data) > 0 && data[0] == weighedTaskRecordHeader:
+		var weighed weighedTaskRecord
+		err := cbor.Unmarshal(data, &weighed)
+		*wiretaskrecord = wireTaskRecord{taskRecordFields: weighed.taskRecordFields, crashFields: crashFields{
+			Crashes: weighed.Crashes, Confirmed: weighed.Confirmed, Losses: weighed.Crashes,
+		}}
+		return err
 	}
 	var crashed crashedTaskRecord
 	err := cbor.Unmarshal(data, &crashed)
-	*wiretaskrecord = wireTaskRecord{taskRecordFields: crashed.taskRecordFields, Crashes: crashed.Crashes, Confirmed: crashed.Confirmed}
+	*wiretaskrecord = wireTaskRecord{taskRecordFields: crashed.taskRecordFields, crashFields: crashed.crashFields}
 	return err
 }
 
@@ -197,7 +213,7 @@
 		From: fromUnixMillis(wireusage.FromMS), Queue: wireusage.Queue, Pool: wireusage.Pool, Priority: wireusage.Priority,
 		Received: wireusage.Received.value(), Capacity: wireusage.Capacity.value(), Lost: wireusage.Lost.value(),
 		Admitted: wireusage.Admitted, Completed: wireusage.Completed, Failed: wireusage.Failed, Cancelled: wireusage.Cancelled,
-		Waited: time.Duration(wireusage.WaitedMS) * time.Millisecond, DoneRuns: wireusage.Done,
+		Waited: milliseconds(wireusage.WaitedMS), DoneRuns: wireusage.Done,
 		FailedRuns: wireusage.Unfinished, AbortedRuns: wireusage.Withdrawn,
 	})
 }
@@ -226,10 +242,12 @@
 }
 
 type wireJobRecord struct {
-	_                  struct{} `cbor:",toarray"`
-	Job                wireJob
-	Queue              wireQueue
-	State              almondcross.JobState
+	_     struct{} `cbor:",toarray"`
+	Job   wireJob
+	Queue wireQueue
+	State almondcross.JobState
+	// FinishedMS is the end of a final job, and the version of the settings of any other one. The version before reads it only
+	// of final jobs, and keeps it for the others.
 	FinishedMS         int64
 	StartedOccurrences int
 	Stages             []wireStageRecord
@@ -268,10 +286,10 @@
 		Resources: almondcross.NewResources(almondcross.ResourcesConfig{
 			MilliCPU: wirestep.MilliCPU, MemoryMB: wirestep.MemoryMB, Accelerators: wirestep.Accelerators,
 		}),
-		Estimate: time.Duration(wirestep.EstimateMS) * time.Millisecond, After: wirestep.After, Checkpoints: wirestep.Checkpoints,
+		Estimate: milliseconds(wirestep.EstimateMS), After: wirestep.After, Checkpoints: wirestep.Checkpoints,
 		Gang: wirestep.Gang, SameRack: wirestep.SameRack, Label: wirestep.Label, DataRack: wirestep.DataRack,
 		PerWorker: wirestep.PerWorker, Speculative: wirestep.Speculative, Service: wirestep.Service, Image: wirestep.Image,
-		LatencyLimit: time.Duration(wirestep.LatencyLimitMS) * time.Millisecond, BestEffort: wirestep.BestEffort, MaxUnavailable: wirestep.MaxUnavailable,
+		LatencyLimit: milliseconds(wirestep.LatencyLimitMS), BestEffort: wirestep.BestEffort, MaxUnavailable: wirestep.MaxUnavailable,
 	})
 }
 
@@ -294,7 +312,7 @@
 	}
 	job := almondcross.NewJob(almondcross.JobConfig{
 		ID: almondcross.JobID(wirejob.ID), Queue: wirejob.Queue, Payload: wirejob.Payload, Steps: steps, Runs: wirejob.Runs,
-		First: fromUnixMillis(wirejob.FirstMS), Period: time.Duration(wirejob.PeriodMS) * time.Millisecond,
+		First: fromUnixMillis(wirejob.FirstMS), Period: milliseconds(wirejob.PeriodMS),
 		Submitted: fromUnixMillis(wirejob.SubmittedMS),
 	})
 	if err := job.Validate(); err != nil {
@@ -317,15 +335,20 @@
 	return almondcross.NewQueue(almondcross.QueueConfig{
 		Name: wirequeue.Name, Host: wirequeue.Host, Prefix: wirequeue.Prefix, Pool: wirequeue.Service,
 		Priority: wirequeue.Priority, MaxAttempts: wirequeue.MaxAttempts, Stretch: wirequeue.Stretch,
-		LatencyTarget: time.Duration(wirequeue.LatencyTargetMS) * time.Millisecond,
+		LatencyTarget: milliseconds(wirequeue.LatencyTargetMS),
 		AdviceSettings: almondcross.NewAdviceSettings(almondcross.AdviceSettingsConfig{
-			Required: wirequeue.Advice, Base: time.Duration(wirequeue.AdviceBaseUS) * time.Microsecond,
-			PerWorker: time.Duration(wirequeue.AdviceWorkerUS) * time.Microsecond,
-			Validity:  time.Duration(wirequeue.AdviceValidityMS) * time.Millisecond,
+			Required: wirequeue.Advice, Base: microseconds(wirequeue.AdviceBaseUS),
+			PerWorker: microseconds(wirequeue.AdviceWorkerUS),
+			Validity:  milliseconds(wirequeue.AdviceValidityMS),
 		}),
 	})
 }
 
+// settings returns the settings of the queue by a version of the configuration.
+func (wirequeue wireQueue) settings(version int64) almondcross.QueueSettings {
+	return almondcross.NewQueueSettings(almondcross.QueueSettingsConfig{Queue: wirequeue.value(), Version: version})
+}
+
 func toChange(change almondcross.Change) wireStateChange {
 	wire := wireStateChange{
 		Kind: change.Kind(), Run: change.Run(), Worker: change.Worker(), End: string(change.End()),
@@ -339,14 +362,16 @@
 		wire.DurationMS = change.Silent().Milliseconds()
 	case almondcross.ChangeWorkerUnlisted:
 		wire.Host = change.Zone()
+	case almondcross.ChangeAdmit, almondcross.ChangeSettings:
+		wire.DurationMS = change.Settings().Version()
 	default:
 	}
 	if change.Job().ID() != "" {
 		job := toJob(change.Job())
 		wire.Job = &job
 	}
-	if change.Queue().Name() != "" {
-		queue := toQueue(change.Queue())
+	if change.Settings().Known() {
+		queue := toQueue(change.Settings().Queue())
 		wire.Queue = &queue
 	}
 	if task := change.Task(); task.Stage.Job != "" {
@@ -362,16 +387,20 @@
 		End: almondcross.EndKind(wirestatechange.End), Checkpoint: wirestatechange.Checkpoint,
 		Occurrence: wirestatechange.Occurrence, Host: wirestatechange.Host, Address: wirestatechange.Address,
 	}
-	switch duration := time.Duration(wirestatechange.DurationMS) * time.Millisecond; wirestatechange.Kind {
+	switch duration := milliseconds(wirestatechange.DurationMS); wirestatechange.Kind {
 	case almondcross.ChangeJobStarted:
 		config.Waited = duration
 	case almondcross.ChangeEnd:
 		config.Silent = duration
 	case almondcross.ChangeWorkerUnlisted:
 		config.Host, config.Zone = "", wirestatechange.Host
+	case almondcross.ChangeAdmit, almondcross.ChangeSettings:
 	default:
 		config.LeaseRemaining = duration
 	}
+	if !validCounts(wirestatechange.Run, wirestatechange.Occurrence) {
+		return almondcross.Change{}, errors.Annotatef(ErrMalformed, "run %d, occurrence %d", wirestatechange.Run, wirestatechange.Occurrence)
+	}
 	var err error
 	if wirestatechange.Job != nil {
 		if config.Job, err = wirestatechange.Job.value(); err != nil {
@@ -382,7 +411,7 @@
 		return almondcross.Change{}, errors.Annotate(ErrMalformed, "an admitted job without steps")
 	}
 	if wirestatechange.Queue != nil {
-		config.Queue = wirestatechange.Queue.value()
+		config.Settings = wirestatechange.Queue.settings(wirestatechange.DurationMS)
 	}
 	if task := wirestatechange.Task; task != nil {
 		if task.Occurrence < 0 || task.Step < 0 || task.Index < 0 {
@@ -414,6 +443,9 @@
 	if wire.Epoch == 0 || !validEpoch(wire.Epoch) {
 		return almondcross.JournalBatch{}, errors.Annotatef(ErrMalformed, "journal batch of epoch %d", wire.Epoch)
 	}
+	if err := checkOffsets(wire.Intake); err != nil {
+		return almondcross.JournalBatch{}, errors.Annotate(err, "journal batch")
+	}
 	changes := make([]almondcross.Change, len(wire.Changes))
 	for index, wireChange := range wire.Changes {
 		change, err := wireChange.value()
@@ -426,25 +458,3 @@
 		Epoch: wire.Epoch, At: fromUnixMillis(wire.AtMS), Intake: wire.Intake, Changes: changes, Current: wire.Current,
 	}), nil
 }
-
-// EncodeIntake returns the encoded record of a submitted job or cancellation.
-func (codec Codec) EncodeIntake(intake almondcross.Intake) ([]byte, error) {
-	record, err := codec.encoding.Marshal(wireIntake{Job: toJob(intake.Job()), Cancel: intake.Cancel()})
-	return record, errors.Annotate(err, "encoding an intake")
-}
-
-// DecodeIntake returns the submitted job or cancellation of an encoded record.
-func (codec Codec) DecodeIntake(record []byte) (almondcross.Intake, error) {
-	var wire wireIntake
-	if err := codec.decoding.Unmarshal(record, &wire); err != nil {
-		return almondcross.Intake{}, errors.Annotatef(ErrMalformed, "intake record: %v", err)
-	}
-	job, err := wire.Job.value()
-	if err != nil {
-		return almondcross.Intake{}, errors.Annotate(err, "intake record")
-	}
-	if !wire.Cancel && len(job.Steps()) == 0 {
-		return almondcross.Intake{}, errors.Annotate(ErrMalformed, "intake record: a job without steps")
-	}
-	return almondcross.NewIntake(almondcross.IntakeConfig{Job: job, Cancel: wire.Cancel}), nil
-}
--- a/encoder/snapshot.go
+++ b/encoder/snapshot.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
@@ -27,47 +26,55 @@
 	Resigned       bool
 }
 
-// wireSnapshotPart is one part of a snapshot. The unlisted workers are encoded only if there are any, so that parts of an
-// earlier version are read, and an earlier version reads all other parts.
+// wireSnapshotPart is one part of a snapshot. The unlisted workers and the crashes are encoded only if there are any, so that
+// parts of an earlier version are read, and an earlier version reads all other parts.
 type wireSnapshotPart struct {
 	snapshotPartFields
 	Unlisted []wireUnlistedWorker
+	Crashed  []wireWorkerCrash
 }
 
-// plainSnapshotPart is the encoded form of a part without unlisted workers.
+// plainSnapshotPart is the encoded form of a part without unlisted workers and crashes.
 type plainSnapshotPart struct {
 	_ struct{} `cbor:",toarray"`
 	snapshotPartFields
 }
 
-// unlistedSnapshotPart is the encoded form of a part with unlisted workers.
-type unlistedSnapshotPart struct {
+// extendedSnapshotPart is the encoded form of a first part with unlisted workers or crashes.
+type extendedSnapshotPart struct {
 	_ struct{} `cbor:",toarray"`
 	snapshotPartFields
 	Unlisted []wireUnlistedWorker
+	Crashed  []wireWorkerCrash
 }
 
 // plainSnapshotPartHeader is the first byte of an encoded plainSnapshotPart, the CBOR header of an array of its 13 fields.
 const plainSnapshotPartHeader = 0x8d
 
-// encodeSnapshotPart returns the encoded form of a part.
-func (codec Codec) encodeSnapshotPart(part wireSnapshotPart) ([]byte, error) {
-	if len(part.Unlisted) == 0 {
-		return codec.encoding.Marshal(plainSnapshotPart{snapshotPartFields: part.snapshotPartFields})
+// encodePart returns the encoded form of a part.
+func (codec Codec) encodePart(part wireSnapshotPart) ([]byte, error) {
+	var encoded []byte
+	var err error
+	if len(part.Unlisted) == 0 && len(part.Crashed) == 0 {
+		encoded, err = codec.encoding.Marshal(plainSnapshotPart{snapshotPartFields: part.snapshotPartFields})
+	} else {
+		encoded, err = codec.encoding.Marshal(extendedSnapshotPart{
+			snapshotPartFields: part.snapshotPartFields, Unlisted: part.Unlisted, Crashed: part.Crashed,
+		})
 	}
-	return codec.encoding.Marshal(unlistedSnapshotPart{snapshotPartFields: part.snapshotPartFields, Unlisted: part.Unlisted})
+	return encoded, errors.Annotate(err, "encoding a snapshot")
 }
 
-// decodeSnapshotPart returns the part of an encoded record.
-func (codec Codec) decodeSnapshotPart(data []byte) (wireSnapshotPart, error) {
+// decodePart returns a part from its encoded form.
+func (codec Codec) decodePart(data []byte) (wireSnapshotPart, error) {
 	if len(data) > 0 && data[0] == plainSnapshotPartHeader {
 		var plain plainSnapshotPart
 		err := codec.decodingJobs.Unmarshal(data, &plain)
-		return wireSnapshotPart{snapshotPartFields: plain.snapshotPartFields}, err
+		return wireSnapshotPart{snapshotPartFields: plain.snapshotPartFields}, errors.Trace(err)
 	}
-	var unlisted unlistedSnapshotPart
-	err := codec.decodingJobs.Unmarshal(data, &unlisted)
-	return wireSnapshotPart{snapshotPartFields: unlisted.snapshotPartFields, Unlisted: unlisted.Unlisted}, err
+	var extended extendedSnapshotPart
+	err := codec.decodingJobs.Unmarshal(data, &extended)
+	return wireSnapshotPart{snapshotPartFields: extended.snapshotPartFields, Unlisted: extended.Unlisted, Crashed: extended.Crashed}, errors.Trace(err)
 }
 
 type wireUnlistedWorker struct {
@@ -76,6 +83,13 @@
 	Leaving               bool
 }
 
+type wireWorkerCrash struct {
+	_          struct{} `cbor:",toarray"`
+	Worker     string
+	AtMS       int64
+	Attributed bool
+}
+
 type wireSilentWorker struct {
 	_            struct{} `cbor:",toarray"`
 	Worker       string
@@ -129,8 +143,8 @@
 	values := make([][]byte, len(parts))
 	for index, part := range parts {
 		part.Parts = len(parts)
-		if values[index], err = codec.encodeSnapshotPart(part); err != nil {
-			return nil, errors.Annotate(err, "encoding a snapshot")
+		if values[index], err = codec.encodePart(part); err != nil {
+			return nil, err
 		}
 	}
 	return values, nil
@@ -138,9 +152,9 @@
 
 // remainingBytes returns how many bytes of jobs fit in a part that has none yet.
 func (codec Codec) remainingBytes(part wireSnapshotPart, size int) (int, error) {
-	empty, err := codec.encodeSnapshotPart(part)
+	empty, err := codec.encodePart(part)
 	if err != nil {
-		return 0, errors.Annotate(err, "encoding a snapshot")
+		return 0, err
 	}
 	// The number of parts and the number of jobs take more bytes once they are known.
 	return size - len(empty) - 2*maxHeaderBytes, nil
@@ -167,6 +181,9 @@
 		JournalOffset: snapshot.Next(), Epoch: snapshot.Epoch(), AtMS: toUnixMillis(snapshot.At()), Intake: snapshot.Intake(),
 		Host: snapshot.Host(), Address: snapshot.Address(), SchedulerEpoch: snapshot.SchedulerEpoch(), Resigned: snapshot.Resigned(),
 	}}
+	for _, crash := range snapshot.Crashed() {
+		part.Crashed = append(part.Crashed, wireWorkerCrash{Worker: crash.Worker(), AtMS: toUnixMillis(crash.At()), Attributed: crash.Attributed()})
+	}
 	for _, usage := range snapshot.Usage() {
 		part.Usage = append(part.Usage, toUsage(usage))
 	}
@@ -194,15 +211,19 @@
 		if len(record.Value()) == 0 {
 			continue
 		}
-		part, err := codec.decodeSnapshotPart(record.Value())
+		part, err := codec.decodePart(record.Value())
 		if err != nil {
 			malformed = errors.Annotatef(ErrMalformed, "snapshot %s: %v", record.Key(), err)
 			continue
 		}
-		if part.JournalOffset < 0 || !validEpoch(part.Epoch) || !validEpoch(part.SchedulerEpoch) {
+		if !validCount(part.JournalOffset) || !validEpoch(part.Epoch) || !validEpoch(part.SchedulerEpoch) {
 			malformed = errors.Annotatef(ErrMalformed, "snapshot %s: offset %d, epochs %d and %d", record.Key(), part.JournalOffset, part.Epoch, part.SchedulerEpoch)
 			continue
 		}
+		if err := checkOffsets(part.Intake); err != nil {
+			malformed = errors.Annotatef(err, "snapshot %s", record.Key())
+			continue
+		}
 		if partsByOffset[part.JournalOffset] == nil {
 			partsByOffset[part.JournalOffset] = map[int]wireSnapshotPart{}
 		}
@@ -284,7 +305,7 @@
 	for _, silent := range firstPart.Silent {
 		silentWorkers = append(silentWorkers, almondcross.NewSilentWorker(almondcross.SilentWorkerConfig{
 			Worker: silent.Worker, Epoch: silent.Epoch, RecordedAt: fromUnixMillis(silent.RecordedAtMS),
-			LeaseRemaining: time.Duration(silent.RemainingMS) * time.Millisecond,
+			LeaseRemaining: milliseconds(silent.RemainingMS),
 		}))
 	}
 	var unlistedWorkers []almondcross.UnlistedWorker
@@ -293,9 +314,15 @@
 			Worker: unlisted.Worker, Address: unlisted.Address, Zone: unlisted.Zone, Leaving: unlisted.Leaving,
 		}))
 	}
+	var crashed []almondcross.WorkerCrash
+	for _, crash := range firstPart.Crashed {
+		crashed = append(crashed, almondcross.NewWorkerCrash(almondcross.WorkerCrashConfig{
+			Worker: crash.Worker, At: fromUnixMillis(crash.AtMS), Attributed: crash.Attributed,
+		}))
+	}
 	return almondcross.NewStateSnapshot(almondcross.StateSnapshotConfig{
 		Next: firstPart.JournalOffset, Epoch: firstPart.Epoch, SchedulerEpoch: firstPart.SchedulerEpoch, Resigned: firstPart.Resigned, At: fromUnixMillis(firstPart.AtMS), Host: firstPart.Host, Address: firstPart.Address,
-		Intake: firstPart.Intake, Jobs: jobs, Usage: usage, Silent: silentWorkers, Unlisted: unlistedWorkers,
+		Intake: firstPart.Intake, Jobs: jobs, Usage: usage, Silent: silentWorkers, Unlisted: unlistedWorkers, Crashed: crashed,
 	})
 }
 
@@ -305,20 +332,27 @@
 		tasks := make([]wireTaskRecord, len(stage.Tasks()))
 		for taskIndex, task := range stage.Tasks() {
 			config := task.Config()
-			tasks[taskIndex] = wireTaskRecord{Crashes: config.Crashes, Confirmed: config.Confirmed, taskRecordFields: taskRecordFields{
-				Done: config.Done, Active: config.Active, Run: config.Run, Failures: config.Failures,
-				Worker: config.Worker, Checkpoint: config.Checkpoint, SinceMS: toUnixMillis(config.Since),
-			}}
+			tasks[taskIndex] = wireTaskRecord{
+				taskRecordFields: taskRecordFields{
+					Done: config.Done, Active: config.Active, Run: config.Run, Failures: config.Failures,
+					Worker: config.Worker, Checkpoint: config.Checkpoint, SinceMS: toUnixMillis(config.Since),
+				},
+				crashFields: crashFields{Crashes: config.Crashes, Confirmed: config.Confirmed, Losses: config.Losses, Evidence: config.Evidence},
+			}
 		}
 		stages[index] = wireStageRecord{
 			Occurrence: stage.Occurrence(), Step: stage.Step(), Run: stage.Run(), Failures: stage.Failures(),
 			FailedRun: stage.FailedRun(), Checkpoint: stage.Checkpoint(), Tasks: tasks,
 		}
 	}
-	return wireJobRecord{
-		Job: toJob(record.Job()), Queue: toQueue(record.Queue()), State: record.State(),
-		FinishedMS: toUnixMillis(record.Finished()), StartedOccurrences: record.StartedOccurrences(), Stages: stages,
+	wire := wireJobRecord{
+		Job: toJob(record.Job()), Queue: toQueue(record.Settings().Queue()), State: record.State(),
+		FinishedMS: record.Settings().Version(), StartedOccurrences: record.StartedOccurrences(), Stages: stages,
+	}
+	if record.State().Final() {
+		wire.FinishedMS = toUnixMillis(record.Finished())
 	}
+	return wire
 }
 
 // value returns the record of the job, or ErrMalformed if the scheduler that stored it cannot have held it.
@@ -336,6 +370,7 @@
 		for taskIndex, task := range stage.Tasks {
 			tasks[taskIndex] = almondcross.NewTaskRecord(almondcross.TaskRecordConfig{
 				Done: task.Done, Active: task.Active, Run: task.Run, Failures: task.Failures, Crashes: task.Crashes, Confirmed: task.Confirmed,
+				Losses: task.Losses, Evidence: task.Evidence,
 				Worker: task.Worker, Checkpoint: task.Checkpoint, Since: fromUnixMillis(task.SinceMS),
 			})
 		}
@@ -344,10 +379,13 @@
 			FailedRun: stage.FailedRun, Checkpoint: stage.Checkpoint, Tasks: tasks,
 		})
 	}
-	return almondcross.NewJobRecord(almondcross.JobRecordConfig{
-		Job: job, Queue: wirejobrecord.Queue.value(), State: wirejobrecord.State,
-		Finished: fromUnixMillis(wirejobrecord.FinishedMS), StartedOccurrences: wirejobrecord.StartedOccurrences, Stages: stages,
-	}), nil
+	config := almondcross.JobRecordConfig{Job: job, State: wirejobrecord.State, StartedOccurrences: wirejobrecord.StartedOccurrences, Stages: stages}
+	if wirejobrecord.State.Final() {
+		config.Settings, config.Finished = wirejobrecord.Queue.settings(0), fromUnixMillis(wirejobrecord.FinishedMS)
+	} else {
+		config.Settings = wirejobrecord.Queue.settings(wirejobrecord.FinishedMS)
+	}
+	return almondcross.NewJobRecord(config), nil
 }
 
 // checkStages returns ErrMalformed unless the stages are those of the started occurrences in order. A final job has neither
@@ -361,6 +399,18 @@
 		if stage.Occurrence != index/len(steps) || stage.Step != index%len(steps) || len(stage.Tasks) != steps[stage.Step].Count {
 			return errors.Annotatef(ErrMalformed, "stage %d of job %s", index, wirejobrecord.Job.ID)
 		}
+		if !stage.validCounts() {
+			return errors.Annotatef(ErrMalformed, "the runs of stage %d of job %s", index, wirejobrecord.Job.ID)
+		}
 	}
 	return nil
 }
+
+func (wirestagerecord wireStageRecord) validCounts() bool {
+	for _, task := range wirestagerecord.Tasks {
+		if !validCounts(task.Run, task.Failures, task.Crashes, task.Confirmed, task.Losses) || !validEvidence(task.Evidence) {
+			return false
+		}
+	}
+	return validCounts(wirestagerecord.Run, wirestagerecord.Failures, wirestagerecord.FailedRun)
+}
--- a/job_generated.go
+++ b/job_generated.go
@@ -514,6 +514,46 @@
 	return queue
 }
 
+// QueueSettingsConfig holds the fields of a new QueueSettings.
+type QueueSettingsConfig struct {
+	Queue   Queue
+	Version int64
+}
+
+// NewQueueSettings returns a QueueSettings with the given fields.
+func NewQueueSettings(config QueueSettingsConfig) QueueSettings {
+	return QueueSettings{
+		queue:   config.Queue,
+		version: config.Version,
+	}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (queuesettings QueueSettings) Config() QueueSettingsConfig {
+	return QueueSettingsConfig{
+		Queue:   queuesettings.queue,
+		Version: queuesettings.version,
+	}
+}
+
+// Queue returns the queue.
+func (queuesettings QueueSettings) Queue() Queue { return queuesettings.queue }
+
+// WithQueue returns a copy with the given queue.
+func (queuesettings QueueSettings) WithQueue(queue Queue) QueueSettings {
+	queuesettings.queue = queue
+	return queuesettings
+}
+
+// Version returns the version of the configuration, 0 if the version is not known.
+func (queuesettings QueueSettings) Version() int64 { return queuesettings.version }
+
+// WithVersion returns a copy with the given version.
+func (queuesettings QueueSettings) WithVersion(version int64) QueueSettings {
+	queuesettings.version = version
+	return queuesettings
+}
+
 // PoolConfig holds the fields of a new Pool.
 type PoolConfig struct {
 	Name             string
@@ -696,44 +736,47 @@
 
 // WorkerConfig holds the fields of a new Worker.
 type WorkerConfig struct {
-	ID       string
-	Pool     string
-	Address  string
-	Zone     string
-	Rack     string
-	Labels   []string
-	Capacity Resources
-	Draining bool
-	WarmUp   time.Duration
+	ID          string
+	Incarnation int64
+	Pool        string
+	Address     string
+	Zone        string
+	Rack        string
+	Labels      []string
+	Capacity    Resources
+	Draining    bool
+	WarmUp      time.Duration
 }
 
 // NewWorker returns a Worker with the given fields.
 func NewWorker(config WorkerConfig) Worker {
 	return Worker{
-		id:       config.ID,
-		pool:     config.Pool,
-		address:  config.Address,
-		zone:     config.Zone,
-		rack:     config.Rack,
-		labels:   config.Labels,
-		capacity: config.Capacity,
-		draining: config.Draining,
-		warmUp:   config.WarmUp,
+		id:          config.ID,
+		incarnation: config.Incarnation,
+		pool:        config.Pool,
+		address:     config.Address,
+		zone:        config.Zone,
+		rack:        config.Rack,
+		labels:      config.Labels,
+		capacity:    config.Capacity,
+		draining:    config.Draining,
+		warmUp:      config.WarmUp,
 	}
 }
 
 // Config returns the fields of the value for encoding or for a changed copy.
 func (worker Worker) Config() WorkerConfig {
 	return WorkerConfig{
-		ID:       worker.id,
-		Pool:     worker.pool,
-		Address:  worker.address,
-		Zone:     worker.zone,
-		Rack:     worker.rack,
-		Labels:   worker.labels,
-		Capacity: worker.capacity,
-		Draining: worker.draining,
-		WarmUp:   worker.warmUp,
+		ID:          worker.id,
+		Incarnation: worker.incarnation,
+		Pool:        worker.pool,
+		Address:     worker.address,
+		Zone:        worker.zone,
+		Rack:        worker.rack,
+		Labels:      worker.labels,
+		Capacity:    worker.capacity,
+		Draining:    worker.draining,
+		WarmUp:      worker.warmUp,
 	}
 }
 
@@ -746,6 +789,15 @@
 	return worker
 }
 
+// Incarnation returns the start of the announced worker process in Unix milliseconds, 0 when it is not known.
+func (worker Worker) Incarnation() int64 { return worker.incarnation }
+
+// WithIncarnation returns a copy with the given incarnation.
+func (worker Worker) WithIncarnation(incarnation int64) Worker {
+	worker.incarnation = incarnation
+	return worker
+}
+
 // Pool returns the name of its pool.
 func (worker Worker) Pool() string { return worker.pool }
 
@@ -1812,23 +1864,26 @@
 
 // IntakeConfig holds the fields of a new Intake.
 type IntakeConfig struct {
-	Job    Job
-	Cancel bool
+	Job      Job
+	Settings QueueSettings
+	Cancel   bool
 }
 
 // NewIntake returns a Intake with the given fields.
 func NewIntake(config IntakeConfig) Intake {
 	return Intake{
-		job:    config.Job,
-		cancel: config.Cancel,
+		job:      config.Job,
+		settings: config.Settings,
+		cancel:   config.Cancel,
 	}
 }
 
 // Config returns the fields of the value for encoding or for a changed copy.
 func (intake Intake) Config() IntakeConfig {
 	return IntakeConfig{
-		Job:    intake.job,
-		Cancel: intake.cancel,
+		Job:      intake.job,
+		Settings: intake.settings,
+		Cancel:   intake.cancel,
 	}
 }
 
@@ -1841,6 +1896,15 @@
 	return intake
 }
 
+// Settings returns the settings with which a host accepted it, not known if that was a host of the version before.
+func (intake Intake) Settings() QueueSettings { return intake.settings }
+
+// WithSettings returns a copy with the given settings.
+func (intake Intake) WithSettings(settings QueueSettings) Intake {
+	intake.settings = settings
+	return intake
+}
+
 // Cancel returns whether it cancels the job.
 func (intake Intake) Cancel() bool { return intake.cancel }
 
@@ -1854,7 +1918,7 @@
 type ChangeConfig struct {
 	Kind           ChangeKind
 	Job            Job
-	Queue          Queue
+	Settings       QueueSettings
 	Task           JobTask
 	Run            int
 	Worker         string
@@ -1874,7 +1938,7 @@
 	return Change{
 		kind:           config.Kind,
 		job:            config.Job,
-		queue:          config.Queue,
+		settings:       config.Settings,
 		task:           config.Task,
 		run:            config.Run,
 		worker:         config.Worker,
@@ -1895,7 +1959,7 @@
 	return ChangeConfig{
 		Kind:           change.kind,
 		Job:            change.job,
-		Queue:          change.queue,
+		Settings:       change.settings,
 		Task:           change.task,
 		Run:            change.run,
 		Worker:         change.worker,
@@ -1920,7 +1984,7 @@
 	return change
 }
 
-// Job returns the job of ChangeAdmit, with only its identity for ChangeCancel and ChangeOccurrence.
+// Job returns the job of ChangeAdmit, with only its identity for ChangeCancel, ChangeOccurrence and ChangeSettings.
 func (change Change) Job() Job { return change.job }
 
 // WithJob returns a copy with the given job.
@@ -1929,12 +1993,12 @@
 	return change
 }
 
-// Queue returns the queue of an admitted job.
-func (change Change) Queue() Queue { return change.queue }
+// Settings returns the settings of the queue of ChangeAdmit and ChangeSettings.
+func (change Change) Settings() QueueSettings { return change.settings }
 
-// WithQueue returns a copy with the given queue.
-func (change Change) WithQueue(queue Queue) Change {
-	change.queue = queue
+// WithSettings returns a copy with the given settings.
+func (change Change) WithSettings(settings QueueSettings) Change {
+	change.settings = settings
 	return change
 }
 
@@ -2130,6 +2194,8 @@
 	Failures   int
 	Crashes    int
 	Confirmed  int
+	Losses     int
+	Evidence   int
 	Worker     string
 	Checkpoint string
 	Since      time.Time
@@ -2144,6 +2210,8 @@
 		failures:   config.Failures,
 		crashes:    config.Crashes,
 		confirmed:  config.Confirmed,
+		losses:     config.Losses,
+		evidence:   config.Evidence,
 		worker:     config.Worker,
 		checkpoint: config.Checkpoint,
 		since:      config.Since,
@@ -2159,6 +2227,8 @@
 		Failures:   taskrecord.failures,
 		Crashes:    taskrecord.crashes,
 		Confirmed:  taskrecord.confirmed,
+		Losses:     taskrecord.losses,
+		Evidence:   taskrecord.evidence,
 		Worker:     taskrecord.worker,
 		Checkpoint: taskrecord.checkpoint,
 		Since:      taskrecord.since,
@@ -2219,6 +2289,24 @@
 	return taskrecord
 }
 
+// Losses returns the number of crashes of workers under a run of the task, each counted once.
+func (taskrecord TaskRecord) Losses() int { return taskrecord.losses }
+
+// WithLosses returns a copy with the given losses.
+func (taskrecord TaskRecord) WithLosses(losses int) TaskRecord {
+	taskrecord.losses = losses
+	return taskrecord
+}
+
+// Evidence returns the sum over the confirmed crashes of how soon after the start they came, in bits.
+func (taskrecord TaskRecord) Evidence() int { return taskrecord.evidence }
+
+// WithEvidence returns a copy with the given evidence.
+func (taskrecord TaskRecord) WithEvidence(evidence int) TaskRecord {
+	taskrecord.evidence = evidence
+	return taskrecord
+}
+
 // Worker returns the worker of the last run.
 func (taskrecord TaskRecord) Worker() string { return taskrecord.worker }
 
@@ -2545,7 +2633,7 @@
 // JobRecordConfig holds the fields of a new JobRecord.
 type JobRecordConfig struct {
 	Job                Job
-	Queue              Queue
+	Settings           QueueSettings
 	State              JobState
 	Finished           time.Time
 	StartedOccurrences int
@@ -2556,7 +2644,7 @@
 func NewJobRecord(config JobRecordConfig) JobRecord {
 	return JobRecord{
 		job:                config.Job,
-		queue:              config.Queue,
+		settings:           config.Settings,
 		state:              config.State,
 		finished:           config.Finished,
 		startedOccurrences: config.StartedOccurrences,
@@ -2568,7 +2656,7 @@
 func (jobrecord JobRecord) Config() JobRecordConfig {
 	return JobRecordConfig{
 		Job:                jobrecord.job,
-		Queue:              jobrecord.queue,
+		Settings:           jobrecord.settings,
 		State:              jobrecord.state,
 		Finished:           jobrecord.finished,
 		StartedOccurrences: jobrecord.startedOccurrences,
@@ -2585,12 +2673,12 @@
 	return jobrecord
 }
 
-// Queue returns the queue as it was configured when the job was admitted.
-func (jobrecord JobRecord) Queue() Queue { return jobrecord.queue }
+// Settings returns the settings of the queue with which the job runs.
+func (jobrecord JobRecord) Settings() QueueSettings { return jobrecord.settings }
 
-// WithQueue returns a copy with the given queue.
-func (jobrecord JobRecord) WithQueue(queue Queue) JobRecord {
-	jobrecord.queue = queue
+// WithSettings returns a copy with the given settings.
+func (jobrecord JobRecord) WithSettings(settings QueueSettings) JobRecord {
+	jobrecord.settings = settings
 	return jobrecord
 }
 
@@ -2758,6 +2846,58 @@
 	return unlistedworker
 }
 
+// WorkerCrashConfig holds the fields of a new WorkerCrash.
+type WorkerCrashConfig struct {
+	Worker     string
+	At         time.Time
+	Attributed bool
+}
+
+// NewWorkerCrash returns a WorkerCrash with the given fields.
+func NewWorkerCrash(config WorkerCrashConfig) WorkerCrash {
+	return WorkerCrash{
+		worker:     config.Worker,
+		at:         config.At,
+		attributed: config.Attributed,
+	}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (workercrash WorkerCrash) Config() WorkerCrashConfig {
+	return WorkerCrashConfig{
+		Worker:     workercrash.worker,
+		At:         workercrash.at,
+		Attributed: workercrash.attributed,
+	}
+}
+
+// Worker returns the identity of the worker.
+func (workercrash WorkerCrash) Worker() string { return workercrash.worker }
+
+// WithWorker returns a copy with the given worker.
+func (workercrash WorkerCrash) WithWorker(worker string) WorkerCrash {
+	workercrash.worker = worker
+	return workercrash
+}
+
+// At returns the time at which the scheduler lost contact.
+func (workercrash WorkerCrash) At() time.Time { return workercrash.at }
+
+// WithAt returns a copy with the given at.
+func (workercrash WorkerCrash) WithAt(at time.Time) WorkerCrash {
+	workercrash.at = at
+	return workercrash
+}
+
+// Attributed returns whether a run had been assigned to the worker shortly before, which may have crashed it.
+func (workercrash WorkerCrash) Attributed() bool { return workercrash.attributed }
+
+// WithAttributed returns a copy with the given attributed.
+func (workercrash WorkerCrash) WithAttributed(attributed bool) WorkerCrash {
+	workercrash.attributed = attributed
+	return workercrash
+}
+
 // StateSnapshotConfig holds the fields of a new StateSnapshot.
 type StateSnapshotConfig struct {
 	Next           int64
@@ -2772,6 +2912,7 @@
 	Usage          []QueueUsage
 	Silent         []SilentWorker
 	Unlisted       []UnlistedWorker
+	Crashed        []WorkerCrash
 }
 
 // NewStateSnapshot returns a StateSnapshot with the given fields.
@@ -2789,6 +2930,7 @@
 		usage:          config.Usage,
 		silent:         config.Silent,
 		unlisted:       config.Unlisted,
+		crashed:        config.Crashed,
 	}
 }
 
@@ -2807,6 +2949,7 @@
 		Usage:          statesnapshot.usage,
 		Silent:         statesnapshot.silent,
 		Unlisted:       statesnapshot.unlisted,
+		Crashed:        statesnapshot.crashed,
 	}
 }
 
@@ -2917,3 +3060,12 @@
 	statesnapshot.unlisted = unlisted
 	return statesnapshot
 }
+
+// Crashed returns the recent crashes of workers.
+func (statesnapshot StateSnapshot) Crashed() []WorkerCrash { return statesnapshot.crashed }
+
+// WithCrashed returns a copy with the given crashed.
+func (statesnapshot StateSnapshot) WithCrashed(crashed []WorkerCrash) StateSnapshot {
+	statesnapshot.crashed = crashed
+	return statesnapshot
+}
--- a/journal.go
+++ b/journal.go
@@ -22,19 +22,21 @@
 	ErrNotStored   = errors.ConstError("not stored")               // ErrNotStored means that the job was not stored and never runs.
 	ErrMaybeStored = errors.ConstError("the store did not answer") // ErrMaybeStored means that the job may have been stored and may run.
 	ErrTooLarge    = errors.ConstError("too large for the store")  // ErrTooLarge means that the job can never be stored.
+
+	ErrIdentityTaken = errors.ConstError("the identity is that of a job of another queue") // ErrIdentityTaken means that the job was not admitted, since its identity is taken.
 )
 
 // Submitter stores jobs and cancellations.
 type Submitter interface {
-	// Submit stores an intake and waits at most for the timeout. It returns ErrNotStored, ErrMaybeStored or ErrTooLarge
-	// unless the intake was stored.
+	// Submit stores an intake and waits at most for the timeout. It returns ErrNotStored, ErrMaybeStored, ErrTooLarge or
+	// ErrIdentityTaken unless the intake was stored.
 	Submit(ctx context.Context, intake Intake, timeout time.Duration) error
 }
 
 // QueueRouter finds the queue of a request.
 type QueueRouter interface {
-	// Match returns the queue of a request and the part of the path that follows the queue's prefix.
-	Match(host, path string) (queue Queue, rest string, found bool)
+	// Match returns the settings of the queue of a request and the part of the path that follows the queue's prefix.
+	Match(host, path string) (settings QueueSettings, rest string, found bool)
 	// Version returns the version of the current configuration, 0 before the first one.
 	Version() int64
 	// BodyLimit returns the maximum size of a request body in bytes, 0 when none is configured.
@@ -127,8 +129,9 @@
 //
 //value:generate
 type Intake struct {
-	job    Job  // the job, with only its identity and queue for a cancellation
-	cancel bool // whether it cancels the job
+	job      Job           // the job, with only its identity and queue for a cancellation
+	settings QueueSettings // the settings with which a host accepted it, not known if that was a host of the version before
+	cancel   bool          // whether it cancels the job
 }
 
 // ChangeKind is the kind of a journal change.
@@ -148,8 +151,10 @@
 
 	ChangeJobStarted ChangeKind = 10 // ChangeJobStarted records the first run of a job that is known to have started on its worker.
 
-	ChangeWorkerUnlisted ChangeKind = 11 // ChangeWorkerUnlisted records the address of a worker with runs that is no longer announced, until ChangeWorkerListed.
-	ChangeWorkerListed   ChangeKind = 12 // ChangeWorkerListed records that an unlisted worker is announced again or was removed.
+	ChangeSettings       ChangeKind = 11 // ChangeSettings sets the settings of a job that was admitted while they were not known.
+	ChangeWorkerUnlisted ChangeKind = 12 // ChangeWorkerUnlisted records the address of a worker with runs that is no longer announced, until ChangeWorkerListed.
+	ChangeWorkerListed   ChangeKind = 13 // ChangeWorkerListed records that an unlisted worker is announced again or was removed.
+	ChangeSnapshotStored ChangeKind = 14 // ChangeSnapshotStored records that the scheduler has stored a snapshot and removed those of earlier epochs.
 )
 
 // Change is one change of the replicated state.
@@ -157,8 +162,8 @@
 //value:generate
 type Change struct {
 	kind           ChangeKind    // the kind
-	job            Job           // the job of ChangeAdmit, with only its identity for ChangeCancel and ChangeOccurrence
-	queue          Queue         // the queue of an admitted job
+	job            Job           // the job of ChangeAdmit, with only its identity for ChangeCancel, ChangeOccurrence and ChangeSettings
+	settings       QueueSettings // the settings of the queue of ChangeAdmit and ChangeSettings
 	task           JobTask       // the task of a run
 	run            int           // the number of the run
 	worker         string        // the worker of a run or of a change of a worker
@@ -199,6 +204,8 @@
 	failures   int       // the number of failed runs
 	crashes    int       // the crashes of workers under a run of the task; a crash counts twice with only runs of its job on the worker
 	confirmed  int       // the number of crashes under a run that was known to have started
+	losses     int       // the number of crashes of workers under a run of the task, each counted once
+	evidence   int       // the sum over the confirmed crashes of how soon after the start they came, in bits
 	worker     string    // the worker of the last run
 	checkpoint string    // the last recorded checkpoint, empty for none
 	since      time.Time // the time at which the last run was assigned to its worker
@@ -250,7 +257,7 @@
 //value:generate
 type JobRecord struct {
 	job                Job           // the job, without payload once its state is final and none of its tasks runs, and then without steps unless a task was started more than once
-	queue              Queue         // the queue as it was configured when the job was admitted
+	settings           QueueSettings // the settings of the queue with which the job runs
 	state              JobState      // the state of the job
 	finished           time.Time     // the time at which its state became final, zero before
 	startedOccurrences int           // the number of occurrences that were started
@@ -261,6 +268,10 @@
 // them are the term.
 const EpochRandomBits = 12
 
+// MaxEpoch is the highest epoch. Its fencing tokens, shifted by ten bits more, stay below 1<<53, so that workers that read
+// numbers as floating point compare them exactly.
+const MaxEpoch = 1<<43 - 1
+
 // SilentWorker is the record of a worker that does not answer.
 //
 //value:generate
@@ -281,6 +292,15 @@
 	leaving bool   // whether it had announced that it leaves
 }
 
+// WorkerCrash is the crash of a worker with runs.
+//
+//value:generate
+type WorkerCrash struct {
+	worker     string    // the identity of the worker
+	at         time.Time // the time at which the scheduler lost contact
+	attributed bool      // whether a run had been assigned to the worker shortly before, which may have crashed it
+}
+
 // StateSnapshot is the replicated state after a batch.
 //
 //value:generate
@@ -297,6 +317,7 @@
 	usage          []QueueUsage     // the usage of the current periods
 	silent         []SilentWorker   // the silent workers
 	unlisted       []UnlistedWorker // the workers with runs that are no longer announced
+	crashed        []WorkerCrash    // the recent crashes of workers
 }
 
 // JournalCodec converts between the replicated values and the records of the store.
@@ -305,10 +326,11 @@
 	EncodeBatch(batch JournalBatch) ([]byte, error)
 	// DecodeBatch returns the batch in a record.
 	DecodeBatch(record []byte) (JournalBatch, error)
-	// EncodeIntake returns the record of an intake.
-	EncodeIntake(intake Intake) ([]byte, error)
-	// DecodeIntake returns the intake in a record.
-	DecodeIntake(record []byte) (Intake, error)
+	// EncodeIntake returns the records of an intake, which must be stored together.
+	EncodeIntake(intake Intake) ([][]byte, error)
+	// DecodeIntakes returns the intakes in consecutive records, and the number of the first records that it used. It leaves out
+	// a last record that belongs to the next one. It calls unreadable for each record that it cannot decode.
+	DecodeIntakes(records [][]byte, unreadable func(index int, err error)) (intakes []Intake, used int)
 	// EncodePointer returns the stored form of a pointer to the scheduler.
 	EncodePointer(pointer SchedulerPointer) ([]byte, error)
 	// DecodePointer returns the pointer with the given stored form.
--- a/query/follower/follower.go
+++ b/query/follower/follower.go
@@ -13,8 +13,6 @@
 const (
 	// readTimeout bounds a read, in addition to its wait time. A slow store takes 250 ms.
 	readTimeout = 1500 * time.Millisecond
-	// intakeWait is how long a read of an intake partition waits for the first record.
-	intakeWait = 2 * time.Second
 	// readKB is the maximum size of the records that one read returns, in kilobytes.
 	readKB = 512
 )
@@ -82,13 +80,15 @@
 		}
 		partition := almondcross.Partition{Topic: follower.config.Intake, Number: query.Partition()}
 		read := almondcross.IntakeReadConfig{Partition: query.Partition(), From: query.From(), Next: query.From()}
-		records, err := follower.read(ctx, partition, query.From(), intakeWait)
+		records, err := follower.read(ctx, partition, query.From(), query.Wait())
 		if err != nil {
 			read.Err = err
 			read.Next = max(read.Next, records.First())
 		} else {
-			read.Next = query.From() + int64(len(records.Records()))
-			read.Intakes = decodeRecords(follower, partition, records, follower.config.Codec.DecodeIntake)
+			intakes, used := follower.config.Codec.DecodeIntakes(records.Records(), func(index int, err error) {
+				follower.decodeFailures.count(partition, records.From()+int64(index), err)
+			})
+			read.Next, read.Intakes = query.From()+int64(used), intakes
 		}
 		follower.reply(ctx, almondcross.NewIntakeRead(read))
 	})
@@ -102,6 +102,11 @@
 		}
 		var read almondcross.SnapshotReadConfig
 		records, _, err := follower.readNewest(ctx, follower.config.Snapshots)
+		for _, record := range records {
+			if len(record.Value()) > 0 {
+				read.Keys = append(read.Keys, record.Key())
+			}
+		}
 		if err == nil {
 			read.Snapshot, read.Found, err = follower.config.Codec.DecodeSnapshot(records)
 			if err != nil {
@@ -204,18 +209,3 @@
 	}
 	return batches
 }
-
-func decodeRecords[T any](
-	follower *Follower, partition almondcross.Partition, records almondcross.StoreRecords, decodeRecord func([]byte) (T, error),
-) []T {
-	values := make([]T, 0, len(records.Records()))
-	for index, record := range records.Records() {
-		value, err := decodeRecord(record)
-		if err != nil {
-			follower.decodeFailures.count(partition, records.From()+int64(index), err)
-			continue
-		}
-		values = append(values, value)
-	}
-	return values
-}
--- a/standin/emulator/storecalls.go
+++ b/standin/emulator/storecalls.go
@@ -18,7 +18,7 @@
 	case scheduler.ReadJournal:
 		modelhost.schedule(effect.Query.Pause(), func() { modelhost.readJournal(effect.Query, simulation.now+effect.Query.Wait()) })
 	case scheduler.ReadIntake:
-		modelhost.schedule(effect.Query.Pause(), func() { modelhost.readIntake(effect.Query, simulation.now+2*time.Second) })
+		modelhost.schedule(effect.Query.Pause(), func() { modelhost.readIntake(effect.Query, simulation.now+effect.Query.Wait()) })
 	case scheduler.ReadWorkers:
 		modelhost.schedule(effect.Query.Pause(), func() { modelhost.readWorkers(effect.Query) })
 	case scheduler.Commit:
@@ -78,8 +78,14 @@
 	simulation := modelhost.simulation
 	modelhost.storeCall(false, func() func() {
 		snapshot, found, err := simulation.codec.DecodeSnapshot(simulation.snapshotTable.latestRecords())
+		size := 0
+		for _, part := range simulation.snapshotTable.latestRecords() {
+			size += len(part.Value())
+		}
 		return func() {
-			modelhost.deliver(almondcross.NewSnapshotRead(almondcross.SnapshotReadConfig{Snapshot: snapshot, Found: found, Err: err}))
+			modelhost.schedule(modelhost.transferTime(size), func() {
+				modelhost.deliver(almondcross.NewSnapshotRead(almondcross.SnapshotReadConfig{Snapshot: snapshot, Found: found, Err: err}))
+			})
 		}
 	}, func(err error) {
 		modelhost.deliver(almondcross.NewSnapshotRead(almondcross.SnapshotReadConfig{Err: err}))
@@ -98,7 +104,7 @@
 		records[index] = almondcross.NewKeyedRecord(almondcross.KeyedRecordConfig{Key: strconv.Itoa(index), Value: part})
 	}
 	deliverResult := func(err error) {
-		modelhost.deliver(almondcross.NewSnapshotStored(almondcross.SnapshotStoredConfig{Next: request.Snapshot().Next(), Err: err}))
+		modelhost.deliver(almondcross.NewSnapshotStored(almondcross.SnapshotStoredConfig{Epoch: request.Snapshot().SchedulerEpoch(), Next: request.Snapshot().Next(), Err: err}))
 	}
 	modelhost.storeCall(true, func() func() {
 		simulation.snapshotTable.put(records)
@@ -106,6 +112,28 @@
 	}, deliverResult)
 }
 
+// readPage is the size from which one read of the journal returns no further records.
+const readPage = 512 << 10
+
+// firstPage returns the records that one read of the journal returns, and their size.
+func firstPage(records almondcross.StoreRecords) (almondcross.StoreRecords, int) {
+	size := 0
+	for index, record := range records.Records() {
+		if size >= readPage {
+			return records.WithRecords(records.Records()[:index]), size
+		}
+		size += len(record)
+	}
+	return records, size
+}
+
+// transferTime returns how long a host takes to get and to decode records of a size. Hosts differ in their distance from the
+// store and in their processors; the weakest ones need some 0.4 s for 10 s of the journal.
+func (modelhost *modelHost) transferTime(size int) time.Duration {
+	bytesPerMilli := []int{4000, 2000, 1000}[modelhost.index%3]
+	return time.Duration(size) * time.Millisecond / time.Duration(bytesPerMilli)
+}
+
 func (modelhost *modelHost) readJournal(query almondcross.JournalQuery, until time.Duration) {
 	simulation := modelhost.simulation
 	onFailure := func(err error) {
@@ -113,6 +141,7 @@
 	}
 	modelhost.storeCall(false, func() func() {
 		records, err := simulation.store.Read(simulation.now, journalPartition, query.From())
+		records, size := firstPage(records)
 		return func() {
 			if err == nil && len(records.Records()) == 0 && simulation.now < until {
 				modelhost.schedule(pollInterval, func() { modelhost.readJournal(query, until) })
@@ -129,7 +158,7 @@
 				}
 				config.Batches = append(config.Batches, batch)
 			}
-			modelhost.deliver(almondcross.NewJournalRead(config))
+			modelhost.schedule(modelhost.transferTime(size), func() { modelhost.deliver(almondcross.NewJournalRead(config)) })
 		}
 	}, onFailure)
 }
@@ -146,14 +175,11 @@
 				modelhost.schedule(pollInterval, func() { modelhost.readIntake(query, until) })
 				return
 			}
-			config := almondcross.IntakeReadConfig{Partition: query.Partition(), From: query.From(), Next: query.From() + int64(len(records.Records())), Err: err}
-			for _, record := range records.Records() {
-				intake, err := simulation.codec.DecodeIntake(record)
-				if err != nil {
-					simulation.checker.addViolation("ENCODING", "%v", err)
-				}
-				config.Intakes = append(config.Intakes, intake)
-			}
+			config := almondcross.IntakeReadConfig{Partition: query.Partition(), From: query.From(), Next: query.From(), Err: err}
+			intakes, used := simulation.codec.DecodeIntakes(records.Records(), func(_ int, err error) {
+				simulation.checker.addViolation("ENCODING", "%v", err)
+			})
+			config.Next, config.Intakes = query.From()+int64(used), intakes
 			modelhost.deliver(almondcross.NewIntakeRead(config))
 		}
 	}, onFailure)
--- a/standin/emulator/worker.go
+++ b/standin/emulator/worker.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/almondcross/almondcross"
@@ -61,6 +60,8 @@
 	// fullCapacity is the capacity without faults, capacityPeriods what was in force since when.
 	fullCapacity    almondcross.Resources
 	capacityPeriods []capacityPeriod
+	kindPeriods     []kindPeriod
+	nextKind        string // nextKind is the kind with which the worker restarts, empty for the same one.
 	up              bool
 	bootMillis      int64
 	bootedAt        time.Duration
@@ -211,7 +212,10 @@
 }
 
 func (modelworker *modelWorker) sortedRuns() []*modelRun {
-	return slices.SortedFunc(maps.Values(modelworker.runs), func(a, b *modelRun) int { return strings.Compare(a.task.String(), b.task.String()) })
+	if len(modelworker.runs) == 0 {
+		return nil
+	}
+	return slices.SortedFunc(maps.Values(modelworker.runs), func(a, b *modelRun) int { return a.task.Compare(b.task) })
 }
 
 func (modelrun *modelRun) workDone(now time.Duration) time.Duration {
@@ -337,7 +341,12 @@
 // boot starts a new incarnation with empty state.
 func (modelworker *modelWorker) boot(now time.Duration) {
 	modelworker.up, modelworker.bootedAt = true, now
+	if modelworker.nextKind != "" {
+		modelworker.setKind(now, modelworker.nextKind, modelworker.announcement.Rack())
+		modelworker.nextKind = ""
+	}
 	modelworker.bootMillis = modelworker.simulation.startTime.Add(now).UnixMilli()
+	modelworker.announcement = modelworker.announcement.WithIncarnation(modelworker.bootMillis)
 	modelworker.fence, modelworker.leaseUntil, modelworker.sequence = 0, 0, 0
 	modelworker.runs, modelworker.endedTasks = map[almondcross.JobTask]*modelRun{}, nil
 	modelworker.blockedThrough = map[almondcross.JobTask]int{}
