--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -345,9 +345,7 @@
 	if worker.assignments[assigned.task] != assigned || assigned.phase != phaseCommitting {
 		return
 	}
-	leaseEnd := machine.leaseEnd(worker)
-	if assigned.stopReason != "" || assigned.unwantedReason() != "" || leaseEnd == 0 || worker.unreachable || !worker.fitsRuns() ||
-		!worker.isOfKind(machine.queue(assigned.job), assigned.stage.spec) {
+	if !machine.mayStart(worker, assigned) {
 		machine.endRun(worker, assigned, almondcross.EndVoid, "")
 		return
 	}
@@ -364,10 +362,17 @@
 	machine.countQueueStart(assigned.job)
 	machine.emit(SendStart{Order: almondcross.NewStartOrder(almondcross.StartOrderConfig{
 		Worker: worker.info, Task: assigned.task, Run: assigned.run, Payload: assigned.job.spec.Payload(), Checkpoint: checkpoint,
-		Ticket: ticket, Fence: worker.fence, Until: leaseEnd,
+		Ticket: ticket, Fence: worker.fence, Until: machine.leaseEnd(worker),
 	})})
 }
 
+// mayStart reports whether the start order of a run may be sent now. The run, the worker or this scheduler's permission may
+// have changed since the decision.
+func (machine *Machine) mayStart(worker *worker, assigned *assignment) bool {
+	return assigned.stopReason == "" && assigned.unwantedReason() == "" && machine.mayExtendLease(worker) && !worker.unreachable &&
+		worker.fitsRuns() && worker.isOfKind(machine.queue(assigned.job), assigned.stage.spec)
+}
+
 // startOrderAnswered handles the answer to a start order.
 func (machine *Machine) startOrderAnswered(answer almondcross.StartOrderAnswered) {
 	machine.config.Metrics.StartAnswered(answer.Result())
@@ -409,8 +414,7 @@
 // mayRepeatStart reports whether an unanswered start order may be sent once more to its worker, which carries out a run once.
 // A report decides otherwise, under a higher fencing token, which would refuse the order.
 func (machine *Machine) mayRepeatStart(worker *worker, assigned *assignment) bool {
-	return !assigned.startRepeated && assigned.fence == worker.fence && !worker.unreachable && worker.fitsRuns() &&
-		assigned.stopReason == "" && assigned.unwantedReason() == "" && machine.mayExtendLease(worker)
+	return !assigned.startRepeated && assigned.fence == worker.fence && machine.mayStart(worker, assigned)
 }
 
 // startAnswered handles the refusal of the first start order of a run, or the success of either.
