Bound the wait of a stage that is isolated with its queue

Such a stage needs an empty worker, or one all of whose runs are older than 10 s. With short runs of others on every worker (0 to 2 of 32 were empty between 36 and 53 s) there is none, newer stages go first, also to the advice service (no call for such a stage between 25 and 52 s), and nothing bounds the wait. The wait for a lease was at most 6.9 s, and an election was not involved.

Change: after a minute the tasks of such a stage are suspected instead of isolated: they get a worker without another suspect, or any.

Result: the wait is at most a minute.

--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -32,21 +32,21 @@
 	usageStoring bool
 
 	workers             map[string]*worker
-	removedFences       map[string]int64                 // removedFences holds the fencing tokens of removed workers, which may return.
-	sortedWorkers       []*worker                        // sortedWorkers holds the workers by ID.
-	usableWorkers       []*worker                        // usableWorkers holds the workers that may get new work in the current pass.
-	ownWorkers          []*worker                        // ownWorkers holds the usable workers without runs or with isolated ones at the start of the current pass.
-	allowedWorkers      []*worker                        // allowedWorkers holds the result of the last call of the method of this name.
-	idleHosts           []*linkedHost                    // idleHosts holds the hosts that may make a call in the current pass.
-	longCalls           int                              // longCalls counts the hosts with a long call in the current pass.
-	examinedWorkers     int                              // examinedWorkers counts how often a worker was looked at in the current pass.
-	usableCPU           int64                            // usableCPU is the CPU capacity of the usable workers in thousandths of a core.
-	isolatedWorkers     int                              // isolatedWorkers counts the workers with an isolated run, crashed ones included, or kept free for one, in the current pass.
-	isolationLimit      int                              // isolationLimit is the maximum of isolatedWorkers in the current pass.
-	queueScores         map[string]queueScore            // queueScores holds the scores of the queues whose starts have crashed workers, see crashPenalty.
-	quarantined         map[almondcross.StageID]struct{} // quarantined holds the waiting stages that were isolated with their queue, also after the queue is trusted again.
-	reservedCPU         int64                            // reservedCPU is the part of usableCPU that is reserved for gangs in the current pass.
-	waitingStages       []*waitingStage                  // waitingStages holds the stages with tasks to place, in placement order.
+	removedFences       map[string]int64                  // removedFences holds the fencing tokens of removed workers, which may return.
+	sortedWorkers       []*worker                         // sortedWorkers holds the workers by ID.
+	usableWorkers       []*worker                         // usableWorkers holds the workers that may get new work in the current pass.
+	ownWorkers          []*worker                         // ownWorkers holds the usable workers without runs or with isolated ones at the start of the current pass.
+	allowedWorkers      []*worker                         // allowedWorkers holds the result of the last call of the method of this name.
+	idleHosts           []*linkedHost                     // idleHosts holds the hosts that may make a call in the current pass.
+	longCalls           int                               // longCalls counts the hosts with a long call in the current pass.
+	examinedWorkers     int                               // examinedWorkers counts how often a worker was looked at in the current pass.
+	usableCPU           int64                             // usableCPU is the CPU capacity of the usable workers in thousandths of a core.
+	isolatedWorkers     int                               // isolatedWorkers counts the workers with an isolated run, crashed ones included, or kept free for one, in the current pass.
+	isolationLimit      int                               // isolationLimit is the maximum of isolatedWorkers in the current pass.
+	queueScores         map[string]queueScore             // queueScores holds the scores of the queues whose starts have crashed workers, see crashPenalty.
+	quarantined         map[almondcross.StageID]time.Time // quarantined holds the waiting stages that were isolated with their queue, also after the queue is trusted again, and since when.
+	reservedCPU         int64                             // reservedCPU is the part of usableCPU that is reserved for gangs in the current pass.
+	waitingStages       []*waitingStage                   // waitingStages holds the stages with tasks to place, in placement order.
 	advice              map[almondcross.StageID]*stageAdvice
 	queued              map[almondcross.StageID]bool // queued holds the stages that are in waitingStages.
 	jobsWithOccurrences map[almondcross.JobID]*job   // jobsWithOccurrences holds the jobs with occurrences still to start.
@@ -63,7 +63,7 @@
 		epoch: answer.Commit().Epoch(), sequence: 1, electedAt: machine.now, lastCommitAt: machine.now.Add(-answer.Took()),
 		pendingIntake: map[int]int64{}, intakeReadAt: map[int]time.Time{}, workers: map[string]*worker{}, advice: map[almondcross.StageID]*stageAdvice{},
 		queued: map[almondcross.StageID]bool{}, unpushedViews: map[almondcross.JobID]almondcross.JobViewChange{}, jobsWithOccurrences: map[almondcross.JobID]*job{}, allowedShares: map[string]float64{}, queueScores: map[string]queueScore{},
-		removedFences: map[string]int64{}, quarantined: map[almondcross.StageID]struct{}{}, snapshotAt: machine.now,
+		removedFences: map[string]int64{}, quarantined: map[almondcross.StageID]time.Time{}, snapshotAt: machine.now,
 	}
 	machine.config.Log.Record("scheduling_started", almondcross.Number("epoch", machine.leader.epoch),
 		almondcross.Number("jobs", len(machine.state.jobs)), almondcross.Millis("took_ms", answer.Took()))
--- a/command/scheduler/suspicion.go
+++ b/command/scheduler/suspicion.go
@@ -31,6 +31,10 @@
 	// blamedIsolationTimeout replaces isolationTimeout for a task, other than a service, of a queue whose tasks crash workers.
 	// Nearly all runs end within it, so only on a cluster whose workers are never empty is there none.
 	blamedIsolationTimeout = 10 * time.Second
+	// maxQuarantine is how long a stage is isolated because of its queue. Ever new runs may occupy every worker for longer,
+	// and newer stages go first. In trials with 30 s the jobs that crash workers, let go together, cost the blamed queue of
+	// crash-frequent .05 of its worth (docs/incidents/crashing-task.md).
+	maxQuarantine = time.Minute
 	// minIsolationShare and maxIsolationShare bound the share of the workers that isolated tasks may occupy, crashed
 	// workers included. Between them the share is what shared work leaves when it grows to maxSharedUse of its workers.
 	minIsolationShare, maxIsolationShare, maxSharedUse = 0.125, 0.75, 0.75
@@ -55,39 +59,46 @@
 
 // suspicion returns the suspicion of a task, by its own crashes and by those of its queue.
 func (machine *Machine) suspicion(job *job, stage *stage, index int) suspicion {
-	if machine.isQuarantined(job, stage) {
-		return isolated
-	}
-	return stage.suspicion(index)
+	return max(machine.queueSuspicion(job, stage), stage.suspicion(index))
 }
 
 // quarantine reports whether a waiting stage is isolated because of its queue. A stage that has waited while its queue was
 // blamed stays isolated: the jobs that crash workers wait among those of that time.
 func (machine *Machine) quarantine(waiting *waitingStage) bool {
-	if machine.queueCrashing(waiting.job) {
-		machine.leader.quarantined[waiting.stage.id] = struct{}{}
+	if _, known := machine.leader.quarantined[waiting.stage.id]; !known && machine.queueCrashing(waiting.job) {
+		machine.leader.quarantined[waiting.stage.id] = machine.now
 	}
 	return machine.isQuarantined(waiting.job, waiting.stage)
 }
 
+// queueSuspicion returns the suspicion of the tasks of a stage by their queue. A stage that has been isolated for
+// maxQuarantine is suspected from then on.
+func (machine *Machine) queueSuspicion(job *job, stage *stage) suspicion {
+	since, known := machine.leader.quarantined[stage.id]
+	switch {
+	case known && machine.now.Sub(since) >= maxQuarantine:
+		return suspected
+	case known || machine.queueCrashing(job):
+		return isolated
+	default:
+		return unsuspected
+	}
+}
+
 // isQuarantined reports whether the tasks of a stage are isolated because of their queue.
 func (machine *Machine) isQuarantined(job *job, stage *stage) bool {
-	_, quarantined := machine.leader.quarantined[stage.id]
-	return quarantined || machine.queueCrashing(job)
+	return machine.queueSuspicion(job, stage) == isolated
 }
 
 // unplacedTasks returns the indices of the tasks to place, by their suspicion.
 func (machine *Machine) unplacedTasks(job *job, stage *stage) [suspicionLevels][]int {
 	var unplaced [suspicionLevels][]int
-	quarantined := machine.isQuarantined(job, stage)
+	lowest := machine.queueSuspicion(job, stage)
 	for index, record := range stage.tasks {
 		if record.Done() || record.Active() {
 			continue
 		}
-		level := isolated
-		if !quarantined {
-			level = stage.suspicion(index)
-		}
+		level := max(lowest, stage.suspicion(index))
 		unplaced[level] = append(unplaced[level], index)
 	}
 	return unplaced
@@ -95,11 +106,8 @@
 
 // waitingSuspicion returns the highest suspicion of the tasks to place.
 func (machine *Machine) waitingSuspicion(job *job, stage *stage) suspicion {
-	if machine.isQuarantined(job, stage) {
-		return isolated
-	}
-	highest := unsuspected
-	if stage.maxCrashes == 0 {
+	highest := machine.queueSuspicion(job, stage)
+	if highest == isolated || stage.maxCrashes == 0 {
 		return highest
 	}
 	for index, record := range stage.tasks {
--- a/command/scheduler/suspicion_test.go
+++ b/command/scheduler/suspicion_test.go
@@ -355,3 +355,51 @@
 	require.True(t, harness.record(taskOf("waiting", 0, 0)).Active())
 	require.Empty(t, harness.machine.leader.quarantined)
 }
+
+// Guards against innocent tasks that wait without end because their queue was blamed (LOST): short runs of others are spread
+// over all workers, so that none is ever empty, or occupied by the same runs for long, and newer jobs of the queue go first.
+func TestTasksOfABlamedQueueStartAmongSpreadRuns(t *testing.T) {
+	for name, test := range map[string]struct{ blamed, gang bool }{
+		"trusted again": {false, false}, "blamed for good": {true, false}, "gang, blamed for good": {true, true},
+	} {
+		harness := newHarnessWithWorkers(t, 4)
+		var queues []almondcross.Queue
+		for _, queue := range []string{"q", "other"} {
+			queues = append(queues, almondcross.NewQueue(almondcross.QueueConfig{Name: queue, Pool: "pool", MaxAttempts: 2}))
+		}
+		harness.apply(almondcross.NewRoutesRead(almondcross.RoutesReadConfig{
+			Table: almondcross.NewRouteTable(almondcross.RouteTableConfig{Version: 2, Queues: queues}),
+		}))
+		blame := func() {
+			harness.machine.leader.queueScores["q"] = queueScore{score: maxQueueScore, updatedAt: harness.now}
+		}
+		spread := almondcross.StepConfig{Count: 4, PerWorker: 1, Resources: almondcross.NewResources(almondcross.ResourcesConfig{MilliCPU: 500, MemoryMB: 100})}
+		turn := func() {
+			for _, worker := range harness.machine.leader.sortedWorkers {
+				for _, assigned := range worker.sortedAssignments() {
+					if harness.now.Sub(assigned.placedAt) > time.Second {
+						harness.machine.endRun(worker, assigned, almondcross.EndDone, "")
+					}
+				}
+			}
+			harness.machine.admitJob(newJob(almondcross.JobID("short-"+harness.now.String()), spread).WithQueue("other").WithSubmitted(harness.now))
+			if test.blamed {
+				blame()
+				harness.submitJob(almondcross.JobID("newer-"+harness.now.String()), almondcross.StepConfig{Count: 1})
+			}
+			harness.schedule(500*time.Millisecond, nil)
+		}
+		for range 4 {
+			turn()
+		}
+		blame()
+		harness.submitJob("j", almondcross.StepConfig{Count: 3, Gang: test.gang})
+		harness.placeWaiting()
+		delete(harness.machine.leader.queueScores, "q")
+		submitted := harness.now
+		for !harness.record(taskOf("j", 0, 0)).Active() && harness.now.Sub(submitted) < 2*maxQuarantine {
+			turn()
+		}
+		require.Less(t, harness.now.Sub(submitted), maxQuarantine+2*time.Second, name)
+	}
+}
