Admit the jobs of the suspicion test with their settings

The merge of the crash weighing had left a call without them, so that the test did not compile. Tests of command/scheduler, standin/emulator and platform pass.

--- a/command/scheduler/suspicion_test.go
+++ b/command/scheduler/suspicion_test.go
@@ -382,7 +382,7 @@
 					}
 				}
 			}
-			harness.machine.admitJob(newJob(almondcross.JobID("short-"+harness.now.String()), spread).WithQueue("other").WithSubmitted(harness.now))
+			harness.machine.admitJob(newJob(almondcross.JobID("short-"+harness.now.String()), spread).WithQueue("other").WithSubmitted(harness.now), harness.machine.routes.Settings("other"))
 			if test.blamed {
 				blame()
 				harness.submitJob(almondcross.JobID("newer-"+harness.now.String()), almondcross.StepConfig{Count: 1})
