Start a failed task again on the only worker that may run it

A task that had failed on each worker that advice allows, or that is of its kind and large enough, was never placed again: the workers of failed runs are left out unless they are all usable workers of the cell, whatever these may run. Callers saw a job that stayed open (LOST).

The workers of failed runs now count only while another worker may ever run the stage: of its kind, large enough, and allowed or not decided by advice.

--- a/command/scheduler/advice.go
+++ b/command/scheduler/advice.go
@@ -271,7 +271,7 @@
 // undecidedWorkers returns the workers without a decision for a stage: fitNow are those on which a task fits
 // now, fitLater those on which one fits once all runs that do not belong to gangs have ended.
 func (machine *Machine) undecidedWorkers(queue almondcross.Queue, stage *stage, advice *stageAdvice) (fitNow, fitLater []almondcross.WorkerCapacity) {
-	failed := stage.failedWorkers()
+	failed := machine.avoidedWorkers(queue, stage)
 	machine.leader.examinedWorkers += len(machine.leader.usableWorkers)
 	for _, worker := range machine.leader.usableWorkers {
 		if _, decided := advice.decisions[worker.id]; decided || failed[worker.id] || worker.info.Pool() != queue.Pool() || !worker.info.HasLabel(stage.spec.Label()) {
--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -169,10 +169,7 @@
 // With advice, it returns only those with a valid ticket.
 func (machine *Machine) candidates(queue almondcross.Queue, job *job, stage *stage, suspicion suspicion, advice *stageAdvice) []almondcross.WorkerCapacity {
 	spec := stage.spec
-	failed := stage.failedWorkers()
-	if len(failed) >= len(machine.leader.usableWorkers) {
-		failed = nil
-	}
+	failed := machine.avoidedWorkers(queue, stage)
 	workers := machine.leader.usableWorkers
 	switch {
 	case advice != nil:
@@ -222,6 +219,28 @@
 	return failed
 }
 
+// avoidedWorkers returns the failed workers of a stage, or none if no other usable worker may ever run it: one of its kind that
+// is large enough and that advice allows or has not decided on. The stage would otherwise wait for good.
+func (machine *Machine) avoidedWorkers(queue almondcross.Queue, stage *stage) map[string]bool {
+	failed := stage.failedWorkers()
+	if len(failed) == 0 {
+		return nil
+	}
+	advice := machine.leader.advice[stage.id]
+	for _, worker := range machine.leader.usableWorkers {
+		if failed[worker.id] || !worker.isOfKind(queue, stage.spec) || maxTasks(worker.info.Capacity(), stage.spec.Resources(), 1) == 0 {
+			continue
+		}
+		if advice == nil {
+			return failed
+		}
+		if allowed, decided := advice.decisions[worker.id]; allowed || !decided {
+			return failed
+		}
+	}
+	return nil
+}
+
 // runCount returns how many runs of a stage the worker has.
 func (worker *worker) runCount(stage almondcross.StageID) int {
 	count := 0
