--- a/command/scheduler/advice.go
+++ b/command/scheduler/advice.go
@@ -288,8 +288,8 @@
 
 // selectForGang returns the workers to query for a gang: the allowed ones with free resources, and undecided
 // ones with free resources if these are expected to complete the gang. Until the allowed workers have enough
-// capacity, it selects undecided workers to query; after that it returns none and the gang waits for
-// resources.
+// capacity, it selects undecided workers to query; after that, or if none is left, it returns none and the gang waits for
+// resources or for further workers.
 func (machine *Machine) selectForGang(queue almondcross.Queue, job *job, stage *stage, advice *stageAdvice) []string {
 	wanted := stage.remainingTasks - stage.activeTasks
 	var totalOnAllowed, freeOnUndecided int
@@ -315,7 +315,12 @@
 	if float64(totalOnAllowed) >= float64(wanted)*gangCapacityFactor {
 		return nil
 	}
-	return machine.extendSelection(queue, allowed, append(fitNow, fitLater...), float64(wanted)*gangCapacityFactor-float64(totalOnAllowed))
+	undecided := append(fitNow, fitLater...)
+	if len(undecided) == 0 {
+		// Tickets for the allowed workers alone do not place the gang, and the call would take the place of another one.
+		return nil
+	}
+	return machine.extendSelection(queue, allowed, undecided, float64(wanted)*gangCapacityFactor-float64(totalOnAllowed))
 }
 
 // freeAllowedWorkers returns the workers known to be allowed that have room for tasks of a stage under a suspicion, and for
