scheduler: keep that an unlisted worker leaves after its first report

A new scheduler restored that as the flag drained of the worker's entry, but not in its announced values, from which resetWorker computes the flag anew at the first report. From that report on the end of the worker counted as a crash of its tasks.

The restored values say now that the worker is draining.

TestUnlistedWorkerThatLeavesIsNoCrashAfterATakeover/one_report failed before (expected "void", actual "crashed_alone") and passes; without a report the end was void before too. TestUnlistedRecordEndsAfterALostChange guards the record against a lost change and two takeovers; it passed before.

--- a/command/scheduler/takeover_test.go
+++ b/command/scheduler/takeover_test.go
@@ -175,3 +175,52 @@
 	require.Empty(t, harness.machine.leader.workers, "the worker was removed")
 	require.Empty(t, harness.machine.state.unlistedWorkers)
 }
+
+// Guards against a worker that has said that it leaves and counts as crashed after a takeover (LOST, BUDGET): the journal has
+// it, and the first report to the new scheduler drops it.
+func TestUnlistedWorkerThatLeavesIsNoCrashAfterATakeover(t *testing.T) {
+	for name, answers := range map[string]int{"no report": 0, "one report": 1} {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarnessWithRun(t)
+			harness.apply(almondcross.NewWorkersRead(almondcross.WorkersReadConfig{Changes: []almondcross.WorkerChange{
+				almondcross.NewWorkerChange(almondcross.WorkerChangeConfig{ID: workerID, Present: true, Worker: poolWorker.WithDraining(true)}),
+			}}))
+			harness.unlistWorker()
+			harness.answerCommits()
+			harness = harness.electStandby()
+			harness.apply(almondcross.NewWorkersRead(almondcross.WorkersReadConfig{Complete: true}))
+			for range answers {
+				harness.answerLease(almondcross.WorkerReportConfig{Running: runningTask(taskOf("j", 0, 0), 1)})
+			}
+			for end := harness.now.Add(15 * time.Second); harness.now.Before(end); {
+				if sent, found := takeEffect[SendLease](harness); found {
+					harness.apply(almondcross.NewLeaseAnswered(almondcross.LeaseAnsweredConfig{
+						Order: sent.Order, Result: almondcross.OrderRefused, Sent: harness.now, Received: harness.now,
+					}))
+				}
+				harness.advance(leaderTick)
+				harness.answerCommits()
+			}
+			require.Equal(t, almondcross.EndVoid, harness.recordedEnd())
+		})
+	}
+}
+
+// Guards against a record that stays, and against a worker that is never removed: two takeovers while it is unlisted, and the
+// change that ends the record lost with its scheduler.
+func TestUnlistedRecordEndsAfterALostChange(t *testing.T) {
+	harness := newHarnessWithRun(t)
+	harness.unlistWorker()
+	harness.answerCommits()
+	harness.announceWorker() // The change that it is listed is lost with the scheduler.
+	harness = harness.electStandby()
+	require.NotEmpty(t, harness.machine.state.unlistedWorkers)
+	harness = harness.electStandby()
+	harness.announceWorker()
+	harness.answerCommits()
+	require.Empty(t, harness.machine.state.unlistedWorkers)
+	harness.unlistWorker()
+	harness.dropLeaseAnswers(20 * time.Second)
+	require.Empty(t, harness.machine.state.unlistedWorkers)
+	require.Empty(t, harness.machine.leader.workers)
+}
--- a/command/scheduler/unlisted.go
+++ b/command/scheduler/unlisted.go
@@ -35,7 +35,9 @@
 	for _, id := range slices.Sorted(maps.Keys(machine.state.unlistedWorkers)) {
 		unlisted := machine.state.unlistedWorkers[id]
 		worker := machine.ensureWorker(id)
-		worker.info = almondcross.NewWorker(almondcross.WorkerConfig{ID: id, Address: unlisted.Address(), Zone: unlisted.Zone()})
+		worker.info = almondcross.NewWorker(almondcross.WorkerConfig{
+			ID: id, Address: unlisted.Address(), Zone: unlisted.Zone(), Draining: unlisted.Leaving(), // The first report reads it from here.
+		})
 		worker.drained, worker.managed = unlisted.Leaving(), true
 		machine.emit(ManageWorker{Worker: worker.info})
 		machine.sendLease(worker, 0, 0)
