scheduler: settle starts that were sent to an old address

When the list shows a worker at a new address, its duties end and discard the orders that they have, so a pending start order gets no answer. Its run stayed in the phase of a sent order, which no report ends while the worker goes on under the same incarnation: the run held its resources and its task was not started again. A lease order that waited for a commit was also sent besides the one that the new address gets at once, and both were followed by others from then on.

A new address now makes pending starts unknown, to be settled by a report under a higher token, and the lease order that waited for a commit is dropped if the address has changed.

TestStartToAnOldAddressIsSettled (first and repeated order: no start within 20 s) and TestNewAddressStartsNoSecondChainOfLeaseOrders (2 orders instead of 1) failed before and pass. A worker that restarts at its new address was settled before, by its incarnation.

--- a/command/scheduler/lease.go
+++ b/command/scheduler/lease.go
@@ -183,11 +183,14 @@
 func (machine *Machine) sendNextLease(worker *worker, acknowledged int64) {
 	switch {
 	case acknowledged > worker.acknowledgedEnd:
-		epoch, incarnation := machine.leader.epoch, worker.incarnation
+		epoch, incarnation, address := machine.leader.epoch, worker.incarnation, worker.info.Address()
 		machine.afterCommit(func() {
 			if machine.leader != nil && machine.leader.epoch == epoch && worker.incarnation == incarnation {
 				worker.acknowledgedEnd = max(worker.acknowledgedEnd, acknowledged)
 			}
+			if worker.info.Address() != address {
+				return // Lease orders to the new address are under way.
+			}
 			machine.sendLease(worker, machine.answerWait(), minLeaseInterval)
 		})
 	case worker.ackLimit > 0:
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -221,6 +221,9 @@
 		worker.managed = true
 		machine.emit(ManageWorker{Worker: worker.info})
 	}
+	if addressChanged {
+		worker.forgetStartAnswers()
+	}
 	if !worker.leasePending || addressChanged {
 		// The duty that awaits the answer to a pending order ends with the old address.
 		machine.sendLease(worker, 0, 0)
@@ -228,6 +231,17 @@
 	machine.leader.placementDue = true
 }
 
+// forgetStartAnswers leaves the outcome of pending start orders to a report under a higher fencing token. Their answers may be
+// lost with the duty of the worker's old address.
+func (worker *worker) forgetStartAnswers() {
+	for _, assignment := range worker.assignments {
+		if assignment.phase == phaseSent {
+			assignment.phase = phaseUnknown
+			worker.noteUnanswered(assignment.fence)
+		}
+	}
+}
+
 // endRun records the end of a run and releases its resources.
 func (machine *Machine) endRun(worker *worker, assignment *assignment, kind almondcross.EndKind, checkpoint string) {
 	machine.recordStarts() // The end itself would otherwise count as the first sign of the start.
