scheduler: request the report under a raised token at once after ends

While a worker has not reported under its current token, an unanswered start is only noted, and the next report leads to the raise. If that report had new ends, the lease order after its commit carried the raised token and the usual wait, so the worker held back the report that settles the start for 0.6 to 1.2 s.

That lease order has no wait now if a report is due.

TestRaisedTokenIsReportedAtOnceAfterAnEnd failed before ("Should be zero, but was 600ms") and passes.

--- a/command/scheduler/fence_test.go
+++ b/command/scheduler/fence_test.go
@@ -136,3 +136,20 @@
 	_, stands := takeEffect[Commit](harness)
 	require.False(t, stands)
 }
+
+// Guards against an unanswered start that is settled up to maxLeaseAnswerWait late: the report that allows the raise of the
+// token has an end, and the worker held back its answer to the order after it.
+func TestRaisedTokenIsReportedAtOnceAfterAnEnd(t *testing.T) {
+	harness := newHarnessWithRun(t)
+	worker := harness.machine.leader.workers[workerID]
+	worker.fence++ // The worker has not reported under the current token.
+	harness.machine.requestReport(worker, worker.fence)
+	ended := almondcross.NewEndedTask(almondcross.EndedTaskConfig{Sequence: 1, Task: taskOf("j", 0, 0), Run: 1, Kind: almondcross.EndDone})
+	pending := requireEffect[SendLease](harness)
+	harness.effects = append(harness.effects, SendLease{Order: pending.Order.WithFence(worker.fence)})
+	harness.answerLease(almondcross.WorkerReportConfig{Ended: []almondcross.EndedTask{ended}})
+	harness.answerCommits()
+	order := requireEffect[SendLease](harness).Order
+	require.Greater(t, order.Fence(), pending.Order.Fence()+1, "the token is raised")
+	require.Zero(t, order.Wait())
+}
--- a/command/scheduler/lease.go
+++ b/command/scheduler/lease.go
@@ -191,19 +191,28 @@
 			if worker.info.Address() != address {
 				return // Lease orders to the new address are under way.
 			}
-			machine.sendLease(worker, machine.answerWait(), minLeaseInterval)
+			wait := machine.answerWait()
+			if machine.reportDue(worker) {
+				wait = 0
+			}
+			machine.sendLease(worker, wait, minLeaseInterval)
 		})
 	case worker.ackLimit > 0:
 		// While ends are reported, the worker answers without waiting, so the pause limits the rate.
 		machine.sendLease(worker, 0, leaseAnswerWait)
-	case worker.raiseDue() && machine.leader.resignedAt.IsZero() || worker.reportedFence < worker.fence:
-		// Unanswered orders are settled by the report under a higher token. A scheduler that resigns may have none.
+	case machine.reportDue(worker):
 		machine.sendLease(worker, 0, 0)
 	default:
 		machine.sendLease(worker, machine.answerWait(), 0)
 	}
 }
 
+// reportDue reports whether a report under a higher token would settle unanswered orders. A scheduler that resigns may have no
+// higher token.
+func (machine *Machine) reportDue(worker *worker) bool {
+	return worker.raiseDue() && machine.leader.resignedAt.IsZero() || worker.reportedFence < worker.fence
+}
+
 // recordLateSuccess handles a reported success that is not the end of an assigned run. A success in the journal is only
 // reported again. Otherwise the run was presumed lost, by this scheduler or one before it: the success counts if the task
 // has not been started again; if it has, the success is never acknowledged, and the worker gets no new work (see ackLimit).
