scheduler: show two faults of records that lack an address or settings

TestSuccessorStopsRunsOnWorkerThatLapsesDuringTheTakeover fails ("does not contain j.0.0.0"): a worker's address is recorded when its announcement is read as ended. If it lapses between the last read of one scheduler and the first of the next, no record has the address, and the successor sends the worker neither stops nor lease orders.

TestCancellationOnOneQueueLeavesTheIdentityToAnother fails: the record of a cancellation that comes before any submission has no settings, so that a submission of the identity on another queue counts as one on the same queue. It is confirmed and never runs, where it should be refused.

--- a/command/scheduler/settings_test.go
+++ b/command/scheduler/settings_test.go
@@ -232,3 +232,23 @@
 	require.Len(t, usages, 1)
 	require.Equal(t, resourceSeconds(poolWorker.Capacity(), usagePeriod), usages[0].Capacity())
 }
+
+// Guards against a submission that is taken for cancelled because another queue cancelled an identity that it never had: the
+// record of that cancellation has no settings, and their absence was read as "the same queue".
+func TestCancellationOnOneQueueLeavesTheIdentityToAnother(t *testing.T) {
+	harness := newHarness(t)
+	harness.becomeScheduler()
+	other := almondcross.NewQueueSettings(almondcross.QueueSettingsConfig{
+		Version: 1, Queue: almondcross.NewQueue(almondcross.QueueConfig{Name: "other", Pool: "pool", Prefix: "/other", MaxAttempts: 2}),
+	})
+	harness.apply(almondcross.NewIntakeForwarded(almondcross.IntakeForwardedConfig{Host: "h-2", Number: 2, Intake: almondcross.NewIntake(
+		almondcross.IntakeConfig{Cancel: true, Settings: other, Job: almondcross.NewJob(almondcross.JobConfig{ID: "x", Queue: "other"})},
+	)}))
+	harness.commitAll()
+	requireEffect[ConfirmIntake](harness)
+	harness.submitTo("x", "q", settings(1, "q"))
+	harness.commitAll()
+	taken := requireEffect[ConfirmIntake](harness).Stored.Taken()
+	_, started := takeEffect[SendStart](harness)
+	require.True(t, taken || started, "the caller learns that the job does not run, or it runs")
+}
--- a/command/scheduler/takeover_test.go
+++ b/command/scheduler/takeover_test.go
@@ -224,3 +224,15 @@
 	require.Empty(t, harness.machine.state.unlistedWorkers)
 	require.Empty(t, harness.machine.leader.workers)
 }
+
+// Guards against runs of a cancelled job that go on after a takeover on a worker whose announcement lapses while no scheduler
+// reads the list: the scheduler before has not recorded its address, since it saw the worker announced to the end.
+func TestSuccessorStopsRunsOnWorkerThatLapsesDuringTheTakeover(t *testing.T) {
+	harness := newHarnessWithRun(t)
+	harness.cancelJob("j")
+	harness.answerCommits()
+	requireEffect[SendStop](harness) // This order is lost with the scheduler.
+	harness = harness.electStandby()
+	harness.apply(almondcross.NewWorkersRead(almondcross.WorkersReadConfig{Complete: true}))
+	require.Contains(t, harness.sentStops(time.Second, taskOf("j", 0, 0)), taskOf("j", 0, 0))
+}
