Take crashes of an earlier version as evidence of nothing

Callers could see: after an upgrade a job shown as failed at the first further crash under its task, although the crash before may have had another cause.

Cause: a task record of a version before has no evidence. The absent value was read as that of crashes about a second after the start, and the crashes as confirmed.

Change: the crashes of such a record still count towards the five at which a job fails, and confirm nothing.

Before: TestTaskRecordsOfEarlierVersionsAreRead: expected Confirmed:0, actual Confirmed:2.

Result: the test passes; not played with two versions.

--- a/encoder/journal.go
+++ b/encoder/journal.go
@@ -155,7 +155,8 @@
 }
 
 // UnmarshalCBOR sets the record from its encoded form. A record without losses has at most as many as its weighed count of
-// crashes, which counts some of them twice: the task gets no more starts than it would have without the upgrade.
+// crashes, which counts some of them twice: the task gets no more starts than it would have without the upgrade. It is not
+// known what these crashes are evidence of, so they confirm nothing.
 func (wiretaskrecord *wireTaskRecord) UnmarshalCBOR(data []byte) error {
 	switch {
 	case len(data) > 0 && data[0] == plainTaskRecordHeader:
@@ -167,7 +168,7 @@
 		var weighed weighedTaskRecord
 		err := cbor.Unmarshal(data, &weighed)
 		*wiretaskrecord = wireTaskRecord{taskRecordFields: weighed.taskRecordFields, crashFields: crashFields{
-			Crashes: weighed.Crashes, Confirmed: weighed.Confirmed, Losses: weighed.Crashes,
+			Crashes: weighed.Crashes, Losses: weighed.Crashes,
 		}}
 		return err
 	}
