Record the address of a worker with its runs

A successor had no address of a worker whose announcement lapsed during the takeover, after the last list that the scheduler before had read: it sent the worker no stops for runs of cancelled jobs and no lease orders for the others. Until the first list of a new scheduler was read, which a slow store delays, the same held for all workers.

--- a/command/scheduler/append.go
+++ b/command/scheduler/append.go
@@ -122,7 +122,7 @@
 // maxChangeBytes returns an upper bound of the size of a change in a record.
 func maxChangeBytes(change almondcross.Change) int {
 	job, queue := change.Job(), change.Settings().Queue()
-	size := changeOverheadBytes + len(change.Worker()) + len(change.Checkpoint()) + len(change.End()) + len(change.Host()) + len(change.Address()) +
+	size := changeOverheadBytes + len(change.Worker()) + len(change.Checkpoint()) + len(change.End()) + len(change.Host()) + len(change.Address()) + len(change.Zone()) +
 		len(job.Payload()) + len(job.Queue()) + len(queue.Name()) + len(queue.Host()) + len(queue.Prefix()) + len(queue.Pool())
 	for _, step := range job.Steps() {
 		size += stepOverheadBytes + dependencyBytes*len(step.After()) + len(step.Label()) + len(step.DataRack()) + len(step.Image())
--- a/command/scheduler/evidence.go
+++ b/command/scheduler/evidence.go
@@ -80,5 +80,6 @@
 func (state *state) releaseWorker(worker string) {
 	if state.busyWorkers[worker]--; state.busyWorkers[worker] <= 0 {
 		delete(state.busyWorkers, worker)
+		delete(state.busyAddresses, worker)
 	}
 }
--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -110,7 +110,7 @@
 		}
 		machine.enqueueReadyStages(job)
 	}
-	machine.restoreUnlistedWorkers()
+	machine.restoreAddresses()
 	machine.config.Log.Record("runs_restored", almondcross.Number("runs", restored), almondcross.Number("of_final_jobs", final))
 }
 
--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -352,7 +352,11 @@
 		machine.leader.isolatedWorkers++
 	}
 	worker.assign(assigned)
-	machine.recordChange(almondcross.ChangeConfig{Kind: almondcross.ChangeAssign, Task: task, Run: run, Worker: worker.id})
+	change := almondcross.ChangeConfig{Kind: almondcross.ChangeAssign, Task: task, Run: run, Worker: worker.id}
+	if address := worker.address(); machine.state.busyAddresses[worker.id] != address {
+		change.Address, change.Zone = address.address, address.zone
+	}
+	machine.recordChange(change)
 	machine.config.Log.Record("run_placed", almondcross.Text("task", task.String()), almondcross.Number("run", run),
 		almondcross.Text("worker", worker.id), almondcross.Number("free_cpu", worker.free().MilliCPU()),
 		almondcross.Millis("list_age_ms", machine.now.Sub(worker.lastAnswerAt)))
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -73,6 +73,9 @@
 	unlistedWorkers map[string]almondcross.UnlistedWorker
 	crashes         []almondcross.WorkerCrash // crashes holds the crashes of workers in the last crashWindow.
 	busyWorkers     map[string]int            // busyWorkers counts the active runs of each worker that has any.
+	// busyAddresses holds the addresses of the workers in busyWorkers, as far as the journal has shown them since this host
+	// loaded the state.
+	busyAddresses map[string]workerAddress
 	// knownSilences holds the silences that this host knew when it loaded the state again. It is not replicated.
 	knownSilences map[string]silence
 
@@ -99,7 +102,7 @@
 	return &state{
 		intakeOffsets: map[int]int64{}, jobs: map[almondcross.JobID]*job{}, retention: retention,
 		changedJobs: map[almondcross.JobID]struct{}{}, silentWorkers: map[string]silence{}, unlistedWorkers: map[string]almondcross.UnlistedWorker{}, usage: map[almondcross.UsageKey]almondcross.QueueUsage{},
-		unstoredUsage: map[almondcross.UsageKey]struct{}{}, busyWorkers: map[string]int{},
+		unstoredUsage: map[almondcross.UsageKey]struct{}{}, busyWorkers: map[string]int{}, busyAddresses: map[string]workerAddress{},
 	}
 }
 
@@ -289,6 +292,9 @@
 		job.activeTasks++
 	}
 	state.busyWorkers[change.Worker()]++
+	if change.Address() != "" {
+		state.busyAddresses[change.Worker()] = workerAddress{address: change.Address(), zone: change.Zone()}
+	}
 	stage.tasks[change.Task().Index] = record.WithActive(true).WithRun(change.Run()).WithWorker(change.Worker()).WithSince(state.batchTime)
 	stage.gangRun = max(stage.gangRun, change.Run())
 }
--- a/command/scheduler/unlisted.go
+++ b/command/scheduler/unlisted.go
@@ -7,10 +7,19 @@
 	"github.com/almondcross/almondcross"
 )
 
-// recordUnlisted records the address of a worker whose announcement has ended while it has runs. It may have lost only its way
-// to the store.
+// workerAddress is where a worker is reached. It is part of the replicated state while the worker has runs: a successor needs
+// it for their stops and leases, also if the worker has lost its way to the store and is not announced any more.
+type workerAddress struct{ address, zone string }
+
+func (worker *worker) address() workerAddress {
+	return workerAddress{address: worker.info.Address(), zone: worker.info.Zone()}
+}
+
+// recordUnlisted records the address of a worker whose announcement has ended while it has runs. A host that loads the state
+// from a snapshot has it from there.
 func (machine *Machine) recordUnlisted(worker *worker) {
-	if len(worker.assignments) == 0 {
+	_, recorded := machine.state.unlistedWorkers[worker.id]
+	if recorded || len(worker.assignments) == 0 || worker.info.Address() == "" {
 		return
 	}
 	end := almondcross.EndKind("")
@@ -29,17 +38,27 @@
 	}
 }
 
-// restoreUnlistedWorkers sends lease orders to the unlisted workers, as the scheduler before did. The answers tell which of
-// their runs go on.
-func (machine *Machine) restoreUnlistedWorkers() {
+// restoreAddresses sends lease orders to the workers with runs whose addresses the state has, as the scheduler before did,
+// without waiting for the list of the announced workers. The answers tell which of the runs go on.
+func (machine *Machine) restoreAddresses() {
 	for _, id := range slices.Sorted(maps.Keys(machine.state.unlistedWorkers)) {
 		unlisted := machine.state.unlistedWorkers[id]
-		worker := machine.ensureWorker(id)
-		worker.info = almondcross.NewWorker(almondcross.WorkerConfig{
-			ID: id, Address: unlisted.Address(), Zone: unlisted.Zone(), Draining: unlisted.Leaving(), // The first report reads it from here.
-		})
-		worker.drained, worker.managed = unlisted.Leaving(), true
-		machine.emit(ManageWorker{Worker: worker.info})
-		machine.sendLease(worker, 0, 0)
+		machine.restoreAddress(id, workerAddress{address: unlisted.Address(), zone: unlisted.Zone()}, unlisted.Leaving())
+	}
+	for _, id := range slices.Sorted(maps.Keys(machine.state.busyAddresses)) {
+		if _, unlisted := machine.state.unlistedWorkers[id]; !unlisted {
+			machine.restoreAddress(id, machine.state.busyAddresses[id], false)
+		}
 	}
 }
+
+// restoreAddress begins to send orders to a worker that this scheduler has not read the announcement of.
+func (machine *Machine) restoreAddress(id string, address workerAddress, leaving bool) {
+	worker := machine.ensureWorker(id)
+	worker.info = almondcross.NewWorker(almondcross.WorkerConfig{
+		ID: id, Address: address.address, Zone: address.zone, Draining: leaving, // The first report reads it from here.
+	})
+	worker.drained, worker.managed = leaving, true
+	machine.emit(ManageWorker{Worker: worker.info})
+	machine.sendLease(worker, 0, 0)
+}
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -187,10 +187,12 @@
 	}
 	if read.Complete() {
 		machine.leader.workersListed = true
-		for id, known := range machine.leader.workers {
-			if known.announced && !seen[id] {
-				machine.workerChanged(almondcross.NewWorkerChange(almondcross.WorkerChangeConfig{ID: id}))
+		for _, known := range slices.Clone(machine.leader.sortedWorkers) {
+			if seen[known.id] {
+				continue
 			}
+			machine.workerChanged(almondcross.NewWorkerChange(almondcross.WorkerChangeConfig{ID: known.id}))
+			machine.recordUnlisted(known) // Its announcement may have ended before this scheduler read the first list.
 		}
 	}
 	machine.readWorkers(read.Next(), workersReadInterval)
--- a/job_generated.go
+++ b/job_generated.go
@@ -2065,7 +2065,7 @@
 	return change
 }
 
-// Address returns the link address of the elected host, or the address of an unlisted worker.
+// Address returns the link address of the elected host, the address of an unlisted worker, or that of the worker of ChangeAssign if it is new.
 func (change Change) Address() string { return change.address }
 
 // WithAddress returns a copy with the given address.
@@ -2074,7 +2074,7 @@
 	return change
 }
 
-// Zone returns the data centre of an unlisted worker.
+// Zone returns the data centre of the worker whose address the change has.
 func (change Change) Zone() string { return change.zone }
 
 // WithZone returns a copy with the given zone.
--- a/journal.go
+++ b/journal.go
@@ -171,8 +171,8 @@
 	checkpoint     string        // the last checkpoint of the run, empty for none
 	occurrence     int           // the occurrence of ChangeOccurrence
 	host           string        // the elected host
-	address        string        // the link address of the elected host, or the address of an unlisted worker
-	zone           string        // the data centre of an unlisted worker
+	address        string        // the link address of the elected host, the address of an unlisted worker, or that of the worker of ChangeAssign if it is new
+	zone           string        // the data centre of the worker whose address the change has
 	leaseRemaining time.Duration // the time after ChangeWorkerSilent by which the lease of the worker has expired
 	silent         time.Duration // the time for which the worker of a crashed run had not answered when the end was recorded
 	waited         time.Duration // the time from the submission of the job, or its first due time, to the start in ChangeJobStarted
