Store the settings with the cancellation of an unknown job

An identity that was cancelled on one queue before any submission, and then submitted on another queue, was taken for cancelled there: the record of the cancellation had no settings, and their absence was read as the same queue. The submission was confirmed and never ran. The change of a cancellation has the settings now; the version before ignores them.

--- a/command/scheduler/intake.go
+++ b/command/scheduler/intake.go
@@ -74,7 +74,7 @@
 		return false
 	}
 	if intake.Cancel() {
-		machine.cancelJob(intake.Job())
+		machine.cancelJob(intake)
 	} else {
 		machine.admitJob(intake.Job(), intake.Settings())
 	}
@@ -144,12 +144,13 @@
 	machine.leader.placementDue = true
 }
 
-func (machine *Machine) cancelJob(cancelled almondcross.Job) {
+func (machine *Machine) cancelJob(intake almondcross.Intake) {
+	cancelled := intake.Job()
 	job := machine.state.jobs[cancelled.ID()]
 	if job != nil && job.state.Final() {
 		return
 	}
-	machine.recordChange(almondcross.ChangeConfig{Kind: almondcross.ChangeCancel, Job: cancelled})
+	machine.recordChange(almondcross.ChangeConfig{Kind: almondcross.ChangeCancel, Job: cancelled, Settings: intake.Settings()})
 	machine.config.Log.Record("job_cancelled", almondcross.Text("job", string(cancelled.ID())), almondcross.Text("known", yesNo(job != nil)))
 	machine.config.Metrics.Finished(machine.state.jobs[cancelled.ID()].spec.Queue(), almondcross.JobCancelled)
 	machine.stopJobRuns(machine.state.jobs[cancelled.ID()])
--- a/command/scheduler/scheduler_test.go
+++ b/command/scheduler/scheduler_test.go
@@ -519,7 +519,7 @@
 // Guards against a job that runs because its submission arrives after its cancellation.
 func TestCancellationBeforeSubmission(t *testing.T) {
 	state := newState(time.Minute)
-	state.cancelJob(almondcross.NewJob(almondcross.JobConfig{ID: "c"}))
+	state.cancelJob(almondcross.NewJob(almondcross.JobConfig{ID: "c"}), almondcross.QueueSettings{})
 	state.admitJob(almondcross.NewJob(almondcross.JobConfig{ID: "c", Steps: []almondcross.Step{almondcross.NewStep(almondcross.StepConfig{Count: 1})}}), almondcross.QueueSettings{})
 	require.Equal(t, almondcross.JobCancelled, state.jobs["c"].state)
 	require.Empty(t, state.jobs["c"].stages)
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -135,7 +135,7 @@
 	case almondcross.ChangeSettings:
 		state.settleJob(change.Job().ID(), change.Settings())
 	case almondcross.ChangeCancel:
-		state.cancelJob(change.Job())
+		state.cancelJob(change.Job(), change.Settings())
 	case almondcross.ChangeAssign:
 		state.assignTask(change)
 	case almondcross.ChangeEnd:
@@ -229,16 +229,21 @@
 	job.startedOccurrences++
 }
 
-// cancelJob also stores a job that has not been admitted, so that a later submission is ignored.
-func (state *state) cancelJob(cancelled almondcross.Job) {
+// cancelJob also stores a job that has not been admitted, so that a later submission is ignored. Such a job has the settings
+// of the cancellation, which tell its queue from another one, and counts in no usage.
+func (state *state) cancelJob(cancelled almondcross.Job, settings almondcross.QueueSettings) {
 	found := state.jobs[cancelled.ID()]
-	if found == nil {
+	admitted := found != nil
+	if !admitted {
 		found = &job{spec: cancelled, state: almondcross.JobQueued}
 		state.jobs[cancelled.ID()] = found
 	}
 	if !found.state.Final() {
 		state.finishJob(found, almondcross.JobCancelled)
 	}
+	if !admitted {
+		found.settings = settings
+	}
 }
 
 func (state *state) finishJob(job *job, final almondcross.JobState) {
--- a/encoder/journal.go
+++ b/encoder/journal.go
@@ -59,7 +59,7 @@
 	Occurrence              int
 	Host, Address           string // Host is the data centre of the worker in ChangeAssign and ChangeWorkerUnlisted.
 	// DurationMS is the lease remaining of ChangeWorkerSilent, the time waited of ChangeJobStarted or the silence of ChangeEnd,
-	// and the version of the settings of ChangeAdmit and ChangeSettings. The version before ignores it for these kinds.
+	// and the version of the settings of ChangeAdmit, ChangeCancel and ChangeSettings. The version before ignores it for these kinds.
 	DurationMS int64
 }
 
@@ -363,7 +363,7 @@
 		wire.DurationMS = change.Silent().Milliseconds()
 	case almondcross.ChangeWorkerUnlisted, almondcross.ChangeAssign:
 		wire.Host = change.Zone()
-	case almondcross.ChangeAdmit, almondcross.ChangeSettings:
+	case almondcross.ChangeAdmit, almondcross.ChangeCancel, almondcross.ChangeSettings:
 		wire.DurationMS = change.Settings().Version()
 	default:
 	}
@@ -395,7 +395,7 @@
 		config.Silent = duration
 	case almondcross.ChangeWorkerUnlisted, almondcross.ChangeAssign:
 		config.Host, config.Zone = "", wirestatechange.Host
-	case almondcross.ChangeAdmit, almondcross.ChangeSettings:
+	case almondcross.ChangeAdmit, almondcross.ChangeCancel, almondcross.ChangeSettings:
 	default:
 		config.LeaseRemaining = duration
 	}
--- a/job_generated.go
+++ b/job_generated.go
@@ -1993,7 +1993,7 @@
 	return change
 }
 
-// Settings returns the settings of the queue of ChangeAdmit and ChangeSettings.
+// Settings returns the settings of the queue of ChangeAdmit, ChangeCancel and ChangeSettings.
 func (change Change) Settings() QueueSettings { return change.settings }
 
 // WithSettings returns a copy with the given settings.
--- a/journal.go
+++ b/journal.go
@@ -163,7 +163,7 @@
 type Change struct {
 	kind           ChangeKind    // the kind
 	job            Job           // the job of ChangeAdmit, with only its identity for ChangeCancel, ChangeOccurrence and ChangeSettings
-	settings       QueueSettings // the settings of the queue of ChangeAdmit and ChangeSettings
+	settings       QueueSettings // the settings of the queue of ChangeAdmit, ChangeCancel and ChangeSettings
 	task           JobTask       // the task of a run
 	run            int           // the number of the run
 	worker         string        // the worker of a run or of a change of a worker
