--- a/command/scheduler/advice.go
+++ b/command/scheduler/advice.go
@@ -315,7 +315,7 @@
 	if float64(totalOnAllowed) >= float64(wanted)*gangCapacityFactor {
 		return nil
 	}
-	undecided := append(fitNow, fitLater...)
+	undecided := slices.Concat(fitNow, fitLater)
 	if len(undecided) == 0 {
 		// Tickets for the allowed workers alone do not place the gang, and the call would take the place of another one.
 		return nil
