--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -68,8 +68,8 @@
 	snapshotAt       time.Time                         // snapshotAt is when the last snapshot was stored, zero for none.
 	earlierEpochs    []int64                           // earlierEpochs holds the epochs since the state was loaded whose snapshots may be in the store.
 	silentWorkers    map[string]silence                // silentWorkers holds the workers whose leases are not extended.
-	// unlistedWorkers holds the workers with runs that are no longer announced. Their addresses are in no other record, and
-	// without them a successor could send no orders to a worker that has lost only its way to the store.
+	// unlistedWorkers holds the workers with runs that are no longer announced. Snapshots have them, so that a host that loads
+	// the state can send orders to a worker that has lost only its way to the store.
 	unlistedWorkers map[string]almondcross.UnlistedWorker
 	crashes         []almondcross.WorkerCrash // crashes holds the crashes of workers in the last crashWindow.
 	busyWorkers     map[string]int            // busyWorkers counts the active runs of each worker that has any.
