Give the tasks of a queue without a limit one attempt

Callers of a queue whose route lacks max_attempts saw a task that always fails started again without end. updateJobState read a limit of 0 as "no limit"; the platform leaves fields out whose value is 0, so the absent value decided for the policy that harms most.

The limit is one method of the job, which tells settings that are not known, whose jobs wait, from a queue without a limit, whose tasks get one attempt.

TestQueueWithoutALimitAllowsOneFailure counted 6 starts (its own end) before and counts 1 after.

--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -389,7 +389,7 @@
 	if stage.spec.Gang() {
 		failures = stage.gangFailures
 	}
-	if limit := job.settings.Queue().MaxAttempts(); limit > 0 && failures >= limit && stage.remainingTasks > 0 && !stage.spec.Service() {
+	if limit, known := job.attemptLimit(); known && failures >= limit && stage.remainingTasks > 0 && !stage.spec.Service() {
 		state.finishJob(job, almondcross.JobFailed)
 		return
 	}
