Count the failures of runs that were presumed lost as attempts

What callers see: a task that fails each time is started more often than max_attempts allows (BUDGET). A worker that does not answer for longer than its lease and the grace loses its runs, and the tasks are started elsewhere. If such a run had failed, the worker lists that end when it answers again; the scheduler acknowledged it, so it counts as noted, and counted it nowhere.

The class is an outcome that is not known and was read as no outcome.

If the task has been started meanwhile with what would have been one attempt too many, the failure is not acknowledged and the worker gets no new work, as for a success that comes to light too late. A failed run of a gang counts once.

TestLateFailureCountsAsAnAttempt failed in its six cases before (failures 0 or 1 for 1 or 2, and an acknowledgement of 1 for 0). The lookups of a task in the state, which stood four times, are one method.

--- a/command/scheduler/attempts_test.go
+++ b/command/scheduler/attempts_test.go
@@ -2,12 +2,94 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/almondcross/almondcross"
 )
 
+// Guards against a task that is started after max_attempts of its runs have failed (BUDGET): a run was presumed lost while its
+// worker did not answer, its failure was reported later and acknowledged, and counted in no state. A failure that is reported
+// after the start that it forbids must not be acknowledged.
+func TestLateFailureCountsAsAnAttempt(t *testing.T) {
+	task := taskOf("j", 0, 0)
+	assign := func(run int) almondcross.ChangeConfig {
+		return almondcross.ChangeConfig{Kind: almondcross.ChangeAssign, Task: task, Run: run, Worker: "w-2"}
+	}
+	end := func(run int, kind almondcross.EndKind) almondcross.ChangeConfig {
+		return almondcross.ChangeConfig{Kind: almondcross.ChangeEnd, Task: task, Run: run, End: kind, Worker: "w-2"}
+	}
+	for name, test := range map[string]struct {
+		changes      []almondcross.ChangeConfig
+		acknowledged int64
+		failures     int
+		state        almondcross.JobState
+	}{
+		"not started again":             {nil, 1, 1, almondcross.JobRunning},
+		"started again":                 {[]almondcross.ChangeConfig{assign(2)}, 1, 1, almondcross.JobRunning},
+		"last attempt has failed":       {[]almondcross.ChangeConfig{assign(2), end(2, almondcross.EndFailed)}, 1, 2, almondcross.JobFailed},
+		"started with the last attempt": {[]almondcross.ChangeConfig{assign(2), end(2, almondcross.EndFailed), assign(3)}, 0, 1, almondcross.JobRunning},
+		"completed by the last attempt": {[]almondcross.ChangeConfig{assign(2), end(2, almondcross.EndFailed), assign(3), end(3, almondcross.EndDone)}, 0, 1, almondcross.JobCompleted},
+		"given up meanwhile":            {[]almondcross.ChangeConfig{assign(2), end(2, almondcross.EndFailed), assign(3), end(3, almondcross.EndFailed)}, 0, 2, almondcross.JobFailed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarnessWithRun(t)
+			harness.answerLease(almondcross.WorkerReportConfig{Running: runningTask(task, 1)})
+			harness.dropLeaseAnswers(14 * time.Second)
+			require.Equal(t, almondcross.EndVoid, harness.recordedEnd())
+			for _, change := range test.changes {
+				harness.machine.recordChange(change)
+			}
+			harness.advance(0)
+			harness.answerCommits()
+			harness = harness.electStandby()
+			harness.announceWorker()
+			failure := almondcross.NewEndedTask(almondcross.EndedTaskConfig{Sequence: 1, Task: task, Run: 1, Kind: almondcross.EndFailed})
+			for range 2 { // The end is listed until it is acknowledged.
+				harness.answerLease(almondcross.WorkerReportConfig{Ended: []almondcross.EndedTask{failure}})
+				harness.answerCommits()
+				harness.advance(leaseAnswerWait)
+				harness.answerCommits()
+			}
+			require.Equal(t, test.acknowledged, harness.machine.leader.workers[workerID].acknowledgedEnd)
+			require.Equal(t, test.acknowledged == 0, harness.machine.leader.workers[workerID].ackLimit > 0)
+			job := harness.machine.state.jobs["j"]
+			require.Equal(t, test.failures, job.stages[0].tasks[0].Failures())
+			require.Equal(t, test.state, job.state)
+		})
+	}
+}
+
+// Guards against a late failure of a gang that counts once for each lost member, or again after a failure of the same run, and
+// against lost runs that a loaded state lacks.
+func TestLateFailureOfAGangCountsOnce(t *testing.T) {
+	state := newState(time.Minute)
+	step := almondcross.NewStep(almondcross.StepConfig{Count: 2, Gang: true})
+	state.admitJob(almondcross.NewJob(almondcross.JobConfig{ID: "g", Queue: "q", Steps: []almondcross.Step{step}}), settings(1, "q"))
+	end := func(run, index int, kind almondcross.EndKind, silent time.Duration) {
+		state.apply(almondcross.NewChange(almondcross.ChangeConfig{
+			Kind: almondcross.ChangeEnd, Task: taskOf("g", 0, index), Run: run, End: kind, Silent: silent,
+		}))
+	}
+	for run, first := range []almondcross.EndKind{almondcross.EndFailed, almondcross.EndVoid} {
+		for index := range 2 {
+			state.apply(almondcross.NewChange(almondcross.ChangeConfig{Kind: almondcross.ChangeAssign, Task: taskOf("g", 0, index), Run: run + 1, Worker: workerID}))
+		}
+		end(run+1, 0, first, time.Second)
+		end(run+1, 1, almondcross.EndVoid, time.Second)
+	}
+	require.Equal(t, 1, state.jobs["g"].stages[0].gangFailures)
+	end(1, 1, almondcross.EndFailed, 0)
+	require.Equal(t, 1, state.jobs["g"].stages[0].gangFailures, "the failure of the first run has been counted")
+	state = restore(state.snapshot(0, time.Time{}), time.Minute, time.Time{}, nil)
+	end(2, 1, almondcross.EndFailed, 0)
+	require.Equal(t, 2, state.jobs["g"].stages[0].gangFailures)
+	require.Equal(t, almondcross.JobFailed, state.jobs["g"].state)
+	end(2, 0, almondcross.EndFailed, 0)
+	require.Equal(t, 2, state.jobs["g"].stages[0].gangFailures)
+}
+
 // Guards against a task of a queue without a limit of attempts that is started again without end (BUDGET): the absence of the
 // limit was read as no limit.
 func TestQueueWithoutALimitAllowsOneFailure(t *testing.T) {
--- a/command/scheduler/crash.go
+++ b/command/scheduler/crash.go
@@ -112,10 +112,11 @@
 	return worker
 }
 
-// silentFor returns for how long contact with the worker of a crashed run has been lost, at most since the election, so that
-// the wait for its lease does not count as a time in which the run was at work.
+// silentFor returns for how long contact with the worker of a crashed or lost run has been lost, at most since the election, so
+// that the wait for its lease does not count as a time in which the run was at work. It is zero for other runs.
 func (machine *Machine) silentFor(worker *worker, assignment *assignment, kind almondcross.EndKind) time.Duration {
-	if !isCrash(kind) {
+	lost := kind == almondcross.EndVoid && assignment.phase != phaseCommitting && worker.outOfContact()
+	if !isCrash(kind) && !lost {
 		return 0
 	}
 	lostAt := assignment.lostAt
@@ -131,7 +132,7 @@
 	if machine.state.batchTime.Before(recordedAt) {
 		recordedAt = machine.state.batchTime
 	}
-	return recordedAt.Sub(lostAt).Truncate(time.Millisecond)
+	return max(recordedAt.Sub(lostAt).Truncate(time.Millisecond), time.Millisecond)
 }
 
 // lostAt returns when contact with the worker was lost or last held, zero for a worker without contact.
--- a/command/scheduler/lease.go
+++ b/command/scheduler/lease.go
@@ -170,6 +170,7 @@
 		} else {
 			machine.noteLateEnd(end)
 			machine.recordLateSuccess(worker, end)
+			machine.recordLateFailure(worker, end)
 		}
 	}
 	if worker.ackLimit > 0 {
@@ -217,12 +218,8 @@
 // reported again. Otherwise the run was presumed lost, by this scheduler or one before it: the success counts if the task
 // has not been started again; if it has, the success is never acknowledged, and the worker gets no new work (see ackLimit).
 func (machine *Machine) recordLateSuccess(worker *worker, end almondcross.EndedTask) {
-	job := machine.state.jobs[end.Task().Stage.Job]
-	if job == nil || end.Kind() != almondcross.EndDone {
-		return
-	}
-	stage := job.stage(end.Task().Stage)
-	if stage == nil || end.Task().Index >= len(stage.tasks) || stage.spec.Service() {
+	job, stage, found := machine.state.find(end.Task())
+	if !found || end.Kind() != almondcross.EndDone || stage.spec.Service() {
 		return
 	}
 	record := stage.tasks[end.Task().Index]
--- a/command/scheduler/progress.go
+++ b/command/scheduler/progress.go
@@ -48,15 +48,9 @@
 
 // noteLateEnd notes that a run started that was presumed lost before its start was known.
 func (machine *Machine) noteLateEnd(end almondcross.EndedTask) {
-	job := machine.state.jobs[end.Task().Stage.Job]
-	if job == nil {
-		return
-	}
-	stage := job.stage(end.Task().Stage)
-	if stage == nil || end.Task().Index >= len(stage.tasks) {
-		return
+	if job, stage, found := machine.state.find(end.Task()); found {
+		machine.noteStart(job, end.Task(), end.Run(), stage.tasks[end.Task().Index].Since())
 	}
-	machine.noteStart(job, end.Task(), end.Run(), stage.tasks[end.Task().Index].Since())
 }
 
 // recordStarts records the first known start of each job that is still queued.
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -42,6 +42,16 @@
 	return job.stages[index]
 }
 
+// find returns the job and the stage of a task, and false if the state does not have them.
+func (state *state) find(task almondcross.JobTask) (*job, *stage, bool) {
+	job := state.jobs[task.Stage.Job]
+	if job == nil {
+		return nil, nil, false
+	}
+	stage := job.stage(task.Stage)
+	return job, stage, stage != nil && task.Index < len(stage.tasks)
+}
+
 // view returns the view of the job that callers see.
 func (job *job) view() almondcross.JobView {
 	return almondcross.NewJobView(almondcross.JobViewConfig{
@@ -281,12 +291,8 @@
 }
 
 func (state *state) assignTask(change almondcross.Change) {
-	job := state.jobs[change.Task().Stage.Job]
-	if job == nil {
-		return
-	}
-	stage := job.stage(change.Task().Stage)
-	if stage == nil || change.Task().Index >= len(stage.tasks) {
+	job, stage, found := state.find(change.Task())
+	if !found {
 		return
 	}
 	record := stage.tasks[change.Task().Index]
@@ -305,16 +311,16 @@
 }
 
 func (state *state) endTask(change almondcross.Change) {
-	job := state.jobs[change.Task().Stage.Job]
-	if job == nil {
+	job, stage, found := state.find(change.Task())
+	if !found {
 		return
 	}
-	stage := job.stage(change.Task().Stage)
 	index := change.Task().Index
-	if stage == nil || index >= len(stage.tasks) {
+	record := stage.tasks[index]
+	if change.End() == almondcross.EndFailed && slices.Contains(record.LostRuns(), change.Run()) {
+		state.countLateFailure(job, stage, index, change.Run())
 		return
 	}
-	record := stage.tasks[index]
 	if record.Run() != change.Run() || !record.Active() && (change.End() != almondcross.EndDone || record.Done()) {
 		return
 	}
@@ -337,6 +343,9 @@
 		record = record.WithCheckpoint(change.Checkpoint())
 		stage.gangCheckpoint = change.Checkpoint()
 	}
+	if presumesLost(change) {
+		record = withLostRun(record, change.Run())
+	}
 	stage.endRun(index, record, change)
 	if isCrash(change.End()) {
 		state.countCrash(stage, index, change.End(), state.batchTime.Add(-change.Silent()))
@@ -376,6 +385,7 @@
 	}
 	if stage.activeTasks == 0 && stage.remainingTasks > 0 && stage.failedGangRun != 0 {
 		stage.gangFailures++
+		stage.forgetLostRun(stage.failedGangRun)
 		stage.failedGangRun = 0
 	}
 }
--- a/command/scheduler/sweep.go
+++ b/command/scheduler/sweep.go
@@ -20,11 +20,10 @@
 func (machine *Machine) sweepWorkers() {
 	var left []*worker
 	for _, worker := range machine.leader.sortedWorkers {
-		noContact := worker.unreachable || worker.lastAnswerAt.IsZero()
-		if noContact {
+		if worker.outOfContact() {
 			machine.recordSilence(worker)
 		}
-		machine.sweepRuns(worker, noContact && machine.now.After(machine.presumedLostAt(worker)))
+		machine.sweepRuns(worker, worker.outOfContact() && machine.now.After(machine.presumedLostAt(worker)))
 		if !worker.announced && len(worker.assignments) == 0 && machine.now.Sub(worker.lastAnswerAt) > workerRetention && machine.now.Sub(machine.leader.electedAt) > workerRetention {
 			left = append(left, worker)
 		}
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -142,6 +142,9 @@
 		now.Sub(worker.lastAnswerAt) < maxContactAge && !now.Before(worker.avoidUntil)
 }
 
+// outOfContact reports whether the worker has not answered the last lease order, or none yet.
+func (worker *worker) outOfContact() bool { return worker.unreachable || worker.lastAnswerAt.IsZero() }
+
 // clockNow estimates the worker's clock. The estimate is ahead of that clock by at most its drift.
 func (worker *worker) clockNow(now time.Time) time.Duration {
 	return worker.clock + now.Sub(worker.lastAnswerAt)
--- a/encoder/journal.go
+++ b/encoder/journal.go
@@ -104,11 +104,12 @@
 	SinceMS            int64
 }
 
-// wireTaskRecord is one task of a snapshot. The crashes are encoded only if there are any, so that records of an earlier
-// version are read, and an earlier version reads all records but those of tasks with crashes.
+// wireTaskRecord is one task of a snapshot. Crashes and lost runs are encoded only if there are any, so that records of an
+// earlier version are read, and an earlier version reads all records but those of tasks with crashes or lost runs.
 type wireTaskRecord struct {
 	taskRecordFields
 	crashFields
+	LostRuns []int
 }
 
 // crashFields are the fields of a task record that only a task with crashes has.
@@ -120,13 +121,21 @@
 	taskRecordFields
 }
 
-// crashedTaskRecord is the encoded form of a task record with crashes.
+// crashedTaskRecord is the encoded form of a task record with crashes and no lost runs.
 type crashedTaskRecord struct {
 	_ struct{} `cbor:",toarray"`
 	taskRecordFields
 	crashFields
 }
 
+// lostTaskRecord is the encoded form of a task record with lost runs.
+type lostTaskRecord struct {
+	_ struct{} `cbor:",toarray"`
+	taskRecordFields
+	crashFields
+	LostRuns []int
+}
+
 // weighedTaskRecord is the encoded form of a task record with crashes of a version that did not count losses.
 type weighedTaskRecord struct {
 	_ struct{} `cbor:",toarray"`
@@ -134,14 +143,20 @@
 	Crashes, Confirmed int
 }
 
-// The first bytes of the encoded forms of an earlier version: the CBOR headers of arrays of seven and nine fields.
+// The first bytes of the encoded forms: the CBOR headers of arrays of seven, nine and twelve fields.
 const (
 	plainTaskRecordHeader   = 0x87
 	weighedTaskRecordHeader = 0x89
+	lostTaskRecordHeader    = 0x8c
 )
 
 // MarshalCBOR returns the encoded form of the record.
 func (wiretaskrecord wireTaskRecord) MarshalCBOR() ([]byte, error) {
+	if len(wiretaskrecord.LostRuns) > 0 {
+		return cbor.Marshal(lostTaskRecord{
+			taskRecordFields: wiretaskrecord.taskRecordFields, crashFields: wiretaskrecord.crashFields, LostRuns: wiretaskrecord.LostRuns,
+		})
+	}
 	if wiretaskrecord.Losses == 0 {
 		return cbor.Marshal(plainTaskRecord{taskRecordFields: wiretaskrecord.taskRecordFields})
 	}
@@ -165,6 +180,11 @@
 			Crashes: weighed.Crashes, Losses: weighed.Crashes,
 		}}
 		return err
+	case len(data) > 0 && data[0] == lostTaskRecordHeader:
+		var lost lostTaskRecord
+		err := cbor.Unmarshal(data, &lost)
+		*wiretaskrecord = wireTaskRecord{taskRecordFields: lost.taskRecordFields, crashFields: lost.crashFields, LostRuns: lost.LostRuns}
+		return err
 	}
 	var crashed crashedTaskRecord
 	err := cbor.Unmarshal(data, &crashed)
--- a/encoder/snapshot.go
+++ b/encoder/snapshot.go
@@ -338,6 +338,7 @@
 					Worker: config.Worker, Checkpoint: config.Checkpoint, SinceMS: toUnixMillis(config.Since),
 				},
 				crashFields: crashFields{Crashes: config.Crashes, Confirmed: config.Confirmed, Losses: config.Losses, Evidence: config.Evidence},
+				LostRuns:    config.LostRuns,
 			}
 		}
 		stages[index] = wireStageRecord{
@@ -370,7 +371,7 @@
 		for taskIndex, task := range stage.Tasks {
 			tasks[taskIndex] = almondcross.NewTaskRecord(almondcross.TaskRecordConfig{
 				Done: task.Done, Active: task.Active, Run: task.Run, Failures: task.Failures, Crashes: task.Crashes, Confirmed: task.Confirmed,
-				Losses: task.Losses, Evidence: task.Evidence,
+				Losses: task.Losses, Evidence: task.Evidence, LostRuns: task.LostRuns,
 				Worker: task.Worker, Checkpoint: task.Checkpoint, Since: fromUnixMillis(task.SinceMS),
 			})
 		}
@@ -408,7 +409,7 @@
 
 func (wirestagerecord wireStageRecord) validCounts() bool {
 	for _, task := range wirestagerecord.Tasks {
-		if !validCounts(task.Run, task.Failures, task.Crashes, task.Confirmed, task.Losses) || !validEvidence(task.Evidence) {
+		if !validCounts(task.Run, task.Failures, task.Crashes, task.Confirmed, task.Losses) || !validEvidence(task.Evidence) || !validCounts(task.LostRuns...) {
 			return false
 		}
 	}
--- a/encoder/taskrecord_test.go
+++ b/encoder/taskrecord_test.go
@@ -10,7 +10,7 @@
 )
 
 // Guards against task records of an earlier version that cannot be read, which would lose the state in an upgrade, and
-// against crash counts that a snapshot forgets.
+// against crash counts and lost runs that a snapshot forgets.
 func TestTaskRecordsOfEarlierVersionsAreRead(t *testing.T) {
 	codec, err := NewCodec()
 	require.NoError(t, err)
@@ -19,7 +19,8 @@
 	encoded, err := codec.encoding.Marshal(record)
 	require.NoError(t, err)
 	require.Equal(t, earlier, encoded, "records without crashes keep the earlier form")
-	for _, losses := range []int{0, 2} {
+	for losses, lostRuns := range [][]int{nil, nil, {1}, {1, 2}} {
+		record.LostRuns = lostRuns
 		record.crashFields = crashFields{Crashes: 2 * losses, Confirmed: losses / 2, Losses: losses, Evidence: -3 * losses}
 		encoded, err = codec.encoding.Marshal([]wireTaskRecord{record})
 		require.NoError(t, err)
--- a/job_generated.go
+++ b/job_generated.go
@@ -2092,7 +2092,7 @@
 	return change
 }
 
-// Silent returns the time for which the worker of a crashed run had not answered when the end was recorded.
+// Silent returns the time for which the worker of a crashed or lost run had not answered when the end was recorded, 0 for other runs.
 func (change Change) Silent() time.Duration { return change.silent }
 
 // WithSilent returns a copy with the given silent.
@@ -2192,6 +2192,7 @@
 	Active     bool
 	Run        int
 	Failures   int
+	LostRuns   []int
 	Crashes    int
 	Confirmed  int
 	Losses     int
@@ -2208,6 +2209,7 @@
 		active:     config.Active,
 		run:        config.Run,
 		failures:   config.Failures,
+		lostRuns:   config.LostRuns,
 		crashes:    config.Crashes,
 		confirmed:  config.Confirmed,
 		losses:     config.Losses,
@@ -2225,6 +2227,7 @@
 		Active:     taskrecord.active,
 		Run:        taskrecord.run,
 		Failures:   taskrecord.failures,
+		LostRuns:   taskrecord.lostRuns,
 		Crashes:    taskrecord.crashes,
 		Confirmed:  taskrecord.confirmed,
 		Losses:     taskrecord.losses,
@@ -2271,6 +2274,15 @@
 	return taskrecord
 }
 
+// LostRuns returns the runs that were presumed lost and may still be reported, in order.
+func (taskrecord TaskRecord) LostRuns() []int { return taskrecord.lostRuns }
+
+// WithLostRuns returns a copy with the given lostRuns.
+func (taskrecord TaskRecord) WithLostRuns(lostRuns []int) TaskRecord {
+	taskrecord.lostRuns = lostRuns
+	return taskrecord
+}
+
 // Crashes returns the crashes of workers under a run of the task; a crash counts twice with only runs of its job on the worker.
 func (taskrecord TaskRecord) Crashes() int { return taskrecord.crashes }
 
--- a/journal.go
+++ b/journal.go
@@ -174,7 +174,7 @@
 	address        string        // the link address of the elected host, the address of an unlisted worker, or that of the worker of ChangeAssign if it is new
 	zone           string        // the data centre of the worker whose address the change has
 	leaseRemaining time.Duration // the time after ChangeWorkerSilent by which the lease of the worker has expired
-	silent         time.Duration // the time for which the worker of a crashed run had not answered when the end was recorded
+	silent         time.Duration // the time for which the worker of a crashed or lost run had not answered when the end was recorded, 0 for other runs
 	waited         time.Duration // the time from the submission of the job, or its first due time, to the start in ChangeJobStarted
 }
 
@@ -202,6 +202,7 @@
 	active     bool      // whether a run is assigned to a worker and its end is not recorded
 	run        int       // the highest run number
 	failures   int       // the number of failed runs
+	lostRuns   []int     // the runs that were presumed lost and may still be reported, in order
 	crashes    int       // the crashes of workers under a run of the task; a crash counts twice with only runs of its job on the worker
 	confirmed  int       // the number of crashes under a run that was known to have started
 	losses     int       // the number of crashes of workers under a run of the task, each counted once
