Keep sound workers in use while tasks fail everywhere

What callers see: while many jobs of one queue fail, the jobs of all queues wait, and accepted jobs do not run (LOST). Cause: three failed runs in a row took a worker out of use for 3 s and more, whatever ran on it. With one failing job in two nearly all workers were out of use nearly all the time.

A worker is now avoided only if as many failures in a row are unlikely on a worker on which runs fail as often as on the median of all workers, and a failure of a stage that has failed on another worker does not count against it. A faulty worker among sound ones is avoided after three failures as before.

--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -55,6 +55,7 @@
 	lastPlacementAt     time.Time                    // lastPlacementAt is when the last placement pass began.
 	lastSweepAt         time.Time                    // lastSweepAt is when the workers were last swept.
 	lastTickAt          time.Time                    // lastTickAt is when due occurrences were last started.
+	failedShare         float64                      // failedShare is the failed share of the runs on the median of the workers, see updateFailedShare.
 	allowedShares       map[string]float64           // allowedShares holds the moving average of the share of workers that advice allows, by queue.
 }
 
--- a/command/scheduler/lease.go
+++ b/command/scheduler/lease.go
@@ -273,7 +273,7 @@
 		worker.maxLeaseEnd = report.Clock() + machine.config.MaxLease
 	}
 	worker.announcedFrom = machine.nextAnnouncement(worker, incarnation)
-	worker.incarnation, worker.acknowledgedEnd, worker.failures, worker.ackLimit = incarnation, 0, 0, 0
+	worker.incarnation, worker.acknowledgedEnd, worker.failures, worker.ackLimit = incarnation, 0, workerFailures{}, 0
 	if worker.announced && !worker.lifeAnnounced() {
 		machine.config.Log.Record("announcement_outdated", almondcross.Text("worker", worker.id),
 			almondcross.Number("incarnation", incarnation), almondcross.Number("announced", worker.info.Incarnation()))
--- a/command/scheduler/settings_test.go
+++ b/command/scheduler/settings_test.go
@@ -57,7 +57,7 @@
 			return starts
 		}
 		worker := harness.machine.leader.workers[started.Order.Worker().ID()]
-		worker.failures = 0
+		worker.failures = workerFailures{}
 		harness.machine.endRun(worker, worker.assignments[task], almondcross.EndFailed, "")
 	}
 	return limit
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -19,6 +19,8 @@
 	gangCheckpoint string // gangCheckpoint is the last checkpoint of a gang.
 	remainingTasks int    // remainingTasks counts the tasks that are not done.
 	activeTasks    int    // activeTasks counts the tasks that have a run without a recorded end.
+	failedWorker   string // failedWorker is the first worker on which this scheduler saw a run fail, empty for none. It is not replicated.
+	failsWidely    bool   // failsWidely is set once this scheduler saw a run fail on another worker. It is not replicated.
 }
 
 // job is one job of the replicated state.
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -87,7 +87,7 @@
 	// was reported after its task had been started again. An acknowledgement tells the worker that the success is
 	// in the journal, which holds another run instead.
 	ackLimit int64
-	failures int // failures counts failed runs since the last success.
+	failures workerFailures
 }
 
 // free returns the unused resources of the worker.
@@ -260,7 +260,7 @@
 	machine.config.Metrics.Ended(kind)
 	machine.config.Log.Record("run_ended", almondcross.Text("task", task.String()), almondcross.Number("run", assignment.run),
 		almondcross.Text("worker", worker.id), almondcross.Text("end", string(kind)), almondcross.Millis("after_ms", machine.now.Sub(assignment.placedAt)))
-	machine.countFailures(worker, kind)
+	machine.countFailures(worker, assignment.stage, kind)
 	job := assignment.job
 	if job.state.Final() {
 		if !wasFinal {
@@ -289,18 +289,3 @@
 		almondcross.Millis("after_ms", machine.now.Sub(job.spec.Submitted())))
 	machine.config.Metrics.Finished(job.spec.Queue(), job.state)
 }
-
-// countFailures updates the count of consecutive failures and avoids a worker with too many for a while.
-func (machine *Machine) countFailures(worker *worker, kind almondcross.EndKind) {
-	switch kind {
-	case almondcross.EndDone:
-		worker.failures = 0
-	case almondcross.EndFailed:
-		worker.failures++
-		if worker.failures >= maxConsecutiveFailures {
-			worker.avoidUntil = machine.now.Add(time.Duration(worker.failures) * failureBackoff)
-			machine.config.Log.Record("worker_avoided", almondcross.Text("worker", worker.id), almondcross.Number("failures", worker.failures))
-		}
-	default:
-	}
-}
