End the run of a gang member that was assigned again

A member whose start was refused while its worker did not answer was noted as a lost run, and assigned to another worker under the same run number, as members of a gang share it. The failure of that run was then taken for the late one of the lost run, so the member counted as running for good.

Only a run whose worker's lease has expired is presumed lost, and a run that is assigned is lost no more.

--- a/command/scheduler/attempts_test.go
+++ b/command/scheduler/attempts_test.go
@@ -90,6 +90,26 @@
 	require.Equal(t, 2, state.jobs["g"].stages[0].gangFailures)
 }
 
+// Guards against a member of a gang that counts as running for good, so that the gang is never placed again (LOST): it was
+// assigned again under the run that was presumed lost, and its failure was taken for that of the lost run.
+func TestFailureOfAReassignedGangMemberEndsItsRun(t *testing.T) {
+	state := newState(time.Minute)
+	step := almondcross.NewStep(almondcross.StepConfig{Count: 1, Gang: true})
+	state.admitJob(almondcross.NewJob(almondcross.JobConfig{ID: "g", Queue: "q", Steps: []almondcross.Step{step}}), settings(1, "q"))
+	for _, change := range []almondcross.ChangeConfig{
+		{Kind: almondcross.ChangeAssign, Worker: workerID},
+		{Kind: almondcross.ChangeEnd, Worker: workerID, End: almondcross.EndVoid, Silent: time.Second},
+		{Kind: almondcross.ChangeAssign, Worker: "w-2"},
+		{Kind: almondcross.ChangeEnd, Worker: "w-2", End: almondcross.EndFailed},
+	} {
+		change.Task, change.Run = taskOf("g", 0, 0), 1
+		state.apply(almondcross.NewChange(change))
+	}
+	require.Zero(t, state.jobs["g"].activeTasks)
+	require.Equal(t, 1, state.jobs["g"].stages[0].gangFailures)
+	require.True(t, state.jobs["g"].ready(state.jobs["g"].stages[0]))
+}
+
 // Guards against a task of a queue without a limit of attempts that is started again without end (BUDGET): the absence of the
 // limit was read as no limit.
 func TestQueueWithoutALimitAllowsOneFailure(t *testing.T) {
--- a/command/scheduler/crash.go
+++ b/command/scheduler/crash.go
@@ -115,8 +115,7 @@
 // silentFor returns for how long contact with the worker of a crashed or lost run has been lost, at most since the election, so
 // that the wait for its lease does not count as a time in which the run was at work. It is zero for other runs.
 func (machine *Machine) silentFor(worker *worker, assignment *assignment, kind almondcross.EndKind) time.Duration {
-	lost := kind == almondcross.EndVoid && assignment.phase != phaseCommitting && worker.outOfContact()
-	if !isCrash(kind) && !lost {
+	if !isCrash(kind) && !assignment.presumedLost {
 		return 0
 	}
 	lostAt := assignment.lostAt
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -19,8 +19,8 @@
 	gangCheckpoint string // gangCheckpoint is the last checkpoint of a gang.
 	remainingTasks int    // remainingTasks counts the tasks that are not done.
 	activeTasks    int    // activeTasks counts the tasks that have a run without a recorded end.
-	failedWorker   string // failedWorker is the first worker on which this scheduler saw a run fail, empty for none. It is not replicated.
-	failsWidely    bool   // failsWidely is set once this scheduler saw a run fail on another worker. It is not replicated.
+	failedWorker   string // failedWorker is the first worker on which this scheduler saw a run fail since the last success, empty for none. It is not replicated.
+	failsWidely    bool   // failsWidely is set once this scheduler saw a run fail on another worker too. It is not replicated.
 }
 
 // job is one job of the replicated state.
@@ -308,6 +308,7 @@
 	if change.Address() != "" {
 		state.busyAddresses[change.Worker()] = workerAddress{address: change.Address(), zone: change.Zone()}
 	}
+	record = withoutLostRun(record, change.Run()) // A member of a gang that never started is assigned again under its run.
 	stage.tasks[change.Task().Index] = record.WithActive(true).WithRun(change.Run()).WithWorker(change.Worker()).WithSince(state.batchTime)
 	stage.gangRun = max(stage.gangRun, change.Run())
 }
--- a/command/scheduler/sweep.go
+++ b/command/scheduler/sweep.go
@@ -47,6 +47,7 @@
 		machine.endProbation(worker, assignment)
 		switch {
 		case lost && assignment.phase != phaseCommitting:
+			assignment.presumedLost = true
 			machine.endRun(worker, assignment, assignment.crashEnd(lostEnd), assignment.checkpoint)
 		case !machine.stopUnwanted(worker, assignment) && assignment.stalled(worker, machine.now):
 			machine.stopStalled(worker, assignment)
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -42,6 +42,7 @@
 	progressAt    time.Time           // progressAt is when the progress last changed.
 	suspicion     suspicion           // suspicion is that of the task when the run was assigned.
 	lostAt        time.Time           // lostAt is when contact with the incarnation of the worker that got the start order was lost, zero while it is the current one.
+	presumedLost  bool                // presumedLost is set once the lease has expired of a worker that does not answer.
 	missingEnd    almondcross.EndKind // missingEnd is how the run has ended if its worker does not report it.
 }
 
