Acknowledge ends that came before the lease expired

An end is acknowledged if the worker's own clock is past the last lease that it was sent, or if it lists a later end by the expiry. Where neither is known, as to a successor, the worker is set aside as before. The outcome is in the log (superseded or withheld).

TestEndsBeforeALapseAreAcknowledged failed before (worker set aside).

--- a/command/scheduler/attempts.go
+++ b/command/scheduler/attempts.go
@@ -80,8 +80,8 @@
 }
 
 // recordLateFailure handles the reported failure of a run that was presumed lost, by this scheduler or one before it. It
-// counts as a failed attempt. If the task has been started again although this failure was the last one allowed, it is never
-// acknowledged, and the worker gets no new work (see ackLimit).
+// counts as a failed attempt. If the task has been started again although this failure was the last one allowed, it is not
+// acknowledged (see supersede).
 func (machine *Machine) recordLateFailure(worker *worker, end almondcross.EndedTask) {
 	job, stage, found := machine.state.find(end.Task())
 	if !found || end.Kind() != almondcross.EndFailed || stage.spec.Service() {
@@ -93,11 +93,7 @@
 	}
 	outcome := "counted"
 	if job.startedBeyondLimit(stage, index, end.Run()) {
-		if worker.ackLimit != 0 {
-			return
-		}
-		worker.ackLimit = end.Sequence()
-		outcome = "already started again"
+		outcome = worker.supersede(end)
 	} else {
 		machine.recordFailure(worker, job, end)
 	}
--- a/command/scheduler/attempts_test.go
+++ b/command/scheduler/attempts_test.go
@@ -61,6 +61,36 @@
 	}
 }
 
+// Guards against a worker that gets no new work for the rest of its life after a cut, since a run that it had ended had been
+// started again: an end before the expiry of the lease is none that an acknowledgement would make a promise of.
+func TestEndsBeforeALapseAreAcknowledged(t *testing.T) {
+	task := taskOf("j", 0, 0)
+	for _, kind := range []almondcross.EndKind{almondcross.EndDone, almondcross.EndFailed} {
+		harness := newHarnessWithRun(t)
+		harness.answerLease(almondcross.WorkerReportConfig{Running: runningTask(task, 1)})
+		harness.dropLeaseAnswers(14 * time.Second)
+		for _, change := range []almondcross.ChangeConfig{
+			{Kind: almondcross.ChangeAssign, Run: 2}, {Kind: almondcross.ChangeEnd, Run: 2, End: almondcross.EndFailed}, {Kind: almondcross.ChangeAssign, Run: 3},
+		} {
+			change.Task, change.Worker = task, "w-2"
+			harness.machine.recordChange(change)
+		}
+		worker := harness.machine.leader.workers[workerID]
+		ends := []almondcross.EndedTask{
+			almondcross.NewEndedTask(almondcross.EndedTaskConfig{Sequence: 1, Task: task, Run: 1, Kind: kind}),
+			almondcross.NewEndedTask(almondcross.EndedTaskConfig{Sequence: 2, Task: taskOf("other", 0, 0), Run: 1, Kind: almondcross.EndLeaseExpired}),
+		}
+		for reported, acknowledged := range []int64{0, 0, 2} {
+			harness.answerLease(almondcross.WorkerReportConfig{Ended: ends[:reported], Clock: worker.maxLeaseEnd})
+			harness.answerCommits()
+			harness.advance(leaseAnswerWait)
+			require.Equal(t, acknowledged, worker.acknowledgedEnd, "%s, %d ends reported", kind, reported)
+			require.Equal(t, reported == 1, worker.ackLimit > 0, "%s, %d ends reported", kind, reported)
+		}
+		require.Equal(t, almondcross.JobRunning, harness.machine.state.jobs["j"].state, "the run under way decides")
+	}
+}
+
 // Guards against a late failure of a gang that counts once for each lost member, or again after a failure of the same run, and
 // against lost runs that a loaded state lacks.
 func TestLateFailureOfAGangCountsOnce(t *testing.T) {
--- a/command/scheduler/lease.go
+++ b/command/scheduler/lease.go
@@ -135,7 +135,7 @@
 	worker.reportedFence = max(worker.reportedFence, answer.Order().Fence())
 	machine.endSilence(worker)
 	machine.leader.placementDue = true
-	acknowledged := machine.recordEnds(worker, report.Ended())
+	acknowledged := machine.recordEnds(worker, report)
 	reported := map[almondcross.JobTask]bool{}
 	unknown := 0
 	for _, running := range report.Running() {
@@ -161,9 +161,10 @@
 
 // recordEnds records the reported ends and returns the sequence number up to which they may be acknowledged
 // after the commit.
-func (machine *Machine) recordEnds(worker *worker, ends []almondcross.EndedTask) int64 {
+func (machine *Machine) recordEnds(worker *worker, report almondcross.WorkerReport) int64 {
 	acknowledged := worker.acknowledgedEnd
-	for _, end := range ends {
+	worker.noteLapse(report)
+	for _, end := range report.Ended() {
 		acknowledged = max(acknowledged, end.Sequence())
 		if assigned := worker.assignments[end.Task()]; assigned != nil && assigned.run == end.Run() {
 			machine.endRun(worker, assigned, end.Kind(), end.Checkpoint())
@@ -216,7 +217,7 @@
 
 // recordLateSuccess handles a reported success that is not the end of an assigned run. A success in the journal is only
 // reported again. Otherwise the run was presumed lost, by this scheduler or one before it: the success counts if the task
-// has not been started again; if it has, the success is never acknowledged, and the worker gets no new work (see ackLimit).
+// has not been started again; if it has, the success is not acknowledged (see supersede).
 func (machine *Machine) recordLateSuccess(worker *worker, end almondcross.EndedTask) {
 	job, stage, found := machine.state.find(end.Task())
 	if !found || end.Kind() != almondcross.EndDone || stage.spec.Service() {
@@ -225,9 +226,8 @@
 	record := stage.tasks[end.Task().Index]
 	var outcome string
 	switch {
-	case record.Run() > end.Run() && worker.ackLimit == 0:
-		outcome = "already started again"
-		worker.ackLimit = end.Sequence()
+	case record.Run() > end.Run():
+		outcome = worker.supersede(end)
 	case record.Run() == end.Run() && !record.Done() && !record.Active() && !job.state.Final():
 		outcome = "counted"
 		machine.recordChange(almondcross.ChangeConfig{
@@ -273,7 +273,8 @@
 		worker.maxLeaseEnd = report.Clock() + machine.config.MaxLease
 	}
 	worker.announcedFrom = machine.nextAnnouncement(worker, incarnation)
-	worker.incarnation, worker.acknowledgedEnd, worker.failures, worker.ackLimit = incarnation, 0, workerFailures{}, 0
+	worker.incarnation, worker.acknowledgedEnd, worker.failures = incarnation, 0, workerFailures{}
+	worker.ackLimit, worker.lapsedEnd = 0, 0
 	if worker.announced && !worker.lifeAnnounced() {
 		machine.config.Log.Record("announcement_outdated", almondcross.Text("worker", worker.id),
 			almondcross.Number("incarnation", incarnation), almondcross.Number("announced", worker.info.Incarnation()))
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -84,11 +84,12 @@
 	// extensionBlocked is set while the journal may still hold the silence of this worker, so that its lease
 	// must not be extended.
 	extensionBlocked bool
-	// ackLimit is the first end of this incarnation that must not be acknowledged, 0 for none: a success that
-	// was reported after its task had been started again. An acknowledgement tells the worker that the success is
-	// in the journal, which holds another run instead.
-	ackLimit int64
-	failures workerFailures
+	// ackLimit is the first end of this incarnation that must not be acknowledged, 0 for none: a success, or the last
+	// failure allowed, that was reported after its task had been started again. An acknowledgement tells the worker that
+	// the end is in the journal, which holds another run instead. The worker gets no new work.
+	ackLimit  int64
+	lapsedEnd int64 // lapsedEnd is the last end of this incarnation up to an expiry of the lease, 0 for none.
+	failures  workerFailures
 }
 
 // free returns the unused resources of the worker.
@@ -146,6 +147,33 @@
 // outOfContact reports whether the worker has not answered the last lease order, or none yet.
 func (worker *worker) outOfContact() bool { return worker.unreachable || worker.lastAnswerAt.IsZero() }
 
+// noteLapse notes which of the reported ends came before an expiry of the lease: all of them if it has expired on the worker's
+// own clock, otherwise those before an end by the expiry. These may be acknowledged: an end whose acknowledgement comes after
+// the expiry does not count as noted.
+func (worker *worker) noteLapse(report almondcross.WorkerReport) {
+	expired := worker.maxLeaseEnd > 0 && report.Clock() > worker.maxLeaseEnd
+	for _, end := range report.Ended() {
+		if expired || end.Kind() == almondcross.EndLeaseExpired {
+			worker.lapsedEnd = max(worker.lapsedEnd, end.Sequence())
+		}
+	}
+	if worker.ackLimit <= worker.lapsedEnd {
+		worker.ackLimit = 0
+	}
+}
+
+// supersede handles an end that is known only after its task has been started again, and returns what becomes of it for the
+// log. It is withheld, so that neither it nor a later end is acknowledged, unless the lease has expired since.
+func (worker *worker) supersede(end almondcross.EndedTask) string {
+	switch {
+	case end.Sequence() <= worker.lapsedEnd:
+		return "superseded"
+	case worker.ackLimit == 0:
+		worker.ackLimit = end.Sequence()
+	}
+	return "withheld"
+}
+
 // clockNow estimates the worker's clock. The estimate is ahead of that clock by at most its drift.
 func (worker *worker) clockNow(now time.Time) time.Duration {
 	return worker.clock + now.Sub(worker.lastAnswerAt)
