Weigh the failures on a worker by those on other workers

A worker is now avoided by the likelihood ratio of its last runs. What is expected of a run is the median share of failures of all workers, and for a stage that has failed on another worker what became of such stages lately: where tasks fail everywhere they fail again, and tell nothing; where workers are faulty they succeed.

--- a/command/scheduler/constants.go
+++ b/command/scheduler/constants.go
@@ -167,9 +167,7 @@
 	stopTimeout = 2 * time.Second
 	// workerRetention is how long an unreachable worker without an announcement is kept.
 	workerRetention = 6 * time.Second
-	// maxConsecutiveFailures is the number of consecutive failed runs from which a worker may be avoided.
-	maxConsecutiveFailures = 3
-	// failureBackoff is how long a worker is avoided for each of its consecutive failed runs.
+	// failureBackoff is how long a worker that appears to be faulty is avoided for each of its last failed runs.
 	failureBackoff = time.Second
 	// stallTimeout is how long a run may make no progress. The members of a gang wait for each other for less.
 	stallTimeout = 3500 * time.Millisecond
--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -56,6 +56,7 @@
 	lastSweepAt         time.Time                    // lastSweepAt is when the workers were last swept.
 	lastTickAt          time.Time                    // lastTickAt is when due occurrences were last started.
 	failedShare         float64                      // failedShare is the failed share of the runs on the median of the workers, see updateFailedShare.
+	failedAgainShare    float64                      // failedAgainShare is the moving average of the failed share of the runs of stages that have failed on another worker.
 	allowedShares       map[string]float64           // allowedShares holds the moving average of the share of workers that advice allows, by queue.
 }
 
