--- a/command/scheduler/attempts.go
+++ b/command/scheduler/attempts.go
@@ -7,7 +7,8 @@
 )
 
 const (
-	// minAttempts is the number of attempts of a task whose queue has no limit of attempts.
+	// minAttempts is the number of attempts of a task whose queue has no limit. Without end, a task that always fails would
+	// hold room for good.
 	minAttempts = 1
 	// maxLostRuns is the number of lost runs of a task of which a late failure counts, the last ones. Each takes the time of a
 	// lease.
@@ -15,7 +16,7 @@
 )
 
 // attemptLimit returns the number of failed runs of a task with which the job fails, and false if the settings of the job are
-// not known. A queue without a limit is not one without end: its tasks get one attempt.
+// not known. The tasks of a queue without a limit get minAttempts.
 func (job *job) attemptLimit() (int, bool) {
 	return max(job.settings.Queue().MaxAttempts(), minAttempts), job.settings.Known()
 }
--- a/command/scheduler/failures.go
+++ b/command/scheduler/failures.go
@@ -108,7 +108,7 @@
 // updateFailedShare computes the failed share of the runs on the median of the workers that have ended runs. A few faulty
 // workers do not change it, though they may get most of the runs.
 func (leader *leader) updateFailedShare() {
-	var shares []float64
+	shares := make([]float64, 0, len(leader.sortedWorkers))
 	for _, worker := range leader.sortedWorkers {
 		if worker.failures.ended > 0 {
 			shares = append(shares, worker.failures.share)
