--- a/standin/emulator/routes_test.go
+++ b/standin/emulator/routes_test.go
@@ -43,6 +43,7 @@
 				worker.endRun(simulation.now, worker.runs[taskOf(job)], almondcross.EndFailed)
 			}
 			startRun(simulation, worker, job, test.failures+1, delivery{sentAt: simulation.now})
+			runEvents(simulation, notingTime)
 			requireRules(t, simulation, test.rules...)
 		})
 	}
