--- a/command/scheduler/retry_test.go
+++ b/command/scheduler/retry_test.go
@@ -54,7 +54,7 @@
 				for since := harness.now; harness.now.Sub(since) < time.Second; harness.hearFromWorkers() {
 					harness.advance(leaderTick)
 					harness.allowOnly(workerID)
-					harness.commitAll()
+					harness.answerCommits()
 				}
 				order := requireEffect[SendStart](harness).Order
 				require.Equal(t, workerID, order.Worker().ID())
@@ -84,7 +84,7 @@
 			}
 		}
 		harness.allowOnly(workerID)
-		harness.commitAll()
+		harness.answerCommits()
 	}
 	require.Equal(t, 1, calls)
 	harness.listWorker(poolWorker.WithID("w-3"))
--- a/command/scheduler/settings_test.go
+++ b/command/scheduler/settings_test.go
@@ -36,22 +36,12 @@
 	}))
 }
 
-// commitAll answers all pending appends.
-func (harness *harness) commitAll() {
-	harness.t.Helper()
-	for range 5 {
-		if _, found := harness.pendingCommit(); found {
-			harness.answerCommit()
-		}
-	}
-}
-
 // failRuns lets each run of a task fail, at most limit of them, and returns the number of starts.
 func (harness *harness) failRuns(task almondcross.JobTask, limit int) int {
 	harness.t.Helper()
 	for starts := range limit {
 		harness.advance(minPlacementInterval)
-		harness.commitAll()
+		harness.answerCommits()
 		started, found := takeEffect[SendStart](harness)
 		if !found {
 			return starts
@@ -71,7 +61,7 @@
 	harness := newHarness(t)
 	harness.becomeScheduler()
 	harness.submitTo(unknown, "new", almondcross.QueueSettings{})
-	harness.commitAll()
+	harness.answerCommits()
 	requireEffect[ConfirmIntake](harness)
 	_, started := takeEffect[SendStart](harness)
 	require.False(t, started)
@@ -130,7 +120,7 @@
 	harness.submitTo("newer", "q", settings(6, "q"))
 	harness.submitTo("older", "q", settings(4, "q"))
 	harness.advance(minPlacementInterval)
-	harness.commitAll()
+	harness.answerCommits()
 	require.Equal(t, almondcross.JobID("newer"), requireEffect[SendStart](harness).Order.Task().Stage.Job)
 	_, started := takeEffect[SendStart](harness)
 	require.False(t, started, "the newer version has the queue in another pool")
@@ -153,7 +143,7 @@
 		harness.submitTo("s", "new", accepted)
 	}
 	harness.advance(minPlacementInterval)
-	harness.commitAll()
+	harness.answerCommits()
 	require.Equal(t, almondcross.JobID("s"), requireEffect[SendStart](harness).Order.Task().Stage.Job)
 	_, started := takeEffect[SendStart](harness)
 	require.False(t, started)
@@ -177,11 +167,11 @@
 	}
 	for _, queue := range []string{"first", "second", "first"} {
 		harness.submitTo("i", queue, accepted(queue))
-		harness.commitAll()
+		harness.answerCommits()
 		require.Equal(t, queue == "second", requireEffect[ConfirmIntake](harness).Stored.Taken(), queue)
 	}
 	cancel(accepted("second"))
-	harness.commitAll()
+	harness.answerCommits()
 	require.False(t, requireEffect[ConfirmIntake](harness).Stored.Taken(), "the job of the other queue never runs, as its caller is told")
 	require.False(t, harness.machine.state.jobs["i"].state.Final())
 	cancel(accepted("first").WithQueue(accepted("first").Queue().WithName("renamed")))
@@ -244,10 +234,10 @@
 	harness.apply(almondcross.NewIntakeForwarded(almondcross.IntakeForwardedConfig{Host: "h-2", Number: 2, Intake: almondcross.NewIntake(
 		almondcross.IntakeConfig{Cancel: true, Settings: other, Job: almondcross.NewJob(almondcross.JobConfig{ID: "x", Queue: "other"})},
 	)}))
-	harness.commitAll()
+	harness.answerCommits()
 	requireEffect[ConfirmIntake](harness)
 	harness.submitTo("x", "q", settings(1, "q"))
-	harness.commitAll()
+	harness.answerCommits()
 	taken := requireEffect[ConfirmIntake](harness).Stored.Taken()
 	_, started := takeEffect[SendStart](harness)
 	require.True(t, taken || started, "the caller learns that the job does not run, or it runs")
