--- a/command/scheduler/append.go
+++ b/command/scheduler/append.go
@@ -67,6 +67,7 @@
 		return
 	}
 	machine.recordStarts()
+	machine.recordAddresses()
 	machine.beginBatch()
 	leader.lastAppendAt = machine.now
 	leader.sequence++
@@ -157,6 +158,7 @@
 		snapshot := machine.state.snapshot(0, machine.now)
 		inflight.snapshot = &snapshot
 		leader.snapshotTriedAt = machine.now
+		leader.addressesDue = leader.busyWorkers()
 	}
 	leader.pendingChanges, leader.pendingIntake, leader.pendingResets = nil, map[int]int64{}, nil
 }
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -179,6 +179,10 @@
 		})
 	case almondcross.ChangeWorkerListed:
 		delete(state.unlistedWorkers, change.Worker())
+	case almondcross.ChangeWorkerAddress:
+		if state.busyWorkers[change.Worker()] > 0 {
+			state.busyAddresses[change.Worker()] = workerAddress{address: change.Address(), zone: change.Zone()}
+		}
 	}
 }
 
--- a/command/scheduler/takeover_test.go
+++ b/command/scheduler/takeover_test.go
@@ -236,3 +236,31 @@
 	harness.apply(almondcross.NewWorkersRead(almondcross.WorkersReadConfig{Complete: true}))
 	require.Contains(t, harness.sentStops(time.Second, taskOf("j", 0, 0)), taskOf("j", 0, 0))
 }
+
+// Guards against a run of a cancelled job that goes on after a takeover by a host that has loaded a snapshot, if the worker's
+// announcement has lapsed meanwhile: the snapshot has no addresses, and the journal behind it had only those of workers that
+// got further runs.
+func TestSuccessorWithASnapshotStopsRunsOnUnlistedWorker(t *testing.T) {
+	harness := newHarness(t)
+	harness.machine.config.SnapshotInterval = time.Second
+	harness.becomeScheduler()
+	harness.submitJob("j", almondcross.StepConfig{Count: 1})
+	harness.answerCommits()
+	harness.answerStart()
+	harness.answerLease(almondcross.WorkerReportConfig{Running: runningTask(taskOf("j", 0, 0), 1)})
+	snapshot := harness.leadFor(2 * time.Second)[0].Request.Snapshot()
+	harness.cancelJob("j")
+	harness.answerCommits()
+
+	successor := newHarness(t)
+	successor.now, successor.journalEnd = harness.now, harness.journalEnd
+	successor.apply(almondcross.NewPointerRead(almondcross.PointerReadConfig{Stored: true}))
+	successor.apply(almondcross.NewSnapshotRead(almondcross.SnapshotReadConfig{Snapshot: snapshot, Found: true}))
+	successor.apply(almondcross.NewJournalRead(almondcross.JournalReadConfig{
+		From: snapshot.Next(), Batches: harness.batches[snapshot.Next():], Next: harness.journalEnd, End: harness.journalEnd,
+	}))
+	harness.standby = successor
+	successor = harness.electStandby()
+	successor.apply(almondcross.NewWorkersRead(almondcross.WorkersReadConfig{Complete: true}))
+	require.Contains(t, successor.sentStops(time.Second, taskOf("j", 0, 0)), taskOf("j", 0, 0))
+}
--- a/command/scheduler/unlisted.go
+++ b/command/scheduler/unlisted.go
@@ -38,6 +38,37 @@
 	}
 }
 
+// maxAddressesPerAppend bounds how many addresses an append has, so that the changes behind them do not wait.
+const maxAddressesPerAppend = 20
+
+// busyWorkers returns the workers with runs.
+func (leader *leader) busyWorkers() []string {
+	var busy []string
+	for _, worker := range leader.sortedWorkers {
+		if len(worker.assignments) > 0 {
+			busy = append(busy, worker.id)
+		}
+	}
+	return busy
+}
+
+// recordAddresses records addresses of the workers that had runs when the last snapshot was taken, some with each append. A
+// host that loads the snapshot has them from the journal behind it, also those of workers that get no further runs.
+func (machine *Machine) recordAddresses() {
+	leader := machine.leader
+	count := min(len(leader.addressesDue), maxAddressesPerAppend)
+	for _, id := range leader.addressesDue[:count] {
+		worker := leader.workers[id]
+		if worker == nil || len(worker.assignments) == 0 || worker.info.Address() == "" {
+			continue
+		}
+		machine.recordChange(almondcross.ChangeConfig{
+			Kind: almondcross.ChangeWorkerAddress, Worker: id, Address: worker.info.Address(), Zone: worker.info.Zone(),
+		})
+	}
+	leader.addressesDue = leader.addressesDue[count:]
+}
+
 // restoreAddresses sends lease orders to the workers with runs whose addresses the state has, as the scheduler before did,
 // without waiting for the list of the announced workers. The answers tell which of the runs go on.
 func (machine *Machine) restoreAddresses() {
--- a/encoder/journal.go
+++ b/encoder/journal.go
@@ -57,7 +57,7 @@
 	Run                     int
 	Worker, End, Checkpoint string
 	Occurrence              int
-	Host, Address           string // Host is the data centre of the worker in ChangeAssign and ChangeWorkerUnlisted.
+	Host, Address           string // Host is the data centre of the worker in ChangeAssign, ChangeWorkerAddress and ChangeWorkerUnlisted.
 	// DurationMS is the lease remaining of ChangeWorkerSilent, the time waited of ChangeJobStarted or the silence of ChangeEnd,
 	// and the version of the settings of ChangeAdmit, ChangeCancel and ChangeSettings. The version before ignores it for these kinds.
 	DurationMS int64
@@ -381,7 +381,7 @@
 		wire.DurationMS = change.Waited().Milliseconds()
 	case almondcross.ChangeEnd:
 		wire.DurationMS = change.Silent().Milliseconds()
-	case almondcross.ChangeWorkerUnlisted, almondcross.ChangeAssign:
+	case almondcross.ChangeWorkerUnlisted, almondcross.ChangeWorkerAddress, almondcross.ChangeAssign:
 		wire.Host = change.Zone()
 	case almondcross.ChangeAdmit, almondcross.ChangeCancel, almondcross.ChangeSettings:
 		wire.DurationMS = change.Settings().Version()
@@ -413,7 +413,7 @@
 		config.Waited = duration
 	case almondcross.ChangeEnd:
 		config.Silent = duration
-	case almondcross.ChangeWorkerUnlisted, almondcross.ChangeAssign:
+	case almondcross.ChangeWorkerUnlisted, almondcross.ChangeWorkerAddress, almondcross.ChangeAssign:
 		config.Host, config.Zone = "", wirestatechange.Host
 	case almondcross.ChangeAdmit, almondcross.ChangeCancel, almondcross.ChangeSettings:
 	default:
--- a/journal.go
+++ b/journal.go
@@ -155,6 +155,7 @@
 	ChangeWorkerUnlisted ChangeKind = 12 // ChangeWorkerUnlisted records the address of a worker with runs that is no longer announced, until ChangeWorkerListed.
 	ChangeWorkerListed   ChangeKind = 13 // ChangeWorkerListed records that an unlisted worker is announced again or was removed.
 	ChangeSnapshotStored ChangeKind = 14 // ChangeSnapshotStored records that the scheduler has stored a snapshot and removed those of earlier epochs.
+	ChangeWorkerAddress  ChangeKind = 15 // ChangeWorkerAddress records the address of a worker with runs, which a snapshot does not have.
 )
 
 // Change is one change of the replicated state.
