Acknowledge ends that came before a lapse after a takeover too

A worker that was cut off for longer than its lease is still set aside if the scheduler is replaced before it answers again, since the successor has sent it no lease.

TestSuccessorAcknowledgesEndsBeforeALapse failed before (1 expected, 0 acknowledged).

--- a/command/scheduler/lease.go
+++ b/command/scheduler/lease.go
@@ -133,9 +133,10 @@
 	}
 	worker.clock, worker.lastAnswerAt = report.Clock(), answer.Received()
 	worker.reportedFence = max(worker.reportedFence, answer.Order().Fence())
+	worker.noteLapse(report, machine.leaseExpired(worker, answer))
 	machine.endSilence(worker)
 	machine.leader.placementDue = true
-	acknowledged := machine.recordEnds(worker, report)
+	acknowledged := machine.recordEnds(worker, report.Ended())
 	reported := map[almondcross.JobTask]bool{}
 	unknown := 0
 	for _, running := range report.Running() {
@@ -161,10 +162,9 @@
 
 // recordEnds records the reported ends and returns the sequence number up to which they may be acknowledged
 // after the commit.
-func (machine *Machine) recordEnds(worker *worker, report almondcross.WorkerReport) int64 {
+func (machine *Machine) recordEnds(worker *worker, ends []almondcross.EndedTask) int64 {
 	acknowledged := worker.acknowledgedEnd
-	worker.noteLapse(report)
-	for _, end := range report.Ended() {
+	for _, end := range ends {
 		acknowledged = max(acknowledged, end.Sequence())
 		if assigned := worker.assignments[end.Task()]; assigned != nil && assigned.run == end.Run() {
 			machine.endRun(worker, assigned, end.Kind(), end.Checkpoint())
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -147,11 +147,10 @@
 // outOfContact reports whether the worker has not answered the last lease order, or none yet.
 func (worker *worker) outOfContact() bool { return worker.unreachable || worker.lastAnswerAt.IsZero() }
 
-// noteLapse notes which of the reported ends came before an expiry of the lease: all of them if it has expired on the worker's
-// own clock, otherwise those before an end by the expiry. These may be acknowledged: an end whose acknowledgement comes after
-// the expiry does not count as noted.
-func (worker *worker) noteLapse(report almondcross.WorkerReport) {
-	expired := worker.maxLeaseEnd > 0 && report.Clock() > worker.maxLeaseEnd
+// noteLapse notes which of the reported ends came before an expiry of the lease: all of them if it has expired, otherwise those
+// before an end by the expiry. These may be acknowledged: an end whose acknowledgement comes after the expiry does not count
+// as noted.
+func (worker *worker) noteLapse(report almondcross.WorkerReport, expired bool) {
 	for _, end := range report.Ended() {
 		if expired || end.Kind() == almondcross.EndLeaseExpired {
 			worker.lapsedEnd = max(worker.lapsedEnd, end.Sequence())
@@ -162,6 +161,16 @@
 	}
 }
 
+// leaseExpired reports whether the worker's lease had certainly expired when it answered: on its own clock, the lease that this
+// scheduler sent last, or by the journal, which keeps from when on no scheduler has extended it.
+func (machine *Machine) leaseExpired(worker *worker, answer almondcross.LeaseAnswered) bool {
+	if worker.maxLeaseEnd > 0 {
+		return answer.Report().Clock() > worker.maxLeaseEnd
+	}
+	silence, recorded := machine.state.silentWorkers[worker.id]
+	return recorded && answer.Sent().After(silence.leaseExpiredAt)
+}
+
 // supersede handles an end that is known only after its task has been started again, and returns what becomes of it for the
 // log. It is withheld, so that neither it nor a later end is acknowledged, unless the lease has expired since.
 func (worker *worker) supersede(end almondcross.EndedTask) string {
