--- a/command/scheduler/attempts.go
+++ b/command/scheduler/attempts.go
@@ -7,11 +7,11 @@
 )
 
 const (
-	// minAttempts is the number of attempts of a task whose queue has no limit. Without end, a task that always fails would
-	// hold room for good.
+	// minAttempts is the number of attempts of a task whose queue has no limit. With no limit at all, a task that always
+	// fails would take room for good.
 	minAttempts = 1
-	// maxLostRuns is the number of lost runs of a task of which a late failure counts, the last ones. Each takes the time of a
-	// lease.
+	// maxLostRuns is how many of the last lost runs of a task are kept, so that a late failure of theirs counts. A run is lost
+	// at most once in the duration of a lease.
 	maxLostRuns = 16
 )
 
@@ -61,7 +61,8 @@
 	state.compactJob(job)
 }
 
-// startedBeyondLimit reports whether a task has been started after as many failed runs as are allowed, if a lost run has failed.
+// startedBeyondLimit reports whether a task has been started after as many failed runs as are allowed, given that a lost run
+// has failed as well.
 func (job *job) startedBeyondLimit(stage *stage, index, lostRun int) bool {
 	record := stage.tasks[index]
 	limit, known := job.attemptLimit()
--- a/command/scheduler/attempts_test.go
+++ b/command/scheduler/attempts_test.go
@@ -60,8 +60,8 @@
 	}
 }
 
-// Guards against a worker that gets no new work for the rest of its life after a cut, since a run that it had ended had been
-// started again: an end before the expiry of the lease is none that an acknowledgement would make a promise of.
+// Guards against a worker that gets no new work for the rest of its life after a cut, because a run that it had ended was
+// started again meanwhile. An end that is acknowledged after the expiry of the lease does not count as noted.
 func TestEndsBeforeALapseAreAcknowledged(t *testing.T) {
 	task := taskOf("j", 0, 0)
 	for _, kind := range []almondcross.EndKind{almondcross.EndDone, almondcross.EndFailed} {
@@ -90,8 +90,8 @@
 	}
 }
 
-// Guards against a worker that gets no new work after a takeover, for an end that its lost run had before the expiry of the
-// lease: the successor has sent it no lease, and the journal tells when the last one expired.
+// Guards against a worker that gets no new work after a takeover because of an end before the expiry of its lease: the successor
+// has sent it no lease, but the journal tells when the last one expired.
 func TestSuccessorAcknowledgesEndsBeforeALapse(t *testing.T) {
 	task := taskOf("j", 0, 0)
 	for name, restarted := range map[string][]almondcross.ChangeConfig{
--- a/command/scheduler/sweep.go
+++ b/command/scheduler/sweep.go
@@ -15,8 +15,8 @@
 		now.Sub(assignment.progressAt) > limit && worker.lastAnswerAt.Sub(assignment.progressAt) > limit
 }
 
-// sweepWorkers updates the failed share, records silent workers, ends the runs of lost ones, stops stalled runs, repeats unanswered stop
-// orders and removes workers that have left.
+// sweepWorkers updates the failed share, records silent workers, ends the runs of lost ones, stops stalled runs, repeats
+// unanswered stop orders and removes workers that have left.
 func (machine *Machine) sweepWorkers() {
 	machine.leader.updateFailedShare()
 	var left []*worker
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -161,8 +161,8 @@
 	}
 }
 
-// leaseExpired reports whether the worker's lease had certainly expired when it answered: on its own clock, the lease that this
-// scheduler sent last, or by the journal, which keeps from when on no scheduler has extended it.
+// leaseExpired reports whether the worker's lease had certainly expired when it answered: by its own clock, if this scheduler
+// has sent it a lease, or by the journal's record of its silence, during which no scheduler extends the lease.
 func (machine *Machine) leaseExpired(worker *worker, answer almondcross.LeaseAnswered) bool {
 	if worker.maxLeaseEnd > 0 {
 		return answer.Report().Clock() > worker.maxLeaseEnd
