--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -167,6 +167,14 @@
 		state.earlierEpochs = slices.DeleteFunc(state.earlierEpochs, func(epoch int64) bool { return epoch < state.schedulerEpoch })
 	case almondcross.ChangeResigned:
 		state.resigned = true
+	default:
+		state.applyToWorker(change)
+	}
+}
+
+// applyToWorker applies a change of what is known of a worker.
+func (state *state) applyToWorker(change almondcross.Change) {
+	switch change.Kind() {
 	case almondcross.ChangeWorkerSilent:
 		state.addSilence(change.Worker(), silence{
 			epoch: state.schedulerEpoch, recordedAt: state.batchTime, leaseExpiredAt: state.applyTime.Add(change.LeaseRemaining()),
@@ -183,6 +191,7 @@
 		if state.busyWorkers[change.Worker()] > 0 {
 			state.busyAddresses[change.Worker()] = workerAddress{address: change.Address(), zone: change.Zone()}
 		}
+	default: // A later version may have further changes.
 	}
 }
 
