Take a former scheduler that has linked to its successor for ended

Cause: the successor does not know that the process of the former scheduler has ended or has given up, although that host, restarted or deposed, links to it within a second or two.

Change: a host that links to the scheduler names the epoch of that scheduler. Its process leads no earlier epoch, so the leaderships before that epoch at its name and address have ended by then. A host of an earlier version names none, and nothing follows. The emulator's links do the same.

--- a/assembler/scheduler.go
+++ b/assembler/scheduler.go
@@ -319,7 +319,7 @@
 				hub.CloseAll()
 			}
 			// A change is dropped if the ring is full. The ring has capacity for many, and the next change replaces it.
-			rings.schedulerChanges.Offer(connector.Scheduler{Host: announcement.Pointer.Host(), Address: announcement.Pointer.Address(), Strength: announcement.Strength})
+			rings.schedulerChanges.Offer(connector.Scheduler{Host: announcement.Pointer.Host(), Address: announcement.Pointer.Address(), Strength: announcement.Strength, Epoch: announcement.Pointer.Epoch()})
 			hub.SetPointer(announcement.Pointer)
 		},
 	})
--- a/command/connector/connector_test.go
+++ b/command/connector/connector_test.go
@@ -93,11 +93,12 @@
 		defer close(done)
 		_ = dialer.Run(ctx, schedulers)
 	}()
-	schedulers.Offer(connector.Scheduler{Host: "h-1", Address: strings.TrimPrefix(server.URL, "http://"), Strength: 70})
+	schedulers.Offer(connector.Scheduler{Host: "h-1", Address: strings.TrimPrefix(server.URL, "http://"), Strength: 70, Epoch: 4096})
 	joined := nextMessage[almondcross.HostLinkChanged](t, scheduler)
 	require.True(t, joined.Present())
 	require.Equal(t, 70, joined.Strength())
 	require.Equal(t, "10.0.0.2:1", joined.Address())
+	require.Equal(t, int64(4096), joined.SchedulerEpoch())
 
 	query := almondcross.NewAdviceQuery(almondcross.AdviceQueryConfig{
 		Stage: almondcross.StageID{Job: "j", Occurrence: 1, Step: 2}, Workers: []string{"w-1", "w-2"},
--- a/command/scheduler/advice.go
+++ b/command/scheduler/advice.go
@@ -97,6 +97,7 @@
 	}
 	previous := machine.linkedHosts[change.Host()]
 	if change.Present() {
+		machine.endLeadershipsOf(change.Host(), change.Address(), change.SchedulerEpoch())
 		machine.linkedHosts[change.Host()] = &linkedHost{
 			name: change.Host(), strength: min(max(change.Strength(), 0), fullStrength), address: change.Address(),
 		}
--- a/command/scheduler/leadership_test.go
+++ b/command/scheduler/leadership_test.go
@@ -25,6 +25,13 @@
 	require.Less(t, waited, longestLease()+2*sweepInterval)
 }
 
+// linkHost links a host to the scheduler that it takes for that of an epoch.
+func (harness *harness) linkHost(host string, epoch int64) {
+	harness.apply(almondcross.NewHostLinkChanged(almondcross.HostLinkChangedConfig{
+		Host: host, Present: true, Address: hostAddress, SchedulerEpoch: epoch,
+	}))
+}
+
 // Guards against a task that waits for 10 s when a worker leaves and the scheduler is stopped or replaced as planned: on days
 // with nothing but planned changes, a gang stood still until the end of the day (LOST).
 func TestLeasesAreCountedFromTheResignation(t *testing.T) {
@@ -104,6 +111,35 @@
 	require.False(t, harness.machine.Leads())
 }
 
+// Guards against a wait of 10 s for a worker that was lost together with the scheduler, when the former scheduler's host has
+// linked to the new one: its process leads no more. Only a link to a scheduler of a later epoch shows that.
+func TestLeasesAreCountedFromTheLinkOfTheFormerScheduler(t *testing.T) {
+	for name, test := range map[string]struct {
+		host  string
+		epoch func(former, current int64) int64
+		ended bool
+	}{
+		"linked to this scheduler":       {"h-1", func(_, current int64) int64 { return current }, true},
+		"linked before it led":           {"h-1", func(former, _ int64) int64 { return former }, false},
+		"of an earlier version":          {"h-1", func(int64, int64) int64 { return 0 }, false},
+		"another host at this address":   {"h-9", func(_, current int64) int64 { return current }, false},
+		"linked to this one, left again": {"h-1", func(_, current int64) int64 { return current }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarnessWithRun(t)
+			former, lostAt := harness.machine.leader.epoch, harness.now
+			harness = harness.electStandby()
+			linkedAt := harness.now
+			harness.linkHost(test.host, test.epoch(former, harness.machine.leader.epoch))
+			if test.ended {
+				requireOneLease(t, harness.lostRunEndsAfter(linkedAt))
+			} else {
+				require.GreaterOrEqual(t, harness.lostRunEndsAfter(lostAt), leadershipTimeout+leaseDuration)
+			}
+		})
+	}
+}
+
 // Guards against a host that takes the schedulers before its snapshot for ended: they may extend leases as long as any other,
 // until a scheduler that knows better has recorded it.
 func TestSnapshotDoesNotTellOfEarlierLeaderships(t *testing.T) {
--- a/encoder/link.go
+++ b/encoder/link.go
@@ -117,6 +117,8 @@
 	Address  string `cbor:"address,omitempty"`
 
 	DataCentre string `cbor:"data_centre,omitempty"`
+
+	SchedulerEpoch int64 `cbor:"scheduler_epoch,omitempty"`
 }
 
 type wirePeers struct {
--- a/scheduling.go
+++ b/scheduling.go
@@ -207,6 +207,8 @@
 	strength   int    // the scheduling strength of the host: its configured strength minus its latency to the store, 0 to 100
 	address    string // the address on which the host accepts links
 	dataCentre string // the data centre of the host
+
+	schedulerEpoch int64 // the epoch of the scheduler to which the host has linked; it leads no earlier epoch. 0 if it does not tell
 }
 
 // PointerQuery asks which host runs the scheduler.
@@ -424,6 +426,8 @@
 	strength   int    // the scheduling strength of the host: its configured strength minus its latency to the store, 0 to 100
 	address    string // the address on which the host accepts links
 	dataCentre string // the data centre of the host
+
+	schedulerEpoch int64 // the epoch of the scheduler to which the host links; it leads no earlier epoch. 0 from a host of an earlier version
 }
 
 // PeersKnown passes the link addresses of other hosts to a linked host, which asks them for the scheduler when the
--- a/scheduling_generated.go
+++ b/scheduling_generated.go
@@ -1120,32 +1120,35 @@
 
 // HostLinkChangedConfig holds the fields of a new HostLinkChanged.
 type HostLinkChangedConfig struct {
-	Host       string
-	Present    bool
-	Strength   int
-	Address    string
-	DataCentre string
+	Host           string
+	Present        bool
+	Strength       int
+	Address        string
+	DataCentre     string
+	SchedulerEpoch int64
 }
 
 // NewHostLinkChanged returns a HostLinkChanged with the given fields.
 func NewHostLinkChanged(config HostLinkChangedConfig) HostLinkChanged {
 	return HostLinkChanged{
-		host:       config.Host,
-		present:    config.Present,
-		strength:   config.Strength,
-		address:    config.Address,
-		dataCentre: config.DataCentre,
+		host:           config.Host,
+		present:        config.Present,
+		strength:       config.Strength,
+		address:        config.Address,
+		dataCentre:     config.DataCentre,
+		schedulerEpoch: config.SchedulerEpoch,
 	}
 }
 
 // Config returns the fields of the value for encoding or for a changed copy.
 func (hostlinkchanged HostLinkChanged) Config() HostLinkChangedConfig {
 	return HostLinkChangedConfig{
-		Host:       hostlinkchanged.host,
-		Present:    hostlinkchanged.present,
-		Strength:   hostlinkchanged.strength,
-		Address:    hostlinkchanged.address,
-		DataCentre: hostlinkchanged.dataCentre,
+		Host:           hostlinkchanged.host,
+		Present:        hostlinkchanged.present,
+		Strength:       hostlinkchanged.strength,
+		Address:        hostlinkchanged.address,
+		DataCentre:     hostlinkchanged.dataCentre,
+		SchedulerEpoch: hostlinkchanged.schedulerEpoch,
 	}
 }
 
@@ -1194,6 +1197,15 @@
 	return hostlinkchanged
 }
 
+// SchedulerEpoch returns the epoch of the scheduler to which the host has linked; it leads no earlier epoch. 0 if it does not tell.
+func (hostlinkchanged HostLinkChanged) SchedulerEpoch() int64 { return hostlinkchanged.schedulerEpoch }
+
+// WithSchedulerEpoch returns a copy with the given schedulerEpoch.
+func (hostlinkchanged HostLinkChanged) WithSchedulerEpoch(schedulerEpoch int64) HostLinkChanged {
+	hostlinkchanged.schedulerEpoch = schedulerEpoch
+	return hostlinkchanged
+}
+
 // PointerQueryConfig holds the fields of a new PointerQuery.
 type PointerQueryConfig struct {
 	Pause time.Duration
@@ -1697,29 +1709,32 @@
 
 // HostHelloConfig holds the fields of a new HostHello.
 type HostHelloConfig struct {
-	Host       string
-	Strength   int
-	Address    string
-	DataCentre string
+	Host           string
+	Strength       int
+	Address        string
+	DataCentre     string
+	SchedulerEpoch int64
 }
 
 // NewHostHello returns a HostHello with the given fields.
 func NewHostHello(config HostHelloConfig) HostHello {
 	return HostHello{
-		host:       config.Host,
-		strength:   config.Strength,
-		address:    config.Address,
-		dataCentre: config.DataCentre,
+		host:           config.Host,
+		strength:       config.Strength,
+		address:        config.Address,
+		dataCentre:     config.DataCentre,
+		schedulerEpoch: config.SchedulerEpoch,
 	}
 }
 
 // Config returns the fields of the value for encoding or for a changed copy.
 func (hosthello HostHello) Config() HostHelloConfig {
 	return HostHelloConfig{
-		Host:       hosthello.host,
-		Strength:   hosthello.strength,
-		Address:    hosthello.address,
-		DataCentre: hosthello.dataCentre,
+		Host:           hosthello.host,
+		Strength:       hosthello.strength,
+		Address:        hosthello.address,
+		DataCentre:     hosthello.dataCentre,
+		SchedulerEpoch: hosthello.schedulerEpoch,
 	}
 }
 
@@ -1759,6 +1774,15 @@
 	return hosthello
 }
 
+// SchedulerEpoch returns the epoch of the scheduler to which the host links; it leads no earlier epoch. 0 from a host of an earlier version.
+func (hosthello HostHello) SchedulerEpoch() int64 { return hosthello.schedulerEpoch }
+
+// WithSchedulerEpoch returns a copy with the given schedulerEpoch.
+func (hosthello HostHello) WithSchedulerEpoch(schedulerEpoch int64) HostHello {
+	hosthello.schedulerEpoch = schedulerEpoch
+	return hosthello
+}
+
 // PeersKnownConfig holds the fields of a new PeersKnown.
 type PeersKnownConfig struct {
 	Addresses []string
--- a/standin/emulator/links.go
+++ b/standin/emulator/links.go
@@ -2,10 +2,11 @@
 
 import "github.com/almondcross/almondcross"
 
-// setLink closes the link to any other host and opens a link to the scheduler's host. If that is nil or this host
+// setLink closes the link to any other host and opens a link to the scheduler's host. If there is none or it is this host
 // itself, it only closes the link.
-func (modelhost *modelHost) setLink(scheduler *modelHost, strength int) {
+func (modelhost *modelHost) setLink(pointer almondcross.SchedulerPointer, strength int) {
 	simulation := modelhost.simulation
+	scheduler := simulation.host(pointer.Host())
 	if previous := modelhost.linkedTo; previous != nil && previous != scheduler {
 		modelhost.linkedTo = nil
 		simulation.schedule(linkDelay, func() {
@@ -21,7 +22,9 @@
 	simulation.schedule(3*linkDelay, func() {
 		if modelhost.incarnation == incarnation && scheduler.up && modelhost.linkedTo == nil {
 			modelhost.linkedTo = scheduler
-			scheduler.deliver(almondcross.NewHostLinkChanged(almondcross.HostLinkChangedConfig{Host: modelhost.name, Present: true, Strength: strength, Address: modelhost.name}))
+			scheduler.deliver(almondcross.NewHostLinkChanged(almondcross.HostLinkChangedConfig{
+				Host: modelhost.name, Present: true, Strength: strength, Address: modelhost.name, SchedulerEpoch: pointer.Epoch(),
+			}))
 		}
 	})
 }
