--- a/command/scheduler/leadership.go
+++ b/command/scheduler/leadership.go
@@ -38,7 +38,7 @@
 
 // continueLeadership notes a batch of the scheduler, which was sent no later than it is applied.
 func (state *state) continueLeadership(epoch int64) {
-	if epoch != state.schedulerEpoch || state.resigned {
+	if state.resigned {
 		return
 	}
 	for index, leadership := range state.leaderships {
--- a/command/scheduler/leadership_test.go
+++ b/command/scheduler/leadership_test.go
@@ -26,9 +26,9 @@
 }
 
 // linkHost links a host to the scheduler that it takes for that of an epoch.
-func (harness *harness) linkHost(host string, epoch int64) {
+func (harness *harness) linkHost(host, address string, epoch int64) {
 	harness.apply(almondcross.NewHostLinkChanged(almondcross.HostLinkChangedConfig{
-		Host: host, Present: true, Address: hostAddress, SchedulerEpoch: epoch,
+		Host: host, Present: true, Address: address, SchedulerEpoch: epoch,
 	}))
 }
 
@@ -115,22 +115,22 @@
 // linked to the new one: its process leads no more. Only a link to a scheduler of a later epoch shows that.
 func TestLeasesAreCountedFromTheLinkOfTheFormerScheduler(t *testing.T) {
 	for name, test := range map[string]struct {
-		host  string
-		epoch func(former, current int64) int64
-		ended bool
+		host, address string
+		epoch         func(former, current int64) int64
+		ended         bool
 	}{
-		"linked to this scheduler":       {"h-1", func(_, current int64) int64 { return current }, true},
-		"linked before it led":           {"h-1", func(former, _ int64) int64 { return former }, false},
-		"of an earlier version":          {"h-1", func(int64, int64) int64 { return 0 }, false},
-		"another host at this address":   {"h-9", func(_, current int64) int64 { return current }, false},
-		"linked to this one, left again": {"h-1", func(_, current int64) int64 { return current }, true},
+		"linked to this scheduler":     {"h-1", hostAddress, func(_, current int64) int64 { return current }, true},
+		"linked before it led":         {"h-1", hostAddress, func(former, _ int64) int64 { return former }, false},
+		"of an earlier version":        {"h-1", hostAddress, func(int64, int64) int64 { return 0 }, false},
+		"replaced at another address":  {"h-1", "10.0.0.8:1", func(_, current int64) int64 { return current }, false},
+		"another host at this address": {"h-9", hostAddress, func(_, current int64) int64 { return current }, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			harness := newHarnessWithRun(t)
 			former, lostAt := harness.machine.leader.epoch, harness.now
 			harness = harness.electStandby()
 			linkedAt := harness.now
-			harness.linkHost(test.host, test.epoch(former, harness.machine.leader.epoch))
+			harness.linkHost(test.host, test.address, test.epoch(former, harness.machine.leader.epoch))
 			if test.ended {
 				requireOneLease(t, harness.lostRunEndsAfter(linkedAt))
 			} else {
@@ -158,6 +158,33 @@
 	require.Equal(t, later.Add(leadershipTimeout), restored.earlierLeadershipsEnd(8192), "the scheduler itself goes on")
 }
 
+// Guards against batches behind a resignation that count as a sign that the scheduler still extends leases: its last append may
+// have several.
+func TestBatchesBehindAResignationExtendNoLeadership(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	state := newState(time.Minute)
+	apply := func(at time.Time, changes ...almondcross.ChangeConfig) {
+		batch := almondcross.JournalBatchConfig{Epoch: 4096, At: at}
+		for _, change := range changes {
+			batch.Changes = append(batch.Changes, almondcross.NewChange(change))
+		}
+		state.applyBatch(almondcross.NewJournalBatch(batch), at)
+	}
+	apply(now, almondcross.ChangeConfig{Kind: almondcross.ChangeElected, Host: "h-1", Address: hostAddress})
+	apply(now, almondcross.ChangeConfig{Kind: almondcross.ChangeResigned, Host: "h-1", LeaseRemaining: resignationLag})
+	apply(now.Add(time.Second))
+	require.Equal(t, now.Add(resignationLag), state.earlierLeadershipsEnd(8192))
+}
+
+// Guards against runs that a scheduler presumes lost as soon as it is elected after a long outage: their leases have expired,
+// but their workers may still report how they ended.
+func TestNewSchedulerTriesToReachWorkersAfterAnOutage(t *testing.T) {
+	harness := newHarnessWithRun(t)
+	harness.standby.advance(time.Minute)
+	harness = harness.electStandby()
+	require.GreaterOrEqual(t, harness.lostRunEndsAfter(harness.machine.leader.electedAt), firstContactTimeout)
+}
+
 // Guards against a snapshot behind which nothing tells when the schedulers before it ended.
 func TestSchedulerRecordsEarlierLeadershipsBehindASnapshot(t *testing.T) {
 	harness := newHarness(t)
