Pass the ends that a deposed scheduler has read to its successor

A scheduler that had read the end and was deposed or resigned before dropped it with its state. If the worker was gone by then, no one else knew of it.

A host of an earlier version ignores them.

--- a/assembler/scheduler.go
+++ b/assembler/scheduler.go
@@ -319,7 +319,10 @@
 				hub.CloseAll()
 			}
 			// A change is dropped if the ring is full. The ring has capacity for many, and the next change replaces it.
-			rings.schedulerChanges.Offer(connector.Scheduler{Host: announcement.Pointer.Host(), Address: announcement.Pointer.Address(), Strength: announcement.Strength, Epoch: announcement.Pointer.Epoch()})
+			rings.schedulerChanges.Offer(connector.Scheduler{
+				Host: announcement.Pointer.Host(), Address: announcement.Pointer.Address(), Epoch: announcement.Pointer.Epoch(),
+				Strength: announcement.Strength, Ends: announcement.Ends,
+			})
 			hub.SetPointer(announcement.Pointer)
 		},
 	})
--- a/command/connector/connector_test.go
+++ b/command/connector/connector_test.go
@@ -93,12 +93,16 @@
 		defer close(done)
 		_ = dialer.Run(ctx, schedulers)
 	}()
-	schedulers.Offer(connector.Scheduler{Host: "h-1", Address: strings.TrimPrefix(server.URL, "http://"), Strength: 70, Epoch: 4096})
+	end := almondcross.NewChange(almondcross.ChangeConfig{Kind: almondcross.ChangeEnd, Run: 2, Worker: "w-1", End: almondcross.EndDone})
+	schedulers.Offer(connector.Scheduler{
+		Host: "h-1", Address: strings.TrimPrefix(server.URL, "http://"), Strength: 70, Epoch: 4096, Ends: []almondcross.Change{end},
+	})
 	joined := nextMessage[almondcross.HostLinkChanged](t, scheduler)
 	require.True(t, joined.Present())
 	require.Equal(t, 70, joined.Strength())
 	require.Equal(t, "10.0.0.2:1", joined.Address())
 	require.Equal(t, int64(4096), joined.SchedulerEpoch())
+	require.Equal(t, []almondcross.Change{end}, joined.Ends())
 
 	query := almondcross.NewAdviceQuery(almondcross.AdviceQueryConfig{
 		Stage: almondcross.StageID{Job: "j", Occurrence: 1, Step: 2}, Workers: []string{"w-1", "w-2"},
--- a/command/connector/dialer.go
+++ b/command/connector/dialer.go
@@ -22,8 +22,9 @@
 // Scheduler is the scheduler's host that a dialer connects to; with an empty address it connects to none.
 type Scheduler struct {
 	Host, Address string
-	Epoch         int64 // Epoch is the epoch of the scheduler.
-	Strength      int   // Strength rates the suitability of the dialer's own host as scheduler, up to 100.
+	Epoch         int64                // Epoch is the epoch of the scheduler.
+	Ends          []almondcross.Change // Ends holds the ends of runs that the dialer's own host has read as scheduler and may not have recorded.
+	Strength      int                  // Strength rates the suitability of the dialer's own host as scheduler, up to 100.
 }
 
 // DialerConfig holds the dependencies and settings of a dialer.
@@ -93,7 +94,7 @@
 	session := newSession(connection, dialer.config.Codec)
 	session.offer(almondcross.NewHostHello(almondcross.HostHelloConfig{
 		Host: dialer.config.Host, Strength: scheduler.Strength, Address: dialer.config.Address, DataCentre: dialer.config.DataCentre,
-		SchedulerEpoch: scheduler.Epoch,
+		SchedulerEpoch: scheduler.Epoch, Ends: scheduler.Ends,
 	}))
 	link := dialer.lastLink.Add(1)
 	defer dialer.config.Executor.Abandon(link)
--- a/command/scheduler/advice.go
+++ b/command/scheduler/advice.go
@@ -114,6 +114,7 @@
 	}
 	if change.Present() {
 		machine.hostLinked(machine.linkedHosts[change.Host()])
+		machine.recordForwardedEnds(change.Host(), change.Ends())
 		machine.sendPeers(machine.linkedHosts[change.Host()])
 	} else {
 		machine.fillStandbys()
--- a/command/scheduler/discovery.go
+++ b/command/scheduler/discovery.go
@@ -78,7 +78,7 @@
 			// The new AnnounceScheduler effect makes the link report that this host can be a standby again.
 			machine.discovery.viaPeer = false
 			machine.config.Log.Record("store_answers_again")
-			machine.emit(AnnounceScheduler{Pointer: machine.discovery.pointer, Strength: machine.strength()})
+			machine.emit(AnnounceScheduler{Pointer: machine.discovery.pointer, Strength: machine.strength(), Ends: machine.endsToForward()})
 		}
 	case roleLoading, roleCandidate, roleLeader:
 	}
@@ -98,7 +98,7 @@
 		machine.discovery.pointer, machine.discovery.viaPeer = pointer, !read.Stored()
 		machine.config.Log.Record("scheduler_found", almondcross.Text("host", pointer.Host()), almondcross.Number("epoch", pointer.Epoch()),
 			almondcross.Text("from_store", yesNo(read.Stored())))
-		machine.emit(AnnounceScheduler{Pointer: pointer, Strength: machine.strength()})
+		machine.emit(AnnounceScheduler{Pointer: pointer, Strength: machine.strength(), Ends: machine.endsToForward()})
 	}
 	machine.readPointer(pointerReadInterval)
 }
--- a/command/scheduler/effects.go
+++ b/command/scheduler/effects.go
@@ -79,6 +79,8 @@
 		Own     bool // Own is set if this host is the scheduler.
 		// Strength is the scheduling strength of this host, up to 100.
 		Strength int
+		// Ends holds the ends of runs that this host has read as scheduler and may not have recorded.
+		Ends []almondcross.Change
 	}
 )
 
--- a/command/scheduler/follower.go
+++ b/command/scheduler/follower.go
@@ -234,7 +234,7 @@
 	}
 	machine.discovery.pointer = pointer
 	machine.config.Log.Record("scheduler_known", almondcross.Text("host", host), almondcross.Number("epoch", pointer.Epoch()))
-	machine.emit(AnnounceScheduler{Pointer: pointer, Own: machine.role == roleLeader, Strength: machine.strength()})
+	machine.emit(AnnounceScheduler{Pointer: pointer, Own: machine.role == roleLeader, Strength: machine.strength(), Ends: machine.endsToForward()})
 }
 
 // checkElection stands for election when no batch arrives although the store answers.
--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -87,6 +87,7 @@
 		}
 	}
 	machine.restoreAssignments()
+	machine.recordForwardedEnds(machine.config.Host, machine.endsToForward())
 	machine.settleJobs()
 	machine.readWorkers(-1, 0)
 	for partition := range machine.config.Partitions {
@@ -125,6 +126,7 @@
 // stopLeading ends the epoch and drops the state, which may contain changes that are not in the journal.
 func (machine *Machine) stopLeading(cause string) {
 	machine.config.Log.Record("scheduling_ended", almondcross.Number("epoch", machine.leader.epoch), almondcross.Text("reason", cause))
+	machine.keepUnrecordedEnds()
 	for id := range machine.leader.workers {
 		machine.emit(ReleaseWorker{Worker: id})
 	}
--- a/command/scheduler/machine.go
+++ b/command/scheduler/machine.go
@@ -55,6 +55,8 @@
 	reads     pendingReads
 	gap       gap
 
+	unrecordedEnds unrecordedEnds
+
 	// triedEpoch is the highest epoch that this host has used in an election.
 	triedEpoch  int64
 	stopping    bool
--- a/command/scheduler/records_test.go
+++ b/command/scheduler/records_test.go
@@ -290,7 +290,11 @@
 		}}),
 		almondcross.NewRoleAssigned(almondcross.RoleAssignedConfig{Standby: true}),
 		almondcross.NewPeersKnown(almondcross.PeersKnownConfig{Addresses: []string{"h-2:1"}}),
-		almondcross.NewHostHello(almondcross.HostHelloConfig{Host: "h-2", Strength: 90, Address: "h-2:1"}),
+		almondcross.NewHostHello(almondcross.HostHelloConfig{
+			Host: "h-2", Strength: 90, Address: "h-2:1", SchedulerEpoch: 8192, Ends: []almondcross.Change{almondcross.NewChange(almondcross.ChangeConfig{
+				Kind: almondcross.ChangeEnd, Task: taskOf("j", 0, 0), Run: 1, Worker: workerID, End: almondcross.EndDone,
+			})},
+		}),
 		almondcross.NewOrdersAnswered(almondcross.OrdersAnsweredConfig{Answers: []almondcross.RelayedAnswer{
 			almondcross.NewRelayedAnswer(almondcross.RelayedAnswerConfig{Number: 1, Result: almondcross.OrderDone, Report: almondcross.NewWorkerReport(almondcross.WorkerReportConfig{
 				ID: workerID, Incarnation: 1, Clock: time.Second,
@@ -333,6 +337,7 @@
 	case almondcross.HostHello:
 		harness.apply(almondcross.NewHostLinkChanged(almondcross.HostLinkChangedConfig{
 			Host: message.Host(), Present: true, Strength: message.Strength(), Address: message.Address(),
+			SchedulerEpoch: message.SchedulerEpoch(), Ends: message.Ends(),
 		}))
 	case almondcross.SchedulerMessage:
 		harness.apply(message)
--- a/encoder/link.go
+++ b/encoder/link.go
@@ -118,7 +118,33 @@
 
 	DataCentre string `cbor:"data_centre,omitempty"`
 
-	SchedulerEpoch int64 `cbor:"scheduler_epoch,omitempty"`
+	SchedulerEpoch int64             `cbor:"scheduler_epoch,omitempty"`
+	Ends           []wireStateChange `cbor:"ends,omitempty"`
+}
+
+func toHello(hello almondcross.HostHello) wireLinkHello {
+	wire := wireLinkHello{
+		Host: hello.Host(), Strength: hello.Strength(), Address: hello.Address(), DataCentre: hello.DataCentre(), SchedulerEpoch: hello.SchedulerEpoch(),
+	}
+	for _, end := range hello.Ends() {
+		wire.Ends = append(wire.Ends, toChange(end))
+	}
+	return wire
+}
+
+func (wirelinkhello wireLinkHello) value() (almondcross.HostHello, error) {
+	config := almondcross.HostHelloConfig{
+		Host: wirelinkhello.Host, Strength: wirelinkhello.Strength, Address: wirelinkhello.Address, DataCentre: wirelinkhello.DataCentre,
+		SchedulerEpoch: wirelinkhello.SchedulerEpoch,
+	}
+	for _, wire := range wirelinkhello.Ends {
+		end, err := wire.value()
+		if err != nil {
+			return almondcross.HostHello{}, err
+		}
+		config.Ends = append(config.Ends, end)
+	}
+	return almondcross.NewHostHello(config), nil
 }
 
 type wirePeers struct {
@@ -143,7 +169,7 @@
 func (codec Codec) EncodeLink(message almondcross.LinkMessage) ([]byte, error) {
 	switch message := message.(type) {
 	case almondcross.HostHello:
-		return codec.encodeEnvelope(linkHello, wireLinkHello(message.Config()))
+		return codec.encodeEnvelope(linkHello, toHello(message))
 	case almondcross.AdviceQuery:
 		return codec.encodeEnvelope(linkAdviceQuery, toAdviceQuery(message))
 	case almondcross.AdviceAnswered:
@@ -196,7 +222,7 @@
 		if err := codec.decodeBody(envelope, &wire); err != nil {
 			return nil, err
 		}
-		return almondcross.NewHostHello(almondcross.HostHelloConfig(wire)), nil
+		return wire.value()
 	case linkAdviceQuery:
 		var wire wireAdviceQuery
 		if err := codec.decodeBody(envelope, &wire); err != nil {
--- a/scheduling.go
+++ b/scheduling.go
@@ -208,7 +208,8 @@
 	address    string // the address on which the host accepts links
 	dataCentre string // the data centre of the host
 
-	schedulerEpoch int64 // the epoch of the scheduler to which the host has linked; it leads no earlier epoch. 0 if it does not tell
+	schedulerEpoch int64    // the epoch of the scheduler to which the host has linked; it leads no earlier epoch. 0 if it does not tell
+	ends           []Change // the ends of runs that the host has read as scheduler and may not have recorded
 }
 
 // PointerQuery asks which host runs the scheduler.
@@ -427,7 +428,8 @@
 	address    string // the address on which the host accepts links
 	dataCentre string // the data centre of the host
 
-	schedulerEpoch int64 // the epoch of the scheduler to which the host links; it leads no earlier epoch. 0 from a host of an earlier version
+	schedulerEpoch int64    // the epoch of the scheduler to which the host links; it leads no earlier epoch. 0 from a host of an earlier version
+	ends           []Change // the ends of runs that the host has read as scheduler and may not have recorded
 }
 
 // PeersKnown passes the link addresses of other hosts to a linked host, which asks them for the scheduler when the
--- a/scheduling_generated.go
+++ b/scheduling_generated.go
@@ -1126,6 +1126,7 @@
 	Address        string
 	DataCentre     string
 	SchedulerEpoch int64
+	Ends           []Change
 }
 
 // NewHostLinkChanged returns a HostLinkChanged with the given fields.
@@ -1137,6 +1138,7 @@
 		address:        config.Address,
 		dataCentre:     config.DataCentre,
 		schedulerEpoch: config.SchedulerEpoch,
+		ends:           config.Ends,
 	}
 }
 
@@ -1149,6 +1151,7 @@
 		Address:        hostlinkchanged.address,
 		DataCentre:     hostlinkchanged.dataCentre,
 		SchedulerEpoch: hostlinkchanged.schedulerEpoch,
+		Ends:           hostlinkchanged.ends,
 	}
 }
 
@@ -1206,6 +1209,15 @@
 	return hostlinkchanged
 }
 
+// Ends returns the ends of runs that the host has read as scheduler and may not have recorded.
+func (hostlinkchanged HostLinkChanged) Ends() []Change { return hostlinkchanged.ends }
+
+// WithEnds returns a copy with the given ends.
+func (hostlinkchanged HostLinkChanged) WithEnds(ends []Change) HostLinkChanged {
+	hostlinkchanged.ends = ends
+	return hostlinkchanged
+}
+
 // PointerQueryConfig holds the fields of a new PointerQuery.
 type PointerQueryConfig struct {
 	Pause time.Duration
@@ -1714,6 +1726,7 @@
 	Address        string
 	DataCentre     string
 	SchedulerEpoch int64
+	Ends           []Change
 }
 
 // NewHostHello returns a HostHello with the given fields.
@@ -1724,6 +1737,7 @@
 		address:        config.Address,
 		dataCentre:     config.DataCentre,
 		schedulerEpoch: config.SchedulerEpoch,
+		ends:           config.Ends,
 	}
 }
 
@@ -1735,6 +1749,7 @@
 		Address:        hosthello.address,
 		DataCentre:     hosthello.dataCentre,
 		SchedulerEpoch: hosthello.schedulerEpoch,
+		Ends:           hosthello.ends,
 	}
 }
 
@@ -1783,6 +1798,15 @@
 	return hosthello
 }
 
+// Ends returns the ends of runs that the host has read as scheduler and may not have recorded.
+func (hosthello HostHello) Ends() []Change { return hosthello.ends }
+
+// WithEnds returns a copy with the given ends.
+func (hosthello HostHello) WithEnds(ends []Change) HostHello {
+	hosthello.ends = ends
+	return hosthello
+}
+
 // PeersKnownConfig holds the fields of a new PeersKnown.
 type PeersKnownConfig struct {
 	Addresses []string
--- a/standin/emulator/host.go
+++ b/standin/emulator/host.go
@@ -75,7 +75,7 @@
 func (modelhost *modelHost) kill() {
 	modelhost.up = false
 	modelhost.incarnation++
-	modelhost.setLink(almondcross.SchedulerPointer{}, 0)
+	modelhost.setLink(scheduler.AnnounceScheduler{})
 }
 
 func (simulation *Simulation) host(name string) *modelHost {
@@ -143,7 +143,7 @@
 		modelhost.sendToHosts([]string{effect.Host}, effect.Assigned)
 	case scheduler.AnnounceScheduler:
 		modelhost.pointer = effect.Pointer
-		modelhost.setLink(effect.Pointer, effect.Strength)
+		modelhost.setLink(effect)
 	case scheduler.SendPeers:
 		modelhost.sendToHosts(effect.Hosts, effect.Peers)
 	case scheduler.ConfirmIntake:
--- a/standin/emulator/links.go
+++ b/standin/emulator/links.go
@@ -1,13 +1,16 @@
 package emulator
 
-import "github.com/almondcross/almondcross"
+import (
+	"github.com/almondcross/almondcross"
+	"github.com/almondcross/almondcross/command/scheduler"
+)
 
 // setLink closes the link to any other host and opens a link to the scheduler's host. If there is none or it is this host
 // itself, it only closes the link.
-func (modelhost *modelHost) setLink(pointer almondcross.SchedulerPointer, strength int) {
+func (modelhost *modelHost) setLink(announced scheduler.AnnounceScheduler) {
 	simulation := modelhost.simulation
-	scheduler := simulation.host(pointer.Host())
-	if previous := modelhost.linkedTo; previous != nil && previous != scheduler {
+	target := simulation.host(announced.Pointer.Host())
+	if previous := modelhost.linkedTo; previous != nil && previous != target {
 		modelhost.linkedTo = nil
 		simulation.schedule(linkDelay, func() {
 			if previous.up {
@@ -15,15 +18,15 @@
 			}
 		})
 	}
-	if scheduler == nil || scheduler == modelhost {
+	if target == nil || target == modelhost {
 		return
 	}
 	incarnation := modelhost.incarnation
 	simulation.schedule(3*linkDelay, func() {
-		if modelhost.incarnation == incarnation && scheduler.up && modelhost.linkedTo == nil {
-			modelhost.linkedTo = scheduler
-			scheduler.deliver(almondcross.NewHostLinkChanged(almondcross.HostLinkChangedConfig{
-				Host: modelhost.name, Present: true, Strength: strength, Address: modelhost.name, SchedulerEpoch: pointer.Epoch(),
+		if modelhost.incarnation == incarnation && target.up && modelhost.linkedTo == nil {
+			modelhost.linkedTo = target
+			target.deliver(almondcross.NewHostLinkChanged(almondcross.HostLinkChangedConfig{
+				Host: modelhost.name, Present: true, Strength: announced.Strength, Address: modelhost.name, SchedulerEpoch: announced.Pointer.Epoch(), Ends: announced.Ends,
 			}))
 		}
 	})
