Count a leadership from the first sending of a repeated append

Cause: a scheduler took a repeat of an append that had no answer for the time of its commit. The store may have stored the first one, and gives a repeat the same answer, also after a successor was elected. The scheduler then extended leases, and took its views for fresh, for longer than its successor waits.

Change: the time of an append is that of its first sending.

Found by the review of the leaderships.

--- a/command/scheduler/append.go
+++ b/command/scheduler/append.go
@@ -19,7 +19,7 @@
 // inflightAppend is a pending append to the journal.
 type inflightAppend struct {
 	commit         almondcross.JournalCommit
-	sentAt         time.Time
+	sentAt         time.Time // sentAt is when the append was first sent. It may have been stored then, and its repeats get the same answer.
 	callbacks      []commitCallback
 	resetHosts     []*linkedHost // resetHosts holds the hosts that get resetViews, all views.
 	resetViews     []almondcross.JobViewChange
@@ -202,7 +202,6 @@
 		machine.config.Metrics.CommitRepeated()
 		machine.config.Log.Record("commit_repeated", almondcross.Number("sequence", leader.sequence), almondcross.Text("reason", answer.Err().Error()),
 			almondcross.Millis("age_ms", machine.now.Sub(leader.inflight.sentAt)))
-		leader.inflight.sentAt = machine.now
 		machine.emit(Commit{Request: leader.inflight.commit.WithPause(storeRetryDelay)})
 		return
 	}
@@ -214,7 +213,7 @@
 		From: answer.Appended().Offset(), Batches: inflight.commit.Batches(),
 	})})
 	machine.pushViews(viewers, inflight)
-	leader.lastCommitAt = machine.now.Add(-answer.Took())
+	leader.lastCommitAt = inflight.sentAt
 	machine.follower.nextOffset = answer.Appended().End()
 	machine.publish(inflight.views)
 	// The answer may have waited while this host was paused, so the views count as of when the append was sent.
--- a/command/scheduler/leadership_test.go
+++ b/command/scheduler/leadership_test.go
@@ -220,3 +220,36 @@
 	}
 	require.False(t, harness.machine.Leads())
 }
+
+// Guards against runs that are presumed lost while their lease is valid: the answer to an append was lost, and its repeat got the
+// first answer again. The scheduler counts its leadership from the repeat, which its successor has not seen.
+func TestLeadershipIsNotProlongedByARepeatedAppend(t *testing.T) {
+	for name, outage := range map[string]time.Duration{"two lost answers": 900 * time.Millisecond, "outage of the store": 9 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarnessWithRun(t)
+			harness.advance(heartbeatInterval)
+			harness.pendingCommit()
+			request := requireEffect[Commit](harness).Request
+			offset := harness.journalEnd
+			harness.journalEnd += int64(len(request.Batches()))
+			harness.batches = append(harness.batches, request.Batches()...)
+			harness.standby.replicate(request.Batches(), harness.now)
+			harness.apply(almondcross.NewJournalCommitted(almondcross.JournalCommittedConfig{Commit: request, Err: almondcross.ErrStoreRefused}))
+			harness.standby.apply(almondcross.NewJournalRead(almondcross.JournalReadConfig{From: harness.journalEnd, Err: almondcross.ErrStoreRefused}))
+			harness.advance(outage)
+			harness.standby.advance(outage)
+			repeated := requireEffect[Commit](harness).Request
+			require.Equal(t, request.Sequence(), repeated.Sequence())
+			harness.apply(almondcross.NewJournalCommitted(almondcross.JournalCommittedConfig{
+				Commit: repeated, Appended: almondcross.NewStoreAppended(almondcross.StoreAppendedConfig{Offset: offset, End: harness.journalEnd}),
+			}))
+			if inflight := harness.machine.leader.inflight; inflight != nil {
+				require.Greater(t, inflight.commit.Sequence(), request.Sequence(), "the next append is under way")
+			}
+			mayExtendUntil := harness.machine.leader.lastCommitAt.Add(leadershipTimeout)
+			successor := harness.electStandby()
+			presumedAt := successor.machine.unheardLeaseExpiredAt()
+			require.False(t, presumedAt.Before(mayExtendUntil.Add(leaseDuration)), "presumed lost %s before the end of the last lease", mayExtendUntil.Add(leaseDuration).Sub(presumedAt))
+		})
+	}
+}
