Know long leases, late links and missed elections at a takeover

The review of the leaderships found three more courses of events:

- A worker that has restarted may hold the longest lease, 10 s, because an order named a time on the clock of its earlier incarnation.
- A former scheduler that linked after the silence of a worker was recorded shortened no wait: 7.35 s from the link for a bound of 5.29 s.
A scheduler that has not heard from the worker takes the earlier of the two bounds.
Its batches now renew the leadership that stands for unknown schedulers.

--- a/command/scheduler/append.go
+++ b/command/scheduler/append.go
@@ -68,7 +68,7 @@
 	}
 	machine.recordStarts()
 	machine.recordAddresses()
-	machine.recordLeaderships()
+	machine.recordLeaseBounds()
 	machine.beginBatch()
 	leader.lastAppendAt = machine.now
 	leader.sequence++
@@ -159,7 +159,7 @@
 		snapshot := machine.state.snapshot(0, machine.now)
 		inflight.snapshot = &snapshot
 		leader.snapshotTriedAt = machine.now
-		leader.addressesDue, leader.leadershipsDue = leader.busyWorkers(), true
+		leader.addressesDue, leader.leaseBoundsDue = leader.busyWorkers(), true
 	}
 	leader.pendingChanges, leader.pendingIntake, leader.pendingResets = nil, map[int]int64{}, nil
 }
--- a/command/scheduler/gap.go
+++ b/command/scheduler/gap.go
@@ -44,6 +44,7 @@
 	machine.config.Log.Record("state_lost", almondcross.Number("from", read.From()), almondcross.Number("first", read.Next()),
 		almondcross.Number("jobs", len(machine.state.jobs)), almondcross.Millis("after_ms", machine.now.Sub(machine.gap.since)))
 	machine.state.restoreLeaderships(machine.now)
+	machine.state.electionsMissed = true
 	machine.follower.nextOffset, machine.follower.incomplete = read.Next(), true
 	machine.readJournal(0)
 }
--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -28,7 +28,7 @@
 	inflight         *inflightAppend                                 // inflight is the pending append, nil for none.
 
 	snapshotTriedAt time.Time // snapshotTriedAt is when the last snapshot was taken, stored or not.
-	leadershipsDue  bool      // leadershipsDue is set after a snapshot until the end of the earlier leaderships is recorded.
+	leaseBoundsDue  bool      // leaseBoundsDue is set after a snapshot until recordLeaseBounds has been called.
 	addressesDue    []string  // addressesDue holds the workers whose addresses are to be recorded after the last snapshot, see recordAddresses.
 	usageAt         time.Time // usageAt is when usage was last stored.
 	usageStoring    bool
--- a/command/scheduler/leadership.go
+++ b/command/scheduler/leadership.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -38,11 +39,12 @@
 
 // continueLeadership notes a batch of the scheduler, which was sent no later than it is applied.
 func (state *state) continueLeadership(epoch int64) {
-	if state.resigned {
+	if state.resigned && epoch == state.schedulerEpoch {
 		return
 	}
+	known := slices.ContainsFunc(state.leaderships, func(leadership leadership) bool { return leadership.epoch == epoch })
 	for index, leadership := range state.leaderships {
-		if leadership.epoch == epoch {
+		if leadership.epoch == epoch || !known && state.electionsMissed && leadership.epoch == 0 {
 			state.leaderships[index].endsBy = state.applyTime.Add(leadershipTimeout)
 		}
 	}
@@ -93,12 +95,18 @@
 	})
 }
 
-// recordLeaderships records until when the schedulers before this one may extend leases, after a snapshot, which does not tell.
-func (machine *Machine) recordLeaderships() {
-	if !machine.leader.leadershipsDue {
+// recordLeaseBounds records until when the schedulers before this one may extend leases, and which leases may last longer, after
+// a snapshot, which does not tell.
+func (machine *Machine) recordLeaseBounds() {
+	if !machine.leader.leaseBoundsDue {
 		return
 	}
-	machine.leader.leadershipsDue = false
+	machine.leader.leaseBoundsDue = false
+	for _, worker := range slices.Sorted(maps.Keys(machine.state.longLeases)) {
+		if remaining := machine.state.longLeases[worker].Sub(machine.now); remaining > 0 {
+			machine.recordLongLease(worker, remaining)
+		}
+	}
 	remaining := machine.state.earlierLeadershipsEnd(machine.leader.epoch).Sub(machine.now).Truncate(time.Millisecond) + time.Millisecond
 	machine.recordChange(almondcross.ChangeConfig{Kind: almondcross.ChangeLeadershipsEnded, LeaseRemaining: max(remaining, 0)})
 }
--- a/command/scheduler/leadership_test.go
+++ b/command/scheduler/leadership_test.go
@@ -221,6 +221,60 @@
 	require.False(t, harness.machine.Leads())
 }
 
+// Guards against a run that is started on another worker while its own, which is cut off, still works on it (TWICE): the worker
+// had restarted and got a lease order whose end is a time on the clock of its previous incarnation, which it shortens to the
+// longest lease. Only the scheduler that resigned has seen the restart.
+func TestSuccessorOfResignedSchedulerWaitsForTheLeaseOfARestartedWorker(t *testing.T) {
+	harness := newHarnessWithRun(t)
+	incarnation := harness.now.UnixMilli() + 1
+	harness.answerLeaseAs(incarnation)
+	leaseEndsAt := harness.now.Add(harness.machine.config.MaxLease) // The worker carried out the last order just before its report.
+	harness.announceLife(incarnation)
+	harness.answerLeaseAs(incarnation)
+	harness.answerCommits()
+	restarted := harness.answerStart()
+	require.Equal(t, 2, restarted.Run())
+	require.False(t, harness.machine.leaseExpiredAt(harness.machine.leader.workers[workerID]).Before(leaseEndsAt), "the scheduler itself knows")
+	harness.apply(almondcross.StopScheduling{})
+	harness.answerCommits()
+	require.False(t, harness.machine.Leads())
+	harness = harness.electStandby()
+	for harness.machine.state.jobs["j"].stages[0].tasks[0].Active() && harness.now.Before(leaseEndsAt.Add(time.Minute)) {
+		harness.dropLeaseAnswers(leaderTick)
+	}
+	require.False(t, harness.now.Before(leaseEndsAt), "%s before the end of the lease", leaseEndsAt.Sub(harness.now))
+}
+
+// Guards against a wait of 10 s for a worker that was lost together with the scheduler, when the former scheduler's host links
+// to the new one only after the silence of the worker was recorded: a process that restarts takes about two seconds.
+func TestLinkOfTheFormerSchedulerCountsAfterTheSilenceIsRecorded(t *testing.T) {
+	harness := newHarnessWithRun(t)
+	harness = harness.electStandby()
+	harness.dropLeaseAnswers(maxExtensionAge + 2*sweepInterval)
+	require.Contains(t, harness.machine.state.silentWorkers, workerID)
+	linkedAt := harness.now
+	harness.linkHost("h-1", hostAddress, harness.machine.leader.epoch)
+	requireOneLease(t, harness.lostRunEndsAfter(linkedAt))
+}
+
+// Guards against a scheduler that was elected in a gap of the journal and is taken for ended 5 s after the gap, however long it
+// goes on: its batches renew no leadership that this host knows.
+func TestSchedulerElectedInAGapExtendsLeases(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	state := newState(time.Minute)
+	state.applyBatch(almondcross.NewJournalBatch(almondcross.JournalBatchConfig{Epoch: 4096, At: now, Changes: []almondcross.Change{
+		almondcross.NewChange(almondcross.ChangeConfig{Kind: almondcross.ChangeElected, Host: "h-1", Address: hostAddress}),
+	}}), now)
+	state.restoreLeaderships(now)
+	state.electionsMissed = true // The election of epoch 8192 is in the gap.
+	later := now.Add(time.Minute)
+	state.applyBatch(almondcross.NewJournalBatch(almondcross.JournalBatchConfig{Epoch: 8192, At: later}), later)
+	state.applyBatch(almondcross.NewJournalBatch(almondcross.JournalBatchConfig{Epoch: 12288, At: later, Changes: []almondcross.Change{
+		almondcross.NewChange(almondcross.ChangeConfig{Kind: almondcross.ChangeElected, Host: "h-3", Address: hostAddress}),
+	}}), later)
+	require.False(t, state.earlierLeadershipsEnd(12288).Before(later.Add(leadershipTimeout)))
+}
+
 // Guards against runs that are presumed lost while their lease is valid: the answer to an append was lost, and its repeat got the
 // first answer again. The scheduler counts its leadership from the repeat, which its successor has not seen.
 func TestLeadershipIsNotProlongedByARepeatedAppend(t *testing.T) {
--- a/command/scheduler/lease.go
+++ b/command/scheduler/lease.go
@@ -271,6 +271,7 @@
 	if restarted {
 		// It may have received an order whose lease ends at a time on the clock of its previous incarnation.
 		worker.maxLeaseEnd = report.Clock() + machine.config.MaxLease
+		machine.recordLongLease(worker.id, withClockDrift(machine.config.MaxLease)+lastOrderMargin)
 	}
 	worker.announcedFrom = machine.nextAnnouncement(worker, incarnation)
 	worker.incarnation, worker.acknowledgedEnd, worker.failures = incarnation, 0, workerFailures{}
--- a/command/scheduler/silence.go
+++ b/command/scheduler/silence.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"time"
 
 	"github.com/almondcross/almondcross"
@@ -19,11 +20,16 @@
 
 // leaseExpiredAt returns when the lease of an unreachable worker has expired for certain.
 func (machine *Machine) leaseExpiredAt(worker *worker) time.Time {
-	if silence, recorded := machine.state.silentWorkers[worker.id]; recorded {
-		return silence.leaseExpiredAt
-	}
+	silence, recorded := machine.state.silentWorkers[worker.id]
 	if worker.lastAnswerAt.IsZero() {
-		return machine.unheardLeaseExpiredAt()
+		expiredAt := later(machine.unheardLeaseExpiredAt(), machine.state.longLeases[worker.id])
+		if recorded && silence.leaseExpiredAt.Before(expiredAt) {
+			return silence.leaseExpiredAt
+		}
+		return expiredAt
+	}
+	if recorded {
+		return silence.leaseExpiredAt
 	}
 	return worker.lastAnswerAt.Add(withClockDrift(max(worker.maxLeaseEnd-worker.clock, leaseDuration)) + lastOrderMargin)
 }
@@ -32,10 +38,29 @@
 // Only earlier schedulers have extended them.
 func (machine *Machine) unheardLeaseExpiredAt() time.Time {
 	expiredAt := machine.state.earlierLeadershipsEnd(machine.leader.epoch).Add(longestLease())
-	if earliest := machine.leader.electedAt.Add(firstContactTimeout); expiredAt.Before(earliest) {
-		return earliest
+	return later(expiredAt, machine.leader.electedAt.Add(firstContactTimeout))
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
 	}
-	return expiredAt
+	return a
+}
+
+// addLongLease notes by when the lease of a worker has expired, and forgets those that have.
+func (state *state) addLongLease(worker string, expiredAt time.Time) {
+	maps.DeleteFunc(state.longLeases, func(_ string, expiredAt time.Time) bool { return expiredAt.Before(state.applyTime) })
+	state.longLeases[worker] = expiredAt
+}
+
+// recordLongLease records that a restarted worker may hold the longest lease, which a successor that cannot reach it would not
+// know.
+func (machine *Machine) recordLongLease(worker string, remaining time.Duration) {
+	machine.recordChange(almondcross.ChangeConfig{
+		Kind: almondcross.ChangeLongLease, Worker: worker, LeaseRemaining: remaining.Truncate(time.Millisecond) + time.Millisecond,
+	})
 }
 
 // withClockDrift returns how long a duration on the slowest permitted worker clock lasts.
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -90,8 +90,12 @@
 	busyAddresses map[string]workerAddress
 	// knownSilences holds the silences that this host knew when it loaded the state again. It is not replicated.
 	knownSilences map[string]silence
+	// longLeases holds by when the leases have expired that may last longer than a scheduler extends leases, on this host's clock.
+	longLeases map[string]time.Time
 	// leaderships holds the scheduler and those before it that may still extend leases, in order. It is not replicated.
 	leaderships []leadership
+	// electionsMissed is set if elections may be in a part of the journal that this host has skipped.
+	electionsMissed bool
 
 	// applyTime is the local time at which this host applies the current batch, or on the scheduler the current change.
 	// It is not replicated, because the clocks of hosts differ.
@@ -115,7 +119,7 @@
 func newState(retention time.Duration) *state {
 	return &state{
 		intakeOffsets: map[int]int64{}, jobs: map[almondcross.JobID]*job{}, retention: retention,
-		changedJobs: map[almondcross.JobID]struct{}{}, silentWorkers: map[string]silence{}, unlistedWorkers: map[string]almondcross.UnlistedWorker{}, usage: map[almondcross.UsageKey]almondcross.QueueUsage{},
+		changedJobs: map[almondcross.JobID]struct{}{}, silentWorkers: map[string]silence{}, longLeases: map[string]time.Time{}, unlistedWorkers: map[string]almondcross.UnlistedWorker{}, usage: map[almondcross.UsageKey]almondcross.QueueUsage{},
 		unstoredUsage: map[almondcross.UsageKey]struct{}{}, busyWorkers: map[string]int{}, busyAddresses: map[string]workerAddress{},
 	}
 }
@@ -186,6 +190,8 @@
 		state.addSilence(change.Worker(), silence{
 			epoch: state.schedulerEpoch, recordedAt: state.batchTime, leaseExpiredAt: state.applyTime.Add(change.LeaseRemaining()),
 		})
+	case almondcross.ChangeLongLease:
+		state.addLongLease(change.Worker(), state.applyTime.Add(change.LeaseRemaining()))
 	case almondcross.ChangeWorkerRegained:
 		delete(state.silentWorkers, change.Worker())
 	case almondcross.ChangeWorkerUnlisted:
--- a/journal.go
+++ b/journal.go
@@ -156,6 +156,7 @@
 	ChangeWorkerListed     ChangeKind = 13 // ChangeWorkerListed records that an unlisted worker is announced again or was removed.
 	ChangeSnapshotStored   ChangeKind = 14 // ChangeSnapshotStored records that the scheduler has stored a snapshot and removed those of earlier epochs.
 	ChangeWorkerAddress    ChangeKind = 15 // ChangeWorkerAddress records the address of a worker with runs, which a snapshot does not have.
+	ChangeLongLease        ChangeKind = 18 // ChangeLongLease records by when the lease of a worker has expired that may last longer than the scheduler extends leases, which a snapshot does not have.
 	ChangeLeadershipsEnded ChangeKind = 16 // ChangeLeadershipsEnded records by when the schedulers before this one extend no leases, which a snapshot does not have.
 )
 
@@ -175,7 +176,7 @@
 	host           string        // the elected host
 	address        string        // the link address of the elected host, the address of an unlisted worker, or that of the worker of ChangeAssign if it is new
 	zone           string        // the data centre of the worker whose address the change has
-	leaseRemaining time.Duration // the time by which the lease of the worker of ChangeWorkerSilent has expired, by which the earlier schedulers extend no more leases in ChangeLeadershipsEnded, or the resigned one in ChangeResigned (0 from an earlier version, which does not tell)
+	leaseRemaining time.Duration // the time by which the lease of the worker of ChangeWorkerSilent or ChangeLongLease has expired, by which the earlier schedulers extend no more leases in ChangeLeadershipsEnded, or the resigned one in ChangeResigned (0 from an earlier version, which does not tell)
 	silent         time.Duration // the time for which the worker of a crashed or lost run had not answered when the end was recorded, 0 for other runs
 	waited         time.Duration // the time from the submission of the job, or its first due time, to the start in ChangeJobStarted
 }
