Blame the queue of the same start in each process

All runs whose records are in one append are started at the same time. If several of them, of different queues, were on a worker that crashed, the queue that was blamed, and whose tasks are isolated after three such crashes, followed the order of a map.

Runs started at the same time are now ordered by their tasks.

TestOneOfTheLastStartsIsBlamedByItsTask failed before: the first of 50 repetitions blamed queue-b, not queue-a.

--- a/command/scheduler/queuecrash.go
+++ b/command/scheduler/queuecrash.go
@@ -65,7 +65,7 @@
 	var last *assignment
 	for _, assignment := range worker.assignments {
 		started := !assignment.startSentAt.IsZero() && worker.unreachableSince.Sub(assignment.startSentAt) <= blameWindow
-		if started && (last == nil || assignment.startSentAt.After(last.startSentAt)) {
+		if started && (last == nil || assignment.startedAfter(last)) {
 			last = assignment
 		}
 	}
@@ -84,6 +84,14 @@
 	}
 }
 
+// startedAfter orders runs by the time of their start orders, and those of one append by task.
+func (assignment *assignment) startedAfter(other *assignment) bool {
+	if assignment.startSentAt.Equal(other.startSentAt) {
+		return assignment.task.Compare(other.task) < 0
+	}
+	return assignment.startSentAt.After(other.startSentAt)
+}
+
 // queueCrashing reports whether so many jobs of a job's queue crash their workers that all its tasks are isolated.
 func (machine *Machine) queueCrashing(job *job) bool {
 	score, known := machine.leader.queueScores[job.spec.Queue()]
--- a/command/scheduler/queuecrash_test.go
+++ b/command/scheduler/queuecrash_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/almondcross/almondcross"
 )
 
 // Guards against a queue that is blamed for workers which are lost together for another reason, some of them by chance right
@@ -37,3 +39,24 @@
 		})
 	}
 }
+
+// Guards against a blamed queue that depends on the order of a map: all runs whose records are in one append are started at the
+// same time.
+func TestOneOfTheLastStartsIsBlamedByItsTask(t *testing.T) {
+	harness := newHarness(t)
+	harness.becomeScheduler()
+	for range 50 {
+		harness.machine.leader.queueScores = map[string]queueScore{}
+		lost := &worker{id: workerID, unreachableSince: harness.now, assignments: map[almondcross.JobTask]*assignment{}}
+		for _, name := range []string{"b", "a", "c"} {
+			run := &assignment{
+				task: taskOf(almondcross.JobID(name), 0, 0), startSentAt: harness.now,
+				job: &job{spec: almondcross.NewJob(almondcross.JobConfig{Queue: "queue-" + name})},
+			}
+			lost.assignments[run.task] = run
+		}
+		harness.machine.blameQueue(lost)
+		require.Len(t, harness.machine.leader.queueScores, 1)
+		require.Contains(t, harness.machine.leader.queueScores, "queue-a")
+	}
+}
