Keep the order of maps out of the scheduler's decisions

The same inputs led to another course in each process, since the order of maps reached what the scheduler decides, records and sends:

- which of the hosts that were linked before an election become standbys;
- which of the stages of equal priority and submission time a new scheduler places first, and for which job an isolated worker counts;
- the order of records of occurrences that are due together and of settings that become known together, and of the stages behind them;
- the order of views and hosts in pushes, of released workers and of log lines for calls for advice that time out together.

What is emitted is sorted now, by host, job or worker. A push of all views stays in no particular order: the receiver puts them in the place of its earlier ones in one step.

--- a/command/scheduler/advice.go
+++ b/command/scheduler/advice.go
@@ -132,13 +132,18 @@
 
 // expireAdviceCalls cancels the calls that have timed out.
 func (machine *Machine) expireAdviceCalls() {
+	var expired []*linkedHost
 	for _, linkedHost := range machine.linkedHosts {
 		if linkedHost.call != nil && machine.now.After(linkedHost.call.deadline) {
-			machine.config.Log.Record("advice_given_up", almondcross.Text("stage", linkedHost.call.stage.String()), almondcross.Text("adviser", linkedHost.name))
-			machine.cancelAdviceCall(linkedHost)
-			linkedHost.retryAt = machine.now.Add(linkedHostBackoff)
+			expired = append(expired, linkedHost)
 		}
 	}
+	slices.SortFunc(expired, func(a, b *linkedHost) int { return strings.Compare(a.name, b.name) })
+	for _, linkedHost := range expired {
+		machine.config.Log.Record("advice_given_up", almondcross.Text("stage", linkedHost.call.stage.String()), almondcross.Text("adviser", linkedHost.name))
+		machine.cancelAdviceCall(linkedHost)
+		linkedHost.retryAt = machine.now.Add(linkedHostBackoff)
+	}
 }
 
 func (machine *Machine) ensureAdvice(stage almondcross.StageID) *stageAdvice {
--- a/command/scheduler/append.go
+++ b/command/scheduler/append.go
@@ -240,8 +240,12 @@
 	if machine.now.Sub(leader.viewsPushedAt) < interval {
 		return
 	}
+	changes := make([]almondcross.JobViewChange, 0, len(leader.unpushedViews))
+	for _, id := range slices.Sorted(maps.Keys(leader.unpushedViews)) {
+		changes = append(changes, leader.unpushedViews[id])
+	}
 	machine.emit(PushViews{Hosts: viewers, Pushed: almondcross.NewViewsPushed(almondcross.ViewsPushedConfig{
-		Complete: inflight.intakesCurrent, Changes: slices.Collect(maps.Values(leader.unpushedViews)),
+		Complete: inflight.intakesCurrent, Changes: changes,
 	})})
 	leader.viewsPushedAt = machine.now
 	clear(leader.unpushedViews)
--- a/command/scheduler/discovery.go
+++ b/command/scheduler/discovery.go
@@ -223,7 +223,8 @@
 	machine.emit(AssignRole{Host: host.name, Assigned: almondcross.NewRoleAssigned(almondcross.RoleAssignedConfig{Standby: host.standby})})
 }
 
-// allViews returns the views of all jobs.
+// allViews returns the views of all jobs in no particular order, since a host puts them in the place of its earlier ones in one
+// step. Sorting the views of 21,000 jobs would take longer than collecting them.
 func (machine *Machine) allViews() []almondcross.JobViewChange {
 	changes := make([]almondcross.JobViewChange, 0, len(machine.state.jobs))
 	for id, job := range machine.state.jobs {
@@ -262,7 +263,7 @@
 	}
 }
 
-// pushHosts returns the hosts that get batches and those that get views.
+// pushHosts returns the hosts that get batches and those that get views, sorted.
 func (machine *Machine) pushHosts() (standbys, viewers []string) {
 	for name, other := range machine.linkedHosts {
 		if name == machine.config.Host {
@@ -276,6 +277,8 @@
 			viewers = append(viewers, name)
 		}
 	}
+	slices.Sort(standbys)
+	slices.Sort(viewers)
 	return standbys, viewers
 }
 
--- a/command/scheduler/intake.go
+++ b/command/scheduler/intake.go
@@ -120,8 +120,15 @@
 
 // settleJobs sets the settings of the jobs that were admitted while the settings were not known, and queues their stages.
 func (machine *Machine) settleJobs() {
+	var unsettled []*job
 	for _, job := range machine.state.jobs {
-		if settings := machine.routes.Settings(job.spec.Queue()); job.unsettled() && settings.Known() {
+		if job.unsettled() {
+			unsettled = append(unsettled, job)
+		}
+	}
+	sortJobs(unsettled)
+	for _, job := range unsettled {
+		if settings := machine.routes.Settings(job.spec.Queue()); settings.Known() {
 			machine.settleJob(job, settings)
 		}
 	}
@@ -216,14 +223,39 @@
 
 // startDueOccurrences starts the occurrences that are due.
 func (machine *Machine) startDueOccurrences() {
+	var due []*job
 	for id, job := range machine.leader.jobsWithOccurrences {
 		if job.state.Final() || job.startedOccurrences >= job.spec.Occurrences() {
 			delete(machine.leader.jobsWithOccurrences, id)
 			continue
 		}
+		if job.mayStartOccurrence(machine.now) {
+			due = append(due, job)
+		}
+	}
+	sortJobs(due)
+	for _, job := range due {
 		for job.mayStartOccurrence(machine.now) {
 			machine.recordChange(almondcross.ChangeConfig{Kind: almondcross.ChangeOccurrence, Job: job.spec.WithSteps(nil).WithPayload(""), Occurrence: job.startedOccurrences})
 			machine.enqueueReadyStages(job)
 		}
 	}
 }
+
+// unfinishedJobs returns the jobs that are not final or have active tasks, sorted by ID: stages of equal priority and submission
+// time are placed in the order in which they are queued.
+func (state *state) unfinishedJobs() []*job {
+	var jobs []*job
+	for _, job := range state.jobs {
+		if !job.state.Final() || job.activeTasks > 0 {
+			jobs = append(jobs, job)
+		}
+	}
+	sortJobs(jobs)
+	return jobs
+}
+
+// sortJobs sorts jobs by ID, so that the order of a map does not reach the journal or a placement.
+func sortJobs(jobs []*job) {
+	slices.SortFunc(jobs, func(a, b *job) int { return cmp.Compare(a.spec.ID(), b.spec.ID()) })
+}
--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/almondcross/almondcross"
@@ -77,9 +79,10 @@
 	for _, linkedHost := range machine.linkedHosts {
 		linkedHost.call, linkedHost.standby, linkedHost.awaitingViews = nil, false, false
 	}
-	for _, linkedHost := range machine.linkedHosts {
-		if linkedHost.name != machine.config.Host {
-			machine.hostLinked(linkedHost)
+	// The first hosts become standbys, so they are taken in an order that is the same in each process.
+	for _, name := range slices.Sorted(maps.Keys(machine.linkedHosts)) {
+		if name != machine.config.Host {
+			machine.hostLinked(machine.linkedHosts[name])
 		}
 	}
 	machine.restoreAssignments()
@@ -94,7 +97,7 @@
 // worker.
 func (machine *Machine) restoreAssignments() {
 	restored, final := 0, 0
-	for _, job := range machine.state.jobs {
+	for _, job := range machine.state.unfinishedJobs() {
 		for _, stage := range job.stages {
 			for index, record := range stage.tasks {
 				if !record.Active() {
@@ -121,8 +124,8 @@
 // stopLeading ends the epoch and drops the state, which may contain changes that are not in the journal.
 func (machine *Machine) stopLeading(cause string) {
 	machine.config.Log.Record("scheduling_ended", almondcross.Number("epoch", machine.leader.epoch), almondcross.Text("reason", cause))
-	for id := range machine.leader.workers {
-		machine.emit(ReleaseWorker{Worker: id})
+	for _, worker := range machine.leader.sortedWorkers {
+		machine.emit(ReleaseWorker{Worker: worker.id})
 	}
 	machine.leader = nil
 	machine.discoverScheduler()
--- a/command/scheduler/machine.go
+++ b/command/scheduler/machine.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/almondcross/almondcross"
@@ -258,10 +259,10 @@
 	machine.config.Publisher.Publish(view)
 }
 
-// takeViewChanges returns the views of the changed jobs and clears the set of these jobs.
+// takeViewChanges returns the views of the changed jobs, sorted by job, and clears the set of these jobs.
 func (machine *Machine) takeViewChanges() []almondcross.JobViewChange {
 	changes := make([]almondcross.JobViewChange, 0, len(machine.state.changedJobs))
-	for id := range machine.state.changedJobs {
+	for _, id := range slices.Sorted(maps.Keys(machine.state.changedJobs)) {
 		config := almondcross.JobViewChangeConfig{ID: id}
 		if job := machine.state.jobs[id]; job != nil {
 			config.Known, config.View = true, job.view()
