Pass orders and outcomes on in the order of the orders

The relayer went through maps when it sent the collected orders to their hosts and when it answered orders whose host was lost or silent or which had waited for too long. The scheduler so got the outcomes of the same events in another order in each process, and with them other placements.

Messages now go out in the order of their first orders, and orders without an answer are answered in the order of their numbers, hosts that fall silent together in the order of their names.

TestOrdersWithoutAnAnswerAreUnknownInTheirOrder and TestMessagesAreSentInTheOrderOfTheirFirstOrders failed before, the former in each of its three parts.

--- a/command/relayer/relayer.go
+++ b/command/relayer/relayer.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/almondcross/almondcross"
@@ -66,6 +68,7 @@
 	pending        map[int64]pendingOrder
 	lastNumber     int64
 	unsent         map[string][]almondcross.RelayedOrder // unsent holds the collected orders by host.
+	unsentHosts    []string                              // unsentHosts holds the hosts in unsent in the order of their first orders.
 	held           []heldOrder                           // held holds the lease orders that cannot be sent yet.
 }
 
@@ -194,6 +197,9 @@
 		relayer.sendDirectly(ctx, order)
 		return
 	}
+	if len(relayer.unsent[known.host]) == 0 {
+		relayer.unsentHosts = append(relayer.unsentHosts, known.host)
+	}
 	relayer.unsent[known.host] = append(relayer.unsent[known.host], order)
 }
 
@@ -216,7 +222,10 @@
 
 // sendCollected passes the collected orders to their hosts. Orders that a link does not take are sent directly.
 func (relayer *Relayer) sendCollected(ctx context.Context) {
-	for name, orders := range relayer.unsent {
+	hosts := relayer.unsentHosts
+	relayer.unsentHosts = nil
+	for _, name := range hosts {
+		orders := relayer.unsent[name]
 		delete(relayer.unsent, name)
 		for len(orders) > 0 {
 			count := min(len(orders), maxOrdersPerMessage)
@@ -337,25 +346,31 @@
 
 // failOrders answers all pending orders of a host with OrderUnknown.
 func (relayer *Relayer) failOrders(ctx context.Context, name, reason string) {
-	failed := 0
+	var lost []int64
 	for number, pending := range relayer.pending {
 		if pending.host == name {
-			relayer.fail(ctx, number)
-			failed++
+			lost = append(lost, number)
 		}
 	}
-	if failed > 0 {
-		relayer.config.Metrics.RelayFailed(failed)
-		relayer.config.Log.Record("relay_lost", almondcross.Text("relay", name), almondcross.Text("reason", reason), almondcross.Number("orders", failed))
+	relayer.fail(ctx, lost)
+	if len(lost) > 0 {
+		relayer.config.Log.Record("relay_lost", almondcross.Text("relay", name), almondcross.Text("reason", reason), almondcross.Number("orders", len(lost)))
 	}
 }
 
-func (relayer *Relayer) fail(ctx context.Context, number int64) {
-	pending := relayer.pending[number]
-	delete(relayer.pending, number)
-	relayer.reply(ctx, pending.order, almondcross.NewRelayedAnswer(almondcross.RelayedAnswerConfig{
-		Number: number, Result: almondcross.OrderUnknown,
-	}), pending.sentAt)
+// fail answers orders with OrderUnknown, in the order in which they were sent.
+func (relayer *Relayer) fail(ctx context.Context, numbers []int64) {
+	slices.Sort(numbers)
+	for _, number := range numbers {
+		pending := relayer.pending[number]
+		delete(relayer.pending, number)
+		relayer.reply(ctx, pending.order, almondcross.NewRelayedAnswer(almondcross.RelayedAnswerConfig{
+			Number: number, Result: almondcross.OrderUnknown,
+		}), pending.sentAt)
+	}
+	if len(numbers) > 0 {
+		relayer.config.Metrics.RelayFailed(len(numbers))
+	}
 }
 
 // retryHeld sends the held orders whose workers have a host or may be called now, and refuses those held for too long.
@@ -385,19 +400,20 @@
 	relayer.retryHeld(ctx)
 	now := relayer.config.Clock.Now()
 	earliest := map[string]time.Time{}
+	var expired []int64
 	for number, pending := range relayer.pending {
 		if now.Sub(pending.sentAt) > orderTimeout {
-			relayer.config.Metrics.RelayFailed(1)
-			relayer.fail(ctx, number)
+			expired = append(expired, number)
 			continue
 		}
 		if known, found := earliest[pending.host]; !found || pending.expectedAt().Before(known) {
 			earliest[pending.host] = pending.expectedAt()
 		}
 	}
-	for name, expectedAt := range earliest {
+	relayer.fail(ctx, expired)
+	for _, name := range slices.Sorted(maps.Keys(earliest)) {
 		host := relayer.hosts[name]
-		if host == nil || now.Sub(expectedAt) <= silenceTimeout || now.Sub(host.lastHeardAt) <= silenceTimeout {
+		if host == nil || now.Sub(earliest[name]) <= silenceTimeout || now.Sub(host.lastHeardAt) <= silenceTimeout {
 			continue
 		}
 		host.silent = true
--- a/command/relayer/relayer_test.go
+++ b/command/relayer/relayer_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,6 +30,7 @@
 	answers *ring.Ring[almondcross.SchedulerMessage]
 	relayed map[int64]almondcross.RelayedOrder // relayed holds the orders passed to hosts, by number.
 	hostOf  map[int64]string
+	sentTo  []string // sentTo holds the host of each message in the order in which they were sent.
 	direct  int
 	refuse  bool // refuse is set while the links take no messages.
 }
@@ -40,6 +43,7 @@
 	if cell.refuse {
 		return false
 	}
+	cell.sentTo = append(cell.sentTo, host)
 	for _, order := range relayed.Orders() {
 		cell.relayed[order.Number()], cell.hostOf[order.Number()] = order, host
 	}
@@ -70,20 +74,27 @@
 func (*cell) SentDirectly()                          {}
 func (*cell) RelayFailed(int)                        {}
 
+// newCell returns a cell whose relayer is not running.
+func newCell(t *testing.T, maxDirectWorkers int) *cell {
+	t.Helper()
+	cell := &cell{
+		t: t, inbox: ring.New[almondcross.RelayMessage](ring.Config{Name: "relayed", Capacity: 1024}),
+		answers: ring.New[almondcross.SchedulerMessage](ring.Config{Name: "scheduler", Capacity: 1024}),
+		relayed: map[int64]almondcross.RelayedOrder{}, hostOf: map[int64]string{},
+	}
+	cell.relayer = relayer.New(relayer.Config{
+		Ring: cell.inbox, Direct: cell, Links: cell, Chooser: delegator.ByDataCentre{}, Sink: cell.answers, Clock: clock{}, Log: cell,
+		Metrics: cell, MaxDirectWorkers: maxDirectWorkers,
+	})
+	return cell
+}
+
 // run runs a test in virtual time with two linked hosts.
 func run(t *testing.T, maxDirectWorkers int, test func(cell *cell)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		cell := &cell{
-			t: t, inbox: ring.New[almondcross.RelayMessage](ring.Config{Name: "relayed", Capacity: 1024}),
-			answers: ring.New[almondcross.SchedulerMessage](ring.Config{Name: "scheduler", Capacity: 1024}),
-			relayed: map[int64]almondcross.RelayedOrder{}, hostOf: map[int64]string{},
-		}
-		cell.relayer = relayer.New(relayer.Config{
-			Ring: cell.inbox, Direct: cell, Links: cell, Chooser: delegator.ByDataCentre{}, Sink: cell.answers, Clock: clock{}, Log: cell,
-			Metrics: cell, MaxDirectWorkers: maxDirectWorkers,
-		})
+		cell := newCell(t, maxDirectWorkers)
 		go func() { _ = cell.relayer.Run(ctx) }()
 		for index := range 2 {
 			cell.setLinked(fmt.Sprintf("h-%d", index), true)
@@ -281,3 +292,90 @@
 		require.Equal(t, workerCount, cell.direct)
 	})
 }
+
+// runsAt returns the runs of the orders that each of some hosts got, in the order of their numbers.
+func (cell *cell) runsAt(hosts ...string) []int {
+	var runs []int
+	for _, host := range hosts {
+		for _, number := range slices.Sorted(maps.Keys(cell.hostOf)) {
+			if cell.hostOf[number] == host {
+				runs = append(runs, cell.relayed[number].Start().Run())
+			}
+		}
+	}
+	return runs
+}
+
+// answeredRuns returns the runs of the orders that were answered to the scheduler, in the order of the answers.
+func (cell *cell) answeredRuns() []int {
+	var runs []int
+	for cell.answers.Depth() > 0 {
+		answered, ok := (<-cell.answers.Messages()).(almondcross.StartOrderAnswered)
+		require.True(cell.t, ok)
+		runs = append(runs, answered.Order().Run())
+	}
+	return runs
+}
+
+// Guards against outcomes that reach the scheduler in the order of a map, so that it decides otherwise on the same events in
+// each process: those of a lost host, those of hosts that fall silent together, and those of orders that wait for too long.
+func TestOrdersWithoutAnAnswerAreUnknownInTheirOrder(t *testing.T) {
+	run(t, 1, func(cell *cell) {
+		cell.startAll()
+		expected := cell.runsAt("h-1")
+		cell.setLinked("h-1", false)
+		require.Equal(t, expected, cell.answeredRuns())
+	})
+	for range 5 { // Two hosts are in the right order in half of the cases.
+		run(t, 1, func(cell *cell) {
+			cell.startAll()
+			expected := cell.runsAt("h-0", "h-1")
+			<-time.After(1200 * time.Millisecond)
+			synctest.Wait()
+			require.Equal(t, expected, cell.answeredRuns())
+		})
+	}
+	run(t, 1, func(cell *cell) {
+		cell.startAll()
+		var expected []int
+		for _, number := range slices.Sorted(maps.Keys(cell.relayed)) {
+			expected = append(expected, cell.relayed[number].Start().Run())
+		}
+		for range 12 {
+			cell.answer("h-0", 0) // An answer to no order shows that the host is not silent.
+			cell.answer("h-1", 0)
+			<-time.After(500 * time.Millisecond)
+		}
+		synctest.Wait()
+		require.Equal(t, expected, cell.answeredRuns())
+	})
+}
+
+// Guards against messages to hosts, and numbers of orders, that follow the order of a map.
+func TestMessagesAreSentInTheOrderOfTheirFirstOrders(t *testing.T) {
+	for range 5 {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			cell := newCell(t, 0)
+			hosts := []almondcross.RelayHost{}
+			for index := range 6 {
+				name := fmt.Sprintf("h-%d", index)
+				hosts = append(hosts, almondcross.NewRelayHost(almondcross.RelayHostConfig{Name: name, DataCentre: dataCentre, Strength: 100}))
+				require.True(t, cell.inbox.Offer(almondcross.NewHostLinkChanged(almondcross.HostLinkChangedConfig{Host: name, Present: true, Strength: 100, DataCentre: dataCentre})))
+			}
+			var expected []string
+			for index := range workerCount {
+				worker := almondcross.NewWorker(almondcross.WorkerConfig{ID: fmt.Sprintf("w-%d", index), Zone: dataCentre})
+				require.True(t, cell.relayer.Start(almondcross.NewStartOrder(almondcross.StartOrderConfig{Worker: worker})))
+				if host, _ := (delegator.ByDataCentre{}).Choose(worker, hosts); !slices.Contains(expected, host) {
+					expected = append(expected, host)
+				}
+			}
+			go func() { _ = cell.relayer.Run(ctx) }()
+			synctest.Wait()
+			require.Greater(t, len(expected), 3)
+			require.Equal(t, expected, cell.sentTo)
+		})
+	}
+}
