Apply waiting messages before the work of the scheduler's timer

When the timer of the scheduler's duty and a message were ready together, as after a pause of the process, chance decided whether the machine acted with or without the messages that already waited. Without them it decides on what it knew before the pause.

--- /dev/null
+++ b/command/scheduler/duty_test.go
@@ -0,0 +1,41 @@
+package scheduler
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/almondcross/almondcross"
+	"github.com/almondcross/almondcross/ring"
+)
+
+// Guards against decisions without the messages that already wait. If the timer and a message were both ready, as after a pause
+// of the process, chance decided which came first.
+func TestWaitingMessagesComeBeforeTheWorkOfTheTimer(t *testing.T) {
+	for range 50 {
+		machine := newHarness(t).machine
+		messages := ring.New[almondcross.SchedulerMessage](ring.Config{Name: "scheduler", Capacity: 4})
+		require.True(t, messages.Offer(almondcross.NewRoutesRead(almondcross.RoutesReadConfig{
+			Table: almondcross.NewRouteTable(almondcross.RouteTableConfig{Version: 1}),
+		})))
+		ctx, cancel := context.WithCancel(t.Context())
+		version := int64(0)
+		duty := NewDuty(DutyConfig{
+			Machine: machine, Ring: messages, Clock: systemClock{},
+			Rings: Rings{ReadPointer: ring.New[almondcross.PointerQuery](ring.Config{Name: "pointer", Capacity: 4})},
+			OnSchedulerChange: func(AnnounceScheduler) {
+				version = machine.routes.Version()
+				cancel()
+			},
+		})
+		require.NoError(t, duty.Run(ctx))
+		require.Equal(t, int64(1), version)
+	}
+}
+
+type systemClock struct{}
+
+// Now returns the current time.
+func (systemClock) Now() time.Time { return time.Now() }
--- a/command/scheduler/scheduler.go
+++ b/command/scheduler/scheduler.go
@@ -68,6 +68,8 @@
 			machine.Apply(message, duty.config.Clock.Now())
 			duty.drain(messages)
 		case <-timer.C:
+			// The timer and messages may be ready together, in particular after a pause of this process.
+			duty.drain(messages)
 		}
 		now := duty.config.Clock.Now()
 		for effects := machine.Advance(now); len(effects) > 0; effects = machine.Advance(now) {
