Handle the result of a probe before waiting intakes

While the store is known not to answer, intakes that the scheduler does not confirm are refused at once. If the result of the probe that found the store back and an intake waited together, chance decided whether the intake was refused.

The submitter takes a waiting result before it handles an intake.

--- a/command/submitter/submitter.go
+++ b/command/submitter/submitter.go
@@ -95,6 +95,7 @@
 		case err := <-submitter.probeResults:
 			submitter.handleProbe(ctx, err)
 		case first := <-submissions.Messages():
+			submitter.takeProbe(ctx) // It tells whether the store answers again.
 			batch := submitter.add(nil, first)
 			if submitter.storeErr == nil && !ring.Pause(ctx, batchDelay) {
 				return nil
@@ -217,6 +218,15 @@
 	submitter.probeResults <- err
 }
 
+// takeProbe handles the result of a probe if one waits.
+func (submitter *Submitter) takeProbe(ctx context.Context) {
+	select {
+	case err := <-submitter.probeResults:
+		submitter.handleProbe(ctx, err)
+	default:
+	}
+}
+
 func (submitter *Submitter) handleProbe(ctx context.Context, err error) {
 	if err != nil {
 		go submitter.probe(ctx)
--- a/command/submitter/submitter_test.go
+++ b/command/submitter/submitter_test.go
@@ -224,3 +224,29 @@
 		}
 	})
 }
+
+// Guards against an intake that is refused although a probe has found that the store answers again. If the result of the probe
+// and the intake waited together, chance decided which came first.
+func TestResultOfAProbeComesBeforeWaitingIntakes(t *testing.T) {
+	for range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			fixture := newFixture(ctx, t)
+			fixture.store.mode.Store(storeSilent)
+			_, err := fixture.submit(ctx)
+			require.ErrorIs(t, err, almondcross.ErrMaybeStored)
+			fixture.store.mode.Store(storeAnswers)
+			fixture.schedulerReachable.Store(true) // It does not answer, so the submitter waits 250 ms for it, and the probe ends meanwhile.
+			first := make(chan error, 1)
+			go func() {
+				_, err := fixture.submit(ctx)
+				first <- err
+			}()
+			<-time.After(220 * time.Millisecond)
+			_, err = fixture.submit(ctx)
+			require.NoError(t, err)
+			require.ErrorIs(t, <-first, almondcross.ErrMaybeStored)
+		})
+	}
+}
