Close links in the order of the hosts

A scheduler that stops closed its links in the order of a map.

The hub closes the links in the order of the host names.

TestLinksAreClosedInTheOrderOfTheHosts failed before in each of five runs.

--- a/command/connector/connector_test.go
+++ b/command/connector/connector_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
+	"net"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -187,3 +190,66 @@
 	require.Equal(t, "h-2", left.Host())
 	require.False(t, left.Present())
 }
+
+// closeRecorder is a listener that records the order in which its connections are closed, by the addresses of the callers.
+type closeRecorder struct {
+	net.Listener
+
+	closed chan string
+}
+
+// Accept returns a connection whose first call of Close is recorded.
+func (recorder closeRecorder) Accept() (net.Conn, error) {
+	connection, err := recorder.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return recordedConnection{Conn: connection, closed: recorder.closed}, nil
+}
+
+type recordedConnection struct {
+	net.Conn
+
+	closed chan string
+}
+
+// Close records the caller's address.
+func (connection recordedConnection) Close() error {
+	connection.closed <- connection.RemoteAddr().String()
+	return connection.Conn.Close()
+}
+
+// Guards against links that are closed in the order of a map: the hosts then learn in another order in each process that the
+// scheduler has stopped, and look for the next one in that order.
+func TestLinksAreClosedInTheOrderOfTheHosts(t *testing.T) {
+	const hosts = 12
+	codec, err := encoder.NewCodec()
+	require.NoError(t, err)
+	scheduler := newEndpoint()
+	hub := connector.NewHub(connector.HubConfig{Host: "h-0", Codec: codec, Sink: scheduler.messages, Relay: scheduler.relayed, Clock: clock{}, Log: discardLog{}})
+	server := httptest.NewUnstartedServer(hub)
+	recorder := closeRecorder{Listener: server.Listener, closed: make(chan string, 16*hosts)}
+	server.Listener = recorder
+	server.Start()
+	defer server.Close()
+	var addresses []string
+	for index := range hosts {
+		connection, response, err := websocket.DefaultDialer.DialContext(t.Context(), "ws"+strings.TrimPrefix(server.URL, "http"), nil)
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+		defer func() { _ = connection.Close() }() // It has failed by then.
+		frame, err := codec.EncodeLink(almondcross.NewHostHello(almondcross.HostHelloConfig{Host: fmt.Sprintf("h-%02d", index+1), Strength: 50}))
+		require.NoError(t, err)
+		require.NoError(t, connection.WriteMessage(websocket.BinaryMessage, frame))
+		nextMessage[almondcross.HostLinkChanged](t, scheduler)
+		addresses = append(addresses, connection.LocalAddr().String())
+	}
+	hub.CloseAll()
+	var closed []string
+	for len(closed) < hosts {
+		if address := <-recorder.closed; !slices.Contains(closed, address) { // The reader of a link closes it once more.
+			closed = append(closed, address)
+		}
+	}
+	require.Equal(t, addresses, closed)
+}
--- a/command/connector/hub.go
+++ b/command/connector/hub.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"net/http"
+	"slices"
 	"sync/atomic"
 
 	"github.com/gorilla/websocket"
@@ -77,10 +78,12 @@
 	}
 }
 
-// CloseAll closes all links, so that the other hosts look for a new scheduler immediately instead of after a timeout.
+// CloseAll closes all links, in the order of the host names, so that the other hosts look for a
+// new scheduler immediately instead of after a timeout.
 func (hub *Hub) CloseAll() {
-	for _, session := range *hub.sessions.Load() {
-		_ = session.connection.Close() // The reader ends the session.
+	sessions := *hub.sessions.Load()
+	for _, host := range slices.Sorted(maps.Keys(sessions)) {
+		_ = sessions[host].connection.Close() // The reader ends the session.
 	}
 }
 
