Log the time of a call for advice and the waiting stages

"advised" has took_ms, the time from the query to the answer, and waiting, the number of waiting stages. One line a call as before.

--- a/command/scheduler/advice.go
+++ b/command/scheduler/advice.go
@@ -88,6 +88,7 @@
 type adviceCall struct {
 	stage    almondcross.StageID
 	long     bool      // long is set if the call counts as long.
+	sentAt   time.Time // sentAt is when the call was sent to its host.
 	deadline time.Time // deadline is when the call times out.
 }
 
@@ -233,7 +234,7 @@
 	}
 	duration := settings.Base() + time.Duration(len(workers))*settings.PerWorker()
 	advice.pendingCalls++
-	machine.startCall(linkedHost, adviceCall{stage: stage.id, long: long, deadline: machine.now.Add(duration + adviceTimeoutMargin)})
+	machine.startCall(linkedHost, adviceCall{stage: stage.id, long: long, sentAt: machine.now, deadline: machine.now.Add(duration + adviceTimeoutMargin)})
 	machine.emit(SendAdviceQuery{Adviser: linkedHost.name, Query: almondcross.NewAdviceQuery(almondcross.AdviceQueryConfig{Stage: stage.id, Workers: workers})})
 }
 
@@ -405,7 +406,9 @@
 	id := answer.Query().Stage()
 	linkedHost := machine.linkedHosts[answer.Adviser()]
 	expected := linkedHost != nil && linkedHost.call != nil && linkedHost.call.stage == id
+	var took time.Duration
 	if expected {
+		took = machine.now.Sub(linkedHost.call.sentAt)
 		linkedHost.call = nil
 	}
 	machine.leader.placementDue = true
@@ -451,5 +454,6 @@
 	machine.leader.allowedShares[queue.Name()] = share + allowedShareWeight*(float64(allowed)/float64(max(requested, 1))-share)
 	machine.config.Metrics.Advised(queue.Name(), allowed, requested)
 	machine.config.Log.Record("advised", almondcross.Text("stage", id.String()), almondcross.Text("adviser", answer.Adviser()),
-		almondcross.Number("asked", requested), almondcross.Number("allowed", allowed))
+		almondcross.Number("asked", requested), almondcross.Number("allowed", allowed), almondcross.Millis("took_ms", took),
+		almondcross.Number("waiting", len(machine.leader.waitingStages)))
 }
