Send a host further calls for advice within its round trip

The service allows a host 32 waiting calls and is bound only by its own work.

The scheduler measures each host's round trip and sends a host with pending calls a further one, if no host is idle, as soon as that call is expected to wait at the service for less than a round trip; at most eight are under way, and none is added while an answer is overdue. If a call times out or the link ends, all calls of the host are made again. A host runs eight askers on one ring.

Two tests set the pending calls of a host as a list now; their conditions are unchanged.

--- a/assembler/scheduler.go
+++ b/assembler/scheduler.go
@@ -59,6 +59,8 @@
 	submissionRingCapacity = 1024
 	// requestRingCapacity is enough for the request in flight and one of an earlier epoch.
 	requestRingCapacity = 4
+	// adviceRingCapacity is enough for the calls of the scheduler and those of an earlier one.
+	adviceRingCapacity = 2 * almondcross.AdviceCallsPerHost
 	// executorRingCapacity bounds the messages with orders of the scheduler, and the answers to them, that wait on the
 	// host that relays them.
 	executorRingCapacity = 1024
@@ -143,7 +145,7 @@
 		workerReads:      ring.New[almondcross.WorkersQuery](ring.Config{Name: "workers", Capacity: requestRingCapacity, Metrics: set}),
 		journalCommits:   ring.New[almondcross.JournalCommit](ring.Config{Name: "commits", Capacity: requestRingCapacity, Metrics: set}),
 		newSnapshots:     ring.New[almondcross.SnapshotStore](ring.Config{Name: "snapshots", Capacity: requestRingCapacity, Metrics: set}),
-		advice:           ring.New[asker.Request](ring.Config{Name: "advice", Capacity: requestRingCapacity, Metrics: set}),
+		advice:           ring.New[asker.Request](ring.Config{Name: "advice", Capacity: adviceRingCapacity, Metrics: set}),
 		schedulerChanges: ring.New[connector.Scheduler](ring.Config{Name: "schedulers", Capacity: schedulerChangesRingCapacity, Metrics: set}),
 		submissions:      ring.New[submitter.Submission](ring.Config{Name: "submissions", Capacity: submissionRingCapacity, Metrics: set}),
 		stored:           ring.New[almondcross.IntakeStored](ring.Config{Name: "stored", Capacity: submissionRingCapacity, Metrics: set}),
@@ -376,11 +378,13 @@
 		NamedDuty{"snapshot writer", dutyFunc(func(ctx context.Context) error { return schedulerhost.Committer.RunSnapshots(ctx, rings.newSnapshots) })},
 		NamedDuty{"relayer", schedulerhost.Relayer},
 		NamedDuty{"executor", schedulerhost.Executor},
-		NamedDuty{"asker", dutyFunc(func(ctx context.Context) error { return schedulerhost.Asker.Run(ctx, rings.advice) })},
 		NamedDuty{"link dialer", dutyFunc(func(ctx context.Context) error { return schedulerhost.Dialer.Run(ctx, rings.schedulerChanges) })},
 		NamedDuty{"submitter", dutyFunc(func(ctx context.Context) error { return schedulerhost.Submitter.Run(ctx, rings.submissions) })},
 		NamedDuty{"settings watcher", dutyFunc(schedulerhost.watchSettings)},
 	)
+	for range almondcross.AdviceCallsPerHost {
+		schedulerhost.Duties.Start(NamedDuty{"asker", dutyFunc(func(ctx context.Context) error { return schedulerhost.Asker.Run(ctx, rings.advice) })})
+	}
 	for _, intake := range rings.intakeReads {
 		schedulerhost.Duties.Start(NamedDuty{"intake reader", schedulerhost.Follower.Intake(intake)})
 	}
--- a/command/asker/asker.go
+++ b/command/asker/asker.go
@@ -26,7 +26,7 @@
 	Clock   almondcross.Clock
 }
 
-// Asker is the duty that calls the advice service.
+// Asker is a duty that calls the advice service.
 type Asker struct{ config Config }
 
 // New returns an asker.
--- a/command/asker/doc.go
+++ b/command/asker/doc.go
@@ -1,5 +1,6 @@
 // Package asker calls the advice service on behalf of the scheduler.
 //
-// Asker is one duty. The service serves one call of a host at a time, so a host has at most one call in
-// flight, and the scheduler sends the next query to it only after the answer.
+// A host runs almondcross.AdviceCallsPerHost duties of this kind, each with at most one call in flight, which share a ring. The
+// service serves one call of a host at a time. The scheduler sends further queries to a host before the answer only as far as
+// the service would be idle during the round trip.
 package asker
--- a/command/scheduler/advice.go
+++ b/command/scheduler/advice.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/almondcross/almondcross"
@@ -15,11 +14,6 @@
 	ticketMargin = 300 * time.Millisecond
 	// adviceRetryDelay is the delay before a failed advice call is retried.
 	adviceRetryDelay = 100 * time.Millisecond
-	// adviceTimeoutMargin is added to the expected duration of a call to get its timeout. It covers the round
-	// trip to another region and a call of an earlier scheduler that the host is still waiting for.
-	adviceTimeoutMargin = 1200 * time.Millisecond
-	// linkedHostBackoff is how long a host whose call timed out gets no further call.
-	linkedHostBackoff = 2 * time.Second
 	// initialAllowedShare is the share of workers that advice is assumed to allow before the first answer.
 	initialAllowedShare = 0.5
 	// allowedShareWeight is the weight of a new answer in the moving average of the allowed share.
@@ -48,8 +42,6 @@
 	partsPerBase = 3
 	// sparePerPart is the number of hosts free for long calls that each part of a divided call requires.
 	sparePerPart = 8
-	// maxLongCallShare is the share of the linked hosts that long calls may occupy.
-	maxLongCallShare = 0.7
 )
 
 // ticket permits starts of one stage on one worker.
@@ -69,79 +61,6 @@
 	allowed      []string        // allowed holds the allowed workers, sorted.
 }
 
-// linkedHost is this host or a host linked to it. It makes one call to the advice service at a time.
-type linkedHost struct {
-	name string
-	call *adviceCall // call is the pending call, nil for none.
-	// strength is the scheduling strength of the host; standby is set when the host follows the journal.
-	strength int
-	standby  bool
-	address  string // address is where the host accepts links.
-	// awaitingViews is set until the host has been sent its first views.
-	awaitingViews bool
-	// viewsUntil is until when a standby gets views as well, which it publishes while it loads the state.
-	viewsUntil time.Time
-	retryAt    time.Time // retryAt is when the host may be called again after a timeout.
-}
-
-// adviceCall is a pending call to the advice service.
-type adviceCall struct {
-	stage    almondcross.StageID
-	long     bool      // long is set if the call counts as long.
-	sentAt   time.Time // sentAt is when the call was sent to its host.
-	deadline time.Time // deadline is when the call times out.
-}
-
-func (machine *Machine) hostLinkChanged(change almondcross.HostLinkChanged) {
-	if change.Host() == machine.config.Host {
-		return
-	}
-	previous := machine.linkedHosts[change.Host()]
-	if change.Present() {
-		machine.linkedHosts[change.Host()] = &linkedHost{
-			name: change.Host(), strength: min(max(change.Strength(), 0), fullStrength), address: change.Address(),
-		}
-	} else {
-		delete(machine.linkedHosts, change.Host())
-	}
-	machine.config.Log.Record("adviser_changed", almondcross.Text("adviser", change.Host()), almondcross.Text("present", yesNo(change.Present())))
-	if machine.leader == nil {
-		return
-	}
-	machine.leader.placementDue = true
-	if previous != nil {
-		machine.cancelAdviceCall(previous)
-	}
-	if change.Present() {
-		machine.hostLinked(machine.linkedHosts[change.Host()])
-		machine.sendPeers(machine.linkedHosts[change.Host()])
-	} else {
-		machine.fillStandbys()
-	}
-}
-
-// cancelAdviceCall gives up the pending call of a host, so that another host can make it.
-func (machine *Machine) cancelAdviceCall(linkedHost *linkedHost) {
-	if linkedHost.call == nil {
-		return
-	}
-	if advice := machine.leader.advice[linkedHost.call.stage]; advice != nil {
-		advice.pendingCalls--
-	}
-	linkedHost.call = nil
-}
-
-// expireAdviceCalls cancels the calls that have timed out.
-func (machine *Machine) expireAdviceCalls() {
-	for _, linkedHost := range machine.linkedHosts {
-		if linkedHost.call != nil && machine.now.After(linkedHost.call.deadline) {
-			machine.config.Log.Record("advice_given_up", almondcross.Text("stage", linkedHost.call.stage.String()), almondcross.Text("adviser", linkedHost.name))
-			machine.cancelAdviceCall(linkedHost)
-			linkedHost.retryAt = machine.now.Add(linkedHostBackoff)
-		}
-	}
-}
-
 func (machine *Machine) ensureAdvice(stage almondcross.StageID) *stageAdvice {
 	advice := machine.leader.advice[stage]
 	if advice == nil {
@@ -180,13 +99,13 @@
 	return len(stageadvice.tickets) > 0 && now.Before(stageadvice.expiresAt)
 }
 
-// requestAdvice requests tickets for workers with free resources if a host is idle.
+// requestAdvice requests tickets for workers with free resources if a host may make a call.
 func (machine *Machine) requestAdvice(queue almondcross.Queue, job *job, stage *stage, advice *stageAdvice) {
 	if advice.pendingCalls > 0 || machine.now.Before(advice.retryAt) {
 		return
 	}
 	long := queue.AdviceSettings().Base()+queue.AdviceSettings().PerWorker()*time.Duration(minWorkersPerCall) >= longCallThreshold
-	if machine.idleLinkedHost(long) == nil {
+	if machine.availableHost(long) == nil {
 		return
 	}
 	var selected []string
@@ -226,18 +145,6 @@
 	return max(1, min(int(min(useful, float64(len(leader.idleHosts)))), spare/sparePerPart))
 }
 
-// callAdvice sends a call for some workers to an idle host.
-func (machine *Machine) callAdvice(settings almondcross.AdviceSettings, stage *stage, advice *stageAdvice, workers []string, long bool) {
-	linkedHost := machine.idleLinkedHost(long)
-	if linkedHost == nil {
-		return
-	}
-	duration := settings.Base() + time.Duration(len(workers))*settings.PerWorker()
-	advice.pendingCalls++
-	machine.startCall(linkedHost, adviceCall{stage: stage.id, long: long, sentAt: machine.now, deadline: machine.now.Add(duration + adviceTimeoutMargin)})
-	machine.emit(SendAdviceQuery{Adviser: linkedHost.name, Query: almondcross.NewAdviceQuery(almondcross.AdviceQueryConfig{Stage: stage.id, Workers: workers})})
-}
-
 // selectWorkers returns the workers to query: first those known to be allowed, then those that fit the most
 // tasks, until the selected workers are expected to fit the whole stage.
 func (machine *Machine) selectWorkers(queue almondcross.Queue, stage *stage, advice *stageAdvice, candidates []almondcross.WorkerCapacity) []string {
@@ -367,56 +274,28 @@
 	return maxTasks(worker.info.Capacity().Sub(worker.usedByGangs), stage.spec.Resources(), stage.spec.Count())
 }
 
-// collectIdleHosts collects the hosts that may make a call in a placement pass.
-func (machine *Machine) collectIdleHosts() {
-	leader := machine.leader
-	leader.idleHosts, leader.longCalls = leader.idleHosts[:0], 0
-	for _, linkedHost := range machine.linkedHosts {
-		switch {
-		case linkedHost.call != nil && linkedHost.call.long:
-			leader.longCalls++
-		case linkedHost.call == nil && !machine.now.Before(linkedHost.retryAt):
-			leader.idleHosts = append(leader.idleHosts, linkedHost)
-		}
-	}
-	// The last one is used first.
-	slices.SortFunc(leader.idleHosts, func(a, b *linkedHost) int { return strings.Compare(b.name, a.name) })
-}
-
-// idleLinkedHost returns a host that may make a call, nil for none. Some hosts are kept free of long calls.
-func (machine *Machine) idleLinkedHost(long bool) *linkedHost {
-	leader, hosts := machine.leader, len(machine.linkedHosts)
-	if len(leader.idleHosts) == 0 || long && hosts > 1 && float64(leader.longCalls+1) > maxLongCallShare*float64(hosts) {
-		return nil
-	}
-	return leader.idleHosts[len(leader.idleHosts)-1]
-}
-
-// startCall occupies the host that idleLinkedHost returned.
-func (machine *Machine) startCall(linkedHost *linkedHost, call adviceCall) {
-	linkedHost.call = &call
-	machine.leader.idleHosts = machine.leader.idleHosts[:len(machine.leader.idleHosts)-1]
-	if call.long {
-		machine.leader.longCalls++
-	}
-}
-
 // adviceAnswered stores the tickets and the decisions of an answer.
 func (machine *Machine) adviceAnswered(answer almondcross.AdviceAnswered) {
 	id := answer.Query().Stage()
 	linkedHost := machine.linkedHosts[answer.Adviser()]
-	expected := linkedHost != nil && linkedHost.call != nil && linkedHost.call.stage == id
+	var expected bool // expected is false if the call was given up before.
 	var took time.Duration
-	if expected {
-		took = machine.now.Sub(linkedHost.call.sentAt)
-		linkedHost.call = nil
+	if linkedHost != nil {
+		var call adviceCall
+		if call, expected = linkedHost.removeCall(id); expected {
+			took = machine.now.Sub(call.sentAt)
+		}
+		if expected && answer.Err() == nil {
+			linkedHost.noteRoundTrip(call, took)
+			linkedHost.answeredAt = machine.now
+		}
 	}
 	machine.leader.placementDue = true
 	advice := machine.leader.advice[id]
 	if advice == nil {
 		return
 	}
-	if expected { // Otherwise the call was given up before.
+	if expected {
 		advice.pendingCalls = max(0, advice.pendingCalls-1)
 	}
 	if answer.Err() != nil {
--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -38,7 +38,8 @@
 	usableWorkers       []*worker                         // usableWorkers holds the workers that may get new work in the current pass.
 	ownWorkers          []*worker                         // ownWorkers holds the usable workers without runs or with isolated ones at the start of the current pass.
 	allowedWorkers      []*worker                         // allowedWorkers holds the result of the last call of the method of this name.
-	idleHosts           []*linkedHost                     // idleHosts holds the hosts that may make a call in the current pass.
+	idleHosts           []*linkedHost                     // idleHosts holds the hosts without a call that may make one in the current pass.
+	sharedHosts         []*linkedHost                     // sharedHosts holds the hosts with calls that may make a further one in the current pass.
 	longCalls           int                               // longCalls counts the hosts with a long call in the current pass.
 	examinedWorkers     int                               // examinedWorkers counts how often a worker was looked at in the current pass.
 	usableCPU           int64                             // usableCPU is the CPU capacity of the usable workers in thousandths of a core.
@@ -75,7 +76,7 @@
 	machine.announceScheduler()
 	machine.storePointer()
 	for _, linkedHost := range machine.linkedHosts {
-		linkedHost.call, linkedHost.standby, linkedHost.awaitingViews = nil, false, false
+		linkedHost.calls, linkedHost.standby, linkedHost.awaitingViews = nil, false, false
 	}
 	for _, linkedHost := range machine.linkedHosts {
 		if linkedHost.name != machine.config.Host {
--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -75,7 +75,7 @@
 		}
 	}
 	machine.limitIsolation()
-	machine.collectIdleHosts()
+	machine.collectHosts()
 }
 
 // allowedWorkers returns the usable workers that advice allows for a stage. There are far fewer of them than workers,
--- a/command/scheduler/placement_test.go
+++ b/command/scheduler/placement_test.go
@@ -37,7 +37,7 @@
 	full := almondcross.NewResources(almondcross.ResourcesConfig{MilliCPU: 16_000, MemoryMB: 32_000})
 	harness.addWorkers(workers, full, full)
 	harness.requireAdvice()
-	machine.linkedHosts[machine.config.Host].call = &adviceCall{long: true, deadline: harness.now.Add(time.Minute)}
+	machine.linkedHosts[machine.config.Host].calls = []adviceCall{{long: true, deadline: harness.now.Add(time.Minute)}}
 	for index := range gangs {
 		id := almondcross.JobID(fmt.Sprintf("%016x", index))
 		harness.submitJob(id, almondcross.StepConfig{Count: 16, Gang: true})
@@ -99,7 +99,7 @@
 			for index := range hosts - 1 {
 				host := &linkedHost{name: fmt.Sprintf("host-%02d", index)}
 				if index < test.busy {
-					host.call = &adviceCall{long: true, deadline: harness.now.Add(time.Minute)}
+					host.calls = []adviceCall{{long: true, deadline: harness.now.Add(time.Minute)}}
 				}
 				harness.machine.linkedHosts[host.name] = host
 			}
--- a/worker.go
+++ b/worker.go
@@ -178,6 +178,10 @@
 	validity time.Duration // the validity of the tickets, 0 when the answer does not state it
 }
 
+// AdviceCallsPerHost is the maximum number of calls to the advice service that a host has under way. The service refuses a
+// host's call when 32 wait, and the calls of an earlier scheduler count as well.
+const AdviceCallsPerHost = 8
+
 // Adviser calls the advice service.
 type Adviser interface {
 	// Advise returns the tickets for a query.
