Tell a successor that a worker has announced that it leaves

Cause: that a worker leaves was recorded only when its announcement had ended while the scheduler was still at work.

TestLeavingWorkerIsNoCrashAfterATakeover: maybe_crashed before.

--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -92,7 +92,8 @@
 	knownSilences map[string]silence
 	// longLeases holds by when the leases have expired that may last longer than a scheduler extends leases, on this host's clock.
 	longLeases map[string]time.Time
-	// leaderships holds the scheduler and those before it that may still extend leases, in order. It is not replicated.
+	// leaderships holds the scheduler and those before it that may still extend leases, in the order of their elections. Links of
+	// former schedulers shorten it too. It is not replicated.
 	leaderships []leadership
 	// electionsMissed is set if elections may be in a part of the journal that this host has skipped.
 	electionsMissed bool
@@ -202,7 +203,9 @@
 		delete(state.unlistedWorkers, change.Worker())
 	case almondcross.ChangeWorkerAddress:
 		if state.busyWorkers[change.Worker()] > 0 {
-			state.busyAddresses[change.Worker()] = workerAddress{address: change.Address(), zone: change.Zone()}
+			state.busyAddresses[change.Worker()] = workerAddress{
+				address: change.Address(), zone: change.Zone(), leaving: change.End() == almondcross.EndVoid,
+			}
 		}
 	default: // A later version may have further changes.
 	}
--- a/command/scheduler/takeover_test.go
+++ b/command/scheduler/takeover_test.go
@@ -206,6 +206,21 @@
 	}
 }
 
+// Guards against a crash that counts against the tasks of a worker that has left as announced, while no scheduler was at work:
+// only the lost scheduler knew of the announcement.
+func TestLeavingWorkerIsNoCrashAfterATakeover(t *testing.T) {
+	harness := newHarnessWithRun(t)
+	harness.apply(almondcross.NewWorkersRead(almondcross.WorkersReadConfig{Changes: []almondcross.WorkerChange{
+		almondcross.NewWorkerChange(almondcross.WorkerChangeConfig{ID: workerID, Present: true, Worker: poolWorker.WithDraining(true)}),
+	}}))
+	harness.answerCommits()
+	lostAt := harness.now
+	harness = harness.electStandby()
+	harness.apply(almondcross.NewWorkersRead(almondcross.WorkersReadConfig{Complete: true}))
+	harness.lostRunEndsAfter(lostAt)
+	require.Equal(t, almondcross.EndVoid, harness.recordedEnd())
+}
+
 // Guards against a record that stays, and against a worker that is never removed: two takeovers while it is unlisted, and the
 // change that ends the record lost with its scheduler.
 func TestUnlistedRecordEndsAfterALostChange(t *testing.T) {
--- a/command/scheduler/unlisted.go
+++ b/command/scheduler/unlisted.go
@@ -9,10 +9,31 @@
 
 // workerAddress is where a worker is reached. It is part of the replicated state while the worker has runs: a successor needs
 // it for their stops and leases, also if the worker has lost its way to the store and is not announced any more.
-type workerAddress struct{ address, zone string }
+type workerAddress struct {
+	address, zone string
+	leaving       bool // leaving is set once the worker has announced that it leaves: its end is no crash.
+}
 
 func (worker *worker) address() workerAddress {
-	return workerAddress{address: worker.info.Address(), zone: worker.info.Zone()}
+	return workerAddress{address: worker.info.Address(), zone: worker.info.Zone(), leaving: worker.drained}
+}
+
+// recordAddress records where a worker with runs is and whether it leaves.
+func (machine *Machine) recordAddress(worker *worker) {
+	if len(worker.assignments) == 0 || worker.info.Address() == "" {
+		return
+	}
+	machine.recordChange(almondcross.ChangeConfig{
+		Kind: almondcross.ChangeWorkerAddress, Worker: worker.id, Address: worker.info.Address(), Zone: worker.info.Zone(), End: worker.leavingEnd(),
+	})
+}
+
+// leavingEnd returns the end that stands for a worker that leaves in the records of its address.
+func (worker *worker) leavingEnd() almondcross.EndKind {
+	if worker.drained {
+		return almondcross.EndVoid
+	}
+	return ""
 }
 
 // recordUnlisted records the address of a worker whose announcement has ended while it has runs. A host that loads the state
@@ -22,12 +43,8 @@
 	if recorded || len(worker.assignments) == 0 || worker.info.Address() == "" {
 		return
 	}
-	end := almondcross.EndKind("")
-	if worker.drained {
-		end = almondcross.EndVoid
-	}
 	machine.recordChange(almondcross.ChangeConfig{
-		Kind: almondcross.ChangeWorkerUnlisted, Worker: worker.id, Address: worker.info.Address(), Zone: worker.info.Zone(), End: end,
+		Kind: almondcross.ChangeWorkerUnlisted, Worker: worker.id, Address: worker.info.Address(), Zone: worker.info.Zone(), End: worker.leavingEnd(),
 	})
 }
 
@@ -58,13 +75,9 @@
 	leader := machine.leader
 	count := min(len(leader.addressesDue), maxAddressesPerAppend)
 	for _, id := range leader.addressesDue[:count] {
-		worker := leader.workers[id]
-		if worker == nil || len(worker.assignments) == 0 || worker.info.Address() == "" {
-			continue
+		if worker := leader.workers[id]; worker != nil {
+			machine.recordAddress(worker)
 		}
-		machine.recordChange(almondcross.ChangeConfig{
-			Kind: almondcross.ChangeWorkerAddress, Worker: id, Address: worker.info.Address(), Zone: worker.info.Zone(),
-		})
 	}
 	leader.addressesDue = leader.addressesDue[count:]
 }
@@ -74,22 +87,22 @@
 func (machine *Machine) restoreAddresses() {
 	for _, id := range slices.Sorted(maps.Keys(machine.state.unlistedWorkers)) {
 		unlisted := machine.state.unlistedWorkers[id]
-		machine.restoreAddress(id, workerAddress{address: unlisted.Address(), zone: unlisted.Zone()}, unlisted.Leaving())
+		machine.restoreAddress(id, workerAddress{address: unlisted.Address(), zone: unlisted.Zone(), leaving: unlisted.Leaving()})
 	}
 	for _, id := range slices.Sorted(maps.Keys(machine.state.busyAddresses)) {
 		if _, unlisted := machine.state.unlistedWorkers[id]; !unlisted {
-			machine.restoreAddress(id, machine.state.busyAddresses[id], false)
+			machine.restoreAddress(id, machine.state.busyAddresses[id])
 		}
 	}
 }
 
 // restoreAddress begins to send orders to a worker that this scheduler has not read the announcement of.
-func (machine *Machine) restoreAddress(id string, address workerAddress, leaving bool) {
+func (machine *Machine) restoreAddress(id string, address workerAddress) {
 	worker := machine.ensureWorker(id)
 	worker.info = almondcross.NewWorker(almondcross.WorkerConfig{
-		ID: id, Address: address.address, Zone: address.zone, Draining: leaving, // The first report reads it from here.
+		ID: id, Address: address.address, Zone: address.zone, Draining: address.leaving, // The first report reads it from here.
 	})
-	worker.drained, worker.managed = leaving, true
+	worker.drained, worker.managed = address.leaving, true
 	machine.emit(ManageWorker{Worker: worker.info})
 	machine.sendLease(worker, 0, 0)
 }
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -258,7 +258,10 @@
 	}
 	addressChanged := worker.info.Address() != change.Worker().Address()
 	worker.info, worker.announced, worker.announcedAt = change.Worker(), true, machine.now
-	worker.drained = worker.drained || worker.info.Draining()
+	if worker.info.Draining() && !worker.drained {
+		worker.drained = true
+		machine.recordAddress(worker) // A successor would take the worker's end for a crash.
+	}
 	machine.endUnlisted(worker)
 	if !worker.managed || addressChanged {
 		worker.managed = true
--- a/job_generated.go
+++ b/job_generated.go
@@ -2029,7 +2029,7 @@
 	return change
 }
 
-// End returns the way in which the run ended; EndVoid in ChangeWorkerUnlisted if the worker had announced that it leaves.
+// End returns the way in which the run ended; EndVoid in ChangeWorkerUnlisted and ChangeWorkerAddress if the worker had announced that it leaves.
 func (change Change) End() EndKind { return change.end }
 
 // WithEnd returns a copy with the given end.
--- a/journal.go
+++ b/journal.go
@@ -170,7 +170,7 @@
 	task           JobTask       // the task of a run
 	run            int           // the number of the run
 	worker         string        // the worker of a run or of a change of a worker
-	end            EndKind       // the way in which the run ended; EndVoid in ChangeWorkerUnlisted if the worker had announced that it leaves
+	end            EndKind       // the way in which the run ended; EndVoid in ChangeWorkerUnlisted and ChangeWorkerAddress if the worker had announced that it leaves
 	checkpoint     string        // the last checkpoint of the run, empty for none
 	occurrence     int           // the occurrence of ChangeOccurrence
 	host           string        // the elected host
