Resign between two appends for every cause, and test the leaderships

Cause: a scheduler without further fencing tokens resigned while an append was unanswered, so that leases expired during an outage of the store.

Change: there is one cause of a resignation, which takes effect before the next append. A link that names an impossible epoch is malformed.

TestSchedulerWithoutTokensDoesNotResignWhileAnAppendIsUnanswered failed before.

--- a/command/scheduler/doc.go
+++ b/command/scheduler/doc.go
@@ -37,7 +37,9 @@
 //
 // A scheduler that is silent for electionTimeout is replaced by a host that can read the store. While the
 // store does not answer, the scheduler starts nothing new and renews leases for leadershipTimeout. A
-// scheduler that has been fenced off drops its tables and looks for its successor.
+// scheduler that has been fenced off drops its tables and looks for its successor. Once it has resigned, or
+// has linked to its successor, it renews no leases, and the successor waits for one lease of the workers that
+// it does not reach (leadership.go). The ends of runs that it may not have recorded go with it (forward.go).
 //
 // A host that cannot reach the store queries other hosts for the current scheduler and still serves callers
 // over its link to the scheduler. It cannot become a standby until it reaches the store again.
--- a/command/scheduler/fence.go
+++ b/command/scheduler/fence.go
@@ -57,8 +57,8 @@
 		worker.fence++
 		return
 	}
-	if machine.leader.resignedAt.IsZero() {
+	if machine.leader.resignCause == "" {
 		machine.config.Log.Record("fencing_tokens_used_up", almondcross.Text("worker", worker.id), almondcross.Number("epoch", machine.leader.epoch))
-		machine.resign("the fencing tokens of worker " + worker.id + " are used up")
+		machine.leader.resignCause = "the fencing tokens of worker " + worker.id + " are used up"
 	}
 }
--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -16,7 +16,7 @@
 	lastCommitAt    time.Time // lastCommitAt is when the last successful append was sent.
 	pointerStoredAt time.Time // pointerStoredAt is when the pointer was last stored.
 	lastAppendAt    time.Time // lastAppendAt is when the last append was sent.
-	outmatched      bool      // outmatched is set if a standby is so much stronger that it should take over.
+	resignCause     string    // resignCause is why this host resigns before the next append, empty if it does not.
 	resignedAt      time.Time // resignedAt is when the resignation was added to the next append, zero before that.
 
 	pendingChanges   []almondcross.Change                            // pendingChanges holds the changes of the next append.
@@ -156,7 +156,9 @@
 		machine.leader.lastSweepAt = machine.now
 		machine.sweepWorkers()
 		machine.expireAdviceCalls()
-		machine.leader.outmatched = machine.strongerStandby()
+		if machine.strongerStandby() {
+			machine.leader.resignCause = "a stronger standby is available"
+		}
 	}
 	if machine.now.Sub(machine.leader.lastTickAt) >= leaderTick {
 		machine.leader.lastTickAt = machine.now
@@ -171,16 +173,15 @@
 	machine.appendPending()
 }
 
-// resignIfDue resigns when this host is to stop or a standby is much stronger, between two appends. While an append is
-// unanswered the store may be down, and leases that a resigned scheduler does not extend would expire before it is back.
+// resignIfDue resigns if there is a cause, between two appends. While an append is unanswered the store may be down, and leases
+// that a resigned scheduler does not extend would expire before it is back.
 func (machine *Machine) resignIfDue() {
 	leader := machine.leader
-	switch {
-	case !leader.resignedAt.IsZero() || leader.inflight != nil:
-	case machine.stopping:
-		machine.resign("planned stop")
-	case leader.outmatched:
-		machine.resign("a stronger standby is available")
+	if machine.stopping {
+		leader.resignCause = "planned stop"
+	}
+	if leader.resignCause != "" && leader.resignedAt.IsZero() && leader.inflight == nil {
+		machine.resign(leader.resignCause)
 	}
 }
 
--- a/command/scheduler/leadership.go
+++ b/command/scheduler/leadership.go
@@ -17,11 +17,9 @@
 	endsBy        time.Time // endsBy is until when the scheduler may extend leases, on this host's clock.
 }
 
-// endBy returns the leadership with an end no later than a time.
-func (leadership leadership) endBy(at time.Time) leadership {
-	if at.Before(leadership.endsBy) {
-		leadership.endsBy = at
-	}
+// WithEndsBy returns a copy with another time by which the scheduler extends no more leases.
+func (leadership leadership) WithEndsBy(endsBy time.Time) leadership {
+	leadership.endsBy = endsBy
 	return leadership
 }
 
@@ -45,7 +43,7 @@
 	known := slices.ContainsFunc(state.leaderships, func(leadership leadership) bool { return leadership.epoch == epoch })
 	for index, leadership := range state.leaderships {
 		if leadership.epoch == epoch || !known && state.electionsMissed && leadership.epoch == 0 {
-			state.leaderships[index].endsBy = state.applyTime.Add(leadershipTimeout)
+			state.leaderships[index] = leadership.WithEndsBy(state.applyTime.Add(leadershipTimeout))
 		}
 	}
 }
@@ -61,8 +59,8 @@
 // endLeaderships notes that the leaderships that match end no later than a time.
 func (state *state) endLeaderships(by time.Time, match func(leadership leadership) bool) {
 	for index, leadership := range state.leaderships {
-		if match(leadership) {
-			state.leaderships[index] = leadership.endBy(by)
+		if match(leadership) && by.Before(leadership.endsBy) {
+			state.leaderships[index] = leadership.WithEndsBy(by)
 		}
 	}
 }
--- a/command/scheduler/leadership_test.go
+++ b/command/scheduler/leadership_test.go
@@ -307,3 +307,86 @@
 		})
 	}
 }
+
+// Guards against runs that are presumed lost while their lease is valid (TWICE): the leadership of a scheduler that has led for
+// long, and was lost without a resignation, counted from its election.
+func TestLeadershipGoesOnWithEachBatch(t *testing.T) {
+	harness := newHarnessWithRun(t)
+	for range 100 {
+		harness.advance(heartbeatInterval)
+		harness.answerCommits()
+	}
+	lostAt := harness.now
+	successor := harness.electStandby()
+	require.GreaterOrEqual(t, successor.lostRunEndsAfter(lostAt), leadershipTimeout+leaseDuration)
+}
+
+// Guards against a wait for the lease from the election instead of from the last batch of the scheduler: an election writes its
+// epoch before it ends that of the scheduler, and may fail after that.
+func TestFailedElectionProlongsNoLeadership(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	state := newState(time.Minute)
+	state.applyBatch(almondcross.NewJournalBatch(almondcross.JournalBatchConfig{Epoch: 4096, At: now, Changes: []almondcross.Change{
+		almondcross.NewChange(almondcross.ChangeConfig{Kind: almondcross.ChangeElected, Host: "h-1", Address: hostAddress}),
+	}}), now)
+	later := now.Add(time.Second)
+	state.applyBatch(almondcross.NewJournalBatch(almondcross.JournalBatchConfig{Epoch: 8192, At: later}), later)
+	require.Equal(t, now.Add(leadershipTimeout), state.earlierLeadershipsEnd(12288))
+}
+
+// Guards against runs that are presumed lost while their lease is valid (TWICE): the resignation of a scheduler says nothing of
+// the one before it, which was lost and may go on.
+func TestResignationEndsNoEarlierLeadership(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	state := newState(time.Minute)
+	state.applyBatch(almondcross.NewJournalBatch(almondcross.JournalBatchConfig{Epoch: 4096, At: now, Changes: []almondcross.Change{
+		almondcross.NewChange(almondcross.ChangeConfig{Kind: almondcross.ChangeElected, Host: "h-1", Address: hostAddress}),
+	}}), now)
+	later := now.Add(time.Second)
+	state.applyBatch(almondcross.NewJournalBatch(almondcross.JournalBatchConfig{Epoch: 8192, At: later, Changes: []almondcross.Change{
+		almondcross.NewChange(almondcross.ChangeConfig{Kind: almondcross.ChangeElected, Host: "h-2", Address: hostAddress}),
+		almondcross.NewChange(almondcross.ChangeConfig{Kind: almondcross.ChangeResigned, Host: "h-2", LeaseRemaining: resignationLag}),
+	}}), later)
+	require.Equal(t, now.Add(leadershipTimeout), state.earlierLeadershipsEnd(12288))
+}
+
+// Guards against runs that are presumed lost while their lease is valid (TWICE): a host that goes on without a part of the
+// journal knows nothing of the schedulers in it.
+func TestSchedulersInAGapAreAssumedToExtendLeases(t *testing.T) {
+	harness, store, events := newGapHarness(t)
+	for events.count("state_lost") == 0 && harness.now.Sub(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)) < 2*stateLossTimeout {
+		store.serve(harness, followerTick)
+	}
+	require.Equal(t, 1, events.count("state_lost"))
+	require.Equal(t, harness.now.Add(leadershipTimeout), harness.machine.state.earlierLeadershipsEnd(almondcross.MaxEpoch))
+}
+
+// Guards against a wait of 10 s behind a scheduler that was lost and whose host is elected again: the process that led has ended.
+func TestHostThatIsElectedAgainEndsItsEarlierLeadership(t *testing.T) {
+	harness := newHarnessWithRun(t)
+	restarted := newHarnessOf(t, "h-1")
+	restarted.now, restarted.journalEnd, restarted.batches = harness.now, harness.journalEnd, harness.batches
+	restarted.apply(almondcross.NewPointerRead(almondcross.PointerReadConfig{Stored: true}))
+	restarted.apply(almondcross.NewSnapshotRead(almondcross.SnapshotReadConfig{}))
+	restarted.apply(almondcross.NewJournalRead(almondcross.JournalReadConfig{Batches: restarted.batches, Next: restarted.journalEnd, End: restarted.journalEnd}))
+	harness.standby = restarted
+	harness.electStandby()
+	electedAt := restarted.now
+	requireOneLease(t, restarted.lostRunEndsAfter(electedAt))
+}
+
+// Guards against leases that expire while the store is down: a scheduler whose fencing tokens are used up resigned while an append
+// was unanswered.
+func TestSchedulerWithoutTokensDoesNotResignWhileAnAppendIsUnanswered(t *testing.T) {
+	harness := newHarnessWithRun(t)
+	harness.submitJob("k", almondcross.StepConfig{Count: 1})
+	_, pending := harness.pendingCommit()
+	require.True(t, pending)
+	worker := harness.machine.leader.workers[workerID]
+	worker.fence = lastFence(harness.machine.leader.epoch)
+	worker.reportedFence, worker.unansweredFence = worker.fence, worker.fence
+	harness.answerLease(almondcross.WorkerReportConfig{Running: []almondcross.RunningTask{
+		almondcross.NewRunningTask(almondcross.RunningTaskConfig{Task: taskOf("j", 0, 0), Run: 1}),
+	}})
+	require.Positive(t, requireEffect[SendLease](harness).Order.Until())
+}
--- a/encoder/link.go
+++ b/encoder/link.go
@@ -133,6 +133,9 @@
 }
 
 func (wirelinkhello wireLinkHello) value() (almondcross.HostHello, error) {
+	if !validEpoch(wirelinkhello.SchedulerEpoch) {
+		return almondcross.HostHello{}, errors.Annotatef(ErrMalformed, "the scheduler's epoch %d", wirelinkhello.SchedulerEpoch)
+	}
 	config := almondcross.HostHelloConfig{
 		Host: wirelinkhello.Host, Strength: wirelinkhello.Strength, Address: wirelinkhello.Address, DataCentre: wirelinkhello.DataCentre,
 		SchedulerEpoch: wirelinkhello.SchedulerEpoch,
