--- a/command/scheduler/queuecrash_test.go
+++ b/command/scheduler/queuecrash_test.go
@@ -12,7 +12,7 @@
 // after a start of the queue: its tasks then waited for empty workers for up to 23 s while most of the cell was free (LOST,
 // lost-after-crashes, seed 1013). Losses that all follow a start still blame the queue. Guards, too, against a queue that is
 // not blamed for some 10 s after a takeover, since the workers that had crashed before counted as lost without a start: on
-// crash-frequent, seed 13, some 60 workers crashed meanwhile.
+// crash-frequent, seed 13, some 100 workers crashed meanwhile.
 func TestWorkersLostTogetherDoNotBlameAQueue(t *testing.T) {
 	const workers = 8
 	for name, test := range map[string]struct {
