--- a/spec/leasing.pml
+++ b/spec/leasing.pml
@@ -9,10 +9,20 @@
  *   FROM_ELECTION        a successor computes the lease end from its election, as if its predecessor had stopped then
  *   NO_RESIGNATION_STOP  a scheduler that has resigned continues to extend the lease
  *   NO_LINK_STOP         a scheduler that has linked to its successor continues to extend the lease
+ *   FROM_REPEAT          a scheduler counts an append whose answer was lost from its repeat, which the store answers again
+ *
+ * LOST_ANSWERS adds appends whose answers are lost.
  */
+#ifdef FROM_REPEAT
+#define COMMITTED_AT now
+#else
+#define COMMITTED_AT last_batch
+#endif
 #define LEASE 2
 #define LEADERSHIP 3
+#ifndef TICKS
 #define TICKS 12
+#endif
 
 byte now;
 
@@ -23,7 +33,7 @@
 #ifdef FROM_ELECTION
 #define ASSUMED_LEASE_END elected_at + LEASE
 #else
-#define ASSUMED_LEASE_END (resigned -> resigned_at + LEASE : last_append[0] + LEADERSHIP + LEASE)
+#define ASSUMED_LEASE_END (resigned -> resigned_at + LEASE : last_batch + LEADERSHIP + LEASE)
 #endif
 
 /* The journal: the scheduler whose appends it accepts, and whether the worker is recorded as silent, with the latest
@@ -38,6 +48,10 @@
 bool resigned, linked;
 byte resigned_at;
 
+/* The time of the first scheduler's last batch in the journal, and whether the answer to its append was lost. */
+byte last_batch;
+bool unanswered;
+
 /* Each scheduler: the time of its last confirmed append, whether it has stopped extending the lease, and whether the
  * worker has responded since the silence was recorded. */
 byte last_append[2];
@@ -77,13 +91,19 @@
   do
   :: atomic { fence <= host && LEADS(host) && MAY_EXTEND(host) && !ENDED(host) -> fence = host; lease_end = now + LEASE; known_lease_end[host] = lease_end }
   /* An append is confirmed only to the scheduler whose epoch the journal accepts. */
-  :: atomic { journal_scheduler == host -> last_append[host] = now }
+  :: atomic { journal_scheduler == host && !(host == 0 && unanswered) -> last_append[host] = now; last_batch = (host == 0 -> now : last_batch) }
+  /* The append takes effect and its answer is lost. The store answers the repeat as it would have answered the append, also
+   * once the second scheduler has been elected. */
+#ifdef LOST_ANSWERS
+  :: atomic { host == 0 && journal_scheduler == 0 && !unanswered -> unanswered = true; last_batch = now }
+  :: atomic { host == 0 && unanswered -> unanswered = false; last_append[0] = COMMITTED_AT }
+#endif
   /* The silence is recorded with the lease end; the scheduler stops extending the lease. */
-  :: atomic { !worker_silent && journal_scheduler == host && !stopped_extending[host] -> stopped_extending[host] = true; responded[host] = false; worker_silent = true; silent_lease_end = known_lease_end[host]; last_append[host] = now }
+  :: atomic { !worker_silent && journal_scheduler == host && !stopped_extending[host] -> stopped_extending[host] = true; responded[host] = false; worker_silent = true; silent_lease_end = known_lease_end[host]; last_append[host] = now; last_batch = (host == 0 -> now : last_batch) }
   /* The worker responds. */
   :: atomic { fence <= host && stopped_extending[host] && !responded[host] -> fence = host; responded[host] = true; known_lease_end[host] = lease_end }
   /* The end of the silence is recorded in the journal. */
-  :: atomic { stopped_extending[host] && responded[host] && journal_scheduler == host -> worker_silent = false; stopped_extending[host] = false; last_append[host] = now }
+  :: atomic { stopped_extending[host] && responded[host] && journal_scheduler == host -> worker_silent = false; stopped_extending[host] = false; last_append[host] = now; last_batch = (host == 0 -> now : last_batch) }
   /* The resignation is recorded, and the second scheduler counts from it. */
   :: atomic { host == 0 && journal_scheduler == 0 && !resigned -> resigned = true; resigned_at = now }
   /* The first scheduler links to the second, which counts from the link. */
