Let the worker of a test have answered before it is lost

Cause: TestOneOfTheLastStartsIsBlamedByItsTask and the rule that a worker which this scheduler has not heard from blames no queue met in a merge; the worker of the test had never answered.

Change: it has. The assertions are unchanged.

Measured: the tests of command/scheduler pass; this one failed in the merge before.

--- a/command/scheduler/queuecrash_test.go
+++ b/command/scheduler/queuecrash_test.go
@@ -55,7 +55,7 @@
 	harness.becomeScheduler()
 	for range 50 {
 		harness.machine.leader.queueScores = map[string]queueScore{}
-		lost := &worker{id: workerID, unreachableSince: harness.now, assignments: map[almondcross.JobTask]*assignment{}}
+		lost := &worker{id: workerID, lastAnswerAt: harness.now, unreachableSince: harness.now, assignments: map[almondcross.JobTask]*assignment{}}
 		for _, name := range []string{"b", "a", "c"} {
 			run := &assignment{
 				task: taskOf(almondcross.JobID(name), 0, 0), startSentAt: harness.now,
