Measure takeovers in the emulator

Cause: the time from a disturbance of the scheduler to the next first start was not measured anywhere.

--- a/assembler/experiment.go
+++ b/assembler/experiment.go
@@ -19,6 +19,8 @@
 	days, faults int
 	faultKinds   []string
 	trace        string
+	scenarios    []string
+	loseWorker   bool
 	config       emulator.Config
 }
 
@@ -32,12 +34,17 @@
 			"drawn from the seed, and prints a row for each simulation. The exit code is 1 when a guarantee was violated." + requester.ExitHelp,
 		Example: "  almondcross experiment --days 20\n  almondcross experiment --seed 7 --kind kill_scheduler --troubles 3\n" +
 			"  almondcross experiment --days 50 --kind break_paths,kill_after\n" +
-			"  almondcross experiment --seed 7 --trace 00000000000000ad",
+			"  almondcross experiment --seed 7 --trace 00000000000000ad\n" +
+			"  almondcross experiment --days 30 --hosts 7 --workers 48 --takeover kill,stop",
 		Args: requester.Args(cobra.NoArgs),
 		RunE: func(command *cobra.Command, _ []string) error {
 			if flags.days < 1 || flags.config.Hosts < 1 || flags.config.Workers < 1 || flags.config.JobsPerSec <= 0 {
 				return requester.BadInput(errors.New("--days, --hosts, --workers and --jobs-per-second: allowed: more than 0"))
 			}
+			flags.config.Retention, flags.config.LongShare = 15*time.Second, 0.4
+			if len(flags.scenarios) > 0 {
+				return measureTakeovers(command, flags)
+			}
 			return runExperiment(command, flags)
 		},
 	}
@@ -46,6 +53,8 @@
 	flagSet.IntVar(&flags.days, "days", 10, "number of simulations")
 	flagSet.IntVar(&flags.faults, "troubles", 5, "number of faults injected in a simulation")
 	flagSet.StringSliceVar(&flags.faultKinds, "kind", nil, "inject only faults of these kinds, in turn: "+faultKindNames())
+	flagSet.StringSliceVar(&flags.scenarios, "takeover", nil, "measure the takeovers of these scenarios instead: all, "+scenarioNames())
+	flagSet.BoolVar(&flags.loseWorker, "lose-worker", false, "lose the busiest worker with the scheduler in these scenarios")
 	flagSet.StringVar(&flags.trace, "trace", "", "print the log lines that contain this text, such as a job ID")
 	flagSet.IntVar(&flags.config.Hosts, "hosts", 5, "number of scheduling hosts")
 	flagSet.IntVar(&flags.config.Workers, "workers", 24, "number of workers")
@@ -69,8 +78,8 @@
 		"seed", "jobs", "accepted", "completed", "failed", "cancelled", "runs", "p50", "p99", "questions", "503", "violations")
 	for seed := flags.seed; seed < flags.seed+uint64(flags.days); seed++ { //nolint:gosec // The number of simulations was checked.
 		config := flags.config
-		config.Seed, config.DrainTime, config.Retention = seed, 40*time.Second, 15*time.Second
-		config.FailShare, config.PoisonShare, config.CancelShare, config.LongShare = 0.02, 0.02, 0.04, 0.4
+		config.Seed, config.DrainTime = seed, 40*time.Second
+		config.FailShare, config.PoisonShare, config.CancelShare = 0.02, 0.02, 0.04
 		config.Faults = emulator.RandomFaults(seed, flags.faults, config.SubmitTime)
 		for index := range config.Faults {
 			if len(flags.faultKinds) > 0 {
--- a/standin/emulator/advice.go
+++ b/standin/emulator/advice.go
@@ -16,9 +16,9 @@
 			continue
 		}
 		reply := func(response almondcross.AdviceAnswered) {
-			simulation.schedule(linkDelay, func() { modelhost.deliver(response.WithAdviser(host.name).WithReceived(simulation.wallTime())) })
+			simulation.schedule(simulation.linkHold(modelhost, host)+linkDelay, func() { modelhost.deliver(response.WithAdviser(host.name).WithReceived(simulation.wallTime())) })
 		}
-		simulation.schedule(linkDelay, func() {
+		simulation.schedule(simulation.linkHold(modelhost, host)+linkDelay, func() {
 			if host.up {
 				host.runUnfrozen(func() { host.processQuery(queuedQuery{query: query.Query, reply: reply}) })
 			}
--- a/standin/emulator/checker.go
+++ b/standin/emulator/checker.go
@@ -19,6 +19,7 @@
 	// Questions counts the questions of callers that hosts answered, Unavailable those that they answered with 503.
 	Questions, Unavailable int
 	Violations             []string
+	Takeovers              TakeoverReport // Takeovers holds the times from the disturbances of the scheduler to the next starts.
 	// AccountedCPU is the CPU time of all runs in the stored account, UsedCPU the CPU time on the workers, both
 	// in millicore-seconds.
 	AccountedCPU, UsedCPU int64
@@ -66,6 +67,8 @@
 		history.acknowledged, history.startedAfterDone = false, false
 	case almondcross.EndFailed:
 		checker.addFailure(now, run, history)
+	case almondcross.EndLeaseExpired:
+		checker.simulation.meter.runLapsed()
 	case almondcross.EndGangIncomplete:
 		if run.job.cancelledAt == 0 && !checker.simulation.disturbances.near(now, gangCheckDelay) {
 			checker.addViolation("GANG", "%s run %d on %s timed out waiting for the other members", run.task, run.number, worker.id)
@@ -76,6 +79,7 @@
 
 // recordLostRun removes a run that was lost in a crash or the exit of its worker.
 func (checker *checker) recordLostRun(worker *modelWorker, run *modelRun, crashed bool) {
+	checker.simulation.meter.taskLost(run.task)
 	history := run.job.historyOf(run.task)
 	delete(history.running, worker)
 	if crashed {
--- a/standin/emulator/fault.go
+++ b/standin/emulator/fault.go
@@ -38,9 +38,19 @@
 	Burst               FaultKind = "burst"            // Burst multiplies the rate of submissions.
 	LoseOrders          FaultKind = "lose_orders"      // LoseOrders makes one worker leave orders unanswered for a long time.
 	ChangeKinds         FaultKind = "change_kinds"     // ChangeKinds restarts some workers under their ID as another kind.
+
+	// The kinds that only measurements of takeovers inject.
+	LoseScheduler   FaultKind = "lose_scheduler"   // LoseScheduler kills the scheduler's process for good.
+	CutLinks        FaultKind = "cut_links"        // CutLinks partitions the scheduler from all other hosts, but not from the store.
+	RefuseScheduler FaultKind = "refuse_scheduler" // RefuseScheduler makes the store refuse the scheduler's calls at once.
+	JournalDown     FaultKind = "journal_down"     // JournalDown makes the store refuse all calls that concern the journal.
+	StopScheduler   FaultKind = "stop_scheduler"   // StopScheduler stops the scheduler's process as planned and starts it again.
+	StopHosts       FaultKind = "stop_hosts"       // StopHosts stops one host after the other as planned and starts it again.
+	LoseWorker      FaultKind = "lose_worker"      // LoseWorker crashes the busiest worker.
+	NoDisturbance   FaultKind = "none"             // NoDisturbance marks a moment at which nothing is disturbed, for comparison.
 )
 
-// FaultKinds returns all kinds of faults.
+// FaultKinds returns the kinds of faults that RandomFaults draws from. Another kind here gives all seeds other faults.
 func FaultKinds() []FaultKind {
 	return []FaultKind{
 		KillScheduler, KillHosts, FreezeScheduler, IsolateScheduler, StoreDown, StoreSlow, StoreLosesResponses, StoreUnreachable,
--- a/standin/emulator/host.go
+++ b/standin/emulator/host.go
@@ -48,6 +48,9 @@
 	// pointer is the scheduler pointer that this host gives to its peers.
 	pointer  almondcross.SchedulerPointer
 	linkedTo *modelHost // linkedTo is the scheduler's host that this host is linked to.
+	// wantedLink is the host to which this host opens a link, linkCount how many links it has opened.
+	wantedLink *modelHost
+	linkCount  int
 }
 
 // queuedQuery is an advice query that waits for the previous advice call.
@@ -202,6 +205,7 @@
 
 // Record passes an event on to the log of the simulation.
 func (hostlog hostLog) Record(event string, fields ...almondcross.LogField) {
+	hostlog.host.simulation.meter.observe(hostlog.host, event, fields)
 	hostlog.host.simulation.config.Log.Record(event, append(fields, almondcross.Text("host", hostlog.host.name), almondcross.Millis("at_ms", hostlog.host.simulation.now-warmUp))...)
 }
 
--- a/standin/emulator/inject.go
+++ b/standin/emulator/inject.go
@@ -20,12 +20,15 @@
 	orderDelayShare          float64
 	leaseDelayShare          float64
 	announcementsHiddenUntil time.Duration
+	journalDownUntil         time.Duration
+	storeRefusesUntil        map[*modelHost]time.Duration
+	linksCutUntil            map[*modelHost]time.Duration
 }
 
 func newActiveFaults() activeFaults {
 	return activeFaults{
 		storeUnreachableUntil: map[*modelHost]time.Duration{}, workerIsolatedUntil: map[*modelWorker]time.Duration{}, paths: map[path]pathFault{},
-		orders: map[*modelWorker]orderFault{},
+		orders: map[*modelWorker]orderFault{}, storeRefusesUntil: map[*modelHost]time.Duration{}, linksCutUntil: map[*modelHost]time.Duration{},
 	}
 }
 
@@ -72,12 +75,20 @@
 
 // scheduler returns the host that leads, or a random host if none does.
 func (simulation *Simulation) scheduler() *modelHost {
+	if host := simulation.leader(); host != nil {
+		return host
+	}
+	return simulation.hosts[simulation.random.IntN(len(simulation.hosts))]
+}
+
+// leader returns the host that leads, nil if none does.
+func (simulation *Simulation) leader() *modelHost {
 	for _, host := range simulation.hosts {
 		if host.up && host.machine.Leads() {
 			return host
 		}
 	}
-	return simulation.hosts[simulation.random.IntN(len(simulation.hosts))]
+	return nil
 }
 
 // randomShare returns a random fraction of a list, at least one element.
@@ -95,6 +106,8 @@
 	switch fault.Kind {
 	case KillScheduler, KillHosts, FreezeScheduler, FreezeHosts, IsolateScheduler, StoreUnreachable, BreakPaths:
 		simulation.injectHostFault(fault, until)
+	case LoseScheduler, CutLinks, RefuseScheduler, JournalDown, StopScheduler, StopHosts, LoseWorker, NoDisturbance:
+		simulation.injectTakeoverFault(fault, until)
 	case KillSeries:
 		simulation.killSchedulers(until)
 		simulation.extend(until)
@@ -135,6 +148,7 @@
 		hosts = randomShare(simulation, simulation.hosts, 2*fault.Share)
 	default:
 		hosts = []*modelHost{simulation.scheduler()}
+		simulation.meter.begin(hosts[0], false)
 	}
 	for _, host := range hosts {
 		switch fault.Kind {
@@ -154,6 +168,7 @@
 	activefaults := &simulation.faults
 	switch fault.Kind {
 	case StoreDown:
+		simulation.meter.begin(simulation.leader(), false)
 		activefaults.storeDownUntil = until
 	case StoreSlow:
 		activefaults.storeSlowUntil, activefaults.storeSlowFactor = until, fault.SlowFactor
--- a/standin/emulator/jobs.go
+++ b/standin/emulator/jobs.go
@@ -211,6 +211,7 @@
 	}
 	job.acceptedAt = simulation.now
 	simulation.acceptedJobs = append(simulation.acceptedJobs, job)
+	simulation.meter.jobAccepted(job)
 	simulation.observe(SubmissionAcknowledged)
 	simulation.schedule(statePollInterval, func() { simulation.pollState(job) })
 	delay := time.Duration(simulation.random.Int64N(int64(3 * time.Second)))
@@ -282,7 +283,7 @@
 		}
 	})
 	simulation.schedule(linkDelay, func() {
-		if schedulerHost.up {
+		if schedulerHost.up && simulation.linkHold(modelhost, schedulerHost) == 0 {
 			schedulerHost.deliver(almondcross.NewIntakeForwarded(almondcross.IntakeForwardedConfig{Number: number, Intake: intake}))
 		}
 	})
--- a/standin/emulator/links.go
+++ b/standin/emulator/links.go
@@ -1,14 +1,19 @@
 package emulator
 
-import "github.com/almondcross/almondcross"
+import (
+	"time"
+
+	"github.com/almondcross/almondcross"
+)
 
 // setLink closes the link to any other host and opens a link to the scheduler's host. If that is nil or this host
 // itself, it only closes the link.
 func (modelhost *modelHost) setLink(scheduler *modelHost, strength int) {
 	simulation := modelhost.simulation
+	modelhost.wantedLink = scheduler
 	if previous := modelhost.linkedTo; previous != nil && previous != scheduler {
 		modelhost.linkedTo = nil
-		simulation.schedule(linkDelay, func() {
+		simulation.schedule(simulation.linkHold(modelhost, previous)+linkDelay, func() {
 			if previous.up {
 				previous.deliver(almondcross.NewHostLinkChanged(almondcross.HostLinkChangedConfig{Host: modelhost.name}))
 			}
@@ -18,9 +23,18 @@
 		return
 	}
 	incarnation := modelhost.incarnation
+	if hold := simulation.linkHold(modelhost, scheduler); hold > 0 {
+		simulation.schedule(hold, func() {
+			if modelhost.incarnation == incarnation && modelhost.wantedLink == scheduler && modelhost.linkedTo == nil {
+				modelhost.setLink(scheduler, strength)
+			}
+		})
+		return
+	}
 	simulation.schedule(3*linkDelay, func() {
 		if modelhost.incarnation == incarnation && scheduler.up && modelhost.linkedTo == nil {
 			modelhost.linkedTo = scheduler
+			modelhost.linkCount++
 			scheduler.deliver(almondcross.NewHostLinkChanged(almondcross.HostLinkChangedConfig{Host: modelhost.name, Present: true, Strength: strength, Address: modelhost.name}))
 		}
 	})
@@ -33,9 +47,9 @@
 			if host.name != name || host.linkedTo != modelhost {
 				continue
 			}
-			incarnation := host.incarnation
-			modelhost.simulation.schedule(linkDelay, func() {
-				if host.incarnation == incarnation && host.linkedTo == modelhost {
+			incarnation, link := host.incarnation, host.linkCount
+			modelhost.simulation.schedule(modelhost.simulation.linkHold(host, modelhost)+linkDelay, func() {
+				if host.incarnation == incarnation && host.linkedTo == modelhost && host.linkCount == link {
 					host.deliver(message)
 				}
 			})
@@ -59,7 +73,7 @@
 		config := almondcross.PointerReadConfig{Err: err}
 		for _, peer := range peers {
 			host := simulation.host(peer)
-			if host != nil && host.up && host.pointer.Host() != "" && host.pointer.Host() != modelhost.name &&
+			if host != nil && host.up && simulation.linkHold(modelhost, host) == 0 && host.pointer.Host() != "" && host.pointer.Host() != modelhost.name &&
 				host.pointer.Epoch() >= config.Pointer.Epoch() {
 				config = almondcross.PointerReadConfig{Pointer: host.pointer, Found: true}
 			}
@@ -67,3 +81,12 @@
 		modelhost.deliver(almondcross.NewPointerRead(config))
 	})
 }
+
+// linkHold returns how long a partition between two hosts still holds back what one sends to the other. Like a connection,
+// an open link delivers it afterwards.
+func (simulation *Simulation) linkHold(a, b *modelHost) time.Duration {
+	if a == b {
+		return 0
+	}
+	return max(simulation.faults.linksCutUntil[a], simulation.faults.linksCutUntil[b], simulation.now) - simulation.now
+}
--- a/standin/emulator/orders.go
+++ b/standin/emulator/orders.go
@@ -92,6 +92,7 @@
 	simulation.observe(LeaseSent)
 	sentAt := simulation.wallTime()
 	deliverResult := func(report almondcross.WorkerReport, result almondcross.OrderResult) {
+		simulation.meter.workerAnswered(modelhost, result)
 		modelhost.deliver(almondcross.NewLeaseAnswered(almondcross.LeaseAnsweredConfig{
 			Order: order, Result: result, Report: report, Sent: sentAt, Received: simulation.wallTime(),
 		}))
--- a/standin/emulator/simulation.go
+++ b/standin/emulator/simulation.go
@@ -48,6 +48,7 @@
 	faults        activeFaults
 	waitingFaults []Fault // waitingFaults holds the faults that wait for their moment.
 	disturbances  disturbances
+	meter         *takeoverMeter
 	announcements announcements
 	// forwardCallbacks holds the functions to call when forwarded intakes are stored, by intake number.
 	forwardCallbacks map[int64]func()
@@ -142,7 +143,7 @@
 		end:    warmUp + config.SubmitTime + config.DrainTime,
 		advice: adviceModel{allowedShare: config.AdviceShare, validity: 2500 * time.Millisecond, seed: config.Seed, issuedTickets: map[string]issuedTicket{}},
 	}
-	simulation.checker = newChecker(simulation)
+	simulation.checker, simulation.meter = newChecker(simulation), newTakeoverMeter(simulation)
 	simulation.publishRoutes(
 		simulation.newQueue(queueUrgent, 0, 4, 8*time.Millisecond, 120*time.Microsecond),
 		simulation.newQueue(queueGang, 1, 3, 440*time.Millisecond, 6300*time.Microsecond),
@@ -178,7 +179,9 @@
 		next.run()
 	}
 	simulation.now = simulation.end
-	return simulation.checker.report()
+	report := simulation.checker.report()
+	report.Takeovers = simulation.meter.report()
+	return report
 }
 
 func (simulation *Simulation) addWorker(index int) {
@@ -239,6 +242,7 @@
 
 // recordStart logs that a worker began a run.
 func (simulation *Simulation) recordStart(worker *modelWorker, run *modelRun, delivered delivery) {
+	simulation.meter.runBegun(run, delivered)
 	late := "no"
 	if delivered.late {
 		late = "yes"
--- a/standin/emulator/storecalls.go
+++ b/standin/emulator/storecalls.go
@@ -41,6 +41,10 @@
 // storeTimeout, onFailure gets ErrStoreUncertain.
 func (modelhost *modelHost) storeCall(isWrite bool, execute func() func(), onFailure func(err error)) {
 	simulation := modelhost.simulation
+	if simulation.now < simulation.faults.storeRefusesUntil[modelhost] {
+		modelhost.schedule(2*linkDelay, func() { onFailure(almondcross.ErrStoreRefused) })
+		return
+	}
 	duration := appendTime
 	if !isWrite {
 		duration /= 4
@@ -61,6 +65,15 @@
 	}, func() { onFailure(almondcross.ErrStoreUncertain) })
 }
 
+// callJournal makes a call to the store that concerns the journal, which the store refuses while that partition is down.
+func (modelhost *modelHost) callJournal(isWrite bool, execute func() func(), onFailure func(err error)) {
+	if modelhost.simulation.now < modelhost.simulation.faults.journalDownUntil {
+		modelhost.schedule(2*linkDelay, func() { onFailure(almondcross.ErrStoreRefused) })
+		return
+	}
+	modelhost.storeCall(isWrite, execute, onFailure)
+}
+
 func (modelhost *modelHost) storeUsage(request almondcross.UsageStore) {
 	simulation := modelhost.simulation
 	deliverResult := func(err error) {
@@ -139,7 +152,7 @@
 	onFailure := func(err error) {
 		modelhost.deliver(almondcross.NewJournalRead(almondcross.JournalReadConfig{From: query.From(), Next: query.From(), Err: err}))
 	}
-	modelhost.storeCall(false, func() func() {
+	modelhost.callJournal(false, func() func() {
 		records, err := simulation.store.Read(simulation.now, journalPartition, query.From())
 		records, size := firstPage(records)
 		return func() {
@@ -211,7 +224,7 @@
 		}
 		records = append(records, record)
 	}
-	modelhost.storeCall(true, func() func() {
+	modelhost.callJournal(true, func() func() {
 		config := almondcross.StoreAppendConfig{
 			Partition: journalPartition, Records: records, Conditional: request.Election(), ExpectedEnd: request.ExpectedEnd(),
 		}
