Do not count a repeated append as complete

Cause: the scheduler repeats an append that the store refused or did not answer, and pushed its views as complete when it succeeded at last.

TestRepeatedAppendIsNotComplete fails without it.

--- a/command/scheduler/append.go
+++ b/command/scheduler/append.go
@@ -201,7 +201,8 @@
 		machine.config.Metrics.CommitRepeated()
 		machine.config.Log.Record("commit_repeated", almondcross.Number("sequence", leader.sequence), almondcross.Text("reason", answer.Err().Error()),
 			almondcross.Millis("age_ms", machine.now.Sub(leader.inflight.sentAt)))
-		leader.inflight.sentAt = machine.now
+		// Jobs that arrived since the append was made are not in it.
+		leader.inflight.sentAt, leader.inflight.intakesCurrent = machine.now, false
 		machine.emit(Commit{Request: leader.inflight.commit.WithPause(storeRetryDelay)})
 		return
 	}
--- a/command/scheduler/append_test.go
+++ b/command/scheduler/append_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -102,3 +103,28 @@
 	harness.advance(leaderTick)
 	require.Equal(t, maxOpenTasks/1000+1, known.startedOccurrences)
 }
+
+// Guards against a viewer that says that no job waits after an outage of the store: the append that was pending meanwhile has
+// none of the jobs that arrived since it was made.
+func TestRepeatedAppendIsNotComplete(t *testing.T) {
+	harness := newHarness(t)
+	harness.becomeScheduler()
+	harness.apply(almondcross.NewIntakeRead(almondcross.IntakeReadConfig{}))
+	harness.apply(almondcross.NewHostLinkChanged(almondcross.HostLinkChangedConfig{Host: "h-2", Address: "h-2", Present: true}))
+	pushAfter := func(outage time.Duration) bool {
+		harness.effects = nil
+		harness.advance(heartbeatInterval)
+		if outage > 0 {
+			commit := requireEffect[Commit](harness)
+			harness.advance(outage)
+			harness.apply(almondcross.NewIntakeRead(almondcross.IntakeReadConfig{}))
+			harness.apply(almondcross.NewJournalCommitted(almondcross.JournalCommittedConfig{Commit: commit.Request, Err: almondcross.ErrStoreRefused}))
+		}
+		harness.answerCommit()
+		return requireEffect[PushViews](harness).Pushed.Complete()
+	}
+	harness.answerCommit()
+	require.True(t, pushAfter(0))
+	require.False(t, pushAfter(6*time.Second))
+	require.True(t, pushAfter(0))
+}
