--- a/command/scheduler/constants.go
+++ b/command/scheduler/constants.go
@@ -96,8 +96,9 @@
 	freshReadAge = time.Second
 	// journalReadInterval limits how often a follower reads, since each read is billed.
 	journalReadInterval = 90 * time.Millisecond
-	// freshPushAge is the maximum age of the last pushed batch for the store to be read less often.
-	freshPushAge = 500 * time.Millisecond
+	// freshPushAge is the maximum age of the last pushed batch for the store to be read less often. It tolerates one late
+	// heartbeat.
+	freshPushAge = 300 * time.Millisecond
 	// pushedReadInterval is the pause between reads while batches arrive over the link.
 	pushedReadInterval = 600 * time.Millisecond
 	// journalReadWait is how long a read waits for a batch.
--- a/command/scheduler/follower.go
+++ b/command/scheduler/follower.go
@@ -19,6 +19,7 @@
 	lastReadAt       time.Time // lastReadAt is when the last read was answered.
 	electionAt       time.Time // electionAt is the earliest time of the next election, zero if none is scheduled.
 	lastPushAt       time.Time // lastPushAt is when batches last arrived over the link.
+	readDueAt        time.Time // readDueAt is when the next read is due while batches arrive over the link, zero if a read is pending.
 	readFailing      bool      // readFailing is set if the last read failed.
 	loadStartedAt    time.Time // loadStartedAt is when the current load of the state began.
 	trimmedReads     int       // trimmedReads counts consecutive reads whose records had been deleted.
@@ -121,11 +122,23 @@
 	case !machine.follower.caughtUp:
 		pause = 0
 	case machine.now.Sub(machine.follower.lastPushAt) < freshPushAge:
-		pause = pushedReadInterval
+		machine.follower.readDueAt = machine.now.Add(pushedReadInterval)
+		return
 	}
 	machine.readJournal(pause)
 }
 
+// readDueJournal reads the journal once its next read is due, or at once if pushes have stopped: the last scheduler may have
+// appended batches that it did not push, and its silence counts from when they are read.
+func (machine *Machine) readDueJournal() {
+	due := machine.follower.readDueAt
+	if due.IsZero() || machine.now.Before(due) && machine.now.Sub(machine.follower.lastPushAt) < freshPushAge {
+		return
+	}
+	machine.follower.readDueAt = time.Time{}
+	machine.readJournal(0)
+}
+
 // skipApplied drops the batches that arrived over the link while the read was pending.
 func skipApplied(read almondcross.JournalRead, next int64) almondcross.JournalRead {
 	applied := min(next-read.From(), int64(len(read.Batches())))
--- a/command/scheduler/machine.go
+++ b/command/scheduler/machine.go
@@ -157,10 +157,11 @@
 	}
 }
 
-// linkLost notes that what arrived over the link to the scheduler has ended.
+// linkLost notes that what arrived over the link to the scheduler has ended. A standby then reads the journal at once: a
+// scheduler that resigns closes its links before it has pushed its resignation.
 func (machine *Machine) linkLost(scheduler string) {
 	if scheduler == machine.discovery.pointer.Host() {
-		machine.discovery.viewsReceived, machine.follower.pushedEnd = false, 0
+		machine.discovery.viewsReceived, machine.follower.pushedEnd, machine.follower.lastPushAt = false, 0, time.Time{}
 	}
 }
 
@@ -192,6 +193,7 @@
 	case roleViewer:
 		machine.checkSchedulerLink()
 	case roleFollower:
+		machine.readDueJournal()
 		machine.checkStandbyContact()
 		machine.checkElection()
 	case roleLeader:
--- a/command/scheduler/reads_test.go
+++ b/command/scheduler/reads_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -111,3 +112,62 @@
 	harness.awaitHeartbeat()
 	require.Zero(t, harness.pendingCount(), "the count is known")
 }
+
+// newFollower returns a standby that has caught up and gets the batches of the scheduler h-2 over the link.
+func newFollower(t *testing.T) *harness {
+	t.Helper()
+	harness := newHarness(t)
+	harness.followScheduler()
+	harness.apply(almondcross.NewRoleAssigned(almondcross.RoleAssignedConfig{Standby: true}))
+	harness.apply(almondcross.NewSnapshotRead(almondcross.SnapshotReadConfig{}))
+	batches := []almondcross.JournalBatch{almondcross.NewJournalBatch(almondcross.JournalBatchConfig{Epoch: 9, At: harness.now, Changes: []almondcross.Change{
+		almondcross.NewChange(almondcross.ChangeConfig{Kind: almondcross.ChangeElected, Host: "h-2", Address: "h-2"}),
+	}})}
+	harness.apply(almondcross.NewJournalPushed(almondcross.JournalPushedConfig{Batches: batches}))
+	harness.effects = nil
+	harness.apply(almondcross.NewJournalRead(almondcross.JournalReadConfig{Next: 1, End: 1, Batches: batches}))
+	return harness
+}
+
+// Guards against a standby that reads the last batches of a lost scheduler, which it appended but did not push, more than half
+// a second later and counts its silence from then on.
+func TestStandbyReadsTheJournalOncePushesStop(t *testing.T) {
+	harness := newFollower(t)
+	pushedAt := harness.now
+	for range int(time.Second / followerTick) {
+		if read, found := takeEffect[ReadJournal](harness); found {
+			require.LessOrEqual(t, harness.now.Add(read.Query.Pause()).Sub(pushedAt), freshPushAge+followerTick)
+			require.Equal(t, int64(1), read.Query.From())
+			return
+		}
+		harness.advance(followerTick)
+	}
+	require.Fail(t, "the standby does not read the journal")
+}
+
+// Guards against a standby that learns half a second late that the scheduler has resigned: its link ends before the
+// resignation arrives over it.
+func TestStandbyReadsTheJournalOnceItsLinkIsLost(t *testing.T) {
+	harness := newFollower(t)
+	harness.apply(almondcross.NewLinkLost(almondcross.LinkLostConfig{Scheduler: "h-2"}))
+	require.Zero(t, requireEffect[ReadJournal](harness).Query.Pause())
+	harness.apply(almondcross.NewJournalRead(almondcross.JournalReadConfig{From: 1, Next: 1, End: 1}))
+	require.Equal(t, journalReadInterval, requireEffect[ReadJournal](harness).Query.Pause(), "no batches arrive over the link")
+}
+
+// Guards against reads of the journal, which are billed, that come more often than pushedReadInterval while batches arrive
+// over the link.
+func TestStandbyReadsLessOftenWhileBatchesArrive(t *testing.T) {
+	harness := newFollower(t)
+	answeredAt := harness.now
+	for offset := int64(1); ; offset++ {
+		harness.advance(heartbeatInterval / 2)
+		if read, found := takeEffect[ReadJournal](harness); found {
+			require.GreaterOrEqual(t, harness.now.Add(read.Query.Pause()).Sub(answeredAt), pushedReadInterval)
+			require.Less(t, harness.now.Sub(answeredAt), 2*pushedReadInterval)
+			return
+		}
+		require.Less(t, offset, int64(20), "the standby does not read the journal")
+		harness.apply(almondcross.NewJournalPushed(almondcross.JournalPushedConfig{From: offset, Batches: []almondcross.JournalBatch{{}}}))
+	}
+}
--- a/command/scheduler/views_test.go
+++ b/command/scheduler/views_test.go
@@ -152,6 +152,8 @@
 	require.Equal(t, -1, harness.pendingCount())
 	harness.apply(almondcross.NewJournalRead(almondcross.JournalReadConfig{From: 1, Next: 2, End: 2, Batches: []almondcross.JournalBatch{waiting}}))
 	require.Equal(t, -1, harness.pendingCount())
+	harness.run(pushedReadInterval)
+	requireEffect[ReadJournal](harness)
 	harness.apply(almondcross.NewJournalRead(almondcross.JournalReadConfig{From: 2, Next: 3, End: 3, Batches: []almondcross.JournalBatch{harness.newAdmission("l")}}))
 	require.Equal(t, 3, harness.pendingCount())
 }
--- a/standin/emulator/takeovers_test.go
+++ b/standin/emulator/takeovers_test.go
@@ -28,7 +28,7 @@
 		t.Run(scenario.Name, func(t *testing.T) {
 			t.Parallel()
 			simulation, err := New(scenario.Apply(Config{
-				Seed: 1, Hosts: 5, Workers: 24, SubmitTime: 16 * time.Second, JobsPerSec: 16, AdviceShare: 0.5, Retention: 15 * time.Second,
+				Seed: 1, Hosts: 5, Workers: 24, SubmitTime: 16 * time.Second, JobsPerSec: 32, AdviceShare: 0.5, Retention: 15 * time.Second,
 			}, scenario.Name == "lose"))
 			require.NoError(t, err)
 			report := simulation.Run()
