--- a/command/scheduler/append.go
+++ b/command/scheduler/append.go
@@ -202,6 +202,7 @@
 		machine.config.Metrics.CommitRepeated()
 		machine.config.Log.Record("commit_repeated", almondcross.Number("sequence", leader.sequence), almondcross.Text("reason", answer.Err().Error()),
 			almondcross.Millis("age_ms", machine.now.Sub(leader.inflight.sentAt)))
+		leader.inflight.intakesCurrent = false // Jobs that arrived since the append was made are not in it.
 		machine.emit(Commit{Request: leader.inflight.commit.WithPause(storeRetryDelay)})
 		return
 	}
--- a/standin/emulator/links.go
+++ b/standin/emulator/links.go
@@ -1,6 +1,8 @@
 package emulator
 
 import (
+	"time"
+
 	"github.com/almondcross/almondcross"
 	"github.com/almondcross/almondcross/command/scheduler"
 )
@@ -10,9 +12,10 @@
 func (modelhost *modelHost) setLink(announced scheduler.AnnounceScheduler) {
 	simulation := modelhost.simulation
 	target := simulation.host(announced.Pointer.Host())
+	modelhost.wantedLink = target
 	if previous := modelhost.linkedTo; previous != nil && previous != target {
 		modelhost.linkedTo = nil
-		simulation.schedule(linkDelay, func() {
+		simulation.schedule(simulation.linkHold(modelhost, previous)+linkDelay, func() {
 			if previous.up {
 				previous.deliver(almondcross.NewHostLinkChanged(almondcross.HostLinkChangedConfig{Host: modelhost.name}))
 			}
@@ -22,11 +25,21 @@
 		return
 	}
 	incarnation := modelhost.incarnation
+	if hold := simulation.linkHold(modelhost, target); hold > 0 {
+		simulation.schedule(hold, func() {
+			if modelhost.incarnation == incarnation && modelhost.wantedLink == target && modelhost.linkedTo == nil {
+				modelhost.setLink(announced)
+			}
+		})
+		return
+	}
 	simulation.schedule(3*linkDelay, func() {
 		if modelhost.incarnation == incarnation && target.up && modelhost.linkedTo == nil {
 			modelhost.linkedTo = target
+			modelhost.linkCount++
 			target.deliver(almondcross.NewHostLinkChanged(almondcross.HostLinkChangedConfig{
-				Host: modelhost.name, Present: true, Strength: announced.Strength, Address: modelhost.name, SchedulerEpoch: announced.Pointer.Epoch(), Ends: announced.Ends,
+				Host: modelhost.name, Present: true, Strength: announced.Strength, Address: modelhost.name,
+				SchedulerEpoch: announced.Pointer.Epoch(), Ends: announced.Ends,
 			}))
 		}
 	})
@@ -39,9 +52,9 @@
 			if host.name != name || host.linkedTo != modelhost {
 				continue
 			}
-			incarnation := host.incarnation
-			modelhost.simulation.schedule(linkDelay, func() {
-				if host.incarnation == incarnation && host.linkedTo == modelhost {
+			incarnation, link := host.incarnation, host.linkCount
+			modelhost.simulation.schedule(modelhost.simulation.linkHold(host, modelhost)+linkDelay, func() {
+				if host.incarnation == incarnation && host.linkedTo == modelhost && host.linkCount == link {
 					host.deliver(message)
 				}
 			})
@@ -65,7 +78,7 @@
 		config := almondcross.PointerReadConfig{Err: err}
 		for _, peer := range peers {
 			host := simulation.host(peer)
-			if host != nil && host.up && host.pointer.Host() != "" && host.pointer.Host() != modelhost.name &&
+			if host != nil && host.up && simulation.linkHold(modelhost, host) == 0 && host.pointer.Host() != "" && host.pointer.Host() != modelhost.name &&
 				host.pointer.Epoch() >= config.Pointer.Epoch() {
 				config = almondcross.PointerReadConfig{Pointer: host.pointer, Found: true}
 			}
@@ -73,3 +86,12 @@
 		modelhost.deliver(almondcross.NewPointerRead(config))
 	})
 }
+
+// linkHold returns how long a partition between two hosts still holds back what one sends to the other. Like a connection,
+// an open link delivers it afterwards.
+func (simulation *Simulation) linkHold(a, b *modelHost) time.Duration {
+	if a == b {
+		return 0
+	}
+	return max(simulation.faults.linksCutUntil[a], simulation.faults.linksCutUntil[b], simulation.now) - simulation.now
+}
