Record what the end of a run means for its job

Each replica worked out from its own settings and rules whether a job has ended (updateJobState).

The scheduler now decides when it records an end or late settings, and the verdict is part of that change: the job waits, goes on, is completed, or has failed for attempts or crashes. So no takeover comes between the two. Replicas apply it as it stands, also for a run that they do not have. Only a change without a verdict, from the landed version, is judged by the own rules, which are unchanged. The verdict takes the field of the occurrence, which the landed version ignores in these kinds: no byte more for a job.

--- a/command/scheduler/append.go
+++ b/command/scheduler/append.go
@@ -33,8 +33,7 @@
 	machine.beginBatch()
 	// While the store does not answer, the pending batch may have begun long ago.
 	machine.state.applyTime = machine.now
-	change := almondcross.NewChange(config)
-	machine.state.apply(change)
+	change := machine.state.decide(almondcross.NewChange(config))
 	machine.leader.pendingChanges = append(machine.leader.pendingChanges, change)
 }
 
--- a/command/scheduler/attempts.go
+++ b/command/scheduler/attempts.go
@@ -48,8 +48,9 @@
 	}
 }
 
-// countLateFailure counts the failure of a lost run.
-func (state *state) countLateFailure(job *job, stage *stage, index, run int) {
+// countLateFailure counts the failure of a lost run and returns the verdict on the job.
+func (state *state) countLateFailure(job *job, stage *stage, index int, change almondcross.Change) almondcross.Verdict {
+	run := change.Run()
 	if stage.spec.Gang() {
 		stage.gangFailures++
 		stage.forgetLostRun(run)
@@ -57,8 +58,9 @@
 		record := withoutLostRun(stage.tasks[index], run)
 		stage.tasks[index] = record.WithFailures(record.Failures() + 1)
 	}
-	state.updateJobState(job, stage, index, false)
+	verdict := state.verdictOn(job, stage, index, change)
 	state.compactJob(job)
+	return verdict
 }
 
 // startedBeyondLimit reports whether a task has been started after as many failed runs as are allowed, given that a lost run
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -145,7 +145,7 @@
 	case almondcross.ChangeAdmit:
 		state.admitJob(change.Job(), change.Settings())
 	case almondcross.ChangeSettings:
-		state.settleJob(change.Job().ID(), change.Settings())
+		state.settleJob(change)
 	case almondcross.ChangeCancel:
 		state.cancelJob(change.Job(), change.Settings())
 	case almondcross.ChangeAssign:
@@ -218,27 +218,6 @@
 	}
 }
 
-// settleJob sets the settings of an open job that has none, and fails the job if a task has failed too often by them.
-func (state *state) settleJob(id almondcross.JobID, settings almondcross.QueueSettings) {
-	job := state.jobs[id]
-	if job == nil || job.state.Final() || job.settings.Known() || !settings.Known() {
-		return
-	}
-	if job.settings.Queue().Name() == "" { // A host of the version before has counted the job by the name of its queue.
-		state.updateUsage(settings.Queue(), func(usage almondcross.QueueUsage) almondcross.QueueUsage {
-			return usage.WithAdmitted(usage.Admitted() + 1)
-		})
-	}
-	job.settings = settings
-	for _, stage := range job.stages {
-		for index := range stage.tasks {
-			if stage.remainingTasks > 0 {
-				state.updateJobState(job, stage, index, false)
-			}
-		}
-	}
-}
-
 func (job *job) startOccurrence() {
 	if job.startedOccurrences >= job.spec.Occurrences() {
 		return
@@ -326,19 +305,15 @@
 	stage.gangRun = max(stage.gangRun, change.Run())
 }
 
-func (state *state) endTask(change almondcross.Change) {
-	job, stage, found := state.find(change.Task())
-	if !found {
-		return
-	}
+// countEnd applies the end of a run to its task and returns the verdict on the job.
+func (state *state) countEnd(job *job, stage *stage, change almondcross.Change) almondcross.Verdict {
 	index := change.Task().Index
 	record := stage.tasks[index]
 	if change.End() == almondcross.EndFailed && slices.Contains(record.LostRuns(), change.Run()) {
-		state.countLateFailure(job, stage, index, change.Run())
-		return
+		return state.countLateFailure(job, stage, index, change)
 	}
 	if record.Run() != change.Run() || !record.Active() && (change.End() != almondcross.EndDone || record.Done()) {
-		return
+		return change.Verdict()
 	}
 	if !record.Active() {
 		// The run was presumed lost, and its success was reported before the task was assigned again.
@@ -347,8 +322,8 @@
 	} else {
 		defer state.releaseWorker(record.Worker()) // The worker counts as busy when its crash is weighed.
 	}
-	if change.End() != almondcross.EndVoid && change.End() != almondcross.EndMaybeCrashed {
-		// A worker reports ends only of runs that it had. The run started no earlier than it was assigned.
+	if showsStart(change) {
+		// The run started no earlier than it was assigned.
 		state.startJob(job.spec.ID(), job.waitedUntil(record.Since()))
 	}
 	state.addRunUsage(job, stage, record, change.End())
@@ -369,8 +344,9 @@
 	if stage.spec.Gang() && !stage.spec.Service() {
 		stage.updateGang(change)
 	}
-	state.updateJobState(job, stage, index, isCrash(change.End()))
+	verdict := state.verdictOn(job, stage, index, change)
 	state.compactJob(job)
+	return verdict
 }
 
 // endRun sets the record of a task whose run has ended.
@@ -406,31 +382,6 @@
 	}
 }
 
-// updateJobState finishes the job of a task whose run has ended if that was its last one. Only a crash gives a task up.
-func (state *state) updateJobState(job *job, stage *stage, index int, crashed bool) {
-	if job.state.Final() {
-		return
-	}
-	failures := stage.tasks[index].Failures()
-	if stage.spec.Gang() {
-		failures = stage.gangFailures
-	}
-	if limit, known := job.attemptLimit(); known && failures >= limit && stage.remainingTasks > 0 && !stage.spec.Service() {
-		state.finishJob(job, almondcross.JobFailed)
-		return
-	}
-	if crashed && state.givenUp(stage, index) {
-		state.finishJob(job, almondcross.JobFailed)
-		return
-	}
-	if stage.remainingTasks > 0 || job.startedOccurrences < job.spec.Occurrences() {
-		return
-	}
-	if !slices.ContainsFunc(job.stages, hasRemainingTasks) {
-		state.finishJob(job, almondcross.JobCompleted)
-	}
-}
-
 // expireJobs removes final jobs whose retention has ended.
 func (state *state) expireJobs() {
 	expired := 0
--- a/encoder/journal.go
+++ b/encoder/journal.go
@@ -56,7 +56,7 @@
 	Task                    *wireJobTask
 	Run                     int
 	Worker, End, Checkpoint string
-	Occurrence              int
+	Occurrence              int    // Occurrence is the verdict of ChangeEnd and ChangeSettings, which the version before ignores.
 	Host, Address           string // Host is the data centre of the worker in ChangeAssign, ChangeWorkerAddress and ChangeWorkerUnlisted.
 	// DurationMS is the lease remaining of ChangeWorkerSilent, the time waited of ChangeJobStarted or the silence of ChangeEnd,
 	// and the version of the settings of ChangeAdmit, ChangeCancel and ChangeSettings. The version before ignores it for these kinds.
@@ -380,11 +380,14 @@
 	case almondcross.ChangeJobStarted:
 		wire.DurationMS = change.Waited().Milliseconds()
 	case almondcross.ChangeEnd:
-		wire.DurationMS = change.Silent().Milliseconds()
+		wire.DurationMS, wire.Occurrence = change.Silent().Milliseconds(), int(change.Verdict())
 	case almondcross.ChangeWorkerUnlisted, almondcross.ChangeWorkerAddress, almondcross.ChangeAssign:
 		wire.Host = change.Zone()
 	case almondcross.ChangeAdmit, almondcross.ChangeCancel, almondcross.ChangeSettings:
 		wire.DurationMS = change.Settings().Version()
+		if change.Kind() == almondcross.ChangeSettings {
+			wire.Occurrence = int(change.Verdict())
+		}
 	default:
 	}
 	if change.Job().ID() != "" {
@@ -412,10 +415,12 @@
 	case almondcross.ChangeJobStarted:
 		config.Waited = duration
 	case almondcross.ChangeEnd:
-		config.Silent = duration
+		config.Silent, config.Occurrence, config.Verdict = duration, 0, almondcross.Verdict(wirestatechange.Occurrence)
 	case almondcross.ChangeWorkerUnlisted, almondcross.ChangeWorkerAddress, almondcross.ChangeAssign:
 		config.Host, config.Zone = "", wirestatechange.Host
-	case almondcross.ChangeAdmit, almondcross.ChangeCancel, almondcross.ChangeSettings:
+	case almondcross.ChangeSettings:
+		config.Occurrence, config.Verdict = 0, almondcross.Verdict(wirestatechange.Occurrence)
+	case almondcross.ChangeAdmit, almondcross.ChangeCancel:
 	default:
 		config.LeaseRemaining = duration
 	}
--- a/encoder/journal_test.go
+++ b/encoder/journal_test.go
@@ -95,3 +95,24 @@
 	require.True(t, found)
 	require.Equal(t, config, snapshot.Config())
 }
+
+// Guards against a verdict that replicas do not read, against one that is taken for the number of an occurrence, and against
+// records that grow by it: the landed version reads arrays of this length only.
+func TestVerdictsTakeTheFieldOfTheOccurrence(t *testing.T) {
+	codec := newCodec(t)
+	encode := func(changes ...almondcross.Change) []byte {
+		record, err := codec.EncodeBatch(almondcross.NewJournalBatch(almondcross.JournalBatchConfig{Epoch: 1, At: time.UnixMilli(1), Changes: changes}))
+		require.NoError(t, err)
+		return record
+	}
+	for _, kind := range []almondcross.ChangeKind{almondcross.ChangeEnd, almondcross.ChangeSettings} {
+		change := almondcross.NewChange(almondcross.ChangeConfig{Kind: kind, Task: journalTask, Run: 3, Worker: "w-1"})
+		for verdict := almondcross.VerdictUnknown; verdict <= almondcross.VerdictCrashes; verdict++ {
+			record := encode(change.WithVerdict(verdict))
+			require.Len(t, record, len(encode(change)))
+			batch, err := codec.DecodeBatch(record)
+			require.NoError(t, err)
+			require.Equal(t, []almondcross.Change{change.WithVerdict(verdict)}, batch.Changes())
+		}
+	}
+}
--- a/job_generated.go
+++ b/job_generated.go
@@ -1931,6 +1931,7 @@
 	LeaseRemaining time.Duration
 	Silent         time.Duration
 	Waited         time.Duration
+	Verdict        Verdict
 }
 
 // NewChange returns a Change with the given fields.
@@ -1951,6 +1952,7 @@
 		leaseRemaining: config.LeaseRemaining,
 		silent:         config.Silent,
 		waited:         config.Waited,
+		verdict:        config.Verdict,
 	}
 }
 
@@ -1972,6 +1974,7 @@
 		LeaseRemaining: change.leaseRemaining,
 		Silent:         change.silent,
 		Waited:         change.waited,
+		Verdict:        change.verdict,
 	}
 }
 
@@ -2110,6 +2113,15 @@
 	return change
 }
 
+// Verdict returns what ChangeEnd or ChangeSettings means for the job.
+func (change Change) Verdict() Verdict { return change.verdict }
+
+// WithVerdict returns a copy with the given verdict.
+func (change Change) WithVerdict(verdict Verdict) Change {
+	change.verdict = verdict
+	return change
+}
+
 // JournalBatchConfig holds the fields of a new JournalBatch.
 type JournalBatchConfig struct {
 	Epoch   int64
--- a/journal.go
+++ b/journal.go
@@ -158,6 +158,19 @@
 	ChangeWorkerAddress  ChangeKind = 15 // ChangeWorkerAddress records the address of a worker with runs, which a snapshot does not have.
 )
 
+// Verdict is what the scheduler has decided about a job when a run ended or its settings became known.
+type Verdict int
+
+// The verdicts. The numbers are part of the stored format.
+const (
+	VerdictUnknown   Verdict = 0 // VerdictUnknown means that none is recorded: a scheduler of an earlier version wrote the change.
+	VerdictQueued    Verdict = 1 // VerdictQueued means that the job goes on and that none of its runs is known to have started.
+	VerdictStarted   Verdict = 2 // VerdictStarted means that the job has started and does not end by this change.
+	VerdictCompleted Verdict = 3 // VerdictCompleted means that the job is completed.
+	VerdictAttempts  Verdict = 4 // VerdictAttempts means that the job has failed because a task has used up its attempts.
+	VerdictCrashes   Verdict = 5 // VerdictCrashes means that the job has failed because workers crashed under a task.
+)
+
 // Change is one change of the replicated state.
 //
 //value:generate
@@ -177,6 +190,7 @@
 	leaseRemaining time.Duration // the time after ChangeWorkerSilent by which the lease of the worker has expired
 	silent         time.Duration // the time for which the worker of a crashed or lost run had not answered when the end was recorded, 0 for other runs
 	waited         time.Duration // the time from the submission of the job, or its first due time, to the start in ChangeJobStarted
+	verdict        Verdict       // what ChangeEnd or ChangeSettings means for the job
 }
 
 // JournalBatch is one record of the journal.
