--- a/command/scheduler/append.go
+++ b/command/scheduler/append.go
@@ -218,7 +218,7 @@
 	// The answer may have waited while this host was paused, so the views count as of when the append was sent.
 	machine.config.Publisher.Refreshed(inflight.sentAt, inflight.intakesCurrent)
 	if inflight.snapshot != nil {
-		machine.storeSnapshot(inflight.snapshot.WithNext(answer.Appended().End()))
+		machine.storeWithFormat(inflight.snapshot.WithNext(answer.Appended().End()))
 	}
 	for _, callback := range inflight.callbacks {
 		if machine.leader != leader {
--- a/command/scheduler/crash_test.go
+++ b/command/scheduler/crash_test.go
@@ -138,12 +138,14 @@
 		failures := map[string]almondcross.OrderResult{}
 		for range minConfirmedCrashes {
 			harness.schedule(5*leaderTick, failures) // A task that crashes its workers at once is given up at the second crash.
-			lost := harness.record(taskOf("j", 0, 0)).Worker()
+			lost, run := harness.record(taskOf("j", 0, 0)).Worker(), harness.record(taskOf("j", 0, 0)).Run()
 			failures[lost] = result
 			harness.apply(almondcross.NewWorkersRead(almondcross.WorkersReadConfig{Changes: []almondcross.WorkerChange{
 				almondcross.NewWorkerChange(almondcross.WorkerChangeConfig{ID: lost}),
 			}}))
-			harness.schedule(7*time.Second, failures)
+			for end := harness.now.Add(7 * time.Second); harness.now.Before(end) && harness.record(taskOf("j", 0, 0)).Run() == run; {
+				harness.schedule(leaderTick, failures)
+			}
 		}
 		require.Equal(t, state, harness.machine.state.jobs["j"].state)
 	}
--- a/command/scheduler/discovery.go
+++ b/command/scheduler/discovery.go
@@ -28,7 +28,7 @@
 // strength returns the scheduling strength of this host: the configured one minus its latency to the store,
 // since every start waits for an append.
 func (machine *Machine) strength() int {
-	if machine.stopping || machine.discovery.viaPeer {
+	if machine.stopping || machine.discovery.viaPeer || machine.schedulerUnread() {
 		return 0
 	}
 	return max(0, machine.config.Strength-int(min(machine.discovery.storeLatency, maxLatencyPenalty).Milliseconds()))
--- a/command/scheduler/follower.go
+++ b/command/scheduler/follower.go
@@ -198,6 +198,7 @@
 	if machine.checkIncompleteState() {
 		return
 	}
+	machine.checkFormat()
 	machine.publishState(asOf)
 	if machine.follower.caughtUp {
 		machine.gap.since = time.Time{}
@@ -211,6 +212,8 @@
 	follower := &machine.follower
 	changes := machine.takeViewChanges()
 	switch {
+	case !machine.readsFormat():
+		return
 	case follower.published:
 		machine.publish(changes)
 	case follower.caughtUp:
@@ -240,7 +243,7 @@
 // checkElection stands for election when no batch arrives although the store answers.
 func (machine *Machine) checkElection() {
 	follower := &machine.follower
-	if !follower.caughtUp || follower.readFailing || machine.stopping || machine.now.Sub(follower.lastReadAt) > freshReadAge || machine.now.Before(follower.electionAt) {
+	if !follower.caughtUp || follower.readFailing || machine.stopping || !machine.readsFormat() || machine.now.Sub(follower.lastReadAt) > freshReadAge || machine.now.Before(follower.electionAt) {
 		return
 	}
 	silence := machine.now.Sub(follower.lastBatchAt)
@@ -304,6 +307,7 @@
 				almondcross.NewChange(almondcross.ChangeConfig{
 					Kind: almondcross.ChangeElected, Host: machine.config.Host, Address: machine.config.Address,
 				}),
+				almondcross.NewChange(formatChange()),
 			},
 		})},
 	)})
--- /dev/null
+++ b/command/scheduler/format.go
@@ -0,0 +1,49 @@
+package scheduler
+
+import "github.com/almondcross/almondcross"
+
+// journalFormat is the number of the format of the journal and of snapshots that this version writes, and the highest one that it
+// reads. Hosts of the version before write none. A version that raises it first lands with code that only reads the new format,
+// so that two neighbouring versions read each other's journal (docs/decisions/mixed-versions.md).
+const journalFormat = 1
+
+func formatChange() almondcross.ChangeConfig {
+	return almondcross.ChangeConfig{Kind: almondcross.ChangeFormat, Format: journalFormat}
+}
+
+// readsFormat reports whether this host knows the format of all that its state is from. With a higher number, it may have
+// skipped changes or judged them by other rules, so it must neither schedule by the state nor show it to callers.
+func (machine *Machine) readsFormat() bool { return machine.state.format <= journalFormat }
+
+// schedulerUnread reports whether the known scheduler is one whose journal this host cannot read in full.
+func (machine *Machine) schedulerUnread() bool {
+	return machine.unreadEpoch != 0 && machine.unreadEpoch == machine.discovery.pointer.Epoch()
+}
+
+// checkFormat leaves the answers of a host that cannot read the journal to the scheduler: it publishes nothing from its state and
+// announces no strength, so that the scheduler makes it a viewer and sends it views. It offers its strength to the next
+// scheduler, since that one may be of an earlier version again.
+func (machine *Machine) checkFormat() {
+	if machine.readsFormat() {
+		return
+	}
+	epoch := machine.state.schedulerEpoch
+	machine.follower.published = false // From here on it publishes the views that the scheduler pushes.
+	if !machine.follower.caughtUp || machine.unreadEpoch == epoch {
+		return
+	}
+	machine.unreadEpoch, machine.discovery.viewsReceived = epoch, false
+	machine.config.Log.Record("journal_format_unknown", almondcross.Number("format", machine.state.format), almondcross.Number("known", journalFormat),
+		almondcross.Text("host", machine.state.schedulerHost), almondcross.Number("epoch", epoch))
+	machine.config.Metrics.FormatUnknown()
+	if machine.schedulerUnread() {
+		machine.emit(AnnounceScheduler{Pointer: machine.discovery.pointer, Strength: machine.strength()})
+	}
+}
+
+// storeWithFormat stores a snapshot once the number of its format is in the journal behind it. The snapshot has no field for the
+// number: its arrays have a fixed length, and the version before would keep the content of any other field for its own snapshots.
+func (machine *Machine) storeWithFormat(snapshot almondcross.StateSnapshot) {
+	machine.recordChange(formatChange())
+	machine.afterCommit(func() { machine.storeSnapshot(snapshot) })
+}
--- a/command/scheduler/harness_test.go
+++ b/command/scheduler/harness_test.go
@@ -24,6 +24,7 @@
 func (noopRecorder) Ended(almondcross.EndKind)              {}
 func (noopRecorder) Advised(string, int, int)               {}
 func (noopRecorder) Examined(int)                           {}
+func (noopRecorder) FormatUnknown()                         {}
 
 // testingT is the common part of testing.T and rapid.T.
 type testingT interface {
--- a/command/scheduler/metrics.go
+++ b/command/scheduler/metrics.go
@@ -20,6 +20,8 @@
 	StopSent(reason string)
 	// Ended counts an end of a run by its kind.
 	Ended(kind almondcross.EndKind)
+	// FormatUnknown counts a scheduler whose journal this host cannot read in full.
+	FormatUnknown()
 	// Examined counts how often a worker was looked at in a placement pass, the main cost of placement.
 	Examined(workers int)
 	// Advised counts an answer of the advice service.
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -70,6 +70,7 @@
 	schedulerHost    string
 	schedulerAddress string
 	resigned         bool
+	format           int // format is the highest number of a format in the journal since this host loaded the state, zero for none.
 	intakeOffsets    map[int]int64
 	jobs             map[almondcross.JobID]*job
 	retention        time.Duration
@@ -167,6 +168,8 @@
 		state.earlierEpochs = slices.DeleteFunc(state.earlierEpochs, func(epoch int64) bool { return epoch < state.schedulerEpoch })
 	case almondcross.ChangeResigned:
 		state.resigned = true
+	case almondcross.ChangeFormat:
+		state.format = max(state.format, change.Format())
 	default:
 		state.applyToWorker(change)
 	}
--- a/encoder/journal.go
+++ b/encoder/journal.go
@@ -54,7 +54,7 @@
 	Job                     *wireJob
 	Queue                   *wireQueue
 	Task                    *wireJobTask
-	Run                     int
+	Run                     int // Run is the number of ChangeFormat.
 	Worker, End, Checkpoint string
 	Occurrence              int    // Occurrence is the verdict of ChangeEnd and ChangeSettings, which the version before ignores.
 	Host, Address           string // Host is the data centre of the worker in ChangeAssign, ChangeWorkerAddress and ChangeWorkerUnlisted.
@@ -383,6 +383,8 @@
 		wire.DurationMS, wire.Occurrence = change.Silent().Milliseconds(), int(change.Verdict())
 	case almondcross.ChangeWorkerUnlisted, almondcross.ChangeWorkerAddress, almondcross.ChangeAssign:
 		wire.Host = change.Zone()
+	case almondcross.ChangeFormat:
+		wire.Run = change.Format()
 	case almondcross.ChangeAdmit, almondcross.ChangeCancel, almondcross.ChangeSettings:
 		wire.DurationMS = change.Settings().Version()
 		if change.Kind() == almondcross.ChangeSettings {
@@ -420,6 +422,8 @@
 		config.Host, config.Zone = "", wirestatechange.Host
 	case almondcross.ChangeSettings:
 		config.Occurrence, config.Verdict = 0, almondcross.Verdict(wirestatechange.Occurrence)
+	case almondcross.ChangeFormat:
+		config.Run, config.Format = 0, wirestatechange.Run
 	case almondcross.ChangeAdmit, almondcross.ChangeCancel:
 	default:
 		config.LeaseRemaining = duration
--- a/encoder/journal_test.go
+++ b/encoder/journal_test.go
@@ -116,3 +116,14 @@
 		}
 	}
 }
+
+// Guards against a number of the journal's format that a host does not read, or takes for the number of a run.
+func TestFormatIsRead(t *testing.T) {
+	codec := newCodec(t)
+	change := almondcross.NewChange(almondcross.ChangeConfig{Kind: almondcross.ChangeFormat, Format: 3})
+	record, err := codec.EncodeBatch(almondcross.NewJournalBatch(almondcross.JournalBatchConfig{Epoch: 1, At: time.UnixMilli(1), Changes: []almondcross.Change{change}}))
+	require.NoError(t, err)
+	batch, err := codec.DecodeBatch(record)
+	require.NoError(t, err)
+	require.Equal(t, []almondcross.Change{change}, batch.Changes())
+}
--- a/job_generated.go
+++ b/job_generated.go
@@ -1932,6 +1932,7 @@
 	Silent         time.Duration
 	Waited         time.Duration
 	Verdict        Verdict
+	Format         int
 }
 
 // NewChange returns a Change with the given fields.
@@ -1953,6 +1954,7 @@
 		silent:         config.Silent,
 		waited:         config.Waited,
 		verdict:        config.Verdict,
+		format:         config.Format,
 	}
 }
 
@@ -1975,6 +1977,7 @@
 		Silent:         change.silent,
 		Waited:         change.waited,
 		Verdict:        change.verdict,
+		Format:         change.format,
 	}
 }
 
@@ -2122,6 +2125,15 @@
 	return change
 }
 
+// Format returns the number of ChangeFormat.
+func (change Change) Format() int { return change.format }
+
+// WithFormat returns a copy with the given format.
+func (change Change) WithFormat(format int) Change {
+	change.format = format
+	return change
+}
+
 // JournalBatchConfig holds the fields of a new JournalBatch.
 type JournalBatchConfig struct {
 	Epoch   int64
--- a/journal.go
+++ b/journal.go
@@ -156,6 +156,7 @@
 	ChangeWorkerListed   ChangeKind = 13 // ChangeWorkerListed records that an unlisted worker is announced again or was removed.
 	ChangeSnapshotStored ChangeKind = 14 // ChangeSnapshotStored records that the scheduler has stored a snapshot and removed those of earlier epochs.
 	ChangeWorkerAddress  ChangeKind = 15 // ChangeWorkerAddress records the address of a worker with runs, which a snapshot does not have.
+	ChangeFormat         ChangeKind = 17 // ChangeFormat records the number of the format in which the scheduler writes the journal and snapshots.
 )
 
 // Verdict is what the scheduler has decided about a job when a run ended or its settings became known.
@@ -191,6 +192,7 @@
 	silent         time.Duration // the time for which the worker of a crashed or lost run had not answered when the end was recorded, 0 for other runs
 	waited         time.Duration // the time from the submission of the job, or its first due time, to the start in ChangeJobStarted
 	verdict        Verdict       // what ChangeEnd or ChangeSettings means for the job
+	format         int           // the number of ChangeFormat
 }
 
 // JournalBatch is one record of the journal.
--- a/standin/emulator/host.go
+++ b/standin/emulator/host.go
@@ -218,6 +218,7 @@
 func (noMetrics) Ended(almondcross.EndKind)             {}
 func (noMetrics) Advised(string, int, int)              {}
 func (noMetrics) Examined(int)                          {}
+func (noMetrics) FormatUnknown()                        {}
 
 // Answered discards the status of an answer.
 func (noMetrics) Answered(string, string, int, time.Duration) {}
