--- a/command/scheduler/follower.go
+++ b/command/scheduler/follower.go
@@ -307,7 +307,7 @@
 				almondcross.NewChange(almondcross.ChangeConfig{
 					Kind: almondcross.ChangeElected, Host: machine.config.Host, Address: machine.config.Address,
 				}),
-				almondcross.NewChange(formatChange()),
+				almondcross.NewChange(machine.formatChange()),
 			},
 		})},
 	)})
--- a/command/scheduler/format.go
+++ b/command/scheduler/format.go
@@ -7,13 +7,15 @@
 // so that two neighbouring versions read each other's journal (docs/decisions/mixed-versions.md).
 const journalFormat = 1
 
-func formatChange() almondcross.ChangeConfig {
-	return almondcross.ChangeConfig{Kind: almondcross.ChangeFormat, Format: journalFormat}
+func (machine *Machine) format() int { return journalFormat + machine.config.FormatAbove }
+
+func (machine *Machine) formatChange() almondcross.ChangeConfig {
+	return almondcross.ChangeConfig{Kind: almondcross.ChangeFormat, Format: machine.format()}
 }
 
 // readsFormat reports whether this host knows the format of all that its state is from. With a higher number, it may have
 // skipped changes or judged them by other rules, so it must neither schedule by the state nor show it to callers.
-func (machine *Machine) readsFormat() bool { return machine.state.format <= journalFormat }
+func (machine *Machine) readsFormat() bool { return machine.state.format <= machine.format() }
 
 // schedulerUnread reports whether the known scheduler is one whose journal this host cannot read in full.
 func (machine *Machine) schedulerUnread() bool {
@@ -33,7 +35,7 @@
 		return
 	}
 	machine.unreadEpoch, machine.discovery.viewsReceived = epoch, false
-	machine.config.Log.Record("journal_format_unknown", almondcross.Number("format", machine.state.format), almondcross.Number("known", journalFormat),
+	machine.config.Log.Record("journal_format_unknown", almondcross.Number("format", machine.state.format), almondcross.Number("known", machine.format()),
 		almondcross.Text("host", machine.state.schedulerHost), almondcross.Number("epoch", epoch))
 	machine.config.Metrics.FormatUnknown()
 	if machine.schedulerUnread() {
@@ -44,6 +46,6 @@
 // storeWithFormat stores a snapshot once the number of its format is in the journal behind it. The snapshot has no field for the
 // number: its arrays have a fixed length, and the version before would keep the content of any other field for its own snapshots.
 func (machine *Machine) storeWithFormat(snapshot almondcross.StateSnapshot) {
-	machine.recordChange(formatChange())
+	machine.recordChange(machine.formatChange())
 	machine.afterCommit(func() { machine.storeSnapshot(snapshot) })
 }
--- a/command/scheduler/machine.go
+++ b/command/scheduler/machine.go
@@ -28,6 +28,7 @@
 	Retention        time.Duration // Retention is how long the state of a final job stays readable.
 	MaxLease         time.Duration // MaxLease is the longest lease that workers grant.
 	Strength         int           // Strength is the scheduling strength of this host, up to 100, before its latency to the store is subtracted.
+	FormatAbove      int           // FormatAbove is by how much the number of the journal's format is above that of this version, in simulations of a later one.
 	SnapshotInterval time.Duration // SnapshotInterval is the time between two snapshots.
 	RecordBytes      int           // RecordBytes is the maximum size of a journal record in bytes.
 	BatchesPerAppend int           // BatchesPerAppend is how many journal records of the largest size fit in one append.
--- a/standin/emulator/emulator_test.go
+++ b/standin/emulator/emulator_test.go
@@ -57,6 +57,23 @@
 	require.Empty(t, report.Violations)
 }
 
+// Guards against callers who get no answers while a cell is upgraded: hosts that cannot read the journal of a scheduler of a later
+// version in full show its views. The scheduler is killed once, and one of the two others of its version takes over.
+func TestHostsOfAnEarlierVersionAnswer(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+5; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			simulationConfig := newConfig(seed)
+			simulationConfig.LaterHosts = 3
+			simulationConfig.Faults = []emulator.Fault{{Kind: emulator.KillScheduler, StartsAt: 10 * time.Second, Duration: time.Second}}
+			report := runSimulation(t, simulationConfig)
+			require.Empty(t, report.Violations)
+			require.Less(t, report.Unavailable, report.Questions/50)
+			require.Greater(t, report.Accepted, report.Jobs*98/100)
+		})
+	}
+}
+
 // Guards against violations of the guarantees under any combination of faults.
 func TestSimulationsWithRandomFaults(t *testing.T) {
 	for seed := *firstSeed; seed < *firstSeed+uint64(*simulationCount); seed++ {
--- a/standin/emulator/host.go
+++ b/standin/emulator/host.go
@@ -66,12 +66,22 @@
 	modelhost.machine = scheduler.NewMachine(scheduler.Config{
 		Host: modelhost.name, Address: modelhost.name, Partitions: intakePartitions, Strength: 100 - 10*(modelhost.index%3), Retention: 150 * time.Second, MaxLease: maxLease,
 		SnapshotInterval: 3 * time.Second, RecordBytes: 256 << 10, BatchesPerAppend: 8, Random: rand.New(rand.NewPCG(simulation.random.Uint64(), 1)), //nolint:gosec // A model needs no secrecy.
-		Publisher: modelhost.jobTable, Picker: picker.BestFit{}, Log: hostLog{modelhost}, Metrics: noMetrics{},
+		FormatAbove: simulation.formatAbove(modelhost.index),
+		Publisher:   modelhost.jobTable, Picker: picker.BestFit{}, Log: hostLog{modelhost}, Metrics: noMetrics{},
 	})
 	modelhost.runUnfrozen(modelhost.advance)
 	modelhost.readRoutes()
 }
 
+// formatAbove returns 1 for a host of a later version and 0 for the others. Which hosts are of it depends on the seed, since the
+// strength of a host depends on its index.
+func (simulation *Simulation) formatAbove(index int) int {
+	if (uint64(index)+simulation.config.Seed)%uint64(simulation.config.Hosts) < uint64(simulation.config.LaterHosts) { //nolint:gosec // The numbers are small.
+		return 1
+	}
+	return 0
+}
+
 func (modelhost *modelHost) kill() {
 	modelhost.up = false
 	modelhost.incarnation++
--- a/standin/emulator/links.go
+++ b/standin/emulator/links.go
@@ -2,11 +2,11 @@
 
 import "github.com/almondcross/almondcross"
 
-// setLink closes the link to any other host and opens a link to the scheduler's host. If that is nil or this host
-// itself, it only closes the link.
+// setLink closes the present link and opens one to the scheduler's host, also if that is the same one: a new link tells it the
+// strength of this host. If it is nil or this host itself, it only closes the link.
 func (modelhost *modelHost) setLink(scheduler *modelHost, strength int) {
 	simulation := modelhost.simulation
-	if previous := modelhost.linkedTo; previous != nil && previous != scheduler {
+	if previous := modelhost.linkedTo; previous != nil {
 		modelhost.linkedTo = nil
 		simulation.schedule(linkDelay, func() {
 			if previous.up {
--- a/standin/emulator/simulation.go
+++ b/standin/emulator/simulation.go
@@ -14,6 +14,7 @@
 type Config struct {
 	Seed        uint64
 	Hosts       int           // Hosts is the number of scheduling hosts.
+	LaterHosts  int           // LaterHosts is the number of hosts of a later version among them, whose journal the others cannot read in full.
 	Workers     int           // Workers is the number of workers.
 	SubmitTime  time.Duration // SubmitTime is the time during which callers submit jobs.
 	DrainTime   time.Duration // DrainTime is the time after that within which accepted jobs must end.
