--- a/command/scheduler/append.go
+++ b/command/scheduler/append.go
@@ -33,8 +33,7 @@
 	machine.beginBatch()
 	// While the store does not answer, the pending batch may have begun long ago.
 	machine.state.applyTime = machine.now
-	change := almondcross.NewChange(config)
-	machine.state.apply(change)
+	change := machine.state.decide(almondcross.NewChange(config))
 	machine.leader.pendingChanges = append(machine.leader.pendingChanges, change)
 }
 
@@ -220,7 +219,7 @@
 	// The answer may have waited while this host was paused, so the views count as of when the append was sent.
 	machine.config.Publisher.Refreshed(inflight.sentAt, inflight.intakesCurrent)
 	if inflight.snapshot != nil {
-		machine.storeSnapshot(inflight.snapshot.WithNext(answer.Appended().End()))
+		machine.storeWithFormat(inflight.snapshot.WithNext(answer.Appended().End()))
 	}
 	for _, callback := range inflight.callbacks {
 		if machine.leader != leader {
--- a/command/scheduler/follower.go
+++ b/command/scheduler/follower.go
@@ -211,6 +211,7 @@
 	if machine.checkIncompleteState() {
 		return
 	}
+	machine.checkFormat()
 	machine.publishState(asOf)
 	if machine.follower.caughtUp {
 		machine.gap.since = time.Time{}
@@ -224,6 +225,8 @@
 	follower := &machine.follower
 	changes := machine.takeViewChanges()
 	switch {
+	case !machine.readsFormat():
+		return
 	case follower.published:
 		machine.publish(changes)
 	case follower.caughtUp:
@@ -253,7 +256,7 @@
 // checkElection stands for election when no batch arrives although the store answers.
 func (machine *Machine) checkElection() {
 	follower := &machine.follower
-	if !follower.caughtUp || follower.readFailing || machine.stopping || machine.now.Sub(follower.lastReadAt) > freshReadAge || machine.now.Before(follower.electionAt) {
+	if !follower.caughtUp || follower.readFailing || machine.stopping || !machine.readsFormat() || machine.now.Sub(follower.lastReadAt) > freshReadAge || machine.now.Before(follower.electionAt) {
 		return
 	}
 	silence := machine.now.Sub(follower.lastBatchAt)
@@ -317,6 +320,7 @@
 				almondcross.NewChange(almondcross.ChangeConfig{
 					Kind: almondcross.ChangeElected, Host: machine.config.Host, Address: machine.config.Address,
 				}),
+				almondcross.NewChange(machine.formatChange()),
 			},
 		})},
 	)})
--- a/job_generated.go
+++ b/job_generated.go
@@ -1931,6 +1931,8 @@
 	LeaseRemaining time.Duration
 	Silent         time.Duration
 	Waited         time.Duration
+	Verdict        Verdict
+	Format         int
 }
 
 // NewChange returns a Change with the given fields.
@@ -1951,6 +1953,8 @@
 		leaseRemaining: config.LeaseRemaining,
 		silent:         config.Silent,
 		waited:         config.Waited,
+		verdict:        config.Verdict,
+		format:         config.Format,
 	}
 }
 
@@ -1972,6 +1976,8 @@
 		LeaseRemaining: change.leaseRemaining,
 		Silent:         change.silent,
 		Waited:         change.waited,
+		Verdict:        change.verdict,
+		Format:         change.format,
 	}
 }
 
@@ -2110,6 +2116,24 @@
 	return change
 }
 
+// Verdict returns what ChangeEnd or ChangeSettings means for the job.
+func (change Change) Verdict() Verdict { return change.verdict }
+
+// WithVerdict returns a copy with the given verdict.
+func (change Change) WithVerdict(verdict Verdict) Change {
+	change.verdict = verdict
+	return change
+}
+
+// Format returns the number of ChangeFormat.
+func (change Change) Format() int { return change.format }
+
+// WithFormat returns a copy with the given format.
+func (change Change) WithFormat(format int) Change {
+	change.format = format
+	return change
+}
+
 // JournalBatchConfig holds the fields of a new JournalBatch.
 type JournalBatchConfig struct {
 	Epoch   int64
--- a/standin/emulator/links.go
+++ b/standin/emulator/links.go
@@ -7,13 +7,13 @@
 	"github.com/almondcross/almondcross/command/scheduler"
 )
 
-// setLink closes the link to any other host and opens a link to the scheduler's host. If there is none or it is this host
-// itself, it only closes the link.
+// setLink closes the present link and opens one to the scheduler's host, also if that is the same one: a new link tells it the
+// strength of this host. If there is none or it is this host itself, it only closes the link.
 func (modelhost *modelHost) setLink(announced scheduler.AnnounceScheduler) {
 	simulation := modelhost.simulation
 	target := simulation.host(announced.Pointer.Host())
 	modelhost.wantedLink = target
-	if previous := modelhost.linkedTo; previous != nil && previous != target {
+	if previous := modelhost.linkedTo; previous != nil {
 		modelhost.linkedTo = nil
 		simulation.schedule(simulation.linkHold(modelhost, previous)+linkDelay, func() {
 			if previous.up {
