--- a/command/scheduler/format.go
+++ b/command/scheduler/format.go
@@ -39,7 +39,7 @@
 		almondcross.Text("host", machine.state.schedulerHost), almondcross.Number("epoch", epoch))
 	machine.config.Metrics.FormatUnknown()
 	if machine.schedulerUnread() {
-		machine.emit(AnnounceScheduler{Pointer: machine.discovery.pointer, Strength: machine.strength()})
+		machine.emit(AnnounceScheduler{Pointer: machine.discovery.pointer, Strength: machine.strength(), Ends: machine.endsToForward()})
 	}
 }
 
--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -13,7 +13,7 @@
 	epoch           int64
 	sequence        int64
 	electedAt       time.Time // electedAt is when the election was answered.
-	lastCommitAt    time.Time // lastCommitAt is when the last successful append was sent.
+	lastCommitAt    time.Time // lastCommitAt is when the last successful append was first sent.
 	pointerStoredAt time.Time // pointerStoredAt is when the pointer was last stored.
 	lastAppendAt    time.Time // lastAppendAt is when the last append was sent.
 	resignCause     string    // resignCause is why this host resigns before the next append, empty if it does not.
