Name leases, verdicts and busy hosts of the scheduler plainly

Cause: a reader of the last changes met names that need explaining (unheardLeaseExpiredAt, judge, conclude, sharedHosts, unreadEpoch) and comments in figurative words ("tells", "hears", "goes on", "believed").

Change: earlierLeasesExpiredAt, deriveVerdict, applyVerdict, busyHosts and unreadableEpoch; comments state the rule in the words of the glossary. TestLeadershipGoesOnWithEachBatch is TestEachBatchExtendsTheLeadership. No behaviour, constant or assertion is changed.

--- a/command/scheduler/constants.go
+++ b/command/scheduler/constants.go
@@ -149,10 +149,10 @@
 	// orders but whose answers are lost thus stops its work.
 	maxExtensionAge = 1800 * time.Millisecond
 	// leadershipTimeout is how long a scheduler extends leases after its last commit, unless it resigns. A successor waits for
-	// this time plus a lease before it presumes the runs of an unreachable worker lost, see leadership.
+	// this time plus a lease before it presumes the runs of an unreachable worker lost, see the type leadership.
 	leadershipTimeout = 5 * time.Second
 	// resignationLag is how long after the record of its resignation a scheduler may extend leases. It extends none, but zero
-	// would stand for a scheduler that does not tell.
+	// would stand for a scheduler of an earlier version, which does not record this time.
 	resignationLag = time.Millisecond
 	// firstContactTimeout is how long a new scheduler tries to reach a worker before it presumes its runs lost, although the
 	// lease has expired: the ends of runs may still be reported. Announcements are back within 2 s of an outage of the store.
--- a/command/scheduler/discovery.go
+++ b/command/scheduler/discovery.go
@@ -28,7 +28,7 @@
 // strength returns the scheduling strength of this host: the configured one minus its latency to the store,
 // since every start waits for an append.
 func (machine *Machine) strength() int {
-	if machine.stopping || machine.discovery.viaPeer || machine.schedulerUnread() {
+	if machine.stopping || machine.discovery.viaPeer || machine.schedulerUnreadable() {
 		return 0
 	}
 	return max(0, machine.config.Strength-int(min(machine.discovery.storeLatency, maxLatencyPenalty).Milliseconds()))
@@ -223,8 +223,7 @@
 	machine.emit(AssignRole{Host: host.name, Assigned: almondcross.NewRoleAssigned(almondcross.RoleAssignedConfig{Standby: host.standby})})
 }
 
-// allViews returns the views of all jobs in no particular order, since a host puts them in the place of its earlier ones in one
-// step. Sorting the views of 21,000 jobs would take longer than collecting them.
+// allViews returns the views of all jobs in no particular order, since a host replaces all its views by them in one step. Sorting the views of 21,000 jobs would take longer than collecting them.
 func (machine *Machine) allViews() []almondcross.JobViewChange {
 	changes := make([]almondcross.JobViewChange, 0, len(machine.state.jobs))
 	for id, job := range machine.state.jobs {
--- a/command/scheduler/format.go
+++ b/command/scheduler/format.go
@@ -13,32 +13,32 @@
 	return almondcross.ChangeConfig{Kind: almondcross.ChangeFormat, Format: machine.format()}
 }
 
-// readsFormat reports whether this host knows the format of all that its state is from. With a higher number, it may have
-// skipped changes or judged them by other rules, so it must neither schedule by the state nor show it to callers.
+// readsFormat reports whether this host knows every format that its state was read from. With a higher number, it may have
+// skipped changes or applied them by other rules, so it must neither schedule by the state nor show it to callers.
 func (machine *Machine) readsFormat() bool { return machine.state.format <= machine.format() }
 
-// schedulerUnread reports whether the known scheduler is one whose journal this host cannot read in full.
-func (machine *Machine) schedulerUnread() bool {
-	return machine.unreadEpoch != 0 && machine.unreadEpoch == machine.discovery.pointer.Epoch()
+// schedulerUnreadable reports whether the known scheduler is one whose journal this host cannot read in full.
+func (machine *Machine) schedulerUnreadable() bool {
+	return machine.unreadableEpoch != 0 && machine.unreadableEpoch == machine.discovery.pointer.Epoch()
 }
 
-// checkFormat leaves the answers of a host that cannot read the journal to the scheduler: it publishes nothing from its state and
-// announces no strength, so that the scheduler makes it a viewer and sends it views. It offers its strength to the next
-// scheduler, since that one may be of an earlier version again.
+// checkFormat makes a host that cannot read the journal in full a viewer: it publishes nothing from its state and announces a
+// strength of 0, so that the scheduler sends it views. It announces its strength to the next scheduler again, since that one may
+// be of an earlier version.
 func (machine *Machine) checkFormat() {
 	if machine.readsFormat() {
 		return
 	}
 	epoch := machine.state.schedulerEpoch
-	machine.follower.published = false // From here on it publishes the views that the scheduler pushes.
-	if !machine.follower.caughtUp || machine.unreadEpoch == epoch {
+	machine.follower.published = false // From here on, this host publishes the views that the scheduler pushes.
+	if !machine.follower.caughtUp || machine.unreadableEpoch == epoch {
 		return
 	}
-	machine.unreadEpoch, machine.discovery.viewsReceived = epoch, false
+	machine.unreadableEpoch, machine.discovery.viewsReceived = epoch, false
 	machine.config.Log.Record("journal_format_unknown", almondcross.Number("format", machine.state.format), almondcross.Number("known", machine.format()),
 		almondcross.Text("host", machine.state.schedulerHost), almondcross.Number("epoch", epoch))
 	machine.config.Metrics.FormatUnknown()
-	if machine.schedulerUnread() {
+	if machine.schedulerUnreadable() {
 		machine.emit(AnnounceScheduler{Pointer: machine.discovery.pointer, Strength: machine.strength(), Ends: machine.endsToForward()})
 	}
 }
--- a/command/scheduler/format_test.go
+++ b/command/scheduler/format_test.go
@@ -12,7 +12,7 @@
 	"github.com/almondcross/almondcross/query/jobfinder"
 )
 
-// formatRecorder counts the log lines and the metric that tell of an unknown format.
+// formatRecorder counts the log lines and the metric that report an unknown format.
 type formatRecorder struct {
 	noopRecorder
 	lines, counted int
@@ -66,7 +66,7 @@
 	return false
 }
 
-// announcedStrengths removes the announcements and returns the strengths that they told a scheduler.
+// announcedStrengths removes the announcements and returns the strengths in them.
 func (harness *harness) announcedStrengths() []int {
 	var strengths []int
 	for announced, found := takeEffect[AnnounceScheduler](harness); found; announced, found = takeEffect[AnnounceScheduler](harness) {
--- a/command/scheduler/forward.go
+++ b/command/scheduler/forward.go
@@ -7,23 +7,23 @@
 )
 
 const (
-	// maxUnrecordedEnds bounds how many ends a former scheduler passes on. Their encoded form is far below the size of a frame
+	// maxUnrecordedEnds bounds how many ends a former scheduler forwards. Their encoded form is far below the size of a frame
 	// between hosts.
 	maxUnrecordedEnds = 1000
-	// unrecordedEndsRetention is how long a former scheduler passes them on: a worker that lives has reported its ends again by
-	// then, and the runs of one that does not have been presumed lost.
+	// unrecordedEndsRetention is how long a former scheduler forwards the ends: by then, a live worker has reported its ends again,
+	// and the runs of a lost one have been presumed lost.
 	unrecordedEndsRetention = 30 * time.Second
 )
 
 // unrecordedEnds holds the ends of runs that workers reported to this host while it was the scheduler and that may not be in
-// the journal. If a worker has gone as well, only this host knows that the run has ended, and without it the task runs again.
+// the journal. If the worker is lost as well, only this host knows that the run has ended, and the task would run again.
 type unrecordedEnds struct {
 	ends   []almondcross.Change
 	keptAt time.Time
 }
 
 // keepUnrecordedEnds keeps the outcomes in the changes that are not known to be in the journal, as this host ceases to be the
-// scheduler. Other ends follow from what this host believed and are left to its successor.
+// scheduler. Other ends, such as those of runs presumed lost, are left to its successor.
 func (machine *Machine) keepUnrecordedEnds() {
 	kept := unrecordedEnds{keptAt: machine.now}
 	keep := func(changes []almondcross.Change) {
@@ -47,7 +47,7 @@
 	return change.Kind() == almondcross.ChangeEnd && (change.End() == almondcross.EndDone || change.End() == almondcross.EndFailed)
 }
 
-// endsToForward returns the ends to pass to the scheduler.
+// endsToForward returns the ends to forward to the scheduler.
 func (machine *Machine) endsToForward() []almondcross.Change {
 	if machine.now.Sub(machine.unrecordedEnds.keptAt) > unrecordedEndsRetention {
 		machine.unrecordedEnds = unrecordedEnds{}
@@ -55,8 +55,8 @@
 	return machine.unrecordedEnds.ends
 }
 
-// recordForwardedEnds records the ends that a former scheduler on a host has read, of the runs that are not known to have
-// ended.
+// recordForwardedEnds records the ends that a former scheduler has read and forwarded from its host. It skips those of runs that
+// are not active on that worker.
 func (machine *Machine) recordForwardedEnds(host string, ends []almondcross.Change) {
 	recorded := 0
 	for _, end := range ends {
--- a/command/scheduler/forward_test.go
+++ b/command/scheduler/forward_test.go
@@ -60,7 +60,7 @@
 	require.Equal(t, almondcross.EndDone, harness.recordedEnd())
 }
 
-// Guards against ends that are passed on for good: their runs are long decided.
+// Guards against ends that are forwarded without end: the scheduler has settled their runs by another way long before.
 func TestUnrecordedEndsExpire(t *testing.T) {
 	harness := newHarnessWithRun(t)
 	require.Len(t, harness.depose(almondcross.EndDone), 1)
--- a/command/scheduler/hostcalls.go
+++ b/command/scheduler/hostcalls.go
@@ -22,9 +22,9 @@
 	// maxRoundTrip limits the round trip that is assumed for a host, and with it the work that waits at the service in front
 	// of a call: a host whose answers are delayed by a fault gets no backlog.
 	maxRoundTrip = 100 * time.Millisecond
-	// roundTripWeight is the weight of a longer round trip in the estimate. A shorter one counts at once.
+	// roundTripWeight is the weight of a longer round trip in the moving average. A shorter one replaces the estimate at once.
 	roundTripWeight = 0.1
-	// maxCallWork limits the work that is expected for a call, so that that of all calls of a host can be added.
+	// maxCallWork limits the work that is expected for a call, so that the sum over all calls of a host does not overflow.
 	maxCallWork = time.Hour
 )
 
@@ -62,7 +62,7 @@
 // handled all pending calls.
 func (linkedhost *linkedHost) expectedTimes() (firstAnswer, handled time.Time) {
 	oneWay := linkedhost.roundTrip / 2
-	handled = linkedhost.answeredAt.Add(-oneWay)
+	handled = linkedhost.answeredAt.Add(-oneWay) // The service was free when it sent its last answer.
 	for index, call := range linkedhost.calls {
 		if arrival := call.sentAt.Add(oneWay); arrival.After(handled) {
 			handled = arrival
@@ -83,7 +83,7 @@
 // acceptsFurtherCall reports whether a host that has pending calls may get another one. It may if the call is expected to wait
 // at the service for less than a round trip: with one call at a time, the service would be idle for a round trip after each
 // call, which in another region takes several times as long as a short call. A call that waits longer could be made by
-// another host, or be behind one of a more urgent stage. A host whose answer is overdue gets no further call.
+// another host, or delay a call of a more urgent stage that becomes ready later. A host whose answer is overdue gets no further call.
 func (linkedhost *linkedHost) acceptsFurtherCall(now time.Time) bool {
 	if len(linkedhost.calls) >= almondcross.AdviceCallsPerHost {
 		return false
@@ -92,13 +92,13 @@
 	return !now.After(firstAnswer) && handled.Sub(now.Add(linkedhost.roundTrip/2)) < linkedhost.roundTrip
 }
 
-// noteRoundTrip updates the estimate of the round trip by a call that took a time.
+// noteRoundTrip updates the estimate of the round trip from an answered call and the time until its answer.
 func (linkedhost *linkedHost) noteRoundTrip(call adviceCall, took time.Duration) {
 	measured := min(max(took-call.work, 0), maxRoundTrip)
 	switch {
 	case linkedhost.roundTrip == 0 && call.alone || measured < linkedhost.roundTrip:
 		linkedhost.roundTrip = measured
-	case call.alone: // Another call may have waited for those before it.
+	case call.alone: // The time of any other call may include a wait for the calls before it, which is not part of the round trip.
 		linkedhost.roundTrip += time.Duration(float64(measured-linkedhost.roundTrip) * roundTripWeight)
 	}
 }
@@ -196,7 +196,7 @@
 // collectHosts collects the hosts that may make a call in a placement pass.
 func (machine *Machine) collectHosts() {
 	leader := machine.leader
-	leader.idleHosts, leader.sharedHosts, leader.longCalls = leader.idleHosts[:0], leader.sharedHosts[:0], 0
+	leader.idleHosts, leader.busyHosts, leader.longCalls = leader.idleHosts[:0], leader.busyHosts[:0], 0
 	for _, linkedHost := range machine.linkedHosts {
 		if linkedHost.hasLongCall() {
 			leader.longCalls++
@@ -206,12 +206,12 @@
 		case len(linkedHost.calls) == 0:
 			leader.idleHosts = append(leader.idleHosts, linkedHost)
 		case linkedHost.acceptsFurtherCall(machine.now):
-			leader.sharedHosts = append(leader.sharedHosts, linkedHost)
+			leader.busyHosts = append(leader.busyHosts, linkedHost)
 		}
 	}
 	// The last one is used first.
 	slices.SortFunc(leader.idleHosts, func(a, b *linkedHost) int { return strings.Compare(b.name, a.name) })
-	slices.SortFunc(leader.sharedHosts, func(a, b *linkedHost) int {
+	slices.SortFunc(leader.busyHosts, func(a, b *linkedHost) int {
 		_, handledA := a.expectedTimes()
 		_, handledB := b.expectedTimes()
 		return cmp.Or(handledB.Compare(handledA), strings.Compare(b.name, a.name))
@@ -225,7 +225,7 @@
 	if long && hosts > 1 && float64(leader.longCalls+1) > maxLongCallShare*float64(hosts) {
 		return nil
 	}
-	for _, available := range [...][]*linkedHost{leader.idleHosts, leader.sharedHosts} {
+	for _, available := range [...][]*linkedHost{leader.idleHosts, leader.busyHosts} {
 		if len(available) > 0 {
 			return available[len(available)-1]
 		}
@@ -239,13 +239,13 @@
 	if len(linkedHost.calls) == 0 {
 		leader.idleHosts = leader.idleHosts[:len(leader.idleHosts)-1]
 	} else {
-		leader.sharedHosts = leader.sharedHosts[:len(leader.sharedHosts)-1]
+		leader.busyHosts = leader.busyHosts[:len(leader.busyHosts)-1]
 	}
 	linkedHost.calls = append(linkedHost.calls, call)
 	if call.long {
 		leader.longCalls++
 	}
 	if linkedHost.acceptsFurtherCall(machine.now) {
-		leader.sharedHosts = slices.Insert(leader.sharedHosts, 0, linkedHost) // The last one is used first.
+		leader.busyHosts = slices.Insert(leader.busyHosts, 0, linkedHost) // The last one is used first.
 	}
 }
--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -43,7 +43,7 @@
 	ownWorkers          []*worker                         // ownWorkers holds the usable workers without runs or with isolated ones at the start of the current pass.
 	allowedWorkers      []*worker                         // allowedWorkers holds the result of the last call of the method of this name.
 	idleHosts           []*linkedHost                     // idleHosts holds the hosts without a call that may make one in the current pass.
-	sharedHosts         []*linkedHost                     // sharedHosts holds the hosts with calls that may make a further one in the current pass.
+	busyHosts           []*linkedHost                     // busyHosts holds the hosts with calls that may make a further one in the current pass.
 	longCalls           int                               // longCalls counts the hosts with a long call in the current pass.
 	examinedWorkers     int                               // examinedWorkers counts how often a worker was looked at in the current pass.
 	usableCPU           int64                             // usableCPU is the CPU capacity of the usable workers in thousandths of a core.
@@ -77,7 +77,7 @@
 	machine.endLeadershipsOf(machine.config.Host, machine.config.Address, machine.leader.epoch)
 	machine.config.Log.Record("scheduling_started", almondcross.Number("epoch", machine.leader.epoch),
 		almondcross.Number("jobs", len(machine.state.jobs)), almondcross.Millis("took_ms", answer.Took()),
-		almondcross.Millis("lapse_ms", machine.unheardLeaseExpiredAt().Sub(machine.now)))
+		almondcross.Millis("lapse_ms", machine.earlierLeasesExpiredAt().Sub(machine.now)))
 	machine.config.Metrics.Elected()
 	machine.announceScheduler()
 	machine.storePointer()
--- a/command/scheduler/leadership.go
+++ b/command/scheduler/leadership.go
@@ -8,9 +8,9 @@
 	"github.com/almondcross/almondcross"
 )
 
-// leadership is one epoch of a scheduler, as far as this host knows it. A scheduler extends leases for leadershipTimeout after
-// its last commit, but not after it has resigned, and its process not after it has linked to a later scheduler. A successor
-// counts the leases of the workers that it does not reach from the end of the leaderships before its own.
+// leadership is one epoch of a scheduler as known to this host. A scheduler extends leases for leadershipTimeout after
+// its last commit, but not after it has resigned or its host has linked to a later scheduler. A successor counts the leases of
+// the workers that it does not reach from the end of the earlier leaderships.
 type leadership struct {
 	epoch         int64 // epoch is that of the scheduler, 0 for those before the snapshot from which this host loaded the state.
 	host, address string
@@ -26,7 +26,7 @@
 // longestLease returns how long after the end of a leadership a lease that it has extended may last.
 func longestLease() time.Duration { return withClockDrift(leaseDuration) + lastOrderMargin }
 
-// beginLeadership notes the election of the scheduler and forgets the leaderships whose leases have expired.
+// beginLeadership adds the leadership of the elected scheduler and removes those whose leases have expired.
 func (state *state) beginLeadership() {
 	state.leaderships = append(slices.DeleteFunc(state.leaderships, func(earlier leadership) bool {
 		return earlier.endsBy.Add(longestLease()).Before(state.applyTime)
@@ -35,7 +35,7 @@
 	})
 }
 
-// continueLeadership notes a batch of the scheduler, which was sent no later than it is applied.
+// continueLeadership extends the leadership of a scheduler of which a batch is applied: it was sent no later than now.
 func (state *state) continueLeadership(epoch int64) {
 	if state.resigned && epoch == state.schedulerEpoch {
 		return
@@ -48,8 +48,8 @@
 	}
 }
 
-// resignLeadership notes the resignation of the scheduler. One of an earlier version does not tell when it ceases to extend
-// leases.
+// resignLeadership notes the resignation of the scheduler and the time that it may still extend leases, which a scheduler of an
+// earlier version does not record.
 func (state *state) resignLeadership(remaining time.Duration) {
 	if remaining > 0 {
 		state.endLeaderships(state.applyTime.Add(remaining), func(leadership leadership) bool { return leadership.epoch == state.schedulerEpoch })
@@ -65,8 +65,8 @@
 	}
 }
 
-// restoreLeaderships sets the leaderships of a host that loads the state from a snapshot, or that goes on without a part of the
-// journal: schedulers that it does not know of may extend leases for as long as any scheduler.
+// restoreLeaderships sets the leaderships of a host that loads the state from a snapshot, or that continues without a part of
+// the journal: schedulers that it does not know of may extend leases for leadershipTimeout as well.
 func (state *state) restoreLeaderships(now time.Time) {
 	endsBy := now.Add(leadershipTimeout)
 	state.leaderships = []leadership{
@@ -93,8 +93,8 @@
 	})
 }
 
-// recordLeaseBounds records until when the schedulers before this one may extend leases, and which leases may last longer, after
-// a snapshot, which does not tell.
+// recordLeaseBounds records until when the schedulers before this one may extend leases, and the long leases of restarted
+// workers, after a snapshot, which contains neither.
 func (machine *Machine) recordLeaseBounds() {
 	if !machine.leader.leaseBoundsDue {
 		return
--- a/command/scheduler/leadership_test.go
+++ b/command/scheduler/leadership_test.go
@@ -185,7 +185,7 @@
 	require.GreaterOrEqual(t, harness.lostRunEndsAfter(harness.machine.leader.electedAt), firstContactTimeout)
 }
 
-// Guards against a snapshot behind which nothing tells when the schedulers before it ended.
+// Guards against a snapshot behind which no record states when the earlier schedulers cease to extend leases.
 func TestSchedulerRecordsEarlierLeadershipsBehindASnapshot(t *testing.T) {
 	harness := newHarness(t)
 	harness.machine.config.SnapshotInterval = 0
@@ -302,7 +302,7 @@
 			}
 			mayExtendUntil := harness.machine.leader.lastCommitAt.Add(leadershipTimeout)
 			successor := harness.electStandby()
-			presumedAt := successor.machine.unheardLeaseExpiredAt()
+			presumedAt := successor.machine.earlierLeasesExpiredAt()
 			require.False(t, presumedAt.Before(mayExtendUntil.Add(leaseDuration)), "presumed lost %s before the end of the last lease", mayExtendUntil.Add(leaseDuration).Sub(presumedAt))
 		})
 	}
@@ -310,7 +310,7 @@
 
 // Guards against runs that are presumed lost while their lease is valid (TWICE): the leadership of a scheduler that has led for
 // long, and was lost without a resignation, counted from its election.
-func TestLeadershipGoesOnWithEachBatch(t *testing.T) {
+func TestEachBatchExtendsTheLeadership(t *testing.T) {
 	harness := newHarnessWithRun(t)
 	for range 100 {
 		harness.advance(heartbeatInterval)
--- a/command/scheduler/machine.go
+++ b/command/scheduler/machine.go
@@ -61,11 +61,11 @@
 
 	// triedEpoch is the highest epoch that this host has used in an election.
 	triedEpoch int64
-	// unreadEpoch is the epoch of the last scheduler whose journal this host cannot read in full, zero for none. It outlives
+	// unreadableEpoch is the epoch of the last scheduler whose journal this host cannot read in full, zero for none. It outlives
 	// reloads of the state.
-	unreadEpoch int64
-	stopping    bool
-	linkedHosts map[string]*linkedHost
+	unreadableEpoch int64
+	stopping        bool
+	linkedHosts     map[string]*linkedHost
 	// snapshotKeys holds the keys of snapshots that the store had when this host loaded the state, until it has stored one.
 	snapshotKeys    []string
 	snapshotPending bool // snapshotPending is set while a snapshot is being stored, also by an earlier epoch of this host.
--- a/command/scheduler/queuecrash.go
+++ b/command/scheduler/queuecrash.go
@@ -63,7 +63,7 @@
 	}
 	worker.queueBlamed = true
 	if worker.lastAnswerAt.IsZero() {
-		return // It was lost before this scheduler heard from it, which cannot tell how soon after a start that was.
+		return // The worker was lost before it answered this scheduler, so how soon after a start that was is not known.
 	}
 	var last *assignment
 	for _, assignment := range worker.assignments {
@@ -97,7 +97,7 @@
 	return assignment.startSentAt.After(other.startSentAt)
 }
 
-// logLoss tells how the loss of a worker was weighed, with an empty queue if no start explains it.
+// logLoss logs how the loss of a worker was weighed. The queue is empty if no start explains the loss.
 func (machine *Machine) logLoss(worker *worker, queue string, unexplained, score float64) {
 	machine.config.Log.Record("worker_loss_weighed", almondcross.Text("worker", worker.id), almondcross.Text("queue", queue),
 		almondcross.Number("unexplained", math.Round(unexplained*10)/10), almondcross.Number("score", math.Round(score*10)/10))
--- a/command/scheduler/queuecrash_test.go
+++ b/command/scheduler/queuecrash_test.go
@@ -18,13 +18,13 @@
 func TestWorkersLostTogetherDoNotBlameAQueue(t *testing.T) {
 	const workers = 8
 	for name, test := range map[string]struct {
-		longAtWork int  // longAtWork is how many of each two workers are lost long after their last start.
-		unheard    bool // unheard tells that these have never answered this scheduler.
-		blamed     bool
+		longAtWork    int  // longAtWork is how many of each two workers are lost long after their last start.
+		neverAnswered bool // neverAnswered is set if these workers have never answered this scheduler.
+		blamed        bool
 	}{
 		"half of them after a start":     {longAtWork: 1},
 		"all after a start":              {blamed: true},
-		"half of them before a takeover": {longAtWork: 1, unheard: true, blamed: true},
+		"half of them before a takeover": {longAtWork: 1, neverAnswered: true, blamed: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			harness := newHarnessWithWorkers(t, workers)
@@ -38,7 +38,7 @@
 						run.startSentAt = harness.now.Add(-time.Second)
 					}
 				}
-				if index%2 < test.longAtWork && test.unheard {
+				if index%2 < test.longAtWork && test.neverAnswered {
 					worker.lastAnswerAt = time.Time{}
 				}
 				harness.machine.blameQueue(worker)
--- a/command/scheduler/silence.go
+++ b/command/scheduler/silence.go
@@ -22,7 +22,7 @@
 func (machine *Machine) leaseExpiredAt(worker *worker) time.Time {
 	silence, recorded := machine.state.silentWorkers[worker.id]
 	if worker.lastAnswerAt.IsZero() {
-		expiredAt := later(machine.unheardLeaseExpiredAt(), machine.state.longLeases[worker.id])
+		expiredAt := later(machine.earlierLeasesExpiredAt(), machine.state.longLeases[worker.id])
 		if recorded && silence.leaseExpiredAt.Before(expiredAt) {
 			return silence.leaseExpiredAt
 		}
@@ -34,9 +34,9 @@
 	return worker.lastAnswerAt.Add(withClockDrift(max(worker.maxLeaseEnd-worker.clock, leaseDuration)) + lastOrderMargin)
 }
 
-// unheardLeaseExpiredAt returns when the leases of the workers have expired for certain that have not answered this scheduler.
-// Only earlier schedulers have extended them.
-func (machine *Machine) unheardLeaseExpiredAt() time.Time {
+// earlierLeasesExpiredAt returns when the leases have expired for certain that only earlier schedulers have extended: those of the
+// workers that have not answered this scheduler.
+func (machine *Machine) earlierLeasesExpiredAt() time.Time {
 	expiredAt := machine.state.earlierLeadershipsEnd(machine.leader.epoch).Add(longestLease())
 	return later(expiredAt, machine.leader.electedAt.Add(firstContactTimeout))
 }
@@ -49,14 +49,14 @@
 	return a
 }
 
-// addLongLease notes by when the lease of a worker has expired, and forgets those that have.
+// addLongLease notes by when the long lease of a worker has expired, and removes the long leases that have expired.
 func (state *state) addLongLease(worker string, expiredAt time.Time) {
 	maps.DeleteFunc(state.longLeases, func(_ string, expiredAt time.Time) bool { return expiredAt.Before(state.applyTime) })
 	state.longLeases[worker] = expiredAt
 }
 
-// recordLongLease records that a restarted worker may hold the longest lease, which a successor that cannot reach it would not
-// know.
+// recordLongLease records by when the lease of a restarted worker has expired, which may be the longest that workers grant. A
+// successor that cannot reach the worker would otherwise presume its runs lost too early.
 func (machine *Machine) recordLongLease(worker string, remaining time.Duration) {
 	machine.recordChange(almondcross.ChangeConfig{
 		Kind: almondcross.ChangeLongLease, Worker: worker, LeaseRemaining: remaining.Truncate(time.Millisecond) + time.Millisecond,
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -91,10 +91,11 @@
 	busyAddresses map[string]workerAddress
 	// knownSilences holds the silences that this host knew when it loaded the state again. It is not replicated.
 	knownSilences map[string]silence
-	// longLeases holds by when the leases have expired that may last longer than a scheduler extends leases, on this host's clock.
+	// longLeases holds by when the leases of restarted workers have expired, which may be the longest that workers grant, on this
+	// host's clock.
 	longLeases map[string]time.Time
-	// leaderships holds the scheduler and those before it that may still extend leases, in the order of their elections. Links of
-	// former schedulers shorten it too. It is not replicated.
+	// leaderships holds the scheduler and those before it that may still extend leases, in the order of their elections. A link
+	// of a former scheduler's host ends its leadership as well. It is not replicated.
 	leaderships []leadership
 	// electionsMissed is set if elections may be in a part of the journal that this host has skipped.
 	electionsMissed bool
--- a/command/scheduler/verdict.go
+++ b/command/scheduler/verdict.go
@@ -28,7 +28,7 @@
 	if job, stage, found := state.find(change.Task()); found {
 		verdict = state.countEnd(job, stage, change)
 	}
-	return state.conclude(change.Task().Stage.Job, verdict)
+	return state.applyVerdict(change.Task().Stage.Job, verdict)
 }
 
 // settleJob sets the settings of an open job that has none, and returns the verdict on the job: a task may have failed too often
@@ -37,7 +37,7 @@
 	verdict, settings := change.Verdict(), change.Settings()
 	job := state.jobs[change.Job().ID()]
 	if job == nil || job.state.Final() || job.settings.Known() || !settings.Known() {
-		return state.conclude(change.Job().ID(), verdict)
+		return state.applyVerdict(change.Job().ID(), verdict)
 	}
 	if job.settings.Queue().Name() == "" { // A host of the version before has counted the job by the name of its queue.
 		state.updateUsage(settings.Queue(), func(usage almondcross.QueueUsage) almondcross.QueueUsage {
@@ -48,11 +48,11 @@
 	for _, stage := range job.stages {
 		for index := range stage.tasks {
 			if stage.remainingTasks > 0 && verdict == almondcross.VerdictUnknown {
-				verdict = state.judge(job, stage, index, false)
+				verdict = state.deriveVerdict(job, stage, index, false)
 			}
 		}
 	}
-	return state.conclude(change.Job().ID(), verdict)
+	return state.applyVerdict(change.Job().ID(), verdict)
 }
 
 // verdictOn returns the verdict on the job of a task whose run has ended: the recorded one, or for an end that an earlier version
@@ -61,11 +61,11 @@
 	if change.Verdict() != almondcross.VerdictUnknown {
 		return change.Verdict()
 	}
-	return state.judge(job, stage, index, isCrash(change.End()))
+	return state.deriveVerdict(job, stage, index, isCrash(change.End()))
 }
 
-// judge returns the verdict that ends the job of a task, VerdictUnknown if none does.
-func (state *state) judge(job *job, stage *stage, index int, crashed bool) almondcross.Verdict {
+// deriveVerdict returns the verdict that ends the job of a task, VerdictUnknown if none does.
+func (state *state) deriveVerdict(job *job, stage *stage, index int, crashed bool) almondcross.Verdict {
 	if job.state.Final() {
 		return almondcross.VerdictUnknown
 	}
@@ -88,8 +88,8 @@
 	return almondcross.VerdictUnknown
 }
 
-// conclude gives a job the state that a verdict tells, and returns the verdict to record. A final state stays.
-func (state *state) conclude(id almondcross.JobID, verdict almondcross.Verdict) almondcross.Verdict {
+// applyVerdict gives a job the state that a verdict stands for, and returns the verdict to record. A final state stays.
+func (state *state) applyVerdict(id almondcross.JobID, verdict almondcross.Verdict) almondcross.Verdict {
 	job := state.jobs[id]
 	if job == nil || job.state.Final() {
 		return almondcross.VerdictStarted
