--- a/assembler/takeovers.go
+++ b/assembler/takeovers.go
@@ -120,7 +120,7 @@
 	return times
 }
 
-// percentile returns a percentile of some times in milliseconds, "-" if there are none.
+// percentile formats a percentile of some times in milliseconds, "-" if there are none.
 func percentile(times []time.Duration, percent int) string {
 	if len(times) == 0 {
 		return "-"
--- a/command/submitter/submitter.go
+++ b/command/submitter/submitter.go
@@ -95,7 +95,7 @@
 		case err := <-submitter.probeResults:
 			submitter.handleProbe(ctx, err)
 		case first := <-submissions.Messages():
-			submitter.takeProbe(ctx) // It tells whether the store answers again.
+			submitter.handleWaitingProbe(ctx) // The result shows whether the store answers again.
 			batch := submitter.add(nil, first)
 			if submitter.storeErr == nil && !ring.Pause(ctx, batchDelay) {
 				return nil
@@ -218,8 +218,8 @@
 	submitter.probeResults <- err
 }
 
-// takeProbe handles the result of a probe if one waits.
-func (submitter *Submitter) takeProbe(ctx context.Context) {
+// handleWaitingProbe handles the result of a probe if one is available, without waiting.
+func (submitter *Submitter) handleWaitingProbe(ctx context.Context) {
 	select {
 	case err := <-submitter.probeResults:
 		submitter.handleProbe(ctx, err)
--- a/encoder/journal.go
+++ b/encoder/journal.go
@@ -54,12 +54,13 @@
 	Job                     *wireJob
 	Queue                   *wireQueue
 	Task                    *wireJobTask
-	Run                     int // Run is the number of ChangeFormat.
+	Run                     int // Run is the run of the task, or the format of ChangeFormat.
 	Worker, End, Checkpoint string
-	Occurrence              int    // Occurrence is the verdict of ChangeEnd and ChangeSettings, which the version before ignores.
+	Occurrence              int    // Occurrence is that of ChangeOccurrence, or the verdict of ChangeEnd and ChangeSettings, which the version before ignores.
 	Host, Address           string // Host is the data centre of the worker in ChangeAssign, ChangeWorkerAddress and ChangeWorkerUnlisted.
-	// DurationMS is the lease remaining of ChangeWorkerSilent, the time waited of ChangeJobStarted or the silence of ChangeEnd,
-	// and the version of the settings of ChangeAdmit, ChangeCancel and ChangeSettings. The version before ignores it for these kinds.
+	// DurationMS is the lease remaining of ChangeWorkerSilent, ChangeLongLease, ChangeLeadershipsEnded and ChangeResigned, the time
+	// waited of ChangeJobStarted, the silence of ChangeEnd, or the version of the settings of ChangeAdmit, ChangeCancel and
+	// ChangeSettings, which the version before ignores.
 	DurationMS int64
 }
 
--- a/job_generated.go
+++ b/job_generated.go
@@ -2089,7 +2089,7 @@
 	return change
 }
 
-// LeaseRemaining returns the time by which the lease of the worker of ChangeWorkerSilent or ChangeLongLease has expired, by which the earlier schedulers extend no more leases in ChangeLeadershipsEnded, or the resigned one in ChangeResigned (0 from an earlier version, which does not tell).
+// LeaseRemaining returns the time after which the lease of the worker of ChangeWorkerSilent or ChangeLongLease has expired, or after which the earlier schedulers (ChangeLeadershipsEnded) or the resigned one (ChangeResigned) extend no more leases; 0 in a ChangeResigned of an earlier version, which does not record it.
 func (change Change) LeaseRemaining() time.Duration { return change.leaseRemaining }
 
 // WithLeaseRemaining returns a copy with the given leaseRemaining.
--- a/journal.go
+++ b/journal.go
@@ -156,9 +156,9 @@
 	ChangeWorkerListed     ChangeKind = 13 // ChangeWorkerListed records that an unlisted worker is announced again or was removed.
 	ChangeSnapshotStored   ChangeKind = 14 // ChangeSnapshotStored records that the scheduler has stored a snapshot and removed those of earlier epochs.
 	ChangeWorkerAddress    ChangeKind = 15 // ChangeWorkerAddress records the address of a worker with runs, which a snapshot does not have.
-	ChangeLeadershipsEnded ChangeKind = 16 // ChangeLeadershipsEnded records by when the schedulers before this one extend no leases, which a snapshot does not have.
+	ChangeLeadershipsEnded ChangeKind = 16 // ChangeLeadershipsEnded records until when earlier schedulers may extend leases, which a snapshot does not have.
 	ChangeFormat           ChangeKind = 17 // ChangeFormat records the number of the format in which the scheduler writes the journal and snapshots.
-	ChangeLongLease        ChangeKind = 18 // ChangeLongLease records by when the lease of a worker has expired that may last longer than the scheduler extends leases, which a snapshot does not have.
+	ChangeLongLease        ChangeKind = 18 // ChangeLongLease records by when the lease of a restarted worker has expired, which may be the longest that workers grant. A snapshot does not have it.
 )
 
 // Verdict is what the scheduler has decided about a job when a run ended or its settings became known.
@@ -190,7 +190,7 @@
 	host           string        // the elected host
 	address        string        // the link address of the elected host, the address of an unlisted worker, or that of the worker of ChangeAssign if it is new
 	zone           string        // the data centre of the worker whose address the change has
-	leaseRemaining time.Duration // the time by which the lease of the worker of ChangeWorkerSilent or ChangeLongLease has expired, by which the earlier schedulers extend no more leases in ChangeLeadershipsEnded, or the resigned one in ChangeResigned (0 from an earlier version, which does not tell)
+	leaseRemaining time.Duration // the time after which the lease of the worker of ChangeWorkerSilent or ChangeLongLease has expired, or after which the earlier schedulers (ChangeLeadershipsEnded) or the resigned one (ChangeResigned) extend no more leases; 0 in a ChangeResigned of an earlier version, which does not record it
 	silent         time.Duration // the time for which the worker of a crashed or lost run had not answered when the end was recorded, 0 for other runs
 	waited         time.Duration // the time from the submission of the job, or its first due time, to the start in ChangeJobStarted
 	verdict        Verdict       // what ChangeEnd or ChangeSettings means for the job
--- a/ring/doc.go
+++ b/ring/doc.go
@@ -2,6 +2,6 @@
 //
 // A ring is a buffered channel with a name and a fixed capacity. Its metrics
 // are the depth, the capacity and the number of refused messages. Any number
-// of goroutines may send; one duty receives, or several equal ones. When the ring is full, Offer
-// refuses the message and Put blocks.
+// of goroutines may send; one duty receives, or several equal ones, as the
+// askers do. When the ring is full, Offer refuses the message and Put blocks.
 package ring
--- a/scheduling.go
+++ b/scheduling.go
@@ -208,7 +208,7 @@
 	address    string // the address on which the host accepts links
 	dataCentre string // the data centre of the host
 
-	schedulerEpoch int64    // the epoch of the scheduler to which the host has linked; it leads no earlier epoch. 0 if it does not tell
+	schedulerEpoch int64    // the epoch of the scheduler to which the host has linked; it leads no earlier epoch. 0 for a host of an earlier version
 	ends           []Change // the ends of runs that the host has read as scheduler and may not have recorded
 }
 
--- a/scheduling_generated.go
+++ b/scheduling_generated.go
@@ -1200,7 +1200,7 @@
 	return hostlinkchanged
 }
 
-// SchedulerEpoch returns the epoch of the scheduler to which the host has linked; it leads no earlier epoch. 0 if it does not tell.
+// SchedulerEpoch returns the epoch of the scheduler to which the host has linked; it leads no earlier epoch. 0 for a host of an earlier version.
 func (hostlinkchanged HostLinkChanged) SchedulerEpoch() int64 { return hostlinkchanged.schedulerEpoch }
 
 // WithSchedulerEpoch returns a copy with the given schedulerEpoch.
--- a/standin/emulator/fault.go
+++ b/standin/emulator/fault.go
@@ -40,7 +40,7 @@
 	ChangeKinds         FaultKind = "change_kinds"     // ChangeKinds restarts some workers under their ID as another kind.
 
 	// The kinds that only measurements of takeovers inject.
-	LoseScheduler   FaultKind = "lose_scheduler"   // LoseScheduler kills the scheduler's process for good.
+	LoseScheduler   FaultKind = "lose_scheduler"   // LoseScheduler kills the scheduler's process, which does not start again.
 	CutLinks        FaultKind = "cut_links"        // CutLinks partitions the scheduler from all other hosts, but not from the store.
 	RefuseScheduler FaultKind = "refuse_scheduler" // RefuseScheduler makes the store refuse the scheduler's calls at once.
 	JournalDown     FaultKind = "journal_down"     // JournalDown makes the store refuse all calls that concern the journal.
--- a/standin/emulator/links.go
+++ b/standin/emulator/links.go
@@ -7,8 +7,8 @@
 	"github.com/almondcross/almondcross/command/scheduler"
 )
 
-// setLink closes the present link and opens one to the scheduler's host, also if that is the same one: a new link tells it the
-// strength of this host. If there is none or it is this host itself, it only closes the link.
+// setLink closes the current link and opens one to the scheduler's host, also if that is the same one: a new link reports the
+// strength of this host to it. Without a scheduler's host, or if it is this host, setLink only closes the link.
 func (modelhost *modelHost) setLink(announced scheduler.AnnounceScheduler) {
 	simulation := modelhost.simulation
 	target := simulation.host(announced.Pointer.Host())
--- a/standin/emulator/takeovermeter.go
+++ b/standin/emulator/takeovermeter.go
@@ -32,7 +32,7 @@
 	NotRestarted int
 }
 
-// takeoverMeter measures from the first disturbance of the scheduler on. It is not safe for concurrent use.
+// takeoverMeter measures what follows the disturbances of the scheduler, from the first one on. It is not safe for concurrent use.
 type takeoverMeter struct {
 	simulation *Simulation
 	takeovers  []*measuredTakeover
@@ -62,7 +62,7 @@
 	}
 }
 
-// begin starts a measurement at a disturbance of the scheduler, nil if there is none.
+// begin starts a measurement at a disturbance of the scheduler on a host, which is nil if no host is the scheduler.
 func (takeovermeter *takeoverMeter) begin(host *modelHost, stopping bool) {
 	if host == nil {
 		return
@@ -201,7 +201,7 @@
 	}
 }
 
-// report returns what was measured until the end of the simulation.
+// report ends the measurement at the end of the simulation and returns it.
 func (takeovermeter *takeoverMeter) report() TakeoverReport {
 	takeovermeter.endPause()
 	report := takeovermeter.result
--- a/standin/emulator/takeovers.go
+++ b/standin/emulator/takeovers.go
@@ -68,7 +68,7 @@
 // Timing of planned stops.
 const (
 	stopInterval = time.Second // stopInterval is the time between two stops of a rolling stop.
-	// hostStopTime is how long a host goes on after the order to stop: half of the platform's grace period.
+	// hostStopTime is how long a host keeps running after the order to stop: half of the platform's grace period.
 	hostStopTime = 1250 * time.Millisecond
 	// hostRestartTime is the time from the end of a stopped process to the start of the next one.
 	hostRestartTime = 250 * time.Millisecond
