Word the guards of the takeover and format tests plainly

Cause: comments of tests said "takes for ended", "goes on", "tells" and "the landed version", which a newcomer cannot know.

No assertion is changed.

--- a/command/scheduler/hostcalls_test.go
+++ b/command/scheduler/hostcalls_test.go
@@ -184,8 +184,8 @@
 	require.LessOrEqual(t, calls, 4)
 }
 
-// Guards against a round trip that is taken for longer than it is: by a call that waited for others before it, or by a host
-// whose answers are delayed for a while.
+// Guards against a round trip that is estimated too long: from a call that waited for others before it, or from a host whose
+// answers are delayed for a while.
 func TestRoundTripOfAHostIsMeasured(t *testing.T) {
 	const work = 6 * time.Millisecond
 	host := &linkedHost{}
--- a/command/scheduler/leadership_test.go
+++ b/command/scheduler/leadership_test.go
@@ -25,7 +25,7 @@
 	require.Less(t, waited, longestLease()+2*sweepInterval)
 }
 
-// linkHost links a host to the scheduler that it takes for that of an epoch.
+// linkHost links a host that names an epoch as that of the scheduler.
 func (harness *harness) linkHost(host, address string, epoch int64) {
 	harness.apply(almondcross.NewHostLinkChanged(almondcross.HostLinkChangedConfig{
 		Host: host, Present: true, Address: address, SchedulerEpoch: epoch,
@@ -44,7 +44,7 @@
 }
 
 // Guards against the same wait behind two schedulers that resigned, on a host that loads the journal after them.
-func TestLoadedJournalTellsOfAllResignations(t *testing.T) {
+func TestLoadedJournalHasAllResignations(t *testing.T) {
 	harness := newHarnessWithRun(t)
 	harness.apply(almondcross.StopScheduling{})
 	harness.answerCommits()
@@ -112,7 +112,7 @@
 }
 
 // Guards against a wait of 10 s for a worker that was lost together with the scheduler, when the former scheduler's host has
-// linked to the new one: its process leads no more. Only a link to a scheduler of a later epoch shows that.
+// linked to the new one: its process is no longer the scheduler. Only a link to a scheduler of a later epoch shows that.
 func TestLeasesAreCountedFromTheLinkOfTheFormerScheduler(t *testing.T) {
 	for name, test := range map[string]struct {
 		host, address string
@@ -140,9 +140,9 @@
 	}
 }
 
-// Guards against a host that takes the schedulers before its snapshot for ended: they may extend leases as long as any other,
-// until a scheduler that knows better has recorded it.
-func TestSnapshotDoesNotTellOfEarlierLeaderships(t *testing.T) {
+// Guards against a host that treats the schedulers before its snapshot as ended: they may extend leases for leadershipTimeout,
+// unless a scheduler has recorded an earlier end.
+func TestSnapshotHasNoEarlierLeaderships(t *testing.T) {
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	state := newState(time.Minute)
 	state.applyBatch(almondcross.NewJournalBatch(almondcross.JournalBatchConfig{Epoch: 4096, At: now, Changes: []almondcross.Change{
@@ -257,8 +257,8 @@
 	requireOneLease(t, harness.lostRunEndsAfter(linkedAt))
 }
 
-// Guards against a scheduler that was elected in a gap of the journal and is taken for ended 5 s after the gap, however long it
-// goes on: its batches renew no leadership that this host knows.
+// Guards against a scheduler that was elected in a gap of the journal and is treated as ended 5 s after the gap, however long it
+// continues: its batches renew no leadership that this host knows.
 func TestSchedulerElectedInAGapExtendsLeases(t *testing.T) {
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	state := newState(time.Minute)
@@ -350,7 +350,7 @@
 	require.Equal(t, now.Add(leadershipTimeout), state.earlierLeadershipsEnd(12288))
 }
 
-// Guards against runs that are presumed lost while their lease is valid (TWICE): a host that goes on without a part of the
+// Guards against runs that are presumed lost while their lease is valid (TWICE): a host that continues without a part of the
 // journal knows nothing of the schedulers in it.
 func TestSchedulersInAGapAreAssumedToExtendLeases(t *testing.T) {
 	harness, store, events := newGapHarness(t)
--- a/command/scheduler/verdict_test.go
+++ b/command/scheduler/verdict_test.go
@@ -11,8 +11,8 @@
 	"github.com/almondcross/almondcross/encoder"
 )
 
-// Guards against a host that shows callers another state of a job than the scheduler's, for good: it worked the end of the job
-// out by its own rules and settings, which another version has otherwise.
+// Guards against a host that permanently shows callers another state of a job than the scheduler's: it derived the end of the job
+// from its own rules and settings, which differ between versions.
 func TestReplicaAppliesVerdictsAsTheyStand(t *testing.T) {
 	task := taskOf("j", 0, 0)
 	for name, test := range map[string]struct {
--- a/encoder/journal_test.go
+++ b/encoder/journal_test.go
@@ -96,8 +96,8 @@
 	require.Equal(t, config, snapshot.Config())
 }
 
-// Guards against a verdict that replicas do not read, against one that is taken for the number of an occurrence, and against
-// records that grow by it: the landed version reads arrays of this length only.
+// Guards against a verdict that replicas do not read, against one that is read as the number of an occurrence, and against
+// records that grow by it: the version before reads arrays of this length only.
 func TestVerdictsTakeTheFieldOfTheOccurrence(t *testing.T) {
 	codec := newCodec(t)
 	encode := func(changes ...almondcross.Change) []byte {
@@ -117,7 +117,7 @@
 	}
 }
 
-// Guards against a number of the journal's format that a host does not read, or takes for the number of a run.
+// Guards against a number of the journal's format that a host does not read, or reads as the number of a run.
 func TestFormatIsRead(t *testing.T) {
 	codec := newCodec(t)
 	change := almondcross.NewChange(almondcross.ChangeConfig{Kind: almondcross.ChangeFormat, Format: 3})
--- a/standin/emulator/takeovers_test.go
+++ b/standin/emulator/takeovers_test.go
@@ -15,7 +15,7 @@
 
 // Guards against measured times that name starts of the disturbed process, or that leave out the election of a successor.
 func TestTakeoverScenarios(t *testing.T) {
-	successors := map[string]time.Duration{ // The earliest election of a successor by scenario, 0 if the same scheduler goes on.
+	successors := map[string]time.Duration{ // The earliest election of a successor by scenario, 0 if the same scheduler continues.
 		"none": 0, "kill": 500 * time.Millisecond, "lose": 600 * time.Millisecond, "freeze-0.5": 0, "freeze-3": 600 * time.Millisecond,
 		"cut-standbys": 0, "cut-store": 600 * time.Millisecond, "refused": 600 * time.Millisecond, "store-down": 0, "journal-down": 0,
 		"stop": time.Millisecond,
