Name contacts and answers instead of what is heard

Change: schedulerContactAt, lastContactAt, and comments that say which of the three is meant. No behaviour or assertion is changed.

--- a/command/relayer/relayer.go
+++ b/command/relayer/relayer.go
@@ -74,9 +74,9 @@
 
 // host is a linked host.
 type host struct {
-	relay       almondcross.RelayHost
-	lastHeardAt time.Time
-	silent      bool // silent is set until the host is heard again; it gets no orders.
+	relay         almondcross.RelayHost
+	lastContactAt time.Time // lastContactAt is when the host last linked or returned answers.
+	silent        bool      // silent is set until the host returns answers again; it gets no orders.
 }
 
 // worker is a worker that has been sent an order.
@@ -310,7 +310,7 @@
 // answered passes the outcomes of orders to the scheduler.
 func (relayer *Relayer) answered(ctx context.Context, answered almondcross.OrdersAnswered) {
 	if host := relayer.hosts[answered.Host()]; host != nil {
-		host.lastHeardAt = relayer.config.Clock.Now()
+		host.lastContactAt = relayer.config.Clock.Now()
 		if host.silent {
 			host.silent = false
 			relayer.config.Log.Record("relay_regained", almondcross.Text("relay", answered.Host()))
@@ -337,7 +337,7 @@
 		delete(relayer.hosts, change.Host())
 	}
 	if change.Present() {
-		relayer.hosts[change.Host()] = &host{lastHeardAt: relayer.config.Clock.Now(), relay: almondcross.NewRelayHost(almondcross.RelayHostConfig{
+		relayer.hosts[change.Host()] = &host{lastContactAt: relayer.config.Clock.Now(), relay: almondcross.NewRelayHost(almondcross.RelayHostConfig{
 			Name: change.Host(), DataCentre: change.DataCentre(), Strength: change.Strength(),
 		})}
 	}
@@ -413,7 +413,7 @@
 	relayer.fail(ctx, expired)
 	for _, name := range slices.Sorted(maps.Keys(earliest)) {
 		host := relayer.hosts[name]
-		if host == nil || now.Sub(earliest[name]) <= silenceTimeout || now.Sub(host.lastHeardAt) <= silenceTimeout {
+		if host == nil || now.Sub(earliest[name]) <= silenceTimeout || now.Sub(host.lastContactAt) <= silenceTimeout {
 			continue
 		}
 		host.silent = true
--- a/command/relayer/relayer_test.go
+++ b/command/relayer/relayer_test.go
@@ -256,7 +256,7 @@
 }
 
 // Guards against workers that are cut off by a host that is frozen while its link stays open.
-func TestSilentHostGetsNoOrdersUntilItIsHeard(t *testing.T) {
+func TestSilentHostGetsNoOrdersUntilItAnswers(t *testing.T) {
 	run(t, 1, func(cell *cell) {
 		numbers := cell.startAll()
 		var silent []int64
--- a/command/scheduler/discovery.go
+++ b/command/scheduler/discovery.go
@@ -161,7 +161,7 @@
 
 // roleAssigned makes this host a standby or a viewer, as the scheduler has decided.
 func (machine *Machine) roleAssigned(assigned almondcross.RoleAssigned) {
-	machine.gap.schedulerHeardAt = machine.now
+	machine.gap.schedulerContactAt = machine.now
 	machine.config.Log.Record("assigned", almondcross.Text("standby", yesNo(assigned.Standby())))
 	switch {
 	case assigned.Standby() && (machine.role == roleDiscovering || machine.role == roleViewer):
@@ -190,7 +190,7 @@
 	default:
 		return
 	}
-	machine.discovery.lastViewsAt, machine.gap.schedulerHeardAt = machine.now, machine.now
+	machine.discovery.lastViewsAt, machine.gap.schedulerContactAt = machine.now, machine.now
 	machine.config.Publisher.Refreshed(machine.now, pushed.Complete())
 }
 
--- a/command/scheduler/gap.go
+++ b/command/scheduler/gap.go
@@ -9,8 +9,8 @@
 // gap holds what a host knows of a gap between the newest snapshot and the oldest record of the journal. It outlives reloads
 // of the state.
 type gap struct {
-	since            time.Time // since is when this host met the gap, zero for none.
-	schedulerHeardAt time.Time // schedulerHeardAt is when this host last heard from a scheduler.
+	since              time.Time // since is when this host met the gap, zero for none.
+	schedulerContactAt time.Time // schedulerContactAt is when this host last received something from a scheduler or saw its batches.
 }
 
 // journalTrimmed loads the state again, since a newer snapshot may have been stored meanwhile.
@@ -34,8 +34,8 @@
 		machine.config.Log.Record("journal_gap", almondcross.Number("from", read.From()), almondcross.Number("first", read.Next()))
 	}
 	since := machine.gap.since
-	if machine.gap.schedulerHeardAt.After(since) {
-		since = machine.gap.schedulerHeardAt
+	if machine.gap.schedulerContactAt.After(since) {
+		since = machine.gap.schedulerContactAt
 	}
 	if waited := machine.now.Sub(since); waited < stateLossTimeout {
 		machine.discoverScheduler()
@@ -55,7 +55,7 @@
 	if !machine.follower.incomplete || machine.follower.lastFreshBatchAt.IsZero() {
 		return false
 	}
-	machine.gap.schedulerHeardAt = machine.now
+	machine.gap.schedulerContactAt = machine.now
 	machine.loadState(gapRetryDelay)
 	return true
 }
--- a/command/scheduler/gap_test.go
+++ b/command/scheduler/gap_test.go
@@ -128,8 +128,8 @@
 	require.False(t, harness.machine.follower.incomplete)
 }
 
-// Guards against a host that takes the state for lost although it has heard from a scheduler a moment ago.
-func TestStateIsNotLostWhileASchedulerIsHeard(t *testing.T) {
+// Guards against a host that treats the state as lost although a scheduler has contacted it a moment ago.
+func TestStateIsNotLostAfterContactWithAScheduler(t *testing.T) {
 	harness, store, events := newGapHarness(t)
 	store.serve(harness, 20*time.Second)
 	harness.apply(almondcross.NewRoleAssigned(almondcross.RoleAssignedConfig{Standby: true}))
--- a/command/scheduler/machine.go
+++ b/command/scheduler/machine.go
@@ -164,8 +164,8 @@
 	}
 }
 
-// linkLost notes that what arrived over the link to the scheduler has ended. A standby then reads the journal at once: a
-// scheduler that resigns closes its links before it has pushed its resignation.
+// linkLost handles the loss of the link to the scheduler, over which views and batches arrived. A standby then reads the journal
+// at once: a scheduler that resigns closes its links before it has pushed its resignation.
 func (machine *Machine) linkLost(scheduler string) {
 	if scheduler == machine.discovery.pointer.Host() {
 		machine.discovery.viewsReceived, machine.follower.pushedEnd, machine.follower.lastPushAt = false, 0, time.Time{}
--- a/command/scheduler/records_test.go
+++ b/command/scheduler/records_test.go
@@ -190,11 +190,11 @@
 	harness.apply(almondcross.NewJournalPushed(almondcross.JournalPushedConfig{Batches: []almondcross.JournalBatch{{}, admit("a")}}))
 	harness.apply(almondcross.NewJournalRead(almondcross.JournalReadConfig{Next: 3, End: 3, Batches: []almondcross.JournalBatch{{}, admit("a"), admit("b")}}))
 	require.Contains(t, harness.machine.state.jobs, almondcross.JobID("b"))
-	heardAt := harness.machine.follower.lastBatchAt
+	lastBatchAt := harness.machine.follower.lastBatchAt
 	harness.advance(followerTick)
 	harness.apply(almondcross.NewJournalRead(almondcross.JournalReadConfig{From: 3, Next: 4, End: 4, Batches: make([]almondcross.JournalBatch, 1)}))
 	require.Equal(t, int64(4), harness.machine.follower.nextOffset)
-	require.Equal(t, heardAt, harness.machine.follower.lastBatchAt)
+	require.Equal(t, lastBatchAt, harness.machine.follower.lastBatchAt)
 }
 
 // Guards against a record of another writer that makes a host panic when it decodes or applies the record.
--- a/command/scheduler/suspicion_test.go
+++ b/command/scheduler/suspicion_test.go
@@ -10,7 +10,7 @@
 	"github.com/almondcross/almondcross"
 )
 
-// newHarnessWithWorkers returns a scheduler that has heard from as many workers, w-1 and so on.
+// newHarnessWithWorkers returns a scheduler that as many workers have answered, w-1 and so on.
 func newHarnessWithWorkers(t *testing.T, count int) *harness {
 	t.Helper()
 	harness := newHarness(t)
