--- a/command/scheduler/attempts.go
+++ b/command/scheduler/attempts.go
@@ -8,7 +8,7 @@
 
 const (
 	// minAttempts is the number of attempts of a task whose queue has no limit. With no limit at all, a task that always
-	// fails would take room for good.
+	// fails would use capacity forever.
 	minAttempts = 1
 	// maxLostRuns is how many of the last lost runs of a task are kept, so that a late failure of theirs counts. A run is lost
 	// at most once in the duration of a lease.
--- a/command/scheduler/constants.go
+++ b/command/scheduler/constants.go
@@ -76,7 +76,7 @@
 	maxTrimmedReads = 3
 	// gapRetryDelay is the pause before a host that has met a gap loads the state again.
 	gapRetryDelay = time.Second
-	// stateLossTimeout is how long a host that has met a gap waits for any scheduler before it goes on without the deleted
+	// stateLossTimeout is how long a host that has met a gap waits for any scheduler before it continues without the deleted
 	// batches. A host that has the state and reaches the store is elected within 2 s of the loss of the scheduler, and
 	// restarts and outages of the store take less than half of this time.
 	stateLossTimeout = 30 * time.Second
--- a/command/scheduler/crash.go
+++ b/command/scheduler/crash.go
@@ -104,7 +104,7 @@
 	return almondcross.EndCrashedAlone
 }
 
-// crashEnd returns how a run ended whose worker has ended as told by the worker's crashEnd.
+// crashEnd returns how a run ended, given the crashEnd of its worker.
 func (assignment *assignment) crashEnd(worker almondcross.EndKind) almondcross.EndKind {
 	if isCrash(worker) && assignment.confirmedAt.IsZero() {
 		return almondcross.EndMaybeCrashed
@@ -167,7 +167,7 @@
 	}
 }
 
-// logGivenUp tells that a job has failed because workers crashed under a task.
+// logGivenUp logs that a job has failed because workers crashed under a task.
 func (machine *Machine) logGivenUp(assignment *assignment, kind almondcross.EndKind) {
 	if !isCrash(kind) {
 		return
--- a/command/scheduler/failures.go
+++ b/command/scheduler/failures.go
@@ -23,7 +23,7 @@
 	maxFailureBackoffs = 20
 )
 
-// workerFailures tells of the successful and failed runs of a worker.
+// workerFailures records the successful and failed runs of a worker.
 type workerFailures struct {
 	ended    int     // ended is the number of runs of stages that had not failed on another worker.
 	share    float64 // share is the moving average of the failed share of these.
--- a/command/scheduler/gap.go
+++ b/command/scheduler/gap.go
@@ -24,10 +24,10 @@
 	machine.journalGap(read)
 }
 
-// journalGap handles a newest snapshot that is older than the oldest record of the journal. A host that goes on from that
+// journalGap handles a newest snapshot that is older than the oldest record of the journal. A host that continues from that
 // record would have a part of the state, and as the scheduler it would run finished jobs again and forget accepted ones. So it
 // looks for the scheduler, which stores a snapshot when the last one is old, or for a newer snapshot. A host that has the state
-// is elected within seconds. Only after stateLossTimeout without any scheduler is the state taken for lost.
+// is elected within seconds. Only after stateLossTimeout without any scheduler is the state treated as lost.
 func (machine *Machine) journalGap(read almondcross.JournalRead) {
 	if machine.gap.since.IsZero() {
 		machine.gap.since = machine.now
--- a/command/scheduler/intake.go
+++ b/command/scheduler/intake.go
@@ -83,7 +83,7 @@
 
 // ofOtherQueue reports whether an intake is for another queue than that of the job. A queue under another name at the same
 // host and prefix is the same one, so that a cancellation reaches its job after the queue was renamed. If the settings of one
-// of them are not known, that cannot be told, and the identity decides.
+// of them are not known, the queues cannot be compared, and the identity decides.
 func (job *job) ofOtherQueue(intake almondcross.Intake) bool {
 	held, accepted := job.settings.Queue(), intake.Settings().Queue()
 	return job.spec.Queue() != intake.Job().Queue() && job.settings.Known() && intake.Settings().Known() &&
--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -220,7 +220,7 @@
 }
 
 // avoidedWorkers returns the failed workers of a stage, or none if no other usable worker may ever run it: one of its kind that
-// is large enough and that advice allows or has not decided on. The stage would otherwise wait for good.
+// is large enough and that advice allows or has not decided on. The stage would otherwise wait forever.
 func (machine *Machine) avoidedWorkers(queue almondcross.Queue, stage *stage) map[string]bool {
 	failed := stage.failedWorkers()
 	if len(failed) == 0 {
--- a/command/scheduler/reads.go
+++ b/command/scheduler/reads.go
@@ -7,8 +7,8 @@
 )
 
 // pendingReads holds which reads of the store are pending, at most one of each kind. It outlives epochs and reloads of the
-// state: the duty waits when the ring of a kind of reads is full, so a read of an earlier epoch counts as well. Its answer
-// goes on with what is to be read then.
+// state: the duty waits when the ring of a kind of reads is full, so a read of an earlier epoch counts as well. After its
+// answer, the machine reads what is due then.
 type pendingReads struct {
 	journal       bool
 	journalSentAt time.Time // journalSentAt is when the last read of the journal was emitted.
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -288,7 +288,7 @@
 }
 
 // compactJob drops the payload of a final job that has no active tasks, and its steps and stages unless a task was started
-// more than once: the record of such a task tells a late success of an earlier run from one that is only reported again.
+// more than once: the record of such a task distinguishes a late success of an earlier run from one that is only reported again.
 func (state *state) compactJob(job *job) {
 	if !job.state.Final() || job.activeTasks > 0 {
 		return
--- a/command/scheduler/suspicion.go
+++ b/command/scheduler/suspicion.go
@@ -13,7 +13,7 @@
 
 const (
 	unsuspected suspicion = iota // unsuspected tasks share workers with any others.
-	suspected                    // suspected tasks have seen one crash. Each gets an empty worker, or one without another suspect, so that a second crash tells them apart.
+	suspected                    // suspected tasks have seen one crash. Each gets an empty worker, or one without another suspect, so that a second crash shows which of them is the cause.
 	isolated                     // isolated tasks have seen several crashes, or are of a queue whose tasks crash workers. They share a worker only with others of their job, so that a crash costs no other run.
 
 	suspicionLevels = 3
@@ -194,7 +194,7 @@
 	return machine.placeGroup(job, stage, wanted, machine.candidates(queue, job, stage, unsuspected, advice))
 }
 
-// mayWaitForIsolation reports whether an isolated task of a stage goes on to wait for a worker of its own.
+// mayWaitForIsolation reports whether an isolated task of a stage may continue to wait for a worker of its own.
 func (machine *Machine) mayWaitForIsolation(waiting *waitingStage) bool {
 	return waiting.isolationSince.IsZero() || machine.now.Sub(waiting.isolationSince) < machine.isolationTimeout(waiting)
 }
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -85,7 +85,7 @@
 	// must not be extended.
 	extensionBlocked bool
 	// ackLimit is the first end of this incarnation that must not be acknowledged, 0 for none: a success, or the last
-	// failure allowed, that was reported after its task had been started again. An acknowledgement tells the worker that
+	// failure allowed, that was reported after its task had been started again. An acknowledgement means to the worker that
 	// the end is in the journal, which holds another run instead. The worker gets no new work.
 	ackLimit  int64
 	lapsedEnd int64 // lapsedEnd is the last end of this incarnation up to an expiry of the lease, 0 for none.
