Split the test of all link messages

Change: newLink starts the hub and the dialer, requireRelayedOrders has the assertions on relayed orders. All assertions stay, in the same order.

--- a/command/connector/connector_test.go
+++ b/command/connector/connector_test.go
@@ -74,31 +74,55 @@
 	}
 }
 
-// Guards against link messages that are altered or lost in transit, and against a scheduler that gets no
-// HostLinkChanged when a host disconnects.
-func TestLinkCarriesAllMessages(t *testing.T) {
+// link is a hub, and a dialer that connects to the scheduler it is given, with the endpoints of both.
+type link struct {
+	scheduler, host endpoint
+	hub             *connector.Hub
+	address         string // address is that of the hub.
+	dialer          *connector.Dialer
+	queries         *ring.Ring[asker.Request]
+	schedulers      *ring.Ring[connector.Scheduler]
+	stop            func() // stop ends the dialer and waits for it.
+}
+
+func newLink(t *testing.T) link {
+	t.Helper()
 	codec, err := encoder.NewCodec()
 	require.NoError(t, err)
 	scheduler, host := newEndpoint(), newEndpoint()
 	queries := ring.New[asker.Request](ring.Config{Name: "advice", Capacity: 4})
 	hub := connector.NewHub(connector.HubConfig{Host: "h-1", Codec: codec, Sink: scheduler.messages, Relay: scheduler.relayed, Clock: clock{}, Log: discardLog{}})
 	server := httptest.NewServer(hub)
-	defer server.Close()
+	t.Cleanup(server.Close)
 	dialer := connector.NewDialer(connector.DialerConfig{
 		Host: "h-2", DataCentre: "a", Address: "10.0.0.2:1", Codec: codec, Queries: queries, Executor: host, Sink: host.messages, Log: discardLog{}, Clock: clock{},
 		Stored: func(stored almondcross.IntakeStored) { host.stored <- stored },
 	})
 	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
+	t.Cleanup(cancel)
 	schedulers := ring.New[connector.Scheduler](ring.Config{Name: "schedulers", Capacity: 4})
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		_ = dialer.Run(ctx, schedulers)
 	}()
+	return link{
+		scheduler: scheduler, host: host, hub: hub, address: strings.TrimPrefix(server.URL, "http://"), dialer: dialer, queries: queries, schedulers: schedulers,
+		stop: func() {
+			cancel()
+			<-done
+		},
+	}
+}
+
+// Guards against link messages that are altered or lost in transit, and against a scheduler that gets no
+// HostLinkChanged when a host disconnects.
+func TestLinkCarriesAllMessages(t *testing.T) {
+	link := newLink(t)
+	scheduler, host, hub := link.scheduler, link.host, link.hub
 	end := almondcross.NewChange(almondcross.ChangeConfig{Kind: almondcross.ChangeEnd, Run: 2, Worker: "w-1", End: almondcross.EndDone})
-	schedulers.Offer(connector.Scheduler{
-		Host: "h-1", Address: strings.TrimPrefix(server.URL, "http://"), Strength: 70, Epoch: 4096, Ends: []almondcross.Change{end},
+	link.schedulers.Offer(connector.Scheduler{
+		Host: "h-1", Address: link.address, Strength: 70, Epoch: 4096, Ends: []almondcross.Change{end},
 	})
 	joined := nextMessage[almondcross.HostLinkChanged](t, scheduler)
 	require.True(t, joined.Present())
@@ -112,9 +136,9 @@
 	})
 	require.False(t, hub.SendAdviceQuery("h-3", query))
 	require.True(t, hub.SendAdviceQuery("h-2", query))
-	request := <-queries.Messages()
+	request := <-link.queries.Messages()
 	require.Equal(t, query, request.Query)
-	request.Reply(ctx, almondcross.NewAdviceAnswered(almondcross.AdviceAnsweredConfig{
+	request.Reply(t.Context(), almondcross.NewAdviceAnswered(almondcross.AdviceAnsweredConfig{
 		Query: query, Result: almondcross.NewAdviceResult(almondcross.AdviceResultConfig{
 			Validity: time.Second, Tickets: []almondcross.Ticket{almondcross.NewTicket(almondcross.TicketConfig{Worker: "w-2", Secret: "s"})},
 		}),
@@ -144,19 +168,9 @@
 	hub.PushViews([]string{"h-2"}, views)
 	require.Equal(t, views, nextMessage[almondcross.ViewsPushed](t, host))
 
-	linked, ok := (<-scheduler.relayed.Messages()).(almondcross.HostLinkChanged)
-	require.True(t, ok)
-	require.Equal(t, "a", linked.DataCentre())
-	require.True(t, hub.SendOrders("h-2", almondcross.NewOrdersRelayed(almondcross.OrdersRelayedConfig{Orders: []almondcross.RelayedOrder{
-		almondcross.NewRelayedOrder(almondcross.RelayedOrderConfig{Number: 5, Kind: almondcross.OrderLease}),
-	}})))
-	answered, ok := (<-scheduler.relayed.Messages()).(almondcross.OrdersAnswered)
-	require.True(t, ok)
-	require.Equal(t, "h-2", answered.Host())
-	require.Equal(t, int64(5), answered.Answers()[0].Number())
-	require.False(t, hub.SendOrders("h-3", almondcross.OrdersRelayed{}), "a host without a link")
+	requireRelayedOrders(t, scheduler, hub)
 
-	uplink := connector.NewUplink(connector.NewHub(connector.HubConfig{Host: "h-2", Sink: host.messages, Clock: clock{}}), dialer, clock{})
+	uplink := connector.NewUplink(connector.NewHub(connector.HubConfig{Host: "h-2", Sink: host.messages, Clock: clock{}}), link.dialer, clock{})
 	intake := almondcross.NewIntake(almondcross.IntakeConfig{Cancel: true, Job: almondcross.NewJob(almondcross.JobConfig{ID: "j", Steps: []almondcross.Step{}})})
 	require.True(t, uplink.Forward(almondcross.NewIntakeForwarded(almondcross.IntakeForwardedConfig{Number: 9, Intake: intake})))
 	forwarded := nextMessage[almondcross.IntakeForwarded](t, scheduler)
@@ -165,12 +179,27 @@
 	hub.ConfirmIntake("h-2", almondcross.NewIntakeStored(almondcross.IntakeStoredConfig{Number: forwarded.Number()}))
 	require.Equal(t, int64(9), (<-host.stored).Number())
 
-	cancel()
-	<-done
+	link.stop()
 	require.False(t, nextMessage[almondcross.HostLinkChanged](t, scheduler).Present())
 	require.Positive(t, <-host.abandoned, "the orders of the closed link are given up")
 }
 
+// requireRelayedOrders requires that the relayer gets the link of h-2 and the answers to the orders that it sends over it.
+func requireRelayedOrders(t *testing.T, scheduler endpoint, hub *connector.Hub) {
+	t.Helper()
+	linked, ok := (<-scheduler.relayed.Messages()).(almondcross.HostLinkChanged)
+	require.True(t, ok)
+	require.Equal(t, "a", linked.DataCentre())
+	require.True(t, hub.SendOrders("h-2", almondcross.NewOrdersRelayed(almondcross.OrdersRelayedConfig{Orders: []almondcross.RelayedOrder{
+		almondcross.NewRelayedOrder(almondcross.RelayedOrderConfig{Number: 5, Kind: almondcross.OrderLease}),
+	}})))
+	answered, ok := (<-scheduler.relayed.Messages()).(almondcross.OrdersAnswered)
+	require.True(t, ok)
+	require.Equal(t, "h-2", answered.Host())
+	require.Equal(t, int64(5), answered.Answers()[0].Number())
+	require.False(t, hub.SendOrders("h-3", almondcross.OrdersRelayed{}), "a host without a link")
+}
+
 // Guards against a host that stays linked for good, so that the scheduler counts on it as a standby and for calls, because
 // its link introduced itself more than once, and against a link under the name of the scheduler's own host.
 func TestLinkHasOneHost(t *testing.T) {
