--- a/command/scheduler/discovery.go
+++ b/command/scheduler/discovery.go
@@ -223,7 +223,8 @@
 	machine.emit(AssignRole{Host: host.name, Assigned: almondcross.NewRoleAssigned(almondcross.RoleAssignedConfig{Standby: host.standby})})
 }
 
-// allViews returns the views of all jobs in no particular order, since a host replaces all its views by them in one step. Sorting the views of 21,000 jobs would take longer than collecting them.
+// allViews returns the views of all jobs in no particular order, since a host replaces all its views by them in one step.
+// Sorting the views of 21,000 jobs would take longer than collecting them.
 func (machine *Machine) allViews() []almondcross.JobViewChange {
 	changes := make([]almondcross.JobViewChange, 0, len(machine.state.jobs))
 	for id, job := range machine.state.jobs {
@@ -271,7 +272,7 @@
 		if other.standby {
 			standbys = append(standbys, name)
 		}
-		// Before its first views, a host would take an incomplete set of jobs for complete.
+		// Before its first views, a host would treat an incomplete set of jobs as complete.
 		if !other.awaitingViews && (!other.standby || machine.now.Before(other.viewsUntil)) {
 			viewers = append(viewers, name)
 		}
--- a/command/scheduler/format_test.go
+++ b/command/scheduler/format_test.go
@@ -78,7 +78,8 @@
 }
 
 // Guards against a host that is elected with a state from which changes are missing, because it skipped those of a later
-// version; and against one that is kept from an election by the format that it writes itself, or by the version before, which writes none.
+// version; and against one that is kept from an election by the format that it writes itself, or by the version before, which
+// writes none.
 func TestHostWithAnOlderFormatIsNoCandidate(t *testing.T) {
 	for format, stands := range map[int]bool{0: true, journalFormat: true, journalFormat + 1: false, journalFormat + 7: false} {
 		harness, recorder := newFormatHarness(t)
--- a/command/scheduler/hostcalls.go
+++ b/command/scheduler/hostcalls.go
@@ -83,7 +83,8 @@
 // acceptsFurtherCall reports whether a host that has pending calls may get another one. It may if the call is expected to wait
 // at the service for less than a round trip: with one call at a time, the service would be idle for a round trip after each
 // call, which in another region takes several times as long as a short call. A call that waits longer could be made by
-// another host, or delay a call of a more urgent stage that becomes ready later. A host whose answer is overdue gets no further call.
+// another host, or delay a call of a more urgent stage that becomes ready later. A host whose answer is overdue gets no further
+// call.
 func (linkedhost *linkedHost) acceptsFurtherCall(now time.Time) bool {
 	if len(linkedhost.calls) >= almondcross.AdviceCallsPerHost {
 		return false
--- a/command/scheduler/verdict_test.go
+++ b/command/scheduler/verdict_test.go
@@ -114,8 +114,8 @@
 	})
 }
 
-// Guards against a journal with verdicts that gives a replica another state than the scheduler's, or than one of the landed
-// version, which skips the verdicts, has from it; and against another outcome of a journal of that version, which has none.
+// Guards against a journal with verdicts from which a replica, or one of the version before, which skips the verdicts, derives
+// another state than the scheduler's; and against another outcome of a journal of that version, which has no verdicts.
 func TestVerdictsGiveTheOutcomeOfTheRules(t *testing.T) {
 	codec, err := encoder.NewCodec()
 	require.NoError(t, err)
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -260,7 +260,7 @@
 	worker.info, worker.announced, worker.announcedAt = change.Worker(), true, machine.now
 	if worker.info.Draining() && !worker.drained {
 		worker.drained = true
-		machine.recordAddress(worker) // A successor would take the worker's end for a crash.
+		machine.recordAddress(worker) // A successor would otherwise treat the worker's end as a crash.
 	}
 	machine.endUnlisted(worker)
 	if !worker.managed || addressChanged {
