Describe verdicts, formats and forwarded ends in the package comment

Cause: doc.go of the scheduler did not mention cells with two versions, and said of forwarded ends only that they "go with it".

Change: a section on versions, and who forwards which ends and when. Comments only.

--- a/command/scheduler/doc.go
+++ b/command/scheduler/doc.go
@@ -39,8 +39,15 @@
 // store does not answer, the scheduler starts nothing new and renews leases for leadershipTimeout. A
 // scheduler that has been fenced off drops its tables and looks for its successor. Once it has resigned, or
 // has linked to its successor, it renews no leases, and the successor waits for one lease of the workers that
-// it does not reach (leadership.go). The ends of runs that it may not have recorded go with it (forward.go).
+// it does not reach (leadership.go). When it links to the successor, its host forwards the ends of runs that
+// workers have reported to it and that may not be in the journal (forward.go).
 //
 // A host that cannot reach the store queries other hosts for the current scheduler and still serves callers
 // over its link to the scheduler. It cannot become a standby until it reaches the store again.
+//
+// # Versions
+//
+// Hosts of two versions may follow one journal. The scheduler records its verdict on a job with the end of a
+// run, and the standbys apply the verdict instead of their own rules (verdict.go). A host that meets a
+// format of the journal above its own is no candidate, and shows callers the scheduler's views (format.go).
 package scheduler
