--- a/standin/emulator/takeovers.go
+++ b/standin/emulator/takeovers.go
@@ -49,10 +49,10 @@
 
 // Apply returns the settings of a simulation of the scenario. With loseWorker, the busiest worker is lost at the same moment.
 // Nothing but the scenario ends or delays runs: no run fails and no job is cancelled.
-func (scenario TakeoverScenario) Apply(config Config, loseWorker bool) Config {
+func (takeoverscenario TakeoverScenario) Apply(config Config, loseWorker bool) Config {
 	at := takeoverStart + randomDuration(randomFor(config.Seed, "takeover"), takeoverStartRange)
 	config.FailShare, config.PoisonShare, config.CancelShare = 0, 0, 0
-	config.DrainTime, config.Faults = takeoverDrain, slices.Clone(scenario.Faults)
+	config.DrainTime, config.Faults = takeoverDrain, slices.Clone(takeoverscenario.Faults)
 	if loseWorker {
 		config.Faults = append(config.Faults, Fault{Kind: LoseWorker, Duration: config.SubmitTime + takeoverDrain})
 	}
