--- a/command/scheduler/leadership_test.go
+++ b/command/scheduler/leadership_test.go
@@ -21,8 +21,9 @@
 // requireOneLease requires that the run of a lost worker ended when a lease extended at a time had expired, and not later.
 func requireOneLease(t *testing.T, waited time.Duration) {
 	t.Helper()
-	require.GreaterOrEqual(t, waited, leaseDuration)
-	require.Less(t, waited, longestLease()+2*sweepInterval)
+	lease := leaseDuration*100/98 + lastOrderMargin // A worker's clock may be 2% slow.
+	require.GreaterOrEqual(t, waited, lease)
+	require.Less(t, waited, lease+2*sweepInterval)
 }
 
 // linkHost links a host that names an epoch as that of the scheduler.
