--- a/command/scheduler/constants.go
+++ b/command/scheduler/constants.go
@@ -76,7 +76,7 @@
 	maxTrimmedReads = 3
 	// gapRetryDelay is the pause before a host that has met a gap loads the state again.
 	gapRetryDelay = time.Second
-	// stateLossTimeout is how long a host that has met a gap waits for any scheduler before it goes on without the deleted
+	// stateLossTimeout is how long a host that has met a gap waits for any scheduler before it continues without the deleted
 	// batches. A host that has the state and reaches the store is elected within 2 s of the loss of the scheduler, and
 	// restarts and outages of the store take less than half of this time.
 	stateLossTimeout = 30 * time.Second
@@ -149,10 +149,10 @@
 	// orders but whose answers are lost thus stops its work.
 	maxExtensionAge = 1800 * time.Millisecond
 	// leadershipTimeout is how long a scheduler extends leases after its last commit, unless it resigns. A successor waits for
-	// this time plus a lease before it presumes the runs of an unreachable worker lost, see leadership.
+	// this time plus a lease before it presumes the runs of an unreachable worker lost, see the type leadership.
 	leadershipTimeout = 5 * time.Second
 	// resignationLag is how long after the record of its resignation a scheduler may extend leases. It extends none, but zero
-	// would stand for a scheduler that does not tell.
+	// would stand for a scheduler of an earlier version, which does not record this time.
 	resignationLag = time.Millisecond
 	// firstContactTimeout is how long a new scheduler tries to reach a worker before it presumes its runs lost, although the
 	// lease has expired: the ends of runs may still be reported. Announcements are back within 2 s of an outage of the store.
--- a/command/scheduler/discovery.go
+++ b/command/scheduler/discovery.go
@@ -28,7 +28,7 @@
 // strength returns the scheduling strength of this host: the configured one minus its latency to the store,
 // since every start waits for an append.
 func (machine *Machine) strength() int {
-	if machine.stopping || machine.discovery.viaPeer || machine.schedulerUnread() {
+	if machine.stopping || machine.discovery.viaPeer || machine.schedulerUnreadable() {
 		return 0
 	}
 	return max(0, machine.config.Strength-int(min(machine.discovery.storeLatency, maxLatencyPenalty).Milliseconds()))
@@ -161,7 +161,7 @@
 
 // roleAssigned makes this host a standby or a viewer, as the scheduler has decided.
 func (machine *Machine) roleAssigned(assigned almondcross.RoleAssigned) {
-	machine.gap.schedulerHeardAt = machine.now
+	machine.gap.schedulerContactAt = machine.now
 	machine.config.Log.Record("assigned", almondcross.Text("standby", yesNo(assigned.Standby())))
 	switch {
 	case assigned.Standby() && (machine.role == roleDiscovering || machine.role == roleViewer):
@@ -190,7 +190,7 @@
 	default:
 		return
 	}
-	machine.discovery.lastViewsAt, machine.gap.schedulerHeardAt = machine.now, machine.now
+	machine.discovery.lastViewsAt, machine.gap.schedulerContactAt = machine.now, machine.now
 	machine.config.Publisher.Refreshed(machine.now, pushed.Complete())
 }
 
@@ -223,8 +223,8 @@
 	machine.emit(AssignRole{Host: host.name, Assigned: almondcross.NewRoleAssigned(almondcross.RoleAssignedConfig{Standby: host.standby})})
 }
 
-// allViews returns the views of all jobs in no particular order, since a host puts them in the place of its earlier ones in one
-// step. Sorting the views of 21,000 jobs would take longer than collecting them.
+// allViews returns the views of all jobs in no particular order, since a host replaces all its views by them in one step.
+// Sorting the views of 21,000 jobs would take longer than collecting them.
 func (machine *Machine) allViews() []almondcross.JobViewChange {
 	changes := make([]almondcross.JobViewChange, 0, len(machine.state.jobs))
 	for id, job := range machine.state.jobs {
@@ -272,7 +272,7 @@
 		if other.standby {
 			standbys = append(standbys, name)
 		}
-		// Before its first views, a host would take an incomplete set of jobs for complete.
+		// Before its first views, a host would treat an incomplete set of jobs as complete.
 		if !other.awaitingViews && (!other.standby || machine.now.Before(other.viewsUntil)) {
 			viewers = append(viewers, name)
 		}
--- a/command/scheduler/format_test.go
+++ b/command/scheduler/format_test.go
@@ -12,7 +12,7 @@
 	"github.com/almondcross/almondcross/query/jobfinder"
 )
 
-// formatRecorder counts the log lines and the metric that tell of an unknown format.
+// formatRecorder counts the log lines and the metric that report an unknown format.
 type formatRecorder struct {
 	noopRecorder
 	lines, counted int
@@ -66,7 +66,7 @@
 	return false
 }
 
-// announcedStrengths removes the announcements and returns the strengths that they told a scheduler.
+// announcedStrengths removes the announcements and returns the strengths in them.
 func (harness *harness) announcedStrengths() []int {
 	var strengths []int
 	for announced, found := takeEffect[AnnounceScheduler](harness); found; announced, found = takeEffect[AnnounceScheduler](harness) {
@@ -78,7 +78,8 @@
 }
 
 // Guards against a host that is elected with a state from which changes are missing, because it skipped those of a later
-// version; and against one that is kept from an election by the format that it writes itself, or by the landed version.
+// version; and against one that is kept from an election by the format that it writes itself, or by the version before, which
+// writes none.
 func TestHostWithAnOlderFormatIsNoCandidate(t *testing.T) {
 	for format, stands := range map[int]bool{0: true, journalFormat: true, journalFormat + 1: false, journalFormat + 7: false} {
 		harness, recorder := newFormatHarness(t)
--- a/command/scheduler/machine.go
+++ b/command/scheduler/machine.go
@@ -61,11 +61,11 @@
 
 	// triedEpoch is the highest epoch that this host has used in an election.
 	triedEpoch int64
-	// unreadEpoch is the epoch of the last scheduler whose journal this host cannot read in full, zero for none. It outlives
+	// unreadableEpoch is the epoch of the last scheduler whose journal this host cannot read in full, zero for none. It outlives
 	// reloads of the state.
-	unreadEpoch int64
-	stopping    bool
-	linkedHosts map[string]*linkedHost
+	unreadableEpoch int64
+	stopping        bool
+	linkedHosts     map[string]*linkedHost
 	// snapshotKeys holds the keys of snapshots that the store had when this host loaded the state, until it has stored one.
 	snapshotKeys    []string
 	snapshotPending bool // snapshotPending is set while a snapshot is being stored, also by an earlier epoch of this host.
@@ -164,8 +164,8 @@
 	}
 }
 
-// linkLost notes that what arrived over the link to the scheduler has ended. A standby then reads the journal at once: a
-// scheduler that resigns closes its links before it has pushed its resignation.
+// linkLost handles the loss of the link to the scheduler, over which views and batches arrived. A standby then reads the journal
+// at once: a scheduler that resigns closes its links before it has pushed its resignation.
 func (machine *Machine) linkLost(scheduler string) {
 	if scheduler == machine.discovery.pointer.Host() {
 		machine.discovery.viewsReceived, machine.follower.pushedEnd, machine.follower.lastPushAt = false, 0, time.Time{}
--- a/command/scheduler/verdict_test.go
+++ b/command/scheduler/verdict_test.go
@@ -11,8 +11,8 @@
 	"github.com/almondcross/almondcross/encoder"
 )
 
-// Guards against a host that shows callers another state of a job than the scheduler's, for good: it worked the end of the job
-// out by its own rules and settings, which another version has otherwise.
+// Guards against a host that permanently shows callers another state of a job than the scheduler's: it derived the end of the job
+// from its own rules and settings, which differ between versions.
 func TestReplicaAppliesVerdictsAsTheyStand(t *testing.T) {
 	task := taskOf("j", 0, 0)
 	for name, test := range map[string]struct {
@@ -114,8 +114,8 @@
 	})
 }
 
-// Guards against a journal with verdicts that gives a replica another state than the scheduler's, or than one of the landed
-// version, which skips the verdicts, has from it; and against another outcome of a journal of that version, which has none.
+// Guards against a journal with verdicts from which a replica, or one of the version before, which skips the verdicts, derives
+// another state than the scheduler's; and against another outcome of a journal of that version, which has no verdicts.
 func TestVerdictsGiveTheOutcomeOfTheRules(t *testing.T) {
 	codec, err := encoder.NewCodec()
 	require.NoError(t, err)
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -85,7 +85,7 @@
 	// must not be extended.
 	extensionBlocked bool
 	// ackLimit is the first end of this incarnation that must not be acknowledged, 0 for none: a success, or the last
-	// failure allowed, that was reported after its task had been started again. An acknowledgement tells the worker that
+	// failure allowed, that was reported after its task had been started again. An acknowledgement means to the worker that
 	// the end is in the journal, which holds another run instead. The worker gets no new work.
 	ackLimit  int64
 	lapsedEnd int64 // lapsedEnd is the last end of this incarnation up to an expiry of the lease, 0 for none.
@@ -260,7 +260,7 @@
 	worker.info, worker.announced, worker.announcedAt = change.Worker(), true, machine.now
 	if worker.info.Draining() && !worker.drained {
 		worker.drained = true
-		machine.recordAddress(worker) // A successor would take the worker's end for a crash.
+		machine.recordAddress(worker) // A successor would otherwise treat the worker's end as a crash.
 	}
 	machine.endUnlisted(worker)
 	if !worker.managed || addressChanged {
