--- a/command/scheduler/lease.go
+++ b/command/scheduler/lease.go
@@ -126,9 +126,7 @@
 func (machine *Machine) reconcileRuns(worker *worker, answer almondcross.LeaseAnswered) {
 	report := answer.Report()
 	if worker.incarnation != report.Incarnation() {
-		if worker.incarnation != 0 {
-			machine.config.Log.Record("worker_restarted", almondcross.Text("worker", worker.id), almondcross.Number("runs", len(worker.assignments)))
-		}
+		machine.logRestart(worker, report)
 		machine.resetWorker(worker, report)
 	}
 	worker.clock, worker.lastAnswerAt = report.Clock(), answer.Received()
@@ -160,6 +158,22 @@
 	}
 }
 
+// logRestart logs that a worker reports another incarnation than before. unread counts the ends of that incarnation that have been
+// acknowledged although this scheduler has read none of them, as far as later ends show them.
+func (machine *Machine) logRestart(worker *worker, report almondcross.WorkerReport) {
+	unread := int64(0)
+	if ended := report.Ended(); len(ended) > 0 {
+		unread = ended[0].Sequence() - 1
+	}
+	if worker.incarnation == 0 {
+		return
+	}
+	machine.config.Log.Record("worker_restarted", almondcross.Text("worker", worker.id), almondcross.Number("runs", len(worker.assignments)),
+		almondcross.Number("earlier", worker.incarnation), almondcross.Number("incarnation", report.Incarnation()),
+		almondcross.Millis("age_ms", machine.now.Sub(worker.lastAnswerAt)), almondcross.Number("reported_runs", len(report.Running())),
+		almondcross.Number("unread", unread))
+}
+
 // recordEnds records the reported ends and returns the sequence number up to which they may be acknowledged
 // after the commit.
 func (machine *Machine) recordEnds(worker *worker, ends []almondcross.EndedTask) int64 {
