Name the incarnation that an order is for

An order to a worker that has restarted reaches its next incarnation, which cannot refuse it. Orders and the answers to starts get the incarnation that they are for, and a result for a worker that has restarted.

--- a/job_generated.go
+++ b/job_generated.go
@@ -1102,6 +1102,7 @@
 type LeaseOrderConfig struct {
 	Number       int64
 	Worker       Worker
+	Incarnation  int64
 	Fence        int64
 	Acknowledged int64
 	Until        time.Duration
@@ -1114,6 +1115,7 @@
 	return LeaseOrder{
 		number:       config.Number,
 		worker:       config.Worker,
+		incarnation:  config.Incarnation,
 		fence:        config.Fence,
 		acknowledged: config.Acknowledged,
 		until:        config.Until,
@@ -1127,6 +1129,7 @@
 	return LeaseOrderConfig{
 		Number:       leaseorder.number,
 		Worker:       leaseorder.worker,
+		Incarnation:  leaseorder.incarnation,
 		Fence:        leaseorder.fence,
 		Acknowledged: leaseorder.acknowledged,
 		Until:        leaseorder.until,
@@ -1153,6 +1156,15 @@
 	return leaseorder
 }
 
+// Incarnation returns the incarnation that the order is for, 0 for any.
+func (leaseorder LeaseOrder) Incarnation() int64 { return leaseorder.incarnation }
+
+// WithIncarnation returns a copy with the given incarnation.
+func (leaseorder LeaseOrder) WithIncarnation(incarnation int64) LeaseOrder {
+	leaseorder.incarnation = incarnation
+	return leaseorder
+}
+
 // Fence returns the fencing token.
 func (leaseorder LeaseOrder) Fence() int64 { return leaseorder.fence }
 
@@ -1200,44 +1212,47 @@
 
 // StartOrderConfig holds the fields of a new StartOrder.
 type StartOrderConfig struct {
-	Number     int64
-	Worker     Worker
-	Task       JobTask
-	Run        int
-	Payload    string
-	Checkpoint string
-	Ticket     string
-	Fence      int64
-	Until      time.Duration
+	Number      int64
+	Worker      Worker
+	Incarnation int64
+	Task        JobTask
+	Run         int
+	Payload     string
+	Checkpoint  string
+	Ticket      string
+	Fence       int64
+	Until       time.Duration
 }
 
 // NewStartOrder returns a StartOrder with the given fields.
 func NewStartOrder(config StartOrderConfig) StartOrder {
 	return StartOrder{
-		number:     config.Number,
-		worker:     config.Worker,
-		task:       config.Task,
-		run:        config.Run,
-		payload:    config.Payload,
-		checkpoint: config.Checkpoint,
-		ticket:     config.Ticket,
-		fence:      config.Fence,
-		until:      config.Until,
+		number:      config.Number,
+		worker:      config.Worker,
+		incarnation: config.Incarnation,
+		task:        config.Task,
+		run:         config.Run,
+		payload:     config.Payload,
+		checkpoint:  config.Checkpoint,
+		ticket:      config.Ticket,
+		fence:       config.Fence,
+		until:       config.Until,
 	}
 }
 
 // Config returns the fields of the value for encoding or for a changed copy.
 func (startorder StartOrder) Config() StartOrderConfig {
 	return StartOrderConfig{
-		Number:     startorder.number,
-		Worker:     startorder.worker,
-		Task:       startorder.task,
-		Run:        startorder.run,
-		Payload:    startorder.payload,
-		Checkpoint: startorder.checkpoint,
-		Ticket:     startorder.ticket,
-		Fence:      startorder.fence,
-		Until:      startorder.until,
+		Number:      startorder.number,
+		Worker:      startorder.worker,
+		Incarnation: startorder.incarnation,
+		Task:        startorder.task,
+		Run:         startorder.run,
+		Payload:     startorder.payload,
+		Checkpoint:  startorder.checkpoint,
+		Ticket:      startorder.ticket,
+		Fence:       startorder.fence,
+		Until:       startorder.until,
 	}
 }
 
@@ -1259,6 +1274,15 @@
 	return startorder
 }
 
+// Incarnation returns the incarnation that the order is for, 0 for any.
+func (startorder StartOrder) Incarnation() int64 { return startorder.incarnation }
+
+// WithIncarnation returns a copy with the given incarnation.
+func (startorder StartOrder) WithIncarnation(incarnation int64) StartOrder {
+	startorder.incarnation = incarnation
+	return startorder
+}
+
 // Task returns the task.
 func (startorder StartOrder) Task() JobTask { return startorder.task }
 
@@ -1324,32 +1348,35 @@
 
 // StopOrderConfig holds the fields of a new StopOrder.
 type StopOrderConfig struct {
-	Number int64
-	Worker Worker
-	Task   JobTask
-	Run    int
-	Fence  int64
+	Number      int64
+	Worker      Worker
+	Incarnation int64
+	Task        JobTask
+	Run         int
+	Fence       int64
 }
 
 // NewStopOrder returns a StopOrder with the given fields.
 func NewStopOrder(config StopOrderConfig) StopOrder {
 	return StopOrder{
-		number: config.Number,
-		worker: config.Worker,
-		task:   config.Task,
-		run:    config.Run,
-		fence:  config.Fence,
+		number:      config.Number,
+		worker:      config.Worker,
+		incarnation: config.Incarnation,
+		task:        config.Task,
+		run:         config.Run,
+		fence:       config.Fence,
 	}
 }
 
 // Config returns the fields of the value for encoding or for a changed copy.
 func (stoporder StopOrder) Config() StopOrderConfig {
 	return StopOrderConfig{
-		Number: stoporder.number,
-		Worker: stoporder.worker,
-		Task:   stoporder.task,
-		Run:    stoporder.run,
-		Fence:  stoporder.fence,
+		Number:      stoporder.number,
+		Worker:      stoporder.worker,
+		Incarnation: stoporder.incarnation,
+		Task:        stoporder.task,
+		Run:         stoporder.run,
+		Fence:       stoporder.fence,
 	}
 }
 
@@ -1371,6 +1398,15 @@
 	return stoporder
 }
 
+// Incarnation returns the incarnation that the order is for, 0 for any.
+func (stoporder StopOrder) Incarnation() int64 { return stoporder.incarnation }
+
+// WithIncarnation returns a copy with the given incarnation.
+func (stoporder StopOrder) WithIncarnation(incarnation int64) StopOrder {
+	stoporder.incarnation = incarnation
+	return stoporder
+}
+
 // Task returns the task.
 func (stoporder StopOrder) Task() JobTask { return stoporder.task }
 
--- a/relaying.go
+++ b/relaying.go
@@ -43,7 +43,9 @@
 func (relayedorder RelayedOrder) Answer(answer RelayedAnswer, sent, received time.Time) SchedulerMessage {
 	switch relayedorder.kind {
 	case OrderStart:
-		return NewStartOrderAnswered(StartOrderAnsweredConfig{Order: relayedorder.start, Result: answer.Result(), Received: received})
+		return NewStartOrderAnswered(StartOrderAnsweredConfig{
+			Order: relayedorder.start, Result: answer.Result(), Received: received, Incarnation: answer.Incarnation(),
+		})
 	case OrderStop:
 		return NewStopOrderAnswered(StopOrderAnsweredConfig{Order: relayedorder.stop, Result: answer.Result()})
 	case OrderLease:
@@ -57,9 +59,10 @@
 //
 //value:generate
 type RelayedAnswer struct {
-	number int64        // the number of the order
-	result OrderResult  // the result of the order
-	report WorkerReport // the tasks that the worker reported, valid for a lease order with OrderDone only
+	number      int64        // the number of the order
+	result      OrderResult  // the result of the order
+	report      WorkerReport // the tasks that the worker reported, valid for a lease order with OrderDone only
+	incarnation int64        // the only incarnation that a start order can have reached, 0 if that is not known
 }
 
 // OrdersRelayed passes orders from the scheduler to the host that sends them to the workers.
--- a/relaying_generated.go
+++ b/relaying_generated.go
@@ -96,26 +96,29 @@
 
 // RelayedAnswerConfig holds the fields of a new RelayedAnswer.
 type RelayedAnswerConfig struct {
-	Number int64
-	Result OrderResult
-	Report WorkerReport
+	Number      int64
+	Result      OrderResult
+	Report      WorkerReport
+	Incarnation int64
 }
 
 // NewRelayedAnswer returns a RelayedAnswer with the given fields.
 func NewRelayedAnswer(config RelayedAnswerConfig) RelayedAnswer {
 	return RelayedAnswer{
-		number: config.Number,
-		result: config.Result,
-		report: config.Report,
+		number:      config.Number,
+		result:      config.Result,
+		report:      config.Report,
+		incarnation: config.Incarnation,
 	}
 }
 
 // Config returns the fields of the value for encoding or for a changed copy.
 func (relayedanswer RelayedAnswer) Config() RelayedAnswerConfig {
 	return RelayedAnswerConfig{
-		Number: relayedanswer.number,
-		Result: relayedanswer.result,
-		Report: relayedanswer.report,
+		Number:      relayedanswer.number,
+		Result:      relayedanswer.result,
+		Report:      relayedanswer.report,
+		Incarnation: relayedanswer.incarnation,
 	}
 }
 
@@ -146,6 +149,15 @@
 	return relayedanswer
 }
 
+// Incarnation returns the only incarnation that a start order can have reached, 0 if that is not known.
+func (relayedanswer RelayedAnswer) Incarnation() int64 { return relayedanswer.incarnation }
+
+// WithIncarnation returns a copy with the given incarnation.
+func (relayedanswer RelayedAnswer) WithIncarnation(incarnation int64) RelayedAnswer {
+	relayedanswer.incarnation = incarnation
+	return relayedanswer
+}
+
 // OrdersRelayedConfig holds the fields of a new OrdersRelayed.
 type OrdersRelayedConfig struct {
 	Orders []RelayedOrder
--- a/scheduling.go
+++ b/scheduling.go
@@ -174,9 +174,10 @@
 //
 //value:generate
 type StartOrderAnswered struct {
-	order    StartOrder  // the order
-	result   OrderResult // the result of the order
-	received time.Time   // the time at which the answer was received
+	order       StartOrder  // the order
+	result      OrderResult // the result of the order
+	received    time.Time   // the time at which the answer was received
+	incarnation int64       // the only incarnation that the order can have reached, 0 if that is not known
 }
 
 // StopOrderAnswered answers a StopOrder.
--- a/scheduling_generated.go
+++ b/scheduling_generated.go
@@ -952,26 +952,29 @@
 
 // StartOrderAnsweredConfig holds the fields of a new StartOrderAnswered.
 type StartOrderAnsweredConfig struct {
-	Order    StartOrder
-	Result   OrderResult
-	Received time.Time
+	Order       StartOrder
+	Result      OrderResult
+	Received    time.Time
+	Incarnation int64
 }
 
 // NewStartOrderAnswered returns a StartOrderAnswered with the given fields.
 func NewStartOrderAnswered(config StartOrderAnsweredConfig) StartOrderAnswered {
 	return StartOrderAnswered{
-		order:    config.Order,
-		result:   config.Result,
-		received: config.Received,
+		order:       config.Order,
+		result:      config.Result,
+		received:    config.Received,
+		incarnation: config.Incarnation,
 	}
 }
 
 // Config returns the fields of the value for encoding or for a changed copy.
 func (startorderanswered StartOrderAnswered) Config() StartOrderAnsweredConfig {
 	return StartOrderAnsweredConfig{
-		Order:    startorderanswered.order,
-		Result:   startorderanswered.result,
-		Received: startorderanswered.received,
+		Order:       startorderanswered.order,
+		Result:      startorderanswered.result,
+		Received:    startorderanswered.received,
+		Incarnation: startorderanswered.incarnation,
 	}
 }
 
@@ -1002,6 +1005,17 @@
 	return startorderanswered
 }
 
+// Incarnation returns the only incarnation that the order can have reached, 0 if that is not known.
+func (startorderanswered StartOrderAnswered) Incarnation() int64 {
+	return startorderanswered.incarnation
+}
+
+// WithIncarnation returns a copy with the given incarnation.
+func (startorderanswered StartOrderAnswered) WithIncarnation(incarnation int64) StartOrderAnswered {
+	startorderanswered.incarnation = incarnation
+	return startorderanswered
+}
+
 // StopOrderAnsweredConfig holds the fields of a new StopOrderAnswered.
 type StopOrderAnsweredConfig struct {
 	Order  StopOrder
--- a/worker.go
+++ b/worker.go
@@ -90,6 +90,7 @@
 type LeaseOrder struct {
 	number       int64         // the number that identifies the answer, 0 for none
 	worker       Worker        // the worker
+	incarnation  int64         // the incarnation that the order is for, 0 for any
 	fence        int64         // the fencing token
 	acknowledged int64         // the sequence number of the last end that is recorded in the journal
 	until        time.Duration // the end of the lease on the worker's clock, 0 for no change
@@ -101,26 +102,28 @@
 //
 //value:generate
 type StartOrder struct {
-	number     int64         // the number that identifies the answer, 0 for none
-	worker     Worker        // the worker
-	task       JobTask       // the task
-	run        int           // the number of the run
-	payload    string        // the input of the work
-	checkpoint string        // the checkpoint to resume from, empty for none
-	ticket     string        // the ticket from the advice service, empty for none
-	fence      int64         // the fencing token
-	until      time.Duration // the end of the lease on the worker's clock
+	number      int64         // the number that identifies the answer, 0 for none
+	worker      Worker        // the worker
+	incarnation int64         // the incarnation that the order is for, 0 for any
+	task        JobTask       // the task
+	run         int           // the number of the run
+	payload     string        // the input of the work
+	checkpoint  string        // the checkpoint to resume from, empty for none
+	ticket      string        // the ticket from the advice service, empty for none
+	fence       int64         // the fencing token
+	until       time.Duration // the end of the lease on the worker's clock
 }
 
 // StopOrder stops one run.
 //
 //value:generate
 type StopOrder struct {
-	number int64   // the number that identifies the answer, 0 for none
-	worker Worker  // the worker
-	task   JobTask // the task
-	run    int     // the number of the run
-	fence  int64   // the fencing token
+	number      int64   // the number that identifies the answer, 0 for none
+	worker      Worker  // the worker
+	incarnation int64   // the incarnation that the order is for, 0 for any
+	task        JobTask // the task
+	run         int     // the number of the run
+	fence       int64   // the fencing token
 }
 
 // OrderResult is the result of an order to a worker.
@@ -139,16 +142,18 @@
 	OrderTicketInvalid OrderResult = "ticket"    // OrderTicketInvalid means that the ticket is not valid.
 	OrderUnavailable   OrderResult = "unhealthy" // OrderUnavailable means that the worker, unavailable or overloaded, refused the order and did not execute it.
 	OrderReplaced      OrderResult = "replaced"  // OrderReplaced means that another worker answers at the address.
+	OrderRestarted     OrderResult = "restarted" // OrderRestarted means that another incarnation of the worker answers at its address; the order was not executed.
 	OrderInvalid       OrderResult = "invalid"   // OrderInvalid means that the worker rejected the order as malformed.
 )
 
-// WorkerOrderer sends orders to workers.
+// WorkerOrderer sends orders to workers. An order for an incarnation reaches no other one, whenever it is executed.
 type WorkerOrderer interface {
 	// Start starts a run.
 	Start(ctx context.Context, order StartOrder) (OrderResult, error)
 	// Stop stops a run.
 	Stop(ctx context.Context, order StopOrder) (OrderResult, error)
-	// Lease renews the lease and returns the worker's running and ended tasks. The report is valid with OrderDone only.
+	// Lease renews the lease and returns the worker's running and ended tasks. The report is valid with OrderDone only. If another
+	// incarnation answers than the one that the order is for, it returns the report of that one and has changed nothing there.
 	Lease(ctx context.Context, order LeaseOrder) (WorkerReport, OrderResult, error)
 }
 
