--- /dev/null
+++ b/command/scheduler/restart_test.go
@@ -0,0 +1,82 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/almondcross/almondcross"
+)
+
+// Guards against a run that is started on another worker while its own, which is cut off, still works on it: the worker restarted
+// under its identity before anybody saw it, and carried out a start order whose lease ends at a time on the clock of its earlier
+// incarnation. That clock is far ahead in general, so the worker shortens the lease to the longest it grants.
+func TestRunMayUseTheLongestLeaseAfterAnUnseenRestart(t *testing.T) {
+	harness := newHarness(t)
+	harness.becomeScheduler()
+	harness.submitJob("j", almondcross.StepConfig{Count: 1})
+	harness.answerCommits()
+	order := requireEffect[SendStart](harness)
+	sentAt := harness.now
+	harness.apply(almondcross.NewStartOrderAnswered(almondcross.StartOrderAnsweredConfig{Received: harness.now, Order: order.Order, Result: almondcross.OrderUnknown}))
+	leaseEndsAt := sentAt.Add(harness.machine.config.MaxLease)
+	for harness.recordedEnd() == "" && harness.now.Sub(sentAt) < time.Minute {
+		if sent, found := takeEffect[SendStart](harness); found {
+			leaseEndsAt = harness.now.Add(harness.machine.config.MaxLease)
+			harness.apply(almondcross.NewStartOrderAnswered(almondcross.StartOrderAnsweredConfig{Received: harness.now, Order: sent.Order, Result: almondcross.OrderUnknown}))
+		}
+		harness.dropLeaseAnswers(leaderTick)
+	}
+	require.False(t, harness.now.Before(leaseEndsAt), "%s: presumed lost %s before the end of the lease, %s after the order", harness.recordedEnd(), leaseEndsAt.Sub(harness.now), harness.now.Sub(sentAt))
+}
+
+// Guards against a wait for the longest lease, twice as long as needed, where the order cannot have reached another incarnation.
+func TestRunOfAKnownIncarnationIsLostWithItsLease(t *testing.T) {
+	harness := newHarness(t)
+	harness.becomeScheduler()
+	harness.submitJob("j", almondcross.StepConfig{Count: 1})
+	harness.answerCommits()
+	lastAnswerAt := harness.machine.leader.workers[workerID].lastAnswerAt
+	for harness.recordedEnd() == "" && harness.now.Sub(lastAnswerAt) < time.Minute {
+		if sent, found := takeEffect[SendStart](harness); found {
+			require.Equal(t, int64(1), sent.Order.Incarnation())
+			harness.apply(almondcross.NewStartOrderAnswered(almondcross.StartOrderAnsweredConfig{
+				Received: harness.now, Order: sent.Order, Result: almondcross.OrderUnknown, Incarnation: sent.Order.Incarnation(),
+			}))
+		}
+		harness.dropLeaseAnswers(leaderTick)
+	}
+	longest := withClockDrift(leaseDuration) + lastOrderMargin + maxExtensionAge
+	require.LessOrEqual(t, harness.now.Sub(lastAnswerAt), longest+unreachableWorkerGrace)
+}
+
+// Guards against a report that a worker sent before its restart and that is read after one of its next incarnation: the scheduler
+// would take the earlier incarnation for the current one, and acknowledge ends by its numbers.
+func TestReportOfTheEarlierIncarnationIsIgnored(t *testing.T) {
+	harness := newHarness(t)
+	harness.becomeScheduler()
+	report := func(incarnation int64, ended ...almondcross.EndedTask) almondcross.WorkerReport {
+		return almondcross.NewWorkerReport(almondcross.WorkerReportConfig{ID: workerID, Incarnation: incarnation, Clock: time.Second, Ended: ended})
+	}
+	worker := harness.machine.leader.workers[workerID]
+	delayed := requireEffect[SendLease](harness).Order
+	sent := harness.now
+	harness.advance(10 * time.Millisecond)
+	listed := harness.now
+	harness.advance(10 * time.Millisecond)
+	harness.apply(almondcross.NewLeaseAnswered(almondcross.LeaseAnsweredConfig{
+		Order: delayed.WithListOnly(true), Result: almondcross.OrderDone, Report: report(2), Sent: listed, Received: harness.now,
+	}))
+	require.Equal(t, int64(2), worker.incarnation)
+	harness.advance(10 * time.Millisecond)
+	ended := almondcross.NewEndedTask(almondcross.EndedTaskConfig{Sequence: 35, Task: taskOf("j", 0, 0), Run: 1, Kind: almondcross.EndDone})
+	harness.apply(almondcross.NewLeaseAnswered(almondcross.LeaseAnsweredConfig{
+		Order: delayed, Result: almondcross.OrderDone, Report: report(1, ended), Sent: sent, Received: harness.now,
+	}))
+	harness.answerCommits()
+	require.Equal(t, int64(2), worker.incarnation)
+	require.Zero(t, worker.acknowledgedEnd)
+	next := requireEffect[SendLease](harness).Order
+	require.Equal(t, int64(2), next.Incarnation(), "the lease orders go on, to the incarnation that answers")
+}
