--- a/command/controller/controller.go
+++ b/command/controller/controller.go
@@ -186,7 +186,7 @@
 	received := controller.config.Clock.Now()
 	controller.recordOrder("start", order.Worker(), result, err, received.Sub(sent))
 	_ = controller.config.Sink.Put(ctx, almondcross.NewStartOrderAnswered(almondcross.StartOrderAnsweredConfig{
-		Order: order, Result: result, Received: received,
+		Order: order, Result: result, Received: received, Incarnation: order.Incarnation(),
 	})) // Put fails only when the context has ended.
 }
 
--- a/command/executor/executor.go
+++ b/command/executor/executor.go
@@ -155,6 +155,7 @@
 		config.Number, config.Result, config.Report = message.Order().Number(), message.Result(), message.Report()
 	case almondcross.StartOrderAnswered:
 		config.Number, config.Result = message.Order().Number(), message.Result()
+		config.Report = almondcross.NewWorkerReport(almondcross.WorkerReportConfig{Incarnation: message.Incarnation()})
 	case almondcross.StopOrderAnswered:
 		config.Number, config.Result = message.Order().Number(), message.Result()
 	}
--- a/command/executor/executor_test.go
+++ b/command/executor/executor_test.go
@@ -27,7 +27,7 @@
 }
 
 func (echomanager *echoManager) Start(order almondcross.StartOrder) bool {
-	return echomanager.answers.Offer(almondcross.NewStartOrderAnswered(almondcross.StartOrderAnsweredConfig{Order: order, Result: almondcross.OrderDone}))
+	return echomanager.answers.Offer(almondcross.NewStartOrderAnswered(almondcross.StartOrderAnsweredConfig{Order: order, Result: almondcross.OrderDone, Incarnation: order.Incarnation()}))
 }
 
 func (echomanager *echoManager) Stop(almondcross.StopOrder) bool { return false }
@@ -38,7 +38,7 @@
 			Number: number, Kind: almondcross.OrderLease, Lease: almondcross.NewLeaseOrder(almondcross.LeaseOrderConfig{Number: number}),
 		}),
 		almondcross.NewRelayedOrder(almondcross.RelayedOrderConfig{
-			Number: number + 1, Kind: almondcross.OrderStart, Start: almondcross.NewStartOrder(almondcross.StartOrderConfig{Number: number + 1}),
+			Number: number + 1, Kind: almondcross.OrderStart, Start: almondcross.NewStartOrder(almondcross.StartOrderConfig{Number: number + 1, Incarnation: 5}),
 		}),
 		almondcross.NewRelayedOrder(almondcross.RelayedOrderConfig{
 			Number: number + 2, Kind: almondcross.OrderStop, Stop: almondcross.NewStopOrder(almondcross.StopOrderConfig{Number: number + 2}),
@@ -71,6 +71,9 @@
 		for range 3 {
 			answer := <-received
 			collected[answer.Number()] = answer.Result()
+			if answer.Number()%10 == 1 {
+				require.Equal(t, int64(5), answer.Report().Incarnation(), "the scheduler learns which incarnation a start can have reached")
+			}
 		}
 		return collected
 	}
--- a/command/scheduler/lease.go
+++ b/command/scheduler/lease.go
@@ -21,7 +21,7 @@
 	machine.raiseFence(worker)
 	worker.leasePending = true
 	machine.emit(SendLease{Pause: pause, Order: almondcross.NewLeaseOrder(almondcross.LeaseOrderConfig{
-		Worker: worker.info, Fence: worker.fence, Acknowledged: worker.acknowledgedEnd,
+		Worker: worker.info, Incarnation: worker.incarnation, Fence: worker.fence, Acknowledged: worker.acknowledgedEnd,
 		Until: machine.leaseEnd(worker), Wait: wait,
 	})})
 }
@@ -107,7 +107,7 @@
 		return
 	}
 	machine.emit(SendLease{Order: almondcross.NewLeaseOrder(almondcross.LeaseOrderConfig{
-		Worker: worker.info, Fence: worker.fence, Acknowledged: worker.acknowledgedEnd, ListOnly: true,
+		Worker: worker.info, Incarnation: worker.incarnation, Fence: worker.fence, Acknowledged: worker.acknowledgedEnd, ListOnly: true,
 	})})
 }
 
@@ -331,6 +331,6 @@
 	machine.config.Log.Record("stray_run", almondcross.Text("worker", worker.id), almondcross.Text("task", running.Task().String()),
 		almondcross.Number("run", running.Run()))
 	machine.emit(SendStop{Order: almondcross.NewStopOrder(almondcross.StopOrderConfig{
-		Worker: worker.info, Task: running.Task(), Run: running.Run(), Fence: worker.fence,
+		Worker: worker.info, Incarnation: worker.incarnation, Task: running.Task(), Run: running.Run(), Fence: worker.fence,
 	})})
 }
--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -384,7 +384,7 @@
 	assigned.phase, assigned.fence, assigned.startSentAt = phaseSent, worker.fence, machine.now
 	machine.countQueueStart(assigned.job)
 	machine.emit(SendStart{Order: almondcross.NewStartOrder(almondcross.StartOrderConfig{
-		Worker: worker.info, Task: assigned.task, Run: assigned.run, Payload: assigned.job.spec.Payload(), Checkpoint: checkpoint,
+		Worker: worker.info, Incarnation: worker.incarnation, Task: assigned.task, Run: assigned.run, Payload: assigned.job.spec.Payload(), Checkpoint: checkpoint,
 		Ticket: ticket, Fence: worker.fence, Until: machine.leaseEnd(worker),
 	})})
 }
@@ -454,6 +454,10 @@
 	case almondcross.OrderUnavailable, almondcross.OrderNotSent, almondcross.OrderRefused, almondcross.OrderReplaced:
 		worker.avoidUntil = machine.now.Add(startRefusalBackoff)
 		machine.endRun(worker, assigned, almondcross.EndVoid, "")
+	case almondcross.OrderRestarted:
+		worker.avoidUntil = machine.now.Add(startRefusalBackoff)
+		machine.endRun(worker, assigned, almondcross.EndVoid, "")
+		machine.requestReport(worker, assigned.fence) // The pending lease order may wait for an answer of the earlier incarnation.
 	default:
 		machine.endRun(worker, assigned, almondcross.EndVoid, "")
 	}
--- a/command/scheduler/repeat_test.go
+++ b/command/scheduler/repeat_test.go
@@ -28,7 +28,7 @@
 func TestRefusalOfARepeatedStartIsResolvedByReport(t *testing.T) {
 	for _, result := range []almondcross.OrderResult{
 		almondcross.OrderUnknown, almondcross.OrderNotSent, almondcross.OrderRefused, almondcross.OrderReplaced, almondcross.OrderUnavailable,
-		almondcross.OrderTicketInvalid, almondcross.OrderNoCapacity, almondcross.OrderRunEnded, almondcross.OrderLeaseExpired,
+		almondcross.OrderTicketInvalid, almondcross.OrderNoCapacity, almondcross.OrderRunEnded, almondcross.OrderLeaseExpired, almondcross.OrderRestarted,
 	} {
 		t.Run(string(result), func(t *testing.T) {
 			harness := newHarness(t)
--- a/command/scheduler/restart_test.go
+++ b/command/scheduler/restart_test.go
@@ -80,3 +80,16 @@
 	next := requireEffect[SendLease](harness).Order
 	require.Equal(t, int64(2), next.Incarnation(), "the lease orders go on, to the incarnation that answers")
 }
+
+// Guards against a run that waits for its lease on a worker that has restarted, although its start order was not executed, and
+// against a restart that stays unnoticed while the pending lease order waits for the earlier incarnation.
+func TestStartForAnEarlierIncarnationIsPlacedAgain(t *testing.T) {
+	harness := newHarness(t)
+	harness.becomeScheduler()
+	start := harness.sentStart()
+	harness.answerStartOrder(start, almondcross.OrderRestarted)
+	require.Empty(t, harness.machine.leader.workers[workerID].assignments)
+	request := requireEffect[SendLease](harness).Order
+	require.True(t, request.ListOnly())
+	require.Greater(t, request.Fence(), start.Fence())
+}
--- a/command/scheduler/stop.go
+++ b/command/scheduler/stop.go
@@ -48,7 +48,7 @@
 		}
 		machine.config.Metrics.StopSent(string(assignment.stopReason))
 		machine.emit(SendStop{Order: almondcross.NewStopOrder(almondcross.StopOrderConfig{
-			Worker: worker.info, Task: assignment.task, Run: assignment.run, Fence: worker.fence,
+			Worker: worker.info, Incarnation: worker.incarnation, Task: assignment.task, Run: assignment.run, Fence: worker.fence,
 		})})
 	})
 }
--- a/encoder/link.go
+++ b/encoder/link.go
@@ -195,7 +195,7 @@
 		}
 		return codec.encodeEnvelope(linkJournalPush, wire)
 	case almondcross.OrdersRelayed:
-		return codec.encodeEnvelope(linkOrders, toOrders(message))
+		return codec.encodeOrders(message)
 	case almondcross.OrdersAnswered:
 		return codec.encodeEnvelope(linkOrderAnswers, toOrderAnswers(message))
 	case almondcross.RoleAssigned:
--- a/encoder/order.go
+++ b/encoder/order.go
@@ -28,6 +28,16 @@
 	Orders []wireOrder
 }
 
+// incarnationsOf returns the incarnations that the orders are for. They are part of the envelope: earlier versions ignore what they do
+// not know there, and reject an order with a further element.
+func incarnationsOf(relayed almondcross.OrdersRelayed) []int64 {
+	incarnations := make([]int64, len(relayed.Orders()))
+	for index, order := range relayed.Orders() {
+		incarnations[index] = order.Incarnation()
+	}
+	return incarnations
+}
+
 type wireRunningTask struct {
 	_           struct{} `cbor:",toarray"`
 	Task        wireJobTask
@@ -80,6 +90,15 @@
 	return wire
 }
 
+// encodeOrders is the part of EncodeLink for relayed orders.
+func (codec Codec) encodeOrders(relayed almondcross.OrdersRelayed) ([]byte, error) {
+	body, err := codec.encoding.Marshal(toOrders(relayed))
+	if err != nil {
+		return nil, errors.Annotatef(err, "encoding %s", linkOrders)
+	}
+	return codec.sealEnvelope(wireEnvelope{Type: linkOrders, Body: body, Incarnations: incarnationsOf(relayed)})
+}
+
 func toOrder(relayed almondcross.RelayedOrder) wireOrder {
 	wire := wireOrder{Number: relayed.Number(), Kind: relayed.Kind(), Worker: relayed.Worker().ID(), Address: relayed.Worker().Address()}
 	switch relayed.Kind() {
@@ -101,7 +120,7 @@
 }
 
 // value returns the order, or ErrMalformed when the kind is unknown or the task is missing.
-func (wireorder wireOrder) value() (almondcross.RelayedOrder, error) {
+func (wireorder wireOrder) value(incarnation int64) (almondcross.RelayedOrder, error) {
 	worker := almondcross.NewWorker(almondcross.WorkerConfig{ID: wireorder.Worker, Address: wireorder.Address})
 	config := almondcross.RelayedOrderConfig{Number: wireorder.Number, Kind: wireorder.Kind}
 	until := milliseconds(wireorder.UntilMS)
@@ -109,19 +128,19 @@
 	case wireorder.Kind == almondcross.OrderLease:
 		config.Pause = milliseconds(wireorder.PauseMS)
 		config.Lease = almondcross.NewLeaseOrder(almondcross.LeaseOrderConfig{
-			Number: wireorder.Number, Worker: worker, Fence: wireorder.Fence, Acknowledged: wireorder.Acknowledged, Until: until,
+			Number: wireorder.Number, Worker: worker, Incarnation: incarnation, Fence: wireorder.Fence, Acknowledged: wireorder.Acknowledged, Until: until,
 			Wait: milliseconds(wireorder.WaitMS), ListOnly: wireorder.ListOnly,
 		})
 	case wireorder.Task == nil:
 		return almondcross.RelayedOrder{}, errors.Annotatef(ErrMalformed, "order %d of kind %q has no task", wireorder.Number, wireorder.Kind)
 	case wireorder.Kind == almondcross.OrderStart:
 		config.Start = almondcross.NewStartOrder(almondcross.StartOrderConfig{
-			Number: wireorder.Number, Worker: worker, Task: wireorder.Task.value(), Run: wireorder.Run, Payload: wireorder.Payload,
+			Number: wireorder.Number, Worker: worker, Incarnation: incarnation, Task: wireorder.Task.value(), Run: wireorder.Run, Payload: wireorder.Payload,
 			Checkpoint: wireorder.Checkpoint, Ticket: wireorder.Ticket, Fence: wireorder.Fence, Until: until,
 		})
 	case wireorder.Kind == almondcross.OrderStop:
 		config.Stop = almondcross.NewStopOrder(almondcross.StopOrderConfig{
-			Number: wireorder.Number, Worker: worker, Task: wireorder.Task.value(), Run: wireorder.Run, Fence: wireorder.Fence,
+			Number: wireorder.Number, Worker: worker, Incarnation: incarnation, Task: wireorder.Task.value(), Run: wireorder.Run, Fence: wireorder.Fence,
 		})
 	default:
 		return almondcross.RelayedOrder{}, errors.Annotatef(ErrMalformed, "order %d has the unknown kind %q", wireorder.Number, wireorder.Kind)
@@ -192,10 +211,17 @@
 	if err := codec.decodeBody(envelope, &wire); err != nil {
 		return nil, err
 	}
+	if len(envelope.Incarnations) != 0 && len(envelope.Incarnations) != len(wire.Orders) {
+		return nil, errors.Annotatef(ErrMalformed, "%d orders with %d incarnations", len(wire.Orders), len(envelope.Incarnations))
+	}
 	orders := make([]almondcross.RelayedOrder, len(wire.Orders))
 	for index, order := range wire.Orders {
+		incarnation := int64(0)
+		if len(envelope.Incarnations) != 0 {
+			incarnation = envelope.Incarnations[index]
+		}
 		var err error
-		if orders[index], err = order.value(); err != nil {
+		if orders[index], err = order.value(incarnation); err != nil {
 			return nil, err
 		}
 	}
--- a/encoder/order_test.go
+++ b/encoder/order_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
 	"github.com/almondcross/almondcross"
@@ -24,17 +25,17 @@
 		almondcross.NewOrdersRelayed(almondcross.OrdersRelayedConfig{Orders: []almondcross.RelayedOrder{
 			almondcross.NewRelayedOrder(almondcross.RelayedOrderConfig{
 				Number: 1, Kind: almondcross.OrderLease, Pause: 25 * time.Millisecond, Lease: almondcross.NewLeaseOrder(almondcross.LeaseOrderConfig{
-					Number: 1, Worker: worker, Fence: 7, Acknowledged: 8, Until: 9 * time.Second, Wait: 600 * time.Millisecond, ListOnly: true,
+					Number: 1, Worker: worker, Incarnation: 5, Fence: 7, Acknowledged: 8, Until: 9 * time.Second, Wait: 600 * time.Millisecond, ListOnly: true,
 				}),
 			}),
 			almondcross.NewRelayedOrder(almondcross.RelayedOrderConfig{
 				Number: 2, Kind: almondcross.OrderStart, Start: almondcross.NewStartOrder(almondcross.StartOrderConfig{
-					Number: 2, Worker: worker, Task: orderedTask, Run: 4, Payload: "p", Checkpoint: "c", Ticket: "t", Fence: 7, Until: 9 * time.Second,
+					Number: 2, Worker: worker, Incarnation: 6, Task: orderedTask, Run: 4, Payload: "p", Checkpoint: "c", Ticket: "t", Fence: 7, Until: 9 * time.Second,
 				}),
 			}),
 			almondcross.NewRelayedOrder(almondcross.RelayedOrderConfig{
 				Number: 3, Kind: almondcross.OrderStop, Stop: almondcross.NewStopOrder(almondcross.StopOrderConfig{
-					Number: 3, Worker: worker, Task: orderedTask, Run: 4, Fence: 7,
+					Number: 3, Worker: worker, Incarnation: 7, Task: orderedTask, Run: 4, Fence: 7,
 				}),
 			}),
 		}}),
@@ -63,6 +64,29 @@
 	}
 }
 
+// Guards against a link that breaks between hosts of two versions of which one does not know the incarnations of orders.
+func TestOrdersOfEarlierVersionsAreForAnyIncarnation(t *testing.T) {
+	codec := newCodec(t)
+	worker := almondcross.NewWorker(almondcross.WorkerConfig{ID: "w-1", Address: "10.0.0.1:1"})
+	order := almondcross.NewLeaseOrder(almondcross.LeaseOrderConfig{Number: 1, Worker: worker, Incarnation: 5, Fence: 7})
+	frame, err := codec.EncodeLink(almondcross.NewOrdersRelayed(almondcross.OrdersRelayedConfig{Orders: []almondcross.RelayedOrder{
+		almondcross.NewRelayedOrder(almondcross.RelayedOrderConfig{Number: 1, Kind: almondcross.OrderLease, Lease: order}),
+	}}))
+	require.NoError(t, err)
+	var earlier struct {
+		Type string          `cbor:"type"`
+		Body cbor.RawMessage `cbor:"body"`
+	}
+	require.NoError(t, cbor.Unmarshal(frame, &earlier), "an earlier version ignores the incarnations")
+	frame, err = cbor.Marshal(earlier)
+	require.NoError(t, err)
+	decoded, err := codec.DecodeLink(frame)
+	require.NoError(t, err)
+	relayed, ok := decoded.(almondcross.OrdersRelayed)
+	require.True(t, ok)
+	require.Equal(t, order.WithIncarnation(0), relayed.Orders()[0].Lease())
+}
+
 // Guards against a message with the reports of many workers that is too large to encode, which would end the link and
 // leave all orders of the host without an outcome.
 func TestReportsOfManyWorkersFitInMessages(t *testing.T) {
--- a/encoder/wire.go
+++ b/encoder/wire.go
@@ -65,6 +65,8 @@
 type wireEnvelope struct {
 	Type string          `cbor:"type"`
 	Body cbor.RawMessage `cbor:"body"`
+	// Incarnations holds the incarnation of each relayed order.
+	Incarnations []int64 `cbor:"incarnations,omitempty"`
 }
 
 func (codec Codec) encodeEnvelope(name string, body any) ([]byte, error) {
@@ -72,7 +74,12 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "encoding %s", name)
 	}
-	data, err := codec.encoding.Marshal(wireEnvelope{Type: name, Body: encodedBody})
+	return codec.sealEnvelope(wireEnvelope{Type: name, Body: encodedBody})
+}
+
+func (codec Codec) sealEnvelope(envelope wireEnvelope) ([]byte, error) {
+	name := envelope.Type
+	data, err := codec.encoding.Marshal(envelope)
 	if err != nil {
 		return nil, errors.Annotatef(err, "encoding the envelope of %s", name)
 	}
--- a/relaying.go
+++ b/relaying.go
@@ -39,12 +39,25 @@
 	return Worker{}
 }
 
+// Incarnation returns the incarnation of the worker that the order is for, 0 for any.
+func (relayedorder RelayedOrder) Incarnation() int64 {
+	switch relayedorder.kind {
+	case OrderLease:
+		return relayedorder.lease.Incarnation()
+	case OrderStart:
+		return relayedorder.start.Incarnation()
+	case OrderStop:
+		return relayedorder.stop.Incarnation()
+	}
+	return 0
+}
+
 // Answer returns the message that tells the scheduler the outcome of the order.
 func (relayedorder RelayedOrder) Answer(answer RelayedAnswer, sent, received time.Time) SchedulerMessage {
 	switch relayedorder.kind {
 	case OrderStart:
 		return NewStartOrderAnswered(StartOrderAnsweredConfig{
-			Order: relayedorder.start, Result: answer.Result(), Received: received, Incarnation: answer.Incarnation(),
+			Order: relayedorder.start, Result: answer.Result(), Received: received, Incarnation: answer.Report().Incarnation(),
 		})
 	case OrderStop:
 		return NewStopOrderAnswered(StopOrderAnsweredConfig{Order: relayedorder.stop, Result: answer.Result()})
@@ -59,10 +72,9 @@
 //
 //value:generate
 type RelayedAnswer struct {
-	number      int64        // the number of the order
-	result      OrderResult  // the result of the order
-	report      WorkerReport // the tasks that the worker reported, valid for a lease order with OrderDone only
-	incarnation int64        // the only incarnation that a start order can have reached, 0 if that is not known
+	number int64        // the number of the order
+	result OrderResult  // the result of the order
+	report WorkerReport // the tasks that the worker reported, valid for a lease order with OrderDone only; for a start order, the only incarnation that it can have reached
 }
 
 // OrdersRelayed passes orders from the scheduler to the host that sends them to the workers.
--- a/relaying_generated.go
+++ b/relaying_generated.go
@@ -96,29 +96,26 @@
 
 // RelayedAnswerConfig holds the fields of a new RelayedAnswer.
 type RelayedAnswerConfig struct {
-	Number      int64
-	Result      OrderResult
-	Report      WorkerReport
-	Incarnation int64
+	Number int64
+	Result OrderResult
+	Report WorkerReport
 }
 
 // NewRelayedAnswer returns a RelayedAnswer with the given fields.
 func NewRelayedAnswer(config RelayedAnswerConfig) RelayedAnswer {
 	return RelayedAnswer{
-		number:      config.Number,
-		result:      config.Result,
-		report:      config.Report,
-		incarnation: config.Incarnation,
+		number: config.Number,
+		result: config.Result,
+		report: config.Report,
 	}
 }
 
 // Config returns the fields of the value for encoding or for a changed copy.
 func (relayedanswer RelayedAnswer) Config() RelayedAnswerConfig {
 	return RelayedAnswerConfig{
-		Number:      relayedanswer.number,
-		Result:      relayedanswer.result,
-		Report:      relayedanswer.report,
-		Incarnation: relayedanswer.incarnation,
+		Number: relayedanswer.number,
+		Result: relayedanswer.result,
+		Report: relayedanswer.report,
 	}
 }
 
@@ -140,7 +137,7 @@
 	return relayedanswer
 }
 
-// Report returns the tasks that the worker reported, valid for a lease order with OrderDone only.
+// Report returns the tasks that the worker reported, valid for a lease order with OrderDone only; for a start order, the only incarnation that it can have reached.
 func (relayedanswer RelayedAnswer) Report() WorkerReport { return relayedanswer.report }
 
 // WithReport returns a copy with the given report.
@@ -149,15 +146,6 @@
 	return relayedanswer
 }
 
-// Incarnation returns the only incarnation that a start order can have reached, 0 if that is not known.
-func (relayedanswer RelayedAnswer) Incarnation() int64 { return relayedanswer.incarnation }
-
-// WithIncarnation returns a copy with the given incarnation.
-func (relayedanswer RelayedAnswer) WithIncarnation(incarnation int64) RelayedAnswer {
-	relayedanswer.incarnation = incarnation
-	return relayedanswer
-}
-
 // OrdersRelayedConfig holds the fields of a new OrdersRelayed.
 type OrdersRelayedConfig struct {
 	Orders []RelayedOrder
