Ignore reports of an earlier incarnation that are read late

A scheduler has up to two requests for a report under way to a worker.

A report that names another incarnation and was requested before the first report of the current one arrived is now ignored. Start times do not decide it, since clocks may be set back.

--- a/command/scheduler/incarnation.go
+++ b/command/scheduler/incarnation.go
@@ -15,6 +15,14 @@
 	return !worker.announcedAt.Before(worker.announcedFrom)
 }
 
+// outdated reports whether an answer may be that of an earlier incarnation: it names another one, and was requested before the
+// first report of the current one arrived. The start times of incarnations do not order them, since a worker's clock may be set
+// back. If the report is that of a later incarnation, the next one tells.
+func (worker *worker) outdated(answer almondcross.LeaseAnswered) bool {
+	return answer.Result() == almondcross.OrderDone && worker.incarnation != 0 && answer.Report().Incarnation() != worker.incarnation &&
+		answer.Sent().Before(worker.incarnationSince)
+}
+
 // nextAnnouncement returns the time from which an announcement that does not say to which incarnation it belongs counts for
 // the current one. The store lists the last announcement of an earlier incarnation for maxAnnouncementAge. The start of the
 // first incarnation that this scheduler sees is on the worker's clock; if that clock is ahead, its first report counts.
--- a/command/scheduler/lease.go
+++ b/command/scheduler/lease.go
@@ -52,6 +52,14 @@
 	if answer.Order().Worker().Address() != worker.info.Address() {
 		return // The worker has moved and gets lease orders at its new address.
 	}
+	if worker.outdated(answer) {
+		machine.config.Log.Record("report_outdated", almondcross.Text("worker", worker.id), almondcross.Number("incarnation", worker.incarnation),
+			almondcross.Number("reported", answer.Report().Incarnation()))
+		if !answer.Order().ListOnly() {
+			machine.sendLease(worker, 0, 0)
+		}
+		return
+	}
 	if answer.Order().ListOnly() && answer.Result() != almondcross.OrderFenced {
 		machine.reportAnswered(worker, answer)
 		return
@@ -288,7 +296,7 @@
 		machine.recordLongLease(worker.id, withClockDrift(machine.config.MaxLease)+lastOrderMargin)
 	}
 	worker.announcedFrom = machine.nextAnnouncement(worker, incarnation)
-	worker.incarnation, worker.acknowledgedEnd, worker.failures = incarnation, 0, workerFailures{}
+	worker.incarnation, worker.incarnationSince, worker.acknowledgedEnd, worker.failures = incarnation, machine.now, 0, workerFailures{}
 	worker.ackLimit, worker.lapsedEnd = 0, 0
 	if worker.announced && !worker.lifeAnnounced() {
 		machine.config.Log.Record("announcement_outdated", almondcross.Text("worker", worker.id),
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -68,6 +68,7 @@
 	inPass bool // inPass is set if the worker may get new work in the current placement pass.
 
 	incarnation      int64
+	incarnationSince time.Time     // incarnationSince is when the first report of this incarnation arrived.
 	acknowledgedEnd  int64         // acknowledgedEnd is the last end of this incarnation that is in the journal.
 	clock            time.Duration // clock is the worker's clock at lastAnswerAt.
 	lastAnswerAt     time.Time     // lastAnswerAt is when the last report arrived, zero for never.
