Reckon with the longest lease while a start may be on an unknown incarnation

A worker that restarts unseen, executes a start order for its earlier incarnation and is then cut off works on the run for up to the longest lease that workers grant, 10 s, since the end of the lease is a time on the earlier clock.

The harness of the scheduler's tests answers starts as the controller does, with the incarnation of the order; the assertions are as before. go test ./command/scheduler passes.

--- a/command/scheduler/crash_test.go
+++ b/command/scheduler/crash_test.go
@@ -48,7 +48,7 @@
 				}
 				starts++
 				if test.answered {
-					harness.apply(almondcross.NewStartOrderAnswered(almondcross.StartOrderAnsweredConfig{Order: start.Order, Result: almondcross.OrderDone, Received: harness.now}))
+					harness.apply(almondcross.NewStartOrderAnswered(almondcross.StartOrderAnsweredConfig{Order: start.Order, Incarnation: start.Order.Incarnation(), Result: almondcross.OrderDone, Received: harness.now}))
 				}
 				harness.answerLeaseAs(incarnation) // The worker has crashed and answers as another incarnation,
 				harness.answerLeaseAs(incarnation) // the second time under a raised fencing token.
--- a/command/scheduler/determinism_test.go
+++ b/command/scheduler/determinism_test.go
@@ -128,7 +128,7 @@
 	case SendStart:
 		worker := effect.Order.Worker().ID()
 		course.running[worker] = append(course.running[worker], almondcross.NewRunningTask(almondcross.RunningTaskConfig{Task: effect.Order.Task(), Run: effect.Order.Run()}))
-		course.apply(almondcross.NewStartOrderAnswered(almondcross.StartOrderAnsweredConfig{Order: effect.Order, Result: almondcross.OrderDone, Received: course.now}))
+		course.apply(almondcross.NewStartOrderAnswered(almondcross.StartOrderAnsweredConfig{Order: effect.Order, Incarnation: effect.Order.Incarnation(), Result: almondcross.OrderDone, Received: course.now}))
 	default: // The others need no answer here.
 	}
 }
--- a/command/scheduler/fence_test.go
+++ b/command/scheduler/fence_test.go
@@ -22,7 +22,7 @@
 		if !found {
 			break
 		}
-		harness.apply(almondcross.NewStartOrderAnswered(almondcross.StartOrderAnsweredConfig{Order: start.Order, Result: almondcross.OrderUnknown, Received: harness.now}))
+		harness.apply(almondcross.NewStartOrderAnswered(almondcross.StartOrderAnsweredConfig{Order: start.Order, Incarnation: start.Order.Incarnation(), Result: almondcross.OrderUnknown, Received: harness.now}))
 	}
 	harness.dropLeaseAnswers(time.Minute)
 	require.Equal(t, reported+1, harness.machine.leader.workers[workerID].fence)
--- a/command/scheduler/harness_test.go
+++ b/command/scheduler/harness_test.go
@@ -195,6 +195,6 @@
 func (harness *harness) answerStart() almondcross.StartOrder {
 	harness.t.Helper()
 	order := requireEffect[SendStart](harness).Order
-	harness.apply(almondcross.NewStartOrderAnswered(almondcross.StartOrderAnsweredConfig{Order: order, Result: almondcross.OrderDone, Received: harness.now}))
+	harness.apply(almondcross.NewStartOrderAnswered(almondcross.StartOrderAnsweredConfig{Order: order, Incarnation: order.Incarnation(), Result: almondcross.OrderDone, Received: harness.now}))
 	return order
 }
--- a/command/scheduler/lease.go
+++ b/command/scheduler/lease.go
@@ -32,7 +32,7 @@
 		return 0
 	}
 	leaseEnd := worker.clockNow(machine.now) + min(leaseDuration, machine.config.MaxLease)
-	worker.maxLeaseEnd = max(worker.maxLeaseEnd, leaseEnd)
+	worker.maxLeaseEnd, worker.extendedAt = max(worker.maxLeaseEnd, leaseEnd), machine.now
 	return leaseEnd
 }
 
@@ -155,6 +155,7 @@
 		}
 		reported[running.Task()] = true
 		machine.confirmRun(assigned, running)
+		assigned.settleStarts(answer.Sent())
 	}
 	if len(report.Ended()) < maxReportedEnds {
 		machine.endMissingRuns(worker, answer, reported)
--- a/command/scheduler/order_test.go
+++ b/command/scheduler/order_test.go
@@ -122,7 +122,7 @@
 			Order: effect.Order, Result: result, Report: almondcross.NewWorkerReport(config), Sent: order.sentAt, Received: model.now,
 		}))
 	case SendStart:
-		model.apply(almondcross.NewStartOrderAnswered(almondcross.StartOrderAnsweredConfig{Order: effect.Order, Result: result, Received: model.now}))
+		model.apply(almondcross.NewStartOrderAnswered(almondcross.StartOrderAnsweredConfig{Order: effect.Order, Incarnation: effect.Order.Incarnation(), Result: result, Received: model.now}))
 	case SendStop:
 		model.apply(almondcross.NewStopOrderAnswered(almondcross.StopOrderAnsweredConfig{Order: effect.Order, Result: result}))
 	}
--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -381,12 +381,19 @@
 	if assigned.stage.spec.Gang() {
 		checkpoint = assigned.stage.gangCheckpoint
 	}
-	assigned.phase, assigned.fence, assigned.startSentAt = phaseSent, worker.fence, machine.now
+	assigned.phase, assigned.fence = phaseSent, worker.fence
 	machine.countQueueStart(assigned.job)
-	machine.emit(SendStart{Order: almondcross.NewStartOrder(almondcross.StartOrderConfig{
+	machine.emitStart(assigned, almondcross.NewStartOrder(almondcross.StartOrderConfig{
 		Worker: worker.info, Incarnation: worker.incarnation, Task: assigned.task, Run: assigned.run, Payload: assigned.job.spec.Payload(), Checkpoint: checkpoint,
 		Ticket: ticket, Fence: worker.fence, Until: machine.leaseEnd(worker),
-	})})
+	}))
+}
+
+// emitStart sends a start order of a run.
+func (machine *Machine) emitStart(assigned *assignment, order almondcross.StartOrder) {
+	assigned.startSentAt = machine.now
+	assigned.unboundStarts++
+	machine.emit(SendStart{Order: order})
 }
 
 // mayStart reports whether the start order of a run may be sent now. The run, the worker or this scheduler's permission may
@@ -407,6 +414,9 @@
 	if assigned == nil || assigned.run != answer.Order().Run() || assigned.phase != phaseSent || assigned.fence != answer.Order().Fence() {
 		return
 	}
+	if answer.Incarnation() != 0 {
+		assigned.unboundStarts--
+	}
 	if answer.Result() != almondcross.OrderDone {
 		machine.config.Log.Record("start_refused", almondcross.Text("task", assigned.task.String()), almondcross.Number("run", assigned.run),
 			almondcross.Text("worker", worker.id), almondcross.Text("result", string(answer.Result())),
@@ -419,8 +429,8 @@
 		// A refusal of the second order does not tell whether the first one was carried out.
 		machine.startUnknown(worker, assigned)
 	case result == almondcross.OrderUnknown && machine.mayRepeatStart(worker, assigned):
-		assigned.startRepeated, assigned.startSentAt = true, machine.now
-		machine.emit(SendStart{Order: answer.Order()})
+		assigned.startRepeated = true
+		machine.emitStart(assigned, answer.Order())
 	case result == almondcross.OrderUnknown:
 		machine.startUnknown(worker, assigned)
 	default:
--- a/command/scheduler/progress_test.go
+++ b/command/scheduler/progress_test.go
@@ -141,7 +141,7 @@
 		ordered := harness.now
 		harness.advance(30 * time.Millisecond)
 		if answered {
-			harness.apply(almondcross.NewStartOrderAnswered(almondcross.StartOrderAnsweredConfig{Order: order, Result: almondcross.OrderDone, Received: harness.now}))
+			harness.apply(almondcross.NewStartOrderAnswered(almondcross.StartOrderAnsweredConfig{Order: order, Incarnation: order.Incarnation(), Result: almondcross.OrderDone, Received: harness.now}))
 		}
 		started := harness.now
 		harness.advance(100 * time.Millisecond)
@@ -164,7 +164,7 @@
 // started.
 func TestLateEndShowsTheStart(t *testing.T) {
 	harness, order := newHarnessWithOrder(t)
-	harness.apply(almondcross.NewStartOrderAnswered(almondcross.StartOrderAnsweredConfig{Order: order, Result: almondcross.OrderUnknown, Received: harness.now}))
+	harness.apply(almondcross.NewStartOrderAnswered(almondcross.StartOrderAnsweredConfig{Order: order, Incarnation: order.Incarnation(), Result: almondcross.OrderUnknown, Received: harness.now}))
 	harness.dropLeaseAnswers(20 * time.Second)
 	require.Equal(t, almondcross.EndVoid, harness.recordedEnd())
 	require.Equal(t, 1, harness.publishedCount())
@@ -178,7 +178,7 @@
 // Guards against a start that is lost with its scheduler: the successor learns it from the worker's report.
 func TestSuccessorLearnsStartsFromReports(t *testing.T) {
 	harness, order := newHarnessWithOrder(t)
-	harness.apply(almondcross.NewStartOrderAnswered(almondcross.StartOrderAnsweredConfig{Order: order, Result: almondcross.OrderDone, Received: harness.now}))
+	harness.apply(almondcross.NewStartOrderAnswered(almondcross.StartOrderAnsweredConfig{Order: order, Incarnation: order.Incarnation(), Result: almondcross.OrderDone, Received: harness.now}))
 	require.Zero(t, harness.recordedStarts(), "the scheduler stops before its next batch")
 	successor := harness.electStandby()
 	require.Equal(t, almondcross.JobQueued, successor.shownState())
--- a/command/scheduler/repeat_test.go
+++ b/command/scheduler/repeat_test.go
@@ -11,7 +11,7 @@
 
 // answerStartOrder answers a start order with a result.
 func (harness *harness) answerStartOrder(order almondcross.StartOrder, result almondcross.OrderResult) {
-	harness.apply(almondcross.NewStartOrderAnswered(almondcross.StartOrderAnsweredConfig{Order: order, Result: result, Received: harness.now}))
+	harness.apply(almondcross.NewStartOrderAnswered(almondcross.StartOrderAnsweredConfig{Order: order, Incarnation: order.Incarnation(), Result: result, Received: harness.now}))
 }
 
 // sentStart submits a job and returns its start order, whose answer is pending.
--- a/command/scheduler/scheduler_test.go
+++ b/command/scheduler/scheduler_test.go
@@ -137,9 +137,9 @@
 	harness.answerCommits()
 	start := requireEffect[SendStart](harness).Order
 	takeEffect[SendLease](harness)
-	harness.apply(almondcross.NewStartOrderAnswered(almondcross.StartOrderAnsweredConfig{Order: start, Result: almondcross.OrderUnknown, Received: harness.now}))
+	harness.apply(almondcross.NewStartOrderAnswered(almondcross.StartOrderAnsweredConfig{Order: start, Incarnation: start.Incarnation(), Result: almondcross.OrderUnknown, Received: harness.now}))
 	require.Equal(t, start, requireEffect[SendStart](harness).Order)
-	harness.apply(almondcross.NewStartOrderAnswered(almondcross.StartOrderAnsweredConfig{Order: start, Result: almondcross.OrderUnknown, Received: harness.now}))
+	harness.apply(almondcross.NewStartOrderAnswered(almondcross.StartOrderAnsweredConfig{Order: start, Incarnation: start.Incarnation(), Result: almondcross.OrderUnknown, Received: harness.now}))
 	_, repeated := takeEffect[SendStart](harness)
 	require.False(t, repeated, "the order is repeated once")
 	request := requireEffect[SendLease](harness).Order
--- a/command/scheduler/silence.go
+++ b/command/scheduler/silence.go
@@ -31,7 +31,31 @@
 	if recorded {
 		return silence.leaseExpiredAt
 	}
-	return worker.lastAnswerAt.Add(withClockDrift(max(worker.maxLeaseEnd-worker.clock, leaseDuration)) + lastOrderMargin)
+	expiredAt := worker.lastAnswerAt.Add(withClockDrift(max(worker.maxLeaseEnd-worker.clock, leaseDuration)) + lastOrderMargin)
+	if worker.hasUnboundStarts() {
+		return later(expiredAt, worker.extendedAt.Add(withClockDrift(machine.config.MaxLease)+lastOrderMargin))
+	}
+	return expiredAt
+}
+
+// hasUnboundStarts reports whether a run may have been started by an incarnation that has not reported yet. The end of a lease is a
+// time on the clock of the known one, which may be far ahead of the clock of the next, so that the run has the longest lease that
+// workers grant.
+func (worker *worker) hasUnboundStarts() bool {
+	for _, assignment := range worker.assignments {
+		if assignment.phase != phaseCommitting && assignment.unboundStarts > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// settleStarts notes that the worker has reported the run. Its incarnation has executed the start order, or one of two; the other one
+// can reach no later incarnation if it was sent long before the report was requested.
+func (assignment *assignment) settleStarts(requested time.Time) {
+	if !assignment.startRepeated || requested.Sub(assignment.startSentAt) > lastOrderMargin {
+		assignment.unboundStarts = 0
+	}
 }
 
 // earlierLeasesExpiredAt returns when the leases have expired for certain that only earlier schedulers have extended: those of the
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -32,6 +32,7 @@
 	fence         int64               // fence is the fencing token of the start order.
 	placedAt      time.Time           // placedAt is when the run was assigned to the worker.
 	startSentAt   time.Time           // startSentAt is when this scheduler sent the start order, zero if it did not.
+	unboundStarts int                 // unboundStarts counts the start orders that may have reached another incarnation than the one that they are for.
 	startRepeated bool                // startRepeated is set once the start order has been sent a second time.
 	confirmedAt   time.Time           // confirmedAt is when the worker confirmed the run.
 	stopReason    stopReason          // stopReason is why the run is no longer wanted, empty if it is.
@@ -72,6 +73,7 @@
 	acknowledgedEnd  int64         // acknowledgedEnd is the last end of this incarnation that is in the journal.
 	clock            time.Duration // clock is the worker's clock at lastAnswerAt.
 	lastAnswerAt     time.Time     // lastAnswerAt is when the last report arrived, zero for never.
+	extendedAt       time.Time     // extendedAt is when the last order was sent that extends the lease.
 	maxLeaseEnd      time.Duration // maxLeaseEnd is the latest end of a lease that was sent, on the worker's clock.
 	fence            int64
 	reportedFence    int64     // reportedFence is the highest fencing token under which the worker has reported.
