--- a/command/scheduler/lease.go
+++ b/command/scheduler/lease.go
@@ -13,17 +13,19 @@
 	return min(max(wait, leaseAnswerWait), maxLeaseAnswerWait)
 }
 
-// sendLease sends the next lease order to a worker.
+// sendLease sends the next lease order to a worker. One that does not extend the lease acknowledges nothing either: without both it
+// is harmless to any incarnation, and reaches a worker that has restarted at once.
 func (machine *Machine) sendLease(worker *worker, wait, pause time.Duration) {
 	if !worker.managed {
 		return
 	}
 	machine.raiseFence(worker)
 	worker.leasePending = true
-	machine.emit(SendLease{Pause: pause, Order: almondcross.NewLeaseOrder(almondcross.LeaseOrderConfig{
-		Worker: worker.info, Incarnation: worker.incarnation, Fence: worker.fence, Acknowledged: worker.acknowledgedEnd,
-		Until: machine.leaseEnd(worker), Wait: wait,
-	})})
+	order := almondcross.NewLeaseOrder(almondcross.LeaseOrderConfig{Worker: worker.info, Fence: worker.fence, Wait: wait})
+	if leaseEnd := machine.leaseEnd(worker); leaseEnd != 0 {
+		order = order.WithIncarnation(worker.incarnation).WithUntil(leaseEnd).WithAcknowledged(worker.acknowledgedEnd)
+	}
+	machine.emit(SendLease{Pause: pause, Order: order})
 }
 
 // leaseEnd returns the end of a new lease on the worker's clock, 0 if the lease must not be extended.
@@ -104,7 +106,7 @@
 
 // requestReport requests the report of a worker's runs under a fencing token above that of an unanswered order, in
 // parallel to the lease order that waits for an end. While the worker has not reported under the current token, it only
-// notes the order, and the next report leads to another request.
+// notes the order, and the next report leads to another request. The request is harmless to any incarnation, like sendLease's.
 func (machine *Machine) requestReport(worker *worker, unanswered int64) {
 	worker.noteUnanswered(unanswered)
 	if !worker.managed || worker.unreachable {
@@ -115,7 +117,7 @@
 		return
 	}
 	machine.emit(SendLease{Order: almondcross.NewLeaseOrder(almondcross.LeaseOrderConfig{
-		Worker: worker.info, Incarnation: worker.incarnation, Fence: worker.fence, Acknowledged: worker.acknowledgedEnd, ListOnly: true,
+		Worker: worker.info, Fence: worker.fence, ListOnly: true,
 	})})
 }
 
--- a/command/scheduler/restart_test.go
+++ b/command/scheduler/restart_test.go
@@ -77,8 +77,43 @@
 	harness.answerCommits()
 	require.Equal(t, int64(2), worker.incarnation)
 	require.Zero(t, worker.acknowledgedEnd)
-	next := requireEffect[SendLease](harness).Order
-	require.Equal(t, int64(2), next.Incarnation(), "the lease orders go on, to the incarnation that answers")
+	request, next := requireEffect[SendLease](harness).Order, requireEffect[SendLease](harness).Order
+	require.True(t, request.ListOnly())
+	require.False(t, next.ListOnly(), "the lease orders go on")
+	require.Equal(t, int64(2), next.Incarnation())
+}
+
+// Guards against an order that extends the lease or acknowledges ends and may reach any incarnation, whatever the scheduler knows.
+func TestOrdersWithoutIncarnationChangeNothing(t *testing.T) {
+	harness := newHarness(t)
+	harness.becomeScheduler()
+	harness.submitJob("j", almondcross.StepConfig{Count: 1})
+	harness.answerCommits()
+	harness.answerLease(almondcross.WorkerReportConfig{Ended: []almondcross.EndedTask{
+		almondcross.NewEndedTask(almondcross.EndedTaskConfig{Sequence: 3, Task: taskOf("other", 0, 0), Run: 1, Kind: almondcross.EndDone}),
+	}})
+	harness.answerCommits()
+	harness.answerStartOrder(requireEffect[SendStart](harness).Order, almondcross.OrderRestarted) // A report is requested.
+	bound, unbound := 0, 0
+	for began := harness.now; harness.now.Sub(began) < 10*time.Second; harness.advance(leaderTick) {
+		harness.answerCommits()
+		sent, found := takeEffect[SendLease](harness)
+		if !found {
+			continue
+		}
+		if order := sent.Order; order.Incarnation() == 0 {
+			unbound++
+			require.Zero(t, order.Until())
+			require.Zero(t, order.Acknowledged())
+		} else {
+			bound++
+		}
+		harness.apply(almondcross.NewLeaseAnswered(almondcross.LeaseAnsweredConfig{
+			Order: sent.Order, Result: almondcross.OrderUnknown, Sent: harness.now, Received: harness.now,
+		}))
+	}
+	require.Positive(t, bound)
+	require.Positive(t, unbound)
 }
 
 // Guards against a run that waits for its lease on a worker that has restarted, although its start order was not executed, and
