Count the first report on a connection, and send starts again that were not sent

Orders that are bound to an incarnation need a report on each new connection.

The report that came first on a connection now counts when the lease order behind it gets no answer; that order is noted as unanswered. A start that did not reach its worker is sent once more before the run is placed again.

--- a/command/scheduler/lease.go
+++ b/command/scheduler/lease.go
@@ -55,13 +55,13 @@
 		return // The worker has moved and gets lease orders at its new address.
 	}
 	if worker.outdated(answer) {
-		machine.config.Log.Record("report_outdated", almondcross.Text("worker", worker.id), almondcross.Number("incarnation", worker.incarnation),
-			almondcross.Number("reported", answer.Report().Incarnation()))
-		if !answer.Order().ListOnly() {
-			machine.sendLease(worker, 0, 0)
-		}
+		machine.ignoreReport(worker, answer)
 		return
 	}
+	if answer.ReportedBefore() {
+		worker.noteUnanswered(answer.Order().Fence())
+		answer = answer.WithResult(almondcross.OrderDone)
+	}
 	if answer.Order().ListOnly() && answer.Result() != almondcross.OrderFenced {
 		machine.reportAnswered(worker, answer)
 		return
@@ -76,25 +76,7 @@
 		machine.stopLeading("worker " + worker.id + " has seen a higher fencing token")
 		return
 	case answer.Result() != almondcross.OrderDone:
-		if !worker.unreachable {
-			worker.unreachable, worker.unreachableSince = true, machine.now
-			machine.config.Log.Record("worker_lost_contact", almondcross.Text("worker", worker.id), almondcross.Text("result", string(answer.Result())),
-				almondcross.Millis("age_ms", machine.now.Sub(worker.lastAnswerAt)), almondcross.Number("runs", len(worker.assignments)))
-		}
-		worker.noteUnanswered(answer.Order().Fence())
-		switch answer.Result() {
-		case almondcross.OrderReplaced:
-			machine.endRunsOfReplaced(worker)
-		case almondcross.OrderRefused:
-			worker.refused = true
-			machine.blameQueue(worker)
-		default:
-		}
-		pause := leaseRetryDelay
-		if machine.now.Sub(worker.lastAnswerAt) > longLeaseRetryAfter {
-			pause = longLeaseRetryDelay
-		}
-		machine.sendLease(worker, 0, pause)
+		machine.leaseUnanswered(worker, answer)
 		return
 	}
 	if worker.unreachable {
@@ -104,6 +86,38 @@
 	machine.reconcileRuns(worker, answer)
 }
 
+// leaseUnanswered handles a lease order that the worker has not carried out for certain, and repeats it after a pause.
+func (machine *Machine) leaseUnanswered(worker *worker, answer almondcross.LeaseAnswered) {
+	if !worker.unreachable {
+		worker.unreachable, worker.unreachableSince = true, machine.now
+		machine.config.Log.Record("worker_lost_contact", almondcross.Text("worker", worker.id), almondcross.Text("result", string(answer.Result())),
+			almondcross.Millis("age_ms", machine.now.Sub(worker.lastAnswerAt)), almondcross.Number("runs", len(worker.assignments)))
+	}
+	worker.noteUnanswered(answer.Order().Fence())
+	switch answer.Result() {
+	case almondcross.OrderReplaced:
+		machine.endRunsOfReplaced(worker)
+	case almondcross.OrderRefused:
+		worker.refused = true
+		machine.blameQueue(worker)
+	default:
+	}
+	pause := leaseRetryDelay
+	if machine.now.Sub(worker.lastAnswerAt) > longLeaseRetryAfter {
+		pause = longLeaseRetryDelay
+	}
+	machine.sendLease(worker, 0, pause)
+}
+
+// ignoreReport drops the report of an earlier incarnation and sends the next lease order.
+func (machine *Machine) ignoreReport(worker *worker, answer almondcross.LeaseAnswered) {
+	machine.config.Log.Record("report_outdated", almondcross.Text("worker", worker.id), almondcross.Number("incarnation", worker.incarnation),
+		almondcross.Number("reported", answer.Report().Incarnation()))
+	if !answer.Order().ListOnly() {
+		machine.sendLease(worker, 0, 0)
+	}
+}
+
 // requestReport requests the report of a worker's runs under a fencing token above that of an unanswered order, in
 // parallel to the lease order that waits for an end. While the worker has not reported under the current token, it only
 // notes the order, and the next report leads to another request. The request is harmless to any incarnation, like sendLease's.
--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -414,20 +414,20 @@
 	if assigned == nil || assigned.run != answer.Order().Run() || assigned.phase != phaseSent || assigned.fence != answer.Order().Fence() {
 		return
 	}
-	if answer.Incarnation() != 0 {
+	if answer.Incarnation() != 0 || answer.Result() == almondcross.OrderNotSent {
 		assigned.unboundStarts--
 	}
-	if answer.Result() != almondcross.OrderDone {
-		machine.config.Log.Record("start_refused", almondcross.Text("task", assigned.task.String()), almondcross.Number("run", assigned.run),
-			almondcross.Text("worker", worker.id), almondcross.Text("result", string(answer.Result())),
-			almondcross.Text("repeated", yesNo(assigned.startRepeated)), almondcross.Millis("age_ms", machine.now.Sub(assigned.placedAt)))
-	}
+	machine.logStartRefused(worker, assigned, answer.Result())
 	switch result := answer.Result(); {
 	case result == almondcross.OrderFenced && answer.Order().Fence() >= worker.fence:
 		machine.stopLeading("worker " + worker.id + " has seen a higher fencing token")
 	case result != almondcross.OrderDone && assigned.startRepeated:
 		// A refusal of the second order does not tell whether the first one was carried out.
 		machine.startUnknown(worker, assigned)
+	case result == almondcross.OrderNotSent && !assigned.startResent && machine.mayRepeatStart(worker, assigned):
+		// The worker left the first call on a new connection unanswered, or the queue of its orders was full.
+		assigned.startResent = true
+		machine.emitStart(assigned, answer.Order())
 	case result == almondcross.OrderUnknown && machine.mayRepeatStart(worker, assigned):
 		assigned.startRepeated = true
 		machine.emitStart(assigned, answer.Order())
@@ -438,6 +438,16 @@
 	}
 }
 
+// logStartRefused logs the result of a start order that was not carried out for certain.
+func (machine *Machine) logStartRefused(worker *worker, assigned *assignment, result almondcross.OrderResult) {
+	if result == almondcross.OrderDone {
+		return
+	}
+	machine.config.Log.Record("start_refused", almondcross.Text("task", assigned.task.String()), almondcross.Number("run", assigned.run),
+		almondcross.Text("worker", worker.id), almondcross.Text("result", string(result)),
+		almondcross.Text("repeated", yesNo(assigned.startRepeated)), almondcross.Millis("age_ms", machine.now.Sub(assigned.placedAt)))
+}
+
 // startUnknown asks the worker whether it has a run whose start order was not answered.
 func (machine *Machine) startUnknown(worker *worker, assigned *assignment) {
 	assigned.phase = phaseUnknown
--- a/command/scheduler/repeat_test.go
+++ b/command/scheduler/repeat_test.go
@@ -82,3 +82,19 @@
 		})
 	}
 }
+
+// Guards against a run that is placed again elsewhere, and a worker that is avoided, because one order did not reach the worker, and
+// against an order that is sent without end. Nothing is known to have been sent, so no report is needed.
+func TestStartThatWasNotSentIsSentOnceMore(t *testing.T) {
+	harness := newHarness(t)
+	harness.becomeScheduler()
+	start := harness.sentStart()
+	harness.answerStartOrder(start, almondcross.OrderNotSent)
+	require.Equal(t, start, requireEffect[SendStart](harness).Order)
+	harness.answerStartOrder(start, almondcross.OrderNotSent)
+	_, repeated := takeEffect[SendStart](harness)
+	require.False(t, repeated)
+	_, requested := takeEffect[SendLease](harness)
+	require.False(t, requested)
+	require.Empty(t, harness.machine.leader.workers[workerID].assignments)
+}
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -33,7 +33,8 @@
 	placedAt      time.Time           // placedAt is when the run was assigned to the worker.
 	startSentAt   time.Time           // startSentAt is when this scheduler sent the start order, zero if it did not.
 	unboundStarts int                 // unboundStarts counts the start orders that may have reached another incarnation than the one that they are for.
-	startRepeated bool                // startRepeated is set once the start order has been sent a second time.
+	startResent   bool                // startResent is set once a start order that did not reach the worker has been sent again.
+	startRepeated bool                // startRepeated is set once an unanswered start order has been sent a second time.
 	confirmedAt   time.Time           // confirmedAt is when the worker confirmed the run.
 	stopReason    stopReason          // stopReason is why the run is no longer wanted, empty if it is.
 	nextStopAt    time.Time           // nextStopAt is when the stop order is repeated.
--- a/relaying.go
+++ b/relaying.go
@@ -74,7 +74,7 @@
 type RelayedAnswer struct {
 	number int64        // the number of the order
 	result OrderResult  // the result of the order
-	report WorkerReport // the tasks that the worker reported, valid for a lease order with OrderDone only; for a start order, the only incarnation that it can have reached
+	report WorkerReport // the tasks that the worker reported on a lease order, see WorkerOrderer; for a start order, the only incarnation that it can have reached
 }
 
 // OrdersRelayed passes orders from the scheduler to the host that sends them to the workers.
--- a/relaying_generated.go
+++ b/relaying_generated.go
@@ -137,7 +137,7 @@
 	return relayedanswer
 }
 
-// Report returns the tasks that the worker reported, valid for a lease order with OrderDone only; for a start order, the only incarnation that it can have reached.
+// Report returns the tasks that the worker reported on a lease order, see WorkerOrderer; for a start order, the only incarnation that it can have reached.
 func (relayedanswer RelayedAnswer) Report() WorkerReport { return relayedanswer.report }
 
 // WithReport returns a copy with the given report.
--- a/scheduling.go
+++ b/scheduling.go
@@ -165,11 +165,16 @@
 type LeaseAnswered struct {
 	order    LeaseOrder   // the order
 	result   OrderResult  // the result of the order
-	report   WorkerReport // the tasks that the worker reported, valid with OrderDone only
+	report   WorkerReport // the tasks that the worker reported, see WorkerOrderer
 	sent     time.Time    // the time at which the order was sent
 	received time.Time    // the time at which the answer was received
 }
 
+// ReportedBefore reports whether the worker has reported before the order, and the order was not answered.
+func (leaseanswered LeaseAnswered) ReportedBefore() bool {
+	return leaseanswered.result == OrderUnknown && leaseanswered.report.incarnation != 0
+}
+
 // StartOrderAnswered answers a StartOrder.
 //
 //value:generate
--- a/scheduling_generated.go
+++ b/scheduling_generated.go
@@ -923,7 +923,7 @@
 	return leaseanswered
 }
 
-// Report returns the tasks that the worker reported, valid with OrderDone only.
+// Report returns the tasks that the worker reported, see WorkerOrderer.
 func (leaseanswered LeaseAnswered) Report() WorkerReport { return leaseanswered.report }
 
 // WithReport returns a copy with the given report.
