Call leaving workers without a relaying host

Cause: the orders to a worker that had announced that it leaves went through a host that froze for 3.6 s with its link open.

Change: the scheduler's host calls leaving workers itself, up to the number of workers that it serves alone in any case.

--- a/command/relayer/doc.go
+++ b/command/relayer/doc.go
@@ -8,5 +8,6 @@
 // Relayer is a duty: Run alone uses its tables. The scheduler duty passes orders through a bounded ring; the hub passes
 // answers and changes of links. All pending orders of a host are answered with OrderUnknown when its link ends, or when
 // it returns nothing for silenceTimeout after an answer was due. The following orders to its workers go through another
-// host until it returns answers again, or directly if there is none.
+// host until it returns answers again, or directly if there is none. Workers that leave are called directly, so that their
+// last reports do not depend on a further host.
 package relayer
--- a/command/relayer/relayer.go
+++ b/command/relayer/relayer.go
@@ -62,6 +62,7 @@
 	version    int                     // version counts the changes of candidates.
 	workers    map[string]*worker
 	direct     map[string]struct{} // direct holds the workers that are called directly.
+	leaving    map[string]struct{} // leaving holds the workers that are called directly because they leave, at most MaxDirectWorkers.
 	// directStarts counts the workers added to direct since directStartsAt, for at most a second.
 	directStarts   int
 	directStartsAt time.Time
@@ -105,7 +106,7 @@
 // New returns a relayer that is not running; call Run to start it.
 func New(config Config) *Relayer {
 	return &Relayer{
-		config: config, hosts: map[string]*host{}, workers: map[string]*worker{}, direct: map[string]struct{}{}, pending: map[int64]pendingOrder{},
+		config: config, hosts: map[string]*host{}, workers: map[string]*worker{}, direct: map[string]struct{}{}, leaving: map[string]struct{}{}, pending: map[int64]pendingOrder{},
 		unsent: map[string][]almondcross.RelayedOrder{},
 		// Answers to orders of an earlier process must not match those of this one.
 		lastNumber: rand.Int64N(1 << 62), //nolint:gosec // The number needs no secrecy.
@@ -181,6 +182,7 @@
 	case almondcross.WorkerReleased:
 		delete(relayer.workers, message.ID())
 		delete(relayer.direct, message.ID())
+		delete(relayer.leaving, message.ID())
 		relayer.config.Direct.Release(message.ID())
 	}
 }
@@ -205,7 +207,7 @@
 
 // chooseHost chooses the host of a worker anew if the candidates have changed.
 func (relayer *Relayer) chooseHost(known *worker, ordered almondcross.Worker) {
-	if len(relayer.workers) <= relayer.config.MaxDirectWorkers {
+	if len(relayer.workers) <= relayer.config.MaxDirectWorkers || relayer.callsLeaving(ordered) {
 		known.host, known.version = "", -1
 		return
 	}
@@ -220,6 +222,21 @@
 	}
 }
 
+// callsLeaving reports whether this host calls a worker directly because it leaves. If a host that relays its orders froze, its
+// last ends would be read by nobody.
+func (relayer *Relayer) callsLeaving(ordered almondcross.Worker) bool {
+	id := ordered.ID()
+	if !ordered.Draining() {
+		delete(relayer.leaving, id)
+		return false
+	}
+	if _, known := relayer.leaving[id]; !known && len(relayer.leaving) >= relayer.config.MaxDirectWorkers {
+		return false
+	}
+	relayer.leaving[id] = struct{}{}
+	return true
+}
+
 // sendCollected passes the collected orders to their hosts. Orders that a link does not take are sent directly.
 func (relayer *Relayer) sendCollected(ctx context.Context) {
 	hosts := relayer.unsentHosts
--- a/command/relayer/relayer_test.go
+++ b/command/relayer/relayer_test.go
@@ -379,3 +379,33 @@
 		})
 	}
 }
+
+// leaseAll sends a lease order to each worker, the first of which leave, and forgets the earlier orders.
+func (cell *cell) leaseAll(leaving int) {
+	cell.relayed, cell.hostOf, cell.direct = map[int64]almondcross.RelayedOrder{}, map[int64]string{}, 0
+	for index := range workerCount {
+		worker := almondcross.NewWorker(almondcross.WorkerConfig{ID: fmt.Sprintf("w-%d", index), Zone: dataCentre, Draining: index < leaving})
+		require.True(cell.t, cell.relayer.Lease(almondcross.NewLeaseOrder(almondcross.LeaseOrderConfig{Worker: worker}), 0))
+	}
+	synctest.Wait()
+}
+
+// Guards against ends that nobody reads (LOST): a host that relays the orders to a leaving worker freezes, and the worker has left
+// before the orders are given up.
+func TestLeavingWorkersAreCalledDirectly(t *testing.T) {
+	const maxDirect = 5
+	run(t, maxDirect, func(cell *cell) {
+		cell.leaseAll(0)
+		cell.leaseAll(0)
+		require.Len(t, cell.relayed, workerCount)
+		cell.leaseAll(maxDirect - 1)
+		require.Equal(t, maxDirect-1, cell.direct)
+		cell.leaseAll(workerCount)
+		require.Equal(t, maxDirect, cell.direct, "this host serves no more workers by itself")
+		require.True(t, cell.inbox.Offer(almondcross.NewWorkerReleased(almondcross.WorkerReleasedConfig{ID: "w-0"})))
+		cell.leaseAll(workerCount)
+		require.Equal(t, maxDirect, cell.direct, "the next one takes the place of a worker that has left")
+		cell.leaseAll(0)
+		require.Len(t, cell.relayed, workerCount, "a worker that stays is called through the other hosts again")
+	})
+}
