Record when the earlier schedulers have ceased to extend leases

Cause: a scheduler that is deposed while it is frozen does not resign.

Change: the lease bounds are also recorded once all earlier leaderships have ended, and before a resignation.

--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -30,7 +30,8 @@
 	inflight         *inflightAppend                                 // inflight is the pending append, nil for none.
 
 	snapshotTriedAt time.Time // snapshotTriedAt is when the last snapshot was taken, stored or not.
-	leaseBoundsDue  bool      // leaseBoundsDue is set after a snapshot until recordLeaseBounds has been called.
+	leaseBoundsDue  bool      // leaseBoundsDue is set if the next append is to have the lease bounds, see recordLeaseBounds.
+	earlierEnded    bool      // earlierEnded is set once no earlier scheduler extends leases.
 	addressesDue    []string  // addressesDue holds the workers whose addresses are to be recorded after the last snapshot, see recordAddresses.
 	usageAt         time.Time // usageAt is when usage was last stored.
 	usageStoring    bool
@@ -156,6 +157,7 @@
 		machine.leader.lastSweepAt = machine.now
 		machine.sweepWorkers()
 		machine.expireAdviceCalls()
+		machine.checkEarlierLeaderships()
 		if machine.strongerStandby() {
 			machine.leader.resignCause = "a stronger standby is available"
 		}
@@ -187,7 +189,8 @@
 
 // resign ends the epoch, so that a standby is elected without waiting for electionTimeout.
 func (machine *Machine) resign(cause string) {
-	machine.leader.resignedAt = machine.now
+	machine.leader.resignedAt, machine.leader.leaseBoundsDue = machine.now, true
+	machine.recordLeaseBounds()
 	machine.recordChange(almondcross.ChangeConfig{Kind: almondcross.ChangeResigned, Host: machine.config.Host, LeaseRemaining: resignationLag})
 	machine.afterCommit(func() { machine.stopLeading(cause) })
 }
--- a/command/scheduler/leadership.go
+++ b/command/scheduler/leadership.go
@@ -93,8 +93,18 @@
 	})
 }
 
+// checkEarlierLeaderships has the lease bounds recorded once all earlier leaderships have ended: a host that loads the state later
+// cannot tell when a scheduler that did not resign ceased to extend leases.
+func (machine *Machine) checkEarlierLeaderships() {
+	leader := machine.leader
+	if !leader.earlierEnded && !machine.state.earlierLeadershipsEnd(leader.epoch).After(machine.now) {
+		leader.earlierEnded, leader.leaseBoundsDue = true, true
+	}
+}
+
 // recordLeaseBounds records until when the schedulers before this one may extend leases, and the long leases of restarted
-// workers, after a snapshot, which contains neither.
+// workers, if that is due: after a snapshot, which contains neither, once the earlier leaderships have ended, and before the
+// resignation.
 func (machine *Machine) recordLeaseBounds() {
 	if !machine.leader.leaseBoundsDue {
 		return
--- a/command/scheduler/leadership_test.go
+++ b/command/scheduler/leadership_test.go
@@ -391,3 +391,44 @@
 	}})
 	require.Positive(t, requireEffect[SendLease](harness).Order.Until())
 }
+
+// loadAfter elects a host that loads the journal a minute later, and returns its harness and the time at which it loaded.
+func (harness *harness) loadAfter() (*harness, time.Time) {
+	harness.t.Helper()
+	loaded := newHarnessOf(harness.t, "h-9")
+	loaded.now, loaded.journalEnd, loaded.batches = harness.now.Add(time.Minute), harness.journalEnd, harness.batches
+	loaded.apply(almondcross.NewPointerRead(almondcross.PointerReadConfig{Stored: true}))
+	loaded.apply(almondcross.NewSnapshotRead(almondcross.SnapshotReadConfig{}))
+	loaded.apply(almondcross.NewJournalRead(almondcross.JournalReadConfig{Batches: loaded.batches, Next: loaded.journalEnd, End: loaded.journalEnd}))
+	loadedAt := loaded.now
+	harness.standby = loaded
+	harness.electStandby()
+	return loaded, loadedAt
+}
+
+// Guards against a wait of 10 s, counted from when a host loads the state (LOST): a scheduler was deposed without a resignation, and
+// only the one after it knows that it extends no more leases.
+func TestLoadedJournalHasTheEndOfADeposedScheduler(t *testing.T) {
+	second := newHarnessWithRun(t).electStandby()
+	second.linkHost("h-1", hostAddress, second.machine.leader.epoch)
+	second.apply(almondcross.StopScheduling{})
+	second.answerCommits()
+	require.False(t, second.machine.Leads())
+	loaded, loadedAt := second.loadAfter()
+	requireOneLease(t, loaded.lostRunEndsAfter(loadedAt))
+}
+
+// Guards against the same wait if the scheduler that knew it was lost itself, without a resignation.
+func TestSchedulerRecordsThatTheEarlierLeadershipsHaveEnded(t *testing.T) {
+	second := newHarnessWithRun(t).electStandby()
+	epoch := second.machine.leader.epoch
+	running := almondcross.WorkerReportConfig{Running: []almondcross.RunningTask{
+		almondcross.NewRunningTask(almondcross.RunningTaskConfig{Task: taskOf("j", 0, 0), Run: 1}),
+	}}
+	for until := second.now.Add(leadershipTimeout + heartbeatInterval); second.now.Before(until); second.answerCommits() {
+		second.answerLease(running)
+		second.advance(sweepInterval)
+	}
+	loaded, loadedAt := second.loadAfter()
+	require.False(t, loaded.machine.state.earlierLeadershipsEnd(epoch).After(loadedAt))
+}
