Tell whether another link to the scheduler's host is refused

A broken link alone does not show that the scheduler has ended: it closes its links when it resigns, too. If nothing accepts connections at its address, its process has ended. LinkLost now says so, and the first attempt to link again comes at once instead of after 250 ms.

The emulator breaks the links to a killed process and refuses new ones, which it had no message for; a scheduler that is lost with its machine leaves them open, as before.

TestLostLinkTellsWhetherAnotherIsRefused.

--- a/command/connector/connector_test.go
+++ b/command/connector/connector_test.go
@@ -287,3 +287,21 @@
 	}
 	require.Equal(t, addresses, closed)
 }
+
+// Guards against standbys that cannot tell a scheduler whose process has ended from one that only closed the link: after the first
+// nothing accepts connections at its address, and they need not wait for its silence.
+func TestLostLinkTellsWhetherAnotherIsRefused(t *testing.T) {
+	link := newLink(t)
+	link.schedulers.Offer(connector.Scheduler{Host: "h-1", Address: link.address})
+	nextMessage[almondcross.HostLinkChanged](t, link.scheduler)
+	link.hub.CloseAll()
+	require.False(t, nextMessage[almondcross.LinkLost](t, link.host).Refused())
+
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, listener.Close())
+	link.schedulers.Offer(connector.Scheduler{Host: "h-3", Address: listener.Addr().String()})
+	lost := nextMessage[almondcross.LinkLost](t, link.host)
+	require.Equal(t, "h-3", lost.Scheduler())
+	require.True(t, lost.Refused())
+}
--- a/command/connector/dialer.go
+++ b/command/connector/dialer.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/gorilla/websocket"
+	"github.com/juju/errors"
 
 	"github.com/almondcross/almondcross"
 	"github.com/almondcross/almondcross/command/asker"
@@ -15,7 +17,7 @@
 const (
 	// dialTimeout bounds the opening of a connection.
 	dialTimeout = time.Second
-	// redialDelay is the delay between a failed connection and the next attempt.
+	// redialDelay is the minimum time between the starts of two attempts to connect.
 	redialDelay = 250 * time.Millisecond
 )
 
@@ -71,24 +73,31 @@
 	}
 }
 
-// maintain connects to a scheduler, and reconnects after each failure, until the context ends.
+// maintain connects to a scheduler, and reconnects after each failure, until the context ends. The first attempt after the loss of
+// a link comes at once: if it is refused, the scheduler's process has ended.
 func (dialer *Dialer) maintain(ctx context.Context, scheduler Scheduler) {
 	for ctx.Err() == nil {
+		dialedAt := dialer.config.Clock.Now()
 		if err := dialer.connect(ctx, scheduler); err != nil && ctx.Err() == nil {
 			dialer.config.Log.Record("link_lost", almondcross.Text("scheduler", scheduler.Host), almondcross.Text("reason", err.Error()))
-			_ = dialer.config.Sink.Put(ctx, almondcross.NewLinkLost(almondcross.LinkLostConfig{Scheduler: scheduler.Host})) // Put fails only when the context has ended.
+			_ = dialer.config.Sink.Put(ctx, almondcross.NewLinkLost(almondcross.LinkLostConfig{
+				Scheduler: scheduler.Host, Refused: errors.Is(err, syscall.ECONNREFUSED),
+			})) // Put fails only when the context has ended.
+		}
+		if pause := redialDelay - dialer.config.Clock.Now().Sub(dialedAt); pause > 0 {
+			ring.Pause(ctx, pause)
 		}
-		ring.Pause(ctx, redialDelay)
 	}
 }
 
+// connect opens a link to a scheduler and carries messages over it until it is lost.
 func (dialer *Dialer) connect(ctx context.Context, scheduler Scheduler) error {
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	client := websocket.Dialer{HandshakeTimeout: dialTimeout, ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10}
 	connection, response, err := client.DialContext(dialCtx, "ws://"+scheduler.Address+Path, nil)
 	if err != nil {
-		return err
+		return errors.Trace(err)
 	}
 	_ = response.Body.Close() // An upgraded connection has no body.
 	session := newSession(connection, dialer.config.Codec)
--- a/scheduling.go
+++ b/scheduling.go
@@ -267,11 +267,12 @@
 	changes  []JobViewChange // the changes
 }
 
-// LinkLost reports that the link to the scheduler's host was closed.
+// LinkLost reports that the link to the scheduler's host was closed or could not be opened.
 //
 //value:generate
 type LinkLost struct {
 	scheduler string // the host of the scheduler
+	refused   bool   // whether an attempt to link again was refused: nothing accepts links at the scheduler's address
 }
 
 // JobAccepted reports that this host stored a job.
--- a/scheduling_generated.go
+++ b/scheduling_generated.go
@@ -1521,12 +1521,14 @@
 // LinkLostConfig holds the fields of a new LinkLost.
 type LinkLostConfig struct {
 	Scheduler string
+	Refused   bool
 }
 
 // NewLinkLost returns a LinkLost with the given fields.
 func NewLinkLost(config LinkLostConfig) LinkLost {
 	return LinkLost{
 		scheduler: config.Scheduler,
+		refused:   config.Refused,
 	}
 }
 
@@ -1534,6 +1536,7 @@
 func (linklost LinkLost) Config() LinkLostConfig {
 	return LinkLostConfig{
 		Scheduler: linklost.scheduler,
+		Refused:   linklost.refused,
 	}
 }
 
@@ -1546,6 +1549,15 @@
 	return linklost
 }
 
+// Refused returns whether an attempt to link again was refused: nothing accepts links at the scheduler's address.
+func (linklost LinkLost) Refused() bool { return linklost.refused }
+
+// WithRefused returns a copy with the given refused.
+func (linklost LinkLost) WithRefused(refused bool) LinkLost {
+	linklost.refused = refused
+	return linklost
+}
+
 // JobAcceptedConfig holds the fields of a new JobAccepted.
 type JobAcceptedConfig struct {
 	Job Job
--- a/standin/emulator/host.go
+++ b/standin/emulator/host.go
@@ -51,6 +51,7 @@
 	// wantedLink is the host to which this host opens a link, linkCount how many links it has opened.
 	wantedLink *modelHost
 	linkCount  int
+	announced  scheduler.AnnounceScheduler // announced is the last announcement of the scheduler.
 }
 
 // queuedQuery is an advice query that waits for the previous advice call.
@@ -85,7 +86,14 @@
 	return 0
 }
 
+// kill ends the process. Its links break.
 func (modelhost *modelHost) kill() {
+	modelhost.lose()
+	modelhost.breakLinks()
+}
+
+// lose ends the process with its machine: nothing tells the hosts that are linked to it.
+func (modelhost *modelHost) lose() {
 	modelhost.up = false
 	modelhost.incarnation++
 	modelhost.setLink(scheduler.AnnounceScheduler{})
--- a/standin/emulator/links.go
+++ b/standin/emulator/links.go
@@ -12,7 +12,7 @@
 func (modelhost *modelHost) setLink(announced scheduler.AnnounceScheduler) {
 	simulation := modelhost.simulation
 	target := simulation.host(announced.Pointer.Host())
-	modelhost.wantedLink = target
+	modelhost.wantedLink, modelhost.announced = target, announced
 	if previous := modelhost.linkedTo; previous != nil {
 		modelhost.linkedTo = nil
 		simulation.schedule(simulation.linkHold(modelhost, previous)+linkDelay, func() {
@@ -45,6 +45,43 @@
 	})
 }
 
+// redialDelay is the time between two attempts to link to a process that has ended.
+const redialDelay = 250 * time.Millisecond
+
+// breakLinks breaks the links to a process that has ended. The linked hosts learn it at once and dial again.
+func (modelhost *modelHost) breakLinks() {
+	for _, other := range modelhost.simulation.hosts {
+		if other.linkedTo != modelhost {
+			continue
+		}
+		other.linkedTo = nil
+		incarnation := other.incarnation
+		modelhost.simulation.schedule(modelhost.simulation.linkHold(other, modelhost)+linkDelay, func() {
+			if other.incarnation == incarnation && other.wantedLink == modelhost && other.linkedTo == nil {
+				other.deliver(almondcross.NewLinkLost(almondcross.LinkLostConfig{Scheduler: modelhost.name}))
+				other.redial(modelhost, 2*linkDelay)
+			}
+		})
+	}
+}
+
+// redial opens the link to a host again after a delay. It is refused until a process has started there.
+func (modelhost *modelHost) redial(target *modelHost, delay time.Duration) {
+	simulation, incarnation := modelhost.simulation, modelhost.incarnation
+	simulation.schedule(delay, func() {
+		switch {
+		case modelhost.incarnation != incarnation || modelhost.wantedLink != target || modelhost.linkedTo != nil:
+		case target.up:
+			modelhost.setLink(modelhost.announced)
+		case simulation.linkHold(modelhost, target) > 0:
+			modelhost.redial(target, simulation.linkHold(modelhost, target))
+		default:
+			modelhost.deliver(almondcross.NewLinkLost(almondcross.LinkLostConfig{Scheduler: target.name, Refused: true}))
+			modelhost.redial(target, redialDelay)
+		}
+	})
+}
+
 // sendToHosts sends a message of this scheduler to those of the named hosts that are linked to it.
 func (modelhost *modelHost) sendToHosts(hosts []string, message almondcross.SchedulerMessage) {
 	for _, name := range hosts {
--- a/standin/emulator/takeovers.go
+++ b/standin/emulator/takeovers.go
@@ -80,7 +80,7 @@
 	switch fault.Kind {
 	case LoseScheduler:
 		simulation.meter.begin(host, false)
-		host.kill()
+		host.lose()
 		simulation.disturbances.disturbHost(host, simulation.now)
 	case CutLinks:
 		simulation.meter.begin(host, false)
