Remove forwarded short tasks from the demand for the reserve

Cause: tryForward, which forwards a new task to another host, ended the attempt without taking it out of the demand of the short band. The reserve, which long tasks may not use, then grew with each forwarded short task and stayed as long as its owner had short tasks.

Change: the attempt is removed from the demand. Its payload is released as well, as with any attempt that has ended.

--- a/command/placer/machine_test.go
+++ b/command/placer/machine_test.go
@@ -251,6 +251,35 @@
 	require.Len(t, cell.forwarded, 1)
 }
 
+// TestForwardedShortTasksLeaveTheDemand guards against a reserve that long tasks may not use, kept for short tasks that other
+// hosts run: each one that was forwarded on arrival stayed in the demand for ever.
+func TestForwardedShortTasksLeaveTheDemand(t *testing.T) {
+	const targets = 4
+	cell := newCell(t, targets)
+	for index := range targets * slots {
+		cell.place(cell.task("a", "batch", index))
+	}
+	for index := range targets * slots {
+		cell.addPeer("h1", almondcross.NewSummary(almondcross.SummaryConfig{LargestFree: slot}))
+		cell.place(cell.task("b", "short", index).WithExpectedRun(100 * time.Millisecond))
+	}
+	require.Len(t, cell.forwarded, targets*slots)
+	cell.removePeers()
+	for index := range targets * slots {
+		cell.finish(cell.task("a", "batch", index).ID(), time.Second)
+	}
+	for second := range 40 {
+		id := targets*slots + second
+		cell.place(cell.task("b", "short", id).WithExpectedRun(100 * time.Millisecond))
+		cell.advance(time.Second)
+		cell.finish(cell.task("b", "short", id).ID(), time.Second)
+	}
+	for index := range targets * slots {
+		cell.place(cell.task("a", "long", index))
+	}
+	require.GreaterOrEqual(t, cell.startedOf("long"), targets*slots*3/4)
+}
+
 // TestWaitingTaskKeepsItsPayload guards against a waiting task that is forwarded without its payload, runs
 // without input and is reported as finished.
 func TestWaitingTaskKeepsItsPayload(t *testing.T) {
--- a/command/placer/queue.go
+++ b/command/placer/queue.go
@@ -287,8 +287,9 @@
 	if !ok {
 		return false
 	}
-	attempt.state = done
 	machine.forwardTo(attempt, peer)
+	machine.removeShort(attempt)
+	attempt.markDone()
 	return true
 }
 
