Stand for election in the order of the ranks

Cause: each standby waited for 600 ms of silence, then for up to 0.2 s by chance and 8 ms for each point of strength below 100, also if the scheduler's process had certainly ended.

Change: if the link to the scheduler has broken and another one is refused, standbys stand at once. The scheduler ranks its standbys by strength and name, and they stand 100 ms apart, in all cases; hosts without a rank wait as before. A standby that loses an election to records that it had not read stands again as soon as it has read them.

--- a/command/scheduler/constants.go
+++ b/command/scheduler/constants.go
@@ -13,11 +13,14 @@
 	// electionTimeout is how long a follower sees no batch before it stands for election. It tolerates two
 	// lost heartbeats.
 	electionTimeout = 600 * time.Millisecond
-	// electionJitter spreads the candidates over time, so that usually only one stands.
+	// electionJitter spreads the candidates that have no rank over time, so that usually only one stands.
 	electionJitter = 200 * time.Millisecond
+	// candidacyInterval is the time between the candidacies of two ranked standbys. An election takes less unless the store is
+	// slow.
+	candidacyInterval = 100 * time.Millisecond
 	// fullStrength is the strength of a host that can schedule for a whole cluster.
 	fullStrength = 100
-	// electionDelayPerPoint delays the candidacy of a host for each point below full strength.
+	// electionDelayPerPoint delays the candidacy of a host without a rank for each point below full strength.
 	electionDelayPerPoint = 8 * time.Millisecond
 	// maxLatencyPenalty limits how much the latency to the store reduces a host's strength: one point per
 	// millisecond.
@@ -96,6 +99,8 @@
 	freshReadAge = time.Second
 	// journalReadInterval limits how often a follower reads, since each read is billed.
 	journalReadInterval = 90 * time.Millisecond
+	// endedReadInterval replaces journalReadInterval once the scheduler's process has ended, until another one is elected.
+	endedReadInterval = 20 * time.Millisecond
 	// freshPushAge is the maximum age of the last pushed batch for the store to be read less often. It tolerates one late
 	// heartbeat.
 	freshPushAge = 300 * time.Millisecond
--- a/command/scheduler/discovery.go
+++ b/command/scheduler/discovery.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -22,6 +23,7 @@
 	// viewsReceived is set once all views have arrived over the present link. Changes alone would leave out what changed
 	// before it.
 	viewsReceived bool
+	rank          int       // rank is the place of this standby in the order of the candidacies, from 1, or 0 if it has none.
 	lastQueryAt   time.Time // lastQueryAt is when a linked host or a standby last queried the pointer.
 }
 
@@ -39,7 +41,7 @@
 func (machine *Machine) discoverScheduler() {
 	machine.role = roleDiscovering
 	machine.discovery.startedAt, machine.discovery.pointer, machine.discovery.storeAnswered = time.Time{}, almondcross.SchedulerPointer{}, false
-	machine.discovery.viewsReceived, machine.follower.pushedEnd = false, 0
+	machine.discovery.viewsReceived, machine.discovery.rank, machine.follower.pushedEnd = false, 0, 0
 	machine.emit(AnnounceScheduler{})
 	machine.readPointer(0)
 }
@@ -162,7 +164,8 @@
 // roleAssigned makes this host a standby or a viewer, as the scheduler has decided.
 func (machine *Machine) roleAssigned(assigned almondcross.RoleAssigned) {
 	machine.gap.schedulerContactAt = machine.now
-	machine.config.Log.Record("assigned", almondcross.Text("standby", yesNo(assigned.Standby())))
+	machine.discovery.rank = min(max(assigned.Rank(), 0), maxStandbys)
+	machine.config.Log.Record("assigned", almondcross.Text("standby", yesNo(assigned.Standby())), almondcross.Number("rank", machine.discovery.rank))
 	switch {
 	case assigned.Standby() && (machine.role == roleDiscovering || machine.role == roleViewer):
 		machine.loadState(0)
@@ -197,8 +200,11 @@
 // hostLinked decides whether a newly linked host is a standby. Either way it gets all views after the next append: a standby
 // has to load the state first, unless it followed the journal before.
 func (machine *Machine) hostLinked(host *linkedHost) {
-	host.standby = host.strength >= minStandbyStrength && machine.standbyCount() < maxStandbys
-	machine.sendRole(host)
+	if host.strength >= minStandbyStrength && machine.standbyCount() < maxStandbys {
+		machine.makeStandby(host)
+	} else {
+		machine.emit(AssignRole{Host: host.name, Assigned: almondcross.NewRoleAssigned(almondcross.RoleAssignedConfig{})})
+	}
 	// The views may include jobs that are not in the journal yet, whose submissions must not be acknowledged, so they
 	// are sent only after the next append has succeeded.
 	host.awaitingViews = true
@@ -215,12 +221,24 @@
 	return count
 }
 
-// sendRole tells a linked host whether it is a standby.
-func (machine *Machine) sendRole(host *linkedHost) {
-	if host.standby {
-		host.viewsUntil = machine.now.Add(standbyLoadTime)
+// makeStandby makes a linked host a standby.
+func (machine *Machine) makeStandby(host *linkedHost) {
+	host.standby, host.viewsUntil = true, machine.now.Add(standbyLoadTime)
+	machine.rankStandbys()
+}
+
+// rankStandbys tells the standbys in which order they stand for election, if it has changed: the strongest first, then by name.
+func (machine *Machine) rankStandbys() {
+	standbys := slices.SortedFunc(maps.Values(machine.linkedHosts), func(a, b *linkedHost) int {
+		return cmp.Or(cmp.Compare(b.strength, a.strength), cmp.Compare(a.name, b.name))
+	})
+	standbys = slices.DeleteFunc(standbys, func(host *linkedHost) bool { return !host.standby })
+	for index, host := range standbys {
+		if rank := index + 1; host.rank != rank {
+			host.rank = rank
+			machine.emit(AssignRole{Host: host.name, Assigned: almondcross.NewRoleAssigned(almondcross.RoleAssignedConfig{Standby: true, Rank: rank})})
+		}
 	}
-	machine.emit(AssignRole{Host: host.name, Assigned: almondcross.NewRoleAssigned(almondcross.RoleAssignedConfig{Standby: host.standby})})
 }
 
 // allViews returns the views of all jobs in no particular order, since a host replaces all its views by them in one step.
@@ -258,8 +276,7 @@
 		if best == nil {
 			return
 		}
-		best.standby = true
-		machine.sendRole(best)
+		machine.makeStandby(best)
 	}
 }
 
--- a/command/scheduler/follower.go
+++ b/command/scheduler/follower.go
@@ -18,6 +18,9 @@
 	lastFreshBatchAt time.Time // lastFreshBatchAt is when the last batch not older than freshBatchAge arrived.
 	lastReadAt       time.Time // lastReadAt is when the last read was answered.
 	electionAt       time.Time // electionAt is the earliest time of the next election, zero if none is scheduled.
+	lostElectionEnd  int64     // lostElectionEnd is the end of the journal that this host had read at its last lost election.
+	ended            endedScheduler
+	linkLost         bool      // linkLost is set while the link to the scheduler is lost.
 	lastPushAt       time.Time // lastPushAt is when batches last arrived over the link.
 	readDueAt        time.Time // readDueAt is when the next read is due while batches arrive over the link, zero if a read is pending.
 	readFailing      bool      // readFailing is set if the last read failed.
@@ -121,6 +124,8 @@
 	switch {
 	case !machine.follower.caughtUp:
 		pause = 0
+	case machine.schedulerEnded():
+		pause = endedReadInterval
 	case machine.now.Sub(machine.follower.lastPushAt) < freshPushAge:
 		machine.follower.readDueAt = machine.now.Add(pushedReadInterval)
 		return
@@ -156,7 +161,7 @@
 	if next <= machine.follower.nextOffset {
 		return
 	}
-	machine.follower.lastPushAt = machine.now
+	machine.follower.lastPushAt, machine.follower.linkLost = machine.now, false
 	machine.applyBatches(almondcross.NewJournalRead(almondcross.JournalReadConfig{
 		From: machine.follower.nextOffset, Next: next, End: next, Batches: pushed.Batches()[machine.follower.nextOffset-pushed.From():],
 	}), machine.follower.lastReadAt, machine.pushedAsOf(pushed))
@@ -252,83 +257,3 @@
 	machine.config.Log.Record("scheduler_known", almondcross.Text("host", host), almondcross.Number("epoch", pointer.Epoch()))
 	machine.emit(AnnounceScheduler{Pointer: pointer, Own: machine.role == roleLeader, Strength: machine.strength(), Ends: machine.endsToForward()})
 }
-
-// checkElection stands for election when no batch arrives although the store answers.
-func (machine *Machine) checkElection() {
-	follower := &machine.follower
-	if !follower.caughtUp || follower.readFailing || machine.stopping || !machine.readsFormat() || machine.now.Sub(follower.lastReadAt) > freshReadAge || machine.now.Before(follower.electionAt) {
-		return
-	}
-	silence := machine.now.Sub(follower.lastBatchAt)
-	if silence < electionTimeout && !machine.state.resigned {
-		return
-	}
-	if follower.electionAt.IsZero() {
-		jitter := time.Duration(machine.config.Random.Int64N(int64(electionJitter)))
-		follower.electionAt = machine.now.Add(jitter + time.Duration(fullStrength-min(machine.strength(), fullStrength))*electionDelayPerPoint)
-		return
-	}
-	epoch, found := machine.nextEpoch()
-	if !found {
-		follower.electionAt = machine.now.Add(lastTermRetryDelay)
-		machine.config.Log.Record("election_terms_used_up", almondcross.Number("epoch", machine.state.highestEpoch))
-		return
-	}
-	machine.triedEpoch = epoch
-	machine.role = roleCandidate
-	machine.config.Log.Record("election_started", almondcross.Number("epoch", epoch), almondcross.Millis("silence_ms", silence),
-		almondcross.Text("last_scheduler", machine.state.schedulerHost), almondcross.Number("end", follower.nextOffset))
-	at := machine.now
-	if at.Before(machine.state.batchTime) {
-		at = machine.state.batchTime
-	}
-	machine.emit(Commit{Request: almondcross.NewJournalCommit(almondcross.JournalCommitConfig{
-		Epoch: epoch, Election: true, ExpectedEnd: follower.nextOffset,
-		Batches: []almondcross.JournalBatch{almondcross.NewJournalBatch(almondcross.JournalBatchConfig{
-			Epoch: epoch, At: at,
-		})},
-	})})
-}
-
-// electionAnswered makes this host the scheduler or returns it to the follower role. An election takes two
-// appends. The first carries no epoch, so that one of several candidates wins and the others have no effect.
-// The second carries the winner's epoch, which fences off the previous scheduler; it fails if that scheduler
-// is still alive and has written in between. Only the second append names the new scheduler, because hosts
-// must not leave a scheduler that continues after a failed election.
-func (machine *Machine) electionAnswered(answer almondcross.JournalCommitted) {
-	if machine.role != roleCandidate || answer.Commit().Epoch() != machine.triedEpoch {
-		return
-	}
-	machine.follower.electionAt = machine.now.Add(electionBackoff + time.Duration(machine.config.Random.Int64N(int64(electionJitter))))
-	if answer.Err() != nil || answer.Appended().Offset() != machine.follower.nextOffset {
-		machine.role = roleFollower
-		machine.config.Log.Record("election_lost", almondcross.Number("epoch", answer.Commit().Epoch()), almondcross.Text("reason", electionFailure(answer.Err())))
-		machine.readJournal(0)
-		return
-	}
-	for _, batch := range answer.Commit().Batches() {
-		machine.state.applyBatch(batch, machine.now)
-	}
-	machine.follower.nextOffset = answer.Appended().End()
-	if answer.Commit().Sequence() > 0 {
-		machine.startLeading(answer)
-		return
-	}
-	machine.emit(Commit{Request: answer.Commit().WithSequence(1).WithExpectedEnd(machine.follower.nextOffset).WithBatches(
-		[]almondcross.JournalBatch{almondcross.NewJournalBatch(almondcross.JournalBatchConfig{
-			Epoch: answer.Commit().Epoch(), At: machine.state.batchTime, Changes: []almondcross.Change{
-				almondcross.NewChange(almondcross.ChangeConfig{
-					Kind: almondcross.ChangeElected, Host: machine.config.Host, Address: machine.config.Address,
-				}),
-				almondcross.NewChange(machine.formatChange()),
-			},
-		})},
-	)})
-}
-
-func electionFailure(err error) string {
-	if err == nil {
-		return "another append came first"
-	}
-	return err.Error()
-}
--- a/command/scheduler/hostcalls.go
+++ b/command/scheduler/hostcalls.go
@@ -40,6 +40,7 @@
 	// strength is the scheduling strength of the host; standby is set when the host follows the journal.
 	strength int
 	standby  bool
+	rank     int    // rank is that of a standby that has been told one, 0 for any other host.
 	address  string // address is where the host accepts links.
 	// awaitingViews is set until the host has been sent its first views.
 	awaitingViews bool
@@ -143,6 +144,7 @@
 	} else {
 		machine.fillStandbys()
 	}
+	machine.rankStandbys()
 }
 
 // cancelAdviceCalls gives up the pending calls of a host, so that other hosts can make them.
--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -83,7 +83,7 @@
 	machine.announceScheduler()
 	machine.storePointer()
 	for _, linkedHost := range machine.linkedHosts {
-		linkedHost.calls, linkedHost.standby, linkedHost.awaitingViews = nil, false, false
+		linkedHost.calls, linkedHost.standby, linkedHost.rank, linkedHost.awaitingViews = nil, false, 0, false
 	}
 	// The first hosts become standbys, so they are taken in an order that is the same in each process.
 	for _, name := range slices.Sorted(maps.Keys(machine.linkedHosts)) {
--- a/command/scheduler/machine.go
+++ b/command/scheduler/machine.go
@@ -104,7 +104,7 @@
 			machine.config.Log.Record("scheduler_link_lost", almondcross.Text("host", message.Scheduler()))
 			machine.discoverScheduler()
 		}
-		machine.linkLost(message.Scheduler())
+		machine.linkLost(message)
 	case almondcross.RoleAssigned:
 		machine.roleAssigned(message)
 	case almondcross.PeersKnown:
@@ -166,9 +166,12 @@
 
 // linkLost handles the loss of the link to the scheduler, over which views and batches arrived. A standby then reads the journal
 // at once: a scheduler that resigns closes its links before it has pushed its resignation.
-func (machine *Machine) linkLost(scheduler string) {
-	if scheduler == machine.discovery.pointer.Host() {
-		machine.discovery.viewsReceived, machine.follower.pushedEnd, machine.follower.lastPushAt = false, 0, time.Time{}
+func (machine *Machine) linkLost(lost almondcross.LinkLost) {
+	if lost.Scheduler() == machine.discovery.pointer.Host() {
+		machine.discovery.viewsReceived, machine.follower.pushedEnd, machine.follower.lastPushAt, machine.follower.linkLost = false, 0, time.Time{}, true
+	}
+	if lost.Refused() {
+		machine.noteRefusal(lost.Scheduler())
 	}
 }
 
@@ -223,7 +226,11 @@
 		}
 		return now.Add(leaderTick)
 	}
-	return now.Add(followerTick)
+	next := now.Add(followerTick)
+	if electionAt := machine.follower.electionAt; machine.role == roleFollower && electionAt.After(now) && electionAt.Before(next) {
+		return electionAt
+	}
+	return next
 }
 
 func (machine *Machine) emit(effect Effect) { machine.effects = append(machine.effects, effect) }
--- a/command/scheduler/reads.go
+++ b/command/scheduler/reads.go
@@ -28,14 +28,19 @@
 }
 
 // readJournal reads the journal from the next offset, unless a read is pending. The answer to an earlier read is followed by
-// one from the next offset.
+// one from the next offset. While the link to the scheduler is lost, reads do not wait for a batch: an election may depend on
+// the next one, which has to be sent first.
 func (machine *Machine) readJournal(pause time.Duration) {
 	if machine.reads.journal {
 		return
 	}
 	machine.reads.journal, machine.reads.journalSentAt = true, machine.now
+	wait := journalReadWait
+	if machine.follower.linkLost {
+		wait = 0
+	}
 	machine.emit(ReadJournal{Query: almondcross.NewJournalQuery(almondcross.JournalQueryConfig{
-		From: machine.follower.nextOffset, Pause: pause, Wait: journalReadWait,
+		From: machine.follower.nextOffset, Pause: pause, Wait: wait,
 	})})
 }
 
--- a/encoder/link.go
+++ b/encoder/link.go
@@ -26,6 +26,7 @@
 
 type wireAssign struct {
 	Standby bool `cbor:"standby"`
+	Rank    int  `cbor:"rank,omitempty"`
 }
 
 // wireViews groups job views by queue and state, so that each view takes little more than its job ID.
@@ -199,7 +200,7 @@
 	case almondcross.OrdersAnswered:
 		return codec.encodeEnvelope(linkOrderAnswers, toOrderAnswers(message))
 	case almondcross.RoleAssigned:
-		return codec.encodeEnvelope(linkAssign, wireAssign{Standby: message.Standby()})
+		return codec.encodeEnvelope(linkAssign, wireAssign(message.Config()))
 	case almondcross.PeersKnown:
 		return codec.encodeEnvelope(linkPeers, wirePeers{Addresses: message.Addresses()})
 	case almondcross.ViewsPushed:
--- a/scheduling.go
+++ b/scheduling.go
@@ -247,6 +247,7 @@
 //value:generate
 type RoleAssigned struct {
 	standby bool // whether the host is a standby
+	rank    int  // the place of the standby in the order in which they stand for election, from 1; 0 if it is not known
 }
 
 // JobViewChange is the new view of a job or its removal.
--- a/scheduling_generated.go
+++ b/scheduling_generated.go
@@ -1389,12 +1389,14 @@
 // RoleAssignedConfig holds the fields of a new RoleAssigned.
 type RoleAssignedConfig struct {
 	Standby bool
+	Rank    int
 }
 
 // NewRoleAssigned returns a RoleAssigned with the given fields.
 func NewRoleAssigned(config RoleAssignedConfig) RoleAssigned {
 	return RoleAssigned{
 		standby: config.Standby,
+		rank:    config.Rank,
 	}
 }
 
@@ -1402,6 +1404,7 @@
 func (roleassigned RoleAssigned) Config() RoleAssignedConfig {
 	return RoleAssignedConfig{
 		Standby: roleassigned.standby,
+		Rank:    roleassigned.rank,
 	}
 }
 
@@ -1414,6 +1417,15 @@
 	return roleassigned
 }
 
+// Rank returns the place of the standby in the order in which they stand for election, from 1; 0 if it is not known.
+func (roleassigned RoleAssigned) Rank() int { return roleassigned.rank }
+
+// WithRank returns a copy with the given rank.
+func (roleassigned RoleAssigned) WithRank(rank int) RoleAssigned {
+	roleassigned.rank = rank
+	return roleassigned
+}
+
 // JobViewChangeConfig holds the fields of a new JobViewChange.
 type JobViewChangeConfig struct {
 	ID    JobID
