Count the silence of the scheduler from its last batch

Cause: a scheduler that freezes or is lost has often appended a batch that it did not push. Standbys read it once the pushes have stopped for 0.3 s, and counted the silence from then.

Change: it counts from when that batch would have arrived over the link, by the time between it and the last pushed batch on the clock of the same scheduler. After a failed read it counts from the end of the outage, as before.

--- a/command/scheduler/candidacy_test.go
+++ b/command/scheduler/candidacy_test.go
@@ -135,3 +135,38 @@
 	link("h-2", true, 0)
 	require.Equal(t, map[string]int{"h-4": 1, "h-5": 2, "h-2": 0, "h-3": 1}, ranks)
 }
+
+// Guards against a silence that counts from when a standby reads the last batch, which the lost scheduler appended and did not push:
+// 0.3 s later, when the pushes have stopped for that long.
+func TestSilenceCountsFromWhenTheLastBatchWasAppended(t *testing.T) {
+	harness := newRankedFollower(t, 1)
+	const clockDifference, gap = time.Hour, 20 * time.Millisecond
+	batch := func(after time.Duration) almondcross.JournalBatch {
+		return almondcross.NewJournalBatch(almondcross.JournalBatchConfig{Epoch: 9, At: harness.now.Add(clockDifference + after)})
+	}
+	last := batch(gap)
+	harness.apply(almondcross.NewJournalPushed(almondcross.JournalPushedConfig{From: 1, Batches: []almondcross.JournalBatch{batch(0)}}))
+	harness.effects = nil
+	harness.advance(freshPushAge)
+	require.Equal(t, int64(2), requireEffect[ReadJournal](harness).Query.From())
+	harness.apply(almondcross.NewJournalRead(almondcross.JournalReadConfig{From: 2, Next: 3, End: 3, Batches: []almondcross.JournalBatch{last}}))
+	after, stands := harness.standsAfter(electionTimeout)
+	require.True(t, stands)
+	require.Equal(t, electionTimeout+gap-freshPushAge, after)
+}
+
+// Guards against a needless takeover after an outage of the store: the first batch that is read afterwards was made before it.
+func TestSilenceCountsFromTheEndOfAnOutage(t *testing.T) {
+	harness := newRankedFollower(t, 1)
+	const outage = 6 * time.Second
+	made := almondcross.NewJournalBatch(almondcross.JournalBatchConfig{Epoch: 9, At: harness.now})
+	harness.apply(almondcross.NewJournalPushed(almondcross.JournalPushedConfig{From: 1, Batches: []almondcross.JournalBatch{made}}))
+	harness.advance(freshPushAge)
+	harness.apply(almondcross.NewJournalRead(almondcross.JournalReadConfig{From: 2, Next: 2, Err: almondcross.ErrStoreUncertain}))
+	harness.advance(outage)
+	harness.effects = nil
+	harness.apply(almondcross.NewJournalRead(almondcross.JournalReadConfig{From: 2, Next: 3, End: 3, Batches: []almondcross.JournalBatch{made}}))
+	after, stands := harness.standsAfter(2 * electionTimeout)
+	require.True(t, stands)
+	require.Equal(t, electionTimeout, after)
+}
--- a/command/scheduler/follower.go
+++ b/command/scheduler/follower.go
@@ -22,6 +22,7 @@
 	ended            endedScheduler
 	linkLost         bool      // linkLost is set while the link to the scheduler is lost.
 	lastPushAt       time.Time // lastPushAt is when batches last arrived over the link.
+	pushed           pushedBatch
 	readDueAt        time.Time // readDueAt is when the next read is due while batches arrive over the link, zero if a read is pending.
 	readFailing      bool      // readFailing is set if the last read failed.
 	loadStartedAt    time.Time // loadStartedAt is when the current load of the state began.
@@ -115,6 +116,7 @@
 		// The scheduler may have been unable to write while this host was unable to read,
 		// so it gets the full electionTimeout again.
 		machine.follower.readFailing, machine.follower.lastBatchAt, machine.follower.electionAt = false, machine.now, time.Time{}
+		machine.follower.pushed = pushedBatch{}
 	}
 	machine.applyBatches(read, machine.now, machine.reads.journalSentAt)
 	if machine.role != roleFollower {
@@ -161,10 +163,11 @@
 	if next <= machine.follower.nextOffset {
 		return
 	}
-	machine.follower.lastPushAt, machine.follower.linkLost = machine.now, false
+	machine.follower.lastPushAt, machine.follower.linkLost, machine.follower.pushed = machine.now, false, pushedBatch{}
 	machine.applyBatches(almondcross.NewJournalRead(almondcross.JournalReadConfig{
 		From: machine.follower.nextOffset, Next: next, End: next, Batches: pushed.Batches()[machine.follower.nextOffset-pushed.From():],
 	}), machine.follower.lastReadAt, machine.pushedAsOf(pushed))
+	machine.follower.pushed = pushedBatch{epoch: machine.state.schedulerEpoch, at: machine.state.batchTime, arrivedAt: machine.now}
 }
 
 // pushedAsOf returns the time as of which pushed batches reach the end of the journal, zero if that is unknown. A push may
@@ -201,7 +204,7 @@
 	machine.follower.caughtUp = read.Next() >= read.End() && read.Next() >= machine.follower.pushedEnd
 	machine.follower.lastReadAt = readAt
 	if applied > 0 || machine.follower.lastBatchAt.IsZero() {
-		machine.follower.lastBatchAt = machine.now
+		machine.follower.lastBatchAt = machine.appendedAt()
 	}
 	if catchingUp && machine.follower.caughtUp && machine.now.Sub(machine.state.batchTime) > leadershipTimeout {
 		// No host has scheduled for so long that there is no scheduler to wait for.
@@ -224,6 +227,28 @@
 	}
 }
 
+// pushedBatch is the last batch that arrived over the link. From the time between it and a later batch of the same scheduler, on
+// that scheduler's clock, follows when the later one would have arrived.
+type pushedBatch struct {
+	epoch     int64
+	at        time.Time // at is the time of the batch, on the scheduler's clock.
+	arrivedAt time.Time
+}
+
+// appendedAt returns when the last batch counts as written. A batch that is read some time after the pushes have stopped would have
+// arrived earlier, and the scheduler has been silent since then.
+func (machine *Machine) appendedAt() time.Time {
+	pushed := machine.follower.pushed
+	if pushed.epoch == 0 || pushed.epoch != machine.state.schedulerEpoch || machine.state.highestEpoch != pushed.epoch {
+		return machine.now
+	}
+	expected := pushed.arrivedAt.Add(machine.state.batchTime.Sub(pushed.at))
+	if expected.After(machine.now) {
+		return machine.now
+	}
+	return expected
+}
+
 // publishState publishes the views of the state, from when it first caught up with the journal. asOf is the time as of which
 // it has caught up, zero if that is unknown.
 func (machine *Machine) publishState(asOf time.Time) {
