--- a/scheduling.go
+++ b/scheduling.go
@@ -253,6 +253,7 @@
 //value:generate
 type RoleAssigned struct {
 	standby bool // whether the host is a standby
+	rank    int  // the place of the standby in the order in which they stand for election, from 1; 0 if it is not known
 }
 
 // JobViewChange is the new view of a job or its removal.
@@ -273,11 +274,12 @@
 	changes  []JobViewChange // the changes
 }
 
-// LinkLost reports that the link to the scheduler's host was closed.
+// LinkLost reports that the link to the scheduler's host was closed or could not be opened.
 //
 //value:generate
 type LinkLost struct {
 	scheduler string // the host of the scheduler
+	refused   bool   // whether an attempt to link again was refused: nothing accepts links at the scheduler's address
 }
 
 // JobAccepted reports that this host stored a job.
