Count the wait for a rack from when a stage is ready

Cause: the picker kept a stage to the rack of its data, or to one rack, for a second after the submission of its job. A later step or occurrence becomes ready after that, so its tasks were placed on any rack at once, where they take several times as long.

Change: the wait counts from when the stage became ready. After a takeover a stage that was ready before does not wait again.

--- a/command/scheduler/intake.go
+++ b/command/scheduler/intake.go
@@ -184,6 +184,13 @@
 func (machine *Machine) enqueue(job *job, added *stage) {
 	leader := machine.leader
 	leader.queued[added.id] = true
+	switch {
+	case !added.readyAt.IsZero():
+	case len(added.spec.After()) == 0:
+		added.readyAt = later(job.spec.Submitted(), job.spec.Due(added.id.Occurrence))
+	default:
+		added.readyAt = machine.now
+	}
 	waiting := &waitingStage{job: job, stage: added}
 	index, _ := slices.BinarySearchFunc(leader.waitingStages, waiting, func(other, added *waitingStage) int {
 		return cmp.Or(machine.comparePlacement(other, added), -1) // Behind those that are equal.
--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -106,6 +106,9 @@
 	restored, final := 0, 0
 	for _, job := range machine.state.unfinishedJobs() {
 		for _, stage := range job.stages {
+			if job.ready(stage) {
+				stage.readyAt = job.spec.Submitted()
+			}
 			for index, record := range stage.tasks {
 				if !record.Active() {
 					continue
--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -296,7 +296,7 @@
 	chosen := machine.config.Picker.Pick(almondcross.NewPickQuery(almondcross.PickQueryConfig{
 		Count: len(wanted), Need: stage.spec.Resources(), AllOrNothing: stage.spec.Gang(),
 		SameRack: stage.spec.SameRack(), Rack: stage.spec.DataRack(),
-		SinceSubmission: machine.now.Sub(job.spec.Submitted()),
+		SinceReady: machine.now.Sub(stage.readyAt),
 	}), candidates)
 	if stage.spec.Gang() && len(chosen) < len(wanted) {
 		return false
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -19,8 +19,10 @@
 	gangCheckpoint string // gangCheckpoint is the last checkpoint of a gang.
 	remainingTasks int    // remainingTasks counts the tasks that are not done.
 	activeTasks    int    // activeTasks counts the tasks that have a run without a recorded end.
-	failedWorker   string // failedWorker is the first worker on which this scheduler saw a run fail since the last success, empty for none. It is not replicated.
-	failsWidely    bool   // failsWidely is set once this scheduler saw a run fail on another worker too. It is not replicated.
+	// readyAt is when the stage became ready, or when its job was submitted if that was before this scheduler. It is not replicated.
+	readyAt      time.Time
+	failedWorker string // failedWorker is the first worker on which this scheduler saw a run fail since the last success, empty for none. It is not replicated.
+	failsWidely  bool   // failsWidely is set once this scheduler saw a run fail on another worker too. It is not replicated.
 }
 
 // job is one job of the replicated state.
--- a/policy.go
+++ b/policy.go
@@ -138,12 +138,12 @@
 //
 //value:generate
 type PickQuery struct {
-	count           int           // the number of tasks
-	need            Resources     // the resources that each task needs
-	allOrNothing    bool          // whether all tasks must be placed or none
-	sameRack        bool          // whether the tasks run slower when they are spread over several racks
-	rack            string        // the rack where the data is, empty for none
-	sinceSubmission time.Duration // the time since the submission of the job
+	count        int           // the number of tasks
+	need         Resources     // the resources that each task needs
+	allOrNothing bool          // whether all tasks must be placed or none
+	sameRack     bool          // whether the tasks run slower when they are spread over several racks
+	rack         string        // the rack where the data is, empty for none
+	sinceReady   time.Duration // the time since the tasks became ready
 }
 
 // WorkerPicker chooses workers for the tasks of a stage. It is stateless.
--- a/policy/picker/picker.go
+++ b/policy/picker/picker.go
@@ -8,7 +8,7 @@
 	"github.com/almondcross/almondcross"
 )
 
-// rackWait is the time since the submission of its job within which a stage is placed only on the rack where its
+// rackWait is the time since a stage became ready within which it is placed only on the rack where its
 // tasks are fastest.
 const rackWait = time.Second
 
@@ -27,11 +27,11 @@
 	})
 	switch {
 	case query.Rack() != "":
-		if chosen := assign(query, onRack(sorted, query.Rack())); len(chosen) == query.Count() || query.SinceSubmission() < rackWait {
+		if chosen := assign(query, onRack(sorted, query.Rack())); len(chosen) == query.Count() || query.SinceReady() < rackWait {
 			return chosen
 		}
 	case query.SameRack():
-		if chosen, ok := assignToOneRack(query, sorted); ok || query.SinceSubmission() < rackWait {
+		if chosen, ok := assignToOneRack(query, sorted); ok || query.SinceReady() < rackWait {
 			return chosen
 		}
 	}
--- a/policy/picker/picker_test.go
+++ b/policy/picker/picker_test.go
@@ -36,8 +36,8 @@
 	require.Len(t, picker.BestFit{}.Pick(allOrNothing.WithCount(5), workers), 5)
 	require.Equal(t, []string{"b", "b", "b"}, picker.BestFit{}.Pick(allOrNothing.WithCount(3).WithSameRack(true), workers))
 	require.Empty(t, picker.BestFit{}.Pick(allOrNothing.WithCount(4).WithSameRack(true), workers))
-	require.Len(t, picker.BestFit{}.Pick(allOrNothing.WithCount(4).WithSameRack(true).WithSinceSubmission(2*time.Second), workers), 4)
+	require.Len(t, picker.BestFit{}.Pick(allOrNothing.WithCount(4).WithSameRack(true).WithSinceReady(2*time.Second), workers), 4)
 	nearData := almondcross.NewPickQuery(almondcross.PickQueryConfig{Count: 3, Need: need, Rack: "r1"})
 	require.Equal(t, []string{"a", "a"}, picker.BestFit{}.Pick(nearData, workers))
-	require.Len(t, picker.BestFit{}.Pick(nearData.WithSinceSubmission(2*time.Second), workers), 3)
+	require.Len(t, picker.BestFit{}.Pick(nearData.WithSinceReady(2*time.Second), workers), 3)
 }
--- a/policy_generated.go
+++ b/policy_generated.go
@@ -376,35 +376,35 @@
 
 // PickQueryConfig holds the fields of a new PickQuery.
 type PickQueryConfig struct {
-	Count           int
-	Need            Resources
-	AllOrNothing    bool
-	SameRack        bool
-	Rack            string
-	SinceSubmission time.Duration
+	Count        int
+	Need         Resources
+	AllOrNothing bool
+	SameRack     bool
+	Rack         string
+	SinceReady   time.Duration
 }
 
 // NewPickQuery returns a PickQuery with the given fields.
 func NewPickQuery(config PickQueryConfig) PickQuery {
 	return PickQuery{
-		count:           config.Count,
-		need:            config.Need,
-		allOrNothing:    config.AllOrNothing,
-		sameRack:        config.SameRack,
-		rack:            config.Rack,
-		sinceSubmission: config.SinceSubmission,
+		count:        config.Count,
+		need:         config.Need,
+		allOrNothing: config.AllOrNothing,
+		sameRack:     config.SameRack,
+		rack:         config.Rack,
+		sinceReady:   config.SinceReady,
 	}
 }
 
 // Config returns the fields of the value for encoding or for a changed copy.
 func (pickquery PickQuery) Config() PickQueryConfig {
 	return PickQueryConfig{
-		Count:           pickquery.count,
-		Need:            pickquery.need,
-		AllOrNothing:    pickquery.allOrNothing,
-		SameRack:        pickquery.sameRack,
-		Rack:            pickquery.rack,
-		SinceSubmission: pickquery.sinceSubmission,
+		Count:        pickquery.count,
+		Need:         pickquery.need,
+		AllOrNothing: pickquery.allOrNothing,
+		SameRack:     pickquery.sameRack,
+		Rack:         pickquery.rack,
+		SinceReady:   pickquery.sinceReady,
 	}
 }
 
@@ -453,11 +453,11 @@
 	return pickquery
 }
 
-// SinceSubmission returns the time since the submission of the job.
-func (pickquery PickQuery) SinceSubmission() time.Duration { return pickquery.sinceSubmission }
+// SinceReady returns the time since the tasks became ready.
+func (pickquery PickQuery) SinceReady() time.Duration { return pickquery.sinceReady }
 
-// WithSinceSubmission returns a copy with the given sinceSubmission.
-func (pickquery PickQuery) WithSinceSubmission(sinceSubmission time.Duration) PickQuery {
-	pickquery.sinceSubmission = sinceSubmission
+// WithSinceReady returns a copy with the given sinceReady.
+func (pickquery PickQuery) WithSinceReady(sinceReady time.Duration) PickQuery {
+	pickquery.sinceReady = sinceReady
 	return pickquery
 }
