Bound the candidacies after the end of a scheduler

Cause: a partition may refuse the links of a scheduler that is at work.

Change: a standby stands at once up to three times for each scheduler and waits for its silence after that.

TestStandbyStandsAtOnceNoMoreThanAFewTimes.

--- a/command/scheduler/candidacy_test.go
+++ b/command/scheduler/candidacy_test.go
@@ -170,3 +170,24 @@
 	require.True(t, stands)
 	require.Equal(t, electionTimeout, after)
 }
+
+// Guards against a standby that stands again and again, some 30 times a second, while the scheduler is at work: a partition may
+// refuse its links too.
+func TestStandbyStandsAtOnceNoMoreThanAFewTimes(t *testing.T) {
+	harness := newRankedFollower(t, 1)
+	harness.loseLink("h-2", true)
+	candidacies := 0
+	for since, next := harness.now, int64(1); harness.now.Sub(since) < electionTimeout; harness.advance(10 * time.Millisecond) {
+		if commit, found := takeEffect[Commit](harness); found {
+			candidacies++
+			harness.apply(almondcross.NewJournalCommitted(almondcross.JournalCommittedConfig{Commit: commit.Request, Err: almondcross.ErrStoreEndMismatch}))
+		}
+		if _, found := takeEffect[ReadJournal](harness); found {
+			batch := almondcross.NewJournalBatch(almondcross.JournalBatchConfig{Epoch: 9, At: harness.now})
+			harness.apply(almondcross.NewJournalRead(almondcross.JournalReadConfig{From: next, Next: next + 1, End: next + 1, Batches: []almondcross.JournalBatch{batch}}))
+			next++
+		}
+		harness.loseLink("h-2", true)
+	}
+	require.Equal(t, maxEndedCandidacies, candidacies)
+}
--- a/command/scheduler/constants.go
+++ b/command/scheduler/constants.go
@@ -18,6 +18,9 @@
 	// candidacyInterval is the time between the candidacies of two ranked standbys. An election takes less unless the store is
 	// slow.
 	candidacyInterval = 100 * time.Millisecond
+	// maxEndedCandidacies is how often a standby stands at once after the end of a scheduler. Its last append may have been on its way
+	// at the first one.
+	maxEndedCandidacies = 3
 	// fullStrength is the strength of a host that can schedule for a whole cluster.
 	fullStrength = 100
 	// electionDelayPerPoint delays the candidacy of a host without a rank for each point below full strength.
--- a/command/scheduler/election.go
+++ b/command/scheduler/election.go
@@ -8,10 +8,12 @@
 	"github.com/almondcross/almondcross"
 )
 
-// endedScheduler is a scheduler whose process has certainly ended. Standbys need not wait for its silence.
+// endedScheduler is a scheduler whose process has ended, as far as a host can tell: its link has broken, and another one is refused.
+// Standbys need not wait for its silence.
 type endedScheduler struct {
 	epoch        int64 // epoch is that of the scheduler.
 	highestEpoch int64 // highestEpoch is the highest epoch in the journal when this host learned it. A higher one is that of a candidate.
+	candidacies  int   // candidacies counts the elections that this host has lost since then to records that it had not read.
 }
 
 // noteRefusal notes that nothing accepts links at the address of the scheduler. It counts once for each scheduler: once a candidate
@@ -23,10 +25,10 @@
 	}
 }
 
-// schedulerEnded reports whether the scheduler's process has certainly ended and no candidate is known.
+// schedulerEnded reports whether the scheduler's process has ended, as far as this host can tell, and no candidate is known.
 func (machine *Machine) schedulerEnded() bool {
-	ended := machine.follower.ended
-	return ended.epoch > 0 && ended == endedScheduler{epoch: machine.state.schedulerEpoch, highestEpoch: machine.state.highestEpoch}
+	ended, state := machine.follower.ended, machine.state
+	return ended.epoch > 0 && ended.epoch == state.schedulerEpoch && ended.highestEpoch == state.highestEpoch && ended.candidacies < maxEndedCandidacies
 }
 
 // checkElection stands for election when the scheduler has resigned or ended, or when no batch arrives although the store
@@ -101,10 +103,7 @@
 	machine.follower.electionAt = machine.now.Add(electionBackoff + time.Duration(machine.config.Random.Int64N(int64(electionJitter))))
 	if answer.Err() != nil || answer.Appended().Offset() != machine.follower.nextOffset {
 		machine.role = roleFollower
-		if machine.schedulerEnded() && (answer.Err() == nil || errors.Is(answer.Err(), almondcross.ErrStoreEndMismatch)) {
-			// The journal goes on behind what this host has read. It stands again once it has read that, unless it is from a candidate.
-			machine.follower.electionAt, machine.follower.lostElectionEnd = time.Time{}, machine.follower.nextOffset
-		}
+		machine.candidacyLost(answer)
 		machine.config.Log.Record("election_lost", almondcross.Number("epoch", answer.Commit().Epoch()), almondcross.Text("reason", electionFailure(answer.Err())))
 		machine.readJournal(0)
 		return
@@ -129,6 +128,18 @@
 	)})
 }
 
+// candidacyLost has this host stand again at once after the end of a scheduler, when it has read the records behind which it stood
+// too early. After several candidacies it waits for the silence of the journal, as the scheduler may go on.
+func (machine *Machine) candidacyLost(answer almondcross.JournalCommitted) {
+	follower := &machine.follower
+	stale := answer.Err() == nil || errors.Is(answer.Err(), almondcross.ErrStoreEndMismatch)
+	if !stale || !machine.schedulerEnded() {
+		return
+	}
+	follower.ended.candidacies++
+	follower.electionAt, follower.lostElectionEnd = time.Time{}, follower.nextOffset
+}
+
 func electionFailure(err error) string {
 	if err == nil {
 		return "another append came first"
