Restart workers under their ID and partition them in the emulator

The emulator drew the workers that crash and those that are partitioned apart, so that hardly any partition followed a restart, and its tickets keep start orders for an earlier incarnation from the next one on all queues.

A draw may add: calls of the crashed process without an answer, a late first announcement, a partition from the store as well, a scheduler that is killed or paused between the two, orders that are executed late and answers that overtake each other.

The log names orders that reach another incarnation than their sender knew, ends that are removed before a host has read them, and reports that are read after one of a later incarnation.

--- a/standin/emulator/advice.go
+++ b/standin/emulator/advice.go
@@ -87,9 +87,12 @@
 }
 
 func (advicemodel *adviceModel) validTicket(stage almondcross.StageID, worker *modelWorker, secret string, now time.Duration) bool {
-	if advicemodel.allowedShare == 0 {
-		return true
-	}
 	ticket, known := advicemodel.issuedTickets[secret]
 	return known && ticket.stage == stage && ticket.worker == worker.id && ticket.bootMillis == worker.bootMillis && now <= ticket.validUntil
 }
+
+// needsAdvice reports whether the queue of a stage is one with advice.
+func (simulation *Simulation) needsAdvice(stage almondcross.StageID) bool {
+	job := simulation.jobs[stage.Job]
+	return job != nil && simulation.everyQueue[job.spec.Queue()].AdviceSettings().Required()
+}
--- a/standin/emulator/announcements.go
+++ b/standin/emulator/announcements.go
@@ -65,7 +65,8 @@
 // announce writes a worker's announcement, unless the worker is down or cannot reach the store. It reports whether
 // the announcement is written.
 func (simulation *Simulation) announce(worker *modelWorker) bool {
-	if !worker.up || simulation.now < simulation.faults.storeDownUntil || simulation.now < simulation.faults.announcementsHiddenUntil {
+	if !worker.up || simulation.now < simulation.faults.storeDownUntil || simulation.now < simulation.faults.announcementsHiddenUntil ||
+		simulation.now < simulation.faults.unannouncedUntil[worker] {
 		return false
 	}
 	simulation.announcements.write(simulation.now, worker.announcement, true)
--- a/standin/emulator/crashes.go
+++ b/standin/emulator/crashes.go
@@ -67,6 +67,7 @@
 	if !worker.up {
 		return
 	}
+	worker.crashedSilently = false
 	worker.advance(simulation.now)
 	worker.end(simulation.now, crashed)
 	if !crashed {
--- a/standin/emulator/fault.go
+++ b/standin/emulator/fault.go
@@ -39,6 +39,10 @@
 	LoseOrders          FaultKind = "lose_orders"      // LoseOrders makes one worker leave orders unanswered for a long time.
 	ChangeKinds         FaultKind = "change_kinds"     // ChangeKinds restarts some workers under their ID as another kind.
 
+	// RestartAndCut restarts some workers under their ID and partitions the same workers soon after. RandomFaults draws it apart
+	// from FaultKinds.
+	RestartAndCut FaultKind = "restart_and_cut"
+
 	// The kinds that only measurements of takeovers inject.
 	LoseScheduler   FaultKind = "lose_scheduler"   // LoseScheduler kills the scheduler's process, which does not start again.
 	CutLinks        FaultKind = "cut_links"        // CutLinks partitions the scheduler from all other hosts, but not from the store.
@@ -65,13 +69,14 @@
 	Kind       FaultKind
 	StartsAt   time.Duration // StartsAt is the time since the end of the warm-up.
 	Duration   time.Duration
-	Share      float64       // Share is the fraction of hosts, workers, responses or orders that are affected.
-	SlowFactor float64       // SlowFactor multiplies the duration of calls to a slow store.
-	LeaseShare float64       // LeaseShare is the fraction of lease orders that DelayOrders affects.
-	Moment     Moment        // Moment is what a fault that hits after a moment waits for from StartsAt on.
-	Delay      time.Duration // Delay is the time from the moment to that fault.
-	Queue      string        // Queue is the queue whose tasks CrashTasks affects.
-	CrashDelay time.Duration // CrashDelay is the time from the start of such a task to the crash.
+	Share      float64        // Share is the fraction of hosts, workers, responses or orders that are affected.
+	SlowFactor float64        // SlowFactor multiplies the duration of calls to a slow store.
+	LeaseShare float64        // LeaseShare is the fraction of lease orders that DelayOrders affects.
+	Moment     Moment         // Moment is what a fault that hits after a moment waits for from StartsAt on.
+	Delay      time.Duration  // Delay is the time from the moment to that fault.
+	Queue      string         // Queue is the queue whose tasks CrashTasks affects.
+	CrashDelay time.Duration  // CrashDelay is the time from the start of such a task to the crash.
+	Restart    RestartPattern // Restart is what RestartAndCut does.
 }
 
 // String returns the fault as it appears in reports.
@@ -82,6 +87,8 @@
 		text += fmt.Sprintf(" (leases %.2f)", fault.LeaseShare)
 	case CrashTasks:
 		text += fmt.Sprintf(" in %s, %s after the start", fault.Queue, fault.CrashDelay)
+	case RestartAndCut:
+		text += fmt.Sprintf(" (%s)", fault.Restart)
 	case KillAfterMoment, FreezeAfterMoment, IsolateAfterMoment:
 		text += fmt.Sprintf(", %s after %s", fault.Delay, fault.Moment)
 	default:
@@ -96,18 +103,29 @@
 		return fault.Duration * killSeriesFactor
 	case LoseOrders:
 		return fault.Duration * orderSeriesFactor
+	case RestartAndCut:
+		return fault.Restart.lasting()
 	default:
 		return fault.Duration
 	}
 }
 
+// Random days with restarts. Seeds below firstRestartSeed have the faults that tests and pages name them for.
+const (
+	firstRestartSeed = 100_000
+	restartDayShare  = 0.3 // restartDayShare is the fraction of the later seeds whose first fault is RestartAndCut.
+)
+
 // RandomFaults returns count random faults that start within a time; the same seed gives the same faults. About half of
 // them start during the fault before them, since some failures take two faults at once.
 func RandomFaults(seed uint64, count int, submitTime time.Duration) []Fault {
 	random := rand.New(rand.NewPCG(seed, 77)) //nolint:gosec // A model needs no secrecy.
+	// The draw of the other faults does not depend on that of the restarts.
+	restarts := rand.New(rand.NewPCG(seed, 78)) //nolint:gosec // A model needs no secrecy.
 	faults := make([]Fault, 0, count)
 	for number := range count {
 		fault := randomFault(random)
+		fault.Restart = randomRestart(restarts)
 		fault.StartsAt = randomDuration(random, submitTime)
 		if number > 0 && random.IntN(2) == 0 {
 			previous := faults[number-1]
@@ -115,6 +133,9 @@
 		}
 		faults = append(faults, fault)
 	}
+	if seed >= firstRestartSeed && restarts.Float64() < restartDayShare {
+		faults[0].Kind = RestartAndCut
+	}
 	return faults
 }
 
--- a/standin/emulator/host.go
+++ b/standin/emulator/host.go
@@ -46,8 +46,9 @@
 	adviceInProgress bool
 	queuedQueries    []queuedQuery
 	// pointer is the scheduler pointer that this host gives to its peers.
-	pointer  almondcross.SchedulerPointer
-	linkedTo *modelHost // linkedTo is the scheduler's host that this host is linked to.
+	pointer          almondcross.SchedulerPointer
+	linkedTo         *modelHost       // linkedTo is the scheduler's host that this host is linked to.
+	readIncarnations map[string]int64 // readIncarnations holds the incarnation of each worker whose report this process read last.
 	// wantedLink is the host to which this host opens a link, linkCount how many links it has opened.
 	wantedLink *modelHost
 	linkCount  int
@@ -63,7 +64,7 @@
 	simulation := modelhost.simulation
 	modelhost.incarnation++
 	modelhost.up, modelhost.adviceInProgress, modelhost.queuedQueries = true, false, nil
-	modelhost.pointer = almondcross.SchedulerPointer{}
+	modelhost.pointer, modelhost.readIncarnations = almondcross.SchedulerPointer{}, map[string]int64{}
 	modelhost.jobTable, modelhost.router = jobfinder.New(), router.New()
 	modelhost.questions, modelhost.negativeCounts = modelhost.newQuestions(), map[string]bool{}
 	modelhost.machine = scheduler.NewMachine(scheduler.Config{
--- a/standin/emulator/inject.go
+++ b/standin/emulator/inject.go
@@ -19,7 +19,10 @@
 	orderDelayUntil          time.Duration
 	orderDelayShare          float64
 	leaseDelayShare          float64
+	answersHeldUntil         time.Duration
+	answersHeldShare         float64
 	announcementsHiddenUntil time.Duration
+	unannouncedUntil         map[*modelWorker]time.Duration // unannouncedUntil is until when a worker cannot reach the store.
 	journalDownUntil         time.Duration
 	storeRefusesUntil        map[*modelHost]time.Duration
 	linksCutUntil            map[*modelHost]time.Duration
@@ -29,6 +32,7 @@
 	return activeFaults{
 		storeUnreachableUntil: map[*modelHost]time.Duration{}, workerIsolatedUntil: map[*modelWorker]time.Duration{}, paths: map[path]pathFault{},
 		orders: map[*modelWorker]orderFault{}, storeRefusesUntil: map[*modelHost]time.Duration{}, linksCutUntil: map[*modelHost]time.Duration{},
+		unannouncedUntil: map[*modelWorker]time.Duration{},
 	}
 }
 
@@ -73,6 +77,17 @@
 	return minOrderDelay + randomDuration(random("delay"), maxOrderDelay-minOrderDelay)
 }
 
+// maxAnswerHold is how long an answer is held up at most. A lease order waits a second for its answer.
+const maxAnswerHold = 900 * time.Millisecond
+
+// answerDelay returns how long the answer to an order is held up, 0 for not at all.
+func (activefaults *activeFaults) answerDelay(now time.Duration, random func(purpose string) *rand.Rand) time.Duration {
+	if now >= activefaults.answersHeldUntil || !occurs(activefaults.answersHeldShare, random, "held") {
+		return 0
+	}
+	return randomDuration(random("hold"), maxAnswerHold)
+}
+
 // scheduler returns the host that leads, or a random host if none does.
 func (simulation *Simulation) scheduler() *modelHost {
 	if host := simulation.leader(); host != nil {
@@ -130,6 +145,8 @@
 		simulation.disturbances.disturb(until)
 	case CrashTasks:
 		simulation.addCrashingTasks(fault, until)
+	case RestartAndCut:
+		simulation.restartAndCut(fault, until)
 	default:
 		for _, worker := range randomShare(simulation, simulation.workers, fault.Share) {
 			simulation.injectWorkerFault(worker, fault, until)
--- a/standin/emulator/orders.go
+++ b/standin/emulator/orders.go
@@ -20,7 +20,9 @@
 type delivery struct {
 	sender *modelHost
 	sentAt time.Duration
-	late   bool // late is set if the worker carries out the order seconds after it was sent, without a response.
+	// knownIncarnation is the incarnation of the worker whose report the sender had read last, 0 for none.
+	knownIncarnation int64
+	late             bool // late is set if the worker carries out the order seconds after it was sent, without a response.
 }
 
 // workerOrder is an order to a worker with what happens on the worker and on the sending host.
@@ -41,7 +43,7 @@
 func (modelhost *modelHost) sendOrder(order workerOrder) {
 	simulation := modelhost.simulation
 	worker := simulation.workerAt(order.worker.Address())
-	delivered := delivery{sender: modelhost, sentAt: simulation.now}
+	delivered := delivery{sender: modelhost, sentAt: simulation.now, knownIncarnation: modelhost.readIncarnations[worker.id]}
 	random := func(purpose string) *rand.Rand {
 		return simulation.randomFor(purpose, modelhost.name, worker.id, order.kind, order.task, order.run, delivered.sentAt)
 	}
@@ -51,7 +53,7 @@
 	}
 	response := func() (time.Duration, bool) {
 		fault := simulation.faults.pathFault(simulation.now, modelhost, worker)
-		return fault.delay, !occurs(fault.responseLoss, random, "response")
+		return fault.delay + simulation.faults.answerDelay(simulation.now, random), !occurs(fault.responseLoss, random, "response")
 	}
 	series := simulation.faults.orders[worker]
 	affected := series.affects(simulation.now, order.kind, random)
@@ -69,6 +71,7 @@
 			delivered.late = true
 			simulation.schedule(delay, func() {
 				if worker.up && worker.id == order.worker.ID() {
+					simulation.traceOrder(order, worker, delivered)
 					order.execute(worker, delivered, func(func()) {})
 				}
 			})
@@ -79,6 +82,7 @@
 		case worker.id != order.worker.ID():
 			reply(func() { order.onFailure(almondcross.OrderReplaced) })
 		default:
+			simulation.traceOrder(order, worker, delivered)
 			order.execute(worker, delivered, reply)
 		}
 	}, func() { order.onFailure(almondcross.OrderUnknown) })
@@ -93,6 +97,9 @@
 	sentAt := simulation.wallTime()
 	deliverResult := func(report almondcross.WorkerReport, result almondcross.OrderResult) {
 		simulation.meter.workerAnswered(modelhost, result)
+		if result == almondcross.OrderDone {
+			modelhost.noteReport(report)
+		}
 		modelhost.deliver(almondcross.NewLeaseAnswered(almondcross.LeaseAnsweredConfig{
 			Order: order, Result: result, Report: report, Sent: sentAt, Received: simulation.wallTime(),
 		}))
--- a/standin/emulator/statecheck.go
+++ b/standin/emulator/statecheck.go
@@ -145,7 +145,7 @@
 			if !worker.announcement.HasLabel(step.Label()) {
 				continue
 			}
-			if simulation.advice.allowedShare == 0 || simulation.advice.allows(almondcross.StageID{Job: job.spec.ID(), Step: number}, worker.id) {
+			if stage := (almondcross.StageID{Job: job.spec.ID(), Step: number}); !simulation.needsAdvice(stage) || simulation.advice.allows(stage, worker.id) {
 				need, capacity := step.Resources(), worker.fullCapacity
 				room += min(capacity.MilliCPU()/need.MilliCPU(), capacity.MemoryMB()/need.MemoryMB())
 			}
--- a/standin/emulator/worker.go
+++ b/standin/emulator/worker.go
@@ -70,10 +70,12 @@
 	runs            map[almondcross.JobTask]*modelRun
 	endedTasks      []almondcross.EndedTask
 	sequence        int64
+	readThrough     int64                       // readThrough is the last end of this incarnation that a host has read.
 	blockedThrough  map[almondcross.JobTask]int // blockedThrough holds the highest run that was stopped or ended here; no later start up to it is accepted.
 	durationFactor  float64
 	failsRuns       bool
 	stallsRuns      bool
+	crashedSilently bool          // crashedSilently is set if calls of the last incarnation get no answer.
 	leaseExpiredAt  time.Duration // leaseExpiredAt is when the lease was last found expired.
 }
 
@@ -102,7 +104,7 @@
 	if order.Run() <= modelworker.blockedThrough[order.Task()] {
 		return almondcross.OrderRunEnded
 	}
-	if !modelworker.simulation.advice.validTicket(order.Task().Stage, modelworker, order.Ticket(), now) {
+	if modelworker.simulation.needsAdvice(order.Task().Stage) && !modelworker.simulation.advice.validTicket(order.Task().Stage, modelworker, order.Ticket(), now) {
 		return almondcross.OrderTicketInvalid
 	}
 	job := modelworker.simulation.jobs[order.Task().Stage.Job]
@@ -172,6 +174,7 @@
 	}
 	for _, end := range modelworker.endedTasks {
 		if end.Sequence() <= order.Acknowledged() {
+			modelworker.traceUnreadEnd(end, order.Acknowledged())
 			modelworker.simulation.checker.checkAcknowledgedEnd(modelworker, end)
 		}
 	}
@@ -186,7 +189,7 @@
 }
 
 // answerLease executes a lease order and answers once a run has ended, the order is refused or its wait is over. If
-// the worker crashes before, the connection breaks.
+// the worker crashes before, the connection breaks, or there is no answer.
 func (modelworker *modelWorker) answerLease(order almondcross.LeaseOrder, answer func(almondcross.WorkerReport, almondcross.OrderResult)) {
 	simulation, incarnation := modelworker.simulation, modelworker.bootMillis
 	until := simulation.now + order.Wait()
@@ -198,7 +201,9 @@
 	var poll func()
 	poll = func() {
 		if !modelworker.up || modelworker.bootMillis != incarnation {
-			answer(almondcross.WorkerReport{}, almondcross.OrderUnknown)
+			if !modelworker.crashedSilently {
+				answer(almondcross.WorkerReport{}, almondcross.OrderUnknown)
+			}
 			return
 		}
 		modelworker.advance(simulation.now)
@@ -347,7 +352,7 @@
 	}
 	modelworker.bootMillis = modelworker.simulation.startTime.Add(now).UnixMilli()
 	modelworker.announcement = modelworker.announcement.WithIncarnation(modelworker.bootMillis)
-	modelworker.fence, modelworker.leaseUntil, modelworker.sequence = 0, 0, 0
+	modelworker.fence, modelworker.leaseUntil, modelworker.sequence, modelworker.readThrough = 0, 0, 0, 0
 	modelworker.runs, modelworker.endedTasks = map[almondcross.JobTask]*modelRun{}, nil
 	modelworker.blockedThrough = map[almondcross.JobTask]int{}
 }
