--- a/command/scheduler/repeat_test.go
+++ b/command/scheduler/repeat_test.go
@@ -11,7 +11,7 @@
 
 // answerStartOrder answers a start order with a result.
 func (harness *harness) answerStartOrder(order almondcross.StartOrder, result almondcross.OrderResult) {
-	harness.apply(almondcross.NewStartOrderAnswered(almondcross.StartOrderAnsweredConfig{Order: order, Result: result, Received: harness.now}))
+	harness.apply(almondcross.NewStartOrderAnswered(almondcross.StartOrderAnsweredConfig{Order: order, Incarnation: order.Incarnation(), Result: result, Received: harness.now}))
 }
 
 // sentStart submits a job and returns its start order, whose answer is pending.
@@ -28,7 +28,7 @@
 func TestRefusalOfARepeatedStartIsResolvedByReport(t *testing.T) {
 	for _, result := range []almondcross.OrderResult{
 		almondcross.OrderUnknown, almondcross.OrderNotSent, almondcross.OrderRefused, almondcross.OrderReplaced, almondcross.OrderUnavailable,
-		almondcross.OrderTicketInvalid, almondcross.OrderNoCapacity, almondcross.OrderRunEnded, almondcross.OrderLeaseExpired,
+		almondcross.OrderTicketInvalid, almondcross.OrderNoCapacity, almondcross.OrderRunEnded, almondcross.OrderLeaseExpired, almondcross.OrderRestarted,
 	} {
 		t.Run(string(result), func(t *testing.T) {
 			harness := newHarness(t)
