Send orders to one incarnation of a worker in the emulator

Real orders name the incarnation that they are for and go over connections on which it has named itself; the emulator's orders still reached any. An order for an earlier incarnation is now lost on a connection to that one, half of the time after a silent crash, or meets the next one on a new connection, which answers the report request only. A late order is carried out by the process that has read it. Orders without an incarnation, which hosts of earlier versions send, reach any as before, also late; the setting UnboundStarts makes all start orders such.

--- a/standin/emulator/ordertrace.go
+++ b/standin/emulator/ordertrace.go
@@ -13,7 +13,7 @@
 			almondcross.Number("incarnation", report.Incarnation()), almondcross.Number("read", read),
 			almondcross.Text("host", modelhost.name), almondcross.Millis("at_ms", modelhost.simulation.now-warmUp))
 	}
-	modelhost.readIncarnations[report.ID()] = report.Incarnation()
+	modelhost.readIncarnations[report.ID()] = max(read, report.Incarnation())
 	worker := modelhost.simulation.worker(report.ID())
 	if worker == nil || worker.bootMillis != report.Incarnation() {
 		return
@@ -25,7 +25,7 @@
 
 // traceOrder logs an order that another incarnation executes than the one that its sender knew.
 func (simulation *Simulation) traceOrder(order workerOrder, worker *modelWorker, delivered delivery) {
-	if delivered.knownIncarnation == 0 || delivered.knownIncarnation == worker.bootMillis {
+	if order.listOnly || delivered.knownIncarnation == 0 || delivered.knownIncarnation == worker.bootMillis {
 		return
 	}
 	late := "no"
--- a/standin/emulator/simulation.go
+++ b/standin/emulator/simulation.go
@@ -24,9 +24,11 @@
 	PoisonShare float64       // PoisonShare is the fraction of jobs whose runs always fail.
 	CancelShare float64       // CancelShare is the fraction of short jobs that are cancelled; see longCancelFactor.
 	LongShare   float64       // LongShare is the fraction of batch jobs that take many seconds.
-	Faults      []Fault       // Faults holds the faults to inject.
-	Retention   time.Duration // Retention is how long the store keeps records.
-	Log         almondcross.EventLog
+	// UnboundStarts lets start orders reach any incarnation of a worker, as those that hosts of earlier versions send do.
+	UnboundStarts bool
+	Faults        []Fault       // Faults holds the faults to inject.
+	Retention     time.Duration // Retention is how long the store keeps records.
+	Log           almondcross.EventLog
 }
 
 // Simulation is one run of the model. It is not safe for concurrent use.
