--- a/standin/emulator/host.go
+++ b/standin/emulator/host.go
@@ -49,6 +49,7 @@
 	pointer          almondcross.SchedulerPointer
 	linkedTo         *modelHost       // linkedTo is the scheduler's host that this host is linked to.
 	readIncarnations map[string]int64 // readIncarnations holds the incarnation of each worker whose report this process read last.
+	connections      map[*modelWorker]idleConnections
 	// wantedLink is the host to which this host opens a link, linkCount how many links it has opened.
 	wantedLink *modelHost
 	linkCount  int
@@ -65,6 +66,7 @@
 	modelhost.incarnation++
 	modelhost.up, modelhost.adviceInProgress, modelhost.queuedQueries = true, false, nil
 	modelhost.pointer, modelhost.readIncarnations = almondcross.SchedulerPointer{}, map[string]int64{}
+	modelhost.connections = map[*modelWorker]idleConnections{}
 	modelhost.jobTable, modelhost.router = jobfinder.New(), router.New()
 	modelhost.questions, modelhost.negativeCounts = modelhost.newQuestions(), map[string]bool{}
 	modelhost.machine = scheduler.NewMachine(scheduler.Config{
