End the connections of a stand-in worker that crashes

Nobody checked what is acknowledged.

A server of the stand-in now assigns each connection to the process that accepted it; a crash closes them, and calls on them are not carried out. The proxy holds the end of a connection back while it blocks its direction. The worker reports an acknowledged end "done" and the acknowledgement of an end that it has not listed; the checker of the soak finds tasks that start after such an end and ends that are acknowledged unread.

--- a/integration/soak/checker_test.go
+++ b/integration/soak/checker_test.go
@@ -21,8 +21,9 @@
 	openRuns      map[runKey]*workerRun
 	runs          []*workerRun
 	disturbances  []disturbance
-	crashes       map[string]int // crashes counts the workers that have crashed under a task.
-	laterRestarts map[string]int // laterRestarts counts the starts of a task after maxCrashes.
+	crashes       map[string]int             // crashes counts the workers that have crashed under a task.
+	laterRestarts map[string]int             // laterRestarts counts the starts of a task after maxCrashes.
+	history       map[string][]standin.Event // history holds the events of each task.
 }
 
 // runKey identifies a run on a worker.
@@ -40,7 +41,7 @@
 func newChecker() *checker {
 	return &checker{
 		running: map[string]map[string]int{}, done: map[string]bool{}, started: map[string]bool{}, openRuns: map[runKey]*workerRun{},
-		crashes: map[string]int{}, laterRestarts: map[string]int{},
+		crashes: map[string]int{}, laterRestarts: map[string]int{}, history: map[string][]standin.Event{},
 	}
 }
 
@@ -48,6 +49,11 @@
 	checker.mutex.Lock()
 	defer checker.mutex.Unlock()
 	parts := strings.Split(event.Task, ".")
+	checker.checkAcknowledgements(event)
+	checker.history[event.Task] = append(checker.history[event.Task], event)
+	if event.Kind == standin.KindAcknowledged || event.Kind == standin.KindAcknowledgedUnlisted {
+		return
+	}
 	checker.recordRun(event)
 	checker.checkRestarts(event)
 	switch event.Kind {
--- a/integration/soak/crash_test.go
+++ b/integration/soak/crash_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -33,14 +32,10 @@
 	index   int
 	proxy   *proxy
 	current atomic.Pointer[standin.Worker]
-	handler atomic.Pointer[http.Handler]
 }
 
 func newWorkerSlot(cell *cell, index int) *workerSlot {
-	slot := &workerSlot{cell: cell, index: index}
-	slot.proxy = newProxy(cell.ctx, cell.t, cell.serve(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		(*slot.handler.Load()).ServeHTTP(writer, request)
-	})))
+	slot := &workerSlot{cell: cell, index: index, proxy: newProxy(cell.ctx, cell.t, "")}
 	require.NoError(cell.t, slot.start(0))
 	return slot
 }
@@ -52,9 +47,12 @@
 		Address: slot.proxy.address, Events: slot.cell.events, TaskSpec: slot.cell.taskWork, Crashes: slot.cell.crashesWorker,
 		OnCrash: func() { go slot.replace(generation) },
 	}
-	handler := worker.Handler()
+	address, err := slot.cell.startServer(worker.Server(slot.cell.ctx))
+	if err != nil {
+		return err
+	}
 	slot.current.Store(worker)
-	slot.handler.Store(&handler)
+	slot.proxy.target.Store(&address)
 	go func() { _ = worker.Run(slot.cell.ctx) }()
 	return slot.announce(worker)
 }
--- a/integration/soak/proxy_test.go
+++ b/integration/soak/proxy_test.go
@@ -26,7 +26,7 @@
 // proxy forwards TCP connections to a target address and injects faults.
 type proxy struct {
 	address  string
-	target   string
+	target   atomic.Pointer[string]
 	listener atomic.Pointer[net.Listener]
 	mode     atomic.Int32
 	resets   atomic.Int64 // resets is incremented to close all open connections.
@@ -34,7 +34,8 @@
 
 func newProxy(ctx context.Context, t *testing.T, target string) *proxy {
 	t.Helper()
-	proxy := &proxy{address: reserveAddress(t), target: target}
+	proxy := &proxy{address: reserveAddress(t)}
+	proxy.target.Store(&target)
 	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", proxy.address)
 	require.NoError(t, err)
 	proxy.accept(ctx, listener)
@@ -75,7 +76,7 @@
 
 func (proxy *proxy) serve(ctx context.Context, from net.Conn) {
 	defer func() { _ = from.Close() }()
-	to, err := new(net.Dialer).DialContext(ctx, "tcp", proxy.target)
+	to, err := new(net.Dialer).DialContext(ctx, "tcp", *proxy.target.Load())
 	if err != nil {
 		return
 	}
@@ -86,22 +87,19 @@
 	<-done
 }
 
-// forward copies one direction; blockingMode is the mode that blocks this direction in addition to blockAll.
+// forward copies one direction; blockingMode is the mode that blocks this direction in addition to blockAll. While the direction is
+// blocked, neither data nor the end of the connection passes.
 func (proxy *proxy) forward(ctx context.Context, to io.Writer, from net.Conn, blockingMode mode) {
 	buffer, resets := make([]byte, 32<<10), proxy.resets.Load()
 	for ctx.Err() == nil {
 		_ = from.SetReadDeadline(time.Now().Add(50 * time.Millisecond)) // Short, so that the loop notices a reset.
 		count, err := from.Read(buffer)
-		if proxy.resets.Load() != resets {
+		timeout, ok := err.(net.Error)
+		ended := err != nil && (!ok || !timeout.Timeout())
+		if (count > 0 || ended) && !proxy.awaitUnblocked(ctx, blockingMode, resets) || proxy.resets.Load() != resets {
 			return
 		}
 		if count > 0 {
-			for current := mode(proxy.mode.Load()); current == blockAll || current == blockingMode; current = mode(proxy.mode.Load()) {
-				if ctx.Err() != nil || proxy.resets.Load() != resets {
-					return
-				}
-				time.Sleep(5 * time.Millisecond) //nolint:forbidigo // Polls the mode while the direction is blocked.
-			}
 			if mode(proxy.mode.Load()) == delayAll {
 				time.Sleep(addedDelay) //nolint:forbidigo // The injected fault is a delay.
 			}
@@ -112,12 +110,23 @@
 				return
 			}
 		}
-		if timeout, ok := err.(net.Error); err != nil && (!ok || !timeout.Timeout()) {
+		if ended {
 			return
 		}
 	}
 }
 
+// awaitUnblocked waits until a direction is not blocked, and reports false if the connections are reset or the context ends before.
+func (proxy *proxy) awaitUnblocked(ctx context.Context, blockingMode mode, resets int64) bool {
+	for current := mode(proxy.mode.Load()); current == blockAll || current == blockingMode; current = mode(proxy.mode.Load()) {
+		if ctx.Err() != nil || proxy.resets.Load() != resets {
+			return false
+		}
+		time.Sleep(5 * time.Millisecond) //nolint:forbidigo // Polls the mode while the direction is blocked.
+	}
+	return true
+}
+
 // injectFault sets a mode for a duration.
 func (proxy *proxy) injectFault(ctx context.Context, fault mode, duration time.Duration) {
 	proxy.mode.Store(int32(fault))
--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -50,6 +50,7 @@
 	cancelled               atomic.Bool
 	cancelledAt             atomic.Pointer[time.Time] // cancelledAt is when the caller saw its cancellation acknowledged.
 	long                    bool                      // long is set if the tasks run for longLength.
+	duration                time.Duration             // duration is that of each task, zero for a short one that its name determines.
 	crashing                bool                      // crashing is set if each run of a task crashes its worker.
 	crashDelay              time.Duration             // crashDelay is the time from the start of a run to that crash.
 }
@@ -122,12 +123,20 @@
 }
 
 func (cell *cell) serve(handler http.Handler) string {
-	listener, err := new(net.ListenConfig).Listen(cell.ctx, "tcp", "127.0.0.1:0")
+	address, err := cell.startServer(&http.Server{Handler: handler, ReadHeaderTimeout: time.Second})
 	require.NoError(cell.t, err)
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
+	return address
+}
+
+// startServer starts a server at an address of its own and returns that address.
+func (cell *cell) startServer(server *http.Server) (string, error) {
+	listener, err := new(net.ListenConfig).Listen(cell.ctx, "tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
 	context.AfterFunc(cell.ctx, func() { _ = server.Close() })
 	go func() { _ = server.Serve(listener) }()
-	return listener.Addr().String()
+	return listener.Addr().String(), nil
 }
 
 // startCell starts a cell and waits until all its hosts answer.
@@ -221,6 +230,9 @@
 	if job.long {
 		return longLength, job.milliCPU, step < len(job.counts) && index < job.counts[step]
 	}
+	if job.duration > 0 {
+		return job.duration, job.milliCPU, step < len(job.counts) && index < job.counts[step]
+	}
 	sum := 0
 	for _, letter := range task {
 		sum = sum*31 + int(letter)
