--- a/command/scheduler/lease.go
+++ b/command/scheduler/lease.go
@@ -13,17 +13,19 @@
 	return min(max(wait, leaseAnswerWait), maxLeaseAnswerWait)
 }
 
-// sendLease sends the next lease order to a worker.
+// sendLease sends the next lease order to a worker. One that does not extend the lease acknowledges nothing either: without both it
+// is harmless to any incarnation, and reaches a worker that has restarted at once.
 func (machine *Machine) sendLease(worker *worker, wait, pause time.Duration) {
 	if !worker.managed {
 		return
 	}
 	machine.raiseFence(worker)
 	worker.leasePending = true
-	machine.emit(SendLease{Pause: pause, Order: almondcross.NewLeaseOrder(almondcross.LeaseOrderConfig{
-		Worker: worker.info, Fence: worker.fence, Acknowledged: worker.acknowledgedEnd,
-		Until: machine.leaseEnd(worker), Wait: wait,
-	})})
+	order := almondcross.NewLeaseOrder(almondcross.LeaseOrderConfig{Worker: worker.info, Fence: worker.fence, Wait: wait})
+	if leaseEnd := machine.leaseEnd(worker); leaseEnd != 0 {
+		order = order.WithIncarnation(worker.incarnation).WithUntil(leaseEnd).WithAcknowledged(worker.acknowledgedEnd)
+	}
+	machine.emit(SendLease{Pause: pause, Order: order})
 }
 
 // leaseEnd returns the end of a new lease on the worker's clock, 0 if the lease must not be extended.
@@ -32,7 +34,7 @@
 		return 0
 	}
 	leaseEnd := worker.clockNow(machine.now) + min(leaseDuration, machine.config.MaxLease)
-	worker.maxLeaseEnd = max(worker.maxLeaseEnd, leaseEnd)
+	worker.maxLeaseEnd, worker.extendedAt = max(worker.maxLeaseEnd, leaseEnd), machine.now
 	return leaseEnd
 }
 
@@ -52,6 +54,14 @@
 	if answer.Order().Worker().Address() != worker.info.Address() {
 		return // The worker has moved and gets lease orders at its new address.
 	}
+	if worker.outdated(answer) {
+		machine.ignoreReport(worker, answer)
+		return
+	}
+	if answer.ReportedBefore() {
+		worker.noteUnanswered(answer.Order().Fence())
+		answer = answer.WithResult(almondcross.OrderDone)
+	}
 	if answer.Order().ListOnly() && answer.Result() != almondcross.OrderFenced {
 		machine.reportAnswered(worker, answer)
 		return
@@ -66,25 +76,7 @@
 		machine.stopLeading("worker " + worker.id + " has seen a higher fencing token")
 		return
 	case answer.Result() != almondcross.OrderDone:
-		if !worker.unreachable {
-			worker.unreachable, worker.unreachableSince = true, machine.now
-			machine.config.Log.Record("worker_lost_contact", almondcross.Text("worker", worker.id), almondcross.Text("result", string(answer.Result())),
-				almondcross.Millis("age_ms", machine.now.Sub(worker.lastAnswerAt)), almondcross.Number("runs", len(worker.assignments)))
-		}
-		worker.noteUnanswered(answer.Order().Fence())
-		switch answer.Result() {
-		case almondcross.OrderReplaced:
-			machine.endRunsOfReplaced(worker)
-		case almondcross.OrderRefused:
-			worker.refused = true
-			machine.blameQueue(worker)
-		default:
-		}
-		pause := leaseRetryDelay
-		if machine.now.Sub(worker.lastAnswerAt) > longLeaseRetryAfter {
-			pause = longLeaseRetryDelay
-		}
-		machine.sendLease(worker, 0, pause)
+		machine.leaseUnanswered(worker, answer)
 		return
 	}
 	if worker.unreachable {
@@ -94,9 +86,41 @@
 	machine.reconcileRuns(worker, answer)
 }
 
+// leaseUnanswered handles a lease order that the worker has not carried out for certain, and repeats it after a pause.
+func (machine *Machine) leaseUnanswered(worker *worker, answer almondcross.LeaseAnswered) {
+	if !worker.unreachable {
+		worker.unreachable, worker.unreachableSince = true, machine.now
+		machine.config.Log.Record("worker_lost_contact", almondcross.Text("worker", worker.id), almondcross.Text("result", string(answer.Result())),
+			almondcross.Millis("age_ms", machine.now.Sub(worker.lastAnswerAt)), almondcross.Number("runs", len(worker.assignments)))
+	}
+	worker.noteUnanswered(answer.Order().Fence())
+	switch answer.Result() {
+	case almondcross.OrderReplaced:
+		machine.endRunsOfReplaced(worker)
+	case almondcross.OrderRefused:
+		worker.refused = true
+		machine.blameQueue(worker)
+	default:
+	}
+	pause := leaseRetryDelay
+	if machine.now.Sub(worker.lastAnswerAt) > longLeaseRetryAfter {
+		pause = longLeaseRetryDelay
+	}
+	machine.sendLease(worker, 0, pause)
+}
+
+// ignoreReport drops the report of an earlier incarnation and sends the next lease order.
+func (machine *Machine) ignoreReport(worker *worker, answer almondcross.LeaseAnswered) {
+	machine.config.Log.Record("report_outdated", almondcross.Text("worker", worker.id), almondcross.Number("incarnation", worker.incarnation),
+		almondcross.Number("reported", answer.Report().Incarnation()))
+	if !answer.Order().ListOnly() {
+		machine.sendLease(worker, 0, 0)
+	}
+}
+
 // requestReport requests the report of a worker's runs under a fencing token above that of an unanswered order, in
 // parallel to the lease order that waits for an end. While the worker has not reported under the current token, it only
-// notes the order, and the next report leads to another request.
+// notes the order, and the next report leads to another request. The request is harmless to any incarnation, like sendLease's.
 func (machine *Machine) requestReport(worker *worker, unanswered int64) {
 	worker.noteUnanswered(unanswered)
 	if !worker.managed || worker.unreachable {
@@ -107,7 +131,7 @@
 		return
 	}
 	machine.emit(SendLease{Order: almondcross.NewLeaseOrder(almondcross.LeaseOrderConfig{
-		Worker: worker.info, Fence: worker.fence, Acknowledged: worker.acknowledgedEnd, ListOnly: true,
+		Worker: worker.info, Fence: worker.fence, ListOnly: true,
 	})})
 }
 
@@ -126,9 +150,7 @@
 func (machine *Machine) reconcileRuns(worker *worker, answer almondcross.LeaseAnswered) {
 	report := answer.Report()
 	if worker.incarnation != report.Incarnation() {
-		if worker.incarnation != 0 {
-			machine.config.Log.Record("worker_restarted", almondcross.Text("worker", worker.id), almondcross.Number("runs", len(worker.assignments)))
-		}
+		machine.logRestart(worker, report)
 		machine.resetWorker(worker, report)
 	}
 	worker.clock, worker.lastAnswerAt = report.Clock(), answer.Received()
@@ -149,6 +171,7 @@
 		}
 		reported[running.Task()] = true
 		machine.confirmRun(assigned, running)
+		assigned.settleStarts(answer.Sent())
 	}
 	if len(report.Ended()) < maxReportedEnds {
 		machine.endMissingRuns(worker, answer, reported)
@@ -160,6 +183,22 @@
 	}
 }
 
+// logRestart logs that a worker reports another incarnation than before. unread counts the ends of that incarnation that have been
+// acknowledged although this scheduler has read none of them, as far as later ends show them.
+func (machine *Machine) logRestart(worker *worker, report almondcross.WorkerReport) {
+	unread := int64(0)
+	if ended := report.Ended(); len(ended) > 0 {
+		unread = ended[0].Sequence() - 1
+	}
+	if worker.incarnation == 0 {
+		return
+	}
+	machine.config.Log.Record("worker_restarted", almondcross.Text("worker", worker.id), almondcross.Number("runs", len(worker.assignments)),
+		almondcross.Number("earlier", worker.incarnation), almondcross.Number("incarnation", report.Incarnation()),
+		almondcross.Millis("age_ms", machine.now.Sub(worker.lastAnswerAt)), almondcross.Number("reported_runs", len(report.Running())),
+		almondcross.Number("unread", unread))
+}
+
 // recordEnds records the reported ends and returns the sequence number up to which they may be acknowledged
 // after the commit.
 func (machine *Machine) recordEnds(worker *worker, ends []almondcross.EndedTask) int64 {
@@ -274,7 +313,7 @@
 		machine.recordLongLease(worker.id, withClockDrift(machine.config.MaxLease)+lastOrderMargin)
 	}
 	worker.announcedFrom = machine.nextAnnouncement(worker, incarnation)
-	worker.incarnation, worker.acknowledgedEnd, worker.failures = incarnation, 0, workerFailures{}
+	worker.incarnation, worker.incarnationSince, worker.acknowledgedEnd, worker.failures = incarnation, machine.now, 0, workerFailures{}
 	worker.ackLimit, worker.lapsedEnd = 0, 0
 	if worker.announced && !worker.lifeAnnounced() {
 		machine.config.Log.Record("announcement_outdated", almondcross.Text("worker", worker.id),
@@ -317,6 +356,6 @@
 	machine.config.Log.Record("stray_run", almondcross.Text("worker", worker.id), almondcross.Text("task", running.Task().String()),
 		almondcross.Number("run", running.Run()))
 	machine.emit(SendStop{Order: almondcross.NewStopOrder(almondcross.StopOrderConfig{
-		Worker: worker.info, Task: running.Task(), Run: running.Run(), Fence: worker.fence,
+		Worker: worker.info, Incarnation: worker.incarnation, Task: running.Task(), Run: running.Run(), Fence: worker.fence,
 	})})
 }
