--- a/command/scheduler/lease.go
+++ b/command/scheduler/lease.go
@@ -21,7 +21,7 @@
 	machine.raiseFence(worker)
 	worker.leasePending = true
 	machine.emit(SendLease{Pause: pause, Order: almondcross.NewLeaseOrder(almondcross.LeaseOrderConfig{
-		Worker: worker.info, Fence: worker.fence, Acknowledged: worker.acknowledgedEnd,
+		Worker: worker.info, Incarnation: worker.incarnation, Fence: worker.fence, Acknowledged: worker.acknowledgedEnd,
 		Until: machine.leaseEnd(worker), Wait: wait,
 	})})
 }
@@ -32,7 +32,7 @@
 		return 0
 	}
 	leaseEnd := worker.clockNow(machine.now) + min(leaseDuration, machine.config.MaxLease)
-	worker.maxLeaseEnd = max(worker.maxLeaseEnd, leaseEnd)
+	worker.maxLeaseEnd, worker.extendedAt = max(worker.maxLeaseEnd, leaseEnd), machine.now
 	return leaseEnd
 }
 
@@ -52,6 +52,14 @@
 	if answer.Order().Worker().Address() != worker.info.Address() {
 		return // The worker has moved and gets lease orders at its new address.
 	}
+	if worker.outdated(answer) {
+		machine.config.Log.Record("report_outdated", almondcross.Text("worker", worker.id), almondcross.Number("incarnation", worker.incarnation),
+			almondcross.Number("reported", answer.Report().Incarnation()))
+		if !answer.Order().ListOnly() {
+			machine.sendLease(worker, 0, 0)
+		}
+		return
+	}
 	if answer.Order().ListOnly() && answer.Result() != almondcross.OrderFenced {
 		machine.reportAnswered(worker, answer)
 		return
@@ -107,7 +115,7 @@
 		return
 	}
 	machine.emit(SendLease{Order: almondcross.NewLeaseOrder(almondcross.LeaseOrderConfig{
-		Worker: worker.info, Fence: worker.fence, Acknowledged: worker.acknowledgedEnd, ListOnly: true,
+		Worker: worker.info, Incarnation: worker.incarnation, Fence: worker.fence, Acknowledged: worker.acknowledgedEnd, ListOnly: true,
 	})})
 }
 
@@ -126,9 +134,7 @@
 func (machine *Machine) reconcileRuns(worker *worker, answer almondcross.LeaseAnswered) {
 	report := answer.Report()
 	if worker.incarnation != report.Incarnation() {
-		if worker.incarnation != 0 {
-			machine.config.Log.Record("worker_restarted", almondcross.Text("worker", worker.id), almondcross.Number("runs", len(worker.assignments)))
-		}
+		machine.logRestart(worker, report)
 		machine.resetWorker(worker, report)
 	}
 	worker.clock, worker.lastAnswerAt = report.Clock(), answer.Received()
@@ -149,6 +155,7 @@
 		}
 		reported[running.Task()] = true
 		machine.confirmRun(assigned, running)
+		assigned.settleStarts(answer.Sent())
 	}
 	if len(report.Ended()) < maxReportedEnds {
 		machine.endMissingRuns(worker, answer, reported)
@@ -160,6 +167,22 @@
 	}
 }
 
+// logRestart logs that a worker reports another incarnation than before. unread counts the ends of that incarnation that have been
+// acknowledged although this scheduler has read none of them, as far as later ends show them.
+func (machine *Machine) logRestart(worker *worker, report almondcross.WorkerReport) {
+	unread := int64(0)
+	if ended := report.Ended(); len(ended) > 0 {
+		unread = ended[0].Sequence() - 1
+	}
+	if worker.incarnation == 0 {
+		return
+	}
+	machine.config.Log.Record("worker_restarted", almondcross.Text("worker", worker.id), almondcross.Number("runs", len(worker.assignments)),
+		almondcross.Number("earlier", worker.incarnation), almondcross.Number("incarnation", report.Incarnation()),
+		almondcross.Millis("age_ms", machine.now.Sub(worker.lastAnswerAt)), almondcross.Number("reported_runs", len(report.Running())),
+		almondcross.Number("unread", unread))
+}
+
 // recordEnds records the reported ends and returns the sequence number up to which they may be acknowledged
 // after the commit.
 func (machine *Machine) recordEnds(worker *worker, ends []almondcross.EndedTask) int64 {
@@ -274,7 +297,7 @@
 		machine.recordLongLease(worker.id, withClockDrift(machine.config.MaxLease)+lastOrderMargin)
 	}
 	worker.announcedFrom = machine.nextAnnouncement(worker, incarnation)
-	worker.incarnation, worker.acknowledgedEnd, worker.failures = incarnation, 0, workerFailures{}
+	worker.incarnation, worker.incarnationSince, worker.acknowledgedEnd, worker.failures = incarnation, machine.now, 0, workerFailures{}
 	worker.ackLimit, worker.lapsedEnd = 0, 0
 	if worker.announced && !worker.lifeAnnounced() {
 		machine.config.Log.Record("announcement_outdated", almondcross.Text("worker", worker.id),
@@ -317,6 +340,6 @@
 	machine.config.Log.Record("stray_run", almondcross.Text("worker", worker.id), almondcross.Text("task", running.Task().String()),
 		almondcross.Number("run", running.Run()))
 	machine.emit(SendStop{Order: almondcross.NewStopOrder(almondcross.StopOrderConfig{
-		Worker: worker.info, Task: running.Task(), Run: running.Run(), Fence: worker.fence,
+		Worker: worker.info, Incarnation: worker.incarnation, Task: running.Task(), Run: running.Run(), Fence: worker.fence,
 	})})
 }
