--- a/command/scheduler/restart_test.go
+++ b/command/scheduler/restart_test.go
@@ -77,8 +77,43 @@
 	harness.answerCommits()
 	require.Equal(t, int64(2), worker.incarnation)
 	require.Zero(t, worker.acknowledgedEnd)
-	next := requireEffect[SendLease](harness).Order
-	require.Equal(t, int64(2), next.Incarnation(), "the lease orders go on, to the incarnation that answers")
+	request, next := requireEffect[SendLease](harness).Order, requireEffect[SendLease](harness).Order
+	require.True(t, request.ListOnly())
+	require.False(t, next.ListOnly(), "the lease orders go on")
+	require.Equal(t, int64(2), next.Incarnation())
+}
+
+// Guards against an order that extends the lease or acknowledges ends and may reach any incarnation, whatever the scheduler knows.
+func TestOrdersWithoutIncarnationChangeNothing(t *testing.T) {
+	harness := newHarness(t)
+	harness.becomeScheduler()
+	harness.submitJob("j", almondcross.StepConfig{Count: 1})
+	harness.answerCommits()
+	harness.answerLease(almondcross.WorkerReportConfig{Ended: []almondcross.EndedTask{
+		almondcross.NewEndedTask(almondcross.EndedTaskConfig{Sequence: 3, Task: taskOf("other", 0, 0), Run: 1, Kind: almondcross.EndDone}),
+	}})
+	harness.answerCommits()
+	harness.answerStartOrder(requireEffect[SendStart](harness).Order, almondcross.OrderRestarted) // A report is requested.
+	bound, unbound := 0, 0
+	for began := harness.now; harness.now.Sub(began) < 10*time.Second; harness.advance(leaderTick) {
+		harness.answerCommits()
+		sent, found := takeEffect[SendLease](harness)
+		if !found {
+			continue
+		}
+		if order := sent.Order; order.Incarnation() == 0 {
+			unbound++
+			require.Zero(t, order.Until())
+			require.Zero(t, order.Acknowledged())
+		} else {
+			bound++
+		}
+		harness.apply(almondcross.NewLeaseAnswered(almondcross.LeaseAnsweredConfig{
+			Order: sent.Order, Result: almondcross.OrderUnknown, Sent: harness.now, Received: harness.now,
+		}))
+	}
+	require.Positive(t, bound)
+	require.Positive(t, unbound)
 }
 
 // Guards against a run that waits for its lease on a worker that has restarted, although its start order was not executed, and
@@ -93,3 +128,19 @@
 	require.True(t, request.ListOnly())
 	require.Greater(t, request.Fence(), start.Fence())
 }
+
+// Guards against a worker that counts as silent although it has just reported: the order behind the report was not answered, and may
+// still be executed.
+func TestReportBeforeAnUnansweredOrderCounts(t *testing.T) {
+	harness := newHarness(t)
+	harness.becomeScheduler()
+	order := requireEffect[SendLease](harness).Order
+	harness.advance(time.Second)
+	harness.apply(almondcross.NewLeaseAnswered(almondcross.LeaseAnsweredConfig{
+		Order: order, Result: almondcross.OrderUnknown, Sent: harness.now, Received: harness.now,
+		Report: almondcross.NewWorkerReport(almondcross.WorkerReportConfig{ID: workerID, Incarnation: 1, Clock: time.Second}),
+	}))
+	require.False(t, harness.machine.leader.workers[workerID].unreachable)
+	require.Equal(t, harness.now, harness.machine.leader.workers[workerID].lastAnswerAt)
+	require.Greater(t, requireEffect[SendLease](harness).Order.Fence(), order.Fence(), "the next order settles the unanswered one")
+}
