Play failing jobs in cells of real processes of two builds

The soak builds a commit from the repository's own history, the last landing by default, and gives one of three hosts this program. The configuration is held back from the scheduler's host, a queue is added, 60 jobs whose task always fails are handed in at the other hosts, and the scheduler is killed within 2.5 s, in a third of the plays with the store away for all hosts. All hosts have to tell the same final state within visible_ms and 2 s, and no task may be started after three failures.

--- a/integration/soak/checker_test.go
+++ b/integration/soak/checker_test.go
@@ -35,6 +35,7 @@
 type workerRun struct {
 	runKey
 	start, end time.Time // end is zero while the run goes on.
+	endKind    string
 }
 
 func newChecker() *checker {
@@ -87,7 +88,7 @@
 func (checker *checker) recordRun(event standin.Event) {
 	key := runKey{worker: event.Worker, task: event.Task, run: event.Run}
 	if run := checker.openRuns[key]; run != nil {
-		run.end = event.At
+		run.end, run.endKind = event.At, event.Kind
 		delete(checker.openRuns, key)
 		return
 	}
--- a/integration/soak/crash_test.go
+++ b/integration/soak/crash_test.go
@@ -50,6 +50,7 @@
 	worker := &standin.Worker{
 		ID: slot.workerID(generation), Service: poolName, Zone: "a", Rack: fmt.Sprintf("r1-%d", slot.index/4), MilliCPU: workerCPU,
 		Address: slot.proxy.address, Events: slot.cell.events, TaskSpec: slot.cell.taskWork, Crashes: slot.cell.crashesWorker,
+		Fails:   slot.cell.failsTask,
 		OnCrash: func() { go slot.replace(generation) },
 	}
 	handler := worker.Handler()
--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -51,6 +51,7 @@
 	cancelledAt             atomic.Pointer[time.Time] // cancelledAt is when the caller saw its cancellation acknowledged.
 	long                    bool                      // long is set if the tasks run for longLength.
 	crashing                bool                      // crashing is set if each run of a task crashes its worker.
+	failing                 bool                      // failing is set if each run of a task fails.
 	crashDelay              time.Duration             // crashDelay is the time from the start of a run to that crash.
 }
 
@@ -71,12 +72,15 @@
 	jobs      sync.Map
 	events    chan standin.Event
 	checker   *checker
+
+	adviceAddress string
 }
 
 // host is a scheduling host in a process of its own, which reaches the store through a proxy of its own.
 type host struct {
 	cell           *cell
 	name           string
+	binary         string // binary is the program that start runs.
 	settingsPath   string
 	callersAddress string
 	storeProxy     *proxy
@@ -132,6 +136,22 @@
 
 // startCell starts a cell and waits until all its hosts answer.
 func startCell(ctx context.Context, t *testing.T, seed uint64) *cell {
+	t.Helper()
+	cell := newCell(ctx, t, seed)
+	directWorkers := 0 // Other hosts relay all orders.
+	if seed%3 == 0 {
+		directWorkers = workerCount
+	}
+	storeAddress := cell.serve(cell.store.Handler())
+	for range hostCount {
+		cell.addHost(cell.binary, storeAddress, directWorkers).start()
+	}
+	cell.awaitHosts()
+	return cell
+}
+
+// newCell starts the store and the workers of a cell.
+func newCell(ctx context.Context, t *testing.T, seed uint64) *cell {
 	t.Helper()
 	cell := &cell{
 		t: t, ctx: ctx, random: rand.New(rand.NewPCG(seed, 3)), directory: t.TempDir(), binary: buildBinary(t), store: standin.NewStore(),
@@ -148,49 +168,63 @@
 			}
 		}
 	}()
-	storeAddress, adviceAddress := cell.serve(cell.store.Handler()), cell.serve(standin.AdviceHandler())
+	cell.adviceAddress = cell.serve(standin.AdviceHandler())
 	configuration, err := standin.Configuration(1, "q", queueHost, "/q/", poolName, seed%2 == 0)
 	require.NoError(t, err)
 	require.NoError(t, cell.store.Put(ctx, "keyed.op", "config", configuration))
 	for index := range workerCount {
 		cell.workers = append(cell.workers, newWorkerSlot(cell, index))
 	}
-	directWorkers := 0 // Other hosts relay all orders.
-	if seed%3 == 0 {
-		directWorkers = workerCount
-	}
-	for index := range hostCount {
-		host := &host{cell: cell, name: fmt.Sprintf("h-%d", index), callersAddress: reserveAddress(t), storeProxy: newProxy(ctx, t, storeAddress)}
-		settings := fmt.Sprintf(`{"role":"scheduler","name":%q,"data_centre":"a","region":"r","callers_listen":%q,"ready_listen":%q,"metrics_listen":%q,
-			"link_listen":%q,"store_address":%q,"store_partitions":2,"store_record":262144,"store_retention":"1h","advice_address":%q,
-			"state_retention":"2m","max_lease":"10s","stop_grace":"3s","processors":1.0,"link_mbps":1000,"memory_mb":256,"direct_workers":%d}`,
-			host.name, host.callersAddress, reserveAddress(t), reserveAddress(t), reserveAddress(t), host.storeProxy.address, adviceAddress, directWorkers)
-		host.settingsPath = filepath.Join(cell.directory, host.name+".jsonc")
-		require.NoError(t, os.WriteFile(host.settingsPath, []byte(settings), 0o600))
-		host.log, err = os.Create(filepath.Join(cell.directory, host.name+".log"))
-		require.NoError(t, err)
-		cell.hosts = append(cell.hosts, host)
-		host.start()
-		t.Cleanup(host.end) // The end of the context kills the process too, but only if the test program goes on for long enough.
+	return cell
+}
+
+// addHost adds a host that runs a program, without starting it.
+func (cell *cell) addHost(binary, storeAddress string, directWorkers int) *host {
+	t := cell.t
+	host := &host{
+		cell: cell, name: fmt.Sprintf("h-%d", len(cell.hosts)), binary: binary, callersAddress: reserveAddress(t),
+		storeProxy: newProxy(cell.ctx, t, storeAddress),
 	}
+	settings := fmt.Sprintf(`{"role":"scheduler","name":%q,"data_centre":"a","region":"r","callers_listen":%q,"ready_listen":%q,"metrics_listen":%q,
+		"link_listen":%q,"store_address":%q,"store_partitions":2,"store_record":262144,"store_retention":"1h","advice_address":%q,
+		"state_retention":"2m","max_lease":"10s","stop_grace":"3s","processors":1.0,"link_mbps":1000,"memory_mb":256,"direct_workers":%d}`,
+		host.name, host.callersAddress, reserveAddress(t), reserveAddress(t), reserveAddress(t), host.storeProxy.address, cell.adviceAddress, directWorkers)
+	host.settingsPath = filepath.Join(cell.directory, host.name+".jsonc")
+	require.NoError(t, os.WriteFile(host.settingsPath, []byte(settings), 0o600))
+	var err error
+	host.log, err = os.Create(filepath.Join(cell.directory, host.name+".log"))
+	require.NoError(t, err)
+	cell.hosts = append(cell.hosts, host)
+	t.Cleanup(host.end) // The end of the context kills the process too, but only if the test program goes on for long enough.
+	return host
+}
+
+// awaitHosts waits until all hosts answer.
+func (cell *cell) awaitHosts() {
 	for _, host := range cell.hosts {
-		require.Eventually(t, func() bool {
-			status, _ := cell.call(http.MethodGet, host.callersAddress, "/q/", "")
-			return status == http.StatusOK
-		}, 20*time.Second, 50*time.Millisecond, "%s is up", host.name)
+		cell.awaitHost(host)
 	}
-	return cell
+}
+
+func (cell *cell) awaitHost(host *host) {
+	require.Eventually(cell.t, func() bool {
+		status, _ := cell.call(http.MethodGet, host.callersAddress, "/q/", "")
+		return status == http.StatusOK
+	}, 20*time.Second, 50*time.Millisecond, "%s is up", host.name)
 }
 
 // start starts the process of a host, which is killed at the end of the test.
 func (host *host) start() {
-	host.process = exec.CommandContext(host.cell.ctx, host.cell.binary, "scheduler", "--config", host.settingsPath)
+	host.process = exec.CommandContext(host.cell.ctx, host.binary, "scheduler", "--config", host.settingsPath)
 	host.process.Stdout, host.process.Stderr = host.log, host.log
 	require.NoError(host.cell.t, host.process.Start())
 }
 
 // end kills the process and waits for its end.
 func (host *host) end() {
+	if host.process == nil {
+		return
+	}
 	_ = host.process.Process.Signal(syscall.SIGKILL)
 	_ = host.process.Wait()
 }
@@ -450,14 +484,7 @@
 	}
 	cell.t.Logf("%d jobs, %d accepted, %d tasks done; faults: %s", len(jobs), accepted, len(cell.checker.done), strings.Join(faults, "; "))
 	if len(cell.checker.violations)+len(badOutcomes) > 0 {
-		logDirectory, err := os.MkdirTemp("", "soak-")
-		require.NoError(cell.t, err)
-		for _, host := range cell.hosts {
-			source, err := os.ReadFile(host.log.Name())
-			require.NoError(cell.t, err)
-			require.NoError(cell.t, os.WriteFile(filepath.Join(logDirectory, host.name+".log"), source, 0o600))
-		}
-		cell.t.Logf("logs: %s", logDirectory)
+		cell.keepLogs()
 	}
 	require.Empty(cell.t, cell.checker.violations)
 	require.Empty(cell.t, badOutcomes)
