Show versions and formats of scheduling hosts in the status

A program that was built without a revision tells a hash of its file: two such programs have the same build information otherwise.

--- a/assembler/root.go
+++ b/assembler/root.go
@@ -43,7 +43,7 @@
 			"  almondcross report shares --from 1h",
 	}
 	commands := commander.New(commander.Config{Clock: Clock{}, NewViewer: viewOf})
-	queryCommands := lister.New(lister.Config{Clock: Clock{}})
+	queryCommands := lister.New(lister.Config{Clock: Clock{}, Build: readBuild})
 	for _, queryCommand := range queryCommands {
 		if queryCommand.Name() == "catalogue" {
 			queryCommand.AddCommand(commands.Catalogue...)
--- a/assembler/scheduler.go
+++ b/assembler/scheduler.go
@@ -37,6 +37,7 @@
 	"github.com/almondcross/almondcross/query/jobfinder"
 	"github.com/almondcross/almondcross/query/locator"
 	"github.com/almondcross/almondcross/query/router"
+	"github.com/almondcross/almondcross/query/versioner"
 	"github.com/almondcross/almondcross/ring"
 )
 
@@ -104,7 +105,7 @@
 			func() logrus.FieldLogger { return newLogger(configurator.LogJSON) },
 			metrics.NewSet, NewDuties, encoder.NewCodec, client.New, jobfinder.New, router.New, counter.New,
 			newRecorder, newSchedulerRings, newFollower, newCommitter, newRelayer, newExecutor, newAsker, newHub, newDialer, newUplink, newSubmitter,
-			newSchedulerMachine, newScheduler, newSchedulerServers,
+			newSchedulerMachine, newVersioner, newScheduler, newSchedulerServers,
 		),
 		fx.Invoke(runScheduler),
 	)
@@ -301,7 +302,13 @@
 	return int(100 * min(1, settings.Processors()/sufficientProcessors, settings.LinkMbps()/sufficientLinkMbps))
 }
 
-func newScheduler(machine *scheduler.Machine, rings schedulerRings, workers *relayer.Relayer, hub *connector.Hub) *scheduler.Duty {
+func newVersioner(settings configurator.SchedulerSettings, machine *scheduler.Machine) *versioner.Versioner {
+	return versioner.New(versioner.Config{Host: settings.Name(), Format: machine.Format(), Build: readBuild})
+}
+
+func newScheduler(
+	machine *scheduler.Machine, rings schedulerRings, workers *relayer.Relayer, hub *connector.Hub, versions *versioner.Versioner,
+) *scheduler.Duty {
 	var intakes []almondcross.Sink[almondcross.IntakeQuery]
 	for _, intake := range rings.intakeReads {
 		intakes = append(intakes, intake)
@@ -326,7 +333,9 @@
 				Strength: announcement.Strength, Ends: announcement.Ends,
 			})
 			hub.SetPointer(announcement.Pointer)
+			versions.SetScheduler(announcement.Pointer)
 		},
+		OnJournalFormat: versions.SetJournalFormat,
 	})
 }
 
--- a/assembler/schedulerservers.go
+++ b/assembler/schedulerservers.go
@@ -23,6 +23,7 @@
 	"github.com/almondcross/almondcross/platform/viewer"
 	"github.com/almondcross/almondcross/query/jobfinder"
 	"github.com/almondcross/almondcross/query/router"
+	"github.com/almondcross/almondcross/query/versioner"
 )
 
 const (
@@ -47,11 +48,11 @@
 
 func newSchedulerServers(
 	settings configurator.SchedulerSettings, routes *router.Router, jobs *jobfinder.Table, rings schedulerRings,
-	hub *connector.Hub, log *recorder.Recorder, counter *counter.Counter, set *metrics.Set,
+	hub *connector.Hub, versions *versioner.Versioner, log *recorder.Recorder, counter *counter.Counter, set *metrics.Set,
 ) *schedulerServers {
 	servers := &schedulerServers{settings: settings}
 	queryHandlers := viewer.New(viewer.Config{
-		Router: routes, Jobs: jobs, Clock: Clock{}, Log: log, Metrics: counter,
+		Router: routes, Jobs: jobs, Clock: Clock{}, Log: log, Metrics: counter, Status: versions,
 		Ready: func() bool {
 			return !servers.stopping.Load() && routes.Version() > 0 && time.Since(jobs.RefreshedAt()) < maxViewsAge
 		},
@@ -68,6 +69,7 @@
 	queryHandlers.RegisterReady(readyRouter)
 	servers.ready = newServer(readyRouter)
 	metricsRouter := mux.NewRouter()
+	queryHandlers.RegisterStatus(metricsRouter)
 	metricsRouter.Methods(http.MethodGet).Path("/metrics").HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
 		set.WritePrometheus(writer)
 		metrics.WriteProcessMetrics(writer)
--- a/command/scheduler/duty_test.go
+++ b/command/scheduler/duty_test.go
@@ -35,6 +35,17 @@
 	}
 }
 
+// Guards against a status that hides the format of a later version, which this host has met in the journal and cannot read.
+func TestDutyTellsTheFormatOfTheJournal(t *testing.T) {
+	harness, _ := newFormatHarness(t)
+	harness.follow(harness.elected(1, "h-2", journalFormat+1))
+	var told []int
+	duty := NewDuty(DutyConfig{Machine: harness.machine, OnJournalFormat: func(format int) { told = append(told, format) }})
+	duty.updateStatus()
+	duty.updateStatus()
+	require.Equal(t, []int{journalFormat + 1}, told, "one call for a change")
+}
+
 type systemClock struct{}
 
 // Now returns the current time.
--- a/command/scheduler/format.go
+++ b/command/scheduler/format.go
@@ -7,6 +7,9 @@
 // so that two neighbouring versions read each other's journal (docs/decisions/mixed-versions.md).
 const journalFormat = 1
 
+// Format returns the highest number of a format of the journal that this host reads. It writes this one.
+func (machine *Machine) Format() int { return machine.format() }
+
 func (machine *Machine) format() int { return journalFormat + machine.config.FormatAbove }
 
 func (machine *Machine) formatChange() almondcross.ChangeConfig {
--- a/command/scheduler/scheduler.go
+++ b/command/scheduler/scheduler.go
@@ -36,6 +36,8 @@
 	Clock   almondcross.Clock
 	// OnSchedulerChange is called whenever the scheduler changes.
 	OnSchedulerChange func(announcement AnnounceScheduler)
+	// OnJournalFormat is called with the highest number of a format of the journal when it changes; nil for no call.
+	OnJournalFormat func(format int)
 }
 
 // Duty passes messages from the ring to the machine and carries out the machine's effects.
@@ -44,6 +46,7 @@
 	leads          atomic.Bool
 	resigned       chan struct{}
 	resignedClosed bool
+	journalFormat  int // journalFormat is the number that OnJournalFormat was last called with.
 }
 
 // NewDuty returns a duty that is not running; call Run to start it.
@@ -96,6 +99,10 @@
 func (duty *Duty) updateStatus() {
 	machine := duty.config.Machine
 	duty.leads.Store(machine.Leads())
+	if format := machine.state.format; format != duty.journalFormat && duty.config.OnJournalFormat != nil {
+		duty.journalFormat = format
+		duty.config.OnJournalFormat(format)
+	}
 	if machine.stopping && !machine.Leads() && !duty.resignedClosed {
 		duty.resignedClosed = true
 		close(duty.resigned)
--- a/query/lister/lister.go
+++ b/query/lister/lister.go
@@ -15,20 +15,22 @@
 
 // Config holds the dependencies of the commands.
 type Config struct {
-	Clock almondcross.Clock // Clock returns the time to which ages in flags refer.
+	Clock almondcross.Clock        // Clock returns the time to which ages in flags refer.
+	Build func() almondcross.Build // Build returns the build information of this program.
 }
 
 // lister holds the dependencies that the commands share.
 type lister struct {
 	clock almondcross.Clock
+	build func() almondcross.Build
 }
 
 // New returns the commands catalogue, request, report, status, settings and version.
 func New(config Config) []*cobra.Command {
-	lister := lister{clock: config.Clock}
+	lister := lister{clock: config.Clock, build: config.Build}
 	return requester.Prepare(
 		lister.catalogueCommand(), lister.requestCommand(), lister.reportCommand(),
-		lister.statusCommand(), settingsCommand(), versionCommand(),
+		lister.statusCommand(), settingsCommand(), lister.versionCommand(),
 	)
 }
 
--- a/query/lister/state.go
+++ b/query/lister/state.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"runtime/debug"
 	"strconv"
 
 	"github.com/juju/errors"
@@ -77,6 +76,7 @@
 	}
 	flags.Bind(command)
 	bindFormat(command, &format)
+	command.AddCommand(schedulingStatusCommand())
 	return command
 }
 
@@ -175,23 +175,15 @@
 	return parentCommand("settings", "Check and describe settings", "Checks settings files and describes the settings.", check, describe)
 }
 
-func versionCommand() *cobra.Command {
+func (lister lister) versionCommand() *cobra.Command {
 	return &cobra.Command{
 		Use: "version", Short: "Show the version of this program",
 		Long:    "Shows the version, the revision and the Go version of this program." + requester.ExitHelp,
 		Example: "  almondcross version",
 		Args:    requester.Args(cobra.NoArgs),
 		RunE: func(command *cobra.Command, _ []string) error {
-			version, revision, goVersion := "unknown", "unknown", "unknown"
-			if info, ok := debug.ReadBuildInfo(); ok {
-				version, goVersion = info.Main.Version, info.GoVersion
-				for _, setting := range info.Settings {
-					if setting.Key == "vcs.revision" {
-						revision = setting.Value
-					}
-				}
-			}
-			_, err := fmt.Fprintf(command.OutOrStdout(), "almondcross %s, revision %s, %s\n", version, revision, goVersion)
+			build := lister.build()
+			_, err := fmt.Fprintf(command.OutOrStdout(), "almondcross %s, revision %s, %s\n", build.Version(), build.Revision(), build.GoVersion())
 			return errors.Trace(err)
 		},
 	}
--- a/scheduling.go
+++ b/scheduling.go
@@ -460,3 +460,29 @@
 	// DecodeLink returns the message of a frame.
 	DecodeLink(frame []byte) (LinkMessage, error)
 }
+
+// Build identifies the program of a process.
+//
+//value:generate
+type Build struct {
+	version   string // the version of the module, "unknown" if it is not known
+	revision  string // the commit of the source, or a hash of the program file if that is not known
+	goVersion string // the version of Go that built the program
+}
+
+// SchedulingStatus is what a scheduling host tells operators about itself.
+//
+//value:generate
+type SchedulingStatus struct {
+	host          string // the name of the host
+	build         Build  // the program of the host
+	format        int    // the highest number of a format of the journal that the host reads; it writes this one
+	journalFormat int    // the highest number in the journal since the host loaded the state, 0 for none
+	scheduler     string // the name of the scheduler that the host knows, empty for none
+	epoch         int64  // the epoch of that scheduler
+}
+
+// SchedulingStatusViewer provides the status of a scheduling host.
+type SchedulingStatusViewer interface {
+	SchedulingStatus() SchedulingStatus
+}
--- a/scheduling_generated.go
+++ b/scheduling_generated.go
@@ -1834,3 +1834,143 @@
 	peersknown.addresses = addresses
 	return peersknown
 }
+
+// BuildConfig holds the fields of a new Build.
+type BuildConfig struct {
+	Version   string
+	Revision  string
+	GoVersion string
+}
+
+// NewBuild returns a Build with the given fields.
+func NewBuild(config BuildConfig) Build {
+	return Build{
+		version:   config.Version,
+		revision:  config.Revision,
+		goVersion: config.GoVersion,
+	}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (build Build) Config() BuildConfig {
+	return BuildConfig{
+		Version:   build.version,
+		Revision:  build.revision,
+		GoVersion: build.goVersion,
+	}
+}
+
+// Version returns the version of the module, "unknown" if it is not known.
+func (build Build) Version() string { return build.version }
+
+// WithVersion returns a copy with the given version.
+func (build Build) WithVersion(version string) Build {
+	build.version = version
+	return build
+}
+
+// Revision returns the commit of the source, or a hash of the program file if that is not known.
+func (build Build) Revision() string { return build.revision }
+
+// WithRevision returns a copy with the given revision.
+func (build Build) WithRevision(revision string) Build {
+	build.revision = revision
+	return build
+}
+
+// GoVersion returns the version of Go that built the program.
+func (build Build) GoVersion() string { return build.goVersion }
+
+// WithGoVersion returns a copy with the given goVersion.
+func (build Build) WithGoVersion(goVersion string) Build {
+	build.goVersion = goVersion
+	return build
+}
+
+// SchedulingStatusConfig holds the fields of a new SchedulingStatus.
+type SchedulingStatusConfig struct {
+	Host          string
+	Build         Build
+	Format        int
+	JournalFormat int
+	Scheduler     string
+	Epoch         int64
+}
+
+// NewSchedulingStatus returns a SchedulingStatus with the given fields.
+func NewSchedulingStatus(config SchedulingStatusConfig) SchedulingStatus {
+	return SchedulingStatus{
+		host:          config.Host,
+		build:         config.Build,
+		format:        config.Format,
+		journalFormat: config.JournalFormat,
+		scheduler:     config.Scheduler,
+		epoch:         config.Epoch,
+	}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (schedulingstatus SchedulingStatus) Config() SchedulingStatusConfig {
+	return SchedulingStatusConfig{
+		Host:          schedulingstatus.host,
+		Build:         schedulingstatus.build,
+		Format:        schedulingstatus.format,
+		JournalFormat: schedulingstatus.journalFormat,
+		Scheduler:     schedulingstatus.scheduler,
+		Epoch:         schedulingstatus.epoch,
+	}
+}
+
+// Host returns the name of the host.
+func (schedulingstatus SchedulingStatus) Host() string { return schedulingstatus.host }
+
+// WithHost returns a copy with the given host.
+func (schedulingstatus SchedulingStatus) WithHost(host string) SchedulingStatus {
+	schedulingstatus.host = host
+	return schedulingstatus
+}
+
+// Build returns the program of the host.
+func (schedulingstatus SchedulingStatus) Build() Build { return schedulingstatus.build }
+
+// WithBuild returns a copy with the given build.
+func (schedulingstatus SchedulingStatus) WithBuild(build Build) SchedulingStatus {
+	schedulingstatus.build = build
+	return schedulingstatus
+}
+
+// Format returns the highest number of a format of the journal that the host reads; it writes this one.
+func (schedulingstatus SchedulingStatus) Format() int { return schedulingstatus.format }
+
+// WithFormat returns a copy with the given format.
+func (schedulingstatus SchedulingStatus) WithFormat(format int) SchedulingStatus {
+	schedulingstatus.format = format
+	return schedulingstatus
+}
+
+// JournalFormat returns the highest number in the journal since the host loaded the state, 0 for none.
+func (schedulingstatus SchedulingStatus) JournalFormat() int { return schedulingstatus.journalFormat }
+
+// WithJournalFormat returns a copy with the given journalFormat.
+func (schedulingstatus SchedulingStatus) WithJournalFormat(journalFormat int) SchedulingStatus {
+	schedulingstatus.journalFormat = journalFormat
+	return schedulingstatus
+}
+
+// Scheduler returns the name of the scheduler that the host knows, empty for none.
+func (schedulingstatus SchedulingStatus) Scheduler() string { return schedulingstatus.scheduler }
+
+// WithScheduler returns a copy with the given scheduler.
+func (schedulingstatus SchedulingStatus) WithScheduler(scheduler string) SchedulingStatus {
+	schedulingstatus.scheduler = scheduler
+	return schedulingstatus
+}
+
+// Epoch returns the epoch of that scheduler.
+func (schedulingstatus SchedulingStatus) Epoch() int64 { return schedulingstatus.epoch }
+
+// WithEpoch returns a copy with the given epoch.
+func (schedulingstatus SchedulingStatus) WithEpoch(epoch int64) SchedulingStatus {
+	schedulingstatus.epoch = epoch
+	return schedulingstatus
+}
