Let emulated hosts judge failed runs by another rule, and compare their states

Each host in touch now has to tell the final state that a caller was told visible_ms and 2 s before (MIXED).

--- a/assembler/experiment.go
+++ b/assembler/experiment.go
@@ -58,6 +58,7 @@
 	flagSet.StringVar(&flags.trace, "trace", "", "print the log lines that contain this text, such as a job ID")
 	flagSet.IntVar(&flags.config.Hosts, "hosts", 5, "number of scheduling hosts")
 	flagSet.IntVar(&flags.config.LaterHosts, "later-hosts", 0, "number of these hosts that write a later format of the journal, which the others do not know")
+	flagSet.IntVar(&flags.config.OtherHosts, "other-hosts", 0, "number of these hosts that judge failed runs by another rule where the journal has no verdict")
 	flagSet.IntVar(&flags.config.Workers, "workers", 24, "number of workers")
 	flagSet.Float64Var(&flags.config.JobsPerSec, "jobs-per-second", 16, "jobs submitted per second")
 	flagSet.DurationVar(&flags.config.SubmitTime, "length", 20*time.Second, "period of each simulation in which jobs are submitted")
--- a/command/scheduler/follower.go
+++ b/command/scheduler/follower.go
@@ -181,7 +181,7 @@
 			continue
 		}
 		applied++
-		machine.state.applyBatch(batch, machine.now)
+		machine.state.applyBatch(machine.asRead(batch), machine.now)
 		machine.follower.intakesCurrent = batch.Current()
 		if machine.now.Sub(batch.At()) < freshBatchAge {
 			machine.follower.lastFreshBatchAt = machine.now
--- a/command/scheduler/format.go
+++ b/command/scheduler/format.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "github.com/almondcross/almondcross"
+import (
+	"slices"
+
+	"github.com/almondcross/almondcross"
+)
 
 // journalFormat is the number of the format of the journal and of snapshots that this version writes, and the highest one that it
 // reads. Hosts of the version before write none. A version that raises it first lands with code that only reads the new format,
@@ -52,3 +56,18 @@
 	machine.recordChange(machine.formatChange())
 	machine.afterCommit(func() { machine.storeSnapshot(snapshot) })
 }
+
+// asRead returns a batch as this host reads it. In simulations of a version with other rules, the host concludes that a job goes on
+// after a failed run whose record has no verdict.
+func (machine *Machine) asRead(batch almondcross.JournalBatch) almondcross.JournalBatch {
+	if !machine.config.IgnoresAttemptLimit {
+		return batch
+	}
+	changes := slices.Clone(batch.Changes())
+	for index, change := range changes {
+		if change.Kind() == almondcross.ChangeEnd && change.End() == almondcross.EndFailed && change.Verdict() == almondcross.VerdictUnknown {
+			changes[index] = change.WithVerdict(almondcross.VerdictStarted)
+		}
+	}
+	return batch.WithChanges(changes)
+}
--- a/command/scheduler/machine.go
+++ b/command/scheduler/machine.go
@@ -23,21 +23,22 @@
 
 // Config holds the dependencies and settings of a Machine.
 type Config struct {
-	Host             string        // Host is the name of this host.
-	Address          string        // Address is the address of this host's link for other hosts.
-	Partitions       int           // Partitions is the number of intake partitions.
-	Retention        time.Duration // Retention is how long the state of a final job stays readable.
-	MaxLease         time.Duration // MaxLease is the longest lease that workers grant.
-	Strength         int           // Strength is the scheduling strength of this host, up to 100, before its latency to the store is subtracted.
-	FormatAbove      int           // FormatAbove is by how much the number of the journal's format is above that of this version, in simulations of a later one.
-	SnapshotInterval time.Duration // SnapshotInterval is the time between two snapshots.
-	RecordBytes      int           // RecordBytes is the maximum size of a journal record in bytes.
-	BatchesPerAppend int           // BatchesPerAppend is how many journal records of the largest size fit in one append.
-	Random           *rand.Rand
-	Publisher        almondcross.JobPublisher
-	Picker           almondcross.WorkerPicker
-	Log              almondcross.EventLog
-	Metrics          Metrics
+	Host                string        // Host is the name of this host.
+	Address             string        // Address is the address of this host's link for other hosts.
+	Partitions          int           // Partitions is the number of intake partitions.
+	Retention           time.Duration // Retention is how long the state of a final job stays readable.
+	MaxLease            time.Duration // MaxLease is the longest lease that workers grant.
+	Strength            int           // Strength is the scheduling strength of this host, up to 100, before its latency to the store is subtracted.
+	IgnoresAttemptLimit bool          // IgnoresAttemptLimit makes this host apply failed runs by another rule than this version, in simulations; see asRead.
+	FormatAbove         int           // FormatAbove is by how much the number of the journal's format is above that of this version, in simulations of a later one.
+	SnapshotInterval    time.Duration // SnapshotInterval is the time between two snapshots.
+	RecordBytes         int           // RecordBytes is the maximum size of a journal record in bytes.
+	BatchesPerAppend    int           // BatchesPerAppend is how many journal records of the largest size fit in one append.
+	Random              *rand.Rand
+	Publisher           almondcross.JobPublisher
+	Picker              almondcross.WorkerPicker
+	Log                 almondcross.EventLog
+	Metrics             Metrics
 }
 
 // Machine is the decision code of the scheduler: a state machine without clocks and transports. It is not safe
--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -83,6 +83,7 @@
 	binary         string // binary is the program that start runs.
 	settingsPath   string
 	callersAddress string
+	metricsAddress string
 	storeProxy     *proxy
 	process        *exec.Cmd
 	log            *os.File
@@ -134,8 +135,8 @@
 	return listener.Addr().String()
 }
 
-// startCell starts a cell and waits until all its hosts answer.
-func startCell(ctx context.Context, t *testing.T, seed uint64) *cell {
+// startCell starts a cell and waits until all its hosts answer. Each host runs the program at its place, or this tree's without any.
+func startCell(ctx context.Context, t *testing.T, seed uint64, binaries ...string) *cell {
 	t.Helper()
 	cell := newCell(ctx, t, seed)
 	directWorkers := 0 // Other hosts relay all orders.
@@ -143,8 +144,11 @@
 		directWorkers = workerCount
 	}
 	storeAddress := cell.serve(cell.store.Handler())
-	for range hostCount {
-		cell.addHost(cell.binary, storeAddress, directWorkers).start()
+	if len(binaries) == 0 {
+		binaries = slices.Repeat([]string{cell.binary}, hostCount)
+	}
+	for _, binary := range binaries {
+		cell.addHost(binary, storeAddress, directWorkers).start()
 	}
 	cell.awaitHosts()
 	return cell
@@ -183,12 +187,12 @@
 	t := cell.t
 	host := &host{
 		cell: cell, name: fmt.Sprintf("h-%d", len(cell.hosts)), binary: binary, callersAddress: reserveAddress(t),
-		storeProxy: newProxy(cell.ctx, t, storeAddress),
+		metricsAddress: reserveAddress(t), storeProxy: newProxy(cell.ctx, t, storeAddress),
 	}
 	settings := fmt.Sprintf(`{"role":"scheduler","name":%q,"data_centre":"a","region":"r","callers_listen":%q,"ready_listen":%q,"metrics_listen":%q,
 		"link_listen":%q,"store_address":%q,"store_partitions":2,"store_record":262144,"store_retention":"1h","advice_address":%q,
 		"state_retention":"2m","max_lease":"10s","stop_grace":"3s","processors":1.0,"link_mbps":1000,"memory_mb":256,"direct_workers":%d}`,
-		host.name, host.callersAddress, reserveAddress(t), reserveAddress(t), reserveAddress(t), host.storeProxy.address, cell.adviceAddress, directWorkers)
+		host.name, host.callersAddress, reserveAddress(t), host.metricsAddress, reserveAddress(t), host.storeProxy.address, cell.adviceAddress, directWorkers)
 	host.settingsPath = filepath.Join(cell.directory, host.name+".jsonc")
 	require.NoError(t, os.WriteFile(host.settingsPath, []byte(settings), 0o600))
 	var err error
@@ -314,13 +318,18 @@
 
 // sendJobs sends random jobs for loadDuration and returns them. With crashingJobs, some of them crash their workers.
 func (cell *cell) sendJobs(random *rand.Rand, crashingJobs bool) []*job {
+	return cell.sendJobsFor(*loadDuration, random, crashingJobs)
+}
+
+// sendJobsFor sends random jobs for a duration and returns them.
+func (cell *cell) sendJobsFor(duration time.Duration, random *rand.Rand, crashingJobs bool) []*job {
 	var jobs []*job
 	var crashing []int
 	if crashingJobs {
 		crashing = drawCrashingJobs(random)
 	}
 	var group sync.WaitGroup
-	for until := time.Now().Add(*loadDuration); time.Now().Before(until); {
+	for until := time.Now().Add(duration); time.Now().Before(until); {
 		job := newJob(random)
 		for range 1 + random.IntN(2) {
 			job.counts = append(job.counts, 1+random.IntN(4))
@@ -404,11 +413,11 @@
 	}
 }
 
-func runSoak(t *testing.T, seed uint64) {
+func runSoak(t *testing.T, seed uint64, binaries ...string) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	cell := startCell(ctx, t, seed)
+	cell := startCell(ctx, t, seed, binaries...)
 	faults := make(chan []string)
 	go func() {
 		var injected []string
--- a/standin/emulator/emulator_test.go
+++ b/standin/emulator/emulator_test.go
@@ -74,6 +74,21 @@
 	}
 }
 
+// Guards against hosts of two versions that tell different states of a job: some conclude by another rule that a job goes on after a
+// failed run, unless the journal tells the verdict. Without verdicts in the journal, the day of seed 1 has such hosts.
+func TestHostsOfAnotherVersionTellTheSameStates(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+5; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			simulationConfig := newConfig(seed)
+			simulationConfig.OtherHosts = 2
+			simulationConfig.Faults = emulator.RandomFaults(seed, 5, simulationConfig.SubmitTime)
+			report := runSimulation(t, simulationConfig)
+			require.Empty(t, report.Violations, "faults: %v", simulationConfig.Faults)
+		})
+	}
+}
+
 // Guards against violations of the guarantees under any combination of faults.
 func TestSimulationsWithRandomFaults(t *testing.T) {
 	for seed := *firstSeed; seed < *firstSeed+uint64(*simulationCount); seed++ {
--- a/standin/emulator/host.go
+++ b/standin/emulator/host.go
@@ -69,22 +69,27 @@
 	modelhost.machine = scheduler.NewMachine(scheduler.Config{
 		Host: modelhost.name, Address: modelhost.name, Partitions: intakePartitions, Strength: 100 - 10*(modelhost.index%3), Retention: 150 * time.Second, MaxLease: maxLease,
 		SnapshotInterval: 3 * time.Second, RecordBytes: 256 << 10, BatchesPerAppend: 8, Random: rand.New(rand.NewPCG(simulation.random.Uint64(), 1)), //nolint:gosec // A model needs no secrecy.
-		FormatAbove: simulation.formatAbove(modelhost.index),
-		Publisher:   modelhost.jobTable, Picker: picker.BestFit{}, Log: hostLog{modelhost}, Metrics: noMetrics{},
+		FormatAbove: simulation.formatAbove(modelhost.index), IgnoresAttemptLimit: simulation.drawn(modelhost.index, simulation.config.OtherHosts),
+		Publisher: modelhost.jobTable, Picker: picker.BestFit{}, Log: hostLog{modelhost}, Metrics: noMetrics{},
 	})
 	modelhost.runUnfrozen(modelhost.advance)
 	modelhost.readRoutes()
 }
 
-// formatAbove returns 1 for a host of a later version and 0 for the others. Which hosts are of it depends on the seed, since the
-// strength of a host depends on its index.
+// formatAbove returns 1 for a host of a later version and 0 for the others.
 func (simulation *Simulation) formatAbove(index int) int {
-	if (uint64(index)+simulation.config.Seed)%uint64(simulation.config.Hosts) < uint64(simulation.config.LaterHosts) { //nolint:gosec // The numbers are small.
+	if simulation.drawn(index, simulation.config.LaterHosts) {
 		return 1
 	}
 	return 0
 }
 
+// drawn reports whether a host is among a number of hosts of another version. Which ones are depends on the seed, since the strength
+// of a host depends on its index.
+func (simulation *Simulation) drawn(index, count int) bool {
+	return (uint64(index)+simulation.config.Seed)%uint64(simulation.config.Hosts) < uint64(count) //nolint:gosec // The numbers are small.
+}
+
 func (modelhost *modelHost) kill() {
 	modelhost.up = false
 	modelhost.incarnation++
--- a/standin/emulator/questions.go
+++ b/standin/emulator/questions.go
@@ -16,6 +16,9 @@
 // visibleTime is how long after its acceptance a job may be unknown to a host in touch.
 const visibleTime = 3 * time.Second
 
+// agreementTime is how long after a final state was told every host in touch tells it too: the platform's visible_ms and 2 s.
+const agreementTime = visibleTime + 2*time.Second
+
 // questionAge is the age of the jobs that are asked of every host, questionCount their number.
 const (
 	questionAge   = 40 * time.Second
@@ -100,12 +103,24 @@
 		job := simulation.acceptedJobs[simulation.random.IntN(len(simulation.acceptedJobs))]
 		for _, host := range simulation.hosts {
 			if host.answers() {
-				checker.checkQuestion(host, job)
+				state, known := checker.checkQuestion(host, job)
+				checker.checkAgreement(host, job, state, known)
 			}
 		}
 	}
 }
 
+// checkAgreement finds a host in touch that tells another state of a job than the final one that a caller was told agreementTime
+// ago or earlier.
+func (checker *checker) checkAgreement(host *modelHost, job *modelJob, state almondcross.JobState, known bool) {
+	simulation := checker.simulation
+	age := simulation.now - job.finalAt
+	if !known || job.finalState == "" || state == job.finalState || age < agreementTime || !simulation.disturbances.inTouch(host, simulation.now) {
+		return
+	}
+	checker.addViolation("MIXED", "%s is told as %s by %s, %s after it was told as %s", job.spec.ID(), state, host.name, age, job.finalState)
+}
+
 // answerWriter keeps an answer.
 type answerWriter struct {
 	header http.Header
--- a/standin/emulator/questions_test.go
+++ b/standin/emulator/questions_test.go
@@ -159,3 +159,32 @@
 	require.Zero(t, size)
 	require.Equal(t, 100*time.Millisecond, (&modelHost{index: 2}).transferTime(100_000))
 }
+
+// Guards against a check that misses a host in touch that tells another state than the final one for good, or that blames a host
+// that cannot know it yet, was disturbed, tells the same, or gives no answer.
+func TestHostsTellTheSameFinalState(t *testing.T) {
+	for name, test := range map[string]struct {
+		state, final almondcross.JobState
+		age          time.Duration
+		disturbed    bool
+		rules        []string
+	}{
+		"another state, old":   {state: almondcross.JobRunning, final: almondcross.JobFailed, age: agreementTime, rules: []string{"MIXED"}},
+		"another final state":  {state: almondcross.JobCancelled, final: almondcross.JobFailed, age: agreementTime, rules: []string{"MIXED"}},
+		"another state, young": {state: almondcross.JobRunning, final: almondcross.JobFailed, age: agreementTime - 1},
+		"disturbed":            {state: almondcross.JobRunning, final: almondcross.JobFailed, age: agreementTime, disturbed: true},
+		"the same state":       {state: almondcross.JobFailed, final: almondcross.JobFailed, age: agreementTime},
+		"no final state":       {state: almondcross.JobRunning, age: agreementTime},
+		"no answer":            {final: almondcross.JobFailed, age: agreementTime},
+	} {
+		t.Run(name, func(t *testing.T) {
+			simulation, host, job := newAskedHost(t)
+			job.finalState, job.finalAt = test.final, simulation.now-test.age
+			if test.disturbed {
+				simulation.disturbances.disturbHost(host, simulation.now)
+			}
+			simulation.checker.checkAgreement(host, job, test.state, test.state != "")
+			requireRules(t, simulation, test.rules...)
+		})
+	}
+}
--- a/standin/emulator/simulation.go
+++ b/standin/emulator/simulation.go
@@ -15,6 +15,7 @@
 	Seed        uint64
 	Hosts       int           // Hosts is the number of scheduling hosts.
 	LaterHosts  int           // LaterHosts is the number of hosts of a later version among them, whose journal the others cannot read in full.
+	OtherHosts  int           // OtherHosts is the number of hosts of a version that judges failed runs by another rule, where the journal has no verdict.
 	Workers     int           // Workers is the number of workers.
 	SubmitTime  time.Duration // SubmitTime is the time during which callers submit jobs.
 	DrainTime   time.Duration // DrainTime is the time after that within which accepted jobs must end.
