--- a/command/scheduler/repeat_test.go
+++ b/command/scheduler/repeat_test.go
@@ -11,7 +11,7 @@
 
 // answerStartOrder answers a start order with a result.
 func (harness *harness) answerStartOrder(order almondcross.StartOrder, result almondcross.OrderResult) {
-	harness.apply(almondcross.NewStartOrderAnswered(almondcross.StartOrderAnsweredConfig{Order: order, Result: result, Received: harness.now}))
+	harness.apply(almondcross.NewStartOrderAnswered(almondcross.StartOrderAnsweredConfig{Order: order, Incarnation: order.Incarnation(), Result: result, Received: harness.now}))
 }
 
 // sentStart submits a job and returns its start order, whose answer is pending.
@@ -28,7 +28,7 @@
 func TestRefusalOfARepeatedStartIsResolvedByReport(t *testing.T) {
 	for _, result := range []almondcross.OrderResult{
 		almondcross.OrderUnknown, almondcross.OrderNotSent, almondcross.OrderRefused, almondcross.OrderReplaced, almondcross.OrderUnavailable,
-		almondcross.OrderTicketInvalid, almondcross.OrderNoCapacity, almondcross.OrderRunEnded, almondcross.OrderLeaseExpired,
+		almondcross.OrderTicketInvalid, almondcross.OrderNoCapacity, almondcross.OrderRunEnded, almondcross.OrderLeaseExpired, almondcross.OrderRestarted,
 	} {
 		t.Run(string(result), func(t *testing.T) {
 			harness := newHarness(t)
@@ -82,3 +82,19 @@
 		})
 	}
 }
+
+// Guards against a run that is placed again elsewhere, and a worker that is avoided, because one order did not reach the worker, and
+// against an order that is sent without end. Nothing is known to have been sent, so no report is needed.
+func TestStartThatWasNotSentIsSentOnceMore(t *testing.T) {
+	harness := newHarness(t)
+	harness.becomeScheduler()
+	start := harness.sentStart()
+	harness.answerStartOrder(start, almondcross.OrderNotSent)
+	require.Equal(t, start, requireEffect[SendStart](harness).Order)
+	harness.answerStartOrder(start, almondcross.OrderNotSent)
+	_, repeated := takeEffect[SendStart](harness)
+	require.False(t, repeated)
+	_, requested := takeEffect[SendLease](harness)
+	require.False(t, requested)
+	require.Empty(t, harness.machine.leader.workers[workerID].assignments)
+}
