--- a/integration/soak/builds_test.go
+++ b/integration/soak/builds_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// lastLanding is the landing before this version.
+// lastLanding is the landing before this version; each landing sets it.
 const lastLanding = "51f5aca"
 
 var (
--- a/integration/soak/replacement_test.go
+++ b/integration/soak/replacement_test.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os/exec"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -38,7 +39,7 @@
 
 // Guards against requests that are refused or jobs that are lost, fail or run twice while the hosts of a cell are replaced one
 // after the other by those of a later version, and by the earlier ones again. Each host is stopped with SIGTERM, and the next one
-// follows once it answers; the status shows a mixed cell in between.
+// follows once it is ready; the status shows a mixed cell in between.
 func TestReplacementOfAllHosts(t *testing.T) {
 	t.Parallel()
 	earlier, later := buildCommit(t, *earlierCommit), buildLater(t)
@@ -75,7 +76,7 @@
 	for round, binary := range []string{later, earlier} {
 		for number, index := range order {
 			cell.hosts[index].replace(binary)
-			cell.awaitHost(cell.hosts[index])
+			cell.awaitReady(cell.hosts[index])
 			if number < hostCount-1 {
 				require.Equal(t, "mixed", cell.shownVersions(later), "round %d, %d hosts", round, number+1)
 			}
@@ -84,7 +85,11 @@
 		require.Equal(t, want, cell.shownVersions(later), "after round %d", round)
 	}
 	close(done)
-	cell.checkResults(<-sent, []string{fmt.Sprintf("replaced in the order %v, twice", order)}, time.Now().Add(jobsTimeout))
+	jobs := <-sent
+	for _, job := range jobs {
+		require.True(t, job.accepted.Load(), "%s was refused six times", job.id)
+	}
+	cell.checkResults(jobs, []string{fmt.Sprintf("replaced in the order %v, twice", order)}, time.Now().Add(jobsTimeout))
 }
 
 // replace stops the process of a host as an operator does, and starts another program in its place.
@@ -95,17 +100,24 @@
 	host.start()
 }
 
+// awaitReady waits until a host tells the load balancer that it is ready.
+func (cell *cell) awaitReady(host *host) {
+	require.Eventually(cell.t, func() bool {
+		status, _ := cell.call(http.MethodGet, host.readyAddress, "/ready", "")
+		return status == http.StatusOK
+	}, 20*time.Second, 50*time.Millisecond, "%s is ready", host.name)
+}
+
 // shownVersions returns what the status command of a program tells of the versions of the cell.
 func (cell *cell) shownVersions(binary string) string {
-	arguments := []string{"status", "scheduling", "--format", "json"}
+	arguments := []string{"status", "scheduling"}
 	for _, host := range cell.hosts {
 		arguments = append(arguments, "--server", host.metricsAddress)
 	}
 	output, err := exec.CommandContext(cell.ctx, binary, arguments...).Output()
 	require.NoError(cell.t, err)
-	var shown struct {
-		Cell string `json:"cell"`
-	}
-	require.NoError(cell.t, json.Unmarshal(output, &shown))
-	return shown.Cell
+	cell.t.Logf("almondcross %s\n%s", strings.Join(arguments, " "), output)
+	_, shown, found := strings.Cut(strings.TrimSpace(string(output)), "\ncell: ")
+	require.True(cell.t, found)
+	return shown
 }
--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -83,6 +83,7 @@
 	binary         string // binary is the program that start runs.
 	settingsPath   string
 	callersAddress string
+	readyAddress   string
 	metricsAddress string
 	storeProxy     *proxy
 	process        *exec.Cmd
@@ -187,12 +188,12 @@
 	t := cell.t
 	host := &host{
 		cell: cell, name: fmt.Sprintf("h-%d", len(cell.hosts)), binary: binary, callersAddress: reserveAddress(t),
-		metricsAddress: reserveAddress(t), storeProxy: newProxy(cell.ctx, t, storeAddress),
+		readyAddress: reserveAddress(t), metricsAddress: reserveAddress(t), storeProxy: newProxy(cell.ctx, t, storeAddress),
 	}
 	settings := fmt.Sprintf(`{"role":"scheduler","name":%q,"data_centre":"a","region":"r","callers_listen":%q,"ready_listen":%q,"metrics_listen":%q,
 		"link_listen":%q,"store_address":%q,"store_partitions":2,"store_record":262144,"store_retention":"1h","advice_address":%q,
 		"state_retention":"2m","max_lease":"10s","stop_grace":"3s","processors":1.0,"link_mbps":1000,"memory_mb":256,"direct_workers":%d}`,
-		host.name, host.callersAddress, reserveAddress(t), host.metricsAddress, reserveAddress(t), host.storeProxy.address, cell.adviceAddress, directWorkers)
+		host.name, host.callersAddress, host.readyAddress, host.metricsAddress, reserveAddress(t), host.storeProxy.address, cell.adviceAddress, directWorkers)
 	host.settingsPath = filepath.Join(cell.directory, host.name+".jsonc")
 	require.NoError(t, os.WriteFile(host.settingsPath, []byte(settings), 0o600))
 	var err error
