--- a/scheduling_generated.go
+++ b/scheduling_generated.go
@@ -1403,12 +1403,14 @@
 // RoleAssignedConfig holds the fields of a new RoleAssigned.
 type RoleAssignedConfig struct {
 	Standby bool
+	Rank    int
 }
 
 // NewRoleAssigned returns a RoleAssigned with the given fields.
 func NewRoleAssigned(config RoleAssignedConfig) RoleAssigned {
 	return RoleAssigned{
 		standby: config.Standby,
+		rank:    config.Rank,
 	}
 }
 
@@ -1416,6 +1418,7 @@
 func (roleassigned RoleAssigned) Config() RoleAssignedConfig {
 	return RoleAssignedConfig{
 		Standby: roleassigned.standby,
+		Rank:    roleassigned.rank,
 	}
 }
 
@@ -1428,6 +1431,15 @@
 	return roleassigned
 }
 
+// Rank returns the place of the standby in the order in which they stand for election, from 1; 0 if it is not known.
+func (roleassigned RoleAssigned) Rank() int { return roleassigned.rank }
+
+// WithRank returns a copy with the given rank.
+func (roleassigned RoleAssigned) WithRank(rank int) RoleAssigned {
+	roleassigned.rank = rank
+	return roleassigned
+}
+
 // JobViewChangeConfig holds the fields of a new JobViewChange.
 type JobViewChangeConfig struct {
 	ID    JobID
@@ -1535,12 +1547,14 @@
 // LinkLostConfig holds the fields of a new LinkLost.
 type LinkLostConfig struct {
 	Scheduler string
+	Refused   bool
 }
 
 // NewLinkLost returns a LinkLost with the given fields.
 func NewLinkLost(config LinkLostConfig) LinkLost {
 	return LinkLost{
 		scheduler: config.Scheduler,
+		refused:   config.Refused,
 	}
 }
 
@@ -1548,6 +1562,7 @@
 func (linklost LinkLost) Config() LinkLostConfig {
 	return LinkLostConfig{
 		Scheduler: linklost.scheduler,
+		Refused:   linklost.refused,
 	}
 }
 
@@ -1560,6 +1575,15 @@
 	return linklost
 }
 
+// Refused returns whether an attempt to link again was refused: nothing accepts links at the scheduler's address.
+func (linklost LinkLost) Refused() bool { return linklost.refused }
+
+// WithRefused returns a copy with the given refused.
+func (linklost LinkLost) WithRefused(refused bool) LinkLost {
+	linklost.refused = refused
+	return linklost
+}
+
 // JobAcceptedConfig holds the fields of a new JobAccepted.
 type JobAcceptedConfig struct {
 	Job Job
