--- a/command/scheduler/constants.go
+++ b/command/scheduler/constants.go
@@ -18,6 +18,9 @@
 	// candidacyInterval is the time between the candidacies of two ranked standbys. An election takes less unless the store is
 	// slow.
 	candidacyInterval = 100 * time.Millisecond
+	// maxEndedCandidacies is how often a standby stands at once after the end of a scheduler. Its last append may have been on its way
+	// at the first one.
+	maxEndedCandidacies = 3
 	// fullStrength is the strength of a host that can schedule for a whole cluster.
 	fullStrength = 100
 	// electionDelayPerPoint delays the candidacy of a host without a rank for each point below full strength.
@@ -172,6 +175,10 @@
 	unreachableWorkerGrace = 6 * time.Second
 	// lastOrderMargin covers the delivery of the last order to a worker.
 	lastOrderMargin = 500 * time.Millisecond
+	// unboundStartInterval is the minimum time between two records that a run may have the longest lease of a worker.
+	unboundStartInterval = time.Second
+	// maxStartAnswerAge is how long the answer to a start order takes at most, also if a silent relaying host is given up.
+	maxStartAnswerAge = 2 * time.Second
 	// stopRetryDelay is the delay before a stop order is repeated.
 	stopRetryDelay = 400 * time.Millisecond
 	// stopTimeout is how long a stop order may stay unanswered. Its answer is lost when the worker's address
--- a/standin/emulator/orders.go
+++ b/standin/emulator/orders.go
@@ -1,7 +1,6 @@
 package emulator
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/almondcross/almondcross"
@@ -20,68 +19,43 @@
 type delivery struct {
 	sender *modelHost
 	sentAt time.Duration
-	late   bool // late is set if the worker carries out the order seconds after it was sent, without a response.
+	// knownIncarnation is the incarnation of the worker whose report the sender had read last, 0 for none.
+	knownIncarnation int64
+	late             bool // late is set if the worker carries out the order seconds after it was sent, without a response.
 }
 
 // workerOrder is an order to a worker with what happens on the worker and on the sending host.
 type workerOrder struct {
-	worker  almondcross.Worker // worker is the announced identity that the order is for.
-	kind    orderKind
-	task    almondcross.JobTask // task and run are zero for a lease order.
-	run     int
-	timeout time.Duration
+	worker      almondcross.Worker // worker is the announced identity that the order is for.
+	incarnation int64              // incarnation is the incarnation that the order is for, 0 for any.
+	fence       int64
+	listOnly    bool // listOnly is set for a lease order that neither extends the lease nor acknowledges ends.
+	kind        orderKind
+	task        almondcross.JobTask // task and run are zero for a lease order.
+	run         int
+	timeout     time.Duration
 	// execute carries out the order on the worker. It calls reply with what the host does on the response.
 	execute func(worker *modelWorker, delivered delivery, reply func(handleResponse func()))
-	// onFailure handles an order that got no response or reached another identity.
-	onFailure func(result almondcross.OrderResult)
+	// onRefused handles an answer to the report request on a new connection after which the order is not sent: the worker has
+	// seen a higher fencing token, or another incarnation answers.
+	onRefused func(report almondcross.WorkerReport, result almondcross.OrderResult)
+	// onFailure handles an order that got no response or reached another identity. The report is that on a new connection, if any.
+	onFailure func(report almondcross.WorkerReport, result almondcross.OrderResult)
 }
 
 // sendOrder sends an order to the worker at the order's address. Faults may lose the order or its response, or make
-// the worker carry it out late. A worker that has restarted under another identity refuses it.
+// the worker carry it out late. A worker that has restarted under another identity refuses it. One that is for an
+// incarnation reaches no other: it goes over connections on which that incarnation has named itself, and only the process
+// that has read it carries it out late. One for any incarnation may reach a later one, also late: hosts of earlier versions
+// send these, and the platform's pages do not say that an order ends with the process that has read it.
 func (modelhost *modelHost) sendOrder(order workerOrder) {
-	simulation := modelhost.simulation
-	worker := simulation.workerAt(order.worker.Address())
-	delivered := delivery{sender: modelhost, sentAt: simulation.now}
-	random := func(purpose string) *rand.Rand {
-		return simulation.randomFor(purpose, modelhost.name, worker.id, order.kind, order.task, order.run, delivered.sentAt)
-	}
-	request := func() (time.Duration, bool) {
-		fault := simulation.faults.pathFault(simulation.now, modelhost, worker)
-		return fault.delay, worker.up && !occurs(fault.orderLoss, random, "order")
-	}
-	response := func() (time.Duration, bool) {
-		fault := simulation.faults.pathFault(simulation.now, modelhost, worker)
-		return fault.delay, !occurs(fault.responseLoss, random, "response")
+	worker := modelhost.simulation.workerAt(order.worker.Address())
+	transmission := &transmission{
+		sender: modelhost, process: modelhost.incarnation, worker: worker, order: order,
+		delivered:     delivery{sender: modelhost, sentAt: modelhost.simulation.now, knownIncarnation: modelhost.readIncarnations[worker.id]},
+		newConnection: order.incarnation != 0 && !modelhost.takeConnection(worker, order.incarnation),
 	}
-	series := simulation.faults.orders[worker]
-	affected := series.affects(simulation.now, order.kind, random)
-	switch {
-	case affected && series.reset:
-		modelhost.schedule(2*linkDelay, func() { order.onFailure(almondcross.OrderUnknown) })
-		return
-	case affected && series.answersLost:
-		response = lost
-	case affected:
-		request = lost
-	}
-	modelhost.call(order.timeout, request, response, func(reply func(func())) {
-		if delay := simulation.faults.orderDelay(simulation.now, order.kind, random); delay > 0 {
-			delivered.late = true
-			simulation.schedule(delay, func() {
-				if worker.up && worker.id == order.worker.ID() {
-					order.execute(worker, delivered, func(func()) {})
-				}
-			})
-			return
-		}
-		switch {
-		case !worker.up: // The order was delayed on its path until the worker had crashed.
-		case worker.id != order.worker.ID():
-			reply(func() { order.onFailure(almondcross.OrderReplaced) })
-		default:
-			order.execute(worker, delivered, reply)
-		}
-	}, func() { order.onFailure(almondcross.OrderUnknown) })
+	transmission.send()
 }
 
 // lost is the way of a message that does not get through.
@@ -93,29 +67,42 @@
 	sentAt := simulation.wallTime()
 	deliverResult := func(report almondcross.WorkerReport, result almondcross.OrderResult) {
 		simulation.meter.workerAnswered(modelhost, result)
+		if report.Incarnation() != 0 {
+			modelhost.noteReport(report)
+		}
 		modelhost.deliver(almondcross.NewLeaseAnswered(almondcross.LeaseAnsweredConfig{
 			Order: order, Result: result, Report: report, Sent: sentAt, Received: simulation.wallTime(),
 		}))
 	}
 	modelhost.sendOrder(workerOrder{
-		worker: order.Worker(), kind: orderLease, timeout: order.Wait() + leaseTimeout,
+		worker: order.Worker(), incarnation: order.Incarnation(), fence: order.Fence(), kind: orderLease, timeout: order.Wait() + leaseTimeout,
+		listOnly: order.Until() == 0 && order.Acknowledged() == 0, onRefused: deliverResult, onFailure: deliverResult,
 		execute: func(worker *modelWorker, _ delivery, reply func(func())) {
 			worker.answerLease(order, func(report almondcross.WorkerReport, result almondcross.OrderResult) {
 				reply(func() { deliverResult(report, result) })
 			})
 		},
-		onFailure: func(result almondcross.OrderResult) { deliverResult(almondcross.WorkerReport{}, result) },
 	})
 }
 
 func (modelhost *modelHost) startRun(order almondcross.StartOrder) {
 	simulation := modelhost.simulation
 	simulation.observe(StartSent)
+	incarnation := order.Incarnation()
+	if simulation.config.UnboundStarts {
+		incarnation = 0
+	}
 	deliverResult := func(result almondcross.OrderResult) {
-		modelhost.deliver(almondcross.NewStartOrderAnswered(almondcross.StartOrderAnsweredConfig{Order: order, Result: result, Received: simulation.wallTime()}))
+		modelhost.deliver(almondcross.NewStartOrderAnswered(almondcross.StartOrderAnsweredConfig{
+			Order: order, Result: result, Received: simulation.wallTime(), Incarnation: incarnation,
+		}))
 	}
 	modelhost.sendOrder(workerOrder{
-		worker: order.Worker(), kind: orderStart, task: order.Task(), run: order.Run(), timeout: orderTimeout, onFailure: deliverResult,
+		worker: order.Worker(), incarnation: incarnation, fence: order.Fence(), kind: orderStart, task: order.Task(), run: order.Run(), timeout: orderTimeout,
+		onRefused: func(_ almondcross.WorkerReport, result almondcross.OrderResult) {
+			deliverResult(restartedResult(result))
+		},
+		onFailure: func(_ almondcross.WorkerReport, result almondcross.OrderResult) { deliverResult(result) },
 		execute: func(worker *modelWorker, delivered delivery, reply func(func())) {
 			result := worker.start(simulation.now, order, delivered)
 			reply(func() { deliverResult(result) })
@@ -130,7 +117,11 @@
 		modelhost.deliver(almondcross.NewStopOrderAnswered(almondcross.StopOrderAnsweredConfig{Order: order, Result: result}))
 	}
 	modelhost.sendOrder(workerOrder{
-		worker: order.Worker(), kind: orderStop, task: order.Task(), run: order.Run(), timeout: orderTimeout, onFailure: deliverResult,
+		worker: order.Worker(), incarnation: order.Incarnation(), fence: order.Fence(), kind: orderStop, task: order.Task(), run: order.Run(), timeout: orderTimeout,
+		onRefused: func(_ almondcross.WorkerReport, result almondcross.OrderResult) {
+			deliverResult(restartedResult(result))
+		},
+		onFailure: func(_ almondcross.WorkerReport, result almondcross.OrderResult) { deliverResult(result) },
 		execute: func(worker *modelWorker, _ delivery, reply func(func())) {
 			result := worker.stop(simulation.now, order)
 			reply(func() { deliverResult(result) })
