--- a/integration/soak/replacement_test.go
+++ b/integration/soak/replacement_test.go
@@ -21,7 +21,9 @@
 	earlier, later := buildCommit(t, *earlierCommit), buildLater(t)
 	for seed := *firstSeed; seed < *firstSeed+uint64(*seedCount); seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			runSoak(t, seed, drawBuilds(rand.New(rand.NewPCG(seed, 7)), earlier, later)...)
+			binaries := drawBuilds(rand.New(rand.NewPCG(seed, 7)), earlier, later)
+			t.Logf("programs of the hosts: %v", binaries)
+			runSoak(t, seed, binaries...)
 		})
 	}
 }
