Leave the report before an unanswered order out of the emulator

The scheduler does not count such a report any more, so the emulator's orders without a response carry none. go test ./standin/emulator passes.

--- a/standin/emulator/orders.go
+++ b/standin/emulator/orders.go
@@ -39,8 +39,8 @@
 	// onRefused handles an answer to the report request on a new connection after which the order is not sent: the worker has
 	// seen a higher fencing token, or another incarnation answers.
 	onRefused func(report almondcross.WorkerReport, result almondcross.OrderResult)
-	// onFailure handles an order that got no response or reached another identity. The report is that on a new connection, if any.
-	onFailure func(report almondcross.WorkerReport, result almondcross.OrderResult)
+	// onFailure handles an order that got no response or reached another identity.
+	onFailure func(result almondcross.OrderResult)
 }
 
 // sendOrder sends an order to the worker at the order's address. Faults may lose the order or its response, or make
@@ -76,7 +76,8 @@
 	}
 	modelhost.sendOrder(workerOrder{
 		worker: order.Worker(), incarnation: order.Incarnation(), fence: order.Fence(), kind: orderLease, timeout: order.Wait() + leaseTimeout,
-		listOnly: order.Until() == 0 && order.Acknowledged() == 0, onRefused: deliverResult, onFailure: deliverResult,
+		listOnly: order.Until() == 0 && order.Acknowledged() == 0, onRefused: deliverResult,
+		onFailure: func(result almondcross.OrderResult) { deliverResult(almondcross.WorkerReport{}, result) },
 		execute: func(worker *modelWorker, _ delivery, reply func(func())) {
 			worker.answerLease(order, func(report almondcross.WorkerReport, result almondcross.OrderResult) {
 				reply(func() { deliverResult(report, result) })
@@ -102,7 +103,7 @@
 		onRefused: func(_ almondcross.WorkerReport, result almondcross.OrderResult) {
 			deliverResult(restartedResult(result))
 		},
-		onFailure: func(_ almondcross.WorkerReport, result almondcross.OrderResult) { deliverResult(result) },
+		onFailure: deliverResult,
 		execute: func(worker *modelWorker, delivered delivery, reply func(func())) {
 			result := worker.start(simulation.now, order, delivered)
 			reply(func() { deliverResult(result) })
@@ -121,7 +122,7 @@
 		onRefused: func(_ almondcross.WorkerReport, result almondcross.OrderResult) {
 			deliverResult(restartedResult(result))
 		},
-		onFailure: func(_ almondcross.WorkerReport, result almondcross.OrderResult) { deliverResult(result) },
+		onFailure: deliverResult,
 		execute: func(worker *modelWorker, _ delivery, reply func(func())) {
 			result := worker.stop(simulation.now, order)
 			reply(func() { deliverResult(result) })
--- a/standin/emulator/series_test.go
+++ b/standin/emulator/series_test.go
@@ -34,7 +34,7 @@
 					executed = true
 					reply(func() { result = almondcross.OrderDone })
 				},
-				onFailure: func(_ almondcross.WorkerReport, failure almondcross.OrderResult) { result = failure },
+				onFailure: func(failure almondcross.OrderResult) { result = failure },
 			})
 			simulation.end = simulation.now + 2*time.Second
 			simulation.Run()
--- a/standin/emulator/transmission.go
+++ b/standin/emulator/transmission.go
@@ -14,10 +14,10 @@
 	worker        *modelWorker
 	order         workerOrder
 	delivered     delivery
-	newConnection bool                     // newConnection is set if the worker has to name its incarnation first.
-	identified    almondcross.WorkerReport // identified is the report with which it has done so.
-	failed        bool                     // failed is set once the sender has given up.
-	lost          bool                     // lost is set if a series of faults keeps the order, but not the report request, from the worker.
+	newConnection bool // newConnection is set if the worker has to name its incarnation first.
+	identified    bool // identified is set once it has done so.
+	failed        bool // failed is set once the sender has given up.
+	lost          bool // lost is set if a series of faults keeps the order, but not the report request, from the worker.
 }
 
 // random returns random numbers that depend only on the seed, the order and their purpose.
@@ -34,7 +34,7 @@
 	affected := series.affects(simulation.now, order.kind, transmission.random)
 	switch {
 	case affected && series.reset:
-		transmission.sender.schedule(2*linkDelay, func() { order.onFailure(almondcross.WorkerReport{}, almondcross.OrderUnknown) })
+		transmission.sender.schedule(2*linkDelay, func() { order.onFailure(almondcross.OrderUnknown) })
 		return
 	case affected && series.answersLost:
 		response = lost
@@ -72,27 +72,27 @@
 	switch {
 	case !worker.up: // The order was delayed on its path until the worker had crashed.
 	case worker.id != order.worker.ID():
-		reply(func() { order.onFailure(almondcross.WorkerReport{}, almondcross.OrderReplaced) })
+		reply(func() { order.onFailure(almondcross.OrderReplaced) })
 	case transmission.newConnection:
 		report, result := order.identify(worker)
 		if result != almondcross.OrderDone || !order.isFor(worker) {
 			reply(func() { order.onRefused(report, result) })
 			return
 		}
-		transmission.follow(report, reply)
+		transmission.follow(reply)
 	case order.isFor(worker): // Else the connection leads to a process that has ended.
 		transmission.execute(reply)
 	}
 }
 
 // follow sends the order after the report request, unless the sender has given up before the report reaches it.
-func (transmission *transmission) follow(report almondcross.WorkerReport, reply func(handleResponse func())) {
+func (transmission *transmission) follow(reply func(handleResponse func())) {
 	simulation, delay := transmission.sender.simulation, transmission.pathFault().delay
 	after(simulation, delay, func() {
 		if transmission.failed || transmission.sender.incarnation != transmission.process {
 			return
 		}
-		transmission.identified = report
+		transmission.identified = true
 		if transmission.lost || occurs(transmission.pathFault().orderLoss, transmission.random, "order") {
 			return
 		}
@@ -139,11 +139,11 @@
 // fail handles an order without a response.
 func (transmission *transmission) fail() {
 	transmission.failed = true
-	if transmission.newConnection && transmission.identified.Incarnation() == 0 {
-		transmission.order.onFailure(almondcross.WorkerReport{}, almondcross.OrderNotSent)
+	if transmission.newConnection && !transmission.identified {
+		transmission.order.onFailure(almondcross.OrderNotSent)
 		return
 	}
-	transmission.order.onFailure(transmission.identified, almondcross.OrderUnknown)
+	transmission.order.onFailure(almondcross.OrderUnknown)
 }
 
 // isFor reports whether the worker's incarnation may carry out the order.
