Reckon with the recorded longest lease also once the worker has answered

A scheduler records that the lease of a restarted worker may be the longest that workers grant.

TestSuccessorCountsWithTheRecordedLongestLease failed before, 2.131 s too early. go test ./command/scheduler passes.

--- a/command/scheduler/restart_test.go
+++ b/command/scheduler/restart_test.go
@@ -128,3 +128,35 @@
 	require.True(t, request.ListOnly())
 	require.Greater(t, request.Fence(), start.Fence())
 }
+
+// Guards against a task that runs on two workers at once (TWICE): a scheduler sees the restart of a worker, whose next incarnation may
+// have the longest lease by an order for the earlier one, and records that. Its successor, to which the worker answers once, counts
+// with the lease that it has given itself.
+func TestSuccessorCountsWithTheRecordedLongestLease(t *testing.T) {
+	harness := newHarness(t)
+	harness.addStandby()
+	harness.becomeScheduler()
+	harness.announceLife(1, "a")
+	harness.answerLeaseAs(2)
+	leaseEndsAt := harness.now.Add(harness.machine.config.MaxLease)
+	harness.announceLife(2, "a")
+	harness.submitJob("j", almondcross.StepConfig{Count: 1})
+	harness.answerCommits()
+	start := harness.answerStart()
+	harness.answerCommits()
+	next := harness.electStandby()
+	next.announceLife(2, "a")
+	order := requireEffect[SendLease](next).Order
+	next.apply(almondcross.NewLeaseAnswered(almondcross.LeaseAnsweredConfig{
+		Order: order, Result: almondcross.OrderDone, Sent: next.now, Received: next.now,
+		Report: almondcross.NewWorkerReport(almondcross.WorkerReportConfig{
+			ID: workerID, Incarnation: 2, Clock: 2 * time.Second,
+			Running: []almondcross.RunningTask{almondcross.NewRunningTask(almondcross.RunningTaskConfig{Task: start.Task(), Run: start.Run()})},
+		}),
+	}))
+	require.Empty(t, next.recordedEnd())
+	for next.recordedEnd() == "" && next.now.Before(leaseEndsAt.Add(time.Minute)) {
+		next.dropLeaseAnswers(leaderTick)
+	}
+	require.False(t, next.now.Before(leaseEndsAt), "%s: presumed lost %s before the end of the lease", next.recordedEnd(), leaseEndsAt.Sub(next.now))
+}
--- a/command/scheduler/silence.go
+++ b/command/scheduler/silence.go
@@ -32,6 +32,8 @@
 		return silence.leaseExpiredAt
 	}
 	expiredAt := worker.lastAnswerAt.Add(withClockDrift(max(worker.maxLeaseEnd-worker.clock, leaseDuration)) + lastOrderMargin)
+	// An earlier scheduler may have known of a longer lease than this one has given.
+	expiredAt = later(expiredAt, machine.state.longLeases[worker.id])
 	if worker.hasUnboundStarts() {
 		return later(expiredAt, worker.extendedAt.Add(withClockDrift(machine.config.MaxLease)+lastOrderMargin))
 	}
