--- a/command/scheduler/constants.go
+++ b/command/scheduler/constants.go
@@ -13,11 +13,17 @@
 	// electionTimeout is how long a follower sees no batch before it stands for election. It tolerates two
 	// lost heartbeats.
 	electionTimeout = 600 * time.Millisecond
-	// electionJitter spreads the candidates over time, so that usually only one stands.
+	// electionJitter spreads the candidates that have no rank over time, so that usually only one stands.
 	electionJitter = 200 * time.Millisecond
+	// candidacyInterval is the time between the candidacies of two ranked standbys. An election takes less unless the store is
+	// slow.
+	candidacyInterval = 100 * time.Millisecond
+	// maxEndedCandidacies is how often a standby stands at once after the end of a scheduler. Its last append may have been on its way
+	// at the first one.
+	maxEndedCandidacies = 3
 	// fullStrength is the strength of a host that can schedule for a whole cluster.
 	fullStrength = 100
-	// electionDelayPerPoint delays the candidacy of a host for each point below full strength.
+	// electionDelayPerPoint delays the candidacy of a host without a rank for each point below full strength.
 	electionDelayPerPoint = 8 * time.Millisecond
 	// maxLatencyPenalty limits how much the latency to the store reduces a host's strength: one point per
 	// millisecond.
@@ -96,6 +102,8 @@
 	freshReadAge = time.Second
 	// journalReadInterval limits how often a follower reads, since each read is billed.
 	journalReadInterval = 90 * time.Millisecond
+	// endedReadInterval replaces journalReadInterval once the scheduler's process has ended, until another one is elected.
+	endedReadInterval = 20 * time.Millisecond
 	// freshPushAge is the maximum age of the last pushed batch for the store to be read less often. It tolerates one late
 	// heartbeat.
 	freshPushAge = 300 * time.Millisecond
@@ -167,6 +175,10 @@
 	unreachableWorkerGrace = 6 * time.Second
 	// lastOrderMargin covers the delivery of the last order to a worker.
 	lastOrderMargin = 500 * time.Millisecond
+	// unboundStartInterval is the minimum time between two records that a run may have the longest lease of a worker.
+	unboundStartInterval = time.Second
+	// maxStartAnswerAge is how long the answer to a start order takes at most, also if a silent relaying host is given up.
+	maxStartAnswerAge = 2 * time.Second
 	// stopRetryDelay is the delay before a stop order is repeated.
 	stopRetryDelay = 400 * time.Millisecond
 	// stopTimeout is how long a stop order may stay unanswered. Its answer is lost when the worker's address
--- a/command/scheduler/machine.go
+++ b/command/scheduler/machine.go
@@ -23,21 +23,22 @@
 
 // Config holds the dependencies and settings of a Machine.
 type Config struct {
-	Host             string        // Host is the name of this host.
-	Address          string        // Address is the address of this host's link for other hosts.
-	Partitions       int           // Partitions is the number of intake partitions.
-	Retention        time.Duration // Retention is how long the state of a final job stays readable.
-	MaxLease         time.Duration // MaxLease is the longest lease that workers grant.
-	Strength         int           // Strength is the scheduling strength of this host, up to 100, before its latency to the store is subtracted.
-	FormatAbove      int           // FormatAbove is by how much the number of the journal's format is above that of this version, in simulations of a later one.
-	SnapshotInterval time.Duration // SnapshotInterval is the time between two snapshots.
-	RecordBytes      int           // RecordBytes is the maximum size of a journal record in bytes.
-	BatchesPerAppend int           // BatchesPerAppend is how many journal records of the largest size fit in one append.
-	Random           *rand.Rand
-	Publisher        almondcross.JobPublisher
-	Picker           almondcross.WorkerPicker
-	Log              almondcross.EventLog
-	Metrics          Metrics
+	Host                string        // Host is the name of this host.
+	Address             string        // Address is the address of this host's link for other hosts.
+	Partitions          int           // Partitions is the number of intake partitions.
+	Retention           time.Duration // Retention is how long the state of a final job stays readable.
+	MaxLease            time.Duration // MaxLease is the longest lease that workers grant.
+	Strength            int           // Strength is the scheduling strength of this host, up to 100, before its latency to the store is subtracted.
+	IgnoresAttemptLimit bool          // IgnoresAttemptLimit makes this host apply failed runs by another rule than this version, in simulations; see asRead.
+	FormatAbove         int           // FormatAbove is by how much the number of the journal's format is above that of this version, in simulations of a later one.
+	SnapshotInterval    time.Duration // SnapshotInterval is the time between two snapshots.
+	RecordBytes         int           // RecordBytes is the maximum size of a journal record in bytes.
+	BatchesPerAppend    int           // BatchesPerAppend is how many journal records of the largest size fit in one append.
+	Random              *rand.Rand
+	Publisher           almondcross.JobPublisher
+	Picker              almondcross.WorkerPicker
+	Log                 almondcross.EventLog
+	Metrics             Metrics
 }
 
 // Machine is the decision code of the scheduler: a state machine without clocks and transports. It is not safe
@@ -104,7 +105,7 @@
 			machine.config.Log.Record("scheduler_link_lost", almondcross.Text("host", message.Scheduler()))
 			machine.discoverScheduler()
 		}
-		machine.linkLost(message.Scheduler())
+		machine.linkLost(message)
 	case almondcross.RoleAssigned:
 		machine.roleAssigned(message)
 	case almondcross.PeersKnown:
@@ -166,9 +167,12 @@
 
 // linkLost handles the loss of the link to the scheduler, over which views and batches arrived. A standby then reads the journal
 // at once: a scheduler that resigns closes its links before it has pushed its resignation.
-func (machine *Machine) linkLost(scheduler string) {
-	if scheduler == machine.discovery.pointer.Host() {
-		machine.discovery.viewsReceived, machine.follower.pushedEnd, machine.follower.lastPushAt = false, 0, time.Time{}
+func (machine *Machine) linkLost(lost almondcross.LinkLost) {
+	if lost.Scheduler() == machine.discovery.pointer.Host() {
+		machine.discovery.viewsReceived, machine.follower.pushedEnd, machine.follower.lastPushAt, machine.follower.linkLost = false, 0, time.Time{}, true
+	}
+	if lost.Refused() {
+		machine.noteRefusal(lost.Scheduler())
 	}
 }
 
@@ -223,7 +227,11 @@
 		}
 		return now.Add(leaderTick)
 	}
-	return now.Add(followerTick)
+	next := now.Add(followerTick)
+	if electionAt := machine.follower.electionAt; machine.role == roleFollower && electionAt.After(now) && electionAt.Before(next) {
+		return electionAt
+	}
+	return next
 }
 
 func (machine *Machine) emit(effect Effect) { machine.effects = append(machine.effects, effect) }
--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -50,7 +50,9 @@
 	cancelled               atomic.Bool
 	cancelledAt             atomic.Pointer[time.Time] // cancelledAt is when the caller saw its cancellation acknowledged.
 	long                    bool                      // long is set if the tasks run for longLength.
+	duration                time.Duration             // duration is that of each task, zero for a short one that its name determines.
 	crashing                bool                      // crashing is set if each run of a task crashes its worker.
+	failing                 bool                      // failing is set if each run of a task fails.
 	crashDelay              time.Duration             // crashDelay is the time from the start of a run to that crash.
 }
 
@@ -71,14 +73,19 @@
 	jobs      sync.Map
 	events    chan standin.Event
 	checker   *checker
+
+	adviceAddress string
 }
 
 // host is a scheduling host in a process of its own, which reaches the store through a proxy of its own.
 type host struct {
 	cell           *cell
 	name           string
+	binary         string // binary is the program that start runs.
 	settingsPath   string
 	callersAddress string
+	readyAddress   string
+	metricsAddress string
 	storeProxy     *proxy
 	process        *exec.Cmd
 	log            *os.File
@@ -122,16 +129,43 @@
 }
 
 func (cell *cell) serve(handler http.Handler) string {
-	listener, err := new(net.ListenConfig).Listen(cell.ctx, "tcp", "127.0.0.1:0")
+	address, err := cell.startServer(&http.Server{Handler: handler, ReadHeaderTimeout: time.Second})
 	require.NoError(cell.t, err)
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
+	return address
+}
+
+// startServer starts a server at an address of its own and returns that address.
+func (cell *cell) startServer(server *http.Server) (string, error) {
+	listener, err := new(net.ListenConfig).Listen(cell.ctx, "tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
 	context.AfterFunc(cell.ctx, func() { _ = server.Close() })
 	go func() { _ = server.Serve(listener) }()
-	return listener.Addr().String()
+	return listener.Addr().String(), nil
 }
 
-// startCell starts a cell and waits until all its hosts answer.
-func startCell(ctx context.Context, t *testing.T, seed uint64) *cell {
+// startCell starts a cell and waits until all its hosts answer. Each host runs the program at its place, or this tree's without any.
+func startCell(ctx context.Context, t *testing.T, seed uint64, binaries ...string) *cell {
+	t.Helper()
+	cell := newCell(ctx, t, seed)
+	directWorkers := 0 // Other hosts relay all orders.
+	if seed%3 == 0 {
+		directWorkers = workerCount
+	}
+	storeAddress := cell.serve(cell.store.Handler())
+	if len(binaries) == 0 {
+		binaries = slices.Repeat([]string{cell.binary}, hostCount)
+	}
+	for _, binary := range binaries {
+		cell.addHost(binary, storeAddress, directWorkers).start()
+	}
+	cell.awaitHosts()
+	return cell
+}
+
+// newCell starts the store and the workers of a cell.
+func newCell(ctx context.Context, t *testing.T, seed uint64) *cell {
 	t.Helper()
 	cell := &cell{
 		t: t, ctx: ctx, random: rand.New(rand.NewPCG(seed, 3)), directory: t.TempDir(), binary: buildBinary(t), store: standin.NewStore(),
@@ -148,49 +182,63 @@
 			}
 		}
 	}()
-	storeAddress, adviceAddress := cell.serve(cell.store.Handler()), cell.serve(standin.AdviceHandler())
+	cell.adviceAddress = cell.serve(standin.AdviceHandler())
 	configuration, err := standin.Configuration(1, "q", queueHost, "/q/", poolName, seed%2 == 0)
 	require.NoError(t, err)
 	require.NoError(t, cell.store.Put(ctx, "keyed.op", "config", configuration))
 	for index := range workerCount {
 		cell.workers = append(cell.workers, newWorkerSlot(cell, index))
 	}
-	directWorkers := 0 // Other hosts relay all orders.
-	if seed%3 == 0 {
-		directWorkers = workerCount
-	}
-	for index := range hostCount {
-		host := &host{cell: cell, name: fmt.Sprintf("h-%d", index), callersAddress: reserveAddress(t), storeProxy: newProxy(ctx, t, storeAddress)}
-		settings := fmt.Sprintf(`{"role":"scheduler","name":%q,"data_centre":"a","region":"r","callers_listen":%q,"ready_listen":%q,"metrics_listen":%q,
-			"link_listen":%q,"store_address":%q,"store_partitions":2,"store_record":262144,"store_retention":"1h","advice_address":%q,
-			"state_retention":"2m","max_lease":"10s","stop_grace":"3s","processors":1.0,"link_mbps":1000,"memory_mb":256,"direct_workers":%d}`,
-			host.name, host.callersAddress, reserveAddress(t), reserveAddress(t), reserveAddress(t), host.storeProxy.address, adviceAddress, directWorkers)
-		host.settingsPath = filepath.Join(cell.directory, host.name+".jsonc")
-		require.NoError(t, os.WriteFile(host.settingsPath, []byte(settings), 0o600))
-		host.log, err = os.Create(filepath.Join(cell.directory, host.name+".log"))
-		require.NoError(t, err)
-		cell.hosts = append(cell.hosts, host)
-		host.start()
-		t.Cleanup(host.end) // The end of the context kills the process too, but only if the test program goes on for long enough.
+	return cell
+}
+
+// addHost adds a host that runs a program, without starting it.
+func (cell *cell) addHost(binary, storeAddress string, directWorkers int) *host {
+	t := cell.t
+	host := &host{
+		cell: cell, name: fmt.Sprintf("h-%d", len(cell.hosts)), binary: binary, callersAddress: reserveAddress(t),
+		readyAddress: reserveAddress(t), metricsAddress: reserveAddress(t), storeProxy: newProxy(cell.ctx, t, storeAddress),
 	}
+	settings := fmt.Sprintf(`{"role":"scheduler","name":%q,"data_centre":"a","region":"r","callers_listen":%q,"ready_listen":%q,"metrics_listen":%q,
+		"link_listen":%q,"store_address":%q,"store_partitions":2,"store_record":262144,"store_retention":"1h","advice_address":%q,
+		"state_retention":"2m","max_lease":"10s","stop_grace":"3s","processors":1.0,"link_mbps":1000,"memory_mb":256,"direct_workers":%d}`,
+		host.name, host.callersAddress, host.readyAddress, host.metricsAddress, reserveAddress(t), host.storeProxy.address, cell.adviceAddress, directWorkers)
+	host.settingsPath = filepath.Join(cell.directory, host.name+".jsonc")
+	require.NoError(t, os.WriteFile(host.settingsPath, []byte(settings), 0o600))
+	var err error
+	host.log, err = os.Create(filepath.Join(cell.directory, host.name+".log"))
+	require.NoError(t, err)
+	cell.hosts = append(cell.hosts, host)
+	t.Cleanup(host.end) // The end of the context kills the process too, but only if the test program goes on for long enough.
+	return host
+}
+
+// awaitHosts waits until all hosts answer.
+func (cell *cell) awaitHosts() {
 	for _, host := range cell.hosts {
-		require.Eventually(t, func() bool {
-			status, _ := cell.call(http.MethodGet, host.callersAddress, "/q/", "")
-			return status == http.StatusOK
-		}, 20*time.Second, 50*time.Millisecond, "%s is up", host.name)
+		cell.awaitHost(host)
 	}
-	return cell
+}
+
+func (cell *cell) awaitHost(host *host) {
+	require.Eventually(cell.t, func() bool {
+		status, _ := cell.call(http.MethodGet, host.callersAddress, "/q/", "")
+		return status == http.StatusOK
+	}, 20*time.Second, 50*time.Millisecond, "%s is up", host.name)
 }
 
 // start starts the process of a host, which is killed at the end of the test.
 func (host *host) start() {
-	host.process = exec.CommandContext(host.cell.ctx, host.cell.binary, "scheduler", "--config", host.settingsPath)
+	host.process = exec.CommandContext(host.cell.ctx, host.binary, "scheduler", "--config", host.settingsPath)
 	host.process.Stdout, host.process.Stderr = host.log, host.log
 	require.NoError(host.cell.t, host.process.Start())
 }
 
 // end kills the process and waits for its end.
 func (host *host) end() {
+	if host.process == nil {
+		return
+	}
 	_ = host.process.Process.Signal(syscall.SIGKILL)
 	_ = host.process.Wait()
 }
@@ -221,6 +269,9 @@
 	if job.long {
 		return longLength, job.milliCPU, step < len(job.counts) && index < job.counts[step]
 	}
+	if job.duration > 0 {
+		return job.duration, job.milliCPU, step < len(job.counts) && index < job.counts[step]
+	}
 	sum := 0
 	for _, letter := range task {
 		sum = sum*31 + int(letter)
@@ -280,13 +331,18 @@
 
 // sendJobs sends random jobs for loadDuration and returns them. With crashingJobs, some of them crash their workers.
 func (cell *cell) sendJobs(random *rand.Rand, crashingJobs bool) []*job {
+	return cell.sendJobsFor(*loadDuration, random, crashingJobs)
+}
+
+// sendJobsFor sends random jobs for a duration and returns them.
+func (cell *cell) sendJobsFor(duration time.Duration, random *rand.Rand, crashingJobs bool) []*job {
 	var jobs []*job
 	var crashing []int
 	if crashingJobs {
 		crashing = drawCrashingJobs(random)
 	}
 	var group sync.WaitGroup
-	for until := time.Now().Add(*loadDuration); time.Now().Before(until); {
+	for until := time.Now().Add(duration); time.Now().Before(until); {
 		job := newJob(random)
 		for range 1 + random.IntN(2) {
 			job.counts = append(job.counts, 1+random.IntN(4))
@@ -370,11 +426,11 @@
 	}
 }
 
-func runSoak(t *testing.T, seed uint64) {
+func runSoak(t *testing.T, seed uint64, binaries ...string) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	cell := startCell(ctx, t, seed)
+	cell := startCell(ctx, t, seed, binaries...)
 	faults := make(chan []string)
 	go func() {
 		var injected []string
@@ -450,14 +506,7 @@
 	}
 	cell.t.Logf("%d jobs, %d accepted, %d tasks done; faults: %s", len(jobs), accepted, len(cell.checker.done), strings.Join(faults, "; "))
 	if len(cell.checker.violations)+len(badOutcomes) > 0 {
-		logDirectory, err := os.MkdirTemp("", "soak-")
-		require.NoError(cell.t, err)
-		for _, host := range cell.hosts {
-			source, err := os.ReadFile(host.log.Name())
-			require.NoError(cell.t, err)
-			require.NoError(cell.t, os.WriteFile(filepath.Join(logDirectory, host.name+".log"), source, 0o600))
-		}
-		cell.t.Logf("logs: %s", logDirectory)
+		cell.keepLogs()
 	}
 	require.Empty(cell.t, cell.checker.violations)
 	require.Empty(cell.t, badOutcomes)
--- a/scheduling.go
+++ b/scheduling.go
@@ -170,11 +170,6 @@
 	received time.Time    // the time at which the answer was received
 }
 
-// ReportedBefore reports whether the worker has reported before the order, and the order was not answered.
-func (leaseanswered LeaseAnswered) ReportedBefore() bool {
-	return leaseanswered.result == OrderUnknown && leaseanswered.report.incarnation != 0
-}
-
 // StartOrderAnswered answers a StartOrder.
 //
 //value:generate
@@ -253,6 +248,7 @@
 //value:generate
 type RoleAssigned struct {
 	standby bool // whether the host is a standby
+	rank    int  // the place of the standby in the order in which they stand for election, from 1; 0 if it is not known
 }
 
 // JobViewChange is the new view of a job or its removal.
@@ -273,11 +269,12 @@
 	changes  []JobViewChange // the changes
 }
 
-// LinkLost reports that the link to the scheduler's host was closed.
+// LinkLost reports that the link to the scheduler's host was closed or could not be opened.
 //
 //value:generate
 type LinkLost struct {
 	scheduler string // the host of the scheduler
+	refused   bool   // whether an attempt to link again was refused: nothing accepts links at the scheduler's address
 }
 
 // JobAccepted reports that this host stored a job.
@@ -466,3 +463,29 @@
 	// DecodeLink returns the message of a frame.
 	DecodeLink(frame []byte) (LinkMessage, error)
 }
+
+// Build identifies the program of a process.
+//
+//value:generate
+type Build struct {
+	version   string // the version of the module, "unknown" if it is not known
+	revision  string // the commit of the source, or a hash of the program file if that is not known
+	goVersion string // the version of Go that built the program
+}
+
+// SchedulingStatus is what a scheduling host tells operators about itself.
+//
+//value:generate
+type SchedulingStatus struct {
+	host          string // the name of the host
+	build         Build  // the program of the host
+	format        int    // the highest number of a format of the journal that the host reads; it writes this one
+	journalFormat int    // the highest number in the journal since the host loaded the state, 0 for none
+	scheduler     string // the name of the scheduler that the host knows, empty for none
+	epoch         int64  // the epoch of that scheduler
+}
+
+// SchedulingStatusViewer provides the status of a scheduling host.
+type SchedulingStatusViewer interface {
+	SchedulingStatus() SchedulingStatus
+}
