--- a/standin/emulator/restart.go
+++ b/standin/emulator/restart.go
@@ -130,7 +130,7 @@
 			simulation.schedule(crashAt+pattern.SchedulerDelay, func() { simulation.injectFault(pause) })
 		}
 		for _, worker := range workers {
-			simulation.schedule(crashAt, func() { simulation.crashSilently(worker, pattern) })
+			simulation.schedule(crashAt, func() { simulation.crashForRestart(worker, pattern) })
 			simulation.schedule(cutAt, func() { simulation.cutWorker(worker, pattern) })
 		}
 	}
@@ -149,8 +149,8 @@
 	}
 }
 
-// crashSilently crashes a worker, which restarts under its ID and announces itself some time later.
-func (simulation *Simulation) crashSilently(worker *modelWorker, pattern RestartPattern) {
+// crashForRestart crashes a worker, which restarts under its ID and announces itself some time later.
+func (simulation *Simulation) crashForRestart(worker *modelWorker, pattern RestartPattern) {
 	if !worker.up {
 		return
 	}
