Test that the starts after the third crash under a task are bounded

After three crashes of workers under a task only further crashes were counted, so a run that ended in another way, as one that was broken by another member of its gang, was a start that nothing bounded.

--- a/command/scheduler/evidence_test.go
+++ b/command/scheduler/evidence_test.go
@@ -52,6 +52,15 @@
 	})
 }
 
+// endRun starts the task and ends its run in a given way a second later.
+func (crashcell *crashCell) endRun(end almondcross.ChangeConfig) {
+	crashcell.run++
+	end.Kind, end.Task, end.Run, end.Worker = almondcross.ChangeEnd, taskOf("j", 0, 0), crashcell.run, "own-"+strconv.Itoa(crashcell.run)
+	crashcell.apply(almondcross.ChangeConfig{Kind: almondcross.ChangeAssign, Task: end.Task, Run: end.Run, Worker: end.Worker})
+	crashcell.now = crashcell.now.Add(time.Second)
+	crashcell.apply(end)
+}
+
 // crashOthers crashes workers under their lasting runs, which then go on elsewhere.
 func (crashcell *crashCell) crashOthers(first, count int) {
 	for index := first; index < first+count; index++ {
@@ -168,3 +177,65 @@
 	require.Equal(t, 1, record.Confirmed())
 	require.Equal(t, timeEvidence(time.Second+50*time.Millisecond), record.Evidence())
 }
+
+// Guards against a task that is started three times more after three workers have crashed under it (BUDGET), also by a host that
+// loads the state in between: a member of a gang whose run ended with another member was started again, as only crashes counted.
+// A start that the worker refused does not count, so that a full cell does not use up the starts of a task (LOST).
+func TestStartsAfterTheThirdCrashAreBounded(t *testing.T) {
+	crash := almondcross.ChangeConfig{End: almondcross.EndMaybeCrashed, Silent: time.Second}
+	lost, refused := almondcross.ChangeConfig{End: almondcross.EndVoid, Silent: time.Second}, almondcross.ChangeConfig{End: almondcross.EndVoid}
+	broken, incomplete := almondcross.ChangeConfig{End: almondcross.EndGangBroken}, almondcross.ChangeConfig{End: almondcross.EndGangIncomplete}
+	stopped, expired := almondcross.ChangeConfig{End: almondcross.EndStopped}, almondcross.ChangeConfig{End: almondcross.EndLeaseExpired}
+	failed, done := almondcross.ChangeConfig{End: almondcross.EndFailed}, almondcross.ChangeConfig{End: almondcross.EndDone}
+	for name, test := range map[string]struct {
+		ends  []almondcross.ChangeConfig // ends are the ends of the runs after the third crash.
+		state almondcross.JobState
+	}{
+		"broken twice":        {[]almondcross.ChangeConfig{broken, broken}, almondcross.JobFailed},
+		"broken, crash":       {[]almondcross.ChangeConfig{broken, crash}, almondcross.JobFailed},
+		"crash, stopped":      {[]almondcross.ChangeConfig{crash, stopped}, almondcross.JobFailed},
+		"lease expired, lost": {[]almondcross.ChangeConfig{expired, lost}, almondcross.JobFailed},
+		"incomplete, failed":  {[]almondcross.ChangeConfig{incomplete, failed}, almondcross.JobFailed},
+		"refused twice":       {[]almondcross.ChangeConfig{refused, refused}, almondcross.JobQueued},
+		"refused, stopped":    {[]almondcross.ChangeConfig{refused, stopped}, almondcross.JobRunning},
+		"stopped, done":       {[]almondcross.ChangeConfig{stopped, done}, almondcross.JobCompleted},
+	} {
+		for _, reloads := range []bool{false, true} {
+			cell := newCrashCell(t, 8)
+			for range 3 {
+				cell.endRun(crash)
+			}
+			for _, end := range test.ends {
+				if reloads {
+					cell.reload()
+				}
+				require.False(t, cell.state.jobs["j"].state.Final(), name)
+				cell.endRun(end)
+			}
+			require.Equal(t, test.state, cell.state.jobs["j"].state, "%s, the state is loaded again: %t", name, reloads)
+		}
+	}
+}
+
+// Guards against a service that is given up for ends that it did not cause (LOST): after three crashes right after its starts, runs
+// that were at work for long do not count. Runs that end soon after their starts do (BUDGET).
+func TestOnlyShortRunsOfAServiceCountAfterTheThirdCrash(t *testing.T) {
+	for worked, state := range map[time.Duration]almondcross.JobState{
+		time.Second: almondcross.JobFailed, serviceCrashAttribution + time.Second: almondcross.JobRunning,
+	} {
+		cell := newCrashCell(t, 8)
+		cell.apply(almondcross.ChangeConfig{Kind: almondcross.ChangeAdmit, Job: newJob("s", almondcross.StepConfig{Count: 1, Service: true})})
+		for run := 1; run <= maxLosses; run++ {
+			require.False(t, cell.state.jobs["s"].state.Final())
+			end := almondcross.ChangeConfig{Kind: almondcross.ChangeEnd, Task: taskOf("s", 0, 0), Run: run, End: almondcross.EndWorkerCrashed}
+			atWork := time.Second
+			if run > 3 {
+				end.End, atWork = almondcross.EndStopped, worked
+			}
+			cell.apply(almondcross.ChangeConfig{Kind: almondcross.ChangeAssign, Task: end.Task, Run: run, Worker: "w-s"})
+			cell.now = cell.now.Add(atWork)
+			cell.apply(end)
+		}
+		require.Equal(t, state, cell.state.jobs["s"].state, worked)
+	}
+}
