Add workspaces to the values of the configuration and of jobs

Cause: the deployed scheduler knows no workspaces, so it checks no keys and keeps no quotas. Change: Workspace in the route table, the workspace of a job and of its view, open queues, and QueueRouter.Identify, which finds the workspace of a key. Nothing fills or uses them yet. Result: go build and go vet pass; no behaviour changes.

--- a/job.go
+++ b/job.go
@@ -64,6 +64,7 @@
 	first     time.Time     // the time of the first occurrence
 	period    time.Duration // the time between two occurrences
 	submitted time.Time     // the time at which an entry host accepted it
+	workspace string        // the name of the workspace whose key the caller presented, empty for none
 }
 
 // Limits of a job, which bound the memory that a scheduler needs for it.
@@ -172,6 +173,7 @@
 	stretch        float64        // the factor that the latency objective applies to the run time of the job's critical path
 	latencyTarget  time.Duration  // the constant part of the latency objective
 	adviceSettings AdviceSettings // how the queue uses the advice service
+	open           bool           // whether callers need no key
 }
 
 // QueueSettings is a queue as one version of the configuration has it. The zero value stands for settings that are not known,
@@ -196,15 +198,27 @@
 	standby          bool   // whether its machines are powered off
 }
 
+// Workspace is a group of callers that share a quota and a share of the capacity.
+//
+//value:generate
+type Workspace struct {
+	name   string    // the name of the workspace
+	keys   []string  // the keys that its callers present
+	weight int64     // the weight of its share when not all work fits, and the number of jobs a second for which the latency objective holds
+	quota  Resources // the maximum of what its runs hold at the same time; 0 means no limit on a resource
+}
+
 // RouteTable is one version of the operators' configuration: the queues, by whose host names and paths requests are
-// routed, and the pools.
+// routed, the pools and the workspaces.
 //
 //value:generate
 type RouteTable struct {
-	version   int64   // the version; a higher one replaces a lower one
-	queues    []Queue // the queues
-	pools     []Pool  // the pools
-	bodyLimit int64   // the largest body of a request in bytes
+	version      int64       // the version; a higher one replaces a lower one
+	queues       []Queue     // the queues
+	pools        []Pool      // the pools
+	bodyLimit    int64       // the largest body of a request in bytes
+	workspaces   []Workspace // the workspaces
+	keysRequired bool        // whether callers of queues that are not open need the key of a workspace
 }
 
 // Settings returns the settings of the queue with the given name. They are not known if the table has no such queue.
@@ -236,6 +250,16 @@
 	return Pool{}, false
 }
 
+// Workspace returns the workspace with the given name and reports whether it exists.
+func (routetable RouteTable) Workspace(name string) (Workspace, bool) {
+	for _, workspace := range routetable.workspaces {
+		if workspace.name == name {
+			return workspace, true
+		}
+	}
+	return Workspace{}, false
+}
+
 // JobView is the state of a job that is published to callers.
 //
 //value:generate
@@ -244,6 +268,7 @@
 	queue           string   // the name of the queue of the job
 	state           JobState // the state of the job
 	countsAsPending bool     // whether it is included in the number of pending jobs while it is queued
+	workspace       string   // the name of the workspace of the job, empty for none
 }
 
 // JobPublisher publishes the states of jobs for queries. Only one duty calls it.
--- a/job_generated.go
+++ b/job_generated.go
@@ -224,6 +224,7 @@
 	First     time.Time
 	Period    time.Duration
 	Submitted time.Time
+	Workspace string
 }
 
 // NewJob returns a Job with the given fields.
@@ -237,6 +238,7 @@
 		first:     config.First,
 		period:    config.Period,
 		submitted: config.Submitted,
+		workspace: config.Workspace,
 	}
 }
 
@@ -251,6 +253,7 @@
 		First:     job.first,
 		Period:    job.period,
 		Submitted: job.submitted,
+		Workspace: job.workspace,
 	}
 }
 
@@ -326,6 +329,15 @@
 	return job
 }
 
+// Workspace returns the name of the workspace whose key the caller presented, empty for none.
+func (job Job) Workspace() string { return job.workspace }
+
+// WithWorkspace returns a copy with the given workspace.
+func (job Job) WithWorkspace(workspace string) Job {
+	job.workspace = workspace
+	return job
+}
+
 // AdviceSettingsConfig holds the fields of a new AdviceSettings.
 type AdviceSettingsConfig struct {
 	Required  bool
@@ -401,6 +413,7 @@
 	Stretch        float64
 	LatencyTarget  time.Duration
 	AdviceSettings AdviceSettings
+	Open           bool
 }
 
 // NewQueue returns a Queue with the given fields.
@@ -415,6 +428,7 @@
 		stretch:        config.Stretch,
 		latencyTarget:  config.LatencyTarget,
 		adviceSettings: config.AdviceSettings,
+		open:           config.Open,
 	}
 }
 
@@ -430,6 +444,7 @@
 		Stretch:        queue.stretch,
 		LatencyTarget:  queue.latencyTarget,
 		AdviceSettings: queue.adviceSettings,
+		Open:           queue.open,
 	}
 }
 
@@ -514,6 +529,15 @@
 	return queue
 }
 
+// Open returns whether callers need no key.
+func (queue Queue) Open() bool { return queue.open }
+
+// WithOpen returns a copy with the given open.
+func (queue Queue) WithOpen(open bool) Queue {
+	queue.open = open
+	return queue
+}
+
 // QueueSettingsConfig holds the fields of a new QueueSettings.
 type QueueSettingsConfig struct {
 	Queue   Queue
@@ -606,31 +630,101 @@
 	return pool
 }
 
+// WorkspaceConfig holds the fields of a new Workspace.
+type WorkspaceConfig struct {
+	Name   string
+	Keys   []string
+	Weight int64
+	Quota  Resources
+}
+
+// NewWorkspace returns a Workspace with the given fields.
+func NewWorkspace(config WorkspaceConfig) Workspace {
+	return Workspace{
+		name:   config.Name,
+		keys:   config.Keys,
+		weight: config.Weight,
+		quota:  config.Quota,
+	}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (workspace Workspace) Config() WorkspaceConfig {
+	return WorkspaceConfig{
+		Name:   workspace.name,
+		Keys:   workspace.keys,
+		Weight: workspace.weight,
+		Quota:  workspace.quota,
+	}
+}
+
+// Name returns the name of the workspace.
+func (workspace Workspace) Name() string { return workspace.name }
+
+// WithName returns a copy with the given name.
+func (workspace Workspace) WithName(name string) Workspace {
+	workspace.name = name
+	return workspace
+}
+
+// Keys returns the keys that its callers present.
+func (workspace Workspace) Keys() []string { return workspace.keys }
+
+// WithKeys returns a copy with the given keys.
+func (workspace Workspace) WithKeys(keys []string) Workspace {
+	workspace.keys = keys
+	return workspace
+}
+
+// Weight returns the weight of its share when not all work fits, and the number of jobs a second for which the latency objective holds.
+func (workspace Workspace) Weight() int64 { return workspace.weight }
+
+// WithWeight returns a copy with the given weight.
+func (workspace Workspace) WithWeight(weight int64) Workspace {
+	workspace.weight = weight
+	return workspace
+}
+
+// Quota returns the maximum of what its runs hold at the same time; 0 means no limit on a resource.
+func (workspace Workspace) Quota() Resources { return workspace.quota }
+
+// WithQuota returns a copy with the given quota.
+func (workspace Workspace) WithQuota(quota Resources) Workspace {
+	workspace.quota = quota
+	return workspace
+}
+
 // RouteTableConfig holds the fields of a new RouteTable.
 type RouteTableConfig struct {
-	Version   int64
-	Queues    []Queue
-	Pools     []Pool
-	BodyLimit int64
+	Version      int64
+	Queues       []Queue
+	Pools        []Pool
+	BodyLimit    int64
+	Workspaces   []Workspace
+	KeysRequired bool
 }
 
 // NewRouteTable returns a RouteTable with the given fields.
 func NewRouteTable(config RouteTableConfig) RouteTable {
 	return RouteTable{
-		version:   config.Version,
-		queues:    config.Queues,
-		pools:     config.Pools,
-		bodyLimit: config.BodyLimit,
+		version:      config.Version,
+		queues:       config.Queues,
+		pools:        config.Pools,
+		bodyLimit:    config.BodyLimit,
+		workspaces:   config.Workspaces,
+		keysRequired: config.KeysRequired,
 	}
 }
 
 // Config returns the fields of the value for encoding or for a changed copy.
 func (routetable RouteTable) Config() RouteTableConfig {
 	return RouteTableConfig{
-		Version:   routetable.version,
-		Queues:    routetable.queues,
-		Pools:     routetable.pools,
-		BodyLimit: routetable.bodyLimit,
+		Version:      routetable.version,
+		Queues:       routetable.queues,
+		Pools:        routetable.pools,
+		BodyLimit:    routetable.bodyLimit,
+		Workspaces:   routetable.workspaces,
+		KeysRequired: routetable.keysRequired,
 	}
 }
 
@@ -670,12 +764,31 @@
 	return routetable
 }
 
+// Workspaces returns the workspaces.
+func (routetable RouteTable) Workspaces() []Workspace { return routetable.workspaces }
+
+// WithWorkspaces returns a copy with the given workspaces.
+func (routetable RouteTable) WithWorkspaces(workspaces []Workspace) RouteTable {
+	routetable.workspaces = workspaces
+	return routetable
+}
+
+// KeysRequired returns whether callers of queues that are not open need the key of a workspace.
+func (routetable RouteTable) KeysRequired() bool { return routetable.keysRequired }
+
+// WithKeysRequired returns a copy with the given keysRequired.
+func (routetable RouteTable) WithKeysRequired(keysRequired bool) RouteTable {
+	routetable.keysRequired = keysRequired
+	return routetable
+}
+
 // JobViewConfig holds the fields of a new JobView.
 type JobViewConfig struct {
 	ID              JobID
 	Queue           string
 	State           JobState
 	CountsAsPending bool
+	Workspace       string
 }
 
 // NewJobView returns a JobView with the given fields.
@@ -685,6 +798,7 @@
 		queue:           config.Queue,
 		state:           config.State,
 		countsAsPending: config.CountsAsPending,
+		workspace:       config.Workspace,
 	}
 }
 
@@ -695,6 +809,7 @@
 		Queue:           jobview.queue,
 		State:           jobview.state,
 		CountsAsPending: jobview.countsAsPending,
+		Workspace:       jobview.workspace,
 	}
 }
 
@@ -734,6 +849,15 @@
 	return jobview
 }
 
+// Workspace returns the name of the workspace of the job, empty for none.
+func (jobview JobView) Workspace() string { return jobview.workspace }
+
+// WithWorkspace returns a copy with the given workspace.
+func (jobview JobView) WithWorkspace(workspace string) JobView {
+	jobview.workspace = workspace
+	return jobview
+}
+
 // WorkerConfig holds the fields of a new Worker.
 type WorkerConfig struct {
 	ID          string
--- a/journal.go
+++ b/journal.go
@@ -37,6 +37,9 @@
 type QueueRouter interface {
 	// Match returns the settings of the queue of a request and the part of the path that follows the queue's prefix.
 	Match(host, path string) (settings QueueSettings, rest string, found bool)
+	// Identify returns the name of the workspace whose key a caller presents on a queue, and whether the call is allowed.
+	// The name is empty on an open queue and if the configuration requires no keys.
+	Identify(queue Queue, key string) (workspace string, allowed bool)
 	// Version returns the version of the current configuration, 0 before the first one.
 	Version() int64
 	// BodyLimit returns the maximum size of a request body in bytes, 0 when none is configured.
--- a/query/router/router.go
+++ b/query/router/router.go
@@ -12,6 +12,7 @@
 type index struct {
 	table  almondcross.RouteTable
 	byHost map[string][]almondcross.Queue
+	byKey  map[string]string // byKey holds the names of the workspaces by key.
 }
 
 // Router finds the queues of requests. It is safe for concurrent use, but only one goroutine may call Set.
@@ -25,7 +26,12 @@
 	if index := router.current.Load(); index != nil && index.table.Version() >= table.Version() {
 		return
 	}
-	index := &index{table: table, byHost: map[string][]almondcross.Queue{}}
+	index := &index{table: table, byHost: map[string][]almondcross.Queue{}, byKey: map[string]string{}}
+	for _, workspace := range table.Workspaces() {
+		for _, key := range workspace.Keys() {
+			index.byKey[key] = workspace.Name()
+		}
+	}
 	for _, queue := range table.Queues() {
 		host := strings.ToLower(queue.Host())
 		index.byHost[host] = append(index.byHost[host], queue)
@@ -36,6 +42,19 @@
 	router.current.Store(index)
 }
 
+// Identify returns the workspace whose key a caller presents on a queue, and whether the call is allowed.
+func (router *Router) Identify(queue almondcross.Queue, key string) (workspace string, allowed bool) {
+	index := router.current.Load()
+	if index == nil {
+		return "", false
+	}
+	if queue.Open() || !index.table.KeysRequired() {
+		return "", true
+	}
+	workspace, allowed = index.byKey[key]
+	return workspace, allowed
+}
+
 // Version returns the version of the current route table, 0 if there is none.
 func (router *Router) Version() int64 {
 	if index := router.current.Load(); index != nil {
