--- a/journal.go
+++ b/journal.go
@@ -26,6 +26,26 @@
 	ErrIdentityTaken = errors.ConstError("the identity is that of a job of another queue") // ErrIdentityTaken means that the job was not admitted, since its identity is taken.
 )
 
+// NotStoredError is the error of a submission that was not stored, with the time after which a retry may succeed.
+type NotStoredError struct {
+	cause      error
+	retryAfter time.Duration
+}
+
+// NewNotStoredError returns an error with a cause, which has to be or wrap ErrNotStored.
+func NewNotStoredError(cause error, retryAfter time.Duration) *NotStoredError {
+	return &NotStoredError{cause: cause, retryAfter: retryAfter}
+}
+
+// Error returns the message of the cause.
+func (notstorederror *NotStoredError) Error() string { return notstorederror.cause.Error() }
+
+// Unwrap returns the cause.
+func (notstorederror *NotStoredError) Unwrap() error { return notstorederror.cause }
+
+// RetryAfter returns the time after which a retry may succeed.
+func (notstorederror *NotStoredError) RetryAfter() time.Duration { return notstorederror.retryAfter }
+
 // Submitter stores jobs and cancellations.
 type Submitter interface {
 	// Submit stores an intake and waits at most for the timeout. It returns ErrNotStored, ErrMaybeStored, ErrTooLarge or
