--- a/command/committer/committer.go
+++ b/command/committer/committer.go
@@ -13,9 +13,9 @@
 const (
 	// appendTimeout bounds an append of usage records or of the pointer.
 	appendTimeout = 1200 * time.Millisecond
-	// journalTimeout bounds an append to the journal. A slow store takes a quarter of a second, and standbys take
-	// over after 600 ms of silence, so an append whose response was lost must be retried before that.
-	journalTimeout = 350 * time.Millisecond
+	// electionTimeout bounds the conditional append of an election, which must not be repeated: its repeat finds that the
+	// journal does not end at the expected offset.
+	electionTimeout = 350 * time.Millisecond
 	// pointerKey is the key of the record that holds the pointer.
 	pointerKey = "scheduler"
 )
@@ -133,15 +133,13 @@
 		}
 		records[index] = record
 	}
-	callCtx, cancel := context.WithTimeout(ctx, journalTimeout)
-	defer cancel()
 	config := almondcross.StoreAppendConfig{
 		Partition: committer.config.Journal, Records: records, Conditional: request.Election(), ExpectedEnd: request.ExpectedEnd(),
 	}
 	if request.Sequence() > 0 {
 		config.Writer, config.Epoch, config.Sequence = committer.config.Name, request.Epoch(), request.Sequence()
 	}
-	appended, err := committer.config.Writer.Append(callCtx, almondcross.NewStoreAppend(config))
+	appended, err := committer.appendToJournal(ctx, almondcross.NewStoreAppend(config))
 	if err != nil {
 		return almondcross.StoreAppended{}, errors.Trace(err)
 	}
@@ -149,3 +147,13 @@
 	// returns its first response, and other records may have been appended since.
 	return appended.WithEnd(appended.Offset() + int64(len(records))), nil
 }
+
+// appendToJournal sends an append to the journal, repeatedly unless it belongs to an election.
+func (committer *Committer) appendToJournal(ctx context.Context, batch almondcross.StoreAppend) (almondcross.StoreAppended, error) {
+	if !batch.Conditional() && batch.Sequence() > 0 {
+		return committer.appendHedged(ctx, batch)
+	}
+	callCtx, cancel := context.WithTimeout(ctx, electionTimeout)
+	defer cancel()
+	return committer.config.Writer.Append(callCtx, batch)
+}
--- a/command/submitter/submitter_test.go
+++ b/command/submitter/submitter_test.go
@@ -307,3 +307,16 @@
 		require.Greater(t, previous, 2*time.Second)
 	})
 }
+
+// Guards against callers that are not told in time that their job was not sent, so that they have no time for another attempt, and
+// against an intake that is sent after that answer.
+func TestIntakeThatIsNotSentIsWithdrawn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		submissions := ring.New[submitter.Submission](ring.Config{Name: "submissions", Capacity: 1})
+		started := time.Now()
+		err := submitter.NewClient(submissions).Submit(t.Context(), almondcross.NewIntake(almondcross.IntakeConfig{}), 800*time.Millisecond)
+		require.ErrorIs(t, err, almondcross.ErrNotStored)
+		require.LessOrEqual(t, time.Since(started), 400*time.Millisecond)
+		require.True(t, (<-submissions.Messages()).Decided.Load())
+	})
+}
