--- a/command/scheduler/append.go
+++ b/command/scheduler/append.go
@@ -88,30 +88,39 @@
 }
 
 // takeChanges removes the first pending changes, as many as fit in an append, and returns those of each batch. The store
-// limits the size of records and appends, and refuses one that is too large however often it is sent again.
+// limits the size of records and appends, and refuses one that is too large however often it is sent again. The number of changes is
+// limited by their size alone: with a slow store, the changes of half a second wait for each append.
 func (machine *Machine) takeChanges() [][]almondcross.Change {
 	leader := machine.leader
 	var groups [][]almondcross.Change
-	for len(groups) < machine.config.BatchesPerAppend && len(leader.pendingChanges) > 0 {
-		count := machine.countInBatch(leader.pendingChanges)
+	for remaining := min(machine.config.BatchesPerAppend*machine.config.RecordBytes, maxAppendBytes); len(leader.pendingChanges) > 0; {
+		count, size := machine.countInBatch(leader.pendingChanges)
+		if remaining -= size; remaining < 0 && len(groups) > 0 {
+			break
+		}
 		groups = append(groups, leader.pendingChanges[:count:count])
 		leader.pendingChanges = leader.pendingChanges[count:]
 	}
 	return groups
 }
 
-// countInBatch returns how many of the first changes one batch may have: at least one.
-func (machine *Machine) countInBatch(changes []almondcross.Change) int {
-	size := batchOverheadBytes
+// countInBatch returns how many of the first changes one batch may have, at least one, and an upper bound of its size in bytes.
+func (machine *Machine) countInBatch(changes []almondcross.Change) (count, size int) {
+	size = batchOverheadBytes
 	for index, change := range changes[:min(len(changes), maxBatchChanges)] {
-		size += maxChangeBytes(change)
-		if size > machine.config.RecordBytes && index > 0 {
-			return index
+		added := maxChangeBytes(change)
+		if size+added > machine.config.RecordBytes && index > 0 {
+			return index, size
 		}
+		size += added
 	}
-	return min(len(changes), maxBatchChanges)
+	return min(len(changes), maxBatchChanges), size
 }
 
+// maxAppendBytes is the maximum size in bytes of the batches of one append, which are pushed to the standbys in one message of at
+// most a mebibyte.
+const maxAppendBytes = 1_000_000
+
 // Upper bounds of the sizes in bytes of parts of a record, without their strings.
 const (
 	batchOverheadBytes  = 4 << 10
--- a/command/scheduler/append_test.go
+++ b/command/scheduler/append_test.go
@@ -12,7 +12,8 @@
 )
 
 // Guards against an append above the store's limit: after an outage the scheduler admits a backlog of thousands of
-// jobs at once, and an append that the store refuses for its size is refused however often it is sent again.
+// jobs at once, and an append that the store refuses for its size is refused however often it is sent again. Guards as well against
+// appends of far fewer changes than fit, which hold a backlog up while the store is slow.
 func TestBacklogIsCommittedInAppendsOfLimitedSize(t *testing.T) {
 	const jobs = 2000
 	harness := newHarness(t)
@@ -26,17 +27,26 @@
 	}
 	harness.apply(almondcross.NewIntakeRead(almondcross.IntakeReadConfig{Next: jobs, Intakes: intakes}))
 	harness.submitJob("last", almondcross.StepConfig{Count: 1})
-	committed := 0
+	codec, err := encoder.NewCodec()
+	require.NoError(t, err)
+	committed, appends := 0, 0
 	for committed < jobs+1 {
 		request := harness.answerCommit()
-		require.LessOrEqual(t, len(request.Batches()), harness.machine.config.BatchesPerAppend)
+		appends++
+		size := 0
 		for _, batch := range request.Batches() {
+			record, err := codec.EncodeBatch(batch)
+			require.NoError(t, err)
+			require.LessOrEqual(t, len(record), harness.machine.config.RecordBytes)
+			size += len(record)
 			for _, change := range batch.Changes() {
 				if change.Kind() == almondcross.ChangeAdmit {
 					committed++
 				}
 			}
 		}
+		require.LessOrEqual(t, size, maxAppendBytes)
+		require.LessOrEqual(t, size, harness.machine.config.BatchesPerAppend*harness.machine.config.RecordBytes)
 		_, confirmed := takeEffect[ConfirmIntake](harness)
 		offset, offsetCommitted := request.Batches()[len(request.Batches())-1].Intake()[0]
 		if committed <= jobs {
@@ -47,6 +57,7 @@
 		require.True(t, confirmed)
 		require.Equal(t, int64(jobs), offset)
 	}
+	require.LessOrEqual(t, appends, 2, "with a store that takes half a second for an append, a backlog lasts as many half seconds")
 }
 
 // Guards against a journal record above the store's limit, which the store refuses however often it is sent again, so that
