--- a/assembler/schedulerservers.go
+++ b/assembler/schedulerservers.go
@@ -21,6 +21,7 @@
 	"github.com/almondcross/almondcross/encoder"
 	"github.com/almondcross/almondcross/platform/receiver"
 	"github.com/almondcross/almondcross/platform/viewer"
+	"github.com/almondcross/almondcross/query/authorizer"
 	"github.com/almondcross/almondcross/query/jobfinder"
 	"github.com/almondcross/almondcross/query/router"
 	"github.com/almondcross/almondcross/query/versioner"
@@ -51,14 +52,15 @@
 	hub *connector.Hub, versions *versioner.Versioner, log *recorder.Recorder, counter *counter.Counter, set *metrics.Set,
 ) *schedulerServers {
 	servers := &schedulerServers{settings: settings}
+	access := authorizer.New(authorizer.Config{Router: routes, Jobs: jobs})
 	queryHandlers := viewer.New(viewer.Config{
-		Router: routes, Jobs: jobs, Clock: Clock{}, Log: log, Metrics: counter, Status: versions,
+		Access: access, Jobs: jobs, Clock: Clock{}, Log: log, Metrics: counter, Status: versions,
 		Ready: func() bool {
 			return !servers.stopping.Load() && routes.Version() > 0 && time.Since(jobs.RefreshedAt()) < maxViewsAge
 		},
 	})
 	commandHandlers := receiver.New(receiver.Config{
-		Router: routes, Submitter: submitter.NewClient(rings.submissions), Jobs: jobs, Scheduler: rings.messages,
+		Router: routes, Access: access, Submitter: submitter.NewClient(rings.submissions), Scheduler: rings.messages,
 		Clock: Clock{}, Log: log, Metrics: counter,
 	})
 	callerRouter := mux.NewRouter().SkipClean(true)
--- a/command/scheduler/format.go
+++ b/command/scheduler/format.go
@@ -6,18 +6,44 @@
 	"github.com/almondcross/almondcross"
 )
 
-// journalFormat is the number of the format of the journal and of snapshots that this version writes, and the highest one that it
-// reads. Hosts of the version before write none. A version that raises it first lands with code that only reads the new format,
-// so that two neighbouring versions read each other's journal (docs/decisions/mixed-versions.md).
-const journalFormat = 1
+// The numbers of the formats of the journal and of snapshots that this version writes. Hosts of the versions before the first
+// number write none (docs/decisions/mixed-versions.md).
+const (
+	// plainFormat is the number while the journal has no workspace: all its records are those of the version before.
+	plainFormat = 1
+	// workspaceFormat is the number from the first workspace on. A host of plainFormat skips workspaces, so its views would show
+	// jobs to callers of other workspaces, and it would schedule without quotas.
+	workspaceFormat = 2
+	// journalFormat is the highest number that this version reads.
+	journalFormat = workspaceFormat
+)
 
-// Format returns the highest number of a format of the journal that this host reads. It writes this one.
+// Format returns the highest number of a format of the journal that this host reads.
 func (machine *Machine) Format() int { return machine.format() }
 
 func (machine *Machine) format() int { return journalFormat + machine.config.FormatAbove }
 
+// writtenFormat returns the number of the format in which this host writes as the scheduler: that of the journal so far, since
+// what follows from its workspaces outlives their last job.
+func (machine *Machine) writtenFormat() int {
+	if machine.config.FormatAbove > 0 {
+		return machine.format()
+	}
+	return max(plainFormat, machine.state.format)
+}
+
 func (machine *Machine) formatChange() almondcross.ChangeConfig {
-	return almondcross.ChangeConfig{Kind: almondcross.ChangeFormat, Format: machine.format()}
+	return almondcross.ChangeConfig{Kind: almondcross.ChangeFormat, Format: machine.writtenFormat()}
+}
+
+// recordWorkspaceFormat raises the number before the first change with a workspace, so that no host of an earlier version
+// shows or schedules what follows.
+func (machine *Machine) recordWorkspaceFormat(job almondcross.Job) {
+	if job.Workspace() == "" || machine.state.format >= workspaceFormat {
+		return
+	}
+	machine.recordChange(almondcross.ChangeConfig{Kind: almondcross.ChangeFormat, Format: workspaceFormat})
+	machine.config.Log.Record("journal_format_raised", almondcross.Number("format", workspaceFormat), almondcross.Text("job", string(job.ID())))
 }
 
 // readsFormat reports whether this host knows every format that its state was read from. With a higher number, it may have
--- a/command/scheduler/intake.go
+++ b/command/scheduler/intake.go
@@ -49,7 +49,7 @@
 // in the journal.
 func (machine *Machine) intakeForwarded(forwarded almondcross.IntakeForwarded) {
 	stored := almondcross.NewIntakeStored(almondcross.IntakeStoredConfig{
-		Number: forwarded.Number(), Taken: !machine.takeIntake(forwarded.Intake()) && !forwarded.Intake().Cancel(),
+		Number: forwarded.Number(), Taken: !machine.takeIntake(forwarded.Intake()) && machine.refusalIsTold(forwarded.Intake()),
 	})
 	machine.afterCommit(func() { machine.emit(ConfirmIntake{Host: forwarded.Host(), Stored: stored}) })
 }
@@ -65,12 +65,25 @@
 	return true
 }
 
-// takeIntake admits or cancels a job. It changes nothing and reports false if the identity is that of a job of another queue:
-// the first job with an identity has it.
+// refusalIsTold reports whether the host that forwarded an intake which takeIntake has refused gets to know it. The caller of a
+// cancellation on another queue is told nothing, as before there were workspaces.
+func (machine *Machine) refusalIsTold(intake almondcross.Intake) bool {
+	holder := machine.state.jobs[intake.Job().ID()]
+	return !intake.Cancel() || holder != nil && holder.ofOtherWorkspace(intake)
+}
+
+// takeIntake admits or cancels a job. It changes nothing and reports false if the identity is that of a job of another queue or
+// workspace: the first job with an identity has it.
 func (machine *Machine) takeIntake(intake almondcross.Intake) bool {
-	if holder := machine.state.jobs[intake.Job().ID()]; holder != nil && holder.ofOtherQueue(intake) {
-		machine.config.Log.Record("identity_taken", almondcross.Text("job", string(intake.Job().ID())), almondcross.Text("queue", intake.Job().Queue()),
-			almondcross.Text("holder", holder.spec.Queue()), almondcross.Text("cancel", yesNo(intake.Cancel())))
+	if holder := machine.state.jobs[intake.Job().ID()]; holder != nil && (holder.ofOtherQueue(intake) || holder.ofOtherWorkspace(intake)) {
+		fields := []almondcross.LogField{
+			almondcross.Text("job", string(intake.Job().ID())), almondcross.Text("queue", intake.Job().Queue()),
+			almondcross.Text("holder", holder.spec.Queue()), almondcross.Text("cancel", yesNo(intake.Cancel())),
+		}
+		if holder.ofOtherWorkspace(intake) {
+			fields = append(fields, almondcross.Text("workspace", intake.Job().Workspace()), almondcross.Text("holder_workspace", holder.spec.Workspace()))
+		}
+		machine.config.Log.Record("identity_taken", fields...)
 		return false
 	}
 	if intake.Cancel() {
@@ -90,6 +103,11 @@
 		(held.Host() != accepted.Host() || held.Prefix() != accepted.Prefix())
 }
 
+// ofOtherWorkspace reports whether an intake is of another workspace than that of the job.
+func (job *job) ofOtherWorkspace(intake almondcross.Intake) bool {
+	return almondcross.DifferentWorkspaces(intake.Job().Workspace(), job.spec.Workspace())
+}
+
 // admitJob admits a job with the settings with which a host accepted it. For a job of a host of the version before, which
 // sends none, they are those of the version in force here.
 func (machine *Machine) admitJob(submitted almondcross.Job, accepted almondcross.QueueSettings) {
@@ -104,10 +122,17 @@
 		}
 		return
 	}
+	machine.recordWorkspaceFormat(submitted)
 	machine.recordChange(almondcross.ChangeConfig{Kind: almondcross.ChangeAdmit, Job: submitted, Settings: settings})
 	machine.config.Metrics.Admitted(submitted.Queue())
-	machine.config.Log.Record("job_admitted", almondcross.Text("job", string(submitted.ID())), almondcross.Text("queue", submitted.Queue()),
-		almondcross.Millis("age_ms", machine.now.Sub(submitted.Submitted())), almondcross.Number("steps", len(submitted.Steps())))
+	fields := []almondcross.LogField{
+		almondcross.Text("job", string(submitted.ID())), almondcross.Text("queue", submitted.Queue()),
+		almondcross.Millis("age_ms", machine.now.Sub(submitted.Submitted())), almondcross.Number("steps", len(submitted.Steps())),
+	}
+	if submitted.Workspace() != "" {
+		fields = append(fields, almondcross.Text("workspace", submitted.Workspace()))
+	}
+	machine.config.Log.Record("job_admitted", fields...)
 	if !settings.Known() {
 		// The host that stored the job knew the queue. Either this host has not read that version yet or the queue has been
 		// removed since. The job waits until a version with the queue is read or the job is submitted with its settings.
@@ -157,6 +182,7 @@
 	if job != nil && job.state.Final() {
 		return
 	}
+	machine.recordWorkspaceFormat(cancelled)
 	machine.recordChange(almondcross.ChangeConfig{Kind: almondcross.ChangeCancel, Job: cancelled, Settings: intake.Settings()})
 	machine.config.Log.Record("job_cancelled", almondcross.Text("job", string(cancelled.ID())), almondcross.Text("known", yesNo(job != nil)))
 	machine.config.Metrics.Finished(machine.state.jobs[cancelled.ID()].spec.Queue(), almondcross.JobCancelled)
--- a/command/scheduler/machine.go
+++ b/command/scheduler/machine.go
@@ -269,7 +269,7 @@
 		return
 	}
 	view := almondcross.NewJobView(almondcross.JobViewConfig{
-		ID: accepted.ID(), Queue: accepted.Queue(), State: almondcross.JobQueued, CountsAsPending: accepted.Runs() == 0,
+		ID: accepted.ID(), Queue: accepted.Queue(), State: almondcross.JobQueued, CountsAsPending: accepted.Runs() == 0, Workspace: accepted.Workspace(),
 	})
 	machine.acceptedJobs[accepted.ID()] = acceptedJob{view: view, at: machine.now}
 	machine.config.Publisher.Publish(view)
--- a/command/scheduler/snapshot.go
+++ b/command/scheduler/snapshot.go
@@ -107,6 +107,9 @@
 		restored.activeTasks += stage.activeTasks
 		restored.stages = append(restored.stages, stage)
 	}
+	if record.Job().Workspace() != "" {
+		state.format = max(state.format, workspaceFormat)
+	}
 	state.jobs[id] = restored
 	state.changedJobs[id] = struct{}{}
 	if restored.state.Final() {
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -59,7 +59,7 @@
 // view returns the view of the job that callers see.
 func (job *job) view() almondcross.JobView {
 	return almondcross.NewJobView(almondcross.JobViewConfig{
-		ID: job.spec.ID(), Queue: job.spec.Queue(), State: job.state, CountsAsPending: job.spec.Runs() == 0,
+		ID: job.spec.ID(), Queue: job.spec.Queue(), State: job.state, CountsAsPending: job.spec.Runs() == 0, Workspace: job.spec.Workspace(),
 	})
 }
 
--- a/encoder/intake.go
+++ b/encoder/intake.go
@@ -21,16 +21,33 @@
 	Queue   wireQueue
 }
 
-// intakeSettingsHeader is the first byte of an encoded wireIntakeSettings, the CBOR header of an array of its three fields.
-const intakeSettingsHeader = 0x83
+// wireWorkspaceSettings is a wireIntakeSettings of an intake with a workspace. A host of format 1 leaves it out as unreadable, and
+// admits the job without settings and workspace.
+type wireWorkspaceSettings struct {
+	_         struct{} `cbor:",toarray"`
+	Job       string
+	Version   int64
+	Queue     wireQueue
+	Workspace string
+}
+
+// intakeSettings is either form of the record, with an empty workspace for wireIntakeSettings.
+type intakeSettings wireWorkspaceSettings
+
+// The first bytes of the encoded forms of the settings of an intake: the CBOR headers of arrays of three and four fields.
+const (
+	intakeSettingsHeader    = 0x83
+	workspaceSettingsHeader = 0x84
+)
 
-// EncodeIntake returns the encoded records of a submitted job or cancellation: its settings, if they are known, and the job.
+// EncodeIntake returns the encoded records of a submitted job or cancellation: its settings, if they are known or it has a
+// workspace, and the job.
 func (codec Codec) EncodeIntake(intake almondcross.Intake) ([][]byte, error) {
 	job, err := codec.encodeIntakeJob(intake)
-	if err != nil || !intake.Settings().Known() {
+	if err != nil || !intake.Settings().Known() && intake.Job().Workspace() == "" {
 		return [][]byte{job}, errors.Trace(err)
 	}
-	settings, err := codec.encodeIntakeSettings(intake)
+	settings, err := codec.encodeIntakeSettings(intake, intake.Job().Workspace())
 	return [][]byte{settings, job}, errors.Trace(err)
 }
 
@@ -38,7 +55,7 @@
 // the end whose job is not among the records. A single record is always used, so that no record is read again for ever.
 func (codec Codec) DecodeIntakes(records [][]byte, unreadable func(index int, err error)) ([]almondcross.Intake, int) {
 	intakes := make([]almondcross.Intake, 0, len(records))
-	var settings wireIntakeSettings
+	var settings intakeSettings
 	for index, record := range records {
 		if isIntakeSettings(record) {
 			if index == len(records)-1 && index > 0 {
@@ -56,38 +73,60 @@
 		} else {
 			intakes = append(intakes, settings.complete(intake))
 		}
-		settings = wireIntakeSettings{}
+		settings = intakeSettings{}
 	}
 	return intakes, len(records)
 }
 
 func isIntakeSettings(record []byte) bool {
-	return len(record) > 0 && record[0] == intakeSettingsHeader
+	return len(record) > 0 && (record[0] == intakeSettingsHeader || record[0] == workspaceSettingsHeader)
 }
 
-// complete returns the intake with the settings if they are those of its job.
-func (wireintakesettings wireIntakeSettings) complete(intake almondcross.Intake) almondcross.Intake {
+// complete returns the intake with the settings and the workspace if they are those of its job. An intake with a workspace may
+// have settings that are not known.
+func (intakesettings intakeSettings) complete(intake almondcross.Intake) almondcross.Intake {
 	job := intake.Job()
-	if wireintakesettings.Job != string(job.ID()) || wireintakesettings.Queue.Name != job.Queue() {
+	unnamed := intakesettings.Workspace != "" && intakesettings.Queue.Name == ""
+	if intakesettings.Job != string(job.ID()) || intakesettings.Queue.Name != job.Queue() && !unnamed {
 		return intake
 	}
-	return intake.WithSettings(wireintakesettings.Queue.settings(wireintakesettings.Version))
+	if intakesettings.Workspace != "" {
+		intake = intake.WithJob(job.WithWorkspace(intakesettings.Workspace))
+	}
+	if unnamed {
+		return intake
+	}
+	return intake.WithSettings(intakesettings.Queue.settings(intakesettings.Version))
 }
 
-func (codec Codec) encodeIntakeSettings(intake almondcross.Intake) ([]byte, error) {
-	settings := intake.Settings()
-	record, err := codec.encoding.Marshal(wireIntakeSettings{
-		Job: string(intake.Job().ID()), Version: settings.Version(), Queue: toQueue(settings.Queue()),
-	})
+func (codec Codec) encodeIntakeSettings(intake almondcross.Intake, workspace string) ([]byte, error) {
+	job, version, queue := string(intake.Job().ID()), intake.Settings().Version(), toQueue(intake.Settings().Queue())
+	var record []byte
+	var err error
+	if workspace == "" {
+		record, err = codec.encoding.Marshal(wireIntakeSettings{Job: job, Version: version, Queue: queue})
+	} else {
+		record, err = codec.encoding.Marshal(wireWorkspaceSettings{Job: job, Version: version, Queue: queue, Workspace: workspace})
+	}
 	return record, errors.Annotate(err, "encoding the settings of an intake")
 }
 
-func (codec Codec) decodeIntakeSettings(record []byte) (wireIntakeSettings, error) {
-	var wire wireIntakeSettings
-	if err := codec.decoding.Unmarshal(record, &wire); err != nil {
-		return wireIntakeSettings{}, errors.Annotatef(ErrMalformed, "settings of an intake: %v", err)
+func (codec Codec) decodeIntakeSettings(record []byte) (intakeSettings, error) {
+	var settings intakeSettings
+	var err error
+	if len(record) > 0 && record[0] == workspaceSettingsHeader {
+		var wire wireWorkspaceSettings
+		err = codec.decoding.Unmarshal(record, &wire)
+		settings = intakeSettings(wire)
+	} else {
+		var wire wireIntakeSettings
+		err = codec.decoding.Unmarshal(record, &wire)
+		settings = intakeSettings{Job: wire.Job, Version: wire.Version, Queue: wire.Queue}
+	}
+	if err != nil {
+		return intakeSettings{}, errors.Annotatef(ErrMalformed, "settings of an intake: %v", err)
 	}
-	return wire, nil
+	return settings, nil
 }
 
 func (codec Codec) encodeIntakeJob(intake almondcross.Intake) ([]byte, error) {
@@ -110,22 +149,26 @@
 	return almondcross.NewIntake(almondcross.IntakeConfig{Job: job, Cancel: wire.Cancel}), nil
 }
 
-// wireIntakeForward has the settings apart from the job, since a host of the version before ignores a field that it does not
-// know, and reads the job.
+// wireIntakeForward has the settings and the workspace apart from the job, since a host of an earlier version ignores a field that
+// it does not know, and reads the job. It would close the link at settings in the form of wireWorkspaceSettings.
 type wireIntakeForward struct {
-	Number   int64  `cbor:"number"`
-	Intake   []byte `cbor:"intake"`
-	Settings []byte `cbor:"settings,omitempty"`
+	Number    int64  `cbor:"number"`
+	Intake    []byte `cbor:"intake"`
+	Settings  []byte `cbor:"settings,omitempty"`
+	Workspace string `cbor:"workspace,omitempty"`
 }
 
 func (codec Codec) encodeIntakeForward(forwarded almondcross.IntakeForwarded) ([]byte, error) {
-	records, err := codec.EncodeIntake(forwarded.Intake())
+	intake := forwarded.Intake()
+	job, err := codec.encodeIntakeJob(intake)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	wire := wireIntakeForward{Number: forwarded.Number(), Intake: records[len(records)-1]}
-	if len(records) > 1 {
-		wire.Settings = records[0]
+	wire := wireIntakeForward{Number: forwarded.Number(), Intake: job, Workspace: intake.Job().Workspace()}
+	if intake.Settings().Known() {
+		if wire.Settings, err = codec.encodeIntakeSettings(intake, ""); err != nil {
+			return nil, errors.Trace(err)
+		}
 	}
 	return codec.encodeEnvelope(linkIntakeForward, wire)
 }
@@ -146,5 +189,8 @@
 		}
 		intake = settings.complete(intake)
 	}
+	if wire.Workspace != "" {
+		intake = intake.WithJob(intake.Job().WithWorkspace(wire.Workspace))
+	}
 	return almondcross.NewIntakeForwarded(almondcross.IntakeForwardedConfig{Number: wire.Number, Intake: intake}), nil
 }
--- a/encoder/journal.go
+++ b/encoder/journal.go
@@ -56,8 +56,10 @@
 	Task                    *wireJobTask
 	Run                     int // Run is the run of the task, or the format of ChangeFormat.
 	Worker, End, Checkpoint string
-	Occurrence              int    // Occurrence is that of ChangeOccurrence, or the verdict of ChangeEnd and ChangeSettings, which the version before ignores.
-	Host, Address           string // Host is the data centre of the worker in ChangeAssign, ChangeWorkerAddress and ChangeWorkerUnlisted.
+	Occurrence              int // Occurrence is that of ChangeOccurrence, or the verdict of ChangeEnd and ChangeSettings, which the version before ignores.
+	// Host is the data centre of the worker in ChangeAssign, ChangeWorkerAddress and ChangeWorkerUnlisted, and the workspace of the
+	// job in ChangeAdmit and ChangeCancel, which a host of format 1 ignores.
+	Host, Address string
 	// DurationMS is the lease remaining of ChangeWorkerSilent, ChangeLongLease, ChangeLeadershipsEnded and ChangeResigned, the time
 	// waited of ChangeJobStarted, the silence of ChangeEnd, or the version of the settings of ChangeAdmit, ChangeCancel and
 	// ChangeSettings, which the version before ignores.
@@ -275,6 +277,21 @@
 	Stages             []wireStageRecord
 }
 
+// workspaceJobRecord is the encoded form of a job record with a workspace. A host of format 1 cannot read it.
+type workspaceJobRecord struct {
+	_                  struct{} `cbor:",toarray"`
+	Job                wireJob
+	Queue              wireQueue
+	State              almondcross.JobState
+	FinishedMS         int64
+	StartedOccurrences int
+	Stages             []wireStageRecord
+	Workspace          string
+}
+
+// workspaceJobRecordHeader is the first byte of an encoded workspaceJobRecord, the CBOR header of an array of its seven fields.
+const workspaceJobRecordHeader = 0x87
+
 // toUnixMillis returns a time as Unix milliseconds, 0 for the zero time.
 func toUnixMillis(at time.Time) int64 {
 	if at.IsZero() {
@@ -390,6 +407,8 @@
 		wire.DurationMS = change.Settings().Version()
 		if change.Kind() == almondcross.ChangeSettings {
 			wire.Occurrence = int(change.Verdict())
+		} else {
+			wire.Host = change.Job().Workspace()
 		}
 	default:
 	}
@@ -426,6 +445,7 @@
 	case almondcross.ChangeFormat:
 		config.Run, config.Format = 0, wirestatechange.Run
 	case almondcross.ChangeAdmit, almondcross.ChangeCancel:
+		config.Host = ""
 	default:
 		config.LeaseRemaining = duration
 	}
@@ -433,10 +453,8 @@
 		return almondcross.Change{}, errors.Annotatef(ErrMalformed, "run %d, occurrence %d", wirestatechange.Run, wirestatechange.Occurrence)
 	}
 	var err error
-	if wirestatechange.Job != nil {
-		if config.Job, err = wirestatechange.Job.value(); err != nil {
-			return almondcross.Change{}, errors.Trace(err)
-		}
+	if config.Job, err = wirestatechange.job(); err != nil {
+		return almondcross.Change{}, errors.Trace(err)
 	}
 	if wirestatechange.Kind == almondcross.ChangeAdmit && len(config.Job.Steps()) == 0 {
 		return almondcross.Change{}, errors.Annotate(ErrMalformed, "an admitted job without steps")
@@ -453,6 +471,18 @@
 	return almondcross.NewChange(config), nil
 }
 
+// job returns the job of the change with its workspace, the zero value if the change has none.
+func (wirestatechange wireStateChange) job() (almondcross.Job, error) {
+	if wirestatechange.Job == nil {
+		return almondcross.Job{}, nil
+	}
+	job, err := wirestatechange.Job.value()
+	if kind := wirestatechange.Kind; kind == almondcross.ChangeAdmit || kind == almondcross.ChangeCancel {
+		job = job.WithWorkspace(wirestatechange.Host)
+	}
+	return job, errors.Trace(err)
+}
+
 // EncodeBatch returns the encoded record of a journal batch.
 func (codec Codec) EncodeBatch(batch almondcross.JournalBatch) ([]byte, error) {
 	changes := make([]wireStateChange, len(batch.Changes()))
--- a/encoder/link.go
+++ b/encoder/link.go
@@ -29,7 +29,7 @@
 	Rank    int  `cbor:"rank,omitempty"`
 }
 
-// wireViews groups job views by queue and state, so that each view takes little more than its job ID.
+// wireViews groups job views by queue, state and workspace, so that each view takes little more than its job ID.
 type wireViews struct {
 	Reset    bool            `cbor:"reset,omitempty"`
 	Complete bool            `cbor:"complete,omitempty"`
@@ -42,6 +42,8 @@
 	State   almondcross.JobState `cbor:"state"`
 	Counted bool                 `cbor:"counted,omitempty"`
 	IDs     []string             `cbor:"ids"`
+
+	Workspace string `cbor:"workspace,omitempty"`
 }
 
 func toViews(pushed almondcross.ViewsPushed) wireViews {
@@ -58,7 +60,9 @@
 		if !known {
 			index = len(wire.Groups)
 			groups[viewWithoutID] = index
-			wire.Groups = append(wire.Groups, wireViewGroup{Queue: view.Queue(), State: view.State(), Counted: view.CountsAsPending()})
+			wire.Groups = append(wire.Groups, wireViewGroup{
+				Queue: view.Queue(), State: view.State(), Counted: view.CountsAsPending(), Workspace: view.Workspace(),
+			})
 		}
 		wire.Groups[index].IDs = append(wire.Groups[index].IDs, string(view.ID()))
 	}
@@ -72,7 +76,7 @@
 			config.Changes = append(config.Changes, almondcross.NewJobViewChange(almondcross.JobViewChangeConfig{
 				ID: almondcross.JobID(id), Known: true,
 				View: almondcross.NewJobView(almondcross.JobViewConfig{
-					ID: almondcross.JobID(id), Queue: group.Queue, State: group.State, CountsAsPending: group.Counted,
+					ID: almondcross.JobID(id), Queue: group.Queue, State: group.State, CountsAsPending: group.Counted, Workspace: group.Workspace,
 				}),
 			}))
 		}
--- a/encoder/snapshot.go
+++ b/encoder/snapshot.go
@@ -117,7 +117,7 @@
 		return nil, err
 	}
 	for _, record := range snapshot.Jobs() {
-		encoded, err := codec.encoding.Marshal(toJobRecord(record))
+		encoded, err := codec.encodeJobRecord(record)
 		if err != nil {
 			return nil, errors.Annotate(err, "encoding a job of a snapshot")
 		}
@@ -264,12 +264,8 @@
 	}
 	var jobs []almondcross.JobRecord
 	for len(sequence) > 0 {
-		var record wireJobRecord
-		if sequence, err = codec.decodingJobs.UnmarshalFirst(sequence, &record); err != nil {
-			return nil, errors.Annotatef(ErrMalformed, "job of a snapshot: %v", err)
-		}
-		job, err := record.value()
-		if err != nil {
+		var job almondcross.JobRecord
+		if job, sequence, err = codec.decodeFirstJob(sequence); err != nil {
 			return nil, errors.Annotate(err, "job of a snapshot")
 		}
 		jobs = append(jobs, job)
@@ -277,6 +273,44 @@
 	return jobs, nil
 }
 
+// encodeJobRecord returns the encoded form of a job, which has a field for the workspace only if the job has one.
+func (codec Codec) encodeJobRecord(record almondcross.JobRecord) ([]byte, error) {
+	wire := toJobRecord(record)
+	if record.Job().Workspace() == "" {
+		return codec.encoding.Marshal(wire)
+	}
+	return codec.encoding.Marshal(workspaceJobRecord{
+		Job: wire.Job, Queue: wire.Queue, State: wire.State, FinishedMS: wire.FinishedMS, StartedOccurrences: wire.StartedOccurrences,
+		Stages: wire.Stages, Workspace: record.Job().Workspace(),
+	})
+}
+
+// decodeFirstJob returns the first of several encoded jobs and the rest of them.
+func (codec Codec) decodeFirstJob(sequence []byte) (almondcross.JobRecord, []byte, error) {
+	var wire wireJobRecord
+	var workspace string
+	var err error
+	if sequence[0] == workspaceJobRecordHeader {
+		var extended workspaceJobRecord
+		sequence, err = codec.decodingJobs.UnmarshalFirst(sequence, &extended)
+		workspace = extended.Workspace
+		wire = wireJobRecord{
+			Job: extended.Job, Queue: extended.Queue, State: extended.State, FinishedMS: extended.FinishedMS,
+			StartedOccurrences: extended.StartedOccurrences, Stages: extended.Stages,
+		}
+	} else {
+		sequence, err = codec.decodingJobs.UnmarshalFirst(sequence, &wire)
+	}
+	if err != nil {
+		return almondcross.JobRecord{}, nil, errors.Annotate(ErrMalformed, err.Error())
+	}
+	record, err := wire.value()
+	if err != nil {
+		return almondcross.JobRecord{}, nil, errors.Trace(err)
+	}
+	return record.WithJob(record.Job().WithWorkspace(workspace)), sequence, nil
+}
+
 // jobSequence returns the encoded jobs of all parts one after the other, with their pieces joined.
 func (codec Codec) jobSequence(parts []wireSnapshotPart) ([]byte, error) {
 	var sequence []byte
--- a/job.go
+++ b/job.go
@@ -301,8 +301,9 @@
 type JobFinder interface {
 	// Find returns the view of a job, whatever its age, and reports whether there is one.
 	Find(id JobID) (JobView, bool)
-	// Lookup returns what the host knows of a job of a queue at a time, and its view if the job is known.
-	Lookup(id JobID, queue string, now time.Time) (JobView, JobKnowledge)
+	// Lookup returns what the host knows at a time of a job of a queue that callers of a workspace may see, and its view if the
+	// job is known.
+	Lookup(id JobID, queue, workspace string, now time.Time) (JobView, JobKnowledge)
 	// Pending returns the number of jobs of a queue that have not started a task yet. It reports false if the views
 	// are too old to tell.
 	Pending(queue string, now time.Time) (count int, known bool)
--- a/journal.go
+++ b/journal.go
@@ -23,7 +23,7 @@
 	ErrMaybeStored = errors.ConstError("the store did not answer") // ErrMaybeStored means that the job may have been stored and may run.
 	ErrTooLarge    = errors.ConstError("too large for the store")  // ErrTooLarge means that the job can never be stored.
 
-	ErrIdentityTaken = errors.ConstError("the identity is that of a job of another queue") // ErrIdentityTaken means that the job was not admitted, since its identity is taken.
+	ErrIdentityTaken = errors.ConstError("the identity is that of a job of another queue or workspace") // ErrIdentityTaken means that the job was not admitted, since its identity is taken.
 )
 
 // Submitter stores jobs and cancellations.
--- a/query/jobfinder/jobfinder.go
+++ b/query/jobfinder/jobfinder.go
@@ -133,13 +133,13 @@
 	return view, found
 }
 
-// Lookup returns what the views tell of a job of a queue at a time.
-func (table *Table) Lookup(id almondcross.JobID, queue string, now time.Time) (almondcross.JobView, almondcross.JobKnowledge) {
+// Lookup returns what the views tell at a time of a job of a queue that callers of a workspace may see.
+func (table *Table) Lookup(id almondcross.JobID, queue, workspace string, now time.Time) (almondcross.JobView, almondcross.JobKnowledge) {
 	// The times are read first: a view that is added after the times were read is no older than they tell.
 	current := table.views.Load()
 	asOf := *current.times.Load()
 	view, found := (*current.shards[table.shardOf(id)].Load())[id]
-	found = found && view.Queue() == queue
+	found = found && view.Queue() == queue && !almondcross.DifferentWorkspaces(workspace, view.Workspace())
 	switch {
 	case found && (view.State().Final() || now.Sub(asOf.refreshed) < maxStateAge):
 		return view, almondcross.JobKnown
--- a/standin/emulator/questions.go
+++ b/standin/emulator/questions.go
@@ -11,6 +11,7 @@
 
 	"github.com/almondcross/almondcross"
 	"github.com/almondcross/almondcross/platform/viewer"
+	"github.com/almondcross/almondcross/query/authorizer"
 )
 
 // visibleTime is how long after its acceptance a job may be unknown to a host in touch.
@@ -29,7 +30,7 @@
 func (modelhost *modelHost) newQuestions() http.Handler {
 	router := mux.NewRouter()
 	viewer.New(viewer.Config{
-		Router: modelhost.router, Jobs: modelhost.jobTable, Clock: virtualClock{modelhost.simulation}, Log: hostLog{modelhost}, Metrics: noMetrics{},
+		Access: authorizer.New(authorizer.Config{Router: modelhost.router, Jobs: modelhost.jobTable}), Jobs: modelhost.jobTable, Clock: virtualClock{modelhost.simulation}, Log: hostLog{modelhost}, Metrics: noMetrics{},
 		Ready: func() bool { return true },
 	}).Register(router)
 	return router
