--- a/query/follower/records_test.go
+++ b/query/follower/records_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -149,11 +151,11 @@
 	})
 }
 
-// countingLog counts the lines about unreadable records.
+// countingLog counts the lines about unreadable records and rejected versions of the configuration.
 type countingLog struct{ lines atomic.Int64 }
 
 func (countinglog *countingLog) Record(event string, _ ...almondcross.LogField) {
-	if event == "record_unreadable" {
+	if event == "record_unreadable" || event == "routes_rejected" {
 		countinglog.lines.Add(1)
 	}
 }
@@ -173,3 +175,67 @@
 		require.Equal(t, int64(1), log.lines.Load())
 	})
 }
+
+// Guards against an invalid version that takes the place of the one in force, that is read again without a pause, or that is
+// logged at each read; and against a host that does not get over it when the operator has corrected it.
+func TestInvalidConfigurationLeavesTheEarlierOneInForce(t *testing.T) {
+	const valid, invalid = `{"version":%d,"tenants":[{"name":"a","api_keys":["k"]}]}`, `{"version":%d,"tenants":[{"name":"a","api_keys":["k","k"]}]}`
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		log, store := &countingLog{}, &versionStore{}
+		store.publish(t, fmt.Sprintf(valid, 1))
+		go func() {
+			for version, form := range []string{invalid, invalid, valid} {
+				if !ring.Pause(ctx, 10*time.Second) {
+					return
+				}
+				store.publish(t, fmt.Sprintf(form, version+2))
+			}
+		}()
+		var versions []int64
+		follower := follower.New(follower.Config{Reader: store, WorkerCodec: translator.Codec{}, Log: log, Clock: systemClock{}, ConfigurationKey: "config"})
+		require.NoError(t, follower.Routes(func(_ context.Context, table almondcross.RouteTable) { versions = append(versions, table.Version()) })(ctx))
+		require.Equal(t, []int64{1, 4}, versions)
+		require.Equal(t, int64(2), log.lines.Load(), "one line for each invalid version")
+		require.Less(t, store.reads.Load(), int64(100), "a read each 1.3 s, and some at the start")
+	})
+}
+
+// versionStore holds the versions of a configuration.
+type versionStore struct {
+	records atomic.Pointer[[][]byte]
+	reads   atomic.Int64
+}
+
+func (versionstore *versionStore) publish(t *testing.T, value string) {
+	t.Helper()
+	stored, err := translator.Codec{}.EncodeKeyed(almondcross.NewKeyedRecord(almondcross.KeyedRecordConfig{Key: "config", Value: []byte(value)}))
+	require.NoError(t, err)
+	records := slices.Concat(versionstore.all(), [][]byte{stored})
+	versionstore.records.Store(&records)
+}
+
+func (versionstore *versionStore) all() [][]byte {
+	if records := versionstore.records.Load(); records != nil {
+		return *records
+	}
+	return nil
+}
+
+func (versionstore *versionStore) Read(ctx context.Context, query almondcross.StoreRead) (almondcross.StoreRecords, error) {
+	versionstore.reads.Add(1)
+	if query.From() >= int64(len(versionstore.all())) && !ring.Pause(ctx, query.Wait()) {
+		return almondcross.StoreRecords{}, almondcross.ErrStoreRefused
+	}
+	records := versionstore.all()
+	from := min(query.From(), int64(len(records)))
+	return almondcross.NewStoreRecords(almondcross.StoreRecordsConfig{From: from, End: int64(len(records)), Records: records[from:]}), nil
+}
+
+func (versionstore *versionStore) Newest(context.Context, almondcross.Partition) ([]almondcross.KeyedRecord, int64, error) {
+	versionstore.reads.Add(1)
+	records := versionstore.all()
+	record, err := translator.Codec{}.DecodeKeyed(records[len(records)-1], int64(len(records)-1))
+	return []almondcross.KeyedRecord{record}, int64(len(records)), err
+}
--- a/query/follower/routes.go
+++ b/query/follower/routes.go
@@ -19,12 +19,35 @@
 	routesRetry = 150 * time.Millisecond
 	// routesRefresh is the maximum time between two reads of the complete configuration.
 	routesRefresh = 5 * time.Second
+	// maxRejections is the number of rejected versions that a host remembers so as to log each of them once.
+	maxRejections = 1000
 )
 
+// rejections logs each version of the configuration that cannot be put in force, once. It belongs to the duty that reads them.
+type rejections struct {
+	log      almondcross.EventLog
+	inForce  int64              // inForce is the version in force, 0 for none.
+	reported map[int64]struct{} // reported holds the offsets of the reported records.
+}
+
+// report logs a record. The reason of a decoder has no keys.
+func (rejections *rejections) report(record almondcross.KeyedRecord, reason error) {
+	if _, known := rejections.reported[record.Offset()]; known {
+		return
+	}
+	if len(rejections.reported) >= maxRejections {
+		clear(rejections.reported)
+	}
+	rejections.reported[record.Offset()] = struct{}{}
+	rejections.log.Record("routes_rejected", almondcross.Number("offset", record.Offset()), almondcross.Number("in_force", rejections.inForce),
+		almondcross.Text("reason", reason.Error()))
+}
+
 // Routes returns the duty that watches the configuration and calls apply with each newer version of the route table.
 func (follower *Follower) Routes(apply func(ctx context.Context, table almondcross.RouteTable)) Duty {
 	return func(ctx context.Context) error {
-		next, version, refreshed := int64(-1), int64(0), time.Time{}
+		next, refreshed := int64(-1), time.Time{}
+		rejected := &rejections{log: follower.config.Log, reported: map[int64]struct{}{}}
 		failing := false
 		for ctx.Err() == nil {
 			var records []almondcross.KeyedRecord
@@ -37,19 +60,19 @@
 			}
 			if failing != (err != nil) {
 				failing = err != nil
-				follower.logRoutesReadState(err, version)
+				follower.logRoutesReadState(err, rejected.inForce)
 			}
 			if err != nil {
 				next = -1
 				ring.Pause(ctx, routesRetry)
 				continue
 			}
-			table, found := follower.newestTable(records)
-			if !found && version == 0 && slices.ContainsFunc(records, follower.isConfiguration) {
-				table, found = follower.earlierTable(ctx)
+			table, found := follower.newestTable(records, rejected)
+			if !found && rejected.inForce == 0 && slices.ContainsFunc(records, follower.isConfiguration) {
+				table, found = follower.earlierTable(ctx, rejected)
 			}
-			if found && table.Version() > version {
-				version = table.Version()
+			if found && table.Version() > rejected.inForce {
+				rejected.inForce = table.Version()
 				apply(ctx, table)
 			}
 		}
@@ -58,11 +81,11 @@
 }
 
 // newestTable returns the route table with the highest version among the records that can be decoded.
-func (follower *Follower) newestTable(records []almondcross.KeyedRecord) (almondcross.RouteTable, bool) {
+func (follower *Follower) newestTable(records []almondcross.KeyedRecord, rejected *rejections) (almondcross.RouteTable, bool) {
 	var newest almondcross.RouteTable
 	found := false
 	for _, record := range records {
-		if table, ok := follower.decodeTable(record); ok && (!found || table.Version() > newest.Version()) {
+		if table, ok := follower.decodeTable(record, rejected); ok && (!found || table.Version() > newest.Version()) {
 			newest, found = table, true
 		}
 	}
@@ -71,7 +94,7 @@
 
 // earlierTable returns the newest route table in the records that precede an unreadable one. A host without any route
 // table could not serve callers until operators publish the next version.
-func (follower *Follower) earlierTable(ctx context.Context) (almondcross.RouteTable, bool) {
+func (follower *Follower) earlierTable(ctx context.Context, rejected *rejections) (almondcross.RouteTable, bool) {
 	partition := follower.config.Configuration
 	oldest := int64(0)
 	if records, err := follower.read(ctx, partition, 0, 0); errors.Is(err, almondcross.ErrStoreTrimmed) {
@@ -84,7 +107,7 @@
 		if err != nil || after == next {
 			return newest, found
 		}
-		if table, ok := follower.newestTable(records); ok && (!found || table.Version() > newest.Version()) {
+		if table, ok := follower.newestTable(records, rejected); ok && (!found || table.Version() > newest.Version()) {
 			newest, found = table, true
 		}
 		next = after
@@ -104,13 +127,13 @@
 	return record.Key() == follower.config.ConfigurationKey && len(record.Value()) > 0
 }
 
-func (follower *Follower) decodeTable(record almondcross.KeyedRecord) (almondcross.RouteTable, bool) {
+func (follower *Follower) decodeTable(record almondcross.KeyedRecord, rejected *rejections) (almondcross.RouteTable, bool) {
 	if !follower.isConfiguration(record) {
 		return almondcross.RouteTable{}, false
 	}
 	table, err := follower.config.WorkerCodec.DecodeRoutes(record.Value())
 	if err != nil {
-		follower.decodeFailures.countKeyed(follower.config.Configuration, record, err)
+		rejected.report(record, err)
 		return almondcross.RouteTable{}, false
 	}
 	return table, true
