--- a/query/follower/records_test.go
+++ b/query/follower/records_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -14,6 +13,7 @@
 
 	"github.com/almondcross/almondcross"
 	"github.com/almondcross/almondcross/encoder"
+	"github.com/almondcross/almondcross/platform/standin"
 	"github.com/almondcross/almondcross/platform/translator"
 	"github.com/almondcross/almondcross/query/follower"
 	"github.com/almondcross/almondcross/ring"
@@ -179,18 +179,19 @@
 // Guards against an invalid version that takes the place of the one in force, that is read again without a pause, or that is
 // logged at each read; and against a host that does not get over it when the operator has corrected it.
 func TestInvalidConfigurationLeavesTheEarlierOneInForce(t *testing.T) {
-	const valid, invalid = `{"version":%d,"tenants":[{"name":"a","api_keys":["k"]}]}`, `{"version":%d,"tenants":[{"name":"a","api_keys":["k","k"]}]}`
+	valid, invalid := []string{"k"}, []string{"k", "k"}
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
 		log, store := &countingLog{}, &versionStore{}
-		store.publish(t, fmt.Sprintf(valid, 1))
+		store.add(newVersion(t, 1, valid))
+		later := [][]byte{newVersion(t, 2, invalid), newVersion(t, 3, invalid), newVersion(t, 4, valid)}
 		go func() {
-			for version, form := range []string{invalid, invalid, valid} {
+			for _, version := range later {
 				if !ring.Pause(ctx, 10*time.Second) {
 					return
 				}
-				store.publish(t, fmt.Sprintf(form, version+2))
+				store.add(version)
 			}
 		}()
 		var versions []int64
@@ -208,11 +209,18 @@
 	reads   atomic.Int64
 }
 
-func (versionstore *versionStore) publish(t *testing.T, value string) {
+// newVersion returns the record of a version with a workspace that has some keys.
+func newVersion(t *testing.T, version int, keys []string) []byte {
 	t.Helper()
-	stored, err := translator.Codec{}.EncodeKeyed(almondcross.NewKeyedRecord(almondcross.KeyedRecordConfig{Key: "config", Value: []byte(value)}))
+	value, err := standin.WorkspacesConfiguration(version, "pool", []standin.Workspace{{Name: "a", Keys: keys}})
 	require.NoError(t, err)
-	records := slices.Concat(versionstore.all(), [][]byte{stored})
+	stored, err := translator.Codec{}.EncodeKeyed(almondcross.NewKeyedRecord(almondcross.KeyedRecordConfig{Key: "config", Value: value}))
+	require.NoError(t, err)
+	return stored
+}
+
+func (versionstore *versionStore) add(record []byte) {
+	records := slices.Concat(versionstore.all(), [][]byte{record})
 	versionstore.records.Store(&records)
 }
 
