--- a/assembler/scheduler.go
+++ b/assembler/scheduler.go
@@ -234,9 +234,10 @@
 
 func newDialer(
 	settings configurator.SchedulerSettings, codec encoder.Codec, rings schedulerRings, executor *executor.Executor, log *recorder.Recorder,
+	machine *scheduler.Machine,
 ) *connector.Dialer {
 	return connector.NewDialer(connector.DialerConfig{
-		Host: settings.Name(), DataCentre: settings.DataCentre(), Address: settings.LinkListen(), Codec: codec, Queries: rings.advice,
+		Host: settings.Name(), DataCentre: settings.DataCentre(), Address: settings.LinkListen(), Format: machine.Format(), Codec: codec, Queries: rings.advice,
 		Executor: executor, Sink: rings.messages, Log: log,
 		Stored: rings.offerStored, Clock: Clock{},
 	})
--- a/command/connector/dialer.go
+++ b/command/connector/dialer.go
@@ -34,6 +34,7 @@
 	Host       string // Host is the name of this host.
 	DataCentre string // DataCentre is the data centre of this host.
 	Address    string // Address is the address on which this host accepts links.
+	Format     int    // Format is the highest number of a format of the journal that this host reads.
 	Codec      almondcross.LinkCodec
 	Queries    almondcross.Sink[asker.Request] // Queries receives the queries of the scheduler.
 	Executor   almondcross.OrderExecutor       // Executor executes the scheduler's orders.
@@ -103,7 +104,7 @@
 	session := newSession(connection, dialer.config.Codec)
 	session.offer(almondcross.NewHostHello(almondcross.HostHelloConfig{
 		Host: dialer.config.Host, Strength: scheduler.Strength, Address: dialer.config.Address, DataCentre: dialer.config.DataCentre,
-		SchedulerEpoch: scheduler.Epoch, Ends: scheduler.Ends,
+		SchedulerEpoch: scheduler.Epoch, Format: dialer.config.Format, Ends: scheduler.Ends,
 	}))
 	link := dialer.lastLink.Add(1)
 	defer dialer.config.Executor.Abandon(link)
--- a/command/connector/hub.go
+++ b/command/connector/hub.go
@@ -170,7 +170,7 @@
 			hub.replaceSession(host, nil, session)
 			hub.notifyLinkChanged(request, almondcross.NewHostLinkChanged(almondcross.HostLinkChangedConfig{
 				Host: host, Present: true, Strength: message.Strength(), Address: message.Address(), DataCentre: message.DataCentre(),
-				SchedulerEpoch: message.SchedulerEpoch(), Ends: message.Ends(),
+				SchedulerEpoch: message.SchedulerEpoch(), Format: message.Format(), Ends: message.Ends(),
 			}))
 		case almondcross.OrdersAnswered:
 			_ = hub.config.Relay.Put(request.Context(), message.WithHost(host)) // Put fails only when the context of the request has ended.
--- a/command/scheduler/discovery.go
+++ b/command/scheduler/discovery.go
@@ -200,6 +200,7 @@
 // hostLinked decides whether a newly linked host is a standby. Either way it gets all views after the next append: a standby
 // has to load the state first, unless it followed the journal before.
 func (machine *Machine) hostLinked(host *linkedHost) {
+	machine.limitStrength(host)
 	if host.strength >= minStandbyStrength && machine.standbyCount() < maxStandbys {
 		machine.makeStandby(host)
 	} else {
@@ -268,6 +269,7 @@
 	for machine.standbyCount() < maxStandbys {
 		var best *linkedHost
 		for _, other := range machine.linkedHosts {
+			machine.limitStrength(other)
 			if other.name != machine.config.Host && !other.standby && other.strength > 0 &&
 				(best == nil || other.strength > best.strength || other.strength == best.strength && other.name < best.name) {
 				best = other
--- a/command/scheduler/format.go
+++ b/command/scheduler/format.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/almondcross/almondcross"
@@ -43,9 +44,26 @@
 		return
 	}
 	machine.recordChange(almondcross.ChangeConfig{Kind: almondcross.ChangeFormat, Format: workspaceFormat})
+	for _, name := range slices.Sorted(maps.Keys(machine.linkedHosts)) {
+		if host := machine.linkedHosts[name]; name != machine.config.Host && host.format < workspaceFormat {
+			host.standby, host.rank = false, 0
+			machine.hostLinked(host)
+		}
+	}
+	machine.fillStandbys()
+	machine.rankStandbys()
 	machine.config.Log.Record("journal_format_raised", almondcross.Number("format", workspaceFormat), almondcross.Text("job", string(job.ID())))
 }
 
+// limitStrength makes a linked host unfit as a standby that cannot read the journal in full. Such a host becomes a viewer by itself
+// once it has read the number, but one that loads the state would not get that far: it cannot read the jobs with workspaces in
+// the snapshot, and the journal before that may have been deleted.
+func (machine *Machine) limitStrength(host *linkedHost) {
+	if machine.state.format >= workspaceFormat && host.format < machine.state.format {
+		host.strength = 0
+	}
+}
+
 // readsFormat reports whether this host knows every format that its state was read from. With a higher number, it may have
 // skipped changes or applied them by other rules, so it must neither schedule by the state nor show it to callers.
 func (machine *Machine) readsFormat() bool { return machine.state.format <= machine.format() }
--- a/command/scheduler/hostcalls.go
+++ b/command/scheduler/hostcalls.go
@@ -39,6 +39,7 @@
 	roundTrip time.Duration
 	// strength is the scheduling strength of the host; standby is set when the host follows the journal.
 	strength int
+	format   int // format is the highest number of a format of the journal that the host reads.
 	standby  bool
 	rank     int    // rank is that of a standby that has been told one, 0 for any other host.
 	address  string // address is where the host accepts links.
@@ -124,7 +125,7 @@
 	if change.Present() {
 		machine.endLeadershipsOf(change.Host(), change.Address(), change.SchedulerEpoch())
 		machine.linkedHosts[change.Host()] = &linkedHost{
-			name: change.Host(), strength: min(max(change.Strength(), 0), fullStrength), address: change.Address(),
+			name: change.Host(), strength: min(max(change.Strength(), 0), fullStrength), address: change.Address(), format: max(change.Format(), plainFormat),
 		}
 	} else {
 		delete(machine.linkedHosts, change.Host())
--- a/encoder/link.go
+++ b/encoder/link.go
@@ -125,11 +125,13 @@
 
 	SchedulerEpoch int64             `cbor:"scheduler_epoch,omitempty"`
 	Ends           []wireStateChange `cbor:"ends,omitempty"`
+	Format         int               `cbor:"format,omitempty"`
 }
 
 func toHello(hello almondcross.HostHello) wireLinkHello {
 	wire := wireLinkHello{
 		Host: hello.Host(), Strength: hello.Strength(), Address: hello.Address(), DataCentre: hello.DataCentre(), SchedulerEpoch: hello.SchedulerEpoch(),
+		Format: hello.Format(),
 	}
 	for _, end := range hello.Ends() {
 		wire.Ends = append(wire.Ends, toChange(end))
@@ -143,7 +145,7 @@
 	}
 	config := almondcross.HostHelloConfig{
 		Host: wirelinkhello.Host, Strength: wirelinkhello.Strength, Address: wirelinkhello.Address, DataCentre: wirelinkhello.DataCentre,
-		SchedulerEpoch: wirelinkhello.SchedulerEpoch,
+		SchedulerEpoch: wirelinkhello.SchedulerEpoch, Format: wirelinkhello.Format,
 	}
 	for _, wire := range wirelinkhello.Ends {
 		end, err := wire.value()
--- a/scheduling.go
+++ b/scheduling.go
@@ -210,6 +210,7 @@
 	dataCentre string // the data centre of the host
 
 	schedulerEpoch int64    // the epoch of the scheduler to which the host has linked; it leads no earlier epoch. 0 for a host of an earlier version
+	format         int      // the highest number of a format of the journal that the host reads, 0 for a host of an earlier version
 	ends           []Change // the ends of runs that the host has read as scheduler and may not have recorded
 }
 
@@ -432,6 +433,7 @@
 	dataCentre string // the data centre of the host
 
 	schedulerEpoch int64    // the epoch of the scheduler to which the host links; it leads no earlier epoch. 0 from a host of an earlier version
+	format         int      // the highest number of a format of the journal that the host reads, 0 from a host of an earlier version
 	ends           []Change // the ends of runs that the host has read as scheduler and may not have recorded
 }
 
--- a/scheduling_generated.go
+++ b/scheduling_generated.go
@@ -1140,6 +1140,7 @@
 	Address        string
 	DataCentre     string
 	SchedulerEpoch int64
+	Format         int
 	Ends           []Change
 }
 
@@ -1152,6 +1153,7 @@
 		address:        config.Address,
 		dataCentre:     config.DataCentre,
 		schedulerEpoch: config.SchedulerEpoch,
+		format:         config.Format,
 		ends:           config.Ends,
 	}
 }
@@ -1165,6 +1167,7 @@
 		Address:        hostlinkchanged.address,
 		DataCentre:     hostlinkchanged.dataCentre,
 		SchedulerEpoch: hostlinkchanged.schedulerEpoch,
+		Format:         hostlinkchanged.format,
 		Ends:           hostlinkchanged.ends,
 	}
 }
@@ -1223,6 +1226,15 @@
 	return hostlinkchanged
 }
 
+// Format returns the highest number of a format of the journal that the host reads, 0 for a host of an earlier version.
+func (hostlinkchanged HostLinkChanged) Format() int { return hostlinkchanged.format }
+
+// WithFormat returns a copy with the given format.
+func (hostlinkchanged HostLinkChanged) WithFormat(format int) HostLinkChanged {
+	hostlinkchanged.format = format
+	return hostlinkchanged
+}
+
 // Ends returns the ends of runs that the host has read as scheduler and may not have recorded.
 func (hostlinkchanged HostLinkChanged) Ends() []Change { return hostlinkchanged.ends }
 
@@ -1764,6 +1776,7 @@
 	Address        string
 	DataCentre     string
 	SchedulerEpoch int64
+	Format         int
 	Ends           []Change
 }
 
@@ -1775,6 +1788,7 @@
 		address:        config.Address,
 		dataCentre:     config.DataCentre,
 		schedulerEpoch: config.SchedulerEpoch,
+		format:         config.Format,
 		ends:           config.Ends,
 	}
 }
@@ -1787,6 +1801,7 @@
 		Address:        hosthello.address,
 		DataCentre:     hosthello.dataCentre,
 		SchedulerEpoch: hosthello.schedulerEpoch,
+		Format:         hosthello.format,
 		Ends:           hosthello.ends,
 	}
 }
@@ -1836,6 +1851,15 @@
 	return hosthello
 }
 
+// Format returns the highest number of a format of the journal that the host reads, 0 from a host of an earlier version.
+func (hosthello HostHello) Format() int { return hosthello.format }
+
+// WithFormat returns a copy with the given format.
+func (hosthello HostHello) WithFormat(format int) HostHello {
+	hosthello.format = format
+	return hosthello
+}
+
 // Ends returns the ends of runs that the host has read as scheduler and may not have recorded.
 func (hosthello HostHello) Ends() []Change { return hosthello.ends }
 
--- a/standin/emulator/links.go
+++ b/standin/emulator/links.go
@@ -39,7 +39,7 @@
 			modelhost.linkCount++
 			target.deliver(almondcross.NewHostLinkChanged(almondcross.HostLinkChangedConfig{
 				Host: modelhost.name, Present: true, Strength: announced.Strength, Address: modelhost.name,
-				SchedulerEpoch: announced.Pointer.Epoch(), Ends: announced.Ends,
+				SchedulerEpoch: announced.Pointer.Epoch(), Format: modelhost.machine.Format(), Ends: announced.Ends,
 			}))
 		}
 	})
