Log what each version of the configuration changes in the workspaces

Cause: an operator could not tell from the logs which keys and quotas came into force when. Change: workspaces_in_force, one line for each version on each host, with the names of the workspaces added, removed and changed, the number of keys, and the quotas before and after; never a key. Result: TestEachVersionIsAudited passes; cells without workspaces get no line.

--- a/command/scheduler/machine.go
+++ b/command/scheduler/machine.go
@@ -240,6 +240,7 @@
 	if table.Version() <= machine.routes.Version() {
 		return
 	}
+	machine.auditWorkspaces(machine.routes, table)
 	machine.routes, machine.queues = table, make(map[string]almondcross.Queue, len(table.Queues()))
 	for _, queue := range table.Queues() {
 		machine.queues[queue.Name()] = queue
--- a/command/scheduler/workspace_test.go
+++ b/command/scheduler/workspace_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -157,3 +158,45 @@
 	_, knowledge = follower.finder().Lookup("j", "q", "b", follower.now)
 	require.NotEqual(t, almondcross.JobKnown, knowledge)
 }
+
+// lineRecorder keeps the fields of one kind of log line.
+type lineRecorder struct {
+	noopRecorder
+	event string
+	lines []string
+}
+
+func (linerecorder *lineRecorder) Record(event string, fields ...almondcross.LogField) {
+	if event == linerecorder.event {
+		linerecorder.lines = append(linerecorder.lines, fmt.Sprint(fields))
+	}
+}
+
+// Guards against an audit that misses a change, quotes a key, or adds lines to cells without workspaces.
+func TestEachVersionIsAudited(t *testing.T) {
+	workspace := func(name string, weight, cpu int64, keys ...string) almondcross.Workspace {
+		return almondcross.NewWorkspace(almondcross.WorkspaceConfig{
+			Name: name, Keys: keys, Weight: weight, Quota: almondcross.NewResources(almondcross.ResourcesConfig{MilliCPU: cpu}),
+		})
+	}
+	version := func(number int64, workspaces ...almondcross.Workspace) almondcross.RouteTable {
+		return almondcross.NewRouteTable(almondcross.RouteTableConfig{Version: number, KeysRequired: true, Workspaces: workspaces})
+	}
+	first := version(1, workspace("a", 1, 1000, "secret-1", "secret-2"), workspace("b", 1, 0, "secret-3"), workspace("c", 1, 0))
+	second := version(2, workspace("a", 1, 2000, "secret-2", "secret-3"), workspace("c", 2, 0), workspace("d", 1, 500))
+	require.Equal(t, workspaceAudit{
+		added: []string{"d"}, removed: []string{"b"}, changed: []string{"a", "c"}, keysAdded: 1, keysRemoved: 2,
+		quotas: []string{"a 1000/0/0 -> 2000/0/0", "d 0/0/0 -> 500/0/0"},
+	}, newWorkspaceAudit(first, second))
+
+	recorder := &lineRecorder{event: "workspaces_in_force"}
+	harness := newHarness(t)
+	harness.machine.config.Log = recorder
+	harness.apply(routes(1))
+	require.Empty(t, recorder.lines)
+	for number, table := range []almondcross.RouteTable{first, second, second, version(3), almondcross.NewRouteTable(almondcross.RouteTableConfig{})} {
+		harness.apply(almondcross.NewRoutesRead(almondcross.RoutesReadConfig{Table: table.WithVersion(int64(2+min(number, 1)) + max(0, int64(number)-2))}))
+	}
+	require.Len(t, recorder.lines, 4, "one line for each version, also for that without workspaces, and none for one that is read again")
+	require.NotContains(t, fmt.Sprint(recorder.lines), "secret")
+}
