--- a/standin/emulator/emulator_test.go
+++ b/standin/emulator/emulator_test.go
@@ -74,6 +74,27 @@
 	}
 }
 
+// Guards against a job of a workspace that is lost, refused or shown to another workspace in a takeover, and against a key that works
+// after it was revoked, while one key of a workspace and all keys of another are revoked and some hosts cannot read the newest
+// configuration.
+func TestWorkspacesWithRevokedKeys(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+5; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			simulationConfig := newConfig(seed)
+			simulationConfig.Workspaces = 4
+			simulationConfig.Faults = []emulator.Fault{
+				{Kind: emulator.RevokeKeys, StartsAt: 5 * time.Second, Duration: 7 * time.Second},
+				{Kind: emulator.StoreUnreachable, StartsAt: 6 * time.Second, Duration: 3 * time.Second, Share: 0.3},
+				{Kind: emulator.KillScheduler, StartsAt: 14 * time.Second, Duration: time.Second},
+			}
+			report := runSimulation(t, simulationConfig)
+			require.Empty(t, report.Violations)
+			require.Greater(t, report.Accepted, report.Jobs*85/100, "a quarter of the callers has no key for a third of the time")
+		})
+	}
+}
+
 // Guards against hosts of two versions that tell different states of a job: some conclude by another rule that a job goes on after a
 // failed run, unless the journal tells the verdict. Without verdicts in the journal, the day of seed 1 has such hosts.
 func TestHostsOfAnotherVersionTellTheSameStates(t *testing.T) {
--- a/standin/emulator/fault.go
+++ b/standin/emulator/fault.go
@@ -43,6 +43,9 @@
 	// from FaultKinds.
 	RestartAndCut FaultKind = "restart_and_cut"
 
+	// RevokeKeys revokes keys of workspaces while callers use them. RandomFaults does not draw it.
+	RevokeKeys FaultKind = "revoke_keys"
+
 	// The kinds that only measurements of takeovers inject.
 	LoseScheduler   FaultKind = "lose_scheduler"   // LoseScheduler kills the scheduler's process, which does not start again.
 	CutLinks        FaultKind = "cut_links"        // CutLinks partitions the scheduler from all other hosts, but not from the store.
--- a/standin/emulator/host.go
+++ b/standin/emulator/host.go
@@ -8,6 +8,7 @@
 	"github.com/almondcross/almondcross"
 	"github.com/almondcross/almondcross/command/scheduler"
 	"github.com/almondcross/almondcross/policy/picker"
+	"github.com/almondcross/almondcross/query/authorizer"
 	"github.com/almondcross/almondcross/query/jobfinder"
 	"github.com/almondcross/almondcross/query/router"
 )
@@ -39,10 +40,11 @@
 	frozenUntil      time.Duration // frozenUntil is when a paused host resumes.
 	machine          *scheduler.Machine
 	jobTable         *jobfinder.Table
-	router           *router.Router  // router holds the newest route table that this host has read.
-	questions        http.Handler    // questions answers the questions of callers.
-	negativeCounts   map[string]bool // negativeCounts holds the queues for which this process has answered a negative count.
-	wakeID           uint64          // wakeID numbers the scheduled wake-ups; only the latest one takes effect.
+	access           almondcross.CallAuthorizer // access judges the keys of callers.
+	router           *router.Router             // router holds the newest route table that this host has read.
+	questions        http.Handler               // questions answers the questions of callers.
+	negativeCounts   map[string]bool            // negativeCounts holds the queues for which this process has answered a negative count.
+	wakeID           uint64                     // wakeID numbers the scheduled wake-ups; only the latest one takes effect.
 	adviceInProgress bool
 	queuedQueries    []queuedQuery
 	// pointer is the scheduler pointer that this host gives to its peers.
@@ -69,6 +71,7 @@
 	modelhost.pointer, modelhost.readIncarnations = almondcross.SchedulerPointer{}, map[string]int64{}
 	modelhost.connections = map[*modelWorker]idleConnections{}
 	modelhost.jobTable, modelhost.router = jobfinder.New(), router.New()
+	modelhost.access = authorizer.New(authorizer.Config{Router: modelhost.router, Jobs: modelhost.jobTable})
 	modelhost.questions, modelhost.negativeCounts = modelhost.newQuestions(), map[string]bool{}
 	modelhost.machine = scheduler.NewMachine(scheduler.Config{
 		Host: modelhost.name, Address: modelhost.name, Partitions: intakePartitions, Strength: 100 - 10*(modelhost.index%3), Retention: 150 * time.Second, MaxLease: maxLease,
--- a/standin/emulator/inject.go
+++ b/standin/emulator/inject.go
@@ -128,6 +128,8 @@
 		simulation.extend(until)
 	case ChangeRoutes:
 		simulation.changeRoutes(until)
+	case RevokeKeys:
+		simulation.revokeKeys(until)
 	case Burst:
 		simulation.addBurst(fault)
 	case LoseOrders:
--- a/standin/emulator/jobs.go
+++ b/standin/emulator/jobs.go
@@ -12,6 +12,7 @@
 // modelJob is a job as its caller sees it, with the history of its tasks.
 type modelJob struct {
 	spec          almondcross.Job
+	key           key // key is what its caller presents.
 	poison        bool
 	long          bool // long is set if its tasks take about longRunTime.
 	sentAt        time.Duration
@@ -107,6 +108,7 @@
 		spec: almondcross.NewJob(config), long: long, poison: simulation.random.Float64() < simulation.config.PoisonShare,
 		taskHistories: map[almondcross.JobTask]*taskHistory{}, runTimes: map[almondcross.JobTask]time.Duration{},
 	}
+	simulation.drawKey(job)
 	for number, step := range config.Steps {
 		duration := time.Duration(float64(mean) * math.Exp(spread*simulation.random.NormFloat64()))
 		for index := range step.Count() {
@@ -186,6 +188,13 @@
 		onRefused()
 		return
 	}
+	caller, err := host.identify(submitted, job.key)
+	if err != nil {
+		simulation.renewKey(job)
+		onRefused()
+		return
+	}
+	submitted = submitted.WithWorkspace(caller.Workspace())
 	if cancel {
 		submitted, settings = submitted.WithSteps(nil).WithPayload(""), almondcross.QueueSettings{}
 	}
--- a/standin/emulator/questions.go
+++ b/standin/emulator/questions.go
@@ -11,7 +11,6 @@
 
 	"github.com/almondcross/almondcross"
 	"github.com/almondcross/almondcross/platform/viewer"
-	"github.com/almondcross/almondcross/query/authorizer"
 )
 
 // visibleTime is how long after its acceptance a job may be unknown to a host in touch.
@@ -30,18 +29,21 @@
 func (modelhost *modelHost) newQuestions() http.Handler {
 	router := mux.NewRouter()
 	viewer.New(viewer.Config{
-		Access: authorizer.New(authorizer.Config{Router: modelhost.router, Jobs: modelhost.jobTable}), Jobs: modelhost.jobTable, Clock: virtualClock{modelhost.simulation}, Log: hostLog{modelhost}, Metrics: noMetrics{},
+		Access: modelhost.access, Jobs: modelhost.jobTable, Clock: virtualClock{modelhost.simulation}, Log: hostLog{modelhost}, Metrics: noMetrics{},
 		Ready: func() bool { return true },
 	}).Register(router)
 	return router
 }
 
-// ask returns the status and the body of a host's answer to a question.
-func (modelhost *modelHost) ask(path string) (status int, body []byte) {
+// ask returns the status and the body of a host's answer to a question with a key, empty for none.
+func (modelhost *modelHost) ask(path, key string) (status int, body []byte) {
 	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+queueHost+path, http.NoBody)
 	if err != nil {
 		return http.StatusBadRequest, nil
 	}
+	if key != "" {
+		request.Header.Set("Authorization", "Token "+key)
+	}
 	answer := &answerWriter{header: http.Header{}}
 	modelhost.questions.ServeHTTP(answer, request)
 	checker := modelhost.simulation.checker
@@ -59,7 +61,7 @@
 
 // askCount returns the number of waiting jobs of a queue that a host answers, and false if it answers none.
 func (modelhost *modelHost) askCount(queue string) (int, bool) {
-	status, body := modelhost.ask("/" + queue + "/")
+	status, body := modelhost.ask("/"+queue+"/", modelhost.simulation.anyKey())
 	if status != http.StatusOK {
 		return 0, false
 	}
@@ -78,8 +80,10 @@
 // checkQuestion asks a host for an accepted job. A host in touch must not answer that there is none.
 func (checker *checker) checkQuestion(host *modelHost, job *modelJob) (state almondcross.JobState, known bool) {
 	simulation := checker.simulation
-	status, _ := host.ask(pathOf(job.spec))
+	status, _ := host.ask(pathOf(job.spec), job.key.text)
 	switch status {
+	case http.StatusUnauthorized:
+		simulation.renewKey(job)
 	case http.StatusOK:
 		view, found := host.jobTable.Find(job.spec.ID())
 		return view.State(), found
@@ -106,6 +110,7 @@
 			if host.answers() {
 				state, known := checker.checkQuestion(host, job)
 				checker.checkAgreement(host, job, state, known)
+				checker.checkAccess(host, job)
 			}
 		}
 	}
--- a/standin/emulator/routes.go
+++ b/standin/emulator/routes.go
@@ -43,7 +43,8 @@
 func (simulation *Simulation) publishRoutes(queues ...almondcross.Queue) {
 	simulation.routes = almondcross.NewRouteTable(almondcross.RouteTableConfig{
 		Version: simulation.routes.Version() + 1, Queues: queues,
-		Pools: []almondcross.Pool{almondcross.NewPool(almondcross.PoolConfig{Name: poolName})},
+		Pools:      []almondcross.Pool{almondcross.NewPool(almondcross.PoolConfig{Name: poolName})},
+		Workspaces: simulation.routes.Workspaces(), KeysRequired: simulation.config.Workspaces > 0,
 	})
 	for _, queue := range queues {
 		simulation.everyQueue[queue.Name()] = queue
--- a/standin/emulator/series.go
+++ b/standin/emulator/series.go
@@ -154,6 +154,11 @@
 	if !known {
 		return
 	}
+	caller, err := host.identify(submitted, job.key)
+	if err != nil {
+		return
+	}
+	submitted = submitted.WithWorkspace(caller.Workspace())
 	if cancel {
 		submitted, settings = submitted.WithSteps(nil).WithPayload(""), almondcross.QueueSettings{}
 	}
--- a/standin/emulator/simulation.go
+++ b/standin/emulator/simulation.go
@@ -24,6 +24,7 @@
 	FailShare   float64       // FailShare is the fraction of runs that fail.
 	PoisonShare float64       // PoisonShare is the fraction of jobs whose runs always fail.
 	CancelShare float64       // CancelShare is the fraction of short jobs that are cancelled; see longCancelFactor.
+	Workspaces  int           // Workspaces is the number of workspaces, whose keys callers need, 0 for a configuration without.
 	LongShare   float64       // LongShare is the fraction of batch jobs that take many seconds.
 	// UnboundStarts lets start orders reach any incarnation of a worker, as those that hosts of earlier versions send do.
 	UnboundStarts bool
@@ -61,6 +62,9 @@
 	routes           almondcross.RouteTable                          // routes is the newest published route table.
 	everyQueue       map[string]almondcross.Queue                    // everyQueue holds the queues of all published route tables by name.
 	jobCount         int                                             // jobCount numbers the drawn jobs.
+	keyCount         int                                             // keyCount numbers the keys of workspaces.
+	keysSince        map[string]time.Duration                        // keysSince holds when each key was published.
+	keysUntil        map[string]time.Duration                        // keysUntil holds when keys were revoked.
 	acceptedJobs     []*modelJob                                     // acceptedJobs holds the jobs that were accepted lately, the oldest one first.
 	end              time.Duration                                   // end is when the simulation ends.
 }
@@ -144,10 +148,12 @@
 		startTime: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), store: NewStore(config.Retention),
 		faults: newActiveFaults(), jobs: map[almondcross.JobID]*modelJob{}, gangs: map[string]*modelGang{}, forwardCallbacks: map[int64]func(){},
 		storedUsage: map[almondcross.UsageKey]almondcross.QueueUsage{}, everyQueue: map[string]almondcross.Queue{},
+		keysSince: map[string]time.Duration{}, keysUntil: map[string]time.Duration{},
 		end:    warmUp + config.SubmitTime + config.DrainTime,
 		advice: adviceModel{allowedShare: config.AdviceShare, validity: 2500 * time.Millisecond, seed: config.Seed, issuedTickets: map[string]issuedTicket{}},
 	}
 	simulation.checker, simulation.meter = newChecker(simulation), newTakeoverMeter(simulation)
+	simulation.routes = almondcross.NewRouteTable(almondcross.RouteTableConfig{Workspaces: simulation.newWorkspaces()})
 	simulation.publishRoutes(
 		simulation.newQueue(queueUrgent, 0, 4, 8*time.Millisecond, 120*time.Microsecond),
 		simulation.newQueue(queueGang, 1, 3, 440*time.Millisecond, 6300*time.Microsecond),
