--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -75,6 +75,7 @@
 	checker   *checker
 
 	adviceAddress string
+	key           atomic.Pointer[string] // key is what callers present, nil for none.
 }
 
 // host is a scheduling host in a process of its own, which reaches the store through a proxy of its own.
@@ -280,6 +281,15 @@
 }
 
 func (cell *cell) call(method, address, path, body string) (int, string) {
+	key := ""
+	if current := cell.key.Load(); current != nil {
+		key = *current
+	}
+	return cell.callWith(key, method, address, path, body)
+}
+
+// callWith calls a host with a key, empty for none.
+func (cell *cell) callWith(key, method, address, path, body string) (int, string) {
 	ctx, cancel := context.WithTimeout(cell.ctx, 1500*time.Millisecond)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader([]byte(body)))
@@ -287,6 +297,9 @@
 		return 0, ""
 	}
 	request.Host = queueHost
+	if key != "" {
+		request.Header.Set("Authorization", "Token "+key)
+	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return 0, ""
