Count rejected versions of the configuration

Cause: an operator whose configuration is invalid had only a log line to alert on. Change: almondcross_routes_rejected_total, once for each version on each host.

--- a/assembler/scheduler.go
+++ b/assembler/scheduler.go
@@ -169,6 +169,7 @@
 
 func newFollower(
 	settings configurator.SchedulerSettings, client *client.Client, codec encoder.Codec, rings schedulerRings, log *recorder.Recorder,
+	counter *counter.Counter,
 ) *follower.Follower {
 	return follower.New(follower.Config{
 		Reader: querier.NewStore(settings.StoreAddress(), client), Codec: codec, WorkerCodec: translator.Codec{}, Sink: rings.messages, Log: log,
@@ -177,7 +178,7 @@
 		Pointers: almondcross.Partition{Topic: pointerTopic}, Clock: Clock{},
 		Announcements:    almondcross.Partition{Topic: translator.WorkersTopic},
 		Configuration:    almondcross.Partition{Topic: translator.OperatorsTopic},
-		ConfigurationKey: translator.ConfigurationKey,
+		ConfigurationKey: translator.ConfigurationKey, Rejected: counter.RoutesRejected,
 	})
 }
 
--- a/command/counter/counter.go
+++ b/command/counter/counter.go
@@ -61,6 +61,9 @@
 // FormatUnknown counts a scheduler whose journal this host cannot read in full.
 func (counter *Counter) FormatUnknown() { counter.add("almondcross_journal_formats_unknown_total", 1) }
 
+// RoutesRejected counts a version of the configuration that cannot be put in force.
+func (counter *Counter) RoutesRejected() { counter.add("almondcross_routes_rejected_total", 1) }
+
 // Examined counts how often a worker was looked at in a placement pass.
 func (counter *Counter) Examined(workers int) {
 	counter.add("almondcross_placement_workers_examined_total", workers)
--- a/query/follower/follower.go
+++ b/query/follower/follower.go
@@ -41,6 +41,8 @@
 	Configuration almondcross.Partition
 	// ConfigurationKey is the key of the configuration records.
 	ConfigurationKey string
+	// Rejected is called for each version of the configuration that cannot be put in force, nil for no count.
+	Rejected func()
 }
 
 // Follower returns the duties that read the store. Each duty may run in its own goroutine.
--- a/query/follower/records_test.go
+++ b/query/follower/records_test.go
@@ -183,7 +183,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
-		log, store := &countingLog{}, &versionStore{}
+		log, store, rejected := &countingLog{}, &versionStore{}, 0
 		store.add(newVersion(t, 1, valid))
 		later := [][]byte{newVersion(t, 2, invalid), newVersion(t, 3, invalid), newVersion(t, 4, valid)}
 		go func() {
@@ -195,10 +195,13 @@
 			}
 		}()
 		var versions []int64
-		follower := follower.New(follower.Config{Reader: store, WorkerCodec: translator.Codec{}, Log: log, Clock: systemClock{}, ConfigurationKey: "config"})
+		follower := follower.New(follower.Config{
+			Reader: store, WorkerCodec: translator.Codec{}, Log: log, Clock: systemClock{}, ConfigurationKey: "config", Rejected: func() { rejected++ },
+		})
 		require.NoError(t, follower.Routes(func(_ context.Context, table almondcross.RouteTable) { versions = append(versions, table.Version()) })(ctx))
 		require.Equal(t, []int64{1, 4}, versions)
 		require.Equal(t, int64(2), log.lines.Load(), "one line for each invalid version")
+		require.Equal(t, 2, rejected)
 		require.Less(t, store.reads.Load(), int64(100), "a read each 1.3 s, and some at the start")
 	})
 }
--- a/query/follower/routes.go
+++ b/query/follower/routes.go
@@ -26,6 +26,7 @@
 // rejections logs each version of the configuration that cannot be put in force, once. It belongs to the duty that reads them.
 type rejections struct {
 	log      almondcross.EventLog
+	count    func()             // count is called for each of them, nil for none.
 	inForce  int64              // inForce is the version in force, 0 for none.
 	reported map[int64]struct{} // reported holds the offsets of the reported records.
 }
@@ -39,6 +40,9 @@
 		clear(rejections.reported)
 	}
 	rejections.reported[record.Offset()] = struct{}{}
+	if rejections.count != nil {
+		rejections.count()
+	}
 	rejections.log.Record("routes_rejected", almondcross.Number("offset", record.Offset()), almondcross.Number("in_force", rejections.inForce),
 		almondcross.Text("reason", reason.Error()))
 }
@@ -47,7 +51,7 @@
 func (follower *Follower) Routes(apply func(ctx context.Context, table almondcross.RouteTable)) Duty {
 	return func(ctx context.Context) error {
 		next, refreshed := int64(-1), time.Time{}
-		rejected := &rejections{log: follower.config.Log, reported: map[int64]struct{}{}}
+		rejected := &rejections{log: follower.config.Log, count: follower.config.Rejected, reported: map[int64]struct{}{}}
 		failing := false
 		for ctx.Err() == nil {
 			var records []almondcross.KeyedRecord
