--- a/assembler/experiment.go
+++ b/assembler/experiment.go
@@ -59,6 +59,7 @@
 	flagSet.IntVar(&flags.config.Hosts, "hosts", 5, "number of scheduling hosts")
 	flagSet.IntVar(&flags.config.LaterHosts, "later-hosts", 0, "number of these hosts that write a later format of the journal, which the others do not know")
 	flagSet.IntVar(&flags.config.OtherHosts, "other-hosts", 0, "number of these hosts that judge failed runs by another rule where the journal has no verdict")
+	flagSet.IntVar(&flags.config.Workspaces, "workspaces", 0, "number of workspaces, whose keys callers need; some are revoked in each simulation")
 	flagSet.IntVar(&flags.config.Workers, "workers", 24, "number of workers")
 	flagSet.Float64Var(&flags.config.JobsPerSec, "jobs-per-second", 16, "jobs submitted per second")
 	flagSet.DurationVar(&flags.config.SubmitTime, "length", 20*time.Second, "period of each simulation in which jobs are submitted")
@@ -88,6 +89,9 @@
 				config.Faults[index].Kind = emulator.FaultKind(flags.faultKinds[index%len(flags.faultKinds)])
 			}
 		}
+		if config.Workspaces > 0 {
+			config.Faults = append(config.Faults, emulator.Fault{Kind: emulator.RevokeKeys, StartsAt: config.SubmitTime / 4, Duration: config.SubmitTime / 3})
+		}
 		if flags.trace != "" {
 			config.Log = traceLog{command: command, substring: flags.trace}
 		}
--- a/standin/emulator/workspaces.go
+++ b/standin/emulator/workspaces.go
@@ -124,6 +124,9 @@
 	switch {
 	case err == nil && revoked && simulation.now-until > keyTime:
 		simulation.checker.addViolation("KEY", "%s accepts %s, which was revoked %s ago", modelhost.name, presented.text, simulation.now-until)
+	case presented.text == "" && err == nil:
+		simulation.checker.addViolation("KEY", "%s accepts a caller without a key", modelhost.name)
+	case presented.text == "": // Its workspace has had no key since the job was drawn.
 	case err != nil && !revoked && simulation.now-since > keyTime:
 		simulation.checker.addViolation("KEY", "%s refuses %s, which is valid since %s", modelhost.name, presented.text, simulation.now-since)
 	case err == nil && caller.Workspace() != presented.workspace:
