Let no other workspace cancel a job that the scheduler has not read

Cause: an accepted job may wait in an intake. A cancellation of its identity by another workspace that the scheduler read first took the identity, and the accepted job never ran. Change: a submission replaces a cancellation that came before any submission, if both have workspaces and these differ; in the emulator, callers of other workspaces cancel a twentieth of the jobs right after their acceptance.

--- a/command/scheduler/intake.go
+++ b/command/scheduler/intake.go
@@ -75,7 +75,12 @@
 // takeIntake admits or cancels a job. It changes nothing and reports false if the identity is that of a job of another queue or
 // workspace: the first job with an identity has it.
 func (machine *Machine) takeIntake(intake almondcross.Intake) bool {
-	if holder := machine.state.jobs[intake.Job().ID()]; holder != nil && (holder.ofOtherQueue(intake) || holder.ofOtherWorkspace(intake)) {
+	holder := machine.state.jobs[intake.Job().ID()]
+	if holder != nil && !intake.Cancel() && holder.yieldsTo(intake.Job()) {
+		machine.admitJob(intake.Job(), intake.Settings())
+		return true
+	}
+	if holder != nil && (holder.ofOtherQueue(intake) || holder.ofOtherWorkspace(intake)) {
 		fields := []almondcross.LogField{
 			almondcross.Text("job", string(intake.Job().ID())), almondcross.Text("queue", intake.Job().Queue()),
 			almondcross.Text("holder", holder.spec.Queue()), almondcross.Text("cancel", yesNo(intake.Cancel())),
@@ -108,6 +113,14 @@
 	return almondcross.DifferentWorkspaces(intake.Job().Workspace(), job.spec.Workspace())
 }
 
+// yieldsTo reports whether a submitted job takes the identity of this one, which is only a cancellation by another workspace that
+// came before any submission: its caller must not keep an accepted job of the other workspace, which the scheduler has not read
+// yet, from running.
+func (job *job) yieldsTo(submitted almondcross.Job) bool {
+	neverAdmitted := job.state == almondcross.JobCancelled && job.startedOccurrences == 0 && job.spec.Runs() == 0
+	return neverAdmitted && almondcross.DifferentWorkspaces(submitted.Workspace(), job.spec.Workspace())
+}
+
 // admitJob admits a job with the settings with which a host accepted it. For a job of a host of the version before, which
 // sends none, they are those of the version in force here.
 func (machine *Machine) admitJob(submitted almondcross.Job, accepted almondcross.QueueSettings) {
@@ -115,7 +128,7 @@
 	if !settings.Known() {
 		settings = machine.routes.Settings(submitted.Queue())
 	}
-	if job := machine.state.jobs[submitted.ID()]; job != nil {
+	if job := machine.state.jobs[submitted.ID()]; job != nil && !job.yieldsTo(submitted) {
 		machine.config.Metrics.JobRepeated()
 		if job.spec.Queue() == submitted.Queue() && job.unsettled() && settings.Known() {
 			machine.settleJob(job, settings)
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -226,8 +226,11 @@
 }
 
 func (state *state) admitJob(submitted almondcross.Job, settings almondcross.QueueSettings) {
-	if _, known := state.jobs[submitted.ID()]; known {
-		return
+	if known := state.jobs[submitted.ID()]; known != nil {
+		if !known.yieldsTo(submitted) {
+			return
+		}
+		state.finishedJobs = slices.DeleteFunc(state.finishedJobs, func(id almondcross.JobID) bool { return id == submitted.ID() })
 	}
 	job := &job{spec: submitted, settings: settings, state: almondcross.JobQueued}
 	state.jobs[submitted.ID()] = job
--- a/standin/emulator/jobs.go
+++ b/standin/emulator/jobs.go
@@ -223,6 +223,7 @@
 	simulation.meter.jobAccepted(job)
 	simulation.observe(SubmissionAcknowledged)
 	simulation.schedule(statePollInterval, func() { simulation.pollState(job) })
+	simulation.cancelFromElsewhere(job)
 	delay := time.Duration(simulation.random.Int64N(int64(3 * time.Second)))
 	switch fraction := simulation.random.Float64(); {
 	case fraction < resubmitShare:
--- a/standin/emulator/workspaces.go
+++ b/standin/emulator/workspaces.go
@@ -135,6 +135,30 @@
 	return caller, err
 }
 
+// foreignCancelShare is the fraction of the accepted jobs that callers of another workspace try to cancel.
+const foreignCancelShare = 0.05
+
+// cancelFromElsewhere lets callers of another workspace try to cancel some jobs right after their acceptance, when most hosts and in
+// some cases the scheduler do not know them yet. The jobs must go on.
+func (simulation *Simulation) cancelFromElsewhere(job *modelJob) {
+	workspaces := simulation.routes.Workspaces()
+	if len(workspaces) < 2 || simulation.random.Float64() >= foreignCancelShare {
+		return
+	}
+	workspace := workspaces[simulation.random.IntN(len(workspaces))]
+	host := simulation.hosts[simulation.random.IntN(len(simulation.hosts))]
+	if workspace.Name() == job.key.workspace || len(workspace.Keys()) == 0 || !host.answers() {
+		return
+	}
+	cancelled := job.spec.WithSteps(nil).WithPayload("").WithWorkspace(workspace.Name())
+	caller, err := host.identify(cancelled, key{workspace: workspace.Name(), text: workspace.Keys()[0]})
+	if err != nil || host.access.MayCancel(caller, cancelled.ID()) != nil {
+		return
+	}
+	intake := almondcross.NewIntake(almondcross.IntakeConfig{Job: cancelled, Settings: caller.Settings(), Cancel: true})
+	host.storeIntake(intake, func() {}, func() {}, func() {})
+}
+
 // checkAccess asks a host for a job with the key of another workspace, and whether that may cancel it. Neither may succeed.
 func (checker *checker) checkAccess(host *modelHost, job *modelJob) {
 	simulation := checker.simulation
