Send the views again only to the standbys that become viewers

Cause: the first workspace also sent all views to viewers of format 1, which have them. Change: only standbys are told their new role and get all views.

--- a/command/scheduler/format.go
+++ b/command/scheduler/format.go
@@ -45,7 +45,7 @@
 	}
 	machine.recordChange(almondcross.ChangeConfig{Kind: almondcross.ChangeFormat, Format: workspaceFormat})
 	for _, name := range slices.Sorted(maps.Keys(machine.linkedHosts)) {
-		if host := machine.linkedHosts[name]; name != machine.config.Host && host.format < workspaceFormat {
+		if host := machine.linkedHosts[name]; host.standby && host.format < workspaceFormat {
 			host.standby, host.rank = false, 0
 			machine.hostLinked(host)
 		}
