--- a/assembler/scheduler.go
+++ b/assembler/scheduler.go
@@ -169,6 +169,7 @@
 
 func newFollower(
 	settings configurator.SchedulerSettings, client *client.Client, codec encoder.Codec, rings schedulerRings, log *recorder.Recorder,
+	counter *counter.Counter,
 ) *follower.Follower {
 	return follower.New(follower.Config{
 		Reader: querier.NewStore(settings.StoreAddress(), client), Codec: codec, WorkerCodec: translator.Codec{}, Sink: rings.messages, Log: log,
@@ -177,7 +178,7 @@
 		Pointers: almondcross.Partition{Topic: pointerTopic}, Clock: Clock{},
 		Announcements:    almondcross.Partition{Topic: translator.WorkersTopic},
 		Configuration:    almondcross.Partition{Topic: translator.OperatorsTopic},
-		ConfigurationKey: translator.ConfigurationKey,
+		ConfigurationKey: translator.ConfigurationKey, Rejected: counter.RoutesRejected,
 	})
 }
 
@@ -234,9 +235,10 @@
 
 func newDialer(
 	settings configurator.SchedulerSettings, codec encoder.Codec, rings schedulerRings, executor *executor.Executor, log *recorder.Recorder,
+	machine *scheduler.Machine,
 ) *connector.Dialer {
 	return connector.NewDialer(connector.DialerConfig{
-		Host: settings.Name(), DataCentre: settings.DataCentre(), Address: settings.LinkListen(), Codec: codec, Queries: rings.advice,
+		Host: settings.Name(), DataCentre: settings.DataCentre(), Address: settings.LinkListen(), Format: machine.Format(), Codec: codec, Queries: rings.advice,
 		Executor: executor, Sink: rings.messages, Log: log,
 		Stored: rings.offerStored, Clock: Clock{},
 	})
--- a/command/scheduler/machine.go
+++ b/command/scheduler/machine.go
@@ -240,6 +240,7 @@
 	if table.Version() <= machine.routes.Version() {
 		return
 	}
+	machine.auditWorkspaces(machine.routes, table)
 	machine.routes, machine.queues = table, make(map[string]almondcross.Queue, len(table.Queues()))
 	for _, queue := range table.Queues() {
 		machine.queues[queue.Name()] = queue
@@ -269,7 +270,7 @@
 		return
 	}
 	view := almondcross.NewJobView(almondcross.JobViewConfig{
-		ID: accepted.ID(), Queue: accepted.Queue(), State: almondcross.JobQueued, CountsAsPending: accepted.Runs() == 0,
+		ID: accepted.ID(), Queue: accepted.Queue(), State: almondcross.JobQueued, CountsAsPending: accepted.Runs() == 0, Workspace: accepted.Workspace(),
 	})
 	machine.acceptedJobs[accepted.ID()] = acceptedJob{view: view, at: machine.now}
 	machine.config.Publisher.Publish(view)
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -59,7 +59,7 @@
 // view returns the view of the job that callers see.
 func (job *job) view() almondcross.JobView {
 	return almondcross.NewJobView(almondcross.JobViewConfig{
-		ID: job.spec.ID(), Queue: job.spec.Queue(), State: job.state, CountsAsPending: job.spec.Runs() == 0,
+		ID: job.spec.ID(), Queue: job.spec.Queue(), State: job.state, CountsAsPending: job.spec.Runs() == 0, Workspace: job.spec.Workspace(),
 	})
 }
 
@@ -226,8 +226,11 @@
 }
 
 func (state *state) admitJob(submitted almondcross.Job, settings almondcross.QueueSettings) {
-	if _, known := state.jobs[submitted.ID()]; known {
-		return
+	if known := state.jobs[submitted.ID()]; known != nil {
+		if !known.yieldsTo(submitted) {
+			return
+		}
+		state.finishedJobs = slices.DeleteFunc(state.finishedJobs, func(id almondcross.JobID) bool { return id == submitted.ID() })
 	}
 	job := &job{spec: submitted, settings: settings, state: almondcross.JobQueued}
 	state.jobs[submitted.ID()] = job
