Keep each workspace within its quota

Cause: a workspace could use the whole pool, and a gang larger than its quota was accepted. Change: the replicated state counts what the runs of each workspace hold, from the assignment to the recorded end. The scheduler checks the quota at each placement, at the replacement of a gang member and before a start order is sent. A stage that waits for quota asks for no advice and reserves nothing. Metrics and log lines name the workspaces at their quota.

--- a/command/counter/counter.go
+++ b/command/counter/counter.go
@@ -10,10 +10,14 @@
 )
 
 // Counter updates the metrics of a host's scheduling decisions.
-type Counter struct{ set *metrics.Set }
+type Counter struct {
+	set *metrics.Set
+	// workspaces holds the names of the metrics of workspaces. Only the duty of the scheduler uses it.
+	workspaces map[string]struct{}
+}
 
 // New returns a counter that registers its metrics in a set.
-func New(set *metrics.Set) *Counter { return &Counter{set: set} }
+func New(set *metrics.Set) *Counter { return &Counter{set: set, workspaces: map[string]struct{}{}} }
 
 func (counter *Counter) add(name string, count int) { counter.set.GetOrCreateCounter(name).Add(count) }
 
@@ -66,6 +70,38 @@
 	counter.add("almondcross_placement_workers_examined_total", workers)
 }
 
+// Workspaces replaces the usage of workspaces: what their runs hold, their quotas, and how many of their stages wait for quota.
+// A resource without a quota has none. The number of workspaces is bounded by the caller.
+func (counter *Counter) Workspaces(usages []almondcross.WorkspaceUsage) {
+	current := map[string]struct{}{}
+	set := func(name string, value int64) {
+		current[name] = struct{}{}
+		counter.set.GetOrCreateGauge(name, nil).Set(float64(value))
+	}
+	for _, usage := range usages {
+		set(fmt.Sprintf("almondcross_workspace_waiting_stages{workspace=%q}", usage.Workspace()), int64(usage.WaitingStages()))
+		for _, amount := range [...]struct {
+			resource    string
+			held, quota int64
+		}{
+			{"cpu_millis", usage.Held().MilliCPU(), usage.Quota().MilliCPU()},
+			{"memory_mb", usage.Held().MemoryMB(), usage.Quota().MemoryMB()},
+			{"accelerators", usage.Held().Accelerators(), usage.Quota().Accelerators()},
+		} {
+			set(fmt.Sprintf("almondcross_workspace_held{workspace=%q,resource=%q}", usage.Workspace(), amount.resource), amount.held)
+			if amount.quota > 0 {
+				set(fmt.Sprintf("almondcross_workspace_quota{workspace=%q,resource=%q}", usage.Workspace(), amount.resource), amount.quota)
+			}
+		}
+	}
+	for name := range counter.workspaces {
+		if _, kept := current[name]; !kept {
+			counter.set.UnregisterMetric(name)
+		}
+	}
+	counter.workspaces = current
+}
+
 // Ordered records how long an order to a worker took.
 func (counter *Counter) Ordered(kind string, took time.Duration) {
 	counter.set.GetOrCreateHistogram(fmt.Sprintf("almondcross_order_seconds{kind=%q}", kind)).Update(max(took, 0).Seconds())
--- a/command/scheduler/advice.go
+++ b/command/scheduler/advice.go
@@ -150,7 +150,7 @@
 func (machine *Machine) selectWorkers(queue almondcross.Queue, stage *stage, advice *stageAdvice, candidates []almondcross.WorkerCapacity) []string {
 	share := machine.allowedShare(queue)
 	sortByTasks(candidates)
-	wanted := float64(stage.remainingTasks - stage.activeTasks)
+	wanted := float64(machine.tasksWithinQuota(stage))
 	var selected []string
 	var allowedTasks, expectedTasks float64
 	for _, candidate := range candidates {
--- a/command/scheduler/harness_test.go
+++ b/command/scheduler/harness_test.go
@@ -13,18 +13,19 @@
 
 type noopRecorder struct{}
 
-func (noopRecorder) Record(string, ...almondcross.LogField) {}
-func (noopRecorder) Elected()                               {}
-func (noopRecorder) CommitRepeated()                        {}
-func (noopRecorder) JobRepeated()                           {}
-func (noopRecorder) Admitted(string)                        {}
-func (noopRecorder) Finished(string, almondcross.JobState)  {}
-func (noopRecorder) StartAnswered(almondcross.OrderResult)  {}
-func (noopRecorder) StopSent(string)                        {}
-func (noopRecorder) Ended(almondcross.EndKind)              {}
-func (noopRecorder) Advised(string, int, int)               {}
-func (noopRecorder) Examined(int)                           {}
-func (noopRecorder) FormatUnknown()                         {}
+func (noopRecorder) Record(string, ...almondcross.LogField)  {}
+func (noopRecorder) Elected()                                {}
+func (noopRecorder) CommitRepeated()                         {}
+func (noopRecorder) JobRepeated()                            {}
+func (noopRecorder) Admitted(string)                         {}
+func (noopRecorder) Finished(string, almondcross.JobState)   {}
+func (noopRecorder) StartAnswered(almondcross.OrderResult)   {}
+func (noopRecorder) StopSent(string)                         {}
+func (noopRecorder) Ended(almondcross.EndKind)               {}
+func (noopRecorder) Advised(string, int, int)                {}
+func (noopRecorder) Examined(int)                            {}
+func (noopRecorder) FormatUnknown()                          {}
+func (noopRecorder) Workspaces([]almondcross.WorkspaceUsage) {}
 
 // testingT is the common part of testing.T and rapid.T.
 type testingT interface {
--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -64,7 +64,8 @@
 	lastTickAt          time.Time                    // lastTickAt is when due occurrences were last started.
 	failedShare         float64                      // failedShare is the failed share of the runs on the median of the workers, see updateFailedShare.
 	failedAgainShare    float64                      // failedAgainShare is the moving average of the failed share of the runs of stages that have failed on another worker.
-	allowedShares       map[string]float64           // allowedShares holds the moving average of the share of workers that advice allows, by queue.
+	quotas              quotaTable
+	allowedShares       map[string]float64 // allowedShares holds the moving average of the share of workers that advice allows, by queue.
 }
 
 func (machine *Machine) startLeading(answer almondcross.JournalCommitted) {
@@ -73,7 +74,7 @@
 		epoch: answer.Commit().Epoch(), sequence: 1, electedAt: machine.now, lastCommitAt: machine.now.Add(-answer.Took()),
 		pendingIntake: map[int]int64{}, intakeReadAt: map[int]time.Time{}, workers: map[string]*worker{}, advice: map[almondcross.StageID]*stageAdvice{},
 		queued: map[almondcross.StageID]bool{}, unpushedViews: map[almondcross.JobID]almondcross.JobViewChange{}, jobsWithOccurrences: map[almondcross.JobID]*job{}, allowedShares: map[string]float64{}, queueScores: map[string]queueScore{},
-		quarantined: map[almondcross.StageID]time.Time{},
+		quarantined: map[almondcross.StageID]time.Time{}, quotas: newQuotaTable(),
 	}
 	machine.endLeadershipsOf(machine.config.Host, machine.config.Address, machine.leader.epoch)
 	machine.config.Log.Record("scheduling_started", almondcross.Number("epoch", machine.leader.epoch),
@@ -139,6 +140,7 @@
 		machine.emit(ReleaseWorker{Worker: worker.id})
 	}
 	machine.leader = nil
+	machine.config.Metrics.Workspaces(nil) // The next scheduler has the figures.
 	machine.discoverScheduler()
 }
 
--- a/command/scheduler/machine.go
+++ b/command/scheduler/machine.go
@@ -44,13 +44,15 @@
 // Machine is the decision code of the scheduler: a state machine without clocks and transports. It is not safe
 // for concurrent use.
 type Machine struct {
-	config  Config
-	state   *state
-	routes  almondcross.RouteTable
-	queues  map[string]almondcross.Queue // queues holds the queues of the route table by name.
-	role    role
-	now     time.Time
-	effects []Effect
+	config Config
+	state  *state
+	routes almondcross.RouteTable
+	queues map[string]almondcross.Queue // queues holds the queues of the route table by name.
+	// workspaces holds the workspaces by name, as the last version of the route table that has them.
+	workspaces map[string]almondcross.Workspace
+	role       role
+	now        time.Time
+	effects    []Effect
 
 	discovery discovery
 	follower  follower
@@ -78,7 +80,7 @@
 
 // NewMachine returns a machine that starts to look for the scheduler.
 func NewMachine(config Config) *Machine {
-	machine := &Machine{config: config, state: newState(config.Retention), linkedHosts: map[string]*linkedHost{}, acceptedJobs: map[almondcross.JobID]acceptedJob{}}
+	machine := &Machine{config: config, state: newState(config.Retention), linkedHosts: map[string]*linkedHost{}, acceptedJobs: map[almondcross.JobID]acceptedJob{}, workspaces: map[string]almondcross.Workspace{}}
 	machine.reads.intakes = map[int]bool{}
 	machine.linkedHosts[config.Host] = &linkedHost{name: config.Host}
 	machine.discoverScheduler()
@@ -244,6 +246,7 @@
 	for _, queue := range table.Queues() {
 		machine.queues[queue.Name()] = queue
 	}
+	machine.noteWorkspaces(table.Workspaces())
 	machine.config.Log.Record("routes_in_force", almondcross.Number("version", table.Version()),
 		almondcross.Number("queues", len(table.Queues())))
 	if machine.leader != nil {
--- a/command/scheduler/metrics.go
+++ b/command/scheduler/metrics.go
@@ -24,6 +24,8 @@
 	FormatUnknown()
 	// Examined counts how often a worker was looked at in a placement pass, the main cost of placement.
 	Examined(workers int)
+	// Workspaces replaces the usage of all workspaces, sorted by name. A host that is not the scheduler has none.
+	Workspaces(usages []almondcross.WorkspaceUsage)
 	// Advised counts an answer of the advice service.
 	Advised(queue string, allowed, asked int)
 }
--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -14,6 +14,7 @@
 	advice *stageAdvice // advice is nil before the first query.
 	// isolationSince is when a task of the stage first waited for a worker of its own, zero if none waits.
 	isolationSince time.Time
+	quota          quotaWait
 }
 
 // placeStages assigns tasks to workers in the order of the stages and requests missing advice.
@@ -48,6 +49,7 @@
 			stillWaiting = append(stillWaiting, waiting)
 			continue
 		}
+		machine.endQuotaWait(waiting)
 		delete(leader.queued, waiting.stage.id)
 		delete(leader.quarantined, waiting.stage.id)
 		if waiting.stage.remainingTasks == 0 || waiting.job.state.Final() {
@@ -74,6 +76,7 @@
 			}
 		}
 	}
+	leader.quotas.startPass()
 	machine.limitIsolation()
 	machine.collectHosts()
 }
@@ -104,6 +107,7 @@
 	queue := machine.queue(waiting.job)
 	switch {
 	case queue.Pool() == "":
+	case machine.awaitQuota(waiting):
 	case !queue.AdviceSettings().Required():
 		machine.placeTasks(queue, waiting, nil)
 	default:
@@ -115,6 +119,9 @@
 				return
 			}
 		}
+		if !machine.quotaAllows(waiting) {
+			return
+		}
 		machine.requestAdvice(queue, waiting.job, waiting.stage, waiting.advice)
 		if waiting.stage.spec.Gang() {
 			machine.reserveForGang(queue, waiting.stage, waiting.advice)
@@ -290,7 +297,9 @@
 
 // placeGroup places tasks of a stage that are under the same suspicion.
 func (machine *Machine) placeGroup(job *job, stage *stage, wanted []int, candidates []almondcross.WorkerCapacity) bool {
-	if len(candidates) == 0 {
+	complete := len(wanted)
+	wanted = machine.withinQuota(job, stage, wanted)
+	if len(candidates) == 0 || len(wanted) == 0 {
 		return false
 	}
 	chosen := machine.config.Picker.Pick(almondcross.NewPickQuery(almondcross.PickQueryConfig{
@@ -309,7 +318,7 @@
 		}
 		machine.assign(job, stage, index, run, machine.leader.workers[id])
 	}
-	return len(chosen) == len(wanted)
+	return len(chosen) == complete
 }
 
 // replaceGangMember assigns a gang member that never started to another worker, under the same run number,
@@ -319,6 +328,9 @@
 	if missing.stopReason != "" || stage.activeTasks == 0 || missing.run != stage.gangRun || machine.now.Sub(missing.placedAt) > memberReplaceTimeout {
 		return false
 	}
+	if !machine.mayReplace(missing) {
+		return false
+	}
 	queue := machine.queue(job)
 	var advice *stageAdvice
 	if queue.AdviceSettings().Required() {
@@ -400,7 +412,7 @@
 // have changed since the decision.
 func (machine *Machine) mayStart(worker *worker, assigned *assignment) bool {
 	return assigned.stopReason == "" && assigned.unwantedReason() == "" && machine.mayExtendLease(worker) && !worker.unreachable &&
-		worker.fitsRuns() && worker.isOfKind(machine.queue(assigned.job), assigned.stage.spec)
+		worker.fitsRuns() && worker.isOfKind(machine.queue(assigned.job), assigned.stage.spec) && machine.startKeepsQuota(assigned)
 }
 
 // startOrderAnswered handles the answer to a start order.
--- a/command/scheduler/snapshot.go
+++ b/command/scheduler/snapshot.go
@@ -101,6 +101,7 @@
 			if task.Active() {
 				stage.activeTasks++
 				state.busyWorkers[task.Worker()]++
+				state.hold(restored, stage)
 			}
 		}
 		stage.updateMaxCrashes()
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -88,6 +88,8 @@
 	unlistedWorkers map[string]almondcross.UnlistedWorker
 	crashes         []almondcross.WorkerCrash // crashes holds the crashes of workers in the last crashWindow.
 	busyWorkers     map[string]int            // busyWorkers counts the active runs of each worker that has any.
+	// heldResources holds what the runs without a recorded end of each workspace hold, see quota.go.
+	heldResources map[string]almondcross.Resources
 	// busyAddresses holds the addresses of the workers in busyWorkers, as far as the journal has shown them since this host
 	// loaded the state.
 	busyAddresses map[string]workerAddress
@@ -126,6 +128,7 @@
 		intakeOffsets: map[int]int64{}, jobs: map[almondcross.JobID]*job{}, retention: retention,
 		changedJobs: map[almondcross.JobID]struct{}{}, silentWorkers: map[string]silence{}, longLeases: map[string]time.Time{}, unlistedWorkers: map[string]almondcross.UnlistedWorker{}, usage: map[almondcross.UsageKey]almondcross.QueueUsage{},
 		unstoredUsage: map[almondcross.UsageKey]struct{}{}, busyWorkers: map[string]int{}, busyAddresses: map[string]workerAddress{},
+		heldResources: map[string]almondcross.Resources{},
 	}
 }
 
@@ -317,6 +320,7 @@
 	} else {
 		stage.activeTasks++
 		job.activeTasks++
+		state.hold(job, stage)
 	}
 	state.busyWorkers[change.Worker()]++
 	if change.Address() != "" {
@@ -342,6 +346,7 @@
 		stage.activeTasks++
 		job.activeTasks++
 	} else {
+		state.releaseHeld(job, stage)
 		defer state.releaseWorker(record.Worker()) // The worker counts as busy when its crash is weighed.
 	}
 	if showsStart(change) {
--- a/command/scheduler/sweep.go
+++ b/command/scheduler/sweep.go
@@ -19,6 +19,7 @@
 // unanswered stop orders and removes workers that have left.
 func (machine *Machine) sweepWorkers() {
 	machine.leader.updateFailedShare()
+	machine.sweepQuotas()
 	var left []*worker
 	for _, worker := range machine.leader.sortedWorkers {
 		if worker.outOfContact() {
--- a/errors.go
+++ b/errors.go
@@ -15,4 +15,5 @@
 	ErrWorkerUnreachable   = errors.ConstError("the worker cannot be reached")
 	ErrLiveListUnreachable = errors.ConstError("the live list cannot be reached")
 	ErrInvalidJob          = errors.ConstError("the job is not valid")
+	ErrExceedsQuota        = errors.ConstError("more than the quota of the workspace can ever hold")
 )
--- a/journal.go
+++ b/journal.go
@@ -40,6 +40,8 @@
 	// Identify returns the name of the workspace whose key a caller presents on a queue, and whether the call is allowed.
 	// The name is empty on an open queue and if the configuration requires no keys.
 	Identify(queue Queue, key string) (workspace string, allowed bool)
+	// FitsQuota returns ErrExceedsQuota if a job can never run within the current quota of its workspace.
+	FitsQuota(job Job) error
 	// Version returns the version of the current configuration, 0 before the first one.
 	Version() int64
 	// BodyLimit returns the maximum size of a request body in bytes, 0 when none is configured.
--- a/query/router/router.go
+++ b/query/router/router.go
@@ -55,6 +55,14 @@
 	return workspace, allowed
 }
 
+// FitsQuota returns ErrExceedsQuota if a job can never run within the current quota of its workspace.
+func (router *Router) FitsQuota(job almondcross.Job) error {
+	if index := router.current.Load(); index != nil {
+		return index.table.FitsQuota(job)
+	}
+	return nil
+}
+
 // Version returns the version of the current route table, 0 if there is none.
 func (router *Router) Version() int64 {
 	if index := router.current.Load(); index != nil {
--- a/standin/emulator/host.go
+++ b/standin/emulator/host.go
@@ -238,17 +238,18 @@
 // noMetrics discards all counts.
 type noMetrics struct{}
 
-func (noMetrics) Elected()                              {}
-func (noMetrics) CommitRepeated()                       {}
-func (noMetrics) JobRepeated()                          {}
-func (noMetrics) Admitted(string)                       {}
-func (noMetrics) Finished(string, almondcross.JobState) {}
-func (noMetrics) StopSent(string)                       {}
-func (noMetrics) StartAnswered(almondcross.OrderResult) {}
-func (noMetrics) Ended(almondcross.EndKind)             {}
-func (noMetrics) Advised(string, int, int)              {}
-func (noMetrics) Examined(int)                          {}
-func (noMetrics) FormatUnknown()                        {}
+func (noMetrics) Elected()                                {}
+func (noMetrics) CommitRepeated()                         {}
+func (noMetrics) JobRepeated()                            {}
+func (noMetrics) Admitted(string)                         {}
+func (noMetrics) Finished(string, almondcross.JobState)   {}
+func (noMetrics) StopSent(string)                         {}
+func (noMetrics) StartAnswered(almondcross.OrderResult)   {}
+func (noMetrics) Ended(almondcross.EndKind)               {}
+func (noMetrics) Advised(string, int, int)                {}
+func (noMetrics) Examined(int)                            {}
+func (noMetrics) FormatUnknown()                          {}
+func (noMetrics) Workspaces([]almondcross.WorkspaceUsage) {}
 
 // Answered discards the status of an answer.
 func (noMetrics) Answered(string, string, int, time.Duration) {}
