Order waiting stages by the shares of their workspaces

Cause: a workspace that sends several times its usual load took the capacity of all. Change: SharePolicy takes weights of owners and entries as values instead of a catalogue, so that both roles use it. The scheduler counts runs and waiting stages by pool, workspace and queue. Within a priority, stages of workspaces below their fair share go first, in the order as before, and the others by the lowest received share for its weight. Without workspaces in the configuration nothing is counted and the order is as before.

--- a/command/placer/machine.go
+++ b/command/placer/machine.go
@@ -148,7 +148,7 @@
 		machine.viewChanged(message.View())
 	case almondcross.CatalogueChanged:
 		machine.catalogue = message.Catalogue()
-		machine.Share.SetCatalogue(machine.catalogue)
+		machine.Share.SetWeights(shareWeights(machine.catalogue))
 		machine.updateAllRanks()
 		for _, queue := range machine.queues {
 			machine.setMaxRunning(queue)
@@ -329,3 +329,12 @@
 
 // Self returns the ID of this host in the current view.
 func (machine *Machine) Self() almondcross.MemberID { return machine.self }
+
+// shareWeights returns the weights of the entries of a catalogue: their shares.
+func shareWeights(catalogue almondcross.Catalogue) []almondcross.ShareWeight {
+	var weights []almondcross.ShareWeight
+	for entry := range catalogue.Entries {
+		weights = append(weights, almondcross.NewShareWeight(almondcross.ShareWeightConfig{Owner: entry.Owner(), Entry: entry.Name(), Weight: entry.Share()}))
+	}
+	return weights
+}
--- a/command/scheduler/intake.go
+++ b/command/scheduler/intake.go
@@ -192,6 +192,7 @@
 		added.readyAt = machine.now
 	}
 	waiting := &waitingStage{job: job, stage: added}
+	machine.joinShare(waiting)
 	index, _ := slices.BinarySearchFunc(leader.waitingStages, waiting, func(other, added *waitingStage) int {
 		return cmp.Or(machine.comparePlacement(other, added), -1) // Behind those that are equal.
 	})
--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -65,6 +65,7 @@
 	failedShare         float64                      // failedShare is the failed share of the runs on the median of the workers, see updateFailedShare.
 	failedAgainShare    float64                      // failedAgainShare is the moving average of the failed share of the runs of stages that have failed on another worker.
 	quotas              quotaTable
+	shares              shareTable
 	allowedShares       map[string]float64 // allowedShares holds the moving average of the share of workers that advice allows, by queue.
 }
 
@@ -92,6 +93,7 @@
 			machine.hostLinked(machine.linkedHosts[name])
 		}
 	}
+	machine.renewShares()
 	machine.restoreAssignments()
 	machine.recordForwardedEnds(machine.config.Host, machine.endsToForward())
 	machine.settleJobs()
@@ -116,10 +118,12 @@
 				}
 				worker := machine.ensureWorker(record.Worker())
 				task := almondcross.JobTask{Stage: stage.id, Index: index}
-				worker.assign(&assignment{
+				restoredRun := &assignment{
 					suspicion: stage.suspicion(index), missingEnd: almondcross.EndVoid, task: task, run: record.Run(), resources: stage.spec.Resources(), phase: phaseUnknown, stage: stage, job: job,
 					placedAt: machine.now,
-				})
+				}
+				worker.assign(restoredRun)
+				machine.chargeShare(restoredRun)
 				restored++
 				if job.state.Final() {
 					final++
--- a/command/scheduler/machine.go
+++ b/command/scheduler/machine.go
@@ -37,6 +37,7 @@
 	Random              *rand.Rand
 	Publisher           almondcross.JobPublisher
 	Picker              almondcross.WorkerPicker
+	NewShares           func() almondcross.SharePolicy // NewShares returns the policy that orders the workspaces in one pool.
 	Log                 almondcross.EventLog
 	Metrics             Metrics
 }
@@ -251,6 +252,7 @@
 		almondcross.Number("queues", len(table.Queues())))
 	if machine.leader != nil {
 		machine.sortWaitingStages()
+		machine.renewShares()
 		machine.settleJobs()
 		machine.leader.placementDue = true
 	}
--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -15,6 +15,8 @@
 	// isolationSince is when a task of the stage first waited for a worker of its own, zero if none waits.
 	isolationSince time.Time
 	quota          quotaWait
+	share          shareEntry // share is the entry whose stage waits.
+	priority       int        // priority is that of the queue by the configuration in force.
 }
 
 // placeStages assigns tasks to workers in the order of the stages and requests missing advice.
@@ -22,7 +24,7 @@
 	leader := machine.leader
 	machine.startPass()
 	var isolatedStages []*waitingStage
-	for _, waiting := range leader.waitingStages {
+	machine.visitInShareOrder(func(waiting *waitingStage) {
 		switch {
 		case !waiting.job.ready(waiting.stage):
 		case machine.quarantine(waiting):
@@ -30,7 +32,7 @@
 		default:
 			machine.placeStage(waiting)
 		}
-	}
+	})
 	// Isolated stages wait long, as few workers are left for them. The newest ones can still be in time, and show first
 	// whether the jobs of the queue still crash workers.
 	for _, waiting := range slices.Backward(isolatedStages) {
@@ -50,6 +52,7 @@
 			continue
 		}
 		machine.endQuotaWait(waiting)
+		waiting.share.leave()
 		delete(leader.queued, waiting.stage.id)
 		delete(leader.quarantined, waiting.stage.id)
 		if waiting.stage.remainingTasks == 0 || waiting.job.state.Final() {
@@ -66,17 +69,20 @@
 	leader.usableWorkers, leader.ownWorkers = leader.usableWorkers[:0], leader.ownWorkers[:0]
 	leader.reservedCPU, leader.usableCPU = 0, 0
 	leader.examinedWorkers = len(leader.sortedWorkers)
+	leader.shares.clearCapacity()
 	for _, worker := range leader.sortedWorkers {
 		if worker.inPass = worker.usable(machine.now); worker.inPass {
 			worker.reserved = almondcross.Resources{}
 			leader.usableWorkers = append(leader.usableWorkers, worker)
 			leader.usableCPU += worker.info.Capacity().MilliCPU()
+			leader.shares.addCapacity(worker.info)
 			if worker.isolatedRuns > 0 || len(worker.assignments) == 0 {
 				leader.ownWorkers = append(leader.ownWorkers, worker)
 			}
 		}
 	}
 	leader.quotas.startPass()
+	leader.shares.setTotals()
 	machine.limitIsolation()
 	machine.collectHosts()
 }
@@ -364,6 +370,7 @@
 		machine.leader.isolatedWorkers++
 	}
 	worker.assign(assigned)
+	machine.chargeShare(assigned)
 	change := almondcross.ChangeConfig{Kind: almondcross.ChangeAssign, Task: task, Run: run, Worker: worker.id}
 	if address := worker.address(); machine.state.busyAddresses[worker.id] != address {
 		change.Address, change.Zone = address.address, address.zone
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -45,6 +45,7 @@
 	suspicion     suspicion           // suspicion is that of the task when the run was assigned.
 	lostAt        time.Time           // lostAt is when contact with the incarnation of the worker that got the start order was lost, zero while it is the current one.
 	presumedLost  bool                // presumedLost is set once the lease has expired of a worker that does not answer.
+	share         shareEntry          // share is the entry whose share the run counts towards.
 	missingEnd    almondcross.EndKind // missingEnd is how the run has ended if its worker does not report it.
 }
 
@@ -296,6 +297,7 @@
 func (machine *Machine) endRun(worker *worker, assignment *assignment, kind almondcross.EndKind, checkpoint string) {
 	machine.recordStarts() // The end itself would otherwise count as the first sign of the start.
 	worker.release(assignment)
+	assignment.share.uncharge(assignment.resources)
 	task := assignment.task
 	wasFinal := assignment.job.state.Final()
 	machine.recordChange(almondcross.ChangeConfig{
--- a/policy.go
+++ b/policy.go
@@ -42,13 +42,22 @@
 	RemovePlaced(entry string, class Class, rack string)
 }
 
+// ShareWeight is the weight of an entry within its owner. The weight of an owner is the sum of the weights with its name.
+//
+//value:generate
+type ShareWeight struct {
+	owner  string // the owner, such as a team or a workspace
+	entry  string // the entry of the owner, such as a queue, empty for a weight of the owner as a whole
+	weight int64  // the weight, at least 1
+}
+
 // SharePolicy ranks owners and entries by the ratio of their received to their promised share.
 // One duty owns it.
 type SharePolicy interface {
 	// SetTotal sets the total capacity that is shared.
 	SetTotal(total Resources)
-	// SetCatalogue sets the weights of the entries.
-	SetCatalogue(catalogue Catalogue)
+	// SetWeights replaces the weights. Owners and entries without one have the weight 1.
+	SetWeights(weights []ShareWeight)
 	// AddUsage adds the resources of one task to the usage of an entry.
 	AddUsage(owner, entry string, resources Resources)
 	// RemoveUsage subtracts the resources of one task that AddUsage added.
@@ -73,7 +82,7 @@
 	// OwnerRatio returns the received share of the owner divided by its weight. Half of its next task
 	// is included, so that rounding to whole tasks favours neither small nor large owners. The owner
 	// with the lowest ratio is served first. It changes only with the owner's usage, the total and
-	// the catalogue.
+	// the weights.
 	OwnerRatio(next Resources) float64
 	// EntryRatio returns the same ratio for the entry within its owner.
 	EntryRatio(next Resources) float64
--- a/policy/sharer/doc.go
+++ b/policy/sharer/doc.go
@@ -1,6 +1,6 @@
 // Package sharer orders owners and entries by weighted dominant resource fairness.
 //
-// The weight of an owner is the sum of the shares of its entries; its promised
+// The weight of an owner is the sum of the weights of its entries; its promised
 // share is its weight divided by the sum of all weights. The promised shares of
 // owners without running or waiting tasks are lent to the other owners in
 // proportion to their weights. An owner's received share is its dominant share:
--- a/policy/sharer/sharer.go
+++ b/policy/sharer/sharer.go
@@ -2,7 +2,7 @@
 
 import "github.com/almondcross/almondcross"
 
-// defaultShare is the weight of an owner or entry that is not in the catalogue or has no share.
+// defaultShare is the weight of an owner or entry that has none.
 const defaultShare = 1
 
 // Sharer implements almondcross.SharePolicy with weighted dominant resource fairness. It is not safe for
@@ -10,8 +10,8 @@
 type Sharer struct {
 	capacity     almondcross.Resources
 	owners       map[string]*ownerState
-	weights      map[string]int64 // the weight of each entry in the catalogue
-	totalWeight  int64            // the sum of the weights of all owners in the catalogue
+	weights      map[string]int64 // the weight of each entry that has one
+	totalWeight  int64            // the sum of the weights of all owners that have one
 	activeWeight int64            // the sum of the weights of the owners with waiting or running tasks
 }
 
@@ -40,15 +40,17 @@
 // SetTotal sets the total capacity that the owners share.
 func (sharer *Sharer) SetTotal(capacity almondcross.Resources) { sharer.capacity = capacity }
 
-// SetCatalogue sets the weights of the entries and their owners.
-func (sharer *Sharer) SetCatalogue(catalogue almondcross.Catalogue) {
+// SetWeights sets the weights of the entries and their owners.
+func (sharer *Sharer) SetWeights(weights []almondcross.ShareWeight) {
 	clear(sharer.weights)
 	ownerWeights := map[string]int64{}
 	sharer.totalWeight = 0
-	for entry := range catalogue.Entries {
-		weight := max(entry.Share(), defaultShare)
-		sharer.weights[entry.Name()] = weight
-		ownerWeights[entry.Owner()] += weight
+	for _, given := range weights {
+		weight := max(given.Weight(), defaultShare)
+		if given.Entry() != "" {
+			sharer.weights[given.Entry()] = weight
+		}
+		ownerWeights[given.Owner()] += weight
 		sharer.totalWeight += weight
 	}
 	sharer.activeWeight = 0
--- a/policy/sharer/sharer_test.go
+++ b/policy/sharer/sharer_test.go
@@ -17,13 +17,13 @@
 	}
 	sharer := sharer.New()
 	sharer.SetTotal(newResources(1000, 1000))
-	catalogue := almondcross.NewCatalogue()
-	for _, entry := range []almondcross.EntryConfig{
-		{Name: "a1", Owner: "a", Share: 1}, {Name: "a2", Owner: "a", Share: 1}, {Name: "b1", Owner: "b", Share: 6}, {Name: "c1", Owner: "c", Share: 2},
+	var weights []almondcross.ShareWeight
+	for _, weight := range []almondcross.ShareWeightConfig{
+		{Entry: "a1", Owner: "a", Weight: 1}, {Entry: "a2", Owner: "a", Weight: 1}, {Entry: "b1", Owner: "b", Weight: 6}, {Owner: "c", Weight: 2},
 	} {
-		catalogue = catalogue.WithEntry(almondcross.NewEntry(entry))
+		weights = append(weights, almondcross.NewShareWeight(weight))
 	}
-	sharer.SetCatalogue(catalogue)
+	sharer.SetWeights(weights)
 	sharer.AddUsage("a", "a1", newResources(100, 300))
 	sharer.AddUsage("b", "b1", newResources(600, 100))
 	noResources := almondcross.Resources{}
--- a/policy_generated.go
+++ b/policy_generated.go
@@ -146,6 +146,58 @@
 	return placementquery
 }
 
+// ShareWeightConfig holds the fields of a new ShareWeight.
+type ShareWeightConfig struct {
+	Owner  string
+	Entry  string
+	Weight int64
+}
+
+// NewShareWeight returns a ShareWeight with the given fields.
+func NewShareWeight(config ShareWeightConfig) ShareWeight {
+	return ShareWeight{
+		owner:  config.Owner,
+		entry:  config.Entry,
+		weight: config.Weight,
+	}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (shareweight ShareWeight) Config() ShareWeightConfig {
+	return ShareWeightConfig{
+		Owner:  shareweight.owner,
+		Entry:  shareweight.entry,
+		Weight: shareweight.weight,
+	}
+}
+
+// Owner returns the owner, such as a team or a workspace.
+func (shareweight ShareWeight) Owner() string { return shareweight.owner }
+
+// WithOwner returns a copy with the given owner.
+func (shareweight ShareWeight) WithOwner(owner string) ShareWeight {
+	shareweight.owner = owner
+	return shareweight
+}
+
+// Entry returns the entry of the owner, such as a queue, empty for a weight of the owner as a whole.
+func (shareweight ShareWeight) Entry() string { return shareweight.entry }
+
+// WithEntry returns a copy with the given entry.
+func (shareweight ShareWeight) WithEntry(entry string) ShareWeight {
+	shareweight.entry = entry
+	return shareweight
+}
+
+// Weight returns the weight, at least 1.
+func (shareweight ShareWeight) Weight() int64 { return shareweight.weight }
+
+// WithWeight returns a copy with the given weight.
+func (shareweight ShareWeight) WithWeight(weight int64) ShareWeight {
+	shareweight.weight = weight
+	return shareweight
+}
+
 // AdmissionQueryConfig holds the fields of a new AdmissionQuery.
 type AdmissionQueryConfig struct {
 	Entry   string
