--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -14,6 +14,9 @@
 	advice *stageAdvice // advice is nil before the first query.
 	// isolationSince is when a task of the stage first waited for a worker of its own, zero if none waits.
 	isolationSince time.Time
+	quota          quotaWait
+	share          shareEntry // share is the entry whose stage waits.
+	priority       int        // priority is that of the queue by the configuration in force.
 }
 
 // placeStages assigns tasks to workers in the order of the stages and requests missing advice.
@@ -21,7 +24,7 @@
 	leader := machine.leader
 	machine.startPass()
 	var isolatedStages []*waitingStage
-	for _, waiting := range leader.waitingStages {
+	machine.visitInShareOrder(func(waiting *waitingStage) {
 		switch {
 		case !waiting.job.ready(waiting.stage):
 		case machine.quarantine(waiting):
@@ -29,7 +32,7 @@
 		default:
 			machine.placeStage(waiting)
 		}
-	}
+	})
 	// Isolated stages wait long, as few workers are left for them. The newest ones can still be in time, and show first
 	// whether the jobs of the queue still crash workers.
 	for _, waiting := range slices.Backward(isolatedStages) {
@@ -48,6 +51,8 @@
 			stillWaiting = append(stillWaiting, waiting)
 			continue
 		}
+		machine.endQuotaWait(waiting)
+		waiting.share.leave()
 		delete(leader.queued, waiting.stage.id)
 		delete(leader.quarantined, waiting.stage.id)
 		if waiting.stage.remainingTasks == 0 || waiting.job.state.Final() {
@@ -64,16 +69,20 @@
 	leader.usableWorkers, leader.ownWorkers = leader.usableWorkers[:0], leader.ownWorkers[:0]
 	leader.reservedCPU, leader.usableCPU = 0, 0
 	leader.examinedWorkers = len(leader.sortedWorkers)
+	leader.shares.clearCapacity()
 	for _, worker := range leader.sortedWorkers {
 		if worker.inPass = worker.usable(machine.now); worker.inPass {
 			worker.reserved = almondcross.Resources{}
 			leader.usableWorkers = append(leader.usableWorkers, worker)
 			leader.usableCPU += worker.info.Capacity().MilliCPU()
+			leader.shares.addCapacity(worker.info)
 			if worker.isolatedRuns > 0 || len(worker.assignments) == 0 {
 				leader.ownWorkers = append(leader.ownWorkers, worker)
 			}
 		}
 	}
+	leader.quotas.startPass()
+	leader.shares.setTotals()
 	machine.limitIsolation()
 	machine.collectHosts()
 }
@@ -104,6 +113,7 @@
 	queue := machine.queue(waiting.job)
 	switch {
 	case queue.Pool() == "":
+	case machine.awaitQuota(waiting):
 	case !queue.AdviceSettings().Required():
 		machine.placeTasks(queue, waiting, nil)
 	default:
@@ -115,6 +125,9 @@
 				return
 			}
 		}
+		if !machine.quotaAllows(waiting) {
+			return
+		}
 		machine.requestAdvice(queue, waiting.job, waiting.stage, waiting.advice)
 		if waiting.stage.spec.Gang() {
 			machine.reserveForGang(queue, waiting.stage, waiting.advice)
@@ -290,7 +303,9 @@
 
 // placeGroup places tasks of a stage that are under the same suspicion.
 func (machine *Machine) placeGroup(job *job, stage *stage, wanted []int, candidates []almondcross.WorkerCapacity) bool {
-	if len(candidates) == 0 {
+	complete := len(wanted)
+	wanted = machine.withinQuota(job, stage, wanted)
+	if len(candidates) == 0 || len(wanted) == 0 {
 		return false
 	}
 	chosen := machine.config.Picker.Pick(almondcross.NewPickQuery(almondcross.PickQueryConfig{
@@ -309,7 +324,7 @@
 		}
 		machine.assign(job, stage, index, run, machine.leader.workers[id])
 	}
-	return len(chosen) == len(wanted)
+	return len(chosen) == complete
 }
 
 // replaceGangMember assigns a gang member that never started to another worker, under the same run number,
@@ -319,6 +334,9 @@
 	if missing.stopReason != "" || stage.activeTasks == 0 || missing.run != stage.gangRun || machine.now.Sub(missing.placedAt) > memberReplaceTimeout {
 		return false
 	}
+	if !machine.mayReplace(missing) {
+		return false
+	}
 	queue := machine.queue(job)
 	var advice *stageAdvice
 	if queue.AdviceSettings().Required() {
@@ -352,6 +370,7 @@
 		machine.leader.isolatedWorkers++
 	}
 	worker.assign(assigned)
+	machine.chargeShare(assigned)
 	change := almondcross.ChangeConfig{Kind: almondcross.ChangeAssign, Task: task, Run: run, Worker: worker.id}
 	if address := worker.address(); machine.state.busyAddresses[worker.id] != address {
 		change.Address, change.Zone = address.address, address.zone
@@ -400,7 +419,7 @@
 // have changed since the decision.
 func (machine *Machine) mayStart(worker *worker, assigned *assignment) bool {
 	return assigned.stopReason == "" && assigned.unwantedReason() == "" && machine.mayExtendLease(worker) && !worker.unreachable &&
-		worker.fitsRuns() && worker.isOfKind(machine.queue(assigned.job), assigned.stage.spec)
+		worker.fitsRuns() && worker.isOfKind(machine.queue(assigned.job), assigned.stage.spec) && machine.startKeepsQuota(assigned)
 }
 
 // startOrderAnswered handles the answer to a start order.
