Order waiting stages by whether they can still be in time

Cause: stages of a priority stood in the order of submission. In a burst that is longer than the pool can serve in time, all of them started when they had just become late. Isolated stages stood newest first without a bound on the wait of the oldest. Change: an OrderPolicy ranks waiting stages by the latest start with which their job is expected to be in time, from the objective of the queue and the estimates of the steps that are left; work that can only be late follows, and what has waited for a minute goes first.

--- a/assembler/scheduler.go
+++ b/assembler/scheduler.go
@@ -32,6 +32,7 @@
 	"github.com/almondcross/almondcross/platform/querier"
 	"github.com/almondcross/almondcross/platform/translator"
 	"github.com/almondcross/almondcross/policy/delegator"
+	"github.com/almondcross/almondcross/policy/orderer"
 	"github.com/almondcross/almondcross/policy/picker"
 	"github.com/almondcross/almondcross/policy/sharer"
 	"github.com/almondcross/almondcross/query/follower"
@@ -296,7 +297,7 @@
 		Host: settings.Name(), Address: settings.LinkListen(), Partitions: settings.StorePartitions(), Strength: schedulerStrength(settings),
 		Retention: time.Duration(float64(settings.StateRetention()) * retentionFactor), MaxLease: settings.MaxLease(),
 		SnapshotInterval: interval, RecordBytes: settings.StoreRecord(), BatchesPerAppend: max(1, settings.StoreCall()/settings.StoreRecord()), Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), //nolint:gosec // Jitter needs no secrecy.
-		Publisher: table, Picker: picker.BestFit{}, NewShares: func() almondcross.SharePolicy { return sharer.New() }, Log: log, Metrics: counter,
+		Publisher: table, Picker: picker.BestFit{}, Order: orderer.BySlack{}, NewShares: func() almondcross.SharePolicy { return sharer.New() }, Log: log, Metrics: counter,
 	})
 }
 
--- a/command/scheduler/format_test.go
+++ b/command/scheduler/format_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/almondcross/almondcross"
+	"github.com/almondcross/almondcross/policy/orderer"
 	"github.com/almondcross/almondcross/policy/picker"
 	"github.com/almondcross/almondcross/query/jobfinder"
 )
@@ -31,7 +32,7 @@
 	harness, recorder := newHarness(t), &formatRecorder{}
 	harness.machine = NewMachine(Config{
 		Host: "h-1", Address: "10.0.0.9:1", Partitions: 1, Retention: time.Minute, MaxLease: 10 * time.Second, SnapshotInterval: time.Hour, RecordBytes: 256 << 10,
-		BatchesPerAppend: 8, Strength: 100, Random: rand.New(rand.NewPCG(1, 1)), Publisher: jobfinder.New(), Picker: picker.BestFit{}, Log: recorder, Metrics: recorder,
+		BatchesPerAppend: 8, Strength: 100, Random: rand.New(rand.NewPCG(1, 1)), Publisher: jobfinder.New(), Picker: picker.BestFit{}, Order: orderer.BySlack{}, Log: recorder, Metrics: recorder,
 	})
 	harness.apply(almondcross.NewPointerRead(almondcross.PointerReadConfig{Stored: true}))
 	harness.apply(almondcross.NewSnapshotRead(almondcross.SnapshotReadConfig{}))
--- a/command/scheduler/harness_test.go
+++ b/command/scheduler/harness_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/almondcross/almondcross"
+	"github.com/almondcross/almondcross/policy/orderer"
 	"github.com/almondcross/almondcross/policy/picker"
 	"github.com/almondcross/almondcross/policy/sharer"
 	"github.com/almondcross/almondcross/query/jobfinder"
@@ -66,7 +67,7 @@
 	harness := &harness{t: t, now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}
 	harness.machine = NewMachine(Config{
 		Host: host, Address: hostAddress, Partitions: 1, Retention: time.Minute, MaxLease: 10 * time.Second, SnapshotInterval: time.Hour, RecordBytes: 256 << 10, BatchesPerAppend: 8,
-		Strength: 100, Random: rand.New(rand.NewPCG(1, 1)), Publisher: jobfinder.New(), Picker: picker.BestFit{}, NewShares: func() almondcross.SharePolicy { return sharer.New() }, Log: noopRecorder{}, Metrics: noopRecorder{},
+		Strength: 100, Random: rand.New(rand.NewPCG(1, 1)), Publisher: jobfinder.New(), Picker: picker.BestFit{}, Order: orderer.BySlack{}, NewShares: func() almondcross.SharePolicy { return sharer.New() }, Log: noopRecorder{}, Metrics: noopRecorder{},
 	})
 	return harness
 }
--- a/command/scheduler/intake.go
+++ b/command/scheduler/intake.go
@@ -219,7 +219,7 @@
 	}
 }
 
-// enqueue inserts a stage by priority, then by submission time.
+// enqueue inserts a stage in placement order.
 func (machine *Machine) enqueue(job *job, added *stage) {
 	leader := machine.leader
 	leader.queued[added.id] = true
@@ -231,27 +231,15 @@
 		added.readyAt = machine.now
 	}
 	waiting := &waitingStage{job: job, stage: added}
+	machine.rank(waiting)
 	machine.joinShare(waiting)
 	index, _ := slices.BinarySearchFunc(leader.waitingStages, waiting, func(other, added *waitingStage) int {
-		return cmp.Or(machine.comparePlacement(other, added), -1) // Behind those that are equal.
+		return cmp.Or(comparePlacement(other, added), -1) // Behind those that are equal.
 	})
 	leader.waitingStages = slices.Insert(leader.waitingStages, index, waiting)
 	leader.placementDue = true
 }
 
-// sortWaitingStages restores the placement order after a change of the priorities.
-func (machine *Machine) sortWaitingStages() {
-	slices.SortStableFunc(machine.leader.waitingStages, machine.comparePlacement)
-}
-
-// comparePlacement orders waiting stages by the priority of their queue, then by submission time.
-func (machine *Machine) comparePlacement(first, second *waitingStage) int {
-	return cmp.Or(
-		cmp.Compare(machine.queue(first.job).Priority(), machine.queue(second.job).Priority()),
-		first.job.spec.Submitted().Compare(second.job.spec.Submitted()),
-	)
-}
-
 // maxOpenTasks is the number of unfinished tasks of a job from which no further occurrence starts. It bounds the memory for
 // a job whose occurrences are all due at once.
 const maxOpenTasks = 10_000
--- a/command/scheduler/machine.go
+++ b/command/scheduler/machine.go
@@ -37,6 +37,7 @@
 	Random              *rand.Rand
 	Publisher           almondcross.JobPublisher
 	Picker              almondcross.WorkerPicker
+	Order               almondcross.OrderPolicy
 	NewShares           func() almondcross.SharePolicy // NewShares returns the policy that orders the workspaces in one pool.
 	Log                 almondcross.EventLog
 	Metrics             Metrics
@@ -252,6 +253,9 @@
 	machine.config.Log.Record("routes_in_force", almondcross.Number("version", table.Version()),
 		almondcross.Number("queues", len(table.Queues())))
 	if machine.leader != nil {
+		for _, waiting := range machine.leader.waitingStages {
+			machine.rank(waiting)
+		}
 		machine.sortWaitingStages()
 		machine.renewShares()
 		machine.settleJobs()
--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -17,12 +17,15 @@
 	quota          quotaWait
 	share          shareEntry // share is the entry whose stage waits.
 	priority       int        // priority is that of the queue by the configuration in force.
+	order          almondcross.OrderQuery
+	rank           almondcross.OrderRank // rank is that of the last pass.
 }
 
 // placeStages assigns tasks to workers in the order of the stages and requests missing advice.
 func (machine *Machine) placeStages() {
 	leader := machine.leader
 	machine.startPass()
+	machine.rankStages()
 	var isolatedStages []*waitingStage
 	machine.visitInShareOrder(func(waiting *waitingStage) {
 		switch {
@@ -34,9 +37,16 @@
 		}
 	})
 	// Isolated stages wait long, as few workers are left for them. The newest ones can still be in time, and show first
-	// whether the jobs of the queue still crash workers.
+	// whether the jobs of the queue still crash workers. Those that have waited for too long go before them all the same.
+	for _, waiting := range isolatedStages {
+		if waiting.rank.Overdue() {
+			machine.placeStage(waiting)
+		}
+	}
 	for _, waiting := range slices.Backward(isolatedStages) {
-		machine.placeStage(waiting)
+		if !waiting.rank.Overdue() {
+			machine.placeStage(waiting)
+		}
 	}
 	machine.dropPlacedStages()
 	machine.config.Metrics.Examined(leader.examinedWorkers)
--- a/command/scheduler/share.go
+++ b/command/scheduler/share.go
@@ -105,7 +105,6 @@
 
 // joinShare counts a waiting stage: its workspace no longer lends its share.
 func (machine *Machine) joinShare(waiting *waitingStage) {
-	waiting.priority = machine.queue(waiting.job).Priority()
 	waiting.share = machine.shareEntry(waiting.job)
 	if owner := waiting.share.owner; owner != nil {
 		owner.pool.policy.AddWaiting(owner.name, waiting.share.queue, 1)
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -34,6 +34,8 @@
 	startedOccurrences int
 	stages             []*stage
 	activeTasks        int // activeTasks counts the active tasks of all stages.
+	// paths holds the longest chains of the steps, nil until a stage waits. It is not replicated.
+	paths *paths
 }
 
 // stage returns the stage with an ID, nil if its occurrence has not started.
--- a/policy.go
+++ b/policy.go
@@ -1,6 +1,9 @@
 package almondcross
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 //go:generate go run ./tools/valuer -output policy_generated.go policy.go
 
@@ -160,3 +163,38 @@
 	// Pick returns a worker for each task that it could place, in order. It does not modify the candidates.
 	Pick(query PickQuery, candidates []WorkerCapacity) []string
 }
+
+// OrderQuery describes work that waits for capacity.
+//
+//value:generate
+type OrderQuery struct {
+	since             time.Time // the time at which it began to wait
+	latestStart       time.Time // the latest start with which it is expected to be in time, zero without an objective
+	latestUsefulStart time.Time // the latest start with which its result is expected to be of use
+}
+
+// OrderRank is the place of waiting work in the order.
+//
+//value:generate
+type OrderRank struct {
+	overdue bool      // whether it has waited so long that it goes before all other work of its priority
+	group   int       // the group; a lower one goes first
+	key     time.Time // the order within a group; an earlier one goes first
+}
+
+// Compare orders ranks.
+func (orderrank OrderRank) Compare(other OrderRank) int {
+	if orderrank.overdue != other.overdue {
+		if orderrank.overdue {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(orderrank.group, other.group), orderrank.key.Compare(other.key))
+}
+
+// OrderPolicy orders waiting work of the same priority. It is stateless.
+type OrderPolicy interface {
+	// Rank returns the rank of work at a time.
+	Rank(query OrderQuery, now time.Time) OrderRank
+}
--- a/policy_generated.go
+++ b/policy_generated.go
@@ -513,3 +513,107 @@
 	pickquery.sinceReady = sinceReady
 	return pickquery
 }
+
+// OrderQueryConfig holds the fields of a new OrderQuery.
+type OrderQueryConfig struct {
+	Since             time.Time
+	LatestStart       time.Time
+	LatestUsefulStart time.Time
+}
+
+// NewOrderQuery returns a OrderQuery with the given fields.
+func NewOrderQuery(config OrderQueryConfig) OrderQuery {
+	return OrderQuery{
+		since:             config.Since,
+		latestStart:       config.LatestStart,
+		latestUsefulStart: config.LatestUsefulStart,
+	}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (orderquery OrderQuery) Config() OrderQueryConfig {
+	return OrderQueryConfig{
+		Since:             orderquery.since,
+		LatestStart:       orderquery.latestStart,
+		LatestUsefulStart: orderquery.latestUsefulStart,
+	}
+}
+
+// Since returns the time at which it began to wait.
+func (orderquery OrderQuery) Since() time.Time { return orderquery.since }
+
+// WithSince returns a copy with the given since.
+func (orderquery OrderQuery) WithSince(since time.Time) OrderQuery {
+	orderquery.since = since
+	return orderquery
+}
+
+// LatestStart returns the latest start with which it is expected to be in time, zero without an objective.
+func (orderquery OrderQuery) LatestStart() time.Time { return orderquery.latestStart }
+
+// WithLatestStart returns a copy with the given latestStart.
+func (orderquery OrderQuery) WithLatestStart(latestStart time.Time) OrderQuery {
+	orderquery.latestStart = latestStart
+	return orderquery
+}
+
+// LatestUsefulStart returns the latest start with which its result is expected to be of use.
+func (orderquery OrderQuery) LatestUsefulStart() time.Time { return orderquery.latestUsefulStart }
+
+// WithLatestUsefulStart returns a copy with the given latestUsefulStart.
+func (orderquery OrderQuery) WithLatestUsefulStart(latestUsefulStart time.Time) OrderQuery {
+	orderquery.latestUsefulStart = latestUsefulStart
+	return orderquery
+}
+
+// OrderRankConfig holds the fields of a new OrderRank.
+type OrderRankConfig struct {
+	Overdue bool
+	Group   int
+	Key     time.Time
+}
+
+// NewOrderRank returns a OrderRank with the given fields.
+func NewOrderRank(config OrderRankConfig) OrderRank {
+	return OrderRank{
+		overdue: config.Overdue,
+		group:   config.Group,
+		key:     config.Key,
+	}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (orderrank OrderRank) Config() OrderRankConfig {
+	return OrderRankConfig{
+		Overdue: orderrank.overdue,
+		Group:   orderrank.group,
+		Key:     orderrank.key,
+	}
+}
+
+// Overdue returns whether it has waited so long that it goes before all other work of its priority.
+func (orderrank OrderRank) Overdue() bool { return orderrank.overdue }
+
+// WithOverdue returns a copy with the given overdue.
+func (orderrank OrderRank) WithOverdue(overdue bool) OrderRank {
+	orderrank.overdue = overdue
+	return orderrank
+}
+
+// Group returns the group; a lower one goes first.
+func (orderrank OrderRank) Group() int { return orderrank.group }
+
+// WithGroup returns a copy with the given group.
+func (orderrank OrderRank) WithGroup(group int) OrderRank {
+	orderrank.group = group
+	return orderrank
+}
+
+// Key returns the order within a group; an earlier one goes first.
+func (orderrank OrderRank) Key() time.Time { return orderrank.key }
+
+// WithKey returns a copy with the given key.
+func (orderrank OrderRank) WithKey(key time.Time) OrderRank {
+	orderrank.key = key
+	return orderrank
+}
--- a/standin/emulator/host.go
+++ b/standin/emulator/host.go
@@ -7,6 +7,7 @@
 
 	"github.com/almondcross/almondcross"
 	"github.com/almondcross/almondcross/command/scheduler"
+	"github.com/almondcross/almondcross/policy/orderer"
 	"github.com/almondcross/almondcross/policy/picker"
 	"github.com/almondcross/almondcross/policy/sharer"
 	"github.com/almondcross/almondcross/query/authorizer"
@@ -78,7 +79,7 @@
 		Host: modelhost.name, Address: modelhost.name, Partitions: intakePartitions, Strength: 100 - 10*(modelhost.index%3), Retention: 150 * time.Second, MaxLease: maxLease,
 		SnapshotInterval: 3 * time.Second, RecordBytes: 256 << 10, BatchesPerAppend: 8, Random: rand.New(rand.NewPCG(simulation.random.Uint64(), 1)), //nolint:gosec // A model needs no secrecy.
 		FormatAbove: simulation.formatAbove(modelhost.index), IgnoresAttemptLimit: simulation.drawn(modelhost.index, simulation.config.OtherHosts),
-		Publisher: modelhost.jobTable, Picker: picker.BestFit{}, NewShares: func() almondcross.SharePolicy { return sharer.New() }, Log: hostLog{modelhost}, Metrics: noMetrics{},
+		Publisher: modelhost.jobTable, Picker: picker.BestFit{}, Order: orderer.BySlack{}, NewShares: func() almondcross.SharePolicy { return sharer.New() }, Log: hostLog{modelhost}, Metrics: noMetrics{},
 	})
 	modelhost.runUnfrozen(modelhost.advance)
 	modelhost.readRoutes()
