Count a start after a disturbance from the placement of its run

A start order may be sent right after a disturbance for a run whose append was in flight before it. The meter now takes the time at which the run was placed. The test and its bounds are unchanged.

--- a/standin/emulator/takeovermeter.go
+++ b/standin/emulator/takeovermeter.go
@@ -16,7 +16,7 @@
 	Contact   time.Duration // Contact is when a worker first answered the successor.
 	Advice    time.Duration // Advice is when the successor first got advice.
 	Placement time.Duration // Placement is when the successor first placed a run.
-	Start     time.Duration // Start is when a worker first started a run that was ordered after the disturbance, the end of the simulation if none did.
+	Start     time.Duration // Start is when a worker first started a run that was placed after the disturbance, the end of the simulation if none did.
 }
 
 // TakeoverReport holds what the disturbances of the scheduler cost in a simulation.
@@ -40,6 +40,7 @@
 	waiting    map[*modelJob]bool           // waiting holds the accepted jobs without a start.
 	pauseSince time.Duration                // pauseSince is since when jobs have waited and no task has started.
 	begunRuns  map[string]bool              // begunRuns holds the runs that workers began.
+	placedAt   map[string]time.Duration     // placedAt is when each run was last placed.
 	lostTasks  map[almondcross.JobTask]time.Duration
 	result     TakeoverReport
 }
@@ -58,6 +59,7 @@
 func newTakeoverMeter(simulation *Simulation) *takeoverMeter {
 	return &takeoverMeter{
 		simulation: simulation, electionAt: map[*modelHost]time.Duration{}, waiting: map[*modelJob]bool{}, begunRuns: map[string]bool{},
+		placedAt:  map[string]time.Duration{},
 		lostTasks: map[almondcross.JobTask]time.Duration{},
 	}
 }
@@ -99,6 +101,8 @@
 	case "advised":
 		takeovermeter.note(host, func(times *Takeover) *time.Duration { return &times.Advice })
 	case "run_placed":
+		task, run, _ := runFields(fields)
+		takeovermeter.placedAt[runKey(task, run)] = takeovermeter.simulation.now
 		takeovermeter.note(host, func(times *Takeover) *time.Duration { return &times.Placement })
 	case "run_ended":
 		takeovermeter.runEnded(fields)
@@ -123,8 +127,18 @@
 
 // runEnded counts a run that a scheduler ends as lost or as never started although it had begun.
 func (takeovermeter *takeoverMeter) runEnded(fields []almondcross.LogField) {
-	var task, end string
-	run := 0
+	task, run, end := runFields(fields)
+	switch almondcross.EndKind(end) {
+	case almondcross.EndWorkerCrashed, almondcross.EndCrashedAlone, almondcross.EndMaybeCrashed, almondcross.EndVoid:
+		if takeovermeter.begunRuns[runKey(task, run)] {
+			takeovermeter.result.PresumedLost++
+		}
+	default:
+	}
+}
+
+// runFields returns the task, the number and the end of a run from the fields of its log line.
+func runFields(fields []almondcross.LogField) (task string, run int, end string) {
 	for _, field := range fields {
 		switch field.Name {
 		case "task":
@@ -135,13 +149,7 @@
 			end = field.Text
 		}
 	}
-	switch almondcross.EndKind(end) {
-	case almondcross.EndWorkerCrashed, almondcross.EndCrashedAlone, almondcross.EndMaybeCrashed, almondcross.EndVoid:
-		if takeovermeter.begunRuns[runKey(task, run)] {
-			takeovermeter.result.PresumedLost++
-		}
-	default:
-	}
+	return task, run, end
 }
 
 func runKey(task string, run int) string { return fmt.Sprint(task, "/", run) }
@@ -175,14 +183,16 @@
 	takeovermeter.endPause()
 	delete(takeovermeter.waiting, run.job)
 	takeovermeter.pauseSince = now
-	takeovermeter.begunRuns[runKey(run.task.String(), run.number)] = true
+	key := runKey(run.task.String(), run.number)
+	takeovermeter.begunRuns[key] = true
 	if lostAt, lost := takeovermeter.lostTasks[run.task]; lost {
 		takeovermeter.result.Restarts = append(takeovermeter.result.Restarts, now-lostAt)
 		delete(takeovermeter.lostTasks, run.task)
 	}
 	for _, takeover := range takeovermeter.openTakeovers() {
 		stopping := takeover.stopping && delivered.sender == takeover.host && delivered.sender.incarnation == takeover.incarnation
-		if delivered.sentAt > takeover.at && !stopping {
+		// The append of a run that was placed before may be answered after the disturbance.
+		if takeovermeter.placedAt[key] > takeover.at && !stopping {
 			takeover.times.Start, takeover.done = now-takeover.at, true
 		}
 	}
