Keep the reservations of waiting gangs from pass to pass

Cause: reserveForGang chose workers anew in each pass, by their free capacity. The room moved from worker to worker, batch tasks behind the gangs kept taking what was given up, and tickets were requested only once all members fitted.

Change: a waiting gang keeps a reservation on named workers that advice allows. It takes the slots that are expected to be free soonest by the remaining run times of what runs there, one member on many workers rather than many on one. Stages ahead of the gang do not see its reservation; those behind it use its room only if they are expected to end before the gang starts. Tickets are requested in one call for just these workers and a few spare ones, shortly before the room is complete. Gangs of queues without advice reserve too. gangCapacityFactor is 4, so that a reservation has more workers to choose from. TestGangBeyondTheRangeReservesNothing calls updateRoom in the place of reserveForGang and also requires that no reservation is left.

--- a/command/scheduler/advice.go
+++ b/command/scheduler/advice.go
@@ -31,8 +31,8 @@
 	// of such a call does not depend on the number of workers.
 	minLongCallShare = 0.2
 	// gangCapacityFactor is the ratio of the capacity of the allowed workers to the size of a gang from which
-	// no more workers are queried.
-	gangCapacityFactor = 2
+	// no more workers are queried. A reservation is complete sooner if it has more workers to choose from.
+	gangCapacityFactor = 4
 	// maxWorkersPerCall is the maximum number of workers in one call.
 	maxWorkersPerCall = 100
 	// longCallThreshold is the expected duration from which a call counts as long.
@@ -100,7 +100,8 @@
 }
 
 // requestAdvice requests tickets for workers with free resources if a host may make a call.
-func (machine *Machine) requestAdvice(queue almondcross.Queue, job *job, stage *stage, advice *stageAdvice) {
+func (machine *Machine) requestAdvice(queue almondcross.Queue, waiting *waitingStage, advice *stageAdvice) {
+	job, stage := waiting.job, waiting.stage
 	if advice.pendingCalls > 0 || machine.now.Before(advice.retryAt) {
 		return
 	}
@@ -109,8 +110,8 @@
 		return
 	}
 	var selected []string
-	if stage.spec.Gang() && long {
-		selected = machine.selectForGang(queue, job, stage, advice)
+	if stage.spec.Gang() && (long || waiting.room != nil) {
+		selected = machine.selectForGang(queue, waiting, advice)
 	} else {
 		suspicion := machine.waitingSuspicion(job, stage)
 		selected = machine.selectWorkers(queue, stage, advice, machine.candidates(queue, job, stage, suspicion, nil))
@@ -177,7 +178,7 @@
 }
 
 // undecidedWorkers returns the workers without a decision for a stage: fitNow are those on which a task fits
-// now, fitLater those on which one fits once all runs that do not belong to gangs have ended.
+// now, fitLater those on which one fits once all runs other than services have ended.
 func (machine *Machine) undecidedWorkers(queue almondcross.Queue, stage *stage, advice *stageAdvice) (fitNow, fitLater []almondcross.WorkerCapacity) {
 	failed := machine.avoidedWorkers(queue, stage)
 	machine.leader.examinedWorkers += len(machine.leader.usableWorkers)
@@ -194,22 +195,34 @@
 	return fitNow, fitLater
 }
 
-// selectForGang returns the workers to query for a gang: the allowed ones with free resources, and undecided
-// ones with free resources if these are expected to complete the gang. Until the allowed workers have enough
-// capacity, it selects undecided workers to query; after that, or if none is left, it returns none and the gang waits for
-// resources or for further workers.
-func (machine *Machine) selectForGang(queue almondcross.Queue, job *job, stage *stage, advice *stageAdvice) []string {
+// selectForGang returns the workers to query for a gang: those of its reservation shortly before it starts there, or else the
+// allowed ones with free resources, and undecided ones with free resources if these are expected to complete the gang. Until
+// the allowed workers have enough capacity to choose from, it selects undecided workers to query; after that, or if none is
+// left, it returns none and the gang waits for resources or for further workers.
+func (machine *Machine) selectForGang(queue almondcross.Queue, waiting *waitingStage, advice *stageAdvice) []string {
+	job, stage := waiting.job, waiting.stage
 	wanted := stage.remainingTasks - stage.activeTasks
 	var totalOnAllowed, freeOnUndecided int
+	if waiting.room != nil {
+		if selected := machine.ticketsForRoom(queue, waiting.room, advice); len(selected) > 0 {
+			return selected
+		}
+	}
 	suspicion := machine.waitingSuspicion(job, stage)
 	allowed, freeOnAllowed := machine.freeAllowedWorkers(queue, job, stage, suspicion, advice)
 	if freeOnAllowed < wanted && suspicion != unsuspected && !machine.isQuarantined(job, stage) {
 		// A gang that cannot be kept apart needs tickets for shared workers.
 		allowed, freeOnAllowed = machine.freeAllowedWorkers(queue, job, stage, unsuspected, advice)
 	}
-	if freeOnAllowed >= wanted {
+	if freeOnAllowed >= wanted && waiting.room == nil {
 		return allowed[:min(len(allowed), maxWorkersPerCall)]
 	}
+	for _, worker := range machine.allowedWorkers(advice) {
+		totalOnAllowed += maxGangTasks(worker, stage)
+	}
+	if waiting.room != nil && totalOnAllowed >= wanted*gangCapacityFactor {
+		return nil
+	}
 	fitNow, fitLater := machine.undecidedWorkers(queue, stage, advice)
 	for _, candidate := range fitNow {
 		freeOnUndecided += candidate.Tasks()
@@ -217,9 +230,6 @@
 	if float64(freeOnAllowed)+float64(freeOnUndecided)*machine.allowedShare(queue) >= float64(wanted) {
 		return machine.extendSelection(queue, allowed, fitNow, float64(wanted-freeOnAllowed)*overselectionFactor)
 	}
-	for _, worker := range machine.allowedWorkers(advice) {
-		totalOnAllowed += maxGangTasks(worker, stage)
-	}
 	if float64(totalOnAllowed) >= float64(wanted)*gangCapacityFactor {
 		return nil
 	}
@@ -268,10 +278,9 @@
 	return initialAllowedShare
 }
 
-// maxGangTasks returns how many tasks of a gang fit on a worker once all runs that do not belong to gangs have
-// ended.
+// maxGangTasks returns how many tasks of a gang fit on a worker once all runs other than services have ended.
 func maxGangTasks(worker *worker, stage *stage) int {
-	return maxTasks(worker.info.Capacity().Sub(worker.usedByGangs), stage.spec.Resources(), stage.spec.Count())
+	return maxTasks(worker.info.Capacity().Sub(worker.usedByServices), stage.spec.Resources(), stage.spec.Count())
 }
 
 // adviceAnswered stores the tickets and the decisions of an answer.
--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -54,6 +54,8 @@
 	queueScores         map[string]queueScore             // queueScores holds the scores of the queues whose starts have crashed workers, see crashPenalty.
 	quarantined         map[almondcross.StageID]time.Time // quarantined holds the waiting stages that were isolated with their queue, also after the queue is trusted again, and since when.
 	reservedCPU         int64                             // reservedCPU is the part of usableCPU that is reserved for gangs in the current pass.
+	roomChoices         int                               // roomChoices counts the reservations that were chosen in the current pass.
+	roomSlots           []roomSlot                        // roomSlots holds the result of the last call of the method of this name.
 	waitingStages       []*waitingStage                   // waitingStages holds the stages with tasks to place, in placement order.
 	advice              map[almondcross.StageID]*stageAdvice
 	queued              map[almondcross.StageID]bool // queued holds the stages that are in waitingStages.
--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -12,6 +12,7 @@
 	job    *job
 	stage  *stage
 	advice *stageAdvice // advice is nil before the first query.
+	room   *gangRoom    // room is the reservation of a gang, nil for none.
 	// isolationSince is when a task of the stage first waited for a worker of its own, zero if none waits.
 	isolationSince time.Time
 }
@@ -48,6 +49,7 @@
 			stillWaiting = append(stillWaiting, waiting)
 			continue
 		}
+		machine.endRoom(waiting)
 		delete(leader.queued, waiting.stage.id)
 		delete(leader.quarantined, waiting.stage.id)
 		if waiting.stage.remainingTasks == 0 || waiting.job.state.Final() {
@@ -62,7 +64,7 @@
 func (machine *Machine) startPass() {
 	leader := machine.leader
 	leader.usableWorkers, leader.ownWorkers = leader.usableWorkers[:0], leader.ownWorkers[:0]
-	leader.reservedCPU, leader.usableCPU = 0, 0
+	leader.reservedCPU, leader.usableCPU, leader.roomChoices = 0, 0, 0
 	leader.examinedWorkers = len(leader.sortedWorkers)
 	for _, worker := range leader.sortedWorkers {
 		if worker.inPass = worker.usable(machine.now); worker.inPass {
@@ -105,7 +107,10 @@
 	switch {
 	case queue.Pool() == "":
 	case !queue.AdviceSettings().Required():
-		machine.placeTasks(queue, waiting, nil)
+		if !machine.placeTasks(queue, waiting, nil) && waiting.stage.spec.Gang() {
+			machine.updateRoom(queue, waiting, nil)
+			machine.holdRoom(waiting)
+		}
 	default:
 		if waiting.advice == nil {
 			waiting.advice = machine.ensureAdvice(waiting.stage.id)
@@ -115,56 +120,14 @@
 				return
 			}
 		}
-		machine.requestAdvice(queue, waiting.job, waiting.stage, waiting.advice)
 		if waiting.stage.spec.Gang() {
-			machine.reserveForGang(queue, waiting.stage, waiting.advice)
-		}
-	}
-}
-
-// reserveForGang reserves resources for a waiting gang on workers that advice allows for it, so that the
-// stages behind it in this pass cannot use them. Otherwise small tasks would take all resources as soon as
-// they are released.
-func (machine *Machine) reserveForGang(queue almondcross.Queue, stage *stage, advice *stageAdvice) {
-	leader, need := machine.leader, stage.spec.Resources()
-	wanted := stage.remainingTasks - stage.activeTasks
-	// A caller may ask for any amount, and the product may be out of the range of int64.
-	if float64(leader.reservedCPU)+float64(wanted)*float64(need.MilliCPU()) > maxReservedShare*float64(leader.usableCPU) {
-		return
-	}
-	var reservations []gangReservation
-	allowed := machine.allowedWorkers(advice)
-	leader.examinedWorkers += len(allowed)
-	for _, worker := range allowed {
-		if worker.info.Pool() != queue.Pool() {
-			continue
-		}
-		if tasks := maxTasks(worker.info.Capacity().Sub(worker.usedByGangs).Sub(worker.reserved), need, wanted); tasks > 0 {
-			reservations = append(reservations, gangReservation{worker: worker, totalTasks: tasks, freeTasks: maxTasks(worker.free().Sub(worker.reserved), need, wanted)})
-		}
-	}
-	slices.SortStableFunc(reservations, func(a, b gangReservation) int { return b.freeTasks - a.freeTasks })
-	for _, reservation := range reservations {
-		tasks := min(reservation.totalTasks, wanted)
-		reserved := need.Scale(int64(tasks))
-		reservation.worker.reserved = reservation.worker.reserved.Add(reserved)
-		leader.reservedCPU += reserved.MilliCPU()
-		if wanted -= tasks; wanted == 0 {
-			return
+			machine.updateRoom(queue, waiting, waiting.advice)
 		}
+		machine.requestAdvice(queue, waiting, waiting.advice)
+		machine.holdRoom(waiting)
 	}
 }
 
-// gangReservation is a worker on which resources may be reserved for a gang.
-type gangReservation struct {
-	worker     *worker
-	totalTasks int // totalTasks is how many tasks fit once all runs that do not belong to gangs have ended.
-	freeTasks  int // freeTasks is how many tasks fit now.
-}
-
-// maxReservedShare is the maximum share of the CPU capacity that may be reserved for waiting gangs.
-const maxReservedShare = 0.4
-
 // candidates returns the usable workers on which at least one task of a stage fits that is under the given suspicion.
 // With advice, it returns only those with a valid ticket.
 func (machine *Machine) candidates(queue almondcross.Queue, job *job, stage *stage, suspicion suspicion, advice *stageAdvice) []almondcross.WorkerCapacity {
@@ -186,7 +149,7 @@
 		if !worker.isOfKind(queue, spec) || !worker.accepts(job, suspicion) {
 			continue
 		}
-		free := worker.free().Sub(worker.reserved)
+		free := machine.unreserved(worker, stage)
 		count := maxTasks(free, spec.Resources(), spec.Count())
 		if count > 0 && spec.PerWorker() > 0 {
 			count = min(count, spec.PerWorker()-worker.runCount(stage.id))
--- a/command/scheduler/range_test.go
+++ b/command/scheduler/range_test.go
@@ -62,6 +62,8 @@
 	huge := almondcross.NewStep(almondcross.StepConfig{Count: 4, Gang: true, Resources: almondcross.NewResources(almondcross.ResourcesConfig{MilliCPU: 1 << 62})})
 	examined := leader.examinedWorkers
 	leader.workers[workerID].inPass = true
-	harness.machine.reserveForGang(almondcross.NewQueue(almondcross.QueueConfig{Pool: "pool"}), &stage{spec: huge, remainingTasks: 4}, &stageAdvice{allowed: []string{workerID}})
+	waiting := &waitingStage{job: &job{}, stage: &stage{spec: huge, remainingTasks: 4}}
+	harness.machine.updateRoom(almondcross.NewQueue(almondcross.QueueConfig{Pool: "pool"}), waiting, &stageAdvice{allowed: []string{workerID}})
+	require.Nil(t, waiting.room)
 	require.Equal(t, examined, leader.examinedWorkers, "no worker is looked at for a gang that is above the limit")
 }
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -60,8 +60,13 @@
 	drained       bool // drained is set once this incarnation has announced that it will leave.
 	assignments   map[almondcross.JobTask]*assignment
 	used          almondcross.Resources
-	usedByGangs   almondcross.Resources // usedByGangs is the part of used that belongs to gangs.
-	reserved      almondcross.Resources // reserved holds the resources reserved for waiting gangs in the current pass.
+	// usedByServices is the part of used that belongs to services.
+	usedByServices almondcross.Resources
+	reserved       almondcross.Resources // reserved holds the resources reserved for waiting gangs in the current pass.
+	reservedFrom   time.Time             // reservedFrom is when the first of these gangs is expected to start.
+	ends           []runEnd              // ends holds the expected ends of the runs, see runEnds.
+	endsAt         time.Time             // endsAt is when ends was computed.
+	endsKnown      bool                  // endsKnown is set while the runs are those of ends.
 
 	suspectRuns  int  // suspectRuns counts the runs of tasks under suspicion.
 	isolatedRuns int  // isolatedRuns counts the runs of isolated tasks; meanwhile the worker gets no runs of other jobs.
@@ -109,8 +114,9 @@
 func (worker *worker) assign(assignment *assignment) {
 	worker.assignments[assignment.task] = assignment
 	worker.used = worker.used.Add(assignment.resources)
-	if assignment.stage.spec.Gang() {
-		worker.usedByGangs = worker.usedByGangs.Add(assignment.resources)
+	worker.endsKnown = false
+	if assignment.stage.spec.Service() {
+		worker.usedByServices = worker.usedByServices.Add(assignment.resources)
 	}
 	if assignment.suspicion != unsuspected {
 		worker.suspectRuns++
@@ -125,8 +131,9 @@
 	if worker.assignments[assignment.task] == assignment {
 		delete(worker.assignments, assignment.task)
 		worker.used = worker.used.Sub(assignment.resources)
-		if assignment.stage.spec.Gang() {
-			worker.usedByGangs = worker.usedByGangs.Sub(assignment.resources)
+		worker.endsKnown = false
+		if assignment.stage.spec.Service() {
+			worker.usedByServices = worker.usedByServices.Sub(assignment.resources)
 		}
 		if assignment.suspicion != unsuspected {
 			worker.suspectRuns--
