Model a cell that is saturated with gangs

The mix of the emulator has narrow gangs and little load, so that it showed nothing of gangs that wait for room. The report has the waits and completion times by queue.

--- a/standin/emulator/checker.go
+++ b/standin/emulator/checker.go
@@ -13,6 +13,7 @@
 type Report struct {
 	Jobs, Accepted, Completed, Failed, Cancelled, Runs int
 	Median, P99                                        time.Duration // Median and P99 are the 50th and 99th percentiles of the time from submission to completion.
+	All, Urgent, Gangs, Batch                          ClassTimes    // All and the others hold the times of the jobs of all queues and of each.
 	// GivenUp counts the jobs that are shown as failed because workers crashed under one of their tasks, GivenUpSound
 	// those among them without a task that crashes its workers.
 	GivenUp, GivenUpSound int
--- a/standin/emulator/jobs.go
+++ b/standin/emulator/jobs.go
@@ -21,8 +21,9 @@
 	unanswered    int           // unanswered counts the attempts without a response.
 	cancelledAt   time.Duration // cancelledAt is when a cancellation was acknowledged, 0 before.
 	cancelSentAt  time.Duration
-	otherQueue    string // otherQueue is the queue on which the job's identity was also used, empty for none.
-	started       bool   // started reports whether a worker has started one of its tasks.
+	otherQueue    string        // otherQueue is the queue on which the job's identity was also used, empty for none.
+	startedAt     time.Duration // startedAt is when a worker started the first of its tasks, 0 before.
+	started       bool          // started reports whether a worker has started one of its tasks.
 	finalState    almondcross.JobState
 	finalAt       time.Duration
 	crashingTasks map[almondcross.JobTask]bool // crashingTasks holds the tasks that crash each worker that starts them.
@@ -90,6 +91,10 @@
 	config := almondcross.JobConfig{ID: almondcross.JobID(fmt.Sprintf("%016x", simulation.jobCount)), Payload: "work"}
 	mean, spread, long := time.Duration(0), 0.4, false
 	switch fraction := simulation.random.Float64(); {
+	case queue == "" && simulation.config.Saturated:
+		var step almondcross.Step
+		config.Queue, mean, step = simulation.saturatedStep()
+		spread, config.Steps = 0.1, []almondcross.Step{step}
 	case queue == "" && fraction < 0.8:
 		config.Queue, mean = queueUrgent, 600*time.Millisecond
 		config.Steps = []almondcross.Step{simulation.randomStep(1+simulation.random.IntN(3), 1400, 2000, simulation.random.Float64() < 0.3)}
--- a/standin/emulator/simulation.go
+++ b/standin/emulator/simulation.go
@@ -25,6 +25,8 @@
 	PoisonShare float64       // PoisonShare is the fraction of jobs whose runs always fail.
 	CancelShare float64       // CancelShare is the fraction of short jobs that are cancelled; see longCancelFactor.
 	LongShare   float64       // LongShare is the fraction of batch jobs that take many seconds.
+	// Saturated replaces the drawn jobs by those of a cell with many wide gangs, see SaturatedJobCPU.
+	Saturated bool
 	// UnboundStarts lets start orders reach any incarnation of a worker, as those that hosts of earlier versions send do.
 	UnboundStarts bool
 	Faults        []Fault       // Faults holds the faults to inject.
@@ -185,6 +187,8 @@
 	simulation.now = simulation.end
 	report := simulation.checker.report()
 	report.Takeovers = simulation.meter.report()
+	report.All, report.Urgent = simulation.classTimes(""), simulation.classTimes(queueUrgent)
+	report.Gangs, report.Batch = simulation.classTimes(queueGang), simulation.classTimes(queueBatch)
 	return report
 }
 
--- a/standin/emulator/worker.go
+++ b/standin/emulator/worker.go
@@ -138,7 +138,9 @@
 		}
 	}
 	modelworker.runs[order.Task()] = run
-	job.started = true
+	if !job.started {
+		job.started, job.startedAt = true, now
+	}
 	modelworker.simulation.recordStart(modelworker, run, delivered)
 	modelworker.simulation.scheduleCrash(modelworker, run)
 }
