Ask for enough workers once for each gang that has to wait

Cause: at 350 workers the reservations gained nothing. A gang knew 30 of the 150 workers that advice allows for it, whose room others held, and made 3.6 calls, so that all hosts that may make long calls were busy. The share of workers that advice allows was overestimated, since calls for the workers of a reservation, which are all allowed, counted too.

Change: a gang behind others that wait asks once for enough workers to choose from: twelve times its size in capacity (4 before), up to 200 workers in a call. It no longer asks for workers that have room now, which others take before the answer. Of a gang, only workers without an earlier decision count for the allowed share. Reservations prefer workers with tickets and present workers by 400 ms, about the time of a call, and calls for tickets name more spare workers.

--- a/command/scheduler/advice.go
+++ b/command/scheduler/advice.go
@@ -31,10 +31,13 @@
 	// of such a call does not depend on the number of workers.
 	minLongCallShare = 0.2
 	// gangCapacityFactor is the ratio of the capacity of the allowed workers to the size of a gang from which
-	// no more workers are queried. A reservation is complete sooner if it has more workers to choose from.
-	gangCapacityFactor = 4
-	// maxWorkersPerCall is the maximum number of workers in one call.
-	maxWorkersPerCall = 100
+	// no more workers are queried. The more workers a reservation has to choose from, the sooner it is complete: with 4 in the
+	// place of 12, gangs on a saturated cell waited twice as long.
+	gangCapacityFactor = 12
+	// maxWorkersPerCall is the maximum number of workers in one call, maxWorkersPerGangCall in one of a gang, which needs one
+	// call rather than two.
+	maxWorkersPerCall     = 100
+	maxWorkersPerGangCall = 200
 	// longCallThreshold is the expected duration from which a call counts as long.
 	longCallThreshold = 200 * time.Millisecond
 	// partsPerBase is the number of parts into which a call is divided for each time that its variable duration is as
@@ -198,7 +201,8 @@
 // selectForGang returns the workers to query for a gang: those of its reservation shortly before it starts there, or else the
 // allowed ones with free resources, and undecided ones with free resources if these are expected to complete the gang. Until
 // the allowed workers have enough capacity to choose from, it selects undecided workers to query; after that, or if none is
-// left, it returns none and the gang waits for resources or for further workers.
+// left, it returns none and the gang waits for resources or for further workers. While gangs before it wait, free resources
+// are gone before the answer arrives, so that it asks only for enough capacity.
 func (machine *Machine) selectForGang(queue almondcross.Queue, waiting *waitingStage, advice *stageAdvice) []string {
 	job, stage := waiting.job, waiting.stage
 	wanted := stage.remainingTasks - stage.activeTasks
@@ -220,25 +224,27 @@
 	for _, worker := range machine.allowedWorkers(advice) {
 		totalOnAllowed += maxGangTasks(worker, stage)
 	}
-	if waiting.room != nil && totalOnAllowed >= wanted*gangCapacityFactor {
+	missing := float64(wanted*gangCapacityFactor - totalOnAllowed)
+	contended := waiting.room != nil || machine.leader.reservedCPU > 0
+	if contended && missing <= 0 {
 		return nil
 	}
 	fitNow, fitLater := machine.undecidedWorkers(queue, stage, advice)
 	for _, candidate := range fitNow {
 		freeOnUndecided += candidate.Tasks()
 	}
-	if float64(freeOnAllowed)+float64(freeOnUndecided)*machine.allowedShare(queue) >= float64(wanted) {
+	if !contended && float64(freeOnAllowed)+float64(freeOnUndecided)*machine.allowedShare(queue) >= float64(wanted) {
 		return machine.extendSelection(queue, allowed, fitNow, float64(wanted-freeOnAllowed)*overselectionFactor)
 	}
-	if float64(totalOnAllowed) >= float64(wanted)*gangCapacityFactor {
-		return nil
-	}
 	undecided := slices.Concat(fitNow, fitLater)
-	if len(undecided) == 0 {
+	if missing <= 0 || len(undecided) == 0 {
 		// Tickets for the allowed workers alone do not place the gang, and the call would take the place of another one.
 		return nil
 	}
-	return machine.extendSelection(queue, allowed, undecided, float64(wanted)*gangCapacityFactor-float64(totalOnAllowed))
+	if contended { // Tickets for the allowed workers are requested once the room of a reservation is nearly complete.
+		return machine.extendSelection(queue, nil, undecided, missing)
+	}
+	return machine.extendSelection(queue, allowed, undecided, missing)
 }
 
 // freeAllowedWorkers returns the workers known to be allowed that have room for tasks of a stage under a suspicion, and for
@@ -260,7 +266,7 @@
 	sortByTasks(candidates)
 	added, minAdded := 0, max(minWorkersPerLongCall, int(minLongCallShare*float64(len(machine.leader.usableWorkers))))
 	for _, candidate := range candidates {
-		if len(selected) >= maxWorkersPerCall || tasks <= 0 && added >= minAdded {
+		if len(selected) >= maxWorkersPerGangCall || tasks <= 0 && added >= minAdded {
 			break
 		}
 		selected = append(selected, candidate.Worker())
@@ -322,6 +328,7 @@
 	if validity == 0 {
 		validity = queue.AdviceSettings().Validity()
 	}
+	machine.updateAllowedShare(queue, job.stage(id), advice, answer)
 	for _, worker := range answer.Query().Workers() {
 		advice.deny(worker)
 	}
@@ -337,11 +344,32 @@
 		}
 		advice.tickets[granted.Worker()] = ticket{secret: granted.Secret(), expiresAt: expiresAt, incarnation: incarnation}
 	}
-	share := machine.allowedShare(queue)
 	requested, allowed := len(answer.Query().Workers()), len(answer.Result().Tickets())
-	machine.leader.allowedShares[queue.Name()] = share + allowedShareWeight*(float64(allowed)/float64(max(requested, 1))-share)
 	machine.config.Metrics.Advised(queue.Name(), allowed, requested)
 	machine.config.Log.Record("advised", almondcross.Text("stage", id.String()), almondcross.Text("adviser", answer.Adviser()),
 		almondcross.Number("asked", requested), almondcross.Number("allowed", allowed), almondcross.Millis("took_ms", took),
 		almondcross.Number("waiting", len(machine.leader.waitingStages)))
 }
+
+// updateAllowedShare adds an answer to the moving average of the share of workers that advice allows for a queue. Of a gang, which is
+// asked about the workers of its reservation again, only the workers without an earlier decision count.
+func (machine *Machine) updateAllowedShare(queue almondcross.Queue, stage *stage, advice *stageAdvice, answer almondcross.AdviceAnswered) {
+	requested, allowed := len(answer.Query().Workers()), len(answer.Result().Tickets())
+	if stage != nil && stage.spec.Gang() {
+		for _, worker := range answer.Query().Workers() {
+			if _, decided := advice.decisions[worker]; decided {
+				requested--
+			}
+		}
+		for _, granted := range answer.Result().Tickets() {
+			if _, decided := advice.decisions[granted.Worker()]; decided {
+				allowed--
+			}
+		}
+		if requested <= 0 {
+			return
+		}
+	}
+	share := machine.allowedShare(queue)
+	machine.leader.allowedShares[queue.Name()] = share + allowedShareWeight*(float64(allowed)/float64(max(requested, 1))-share)
+}
--- a/command/scheduler/gangroom.go
+++ b/command/scheduler/gangroom.go
@@ -17,7 +17,10 @@
 	roomInterval = 200 * time.Millisecond
 	// roomSwitchGain is by how much earlier the room of another worker must be free to replace a reserved one. Expected
 	// ends vary by about as much.
-	roomSwitchGain = 200 * time.Millisecond
+	roomSwitchGain = 400 * time.Millisecond
+	// ticketGain is by how much earlier room without a ticket must be free to be chosen in the place of room with one. A call
+	// takes about as long.
+	ticketGain = 400 * time.Millisecond
 	// maxRoomChoices is the maximum number of reservations that are chosen in one pass. It bounds the cost of a pass.
 	maxRoomChoices = 8
 	// runEndsAge is the maximum age of the expected ends of the runs of a worker.
@@ -27,7 +30,7 @@
 	ticketLead = 700 * time.Millisecond
 	// minSpareWorkers and spareShare tell how many further workers are named in the call for the tickets of a gang, in case a
 	// run on a reserved one takes longer than expected.
-	minSpareWorkers, spareShare = 2, 0.2
+	minSpareWorkers, spareShare = 4, 0.5
 	// overdueShare is the part of the time that a run has taken that it is expected to take further, once it has taken longer
 	// than expected.
 	overdueShare = 0.25
@@ -59,7 +62,7 @@
 type roomSlot struct {
 	worker *worker
 	freeAt time.Time // freeAt is when the room is expected to be free.
-	rank   time.Time // rank is freeAt, less roomSwitchGain for a worker of the present reservation.
+	rank   time.Time // rank is freeAt, less what makes the worker preferable.
 }
 
 // runEnd is the expected end of a run.
@@ -192,15 +195,24 @@
 		if failed[worker.id] || !worker.inPass || !worker.isOfKind(queue, spec) || !worker.accepts(waiting.job, unsuspected) {
 			continue
 		}
-		slots = machine.appendSlots(slots, worker, spec.Resources(), limit, present[worker])
+		first := len(slots)
+		slots = machine.appendSlots(slots, worker, spec.Resources(), limit)
+		for index := range slots[first:] {
+			slot := &slots[first+index]
+			if index < present[worker] {
+				slot.rank = slot.rank.Add(-roomSwitchGain)
+			}
+			if advice != nil && advice.hasTicket(worker, slot.freeAt) {
+				slot.rank = slot.rank.Add(-ticketGain)
+			}
+		}
 	}
 	leader.roomSlots = slots
 	return slots
 }
 
-// appendSlots appends the room for tasks on a worker, the first free one first. The first ones belong to the present
-// reservation.
-func (machine *Machine) appendSlots(slots []roomSlot, worker *worker, need almondcross.Resources, limit, present int) []roomSlot {
+// appendSlots appends the room for tasks on a worker, the first free one first.
+func (machine *Machine) appendSlots(slots []roomSlot, worker *worker, need almondcross.Resources, limit int) []roomSlot {
 	limit = maxTasks(worker.info.Capacity().Sub(worker.reserved), need, limit)
 	available, freeAt := worker.free().Sub(worker.reserved), machine.now
 	var ends []runEnd
@@ -208,11 +220,7 @@
 	for count := 0; count < limit; {
 		if fit := maxTasks(available, need, limit); fit > count {
 			for ; count < fit; count++ {
-				slot := roomSlot{worker: worker, freeAt: freeAt, rank: freeAt}
-				if count < present {
-					slot.rank = freeAt.Add(-roomSwitchGain)
-				}
-				slots = append(slots, slot)
+				slots = append(slots, roomSlot{worker: worker, freeAt: freeAt, rank: freeAt})
 			}
 			continue
 		}
