Estimate the speeds of workers and run times by key

Cause: nothing tells a slow worker from long tasks. The run-time estimator knew only the run times of an entry, with buckets whose widths double, kept each key for ever and ignored what callers declare once eight tasks had ended.

RuntimeEstimator.Observe gets the declared run time, Quantile is new.

Result: go test ./policy/... ./command/placer passes.

--- a/command/placer/answer.go
+++ b/command/placer/answer.go
@@ -118,7 +118,7 @@
 		target.startingCount--
 	}
 	if result.Code() == almondcross.CodeNone {
-		machine.Estimator.Observe(attempt.task.Entry(), result.Ran())
+		machine.Estimator.Observe(attempt.task.Entry(), attempt.task.ExpectedRun(), result.Ran())
 		machine.recordSuccess(target, attempt)
 		machine.account(attempt.task, almondcross.AccountEventConfig{Code: almondcross.CodeTaskFinished, Count: 1})
 	} else if attempt.haltCode == almondcross.CodeNone {
--- a/policy.go
+++ b/policy.go
@@ -81,16 +81,18 @@
 	ExceedsFairShare(additional Resources) bool
 }
 
-// RuntimeEstimator learns the run times of entries. One duty owns it.
+// RuntimeEstimator learns the run times of tasks by a key: the entry, or the queue and the image. One duty owns it.
 type RuntimeEstimator interface {
-	// Observe records the run time of an ended task.
-	Observe(entry string, runTime time.Duration)
-	// Estimate returns the expected run time of a task.
-	Estimate(entry string, declared time.Duration) time.Duration
+	// Observe records the run time of an ended task with the run time that was declared for it, 0 for none.
+	Observe(key string, declared, runTime time.Duration)
+	// Estimate returns the run time within which most tasks of a key end.
+	Estimate(key string, declared time.Duration) time.Duration
+	// Quantile returns the run time within which a fraction of the tasks of a key end.
+	Quantile(key string, declared time.Duration, fraction float64) time.Duration
 	// Band returns the band of a task's expected run time.
-	Band(entry string, declared time.Duration) Band
-	// StragglerThreshold returns the run time from which a task of an entry counts as a straggler, 0 for never.
-	StragglerThreshold(entry string, declared time.Duration) time.Duration
+	Band(key string, declared time.Duration) Band
+	// StragglerThreshold returns the run time from which a task of a key counts as a straggler, 0 for never.
+	StragglerThreshold(key string, declared time.Duration) time.Duration
 }
 
 // AdmissionQuery describes a task that would have to wait.
@@ -123,6 +125,46 @@
 	Dequeued(entry string, waited time.Duration, started bool, now time.Time)
 }
 
+// SpeedSample is a measurement of a worker's speed: a part of a run, or a whole one, with the time that it is expected to take
+// on the usual worker and the time that it took.
+//
+//value:generate
+type SpeedSample struct {
+	worker      string        // the identity of the worker
+	incarnation int64         // the incarnation of the worker
+	expected    time.Duration // the time that the work is expected to take on the usual worker
+	taken       time.Duration // the time that it took
+	finished    bool          // whether it is a finished run rather than the progress of one
+}
+
+// SpeedChange is what a measurement changes in the judgement of a worker.
+type SpeedChange int
+
+// The changes of the judgement of a worker.
+const (
+	SpeedUnchanged SpeedChange = iota // SpeedUnchanged means that the worker is judged as before.
+	SpeedSlow                         // SpeedSlow means that the worker has become slow.
+	SpeedTrusted                      // SpeedTrusted means that a slow worker is trusted again.
+)
+
+// WorkerSpeeds estimates how fast workers run tasks, relative to the usual worker. One duty owns it.
+type WorkerSpeeds interface {
+	// Observe adds a measurement. A measurement of another incarnation replaces those of the earlier one.
+	Observe(sample SpeedSample, now time.Time) SpeedChange
+	// Speed returns the speed of a worker relative to the usual one, 1 without measurements.
+	Speed(worker string) float64
+	// Slow reports whether a worker is several times slower than the usual one.
+	Slow(worker string) bool
+	// TrialDue reports whether a slow worker is to get a run that shows whether it is still slow.
+	TrialDue(worker string, now time.Time) bool
+	// TrialPlaced records that a slow worker has got a run.
+	TrialPlaced(worker string, now time.Time)
+	// Balance computes the speed of the usual worker anew.
+	Balance()
+	// Forget removes a worker.
+	Forget(worker string)
+}
+
 // WorkerCapacity is the free capacity of one worker for the tasks of one stage.
 //
 //value:generate
@@ -132,6 +174,7 @@
 	free     Resources // the free capacity
 	capacity Resources // the capacity
 	tasks    int       // the number of tasks of the stage that fit
+	speed    float64   // the speed relative to the usual worker, 0 if it is not known
 }
 
 // PickQuery describes the tasks of a stage to place.
--- a/policy_generated.go
+++ b/policy_generated.go
@@ -298,6 +298,82 @@
 	return admission
 }
 
+// SpeedSampleConfig holds the fields of a new SpeedSample.
+type SpeedSampleConfig struct {
+	Worker      string
+	Incarnation int64
+	Expected    time.Duration
+	Taken       time.Duration
+	Finished    bool
+}
+
+// NewSpeedSample returns a SpeedSample with the given fields.
+func NewSpeedSample(config SpeedSampleConfig) SpeedSample {
+	return SpeedSample{
+		worker:      config.Worker,
+		incarnation: config.Incarnation,
+		expected:    config.Expected,
+		taken:       config.Taken,
+		finished:    config.Finished,
+	}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (speedsample SpeedSample) Config() SpeedSampleConfig {
+	return SpeedSampleConfig{
+		Worker:      speedsample.worker,
+		Incarnation: speedsample.incarnation,
+		Expected:    speedsample.expected,
+		Taken:       speedsample.taken,
+		Finished:    speedsample.finished,
+	}
+}
+
+// Worker returns the identity of the worker.
+func (speedsample SpeedSample) Worker() string { return speedsample.worker }
+
+// WithWorker returns a copy with the given worker.
+func (speedsample SpeedSample) WithWorker(worker string) SpeedSample {
+	speedsample.worker = worker
+	return speedsample
+}
+
+// Incarnation returns the incarnation of the worker.
+func (speedsample SpeedSample) Incarnation() int64 { return speedsample.incarnation }
+
+// WithIncarnation returns a copy with the given incarnation.
+func (speedsample SpeedSample) WithIncarnation(incarnation int64) SpeedSample {
+	speedsample.incarnation = incarnation
+	return speedsample
+}
+
+// Expected returns the time that the work is expected to take on the usual worker.
+func (speedsample SpeedSample) Expected() time.Duration { return speedsample.expected }
+
+// WithExpected returns a copy with the given expected.
+func (speedsample SpeedSample) WithExpected(expected time.Duration) SpeedSample {
+	speedsample.expected = expected
+	return speedsample
+}
+
+// Taken returns the time that it took.
+func (speedsample SpeedSample) Taken() time.Duration { return speedsample.taken }
+
+// WithTaken returns a copy with the given taken.
+func (speedsample SpeedSample) WithTaken(taken time.Duration) SpeedSample {
+	speedsample.taken = taken
+	return speedsample
+}
+
+// Finished returns whether it is a finished run rather than the progress of one.
+func (speedsample SpeedSample) Finished() bool { return speedsample.finished }
+
+// WithFinished returns a copy with the given finished.
+func (speedsample SpeedSample) WithFinished(finished bool) SpeedSample {
+	speedsample.finished = finished
+	return speedsample
+}
+
 // WorkerCapacityConfig holds the fields of a new WorkerCapacity.
 type WorkerCapacityConfig struct {
 	Worker   string
@@ -305,6 +381,7 @@
 	Free     Resources
 	Capacity Resources
 	Tasks    int
+	Speed    float64
 }
 
 // NewWorkerCapacity returns a WorkerCapacity with the given fields.
@@ -315,6 +392,7 @@
 		free:     config.Free,
 		capacity: config.Capacity,
 		tasks:    config.Tasks,
+		speed:    config.Speed,
 	}
 }
 
@@ -326,6 +404,7 @@
 		Free:     workercapacity.free,
 		Capacity: workercapacity.capacity,
 		Tasks:    workercapacity.tasks,
+		Speed:    workercapacity.speed,
 	}
 }
 
@@ -374,6 +453,15 @@
 	return workercapacity
 }
 
+// Speed returns the speed relative to the usual worker, 0 if it is not known.
+func (workercapacity WorkerCapacity) Speed() float64 { return workercapacity.speed }
+
+// WithSpeed returns a copy with the given speed.
+func (workercapacity WorkerCapacity) WithSpeed(speed float64) WorkerCapacity {
+	workercapacity.speed = speed
+	return workercapacity
+}
+
 // PickQueryConfig holds the fields of a new PickQuery.
 type PickQueryConfig struct {
 	Count        int
