Use learned run times and worker speeds in placement

Cause: expected ends followed callers' estimates, which are off by up to 90%, and slow workers got as much work as others: being empty longer, more.

Change: the scheduler learns run times by queue and image from runs that were done, normalised by the worker's speed, and speeds from finished runs and from the progress between two reports. Slow workers get no gang members unless the gang would start later elsewhere than it loses there, other tasks only after a bounded wait or if no other worker may run them, and trial runs from one stage at a time. Reservations rank workers by when the gang would end. A gang takes as long as its slowest member. The picker gets the speed of a worker. Without measurements and with equal speeds all of this is as before. A run beyond its estimate is stopped after ten times the expected run time, at least 20 s, and later in each further run: a task that takes more than 20 s beyond a short estimate never ended. The emulator reports progress in percent of the estimate, as workers do, and can draw speeds, slow spells, long tails and errors of estimates.

--- a/assembler/scheduler.go
+++ b/assembler/scheduler.go
@@ -32,7 +32,9 @@
 	"github.com/almondcross/almondcross/platform/querier"
 	"github.com/almondcross/almondcross/platform/translator"
 	"github.com/almondcross/almondcross/policy/delegator"
+	"github.com/almondcross/almondcross/policy/estimator"
 	"github.com/almondcross/almondcross/policy/picker"
+	"github.com/almondcross/almondcross/policy/speedometer"
 	"github.com/almondcross/almondcross/query/follower"
 	"github.com/almondcross/almondcross/query/jobfinder"
 	"github.com/almondcross/almondcross/query/locator"
@@ -294,6 +296,8 @@
 		Retention: time.Duration(float64(settings.StateRetention()) * retentionFactor), MaxLease: settings.MaxLease(),
 		SnapshotInterval: interval, RecordBytes: settings.StoreRecord(), BatchesPerAppend: max(1, settings.StoreCall()/settings.StoreRecord()), Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), //nolint:gosec // Jitter needs no secrecy.
 		Publisher: table, Picker: picker.BestFit{}, Log: log, Metrics: counter,
+		NewRunTimes: func() almondcross.RuntimeEstimator { return estimator.New() },
+		NewSpeeds:   func() almondcross.WorkerSpeeds { return speedometer.New() },
 	})
 }
 
--- a/command/counter/counter.go
+++ b/command/counter/counter.go
@@ -66,6 +66,16 @@
 	counter.add("almondcross_placement_workers_examined_total", workers)
 }
 
+// RoomChanged counts what happens to the reservation of a gang.
+func (counter *Counter) RoomChanged(event string) {
+	counter.add(fmt.Sprintf("almondcross_gang_reservations_total{event=%q}", event), 1)
+}
+
+// WorkerPaced counts a worker that was found slow, or trusted again.
+func (counter *Counter) WorkerPaced(slow bool) {
+	counter.add(fmt.Sprintf("almondcross_worker_speed_changes_total{slow=\"%t\"}", slow), 1)
+}
+
 // Ordered records how long an order to a worker took.
 func (counter *Counter) Ordered(kind string, took time.Duration) {
 	counter.set.GetOrCreateHistogram(fmt.Sprintf("almondcross_order_seconds{kind=%q}", kind)).Update(max(took, 0).Seconds())
--- a/command/scheduler/advice.go
+++ b/command/scheduler/advice.go
@@ -117,7 +117,8 @@
 		selected = machine.selectForGang(queue, waiting, advice)
 	} else {
 		suspicion := machine.waitingSuspicion(job, stage)
-		selected = machine.selectWorkers(queue, stage, advice, machine.candidates(queue, job, stage, suspicion, nil))
+		candidates := machine.withoutSlow(queue, waiting, stage.remainingTasks-stage.activeTasks, advice, machine.candidates(queue, job, stage, suspicion, nil))
+		selected = machine.selectWorkers(queue, stage, advice, candidates)
 		if len(selected) == 0 && suspicion != unsuspected {
 			// Tasks that cannot be kept apart need tickets for shared workers.
 			selected = machine.selectWorkers(queue, stage, advice, machine.candidates(queue, job, stage, unsuspected, nil))
@@ -186,7 +187,7 @@
 	failed := machine.avoidedWorkers(queue, stage)
 	machine.leader.examinedWorkers += len(machine.leader.usableWorkers)
 	for _, worker := range machine.leader.usableWorkers {
-		if _, decided := advice.decisions[worker.id]; decided || failed[worker.id] || worker.info.Pool() != queue.Pool() || !worker.info.HasLabel(stage.spec.Label()) {
+		if _, decided := advice.decisions[worker.id]; decided || failed[worker.id] || worker.slow && machine.othersMayRun(queue, stage, advice) || worker.info.Pool() != queue.Pool() || !worker.info.HasLabel(stage.spec.Label()) {
 			continue
 		}
 		if tasks := maxTasks(worker.free().Sub(worker.reserved), stage.spec.Resources(), stage.spec.Count()); tasks > 0 {
--- a/command/scheduler/constants.go
+++ b/command/scheduler/constants.go
@@ -192,8 +192,13 @@
 	stallTimeout = 3500 * time.Millisecond
 	// fullProgress is the progress in percent that a run reports when it takes longer than expected.
 	fullProgress = 100
-	// overdueTimeout replaces stallTimeout for a run at fullProgress.
-	overdueTimeout = 20 * time.Second
+	// overdueTimeout replaces stallTimeout for a run at fullProgress, or overdueFactor times the expected run time if that is
+	// longer. Both grow with the number of the run, up to maxOverdueRuns and maxOverdueLimit. Some tasks take seven times as
+	// long as others of their kind, longer on a slow worker.
+	overdueTimeout  = 20 * time.Second
+	overdueFactor   = 10
+	maxOverdueRuns  = 8
+	maxOverdueLimit = 24 * time.Hour
 	// stallBackoff is how long a worker with a stalled run is avoided.
 	stallBackoff = 5 * time.Second
 	// maxUnknownStops is the maximum number of runs that are stopped and logged for one report because they are not among
--- a/command/scheduler/gangroom.go
+++ b/command/scheduler/gangroom.go
@@ -49,6 +49,9 @@
 	chosenAt time.Time   // chosenAt is when the workers were last chosen.
 	since    time.Time   // since is when the reservation was made.
 	complete bool        // complete is set while all of the room is free.
+	// completed is set once it was complete for the first time.
+	completed bool
+	slow     bool        // slow is set if the room is on slow workers too.
 }
 
 // roomShare is the part of a reservation on one worker.
@@ -62,7 +65,7 @@
 type roomSlot struct {
 	worker *worker
 	freeAt time.Time // freeAt is when the room is expected to be free.
-	rank   time.Time // rank is freeAt, less what makes the worker preferable.
+	rank   time.Time // rank is freeAt, with what the gang takes longer there, less what makes the worker preferable.
 }
 
 // runEnd is the expected end of a run.
@@ -85,6 +88,7 @@
 	wanted := waiting.stage.remainingTasks - waiting.stage.activeTasks
 	// A caller may ask for any amount, and the product may be out of the range of int64.
 	demand := float64(wanted) * float64(need.MilliCPU())
+	waiting.roomTried = true
 	switch {
 	case !machine.mayReserve(waiting):
 		machine.dropRoom(waiting, "not_eligible")
@@ -95,7 +99,7 @@
 	}
 	room := waiting.room
 	if room != nil {
-		if machine.checkRoom(room, need) && (room.complete || machine.now.Sub(room.chosenAt) < roomInterval) {
+		if machine.checkRoom(waiting) && (room.complete || machine.now.Sub(room.chosenAt) < roomInterval) {
 			return
 		}
 	}
@@ -109,7 +113,8 @@
 
 // checkRoom reports whether all workers of a reservation can still be used for it, and updates whether its room is free.
 // Workers that cannot are removed from it at once.
-func (machine *Machine) checkRoom(room *gangRoom, need almondcross.Resources) bool {
+func (machine *Machine) checkRoom(waiting *waitingStage) bool {
+	room, need := waiting.room, waiting.stage.spec.Resources()
 	room.complete = true
 	count := len(room.shares)
 	room.shares = slices.DeleteFunc(room.shares, func(share roomShare) bool {
@@ -120,12 +125,21 @@
 		if maxTasks(worker.free().Sub(worker.reserved), need, share.tasks) < share.tasks {
 			room.complete = false
 		}
+		if worker.slow && !room.slow {
+			return true
+		}
 		return maxTasks(worker.info.Capacity().Sub(worker.reserved), need, share.tasks) < share.tasks
 	})
 	if len(room.shares) < count {
 		room.complete = false
 		return false
 	}
+	if room.complete && !room.completed {
+		room.completed = true
+		machine.config.Metrics.RoomChanged("complete")
+		machine.config.Log.Record("room_complete", almondcross.Text("stage", waiting.stage.id.String()),
+			almondcross.Millis("after_ms", machine.now.Sub(room.since)), almondcross.Millis("late_ms", machine.now.Sub(room.startAt)))
+	}
 	return true
 }
 
@@ -145,10 +159,11 @@
 		waiting.room = room
 	}
 	room.chosenAt, room.startAt = machine.now, machine.now
-	room.shares, room.spares = room.shares[:0], room.spares[:0]
+	room.shares, room.spares, room.slow = room.shares[:0], room.spares[:0], false
 	tasks := map[*worker]int{}
 	for _, slot := range slots[:wanted] {
 		tasks[slot.worker]++
+		room.slow = room.slow || slot.worker.slow
 		room.startAt = later(room.startAt, slot.freeAt)
 	}
 	for _, slot := range slots[:wanted] {
@@ -164,8 +179,9 @@
 			tasks[slot.worker] = 0
 		}
 	}
-	machine.checkRoom(room, waiting.stage.spec.Resources())
+	machine.checkRoom(waiting)
 	if made {
+		machine.config.Metrics.RoomChanged("reserved")
 		machine.config.Log.Record("room_reserved", almondcross.Text("stage", waiting.stage.id.String()), almondcross.Number("tasks", wanted),
 			almondcross.Number("workers", len(room.shares)), almondcross.Millis("starts_in_ms", room.startAt.Sub(machine.now)))
 	}
@@ -184,7 +200,7 @@
 	if spec.PerWorker() > 0 {
 		limit = min(limit, spec.PerWorker())
 	}
-	present := map[*worker]int{}
+	present, runTime := map[*worker]int{}, machine.usualRunTime(waiting.stage)
 	if waiting.room != nil {
 		for _, share := range waiting.room.shares {
 			present[share.worker] = share.tasks
@@ -195,10 +211,11 @@
 		if failed[worker.id] || !worker.inPass || !worker.isOfKind(queue, spec) || !worker.accepts(waiting.job, unsuspected) {
 			continue
 		}
-		first := len(slots)
+		first, delay := len(slots), slowDelay(runTime, worker.pace(), maxGangSlowWait)
 		slots = machine.appendSlots(slots, worker, spec.Resources(), limit)
 		for index := range slots[first:] {
 			slot := &slots[first+index]
+			slot.rank = slot.rank.Add(delay)
 			if index < present[worker] {
 				slot.rank = slot.rank.Add(-roomSwitchGain)
 			}
@@ -263,18 +280,13 @@
 		since = assigned.confirmedAt
 	}
 	elapsed := machine.now.Sub(since)
-	remaining := machine.expectedRunTime(assigned.stage, worker) - elapsed
+	remaining := machine.expectedDuration(worker, assigned) - elapsed
 	if remaining <= 0 {
 		remaining = time.Duration(overdueShare * float64(elapsed))
 	}
 	return machine.now.Add(max(remaining, minRemainingTime))
 }
 
-// expectedRunTime returns how long a task of a stage is expected to run on a worker.
-func (machine *Machine) expectedRunTime(stage *stage, _ *worker) time.Duration {
-	return stage.spec.Estimate()
-}
-
 // holdRoom keeps the room of a waiting gang from the stages behind it in this pass, unless they are expected to end before the
 // gang starts.
 func (machine *Machine) holdRoom(waiting *waitingStage) {
@@ -312,6 +324,7 @@
 		return
 	}
 	waiting.room = nil
+	machine.config.Metrics.RoomChanged(reason)
 	machine.config.Log.Record("room_dropped", almondcross.Text("stage", waiting.stage.id.String()), almondcross.Text("reason", reason),
 		almondcross.Text("complete", yesNo(room.complete)), almondcross.Millis("after_ms", machine.now.Sub(room.since)),
 		almondcross.Millis("late_ms", machine.now.Sub(room.startAt)))
--- a/command/scheduler/harness_test.go
+++ b/command/scheduler/harness_test.go
@@ -24,6 +24,8 @@
 func (noopRecorder) Ended(almondcross.EndKind)              {}
 func (noopRecorder) Advised(string, int, int)               {}
 func (noopRecorder) Examined(int)                           {}
+func (noopRecorder) RoomChanged(string)                     {}
+func (noopRecorder) WorkerPaced(bool)                       {}
 func (noopRecorder) FormatUnknown()                         {}
 
 // testingT is the common part of testing.T and rapid.T.
--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -54,6 +54,10 @@
 	queueScores         map[string]queueScore             // queueScores holds the scores of the queues whose starts have crashed workers, see crashPenalty.
 	quarantined         map[almondcross.StageID]time.Time // quarantined holds the waiting stages that were isolated with their queue, also after the queue is trusted again, and since when.
 	reservedCPU         int64                             // reservedCPU is the part of usableCPU that is reserved for gangs in the current pass.
+	runTimes            almondcross.RuntimeEstimator      // runTimes learns the run times of tasks, nil for none.
+	speeds              almondcross.WorkerSpeeds          // speeds learns the speeds of workers, nil for none.
+	trialAt             time.Time                         // trialAt is when a stage last gave tasks to slow workers as trials.
+	speedLines          int                               // speedLines counts the log lines on speeds since the last sweep.
 	roomChoices         int                               // roomChoices counts the reservations that were chosen in the current pass.
 	roomSlots           []roomSlot                        // roomSlots holds the result of the last call of the method of this name.
 	waitingStages       []*waitingStage                   // waitingStages holds the stages with tasks to place, in placement order.
@@ -77,6 +81,12 @@
 		queued: map[almondcross.StageID]bool{}, unpushedViews: map[almondcross.JobID]almondcross.JobViewChange{}, jobsWithOccurrences: map[almondcross.JobID]*job{}, allowedShares: map[string]float64{}, queueScores: map[string]queueScore{},
 		quarantined: map[almondcross.StageID]time.Time{},
 	}
+	if machine.config.NewRunTimes != nil {
+		machine.leader.runTimes = machine.config.NewRunTimes()
+	}
+	if machine.config.NewSpeeds != nil {
+		machine.leader.speeds = machine.config.NewSpeeds()
+	}
 	machine.endLeadershipsOf(machine.config.Host, machine.config.Address, machine.leader.epoch)
 	machine.config.Log.Record("scheduling_started", almondcross.Number("epoch", machine.leader.epoch),
 		almondcross.Number("jobs", len(machine.state.jobs)), almondcross.Millis("took_ms", answer.Took()),
--- a/command/scheduler/lease.go
+++ b/command/scheduler/lease.go
@@ -166,6 +166,7 @@
 			continue
 		}
 		reported[running.Task()] = true
+		machine.noteProgress(worker, assigned, running.Progress(), report.Clock())
 		machine.confirmRun(assigned, running)
 		assigned.settleStarts(answer.Sent())
 	}
@@ -310,6 +311,7 @@
 	}
 	worker.announcedFrom = machine.nextAnnouncement(worker, incarnation)
 	worker.incarnation, worker.incarnationSince, worker.acknowledgedEnd, worker.failures = incarnation, machine.now, 0, workerFailures{}
+	worker.speed, worker.slow = 0, false
 	worker.ackLimit, worker.lapsedEnd = 0, 0
 	if worker.announced && !worker.lifeAnnounced() {
 		machine.config.Log.Record("announcement_outdated", almondcross.Text("worker", worker.id),
--- a/command/scheduler/machine.go
+++ b/command/scheduler/machine.go
@@ -37,6 +37,8 @@
 	Random              *rand.Rand
 	Publisher           almondcross.JobPublisher
 	Picker              almondcross.WorkerPicker
+	NewRunTimes         func() almondcross.RuntimeEstimator // NewRunTimes returns the estimator of an epoch, nil to use the callers' estimates.
+	NewSpeeds           func() almondcross.WorkerSpeeds     // NewSpeeds returns the estimator of an epoch, nil to treat workers as equally fast.
 	Log                 almondcross.EventLog
 	Metrics             Metrics
 }
--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -13,6 +13,10 @@
 	stage  *stage
 	advice *stageAdvice // advice is nil before the first query.
 	room   *gangRoom    // room is the reservation of a gang, nil for none.
+	// roomTried is set once a pass could make a reservation.
+	roomTried bool
+	// slowSince is when only slow workers first had room for all tasks to place, zero if they never did.
+	slowSince time.Time
 	// isolationSince is when a task of the stage first waited for a worker of its own, zero if none waits.
 	isolationSince time.Time
 }
@@ -161,7 +165,7 @@
 			continue
 		}
 		candidates = append(candidates, almondcross.NewWorkerCapacity(almondcross.WorkerCapacityConfig{
-			Worker: worker.id, Rack: worker.info.Rack(), Free: free, Capacity: worker.info.Capacity(), Tasks: count,
+			Worker: worker.id, Rack: worker.info.Rack(), Free: free, Capacity: worker.info.Capacity(), Tasks: count, Speed: worker.pace(),
 		}))
 	}
 	return candidates
@@ -241,7 +245,7 @@
 		if waiting.stage.spec.Gang() {
 			placed = machine.placeGang(queue, waiting, wanted, suspicion, advice)
 		} else {
-			placed = machine.placeGroup(waiting.job, waiting.stage, wanted, machine.cautiousCandidates(queue, waiting, suspicion, advice))
+			placed = machine.placeSingles(queue, waiting, wanted, suspicion, advice)
 		}
 		complete = complete && placed
 		if suspicion == isolated {
@@ -251,6 +255,16 @@
 	return complete
 }
 
+// placeSingles places tasks of a stage that is no gang, on slow workers only as trials or if others have no room for long.
+func (machine *Machine) placeSingles(queue almondcross.Queue, waiting *waitingStage, wanted []int, suspicion suspicion, advice *stageAdvice) bool {
+	candidates := machine.cautiousCandidates(queue, waiting, suspicion, advice)
+	if suspicion != unsuspected {
+		return machine.placeGroup(waiting.job, waiting.stage, wanted, candidates)
+	}
+	wanted = machine.placeTrials(waiting, wanted, candidates)
+	return machine.placeGroup(waiting.job, waiting.stage, wanted, machine.withoutSlow(queue, waiting, len(wanted), advice, candidates))
+}
+
 // placeGroup places tasks of a stage that are under the same suspicion.
 func (machine *Machine) placeGroup(job *job, stage *stage, wanted []int, candidates []almondcross.WorkerCapacity) bool {
 	if len(candidates) == 0 {
@@ -344,7 +358,7 @@
 	if assigned.stage.spec.Gang() {
 		checkpoint = assigned.stage.gangCheckpoint
 	}
-	assigned.phase, assigned.fence = phaseSent, worker.fence
+	assigned.phase, assigned.fence, assigned.resumed = phaseSent, worker.fence, checkpoint != ""
 	machine.countQueueStart(assigned.job)
 	machine.emitStart(worker, assigned, almondcross.NewStartOrder(almondcross.StartOrderConfig{
 		Worker: worker.info, Incarnation: worker.incarnation, Task: assigned.task, Run: assigned.run, Payload: assigned.job.spec.Payload(), Checkpoint: checkpoint,
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -21,8 +21,9 @@
 	activeTasks    int    // activeTasks counts the tasks that have a run without a recorded end.
 	// readyAt is when the stage became ready, or when its job was submitted if that was before this scheduler. It is not replicated.
 	readyAt      time.Time
-	failedWorker string // failedWorker is the first worker on which this scheduler saw a run fail since the last success, empty for none. It is not replicated.
-	failsWidely  bool   // failsWidely is set once this scheduler saw a run fail on another worker too. It is not replicated.
+	runTime      stageRunTime // runTime is the expected run time. It is not replicated.
+	failedWorker string       // failedWorker is the first worker on which this scheduler saw a run fail since the last success, empty for none. It is not replicated.
+	failsWidely  bool         // failsWidely is set once this scheduler saw a run fail on another worker too. It is not replicated.
 }
 
 // job is one job of the replicated state.
--- a/command/scheduler/suspicion.go
+++ b/command/scheduler/suspicion.go
@@ -191,7 +191,8 @@
 			return true
 		}
 	}
-	return machine.placeGroup(job, stage, wanted, machine.candidates(queue, job, stage, unsuspected, advice))
+	candidates := machine.candidates(queue, job, stage, unsuspected, advice)
+	return machine.placeGroup(job, stage, wanted, machine.withoutSlow(queue, waiting, len(wanted), advice, candidates))
 }
 
 // mayWaitForIsolation reports whether an isolated task of a stage may continue to wait for a worker of its own.
--- a/command/scheduler/sweep.go
+++ b/command/scheduler/sweep.go
@@ -9,16 +9,25 @@
 func (assignment *assignment) stalled(worker *worker, now time.Time) bool {
 	limit := stallTimeout
 	if assignment.progress >= fullProgress {
-		limit = overdueTimeout
+		limit = assignment.overdueLimit()
 	}
 	return assignment.phase == phaseConfirmed && assignment.stopReason == "" && !assignment.stage.spec.Service() && !worker.unreachable &&
 		now.Sub(assignment.progressAt) > limit && worker.lastAnswerAt.Sub(assignment.progressAt) > limit
 }
 
+// overdueLimit returns how long a run may be at fullProgress. Tasks that take several times their estimate would be stopped before
+// they end, so the limit follows the expected run time and grows with each run.
+func (assignment *assignment) overdueLimit() time.Duration {
+	expected := max(assignment.stage.spec.Estimate(), assignment.stage.runTime.expected)
+	limit := max(float64(overdueTimeout), overdueFactor*float64(expected)) * float64(min(max(assignment.run, 1), maxOverdueRuns))
+	return time.Duration(min(limit, float64(maxOverdueLimit)))
+}
+
 // sweepWorkers updates the failed share, records silent workers, ends the runs of lost ones, stops stalled runs, repeats
 // unanswered stop orders and removes workers that have left.
 func (machine *Machine) sweepWorkers() {
 	machine.leader.updateFailedShare()
+	machine.balanceSpeeds()
 	var left []*worker
 	for _, worker := range machine.leader.sortedWorkers {
 		if worker.outOfContact() {
@@ -33,6 +42,9 @@
 		machine.endSilence(worker)
 		machine.endUnlisted(worker)
 		machine.emit(ReleaseWorker{Worker: worker.id})
+		if machine.leader.speeds != nil {
+			machine.leader.speeds.Forget(worker.id)
+		}
 		machine.leader.removedFence = max(machine.leader.removedFence, worker.fence)
 		delete(machine.leader.workers, worker.id)
 		machine.leader.sortedWorkers = slices.DeleteFunc(machine.leader.sortedWorkers, worker.equals)
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -42,6 +42,8 @@
 	checkpoint    string              // checkpoint is the last checkpoint that the worker reported.
 	progress      int                 // progress is the last reported progress in percent.
 	progressAt    time.Time           // progressAt is when the progress last changed.
+	measured      runProgress         // measured is the progress from which the speed is measured next.
+	resumed       bool                // resumed is set if the run was started from a checkpoint.
 	suspicion     suspicion           // suspicion is that of the task when the run was assigned.
 	lostAt        time.Time           // lostAt is when contact with the incarnation of the worker that got the start order was lost, zero while it is the current one.
 	presumedLost  bool                // presumedLost is set once the lease has expired of a worker that does not answer.
@@ -66,6 +68,8 @@
 	reservedFrom   time.Time             // reservedFrom is when the first of these gangs is expected to start.
 	ends           []runEnd              // ends holds the expected ends of the runs, see runEnds.
 	endsAt         time.Time             // endsAt is when ends was computed.
+	speed          float64               // speed is relative to the usual worker, 0 if it was never measured.
+	slow           bool                  // slow is set while the worker is several times slower than the usual one.
 	endsKnown      bool                  // endsKnown is set while the runs are those of ends.
 
 	suspectRuns  int  // suspectRuns counts the runs of tasks under suspicion.
@@ -302,6 +306,7 @@
 // endRun records the end of a run and releases its resources.
 func (machine *Machine) endRun(worker *worker, assignment *assignment, kind almondcross.EndKind, checkpoint string) {
 	machine.recordStarts() // The end itself would otherwise count as the first sign of the start.
+	machine.noteFinished(worker, assignment, kind)
 	worker.release(assignment)
 	task := assignment.task
 	wasFinal := assignment.job.state.Final()
--- a/policy/picker/picker.go
+++ b/policy/picker/picker.go
@@ -23,7 +23,10 @@
 func (BestFit) Pick(query almondcross.PickQuery, workers []almondcross.WorkerCapacity) []string {
 	sorted := slices.Clone(workers)
 	slices.SortStableFunc(sorted, func(a, b almondcross.WorkerCapacity) int {
-		return cmp.Compare(remainingFraction(a, query.Need()), remainingFraction(b, query.Need()))
+		return cmp.Or(
+			cmp.Compare(speedClass(b, query), speedClass(a, query)),
+			cmp.Compare(remainingFraction(a, query.Need()), remainingFraction(b, query.Need())),
+		)
 	})
 	switch {
 	case query.Rack() != "":
@@ -43,6 +46,27 @@
 	return assign(query, workers)
 }
 
+// The speeds below which a worker is slow, and below which the tasks of a gang go to others. Sound workers take up to 1.3 times
+// as long as the usual one, which matters only to tasks that wait for each other.
+const (
+	slowSpeed      = 0.5
+	fastEnoughGang = 0.87
+)
+
+// speedClass returns 0 for a slow worker, 2 for one that is preferred and 1 for others.
+func speedClass(worker almondcross.WorkerCapacity, query almondcross.PickQuery) int {
+	switch speed := worker.Speed(); {
+	case speed == 0:
+		return 2
+	case speed < slowSpeed:
+		return 0
+	case speed < fastEnoughGang && query.AllOrNothing():
+		return 1
+	default:
+		return 2
+	}
+}
+
 // remainingFraction returns the fraction of a worker that stays free after one more task: the larger of
 // CPU and memory, plus the fraction of the accelerators.
 func remainingFraction(worker almondcross.WorkerCapacity, need almondcross.Resources) float64 {
--- a/policy/picker/picker_test.go
+++ b/policy/picker/picker_test.go
@@ -27,6 +27,16 @@
 	require.Equal(t, []string{"whole", "whole"}, picker.FirstFit{}.Pick(query, workers), "the baseline fills the first worker")
 }
 
+// Guards against tasks on slow workers while others have room, and against the members of a gang that wait for one on a worker
+// that is a little slower, where single tasks would fill it.
+func TestSlowWorkersAreTakenLast(t *testing.T) {
+	workers := []almondcross.WorkerCapacity{newWorker("slow", "r1", 4000, 1).WithSpeed(0.2), newWorker("whole", "r1", 16_000, 1).WithSpeed(1), newWorker("late", "r1", 5000, 1).WithSpeed(0.8)}
+	query := almondcross.NewPickQuery(almondcross.PickQueryConfig{Count: 1, Need: need})
+	require.Equal(t, []string{"late"}, picker.BestFit{}.Pick(query, workers))
+	require.Equal(t, []string{"whole"}, picker.BestFit{}.Pick(query.WithAllOrNothing(true), workers))
+	require.Equal(t, []string{"late", "whole", "slow"}, picker.BestFit{}.Pick(query.WithCount(3), workers), "they are used if nothing else has room")
+}
+
 // Guards against placing only part of a gang, and against placing tasks away from the rack of their data
 // before rackWait has passed.
 func TestAllOrNothingAndRackPreference(t *testing.T) {
--- a/standin/emulator/checker_test.go
+++ b/standin/emulator/checker_test.go
@@ -273,7 +273,7 @@
 				Count: 1, Resources: almondcross.NewResources(almondcross.ResourcesConfig{MilliCPU: 100, MemoryMB: 64}),
 			})})
 			simulation.advice.allowedShare = 0
-			run := &modelRun{task: taskOf(job), number: 1, job: job, step: job.spec.Steps()[0], startedAt: simulation.now, requiredWork: 10 * time.Second}
+			run := &modelRun{task: taskOf(job), number: 1, job: job, step: job.spec.Steps()[0], startedAt: simulation.now, worker: worker, requiredWork: 10 * time.Second}
 			worker.runs[run.task] = run
 			test.change(worker, run)
 			require.Equal(t, test.lost, simulation.lost(job))
--- a/standin/emulator/host.go
+++ b/standin/emulator/host.go
@@ -7,7 +7,9 @@
 
 	"github.com/almondcross/almondcross"
 	"github.com/almondcross/almondcross/command/scheduler"
+	"github.com/almondcross/almondcross/policy/estimator"
 	"github.com/almondcross/almondcross/policy/picker"
+	"github.com/almondcross/almondcross/policy/speedometer"
 	"github.com/almondcross/almondcross/query/jobfinder"
 	"github.com/almondcross/almondcross/query/router"
 )
@@ -70,12 +72,17 @@
 	modelhost.connections = map[*modelWorker]idleConnections{}
 	modelhost.jobTable, modelhost.router = jobfinder.New(), router.New()
 	modelhost.questions, modelhost.negativeCounts = modelhost.newQuestions(), map[string]bool{}
-	modelhost.machine = scheduler.NewMachine(scheduler.Config{
+	config := scheduler.Config{
 		Host: modelhost.name, Address: modelhost.name, Partitions: intakePartitions, Strength: 100 - 10*(modelhost.index%3), Retention: 150 * time.Second, MaxLease: maxLease,
 		SnapshotInterval: 3 * time.Second, RecordBytes: 256 << 10, BatchesPerAppend: 8, Random: rand.New(rand.NewPCG(simulation.random.Uint64(), 1)), //nolint:gosec // A model needs no secrecy.
 		FormatAbove: simulation.formatAbove(modelhost.index), IgnoresAttemptLimit: simulation.drawn(modelhost.index, simulation.config.OtherHosts),
 		Publisher: modelhost.jobTable, Picker: picker.BestFit{}, Log: hostLog{modelhost}, Metrics: noMetrics{},
-	})
+	}
+	if !simulation.config.Unlearned {
+		config.NewRunTimes = func() almondcross.RuntimeEstimator { return estimator.New() }
+		config.NewSpeeds = func() almondcross.WorkerSpeeds { return speedometer.New() }
+	}
+	modelhost.machine = scheduler.NewMachine(config)
 	modelhost.runUnfrozen(modelhost.advance)
 	modelhost.readRoutes()
 }
@@ -249,6 +256,8 @@
 func (noMetrics) Advised(string, int, int)              {}
 func (noMetrics) Examined(int)                          {}
 func (noMetrics) FormatUnknown()                        {}
+func (noMetrics) RoomChanged(string)                    {}
+func (noMetrics) WorkerPaced(bool)                      {}
 
 // Answered discards the status of an answer.
 func (noMetrics) Answered(string, string, int, time.Duration) {}
--- a/standin/emulator/jobs.go
+++ b/standin/emulator/jobs.go
@@ -121,6 +121,7 @@
 				job.runTimes[task] = time.Duration(float64(duration) * (0.8 + 0.4*simulation.random.Float64()))
 			}
 		}
+		simulation.makeUneven(job, number, duration)
 	}
 	return job
 }
--- a/standin/emulator/simulation.go
+++ b/standin/emulator/simulation.go
@@ -26,7 +26,16 @@
 	CancelShare float64       // CancelShare is the fraction of short jobs that are cancelled; see longCancelFactor.
 	LongShare   float64       // LongShare is the fraction of batch jobs that take many seconds.
 	// Saturated replaces the drawn jobs by those of a cell with many wide gangs, see SaturatedJobCPU.
-	Saturated bool
+	Saturated   bool
+	EvenWorkers bool    // EvenWorkers makes all workers equally fast.
+	DrawnSpeeds bool    // DrawnSpeeds draws how much longer or shorter than usual each worker takes.
+	SlowShare   float64 // SlowShare is the fraction of the workers that become several times slower for some seconds, again and again.
+	// SlowTime is how long such a worker is slow.
+	SlowTime      time.Duration
+	TailShare     float64 // TailShare is the fraction of the tasks that take several times as long as those of their step.
+	EstimateError float64 // EstimateError is the maximum error of an estimate, as a fraction of the run time; 0 for today's estimates.
+	// Unlearned makes the schedulers use the callers' estimates and treat workers as equally fast.
+	Unlearned bool
 	// UnboundStarts lets start orders reach any incarnation of a worker, as those that hosts of earlier versions send do.
 	UnboundStarts bool
 	Faults        []Fault       // Faults holds the faults to inject.
@@ -195,9 +204,10 @@
 func (simulation *Simulation) addWorker(index int) {
 	name := fmt.Sprintf("w-%03d", index)
 	worker := &modelWorker{
-		simulation: simulation, address: name, id: name, durationFactor: []float64{0.8, 1, 1.25}[index%3],
+		simulation: simulation, address: name, id: name,
 		fullCapacity: almondcross.NewResources(almondcross.ResourcesConfig{MilliCPU: 16_000, MemoryMB: 32_768}),
 	}
+	simulation.drawSpeed(worker, index)
 	worker.announcement = almondcross.NewWorker(almondcross.WorkerConfig{
 		ID: worker.id, Pool: poolName, Address: worker.address, Rack: fmt.Sprintf("r1-%d", index/8),
 	})
--- a/standin/emulator/worker.go
+++ b/standin/emulator/worker.go
@@ -26,7 +26,10 @@
 	job          *modelJob
 	step         almondcross.Step
 	startedAt    time.Duration
-	requiredWork time.Duration // requiredWork is the time that the run needs, less that saved by its checkpoint.
+	worker       *modelWorker
+	requiredWork time.Duration // requiredWork is the time that the run needs on the usual worker, less that saved by its checkpoint.
+	countedWork  time.Duration // countedWork is the work done until countedFrom, when the speed of the worker last changed, 0 if it did not.
+	countedFrom  time.Duration
 	willFail     bool
 	stalled      bool
 	stopping     bool
@@ -49,6 +52,23 @@
 	return slices.SortedFunc(maps.Keys(modelgang.members), func(a, b almondcross.JobTask) int { return a.Index - b.Index })
 }
 
+// awaitsGang reports whether the run waits for other members of its gang: it makes no progress until all are present, and with drawn speeds
+// the gang ends with its slowest member.
+func (modelrun *modelRun) awaitsGang(now time.Duration) bool {
+	gang := modelrun.gang
+	return gang != nil && (gang.startedAt == 0 || modelrun.worker.simulation.config.DrawnSpeeds && !modelrun.willFail && !gang.workDone(now))
+}
+
+// workDone reports whether all present members have done their work.
+func (modelgang *modelGang) workDone(now time.Duration) bool {
+	for task, member := range modelgang.members {
+		if run := member.runs[task]; run != nil && run.workDone(now) < run.requiredWork {
+			return false
+		}
+	}
+	return true
+}
+
 // modelWorker is a worker with a lease, a fencing token and a list of ended tasks. It keeps its address when it
 // restarts, and may get another identity.
 type modelWorker struct {
@@ -119,8 +139,8 @@
 func (modelworker *modelWorker) beginRun(now time.Duration, order almondcross.StartOrder, job *modelJob, delivered delivery) {
 	step := job.spec.Steps()[order.Task().Stage.Step]
 	run := &modelRun{
-		task: order.Task(), number: order.Run(), job: job, step: step, startedAt: now,
-		requiredWork: time.Duration(float64(job.runTime(order.Task())) * modelworker.durationFactor),
+		task: order.Task(), number: order.Run(), job: job, step: step, startedAt: now, worker: modelworker,
+		requiredWork: job.runTime(order.Task()),
 		willFail:     job.poison || modelworker.failsRuns || modelworker.simulation.randomFor("fail", modelworker.id, order.Task(), order.Run()).Float64() < modelworker.simulation.config.FailShare,
 		stalled:      modelworker.stallsRuns, late: delivered.late,
 	}
@@ -225,18 +245,28 @@
 	return slices.SortedFunc(maps.Values(modelworker.runs), func(a, b *modelRun) int { return a.task.Compare(b.task) })
 }
 
+// workDone returns the work that the run has done, in the time that it takes on the usual worker.
 func (modelrun *modelRun) workDone(now time.Duration) time.Duration {
-	since := modelrun.startedAt
+	since := max(modelrun.startedAt, modelrun.countedFrom)
 	if modelrun.gang != nil {
 		if modelrun.gang.startedAt == 0 {
 			return 0
 		}
-		since = modelrun.gang.startedAt
+		since = max(since, modelrun.gang.startedAt)
 	}
 	if modelrun.stalled {
 		return 0
 	}
-	return now - since
+	return modelrun.countedWork + time.Duration(float64(now-since)/modelrun.worker.durationFactor)
+}
+
+// setDurationFactor changes the speed of the worker.
+func (modelworker *modelWorker) setDurationFactor(now time.Duration, factor float64) {
+	modelworker.advance(now)
+	for _, run := range modelworker.sortedRuns() {
+		run.countedWork, run.countedFrom = run.workDone(now), now
+	}
+	modelworker.durationFactor = factor
 }
 
 func (modelrun *modelRun) checkpoint(now time.Duration) string {
@@ -249,11 +279,12 @@
 	return ""
 }
 
+// progress returns the progress in percent of the caller's estimate. It stays at 100 when the run takes longer.
 func (modelrun *modelRun) progress(now time.Duration) int {
-	if modelrun.requiredWork == 0 {
+	if modelrun.step.Estimate() <= 0 {
 		return 100
 	}
-	return int(min(100, modelrun.workDone(now)*100/modelrun.requiredWork))
+	return int(min(100, modelrun.workDone(now)*100/modelrun.step.Estimate()))
 }
 
 // advance ends the runs that are due by a time, or all runs if the lease has expired.
@@ -275,8 +306,7 @@
 			modelworker.endRun(now, run, almondcross.EndStopped)
 		case run.gang != nil && run.gang.startedAt == 0 && now-run.startedAt > gangTimeout:
 			modelworker.endRun(now, run, almondcross.EndGangIncomplete)
-		case run.gang != nil && run.gang.startedAt == 0:
-			// A gang makes no progress until all members are present.
+		case run.awaitsGang(now):
 		case run.workDone(now) >= run.requiredWork && run.willFail:
 			modelworker.endRun(now, run, almondcross.EndFailed)
 		case run.workDone(now) >= run.requiredWork:
