Name at most a hundred workers in a call for advice

Cause: the calls of gangs named up to 200 workers, and the advice service answers 400 to more than 100; gangs then had no advice. Change: a call is divided so that no part names more than a hundred.

--- a/command/scheduler/advice.go
+++ b/command/scheduler/advice.go
@@ -132,7 +132,7 @@
 	if long {
 		parts = machine.callParts(queue.AdviceSettings(), len(selected))
 	}
-	size := (len(selected) + parts - 1) / parts
+	size := min((len(selected)+parts-1)/parts, maxWorkersPerCall)
 	for part := range slices.Chunk(selected, size) {
 		machine.callAdvice(queue.AdviceSettings(), stage, advice, part, long)
 	}
