Keep free room for waiting gangs rather than room on named workers

Cause: reservations named the workers of each gang and held their room until it was complete. With dozens of waiting gangs, 60% of the CPU was held, most of it idle for as long as a gang runs (use fell from 5,100 to 3,500 of 5,600 cores), and gangs that were not among the first had no tickets. A gang gets advice for six times its capacity and renews its tickets, so that it starts in the first pass with room. Named reservations, their metric and log lines are gone. Trials on slow workers take room before the other tasks of their stage are placed, and count towards the quota.

--- a/command/counter/counter.go
+++ b/command/counter/counter.go
@@ -105,11 +105,6 @@
 	counter.workspaces = current
 }
 
-// RoomChanged counts what happens to the reservation of a gang.
-func (counter *Counter) RoomChanged(event string) {
-	counter.add(fmt.Sprintf("almondcross_gang_reservations_total{event=%q}", event), 1)
-}
-
 // WorkerPaced counts a worker that was found slow, or trusted again.
 func (counter *Counter) WorkerPaced(slow bool) {
 	counter.add(fmt.Sprintf("almondcross_worker_speed_changes_total{slow=\"%t\"}", slow), 1)
--- a/command/scheduler/advice.go
+++ b/command/scheduler/advice.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -31,13 +32,17 @@
 	// of such a call does not depend on the number of workers.
 	minLongCallShare = 0.2
 	// gangCapacityFactor is the ratio of the capacity of the allowed workers to the size of a gang from which
-	// no more workers are queried. The more workers a reservation has to choose from, the sooner it is complete: with 4 in the
-	// place of 12, gangs on a saturated cell waited twice as long.
-	gangCapacityFactor = 12
-	// maxWorkersPerCall is the maximum number of workers in one call, maxWorkersPerGangCall in one of a gang, which needs one
-	// call rather than two.
-	maxWorkersPerCall     = 100
-	maxWorkersPerGangCall = 200
+	// no more workers are queried. The more workers a gang can use, the sooner there is room for it.
+	gangCapacityFactor = 6
+	// readyCapacityFactor is the ratio of the capacity of the allowed workers with tickets to the size of a gang from which no
+	// more tickets are renewed.
+	readyCapacityFactor = 4
+	// ticketRenewal is the validity that is left of a ticket when it is requested again. It covers the call.
+	ticketRenewal = 700 * time.Millisecond
+	// maxWorkersPerCall is the maximum number of workers that the advice service takes in one call, and maxWorkersPerGang that of the
+	// workers that a gang asks about at the same time, over several hosts.
+	maxWorkersPerCall = 100
+	maxWorkersPerGang = 200
 	// longCallThreshold is the expected duration from which a call counts as long.
 	longCallThreshold = 200 * time.Millisecond
 	// partsPerBase is the number of parts into which a call is divided for each time that its variable duration is as
@@ -113,8 +118,8 @@
 		return
 	}
 	var selected []string
-	if stage.spec.Gang() && (long || waiting.room != nil) {
-		selected = machine.selectForGang(queue, waiting, advice)
+	if stage.spec.Gang() && long {
+		selected = machine.selectForGang(queue, stage, advice)
 	} else {
 		suspicion := machine.waitingSuspicion(job, stage)
 		candidates := machine.withoutSlow(queue, waiting, stage.remainingTasks-stage.activeTasks, advice, machine.candidates(queue, job, stage, suspicion, nil))
@@ -132,7 +137,8 @@
 	if long {
 		parts = machine.callParts(queue.AdviceSettings(), len(selected))
 	}
-	size := min((len(selected)+parts-1)/parts, maxWorkersPerCall)
+	selected = selected[:min(len(selected), parts*maxWorkersPerCall)]
+	size := (len(selected) + parts - 1) / parts
 	for part := range slices.Chunk(selected, size) {
 		machine.callAdvice(queue.AdviceSettings(), stage, advice, part, long)
 	}
@@ -199,53 +205,56 @@
 	return fitNow, fitLater
 }
 
-// selectForGang returns the workers to query for a gang: those of its reservation shortly before it starts there, or else the
-// allowed ones with free resources, and undecided ones with free resources if these are expected to complete the gang. Until
-// the allowed workers have enough capacity to choose from, it selects undecided workers to query; after that, or if none is
-// left, it returns none and the gang waits for resources or for further workers. While gangs before it wait, free resources
-// are gone before the answer arrives, so that it asks only for enough capacity.
-func (machine *Machine) selectForGang(queue almondcross.Queue, waiting *waitingStage, advice *stageAdvice) []string {
-	job, stage := waiting.job, waiting.stage
+// selectForGang returns the workers to query for a gang: undecided ones, until the allowed workers have several times the capacity
+// that the gang needs, so that it finds room on some of them soon; then the allowed ones without a ticket, so that it can start as
+// soon as there is room. The answer for a worker stays the same, but its ticket expires.
+func (machine *Machine) selectForGang(queue almondcross.Queue, stage *stage, advice *stageAdvice) []string {
 	wanted := stage.remainingTasks - stage.activeTasks
-	var totalOnAllowed, freeOnUndecided int
-	if waiting.room != nil {
-		if selected := machine.ticketsForRoom(queue, waiting.room, advice); len(selected) > 0 {
-			return selected
+	capacity, ready := 0, 0
+	var expiring []almondcross.WorkerCapacity
+	for _, worker := range machine.allowedWorkers(advice) {
+		tasks := maxGangTasks(worker, stage)
+		capacity += tasks
+		if advice.hasTicket(worker, machine.now.Add(ticketRenewal)) {
+			ready += tasks
+			continue
 		}
+		expiring = append(expiring, almondcross.NewWorkerCapacity(almondcross.WorkerCapacityConfig{Worker: worker.id, Tasks: tasks, Free: worker.free()}))
 	}
-	suspicion := machine.waitingSuspicion(job, stage)
-	allowed, freeOnAllowed := machine.freeAllowedWorkers(queue, job, stage, suspicion, advice)
-	if freeOnAllowed < wanted && suspicion != unsuspected && !machine.isQuarantined(job, stage) {
-		// A gang that cannot be kept apart needs tickets for shared workers.
-		allowed, freeOnAllowed = machine.freeAllowedWorkers(queue, job, stage, unsuspected, advice)
-	}
-	if freeOnAllowed >= wanted && waiting.room == nil {
-		return allowed[:min(len(allowed), maxWorkersPerCall)]
-	}
-	for _, worker := range machine.allowedWorkers(advice) {
-		totalOnAllowed += maxGangTasks(worker, stage)
+	if missing := float64(wanted*gangCapacityFactor - capacity); missing > 0 {
+		if selected := machine.selectUndecided(queue, stage, advice, missing); len(selected) > 0 {
+			return selected
+		}
 	}
-	missing := float64(wanted*gangCapacityFactor - totalOnAllowed)
-	contended := waiting.room != nil || machine.leader.reservedCPU > 0
-	if contended && missing <= 0 {
+	if capacity < wanted || ready >= wanted*readyCapacityFactor {
 		return nil
 	}
-	fitNow, fitLater := machine.undecidedWorkers(queue, stage, advice)
-	for _, candidate := range fitNow {
-		freeOnUndecided += candidate.Tasks()
-	}
-	if !contended && float64(freeOnAllowed)+float64(freeOnUndecided)*machine.allowedShare(queue) >= float64(wanted) {
-		return machine.extendSelection(queue, allowed, fitNow, float64(wanted-freeOnAllowed)*overselectionFactor)
+	slices.SortStableFunc(expiring, func(a, b almondcross.WorkerCapacity) int {
+		return cmp.Compare(b.Free().MilliCPU(), a.Free().MilliCPU())
+	})
+	var selected []string
+	for _, candidate := range expiring {
+		if ready > wanted*readyCapacityFactor || len(selected) >= maxWorkersPerCall {
+			break
+		}
+		ready += candidate.Tasks()
+		selected = append(selected, candidate.Worker())
 	}
-	undecided := slices.Concat(fitNow, fitLater)
-	if missing <= 0 || len(undecided) == 0 {
-		// Tickets for the allowed workers alone do not place the gang, and the call would take the place of another one.
-		return nil
+	return selected
+}
+
+// selectUndecided returns undecided workers that are expected to add a capacity, in tasks, to the allowed ones: those with free room
+// first.
+func (machine *Machine) selectUndecided(queue almondcross.Queue, stage *stage, advice *stageAdvice, missing float64) []string {
+	fitNow, fitLater := machine.undecidedWorkers(queue, stage, advice)
+	selected := machine.extendSelection(queue, nil, fitNow, missing)
+	for index := range selected {
+		missing -= float64(fitNow[index].Tasks()) * machine.allowedShare(queue)
 	}
-	if contended { // Tickets for the allowed workers are requested once the room of a reservation is nearly complete.
-		return machine.extendSelection(queue, nil, undecided, missing)
+	if missing > 0 {
+		selected = machine.extendSelection(queue, selected, fitLater, missing)
 	}
-	return machine.extendSelection(queue, allowed, undecided, missing)
+	return selected
 }
 
 // freeAllowedWorkers returns the workers known to be allowed that have room for tasks of a stage under a suspicion, and for
@@ -267,7 +276,7 @@
 	sortByTasks(candidates)
 	added, minAdded := 0, max(minWorkersPerLongCall, int(minLongCallShare*float64(len(machine.leader.usableWorkers))))
 	for _, candidate := range candidates {
-		if len(selected) >= maxWorkersPerGangCall || tasks <= 0 && added >= minAdded {
+		if len(selected) >= maxWorkersPerGang || tasks <= 0 && added >= minAdded {
 			break
 		}
 		selected = append(selected, candidate.Worker())
--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -58,8 +58,8 @@
 	speeds              almondcross.WorkerSpeeds          // speeds learns the speeds of workers, nil for none.
 	trialAt             time.Time                         // trialAt is when a stage last gave tasks to slow workers as trials.
 	speedLines          int                               // speedLines counts the log lines on speeds since the last sweep.
-	roomChoices         int                               // roomChoices counts the reservations that were chosen in the current pass.
-	roomSlots           []roomSlot                        // roomSlots holds the result of the last call of the method of this name.
+	heldWorkers         int                               // heldWorkers counts the workers that are held for gangs in the current pass.
+	gangWorkers         []*worker                         // gangWorkers holds the result of the last call of the method of this name.
 	waitingStages       []*waitingStage                   // waitingStages holds the stages with tasks to place, in placement order.
 	advice              map[almondcross.StageID]*stageAdvice
 	queued              map[almondcross.StageID]bool // queued holds the stages that are in waitingStages.
--- a/command/scheduler/metrics.go
+++ b/command/scheduler/metrics.go
@@ -28,8 +28,6 @@
 	Workspaces(usages []almondcross.WorkspaceUsage)
 	// Advised counts an answer of the advice service.
 	Advised(queue string, allowed, asked int)
-	// RoomChanged counts what happens to the reservation of a gang: reserved, complete, started, or why it was dropped.
-	RoomChanged(event string)
 	// WorkerPaced counts a worker that was found slow, or trusted again.
 	WorkerPaced(slow bool)
 }
--- a/command/scheduler/order.go
+++ b/command/scheduler/order.go
@@ -47,7 +47,9 @@
 		return almondcross.NewOrderQuery(config)
 	}
 	if job.paths == nil {
-		job.paths = newPaths(job.spec.Steps(), machine.expectedStepTime)
+		job.paths = newPaths(job.spec.Steps(), func(step almondcross.Step) time.Duration {
+			return min(machine.Expected(job.spec.Queue(), step), maxObjective)
+		})
 	}
 	// The configuration and the caller may state any factor and time, and the product may be out of the range of int64.
 	objective := min(queue.Stretch()*float64(job.paths.longest)+float64(queue.LatencyTarget()), float64(maxObjective))
@@ -60,11 +62,6 @@
 // maxObjective bounds latency objectives in the order of stages.
 const maxObjective = 1000 * time.Hour
 
-// expectedStepTime returns how long the tasks of a step are expected to run.
-func (machine *Machine) expectedStepTime(step almondcross.Step) time.Duration {
-	return min(step.Estimate(), maxObjective)
-}
-
 // rankStages updates the ranks of the waiting stages, which change as time passes, and sorts the stages if one has changed.
 func (machine *Machine) rankStages() {
 	changed := false
--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -12,9 +12,6 @@
 	job    *job
 	stage  *stage
 	advice *stageAdvice // advice is nil before the first query.
-	room   *gangRoom    // room is the reservation of a gang, nil for none.
-	// roomTried is set once a pass could make a reservation.
-	roomTried bool
 	// slowSince is when only slow workers first had room for all tasks to place, zero if they never did.
 	slowSince time.Time
 	// isolationSince is when a task of the stage first waited for a worker of its own, zero if none waits.
@@ -68,7 +65,6 @@
 		}
 		machine.endQuotaWait(waiting)
 		waiting.share.leave()
-		machine.endRoom(waiting)
 		delete(leader.queued, waiting.stage.id)
 		delete(leader.quarantined, waiting.stage.id)
 		if waiting.stage.remainingTasks == 0 || waiting.job.state.Final() {
@@ -83,12 +79,12 @@
 func (machine *Machine) startPass() {
 	leader := machine.leader
 	leader.usableWorkers, leader.ownWorkers = leader.usableWorkers[:0], leader.ownWorkers[:0]
-	leader.reservedCPU, leader.usableCPU, leader.roomChoices = 0, 0, 0
+	leader.reservedCPU, leader.usableCPU, leader.heldWorkers = 0, 0, 0
 	leader.examinedWorkers = len(leader.sortedWorkers)
 	leader.shares.clearCapacity()
 	for _, worker := range leader.sortedWorkers {
 		if worker.inPass = worker.usable(machine.now); worker.inPass {
-			worker.reserved = almondcross.Resources{}
+			worker.reserved, worker.held = almondcross.Resources{}, false
 			leader.usableWorkers = append(leader.usableWorkers, worker)
 			leader.usableCPU += worker.info.Capacity().MilliCPU()
 			leader.shares.addCapacity(worker.info)
@@ -132,8 +128,7 @@
 	case machine.awaitQuota(waiting):
 	case !queue.AdviceSettings().Required():
 		if !machine.placeTasks(queue, waiting, nil) && waiting.stage.spec.Gang() {
-			machine.updateRoom(queue, waiting, nil)
-			machine.holdRoom(waiting)
+			machine.reserveRoom(queue, waiting, nil)
 		}
 	default:
 		if waiting.advice == nil {
@@ -148,10 +143,9 @@
 			return
 		}
 		if waiting.stage.spec.Gang() {
-			machine.updateRoom(queue, waiting, waiting.advice)
+			machine.reserveRoom(queue, waiting, waiting.advice)
 		}
 		machine.requestAdvice(queue, waiting, waiting.advice)
-		machine.holdRoom(waiting)
 	}
 }
 
@@ -176,7 +170,7 @@
 		if !worker.isOfKind(queue, spec) || !worker.accepts(job, suspicion) {
 			continue
 		}
-		free := machine.unreserved(worker, stage)
+		free := machine.unreserved(worker, queue, stage)
 		count := maxTasks(free, spec.Resources(), spec.Count())
 		if count > 0 && spec.PerWorker() > 0 {
 			count = min(count, spec.PerWorker()-worker.runCount(stage.id))
@@ -284,7 +278,10 @@
 	if suspicion != unsuspected {
 		return machine.placeGroup(waiting.job, waiting.stage, wanted, candidates)
 	}
-	wanted = machine.placeTrials(waiting, wanted, candidates)
+	if trials := machine.placeTrials(waiting, machine.withinQuota(waiting.job, waiting.stage, wanted), candidates); trials > 0 {
+		wanted = wanted[trials:]
+		candidates = machine.cautiousCandidates(queue, waiting, suspicion, advice) // The trials have taken room.
+	}
 	return machine.placeGroup(waiting.job, waiting.stage, wanted, machine.withoutSlow(queue, waiting, len(wanted), advice, candidates))
 }
 
--- a/command/scheduler/speeds.go
+++ b/command/scheduler/speeds.go
@@ -36,7 +36,6 @@
 type stageRunTime struct {
 	key      string // key is that of the estimator.
 	expected time.Duration
-	pace     float64   // pace is that of the slowest worker with a run of a gang.
 	at       time.Time // at is when it was computed.
 }
 
@@ -72,38 +71,10 @@
 	}
 	if cached.at.IsZero() || machine.now.Sub(cached.at) >= expectedRunAge {
 		cached.expected, cached.at = runTimes.Quantile(cached.key, stage.spec.Estimate(), expectedQuantile), machine.now
-		cached.pace = machine.gangPace(stage)
 	}
 	return cached.expected
 }
 
-// gangPace returns the pace of the slowest worker with a run of a gang, whose members wait for each other, 1 for other stages.
-func (machine *Machine) gangPace(stage *stage) float64 {
-	pace := 1.0
-	if stage.spec.Gang() && stage.activeTasks > 0 {
-		for _, record := range stage.tasks {
-			if worker := machine.leader.workers[record.Worker()]; worker != nil && record.Active() {
-				pace = min(pace, worker.pace())
-			}
-		}
-	}
-	return pace
-}
-
-// expectedRunTime returns how long a task of a stage is expected to run on a worker.
-func (machine *Machine) expectedRunTime(stage *stage, worker *worker) time.Duration {
-	return time.Duration(float64(machine.usualRunTime(stage)) / worker.pace())
-}
-
-// expectedDuration returns how long a run is expected to take on its worker.
-func (machine *Machine) expectedDuration(worker *worker, assigned *assignment) time.Duration {
-	usual, pace := machine.usualRunTime(assigned.stage), worker.pace()
-	if assigned.stage.spec.Gang() && assigned.stage.runTime.pace > 0 {
-		pace = min(pace, assigned.stage.runTime.pace)
-	}
-	return time.Duration(float64(usual) / pace)
-}
-
 // pace returns the speed of the worker relative to the usual one. Speeds that differ by less than the error of their
 // measurement are the same.
 func (worker *worker) pace() float64 {
@@ -181,7 +152,6 @@
 	if change == almondcross.SpeedUnchanged {
 		return
 	}
-	worker.endsKnown = false
 	machine.config.Metrics.WorkerPaced(worker.slow)
 	if leader.speedLines++; leader.speedLines <= maxSpeedLines {
 		event := "worker_trusted"
@@ -222,12 +192,6 @@
 	switch {
 	case room >= wanted:
 		return fast
-	case waiting.stage.spec.Gang():
-		// The first pass makes a reservation, on slow workers too if the gang would otherwise start later than it ends there.
-		if !waiting.roomTried || waiting.room != nil && !waiting.room.slow {
-			return fast
-		}
-		return candidates
 	case waiting.slowSince.IsZero():
 		waiting.slowSince = machine.now
 	}
@@ -241,21 +205,19 @@
 	return machine.leader.workers[candidate.Worker()].slow
 }
 
-// slowWait returns by how much longer a task of a stage is expected to take on the fastest of the slow candidates, up to
-// maxSlowWait.
+// slowWait returns by how much longer a task of a stage is expected to take on the fastest of the slow candidates than on the usual
+// worker, up to a limit.
 func (machine *Machine) slowWait(stage *stage, candidates []almondcross.WorkerCapacity) time.Duration {
-	pace := 0.0
+	pace, limit := 0.0, maxSlowWait
 	for _, candidate := range candidates {
 		if machine.slowCandidate(candidate) {
 			pace = max(pace, machine.leader.workers[candidate.Worker()].pace())
 		}
 	}
-	return slowDelay(machine.usualRunTime(stage), pace, maxSlowWait)
-}
-
-// slowDelay returns by how much longer a run is expected to take on a worker of a pace than on the usual one, up to a limit.
-func slowDelay(runTime time.Duration, pace float64, limit time.Duration) time.Duration {
-	return time.Duration(min(float64(runTime)*(1/pace-1), float64(limit)))
+	if stage.spec.Gang() {
+		limit = maxGangSlowWait
+	}
+	return time.Duration(min(float64(machine.usualRunTime(stage))*(1/pace-1), float64(limit)))
 }
 
 // othersMayRun reports whether a usable worker that is not slow may ever run a stage.
@@ -272,24 +234,26 @@
 	})
 }
 
-// placeTrials places tasks of a stage on slow workers that are due for a trial, one on each, and returns the other tasks. Half of the tasks
+// placeTrials places tasks of a stage on slow workers that are due for a trial, one on each, and returns how many. Half of the tasks
 // at most are used, and the last ones never.
-func (machine *Machine) placeTrials(waiting *waitingStage, wanted []int, candidates []almondcross.WorkerCapacity) []int {
+func (machine *Machine) placeTrials(waiting *waitingStage, wanted []int, candidates []almondcross.WorkerCapacity) int {
 	leader := machine.leader
 	if leader.speeds == nil || len(wanted) < minTrialTasks || waiting.stage.spec.Service() || machine.now.Sub(leader.trialAt) < trialStageInterval {
-		return wanted
+		return 0
 	}
-	limit := len(wanted) / 2
+	placed := 0
 	for _, candidate := range candidates {
 		worker := leader.workers[candidate.Worker()]
-		if limit == 0 || !worker.slow || len(worker.assignments) > 0 || !leader.speeds.TrialDue(worker.id, machine.now) {
+		if placed == len(wanted)/2 {
+			break
+		}
+		if !worker.slow || len(worker.assignments) > 0 || !leader.speeds.TrialDue(worker.id, machine.now) {
 			continue
 		}
-		machine.assign(waiting.job, waiting.stage, wanted[0], waiting.stage.tasks[wanted[0]].Run()+1, worker)
+		machine.assign(waiting.job, waiting.stage, wanted[placed], waiting.stage.tasks[wanted[placed]].Run()+1, worker)
 		leader.speeds.TrialPlaced(worker.id, machine.now)
 		leader.trialAt = machine.now
-		wanted = wanted[1:]
-		limit--
+		placed++
 	}
-	return wanted
+	return placed
 }
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -66,12 +66,10 @@
 	// usedByServices is the part of used that belongs to services.
 	usedByServices almondcross.Resources
 	reserved       almondcross.Resources // reserved holds the resources reserved for waiting gangs in the current pass.
-	reservedFrom   time.Time             // reservedFrom is when the first of these gangs is expected to start.
-	ends           []runEnd              // ends holds the expected ends of the runs, see runEnds.
-	endsAt         time.Time             // endsAt is when ends was computed.
-	speed          float64               // speed is relative to the usual worker, 0 if it was never measured.
-	slow           bool                  // slow is set while the worker is several times slower than the usual one.
-	endsKnown      bool                  // endsKnown is set while the runs are those of ends.
+	held           bool                  // held is set if stages of a lower priority than heldPriority do not use the worker in the current pass.
+	heldPriority   int
+	speed          float64 // speed is relative to the usual worker, 0 if it was never measured.
+	slow           bool    // slow is set while the worker is several times slower than the usual one.
 
 	suspectRuns  int  // suspectRuns counts the runs of tasks under suspicion.
 	isolatedRuns int  // isolatedRuns counts the runs of isolated tasks; meanwhile the worker gets no runs of other jobs.
@@ -119,7 +117,6 @@
 func (worker *worker) assign(assignment *assignment) {
 	worker.assignments[assignment.task] = assignment
 	worker.used = worker.used.Add(assignment.resources)
-	worker.endsKnown = false
 	if assignment.stage.spec.Service() {
 		worker.usedByServices = worker.usedByServices.Add(assignment.resources)
 	}
@@ -136,7 +133,6 @@
 	if worker.assignments[assignment.task] == assignment {
 		delete(worker.assignments, assignment.task)
 		worker.used = worker.used.Sub(assignment.resources)
-		worker.endsKnown = false
 		if assignment.stage.spec.Service() {
 			worker.usedByServices = worker.usedByServices.Sub(assignment.resources)
 		}
