--- a/integration/soak/workspaces_test.go
+++ b/integration/soak/workspaces_test.go
@@ -160,3 +160,41 @@
 		require.Equal(t, http.StatusOK, status, host.name)
 	}
 }
+
+// Guards against accepted jobs that are lost, and links that break, when operators put workspaces in force too early, while a host of
+// format 1 schedules: it cannot read their settings in the intake, and admits the jobs without workspaces.
+func TestWorkspacesUnderASchedulerOfFormatOne(t *testing.T) {
+	t.Parallel()
+	earlier := buildCommit(t, formatOneCommit)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	cell := newCell(ctx, t, *firstSeed)
+	storeAddress := cell.serve(cell.store.Handler())
+	for index := range hostCount {
+		binary := cell.binary
+		if index == 0 {
+			binary = earlier
+		}
+		host := cell.addHost(binary, storeAddress, 0)
+		host.start()
+		cell.awaitHost(host) // The first one has been elected by then.
+	}
+	require.Zero(t, cell.schedulingHost())
+	cell.publishKeys(2, []string{firstKey}, []string{otherKey})
+	cell.awaitStatus(cell.hosts[1:], "", http.StatusUnauthorized)
+	first := firstKey
+	cell.key.Store(&first)
+	cell.awaitStatus(cell.hosts, first, http.StatusOK)
+	if cell.schedulingHost() != 0 {
+		t.Log("a host of this version schedules: the machine was slow")
+	}
+	before := cell.sendJobsFor(*loadDuration/2, rand.New(rand.NewPCG(*firstSeed, 4)), false)
+	log, err := os.ReadFile(cell.hosts[0].log.Name())
+	require.NoError(t, err)
+	for line := range strings.Lines(string(log)) {
+		require.False(t, strings.Contains(line, "link_closed") && strings.Contains(line, "cannot be decoded"), line)
+	}
+	cell.hosts[0].replace(cell.binary)
+	after := cell.sendJobsFor(*loadDuration/2, rand.New(rand.NewPCG(*firstSeed, 5)), false)
+	cell.checkResults(append(before, after...), []string{"replaced the scheduler of " + formatOneCommit}, time.Now().Add(jobsTimeout))
+}
