--- a/command/scheduler/workspace_test.go
+++ b/command/scheduler/workspace_test.go
@@ -223,8 +223,10 @@
 	harness.machine.config.Log = recorder
 	harness.apply(routes(1))
 	require.Empty(t, recorder.lines)
-	for number, table := range []almondcross.RouteTable{first, second, second, version(3), almondcross.NewRouteTable(almondcross.RouteTableConfig{})} {
-		harness.apply(almondcross.NewRoutesRead(almondcross.RoutesReadConfig{Table: table.WithVersion(int64(2+min(number, 1)) + max(0, int64(number)-2))}))
+	for _, table := range []almondcross.RouteTable{
+		first.WithVersion(2), second.WithVersion(3), second.WithVersion(3), version(4), almondcross.NewRouteTable(almondcross.RouteTableConfig{Version: 5}),
+	} {
+		harness.apply(almondcross.NewRoutesRead(almondcross.RoutesReadConfig{Table: table}))
 	}
 	require.Len(t, recorder.lines, 4, "one line for each version, also for that without workspaces, and none for one that is read again")
 	require.NotContains(t, fmt.Sprint(recorder.lines), "secret")
