Check a configuration before it is written to the store

Cause: an operator learns of a mistake in a configuration only from routes_rejected, from callers that get 401 or 404, or not at all.

Change: almondcross configuration check FILE [--store ADDRESS] decodes the file with the decoder of the hosts, and lists errors, warnings and, with a store, the differences from the version in force.

--- a/assembler/root.go
+++ b/assembler/root.go
@@ -51,7 +51,7 @@
 	}
 	root.AddCommand(queryCommands...)
 	root.AddCommand(commands.TopLevel...)
-	root.AddCommand(requester.Prepare(entryCommand(), schedulerCommand(), platformCommand(), workerCommand(), demoCommand(), experimentCommand(), accountCommand(), explainCommand())...)
+	root.AddCommand(requester.Prepare(entryCommand(), schedulerCommand(), platformCommand(), workerCommand(), demoCommand(), experimentCommand(), accountCommand(), explainCommand(), configurationCommand())...)
 	requester.Prepare(root)
 	return root
 }
