--- a/query/checker/checker.go
+++ b/query/checker/checker.go
@@ -38,7 +38,7 @@
 		for earlier := range position {
 			if table.Pools()[earlier].Name() == pool.Name() {
 				findings = append(findings, newWarning(itemPlace(almondcross.SectionPools, position, pool.Name()),
-					"it has the name of pool %d, which hosts use instead", earlier))
+					"it has the name of pool %d", earlier))
 				break
 			}
 		}
@@ -50,18 +50,22 @@
 // host names and prefixes, hosts choose the first.
 func checkMatch(earlier []almondcross.Queue, queue almondcross.Queue, place almondcross.ConfigurationPlace) []almondcross.Finding {
 	var findings []almondcross.Finding
+	host := strings.ToLower(queue.Host())
 	for position, other := range earlier {
-		if strings.EqualFold(other.Host(), queue.Host()) && other.Prefix() == queue.Prefix() {
+		if strings.ToLower(other.Host()) == host && other.Prefix() == queue.Prefix() {
 			findings = append(findings, newError(place, "it can never match: queue %d has the same host and prefix", position))
 			break
 		}
 	}
 	for position, other := range earlier {
 		if other.Name() == queue.Name() {
-			findings = append(findings, newError(place, "it has the name of queue %d, whose settings hosts use for that name", position))
+			findings = append(findings, newError(place, "it has the name of queue %d, so their jobs and counts cannot be told apart", position))
 			break
 		}
 	}
+	if queue.Host() == "" {
+		findings = append(findings, newWarning(place, "it has no host, so only requests without a host name match it"))
+	}
 	if strings.Contains(queue.Host(), ":") {
 		findings = append(findings, newError(place, "it can never match: the host %q has a colon, and hosts compare names without a port", queue.Host()))
 	}
