--- a/query/checker/checker_test.go
+++ b/query/checker/checker_test.go
@@ -74,6 +74,7 @@
 		"same match":  {changed(func(config *almondcross.QueueConfig) { config.Host, config.Prefix = "JOBS", "/a" }), []string{`error queue 1 "b": it can never match: queue 0`}},
 		"longer":      {changed(func(config *almondcross.QueueConfig) { config.Prefix = "/a/b" }), nil},
 		"same name":   {changed(func(config *almondcross.QueueConfig) { config.Name = "a" }), []string{`error queue 1 "a": it has the name of queue 0`}},
+		"order":       {changed(func(config *almondcross.QueueConfig) { config.Pool = "x" }).WithBodyLimit(0), []string{`error queue 1 "b": the pool`, "warning body limit"}},
 		"port":        {changed(func(config *almondcross.QueueConfig) { config.Host = "jobs:80" }), []string{`error queue 1 "b": it can never match: the host`}},
 		"no slash":    {changed(func(config *almondcross.QueueConfig) { config.Prefix = "b" }), []string{`error queue 1 "b": it can never match: the prefix`}},
 		"no host":     {changed(func(config *almondcross.QueueConfig) { config.Host = "" }), []string{`warning queue 1 "b": it has no host`}},
