Return changed copies where a configuration is checked

Cause: the report and the stored version were filled through pointers, while values of this code base are changed by copies.

Change: compare and with return the changed value.

--- a/assembler/configuration.go
+++ b/assembler/configuration.go
@@ -103,7 +103,7 @@
 		report.findings = append(report.findings, checker.Check(table)...)
 	}
 	if valid && flags.compare {
-		storeErr = report.compare(command, flags.store, table)
+		report, storeErr = report.compare(command, flags.store, table)
 	}
 	report.findings = checker.Sort(report.findings)
 	if err := report.write(command, flags.format); err != nil {
@@ -119,8 +119,10 @@
 	}
 }
 
-// compare adds the differences from the version in force in a store.
-func (configurationreport *configurationReport) compare(command *cobra.Command, address string, table almondcross.RouteTable) error {
+// compare returns a copy with the differences from the version in force in a store. With an error, it returns the same report.
+func (configurationreport configurationReport) compare(
+	command *cobra.Command, address string, table almondcross.RouteTable,
+) (configurationReport, error) {
 	ctx, cancel := context.WithTimeout(command.Context(), configurationTimeout)
 	defer cancel()
 	stored, err := checker.InForce(ctx, checker.StoreConfig{
@@ -128,7 +130,7 @@
 		Partition: almondcross.Partition{Topic: translator.OperatorsTopic}, Key: translator.ConfigurationKey,
 	})
 	if err != nil {
-		return errors.Trace(err)
+		return configurationreport, errors.Trace(err)
 	}
 	configurationreport.storeRead = true
 	if stored.NewestInvalid {
@@ -136,11 +138,11 @@
 	}
 	if !stored.Found {
 		_, _ = fmt.Fprintln(command.ErrOrStderr(), "note: the store has no valid configuration to compare with")
-		return nil
+		return configurationreport, nil
 	}
 	configurationreport.inForce = stored.Table.Version()
 	configurationreport.findings = append(configurationreport.findings, checker.Differences(stored.Table, table)...)
-	return nil
+	return configurationreport, nil
 }
 
 func (configurationreport configurationReport) count(severity almondcross.FindingSeverity) int {
--- a/query/checker/inforce.go
+++ b/query/checker/inforce.go
@@ -35,7 +35,7 @@
 		return Stored{}, errors.Annotate(err, "reading the configuration")
 	}
 	for _, record := range newest {
-		if err := config.add(&stored, record); err != nil {
+		if stored, err = config.with(stored, record); err != nil {
 			stored.NewestInvalid = true
 		}
 	}
@@ -54,7 +54,7 @@
 		}
 		for index, source := range records.Records() {
 			if record, err := config.Codec.DecodeKeyed(source, next+int64(index)); err == nil {
-				_ = config.add(&stored, record) // An earlier version that is invalid was never in force.
+				stored, _ = config.with(stored, record) // An earlier version that is invalid was never in force.
 			}
 		}
 		next += int64(len(records.Records()))
@@ -69,18 +69,18 @@
 	return records, errors.Trace(err)
 }
 
-// add puts the version of a record in the place of a lower one. It ignores other keys and deletions, and returns an error for a
-// version that hosts reject.
-func (storeconfig StoreConfig) add(stored *Stored, record almondcross.KeyedRecord) error {
+// with returns a copy with the version of a record if that is higher. It ignores other keys and deletions, and returns an error
+// and the same value for a version that hosts reject.
+func (storeconfig StoreConfig) with(stored Stored, record almondcross.KeyedRecord) (Stored, error) {
 	if record.Key() != storeconfig.Key || len(record.Value()) == 0 {
-		return nil
+		return stored, nil
 	}
 	table, err := storeconfig.Codec.DecodeRoutes(record.Value())
 	if err != nil {
-		return errors.Trace(err)
+		return stored, errors.Trace(err)
 	}
 	if !stored.Found || table.Version() > stored.Table.Version() {
 		stored.Table, stored.Found = table, true
 	}
-	return nil
+	return stored, nil
 }
