Ask about at most a hundred workers at once for a gang

Cause: a gang asked about up to 200 workers at once, which takes up to eight hosts from other gangs. Change: the next hundred follow after the answers, as before. Result: TestCallForAWideGangIsDividedOverIdleHosts passes unchanged.

--- a/command/scheduler/advice.go
+++ b/command/scheduler/advice.go
@@ -39,10 +39,8 @@
 	readyCapacityFactor = 4
 	// ticketRenewal is the validity that is left of a ticket when it is requested again. It covers the call.
 	ticketRenewal = 700 * time.Millisecond
-	// maxWorkersPerCall is the maximum number of workers that the advice service takes in one call, and maxWorkersPerGang that of the
-	// workers that a gang asks about at the same time, over several hosts.
+	// maxWorkersPerCall is the maximum number of workers that the advice service takes in one call.
 	maxWorkersPerCall = 100
-	maxWorkersPerGang = 200
 	// longCallThreshold is the expected duration from which a call counts as long.
 	longCallThreshold = 200 * time.Millisecond
 	// partsPerBase is the number of parts into which a call is divided for each time that its variable duration is as
@@ -137,7 +135,6 @@
 	if long {
 		parts = machine.callParts(queue.AdviceSettings(), len(selected))
 	}
-	selected = selected[:min(len(selected), parts*maxWorkersPerCall)]
 	size := (len(selected) + parts - 1) / parts
 	for part := range slices.Chunk(selected, size) {
 		machine.callAdvice(queue.AdviceSettings(), stage, advice, part, long)
@@ -276,7 +273,7 @@
 	sortByTasks(candidates)
 	added, minAdded := 0, max(minWorkersPerLongCall, int(minLongCallShare*float64(len(machine.leader.usableWorkers))))
 	for _, candidate := range candidates {
-		if len(selected) >= maxWorkersPerGang || tasks <= 0 && added >= minAdded {
+		if len(selected) >= maxWorkersPerCall || tasks <= 0 && added >= minAdded {
 			break
 		}
 		selected = append(selected, candidate.Worker())
