Place of a wide step only what its workspace's share has room for

Cause: a step of 20 tasks of a workspace below its fair share took all of 16 free cores before the step of another one, and wide steps gave the smallest of four shares 1.3 to 2.0% too much. Change: tasks beyond the fair share are placed with those of workspaces above it. A stage that is looked at twice counts once among those that wait for quota.

--- a/command/scheduler/quota.go
+++ b/command/scheduler/quota.go
@@ -73,6 +73,7 @@
 // quotaWait is since when a stage waits for its workspace's quota, zero if it does not.
 type quotaWait struct {
 	since     time.Time
+	notedAt   time.Time // notedAt is the time of the last pass in which it waited.
 	claimedAt time.Time // claimedAt is when a gang first claimed quota.
 }
 
@@ -115,9 +116,13 @@
 	return machine.quotaRoom(job, stage, held, limit)
 }
 
-// withinQuota returns the tasks to place for which the workspace has room: the first ones, or all or none of a gang.
+// withinQuota returns the tasks to place for which the workspace has room, in its share too while that counts: the first ones,
+// or all or none of a gang.
 func (machine *Machine) withinQuota(job *job, stage *stage, wanted []int) []int {
 	room := machine.claimedRoom(job, stage, len(wanted))
+	if limit := machine.leader.shares.limit; limit > 0 {
+		room = min(room, limit)
+	}
 	if stage.spec.Gang() && room < len(wanted) {
 		return nil
 	}
@@ -126,11 +131,10 @@
 
 // tasksWithinQuota returns how many tasks of a waiting stage may be placed now.
 func (machine *Machine) tasksWithinQuota(stage *stage) int {
-	unplaced := stage.remainingTasks - stage.activeTasks
 	if job := machine.state.jobs[stage.id.Job]; job != nil {
-		return machine.claimedRoom(job, stage, unplaced)
+		return machine.claimedRoom(job, stage, stage.unplaced())
 	}
-	return unplaced
+	return stage.unplaced()
 }
 
 // quotaAllows reports whether the workspace has room for a task of a waiting stage, or for the whole gang.
@@ -142,11 +146,14 @@
 // tasksAtOnce returns how many tasks of the stage have to be placed together.
 func (waitingstage *waitingStage) tasksAtOnce() int {
 	if waitingstage.stage.spec.Gang() {
-		return waitingstage.stage.remainingTasks - waitingstage.stage.activeTasks
+		return waitingstage.stage.unplaced()
 	}
 	return 1
 }
 
+// unplaced returns the number of tasks that are neither done nor active.
+func (stage *stage) unplaced() int { return stage.remainingTasks - stage.activeTasks }
+
 // awaitQuota reports whether a stage waits for its workspace's quota in this pass. The check looks at no worker, since hundreds
 // of stages may wait.
 func (machine *Machine) awaitQuota(waiting *waitingStage) bool {
@@ -160,7 +167,7 @@
 	if waiting.stage.spec.Gang() {
 		machine.claimQuota(waiting, allowed)
 	}
-	if allowed && !waiting.quota.since.IsZero() && machine.tasksWithinQuota(waiting.stage) == waiting.stage.remainingTasks-waiting.stage.activeTasks {
+	if allowed && !waiting.quota.since.IsZero() && machine.tasksWithinQuota(waiting.stage) == waiting.stage.unplaced() {
 		machine.endQuotaWait(waiting)
 	}
 	return !allowed
@@ -194,7 +201,10 @@
 		machine.config.Log.Record("workspace_at_quota", append(machine.quotaFields(name), almondcross.Text("stage", waiting.stage.id.String()))...)
 	}
 	full.lastWaitAt = machine.now
-	full.waitingStages++
+	if !waiting.quota.notedAt.Equal(machine.now) { // A pass may look at a stage twice.
+		waiting.quota.notedAt = machine.now
+		full.waitingStages++
+	}
 	if waiting.quota.since.IsZero() {
 		waiting.quota.since = machine.now
 		machine.config.Log.Record("quota_wait_started", append(machine.quotaFields(name), almondcross.Text("stage", waiting.stage.id.String()),
--- a/command/scheduler/share.go
+++ b/command/scheduler/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sort"
 	"time"
 
 	"github.com/almondcross/almondcross"
@@ -15,6 +16,7 @@
 // each version of the configuration and each epoch.
 type shareTable struct {
 	pools  map[string]*poolShares // pools is nil if the configuration has no workspaces.
+	limit  int                    // limit is how many tasks of the visited stage its owner's fair share has room for, 0 for any number.
 	ranked []*shareOwner          // ranked holds the owners with stages put back in the current level of a pass.
 }
 
@@ -164,21 +166,25 @@
 }
 
 // visitLevel visits the stages of one priority: first those of owners below their fair share, as of when their turn comes, then
-// the others by owner. Each stage is visited once.
+// the others by owner. A step that is wider than what its owner's share has room for is visited in both parts.
 func (machine *Machine) visitLevel(stages []*waitingStage, visit func(waiting *waitingStage)) {
 	sharetable := &machine.leader.shares
 	sharetable.ranked = sharetable.ranked[:0]
 	for _, waiting := range stages {
 		owner := waiting.share.owner
-		switch {
-		case !waiting.share.account.ExceedsFairShare(waiting.halfOfNext()):
+		if !waiting.share.account.ExceedsFairShare(waiting.halfOfNext()) {
+			sharetable.limit = waiting.tasksToFairShare()
+			limited := sharetable.limit < waiting.stage.unplaced()
 			visit(waiting)
-		case len(owner.putBack) == 0:
+			sharetable.limit = 0
+			if !limited {
+				continue
+			}
+		}
+		if len(owner.putBack) == 0 {
 			sharetable.ranked = append(sharetable.ranked, owner)
-			fallthrough
-		default:
-			owner.putBack = append(owner.putBack, waiting)
 		}
+		owner.putBack = append(owner.putBack, waiting)
 	}
 	for _, owner := range sharetable.ranked {
 		owner.rank()
@@ -242,6 +248,18 @@
 	}
 }
 
+// tasksToFairShare returns how many of the tasks to place bring the owner closer to its fair share, at least 1. A gang is whole, and so are
+// steps under suspicion, whose wait for workers of their own would otherwise begin with the limit.
+func (waitingstage *waitingStage) tasksToFairShare() int {
+	if waitingstage.stage.spec.Gang() || waitingstage.stage.maxCrashes > 0 {
+		return waitingstage.stage.unplaced()
+	}
+	need, half := waitingstage.stage.spec.Resources(), waitingstage.halfOfNext()
+	return 1 + sort.Search(waitingstage.stage.unplaced()-1, func(added int) bool {
+		return waitingstage.share.account.ExceedsFairShare(need.Scale(int64(added) + 1).Add(half))
+	})
+}
+
 // next returns what the next task of a stage needs, or the whole gang.
 func (waitingstage *waitingStage) next() almondcross.Resources {
 	return waitingstage.stage.spec.Resources().Scale(int64(waitingstage.tasksAtOnce()))
--- a/command/scheduler/share_test.go
+++ b/command/scheduler/share_test.go
@@ -259,6 +259,28 @@
 	require.Equal(t, []almondcross.JobID{"a-3", "b-1", "a-4", "b-2", "a-1", "a-2"}, visited)
 }
 
+// Guards against a wide step that takes all free workers in a pass before the steps of other workspaces behind it, which are below
+// their shares too.
+func TestWideStepLeavesTheOthersTheirShares(t *testing.T) {
+	cell := newQuotaCell(t, 4, 0, map[string]almondcross.Resources{"a": {}, "b": {}, "c": {}})
+	for _, name := range []string{"a", "b"} {
+		cell.machine.setTime(cell.now)
+		cell.machine.admitJob(almondcross.NewJob(almondcross.JobConfig{
+			ID: almondcross.JobID(name), Queue: "q", Workspace: name, Submitted: cell.now,
+			Steps: []almondcross.Step{almondcross.NewStep(almondcross.StepConfig{Count: 20, Resources: milliCPU(1000)})},
+		}), almondcross.QueueSettings{})
+	}
+	for _, id := range []almondcross.JobID{"a", "b"} {
+		cell.jobs[id] = cell.machine.state.jobs[id].spec
+	}
+	cell.pass(50 * time.Millisecond)
+	require.Equal(t, []int{8, 8}, []int{cell.runCount("a"), cell.runCount("b")})
+	cell.submit("c", "c", almondcross.StepConfig{Count: 1, Resources: milliCPU(1000)})
+	cell.endRuns("a", 1, almondcross.EndDone)
+	cell.pass(50 * time.Millisecond)
+	require.Equal(t, []int{7, 8, 1}, []int{cell.runCount("a"), cell.runCount("b"), cell.runCount("c")})
+}
+
 // Guards against stages that are passed over although a worker has room for them, because an earlier one found too little.
 func TestPassLeavesOutNoStageThatFits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
