--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -18,6 +18,7 @@
 	isolationSince time.Time
 	quota          quotaWait
 	share          shareEntry // share is the entry whose stage waits.
+	putBackLogged  bool       // putBackLogged is set once the log has told that the stage waits behind other workspaces.
 	priority       int        // priority is that of the queue by the configuration in force.
 	order          almondcross.OrderQuery
 	rank           almondcross.OrderRank // rank is that of the last pass.
@@ -93,8 +94,9 @@
 			}
 		}
 	}
+	clear(leader.roomBounds)
 	leader.quotas.startPass()
-	leader.shares.setTotals()
+	leader.shares.setTotals(machine.now)
 	machine.limitIsolation()
 	machine.collectHosts()
 }
@@ -127,7 +129,7 @@
 	case queue.Pool() == "":
 	case machine.awaitQuota(waiting):
 	case !queue.AdviceSettings().Required():
-		if !machine.placeTasks(queue, waiting, nil) && waiting.stage.spec.Gang() {
+		if !machine.placeIfRoom(queue, waiting) && waiting.stage.spec.Gang() && machine.quotaAllows(waiting) {
 			machine.reserveRoom(queue, waiting, nil)
 		}
 	default:
