Test a scheduling host under clients that hold bodies, answers and connections

Cause: a host reads up to 262,144 bytes of any number of bodies at once, without a limit on their time, on connections or on the writing of answers. Bounds: the peak resident size is at most 64 MB, at most 450 descriptors are open, a job and the readiness are answered beside the crowd, all servers and a job of the full size after it.

--- /dev/null
+++ b/integration/crowd/host_test.go
@@ -0,0 +1,228 @@
+package crowd_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/almondcross/almondcross/platform/standin"
+	"github.com/almondcross/almondcross/standin/reserver"
+)
+
+const (
+	// memoryMB is the memory of the host in its settings, and the bound of its largest resident size.
+	memoryMB = 64
+	// descriptorLimit is the limit on open files with which the process starts.
+	descriptorLimit = 512
+	// descriptorBound is the bound of its open descriptors; the rest is left for calls to workers and the store.
+	descriptorBound = 450
+	queueHost       = "q.example"
+	// answerTimeout is how long a caller waits for an answer.
+	answerTimeout = 3 * time.Second
+	// patience bounds the wait for one answered request. It is far above all time limits of the servers.
+	patience       = 45 * time.Second
+	retryInterval  = 250 * time.Millisecond
+	sampleInterval = 20 * time.Millisecond
+)
+
+// host is a scheduling host in a process of its own, the only one of its cell.
+type host struct {
+	t               *testing.T
+	process         *exec.Cmd
+	ended           chan struct{} // ended is closed when the process has ended.
+	callersAddress  string
+	readyAddress    string
+	metricsAddress  string
+	linksAddress    string
+	mostDescriptors atomic.Int64 // mostDescriptors is the highest number of open descriptors that was seen.
+	jobs            atomic.Int64
+}
+
+var build struct {
+	once   sync.Once
+	binary string
+}
+
+// buildBinary builds the program once for all tests.
+func buildBinary(t *testing.T) string {
+	t.Helper()
+	build.once.Do(func() {
+		directory, err := os.MkdirTemp("", "crowd-binary-")
+		require.NoError(t, err)
+		binary := filepath.Join(directory, "almondcross")
+		output, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "../../cmd/almondcross").CombinedOutput()
+		require.NoError(t, err, string(output))
+		build.binary = binary
+	})
+	return build.binary
+}
+
+// TestMain removes the program that the tests have built.
+func TestMain(main *testing.M) {
+	code := main.Run()
+	if build.binary != "" {
+		_ = os.RemoveAll(filepath.Dir(build.binary))
+	}
+	os.Exit(code)
+}
+
+// reserveAddress returns an address on which only the process that is told it listens until the end of the test.
+func reserveAddress(t *testing.T) string {
+	t.Helper()
+	reservation, err := reserver.Reserve("127.0.0.1")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = reservation.Release() })
+	return reservation.Address()
+}
+
+// startHost starts a store and a scheduling host, and waits until the host accepts jobs.
+func startHost(t *testing.T) *host {
+	t.Helper()
+	ctx := t.Context()
+	store := standin.NewStore()
+	go func() { _ = store.Run(ctx) }()
+	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := &http.Server{Handler: store.Handler(), ReadHeaderTimeout: time.Second}
+	t.Cleanup(func() { _ = server.Close() })
+	go func() { _ = server.Serve(listener) }()
+	configuration, err := standin.Configuration(1, "q", queueHost, "/q/", "pool", false)
+	require.NoError(t, err)
+	require.NoError(t, store.Put(ctx, "keyed.op", "config", configuration))
+
+	host := &host{
+		t: t, ended: make(chan struct{}), callersAddress: reserveAddress(t), readyAddress: reserveAddress(t),
+		metricsAddress: reserveAddress(t), linksAddress: reserveAddress(t),
+	}
+	settings := fmt.Sprintf(`{"role":"scheduler","name":"h-0","data_centre":"a","region":"r","callers_listen":%q,"ready_listen":%q,"metrics_listen":%q,
+		"link_listen":%q,"store_address":%q,"store_partitions":2,"store_record":262144,"store_retention":"1h",
+		"state_retention":"2m","max_lease":"10s","stop_grace":"3s","processors":1.0,"link_mbps":1000,"memory_mb":%d}`,
+		host.callersAddress, host.readyAddress, host.metricsAddress, host.linksAddress, listener.Addr(), memoryMB)
+	directory := t.TempDir()
+	path := filepath.Join(directory, "h-0.jsonc")
+	require.NoError(t, os.WriteFile(path, []byte(settings), 0o600))
+	log, err := os.Create(filepath.Join(directory, "h-0.log"))
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = log.Close() })
+	// The shell sets the limit before the program starts, since the runtime of Go raises its soft limit to the hard one.
+	host.process = exec.CommandContext(ctx, "/bin/sh", "-c", `ulimit -n "$0" && exec "$@"`,
+		strconv.Itoa(descriptorLimit), buildBinary(t), "scheduler", "--config", path)
+	host.process.Stdout, host.process.Stderr = log, log
+	require.NoError(t, host.process.Start())
+	go func() {
+		defer close(host.ended)
+		_ = host.process.Wait()
+	}()
+	t.Cleanup(func() {
+		_ = host.process.Process.Signal(syscall.SIGKILL)
+		<-host.ended
+	})
+	host.requireAnswers("before the crowd")
+	return host
+}
+
+// watch samples the open descriptors of the process until the context ends.
+func (host *host) watch(ctx context.Context) {
+	ticker := time.NewTicker(sampleInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", host.process.Process.Pid))
+			if err == nil && int64(len(entries)) > host.mostDescriptors.Load() {
+				host.mostDescriptors.Store(int64(len(entries)))
+			}
+		}
+	}
+}
+
+// peakMB returns the largest resident size of the process so far, in megabytes.
+func (host *host) peakMB() float64 {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", host.process.Process.Pid))
+	require.NoError(host.t, err, "the process has ended")
+	for line := range strings.Lines(string(status)) {
+		if fields := strings.Fields(line); len(fields) == 3 && fields[0] == "VmHWM:" {
+			kilobytes, err := strconv.ParseFloat(fields[1], 64)
+			require.NoError(host.t, err)
+			return kilobytes * 1024 / 1e6
+		}
+	}
+	require.Fail(host.t, "no VmHWM in the status of the process")
+	return 0
+}
+
+// call sends a request and returns the status, 0 for none.
+func (host *host) call(method, address, path string, body []byte) int {
+	ctx, cancel := context.WithTimeout(host.t.Context(), answerTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	request.Host, request.Close = queueHost, true
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return 0
+	}
+	return response.StatusCode
+}
+
+// submit sends a new job in a body of at least some bytes and returns the status.
+func (host *host) submit(bodyBytes int) int {
+	path := fmt.Sprintf("/q/%016x", host.jobs.Add(1))
+	body := `{"spec":"x","steps":[{"count":1,"cpu":100,"mem_mb":10}]}`
+	body += strings.Repeat(" ", max(0, bodyBytes-len(body)))
+	return host.call(http.MethodPost, host.callersAddress, path, []byte(body))
+}
+
+// requireAnswers checks that the host accepts an ordinary job, and one in a body of the largest legal size, and that its
+// other servers answer.
+func (host *host) requireAnswers(when string) {
+	host.t.Helper()
+	for name, request := range map[string]func() bool{
+		"a job":                  func() bool { return host.submit(0) == http.StatusOK },
+		"a job of the full size": func() bool { return host.submit(262_144) == http.StatusOK },
+		"the pending jobs":       func() bool { return host.call(http.MethodGet, host.callersAddress, "/q/", nil) == http.StatusOK },
+		"the readiness":          func() bool { return host.call(http.MethodGet, host.readyAddress, "/ready", nil) == http.StatusOK },
+		"the metrics":            func() bool { return host.call(http.MethodGet, host.metricsAddress, "/metrics", nil) == http.StatusOK },
+		"the scheduler's address": func() bool {
+			return host.call(http.MethodGet, host.linksAddress, "/v1/scheduler", nil) == http.StatusOK
+		},
+	} {
+		host.requireSoon(name+" "+when, request)
+	}
+}
+
+// requireSoon repeats a request until it is answered as required.
+func (host *host) requireSoon(what string, request func() bool) {
+	host.t.Helper()
+	for until := time.Now().Add(patience); !request(); {
+		select {
+		case <-host.ended:
+			require.Fail(host.t, "the process has ended", what)
+		case <-time.After(retryInterval):
+		}
+		require.True(host.t, time.Now().Before(until), "%s: not answered; peak memory %.1f MB, most descriptors %d", what, host.peakMB(), host.mostDescriptors.Load())
+	}
+}
