--- a/command/counter/counter.go
+++ b/command/counter/counter.go
@@ -87,3 +87,13 @@
 	counter.add(fmt.Sprintf("almondcross_answers_total{method=%q,queue=%q,status=\"%d\"}", method, queue, status), 1)
 	counter.set.GetOrCreateHistogram(fmt.Sprintf("almondcross_answer_seconds{method=%q,queue=%q}", method, queue)).Update(took.Seconds())
 }
+
+// BodyRefused counts a body of a request that was refused: for the bytes of all bodies, or since it did not arrive in time.
+func (counter *Counter) BodyRefused(reason string) {
+	counter.add(fmt.Sprintf("almondcross_bodies_refused_total{reason=%q}", reason), 1)
+}
+
+// AnswerUnread counts a connection whose client did not read what a server sent.
+func (counter *Counter) AnswerUnread(server string) {
+	counter.add(fmt.Sprintf("almondcross_answers_unread_total{server=%q}", server), 1)
+}
