Limit the clients of all servers of a scheduling host

Cause: unfinished bodies, unread answers and idle connections at any server took the memory or all descriptors of the process. Change: settings for descriptors, bodies, connections and time limits, with max_descriptors from limits.max_fds in deploy/scheduler.jsonc; the limits are derived where the settings leave them open. All four servers limit the time of a request and of its answer, and their connections; a server at its limit closes idle connections.

--- a/assembler/scheduler.go
+++ b/assembler/scheduler.go
@@ -105,7 +105,7 @@
 			func() logrus.FieldLogger { return newLogger(configurator.LogJSON) },
 			metrics.NewSet, NewDuties, encoder.NewCodec, client.New, jobfinder.New, router.New, counter.New,
 			newRecorder, newSchedulerRings, newFollower, newCommitter, newRelayer, newExecutor, newAsker, newHub, newDialer, newUplink, newSubmitter,
-			newSchedulerMachine, newVersioner, newScheduler, newSchedulerServers,
+			newSchedulerMachine, newVersioner, newScheduler, newSchedulerLimits, newSchedulerServers,
 		),
 		fx.Invoke(runScheduler),
 	)
--- a/assembler/schedulerservers.go
+++ b/assembler/schedulerservers.go
@@ -15,6 +15,8 @@
 	"github.com/almondcross/almondcross"
 	"github.com/almondcross/almondcross/command/connector"
 	"github.com/almondcross/almondcross/command/counter"
+	"github.com/almondcross/almondcross/command/limiter"
+	"github.com/almondcross/almondcross/command/listener"
 	"github.com/almondcross/almondcross/command/recorder"
 	"github.com/almondcross/almondcross/command/submitter"
 	"github.com/almondcross/almondcross/configurator"
@@ -43,14 +45,16 @@
 	ready    *http.Server
 	metrics  *http.Server
 	links    *http.Server
+	limits   *schedulerLimits
+	counter  *counter.Counter
 	stopping atomic.Bool
 }
 
 func newSchedulerServers(
 	settings configurator.SchedulerSettings, routes *router.Router, jobs *jobfinder.Table, rings schedulerRings,
-	hub *connector.Hub, versions *versioner.Versioner, log *recorder.Recorder, counter *counter.Counter, set *metrics.Set,
+	hub *connector.Hub, versions *versioner.Versioner, log *recorder.Recorder, counter *counter.Counter, set *metrics.Set, limits *schedulerLimits,
 ) *schedulerServers {
-	servers := &schedulerServers{settings: settings}
+	servers := &schedulerServers{settings: settings, limits: limits, counter: counter}
 	queryHandlers := viewer.New(viewer.Config{
 		Router: routes, Jobs: jobs, Clock: Clock{}, Log: log, Metrics: counter, Status: versions,
 		Ready: func() bool {
@@ -59,54 +63,90 @@
 	})
 	commandHandlers := receiver.New(receiver.Config{
 		Router: routes, Submitter: submitter.NewClient(rings.submissions), Jobs: jobs, Scheduler: rings.messages,
-		Clock: Clock{}, Log: log, Metrics: counter,
+		Clock: Clock{}, Log: log, Metrics: counter, Bodies: limits.bodies, BodyTimeout: settings.BodyTimeout(),
 	})
 	callerRouter := mux.NewRouter().SkipClean(true)
 	queryHandlers.Register(callerRouter)
 	commandHandlers.Register(callerRouter)
-	servers.callers = newServer(callerRouter)
+	servers.callers = newServer(settings, callerRouter)
 	readyRouter := mux.NewRouter()
 	queryHandlers.RegisterReady(readyRouter)
-	servers.ready = newServer(readyRouter)
+	servers.ready = newServer(settings, readyRouter)
 	metricsRouter := mux.NewRouter()
 	queryHandlers.RegisterStatus(metricsRouter)
 	metricsRouter.Methods(http.MethodGet).Path("/metrics").HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
 		set.WritePrometheus(writer)
 		metrics.WriteProcessMetrics(writer)
 	})
-	servers.metrics = newServer(metricsRouter)
+	servers.metrics = newServer(settings, metricsRouter)
 	linkRouter := mux.NewRouter()
 	linkRouter.Path(connector.Path).Handler(hub)
 	linkRouter.Methods(http.MethodGet).Path(encoder.SchedulerPath).HandlerFunc(hub.ServePointer)
-	servers.links = newServer(linkRouter)
+	servers.links = newServer(settings, linkRouter)
 	return servers
 }
 
-func newServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+// newServer returns a server with time limits for a whole request, also for a body that no handler reads, and for its
+// answer. They end for a connection that becomes a link, which has its own.
+func newServer(settings configurator.SchedulerSettings, handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout + settings.BodyTimeout(),
+		WriteTimeout: settings.AnswerTimeout(), IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
 }
 
 // Listen opens all listeners, so that the start fails if an address cannot be used.
 func (schedulerservers *schedulerServers) Listen(ctx context.Context) ([]NamedDuty, error) {
-	var namedDuties []NamedDuty
-	for _, endpoint := range []struct {
-		name, address string
-		server        *http.Server
-	}{
-		{"callers' server", schedulerservers.settings.CallersListen(), schedulerservers.callers},
-		{"balancer's server", schedulerservers.settings.ReadyListen(), schedulerservers.ready},
-		{"metrics server", schedulerservers.settings.MetricsListen(), schedulerservers.metrics},
-		{"link server", schedulerservers.settings.LinkListen(), schedulerservers.links},
-	} {
-		listener, err := new(net.ListenConfig).Listen(ctx, "tcp", endpoint.address)
+	limits := schedulerservers.limits
+	namedDuties := []NamedDuty{
+		{"refuser", listener.NewRefuser(limits.refused)},
+		{"limit watcher", limiter.NewWatcher(limiter.WatcherConfig{Changes: limits.changes, Log: limits.log, OnChange: schedulerservers.setReached})},
+	}
+	for _, endpoint := range schedulerservers.endpoints() {
+		opened, err := new(net.ListenConfig).Listen(ctx, "tcp", endpoint.address)
 		if err != nil {
 			return nil, errors.Annotatef(err, "listening for the %s", endpoint.name)
 		}
-		namedDuties = append(namedDuties, NamedDuty{endpoint.name, schedulerServerDuty{server: endpoint.server, listener: listener}})
+		tcpListener, isTCP := opened.(*net.TCPListener)
+		if !isTCP {
+			return nil, errors.Errorf("listening for the %s: %s is no TCP address", endpoint.name, endpoint.address)
+		}
+		limited := listener.New(listener.Config{
+			Listener: tcpListener, Limiter: endpoint.limit, Refusal: []byte(refusal), Refuser: limits.refused,
+			OnUnread: func() { schedulerservers.counter.AnswerUnread(endpoint.limit.Name()) },
+		})
+		namedDuties = append(namedDuties, NamedDuty{endpoint.name, schedulerServerDuty{server: endpoint.server, listener: limited}})
 	}
 	return namedDuties, nil
 }
 
+// endpoint is one server of a scheduling host with its address and the limit on its connections.
+type endpoint struct {
+	name, address string
+	server        *http.Server
+	limit         *limiter.Limiter
+}
+
+func (schedulerservers *schedulerServers) endpoints() []endpoint {
+	settings, limits := schedulerservers.settings, schedulerservers.limits
+	return []endpoint{
+		{"callers' server", settings.CallersListen(), schedulerservers.callers, limits.callers},
+		{"balancer's server", settings.ReadyListen(), schedulerservers.ready, limits.ready},
+		{"metrics server", settings.MetricsListen(), schedulerservers.metrics, limits.metrics},
+		{"link server", settings.LinkListen(), schedulerservers.links, limits.links},
+	}
+}
+
+// setReached closes the idle connections of a server whose connections have reached their limit, and each further one after
+// its answer, until the limit is relaxed. Otherwise clients could hold all connections without a request.
+func (schedulerservers *schedulerServers) setReached(limit string, reached bool) {
+	for _, endpoint := range schedulerservers.endpoints() {
+		if endpoint.limit.Name() == limit {
+			endpoint.server.SetKeepAlivesEnabled(!reached && !schedulerservers.stopping.Load())
+		}
+	}
+}
+
 // schedulerServerDuty runs one HTTP server of a scheduling host.
 type schedulerServerDuty struct {
 	server   *http.Server
--- a/configurator/configurator_test.go
+++ b/configurator/configurator_test.go
@@ -42,6 +42,13 @@
 	"capacity": {"milli_cpu": 16000, "memory": "32GB", "slots": 8},
 }`
 
+const schedulerFile = `{
+	"role": "scheduler", "name": "h-1", "data_centre": "a", "region": "r", "callers_listen": "127.0.0.1:1", "ready_listen": "127.0.0.1:2",
+	"metrics_listen": "127.0.0.1:3", "link_listen": "127.0.0.1:4", "store_address": "127.0.0.1:5", "store_partitions": 2, "store_record": 262144,
+	"store_retention": "1h", "state_retention": "2m", "max_lease": "10s", "stop_grace": "3s", "processors": 0.2, "link_mbps": 10,
+	"memory_mb": 184,
+}`
+
 const platformFile = `{"role": "platform", "listen": "127.0.0.1:7000", "lag": "1s", "retention": "1h"}`
 
 // Guards against a setting that is decoded into another field, and against a default that is not applied.
@@ -101,6 +108,8 @@
 		{"memory unit", workerFile, `"32GB"`, `"32GiB"`, `f:4: capacity.memory: found "32GiB"; allowed: an amount with unit (MB, GB, TB) from 1MB to 64TB`},
 		{"fraction instead of whole number", workerFile, `16000`, `1.5`, `f:4: capacity.milli_cpu: found 1.5; allowed: a whole number from 1 to 1000000`},
 		{"retention not above lag", platformFile, `"1h"`, `"1s"`, `f:1: retention: found 1s; allowed: more than lag, 1s`},
+		{"too few descriptors", schedulerFile, `"memory_mb": 184`, `"memory_mb": 184, "max_descriptors": 255`, `f:5: max_descriptors: found 255; allowed: 0, or at least 256`},
+		{"no time for the answer after a body", schedulerFile, `"memory_mb": 184`, `"memory_mb": 184, "body_timeout": "6s"`, `f:1: answer_timeout: found 6s (the default); allowed: at least a second more than body_timeout, 6s`},
 		{"unknown role", platformFile, `"platform"`, `"plattform"`, `f:1: role: found "plattform"; allowed: one of entry, platform, worker, scheduler`},
 		{"too deep nesting", platformFile, `"1h"`, strings.Repeat("[", 100), `f:1: document: found more than 64 nested brackets; allowed: less nesting`},
 	} {
--- a/configurator/scheduler.go
+++ b/configurator/scheduler.go
@@ -1,11 +1,20 @@
 package configurator
 
 import (
+	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/almondcross/almondcross/parser"
 )
 
+const (
+	// minDescriptors is the least number of descriptors of a host: 200 for files, and a few for each of its servers.
+	minDescriptors = 256
+	// minAnswerTime is the time between the last byte of a body and the end of its answer. A job waits 800 ms for the store.
+	minAnswerTime = time.Second
+)
+
 type rawSchedulerSettings struct {
 	roleField
 	SchedulerSettingsConfig
@@ -56,6 +65,20 @@
 		0.001, 1_000_000, func(settings *rawSchedulerSettings) *float64 { return &settings.LinkMbps }),
 	parser.Integer(parser.FieldSpec{Key: "memory_mb", Unit: "megabytes", Description: "the memory that the process may use"},
 		32, 1<<20, func(settings *rawSchedulerSettings) *int { return &settings.MemoryMB }),
+	parser.Integer(parser.FieldSpec{Key: "max_descriptors", Default: "0", Description: "the file descriptors that the process may open, 200 of them for files; 0 for the limit with which the process was started, otherwise at least 256"},
+		0, 1<<24, func(settings *rawSchedulerSettings) *int { return &settings.MaxDescriptors }),
+	parser.Integer(parser.FieldSpec{Key: "body_memory_mb", Unit: "megabytes", Default: "0", Description: "the memory for the bodies of all requests and the jobs decoded from them; a quarter of it is kept for small ones; 0 for a quarter of what memory_mb leaves beside the process itself"},
+		0, 1<<20, func(settings *rawSchedulerSettings) *int { return &settings.BodyMemoryMB }),
+	parser.Duration(parser.FieldSpec{Key: "body_timeout", Default: `"3s"`, Description: "the time in which the body of a request must arrive, after its headers"},
+		100*time.Millisecond, time.Minute, func(settings *rawSchedulerSettings) *time.Duration { return &settings.BodyTimeout }),
+	parser.Duration(parser.FieldSpec{Key: "answer_timeout", Default: `"6s"`, Description: "the time from the end of a request's headers until its answer is sent, after which the connection is closed; at least a second more than body_timeout"},
+		time.Second, 2*time.Minute, func(settings *rawSchedulerSettings) *time.Duration { return &settings.AnswerTimeout }),
+	parser.Integer(parser.FieldSpec{Key: "caller_connections", Default: "0", Description: "the maximum number of open connections of callers; 0 for a number by memory_mb and max_descriptors"},
+		0, 1<<20, func(settings *rawSchedulerSettings) *int { return &settings.CallerLimit }),
+	parser.Integer(parser.FieldSpec{Key: "link_connections", Default: "0", Description: "the maximum number of open connections of other hosts; 0 for a number by max_descriptors"},
+		0, 1<<20, func(settings *rawSchedulerSettings) *int { return &settings.LinkLimit }),
+	parser.Integer(parser.FieldSpec{Key: "check_connections", Default: "0", Description: "the maximum number of open connections for metrics, and as many for readiness checks; 0 for a number by max_descriptors"},
+		0, 1<<20, func(settings *rawSchedulerSettings) *int { return &settings.CheckLimit }),
 	parser.Integer(parser.FieldSpec{Key: "log_lines", Default: "4096", Description: "the maximum number of log lines that wait to be written; further lines are dropped and counted"},
 		1, 1<<20, func(settings *rawSchedulerSettings) *int { return &settings.LogLines }),
 }
@@ -63,8 +86,16 @@
 // ParseScheduler decodes and validates the settings of a scheduling host.
 func ParseScheduler(file string, source []byte) (SchedulerSettings, error) {
 	var settings rawSchedulerSettings
-	if _, err := parseRaw(file, source, schedulerFields, &settings); err != nil {
+	lines, err := parseRaw(file, source, schedulerFields, &settings)
+	if err != nil {
 		return SchedulerSettings{}, err
 	}
+	if settings.MaxDescriptors > 0 && settings.MaxDescriptors < minDescriptors {
+		return SchedulerSettings{}, lines.Conflict("max_descriptors", strconv.Itoa(settings.MaxDescriptors), fmt.Sprintf("0, or at least %d", minDescriptors))
+	}
+	if settings.AnswerTimeout < settings.BodyTimeout+minAnswerTime {
+		return SchedulerSettings{}, lines.Conflict("answer_timeout", parser.FormatDuration(settings.AnswerTimeout),
+			"at least a second more than body_timeout, "+parser.FormatDuration(settings.BodyTimeout))
+	}
 	return NewSchedulerSettings(settings.SchedulerSettingsConfig), nil
 }
--- a/configurator/values.go
+++ b/configurator/values.go
@@ -140,5 +140,12 @@
 	directWorkers   int           // the number of workers up to which the scheduler sends all orders itself, negative for a number by the CPU cores
 	linkMbps        float64       // the network bandwidth of the host, in megabits a second
 	memoryMB        int           // the memory that the process may use, in megabytes
+	maxDescriptors  int           // the file descriptors that the process may open, 0 for the limit of the process
+	bodyMemoryMB    int           // the memory for the bodies of all requests and the jobs decoded from them in megabytes, 0 for a part of the process's memory
+	bodyTimeout     time.Duration // the time in which the body of a request must arrive
+	answerTimeout   time.Duration // the time from the end of a request's headers in which its answer must be sent
+	callerLimit     int           // the maximum number of open connections of callers, 0 for a number by memory and descriptors
+	linkLimit       int           // the maximum number of open connections of other hosts, 0 for a number by the descriptors
+	checkLimit      int           // the maximum number of open connections for metrics, and as many for readiness checks, 0 for a number by the descriptors
 	logLines        int           // the maximum number of log lines that wait to be written; further lines are dropped and counted
 }
--- a/configurator/values_generated.go
+++ b/configurator/values_generated.go
@@ -579,6 +579,13 @@
 	DirectWorkers   int
 	LinkMbps        float64
 	MemoryMB        int
+	MaxDescriptors  int
+	BodyMemoryMB    int
+	BodyTimeout     time.Duration
+	AnswerTimeout   time.Duration
+	CallerLimit     int
+	LinkLimit       int
+	CheckLimit      int
 	LogLines        int
 }
 
@@ -606,6 +613,13 @@
 		directWorkers:   config.DirectWorkers,
 		linkMbps:        config.LinkMbps,
 		memoryMB:        config.MemoryMB,
+		maxDescriptors:  config.MaxDescriptors,
+		bodyMemoryMB:    config.BodyMemoryMB,
+		bodyTimeout:     config.BodyTimeout,
+		answerTimeout:   config.AnswerTimeout,
+		callerLimit:     config.CallerLimit,
+		linkLimit:       config.LinkLimit,
+		checkLimit:      config.CheckLimit,
 		logLines:        config.LogLines,
 	}
 }
@@ -634,6 +648,13 @@
 		DirectWorkers:   schedulersettings.directWorkers,
 		LinkMbps:        schedulersettings.linkMbps,
 		MemoryMB:        schedulersettings.memoryMB,
+		MaxDescriptors:  schedulersettings.maxDescriptors,
+		BodyMemoryMB:    schedulersettings.bodyMemoryMB,
+		BodyTimeout:     schedulersettings.bodyTimeout,
+		AnswerTimeout:   schedulersettings.answerTimeout,
+		CallerLimit:     schedulersettings.callerLimit,
+		LinkLimit:       schedulersettings.linkLimit,
+		CheckLimit:      schedulersettings.checkLimit,
 		LogLines:        schedulersettings.logLines,
 	}
 }
@@ -849,6 +870,75 @@
 	return schedulersettings
 }
 
+// MaxDescriptors returns the file descriptors that the process may open, 0 for the limit of the process.
+func (schedulersettings SchedulerSettings) MaxDescriptors() int {
+	return schedulersettings.maxDescriptors
+}
+
+// WithMaxDescriptors returns a copy with the given maxDescriptors.
+func (schedulersettings SchedulerSettings) WithMaxDescriptors(maxDescriptors int) SchedulerSettings {
+	schedulersettings.maxDescriptors = maxDescriptors
+	return schedulersettings
+}
+
+// BodyMemoryMB returns the memory for the bodies of all requests and the jobs decoded from them in megabytes, 0 for a part of the process's memory.
+func (schedulersettings SchedulerSettings) BodyMemoryMB() int { return schedulersettings.bodyMemoryMB }
+
+// WithBodyMemoryMB returns a copy with the given bodyMemoryMB.
+func (schedulersettings SchedulerSettings) WithBodyMemoryMB(bodyMemoryMB int) SchedulerSettings {
+	schedulersettings.bodyMemoryMB = bodyMemoryMB
+	return schedulersettings
+}
+
+// BodyTimeout returns the time in which the body of a request must arrive.
+func (schedulersettings SchedulerSettings) BodyTimeout() time.Duration {
+	return schedulersettings.bodyTimeout
+}
+
+// WithBodyTimeout returns a copy with the given bodyTimeout.
+func (schedulersettings SchedulerSettings) WithBodyTimeout(bodyTimeout time.Duration) SchedulerSettings {
+	schedulersettings.bodyTimeout = bodyTimeout
+	return schedulersettings
+}
+
+// AnswerTimeout returns the time from the end of a request's headers in which its answer must be sent.
+func (schedulersettings SchedulerSettings) AnswerTimeout() time.Duration {
+	return schedulersettings.answerTimeout
+}
+
+// WithAnswerTimeout returns a copy with the given answerTimeout.
+func (schedulersettings SchedulerSettings) WithAnswerTimeout(answerTimeout time.Duration) SchedulerSettings {
+	schedulersettings.answerTimeout = answerTimeout
+	return schedulersettings
+}
+
+// CallerLimit returns the maximum number of open connections of callers, 0 for a number by memory and descriptors.
+func (schedulersettings SchedulerSettings) CallerLimit() int { return schedulersettings.callerLimit }
+
+// WithCallerLimit returns a copy with the given callerLimit.
+func (schedulersettings SchedulerSettings) WithCallerLimit(callerLimit int) SchedulerSettings {
+	schedulersettings.callerLimit = callerLimit
+	return schedulersettings
+}
+
+// LinkLimit returns the maximum number of open connections of other hosts, 0 for a number by the descriptors.
+func (schedulersettings SchedulerSettings) LinkLimit() int { return schedulersettings.linkLimit }
+
+// WithLinkLimit returns a copy with the given linkLimit.
+func (schedulersettings SchedulerSettings) WithLinkLimit(linkLimit int) SchedulerSettings {
+	schedulersettings.linkLimit = linkLimit
+	return schedulersettings
+}
+
+// CheckLimit returns the maximum number of open connections for metrics, and as many for readiness checks, 0 for a number by the descriptors.
+func (schedulersettings SchedulerSettings) CheckLimit() int { return schedulersettings.checkLimit }
+
+// WithCheckLimit returns a copy with the given checkLimit.
+func (schedulersettings SchedulerSettings) WithCheckLimit(checkLimit int) SchedulerSettings {
+	schedulersettings.checkLimit = checkLimit
+	return schedulersettings
+}
+
 // LogLines returns the maximum number of log lines that wait to be written; further lines are dropped and counted.
 func (schedulersettings SchedulerSettings) LogLines() int { return schedulersettings.logLines }
 
--- a/deploy/template_test.go
+++ b/deploy/template_test.go
@@ -21,7 +21,7 @@
 		"node": "front-a-1", "zone": "a", "region": "r", "listen.front": "10.1.0.13:8161", "listen.ready_addr": "10.1.0.13:8167", "ip": "10.1.0.13",
 		"port_range.0": "7720", "platform.addr": "10.200.1.7:8169", "platform.parts": "8", "platform.record_bytes": "262144", "platform.call_bytes": "2097152", "platform.keep_s": "20",
 		"advice": "10.200.1.9:8169", "cloud_api.addr": "10.200.0.79:8169", "bounds.status_s": "120", "bounds.max_hold_ms": "10000", "bounds.grace_s": "6",
-		"limits.cpu_share": "0.4", "limits.link_mbps": "1000.0", "limits.memory_mb": "284",
+		"limits.cpu_share": "0.4", "limits.link_mbps": "1000.0", "limits.memory_mb": "284", "limits.max_fds": "4100",
 	}
 	section := regexp.MustCompile(`(?s)\{\{#([a-z_.]+)\}\}(.*?)\{\{/[a-z_.]+\}\}`)
 	placeholder := regexp.MustCompile(`\{\{([a-z_.0-9]+)(\|json)?\}\}`)
@@ -51,5 +51,6 @@
 		require.Equal(t, 10*time.Second, settings.MaxLease())
 		require.InDelta(t, 0.4, settings.Processors(), 0)
 		require.Equal(t, withOptional, settings.AdviceAddress() != "")
+		require.Equal(t, withOptional, settings.MaxDescriptors() == 4100)
 	}
 }
