Let the crowd be played by hand with other sizes

Cause: the tests have a small host and clients that act once; the size to design for is 184 MB and 4,100 descriptors under 1,000 clients. Change: flags of integration/crowd for the host, the number of clients and the time for which they act again.

--- a/integration/crowd/crowd_test.go
+++ b/integration/crowd/crowd_test.go
@@ -12,11 +12,11 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/almondcross/almondcross/ring"
 )
 
 const (
-	// crowdSize is the number of clients, more than the process may have open files.
-	crowdSize = 600
 	// bodyBytes is the announced size of a body, and sentBytes how much of it is sent.
 	bodyBytes, sentBytes = 262_011, 262_000
 	pieces               = 16
@@ -26,6 +26,8 @@
 	unreadBytes = 60 << 10
 	// clientBuffer is the receive buffer of such a client in bytes, so that answers fill it soon.
 	clientBuffer = 4 << 10
+	// holdDuration is longer than the time that a body may take by default.
+	holdDuration = 4 * time.Second
 	// sendTimeout bounds what a client sends, and crowdTimeout how long the crowd waits for all of its clients.
 	sendTimeout, crowdTimeout = 10 * time.Second, 30 * time.Second
 )
@@ -35,6 +37,7 @@
 	connection net.Conn
 	path       string
 	header     string // header holds the lines of a submission that all kinds have.
+	unread     bool   // unread is set if the client reads nothing.
 }
 
 // write sends a text. An error means that the server has closed the connection, or doesn't read.
@@ -76,6 +79,7 @@
 
 // sendUnread sends requests and reads no answer.
 func (client *client) sendUnread() {
+	client.unread = true
 	request := fmt.Sprintf("GET /q/ HTTP/1.1\r\nHost: %s\r\n\r\n", queueHost)
 	client.write(strings.Repeat(request, unreadBytes/len(request)))
 }
@@ -101,24 +105,15 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	crowd := &crowd{dismiss: cancel}
 	t.Cleanup(cancel)
-	crowd.sent.Add(crowdSize)
-	for index := range crowdSize {
+	crowd.sent.Add(*crowdSize)
+	for index := range *crowdSize {
 		crowd.group.Go(func() {
+			until := time.Now().Add(*actDuration)
 			sent := sync.OnceFunc(crowd.sent.Done)
 			defer sent()
-			connection, err := (&net.Dialer{Timeout: sendTimeout}).DialContext(ctx, "tcp", addresses[index%len(addresses)])
-			if err != nil {
-				return
+			for crowd.actOnce(ctx, addresses[index%len(addresses)], index, act, sent); time.Now().Before(until) && ctx.Err() == nil; {
+				crowd.actOnce(ctx, addresses[index%len(addresses)], index, act, sent)
 			}
-			defer func() { _ = connection.Close() }()
-			_ = connection.(*net.TCPConn).SetReadBuffer(clientBuffer) //nolint:forcetypeassert // It was dialled as TCP.
-			_ = connection.SetDeadline(time.Now().Add(sendTimeout))
-			path := fmt.Sprintf("/q/%016x", 1<<32+index)
-			act(&client{
-				connection: connection, path: path, header: fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\n", path, queueHost),
-			}, index)
-			sent()
-			<-ctx.Done()
 		})
 	}
 	done := make(chan struct{})
@@ -131,6 +126,33 @@
 	return crowd
 }
 
+// actOnce lets a client connect and act, and keep the connection until the crowd is dismissed or, if the client is to act
+// again, until the server closes it or for holdDuration.
+func (crowd *crowd) actOnce(ctx context.Context, address string, index int, act func(client *client, index int), sent func()) {
+	connection, err := (&net.Dialer{Timeout: sendTimeout}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return
+	}
+	defer func() { _ = connection.Close() }()
+	_ = connection.(*net.TCPConn).SetReadBuffer(clientBuffer) //nolint:forcetypeassert // It was dialled as TCP.
+	_ = connection.SetDeadline(time.Now().Add(sendTimeout))
+	path := fmt.Sprintf("/q/%016x", 1<<32+index)
+	client := &client{
+		connection: connection, path: path, header: fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\n", path, queueHost),
+	}
+	act(client, index)
+	sent()
+	switch {
+	case *actDuration == 0:
+		<-ctx.Done()
+	case client.unread:
+		ring.Pause(ctx, holdDuration)
+	default:
+		_ = connection.SetReadDeadline(time.Now().Add(holdDuration))
+		_, _ = io.Copy(io.Discard, connection)
+	}
+}
+
 // play lets a crowd abuse a host and checks that the host stays within its bounds, and answers before and after the crowd
 // has gone.
 func play(t *testing.T, addresses func(host *host) []string, act func(client *client, index int)) {
@@ -140,15 +162,34 @@
 	defer stopWatch()
 	go host.watch(watchCtx)
 	crowd := gather(t, addresses(host), act)
-	t.Logf("with the crowd: peak memory %.1f MB of %d, most descriptors %d of %d", host.peakMB(), memoryMB, host.mostDescriptors.Load(), descriptorLimit)
+	t.Logf("with the crowd: peak memory %.1f MB of %d, most descriptors %d of %d", host.peakMB(), *memoryMB, host.mostDescriptors.Load(), *descriptorLimit)
 	host.requireSoon("a job beside the crowd", func() bool { return host.submit(0) == http.StatusOK })
 	host.requireSoon("the readiness beside the crowd", func() bool { return host.call(http.MethodGet, host.readyAddress, "/ready", nil) == http.StatusOK })
+	host.serveBesideCrowd()
 	crowd.dismiss()
 	crowd.group.Wait()
 	host.requireAnswers("after the crowd")
-	t.Logf("after the crowd: peak memory %.1f MB of %d, most descriptors %d of %d", host.peakMB(), memoryMB, host.mostDescriptors.Load(), descriptorLimit)
-	require.LessOrEqual(t, host.peakMB(), float64(memoryMB), "the memory of the host, in MB")
-	require.LessOrEqual(t, host.mostDescriptors.Load(), int64(descriptorBound), "the open descriptors of the host")
+	t.Logf("after the crowd: peak memory %.1f MB of %d, most descriptors %d of %d", host.peakMB(), *memoryMB, host.mostDescriptors.Load(), *descriptorLimit)
+	require.LessOrEqual(t, host.peakMB(), float64(*memoryMB), "the memory of the host, in MB")
+	require.LessOrEqual(t, host.mostDescriptors.Load(), int64(*descriptorLimit-descriptorReserve), "the open descriptors of the host")
+}
+
+// serveBesideCrowd sends ordinary jobs for as long as the clients act again, and logs how many were answered.
+func (host *host) serveBesideCrowd() {
+	answered, refused, unanswered := 0, 0, 0
+	for until := time.Now().Add(*actDuration); time.Now().Before(until) && ring.Pause(host.t.Context(), retryInterval); {
+		switch host.submit(0) {
+		case http.StatusOK:
+			answered++
+		case 0:
+			unanswered++
+		default:
+			refused++
+		}
+	}
+	if *actDuration > 0 {
+		host.t.Logf("beside the crowd: %d jobs accepted, %d refused, %d connections ended without an answer", answered, refused, unanswered)
+	}
 }
 
 func callersOnly(host *host) []string { return []string{host.callersAddress} }
--- a/integration/crowd/host_test.go
+++ b/integration/crowd/host_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"flag"
 	"fmt"
 	"io"
 	"net"
@@ -24,14 +25,22 @@
 	"github.com/almondcross/almondcross/standin/reserver"
 )
 
-const (
+// The defaults are the load and the bounds of the tests; other values are for plays by hand.
+var (
 	// memoryMB is the memory of the host in its settings, and the bound of its largest resident size.
-	memoryMB = 64
+	memoryMB = flag.Int("memory_mb", 64, "the memory of the host in megabytes")
 	// descriptorLimit is the limit on open files with which the process starts.
-	descriptorLimit = 512
-	// descriptorBound is the bound of its open descriptors; the rest is left for calls to workers and the store.
-	descriptorBound = 450
-	queueHost       = "q.example"
+	descriptorLimit = flag.Int("descriptors", 512, "the limit on open files of the host")
+	// crowdSize is the number of clients. By default they are more than the process may have open files.
+	crowdSize = flag.Int("clients", 600, "the number of clients")
+	// actDuration is the time for which each client connects and acts again once its connection has ended.
+	actDuration = flag.Duration("repeat", 0, "the time for which each client acts again and again")
+)
+
+const (
+	// descriptorReserve is the number of descriptors that are left for calls to workers and the store.
+	descriptorReserve = 62
+	queueHost         = "q.example"
 	// answerTimeout is how long a caller waits for an answer.
 	answerTimeout = 3 * time.Second
 	// patience bounds the wait for one answered request. It is far above all time limits of the servers.
@@ -112,7 +121,7 @@
 	settings := fmt.Sprintf(`{"role":"scheduler","name":"h-0","data_centre":"a","region":"r","callers_listen":%q,"ready_listen":%q,"metrics_listen":%q,
 		"link_listen":%q,"store_address":%q,"store_partitions":2,"store_record":262144,"store_retention":"1h",
 		"state_retention":"2m","max_lease":"10s","stop_grace":"3s","processors":1.0,"link_mbps":1000,"memory_mb":%d}`,
-		host.callersAddress, host.readyAddress, host.metricsAddress, host.linksAddress, listener.Addr(), memoryMB)
+		host.callersAddress, host.readyAddress, host.metricsAddress, host.linksAddress, listener.Addr(), *memoryMB)
 	directory := t.TempDir()
 	path := filepath.Join(directory, "h-0.jsonc")
 	require.NoError(t, os.WriteFile(path, []byte(settings), 0o600))
@@ -121,7 +130,7 @@
 	t.Cleanup(func() { _ = log.Close() })
 	// The shell sets the limit before the program starts, since the runtime of Go raises its soft limit to the hard one.
 	host.process = exec.CommandContext(ctx, "/bin/sh", "-c", `ulimit -n "$0" && exec "$@"`,
-		strconv.Itoa(descriptorLimit), buildBinary(t), "scheduler", "--config", path)
+		strconv.Itoa(*descriptorLimit), buildBinary(t), "scheduler", "--config", path)
 	host.process.Stdout, host.process.Stderr = log, log
 	require.NoError(t, host.process.Start())
 	go func() {
