--- a/assembler/schedulerlimits.go
+++ b/assembler/schedulerlimits.go
@@ -18,7 +18,7 @@
 const (
 	// smallBytes is the memory in bytes up to which a request counts as small. A job with the largest payload and 25 steps
 	// takes less.
-	smallBytes = 40 << 10
+	smallBytes = 64 << 10
 	// smallFraction is the fraction (1/smallFraction) of the memory for bodies that is kept for small requests, so that large
 	// bodies that never end do not keep out ordinary jobs.
 	smallFraction = 4
