Test a host under links with messages that stop short of their end

Cause: a link reads a message of up to 1 MiB into memory, without a bound over all links. Change: TestUnfinishedFrames in integration/crowd: 600 clients open links and send a message of 1,048,576 bytes without its last 11.

--- a/integration/crowd/crowd_test.go
+++ b/integration/crowd/crowd_test.go
@@ -1,7 +1,9 @@
 package crowd_test
 
 import (
+	"bufio"
 	"context"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
@@ -225,3 +227,19 @@
 	play(t, func(host *host) []string { return []string{host.readyAddress, host.metricsAddress, host.linksAddress} },
 		func(client *client, _ int) { client.sendWhole() })
 }
+
+// Guards against a process that runs out of memory under links with large messages that stop short of their end.
+func TestUnfinishedFrames(t *testing.T) {
+	const frameBytes, missingBytes = 1 << 20, 11
+	// The header of a masked binary frame with a length of eight bytes; the mask is zero.
+	frame := binary.BigEndian.AppendUint64([]byte{0x82, 0xff}, frameBytes)
+	frame = append(frame, make([]byte, 4+frameBytes-missingBytes)...)
+	play(t, func(host *host) []string { return []string{host.linksAddress} }, func(client *client, _ int) {
+		client.write(fmt.Sprintf("GET /v1/advice HTTP/1.1\r\nHost: %s\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n"+
+			"Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n", queueHost))
+		if answer, err := http.ReadResponse(bufio.NewReader(client.connection), nil); err != nil || answer.StatusCode != http.StatusSwitchingProtocols {
+			return
+		}
+		client.write(string(frame))
+	})
+}
