Bound the bytes of the messages that links read

A client could also keep a message open with pongs between its fragments, each of which extended the read deadline. Change: a session reads messages above 16 KiB into buffers that are reserved first, from a budget of their own (link_memory_mb); a message must arrive in 2.5 s; a link without room is closed. With the pongs extending the deadline, TestLargeMessagesAreReserved fails.

--- a/assembler/scheduler.go
+++ b/assembler/scheduler.go
@@ -225,10 +225,12 @@
 	})
 }
 
-func newHub(settings configurator.SchedulerSettings, codec encoder.Codec, rings schedulerRings, log *recorder.Recorder) *connector.Hub {
+func newHub(
+	settings configurator.SchedulerSettings, codec encoder.Codec, rings schedulerRings, log *recorder.Recorder, limits *schedulerLimits,
+) *connector.Hub {
 	return connector.NewHub(connector.HubConfig{
 		Host: settings.Name(), Local: localAdviceQueries{rings}, Codec: codec, Pointers: codec, Sink: rings.messages, Clock: Clock{}, Log: log,
-		Stored: rings.offerStored, Relay: rings.relayed,
+		Stored: rings.offerStored, Relay: rings.relayed, Frames: limits.frames,
 	})
 }
 
--- a/command/connector/dialer.go
+++ b/command/connector/dialer.go
@@ -100,7 +100,7 @@
 		return errors.Trace(err)
 	}
 	_ = response.Body.Close() // An upgraded connection has no body.
-	session := newSession(connection, dialer.config.Codec)
+	session := newSession(connection, dialer.config.Codec, nil)
 	session.offer(almondcross.NewHostHello(almondcross.HostHelloConfig{
 		Host: dialer.config.Host, Strength: scheduler.Strength, Address: dialer.config.Address, DataCentre: dialer.config.DataCentre,
 		SchedulerEpoch: scheduler.Epoch, Ends: scheduler.Ends,
--- a/command/connector/hub.go
+++ b/command/connector/hub.go
@@ -26,8 +26,10 @@
 	Sink     almondcross.Sink[almondcross.SchedulerMessage]
 	// Relay receives the answers to relayed orders and the changes of links.
 	Relay almondcross.Sink[almondcross.RelayMessage]
-	Clock almondcross.Clock
-	Log   almondcross.EventLog
+	// Frames limits the bytes of the large messages that all links are reading, nil for no limit.
+	Frames almondcross.Limiter
+	Clock  almondcross.Clock
+	Log    almondcross.EventLog
 }
 
 // Hub holds the links of other hosts to this one and sends messages over them. Its methods may be called from any
@@ -158,7 +160,7 @@
 		hub.config.Log.Record("link_refused", almondcross.Text("from", request.RemoteAddr), almondcross.Text("reason", err.Error()))
 		return
 	}
-	session := newSession(connection, hub.config.Codec)
+	session := newSession(connection, hub.config.Codec, hub.config.Frames)
 	host := ""
 	err = session.run(request.Context(), func(message almondcross.LinkMessage) {
 		switch message := message.(type) {
--- a/command/connector/session.go
+++ b/command/connector/session.go
@@ -30,6 +30,10 @@
 	connection *websocket.Conn
 	codec      almondcross.LinkCodec
 	sendQueue  *ring.Ring[outgoing]
+	frames     almondcross.Limiter // frames limits the bytes of the large messages of all links, nil for no limit.
+	// held is what the message that is read holds of that limit, and inFrame is set while it arrives; only the reader uses them.
+	held    int64
+	inFrame bool
 }
 
 // outgoing is a message to encode, or an encoded frame that several sessions share.
@@ -38,10 +42,10 @@
 	frame   []byte
 }
 
-func newSession(connection *websocket.Conn, codec almondcross.LinkCodec) *session {
+func newSession(connection *websocket.Conn, codec almondcross.LinkCodec, frames almondcross.Limiter) *session {
 	connection.SetReadLimit(maxFrameBytes)
 	return &session{
-		connection: connection, codec: codec,
+		connection: connection, codec: codec, frames: frames,
 		sendQueue: ring.New[outgoing](ring.Config{Name: "link", Capacity: sendQueueCapacity}),
 	}
 }
@@ -62,16 +66,23 @@
 
 func (session *session) read(handle func(message almondcross.LinkMessage)) error {
 	extendDeadline := func() error { return errors.Trace(session.connection.SetReadDeadline(time.Now().Add(readTimeout))) }
-	session.connection.SetPongHandler(func(string) error { return extendDeadline() })
+	session.connection.SetPongHandler(func(string) error {
+		if session.inFrame {
+			return nil // Pongs must not keep a message open that never ends.
+		}
+		return extendDeadline()
+	})
+	defer session.release()
 	for {
 		if err := extendDeadline(); err != nil {
 			return err
 		}
-		_, frame, err := session.connection.ReadMessage()
+		frame, err := session.readFrame()
 		if err != nil {
-			return errors.Trace(err)
+			return err
 		}
 		message, err := session.codec.DecodeLink(frame)
+		session.release()
 		if err != nil {
 			return errors.Trace(err)
 		}
--- a/configurator/values_generated.go
+++ b/configurator/values_generated.go
@@ -581,6 +581,7 @@
 	MemoryMB        int
 	MaxDescriptors  int
 	BodyMemoryMB    int
+	LinkMemoryMB    int
 	BodyTimeout     time.Duration
 	AnswerTimeout   time.Duration
 	CallerLimit     int
@@ -615,6 +616,7 @@
 		memoryMB:        config.MemoryMB,
 		maxDescriptors:  config.MaxDescriptors,
 		bodyMemoryMB:    config.BodyMemoryMB,
+		linkMemoryMB:    config.LinkMemoryMB,
 		bodyTimeout:     config.BodyTimeout,
 		answerTimeout:   config.AnswerTimeout,
 		callerLimit:     config.CallerLimit,
@@ -650,6 +652,7 @@
 		MemoryMB:        schedulersettings.memoryMB,
 		MaxDescriptors:  schedulersettings.maxDescriptors,
 		BodyMemoryMB:    schedulersettings.bodyMemoryMB,
+		LinkMemoryMB:    schedulersettings.linkMemoryMB,
 		BodyTimeout:     schedulersettings.bodyTimeout,
 		AnswerTimeout:   schedulersettings.answerTimeout,
 		CallerLimit:     schedulersettings.callerLimit,
@@ -890,6 +893,15 @@
 	return schedulersettings
 }
 
+// LinkMemoryMB returns the memory for the large messages that other hosts send at the same time in megabytes, 0 for a part of the process's memory.
+func (schedulersettings SchedulerSettings) LinkMemoryMB() int { return schedulersettings.linkMemoryMB }
+
+// WithLinkMemoryMB returns a copy with the given linkMemoryMB.
+func (schedulersettings SchedulerSettings) WithLinkMemoryMB(linkMemoryMB int) SchedulerSettings {
+	schedulersettings.linkMemoryMB = linkMemoryMB
+	return schedulersettings
+}
+
 // BodyTimeout returns the time in which the body of a request must arrive.
 func (schedulersettings SchedulerSettings) BodyTimeout() time.Duration {
 	return schedulersettings.bodyTimeout
--- a/limits_generated.go
+++ b/limits_generated.go
@@ -47,6 +47,7 @@
 // ClientLimitsConfig holds the fields of a new ClientLimits.
 type ClientLimitsConfig struct {
 	BodyBytes         int64
+	LinkBytes         int64
 	CallerConnections int
 	LinkConnections   int
 	CheckConnections  int
@@ -56,6 +57,7 @@
 func NewClientLimits(config ClientLimitsConfig) ClientLimits {
 	return ClientLimits{
 		bodyBytes:         config.BodyBytes,
+		linkBytes:         config.LinkBytes,
 		callerConnections: config.CallerConnections,
 		linkConnections:   config.LinkConnections,
 		checkConnections:  config.CheckConnections,
@@ -66,6 +68,7 @@
 func (clientlimits ClientLimits) Config() ClientLimitsConfig {
 	return ClientLimitsConfig{
 		BodyBytes:         clientlimits.bodyBytes,
+		LinkBytes:         clientlimits.linkBytes,
 		CallerConnections: clientlimits.callerConnections,
 		LinkConnections:   clientlimits.linkConnections,
 		CheckConnections:  clientlimits.checkConnections,
@@ -81,6 +84,15 @@
 	return clientlimits
 }
 
+// LinkBytes returns the bytes that large messages of other hosts may take while they arrive.
+func (clientlimits ClientLimits) LinkBytes() int64 { return clientlimits.linkBytes }
+
+// WithLinkBytes returns a copy with the given linkBytes.
+func (clientlimits ClientLimits) WithLinkBytes(linkBytes int64) ClientLimits {
+	clientlimits.linkBytes = linkBytes
+	return clientlimits
+}
+
 // CallerConnections returns the open connections of callers.
 func (clientlimits ClientLimits) CallerConnections() int { return clientlimits.callerConnections }
 
