--- a/assembler/scheduler.go
+++ b/assembler/scheduler.go
@@ -109,7 +109,7 @@
 			func() logrus.FieldLogger { return newLogger(configurator.LogJSON) },
 			metrics.NewSet, NewDuties, encoder.NewCodec, client.New, jobfinder.New, router.New, counter.New,
 			newRecorder, newSchedulerRings, newFollower, newCommitter, newRelayer, newExecutor, newAsker, newHub, newDialer, newUplink, newSubmitter,
-			newSchedulerMachine, newVersioner, newScheduler, newSchedulerServers,
+			newSchedulerMachine, newVersioner, newScheduler, newSchedulerLimits, newSchedulerServers,
 		),
 		fx.Invoke(runScheduler),
 	)
@@ -230,10 +230,12 @@
 	})
 }
 
-func newHub(settings configurator.SchedulerSettings, codec encoder.Codec, rings schedulerRings, log *recorder.Recorder) *connector.Hub {
+func newHub(
+	settings configurator.SchedulerSettings, codec encoder.Codec, rings schedulerRings, log *recorder.Recorder, limits *schedulerLimits,
+) *connector.Hub {
 	return connector.NewHub(connector.HubConfig{
 		Host: settings.Name(), Local: localAdviceQueries{rings}, Codec: codec, Pointers: codec, Sink: rings.messages, Clock: Clock{}, Log: log,
-		Stored: rings.offerStored, Relay: rings.relayed,
+		Stored: rings.offerStored, Relay: rings.relayed, Frames: limits.frames,
 	})
 }
 
