Count the messages on links by kind and direction

Cause: at 300 hosts the scheduler's host transfers 4.6 MB/s, and nothing tells which messages these are.

Change: counters of bytes and messages by kind and direction in the metrics of a scheduling host, and a log line link_traffic with the totals of an epoch when this host stops being the scheduler.

What is counted does not change what is sent.

--- a/assembler/scheduler.go
+++ b/assembler/scheduler.go
@@ -103,7 +103,7 @@
 		fx.Provide(
 			func() almondcross.Clock { return Clock{} },
 			func() logrus.FieldLogger { return newLogger(configurator.LogJSON) },
-			metrics.NewSet, NewDuties, encoder.NewCodec, client.New, jobfinder.New, router.New, counter.New,
+			metrics.NewSet, NewDuties, encoder.NewCodec, client.New, jobfinder.New, router.New, counter.New, counter.NewLinks,
 			newRecorder, newSchedulerRings, newFollower, newCommitter, newRelayer, newExecutor, newAsker, newHub, newDialer, newUplink, newSubmitter,
 			newSchedulerMachine, newVersioner, newScheduler, newSchedulerServers,
 		),
@@ -225,20 +225,23 @@
 	})
 }
 
-func newHub(settings configurator.SchedulerSettings, codec encoder.Codec, rings schedulerRings, log *recorder.Recorder) *connector.Hub {
+func newHub(
+	settings configurator.SchedulerSettings, codec encoder.Codec, rings schedulerRings, log *recorder.Recorder, links *counter.Links,
+) *connector.Hub {
 	return connector.NewHub(connector.HubConfig{
 		Host: settings.Name(), Local: localAdviceQueries{rings}, Codec: codec, Pointers: codec, Sink: rings.messages, Clock: Clock{}, Log: log,
-		Stored: rings.offerStored, Relay: rings.relayed,
+		Stored: rings.offerStored, Relay: rings.relayed, Meter: links,
 	})
 }
 
 func newDialer(
 	settings configurator.SchedulerSettings, codec encoder.Codec, rings schedulerRings, executor *executor.Executor, log *recorder.Recorder,
+	links *counter.Links,
 ) *connector.Dialer {
 	return connector.NewDialer(connector.DialerConfig{
 		Host: settings.Name(), DataCentre: settings.DataCentre(), Address: settings.LinkListen(), Codec: codec, Queries: rings.advice,
 		Executor: executor, Sink: rings.messages, Log: log,
-		Stored: rings.offerStored, Clock: Clock{},
+		Stored: rings.offerStored, Clock: Clock{}, Meter: links,
 	})
 }
 
@@ -308,11 +311,13 @@
 
 func newScheduler(
 	machine *scheduler.Machine, rings schedulerRings, workers *relayer.Relayer, hub *connector.Hub, versions *versioner.Versioner,
+	links *counter.Links, log *recorder.Recorder,
 ) *scheduler.Duty {
 	var intakes []almondcross.Sink[almondcross.IntakeQuery]
 	for _, intake := range rings.intakeReads {
 		intakes = append(intakes, intake)
 	}
+	traffic := &epochTraffic{links: links, log: log, clock: Clock{}}
 	return scheduler.NewDuty(scheduler.DutyConfig{
 		Machine: machine, Ring: rings.messages, Clock: Clock{}, Workers: workers,
 		Links: hub,
@@ -321,6 +326,7 @@
 			Commit: rings.journalCommits, StoreSnapshot: rings.newSnapshots, ReadPointer: rings.pointerReads, StorePointer: rings.pointerWrites, StoreUsage: rings.usageWrites,
 		},
 		OnSchedulerChange: func(announcement scheduler.AnnounceScheduler) {
+			traffic.schedulerChanged(announcement)
 			if announcement.Own {
 				debug.SetGCPercent(schedulerGCPercent)
 			} else {
--- a/command/connector/dialer.go
+++ b/command/connector/dialer.go
@@ -41,6 +41,7 @@
 	Stored     func(stored almondcross.IntakeStored) // Stored is called with each answer to a forwarded intake.
 	Log        almondcross.EventLog
 	Clock      almondcross.Clock
+	Meter      almondcross.LinkMeter // Meter counts the messages on links, nil for no counting.
 }
 
 // Dialer is the duty that keeps a link to the scheduler's host open.
@@ -100,7 +101,7 @@
 		return errors.Trace(err)
 	}
 	_ = response.Body.Close() // An upgraded connection has no body.
-	session := newSession(connection, dialer.config.Codec)
+	session := newSession(connection, dialer.config.Codec, dialer.config.Meter)
 	session.offer(almondcross.NewHostHello(almondcross.HostHelloConfig{
 		Host: dialer.config.Host, Strength: scheduler.Strength, Address: dialer.config.Address, DataCentre: dialer.config.DataCentre,
 		SchedulerEpoch: scheduler.Epoch, Ends: scheduler.Ends,
--- a/command/connector/hub.go
+++ b/command/connector/hub.go
@@ -28,6 +28,7 @@
 	Relay almondcross.Sink[almondcross.RelayMessage]
 	Clock almondcross.Clock
 	Log   almondcross.EventLog
+	Meter almondcross.LinkMeter // Meter counts the messages on links, nil for no counting.
 }
 
 // Hub holds the links of other hosts to this one and sends messages over them. Its methods may be called from any
@@ -105,10 +106,10 @@
 		hub.config.Log.Record("push_failed", almondcross.Text("reason", err.Error()))
 		return hosts
 	}
-	sessions := *hub.sessions.Load()
+	sessions, kind := *hub.sessions.Load(), almondcross.KindOfLink(message)
 	var missed []string
 	for _, host := range hosts {
-		if session := sessions[host]; session != nil && !session.sendQueue.Offer(outgoing{frame: frame}) {
+		if session := sessions[host]; session != nil && !session.sendQueue.Offer(outgoing{frame: frame, kind: kind}) {
 			missed = append(missed, host)
 		}
 	}
@@ -158,7 +159,7 @@
 		hub.config.Log.Record("link_refused", almondcross.Text("from", request.RemoteAddr), almondcross.Text("reason", err.Error()))
 		return
 	}
-	session := newSession(connection, hub.config.Codec)
+	session := newSession(connection, hub.config.Codec, hub.config.Meter)
 	host := ""
 	err = session.run(request.Context(), func(message almondcross.LinkMessage) {
 		switch message := message.(type) {
--- a/command/connector/session.go
+++ b/command/connector/session.go
@@ -29,6 +29,7 @@
 type session struct {
 	connection *websocket.Conn
 	codec      almondcross.LinkCodec
+	meter      almondcross.LinkMeter // meter counts the messages, nil for no counting.
 	sendQueue  *ring.Ring[outgoing]
 }
 
@@ -36,12 +37,13 @@
 type outgoing struct {
 	message almondcross.LinkMessage
 	frame   []byte
+	kind    almondcross.LinkKind // kind is that of an encoded frame.
 }
 
-func newSession(connection *websocket.Conn, codec almondcross.LinkCodec) *session {
+func newSession(connection *websocket.Conn, codec almondcross.LinkCodec, meter almondcross.LinkMeter) *session {
 	connection.SetReadLimit(maxFrameBytes)
 	return &session{
-		connection: connection, codec: codec,
+		connection: connection, codec: codec, meter: meter,
 		sendQueue: ring.New[outgoing](ring.Config{Name: "link", Capacity: sendQueueCapacity}),
 	}
 }
@@ -72,6 +74,9 @@
 			return errors.Trace(err)
 		}
 		message, err := session.codec.DecodeLink(frame)
+		if session.meter != nil {
+			session.meter.Received(almondcross.KindOfLink(message), len(frame))
+		}
 		if err != nil {
 			return errors.Trace(err)
 		}
@@ -106,16 +111,22 @@
 }
 
 func (session *session) send(next outgoing) error {
-	frame := next.frame
+	frame, kind := next.frame, next.kind
 	if frame == nil {
 		encoded, err := session.codec.EncodeLink(next.message)
 		if err != nil {
 			return errors.Trace(err)
 		}
-		frame = encoded
+		frame, kind = encoded, almondcross.KindOfLink(next.message)
 	}
 	if err := session.connection.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return errors.Trace(err)
 	}
-	return errors.Trace(session.connection.WriteMessage(websocket.BinaryMessage, frame))
+	if err := session.connection.WriteMessage(websocket.BinaryMessage, frame); err != nil {
+		return errors.Trace(err)
+	}
+	if session.meter != nil {
+		session.meter.Sent(kind, len(frame))
+	}
+	return nil
 }
