--- a/assembler/experiment.go
+++ b/assembler/experiment.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"strings"
 	"time"
 
@@ -62,6 +63,7 @@
 	flagSet.IntVar(&flags.config.Workers, "workers", 24, "number of workers")
 	flagSet.Float64Var(&flags.config.JobsPerSec, "jobs-per-second", 16, "jobs submitted per second")
 	flagSet.DurationVar(&flags.config.SubmitTime, "length", 20*time.Second, "period of each simulation in which jobs are submitted")
+	flagSet.BoolVar(&flags.config.MeasureLinks, "measure-links", false, "print what passes over the links of the scheduler's hosts; orders count as if other hosts carried them out")
 	flagSet.Float64Var(&flags.config.AdviceShare, "advice", 0.5, "fraction of the workers that advice allows for a step, 0 for queues without advice")
 	return command
 }
@@ -102,6 +104,7 @@
 		for _, violation := range report.Violations {
 			_, _ = fmt.Fprintln(output, "       ", violation)
 		}
+		printTraffic(output, report.Traffic)
 		if len(report.Violations) > 0 {
 			failedSimulations++
 			_, _ = fmt.Fprintln(output, "        troubles:", config.Faults)
@@ -113,6 +116,19 @@
 	return nil
 }
 
+// printTraffic prints what has passed over the links of the scheduler's hosts.
+func printTraffic(output io.Writer, traffic emulator.TrafficReport) {
+	for _, kind := range traffic.Kinds {
+		seconds := traffic.Period.Seconds()
+		_, _ = fmt.Fprintf(output, "        %-14s sent %10.1f kB %8d messages %8.2f kB/s   received %10.1f kB %8d messages\n", kind.Kind(),
+			float64(kind.SentBytes())/bytesPerKB, kind.SentMessages(), float64(kind.SentBytes())/bytesPerKB/seconds,
+			float64(kind.ReceivedBytes())/bytesPerKB, kind.ReceivedMessages())
+	}
+}
+
+// bytesPerKB is the number of bytes in a kB of the reports.
+const bytesPerKB = 1000
+
 // traceLog is an event log that prints only the lines that contain a substring.
 type traceLog struct {
 	command   *cobra.Command
--- a/standin/emulator/advice.go
+++ b/standin/emulator/advice.go
@@ -15,7 +15,13 @@
 		if host.name != query.Adviser {
 			continue
 		}
+		if host != modelhost {
+			simulation.traffic.sent(modelhost, query.Query, 1)
+		}
 		reply := func(response almondcross.AdviceAnswered) {
+			if host != modelhost {
+				simulation.traffic.received(modelhost, response)
+			}
 			simulation.schedule(simulation.linkHold(modelhost, host)+linkDelay, func() { modelhost.deliver(response.WithAdviser(host.name).WithReceived(simulation.wallTime())) })
 		}
 		simulation.schedule(simulation.linkHold(modelhost, host)+linkDelay, func() {
--- a/standin/emulator/host.go
+++ b/standin/emulator/host.go
@@ -155,6 +155,7 @@
 }
 
 func (modelhost *modelHost) execute(effect scheduler.Effect) {
+	modelhost.simulation.traffic.ordered(modelhost, effect)
 	switch effect := effect.(type) {
 	case scheduler.SendLease:
 		modelhost.schedule(effect.Pause, func() { modelhost.renewLease(effect.Order) })
--- a/standin/emulator/links.go
+++ b/standin/emulator/links.go
@@ -37,6 +37,9 @@
 		if modelhost.incarnation == incarnation && target.up && modelhost.linkedTo == nil {
 			modelhost.linkedTo = target
 			modelhost.linkCount++
+			simulation.traffic.received(target, almondcross.NewHostHello(almondcross.HostHelloConfig{
+				Host: modelhost.name, Strength: announced.Strength, Address: modelhost.name, SchedulerEpoch: announced.Pointer.Epoch(), Ends: announced.Ends,
+			}))
 			target.deliver(almondcross.NewHostLinkChanged(almondcross.HostLinkChangedConfig{
 				Host: modelhost.name, Present: true, Strength: announced.Strength, Address: modelhost.name,
 				SchedulerEpoch: announced.Pointer.Epoch(), Ends: announced.Ends,
@@ -83,12 +86,14 @@
 }
 
 // sendToHosts sends a message of this scheduler to those of the named hosts that are linked to it.
-func (modelhost *modelHost) sendToHosts(hosts []string, message almondcross.SchedulerMessage) {
+func (modelhost *modelHost) sendToHosts(hosts []string, message schedulerLinkMessage) {
+	links := 0
 	for _, name := range hosts {
 		for _, host := range modelhost.simulation.hosts {
 			if host.name != name || host.linkedTo != modelhost {
 				continue
 			}
+			links++
 			incarnation, link := host.incarnation, host.linkCount
 			modelhost.simulation.schedule(modelhost.simulation.linkHold(host, modelhost)+linkDelay, func() {
 				if host.incarnation == incarnation && host.linkedTo == modelhost && host.linkCount == link {
@@ -97,6 +102,13 @@
 			})
 		}
 	}
+	modelhost.simulation.traffic.sent(modelhost, message, links)
+}
+
+// schedulerLinkMessage is a message between hosts that the machine of the receiver handles.
+type schedulerLinkMessage interface {
+	almondcross.LinkMessage
+	almondcross.SchedulerMessage
 }
 
 // readPointer reads the scheduler pointer from the store. If the store doesn't respond, it uses the peers' pointer
--- a/standin/emulator/simulation.go
+++ b/standin/emulator/simulation.go
@@ -27,6 +27,7 @@
 	LongShare   float64       // LongShare is the fraction of batch jobs that take many seconds.
 	// UnboundStarts lets start orders reach any incarnation of a worker, as those that hosts of earlier versions send do.
 	UnboundStarts bool
+	MeasureLinks  bool          // MeasureLinks counts what passes over the links of the scheduler's hosts.
 	Faults        []Fault       // Faults holds the faults to inject.
 	Retention     time.Duration // Retention is how long the store keeps records.
 	Log           almondcross.EventLog
@@ -53,6 +54,7 @@
 	waitingFaults []Fault // waitingFaults holds the faults that wait for their moment.
 	disturbances  disturbances
 	meter         *takeoverMeter
+	traffic       *trafficMeter
 	announcements announcements
 	// forwardCallbacks holds the functions to call when forwarded intakes are stored, by intake number.
 	forwardCallbacks map[int64]func()
@@ -147,7 +149,7 @@
 		end:    warmUp + config.SubmitTime + config.DrainTime,
 		advice: adviceModel{allowedShare: config.AdviceShare, validity: 2500 * time.Millisecond, seed: config.Seed, issuedTickets: map[string]issuedTicket{}},
 	}
-	simulation.checker, simulation.meter = newChecker(simulation), newTakeoverMeter(simulation)
+	simulation.checker, simulation.meter, simulation.traffic = newChecker(simulation), newTakeoverMeter(simulation), newTrafficMeter(simulation)
 	simulation.publishRoutes(
 		simulation.newQueue(queueUrgent, 0, 4, 8*time.Millisecond, 120*time.Microsecond),
 		simulation.newQueue(queueGang, 1, 3, 440*time.Millisecond, 6300*time.Microsecond),
@@ -184,7 +186,7 @@
 	}
 	simulation.now = simulation.end
 	report := simulation.checker.report()
-	report.Takeovers = simulation.meter.report()
+	report.Takeovers, report.Traffic = simulation.meter.report(), simulation.traffic.report()
 	return report
 }
 
