Add the messages of relays of views

Cause: views of jobs, sent to every host, grow with the square of the hosts of a cell.

Change: values and frames with which the scheduler names the relay of a host and sends the number of a push alone, a host reports views that it misses, and a host opens a link to a relay. A push of views has an epoch, a number and a mark for further parts. JobPublisher lists all views, which a relay sends to a new viewer first. Nothing uses them yet.

--- a/encoder/link.go
+++ b/encoder/link.go
@@ -22,6 +22,10 @@
 	linkPeers         = "peers"
 	linkOrders        = "orders"
 	linkOrderAnswers  = "order_answers"
+	linkViewsAssign   = "views_assign"
+	linkViewNumber    = "view_number"
+	linkViewsMissed   = "views_missed"
+	linkViewerHello   = "viewer_hello"
 )
 
 type wireAssign struct {
@@ -35,6 +39,9 @@
 	Complete bool            `cbor:"complete,omitempty"`
 	Groups   []wireViewGroup `cbor:"groups,omitempty"`
 	Removed  []string        `cbor:"gone,omitempty"`
+	Epoch    int64           `cbor:"epoch,omitempty"`
+	Number   int64           `cbor:"number,omitempty"`
+	More     bool            `cbor:"more,omitempty"`
 }
 
 type wireViewGroup struct {
@@ -45,7 +52,7 @@
 }
 
 func toViews(pushed almondcross.ViewsPushed) wireViews {
-	wire := wireViews{Reset: pushed.Reset(), Complete: pushed.Complete()}
+	wire := wireViews{Reset: pushed.Reset(), Complete: pushed.Complete(), Epoch: pushed.Epoch(), Number: pushed.Number(), More: pushed.More()}
 	groups := map[almondcross.JobView]int{}
 	for _, change := range pushed.Changes() {
 		if !change.Known() {
@@ -66,7 +73,9 @@
 }
 
 func (wireviews wireViews) value() almondcross.ViewsPushed {
-	config := almondcross.ViewsPushedConfig{Reset: wireviews.Reset, Complete: wireviews.Complete}
+	config := almondcross.ViewsPushedConfig{
+		Reset: wireviews.Reset, Complete: wireviews.Complete, Epoch: wireviews.Epoch, Number: wireviews.Number, More: wireviews.More,
+	}
 	for _, group := range wireviews.Groups {
 		for _, id := range group.IDs {
 			config.Changes = append(config.Changes, almondcross.NewJobViewChange(almondcross.JobViewChangeConfig{
@@ -118,6 +127,7 @@
 	Address  string `cbor:"address,omitempty"`
 
 	DataCentre string `cbor:"data_centre,omitempty"`
+	ViewFormat int    `cbor:"view_format,omitempty"`
 
 	SchedulerEpoch int64             `cbor:"scheduler_epoch,omitempty"`
 	Ends           []wireStateChange `cbor:"ends,omitempty"`
@@ -125,7 +135,8 @@
 
 func toHello(hello almondcross.HostHello) wireLinkHello {
 	wire := wireLinkHello{
-		Host: hello.Host(), Strength: hello.Strength(), Address: hello.Address(), DataCentre: hello.DataCentre(), SchedulerEpoch: hello.SchedulerEpoch(),
+		Host: hello.Host(), Strength: hello.Strength(), Address: hello.Address(), DataCentre: hello.DataCentre(), ViewFormat: hello.ViewFormat(),
+		SchedulerEpoch: hello.SchedulerEpoch(),
 	}
 	for _, end := range hello.Ends() {
 		wire.Ends = append(wire.Ends, toChange(end))
@@ -139,7 +150,7 @@
 	}
 	config := almondcross.HostHelloConfig{
 		Host: wirelinkhello.Host, Strength: wirelinkhello.Strength, Address: wirelinkhello.Address, DataCentre: wirelinkhello.DataCentre,
-		SchedulerEpoch: wirelinkhello.SchedulerEpoch,
+		ViewFormat: wirelinkhello.ViewFormat, SchedulerEpoch: wirelinkhello.SchedulerEpoch,
 	}
 	for _, wire := range wirelinkhello.Ends {
 		end, err := wire.value()
@@ -209,8 +220,9 @@
 		return codec.encodeIntakeForward(message)
 	case almondcross.IntakeStored:
 		return codec.encodeEnvelope(linkIntakeStored, wireIntakeStored(message.Config()))
+	default:
+		return codec.encodeViewRelaying(message)
 	}
-	return nil, errors.Annotatef(ErrUnknown, "%T", message)
 }
 
 // DecodeLink returns the message of a frame, or ErrTooLarge, ErrMalformed or ErrUnknown. The receiver must
@@ -253,8 +265,9 @@
 			return nil, err
 		}
 		return almondcross.NewIntakeStored(almondcross.IntakeStoredConfig(wire)), nil
+	default:
+		return codec.decodeViewRelaying(envelope)
 	}
-	return nil, errors.Annotatef(ErrUnknown, "%q", envelope.Type)
 }
 
 // decodeSchedulerMessage is the part of DecodeLink for the role, the peers and the job views, which the scheduler
--- a/job.go
+++ b/job.go
@@ -285,6 +285,8 @@
 	Refreshed(at time.Time, complete bool)
 	// Find returns the view of a job, whatever its age, and reports whether there is one.
 	Find(id JobID) (JobView, bool)
+	// All returns the views of all jobs, in no particular order.
+	All() []JobView
 }
 
 // JobKnowledge is what a host knows of a job.
--- a/linking.go
+++ b/linking.go
@@ -19,6 +19,10 @@
 	LinkAdviceAnswer     LinkKind = "advice_answer"  // LinkAdviceAnswer is an AdviceAnswered.
 	LinkIntakesForwarded LinkKind = "intake_forward" // LinkIntakesForwarded is an IntakeForwarded.
 	LinkIntakesStored    LinkKind = "intake_stored"  // LinkIntakesStored is an IntakeStored.
+	LinkViewsAssigned    LinkKind = "views_assign"   // LinkViewsAssigned is a ViewsAssigned.
+	LinkViewNumbers      LinkKind = "view_number"    // LinkViewNumbers is a ViewsNumbered.
+	LinkViewsMissed      LinkKind = "views_missed"   // LinkViewsMissed is a ViewsMissed.
+	LinkViewerHello      LinkKind = "viewer_hello"   // LinkViewerHello is a ViewerHello.
 	LinkUnknown          LinkKind = "unknown"        // LinkUnknown is a message that cannot be decoded.
 )
 
@@ -26,7 +30,7 @@
 func LinkKinds() []LinkKind {
 	return []LinkKind{
 		LinkHello, LinkAssigned, LinkPeers, LinkBatches, LinkAllViews, LinkViews, LinkOrders, LinkOrderAnswers, LinkAdviceQuery,
-		LinkAdviceAnswer, LinkIntakesForwarded, LinkIntakesStored, LinkUnknown,
+		LinkAdviceAnswer, LinkIntakesForwarded, LinkIntakesStored, LinkViewsAssigned, LinkViewNumbers, LinkViewsMissed, LinkViewerHello, LinkUnknown,
 	}
 }
 
@@ -58,6 +62,22 @@
 		return LinkIntakesForwarded
 	case IntakeStored:
 		return LinkIntakesStored
+	default:
+		return kindOfViewLink(message)
+	}
+}
+
+// kindOfViewLink is the part of KindOfLink for the messages of cells with relays of views.
+func kindOfViewLink(message LinkMessage) LinkKind {
+	switch message.(type) {
+	case ViewsAssigned:
+		return LinkViewsAssigned
+	case ViewsNumbered:
+		return LinkViewNumbers
+	case ViewsMissed:
+		return LinkViewsMissed
+	case ViewerHello:
+		return LinkViewerHello
 	}
 	return LinkUnknown
 }
--- a/query/jobfinder/jobfinder.go
+++ b/query/jobfinder/jobfinder.go
@@ -3,6 +3,7 @@
 import (
 	"hash/maphash"
 	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -133,6 +134,16 @@
 	return view, found
 }
 
+// All returns the views of all jobs, in no particular order.
+func (table *Table) All() []almondcross.JobView {
+	var all []almondcross.JobView
+	current := table.views.Load()
+	for index := range current.shards {
+		all = slices.AppendSeq(all, maps.Values(*current.shards[index].Load()))
+	}
+	return all
+}
+
 // Lookup returns what the views tell of a job of a queue at a time.
 func (table *Table) Lookup(id almondcross.JobID, queue string, now time.Time) (almondcross.JobView, almondcross.JobKnowledge) {
 	// The times are read first: a view that is added after the times were read is no older than they tell.
--- a/scheduling.go
+++ b/scheduling.go
@@ -208,6 +208,7 @@
 	strength   int    // the scheduling strength of the host: its configured strength minus its latency to the store, 0 to 100
 	address    string // the address on which the host accepts links
 	dataCentre string // the data centre of the host
+	viewFormat int    // the ViewFormat of the host, 0 for one that knows no relays of views
 
 	schedulerEpoch int64    // the epoch of the scheduler to which the host has linked; it leads no earlier epoch. 0 for a host of an earlier version
 	ends           []Change // the ends of runs that the host has read as scheduler and may not have recorded
@@ -267,6 +268,9 @@
 	reset    bool            // whether the changes contain all views and replace the earlier ones
 	complete bool            // whether the views include every job that was accepted up to shortly before the push; see current of JournalBatch
 	changes  []JobViewChange // the changes
+	epoch    int64           // the epoch of the scheduler, 0 in a cell without relays of views
+	number   int64           // the number of the push within the epoch; all views have the number of the last push that they include. 0 in a cell without relays
+	more     bool            // whether a further part of all views follows
 }
 
 // LinkLost reports that the link to the scheduler's host was closed or could not be opened.
@@ -430,6 +434,7 @@
 	strength   int    // the scheduling strength of the host: its configured strength minus its latency to the store, 0 to 100
 	address    string // the address on which the host accepts links
 	dataCentre string // the data centre of the host
+	viewFormat int    // the ViewFormat of the host, 0 for one that knows no relays of views
 
 	schedulerEpoch int64    // the epoch of the scheduler to which the host links; it leads no earlier epoch. 0 from a host of an earlier version
 	ends           []Change // the ends of runs that the host has read as scheduler and may not have recorded
--- a/scheduling_generated.go
+++ b/scheduling_generated.go
@@ -1139,6 +1139,7 @@
 	Strength       int
 	Address        string
 	DataCentre     string
+	ViewFormat     int
 	SchedulerEpoch int64
 	Ends           []Change
 }
@@ -1151,6 +1152,7 @@
 		strength:       config.Strength,
 		address:        config.Address,
 		dataCentre:     config.DataCentre,
+		viewFormat:     config.ViewFormat,
 		schedulerEpoch: config.SchedulerEpoch,
 		ends:           config.Ends,
 	}
@@ -1164,6 +1166,7 @@
 		Strength:       hostlinkchanged.strength,
 		Address:        hostlinkchanged.address,
 		DataCentre:     hostlinkchanged.dataCentre,
+		ViewFormat:     hostlinkchanged.viewFormat,
 		SchedulerEpoch: hostlinkchanged.schedulerEpoch,
 		Ends:           hostlinkchanged.ends,
 	}
@@ -1214,6 +1217,15 @@
 	return hostlinkchanged
 }
 
+// ViewFormat returns the ViewFormat of the host, 0 for one that knows no relays of views.
+func (hostlinkchanged HostLinkChanged) ViewFormat() int { return hostlinkchanged.viewFormat }
+
+// WithViewFormat returns a copy with the given viewFormat.
+func (hostlinkchanged HostLinkChanged) WithViewFormat(viewFormat int) HostLinkChanged {
+	hostlinkchanged.viewFormat = viewFormat
+	return hostlinkchanged
+}
+
 // SchedulerEpoch returns the epoch of the scheduler to which the host has linked; it leads no earlier epoch. 0 for a host of an earlier version.
 func (hostlinkchanged HostLinkChanged) SchedulerEpoch() int64 { return hostlinkchanged.schedulerEpoch }
 
@@ -1497,6 +1509,9 @@
 	Reset    bool
 	Complete bool
 	Changes  []JobViewChange
+	Epoch    int64
+	Number   int64
+	More     bool
 }
 
 // NewViewsPushed returns a ViewsPushed with the given fields.
@@ -1505,6 +1520,9 @@
 		reset:    config.Reset,
 		complete: config.Complete,
 		changes:  config.Changes,
+		epoch:    config.Epoch,
+		number:   config.Number,
+		more:     config.More,
 	}
 }
 
@@ -1514,6 +1532,9 @@
 		Reset:    viewspushed.reset,
 		Complete: viewspushed.complete,
 		Changes:  viewspushed.changes,
+		Epoch:    viewspushed.epoch,
+		Number:   viewspushed.number,
+		More:     viewspushed.more,
 	}
 }
 
@@ -1544,6 +1565,33 @@
 	return viewspushed
 }
 
+// Epoch returns the epoch of the scheduler, 0 in a cell without relays of views.
+func (viewspushed ViewsPushed) Epoch() int64 { return viewspushed.epoch }
+
+// WithEpoch returns a copy with the given epoch.
+func (viewspushed ViewsPushed) WithEpoch(epoch int64) ViewsPushed {
+	viewspushed.epoch = epoch
+	return viewspushed
+}
+
+// Number returns the number of the push within the epoch; all views have the number of the last push that they include. 0 in a cell without relays.
+func (viewspushed ViewsPushed) Number() int64 { return viewspushed.number }
+
+// WithNumber returns a copy with the given number.
+func (viewspushed ViewsPushed) WithNumber(number int64) ViewsPushed {
+	viewspushed.number = number
+	return viewspushed
+}
+
+// More returns whether a further part of all views follows.
+func (viewspushed ViewsPushed) More() bool { return viewspushed.more }
+
+// WithMore returns a copy with the given more.
+func (viewspushed ViewsPushed) WithMore(more bool) ViewsPushed {
+	viewspushed.more = more
+	return viewspushed
+}
+
 // LinkLostConfig holds the fields of a new LinkLost.
 type LinkLostConfig struct {
 	Scheduler string
@@ -1763,6 +1811,7 @@
 	Strength       int
 	Address        string
 	DataCentre     string
+	ViewFormat     int
 	SchedulerEpoch int64
 	Ends           []Change
 }
@@ -1774,6 +1823,7 @@
 		strength:       config.Strength,
 		address:        config.Address,
 		dataCentre:     config.DataCentre,
+		viewFormat:     config.ViewFormat,
 		schedulerEpoch: config.SchedulerEpoch,
 		ends:           config.Ends,
 	}
@@ -1786,6 +1836,7 @@
 		Strength:       hosthello.strength,
 		Address:        hosthello.address,
 		DataCentre:     hosthello.dataCentre,
+		ViewFormat:     hosthello.viewFormat,
 		SchedulerEpoch: hosthello.schedulerEpoch,
 		Ends:           hosthello.ends,
 	}
@@ -1827,6 +1878,15 @@
 	return hosthello
 }
 
+// ViewFormat returns the ViewFormat of the host, 0 for one that knows no relays of views.
+func (hosthello HostHello) ViewFormat() int { return hosthello.viewFormat }
+
+// WithViewFormat returns a copy with the given viewFormat.
+func (hosthello HostHello) WithViewFormat(viewFormat int) HostHello {
+	hosthello.viewFormat = viewFormat
+	return hosthello
+}
+
 // SchedulerEpoch returns the epoch of the scheduler to which the host links; it leads no earlier epoch. 0 from a host of an earlier version.
 func (hosthello HostHello) SchedulerEpoch() int64 { return hosthello.schedulerEpoch }
 
