Relay the views of jobs in cells of more than 120 hosts

Cause: the scheduler sends the changed views of all jobs to every host, and the addresses of all hosts with each link. Both grow with the square of the hosts.

Change: above view_relay_hosts linked hosts (120) the scheduler sends views to relays, and to the other hosts only the number of each push. A host's views are as of the arrival of a number once it has applied all pushes up to it. A host that gets no views from its relay tells the scheduler, which names another relay, or sends the views itself after two. A relay that two hosts miss views from is replaced. Relays send a host with nearly all views the last pushes, any other one all views. All views of more than 512 KiB of identities go in parts to hosts of this version: a frame has at most 1 MiB. Addresses of hosts go to all every 5 s at most in such a cell.

--- a/assembler/scheduler.go
+++ b/assembler/scheduler.go
@@ -32,6 +32,7 @@
 	"github.com/almondcross/almondcross/platform/querier"
 	"github.com/almondcross/almondcross/platform/translator"
 	"github.com/almondcross/almondcross/policy/delegator"
+	"github.com/almondcross/almondcross/policy/distributor"
 	"github.com/almondcross/almondcross/policy/picker"
 	"github.com/almondcross/almondcross/query/follower"
 	"github.com/almondcross/almondcross/query/jobfinder"
@@ -68,7 +69,8 @@
 	// directWorkersPerProcessor is the number of workers for each processor core up to which the scheduler's host sends
 	// all orders itself. Calls to this many workers take about a fifth of a core.
 	directWorkersPerProcessor = 200
-	// schedulerChangesRingCapacity bounds the changes of the current scheduler that wait for the link dialer; they are rare.
+	// schedulerChangesRingCapacity bounds the changes of the current scheduler, and of the relay of views, that wait for their link
+	// dialers; they are rare.
 	schedulerChangesRingCapacity = 64
 	// snapshotsPerRetention is the number of snapshots in the store's retention time, so that several may fail
 	// before the store deletes records that no snapshot covers.
@@ -104,7 +106,7 @@
 			func() almondcross.Clock { return Clock{} },
 			func() logrus.FieldLogger { return newLogger(configurator.LogJSON) },
 			metrics.NewSet, NewDuties, encoder.NewCodec, client.New, jobfinder.New, router.New, counter.New, counter.NewLinks,
-			newRecorder, newSchedulerRings, newFollower, newCommitter, newRelayer, newExecutor, newAsker, newHub, newDialer, newUplink, newSubmitter,
+			newRecorder, newSchedulerRings, newFollower, newCommitter, newRelayer, newExecutor, newAsker, newHub, newDialer, newUplink, newViewDialer, newViewLinks, newSubmitter,
 			newSchedulerMachine, newVersioner, newScheduler, newSchedulerServers,
 		),
 		fx.Invoke(runScheduler),
@@ -128,6 +130,7 @@
 	newSnapshots     *ring.Ring[almondcross.SnapshotStore]
 	advice           *ring.Ring[asker.Request]
 	schedulerChanges *ring.Ring[connector.Scheduler]
+	viewRelays       *ring.Ring[almondcross.ViewRelayLink]
 	submissions      *ring.Ring[submitter.Submission]
 	stored           *ring.Ring[almondcross.IntakeStored]
 	relayed          *ring.Ring[almondcross.RelayMessage]
@@ -151,6 +154,7 @@
 		submissions:      ring.New[submitter.Submission](ring.Config{Name: "submissions", Capacity: submissionRingCapacity, Metrics: set}),
 		stored:           ring.New[almondcross.IntakeStored](ring.Config{Name: "stored", Capacity: submissionRingCapacity, Metrics: set}),
 	}
+	rings.viewRelays = ring.New[almondcross.ViewRelayLink](ring.Config{Name: "view_relays", Capacity: schedulerChangesRingCapacity, Metrics: set})
 	rings.relayed = ring.New[almondcross.RelayMessage](ring.Config{Name: "relayed", Capacity: schedulerRingCapacity, Metrics: set})
 	rings.orders = ring.New[executor.Request](ring.Config{Name: "orders", Capacity: executorRingCapacity, Metrics: set})
 	rings.orderAnswers = ring.New[almondcross.SchedulerMessage](ring.Config{Name: "order_answers", Capacity: executorRingCapacity, Metrics: set})
@@ -249,6 +253,14 @@
 	return connector.NewUplink(hub, dialer, Clock{})
 }
 
+func newViewDialer(codec encoder.Codec, rings schedulerRings, log *recorder.Recorder, links *counter.Links) *connector.ViewDialer {
+	return connector.NewViewDialer(connector.ViewDialerConfig{Codec: codec, Sink: rings.messages, Log: log, Meter: links})
+}
+
+func newViewLinks(hub *connector.Hub, dialer *connector.Dialer, rings schedulerRings) *connector.ViewLinks {
+	return connector.NewViewLinks(hub, dialer, rings.viewRelays)
+}
+
 // offerStored passes the confirmation of a forwarded intake to the submitter. A confirmation is dropped if the ring
 // is full; this host then stores the intake itself.
 func (schedulerrings schedulerRings) offerStored(stored almondcross.IntakeStored) {
@@ -296,7 +308,7 @@
 		Host: settings.Name(), Address: settings.LinkListen(), Partitions: settings.StorePartitions(), Strength: schedulerStrength(settings),
 		Retention: time.Duration(float64(settings.StateRetention()) * retentionFactor), MaxLease: settings.MaxLease(),
 		SnapshotInterval: interval, RecordBytes: settings.StoreRecord(), BatchesPerAppend: max(1, settings.StoreCall()/settings.StoreRecord()), Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), //nolint:gosec // Jitter needs no secrecy.
-		Publisher: table, Picker: picker.BestFit{}, Log: log, Metrics: counter,
+		Publisher: table, Picker: picker.BestFit{}, Log: log, Metrics: counter, ViewRelays: distributor.ByDataCentre{}, ViewRelayThreshold: settings.ViewRelayHosts(),
 	})
 }
 
@@ -311,7 +323,7 @@
 
 func newScheduler(
 	machine *scheduler.Machine, rings schedulerRings, workers *relayer.Relayer, hub *connector.Hub, versions *versioner.Versioner,
-	links *counter.Links, log *recorder.Recorder,
+	views *connector.ViewLinks, links *counter.Links, log *recorder.Recorder,
 ) *scheduler.Duty {
 	var intakes []almondcross.Sink[almondcross.IntakeQuery]
 	for _, intake := range rings.intakeReads {
@@ -320,7 +332,7 @@
 	traffic := &epochTraffic{links: links, log: log, clock: Clock{}}
 	return scheduler.NewDuty(scheduler.DutyConfig{
 		Machine: machine, Ring: rings.messages, Clock: Clock{}, Workers: workers,
-		Links: hub,
+		Links: hub, Views: views,
 		Rings: scheduler.Rings{
 			ReadSnapshot: rings.snapshotReads, ReadJournal: rings.journalReads, ReadIntakes: intakes, ReadWorkers: rings.workerReads,
 			Commit: rings.journalCommits, StoreSnapshot: rings.newSnapshots, ReadPointer: rings.pointerReads, StorePointer: rings.pointerWrites, StoreUsage: rings.usageWrites,
@@ -358,6 +370,7 @@
 	Committer *committer.Committer
 	Asker     *asker.Asker
 	Dialer    *connector.Dialer
+	Views     *connector.ViewDialer
 	Relayer   *relayer.Relayer
 	Executor  *executor.Executor
 	Submitter *submitter.Submitter
@@ -397,6 +410,7 @@
 		NamedDuty{"relayer", schedulerhost.Relayer},
 		NamedDuty{"executor", schedulerhost.Executor},
 		NamedDuty{"link dialer", dutyFunc(func(ctx context.Context) error { return schedulerhost.Dialer.Run(ctx, rings.schedulerChanges) })},
+		NamedDuty{"view dialer", dutyFunc(func(ctx context.Context) error { return schedulerhost.Views.Run(ctx, rings.viewRelays) })},
 		NamedDuty{"submitter", dutyFunc(func(ctx context.Context) error { return schedulerhost.Submitter.Run(ctx, rings.submissions) })},
 		NamedDuty{"settings watcher", dutyFunc(schedulerhost.watchSettings)},
 	)
--- /dev/null
+++ b/command/connector/acceptedlink.go
@@ -0,0 +1,65 @@
+package connector
+
+import (
+	"net/http"
+
+	"github.com/almondcross/almondcross"
+)
+
+// acceptedLink is a link that another host has opened to this one: as a host of the scheduler, or for views alone.
+type acceptedLink struct {
+	hub     *Hub
+	request *http.Request
+	session *session
+	host    string // host is the name of the other host, empty before its greeting and on a link for views.
+	viewer  int64  // viewer is the number of a link for views, 0 for none.
+}
+
+// handle handles a message of the other host. A link for views brings nothing after its greeting.
+func (acceptedlink *acceptedLink) handle(message almondcross.LinkMessage) {
+	hub, request := acceptedlink.hub, acceptedlink.request
+	if acceptedlink.viewer != 0 {
+		return
+	}
+	switch message := message.(type) {
+	case almondcross.HostHello:
+		if acceptedlink.host != "" || message.Host() == "" || message.Host() == hub.config.Host {
+			return // A link has one host. Under a second name, the first one would stay linked when the link ends.
+		}
+		acceptedlink.host = message.Host()
+		hub.replaceSession(acceptedlink.host, nil, acceptedlink.session)
+		hub.notifyLinkChanged(request, almondcross.NewHostLinkChanged(almondcross.HostLinkChangedConfig{
+			Host: acceptedlink.host, Present: true, Strength: message.Strength(), Address: message.Address(), DataCentre: message.DataCentre(),
+			ViewFormat: message.ViewFormat(), SchedulerEpoch: message.SchedulerEpoch(), Ends: message.Ends(),
+		}))
+	case almondcross.ViewerHello:
+		if acceptedlink.host != "" || message.Host() == "" {
+			return
+		}
+		acceptedlink.viewer = hub.lastLink.Add(1)
+		replaceIn(&hub.viewers, acceptedlink.viewer, nil, acceptedlink.session)
+		hub.notifyScheduler(request, almondcross.NewViewerLinkChanged(almondcross.ViewerLinkChangedConfig{
+			Link: acceptedlink.viewer, Present: true, Hello: message,
+		}))
+	case almondcross.OrdersAnswered:
+		_ = hub.config.Relay.Put(request.Context(), message.WithHost(acceptedlink.host)) // Put fails only when the context of the request has ended.
+	case almondcross.AdviceAnswered:
+		hub.notifyScheduler(request, message.WithAdviser(acceptedlink.host).WithReceived(hub.config.Clock.Now()))
+	case almondcross.IntakeForwarded:
+		hub.notifyScheduler(request, message.WithHost(acceptedlink.host))
+	case almondcross.ViewsMissed:
+		hub.notifyScheduler(request, message.WithHost(acceptedlink.host))
+	}
+}
+
+// end reports the end of the link.
+func (acceptedlink *acceptedLink) end() {
+	hub := acceptedlink.hub
+	if host := acceptedlink.host; host != "" && hub.replaceSession(host, acceptedlink.session, nil) {
+		hub.notifyLinkChanged(acceptedlink.request, almondcross.NewHostLinkChanged(almondcross.HostLinkChangedConfig{Host: host}))
+	}
+	if link := acceptedlink.viewer; link != 0 {
+		replaceIn(&hub.viewers, link, acceptedlink.session, nil)
+		hub.notifyScheduler(acceptedlink.request, almondcross.NewViewerLinkChanged(almondcross.ViewerLinkChangedConfig{Link: link}))
+	}
+}
--- a/command/connector/dialer.go
+++ b/command/connector/dialer.go
@@ -104,7 +104,7 @@
 	session := newSession(connection, dialer.config.Codec, dialer.config.Meter)
 	session.offer(almondcross.NewHostHello(almondcross.HostHelloConfig{
 		Host: dialer.config.Host, Strength: scheduler.Strength, Address: dialer.config.Address, DataCentre: dialer.config.DataCentre,
-		SchedulerEpoch: scheduler.Epoch, Ends: scheduler.Ends,
+		ViewFormat: almondcross.ViewFormat, SchedulerEpoch: scheduler.Epoch, Ends: scheduler.Ends,
 	}))
 	link := dialer.lastLink.Add(1)
 	defer dialer.config.Executor.Abandon(link)
@@ -126,6 +126,11 @@
 			_ = dialer.config.Sink.Put(ctx, message) // Put fails only when the context has ended.
 		case almondcross.RoleAssigned:
 			_ = dialer.config.Sink.Put(ctx, message) // Put fails only when the context has ended.
+		case almondcross.ViewsAssigned:
+			_ = dialer.config.Sink.Put(ctx, message) // Put fails only when the context has ended.
+		case almondcross.ViewsNumbered:
+			dialer.lastPush.set(dialer.config.Clock.Now())
+			_ = dialer.config.Sink.Put(ctx, message) // Put fails only when the context has ended.
 		case almondcross.IntakeStored:
 			dialer.config.Stored(message)
 		}
--- a/command/connector/doc.go
+++ b/command/connector/doc.go
@@ -6,4 +6,7 @@
 // sends queries over them; each connection has a reading and a writing goroutine. Each side closes a connection
 // over which it received nothing for readTimeout, and the hub reports the disconnected host to the scheduler. Hub
 // also serves the pointer to the scheduler to other hosts.
+//
+// In a large cell most hosts get the views of jobs from a relay, another host whose hub accepts their links for views. ViewDialer is
+// the duty that keeps such a link; ViewLinks is what the state machine sends views, their numbers and assignments with.
 package connector
--- a/command/connector/hub.go
+++ b/command/connector/hub.go
@@ -37,7 +37,9 @@
 	config   HubConfig
 	upgrader websocket.Upgrader
 	sessions atomic.Pointer[map[string]*session]
-	lastPush timestamp // lastPush is when this host last pushed committed batches as scheduler.
+	viewers  atomic.Pointer[map[int64]*session] // viewers holds the links of other hosts to this one for views, by number.
+	lastLink atomic.Int64                       // lastLink is the number of the last of these links.
+	lastPush timestamp                          // lastPush is when this host last pushed committed batches as scheduler.
 	pointer  atomic.Pointer[almondcross.SchedulerPointer]
 }
 
@@ -45,6 +47,7 @@
 func NewHub(config HubConfig) *Hub {
 	hub := &Hub{config: config, upgrader: websocket.Upgrader{ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10}}
 	hub.sessions.Store(&map[string]*session{})
+	hub.viewers.Store(&map[int64]*session{})
 	return hub
 }
 
@@ -159,32 +162,10 @@
 		hub.config.Log.Record("link_refused", almondcross.Text("from", request.RemoteAddr), almondcross.Text("reason", err.Error()))
 		return
 	}
-	session := newSession(connection, hub.config.Codec, hub.config.Meter)
-	host := ""
-	err = session.run(request.Context(), func(message almondcross.LinkMessage) {
-		switch message := message.(type) {
-		case almondcross.HostHello:
-			if host != "" || message.Host() == "" || message.Host() == hub.config.Host {
-				return // A link has one host. Under a second name, the first one would stay linked when the link ends.
-			}
-			host = message.Host()
-			hub.replaceSession(host, nil, session)
-			hub.notifyLinkChanged(request, almondcross.NewHostLinkChanged(almondcross.HostLinkChangedConfig{
-				Host: host, Present: true, Strength: message.Strength(), Address: message.Address(), DataCentre: message.DataCentre(),
-				SchedulerEpoch: message.SchedulerEpoch(), Ends: message.Ends(),
-			}))
-		case almondcross.OrdersAnswered:
-			_ = hub.config.Relay.Put(request.Context(), message.WithHost(host)) // Put fails only when the context of the request has ended.
-		case almondcross.AdviceAnswered:
-			hub.notifyScheduler(request, message.WithAdviser(host).WithReceived(hub.config.Clock.Now()))
-		case almondcross.IntakeForwarded:
-			hub.notifyScheduler(request, message.WithHost(host))
-		}
-	})
-	if host != "" && hub.replaceSession(host, session, nil) {
-		hub.notifyLinkChanged(request, almondcross.NewHostLinkChanged(almondcross.HostLinkChangedConfig{Host: host}))
-	}
-	hub.config.Log.Record("link_closed", almondcross.Text("adviser", host), almondcross.Text("reason", err.Error()))
+	link := &acceptedLink{hub: hub, request: request, session: newSession(connection, hub.config.Codec, hub.config.Meter)}
+	err = link.session.run(request.Context(), link.handle)
+	link.end()
+	hub.config.Log.Record("link_closed", almondcross.Text("adviser", link.host), almondcross.Text("reason", err.Error()))
 }
 
 // notifyLinkChanged tells both the relayer and the scheduler of a link, the relayer first.
@@ -200,18 +181,23 @@
 // replaceSession sets the session of a host if the current one is the expected one, and reports whether it did. A nil
 // expected matches any session; a nil next removes the entry.
 func (hub *Hub) replaceSession(host string, expected, next *session) bool {
+	return replaceIn(&hub.sessions, host, expected, next)
+}
+
+// replaceIn is replaceSession for a table of sessions.
+func replaceIn[K comparable](table *atomic.Pointer[map[K]*session], key K, expected, next *session) bool {
 	for {
-		before := hub.sessions.Load()
-		if expected != nil && (*before)[host] != expected {
+		before := table.Load()
+		if expected != nil && (*before)[key] != expected {
 			return false
 		}
 		changed := maps.Clone(*before)
 		if next == nil {
-			delete(changed, host)
+			delete(changed, key)
 		} else {
-			changed[host] = next
+			changed[key] = next
 		}
-		if hub.sessions.CompareAndSwap(before, &changed) {
+		if table.CompareAndSwap(before, &changed) {
 			return true
 		}
 	}
--- a/command/scheduler/append.go
+++ b/command/scheduler/append.go
@@ -244,9 +244,7 @@
 	for _, id := range slices.Sorted(maps.Keys(leader.unpushedViews)) {
 		changes = append(changes, leader.unpushedViews[id])
 	}
-	machine.emit(PushViews{Hosts: viewers, Pushed: almondcross.NewViewsPushed(almondcross.ViewsPushedConfig{
-		Complete: inflight.intakesCurrent, Changes: changes,
-	})})
+	machine.sendViews(viewers, almondcross.NewViewsPushed(almondcross.ViewsPushedConfig{Complete: inflight.intakesCurrent, Changes: changes}))
 	leader.viewsPushedAt = machine.now
 	clear(leader.unpushedViews)
 }
--- a/command/scheduler/discovery.go
+++ b/command/scheduler/discovery.go
@@ -42,6 +42,7 @@
 	machine.role = roleDiscovering
 	machine.discovery.startedAt, machine.discovery.pointer, machine.discovery.storeAnswered = time.Time{}, almondcross.SchedulerPointer{}, false
 	machine.discovery.viewsReceived, machine.discovery.rank, machine.follower.pushedEnd = false, 0, 0
+	machine.leaveViewSource()
 	machine.emit(AnnounceScheduler{})
 	machine.readPointer(0)
 }
@@ -125,8 +126,17 @@
 	if added.address != "" && !slices.Contains(machine.peers, added.address) {
 		machine.peers = append(machine.peers, added.address)
 		machine.peers = machine.peers[max(0, len(machine.peers)-maxPeers):]
-		hosts = slices.DeleteFunc(slices.Sorted(maps.Keys(machine.linkedHosts)), func(name string) bool { return name == machine.config.Host })
+		if machine.leader.viewRelays.active {
+			machine.leader.viewRelays.peersDue = true
+		} else {
+			hosts = slices.DeleteFunc(slices.Sorted(maps.Keys(machine.linkedHosts)), func(name string) bool { return name == machine.config.Host })
+		}
 	}
+	machine.emitPeers(hosts)
+}
+
+// emitPeers sends hosts the addresses of the others.
+func (machine *Machine) emitPeers(hosts []string) {
 	machine.emit(SendPeers{Hosts: hosts, Peers: almondcross.NewPeersKnown(almondcross.PeersKnownConfig{
 		Addresses: append(slices.Clone(machine.peers), machine.config.Address),
 	})})
@@ -168,6 +178,7 @@
 	machine.config.Log.Record("assigned", almondcross.Text("standby", yesNo(assigned.Standby())), almondcross.Number("rank", machine.discovery.rank))
 	switch {
 	case assigned.Standby() && (machine.role == roleDiscovering || machine.role == roleViewer):
+		machine.leaveViewSource()
 		machine.loadState(0)
 	case !assigned.Standby() && (machine.role == roleDiscovering || machine.role == roleFollower || machine.role == roleLoading):
 		machine.role = roleViewer
@@ -185,9 +196,16 @@
 		return
 	}
 	switch {
+	case machine.source.relay != "":
+		return // They were sent before this host has got a relay.
 	case pushed.Reset():
+		changes, whole := machine.source.collect(pushed)
+		if !whole {
+			machine.discovery.lastViewsAt = machine.now
+			return
+		}
 		machine.discovery.viewsReceived = true
-		machine.replaceViews(pushed.Changes())
+		machine.replaceViews(changes)
 	case machine.discovery.viewsReceived:
 		machine.publish(pushed.Changes())
 	default:
@@ -195,6 +213,7 @@
 	}
 	machine.discovery.lastViewsAt, machine.gap.schedulerContactAt = machine.now, machine.now
 	machine.config.Publisher.Refreshed(machine.now, pushed.Complete())
+	machine.passViewsOn(pushed)
 }
 
 // hostLinked decides whether a newly linked host is a standby. Either way it gets all views after the next append: a standby
@@ -207,8 +226,7 @@
 	}
 	// The views may include jobs that are not in the journal yet, whose submissions must not be acknowledged, so they
 	// are sent only after the next append has succeeded.
-	host.awaitingViews = true
-	machine.leader.pendingResets = append(machine.leader.pendingResets, host)
+	machine.provideViews(host)
 }
 
 func (machine *Machine) standbyCount() int {
@@ -224,6 +242,7 @@
 // makeStandby makes a linked host a standby.
 func (machine *Machine) makeStandby(host *linkedHost) {
 	host.standby, host.viewsUntil = true, machine.now.Add(standbyLoadTime)
+	machine.leaveViewRelays(host)
 	machine.rankStandbys()
 }
 
@@ -256,11 +275,7 @@
 	if len(inflight.resetHosts) == 0 {
 		return
 	}
-	hosts := make([]string, len(inflight.resetHosts))
-	for index, host := range inflight.resetHosts {
-		hosts[index], host.awaitingViews = host.name, false
-	}
-	machine.emit(PushViews{Hosts: hosts, Pushed: almondcross.NewViewsPushed(almondcross.ViewsPushedConfig{Reset: true, Changes: inflight.resetViews})})
+	machine.sendAllViews(inflight.resetHosts, inflight.resetViews)
 }
 
 // fillStandbys replaces standbys that have left by the strongest other hosts.
--- a/command/scheduler/effects.go
+++ b/command/scheduler/effects.go
@@ -51,6 +51,27 @@
 		Hosts  []string
 		Pushed almondcross.ViewsPushed
 	}
+	// SendNumber sends the number of a push of views to linked hosts that get the views from relays.
+	SendNumber struct {
+		Hosts    []string
+		Numbered almondcross.ViewsNumbered
+	}
+	// AssignViews tells a linked host from where it gets views.
+	AssignViews struct {
+		Host     string
+		Assigned almondcross.ViewsAssigned
+	}
+	// RelayViews sends views over links that other hosts have opened to this one for views.
+	RelayViews struct {
+		Links  []int64
+		Pushed almondcross.ViewsPushed
+	}
+	// CloseViewers closes such links.
+	CloseViewers struct{ Links []int64 }
+	// FollowRelay opens a link to a relay in place of the earlier one, or none.
+	FollowRelay struct{ Relay almondcross.ViewRelayLink }
+	// ReportMissed tells the scheduler that views from a relay are missing.
+	ReportMissed struct{ Missed almondcross.ViewsMissed }
 	// AssignRole tells a linked host whether it is a standby.
 	AssignRole struct {
 		Host     string
@@ -99,6 +120,12 @@
 func (PushBatches) effect()       {}
 func (PushViews) effect()         {}
 func (AssignRole) effect()        {}
+func (SendNumber) effect()        {}
+func (AssignViews) effect()       {}
+func (RelayViews) effect()        {}
+func (CloseViewers) effect()      {}
+func (FollowRelay) effect()       {}
+func (ReportMissed) effect()      {}
 func (ReadPointer) effect()       {}
 func (SendPeers) effect()         {}
 func (StoreUsage) effect()        {}
--- a/command/scheduler/hostcalls.go
+++ b/command/scheduler/hostcalls.go
@@ -42,6 +42,7 @@
 	standby  bool
 	rank     int    // rank is that of a standby that has been told one, 0 for any other host.
 	address  string // address is where the host accepts links.
+	views    viewRoute
 	// awaitingViews is set until the host has been sent its first views.
 	awaitingViews bool
 	// viewsUntil is until when a standby gets views as well, which it publishes while it loads the state.
@@ -125,6 +126,7 @@
 		machine.endLeadershipsOf(change.Host(), change.Address(), change.SchedulerEpoch())
 		machine.linkedHosts[change.Host()] = &linkedHost{
 			name: change.Host(), strength: min(max(change.Strength(), 0), fullStrength), address: change.Address(),
+			views: viewRoute{format: change.ViewFormat(), dataCentre: change.DataCentre()},
 		}
 	} else {
 		delete(machine.linkedHosts, change.Host())
@@ -137,6 +139,7 @@
 	if previous != nil {
 		machine.cancelAdviceCalls(previous)
 	}
+	machine.viewHostChanged(previous)
 	if change.Present() {
 		machine.hostLinked(machine.linkedHosts[change.Host()])
 		machine.recordForwardedEnds(change.Host(), change.Ends())
--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -26,8 +26,9 @@
 	pendingResets    []*linkedHost                                   // pendingResets holds the hosts that get all views after the next append.
 	unpushedViews    map[almondcross.JobID]almondcross.JobViewChange // unpushedViews holds the committed views that viewers don't have yet.
 	viewsPushedAt    time.Time                                       // viewsPushedAt is when views were last pushed.
-	intakeReadAt     map[int]time.Time                               // intakeReadAt is when each intake partition was last read successfully.
-	inflight         *inflightAppend                                 // inflight is the pending append, nil for none.
+	viewRelays       viewRelays
+	intakeReadAt     map[int]time.Time // intakeReadAt is when each intake partition was last read successfully.
+	inflight         *inflightAppend   // inflight is the pending append, nil for none.
 
 	snapshotTriedAt time.Time // snapshotTriedAt is when the last snapshot was taken, stored or not.
 	leaseBoundsDue  bool      // leaseBoundsDue is set if the next append is to have the lease bounds, see recordLeaseBounds.
@@ -73,7 +74,7 @@
 		epoch: answer.Commit().Epoch(), sequence: 1, electedAt: machine.now, lastCommitAt: machine.now.Add(-answer.Took()),
 		pendingIntake: map[int]int64{}, intakeReadAt: map[int]time.Time{}, workers: map[string]*worker{}, advice: map[almondcross.StageID]*stageAdvice{},
 		queued: map[almondcross.StageID]bool{}, unpushedViews: map[almondcross.JobID]almondcross.JobViewChange{}, jobsWithOccurrences: map[almondcross.JobID]*job{}, allowedShares: map[string]float64{}, queueScores: map[string]queueScore{},
-		quarantined: map[almondcross.StageID]time.Time{},
+		quarantined: map[almondcross.StageID]time.Time{}, viewRelays: viewRelays{number: 1, due: true},
 	}
 	machine.endLeadershipsOf(machine.config.Host, machine.config.Address, machine.leader.epoch)
 	machine.config.Log.Record("scheduling_started", almondcross.Number("epoch", machine.leader.epoch),
@@ -84,6 +85,7 @@
 	machine.storePointer()
 	for _, linkedHost := range machine.linkedHosts {
 		linkedHost.calls, linkedHost.standby, linkedHost.rank, linkedHost.awaitingViews = nil, false, 0, false
+		linkedHost.views = viewRoute{format: linkedHost.views.format, dataCentre: linkedHost.views.dataCentre}
 	}
 	// The first hosts become standbys, so they are taken in an order that is the same in each process.
 	for _, name := range slices.Sorted(maps.Keys(machine.linkedHosts)) {
@@ -175,6 +177,7 @@
 		machine.placeStages()
 	}
 	machine.storeUsage()
+	machine.runViewRelays()
 	machine.appendPending()
 }
 
--- a/command/scheduler/machine.go
+++ b/command/scheduler/machine.go
@@ -37,6 +37,8 @@
 	Random              *rand.Rand
 	Publisher           almondcross.JobPublisher
 	Picker              almondcross.WorkerPicker
+	ViewRelays          almondcross.ViewRelayChooser // ViewRelays chooses the relays of views; nil for none.
+	ViewRelayThreshold  int                          // ViewRelayThreshold is the number of linked hosts above which relays are used.
 	Log                 almondcross.EventLog
 	Metrics             Metrics
 }
@@ -54,6 +56,7 @@
 
 	discovery discovery
 	follower  follower
+	source    viewSource
 	leader    *leader
 	reads     pendingReads
 	gap       gap
@@ -74,6 +77,8 @@
 	acceptedJobs map[almondcross.JobID]acceptedJob // acceptedJobs holds the jobs of this host that no published state has had.
 	// peers holds the addresses on which other hosts accept links, newest last.
 	peers []string
+	// lastViewLink is the number of the last link to a relay of views.
+	lastViewLink int64
 }
 
 // NewMachine returns a machine that starts to look for the scheduler.
@@ -120,6 +125,8 @@
 		machine.jobAccepted(message.Job())
 	case almondcross.HostLinkChanged:
 		machine.hostLinkChanged(message)
+	case almondcross.ViewsAssigned, almondcross.ViewsNumbered, almondcross.ViewsMissed, almondcross.ViewerLinkChanged, almondcross.RelayedViews, almondcross.ViewRelayLost:
+		machine.applyViewMessage(message)
 	case almondcross.StopScheduling:
 		machine.stopping = true
 	default:
@@ -203,6 +210,7 @@
 		machine.checkDiscoveryTimeout()
 	case roleViewer:
 		machine.checkSchedulerLink()
+		machine.checkViewRelay()
 	case roleFollower:
 		machine.readDueJournal()
 		machine.checkStandbyContact()
--- a/command/scheduler/scheduler.go
+++ b/command/scheduler/scheduler.go
@@ -33,6 +33,7 @@
 	Rings   Rings
 	Workers almondcross.WorkerManager
 	Links   almondcross.LinkSender
+	Views   almondcross.ViewLinker
 	Clock   almondcross.Clock
 	// OnSchedulerChange is called whenever the scheduler changes.
 	OnSchedulerChange func(announcement AnnounceScheduler)
@@ -148,13 +149,34 @@
 	case AnnounceScheduler:
 		duty.config.OnSchedulerChange(effect)
 	default:
-		duty.sendOrder(effect)
+		duty.carryViews(effect)
 	}
 	if err != nil {
 		return // The context has ended, so Run returns.
 	}
 }
 
+// carryViews carries out the effects of cells with relays of views, and passes orders to workers on.
+func (duty *Duty) carryViews(effect Effect) {
+	views := duty.config.Views
+	switch effect := effect.(type) {
+	case SendNumber:
+		views.SendNumber(effect.Hosts, effect.Numbered)
+	case AssignViews:
+		views.AssignViews(effect.Host, effect.Assigned)
+	case RelayViews:
+		views.RelayViews(effect.Links, effect.Pushed)
+	case CloseViewers:
+		views.CloseViewers(effect.Links)
+	case FollowRelay:
+		views.FollowRelay(effect.Relay)
+	case ReportMissed:
+		views.ReportMissed(effect.Missed)
+	default:
+		duty.sendOrder(effect)
+	}
+}
+
 func (duty *Duty) sendAdviceQuery(effect SendAdviceQuery) {
 	if duty.config.Links.SendAdviceQuery(effect.Adviser, effect.Query) {
 		return
--- a/configurator/scheduler.go
+++ b/configurator/scheduler.go
@@ -52,6 +52,8 @@
 		0.001, 1024, func(settings *rawSchedulerSettings) *float64 { return &settings.Processors }),
 	parser.Integer(parser.FieldSpec{Key: "direct_workers", Default: "-1", Description: "the number of workers up to which the scheduler sends all orders itself; with more, the hosts in the workers' data centres relay them; -1 for 200 for each CPU core"},
 		-1, 1<<20, func(settings *rawSchedulerSettings) *int { return &settings.DirectWorkers }),
+	parser.Integer(parser.FieldSpec{Key: "view_relay_hosts", Default: "120", Description: "the number of linked hosts up to which the scheduler sends the views of jobs to all of them itself; with more, strong hosts of each data centre relay them"},
+		1, 1<<20, func(settings *rawSchedulerSettings) *int { return &settings.ViewRelayHosts }),
 	parser.Decimal(parser.FieldSpec{Key: "link_mbps", Unit: "megabits a second", Description: "the network bandwidth of the host"},
 		0.001, 1_000_000, func(settings *rawSchedulerSettings) *float64 { return &settings.LinkMbps }),
 	parser.Integer(parser.FieldSpec{Key: "memory_mb", Unit: "megabytes", Description: "the memory that the process may use"},
--- a/configurator/values.go
+++ b/configurator/values.go
@@ -138,6 +138,7 @@
 	stopGrace       time.Duration // the time from the stop signal until the process is killed
 	processors      float64       // the number of CPU cores that the process may use
 	directWorkers   int           // the number of workers up to which the scheduler sends all orders itself, negative for a number by the CPU cores
+	viewRelayHosts  int           // the number of linked hosts above which relays pass the views of jobs on
 	linkMbps        float64       // the network bandwidth of the host, in megabits a second
 	memoryMB        int           // the memory that the process may use, in megabytes
 	logLines        int           // the maximum number of log lines that wait to be written; further lines are dropped and counted
--- a/configurator/values_generated.go
+++ b/configurator/values_generated.go
@@ -577,6 +577,7 @@
 	StopGrace       time.Duration
 	Processors      float64
 	DirectWorkers   int
+	ViewRelayHosts  int
 	LinkMbps        float64
 	MemoryMB        int
 	LogLines        int
@@ -604,6 +605,7 @@
 		stopGrace:       config.StopGrace,
 		processors:      config.Processors,
 		directWorkers:   config.DirectWorkers,
+		viewRelayHosts:  config.ViewRelayHosts,
 		linkMbps:        config.LinkMbps,
 		memoryMB:        config.MemoryMB,
 		logLines:        config.LogLines,
@@ -632,6 +634,7 @@
 		StopGrace:       schedulersettings.stopGrace,
 		Processors:      schedulersettings.processors,
 		DirectWorkers:   schedulersettings.directWorkers,
+		ViewRelayHosts:  schedulersettings.viewRelayHosts,
 		LinkMbps:        schedulersettings.linkMbps,
 		MemoryMB:        schedulersettings.memoryMB,
 		LogLines:        schedulersettings.logLines,
@@ -831,6 +834,17 @@
 	return schedulersettings
 }
 
+// ViewRelayHosts returns the number of linked hosts above which relays pass the views of jobs on.
+func (schedulersettings SchedulerSettings) ViewRelayHosts() int {
+	return schedulersettings.viewRelayHosts
+}
+
+// WithViewRelayHosts returns a copy with the given viewRelayHosts.
+func (schedulersettings SchedulerSettings) WithViewRelayHosts(viewRelayHosts int) SchedulerSettings {
+	schedulersettings.viewRelayHosts = viewRelayHosts
+	return schedulersettings
+}
+
 // LinkMbps returns the network bandwidth of the host, in megabits a second.
 func (schedulersettings SchedulerSettings) LinkMbps() float64 { return schedulersettings.linkMbps }
 
