Model relays of views in the emulator

Cause: relays that are lost, frozen or cut off have to be played, and no host may take old views for fresh ones meanwhile.

Change: links for views between hosts, data centres, hosts of the version before, and the faults kill_relays, lose_relays, freeze_relays and cut_view_links.

--- a/assembler/experiment.go
+++ b/assembler/experiment.go
@@ -63,6 +63,8 @@
 	flagSet.IntVar(&flags.config.Workers, "workers", 24, "number of workers")
 	flagSet.Float64Var(&flags.config.JobsPerSec, "jobs-per-second", 16, "jobs submitted per second")
 	flagSet.DurationVar(&flags.config.SubmitTime, "length", 20*time.Second, "period of each simulation in which jobs are submitted")
+	flagSet.IntVar(&flags.config.ViewRelayThreshold, "view-relay-hosts", 0, "number of linked hosts above which relays pass views on, 0 for hosts that know no relays")
+	flagSet.IntVar(&flags.config.RelaylessHosts, "relayless-hosts", 0, "number of these hosts that know no relays of views")
 	flagSet.BoolVar(&flags.config.MeasureLinks, "measure-links", false, "print what passes over the links of the scheduler's hosts; orders count as if other hosts carried them out")
 	flagSet.Float64Var(&flags.config.AdviceShare, "advice", 0.5, "fraction of the workers that advice allows for a step, 0 for queues without advice")
 	return command
@@ -104,6 +106,9 @@
 		for _, violation := range report.Violations {
 			_, _ = fmt.Fprintln(output, "       ", violation)
 		}
+		if config.ViewRelayThreshold > 0 {
+			_, _ = fmt.Fprintf(output, "        oldest views %s, %d checks of hosts with a relay\n", report.OldestViews, report.RelayedChecks)
+		}
 		printTraffic(output, report.Traffic)
 		if len(report.Violations) > 0 {
 			failedSimulations++
--- a/standin/emulator/checker.go
+++ b/standin/emulator/checker.go
@@ -20,7 +20,11 @@
 	Questions, Unavailable int
 	Violations             []string
 	Takeovers              TakeoverReport // Takeovers holds the times from the disturbances of the scheduler to the next starts.
-	Traffic                TrafficReport  // Traffic holds the messages on the links of the scheduler's hosts, if they were measured.
+	// OldestViews is the highest age of complete views on a host that was not disturbed, RelayedChecks the number of checks of a host
+	// that gets views from a relay. Both are of cells with relays alone.
+	OldestViews   time.Duration
+	RelayedChecks int
+	Traffic       TrafficReport // Traffic holds the messages on the links of the scheduler's hosts, if they were measured.
 	// AccountedCPU is the CPU time of all runs in the stored account, UsedCPU the CPU time on the workers, both
 	// in millicore-seconds.
 	AccountedCPU, UsedCPU int64
--- a/standin/emulator/fault.go
+++ b/standin/emulator/fault.go
@@ -43,6 +43,12 @@
 	// from FaultKinds.
 	RestartAndCut FaultKind = "restart_and_cut"
 
+	// The kinds that concern the hosts that relay views. RandomFaults draws none of them.
+	KillRelays   FaultKind = "kill_relays"    // KillRelays kills the processes of some relays, which start again.
+	LoseRelays   FaultKind = "lose_relays"    // LoseRelays cuts the power of some relays: nothing tells the hosts that are linked to them.
+	FreezeRelays FaultKind = "freeze_relays"  // FreezeRelays pauses the processes of some relays.
+	CutViewLinks FaultKind = "cut_view_links" // CutViewLinks cuts some relays off from their viewers alone.
+
 	// The kinds that only measurements of takeovers inject.
 	LoseScheduler   FaultKind = "lose_scheduler"   // LoseScheduler kills the scheduler's process, which does not start again.
 	CutLinks        FaultKind = "cut_links"        // CutLinks partitions the scheduler from all other hosts, but not from the store.
--- a/standin/emulator/host.go
+++ b/standin/emulator/host.go
@@ -53,7 +53,10 @@
 	// wantedLink is the host to which this host opens a link, linkCount how many links it has opened.
 	wantedLink *modelHost
 	linkCount  int
-	announced  scheduler.AnnounceScheduler // announced is the last announcement of the scheduler.
+	// viewLink is the link to the relay of views, nil for none; viewerLinks holds the links of other hosts to this one for views.
+	viewLink    *viewLink
+	viewerLinks map[int64]*viewLink
+	announced   scheduler.AnnounceScheduler // announced is the last announcement of the scheduler.
 }
 
 // queuedQuery is an advice query that waits for the previous advice call.
@@ -67,7 +70,7 @@
 	modelhost.incarnation++
 	modelhost.up, modelhost.adviceInProgress, modelhost.queuedQueries = true, false, nil
 	modelhost.pointer, modelhost.readIncarnations = almondcross.SchedulerPointer{}, map[string]int64{}
-	modelhost.connections = map[*modelWorker]idleConnections{}
+	modelhost.connections, modelhost.viewLink, modelhost.viewerLinks = map[*modelWorker]idleConnections{}, nil, map[int64]*viewLink{}
 	modelhost.jobTable, modelhost.router = jobfinder.New(), router.New()
 	modelhost.questions, modelhost.negativeCounts = modelhost.newQuestions(), map[string]bool{}
 	modelhost.machine = scheduler.NewMachine(scheduler.Config{
@@ -75,6 +78,7 @@
 		SnapshotInterval: 3 * time.Second, RecordBytes: 256 << 10, BatchesPerAppend: 8, Random: rand.New(rand.NewPCG(simulation.random.Uint64(), 1)), //nolint:gosec // A model needs no secrecy.
 		FormatAbove: simulation.formatAbove(modelhost.index), IgnoresAttemptLimit: simulation.drawn(modelhost.index, simulation.config.OtherHosts),
 		Publisher: modelhost.jobTable, Picker: picker.BestFit{}, Log: hostLog{modelhost}, Metrics: noMetrics{},
+		ViewRelays: modelhost.viewRelayChooser(), ViewRelayThreshold: simulation.config.ViewRelayThreshold,
 	})
 	modelhost.runUnfrozen(modelhost.advance)
 	modelhost.readRoutes()
@@ -98,6 +102,7 @@
 func (modelhost *modelHost) kill() {
 	modelhost.lose()
 	modelhost.breakLinks()
+	modelhost.breakViewLinks()
 }
 
 // lose ends the process with its machine: nothing tells the hosts that are linked to it.
@@ -168,6 +173,7 @@
 	case scheduler.PushBatches:
 		modelhost.sendToHosts(effect.Hosts, effect.Pushed)
 	case scheduler.PushViews:
+		modelhost.simulation.views.pushed(modelhost, effect)
 		modelhost.sendToHosts(effect.Hosts, effect.Pushed)
 	case scheduler.AssignRole:
 		modelhost.sendToHosts([]string{effect.Host}, effect.Assigned)
@@ -181,7 +187,7 @@
 			modelhost.simulation.schedule(linkDelay, onStored)
 		}
 	default:
-		modelhost.callStore(effect)
+		modelhost.executeViews(effect)
 	}
 }
 
--- a/standin/emulator/inject.go
+++ b/standin/emulator/inject.go
@@ -26,13 +26,14 @@
 	journalDownUntil         time.Duration
 	storeRefusesUntil        map[*modelHost]time.Duration
 	linksCutUntil            map[*modelHost]time.Duration
+	viewLinksCutUntil        map[*modelHost]time.Duration // viewLinksCutUntil is until when the links for views of a host are cut.
 }
 
 func newActiveFaults() activeFaults {
 	return activeFaults{
 		storeUnreachableUntil: map[*modelHost]time.Duration{}, workerIsolatedUntil: map[*modelWorker]time.Duration{}, paths: map[path]pathFault{},
 		orders: map[*modelWorker]orderFault{}, storeRefusesUntil: map[*modelHost]time.Duration{}, linksCutUntil: map[*modelHost]time.Duration{},
-		unannouncedUntil: map[*modelWorker]time.Duration{},
+		unannouncedUntil: map[*modelWorker]time.Duration{}, viewLinksCutUntil: map[*modelHost]time.Duration{},
 	}
 }
 
@@ -123,6 +124,8 @@
 		simulation.injectHostFault(fault, until)
 	case LoseScheduler, CutLinks, RefuseScheduler, JournalDown, StopScheduler, StopHosts, LoseWorker, NoDisturbance:
 		simulation.injectTakeoverFault(fault, until)
+	case KillRelays, LoseRelays, FreezeRelays, CutViewLinks:
+		simulation.injectRelayFault(fault, until)
 	case KillSeries:
 		simulation.killSchedulers(until)
 		simulation.extend(until)
--- a/standin/emulator/links.go
+++ b/standin/emulator/links.go
@@ -42,7 +42,7 @@
 			}))
 			target.deliver(almondcross.NewHostLinkChanged(almondcross.HostLinkChangedConfig{
 				Host: modelhost.name, Present: true, Strength: announced.Strength, Address: modelhost.name,
-				SchedulerEpoch: announced.Pointer.Epoch(), Ends: announced.Ends,
+				DataCentre: modelhost.dataCentre(), ViewFormat: modelhost.viewFormat(), SchedulerEpoch: announced.Pointer.Epoch(), Ends: announced.Ends,
 			}))
 		}
 	})
--- a/standin/emulator/simulation.go
+++ b/standin/emulator/simulation.go
@@ -12,19 +12,22 @@
 
 // Config holds the settings of a simulation.
 type Config struct {
-	Seed        uint64
-	Hosts       int           // Hosts is the number of scheduling hosts.
-	LaterHosts  int           // LaterHosts is the number of hosts of a later version among them, whose journal the others cannot read in full.
-	OtherHosts  int           // OtherHosts is the number of hosts of a version that judges failed runs by another rule, where the journal has no verdict.
-	Workers     int           // Workers is the number of workers.
-	SubmitTime  time.Duration // SubmitTime is the time during which callers submit jobs.
-	DrainTime   time.Duration // DrainTime is the time after that within which accepted jobs must end.
-	JobsPerSec  float64       // JobsPerSec is the rate of submissions.
-	AdviceShare float64       // AdviceShare is the fraction of workers that the advice allows, 0 for queues without advice.
-	FailShare   float64       // FailShare is the fraction of runs that fail.
-	PoisonShare float64       // PoisonShare is the fraction of jobs whose runs always fail.
-	CancelShare float64       // CancelShare is the fraction of short jobs that are cancelled; see longCancelFactor.
-	LongShare   float64       // LongShare is the fraction of batch jobs that take many seconds.
+	Seed       uint64
+	Hosts      int // Hosts is the number of scheduling hosts.
+	LaterHosts int // LaterHosts is the number of hosts of a later version among them, whose journal the others cannot read in full.
+	OtherHosts int // OtherHosts is the number of hosts of a version that judges failed runs by another rule, where the journal has no verdict.
+	// ViewRelayThreshold is the number of linked hosts above which relays pass views on, 0 for hosts that know no relays.
+	ViewRelayThreshold int
+	RelaylessHosts     int           // RelaylessHosts is the number of hosts of the version before, which knows no relays of views.
+	Workers            int           // Workers is the number of workers.
+	SubmitTime         time.Duration // SubmitTime is the time during which callers submit jobs.
+	DrainTime          time.Duration // DrainTime is the time after that within which accepted jobs must end.
+	JobsPerSec         float64       // JobsPerSec is the rate of submissions.
+	AdviceShare        float64       // AdviceShare is the fraction of workers that the advice allows, 0 for queues without advice.
+	FailShare          float64       // FailShare is the fraction of runs that fail.
+	PoisonShare        float64       // PoisonShare is the fraction of jobs whose runs always fail.
+	CancelShare        float64       // CancelShare is the fraction of short jobs that are cancelled; see longCancelFactor.
+	LongShare          float64       // LongShare is the fraction of batch jobs that take many seconds.
 	// UnboundStarts lets start orders reach any incarnation of a worker, as those that hosts of earlier versions send do.
 	UnboundStarts bool
 	MeasureLinks  bool          // MeasureLinks counts what passes over the links of the scheduler's hosts.
@@ -55,6 +58,8 @@
 	disturbances  disturbances
 	meter         *takeoverMeter
 	traffic       *trafficMeter
+	views         *viewChecker
+	viewLinkCount int64 // viewLinkCount numbers the links for views.
 	announcements announcements
 	// forwardCallbacks holds the functions to call when forwarded intakes are stored, by intake number.
 	forwardCallbacks map[int64]func()
@@ -150,6 +155,7 @@
 		advice: adviceModel{allowedShare: config.AdviceShare, validity: 2500 * time.Millisecond, seed: config.Seed, issuedTickets: map[string]issuedTicket{}},
 	}
 	simulation.checker, simulation.meter, simulation.traffic = newChecker(simulation), newTakeoverMeter(simulation), newTrafficMeter(simulation)
+	simulation.views = &viewChecker{simulation: simulation}
 	simulation.publishRoutes(
 		simulation.newQueue(queueUrgent, 0, 4, 8*time.Millisecond, 120*time.Microsecond),
 		simulation.newQueue(queueGang, 1, 3, 440*time.Millisecond, 6300*time.Microsecond),
@@ -165,6 +171,9 @@
 	}
 	simulation.scheduleJobs(warmUp, config.SubmitTime, config.JobsPerSec, "")
 	simulation.schedule(warmUp, simulation.checker.checkPendingCounts)
+	if config.ViewRelayThreshold > 0 {
+		simulation.schedule(warmUp, simulation.views.check)
+	}
 	for _, fault := range config.Faults {
 		simulation.schedule(warmUp+fault.StartsAt, func() { simulation.injectFault(fault) })
 	}
@@ -187,6 +196,7 @@
 	simulation.now = simulation.end
 	report := simulation.checker.report()
 	report.Takeovers, report.Traffic = simulation.meter.report(), simulation.traffic.report()
+	report.OldestViews, report.RelayedChecks = simulation.views.oldest, simulation.views.relayed
 	return report
 }
 
