--- a/command/scheduler/viewrelay.go
+++ b/command/scheduler/viewrelay.go
@@ -279,7 +279,7 @@
 		return loads[index].Viewers()
 	}
 	present, next := machine.linkedHosts[host.views.relay], machine.linkedHosts[better]
-	if present == nil || next.awaitingViews {
+	if present == nil || next.awaitingViews || next.views.accuser != "" && machine.now.Sub(next.views.accusedAt) < viewRelayBackoff {
 		return false
 	}
 	near := func(relay *linkedHost) bool { return relay.views.dataCentre == host.views.dataCentre }
--- a/standin/emulator/viewcheck.go
+++ b/standin/emulator/viewcheck.go
@@ -11,7 +11,7 @@
 	// viewCheckInterval is the time between two checks of the age of views.
 	viewCheckInterval = 50 * time.Millisecond
 	// pushMemory is how long pushed views are kept. Views that are older are not answered.
-	pushMemory = 10 * time.Second
+	pushMemory = 4 * time.Second
 	// viewSettleTime is how long after a disturbance of a host, or after an election, the age of its views is not measured.
 	viewSettleTime = 6 * time.Second
 )
