Spread what the hosts of a large cell do after the scheduler is lost

Change: hosts learn whether the cell has relays. Standbys and hosts of the version before get all views at once.

The draws of other cells do not change.

--- a/command/scheduler/discovery.go
+++ b/command/scheduler/discovery.go
@@ -44,7 +44,7 @@
 	machine.discovery.viewsReceived, machine.discovery.rank, machine.follower.pushedEnd = false, 0, 0
 	machine.leaveViewSource()
 	machine.emit(AnnounceScheduler{})
-	machine.readPointer(0)
+	machine.readPointer(machine.spread(pointerReadInterval))
 }
 
 // readPointer queries the current scheduler from the store and some other hosts, unless a read is pending.
@@ -103,7 +103,7 @@
 			almondcross.Text("from_store", yesNo(read.Stored())))
 		machine.emit(AnnounceScheduler{Pointer: pointer, Strength: machine.strength(), Ends: machine.endsToForward()})
 	}
-	machine.readPointer(pointerReadInterval)
+	machine.readPointer(pointerReadInterval + machine.spread(pointerReadInterval))
 }
 
 // checkStandbyContact makes a standby that hears from neither the store nor the scheduler query other hosts
--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -74,7 +74,7 @@
 		epoch: answer.Commit().Epoch(), sequence: 1, electedAt: machine.now, lastCommitAt: machine.now.Add(-answer.Took()),
 		pendingIntake: map[int]int64{}, intakeReadAt: map[int]time.Time{}, workers: map[string]*worker{}, advice: map[almondcross.StageID]*stageAdvice{},
 		queued: map[almondcross.StageID]bool{}, unpushedViews: map[almondcross.JobID]almondcross.JobViewChange{}, jobsWithOccurrences: map[almondcross.JobID]*job{}, allowedShares: map[string]float64{}, queueScores: map[string]queueScore{},
-		quarantined: map[almondcross.StageID]time.Time{}, viewRelays: viewRelays{number: 1, due: true},
+		quarantined: map[almondcross.StageID]time.Time{}, viewRelays: machine.newViewRelays(),
 	}
 	machine.endLeadershipsOf(machine.config.Host, machine.config.Address, machine.leader.epoch)
 	machine.config.Log.Record("scheduling_started", almondcross.Number("epoch", machine.leader.epoch),
--- a/command/scheduler/machine.go
+++ b/command/scheduler/machine.go
@@ -77,6 +77,8 @@
 	acceptedJobs map[almondcross.JobID]acceptedJob // acceptedJobs holds the jobs of this host that no published state has had.
 	// peers holds the addresses on which other hosts accept links, newest last.
 	peers []string
+	// largeCell is set if the last scheduler that assigned views to this host used relays of views.
+	largeCell bool
 	// lastViewLink is the number of the last link to a relay of views.
 	lastViewLink int64
 }
--- a/command/scheduler/viewrelay.go
+++ b/command/scheduler/viewrelay.go
@@ -26,6 +26,12 @@
 	// viewRelayEndFraction is the fraction of the threshold below which relays are given up again. Hosts that come and go near the
 	// threshold do not change the way of the views each time.
 	viewRelayEndFraction = 0.75
+	// viewRelayHold is how long the first scheduler of an epoch in a large cell waits for hosts to link before it chooses relays. The first
+	// hosts may be weak, and would get all views from it.
+	viewRelayHold = 200 * time.Millisecond
+	// viewRelayGrace is how long a new scheduler of a large cell uses relays whatever the number of linked hosts. Hosts take up to
+	// 3 s to find it.
+	viewRelayGrace = 5 * time.Second
 	// peersInterval is the time between two messages with the addresses of the hosts to all hosts of a cell with relays. Beyond maxPeers
 	// hosts, each host that links anew would cause one.
 	peersInterval = 5 * time.Second
@@ -52,6 +58,7 @@
 type viewRelays struct {
 	active      bool
 	number      int64     // number is that of the last push of views. The first one is 2, so that 0 and 1 stand for no push.
+	heldUntil   time.Time // heldUntil is when the first relays are chosen.
 	due         bool      // due is set when the routes of some hosts have to be chosen.
 	arrangedAt  time.Time // arrangedAt is when that was last done.
 	peersDue    bool      // peersDue is set if some hosts have not got the latest addresses.
@@ -64,13 +71,17 @@
 	if machine.config.ViewRelays == nil || !relays.due && (!relays.active || machine.now.Sub(relays.arrangedAt) < viewRelayInterval) {
 		return
 	}
+	if machine.now.Before(relays.heldUntil) {
+		return
+	}
 	relays.due, relays.arrangedAt = false, machine.now
 	linked := len(machine.linkedHosts) - 1 // This host is one of them.
 	switch {
 	case linked > machine.config.ViewRelayThreshold && !relays.active:
 		relays.active = true
 		machine.config.Log.Record("view_relays_begun", almondcross.Number("hosts", linked))
-	case relays.active && float64(linked) < viewRelayEndFraction*float64(machine.config.ViewRelayThreshold):
+		machine.tellStandbys()
+	case relays.active && machine.now.Sub(machine.leader.electedAt) > viewRelayGrace && float64(linked) < viewRelayEndFraction*float64(machine.config.ViewRelayThreshold):
 		machine.endViewRelays()
 	}
 	if relays.active {
@@ -81,6 +92,26 @@
 	}
 }
 
+// newViewRelays returns what a new scheduler knows of the relays. In a cell that had some before, the hosts that link first do not get
+// all views from it either.
+func (machine *Machine) newViewRelays() viewRelays {
+	relays := viewRelays{number: 1, due: true}
+	if machine.largeCell && machine.config.ViewRelays != nil {
+		relays.active, relays.heldUntil = true, machine.now.Add(viewRelayHold)
+		machine.config.Log.Record("view_relays_begun", almondcross.Number("hosts", len(machine.linkedHosts)-1))
+	}
+	return relays
+}
+
+// tellStandbys tells the standbys whether the cell has relays.
+func (machine *Machine) tellStandbys() {
+	for _, host := range machine.sortedLinkedHosts() {
+		if host.standby {
+			machine.assignViews(host, 0)
+		}
+	}
+}
+
 // sortedLinkedHosts returns the linked hosts without this one, sorted by name.
 func (machine *Machine) sortedLinkedHosts() []*linkedHost {
 	hosts := make([]*linkedHost, 0, len(machine.linkedHosts))
@@ -159,7 +190,7 @@
 	}
 	relays := &machine.leader.viewRelays
 	config := almondcross.ViewsAssignedConfig{
-		Epoch: machine.leader.epoch, Relaying: host.views.relaying, Relay: host.views.relay, Number: number,
+		Epoch: machine.leader.epoch, Large: relays.active, Relaying: host.views.relaying, Relay: host.views.relay, Number: number,
 	}
 	if relay := machine.linkedHosts[host.views.relay]; relay != nil {
 		config.Address = relay.address
@@ -333,7 +364,8 @@
 		host.views.relay, host.awaitingViews = "", true
 		machine.assignViews(host, 0)
 		machine.awaitReset(host)
-	default:
+	case machine.leader.viewRelays.active:
+		machine.assignViews(host, 0)
 		machine.awaitReset(host)
 	}
 }
@@ -341,6 +373,8 @@
 // endViewRelays makes all hosts get views from the scheduler.
 func (machine *Machine) endViewRelays() {
 	machine.config.Log.Record("view_relays_ended", almondcross.Number("hosts", len(machine.linkedHosts)-1))
+	machine.leader.viewRelays.active = false
+	machine.tellStandbys()
 	for _, host := range machine.sortedLinkedHosts() {
 		switch {
 		case host.views.relaying:
@@ -355,13 +389,12 @@
 		}
 		machine.awaitReset(host)
 	}
-	machine.leader.viewRelays.active = false
 }
 
 // provideViews makes a newly linked host get all views. In a cell with relays, its route is chosen next.
 func (machine *Machine) provideViews(host *linkedHost) {
 	host.awaitingViews = true
-	if machine.leader.viewRelays.active && !host.standby {
+	if machine.leader.viewRelays.active && !host.standby && host.views.format > 0 {
 		machine.leader.viewRelays.due = true
 		return
 	}
--- a/command/scheduler/viewrelay_test.go
+++ b/command/scheduler/viewrelay_test.go
@@ -125,6 +125,9 @@
 	cell.link(20, almondcross.ViewFormat)
 	cell.awaitHeartbeat()
 	require.NotEmpty(t, cell.route("v-005"))
+	for cell.now.Sub(cell.machine.leader.electedAt) <= viewRelayGrace {
+		cell.step()
+	}
 	for index := 20; index > 14; index-- {
 		cell.apply(almondcross.NewHostLinkChanged(almondcross.HostLinkChangedConfig{Host: fmt.Sprintf("v-%03d", index)}))
 		require.True(t, cell.machine.leader.viewRelays.active, "%d hosts", index)
@@ -310,6 +313,52 @@
 	require.False(t, more)
 }
 
+// Guards against all views that a new scheduler of a large cell sends to the first hosts that link, up to the threshold: they take the
+// square of the hosts at each takeover. Standbys and hosts of the version before need them at once.
+func TestTakeoverInALargeCellSendsFewFirstViews(t *testing.T) {
+	cell := newViewCell(t, 100)
+	cell.machine.largeCell = true
+	cell.machine.leader.viewRelays = cell.machine.newViewRelays()
+	old := cell.link(7, 0)
+	for index := 10; index < 60; index++ {
+		cell.link(index, almondcross.ViewFormat)
+	}
+	cell.answerCommits()
+	cell.awaitHeartbeat()
+	cell.awaitHeartbeat()
+	resets := map[string]bool{}
+	for pushed, more := takeEffect[PushViews](cell.harness); more; pushed, more = takeEffect[PushViews](cell.harness) {
+		for _, host := range pushed.Hosts {
+			resets[host] = resets[host] || pushed.Pushed.Reset()
+		}
+	}
+	require.True(t, resets[old])
+	for _, host := range cell.machine.sortedLinkedHosts() {
+		require.Equal(t, host.standby || host.views.relaying || host.name == old, resets[host.name], host.name)
+	}
+	for cell.now.Sub(cell.machine.leader.electedAt) <= viewRelayGrace+viewRelayInterval {
+		cell.step()
+	}
+	cell.awaitHeartbeat()
+	require.False(t, cell.machine.leader.viewRelays.active, "too few hosts have linked")
+	require.Empty(t, cell.viewersOf("v-010"))
+}
+
+// Guards against hosts of a large cell that all ask for the scheduler at one moment after it is lost, and against a change for the others.
+func TestHostsOfALargeCellDoNotAskAtOneMoment(t *testing.T) {
+	for _, large := range []bool{false, true} {
+		harness := newHarness(t)
+		harness.followRelayed(assignedNumber)
+		harness.apply(almondcross.NewViewsAssigned(almondcross.ViewsAssignedConfig{Epoch: 9, Large: large}))
+		harness.apply(almondcross.NewPointerRead(almondcross.PointerReadConfig{Pointer: newPointer("h-2", 9), Found: true, Stored: true}))
+		harness.effects = nil
+		harness.apply(almondcross.NewLinkLost(almondcross.LinkLostConfig{Scheduler: "h-2"}))
+		pause := requireEffect[ReadPointer](harness).Query.Pause()
+		require.Equal(t, large, pause > 0)
+		require.Less(t, pause, pointerReadInterval)
+	}
+}
+
 var _ almondcross.JobPublisher = jobfinder.New()
 
 // assignedNumber is the number of the last push in the tests of viewers.
--- a/command/scheduler/viewsource.go
+++ b/command/scheduler/viewsource.go
@@ -95,6 +95,7 @@
 	if machine.role == roleLeader || machine.role == roleCandidate {
 		return
 	}
+	machine.largeCell = assigned.Large()
 	source := &machine.source
 	if assigned.Epoch() != source.epoch {
 		machine.followRelay("", "")
@@ -123,6 +124,14 @@
 	machine.serveViewers()
 }
 
+// spread returns a random part of an interval in a large cell, so that its hosts do not act all at one moment, and 0 in any other.
+func (machine *Machine) spread(interval time.Duration) time.Duration {
+	if !machine.largeCell {
+		return 0
+	}
+	return time.Duration(machine.config.Random.Int64N(int64(interval)))
+}
+
 // followRelay opens the link to a relay in place of the earlier one, or none.
 func (machine *Machine) followRelay(relay, address string) {
 	source := &machine.source
--- a/encoder/viewrelay.go
+++ b/encoder/viewrelay.go
@@ -8,6 +8,7 @@
 
 type wireViewsAssign struct {
 	Epoch    int64  `cbor:"epoch"`
+	Large    bool   `cbor:"large,omitempty"`
 	Relaying bool   `cbor:"relaying,omitempty"`
 	Relay    string `cbor:"relay,omitempty"`
 	Address  string `cbor:"address,omitempty"`
--- a/encoder/viewrelay_test.go
+++ b/encoder/viewrelay_test.go
@@ -14,7 +14,7 @@
 func TestMessagesOfViewRelaysKeepTheirFields(t *testing.T) {
 	codec := newCodec(t)
 	for _, message := range []almondcross.LinkMessage{
-		almondcross.NewViewsAssigned(almondcross.ViewsAssignedConfig{Epoch: 4096, Relaying: true, Relay: "h-2", Address: "10.0.0.2:1", Number: 7, Least: 8}),
+		almondcross.NewViewsAssigned(almondcross.ViewsAssignedConfig{Epoch: 4096, Large: true, Relaying: true, Relay: "h-2", Address: "10.0.0.2:1", Number: 7, Least: 8}),
 		almondcross.NewViewsNumbered(almondcross.ViewsNumberedConfig{Epoch: 4096, Number: 7, Complete: true}),
 		almondcross.NewViewsMissed(almondcross.ViewsMissedConfig{Epoch: 4096, Relay: "h-2", Reason: "silent"}),
 		almondcross.NewViewerHello(almondcross.ViewerHelloConfig{Host: "h-3", Epoch: 4096, Number: 7, Least: 8}),
--- a/viewrelaying.go
+++ b/viewrelaying.go
@@ -7,11 +7,12 @@
 const ViewFormat = 1
 
 // ViewsAssigned tells a linked host from where it gets views: from a relay, or from the scheduler over the link. It is sent only
-// in a cell with relays.
+// in a cell with relays, and when a cell has none any more.
 //
 //value:generate
 type ViewsAssigned struct {
 	epoch    int64  // the epoch of the scheduler, to which all numbers belong
+	large    bool   // whether the cell has relays; otherwise all hosts get views from the scheduler again
 	relaying bool   // whether the host passes the views that it gets from the scheduler on to the hosts that link to it for them
 	relay    string // the host from which it gets views, empty for the scheduler
 	address  string // the address on which that host accepts links
--- a/viewrelaying_generated.go
+++ b/viewrelaying_generated.go
@@ -7,6 +7,7 @@
 // ViewsAssignedConfig holds the fields of a new ViewsAssigned.
 type ViewsAssignedConfig struct {
 	Epoch    int64
+	Large    bool
 	Relaying bool
 	Relay    string
 	Address  string
@@ -18,6 +19,7 @@
 func NewViewsAssigned(config ViewsAssignedConfig) ViewsAssigned {
 	return ViewsAssigned{
 		epoch:    config.Epoch,
+		large:    config.Large,
 		relaying: config.Relaying,
 		relay:    config.Relay,
 		address:  config.Address,
@@ -30,6 +32,7 @@
 func (viewsassigned ViewsAssigned) Config() ViewsAssignedConfig {
 	return ViewsAssignedConfig{
 		Epoch:    viewsassigned.epoch,
+		Large:    viewsassigned.large,
 		Relaying: viewsassigned.relaying,
 		Relay:    viewsassigned.relay,
 		Address:  viewsassigned.address,
@@ -47,6 +50,15 @@
 	return viewsassigned
 }
 
+// Large returns whether the cell has relays; otherwise all hosts get views from the scheduler again.
+func (viewsassigned ViewsAssigned) Large() bool { return viewsassigned.large }
+
+// WithLarge returns a copy with the given large.
+func (viewsassigned ViewsAssigned) WithLarge(large bool) ViewsAssigned {
+	viewsassigned.large = large
+	return viewsassigned
+}
+
 // Relaying returns whether the host passes the views that it gets from the scheduler on to the hosts that link to it for them.
 func (viewsassigned ViewsAssigned) Relaying() bool { return viewsassigned.relaying }
 
