--- a/command/scheduler/viewrelay.go
+++ b/command/scheduler/viewrelay.go
@@ -346,7 +346,9 @@
 		alone := !slices.ContainsFunc(machine.sortedLinkedHosts(), func(other *linkedHost) bool { return other != host && other.views.relay == relay.name })
 		accused := relay.views.accuser != "" && relay.views.accuser != host.name && machine.now.Sub(relay.views.accusedAt) < accusationPeriod
 		if accused || alone {
+			// Its own links may be at fault, so that it would get no views from another relay either.
 			relay.views.unfitUntil = machine.now.Add(viewRelayBackoff)
+			relay.views.directUntil = relay.views.unfitUntil
 			machine.endRelaying(relay)
 		}
 		relay.views.accuser, relay.views.accusedAt = host.name, machine.now
--- a/command/scheduler/viewsource.go
+++ b/command/scheduler/viewsource.go
@@ -12,12 +12,15 @@
 const (
 	// relaySilence is how long a relay may send nothing while numbers of the scheduler's pushes arrive. It tolerates two late pushes.
 	relaySilence = 500 * time.Millisecond
-	// relayLoadSilence replaces relaySilence until the relay has sent anything. A relay may itself await all views.
-	relayLoadSilence = time.Second
+	// relayLoadSilence replaces relaySilence until the relay has sent anything. It may itself await all views, or the push that the
+	// host must have, each for up to 200 ms, and is up to 20 ms away.
+	relayLoadSilence = 700 * time.Millisecond
 	// relayLag is how far views from a relay may be behind the numbers of the scheduler, and relayLoadLag until the first ones have
 	// arrived. Views are answered until they are 1.5 s old.
 	relayLag     = time.Second
 	relayLoadLag = 2 * time.Second
+	// minRelayTime is how long a relay is tried although the host has lagged for relayLag before it was assigned.
+	minRelayTime = 250 * time.Millisecond
 	// missedReportInterval is the time between two reports that views are missing. A report may be lost.
 	missedReportInterval = time.Second
 	// maxNumberArrivals is the number of pushes whose views have not arrived yet. Those of before are too old to be answered from.
@@ -38,6 +41,7 @@
 
 	relay      string          // relay is the host from which the views come, empty for the scheduler.
 	link       int64           // link is the number of the link to the relay, 0 for none.
+	followedAt time.Time       // followedAt is when the relay was assigned.
 	heard      bool            // heard is set once the relay has sent views.
 	heardAt    time.Time       // heardAt is when it last did, or when it was assigned.
 	reportedAt time.Time       // reportedAt is when this host last told the scheduler that it misses views, zero for not since then.
@@ -137,6 +141,7 @@
 	source := &machine.source
 	linked := source.link != 0
 	source.relay, source.link, source.heard, source.heardAt, source.reportedAt = relay, 0, false, machine.now, time.Time{}
+	source.followedAt = machine.now
 	source.partial = nil
 	if relay == "" {
 		source.arrivals = nil
@@ -249,7 +254,7 @@
 	switch {
 	case machine.now.Sub(source.heardAt) > silence && machine.now.Sub(oldest) > silence:
 		machine.missViews("silent")
-	case machine.now.Sub(oldest) > lag:
+	case machine.now.Sub(oldest) > lag && machine.now.Sub(source.followedAt) > minRelayTime:
 		machine.missViews("behind")
 	}
 }
