Arrange the relays of views at most every 20 ms

Cause: a check of the routes takes 0.9 ms with 300 hosts on a busy machine, and 300 hosts that link at one moment would cause as many.

Change: checks that are due are at least 20 ms apart.

--- a/command/scheduler/viewrelay.go
+++ b/command/scheduler/viewrelay.go
@@ -12,6 +12,8 @@
 const (
 	// viewRelayInterval is the time between two checks of the relays without a change of the linked hosts.
 	viewRelayInterval = time.Second
+	// viewRelayPause is the minimum time between two checks. One takes about a millisecond with 300 hosts, which link at one moment.
+	viewRelayPause = 20 * time.Millisecond
 	// viewRelayBackoff is how long a relay that a host missed views from is not named to this host again, and how long a host
 	// that several hosts missed views from is no relay.
 	viewRelayBackoff = 10 * time.Second
@@ -68,10 +70,11 @@
 // runViewRelays arranges the relays when that is due.
 func (machine *Machine) runViewRelays() {
 	relays := &machine.leader.viewRelays
-	if machine.config.ViewRelays == nil || !relays.due && (!relays.active || machine.now.Sub(relays.arrangedAt) < viewRelayInterval) {
-		return
+	pause := viewRelayInterval
+	if relays.due {
+		pause = viewRelayPause
 	}
-	if machine.now.Before(relays.heldUntil) {
+	if machine.config.ViewRelays == nil || !relays.due && !relays.active || machine.now.Sub(relays.arrangedAt) < pause || machine.now.Before(relays.heldUntil) {
 		return
 	}
 	relays.due, relays.arrangedAt = false, machine.now
--- a/command/scheduler/viewrelay_test.go
+++ b/command/scheduler/viewrelay_test.go
@@ -31,6 +31,12 @@
 	return cell
 }
 
+// apply applies a message and lets the scheduler arrange the relays.
+func (viewcell *viewCell) apply(message almondcross.SchedulerMessage) {
+	viewcell.harness.apply(message)
+	viewcell.advance(viewRelayPause)
+}
+
 // link links a host; a later link of the same host takes the place of the earlier one.
 func (viewcell *viewCell) link(index, format int) string {
 	name, strength := fmt.Sprintf("v-%03d", index), 20
