Spread the reads of the configuration after an outage in large cells

Cause: an outage of the store ends the reads of all hosts at one moment, and all read the complete configuration at one moment when it is back.

Change: the scheduler duty tells whether the cell has relays of views; the pause before a repeated read is then drawn from 150 ms to 1 s. A new configuration itself is read at once, over long polls that are open.

--- a/assembler/scheduler.go
+++ b/assembler/scheduler.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -105,6 +106,7 @@
 		fx.Provide(
 			func() almondcross.Clock { return Clock{} },
 			func() logrus.FieldLogger { return newLogger(configurator.LogJSON) },
+			func() *largeCell { return new(largeCell) },
 			metrics.NewSet, NewDuties, encoder.NewCodec, client.New, jobfinder.New, router.New, counter.New, counter.NewLinks,
 			newRecorder, newSchedulerRings, newFollower, newCommitter, newRelayer, newExecutor, newAsker, newHub, newDialer, newUplink, newViewDialer, newViewLinks, newSubmitter,
 			newSchedulerMachine, newVersioner, newScheduler, newSchedulerServers,
@@ -113,6 +115,9 @@
 	)
 }
 
+// largeCell is set while the cell uses relays of views. The scheduler duty sets it, and the readers of the store read it.
+type largeCell struct{ atomic.Bool }
+
 // settingsPath is the path of the settings file.
 type settingsPath string
 
@@ -172,7 +177,7 @@
 }
 
 func newFollower(
-	settings configurator.SchedulerSettings, client *client.Client, codec encoder.Codec, rings schedulerRings, log *recorder.Recorder,
+	settings configurator.SchedulerSettings, client *client.Client, codec encoder.Codec, rings schedulerRings, log *recorder.Recorder, large *largeCell,
 ) *follower.Follower {
 	return follower.New(follower.Config{
 		Reader: querier.NewStore(settings.StoreAddress(), client), Codec: codec, WorkerCodec: translator.Codec{}, Sink: rings.messages, Log: log,
@@ -181,7 +186,7 @@
 		Pointers: almondcross.Partition{Topic: pointerTopic}, Clock: Clock{},
 		Announcements:    almondcross.Partition{Topic: translator.WorkersTopic},
 		Configuration:    almondcross.Partition{Topic: translator.OperatorsTopic},
-		ConfigurationKey: translator.ConfigurationKey,
+		ConfigurationKey: translator.ConfigurationKey, Large: large.Load,
 	})
 }
 
@@ -323,7 +328,7 @@
 
 func newScheduler(
 	machine *scheduler.Machine, rings schedulerRings, workers *relayer.Relayer, hub *connector.Hub, versions *versioner.Versioner,
-	views *connector.ViewLinks, links *counter.Links, log *recorder.Recorder,
+	views *connector.ViewLinks, links *counter.Links, log *recorder.Recorder, large *largeCell,
 ) *scheduler.Duty {
 	var intakes []almondcross.Sink[almondcross.IntakeQuery]
 	for _, intake := range rings.intakeReads {
@@ -353,7 +358,7 @@
 			hub.SetPointer(announcement.Pointer)
 			versions.SetScheduler(announcement.Pointer)
 		},
-		OnJournalFormat: versions.SetJournalFormat,
+		OnJournalFormat: versions.SetJournalFormat, OnLargeCell: large.Store,
 	})
 }
 
--- a/command/scheduler/scheduler.go
+++ b/command/scheduler/scheduler.go
@@ -39,6 +39,8 @@
 	OnSchedulerChange func(announcement AnnounceScheduler)
 	// OnJournalFormat is called with the highest number of a format of the journal when it changes; nil for no call.
 	OnJournalFormat func(format int)
+	// OnLargeCell is called with whether the cell uses relays of views when that changes; nil for no call.
+	OnLargeCell func(large bool)
 }
 
 // Duty passes messages from the ring to the machine and carries out the machine's effects.
@@ -47,7 +49,8 @@
 	leads          atomic.Bool
 	resigned       chan struct{}
 	resignedClosed bool
-	journalFormat  int // journalFormat is the number that OnJournalFormat was last called with.
+	journalFormat  int  // journalFormat is the number that OnJournalFormat was last called with.
+	largeCell      bool // largeCell is what OnLargeCell was last called with.
 }
 
 // NewDuty returns a duty that is not running; call Run to start it.
@@ -104,6 +107,10 @@
 		duty.journalFormat = format
 		duty.config.OnJournalFormat(format)
 	}
+	if large := machine.usesViewRelays(); large != duty.largeCell && duty.config.OnLargeCell != nil {
+		duty.largeCell = large
+		duty.config.OnLargeCell(large)
+	}
 	if machine.stopping && !machine.Leads() && !duty.resignedClosed {
 		duty.resignedClosed = true
 		close(duty.resigned)
--- a/command/scheduler/viewrelay_test.go
+++ b/command/scheduler/viewrelay_test.go
@@ -537,3 +537,16 @@
 	view(4, 0, 0)
 	require.Equal(t, []int64{4}, requireEffect[CloseViewers](harness).Links, "a standby relays nothing")
 }
+
+// Guards against readers of the store that are not told that the cell is large, or are told it again with each message.
+func TestDutyTellsWhetherTheCellIsLarge(t *testing.T) {
+	harness := newHarness(t)
+	harness.followRelayed(assignedNumber)
+	var told []bool
+	duty := NewDuty(DutyConfig{Machine: harness.machine, OnLargeCell: func(large bool) { told = append(told, large) }})
+	for _, large := range []bool{false, true, true, false} {
+		harness.apply(almondcross.NewViewsAssigned(almondcross.ViewsAssignedConfig{Epoch: 9, Large: large}))
+		duty.updateStatus()
+	}
+	require.Equal(t, []bool{true, false}, told)
+}
--- a/command/scheduler/viewsource.go
+++ b/command/scheduler/viewsource.go
@@ -136,6 +136,14 @@
 	return time.Duration(machine.config.Random.Int64N(int64(interval)))
 }
 
+// usesViewRelays reports whether the cell has relays of views, as far as this host knows.
+func (machine *Machine) usesViewRelays() bool {
+	if machine.leader != nil {
+		return machine.leader.viewRelays.active
+	}
+	return machine.largeCell
+}
+
 // followRelay opens the link to a relay in place of the earlier one, or none.
 func (machine *Machine) followRelay(relay, address string) {
 	source := &machine.source
--- a/query/follower/follower.go
+++ b/query/follower/follower.go
@@ -41,6 +41,9 @@
 	Configuration almondcross.Partition
 	// ConfigurationKey is the key of the configuration records.
 	ConfigurationKey string
+	// Large reports whether the cell is so large that its hosts must not read the configuration at one moment after an outage; nil
+	// for a small cell.
+	Large func() bool
 }
 
 // Follower returns the duties that read the store. Each duty may run in its own goroutine.
--- a/query/follower/routes.go
+++ b/query/follower/routes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -17,6 +18,9 @@
 	routesWait = 1300 * time.Millisecond
 	// routesRetry is the delay after a failed read.
 	routesRetry = 150 * time.Millisecond
+	// routesSpread is the longest time by which the hosts of a large cell draw out that delay. An outage ends the reads of all hosts at
+	// one moment, and each reads the complete configuration afterwards.
+	routesSpread = 850 * time.Millisecond
 	// routesRefresh is the maximum time between two reads of the complete configuration.
 	routesRefresh = 5 * time.Second
 )
@@ -41,7 +45,7 @@
 			}
 			if err != nil {
 				next = -1
-				ring.Pause(ctx, routesRetry)
+				ring.Pause(ctx, follower.routesPause())
 				continue
 			}
 			table, found := follower.newestTable(records)
@@ -91,6 +95,14 @@
 	}
 }
 
+// routesPause returns the delay after a failed read.
+func (follower *Follower) routesPause() time.Duration {
+	if follower.config.Large == nil || !follower.config.Large() {
+		return routesRetry
+	}
+	return routesRetry + rand.N(routesSpread) //nolint:gosec // Jitter needs no secrecy.
+}
+
 // logRoutesReadState logs that reading the configuration started to fail, or that it succeeds again.
 func (follower *Follower) logRoutesReadState(err error, version int64) {
 	if err == nil {
