--- a/command/scheduler/machine.go
+++ b/command/scheduler/machine.go
@@ -41,6 +41,8 @@
 	NewShares           func() almondcross.SharePolicy      // NewShares returns the policy that orders the workspaces in one pool.
 	NewRunTimes         func() almondcross.RuntimeEstimator // NewRunTimes returns the estimator of an epoch, nil to use the callers' estimates.
 	NewSpeeds           func() almondcross.WorkerSpeeds     // NewSpeeds returns the estimator of an epoch, nil to treat workers as equally fast.
+	ViewRelays          almondcross.ViewRelayChooser        // ViewRelays chooses the relays of views; nil for none.
+	ViewRelayThreshold  int                                 // ViewRelayThreshold is the number of linked hosts above which relays are used.
 	Log                 almondcross.EventLog
 	Metrics             Metrics
 }
@@ -60,6 +62,7 @@
 
 	discovery discovery
 	follower  follower
+	source    viewSource
 	leader    *leader
 	reads     pendingReads
 	gap       gap
@@ -80,6 +83,10 @@
 	acceptedJobs map[almondcross.JobID]acceptedJob // acceptedJobs holds the jobs of this host that no published state has had.
 	// peers holds the addresses on which other hosts accept links, newest last.
 	peers []string
+	// largeCell is set if the last scheduler that assigned views to this host used relays of views.
+	largeCell bool
+	// lastViewLink is the number of the last link to a relay of views.
+	lastViewLink int64
 }
 
 // NewMachine returns a machine that starts to look for the scheduler.
@@ -126,6 +133,8 @@
 		machine.jobAccepted(message.Job())
 	case almondcross.HostLinkChanged:
 		machine.hostLinkChanged(message)
+	case almondcross.ViewsAssigned, almondcross.ViewsNumbered, almondcross.ViewsMissed, almondcross.ViewerLinkChanged, almondcross.RelayedViews, almondcross.ViewRelayLost:
+		machine.applyViewMessage(message)
 	case almondcross.StopScheduling:
 		machine.stopping = true
 	default:
@@ -209,6 +218,7 @@
 		machine.checkDiscoveryTimeout()
 	case roleViewer:
 		machine.checkSchedulerLink()
+		machine.checkViewRelay()
 	case roleFollower:
 		machine.readDueJournal()
 		machine.checkStandbyContact()
--- a/command/scheduler/scheduler.go
+++ b/command/scheduler/scheduler.go
@@ -33,11 +33,14 @@
 	Rings   Rings
 	Workers almondcross.WorkerManager
 	Links   almondcross.LinkSender
+	Views   almondcross.ViewLinker
 	Clock   almondcross.Clock
 	// OnSchedulerChange is called whenever the scheduler changes.
 	OnSchedulerChange func(announcement AnnounceScheduler)
 	// OnJournalFormat is called with the highest number of a format of the journal when it changes; nil for no call.
 	OnJournalFormat func(format int)
+	// OnLargeCell is called with whether the cell uses relays of views when that changes; nil for no call.
+	OnLargeCell func(large bool)
 }
 
 // Duty passes messages from the ring to the machine and carries out the machine's effects.
@@ -46,7 +49,8 @@
 	leads          atomic.Bool
 	resigned       chan struct{}
 	resignedClosed bool
-	journalFormat  int // journalFormat is the number that OnJournalFormat was last called with.
+	journalFormat  int  // journalFormat is the number that OnJournalFormat was last called with.
+	largeCell      bool // largeCell is what OnLargeCell was last called with.
 }
 
 // NewDuty returns a duty that is not running; call Run to start it.
@@ -103,6 +107,10 @@
 		duty.journalFormat = format
 		duty.config.OnJournalFormat(format)
 	}
+	if large := machine.usesViewRelays(); large != duty.largeCell && duty.config.OnLargeCell != nil {
+		duty.largeCell = large
+		duty.config.OnLargeCell(large)
+	}
 	if machine.stopping && !machine.Leads() && !duty.resignedClosed {
 		duty.resignedClosed = true
 		close(duty.resigned)
@@ -148,13 +156,34 @@
 	case AnnounceScheduler:
 		duty.config.OnSchedulerChange(effect)
 	default:
-		duty.sendOrder(effect)
+		duty.carryViews(effect)
 	}
 	if err != nil {
 		return // The context has ended, so Run returns.
 	}
 }
 
+// carryViews carries out the effects of cells with relays of views, and passes orders to workers on.
+func (duty *Duty) carryViews(effect Effect) {
+	views := duty.config.Views
+	switch effect := effect.(type) {
+	case SendNumber:
+		views.SendNumber(effect.Hosts, effect.Numbered)
+	case AssignViews:
+		views.AssignViews(effect.Host, effect.Assigned)
+	case RelayViews:
+		views.RelayViews(effect.Links, effect.Pushed)
+	case CloseViewers:
+		views.CloseViewers(effect.Links)
+	case FollowRelay:
+		views.FollowRelay(effect.Relay)
+	case ReportMissed:
+		views.ReportMissed(effect.Missed)
+	default:
+		duty.sendOrder(effect)
+	}
+}
+
 func (duty *Duty) sendAdviceQuery(effect SendAdviceQuery) {
 	if duty.config.Links.SendAdviceQuery(effect.Adviser, effect.Query) {
 		return
--- a/query/follower/follower.go
+++ b/query/follower/follower.go
@@ -43,6 +43,9 @@
 	ConfigurationKey string
 	// Rejected is called for each version of the configuration that cannot be put in force, nil for no count.
 	Rejected func()
+	// Large reports whether the cell is so large that its hosts must not read the configuration at one moment after an outage; nil
+	// for a small cell.
+	Large func() bool
 }
 
 // Follower returns the duties that read the store. Each duty may run in its own goroutine.
