--- a/command/scheduler/advice.go
+++ b/command/scheduler/advice.go
@@ -254,18 +254,6 @@
 	return selected
 }
 
-// freeAllowedWorkers returns the workers known to be allowed that have room for tasks of a stage under a suspicion, and for
-// how many.
-func (machine *Machine) freeAllowedWorkers(queue almondcross.Queue, job *job, stage *stage, suspicion suspicion, advice *stageAdvice) (workers []string, tasks int) {
-	for _, candidate := range machine.candidates(queue, job, stage, suspicion, nil) {
-		if advice.decisions[candidate.Worker()] {
-			tasks += candidate.Tasks()
-			workers = append(workers, candidate.Worker())
-		}
-	}
-	return workers, tasks
-}
-
 // extendSelection adds workers to the selected ones until the added ones are expected to fit a number of
 // tasks.
 func (machine *Machine) extendSelection(queue almondcross.Queue, selected []string, candidates []almondcross.WorkerCapacity, tasks float64) []string {
