--- a/command/limiter/plan.go
+++ b/command/limiter/plan.go
@@ -9,7 +9,7 @@
 	processFraction = 2
 	// bodyFraction, connectionFraction, headerFraction and linkBytesFraction are the fractions (1/x) of the remaining memory for
 	// bodies, connections, decoded headers and messages of other hosts. The rest is for garbage that is not collected yet.
-	bodyFraction       = 4
+	bodyFraction       = 6
 	connectionFraction = 4
 	headerFraction     = 16
 	linkBytesFraction  = 16
--- a/configurator/scheduler.go
+++ b/configurator/scheduler.go
@@ -67,7 +67,7 @@
 		32, 1<<20, func(settings *rawSchedulerSettings) *int { return &settings.MemoryMB }),
 	parser.Integer(parser.FieldSpec{Key: "max_descriptors", Default: "0", Description: "the file descriptors that the process may open, 200 of them for files; 0 for the limit with which the process was started, otherwise at least 256"},
 		0, 1<<24, func(settings *rawSchedulerSettings) *int { return &settings.MaxDescriptors }),
-	parser.Integer(parser.FieldSpec{Key: "body_memory_mb", Unit: "megabytes", Default: "0", Description: "the memory for the bodies of all requests and the jobs decoded from them; a quarter of it is kept for small ones; 0 for a quarter of what memory_mb leaves beside the process itself"},
+	parser.Integer(parser.FieldSpec{Key: "body_memory_mb", Unit: "megabytes", Default: "0", Description: "the memory for the bodies of all requests and the jobs decoded from them; a quarter of it is kept for small ones; 0 for a sixth of what memory_mb leaves beside the process itself"},
 		0, 1<<20, func(settings *rawSchedulerSettings) *int { return &settings.BodyMemoryMB }),
 	parser.Integer(parser.FieldSpec{Key: "header_memory_mb", Unit: "megabytes", Default: "0", Description: "the memory for the decoded headers of all requests, of which 32 lines each are free; 0 for a sixteenth of what memory_mb leaves beside the process itself"},
 		0, 1<<20, func(settings *rawSchedulerSettings) *int { return &settings.HeaderMemoryMB }),
