Hold workers for a gang only while free room is not enough

Cause: stages of a lower priority were kept from the workers of a gang that only waited for its tickets. Change: workers are held once the free room on them is not enough for the gang.

--- a/command/scheduler/gangroom.go
+++ b/command/scheduler/gangroom.go
@@ -7,8 +7,8 @@
 )
 
 // A gang starts only when all of its tasks fit at the same time, and smaller tasks take room as soon as it is released. The stages
-// behind a waiting gang therefore do not see the free room on the workers that may run it, as far as the gang needs it, and stages
-// of a lower priority do not see these workers at all. The room is found anew in each pass: with dozens of waiting gangs, the room on named
+// behind a waiting gang therefore do not see the free room on the workers that may run it, as far as the gang needs it. While that is
+// not enough, stages of a lower priority do not see these workers at all. The room is found anew in each pass: with dozens of waiting gangs, the room on named
 // workers that all of them wait for stays free for much longer than the first gang needs to find enough on any.
 
 // Parameters of the room that is kept free for waiting gangs.
@@ -35,19 +35,24 @@
 	if capacity < wanted || machine.waitingSuspicion(waiting.job, waiting.stage) == isolated {
 		return
 	}
-	for _, worker := range workers {
-		machine.holdWorker(worker, queue.Priority())
-	}
 	// A caller may ask for any amount, and the product may be out of the range of int64.
 	demand := float64(wanted) * float64(waiting.stage.spec.Resources().MilliCPU())
-	if float64(machine.leader.reservedCPU)+demand > maxReservedShare*float64(machine.leader.usableCPU) {
-		return
+	if float64(machine.leader.reservedCPU)+demand <= maxReservedShare*float64(machine.leader.usableCPU) {
+		if wanted = machine.reserveFree(workers, waiting.stage.spec, wanted, advice); wanted == 0 {
+			return // The gang waits only for tickets.
+		}
 	}
+	for _, worker := range workers {
+		machine.holdWorker(worker, queue.Priority())
+	}
+}
+
+// reserveFree reserves the free room for a number of tasks of a gang, first on the workers with tickets, since other room may be gone
+// before the gang has one. It returns for how many tasks there is none.
+func (machine *Machine) reserveFree(workers []*worker, spec almondcross.Step, tasks int, advice *stageAdvice) int {
 	if advice == nil {
-		machine.reserveOn(workers, waiting.stage.spec, wanted)
-		return
+		return machine.reserveOn(workers, spec, tasks)
 	}
-	// Room without a ticket may be gone before the gang has one.
 	var ready, others []*worker
 	for _, worker := range workers {
 		if advice.hasTicket(worker, machine.now) {
@@ -56,7 +61,7 @@
 			others = append(others, worker)
 		}
 	}
-	machine.reserveOn(others, waiting.stage.spec, machine.reserveOn(ready, waiting.stage.spec, wanted))
+	return machine.reserveOn(others, spec, machine.reserveOn(ready, spec, tasks))
 }
 
 // gangWorkers returns the workers that may run a waiting gang.
