Ask only about free workers for a gang that has room

Cause: a gang asked about workers for six times its capacity also when free room was plentiful, and the larger call took longer. Change: the wider selection begins when the free room is not expected to hold the gang.

--- a/command/scheduler/advice.go
+++ b/command/scheduler/advice.go
@@ -117,7 +117,7 @@
 	}
 	var selected []string
 	if stage.spec.Gang() && long {
-		selected = machine.selectForGang(queue, stage, advice)
+		selected = machine.selectForGang(queue, job, stage, advice)
 	} else {
 		suspicion := machine.waitingSuspicion(job, stage)
 		candidates := machine.withoutSlow(queue, waiting, stage.remainingTasks-stage.activeTasks, advice, machine.candidates(queue, job, stage, suspicion, nil))
@@ -202,11 +202,15 @@
 	return fitNow, fitLater
 }
 
-// selectForGang returns the workers to query for a gang: undecided ones, until the allowed workers have several times the capacity
-// that the gang needs, so that it finds room on some of them soon; then the allowed ones without a ticket, so that it can start as
-// soon as there is room. The answer for a worker stays the same, but its ticket expires.
-func (machine *Machine) selectForGang(queue almondcross.Queue, stage *stage, advice *stageAdvice) []string {
+// selectForGang returns the workers to query for a gang: those with free room, if these are expected to hold the gang. Otherwise it selects
+// undecided workers, until the allowed ones have several times the capacity that the gang needs, so that it finds room on some of
+// them soon; then the allowed ones without a ticket, so that it can start as soon as there is room. The answer for a worker stays
+// the same, but its ticket expires.
+func (machine *Machine) selectForGang(queue almondcross.Queue, job *job, stage *stage, advice *stageAdvice) []string {
 	wanted := stage.remainingTasks - stage.activeTasks
+	if selected := machine.selectFree(queue, job, stage, advice, wanted); len(selected) > 0 {
+		return selected
+	}
 	capacity, ready := 0, 0
 	var expiring []almondcross.WorkerCapacity
 	for _, worker := range machine.allowedWorkers(advice) {
@@ -240,6 +244,30 @@
 	return selected
 }
 
+// selectFree returns workers with free room that are expected to hold a whole gang: allowed ones, and undecided ones if these do not
+// suffice. It returns none if there is too little room.
+func (machine *Machine) selectFree(queue almondcross.Queue, job *job, stage *stage, advice *stageAdvice, wanted int) []string {
+	var allowed []string
+	var undecided []almondcross.WorkerCapacity
+	onAllowed, onUndecided := 0, 0
+	for _, candidate := range machine.candidates(queue, job, stage, machine.waitingSuspicion(job, stage), nil) {
+		if isAllowed, decided := advice.decisions[candidate.Worker()]; !decided {
+			undecided = append(undecided, candidate)
+			onUndecided += candidate.Tasks()
+		} else if isAllowed {
+			allowed = append(allowed, candidate.Worker())
+			onAllowed += candidate.Tasks()
+		}
+	}
+	if onAllowed >= wanted {
+		return allowed[:min(len(allowed), maxWorkersPerCall)]
+	}
+	if float64(onAllowed)+float64(onUndecided)*machine.allowedShare(queue) < float64(wanted)*overselectionFactor {
+		return nil
+	}
+	return machine.extendSelection(queue, allowed, undecided, float64(wanted-onAllowed)*overselectionFactor)
+}
+
 // selectUndecided returns undecided workers that are expected to add a capacity, in tasks, to the allowed ones: those with free room
 // first.
 func (machine *Machine) selectUndecided(queue almondcross.Queue, stage *stage, advice *stageAdvice, missing float64) []string {
