Take only workers several times slower than usual for slow

Change: the threshold is 0.3 of the usual speed, only slow workers count as slower when workers are chosen, evidence ages faster, and a gang waits for a second at most.

--- a/command/scheduler/speeds.go
+++ b/command/scheduler/speeds.go
@@ -16,13 +16,11 @@
 	// minProgressTime and minProgressShare are the minimum time, and the minimum share of the estimate, between two reports from
 	// which a speed is measured. Progress is reported in whole percents.
 	minProgressTime, minProgressShare = 150 * time.Millisecond, 0.05
-	// fastSpeed is the speed from which workers count as equally fast. Differences below it are in the range of the error.
-	fastSpeed = 0.87
 	// maxSlowWait is the maximum time for which a stage waits for other workers while only slow ones have room. Workers are slow
 	// for some seconds, so that a run loses no more than about this.
 	maxSlowWait = 4 * time.Second
-	// maxGangSlowWait replaces it for a gang, all of whose members wait for one on a slow worker.
-	maxGangSlowWait = 10 * time.Second
+	// maxGangSlowWait replaces it for a gang, which also waits for room on many workers.
+	maxGangSlowWait = time.Second
 	// trialStageInterval is the minimum time between two stages that give tasks to slow workers as trials. Such a stage takes
 	// several times as long, so one stage serves many workers.
 	trialStageInterval = 2 * time.Second
@@ -75,10 +73,10 @@
 	return cached.expected
 }
 
-// pace returns the speed of the worker relative to the usual one. Speeds that differ by less than the error of their
-// measurement are the same.
+// pace returns the speed of a slow worker relative to the usual one, and 1 for all others: their speeds differ by less than the error
+// of the measurement, and a choice by them would leave fragments of room on more workers.
 func (worker *worker) pace() float64 {
-	if worker.speed == 0 || worker.speed >= fastSpeed {
+	if !worker.slow {
 		return 1
 	}
 	return worker.speed
--- a/policy/speedometer/speedometer.go
+++ b/policy/speedometer/speedometer.go
@@ -9,17 +9,18 @@
 )
 
 const (
-	// slowSpeed is the speed below which a worker is slow. Sound workers take up to 1.3 times as long as the usual one.
-	slowSpeed = 0.5
+	// slowSpeed is the speed below which a worker is slow. Sound workers take up to 1.3 times as long as the usual one, and the
+	// estimates from which speeds are measured are off by as much as a factor of two.
+	slowSpeed = 0.3
 	// trustedSpeed is the speed above which a slow worker is trusted again. It is below that of a sound worker, of which the
 	// first trial shows little more than the prior.
-	trustedSpeed = 0.65
+	trustedSpeed = 0.45
 	// halfLife is the time in which earlier evidence loses half of its weight. Workers change their speed within seconds.
-	halfLife = 1500 * time.Millisecond
+	halfLife = time.Second
 	// priorWeight is the weight of the usual speed, in seconds of progress of one run.
-	priorWeight = 0.4
+	priorWeight = 0.2
 	// maxWeight limits the weight of the earlier evidence, so that one trial run can outweigh that of many runs.
-	maxWeight = 3
+	maxWeight = 1
 	// finishedWeight is the weight of a finished run. Its time depends on the task as much as on the worker.
 	finishedWeight = 0.15
 	// minFinishedSpeed is the lowest speed that a finished run shows: 3% of the tasks run seven times as long on any worker.
