--- a/command/scheduler/gangroom.go
+++ b/command/scheduler/gangroom.go
@@ -23,6 +23,9 @@
 	ticketGain = 400 * time.Millisecond
 	// maxRoomChoices is the maximum number of reservations that are chosen in one pass. It bounds the cost of a pass.
 	maxRoomChoices = 8
+	// attemptInterval is the minimum time between two attempts to place a gang whose reservation is not complete, since each
+	// looks at all workers that advice allows.
+	attemptInterval = 20 * time.Millisecond
 	// runEndsAge is the maximum age of the expected ends of the runs of a worker.
 	runEndsAge = 50 * time.Millisecond
 	// ticketLead is how long before the expected start of a gang its tickets are to arrive. It is well below their validity,
@@ -44,6 +47,7 @@
 // not replicated. It ends with the wait of its stage.
 type gangRoom struct {
 	shares   []roomShare // shares holds the workers, each once.
+	tasks    int         // tasks is the number of tasks that the shares are for.
 	spares   []string    // spares holds the next best workers.
 	startAt  time.Time   // startAt is when the room is expected to be complete.
 	chosenAt time.Time   // chosenAt is when the workers were last chosen.
@@ -51,7 +55,7 @@
 	complete bool        // complete is set while all of the room is free.
 	// completed is set once it was complete for the first time.
 	completed bool
-	slow     bool        // slow is set if the room is on slow workers too.
+	slow      bool // slow is set if the room is on slow workers too.
 }
 
 // roomShare is the part of a reservation on one worker.
@@ -81,6 +85,19 @@
 	return machine.waitingSuspicion(waiting.job, waiting.stage) != isolated
 }
 
+// attemptDue reports whether placement of a stage is to be tried in this pass. A gang with a reservation fits only once its room
+// is free, unless other room has become free, which is looked for at attemptInterval.
+func (machine *Machine) attemptDue(waiting *waitingStage) bool {
+	if waiting.room == nil {
+		return true
+	}
+	if (!machine.checkRoom(waiting) || !waiting.room.complete) && machine.now.Sub(waiting.attemptedAt) < attemptInterval {
+		return false
+	}
+	waiting.attemptedAt = machine.now
+	return true
+}
+
 // updateRoom makes, checks or drops the reservation of a waiting gang. Stages before it in the order of the pass do not see
 // the reservation, so that they may use its room.
 func (machine *Machine) updateRoom(queue almondcross.Queue, waiting *waitingStage, advice *stageAdvice) {
@@ -99,7 +116,7 @@
 	}
 	room := waiting.room
 	if room != nil {
-		if machine.checkRoom(waiting) && (room.complete || machine.now.Sub(room.chosenAt) < roomInterval) {
+		if machine.checkRoom(waiting) && room.tasks == wanted && (room.complete || machine.now.Sub(room.chosenAt) < roomInterval) {
 			return
 		}
 	}
@@ -116,7 +133,6 @@
 func (machine *Machine) checkRoom(waiting *waitingStage) bool {
 	room, need := waiting.room, waiting.stage.spec.Resources()
 	room.complete = true
-	count := len(room.shares)
 	room.shares = slices.DeleteFunc(room.shares, func(share roomShare) bool {
 		worker := share.worker
 		if !worker.inPass || worker.incarnation != share.incarnation || machine.leader.workers[worker.id] != worker {
@@ -130,7 +146,11 @@
 		}
 		return maxTasks(worker.info.Capacity().Sub(worker.reserved), need, share.tasks) < share.tasks
 	})
-	if len(room.shares) < count {
+	tasks := 0
+	for _, share := range room.shares {
+		tasks += share.tasks
+	}
+	if tasks < room.tasks {
 		room.complete = false
 		return false
 	}
@@ -158,7 +178,7 @@
 		room = &gangRoom{since: machine.now}
 		waiting.room = room
 	}
-	room.chosenAt, room.startAt = machine.now, machine.now
+	room.chosenAt, room.startAt, room.tasks = machine.now, machine.now, wanted
 	room.shares, room.spares, room.slow = room.shares[:0], room.spares[:0], false
 	tasks := map[*worker]int{}
 	for _, slot := range slots[:wanted] {
