--- a/assembler/experiment.go
+++ b/assembler/experiment.go
@@ -21,6 +21,7 @@
 	trace        string
 	scenarios    []string
 	loseWorker   bool
+	compare      bool
 	config       emulator.Config
 }
 
@@ -35,16 +36,24 @@
 		Example: "  almondcross experiment --days 20\n  almondcross experiment --seed 7 --kind kill_scheduler --troubles 3\n" +
 			"  almondcross experiment --days 50 --kind break_paths,kill_after\n" +
 			"  almondcross experiment --seed 7 --trace 00000000000000ad\n" +
-			"  almondcross experiment --days 30 --hosts 7 --workers 48 --takeover kill,stop",
+			"  almondcross experiment --days 30 --hosts 7 --workers 48 --takeover kill,stop\n" +
+			"  almondcross experiment --days 4 --hosts 20 --workers 60 --jobs-per-second 5.3 --length 60s --advice 0.42 --saturated \\\n" +
+			"    --drawn-speeds --slow-share 0.2 --estimate-error 0.9 --compare",
 		Args: requester.Args(cobra.NoArgs),
 		RunE: func(command *cobra.Command, _ []string) error {
 			if flags.days < 1 || flags.config.Hosts < 1 || flags.config.Workers < 1 || flags.config.JobsPerSec <= 0 {
 				return requester.BadInput(errors.New("--days, --hosts, --workers and --jobs-per-second: allowed: more than 0"))
 			}
 			flags.config.Retention, flags.config.LongShare = 15*time.Second, 0.4
+			if err := checkUnevenness(flags.config); err != nil {
+				return requester.BadInput(err)
+			}
 			if len(flags.scenarios) > 0 {
 				return measureTakeovers(command, flags)
 			}
+			if flags.compare {
+				return compareLearning(command, flags)
+			}
 			return runExperiment(command, flags)
 		},
 	}
@@ -63,6 +72,7 @@
 	flagSet.Float64Var(&flags.config.JobsPerSec, "jobs-per-second", 16, "jobs submitted per second")
 	flagSet.DurationVar(&flags.config.SubmitTime, "length", 20*time.Second, "period of each simulation in which jobs are submitted")
 	flagSet.Float64Var(&flags.config.AdviceShare, "advice", 0.5, "fraction of the workers that advice allows for a step, 0 for queues without advice")
+	addUnevennessFlags(command, &flags)
 	return command
 }
 
