--- a/command/scheduler/advice.go
+++ b/command/scheduler/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/almondcross/almondcross"
@@ -186,8 +187,9 @@
 func (machine *Machine) undecidedWorkers(queue almondcross.Queue, stage *stage, advice *stageAdvice) (fitNow, fitLater []almondcross.WorkerCapacity) {
 	failed := machine.avoidedWorkers(queue, stage)
 	machine.leader.examinedWorkers += len(machine.leader.usableWorkers)
+	othersMayRun := sync.OnceValue(func() bool { return machine.othersMayRun(queue, stage, advice) })
 	for _, worker := range machine.leader.usableWorkers {
-		if _, decided := advice.decisions[worker.id]; decided || failed[worker.id] || worker.slow && machine.othersMayRun(queue, stage, advice) || worker.info.Pool() != queue.Pool() || !worker.info.HasLabel(stage.spec.Label()) {
+		if _, decided := advice.decisions[worker.id]; decided || failed[worker.id] || worker.slow && othersMayRun() || worker.info.Pool() != queue.Pool() || !worker.info.HasLabel(stage.spec.Label()) {
 			continue
 		}
 		if tasks := maxTasks(worker.free().Sub(worker.reserved), stage.spec.Resources(), stage.spec.Count()); tasks > 0 {
--- a/policy/speedometer/speedometer.go
+++ b/policy/speedometer/speedometer.go
@@ -28,6 +28,8 @@
 	minSpeed, maxSpeed = 0.05, 3
 	// trialInterval is the time between two trial runs on a slow worker.
 	trialInterval = 1500 * time.Millisecond
+	// minMeasured is the number of workers with evidence from which their median is the usual speed. Of fewer, most may be slow.
+	minMeasured = 5
 	// minUsual and maxUsual limit the usual speed.
 	minUsual, maxUsual = 0.1, 10
 )
@@ -130,7 +132,7 @@
 			speedometer.means = append(speedometer.means, known.sum/known.weight)
 		}
 	}
-	if count := len(speedometer.means); count > 0 {
+	if count := len(speedometer.means); count >= minMeasured {
 		slices.Sort(speedometer.means)
 		speedometer.usual = min(max(speedometer.means[(count-1)/2], math.Log(minUsual)), math.Log(maxUsual))
 	}
