Ask about slow workers once advice has denied the others

Cause: workers that advice had denied counted as room for a stage, so that slow ones with room were never asked about, and gangs left slow workers out as long as any other worker might run them, also if these were too few.

Change: a stage first leaves out the denied workers; a gang asks about slow workers once no other one is undecided.

--- a/command/scheduler/advice.go
+++ b/command/scheduler/advice.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/almondcross/almondcross"
@@ -92,6 +91,12 @@
 	}
 }
 
+// denies reports whether advice is known to deny a candidate.
+func (stageadvice *stageAdvice) denies(candidate almondcross.WorkerCapacity) bool {
+	allowed, decided := stageadvice.decisions[candidate.Worker()]
+	return decided && !allowed
+}
+
 // hasTicket reports whether there is a valid ticket for a worker.
 func (stageadvice *stageAdvice) hasTicket(worker *worker, now time.Time) bool {
 	ticket, ok := stageadvice.tickets[worker.id]
@@ -118,7 +123,9 @@
 		selected = machine.selectForGang(queue, waiting, advice)
 	} else {
 		suspicion := machine.waitingSuspicion(job, stage)
-		candidates := machine.withoutSlow(queue, waiting, stage.remainingTasks-stage.activeTasks, advice, machine.candidates(queue, job, stage, suspicion, nil))
+		// Workers that advice has denied have no room for the stage, so that slow ones must not wait for them.
+		candidates := slices.DeleteFunc(machine.candidates(queue, job, stage, suspicion, nil), advice.denies)
+		candidates = machine.withoutSlow(queue, waiting, stage.remainingTasks-stage.activeTasks, advice, candidates)
 		selected = machine.selectWorkers(queue, stage, advice, candidates)
 		if len(selected) == 0 && suspicion != unsuspected {
 			// Tasks that cannot be kept apart need tickets for shared workers.
@@ -183,13 +190,20 @@
 }
 
 // undecidedWorkers returns the workers without a decision for a stage: fitNow are those on which a task fits
-// now, fitLater those on which one fits once all runs other than services have ended.
+// now, fitLater those on which one fits once all runs other than services have ended. Slow workers are among these only if there
+// are no others.
 func (machine *Machine) undecidedWorkers(queue almondcross.Queue, stage *stage, advice *stageAdvice) (fitNow, fitLater []almondcross.WorkerCapacity) {
 	failed := machine.avoidedWorkers(queue, stage)
 	machine.leader.examinedWorkers += len(machine.leader.usableWorkers)
-	othersMayRun := sync.OnceValue(func() bool { return machine.othersMayRun(queue, stage, advice) })
+	var slow []almondcross.WorkerCapacity
 	for _, worker := range machine.leader.usableWorkers {
-		if _, decided := advice.decisions[worker.id]; decided || failed[worker.id] || worker.slow && othersMayRun() || worker.info.Pool() != queue.Pool() || !worker.info.HasLabel(stage.spec.Label()) {
+		if _, decided := advice.decisions[worker.id]; decided || failed[worker.id] || worker.info.Pool() != queue.Pool() || !worker.info.HasLabel(stage.spec.Label()) {
+			continue
+		}
+		if worker.slow {
+			if tasks := maxGangTasks(worker, stage); tasks > 0 {
+				slow = append(slow, almondcross.NewWorkerCapacity(almondcross.WorkerCapacityConfig{Worker: worker.id, Tasks: tasks}))
+			}
 			continue
 		}
 		if tasks := maxTasks(worker.free().Sub(worker.reserved), stage.spec.Resources(), stage.spec.Count()); tasks > 0 {
@@ -198,6 +212,9 @@
 			fitLater = append(fitLater, almondcross.NewWorkerCapacity(almondcross.WorkerCapacityConfig{Worker: worker.id, Tasks: tasks}))
 		}
 	}
+	if len(fitNow)+len(fitLater) == 0 {
+		return nil, slow
+	}
 	return fitNow, fitLater
 }
 
--- a/command/scheduler/gangroom.go
+++ b/command/scheduler/gangroom.go
@@ -23,9 +23,6 @@
 	ticketGain = 400 * time.Millisecond
 	// maxRoomChoices is the maximum number of reservations that are chosen in one pass. It bounds the cost of a pass.
 	maxRoomChoices = 8
-	// attemptInterval is the minimum time between two attempts to place a gang whose reservation is not complete, since each
-	// looks at all workers that advice allows.
-	attemptInterval = 20 * time.Millisecond
 	// runEndsAge is the maximum age of the expected ends of the runs of a worker.
 	runEndsAge = 50 * time.Millisecond
 	// ticketLead is how long before the expected start of a gang its tickets are to arrive. It is well below their validity,
@@ -85,19 +82,6 @@
 	return machine.waitingSuspicion(waiting.job, waiting.stage) != isolated
 }
 
-// attemptDue reports whether placement of a stage is to be tried in this pass. A gang with a reservation fits only once its room
-// is free, unless other room has become free, which is looked for at attemptInterval.
-func (machine *Machine) attemptDue(waiting *waitingStage) bool {
-	if waiting.room == nil {
-		return true
-	}
-	if (!machine.checkRoom(waiting) || !waiting.room.complete) && machine.now.Sub(waiting.attemptedAt) < attemptInterval {
-		return false
-	}
-	waiting.attemptedAt = machine.now
-	return true
-}
-
 // updateRoom makes, checks or drops the reservation of a waiting gang. Stages before it in the order of the pass do not see
 // the reservation, so that they may use its room.
 func (machine *Machine) updateRoom(queue almondcross.Queue, waiting *waitingStage, advice *stageAdvice) {
--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -9,11 +9,10 @@
 
 // waitingStage is a stage that is ready to start and has tasks to place.
 type waitingStage struct {
-	job         *job
-	stage       *stage
-	advice      *stageAdvice // advice is nil before the first query.
-	room        *gangRoom    // room is the reservation of a gang, nil for none.
-	attemptedAt time.Time    // attemptedAt is when placement of a gang with a reservation was last tried.
+	job    *job
+	stage  *stage
+	advice *stageAdvice // advice is nil before the first query.
+	room   *gangRoom    // room is the reservation of a gang, nil for none.
 	// roomTried is set once a pass could make a reservation.
 	roomTried bool
 	// slowSince is when only slow workers first had room for all tasks to place, zero if they never did.
@@ -112,7 +111,7 @@
 	switch {
 	case queue.Pool() == "":
 	case !queue.AdviceSettings().Required():
-		if machine.attemptDue(waiting) && machine.placeTasks(queue, waiting, nil) {
+		if machine.placeTasks(queue, waiting, nil) {
 			return
 		}
 		if waiting.stage.spec.Gang() {
@@ -123,7 +122,7 @@
 		if waiting.advice == nil {
 			waiting.advice = machine.ensureAdvice(waiting.stage.id)
 		}
-		if waiting.advice.anyTicketValid(machine.now) && machine.attemptDue(waiting) {
+		if waiting.advice.anyTicketValid(machine.now) {
 			if machine.placeTasks(queue, waiting, waiting.advice) {
 				return
 			}
--- a/command/scheduler/speeds_test.go
+++ b/command/scheduler/speeds_test.go
@@ -168,3 +168,38 @@
 	require.InEpsilon(t, 2*time.Second, harness.machine.Expected("q", step), 0.2)
 	require.Equal(t, 10*time.Second, harness.machine.Expected("other", step))
 }
+
+// Guards against a stage that never asks about slow workers although advice has denied all others (LOST on day 25 of the emulator), which
+// have room that the stage cannot use.
+func TestSlowWorkersAreAskedOnceTheOthersAreDenied(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		harness := newHarness(t)
+		harness.becomeScheduler()
+		harness.learn()
+		harness.requireAdvice()
+		harness.machine.leader.workers[workerID].announced = false
+		harness.addWorkers(4, poolWorker.Capacity(), almondcross.Resources{})
+		slow := harness.machine.leader.workers["i-003"]
+		for range 10 {
+			harness.machine.observeSpeed(slow, almondcross.SpeedSampleConfig{Expected: 100 * time.Millisecond, Taken: 500 * time.Millisecond})
+		}
+		harness.submitJob("j", almondcross.StepConfig{Count: 1, Gang: gang, Estimate: time.Second})
+		asked := map[string]bool{}
+		for range 100 {
+			call, found := takeEffect[SendAdviceQuery](harness)
+			for _, worker := range call.Query.Workers() {
+				asked[worker] = true
+			}
+			if found {
+				harness.apply(almondcross.NewAdviceAnswered(almondcross.AdviceAnsweredConfig{
+					Adviser: call.Adviser, Query: call.Query, Received: harness.now, Result: almondcross.NewAdviceResult(almondcross.AdviceResultConfig{Stage: call.Query.Stage()}),
+				}))
+			}
+			for _, worker := range harness.machine.leader.workers {
+				worker.lastAnswerAt = harness.now
+			}
+			harness.advance(leaderTick)
+		}
+		require.True(t, asked["i-000"] && asked["i-003"], "gang %t: %v", gang, asked)
+	}
+}
