--- a/standin/emulator/saturation.go
+++ b/standin/emulator/saturation.go
@@ -62,7 +62,7 @@
 			startedAt = job.startedAt
 		}
 		if job.finalState != "" {
-			finishedAt = job.finalAt
+			finishedAt = job.finishedAt()
 		} else {
 			times.Unfinished++
 		}
@@ -73,6 +73,19 @@
 	return times
 }
 
+// finishedAt returns when the last task of a completed job was done, or when the caller learned of another final state. Callers poll too
+// seldom for a comparison.
+func (modeljob *modelJob) finishedAt() time.Duration {
+	last := time.Duration(0)
+	for _, history := range modeljob.taskHistories {
+		last = max(last, history.doneAt)
+	}
+	if modeljob.finalState != almondcross.JobCompleted || last == 0 {
+		return modeljob.finalAt
+	}
+	return last
+}
+
 // percentile sorts the times and returns the smallest one that is not below a share of them, 0 for none.
 func percentile(times []time.Duration, share float64) time.Duration {
 	if len(times) == 0 {
