Hold the room for several tasks of a gang in one slot

Cause: the choice of a reservation listed the room for each task of a gang on each worker. A gang of 10,000 tiny tasks on 350 workers would take 3.5 million entries of 56 bytes at each choice.

Change: an entry is the room that becomes free at one time on a worker, so that their number is bounded by the runs there.

--- a/command/scheduler/gangroom.go
+++ b/command/scheduler/gangroom.go
@@ -62,9 +62,10 @@
 	tasks       int
 }
 
-// roomSlot is room for one task of a gang on a worker.
+// roomSlot is room for some tasks of a gang on a worker.
 type roomSlot struct {
 	worker *worker
+	tasks  int
 	freeAt time.Time // freeAt is when the room is expected to be free.
 	rank   time.Time // rank is freeAt, with what the gang takes longer there, less what makes the worker preferable.
 }
@@ -150,7 +151,11 @@
 // chooseRoom reserves the room that is expected to be complete soonest, or none if advice does not allow enough workers yet.
 func (machine *Machine) chooseRoom(queue almondcross.Queue, waiting *waitingStage, advice *stageAdvice, wanted int) {
 	slots := machine.roomSlots(queue, waiting, advice, wanted)
-	if len(slots) < wanted {
+	total := 0
+	for _, slot := range slots {
+		total += slot.tasks
+	}
+	if total < wanted {
 		machine.dropRoom(waiting, "no_workers")
 		return
 	}
@@ -162,27 +167,8 @@
 		room = &gangRoom{since: machine.now}
 		waiting.room = room
 	}
-	room.chosenAt, room.startAt, room.tasks = machine.now, machine.now, wanted
-	room.shares, room.spares, room.slow = room.shares[:0], room.spares[:0], false
-	tasks := map[*worker]int{}
-	for _, slot := range slots[:wanted] {
-		tasks[slot.worker]++
-		room.slow = room.slow || slot.worker.slow
-		room.startAt = later(room.startAt, slot.freeAt)
-	}
-	for _, slot := range slots[:wanted] {
-		if count := tasks[slot.worker]; count > 0 {
-			room.shares = append(room.shares, roomShare{worker: slot.worker, incarnation: slot.worker.incarnation, tasks: count})
-			tasks[slot.worker] = 0
-		}
-	}
-	spares := max(minSpareWorkers, int(spareShare*float64(len(room.shares))))
-	for _, slot := range slots[wanted:] {
-		if _, chosen := tasks[slot.worker]; !chosen && len(room.spares) < spares {
-			room.spares = append(room.spares, slot.worker.id)
-			tasks[slot.worker] = 0
-		}
-	}
+	room.chosenAt, room.tasks = machine.now, wanted
+	room.take(slots, machine.now)
 	machine.checkRoom(waiting)
 	if made {
 		machine.config.Metrics.RoomChanged("reserved")
@@ -191,6 +177,35 @@
 	}
 }
 
+// take reserves the first ones of the sorted slots, and notes the workers of the next ones as spare.
+func (gangroom *gangRoom) take(slots []roomSlot, now time.Time) {
+	gangroom.startAt, gangroom.slow = now, false
+	gangroom.shares, gangroom.spares = gangroom.shares[:0], gangroom.spares[:0]
+	positions, missing := map[*worker]int{}, gangroom.tasks // positions holds the index of the share of each worker.
+	for _, slot := range slots {
+		position, chosen := positions[slot.worker]
+		switch {
+		case missing == 0 && len(gangroom.spares) >= max(minSpareWorkers, int(spareShare*float64(len(gangroom.shares)))):
+			return
+		case missing == 0 && !chosen:
+			gangroom.spares = append(gangroom.spares, slot.worker.id)
+			positions[slot.worker] = -1
+		case missing == 0:
+		case !chosen:
+			position = len(gangroom.shares)
+			positions[slot.worker] = position
+			gangroom.shares = append(gangroom.shares, roomShare{worker: slot.worker, incarnation: slot.worker.incarnation})
+			fallthrough
+		default:
+			tasks := min(slot.tasks, missing)
+			gangroom.shares[position].tasks += tasks
+			missing -= tasks
+			gangroom.slow = gangroom.slow || slot.worker.slow
+			gangroom.startAt = later(gangroom.startAt, slot.freeAt)
+		}
+	}
+}
+
 // roomSlots returns the room for tasks of a gang on the workers that it may use, with the time when it is expected to be free.
 func (machine *Machine) roomSlots(queue almondcross.Queue, waiting *waitingStage, advice *stageAdvice, wanted int) []roomSlot {
 	leader, spec := machine.leader, waiting.stage.spec
@@ -216,13 +231,15 @@
 			continue
 		}
 		first, delay := len(slots), slowDelay(runTime, worker.pace(), maxGangSlowWait)
-		slots = machine.appendSlots(slots, worker, spec.Resources(), limit)
+		slots = machine.appendSlots(slots, worker, spec.Resources(), limit, present[worker])
+		tasks := 0
 		for index := range slots[first:] {
 			slot := &slots[first+index]
 			slot.rank = slot.rank.Add(delay)
-			if index < present[worker] {
+			if tasks < present[worker] {
 				slot.rank = slot.rank.Add(-roomSwitchGain)
 			}
+			tasks += slot.tasks
 			if advice != nil && advice.hasTicket(worker, slot.freeAt) {
 				slot.rank = slot.rank.Add(-ticketGain)
 			}
@@ -232,17 +249,21 @@
 	return slots
 }
 
-// appendSlots appends the room for tasks on a worker, the first free one first.
-func (machine *Machine) appendSlots(slots []roomSlot, worker *worker, need almondcross.Resources, limit int) []roomSlot {
+// appendSlots appends the room for tasks on a worker, the first free one first. A slot is either within the number of tasks of the
+// present reservation or beyond it.
+func (machine *Machine) appendSlots(slots []roomSlot, worker *worker, need almondcross.Resources, limit, present int) []roomSlot {
 	limit = maxTasks(worker.info.Capacity().Sub(worker.reserved), need, limit)
 	available, freeAt := worker.free().Sub(worker.reserved), machine.now
 	var ends []runEnd
 	known := false
 	for count := 0; count < limit; {
 		if fit := maxTasks(available, need, limit); fit > count {
-			for ; count < fit; count++ {
-				slots = append(slots, roomSlot{worker: worker, freeAt: freeAt, rank: freeAt})
+			added := fit - count
+			if count < present {
+				added = min(added, present-count)
 			}
+			slots = append(slots, roomSlot{worker: worker, tasks: added, freeAt: freeAt, rank: freeAt})
+			count += added
 			continue
 		}
 		if !known {
--- a/command/scheduler/gangroom_test.go
+++ b/command/scheduler/gangroom_test.go
@@ -150,3 +150,12 @@
 	}
 	require.InDelta(t, (500*time.Millisecond + maxRoundTrip + ticketLead).Seconds(), startAt.Sub(asked).Seconds(), 0.2)
 }
+
+// Guards against memory that grows with the number of tiny tasks of a gang, times the number of workers.
+func TestSlotsDoNotGrowWithTheTasksOfAGang(t *testing.T) {
+	harness := newOccupiedCell(t, 500)
+	worker := harness.machine.leader.workers["i-000"]
+	slots := harness.machine.appendSlots(nil, worker, almondcross.NewResources(almondcross.ResourcesConfig{MilliCPU: 1}), 10_000, 100)
+	require.Len(t, slots, 3, "within the present reservation, free now, and free after the run")
+	require.Equal(t, []int{100, 400, 3500}, []int{slots[0].tasks, slots[1].tasks, slots[2].tasks})
+}
