--- a/assembler/experiment.go
+++ b/assembler/experiment.go
@@ -22,6 +22,7 @@
 	trace        string
 	scenarios    []string
 	loseWorker   bool
+	compare      bool
 	config       emulator.Config
 }
 
@@ -36,16 +37,24 @@
 		Example: "  almondcross experiment --days 20\n  almondcross experiment --seed 7 --kind kill_scheduler --troubles 3\n" +
 			"  almondcross experiment --days 50 --kind break_paths,kill_after\n" +
 			"  almondcross experiment --seed 7 --trace 00000000000000ad\n" +
-			"  almondcross experiment --days 30 --hosts 7 --workers 48 --takeover kill,stop",
+			"  almondcross experiment --days 30 --hosts 7 --workers 48 --takeover kill,stop\n" +
+			"  almondcross experiment --days 4 --hosts 20 --workers 60 --jobs-per-second 5.3 --length 60s --advice 0.42 --saturated \\\n" +
+			"    --drawn-speeds --slow-share 0.2 --estimate-error 0.9 --compare",
 		Args: requester.Args(cobra.NoArgs),
 		RunE: func(command *cobra.Command, _ []string) error {
 			if flags.days < 1 || flags.config.Hosts < 1 || flags.config.Workers < 1 || flags.config.JobsPerSec <= 0 {
 				return requester.BadInput(errors.New("--days, --hosts, --workers and --jobs-per-second: allowed: more than 0"))
 			}
 			flags.config.Retention, flags.config.LongShare = 15*time.Second, 0.4
+			if err := checkUnevenness(flags.config); err != nil {
+				return requester.BadInput(err)
+			}
 			if len(flags.scenarios) > 0 {
 				return measureTakeovers(command, flags)
 			}
+			if flags.compare {
+				return compareLearning(command, flags)
+			}
 			return runExperiment(command, flags)
 		},
 	}
@@ -68,6 +77,7 @@
 	flagSet.IntVar(&flags.config.RelaylessHosts, "relayless-hosts", 0, "number of these hosts that know no relays of views")
 	flagSet.BoolVar(&flags.config.MeasureLinks, "measure-links", false, "print what passes over the links of the scheduler's hosts; orders count as if other hosts carried them out")
 	flagSet.Float64Var(&flags.config.AdviceShare, "advice", 0.5, "fraction of the workers that advice allows for a step, 0 for queues without advice")
+	addUnevennessFlags(command, &flags)
 	return command
 }
 
