--- a/command/scheduler/viewrelay.go
+++ b/command/scheduler/viewrelay.go
@@ -17,9 +17,9 @@
 	// viewRelayBackoff is how long a relay that a host missed views from is not named to this host again, and how long a host
 	// that several hosts missed views from is no relay.
 	viewRelayBackoff = 10 * time.Second
-	// accusationPeriod is the time within which two hosts must miss views from a relay for it to be replaced. One host may miss them
+	// missedReportPeriod is the time within which two hosts must miss views from a relay for it to be replaced. One host may miss them
 	// by a fault of its own.
-	accusationPeriod = 2 * time.Second
+	missedReportPeriod = 2 * time.Second
 	// maxMissedRelays is the number of relays that a host may miss views from before the scheduler sends it the views itself. A third
 	// one would take it beyond the age at which views are answered.
 	maxMissedRelays = 2
@@ -51,8 +51,8 @@
 	relay       string               // relay is the host that it gets views from, empty for the scheduler.
 	missed      map[string]time.Time // missed holds when it last missed views from a relay.
 	directUntil time.Time            // directUntil is until when it gets no relay.
-	accuser     string               // accuser is the host that last missed views from this one.
-	accusedAt   time.Time            // accusedAt is when that was.
+	reporter    string               // reporter is the host that last missed views from this one.
+	reportedAt  time.Time            // reportedAt is when that was.
 	unfitUntil  time.Time            // unfitUntil is until when the host is no relay.
 }
 
@@ -161,7 +161,7 @@
 	if host.views.relay != "" {
 		host.views.relay, host.awaitingViews = "", true
 	}
-	host.views.relaying, host.views.accuser = true, ""
+	host.views.relaying, host.views.reporter = true, ""
 	machine.config.Log.Record("view_relay_begun", almondcross.Text("relay", host.name), almondcross.Text("data_centre", host.views.dataCentre))
 	machine.assignViews(host, machine.lastPushTo(host))
 	machine.awaitReset(host)
@@ -313,7 +313,7 @@
 		return loads[index].Viewers()
 	}
 	present, next := machine.linkedHosts[host.views.relay], machine.linkedHosts[better]
-	if present == nil || next.awaitingViews || next.views.accuser != "" && machine.now.Sub(next.views.accusedAt) < viewRelayBackoff {
+	if present == nil || next.awaitingViews || next.views.reporter != "" && machine.now.Sub(next.views.reportedAt) < viewRelayBackoff {
 		return false
 	}
 	near := func(relay *linkedHost) bool { return relay.views.dataCentre == host.views.dataCentre }
@@ -347,14 +347,14 @@
 	}
 	if relay := machine.linkedHosts[missed.Relay()]; relay != nil && relay.views.relaying {
 		alone := !slices.ContainsFunc(machine.sortedLinkedHosts(), func(other *linkedHost) bool { return other != host && other.views.relay == relay.name })
-		accused := relay.views.accuser != "" && relay.views.accuser != host.name && machine.now.Sub(relay.views.accusedAt) < accusationPeriod
-		if accused || alone {
+		confirmed := relay.views.reporter != "" && relay.views.reporter != host.name && machine.now.Sub(relay.views.reportedAt) < missedReportPeriod
+		if confirmed || alone {
 			// Its own links may be at fault, so that it would get no views from another relay either.
 			relay.views.unfitUntil = machine.now.Add(viewRelayBackoff)
 			relay.views.directUntil = relay.views.unfitUntil
 			machine.endRelaying(relay)
 		}
-		relay.views.accuser, relay.views.accusedAt = host.name, machine.now
+		relay.views.reporter, relay.views.reportedAt = host.name, machine.now
 	}
 	host.views.relay, host.awaitingViews = "", true
 	machine.leader.viewRelays.due = true
