--- a/assembler/experiment.go
+++ b/assembler/experiment.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"strings"
 	"time"
 
@@ -21,6 +22,7 @@
 	trace        string
 	scenarios    []string
 	loseWorker   bool
+	compare      bool
 	config       emulator.Config
 }
 
@@ -35,16 +37,24 @@
 		Example: "  almondcross experiment --days 20\n  almondcross experiment --seed 7 --kind kill_scheduler --troubles 3\n" +
 			"  almondcross experiment --days 50 --kind break_paths,kill_after\n" +
 			"  almondcross experiment --seed 7 --trace 00000000000000ad\n" +
-			"  almondcross experiment --days 30 --hosts 7 --workers 48 --takeover kill,stop",
+			"  almondcross experiment --days 30 --hosts 7 --workers 48 --takeover kill,stop\n" +
+			"  almondcross experiment --days 4 --hosts 20 --workers 60 --jobs-per-second 5.3 --length 60s --advice 0.42 --saturated \\\n" +
+			"    --drawn-speeds --slow-share 0.2 --estimate-error 0.9 --compare",
 		Args: requester.Args(cobra.NoArgs),
 		RunE: func(command *cobra.Command, _ []string) error {
 			if flags.days < 1 || flags.config.Hosts < 1 || flags.config.Workers < 1 || flags.config.JobsPerSec <= 0 {
 				return requester.BadInput(errors.New("--days, --hosts, --workers and --jobs-per-second: allowed: more than 0"))
 			}
 			flags.config.Retention, flags.config.LongShare = 15*time.Second, 0.4
+			if err := checkUnevenness(flags.config); err != nil {
+				return requester.BadInput(err)
+			}
 			if len(flags.scenarios) > 0 {
 				return measureTakeovers(command, flags)
 			}
+			if flags.compare {
+				return compareLearning(command, flags)
+			}
 			return runExperiment(command, flags)
 		},
 	}
@@ -59,10 +69,15 @@
 	flagSet.IntVar(&flags.config.Hosts, "hosts", 5, "number of scheduling hosts")
 	flagSet.IntVar(&flags.config.LaterHosts, "later-hosts", 0, "number of these hosts that write a later format of the journal, which the others do not know")
 	flagSet.IntVar(&flags.config.OtherHosts, "other-hosts", 0, "number of these hosts that judge failed runs by another rule where the journal has no verdict")
+	flagSet.IntVar(&flags.config.Workspaces, "workspaces", 0, "number of workspaces, whose keys callers need; some are revoked in each simulation")
 	flagSet.IntVar(&flags.config.Workers, "workers", 24, "number of workers")
 	flagSet.Float64Var(&flags.config.JobsPerSec, "jobs-per-second", 16, "jobs submitted per second")
 	flagSet.DurationVar(&flags.config.SubmitTime, "length", 20*time.Second, "period of each simulation in which jobs are submitted")
+	flagSet.IntVar(&flags.config.ViewRelayThreshold, "view-relay-hosts", 0, "number of linked hosts above which relays pass views on, 0 for hosts that know no relays")
+	flagSet.IntVar(&flags.config.RelaylessHosts, "relayless-hosts", 0, "number of these hosts that know no relays of views")
+	flagSet.BoolVar(&flags.config.MeasureLinks, "measure-links", false, "print what passes over the links of the scheduler's hosts; orders count as if other hosts carried them out")
 	flagSet.Float64Var(&flags.config.AdviceShare, "advice", 0.5, "fraction of the workers that advice allows for a step, 0 for queues without advice")
+	addUnevennessFlags(command, &flags)
 	return command
 }
 
@@ -88,6 +103,9 @@
 				config.Faults[index].Kind = emulator.FaultKind(flags.faultKinds[index%len(flags.faultKinds)])
 			}
 		}
+		if config.Workspaces > 0 {
+			config.Faults = append(config.Faults, emulator.Fault{Kind: emulator.RevokeKeys, StartsAt: config.SubmitTime / 4, Duration: config.SubmitTime / 3})
+		}
 		if flags.trace != "" {
 			config.Log = traceLog{command: command, substring: flags.trace}
 		}
@@ -102,6 +120,10 @@
 		for _, violation := range report.Violations {
 			_, _ = fmt.Fprintln(output, "       ", violation)
 		}
+		if config.ViewRelayThreshold > 0 {
+			_, _ = fmt.Fprintf(output, "        oldest views %s, %d checks of hosts with a relay\n", report.OldestViews, report.RelayedChecks)
+		}
+		printTraffic(output, report.Traffic)
 		if len(report.Violations) > 0 {
 			failedSimulations++
 			_, _ = fmt.Fprintln(output, "        troubles:", config.Faults)
@@ -113,6 +135,19 @@
 	return nil
 }
 
+// printTraffic prints what has passed over the links of the scheduler's hosts.
+func printTraffic(output io.Writer, traffic emulator.TrafficReport) {
+	for _, kind := range traffic.Kinds {
+		seconds := traffic.Period.Seconds()
+		_, _ = fmt.Fprintf(output, "        %-14s sent %10.1f kB %8d messages %8.2f kB/s   received %10.1f kB %8d messages\n", kind.Kind(),
+			float64(kind.SentBytes())/bytesPerKB, kind.SentMessages(), float64(kind.SentBytes())/bytesPerKB/seconds,
+			float64(kind.ReceivedBytes())/bytesPerKB, kind.ReceivedMessages())
+	}
+}
+
+// bytesPerKB is the number of bytes in a kB of the reports.
+const bytesPerKB = 1000
+
 // traceLog is an event log that prints only the lines that contain a substring.
 type traceLog struct {
 	command   *cobra.Command
--- a/assembler/scheduler.go
+++ b/assembler/scheduler.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -32,7 +33,12 @@
 	"github.com/almondcross/almondcross/platform/querier"
 	"github.com/almondcross/almondcross/platform/translator"
 	"github.com/almondcross/almondcross/policy/delegator"
+	"github.com/almondcross/almondcross/policy/distributor"
+	"github.com/almondcross/almondcross/policy/estimator"
+	"github.com/almondcross/almondcross/policy/orderer"
 	"github.com/almondcross/almondcross/policy/picker"
+	"github.com/almondcross/almondcross/policy/sharer"
+	"github.com/almondcross/almondcross/policy/speedometer"
 	"github.com/almondcross/almondcross/query/follower"
 	"github.com/almondcross/almondcross/query/jobfinder"
 	"github.com/almondcross/almondcross/query/locator"
@@ -68,7 +74,8 @@
 	// directWorkersPerProcessor is the number of workers for each processor core up to which the scheduler's host sends
 	// all orders itself. Calls to this many workers take about a fifth of a core.
 	directWorkersPerProcessor = 200
-	// schedulerChangesRingCapacity bounds the changes of the current scheduler that wait for the link dialer; they are rare.
+	// schedulerChangesRingCapacity bounds the changes of the current scheduler, and of the relay of views, that wait for their link
+	// dialers; they are rare.
 	schedulerChangesRingCapacity = 64
 	// snapshotsPerRetention is the number of snapshots in the store's retention time, so that several may fail
 	// before the store deletes records that no snapshot covers.
@@ -103,14 +110,18 @@
 		fx.Provide(
 			func() almondcross.Clock { return Clock{} },
 			func() logrus.FieldLogger { return newLogger(configurator.LogJSON) },
-			metrics.NewSet, NewDuties, encoder.NewCodec, client.New, jobfinder.New, router.New, counter.New,
-			newRecorder, newSchedulerRings, newFollower, newCommitter, newRelayer, newExecutor, newAsker, newHub, newDialer, newUplink, newSubmitter,
-			newSchedulerMachine, newVersioner, newScheduler, newSchedulerServers,
+			func() *largeCell { return new(largeCell) },
+			metrics.NewSet, NewDuties, encoder.NewCodec, client.New, jobfinder.New, router.New, counter.New, counter.NewLinks,
+			newRecorder, newSchedulerRings, newFollower, newCommitter, newRelayer, newExecutor, newAsker, newHub, newDialer, newUplink, newViewDialer, newViewLinks, newSubmitter,
+			newSchedulerMachine, newVersioner, newScheduler, newSchedulerLimits, newSchedulerServers,
 		),
 		fx.Invoke(runScheduler),
 	)
 }
 
+// largeCell is set while the cell uses relays of views. The scheduler duty sets it, and the readers of the store read it.
+type largeCell struct{ atomic.Bool }
+
 // settingsPath is the path of the settings file.
 type settingsPath string
 
@@ -128,6 +139,7 @@
 	newSnapshots     *ring.Ring[almondcross.SnapshotStore]
 	advice           *ring.Ring[asker.Request]
 	schedulerChanges *ring.Ring[connector.Scheduler]
+	viewRelays       *ring.Ring[almondcross.ViewRelayLink]
 	submissions      *ring.Ring[submitter.Submission]
 	stored           *ring.Ring[almondcross.IntakeStored]
 	relayed          *ring.Ring[almondcross.RelayMessage]
@@ -151,6 +163,7 @@
 		submissions:      ring.New[submitter.Submission](ring.Config{Name: "submissions", Capacity: submissionRingCapacity, Metrics: set}),
 		stored:           ring.New[almondcross.IntakeStored](ring.Config{Name: "stored", Capacity: submissionRingCapacity, Metrics: set}),
 	}
+	rings.viewRelays = ring.New[almondcross.ViewRelayLink](ring.Config{Name: "view_relays", Capacity: schedulerChangesRingCapacity, Metrics: set})
 	rings.relayed = ring.New[almondcross.RelayMessage](ring.Config{Name: "relayed", Capacity: schedulerRingCapacity, Metrics: set})
 	rings.orders = ring.New[executor.Request](ring.Config{Name: "orders", Capacity: executorRingCapacity, Metrics: set})
 	rings.orderAnswers = ring.New[almondcross.SchedulerMessage](ring.Config{Name: "order_answers", Capacity: executorRingCapacity, Metrics: set})
@@ -169,6 +182,7 @@
 
 func newFollower(
 	settings configurator.SchedulerSettings, client *client.Client, codec encoder.Codec, rings schedulerRings, log *recorder.Recorder,
+	counter *counter.Counter, large *largeCell,
 ) *follower.Follower {
 	return follower.New(follower.Config{
 		Reader: querier.NewStore(settings.StoreAddress(), client), Codec: codec, WorkerCodec: translator.Codec{}, Sink: rings.messages, Log: log,
@@ -177,7 +191,7 @@
 		Pointers: almondcross.Partition{Topic: pointerTopic}, Clock: Clock{},
 		Announcements:    almondcross.Partition{Topic: translator.WorkersTopic},
 		Configuration:    almondcross.Partition{Topic: translator.OperatorsTopic},
-		ConfigurationKey: translator.ConfigurationKey,
+		ConfigurationKey: translator.ConfigurationKey, Rejected: counter.RoutesRejected, Large: large.Load,
 	})
 }
 
@@ -225,20 +239,24 @@
 	})
 }
 
-func newHub(settings configurator.SchedulerSettings, codec encoder.Codec, rings schedulerRings, log *recorder.Recorder) *connector.Hub {
+func newHub(
+	settings configurator.SchedulerSettings, codec encoder.Codec, rings schedulerRings, log *recorder.Recorder, limits *schedulerLimits,
+	links *counter.Links,
+) *connector.Hub {
 	return connector.NewHub(connector.HubConfig{
 		Host: settings.Name(), Local: localAdviceQueries{rings}, Codec: codec, Pointers: codec, Sink: rings.messages, Clock: Clock{}, Log: log,
-		Stored: rings.offerStored, Relay: rings.relayed,
+		Stored: rings.offerStored, Relay: rings.relayed, Frames: limits.frames, Meter: links,
 	})
 }
 
 func newDialer(
 	settings configurator.SchedulerSettings, codec encoder.Codec, rings schedulerRings, executor *executor.Executor, log *recorder.Recorder,
+	machine *scheduler.Machine, links *counter.Links,
 ) *connector.Dialer {
 	return connector.NewDialer(connector.DialerConfig{
-		Host: settings.Name(), DataCentre: settings.DataCentre(), Address: settings.LinkListen(), Codec: codec, Queries: rings.advice,
+		Host: settings.Name(), DataCentre: settings.DataCentre(), Address: settings.LinkListen(), Format: machine.Format(), Codec: codec, Queries: rings.advice,
 		Executor: executor, Sink: rings.messages, Log: log,
-		Stored: rings.offerStored, Clock: Clock{},
+		Stored: rings.offerStored, Clock: Clock{}, Meter: links,
 	})
 }
 
@@ -246,6 +264,14 @@
 	return connector.NewUplink(hub, dialer, Clock{})
 }
 
+func newViewDialer(codec encoder.Codec, rings schedulerRings, log *recorder.Recorder, links *counter.Links) *connector.ViewDialer {
+	return connector.NewViewDialer(connector.ViewDialerConfig{Codec: codec, Sink: rings.messages, Log: log, Meter: links})
+}
+
+func newViewLinks(hub *connector.Hub, dialer *connector.Dialer, rings schedulerRings) *connector.ViewLinks {
+	return connector.NewViewLinks(hub, dialer, rings.viewRelays)
+}
+
 // offerStored passes the confirmation of a forwarded intake to the submitter. A confirmation is dropped if the ring
 // is full; this host then stores the intake itself.
 func (schedulerrings schedulerRings) offerStored(stored almondcross.IntakeStored) {
@@ -293,7 +319,11 @@
 		Host: settings.Name(), Address: settings.LinkListen(), Partitions: settings.StorePartitions(), Strength: schedulerStrength(settings),
 		Retention: time.Duration(float64(settings.StateRetention()) * retentionFactor), MaxLease: settings.MaxLease(),
 		SnapshotInterval: interval, RecordBytes: settings.StoreRecord(), BatchesPerAppend: max(1, settings.StoreCall()/settings.StoreRecord()), Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), //nolint:gosec // Jitter needs no secrecy.
-		Publisher: table, Picker: picker.BestFit{}, Log: log, Metrics: counter,
+		Publisher: table, Picker: picker.BestFit{}, Order: orderer.BySlack{}, Log: log, Metrics: counter,
+		NewShares:   func() almondcross.SharePolicy { return sharer.New() },
+		NewRunTimes: func() almondcross.RuntimeEstimator { return estimator.New() },
+		NewSpeeds:   func() almondcross.WorkerSpeeds { return speedometer.New() },
+		ViewRelays:  distributor.ByDataCentre{}, ViewRelayThreshold: settings.ViewRelayHosts(),
 	})
 }
 
@@ -308,19 +338,22 @@
 
 func newScheduler(
 	machine *scheduler.Machine, rings schedulerRings, workers *relayer.Relayer, hub *connector.Hub, versions *versioner.Versioner,
+	views *connector.ViewLinks, links *counter.Links, log *recorder.Recorder, large *largeCell,
 ) *scheduler.Duty {
 	var intakes []almondcross.Sink[almondcross.IntakeQuery]
 	for _, intake := range rings.intakeReads {
 		intakes = append(intakes, intake)
 	}
+	traffic := &epochTraffic{links: links, log: log, clock: Clock{}}
 	return scheduler.NewDuty(scheduler.DutyConfig{
 		Machine: machine, Ring: rings.messages, Clock: Clock{}, Workers: workers,
-		Links: hub,
+		Links: hub, Views: views,
 		Rings: scheduler.Rings{
 			ReadSnapshot: rings.snapshotReads, ReadJournal: rings.journalReads, ReadIntakes: intakes, ReadWorkers: rings.workerReads,
 			Commit: rings.journalCommits, StoreSnapshot: rings.newSnapshots, ReadPointer: rings.pointerReads, StorePointer: rings.pointerWrites, StoreUsage: rings.usageWrites,
 		},
 		OnSchedulerChange: func(announcement scheduler.AnnounceScheduler) {
+			traffic.schedulerChanged(announcement)
 			if announcement.Own {
 				debug.SetGCPercent(schedulerGCPercent)
 			} else {
@@ -335,7 +368,7 @@
 			hub.SetPointer(announcement.Pointer)
 			versions.SetScheduler(announcement.Pointer)
 		},
-		OnJournalFormat: versions.SetJournalFormat,
+		OnJournalFormat: versions.SetJournalFormat, OnLargeCell: large.Store,
 	})
 }
 
@@ -352,6 +385,7 @@
 	Committer *committer.Committer
 	Asker     *asker.Asker
 	Dialer    *connector.Dialer
+	Views     *connector.ViewDialer
 	Relayer   *relayer.Relayer
 	Executor  *executor.Executor
 	Submitter *submitter.Submitter
@@ -391,6 +425,7 @@
 		NamedDuty{"relayer", schedulerhost.Relayer},
 		NamedDuty{"executor", schedulerhost.Executor},
 		NamedDuty{"link dialer", dutyFunc(func(ctx context.Context) error { return schedulerhost.Dialer.Run(ctx, rings.schedulerChanges) })},
+		NamedDuty{"view dialer", dutyFunc(func(ctx context.Context) error { return schedulerhost.Views.Run(ctx, rings.viewRelays) })},
 		NamedDuty{"submitter", dutyFunc(func(ctx context.Context) error { return schedulerhost.Submitter.Run(ctx, rings.submissions) })},
 		NamedDuty{"settings watcher", dutyFunc(schedulerhost.watchSettings)},
 	)
--- a/command/connector/dialer.go
+++ b/command/connector/dialer.go
@@ -34,6 +34,7 @@
 	Host       string // Host is the name of this host.
 	DataCentre string // DataCentre is the data centre of this host.
 	Address    string // Address is the address on which this host accepts links.
+	Format     int    // Format is the highest number of a format of the journal that this host reads.
 	Codec      almondcross.LinkCodec
 	Queries    almondcross.Sink[asker.Request] // Queries receives the queries of the scheduler.
 	Executor   almondcross.OrderExecutor       // Executor executes the scheduler's orders.
@@ -41,6 +42,7 @@
 	Stored     func(stored almondcross.IntakeStored) // Stored is called with each answer to a forwarded intake.
 	Log        almondcross.EventLog
 	Clock      almondcross.Clock
+	Meter      almondcross.LinkMeter // Meter counts the messages on links, nil for no counting.
 }
 
 // Dialer is the duty that keeps a link to the scheduler's host open.
@@ -100,10 +102,10 @@
 		return errors.Trace(err)
 	}
 	_ = response.Body.Close() // An upgraded connection has no body.
-	session := newSession(connection, dialer.config.Codec)
+	session := newSession(connection, dialer.config.Codec, nil, dialer.config.Meter)
 	session.offer(almondcross.NewHostHello(almondcross.HostHelloConfig{
 		Host: dialer.config.Host, Strength: scheduler.Strength, Address: dialer.config.Address, DataCentre: dialer.config.DataCentre,
-		SchedulerEpoch: scheduler.Epoch, Ends: scheduler.Ends,
+		ViewFormat: almondcross.ViewFormat, SchedulerEpoch: scheduler.Epoch, Format: dialer.config.Format, Ends: scheduler.Ends,
 	}))
 	link := dialer.lastLink.Add(1)
 	defer dialer.config.Executor.Abandon(link)
@@ -125,6 +127,11 @@
 			_ = dialer.config.Sink.Put(ctx, message) // Put fails only when the context has ended.
 		case almondcross.RoleAssigned:
 			_ = dialer.config.Sink.Put(ctx, message) // Put fails only when the context has ended.
+		case almondcross.ViewsAssigned:
+			_ = dialer.config.Sink.Put(ctx, message) // Put fails only when the context has ended.
+		case almondcross.ViewsNumbered:
+			dialer.lastPush.set(dialer.config.Clock.Now())
+			_ = dialer.config.Sink.Put(ctx, message) // Put fails only when the context has ended.
 		case almondcross.IntakeStored:
 			dialer.config.Stored(message)
 		}
--- a/command/connector/session.go
+++ b/command/connector/session.go
@@ -29,19 +29,25 @@
 type session struct {
 	connection *websocket.Conn
 	codec      almondcross.LinkCodec
+	meter      almondcross.LinkMeter // meter counts the messages, nil for no counting.
 	sendQueue  *ring.Ring[outgoing]
+	frames     almondcross.Limiter // frames limits the bytes of the large messages of all links, nil for no limit.
+	// held is what the message that is read holds of that limit, and inFrame is set while it arrives; only the reader uses them.
+	held    int64
+	inFrame bool
 }
 
 // outgoing is a message to encode, or an encoded frame that several sessions share.
 type outgoing struct {
 	message almondcross.LinkMessage
 	frame   []byte
+	kind    almondcross.LinkKind // kind is that of an encoded frame.
 }
 
-func newSession(connection *websocket.Conn, codec almondcross.LinkCodec) *session {
+func newSession(connection *websocket.Conn, codec almondcross.LinkCodec, frames almondcross.Limiter, meter almondcross.LinkMeter) *session {
 	connection.SetReadLimit(maxFrameBytes)
 	return &session{
-		connection: connection, codec: codec,
+		connection: connection, codec: codec, frames: frames, meter: meter,
 		sendQueue: ring.New[outgoing](ring.Config{Name: "link", Capacity: sendQueueCapacity}),
 	}
 }
@@ -62,16 +68,26 @@
 
 func (session *session) read(handle func(message almondcross.LinkMessage)) error {
 	extendDeadline := func() error { return errors.Trace(session.connection.SetReadDeadline(time.Now().Add(readTimeout))) }
-	session.connection.SetPongHandler(func(string) error { return extendDeadline() })
+	session.connection.SetPongHandler(func(string) error {
+		if session.inFrame {
+			return nil // Pongs must not keep a message open that never ends.
+		}
+		return extendDeadline()
+	})
+	defer session.release()
 	for {
 		if err := extendDeadline(); err != nil {
 			return err
 		}
-		_, frame, err := session.connection.ReadMessage()
+		frame, err := session.readFrame()
 		if err != nil {
-			return errors.Trace(err)
+			return err
 		}
 		message, err := session.codec.DecodeLink(frame)
+		session.release()
+		if session.meter != nil {
+			session.meter.Received(almondcross.KindOfLink(message), len(frame))
+		}
 		if err != nil {
 			return errors.Trace(err)
 		}
@@ -106,16 +122,22 @@
 }
 
 func (session *session) send(next outgoing) error {
-	frame := next.frame
+	frame, kind := next.frame, next.kind
 	if frame == nil {
 		encoded, err := session.codec.EncodeLink(next.message)
 		if err != nil {
 			return errors.Trace(err)
 		}
-		frame = encoded
+		frame, kind = encoded, almondcross.KindOfLink(next.message)
 	}
 	if err := session.connection.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return errors.Trace(err)
 	}
-	return errors.Trace(session.connection.WriteMessage(websocket.BinaryMessage, frame))
+	if err := session.connection.WriteMessage(websocket.BinaryMessage, frame); err != nil {
+		return errors.Trace(err)
+	}
+	if session.meter != nil {
+		session.meter.Sent(kind, len(frame))
+	}
+	return nil
 }
--- a/command/scheduler/advice.go
+++ b/command/scheduler/advice.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -31,9 +32,14 @@
 	// of such a call does not depend on the number of workers.
 	minLongCallShare = 0.2
 	// gangCapacityFactor is the ratio of the capacity of the allowed workers to the size of a gang from which
-	// no more workers are queried.
-	gangCapacityFactor = 2
-	// maxWorkersPerCall is the maximum number of workers in one call.
+	// no more workers are queried. The more workers a gang can use, the sooner there is room for it.
+	gangCapacityFactor = 6
+	// readyCapacityFactor is the ratio of the capacity of the allowed workers with tickets to the size of a gang from which no
+	// more tickets are renewed.
+	readyCapacityFactor = 4
+	// ticketRenewal is the validity that is left of a ticket when it is requested again. It covers the call.
+	ticketRenewal = 700 * time.Millisecond
+	// maxWorkersPerCall is the maximum number of workers that the advice service takes in one call.
 	maxWorkersPerCall = 100
 	// longCallThreshold is the expected duration from which a call counts as long.
 	longCallThreshold = 200 * time.Millisecond
@@ -88,6 +94,12 @@
 	}
 }
 
+// denies reports whether advice is known to deny a candidate.
+func (stageadvice *stageAdvice) denies(candidate almondcross.WorkerCapacity) bool {
+	allowed, decided := stageadvice.decisions[candidate.Worker()]
+	return decided && !allowed
+}
+
 // hasTicket reports whether there is a valid ticket for a worker.
 func (stageadvice *stageAdvice) hasTicket(worker *worker, now time.Time) bool {
 	ticket, ok := stageadvice.tickets[worker.id]
@@ -100,7 +112,8 @@
 }
 
 // requestAdvice requests tickets for workers with free resources if a host may make a call.
-func (machine *Machine) requestAdvice(queue almondcross.Queue, job *job, stage *stage, advice *stageAdvice) {
+func (machine *Machine) requestAdvice(queue almondcross.Queue, waiting *waitingStage, advice *stageAdvice) {
+	job, stage := waiting.job, waiting.stage
 	if advice.pendingCalls > 0 || machine.now.Before(advice.retryAt) {
 		return
 	}
@@ -113,7 +126,10 @@
 		selected = machine.selectForGang(queue, job, stage, advice)
 	} else {
 		suspicion := machine.waitingSuspicion(job, stage)
-		selected = machine.selectWorkers(queue, stage, advice, machine.candidates(queue, job, stage, suspicion, nil))
+		// Workers that advice has denied have no room for the stage, so that slow ones must not wait for them.
+		candidates := slices.DeleteFunc(machine.candidates(queue, job, stage, suspicion, nil), advice.denies)
+		candidates = machine.withoutSlow(queue, waiting, stage.remainingTasks-stage.activeTasks, advice, candidates)
+		selected = machine.selectWorkers(queue, stage, advice, candidates)
 		if len(selected) == 0 && suspicion != unsuspected {
 			// Tasks that cannot be kept apart need tickets for shared workers.
 			selected = machine.selectWorkers(queue, stage, advice, machine.candidates(queue, job, stage, unsuspected, nil))
@@ -150,7 +166,7 @@
 func (machine *Machine) selectWorkers(queue almondcross.Queue, stage *stage, advice *stageAdvice, candidates []almondcross.WorkerCapacity) []string {
 	share := machine.allowedShare(queue)
 	sortByTasks(candidates)
-	wanted := float64(stage.remainingTasks - stage.activeTasks)
+	wanted := float64(machine.tasksWithinQuota(stage))
 	var selected []string
 	var allowedTasks, expectedTasks float64
 	for _, candidate := range candidates {
@@ -177,70 +193,112 @@
 }
 
 // undecidedWorkers returns the workers without a decision for a stage: fitNow are those on which a task fits
-// now, fitLater those on which one fits once all runs that do not belong to gangs have ended.
+// now, fitLater those on which one fits once all runs other than services have ended. Slow workers are among these only if there
+// are no others.
 func (machine *Machine) undecidedWorkers(queue almondcross.Queue, stage *stage, advice *stageAdvice) (fitNow, fitLater []almondcross.WorkerCapacity) {
 	failed := machine.avoidedWorkers(queue, stage)
 	machine.leader.examinedWorkers += len(machine.leader.usableWorkers)
+	var slow []almondcross.WorkerCapacity
 	for _, worker := range machine.leader.usableWorkers {
 		if _, decided := advice.decisions[worker.id]; decided || failed[worker.id] || worker.info.Pool() != queue.Pool() || !worker.info.HasLabel(stage.spec.Label()) {
 			continue
 		}
+		if worker.slow {
+			if tasks := maxGangTasks(worker, stage); tasks > 0 {
+				slow = append(slow, almondcross.NewWorkerCapacity(almondcross.WorkerCapacityConfig{Worker: worker.id, Tasks: tasks}))
+			}
+			continue
+		}
 		if tasks := maxTasks(worker.free().Sub(worker.reserved), stage.spec.Resources(), stage.spec.Count()); tasks > 0 {
 			fitNow = append(fitNow, almondcross.NewWorkerCapacity(almondcross.WorkerCapacityConfig{Worker: worker.id, Tasks: tasks}))
 		} else if tasks := maxGangTasks(worker, stage); tasks > 0 {
 			fitLater = append(fitLater, almondcross.NewWorkerCapacity(almondcross.WorkerCapacityConfig{Worker: worker.id, Tasks: tasks}))
 		}
 	}
+	if len(fitNow)+len(fitLater) == 0 {
+		return nil, slow
+	}
 	return fitNow, fitLater
 }
 
-// selectForGang returns the workers to query for a gang: the allowed ones with free resources, and undecided
-// ones with free resources if these are expected to complete the gang. Until the allowed workers have enough
-// capacity, it selects undecided workers to query; after that, or if none is left, it returns none and the gang waits for
-// resources or for further workers.
+// selectForGang returns the workers to query for a gang: those with free room, if these are expected to hold the gang. Otherwise it selects
+// undecided workers, until the allowed ones have several times the capacity that the gang needs, so that it finds room on some of
+// them soon; then the allowed ones without a ticket, so that it can start as soon as there is room. The answer for a worker stays
+// the same, but its ticket expires.
 func (machine *Machine) selectForGang(queue almondcross.Queue, job *job, stage *stage, advice *stageAdvice) []string {
 	wanted := stage.remainingTasks - stage.activeTasks
-	var totalOnAllowed, freeOnUndecided int
-	suspicion := machine.waitingSuspicion(job, stage)
-	allowed, freeOnAllowed := machine.freeAllowedWorkers(queue, job, stage, suspicion, advice)
-	if freeOnAllowed < wanted && suspicion != unsuspected && !machine.isQuarantined(job, stage) {
-		// A gang that cannot be kept apart needs tickets for shared workers.
-		allowed, freeOnAllowed = machine.freeAllowedWorkers(queue, job, stage, unsuspected, advice)
-	}
-	if freeOnAllowed >= wanted {
-		return allowed[:min(len(allowed), maxWorkersPerCall)]
-	}
-	fitNow, fitLater := machine.undecidedWorkers(queue, stage, advice)
-	for _, candidate := range fitNow {
-		freeOnUndecided += candidate.Tasks()
-	}
-	if float64(freeOnAllowed)+float64(freeOnUndecided)*machine.allowedShare(queue) >= float64(wanted) {
-		return machine.extendSelection(queue, allowed, fitNow, float64(wanted-freeOnAllowed)*overselectionFactor)
+	if selected := machine.selectFree(queue, job, stage, advice, wanted); len(selected) > 0 {
+		return selected
 	}
+	capacity, ready := 0, 0
+	var expiring []almondcross.WorkerCapacity
 	for _, worker := range machine.allowedWorkers(advice) {
-		totalOnAllowed += maxGangTasks(worker, stage)
+		tasks := maxGangTasks(worker, stage)
+		capacity += tasks
+		if advice.hasTicket(worker, machine.now.Add(ticketRenewal)) {
+			ready += tasks
+			continue
+		}
+		expiring = append(expiring, almondcross.NewWorkerCapacity(almondcross.WorkerCapacityConfig{Worker: worker.id, Tasks: tasks, Free: worker.free()}))
 	}
-	if float64(totalOnAllowed) >= float64(wanted)*gangCapacityFactor {
-		return nil
+	if missing := float64(wanted*gangCapacityFactor - capacity); missing > 0 {
+		if selected := machine.selectUndecided(queue, stage, advice, missing); len(selected) > 0 {
+			return selected
+		}
 	}
-	undecided := slices.Concat(fitNow, fitLater)
-	if len(undecided) == 0 {
-		// Tickets for the allowed workers alone do not place the gang, and the call would take the place of another one.
+	if capacity < wanted || ready >= wanted*readyCapacityFactor {
 		return nil
 	}
-	return machine.extendSelection(queue, allowed, undecided, float64(wanted)*gangCapacityFactor-float64(totalOnAllowed))
+	slices.SortStableFunc(expiring, func(a, b almondcross.WorkerCapacity) int {
+		return cmp.Compare(b.Free().MilliCPU(), a.Free().MilliCPU())
+	})
+	var selected []string
+	for _, candidate := range expiring {
+		if ready > wanted*readyCapacityFactor || len(selected) >= maxWorkersPerCall {
+			break
+		}
+		ready += candidate.Tasks()
+		selected = append(selected, candidate.Worker())
+	}
+	return selected
 }
 
-// freeAllowedWorkers returns the workers known to be allowed that have room for tasks of a stage under a suspicion, and for
-// how many.
-func (machine *Machine) freeAllowedWorkers(queue almondcross.Queue, job *job, stage *stage, suspicion suspicion, advice *stageAdvice) (workers []string, tasks int) {
-	for _, candidate := range machine.candidates(queue, job, stage, suspicion, nil) {
-		if advice.decisions[candidate.Worker()] {
-			tasks += candidate.Tasks()
-			workers = append(workers, candidate.Worker())
+// selectFree returns workers with free room that are expected to hold a whole gang: allowed ones, and undecided ones if these do not
+// suffice. It returns none if there is too little room.
+func (machine *Machine) selectFree(queue almondcross.Queue, job *job, stage *stage, advice *stageAdvice, wanted int) []string {
+	var allowed []string
+	var undecided []almondcross.WorkerCapacity
+	onAllowed, onUndecided := 0, 0
+	for _, candidate := range machine.candidates(queue, job, stage, machine.waitingSuspicion(job, stage), nil) {
+		if isAllowed, decided := advice.decisions[candidate.Worker()]; !decided {
+			undecided = append(undecided, candidate)
+			onUndecided += candidate.Tasks()
+		} else if isAllowed {
+			allowed = append(allowed, candidate.Worker())
+			onAllowed += candidate.Tasks()
 		}
 	}
-	return workers, tasks
+	if onAllowed >= wanted {
+		return allowed[:min(len(allowed), maxWorkersPerCall)]
+	}
+	if float64(onAllowed)+float64(onUndecided)*machine.allowedShare(queue) < float64(wanted)*overselectionFactor {
+		return nil
+	}
+	return machine.extendSelection(queue, allowed, undecided, float64(wanted-onAllowed)*overselectionFactor)
+}
+
+// selectUndecided returns undecided workers that are expected to add a capacity, in tasks, to the allowed ones: those with free room
+// first.
+func (machine *Machine) selectUndecided(queue almondcross.Queue, stage *stage, advice *stageAdvice, missing float64) []string {
+	fitNow, fitLater := machine.undecidedWorkers(queue, stage, advice)
+	selected := machine.extendSelection(queue, nil, fitNow, missing)
+	for index := range selected {
+		missing -= float64(fitNow[index].Tasks()) * machine.allowedShare(queue)
+	}
+	if missing > 0 {
+		selected = machine.extendSelection(queue, selected, fitLater, missing)
+	}
+	return selected
 }
 
 // extendSelection adds workers to the selected ones until the added ones are expected to fit a number of
@@ -268,10 +326,9 @@
 	return initialAllowedShare
 }
 
-// maxGangTasks returns how many tasks of a gang fit on a worker once all runs that do not belong to gangs have
-// ended.
+// maxGangTasks returns how many tasks of a gang fit on a worker once all runs other than services have ended.
 func maxGangTasks(worker *worker, stage *stage) int {
-	return maxTasks(worker.info.Capacity().Sub(worker.usedByGangs), stage.spec.Resources(), stage.spec.Count())
+	return maxTasks(worker.info.Capacity().Sub(worker.usedByServices), stage.spec.Resources(), stage.spec.Count())
 }
 
 // adviceAnswered stores the tickets and the decisions of an answer.
@@ -313,6 +370,7 @@
 	if validity == 0 {
 		validity = queue.AdviceSettings().Validity()
 	}
+	machine.updateAllowedShare(queue, job.stage(id), advice, answer)
 	for _, worker := range answer.Query().Workers() {
 		advice.deny(worker)
 	}
@@ -328,11 +386,32 @@
 		}
 		advice.tickets[granted.Worker()] = ticket{secret: granted.Secret(), expiresAt: expiresAt, incarnation: incarnation}
 	}
-	share := machine.allowedShare(queue)
 	requested, allowed := len(answer.Query().Workers()), len(answer.Result().Tickets())
-	machine.leader.allowedShares[queue.Name()] = share + allowedShareWeight*(float64(allowed)/float64(max(requested, 1))-share)
 	machine.config.Metrics.Advised(queue.Name(), allowed, requested)
 	machine.config.Log.Record("advised", almondcross.Text("stage", id.String()), almondcross.Text("adviser", answer.Adviser()),
 		almondcross.Number("asked", requested), almondcross.Number("allowed", allowed), almondcross.Millis("took_ms", took),
 		almondcross.Number("waiting", len(machine.leader.waitingStages)))
 }
+
+// updateAllowedShare adds an answer to the moving average of the share of workers that advice allows for a queue. Of a gang, which is
+// asked about the workers of its reservation again, only the workers without an earlier decision count.
+func (machine *Machine) updateAllowedShare(queue almondcross.Queue, stage *stage, advice *stageAdvice, answer almondcross.AdviceAnswered) {
+	requested, allowed := len(answer.Query().Workers()), len(answer.Result().Tickets())
+	if stage != nil && stage.spec.Gang() {
+		for _, worker := range answer.Query().Workers() {
+			if _, decided := advice.decisions[worker]; decided {
+				requested--
+			}
+		}
+		for _, granted := range answer.Result().Tickets() {
+			if _, decided := advice.decisions[granted.Worker()]; decided {
+				allowed--
+			}
+		}
+		if requested <= 0 {
+			return
+		}
+	}
+	share := machine.allowedShare(queue)
+	machine.leader.allowedShares[queue.Name()] = share + allowedShareWeight*(float64(allowed)/float64(max(requested, 1))-share)
+}
--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -26,8 +26,9 @@
 	pendingResets    []*linkedHost                                   // pendingResets holds the hosts that get all views after the next append.
 	unpushedViews    map[almondcross.JobID]almondcross.JobViewChange // unpushedViews holds the committed views that viewers don't have yet.
 	viewsPushedAt    time.Time                                       // viewsPushedAt is when views were last pushed.
-	intakeReadAt     map[int]time.Time                               // intakeReadAt is when each intake partition was last read successfully.
-	inflight         *inflightAppend                                 // inflight is the pending append, nil for none.
+	viewRelays       viewRelays
+	intakeReadAt     map[int]time.Time // intakeReadAt is when each intake partition was last read successfully.
+	inflight         *inflightAppend   // inflight is the pending append, nil for none.
 
 	snapshotTriedAt time.Time // snapshotTriedAt is when the last snapshot was taken, stored or not.
 	leaseBoundsDue  bool      // leaseBoundsDue is set if the next append is to have the lease bounds, see recordLeaseBounds.
@@ -54,6 +55,12 @@
 	queueScores         map[string]queueScore             // queueScores holds the scores of the queues whose starts have crashed workers, see crashPenalty.
 	quarantined         map[almondcross.StageID]time.Time // quarantined holds the waiting stages that were isolated with their queue, also after the queue is trusted again, and since when.
 	reservedCPU         int64                             // reservedCPU is the part of usableCPU that is reserved for gangs in the current pass.
+	runTimes            almondcross.RuntimeEstimator      // runTimes learns the run times of tasks, nil for none.
+	speeds              almondcross.WorkerSpeeds          // speeds learns the speeds of workers, nil for none.
+	trialAt             time.Time                         // trialAt is when a stage last gave tasks to slow workers as trials.
+	speedLines          int                               // speedLines counts the log lines on speeds since the last sweep.
+	heldWorkers         int                               // heldWorkers counts the workers that are held for gangs in the current pass.
+	gangWorkers         []*worker                         // gangWorkers holds the result of the last call of the method of this name.
 	waitingStages       []*waitingStage                   // waitingStages holds the stages with tasks to place, in placement order.
 	advice              map[almondcross.StageID]*stageAdvice
 	queued              map[almondcross.StageID]bool // queued holds the stages that are in waitingStages.
@@ -64,7 +71,10 @@
 	lastTickAt          time.Time                    // lastTickAt is when due occurrences were last started.
 	failedShare         float64                      // failedShare is the failed share of the runs on the median of the workers, see updateFailedShare.
 	failedAgainShare    float64                      // failedAgainShare is the moving average of the failed share of the runs of stages that have failed on another worker.
-	allowedShares       map[string]float64           // allowedShares holds the moving average of the share of workers that advice allows, by queue.
+	quotas              quotaTable
+	shares              shareTable
+	roomBounds          map[string]*roomBound // roomBounds holds the bounds on the room of the pools in the current pass.
+	allowedShares       map[string]float64    // allowedShares holds the moving average of the share of workers that advice allows, by queue.
 }
 
 func (machine *Machine) startLeading(answer almondcross.JournalCommitted) {
@@ -73,7 +83,13 @@
 		epoch: answer.Commit().Epoch(), sequence: 1, electedAt: machine.now, lastCommitAt: machine.now.Add(-answer.Took()),
 		pendingIntake: map[int]int64{}, intakeReadAt: map[int]time.Time{}, workers: map[string]*worker{}, advice: map[almondcross.StageID]*stageAdvice{},
 		queued: map[almondcross.StageID]bool{}, unpushedViews: map[almondcross.JobID]almondcross.JobViewChange{}, jobsWithOccurrences: map[almondcross.JobID]*job{}, allowedShares: map[string]float64{}, queueScores: map[string]queueScore{},
-		quarantined: map[almondcross.StageID]time.Time{},
+		quarantined: map[almondcross.StageID]time.Time{}, quotas: newQuotaTable(), roomBounds: map[string]*roomBound{}, viewRelays: machine.newViewRelays(),
+	}
+	if machine.config.NewRunTimes != nil {
+		machine.leader.runTimes = machine.config.NewRunTimes()
+	}
+	if machine.config.NewSpeeds != nil {
+		machine.leader.speeds = machine.config.NewSpeeds()
 	}
 	machine.endLeadershipsOf(machine.config.Host, machine.config.Address, machine.leader.epoch)
 	machine.config.Log.Record("scheduling_started", almondcross.Number("epoch", machine.leader.epoch),
@@ -84,6 +100,7 @@
 	machine.storePointer()
 	for _, linkedHost := range machine.linkedHosts {
 		linkedHost.calls, linkedHost.standby, linkedHost.rank, linkedHost.awaitingViews = nil, false, 0, false
+		linkedHost.views = viewRoute{format: linkedHost.views.format, dataCentre: linkedHost.views.dataCentre}
 	}
 	// The first hosts become standbys, so they are taken in an order that is the same in each process.
 	for _, name := range slices.Sorted(maps.Keys(machine.linkedHosts)) {
@@ -91,6 +108,7 @@
 			machine.hostLinked(machine.linkedHosts[name])
 		}
 	}
+	machine.renewShares()
 	machine.restoreAssignments()
 	machine.recordForwardedEnds(machine.config.Host, machine.endsToForward())
 	machine.settleJobs()
@@ -115,10 +133,12 @@
 				}
 				worker := machine.ensureWorker(record.Worker())
 				task := almondcross.JobTask{Stage: stage.id, Index: index}
-				worker.assign(&assignment{
+				restoredRun := &assignment{
 					suspicion: stage.suspicion(index), missingEnd: almondcross.EndVoid, task: task, run: record.Run(), resources: stage.spec.Resources(), phase: phaseUnknown, stage: stage, job: job,
 					placedAt: machine.now,
-				})
+				}
+				worker.assign(restoredRun)
+				machine.chargeShare(restoredRun)
 				restored++
 				if job.state.Final() {
 					final++
@@ -139,6 +159,7 @@
 		machine.emit(ReleaseWorker{Worker: worker.id})
 	}
 	machine.leader = nil
+	machine.config.Metrics.Workspaces(nil) // The next scheduler has the figures.
 	machine.discoverScheduler()
 }
 
@@ -175,6 +196,7 @@
 		machine.placeStages()
 	}
 	machine.storeUsage()
+	machine.runViewRelays()
 	machine.appendPending()
 }
 
--- a/command/scheduler/machine.go
+++ b/command/scheduler/machine.go
@@ -37,6 +37,12 @@
 	Random              *rand.Rand
 	Publisher           almondcross.JobPublisher
 	Picker              almondcross.WorkerPicker
+	Order               almondcross.OrderPolicy
+	NewShares           func() almondcross.SharePolicy      // NewShares returns the policy that orders the workspaces in one pool.
+	NewRunTimes         func() almondcross.RuntimeEstimator // NewRunTimes returns the estimator of an epoch, nil to use the callers' estimates.
+	NewSpeeds           func() almondcross.WorkerSpeeds     // NewSpeeds returns the estimator of an epoch, nil to treat workers as equally fast.
+	ViewRelays          almondcross.ViewRelayChooser        // ViewRelays chooses the relays of views; nil for none.
+	ViewRelayThreshold  int                                 // ViewRelayThreshold is the number of linked hosts above which relays are used.
 	Log                 almondcross.EventLog
 	Metrics             Metrics
 }
@@ -44,16 +50,19 @@
 // Machine is the decision code of the scheduler: a state machine without clocks and transports. It is not safe
 // for concurrent use.
 type Machine struct {
-	config  Config
-	state   *state
-	routes  almondcross.RouteTable
-	queues  map[string]almondcross.Queue // queues holds the queues of the route table by name.
-	role    role
-	now     time.Time
-	effects []Effect
+	config Config
+	state  *state
+	routes almondcross.RouteTable
+	queues map[string]almondcross.Queue // queues holds the queues of the route table by name.
+	// workspaces holds the workspaces by name, as the last version of the route table that has them.
+	workspaces map[string]almondcross.Workspace
+	role       role
+	now        time.Time
+	effects    []Effect
 
 	discovery discovery
 	follower  follower
+	source    viewSource
 	leader    *leader
 	reads     pendingReads
 	gap       gap
@@ -74,11 +83,15 @@
 	acceptedJobs map[almondcross.JobID]acceptedJob // acceptedJobs holds the jobs of this host that no published state has had.
 	// peers holds the addresses on which other hosts accept links, newest last.
 	peers []string
+	// largeCell is set if the last scheduler that assigned views to this host used relays of views.
+	largeCell bool
+	// lastViewLink is the number of the last link to a relay of views.
+	lastViewLink int64
 }
 
 // NewMachine returns a machine that starts to look for the scheduler.
 func NewMachine(config Config) *Machine {
-	machine := &Machine{config: config, state: newState(config.Retention), linkedHosts: map[string]*linkedHost{}, acceptedJobs: map[almondcross.JobID]acceptedJob{}}
+	machine := &Machine{config: config, state: newState(config.Retention), linkedHosts: map[string]*linkedHost{}, acceptedJobs: map[almondcross.JobID]acceptedJob{}, workspaces: map[string]almondcross.Workspace{}}
 	machine.reads.intakes = map[int]bool{}
 	machine.linkedHosts[config.Host] = &linkedHost{name: config.Host}
 	machine.discoverScheduler()
@@ -120,6 +133,8 @@
 		machine.jobAccepted(message.Job())
 	case almondcross.HostLinkChanged:
 		machine.hostLinkChanged(message)
+	case almondcross.ViewsAssigned, almondcross.ViewsNumbered, almondcross.ViewsMissed, almondcross.ViewerLinkChanged, almondcross.RelayedViews, almondcross.ViewRelayLost:
+		machine.applyViewMessage(message)
 	case almondcross.StopScheduling:
 		machine.stopping = true
 	default:
@@ -203,6 +218,7 @@
 		machine.checkDiscoveryTimeout()
 	case roleViewer:
 		machine.checkSchedulerLink()
+		machine.checkViewRelay()
 	case roleFollower:
 		machine.readDueJournal()
 		machine.checkStandbyContact()
@@ -240,14 +256,20 @@
 	if table.Version() <= machine.routes.Version() {
 		return
 	}
+	machine.auditWorkspaces(machine.routes, table)
 	machine.routes, machine.queues = table, make(map[string]almondcross.Queue, len(table.Queues()))
 	for _, queue := range table.Queues() {
 		machine.queues[queue.Name()] = queue
 	}
+	machine.noteWorkspaces(table.Workspaces())
 	machine.config.Log.Record("routes_in_force", almondcross.Number("version", table.Version()),
 		almondcross.Number("queues", len(table.Queues())))
 	if machine.leader != nil {
+		for _, waiting := range machine.leader.waitingStages {
+			machine.rank(waiting)
+		}
 		machine.sortWaitingStages()
+		machine.renewShares()
 		machine.settleJobs()
 		machine.leader.placementDue = true
 	}
@@ -269,7 +291,7 @@
 		return
 	}
 	view := almondcross.NewJobView(almondcross.JobViewConfig{
-		ID: accepted.ID(), Queue: accepted.Queue(), State: almondcross.JobQueued, CountsAsPending: accepted.Runs() == 0,
+		ID: accepted.ID(), Queue: accepted.Queue(), State: almondcross.JobQueued, CountsAsPending: accepted.Runs() == 0, Workspace: accepted.Workspace(),
 	})
 	machine.acceptedJobs[accepted.ID()] = acceptedJob{view: view, at: machine.now}
 	machine.config.Publisher.Publish(view)
--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -12,16 +12,25 @@
 	job    *job
 	stage  *stage
 	advice *stageAdvice // advice is nil before the first query.
+	// slowSince is when only slow workers first had room for all tasks to place, zero if they never did.
+	slowSince time.Time
 	// isolationSince is when a task of the stage first waited for a worker of its own, zero if none waits.
 	isolationSince time.Time
+	quota          quotaWait
+	share          shareEntry // share is the entry whose stage waits.
+	putBackLogged  bool       // putBackLogged is set once the log has told that the stage waits behind other workspaces.
+	priority       int        // priority is that of the queue by the configuration in force.
+	order          almondcross.OrderQuery
+	rank           almondcross.OrderRank // rank is that of the last pass.
 }
 
 // placeStages assigns tasks to workers in the order of the stages and requests missing advice.
 func (machine *Machine) placeStages() {
 	leader := machine.leader
 	machine.startPass()
+	machine.rankStages()
 	var isolatedStages []*waitingStage
-	for _, waiting := range leader.waitingStages {
+	machine.visitInShareOrder(func(waiting *waitingStage) {
 		switch {
 		case !waiting.job.ready(waiting.stage):
 		case machine.quarantine(waiting):
@@ -29,11 +38,18 @@
 		default:
 			machine.placeStage(waiting)
 		}
-	}
+	})
 	// Isolated stages wait long, as few workers are left for them. The newest ones can still be in time, and show first
-	// whether the jobs of the queue still crash workers.
+	// whether the jobs of the queue still crash workers. Those that have waited for too long go before them all the same.
+	for _, waiting := range isolatedStages {
+		if waiting.rank.Overdue() {
+			machine.placeStage(waiting)
+		}
+	}
 	for _, waiting := range slices.Backward(isolatedStages) {
-		machine.placeStage(waiting)
+		if !waiting.rank.Overdue() {
+			machine.placeStage(waiting)
+		}
 	}
 	machine.dropPlacedStages()
 	machine.config.Metrics.Examined(leader.examinedWorkers)
@@ -48,6 +64,8 @@
 			stillWaiting = append(stillWaiting, waiting)
 			continue
 		}
+		machine.endQuotaWait(waiting)
+		waiting.share.leave()
 		delete(leader.queued, waiting.stage.id)
 		delete(leader.quarantined, waiting.stage.id)
 		if waiting.stage.remainingTasks == 0 || waiting.job.state.Final() {
@@ -62,18 +80,23 @@
 func (machine *Machine) startPass() {
 	leader := machine.leader
 	leader.usableWorkers, leader.ownWorkers = leader.usableWorkers[:0], leader.ownWorkers[:0]
-	leader.reservedCPU, leader.usableCPU = 0, 0
+	leader.reservedCPU, leader.usableCPU, leader.heldWorkers = 0, 0, 0
 	leader.examinedWorkers = len(leader.sortedWorkers)
+	leader.shares.clearCapacity()
 	for _, worker := range leader.sortedWorkers {
 		if worker.inPass = worker.usable(machine.now); worker.inPass {
-			worker.reserved = almondcross.Resources{}
+			worker.reserved, worker.held = almondcross.Resources{}, false
 			leader.usableWorkers = append(leader.usableWorkers, worker)
 			leader.usableCPU += worker.info.Capacity().MilliCPU()
+			leader.shares.addCapacity(worker.info)
 			if worker.isolatedRuns > 0 || len(worker.assignments) == 0 {
 				leader.ownWorkers = append(leader.ownWorkers, worker)
 			}
 		}
 	}
+	clear(leader.roomBounds)
+	leader.quotas.startPass()
+	leader.shares.setTotals(machine.now)
 	machine.limitIsolation()
 	machine.collectHosts()
 }
@@ -104,8 +127,11 @@
 	queue := machine.queue(waiting.job)
 	switch {
 	case queue.Pool() == "":
+	case machine.awaitQuota(waiting):
 	case !queue.AdviceSettings().Required():
-		machine.placeTasks(queue, waiting, nil)
+		if !machine.placeIfRoom(queue, waiting) && waiting.stage.spec.Gang() && machine.quotaAllows(waiting) {
+			machine.reserveRoom(queue, waiting, nil)
+		}
 	default:
 		if waiting.advice == nil {
 			waiting.advice = machine.ensureAdvice(waiting.stage.id)
@@ -115,56 +141,16 @@
 				return
 			}
 		}
-		machine.requestAdvice(queue, waiting.job, waiting.stage, waiting.advice)
-		if waiting.stage.spec.Gang() {
-			machine.reserveForGang(queue, waiting.stage, waiting.advice)
-		}
-	}
-}
-
-// reserveForGang reserves resources for a waiting gang on workers that advice allows for it, so that the
-// stages behind it in this pass cannot use them. Otherwise small tasks would take all resources as soon as
-// they are released.
-func (machine *Machine) reserveForGang(queue almondcross.Queue, stage *stage, advice *stageAdvice) {
-	leader, need := machine.leader, stage.spec.Resources()
-	wanted := stage.remainingTasks - stage.activeTasks
-	// A caller may ask for any amount, and the product may be out of the range of int64.
-	if float64(leader.reservedCPU)+float64(wanted)*float64(need.MilliCPU()) > maxReservedShare*float64(leader.usableCPU) {
-		return
-	}
-	var reservations []gangReservation
-	allowed := machine.allowedWorkers(advice)
-	leader.examinedWorkers += len(allowed)
-	for _, worker := range allowed {
-		if worker.info.Pool() != queue.Pool() {
-			continue
-		}
-		if tasks := maxTasks(worker.info.Capacity().Sub(worker.usedByGangs).Sub(worker.reserved), need, wanted); tasks > 0 {
-			reservations = append(reservations, gangReservation{worker: worker, totalTasks: tasks, freeTasks: maxTasks(worker.free().Sub(worker.reserved), need, wanted)})
-		}
-	}
-	slices.SortStableFunc(reservations, func(a, b gangReservation) int { return b.freeTasks - a.freeTasks })
-	for _, reservation := range reservations {
-		tasks := min(reservation.totalTasks, wanted)
-		reserved := need.Scale(int64(tasks))
-		reservation.worker.reserved = reservation.worker.reserved.Add(reserved)
-		leader.reservedCPU += reserved.MilliCPU()
-		if wanted -= tasks; wanted == 0 {
+		if !machine.quotaAllows(waiting) {
 			return
 		}
+		if waiting.stage.spec.Gang() {
+			machine.reserveRoom(queue, waiting, waiting.advice)
+		}
+		machine.requestAdvice(queue, waiting, waiting.advice)
 	}
 }
 
-// gangReservation is a worker on which resources may be reserved for a gang.
-type gangReservation struct {
-	worker     *worker
-	totalTasks int // totalTasks is how many tasks fit once all runs that do not belong to gangs have ended.
-	freeTasks  int // freeTasks is how many tasks fit now.
-}
-
-// maxReservedShare is the maximum share of the CPU capacity that may be reserved for waiting gangs.
-const maxReservedShare = 0.4
-
 // candidates returns the usable workers on which at least one task of a stage fits that is under the given suspicion.
 // With advice, it returns only those with a valid ticket.
 func (machine *Machine) candidates(queue almondcross.Queue, job *job, stage *stage, suspicion suspicion, advice *stageAdvice) []almondcross.WorkerCapacity {
@@ -186,7 +172,7 @@
 		if !worker.isOfKind(queue, spec) || !worker.accepts(job, suspicion) {
 			continue
 		}
-		free := worker.free().Sub(worker.reserved)
+		free := machine.unreserved(worker, queue, stage)
 		count := maxTasks(free, spec.Resources(), spec.Count())
 		if count > 0 && spec.PerWorker() > 0 {
 			count = min(count, spec.PerWorker()-worker.runCount(stage.id))
@@ -198,7 +184,7 @@
 			continue
 		}
 		candidates = append(candidates, almondcross.NewWorkerCapacity(almondcross.WorkerCapacityConfig{
-			Worker: worker.id, Rack: worker.info.Rack(), Free: free, Capacity: worker.info.Capacity(), Tasks: count,
+			Worker: worker.id, Rack: worker.info.Rack(), Free: free, Capacity: worker.info.Capacity(), Tasks: count, Speed: worker.pace(),
 		}))
 	}
 	return candidates
@@ -278,7 +264,7 @@
 		if waiting.stage.spec.Gang() {
 			placed = machine.placeGang(queue, waiting, wanted, suspicion, advice)
 		} else {
-			placed = machine.placeGroup(waiting.job, waiting.stage, wanted, machine.cautiousCandidates(queue, waiting, suspicion, advice))
+			placed = machine.placeSingles(queue, waiting, wanted, suspicion, advice)
 		}
 		complete = complete && placed
 		if suspicion == isolated {
@@ -288,9 +274,24 @@
 	return complete
 }
 
+// placeSingles places tasks of a stage that is no gang, on slow workers only as trials or if others have no room for long.
+func (machine *Machine) placeSingles(queue almondcross.Queue, waiting *waitingStage, wanted []int, suspicion suspicion, advice *stageAdvice) bool {
+	candidates := machine.cautiousCandidates(queue, waiting, suspicion, advice)
+	if suspicion != unsuspected {
+		return machine.placeGroup(waiting.job, waiting.stage, wanted, candidates)
+	}
+	if trials := machine.placeTrials(waiting, machine.withinQuota(waiting.job, waiting.stage, wanted), candidates); trials > 0 {
+		wanted = wanted[trials:]
+		candidates = machine.cautiousCandidates(queue, waiting, suspicion, advice) // The trials have taken room.
+	}
+	return machine.placeGroup(waiting.job, waiting.stage, wanted, machine.withoutSlow(queue, waiting, len(wanted), advice, candidates))
+}
+
 // placeGroup places tasks of a stage that are under the same suspicion.
 func (machine *Machine) placeGroup(job *job, stage *stage, wanted []int, candidates []almondcross.WorkerCapacity) bool {
-	if len(candidates) == 0 {
+	complete := len(wanted)
+	wanted = machine.withinQuota(job, stage, wanted)
+	if len(candidates) == 0 || len(wanted) == 0 {
 		return false
 	}
 	chosen := machine.config.Picker.Pick(almondcross.NewPickQuery(almondcross.PickQueryConfig{
@@ -309,7 +310,7 @@
 		}
 		machine.assign(job, stage, index, run, machine.leader.workers[id])
 	}
-	return len(chosen) == len(wanted)
+	return len(chosen) == complete
 }
 
 // replaceGangMember assigns a gang member that never started to another worker, under the same run number,
@@ -319,6 +320,9 @@
 	if missing.stopReason != "" || stage.activeTasks == 0 || missing.run != stage.gangRun || machine.now.Sub(missing.placedAt) > memberReplaceTimeout {
 		return false
 	}
+	if !machine.mayReplace(missing) {
+		return false
+	}
 	queue := machine.queue(job)
 	var advice *stageAdvice
 	if queue.AdviceSettings().Required() {
@@ -352,6 +356,7 @@
 		machine.leader.isolatedWorkers++
 	}
 	worker.assign(assigned)
+	machine.chargeShare(assigned)
 	change := almondcross.ChangeConfig{Kind: almondcross.ChangeAssign, Task: task, Run: run, Worker: worker.id}
 	if address := worker.address(); machine.state.busyAddresses[worker.id] != address {
 		change.Address, change.Zone = address.address, address.zone
@@ -381,7 +386,7 @@
 	if assigned.stage.spec.Gang() {
 		checkpoint = assigned.stage.gangCheckpoint
 	}
-	assigned.phase, assigned.fence = phaseSent, worker.fence
+	assigned.phase, assigned.fence, assigned.resumed = phaseSent, worker.fence, checkpoint != ""
 	machine.countQueueStart(assigned.job)
 	machine.emitStart(worker, assigned, almondcross.NewStartOrder(almondcross.StartOrderConfig{
 		Worker: worker.info, Incarnation: worker.incarnation, Task: assigned.task, Run: assigned.run, Payload: assigned.job.spec.Payload(), Checkpoint: checkpoint,
@@ -400,7 +405,7 @@
 // have changed since the decision.
 func (machine *Machine) mayStart(worker *worker, assigned *assignment) bool {
 	return assigned.stopReason == "" && assigned.unwantedReason() == "" && machine.mayExtendLease(worker) && !worker.unreachable &&
-		worker.fitsRuns() && worker.isOfKind(machine.queue(assigned.job), assigned.stage.spec)
+		worker.fitsRuns() && worker.isOfKind(machine.queue(assigned.job), assigned.stage.spec) && machine.startKeepsQuota(assigned)
 }
 
 // startOrderAnswered handles the answer to a start order.
--- a/command/scheduler/snapshot.go
+++ b/command/scheduler/snapshot.go
@@ -101,12 +101,16 @@
 			if task.Active() {
 				stage.activeTasks++
 				state.busyWorkers[task.Worker()]++
+				state.hold(restored, stage)
 			}
 		}
 		stage.updateMaxCrashes()
 		restored.activeTasks += stage.activeTasks
 		restored.stages = append(restored.stages, stage)
 	}
+	if record.Job().Workspace() != "" {
+		state.format = max(state.format, workspaceFormat)
+	}
 	state.jobs[id] = restored
 	state.changedJobs[id] = struct{}{}
 	if restored.state.Final() {
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -21,8 +21,9 @@
 	activeTasks    int    // activeTasks counts the tasks that have a run without a recorded end.
 	// readyAt is when the stage became ready, or when its job was submitted if that was before this scheduler. It is not replicated.
 	readyAt      time.Time
-	failedWorker string // failedWorker is the first worker on which this scheduler saw a run fail since the last success, empty for none. It is not replicated.
-	failsWidely  bool   // failsWidely is set once this scheduler saw a run fail on another worker too. It is not replicated.
+	runTime      stageRunTime // runTime is the expected run time. It is not replicated.
+	failedWorker string       // failedWorker is the first worker on which this scheduler saw a run fail since the last success, empty for none. It is not replicated.
+	failsWidely  bool         // failsWidely is set once this scheduler saw a run fail on another worker too. It is not replicated.
 }
 
 // job is one job of the replicated state.
@@ -34,6 +35,8 @@
 	startedOccurrences int
 	stages             []*stage
 	activeTasks        int // activeTasks counts the active tasks of all stages.
+	// paths holds the longest chains of the steps, nil until a stage waits. It is not replicated.
+	paths *paths
 }
 
 // stage returns the stage with an ID, nil if its occurrence has not started.
@@ -59,7 +62,7 @@
 // view returns the view of the job that callers see.
 func (job *job) view() almondcross.JobView {
 	return almondcross.NewJobView(almondcross.JobViewConfig{
-		ID: job.spec.ID(), Queue: job.spec.Queue(), State: job.state, CountsAsPending: job.spec.Runs() == 0,
+		ID: job.spec.ID(), Queue: job.spec.Queue(), State: job.state, CountsAsPending: job.spec.Runs() == 0, Workspace: job.spec.Workspace(),
 	})
 }
 
@@ -88,6 +91,8 @@
 	unlistedWorkers map[string]almondcross.UnlistedWorker
 	crashes         []almondcross.WorkerCrash // crashes holds the crashes of workers in the last crashWindow.
 	busyWorkers     map[string]int            // busyWorkers counts the active runs of each worker that has any.
+	// heldResources holds what the runs without a recorded end of each workspace hold, see quota.go.
+	heldResources map[string]almondcross.Resources
 	// busyAddresses holds the addresses of the workers in busyWorkers, as far as the journal has shown them since this host
 	// loaded the state.
 	busyAddresses map[string]workerAddress
@@ -126,6 +131,7 @@
 		intakeOffsets: map[int]int64{}, jobs: map[almondcross.JobID]*job{}, retention: retention,
 		changedJobs: map[almondcross.JobID]struct{}{}, silentWorkers: map[string]silence{}, longLeases: map[string]time.Time{}, unlistedWorkers: map[string]almondcross.UnlistedWorker{}, usage: map[almondcross.UsageKey]almondcross.QueueUsage{},
 		unstoredUsage: map[almondcross.UsageKey]struct{}{}, busyWorkers: map[string]int{}, busyAddresses: map[string]workerAddress{},
+		heldResources: map[string]almondcross.Resources{},
 	}
 }
 
@@ -226,8 +232,11 @@
 }
 
 func (state *state) admitJob(submitted almondcross.Job, settings almondcross.QueueSettings) {
-	if _, known := state.jobs[submitted.ID()]; known {
-		return
+	if known := state.jobs[submitted.ID()]; known != nil {
+		if !known.yieldsTo(submitted) {
+			return
+		}
+		state.finishedJobs = slices.DeleteFunc(state.finishedJobs, func(id almondcross.JobID) bool { return id == submitted.ID() })
 	}
 	job := &job{spec: submitted, settings: settings, state: almondcross.JobQueued}
 	state.jobs[submitted.ID()] = job
@@ -317,6 +326,7 @@
 	} else {
 		stage.activeTasks++
 		job.activeTasks++
+		state.hold(job, stage)
 	}
 	state.busyWorkers[change.Worker()]++
 	if change.Address() != "" {
@@ -342,6 +352,7 @@
 		stage.activeTasks++
 		job.activeTasks++
 	} else {
+		state.releaseHeld(job, stage)
 		defer state.releaseWorker(record.Worker()) // The worker counts as busy when its crash is weighed.
 	}
 	if showsStart(change) {
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -42,9 +42,12 @@
 	checkpoint    string              // checkpoint is the last checkpoint that the worker reported.
 	progress      int                 // progress is the last reported progress in percent.
 	progressAt    time.Time           // progressAt is when the progress last changed.
+	measured      runProgress         // measured is the progress from which the speed is measured next.
+	resumed       bool                // resumed is set if the run was started from a checkpoint.
 	suspicion     suspicion           // suspicion is that of the task when the run was assigned.
 	lostAt        time.Time           // lostAt is when contact with the incarnation of the worker that got the start order was lost, zero while it is the current one.
 	presumedLost  bool                // presumedLost is set once the lease has expired of a worker that does not answer.
+	share         shareEntry          // share is the entry whose share the run counts towards.
 	missingEnd    almondcross.EndKind // missingEnd is how the run has ended if its worker does not report it.
 }
 
@@ -60,8 +63,13 @@
 	drained       bool // drained is set once this incarnation has announced that it will leave.
 	assignments   map[almondcross.JobTask]*assignment
 	used          almondcross.Resources
-	usedByGangs   almondcross.Resources // usedByGangs is the part of used that belongs to gangs.
-	reserved      almondcross.Resources // reserved holds the resources reserved for waiting gangs in the current pass.
+	// usedByServices is the part of used that belongs to services.
+	usedByServices almondcross.Resources
+	reserved       almondcross.Resources // reserved holds the resources reserved for waiting gangs in the current pass.
+	held           bool                  // held is set if stages of a lower priority than heldPriority do not use the worker in the current pass.
+	heldPriority   int
+	speed          float64 // speed is relative to the usual worker, 0 if it was never measured.
+	slow           bool    // slow is set while the worker is several times slower than the usual one.
 
 	suspectRuns  int  // suspectRuns counts the runs of tasks under suspicion.
 	isolatedRuns int  // isolatedRuns counts the runs of isolated tasks; meanwhile the worker gets no runs of other jobs.
@@ -109,8 +117,8 @@
 func (worker *worker) assign(assignment *assignment) {
 	worker.assignments[assignment.task] = assignment
 	worker.used = worker.used.Add(assignment.resources)
-	if assignment.stage.spec.Gang() {
-		worker.usedByGangs = worker.usedByGangs.Add(assignment.resources)
+	if assignment.stage.spec.Service() {
+		worker.usedByServices = worker.usedByServices.Add(assignment.resources)
 	}
 	if assignment.suspicion != unsuspected {
 		worker.suspectRuns++
@@ -125,8 +133,8 @@
 	if worker.assignments[assignment.task] == assignment {
 		delete(worker.assignments, assignment.task)
 		worker.used = worker.used.Sub(assignment.resources)
-		if assignment.stage.spec.Gang() {
-			worker.usedByGangs = worker.usedByGangs.Sub(assignment.resources)
+		if assignment.stage.spec.Service() {
+			worker.usedByServices = worker.usedByServices.Sub(assignment.resources)
 		}
 		if assignment.suspicion != unsuspected {
 			worker.suspectRuns--
@@ -295,7 +303,9 @@
 // endRun records the end of a run and releases its resources.
 func (machine *Machine) endRun(worker *worker, assignment *assignment, kind almondcross.EndKind, checkpoint string) {
 	machine.recordStarts() // The end itself would otherwise count as the first sign of the start.
+	machine.noteFinished(worker, assignment, kind)
 	worker.release(assignment)
+	assignment.share.uncharge(assignment.resources)
 	task := assignment.task
 	wasFinal := assignment.job.state.Final()
 	machine.recordChange(almondcross.ChangeConfig{
--- a/encoder/link.go
+++ b/encoder/link.go
@@ -22,6 +22,10 @@
 	linkPeers         = "peers"
 	linkOrders        = "orders"
 	linkOrderAnswers  = "order_answers"
+	linkViewsAssign   = "views_assign"
+	linkViewNumber    = "view_number"
+	linkViewsMissed   = "views_missed"
+	linkViewerHello   = "viewer_hello"
 )
 
 type wireAssign struct {
@@ -29,12 +33,15 @@
 	Rank    int  `cbor:"rank,omitempty"`
 }
 
-// wireViews groups job views by queue and state, so that each view takes little more than its job ID.
+// wireViews groups job views by queue, state and workspace, so that each view takes little more than its job ID.
 type wireViews struct {
 	Reset    bool            `cbor:"reset,omitempty"`
 	Complete bool            `cbor:"complete,omitempty"`
 	Groups   []wireViewGroup `cbor:"groups,omitempty"`
 	Removed  []string        `cbor:"gone,omitempty"`
+	Epoch    int64           `cbor:"epoch,omitempty"`
+	Number   int64           `cbor:"number,omitempty"`
+	More     bool            `cbor:"more,omitempty"`
 }
 
 type wireViewGroup struct {
@@ -42,10 +49,12 @@
 	State   almondcross.JobState `cbor:"state"`
 	Counted bool                 `cbor:"counted,omitempty"`
 	IDs     []string             `cbor:"ids"`
+
+	Workspace string `cbor:"workspace,omitempty"`
 }
 
 func toViews(pushed almondcross.ViewsPushed) wireViews {
-	wire := wireViews{Reset: pushed.Reset(), Complete: pushed.Complete()}
+	wire := wireViews{Reset: pushed.Reset(), Complete: pushed.Complete(), Epoch: pushed.Epoch(), Number: pushed.Number(), More: pushed.More()}
 	groups := map[almondcross.JobView]int{}
 	for _, change := range pushed.Changes() {
 		if !change.Known() {
@@ -58,7 +67,9 @@
 		if !known {
 			index = len(wire.Groups)
 			groups[viewWithoutID] = index
-			wire.Groups = append(wire.Groups, wireViewGroup{Queue: view.Queue(), State: view.State(), Counted: view.CountsAsPending()})
+			wire.Groups = append(wire.Groups, wireViewGroup{
+				Queue: view.Queue(), State: view.State(), Counted: view.CountsAsPending(), Workspace: view.Workspace(),
+			})
 		}
 		wire.Groups[index].IDs = append(wire.Groups[index].IDs, string(view.ID()))
 	}
@@ -66,13 +77,15 @@
 }
 
 func (wireviews wireViews) value() almondcross.ViewsPushed {
-	config := almondcross.ViewsPushedConfig{Reset: wireviews.Reset, Complete: wireviews.Complete}
+	config := almondcross.ViewsPushedConfig{
+		Reset: wireviews.Reset, Complete: wireviews.Complete, Epoch: wireviews.Epoch, Number: wireviews.Number, More: wireviews.More,
+	}
 	for _, group := range wireviews.Groups {
 		for _, id := range group.IDs {
 			config.Changes = append(config.Changes, almondcross.NewJobViewChange(almondcross.JobViewChangeConfig{
 				ID: almondcross.JobID(id), Known: true,
 				View: almondcross.NewJobView(almondcross.JobViewConfig{
-					ID: almondcross.JobID(id), Queue: group.Queue, State: group.State, CountsAsPending: group.Counted,
+					ID: almondcross.JobID(id), Queue: group.Queue, State: group.State, CountsAsPending: group.Counted, Workspace: group.Workspace,
 				}),
 			}))
 		}
@@ -118,14 +131,17 @@
 	Address  string `cbor:"address,omitempty"`
 
 	DataCentre string `cbor:"data_centre,omitempty"`
+	ViewFormat int    `cbor:"view_format,omitempty"`
 
 	SchedulerEpoch int64             `cbor:"scheduler_epoch,omitempty"`
 	Ends           []wireStateChange `cbor:"ends,omitempty"`
+	Format         int               `cbor:"format,omitempty"`
 }
 
 func toHello(hello almondcross.HostHello) wireLinkHello {
 	wire := wireLinkHello{
-		Host: hello.Host(), Strength: hello.Strength(), Address: hello.Address(), DataCentre: hello.DataCentre(), SchedulerEpoch: hello.SchedulerEpoch(),
+		Host: hello.Host(), Strength: hello.Strength(), Address: hello.Address(), DataCentre: hello.DataCentre(), ViewFormat: hello.ViewFormat(),
+		SchedulerEpoch: hello.SchedulerEpoch(), Format: hello.Format(),
 	}
 	for _, end := range hello.Ends() {
 		wire.Ends = append(wire.Ends, toChange(end))
@@ -139,7 +155,7 @@
 	}
 	config := almondcross.HostHelloConfig{
 		Host: wirelinkhello.Host, Strength: wirelinkhello.Strength, Address: wirelinkhello.Address, DataCentre: wirelinkhello.DataCentre,
-		SchedulerEpoch: wirelinkhello.SchedulerEpoch,
+		ViewFormat: wirelinkhello.ViewFormat, SchedulerEpoch: wirelinkhello.SchedulerEpoch, Format: wirelinkhello.Format,
 	}
 	for _, wire := range wirelinkhello.Ends {
 		end, err := wire.value()
@@ -209,8 +225,9 @@
 		return codec.encodeIntakeForward(message)
 	case almondcross.IntakeStored:
 		return codec.encodeEnvelope(linkIntakeStored, wireIntakeStored(message.Config()))
+	default:
+		return codec.encodeViewRelaying(message)
 	}
-	return nil, errors.Annotatef(ErrUnknown, "%T", message)
 }
 
 // DecodeLink returns the message of a frame, or ErrTooLarge, ErrMalformed or ErrUnknown. The receiver must
@@ -253,8 +270,9 @@
 			return nil, err
 		}
 		return almondcross.NewIntakeStored(almondcross.IntakeStoredConfig(wire)), nil
+	default:
+		return codec.decodeViewRelaying(envelope)
 	}
-	return nil, errors.Annotatef(ErrUnknown, "%q", envelope.Type)
 }
 
 // decodeSchedulerMessage is the part of DecodeLink for the role, the peers and the job views, which the scheduler
--- a/journal.go
+++ b/journal.go
@@ -23,9 +23,29 @@
 	ErrMaybeStored = errors.ConstError("the store did not answer") // ErrMaybeStored means that the job may have been stored and may run.
 	ErrTooLarge    = errors.ConstError("too large for the store")  // ErrTooLarge means that the job can never be stored.
 
-	ErrIdentityTaken = errors.ConstError("the identity is that of a job of another queue") // ErrIdentityTaken means that the job was not admitted, since its identity is taken.
+	ErrIdentityTaken = errors.ConstError("the identity is that of a job of another queue or workspace") // ErrIdentityTaken means that the job was not admitted, since its identity is taken.
 )
 
+// NotStoredError is the error of a submission that was not stored, with the time after which a retry may succeed.
+type NotStoredError struct {
+	cause      error
+	retryAfter time.Duration
+}
+
+// NewNotStoredError returns an error with a cause, which has to be or wrap ErrNotStored.
+func NewNotStoredError(cause error, retryAfter time.Duration) *NotStoredError {
+	return &NotStoredError{cause: cause, retryAfter: retryAfter}
+}
+
+// Error returns the message of the cause.
+func (notstorederror *NotStoredError) Error() string { return notstorederror.cause.Error() }
+
+// Unwrap returns the cause.
+func (notstorederror *NotStoredError) Unwrap() error { return notstorederror.cause }
+
+// RetryAfter returns the time after which a retry may succeed.
+func (notstorederror *NotStoredError) RetryAfter() time.Duration { return notstorederror.retryAfter }
+
 // Submitter stores jobs and cancellations.
 type Submitter interface {
 	// Submit stores an intake and waits at most for the timeout. It returns ErrNotStored, ErrMaybeStored, ErrTooLarge or
@@ -37,6 +57,11 @@
 type QueueRouter interface {
 	// Match returns the settings of the queue of a request and the part of the path that follows the queue's prefix.
 	Match(host, path string) (settings QueueSettings, rest string, found bool)
+	// Identify returns the name of the workspace whose key a caller presents on a queue, and whether the call is allowed.
+	// The name is empty on an open queue and if the configuration requires no keys.
+	Identify(queue Queue, key string) (workspace string, allowed bool)
+	// FitsQuota returns ErrExceedsQuota if a job can never run within the current quota of its workspace.
+	FitsQuota(job Job) error
 	// Version returns the version of the current configuration, 0 before the first one.
 	Version() int64
 	// BodyLimit returns the maximum size of a request body in bytes, 0 when none is configured.
--- a/policy_generated.go
+++ b/policy_generated.go
@@ -146,6 +146,58 @@
 	return placementquery
 }
 
+// ShareWeightConfig holds the fields of a new ShareWeight.
+type ShareWeightConfig struct {
+	Owner  string
+	Entry  string
+	Weight int64
+}
+
+// NewShareWeight returns a ShareWeight with the given fields.
+func NewShareWeight(config ShareWeightConfig) ShareWeight {
+	return ShareWeight{
+		owner:  config.Owner,
+		entry:  config.Entry,
+		weight: config.Weight,
+	}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (shareweight ShareWeight) Config() ShareWeightConfig {
+	return ShareWeightConfig{
+		Owner:  shareweight.owner,
+		Entry:  shareweight.entry,
+		Weight: shareweight.weight,
+	}
+}
+
+// Owner returns the owner, such as a team or a workspace.
+func (shareweight ShareWeight) Owner() string { return shareweight.owner }
+
+// WithOwner returns a copy with the given owner.
+func (shareweight ShareWeight) WithOwner(owner string) ShareWeight {
+	shareweight.owner = owner
+	return shareweight
+}
+
+// Entry returns the entry of the owner, such as a queue, empty for a weight of the owner as a whole.
+func (shareweight ShareWeight) Entry() string { return shareweight.entry }
+
+// WithEntry returns a copy with the given entry.
+func (shareweight ShareWeight) WithEntry(entry string) ShareWeight {
+	shareweight.entry = entry
+	return shareweight
+}
+
+// Weight returns the weight, at least 1.
+func (shareweight ShareWeight) Weight() int64 { return shareweight.weight }
+
+// WithWeight returns a copy with the given weight.
+func (shareweight ShareWeight) WithWeight(weight int64) ShareWeight {
+	shareweight.weight = weight
+	return shareweight
+}
+
 // AdmissionQueryConfig holds the fields of a new AdmissionQuery.
 type AdmissionQueryConfig struct {
 	Entry   string
@@ -298,6 +350,82 @@
 	return admission
 }
 
+// SpeedSampleConfig holds the fields of a new SpeedSample.
+type SpeedSampleConfig struct {
+	Worker      string
+	Incarnation int64
+	Expected    time.Duration
+	Taken       time.Duration
+	Finished    bool
+}
+
+// NewSpeedSample returns a SpeedSample with the given fields.
+func NewSpeedSample(config SpeedSampleConfig) SpeedSample {
+	return SpeedSample{
+		worker:      config.Worker,
+		incarnation: config.Incarnation,
+		expected:    config.Expected,
+		taken:       config.Taken,
+		finished:    config.Finished,
+	}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (speedsample SpeedSample) Config() SpeedSampleConfig {
+	return SpeedSampleConfig{
+		Worker:      speedsample.worker,
+		Incarnation: speedsample.incarnation,
+		Expected:    speedsample.expected,
+		Taken:       speedsample.taken,
+		Finished:    speedsample.finished,
+	}
+}
+
+// Worker returns the identity of the worker.
+func (speedsample SpeedSample) Worker() string { return speedsample.worker }
+
+// WithWorker returns a copy with the given worker.
+func (speedsample SpeedSample) WithWorker(worker string) SpeedSample {
+	speedsample.worker = worker
+	return speedsample
+}
+
+// Incarnation returns the incarnation of the worker.
+func (speedsample SpeedSample) Incarnation() int64 { return speedsample.incarnation }
+
+// WithIncarnation returns a copy with the given incarnation.
+func (speedsample SpeedSample) WithIncarnation(incarnation int64) SpeedSample {
+	speedsample.incarnation = incarnation
+	return speedsample
+}
+
+// Expected returns the time that the work is expected to take on the usual worker.
+func (speedsample SpeedSample) Expected() time.Duration { return speedsample.expected }
+
+// WithExpected returns a copy with the given expected.
+func (speedsample SpeedSample) WithExpected(expected time.Duration) SpeedSample {
+	speedsample.expected = expected
+	return speedsample
+}
+
+// Taken returns the time that it took.
+func (speedsample SpeedSample) Taken() time.Duration { return speedsample.taken }
+
+// WithTaken returns a copy with the given taken.
+func (speedsample SpeedSample) WithTaken(taken time.Duration) SpeedSample {
+	speedsample.taken = taken
+	return speedsample
+}
+
+// Finished returns whether it is a finished run rather than the progress of one.
+func (speedsample SpeedSample) Finished() bool { return speedsample.finished }
+
+// WithFinished returns a copy with the given finished.
+func (speedsample SpeedSample) WithFinished(finished bool) SpeedSample {
+	speedsample.finished = finished
+	return speedsample
+}
+
 // WorkerCapacityConfig holds the fields of a new WorkerCapacity.
 type WorkerCapacityConfig struct {
 	Worker   string
@@ -305,6 +433,7 @@
 	Free     Resources
 	Capacity Resources
 	Tasks    int
+	Speed    float64
 }
 
 // NewWorkerCapacity returns a WorkerCapacity with the given fields.
@@ -315,6 +444,7 @@
 		free:     config.Free,
 		capacity: config.Capacity,
 		tasks:    config.Tasks,
+		speed:    config.Speed,
 	}
 }
 
@@ -326,6 +456,7 @@
 		Free:     workercapacity.free,
 		Capacity: workercapacity.capacity,
 		Tasks:    workercapacity.tasks,
+		Speed:    workercapacity.speed,
 	}
 }
 
@@ -374,6 +505,15 @@
 	return workercapacity
 }
 
+// Speed returns the speed relative to the usual worker, 0 if it is not known.
+func (workercapacity WorkerCapacity) Speed() float64 { return workercapacity.speed }
+
+// WithSpeed returns a copy with the given speed.
+func (workercapacity WorkerCapacity) WithSpeed(speed float64) WorkerCapacity {
+	workercapacity.speed = speed
+	return workercapacity
+}
+
 // PickQueryConfig holds the fields of a new PickQuery.
 type PickQueryConfig struct {
 	Count        int
@@ -461,3 +601,107 @@
 	pickquery.sinceReady = sinceReady
 	return pickquery
 }
+
+// OrderQueryConfig holds the fields of a new OrderQuery.
+type OrderQueryConfig struct {
+	Since             time.Time
+	LatestStart       time.Time
+	LatestUsefulStart time.Time
+}
+
+// NewOrderQuery returns a OrderQuery with the given fields.
+func NewOrderQuery(config OrderQueryConfig) OrderQuery {
+	return OrderQuery{
+		since:             config.Since,
+		latestStart:       config.LatestStart,
+		latestUsefulStart: config.LatestUsefulStart,
+	}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (orderquery OrderQuery) Config() OrderQueryConfig {
+	return OrderQueryConfig{
+		Since:             orderquery.since,
+		LatestStart:       orderquery.latestStart,
+		LatestUsefulStart: orderquery.latestUsefulStart,
+	}
+}
+
+// Since returns the time at which it began to wait.
+func (orderquery OrderQuery) Since() time.Time { return orderquery.since }
+
+// WithSince returns a copy with the given since.
+func (orderquery OrderQuery) WithSince(since time.Time) OrderQuery {
+	orderquery.since = since
+	return orderquery
+}
+
+// LatestStart returns the latest start with which it is expected to be in time, zero without an objective.
+func (orderquery OrderQuery) LatestStart() time.Time { return orderquery.latestStart }
+
+// WithLatestStart returns a copy with the given latestStart.
+func (orderquery OrderQuery) WithLatestStart(latestStart time.Time) OrderQuery {
+	orderquery.latestStart = latestStart
+	return orderquery
+}
+
+// LatestUsefulStart returns the latest start with which its result is expected to be of use.
+func (orderquery OrderQuery) LatestUsefulStart() time.Time { return orderquery.latestUsefulStart }
+
+// WithLatestUsefulStart returns a copy with the given latestUsefulStart.
+func (orderquery OrderQuery) WithLatestUsefulStart(latestUsefulStart time.Time) OrderQuery {
+	orderquery.latestUsefulStart = latestUsefulStart
+	return orderquery
+}
+
+// OrderRankConfig holds the fields of a new OrderRank.
+type OrderRankConfig struct {
+	Overdue bool
+	Group   int
+	Key     time.Time
+}
+
+// NewOrderRank returns a OrderRank with the given fields.
+func NewOrderRank(config OrderRankConfig) OrderRank {
+	return OrderRank{
+		overdue: config.Overdue,
+		group:   config.Group,
+		key:     config.Key,
+	}
+}
+
+// Config returns the fields of the value for encoding or for a changed copy.
+func (orderrank OrderRank) Config() OrderRankConfig {
+	return OrderRankConfig{
+		Overdue: orderrank.overdue,
+		Group:   orderrank.group,
+		Key:     orderrank.key,
+	}
+}
+
+// Overdue returns whether it has waited so long that it goes before all other work of its priority.
+func (orderrank OrderRank) Overdue() bool { return orderrank.overdue }
+
+// WithOverdue returns a copy with the given overdue.
+func (orderrank OrderRank) WithOverdue(overdue bool) OrderRank {
+	orderrank.overdue = overdue
+	return orderrank
+}
+
+// Group returns the group; a lower one goes first.
+func (orderrank OrderRank) Group() int { return orderrank.group }
+
+// WithGroup returns a copy with the given group.
+func (orderrank OrderRank) WithGroup(group int) OrderRank {
+	orderrank.group = group
+	return orderrank
+}
+
+// Key returns the order within a group; an earlier one goes first.
+func (orderrank OrderRank) Key() time.Time { return orderrank.key }
+
+// WithKey returns a copy with the given key.
+func (orderrank OrderRank) WithKey(key time.Time) OrderRank {
+	orderrank.key = key
+	return orderrank
+}
--- a/standin/emulator/checker.go
+++ b/standin/emulator/checker.go
@@ -13,6 +13,7 @@
 type Report struct {
 	Jobs, Accepted, Completed, Failed, Cancelled, Runs int
 	Median, P99                                        time.Duration // Median and P99 are the 50th and 99th percentiles of the time from submission to completion.
+	All, Urgent, Gangs, Batch                          ClassTimes    // All and the others hold the times of the jobs of all queues and of each.
 	// GivenUp counts the jobs that are shown as failed because workers crashed under one of their tasks, GivenUpSound
 	// those among them without a task that crashes its workers.
 	GivenUp, GivenUpSound int
@@ -20,6 +21,11 @@
 	Questions, Unavailable int
 	Violations             []string
 	Takeovers              TakeoverReport // Takeovers holds the times from the disturbances of the scheduler to the next starts.
+	// OldestViews is the highest age of complete views on a host that was not disturbed, RelayedChecks the number of checks of a host
+	// that gets views from a relay. Both are of cells with relays alone.
+	OldestViews   time.Duration
+	RelayedChecks int
+	Traffic       TrafficReport // Traffic holds the messages on the links of the scheduler's hosts, if they were measured.
 	// AccountedCPU is the CPU time of all runs in the stored account, UsedCPU the CPU time on the workers, both
 	// in millicore-seconds.
 	AccountedCPU, UsedCPU int64
--- a/standin/emulator/jobs.go
+++ b/standin/emulator/jobs.go
@@ -12,6 +12,7 @@
 // modelJob is a job as its caller sees it, with the history of its tasks.
 type modelJob struct {
 	spec          almondcross.Job
+	key           key // key is what its caller presents.
 	poison        bool
 	long          bool // long is set if its tasks take about longRunTime.
 	sentAt        time.Duration
@@ -21,8 +22,9 @@
 	unanswered    int           // unanswered counts the attempts without a response.
 	cancelledAt   time.Duration // cancelledAt is when a cancellation was acknowledged, 0 before.
 	cancelSentAt  time.Duration
-	otherQueue    string // otherQueue is the queue on which the job's identity was also used, empty for none.
-	started       bool   // started reports whether a worker has started one of its tasks.
+	otherQueue    string        // otherQueue is the queue on which the job's identity was also used, empty for none.
+	startedAt     time.Duration // startedAt is when a worker started the first of its tasks, 0 before.
+	started       bool          // started reports whether a worker has started one of its tasks.
 	finalState    almondcross.JobState
 	finalAt       time.Duration
 	crashingTasks map[almondcross.JobTask]bool // crashingTasks holds the tasks that crash each worker that starts them.
@@ -90,6 +92,10 @@
 	config := almondcross.JobConfig{ID: almondcross.JobID(fmt.Sprintf("%016x", simulation.jobCount)), Payload: "work"}
 	mean, spread, long := time.Duration(0), 0.4, false
 	switch fraction := simulation.random.Float64(); {
+	case queue == "" && simulation.config.Saturated:
+		var step almondcross.Step
+		config.Queue, mean, step = simulation.saturatedStep()
+		spread, config.Steps = 0.1, []almondcross.Step{step}
 	case queue == "" && fraction < 0.8:
 		config.Queue, mean = queueUrgent, 600*time.Millisecond
 		config.Steps = []almondcross.Step{simulation.randomStep(1+simulation.random.IntN(3), 1400, 2000, simulation.random.Float64() < 0.3)}
@@ -107,6 +113,7 @@
 		spec: almondcross.NewJob(config), long: long, poison: simulation.random.Float64() < simulation.config.PoisonShare,
 		taskHistories: map[almondcross.JobTask]*taskHistory{}, runTimes: map[almondcross.JobTask]time.Duration{},
 	}
+	simulation.drawKey(job)
 	for number, step := range config.Steps {
 		duration := time.Duration(float64(mean) * math.Exp(spread*simulation.random.NormFloat64()))
 		for index := range step.Count() {
@@ -116,6 +123,7 @@
 				job.runTimes[task] = time.Duration(float64(duration) * (0.8 + 0.4*simulation.random.Float64()))
 			}
 		}
+		simulation.makeUneven(job, number, duration)
 	}
 	return job
 }
@@ -186,6 +194,13 @@
 		onRefused()
 		return
 	}
+	caller, err := host.identify(submitted, job.key)
+	if err != nil {
+		simulation.renewKey(job)
+		onRefused()
+		return
+	}
+	submitted = submitted.WithWorkspace(caller.Workspace())
 	if cancel {
 		submitted, settings = submitted.WithSteps(nil).WithPayload(""), almondcross.QueueSettings{}
 	}
@@ -214,6 +229,7 @@
 	simulation.meter.jobAccepted(job)
 	simulation.observe(SubmissionAcknowledged)
 	simulation.schedule(statePollInterval, func() { simulation.pollState(job) })
+	simulation.cancelFromElsewhere(job)
 	delay := time.Duration(simulation.random.Int64N(int64(3 * time.Second)))
 	switch fraction := simulation.random.Float64(); {
 	case fraction < resubmitShare:
