--- a/integration/crowd/host_test.go
+++ b/integration/crowd/host_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -52,6 +53,7 @@
 // host is a scheduling host in a process of its own, the only one of its cell.
 type host struct {
 	t               *testing.T
+	store           *standin.Store
 	process         *exec.Cmd
 	ended           chan struct{} // ended is closed when the process has ended.
 	callersAddress  string
@@ -110,16 +112,18 @@
 	server := &http.Server{Handler: store.Handler(), ReadHeaderTimeout: time.Second}
 	t.Cleanup(func() { _ = server.Close() })
 	go func() { _ = server.Serve(listener) }()
-	configuration, err := standin.Configuration(1, "q", queueHost, "/q/", "pool", false)
+	configuration, err := standin.RoutesConfiguration(1, "pool",
+		standin.Route{Name: "q", Host: queueHost, Prefix: "/q/", Pool: "pool", MaxAttempts: 5, Stretch: 2, LatencyMS: 1000},
+		standin.Route{Name: "other", Host: queueHost, Prefix: "/other/", Pool: "pool", MaxAttempts: 5, Stretch: 2, LatencyMS: 1000})
 	require.NoError(t, err)
 	require.NoError(t, store.Put(ctx, "keyed.op", "config", configuration))
 
 	host := &host{
-		t: t, ended: make(chan struct{}), callersAddress: reserveAddress(t), readyAddress: reserveAddress(t),
+		t: t, store: store, ended: make(chan struct{}), callersAddress: reserveAddress(t), readyAddress: reserveAddress(t),
 		metricsAddress: reserveAddress(t), linksAddress: reserveAddress(t),
 	}
 	settings := fmt.Sprintf(`{"role":"scheduler","name":"h-0","data_centre":"a","region":"r","callers_listen":%q,"ready_listen":%q,"metrics_listen":%q,
-		"link_listen":%q,"store_address":%q,"store_partitions":2,"store_record":262144,"store_retention":"1h",
+		"link_listen":%q,"store_address":%q,"store_partitions":2,"store_record":262144,"store_retention":"6s",
 		"state_retention":"2m","max_lease":"10s","stop_grace":"3s","processors":1.0,"link_mbps":1000,"memory_mb":%d}`,
 		host.callersAddress, host.readyAddress, host.metricsAddress, host.linksAddress, listener.Addr(), *memoryMB)
 	directory := t.TempDir()
@@ -198,8 +202,11 @@
 }
 
 // submit sends a new job in a body of at least some bytes and returns the status.
-func (host *host) submit(bodyBytes int) int {
-	path := fmt.Sprintf("/q/%016x", host.jobs.Add(1))
+func (host *host) submit(bodyBytes int) int { return host.submitTo("/q/", bodyBytes) }
+
+// submitTo is submit for the queue with a prefix.
+func (host *host) submitTo(prefix string, bodyBytes int) int {
+	path := fmt.Sprintf("%s%016x", prefix, host.jobs.Add(1))
 	body := `{"spec":"x","steps":[{"count":1,"cpu":100,"mem_mb":10}]}`
 	body += strings.Repeat(" ", max(0, bodyBytes-len(body)))
 	return host.call(http.MethodPost, host.callersAddress, path, []byte(body))
@@ -235,3 +242,19 @@
 		require.True(host.t, time.Now().Before(until), "%s: not answered; peak memory %.1f MB, most descriptors %d", what, host.peakMB(), host.mostDescriptors.Load())
 	}
 }
+
+// requireSnapshot waits until the host has taken and stored a snapshot since now: the second one that ends was begun after the first.
+func (host *host) requireSnapshot() {
+	host.t.Helper()
+	for range 2 {
+		before := host.snapshotKeys()
+		host.requireSoon("a snapshot", func() bool { return !slices.Equal(before, host.snapshotKeys()) })
+	}
+}
+
+// snapshotKeys returns the keys of the stored snapshots.
+func (host *host) snapshotKeys() []string {
+	keys, err := host.store.Keys(host.t.Context(), "keyed.snapshots")
+	require.NoError(host.t, err)
+	return keys
+}
