Keep no records of tasks that never had a run

What callers saw: a host of 64 MB ended, or hung, after 1,000 accepted jobs with one step of 1,000 tasks in bodies of 4 kB.

Change: a stage has a table with the records of its tasks up to the last one that ever had a run; the others are new.

--- a/command/scheduler/attempts.go
+++ b/command/scheduler/attempts.go
@@ -43,9 +43,7 @@
 
 // forgetLostRun removes a lost run of a gang, whose failure has been counted, from all members.
 func (stage *stage) forgetLostRun(run int) {
-	for index, record := range stage.tasks {
-		stage.tasks[index] = withoutLostRun(record, run)
-	}
+	stage.tasks.change(func(record almondcross.TaskRecord) almondcross.TaskRecord { return withoutLostRun(record, run) })
 }
 
 // countLateFailure counts the failure of a lost run and returns the verdict on the job.
@@ -55,8 +53,8 @@
 		stage.gangFailures++
 		stage.forgetLostRun(run)
 	} else {
-		record := withoutLostRun(stage.tasks[index], run)
-		stage.tasks[index] = record.WithFailures(record.Failures() + 1)
+		record := withoutLostRun(stage.tasks.at(index), run)
+		stage.tasks.set(index, record.WithFailures(record.Failures()+1))
 	}
 	verdict := state.verdictOn(job, stage, index, change)
 	state.compactJob(job)
@@ -66,7 +64,7 @@
 // startedBeyondLimit reports whether a task has been started after as many failed runs as are allowed, given that a lost run
 // has failed as well.
 func (job *job) startedBeyondLimit(stage *stage, index, lostRun int) bool {
-	record := stage.tasks[index]
+	record := stage.tasks.at(index)
 	limit, known := job.attemptLimit()
 	if !known || record.Run() == lostRun {
 		return false
@@ -92,7 +90,7 @@
 		return
 	}
 	index := end.Task().Index
-	if !slices.Contains(stage.tasks[index].LostRuns(), end.Run()) {
+	if !slices.Contains(stage.tasks.at(index).LostRuns(), end.Run()) {
 		return
 	}
 	outcome := "counted"
--- a/command/scheduler/attempts_test.go
+++ b/command/scheduler/attempts_test.go
@@ -54,7 +54,7 @@
 			require.Equal(t, test.acknowledged, harness.machine.leader.workers[workerID].acknowledgedEnd)
 			require.Equal(t, test.acknowledged == 0, harness.machine.leader.workers[workerID].ackLimit > 0)
 			job := harness.machine.state.jobs["j"]
-			require.Equal(t, test.failures, job.stages[0].tasks[0].Failures())
+			require.Equal(t, test.failures, job.stages[0].tasks.at(0).Failures())
 			require.Equal(t, test.state, job.state)
 		})
 	}
--- a/command/scheduler/crash.go
+++ b/command/scheduler/crash.go
@@ -31,7 +31,7 @@
 
 // countCrash counts a crash of the worker under the last run of a task. Contact with the worker was lost at a time.
 func (state *state) countCrash(stage *stage, index int, kind almondcross.EndKind, lostAt time.Time) {
-	record := stage.tasks[index]
+	record := stage.tasks.at(index)
 	worked := lostAt.Sub(record.Since())
 	if kind != almondcross.EndMaybeCrashed {
 		state.addWorkerCrash(record.Worker(), lostAt, worked <= crashOnset)
@@ -49,7 +49,7 @@
 	default:
 		record = confirmCrash(record.WithCrashes(record.Crashes()+1), worked)
 	}
-	stage.tasks[index] = record
+	stage.tasks.set(index, record)
 	stage.updateMaxCrashes()
 }
 
@@ -65,7 +65,7 @@
 // another cause than the task explains them, or as many as are allowed. A service, whose users need it, gets as many starts
 // as are allowed.
 func (state *state) givenUp(stage *stage, index int) bool {
-	record := stage.tasks[index]
+	record := stage.tasks.at(index)
 	enough := record.Crashes() >= minCrashes && record.Confirmed() >= minConfirmedCrashes && !stage.spec.Service() &&
 		record.Evidence()+record.Confirmed()*state.crashRarity(record.Losses()) >= minEvidence
 	return !record.Done() && (enough || record.Losses() >= maxLosses)
@@ -74,7 +74,7 @@
 // updateMaxCrashes computes the highest count of crashes of a task anew.
 func (stage *stage) updateMaxCrashes() {
 	stage.maxCrashes = 0
-	for _, record := range stage.tasks {
+	for _, record := range stage.tasks.known() {
 		stage.maxCrashes = max(stage.maxCrashes, record.Crashes())
 	}
 }
@@ -82,7 +82,7 @@
 // predates reports whether a run was assigned to its worker before an incarnation of that worker began. A scheduler
 // that takes over has not seen the earlier incarnation.
 func (assignment *assignment) predates(incarnation int64) bool {
-	return time.UnixMilli(incarnation).After(assignment.stage.tasks[assignment.task.Index].Since())
+	return time.UnixMilli(incarnation).After(assignment.stage.tasks.at(assignment.task.Index).Since())
 }
 
 // crashEnd returns how the started runs of a worker ended whose process has ended. A worker that has said that it leaves
@@ -172,7 +172,7 @@
 	if !isCrash(kind) {
 		return
 	}
-	record := assignment.stage.tasks[assignment.task.Index]
+	record := assignment.stage.tasks.at(assignment.task.Index)
 	machine.config.Log.Record("task_given_up", almondcross.Text("task", assignment.task.String()), almondcross.Number("run", assignment.run),
 		almondcross.Number("crashes", record.Losses()), almondcross.Number("evidence", record.Evidence()),
 		almondcross.Number("rarity", machine.state.crashRarity(record.Losses())))
--- a/command/scheduler/crash_test.go
+++ b/command/scheduler/crash_test.go
@@ -84,10 +84,10 @@
 func TestServiceIsGivenUpForCrashesSoonAfterItsStartOnly(t *testing.T) {
 	for after, given := range map[time.Duration]bool{time.Second: true, time.Minute: false} {
 		now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-		stage := &stage{spec: almondcross.NewStep(almondcross.StepConfig{Count: 1, Service: true}), tasks: make([]almondcross.TaskRecord, 1)}
+		stage := &stage{spec: almondcross.NewStep(almondcross.StepConfig{Count: 1, Service: true}), tasks: newTaskTable(1, nil)}
 		state, crashes := newState(time.Minute), 0
 		for !state.givenUp(stage, 0) && crashes < 100 {
-			stage.tasks[0] = stage.tasks[0].WithSince(now)
+			stage.tasks.set(0, stage.tasks.at(0).WithSince(now))
 			now = now.Add(after)
 			state.countCrash(stage, 0, almondcross.EndWorkerCrashed, now)
 			crashes++
@@ -189,5 +189,5 @@
 	}
 	require.Equal(t, almondcross.EndMaybeCrashed, harness.recordedEnd())
 	require.Equal(t, 1, harness.record(taskOf("s", 0, 0)).Crashes())
-	require.Equal(t, 1, standby.machine.state.jobs["s"].stages[0].tasks[0].Crashes(), "the standby counts the same")
+	require.Equal(t, 1, standby.machine.state.jobs["s"].stages[0].tasks.at(0).Crashes(), "the standby counts the same")
 }
--- a/command/scheduler/evidence_test.go
+++ b/command/scheduler/evidence_test.go
@@ -64,7 +64,7 @@
 // crashOthers crashes workers under their lasting runs, which then go on elsewhere.
 func (crashcell *crashCell) crashOthers(first, count int) {
 	for index := first; index < first+count; index++ {
-		task, run := taskOf("others", 0, index), crashcell.state.jobs["others"].stages[0].tasks[index].Run()
+		task, run := taskOf("others", 0, index), crashcell.state.jobs["others"].stages[0].tasks.at(index).Run()
 		crashcell.apply(almondcross.ChangeConfig{Kind: almondcross.ChangeEnd, Task: task, Run: run, Worker: "w-" + strconv.Itoa(index), End: almondcross.EndWorkerCrashed},
 			almondcross.ChangeConfig{Kind: almondcross.ChangeAssign, Task: task, Run: run + 1, Worker: "w-" + strconv.Itoa(index)})
 	}
--- a/command/scheduler/failures_test.go
+++ b/command/scheduler/failures_test.go
@@ -33,7 +33,7 @@
 		})
 		job := harness.machine.state.jobs[id]
 		for index := range tasks {
-			for run := 1; run <= 2 && !job.state.Final() && !job.stages[0].tasks[index].Done(); run++ {
+			for run := 1; run <= 2 && !job.state.Final() && !job.stages[0].tasks.at(index).Done(); run++ {
 				position := next % len(leader.sortedWorkers)
 				next++
 				worker := leader.sortedWorkers[position]
--- a/command/scheduler/gangroom_test.go
+++ b/command/scheduler/gangroom_test.go
@@ -18,7 +18,7 @@
 		job: &job{state: almondcross.JobRunning}, resources: worker.info.Capacity().Sub(almondcross.NewResources(almondcross.ResourcesConfig{MilliCPU: free, MemoryMB: free})),
 		stage: &stage{
 			spec:  almondcross.NewStep(almondcross.StepConfig{Count: 1, Estimate: after}),
-			tasks: []almondcross.TaskRecord{almondcross.TaskRecord{}.WithActive(true)}, remainingTasks: 1, activeTasks: 1,
+			tasks: newTaskTable(1, []almondcross.TaskRecord{almondcross.TaskRecord{}.WithActive(true)}), remainingTasks: 1, activeTasks: 1,
 		},
 	}
 	worker.assign(run)
--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -127,7 +127,7 @@
 			if job.ready(stage) {
 				stage.readyAt = job.spec.Submitted()
 			}
-			for index, record := range stage.tasks {
+			for index, record := range stage.tasks.known() {
 				if !record.Active() {
 					continue
 				}
--- a/command/scheduler/leadership_test.go
+++ b/command/scheduler/leadership_test.go
@@ -240,7 +240,7 @@
 	harness.answerCommits()
 	require.False(t, harness.machine.Leads())
 	harness = harness.electStandby()
-	for harness.machine.state.jobs["j"].stages[0].tasks[0].Active() && harness.now.Before(leaseEndsAt.Add(time.Minute)) {
+	for harness.machine.state.jobs["j"].stages[0].tasks.at(0).Active() && harness.now.Before(leaseEndsAt.Add(time.Minute)) {
 		harness.dropLeaseAnswers(leaderTick)
 	}
 	require.False(t, harness.now.Before(leaseEndsAt), "%s before the end of the lease", leaseEndsAt.Sub(harness.now))
--- a/command/scheduler/lease.go
+++ b/command/scheduler/lease.go
@@ -259,7 +259,7 @@
 	if !found || end.Kind() != almondcross.EndDone || stage.spec.Service() {
 		return
 	}
-	record := stage.tasks[end.Task().Index]
+	record := stage.tasks.at(end.Task().Index)
 	var outcome string
 	switch {
 	case record.Run() > end.Run():
--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -194,7 +194,7 @@
 // which every run fails could use up all attempts of a task.
 func (stage *stage) failedWorkers() map[string]bool {
 	var failed map[string]bool
-	for _, record := range stage.tasks {
+	for _, record := range stage.tasks.known() {
 		if record.Failures() > 0 && !record.Active() && !record.Done() {
 			if failed == nil {
 				failed = map[string]bool{}
@@ -306,7 +306,7 @@
 	for position, id := range chosen {
 		index := wanted[position]
 		if !stage.spec.Gang() {
-			run = stage.tasks[index].Run() + 1
+			run = stage.tasks.at(index).Run() + 1
 		}
 		machine.assign(job, stage, index, run, machine.leader.workers[id])
 	}
@@ -381,7 +381,7 @@
 	if advice := machine.leader.advice[assigned.task.Stage]; advice != nil {
 		ticket = advice.tickets[worker.id].secret
 	}
-	record := assigned.stage.tasks[assigned.task.Index]
+	record := assigned.stage.tasks.at(assigned.task.Index)
 	checkpoint := record.Checkpoint()
 	if assigned.stage.spec.Gang() {
 		checkpoint = assigned.stage.gangCheckpoint
--- a/command/scheduler/placement_test.go
+++ b/command/scheduler/placement_test.go
@@ -145,7 +145,7 @@
 			harness.answerCommits()
 			_, started := takeEffect[SendStart](harness)
 			require.False(t, started)
-			require.False(t, harness.machine.state.jobs["j"].stages[0].tasks[0].Active(), "the task waits again")
+			require.False(t, harness.machine.state.jobs["j"].stages[0].tasks.at(0).Active(), "the task waits again")
 		})
 	}
 }
--- a/command/scheduler/progress.go
+++ b/command/scheduler/progress.go
@@ -49,7 +49,7 @@
 // noteLateEnd notes that a run started that was presumed lost before its start was known.
 func (machine *Machine) noteLateEnd(end almondcross.EndedTask) {
 	if job, stage, found := machine.state.find(end.Task()); found {
-		machine.noteStart(job, end.Task(), end.Run(), stage.tasks[end.Task().Index].Since())
+		machine.noteStart(job, end.Task(), end.Run(), stage.tasks.at(end.Task().Index).Since())
 	}
 }
 
--- a/command/scheduler/quotacell_test.go
+++ b/command/scheduler/quotacell_test.go
@@ -328,7 +328,7 @@
 		counted := map[string]almondcross.Resources{}
 		for _, job := range state.jobs {
 			for _, stage := range job.stages {
-				for _, record := range stage.tasks {
+				for _, record := range stage.tasks.known() {
 					if record.Active() && job.spec.Workspace() != "" {
 						counted[job.spec.Workspace()] = counted[job.spec.Workspace()].Add(stage.spec.Resources())
 					}
--- a/command/scheduler/records_test.go
+++ b/command/scheduler/records_test.go
@@ -115,7 +115,7 @@
 		"snapshot of unknown occurrences":     snapshot(snapshotOf(1, 1, almondcross.StageRecordConfig{Tasks: one}, almondcross.StageRecordConfig{Occurrence: 1, Tasks: one})),
 		"admitted job without steps":          admit(),
 		"stored job without steps":            intake(),
-		"snapshot without a stage's tasks":    snapshot(snapshotOf(1, 1, almondcross.StageRecordConfig{})),
+		"snapshot with an unknown task":       snapshot(snapshotOf(1, 1, almondcross.StageRecordConfig{Tasks: make([]almondcross.TaskRecord, 2)})),
 	} {
 		t.Run(name, func(t *testing.T) { require.Error(t, applyRecord(codec, record)) })
 	}
@@ -247,11 +247,11 @@
 			harness.answerCommit()
 		}
 	}
-	require.True(t, harness.machine.state.jobs["j"].stages[0].tasks[0].Active())
-	require.False(t, harness.machine.state.jobs["k"].stages[0].tasks[0].Active())
+	require.True(t, harness.machine.state.jobs["j"].stages[0].tasks.at(0).Active())
+	require.False(t, harness.machine.state.jobs["k"].stages[0].tasks.at(0).Active())
 	listing(almondcross.WorkerChangeConfig{Present: true, Worker: poolWorker})
 	harness.advance(minPlacementInterval)
-	require.True(t, harness.machine.state.jobs["k"].stages[0].tasks[0].Active())
+	require.True(t, harness.machine.state.jobs["k"].stages[0].tasks.at(0).Active())
 }
 
 // Guards against a worker whose reports fill the log and the queue of its orders with runs that nobody started.
--- a/command/scheduler/scheduler_test.go
+++ b/command/scheduler/scheduler_test.go
@@ -272,8 +272,8 @@
 	restored := restore(after, time.Minute, harness.now, nil)
 	require.Len(t, restored.jobs, len(before.Jobs()))
 	j := restored.jobs["j"]
-	require.Equal(t, 1, j.stages[0].tasks[1].Failures())
-	require.Equal(t, "c", j.stages[0].tasks[1].Checkpoint())
+	require.Equal(t, 1, j.stages[0].tasks.at(1).Failures())
+	require.Equal(t, "c", j.stages[0].tasks.at(1).Checkpoint())
 	require.Equal(t, 1, j.activeTasks)
 	require.Equal(t, 2, j.stages[0].remainingTasks)
 	require.Equal(t, almondcross.JobCancelled, restored.jobs["k"].state)
--- a/command/scheduler/settings_test.go
+++ b/command/scheduler/settings_test.go
@@ -86,7 +86,7 @@
 		harness.becomeScheduler()
 		state := harness.machine.state
 		state.admitJob(newJob("o", almondcross.StepConfig{Count: 1}), settings(0, "q").WithQueue(almondcross.NewQueue(almondcross.QueueConfig{Name: "q"})))
-		state.jobs["o"].stages[0].tasks[0] = almondcross.TaskRecord{}.WithFailures(failures).WithRun(failures)
+		state.jobs["o"].stages[0].tasks.set(0, almondcross.TaskRecord{}.WithFailures(failures).WithRun(failures))
 		parts, err := codec.EncodeSnapshot(state.snapshot(0, harness.now), 1<<20)
 		require.NoError(t, err)
 		restored, found, err := codec.DecodeSnapshot([]almondcross.KeyedRecord{almondcross.NewKeyedRecord(almondcross.KeyedRecordConfig{Value: parts[0]})})
--- a/command/scheduler/snapshot.go
+++ b/command/scheduler/snapshot.go
@@ -37,7 +37,7 @@
 	for index, stage := range job.stages {
 		stages[index] = almondcross.NewStageRecord(almondcross.StageRecordConfig{
 			Occurrence: stage.id.Occurrence, Step: stage.id.Step, Run: stage.gangRun, Failures: stage.gangFailures,
-			FailedRun: stage.failedGangRun, Checkpoint: stage.gangCheckpoint, Tasks: slices.Clone(stage.tasks),
+			FailedRun: stage.failedGangRun, Checkpoint: stage.gangCheckpoint, Tasks: slices.Clone(stage.tasks.known()),
 		})
 	}
 	return almondcross.NewJobRecord(almondcross.JobRecordConfig{
@@ -91,12 +91,13 @@
 		}
 		stage := &stage{
 			id:   almondcross.StageID{Job: id, Occurrence: saved.Occurrence(), Step: saved.Step()},
-			spec: steps[saved.Step()], tasks: slices.Clone(saved.Tasks()), gangRun: saved.Run(), gangFailures: saved.Failures(),
+			spec: steps[saved.Step()], tasks: newTaskTable(steps[saved.Step()].Count(), saved.Tasks()), gangRun: saved.Run(), gangFailures: saved.Failures(),
 			failedGangRun: saved.FailedRun(), gangCheckpoint: saved.Checkpoint(),
 		}
-		for _, task := range stage.tasks {
-			if !task.Done() {
-				stage.remainingTasks++
+		stage.remainingTasks = stage.tasks.len()
+		for _, task := range stage.tasks.known() {
+			if task.Done() {
+				stage.remainingTasks--
 			}
 			if task.Active() {
 				stage.activeTasks++
--- a/command/scheduler/speeds.go
+++ b/command/scheduler/speeds.go
@@ -131,7 +131,7 @@
 // gangStartedAt returns when the last member of a running gang was confirmed.
 func (machine *Machine) gangStartedAt(stage *stage) time.Time {
 	var last time.Time
-	for index, record := range stage.tasks {
+	for index, record := range stage.tasks.known() {
 		if worker := machine.leader.workers[record.Worker()]; worker != nil {
 			if member := worker.assignments[almondcross.JobTask{Stage: stage.id, Index: index}]; member != nil {
 				last = later(last, member.confirmedAt)
@@ -248,7 +248,7 @@
 		if !worker.slow || len(worker.assignments) > 0 || !leader.speeds.TrialDue(worker.id, machine.now) {
 			continue
 		}
-		machine.assign(waiting.job, waiting.stage, wanted[placed], waiting.stage.tasks[wanted[placed]].Run()+1, worker)
+		machine.assign(waiting.job, waiting.stage, wanted[placed], waiting.stage.tasks.at(wanted[placed]).Run()+1, worker)
 		leader.speeds.TrialPlaced(worker.id, machine.now)
 		leader.trialAt = machine.now
 		placed++
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -11,7 +11,7 @@
 type stage struct {
 	id             almondcross.StageID
 	spec           almondcross.Step
-	tasks          []almondcross.TaskRecord
+	tasks          taskTable
 	maxCrashes     int    // maxCrashes is the highest count of crashes of a task.
 	gangRun        int    // gangRun is the highest run number of a gang.
 	gangFailures   int    // gangFailures counts the failed runs of a gang.
@@ -56,7 +56,7 @@
 		return nil, nil, false
 	}
 	stage := job.stage(task.Stage)
-	return job, stage, stage != nil && task.Index < len(stage.tasks)
+	return job, stage, stage != nil && task.Index < stage.tasks.len()
 }
 
 // view returns the view of the job that callers see.
@@ -257,7 +257,7 @@
 		job.stages = append(job.stages, &stage{
 			id:             almondcross.StageID{Job: job.spec.ID(), Occurrence: job.startedOccurrences, Step: index},
 			spec:           step,
-			tasks:          make([]almondcross.TaskRecord, step.Count()),
+			tasks:          newTaskTable(step.Count(), nil),
 			remainingTasks: step.Count(),
 		})
 	}
@@ -312,7 +312,7 @@
 
 // restarted reports whether a task of the stage was started more than once.
 func (stage *stage) restarted() bool {
-	return slices.ContainsFunc(stage.tasks, func(record almondcross.TaskRecord) bool { return record.Run() > 1 })
+	return slices.ContainsFunc(stage.tasks.known(), func(record almondcross.TaskRecord) bool { return record.Run() > 1 })
 }
 
 func (state *state) assignTask(change almondcross.Change) {
@@ -320,7 +320,7 @@
 	if !found {
 		return
 	}
-	record := stage.tasks[change.Task().Index]
+	record := stage.tasks.at(change.Task().Index)
 	if record.Active() {
 		state.releaseWorker(record.Worker())
 	} else {
@@ -333,14 +333,14 @@
 		state.busyAddresses[change.Worker()] = workerAddress{address: change.Address(), zone: change.Zone()}
 	}
 	record = withoutLostRun(record, change.Run()) // A member of a gang that never started is assigned again under its run.
-	stage.tasks[change.Task().Index] = record.WithActive(true).WithRun(change.Run()).WithWorker(change.Worker()).WithSince(state.batchTime)
+	stage.tasks.set(change.Task().Index, record.WithActive(true).WithRun(change.Run()).WithWorker(change.Worker()).WithSince(state.batchTime))
 	stage.gangRun = max(stage.gangRun, change.Run())
 }
 
 // countEnd applies the end of a run to its task and returns the verdict on the job.
 func (state *state) countEnd(job *job, stage *stage, change almondcross.Change) almondcross.Verdict {
 	index := change.Task().Index
-	record := stage.tasks[index]
+	record := stage.tasks.at(index)
 	if change.End() == almondcross.EndFailed && slices.Contains(record.LostRuns(), change.Run()) {
 		return state.countLateFailure(job, stage, index, change)
 	}
@@ -396,15 +396,15 @@
 		record = record.WithFailures(record.Failures() + 1)
 		stage.failedGangRun = change.Run()
 	}
-	stage.tasks[index] = record
+	stage.tasks.set(index, record)
 }
 
 // updateGang applies the end of one member to the gang. One success completes all members; a failed run counts
 // once, when its last member has ended.
 func (stage *stage) updateGang(change almondcross.Change) {
 	if change.End() == almondcross.EndDone {
-		for index, record := range stage.tasks {
-			stage.tasks[index] = record.WithDone(true)
+		for index := range stage.tasks.len() {
+			stage.tasks.set(index, stage.tasks.at(index).WithDone(true))
 		}
 		stage.remainingTasks = 0
 	}
--- a/command/scheduler/stop.go
+++ b/command/scheduler/stop.go
@@ -22,7 +22,7 @@
 	switch {
 	case assignment.job.state.Final():
 		return stopJobFinal
-	case stage.spec.Gang() && stage.remainingTasks > 0 && stage.activeTasks < len(stage.tasks):
+	case stage.spec.Gang() && stage.remainingTasks > 0 && stage.activeTasks < stage.tasks.len():
 		return stopGangBroken
 	default:
 		return ""
@@ -75,7 +75,7 @@
 
 // stopStage stops the runs of a stage that are no longer wanted. The sweep would find them too, up to sweepInterval later.
 func (machine *Machine) stopStage(stage *stage) {
-	for index, record := range stage.tasks {
+	for index, record := range stage.tasks.known() {
 		if !record.Active() {
 			continue
 		}
--- a/command/scheduler/suspicion.go
+++ b/command/scheduler/suspicion.go
@@ -43,7 +43,7 @@
 // suspicion returns the suspicion of a task by its own crashes. The members of a gang run together and share the highest
 // one.
 func (stage *stage) suspicion(index int) suspicion {
-	crashes := stage.tasks[index].Crashes()
+	crashes := stage.tasks.at(index).Crashes()
 	if stage.spec.Gang() {
 		crashes = stage.maxCrashes
 	}
@@ -94,8 +94,8 @@
 func (machine *Machine) unplacedTasks(job *job, stage *stage) [suspicionLevels][]int {
 	var unplaced [suspicionLevels][]int
 	lowest := machine.queueSuspicion(job, stage)
-	for index, record := range stage.tasks {
-		if record.Done() || record.Active() {
+	for index := range stage.tasks.len() {
+		if record := stage.tasks.at(index); record.Done() || record.Active() {
 			continue
 		}
 		level := max(lowest, stage.suspicion(index))
@@ -110,8 +110,8 @@
 	if highest == isolated || stage.maxCrashes == 0 {
 		return highest
 	}
-	for index, record := range stage.tasks {
-		if !record.Done() && !record.Active() {
+	for index := range stage.tasks.len() {
+		if record := stage.tasks.at(index); !record.Done() && !record.Active() {
 			highest = max(highest, stage.suspicion(index))
 		}
 	}
--- a/command/scheduler/suspicion_test.go
+++ b/command/scheduler/suspicion_test.go
@@ -58,7 +58,7 @@
 
 // record returns the state of a task.
 func (harness *harness) record(task almondcross.JobTask) almondcross.TaskRecord {
-	return harness.machine.state.jobs[task.Stage.Job].stage(task.Stage).tasks[task.Index]
+	return harness.machine.state.jobs[task.Stage.Job].stage(task.Stage).tasks.at(task.Index)
 }
 
 // Guards against tasks that have seen a crash and share a worker again: the next crash would not tell them apart, and
--- a/command/scheduler/verdict.go
+++ b/command/scheduler/verdict.go
@@ -46,7 +46,7 @@
 	}
 	job.settings = settings
 	for _, stage := range job.stages {
-		for index := range stage.tasks {
+		for index := range stage.tasks.known() {
 			if stage.remainingTasks > 0 && verdict == almondcross.VerdictUnknown {
 				verdict = state.deriveVerdict(job, stage, index, false)
 			}
@@ -69,7 +69,7 @@
 	if job.state.Final() {
 		return almondcross.VerdictUnknown
 	}
-	failures := stage.tasks[index].Failures()
+	failures := stage.tasks.at(index).Failures()
 	if stage.spec.Gang() {
 		failures = stage.gangFailures
 	}
--- a/command/scheduler/verdict_test.go
+++ b/command/scheduler/verdict_test.go
@@ -97,8 +97,8 @@
 	task := taskOf(id, rapid.IntRange(0, 1).Draw(t, "step"), rapid.IntRange(0, 1).Draw(t, "index"))
 	stage := job.stage(task.Stage)
 	run := rapid.IntRange(1, 6).Draw(t, "run")
-	if stage != nil && task.Index < len(stage.tasks) && rapid.IntRange(0, 5).Draw(t, "fits") > 0 {
-		record := stage.tasks[task.Index]
+	if stage != nil && task.Index < stage.tasks.len() && rapid.IntRange(0, 5).Draw(t, "fits") > 0 {
+		record := stage.tasks.at(task.Index)
 		if run = record.Run(); !record.Active() && !job.state.Final() {
 			return almondcross.NewChange(almondcross.ChangeConfig{
 				Kind: almondcross.ChangeAssign, Task: task, Run: run + 1, Worker: rapid.SampledFrom([]string{"w-1", "w-2", "w-3"}).Draw(t, "worker"),
--- a/encoder/snapshot.go
+++ b/encoder/snapshot.go
@@ -362,22 +362,15 @@
 
 func toJobRecord(record almondcross.JobRecord) wireJobRecord {
 	stages := make([]wireStageRecord, len(record.Stages()))
+	steps := record.Job().Steps()
 	for index, stage := range record.Stages() {
-		tasks := make([]wireTaskRecord, len(stage.Tasks()))
-		for taskIndex, task := range stage.Tasks() {
-			config := task.Config()
-			tasks[taskIndex] = wireTaskRecord{
-				taskRecordFields: taskRecordFields{
-					Done: config.Done, Active: config.Active, Run: config.Run, Failures: config.Failures,
-					Worker: config.Worker, Checkpoint: config.Checkpoint, SinceMS: toUnixMillis(config.Since),
-				},
-				crashFields: crashFields{Crashes: config.Crashes, Confirmed: config.Confirmed, Losses: config.Losses, Evidence: config.Evidence},
-				LostRuns:    config.LostRuns,
-			}
+		count := 0
+		if stage.Step() >= 0 && stage.Step() < len(steps) {
+			count = steps[stage.Step()].Count()
 		}
 		stages[index] = wireStageRecord{
 			Occurrence: stage.Occurrence(), Step: stage.Step(), Run: stage.Run(), Failures: stage.Failures(),
-			FailedRun: stage.FailedRun(), Checkpoint: stage.Checkpoint(), Tasks: tasks,
+			FailedRun: stage.FailedRun(), Checkpoint: stage.Checkpoint(), Tasks: toTaskRecords(stage.Tasks(), count),
 		}
 	}
 	wire := wireJobRecord{
@@ -390,6 +383,45 @@
 	return wire
 }
 
+// toTaskRecords returns the encoded form of the records of all tasks of a step. Tasks without a record are new.
+func toTaskRecords(records []almondcross.TaskRecord, count int) []wireTaskRecord {
+	tasks := make([]wireTaskRecord, max(count, len(records)))
+	for index, record := range records {
+		config := record.Config()
+		tasks[index] = wireTaskRecord{
+			taskRecordFields: taskRecordFields{
+				Done: config.Done, Active: config.Active, Run: config.Run, Failures: config.Failures,
+				Worker: config.Worker, Checkpoint: config.Checkpoint, SinceMS: toUnixMillis(config.Since),
+			},
+			crashFields: crashFields{Crashes: config.Crashes, Confirmed: config.Confirmed, Losses: config.Losses, Evidence: config.Evidence},
+			LostRuns:    config.LostRuns,
+		}
+	}
+	return tasks
+}
+
+// fromTaskRecords returns the records of the tasks up to the last one that is not new.
+func fromTaskRecords(tasks []wireTaskRecord) []almondcross.TaskRecord {
+	known := len(tasks)
+	for known > 0 && tasks[known-1].isNew() {
+		known--
+	}
+	records := make([]almondcross.TaskRecord, known)
+	for index, task := range tasks[:known] {
+		records[index] = almondcross.NewTaskRecord(almondcross.TaskRecordConfig{
+			Done: task.Done, Active: task.Active, Run: task.Run, Failures: task.Failures, Crashes: task.Crashes, Confirmed: task.Confirmed,
+			Losses: task.Losses, Evidence: task.Evidence, LostRuns: task.LostRuns,
+			Worker: task.Worker, Checkpoint: task.Checkpoint, Since: fromUnixMillis(task.SinceMS),
+		})
+	}
+	return records
+}
+
+// isNew reports whether a task never had a run: it has no other record than that of a task of a job just admitted.
+func (wiretaskrecord wireTaskRecord) isNew() bool {
+	return wiretaskrecord.taskRecordFields == taskRecordFields{} && wiretaskrecord.crashFields == crashFields{} && len(wiretaskrecord.LostRuns) == 0
+}
+
 // value returns the record of the job, or ErrMalformed if the scheduler that stored it cannot have held it.
 func (wirejobrecord wireJobRecord) value() (almondcross.JobRecord, error) {
 	job, err := wirejobrecord.Job.value()
@@ -401,17 +433,9 @@
 	}
 	stages := make([]almondcross.StageRecord, len(wirejobrecord.Stages))
 	for index, stage := range wirejobrecord.Stages {
-		tasks := make([]almondcross.TaskRecord, len(stage.Tasks))
-		for taskIndex, task := range stage.Tasks {
-			tasks[taskIndex] = almondcross.NewTaskRecord(almondcross.TaskRecordConfig{
-				Done: task.Done, Active: task.Active, Run: task.Run, Failures: task.Failures, Crashes: task.Crashes, Confirmed: task.Confirmed,
-				Losses: task.Losses, Evidence: task.Evidence, LostRuns: task.LostRuns,
-				Worker: task.Worker, Checkpoint: task.Checkpoint, Since: fromUnixMillis(task.SinceMS),
-			})
-		}
 		stages[index] = almondcross.NewStageRecord(almondcross.StageRecordConfig{
 			Occurrence: stage.Occurrence, Step: stage.Step, Run: stage.Run, Failures: stage.Failures,
-			FailedRun: stage.FailedRun, Checkpoint: stage.Checkpoint, Tasks: tasks,
+			FailedRun: stage.FailedRun, Checkpoint: stage.Checkpoint, Tasks: fromTaskRecords(stage.Tasks),
 		})
 	}
 	config := almondcross.JobRecordConfig{Job: job, State: wirejobrecord.State, StartedOccurrences: wirejobrecord.StartedOccurrences, Stages: stages}
--- a/encoder/taskrecord_test.go
+++ b/encoder/taskrecord_test.go
@@ -54,3 +54,22 @@
 		require.Equal(t, crashed, decoded.Crashed())
 	}
 }
+
+// Guards against a snapshot that an earlier version cannot read, or misreads, since tasks that never had a run are left out, and
+// against one that lacks tasks without being refused.
+func TestNewTasksAreEncodedInFull(t *testing.T) {
+	job := almondcross.NewJob(almondcross.JobConfig{ID: "j", Steps: []almondcross.Step{almondcross.NewStep(almondcross.StepConfig{Count: 5})}})
+	known := []almondcross.TaskRecord{almondcross.TaskRecord{}.WithRun(1).WithActive(true)}
+	record := almondcross.NewJobRecord(almondcross.JobRecordConfig{
+		Job: job, State: almondcross.JobRunning, StartedOccurrences: 1,
+		Stages: []almondcross.StageRecord{almondcross.NewStageRecord(almondcross.StageRecordConfig{Tasks: known})},
+	})
+	wire := toJobRecord(record)
+	require.Len(t, wire.Stages[0].Tasks, 5)
+	decoded, err := wire.value()
+	require.NoError(t, err)
+	require.Equal(t, known, decoded.Stages()[0].Tasks())
+	wire.Stages[0].Tasks = wire.Stages[0].Tasks[:4]
+	_, err = wire.value()
+	require.ErrorIs(t, err, ErrMalformed)
+}
