Bound the memory of accepted jobs

What callers saw: a host ended for lack of memory, or no longer answered counts and readiness, under clients that send complete and legal requests.

Cause: the limits on clients end with the answer.

Change: the scheduler estimates what each job takes, by workspace or queue, and refuses a forwarded job before anything is recorded once the state has no room for it. The limit is that of the weakest linked host, a third of the memory beside the process without a setting. A holder may have twice of what all leave free, so none shuts the others out. The host answers 503 with a Retry-After that follows from the rate at which jobs end. Hosts that reach no scheduler store a bounded number of jobs in the intake.

--- a/assembler/scheduler.go
+++ b/assembler/scheduler.go
@@ -37,6 +37,7 @@
 	"github.com/almondcross/almondcross/policy/estimator"
 	"github.com/almondcross/almondcross/policy/orderer"
 	"github.com/almondcross/almondcross/policy/picker"
+	"github.com/almondcross/almondcross/policy/rationer"
 	"github.com/almondcross/almondcross/policy/sharer"
 	"github.com/almondcross/almondcross/policy/speedometer"
 	"github.com/almondcross/almondcross/query/follower"
@@ -254,7 +255,7 @@
 	machine *scheduler.Machine, links *counter.Links,
 ) *connector.Dialer {
 	return connector.NewDialer(connector.DialerConfig{
-		Host: settings.Name(), DataCentre: settings.DataCentre(), Address: settings.LinkListen(), Format: machine.Format(), Codec: codec, Queries: rings.advice,
+		Host: settings.Name(), DataCentre: settings.DataCentre(), Address: settings.LinkListen(), Format: machine.Format(), StateBytes: planLimits(settings).StateBytes(), Codec: codec, Queries: rings.advice,
 		Executor: executor, Sink: rings.messages, Log: log,
 		Stored: rings.offerStored, Clock: Clock{}, Meter: links,
 	})
@@ -307,7 +308,7 @@
 	return submitter.New(submitter.Config{
 		Writer: commander.NewStore(settings.StoreAddress(), client), Codec: codec, Clock: Clock{}, Log: log, Topic: intakeTopic,
 		Partition: int(hash.Sum32()), Partitions: settings.StorePartitions(), Forward: uplink.Forward, Stored: rings.stored,
-		RecordBytes: settings.StoreRecord(), CallBytes: settings.StoreCall(),
+		RecordBytes: settings.StoreRecord(), CallBytes: settings.StoreCall(), IntakeBytes: planLimits(settings).IntakeBytes(),
 	})
 }
 
@@ -316,7 +317,7 @@
 ) *scheduler.Machine {
 	interval := min(max(settings.StoreRetention()/snapshotsPerRetention, minSnapshotInterval), maxSnapshotInterval)
 	return scheduler.NewMachine(scheduler.Config{
-		Host: settings.Name(), Address: settings.LinkListen(), Partitions: settings.StorePartitions(), Strength: schedulerStrength(settings),
+		Host: settings.Name(), Address: settings.LinkListen(), Partitions: settings.StorePartitions(), Strength: schedulerStrength(settings), StateBytes: planLimits(settings).StateBytes(), Room: rationer.ByFreeRoom{},
 		Retention: time.Duration(float64(settings.StateRetention()) * retentionFactor), MaxLease: settings.MaxLease(),
 		SnapshotInterval: interval, RecordBytes: settings.StoreRecord(), BatchesPerAppend: max(1, settings.StoreCall()/settings.StoreRecord()), Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), //nolint:gosec // Jitter needs no secrecy.
 		Publisher: table, Picker: picker.BestFit{}, Order: orderer.BySlack{}, Log: log, Metrics: counter,
--- a/assembler/schedulerlimits.go
+++ b/assembler/schedulerlimits.go
@@ -76,7 +76,7 @@
 		})
 	}
 	log.Record("limits_planned", almondcross.Number("body_bytes", plan.BodyBytes()), almondcross.Number("header_bytes", plan.HeaderBytes()),
-		almondcross.Number("link_bytes", plan.LinkBytes()),
+		almondcross.Number("link_bytes", plan.LinkBytes()), almondcross.Number("state_bytes", plan.StateBytes()), almondcross.Number("intake_bytes", plan.IntakeBytes()),
 		almondcross.Number("caller_connections", plan.CallerConnections()),
 		almondcross.Number("link_connections", plan.LinkConnections()), almondcross.Number("check_connections", plan.CheckConnections()))
 	return limits
@@ -96,6 +96,9 @@
 	if megabytes := settings.LinkMemoryMB(); megabytes > 0 {
 		plan = plan.WithLinkBytes(int64(megabytes) << 20)
 	}
+	if megabytes := settings.StateMemoryMB(); megabytes > 0 {
+		plan = plan.WithStateBytes(int64(megabytes) << 20)
+	}
 	if limit := settings.CallerLimit(); limit > 0 {
 		plan = plan.WithCallerConnections(limit)
 	}
--- a/command/connector/acceptedlink.go
+++ b/command/connector/acceptedlink.go
@@ -30,7 +30,7 @@
 		hub.replaceSession(acceptedlink.host, nil, acceptedlink.session)
 		hub.notifyLinkChanged(request, almondcross.NewHostLinkChanged(almondcross.HostLinkChangedConfig{
 			Host: acceptedlink.host, Present: true, Strength: message.Strength(), Address: message.Address(), DataCentre: message.DataCentre(),
-			ViewFormat: message.ViewFormat(), SchedulerEpoch: message.SchedulerEpoch(), Format: message.Format(), Ends: message.Ends(),
+			ViewFormat: message.ViewFormat(), SchedulerEpoch: message.SchedulerEpoch(), Format: message.Format(), StateBytes: message.StateBytes(), Ends: message.Ends(),
 		}))
 	case almondcross.ViewerHello:
 		if acceptedlink.host != "" || message.Host() == "" {
--- a/command/connector/dialer.go
+++ b/command/connector/dialer.go
@@ -35,6 +35,7 @@
 	DataCentre string // DataCentre is the data centre of this host.
 	Address    string // Address is the address on which this host accepts links.
 	Format     int    // Format is the highest number of a format of the journal that this host reads.
+	StateBytes int64  // StateBytes is the memory in bytes that the jobs of the state may take on this host.
 	Codec      almondcross.LinkCodec
 	Queries    almondcross.Sink[asker.Request] // Queries receives the queries of the scheduler.
 	Executor   almondcross.OrderExecutor       // Executor executes the scheduler's orders.
@@ -105,7 +106,7 @@
 	session := newSession(connection, dialer.config.Codec, nil, dialer.config.Meter)
 	session.offer(almondcross.NewHostHello(almondcross.HostHelloConfig{
 		Host: dialer.config.Host, Strength: scheduler.Strength, Address: dialer.config.Address, DataCentre: dialer.config.DataCentre,
-		ViewFormat: almondcross.ViewFormat, SchedulerEpoch: scheduler.Epoch, Format: dialer.config.Format, Ends: scheduler.Ends,
+		ViewFormat: almondcross.ViewFormat, SchedulerEpoch: scheduler.Epoch, Format: dialer.config.Format, StateBytes: dialer.config.StateBytes, Ends: scheduler.Ends,
 	}))
 	link := dialer.lastLink.Add(1)
 	defer dialer.config.Executor.Abandon(link)
--- a/command/counter/counter.go
+++ b/command/counter/counter.go
@@ -68,6 +68,17 @@
 // RoutesRejected counts a version of the configuration that cannot be put in force.
 func (counter *Counter) RoutesRejected() { counter.add("almondcross_routes_rejected_total", 1) }
 
+// RoomRefused counts a job or cancellation of a queue for which the state had no room.
+func (counter *Counter) RoomRefused(queue string) {
+	counter.add(fmt.Sprintf("almondcross_room_refused_total{queue=%q}", queue), 1)
+}
+
+// StateHeld sets the memory in bytes that the jobs of the state are estimated to take, and its limit.
+func (counter *Counter) StateHeld(used, limit int64) {
+	counter.set.GetOrCreateGauge("almondcross_state_bytes", nil).Set(float64(used))
+	counter.set.GetOrCreateGauge("almondcross_state_limit_bytes", nil).Set(float64(limit))
+}
+
 // Examined counts how often a worker was looked at in a placement pass.
 func (counter *Counter) Examined(workers int) {
 	counter.add("almondcross_placement_workers_examined_total", workers)
--- a/command/scheduler/harness_test.go
+++ b/command/scheduler/harness_test.go
@@ -25,6 +25,8 @@
 func (noopRecorder) StopSent(string)                         {}
 func (noopRecorder) Ended(almondcross.EndKind)               {}
 func (noopRecorder) Advised(string, int, int)                {}
+func (noopRecorder) RoomRefused(string)                      {}
+func (noopRecorder) StateHeld(int64, int64)                  {}
 func (noopRecorder) Examined(int)                            {}
 func (noopRecorder) FormatUnknown()                          {}
 func (noopRecorder) Workspaces([]almondcross.WorkspaceUsage) {}
--- a/command/scheduler/hostcalls.go
+++ b/command/scheduler/hostcalls.go
@@ -43,7 +43,9 @@
 	standby  bool
 	rank     int    // rank is that of a standby that has been told one, 0 for any other host.
 	address  string // address is where the host accepts links.
-	views    viewRoute
+	// stateBytes is the memory in bytes that the jobs of the state may take on the host, 0 if it is of an earlier version.
+	stateBytes int64
+	views      viewRoute
 	// awaitingViews is set until the host has been sent its first views.
 	awaitingViews bool
 	// viewsUntil is until when a standby gets views as well, which it publishes while it loads the state.
@@ -126,7 +128,7 @@
 	if change.Present() {
 		machine.endLeadershipsOf(change.Host(), change.Address(), change.SchedulerEpoch())
 		machine.linkedHosts[change.Host()] = &linkedHost{
-			name: change.Host(), strength: min(max(change.Strength(), 0), fullStrength), address: change.Address(), format: max(change.Format(), plainFormat),
+			name: change.Host(), strength: min(max(change.Strength(), 0), fullStrength), address: change.Address(), format: max(change.Format(), plainFormat), stateBytes: change.StateBytes(),
 			views: viewRoute{format: change.ViewFormat(), dataCentre: change.DataCentre()},
 		}
 	} else {
@@ -136,7 +138,7 @@
 	if machine.leader == nil {
 		return
 	}
-	machine.leader.placementDue = true
+	machine.leader.placementDue, machine.leader.stateLimit = true, machine.stateLimit()
 	if previous != nil {
 		machine.cancelAdviceCalls(previous)
 	}
--- a/command/scheduler/intake.go
+++ b/command/scheduler/intake.go
@@ -46,8 +46,14 @@
 }
 
 // intakeForwarded admits an intake that another host could not store, and confirms it to that host once it is
-// in the journal.
+// in the journal. If the state has no room for it, it is refused at once and nothing is recorded.
 func (machine *Machine) intakeForwarded(forwarded almondcross.IntakeForwarded) {
+	if after, refuses := machine.refusesIntake(forwarded); refuses {
+		machine.emit(ConfirmIntake{Host: forwarded.Host(), Stored: almondcross.NewIntakeStored(almondcross.IntakeStoredConfig{
+			Number: forwarded.Number(), RefusedFor: after,
+		})})
+		return
+	}
 	stored := almondcross.NewIntakeStored(almondcross.IntakeStoredConfig{
 		Number: forwarded.Number(), Taken: !machine.takeIntake(forwarded.Intake()) && machine.refusalIsTold(forwarded.Intake()),
 	})
--- /dev/null
+++ b/command/scheduler/ledger.go
@@ -0,0 +1,39 @@
+package scheduler
+
+import "github.com/almondcross/almondcross"
+
+// ledger counts the memory in bytes that the jobs of a state are estimated to take, by holder.
+type ledger struct {
+	used  int64
+	held  map[almondcross.StateHolder]int64
+	freed int64 // freed is the sum of all that was returned.
+}
+
+func newLedger() ledger { return ledger{held: map[almondcross.StateHolder]int64{}} }
+
+// charge changes what a holder has by some bytes, which are negative if it returns them.
+func (ledger *ledger) charge(holder almondcross.StateHolder, bytes int64) {
+	ledger.used += bytes
+	if ledger.held[holder] += bytes; ledger.held[holder] == 0 {
+		delete(ledger.held, holder)
+	}
+	if bytes < 0 {
+		ledger.freed -= bytes
+	}
+}
+
+// recharge updates the charge of a job that was added or has changed.
+func (state *state) recharge(job *job) {
+	bytes := job.spec.StateBytes()
+	if steps := len(job.spec.Steps()); steps > 0 {
+		bytes += int64(max(1, len(job.stages)/steps)) * job.spec.OccurrenceBytes()
+	}
+	state.ledger.charge(job.spec.Holder(), bytes-job.charged)
+	job.charged = bytes
+}
+
+// discharge returns the charge of a job that is removed.
+func (state *state) discharge(job *job) {
+	state.ledger.charge(job.spec.Holder(), -job.charged)
+	job.charged = 0
+}
--- a/command/scheduler/machine.go
+++ b/command/scheduler/machine.go
@@ -32,12 +32,14 @@
 	IgnoresAttemptLimit bool          // IgnoresAttemptLimit makes this host apply failed runs by another rule than this version, in simulations; see asRead.
 	FormatAbove         int           // FormatAbove is by how much the number of the journal's format is above that of this version, in simulations of a later one.
 	SnapshotInterval    time.Duration // SnapshotInterval is the time between two snapshots.
+	StateBytes          int64         // StateBytes is the memory in bytes that the jobs of the state may take on this host, 0 for no limit.
 	RecordBytes         int           // RecordBytes is the maximum size of a journal record in bytes.
 	BatchesPerAppend    int           // BatchesPerAppend is how many journal records of the largest size fit in one append.
 	Random              *rand.Rand
 	Publisher           almondcross.JobPublisher
 	Picker              almondcross.WorkerPicker
 	Order               almondcross.OrderPolicy
+	Room                almondcross.RoomPolicy              // Room decides which jobs the state has room for; it is not used without a limit.
 	NewShares           func() almondcross.SharePolicy      // NewShares returns the policy that orders the workspaces in one pool.
 	NewRunTimes         func() almondcross.RuntimeEstimator // NewRunTimes returns the estimator of an epoch, nil to use the callers' estimates.
 	NewSpeeds           func() almondcross.WorkerSpeeds     // NewSpeeds returns the estimator of an epoch, nil to treat workers as equally fast.
--- a/command/scheduler/metrics.go
+++ b/command/scheduler/metrics.go
@@ -22,6 +22,10 @@
 	Ended(kind almondcross.EndKind)
 	// FormatUnknown counts a scheduler whose journal this host cannot read in full.
 	FormatUnknown()
+	// RoomRefused counts a job or cancellation of a queue for which the state had no room.
+	RoomRefused(queue string)
+	// StateHeld sets the memory in bytes that the jobs of the state are estimated to take, and its limit, 0 for none.
+	StateHeld(used, limit int64)
 	// Examined counts how often a worker was looked at in a placement pass, the main cost of placement.
 	Examined(workers int)
 	// Workspaces replaces the usage of all workspaces, sorted by name. A host that is not the scheduler has none.
--- a/command/scheduler/snapshot.go
+++ b/command/scheduler/snapshot.go
@@ -113,6 +113,7 @@
 		state.format = max(state.format, workspaceFormat)
 	}
 	state.jobs[id] = restored
+	state.recharge(restored)
 	state.changedJobs[id] = struct{}{}
 	if restored.state.Final() {
 		state.finishedJobs = append(state.finishedJobs, id)
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -34,7 +34,8 @@
 	finishedAt         time.Time
 	startedOccurrences int
 	stages             []*stage
-	activeTasks        int // activeTasks counts the active tasks of all stages.
+	activeTasks        int   // activeTasks counts the active tasks of all stages.
+	charged            int64 // charged is the memory in bytes that the ledger counts for the job.
 	// paths holds the longest chains of the steps, nil until a stage waits. It is not replicated.
 	paths *paths
 }
@@ -78,6 +79,7 @@
 	format           int // format is the highest number of a format in the journal since this host loaded the state, zero for none.
 	intakeOffsets    map[int]int64
 	jobs             map[almondcross.JobID]*job
+	ledger           ledger
 	retention        time.Duration
 	finishedJobs     []almondcross.JobID // finishedJobs holds the final jobs by the time of their end.
 	usage            map[almondcross.UsageKey]almondcross.QueueUsage
@@ -131,7 +133,7 @@
 		intakeOffsets: map[int]int64{}, jobs: map[almondcross.JobID]*job{}, retention: retention,
 		changedJobs: map[almondcross.JobID]struct{}{}, silentWorkers: map[string]silence{}, longLeases: map[string]time.Time{}, unlistedWorkers: map[string]almondcross.UnlistedWorker{}, usage: map[almondcross.UsageKey]almondcross.QueueUsage{},
 		unstoredUsage: map[almondcross.UsageKey]struct{}{}, busyWorkers: map[string]int{}, busyAddresses: map[string]workerAddress{},
-		heldResources: map[string]almondcross.Resources{},
+		heldResources: map[string]almondcross.Resources{}, ledger: newLedger(),
 	}
 }
 
@@ -175,6 +177,7 @@
 	case almondcross.ChangeOccurrence:
 		if job := state.jobs[change.Job().ID()]; job != nil && !job.state.Final() {
 			job.startOccurrence()
+			state.recharge(job)
 		}
 	case almondcross.ChangeElected:
 		state.schedulerHost, state.schedulerAddress, state.schedulerEpoch, state.resigned = change.Host(), change.Address(), state.highestEpoch, false
@@ -237,6 +240,7 @@
 			return
 		}
 		state.finishedJobs = slices.DeleteFunc(state.finishedJobs, func(id almondcross.JobID) bool { return id == submitted.ID() })
+		state.discharge(known)
 	}
 	job := &job{spec: submitted, settings: settings, state: almondcross.JobQueued}
 	state.jobs[submitted.ID()] = job
@@ -247,6 +251,7 @@
 	if submitted.Runs() == 0 {
 		job.startOccurrence()
 	}
+	state.recharge(job)
 }
 
 func (job *job) startOccurrence() {
@@ -272,6 +277,7 @@
 	if !admitted {
 		found = &job{spec: cancelled, state: almondcross.JobQueued}
 		state.jobs[cancelled.ID()] = found
+		state.recharge(found)
 	}
 	if !found.state.Final() {
 		state.finishJob(found, almondcross.JobCancelled)
@@ -308,6 +314,7 @@
 	if !slices.ContainsFunc(job.stages, (*stage).restarted) {
 		job.spec, job.stages = job.spec.WithSteps(nil), nil
 	}
+	state.recharge(job)
 }
 
 // restarted reports whether a task of the stage was started more than once.
@@ -424,6 +431,7 @@
 			break
 		}
 		if job != nil {
+			state.discharge(job)
 			delete(state.jobs, state.finishedJobs[expired])
 			state.changedJobs[state.finishedJobs[expired]] = struct{}{}
 		}
--- a/command/scheduler/verdict_test.go
+++ b/command/scheduler/verdict_test.go
@@ -146,6 +146,8 @@
 			withoutVerdicts.applyBatch(decoded.WithChanges([]almondcross.Change{decoded.Changes()[0].WithVerdict(almondcross.VerdictUnknown)}), at)
 			require.Equal(t, scheduler.snapshot(0, at), replica.snapshot(0, at))
 			require.Equal(t, scheduler.snapshot(0, at), withoutVerdicts.snapshot(0, at))
+			// A host that loads the state counts the same memory as one that has followed the journal.
+			require.Equal(t, scheduler.ledger.held, restore(scheduler.snapshot(0, at), time.Hour, at, nil).ledger.held)
 		}
 	})
 }
--- a/command/submitter/forward.go
+++ b/command/submitter/forward.go
@@ -42,11 +42,15 @@
 	answerTime time.Duration
 	// resumeAt is the time until which nothing is forwarded because the scheduler did not answer.
 	resumeAt time.Time
+	refusals refusals
+	unread   unread
 }
 
 // newForwarder returns a forwarder. Answers to intakes of an earlier process must not match those of this one, so its numbers
 // begin at a random one.
-func newForwarder(firstNumber int64) forwarder { return forwarder{lastNumber: firstNumber} }
+func newForwarder(firstNumber, intakeBytes int64) forwarder {
+	return forwarder{lastNumber: firstNumber, refusals: refusals{}, unread: unread{limit: intakeBytes}}
+}
 
 // wait returns how long to wait for the answer to an intake.
 func (forwarder *forwarder) wait() time.Duration {
@@ -90,6 +94,11 @@
 	if sent.expired {
 		forwarder.resumeAt = time.Time{} // The scheduler answers, only later than expected.
 	}
+	if answer.RefusedFor() > 0 {
+		forwarder.refuse(sent, answer.RefusedFor(), now)
+		return
+	}
+	forwarder.unread.confirmed(sent.sentAt)
 	var outcome error
 	if answer.Taken() {
 		outcome = errors.Trace(almondcross.ErrIdentityTaken)
@@ -97,6 +106,14 @@
 	sent.pending.answer(outcome)
 }
 
+// refuse answers the caller of an intake for which the scheduler has no room, unless the intake may have been stored meanwhile.
+func (forwarder *forwarder) refuse(sent *forwarded, after time.Duration, now time.Time) {
+	forwarder.refusals.note(sent.pending.submission.Intake.Job(), after, now)
+	if !sent.expired {
+		sent.pending.answer(noRoom(after))
+	}
+}
+
 // noteAnswer updates the usual time of an answer.
 func (forwarder *forwarder) noteAnswer(took time.Duration) {
 	if took > forwarder.answerTime {
--- a/command/submitter/submitter.go
+++ b/command/submitter/submitter.go
@@ -34,6 +34,9 @@
 	Partitions int    // Partitions is the number of partitions.
 	// RecordBytes is the maximum size of a record and CallBytes that of the records of one append, in bytes.
 	RecordBytes, CallBytes int
+	// IntakeBytes is the memory in bytes of the jobs that may be stored in the intake before the scheduler has read them, 0 for no
+	// limit.
+	IntakeBytes int64
 	// Forward sends an intake to the scheduler's host and reports false when it could not be sent.
 	Forward func(forwarded almondcross.IntakeForwarded) bool
 	// Stored receives the answers to forwarded intakes.
@@ -54,7 +57,7 @@
 func New(config Config) *Submitter {
 	return &Submitter{
 		config:    config,
-		forwarder: newForwarder(rand.Int64N(1 << 62)), //nolint:gosec // The number needs no secrecy.
+		forwarder: newForwarder(rand.Int64N(1<<62), config.IntakeBytes), //nolint:gosec // The number needs no secrecy.
 		appender:  newAppender(config),
 	}
 }
@@ -88,9 +91,9 @@
 	if len(submitter.batch) > 0 && (len(submitter.batch) >= maxBatchIntakes || !now.Before(submitter.batchDue)) {
 		batch := submitter.batch
 		submitter.batch = nil
-		submitter.appender.enqueue(submitter.forwarder.forward(batch, submitter.config.Forward, now))
+		submitter.storeUnread(submitter.forwarder.forward(batch, submitter.config.Forward, now), now)
 	}
-	submitter.appender.enqueue(submitter.forwarder.expire(now))
+	submitter.storeUnread(submitter.forwarder.expire(now), now)
 	submitter.startAppend(ctx)
 	next, due := submitter.forwarder.nextExpiry()
 	if len(submitter.batch) > 0 && (!due || submitter.batchDue.Before(next)) {
@@ -101,8 +104,34 @@
 	}
 }
 
+// storeUnread has the appender store intakes that the scheduler has not confirmed, and refuses those beyond the limit on what it may
+// not have read. The outcome of one that was sent to the scheduler stays unknown.
+func (submitter *Submitter) storeUnread(batch []*pending, now time.Time) {
+	var stored []*pending
+	for _, pending := range batch {
+		switch {
+		case submitter.forwarder.unread.take(pending.submission.Intake.Job()):
+			submitter.forwarder.unread.storedAt = now
+			stored = append(stored, pending)
+		case !pending.claim() || pending.answered:
+		case pending.maybeStored:
+			pending.answer(errors.Annotate(almondcross.ErrMaybeStored, "the scheduler has not answered"))
+		default:
+			pending.answer(noRoom(minRetryAfter))
+		}
+	}
+	submitter.appender.enqueue(stored)
+}
+
 // add encodes a submission and adds it to the batch, or answers it if it cannot be stored.
 func (submitter *Submitter) add(submission Submission) {
+	if err := submitter.forwarder.refusals.errorFor(submission.Intake, submitter.config.Clock.Now()); err != nil {
+		refused := &pending{submission: submission}
+		if refused.claim() {
+			refused.answer(err)
+		}
+		return
+	}
 	records, err := submitter.config.Codec.EncodeIntake(submission.Intake)
 	if err == nil {
 		if bytes := recordsSize(records); bytes > submitter.config.RecordBytes-recordReserveBytes {
--- a/command/submitter/submitter_test.go
+++ b/command/submitter/submitter_test.go
@@ -35,6 +35,8 @@
 const (
 	recordBytes = 256 << 10
 	callBytes   = 1 << 20
+	// intakeBytes is the memory of the jobs that may be stored before the scheduler has read them.
+	intakeBytes = 8 << 20
 )
 
 const (
@@ -72,6 +74,8 @@
 	schedulerReachable atomic.Bool
 	schedulerAnswers   atomic.Bool
 	identityTaken      atomic.Bool
+	refusedFor         atomic.Int64 // refusedFor is the time for which the scheduler refuses, as a time.Duration.
+	forwarded          atomic.Int64 // forwarded counts the intakes that were sent to the scheduler.
 	stored             *ring.Ring[almondcross.IntakeStored]
 	answerDelay        time.Duration // answerDelay is the time after which the scheduler answers if schedulerAnswers is not set, 0 for never.
 }
@@ -85,13 +89,17 @@
 	fixture := &fixture{store: &store{}, client: submitter.NewClient(submissions), stored: stored}
 	duty := submitter.New(submitter.Config{
 		Writer: fixture.store, Codec: codec, Clock: clock{}, Log: discardLog{}, Topic: "intake", Partitions: 2, Stored: stored, RecordBytes: recordBytes, CallBytes: callBytes,
+		IntakeBytes: intakeBytes,
 		Forward: func(forwarded almondcross.IntakeForwarded) bool {
+			fixture.forwarded.Add(1)
 			if fixture.schedulerReachable.Load() && fixture.schedulerAnswers.Load() {
-				stored.Offer(almondcross.NewIntakeStored(almondcross.IntakeStoredConfig{Number: forwarded.Number(), Taken: fixture.identityTaken.Load()}))
+				stored.Offer(almondcross.NewIntakeStored(almondcross.IntakeStoredConfig{
+					Number: forwarded.Number(), Taken: fixture.identityTaken.Load(), RefusedFor: time.Duration(fixture.refusedFor.Load()),
+				}))
 			}
 			if delay := fixture.answerDelay; delay > 0 {
 				time.AfterFunc(delay, func() {
-					stored.Offer(almondcross.NewIntakeStored(almondcross.IntakeStoredConfig{Number: forwarded.Number()}))
+					stored.Offer(almondcross.NewIntakeStored(almondcross.IntakeStoredConfig{Number: forwarded.Number(), RefusedFor: time.Duration(fixture.refusedFor.Load())}))
 				})
 			}
 			return fixture.schedulerReachable.Load()
--- a/configurator/scheduler.go
+++ b/configurator/scheduler.go
@@ -75,6 +75,8 @@
 		0, 1<<20, func(settings *rawSchedulerSettings) *int { return &settings.HeaderMemoryMB }),
 	parser.Integer(parser.FieldSpec{Key: "link_memory_mb", Unit: "megabytes", Default: "0", Description: "the memory for the messages above 16 KiB that other hosts send at the same time; 0 for a sixteenth of what memory_mb leaves beside the process itself"},
 		0, 1<<20, func(settings *rawSchedulerSettings) *int { return &settings.LinkMemoryMB }),
+	parser.Integer(parser.FieldSpec{Key: "state_memory_mb", Unit: "megabytes", Default: "0", Description: "the memory for accepted jobs that this host can hold; the scheduler refuses jobs beyond that of the weakest linked host; 0 for a third of what memory_mb leaves beside the process itself"},
+		0, 1<<20, func(settings *rawSchedulerSettings) *int { return &settings.StateMemoryMB }),
 	parser.Duration(parser.FieldSpec{Key: "body_timeout", Default: `"3s"`, Description: "the time in which the body of a request must arrive, after its headers"},
 		100*time.Millisecond, time.Minute, func(settings *rawSchedulerSettings) *time.Duration { return &settings.BodyTimeout }),
 	parser.Duration(parser.FieldSpec{Key: "answer_timeout", Default: `"6s"`, Description: "the time from the end of a request's headers until its answer is sent, after which the connection is closed; at least a second more than body_timeout"},
--- a/configurator/values.go
+++ b/configurator/values.go
@@ -145,6 +145,7 @@
 	bodyMemoryMB    int           // the memory for the bodies of all requests and the jobs decoded from them in megabytes, 0 for a part of the process's memory
 	headerMemoryMB  int           // the memory for the decoded headers of all requests in megabytes, 0 for a part of the process's memory
 	linkMemoryMB    int           // the memory for the large messages that other hosts send at the same time in megabytes, 0 for a part of the process's memory
+	stateMemoryMB   int           // the memory for accepted jobs that the host can hold in megabytes, 0 for a part of the process's memory
 	bodyTimeout     time.Duration // the time in which the body of a request must arrive
 	answerTimeout   time.Duration // the time from the end of a request's headers in which its answer must be sent
 	callerLimit     int           // the maximum number of open connections of callers, 0 for a number by memory and descriptors
--- a/configurator/values_generated.go
+++ b/configurator/values_generated.go
@@ -584,6 +584,7 @@
 	BodyMemoryMB    int
 	HeaderMemoryMB  int
 	LinkMemoryMB    int
+	StateMemoryMB   int
 	BodyTimeout     time.Duration
 	AnswerTimeout   time.Duration
 	CallerLimit     int
@@ -621,6 +622,7 @@
 		bodyMemoryMB:    config.BodyMemoryMB,
 		headerMemoryMB:  config.HeaderMemoryMB,
 		linkMemoryMB:    config.LinkMemoryMB,
+		stateMemoryMB:   config.StateMemoryMB,
 		bodyTimeout:     config.BodyTimeout,
 		answerTimeout:   config.AnswerTimeout,
 		callerLimit:     config.CallerLimit,
@@ -659,6 +661,7 @@
 		BodyMemoryMB:    schedulersettings.bodyMemoryMB,
 		HeaderMemoryMB:  schedulersettings.headerMemoryMB,
 		LinkMemoryMB:    schedulersettings.linkMemoryMB,
+		StateMemoryMB:   schedulersettings.stateMemoryMB,
 		BodyTimeout:     schedulersettings.bodyTimeout,
 		AnswerTimeout:   schedulersettings.answerTimeout,
 		CallerLimit:     schedulersettings.callerLimit,
@@ -930,6 +933,17 @@
 	return schedulersettings
 }
 
+// StateMemoryMB returns the memory for accepted jobs that the host can hold in megabytes, 0 for a part of the process's memory.
+func (schedulersettings SchedulerSettings) StateMemoryMB() int {
+	return schedulersettings.stateMemoryMB
+}
+
+// WithStateMemoryMB returns a copy with the given stateMemoryMB.
+func (schedulersettings SchedulerSettings) WithStateMemoryMB(stateMemoryMB int) SchedulerSettings {
+	schedulersettings.stateMemoryMB = stateMemoryMB
+	return schedulersettings
+}
+
 // BodyTimeout returns the time in which the body of a request must arrive.
 func (schedulersettings SchedulerSettings) BodyTimeout() time.Duration {
 	return schedulersettings.bodyTimeout
--- a/encoder/link.go
+++ b/encoder/link.go
@@ -104,6 +104,8 @@
 type wireIntakeStored struct {
 	Number int64 `cbor:"number"`
 	Taken  bool  `cbor:"taken,omitempty"`
+
+	RefusedMS int64 `cbor:"refused_ms,omitempty"`
 }
 
 type wireAdviceQuery struct {
@@ -136,12 +138,14 @@
 	SchedulerEpoch int64             `cbor:"scheduler_epoch,omitempty"`
 	Ends           []wireStateChange `cbor:"ends,omitempty"`
 	Format         int               `cbor:"format,omitempty"`
+
+	StateBytes int64 `cbor:"state_bytes,omitempty"`
 }
 
 func toHello(hello almondcross.HostHello) wireLinkHello {
 	wire := wireLinkHello{
 		Host: hello.Host(), Strength: hello.Strength(), Address: hello.Address(), DataCentre: hello.DataCentre(), ViewFormat: hello.ViewFormat(),
-		SchedulerEpoch: hello.SchedulerEpoch(), Format: hello.Format(),
+		SchedulerEpoch: hello.SchedulerEpoch(), Format: hello.Format(), StateBytes: hello.StateBytes(),
 	}
 	for _, end := range hello.Ends() {
 		wire.Ends = append(wire.Ends, toChange(end))
@@ -155,7 +159,7 @@
 	}
 	config := almondcross.HostHelloConfig{
 		Host: wirelinkhello.Host, Strength: wirelinkhello.Strength, Address: wirelinkhello.Address, DataCentre: wirelinkhello.DataCentre,
-		ViewFormat: wirelinkhello.ViewFormat, SchedulerEpoch: wirelinkhello.SchedulerEpoch, Format: wirelinkhello.Format,
+		ViewFormat: wirelinkhello.ViewFormat, SchedulerEpoch: wirelinkhello.SchedulerEpoch, Format: wirelinkhello.Format, StateBytes: max(wirelinkhello.StateBytes, 0),
 	}
 	for _, wire := range wirelinkhello.Ends {
 		end, err := wire.value()
@@ -224,7 +228,9 @@
 	case almondcross.IntakeForwarded:
 		return codec.encodeIntakeForward(message)
 	case almondcross.IntakeStored:
-		return codec.encodeEnvelope(linkIntakeStored, wireIntakeStored(message.Config()))
+		return codec.encodeEnvelope(linkIntakeStored, wireIntakeStored{
+			Number: message.Number(), Taken: message.Taken(), RefusedMS: message.RefusedFor().Milliseconds(),
+		})
 	default:
 		return codec.encodeViewRelaying(message)
 	}
@@ -269,7 +275,9 @@
 		if err := codec.decodeBody(envelope, &wire); err != nil {
 			return nil, err
 		}
-		return almondcross.NewIntakeStored(almondcross.IntakeStoredConfig(wire)), nil
+		return almondcross.NewIntakeStored(almondcross.IntakeStoredConfig{
+			Number: wire.Number, Taken: wire.Taken, RefusedFor: milliseconds(wire.RefusedMS),
+		}), nil
 	default:
 		return codec.decodeViewRelaying(envelope)
 	}
--- a/limits.go
+++ b/limits.go
@@ -10,13 +10,15 @@
 	descriptors int   // the file descriptors that the process may open
 }
 
-// ClientLimits bounds what all clients of a scheduling host take together.
+// ClientLimits bounds what all clients of a scheduling host take together, in bytes of memory and in connections.
 //
 //value:generate
 type ClientLimits struct {
 	bodyBytes         int64 // the bytes that the bodies of requests and the jobs decoded from them may take
 	headerBytes       int64 // the bytes that headers with many lines may take once they are decoded
 	linkBytes         int64 // the bytes that large messages of other hosts may take while they arrive
+	stateBytes        int64 // the bytes that accepted jobs may take, as far as the host knows them
+	intakeBytes       int64 // the bytes of jobs that the host may store for a scheduler that it does not reach
 	callerConnections int   // the open connections of callers
 	linkConnections   int   // the open connections of other hosts
 	checkConnections  int   // the open connections for metrics, and as many for readiness
--- a/limits_generated.go
+++ b/limits_generated.go
@@ -49,6 +49,8 @@
 	BodyBytes         int64
 	HeaderBytes       int64
 	LinkBytes         int64
+	StateBytes        int64
+	IntakeBytes       int64
 	CallerConnections int
 	LinkConnections   int
 	CheckConnections  int
@@ -60,6 +62,8 @@
 		bodyBytes:         config.BodyBytes,
 		headerBytes:       config.HeaderBytes,
 		linkBytes:         config.LinkBytes,
+		stateBytes:        config.StateBytes,
+		intakeBytes:       config.IntakeBytes,
 		callerConnections: config.CallerConnections,
 		linkConnections:   config.LinkConnections,
 		checkConnections:  config.CheckConnections,
@@ -72,6 +76,8 @@
 		BodyBytes:         clientlimits.bodyBytes,
 		HeaderBytes:       clientlimits.headerBytes,
 		LinkBytes:         clientlimits.linkBytes,
+		StateBytes:        clientlimits.stateBytes,
+		IntakeBytes:       clientlimits.intakeBytes,
 		CallerConnections: clientlimits.callerConnections,
 		LinkConnections:   clientlimits.linkConnections,
 		CheckConnections:  clientlimits.checkConnections,
@@ -105,6 +111,24 @@
 	return clientlimits
 }
 
+// StateBytes returns the bytes that accepted jobs may take, as far as the host knows them.
+func (clientlimits ClientLimits) StateBytes() int64 { return clientlimits.stateBytes }
+
+// WithStateBytes returns a copy with the given stateBytes.
+func (clientlimits ClientLimits) WithStateBytes(stateBytes int64) ClientLimits {
+	clientlimits.stateBytes = stateBytes
+	return clientlimits
+}
+
+// IntakeBytes returns the bytes of jobs that the host may store for a scheduler that it does not reach.
+func (clientlimits ClientLimits) IntakeBytes() int64 { return clientlimits.intakeBytes }
+
+// WithIntakeBytes returns a copy with the given intakeBytes.
+func (clientlimits ClientLimits) WithIntakeBytes(intakeBytes int64) ClientLimits {
+	clientlimits.intakeBytes = intakeBytes
+	return clientlimits
+}
+
 // CallerConnections returns the open connections of callers.
 func (clientlimits ClientLimits) CallerConnections() int { return clientlimits.callerConnections }
 
--- a/scheduling.go
+++ b/scheduling.go
@@ -212,6 +212,7 @@
 
 	schedulerEpoch int64    // the epoch of the scheduler to which the host has linked; it leads no earlier epoch. 0 for a host of an earlier version
 	format         int      // the highest number of a format of the journal that the host reads, 0 for a host of an earlier version
+	stateBytes     int64    // the memory in bytes that the jobs of the state may take on the host, 0 for a host of an earlier version
 	ends           []Change // the ends of runs that the host has read as scheduler and may not have recorded
 }
 
@@ -319,6 +320,8 @@
 type IntakeStored struct {
 	number int64 // the number of the forwarded intake
 	taken  bool  // whether the job was not admitted because its identity is that of a job of another queue
+
+	refusedFor time.Duration // the time after which the caller may return, above 0 if the state has no room for the intake and nothing was recorded
 }
 
 func (LinkLost) schedulerMessage()           {}
@@ -439,6 +442,7 @@
 
 	schedulerEpoch int64    // the epoch of the scheduler to which the host links; it leads no earlier epoch. 0 from a host of an earlier version
 	format         int      // the highest number of a format of the journal that the host reads, 0 from a host of an earlier version
+	stateBytes     int64    // the memory in bytes that the jobs of the state may take on the host, 0 from a host of an earlier version
 	ends           []Change // the ends of runs that the host has read as scheduler and may not have recorded
 }
 
--- a/scheduling_generated.go
+++ b/scheduling_generated.go
@@ -1142,6 +1142,7 @@
 	ViewFormat     int
 	SchedulerEpoch int64
 	Format         int
+	StateBytes     int64
 	Ends           []Change
 }
 
@@ -1156,6 +1157,7 @@
 		viewFormat:     config.ViewFormat,
 		schedulerEpoch: config.SchedulerEpoch,
 		format:         config.Format,
+		stateBytes:     config.StateBytes,
 		ends:           config.Ends,
 	}
 }
@@ -1171,6 +1173,7 @@
 		ViewFormat:     hostlinkchanged.viewFormat,
 		SchedulerEpoch: hostlinkchanged.schedulerEpoch,
 		Format:         hostlinkchanged.format,
+		StateBytes:     hostlinkchanged.stateBytes,
 		Ends:           hostlinkchanged.ends,
 	}
 }
@@ -1247,6 +1250,15 @@
 	return hostlinkchanged
 }
 
+// StateBytes returns the memory in bytes that the jobs of the state may take on the host, 0 for a host of an earlier version.
+func (hostlinkchanged HostLinkChanged) StateBytes() int64 { return hostlinkchanged.stateBytes }
+
+// WithStateBytes returns a copy with the given stateBytes.
+func (hostlinkchanged HostLinkChanged) WithStateBytes(stateBytes int64) HostLinkChanged {
+	hostlinkchanged.stateBytes = stateBytes
+	return hostlinkchanged
+}
+
 // Ends returns the ends of runs that the host has read as scheduler and may not have recorded.
 func (hostlinkchanged HostLinkChanged) Ends() []Change { return hostlinkchanged.ends }
 
@@ -1779,23 +1791,26 @@
 
 // IntakeStoredConfig holds the fields of a new IntakeStored.
 type IntakeStoredConfig struct {
-	Number int64
-	Taken  bool
+	Number     int64
+	Taken      bool
+	RefusedFor time.Duration
 }
 
 // NewIntakeStored returns a IntakeStored with the given fields.
 func NewIntakeStored(config IntakeStoredConfig) IntakeStored {
 	return IntakeStored{
-		number: config.Number,
-		taken:  config.Taken,
+		number:     config.Number,
+		taken:      config.Taken,
+		refusedFor: config.RefusedFor,
 	}
 }
 
 // Config returns the fields of the value for encoding or for a changed copy.
 func (intakestored IntakeStored) Config() IntakeStoredConfig {
 	return IntakeStoredConfig{
-		Number: intakestored.number,
-		Taken:  intakestored.taken,
+		Number:     intakestored.number,
+		Taken:      intakestored.taken,
+		RefusedFor: intakestored.refusedFor,
 	}
 }
 
@@ -1817,6 +1832,15 @@
 	return intakestored
 }
 
+// RefusedFor returns the time after which the caller may return, above 0 if the state has no room for the intake and nothing was recorded.
+func (intakestored IntakeStored) RefusedFor() time.Duration { return intakestored.refusedFor }
+
+// WithRefusedFor returns a copy with the given refusedFor.
+func (intakestored IntakeStored) WithRefusedFor(refusedFor time.Duration) IntakeStored {
+	intakestored.refusedFor = refusedFor
+	return intakestored
+}
+
 // HostHelloConfig holds the fields of a new HostHello.
 type HostHelloConfig struct {
 	Host           string
@@ -1826,6 +1850,7 @@
 	ViewFormat     int
 	SchedulerEpoch int64
 	Format         int
+	StateBytes     int64
 	Ends           []Change
 }
 
@@ -1839,6 +1864,7 @@
 		viewFormat:     config.ViewFormat,
 		schedulerEpoch: config.SchedulerEpoch,
 		format:         config.Format,
+		stateBytes:     config.StateBytes,
 		ends:           config.Ends,
 	}
 }
@@ -1853,6 +1879,7 @@
 		ViewFormat:     hosthello.viewFormat,
 		SchedulerEpoch: hosthello.schedulerEpoch,
 		Format:         hosthello.format,
+		StateBytes:     hosthello.stateBytes,
 		Ends:           hosthello.ends,
 	}
 }
@@ -1920,6 +1947,15 @@
 	return hosthello
 }
 
+// StateBytes returns the memory in bytes that the jobs of the state may take on the host, 0 from a host of an earlier version.
+func (hosthello HostHello) StateBytes() int64 { return hosthello.stateBytes }
+
+// WithStateBytes returns a copy with the given stateBytes.
+func (hosthello HostHello) WithStateBytes(stateBytes int64) HostHello {
+	hosthello.stateBytes = stateBytes
+	return hosthello
+}
+
 // Ends returns the ends of runs that the host has read as scheduler and may not have recorded.
 func (hosthello HostHello) Ends() []Change { return hosthello.ends }
 
--- a/standin/emulator/host.go
+++ b/standin/emulator/host.go
@@ -267,6 +267,8 @@
 func (noMetrics) StartAnswered(almondcross.OrderResult)   {}
 func (noMetrics) Ended(almondcross.EndKind)               {}
 func (noMetrics) Advised(string, int, int)                {}
+func (noMetrics) RoomRefused(string)                      {}
+func (noMetrics) StateHeld(int64, int64)                  {}
 func (noMetrics) Examined(int)                            {}
 func (noMetrics) FormatUnknown()                          {}
 func (noMetrics) Workspaces([]almondcross.WorkspaceUsage) {}
