Start due occurrences only as far as the state has room

What callers saw: ten jobs of 4 kB on each of 3 connections, with 100,000 runs that are all due, brought a host of 64 MB to 165 MB.

Cause: up to 10,000 occurrences of a job start after its admission, whatever they take, all in one turn, and each start walked over all stages of the job twice. Stages of done occurrences stayed until the job was final, 100,000 of them at most.

Change: a further occurrence starts only if the state has room for it, by the rule for jobs. The stages of an occurrence are dropped once its tasks are done. A task that was restarted keeps them, as its record tells a late success of an earlier run from a repeated one.

The replicas of TestVerdictsGiveTheOutcomeOfTheRules keep equal states with dropped occurrences.

--- a/command/scheduler/admission.go
+++ b/command/scheduler/admission.go
@@ -65,14 +65,23 @@
 	if limit == 0 || machine.state.jobs[job.ID()] != nil || !machine.readsRefusals(forwarded.Host()) {
 		return 0, false
 	}
-	ledger := &machine.state.ledger
-	needed, held := job.AdmissionBytes(), ledger.held[job.Holder()]
-	if machine.config.Room.Fits(almondcross.NewRoomQuery(almondcross.RoomQueryConfig{Limit: limit, Used: ledger.used, Held: held, Needed: needed})) {
+	if machine.hasRoom(job.Holder(), job.AdmissionBytes()) {
 		return 0, false
 	}
 	machine.config.Metrics.RoomRefused(job.Queue())
 	machine.logFullState(job, limit)
-	return machine.leader.roomRate.wait(needed), true
+	return machine.leader.roomRate.wait(job.AdmissionBytes()), true
+}
+
+// hasRoom reports whether the state has room for some bytes of a holder.
+func (machine *Machine) hasRoom(holder almondcross.StateHolder, bytes int64) bool {
+	if machine.leader.stateLimit == 0 {
+		return true
+	}
+	ledger := &machine.state.ledger
+	return machine.config.Room.Fits(almondcross.NewRoomQuery(almondcross.RoomQueryConfig{
+		Limit: machine.leader.stateLimit, Used: ledger.used, Held: ledger.held[holder], Needed: bytes,
+	}))
 }
 
 // readsRefusals reports whether a host understands that its forwarded intake is refused.
--- a/command/scheduler/intake.go
+++ b/command/scheduler/intake.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"github.com/juju/errors"
 
@@ -218,8 +217,13 @@
 	if job.startedOccurrences < job.spec.Occurrences() {
 		machine.leader.jobsWithOccurrences[job.spec.ID()] = job
 	}
-	for _, stage := range job.stages {
-		if job.ready(stage) && !machine.leader.queued[stage.id] {
+	machine.enqueueReady(job, job.stages)
+}
+
+// enqueueReady queues those of some stages of a job that are ready to start.
+func (machine *Machine) enqueueReady(job *job, stages []*stage) {
+	for _, stage := range stages {
+		if stage != nil && job.ready(stage) && !machine.leader.queued[stage.id] {
 			machine.enqueue(job, stage)
 		}
 	}
@@ -246,43 +250,6 @@
 	leader.placementDue = true
 }
 
-// maxOpenTasks is the number of unfinished tasks of a job from which no further occurrence starts. It bounds the memory for
-// a job whose occurrences are all due at once.
-const maxOpenTasks = 10_000
-
-// mayStartOccurrence reports whether the next occurrence is due and the earlier ones leave room for it.
-func (job *job) mayStartOccurrence(now time.Time) bool {
-	if job.startedOccurrences >= job.spec.Occurrences() || now.Before(job.spec.Due(job.startedOccurrences)) {
-		return false
-	}
-	open := 0
-	for _, stage := range job.stages {
-		open += stage.remainingTasks
-	}
-	return open < maxOpenTasks
-}
-
-// startDueOccurrences starts the occurrences that are due.
-func (machine *Machine) startDueOccurrences() {
-	var due []*job
-	for id, job := range machine.leader.jobsWithOccurrences {
-		if job.state.Final() || job.startedOccurrences >= job.spec.Occurrences() {
-			delete(machine.leader.jobsWithOccurrences, id)
-			continue
-		}
-		if job.mayStartOccurrence(machine.now) {
-			due = append(due, job)
-		}
-	}
-	sortJobs(due)
-	for _, job := range due {
-		for job.mayStartOccurrence(machine.now) {
-			machine.recordChange(almondcross.ChangeConfig{Kind: almondcross.ChangeOccurrence, Job: job.spec.WithSteps(nil).WithPayload(""), Occurrence: job.startedOccurrences})
-			machine.enqueueReadyStages(job)
-		}
-	}
-}
-
 // unfinishedJobs returns the jobs that are not final or have active tasks, sorted by ID: stages of equal priority and submission
 // time are placed in the order in which they are queued.
 func (state *state) unfinishedJobs() []*job {
--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -129,6 +129,9 @@
 	restored, final := 0, 0
 	for _, job := range machine.state.unfinishedJobs() {
 		for _, stage := range job.stages {
+			if stage == nil {
+				continue
+			}
 			if job.ready(stage) {
 				stage.readyAt = job.spec.Submitted()
 			}
--- a/command/scheduler/ledger.go
+++ b/command/scheduler/ledger.go
@@ -2,6 +2,9 @@
 
 import "github.com/almondcross/almondcross"
 
+// doneStageBytes is an upper estimate of the memory in bytes of a stage that was dropped, with its form in an encoded snapshot.
+const doneStageBytes = 64
+
 // ledger counts the memory in bytes that the jobs of a state are estimated to take, by holder.
 type ledger struct {
 	used  int64
@@ -26,7 +29,7 @@
 func (state *state) recharge(job *job) {
 	bytes := job.spec.StateBytes()
 	if steps := len(job.spec.Steps()); steps > 0 {
-		bytes += int64(max(1, len(job.stages)/steps)) * job.spec.OccurrenceBytes()
+		bytes += int64(max(1, job.openOccurrences()))*job.spec.OccurrenceBytes() + int64(job.doneOccurrences*steps)*doneStageBytes
 	}
 	state.ledger.charge(job.spec.Holder(), bytes-job.charged)
 	job.charged = bytes
--- a/command/scheduler/snapshot.go
+++ b/command/scheduler/snapshot.go
@@ -34,7 +34,15 @@
 
 func (job *job) record() almondcross.JobRecord {
 	stages := make([]almondcross.StageRecord, len(job.stages))
+	steps := job.spec.Steps()
 	for index, stage := range job.stages {
+		if stage == nil {
+			step := index % len(steps)
+			stages[index] = almondcross.NewStageRecord(almondcross.StageRecordConfig{
+				Occurrence: index / len(steps), Step: step, Run: 1, Tasks: doneTasks(steps[step].Count()),
+			})
+			continue
+		}
 		stages[index] = almondcross.NewStageRecord(almondcross.StageRecordConfig{
 			Occurrence: stage.id.Occurrence, Step: stage.id.Step, Run: stage.gangRun, Failures: stage.gangFailures,
 			FailedRun: stage.failedGangRun, Checkpoint: stage.gangCheckpoint, Tasks: slices.Clone(stage.tasks.known()),
@@ -109,6 +117,9 @@
 		restored.activeTasks += stage.activeTasks
 		restored.stages = append(restored.stages, stage)
 	}
+	for occurrence := range restored.startedOccurrences {
+		state.forgetOccurrence(restored, occurrence)
+	}
 	if record.Job().Workspace() != "" {
 		state.format = max(state.format, workspaceFormat)
 	}
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -33,14 +33,15 @@
 	state              almondcross.JobState
 	finishedAt         time.Time
 	startedOccurrences int
-	stages             []*stage
-	activeTasks        int   // activeTasks counts the active tasks of all stages.
-	charged            int64 // charged is the memory in bytes that the ledger counts for the job.
+	stages             []*stage // stages holds nil for those of an occurrence that was dropped, see forgetOccurrence.
+	doneOccurrences    int      // doneOccurrences counts the occurrences that were dropped.
+	activeTasks        int      // activeTasks counts the active tasks of all stages.
+	charged            int64    // charged is the memory in bytes that the ledger counts for the job.
 	// paths holds the longest chains of the steps, nil until a stage waits. It is not replicated.
 	paths *paths
 }
 
-// stage returns the stage with an ID, nil if its occurrence has not started.
+// stage returns the stage with an ID, nil if its occurrence has not started or was dropped.
 func (job *job) stage(id almondcross.StageID) *stage {
 	steps := len(job.spec.Steps())
 	index := id.Occurrence*steps + id.Step
@@ -319,7 +320,7 @@
 
 // restarted reports whether a task of the stage was started more than once.
 func (stage *stage) restarted() bool {
-	return slices.ContainsFunc(stage.tasks.known(), func(record almondcross.TaskRecord) bool { return record.Run() > 1 })
+	return stage != nil && slices.ContainsFunc(stage.tasks.known(), func(record almondcross.TaskRecord) bool { return record.Run() > 1 })
 }
 
 func (state *state) assignTask(change almondcross.Change) {
@@ -385,6 +386,7 @@
 		stage.updateGang(change)
 	}
 	verdict := state.verdictOn(job, stage, index, change)
+	state.forgetOccurrence(job, stage.id.Occurrence)
 	state.compactJob(job)
 	return verdict
 }
@@ -459,4 +461,4 @@
 	return true
 }
 
-func hasRemainingTasks(stage *stage) bool { return stage.remainingTasks > 0 }
+func hasRemainingTasks(stage *stage) bool { return stage != nil && stage.remainingTasks > 0 }
--- a/command/scheduler/stop.go
+++ b/command/scheduler/stop.go
@@ -92,7 +92,9 @@
 // stopJobRuns stops the remaining runs of a final job.
 func (machine *Machine) stopJobRuns(job *job) {
 	for _, stage := range job.stages {
-		machine.stopStage(stage)
+		if stage != nil {
+			machine.stopStage(stage)
+		}
 	}
 }
 
--- a/command/scheduler/verdict.go
+++ b/command/scheduler/verdict.go
@@ -46,6 +46,9 @@
 	}
 	job.settings = settings
 	for _, stage := range job.stages {
+		if stage == nil {
+			continue
+		}
 		for index := range stage.tasks.known() {
 			if stage.remainingTasks > 0 && verdict == almondcross.VerdictUnknown {
 				verdict = state.deriveVerdict(job, stage, index, false)
--- a/integration/crowd/accepted_test.go
+++ b/integration/crowd/accepted_test.go
@@ -139,6 +139,7 @@
 		{"some steps", 20, 50, http.MethodPost, jobBody(payloadBytes, 100, task, "")},
 		{"one step", maxAcceptedClients, 250, http.MethodPost, jobBody(payloadBytes, 1, task, "")},
 		{"first runs far away", maxAcceptedClients, 250, http.MethodPost, jobBody(payloadBytes, 1, task, `,"max_runs":1000,"first_run_ms":2e12,"period_ms":1000`)},
+		{"runs that are all due", 3, 10, http.MethodPost, jobBody(payloadBytes, 1, task, `,"max_runs":100000,"first_run_ms":1e12,"period_ms":0`)},
 		{"cancellations of unknown jobs", maxAcceptedClients, 1000, http.MethodDelete, nil},
 	} {
 		t.Run(row.name, func(t *testing.T) {
