Give up a state that a host cannot hold

What callers saw: a weak host that was away while a stronger one accepted jobs ran out of memory when the strong one ended: it loaded all of them.

Cause: the limit of the weakest host binds the scheduler only while that host is linked, and a host loads any state.

Change: a host holds twice its limit. Then it looks for a scheduler and serves callers as its viewer, or tries again after 5 s. The scheduler makes such a host no standby.

--- a/assembler/account.go
+++ b/assembler/account.go
@@ -44,7 +44,7 @@
 			defer cancel()
 			now := time.Now()
 			account, err := usagereader.Read(ctx, usagereader.Config{
-				Reader: querier.NewStore(store, client.New()), Codec: codec, Usage: almondcross.Partition{Topic: usageTopic},
+				Reader: querier.NewStore(querier.StoreConfig{Address: store, Client: client.New()}), Codec: codec, Usage: almondcross.Partition{Topic: usageTopic},
 			}, now.Add(-fromAge), now.Add(-toAge))
 			if err != nil {
 				return requester.Failed(err)
--- a/assembler/configuration.go
+++ b/assembler/configuration.go
@@ -126,7 +126,7 @@
 	ctx, cancel := context.WithTimeout(command.Context(), configurationTimeout)
 	defer cancel()
 	stored, err := checker.InForce(ctx, checker.StoreConfig{
-		Reader: querier.NewStore(address, client.New()), Codec: translator.Codec{},
+		Reader: querier.NewStore(querier.StoreConfig{Address: address, Client: client.New()}), Codec: translator.Codec{},
 		Partition: almondcross.Partition{Topic: translator.OperatorsTopic}, Key: translator.ConfigurationKey,
 	})
 	if err != nil {
--- a/assembler/scheduler.go
+++ b/assembler/scheduler.go
@@ -185,8 +185,10 @@
 	settings configurator.SchedulerSettings, client *client.Client, codec encoder.Codec, rings schedulerRings, log *recorder.Recorder,
 	counter *counter.Counter, large *largeCell,
 ) *follower.Follower {
+	loadBytes := scheduler.MaxStateBytes(planLimits(settings).StateBytes())
 	return follower.New(follower.Config{
-		Reader: querier.NewStore(settings.StoreAddress(), client), Codec: codec, WorkerCodec: translator.Codec{}, Sink: rings.messages, Log: log,
+		Reader: querier.NewStore(querier.StoreConfig{Address: settings.StoreAddress(), Client: client, NewestBytes: loadBytes}),
+		Codec:  codec.WithStateLimit(loadBytes), WorkerCodec: translator.Codec{}, Sink: rings.messages, Log: log,
 		Journal: almondcross.Partition{Topic: journalTopic}, Host: settings.Name(), Locator: locator.New(locator.Config{Codec: codec, Log: log}),
 		Snapshots: almondcross.Partition{Topic: snapshotTopic}, Intake: intakeTopic,
 		Pointers: almondcross.Partition{Topic: pointerTopic}, Clock: Clock{},
--- a/command/counter/counter.go
+++ b/command/counter/counter.go
@@ -79,6 +79,9 @@
 	counter.set.GetOrCreateGauge("almondcross_state_limit_bytes", nil).Set(float64(limit))
 }
 
+// StateTooLarge counts a state that this host could not hold.
+func (counter *Counter) StateTooLarge() { counter.add("almondcross_states_too_large_total", 1) }
+
 // Examined counts how often a worker was looked at in a placement pass.
 func (counter *Counter) Examined(workers int) {
 	counter.add("almondcross_placement_workers_examined_total", workers)
--- a/command/scheduler/discovery.go
+++ b/command/scheduler/discovery.go
@@ -95,8 +95,10 @@
 	case read.Err() != nil:
 	case read.Stored() && (!read.Found() || pointer.Host() == machine.config.Host):
 		// No host schedules: there is no pointer, or it names this host, which no longer schedules.
-		machine.loadState(0)
-		return
+		if machine.mayLoadState() {
+			machine.loadState(0)
+			return
+		}
 	case read.Found() && pointer != machine.discovery.pointer && pointer.Epoch() >= machine.discovery.pointer.Epoch():
 		machine.discovery.pointer, machine.discovery.viaPeer = pointer, !read.Stored()
 		machine.config.Log.Record("scheduler_found", almondcross.Text("host", pointer.Host()), almondcross.Number("epoch", pointer.Epoch()),
@@ -152,7 +154,7 @@
 		limit = discoveryTimeoutStoreDown
 	}
 	limit += time.Duration(fullStrength-min(machine.strength(), fullStrength)) * loadDelayPerPoint
-	if machine.now.Sub(machine.discovery.startedAt) > limit {
+	if machine.now.Sub(machine.discovery.startedAt) > limit && machine.mayLoadState() {
 		machine.config.Log.Record("scheduler_not_found", almondcross.Millis("after_ms", machine.now.Sub(machine.discovery.startedAt)))
 		machine.loadState(0)
 	}
@@ -220,7 +222,7 @@
 // has to load the state first, unless it followed the journal before.
 func (machine *Machine) hostLinked(host *linkedHost) {
 	machine.limitStrength(host)
-	if host.strength >= minStandbyStrength && machine.standbyCount() < maxStandbys {
+	if host.strength >= minStandbyStrength && machine.holdsState(host) && machine.standbyCount() < maxStandbys {
 		machine.makeStandby(host)
 	} else {
 		machine.emit(AssignRole{Host: host.name, Assigned: almondcross.NewRoleAssigned(almondcross.RoleAssignedConfig{})})
@@ -285,7 +287,7 @@
 		var best *linkedHost
 		for _, other := range machine.linkedHosts {
 			machine.limitStrength(other)
-			if other.name != machine.config.Host && !other.standby && other.strength > 0 &&
+			if other.name != machine.config.Host && !other.standby && other.strength > 0 && machine.holdsState(other) &&
 				(best == nil || other.strength > best.strength || other.strength == best.strength && other.name < best.name) {
 				best = other
 			}
--- a/command/scheduler/follower.go
+++ b/command/scheduler/follower.go
@@ -47,6 +47,9 @@
 		return
 	}
 	switch {
+	case errors.Is(read.Err(), almondcross.ErrStateTooLarge):
+		machine.giveUpLargeState(read.Err().Error())
+		return
 	case read.Err() != nil && machine.now.Sub(machine.follower.loadStartedAt) > loadTimeout:
 		// Another host may know the scheduler.
 		machine.config.Log.Record("state_not_loaded", almondcross.Text("reason", read.Err().Error()))
@@ -216,7 +219,7 @@
 		// host should be elected first.
 		machine.follower.lastBatchAt, machine.follower.electionAt = machine.now.Add(-electionTimeout), machine.now
 	}
-	if machine.checkIncompleteState() {
+	if machine.checkIncompleteState() || machine.checkLargeState() {
 		return
 	}
 	machine.checkFormat()
--- a/command/scheduler/harness_test.go
+++ b/command/scheduler/harness_test.go
@@ -27,6 +27,7 @@
 func (noopRecorder) Advised(string, int, int)                {}
 func (noopRecorder) RoomRefused(string)                      {}
 func (noopRecorder) StateHeld(int64, int64)                  {}
+func (noopRecorder) StateTooLarge()                          {}
 func (noopRecorder) Examined(int)                            {}
 func (noopRecorder) FormatUnknown()                          {}
 func (noopRecorder) Workspaces([]almondcross.WorkspaceUsage) {}
--- a/command/scheduler/machine.go
+++ b/command/scheduler/machine.go
@@ -77,7 +77,9 @@
 	// reloads of the state.
 	unreadableEpoch int64
 	stopping        bool
-	linkedHosts     map[string]*linkedHost
+	// largeStateAt is when this host last gave up a state that it cannot hold, zero for never.
+	largeStateAt time.Time
+	linkedHosts  map[string]*linkedHost
 	// snapshotKeys holds the keys of snapshots that the store had when this host loaded the state, until it has stored one.
 	snapshotKeys    []string
 	snapshotPending bool // snapshotPending is set while a snapshot is being stored, also by an earlier epoch of this host.
--- a/command/scheduler/metrics.go
+++ b/command/scheduler/metrics.go
@@ -26,6 +26,8 @@
 	RoomRefused(queue string)
 	// StateHeld sets the memory in bytes that the jobs of the state are estimated to take, and its limit, 0 for none.
 	StateHeld(used, limit int64)
+	// StateTooLarge counts a state that this host could not hold.
+	StateTooLarge()
 	// Examined counts how often a worker was looked at in a placement pass, the main cost of placement.
 	Examined(workers int)
 	// Workspaces replaces the usage of all workspaces, sorted by name. A host that is not the scheduler has none.
--- a/encoder/snapshot.go
+++ b/encoder/snapshot.go
@@ -202,7 +202,8 @@
 }
 
 // DecodeSnapshot returns the newest snapshot that can be decoded and of which all parts are among the records, and false if
-// there is none.
+// there is none. If its jobs take more memory than the limit of the codec it returns ErrStateTooLarge instead: an older one would
+// lack later jobs.
 // Malformed records are left out; the error names the last of them, also when a snapshot is found.
 func (codec Codec) DecodeSnapshot(records []almondcross.KeyedRecord) (almondcross.StateSnapshot, bool, error) {
 	var malformed error
@@ -235,6 +236,9 @@
 			continue
 		}
 		jobs, err := codec.decodeJobs(parts)
+		if errors.Is(err, almondcross.ErrStateTooLarge) {
+			return almondcross.StateSnapshot{}, false, err
+		}
 		if err != nil {
 			malformed = err
 			continue
@@ -257,20 +261,64 @@
 	return parts, len(parts) == parts[0].Parts
 }
 
+// decodeJobs returns the jobs of all parts. It joins only the pieces of divided jobs, since a copy of all parts would take as much
+// memory again.
 func (codec Codec) decodeJobs(parts []wireSnapshotPart) ([]almondcross.JobRecord, error) {
-	sequence, err := codec.jobSequence(parts)
-	if err != nil {
+	decoder := jobDecoder{codec: codec}
+	for _, part := range parts {
+		for index, encoded := range part.Jobs {
+			if err := decoder.add(encoded); err != nil {
+				return nil, err
+			}
+			part.Jobs[index] = nil
+		}
+	}
+	if err := decoder.decode(decoder.pieces); err != nil {
 		return nil, err
 	}
-	var jobs []almondcross.JobRecord
+	return decoder.jobs, nil
+}
+
+// jobDecoder decodes the jobs of a snapshot one after the other.
+type jobDecoder struct {
+	codec  Codec
+	jobs   []almondcross.JobRecord
+	bytes  int64  // bytes is the memory that the jobs are estimated to take.
+	pieces []byte // pieces holds the last pieces of divided jobs.
+}
+
+// add adds an encoded job, or a piece of one.
+func (jobdecoder *jobDecoder) add(encoded []byte) error {
+	if len(encoded) > 0 && encoded[0]>>majorTypeBits == byteStringType {
+		var piece []byte
+		if err := jobdecoder.codec.decoding.Unmarshal(encoded, &piece); err != nil {
+			return errors.Annotatef(ErrMalformed, "piece of a job: %v", err)
+		}
+		jobdecoder.pieces = append(jobdecoder.pieces, piece...)
+		return nil
+	}
+	if err := jobdecoder.decode(jobdecoder.pieces); err != nil {
+		return err
+	}
+	jobdecoder.pieces = nil
+	return jobdecoder.decode(encoded)
+}
+
+// decode decodes whole jobs, as far as the limit of the codec allows.
+func (jobdecoder *jobDecoder) decode(sequence []byte) error {
 	for len(sequence) > 0 {
-		var job almondcross.JobRecord
-		if job, sequence, err = codec.decodeFirstJob(sequence); err != nil {
-			return nil, errors.Annotate(err, "job of a snapshot")
+		job, rest, err := jobdecoder.codec.decodeFirstJob(sequence)
+		if err != nil {
+			return errors.Annotate(err, "job of a snapshot")
 		}
-		jobs = append(jobs, job)
+		sequence = rest
+		jobdecoder.bytes += job.Job().AdmissionBytes()
+		if limit := jobdecoder.codec.stateLimit; limit > 0 && jobdecoder.bytes > limit {
+			return errors.Annotatef(almondcross.ErrStateTooLarge, "above %d bytes", limit)
+		}
+		jobdecoder.jobs = append(jobdecoder.jobs, job)
 	}
-	return jobs, nil
+	return nil
 }
 
 // encodeJobRecord returns the encoded form of a job, which has a field for the workspace only if the job has one.
@@ -311,25 +359,6 @@
 	return record.WithJob(record.Job().WithWorkspace(workspace)), sequence, nil
 }
 
-// jobSequence returns the encoded jobs of all parts one after the other, with their pieces joined.
-func (codec Codec) jobSequence(parts []wireSnapshotPart) ([]byte, error) {
-	var sequence []byte
-	for _, part := range parts {
-		for _, encoded := range part.Jobs {
-			if len(encoded) == 0 || encoded[0]>>majorTypeBits != byteStringType {
-				sequence = append(sequence, encoded...)
-				continue
-			}
-			var piece []byte
-			if err := codec.decoding.Unmarshal(encoded, &piece); err != nil {
-				return nil, errors.Annotatef(ErrMalformed, "piece of a job: %v", err)
-			}
-			sequence = append(sequence, piece...)
-		}
-	}
-	return sequence, nil
-}
-
 func snapshotOf(firstPart wireSnapshotPart, jobs []almondcross.JobRecord) almondcross.StateSnapshot {
 	var usage []almondcross.QueueUsage
 	for _, wire := range firstPart.Usage {
--- a/encoder/wire.go
+++ b/encoder/wire.go
@@ -33,6 +33,13 @@
 	encoding     cbor.EncMode
 	decoding     cbor.DecMode
 	decodingJobs cbor.DecMode // decodingJobs decodes the parts of a snapshot and their jobs.
+	stateLimit   int64        // stateLimit is the memory in bytes that the jobs of a decoded snapshot may take, 0 for no limit.
+}
+
+// WithStateLimit returns a copy that decodes no snapshot whose jobs take more memory than some bytes.
+func (codec Codec) WithStateLimit(bytes int64) Codec {
+	codec.stateLimit = bytes
+	return codec
 }
 
 // NewCodec returns a codec with the size and nesting limits of this package.
--- a/integration/crowd/accepted_test.go
+++ b/integration/crowd/accepted_test.go
@@ -19,7 +19,7 @@
 	maxAcceptedClients = 40
 	// payloadBytes is nearly the largest payload of a job.
 	payloadBytes = 3900
-	// maxSamples is the number of refused jobs that are looked for afterwards.
+	// maxSamples is the number of accepted and of refused jobs that are looked for afterwards.
 	maxSamples = 20
 )
 
@@ -29,13 +29,14 @@
 	client   *http.Client
 	answered [600]atomic.Int64 // answered counts the answers by status; 0 stands for a connection that has ended without one.
 	untimed  atomic.Int64      // untimed counts the refusals that do not tell when to return.
+	accepted chan string       // accepted holds the first jobs that were accepted.
 	refused  chan string       // refused holds the first jobs that were refused.
 	identity atomic.Int64
 }
 
 func newAcceptedCrowd(host *host) *acceptedCrowd {
 	return &acceptedCrowd{
-		host: host, refused: make(chan string, maxSamples),
+		host: host, accepted: make(chan string, maxSamples), refused: make(chan string, maxSamples),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxAcceptedClients}, Timeout: sendTimeout},
 	}
 }
@@ -71,15 +72,22 @@
 	defer func() { _ = response.Body.Close() }()
 	_, _ = io.Copy(io.Discard, response.Body)
 	crowd.answered[response.StatusCode].Add(1)
-	if response.StatusCode != http.StatusServiceUnavailable && response.StatusCode != http.StatusTooManyRequests {
-		return
-	}
-	if response.Header.Get("Retry-After") == "" {
-		crowd.untimed.Add(1)
+	switch response.StatusCode {
+	case http.StatusOK:
+		sample(crowd.accepted, id)
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		if response.Header.Get("Retry-After") == "" {
+			crowd.untimed.Add(1)
+		}
+		sample(crowd.refused, id)
 	}
+}
+
+// sample keeps a job unless there are enough.
+func sample(samples chan<- string, id string) {
 	select {
-	case crowd.refused <- id:
-	default: // There are enough samples.
+	case samples <- id:
+	default:
 	}
 }
 
@@ -98,7 +106,7 @@
 	host := crowd.host
 	host.t.Helper()
 	crowd.logAnswers()
-	host.t.Logf("after the crowd: peak memory %.1f MB of %d", host.peakMB(), *memoryMB)
+	host.t.Logf("after the crowd: peak memory %.1f MB of %d", host.peakMB(), host.memoryMB)
 	for name, request := range map[string]func() bool{
 		"the pending jobs": func() bool { return host.call(http.MethodGet, host.callersAddress, "/q/", nil) == http.StatusOK },
 		"the readiness":    func() bool { return host.call(http.MethodGet, host.readyAddress, "/ready", nil) == http.StatusOK },
@@ -116,7 +124,7 @@
 		})
 	}
 	require.Zero(host.t, crowd.untimed.Load(), "refusals without a time to return")
-	require.LessOrEqual(host.t, host.peakMB(), float64(*memoryMB), "the memory of the host, in MB")
+	require.LessOrEqual(host.t, host.peakMB(), float64(host.memoryMB), "the memory of the host, in MB")
 	require.LessOrEqual(host.t, host.mostDescriptors.Load(), int64(*descriptorLimit-descriptorReserve), "the open descriptors of the host")
 }
 
@@ -154,3 +162,57 @@
 		})
 	}
 }
+
+// requireAccepted checks that a host knows the jobs that the crowd was told are accepted.
+func (crowd *acceptedCrowd) requireAccepted(host *host) {
+	host.t.Helper()
+	close(crowd.accepted)
+	for id := range crowd.accepted {
+		host.requireSoon("accepted job "+id, func() bool {
+			status := host.call(http.MethodGet, host.callersAddress, "/q/"+id, nil)
+			require.NotEqual(host.t, http.StatusGone, status, "an accepted job is lost")
+			return status == http.StatusOK
+		})
+	}
+}
+
+// Guards against a host that cannot start again, or forgets accepted jobs, after it ended with as many jobs as it accepts.
+func TestRestartWithAFullState(t *testing.T) {
+	host := startHost(t)
+	crowd := newAcceptedCrowd(host)
+	crowd.run(maxAcceptedClients, 50, http.MethodPost, jobBody(payloadBytes, 1, `{"count":10,"cpu":100,"mem_mb":10}`, ""))
+	require.Positive(t, crowd.answered[http.StatusServiceUnavailable].Load(), "the state is not full")
+	for range 2 {
+		host.kill()
+		host.start()
+		host.requireSnapshot()
+	}
+	crowd.requireBounds()
+	crowd.requireAccepted(host)
+}
+
+// Guards against a weak host that runs out of memory since it loads what a stronger one has accepted while it was away, and against
+// accepted jobs that it takes for unknown because it cannot.
+func TestWeakHostBesideALargeState(t *testing.T) {
+	cell := startCell(t)
+	strong, weak := cell.newHost("strong", 4**memoryMB), cell.newHost("weak", *memoryMB)
+	strong.start()
+	strong.requireAnswers("alone")
+	crowd := newAcceptedCrowd(strong)
+	crowd.run(maxAcceptedClients, 100, http.MethodPost, jobBody(payloadBytes, 1, `{"count":1,"cpu":100,"mem_mb":10}`, ""))
+	strong.requireSnapshot()
+	crowd.logAnswers()
+	strong.kill()
+	weak.start()
+	weak.requireSoon("the end of its attempt to load the state", func() bool { return weak.logs("state_too_large") || weak.logs("scheduling_started") })
+	weak.requireSoon("the metrics", func() bool { return weak.call(http.MethodGet, weak.metricsAddress, "/metrics", nil) == http.StatusOK })
+	require.Contains(t, []int{http.StatusOK, http.StatusServiceUnavailable}, weak.call(http.MethodGet, weak.callersAddress, "/q/", nil))
+	require.LessOrEqual(t, weak.peakMB(), float64(weak.memoryMB), "the memory of the weak host alone, in MB")
+	strong.start()
+	crowd.requireAccepted(weak)
+	weak.requireSoon("the pending jobs", func() bool { return weak.call(http.MethodGet, weak.callersAddress, "/q/", nil) == http.StatusOK })
+	weak.requireSoon("the readiness", func() bool { return weak.call(http.MethodGet, weak.readyAddress, "/ready", nil) == http.StatusOK })
+	t.Logf("peak memory of the weak host %.1f MB of %d, of the strong one %.1f of %d", weak.peakMB(), weak.memoryMB, strong.peakMB(), strong.memoryMB)
+	require.LessOrEqual(t, weak.peakMB(), float64(weak.memoryMB), "the memory of the weak host, in MB")
+	require.LessOrEqual(t, strong.peakMB(), float64(strong.memoryMB), "the memory of the strong host, in MB")
+}
--- a/integration/crowd/host_test.go
+++ b/integration/crowd/host_test.go
@@ -50,10 +50,13 @@
 	sampleInterval = 20 * time.Millisecond
 )
 
-// host is a scheduling host in a process of its own, the only one of its cell.
+// host is a scheduling host in a process of its own.
 type host struct {
 	t               *testing.T
 	store           *standin.Store
+	memoryMB        int // memoryMB is the memory of the host in its settings, and the bound of its largest resident size.
+	settingsPath    string
+	logPath         string
 	process         *exec.Cmd
 	ended           chan struct{} // ended is closed when the process has ended.
 	callersAddress  string
@@ -101,8 +104,15 @@
 	return reservation.Address()
 }
 
-// startHost starts a store and a scheduling host, and waits until the host accepts jobs.
-func startHost(t *testing.T) *host {
+// cell is a store, with a configuration of two queues, and the hosts that use it.
+type cell struct {
+	t       *testing.T
+	store   *standin.Store
+	address string
+}
+
+// startCell starts a store.
+func startCell(t *testing.T) *cell {
 	t.Helper()
 	ctx := t.Context()
 	store := standin.NewStore()
@@ -117,36 +127,68 @@
 		standin.Route{Name: "other", Host: queueHost, Prefix: "/other/", Pool: "pool", MaxAttempts: 5, Stretch: 2, LatencyMS: 1000})
 	require.NoError(t, err)
 	require.NoError(t, store.Put(ctx, "keyed.op", "config", configuration))
+	return &cell{t: t, store: store, address: listener.Addr().String()}
+}
+
+// startHost starts a store and a scheduling host, and waits until the host accepts jobs.
+func startHost(t *testing.T) *host {
+	t.Helper()
+	host := startCell(t).newHost("h-0", *memoryMB)
+	host.start()
+	host.requireAnswers("before the crowd")
+	return host
+}
 
+// newHost returns a host of the cell that has some memory.
+func (cell *cell) newHost(name string, memoryMB int) *host {
+	cell.t.Helper()
+	t := cell.t
 	host := &host{
-		t: t, store: store, ended: make(chan struct{}), callersAddress: reserveAddress(t), readyAddress: reserveAddress(t),
+		t: t, store: cell.store, memoryMB: memoryMB, callersAddress: reserveAddress(t), readyAddress: reserveAddress(t),
 		metricsAddress: reserveAddress(t), linksAddress: reserveAddress(t),
 	}
-	settings := fmt.Sprintf(`{"role":"scheduler","name":"h-0","data_centre":"a","region":"r","callers_listen":%q,"ready_listen":%q,"metrics_listen":%q,
+	settings := fmt.Sprintf(`{"role":"scheduler","name":%q,"data_centre":"a","region":"r","callers_listen":%q,"ready_listen":%q,"metrics_listen":%q,
 		"link_listen":%q,"store_address":%q,"store_partitions":2,"store_record":262144,"store_retention":"6s",
 		"state_retention":"2m","max_lease":"10s","stop_grace":"3s","processors":1.0,"link_mbps":1000,"memory_mb":%d}`,
-		host.callersAddress, host.readyAddress, host.metricsAddress, host.linksAddress, listener.Addr(), *memoryMB)
+		name, host.callersAddress, host.readyAddress, host.metricsAddress, host.linksAddress, cell.address, memoryMB)
 	directory := t.TempDir()
-	path := filepath.Join(directory, "h-0.jsonc")
-	require.NoError(t, os.WriteFile(path, []byte(settings), 0o600))
-	log, err := os.Create(filepath.Join(directory, "h-0.log"))
+	host.settingsPath, host.logPath = filepath.Join(directory, name+".jsonc"), filepath.Join(directory, name+".log")
+	require.NoError(t, os.WriteFile(host.settingsPath, []byte(settings), 0o600))
+	return host
+}
+
+// start starts the process of the host.
+func (host *host) start() {
+	t := host.t
+	t.Helper()
+	log, err := os.OpenFile(host.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = log.Close() })
 	// The shell sets the limit before the program starts, since the runtime of Go raises its soft limit to the hard one.
-	host.process = exec.CommandContext(ctx, "/bin/sh", "-c", `ulimit -n "$0" && exec "$@"`,
-		strconv.Itoa(*descriptorLimit), buildBinary(t), "scheduler", "--config", path)
-	host.process.Stdout, host.process.Stderr = log, log
-	require.NoError(t, host.process.Start())
+	process := exec.CommandContext(t.Context(), "/bin/sh", "-c", `ulimit -n "$0" && exec "$@"`,
+		strconv.Itoa(*descriptorLimit), buildBinary(t), "scheduler", "--config", host.settingsPath)
+	process.Stdout, process.Stderr = log, log
+	require.NoError(t, process.Start())
+	ended := make(chan struct{})
+	host.process, host.ended = process, ended
 	go func() {
-		defer close(host.ended)
-		_ = host.process.Wait()
+		defer close(ended)
+		_ = process.Wait()
 	}()
-	t.Cleanup(func() {
-		_ = host.process.Process.Signal(syscall.SIGKILL)
-		<-host.ended
-	})
-	host.requireAnswers("before the crowd")
-	return host
+	t.Cleanup(host.kill)
+}
+
+// kill ends the process of the host at once.
+func (host *host) kill() {
+	_ = host.process.Process.Signal(syscall.SIGKILL)
+	<-host.ended
+}
+
+// logs reports whether the host has logged an event.
+func (host *host) logs(event string) bool {
+	log, err := os.ReadFile(host.logPath)
+	require.NoError(host.t, err)
+	return bytes.Contains(log, []byte(event))
 }
 
 // watch samples the open descriptors of the process until the context ends.
--- a/journal.go
+++ b/journal.go
@@ -19,9 +19,10 @@
 
 // The errors of a submission.
 const (
-	ErrNotStored   = errors.ConstError("not stored")               // ErrNotStored means that the job was not stored and never runs.
-	ErrMaybeStored = errors.ConstError("the store did not answer") // ErrMaybeStored means that the job may have been stored and may run.
-	ErrTooLarge    = errors.ConstError("too large for the store")  // ErrTooLarge means that the job can never be stored.
+	ErrStateTooLarge = errors.ConstError("more state than this host can hold") // ErrStateTooLarge means that a snapshot was not read to its end.
+	ErrNotStored     = errors.ConstError("not stored")                         // ErrNotStored means that the job was not stored and never runs.
+	ErrMaybeStored   = errors.ConstError("the store did not answer")           // ErrMaybeStored means that the job may have been stored and may run.
+	ErrTooLarge      = errors.ConstError("too large for the store")            // ErrTooLarge means that the job can never be stored.
 
 	ErrIdentityTaken = errors.ConstError("the identity is that of a job of another queue or workspace") // ErrIdentityTaken means that the job was not admitted, since its identity is taken.
 )
--- a/query/follower/follower.go
+++ b/query/follower/follower.go
@@ -114,7 +114,7 @@
 		}
 		if err == nil {
 			read.Snapshot, read.Found, err = follower.config.Codec.DecodeSnapshot(records)
-			if err != nil {
+			if err != nil && !errors.Is(err, almondcross.ErrStateTooLarge) {
 				// Malformed records are left out. Without a snapshot, the scheduler reads the journal from its oldest record.
 				follower.decodeFailures.count(follower.config.Snapshots, 0, err)
 				err = nil
--- a/standin/emulator/host.go
+++ b/standin/emulator/host.go
@@ -269,6 +269,7 @@
 func (noMetrics) Advised(string, int, int)                {}
 func (noMetrics) RoomRefused(string)                      {}
 func (noMetrics) StateHeld(int64, int64)                  {}
+func (noMetrics) StateTooLarge()                          {}
 func (noMetrics) Examined(int)                            {}
 func (noMetrics) FormatUnknown()                          {}
 func (noMetrics) Workspaces([]almondcross.WorkspaceUsage) {}
