Leave time between placement passes over many stages

What callers saw: counts and readiness were not answered in time while tens of thousands of steps waited.

Cause: a pass looks at each waiting stage. With a full state of 10,000 to 16,000 stages it takes 2 to 3 ms on one core of this machine, and passes followed each other every 20 ms or sooner, most of the processor of a host with a fifth of a core.

Change: passes begin at least 4 us for each waiting stage apart. Up to 1,000 stages this is the interval of before.

--- a/command/scheduler/constants.go
+++ b/command/scheduler/constants.go
@@ -126,6 +126,9 @@
 	minAppendInterval = 15 * time.Millisecond
 	// minPlacementInterval is the minimum time between two passes over the waiting stages.
 	minPlacementInterval = 4 * time.Millisecond
+	// stagePlacementInterval is the time between two passes for each waiting stage, if it is longer in all. A pass looks at each of
+	// them, and with tens of thousands it must leave time for the other work of the scheduler.
+	stagePlacementInterval = 4 * time.Microsecond
 	// maxBatchChanges is the maximum number of changes in one journal record.
 	maxBatchChanges = 40
 )
--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -201,7 +201,7 @@
 		machine.startDueOccurrences()
 		machine.leader.placementDue = true // Tickets and backoffs expire without a message.
 	}
-	if machine.leader.placementDue && machine.leader.resignedAt.IsZero() && machine.now.Sub(machine.leader.lastPlacementAt) >= minPlacementInterval {
+	if machine.leader.placementDue && machine.leader.resignedAt.IsZero() && machine.now.Sub(machine.leader.lastPlacementAt) >= machine.leader.placementInterval() {
 		machine.leader.placementDue, machine.leader.lastPlacementAt = false, machine.now
 		machine.placeStages()
 	}
--- a/command/scheduler/machine.go
+++ b/command/scheduler/machine.go
@@ -240,7 +240,7 @@
 func (machine *Machine) NextDeadline(now time.Time) time.Time {
 	if machine.role == roleLeader {
 		if machine.leader.placementDue {
-			return now.Add(minPlacementInterval)
+			return now.Add(min(machine.leader.placementInterval(), leaderTick))
 		}
 		if len(machine.leader.pendingChanges) > 0 && machine.leader.inflight == nil {
 			return machine.leader.lastAppendAt.Add(minAppendInterval)
--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -24,6 +24,11 @@
 	rank           almondcross.OrderRank // rank is that of the last pass.
 }
 
+// placementInterval returns the minimum time between two placement passes.
+func (leader *leader) placementInterval() time.Duration {
+	return max(minPlacementInterval, time.Duration(len(leader.waitingStages))*stagePlacementInterval)
+}
+
 // placeStages assigns tasks to workers in the order of the stages and requests missing advice.
 func (machine *Machine) placeStages() {
 	leader := machine.leader
--- a/command/scheduler/placement_test.go
+++ b/command/scheduler/placement_test.go
@@ -149,3 +149,37 @@
 		})
 	}
 }
+
+// passCounter counts the placement passes.
+type passCounter struct {
+	noopRecorder
+	passes *int
+}
+
+func (passcounter passCounter) Examined(int) { *passcounter.passes++ }
+
+// Guards against a scheduler that only places: with tens of thousands of waiting stages each pass takes milliseconds.
+func TestPassesLeaveTimeBetweenThem(t *testing.T) {
+	const stages = 10_000
+	harness, passes := newHarness(t), 0
+	harness.machine.config.Metrics = passCounter{passes: &passes}
+	harness.becomeScheduler()
+	for index := range stages / 100 {
+		steps := make([]almondcross.StepConfig, 100)
+		for step := range steps {
+			steps[step] = almondcross.StepConfig{Count: 1, Resources: almondcross.NewResources(almondcross.ResourcesConfig{MilliCPU: 1 << 40})}
+		}
+		job := newJob(almondcross.JobID(fmt.Sprint(index)), steps...)
+		harness.machine.Apply(almondcross.NewIntakeForwarded(almondcross.IntakeForwardedConfig{
+			Host: "h-1", Intake: almondcross.NewIntake(almondcross.IntakeConfig{Job: job, Settings: settings(1, "q")}),
+		}), harness.now)
+	}
+	require.Len(t, harness.machine.leader.waitingStages, stages)
+	passes = 0
+	for range int(time.Second / minPlacementInterval) {
+		harness.advance(minPlacementInterval)
+		harness.effects = nil
+	}
+	require.Positive(t, passes)
+	require.LessOrEqual(t, passes, int(time.Second/(stages*stagePlacementInterval))+1)
+}
