Share the settings of a queue among its jobs

What callers saw: nothing; it makes room for the limit on accepted jobs.

Cause: each job had its settings, with the texts of its queue, as a value of its own, about 400 bytes of a finished job.

Change: jobs whose settings are the same as those of the last job of the queue share them, and the name of the queue. The estimate of a job without steps follows.

--- a/command/scheduler/snapshot.go
+++ b/command/scheduler/snapshot.go
@@ -49,7 +49,7 @@
 		})
 	}
 	return almondcross.NewJobRecord(almondcross.JobRecordConfig{
-		Job: job.spec, Settings: job.settings, State: job.state, Finished: job.finishedAt, StartedOccurrences: job.startedOccurrences, Stages: stages,
+		Job: job.spec, Settings: job.settings.value(), State: job.state, Finished: job.finishedAt, StartedOccurrences: job.startedOccurrences, Stages: stages,
 	})
 }
 
@@ -89,8 +89,9 @@
 
 func (state *state) restoreJob(record almondcross.JobRecord) {
 	restored := &job{
-		spec: record.Job(), settings: record.Settings(), state: record.State(), finishedAt: record.Finished(), startedOccurrences: record.StartedOccurrences(),
+		spec: record.Job(), state: record.State(), finishedAt: record.Finished(), startedOccurrences: record.StartedOccurrences(),
 	}
+	state.setSettings(restored, record.Settings())
 	id := record.Job().ID()
 	steps := record.Job().Steps()
 	for _, saved := range record.Stages() {
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -29,7 +29,7 @@
 // job is one job of the replicated state.
 type job struct {
 	spec               almondcross.Job
-	settings           almondcross.QueueSettings // settings are not known for a job of an older host until ChangeSettings.
+	settings           sharedSettings // settings are not known for a job of an older host until ChangeSettings.
 	state              almondcross.JobState
 	finishedAt         time.Time
 	startedOccurrences int
@@ -81,6 +81,7 @@
 	intakeOffsets    map[int]int64
 	jobs             map[almondcross.JobID]*job
 	ledger           ledger
+	lastSettings     map[string]sharedSettings // lastSettings holds the settings of the last job of each queue, by name.
 	retention        time.Duration
 	finishedJobs     []almondcross.JobID // finishedJobs holds the final jobs by the time of their end.
 	usage            map[almondcross.UsageKey]almondcross.QueueUsage
@@ -134,7 +135,7 @@
 		intakeOffsets: map[int]int64{}, jobs: map[almondcross.JobID]*job{}, retention: retention,
 		changedJobs: map[almondcross.JobID]struct{}{}, silentWorkers: map[string]silence{}, longLeases: map[string]time.Time{}, unlistedWorkers: map[string]almondcross.UnlistedWorker{}, usage: map[almondcross.UsageKey]almondcross.QueueUsage{},
 		unstoredUsage: map[almondcross.UsageKey]struct{}{}, busyWorkers: map[string]int{}, busyAddresses: map[string]workerAddress{},
-		heldResources: map[string]almondcross.Resources{}, ledger: newLedger(),
+		heldResources: map[string]almondcross.Resources{}, ledger: newLedger(), lastSettings: map[string]sharedSettings{},
 	}
 }
 
@@ -243,7 +244,8 @@
 		state.finishedJobs = slices.DeleteFunc(state.finishedJobs, func(id almondcross.JobID) bool { return id == submitted.ID() })
 		state.discharge(known)
 	}
-	job := &job{spec: submitted, settings: settings, state: almondcross.JobQueued}
+	job := &job{spec: submitted, state: almondcross.JobQueued}
+	state.setSettings(job, settings)
 	state.jobs[submitted.ID()] = job
 	state.changedJobs[submitted.ID()] = struct{}{}
 	state.updateUsage(settings.Queue(), func(usage almondcross.QueueUsage) almondcross.QueueUsage {
@@ -284,7 +286,7 @@
 		state.finishJob(found, almondcross.JobCancelled)
 	}
 	if !admitted {
-		found.settings = settings
+		state.setSettings(found, settings)
 	}
 }
 
--- a/command/scheduler/verdict.go
+++ b/command/scheduler/verdict.go
@@ -44,7 +44,7 @@
 			return usage.WithAdmitted(usage.Admitted() + 1)
 		})
 	}
-	job.settings = settings
+	state.setSettings(job, settings)
 	for _, stage := range job.stages {
 		if stage == nil {
 			continue
--- a/jobsize.go
+++ b/jobsize.go
@@ -3,7 +3,7 @@
 // Upper estimates of the memory in bytes that the parts of a job take on a scheduler, with their copies in views, in queues of
 // stages and in an encoded snapshot.
 const (
-	jobStateBytes = 1 << 10
+	jobStateBytes = 640
 	// stepStateBytes is the definition of a step, and stageStateBytes its tables in one occurrence.
 	stepStateBytes, stageStateBytes = 512, 1 << 10
 	// taskStateBytes is a task that has had a run. One that waits takes less.
