Limit what the clients of an entry host take together

What callers saw: 600 clients with the token of a caller, each with a body of a mebibyte that ended 11 bytes short, brought an entry host to 960 MB, and no report was answered in 45 s.

Cause: the limits of the scheduling hosts were not those of `almondcross entry`: it had a limit on one body and a time limit for headers, and none for a body, for all bodies or for connections.

Change: its servers accept connections through the same listener, with the same limits on connections, headers and bodies, planned from two new settings, memory_mb and max_descriptors. A body is read whole, within 10 s, before its handler is called.

--- a/assembler/entry.go
+++ b/assembler/entry.go
@@ -46,7 +46,7 @@
 			newWriter, newReader, newObserver, newDriver,
 			newAppenders, newEvents, newLinker, newRegistrar, newManager, newPlacer, newCoordinator,
 			newCataloguer, newLoader, newClaimer, newClaimTail, newAccountant, newReporter, newRetriever, newRoller,
-			newWatcher, newInspector, newServers,
+			newWatcher, newInspector, newEntryLimits, newServers,
 		),
 		fx.Invoke(runEntry),
 	)
--- a/assembler/schedulerlimits.go
+++ b/assembler/hostlimits.go
@@ -6,6 +6,7 @@
 	"syscall"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
 
 	"github.com/almondcross/almondcross"
 	"github.com/almondcross/almondcross/command/limiter"
@@ -33,17 +34,28 @@
 // refusal is what a client receives whose connection is refused.
 var refusal = fmt.Sprintf("HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\nRetry-After: 1\r\n\r\n", refusalStatus, http.StatusText(refusalStatus))
 
-// schedulerLimits are the limits on the clients of a scheduling host.
-type schedulerLimits struct {
+// hostLimits are the limits on the clients of a host.
+type hostLimits struct {
 	bodies, headers, frames, callers, links, ready, metrics *limiter.Limiter
 	changes                                                 *ring.Ring[*limiter.Limiter]
 	refused                                                 *ring.Ring[listener.Refused]
 	log                                                     almondcross.EventLog
 }
 
-func newSchedulerLimits(settings configurator.SchedulerSettings, log *recorder.Recorder, set *metrics.Set) *schedulerLimits {
-	plan := planLimits(settings)
-	limits := &schedulerLimits{
+func newSchedulerLimits(settings configurator.SchedulerSettings, log *recorder.Recorder, set *metrics.Set) *hostLimits {
+	return newHostLimits(planLimits(settings), log, set)
+}
+
+// newEntryLimits returns the limits of an entry host. It has no state of accepted jobs and no servers for checks alone.
+func newEntryLimits(settings configurator.EntrySettings, logger logrus.FieldLogger, set *metrics.Set) *hostLimits {
+	plan := limiter.Plan(almondcross.NewHostCapacity(almondcross.HostCapacityConfig{
+		MemoryBytes: int64(settings.MemoryMB()) << 20, Descriptors: descriptors(settings.MaxDescriptors()),
+	}))
+	return newHostLimits(plan, eventLogger{logger}, set)
+}
+
+func newHostLimits(plan almondcross.ClientLimits, log almondcross.EventLog, set *metrics.Set) *hostLimits {
+	limits := &hostLimits{
 		changes: ring.New[*limiter.Limiter](ring.Config{Name: "limits", Capacity: limitCount, Metrics: set}),
 		refused: ring.New[listener.Refused](ring.Config{Name: "refused", Capacity: refusedCapacity, Metrics: set}),
 		log:     log,
--- a/assembler/scheduler.go
+++ b/assembler/scheduler.go
@@ -243,7 +243,7 @@
 }
 
 func newHub(
-	settings configurator.SchedulerSettings, codec encoder.Codec, rings schedulerRings, log *recorder.Recorder, limits *schedulerLimits,
+	settings configurator.SchedulerSettings, codec encoder.Codec, rings schedulerRings, log *recorder.Recorder, limits *hostLimits,
 	links *counter.Links,
 ) *connector.Hub {
 	return connector.NewHub(connector.HubConfig{
--- a/assembler/schedulerservers.go
+++ b/assembler/schedulerservers.go
@@ -2,21 +2,16 @@
 
 import (
 	"context"
-	"io"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gorilla/mux"
-	"github.com/juju/errors"
 
 	"github.com/almondcross/almondcross"
 	"github.com/almondcross/almondcross/command/connector"
 	"github.com/almondcross/almondcross/command/counter"
-	"github.com/almondcross/almondcross/command/limiter"
-	"github.com/almondcross/almondcross/command/listener"
 	"github.com/almondcross/almondcross/command/recorder"
 	"github.com/almondcross/almondcross/command/submitter"
 	"github.com/almondcross/almondcross/configurator"
@@ -46,14 +41,14 @@
 	ready    *http.Server
 	metrics  *http.Server
 	links    *http.Server
-	limits   *schedulerLimits
+	limits   *hostLimits
 	counter  *counter.Counter
 	stopping atomic.Bool
 }
 
 func newSchedulerServers(
 	settings configurator.SchedulerSettings, routes *router.Router, jobs *jobfinder.Table, rings schedulerRings,
-	hub *connector.Hub, versions *versioner.Versioner, log *recorder.Recorder, counter *counter.Counter, set *metrics.Set, limits *schedulerLimits,
+	hub *connector.Hub, versions *versioner.Versioner, log *recorder.Recorder, counter *counter.Counter, set *metrics.Set, limits *hostLimits,
 ) *schedulerServers {
 	servers := &schedulerServers{settings: settings, limits: limits, counter: counter}
 	access := authorizer.New(authorizer.Config{Router: routes, Jobs: jobs})
@@ -98,49 +93,12 @@
 	}
 }
 
-// setPhase tells a connection whether the server reads headers from it. Headers are held until the request is answered.
-func setPhase(connection net.Conn, state http.ConnState) {
-	switch state {
-	case http.StateActive:
-		listener.SetPhase(connection, listener.PhaseAnswer)
-	case http.StateIdle:
-		listener.SetPhase(connection, listener.PhaseHeaders)
-	case http.StateHijacked:
-		listener.SetPhase(connection, listener.PhaseHijacked)
-	default: // A new connection is in that phase, and a closed one holds nothing.
-	}
-}
-
 // Listen opens all listeners, so that the start fails if an address cannot be used.
 func (schedulerservers *schedulerServers) Listen(ctx context.Context) ([]NamedDuty, error) {
-	limits := schedulerservers.limits
-	namedDuties := []NamedDuty{
-		{"refuser", listener.NewRefuser(limits.refused)},
-		{"limit watcher", limiter.NewWatcher(limiter.WatcherConfig{Changes: limits.changes, Log: limits.log, OnChange: schedulerservers.setReached})},
-	}
-	for _, endpoint := range schedulerservers.endpoints() {
-		opened, err := new(net.ListenConfig).Listen(ctx, "tcp", endpoint.address)
-		if err != nil {
-			return nil, errors.Annotatef(err, "listening for the %s", endpoint.name)
-		}
-		tcpListener, isTCP := opened.(*net.TCPListener)
-		if !isTCP {
-			return nil, errors.Errorf("listening for the %s: %s is no TCP address", endpoint.name, endpoint.address)
-		}
-		limited := listener.New(listener.Config{
-			Listener: tcpListener, Limiter: endpoint.limit, Headers: limits.headers, Refusal: []byte(refusal), Refuser: limits.refused,
-			OnUnread: func() { schedulerservers.counter.AnswerUnread(endpoint.limit.Name()) },
-		})
-		namedDuties = append(namedDuties, NamedDuty{endpoint.name, schedulerServerDuty{server: endpoint.server, listener: limited}})
-	}
-	return namedDuties, nil
-}
-
-// endpoint is one server of a scheduling host with its address and the limit on its connections.
-type endpoint struct {
-	name, address string
-	server        *http.Server
-	limit         *limiter.Limiter
+	return limitedServers{
+		limits: schedulerservers.limits, endpoints: schedulerservers.endpoints(), onUnread: schedulerservers.counter.AnswerUnread,
+		stopping: schedulerservers.stopping.Load,
+	}.listen(ctx)
 }
 
 func (schedulerservers *schedulerServers) endpoints() []endpoint {
@@ -153,28 +111,4 @@
 	}
 }
 
-// setReached closes the idle connections of a server whose connections have reached their limit, and each further one after
-// its answer, until the limit is relaxed. Otherwise clients could hold all connections without a request.
-func (schedulerservers *schedulerServers) setReached(limit string, reached bool) {
-	for _, endpoint := range schedulerservers.endpoints() {
-		if endpoint.limit.Name() == limit {
-			endpoint.server.SetKeepAlivesEnabled(!reached && !schedulerservers.stopping.Load())
-		}
-	}
-}
-
-// schedulerServerDuty runs one HTTP server of a scheduling host.
-type schedulerServerDuty struct {
-	server   *http.Server
-	listener net.Listener
-}
-
-// Run serves until the server is shut down.
-func (schedulerserverduty schedulerServerDuty) Run(context.Context) error {
-	if err := schedulerserverduty.server.Serve(schedulerserverduty.listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, io.EOF) {
-		return errors.Trace(err)
-	}
-	return nil
-}
-
 var _ almondcross.JobFinder = (*jobfinder.Table)(nil)
--- a/command/receiver/receiver.go
+++ b/command/receiver/receiver.go
@@ -18,12 +18,13 @@
 	Catalogue         almondcross.CatalogueViewer
 	Clock             almondcross.Clock
 	Tokens            []almondcross.Token
-	DataCentres       []string        // DataCentres are the valid origins of keys.
-	RequestTimeout    time.Duration   // RequestTimeout is the timeout of cancellations and of requests without one.
-	MaxRequestTimeout time.Duration   // MaxRequestTimeout is the maximum timeout of a request.
-	ChangeTimeout     time.Duration   // ChangeTimeout bounds the wait for the outcome of a change.
-	Stopping          <-chan struct{} // Stopping is closed when the host stops and waiting callers must be answered; nil for never.
-	Metrics           *metrics.Set    // Metrics receives the counters; nil for none.
+	DataCentres       []string            // DataCentres are the valid origins of keys.
+	RequestTimeout    time.Duration       // RequestTimeout is the timeout of cancellations and of requests without one.
+	MaxRequestTimeout time.Duration       // MaxRequestTimeout is the maximum timeout of a request.
+	ChangeTimeout     time.Duration       // ChangeTimeout bounds the wait for the outcome of a change.
+	Stopping          <-chan struct{}     // Stopping is closed when the host stops and waiting callers must be answered; nil for never.
+	Bodies            almondcross.Limiter // Bodies limits the bytes of all bodies, nil for no limit.
+	Metrics           *metrics.Set        // Metrics receives the counters; nil for none.
 }
 
 // Receiver serves the routes that change state.
@@ -37,7 +38,7 @@
 func New(config Config) *Receiver {
 	receiver := &Receiver{
 		config:    config,
-		responder: responder.New(responder.Config{Tokens: config.Tokens, Metrics: config.Metrics}),
+		responder: responder.New(responder.Config{Tokens: config.Tokens, Bodies: config.Bodies, Metrics: config.Metrics}),
 	}
 	if config.Metrics != nil {
 		receiver.misdirected = config.Metrics.GetOrCreateCounter(`almondcross_outcomes_misdirected_total{at="receiver"}`)
--- a/configurator/configurator_test.go
+++ b/configurator/configurator_test.go
@@ -82,7 +82,7 @@
 			`f:6: regoin: found an unknown key; allowed: role, name, data_centre, region, listen, advertise, peer_listen, ` +
 				`peer_advertise, data_centres, peers, log_address, live_list_address, operators, reporters, callers, stop_grace, ` +
 				`request_timeout, request_timeout_max, change_timeout, query_timeout, log_timeout, worker_timeout, claim_horizon, account_interval, ` +
-				`placement, share, log_format`,
+				`placement, share, memory_mb, max_descriptors, log_format`,
 		},
 		{"missing key", entryFile, `"log_address": "127.0.0.1:7000",`, ``, `f:1: log_address: found no value; allowed: ` + address},
 		{"repeated key", entryFile, `"stop_grace": "5s"`, `"name": "other"`, `f:19: name: found the key a second time (first on line 4); allowed: each key once`},
--- a/configurator/entry.go
+++ b/configurator/entry.go
@@ -122,6 +122,10 @@
 		[]PlacementName{PlacementPacked, PlacementLeastLoaded}, func(settings *rawEntrySettings) *PlacementName { return &settings.Placement }),
 	parser.Choice(parser.FieldSpec{Key: "share", Default: `"dominant"`, Description: "the share policy"},
 		[]ShareName{ShareDominant}, func(settings *rawEntrySettings) *ShareName { return &settings.Share }),
+	parser.Integer(parser.FieldSpec{Key: "memory_mb", Unit: "megabytes", Default: "512", Description: "the memory that the process may use; the limits on the bodies and the connections of clients follow from it"},
+		32, 1<<20, func(settings *rawEntrySettings) *int { return &settings.MemoryMB }),
+	parser.Integer(parser.FieldSpec{Key: "max_descriptors", Default: "0", Description: "the file descriptors that the process may open, 200 of them for files; 0 for the limit with which the process was started, otherwise at least 256"},
+		0, 1<<24, func(settings *rawEntrySettings) *int { return &settings.MaxDescriptors }),
 	parser.Choice(parser.FieldSpec{Key: "log_format", Default: `"text"`, Description: "the format of log lines"},
 		[]LogFormat{LogText, LogJSON}, func(settings *rawEntrySettings) *LogFormat { return &settings.LogFormat }),
 }
--- a/configurator/values.go
+++ b/configurator/values.go
@@ -87,6 +87,8 @@
 	claimHorizon      time.Duration  // the age above which a key of a non-repeatable request is rejected
 	placement         PlacementName  // the name of the placement policy
 	share             ShareName      // the name of the share policy
+	memoryMB          int            // the memory that the process may use in megabytes
+	maxDescriptors    int            // the file descriptors that the process may open, 0 for its own limit
 	logFormat         LogFormat      // the format of log lines
 }
 
--- a/configurator/values_generated.go
+++ b/configurator/values_generated.go
@@ -83,6 +83,8 @@
 	ClaimHorizon      time.Duration
 	Placement         PlacementName
 	Share             ShareName
+	MemoryMB          int
+	MaxDescriptors    int
 	LogFormat         LogFormat
 }
 
@@ -112,6 +114,8 @@
 		claimHorizon:      config.ClaimHorizon,
 		placement:         config.Placement,
 		share:             config.Share,
+		memoryMB:          config.MemoryMB,
+		maxDescriptors:    config.MaxDescriptors,
 		logFormat:         config.LogFormat,
 	}
 }
@@ -142,6 +146,8 @@
 		ClaimHorizon:      entrysettings.claimHorizon,
 		Placement:         entrysettings.placement,
 		Share:             entrysettings.share,
+		MemoryMB:          entrysettings.memoryMB,
+		MaxDescriptors:    entrysettings.maxDescriptors,
 		LogFormat:         entrysettings.logFormat,
 	}
 }
@@ -359,6 +365,24 @@
 	return entrysettings
 }
 
+// MemoryMB returns the memory that the process may use in megabytes.
+func (entrysettings EntrySettings) MemoryMB() int { return entrysettings.memoryMB }
+
+// WithMemoryMB returns a copy with the given memoryMB.
+func (entrysettings EntrySettings) WithMemoryMB(memoryMB int) EntrySettings {
+	entrysettings.memoryMB = memoryMB
+	return entrysettings
+}
+
+// MaxDescriptors returns the file descriptors that the process may open, 0 for its own limit.
+func (entrysettings EntrySettings) MaxDescriptors() int { return entrysettings.maxDescriptors }
+
+// WithMaxDescriptors returns a copy with the given maxDescriptors.
+func (entrysettings EntrySettings) WithMaxDescriptors(maxDescriptors int) EntrySettings {
+	entrysettings.maxDescriptors = maxDescriptors
+	return entrysettings
+}
+
 // LogFormat returns the format of log lines.
 func (entrysettings EntrySettings) LogFormat() LogFormat { return entrysettings.logFormat }
 
--- a/query/viewer/viewer.go
+++ b/query/viewer/viewer.go
@@ -19,9 +19,10 @@
 	Status       almondcross.StatusViewer
 	Clock        almondcross.Clock
 	Tokens       []almondcross.Token
-	DataCentres  []string      // DataCentres holds the names of all data centres of the cell.
-	QueryTimeout time.Duration // QueryTimeout bounds every query.
-	Metrics      *metrics.Set  // Metrics is served at /metrics; nil for none.
+	DataCentres  []string            // DataCentres holds the names of all data centres of the cell.
+	QueryTimeout time.Duration       // QueryTimeout bounds every query.
+	Bodies       almondcross.Limiter // Bodies limits the bytes of all bodies, nil for no limit.
+	Metrics      *metrics.Set        // Metrics is served at /metrics; nil for none.
 }
 
 // Viewer serves the read-only routes. It is safe for concurrent use.
@@ -35,7 +36,7 @@
 func New(config Config) *Viewer {
 	viewer := &Viewer{
 		config:    config,
-		responder: responder.New(responder.Config{Tokens: config.Tokens, Metrics: config.Metrics}),
+		responder: responder.New(responder.Config{Tokens: config.Tokens, Bodies: config.Bodies, Metrics: config.Metrics}),
 	}
 	if config.Metrics != nil {
 		viewer.misdirected = config.Metrics.GetOrCreateCounter(`almondcross_outcomes_misdirected_total{at="viewer"}`)
--- a/responder/responder.go
+++ b/responder/responder.go
@@ -1,9 +1,12 @@
 package responder
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -13,6 +16,7 @@
 	"github.com/juju/errors"
 
 	"github.com/almondcross/almondcross"
+	"github.com/almondcross/almondcross/bodyreader"
 	"github.com/almondcross/almondcross/encoder"
 )
 
@@ -26,24 +30,27 @@
 // Config holds the settings of a Responder.
 type Config struct {
 	Tokens  []almondcross.Token
-	Metrics *metrics.Set // Metrics receives the request counters; nil for none.
+	Bodies  almondcross.Limiter // Bodies limits the bytes of all bodies, nil for no limit.
+	Metrics *metrics.Set        // Metrics receives the request counters; nil for none.
 }
 
 // Responder checks the tokens of requests and counts responses. It is safe for concurrent use.
 type Responder struct {
 	tokens  []almondcross.Token
+	bodies  almondcross.Limiter
 	metrics *metrics.Set
 }
 
 // New returns a Responder.
 func New(config Config) *Responder {
-	return &Responder{tokens: config.Tokens, metrics: config.Metrics}
+	return &Responder{tokens: config.Tokens, bodies: config.Bodies, metrics: config.Metrics}
 }
 
 // Handler handles a request whose token is valid.
 type Handler func(writer http.ResponseWriter, request *http.Request, token almondcross.Token)
 
-// Guard wraps a handler: it rejects requests whose token has none of the given roles and limits the body size.
+// Guard wraps a handler: it rejects requests whose token has none of the given roles, and reads the body within the limits on its own
+// size and on that of all bodies. The bytes of a body are held until the request is answered.
 func (responder *Responder) Guard(handler Handler, roles ...almondcross.Role) http.HandlerFunc {
 	return func(writer http.ResponseWriter, request *http.Request) {
 		scheme, secret, _ := strings.Cut(request.Header.Get("Authorization"), " ")
@@ -60,7 +67,16 @@
 			})
 			return
 		}
-		request.Body = http.MaxBytesReader(writer, request.Body, MaxBodyBytes)
+		reserved := bodyreader.NewReservation(responder.bodies)
+		defer reserved.Release()
+		body, err := bodyreader.ReadAll(writer, request, MaxBodyBytes, reserved)
+		if err != nil {
+			// The rest of the body is not read, so the connection cannot carry another request.
+			writer.Header().Set("Connection", "close")
+			Fail(writer, bodyFailure(err))
+			return
+		}
+		request.Body = io.NopCloser(bytes.NewReader(body))
 		handler(writer, request, token)
 	}
 }
@@ -125,6 +141,16 @@
 	return Failure{Status: http.StatusBadRequest, Code: almondcross.CodeInvalid, Message: message}
 }
 
+// bodyFailure returns the failure for a body that was not read to its end. Nothing of its request has run.
+func bodyFailure(err error) Failure {
+	if !errors.Is(err, bodyreader.ErrOverBudget) && !errors.Is(err, os.ErrDeadlineExceeded) {
+		return InvalidBody(err)
+	}
+	return Failure{
+		Status: http.StatusServiceUnavailable, Code: almondcross.CodeOverloaded, NotRun: true, Message: err.Error(), RetryAfter: overloadedRetryAfter,
+	}
+}
+
 // InvalidBody returns the failure for a body that could not be decoded.
 func InvalidBody(err error) Failure {
 	var maxBytesError *http.MaxBytesError
