--- a/integration/crowd/accepted_test.go
+++ b/integration/crowd/accepted_test.go
@@ -216,3 +216,41 @@
 	require.LessOrEqual(t, weak.peakMB(), float64(weak.memoryMB), "the memory of the weak host, in MB")
 	require.LessOrEqual(t, strong.peakMB(), float64(strong.memoryMB), "the memory of the strong host, in MB")
 }
+
+// Guards against a takeover at the limit on accepted jobs that ends a host, forgets accepted jobs, or accepts beyond the limit.
+func TestTakeoversWithAFullState(t *testing.T) {
+	cell := startCell(t)
+	hosts := make([]*host, 3)
+	for index := range hosts {
+		hosts[index] = cell.newHost(fmt.Sprintf("h-%d", index), *memoryMB)
+		hosts[index].start()
+	}
+	for _, host := range hosts {
+		host.requireAnswers("before the crowd")
+	}
+	body := jobBody(payloadBytes, 1, `{"count":10,"cpu":100,"mem_mb":10}`, "")
+	var crowds []*acceptedCrowd
+	for index, host := range hosts {
+		crowd := newAcceptedCrowd(host)
+		crowd.identity.Store(int64(index) << 32)
+		crowd.run(maxAcceptedClients, 25, http.MethodPost, body)
+		crowds = append(crowds, crowd)
+	}
+	for index, host := range hosts {
+		host.kill()
+		crowd := newAcceptedCrowd(hosts[(index+1)%len(hosts)])
+		crowd.identity.Store(int64(index+8) << 32)
+		crowd.run(maxAcceptedClients, 10, http.MethodPost, body)
+		crowd.logAnswers()
+		crowds = append(crowds, crowd)
+		host.start()
+		host.requireSoon("the pending jobs", func() bool { return host.call(http.MethodGet, host.callersAddress, "/q/", nil) == http.StatusOK })
+	}
+	for index, crowd := range crowds {
+		crowd.requireAccepted(hosts[(index+2)%len(hosts)])
+	}
+	for _, host := range hosts {
+		t.Logf("peak memory %.1f MB of %d", host.peakMB(), host.memoryMB)
+		require.LessOrEqual(t, host.peakMB(), float64(host.memoryMB), "the memory of the host, in MB")
+	}
+}
--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -49,6 +49,7 @@
 	accepted, maybeAccepted atomic.Bool // maybeAccepted is set when an attempt got anything but 503, a definite refusal.
 	cancelled               atomic.Bool
 	cancelledAt             atomic.Pointer[time.Time] // cancelledAt is when the caller saw its cancellation acknowledged.
+	payload                 string                    // payload is the input of the tasks.
 	long                    bool                      // long is set if the tasks run for longLength.
 	duration                time.Duration             // duration is that of each task, zero for a short one that its name determines.
 	crashing                bool                      // crashing is set if each run of a task crashes its worker.
@@ -57,7 +58,7 @@
 }
 
 func newJob(random *rand.Rand) *job {
-	return &job{id: fmt.Sprintf("%016x", random.Uint64()), milliCPU: 500 + random.Int64N(2000)}
+	return &job{id: fmt.Sprintf("%016x", random.Uint64()), payload: "x", milliCPU: 500 + random.Int64N(2000)}
 }
 
 // cell is one run of the soak.
@@ -75,6 +76,7 @@
 	checker   *checker
 
 	adviceAddress string
+	settings      string                 // settings holds further settings of the hosts, empty for none.
 	key           atomic.Pointer[string] // key is what callers present, nil for none.
 }
 
@@ -148,8 +150,15 @@
 
 // startCell starts a cell and waits until all its hosts answer. Each host runs the program at its place, or this tree's without any.
 func startCell(ctx context.Context, t *testing.T, seed uint64, binaries ...string) *cell {
+	t.Helper()
+	return startCellWith(ctx, t, seed, "", binaries...)
+}
+
+// startCellWith is startCell for hosts with further settings.
+func startCellWith(ctx context.Context, t *testing.T, seed uint64, settings string, binaries ...string) *cell {
 	t.Helper()
 	cell := newCell(ctx, t, seed)
+	cell.settings = settings
 	directWorkers := 0 // Other hosts relay all orders.
 	if seed%3 == 0 {
 		directWorkers = workerCount
@@ -202,8 +211,8 @@
 	}
 	settings := fmt.Sprintf(`{"role":"scheduler","name":%q,"data_centre":"a","region":"r","callers_listen":%q,"ready_listen":%q,"metrics_listen":%q,
 		"link_listen":%q,"store_address":%q,"store_partitions":2,"store_record":262144,"store_retention":"1h","advice_address":%q,
-		"state_retention":"2m","max_lease":"10s","stop_grace":"3s","processors":1.0,"link_mbps":1000,"memory_mb":256,"direct_workers":%d}`,
-		host.name, host.callersAddress, host.readyAddress, host.metricsAddress, reserveAddress(t), host.storeProxy.address, cell.adviceAddress, directWorkers)
+		"state_retention":"2m","max_lease":"10s","stop_grace":"3s","processors":1.0,"link_mbps":1000,"memory_mb":256,"direct_workers":%d%s}`,
+		host.name, host.callersAddress, host.readyAddress, host.metricsAddress, reserveAddress(t), host.storeProxy.address, cell.adviceAddress, directWorkers, cell.settings)
 	host.settingsPath = filepath.Join(cell.directory, host.name+".jsonc")
 	require.NoError(t, os.WriteFile(host.settingsPath, []byte(settings), 0o600))
 	var err error
@@ -321,7 +330,7 @@
 			steps[index]["after"] = []int{index - 1}
 		}
 	}
-	body, err := json.Marshal(map[string]any{"spec": "x", "steps": steps})
+	body, err := json.Marshal(map[string]any{"spec": job.payload, "steps": steps})
 	if err != nil {
 		return
 	}
@@ -444,15 +453,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	cell := startCell(ctx, t, seed, binaries...)
-	faults := make(chan []string)
-	go func() {
-		var injected []string
-		for until := time.Now().Add(*loadDuration); time.Now().Before(until); {
-			injected = append(injected, cell.injectRandomFault())
-			<-time.After(200*time.Millisecond + time.Duration(cell.random.Int64N(int64(700*time.Millisecond))))
-		}
-		faults <- injected
-	}()
+	faults := cell.injectFaults()
 	jobs := cell.sendJobs(rand.New(rand.NewPCG(seed, 4)), true)
 	injectedFaults := <-faults
 	cell.jobs.Range(func(_, value any) bool {
@@ -464,6 +465,20 @@
 	cell.checkResults(jobs, injectedFaults, time.Now().Add(3*time.Second+jobsTimeout)) // The last faults have ended after 3 s.
 }
 
+// injectFaults injects random faults for loadDuration and then sends their descriptions.
+func (cell *cell) injectFaults() <-chan []string {
+	faults := make(chan []string, 1)
+	go func() {
+		var injected []string
+		for until := time.Now().Add(*loadDuration); time.Now().Before(until); {
+			injected = append(injected, cell.injectRandomFault())
+			<-time.After(200*time.Millisecond + time.Duration(cell.random.Int64N(int64(700*time.Millisecond))))
+		}
+		faults <- injected
+	}()
+	return faults
+}
+
 // awaitOutcome waits until a job has ended or the deadline has passed, and describes an end that is not the required one.
 func (cell *cell) awaitOutcome(job *job, deadline time.Time) string {
 	status, state := 0, ""
