Let refused callers return in the order of their refusal

What callers saw: callers whose jobs found no room were told to return after the time in which their own job's memory is returned, all of them, and most were refused again.

Cause: the time did not count what the callers refused before wait for, and the rate was that of all holders.

Change: the scheduler measures for each workspace or queue how fast its jobs return their memory, and sums up what its refused callers need.

--- a/command/scheduler/admission.go
+++ b/command/scheduler/admission.go
@@ -6,46 +6,6 @@
 	"github.com/almondcross/almondcross"
 )
 
-const (
-	// minRoomWait and maxRoomWait bound the time after which a caller may return whose job found no room. Most tasks take seconds, and
-	// a caller that waits longer than a minute may not notice that workers were added.
-	minRoomWait = time.Second
-	maxRoomWait = time.Minute
-	// roomRateInterval is the time over which the rate is measured at which jobs return their memory, and roomRateWeight the weight
-	// of the last interval in its moving average.
-	roomRateInterval = time.Second
-	roomRateWeight   = 0.2
-)
-
-// roomRate measures how fast the jobs of the state return their memory.
-type roomRate struct {
-	bytesPerSecond float64
-	measuredAt     time.Time
-	freed          int64 // freed is that of the ledger when the rate was last measured.
-}
-
-// update measures the rate if its interval has passed.
-func (roomrate *roomRate) update(freed int64, now time.Time) {
-	elapsed := now.Sub(roomrate.measuredAt)
-	switch {
-	case roomrate.measuredAt.IsZero():
-		roomrate.measuredAt, roomrate.freed = now, freed
-	case elapsed >= roomRateInterval:
-		last := float64(freed-roomrate.freed) / elapsed.Seconds()
-		roomrate.bytesPerSecond += roomRateWeight * (last - roomrate.bytesPerSecond)
-		roomrate.measuredAt, roomrate.freed = now, freed
-	}
-}
-
-// wait returns how long it takes until some bytes are returned.
-func (roomrate *roomRate) wait(bytes int64) time.Duration {
-	if roomrate.bytesPerSecond <= 0 {
-		return maxRoomWait
-	}
-	seconds := min(float64(bytes)/roomrate.bytesPerSecond, maxRoomWait.Seconds())
-	return max(time.Duration(seconds*float64(time.Second)), minRoomWait)
-}
-
 // stateLimit returns the memory in bytes that the jobs of the state may take, 0 for no limit: as much as the weakest linked host may
 // hold, since each may have to load the state and to schedule. It is computed when a link changes.
 func (machine *Machine) stateLimit() int64 {
@@ -69,8 +29,9 @@
 		return 0, false
 	}
 	machine.config.Metrics.RoomRefused(job.Queue())
+	after = machine.leader.roomWaits.add(job.Holder(), job.AdmissionBytes())
 	machine.logFullState(job, limit)
-	return machine.leader.roomRate.wait(job.AdmissionBytes()), true
+	return after, true
 }
 
 // hasRoom reports whether the state has room for some bytes of a holder.
@@ -93,13 +54,13 @@
 // fullStateLogInterval is the least time between two log lines about a holder whose jobs find no room.
 const fullStateLogInterval = 10 * time.Second
 
-// logFullState logs that a job has found no room, for each holder from time to time.
+// logFullState logs that a job has found no room, for each holder from time to time. A caller of the holder waits for room.
 func (machine *Machine) logFullState(job almondcross.Job, limit int64) {
-	logged := machine.leader.fullLoggedAt
-	if last, found := logged[job.Holder()]; found && machine.now.Sub(last) < fullStateLogInterval {
+	wait := machine.leader.roomWaits[job.Holder()]
+	if !wait.loggedAt.IsZero() && machine.now.Sub(wait.loggedAt) < fullStateLogInterval {
 		return
 	}
-	logged[job.Holder()] = machine.now
+	wait.loggedAt = machine.now
 	ledger := &machine.state.ledger
 	machine.config.Log.Record("state_full", almondcross.Text("queue", job.Queue()), almondcross.Text("workspace", job.Workspace()),
 		almondcross.Number("limit_bytes", limit), almondcross.Number("used_bytes", ledger.used),
--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -37,9 +37,8 @@
 	usageAt         time.Time // usageAt is when usage was last stored.
 	usageStoring    bool
 
-	stateLimit   int64 // stateLimit is the memory in bytes that the jobs of the state may take, 0 for no limit.
-	roomRate     roomRate
-	fullLoggedAt map[almondcross.StateHolder]time.Time // fullLoggedAt is when the log last told that the jobs of a holder find no room.
+	stateLimit int64 // stateLimit is the memory in bytes that the jobs of the state may take, 0 for no limit.
+	roomWaits  roomWaits
 
 	workers             map[string]*worker
 	workersListed       bool                              // workersListed is set once the list of announced workers was read.
@@ -87,7 +86,7 @@
 		epoch: answer.Commit().Epoch(), sequence: 1, electedAt: machine.now, lastCommitAt: machine.now.Add(-answer.Took()),
 		pendingIntake: map[int]int64{}, intakeReadAt: map[int]time.Time{}, workers: map[string]*worker{}, advice: map[almondcross.StageID]*stageAdvice{},
 		queued: map[almondcross.StageID]bool{}, unpushedViews: map[almondcross.JobID]almondcross.JobViewChange{}, jobsWithOccurrences: map[almondcross.JobID]*job{}, allowedShares: map[string]float64{}, queueScores: map[string]queueScore{},
-		quarantined: map[almondcross.StageID]time.Time{}, fullLoggedAt: map[almondcross.StateHolder]time.Time{}, quotas: newQuotaTable(), roomBounds: map[string]*roomBound{}, viewRelays: machine.newViewRelays(),
+		quarantined: map[almondcross.StageID]time.Time{}, roomWaits: roomWaits{}, quotas: newQuotaTable(), roomBounds: map[string]*roomBound{}, viewRelays: machine.newViewRelays(),
 	}
 	if machine.config.NewRunTimes != nil {
 		machine.leader.runTimes = machine.config.NewRunTimes()
@@ -190,7 +189,7 @@
 		machine.sweepWorkers()
 		machine.expireAdviceCalls()
 		machine.checkEarlierLeaderships()
-		machine.leader.roomRate.update(machine.state.ledger.freed, machine.now)
+		machine.leader.roomWaits.update(machine.state.ledger.freed, machine.now)
 		machine.config.Metrics.StateHeld(machine.state.ledger.used, machine.leader.stateLimit)
 		if machine.strongerStandby() {
 			machine.leader.resignCause = "a stronger standby is available"
--- a/command/scheduler/ledger.go
+++ b/command/scheduler/ledger.go
@@ -9,19 +9,22 @@
 type ledger struct {
 	used  int64
 	held  map[almondcross.StateHolder]int64
-	freed int64 // freed is the sum of all that was returned.
+	freed map[almondcross.StateHolder]int64 // freed is the sum of what each holder has returned since it last had nothing.
 }
 
-func newLedger() ledger { return ledger{held: map[almondcross.StateHolder]int64{}} }
+func newLedger() ledger {
+	return ledger{held: map[almondcross.StateHolder]int64{}, freed: map[almondcross.StateHolder]int64{}}
+}
 
 // charge changes what a holder has by some bytes, which are negative if it returns them.
 func (ledger *ledger) charge(holder almondcross.StateHolder, bytes int64) {
 	ledger.used += bytes
+	if bytes < 0 {
+		ledger.freed[holder] -= bytes
+	}
 	if ledger.held[holder] += bytes; ledger.held[holder] == 0 {
 		delete(ledger.held, holder)
-	}
-	if bytes < 0 {
-		ledger.freed -= bytes
+		delete(ledger.freed, holder)
 	}
 }
 
