Test each limit on clients by itself

Cause: with one limit taken out, the crowds of integration/crowd were held back by another one, so six of the seven checks could not fail.

Change: TestEachLimitAlone has settings that leave one limit, and crowds that only this one holds back: bodies, headers and messages of hosts on 700 connections, stalled bodies and headers, metrics that nobody reads, and connections that are idle after a request. The tests of before stay.

--- a/integration/crowd/accepted_test.go
+++ b/integration/crowd/accepted_test.go
@@ -195,7 +195,8 @@
 // accepted jobs that it takes for unknown because it cannot.
 func TestWeakHostBesideALargeState(t *testing.T) {
 	cell := startCell(t)
-	strong, weak := cell.newHost("strong", 4**memoryMB), cell.newHost("weak", *memoryMB)
+	strong, weak := cell.newHost(hostConfig{name: "strong", memoryMB: 4 * *memoryMB, descriptors: *descriptorLimit}),
+		cell.newHost(hostConfig{name: "weak", memoryMB: *memoryMB, descriptors: *descriptorLimit})
 	strong.start()
 	strong.requireAnswers("alone")
 	crowd := newAcceptedCrowd(strong)
@@ -222,7 +223,7 @@
 	cell := startCell(t)
 	hosts := make([]*host, 3)
 	for index := range hosts {
-		hosts[index] = cell.newHost(fmt.Sprintf("h-%d", index), *memoryMB)
+		hosts[index] = cell.newHost(hostConfig{name: fmt.Sprintf("h-%d", index), memoryMB: *memoryMB, descriptors: *descriptorLimit})
 		hosts[index].start()
 	}
 	for _, host := range hosts {
--- a/integration/crowd/crowd_test.go
+++ b/integration/crowd/crowd_test.go
@@ -1,9 +1,7 @@
 package crowd_test
 
 import (
-	"bufio"
 	"context"
-	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
@@ -232,29 +230,20 @@
 
 // Guards against a process that runs out of memory under links with large messages that stop short of their end.
 func TestUnfinishedFrames(t *testing.T) {
-	const frameBytes, missingBytes = 1 << 20, 11
-	// The header of a masked binary frame with a length of eight bytes; the mask is zero.
-	frame := binary.BigEndian.AppendUint64([]byte{0x82, 0xff}, frameBytes)
-	frame = append(frame, make([]byte, 4+frameBytes-missingBytes)...)
+	frame := unfinishedFrame()
 	play(t, func(host *host) []string { return []string{host.linksAddress} }, func(client *client, _ int) {
-		client.write(fmt.Sprintf("GET /v1/advice HTTP/1.1\r\nHost: %s\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n"+
-			"Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n", queueHost))
-		if answer, err := http.ReadResponse(bufio.NewReader(client.connection), nil); err != nil || answer.StatusCode != http.StatusSwitchingProtocols {
-			return
+		if client.upgrade() {
+			client.write(frame)
 		}
-		client.write(string(frame))
 	})
 }
 
 // Guards against a process that runs out of memory under headers of legal size with very many lines, before a body that does
 // not end and before their own end.
 func TestManyHeaderLines(t *testing.T) {
-	var lines strings.Builder
-	for line := range headerLines {
-		fmt.Fprintf(&lines, "%x:\r\n", line)
-	}
+	lines := manyLines()
 	play(t, callersOnly, func(client *client, index int) {
-		client.header += lines.String()
+		client.header += lines
 		if index%2 == 0 {
 			client.sendWhole()
 		} else {
--- a/integration/crowd/host_test.go
+++ b/integration/crowd/host_test.go
@@ -55,6 +55,7 @@
 	t               *testing.T
 	store           *standin.Store
 	memoryMB        int // memoryMB is the memory of the host in its settings, and the bound of its largest resident size.
+	descriptors     int // descriptors is the limit on open files with which the process starts.
 	settingsPath    string
 	logPath         string
 	process         *exec.Cmd
@@ -133,26 +134,34 @@
 // startHost starts a store and a scheduling host, and waits until the host accepts jobs.
 func startHost(t *testing.T) *host {
 	t.Helper()
-	host := startCell(t).newHost("h-0", *memoryMB)
+	host := startCell(t).newHost(hostConfig{name: "h-0", memoryMB: *memoryMB, descriptors: *descriptorLimit})
 	host.start()
 	host.requireAnswers("before the crowd")
 	return host
 }
 
-// newHost returns a host of the cell that has some memory.
-func (cell *cell) newHost(name string, memoryMB int) *host {
+// hostConfig holds the settings of a host.
+type hostConfig struct {
+	name        string
+	memoryMB    int
+	descriptors int    // descriptors is the limit on open files with which the process starts.
+	settings    string // settings holds further settings, each with a comma before it.
+}
+
+// newHost returns a host of the cell.
+func (cell *cell) newHost(config hostConfig) *host {
 	cell.t.Helper()
 	t := cell.t
 	host := &host{
-		t: t, store: cell.store, memoryMB: memoryMB, callersAddress: reserveAddress(t), readyAddress: reserveAddress(t),
+		t: t, store: cell.store, memoryMB: config.memoryMB, descriptors: config.descriptors, callersAddress: reserveAddress(t), readyAddress: reserveAddress(t),
 		metricsAddress: reserveAddress(t), linksAddress: reserveAddress(t),
 	}
 	settings := fmt.Sprintf(`{"role":"scheduler","name":%q,"data_centre":"a","region":"r","callers_listen":%q,"ready_listen":%q,"metrics_listen":%q,
 		"link_listen":%q,"store_address":%q,"store_partitions":2,"store_record":262144,"store_retention":"6s",
-		"state_retention":"2m","max_lease":"10s","stop_grace":"3s","processors":1.0,"link_mbps":1000,"memory_mb":%d}`,
-		name, host.callersAddress, host.readyAddress, host.metricsAddress, host.linksAddress, cell.address, memoryMB)
+		"state_retention":"2m","max_lease":"10s","stop_grace":"3s","processors":1.0,"link_mbps":1000,"memory_mb":%d%s}`,
+		config.name, host.callersAddress, host.readyAddress, host.metricsAddress, host.linksAddress, cell.address, config.memoryMB, config.settings)
 	directory := t.TempDir()
-	host.settingsPath, host.logPath = filepath.Join(directory, name+".jsonc"), filepath.Join(directory, name+".log")
+	host.settingsPath, host.logPath = filepath.Join(directory, config.name+".jsonc"), filepath.Join(directory, config.name+".log")
 	require.NoError(t, os.WriteFile(host.settingsPath, []byte(settings), 0o600))
 	return host
 }
@@ -166,7 +175,7 @@
 	t.Cleanup(func() { _ = log.Close() })
 	// The shell sets the limit before the program starts, since the runtime of Go raises its soft limit to the hard one.
 	process := exec.CommandContext(t.Context(), "/bin/sh", "-c", `ulimit -n "$0" && exec "$@"`,
-		strconv.Itoa(*descriptorLimit), buildBinary(t), "scheduler", "--config", host.settingsPath)
+		strconv.Itoa(host.descriptors), buildBinary(t), "scheduler", "--config", host.settingsPath)
 	process.Stdout, process.Stderr = log, log
 	require.NoError(t, process.Start())
 	ended := make(chan struct{})
