Keep a state that grows, and share the intake among all hosts

Change: a state that a host has loaded stays. Only loading is bounded. All hosts together store at most half of a limit in the intake, each its part by the number of hosts that it knows of.

--- a/assembler/experiment.go
+++ b/assembler/experiment.go
@@ -74,6 +74,7 @@
 	flagSet.Float64Var(&flags.config.JobsPerSec, "jobs-per-second", 16, "jobs submitted per second")
 	flagSet.DurationVar(&flags.config.SubmitTime, "length", 20*time.Second, "period of each simulation in which jobs are submitted")
 	flagSet.IntVar(&flags.config.ViewRelayThreshold, "view-relay-hosts", 0, "number of linked hosts above which relays pass views on, 0 for hosts that know no relays")
+	flagSet.Int64Var(&flags.config.StateBytes, "state-bytes", 0, "memory in bytes that accepted jobs may take on each host, 0 for no limit")
 	flagSet.IntVar(&flags.config.RelaylessHosts, "relayless-hosts", 0, "number of these hosts that know no relays of views")
 	flagSet.BoolVar(&flags.config.MeasureLinks, "measure-links", false, "print what passes over the links of the scheduler's hosts; orders count as if other hosts carried them out")
 	flagSet.Float64Var(&flags.config.AdviceShare, "advice", 0.5, "fraction of the workers that advice allows for a step, 0 for queues without advice")
--- a/assembler/hostlimits.go
+++ b/assembler/hostlimits.go
@@ -109,7 +109,7 @@
 		plan = plan.WithLinkBytes(int64(megabytes) << 20)
 	}
 	if megabytes := settings.StateMemoryMB(); megabytes > 0 {
-		plan = plan.WithStateBytes(int64(megabytes) << 20)
+		plan = plan.WithStateBytes(int64(megabytes) << 20).WithIntakeBytes(int64(megabytes) << 20 / 2)
 	}
 	if limit := settings.CallerLimit(); limit > 0 {
 		plan = plan.WithCallerConnections(limit)
--- a/assembler/scheduler.go
+++ b/assembler/scheduler.go
@@ -310,7 +310,7 @@
 	return submitter.New(submitter.Config{
 		Writer: commander.NewStore(settings.StoreAddress(), client), Codec: codec, Clock: Clock{}, Log: log, Topic: intakeTopic,
 		Partition: int(hash.Sum32()), Partitions: settings.StorePartitions(), Forward: uplink.Forward, Stored: rings.stored,
-		RecordBytes: settings.StoreRecord(), CallBytes: settings.StoreCall(), IntakeBytes: planLimits(settings).IntakeBytes(),
+		RecordBytes: settings.StoreRecord(), CallBytes: settings.StoreCall(), IntakeBytes: planLimits(settings).IntakeBytes(), Hosts: uplink.Hosts,
 	})
 }
 
--- a/command/connector/dialer.go
+++ b/command/connector/dialer.go
@@ -52,6 +52,7 @@
 	current  atomic.Pointer[session]
 	lastPush timestamp // lastPush is when the link last delivered batches or views.
 	lastLink atomic.Int64
+	peers    atomic.Int64 // peers is the number of other hosts that the scheduler has told this one of.
 }
 
 // NewDialer returns a dialer.
@@ -125,6 +126,7 @@
 			dialer.lastPush.set(dialer.config.Clock.Now())
 			_ = dialer.config.Sink.Put(ctx, message) // Put fails only when the context has ended.
 		case almondcross.PeersKnown:
+			dialer.peers.Store(int64(len(message.Addresses())))
 			_ = dialer.config.Sink.Put(ctx, message) // Put fails only when the context has ended.
 		case almondcross.RoleAssigned:
 			_ = dialer.config.Sink.Put(ctx, message) // Put fails only when the context has ended.
--- a/command/connector/uplink.go
+++ b/command/connector/uplink.go
@@ -33,6 +33,12 @@
 	return &Uplink{hub: hub, dialer: dialer, clock: clock}
 }
 
+// Hosts returns the number of hosts of the cell as far as this host knows: at most 64 that the scheduler has told it of, or those that
+// have linked to this host, and this one.
+func (uplink *Uplink) Hosts() int {
+	return max(int(uplink.dialer.peers.Load()), len(*uplink.hub.sessions.Load())) + 1
+}
+
 // Forward sends an intake to the scheduler. It reports false when no reachable scheduler has pushed something within
 // maxPushAge, or when the queue to it is full.
 func (uplink *Uplink) Forward(forwarded almondcross.IntakeForwarded) bool {
--- a/command/limiter/plan.go
+++ b/command/limiter/plan.go
@@ -16,10 +16,9 @@
 	// stateFraction is the fraction (1/stateFraction) of the remaining memory for accepted jobs. The memory of the process covers those
 	// of ordinary load.
 	stateFraction = 3
-	// intakeFraction is the fraction (1/intakeFraction) of that for the jobs which one host may store for a scheduler that it does not
-	// reach, at least minIntakeBytes. Several hosts do so at the same time.
-	intakeFraction = 32
-	minIntakeBytes = 1 << 20
+	// intakeFraction is the fraction (1/intakeFraction) of that for the jobs which all hosts together may store for a scheduler that they
+	// do not reach. It comes on top of a full state.
+	intakeFraction = 2
 	// connectionBytes is the memory in bytes of an open connection: two buffers of 4 KiB, two stacks, and the request.
 	connectionBytes = 32 << 10
 	// fileDescriptors is the number of descriptors that are left for files.
@@ -48,7 +47,7 @@
 	callers := min(connections-links-2*checks, int(spare/connectionFraction/connectionBytes))
 	return almondcross.NewClientLimits(almondcross.ClientLimitsConfig{
 		BodyBytes: spare / bodyFraction, HeaderBytes: spare / headerFraction, LinkBytes: spare / linkBytesFraction,
-		StateBytes: spare / stateFraction, IntakeBytes: max(spare/stateFraction/intakeFraction, minIntakeBytes),
+		StateBytes: spare / stateFraction, IntakeBytes: spare / stateFraction / intakeFraction,
 		CallerConnections: max(callers, minCallers), LinkConnections: links, CheckConnections: checks,
 	})
 }
--- a/command/scheduler/follower.go
+++ b/command/scheduler/follower.go
@@ -219,7 +219,7 @@
 		// host should be elected first.
 		machine.follower.lastBatchAt, machine.follower.electionAt = machine.now.Add(-electionTimeout), machine.now
 	}
-	if machine.checkIncompleteState() || machine.checkLargeState() {
+	if machine.checkIncompleteState() {
 		return
 	}
 	machine.checkFormat()
--- a/command/submitter/forward.go
+++ b/command/submitter/forward.go
@@ -48,8 +48,8 @@
 
 // newForwarder returns a forwarder. Answers to intakes of an earlier process must not match those of this one, so its numbers
 // begin at a random one.
-func newForwarder(firstNumber, intakeBytes int64) forwarder {
-	return forwarder{lastNumber: firstNumber, refusals: refusals{}, unread: unread{limit: intakeBytes}}
+func newForwarder(firstNumber int64) forwarder {
+	return forwarder{lastNumber: firstNumber, refusals: refusals{}}
 }
 
 // wait returns how long to wait for the answer to an intake.
--- a/command/submitter/room.go
+++ b/command/submitter/room.go
@@ -53,15 +53,15 @@
 // unread counts the bytes of the jobs that this host has stored in the intake and that the scheduler may not have read. They are
 // accepted without the scheduler's word that its state has room for them.
 type unread struct {
-	limit    int64 // limit is the number of bytes from which no further job is stored, 0 for none.
 	bytes    int64
 	storedAt time.Time // storedAt is when the last of them was stored.
 }
 
-// take counts a job that is to be stored and reports false if there are too many. A job that is alone is stored whatever it needs.
-func (unread *unread) take(job almondcross.Job) bool {
+// take counts a job that is to be stored and reports false if there would be more than limit bytes, 0 for no limit. A job that is alone is
+// stored whatever it needs.
+func (unread *unread) take(job almondcross.Job, limit int64) bool {
 	needed := job.AdmissionBytes()
-	if unread.limit > 0 && unread.bytes > 0 && unread.bytes+needed > unread.limit {
+	if limit > 0 && unread.bytes > 0 && unread.bytes+needed > limit {
 		return false
 	}
 	unread.bytes += needed
--- a/command/submitter/submitter.go
+++ b/command/submitter/submitter.go
@@ -34,9 +34,11 @@
 	Partitions int    // Partitions is the number of partitions.
 	// RecordBytes is the maximum size of a record and CallBytes that of the records of one append, in bytes.
 	RecordBytes, CallBytes int
-	// IntakeBytes is the memory in bytes of the jobs that may be stored in the intake before the scheduler has read them, 0 for no
-	// limit.
+	// IntakeBytes is the memory in bytes of the jobs that all hosts together may store in the intake before the scheduler has read them,
+	// 0 for no limit.
 	IntakeBytes int64
+	// Hosts returns the number of hosts that share IntakeBytes, as far as this host knows, nil for one.
+	Hosts func() int
 	// Forward sends an intake to the scheduler's host and reports false when it could not be sent.
 	Forward func(forwarded almondcross.IntakeForwarded) bool
 	// Stored receives the answers to forwarded intakes.
@@ -57,7 +59,7 @@
 func New(config Config) *Submitter {
 	return &Submitter{
 		config:    config,
-		forwarder: newForwarder(rand.Int64N(1<<62), config.IntakeBytes), //nolint:gosec // The number needs no secrecy.
+		forwarder: newForwarder(rand.Int64N(1 << 62)), //nolint:gosec // The number needs no secrecy.
 		appender:  newAppender(config),
 	}
 }
@@ -108,9 +110,13 @@
 // not have read. The outcome of one that was sent to the scheduler stays unknown.
 func (submitter *Submitter) storeUnread(batch []*pending, now time.Time) {
 	var stored []*pending
+	limit := submitter.config.IntakeBytes
+	if submitter.config.Hosts != nil {
+		limit /= int64(max(submitter.config.Hosts(), 1))
+	}
 	for _, pending := range batch {
 		switch {
-		case submitter.forwarder.unread.take(pending.submission.Intake.Job()):
+		case submitter.forwarder.unread.take(pending.submission.Intake.Job(), limit):
 			submitter.forwarder.unread.storedAt = now
 			stored = append(stored, pending)
 		case !pending.claim() || pending.answered:
--- a/limits.go
+++ b/limits.go
@@ -18,7 +18,7 @@
 	headerBytes       int64 // the bytes that headers with many lines may take once they are decoded
 	linkBytes         int64 // the bytes that large messages of other hosts may take while they arrive
 	stateBytes        int64 // the bytes that accepted jobs may take, as far as the host knows them
-	intakeBytes       int64 // the bytes of jobs that the host may store for a scheduler that it does not reach
+	intakeBytes       int64 // the bytes of jobs that all hosts together may store for a scheduler that they do not reach
 	callerConnections int   // the open connections of callers
 	linkConnections   int   // the open connections of other hosts
 	checkConnections  int   // the open connections for metrics, and as many for readiness
--- a/limits_generated.go
+++ b/limits_generated.go
@@ -120,7 +120,7 @@
 	return clientlimits
 }
 
-// IntakeBytes returns the bytes of jobs that the host may store for a scheduler that it does not reach.
+// IntakeBytes returns the bytes of jobs that all hosts together may store for a scheduler that they do not reach.
 func (clientlimits ClientLimits) IntakeBytes() int64 { return clientlimits.intakeBytes }
 
 // WithIntakeBytes returns a copy with the given intakeBytes.
--- a/standin/emulator/emulator_test.go
+++ b/standin/emulator/emulator_test.go
@@ -123,6 +123,22 @@
 	}
 }
 
+// Guards against violations of the guarantees while the state is full: refused jobs that run, or accepted ones that are lost.
+func TestSimulationsWithAFullState(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+uint64(*simulationCount); seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			simulationConfig := newConfig(seed)
+			simulationConfig.StateBytes = 1 << 18
+			simulationConfig.Faults = emulator.RandomFaults(seed, 5, simulationConfig.SubmitTime)
+			limited := runSimulation(t, simulationConfig)
+			require.Empty(t, limited.Violations, "faults: %v", simulationConfig.Faults)
+			simulationConfig.StateBytes = 0
+			require.Less(t, limited.Accepted, runSimulation(t, simulationConfig).Accepted, "the limit refuses jobs")
+		})
+	}
+}
+
 // Guards against a scheduler that does not stop the runs of a job whose cancellation an earlier scheduler recorded. The
 // earlier one is killed shortly after the acknowledgement, and some of its stop orders are lost.
 func TestCancelledRunsStopAfterTakeover(t *testing.T) {
--- a/standin/emulator/links.go
+++ b/standin/emulator/links.go
@@ -43,7 +43,7 @@
 			target.deliver(almondcross.NewHostLinkChanged(almondcross.HostLinkChangedConfig{
 				Host: modelhost.name, Present: true, Strength: announced.Strength, Address: modelhost.name,
 				DataCentre: modelhost.dataCentre(), ViewFormat: modelhost.viewFormat(), SchedulerEpoch: announced.Pointer.Epoch(),
-				Format: modelhost.machine.Format(), Ends: announced.Ends,
+				Format: modelhost.machine.Format(), StateBytes: simulation.config.StateBytes, Ends: announced.Ends,
 			}))
 		}
 	})
--- a/standin/emulator/simulation.go
+++ b/standin/emulator/simulation.go
@@ -18,6 +18,7 @@
 	OtherHosts int // OtherHosts is the number of hosts of a version that judges failed runs by another rule, where the journal has no verdict.
 	// ViewRelayThreshold is the number of linked hosts above which relays pass views on, 0 for hosts that know no relays.
 	ViewRelayThreshold int
+	StateBytes         int64         // StateBytes is the memory in bytes that accepted jobs may take, 0 for no limit.
 	RelaylessHosts     int           // RelaylessHosts is the number of hosts of the version before, which knows no relays of views.
 	Workers            int           // Workers is the number of workers.
 	SubmitTime         time.Duration // SubmitTime is the time during which callers submit jobs.
@@ -73,8 +74,10 @@
 	views         *viewChecker
 	viewLinkCount int64 // viewLinkCount numbers the links for views.
 	announcements announcements
-	// forwardCallbacks holds the functions to call when forwarded intakes are stored, by intake number.
-	forwardCallbacks map[int64]func()
+	// unreadBytes is the memory of the jobs that hosts have stored since a scheduler has last confirmed one.
+	unreadBytes int64
+	// forwardCallbacks holds the functions to call when forwarded intakes are stored or refused, by intake number.
+	forwardCallbacks map[int64]func(refused bool)
 	pointer          almondcross.SchedulerPointer
 	storedUsage      map[almondcross.UsageKey]almondcross.QueueUsage // storedUsage is the stored account.
 	routes           almondcross.RouteTable                          // routes is the newest published route table.
@@ -164,7 +167,7 @@
 	simulation := &Simulation{
 		config: config, random: rand.New(rand.NewPCG(config.Seed, config.Seed^0x9e3779b97f4a7c15)), codec: codec, //nolint:gosec // A model needs no secrecy.
 		startTime: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), store: NewStore(config.Retention),
-		faults: newActiveFaults(), jobs: map[almondcross.JobID]*modelJob{}, gangs: map[string]*modelGang{}, forwardCallbacks: map[int64]func(){},
+		faults: newActiveFaults(), jobs: map[almondcross.JobID]*modelJob{}, gangs: map[string]*modelGang{}, forwardCallbacks: map[int64]func(bool){},
 		storedUsage: map[almondcross.UsageKey]almondcross.QueueUsage{}, everyQueue: map[string]almondcross.Queue{},
 		keysSince: map[string]time.Duration{}, keysUntil: map[string]time.Duration{},
 		end:    warmUp + config.SubmitTime + config.DrainTime,
