--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -167,6 +167,7 @@
 	}
 	machine.leader = nil
 	machine.config.Metrics.Workspaces(nil) // The next scheduler has the figures.
+	machine.config.Metrics.StateHeld(0, 0)
 	machine.discoverScheduler()
 }
 
--- a/command/scheduler/metrics.go
+++ b/command/scheduler/metrics.go
@@ -24,7 +24,8 @@
 	FormatUnknown()
 	// RoomRefused counts a job or cancellation of a queue for which the state had no room.
 	RoomRefused(queue string)
-	// StateHeld sets the memory in bytes that the jobs of the state are estimated to take, and its limit, 0 for none.
+	// StateHeld sets the memory in bytes that the jobs of the state are estimated to take, and its limit, 0 for none. A host that is not
+	// the scheduler has neither.
 	StateHeld(used, limit int64)
 	// StateTooLarge counts a state that this host could not hold.
 	StateTooLarge()
