--- a/command/scheduler/follower.go
+++ b/command/scheduler/follower.go
@@ -110,6 +110,9 @@
 		machine.journalTrimmed(read)
 		return
 	case read.Err() != nil:
+		if !machine.follower.readFailing {
+			machine.config.Log.Record("journal_not_read", almondcross.Number("from", read.From()), almondcross.Text("reason", read.Err().Error()))
+		}
 		machine.follower.readFailing = true
 		machine.readJournal(storeRetryDelay)
 		return
