--- a/integration/crowd/accepted_test.go
+++ b/integration/crowd/accepted_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/almondcross/almondcross/platform/standin"
 )
 
 const (
@@ -151,8 +153,8 @@
 		{"many steps", 3, 100, http.MethodPost, jobBody(payloadBytes, 990, task, "")},
 		{"some steps", 20, 50, http.MethodPost, jobBody(payloadBytes, 100, task, "")},
 		{"one step", maxAcceptedClients, 250, http.MethodPost, jobBody(payloadBytes, 1, task, "")},
-		{"first runs far away", maxAcceptedClients, 250, http.MethodPost, jobBody(payloadBytes, 1, task, `,"max_runs":1000,"first_run_ms":2e12,"period_ms":1000`)},
-		{"runs that are all due", 3, 10, http.MethodPost, jobBody(payloadBytes, 1, task, `,"max_runs":100000,"first_run_ms":1e12,"period_ms":0`)},
+		{"first runs far away", maxAcceptedClients, 250, http.MethodPost, jobBody(payloadBytes, 1, task, standin.ScheduleFields(1000, time.UnixMilli(2e12), time.Second))},
+		{"runs that are all due", 3, 10, http.MethodPost, jobBody(payloadBytes, 1, task, standin.ScheduleFields(100_000, time.UnixMilli(1e12), 0))},
 		{"cancellations of unknown jobs", maxAcceptedClients, 1000, http.MethodDelete, nil},
 	} {
 		t.Run(row.name, func(t *testing.T) {
