--- a/integration/crowd/accepted_test.go
+++ b/integration/crowd/accepted_test.go
@@ -47,13 +47,18 @@
 	}
 }
 
-// run lets a number of clients each send a number of requests and returns once they have.
+// run lets a number of clients each send a number of requests for jobs of the first queue and returns once they have.
 func (crowd *acceptedCrowd) run(clients, perClient int, method string, body []byte) {
+	crowd.runOn("/q/", clients, perClient, method, body)
+}
+
+// runOn is run for the queue with a prefix.
+func (crowd *acceptedCrowd) runOn(prefix string, clients, perClient int, method string, body []byte) {
 	var group sync.WaitGroup
 	for range clients {
 		group.Go(func() {
 			for range perClient {
-				crowd.send(method, fmt.Sprintf("%016x", 1<<40+crowd.identity.Add(1)), body)
+				crowd.send(method, prefix, fmt.Sprintf("%016x", 1<<40+crowd.identity.Add(1)), body)
 			}
 		})
 	}
@@ -63,10 +68,10 @@
 }
 
 // send sends one request for a job and notes the answer.
-func (crowd *acceptedCrowd) send(method, id string, body []byte) {
+func (crowd *acceptedCrowd) send(method, prefix, id string, body []byte) {
 	ctx, cancel := context.WithTimeout(crowd.host.t.Context(), sendTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+crowd.host.callersAddress+"/q/"+id, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+crowd.host.callersAddress+prefix+id, bytes.NewReader(body))
 	if err != nil {
 		return
 	}
@@ -264,3 +269,35 @@
 		require.LessOrEqual(t, host.peakMB(), float64(host.memoryMB), "the memory of the host, in MB")
 	}
 }
+
+// Guards against limits that hold one by one but not together: a state that two queues fill, snapshots of it, and large bodies that never
+// end on all connections.
+func TestAllLimitsAtOnce(t *testing.T) {
+	host := startHost(t)
+	body := jobBody(payloadBytes, 1, `{"count":1,"cpu":100,"mem_mb":10}`, "")
+	full := newAcceptedCrowd(host)
+	for range 2 {
+		for _, prefix := range []string{"/q/", "/other/"} {
+			full.runOn(prefix, maxAcceptedClients, *memoryMB, http.MethodPost, body)
+		}
+	}
+	full.logAnswers()
+	require.Positive(t, full.answered[http.StatusServiceUnavailable].Load(), "the state is not full")
+	for _, act := range []func(client *client, index int){
+		func(client *client, _ int) { client.sendWhole() }, func(client *client, _ int) { client.sendChunks(largeChunk) },
+	} {
+		crowd := gather(t, callersOnly(host), act)
+		host.requireSnapshot()
+		for name, request := range map[string]func() bool{
+			"the pending jobs": func() bool { return host.call(http.MethodGet, host.callersAddress, "/q/", nil) == http.StatusOK },
+			"the readiness":    func() bool { return host.call(http.MethodGet, host.readyAddress, "/ready", nil) == http.StatusOK },
+			"the metrics":      func() bool { return host.call(http.MethodGet, host.metricsAddress, "/metrics", nil) == http.StatusOK },
+		} {
+			host.requireSoon(name+" beside the crowd", request)
+		}
+		crowd.dismiss()
+		crowd.group.Wait()
+	}
+	t.Logf("peak memory %.1f MB of %d", host.peakMB(), host.memoryMB)
+	require.LessOrEqual(t, host.peakMB(), float64(host.memoryMB), "the memory of the host, in MB")
+}
