Limit the first message of a connection between entry hosts

What callers saw: clients at the address for peers of an entry host that send a message of a mebibyte without its end brought a host of 64 MB with 2,048 open files to 316 MB.

Cause: the first message, by which a peer tells who it is, could have as much as any other.

Change: it may have 4 KiB; the limit of a mebibyte holds from the greeting on.

--- a/command/linker/receiver.go
+++ b/command/linker/receiver.go
@@ -19,6 +19,9 @@
 	ackDelay     = 50 * time.Millisecond
 )
 
+// maxHelloBytes is the maximum size in bytes of the first message of a connection, before it is known who has opened it.
+const maxHelloBytes = 4 << 10
+
 // errInvalidHello means that the first frame of a connection was missing or not a valid hello.
 const errInvalidHello = errors.ConstError("the connection did not begin with a valid hello")
 
@@ -58,10 +61,8 @@
 	linker.config.Logger.WithField("peer", remoteAddress).WithError(err).Warn(text)
 }
 
-// configureConnection limits the frame size and answers control pings, which also extend the read
-// deadline of a connection without messages.
+// configureConnection answers control pings, which also extend the read deadline of a connection without messages.
 func (linker *Linker) configureConnection(connection *websocket.Conn) {
-	connection.SetReadLimit(MaxFrameBytes)
 	connection.SetPingHandler(func(data string) error {
 		now := linker.config.Clock.Now()
 		_ = connection.SetReadDeadline(now.Add(linker.config.ReadTimeout))
@@ -73,7 +74,9 @@
 	})
 }
 
+// readHello reads the first message of a connection. Only after it larger ones are accepted.
 func (linker *Linker) readHello(connection *websocket.Conn) (almondcross.Hello, *link, error) {
+	connection.SetReadLimit(maxHelloBytes)
 	_ = connection.SetReadDeadline(linker.config.Clock.Now().Add(linker.config.ReadTimeout))
 	_, frame, err := connection.ReadMessage()
 	if err != nil {
@@ -88,6 +91,7 @@
 	if !ok || hello.Name() == "" || hello.Name() == linker.config.Name || hello.RunID() == 0 || !validChannel {
 		return almondcross.Hello{}, nil, errors.Trace(errInvalidHello)
 	}
+	connection.SetReadLimit(MaxFrameBytes)
 	link, err := linker.getOrAddLink(hello.Name())
 	return hello, link, errors.Trace(err)
 }
--- a/integration/crowd/crowd_test.go
+++ b/integration/crowd/crowd_test.go
@@ -232,7 +232,7 @@
 func TestUnfinishedFrames(t *testing.T) {
 	frame := unfinishedFrame()
 	play(t, func(host *host) []string { return []string{host.linksAddress} }, func(client *client, _ int) {
-		if client.upgrade() {
+		if client.upgrade(linkPath) {
 			client.write(frame)
 		}
 	})
--- a/integration/crowd/entry_test.go
+++ b/integration/crowd/entry_test.go
@@ -21,12 +21,12 @@
 )
 
 // startProcess starts a role of the program with settings and a limit on open files, and returns the process and its end.
-func startProcess(t *testing.T, role, settings string) (*exec.Cmd, chan struct{}) {
+func startProcess(t *testing.T, role, settings string, descriptors int) (*exec.Cmd, chan struct{}) {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), role+".jsonc")
 	require.NoError(t, os.WriteFile(path, []byte(settings), 0o600))
 	process := exec.CommandContext(t.Context(), "/bin/sh", "-c", `ulimit -n "$0" && exec "$@"`,
-		strconv.Itoa(*descriptorLimit), buildBinary(t), role, "--config", path)
+		strconv.Itoa(descriptors), buildBinary(t), role, "--config", path)
 	require.NoError(t, process.Start())
 	ended := make(chan struct{})
 	go func() {
@@ -41,15 +41,15 @@
 }
 
 // startEntryHost starts the platform's stand-in and an entry host, and waits until the host answers.
-func startEntryHost(t *testing.T) *host {
+func startEntryHost(t *testing.T, descriptors int) *host {
 	t.Helper()
 	platform, peers := reserveAddress(t), reserveAddress(t)
 	host := &host{t: t, memoryMB: *memoryMB, callersAddress: reserveAddress(t), linksAddress: peers}
-	startProcess(t, "platform", fmt.Sprintf(`{"role":"platform","listen":%q,"lag":"0s"}`, platform))
+	startProcess(t, "platform", fmt.Sprintf(`{"role":"platform","listen":%q,"lag":"0s"}`, platform), descriptors)
 	host.process, host.ended = startProcess(t, "entry", fmt.Sprintf(`{"role":"entry","name":"entry-1","data_centre":"a","region":"r","listen":%q,"advertise":%q,
 		"peer_listen":%q,"peer_advertise":%q,"data_centres":["a"],"peers":[],"log_address":%q,"live_list_address":%q,
 		"memory_mb":%d,"reporters":[{"name":"manager","token":%q}],"callers":[{"name":"counter","token":%q}]}`,
-		host.callersAddress, host.callersAddress, peers, peers, platform, platform, host.memoryMB, reporterToken, callerToken))
+		host.callersAddress, host.callersAddress, peers, peers, platform, platform, host.memoryMB, reporterToken, callerToken), descriptors)
 	host.requireEntryAnswers("before the crowd")
 	return host
 }
@@ -91,17 +91,25 @@
 				token, entryBody, strings.Repeat(" ", entrySent)))
 		}
 	}
+	frame := unfinishedFrame()
 	for _, row := range []struct {
-		name string
-		act  func(client *client, index int)
+		name        string
+		descriptors int
+		addresses   func(host *host) []string
+		act         func(client *client, index int)
 	}{
-		{"bodies of callers", unfinished(callerToken)},
-		{"bodies of strangers", unfinished("unknown")},
-		{"idle connections", func(client *client, index int) { client.stayIdle(index) }},
+		{"bodies of callers", *descriptorLimit, callersOnly, unfinished(callerToken)},
+		{"bodies of strangers", *descriptorLimit, callersOnly, unfinished("unknown")},
+		{"idle connections", *descriptorLimit, callersOnly, func(client *client, index int) { client.stayIdle(index) }},
+		{"messages of peers", manyDescriptors, func(host *host) []string { return []string{host.linksAddress} }, func(client *client, _ int) {
+			if client.upgrade(peerPath) {
+				client.write(frame)
+			}
+		}},
 	} {
 		t.Run(row.name, func(t *testing.T) {
-			host := startEntryHost(t)
-			crowd := gather(t, []string{host.callersAddress}, row.act)
+			host := startEntryHost(t, row.descriptors)
+			crowd := gather(t, row.addresses(host), row.act)
 			host.requireEntryAnswers("beside the crowd")
 			crowd.dismiss()
 			crowd.group.Wait()
--- a/integration/crowd/limits_test.go
+++ b/integration/crowd/limits_test.go
@@ -15,14 +15,16 @@
 	// manyDescriptors and manyConnections let all clients of a crowd connect, so that no limit on connections bounds what they take.
 	manyDescriptors = 2048
 	manyConnections = `,"caller_connections":700,"link_connections":700`
+	// linkPath and peerPath are where a scheduling host and an entry host accept links.
+	linkPath, peerPath = "/v1/advice", "/v1/link"
 	// unreadMetrics is the number of pages of metrics that a client asks for and does not read. They are larger than the buffers of a socket.
 	unreadMetrics = 1000
 )
 
-// upgrade opens a link, and reports whether the host has accepted it.
-func (client *client) upgrade() bool {
-	client.write(fmt.Sprintf("GET /v1/advice HTTP/1.1\r\nHost: %s\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n"+
-		"Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n", queueHost))
+// upgrade opens a link at a path, and reports whether the host has accepted it.
+func (client *client) upgrade(path string) bool {
+	client.write(fmt.Sprintf("GET %s HTTP/1.1\r\nHost: %s\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n"+
+		"Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n", path, queueHost))
 	answer, err := http.ReadResponse(bufio.NewReader(client.connection), nil)
 	return err == nil && answer.StatusCode == http.StatusSwitchingProtocols
 }
@@ -60,7 +62,7 @@
 		{"the budget for bodies in chunks", manyDescriptors, manyConnections, callersOnly, func(client *client, _ int) { client.sendChunks(largeChunk) }},
 		{"the budget for headers", manyDescriptors, manyConnections, callersOnly, func(client *client, _ int) { client.write(client.header + lines) }},
 		{"the budget for messages of hosts", manyDescriptors, manyConnections, links, func(client *client, _ int) {
-			if client.upgrade() {
+			if client.upgrade(linkPath) {
 				client.write(frame)
 			}
 		}},
