Count what late answers show of the intake as read

What callers saw: nothing yet; found by reading. While the scheduler's answers take longer than hosts wait for them, hosts store jobs in the intake, and after a while they would refuse ordinary callers.

Cause: the limit on jobs that the scheduler may not have read was only relaxed by an answer to an intake that was sent after the last of them was stored. With late answers there is none.

Change: any answer shows that the scheduler reads the intake, so jobs that were stored three seconds before it count as read.

Result: TestLateAnswersShowThatTheIntakeIsRead, answers after 2 s for a minute: a caller was refused before, none with it.

--- a/command/submitter/forward.go
+++ b/command/submitter/forward.go
@@ -98,7 +98,7 @@
 		forwarder.refuse(sent, answer.RefusedFor(), now)
 		return
 	}
-	forwarder.unread.confirmed(sent.sentAt)
+	forwarder.unread.confirmed(sent.sentAt, now)
 	var outcome error
 	if answer.Taken() {
 		outcome = errors.Trace(almondcross.ErrIdentityTaken)
--- a/command/submitter/room.go
+++ b/command/submitter/room.go
@@ -1,6 +1,7 @@
 package submitter
 
 import (
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -50,28 +51,46 @@
 	return almondcross.NewNotStoredError(errors.Annotate(almondcross.ErrNotStored, "no memory is free for further jobs"), after)
 }
 
-// unread counts the bytes of the jobs that this host has stored in the intake and that the scheduler may not have read. They are
-// accepted without the scheduler's word that its state has room for them.
+// intakeReadTime is the time after which a scheduler that answers has read an intake. Its reads wait for two seconds at most.
+const intakeReadTime = 3 * time.Second
+
+// unread holds the jobs that this host has stored in the intake and that the scheduler may not have read. They are accepted without the
+// scheduler's word that its state has room for them.
 type unread struct {
+	parts []unreadPart // parts is sorted by time.
+	bytes int64        // bytes is the sum of all parts.
+}
+
+// unreadPart is what was stored at one time.
+type unreadPart struct {
+	storedAt time.Time
 	bytes    int64
-	storedAt time.Time // storedAt is when the last of them was stored.
 }
 
 // take counts a job that is to be stored and reports false if there would be more than limit bytes, 0 for no limit. A job that is alone is
 // stored whatever it needs.
-func (unread *unread) take(job almondcross.Job, limit int64) bool {
+func (unread *unread) take(job almondcross.Job, limit int64, now time.Time) bool {
 	needed := job.AdmissionBytes()
 	if limit > 0 && unread.bytes > 0 && unread.bytes+needed > limit {
 		return false
 	}
 	unread.bytes += needed
+	if last := len(unread.parts) - 1; last >= 0 && unread.parts[last].storedAt.Equal(now) {
+		unread.parts[last].bytes += needed
+	} else {
+		unread.parts = append(unread.parts, unreadPart{storedAt: now, bytes: needed})
+	}
 	return true
 }
 
-// confirmed notes that the scheduler has admitted an intake that was sent to it at a time. It reads the intake all the time, so it has
-// the jobs that were stored before.
-func (unread *unread) confirmed(sentAt time.Time) {
-	if sentAt.After(unread.storedAt) {
-		unread.bytes = 0
-	}
+// confirmed notes that the scheduler has confirmed an intake that was sent to it at a time. It reads the intake all the time, so it has
+// the jobs that were stored before, and those of some time ago, even if its answers are late.
+func (unread *unread) confirmed(sentAt, now time.Time) {
+	unread.parts = slices.DeleteFunc(unread.parts, func(part unreadPart) bool {
+		read := part.storedAt.Before(sentAt) || now.Sub(part.storedAt) >= intakeReadTime
+		if read {
+			unread.bytes -= part.bytes
+		}
+		return read
+	})
 }
--- a/command/submitter/room_test.go
+++ b/command/submitter/room_test.go
@@ -13,10 +13,13 @@
 	"github.com/almondcross/almondcross"
 )
 
+// submitTimeout is how long a caller waits, longer than a host waits for the scheduler.
+const submitTimeout = 2400 * time.Millisecond
+
 // submitJob submits a job of a queue with a payload of some bytes.
 func (fixture *fixture) submitJob(ctx context.Context, queue string, payload int) error {
 	job := almondcross.NewJob(almondcross.JobConfig{ID: almondcross.JobID(fmt.Sprintf("%016x", payload)), Queue: queue, Payload: strings.Repeat("x", payload)})
-	return fixture.client.Submit(ctx, almondcross.NewIntake(almondcross.IntakeConfig{Job: job}), time.Second)
+	return fixture.client.Submit(ctx, almondcross.NewIntake(almondcross.IntakeConfig{Job: job}), submitTimeout)
 }
 
 // requireNoRoom checks that a submission was refused, that the caller may rely on it, and that it is told when to return.
@@ -94,3 +97,20 @@
 		require.EqualValues(t, intakeBytes/bytes, fill())
 	})
 }
+
+// Guards against a host that refuses its callers after a while because the scheduler's answers come late: it reads the intake meanwhile.
+func TestLateAnswersShowThatTheIntakeIsRead(t *testing.T) {
+	const payload = 200_000
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		fixture := newFixture(ctx, t)
+		fixture.schedulerReachable.Store(true)
+		fixture.answerDelay = 2 * time.Second
+		for range 60 {
+			require.NoError(t, fixture.submitJob(ctx, "q", payload))
+			time.Sleep(time.Second) //nolint:forbidigo // Virtual time.
+		}
+		require.Positive(t, fixture.store.records.Load())
+	})
+}
--- a/command/submitter/submitter.go
+++ b/command/submitter/submitter.go
@@ -116,8 +116,7 @@
 	}
 	for _, pending := range batch {
 		switch {
-		case submitter.forwarder.unread.take(pending.submission.Intake.Job(), limit):
-			submitter.forwarder.unread.storedAt = now
+		case submitter.forwarder.unread.take(pending.submission.Intake.Job(), limit, now):
 			stored = append(stored, pending)
 		case !pending.claim() || pending.answered:
 		case pending.maybeStored:
