--- a/integration/crowd/doc.go
+++ b/integration/crowd/doc.go
@@ -1,4 +1,5 @@
-// Package crowd starts a real scheduling host on loopback ports and lets many clients abuse its servers at once: with
-// bodies that never end, with answers that nobody reads, and with connections that stay open. The tests check that the
-// process stays alive and within its memory and descriptors, and that it answers ordinary callers.
+// Package crowd starts real scheduling hosts and entry hosts on loopback ports and lets many clients abuse their servers at once: with
+// bodies that never end, with answers that nobody reads, with connections that stay open, and with complete requests that fill the memory
+// for accepted jobs. The tests check that the processes stay alive and within their memory and descriptors, and that they answer ordinary
+// callers.
 package crowd
