--- a/assembler/scheduler.go
+++ b/assembler/scheduler.go
@@ -90,6 +90,8 @@
 	// deployments.
 	sufficientProcessors = 0.4
 	sufficientLinkMbps   = 100
+	// newestPageTimeout bounds the read of a page of the newest records, a megabyte at most. A slow store takes 250 ms.
+	newestPageTimeout = 1500 * time.Millisecond
 	// memoryLimitFraction is the fraction of the configured memory that is set as the soft memory limit of the Go runtime.
 	memoryLimitFraction = 0.6
 	// gcPercent is the heap growth in percent that starts a garbage collection. It is below the default of 100,
@@ -185,9 +187,10 @@
 	settings configurator.SchedulerSettings, client *client.Client, codec encoder.Codec, rings schedulerRings, log *recorder.Recorder,
 	counter *counter.Counter, large *largeCell,
 ) *follower.Follower {
+	// Encoded jobs take less than half of the memory that they are counted with, and the store may have two snapshots of them.
 	loadBytes := scheduler.MaxStateBytes(planLimits(settings).StateBytes())
 	return follower.New(follower.Config{
-		Reader: querier.NewStore(querier.StoreConfig{Address: settings.StoreAddress(), Client: client, NewestBytes: loadBytes}),
+		Reader: querier.NewStore(querier.StoreConfig{Address: settings.StoreAddress(), Client: client, PageTimeout: newestPageTimeout, NewestBytes: loadBytes / 4 * 3}),
 		Codec:  codec.WithStateLimit(loadBytes), WorkerCodec: translator.Codec{}, Sink: rings.messages, Log: log,
 		Journal: almondcross.Partition{Topic: journalTopic}, Host: settings.Name(), Locator: locator.New(locator.Config{Codec: codec, Log: log}),
 		Snapshots: almondcross.Partition{Topic: snapshotTopic}, Intake: intakeTopic,
--- a/query/follower/follower.go
+++ b/query/follower/follower.go
@@ -13,6 +13,9 @@
 const (
 	// readTimeout bounds a read, in addition to its wait time. A slow store takes 250 ms.
 	readTimeout = 1500 * time.Millisecond
+	// snapshotTimeout bounds the read of a snapshot, of which each page has a time limit of its own. A full state takes 18 s over a link of
+	// 10 Mbit/s.
+	snapshotTimeout = 30 * time.Second
 	// readKB is the maximum size of the records that one read returns, in kilobytes.
 	readKB = 512
 )
@@ -106,7 +109,7 @@
 			return
 		}
 		var read almondcross.SnapshotReadConfig
-		records, _, err := follower.readNewest(ctx, follower.config.Snapshots)
+		records, _, err := follower.readNewest(ctx, follower.config.Snapshots, snapshotTimeout)
 		for _, record := range records {
 			if len(record.Value()) > 0 {
 				read.Keys = append(read.Keys, record.Key())
@@ -137,7 +140,7 @@
 		var err error
 		if query.From() < 0 {
 			read.Complete = true
-			records, read.Next, err = follower.readNewest(ctx, partition)
+			records, read.Next, err = follower.readNewest(ctx, partition, readTimeout)
 		} else {
 			records, read.Next, err = follower.readKeyed(ctx, partition, query.From(), 0)
 		}
@@ -189,8 +192,8 @@
 	return records, errors.Trace(err)
 }
 
-func (follower *Follower) readNewest(ctx context.Context, partition almondcross.Partition) ([]almondcross.KeyedRecord, int64, error) {
-	readCtx, cancel := context.WithTimeout(ctx, readTimeout)
+func (follower *Follower) readNewest(ctx context.Context, partition almondcross.Partition, timeout time.Duration) ([]almondcross.KeyedRecord, int64, error) {
+	readCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	records, end, err := follower.config.Reader.Newest(readCtx, partition)
 	return records, end, errors.Trace(err)
--- a/query/follower/routes.go
+++ b/query/follower/routes.go
@@ -61,7 +61,7 @@
 			var records []almondcross.KeyedRecord
 			var err error
 			if next < 0 || time.Since(refreshed) > routesRefresh {
-				records, next, err = follower.readNewest(ctx, follower.config.Configuration)
+				records, next, err = follower.readNewest(ctx, follower.config.Configuration, readTimeout)
 				refreshed = time.Now()
 			} else {
 				records, next, err = follower.readKeyed(ctx, follower.config.Configuration, next, routesWait)
