Keep a target that is listed again

A worker had left the live list and was listed again. A timer of the removed target then removed the later one by its name, without its lease being lost, so the placement policy went on offering it. Change: a target is removed only if it is the one that is kept under its name.

--- a/command/placer/machine_test.go
+++ b/command/placer/machine_test.go
@@ -346,6 +346,26 @@
 	require.Greater(t, cell.acquisitions, before, "the new preferred holder tries to acquire the lease within a second of a refusal")
 }
 
+// TestTargetThatIsListedAgainIsKept guards against a host that ends while it places a task, because a timer of the earlier
+// target removed the later one of the same name and left its capacity with the placement policy.
+func TestTargetThatIsListedAgainIsKept(t *testing.T) {
+	cell := newCell(t, 0)
+	listed := []almondcross.Target{almondcross.NewTarget(almondcross.TargetConfig{
+		Name: "t0000", DataCentre: "d", Rack: "r000", Address: "127.0.0.1:1", State: almondcross.HostLive,
+	})}
+	cell.refuseLeases = true // The timer for the next attempt outlives the target.
+	cell.liveTargets = listed
+	cell.sendLiveList()
+	cell.liveTargets = nil
+	cell.sendLiveList()
+	cell.refuseLeases = false
+	cell.liveTargets = listed
+	cell.sendLiveList()
+	cell.advance(time.Minute)
+	cell.place(cell.task("a", "batch", 1))
+	require.Len(t, cell.started, 1)
+}
+
 // TestEarlierEndInInventory guards against reporting a running attempt lost, so that the task is started
 // twice, because the inventory of a new grant also lists the end of an earlier attempt.
 func TestEarlierEndInInventory(t *testing.T) {
--- a/command/placer/target.go
+++ b/command/placer/target.go
@@ -125,11 +125,7 @@
 		machine.dropDispatcher(idle)
 	}
 	if !idle.listed && len(idle.attempts) == 0 {
-		delete(machine.targets, idle.info.Name())
-		if idle.health.ejected {
-			machine.ejectedCount--
-		}
-		machine.sortedTargets = slices.DeleteFunc(machine.sortedTargets, func(other *target) bool { return other == idle })
+		machine.removeTarget(idle)
 		return
 	}
 	if machine.draining || !idle.listed || machine.dataCentre() == "" || idle.info.DataCentre() != machine.dataCentre() {
@@ -152,6 +148,20 @@
 	machine.acquire(idle)
 }
 
+// removeTarget removes a target that is neither listed nor held. A timer of a removed target may fire after the same
+// name was listed again, and must leave the later target in place.
+func (machine *Machine) removeTarget(removed *target) {
+	name := removed.info.Name()
+	if machine.targets[name] != removed {
+		return
+	}
+	delete(machine.targets, name)
+	if removed.health.ejected {
+		machine.ejectedCount--
+	}
+	machine.sortedTargets = slices.DeleteFunc(machine.sortedTargets, func(other *target) bool { return other == removed })
+}
+
 func (machine *Machine) acquire(target *target) {
 	if !target.hasDispatcher {
 		target.hasDispatcher, target.dispatcherInfo = true, target.info
