Ask hosts whose last call for advice failed after the others

The scheduler uses the first idle host by name. Change: idle hosts whose last call failed are used after the others. A call that succeeds ends that, so nothing changes while the service is down for all hosts.

--- a/command/scheduler/advice.go
+++ b/command/scheduler/advice.go
@@ -341,6 +341,7 @@
 		var call adviceCall
 		if call, expected = linkedHost.removeCall(id); expected {
 			took = machine.now.Sub(call.sentAt)
+			linkedHost.callFailed = answer.Err() != nil
 		}
 		if expected && answer.Err() == nil {
 			linkedHost.noteRoundTrip(call, took)
--- a/command/scheduler/hostcalls.go
+++ b/command/scheduler/hostcalls.go
@@ -51,6 +51,7 @@
 	// viewsUntil is until when a standby gets views as well, which it publishes while it loads the state.
 	viewsUntil time.Time
 	retryAt    time.Time // retryAt is when the host may be called again after a timeout.
+	callFailed bool      // callFailed is set if the last call that the host answered has failed.
 }
 
 // adviceCall is a pending call to the advice service.
@@ -219,7 +220,7 @@
 		}
 	}
 	// The last one is used first.
-	slices.SortFunc(leader.idleHosts, func(a, b *linkedHost) int { return strings.Compare(b.name, a.name) })
+	slices.SortFunc(leader.idleHosts, compareIdle)
 	slices.SortFunc(leader.busyHosts, func(a, b *linkedHost) int {
 		_, handledA := a.expectedTimes()
 		_, handledB := b.expectedTimes()
@@ -227,6 +228,18 @@
 	})
 }
 
+// compareIdle orders idle hosts: one that comes later is to be used earlier. A host whose last call failed may not reach the service.
+// It would get each retry if it were used before others, since it is soon idle again.
+func compareIdle(a, b *linkedHost) int {
+	switch {
+	case a.callFailed && !b.callFailed:
+		return -1
+	case b.callFailed && !a.callFailed:
+		return 1
+	}
+	return strings.Compare(b.name, a.name)
+}
+
 // availableHost returns a host that may make a call, an idle one if there is any, nil for none. Some hosts are kept free of
 // long calls.
 func (machine *Machine) availableHost(long bool) *linkedHost {
--- a/command/scheduler/hostcalls_test.go
+++ b/command/scheduler/hostcalls_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/almondcross/almondcross"
@@ -202,3 +203,23 @@
 	host.noteRoundTrip(adviceCall{work: work, alone: true}, 0)
 	require.Zero(t, host.roundTrip)
 }
+
+// Guards against stages that wait although a host can reach the service: the first idle host by name could not, was idle again at once,
+// and got each retry (seed 130 of the soak with a full state).
+func TestRetriesGoToHostsWhoseCallsSucceed(t *testing.T) {
+	harness := newBacklog(t, 0, almondcross.AdviceSettingsConfig{Base: 5 * time.Millisecond})
+	const failing, healthy = "a", "b"
+	for _, host := range []string{failing, healthy} {
+		harness.apply(almondcross.NewHostLinkChanged(almondcross.HostLinkChangedConfig{Host: host, Present: true}))
+	}
+	delete(harness.machine.linkedHosts, harness.machine.config.Host)
+	harness.submitJob("j", almondcross.StepConfig{Count: 1, Resources: almondcross.NewResources(almondcross.ResourcesConfig{MilliCPU: 1000})})
+	harness.advance(leaderTick)
+	call := requireEffect[SendAdviceQuery](harness)
+	require.Equal(t, failing, call.Adviser)
+	harness.apply(almondcross.NewAdviceAnswered(almondcross.AdviceAnsweredConfig{
+		Adviser: failing, Query: call.Query, Received: harness.now, Err: errors.New("the service cannot be reached"),
+	}))
+	harness.advance(2 * adviceRetryDelay)
+	require.Equal(t, healthy, requireEffect[SendAdviceQuery](harness).Adviser)
+}
