Give each test process loopback addresses of its own

The tests of entry hosts took an address of their own for each cell, the soaks and crowds did not. Change: reserver.NewHost returns such an address, and all three use it. The way in which the tests of entry hosts computed theirs moves there.

--- a/integration/crowd/host_test.go
+++ b/integration/crowd/host_test.go
@@ -96,10 +96,13 @@
 	os.Exit(code)
 }
 
+// loopback is the address on which the processes and servers of these tests listen.
+var loopback = reserver.NewHost()
+
 // reserveAddress returns an address on which only the process that is told it listens until the end of the test.
 func reserveAddress(t *testing.T) string {
 	t.Helper()
-	reservation, err := reserver.Reserve("127.0.0.1")
+	reservation, err := reserver.Reserve(loopback)
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = reservation.Release() })
 	return reservation.Address()
@@ -118,7 +121,7 @@
 	ctx := t.Context()
 	store := standin.NewStore()
 	go func() { _ = store.Run(ctx) }()
-	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", "127.0.0.1:0")
+	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", net.JoinHostPort(loopback, "0"))
 	require.NoError(t, err)
 	server := &http.Server{Handler: store.Handler(), ReadHeaderTimeout: time.Second}
 	t.Cleanup(func() { _ = server.Close() })
--- a/integration/process/process_test.go
+++ b/integration/process/process_test.go
@@ -20,8 +20,6 @@
 var (
 	seedFlag = flag.Uint64("seed", 1, "seed of the scenarios")
 	binary   string
-	// cellCount numbers the cells of this test binary, so that each has its own loopback address.
-	cellCount atomic.Uint32
 )
 
 const (
@@ -149,9 +147,7 @@
 // reserveAddresses reserves ports on a loopback address that no other cell and no outgoing connection uses, until the end
 // of the test.
 func reserveAddresses(t *testing.T, count int) []string {
-	number := cellCount.Add(1)
-	pid := os.Getpid()
-	host := fmt.Sprintf("127.%d.%d.%d", 10+pid>>8&0x3f, pid&0xff, number)
+	host := reserver.NewHost()
 	addresses := make([]string, count)
 	for index := range addresses {
 		reservation, err := reserver.Reserve(host)
--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -122,10 +122,13 @@
 	os.Exit(code)
 }
 
+// loopback is the address on which the processes and servers of these tests listen.
+var loopback = reserver.NewHost()
+
 // reserveAddress returns an address on which only the process that is told it listens until the end of the test.
 func reserveAddress(t *testing.T) string {
 	t.Helper()
-	reservation, err := reserver.Reserve("127.0.0.1")
+	reservation, err := reserver.Reserve(loopback)
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = reservation.Release() })
 	return reservation.Address()
@@ -139,7 +142,7 @@
 
 // startServer starts a server at an address of its own and returns that address.
 func (cell *cell) startServer(server *http.Server) (string, error) {
-	listener, err := new(net.ListenConfig).Listen(cell.ctx, "tcp", "127.0.0.1:0")
+	listener, err := new(net.ListenConfig).Listen(cell.ctx, "tcp", net.JoinHostPort(loopback, "0"))
 	if err != nil {
 		return "", err
 	}
