--- a/command/scheduler/ledger.go
+++ b/command/scheduler/ledger.go
@@ -2,9 +2,6 @@
 
 import "github.com/almondcross/almondcross"
 
-// doneStageBytes is an upper estimate of the memory in bytes of a stage that was dropped, with its form in an encoded snapshot.
-const doneStageBytes = 64
-
 // ledger counts the memory in bytes that the jobs of a state are estimated to take, by holder.
 type ledger struct {
 	used  int64
@@ -30,10 +27,7 @@
 
 // recharge updates the charge of a job that was added or has changed.
 func (state *state) recharge(job *job) {
-	bytes := job.spec.StateBytes()
-	if steps := len(job.spec.Steps()); steps > 0 {
-		bytes += int64(max(1, job.openOccurrences()))*job.spec.OccurrenceBytes() + int64(job.doneOccurrences*steps)*doneStageBytes
-	}
+	bytes := job.spec.HeldBytes(job.openOccurrences(), job.doneOccurrences)
 	state.ledger.charge(job.spec.Holder(), bytes-job.charged)
 	job.charged = bytes
 }
--- a/command/scheduler/occurrence_test.go
+++ b/command/scheduler/occurrence_test.go
@@ -1,12 +1,15 @@
 package scheduler
 
 import (
+	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/almondcross/almondcross"
+	"github.com/almondcross/almondcross/encoder"
 )
 
 // Guards against a job whose occurrences take ever more memory although they are done, against one that does not complete because its
@@ -41,7 +44,55 @@
 		}
 	}
 	require.Equal(t, almondcross.JobCompleted, state.jobs["j"].state)
-	require.LessOrEqual(t, state.ledger.used, job.StateBytes()+2*job.OccurrenceBytes()+2*occurrences*doneStageBytes)
+	require.LessOrEqual(t, state.ledger.used, job.HeldBytes(2, occurrences))
+}
+
+// Guards against a job with many done occurrences that takes more memory with its snapshot than it is charged with: 300,000 done tasks
+// were charged with 277 kB and took 42 MB.
+func TestDoneOccurrencesTakeWhatTheyAreChargedWith(t *testing.T) {
+	codec, err := encoder.NewCodec()
+	require.NoError(t, err)
+	for name, test := range map[string]struct{ tasks, occurrences int }{"many tasks": {1000, 300}, "many occurrences": {1, 100_000}} {
+		t.Run(name, func(t *testing.T) {
+			state := newState(time.Minute)
+			spec := newJob("j", almondcross.StepConfig{Count: test.tasks}).WithRuns(test.occurrences)
+			state.admitJob(spec, settings(1, "q"))
+			job := state.jobs["j"]
+			job.stages, job.startedOccurrences, job.doneOccurrences = make([]*stage, test.occurrences), test.occurrences, test.occurrences
+			state.recharge(job)
+			require.Equal(t, spec.HeldBytes(0, test.occurrences), state.ledger.used)
+
+			before := heapBytes()
+			snapshot := state.snapshot(1, time.Time{})
+			parts, err := codec.EncodeSnapshot(snapshot, 250_000)
+			require.NoError(t, err)
+			require.LessOrEqual(t, heapBytes()-before, state.ledger.used)
+			require.Equal(t, state.ledger.used, snapshot.Jobs()[0].HeldBytes())
+
+			var records []almondcross.KeyedRecord
+			for index, part := range parts {
+				records = append(records, almondcross.NewKeyedRecord(almondcross.KeyedRecordConfig{Key: fmt.Sprint(index), Value: part}))
+			}
+			before = heapBytes()
+			decoded, found, err := codec.DecodeSnapshot(records)
+			require.NoError(t, err)
+			require.True(t, found)
+			restored := restore(decoded, time.Minute, time.Time{}, nil)
+			require.LessOrEqual(t, heapBytes()-before, state.ledger.used)
+			require.Equal(t, test.occurrences, restored.jobs["j"].doneOccurrences)
+			require.Equal(t, state.ledger.held, restored.ledger.held)
+			require.Equal(t, snapshot.Jobs(), restored.snapshot(1, time.Time{}).Jobs())
+			runtime.KeepAlive(decoded)
+		})
+	}
+}
+
+// heapBytes returns the size in bytes of all values that are in use.
+func heapBytes() int64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc) //nolint:gosec // It is below the memory of the machine.
 }
 
 // Guards against occurrences that are all due and fill the memory after their job was admitted, keep the scheduler busy for long in
--- a/command/scheduler/snapshot.go
+++ b/command/scheduler/snapshot.go
@@ -35,12 +35,14 @@
 func (job *job) record() almondcross.JobRecord {
 	stages := make([]almondcross.StageRecord, len(job.stages))
 	steps := job.spec.Steps()
+	done := map[int][]almondcross.TaskRecord{} // done holds what all stages of a step share whose occurrences were dropped.
 	for index, stage := range job.stages {
 		if stage == nil {
 			step := index % len(steps)
-			stages[index] = almondcross.NewStageRecord(almondcross.StageRecordConfig{
-				Occurrence: index / len(steps), Step: step, Run: 1, Tasks: doneTasks(steps[step].Count()),
-			})
+			if done[step] == nil {
+				done[step] = doneTasks(steps[step].Count())
+			}
+			stages[index] = almondcross.NewStageRecord(almondcross.StageRecordConfig{Occurrence: index / len(steps), Step: step, Run: 1, Tasks: done[step]})
 			continue
 		}
 		stages[index] = almondcross.NewStageRecord(almondcross.StageRecordConfig{
@@ -117,9 +119,9 @@
 		stage.updateMaxCrashes()
 		restored.activeTasks += stage.activeTasks
 		restored.stages = append(restored.stages, stage)
-	}
-	for occurrence := range restored.startedOccurrences {
-		state.forgetOccurrence(restored, occurrence)
+		if saved.Step() == len(steps)-1 {
+			state.forgetOccurrence(restored, saved.Occurrence())
+		}
 	}
 	if record.Job().Workspace() != "" {
 		state.format = max(state.format, workspaceFormat)
--- a/encoder/jobrecord.go
+++ b/encoder/jobrecord.go
@@ -8,7 +8,10 @@
 
 // encodeJobRecord returns the encoded form of a job, which has a field for the workspace only if the job has one.
 func (codec Codec) encodeJobRecord(record almondcross.JobRecord) ([]byte, error) {
-	wire := toJobRecord(record)
+	wire, err := codec.toJobRecord(record)
+	if err != nil {
+		return nil, err
+	}
 	if record.Job().Workspace() == "" {
 		return codec.encoding.Marshal(wire)
 	}
@@ -37,24 +40,29 @@
 	if err != nil {
 		return almondcross.JobRecord{}, nil, errors.Annotate(ErrMalformed, err.Error())
 	}
-	record, err := wire.value()
+	record, err := codec.fromJobRecord(wire)
 	if err != nil {
 		return almondcross.JobRecord{}, nil, errors.Trace(err)
 	}
 	return record.WithJob(record.Job().WithWorkspace(workspace)), sequence, nil
 }
 
-func toJobRecord(record almondcross.JobRecord) wireJobRecord {
+func (codec Codec) toJobRecord(record almondcross.JobRecord) (wireJobRecord, error) {
 	stages := make([]wireStageRecord, len(record.Stages()))
 	steps := record.Job().Steps()
+	taskEncoder := taskEncoder{encoding: codec.encoding, last: map[int]stageTasks{}}
 	for index, stage := range record.Stages() {
 		count := 0
 		if stage.Step() >= 0 && stage.Step() < len(steps) {
 			count = steps[stage.Step()].Count()
 		}
+		tasks, err := taskEncoder.encode(stage.Step(), count, stage.Tasks())
+		if err != nil {
+			return wireJobRecord{}, err
+		}
 		stages[index] = wireStageRecord{
 			Occurrence: stage.Occurrence(), Step: stage.Step(), Run: stage.Run(), Failures: stage.Failures(),
-			FailedRun: stage.FailedRun(), Checkpoint: stage.Checkpoint(), Tasks: toTaskRecords(stage.Tasks(), count),
+			FailedRun: stage.FailedRun(), Checkpoint: stage.Checkpoint(), Tasks: tasks,
 		}
 	}
 	wire := wireJobRecord{
@@ -64,69 +72,35 @@
 	if record.State().Final() {
 		wire.FinishedMS = toUnixMillis(record.Finished())
 	}
-	return wire
-}
-
-// toTaskRecords returns the encoded form of the records of all tasks of a step. Tasks without a record are new.
-func toTaskRecords(records []almondcross.TaskRecord, count int) []wireTaskRecord {
-	tasks := make([]wireTaskRecord, max(count, len(records)))
-	for index, record := range records {
-		config := record.Config()
-		tasks[index] = wireTaskRecord{
-			taskRecordFields: taskRecordFields{
-				Done: config.Done, Active: config.Active, Run: config.Run, Failures: config.Failures,
-				Worker: config.Worker, Checkpoint: config.Checkpoint, SinceMS: toUnixMillis(config.Since),
-			},
-			crashFields: crashFields{Crashes: config.Crashes, Confirmed: config.Confirmed, Losses: config.Losses, Evidence: config.Evidence},
-			LostRuns:    config.LostRuns,
-		}
-	}
-	return tasks
-}
-
-// fromTaskRecords returns the records of the tasks up to the last one that is not new.
-func fromTaskRecords(tasks []wireTaskRecord) []almondcross.TaskRecord {
-	known := len(tasks)
-	for known > 0 && tasks[known-1].isNew() {
-		known--
-	}
-	records := make([]almondcross.TaskRecord, known)
-	for index, task := range tasks[:known] {
-		records[index] = almondcross.NewTaskRecord(almondcross.TaskRecordConfig{
-			Done: task.Done, Active: task.Active, Run: task.Run, Failures: task.Failures, Crashes: task.Crashes, Confirmed: task.Confirmed,
-			Losses: task.Losses, Evidence: task.Evidence, LostRuns: task.LostRuns,
-			Worker: task.Worker, Checkpoint: task.Checkpoint, Since: fromUnixMillis(task.SinceMS),
-		})
-	}
-	return records
-}
-
-// isNew reports whether a task never had a run: it has no other record than that of a task of a job just admitted.
-func (wiretaskrecord wireTaskRecord) isNew() bool {
-	return wiretaskrecord.taskRecordFields == taskRecordFields{} && wiretaskrecord.crashFields == crashFields{} && len(wiretaskrecord.LostRuns) == 0
+	return wire, nil
 }
 
-// value returns the record of the job, or ErrMalformed if the scheduler that stored it cannot have held it.
-func (wirejobrecord wireJobRecord) value() (almondcross.JobRecord, error) {
-	job, err := wirejobrecord.Job.value()
+// fromJobRecord returns the record of a job, or ErrMalformed if the scheduler that stored it cannot have held it.
+func (codec Codec) fromJobRecord(wire wireJobRecord) (almondcross.JobRecord, error) {
+	job, err := wire.Job.value()
 	if err != nil {
 		return almondcross.JobRecord{}, errors.Trace(err)
 	}
-	if err := wirejobrecord.checkStages(); err != nil {
+	if err := wire.checkStages(); err != nil {
 		return almondcross.JobRecord{}, errors.Trace(err)
 	}
-	stages := make([]almondcross.StageRecord, len(wirejobrecord.Stages))
-	for index, stage := range wirejobrecord.Stages {
+	stages := make([]almondcross.StageRecord, len(wire.Stages))
+	taskDecoder := taskDecoder{decoding: codec.decodingJobs, last: map[int]stageTasks{}}
+	for index, stage := range wire.Stages {
+		tasks, err := taskDecoder.decode(stage.Step, wire.Job.Steps[stage.Step].Count, stage.Tasks)
+		if err != nil {
+			return almondcross.JobRecord{}, errors.Annotatef(err, "stage %d of job %s", index, wire.Job.ID)
+		}
 		stages[index] = almondcross.NewStageRecord(almondcross.StageRecordConfig{
 			Occurrence: stage.Occurrence, Step: stage.Step, Run: stage.Run, Failures: stage.Failures,
-			FailedRun: stage.FailedRun, Checkpoint: stage.Checkpoint, Tasks: fromTaskRecords(stage.Tasks),
+			FailedRun: stage.FailedRun, Checkpoint: stage.Checkpoint, Tasks: tasks,
 		})
 	}
-	config := almondcross.JobRecordConfig{Job: job, State: wirejobrecord.State, StartedOccurrences: wirejobrecord.StartedOccurrences, Stages: stages}
-	if wirejobrecord.State.Final() {
-		config.Settings, config.Finished = wirejobrecord.Queue.settings(0), fromUnixMillis(wirejobrecord.FinishedMS)
+	config := almondcross.JobRecordConfig{Job: job, State: wire.State, StartedOccurrences: wire.StartedOccurrences, Stages: stages}
+	if wire.State.Final() {
+		config.Settings, config.Finished = wire.Queue.settings(0), fromUnixMillis(wire.FinishedMS)
 	} else {
-		config.Settings = wirejobrecord.Queue.settings(wirejobrecord.FinishedMS)
+		config.Settings = wire.Queue.settings(wire.FinishedMS)
 	}
 	return almondcross.NewJobRecord(config), nil
 }
@@ -139,7 +113,7 @@
 		return errors.Annotatef(ErrMalformed, "%d stages of %d occurrences of job %s", len(wirejobrecord.Stages), started, wirejobrecord.Job.ID)
 	}
 	for index, stage := range wirejobrecord.Stages {
-		if stage.Occurrence != index/len(steps) || stage.Step != index%len(steps) || len(stage.Tasks) != steps[stage.Step].Count {
+		if stage.Occurrence != index/len(steps) || stage.Step != index%len(steps) {
 			return errors.Annotatef(ErrMalformed, "stage %d of job %s", index, wirejobrecord.Job.ID)
 		}
 		if !stage.validCounts() {
@@ -150,10 +124,5 @@
 }
 
 func (wirestagerecord wireStageRecord) validCounts() bool {
-	for _, task := range wirestagerecord.Tasks {
-		if !validCounts(task.Run, task.Failures, task.Crashes, task.Confirmed, task.Losses) || !validEvidence(task.Evidence) || !validCounts(task.LostRuns...) {
-			return false
-		}
-	}
 	return validCounts(wirestagerecord.Run, wirestagerecord.Failures, wirestagerecord.FailedRun)
 }
--- a/encoder/journal.go
+++ b/encoder/journal.go
@@ -262,7 +262,7 @@
 	Occurrence, Step         int
 	Run, Failures, FailedRun int
 	Checkpoint               string
-	Tasks                    []wireTaskRecord
+	Tasks                    cbor.RawMessage // Tasks holds an encoded list of wireTaskRecord.
 }
 
 type wireJobRecord struct {
--- a/encoder/number_test.go
+++ b/encoder/number_test.go
@@ -53,11 +53,13 @@
 	require.NoError(t, err)
 	rapid.Check(t, func(t *rapid.T) {
 		number := func(name string) int64 { return drawNumber(t, name) }
+		tasks, err := codec.encoding.Marshal([]wireTaskRecord{{
+			taskRecordFields: taskRecordFields{Run: int(number("run")), Failures: int(number("failures"))}, crashFields: crashFields{Crashes: int(number("crashes")), Losses: int(number("losses")), Evidence: int(number("evidence"))},
+		}})
+		require.NoError(t, err)
 		job, err := codec.encoding.Marshal(wireJobRecord{
 			Job: wireJob{ID: "j", Steps: []wireStep{{Count: 1}}}, StartedOccurrences: 1,
-			Stages: []wireStageRecord{{Run: int(number("gang run")), Tasks: []wireTaskRecord{{
-				taskRecordFields: taskRecordFields{Run: int(number("run")), Failures: int(number("failures"))}, crashFields: crashFields{Crashes: int(number("crashes")), Losses: int(number("losses")), Evidence: int(number("evidence"))},
-			}}}},
+			Stages: []wireStageRecord{{Run: int(number("gang run")), Tasks: tasks}},
 		})
 		require.NoError(t, err)
 		part, err := codec.encodePart(wireSnapshotPart{snapshotPartFields: snapshotPartFields{
--- a/encoder/snapshot.go
+++ b/encoder/snapshot.go
@@ -312,7 +312,7 @@
 			return errors.Annotate(err, "job of a snapshot")
 		}
 		sequence = rest
-		jobdecoder.bytes += job.Job().AdmissionBytes()
+		jobdecoder.bytes += job.HeldBytes()
 		if limit := jobdecoder.codec.stateLimit; limit > 0 && jobdecoder.bytes > limit {
 			return errors.Annotatef(almondcross.ErrStateTooLarge, "above %d bytes", limit)
 		}
--- a/encoder/taskrecord_test.go
+++ b/encoder/taskrecord_test.go
@@ -64,12 +64,18 @@
 		Job: job, State: almondcross.JobRunning, StartedOccurrences: 1,
 		Stages: []almondcross.StageRecord{almondcross.NewStageRecord(almondcross.StageRecordConfig{Tasks: known})},
 	})
-	wire := toJobRecord(record)
-	require.Len(t, wire.Stages[0].Tasks, 5)
-	decoded, err := wire.value()
+	codec, err := NewCodec()
+	require.NoError(t, err)
+	wire, err := codec.toJobRecord(record)
+	require.NoError(t, err)
+	var tasks []wireTaskRecord
+	require.NoError(t, codec.decoding.Unmarshal(wire.Stages[0].Tasks, &tasks))
+	require.Len(t, tasks, 5)
+	decoded, err := codec.fromJobRecord(wire)
 	require.NoError(t, err)
 	require.Equal(t, known, decoded.Stages()[0].Tasks())
-	wire.Stages[0].Tasks = wire.Stages[0].Tasks[:4]
-	_, err = wire.value()
+	wire.Stages[0].Tasks, err = codec.encoding.Marshal(tasks[:4])
+	require.NoError(t, err)
+	_, err = codec.fromJobRecord(wire)
 	require.ErrorIs(t, err, ErrMalformed)
 }
