Count each end soon after a start once three workers crashed under a task

Cause: only crashes counted towards the five losses at which a job fails. Now, after three crashes, each end soon after the start counts, unless the worker refused the start or the run succeeded. Long runs do not count, so a task that was a bystander is not given up for being stopped.

--- a/command/scheduler/attempts.go
+++ b/command/scheduler/attempts.go
@@ -56,7 +56,7 @@
 		record := withoutLostRun(stage.tasks.at(index), run)
 		stage.tasks.set(index, record.WithFailures(record.Failures()+1))
 	}
-	verdict := state.verdictOn(job, stage, index, change)
+	verdict := state.verdictOn(job, stage, change, false)
 	state.compactJob(job)
 	return verdict
 }
--- a/command/scheduler/crash.go
+++ b/command/scheduler/crash.go
@@ -13,12 +13,12 @@
 	// minCrashes is the weighed count of crashes under a task from which its job may fail, given minConfirmedCrashes and
 	// minEvidence: two workers, if the task was alone with others of its job on one of them, three otherwise.
 	minCrashes = 3
-	// maxLosses is the number of crashes under a task at which its job fails whatever they are evidence of. A task that
-	// crashes its workers may be started twice more after the third crash.
+	// maxLosses is the number of losses of a task at which its job fails whatever they are evidence of. A task that crashes its
+	// workers may be started twice more after the third crash, however these runs end.
 	maxLosses = 5
 	// crashAttribution and serviceCrashAttribution are how long a run may have been on its worker for a crash to be
 	// evidence against its task. A task that crashes its workers does so on each of them, so a run that worked for longer
-	// was a bystander, though its crash still counts towards maxLosses. A service runs for as long as its workers do and
+	// was a bystander, though its crash still counts towards maxLosses, and another end does not. A service runs for as long as its workers do and
 	// would else be given up for crashes of theirs.
 	crashAttribution        = time.Minute
 	serviceCrashAttribution = 10 * time.Second
@@ -29,6 +29,31 @@
 	return kind == almondcross.EndWorkerCrashed || kind == almondcross.EndCrashedAlone || kind == almondcross.EndMaybeCrashed
 }
 
+// countLoss counts the end of the last run of a task if it is a loss: the crash of its worker or, after minCrashes crashes, another end
+// soon after the start. It reports whether it was one.
+func (state *state) countLoss(stage *stage, change almondcross.Change) bool {
+	index := change.Task().Index
+	record := stage.tasks.at(index)
+	endedAt := state.batchTime.Add(-change.Silent())
+	switch {
+	case isCrash(change.End()):
+		state.countCrash(stage, index, change.End(), endedAt)
+		return true
+	case record.Done() || record.Crashes() < minCrashes || !mayHaveStarted(change):
+		return false
+	case endedAt.Sub(record.Since()) > stage.crashAttribution():
+		return false
+	default:
+		stage.tasks.set(index, record.WithLosses(record.Losses()+1))
+		return true
+	}
+}
+
+// mayHaveStarted reports whether a run that has ended may have been at work. A start that the worker has refused was not.
+func mayHaveStarted(change almondcross.Change) bool {
+	return change.End() != almondcross.EndVoid || presumesLost(change)
+}
+
 // countCrash counts a crash of the worker under the last run of a task. Contact with the worker was lost at a time.
 func (state *state) countCrash(stage *stage, index int, kind almondcross.EndKind, lostAt time.Time) {
 	record := stage.tasks.at(index)
@@ -169,10 +194,10 @@
 
 // logGivenUp logs that a job has failed because workers crashed under a task.
 func (machine *Machine) logGivenUp(assignment *assignment, kind almondcross.EndKind) {
-	if !isCrash(kind) {
+	record := assignment.stage.tasks.at(assignment.task.Index)
+	if !isCrash(kind) && record.Losses() < maxLosses {
 		return
 	}
-	record := assignment.stage.tasks.at(assignment.task.Index)
 	machine.config.Log.Record("task_given_up", almondcross.Text("task", assignment.task.String()), almondcross.Number("run", assignment.run),
 		almondcross.Number("crashes", record.Losses()), almondcross.Number("evidence", record.Evidence()),
 		almondcross.Number("rarity", machine.state.crashRarity(record.Losses())))
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -381,13 +381,11 @@
 		record = withLostRun(record, change.Run())
 	}
 	stage.endRun(index, record, change)
-	if isCrash(change.End()) {
-		state.countCrash(stage, index, change.End(), state.batchTime.Add(-change.Silent()))
-	}
+	isLoss := state.countLoss(stage, change)
 	if stage.spec.Gang() && !stage.spec.Service() {
 		stage.updateGang(change)
 	}
-	verdict := state.verdictOn(job, stage, index, change)
+	verdict := state.verdictOn(job, stage, change, isLoss)
 	state.forgetOccurrence(job, stage.id.Occurrence)
 	state.compactJob(job)
 	return verdict
--- a/command/scheduler/verdict.go
+++ b/command/scheduler/verdict.go
@@ -59,16 +59,16 @@
 }
 
 // verdictOn returns the verdict on the job of a task whose run has ended: the recorded one, or for an end that an earlier version
-// recorded without one, the one by the rules of this version. Only a crash gives a task up.
-func (state *state) verdictOn(job *job, stage *stage, index int, change almondcross.Change) almondcross.Verdict {
+// recorded without one, the one by the rules of this version. Only a loss gives a task up.
+func (state *state) verdictOn(job *job, stage *stage, change almondcross.Change, isLoss bool) almondcross.Verdict {
 	if change.Verdict() != almondcross.VerdictUnknown {
 		return change.Verdict()
 	}
-	return state.deriveVerdict(job, stage, index, isCrash(change.End()))
+	return state.deriveVerdict(job, stage, change.Task().Index, isLoss)
 }
 
 // deriveVerdict returns the verdict that ends the job of a task, VerdictUnknown if none does.
-func (state *state) deriveVerdict(job *job, stage *stage, index int, crashed bool) almondcross.Verdict {
+func (state *state) deriveVerdict(job *job, stage *stage, index int, isLoss bool) almondcross.Verdict {
 	if job.state.Final() {
 		return almondcross.VerdictUnknown
 	}
@@ -79,7 +79,7 @@
 	if limit, known := job.attemptLimit(); known && failures >= limit && stage.remainingTasks > 0 && !stage.spec.Service() {
 		return almondcross.VerdictAttempts
 	}
-	if crashed && state.givenUp(stage, index) {
+	if isLoss && state.givenUp(stage, index) {
 		return almondcross.VerdictCrashes
 	}
 	if stage.remainingTasks > 0 || job.startedOccurrences < job.spec.Occurrences() {
