End the processes of an integration test with it

Cause: only the cleanup of a test ended them. Now the kernel ends them with the process of the test.

--- a/integration/crowd/entry_test.go
+++ b/integration/crowd/entry_test.go
@@ -27,6 +27,7 @@
 	require.NoError(t, os.WriteFile(path, []byte(settings), 0o600))
 	process := exec.CommandContext(t.Context(), "/bin/sh", "-c", `ulimit -n "$0" && exec "$@"`,
 		strconv.Itoa(descriptors), buildBinary(t), role, "--config", path)
+	process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // The process ends with that of the test.
 	require.NoError(t, process.Start())
 	ended := make(chan struct{})
 	go func() {
--- a/integration/crowd/host_test.go
+++ b/integration/crowd/host_test.go
@@ -180,6 +180,7 @@
 	process := exec.CommandContext(t.Context(), "/bin/sh", "-c", `ulimit -n "$0" && exec "$@"`,
 		strconv.Itoa(host.descriptors), buildBinary(t), "scheduler", "--config", host.settingsPath)
 	process.Stdout, process.Stderr = log, log
+	process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // The process ends with that of the test.
 	require.NoError(t, process.Start())
 	ended := make(chan struct{})
 	host.process, host.ended = process, ended
--- a/integration/process/process_test.go
+++ b/integration/process/process_test.go
@@ -69,6 +69,7 @@
 	require.NoError(process.t, err)
 	command := exec.Command(binary, process.subcommand, "--config", process.config)
 	command.Stdout, command.Stderr = log, log
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // The process ends with that of the test.
 	require.NoError(process.t, command.Start())
 	_ = log.Close()
 	exited := make(chan struct{})
--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -244,6 +244,7 @@
 func (host *host) start() {
 	host.process = exec.CommandContext(host.cell.ctx, host.binary, "scheduler", "--config", host.settingsPath)
 	host.process.Stdout, host.process.Stderr = host.log, host.log
+	host.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // The process ends with that of the test.
 	require.NoError(host.cell.t, host.process.Start())
 }
 
