--- a/encoder/journal_test.go
+++ b/encoder/journal_test.go
@@ -96,6 +96,21 @@
 	require.Equal(t, config, snapshot.Config())
 }
 
+// Guards against a weak host that holds a large snapshot twice while it decodes it: as records and as their parts.
+func TestDecodedSnapshotReleasesItsRecords(t *testing.T) {
+	codec := newCodec(t)
+	parts, err := codec.EncodeSnapshot(almondcross.NewStateSnapshot(silentSnapshot), 1<<20)
+	require.NoError(t, err)
+	records := []almondcross.KeyedRecord{
+		almondcross.NewKeyedRecord(almondcross.KeyedRecordConfig{Key: "snapshot", Value: parts[0]}),
+		almondcross.NewKeyedRecord(almondcross.KeyedRecordConfig{Key: "malformed", Value: []byte{1}}),
+	}
+	_, found, err := codec.DecodeSnapshot(records)
+	require.ErrorIs(t, err, encoder.ErrMalformed)
+	require.True(t, found)
+	require.Equal(t, make([]almondcross.KeyedRecord, len(records)), records)
+}
+
 // Guards against a verdict that replicas do not read, against one that is read as the number of an occurrence, and against
 // records that grow by it: the version before reads arrays of this length only.
 func TestVerdictsTakeTheFieldOfTheOccurrence(t *testing.T) {
--- a/encoder/snapshot.go
+++ b/encoder/snapshot.go
@@ -203,15 +203,16 @@
 
 // DecodeSnapshot returns the newest snapshot that can be decoded and of which all parts are among the records, and false if
 // there is none. If its jobs take more memory than the limit of the codec it returns ErrStateTooLarge instead: an older one would
-// lack later jobs.
+// lack later jobs. It clears each record once it is read, since the records and their parts would take the memory of the state twice.
 // Malformed records are left out; the error names the last of them, also when a snapshot is found.
 func (codec Codec) DecodeSnapshot(records []almondcross.KeyedRecord) (almondcross.StateSnapshot, bool, error) {
 	var malformed error
 	partsByOffset := map[int64]map[int]wireSnapshotPart{}
-	for _, record := range records {
+	for index, record := range records {
 		if len(record.Value()) == 0 {
 			continue
 		}
+		records[index] = almondcross.KeyedRecord{}
 		part, err := codec.decodePart(record.Value())
 		if err != nil {
 			malformed = errors.Annotatef(ErrMalformed, "snapshot %s: %v", record.Key(), err)
--- a/journal.go
+++ b/journal.go
@@ -387,7 +387,7 @@
 	DecodeQueueUsage(source []byte) (QueueUsage, error)
 	// EncodeSnapshot returns the parts of a snapshot, of at most the given size in bytes.
 	EncodeSnapshot(snapshot StateSnapshot, size int) ([][]byte, error)
-	// DecodeSnapshot returns the newest complete snapshot among keyed records and reports whether there is one. An
-	// error reports malformed records, also beside a snapshot.
+	// DecodeSnapshot returns the newest complete snapshot among keyed records and reports whether there is one. It clears
+	// the records. An error reports malformed records, also beside a snapshot.
 	DecodeSnapshot(records []KeyedRecord) (StateSnapshot, bool, error)
 }
