Say what the losses of a task count

Cause: since other ends than crashes count towards the limit, the log field crashes of task_given_up and two comments said less than is counted.

--- a/command/scheduler/crash.go
+++ b/command/scheduler/crash.go
@@ -16,10 +16,10 @@
 	// maxLosses is the number of losses of a task at which its job fails whatever they are evidence of. A task that crashes its
 	// workers may be started twice more after the third crash, however these runs end.
 	maxLosses = 5
-	// crashAttribution and serviceCrashAttribution are how long a run may have been on its worker for a crash to be
-	// evidence against its task. A task that crashes its workers does so on each of them, so a run that worked for longer
-	// was a bystander, though its crash still counts towards maxLosses, and another end does not. A service runs for as long as its workers do and
-	// would else be given up for crashes of theirs.
+	// crashAttribution and serviceCrashAttribution are how long a run may have been on its worker for its end to be evidence
+	// against its task. A task that crashes its workers does so on each of them, so a run that worked for longer was a
+	// bystander, though its crash still counts towards maxLosses. A service runs for as long as its workers do and would
+	// else be given up for crashes of theirs.
 	crashAttribution        = time.Minute
 	serviceCrashAttribution = 10 * time.Second
 )
@@ -41,7 +41,7 @@
 		return true
 	case record.Done() || record.Crashes() < minCrashes || !mayHaveStarted(change):
 		return false
-	case endedAt.Sub(record.Since()) > stage.crashAttribution():
+	case endedAt.Sub(record.Since()) > stage.crashAttribution(): // The run was a bystander.
 		return false
 	default:
 		stage.tasks.set(index, record.WithLosses(record.Losses()+1))
@@ -199,6 +199,6 @@
 		return
 	}
 	machine.config.Log.Record("task_given_up", almondcross.Text("task", assignment.task.String()), almondcross.Number("run", assignment.run),
-		almondcross.Number("crashes", record.Losses()), almondcross.Number("evidence", record.Evidence()),
+		almondcross.Number("losses", record.Losses()), almondcross.Number("evidence", record.Evidence()),
 		almondcross.Number("rarity", machine.state.crashRarity(record.Losses())))
 }
--- a/job_generated.go
+++ b/job_generated.go
@@ -2485,7 +2485,7 @@
 	return taskrecord
 }
 
-// Losses returns the number of crashes of workers under a run of the task, each counted once.
+// Losses returns the number of crashes of workers under a run of the task, and of other ends soon after a start that followed several.
 func (taskrecord TaskRecord) Losses() int { return taskrecord.losses }
 
 // WithLosses returns a copy with the given losses.
--- a/journal.go
+++ b/journal.go
@@ -250,7 +250,7 @@
 	lostRuns   []int     // the runs that were presumed lost and may still be reported, in order
 	crashes    int       // the crashes of workers under a run of the task; a crash counts twice with only runs of its job on the worker
 	confirmed  int       // the number of crashes under a run that was known to have started
-	losses     int       // the number of crashes of workers under a run of the task, each counted once
+	losses     int       // the number of crashes of workers under a run of the task, and of other ends soon after a start that followed several
 	evidence   int       // the sum over the confirmed crashes of how soon after the start they came, in bits
 	worker     string    // the worker of the last run
 	checkpoint string    // the last recorded checkpoint, empty for none
