--- a/command/cataloguer/main_test.go
+++ b/command/cataloguer/main_test.go
@@ -2,9 +2,10 @@
 
 import (
 	"flag"
-	"fmt"
 	"os"
 	"testing"
+
+	"github.com/almondcross/almondcross/standin/defaulter"
 )
 
 // defaultSeed makes the property tests reproducible.
@@ -13,19 +14,8 @@
 // TestMain sets the seed of rapid unless -rapid.seed or RAPID_SEED is given.
 func TestMain(main *testing.M) {
 	flag.Parse()
-	setDefault("rapid.seed", "RAPID_SEED", defaultSeed)
-	os.Exit(main.Run())
-}
-
-// setDefault sets a flag that is given neither on the command line nor in the environment, and prints
-// its value.
-func setDefault(name, variable, value string) {
-	_, given := os.LookupEnv(variable)
-	flag.Visit(func(set *flag.Flag) { given = given || set.Name == name })
-	if !given {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
+	if err := defaulter.Set("rapid.seed", "RAPID_SEED", defaultSeed); err != nil {
+		panic(err)
 	}
-	fmt.Printf("-%s=%s\n", name, flag.Lookup(name).Value)
+	os.Exit(main.Run())
 }
--- a/command/claimer/main_test.go
+++ b/command/claimer/main_test.go
@@ -2,9 +2,10 @@
 
 import (
 	"flag"
-	"fmt"
 	"os"
 	"testing"
+
+	"github.com/almondcross/almondcross/standin/defaulter"
 )
 
 // defaultSeed makes the random tests deterministic.
@@ -17,19 +18,11 @@
 // TestMain sets the seed and the number of checks of rapid unless flags or the environment set them.
 func TestMain(main *testing.M) {
 	flag.Parse()
-	setDefault("rapid.seed", "RAPID_SEED", defaultSeed)
-	setDefault("rapid.checks", "RAPID_CHECKS", defaultChecks)
-	os.Exit(main.Run())
-}
-
-// setDefault sets a flag that neither the command line nor the environment sets, and prints its value.
-func setDefault(name, variable, value string) {
-	_, given := os.LookupEnv(variable)
-	flag.Visit(func(set *flag.Flag) { given = given || set.Name == name })
-	if !given {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
+	if err := defaulter.Set("rapid.seed", "RAPID_SEED", defaultSeed); err != nil {
+		panic(err)
+	}
+	if err := defaulter.Set("rapid.checks", "RAPID_CHECKS", defaultChecks); err != nil {
+		panic(err)
 	}
-	fmt.Printf("-%s=%s\n", name, flag.Lookup(name).Value)
+	os.Exit(main.Run())
 }
--- a/command/placer/main_test.go
+++ b/command/placer/main_test.go
@@ -2,9 +2,10 @@
 
 import (
 	"flag"
-	"fmt"
 	"os"
 	"testing"
+
+	"github.com/almondcross/almondcross/standin/defaulter"
 )
 
 // defaultSeed makes the results of the randomised tests reproducible.
@@ -13,18 +14,8 @@
 // TestMain sets the seed of rapid unless -rapid.seed or RAPID_SEED is given.
 func TestMain(main *testing.M) {
 	flag.Parse()
-	setDefault("rapid.seed", "RAPID_SEED", defaultSeed)
-	os.Exit(main.Run())
-}
-
-// setDefault sets a flag unless the command line or the environment variable sets it, and prints its value.
-func setDefault(name, variable, value string) {
-	_, given := os.LookupEnv(variable)
-	flag.Visit(func(set *flag.Flag) { given = given || set.Name == name })
-	if !given {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
+	if err := defaulter.Set("rapid.seed", "RAPID_SEED", defaultSeed); err != nil {
+		panic(err)
 	}
-	fmt.Printf("-%s=%s\n", name, flag.Lookup(name).Value)
+	os.Exit(main.Run())
 }
