Share the pauses between retries of the two readers of streams

The loader of catalogues and the reader of claims had the same loop with a growing, drawn pause. Cause: one was written after the other.

--- a/command/cataloguer/loader.go
+++ b/command/cataloguer/loader.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/almondcross/almondcross"
+	"github.com/almondcross/almondcross/retrier"
 )
 
 // Limits and delays of the loader.
@@ -55,11 +55,11 @@
 // Run reads until the context ends. After each failed read it requests the catalogue from the peers and
 // retries with backoff.
 func (loader *Loader) Run(ctx context.Context) error {
-	retryDelay := minRetryDelay
+	retries := retrier.New(retrier.Config{MinDelay: minRetryDelay, MaxDelay: maxRetryDelay})
 	for ctx.Err() == nil {
 		err := loader.readNext(ctx)
 		if err == nil {
-			retryDelay = minRetryDelay
+			retries.Reset()
 			loader.setReadFailed(false, nil)
 			continue
 		}
@@ -68,13 +68,7 @@
 		}
 		loader.setReadFailed(true, err)
 		loader.requestCatalogues()
-		timer := time.NewTimer(retryDelay/2 + rand.N(retryDelay/2))
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-		}
-		timer.Stop()
-		retryDelay = min(2*retryDelay, maxRetryDelay)
+		retries.Pause(ctx)
 	}
 	return nil
 }
--- a/command/claimer/tail.go
+++ b/command/claimer/tail.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/almondcross/almondcross"
+	"github.com/almondcross/almondcross/retrier"
 )
 
 // Timeouts, retry delays and the batch size of the tail.
@@ -46,21 +46,15 @@
 
 // Run reads until the context ends.
 func (tail *Tail) Run(ctx context.Context) error {
-	retryDelay := minRetryDelay
+	retries := retrier.New(retrier.Config{MinDelay: minRetryDelay, MaxDelay: maxRetryDelay})
 	for ctx.Err() == nil {
 		err := tail.readNext(ctx)
 		tail.setFailed(ctx, err)
 		if err == nil {
-			retryDelay = minRetryDelay
+			retries.Reset()
 			continue
 		}
-		timer := time.NewTimer(retryDelay/2 + rand.N(retryDelay/2))
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-		}
-		timer.Stop()
-		retryDelay = min(2*retryDelay, maxRetryDelay)
+		retries.Pause(ctx)
 	}
 	return nil
 }
