Test that long runs do not count after the third crash

Cause: says that a task that works for long is not given up for being stopped, and only the same for services was tested. Result: TestLongRunsDoNotCountAfterTheThirdCrash passes, and fails if the rule holds for services alone.

--- a/command/scheduler/evidence_test.go
+++ b/command/scheduler/evidence_test.go
@@ -54,10 +54,15 @@
 
 // endRun starts the task and ends its run in a given way a second later.
 func (crashcell *crashCell) endRun(end almondcross.ChangeConfig) {
+	crashcell.endRunAfter(time.Second, end)
+}
+
+// endRunAfter starts the task and ends its run in a given way after a time at work.
+func (crashcell *crashCell) endRunAfter(worked time.Duration, end almondcross.ChangeConfig) {
 	crashcell.run++
 	end.Kind, end.Task, end.Run, end.Worker = almondcross.ChangeEnd, taskOf("j", 0, 0), crashcell.run, "own-"+strconv.Itoa(crashcell.run)
 	crashcell.apply(almondcross.ChangeConfig{Kind: almondcross.ChangeAssign, Task: end.Task, Run: end.Run, Worker: end.Worker})
-	crashcell.now = crashcell.now.Add(time.Second)
+	crashcell.now = crashcell.now.Add(worked)
 	crashcell.apply(end)
 }
 
@@ -217,6 +222,23 @@
 	}
 }
 
+// Guards against a job that is given up for stops of a task that has worked for long (LOST): a task that crashes its workers does so
+// soon after its starts.
+func TestLongRunsDoNotCountAfterTheThirdCrash(t *testing.T) {
+	for worked, state := range map[time.Duration]almondcross.JobState{
+		crashAttribution: almondcross.JobFailed, crashAttribution + time.Second: almondcross.JobRunning,
+	} {
+		cell := newCrashCell(t, 8)
+		for range 3 {
+			cell.endRun(almondcross.ChangeConfig{End: almondcross.EndMaybeCrashed, Silent: time.Second})
+		}
+		for range 2 {
+			cell.endRunAfter(worked, almondcross.ChangeConfig{End: almondcross.EndStopped})
+		}
+		require.Equal(t, state, cell.state.jobs["j"].state, worked)
+	}
+}
+
 // Guards against a service that is given up for ends that it did not cause (LOST): after three crashes right after its starts, runs
 // that were at work for long do not count. Runs that end soon after their starts do (BUDGET).
 func TestOnlyShortRunsOfAServiceCountAfterTheThirdCrash(t *testing.T) {
