Say what the delays of a retrier are

Cause: MinDelay was described as a maximum, and the value that a random pause does not take was not named. Result: only comments change; the test of retrier passes.

--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -10,14 +10,14 @@
 
 // Config holds the settings of a Retrier.
 type Config struct {
-	MinDelay time.Duration // MinDelay is the maximum pause before the first retry.
-	MaxDelay time.Duration // MaxDelay is the maximum pause before any retry.
+	MinDelay time.Duration // MinDelay is the delay of the first retry, above 1 ns. A pause takes at least half of its delay and less than the whole.
+	MaxDelay time.Duration // MaxDelay is the limit up to which each further delay is twice the one before.
 }
 
 // Retrier paces the retries of one operation; a single goroutine may use it.
 type Retrier struct {
 	config Config
-	delay  time.Duration // delay is the maximum of the next pause.
+	delay  time.Duration // delay is that of the next retry.
 }
 
 // New returns a retrier before its first retry.
@@ -29,7 +29,7 @@
 // Pause waits before the next retry, or until the context ends.
 func (retrier *Retrier) Pause(ctx context.Context) { ring.Pause(ctx, retrier.next()) }
 
-// next returns the next pause, drawn from the upper half of its range so that hosts do not retry at the same time.
+// next returns the next pause, a random one so that hosts do not retry at the same time.
 func (retrier *Retrier) next() time.Duration {
 	half := retrier.delay / 2
 	retrier.delay = min(2*retrier.delay, retrier.config.MaxDelay)
