--- a/bodyreader/bodyreader.go
+++ b/bodyreader/bodyreader.go
@@ -68,8 +68,7 @@
 // segment is a part of a body of unknown length.
 type segment [segmentBytes]byte
 
-// segments holds unused segments. Buffers that grow left so much garbage under clients that send again after each refusal that
-// a host of 184 MB took 165 MB.
+// segments holds unused segments, since buffers that grow with each body would leave several times its size as garbage.
 var segments = sync.Pool{New: func() any { return new(segment) }}
 
 // readChunks reads a body of unknown length in segments, each of which is reserved first, and joins them once it has ended.
--- a/command/submitter/room.go
+++ b/command/submitter/room.go
@@ -55,7 +55,7 @@
 const intakeReadTime = 3 * time.Second
 
 // unread holds the jobs that this host has stored in the intake and that the scheduler may not have read. They are accepted without the
-// scheduler's word that its state has room for them.
+// scheduler's confirmation that its state has room for them.
 type unread struct {
 	parts []unreadPart // parts is sorted by time.
 	bytes int64        // bytes is the sum of all parts.
--- a/integration/soak/fullstate_test.go
+++ b/integration/soak/fullstate_test.go
@@ -45,7 +45,7 @@
 }
 
 // Guards against the violations of TestSoak in a cell whose state is full most of the time: a refused job that runs, an accepted one that
-// is lost, while hosts are killed, paused and cut off, and store jobs without the scheduler's word.
+// is lost, while hosts are killed, paused and cut off, and store jobs without the scheduler's confirmation.
 func TestSoakWithAFullState(t *testing.T) {
 	t.Parallel()
 	for seed := *firstSeed; seed < *firstSeed+uint64(*seedCount); seed++ {
--- a/standin/emulator/jobs.go
+++ b/standin/emulator/jobs.go
@@ -277,7 +277,7 @@
 	}, func(error) { onLost() })
 }
 
-// takeUnread counts a job that is stored without the scheduler's word, and reports false if all hosts together have stored too many since a
+// takeUnread counts a job that is stored without the scheduler's confirmation, and reports false if all hosts together have stored too many since a
 // scheduler has last confirmed one.
 func (simulation *Simulation) takeUnread(job almondcross.Job) bool {
 	limit := simulation.config.StateBytes / 2
