Log how each version of the configuration was read, and how long it was missing

The log had only that a version came into force, so it could not be told whether a watch missed a change, whether the store refused the host, or whether time limits of reads added up.

Change: routes_read has the source of a version (watch, complete read, history), the duration of the read, and the time since the read before was sent. Metrics give the version in force and the time as of which it is confirmed.

--- a/assembler/scheduler.go
+++ b/assembler/scheduler.go
@@ -197,7 +197,7 @@
 		Pointers: almondcross.Partition{Topic: pointerTopic}, Clock: Clock{},
 		Announcements:    almondcross.Partition{Topic: translator.WorkersTopic},
 		Configuration:    almondcross.Partition{Topic: translator.OperatorsTopic},
-		ConfigurationKey: translator.ConfigurationKey, Rejected: counter.RoutesRejected, Large: large.Load,
+		ConfigurationKey: translator.ConfigurationKey, Rejected: counter.RoutesRejected, Confirmed: counter.RoutesConfirmed, Large: large.Load,
 	})
 }
 
@@ -398,6 +398,7 @@
 	Scheduler *scheduler.Duty
 	Servers   *schedulerServers
 	Router    *router.Router
+	Counter   *counter.Counter
 }
 
 // dutyFunc is a function that implements Duty.
@@ -449,5 +450,6 @@
 
 func (schedulerhost schedulerHost) setRoutes(ctx context.Context, table almondcross.RouteTable) {
 	schedulerhost.Router.Set(table)
+	schedulerhost.Counter.RoutesInForce(table.Version())
 	_ = schedulerhost.Rings.messages.Put(ctx, almondcross.NewRoutesRead(almondcross.RoutesReadConfig{Table: table})) // Put fails only when the context has ended.
 }
--- a/command/counter/counter.go
+++ b/command/counter/counter.go
@@ -68,6 +68,16 @@
 // RoutesRejected counts a version of the configuration that cannot be put in force.
 func (counter *Counter) RoutesRejected() { counter.add("almondcross_routes_rejected_total", 1) }
 
+// RoutesConfirmed sets the time as of which the configuration in force on this host is known to be the newest one.
+func (counter *Counter) RoutesConfirmed(at time.Time) {
+	counter.set.GetOrCreateGauge("almondcross_routes_confirmed_timestamp_seconds", nil).Set(float64(at.UnixMilli()) / 1000)
+}
+
+// RoutesInForce sets the version of the configuration in force on this host.
+func (counter *Counter) RoutesInForce(version int64) {
+	counter.set.GetOrCreateGauge("almondcross_routes_version", nil).Set(float64(version))
+}
+
 // RoomRefused counts a job or cancellation of a queue for which the state had no room.
 func (counter *Counter) RoomRefused(queue string) {
 	counter.add(fmt.Sprintf("almondcross_room_refused_total{queue=%q}", queue), 1)
--- a/query/follower/follower.go
+++ b/query/follower/follower.go
@@ -46,6 +46,8 @@
 	ConfigurationKey string
 	// Rejected is called for each version of the configuration that cannot be put in force, nil for no count.
 	Rejected func()
+	// Confirmed is called after each successful read of the configuration with the time at which it was sent, nil for no call.
+	Confirmed func(sentAt time.Time)
 	// Large reports whether the cell is so large that its hosts must not read the configuration at one moment after an outage; nil
 	// for a small cell.
 	Large func() bool
--- a/query/follower/routes.go
+++ b/query/follower/routes.go
@@ -51,36 +51,35 @@
 		almondcross.Text("reason", reason.Error()))
 }
 
+// readSource is how a version of the configuration was read, as it is logged.
+type readSource string
+
+const (
+	sourceWatch    readSource = "watch"    // sourceWatch is a read that waits for changes.
+	sourceComplete readSource = "complete" // sourceComplete is a read of the newest record.
+	sourceHistory  readSource = "history"  // sourceHistory is a read of the records that precede an unreadable one.
+)
+
+// routesReader reads the configuration. It belongs to the duty of Routes.
+type routesReader struct {
+	follower   *Follower
+	next       int64     // next is the offset from which to read changes, negative if the complete configuration has to be read.
+	completeAt time.Time // completeAt is when the complete configuration was last read.
+	// confirmedAt is when the last read that succeeded was sent: every version that is missing here was published later.
+	confirmedAt time.Time
+	failing     bool // failing is set after a failed read.
+	rejected    *rejections
+}
+
 // Routes returns the duty that watches the configuration and calls apply with each newer version of the route table.
 func (follower *Follower) Routes(apply func(ctx context.Context, table almondcross.RouteTable)) Duty {
 	return func(ctx context.Context) error {
-		next, refreshed := int64(-1), time.Time{}
-		rejected := &rejections{log: follower.config.Log, count: follower.config.Rejected, reported: map[int64]struct{}{}}
-		failing := false
+		reader := &routesReader{
+			follower: follower, next: -1, confirmedAt: time.Now(),
+			rejected: &rejections{log: follower.config.Log, count: follower.config.Rejected, reported: map[int64]struct{}{}},
+		}
 		for ctx.Err() == nil {
-			var records []almondcross.KeyedRecord
-			var err error
-			if next < 0 || time.Since(refreshed) > routesRefresh {
-				records, next, err = follower.readNewest(ctx, follower.config.Configuration, readTimeout)
-				refreshed = time.Now()
-			} else {
-				records, next, err = follower.readKeyed(ctx, follower.config.Configuration, next, routesWait)
-			}
-			if failing != (err != nil) {
-				failing = err != nil
-				follower.logRoutesReadState(err, rejected.inForce)
-			}
-			if err != nil {
-				next = -1
-				ring.Pause(ctx, follower.routesPause())
-				continue
-			}
-			table, found := follower.newestTable(records, rejected)
-			if !found && rejected.inForce == 0 && slices.ContainsFunc(records, follower.isConfiguration) {
-				table, found = follower.earlierTable(ctx, rejected)
-			}
-			if found && table.Version() > rejected.inForce {
-				rejected.inForce = table.Version()
+			if table, found := reader.read(ctx); found {
 				apply(ctx, table)
 			}
 		}
@@ -88,6 +87,53 @@
 	}
 }
 
+// read reads once, and returns a route table that is newer than the one in force. It pauses after a failed read.
+func (routesreader *routesReader) read(ctx context.Context) (almondcross.RouteTable, bool) {
+	follower, source, sentAt := routesreader.follower, sourceWatch, time.Now()
+	var records []almondcross.KeyedRecord
+	var err error
+	if routesreader.next < 0 || sentAt.Sub(routesreader.completeAt) > routesRefresh {
+		source = sourceComplete
+		records, routesreader.next, err = follower.readNewest(ctx, follower.config.Configuration, readTimeout)
+		routesreader.completeAt = time.Now()
+	} else {
+		records, routesreader.next, err = follower.readKeyed(ctx, follower.config.Configuration, routesreader.next, routesWait)
+	}
+	if routesreader.failing != (err != nil) {
+		routesreader.failing = err != nil
+		follower.logRoutesReadState(err, routesreader.rejected.inForce)
+	}
+	if err != nil {
+		routesreader.next = -1
+		ring.Pause(ctx, follower.routesPause())
+		return almondcross.RouteTable{}, false
+	}
+	table, found := follower.newestTable(records, routesreader.rejected)
+	if !found && routesreader.rejected.inForce == 0 && slices.ContainsFunc(records, follower.isConfiguration) {
+		source = sourceHistory
+		table, found = follower.earlierTable(ctx, routesreader.rejected)
+	}
+	found = found && table.Version() > routesreader.rejected.inForce
+	if found {
+		routesreader.rejected.inForce = table.Version()
+		routesreader.logVersion(source, sentAt)
+	}
+	routesreader.confirmedAt = sentAt
+	if follower.config.Confirmed != nil {
+		follower.config.Confirmed(sentAt)
+	}
+	return table, found
+}
+
+// logVersion logs that the version in force was read, by a read that was sent at a time. The version may have been published at any time
+// after the read before was sent.
+func (routesreader *routesReader) logVersion(source readSource, sentAt time.Time) {
+	now := time.Now()
+	routesreader.follower.config.Log.Record("routes_read", almondcross.Number("version", routesreader.rejected.inForce),
+		almondcross.Text("source", string(source)), almondcross.Millis("took_ms", now.Sub(sentAt)),
+		almondcross.Millis("unconfirmed_ms", now.Sub(routesreader.confirmedAt)))
+}
+
 // newestTable returns the route table with the highest version among the records that can be decoded.
 func (follower *Follower) newestTable(records []almondcross.KeyedRecord, rejected *rejections) (almondcross.RouteTable, bool) {
 	var newest almondcross.RouteTable
