Send reads of the configuration and of the workers again when they have no answer

Cause: time limits of consecutive reads add up.

Change: a read of the configuration or of the workers that has no answer 0.3 s after its wait is sent a second time, without a wait, and the first answer counts. The wait is 1.0 s. Reads of the workers had the same fault: one without an answer cost 1.5 s, with a bound of 2.5 s for the draining of a worker.

TestUnansweredReadOfTheWorkersIsRepeated fails without the repetition.

--- a/query/follower/follower.go
+++ b/query/follower/follower.go
@@ -56,12 +56,15 @@
 // Follower returns the duties that read the store. Each duty may run in its own goroutine.
 type Follower struct {
 	config         Config
+	hedged         almondcross.StoreReader // hedged reads what must be known in time on this host alone: the configuration and the workers.
 	decodeFailures *decodeFailures
 }
 
 // New returns a follower.
 func New(config Config) *Follower {
-	return &Follower{config: config, decodeFailures: newDecodeFailures(config.Log, config.Clock)}
+	return &Follower{
+		config: config, hedged: hedgedReader{config.Reader}, decodeFailures: newDecodeFailures(config.Log, config.Clock),
+	}
 }
 
 // Journal returns the duty that handles queries for the journal.
@@ -71,7 +74,7 @@
 			return
 		}
 		read := almondcross.JournalReadConfig{From: query.From(), Next: query.From()}
-		records, err := follower.read(ctx, follower.config.Journal, query.From(), query.Wait())
+		records, err := readFrom(ctx, follower.config.Reader, follower.config.Journal, query.From(), query.Wait())
 		if err != nil {
 			read.Err, read.Next = err, records.First()
 		} else {
@@ -90,7 +93,7 @@
 		}
 		partition := almondcross.Partition{Topic: follower.config.Intake, Number: query.Partition()}
 		read := almondcross.IntakeReadConfig{Partition: query.Partition(), From: query.From(), Next: query.From()}
-		records, err := follower.read(ctx, partition, query.From(), query.Wait())
+		records, err := readFrom(ctx, follower.config.Reader, partition, query.From(), query.Wait())
 		if err != nil {
 			read.Err = err
 			read.Next = max(read.Next, records.First())
@@ -111,7 +114,7 @@
 			return
 		}
 		var read almondcross.SnapshotReadConfig
-		records, _, err := follower.readNewest(ctx, follower.config.Snapshots, snapshotTimeout)
+		records, _, err := readNewest(ctx, follower.config.Reader, follower.config.Snapshots, snapshotTimeout)
 		for _, record := range records {
 			if len(record.Value()) > 0 {
 				read.Keys = append(read.Keys, record.Key())
@@ -142,7 +145,7 @@
 		var err error
 		if query.From() < 0 {
 			read.Complete = true
-			records, read.Next, err = follower.readNewest(ctx, partition, readTimeout)
+			records, read.Next, err = readNewest(ctx, follower.hedged, partition, readTimeout)
 		} else {
 			records, read.Next, err = follower.readKeyed(ctx, partition, query.From(), 0)
 		}
@@ -167,7 +170,7 @@
 func (follower *Follower) readKeyed(
 	ctx context.Context, partition almondcross.Partition, from int64, wait time.Duration,
 ) ([]almondcross.KeyedRecord, int64, error) {
-	records, err := follower.read(ctx, partition, from, wait)
+	records, err := readFrom(ctx, follower.hedged, partition, from, wait)
 	if err != nil {
 		return nil, from, err
 	}
@@ -183,21 +186,23 @@
 	return keyed, from + int64(len(records.Records())), nil
 }
 
-func (follower *Follower) read(
-	ctx context.Context, partition almondcross.Partition, from int64, wait time.Duration,
+func readFrom(
+	ctx context.Context, reader almondcross.StoreReader, partition almondcross.Partition, from int64, wait time.Duration,
 ) (almondcross.StoreRecords, error) {
 	readCtx, cancel := context.WithTimeout(ctx, wait+readTimeout)
 	defer cancel()
-	records, err := follower.config.Reader.Read(readCtx, almondcross.NewStoreRead(almondcross.StoreReadConfig{
+	records, err := reader.Read(readCtx, almondcross.NewStoreRead(almondcross.StoreReadConfig{
 		Partition: partition, From: from, Wait: wait, MaxKB: readKB,
 	}))
 	return records, errors.Trace(err)
 }
 
-func (follower *Follower) readNewest(ctx context.Context, partition almondcross.Partition, timeout time.Duration) ([]almondcross.KeyedRecord, int64, error) {
+func readNewest(
+	ctx context.Context, reader almondcross.StoreReader, partition almondcross.Partition, timeout time.Duration,
+) ([]almondcross.KeyedRecord, int64, error) {
 	readCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	records, end, err := follower.config.Reader.Newest(readCtx, partition)
+	records, end, err := reader.Newest(readCtx, partition)
 	return records, end, errors.Trace(err)
 }
 
--- a/query/follower/pointer.go
+++ b/query/follower/pointer.go
@@ -53,7 +53,7 @@
 // readStoredPointer reads the pointer from the store.
 func (follower *Follower) readStoredPointer(ctx context.Context) almondcross.PointerReadConfig {
 	started := follower.config.Clock.Now()
-	records, _, err := follower.readNewest(ctx, follower.config.Pointers, readTimeout)
+	records, _, err := readNewest(ctx, follower.config.Reader, follower.config.Pointers, readTimeout)
 	if err != nil {
 		return almondcross.PointerReadConfig{Err: err}
 	}
--- a/query/follower/routes.go
+++ b/query/follower/routes.go
@@ -13,9 +13,10 @@
 )
 
 const (
-	// routesWait is how long a read of the configuration waits for a change. A read may miss changes made
-	// while it waits, so the wait is short compared with the time in which a change must take effect.
-	routesWait = 1300 * time.Millisecond
+	// routesWait is how long a read of the configuration waits for a change. The store leaves some reads waiting although
+	// a change was made. The waits of such a read and of a next one without an answer, and hedgeDelay, must together be
+	// shorter than the time in which a change has to be in force, 2.5 s.
+	routesWait = time.Second
 	// routesRetry is the delay after a failed read.
 	routesRetry = 150 * time.Millisecond
 	// routesSpread is the longest time by which the hosts of a large cell draw out that delay. An outage ends the reads of all hosts at
@@ -94,7 +95,7 @@
 	var err error
 	if routesreader.next < 0 || sentAt.Sub(routesreader.completeAt) > routesRefresh {
 		source = sourceComplete
-		records, routesreader.next, err = follower.readNewest(ctx, follower.config.Configuration, readTimeout)
+		records, routesreader.next, err = readNewest(ctx, follower.hedged, follower.config.Configuration, readTimeout)
 		routesreader.completeAt = time.Now()
 	} else {
 		records, routesreader.next, err = follower.readKeyed(ctx, follower.config.Configuration, routesreader.next, routesWait)
@@ -151,7 +152,7 @@
 func (follower *Follower) earlierTable(ctx context.Context, rejected *rejections) (almondcross.RouteTable, bool) {
 	partition := follower.config.Configuration
 	oldest := int64(0)
-	if records, err := follower.read(ctx, partition, 0, 0); errors.Is(err, almondcross.ErrStoreTrimmed) {
+	if records, err := readFrom(ctx, follower.config.Reader, partition, 0, 0); errors.Is(err, almondcross.ErrStoreTrimmed) {
 		oldest = records.First()
 	}
 	var newest almondcross.RouteTable
--- a/query/follower/routesread_test.go
+++ b/query/follower/routesread_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,8 +21,8 @@
 // faultyStore publishes version 2 just after the first waiting read was sent. That read misses it, and the next one is not answered.
 type faultyStore struct {
 	t         *testing.T
-	reads     int
-	published time.Time
+	reads     atomic.Int64
+	published atomic.Pointer[time.Time]
 }
 
 // record returns the stored record of a version, whose offset is one less.
@@ -32,18 +33,18 @@
 }
 
 func (faultystore *faultyStore) newest() int64 {
-	if faultystore.published.IsZero() {
+	if faultystore.published.Load() == nil {
 		return 1
 	}
 	return 2
 }
 
 func (faultystore *faultyStore) Read(ctx context.Context, query almondcross.StoreRead) (almondcross.StoreRecords, error) {
-	faultystore.reads++
 	read := almondcross.StoreRecordsConfig{From: query.From(), End: query.From()}
-	switch faultystore.reads {
+	switch faultystore.reads.Add(1) {
 	case 1:
-		faultystore.published = time.Now()
+		now := time.Now()
+		faultystore.published.Store(&now)
 		time.Sleep(query.Wait()) //nolint:forbidigo // The wait of the read, in virtual time.
 		return almondcross.NewStoreRecords(read), nil
 	case 2:
@@ -81,6 +82,32 @@
 			}
 		})(ctx))
 		require.False(t, inForce.IsZero())
-		require.LessOrEqual(t, inForce.Sub(store.published), applyBound)
+		require.LessOrEqual(t, inForce.Sub(*store.published.Load()), applyBound)
+	})
+}
+
+// silentStore leaves the first read of the newest records without an answer.
+type silentStore struct {
+	faultyStore
+	silenced atomic.Bool
+}
+
+func (silentstore *silentStore) Newest(ctx context.Context, partition almondcross.Partition) ([]almondcross.KeyedRecord, int64, error) {
+	if silentstore.silenced.CompareAndSwap(false, true) {
+		<-ctx.Done()
+		return nil, 0, almondcross.ErrStoreRefused
+	}
+	return silentstore.faultyStore.Newest(ctx, partition)
+}
+
+// Guards against a scheduler that learns late which workers drain, because a single read of the workers has no answer.
+func TestUnansweredReadOfTheWorkersIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		started := time.Now()
+		read := ask[almondcross.WorkersQuery, almondcross.WorkersRead](t, follower.Config{
+			Reader: &silentStore{}, WorkerCodec: translator.Codec{}, Log: discardLog{},
+		}, (*follower.Follower).Workers, almondcross.NewWorkersQuery(almondcross.WorkersQueryConfig{From: -1}))
+		require.NoError(t, read.Err())
+		require.Less(t, time.Since(started), 500*time.Millisecond)
 	})
 }
