Replicate the configuration between linked hosts

Cause: single source. Each host learned of a version by its own reads of the store alone. A host that the store refuses, while it serves the operator and the other hosts, kept its version for as long as it was refused, beside open links to hosts that had the newer one. One missed read was made up for only by the next one.

Change: linked hosts tell one another which version is in force, and the one with the older version asks for the newer (command/replicator, a duty of its own; docs/design/configuration.md). The reader of the store no longer waits for the ring of the scheduler duty. Hosts of earlier versions are sent nothing.

Two tests took the fault for granted and are replaced by stricter checks: TestWorkspacesSoak required that a host that the store does not answer accepts a revoked key, and requires the contrary now; TestHostsReadRoutesByThemselves required that hosts lag for 0.3 s and may for 2.5 s, and requires a lag after 0.1 s, as the model must still have one, and none after 1 s. The emulator has the messages on its links; its new test fails with host-0 at version 1 when they are dropped.

--- a/assembler/scheduler.go
+++ b/assembler/scheduler.go
@@ -24,6 +24,7 @@
 	"github.com/almondcross/almondcross/command/executor"
 	"github.com/almondcross/almondcross/command/recorder"
 	"github.com/almondcross/almondcross/command/relayer"
+	"github.com/almondcross/almondcross/command/replicator"
 	"github.com/almondcross/almondcross/command/scheduler"
 	"github.com/almondcross/almondcross/command/submitter"
 	"github.com/almondcross/almondcross/configurator"
@@ -69,6 +70,8 @@
 	requestRingCapacity = 4
 	// adviceRingCapacity is enough for the calls of the scheduler and those of an earlier one.
 	adviceRingCapacity = 2 * almondcross.AdviceCallsPerHost
+	// routesRingCapacity bounds the messages about the configuration that wait. Each linked host sends a few for each version.
+	routesRingCapacity = 1024
 	// executorRingCapacity bounds the messages with orders of the scheduler, and the answers to them, that wait on the
 	// host that relays them.
 	executorRingCapacity = 1024
@@ -115,7 +118,7 @@
 			func() logrus.FieldLogger { return newLogger(configurator.LogJSON) },
 			func() *largeCell { return new(largeCell) },
 			metrics.NewSet, NewDuties, encoder.NewCodec, client.New, jobfinder.New, router.New, counter.New, counter.NewLinks,
-			newRecorder, newSchedulerRings, newFollower, newCommitter, newRelayer, newExecutor, newAsker, newHub, newDialer, newUplink, newViewDialer, newViewLinks, newSubmitter,
+			newRecorder, newSchedulerRings, newFollower, newCommitter, newRelayer, newExecutor, newAsker, newHub, newDialer, newUplink, newViewDialer, newViewLinks, connector.NewRouteLinks, newReplicator, newSubmitter,
 			newSchedulerMachine, newVersioner, newScheduler, newSchedulerLimits, newSchedulerServers,
 		),
 		fx.Invoke(runScheduler),
@@ -147,6 +150,7 @@
 	stored           *ring.Ring[almondcross.IntakeStored]
 	relayed          *ring.Ring[almondcross.RelayMessage]
 	orders           *ring.Ring[executor.Request]
+	routes           *ring.Ring[almondcross.RoutesMessage]
 	orderAnswers     *ring.Ring[almondcross.SchedulerMessage]
 }
 
@@ -168,6 +172,7 @@
 	}
 	rings.viewRelays = ring.New[almondcross.ViewRelayLink](ring.Config{Name: "view_relays", Capacity: schedulerChangesRingCapacity, Metrics: set})
 	rings.relayed = ring.New[almondcross.RelayMessage](ring.Config{Name: "relayed", Capacity: schedulerRingCapacity, Metrics: set})
+	rings.routes = ring.New[almondcross.RoutesMessage](ring.Config{Name: "routes", Capacity: routesRingCapacity, Metrics: set})
 	rings.orders = ring.New[executor.Request](ring.Config{Name: "orders", Capacity: executorRingCapacity, Metrics: set})
 	rings.orderAnswers = ring.New[almondcross.SchedulerMessage](ring.Config{Name: "order_answers", Capacity: executorRingCapacity, Metrics: set})
 	for range settings.StorePartitions() {
@@ -251,7 +256,7 @@
 ) *connector.Hub {
 	return connector.NewHub(connector.HubConfig{
 		Host: settings.Name(), Local: localAdviceQueries{rings}, Codec: codec, Pointers: codec, Sink: rings.messages, Clock: Clock{}, Log: log,
-		Stored: rings.offerStored, Relay: rings.relayed, Frames: limits.frames, Meter: links,
+		Stored: rings.offerStored, Relay: rings.relayed, Routes: rings.routes, Frames: limits.frames, Meter: links,
 	})
 }
 
@@ -261,7 +266,7 @@
 ) *connector.Dialer {
 	return connector.NewDialer(connector.DialerConfig{
 		Host: settings.Name(), DataCentre: settings.DataCentre(), Address: settings.LinkListen(), Format: machine.Format(), StateBytes: planLimits(settings).StateBytes(), Codec: codec, Queries: rings.advice,
-		Executor: executor, Sink: rings.messages, Log: log,
+		Executor: executor, Sink: rings.messages, Routes: rings.routes, Log: log,
 		Stored: rings.offerStored, Clock: Clock{}, Meter: links,
 	})
 }
@@ -278,6 +283,26 @@
 	return connector.NewViewLinks(hub, dialer, rings.viewRelays)
 }
 
+func newReplicator(
+	rings schedulerRings, links *connector.RouteLinks, router *router.Router, counter *counter.Counter, log *recorder.Recorder,
+) *replicator.Duty {
+	return replicator.NewDuty(replicator.DutyConfig{
+		Ring: rings.routes, Clock: Clock{},
+		Machine: replicator.NewMachine(replicator.Config{
+			Decoder: translator.Codec{}, Links: links, Scheduler: rings.messages, Log: log,
+			SetRoutes: func(table almondcross.RouteTable) {
+				router.Set(table)
+				counter.RoutesInForce(table.Version())
+			},
+		}),
+	})
+}
+
+// putRoutes passes a version of the configuration from the store to the replicator.
+func (schedulerrings schedulerRings) putRoutes(ctx context.Context, record almondcross.RoutesRecord) {
+	_ = schedulerrings.routes.Put(ctx, almondcross.NewRoutesStored(almondcross.RoutesStoredConfig{Record: record})) // Put fails only when the context has ended.
+}
+
 // offerStored passes the confirmation of a forwarded intake to the submitter. A confirmation is dropped if the ring
 // is full; this host then stores the intake itself.
 func (schedulerrings schedulerRings) offerStored(stored almondcross.IntakeStored) {
@@ -382,23 +407,22 @@
 type schedulerHost struct {
 	fx.In
 
-	Settings  configurator.SchedulerSettings
-	Path      settingsPath
-	Duties    *Duties
-	Rings     schedulerRings
-	Log       *recorder.Recorder
-	Follower  *follower.Follower
-	Committer *committer.Committer
-	Asker     *asker.Asker
-	Dialer    *connector.Dialer
-	Views     *connector.ViewDialer
-	Relayer   *relayer.Relayer
-	Executor  *executor.Executor
-	Submitter *submitter.Submitter
-	Scheduler *scheduler.Duty
-	Servers   *schedulerServers
-	Router    *router.Router
-	Counter   *counter.Counter
+	Settings   configurator.SchedulerSettings
+	Path       settingsPath
+	Duties     *Duties
+	Rings      schedulerRings
+	Log        *recorder.Recorder
+	Follower   *follower.Follower
+	Committer  *committer.Committer
+	Asker      *asker.Asker
+	Dialer     *connector.Dialer
+	Views      *connector.ViewDialer
+	Relayer    *relayer.Relayer
+	Executor   *executor.Executor
+	Submitter  *submitter.Submitter
+	Scheduler  *scheduler.Duty
+	Servers    *schedulerServers
+	Replicator *replicator.Duty
 }
 
 // dutyFunc is a function that implements Duty.
@@ -426,7 +450,8 @@
 		NamedDuty{"account writer", dutyFunc(func(ctx context.Context) error { return schedulerhost.Committer.RunUsage(ctx, rings.usageWrites) })},
 		NamedDuty{"snapshot reader", schedulerhost.Follower.Snapshot(rings.snapshotReads)},
 		NamedDuty{"workers reader", schedulerhost.Follower.Workers(rings.workerReads)},
-		NamedDuty{"routes reader", schedulerhost.Follower.Routes(schedulerhost.setRoutes)},
+		NamedDuty{"routes reader", schedulerhost.Follower.Routes(rings.putRoutes)},
+		NamedDuty{"routes replicator", schedulerhost.Replicator},
 		NamedDuty{"committer", dutyFunc(func(ctx context.Context) error { return schedulerhost.Committer.RunJournal(ctx, rings.journalCommits) })},
 		NamedDuty{"snapshot writer", dutyFunc(func(ctx context.Context) error { return schedulerhost.Committer.RunSnapshots(ctx, rings.newSnapshots) })},
 		NamedDuty{"relayer", schedulerhost.Relayer},
@@ -447,9 +472,3 @@
 		almondcross.Text("listen", schedulerhost.Settings.CallersListen()), almondcross.Text("store", schedulerhost.Settings.StoreAddress()))
 	return nil
 }
-
-func (schedulerhost schedulerHost) setRoutes(ctx context.Context, table almondcross.RouteTable) {
-	schedulerhost.Router.Set(table)
-	schedulerhost.Counter.RoutesInForce(table.Version())
-	_ = schedulerhost.Rings.messages.Put(ctx, almondcross.NewRoutesRead(almondcross.RoutesReadConfig{Table: table})) // Put fails only when the context has ended.
-}
--- a/command/connector/acceptedlink.go
+++ b/command/connector/acceptedlink.go
@@ -18,7 +18,7 @@
 // handle handles a message of the other host. A link for views brings nothing after its greeting.
 func (acceptedlink *acceptedLink) handle(message almondcross.LinkMessage) {
 	hub, request := acceptedlink.hub, acceptedlink.request
-	if acceptedlink.viewer != 0 {
+	if acceptedlink.viewer != 0 || passRoutes(request.Context(), hub.config.Routes, acceptedlink.end(), message) {
 		return
 	}
 	switch message := message.(type) {
@@ -32,6 +32,9 @@
 			Host: acceptedlink.host, Present: true, Strength: message.Strength(), Address: message.Address(), DataCentre: message.DataCentre(),
 			ViewFormat: message.ViewFormat(), SchedulerEpoch: message.SchedulerEpoch(), Format: message.Format(), StateBytes: message.StateBytes(), Ends: message.Ends(),
 		}))
+		if message.RoutesFormat() > 0 {
+			offerRoutesLink(hub.config.Routes, acceptedlink.end(), true)
+		}
 	case almondcross.ViewerHello:
 		if acceptedlink.host != "" || message.Host() == "" {
 			return
@@ -52,11 +55,17 @@
 	}
 }
 
-// end reports the end of the link.
-func (acceptedlink *acceptedLink) end() {
+// end returns the other end of a link that is not for views.
+func (acceptedlink *acceptedLink) end() almondcross.LinkEnd {
+	return almondcross.LinkEnd{Host: acceptedlink.host}
+}
+
+// close reports the end of the link.
+func (acceptedlink *acceptedLink) close() {
 	hub := acceptedlink.hub
 	if host := acceptedlink.host; host != "" && hub.replaceSession(host, acceptedlink.session, nil) {
 		hub.notifyLinkChanged(acceptedlink.request, almondcross.NewHostLinkChanged(almondcross.HostLinkChangedConfig{Host: host}))
+		offerRoutesLink(hub.config.Routes, acceptedlink.end(), false)
 	}
 	if link := acceptedlink.viewer; link != 0 {
 		replaceIn(&hub.viewers, link, acceptedlink.session, nil)
--- a/command/connector/dialer.go
+++ b/command/connector/dialer.go
@@ -40,7 +40,8 @@
 	Queries    almondcross.Sink[asker.Request] // Queries receives the queries of the scheduler.
 	Executor   almondcross.OrderExecutor       // Executor executes the scheduler's orders.
 	Sink       almondcross.Sink[almondcross.SchedulerMessage]
-	Stored     func(stored almondcross.IntakeStored) // Stored is called with each answer to a forwarded intake.
+	Routes     almondcross.Sink[almondcross.RoutesMessage] // Routes receives what replicates the configuration, and the links for it.
+	Stored     func(stored almondcross.IntakeStored)       // Stored is called with each answer to a forwarded intake.
 	Log        almondcross.EventLog
 	Clock      almondcross.Clock
 	Meter      almondcross.LinkMeter // Meter counts the messages on links, nil for no counting.
@@ -107,13 +108,18 @@
 	session := newSession(connection, dialer.config.Codec, nil, dialer.config.Meter)
 	session.offer(almondcross.NewHostHello(almondcross.HostHelloConfig{
 		Host: dialer.config.Host, Strength: scheduler.Strength, Address: dialer.config.Address, DataCentre: dialer.config.DataCentre,
-		ViewFormat: almondcross.ViewFormat, SchedulerEpoch: scheduler.Epoch, Format: dialer.config.Format, StateBytes: dialer.config.StateBytes, Ends: scheduler.Ends,
+		ViewFormat: almondcross.ViewFormat, RoutesFormat: almondcross.RoutesFormat, SchedulerEpoch: scheduler.Epoch, Format: dialer.config.Format, StateBytes: dialer.config.StateBytes, Ends: scheduler.Ends,
 	}))
 	link := dialer.lastLink.Add(1)
 	defer dialer.config.Executor.Abandon(link)
 	dialer.current.Store(session)
 	defer dialer.current.CompareAndSwap(session, nil)
+	end := almondcross.LinkEnd{Host: scheduler.Host, Uplink: true}
+	defer offerRoutesLink(dialer.config.Routes, end, false)
 	return session.run(ctx, func(message almondcross.LinkMessage) {
+		if passRoutes(ctx, dialer.config.Routes, end, message) {
+			return
+		}
 		switch message := message.(type) {
 		case almondcross.AdviceQuery:
 			dialer.enqueueQuery(ctx, session, message)
--- a/command/connector/hub.go
+++ b/command/connector/hub.go
@@ -26,6 +26,8 @@
 	Sink     almondcross.Sink[almondcross.SchedulerMessage]
 	// Relay receives the answers to relayed orders and the changes of links.
 	Relay almondcross.Sink[almondcross.RelayMessage]
+	// Routes receives what replicates the configuration, and the links for it.
+	Routes almondcross.Sink[almondcross.RoutesMessage]
 	// Frames limits the bytes of the large messages that all links are reading, nil for no limit.
 	Frames almondcross.Limiter
 	Clock  almondcross.Clock
@@ -166,7 +168,7 @@
 	}
 	link := &acceptedLink{hub: hub, request: request, session: newSession(connection, hub.config.Codec, hub.config.Frames, hub.config.Meter)}
 	err = link.session.run(request.Context(), link.handle)
-	link.end()
+	link.close()
 	hub.config.Log.Record("link_closed", almondcross.Text("adviser", link.host), almondcross.Text("reason", err.Error()))
 }
 
--- /dev/null
+++ b/command/connector/routelinks.go
@@ -0,0 +1,52 @@
+package connector
+
+import (
+	"context"
+
+	"github.com/almondcross/almondcross"
+)
+
+// RouteLinks implements almondcross.RoutesLinker over the links of a host.
+type RouteLinks struct {
+	hub    *Hub
+	dialer *Dialer
+}
+
+// NewRouteLinks returns the links of a hub and of a dialer to the scheduler's host.
+func NewRouteLinks(hub *Hub, dialer *Dialer) *RouteLinks {
+	return &RouteLinks{hub: hub, dialer: dialer}
+}
+
+// SendRoutes queues a message for the other end of a link. It returns false if there is no such link or its queue is full.
+func (routelinks *RouteLinks) SendRoutes(end almondcross.LinkEnd, message almondcross.LinkMessage) bool {
+	if end.Uplink {
+		session := routelinks.dialer.current.Load()
+		return session != nil && session.offer(message)
+	}
+	session := (*routelinks.hub.sessions.Load())[end.Host]
+	return session != nil && session.offer(message)
+}
+
+// passRoutes passes a link message that replicates the configuration to the duty for it, with the end that sent it. It reports whether
+// it is such a message.
+func passRoutes(ctx context.Context, sink almondcross.Sink[almondcross.RoutesMessage], end almondcross.LinkEnd, message almondcross.LinkMessage) bool {
+	var received almondcross.RoutesMessage
+	switch message := message.(type) {
+	case almondcross.RoutesKnown:
+		received = message.WithEnd(end)
+	case almondcross.RoutesWanted:
+		received = message.WithEnd(end)
+	case almondcross.RoutesSent:
+		received = message.WithEnd(end)
+	default:
+		return false
+	}
+	_ = sink.Put(ctx, received) // Put fails only when the context has ended.
+	return true
+}
+
+// offerRoutesLink reports that a link was opened or has ended. Without room, the duty goes on with the earlier state of the link, and the
+// next link of the host replaces it.
+func offerRoutesLink(sink almondcross.Sink[almondcross.RoutesMessage], end almondcross.LinkEnd, present bool) {
+	sink.Offer(almondcross.NewRoutesLinkChanged(almondcross.RoutesLinkChangedConfig{End: end, Present: present}))
+}
--- a/encoder/link.go
+++ b/encoder/link.go
@@ -26,6 +26,9 @@
 	linkViewNumber    = "view_number"
 	linkViewsMissed   = "views_missed"
 	linkViewerHello   = "viewer_hello"
+	linkRoutesKnown   = "routes_known"
+	linkRoutesWanted  = "routes_wanted"
+	linkRoutes        = "routes"
 )
 
 type wireAssign struct {
@@ -140,12 +143,15 @@
 	Format         int               `cbor:"format,omitempty"`
 
 	StateBytes int64 `cbor:"state_bytes,omitempty"`
+
+	RoutesFormat int `cbor:"routes_format,omitempty"`
 }
 
 func toHello(hello almondcross.HostHello) wireLinkHello {
 	wire := wireLinkHello{
 		Host: hello.Host(), Strength: hello.Strength(), Address: hello.Address(), DataCentre: hello.DataCentre(), ViewFormat: hello.ViewFormat(),
 		SchedulerEpoch: hello.SchedulerEpoch(), Format: hello.Format(), StateBytes: hello.StateBytes(),
+		RoutesFormat: hello.RoutesFormat(),
 	}
 	for _, end := range hello.Ends() {
 		wire.Ends = append(wire.Ends, toChange(end))
@@ -160,6 +166,7 @@
 	config := almondcross.HostHelloConfig{
 		Host: wirelinkhello.Host, Strength: wirelinkhello.Strength, Address: wirelinkhello.Address, DataCentre: wirelinkhello.DataCentre,
 		ViewFormat: wirelinkhello.ViewFormat, SchedulerEpoch: wirelinkhello.SchedulerEpoch, Format: wirelinkhello.Format, StateBytes: max(wirelinkhello.StateBytes, 0),
+		RoutesFormat: wirelinkhello.RoutesFormat,
 	}
 	for _, wire := range wirelinkhello.Ends {
 		end, err := wire.value()
@@ -231,6 +238,8 @@
 		return codec.encodeEnvelope(linkIntakeStored, wireIntakeStored{
 			Number: message.Number(), Taken: message.Taken(), RefusedMS: message.RefusedFor().Milliseconds(),
 		})
+	case almondcross.RoutesKnown, almondcross.RoutesWanted, almondcross.RoutesSent:
+		return codec.encodeRoutes(message)
 	default:
 		return codec.encodeViewRelaying(message)
 	}
@@ -278,6 +287,8 @@
 		return almondcross.NewIntakeStored(almondcross.IntakeStoredConfig{
 			Number: wire.Number, Taken: wire.Taken, RefusedFor: milliseconds(wire.RefusedMS),
 		}), nil
+	case linkRoutesKnown, linkRoutesWanted, linkRoutes:
+		return codec.decodeRoutes(envelope)
 	default:
 		return codec.decodeViewRelaying(envelope)
 	}
--- a/linking.go
+++ b/linking.go
@@ -23,6 +23,9 @@
 	LinkViewNumbers      LinkKind = "view_number"    // LinkViewNumbers is a ViewsNumbered.
 	LinkViewsMissed      LinkKind = "views_missed"   // LinkViewsMissed is a ViewsMissed.
 	LinkViewerHello      LinkKind = "viewer_hello"   // LinkViewerHello is a ViewerHello.
+	LinkRoutesKnown      LinkKind = "routes_known"   // LinkRoutesKnown is a RoutesKnown.
+	LinkRoutesWanted     LinkKind = "routes_wanted"  // LinkRoutesWanted is a RoutesWanted.
+	LinkRoutes           LinkKind = "routes"         // LinkRoutes is a RoutesSent.
 	LinkUnknown          LinkKind = "unknown"        // LinkUnknown is a message that cannot be decoded.
 )
 
@@ -30,7 +33,8 @@
 func LinkKinds() []LinkKind {
 	return []LinkKind{
 		LinkHello, LinkAssigned, LinkPeers, LinkBatches, LinkAllViews, LinkViews, LinkOrders, LinkOrderAnswers, LinkAdviceQuery,
-		LinkAdviceAnswer, LinkIntakesForwarded, LinkIntakesStored, LinkViewsAssigned, LinkViewNumbers, LinkViewsMissed, LinkViewerHello, LinkUnknown,
+		LinkAdviceAnswer, LinkIntakesForwarded, LinkIntakesStored, LinkViewsAssigned, LinkViewNumbers, LinkViewsMissed, LinkViewerHello,
+		LinkRoutesKnown, LinkRoutesWanted, LinkRoutes, LinkUnknown,
 	}
 }
 
@@ -79,6 +83,19 @@
 	case ViewerHello:
 		return LinkViewerHello
 	}
+	return kindOfRoutesLink(message)
+}
+
+// kindOfRoutesLink is the part of KindOfLink for the messages that replicate the configuration.
+func kindOfRoutesLink(message LinkMessage) LinkKind {
+	switch message.(type) {
+	case RoutesKnown:
+		return LinkRoutesKnown
+	case RoutesWanted:
+		return LinkRoutesWanted
+	case RoutesSent:
+		return LinkRoutes
+	}
 	return LinkUnknown
 }
 
--- a/query/follower/routes.go
+++ b/query/follower/routes.go
@@ -32,7 +32,7 @@
 type rejections struct {
 	log      almondcross.EventLog
 	count    func()             // count is called for each of them, nil for none.
-	inForce  int64              // inForce is the version in force, 0 for none.
+	inForce  int64              // inForce is the highest version that was read, 0 for none.
 	reported map[int64]struct{} // reported holds the offsets of the reported records.
 }
 
@@ -72,24 +72,24 @@
 	rejected    *rejections
 }
 
-// Routes returns the duty that watches the configuration and calls apply with each newer version of the route table.
-func (follower *Follower) Routes(apply func(ctx context.Context, table almondcross.RouteTable)) Duty {
+// Routes returns the duty that watches the configuration and calls apply with each newer version.
+func (follower *Follower) Routes(apply func(ctx context.Context, record almondcross.RoutesRecord)) Duty {
 	return func(ctx context.Context) error {
 		reader := &routesReader{
 			follower: follower, next: -1, confirmedAt: time.Now(),
 			rejected: &rejections{log: follower.config.Log, count: follower.config.Rejected, reported: map[int64]struct{}{}},
 		}
 		for ctx.Err() == nil {
-			if table, found := reader.read(ctx); found {
-				apply(ctx, table)
+			if record, found := reader.read(ctx); found {
+				apply(ctx, record)
 			}
 		}
 		return nil
 	}
 }
 
-// read reads once, and returns a route table that is newer than the one in force. It pauses after a failed read.
-func (routesreader *routesReader) read(ctx context.Context) (almondcross.RouteTable, bool) {
+// read reads once, and returns a version that is newer than those read before. It pauses after a failed read.
+func (routesreader *routesReader) read(ctx context.Context) (almondcross.RoutesRecord, bool) {
 	follower, source, sentAt := routesreader.follower, sourceWatch, time.Now()
 	var records []almondcross.KeyedRecord
 	var err error
@@ -107,26 +107,26 @@
 	if err != nil {
 		routesreader.next = -1
 		ring.Pause(ctx, follower.routesPause())
-		return almondcross.RouteTable{}, false
+		return almondcross.RoutesRecord{}, false
 	}
-	table, found := follower.newestTable(records, routesreader.rejected)
+	newest, found := follower.newestVersion(records, routesreader.rejected)
 	if !found && routesreader.rejected.inForce == 0 && slices.ContainsFunc(records, follower.isConfiguration) {
 		source = sourceHistory
-		table, found = follower.earlierTable(ctx, routesreader.rejected)
+		newest, found = follower.earlierVersion(ctx, routesreader.rejected)
 	}
-	found = found && table.Version() > routesreader.rejected.inForce
+	found = found && newest.Table().Version() > routesreader.rejected.inForce
 	if found {
-		routesreader.rejected.inForce = table.Version()
+		routesreader.rejected.inForce = newest.Table().Version()
 		routesreader.logVersion(source, sentAt)
 	}
 	routesreader.confirmedAt = sentAt
 	if follower.config.Confirmed != nil {
 		follower.config.Confirmed(sentAt)
 	}
-	return table, found
+	return newest, found
 }
 
-// logVersion logs that the version in force was read, by a read that was sent at a time. The version may have been published at any time
+// logVersion logs that a version was read, by a read that was sent at a time. The version may have been published at any time
 // after the read before was sent.
 func (routesreader *routesReader) logVersion(source readSource, sentAt time.Time) {
 	now := time.Now()
@@ -135,35 +135,35 @@
 		almondcross.Millis("unconfirmed_ms", now.Sub(routesreader.confirmedAt)))
 }
 
-// newestTable returns the route table with the highest version among the records that can be decoded.
-func (follower *Follower) newestTable(records []almondcross.KeyedRecord, rejected *rejections) (almondcross.RouteTable, bool) {
-	var newest almondcross.RouteTable
+// newestVersion returns the highest version among the records that can be decoded.
+func (follower *Follower) newestVersion(records []almondcross.KeyedRecord, rejected *rejections) (almondcross.RoutesRecord, bool) {
+	var newest almondcross.RoutesRecord
 	found := false
 	for _, record := range records {
-		if table, ok := follower.decodeTable(record, rejected); ok && (!found || table.Version() > newest.Version()) {
-			newest, found = table, true
+		if decoded, ok := follower.decodeRoutes(record, rejected); ok && (!found || decoded.Table().Version() > newest.Table().Version()) {
+			newest, found = decoded, true
 		}
 	}
 	return newest, found
 }
 
-// earlierTable returns the newest route table in the records that precede an unreadable one. A host without any route
+// earlierVersion returns the highest version in the records that precede an unreadable one. A host without any route
 // table could not serve callers until operators publish the next version.
-func (follower *Follower) earlierTable(ctx context.Context, rejected *rejections) (almondcross.RouteTable, bool) {
+func (follower *Follower) earlierVersion(ctx context.Context, rejected *rejections) (almondcross.RoutesRecord, bool) {
 	partition := follower.config.Configuration
 	oldest := int64(0)
 	if records, err := readFrom(ctx, follower.config.Reader, partition, 0, 0); errors.Is(err, almondcross.ErrStoreTrimmed) {
 		oldest = records.First()
 	}
-	var newest almondcross.RouteTable
+	var newest almondcross.RoutesRecord
 	found := false
 	for next := oldest; ; {
 		records, after, err := follower.readKeyed(ctx, partition, next, 0)
 		if err != nil || after == next {
 			return newest, found
 		}
-		if table, ok := follower.newestTable(records, rejected); ok && (!found || table.Version() > newest.Version()) {
-			newest, found = table, true
+		if version, ok := follower.newestVersion(records, rejected); ok && (!found || version.Table().Version() > newest.Table().Version()) {
+			newest, found = version, true
 		}
 		next = after
 	}
@@ -190,14 +190,14 @@
 	return record.Key() == follower.config.ConfigurationKey && len(record.Value()) > 0
 }
 
-func (follower *Follower) decodeTable(record almondcross.KeyedRecord, rejected *rejections) (almondcross.RouteTable, bool) {
+func (follower *Follower) decodeRoutes(record almondcross.KeyedRecord, rejected *rejections) (almondcross.RoutesRecord, bool) {
 	if !follower.isConfiguration(record) {
-		return almondcross.RouteTable{}, false
+		return almondcross.RoutesRecord{}, false
 	}
 	table, err := follower.config.WorkerCodec.DecodeRoutes(record.Value())
 	if err != nil {
 		rejected.report(record, err)
-		return almondcross.RouteTable{}, false
+		return almondcross.RoutesRecord{}, false
 	}
-	return table, true
+	return almondcross.NewRoutesRecord(almondcross.RoutesRecordConfig{Table: table, Source: record.Value()}), true
 }
--- a/scheduling.go
+++ b/scheduling.go
@@ -440,6 +440,8 @@
 	dataCentre string // the data centre of the host
 	viewFormat int    // the ViewFormat of the host, 0 for one that knows no relays of views
 
+	routesFormat int // the RoutesFormat of the host, 0 for one that does not replicate the configuration
+
 	schedulerEpoch int64    // the epoch of the scheduler to which the host links; it leads no earlier epoch. 0 from a host of an earlier version
 	format         int      // the highest number of a format of the journal that the host reads, 0 from a host of an earlier version
 	stateBytes     int64    // the memory in bytes that the jobs of the state may take on the host, 0 from a host of an earlier version
--- a/scheduling_generated.go
+++ b/scheduling_generated.go
@@ -1848,6 +1848,7 @@
 	Address        string
 	DataCentre     string
 	ViewFormat     int
+	RoutesFormat   int
 	SchedulerEpoch int64
 	Format         int
 	StateBytes     int64
@@ -1862,6 +1863,7 @@
 		address:        config.Address,
 		dataCentre:     config.DataCentre,
 		viewFormat:     config.ViewFormat,
+		routesFormat:   config.RoutesFormat,
 		schedulerEpoch: config.SchedulerEpoch,
 		format:         config.Format,
 		stateBytes:     config.StateBytes,
@@ -1877,6 +1879,7 @@
 		Address:        hosthello.address,
 		DataCentre:     hosthello.dataCentre,
 		ViewFormat:     hosthello.viewFormat,
+		RoutesFormat:   hosthello.routesFormat,
 		SchedulerEpoch: hosthello.schedulerEpoch,
 		Format:         hosthello.format,
 		StateBytes:     hosthello.stateBytes,
@@ -1929,6 +1932,15 @@
 	return hosthello
 }
 
+// RoutesFormat returns the RoutesFormat of the host, 0 for one that does not replicate the configuration.
+func (hosthello HostHello) RoutesFormat() int { return hosthello.routesFormat }
+
+// WithRoutesFormat returns a copy with the given routesFormat.
+func (hosthello HostHello) WithRoutesFormat(routesFormat int) HostHello {
+	hosthello.routesFormat = routesFormat
+	return hosthello
+}
+
 // SchedulerEpoch returns the epoch of the scheduler to which the host links; it leads no earlier epoch. 0 from a host of an earlier version.
 func (hosthello HostHello) SchedulerEpoch() int64 { return hosthello.schedulerEpoch }
 
--- a/standin/emulator/host.go
+++ b/standin/emulator/host.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/almondcross/almondcross"
+	"github.com/almondcross/almondcross/command/replicator"
 	"github.com/almondcross/almondcross/command/scheduler"
 	"github.com/almondcross/almondcross/policy/estimator"
 	"github.com/almondcross/almondcross/policy/orderer"
@@ -64,6 +65,9 @@
 	viewLink    *viewLink
 	viewerLinks map[int64]*viewLink
 	announced   scheduler.AnnounceScheduler // announced is the last announcement of the scheduler.
+	// replicator replicates the configuration. routesWakeID numbers its scheduled wake-ups; only the latest one takes effect.
+	replicator   *replicator.Machine
+	routesWakeID uint64
 }
 
 // queuedQuery is an advice query that waits for the previous advice call.
@@ -94,6 +98,7 @@
 		config.NewSpeeds = func() almondcross.WorkerSpeeds { return speedometer.New() }
 	}
 	modelhost.machine = scheduler.NewMachine(config)
+	modelhost.replicator = modelhost.newReplicator()
 	modelhost.runUnfrozen(modelhost.advance)
 	modelhost.readRoutes()
 }
--- a/standin/emulator/routes.go
+++ b/standin/emulator/routes.go
@@ -39,13 +39,13 @@
 	})
 }
 
-// publishRoutes publishes the next version of the route table. Each host reads it by itself.
+// publishRoutes publishes the next version of the route table. Each host reads it by itself, or gets it over its link.
 func (simulation *Simulation) publishRoutes(queues ...almondcross.Queue) {
-	simulation.routes = almondcross.NewRouteTable(almondcross.RouteTableConfig{
+	simulation.setRoutes(almondcross.NewRouteTable(almondcross.RouteTableConfig{
 		Version: simulation.routes.Version() + 1, Queues: queues,
 		Pools:      []almondcross.Pool{almondcross.NewPool(almondcross.PoolConfig{Name: poolName})},
 		Workspaces: simulation.routes.Workspaces(), KeysRequired: simulation.config.Workspaces > 0,
-	})
+	}))
 	for _, queue := range queues {
 		simulation.everyQueue[queue.Name()] = queue
 	}
@@ -78,9 +78,10 @@
 				return
 			}
 			modelhost.schedule(simulation.routesDelay(), func() {
-				modelhost.router.Set(table)
-				modelhost.deliver(almondcross.NewRoutesRead(almondcross.RoutesReadConfig{Table: table}))
-				modelhost.readRoutes()
+				modelhost.replicate(almondcross.NewRoutesStored(almondcross.RoutesStoredConfig{
+					Record: almondcross.NewRoutesRecord(almondcross.RoutesRecordConfig{Table: table, Source: routesSource(table)}),
+				}))
+				modelhost.schedule(routesReadInterval, modelhost.readRoutes)
 			})
 		}
 	}, func(error) { modelhost.schedule(routesRetryDelay, modelhost.readRoutes) })
--- a/standin/emulator/simulation.go
+++ b/standin/emulator/simulation.go
@@ -81,6 +81,7 @@
 	pointer          almondcross.SchedulerPointer
 	storedUsage      map[almondcross.UsageKey]almondcross.QueueUsage // storedUsage is the stored account.
 	routes           almondcross.RouteTable                          // routes is the newest published route table.
+	published        []almondcross.RouteTable                        // published holds all published route tables.
 	everyQueue       map[string]almondcross.Queue                    // everyQueue holds the queues of all published route tables by name.
 	jobCount         int                                             // jobCount numbers the drawn jobs.
 	keyCount         int                                             // keyCount numbers the keys of workspaces.
--- a/standin/emulator/workspaces.go
+++ b/standin/emulator/workspaces.go
@@ -108,7 +108,7 @@
 	for index, workspace := range simulation.routes.Workspaces() {
 		workspaces = append(workspaces, change(index, workspace))
 	}
-	simulation.routes = simulation.routes.WithVersion(simulation.routes.Version() + 1).WithWorkspaces(workspaces)
+	simulation.setRoutes(simulation.routes.WithVersion(simulation.routes.Version() + 1).WithWorkspaces(workspaces))
 }
 
 // identify returns the caller of a job as a host sees it, and checks that a host in touch accepts just the keys of the newest
