Take the version of a forwarded job for that of its host

A job that a host has accepted by a new version was started by a scheduler whose own host still told callers that there is no such queue: hosts tell the scheduler's host 0.4 s after a change, and a forwarded job is faster.

Change: the first intake that a host forwards under a version counts as its message that this version is in force there, so that the scheduler's host asks for it before the job is admitted.

Result: TestForwardedIntakeTellsTheVersionOfItsHost gets no message without the change.

--- a/command/connector/acceptedlink.go
+++ b/command/connector/acceptedlink.go
@@ -13,6 +13,7 @@
 	session *session
 	host    string // host is the name of the other host, empty before its greeting and on a link for views.
 	viewer  int64  // viewer is the number of a link for views, 0 for none.
+	version int64  // version is the highest version of the configuration by which the other host has forwarded an intake.
 }
 
 // handle handles a message of the other host. A link for views brings nothing after its greeting.
@@ -49,12 +50,24 @@
 	case almondcross.AdviceAnswered:
 		hub.notifyScheduler(request, message.WithAdviser(acceptedlink.host).WithReceived(hub.config.Clock.Now()))
 	case almondcross.IntakeForwarded:
+		acceptedlink.noteVersion(message.Intake().Settings().Version())
 		hub.notifyScheduler(request, message.WithHost(acceptedlink.host))
 	case almondcross.ViewsMissed:
 		hub.notifyScheduler(request, message.WithHost(acceptedlink.host))
 	}
 }
 
+// noteVersion passes on that the other host has a version of the configuration, which it has accepted an intake by. Else the scheduler could
+// start a job while its own host still tells callers that there is no such queue.
+func (acceptedlink *acceptedLink) noteVersion(version int64) {
+	if version <= acceptedlink.version {
+		return
+	}
+	acceptedlink.version = version
+	passRoutes(acceptedlink.request.Context(), acceptedlink.hub.config.Routes, acceptedlink.end(),
+		almondcross.NewRoutesKnown(almondcross.RoutesKnownConfig{Version: version}))
+}
+
 // end returns the other end of a link that is not for views.
 func (acceptedlink *acceptedLink) end() almondcross.LinkEnd {
 	return almondcross.LinkEnd{Host: acceptedlink.host}
--- a/command/connector/routelinks_test.go
+++ b/command/connector/routelinks_test.go
@@ -62,3 +62,31 @@
 	nextMessage[almondcross.HostLinkChanged](t, link.scheduler)
 	require.Equal(t, almondcross.NewRoutesLinkChanged(almondcross.RoutesLinkChangedConfig{End: almondcross.LinkEnd{Host: "h-3"}}), nextRoutes(t, link.scheduler))
 }
+
+// Guards against a scheduler that starts a job of an added queue while its own host still answers that there is no such queue: a
+// forwarded intake shows that its host has a newer version.
+func TestForwardedIntakeTellsTheVersionOfItsHost(t *testing.T) {
+	link := newLink(t)
+	link.schedulers.Offer(connector.Scheduler{Host: "h-1", Address: link.address})
+	nextMessage[almondcross.HostLinkChanged](t, link.scheduler)
+	nextRoutes(t, link.scheduler)
+	link.hub.PushBatches([]string{"h-2"}, almondcross.NewJournalPushed(almondcross.JournalPushedConfig{}))
+	nextMessage[almondcross.JournalPushed](t, link.host)
+	uplink := connector.NewUplink(connector.NewHub(connector.HubConfig{Host: "h-2", Clock: clock{}}), link.dialer, clock{})
+	for _, version := range []int64{7, 7, 9} {
+		require.True(t, uplink.Forward(almondcross.NewIntakeForwarded(almondcross.IntakeForwardedConfig{
+			Intake: almondcross.NewIntake(almondcross.IntakeConfig{
+				Job: almondcross.NewJob(almondcross.JobConfig{
+					ID: "5c0e7a21d94b36f8", Queue: "q", Steps: []almondcross.Step{almondcross.NewStep(almondcross.StepConfig{Count: 1})},
+				}),
+				Settings: almondcross.NewQueueSettings(almondcross.QueueSettingsConfig{
+					Version: version, Queue: almondcross.NewQueue(almondcross.QueueConfig{Name: "q", Pool: "pool"}),
+				}),
+			}),
+		})))
+	}
+	for _, version := range []int64{7, 9} {
+		known := almondcross.NewRoutesKnown(almondcross.RoutesKnownConfig{End: almondcross.LinkEnd{Host: "h-2"}, Version: version})
+		require.Equal(t, known, nextRoutes(t, link.scheduler))
+	}
+}
