Number the links to schedulers' hosts over which the configuration is replicated

Cause: the end of a link to a scheduler's host is reported after the next link to the same host has begun if a new epoch of that scheduler was announced meanwhile. The replicator took the end for that of the new link, ignored the configuration that came over it, and was told nothing more until the next change. Found by reading.

Change: the end of a link has the number of the link, and a new link to a scheduler's host replaces the earlier ones.

Result: TestLateEndOfAnEarlierLinkEndsNoOther; before, both ends were the same value, so that it could not tell them apart.

--- a/command/connector/dialer.go
+++ b/command/connector/dialer.go
@@ -105,16 +105,17 @@
 		return errors.Trace(err)
 	}
 	_ = response.Body.Close() // An upgraded connection has no body.
+	link := dialer.lastLink.Add(1)
 	session := newSession(connection, dialer.config.Codec, nil, dialer.config.Meter)
+	session.number = link
 	session.offer(almondcross.NewHostHello(almondcross.HostHelloConfig{
 		Host: dialer.config.Host, Strength: scheduler.Strength, Address: dialer.config.Address, DataCentre: dialer.config.DataCentre,
 		ViewFormat: almondcross.ViewFormat, RoutesFormat: almondcross.RoutesFormat, SchedulerEpoch: scheduler.Epoch, Format: dialer.config.Format, StateBytes: dialer.config.StateBytes, Ends: scheduler.Ends,
 	}))
-	link := dialer.lastLink.Add(1)
 	defer dialer.config.Executor.Abandon(link)
 	dialer.current.Store(session)
 	defer dialer.current.CompareAndSwap(session, nil)
-	end := almondcross.LinkEnd{Host: scheduler.Host, Uplink: true}
+	end := almondcross.LinkEnd{Host: scheduler.Host, Uplink: link}
 	defer offerRoutesLink(dialer.config.Routes, end, false)
 	return session.run(ctx, func(message almondcross.LinkMessage) {
 		if passRoutes(ctx, dialer.config.Routes, end, message) {
--- a/command/connector/routelinks.go
+++ b/command/connector/routelinks.go
@@ -19,9 +19,9 @@
 
 // SendRoutes queues a message for the other end of a link. It returns false if there is no such link or its queue is full.
 func (routelinks *RouteLinks) SendRoutes(end almondcross.LinkEnd, message almondcross.LinkMessage) bool {
-	if end.Uplink {
+	if end.Uplink != 0 {
 		session := routelinks.dialer.current.Load()
-		return session != nil && session.offer(message)
+		return session != nil && session.number == end.Uplink && session.offer(message)
 	}
 	session := (*routelinks.hub.sessions.Load())[end.Host]
 	return session != nil && session.offer(message)
--- a/command/connector/routelinks_test.go
+++ b/command/connector/routelinks_test.go
@@ -29,7 +29,7 @@
 func TestLinkCarriesTheConfigurationInBothDirections(t *testing.T) {
 	link := newLink(t)
 	link.schedulers.Offer(connector.Scheduler{Host: "h-1", Address: link.address})
-	host, scheduler := almondcross.LinkEnd{Host: "h-2"}, almondcross.LinkEnd{Host: "h-1", Uplink: true}
+	host, scheduler := almondcross.LinkEnd{Host: "h-2"}, almondcross.LinkEnd{Host: "h-1", Uplink: 1}
 	require.Equal(t, almondcross.NewRoutesLinkChanged(almondcross.RoutesLinkChangedConfig{End: host, Present: true}), nextRoutes(t, link.scheduler))
 	links := connector.NewRouteLinks(link.hub, link.dialer)
 	known := almondcross.NewRoutesKnown(almondcross.RoutesKnownConfig{Version: 7})
--- a/command/connector/session.go
+++ b/command/connector/session.go
@@ -28,6 +28,7 @@
 // session is one open connection with its queue of outgoing messages.
 type session struct {
 	connection *websocket.Conn
+	number     int64 // number is that of a link to the scheduler's host, 0 for others.
 	codec      almondcross.LinkCodec
 	meter      almondcross.LinkMeter // meter counts the messages, nil for no counting.
 	sendQueue  *ring.Ring[outgoing]
--- a/command/replicator/machine.go
+++ b/command/replicator/machine.go
@@ -105,7 +105,7 @@
 // planTell plans that an end is told the version in force, if it is not known to have it by then.
 func (machine *Machine) planTell(end almondcross.LinkEnd, peer *peer) {
 	delay := tellDelay
-	if end.Uplink {
+	if end.Uplink != 0 {
 		delay = uplinkTellDelay
 	}
 	if !peer.tell {
@@ -130,9 +130,10 @@
 	end := message.End()
 	current := machine.peers[end]
 	if current == nil {
-		if !end.Uplink {
+		if end.Uplink == 0 {
 			return // The link has ended.
 		}
+		machine.dropUplinks()
 		current = &peer{known: noVersion, told: noVersion}
 		machine.peers[end] = current
 	}
@@ -145,6 +146,11 @@
 	}
 }
 
+// dropUplinks forgets the earlier links to schedulers' hosts, whose ends may not have been reported.
+func (machine *Machine) dropUplinks() {
+	maps.DeleteFunc(machine.peers, func(end almondcross.LinkEnd, _ *peer) bool { return end.Uplink != 0 })
+}
+
 // routesReceived puts the configuration of another host in force if it is newer.
 func (machine *Machine) routesReceived(message almondcross.RoutesSent) {
 	end := message.End()
@@ -180,13 +186,7 @@
 
 // compareEnds orders ends by host, so that messages are sent in the same order each time.
 func compareEnds(a, b almondcross.LinkEnd) int {
-	if a.Host == b.Host && a.Uplink != b.Uplink {
-		if a.Uplink {
-			return -1
-		}
-		return 1
-	}
-	return cmp.Compare(a.Host, b.Host)
+	return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(a.Uplink, b.Uplink))
 }
 
 // passToScheduler passes the version in force to the scheduler duty, or tries it again later while its ring is full.
@@ -229,7 +229,7 @@
 // mustTell reports whether an end has to be told the version in force: the host that accepted the link tells it once in any case, and
 // later versions are told to ends that do not have them.
 func (machine *Machine) mustTell(end almondcross.LinkEnd, peer *peer) bool {
-	if peer.told == noVersion && !end.Uplink {
+	if peer.told == noVersion && end.Uplink == 0 {
 		return true
 	}
 	return max(peer.known, peer.told) < machine.version()
--- a/command/replicator/replicator_test.go
+++ b/command/replicator/replicator_test.go
@@ -56,7 +56,7 @@
 	if host.full {
 		return false
 	}
-	cell, sender := host.cell, almondcross.LinkEnd{Host: host.name, Uplink: !end.Uplink}
+	cell, sender := host.cell, almondcross.LinkEnd{Host: host.name, Uplink: 1 - end.Uplink}
 	var received almondcross.RoutesMessage
 	switch message := message.(type) {
 	case almondcross.RoutesKnown:
@@ -198,7 +198,7 @@
 // Guards against a host that asks for a version again and again that it cannot decode.
 func TestUnreadableVersionIsAskedForOnce(t *testing.T) {
 	cell := newCell(2)
-	end := almondcross.LinkEnd{Host: "h-0", Uplink: true}
+	end := almondcross.LinkEnd{Host: "h-0", Uplink: 1}
 	cell.hosts[1].apply(almondcross.NewRoutesKnown(almondcross.RoutesKnownConfig{End: end, Version: 7}))
 	cell.run(10 * time.Millisecond)
 	require.Equal(t, []string{"almondcross.RoutesWanted"}, cell.sent)
@@ -213,9 +213,20 @@
 func TestHostsThatDoNotReplicateAreSentNothing(t *testing.T) {
 	cell := newCell(2)
 	cell.hosts[0].apply(almondcross.NewRoutesLinkChanged(almondcross.RoutesLinkChangedConfig{End: almondcross.LinkEnd{Host: "h-1"}}))
-	cell.hosts[1].apply(almondcross.NewRoutesLinkChanged(almondcross.RoutesLinkChangedConfig{End: almondcross.LinkEnd{Host: "h-0", Uplink: true}}))
+	cell.hosts[1].apply(almondcross.NewRoutesLinkChanged(almondcross.RoutesLinkChangedConfig{End: almondcross.LinkEnd{Host: "h-0", Uplink: 1}}))
 	cell.hosts[0].read(2)
 	cell.hosts[1].read(3)
 	cell.run(2 * time.Second)
 	require.Empty(t, cell.sent)
 }
+
+// Guards against a host that goes on with an old version because the end of its link to an earlier scheduler is reported late, or never.
+func TestLateEndOfAnEarlierLinkEndsNoOther(t *testing.T) {
+	cell := newCell(2)
+	end := almondcross.LinkEnd{Host: "h-0", Uplink: 1}
+	later := almondcross.LinkEnd{Host: "h-0", Uplink: 2}
+	cell.hosts[1].apply(almondcross.NewRoutesKnown(almondcross.RoutesKnownConfig{End: later, Version: 2}))
+	cell.hosts[1].apply(almondcross.NewRoutesLinkChanged(almondcross.RoutesLinkChangedConfig{End: end}))
+	cell.hosts[1].apply(almondcross.NewRoutesSent(almondcross.RoutesSentConfig{End: later, Source: []byte(`{"version":2,"routes":[{"name":"q"}]}`)}))
+	require.Equal(t, int64(2), cell.hosts[1].version)
+}
--- a/replicating.go
+++ b/replicating.go
@@ -17,7 +17,7 @@
 // LinkEnd names the host at the other end of a link.
 type LinkEnd struct {
 	Host   string // Host is the name of the host.
-	Uplink bool   // Uplink is set on the link that this host has opened to the scheduler's host.
+	Uplink int64  // Uplink is the number of the link if this host has opened it to the scheduler's host, 0 otherwise.
 }
 
 // RoutesMessage is a message for the duty that replicates the configuration.
--- a/standin/emulator/links.go
+++ b/standin/emulator/links.go
@@ -15,10 +15,10 @@
 	modelhost.wantedLink, modelhost.announced = target, announced
 	if previous := modelhost.linkedTo; previous != nil {
 		modelhost.linkedTo = nil
-		modelhost.routesLinkChanged(previous, true, false)
+		modelhost.routesLinkChanged(previous, modelhost.linkCount, false)
 		simulation.schedule(simulation.linkHold(modelhost, previous)+linkDelay, func() {
 			if previous.up {
-				previous.routesLinkChanged(modelhost, false, false)
+				previous.routesLinkChanged(modelhost, 0, false)
 				previous.deliver(almondcross.NewHostLinkChanged(almondcross.HostLinkChangedConfig{Host: modelhost.name}))
 			}
 		})
@@ -47,7 +47,7 @@
 				DataCentre: modelhost.dataCentre(), ViewFormat: modelhost.viewFormat(), SchedulerEpoch: announced.Pointer.Epoch(),
 				Format: modelhost.machine.Format(), StateBytes: simulation.config.StateBytes, Ends: announced.Ends,
 			}))
-			target.routesLinkChanged(modelhost, false, true)
+			target.routesLinkChanged(modelhost, 0, true)
 		}
 	})
 }
@@ -62,7 +62,7 @@
 			continue
 		}
 		other.linkedTo = nil
-		other.routesLinkChanged(modelhost, true, false)
+		other.routesLinkChanged(modelhost, other.linkCount, false)
 		incarnation := other.incarnation
 		modelhost.simulation.schedule(modelhost.simulation.linkHold(other, modelhost)+linkDelay, func() {
 			if other.incarnation == incarnation && other.wantedLink == modelhost && other.linkedTo == nil {
--- a/standin/emulator/routelinks.go
+++ b/standin/emulator/routelinks.go
@@ -85,25 +85,28 @@
 }
 
 // routesLinkChanged tells a host that another one has opened a link to it, or that a link has ended.
-func (modelhost *modelHost) routesLinkChanged(other *modelHost, uplink, present bool) {
+// uplink is the number of a link that the host itself had opened, 0 for the link of the other one.
+func (modelhost *modelHost) routesLinkChanged(other *modelHost, uplink int, present bool) {
 	modelhost.replicate(almondcross.NewRoutesLinkChanged(almondcross.RoutesLinkChangedConfig{
-		End: almondcross.LinkEnd{Host: other.name, Uplink: uplink}, Present: present,
+		End: almondcross.LinkEnd{Host: other.name, Uplink: int64(uplink)}, Present: present,
 	}))
 }
 
 // SendRoutes sends a message over the link between this host and another one.
 func (modelhost *modelHost) SendRoutes(end almondcross.LinkEnd, message almondcross.LinkMessage) bool {
 	simulation, other := modelhost.simulation, modelhost.simulation.host(end.Host)
-	opener, acceptor := other, modelhost
-	if end.Uplink {
+	opener, acceptor, sender := other, modelhost, almondcross.LinkEnd{Host: modelhost.name}
+	if end.Uplink != 0 {
 		opener, acceptor = modelhost, other
+	} else if other != nil {
+		sender.Uplink = int64(other.linkCount)
 	}
 	if opener == nil || opener.linkedTo != acceptor {
 		return false
 	}
 	simulation.traffic.sent(modelhost, message, 1)
 	simulation.traffic.received(other, message)
-	incarnation, link, sender := other.incarnation, opener.linkCount, almondcross.LinkEnd{Host: modelhost.name, Uplink: !end.Uplink}
+	incarnation, link := other.incarnation, opener.linkCount
 	simulation.schedule(simulation.linkHold(opener, acceptor)+linkDelay, func() {
 		if other.incarnation == incarnation && opener.linkedTo == acceptor && opener.linkCount == link {
 			other.replicate(withEnd(message, sender))
