Limit the configuration on a link to 512 KiB

Cause: the messages that replicate the configuration wait in a ring of 1,024, and a frame may have a megabyte: a process that links and sends such messages quickly could fill the memory of a weak host. A configuration above the size of a frame would have closed each link over which it was asked for, again and again.

Change: a host does not send a larger configuration (routes_not_sent) and refuses one; the ring has 64 messages. The opening of a link waits for room in the ring, so that it is not missed.

Result: TestConfigurationThatIsTooLargeForALinkIsNotSent and TestImpossibleConfigurationsOnALinkAreRefused.

--- a/assembler/scheduler.go
+++ b/assembler/scheduler.go
@@ -70,8 +70,8 @@
 	requestRingCapacity = 4
 	// adviceRingCapacity is enough for the calls of the scheduler and those of an earlier one.
 	adviceRingCapacity = 2 * almondcross.AdviceCallsPerHost
-	// routesRingCapacity bounds the messages about the configuration that wait. Each linked host sends a few for each version.
-	routesRingCapacity = 1024
+	// routesRingCapacity bounds the messages about the configuration that wait, some of which have a whole configuration.
+	routesRingCapacity = 64
 	// executorRingCapacity bounds the messages with orders of the scheduler, and the answers to them, that wait on the
 	// host that relays them.
 	executorRingCapacity = 1024
--- a/command/connector/acceptedlink.go
+++ b/command/connector/acceptedlink.go
@@ -34,7 +34,7 @@
 			ViewFormat: message.ViewFormat(), SchedulerEpoch: message.SchedulerEpoch(), Format: message.Format(), StateBytes: message.StateBytes(), Ends: message.Ends(),
 		}))
 		if message.RoutesFormat() > 0 {
-			offerRoutesLink(hub.config.Routes, acceptedlink.end(), true)
+			putRoutesLink(request.Context(), hub.config.Routes, acceptedlink.end())
 		}
 	case almondcross.ViewerHello:
 		if acceptedlink.host != "" || message.Host() == "" {
@@ -57,8 +57,8 @@
 	}
 }
 
-// noteVersion passes on that the other host has a version of the configuration, which it has accepted an intake by. Else the scheduler could
-// start a job while its own host still tells callers that there is no such queue.
+// noteVersion passes on that the other host has accepted an intake by a version of the configuration. Otherwise the scheduler could start a
+// job while its own host still tells callers that there is no such queue.
 func (acceptedlink *acceptedLink) noteVersion(version int64) {
 	if version <= acceptedlink.version {
 		return
@@ -78,7 +78,7 @@
 	hub := acceptedlink.hub
 	if host := acceptedlink.host; host != "" && hub.replaceSession(host, acceptedlink.session, nil) {
 		hub.notifyLinkChanged(acceptedlink.request, almondcross.NewHostLinkChanged(almondcross.HostLinkChangedConfig{Host: host}))
-		offerRoutesLink(hub.config.Routes, acceptedlink.end(), false)
+		offerRoutesLinkEnd(hub.config.Routes, acceptedlink.end())
 	}
 	if link := acceptedlink.viewer; link != 0 {
 		replaceIn(&hub.viewers, link, acceptedlink.session, nil)
--- a/command/connector/dialer.go
+++ b/command/connector/dialer.go
@@ -116,7 +116,7 @@
 	dialer.current.Store(session)
 	defer dialer.current.CompareAndSwap(session, nil)
 	end := almondcross.LinkEnd{Host: scheduler.Host, Uplink: link}
-	defer offerRoutesLink(dialer.config.Routes, end, false)
+	defer offerRoutesLinkEnd(dialer.config.Routes, end)
 	return session.run(ctx, func(message almondcross.LinkMessage) {
 		if passRoutes(ctx, dialer.config.Routes, end, message) {
 			return
--- a/command/connector/routelinks.go
+++ b/command/connector/routelinks.go
@@ -45,8 +45,13 @@
 	return true
 }
 
-// offerRoutesLink reports that a link was opened or has ended. Without room, the duty goes on with the earlier state of the link, and the
-// next link of the host replaces it.
-func offerRoutesLink(sink almondcross.Sink[almondcross.RoutesMessage], end almondcross.LinkEnd, present bool) {
-	sink.Offer(almondcross.NewRoutesLinkChanged(almondcross.RoutesLinkChangedConfig{End: end, Present: present}))
+// putRoutesLink reports that another host has opened a link.
+func putRoutesLink(ctx context.Context, sink almondcross.Sink[almondcross.RoutesMessage], end almondcross.LinkEnd) {
+	opened := almondcross.NewRoutesLinkChanged(almondcross.RoutesLinkChangedConfig{End: end, Present: true})
+	_ = sink.Put(ctx, opened) // Put fails only when the context has ended.
+}
+
+// offerRoutesLinkEnd reports that a link has ended. If there is no room, the next link of the host replaces it.
+func offerRoutesLinkEnd(sink almondcross.Sink[almondcross.RoutesMessage], end almondcross.LinkEnd) {
+	sink.Offer(almondcross.NewRoutesLinkChanged(almondcross.RoutesLinkChangedConfig{End: end}))
 }
--- a/command/replicator/machine.go
+++ b/command/replicator/machine.go
@@ -53,6 +53,8 @@
 	dueAt            time.Time
 }
 
+func newPeer() *peer { return &peer{known: noVersion, told: noVersion} }
+
 // plan makes an action of the peer due at a time.
 func (peer *peer) plan(action *bool, at time.Time) {
 	*action = true
@@ -77,9 +79,7 @@
 	case almondcross.RoutesKnown:
 		machine.versionKnown(message)
 	case almondcross.RoutesWanted:
-		if peer := machine.peers[message.End()]; peer != nil && machine.version() > 0 {
-			peer.plan(&peer.send, now)
-		}
+		machine.routesWanted(message)
 	case almondcross.RoutesSent:
 		machine.routesReceived(message)
 	}
@@ -120,7 +120,7 @@
 		delete(machine.peers, change.End())
 		return
 	}
-	peer := &peer{known: noVersion, told: noVersion}
+	peer := newPeer()
 	machine.peers[change.End()] = peer
 	peer.plan(&peer.tell, machine.now)
 }
@@ -128,21 +128,21 @@
 // versionKnown asks an end with a newer version for it, and plans to tell an end with an older one.
 func (machine *Machine) versionKnown(message almondcross.RoutesKnown) {
 	end := message.End()
-	current := machine.peers[end]
-	if current == nil {
+	peer := machine.peers[end]
+	if peer == nil {
 		if end.Uplink == 0 {
 			return // The link has ended.
 		}
 		machine.dropUplinks()
-		current = &peer{known: noVersion, told: noVersion}
-		machine.peers[end] = current
+		peer = newPeer()
+		machine.peers[end] = peer
 	}
-	current.known = max(current.known, message.Version())
+	peer.known = max(peer.known, message.Version())
 	switch {
 	case message.Version() < machine.version():
-		machine.planTell(end, current)
-	case message.Version() > machine.version() && message.Version() != current.rejected:
-		current.plan(&current.want, machine.now)
+		machine.planTell(end, peer)
+	case message.Version() > machine.version() && message.Version() != peer.rejected:
+		peer.plan(&peer.want, machine.now)
 	}
 }
 
@@ -151,6 +151,19 @@
 	maps.DeleteFunc(machine.peers, func(end almondcross.LinkEnd, _ *peer) bool { return end.Uplink != 0 })
 }
 
+// routesWanted plans that an end is sent the configuration.
+func (machine *Machine) routesWanted(message almondcross.RoutesWanted) {
+	peer, size := machine.peers[message.End()], len(machine.current.Source())
+	switch {
+	case peer == nil || machine.version() == 0:
+	case size > almondcross.MaxRoutesBytes:
+		machine.config.Log.Record("routes_not_sent", almondcross.Text("to", message.End().Host), almondcross.Number("version", machine.version()),
+			almondcross.Number("bytes", size))
+	default:
+		peer.plan(&peer.send, machine.now)
+	}
+}
+
 // routesReceived puts the configuration of another host in force if it is newer.
 func (machine *Machine) routesReceived(message almondcross.RoutesSent) {
 	end := message.End()
--- a/command/replicator/replicator_test.go
+++ b/command/replicator/replicator_test.go
@@ -1,6 +1,7 @@
 package replicator_test
 
 import (
+	"bytes"
 	"fmt"
 	"slices"
 	"testing"
@@ -209,6 +210,20 @@
 	require.Equal(t, int64(1), cell.hosts[1].version)
 }
 
+// Guards against a configuration that closes the link over which it is sent.
+func TestConfigurationThatIsTooLargeForALinkIsNotSent(t *testing.T) {
+	cell := newCell(2)
+	source := append([]byte(`{"version":2,"routes":[]}`), bytes.Repeat([]byte(" "), almondcross.MaxRoutesBytes)...)
+	table, err := translator.Codec{}.DecodeRoutes(source)
+	require.NoError(t, err)
+	cell.hosts[0].apply(almondcross.NewRoutesStored(almondcross.RoutesStoredConfig{
+		Record: almondcross.NewRoutesRecord(almondcross.RoutesRecordConfig{Table: table, Source: source}),
+	}))
+	cell.run(applyBound)
+	require.Equal(t, []int64{2, 1}, cell.versions())
+	require.Equal(t, []string{"almondcross.RoutesKnown", "almondcross.RoutesWanted"}, cell.sent)
+}
+
 // Guards against messages to a host of an earlier version, which closes a link that carries them, and to a host that is not linked.
 func TestHostsThatDoNotReplicateAreSentNothing(t *testing.T) {
 	cell := newCell(2)
--- a/encoder/routes.go
+++ b/encoder/routes.go
@@ -48,6 +48,9 @@
 		if err := codec.decodeBody(envelope, &wire); err != nil {
 			return nil, err
 		}
+		if len(wire.Source) > almondcross.MaxRoutesBytes {
+			return nil, errors.Annotatef(ErrTooLarge, "a configuration of %d bytes", len(wire.Source))
+		}
 		return almondcross.NewRoutesSent(almondcross.RoutesSentConfig{Source: wire.Source}), nil
 	}
 	return nil, errors.Annotatef(ErrUnknown, "%q", envelope.Type)
--- a/encoder/routes_test.go
+++ b/encoder/routes_test.go
@@ -25,8 +25,21 @@
 		require.NoError(t, err)
 		require.Equal(t, message, decoded)
 	}
-	frame, err := codec.EncodeLink(almondcross.NewRoutesKnown(almondcross.RoutesKnownConfig{Version: -1}))
-	require.NoError(t, err)
-	_, err = codec.DecodeLink(frame)
-	require.ErrorIs(t, err, encoder.ErrMalformed)
+}
+
+// Guards against a version below that of a host without a configuration, and against memory for a configuration that no store takes.
+func TestImpossibleConfigurationsOnALinkAreRefused(t *testing.T) {
+	codec := newCodec(t)
+	for _, test := range []struct {
+		message  almondcross.LinkMessage
+		expected error
+	}{
+		{almondcross.NewRoutesKnown(almondcross.RoutesKnownConfig{Version: -1}), encoder.ErrMalformed},
+		{almondcross.NewRoutesSent(almondcross.RoutesSentConfig{Source: make([]byte, almondcross.MaxRoutesBytes+1)}), encoder.ErrTooLarge},
+	} {
+		frame, err := codec.EncodeLink(test.message)
+		require.NoError(t, err)
+		_, err = codec.DecodeLink(frame)
+		require.ErrorIs(t, err, test.expected)
+	}
 }
--- a/replicating.go
+++ b/replicating.go
@@ -6,6 +6,9 @@
 // earlier version could not read them.
 const RoutesFormat = 1
 
+// MaxRoutesBytes is the maximum size in bytes of a stored configuration that is sent over a link. The store takes records of 256 KiB.
+const MaxRoutesBytes = 512 << 10
+
 // RoutesRecord is a version of the configuration with the form in which operators stored it.
 //
 //value:generate
