Let each link message tell its kind

Cause: the kinds of link messages stood in three functions that call one another, each with a switch over types, and the three messages of the configuration were given their sender in two further switches and a third one in a test.

Change: LinkKind is a method of LinkMessage, and From one of the messages that replicate the configuration. No message on a link changes.

--- a/command/connector/hub.go
+++ b/command/connector/hub.go
@@ -113,7 +113,7 @@
 		hub.config.Log.Record("push_failed", almondcross.Text("reason", err.Error()))
 		return hosts
 	}
-	sessions, kind := *hub.sessions.Load(), almondcross.KindOfLink(message)
+	sessions, kind := *hub.sessions.Load(), message.LinkKind()
 	var missed []string
 	for _, host := range hosts {
 		if session := sessions[host]; session != nil && !session.sendQueue.Offer(outgoing{frame: frame, kind: kind}) {
--- a/command/connector/routelinks.go
+++ b/command/connector/routelinks.go
@@ -18,7 +18,7 @@
 }
 
 // SendRoutes queues a message for the other end of a link. It returns false if there is no such link or its queue is full.
-func (routelinks *RouteLinks) SendRoutes(end almondcross.LinkEnd, message almondcross.LinkMessage) bool {
+func (routelinks *RouteLinks) SendRoutes(end almondcross.LinkEnd, message almondcross.RoutesLinkMessage) bool {
 	if end.Uplink != 0 {
 		session := routelinks.dialer.current.Load()
 		return session != nil && session.number == end.Uplink && session.offer(message)
@@ -30,19 +30,11 @@
 // passRoutes passes a link message that replicates the configuration to the duty for it, with the end that sent it. It reports whether
 // it is such a message.
 func passRoutes(ctx context.Context, sink almondcross.Sink[almondcross.RoutesMessage], end almondcross.LinkEnd, message almondcross.LinkMessage) bool {
-	var received almondcross.RoutesMessage
-	switch message := message.(type) {
-	case almondcross.RoutesKnown:
-		received = message.WithEnd(end)
-	case almondcross.RoutesWanted:
-		received = message.WithEnd(end)
-	case almondcross.RoutesSent:
-		received = message.WithEnd(end)
-	default:
-		return false
+	replicating, ok := message.(almondcross.RoutesLinkMessage)
+	if ok {
+		_ = sink.Put(ctx, replicating.From(end)) // Put fails only when the context has ended.
 	}
-	_ = sink.Put(ctx, received) // Put fails only when the context has ended.
-	return true
+	return ok
 }
 
 // putRoutesLink reports that another host has opened a link.
--- a/command/connector/session.go
+++ b/command/connector/session.go
@@ -129,7 +129,7 @@
 		if err != nil {
 			return errors.Trace(err)
 		}
-		frame, kind = encoded, almondcross.KindOfLink(next.message)
+		frame, kind = encoded, next.message.LinkKind()
 	}
 	if err := session.connection.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return errors.Trace(err)
--- a/command/connector/viewlinks.go
+++ b/command/connector/viewlinks.go
@@ -113,7 +113,7 @@
 	viewers := *hub.viewers.Load()
 	for _, link := range links {
 		session := viewers[link]
-		if session != nil && !session.sendQueue.Offer(outgoing{frame: frame, kind: almondcross.KindOfLink(pushed)}) {
+		if session != nil && !session.sendQueue.Offer(outgoing{frame: frame, kind: pushed.LinkKind()}) {
 			_ = session.connection.Close() // The reader ends the session.
 		}
 	}
--- a/command/replicator/replicator_test.go
+++ b/command/replicator/replicator_test.go
@@ -53,22 +53,13 @@
 }
 
 // SendRoutes passes a message to the host at the other end.
-func (host *host) SendRoutes(end almondcross.LinkEnd, message almondcross.LinkMessage) bool {
+func (host *host) SendRoutes(end almondcross.LinkEnd, message almondcross.RoutesLinkMessage) bool {
 	if host.full {
 		return false
 	}
 	cell, sender := host.cell, almondcross.LinkEnd{Host: host.name, Uplink: 1 - end.Uplink}
-	var received almondcross.RoutesMessage
-	switch message := message.(type) {
-	case almondcross.RoutesKnown:
-		received = message.WithEnd(sender)
-	case almondcross.RoutesWanted:
-		received = message.WithEnd(sender)
-	case almondcross.RoutesSent:
-		received = message.WithEnd(sender)
-	}
 	cell.sent = append(cell.sent, fmt.Sprintf("%T", message))
-	cell.deliveries = append(cell.deliveries, delivery{at: cell.now.Add(linkDelay), to: cell.host(end.Host), message: received})
+	cell.deliveries = append(cell.deliveries, delivery{at: cell.now.Add(linkDelay), to: cell.host(end.Host), message: message.From(sender)})
 	return true
 }
 
--- a/command/scheduler/viewrelay_test.go
+++ b/command/scheduler/viewrelay_test.go
@@ -87,7 +87,7 @@
 func (viewcell *viewCell) add(message almondcross.LinkMessage, hosts int) {
 	frame, err := viewcell.codec.EncodeLink(message)
 	require.NoError(viewcell.t, err)
-	viewcell.bytes[almondcross.KindOfLink(message)] += hosts * len(frame)
+	viewcell.bytes[message.LinkKind()] += hosts * len(frame)
 }
 
 // route returns the relay of a host, empty for the scheduler.
--- a/linking.go
+++ b/linking.go
@@ -38,65 +38,71 @@
 	}
 }
 
-// KindOfLink returns the kind of a link message.
+// KindOfLink returns the kind of a link message, LinkUnknown for none.
 func KindOfLink(message LinkMessage) LinkKind {
-	switch message := message.(type) {
-	case ViewsPushed:
-		if message.Reset() {
-			return LinkAllViews
-		}
-		return LinkViews
-	case HostHello:
-		return LinkHello
-	case RoleAssigned:
-		return LinkAssigned
-	case PeersKnown:
-		return LinkPeers
-	case JournalPushed:
-		return LinkBatches
-	case OrdersRelayed:
-		return LinkOrders
-	case OrdersAnswered:
-		return LinkOrderAnswers
-	case AdviceQuery:
-		return LinkAdviceQuery
-	case AdviceAnswered:
-		return LinkAdviceAnswer
-	case IntakeForwarded:
-		return LinkIntakesForwarded
-	case IntakeStored:
-		return LinkIntakesStored
-	default:
-		return kindOfViewLink(message)
+	if message == nil {
+		return LinkUnknown
 	}
+	return message.LinkKind()
 }
 
-// kindOfViewLink is the part of KindOfLink for the messages of cells with relays of views.
-func kindOfViewLink(message LinkMessage) LinkKind {
-	switch message.(type) {
-	case ViewsAssigned:
-		return LinkViewsAssigned
-	case ViewsNumbered:
-		return LinkViewNumbers
-	case ViewsMissed:
-		return LinkViewsMissed
-	case ViewerHello:
-		return LinkViewerHello
-	}
-	return kindOfRoutesLink(message)
-}
+// LinkKind returns LinkHello.
+func (HostHello) LinkKind() LinkKind { return LinkHello }
+
+// LinkKind returns LinkPeers.
+func (PeersKnown) LinkKind() LinkKind { return LinkPeers }
+
+// LinkKind returns LinkAdviceQuery.
+func (AdviceQuery) LinkKind() LinkKind { return LinkAdviceQuery }
+
+// LinkKind returns LinkAdviceAnswer.
+func (AdviceAnswered) LinkKind() LinkKind { return LinkAdviceAnswer }
+
+// LinkKind returns LinkAssigned.
+func (RoleAssigned) LinkKind() LinkKind { return LinkAssigned }
+
+// LinkKind returns LinkBatches.
+func (JournalPushed) LinkKind() LinkKind { return LinkBatches }
+
+// LinkKind returns LinkIntakesForwarded.
+func (IntakeForwarded) LinkKind() LinkKind { return LinkIntakesForwarded }
+
+// LinkKind returns LinkIntakesStored.
+func (IntakeStored) LinkKind() LinkKind { return LinkIntakesStored }
+
+// LinkKind returns LinkOrders.
+func (OrdersRelayed) LinkKind() LinkKind { return LinkOrders }
+
+// LinkKind returns LinkOrderAnswers.
+func (OrdersAnswered) LinkKind() LinkKind { return LinkOrderAnswers }
+
+// LinkKind returns LinkViewsAssigned.
+func (ViewsAssigned) LinkKind() LinkKind { return LinkViewsAssigned }
+
+// LinkKind returns LinkViewNumbers.
+func (ViewsNumbered) LinkKind() LinkKind { return LinkViewNumbers }
+
+// LinkKind returns LinkViewsMissed.
+func (ViewsMissed) LinkKind() LinkKind { return LinkViewsMissed }
+
+// LinkKind returns LinkViewerHello.
+func (ViewerHello) LinkKind() LinkKind { return LinkViewerHello }
+
+// LinkKind returns LinkRoutesKnown.
+func (RoutesKnown) LinkKind() LinkKind { return LinkRoutesKnown }
+
+// LinkKind returns LinkRoutesWanted.
+func (RoutesWanted) LinkKind() LinkKind { return LinkRoutesWanted }
+
+// LinkKind returns LinkRoutes.
+func (RoutesSent) LinkKind() LinkKind { return LinkRoutes }
 
-// kindOfRoutesLink is the part of KindOfLink for the messages that replicate the configuration.
-func kindOfRoutesLink(message LinkMessage) LinkKind {
-	switch message.(type) {
-	case RoutesKnown:
-		return LinkRoutesKnown
-	case RoutesWanted:
-		return LinkRoutesWanted
-	case RoutesSent:
-		return LinkRoutes
+// LinkKind returns LinkAllViews for all views and LinkViews for changed ones.
+func (viewspushed ViewsPushed) LinkKind() LinkKind {
+	if viewspushed.Reset() {
+		return LinkAllViews
 	}
-	return LinkUnknown
+	return LinkViews
 }
 
 // LinkTraffic is what has passed over the links of a host in messages of one kind, without pings and the headers of frames.
--- a/relaying.go
+++ b/relaying.go
@@ -92,9 +92,6 @@
 	answers []RelayedAnswer // the outcomes
 }
 
-func (OrdersRelayed) linkMessage()  {}
-func (OrdersAnswered) linkMessage() {}
-
 // RelayHost is a host that can send orders to workers for the scheduler.
 //
 //value:generate
--- a/replicating.go
+++ b/replicating.go
@@ -26,6 +26,13 @@
 // RoutesMessage is a message for the duty that replicates the configuration.
 type RoutesMessage interface{ routesMessage() }
 
+// RoutesLinkMessage is a message that replicates the configuration over a link.
+type RoutesLinkMessage interface {
+	LinkMessage
+	// From returns the message with the end of the link that sent it.
+	From(end LinkEnd) RoutesMessage
+}
+
 // RoutesStored passes a version of the configuration that this host has read from the store.
 //
 //value:generate
@@ -67,15 +74,20 @@
 // RoutesLinker sends messages about the configuration over links.
 type RoutesLinker interface {
 	// SendRoutes queues a message for the other end of a link. It returns false if there is no such link or its queue is full.
-	SendRoutes(end LinkEnd, message LinkMessage) bool
+	SendRoutes(end LinkEnd, message RoutesLinkMessage) bool
 }
 
+// From returns the message with its sender.
+func (routesknown RoutesKnown) From(end LinkEnd) RoutesMessage { return routesknown.WithEnd(end) }
+
+// From returns the message with its sender.
+func (routeswanted RoutesWanted) From(end LinkEnd) RoutesMessage { return routeswanted.WithEnd(end) }
+
+// From returns the message with its sender.
+func (routessent RoutesSent) From(end LinkEnd) RoutesMessage { return routessent.WithEnd(end) }
+
 func (RoutesStored) routesMessage()      {}
 func (RoutesLinkChanged) routesMessage() {}
 func (RoutesKnown) routesMessage()       {}
 func (RoutesWanted) routesMessage()      {}
 func (RoutesSent) routesMessage()        {}
-
-func (RoutesKnown) linkMessage()  {}
-func (RoutesWanted) linkMessage() {}
-func (RoutesSent) linkMessage()   {}
--- a/scheduling.go
+++ b/scheduling.go
@@ -457,17 +457,10 @@
 }
 
 // LinkMessage is a message between the scheduler's host and the hosts linked to it.
-type LinkMessage interface{ linkMessage() }
-
-func (HostHello) linkMessage()       {}
-func (PeersKnown) linkMessage()      {}
-func (AdviceQuery) linkMessage()     {}
-func (AdviceAnswered) linkMessage()  {}
-func (RoleAssigned) linkMessage()    {}
-func (ViewsPushed) linkMessage()     {}
-func (JournalPushed) linkMessage()   {}
-func (IntakeForwarded) linkMessage() {}
-func (IntakeStored) linkMessage()    {}
+type LinkMessage interface {
+	// LinkKind returns the kind of the message.
+	LinkKind() LinkKind
+}
 
 // LinkCodec converts between link messages and frames.
 type LinkCodec interface {
--- a/standin/emulator/routelinks.go
+++ b/standin/emulator/routelinks.go
@@ -93,7 +93,7 @@
 }
 
 // SendRoutes sends a message over the link between this host and another one.
-func (modelhost *modelHost) SendRoutes(end almondcross.LinkEnd, message almondcross.LinkMessage) bool {
+func (modelhost *modelHost) SendRoutes(end almondcross.LinkEnd, message almondcross.RoutesLinkMessage) bool {
 	simulation, other := modelhost.simulation, modelhost.simulation.host(end.Host)
 	opener, acceptor, sender := other, modelhost, almondcross.LinkEnd{Host: modelhost.name}
 	if end.Uplink != 0 {
@@ -109,20 +109,8 @@
 	incarnation, link := other.incarnation, opener.linkCount
 	simulation.schedule(simulation.linkHold(opener, acceptor)+linkDelay, func() {
 		if other.incarnation == incarnation && opener.linkedTo == acceptor && opener.linkCount == link {
-			other.replicate(withEnd(message, sender))
+			other.replicate(message.From(sender))
 		}
 	})
 	return true
 }
-
-// withEnd returns a link message that replicates the configuration with its sender.
-func withEnd(message almondcross.LinkMessage, sender almondcross.LinkEnd) almondcross.RoutesMessage {
-	switch message := message.(type) {
-	case almondcross.RoutesKnown:
-		return message.WithEnd(sender)
-	case almondcross.RoutesSent:
-		return message.WithEnd(sender)
-	default:
-		return almondcross.RoutesWanted{}.WithEnd(sender)
-	}
-}
--- a/standin/emulator/traffic.go
+++ b/standin/emulator/traffic.go
@@ -22,8 +22,8 @@
 // sent counts a message that a host sends over some links, if the host is the scheduler.
 func (trafficmeter *trafficMeter) sent(host *modelHost, message almondcross.LinkMessage, links int) {
 	if size := trafficmeter.size(host, message); size > 0 && links > 0 {
-		traffic := trafficmeter.kinds[almondcross.KindOfLink(message)]
-		trafficmeter.kinds[almondcross.KindOfLink(message)] = traffic.
+		traffic := trafficmeter.kinds[message.LinkKind()]
+		trafficmeter.kinds[message.LinkKind()] = traffic.
 			WithSentBytes(traffic.SentBytes() + size*int64(links)).WithSentMessages(traffic.SentMessages() + int64(links))
 	}
 }
@@ -31,8 +31,8 @@
 // received counts a message that a host receives over a link, if the host is the scheduler.
 func (trafficmeter *trafficMeter) received(host *modelHost, message almondcross.LinkMessage) {
 	if size := trafficmeter.size(host, message); size > 0 {
-		traffic := trafficmeter.kinds[almondcross.KindOfLink(message)]
-		trafficmeter.kinds[almondcross.KindOfLink(message)] = traffic.
+		traffic := trafficmeter.kinds[message.LinkKind()]
+		trafficmeter.kinds[message.LinkKind()] = traffic.
 			WithReceivedBytes(traffic.ReceivedBytes() + size).WithReceivedMessages(traffic.ReceivedMessages() + 1)
 	}
 }
--- a/viewrelaying.go
+++ b/viewrelaying.go
@@ -125,8 +125,3 @@
 func (ViewerLinkChanged) schedulerMessage() {}
 func (RelayedViews) schedulerMessage()      {}
 func (ViewRelayLost) schedulerMessage()     {}
-
-func (ViewsAssigned) linkMessage() {}
-func (ViewsNumbered) linkMessage() {}
-func (ViewsMissed) linkMessage()   {}
-func (ViewerHello) linkMessage()   {}
