Split the assembler of a scheduling host, and the reader of the configuration

Cause: assembler/scheduler.go had grown to 474 lines with the rings, the links, the readers and writers of the store, and the host itself; the list of rejected versions stood before the reader in routes.go.

Change: schedulerrings.go, schedulerlinks.go and schedulerstore.go have what belongs together, and rejections.go the list. Declarations were moved, none was changed.

--- a/assembler/scheduler.go
+++ b/assembler/scheduler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"math/rand/v2"
 	"os"
 	"runtime/debug"
@@ -31,8 +30,6 @@
 	"github.com/almondcross/almondcross/encoder"
 	"github.com/almondcross/almondcross/platform/client"
 	"github.com/almondcross/almondcross/platform/commander"
-	"github.com/almondcross/almondcross/platform/querier"
-	"github.com/almondcross/almondcross/platform/translator"
 	"github.com/almondcross/almondcross/policy/delegator"
 	"github.com/almondcross/almondcross/policy/distributor"
 	"github.com/almondcross/almondcross/policy/estimator"
@@ -43,44 +40,14 @@
 	"github.com/almondcross/almondcross/policy/speedometer"
 	"github.com/almondcross/almondcross/query/follower"
 	"github.com/almondcross/almondcross/query/jobfinder"
-	"github.com/almondcross/almondcross/query/locator"
 	"github.com/almondcross/almondcross/query/router"
 	"github.com/almondcross/almondcross/query/versioner"
-	"github.com/almondcross/almondcross/ring"
 )
 
-// The topics in the store.
 const (
-	journalTopic  = "journal"
-	intakeTopic   = "intake"
-	snapshotTopic = "keyed.snapshots"
-	pointerTopic  = "keyed.scheduler"
-	usageTopic    = "keyed.account"
-	// journalWriter is the writer name of every scheduler. With a common name, the store compares their epochs.
-	journalWriter = "scheduler"
-)
-
-const (
-	// schedulerRingCapacity is enough for the replies of all duties, each of which has a bounded number of requests in flight.
-	schedulerRingCapacity = 8192
-	// submissionRingCapacity bounds the submissions of one host that wait for the store, and the answers to
-	// forwarded intakes that wait for the submitter.
-	submissionRingCapacity = 1024
-	// requestRingCapacity is enough for the request in flight and one of an earlier epoch.
-	requestRingCapacity = 4
-	// adviceRingCapacity is enough for the calls of the scheduler and those of an earlier one.
-	adviceRingCapacity = 2 * almondcross.AdviceCallsPerHost
-	// routesRingCapacity bounds the messages about the configuration that wait, some of which have a whole configuration.
-	routesRingCapacity = 64
-	// executorRingCapacity bounds the messages with orders of the scheduler, and the answers to them, that wait on the
-	// host that relays them.
-	executorRingCapacity = 1024
 	// directWorkersPerProcessor is the number of workers for each processor core up to which the scheduler's host sends
 	// all orders itself. Calls to this many workers take about a fifth of a core.
 	directWorkersPerProcessor = 200
-	// schedulerChangesRingCapacity bounds the changes of the current scheduler, and of the relay of views, that wait for their link
-	// dialers; they are rare.
-	schedulerChangesRingCapacity = 64
 	// snapshotsPerRetention is the number of snapshots in the store's retention time, so that several may fail
 	// before the store deletes records that no snapshot covers.
 	snapshotsPerRetention = 6
@@ -93,8 +60,6 @@
 	// deployments.
 	sufficientProcessors = 0.4
 	sufficientLinkMbps   = 100
-	// newestPageTimeout bounds the read of a page of the newest records, a megabyte at most. A slow store takes 250 ms.
-	newestPageTimeout = 1500 * time.Millisecond
 	// memoryLimitFraction is the fraction of the configured memory that is set as the soft memory limit of the Go runtime.
 	memoryLimitFraction = 0.6
 	// gcPercent is the heap growth in percent that starts a garbage collection. It is below the default of 100,
@@ -131,56 +96,6 @@
 // settingsPath is the path of the settings file.
 type settingsPath string
 
-// schedulerRings are the rings of a scheduling host.
-type schedulerRings struct {
-	messages         *ring.Ring[almondcross.SchedulerMessage]
-	journalReads     *ring.Ring[almondcross.JournalQuery]
-	pointerReads     *ring.Ring[almondcross.PointerQuery]
-	pointerWrites    *ring.Ring[almondcross.SchedulerPointer]
-	usageWrites      *ring.Ring[almondcross.UsageStore]
-	snapshotReads    *ring.Ring[almondcross.SnapshotQuery]
-	workerReads      *ring.Ring[almondcross.WorkersQuery]
-	intakeReads      []*ring.Ring[almondcross.IntakeQuery]
-	journalCommits   *ring.Ring[almondcross.JournalCommit]
-	newSnapshots     *ring.Ring[almondcross.SnapshotStore]
-	advice           *ring.Ring[asker.Request]
-	schedulerChanges *ring.Ring[connector.Scheduler]
-	viewRelays       *ring.Ring[almondcross.ViewRelayLink]
-	submissions      *ring.Ring[submitter.Submission]
-	stored           *ring.Ring[almondcross.IntakeStored]
-	relayed          *ring.Ring[almondcross.RelayMessage]
-	orders           *ring.Ring[executor.Request]
-	routes           *ring.Ring[almondcross.RoutesMessage]
-	orderAnswers     *ring.Ring[almondcross.SchedulerMessage]
-}
-
-func newSchedulerRings(settings configurator.SchedulerSettings, set *metrics.Set) schedulerRings {
-	rings := schedulerRings{
-		messages:         ring.New[almondcross.SchedulerMessage](ring.Config{Name: "scheduler", Capacity: schedulerRingCapacity, Metrics: set}),
-		journalReads:     ring.New[almondcross.JournalQuery](ring.Config{Name: "journal", Capacity: requestRingCapacity, Metrics: set}),
-		pointerReads:     ring.New[almondcross.PointerQuery](ring.Config{Name: "pointer", Capacity: requestRingCapacity, Metrics: set}),
-		pointerWrites:    ring.New[almondcross.SchedulerPointer](ring.Config{Name: "pointers", Capacity: requestRingCapacity, Metrics: set}),
-		usageWrites:      ring.New[almondcross.UsageStore](ring.Config{Name: "usage", Capacity: requestRingCapacity, Metrics: set}),
-		snapshotReads:    ring.New[almondcross.SnapshotQuery](ring.Config{Name: "snapshot", Capacity: requestRingCapacity, Metrics: set}),
-		workerReads:      ring.New[almondcross.WorkersQuery](ring.Config{Name: "workers", Capacity: requestRingCapacity, Metrics: set}),
-		journalCommits:   ring.New[almondcross.JournalCommit](ring.Config{Name: "commits", Capacity: requestRingCapacity, Metrics: set}),
-		newSnapshots:     ring.New[almondcross.SnapshotStore](ring.Config{Name: "snapshots", Capacity: requestRingCapacity, Metrics: set}),
-		advice:           ring.New[asker.Request](ring.Config{Name: "advice", Capacity: adviceRingCapacity, Metrics: set}),
-		schedulerChanges: ring.New[connector.Scheduler](ring.Config{Name: "schedulers", Capacity: schedulerChangesRingCapacity, Metrics: set}),
-		submissions:      ring.New[submitter.Submission](ring.Config{Name: "submissions", Capacity: submissionRingCapacity, Metrics: set}),
-		stored:           ring.New[almondcross.IntakeStored](ring.Config{Name: "stored", Capacity: submissionRingCapacity, Metrics: set}),
-	}
-	rings.viewRelays = ring.New[almondcross.ViewRelayLink](ring.Config{Name: "view_relays", Capacity: schedulerChangesRingCapacity, Metrics: set})
-	rings.relayed = ring.New[almondcross.RelayMessage](ring.Config{Name: "relayed", Capacity: schedulerRingCapacity, Metrics: set})
-	rings.routes = ring.New[almondcross.RoutesMessage](ring.Config{Name: "routes", Capacity: routesRingCapacity, Metrics: set})
-	rings.orders = ring.New[executor.Request](ring.Config{Name: "orders", Capacity: executorRingCapacity, Metrics: set})
-	rings.orderAnswers = ring.New[almondcross.SchedulerMessage](ring.Config{Name: "order_answers", Capacity: executorRingCapacity, Metrics: set})
-	for range settings.StorePartitions() {
-		rings.intakeReads = append(rings.intakeReads, ring.New[almondcross.IntakeQuery](ring.Config{Name: "intake", Capacity: requestRingCapacity}))
-	}
-	return rings
-}
-
 func newRecorder(settings configurator.SchedulerSettings, set *metrics.Set) *recorder.Recorder {
 	log := recorder.New(recorder.Config{Output: os.Stdout, Host: settings.Name(), Lines: settings.LogLines(), Clock: Clock{}})
 	set.NewGauge("almondcross_log_lines_left_out_total", func() float64 { return float64(log.Dropped()) })
@@ -188,34 +103,6 @@
 	return log
 }
 
-func newFollower(
-	settings configurator.SchedulerSettings, client *client.Client, codec encoder.Codec, rings schedulerRings, log *recorder.Recorder,
-	counter *counter.Counter, large *largeCell,
-) *follower.Follower {
-	// Encoded jobs take less than half of the memory that they are counted with, and the store may have two snapshots of them.
-	loadBytes := scheduler.MaxStateBytes(planLimits(settings).StateBytes())
-	return follower.New(follower.Config{
-		Reader: querier.NewStore(querier.StoreConfig{Address: settings.StoreAddress(), Client: client, PageTimeout: newestPageTimeout, NewestBytes: loadBytes / 4 * 3}),
-		Codec:  codec.WithStateLimit(loadBytes), WorkerCodec: translator.Codec{}, Sink: rings.messages, Log: log,
-		Journal: almondcross.Partition{Topic: journalTopic}, Host: settings.Name(), Locator: locator.New(locator.Config{Codec: codec, Log: log}),
-		Snapshots: almondcross.Partition{Topic: snapshotTopic}, Intake: intakeTopic,
-		Pointers: almondcross.Partition{Topic: pointerTopic}, Clock: Clock{},
-		Announcements:    almondcross.Partition{Topic: translator.WorkersTopic},
-		Configuration:    almondcross.Partition{Topic: translator.OperatorsTopic},
-		ConfigurationKey: translator.ConfigurationKey, Rejected: counter.RoutesRejected, Confirmed: counter.RoutesConfirmed, Large: large.Load,
-	})
-}
-
-func newCommitter(
-	settings configurator.SchedulerSettings, client *client.Client, codec encoder.Codec, rings schedulerRings, log *recorder.Recorder,
-) *committer.Committer {
-	return committer.New(committer.Config{
-		Writer: commander.NewStore(settings.StoreAddress(), client), Codec: codec, KeyedCodec: translator.Codec{}, Sink: rings.messages, Clock: Clock{}, Log: log,
-		Journal: almondcross.Partition{Topic: journalTopic}, Snapshots: almondcross.Partition{Topic: snapshotTopic},
-		Pointers: almondcross.Partition{Topic: pointerTopic}, Usage: almondcross.Partition{Topic: usageTopic}, Name: journalWriter, RecordBytes: settings.StoreRecord(), CallBytes: settings.StoreCall(),
-	})
-}
-
 func newRelayer(
 	settings configurator.SchedulerSettings, duties *Duties, client *client.Client, rings schedulerRings, hub *connector.Hub, log *recorder.Recorder,
 	counter *counter.Counter,
@@ -250,98 +137,6 @@
 	})
 }
 
-func newHub(
-	settings configurator.SchedulerSettings, codec encoder.Codec, rings schedulerRings, log *recorder.Recorder, limits *hostLimits,
-	links *counter.Links,
-) *connector.Hub {
-	return connector.NewHub(connector.HubConfig{
-		Host: settings.Name(), Local: localAdviceQueries{rings}, Codec: codec, Pointers: codec, Sink: rings.messages, Clock: Clock{}, Log: log,
-		Stored: rings.offerStored, Relay: rings.relayed, Routes: rings.routes, Frames: limits.frames, Meter: links,
-	})
-}
-
-func newDialer(
-	settings configurator.SchedulerSettings, codec encoder.Codec, rings schedulerRings, executor *executor.Executor, log *recorder.Recorder,
-	machine *scheduler.Machine, links *counter.Links,
-) *connector.Dialer {
-	return connector.NewDialer(connector.DialerConfig{
-		Host: settings.Name(), DataCentre: settings.DataCentre(), Address: settings.LinkListen(), Format: machine.Format(), StateBytes: planLimits(settings).StateBytes(), Codec: codec, Queries: rings.advice,
-		Executor: executor, Sink: rings.messages, Routes: rings.routes, Log: log,
-		Stored: rings.offerStored, Clock: Clock{}, Meter: links,
-	})
-}
-
-func newUplink(hub *connector.Hub, dialer *connector.Dialer) *connector.Uplink {
-	return connector.NewUplink(hub, dialer, Clock{})
-}
-
-func newViewDialer(codec encoder.Codec, rings schedulerRings, log *recorder.Recorder, links *counter.Links) *connector.ViewDialer {
-	return connector.NewViewDialer(connector.ViewDialerConfig{Codec: codec, Sink: rings.messages, Log: log, Meter: links})
-}
-
-func newViewLinks(hub *connector.Hub, dialer *connector.Dialer, rings schedulerRings) *connector.ViewLinks {
-	return connector.NewViewLinks(hub, dialer, rings.viewRelays)
-}
-
-func newReplicator(
-	rings schedulerRings, links *connector.RouteLinks, router *router.Router, counter *counter.Counter, log *recorder.Recorder,
-) *replicator.Duty {
-	return replicator.NewDuty(replicator.DutyConfig{
-		Ring: rings.routes, Clock: Clock{},
-		Machine: replicator.NewMachine(replicator.Config{
-			Decoder: translator.Codec{}, Links: links, Scheduler: rings.messages, Log: log,
-			SetRoutes: func(table almondcross.RouteTable) {
-				router.Set(table)
-				counter.RoutesInForce(table.Version())
-			},
-		}),
-	})
-}
-
-// putRoutes passes a version of the configuration from the store to the replicator.
-func (schedulerrings schedulerRings) putRoutes(ctx context.Context, record almondcross.RoutesRecord) {
-	_ = schedulerrings.routes.Put(ctx, almondcross.NewRoutesStored(almondcross.RoutesStoredConfig{Record: record})) // Put fails only when the context has ended.
-}
-
-// offerStored passes the confirmation of a forwarded intake to the submitter. A confirmation is dropped if the ring
-// is full; this host then stores the intake itself.
-func (schedulerrings schedulerRings) offerStored(stored almondcross.IntakeStored) {
-	schedulerrings.stored.Offer(stored)
-}
-
-// localAdviceQueries passes advice queries of a scheduler to the asker on the same host.
-type localAdviceQueries struct{ rings schedulerRings }
-
-// Offer passes a query to the asker without blocking. It returns false if the ring is full.
-func (localadvicequeries localAdviceQueries) Offer(query almondcross.AdviceQuery) bool {
-	return localadvicequeries.rings.advice.Offer(localadvicequeries.newRequest(query))
-}
-
-// Put passes a query to the asker and blocks while the ring is full, until the context ends.
-func (localadvicequeries localAdviceQueries) Put(ctx context.Context, query almondcross.AdviceQuery) error {
-	return localadvicequeries.rings.advice.Put(ctx, localadvicequeries.newRequest(query))
-}
-
-func (localadvicequeries localAdviceQueries) newRequest(query almondcross.AdviceQuery) asker.Request {
-	return asker.Request{Query: query, Reply: func(ctx context.Context, answer almondcross.AdviceAnswered) {
-		_ = localadvicequeries.rings.messages.Put(ctx, answer) // Put fails only when the context has ended.
-	}}
-}
-
-func newSubmitter(
-	settings configurator.SchedulerSettings, client *client.Client, codec encoder.Codec, log *recorder.Recorder,
-	rings schedulerRings, uplink *connector.Uplink,
-) *submitter.Submitter {
-	// Hosts start with different partitions, so that their appends do not wait for each other.
-	hash := fnv.New32a()
-	_, _ = hash.Write([]byte(settings.Name()))
-	return submitter.New(submitter.Config{
-		Writer: commander.NewStore(settings.StoreAddress(), client), Codec: codec, Clock: Clock{}, Log: log, Topic: intakeTopic,
-		Partition: int(hash.Sum32()), Partitions: settings.StorePartitions(), Forward: uplink.Forward, Stored: rings.stored,
-		RecordBytes: settings.StoreRecord(), CallBytes: settings.StoreCall(), IntakeBytes: planLimits(settings).IntakeBytes(), Hosts: uplink.Hosts,
-	})
-}
-
 func newSchedulerMachine(
 	settings configurator.SchedulerSettings, table *jobfinder.Table, log *recorder.Recorder, counter *counter.Counter,
 ) *scheduler.Machine {
