Say in the packages' comments what replicates the configuration

Cause: read as a newcomer, noVersion and two packages did not say what they are for.

Change: comments only.

--- a/command/connector/doc.go
+++ b/command/connector/doc.go
@@ -9,4 +9,6 @@
 //
 // In a large cell most hosts get the views of jobs from a relay, another host whose hub accepts their links for views. ViewDialer is
 // the duty that keeps such a link; ViewLinks is what the state machine sends views, their numbers and assignments with.
+//
+// Links to the scheduler's host also replicate the configuration; RouteLinks is what the replicator sends its messages with.
 package connector
--- a/command/replicator/machine.go
+++ b/command/replicator/machine.go
@@ -17,7 +17,8 @@
 	uplinkTellDelay = 400 * time.Millisecond
 	// retryInterval is the time after which a message for a full queue is sent again.
 	retryInterval = 200 * time.Millisecond
-	// noVersion is the version of an end that has told or was told none. It is below that of a host without a configuration.
+	// noVersion stands for an end that has not told its version yet, or that has been told none. It is below the version of a host
+	// without a configuration, which is 0.
 	noVersion = -1
 )
 
@@ -35,8 +36,8 @@
 // goroutine may use it.
 type Machine struct {
 	config  Config
-	now     time.Time
-	current almondcross.RoutesRecord
+	now     time.Time                // now is the time of the current call.
+	current almondcross.RoutesRecord // current is the version in force.
 	peers   map[almondcross.LinkEnd]*peer
 	// passAt is when the version in force is passed to the scheduler duty, zero if that has happened.
 	passAt time.Time
