Set a version from the store in force before it is passed to the replicator

Cause: when the process wakes, calls and the version wait together. Since the replication over links, the version went through the ring and the duty of the replicator before it was in force, and more of the waiting calls were handled first.

Change: the reader of the store sets the version in the router, as before, and passes it on afterwards. The router may be set from two goroutines and keeps the highest version.

--- a/assembler/scheduler.go
+++ b/assembler/scheduler.go
@@ -218,6 +218,7 @@
 	Scheduler  *scheduler.Duty
 	Servers    *schedulerServers
 	Replicator *replicator.Duty
+	Router     *router.Router
 }
 
 // dutyFunc is a function that implements Duty.
@@ -245,7 +246,7 @@
 		NamedDuty{"account writer", dutyFunc(func(ctx context.Context) error { return schedulerhost.Committer.RunUsage(ctx, rings.usageWrites) })},
 		NamedDuty{"snapshot reader", schedulerhost.Follower.Snapshot(rings.snapshotReads)},
 		NamedDuty{"workers reader", schedulerhost.Follower.Workers(rings.workerReads)},
-		NamedDuty{"routes reader", schedulerhost.Follower.Routes(rings.putRoutes)},
+		NamedDuty{"routes reader", schedulerhost.Follower.Routes(schedulerhost.putRoutes)},
 		NamedDuty{"routes replicator", schedulerhost.Replicator},
 		NamedDuty{"committer", dutyFunc(func(ctx context.Context) error { return schedulerhost.Committer.RunJournal(ctx, rings.journalCommits) })},
 		NamedDuty{"snapshot writer", dutyFunc(func(ctx context.Context) error { return schedulerhost.Committer.RunSnapshots(ctx, rings.newSnapshots) })},
@@ -267,3 +268,10 @@
 		almondcross.Text("listen", schedulerhost.Settings.CallersListen()), almondcross.Text("store", schedulerhost.Settings.StoreAddress()))
 	return nil
 }
+
+// putRoutes puts a version from the store in force for callers and passes it to the replicator. After a pause of the process, calls
+// and the version wait together, and each step in between lets more calls be answered by the old version.
+func (schedulerhost schedulerHost) putRoutes(ctx context.Context, record almondcross.RoutesRecord) {
+	schedulerhost.Router.Set(record.Table())
+	_ = schedulerhost.Rings.routes.Put(ctx, almondcross.NewRoutesStored(almondcross.RoutesStoredConfig{Record: record})) // Put fails only when the context has ended.
+}
--- a/assembler/schedulerrings.go
+++ b/assembler/schedulerrings.go
@@ -1,8 +1,6 @@
 package assembler
 
 import (
-	"context"
-
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/almondcross/almondcross"
@@ -84,11 +82,6 @@
 	return rings
 }
 
-// putRoutes passes a version of the configuration from the store to the replicator.
-func (schedulerrings schedulerRings) putRoutes(ctx context.Context, record almondcross.RoutesRecord) {
-	_ = schedulerrings.routes.Put(ctx, almondcross.NewRoutesStored(almondcross.RoutesStoredConfig{Record: record})) // Put fails only when the context has ended.
-}
-
 // offerStored passes the confirmation of a forwarded intake to the submitter. A confirmation is dropped if the ring
 // is full; this host then stores the intake itself.
 func (schedulerrings schedulerRings) offerStored(stored almondcross.IntakeStored) {
--- a/query/router/router.go
+++ b/query/router/router.go
@@ -15,7 +15,7 @@
 	byKey  map[string]string // byKey holds the names of the workspaces by key.
 }
 
-// Router finds the queues of requests. It is safe for concurrent use, but only one goroutine may call Set.
+// Router finds the queues of requests. It is safe for concurrent use.
 type Router struct{ current atomic.Pointer[index] }
 
 // New returns a router without a route table.
@@ -23,9 +23,17 @@
 
 // Set replaces the route table. It ignores a table whose version is not newer than the current one.
 func (router *Router) Set(table almondcross.RouteTable) {
-	if index := router.current.Load(); index != nil && index.table.Version() >= table.Version() {
-		return
+	next := newIndex(table)
+	for {
+		current := router.current.Load()
+		if current != nil && current.table.Version() >= table.Version() || router.current.CompareAndSwap(current, next) {
+			return
+		}
 	}
+}
+
+// newIndex returns the index of a route table.
+func newIndex(table almondcross.RouteTable) *index {
 	index := &index{table: table, byHost: map[string][]almondcross.Queue{}, byKey: map[string]string{}}
 	for _, workspace := range table.Workspaces() {
 		for _, key := range workspace.Keys() {
@@ -39,7 +47,7 @@
 	for _, queues := range index.byHost {
 		slices.SortStableFunc(queues, func(a, b almondcross.Queue) int { return len(b.Prefix()) - len(a.Prefix()) })
 	}
-	router.current.Store(index)
+	return index
 }
 
 // Identify returns the workspace whose key a caller presents on a queue, and whether the call is allowed.
--- a/query/router/router_test.go
+++ b/query/router/router_test.go
@@ -1,6 +1,7 @@
 package router_test
 
 import (
+	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -31,3 +32,18 @@
 	require.False(t, found)
 	require.Equal(t, int64(5), router.Version())
 }
+
+// Guards against an older version that replaces a newer one because the reader of the store and the replicator set both at once.
+func TestNewestOfConcurrentVersionsStays(t *testing.T) {
+	router := router.New()
+	var setters sync.WaitGroup
+	for setter := range int64(4) {
+		setters.Go(func() {
+			for version := setter; version < 2000; version += 4 {
+				router.Set(almondcross.NewRouteTable(almondcross.RouteTableConfig{Version: version + 1}))
+			}
+		})
+	}
+	setters.Wait()
+	require.Equal(t, int64(2000), router.Version())
+}
