Log what keeps the workers from a stage that waits

Cause: the log did not tell why. A stage left no line after it had become ready, and the reasons that keep a worker from it stood in two conditions without names.

Change: fit() returns the reason by name. Placement asks it, and each 5 s the scheduler logs for the five stages that have waited longest how many workers each reason keeps away (stage_waits).

--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -71,6 +71,7 @@
 	placementDue        bool                         // placementDue is set when a placement pass may succeed.
 	lastPlacementAt     time.Time                    // lastPlacementAt is when the last placement pass began.
 	lastSweepAt         time.Time                    // lastSweepAt is when the workers were last swept.
+	waitsLoggedAt       time.Time                    // waitsLoggedAt is when it was last logged what keeps the workers from waiting stages.
 	lastTickAt          time.Time                    // lastTickAt is when due occurrences were last started.
 	failedShare         float64                      // failedShare is the failed share of the runs on the median of the workers, see updateFailedShare.
 	failedAgainShare    float64                      // failedAgainShare is the moving average of the failed share of the runs of stages that have failed on another worker.
@@ -188,6 +189,7 @@
 	if machine.now.Sub(machine.leader.lastSweepAt) >= sweepInterval {
 		machine.leader.lastSweepAt = machine.now
 		machine.sweepWorkers()
+		machine.logWaits()
 		machine.expireAdviceCalls()
 		machine.checkEarlierLeaderships()
 		machine.leader.roomWaits.update(machine.state.ledger.freed, machine.now)
--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -159,8 +159,9 @@
 // candidates returns the usable workers on which at least one task of a stage fits that is under the given suspicion.
 // With advice, it returns only those with a valid ticket.
 func (machine *Machine) candidates(queue almondcross.Queue, job *job, stage *stage, suspicion suspicion, advice *stageAdvice) []almondcross.WorkerCapacity {
-	spec := stage.spec
-	failed := machine.avoidedWorkers(queue, stage)
+	query := &placementQuery{
+		queue: queue, job: job, stage: stage, suspicion: suspicion, advice: advice, avoided: machine.avoidedWorkers(queue, stage),
+	}
 	workers := machine.leader.usableWorkers
 	switch {
 	case advice != nil:
@@ -171,25 +172,13 @@
 	machine.leader.examinedWorkers += len(workers)
 	var candidates []almondcross.WorkerCapacity
 	for _, worker := range workers {
-		if !worker.inPass || failed[worker.id] || advice != nil && !advice.hasTicket(worker, machine.now) {
-			continue
-		}
-		if !worker.isOfKind(queue, spec) || !worker.accepts(job, suspicion) {
-			continue
-		}
-		free := machine.unreserved(worker, queue, stage)
-		count := maxTasks(free, spec.Resources(), spec.Count())
-		if count > 0 && spec.PerWorker() > 0 {
-			count = min(count, spec.PerWorker()-worker.runCount(stage.id))
-		}
-		if suspicion == suspected && !spec.Gang() {
-			count = min(count, 1)
-		}
-		if count <= 0 {
+		count, _ := machine.fit(worker, query)
+		if count == 0 {
 			continue
 		}
 		candidates = append(candidates, almondcross.NewWorkerCapacity(almondcross.WorkerCapacityConfig{
-			Worker: worker.id, Rack: worker.info.Rack(), Free: free, Capacity: worker.info.Capacity(), Tasks: count, Speed: worker.pace(),
+			Worker: worker.id, Rack: worker.info.Rack(), Free: machine.unreserved(worker, queue, stage), Capacity: worker.info.Capacity(),
+			Tasks: count, Speed: worker.pace(),
 		}))
 	}
 	return candidates
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -150,12 +150,6 @@
 	return slices.SortedFunc(maps.Values(worker.assignments), func(a, b *assignment) int { return a.task.Compare(b.task) })
 }
 
-// usable reports whether the worker may get new work.
-func (worker *worker) usable(now time.Time) bool {
-	return worker.announced && worker.lifeAnnounced() && !worker.info.Draining() && !worker.unreachable && worker.ackLimit == 0 && !worker.lastAnswerAt.IsZero() &&
-		now.Sub(worker.lastAnswerAt) < maxContactAge && !now.Before(worker.avoidUntil)
-}
-
 // outOfContact reports whether the worker has not answered the last lease order, or none yet.
 func (worker *worker) outOfContact() bool { return worker.unreachable || worker.lastAnswerAt.IsZero() }
 
