Count the limit of tasks for each worker before room is kept for a gang

Cause: room is kept for a waiting gang if the workers that may run it have the capacity for it. That capacity was counted without the gang's limit of tasks for each worker, so that one worker seemed to suffice for two tasks of which each needs its own. The room was kept again in each pass.

TestRoomIsNotKeptForAGangThatItsLimitPerWorkerKeepsWaiting and TestRoomIsKeptWithinTheLimitPerWorker fail there: 0 tasks of the single job run, 1 and 2 are expected.

Change: tasksIn counts the tasks of a stage on a worker with that limit. Placement, the capacity for a gang, the room that is kept and the choice of workers for advice use it. A gang that cannot be placed on the workers there are keeps nothing; the others keep no more than they can use.

--- a/command/scheduler/advice.go
+++ b/command/scheduler/advice.go
@@ -209,7 +209,7 @@
 			}
 			continue
 		}
-		if tasks := maxTasks(worker.free().Sub(worker.reserved), stage.spec.Resources(), stage.spec.Count()); tasks > 0 {
+		if tasks := worker.tasksIn(worker.free().Sub(worker.reserved), stage, stage.spec.Count()); tasks > 0 {
 			fitNow = append(fitNow, almondcross.NewWorkerCapacity(almondcross.WorkerCapacityConfig{Worker: worker.id, Tasks: tasks}))
 		} else if tasks := maxGangTasks(worker, stage); tasks > 0 {
 			fitLater = append(fitLater, almondcross.NewWorkerCapacity(almondcross.WorkerCapacityConfig{Worker: worker.id, Tasks: tasks}))
@@ -326,9 +326,9 @@
 	return initialAllowedShare
 }
 
-// maxGangTasks returns how many tasks of a gang fit on a worker once all runs other than services have ended.
+// maxGangTasks returns how many tasks of a gang may run on a worker once all runs other than services have ended.
 func maxGangTasks(worker *worker, stage *stage) int {
-	return maxTasks(worker.info.Capacity().Sub(worker.usedByServices), stage.spec.Resources(), stage.spec.Count())
+	return worker.tasksIn(worker.info.Capacity().Sub(worker.usedByServices), stage, stage.spec.Count())
 }
 
 // adviceAnswered stores the tickets and the decisions of an answer.
--- a/command/scheduler/gangroom.go
+++ b/command/scheduler/gangroom.go
@@ -38,7 +38,7 @@
 	// A caller may ask for any amount, and the product may be out of the range of int64.
 	demand := float64(wanted) * float64(waiting.stage.spec.Resources().MilliCPU())
 	if float64(machine.leader.reservedCPU)+demand <= maxReservedShare*float64(machine.leader.usableCPU) {
-		if wanted = machine.reserveFree(workers, waiting.stage.spec, wanted, advice); wanted == 0 {
+		if wanted = machine.reserveFree(workers, waiting.stage, wanted, advice); wanted == 0 {
 			return // The gang waits only for tickets.
 		}
 	}
@@ -49,9 +49,9 @@
 
 // reserveFree reserves the free room for a number of tasks of a gang, first on the workers with tickets, since other room may be gone
 // before the gang has one. It returns for how many tasks there is none.
-func (machine *Machine) reserveFree(workers []*worker, spec almondcross.Step, tasks int, advice *stageAdvice) int {
+func (machine *Machine) reserveFree(workers []*worker, stage *stage, tasks int, advice *stageAdvice) int {
 	if advice == nil {
-		return machine.reserveOn(workers, spec, tasks)
+		return machine.reserveOn(workers, stage, tasks)
 	}
 	var ready, others []*worker
 	for _, worker := range workers {
@@ -61,7 +61,7 @@
 			others = append(others, worker)
 		}
 	}
-	return machine.reserveOn(others, spec, machine.reserveOn(ready, spec, tasks))
+	return machine.reserveOn(others, stage, machine.reserveOn(ready, stage, tasks))
 }
 
 // gangWorkers returns the workers that may run a waiting gang.
@@ -94,7 +94,7 @@
 
 // reserveOn reserves the free room for a number of tasks on workers and returns for how many tasks there was none. Slow workers are
 // left out: the whole gang would be as slow as they are.
-func (machine *Machine) reserveOn(workers []*worker, spec almondcross.Step, tasks int) int {
+func (machine *Machine) reserveOn(workers []*worker, stage *stage, tasks int) int {
 	for _, worker := range workers {
 		if tasks == 0 {
 			break
@@ -102,8 +102,8 @@
 		if worker.slow {
 			continue
 		}
-		fit := maxTasks(worker.free().Sub(worker.reserved), spec.Resources(), tasks)
-		reserved := spec.Resources().Scale(int64(fit))
+		fit := worker.tasksIn(worker.free().Sub(worker.reserved), stage, tasks)
+		reserved := stage.spec.Resources().Scale(int64(fit))
 		worker.reserved = worker.reserved.Add(reserved)
 		machine.leader.reservedCPU += reserved.MilliCPU()
 		tasks -= fit
--- a/command/scheduler/gangroom_test.go
+++ b/command/scheduler/gangroom_test.go
@@ -112,3 +112,49 @@
 	require.Equal(t, held[0].free().Sub(held[0].reserved), machine.unreserved(held[0], lower, batch))
 	require.Equal(t, held[0].free().Sub(held[0].reserved), machine.unreserved(held[0], urgent.WithPriority(0), &stage{readyAt: harness.now}))
 }
+
+// newLabelledCell returns a cell with six workers of four cores, of which the first two have the label that labelled tasks need.
+func newLabelledCell(t *testing.T) *harness {
+	harness := newHarness(t)
+	harness.becomeScheduler()
+	harness.machine.leader.workers[workerID].announced = false
+	harness.addWorkers(6, poolWorker.Capacity(), almondcross.Resources{})
+	for _, id := range []string{"i-000", "i-001"} {
+		worker := harness.machine.leader.workers[id]
+		worker.info = worker.info.WithLabels([]string{"l"})
+	}
+	return harness
+}
+
+// placeFor lets the scheduler place stages for a time in which all workers answer.
+func (harness *harness) placeFor(span time.Duration) {
+	for end := harness.now.Add(span); harness.now.Before(end); {
+		for _, worker := range harness.machine.leader.workers {
+			worker.lastAnswerAt = harness.now
+		}
+		harness.advance(leaderTick)
+	}
+}
+
+// Guards against a worker that stays idle for good (LOST): it was kept for a gang that may have one task on each worker, after the
+// other worker for it had been lost.
+func TestRoomIsNotKeptForAGangThatItsLimitPerWorkerKeepsWaiting(t *testing.T) {
+	harness := newLabelledCell(t)
+	harness.machine.leader.workers["i-001"].announced = false
+	harness.submitJob("g", almondcross.StepConfig{Count: 4, Gang: true, PerWorker: 2, Label: "l"})
+	harness.submitJob("single", almondcross.StepConfig{Count: 1, Label: "l"})
+	harness.placeFor(leaderTick)
+	require.Zero(t, harness.machine.state.jobs["g"].activeTasks)
+	require.Equal(t, 1, harness.machine.state.jobs["single"].activeTasks)
+}
+
+// Guards against room that is kept on a worker for more tasks of a gang than may run there.
+func TestRoomIsKeptWithinTheLimitPerWorker(t *testing.T) {
+	harness := newLabelledCell(t)
+	harness.occupy("i-001", 0, time.Hour)
+	harness.submitJob("g", almondcross.StepConfig{Count: 4, Gang: true, PerWorker: 2, Label: "l"})
+	harness.submitJob("single", almondcross.StepConfig{Count: 3, Label: "l"})
+	harness.placeFor(leaderTick)
+	require.Zero(t, harness.machine.state.jobs["g"].activeTasks)
+	require.Equal(t, 2, harness.machine.state.jobs["single"].activeTasks, "two tasks of the gang fit beside them")
+}
--- a/command/scheduler/obstacle.go
+++ b/command/scheduler/obstacle.go
@@ -82,24 +82,28 @@
 	case !worker.accepts(query.job, query.suspicion):
 		return 0, obstacleSuspicion
 	}
-	spec := query.stage.spec
-	count := maxTasks(machine.unreserved(worker, query.queue, query.stage), spec.Resources(), spec.Count())
-	if count == 0 {
-		if maxTasks(worker.free(), spec.Resources(), 1) > 0 {
-			return 0, obstacleGang
-		}
-		return 0, obstacleNoRoom
-	}
-	if spec.PerWorker() > 0 {
-		count = min(count, spec.PerWorker()-worker.runCount(query.stage.id))
-	}
-	if count <= 0 {
-		return 0, obstaclePerWorker
+	spec, room := query.stage.spec, machine.unreserved(worker, query.queue, query.stage)
+	count := worker.tasksIn(room, query.stage, spec.Count())
+	switch {
+	case count == 0:
+		return 0, worker.lacks(room, spec)
+	case query.suspicion == suspected && !spec.Gang():
+		return 1, ""
+	default:
+		return count, ""
 	}
-	if query.suspicion == suspected && !spec.Gang() {
-		count = 1
+}
+
+// lacks returns why no task of a step may run in some of the free resources of the worker.
+func (worker *worker) lacks(room almondcross.Resources, spec almondcross.Step) obstacle {
+	switch {
+	case maxTasks(room, spec.Resources(), 1) > 0:
+		return obstaclePerWorker
+	case maxTasks(worker.free(), spec.Resources(), 1) > 0:
+		return obstacleGang
+	default:
+		return obstacleNoRoom
 	}
-	return count, ""
 }
 
 // logWaits logs for the stages that have waited longest how many workers of their pool each obstacle keeps from them. What is kept
--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -232,6 +232,15 @@
 	return count
 }
 
+// tasksIn returns how many tasks of a stage may run in some resources of the worker beside its runs of the stage, at most limit.
+func (worker *worker) tasksIn(room almondcross.Resources, stage *stage, limit int) int {
+	count := maxTasks(room, stage.spec.Resources(), limit)
+	if count == 0 || stage.spec.PerWorker() == 0 {
+		return count
+	}
+	return min(count, max(stage.spec.PerWorker()-worker.runCount(stage.id), 0))
+}
+
 // maxTasks returns how many tasks with the given need fit in the available resources, at most limit.
 func maxTasks(available, need almondcross.Resources, limit int) int {
 	count := int64(limit)
