Bound the time for which room is kept for a gang from other stages

A job with room beside it waits for as long as a run lasts on another worker that a gang needs (LOST).

Cause: room that is kept for a waiting gang had no end, unlike workers that are held for it. It is kept while the gang could be placed once all runs but services have ended, and one of them may run for hours.

Evidence: TestRoomKeptForAGangIsReleased fails before in three of its four cases: 0 tasks run, after 5 s of wait, in an idle pool, and of a service in an idle and in a full one.

Change: a stage that has waited for 5 s uses the kept room if less than half of the capacity of its pool is in use, and a service in any case. In a crowded pool the room stays kept, since most stages wait for longer there. That is where the rule excuses the wait, except for services.

Result: the test passes.

--- a/command/scheduler/gangroom.go
+++ b/command/scheduler/gangroom.go
@@ -8,8 +8,11 @@
 
 // A gang starts only when all of its tasks fit at the same time, and smaller tasks take room as soon as it is released. The stages
 // behind a waiting gang therefore do not see the free room on the workers that may run it, as far as the gang needs it. While that is
-// not enough, stages of a lower priority do not see these workers at all. The room is found anew in each pass: with dozens of waiting gangs, the room on named
-// workers that all of them wait for stays free for much longer than the first gang needs to find enough on any.
+// not enough, stages of a lower priority do not see these workers at all. The room is found anew in each pass: with dozens of waiting
+// gangs, the room on named workers that all of them wait for stays free for much longer than the first gang needs to find enough on any.
+//
+// A gang may wait for workers that are not released for hours. Both kinds of kept room therefore end for a stage that has waited for
+// maxHold: held workers in any case, reserved room for a service, and for other stages if their pool is not crowded.
 
 // Parameters of the room that is kept free for waiting gangs.
 const (
@@ -18,9 +21,12 @@
 	maxReservedShare = 0.35
 	// maxHeldShare is the maximum share of the workers that stages of a lower priority than a waiting gang do not use.
 	maxHeldShare = 0.9
-	// maxHold is how long a stage waits for gangs of a higher priority. Batch work has time for it, and is not held off
-	// altogether while gangs keep arriving.
+	// maxHold is how long a stage waits for gangs of a higher priority, and for any gang in a pool that is not crowded. Batch work has
+	// time for it, and is not held off altogether while gangs keep arriving.
 	maxHold = 5 * time.Second
+	// crowdedUse is the share of the capacity of a pool in use from which it counts as crowded. Below it, gangs find room soon in any
+	// case, or wait for something else than the ends of runs.
+	crowdedUse = 0.5
 )
 
 // reserveRoom keeps room for a waiting gang from the stages behind it in this pass, on workers that advice allows if the queue
@@ -113,8 +119,35 @@
 
 // unreserved returns the free resources of a worker for a stage in this pass.
 func (machine *Machine) unreserved(worker *worker, queue almondcross.Queue, stage *stage) almondcross.Resources {
+	if machine.ignoresReservations(queue, stage) {
+		return worker.free()
+	}
 	if worker.held && queue.Priority() > worker.heldPriority && machine.now.Sub(stage.readyAt) < maxHold {
 		return almondcross.Resources{}
 	}
 	return worker.free().Sub(worker.reserved)
 }
+
+// ignoresReservations reports whether a stage has waited long enough to use the room that is kept for gangs.
+func (machine *Machine) ignoresReservations(queue almondcross.Queue, stage *stage) bool {
+	if machine.now.Sub(stage.readyAt) < maxHold {
+		return false
+	}
+	return stage.spec.Service() || !machine.crowded(queue.Pool())
+}
+
+// crowded reports whether crowdedUse of the capacity of a pool is in use at the time of its first call in a pass.
+func (machine *Machine) crowded(pool string) bool {
+	if crowded, known := machine.leader.crowdedPools[pool]; known {
+		return crowded
+	}
+	var used, capacity almondcross.Resources
+	for _, worker := range machine.leader.sortedWorkers {
+		if worker.announced && worker.info.Pool() == pool {
+			used, capacity = used.Add(worker.used), capacity.Add(worker.info.Capacity())
+		}
+	}
+	crowded := used.Dominant(capacity) >= crowdedUse
+	machine.leader.crowdedPools[pool] = crowded
+	return crowded
+}
--- a/command/scheduler/gangroom_test.go
+++ b/command/scheduler/gangroom_test.go
@@ -158,3 +158,32 @@
 	require.Zero(t, harness.machine.state.jobs["g"].activeTasks)
 	require.Equal(t, 2, harness.machine.state.jobs["single"].activeTasks, "two tasks of the gang fit beside them")
 }
+
+// Guards against room that is kept without an end (LOST) for a gang whose other worker is not released, while most of the pool is
+// idle, and against a service that waits for it for longer, however full the pool is.
+func TestRoomKeptForAGangIsReleased(t *testing.T) {
+	for name, test := range map[string]struct {
+		crowded, service, released bool
+	}{
+		"an idle pool":                {released: true},
+		"a full pool":                 {crowded: true},
+		"a service in an idle pool":   {service: true, released: true},
+		"a service in a crowded pool": {service: true, crowded: true, released: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			harness := newLabelledCell(t)
+			harness.occupy("i-001", 0, time.Hour)
+			if test.crowded {
+				for _, id := range []string{"i-002", "i-003", "i-004", "i-005"} {
+					harness.occupy(id, 0, time.Hour)
+				}
+			}
+			harness.submitJob("g", almondcross.StepConfig{Count: 8, Gang: true, Label: "l"})
+			harness.submitJob("single", almondcross.StepConfig{Count: 1, Label: "l", Service: test.service})
+			harness.placeFor(maxHold - time.Second)
+			require.Zero(t, harness.machine.state.jobs["single"].activeTasks)
+			harness.placeFor(time.Second)
+			require.Equal(t, test.released, harness.machine.state.jobs["single"].activeTasks > 0)
+		})
+	}
+}
--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -78,6 +78,7 @@
 	quotas              quotaTable
 	shares              shareTable
 	roomBounds          map[string]*roomBound // roomBounds holds the bounds on the room of the pools in the current pass.
+	crowdedPools        map[string]bool       // crowdedPools holds the results of the method crowded in the current pass.
 	allowedShares       map[string]float64    // allowedShares holds the moving average of the share of workers that advice allows, by queue.
 }
 
@@ -87,7 +88,7 @@
 		epoch: answer.Commit().Epoch(), sequence: 1, electedAt: machine.now, lastCommitAt: machine.now.Add(-answer.Took()),
 		pendingIntake: map[int]int64{}, intakeReadAt: map[int]time.Time{}, workers: map[string]*worker{}, advice: map[almondcross.StageID]*stageAdvice{},
 		queued: map[almondcross.StageID]bool{}, unpushedViews: map[almondcross.JobID]almondcross.JobViewChange{}, jobsWithOccurrences: map[almondcross.JobID]*job{}, allowedShares: map[string]float64{}, queueScores: map[string]queueScore{},
-		quarantined: map[almondcross.StageID]time.Time{}, roomWaits: roomWaits{}, quotas: newQuotaTable(), roomBounds: map[string]*roomBound{}, viewRelays: machine.newViewRelays(),
+		quarantined: map[almondcross.StageID]time.Time{}, roomWaits: roomWaits{}, quotas: newQuotaTable(), roomBounds: map[string]*roomBound{}, crowdedPools: map[string]bool{}, viewRelays: machine.newViewRelays(),
 	}
 	if machine.config.NewRunTimes != nil {
 		machine.leader.runTimes = machine.config.NewRunTimes()
--- a/command/scheduler/obstacle_test.go
+++ b/command/scheduler/obstacle_test.go
@@ -33,7 +33,7 @@
 			worker := harness.machine.leader.workers[workerID]
 			worker.info = worker.info.WithLabels([]string{"l"})
 			stage := &stage{
-				id:   almondcross.StageID{Job: "j"},
+				id: almondcross.StageID{Job: "j"}, readyAt: harness.now,
 				spec: almondcross.NewStep(almondcross.StepConfig{Count: 2, PerWorker: 1, Label: "l", Resources: almondcross.NewResources(almondcross.ResourcesConfig{MilliCPU: 1000})}),
 			}
 			harness.machine.startPass()
--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -100,6 +100,7 @@
 		}
 	}
 	clear(leader.roomBounds)
+	clear(leader.crowdedPools)
 	leader.quotas.startPass()
 	leader.shares.setTotals(machine.now)
 	machine.limitIsolation()
