Bound the time for which a failed task waits for another worker

Cause: the worker of the failed run was left out for as long as another one of the right kind was large enough when it is empty. Whether that one can have room was not asked, nor how long the task had waited: it was full of a task that lasts. A gang of two tasks, with one on each of its two workers, met the same after one member had failed.

TestFailedTaskRestartsAlthoughItsOtherWorkerIsFull fails before in all four cases and TestFailedGangRestartsOnItsOnlyWorkers as well: no run is placed.

Change: the worker is left out only while the others could hold the task, or the whole gang, once all runs other than services have ended, and for 2 s from the last failure. In a crowded pool it is 10 s, unless the task is a service: there a faulty worker would otherwise get all attempts before another one has room. After a takeover the time counts from the election. othersMayRun of the slow workers asks the same question.

--- a/command/scheduler/advice.go
+++ b/command/scheduler/advice.go
@@ -204,14 +204,14 @@
 			continue
 		}
 		if worker.slow {
-			if tasks := maxGangTasks(worker, stage); tasks > 0 {
+			if tasks := worker.eventualTasks(stage); tasks > 0 {
 				slow = append(slow, almondcross.NewWorkerCapacity(almondcross.WorkerCapacityConfig{Worker: worker.id, Tasks: tasks}))
 			}
 			continue
 		}
 		if tasks := worker.tasksIn(worker.free().Sub(worker.reserved), stage, stage.spec.Count()); tasks > 0 {
 			fitNow = append(fitNow, almondcross.NewWorkerCapacity(almondcross.WorkerCapacityConfig{Worker: worker.id, Tasks: tasks}))
-		} else if tasks := maxGangTasks(worker, stage); tasks > 0 {
+		} else if tasks := worker.eventualTasks(stage); tasks > 0 {
 			fitLater = append(fitLater, almondcross.NewWorkerCapacity(almondcross.WorkerCapacityConfig{Worker: worker.id, Tasks: tasks}))
 		}
 	}
@@ -233,7 +233,7 @@
 	capacity, ready := 0, 0
 	var expiring []almondcross.WorkerCapacity
 	for _, worker := range machine.allowedWorkers(advice) {
-		tasks := maxGangTasks(worker, stage)
+		tasks := worker.eventualTasks(stage)
 		capacity += tasks
 		if advice.hasTicket(worker, machine.now.Add(ticketRenewal)) {
 			ready += tasks
@@ -326,11 +326,6 @@
 	return initialAllowedShare
 }
 
-// maxGangTasks returns how many tasks of a gang may run on a worker once all runs other than services have ended.
-func maxGangTasks(worker *worker, stage *stage) int {
-	return worker.tasksIn(worker.info.Capacity().Sub(worker.usedByServices), stage, stage.spec.Count())
-}
-
 // adviceAnswered stores the tickets and the decisions of an answer.
 func (machine *Machine) adviceAnswered(answer almondcross.AdviceAnswered) {
 	id := answer.Query().Stage()
--- /dev/null
+++ b/command/scheduler/crowding.go
@@ -0,0 +1,23 @@
+package scheduler
+
+import "github.com/almondcross/almondcross"
+
+// crowdedUse is the share of the capacity of a pool in use from which it counts as crowded. Below it, a stage that waits for the ends
+// of runs finds room soon, or waits for workers that are not going to be released.
+const crowdedUse = 0.5
+
+// crowded reports whether crowdedUse of the capacity of a pool is in use at the time of its first call in a pass.
+func (machine *Machine) crowded(pool string) bool {
+	if crowded, known := machine.leader.crowdedPools[pool]; known {
+		return crowded
+	}
+	var used, capacity almondcross.Resources
+	for _, worker := range machine.leader.sortedWorkers {
+		if worker.announced && worker.info.Pool() == pool {
+			used, capacity = used.Add(worker.used), capacity.Add(worker.info.Capacity())
+		}
+	}
+	crowded := used.Dominant(capacity) >= crowdedUse
+	machine.leader.crowdedPools[pool] = crowded
+	return crowded
+}
--- /dev/null
+++ b/command/scheduler/failedruns.go
@@ -0,0 +1,63 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/almondcross/almondcross"
+)
+
+// A task whose run has failed goes to another worker, if one may have room for it soon. A faulty worker, on which every run fails and
+// which is free again at once, would otherwise use up all attempts of the task.
+const (
+	// failedRunWait is how long after its last failed run a stage waits for other workers.
+	failedRunWait = 2 * time.Second
+	// crowdedFailedRunWait replaces it in a crowded pool, where it may take longer until room is released, for tasks with a limited
+	// number of attempts.
+	crowdedFailedRunWait = 10 * time.Second
+)
+
+// failedWorkers returns the workers on which the last run of a task of the stage failed.
+func (stage *stage) failedWorkers() map[string]bool {
+	var failed map[string]bool
+	for _, record := range stage.tasks.known() {
+		if record.Failures() > 0 && !record.Active() && !record.Done() {
+			if failed == nil {
+				failed = map[string]bool{}
+			}
+			failed[record.Worker()] = true
+		}
+	}
+	return failed
+}
+
+// avoidedWorkers returns the failed workers of a stage while it waits for others: for a limited time, and only if the others
+// could hold a task of it, or the whole gang, once all runs other than services have ended.
+func (machine *Machine) avoidedWorkers(queue almondcross.Queue, stage *stage) map[string]bool {
+	failed := stage.failedWorkers()
+	// A stage that failed before this scheduler was elected waits from the election on.
+	if len(failed) == 0 || machine.now.Sub(later(stage.failedAt, machine.leader.electedAt)) >= machine.failedRunWait(queue, stage) {
+		return nil
+	}
+	missing := 1
+	if stage.spec.Gang() {
+		missing = stage.unplaced()
+	}
+	advice := machine.leader.advice[stage.id]
+	for _, worker := range machine.leader.usableWorkers {
+		if failed[worker.id] || !worker.mayEverRun(queue, stage.spec, advice) {
+			continue
+		}
+		if missing -= worker.eventualTasks(stage); missing <= 0 {
+			return failed
+		}
+	}
+	return nil
+}
+
+// failedRunWait returns how long after its last failed run a stage waits for other workers.
+func (machine *Machine) failedRunWait(queue almondcross.Queue, stage *stage) time.Duration {
+	if !stage.spec.Service() && machine.crowded(queue.Pool()) {
+		return crowdedFailedRunWait
+	}
+	return failedRunWait
+}
--- a/command/scheduler/failures.go
+++ b/command/scheduler/failures.go
@@ -78,7 +78,7 @@
 	} else {
 		worker.failures = worker.failures.withShare(failed)
 	}
-	stage.noteFailure(worker.id, failed)
+	stage.noteFailure(worker.id, failed, machine.now)
 	worker.failures = worker.failures.withEvidence(failed, expected)
 	if !failed || worker.failures.evidence < faultEvidence {
 		return
@@ -93,8 +93,11 @@
 	return stage.failsWidely || stage.failedWorker != "" && stage.failedWorker != worker
 }
 
-// noteFailure notes how a run of the stage ended on a worker.
-func (stage *stage) noteFailure(worker string, failed bool) {
+// noteFailure notes how a run of the stage ended on a worker at a time.
+func (stage *stage) noteFailure(worker string, failed bool, at time.Time) {
+	if failed {
+		stage.failedAt = at
+	}
 	switch {
 	case !failed:
 		stage.failedWorker, stage.failsWidely = "", false
--- a/command/scheduler/gangroom.go
+++ b/command/scheduler/gangroom.go
@@ -24,9 +24,6 @@
 	// maxHold is how long a stage waits for gangs of a higher priority, and for any gang in a pool that is not crowded. Batch work has
 	// time for it, and is not held off altogether while gangs keep arriving.
 	maxHold = 5 * time.Second
-	// crowdedUse is the share of the capacity of a pool in use from which it counts as crowded. Below it, gangs find room soon in any
-	// case, or wait for something else than the ends of runs.
-	crowdedUse = 0.5
 )
 
 // reserveRoom keeps room for a waiting gang from the stages behind it in this pass, on workers that advice allows if the queue
@@ -35,7 +32,7 @@
 	workers := machine.gangWorkers(queue, waiting, advice)
 	wanted, capacity := waiting.stage.remainingTasks-waiting.stage.activeTasks, 0
 	for _, worker := range workers {
-		capacity += maxGangTasks(worker, waiting.stage)
+		capacity += worker.eventualTasks(waiting.stage)
 	}
 	// An isolated gang waits for empty workers instead.
 	if capacity < wanted || machine.waitingSuspicion(waiting.job, waiting.stage) == isolated {
@@ -135,19 +132,3 @@
 	}
 	return stage.spec.Service() || !machine.crowded(queue.Pool())
 }
-
-// crowded reports whether crowdedUse of the capacity of a pool is in use at the time of its first call in a pass.
-func (machine *Machine) crowded(pool string) bool {
-	if crowded, known := machine.leader.crowdedPools[pool]; known {
-		return crowded
-	}
-	var used, capacity almondcross.Resources
-	for _, worker := range machine.leader.sortedWorkers {
-		if worker.announced && worker.info.Pool() == pool {
-			used, capacity = used.Add(worker.used), capacity.Add(worker.info.Capacity())
-		}
-	}
-	crowded := used.Dominant(capacity) >= crowdedUse
-	machine.leader.crowdedPools[pool] = crowded
-	return crowded
-}
--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -185,43 +185,6 @@
 	return candidates
 }
 
-// failedWorkers returns the workers on which the last run of a task of the stage failed. Otherwise a worker on
-// which every run fails could use up all attempts of a task.
-func (stage *stage) failedWorkers() map[string]bool {
-	var failed map[string]bool
-	for _, record := range stage.tasks.known() {
-		if record.Failures() > 0 && !record.Active() && !record.Done() {
-			if failed == nil {
-				failed = map[string]bool{}
-			}
-			failed[record.Worker()] = true
-		}
-	}
-	return failed
-}
-
-// avoidedWorkers returns the failed workers of a stage, or none if no other usable worker may ever run it: one of its kind that
-// is large enough and that advice allows or has not decided on. The stage would otherwise wait forever.
-func (machine *Machine) avoidedWorkers(queue almondcross.Queue, stage *stage) map[string]bool {
-	failed := stage.failedWorkers()
-	if len(failed) == 0 {
-		return nil
-	}
-	advice := machine.leader.advice[stage.id]
-	for _, worker := range machine.leader.usableWorkers {
-		if failed[worker.id] || !worker.isOfKind(queue, stage.spec) || maxTasks(worker.info.Capacity(), stage.spec.Resources(), 1) == 0 {
-			continue
-		}
-		if advice == nil {
-			return failed
-		}
-		if allowed, decided := advice.decisions[worker.id]; allowed || !decided {
-			return failed
-		}
-	}
-	return nil
-}
-
 // runCount returns how many runs of a stage the worker has.
 func (worker *worker) runCount(stage almondcross.StageID) int {
 	count := 0
@@ -242,6 +205,31 @@
 	return min(count, max(stage.spec.PerWorker()-worker.runCount(stage.id), 0))
 }
 
+// eventualTasks returns how many tasks of a stage may run on the worker once all runs other than services have ended.
+func (worker *worker) eventualTasks(stage *stage) int {
+	count := maxTasks(worker.info.Capacity().Sub(worker.usedByServices), stage.spec.Resources(), stage.spec.Count())
+	if count == 0 || stage.spec.PerWorker() == 0 {
+		return count
+	}
+	limit := stage.spec.PerWorker()
+	if stage.spec.Service() {
+		limit -= worker.runCount(stage.id)
+	}
+	return min(count, max(limit, 0))
+}
+
+// mayEverRun reports whether the worker is of the kind of a step, and advice, nil for none, allows it or has not decided.
+func (worker *worker) mayEverRun(queue almondcross.Queue, step almondcross.Step, advice *stageAdvice) bool {
+	if !worker.isOfKind(queue, step) {
+		return false
+	}
+	if advice == nil {
+		return true
+	}
+	allowed, decided := advice.decisions[worker.id]
+	return allowed || !decided
+}
+
 // maxTasks returns how many tasks with the given need fit in the available resources, at most limit.
 func maxTasks(available, need almondcross.Resources, limit int) int {
 	count := int64(limit)
--- a/command/scheduler/retry_test.go
+++ b/command/scheduler/retry_test.go
@@ -91,3 +91,66 @@
 	harness.advance(2 * adviceRetryDelay)
 	require.Contains(t, requireEffect[SendAdviceQuery](harness).Query.Workers(), "w-3", "a further worker may be allowed")
 }
+
+// failRun records that the run of a task has failed, and returns its worker.
+func (harness *harness) failRun(task almondcross.JobTask) string {
+	harness.t.Helper()
+	worker := harness.machine.leader.workers[harness.record(task).Worker()]
+	require.NotNil(harness.t, worker.assignments[task])
+	harness.machine.endRun(worker, worker.assignments[task], almondcross.EndFailed, "")
+	return worker.id
+}
+
+// Guards against a task that is never started again (LOST): its run failed on one of the two workers that may run it, and the
+// other one had no room. Guards as well against a task that a faulty worker gets again at once: all its attempts would fail there.
+func TestFailedTaskRestartsAlthoughItsOtherWorkerIsFull(t *testing.T) {
+	for name, test := range map[string]struct {
+		service, crowded bool // service is set if the other worker is full of a service.
+		wait             time.Duration
+	}{
+		"a service":               {service: true},
+		"a run":                   {wait: 2 * time.Second},
+		"a run in a crowded pool": {crowded: true, wait: 10 * time.Second},
+		"a service, crowded pool": {service: true, crowded: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			harness := newLabelledCell(t)
+			harness.submitJob("j", almondcross.StepConfig{Count: 1, Label: "l"})
+			task := taskOf("j", 0, 0)
+			other := "i-000"
+			if harness.record(task).Worker() == other {
+				other = "i-001"
+			}
+			full := harness.occupy(other, 0, time.Hour)
+			if test.service {
+				harness.machine.leader.workers[other].usedByServices = full.resources
+			}
+			if test.crowded {
+				for _, id := range []string{"i-002", "i-003", "i-004", "i-005"} {
+					harness.occupy(id, 0, time.Hour)
+				}
+			}
+			failed := harness.failRun(task)
+			if test.wait > 0 {
+				harness.placeFor(test.wait - time.Second)
+				require.False(t, harness.record(task).Active(), "room on the other worker may be released")
+			}
+			harness.placeFor(time.Second + leaderTick)
+			require.True(t, harness.record(task).Active())
+			require.Equal(t, failed, harness.record(task).Worker())
+		})
+	}
+}
+
+// Guards against a gang that is never started again (LOST): a member failed on one of two workers, and the gang may have one
+// task on each.
+func TestFailedGangRestartsOnItsOnlyWorkers(t *testing.T) {
+	harness := newLabelledCell(t)
+	harness.submitJob("g", almondcross.StepConfig{Count: 2, Gang: true, PerWorker: 1, Label: "l"})
+	require.Equal(t, 2, harness.machine.state.jobs["g"].activeTasks)
+	harness.failRun(taskOf("g", 0, 0))
+	other := harness.machine.leader.workers[harness.record(taskOf("g", 0, 1)).Worker()]
+	harness.machine.endRun(other, other.assignments[taskOf("g", 0, 1)], almondcross.EndGangBroken, "")
+	harness.placeFor(leaderTick)
+	require.Equal(t, 2, harness.machine.state.jobs["g"].activeTasks)
+}
--- a/command/scheduler/speeds.go
+++ b/command/scheduler/speeds.go
@@ -218,17 +218,10 @@
 	return time.Duration(min(float64(machine.usualRunTime(stage))*(1/pace-1), float64(limit)))
 }
 
-// othersMayRun reports whether a usable worker that is not slow may ever run a stage.
+// othersMayRun reports whether a usable worker that is not slow may run a task of a stage once all runs other than services have ended.
 func (machine *Machine) othersMayRun(queue almondcross.Queue, stage *stage, advice *stageAdvice) bool {
 	return slices.ContainsFunc(machine.leader.usableWorkers, func(worker *worker) bool {
-		if worker.slow || !worker.isOfKind(queue, stage.spec) || maxTasks(worker.info.Capacity(), stage.spec.Resources(), 1) == 0 {
-			return false
-		}
-		if advice == nil {
-			return true
-		}
-		allowed, decided := advice.decisions[worker.id]
-		return allowed || !decided
+		return !worker.slow && worker.mayEverRun(queue, stage.spec, advice) && worker.eventualTasks(stage) > 0
 	})
 }
 
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -23,6 +23,7 @@
 	readyAt      time.Time
 	runTime      stageRunTime // runTime is the expected run time. It is not replicated.
 	failedWorker string       // failedWorker is the first worker on which this scheduler saw a run fail since the last success, empty for none. It is not replicated.
+	failedAt     time.Time    // failedAt is when this scheduler last saw a run fail, zero for never. It is not replicated.
 	failsWidely  bool         // failsWidely is set once this scheduler saw a run fail on another worker too. It is not replicated.
 }
 
