Tell that a lease has expired after its worker was removed

Cause: an end that is known only after its task was started again is withheld unless the lease has expired since, and the worker gets no work. A worker without runs that had not answered for 6 s was removed with the record of its silence. When it returned, nothing told of its lease, and that counted as a lease that goes on. It was then renewed all the time.

Evidence: on late_success outcome=withheld each 0.6 s, stage_waits withheld_end=1. TestReturningWorkerGetsWorkAgain fails before: the end is not acknowledged after the worker has returned. TestWorkerIsKeptUntilItsLeaseHasExpired fails too: a worker was removed before the end of a lease of 30 s.

Change: a worker that was sent no lease by this scheduler since it is in its tables has one that an earlier scheduler or an earlier entry has extended. Its end is the one that lost runs are reckoned with. A worker is removed only once its lease has expired, or the same end could be acknowledged too early.

--- a/command/scheduler/silence.go
+++ b/command/scheduler/silence.go
@@ -20,15 +20,10 @@
 
 // leaseExpiredAt returns when the lease of an unreachable worker has expired for certain.
 func (machine *Machine) leaseExpiredAt(worker *worker) time.Time {
-	silence, recorded := machine.state.silentWorkers[worker.id]
 	if worker.lastAnswerAt.IsZero() {
-		expiredAt := later(machine.earlierLeasesExpiredAt(), machine.state.longLeases[worker.id])
-		if recorded && silence.leaseExpiredAt.Before(expiredAt) {
-			return silence.leaseExpiredAt
-		}
-		return expiredAt
+		return machine.earlierLeaseExpiredAt(worker)
 	}
-	if recorded {
+	if silence, recorded := machine.state.silentWorkers[worker.id]; recorded {
 		return silence.leaseExpiredAt
 	}
 	expiredAt := worker.lastAnswerAt.Add(withClockDrift(max(worker.maxLeaseEnd-worker.clock, leaseDuration)) + lastOrderMargin)
@@ -40,6 +35,16 @@
 	return expiredAt
 }
 
+// earlierLeaseExpiredAt returns when the lease of a worker has expired for certain that this scheduler has not extended. It may have
+// extended one before it removed the worker from its tables, but it does so only once that lease has expired.
+func (machine *Machine) earlierLeaseExpiredAt(worker *worker) time.Time {
+	expiredAt := later(machine.earlierLeasesExpiredAt(), machine.state.longLeases[worker.id])
+	if silence, recorded := machine.state.silentWorkers[worker.id]; recorded && silence.leaseExpiredAt.Before(expiredAt) {
+		return silence.leaseExpiredAt
+	}
+	return expiredAt
+}
+
 // hasUnboundStarts reports whether a run may have been started by an incarnation that has not reported yet. The end of a lease is a
 // time on the clock of the known one, which may be far ahead of the clock of the next, so that the run has the longest lease that
 // workers grant.
@@ -70,8 +75,7 @@
 	}
 }
 
-// earlierLeasesExpiredAt returns when the leases have expired for certain that only earlier schedulers have extended: those of the
-// workers that have not answered this scheduler.
+// earlierLeasesExpiredAt returns when the leases have expired for certain that only earlier schedulers have extended.
 func (machine *Machine) earlierLeasesExpiredAt() time.Time {
 	expiredAt := machine.state.earlierLeadershipsEnd(machine.leader.epoch).Add(longestLease())
 	return later(expiredAt, machine.leader.electedAt.Add(firstContactTimeout))
--- a/command/scheduler/sweep.go
+++ b/command/scheduler/sweep.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/almondcross/almondcross"
 )
 
 // stalled reports whether a run makes no progress although its worker answers.
@@ -35,11 +37,12 @@
 			machine.recordSilence(worker)
 		}
 		machine.sweepRuns(worker, worker.outOfContact() && machine.now.After(machine.presumedLostAt(worker)))
-		if !worker.announced && len(worker.assignments) == 0 && machine.now.Sub(worker.lastAnswerAt) > workerRetention && machine.now.Sub(machine.leader.electedAt) > workerRetention {
+		if machine.hasLeft(worker) {
 			left = append(left, worker)
 		}
 	}
 	for _, worker := range left {
+		machine.config.Log.Record("worker_removed", almondcross.Text("worker", worker.id), almondcross.Millis("age_ms", machine.now.Sub(worker.lastAnswerAt)))
 		machine.endSilence(worker)
 		machine.endUnlisted(worker)
 		machine.emit(ReleaseWorker{Worker: worker.id})
@@ -52,6 +55,13 @@
 	}
 }
 
+// hasLeft reports whether a worker may be removed: it has no runs, has not been heard of for workerRetention, and its lease has
+// expired. What is known of the lease goes with it.
+func (machine *Machine) hasLeft(worker *worker) bool {
+	return !worker.announced && len(worker.assignments) == 0 && machine.now.Sub(worker.lastAnswerAt) > workerRetention &&
+		machine.now.Sub(machine.leader.electedAt) > workerRetention && machine.now.After(machine.leaseExpiredAt(worker))
+}
+
 // sweepRuns ends the runs of a lost worker, ends the suspicion of old ones, stops those that are no longer wanted or make no progress, and repeats
 // unanswered stop orders.
 func (machine *Machine) sweepRuns(worker *worker, lost bool) {
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -168,13 +168,12 @@
 }
 
 // leaseExpired reports whether the worker's lease had certainly expired when it answered: by its own clock, if this scheduler
-// has sent it a lease, or by the journal's record of its silence, during which no scheduler extends the lease.
+// has sent it a lease, or by when the leases have expired that earlier schedulers have extended.
 func (machine *Machine) leaseExpired(worker *worker, answer almondcross.LeaseAnswered) bool {
 	if worker.maxLeaseEnd > 0 {
 		return answer.Report().Clock() > worker.maxLeaseEnd
 	}
-	silence, recorded := machine.state.silentWorkers[worker.id]
-	return recorded && answer.Sent().After(silence.leaseExpiredAt)
+	return answer.Sent().After(machine.earlierLeaseExpiredAt(worker))
 }
 
 // supersede handles an end that is known only after its task has been started again, and returns what becomes of it for the
