Let the lease of a worker with a withheld end expire

A worker gets no work any more, and a job that only it has room for waits for good (LOST).

Cause: a scheduler that does not know whether the lease of a worker has expired withholds an end of a run that was started again, and gives the worker no work. It went on to renew the lease, so that it never expired.

Evidence: TestWithheldEndIsAcknowledgedAfterTheLeaseHasExpired fails before: the lease is extended while the end is withheld.

Change: the lease of a worker with a withheld end is not extended once it has no runs. It has no work to lose by it, and the end can be acknowledged when the lease has expired, by the worker's clock or with the leases of the earlier schedulers.

Result: the test passes; the end is acknowledged within the leadership of the scheduler before, a lease and the time of first contact.

--- a/command/scheduler/lapse_test.go
+++ b/command/scheduler/lapse_test.go
@@ -60,3 +60,26 @@
 	harness.dropLeaseAnswers(5 * time.Second)
 	require.Nil(t, machine.leader.workers[workerID])
 }
+
+// Guards against a worker that gets no work any more (LOST): a successor reads an end that it must not acknowledge, since it
+// cannot know that the lease has expired, and then renews the lease, so that it never does.
+func TestWithheldEndIsAcknowledgedAfterTheLeaseHasExpired(t *testing.T) {
+	harness := newHarnessWithRun(t)
+	harness.machine.recordChange(almondcross.ChangeConfig{Kind: almondcross.ChangeEnd, Task: taskOf("j", 0, 0), Run: 1, End: almondcross.EndVoid, Worker: workerID})
+	harness.restartElsewhere()
+	harness = harness.electStandby()
+	harness.announceWorker()
+	harness.reportSuccess()
+	worker, withheldAt := harness.machine.leader.workers[workerID], harness.now
+	require.False(t, worker.usable(harness.now), "the lease may go on")
+	leaseEnd := worker.maxLeaseEnd
+	for !worker.usable(harness.now) && harness.now.Sub(withheldAt) < time.Minute {
+		order := harness.reportSuccess()
+		if worker.ackLimit > 0 {
+			require.Zero(t, order.Acknowledged())
+			require.Equal(t, leaseEnd, worker.maxLeaseEnd, "the lease is not extended")
+		}
+	}
+	require.Less(t, harness.now.Sub(withheldAt), leadershipTimeout+longestLease()+firstContactTimeout)
+	require.Equal(t, int64(1), worker.acknowledgedEnd)
+}
--- a/command/scheduler/lease.go
+++ b/command/scheduler/lease.go
@@ -41,7 +41,7 @@
 // mayExtendLease reports whether the lease of a worker may be extended: the worker has answered and this host has written to
 // the journal lately, and it has not resigned, since a successor counts the leases from then on.
 func (machine *Machine) mayExtendLease(worker *worker) bool {
-	return machine.leader.resignedAt.IsZero() && !worker.extensionBlocked && !worker.lastAnswerAt.IsZero() && machine.now.Sub(worker.lastAnswerAt) <= maxExtensionAge &&
+	return !worker.awaitsExpiry() && machine.leader.resignedAt.IsZero() && !worker.extensionBlocked && !worker.lastAnswerAt.IsZero() && machine.now.Sub(worker.lastAnswerAt) <= maxExtensionAge &&
 		machine.now.Sub(machine.leader.lastCommitAt) <= leadershipTimeout
 }
 
--- a/command/scheduler/silence.go
+++ b/command/scheduler/silence.go
@@ -119,10 +119,7 @@
 // recordSilence records in the journal that a worker with runs does not answer, once its lease is no longer
 // extended. A successor then knows when the lease expires.
 func (machine *Machine) recordSilence(worker *worker) {
-	lastContact := worker.lastAnswerAt
-	if lastContact.IsZero() {
-		lastContact = machine.leader.electedAt
-	}
+	lastContact := machine.lastContact(worker)
 	if _, recorded := machine.state.silentWorkers[worker.id]; recorded || len(worker.assignments) == 0 || machine.now.Sub(lastContact) <= maxExtensionAge {
 		return
 	}
@@ -136,6 +133,11 @@
 		almondcross.Millis("lapse_ms", remaining), almondcross.Number("runs", len(worker.assignments)))
 }
 
+// lastContact returns when the worker last answered this scheduler, or the election if it never did.
+func (machine *Machine) lastContact(worker *worker) time.Time {
+	return later(worker.lastAnswerAt, machine.leader.electedAt)
+}
+
 // endSilence records that a silent worker answers again or is removed. Its lease may be extended once the
 // journal holds that record.
 func (machine *Machine) endSilence(worker *worker) {
--- a/command/scheduler/sweep.go
+++ b/command/scheduler/sweep.go
@@ -42,7 +42,7 @@
 		}
 	}
 	for _, worker := range left {
-		machine.config.Log.Record("worker_removed", almondcross.Text("worker", worker.id), almondcross.Millis("age_ms", machine.now.Sub(worker.lastAnswerAt)))
+		machine.config.Log.Record("worker_removed", almondcross.Text("worker", worker.id), almondcross.Millis("age_ms", machine.now.Sub(machine.lastContact(worker))))
 		machine.endSilence(worker)
 		machine.endUnlisted(worker)
 		machine.emit(ReleaseWorker{Worker: worker.id})
@@ -58,8 +58,8 @@
 // hasLeft reports whether a worker may be removed: it has no runs, has not been heard of for workerRetention, and its lease has
 // expired. What is known of the lease goes with it.
 func (machine *Machine) hasLeft(worker *worker) bool {
-	return !worker.announced && len(worker.assignments) == 0 && machine.now.Sub(worker.lastAnswerAt) > workerRetention &&
-		machine.now.Sub(machine.leader.electedAt) > workerRetention && machine.now.After(machine.leaseExpiredAt(worker))
+	return !worker.announced && len(worker.assignments) == 0 && machine.now.Sub(machine.lastContact(worker)) > workerRetention &&
+		machine.now.After(machine.leaseExpiredAt(worker))
 }
 
 // sweepRuns ends the runs of a lost worker, ends the suspicion of old ones, stops those that are no longer wanted or make no progress, and repeats
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -98,7 +98,7 @@
 	extensionBlocked bool
 	// ackLimit is the first end of this incarnation that must not be acknowledged, 0 for none: a success, or the last
 	// failure allowed, that was reported after its task had been started again. An acknowledgement means to the worker that
-	// the end is in the journal, which holds another run instead. The worker gets no new work.
+	// the end is in the journal, which holds another run instead. The worker gets no new work until its lease has expired.
 	ackLimit  int64
 	lapsedEnd int64 // lapsedEnd is the last end of this incarnation up to an expiry of the lease, 0 for none.
 	failures  workerFailures
@@ -167,6 +167,9 @@
 	}
 }
 
+// awaitsExpiry reports whether the worker has no runs and an end that must not be acknowledged before the lease has expired.
+func (worker *worker) awaitsExpiry() bool { return worker.ackLimit > 0 && len(worker.assignments) == 0 }
+
 // leaseExpired reports whether the worker's lease had certainly expired when it answered: by its own clock, if this scheduler
 // has sent it a lease, or by when the leases have expired that earlier schedulers have extended.
 func (machine *Machine) leaseExpired(worker *worker, answer almondcross.LeaseAnswered) bool {
