Identify a queue by its host and prefix when its name changes

A repeated submission was answered 409, and waiting jobs were missing in the count of the queue (MIXED).

Cause: hosts compared the name of the queue at acceptance with the name that the path has in the version in force. Callers name a job by host, prefix and identity. Only the scheduler compared these, for cancellations.

Evidence: on view_refused queue=tasks status=410 for a job that was admitted with queue=jobs and ended completed 6 s later.

Change: QueueID has the name, host and prefix, and one comparison. Views carry it, lookups, submissions, counts and cancellations use it.

--- a/command/connector/connector_test.go
+++ b/command/connector/connector_test.go
@@ -162,7 +162,7 @@
 	pushed := nextMessage[almondcross.JournalPushed](t, host)
 	require.Equal(t, int64(5), pushed.From())
 	require.Equal(t, "h-1", pushed.Batches()[0].Changes()[0].Host())
-	view := almondcross.NewJobView(almondcross.JobViewConfig{ID: "j", Queue: "q", State: almondcross.JobRunning, CountsAsPending: true})
+	view := almondcross.NewJobView(almondcross.JobViewConfig{ID: "j", Queue: almondcross.NewQueueID(almondcross.QueueIDConfig{Name: "q"}), State: almondcross.JobRunning, CountsAsPending: true})
 	views := almondcross.NewViewsPushed(almondcross.ViewsPushedConfig{Reset: true, Complete: true, Changes: []almondcross.JobViewChange{
 		almondcross.NewJobViewChange(almondcross.JobViewChangeConfig{ID: "j", Known: true, View: view}),
 		almondcross.NewJobViewChange(almondcross.JobViewChangeConfig{ID: "k"}),
--- a/command/scheduler/intake.go
+++ b/command/scheduler/intake.go
@@ -108,9 +108,8 @@
 // host and prefix is the same one, so that a cancellation reaches its job after the queue was renamed. If the settings of one
 // of them are not known, the queues cannot be compared, and the identity decides.
 func (job *job) ofOtherQueue(intake almondcross.Intake) bool {
-	held, accepted := job.settings.Queue(), intake.Settings().Queue()
-	return job.spec.Queue() != intake.Job().Queue() && job.settings.Known() && intake.Settings().Known() &&
-		(held.Host() != accepted.Host() || held.Prefix() != accepted.Prefix())
+	accepted := intake.Settings().Queue().ID().WithName(intake.Job().Queue())
+	return job.settings.Known() && intake.Settings().Known() && !job.view().Queue().Same(accepted)
 }
 
 // ofOtherWorkspace reports whether an intake is of another workspace than that of the job.
--- a/command/scheduler/machine.go
+++ b/command/scheduler/machine.go
@@ -134,7 +134,7 @@
 	case almondcross.JournalCommitted:
 		machine.committed(message)
 	case almondcross.JobAccepted:
-		machine.jobAccepted(message.Job())
+		machine.jobAccepted(message.Job(), message.Settings())
 	case almondcross.HostLinkChanged:
 		machine.hostLinkChanged(message)
 	case almondcross.ViewsAssigned, almondcross.ViewsNumbered, almondcross.ViewsMissed, almondcross.ViewerLinkChanged, almondcross.RelayedViews, almondcross.ViewRelayLost:
@@ -286,7 +286,7 @@
 }
 
 // jobAccepted publishes a job that this host has stored and the scheduler has not admitted yet.
-func (machine *Machine) jobAccepted(accepted almondcross.Job) {
+func (machine *Machine) jobAccepted(accepted almondcross.Job, settings almondcross.QueueSettings) {
 	if _, known := machine.state.jobs[accepted.ID()]; known {
 		return
 	}
@@ -294,9 +294,7 @@
 		// This message may have waited while this host was paused, and a viewer has no state.
 		return
 	}
-	view := almondcross.NewJobView(almondcross.JobViewConfig{
-		ID: accepted.ID(), Queue: accepted.Queue(), State: almondcross.JobQueued, CountsAsPending: accepted.Runs() == 0, Workspace: accepted.Workspace(),
-	})
+	view := newJobView(accepted, settings, almondcross.JobQueued)
 	machine.acceptedJobs[accepted.ID()] = acceptedJob{view: view, at: machine.now}
 	machine.config.Publisher.Publish(view)
 }
--- a/command/scheduler/progress_test.go
+++ b/command/scheduler/progress_test.go
@@ -9,6 +9,11 @@
 	"github.com/almondcross/almondcross"
 )
 
+// queueNamed returns the identity of a queue of which only the name is known.
+func queueNamed(name string) almondcross.QueueID {
+	return almondcross.NewQueueID(almondcross.QueueIDConfig{Name: name})
+}
+
 // finder returns what callers of this host see.
 func (harness *harness) finder() almondcross.JobFinder {
 	return harness.machine.config.Publisher.(almondcross.JobFinder)
@@ -16,7 +21,7 @@
 
 // publishedCount returns the pending count of the published views, whatever their age.
 func (harness *harness) publishedCount() int {
-	count, _ := harness.finder().Pending("q", harness.now)
+	count, _ := harness.finder().Pending(queueNamed("q"), harness.now)
 	return count
 }
 
--- a/command/scheduler/state.go
+++ b/command/scheduler/state.go
@@ -64,8 +64,13 @@
 
 // view returns the view of the job that callers see.
 func (job *job) view() almondcross.JobView {
+	return newJobView(job.spec, job.settings.value(), job.state)
+}
+
+// newJobView returns the view of a job whose queue had some settings when the job was accepted.
+func newJobView(job almondcross.Job, settings almondcross.QueueSettings, state almondcross.JobState) almondcross.JobView {
 	return almondcross.NewJobView(almondcross.JobViewConfig{
-		ID: job.spec.ID(), Queue: job.spec.Queue(), State: job.state, CountsAsPending: job.spec.Runs() == 0, Workspace: job.spec.Workspace(),
+		ID: job.ID(), Queue: settings.Queue().ID().WithName(job.Queue()), State: state, CountsAsPending: job.Runs() == 0, Workspace: job.Workspace(),
 	})
 }
 
--- a/command/scheduler/views_test.go
+++ b/command/scheduler/views_test.go
@@ -11,7 +11,7 @@
 
 func newViewChange(id almondcross.JobID, state almondcross.JobState) almondcross.JobViewChange {
 	return almondcross.NewJobViewChange(almondcross.JobViewChangeConfig{ID: id, Known: true, View: almondcross.NewJobView(almondcross.JobViewConfig{
-		ID: id, Queue: "q", State: state, CountsAsPending: true,
+		ID: id, Queue: almondcross.NewQueueID(almondcross.QueueIDConfig{Name: "q"}), State: state, CountsAsPending: true,
 	})})
 }
 
@@ -48,7 +48,7 @@
 
 // pendingCount returns the count that callers get, -1 if the host does not know it.
 func (harness *harness) pendingCount() int {
-	count, known := harness.finder().Pending("q", harness.now)
+	count, known := harness.finder().Pending(queueNamed("q"), harness.now)
 	if !known {
 		return -1
 	}
@@ -131,7 +131,7 @@
 	harness.now = harness.now.Add(5 * time.Second)
 	harness.apply(almondcross.NewViewsPushed(almondcross.ViewsPushedConfig{Complete: true}))
 	require.Equal(t, -1, harness.pendingCount())
-	_, knowledge := harness.finder().Lookup("j", "q", "", harness.now)
+	_, knowledge := harness.finder().Lookup("j", queueNamed("q"), "", harness.now)
 	require.Equal(t, almondcross.JobNotKnown, knowledge)
 	_, left := takeLastEffect[AnnounceScheduler](harness)
 	require.True(t, left, "the host asks for all views anew")
--- a/command/scheduler/workspace_test.go
+++ b/command/scheduler/workspace_test.go
@@ -182,9 +182,9 @@
 	view, found := follower.finder().Find("j")
 	require.True(t, found)
 	require.Equal(t, "a", view.Workspace())
-	_, knowledge := follower.finder().Lookup("j", "q", "a", follower.now)
+	_, knowledge := follower.finder().Lookup("j", queueNamed("q"), "a", follower.now)
 	require.Equal(t, almondcross.JobKnown, knowledge)
-	_, knowledge = follower.finder().Lookup("j", "q", "b", follower.now)
+	_, knowledge = follower.finder().Lookup("j", queueNamed("q"), "b", follower.now)
 	require.NotEqual(t, almondcross.JobKnown, knowledge)
 }
 
--- a/encoder/link.go
+++ b/encoder/link.go
@@ -54,6 +54,9 @@
 	IDs     []string             `cbor:"ids"`
 
 	Workspace string `cbor:"workspace,omitempty"`
+
+	Host   string `cbor:"host,omitempty"`
+	Prefix string `cbor:"prefix,omitempty"`
 }
 
 func toViews(pushed almondcross.ViewsPushed) wireViews {
@@ -71,7 +74,8 @@
 			index = len(wire.Groups)
 			groups[viewWithoutID] = index
 			wire.Groups = append(wire.Groups, wireViewGroup{
-				Queue: view.Queue(), State: view.State(), Counted: view.CountsAsPending(), Workspace: view.Workspace(),
+				Queue: view.Queue().Name(), State: view.State(), Counted: view.CountsAsPending(), Workspace: view.Workspace(),
+				Host: view.Queue().Host(), Prefix: view.Queue().Prefix(),
 			})
 		}
 		wire.Groups[index].IDs = append(wire.Groups[index].IDs, string(view.ID()))
@@ -84,11 +88,12 @@
 		Reset: wireviews.Reset, Complete: wireviews.Complete, Epoch: wireviews.Epoch, Number: wireviews.Number, More: wireviews.More,
 	}
 	for _, group := range wireviews.Groups {
+		queue := almondcross.NewQueueID(almondcross.QueueIDConfig{Name: group.Queue, Host: group.Host, Prefix: group.Prefix})
 		for _, id := range group.IDs {
 			config.Changes = append(config.Changes, almondcross.NewJobViewChange(almondcross.JobViewChangeConfig{
 				ID: almondcross.JobID(id), Known: true,
 				View: almondcross.NewJobView(almondcross.JobViewConfig{
-					ID: almondcross.JobID(id), Queue: group.Queue, State: group.State, CountsAsPending: group.Counted, Workspace: group.Workspace,
+					ID: almondcross.JobID(id), Queue: queue, State: group.State, CountsAsPending: group.Counted, Workspace: group.Workspace,
 				}),
 			}))
 		}
--- a/encoder/viewrelay_test.go
+++ b/encoder/viewrelay_test.go
@@ -38,7 +38,7 @@
 	codec := newCodec(t)
 	views, err := codec.EncodeLink(almondcross.NewViewsPushed(almondcross.ViewsPushedConfig{Complete: true, Changes: []almondcross.JobViewChange{
 		almondcross.NewJobViewChange(almondcross.JobViewChangeConfig{ID: "j", Known: true, View: almondcross.NewJobView(almondcross.JobViewConfig{
-			ID: "j", Queue: "q", State: almondcross.JobRunning,
+			ID: "j", Queue: almondcross.NewQueueID(almondcross.QueueIDConfig{Name: "q"}), State: almondcross.JobRunning,
 		})}),
 		almondcross.NewJobViewChange(almondcross.JobViewChangeConfig{ID: "k"}),
 	}}))
--- a/encoder/workspace_test.go
+++ b/encoder/workspace_test.go
@@ -70,7 +70,7 @@
 func drawViews(random *rand.Rand) almondcross.ViewsPushed {
 	var config almondcross.ViewsPushedConfig
 	for range random.IntN(9) {
-		view := almondcross.NewJobView(almondcross.JobViewConfig{ID: drawJob(random).ID(), Queue: "q", State: almondcross.JobQueued, CountsAsPending: random.IntN(2) == 0})
+		view := almondcross.NewJobView(almondcross.JobViewConfig{ID: drawJob(random).ID(), Queue: almondcross.NewQueueID(almondcross.QueueIDConfig{Name: "q"}), State: almondcross.JobQueued, CountsAsPending: random.IntN(2) == 0})
 		config.Changes = append(config.Changes, almondcross.NewJobViewChange(almondcross.JobViewChangeConfig{ID: view.ID(), Known: random.IntN(4) > 0, View: view}))
 	}
 	return almondcross.NewViewsPushed(config)
@@ -169,7 +169,7 @@
 		require.True(t, found)
 		require.Equal(t, []string{workspace, ""}, []string{snapshot.Jobs()[0].Job().Workspace(), snapshot.Jobs()[1].Job().Workspace()})
 
-		view := almondcross.NewJobView(almondcross.JobViewConfig{ID: job.ID(), Queue: "q", State: almondcross.JobQueued, Workspace: workspace})
+		view := almondcross.NewJobView(almondcross.JobViewConfig{ID: job.ID(), Queue: almondcross.NewQueueID(almondcross.QueueIDConfig{Name: "q"}), State: almondcross.JobQueued, Workspace: workspace})
 		pushed := almondcross.NewViewsPushed(almondcross.ViewsPushedConfig{Changes: []almondcross.JobViewChange{
 			almondcross.NewJobViewChange(almondcross.JobViewChangeConfig{ID: view.ID(), Known: true, View: view}),
 			almondcross.NewJobViewChange(almondcross.JobViewChangeConfig{ID: "other", Known: true, View: view.WithID("other").WithWorkspace("b")}),
--- a/job.go
+++ b/job.go
@@ -265,7 +265,7 @@
 //value:generate
 type JobView struct {
 	id              JobID    // the identity of the job
-	queue           string   // the name of the queue of the job
+	queue           QueueID  // the queue of the job when it was accepted
 	state           JobState // the state of the job
 	countsAsPending bool     // whether it is included in the number of pending jobs while it is queued
 	workspace       string   // the name of the workspace of the job, empty for none
@@ -305,10 +305,10 @@
 	Find(id JobID) (JobView, bool)
 	// Lookup returns what the host knows at a time of a job of a queue that callers of a workspace may see, and its view if the
 	// job is known.
-	Lookup(id JobID, queue, workspace string, now time.Time) (JobView, JobKnowledge)
+	Lookup(id JobID, queue QueueID, workspace string, now time.Time) (JobView, JobKnowledge)
 	// Pending returns the number of jobs of a queue that have not started a task yet. It reports false if the views
 	// are too old to tell.
-	Pending(queue string, now time.Time) (count int, known bool)
+	Pending(queue QueueID, now time.Time) (count int, known bool)
 	// RefreshedAt returns when the journal was last read to its end, the zero time for never.
 	RefreshedAt() time.Time
 	// CompleteAt returns when the views last included every accepted job, the zero time for never.
--- a/job_generated.go
+++ b/job_generated.go
@@ -785,7 +785,7 @@
 // JobViewConfig holds the fields of a new JobView.
 type JobViewConfig struct {
 	ID              JobID
-	Queue           string
+	Queue           QueueID
 	State           JobState
 	CountsAsPending bool
 	Workspace       string
@@ -822,11 +822,11 @@
 	return jobview
 }
 
-// Queue returns the name of the queue of the job.
-func (jobview JobView) Queue() string { return jobview.queue }
+// Queue returns the queue of the job when it was accepted.
+func (jobview JobView) Queue() QueueID { return jobview.queue }
 
 // WithQueue returns a copy with the given queue.
-func (jobview JobView) WithQueue(queue string) JobView {
+func (jobview JobView) WithQueue(queue QueueID) JobView {
 	jobview.queue = queue
 	return jobview
 }
--- a/query/authorizer/authorizer.go
+++ b/query/authorizer/authorizer.go
@@ -53,7 +53,7 @@
 // ErrIdentityTaken if the identity is that of a job of another queue or workspace.
 func (authorizer *Authorizer) Submitted(caller almondcross.Caller, id almondcross.JobID) (almondcross.JobView, bool, error) {
 	view, known := authorizer.config.Jobs.Find(id)
-	if known && (view.Queue() != caller.Settings().Queue().Name() || almondcross.DifferentWorkspaces(caller.Workspace(), view.Workspace())) {
+	if known && (!view.Queue().Same(caller.Settings().Queue().ID()) || almondcross.DifferentWorkspaces(caller.Workspace(), view.Workspace())) {
 		return almondcross.JobView{}, true, errors.Trace(almondcross.ErrIdentityTaken)
 	}
 	return view, known, nil
@@ -69,5 +69,5 @@
 
 // Lookup returns what the host knows of a job at a time, and its view if the job is known and the caller may see it.
 func (authorizer *Authorizer) Lookup(caller almondcross.Caller, id almondcross.JobID, now time.Time) (almondcross.JobView, almondcross.JobKnowledge) {
-	return authorizer.config.Jobs.Lookup(id, caller.Settings().Queue().Name(), caller.Workspace(), now)
+	return authorizer.config.Jobs.Lookup(id, caller.Settings().Queue().ID(), caller.Workspace(), now)
 }
--- a/query/authorizer/authorizer_test.go
+++ b/query/authorizer/authorizer_test.go
@@ -96,8 +96,8 @@
 	jobs, routes := jobfinder.New(), router.New()
 	routes.Set(table(1, true, "a", "b"))
 	access := authorizer.New(authorizer.Config{Router: routes, Jobs: jobs})
-	jobs.Publish(almondcross.NewJobView(almondcross.JobViewConfig{ID: "a", Queue: "q", State: almondcross.JobRunning, Workspace: "a"}))
-	jobs.Publish(almondcross.NewJobView(almondcross.JobViewConfig{ID: "none", Queue: "q", State: almondcross.JobRunning}))
+	jobs.Publish(almondcross.NewJobView(almondcross.JobViewConfig{ID: "a", Queue: almondcross.NewQueueID(almondcross.QueueIDConfig{Name: "q"}), State: almondcross.JobRunning, Workspace: "a"}))
+	jobs.Publish(almondcross.NewJobView(almondcross.JobViewConfig{ID: "none", Queue: almondcross.NewQueueID(almondcross.QueueIDConfig{Name: "q"}), State: almondcross.JobRunning}))
 	jobs.Refreshed(start, true)
 	for _, test := range []struct {
 		key     string
--- a/query/jobfinder/jobfinder.go
+++ b/query/jobfinder/jobfinder.go
@@ -33,7 +33,7 @@
 // views is one set of views. Replace puts another one in its place.
 type views struct {
 	shards  [shards]atomic.Pointer[map[almondcross.JobID]almondcross.JobView]
-	pending atomic.Pointer[map[string]int]
+	pending atomic.Pointer[map[almondcross.QueueID]int] // pending holds the numbers of pending jobs by queue, without zeros.
 	times   atomic.Pointer[times]
 }
 
@@ -55,7 +55,7 @@
 	for index := range added.shards {
 		added.shards[index].Store(&map[almondcross.JobID]almondcross.JobView{})
 	}
-	added.pending.Store(&map[string]int{})
+	added.pending.Store(&map[almondcross.QueueID]int{})
 	added.times.Store(&asOf)
 	return added
 }
@@ -103,7 +103,7 @@
 // Replace puts views in the place of all earlier ones, in one step. The times of Refreshed stay.
 func (table *Table) Replace(list []almondcross.JobView) {
 	replacement := newViews(*table.views.Load().times.Load())
-	pending := map[string]int{}
+	pending := map[almondcross.QueueID]int{}
 	for _, view := range list {
 		(*replacement.shards[table.shardOf(view.ID())].Load())[view.ID()] = view
 		if inPendingCount(view) {
@@ -145,12 +145,12 @@
 }
 
 // Lookup returns what the views tell at a time of a job of a queue that callers of a workspace may see.
-func (table *Table) Lookup(id almondcross.JobID, queue, workspace string, now time.Time) (almondcross.JobView, almondcross.JobKnowledge) {
+func (table *Table) Lookup(id almondcross.JobID, queue almondcross.QueueID, workspace string, now time.Time) (almondcross.JobView, almondcross.JobKnowledge) {
 	// The times are read first: a view that is added after the times were read is no older than they tell.
 	current := table.views.Load()
 	asOf := *current.times.Load()
 	view, found := (*current.shards[table.shardOf(id)].Load())[id]
-	found = found && view.Queue() == queue && !almondcross.DifferentWorkspaces(workspace, view.Workspace())
+	found = found && view.Queue().Same(queue) && !almondcross.DifferentWorkspaces(workspace, view.Workspace())
 	switch {
 	case found && (view.State().Final() || now.Sub(asOf.refreshed) < maxStateAge):
 		return view, almondcross.JobKnown
@@ -163,10 +163,16 @@
 
 // Pending returns the number of queued jobs of a queue that count as pending, and false if the views are too old to
 // tell. Only complete views count: accepted jobs that no scheduler has admitted are pending too.
-func (table *Table) Pending(queue string, now time.Time) (int, bool) {
+func (table *Table) Pending(queue almondcross.QueueID, now time.Time) (int, bool) {
 	current := table.views.Load()
 	asOf := *current.times.Load()
-	return (*current.pending.Load())[queue], now.Sub(asOf.complete) < maxCountAge
+	count := 0
+	for id, pending := range *current.pending.Load() {
+		if id.Same(queue) {
+			count += pending
+		}
+	}
+	return count, now.Sub(asOf.complete) < maxCountAge
 }
 
 // RefreshedAt returns the last time as of which the views were those of the whole journal, zero for never.
@@ -179,8 +185,10 @@
 	return view.CountsAsPending() && view.State() == almondcross.JobQueued
 }
 
-func (views *views) addPending(queue string, change int) {
+func (views *views) addPending(queue almondcross.QueueID, change int) {
 	counts := maps.Clone(*views.pending.Load())
-	counts[queue] += change
+	if counts[queue] += change; counts[queue] == 0 {
+		delete(counts, queue)
+	}
 	views.pending.Store(&counts)
 }
--- a/query/jobfinder/jobfinder_test.go
+++ b/query/jobfinder/jobfinder_test.go
@@ -12,8 +12,13 @@
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
+// queueNamed returns the identity of a queue of which only the name is known.
+func queueNamed(name string) almondcross.QueueID {
+	return almondcross.NewQueueID(almondcross.QueueIDConfig{Name: name})
+}
+
 func newView(id almondcross.JobID, state almondcross.JobState) almondcross.JobView {
-	return almondcross.NewJobView(almondcross.JobViewConfig{ID: id, Queue: "q", State: state, CountsAsPending: true})
+	return almondcross.NewJobView(almondcross.JobViewConfig{ID: id, Queue: queueNamed("q"), State: state, CountsAsPending: true})
 }
 
 // Guards against answers from views that are older than the answer may be. Only a final state stays true.
@@ -22,11 +27,11 @@
 	table.Publish(newView("open", almondcross.JobQueued))
 	table.Publish(newView("ended", almondcross.JobCompleted))
 	know := func(id almondcross.JobID, after time.Duration) almondcross.JobKnowledge {
-		_, knowledge := table.Lookup(id, "q", "", start.Add(after))
+		_, knowledge := table.Lookup(id, queueNamed("q"), "", start.Add(after))
 		return knowledge
 	}
 	counts := func(after time.Duration) bool {
-		_, known := table.Pending("q", start.Add(after))
+		_, known := table.Pending(queueNamed("q"), start.Add(after))
 		return known
 	}
 	require.Equal(t, almondcross.JobNotKnown, know("open", 0), "the views were never up to date")
@@ -45,7 +50,7 @@
 	require.Equal(t, almondcross.JobNotKnown, know("absent", 1500*time.Millisecond))
 	require.Equal(t, almondcross.JobNotKnown, know("open", 2*time.Second))
 	require.Equal(t, almondcross.JobKnown, know("ended", time.Hour))
-	_, knowledge := table.Lookup("open", "other", "", start)
+	_, knowledge := table.Lookup("open", queueNamed("other"), "", start)
 	require.Equal(t, almondcross.JobGone, knowledge, "the job belongs to another queue")
 }
 
@@ -60,13 +65,13 @@
 	table.Refreshed(start.Add(-time.Second), true)
 	require.Equal(t, start, table.CompleteAt())
 	require.Equal(t, start, table.RefreshedAt())
-	count, known := table.Pending("q", start)
+	count, known := table.Pending(queueNamed("q"), start)
 	require.True(t, known)
 	require.Equal(t, 1, count)
 	_, found := table.Find("a")
 	require.False(t, found)
 	table.Publish(newView("c", almondcross.JobRunning))
-	count, _ = table.Pending("q", start)
+	count, _ = table.Pending(queueNamed("q"), start)
 	require.Zero(t, count)
 }
 
@@ -75,10 +80,10 @@
 func TestPendingCountFollowsTheQueueOfAView(t *testing.T) {
 	table := jobfinder.New()
 	table.Publish(newView("a", almondcross.JobQueued))
-	table.Publish(newView("a", almondcross.JobQueued).WithQueue("other"))
+	table.Publish(newView("a", almondcross.JobQueued).WithQueue(queueNamed("other")))
 	table.Refreshed(start, true)
 	count := func(queue string) int {
-		count, known := table.Pending(queue, start)
+		count, known := table.Pending(queueNamed(queue), start)
 		require.True(t, known)
 		return count
 	}
@@ -88,3 +93,20 @@
 	require.Zero(t, count("q"))
 	require.Zero(t, count("other"))
 }
+
+// Guards against waiting jobs that the count of their queue leaves out after it got another name at the same host and prefix (MIXED).
+func TestPendingJobsOfARenamedQueueAreCounted(t *testing.T) {
+	queue := func(name, prefix string) almondcross.QueueID {
+		return almondcross.NewQueue(almondcross.QueueConfig{Name: name, Host: "Host", Prefix: prefix}).ID()
+	}
+	table := jobfinder.New()
+	table.Publish(newView("a", almondcross.JobQueued).WithQueue(queue("before", "/a/")))
+	table.Publish(newView("b", almondcross.JobQueued).WithQueue(queue("after", "/a/")))
+	table.Publish(newView("c", almondcross.JobQueued).WithQueue(queue("other", "/c/")))
+	table.Refreshed(start, true)
+	count, known := table.Pending(queue("after", "/a/"), start)
+	require.True(t, known)
+	require.Equal(t, 2, count)
+	_, knowledge := table.Lookup("c", queue("after", "/a/"), "", start)
+	require.Equal(t, almondcross.JobGone, knowledge)
+}
--- a/scheduling.go
+++ b/scheduling.go
@@ -287,7 +287,8 @@
 //
 //value:generate
 type JobAccepted struct {
-	job Job // the stored job
+	job      Job           // the stored job
+	settings QueueSettings // the settings of its queue when it was accepted
 }
 
 // StopScheduling tells the scheduler to resign before a graceful shutdown.
--- a/scheduling_generated.go
+++ b/scheduling_generated.go
@@ -1658,20 +1658,23 @@
 
 // JobAcceptedConfig holds the fields of a new JobAccepted.
 type JobAcceptedConfig struct {
-	Job Job
+	Job      Job
+	Settings QueueSettings
 }
 
 // NewJobAccepted returns a JobAccepted with the given fields.
 func NewJobAccepted(config JobAcceptedConfig) JobAccepted {
 	return JobAccepted{
-		job: config.Job,
+		job:      config.Job,
+		settings: config.Settings,
 	}
 }
 
 // Config returns the fields of the value for encoding or for a changed copy.
 func (jobaccepted JobAccepted) Config() JobAcceptedConfig {
 	return JobAcceptedConfig{
-		Job: jobaccepted.job,
+		Job:      jobaccepted.job,
+		Settings: jobaccepted.settings,
 	}
 }
 
@@ -1684,6 +1687,15 @@
 	return jobaccepted
 }
 
+// Settings returns the settings of its queue when it was accepted.
+func (jobaccepted JobAccepted) Settings() QueueSettings { return jobaccepted.settings }
+
+// WithSettings returns a copy with the given settings.
+func (jobaccepted JobAccepted) WithSettings(settings QueueSettings) JobAccepted {
+	jobaccepted.settings = settings
+	return jobaccepted
+}
+
 // StopSchedulingConfig holds the fields of a new StopScheduling.
 type StopSchedulingConfig struct{}
 
--- a/standin/emulator/jobs.go
+++ b/standin/emulator/jobs.go
@@ -245,7 +245,7 @@
 	simulation := modelhost.simulation
 	stored := func() {
 		if !intake.Cancel() {
-			modelhost.deliver(almondcross.NewJobAccepted(almondcross.JobAcceptedConfig{Job: intake.Job()}))
+			modelhost.deliver(almondcross.NewJobAccepted(almondcross.JobAcceptedConfig{Job: intake.Job(), Settings: intake.Settings()}))
 		}
 	}
 	limited := simulation.config.StateBytes > 0 // Hosts with a limit store only what they cannot forward.
--- a/standin/emulator/questions_test.go
+++ b/standin/emulator/questions_test.go
@@ -35,7 +35,7 @@
 	}{
 		"in touch, views reset": {change: func(*Simulation, *modelHost, *modelJob) {}, rules: []string{"MIXED"}},
 		"known": {change: func(_ *Simulation, host *modelHost, job *modelJob) {
-			host.jobTable.Publish(almondcross.NewJobView(almondcross.JobViewConfig{ID: job.spec.ID(), Queue: job.spec.Queue(), State: almondcross.JobQueued, CountsAsPending: true}))
+			host.jobTable.Publish(almondcross.NewJobView(almondcross.JobViewConfig{ID: job.spec.ID(), Queue: almondcross.NewQueueID(almondcross.QueueIDConfig{Name: job.spec.Queue()}), State: almondcross.JobQueued, CountsAsPending: true}))
 		}},
 		"accepted lately": {change: func(simulation *Simulation, _ *modelHost, job *modelJob) {
 			job.acceptedAt = simulation.now - pendingAge
@@ -116,7 +116,7 @@
 	for _, host := range simulation.hosts {
 		host.jobTable.Refreshed(simulation.wallTime(), true)
 	}
-	host.jobTable.Publish(almondcross.NewJobView(almondcross.JobViewConfig{ID: job.spec.ID(), Queue: job.spec.Queue()}))
+	host.jobTable.Publish(almondcross.NewJobView(almondcross.JobViewConfig{ID: job.spec.ID(), Queue: almondcross.NewQueueID(almondcross.QueueIDConfig{Name: job.spec.Queue()})}))
 	simulation.acceptedJobs = []*modelJob{job}
 	simulation.checker.checkQuestions()
 	requireRules(t, simulation, "LOST", "LOST", "LOST", "LOST")
