Take the queue in force for a job by its path before its name

Tasks of an accepted job run in the pool of another queue (ROUTE).

Cause: the scheduler looked up the queue in force by the name at acceptance. After two queues have swapped their names, that is the other queue, with another pool, priority and use of advice.

Evidence: TestJobStaysWithItsQueueWhenNamesAreSwapped fails before: the pool is that of the other queue.

Change: the queue at the host and prefix at which the job was accepted comes first, the queue of the same name second, the accepted settings last. A queue that is renamed and changed at once passes its change on to its waiting jobs, as any other queue does.

--- a/command/scheduler/machine.go
+++ b/command/scheduler/machine.go
@@ -52,10 +52,11 @@
 // Machine is the decision code of the scheduler: a state machine without clocks and transports. It is not safe
 // for concurrent use.
 type Machine struct {
-	config Config
-	state  *state
-	routes almondcross.RouteTable
-	queues map[string]almondcross.Queue // queues holds the queues of the route table by name.
+	config   Config
+	state    *state
+	routes   almondcross.RouteTable
+	queues   map[string]almondcross.Queue    // queues holds the queues of the route table by name.
+	queuesAt map[queuePath]almondcross.Queue // queuesAt holds them by path.
 	// workspaces holds the workspaces by name, as the last version of the route table that has them.
 	workspaces map[string]almondcross.Workspace
 	role       role
@@ -261,10 +262,7 @@
 		return
 	}
 	machine.auditWorkspaces(machine.routes, table)
-	machine.routes, machine.queues = table, make(map[string]almondcross.Queue, len(table.Queues()))
-	for _, queue := range table.Queues() {
-		machine.queues[queue.Name()] = queue
-	}
+	machine.setRoutes(table)
 	machine.noteWorkspaces(table.Workspaces())
 	machine.config.Log.Record("routes_in_force", almondcross.Number("version", table.Version()),
 		almondcross.Number("queues", len(table.Queues())))
--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -120,15 +120,6 @@
 	return leader.allowedWorkers
 }
 
-// queue returns the queue of a job as the newer of two versions has it: the one that the job was accepted with and the one
-// in force on this host, unless that one has no such queue.
-func (machine *Machine) queue(job *job) almondcross.Queue {
-	if queue, known := machine.queues[job.spec.Queue()]; known && queue.Pool() != "" && machine.routes.Version() >= job.settings.Version() {
-		return queue
-	}
-	return job.settings.Queue()
-}
-
 func (machine *Machine) placeStage(waiting *waitingStage) {
 	queue := machine.queue(waiting.job)
 	switch {
--- a/command/scheduler/renamed_test.go
+++ b/command/scheduler/renamed_test.go
@@ -93,3 +93,10 @@
 		}
 	}
 }
+
+// Guards against a task that runs in the pool of another queue (ROUTE): two queues have swapped their names.
+func TestJobStaysWithItsQueueWhenNamesAreSwapped(t *testing.T) {
+	harness := newRenamedHarness(t)
+	harness.apply(almondcross.NewRoutesRead(almondcross.RoutesReadConfig{Table: queuesNamed(3, "second", "first")}))
+	require.Equal(t, "pool/a/", harness.machine.queue(harness.machine.state.jobs["j"]).Pool())
+}
