Avoid the only worker of a stage for two seconds at most

One that appears to be faulty is avoided for a second for each of its last failures.

Evidence: TestServiceRestartsSoonOnTheOnlyWorkerOfItsLabel fails before: after four failures the service does not run 3 s later.

Change: if no other worker could hold the stage that has failed there, once all runs but services have ended, the worker is avoided for 2 s at most.

--- a/command/scheduler/failedruns.go
+++ b/command/scheduler/failedruns.go
@@ -38,6 +38,15 @@
 	if len(failed) == 0 || machine.now.Sub(later(stage.failedAt, machine.leader.electedAt)) >= machine.failedRunWait(queue, stage) {
 		return nil
 	}
+	if !machine.othersMayHold(queue, stage, failed) {
+		return nil
+	}
+	return failed
+}
+
+// othersMayHold reports whether the usable workers other than those that failed could hold a task of a stage, or the whole gang, once
+// all runs other than services have ended.
+func (machine *Machine) othersMayHold(queue almondcross.Queue, stage *stage, failed map[string]bool) bool {
 	missing := 1
 	if stage.spec.Gang() {
 		missing = stage.unplaced()
@@ -48,10 +57,10 @@
 			continue
 		}
 		if missing -= worker.eventualTasks(stage); missing <= 0 {
-			return failed
+			return true
 		}
 	}
-	return nil
+	return false
 }
 
 // failedRunWait returns how long after its last failed run a stage waits for other workers.
--- a/command/scheduler/retry_test.go
+++ b/command/scheduler/retry_test.go
@@ -154,3 +154,19 @@
 	harness.placeFor(leaderTick)
 	require.Equal(t, 2, harness.machine.state.jobs["g"].activeTasks)
 }
+
+// Guards against a service that waits for up to 20 s between its runs (LOST): it fails again and again on the only worker that may
+// run it, which is avoided for longer with each failure.
+func TestServiceRestartsSoonOnTheOnlyWorkerOfItsLabel(t *testing.T) {
+	harness := newLabelledCell(t)
+	harness.machine.leader.workers["i-001"].announced = false
+	for _, id := range []string{"i-002", "i-003", "i-004"} {
+		harness.machine.leader.workers[id].failures = workerFailures{ended: 1} // On the median worker no run fails.
+	}
+	harness.submitJob("s", almondcross.StepConfig{Count: 1, Label: "l", Service: true})
+	for failures := range 2 * maxFailureBackoffs {
+		require.True(t, harness.record(taskOf("s", 0, 0)).Active(), "after %d failures", failures)
+		harness.failRun(taskOf("s", 0, 0))
+		harness.placeFor(3 * time.Second)
+	}
+}
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -312,7 +312,7 @@
 	machine.config.Log.Record("run_ended", almondcross.Text("task", task.String()), almondcross.Number("run", assignment.run),
 		almondcross.Text("worker", worker.id), almondcross.Text("end", string(kind)), almondcross.Millis("after_ms", machine.now.Sub(assignment.placedAt)),
 		almondcross.Text("confirmed", yesNo(!assignment.confirmedAt.IsZero())), almondcross.Number("incarnation", worker.incarnation))
-	machine.countFailures(worker, assignment.stage, kind)
+	machine.countFailures(worker, assignment.job, assignment.stage, kind)
 	job := assignment.job
 	if job.state.Final() {
 		if !wasFinal {
