Split what is announced of workers and withheld ends from worker.go

Change: announcement.go and withheldend.go, without a change of what they do. noteLapse is noteExpiry, lapsedEnd is expiredEnd.

--- a/command/scheduler/lease.go
+++ b/command/scheduler/lease.go
@@ -151,7 +151,7 @@
 	}
 	worker.clock, worker.lastAnswerAt = report.Clock(), answer.Received()
 	worker.reportedFence = max(worker.reportedFence, answer.Order().Fence())
-	worker.noteLapse(report, machine.leaseExpired(worker, answer))
+	worker.noteExpiry(report, machine.leaseExpired(worker, answer))
 	machine.endSilence(worker)
 	machine.leader.placementDue = true
 	acknowledged := machine.recordEnds(worker, report.Ended())
@@ -312,7 +312,7 @@
 	worker.announcedFrom = machine.nextAnnouncement(worker, incarnation)
 	worker.incarnation, worker.incarnationSince, worker.acknowledgedEnd, worker.failures = incarnation, machine.now, 0, workerFailures{}
 	worker.speed, worker.slow = 0, false
-	worker.ackLimit, worker.lapsedEnd = 0, 0
+	worker.ackLimit, worker.expiredEnd = 0, 0
 	if worker.announced && !worker.lifeAnnounced() {
 		machine.config.Log.Record("announcement_outdated", almondcross.Text("worker", worker.id),
 			almondcross.Number("incarnation", incarnation), almondcross.Number("announced", worker.info.Incarnation()))
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -3,11 +3,8 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
-	"github.com/juju/errors"
-
 	"github.com/almondcross/almondcross"
 )
 
@@ -99,9 +96,9 @@
 	// ackLimit is the first end of this incarnation that must not be acknowledged, 0 for none: a success, or the last
 	// failure allowed, that was reported after its task had been started again. An acknowledgement means to the worker that
 	// the end is in the journal, which holds another run instead. The worker gets no new work until its lease has expired.
-	ackLimit  int64
-	lapsedEnd int64 // lapsedEnd is the last end of this incarnation up to an expiry of the lease, 0 for none.
-	failures  workerFailures
+	ackLimit   int64
+	expiredEnd int64 // expiredEnd is the last end of this incarnation up to an expiry of the lease, 0 for none.
+	failures   workerFailures
 }
 
 // free returns the unused resources of the worker.
@@ -153,149 +150,11 @@
 // outOfContact reports whether the worker has not answered the last lease order, or none yet.
 func (worker *worker) outOfContact() bool { return worker.unreachable || worker.lastAnswerAt.IsZero() }
 
-// noteLapse notes which of the reported ends came before an expiry of the lease: all of them if it has expired, otherwise those
-// before an end by the expiry. These may be acknowledged: an end whose acknowledgement comes after the expiry does not count
-// as noted.
-func (worker *worker) noteLapse(report almondcross.WorkerReport, expired bool) {
-	for _, end := range report.Ended() {
-		if expired || end.Kind() == almondcross.EndLeaseExpired {
-			worker.lapsedEnd = max(worker.lapsedEnd, end.Sequence())
-		}
-	}
-	if worker.ackLimit <= worker.lapsedEnd {
-		worker.ackLimit = 0
-	}
-}
-
-// awaitsExpiry reports whether the worker has no runs and an end that must not be acknowledged before the lease has expired.
-func (worker *worker) awaitsExpiry() bool { return worker.ackLimit > 0 && len(worker.assignments) == 0 }
-
-// leaseExpired reports whether the worker's lease had certainly expired when it answered: by its own clock, if this scheduler
-// has sent it a lease, or by when the leases have expired that earlier schedulers have extended.
-func (machine *Machine) leaseExpired(worker *worker, answer almondcross.LeaseAnswered) bool {
-	if worker.maxLeaseEnd > 0 {
-		return answer.Report().Clock() > worker.maxLeaseEnd
-	}
-	return answer.Sent().After(machine.earlierLeaseExpiredAt(worker))
-}
-
-// supersede handles an end that is known only after its task has been started again, and returns what becomes of it for the
-// log. It is withheld, so that neither it nor a later end is acknowledged, unless the lease has expired since.
-func (worker *worker) supersede(end almondcross.EndedTask) string {
-	switch {
-	case end.Sequence() <= worker.lapsedEnd:
-		return "superseded"
-	case worker.ackLimit == 0:
-		worker.ackLimit = end.Sequence()
-	}
-	return "withheld"
-}
-
 // clockNow estimates the worker's clock. The estimate is ahead of that clock by at most its drift.
 func (worker *worker) clockNow(now time.Time) time.Duration {
 	return worker.clock + now.Sub(worker.lastAnswerAt)
 }
 
-// ensureWorker returns the entry of a worker and adds one if it is unknown.
-func (machine *Machine) ensureWorker(id string) *worker {
-	leader := machine.leader
-	if known := leader.workers[id]; known != nil {
-		return known
-	}
-	_, silent := machine.state.silentWorkers[id]
-	added := &worker{
-		id: id, assignments: map[almondcross.JobTask]*assignment{}, extensionBlocked: silent,
-		fence: max(firstFence(leader.epoch), leader.removedFence),
-	}
-	leader.workers[id] = added
-	index, _ := slices.BinarySearchFunc(leader.sortedWorkers, added, func(a, b *worker) int { return strings.Compare(a.id, b.id) })
-	leader.sortedWorkers = slices.Insert(leader.sortedWorkers, index, added)
-	return added
-}
-
-// workersRead applies changes of the announced workers.
-func (machine *Machine) workersRead(read almondcross.WorkersRead) {
-	machine.reads.workers = false
-	switch {
-	case machine.leader == nil:
-		return
-	case machine.reads.workersEpoch != machine.leader.epoch:
-		machine.readWorkers(-1, 0) // The read was sent in an earlier epoch of this host, which knew other workers.
-		return
-	case errors.Is(read.Err(), almondcross.ErrStoreTrimmed):
-		machine.readWorkers(-1, storeRetryDelay)
-		return
-	case read.Err() != nil:
-		machine.readWorkers(read.Next(), storeRetryDelay)
-		return
-	}
-	seen := map[string]bool{}
-	for _, change := range read.Changes() {
-		seen[change.ID()] = change.Present()
-		machine.workerChanged(change)
-	}
-	if read.Complete() {
-		machine.leader.workersListed = true
-		for _, known := range slices.Clone(machine.leader.sortedWorkers) {
-			if seen[known.id] {
-				continue
-			}
-			machine.workerChanged(almondcross.NewWorkerChange(almondcross.WorkerChangeConfig{ID: known.id}))
-			machine.recordUnlisted(known) // Its announcement may have ended before this scheduler read the first list.
-		}
-	}
-	machine.readWorkers(read.Next(), workersReadInterval)
-}
-
-func (machine *Machine) workerChanged(change almondcross.WorkerChange) {
-	if !change.Present() {
-		if known := machine.leader.workers[change.ID()]; known != nil && known.announced {
-			known.announced = false
-			machine.recordUnlisted(known)
-			machine.config.Log.Record("worker_unlisted", almondcross.Text("worker", change.ID()), almondcross.Number("runs", len(known.assignments)))
-		}
-		return
-	}
-	worker := machine.ensureWorker(change.ID())
-	if worker.announced && worker.info.Draining() != change.Worker().Draining() {
-		machine.config.Log.Record("worker_draining", almondcross.Text("worker", worker.id), almondcross.Text("draining", yesNo(change.Worker().Draining())))
-	}
-	if !worker.announced {
-		machine.config.Log.Record("worker_listed", almondcross.Text("worker", worker.id), almondcross.Text("address", change.Worker().Address()),
-			almondcross.Text("rack", change.Worker().Rack()))
-	}
-	addressChanged := worker.info.Address() != change.Worker().Address()
-	worker.info, worker.announced, worker.announcedAt = change.Worker(), true, machine.now
-	if worker.info.Draining() && !worker.drained {
-		worker.drained = true
-		machine.recordAddress(worker) // A successor would otherwise treat the worker's end as a crash.
-	}
-	machine.endUnlisted(worker)
-	if !worker.managed || addressChanged {
-		worker.managed = true
-		machine.emit(ManageWorker{Worker: worker.info})
-	}
-	if addressChanged {
-		worker.forgetStartAnswers()
-	}
-	if !worker.leasePending || addressChanged {
-		// The duty that awaits the answer to a pending order ends with the old address.
-		machine.sendLease(worker, 0, 0)
-	}
-	machine.leader.placementDue = true
-}
-
-// forgetStartAnswers leaves the outcome of pending start orders to a report under a higher fencing token. Their answers may be
-// lost with the duty of the worker's old address.
-func (worker *worker) forgetStartAnswers() {
-	for _, assignment := range worker.assignments {
-		if assignment.phase == phaseSent {
-			assignment.phase = phaseUnknown
-			worker.noteUnanswered(assignment.fence)
-		}
-	}
-}
-
 // endRun records the end of a run and releases its resources.
 func (machine *Machine) endRun(worker *worker, assignment *assignment, kind almondcross.EndKind, checkpoint string) {
 	machine.recordStarts() // The end itself would otherwise count as the first sign of the start.
