--- a/command/scheduler/failedruns.go
+++ b/command/scheduler/failedruns.go
@@ -44,8 +44,8 @@
 	return failed
 }
 
-// othersMayHold reports whether the usable workers other than those that failed could hold a task of a stage, or the whole gang, once
-// all runs other than services have ended.
+// othersMayHold reports whether the usable workers other than the failed ones could hold a task of a stage, or the whole gang, once all
+// runs other than services have ended.
 func (machine *Machine) othersMayHold(queue almondcross.Queue, stage *stage, failed map[string]bool) bool {
 	missing := 1
 	if stage.spec.Gang() {
--- a/command/scheduler/silence.go
+++ b/command/scheduler/silence.go
@@ -35,8 +35,8 @@
 	return expiredAt
 }
 
-// earlierLeaseExpiredAt returns when the lease of a worker has expired for certain that this scheduler has not extended. It may have
-// extended one before it removed the worker from its tables, but it does so only once that lease has expired.
+// earlierLeaseExpiredAt returns when the lease of a worker has expired for certain that this scheduler has not extended since the worker
+// is in its tables. It removes a worker only once the lease that it has extended before has expired, see hasLeft.
 func (machine *Machine) earlierLeaseExpiredAt(worker *worker) time.Time {
 	expiredAt := later(machine.earlierLeasesExpiredAt(), machine.state.longLeases[worker.id])
 	if silence, recorded := machine.state.silentWorkers[worker.id]; recorded && silence.leaseExpiredAt.Before(expiredAt) {
