Use a worker that appears to be faulty as a last resort

A task whose other worker is full of a long run waits for up to 20 s beside an idle worker (LOST from 3 s on).

Cause: a worker that appears to be faulty was avoided by all stages alike.

Evidence: TestFaultyWorkerIsUsedAsALastResort fails before in the case of a full worker in a pool that is not crowded: no run after 2.1 s.

A stage that has waited for 2 s, since it became ready and since its last failure, and that finds too little room on other workers, may use those that appear to be faulty: if it is a service, if less than half of the pool is in use, or if the others could not hold it. Where attempts are limited and room is going to be released, it waits as before.

Result: the test passes, and so does TestServiceRestartsSoonOnTheOnlyWorkerOfItsLabel.

--- a/command/scheduler/failedruns.go
+++ b/command/scheduler/failedruns.go
@@ -70,3 +70,19 @@
 	}
 	return failedRunWait
 }
+
+// mayUseFaulty reports whether a stage may use the workers that appear to be faulty, as the candidates among the others do not suffice.
+// It waits for others first, and for longer if its attempts are limited and room on others is going to be released.
+func (machine *Machine) mayUseFaulty(queue almondcross.Queue, stage *stage, candidates []almondcross.WorkerCapacity) bool {
+	if len(machine.leader.faultyWorkers) == 0 || machine.now.Sub(later(stage.readyAt, stage.failedAt)) < failedRunWait {
+		return false
+	}
+	missing := 1
+	if stage.spec.Gang() {
+		missing = stage.unplaced()
+	}
+	for _, candidate := range candidates {
+		missing -= candidate.Tasks()
+	}
+	return missing > 0 && (stage.spec.Service() || !machine.crowded(queue.Pool()) || !machine.othersMayHold(queue, stage, nil))
+}
--- a/command/scheduler/failures.go
+++ b/command/scheduler/failures.go
@@ -65,7 +65,7 @@
 
 // countFailures counts the end of a run for its worker, and avoids the worker for a while if it appears to be faulty. What is
 // expected of a stage that has failed on another worker and succeeded on none is what became of other such stages.
-func (machine *Machine) countFailures(worker *worker, job *job, stage *stage, kind almondcross.EndKind) {
+func (machine *Machine) countFailures(worker *worker, stage *stage, kind almondcross.EndKind) {
 	failed := kind == almondcross.EndFailed
 	if !failed && kind != almondcross.EndDone {
 		return
@@ -83,11 +83,7 @@
 	if !failed || worker.failures.evidence < faultEvidence {
 		return
 	}
-	backoff := time.Duration(min(worker.failures.failed, maxFailureBackoffs)) * failureBackoff
-	if !machine.othersMayHold(machine.queue(job), stage, map[string]bool{worker.id: true}) {
-		backoff = min(backoff, failedRunWait) // The stage has nowhere else to go.
-	}
-	worker.avoidUntil = machine.now.Add(backoff)
+	worker.avoidUntil = machine.now.Add(time.Duration(min(worker.failures.failed, maxFailureBackoffs)) * failureBackoff)
 	machine.config.Log.Record("worker_avoided", almondcross.Text("worker", worker.id), almondcross.Number("failures", worker.failures.failed),
 		almondcross.Number("failed_share", leader.failedShare), almondcross.Number("failed_again_share", leader.failedAgainShare))
 }
--- a/command/scheduler/leader.go
+++ b/command/scheduler/leader.go
@@ -45,6 +45,7 @@
 	removedFence        int64                             // removedFence is the highest fencing token of the removed workers, which may return.
 	sortedWorkers       []*worker                         // sortedWorkers holds the workers by ID.
 	usableWorkers       []*worker                         // usableWorkers holds the workers that may get new work in the current pass.
+	faultyWorkers       []*worker                         // faultyWorkers holds the workers that appear to be faulty and could get new work otherwise.
 	ownWorkers          []*worker                         // ownWorkers holds the usable workers without runs or with isolated ones at the start of the current pass.
 	allowedWorkers      []*worker                         // allowedWorkers holds the result of the last call of the method of this name.
 	idleHosts           []*linkedHost                     // idleHosts holds the hosts without a call that may make one in the current pass.
--- a/command/scheduler/obstacle.go
+++ b/command/scheduler/obstacle.go
@@ -45,6 +45,8 @@
 	suspicion suspicion
 	advice    *stageAdvice    // advice is nil if no tickets are needed.
 	avoided   map[string]bool // avoided holds the workers that are left out because of failed runs of the stage.
+	// lastResort is set if the workers that appear to be faulty may be used.
+	lastResort bool
 }
 
 // unusable returns what keeps the worker from any new work.
@@ -71,7 +73,7 @@
 // fit returns how many tasks of a stage may run on a worker now beside its runs, or what keeps them from it.
 func (machine *Machine) fit(worker *worker, query *placementQuery) (int, obstacle) {
 	switch {
-	case !worker.inPass:
+	case !worker.inPass && !query.lastResort:
 		return 0, cmp.Or(worker.unusable(machine.now), obstacleKeptEmpty)
 	case query.avoided[worker.id]:
 		return 0, obstacleFailedRun
--- a/command/scheduler/placement.go
+++ b/command/scheduler/placement.go
@@ -84,13 +84,17 @@
 // startPass collects the workers and the hosts that may be used in a placement pass.
 func (machine *Machine) startPass() {
 	leader := machine.leader
-	leader.usableWorkers, leader.ownWorkers = leader.usableWorkers[:0], leader.ownWorkers[:0]
+	leader.usableWorkers, leader.ownWorkers, leader.faultyWorkers = leader.usableWorkers[:0], leader.ownWorkers[:0], leader.faultyWorkers[:0]
 	leader.reservedCPU, leader.usableCPU, leader.heldWorkers = 0, 0, 0
 	leader.examinedWorkers = len(leader.sortedWorkers)
 	leader.shares.clearCapacity()
 	for _, worker := range leader.sortedWorkers {
-		if worker.inPass = worker.usable(machine.now); worker.inPass {
-			worker.reserved, worker.held = almondcross.Resources{}, false
+		worker.reserved, worker.held = almondcross.Resources{}, false
+		reason := worker.unusable(machine.now)
+		if reason == obstacleFaulty {
+			leader.faultyWorkers = append(leader.faultyWorkers, worker)
+		}
+		if worker.inPass = reason == ""; worker.inPass {
 			leader.usableWorkers = append(leader.usableWorkers, worker)
 			leader.usableCPU += worker.info.Capacity().MilliCPU()
 			leader.shares.addCapacity(worker.info)
@@ -161,6 +165,16 @@
 	case suspicion == isolated:
 		workers = machine.leader.ownWorkers
 	}
+	candidates := machine.candidatesAmong(workers, query)
+	if suspicion == unsuspected && machine.mayUseFaulty(queue, stage, candidates) {
+		query.lastResort = true
+		candidates = append(candidates, machine.candidatesAmong(machine.leader.faultyWorkers, query)...)
+	}
+	return candidates
+}
+
+// candidatesAmong returns the workers among some on which at least one task of a stage fits.
+func (machine *Machine) candidatesAmong(workers []*worker, query *placementQuery) []almondcross.WorkerCapacity {
 	machine.leader.examinedWorkers += len(workers)
 	var candidates []almondcross.WorkerCapacity
 	for _, worker := range workers {
@@ -169,7 +183,7 @@
 			continue
 		}
 		candidates = append(candidates, almondcross.NewWorkerCapacity(almondcross.WorkerCapacityConfig{
-			Worker: worker.id, Rack: worker.info.Rack(), Free: machine.unreserved(worker, queue, stage), Capacity: worker.info.Capacity(),
+			Worker: worker.id, Rack: worker.info.Rack(), Free: machine.unreserved(worker, query.queue, query.stage), Capacity: worker.info.Capacity(),
 			Tasks: count, Speed: worker.pace(),
 		}))
 	}
--- a/command/scheduler/retry_test.go
+++ b/command/scheduler/retry_test.go
@@ -170,3 +170,35 @@
 		harness.placeFor(3 * time.Second)
 	}
 }
+
+// Guards against a task that waits for up to 20 s beside an idle worker (LOST), since that worker appears to be faulty and the other
+// one is full of a long run. Guards as well against tasks that a faulty worker gets although others have room.
+func TestFaultyWorkerIsUsedAsALastResort(t *testing.T) {
+	for name, test := range map[string]struct {
+		full, crowded, used bool
+	}{
+		"the other one is full":                   {full: true, used: true},
+		"the other one is full in a crowded pool": {full: true, crowded: true},
+		"the other one has room":                  {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			harness := newLabelledCell(t)
+			faulty := harness.machine.leader.workers["i-000"]
+			faulty.avoidUntil = harness.now.Add(maxFailureBackoffs * failureBackoff)
+			if test.full {
+				harness.occupy("i-001", 0, time.Hour)
+			}
+			if test.crowded {
+				for _, id := range []string{"i-002", "i-003", "i-004", "i-005"} {
+					harness.occupy(id, 0, time.Hour)
+				}
+			}
+			harness.submitJob("j", almondcross.StepConfig{Count: 1, Label: "l"})
+			harness.placeFor(failedRunWait - 100*time.Millisecond)
+			require.Empty(t, faulty.assignments)
+			harness.placeFor(200 * time.Millisecond)
+			require.Equal(t, test.used, len(faulty.assignments) == 1)
+			require.Equal(t, !test.crowded, harness.record(taskOf("j", 0, 0)).Active())
+		})
+	}
+}
--- a/command/scheduler/room.go
+++ b/command/scheduler/room.go
@@ -13,11 +13,11 @@
 
 // placeIfRoom places tasks of a stage that needs no advice, unless the bound of its pool shows that none fits, and reports whether no
 // task is left to place. A stage under suspicion is always looked at, since its wait for a worker of its own counts from then on. The
-// bound leaves out what is kept for gangs, so it says nothing of a stage that may use that.
+// bound leaves out what is kept for gangs, and workers that appear to be faulty, so it says nothing of a stage that may use these.
 func (machine *Machine) placeIfRoom(queue almondcross.Queue, waiting *waitingStage) bool {
 	bound := machine.roomBound(queue.Pool())
 	suspected := waiting.stage.maxCrashes > 0 || machine.queueSuspicion(waiting.job, waiting.stage) != unsuspected
-	if bound.exhausted && !suspected && !machine.ignoresReservations(queue, waiting.stage) {
+	if bound.exhausted && !suspected && !machine.ignoresReservations(queue, waiting.stage) && !machine.mayUseFaulty(queue, waiting.stage, nil) {
 		if !bound.current {
 			machine.updateRoom(queue.Pool(), bound)
 		}
--- a/command/scheduler/worker.go
+++ b/command/scheduler/worker.go
@@ -72,7 +72,7 @@
 	isolatedRuns int  // isolatedRuns counts the runs of isolated tasks; meanwhile the worker gets no runs of other jobs.
 	isolatedFor  *job // isolatedFor is the job of the isolated runs.
 
-	inPass bool // inPass is set if the worker may get new work in the current placement pass.
+	inPass bool // inPass is set if any stage may use the worker in the current placement pass.
 
 	incarnation      int64
 	incarnationSince time.Time     // incarnationSince is when the first report of this incarnation arrived.
@@ -171,7 +171,7 @@
 	machine.config.Log.Record("run_ended", almondcross.Text("task", task.String()), almondcross.Number("run", assignment.run),
 		almondcross.Text("worker", worker.id), almondcross.Text("end", string(kind)), almondcross.Millis("after_ms", machine.now.Sub(assignment.placedAt)),
 		almondcross.Text("confirmed", yesNo(!assignment.confirmedAt.IsZero())), almondcross.Number("incarnation", worker.incarnation))
-	machine.countFailures(worker, assignment.job, assignment.stage, kind)
+	machine.countFailures(worker, assignment.stage, kind)
 	job := assignment.job
 	if job.state.Final() {
 		if !wasFinal {
