--- a/integration/soak/builds_test.go
+++ b/integration/soak/builds_test.go
@@ -12,7 +12,7 @@
 )
 
 // lastLanding is the landing before this version; each landing sets it.
-const lastLanding = "766353f"
+const lastLanding = "8934fff3"
 
 var (
 	earlierCommit = flag.String("earlier", lastLanding, "the commit of the earlier build")
