Use held workers and kept room after two seconds in an idle pool

A job has nothing running for 5 s beside room that is kept for a gang, while most of the pool is idle, and a service beside any free room (LOST from 3 s on).

Cause: both kinds of kept room counted 5 s from when a stage became ready, whatever the use of the pool. The users' rule allows 3 s.

Evidence: TestRoomKeptForAGangIsReleased with the bound of 2 s, and TestWorkersAreHeldForLessTimeInAnIdlePool, fail before in all cases but that of a crowded pool.

Change: mustStartSoon says which stages these are, maxIdleWait is their bound of 2 s, and failed runs and faulty workers use both. A crowded pool keeps room as before.

--- a/command/scheduler/failedruns.go
+++ b/command/scheduler/failedruns.go
@@ -6,15 +6,11 @@
 	"github.com/almondcross/almondcross"
 )
 
-// A task whose run has failed goes to another worker, if one may have room for it soon. A faulty worker, on which every run fails and
-// which is free again at once, would otherwise use up all attempts of the task.
-const (
-	// failedRunWait is how long after its last failed run a stage waits for other workers.
-	failedRunWait = 2 * time.Second
-	// crowdedFailedRunWait replaces it in a crowded pool, where it may take longer until room is released, for tasks with a limited
-	// number of attempts.
-	crowdedFailedRunWait = 10 * time.Second
-)
+// A task whose run has failed goes to another worker, if one may have room for it. A faulty worker, on which every run fails and which is
+// free again at once, would otherwise use up all attempts of the task.
+
+// maxFailedRunWait is how long after its last failed run a stage waits for other workers, unless it must start soon.
+const maxFailedRunWait = 10 * time.Second
 
 // failedWorkers returns the workers on which the last run of a task of the stage failed.
 func (stage *stage) failedWorkers() map[string]bool {
@@ -65,16 +61,16 @@
 
 // failedRunWait returns how long after its last failed run a stage waits for other workers.
 func (machine *Machine) failedRunWait(queue almondcross.Queue, stage *stage) time.Duration {
-	if !stage.spec.Service() && machine.crowded(queue.Pool()) {
-		return crowdedFailedRunWait
+	if machine.mustStartSoon(queue, stage) {
+		return maxIdleWait
 	}
-	return failedRunWait
+	return maxFailedRunWait
 }
 
 // mayUseFaulty reports whether a stage may use the workers that appear to be faulty, as the candidates among the others do not suffice.
 // It waits for others first, and for longer if its attempts are limited and room on others is going to be released.
 func (machine *Machine) mayUseFaulty(queue almondcross.Queue, stage *stage, candidates []almondcross.WorkerCapacity) bool {
-	if len(machine.leader.faultyWorkers) == 0 || machine.now.Sub(later(stage.readyAt, stage.failedAt)) < failedRunWait {
+	if len(machine.leader.faultyWorkers) == 0 || machine.now.Sub(later(stage.readyAt, stage.failedAt)) < maxIdleWait {
 		return false
 	}
 	missing := 1
@@ -84,5 +80,5 @@
 	for _, candidate := range candidates {
 		missing -= candidate.Tasks()
 	}
-	return missing > 0 && (stage.spec.Service() || !machine.crowded(queue.Pool()) || !machine.othersMayHold(queue, stage, nil))
+	return missing > 0 && (machine.mustStartSoon(queue, stage) || !machine.othersMayHold(queue, stage, nil))
 }
--- a/command/scheduler/gangroom.go
+++ b/command/scheduler/gangroom.go
@@ -11,8 +11,8 @@
 // not enough, stages of a lower priority do not see these workers at all. The room is found anew in each pass: with dozens of waiting
 // gangs, the room on named workers that all of them wait for stays free for much longer than the first gang needs to find enough on any.
 //
-// A gang may wait for workers that are not released for hours. Both kinds of kept room therefore end for a stage that has waited for
-// maxHold: held workers in any case, reserved room for a service, and for other stages if their pool is not crowded.
+// A gang may wait for workers that are not released for hours. A stage that must start soon therefore uses all free room once it has
+// waited for maxIdleWait, and held workers are used by any stage that has waited for maxHold.
 
 // Parameters of the room that is kept free for waiting gangs.
 const (
@@ -21,8 +21,8 @@
 	maxReservedShare = 0.35
 	// maxHeldShare is the maximum share of the workers that stages of a lower priority than a waiting gang do not use.
 	maxHeldShare = 0.9
-	// maxHold is how long a stage waits for gangs of a higher priority, and for any gang in a pool that is not crowded. Batch work has
-	// time for it, and is not held off altogether while gangs keep arriving.
+	// maxHold is how long a stage waits for gangs of a higher priority. Batch work has time for it, and is not held off altogether
+	// while gangs keep arriving.
 	maxHold = 5 * time.Second
 )
 
@@ -127,8 +127,5 @@
 
 // ignoresReservations reports whether a stage has waited long enough to use the room that is kept for gangs.
 func (machine *Machine) ignoresReservations(queue almondcross.Queue, stage *stage) bool {
-	if machine.now.Sub(stage.readyAt) < maxHold {
-		return false
-	}
-	return stage.spec.Service() || !machine.crowded(queue.Pool())
+	return machine.now.Sub(stage.readyAt) >= maxIdleWait && machine.mustStartSoon(queue, stage)
 }
--- a/command/scheduler/gangroom_test.go
+++ b/command/scheduler/gangroom_test.go
@@ -180,10 +180,30 @@
 			}
 			harness.submitJob("g", almondcross.StepConfig{Count: 8, Gang: true, Label: "l"})
 			harness.submitJob("single", almondcross.StepConfig{Count: 1, Label: "l", Service: test.service})
-			harness.placeFor(maxHold - time.Second)
+			harness.placeFor(1800 * time.Millisecond)
 			require.Zero(t, harness.machine.state.jobs["single"].activeTasks)
-			harness.placeFor(time.Second)
+			harness.placeFor(400 * time.Millisecond)
+			require.Equal(t, test.released, harness.machine.state.jobs["single"].activeTasks > 0)
+			harness.placeFor(maxHold)
 			require.Equal(t, test.released, harness.machine.state.jobs["single"].activeTasks > 0)
 		})
 	}
 }
+
+// Guards against a stage of a lower priority that waits for 5 s beside idle workers (LOST from 3 s on), which are held for a gang,
+// while most of the pool is idle.
+func TestWorkersAreHeldForLessTimeInAnIdlePool(t *testing.T) {
+	harness := newLabelledCell(t)
+	harness.occupy("i-001", 0, time.Hour)
+	machine := harness.machine
+	urgent := almondcross.NewQueue(almondcross.QueueConfig{Pool: poolWorker.Pool(), Priority: 1})
+	gang := &stage{spec: almondcross.NewStep(almondcross.StepConfig{Count: 8, Gang: true, Label: "l", Resources: almondcross.NewResources(almondcross.ResourcesConfig{MilliCPU: 1000})}), remainingTasks: 8}
+	waits := func(since time.Duration) bool {
+		machine.startPass()
+		machine.reserveRoom(urgent, &waitingStage{job: &job{}, stage: gang}, nil)
+		require.True(t, machine.leader.workers["i-000"].held)
+		return machine.unreserved(machine.leader.workers["i-000"], urgent.WithPriority(2), &stage{readyAt: harness.now.Add(-since)}).IsZero()
+	}
+	require.True(t, waits(1900*time.Millisecond))
+	require.False(t, waits(2*time.Second))
+}
--- a/command/scheduler/retry_test.go
+++ b/command/scheduler/retry_test.go
@@ -194,7 +194,7 @@
 				}
 			}
 			harness.submitJob("j", almondcross.StepConfig{Count: 1, Label: "l"})
-			harness.placeFor(failedRunWait - 100*time.Millisecond)
+			harness.placeFor(1900 * time.Millisecond)
 			require.Empty(t, faulty.assignments)
 			harness.placeFor(200 * time.Millisecond)
 			require.Equal(t, test.used, len(faulty.assignments) == 1)
