Wait no more than two seconds beside idle slow workers in an idle pool

A task waits for up to 4 s beside idle workers that are slow, while the others that may run it are full and most of the pool is idle (LOST from 3 s on).

Cause: the wait for a worker that is not slow was bounded by what the task loses on a slow one, 4 s at most.

Evidence: TestSlowWorkersAreUsedSoonInAnIdlePool fails before: no run after 2.1 s.

Change: a stage that must start soon waits for 2 s at most.

Result: the test passes.

--- a/command/scheduler/speeds.go
+++ b/command/scheduler/speeds.go
@@ -193,7 +193,11 @@
 	case waiting.slowSince.IsZero():
 		waiting.slowSince = machine.now
 	}
-	if machine.now.Sub(waiting.slowSince) < machine.slowWait(waiting.stage, candidates) && machine.othersMayRun(queue, waiting.stage, advice) {
+	wait := machine.slowWait(waiting.stage, candidates)
+	if machine.mustStartSoon(queue, waiting.stage) {
+		wait = min(wait, maxIdleWait)
+	}
+	if machine.now.Sub(waiting.slowSince) < wait && machine.othersMayRun(queue, waiting.stage, advice) {
 		return fast
 	}
 	return candidates
--- a/command/scheduler/speeds_test.go
+++ b/command/scheduler/speeds_test.go
@@ -198,3 +198,20 @@
 		require.True(t, asked["i-000"] && asked["i-003"], "gang %t: %v", gang, asked)
 	}
 }
+
+// Guards against a task that waits for 4 s beside idle slow workers (LOST from 3 s on), since the only other one that may run it is
+// full of a long run.
+func TestSlowWorkersAreUsedSoonInAnIdlePool(t *testing.T) {
+	harness := newLabelledCell(t)
+	harness.learn()
+	harness.occupy("i-001", 0, time.Hour)
+	slow := harness.machine.leader.workers["i-000"]
+	for range 10 {
+		harness.machine.observeSpeed(slow, almondcross.SpeedSampleConfig{Expected: 100 * time.Millisecond, Taken: 500 * time.Millisecond})
+	}
+	harness.submitJob("j", almondcross.StepConfig{Count: 1, Label: "l", Estimate: time.Minute})
+	harness.placeFor(1900 * time.Millisecond)
+	require.Empty(t, slow.assignments)
+	harness.placeFor(200 * time.Millisecond)
+	require.Len(t, slow.assignments, 1)
+}
